--- /dev/null
+++ b/base/kn.c
@@ -0,0 +1,324 @@
+#include "base/kn.h"
+
+#include <signal.h>
+#include <string.h>
+#include <time.h>
+
+#include "base/err.h"
+#include "base/limits.h"
+#include "base/log.h"
+
+/* Signals address the process; the handler only counts and wakes the loop. */
+static volatile sig_atomic_t stop_signals;
+static struct lws_context *signal_context;
+
+/* ---- setup ---- */
+
+static void forward_lws_log(int level, const char *line)
+{
+	char text[256];
+	size_t len;
+
+	snprintf(text, sizeof(text), "%s", line);
+	len = strlen(text);
+	while (len > 0 && (text[len - 1] == '\n' || text[len - 1] == '\r'))
+		text[--len] = '\0';
+	if (level == LLL_ERR)
+		log_err("lws", "text=\"%s\"", text);
+	else
+		log_dbg("lws", "text=\"%s\"", text);
+}
+
+/*
+ * Creates the event loop. The listening and client vhosts are made by the
+ * modules that own the sockets.
+ */
+bool kn_init(struct kn *kn, GError **err)
+{
+	struct lws_context_creation_info info;
+
+	memset(kn, 0, sizeof(*kn));
+	list_init(&kn->tasks);
+	list_init(&kn->ready);
+	ctr_set_init(&kn->counters);
+	lws_set_log_level(LLL_ERR | LLL_WARN, forward_lws_log);
+	memset(&info, 0, sizeof(info));
+	info.port = CONTEXT_PORT_NO_LISTEN;
+	info.options = LWS_SERVER_OPTION_EXPLICIT_VHOSTS;
+	info.gid = (gid_t)-1;
+	info.uid = (uid_t)-1;
+	info.pt_serv_buf_size = HTTP_HEADERS_MAX_BYTES;
+	info.max_http_header_data = HTTP_HEADERS_MAX_BYTES;
+	kn->lws = lws_create_context(&info);
+	if (!kn->lws) {
+		g_set_error(err, CB_ERROR, CB_E_LIBRARY,
+			    "cannot create the libwebsockets context");
+		return false;
+	}
+	return true;
+}
+
+/* Finishes all tasks, last started first, and frees the event loop. */
+void kn_finish(struct kn *kn)
+{
+	struct kn_msg *msg, *tmp;
+	struct kn_task *task;
+
+	while (!list_empty(&kn->tasks)) {
+		task = list_entry(kn->tasks.prev, struct kn_task, node);
+		list_del(&task->node);
+		list_del(&task->ready);
+		if (task->started && task->ops->finish)
+			task->ops->finish(task);
+		list_for_each_entry_safe(msg, tmp, &task->mailbox, node) {
+			list_del(&msg->node);
+			kn_msg_release(msg);
+		}
+	}
+	if (kn->lws)
+		lws_context_destroy(kn->lws);
+	kn->lws = NULL;
+	signal_context = NULL;
+}
+
+/* Registers a task as a service under a name, which must outlive it. */
+void kn_add(struct kn *kn, struct kn_task *task, const char *name,
+	    const struct kn_task_ops *ops)
+{
+	task->ops = ops;
+	task->kn = kn;
+	task->name = name;
+	task->started = false;
+	task->drained = false;
+	list_init(&task->mailbox);
+	list_init(&task->ready);
+	list_add_tail(&task->node, &kn->tasks);
+}
+
+/* Returns the service of that name, NULL when there is none. */
+struct kn_task *kn_find(struct kn *kn, const char *name)
+{
+	struct kn_task *task;
+
+	list_for_each_entry(task, &kn->tasks, node)
+		if (strcmp(task->name, name) == 0)
+			return task;
+	return NULL;
+}
+
+/* ---- messages ---- */
+
+/* Puts a message into a task's mailbox; order per sender is kept. */
+void kn_send(struct kn_task *to, struct kn_task *from, struct kn_msg *msg)
+{
+	msg->from = from;
+	list_add_tail(&msg->node, &to->mailbox);
+	if (list_empty(&to->ready))
+		list_add_tail(&to->ready, &to->kn->ready);
+}
+
+/* Frees a received message. */
+void kn_msg_release(struct kn_msg *msg)
+{
+	if (msg->release)
+		msg->release(msg);
+}
+
+static void deliver_all(struct kn_task *task)
+{
+	struct list_head batch;
+	struct kn_msg *msg;
+
+	/* Messages sent while this batch is handled wait for the next round. */
+	list_init(&batch);
+	if (!list_empty(&task->mailbox)) {
+		list_add(&batch, &task->mailbox);
+		list_del(&task->mailbox);
+	}
+	while (!list_empty(&batch)) {
+		msg = list_first_entry(&batch, struct kn_msg, node);
+		list_del(&msg->node);
+		task->ops->receive(task, msg);
+	}
+}
+
+static void drain_mailboxes(struct kn *kn)
+{
+	struct kn_task *task;
+	int rounds;
+
+	for (rounds = 0; rounds < KN_DRAIN_ROUNDS; rounds++) {
+		struct list_head batch;
+
+		if (list_empty(&kn->ready))
+			return;
+		list_init(&batch);
+		list_add(&batch, &kn->ready);
+		list_del(&kn->ready);
+		while (!list_empty(&batch)) {
+			task = list_first_entry(&batch, struct kn_task, ready);
+			list_del(&task->ready);
+			deliver_all(task);
+		}
+	}
+}
+
+/* ---- time ---- */
+
+static void timer_fired(lws_sorted_usec_list_t *sul)
+{
+	struct kn_timer *timer = lws_container_of(sul, struct kn_timer, sul);
+
+	timer->fn(timer);
+}
+
+/* Starts a timer, or moves a running one. delay_us counts from now. */
+void kn_timer_set(struct kn *kn, struct kn_timer *timer, int64_t delay_us,
+		  void (*fn)(struct kn_timer *timer))
+{
+	timer->fn = fn;
+	/* Zero would be taken as a request to cancel. */
+	lws_sul_schedule(kn->lws, 0, &timer->sul, timer_fired,
+			 delay_us > 0 ? delay_us : 1);
+}
+
+/* Stops a timer; one that is not running is left alone. */
+void kn_timer_cancel(struct kn_timer *timer)
+{
+	lws_sul_cancel(&timer->sul);
+}
+
+/* True while the timer is running. */
+bool kn_timer_pending(const struct kn_timer *timer)
+{
+	return timer->sul.list.owner != NULL;
+}
+
+static int64_t clock_us(clockid_t clock)
+{
+	struct timespec ts;
+
+	clock_gettime(clock, &ts);
+	return ts.tv_sec * USEC_PER_SEC + ts.tv_nsec / 1000;
+}
+
+/* Monotonic clock in microseconds. */
+int64_t kn_now_us(void)
+{
+	return clock_us(CLOCK_MONOTONIC);
+}
+
+/* Wall clock in microseconds since the epoch, for event lines only. */
+int64_t kn_wall_us(void)
+{
+	return clock_us(CLOCK_REALTIME);
+}
+
+/* ---- running ---- */
+
+/* Starts all tasks in the order they were added. */
+bool kn_start(struct kn *kn, GError **err)
+{
+	struct kn_task *task;
+
+	list_for_each_entry(task, &kn->tasks, node) {
+		if (task->ops->start && !task->ops->start(task, err))
+			return false;
+		task->started = true;
+	}
+	return true;
+}
+
+static void handle_signals(struct kn *kn)
+{
+	static int handled;
+
+	if (handled == stop_signals)
+		return;
+	handled = stop_signals;
+	if (kn->draining) {
+		log_warn("stop.forced", "signals=%d", handled);
+		kn_stop(kn, 1);
+		return;
+	}
+	kn_drain(kn);
+}
+
+/* Runs one round of mailboxes, sockets and timers. */
+void kn_turn(struct kn *kn)
+{
+	drain_mailboxes(kn);
+	if (kn->stopped)
+		return;
+	/* A negative timeout polls without waiting. */
+	lws_service(kn->lws, list_empty(&kn->ready) ? 0 : -1);
+	handle_signals(kn);
+}
+
+/* Runs until kn_stop() or until all tasks have drained. */
+int kn_run(struct kn *kn)
+{
+	while (!kn->stopped)
+		kn_turn(kn);
+	return kn->exit_code;
+}
+
+/* Begins the graceful stop of all tasks. */
+void kn_drain(struct kn *kn)
+{
+	struct kn_task *task;
+
+	if (kn->draining)
+		return;
+	kn->draining = true;
+	log_info("stop.draining", "reason=signal");
+	list_for_each_entry(task, &kn->tasks, node) {
+		if (task->ops->drain)
+			task->ops->drain(task);
+		else
+			kn_drained(task);
+	}
+}
+
+/* A task reports that nothing of it is in progress any more. */
+void kn_drained(struct kn_task *task)
+{
+	struct kn *kn = task->kn;
+
+	task->drained = true;
+	list_for_each_entry(task, &kn->tasks, node)
+		if (!task->drained)
+			return;
+	kn_stop(kn, 0);
+}
+
+/* Ends kn_run() after the current round. */
+void kn_stop(struct kn *kn, int exit_code)
+{
+	kn->stopped = true;
+	kn->exit_code = exit_code;
+	lws_cancel_service(kn->lws);
+}
+
+static void on_signal(int number)
+{
+	(void)number;
+	stop_signals++;
+	if (signal_context)
+		lws_cancel_service(signal_context);
+}
+
+/* SIGTERM and SIGINT drain; a second one ends the process at once. */
+void kn_handle_signals(struct kn *kn)
+{
+	struct sigaction action;
+
+	signal_context = kn->lws;
+	memset(&action, 0, sizeof(action));
+	action.sa_handler = on_signal;
+	sigemptyset(&action.sa_mask);
+	sigaction(SIGTERM, &action, NULL);
+	sigaction(SIGINT, &action, NULL);
+	action.sa_handler = SIG_IGN;
+	sigaction(SIGPIPE, &action, NULL);
+}
--- /dev/null
+++ b/cli/main.c
@@ -0,0 +1,4 @@
+int main(void)
+{
+	return 0;
+}
