--- /dev/null
+++ b/daemon/svc.c
@@ -0,0 +1,58 @@
+#include "daemon/svc.h"
+
+#include <stdarg.h>
+#include <stdlib.h>
+
+#include "base/err.h"
+
+static void release_msg(struct kn_msg *msg)
+{
+	free(msg);
+}
+
+/* Asks a service to send its changes to a task from now on. */
+void svc_subscribe(struct kn_task *service, struct kn_task *from)
+{
+	struct kn_msg *msg = calloc(1, sizeof(*msg));
+
+	msg->type = SVC_SUBSCRIBE;
+	msg->release = release_msg;
+	kn_send(service, from, msg);
+}
+
+/*
+ * Sends an operator's call back to the task it came from. Takes over the
+ * caller's reference to answer.
+ */
+void svc_api_answer(struct svc_api_call *call, struct kn_task *from, int status,
+		    json_t *answer)
+{
+	call->status = status;
+	call->answer = answer;
+	call->msg.type = SVC_API_REPLY;
+	kn_send(call->msg.from, from, &call->msg);
+}
+
+/*
+ * Answers a call with a numbered error, whose detail is the formatted text.
+ * Bytes of the detail that aren't UTF-8 are replaced, because a JSON string
+ * can't hold them.
+ */
+void svc_api_fail(struct svc_api_call *call, struct kn_task *from, int code,
+		  const char *fmt, ...)
+{
+	char *detail, *valid;
+	json_t *answer;
+	va_list args;
+
+	va_start(args, fmt);
+	detail = g_strdup_vprintf(fmt, args);
+	va_end(args);
+	valid = g_utf8_make_valid(detail, -1);
+	answer = json_pack("{s:{s:i,s:s,s:s,s:s}}", "error", "code", code,
+			   "name", cb_result_name(code), "text",
+			   cb_result_text(code), "detail", valid);
+	g_free(valid);
+	g_free(detail);
+	svc_api_answer(call, from, cb_result_http(code), answer);
+}
--- a/policy/docview.h
+++ b/policy/docview.h
@@ -7,7 +7,10 @@
 
 #include "base/limits.h"
 
-/* The document in force, parsed. Immutable and reference counted. */
+/*
+ * The document in force, parsed. Immutable and reference counted. Each array
+ * is sorted by name and is a block from malloc().
+ */
 
 enum doc_unit { DOC_ACCELERATOR, DOC_WORKER, DOC_RACK };
 enum doc_class { DOC_SHORT, DOC_LONG, DOC_CLASSES };
@@ -49,6 +52,7 @@
 };
 
 struct doc_view {
+	unsigned int extra_refs; /* references beyond the first */
 	int64_t revision;
 	struct doc_customer *customers;
 	size_t customer_count;
--- a/wire/kv.h
+++ b/wire/kv.h
@@ -2,6 +2,7 @@
 #define WIRE_KV_H
 
 #include "base/kn.h"
+#include "base/limits.h"
 
 struct kv;
 struct kv_call;
