--- a/base/limits.h
+++ b/base/limits.h
@@ -77,4 +77,18 @@
 #define RECLAIM_BOUND_MS 9400
 #define TAKEOVER_BOUND_MS 10000
 
+/* ---- document ---- */
+
+#define DOC_SECTION_NAME_MAX_BYTES 80 /* the longest type, '/', a name */
+#define DOC_WEIGHT_MAX 1000
+#define DOC_GUARANTEES_MAX 64
+#define DOC_PREFIXES_MAX 64
+#define DOC_POOL_WORKERS_MAX 20000
+#define DOC_WORKER_ACCELERATORS_MAX 64
+#define DOC_RACK_MAX 1000000
+#define DOC_COUNT_MAX 1000000 /* units of a guarantee or a quota */
+#define DOC_SHORT_LIMIT_DEFAULT_MS 100
+#define DOC_HISTORY_MAX 100 /* history entries in one answer */
+#define DOC_RETRIES_MAX 8 /* merges with racing changes before a conflict */
+
 #endif
--- /dev/null
+++ b/policy/docedit.c
@@ -0,0 +1,203 @@
+#include "policy/doc.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+#include "base/err.h"
+
+#define TEAM_PREFIX "team/"
+
+/* ---- authority ---- */
+
+/* Takes the same time wherever the texts differ. */
+static bool equal_hashes(const char *a, const char *b)
+{
+	unsigned char differs = 0;
+	size_t i;
+
+	for (i = 0; i < DOC_SHA256_BYTES - 1; i++)
+		differs |= (unsigned char)(a[i] ^ b[i]);
+	return differs == 0;
+}
+
+struct token_search {
+	const char *sha256;
+	const char *team;
+};
+
+/* All teams are compared, so that the time does not tell which one matched. */
+static gboolean match_team(void *key, void *value, void *data)
+{
+	const struct doc_section *section = value;
+	struct token_search *search = data;
+	const char *hash;
+
+	if (!g_str_has_prefix(section->name, TEAM_PREFIX))
+		return FALSE;
+	hash = json_string_value(
+		json_object_get(section->body, "token_sha256"));
+	if (hash && strlen(hash) == DOC_SHA256_BYTES - 1 &&
+	    equal_hashes(hash, search->sha256))
+		search->team = section->name + strlen(TEAM_PREFIX);
+	return FALSE;
+}
+
+/*
+ * Returns the team that holds a bearer token, DOC_ADMIN for the
+ * administrator's, NULL for an unknown one. The name belongs to doc.
+ */
+const char *doc_team_of_token(const struct doc *doc, const char *admin_sha256,
+			      const char *token)
+{
+	struct token_search search = { 0 };
+	char *sha256;
+
+	if (!token || !*token)
+		return NULL;
+	sha256 = g_compute_checksum_for_string(G_CHECKSUM_SHA256, token, -1);
+	search.sha256 = sha256;
+	g_tree_foreach(doc->sections, match_team, &search);
+	if (strlen(admin_sha256) == DOC_SHA256_BYTES - 1 &&
+	    equal_hashes(admin_sha256, sha256))
+		search.team = DOC_ADMIN;
+	g_free(sha256);
+	return search.team;
+}
+
+static bool team_may_write(const struct doc *doc, const char *team,
+			   const char *section)
+{
+	char *name = g_strconcat(TEAM_PREFIX, team, NULL);
+	const struct doc_section *own = doc_find(doc, name);
+	json_t *prefix;
+	bool may = false;
+	size_t i;
+
+	g_free(name);
+	if (!own || g_str_has_prefix(section, TEAM_PREFIX))
+		return false;
+	json_array_foreach(json_object_get(own->body, "may"), i, prefix) {
+		if (json_is_string(prefix) &&
+		    g_str_has_prefix(section, json_string_value(prefix)))
+			may = true;
+	}
+	return may;
+}
+
+static bool check_authority(const struct doc *doc,
+			    const struct doc_change *change, GError **err)
+{
+	const struct doc_section *section = doc_find(doc, change->section);
+
+	if (strcmp(change->team, DOC_ADMIN) == 0)
+		return true;
+	if (change->owner) {
+		g_set_error(err, CB_ERROR, CB_E_FORBIDDEN,
+			    "section \"%s\": only the administrator may set "
+			    "the owner",
+			    change->section);
+		return false;
+	}
+	if (!team_may_write(doc, change->team, change->section)) {
+		g_set_error(err, CB_ERROR, CB_E_FORBIDDEN,
+			    "section \"%s\": not among the prefixes that "
+			    "\"team/%s\" allows under \"may\"",
+			    change->section, change->team);
+		return false;
+	}
+	if (section && strcmp(section->team, change->team) != 0) {
+		g_set_error(err, CB_ERROR, CB_E_FORBIDDEN,
+			    "section \"%s\" belongs to team \"%s\", not \"%s\"",
+			    change->section, section->team, change->team);
+		return false;
+	}
+	return true;
+}
+
+/* ---- changes ---- */
+
+/*
+ * A change of a section that has changed since it was read conflicts; a
+ * change of other sections does not.
+ */
+static bool check_base(const struct doc *doc, const struct doc_change *change,
+		       GError **err)
+{
+	const struct doc_section *section = doc_find(doc, change->section);
+	int64_t revision = section ? section->revision : 0;
+
+	if (revision == 0 && !change->body) {
+		g_set_error(err, CB_ERROR, CB_E_NO_SECTION,
+			    "section \"%s\" does not exist", change->section);
+		return false;
+	}
+	if (revision == change->base)
+		return true;
+	g_set_error(err, CB_ERROR, CB_E_CONFLICT,
+		    "section \"%s\" is at revision %" G_GINT64_FORMAT
+		    ", and the change is based on revision %" G_GINT64_FORMAT,
+		    change->section, revision, change->base);
+	return false;
+}
+
+static gboolean copy_section(void *key, void *value, void *data)
+{
+	struct doc_section *section = value;
+
+	section->refs++;
+	doc_insert(data, section);
+	return FALSE;
+}
+
+static void put_section(struct doc *next, const struct doc *doc,
+			const struct doc_change *change)
+{
+	const struct doc_section *old = doc_find(doc, change->section);
+	struct doc_section *section = g_new0(struct doc_section, 1);
+	const char *owner = change->owner;
+	char *text = doc_body_text(change->body), *sha256;
+
+	if (!owner)
+		owner = old ? old->team : change->team;
+	sha256 = g_compute_checksum_for_string(G_CHECKSUM_SHA256, text, -1);
+	section->refs = 1;
+	section->revision = next->revision;
+	section->body = json_deep_copy(change->body);
+	g_strlcpy(section->name, change->section, sizeof(section->name));
+	g_strlcpy(section->team, owner, sizeof(section->team));
+	g_strlcpy(section->sha256, sha256, sizeof(section->sha256));
+	doc_insert(next, section);
+	g_free(sha256);
+	free(text);
+}
+
+/*
+ * Applies a change to a document whose bodies are all present. Returns the
+ * next document, which shares the other sections, or NULL with the reason:
+ * forbidden, conflict, no such section, or a failed check. Applying the same
+ * change to a later document is how changes of different sections merge.
+ */
+struct doc *doc_apply(const struct doc *doc, const struct doc_change *change,
+		      GError **err)
+{
+	struct doc *next;
+
+	if (!doc_check_name(change->section, err) ||
+	    !check_authority(doc, change, err) || !check_base(doc, change, err))
+		return NULL;
+	if (change->body &&
+	    !doc_check_section(change->section, change->body, err))
+		return NULL;
+	next = doc_new();
+	g_tree_foreach(doc->sections, copy_section, next);
+	next->revision = doc->revision + 1;
+	g_strlcpy(next->change, change->id, sizeof(next->change));
+	if (change->body)
+		put_section(next, doc, change);
+	else
+		g_tree_remove(next->sections, change->section);
+	if (doc_check_whole(next, err))
+		return next;
+	doc_free(next);
+	return NULL;
+}
