Add cells, guaranteed shapes and gang placement

A guaranteed cell is bound to a place while its owner uses a part of it, so the joint proof is a comparison of three counts that every hold and release updates. Single accelerators in use on a failed worker were not reported as broken; they are counted now.

--- a/base/limits.h
+++ b/base/limits.h
@@ -76,5 +76,10 @@
 #define USAGE_LAG_MAX_MS 10000
 #define RECLAIM_BOUND_MS 9400
 #define TAKEOVER_BOUND_MS 10000
+#define WORKER_ACCELERATORS_MAX 16
+#define RACKS_PER_ROW 16 /* a row holds the largest gang with room to spare */
+#define RACKS_MAX 65536
+#define RECLAIM_GRACE_MS 6000 /* leaves 3.4 s for stop, start and losses */
+#define JOB_WRITES 3 /* store writes for a job that isn't cancelled */
 
 #endif
--- /dev/null
+++ b/policy/gs.c
@@ -0,0 +1,431 @@
+#include "policy/gs.h"
+
+#include <string.h>
+
+#include <glib.h>
+
+/* The cells may already have workers; customers start without guarantees. */
+void gs_init(struct gs *gs, struct cell *cell, int customers)
+{
+	memset(gs, 0, sizeof(*gs));
+	gs->cell = cell;
+	gs_add_customers(gs, customers);
+	gs_workers_added(gs);
+}
+
+void gs_finish(struct gs *gs)
+{
+	g_free(gs->customers);
+	g_free(gs->workers);
+	g_free(gs->racks);
+	memset(gs, 0, sizeof(*gs));
+}
+
+/* Grows the table to that many customers; owned lists move with it. */
+void gs_add_customers(struct gs *gs, int customers)
+{
+	struct gs_customer *table;
+	int i;
+
+	if (customers <= gs->customer_count)
+		return;
+	table = g_new0(struct gs_customer, customers);
+	for (i = 0; i < customers; i++) {
+		struct list_head *head = &table[i].owned;
+
+		list_init(head);
+		if (i >= gs->customer_count)
+			continue;
+		table[i] = gs->customers[i];
+		list_init(head);
+		if (!list_empty(&gs->customers[i].owned)) {
+			list_add(head, &gs->customers[i].owned);
+			list_del(&gs->customers[i].owned);
+		}
+	}
+	g_free(gs->customers);
+	gs->customers = table;
+	gs->customer_count = customers;
+}
+
+/* ---- what claims can have ---- */
+
+bool gs_is_bound(const struct gs *gs, int worker)
+{
+	return gs_owner(gs, worker) != GS_NONE;
+}
+
+/* Returns the customer whose bound cell contains the worker. */
+int gs_owner(const struct gs *gs, int worker)
+{
+	int rack = gs->cell->workers[worker].rack;
+
+	if (gs->racks[rack].bound != GS_NONE)
+		return gs->racks[rack].bound;
+	return gs->workers[worker].bound;
+}
+
+/* Accelerators of a worker that a claim for an unbound cell could have. */
+int gs_open(const struct gs *gs, int worker)
+{
+	const struct cell_worker *w = &gs->cell->workers[worker];
+
+	if (!w->usable || gs_is_bound(gs, worker))
+		return 0;
+	return w->total - gs->workers[worker].hard;
+}
+
+/*
+ * Adds (sign 1) or takes away (-1) a worker's part of the counts of what
+ * claims can have. A rack counts when all of its workers are whole.
+ */
+static void count_worker(struct gs *gs, int worker, int sign)
+{
+	struct cell *cell = gs->cell;
+	struct gs_rack *rack = &gs->racks[cell->workers[worker].rack];
+	int open = gs_open(gs, worker);
+
+	if (!cell->workers[worker].usable)
+		rack->down += sign;
+	gs->have[CELL_ACCELERATOR] += sign * open;
+	if (!open || open != cell->worker_size)
+		return;
+	gs->have[CELL_WORKER] += sign;
+	if (rack->whole == cell->rack_size)
+		gs->have[CELL_RACK]--;
+	rack->whole += sign;
+	if (rack->whole == cell->rack_size)
+		gs->have[CELL_RACK]++;
+}
+
+static void count_rack(struct gs *gs, int rack, int sign)
+{
+	const struct cell_rack *r = &gs->cell->racks[rack];
+	int i;
+
+	for (i = 0; i < r->count; i++)
+		count_worker(gs, r->workers[i], sign);
+}
+
+static bool is_down(const struct gs *gs, int worker)
+{
+	return !gs->cell->workers[worker].usable;
+}
+
+static void count_broken(struct gs *gs, int worker, int sign)
+{
+	int rack = gs->cell->workers[worker].rack;
+
+	if (gs->racks[rack].bound != GS_NONE) {
+		if (gs->racks[rack].down)
+			gs->broken_cells += sign;
+	} else if (is_down(gs, worker)) {
+		gs->broken_cells +=
+			sign * (gs->workers[worker].unit_used +
+				(gs->workers[worker].bound != GS_NONE));
+	}
+}
+
+/* Takes in the workers that were added to the cells since the last call. */
+void gs_workers_added(struct gs *gs)
+{
+	int i;
+
+	gs->workers =
+		g_renew(struct gs_worker, gs->workers, gs->cell->worker_count);
+	gs->racks = g_renew(struct gs_rack, gs->racks, gs->cell->rack_count);
+	for (i = gs->rack_count; i < gs->cell->rack_count; i++)
+		gs->racks[i] = (struct gs_rack){ .bound = GS_NONE };
+	gs->rack_count = gs->cell->rack_count;
+	for (i = gs->worker_count; i < gs->cell->worker_count; i++) {
+		gs->workers[i] = (struct gs_worker){ .bound = GS_NONE };
+		gs->worker_count = i + 1;
+		count_worker(gs, i, 1);
+	}
+}
+
+/* Marks a worker as usable or not, here and in the cells. */
+void gs_set_usable(struct gs *gs, int worker, bool usable)
+{
+	if (gs->cell->workers[worker].usable == usable)
+		return;
+	count_broken(gs, worker, -1);
+	count_worker(gs, worker, -1);
+	cell_set_usable(gs->cell, worker, usable);
+	count_worker(gs, worker, 1);
+	count_broken(gs, worker, 1);
+}
+
+/* ---- proof ---- */
+
+/*
+ * Returns how many cells of a unit are missing for all unused guarantees to
+ * be claimed at once, 0 when there are enough. Whole racks are taken first,
+ * then whole workers from what is left, then single accelerators; since all
+ * racks and all whole workers have one size, the order is no restriction.
+ */
+int gs_missing(const struct gs *gs, enum cell_unit unit)
+{
+	int need = gs->need[CELL_RACK];
+
+	if (unit <= CELL_WORKER)
+		need = need * gs->cell->rack_size + gs->need[CELL_WORKER];
+	if (unit <= CELL_ACCELERATOR)
+		need = need * gs->cell->worker_size +
+		       gs->need[CELL_ACCELERATOR];
+	return MAX(0, need - gs->have[unit]);
+}
+
+/* Whether all guaranteed cells not in use could be claimed at once. */
+bool gs_proved(const struct gs *gs)
+{
+	return !gs_missing(gs, CELL_RACK) && !gs_missing(gs, CELL_WORKER) &&
+	       !gs_missing(gs, CELL_ACCELERATOR);
+}
+
+/* Whether a guarantee can't be met, also in a cell that its owner uses. */
+bool gs_broken(const struct gs *gs)
+{
+	return !gs_proved(gs) || gs->broken_cells > 0;
+}
+
+/* Units of a customer's guarantee that it does not use now. */
+int gs_left(const struct gs *gs, int customer, enum cell_unit unit)
+{
+	const struct gs_customer *c = &gs->customers[customer];
+
+	return MAX(0, c->guaranteed[unit] - c->used[unit]);
+}
+
+static void use_units(struct gs *gs, int customer, enum cell_unit unit, int n)
+{
+	struct gs_customer *c = &gs->customers[customer];
+
+	gs->need[unit] -= gs_left(gs, customer, unit);
+	c->used[unit] += n;
+	gs->need[unit] += gs_left(gs, customer, unit);
+}
+
+/* ---- holding ---- */
+
+static void add_hard(struct gs *gs, int worker, int n)
+{
+	count_worker(gs, worker, -1);
+	gs->workers[worker].hard += n;
+	count_worker(gs, worker, 1);
+}
+
+/* Adds n accelerators of its owner to a worker cell, binding it at first. */
+static void use_worker(struct gs *gs, int customer, int worker, int n)
+{
+	struct gs_worker *w = &gs->workers[worker];
+	bool bound;
+
+	w->owner_used += n;
+	bound = w->owner_used > 0;
+	if (bound == (w->bound != GS_NONE))
+		return;
+	count_broken(gs, worker, -1);
+	count_worker(gs, worker, -1);
+	w->bound = bound ? customer : GS_NONE;
+	count_worker(gs, worker, 1);
+	count_broken(gs, worker, 1);
+	use_units(gs, customer, CELL_WORKER, bound ? 1 : -1);
+}
+
+static void use_rack(struct gs *gs, int customer, int worker, int n)
+{
+	int rack = gs->cell->workers[worker].rack;
+	struct gs_rack *r = &gs->racks[rack];
+	bool bound;
+
+	r->owner_used += n;
+	bound = r->owner_used > 0;
+	if (bound == (r->bound != GS_NONE))
+		return;
+	count_broken(gs, worker, -1);
+	count_rack(gs, rack, -1);
+	r->bound = bound ? customer : GS_NONE;
+	count_rack(gs, rack, 1);
+	count_broken(gs, worker, 1);
+	use_units(gs, customer, CELL_RACK, bound ? 1 : -1);
+}
+
+static void apply_hold(struct gs *gs, const struct cell_gang *gang,
+		       const struct cell_hold *hold, int sign)
+{
+	int n = sign * hold->count;
+
+	if (gang->kind == CELL_HARD) {
+		add_hard(gs, hold->worker, n);
+	} else if (gang->kind == CELL_OWNED) {
+		if (hold->cover == CELL_UNITS) {
+			add_hard(gs, hold->worker, n);
+		} else if (hold->cover == CELL_RACK) {
+			use_rack(gs, gang->customer, hold->worker, n);
+		} else if (hold->cover == CELL_WORKER) {
+			use_worker(gs, gang->customer, hold->worker, n);
+		} else {
+			add_hard(gs, hold->worker, n);
+			count_broken(gs, hold->worker, -1);
+			gs->workers[hold->worker].unit_used += n;
+			count_broken(gs, hold->worker, 1);
+			use_units(gs, gang->customer, CELL_ACCELERATOR, n);
+		}
+	}
+}
+
+static void apply(struct gs *gs, const struct cell_gang *gang, int sign)
+{
+	int i;
+
+	for (i = 0; i < gang->hold_count; i++)
+		apply_hold(gs, gang, &gang->holds[i], sign);
+}
+
+/*
+ * Whether the placement of a gang leaves the joint proof intact or, when a
+ * failure has broken it already, makes nothing worse. Stoppable borrowed
+ * work always does; unstoppable work must not enter a bound cell.
+ */
+bool gs_may_hold(struct gs *gs, struct cell_gang *gang)
+{
+	int before[CELL_UNITS], unit, i;
+	bool ok = true;
+
+	if (gang->kind == CELL_SOFT)
+		return true;
+	for (i = 0; i < gang->hold_count; i++)
+		if (gang->kind == CELL_HARD &&
+		    gs_is_bound(gs, gang->holds[i].worker))
+			return false;
+	for (unit = 0; unit < CELL_UNITS; unit++)
+		before[unit] = gs_missing(gs, unit);
+	apply(gs, gang, 1);
+	for (unit = 0; unit < CELL_UNITS; unit++)
+		ok = ok && gs_missing(gs, unit) <= before[unit];
+	apply(gs, gang, -1);
+	return ok;
+}
+
+void gs_hold(struct gs *gs, struct cell_gang *gang)
+{
+	apply(gs, gang, 1);
+	cell_hold(gs->cell, gang);
+	if (gang->kind == CELL_OWNED)
+		list_add_tail(&gang->owned,
+			      &gs->customers[gang->customer].owned);
+}
+
+void gs_release(struct gs *gs, struct cell_gang *gang)
+{
+	if (!gang->held)
+		return;
+	apply(gs, gang, -1);
+	cell_release(gs->cell, gang);
+	list_del(&gang->owned);
+}
+
+/* ---- changes of guarantees ---- */
+
+/*
+ * Takes the cover off a hold. The gang stays owned while another hold is
+ * covered, since stopping it would take a guaranteed place from its owner.
+ */
+static void uncover(struct gs *gs, struct cell_gang *gang,
+		    struct cell_hold *hold)
+{
+	int i;
+
+	apply_hold(gs, gang, hold, -1);
+	hold->cover = CELL_UNITS;
+	apply_hold(gs, gang, hold, 1);
+	for (i = 0; i < gang->hold_count; i++)
+		if (gang->holds[i].cover != CELL_UNITS)
+			return;
+	apply(gs, gang, -1);
+	gang->kind = gang->stoppable ? CELL_SOFT : CELL_HARD;
+	apply(gs, gang, 1);
+	list_del(&gang->owned);
+}
+
+static int hold_place(const struct gs *gs, const struct cell_hold *hold)
+{
+	if (hold->cover == CELL_RACK)
+		return gs->cell->workers[hold->worker].rack;
+	return hold->worker;
+}
+
+/* Uncovers the holds of a gang in one cell. Returns how many there were. */
+static int uncover_place(struct gs *gs, struct cell_gang *gang,
+			 enum cell_unit unit, int place)
+{
+	int i, found = 0;
+
+	for (i = 0; i < gang->hold_count; i++) {
+		struct cell_hold *hold = &gang->holds[i];
+
+		if (hold->cover != unit || hold_place(gs, hold) != place)
+			continue;
+		uncover(gs, gang, hold);
+		found++;
+	}
+	return found;
+}
+
+/* Returns the place of the latest hold that the unit covers, or -1. */
+static int covered_place(const struct gs *gs, const struct gs_customer *c,
+			 enum cell_unit unit)
+{
+	const struct list_head *node;
+	int i;
+
+	for (node = c->owned.prev; node != &c->owned; node = node->prev) {
+		const struct cell_gang *gang =
+			list_entry(node, const struct cell_gang, owned);
+
+		for (i = 0; i < gang->hold_count; i++)
+			if (gang->holds[i].cover == unit)
+				return hold_place(gs, &gang->holds[i]);
+	}
+	return -1;
+}
+
+/*
+ * Frees one cell of the unit from use under the customer's guarantee. The
+ * work in it goes on as borrowed work. Returns the number of gangs.
+ */
+static int drop_cell(struct gs *gs, struct gs_customer *c, enum cell_unit unit)
+{
+	struct cell_gang *gang, *tmp;
+	int place = covered_place(gs, c, unit), dropped = 0;
+
+	list_for_each_entry_safe(gang, tmp, &c->owned, owned)
+		dropped += uncover_place(gs, gang, unit, place) > 0;
+	return dropped;
+}
+
+/*
+ * Changes what a customer is guaranteed. Work in excess of a lowered
+ * guarantee goes on as borrowed work. Returns the number of gangs that
+ * became borrowed at least in part.
+ */
+int gs_set_guarantee(struct gs *gs, int customer, const int units[CELL_UNITS])
+{
+	struct gs_customer *c = &gs->customers[customer];
+	int unit, n, dropped = 0;
+
+	for (unit = 0; unit < CELL_UNITS; unit++) {
+		gs->need[unit] -= gs_left(gs, customer, unit);
+		c->guaranteed[unit] = units[unit];
+		gs->need[unit] += gs_left(gs, customer, unit);
+	}
+	for (unit = 0; unit < CELL_UNITS; unit++)
+		while (c->used[unit] > c->guaranteed[unit]) {
+			n = drop_cell(gs, c, unit);
+			if (!n)
+				break;
+			dropped += n;
+		}
+	return dropped;
+}
--- /dev/null
+++ b/policy/pl.c
@@ -0,0 +1,375 @@
+#include "policy/pl.h"
+
+#include <limits.h>
+#include <string.h>
+
+#include <glib.h>
+
+/* Work lost per accelerator when a gang stops without a checkpoint. */
+int64_t pl_loss(const struct cell_gang *gang, int64_t now_us)
+{
+	return gang->total * (now_us - gang->saved_us + 1);
+}
+
+/* Whether the ask may displace the gang. */
+bool pl_may_evict(const struct cell_gang *gang, const struct pl_ask *ask)
+{
+	return gang->kind == CELL_SOFT && !gang->leaving &&
+	       gang->level > ask->evict_level &&
+	       gang->saved_us <= ask->before_us;
+}
+
+/*
+ * Returns the accelerators of a worker that the ask may take, and in *loss
+ * the work that would be lost on it.
+ */
+static int worker_room(const struct gs *gs, int worker,
+		       const struct pl_ask *ask, int64_t *loss)
+{
+	const struct cell_worker *w = &gs->cell->workers[worker];
+	const struct cell_hold *hold;
+	int room = w->free;
+
+	*loss = 0;
+	if (!w->usable)
+		return 0;
+	if (ask->kind == CELL_HARD) {
+		if (gs_is_bound(gs, worker))
+			return 0;
+		if (gs->cell->racks[w->rack].reserved && !ask->use_reserved)
+			return 0;
+	}
+	if (ask->evict_level == PL_NO_EVICTION || w->held > w->total)
+		return room;
+	list_for_each_entry(hold, &w->holds, node)
+		if (pl_may_evict(hold->gang, ask)) {
+			room += hold->count;
+			*loss += pl_loss(hold->gang, ask->now_us);
+		}
+	return room;
+}
+
+/* ---- part of one worker ---- */
+
+struct best_worker {
+	int worker;
+	int64_t score;
+};
+
+/*
+ * Lower is better: least lost work, then the smallest sufficient room, then
+ * for unstoppable work a worker that holds such work already, so that whole
+ * cells stay available to claims.
+ */
+static void rate_worker(const struct gs *gs, int worker, int need,
+			const struct pl_ask *ask, struct best_worker *best)
+{
+	int64_t loss, score;
+	int room = worker_room(gs, worker, ask, &loss);
+
+	if (room < need)
+		return;
+	score = loss * 256 + (room - need) * 4;
+	if (ask->kind == CELL_HARD)
+		score += gs->workers[worker].hard ? 0 : 2;
+	if (gs->cell->racks[gs->cell->workers[worker].rack].reserved)
+		score += 1;
+	if (score >= best->score)
+		return;
+	best->score = score;
+	best->worker = worker;
+}
+
+/* Smallest free count of at least need that some worker of the rack has. */
+static int rack_fit(const struct cell_rack *rack, int need)
+{
+	int f;
+
+	for (f = need; f <= WORKER_ACCELERATORS_MAX; f++)
+		if (rack->by_free[f])
+			return f;
+	return INT_MAX;
+}
+
+static int best_worker(struct gs *gs, int need, const struct pl_ask *ask)
+{
+	const struct cell *cell = gs->cell;
+	struct best_worker best = { .worker = -1, .score = INT64_MAX };
+	bool free_only = ask->evict_level == PL_NO_EVICTION;
+	int i, j, fit;
+
+	for (i = 0; i < cell->rack_count; i++) {
+		const struct cell_rack *rack = &cell->racks[i];
+
+		if (free_only) {
+			fit = rack_fit(rack, need);
+			if (fit == INT_MAX || (fit - need) * 4 >= best.score)
+				continue;
+		}
+		for (j = 0; j < rack->count; j++)
+			rate_worker(gs, rack->workers[j], need, ask, &best);
+	}
+	return best.worker;
+}
+
+/* ---- whole workers of one or more racks ---- */
+
+/* Whole workers of a rack that the ask may take, with the lost work. */
+static int rack_whole(const struct gs *gs, int rack, const struct pl_ask *ask,
+		      int64_t *loss, int *part)
+{
+	const struct cell *cell = gs->cell;
+	const struct cell_rack *r = &cell->racks[rack];
+	int whole = 0, i;
+
+	*loss = 0;
+	*part = 0;
+	if (ask->evict_level == PL_NO_EVICTION && !r->free)
+		return 0;
+	for (i = 0; i < r->count; i++) {
+		int64_t lost;
+		int room = worker_room(gs, r->workers[i], ask, &lost);
+
+		if (room == cell->worker_size) {
+			whole++;
+			*loss += lost;
+		} else {
+			*part = MAX(*part, room);
+		}
+	}
+	return whole;
+}
+
+struct pick {
+	int worker;
+	int64_t loss;
+};
+
+static int by_loss(const void *a, const void *b)
+{
+	const struct pick *x = a, *y = b;
+
+	if (x->loss != y->loss)
+		return x->loss < y->loss ? -1 : 1;
+	return x->worker - y->worker;
+}
+
+/* Takes up to *left whole workers of a rack, those with least loss first. */
+static void take_whole(struct gs *gs, struct cell_gang *gang, int rack,
+		       const struct pl_ask *ask, int *left)
+{
+	const struct cell_rack *r = &gs->cell->racks[rack];
+	struct pick picks[WORKERS_PER_RACK] = { 0 };
+	int count = 0, i;
+
+	for (i = 0; i < r->count; i++) {
+		struct pick *p = &picks[count];
+
+		p->worker = r->workers[i];
+		if (worker_room(gs, p->worker, ask, &p->loss) ==
+		    gs->cell->worker_size)
+			count++;
+	}
+	qsort(picks, count, sizeof(picks[0]), by_loss);
+	for (i = 0; i<count && * left> 0; i++, --*left)
+		cell_gang_add(gang, picks[i].worker, gs->cell->worker_size,
+			      CELL_ACCELERATOR);
+}
+
+static bool in_gang(const struct cell_gang *gang, int worker)
+{
+	int i;
+
+	for (i = 0; i < gang->hold_count; i++)
+		if (gang->holds[i].worker == worker)
+			return true;
+	return false;
+}
+
+/* Places the accelerators beyond the whole workers on the best fit. */
+static bool take_part(struct gs *gs, struct cell_gang *gang, int first,
+		      int last, int part, const struct pl_ask *ask)
+{
+	struct best_worker best = { .worker = -1, .score = INT64_MAX };
+	int i, j;
+
+	if (!part)
+		return true;
+	for (i = first; i <= last; i++) {
+		const struct cell_rack *r = &gs->cell->racks[i];
+
+		for (j = 0; j < r->count; j++)
+			if (!in_gang(gang, r->workers[j]))
+				rate_worker(gs, r->workers[j], part, ask,
+					    &best);
+	}
+	if (best.worker < 0)
+		return false;
+	cell_gang_add(gang, best.worker, part, CELL_ACCELERATOR);
+	return true;
+}
+
+static bool enough(int whole, int other, int full, int part)
+{
+	return whole > full || (whole == full && other >= part);
+}
+
+/* The rack with the least loss, then the fewest whole workers to spare. */
+static bool place_in_rack(struct gs *gs, struct cell_gang *gang, int full,
+			  int part, const struct pl_ask *ask)
+{
+	int64_t best_score = INT64_MAX, loss, score;
+	int best = -1, i, whole, other, left = full;
+
+	for (i = 0; i < gs->cell->rack_count; i++) {
+		if (gs->cell->racks[i].count < full)
+			continue;
+		whole = rack_whole(gs, i, ask, &loss, &other);
+		if (!enough(whole, other, full, part))
+			continue;
+		score = loss * 256 + (whole - full) * 2 +
+			gs->cell->racks[i].reserved;
+		if (score < best_score) {
+			best_score = score;
+			best = i;
+		}
+	}
+	if (best < 0)
+		return false;
+	take_whole(gs, gang, best, ask, &left);
+	return take_part(gs, gang, best, best, part, ask);
+}
+
+/* Counts of one row of racks, for the choice of neighbours. */
+struct row {
+	int first;
+	int count;
+	int whole[RACKS_PER_ROW];
+	int other[RACKS_PER_ROW];
+	int64_t loss[RACKS_PER_ROW];
+};
+
+static void read_row(const struct gs *gs, struct row *row, int first,
+		     const struct pl_ask *ask)
+{
+	int i;
+
+	row->first = first;
+	row->count = MIN(RACKS_PER_ROW, gs->cell->rack_count - first);
+	for (i = 0; i < row->count; i++)
+		row->whole[i] = rack_whole(gs, first + i, ask, &row->loss[i],
+					   &row->other[i]);
+}
+
+struct window {
+	int first;
+	int last;
+	int64_t score;
+};
+
+/*
+ * Finds the shortest run of neighbouring racks that holds the gang; among
+ * equal ones that with the least loss, then the least to spare. There are
+ * at most RACKS_PER_ROW runs to start from in each row.
+ */
+static void best_window(const struct row *row, int full, int part,
+			struct window *best)
+{
+	int a, b;
+
+	for (a = 0; a < row->count; a++) {
+		int whole = 0, other = 0;
+		int64_t loss = 0, score;
+
+		for (b = a; b < row->count; b++) {
+			whole += row->whole[b];
+			other = MAX(other, row->other[b]);
+			loss += row->loss[b];
+			if (!enough(whole, other, full, part))
+				continue;
+			score = loss * 4096 + (b - a) * 128 + (whole - full);
+			if (score < best->score) {
+				best->score = score;
+				best->first = row->first + a;
+				best->last = row->first + b;
+			}
+			break;
+		}
+	}
+}
+
+static bool place_in_row(struct gs *gs, struct cell_gang *gang, int full,
+			 int part, const struct pl_ask *ask)
+{
+	struct window best = { .score = INT64_MAX };
+	int first, i, left = full;
+	struct row row;
+
+	for (first = 0; first < gs->cell->rack_count; first += RACKS_PER_ROW) {
+		read_row(gs, &row, first, ask);
+		best_window(&row, full, part, &best);
+	}
+	if (best.score == INT64_MAX)
+		return false;
+	for (i = best.first; i <= best.last && left > 0; i++)
+		take_whole(gs, gang, i, ask, &left);
+	return take_part(gs, gang, best.first, best.last, part, ask);
+}
+
+bool pl_place(struct gs *gs, struct cell_gang *gang, const struct pl_ask *ask)
+{
+	int size = gs->cell->worker_size;
+	int full = gang->total / size, part = gang->total % size, worker;
+	bool ok;
+
+	cell_gang_reset(gang);
+	gang->kind = ask->kind;
+	if (gang->total <= size) {
+		worker = best_worker(gs, gang->total, ask);
+		ok = worker >= 0;
+		if (ok)
+			cell_gang_add(gang, worker, gang->total,
+				      CELL_ACCELERATOR);
+	} else if (gang->total <= size * gs->cell->rack_size) {
+		ok = place_in_rack(gs, gang, full, part, ask);
+	} else {
+		ok = place_in_row(gs, gang, full, part, ask);
+	}
+	if (ok && gs_may_hold(gs, gang))
+		return true;
+	cell_gang_reset(gang);
+	return false;
+}
+
+/* Counts what the usable workers could hold if they were empty. */
+bool pl_could_hold(const struct cell *cell, int total)
+{
+	int size = cell->worker_size, full = total / size;
+	int part = total % size, row_whole = 0, row_other = 0, i, j;
+
+	if (total > GANG_MAX_ACCELERATORS)
+		return false;
+	for (i = 0; i < cell->rack_count; i++) {
+		const struct cell_rack *rack = &cell->racks[i];
+		int whole = 0, other = 0;
+
+		for (j = 0; j < rack->count; j++) {
+			int n = cell->workers[rack->workers[j]].total;
+
+			if (n >= size)
+				whole++;
+			else
+				other = MAX(other, n);
+		}
+		if (i % RACKS_PER_ROW == 0)
+			row_whole = row_other = 0;
+		row_whole += whole;
+		row_other = MAX(row_other, other);
+		if (enough(whole, other, full, part))
+			return true;
+		if (total > size * cell->rack_size &&
+		    enough(row_whole, row_other, full, part))
+			return true;
+	}
+	return false;
+}
--- /dev/null
+++ b/policy/pl.h
@@ -0,0 +1,50 @@
+#ifndef POLICY_PL_H
+#define POLICY_PL_H
+
+#include "policy/gs.h"
+
+#define PL_NO_EVICTION INT32_MAX
+
+/*
+ * What work may be displaced: borrowed stoppable gangs whose level is above
+ * evict_level, that have run since before_us at least.
+ */
+struct pl_ask {
+	enum cell_kind kind; /* CELL_SOFT or CELL_HARD */
+	int evict_level; /* PL_NO_EVICTION: free accelerators only */
+	int64_t before_us;
+	int64_t now_us;
+	bool use_reserved; /* may enter reserved racks */
+};
+
+int64_t pl_loss(const struct cell_gang *gang, int64_t now_us);
+bool pl_may_evict(const struct cell_gang *gang, const struct pl_ask *ask);
+/*
+ * Places a borrowed gang of gang->total accelerators by filling in its
+ * holds. Returns false and leaves the gang without holds when it fits
+ * nowhere. Nothing is held yet.
+ */
+bool pl_place(struct gs *gs, struct cell_gang *gang, const struct pl_ask *ask);
+/*
+ * Places a gang on cells of its customer's own guarantee. The places may be
+ * in use by stoppable borrowed work.
+ */
+bool pl_claim(struct gs *gs, struct cell_gang *gang, int64_t now_us);
+/*
+ * Calls fn for each gang that must leave before the held gang can start,
+ * least lost work first, after marking it as leaving.
+ */
+int pl_victims(struct gs *gs, struct cell_gang *gang, int64_t now_us,
+	       void (*fn)(struct cell_gang *victim, void *user), void *user);
+/* Marks the racks that a large gang should wait for; returns their count. */
+int pl_reserve(struct gs *gs, int total, int64_t now_us);
+void pl_unreserve(struct gs *gs);
+/* Whether empty cells could hold a gang of that many accelerators. */
+bool pl_could_hold(const struct cell *cell, int total);
+/*
+ * Finds a small stoppable gang that could go on beside other work, so that
+ * its own worker would become whole; NULL when there is none.
+ */
+struct cell_gang *pl_move(struct gs *gs, const struct pl_ask *ask);
+
+#endif
--- /dev/null
+++ b/policy/plclaim.c
@@ -0,0 +1,403 @@
+#include <limits.h>
+#include <string.h>
+
+#include <glib.h>
+
+#include "policy/pl.h"
+
+/* Lower is better; the first field that differs decides. */
+struct claim_score {
+	int breaks; /* splits a larger cell that is still whole */
+	int64_t loss; /* of the work that must leave */
+	int spare;
+};
+
+static bool better(const struct claim_score *a, const struct claim_score *b)
+{
+	if (a->breaks != b->breaks)
+		return a->breaks < b->breaks;
+	if (a->loss != b->loss)
+		return a->loss < b->loss;
+	return a->spare < b->spare;
+}
+
+/*
+ * Returns the accelerators of a worker that an owner can have: all that is
+ * not held by unstoppable, owned or arriving work. *loss is the work of the
+ * stoppable gangs on it.
+ */
+static int claim_room(const struct gs *gs, int worker, int need, int64_t now_us,
+		      int64_t *loss)
+{
+	const struct cell_worker *w = &gs->cell->workers[worker];
+	const struct cell_hold *hold;
+	int room = w->total;
+
+	*loss = 0;
+	if (!w->usable)
+		return 0;
+	list_for_each_entry(hold, &w->holds, node) {
+		const struct cell_gang *gang = hold->gang;
+
+		if (gang->kind != CELL_SOFT)
+			room -= hold->count;
+		else
+			*loss += pl_loss(gang, now_us);
+	}
+	if (w->free >= need)
+		*loss = 0;
+	return room;
+}
+
+static bool taken(const struct cell_gang *gang, int worker)
+{
+	int i;
+
+	for (i = 0; i < gang->hold_count; i++)
+		if (gang->holds[i].worker == worker)
+			return true;
+	return false;
+}
+
+static bool rack_is_whole(const struct gs *gs, int rack)
+{
+	return gs->racks[rack].whole == gs->cell->rack_size;
+}
+
+/* ---- one worker ---- */
+
+/* Where a part of a worker may come from. */
+enum source { FROM_OWN, FROM_UNITS, FROM_WORKER, FROM_RACK, SOURCES };
+
+struct choice {
+	int worker;
+	enum cell_unit cover;
+	struct claim_score score;
+};
+
+static bool in_source(const struct gs *gs, int customer, int worker,
+		      enum source source, struct choice *c)
+{
+	int rack = gs->cell->workers[worker].rack;
+	bool whole_worker = gs_open(gs, worker) == gs->cell->worker_size;
+
+	switch (source) {
+	case FROM_OWN:
+		c->cover = gs->racks[rack].bound != GS_NONE ? CELL_RACK :
+							      CELL_WORKER;
+		return gs_owner(gs, worker) == customer;
+	case FROM_UNITS:
+		c->cover = CELL_ACCELERATOR;
+		c->score.breaks = whole_worker + rack_is_whole(gs, rack);
+		return !gs_is_bound(gs, worker);
+	case FROM_WORKER:
+		c->cover = CELL_WORKER;
+		c->score.breaks = rack_is_whole(gs, rack);
+		return whole_worker;
+	default:
+		c->cover = CELL_RACK;
+		return whole_worker && rack_is_whole(gs, rack);
+	}
+}
+
+/* Chooses a worker with need accelerators from the source. */
+static bool choose_worker(const struct gs *gs, const struct cell_gang *gang,
+			  int need, enum source source, int64_t now_us,
+			  struct choice *best)
+{
+	int i, room;
+
+	best->worker = -1;
+	best->score = (struct claim_score){ INT_MAX, INT64_MAX, INT_MAX };
+	for (i = 0; i < gs->worker_count; i++) {
+		struct choice c = { .worker = i };
+
+		if (gs->cell->workers[i].total < need ||
+		    !in_source(gs, gang->customer, i, source, &c))
+			continue;
+		room = claim_room(gs, i, need, now_us, &c.score.loss);
+		c.score.spare = room - need;
+		if (room < need || taken(gang, i))
+			continue;
+		if (better(&c.score, &best->score))
+			*best = c;
+	}
+	return best->worker >= 0;
+}
+
+static int units_of(const struct gs *gs, int customer, enum source source,
+		    int need)
+{
+	switch (source) {
+	case FROM_OWN:
+		return 1;
+	case FROM_UNITS:
+		return gs_left(gs, customer, CELL_ACCELERATOR) >= need;
+	case FROM_WORKER:
+		return gs_left(gs, customer, CELL_WORKER);
+	default:
+		return gs_left(gs, customer, CELL_RACK);
+	}
+}
+
+/*
+ * Tries the sources in turn. Several accelerator units on one worker may
+ * take a whole worker that the proof needs; then the next source is tried.
+ */
+static bool claim_part(struct gs *gs, struct cell_gang *gang, int need,
+		       int64_t now_us)
+{
+	struct choice best;
+	int source;
+
+	for (source = 0; source < SOURCES; source++) {
+		if (!units_of(gs, gang->customer, source, need))
+			continue;
+		if (!choose_worker(gs, gang, need, source, now_us, &best))
+			continue;
+		cell_gang_add(gang, best.worker, need, best.cover);
+		if (gs_may_hold(gs, gang))
+			return true;
+		cell_gang_reset(gang);
+	}
+	return false;
+}
+
+/*
+ * Accelerator units promise no common worker, so a gang that finds none may
+ * be spread.
+ */
+static bool claim_spread(struct gs *gs, struct cell_gang *gang, int64_t now_us)
+{
+	int need = gang->total, part;
+	struct choice best;
+
+	if (gs_left(gs, gang->customer, CELL_ACCELERATOR) < need)
+		return false;
+	while (need > 0) {
+		for (part = MIN(need, gs->cell->worker_size); part > 0; part--)
+			if (choose_worker(gs, gang, part, FROM_UNITS, now_us,
+					  &best))
+				break;
+		if (!part)
+			return false;
+		cell_gang_add(gang, best.worker, part, CELL_ACCELERATOR);
+		need -= part;
+	}
+	return true;
+}
+
+/* ---- whole workers ---- */
+
+/* Adds the workers of a rack that the owner can have whole. */
+static void take_rack(struct gs *gs, struct cell_gang *gang, int rack,
+		      int64_t now_us, int *left)
+{
+	const struct cell_rack *r = &gs->cell->racks[rack];
+	int size = gs->cell->worker_size, i;
+	int64_t loss;
+
+	for (i = 0; i<r->count && * left> 0; i++) {
+		int n = MIN(size, *left), worker = r->workers[i];
+
+		if (taken(gang, worker) ||
+		    claim_room(gs, worker, n, now_us, &loss) < n)
+			continue;
+		cell_gang_add(gang, worker, n, CELL_RACK);
+		*left -= n;
+	}
+}
+
+/* Accelerators of a bound rack that its owner does not use. */
+static int rack_room(const struct gs *gs, int rack, int64_t now_us)
+{
+	const struct cell_rack *r = &gs->cell->racks[rack];
+	int room = 0, i;
+	int64_t loss;
+
+	for (i = 0; i < r->count; i++)
+		if (claim_room(gs, r->workers[i], gs->cell->worker_size, now_us,
+			       &loss) == gs->cell->worker_size)
+			room += gs->cell->worker_size;
+	return room;
+}
+
+static int64_t rack_loss(const struct gs *gs, int rack, int64_t now_us)
+{
+	const struct cell_rack *r = &gs->cell->racks[rack];
+	int64_t total = 0, loss;
+	int i;
+
+	for (i = 0; i < r->count; i++) {
+		claim_room(gs, r->workers[i], gs->cell->worker_size, now_us,
+			   &loss);
+		total += loss;
+	}
+	return total;
+}
+
+/*
+ * Returns the whole unbound rack to bind next: the nearest to the last one
+ * of the gang in the same row, then that with the least lost work; or -1.
+ */
+static int choose_rack(const struct gs *gs, const struct cell_gang *gang,
+		       const bool *used, int last, int64_t now_us)
+{
+	int64_t best_loss = INT64_MAX, loss;
+	int best = -1, best_far = INT_MAX, i, far;
+
+	for (i = 0; i < gs->rack_count; i++) {
+		if (used[i] || !rack_is_whole(gs, i))
+			continue;
+		far = 0;
+		if (last >= 0)
+			far = i / RACKS_PER_ROW == last / RACKS_PER_ROW ?
+				      ABS(i - last) :
+				      RACKS_PER_ROW + 1;
+		if (far > best_far)
+			continue;
+		loss = rack_loss(gs, i, now_us);
+		if (far < best_far || loss < best_loss) {
+			best = i;
+			best_far = far;
+			best_loss = loss;
+		}
+	}
+	return best;
+}
+
+/* The owner's bound rack with the least room that is at least need. */
+static int fitting_rack(const struct gs *gs, int customer, int need,
+			int64_t now_us)
+{
+	int best = -1, best_room = INT_MAX, i, room;
+
+	for (i = 0; i < gs->rack_count; i++) {
+		if (gs->racks[i].bound != customer)
+			continue;
+		room = rack_room(gs, i, now_us);
+		if (room >= need && room < best_room) {
+			best = i;
+			best_room = room;
+		}
+	}
+	return best;
+}
+
+struct gather {
+	bool *used; /* racks bound by this claim */
+	int racks_left;
+	int workers_left;
+	int last;
+	int left; /* accelerators still to place */
+	int64_t now_us;
+};
+
+static bool gather_rack(struct gs *gs, struct cell_gang *gang, struct gather *g)
+{
+	int rack;
+
+	if (g->racks_left <= 0)
+		return false;
+	rack = choose_rack(gs, gang, g->used, g->last, g->now_us);
+	if (rack < 0)
+		return false;
+	g->used[rack] = true;
+	g->racks_left--;
+	g->last = rack;
+	take_rack(gs, gang, rack, g->now_us, &g->left);
+	return true;
+}
+
+static void gather_own(struct gs *gs, struct cell_gang *gang, struct gather *g)
+{
+	int i;
+
+	for (i = 0; i < gs->rack_count && g->left > 0; i++)
+		if (gs->racks[i].bound == gang->customer)
+			take_rack(gs, gang, i, g->now_us, &g->left);
+}
+
+/* Whole workers outside of the racks that this claim binds. */
+static void gather_workers(struct gs *gs, struct cell_gang *gang,
+			   struct gather *g)
+{
+	struct choice best;
+	int i;
+
+	while (g->left > 0 && g->workers_left > 0) {
+		int n = MIN(g->left, gs->cell->worker_size);
+
+		best.worker = -1;
+		best.score = (struct claim_score){ INT_MAX, INT64_MAX, 0 };
+		for (i = 0; i < gs->worker_count; i++) {
+			struct choice c = { .worker = i };
+
+			if (g->used[gs->cell->workers[i].rack] ||
+			    !in_source(gs, gang->customer, i, FROM_WORKER, &c))
+				continue;
+			if (claim_room(gs, i, n, g->now_us, &c.score.loss) <
+				    n ||
+			    taken(gang, i))
+				continue;
+			if (better(&c.score, &best.score))
+				best = c;
+		}
+		if (best.worker < 0)
+			return;
+		cell_gang_add(gang, best.worker, n, CELL_WORKER);
+		g->left -= n;
+		g->workers_left--;
+	}
+}
+
+/*
+ * A gang of several workers: one bound rack with room, else one new rack,
+ * else whatever units the customer has left, whole racks first. Units of a
+ * guarantee promise no neighbourhood beyond the unit itself.
+ */
+static bool claim_whole(struct gs *gs, struct cell_gang *gang, int64_t now_us)
+{
+	int rack_accelerators = gs->cell->worker_size * gs->cell->rack_size;
+	struct gather g = { .left = gang->total, .now_us = now_us, .last = -1 };
+	int rack = fitting_rack(gs, gang->customer, gang->total, now_us);
+
+	if (rack >= 0) {
+		take_rack(gs, gang, rack, now_us, &g.left);
+		return g.left == 0;
+	}
+	g.used = g_new0(bool, gs->rack_count + 1);
+	g.racks_left = gs_left(gs, gang->customer, CELL_RACK);
+	g.workers_left = gs_left(gs, gang->customer, CELL_WORKER);
+	while (g.left >= rack_accelerators && gather_rack(gs, gang, &g))
+		;
+	if (g.left > 0 && g.left <= rack_accelerators)
+		gather_rack(gs, gang, &g);
+	gather_own(gs, gang, &g);
+	gather_workers(gs, gang, &g);
+	while (g.left > 0 && gather_rack(gs, gang, &g))
+		;
+	g_free(g.used);
+	return g.left == 0;
+}
+
+bool pl_claim(struct gs *gs, struct cell_gang *gang, int64_t now_us)
+{
+	bool ok;
+
+	cell_gang_reset(gang);
+	gang->kind = CELL_OWNED;
+	if (gang->total <= gs->cell->worker_size) {
+		ok = claim_part(gs, gang, gang->total, now_us);
+		if (!ok) {
+			cell_gang_reset(gang);
+			ok = claim_spread(gs, gang, now_us);
+		}
+	} else {
+		ok = claim_whole(gs, gang, now_us);
+	}
+	if (ok && gs_may_hold(gs, gang))
+		return true;
+	cell_gang_reset(gang);
+	return false;
+}
--- /dev/null
+++ b/policy/plvict.c
@@ -0,0 +1,139 @@
+#include "policy/pl.h"
+
+/* ---- victims ---- */
+
+/*
+ * Lets gangs leave one worker until nothing is held beyond its size. Work
+ * that is leaving already counts as gone.
+ */
+static int worker_victims(struct gs *gs, const struct cell_gang *gang,
+			  int worker, int64_t now_us,
+			  void (*fn)(struct cell_gang *, void *), void *user)
+{
+	struct cell_worker *w = &gs->cell->workers[worker];
+	int over = w->held - w->total, asked = 0;
+	struct cell_hold *hold, *best;
+
+	list_for_each_entry(hold, &w->holds, node)
+		if (hold->gang->leaving)
+			over -= hold->count;
+	while (over > 0) {
+		best = NULL;
+		list_for_each_entry(hold, &w->holds, node) {
+			if (hold->gang->leaving || hold->gang == gang ||
+			    hold->gang->kind != CELL_SOFT)
+				continue;
+			if (!best || pl_loss(hold->gang, now_us) <
+					     pl_loss(best->gang, now_us))
+				best = hold;
+		}
+		if (!best)
+			break;
+		over -= best->count;
+		best->gang->leaving = true;
+		fn(best->gang, user);
+		asked++;
+	}
+	return asked;
+}
+
+int pl_victims(struct gs *gs, struct cell_gang *gang, int64_t now_us,
+	       void (*fn)(struct cell_gang *victim, void *user), void *user)
+{
+	int i, asked = 0;
+
+	for (i = 0; i < gang->hold_count; i++)
+		asked += worker_victims(gs, gang, gang->holds[i].worker, now_us,
+					fn, user);
+	return asked;
+}
+
+/* ---- reservation ---- */
+
+void pl_unreserve(struct gs *gs)
+{
+	int i;
+
+	for (i = 0; i < gs->cell->rack_count; i++)
+		gs->cell->racks[i].reserved = false;
+}
+
+/*
+ * Prefers the racks where most workers could be had whole by stopping what
+ * is stoppable; unstoppable work is then kept out of them.
+ */
+int pl_reserve(struct gs *gs, int total, int64_t now_us)
+{
+	struct pl_ask ask = {
+		.kind = CELL_HARD,
+		.evict_level = INT32_MIN,
+		.before_us = now_us,
+		.now_us = now_us,
+		.use_reserved = true,
+	};
+	struct cell_gang probe;
+	int i, racks = 0;
+
+	pl_unreserve(gs);
+	cell_gang_init(&probe, 0, total, false);
+	if (total <= gs->cell->worker_size || !pl_place(gs, &probe, &ask))
+		return 0;
+	for (i = 0; i < probe.hold_count; i++) {
+		int rack = gs->cell->workers[probe.holds[i].worker].rack;
+
+		racks += !gs->cell->racks[rack].reserved;
+		gs->cell->racks[rack].reserved = true;
+	}
+	cell_gang_reset(&probe);
+	return racks;
+}
+
+/* ---- moves ---- */
+
+/* The only gang of a worker when it is stoppable and runs nowhere else. */
+static struct cell_gang *lone_gang(const struct gs *gs, int worker,
+				   const struct pl_ask *ask)
+{
+	const struct cell_worker *w = &gs->cell->workers[worker];
+	struct cell_hold *hold;
+
+	if (!w->usable || w->total != gs->cell->worker_size ||
+	    w->holds.next == &w->holds || w->holds.next->next != &w->holds)
+		return NULL;
+	hold = list_first_entry(&w->holds, struct cell_hold, node);
+	if (hold->gang->hold_count != 1 || !pl_may_evict(hold->gang, ask))
+		return NULL;
+	return hold->gang;
+}
+
+/* Whether another worker in part use has room for n accelerators. */
+static bool fits_beside(const struct cell *cell, int worker, int n)
+{
+	int f, count = 0;
+
+	for (f = n; f < cell->worker_size; f++)
+		count += cell->by_free[f];
+	if (cell->workers[worker].free >= n)
+		count--;
+	return count > 0;
+}
+
+/*
+ * Returns the gang that loses least among those that could go on beside
+ * other work, leaving a whole free worker behind, or NULL.
+ */
+struct cell_gang *pl_move(struct gs *gs, const struct pl_ask *ask)
+{
+	struct cell_gang *best = NULL, *gang;
+	int i;
+
+	for (i = 0; i < gs->worker_count; i++) {
+		gang = lone_gang(gs, i, ask);
+		if (!gang || !fits_beside(gs->cell, i, gang->total))
+			continue;
+		if (!best ||
+		    pl_loss(gang, ask->now_us) < pl_loss(best, ask->now_us))
+			best = gang;
+	}
+	return best;
+}
