--- a/base/kn.c
+++ b/base/kn.c
@@ -68,12 +68,13 @@
 		task = list_entry(kn->tasks.prev, struct kn_task, node);
 		list_del(&task->node);
 		list_del(&task->ready);
-		if (task->started && task->ops->finish)
-			task->ops->finish(task);
+		/* finish() may free the task, so the mailbox comes first. */
 		list_for_each_entry_safe(msg, tmp, &task->mailbox, node) {
 			list_del(&msg->node);
 			kn_msg_release(msg);
 		}
+		if (task->started && task->ops->finish)
+			task->ops->finish(task);
 	}
 	if (kn->lws)
 		lws_context_destroy(kn->lws);
--- a/base/limits.h
+++ b/base/limits.h
@@ -54,6 +54,13 @@
 #define PEER_RECONNECT_MIN_MS 100
 #define PEER_RECONNECT_MAX_MS 5000
 #define PEERS_MAX 128
+#define PEER_PENDING_MAX 32 /* accepted links that have not said hello */
+#define PEER_HELLO_MAX_BYTES 1024
+#define PEER_QUEUE_MAX_BYTES (2 * FRAME_MAX_BYTES) /* unsent, for each link */
+#define PEER_CLOCK_EVENT_MS 30000
+#define PEER_FLUSH_MS 200 /* for unsent frames when the process ends */
+#define FRAME_DEPTH_MAX 16 /* msgpack-c recurses up to 32 */
+#define FRAME_ELEMENTS_MAX (256 * 1024) /* 24 bytes each when unpacked */
 
 /* ---- leadership and store ---- */
 
--- a/wire/pr.h
+++ b/wire/pr.h
@@ -57,7 +57,12 @@
 
 struct kn_task *pr_new(struct kn *kn, const struct set *set,
 		       uint64_t incarnation);
-/* The task receives PR_MSG_IN of that type; type 0: UP and DOWN. */
+/*
+ * The task receives PR_MSG_IN of that type; type 0: UP and DOWN. Between UP
+ * and DOWN no message is lost or reordered; a replaced link is reported as
+ * DOWN and UP. Subscribers of PR_HEARTBEAT follow a peer's document revision
+ * (body element 2), leader epoch (3) and flags (4; bit 0: draining).
+ */
 void pr_subscribe(struct kn_task *peers, struct kn_task *to, int type);
 /*
  * Sends a message to a host by name. body holds one msgpack array and is
