--- a/base/limits.h
+++ b/base/limits.h
@@ -26,6 +26,17 @@
 #define HTTP_IDLE_TIMEOUT_MS 60000
 #define HTTP_TARGET_MAX_BYTES 2048
 #define HTTP_CONNECT_TIMEOUT_MS 2000
+#define HTTP_HEADERS_MAX_COUNT 100
+#define HTTP_CONNS_MAX 12000 /* REQ_WAITING_MAX callers and room for others */
+#define HTTP_BODIES_MAX_BYTES (32 * 1024 * 1024) /* over all connections */
+#define HTTP_PIPELINE_MAX_BYTES 16384 /* behind a request in progress */
+#define HTTP_SWEEP_MS 100 /* resolution of the server's timeouts */
+#define HTTP_LINGER_MS 2000
+#define HTTP_LINGER_MAX_BYTES (4 * 1024 * 1024)
+#define HTTP_KEEPALIVE_PROBE_SEC 15 /* finds callers whose host is gone */
+#define HTTP_KEEPALIVE_PROBES 3
+/* Below HTTP_IDLE_TIMEOUT_MS, so the server seldom closes first. */
+#define HTTP_CLIENT_IDLE_MS 30000
 
 /* ---- requests ---- */
 
--- a/wire/hc.h
+++ b/wire/hc.h
@@ -2,6 +2,7 @@
 #define WIRE_HC_H
 
 #include "base/kn.h"
+#include "base/limits.h"
 #include "wire/http.h"
 
 struct hc_call;
@@ -16,6 +17,12 @@
 	int port;
 	unsigned int max_conns;
 	unsigned int conns; /* open or opening */
+	/* Set from base/limits.h by hc_pool_init(); the owner may change them. */
+	size_t body_max_bytes;
+	int connect_timeout_ms;
+	/* private to hc */
+	struct kn_timer timer;
+	int64_t timer_us;
 };
 
 /* One request and its reply, in the caller's memory until done() returns. */
@@ -25,7 +32,6 @@
 	void (*done)(struct hc_call *call);
 	void *user;
 	void *conn; /* private to hc */
-	struct kn_timer timer;
 	/* Reply. result is CB_OK only when the whole reply has arrived. */
 	int result;
 	bool sent; /* a byte of the request may have reached the server */
@@ -38,6 +44,7 @@
 	int64_t ended_us;
 };
 
+/* addr is a numeric IPv4 or IPv6 address. */
 void hc_pool_init(struct hc_pool *pool, struct kn *kn, const char *addr,
 		  int port, unsigned int max_conns);
 /* Closes all connections; calls in progress end with CB_E_UPSTREAM_LOST. */
@@ -47,7 +54,9 @@
  * and sends nothing when max_conns are busy. done() is never called from
  * within this function. timeout_ms covers connecting and the whole reply.
  * A stale keep-alive connection that closes before any byte of the reply is
- * reported like any other loss: sent is true.
+ * reported like any other loss: sent is true. A connection that could not
+ * be made is reported with sent false: CB_E_UPSTREAM_LOST when refused,
+ * CB_E_UPSTREAM_TIMEOUT when there was no answer.
  */
 bool hc_call_start(struct hc_call *call, struct hc_pool *pool,
 		   const char *method, const char *target,
--- a/wire/hs.h
+++ b/wire/hs.h
@@ -12,7 +12,7 @@
 	struct hs_server *server;
 	char *method;
 	char *target; /* path and query, as sent */
-	struct http_headers headers;
+	struct http_headers headers; /* those that hs_keep_header() names */
 	unsigned char *body; /* NULL when empty */
 	size_t body_len;
 	void *user; /* for the owner of the server */
@@ -35,19 +35,42 @@
 	size_t conn_count;
 	int port; /* the bound port, also when port 0 was asked for */
 	bool draining;
+	/* Set from base/limits.h by hs_init(); the owner may change them. */
+	size_t conns_max;
+	size_t body_max_bytes;
+	size_t bodies_max_bytes; /* over all connections */
+	int header_timeout_ms;
+	int body_timeout_ms;
+	int idle_timeout_ms;
+	/* private to hs */
+	size_t bodies_bytes;
+	uint64_t accepted;
+	GPtrArray *keep;
+	struct kn_timer sweep;
 };
 
 bool hs_init(struct hs_server *server, struct kn *kn, const struct hs_ops *ops,
 	     const char *addr, int port, GError **err);
+/* Closes everything; gone() is called for each request in progress. */
 void hs_finish(struct hs_server *server);
+/* Requests keep this header besides the usual ones. */
+void hs_keep_header(struct hs_server *server, const char *name);
 /* From now on each reply carries "Connection: close". */
 void hs_drain(struct hs_server *server);
 const char *hs_header(const struct hs_request *req, const char *name);
 /*
  * Sends a whole reply and frees the request. Content-Length, Connection and
- * Date are added here; body may be NULL with length 0.
+ * Date are added here; body may be NULL with length 0. Headers that concern
+ * one connection only are left out.
  */
 void hs_reply(struct hs_request *req, int status,
 	      const struct http_headers *headers, const void *body, size_t len);
+/*
+ * Replies with the status of a result code, the headers Chivebank-Result
+ * and Chivebank-Outcome, Retry-After unless retry_after_s is 0, and the body
+ * {"error":{"code","name","text"}}. detail may be NULL for the usual text.
+ */
+void hs_reply_error(struct hs_request *req, int code, const char *detail,
+		    int retry_after_s);
 
 #endif
