--- a/base/err.h
+++ b/base/err.h
@@ -42,6 +42,7 @@
 	X(CB_E_UPSTREAM_TOO_LARGE, 305, 502, "backend server reply too large") \
 	X(CB_E_UPSTREAM_PROTOCOL, 306, 502, "backend server reply malformed")  \
 	X(CB_E_PEER_LOST, 307, 502, "peer connection lost")                    \
+	X(CB_E_ANSWER_FORGOTTEN, 308, 502, "answer is no longer kept")         \
 	X(CB_E_UNAUTHORIZED, 400, 401, "missing or unknown token")             \
 	X(CB_E_FORBIDDEN, 401, 403, "section belongs to another team")         \
 	X(CB_E_CONFLICT, 402, 409, "section changed since it was read")        \
--- /dev/null
+++ b/policy/kyt.c
@@ -0,0 +1,152 @@
+#include "policy/kyt.h"
+
+#include <inttypes.h>
+#include <stdio.h>
+#include <string.h>
+
+#include <xxhash.h>
+
+#define CHUNK_TICKETS 65536
+
+/* Consecutive tickets; 8 KB remember what an hour of requests has used. */
+struct chunk {
+	int64_t last_mint_us;
+	unsigned char used[CHUNK_TICKETS / 8];
+};
+
+void kyt_init(struct ky *ky)
+{
+	ky->chunks = g_ptr_array_new_with_free_func(g_free);
+	ky->first_ticket = 1;
+	ky->next_ticket = 1;
+}
+
+void kyt_finish(struct ky *ky)
+{
+	g_ptr_array_free(ky->chunks, TRUE);
+}
+
+static struct chunk *chunk_of(const struct ky *ky, uint64_t seq)
+{
+	return g_ptr_array_index(ky->chunks,
+				 (seq - ky->first_ticket) / CHUNK_TICKETS);
+}
+
+/* Tells what is known of a ticket of this incarnation. */
+enum kyt_state kyt_state(const struct ky *ky, uint64_t seq)
+{
+	uint64_t at;
+
+	if (seq == 0 || seq >= ky->next_ticket)
+		return KYT_NEVER_MINTED;
+	if (seq < ky->first_ticket)
+		return KYT_EXPIRED;
+	at = (seq - ky->first_ticket) % CHUNK_TICKETS;
+	return chunk_of(ky, seq)->used[at / 8] & (1 << at % 8) ? KYT_USED :
+								 KYT_FRESH;
+}
+
+void kyt_mark(struct ky *ky, uint64_t seq, bool used)
+{
+	uint64_t at;
+
+	if (seq < ky->first_ticket || seq >= ky->next_ticket)
+		return;
+	at = (seq - ky->first_ticket) % CHUNK_TICKETS;
+	if (used)
+		chunk_of(ky, seq)->used[at / 8] |= (unsigned char)(1 << at % 8);
+	else
+		chunk_of(ky, seq)->used[at / 8] &=
+			(unsigned char)~(1 << at % 8);
+}
+
+/* Forgets chunks whose last ticket is older than KEY_KEEP_SEC. */
+void kyt_expire(struct ky *ky, int64_t now_us)
+{
+	struct chunk *chunk;
+
+	while (ky->chunks->len > 0) {
+		chunk = g_ptr_array_index(ky->chunks, 0);
+		if (now_us - chunk->last_mint_us < KEY_KEEP_SEC * USEC_PER_SEC)
+			return;
+		g_ptr_array_remove_index(ky->chunks, 0);
+		ky->first_ticket += CHUNK_TICKETS;
+		if (ky->next_ticket < ky->first_ticket)
+			ky->next_ticket = ky->first_ticket;
+	}
+}
+
+/* ---- text form ---- */
+
+/* Guards against damage in transit, not against forgery. */
+static uint32_t check_of(const char *text, size_t len)
+{
+	return (uint32_t)XXH3_64bits(text, len);
+}
+
+/*
+ * Mints a ticket t1.<host>.<incarnation>.<sequence>.<check>; the numbers
+ * are in hexadecimal. Returns false when size is too small.
+ */
+bool ky_mint(struct ky *ky, char *text, size_t size, int64_t now_us)
+{
+	uint64_t seq = ky->next_ticket;
+	uint64_t at = (seq - ky->first_ticket) / CHUNK_TICKETS;
+	int len;
+
+	len = snprintf(text, size, "t1.%s.%" PRIx64 ".%" PRIx64, ky->self.host,
+		       ky->self.incarnation, seq);
+	if (len < 0 || (size_t)len + 10 > size || len + 9 > KEY_MAX_BYTES)
+		return false;
+	snprintf(text + len, size - (size_t)len, ".%08" PRIx32,
+		 check_of(text, (size_t)len));
+	if (at == ky->chunks->len)
+		g_ptr_array_add(ky->chunks, g_new0(struct chunk, 1));
+	ky->next_ticket++;
+	chunk_of(ky, seq)->last_mint_us = now_us;
+	return true;
+}
+
+bool ky_is_ticket(const char *key)
+{
+	return strncmp(key, "t1.", 3) == 0;
+}
+
+/* Cuts the last field off a ticket of *len bytes and reads its number. */
+static bool cut_number(const char *key, size_t *len, uint64_t *value)
+{
+	size_t at = *len;
+	char digits[17];
+
+	while (at > 0 && key[at - 1] != '.')
+		at--;
+	if (at == 0 || *len == at || *len - at > 16)
+		return false;
+	memcpy(digits, key + at, *len - at);
+	digits[*len - at] = '\0';
+	if (strspn(digits, "0123456789abcdef") != *len - at)
+		return false;
+	*value = g_ascii_strtoull(digits, NULL, 16);
+	*len = at - 1;
+	return true;
+}
+
+/* Reads a ticket; false when it is damaged. */
+bool ky_ticket_parse(const char *key, struct ky_owner *owner, uint64_t *seq)
+{
+	size_t len = strlen(key), checked;
+	uint64_t check;
+
+	if (!ky_is_ticket(key) || len > KEY_MAX_BYTES || len < 9 ||
+	    key[len - 9] != '.')
+		return false;
+	checked = len - 9;
+	if (!cut_number(key, &len, &check) || check != check_of(key, checked) ||
+	    !cut_number(key, &len, seq) ||
+	    !cut_number(key, &len, &owner->incarnation) || len < 4 ||
+	    len - 3 >= NAME_MAX_BYTES)
+		return false;
+	memcpy(owner->host, key + 3, len - 3);
+	owner->host[len - 3] = '\0';
+	return true;
+}
--- /dev/null
+++ b/policy/mb.c
@@ -0,0 +1,224 @@
+#include "policy/mb.h"
+
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+const char *mb_state_name(enum mb_state state)
+{
+	static const char *const names[] = { "live", "leaving", "ejected",
+					     "probation" };
+
+	return names[state];
+}
+
+void mb_init(struct mb *mb)
+{
+	list_init(&mb->servers);
+}
+
+/* Adds a server, live, in the caller's memory. */
+void mb_add(struct mb *mb, struct mb_server *server, const char *service,
+	    const char *addr, int port, bool configured)
+{
+	memset(server, 0, sizeof(*server));
+	snprintf(server->service, sizeof(server->service), "%s", service);
+	snprintf(server->addr, sizeof(server->addr), "%s", addr);
+	server->port = port;
+	server->configured = configured;
+	server->listed = true;
+	server->state = MB_LIVE;
+	list_add_tail(&server->node, &mb->servers);
+}
+
+void mb_remove(struct mb_server *server)
+{
+	list_del(&server->node);
+}
+
+/* Finds a server; service NULL matches any. */
+struct mb_server *mb_find(const struct mb *mb, const char *service,
+			  const char *addr, int port)
+{
+	struct mb_server *server;
+
+	list_for_each_entry(server, &mb->servers, node)
+		if (server->port == port && strcmp(server->addr, addr) == 0 &&
+		    (!service || strcmp(server->service, service) == 0))
+			return server;
+	return NULL;
+}
+
+/* ---- transitions ---- */
+
+static void start_probation(struct mb_server *server)
+{
+	server->state = MB_PROBATION;
+	server->failures = 0;
+	server->allowed = 1;
+	server->successes = 0;
+	server->samples = 0;
+}
+
+static void eject(struct mb_server *server, bool slow, int64_t now_us)
+{
+	int shift = server->ejections < 5 ? server->ejections : 5;
+
+	server->state = MB_EJECTED;
+	server->slow = slow;
+	server->until_us = now_us + ((EJECT_BASE_MS * USEC_PER_MSEC) << shift);
+	server->ejections++;
+	server->failures = 0;
+}
+
+/*
+ * Takes one reading of the platform's list. The list lags, so "live" does
+ * not clear a sign of leaving that the server gave itself until
+ * LEAVING_HOLD_MS have passed; then it returns through probation.
+ */
+bool mb_listed(struct mb_server *server, bool listed, bool leaving,
+	       int64_t now_us)
+{
+	bool changed = server->listed != (listed || server->configured);
+
+	server->listed = listed || server->configured;
+	server->list_leaving = listed && leaving;
+	if (listed && leaving)
+		return mb_leaving(server, now_us) || changed;
+	if (server->state == MB_LEAVING && server->listed &&
+	    now_us - server->leaving_us >= LEAVING_HOLD_MS * USEC_PER_MSEC) {
+		start_probation(server);
+		changed = true;
+	}
+	return changed;
+}
+
+/* Takes a sign of leaving, from the server, the list or a peer. */
+bool mb_leaving(struct mb_server *server, int64_t now_us)
+{
+	if (server->state == MB_LEAVING)
+		return false;
+	server->state = MB_LEAVING;
+	server->leaving_us = now_us;
+	return true;
+}
+
+/*
+ * Ends the delay of an ejected server. A configured server that has left
+ * returns after LEAVING_HOLD_MS, since no list announces its return.
+ */
+bool mb_tick(struct mb_server *server, int64_t now_us)
+{
+	if (server->state == MB_EJECTED && now_us >= server->until_us) {
+		start_probation(server);
+		return true;
+	}
+	if (server->state == MB_LEAVING && server->configured &&
+	    !server->list_leaving &&
+	    now_us - server->leaving_us >= LEAVING_HOLD_MS * USEC_PER_MSEC) {
+		start_probation(server);
+		return true;
+	}
+	return false;
+}
+
+/* ---- signs from requests ---- */
+
+static int cmp_i64(const void *a, const void *b)
+{
+	int64_t x = *(const int64_t *)a, y = *(const int64_t *)b;
+
+	return (x > y) - (x < y);
+}
+
+/* Median latency of the live servers of a service, 0 when unknown. */
+static int64_t median_latency(const struct mb *mb, const char *service)
+{
+	int64_t values[MEMBERS_SAMPLE];
+	const struct mb_server *server;
+	size_t n = 0;
+
+	list_for_each_entry(server, &mb->servers, node)
+		if (n < MEMBERS_SAMPLE && server->state == MB_LIVE &&
+		    server->samples >= EJECT_SAMPLES &&
+		    strcmp(server->service, service) == 0)
+			values[n++] = server->latency_us;
+	if (n < 3)
+		return 0;
+	qsort(values, n, sizeof(values[0]), cmp_i64);
+	return values[n / 2];
+}
+
+/* True when ejecting one more would leave less than half of the servers. */
+static bool panic(const struct mb *mb, const char *service)
+{
+	const struct mb_server *server;
+	int total = 0, out = 0;
+
+	list_for_each_entry(server, &mb->servers, node) {
+		if (strcmp(server->service, service) != 0 || !server->listed)
+			continue;
+		total++;
+		if (server->state != MB_LIVE)
+			out++;
+	}
+	return 2 * (out + 1) > total;
+}
+
+/* Takes a whole answer that needed run_us. */
+bool mb_success(struct mb *mb, struct mb_server *server, int64_t run_us,
+		int64_t now_us)
+{
+	int64_t median;
+
+	server->failures = 0;
+	server->latency_us += server->samples ?
+				      (run_us - server->latency_us) / 16 :
+				      run_us - server->latency_us;
+	if (server->samples < EJECT_SAMPLES)
+		server->samples++;
+	if (server->state == MB_PROBATION) {
+		if (++server->successes < server->allowed)
+			return false;
+		server->successes = 0;
+		server->allowed *= 2;
+		if (server->allowed < BACKEND_SLOTS)
+			return false;
+		server->state = MB_LIVE;
+		server->ejections = 0;
+		return true;
+	}
+	if (server->state != MB_LIVE || server->samples < EJECT_SAMPLES)
+		return false;
+	median = median_latency(mb, server->service);
+	if (median == 0 || server->latency_us < EJECT_LATENCY_FACTOR * median ||
+	    panic(mb, server->service))
+		return false;
+	eject(server, true, now_us);
+	return true;
+}
+
+/* Takes a failure of the server: refused, lost, malformed, timed out. */
+bool mb_failure(struct mb *mb, struct mb_server *server, int64_t now_us)
+{
+	(void)mb;
+	server->failures++;
+	if (server->state == MB_PROBATION) {
+		eject(server, false, now_us);
+		return true;
+	}
+	if (server->state != MB_LIVE || server->failures < EJECT_FAILURES)
+		return false;
+	eject(server, false, now_us);
+	return true;
+}
+
+/* Requests that may be in flight to the server, over all its slots. */
+int mb_allowed(const struct mb_server *server)
+{
+	if (!server->listed)
+		return 0;
+	if (server->state == MB_LIVE)
+		return BACKEND_SLOTS;
+	return server->state == MB_PROBATION ? server->allowed : 0;
+}
--- /dev/null
+++ b/policy/rq.c
@@ -0,0 +1,479 @@
+#include "policy/rq.h"
+
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "base/err.h"
+
+static const int64_t target_us[DOC_CLASSES] = {
+	[DOC_SHORT] = QUEUE_TARGET_SHORT_MS * USEC_PER_MSEC,
+	[DOC_LONG] = QUEUE_TARGET_LONG_MS * USEC_PER_MSEC,
+};
+
+/*
+ * Longest wait of a queue that stands above its target. Short waits keep
+ * the answers that are given useful; the refused caller can go elsewhere.
+ */
+static int64_t shed_wait_us(enum doc_class class_)
+{
+	return QUEUE_SHED_FACTOR * target_us[class_];
+}
+
+/* ---- customers and services ---- */
+
+void rq_init(struct rq *rq, const struct rq_ops *ops, int64_t now_us)
+{
+	memset(rq, 0, sizeof(*rq));
+	rq->ops = ops;
+	list_init(&rq->customers);
+	list_init(&rq->services);
+	list_init(&rq->running);
+	rq->window_us = now_us;
+	rq->classes[DOC_SHORT].mean_us =
+		QUEUE_SHORT_LIMIT_MS * USEC_PER_MSEC / 10;
+	rq->classes[DOC_LONG].mean_us = QUEUE_SHORT_LIMIT_MS * USEC_PER_MSEC;
+}
+
+/* Frees customers and services; no item may be left. */
+void rq_finish(struct rq *rq)
+{
+	struct rq_customer *customer, *c_tmp;
+	struct rq_service *service, *s_tmp;
+
+	list_for_each_entry_safe(customer, c_tmp, &rq->customers, node)
+		free(customer);
+	list_for_each_entry_safe(service, s_tmp, &rq->services, node)
+		free(service);
+	list_init(&rq->customers);
+	list_init(&rq->services);
+}
+
+struct rq_customer *rq_customer_find(struct rq *rq, const char *name)
+{
+	struct rq_customer *customer;
+
+	list_for_each_entry(customer, &rq->customers, node)
+		if (strcmp(customer->name, name) == 0)
+			return customer;
+	return NULL;
+}
+
+/* Adds a customer or changes its weight. */
+struct rq_customer *rq_customer_set(struct rq *rq, const char *name, int weight)
+{
+	struct rq_customer *customer = rq_customer_find(rq, name);
+	int i;
+
+	if (!customer) {
+		customer = calloc(1, sizeof(*customer));
+		snprintf(customer->name, sizeof(customer->name), "%s", name);
+		for (i = 0; i < DOC_CLASSES; i++)
+			list_init(&customer->lines[i].items);
+		list_add_tail(&customer->node, &rq->customers);
+	}
+	customer->weight = weight > 0 ? weight : 1;
+	customer->removed = false;
+	return customer;
+}
+
+static void customer_unref(struct rq_customer *customer)
+{
+	if (--customer->refs > 0 || !customer->removed)
+		return;
+	list_del(&customer->node);
+	free(customer);
+}
+
+static void unlink_waiting(struct rq *rq, struct rq_item *item)
+{
+	list_del(&item->node);
+	item->customer->lines[item->class_].waiting--;
+	rq->classes[item->class_].waiting--;
+	rq->waiting--;
+}
+
+static void refuse(struct rq *rq, struct rq_item *item, int code)
+{
+	struct rq_customer *customer = item->customer;
+
+	unlink_waiting(rq, item);
+	item->customer = NULL;
+	customer_unref(customer);
+	rq->ops->refuse(rq, item, code);
+}
+
+/* Refuses the customer's waiting work; its running work ends by itself. */
+void rq_customer_remove(struct rq *rq, struct rq_customer *customer)
+{
+	struct rq_item *item, *tmp;
+	int i;
+
+	customer->removed = true;
+	customer->refs++;
+	for (i = 0; i < DOC_CLASSES; i++)
+		list_for_each_entry_safe(item, tmp, &customer->lines[i].items,
+					 node)
+			refuse(rq, item, CB_E_CUSTOMER_REMOVED);
+	customer_unref(customer);
+}
+
+/* Finds a service; the declared class counts until runs were observed. */
+struct rq_service *rq_service_get(struct rq *rq, const char *name,
+				  enum doc_class declared, int short_limit_ms)
+{
+	struct rq_service *service;
+
+	if (short_limit_ms <= 0)
+		short_limit_ms = QUEUE_SHORT_LIMIT_MS;
+	list_for_each_entry(service, &rq->services, node) {
+		if (strcmp(service->name, name) != 0)
+			continue;
+		service->short_limit_us = short_limit_ms * USEC_PER_MSEC;
+		return service;
+	}
+	service = calloc(1, sizeof(*service));
+	snprintf(service->name, sizeof(service->name), "%s", name);
+	service->class_ = declared;
+	service->over = declared == DOC_LONG ? 1024 : 0;
+	service->short_limit_us = short_limit_ms * USEC_PER_MSEC;
+	list_add_tail(&service->node, &rq->services);
+	return service;
+}
+
+/*
+ * Learns from one run. The band between the two limits keeps a service
+ * with a share of stragglers from changing its class back and forth.
+ */
+static void learn(struct rq *rq, struct rq_item *item, int64_t run_us)
+{
+	struct rq_service *service = item->service;
+	struct rq_class *cls = &rq->classes[item->class_];
+	bool over = run_us > service->short_limit_us;
+	int64_t slot_us = run_us;
+
+	service->over += ((over ? 1024 : 0) - service->over) / 16;
+	service->mean_us +=
+		service->samples ? (run_us - service->mean_us) / 32 : run_us;
+	if (service->samples < 16)
+		service->samples++;
+	else if (service->over > 512)
+		service->class_ = DOC_LONG;
+	else if (service->over < 256)
+		service->class_ = DOC_SHORT;
+	/* Beyond its limit short work holds a slot of the long class. */
+	if (item->class_ == DOC_SHORT && over)
+		slot_us = service->short_limit_us;
+	cls->mean_us += (slot_us - cls->mean_us) / 64;
+}
+
+/* ---- capacity ---- */
+
+/*
+ * Slots that long work may not take: what the arrivals of short work need
+ * plus a quarter, within bounds that leave some to either class (DARC).
+ */
+int rq_reserved(const struct rq *rq)
+{
+	int64_t want = rq->classes[DOC_SHORT].demand_milli * 5 / 4 / 1000 + 1;
+	int64_t least = (int64_t)rq->slots * QUEUE_RESERVE_MIN_PERCENT / 100;
+	int64_t most = (int64_t)rq->slots * QUEUE_RESERVE_MAX_PERCENT / 100;
+
+	if (least < 1)
+		least = 1;
+	if (want < least)
+		want = least;
+	return (int)(want < most ? want : most);
+}
+
+static int long_limit(const struct rq *rq)
+{
+	int limit = rq->slots - rq_reserved(rq);
+
+	/* With a single slot both classes have to share it. */
+	return limit > 0 ? limit : 1;
+}
+
+/* Slots that the class can count on. */
+static int class_slots(const struct rq *rq, enum doc_class class_)
+{
+	int slots;
+
+	if (class_ == DOC_LONG)
+		return long_limit(rq);
+	slots = rq->slots - rq->classes[DOC_LONG].running;
+	if (slots < rq_reserved(rq))
+		slots = rq_reserved(rq);
+	return slots > 0 ? slots : 1;
+}
+
+/*
+ * Expected wait in microseconds of a request that would now join the
+ * customer's line: bounded both by the line over the customer's share of
+ * the class and by the whole class, since others may leave their share.
+ */
+int64_t rq_expected_wait(const struct rq *rq,
+			 const struct rq_customer *customer,
+			 enum doc_class class_)
+{
+	const struct rq_class *cls = &rq->classes[class_];
+	const struct rq_customer *other;
+	int64_t slots = class_slots(rq, class_);
+	int64_t weights = 0, own, all;
+
+	if (cls->waiting == 0)
+		return 0;
+	list_for_each_entry(other, &rq->customers, node)
+		if (other == customer || other->lines[class_].waiting > 0)
+			weights += other->weight;
+	own = customer->lines[class_].waiting * cls->mean_us * weights /
+	      (slots * customer->weight);
+	all = cls->waiting * cls->mean_us / slots;
+	return own < all ? own : all;
+}
+
+/* Measures the slots that arrivals need, in windows. */
+static void measure_demand(struct rq *rq, int64_t now_us)
+{
+	int64_t passed = now_us - rq->window_us;
+	struct rq_class *cls;
+	int i;
+
+	if (passed < QUEUE_INTERVAL_MS * USEC_PER_MSEC)
+		return;
+	for (i = 0; i < DOC_CLASSES; i++) {
+		cls = &rq->classes[i];
+		cls->demand_milli +=
+			(cls->arrived_us * 1000 / passed - cls->demand_milli) /
+			2;
+		cls->arrived_us = 0;
+	}
+	rq->window_us = now_us;
+}
+
+/* ---- waiting ---- */
+
+/*
+ * Adds a request. Returns CB_OK, or the code to refuse it with; a refused
+ * item is not linked. declared_long lets a caller take the long class for
+ * work of a short service, never the reverse.
+ */
+int rq_put(struct rq *rq, struct rq_item *item, struct rq_customer *customer,
+	   struct rq_service *service, bool declared_long, int64_t deadline_us,
+	   int64_t now_us)
+{
+	enum doc_class class_ = declared_long ? DOC_LONG : service->class_;
+	struct rq_line *line = &customer->lines[class_];
+	struct rq_class *cls = &rq->classes[class_];
+	int64_t wait;
+
+	measure_demand(rq, now_us);
+	cls->arrived_us += cls->mean_us;
+	if (customer->removed)
+		return CB_E_CUSTOMER_REMOVED;
+	if (rq->waiting >= REQ_WAITING_MAX)
+		return CB_E_QUEUE_FULL;
+	wait = rq_expected_wait(rq, customer, class_);
+	if (now_us + wait >= deadline_us)
+		return CB_E_DEADLINE;
+	if (line->shedding && wait > shed_wait_us(class_))
+		return CB_E_OVERLOADED;
+	memset(item, 0, sizeof(*item));
+	item->customer = customer;
+	item->service = service;
+	item->class_ = class_;
+	item->arrived_us = now_us;
+	item->deadline_us = deadline_us;
+	/* Idle time is not saved up: the customer joins at the level. */
+	if (line->waiting == 0 && line->served < cls->served)
+		line->served = cls->served;
+	list_add_tail(&item->node, &line->items);
+	line->waiting++;
+	cls->waiting++;
+	rq->waiting++;
+	customer->refs++;
+	return CB_OK;
+}
+
+/* Takes a waiting item out, without calling refuse(). */
+void rq_cancel(struct rq *rq, struct rq_item *item)
+{
+	struct rq_customer *customer = item->customer;
+
+	unlink_waiting(rq, item);
+	item->customer = NULL;
+	customer_unref(customer);
+}
+
+/* ---- starting ---- */
+
+/* CoDel: the line stands above target for an interval, or it does not. */
+static void judge_wait(struct rq_line *line, enum doc_class class_,
+		       int64_t wait_us, int64_t now_us)
+{
+	if (wait_us < target_us[class_]) {
+		line->above_since_us = 0;
+		line->shedding = false;
+	} else if (line->above_since_us == 0) {
+		line->above_since_us = now_us;
+	} else if (now_us - line->above_since_us >=
+		   QUEUE_INTERVAL_MS * USEC_PER_MSEC) {
+		line->shedding = true;
+	}
+}
+
+/* Returns the first item worth starting, after refusing those that are not. */
+static struct rq_item *first_useful(struct rq *rq, struct rq_line *line,
+				    enum doc_class class_, int64_t now_us)
+{
+	struct rq_item *item;
+	int64_t wait;
+
+	while (line->waiting > 0) {
+		item = list_first_entry(&line->items, struct rq_item, node);
+		wait = now_us - item->arrived_us;
+		judge_wait(line, class_, wait, now_us);
+		if (now_us >= item->deadline_us)
+			refuse(rq, item, CB_E_DEADLINE);
+		else if (line->shedding && wait > shed_wait_us(class_))
+			refuse(rq, item, CB_E_OVERLOADED);
+		else
+			return item;
+	}
+	return NULL;
+}
+
+/* Chooses the customer that is furthest behind its share. */
+static struct rq_item *class_next(struct rq *rq, enum doc_class class_,
+				  int64_t now_us)
+{
+	struct rq_customer *customer, *best;
+	struct rq_item *item;
+
+	while (rq->classes[class_].waiting > 0) {
+		best = NULL;
+		list_for_each_entry(customer, &rq->customers, node)
+			if (customer->lines[class_].waiting > 0 &&
+			    (!best || customer->lines[class_].served <
+					      best->lines[class_].served))
+				best = customer;
+		item = first_useful(rq, &best->lines[class_], class_, now_us);
+		if (item)
+			return item;
+	}
+	return NULL;
+}
+
+static void start(struct rq *rq, struct rq_item *item, int64_t now_us)
+{
+	struct rq_line *line = &item->customer->lines[item->class_];
+	struct rq_class *cls = &rq->classes[item->class_];
+
+	unlink_waiting(rq, item);
+	cls->served = line->served;
+	item->cost_us = cls->mean_us;
+	line->served += (double)item->cost_us / item->customer->weight;
+	line->running++;
+	item->running = true;
+	item->started_us = now_us;
+	item->counts_as = item->class_;
+	cls->running++;
+	if (item->class_ == DOC_SHORT)
+		list_add_tail(&item->node, &rq->running);
+	else
+		list_init(&item->node);
+}
+
+/*
+ * Returns the next item to start, already counted as running, or NULL.
+ * Short work goes first up to its reserved slots, then long work up to the
+ * rest, and short work may use what long work leaves.
+ */
+struct rq_item *rq_take(struct rq *rq, int free_slots, int slots,
+			int64_t now_us)
+{
+	struct rq_class *classes = rq->classes;
+	struct rq_item *item = NULL;
+	bool long_may;
+
+	rq->slots = slots;
+	measure_demand(rq, now_us);
+	if (free_slots <= 0)
+		return NULL;
+	long_may = classes[DOC_LONG].running < long_limit(rq);
+	if (!long_may || classes[DOC_SHORT].running < rq_reserved(rq))
+		item = class_next(rq, DOC_SHORT, now_us);
+	if (!item && long_may)
+		item = class_next(rq, DOC_LONG, now_us);
+	if (!item)
+		item = class_next(rq, DOC_SHORT, now_us);
+	if (item)
+		start(rq, item, now_us);
+	return item;
+}
+
+static void stop_running(struct rq *rq, struct rq_item *item)
+{
+	list_del(&item->node);
+	item->running = false;
+	item->customer->lines[item->class_].running--;
+	rq->classes[item->counts_as].running--;
+}
+
+/* Returns a taken item to the head of its line, for a retry. */
+void rq_put_back(struct rq *rq, struct rq_item *item)
+{
+	struct rq_line *line = &item->customer->lines[item->class_];
+
+	stop_running(rq, item);
+	line->served -= (double)item->cost_us / item->customer->weight;
+	list_add(&item->node, &line->items);
+	line->waiting++;
+	rq->classes[item->class_].waiting++;
+	rq->waiting++;
+}
+
+/*
+ * Ends a running item and corrects the customer's account to the slot time
+ * that was really used. whole tells that the run time is the work's own.
+ */
+void rq_done(struct rq *rq, struct rq_item *item, bool whole, int64_t now_us)
+{
+	struct rq_customer *customer = item->customer;
+	int64_t run_us = now_us - item->started_us;
+
+	stop_running(rq, item);
+	customer->lines[item->class_].served +=
+		(double)(run_us - item->cost_us) / customer->weight;
+	if (whole)
+		learn(rq, item, run_us);
+	item->customer = NULL;
+	customer_unref(customer);
+}
+
+/* Refuses expired work and counts overrunning short work as long. */
+void rq_tick(struct rq *rq, int64_t now_us)
+{
+	struct rq_customer *customer, *c_tmp;
+	struct rq_item *item, *tmp;
+	int i;
+
+	measure_demand(rq, now_us);
+	list_for_each_entry_safe(item, tmp, &rq->running, node) {
+		if (now_us - item->started_us <= item->service->short_limit_us)
+			continue;
+		list_del(&item->node);
+		item->counts_as = DOC_LONG;
+		rq->classes[DOC_SHORT].running--;
+		rq->classes[DOC_LONG].running++;
+	}
+	list_for_each_entry_safe(customer, c_tmp, &rq->customers, node) {
+		customer->refs++;
+		for (i = 0; i < DOC_CLASSES; i++)
+			list_for_each_entry_safe(
+				item, tmp, &customer->lines[i].items, node)
+				if (now_us >= item->deadline_us)
+					refuse(rq, item, CB_E_DEADLINE);
+		customer_unref(customer);
+	}
+}
--- /dev/null
+++ b/policy/sl.c
@@ -0,0 +1,419 @@
+#include "policy/sl.h"
+
+#include <stdio.h>
+#include <string.h>
+
+#include <xxhash.h>
+
+/* ---- floors ---- */
+
+static uint64_t weight_of(const char *host, const char *server)
+{
+	return XXH3_64bits_withSeed(host, strlen(host),
+				    XXH3_64bits(server, strlen(server)));
+}
+
+/* Slots of the server that belong to the host for good. */
+int sl_floor(const char *const *hosts, size_t n, const char *host,
+	     const char *server)
+{
+	uint64_t own = weight_of(host, server), other;
+	int before = 0;
+	size_t i;
+
+	/* A lone host has nobody to share with and needs no grantor. */
+	if (n <= 1)
+		return BACKEND_SLOTS;
+	for (i = 0; i < n; i++) {
+		if (strcmp(hosts[i], host) == 0)
+			continue;
+		other = weight_of(hosts[i], server);
+		if (other > own || (other == own && strcmp(hosts[i], host) < 0))
+			before++;
+	}
+	return before < SLOT_FLOOR_HOSTS ? 1 : 0;
+}
+
+/* Slots of each server that are granted as credits. */
+int sl_pool(size_t hosts)
+{
+	if (hosts <= 1)
+		return 0;
+	return BACKEND_SLOTS -
+	       (hosts < SLOT_FLOOR_HOSTS ? (int)hosts : SLOT_FLOOR_HOSTS);
+}
+
+/* Connections that one host may have open to a server. */
+int sl_connections(size_t hosts)
+{
+	int share = BACKEND_CONNECTIONS / (hosts > 0 ? (int)hosts : 1);
+
+	return share < BACKEND_SLOTS ? share : BACKEND_SLOTS;
+}
+
+/* ---- holder ---- */
+
+void sl_holder_init(struct sl_holder *holder, uint64_t incarnation)
+{
+	memset(holder, 0, sizeof(*holder));
+	list_init(&holder->servers);
+	holder->ask.incarnation = incarnation;
+	holder->answered = true;
+}
+
+/* Adds a server; floor comes from sl_floor(). */
+void sl_slots_init(struct sl_slots *slots, struct sl_holder *holder,
+		   const char *server, int floor)
+{
+	memset(slots, 0, sizeof(*slots));
+	snprintf(slots->server, sizeof(slots->server), "%s", server);
+	slots->floor = floor;
+	list_add_tail(&slots->node, &holder->servers);
+}
+
+/* Removes a server; nothing may be running on it. */
+void sl_slots_finish(struct sl_slots *slots)
+{
+	list_del(&slots->node);
+}
+
+static int usable_credits(const struct sl_slots *slots, int64_t now_us)
+{
+	return now_us < slots->credits_until_us ? slots->credits : 0;
+}
+
+/* Requests that may be started on the server now. */
+int sl_free(const struct sl_slots *slots, int64_t now_us)
+{
+	int n = slots->floor + usable_credits(slots, now_us) - slots->running;
+
+	return n > 0 ? n : 0;
+}
+
+/* Counts a request; sl_free() must have been above 0 at this time. */
+void sl_start(struct sl_slots *slots)
+{
+	slots->running++;
+}
+
+void sl_end(struct sl_slots *slots)
+{
+	slots->running--;
+}
+
+/* Credits that are in use or may still be used without asking again. */
+int sl_held(const struct sl_slots *slots, int64_t now_us)
+{
+	int used = slots->running - slots->floor;
+	int usable = usable_credits(slots, now_us);
+
+	return used > usable ? used : usable;
+}
+
+/*
+ * Begins a new report to the leader of an epoch and fills lines (of struct
+ * sl_line) with the servers on which this host holds or wants credits.
+ * Credits beyond what is wanted are given up here. The report makes every
+ * earlier unanswered one void, so what it states is an upper bound until
+ * the leader answers it. Returns false for an epoch that is behind.
+ */
+bool sl_ask(struct sl_holder *holder, uint64_t epoch, GArray *lines,
+	    int64_t now_us)
+{
+	struct sl_slots *slots;
+	struct sl_line line;
+
+	if (epoch < holder->ask.epoch)
+		return false;
+	holder->ask.epoch = epoch;
+	holder->ask.seq++;
+	holder->asked_us = now_us;
+	holder->answered = false;
+	list_for_each_entry(slots, &holder->servers, node) {
+		if (slots->credits > slots->want)
+			slots->credits = slots->want;
+		memset(&line, 0, sizeof(line));
+		snprintf(line.server, sizeof(line.server), "%s", slots->server);
+		line.held = sl_held(slots, now_us);
+		line.want = slots->want;
+		if (line.held > 0 || line.want > 0)
+			g_array_append_val(lines, line);
+	}
+	return true;
+}
+
+static const struct sl_line *find_line(const struct sl_line *lines, size_t n,
+				       const char *server)
+{
+	size_t i;
+
+	for (i = 0; i < n; i++)
+		if (strcmp(lines[i].server, server) == 0)
+			return &lines[i];
+	return NULL;
+}
+
+/*
+ * Takes the answer to the newest report; any other is refused. The term
+ * counts from the moment of asking, so that it ends here first.
+ */
+bool sl_granted(struct sl_holder *holder, const struct sl_ask *ask,
+		int64_t term_us, const struct sl_line *lines, size_t n,
+		int64_t now_us)
+{
+	const struct sl_line *line;
+	struct sl_slots *slots;
+
+	if (ask->epoch != holder->ask.epoch || ask->seq != holder->ask.seq ||
+	    ask->incarnation != holder->ask.incarnation || holder->answered)
+		return false;
+	holder->answered = true;
+	if (term_us > SLOT_TERM_MS * USEC_PER_MSEC)
+		term_us = SLOT_TERM_MS * USEC_PER_MSEC;
+	if (now_us - holder->asked_us >= term_us)
+		return false;
+	list_for_each_entry(slots, &holder->servers, node) {
+		line = find_line(lines, n, slots->server);
+		slots->credits = line ? line->want : 0;
+		slots->credits_until_us = holder->asked_us + term_us;
+	}
+	return true;
+}
+
+/* ---- grantor ---- */
+
+struct sl_ghost {
+	char name[NAME_MAX_BYTES];
+	uint64_t incarnation;
+	uint64_t seq;
+	bool heard; /* in this epoch */
+	int64_t contact_us; /* last report, or the start of the epoch */
+};
+
+/* What each host may hold of one server, and what it asked for last. */
+struct sl_gserver {
+	int *out;
+	int *want;
+};
+
+static void gserver_free(gpointer data)
+{
+	struct sl_gserver *server = data;
+
+	g_free(server->out);
+	g_free(server->want);
+	g_free(server);
+}
+
+void sl_grantor_init(struct sl_grantor *grantor, const char *const *hosts,
+		     size_t n)
+{
+	size_t i;
+
+	memset(grantor, 0, sizeof(*grantor));
+	grantor->host_count = n;
+	grantor->pool = sl_pool(n);
+	grantor->hosts = g_new0(struct sl_ghost, n);
+	for (i = 0; i < n; i++)
+		snprintf(grantor->hosts[i].name, NAME_MAX_BYTES, "%s",
+			 hosts[i]);
+	grantor->servers = g_hash_table_new_full(g_str_hash, g_str_equal,
+						 g_free, gserver_free);
+}
+
+void sl_grantor_finish(struct sl_grantor *grantor)
+{
+	g_hash_table_destroy(grantor->servers);
+	g_free(grantor->hosts);
+}
+
+/*
+ * Begins an epoch. Nothing is known of what the earlier leader granted
+ * until each host has reported, or until all of it must have ended.
+ */
+void sl_lead(struct sl_grantor *grantor, uint64_t epoch, int64_t now_us)
+{
+	size_t i;
+
+	grantor->epoch = epoch;
+	g_hash_table_remove_all(grantor->servers);
+	for (i = 0; i < grantor->host_count; i++) {
+		grantor->hosts[i].heard = false;
+		grantor->hosts[i].seq = 0;
+		grantor->hosts[i].incarnation = 0;
+		grantor->hosts[i].contact_us = now_us;
+	}
+}
+
+/*
+ * True when nothing granted to the host is in use any more: the term has
+ * ended for its last report, and so has the longest deadline after it.
+ */
+static bool lapsed(const struct sl_ghost *host, int64_t now_us)
+{
+	return now_us - host->contact_us >=
+	       (SLOT_TERM_MS + REQ_DEADLINE_MAX_MS) * USEC_PER_MSEC;
+}
+
+/* True while credits are held back for a host that was not heard. */
+bool sl_holding_back(const struct sl_grantor *grantor, int64_t now_us)
+{
+	size_t i;
+
+	for (i = 0; i < grantor->host_count; i++)
+		if (!grantor->hosts[i].heard &&
+		    !lapsed(&grantor->hosts[i], now_us))
+			return true;
+	return false;
+}
+
+static struct sl_gserver *gserver_get(struct sl_grantor *grantor,
+				      const char *name)
+{
+	struct sl_gserver *server = g_hash_table_lookup(grantor->servers, name);
+
+	if (server)
+		return server;
+	server = g_new0(struct sl_gserver, 1);
+	server->out = g_new0(int, grantor->host_count);
+	server->want = g_new0(int, grantor->host_count);
+	g_hash_table_insert(grantor->servers, g_strdup(name), server);
+	return server;
+}
+
+/* Credits that no other host may hold. */
+static int available(const struct sl_grantor *grantor,
+		     const struct sl_gserver *server, size_t self,
+		     int64_t now_us)
+{
+	int left = grantor->pool;
+	size_t i;
+
+	for (i = 0; i < grantor->host_count; i++) {
+		if (i == self || lapsed(&grantor->hosts[i], now_us))
+			continue;
+		if (!grantor->hosts[i].heard)
+			return 0;
+		left -= server->out[i];
+	}
+	return left > 0 ? left : 0;
+}
+
+static bool active(const struct sl_ghost *host, int64_t now_us)
+{
+	return host->heard &&
+	       now_us - host->contact_us < SLOT_TERM_MS * USEC_PER_MSEC;
+}
+
+/*
+ * Fair part of the pool for one host, given what all active hosts want:
+ * credits are dealt one at a time, in an order that differs by server so
+ * that the odd credits are spread.
+ */
+static int fair_part(const struct sl_grantor *grantor,
+		     const struct sl_gserver *server, const char *name,
+		     size_t self, int64_t now_us)
+{
+	size_t i, k, n = grantor->host_count;
+	size_t first = XXH3_64bits(name, strlen(name)) % n;
+	int left = grantor->pool, part = 0, round;
+
+	for (round = 1; left > 0 && round <= grantor->pool; round++)
+		for (i = 0; i < n && left > 0; i++) {
+			k = (first + i) % n;
+			if (server->want[k] < round ||
+			    !active(&grantor->hosts[k], now_us))
+				continue;
+			left--;
+			if (k == self)
+				part++;
+		}
+	return part;
+}
+
+static struct sl_ghost *find_host(struct sl_grantor *grantor, const char *name,
+				  size_t *index)
+{
+	for (*index = 0; *index < grantor->host_count; (*index)++)
+		if (strcmp(grantor->hosts[*index].name, name) == 0)
+			return &grantor->hosts[*index];
+	return NULL;
+}
+
+static bool unused(const struct sl_grantor *grantor,
+		   const struct sl_gserver *server)
+{
+	size_t i;
+
+	for (i = 0; i < grantor->host_count; i++)
+		if (server->out[i] || server->want[i])
+			return false;
+	return true;
+}
+
+/* Replaces what is known of a host by its report. */
+static void take_report(struct sl_grantor *grantor, size_t index,
+			const struct sl_line *lines, size_t n)
+{
+	struct sl_gserver *server;
+	GHashTableIter iter;
+	gpointer value;
+	size_t i;
+
+	g_hash_table_iter_init(&iter, grantor->servers);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		server = value;
+		server->out[index] = 0;
+		server->want[index] = 0;
+		if (unused(grantor, server))
+			g_hash_table_iter_remove(&iter);
+	}
+	for (i = 0; i < n; i++) {
+		server = gserver_get(grantor, lines[i].server);
+		server->out[index] = lines[i].held;
+		server->want[index] = lines[i].want;
+	}
+}
+
+/*
+ * Takes a host's report and fills grants (of struct sl_line) with the
+ * answer. Must be called only while this host leads. Returns false, and
+ * nothing must be sent, for a report that is meant for another epoch or
+ * that was overtaken by a newer one.
+ */
+bool sl_report(struct sl_grantor *grantor, const char *host,
+	       const struct sl_ask *ask, const struct sl_line *lines, size_t n,
+	       GArray *grants, int64_t now_us)
+{
+	struct sl_gserver *server;
+	struct sl_ghost *from;
+	struct sl_line grant;
+	size_t index, i;
+	int left;
+
+	from = find_host(grantor, host, &index);
+	if (!from || ask->epoch != grantor->epoch ||
+	    ask->incarnation < from->incarnation ||
+	    (ask->incarnation == from->incarnation && ask->seq <= from->seq))
+		return false;
+	from->incarnation = ask->incarnation;
+	from->seq = ask->seq;
+	from->heard = true;
+	from->contact_us = now_us;
+	take_report(grantor, index, lines, n);
+	for (i = 0; i < n; i++) {
+		server = gserver_get(grantor, lines[i].server);
+		memset(&grant, 0, sizeof(grant));
+		memcpy(grant.server, lines[i].server, sizeof(grant.server));
+		grant.want = fair_part(grantor, server, lines[i].server, index,
+				       now_us);
+		left = available(grantor, server, index, now_us);
+		if (grant.want > left)
+			grant.want = left;
+		if (grant.want > server->out[index])
+			server->out[index] = grant.want;
+		if (grant.want > 0)
+			g_array_append_val(grants, grant);
+	}
+	return true;
+}
--- /dev/null
+++ b/tests/unit/test_ky.c
@@ -0,0 +1,209 @@
+#include <check.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "base/err.h"
+#include "policy/ky.h"
+
+#define SEC USEC_PER_SEC
+
+static struct ky ky;
+static struct ky_entry *entry;
+static struct ky_owner owner;
+static struct ky_digest digest;
+static int result;
+
+static void setup(void)
+{
+	ky_init(&ky, "pg1.entry-1", 0x1234);
+	digest = ky_digest("POST", "/pay", "x", 1);
+}
+
+static void teardown(void)
+{
+	ky_finish(&ky);
+}
+
+static enum ky_verdict begin(const char *key, int64_t now_us)
+{
+	return ky_begin(&ky, key, &digest, now_us, &entry, &owner, &result);
+}
+
+/* Guards against a ticket that runs twice, or whose answer is not replayed. */
+START_TEST(ticket_runs_once)
+{
+	char ticket[KY_KEY_BYTES];
+	struct ky_waiter waiter;
+
+	ck_assert(ky_mint(&ky, ticket, sizeof(ticket), 0));
+	ck_assert_int_eq(begin(ticket, 1), KY_RUN);
+	ck_assert_int_eq(begin(ticket, 2), KY_WAIT);
+	ky_wait(entry, &waiter);
+	ck_assert(!list_empty(&entry->waiters));
+	ky_unwait(&waiter);
+	/* Nothing was sent: the ticket is fresh again. */
+	ky_end(&ky, entry, KY_NOT_RUN, CB_E_OVERLOADED, 503, NULL, 0, 3);
+	ck_assert_int_eq(begin(ticket, 4), KY_RUN);
+	ky_end(&ky, entry, KY_ANSWERED, CB_OK, 200, "done", 4, 5);
+	ck_assert_int_eq(begin(ticket, 6), KY_REPLAY);
+	ck_assert_int_eq(entry->answer.len, 4);
+	ck_assert_int_eq(memcmp(entry->answer.blob, "done", 4), 0);
+	digest = ky_digest("POST", "/pay", "y", 1);
+	ck_assert_int_eq(begin(ticket, 7), KY_REFUSE);
+	ck_assert_int_eq(result, CB_E_KEY_REUSED);
+	/* Once forgotten, it must not become fresh. */
+	ky_expire(&ky, KEY_KEEP_SEC * SEC + 10);
+	ck_assert_int_eq(begin(ticket, KEY_KEEP_SEC * SEC + 11), KY_LOST);
+}
+END_TEST
+
+/* Guards against a damaged ticket that is taken for another one. */
+START_TEST(damaged_ticket_is_refused)
+{
+	char ticket[KY_KEY_BYTES], bad[KY_KEY_BYTES];
+	uint64_t seq;
+	size_t i;
+
+	ck_assert(ky_mint(&ky, ticket, sizeof(ticket), 0));
+	ck_assert(ky_ticket_parse(ticket, &owner, &seq));
+	ck_assert_str_eq(owner.host, "pg1.entry-1");
+	ck_assert_uint_eq(owner.incarnation, 0x1234);
+	ck_assert_uint_eq(seq, 1);
+	for (i = 3; i < strlen(ticket); i++) {
+		strcpy(bad, ticket);
+		bad[i] = bad[i] == '7' ? '8' : '7';
+		ck_assert_int_eq(begin(bad, 0), KY_REFUSE);
+		strcpy(bad, ticket);
+		bad[i] = '\0';
+		ck_assert_int_eq(begin(bad, 0), KY_REFUSE);
+	}
+	ck_assert_int_eq(begin("t1.", 0), KY_REFUSE);
+	ck_assert_int_eq(begin("", 0), KY_REFUSE);
+	memset(bad, 'a', sizeof(bad));
+	bad[sizeof(bad) - 1] = '\0';
+	ck_assert_int_eq(begin(bad, 0), KY_CLAIM);
+}
+END_TEST
+
+/* Guards against running the tickets of another incarnation. */
+START_TEST(foreign_tickets_never_run_here)
+{
+	char ticket[KY_KEY_BYTES];
+	struct ky_answer answer = { .outcome = KY_ANSWERED, .status = 201 };
+	struct ky other;
+
+	ky_init(&other, "pg1.entry-1", 0x1233);
+	ck_assert(ky_mint(&other, ticket, sizeof(ticket), 0));
+	ck_assert_int_eq(begin(ticket, 0), KY_LOST);
+	ck_assert_int_eq(result, CB_E_OWNER_GONE);
+	/* Its finished keys were adopted by a peer. */
+	ck_assert(ky_ticket_parse(ticket, &owner, &(uint64_t){ 0 }));
+	ky_set_adopter(&ky, &owner, "pg1.entry-2");
+	ck_assert_int_eq(begin(ticket, 0), KY_FORWARD);
+	ck_assert_str_eq(ky_adopter(&ky, &owner), "pg1.entry-2");
+	/* Adopted here, it replays. */
+	answer.blob = "kept";
+	answer.len = 4;
+	ck_assert(ky_adopt(&ky, ticket, &digest, &answer, 0));
+	ck_assert_int_eq(begin(ticket, 1), KY_REPLAY);
+	ck_assert_int_eq(entry->answer.status, 201);
+	ky_finish(&other);
+	ky_init(&other, "pg1.entry-3", 0x1234);
+	ck_assert(ky_mint(&other, ticket, sizeof(ticket), 0));
+	ck_assert_int_eq(begin(ticket, 0), KY_FORWARD);
+	ky_finish(&other);
+}
+END_TEST
+
+/* Guards against a lost store answer that runs a request twice or never. */
+START_TEST(claims_settle_by_number)
+{
+	struct ky_entry *batch[KEY_BATCH_MAX];
+	char value[KY_CLAIM_BYTES];
+
+	ck_assert_int_eq(begin("k/a/1", 0), KY_CLAIM);
+	ck_assert_int_eq(begin("k/a/1", 0), KY_WAIT);
+	ck_assert(!ky_claims_due(&ky, KEY_BATCH_DELAY_MS * 1000 - 1));
+	ck_assert(ky_claims_due(&ky, KEY_BATCH_DELAY_MS * 1000));
+	ck_assert_uint_eq(ky_claims_take(&ky, batch, KEY_BATCH_MAX), 1);
+	/* The claim has not reached the store. */
+	ck_assert_int_eq(ky_claim_settle(&ky, batch[0], NULL, &owner, &result),
+			 KY_CLAIM);
+	ky_claim_again(&ky, batch[0], 5);
+	ck_assert_uint_eq(ky_claims_take(&ky, batch, KEY_BATCH_MAX), 1);
+	ky_claim_value(&ky, batch[0], value);
+	ck_assert_str_eq(value, "pg1.entry-1/1234/1");
+	ck_assert_int_eq(ky_claim_settle(&ky, batch[0], value, &owner, &result),
+			 KY_RUN);
+	/* Not run: the owner may run it later without another claim. */
+	ky_end(&ky, batch[0], KY_NOT_RUN, CB_E_NO_SERVER, 503, NULL, 0, 6);
+	ck_assert_int_eq(begin("k/a/1", 7), KY_RUN);
+	ky_end(&ky, entry, KY_UNKNOWN, CB_E_UPSTREAM_LOST, 502, NULL, 0, 8);
+	ck_assert_int_eq(begin("k/a/1", 9), KY_LOST);
+	ck_assert_int_eq(result, CB_E_UPSTREAM_LOST);
+	/* Claims of others, of this host's past, and of forgotten attempts. */
+	ck_assert_int_eq(begin("k/a/2", 0), KY_CLAIM);
+	ck_assert_int_eq(
+		ky_claim_settle(&ky, entry, "pg1.entry-2/9/1", &owner, &result),
+		KY_FORWARD);
+	ck_assert_str_eq(owner.host, "pg1.entry-2");
+	ck_assert_uint_eq(owner.incarnation, 9);
+	ck_assert_int_eq(ky_claim_settle(&ky, entry, "pg1.entry-1/1000/2",
+					 &owner, &result),
+			 KY_LOST);
+	ck_assert_int_eq(ky_claim_settle(&ky, entry, "pg1.entry-1/1234/1",
+					 &owner, &result),
+			 KY_LOST);
+	ck_assert_int_eq(result, CB_E_ANSWER_FORGOTTEN);
+	ky_drop(&ky, entry);
+	ck_assert_uint_eq(ky_claims_take(&ky, batch, KEY_BATCH_MAX), 0);
+	ck_assert_uint_eq(ky.claim_count, 0);
+}
+END_TEST
+
+/* Guards against memory that grows with finished answers. */
+START_TEST(finished_answers_are_bounded)
+{
+	char ticket[KY_KEY_BYTES], first[KY_KEY_BYTES];
+	char *blob = calloc(1, 64 * 1024);
+	int i;
+
+	ck_assert(ky_mint(&ky, first, sizeof(first), 0));
+	ck_assert_int_eq(begin(first, 0), KY_RUN);
+	ky_end(&ky, entry, KY_ANSWERED, CB_OK, 200, blob, 64 * 1024, 0);
+	for (i = 0; i < KEY_ENTRIES_MAX + 10000; i++) {
+		ck_assert(ky_mint(&ky, ticket, sizeof(ticket), i));
+		ck_assert_int_eq(begin(ticket, i), KY_RUN);
+		ky_end(&ky, entry, KY_ANSWERED, CB_OK, 200, blob,
+		       i < 1000 ? 64 * 1024 : 16, i);
+		ck_assert_uint_le(ky.blob_bytes, KEY_BYTES_MAX);
+	}
+	ck_assert_uint_le(ky.finished_count, KEY_ENTRIES_MAX);
+	ck_assert_int_eq(begin(first, i), KY_LOST);
+	ck_assert_int_eq(result, CB_E_ANSWER_FORGOTTEN);
+	ck_assert_int_eq(begin(ticket, i), KY_REPLAY);
+	free(blob);
+}
+END_TEST
+
+int main(void)
+{
+	Suite *suite = suite_create("ky");
+	TCase *tc = tcase_create("keys");
+	SRunner *runner = srunner_create(suite);
+	int failed;
+
+	tcase_set_timeout(tc, 30);
+	tcase_add_checked_fixture(tc, setup, teardown);
+	tcase_add_test(tc, ticket_runs_once);
+	tcase_add_test(tc, damaged_ticket_is_refused);
+	tcase_add_test(tc, foreign_tickets_never_run_here);
+	tcase_add_test(tc, claims_settle_by_number);
+	tcase_add_test(tc, finished_answers_are_bounded);
+	suite_add_tcase(suite, tc);
+	srunner_run_all(runner, CK_NORMAL);
+	failed = srunner_ntests_failed(runner);
+	srunner_free(runner);
+	return failed ? 1 : 0;
+}
--- /dev/null
+++ b/tests/unit/test_ry.c
@@ -0,0 +1,64 @@
+#include <check.h>
+#include <stdlib.h>
+
+#include "base/limits.h"
+#include "policy/ry.h"
+
+static int spend(struct ry *ry, int64_t now_us)
+{
+	int n = 0;
+
+	while (ry_retry(ry, now_us))
+		n++;
+	return n;
+}
+
+/* Guards against retry storms: more than 10 % plus 10/s in any second. */
+START_TEST(budget_bounds_retries)
+{
+	int64_t now = 0;
+	struct ry ry;
+	int i, retries = 0;
+
+	ry_init(&ry, now);
+	ck_assert_int_eq(spend(&ry, now), RETRY_BUDGET_MIN_PER_SEC);
+	for (i = 0; i < 100000; i++) {
+		now += 1000;
+		ry_request(&ry, now);
+		retries += ry_retry(&ry, now);
+	}
+	ck_assert_int_le(retries, 10000 + 100 * RETRY_BUDGET_MIN_PER_SEC + 1);
+	ck_assert_int_ge(retries, 10000);
+}
+END_TEST
+
+/* Guards against a past crest that pays for retries minutes later. */
+START_TEST(old_requests_stop_counting)
+{
+	struct ry ry;
+	int i;
+
+	ry_init(&ry, 0);
+	for (i = 0; i < 10000; i++)
+		ry_request(&ry, 0);
+	ck_assert_int_le(spend(&ry, 60 * USEC_PER_SEC), 15);
+	ck_assert_int_eq(spend(&ry, 61 * USEC_PER_SEC),
+			 RETRY_BUDGET_MIN_PER_SEC);
+}
+END_TEST
+
+int main(void)
+{
+	Suite *suite = suite_create("ry");
+	TCase *tc = tcase_create("budget");
+	SRunner *runner = srunner_create(suite);
+	int failed;
+
+	tcase_add_test(tc, budget_bounds_retries);
+	tcase_add_test(tc, old_requests_stop_counting);
+	suite_add_tcase(suite, tc);
+	srunner_run_all(runner, CK_NORMAL);
+	failed = srunner_ntests_failed(runner);
+	srunner_free(runner);
+	return failed ? 1 : 0;
+}
--- /dev/null
+++ b/tests/unit/test_sl.c
@@ -0,0 +1,464 @@
+#include <check.h>
+#include <inttypes.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "policy/sl.h"
+
+/* ---- simulation of one data centre ---- */
+
+#define HOSTS_MAX 6
+#define SERVERS 2
+#define PACKETS 256
+#define RUNS_MAX 512
+#define STEP_US (10 * USEC_PER_MSEC)
+#define SIM_SEC 400
+
+struct run {
+	bool used;
+	int host;
+	int server;
+	int64_t end_us;
+	bool ended; /* at the server; the host has not noticed */
+};
+
+struct host {
+	struct sl_holder holder;
+	struct sl_slots slots[SERVERS];
+	struct sl_grantor grantor;
+	int64_t offset_us; /* of its monotonic clock */
+	int64_t frozen_until_us;
+	int64_t cut_until_us; /* from all others */
+	int64_t ask_at_us;
+	int leader; /* as this host believes */
+	uint64_t epoch;
+	int64_t learn_at_us;
+};
+
+struct packet {
+	bool used;
+	bool grant;
+	int from;
+	int to;
+	int64_t at_us;
+	struct sl_ask ask;
+	struct sl_line lines[SERVERS];
+	size_t n;
+};
+
+struct sim {
+	GRand *rand;
+	int64_t now_us;
+	int n;
+	struct host hosts[HOSTS_MAX];
+	const char *names[HOSTS_MAX];
+	struct packet packets[PACKETS];
+	struct run runs[RUNS_MAX];
+	int leader;
+	uint64_t epoch;
+	int64_t lease_until_us;
+	bool renewing;
+	uint64_t incarnations;
+	int most; /* in progress on one server */
+	int64_t started;
+	bool over;
+};
+
+static const char *const server_names[SERVERS] = { "10.0.0.1:80",
+						   "10.0.0.2:80" };
+static char host_names[HOSTS_MAX][16];
+
+static int chance(struct sim *sim, int of)
+{
+	return g_rand_int_range(sim->rand, 0, of) == 0;
+}
+
+static int64_t upto(struct sim *sim, int64_t limit_us)
+{
+	return g_rand_int_range(sim->rand, 0, (gint32)limit_us);
+}
+
+static bool frozen(const struct sim *sim, int host)
+{
+	return sim->now_us < sim->hosts[host].frozen_until_us;
+}
+
+static int64_t clock_of(const struct sim *sim, int host)
+{
+	return sim->now_us + sim->hosts[host].offset_us;
+}
+
+/* Starts a process; requests of an earlier one end with its connections. */
+static void boot(struct sim *sim, int i)
+{
+	struct host *host = &sim->hosts[i];
+	int k;
+
+	for (k = 0; k < RUNS_MAX; k++)
+		if (sim->runs[k].used && sim->runs[k].host == i)
+			sim->runs[k].used = false;
+	host->offset_us = upto(sim, 1000 * USEC_PER_SEC);
+	sl_holder_init(&host->holder, ++sim->incarnations);
+	for (k = 0; k < SERVERS; k++)
+		sl_slots_init(&host->slots[k], &host->holder, server_names[k],
+			      sl_floor(sim->names, sim->n, sim->names[i],
+				       server_names[k]));
+	if (host->grantor.hosts)
+		sl_grantor_finish(&host->grantor);
+	sl_grantor_init(&host->grantor, sim->names, sim->n);
+	host->leader = -1;
+	host->epoch = 0;
+	host->learn_at_us = sim->now_us + upto(sim, USEC_PER_SEC);
+	host->ask_at_us = sim->now_us;
+}
+
+static void send_packet(struct sim *sim, const struct packet *packet)
+{
+	int copies = chance(sim, 20) ? 2 : 1, i;
+
+	while (copies-- > 0) {
+		if (chance(sim, 10) ||
+		    sim->now_us < sim->hosts[packet->from].cut_until_us ||
+		    sim->now_us < sim->hosts[packet->to].cut_until_us)
+			continue;
+		for (i = 0; sim->packets[i].used; i++)
+			ck_assert_int_lt(i, PACKETS - 1);
+		sim->packets[i] = *packet;
+		sim->packets[i].used = true;
+		sim->packets[i].at_us =
+			sim->now_us + upto(sim, chance(sim, 8) ?
+							5 * USEC_PER_SEC :
+							2 * STEP_US);
+	}
+}
+
+static void fill(struct packet *packet, const GArray *lines)
+{
+	packet->n = lines->len;
+	ck_assert_int_le(lines->len, SERVERS);
+	if (lines->len > 0)
+		memcpy(packet->lines, lines->data,
+		       lines->len * sizeof(packet->lines[0]));
+}
+
+static void ask(struct sim *sim, int i)
+{
+	GArray *lines = g_array_new(FALSE, FALSE, sizeof(struct sl_line));
+	struct host *host = &sim->hosts[i];
+	struct packet packet = { .from = i, .to = host->leader };
+
+	if (sl_ask(&host->holder, host->epoch, lines, clock_of(sim, i))) {
+		packet.ask = host->holder.ask;
+		fill(&packet, lines);
+		send_packet(sim, &packet);
+	}
+	g_array_free(lines, TRUE);
+}
+
+static void deliver(struct sim *sim, const struct packet *in)
+{
+	GArray *grants = g_array_new(FALSE, FALSE, sizeof(struct sl_line));
+	struct host *host = &sim->hosts[in->to];
+	struct packet out = { .grant = true, .from = in->to, .to = in->from };
+
+	if (in->grant) {
+		sl_granted(&host->holder, &in->ask,
+			   SLOT_TERM_MS * USEC_PER_MSEC, in->lines, in->n,
+			   clock_of(sim, in->to));
+	} else if (sim->leader == in->to && sim->now_us < sim->lease_until_us &&
+		   sl_report(&host->grantor, sim->names[in->from], &in->ask,
+			     in->lines, in->n, grants, clock_of(sim, in->to))) {
+		out.ask = in->ask;
+		fill(&out, grants);
+		send_packet(sim, &out);
+	}
+	g_array_free(grants, TRUE);
+}
+
+/* The lease is exclusive; its holder may be cut off from the hosts. */
+static void lead(struct sim *sim, bool faults)
+{
+	int i, candidate;
+
+	if (sim->now_us >= sim->lease_until_us) {
+		candidate = (int)upto(sim, sim->n);
+		if (frozen(sim, candidate))
+			return;
+		sim->leader = candidate;
+		sim->epoch++;
+		sim->lease_until_us = sim->now_us + 6 * USEC_PER_SEC;
+		sl_lead(&sim->hosts[candidate].grantor, sim->epoch,
+			clock_of(sim, candidate));
+		for (i = 0; i < sim->n; i++)
+			sim->hosts[i].learn_at_us =
+				sim->now_us + upto(sim, 3 * USEC_PER_SEC);
+		sim->renewing = true;
+	}
+	/* Some leaders lose the store and with it the lease. */
+	if (faults && chance(sim, 8000))
+		sim->renewing = false;
+	if (sim->renewing && !frozen(sim, sim->leader))
+		sim->lease_until_us = sim->now_us + 6 * USEC_PER_SEC;
+}
+
+static void start_runs(struct sim *sim, int i)
+{
+	struct host *host = &sim->hosts[i];
+	int64_t now = clock_of(sim, i);
+	int s, k;
+
+	for (s = 0; s < SERVERS; s++)
+		while (sl_free(&host->slots[s], now) > 0 && !chance(sim, 4)) {
+			for (k = 0; sim->runs[k].used; k++)
+				ck_assert_int_lt(k, RUNS_MAX - 1);
+			sim->runs[k] = (struct run){
+				.used = true,
+				.host = i,
+				.server = s,
+				.end_us = sim->now_us +
+					  upto(sim, chance(sim, 50) ?
+							    60 * USEC_PER_SEC :
+							    USEC_PER_SEC)
+			};
+			sl_start(&host->slots[s]);
+			sim->started++;
+		}
+}
+
+/* A server ends a run by itself; its host notices when it is awake. */
+static void end_runs(struct sim *sim)
+{
+	int counts[SERVERS] = { 0 }, k, s;
+	struct run *run;
+
+	for (k = 0; k < RUNS_MAX; k++) {
+		run = &sim->runs[k];
+		if (!run->used)
+			continue;
+		run->ended = run->ended || sim->now_us >= run->end_us;
+		if (!run->ended) {
+			counts[run->server]++;
+		} else if (!frozen(sim, run->host)) {
+			sl_end(&sim->hosts[run->host].slots[run->server]);
+			run->used = false;
+		}
+	}
+	for (s = 0; s < SERVERS; s++) {
+		if (counts[s] > sim->most)
+			sim->most = counts[s];
+		if (counts[s] > BACKEND_SLOTS)
+			sim->over = true;
+	}
+}
+
+static void host_step(struct sim *sim, int i, bool faults)
+{
+	struct host *host = &sim->hosts[i];
+	int s;
+
+	if (faults && chance(sim, 6000))
+		host->frozen_until_us =
+			sim->now_us +
+			upto(sim, (chance(sim, 4) ? 100 : 5) * USEC_PER_SEC);
+	if (faults && chance(sim, 8000))
+		host->cut_until_us = sim->now_us + upto(sim, 20 * USEC_PER_SEC);
+	if (faults && chance(sim, 12000))
+		boot(sim, i);
+	if (frozen(sim, i))
+		return;
+	if (host->epoch < sim->epoch && sim->now_us >= host->learn_at_us) {
+		host->epoch = sim->epoch;
+		host->leader = sim->leader;
+	}
+	for (s = 0; s < SERVERS; s++)
+		if (chance(sim, 100))
+			host->slots[s].want = (int)upto(sim, 8);
+	if (host->leader >= 0 && sim->now_us >= host->ask_at_us) {
+		ask(sim, i);
+		host->ask_at_us = sim->now_us + upto(sim, USEC_PER_SEC);
+	}
+	start_runs(sim, i);
+}
+
+static void step(struct sim *sim, bool faults)
+{
+	struct packet packet;
+	int i;
+
+	sim->now_us += STEP_US;
+	end_runs(sim);
+	lead(sim, faults);
+	for (i = 0; i < PACKETS; i++) {
+		packet = sim->packets[i];
+		if (!packet.used || sim->now_us < packet.at_us ||
+		    frozen(sim, packet.to))
+			continue;
+		sim->packets[i].used = false;
+		deliver(sim, &packet);
+	}
+	for (i = 0; i < sim->n; i++)
+		host_step(sim, i, faults);
+}
+
+static void sim_init(struct sim *sim, int hosts, guint32 seed)
+{
+	int i;
+
+	memset(sim, 0, sizeof(*sim));
+	sim->rand = g_rand_new_with_seed(seed);
+	sim->n = hosts;
+	for (i = 0; i < hosts; i++) {
+		snprintf(host_names[i], sizeof(host_names[i]), "h%d", i);
+		sim->names[i] = host_names[i];
+	}
+	for (i = 0; i < hosts; i++)
+		boot(sim, i);
+}
+
+static void sim_finish(struct sim *sim)
+{
+	int i;
+
+	for (i = 0; i < sim->n; i++)
+		sl_grantor_finish(&sim->hosts[i].grantor);
+	g_rand_free(sim->rand);
+}
+
+static struct sim sim;
+
+/*
+ * Guards against more than 8 requests on a server when messages are lost,
+ * late or doubled, hosts freeze and restart, and leaders change.
+ */
+START_TEST(slots_never_exceed_server)
+{
+	int64_t steps = SIM_SEC * USEC_PER_SEC / STEP_US, k;
+
+	sim_init(&sim, 2 + _i % 5, 1000 + (guint32)_i);
+	for (k = 0; k < steps && !sim.over; k++)
+		step(&sim, true);
+	ck_assert_msg(!sim.over, "seed %d: %d in progress at %" PRId64 " us",
+		      1000 + _i, sim.most, sim.now_us);
+	/* Credits were in use: floors alone would not reach this. */
+	ck_assert_int_gt(sim.most, BACKEND_SLOTS - sl_pool(sim.n));
+	sim_finish(&sim);
+}
+END_TEST
+
+/* Guards against slots that stay unused when nothing fails. */
+START_TEST(all_slots_are_granted)
+{
+	int64_t now, sum = 0, samples = 0;
+	int i, s;
+
+	sim_init(&sim, 3, 1);
+	for (now = 0; now < 20 * USEC_PER_SEC; now += STEP_US) {
+		for (i = 0; i < 3; i++)
+			for (s = 0; s < SERVERS; s++)
+				sim.hosts[i].slots[s].want = 5;
+		step(&sim, false);
+		if (now < 10 * USEC_PER_SEC)
+			continue;
+		samples += SERVERS;
+		for (i = 0; i < 3; i++)
+			for (s = 0; s < SERVERS; s++)
+				sum += sl_held(&sim.hosts[i].slots[s],
+					       clock_of(&sim, i)) +
+				       1;
+	}
+	/* One message in ten is lost, so some credits lapse on the way. */
+	ck_assert_int_ge(sum * 10, samples * BACKEND_SLOTS * 8);
+	sim_finish(&sim);
+}
+END_TEST
+
+/*
+ * Guards against a holder that counts the term from the arrival of the
+ * grant, and against a report of an earlier process taken as the newest.
+ */
+START_TEST(holder_stops_first)
+{
+	const char *names[] = { "a", "b" };
+	GArray *lines = g_array_new(FALSE, FALSE, sizeof(struct sl_line));
+	const int64_t term = SLOT_TERM_MS * USEC_PER_MSEC;
+	struct sl_line grant = { .server = "s", .want = 3 };
+	struct sl_grantor grantor;
+	struct sl_holder holder;
+	struct sl_slots slots;
+	struct sl_ask old;
+
+	sl_holder_init(&holder, 7);
+	sl_slots_init(&slots, &holder, "s", 1);
+	slots.want = 3;
+	ck_assert(sl_ask(&holder, 1, lines, 0));
+	ck_assert(sl_granted(&holder, &holder.ask, term, &grant, 1, term - 10));
+	ck_assert_int_eq(sl_free(&slots, term - 1), 4);
+	ck_assert_int_eq(sl_free(&slots, term), 1);
+	ck_assert(sl_ask(&holder, 1, lines, term));
+	ck_assert(!sl_granted(&holder, &holder.ask, term, &grant, 1, 2 * term));
+	ck_assert_int_eq(sl_free(&slots, 2 * term), 1);
+	/* A leader of an older epoch is not asked any more. */
+	ck_assert(sl_ask(&holder, 2, lines, term));
+	ck_assert(!sl_ask(&holder, 1, lines, term));
+
+	sl_grantor_init(&grantor, names, 2);
+	sl_lead(&grantor, 2, 0);
+	ck_assert(sl_holding_back(&grantor, 0));
+	ck_assert(sl_report(&grantor, "a", &holder.ask, NULL, 0, lines, 0));
+	old = holder.ask;
+	old.incarnation--;
+	old.seq += 10;
+	ck_assert(!sl_report(&grantor, "a", &old, NULL, 0, lines, 1));
+	ck_assert(!sl_report(&grantor, "x", &holder.ask, NULL, 0, lines, 1));
+	ck_assert(!sl_holding_back(&grantor,
+				   term + REQ_DEADLINE_MAX_MS * USEC_PER_MSEC));
+	sl_grantor_finish(&grantor);
+	g_array_free(lines, TRUE);
+}
+END_TEST
+
+/* Guards against floors that exceed the server or leave a host without. */
+START_TEST(floors_and_pool_fill_the_server)
+{
+	char server[32];
+	const char *names[9] = { "a", "b", "c", "d", "e", "f", "g", "h", "i" };
+	int n, i, k, sum, total[9] = { 0 };
+
+	for (n = 1; n <= 9; n++)
+		for (k = 0; k < 50; k++) {
+			snprintf(server, sizeof(server), "10.0.0.%d:80", k);
+			for (i = 0, sum = 0; i < n; i++) {
+				int f = sl_floor(names, n, names[i], server);
+
+				sum += f;
+				total[i] += n == 9 ? f : 0;
+			}
+			ck_assert_int_eq(sum + sl_pool(n), BACKEND_SLOTS);
+			ck_assert_int_le(n * sl_connections(n),
+					 BACKEND_CONNECTIONS);
+		}
+	/* 200 floors over 9 hosts, about 22 each. */
+	for (i = 0; i < 9; i++)
+		ck_assert_int_ge(total[i], 8);
+}
+END_TEST
+
+int main(void)
+{
+	Suite *suite = suite_create("sl");
+	TCase *tc = tcase_create("slots");
+	SRunner *runner = srunner_create(suite);
+	int failed;
+
+	tcase_set_timeout(tc, 60);
+	tcase_add_loop_test(tc, slots_never_exceed_server, 0, 20);
+	tcase_add_test(tc, all_slots_are_granted);
+	tcase_add_test(tc, holder_stops_first);
+	tcase_add_test(tc, floors_and_pool_fill_the_server);
+	suite_add_tcase(suite, tc);
+	srunner_run_all(runner, CK_NORMAL);
+	failed = srunner_ntests_failed(runner);
+	srunner_free(runner);
+	return failed ? 1 : 0;
+}
