--- a/base/limits.h
+++ b/base/limits.h
@@ -64,6 +64,14 @@
 #define STORE_BACKOFF_BASE_MS 100
 #define STORE_BACKOFF_CAP_MS 5000
 #define STORE_VALUE_MAX_BYTES (1024 * 1024)
+#define STORE_CONNECTIONS 16 /* of one process, besides its watches */
+/*
+ * A change on a watch stream that is open but silent is noticed after at most
+ * the probe period and the grace, which together stay under the 3 s in which
+ * a document change must be in force.
+ */
+#define STORE_PROBE_MS 2000
+#define STORE_PROBE_GRACE_MS 500
 
 /* ---- jobs ---- */
 
--- a/wire/kv.h
+++ b/wire/kv.h
@@ -52,7 +52,11 @@
 	size_t count;
 };
 
-/* A watch of all keys with a prefix. It reconnects by itself. */
+/*
+ * A watch of all keys with a prefix. It reconnects by itself. Each time before
+ * it reports up, it reports the present keys that changed while it was down;
+ * keys that were deleted meanwhile are found only by reading again.
+ */
 struct kv_watch {
 	struct list_head node;
 	/* item->value is NULL when the key was deleted. */
@@ -73,6 +77,7 @@
 	bool leaving;
 };
 
+/* Without a list, result is CB_E_STORE_DOWN. */
 struct kv_hosts_call {
 	void (*done)(struct kv_hosts_call *call);
 	void *user;
@@ -105,7 +110,7 @@
 	uint64_t calls; /* made so far, a waiting watch counted as one */
 };
 
-/* Client of the published etcd v3 JSON gateway. hosts_port may be 0. */
+/* Client of the published etcd v3 JSON gateway. hosts_port 0: no list. */
 struct kv *kv_etcd_new(struct kn *kn, const char *addr, int port,
 		       const char *hosts_addr, int hosts_port);
 /* In-process store for a trial with one process. */
--- a/wire/kvmem.c
+++ b/wire/kvmem.c
@@ -100,7 +100,7 @@
 
 static void deliver_hosts(struct delivery *d)
 {
-	d->hosts->result = CB_OK;
+	d->hosts->result = CB_E_STORE_DOWN;
 	d->hosts->hosts = NULL;
 	d->hosts->count = 0;
 	d->hosts->done(d->hosts);
@@ -500,6 +500,7 @@
 	}
 }
 
+/* There is no platform and so no list; an empty one would mean no servers. */
 static void mem_hosts(struct kv *kv, struct kv_hosts_call *call)
 {
 	queue((struct mem *)kv, DELIVER_HOSTS)->hosts = call;
@@ -538,8 +539,8 @@
 };
 
 /*
- * Creates an empty store that lives as long as the process. Its host list is
- * empty.
+ * Creates an empty store that lives as long as the process. It has no host
+ * list.
  */
 struct kv *kv_mem_new(struct kn *kn)
 {
