--- a/base/limits.h
+++ b/base/limits.h
@@ -54,6 +54,13 @@
 #define PEER_RECONNECT_MIN_MS 100
 #define PEER_RECONNECT_MAX_MS 5000
 #define PEERS_MAX 128
+#define PEER_PENDING_MAX 32 /* accepted links that have not said hello */
+#define PEER_HELLO_MAX_BYTES 1024
+#define PEER_QUEUE_MAX_BYTES (2 * FRAME_MAX_BYTES) /* unsent, for each link */
+#define PEER_CLOCK_EVENT_MS 30000
+#define PEER_FLUSH_MS 200 /* for unsent frames when the process ends */
+#define FRAME_DEPTH_MAX 16 /* msgpack-c recurses up to 32 */
+#define FRAME_ELEMENTS_MAX (256 * 1024) /* 24 bytes each when unpacked */
 
 /* ---- leadership and store ---- */
 
@@ -84,6 +91,11 @@
 #define USAGE_LAG_MAX_MS 10000
 #define RECLAIM_BOUND_MS 9400
 #define TAKEOVER_BOUND_MS 10000
+#define WORKER_ACCELERATORS_MAX 16
+#define RACKS_PER_ROW 16 /* a row holds the largest gang with room to spare */
+#define RACKS_MAX 65536
+#define RECLAIM_GRACE_MS 6000 /* leaves 3.4 s for stop, start and losses */
+#define JOB_WRITES 3 /* store writes for a job that isn't cancelled */
 
 /* ---- document ---- */
 
