Add the document service

Changes go through the store in one transaction that compares the root. A lost answer is settled by the change id in the history; until the history shows this or another change at that revision, the same transaction is sent again, and its compare lets at most one copy take effect. The watch runs on the leading host only; peers push and pull.

--- a/base/limits.h
+++ b/base/limits.h
@@ -71,6 +71,7 @@
 #define STORE_BACKOFF_BASE_MS 100
 #define STORE_BACKOFF_CAP_MS 5000
 #define STORE_VALUE_MAX_BYTES (1024 * 1024)
+#define STORE_REPLY_MAX_BYTES (16 * 1024 * 1024)
 #define STORE_CONNECTIONS 16 /* of one process, besides its watches */
 /*
  * A change on a watch stream that is open but silent is noticed after at most
@@ -109,6 +110,12 @@
 #define DOC_COUNT_MAX 1000000 /* units of a guarantee or a quota */
 #define DOC_SHORT_LIMIT_DEFAULT_MS 100
 #define DOC_HISTORY_MAX 100 /* history entries in one answer */
+#define DOC_DIFF_MAX 60 /* revisions between both sides of a difference */
 #define DOC_RETRIES_MAX 8 /* merges with racing changes before a conflict */
+#define DOC_CHANGE_TIMEOUT_MS 10000 /* until an outcome is called unknown */
+#define DOC_PULL_TIMEOUT_MS 1000 /* until another peer is asked */
+/* Bodies in one read of the store; 8 of the largest take 11 MB in base64. */
+#define DOC_READ_BATCH 8
+#define DOC_PUSH_BYTES (1024 * 1024) /* of sections in one peer message */
 
 #endif
--- /dev/null
+++ b/daemon/document.c
@@ -0,0 +1,306 @@
+#include "daemon/document.h"
+
+#include <inttypes.h>
+#include <string.h>
+
+#include "base/err.h"
+#include "base/ev.h"
+#include "base/log.h"
+#include "daemon/document_int.h"
+
+/* ---- the document in force ---- */
+
+static void release_doc(struct kn_msg *msg)
+{
+	struct svc_doc *changed = container_of(msg, struct svc_doc, msg);
+
+	doc_view_unref(changed->view);
+	g_free(changed);
+}
+
+static void tell(struct document *d, struct kn_task *to)
+{
+	struct svc_doc *changed = g_new0(struct svc_doc, 1);
+
+	changed->msg.type = SVC_DOC_CHANGED;
+	changed->msg.release = release_doc;
+	changed->view = doc_view_ref(d->view);
+	kn_send(to, &d->task, &changed->msg);
+}
+
+/*
+ * Puts a document with all bodies in force, and takes it over. One that does
+ * not have a higher revision is dropped, except for the first. Whoever brings
+ * it into the data centre announces it; other hosts pass nothing on.
+ */
+void document_install(struct document *d, struct doc *doc, bool announce)
+{
+	int64_t before = d->doc->revision;
+	unsigned int i;
+
+	if (d->view && !doc_supersedes(doc, d->doc)) {
+		doc_free(doc);
+		return;
+	}
+	doc_free(d->doc);
+	d->doc = doc;
+	doc_view_unref(d->view);
+	d->view = doc_view_new(doc);
+	ctr_gauge(&d->revision, (uint64_t)doc->revision);
+	ev_emit("document.in_force",
+		"revision=%" PRId64 " before=%" PRId64 " change=%s",
+		doc->revision, before, doc->change);
+	for (i = 0; i < d->subscribers->len; i++)
+		tell(d, d->subscribers->pdata[i]);
+	if (!d->peers)
+		return;
+	pr_set_status(d->peers, doc->revision, d->epoch, d->task.kn->draining);
+	if (announce && doc->revision > 0)
+		document_push(d, NULL, before);
+}
+
+/* Reports once for each older root that the store answers with. */
+void document_report_behind(struct document *d, const struct doc *root)
+{
+	if (d->behind == root->revision)
+		return;
+	d->behind = root->revision;
+	log_warn("document.store_behind",
+		 "store_revision=%" PRId64 " in_force=%" PRId64, root->revision,
+		 d->doc->revision);
+	ev_emit("document.store_behind",
+		"store_revision=%" PRId64 " in_force=%" PRId64, root->revision,
+		d->doc->revision);
+}
+
+/* ---- reading the store ---- */
+
+/* Exponential with full jitter. */
+int64_t document_backoff_us(struct document *d, unsigned int failures)
+{
+	int64_t ceiling = STORE_BACKOFF_BASE_MS;
+
+	while (failures-- > 0 && ceiling < STORE_BACKOFF_CAP_MS)
+		ceiling *= 2;
+	ceiling = MIN(ceiling, STORE_BACKOFF_CAP_MS);
+	return (int64_t)(g_rand_double(d->rand) *
+			 (double)(ceiling * USEC_PER_MSEC));
+}
+
+static void on_retry(struct kn_timer *timer)
+{
+	document_refetch(container_of(timer, struct document, retry));
+}
+
+/*
+ * After a failure the store is asked again while this host needs it: until
+ * it knows a document, and as long as it leads.
+ */
+static void on_fetched(struct doc_fetch *fetch, int result)
+{
+	struct document *d = fetch->d;
+	bool again = d->fetch_again;
+
+	d->fetch = NULL;
+	d->fetch_again = false;
+	if (result != CB_OK) {
+		if (!d->view || d->watching)
+			kn_timer_set(d->task.kn, &d->retry,
+				     document_backoff_us(d, d->failures++),
+				     on_retry);
+		return;
+	}
+	d->failures = 0;
+	if (fetch->doc->revision < d->doc->revision)
+		document_report_behind(d, fetch->doc);
+	else
+		d->behind = -1;
+	document_install(d, g_steal_pointer(&fetch->doc), d->watching);
+	if (again)
+		document_refetch(d);
+}
+
+/* Reads the document from the store; while one read runs, once more after. */
+void document_refetch(struct document *d)
+{
+	kn_timer_cancel(&d->retry);
+	if (d->fetch)
+		d->fetch_again = true;
+	else
+		d->fetch = document_fetch(d, on_fetched, NULL);
+}
+
+/*
+ * The root that comes with the event tells whether there is anything to
+ * read. Its bodies are read together with the newest root, because a later
+ * change may have come meanwhile.
+ */
+static void on_root(struct kv_watch *watch, const struct kv_item *item)
+{
+	struct document *d = container_of(watch, struct document, watch);
+	struct doc *root;
+	GError *err = NULL;
+
+	if (strcmp(item->key, DOC_ROOT_KEY) != 0)
+		return;
+	root = item->value ? doc_root_parse(item->value, item->len, &err) :
+			     doc_new();
+	if (!root) {
+		log_err("document.bad_root", "reason=\"%s\"", err->message);
+		g_error_free(err);
+		return;
+	}
+	if (root->revision < d->doc->revision)
+		document_report_behind(d, root);
+	else if (!d->view || doc_supersedes(root, d->doc))
+		document_refetch(d);
+	doc_free(root);
+}
+
+static void on_watch_state(struct kv_watch *watch, bool up)
+{
+	struct document *d = container_of(watch, struct document, watch);
+
+	ev_emit("document.watch", "up=%d", up);
+	if (up && !d->view)
+		document_refetch(d);
+}
+
+/* Only the leading host of the data centre holds the watch. */
+static void set_leading(struct document *d, bool leading)
+{
+	if (leading == d->watching)
+		return;
+	d->watching = leading;
+	if (leading)
+		d->kv->ops->watch(d->kv, &d->watch);
+	else
+		d->kv->ops->unwatch(d->kv, &d->watch);
+}
+
+/* ---- task ---- */
+
+static void subscribe(struct document *d, struct kn_task *from)
+{
+	g_ptr_array_add(d->subscribers, from);
+	if (d->view)
+		tell(d, from);
+}
+
+static void on_lead(struct document *d, const struct svc_lead *lead)
+{
+	d->epoch = lead->epoch;
+	set_leading(d, lead->leading);
+}
+
+static void on_peer_up(struct document *d, const struct pr_status *status)
+{
+	if (status->doc_revision > d->doc->revision)
+		document_pull(d, status->host, status->doc_revision);
+}
+
+static void document_receive(struct kn_task *task, struct kn_msg *msg)
+{
+	struct document *d = container_of(task, struct document, task);
+
+	switch (msg->type) {
+	case SVC_SUBSCRIBE:
+		subscribe(d, msg->from);
+		break;
+	case SVC_LEAD_CHANGED:
+		on_lead(d, container_of(msg, struct svc_lead, msg));
+		break;
+	case SVC_API_CALL:
+		document_api_call(d,
+				  container_of(msg, struct svc_api_call, msg));
+		return; /* goes back to the API */
+	case PR_MSG_UP:
+		on_peer_up(d, container_of(msg, struct pr_status, msg));
+		break;
+	case PR_MSG_IN:
+		document_peer_message(d, container_of(msg, struct pr_in, msg));
+		break;
+	default:
+		break;
+	}
+	kn_msg_release(msg);
+}
+
+static bool document_start(struct kn_task *task, GError **err)
+{
+	struct document *d = container_of(task, struct document, task);
+	struct kn_task *lead = kn_find(task->kn, SVC_LEAD);
+
+	d->peers = kn_find(task->kn, SVC_PEERS);
+	if (d->peers) {
+		pr_subscribe(d->peers, task, 0);
+		pr_subscribe(d->peers, task, PR_HEARTBEAT);
+		pr_subscribe(d->peers, task, PR_DOC_PULL);
+		pr_subscribe(d->peers, task, PR_DOC_PUSH);
+	}
+	if (lead)
+		svc_subscribe(lead, task);
+	else
+		set_leading(d, true);
+	document_refetch(d);
+	return true;
+}
+
+/* Changes in progress end by their own deadline. */
+static void document_drain(struct kn_task *task)
+{
+	struct document *d = container_of(task, struct document, task);
+
+	if (list_empty(&d->changes))
+		kn_drained(task);
+}
+
+static void document_finish(struct kn_task *task)
+{
+	struct document *d = container_of(task, struct document, task);
+
+	set_leading(d, false);
+	kn_timer_cancel(&d->retry);
+	document_changes_finish(d);
+	ctr_finish(&d->changes_done);
+	ctr_finish(&d->revision);
+	doc_view_unref(d->view);
+	doc_free(d->doc);
+	doc_free(d->incoming);
+	g_ptr_array_free(d->subscribers, TRUE);
+	g_rand_free(d->rand);
+	g_free(d);
+}
+
+static const struct kn_task_ops document_ops = {
+	.start = document_start,
+	.receive = document_receive,
+	.drain = document_drain,
+	.finish = document_finish,
+};
+
+struct kn_task *document_new(struct kn *kn, const struct set *set,
+			     struct kv *kv, uint64_t incarnation)
+{
+	struct document *d = g_new0(struct document, 1);
+
+	d->set = set;
+	d->kv = kv;
+	d->incarnation = incarnation;
+	d->doc = doc_new();
+	d->behind = -1;
+	d->subscribers = g_ptr_array_new();
+	d->rand = g_rand_new();
+	d->watch.event = on_root;
+	d->watch.state = on_watch_state;
+	g_strlcpy(d->watch.prefix, DOC_ROOT_KEY, sizeof(d->watch.prefix));
+	list_init(&d->changes);
+	ctr_init(&d->changes_done, &kn->counters, CTR_COUNTER,
+		 "chivebank_document_changes_total", NULL,
+		 "Document changes that this host carried out");
+	ctr_init(&d->revision, &kn->counters, CTR_GAUGE,
+		 "chivebank_document_revision", NULL,
+		 "Revision of the document in force");
+	kn_add(kn, &d->task, SVC_DOCUMENT, &document_ops);
+	return &d->task;
+}
--- /dev/null
+++ b/daemon/document_change.c
@@ -0,0 +1,393 @@
+#include <inttypes.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "base/err.h"
+#include "base/ev.h"
+#include "daemon/document_int.h"
+
+/*
+ * A change reads the root, applies itself to it and writes section, history
+ * and root in one transaction that compares the root. A host runs its changes
+ * one at a time, so that they do not race each other.
+ *
+ * After a lost answer the write may have taken effect, or may still do so. If
+ * the history shows the change, it is done; if it shows another change at
+ * that revision, the write can never take effect. As long as it shows
+ * neither, the same transaction is sent again: its compare lets at most one
+ * of the copies take effect.
+ */
+struct change {
+	struct list_head node;
+	struct document *d;
+	struct svc_api_call *api;
+	struct doc_change wish;
+	struct kv_call call;
+	struct kn_timer timer;
+	int64_t deadline_us;
+	struct doc *seen; /* as read from the store */
+	int64_t seen_mod;
+	struct doc *next; /* as sent */
+	int64_t next_mod; /* mod revision of the root that next replaces */
+	char *history; /* entry that is sent with next */
+	bool unknown; /* a sent transaction has no outcome yet */
+	unsigned int merges;
+	unsigned int failures;
+};
+
+static void start_first(struct document *d);
+
+static void change_free(struct change *c)
+{
+	list_del(&c->node);
+	kn_timer_cancel(&c->timer);
+	doc_free(c->seen);
+	doc_free(c->next);
+	free(c->history);
+	g_free((char *)c->wish.id);
+	g_free((char *)c->wish.section);
+	g_free((char *)c->wish.team);
+	g_free((char *)c->wish.owner);
+	json_decref(c->wish.body);
+	g_free(c);
+}
+
+/* Frees an answered change and starts the next one. */
+static void change_end(struct change *c)
+{
+	struct document *d = c->d;
+
+	change_free(c);
+	if (!list_empty(&d->changes))
+		start_first(d);
+	else if (d->task.kn->draining)
+		kn_drained(&d->task);
+}
+
+static void refuse(struct change *c, int code, const char *text)
+{
+	svc_api_fail(c->api, &c->d->task, code, "%s", text);
+	change_end(c);
+}
+
+/* ---- outcome ---- */
+
+/* The change is revision `revision`; doc, taken over, holds it. */
+static void succeed(struct change *c, int64_t revision, struct doc *doc)
+{
+	struct document *d = c->d;
+
+	ctr_add(&d->changes_done, 1);
+	ev_emit("document.changed",
+		"revision=%" PRId64 " section=%s team=%s change=%s "
+		"in_force=%" PRId64,
+		revision, c->wish.section, c->wish.team, c->wish.id,
+		doc->revision);
+	svc_api_answer(c->api, &d->task, 200,
+		       json_pack("{s:I,s:s,s:s,s:b}", "revision",
+				 (json_int_t)revision, "section",
+				 c->wish.section, "change", c->wish.id,
+				 "deleted", !c->wish.body));
+	document_install(d, doc, true);
+	change_end(c);
+}
+
+static void read_root(struct change *c);
+
+static void on_later(struct kn_timer *timer)
+{
+	read_root(container_of(timer, struct change, timer));
+}
+
+/* Asks again after a delay, until the deadline makes the outcome unknown. */
+static void settle_later(struct change *c)
+{
+	if (kn_now_us() >= c->deadline_us) {
+		svc_api_fail(c->api, &c->d->task, CB_E_CHANGE_UNKNOWN,
+			     "change \"%s\" of section \"%s\" may have taken "
+			     "effect as revision %" PRId64
+			     "; see the history when the store is back",
+			     c->wish.id, c->wish.section, c->next->revision);
+		change_end(c);
+		return;
+	}
+	kn_timer_set(c->d->task.kn, &c->timer,
+		     document_backoff_us(c->d, c->failures++), on_later);
+}
+
+/* ---- writing ---- */
+
+static void on_written(struct kv_call *call)
+{
+	struct change *c = container_of(call, struct change, call);
+
+	if (call->result == CB_OK && call->succeeded) {
+		succeed(c, c->next->revision, g_steal_pointer(&c->next));
+	} else if (call->result == CB_OK && c->unknown) {
+		read_root(c);
+	} else if (call->result == CB_OK) {
+		if (++c->merges > DOC_RETRIES_MAX)
+			refuse(c, CB_E_CONFLICT,
+			       "too many other changes at the same time");
+		else
+			read_root(c);
+	} else if (call->result == CB_E_TIMEOUT || c->unknown) {
+		c->unknown = true;
+		settle_later(c);
+	} else {
+		refuse(c, CB_E_STORE_DOWN, "the change was not made");
+	}
+}
+
+static struct kv_op put_op(const char *key, const char *text)
+{
+	return (struct kv_op){
+		.kind = KV_PUT, .key = key, .value = text, .len = strlen(text)
+	};
+}
+
+/* Sends the transaction that makes c->next the document. */
+static void write_next(struct change *c)
+{
+	struct kv_cmp cmp = { DOC_ROOT_KEY, c->next_mod };
+	int64_t revision = c->next->revision;
+	char *section_key = doc_section_key(c->wish.section, revision);
+	char *history_key = doc_history_key(revision);
+	char *root = doc_root_text(c->next);
+	char *body = NULL;
+	struct kv_op ops[3];
+	size_t n = 0;
+
+	if (c->wish.body) {
+		body = doc_body_text(c->wish.body);
+		ops[n++] = put_op(section_key, body);
+	}
+	ops[n++] = put_op(history_key, c->history);
+	ops[n++] = put_op(DOC_ROOT_KEY, root);
+	memset(&c->call, 0, sizeof(c->call));
+	c->call.done = on_written;
+	c->d->kv->ops->txn(c->d->kv, &c->call, &cmp, 1, ops, n, NULL, 0);
+	free(root);
+	free(body);
+	g_free(section_key);
+	g_free(history_key);
+}
+
+/* ---- a caller's repetition ---- */
+
+static bool same_body(const struct change *c, const struct doc_section *section)
+{
+	char *text, *sha256;
+	bool same;
+
+	if (!c->wish.body)
+		return false;
+	text = doc_body_text(c->wish.body);
+	sha256 = g_compute_checksum_for_string(G_CHECKSUM_SHA256, text, -1);
+	same = strcmp(sha256, section->sha256) == 0;
+	g_free(sha256);
+	free(text);
+	return same;
+}
+
+static char *history_change(const struct kv_call *call)
+{
+	json_t *entry;
+	char *id;
+
+	if (call->result != CB_OK || call->count == 0)
+		return NULL;
+	entry = json_loadb(call->items[0].value, call->items[0].len, 0, NULL);
+	id = g_strdup(json_string_value(json_object_get(entry, "change")));
+	json_decref(entry);
+	return id;
+}
+
+static void read_history(struct change *c, int64_t revision,
+			 void (*done)(struct kv_call *call))
+{
+	char *key = doc_history_key(revision);
+
+	memset(&c->call, 0, sizeof(c->call));
+	c->call.done = done;
+	c->d->kv->ops->range(c->d->kv, &c->call, key, false);
+	g_free(key);
+}
+
+static void on_conflict_history(struct kv_call *call)
+{
+	struct change *c = container_of(call, struct change, call);
+	const struct doc_section *section = doc_find(c->seen, c->wish.section);
+	char *id = history_change(call);
+	int64_t revision = section->revision;
+
+	if (g_strcmp0(id, c->wish.id) != 0)
+		refuse(c, CB_E_CONFLICT,
+		       "the section changed since it was read");
+	else if (same_body(c, section))
+		succeed(c, revision, g_steal_pointer(&c->seen));
+	else
+		refuse(c, CB_E_KEY_REUSED,
+		       "Idempotency-Key of another change of the section");
+	g_free(id);
+}
+
+/* ---- applying ---- */
+
+/*
+ * Applies the change to what was read, and writes the result. A conflict
+ * under a caller's own key may be with his own earlier attempt.
+ */
+static void apply(struct change *c)
+{
+	const struct doc_section *section;
+	GError *err = NULL;
+	json_t *entry;
+
+	doc_free(c->next);
+	c->next = doc_apply(c->seen, &c->wish, &err);
+	if (!c->next) {
+		section = doc_find(c->seen, c->wish.section);
+		if (err->code == CB_E_CONFLICT && c->api->key && section)
+			read_history(c, section->revision, on_conflict_history);
+		else
+			refuse(c, err->code, err->message);
+		g_error_free(err);
+		return;
+	}
+	c->next_mod = c->seen_mod;
+	entry = doc_history_entry(c->seen, c->next, &c->wish, kn_wall_us());
+	free(c->history);
+	c->history = doc_body_text(entry);
+	json_decref(entry);
+	write_next(c);
+}
+
+/* ---- settling a lost answer ---- */
+
+static void on_history(struct kv_call *call)
+{
+	struct change *c = container_of(call, struct change, call);
+	char *id = history_change(call);
+
+	if (!id) {
+		settle_later(c);
+	} else if (strcmp(id, c->wish.id) == 0) {
+		succeed(c, c->next->revision, g_steal_pointer(&c->seen));
+	} else {
+		c->unknown = false;
+		apply(c);
+	}
+	g_free(id);
+}
+
+static void settle(struct change *c)
+{
+	/* An older root can't show the change: send the same one again. */
+	if (c->seen->revision < c->next->revision)
+		write_next(c);
+	else
+		read_history(c, c->next->revision, on_history);
+}
+
+/* ---- reading ---- */
+
+static void on_read(struct doc_fetch *fetch, int result)
+{
+	struct change *c = fetch->user;
+	struct document *d = c->d;
+
+	if (result != CB_OK) {
+		if (c->unknown)
+			settle_later(c);
+		else
+			refuse(c,
+			       result == CB_E_CHECK_FAILED ? result :
+							     CB_E_STORE_DOWN,
+			       "the document could not be read from the store");
+		return;
+	}
+	if (fetch->doc->revision < d->doc->revision)
+		document_report_behind(d, fetch->doc);
+	if (fetch->doc->revision < d->doc->revision && !c->unknown) {
+		refuse(c, CB_E_STORE_BEHIND, "the change was not made");
+		return;
+	}
+	doc_free(c->seen);
+	c->seen = g_steal_pointer(&fetch->doc);
+	c->seen_mod = fetch->mod_revision;
+	if (c->unknown)
+		settle(c);
+	else
+		apply(c);
+}
+
+static void read_root(struct change *c)
+{
+	document_fetch(c->d, on_read, c);
+}
+
+/* ---- start ---- */
+
+static void start_first(struct document *d)
+{
+	struct change *c = list_first_entry(&d->changes, struct change, node);
+
+	if (kn_now_us() < c->deadline_us)
+		read_root(c);
+	else
+		refuse(c, CB_E_STORE_DOWN,
+		       "the change waited too long for others");
+}
+
+/*
+ * The caller's Idempotency-Key is the change's id; without one it is made of
+ * host, incarnation and number.
+ */
+static char *change_id(struct document *d, const struct svc_api_call *call)
+{
+	char *id;
+
+	if (call->key)
+		return g_strdup(call->key);
+	id = g_strdup_printf("%.24s/%" PRIu64 "/%" PRIu64, d->set->host,
+			     d->incarnation, ++d->next_change);
+	return id;
+}
+
+void document_change(struct document *d, struct svc_api_call *call,
+		     const struct doc_change *change)
+{
+	struct change *c;
+
+	if (call->key && (!*call->key || strlen(call->key) >= NAME_MAX_BYTES)) {
+		svc_api_fail(call, &d->task, CB_E_BAD_KEY,
+			     "Idempotency-Key has %zu bytes; allowed: 1 to %d",
+			     strlen(call->key), NAME_MAX_BYTES - 1);
+		json_decref(change->body);
+		return;
+	}
+	c = g_new0(struct change, 1);
+	c->d = d;
+	c->api = call;
+	c->wish = *change;
+	c->wish.id = change_id(d, call);
+	c->wish.section = g_strdup(change->section);
+	c->wish.team = g_strdup(change->team);
+	c->wish.owner = g_strdup(change->owner);
+	c->deadline_us = kn_now_us() + DOC_CHANGE_TIMEOUT_MS * USEC_PER_MSEC;
+	list_add_tail(&c->node, &d->changes);
+	if (list_first_entry(&d->changes, struct change, node) == c)
+		start_first(d);
+}
+
+/* Frees the changes of an ending process; nobody waits for them any more. */
+void document_changes_finish(struct document *d)
+{
+	struct change *c, *next;
+
+	list_for_each_entry_safe(c, next, &d->changes, node) {
+		kn_msg_release(&c->api->msg);
+		change_free(c);
+	}
+}
