Add the leadership rules of a data centre

A host acts by its lease, counted from before it was asked for, or by promises of all other hosts, counted from the ask. A host that has given a promise does not act until it ends, whatever the store says, and a restarted host waits for one promise term.

--- a/base/limits.h
+++ b/base/limits.h
@@ -67,6 +67,12 @@
 #define LEADER_LEASE_MS 6000
 #define LEADER_RENEW_MS 2000
 #define LEADER_PROMISE_MS 3000
+#define LEADER_ASK_MS 1000 /* between two asks for promises */
+#define LEADER_POLL_MS 1000 /* between looks at a key that others hold */
+#define LEADER_FREEZE_MS 1000 /* a longer gap between ticks is a freeze */
+#define LEADER_TICK_MS 250
+#define LEADER_MARGIN_PERCENT 2 /* for clocks that run at different rates */
+#define LEADER_DRAIN_MS 2500 /* for giving the lease back at a stop */
 #define STORE_TIMEOUT_MS 2000
 #define STORE_BACKOFF_BASE_MS 100
 #define STORE_BACKOFF_CAP_MS 5000
--- /dev/null
+++ b/policy/ld.c
@@ -0,0 +1,386 @@
+#include "policy/ld.h"
+
+#include <string.h>
+
+/*
+ * Two hosts never act at the same instant:
+ *
+ * - By lease: a host counts its lease from before it asked for it, so its
+ *   own count ends before the store lets another host create the key.
+ * - By promises: every other host of the data centre has promised not to
+ *   act, and counts its promise from later than the asker does. A host
+ *   that has given a promise does not act until it ends, whatever the store
+ *   says.
+ * - A restarted host has forgotten its promises, so it does not act within
+ *   one promise term of its start.
+ */
+
+#define MSEC(ms) ((ms)*USEC_PER_MSEC)
+
+/* Prepares a host that started now, among peer_count others. */
+void ld_init(struct ld *ld, size_t peer_count, GRand *rand, int64_t now_us)
+{
+	memset(ld, 0, sizeof(*ld));
+	ld->peer_count = peer_count;
+	ld->rand = rand;
+	ld->last_tick_us = now_us;
+	ld->next_call_us = now_us;
+	ld->not_before_us = now_us;
+	if (peer_count > 0)
+		ld->not_before_us += MSEC(LEADER_PROMISE_MS);
+}
+
+/* What remains of a term when clocks run at slightly different rates. */
+static int64_t shortened(int64_t term_us)
+{
+	return term_us - term_us * LEADER_MARGIN_PERCENT / 100;
+}
+
+/* ---- acting ---- */
+
+/* The first of the peers' promises to end; without peers it never does. */
+static int64_t promises_until(const struct ld *ld, int64_t now_us)
+{
+	int64_t until_us = now_us + MSEC(LEADER_PROMISE_MS);
+	size_t i;
+
+	if (ld->revalidate)
+		return 0;
+	for (i = 0; i < ld->peer_count; i++)
+		until_us = MIN(until_us, ld->peers[i].promised_until_us);
+	return until_us;
+}
+
+/*
+ * Returns the time until which this host may act as the leader, 0 if it may
+ * not act now.
+ */
+int64_t ld_valid_until(const struct ld *ld, int64_t now_us)
+{
+	int64_t until_us;
+
+	if (!ld->leading || ld->draining || now_us < ld->given_until_us ||
+	    now_us < ld->not_before_us)
+		return 0;
+	until_us = MAX(ld->lease_until_us, promises_until(ld, now_us));
+	return until_us > now_us ? until_us : 0;
+}
+
+/* True while this host may act as the leader. */
+bool ld_may_act(const struct ld *ld, int64_t now_us)
+{
+	return ld_valid_until(ld, now_us) > now_us;
+}
+
+/*
+ * Call every LEADER_TICK_MS and before messages are handled. Returns true
+ * after a freeze: what was held before it counts no more until it is
+ * confirmed, since queued messages may be as old as the freeze.
+ */
+bool ld_tick(struct ld *ld, int64_t now_us)
+{
+	bool frozen = now_us - ld->last_tick_us > MSEC(LEADER_FREEZE_MS);
+	size_t i;
+
+	ld->last_tick_us = now_us;
+	if (!frozen)
+		return false;
+	ld->lease_until_us = 0;
+	ld->next_call_us = now_us;
+	ld->revalidate = ld->peer_count == 0;
+	for (i = 0; i < ld->peer_count; i++)
+		ld->peers[i].promised_until_us = 0;
+	return true;
+}
+
+/* ---- promises ---- */
+
+static void depose(struct ld *ld)
+{
+	ld->leading = false;
+	ld->lease = 0;
+	ld->lease_until_us = 0;
+}
+
+/* A higher epoch ends this host's leadership. */
+void ld_saw_epoch(struct ld *ld, uint64_t epoch)
+{
+	if (epoch <= ld->seen_epoch)
+		return;
+	ld->seen_epoch = epoch;
+	if (epoch > ld->epoch)
+		depose(ld);
+}
+
+/*
+ * Peer `from` leads with that epoch and asks for a promise of term_us. A
+ * term of 0 says that it leads no more. Returns true when the promise is
+ * given. No promise is given during a take-over, which may succeed.
+ */
+bool ld_asked(struct ld *ld, int64_t now_us, size_t from, uint64_t epoch,
+	      int64_t term_us)
+{
+	bool taking = ld->next != LD_CALL_NONE ||
+		      ld->call.kind == LD_CALL_GRANT ||
+		      ld->call.kind == LD_CALL_TAKE;
+
+	if (term_us == 0) {
+		if (ld->given_to == from)
+			ld->given_until_us = MIN(ld->given_until_us, now_us);
+		return false;
+	}
+	if (epoch < ld->seen_epoch || term_us < 0 ||
+	    term_us > MSEC(LEADER_PROMISE_MS))
+		return false;
+	ld_saw_epoch(ld, epoch);
+	if (ld->leading || taking)
+		return false;
+	ld->given_to = from;
+	ld->given_until_us = MAX(ld->given_until_us, now_us + term_us);
+	return true;
+}
+
+/* Peer `from` has given the promise that was asked for at sent_us. */
+void ld_promised(struct ld *ld, int64_t now_us, size_t from, int64_t sent_us,
+		 int64_t term_us)
+{
+	struct ld_peer *peer = &ld->peers[from];
+
+	/* An ask from before a freeze counts no more. */
+	if (sent_us > now_us || now_us - sent_us > MSEC(LEADER_FREEZE_MS) ||
+	    term_us < 0 || term_us > MSEC(LEADER_PROMISE_MS))
+		return;
+	peer->promised_until_us =
+		MAX(peer->promised_until_us, sent_us + shortened(term_us));
+}
+
+/* ---- store calls ---- */
+
+static bool may_take(const struct ld *ld, int64_t now_us)
+{
+	return !ld->draining && now_us >= ld->given_until_us &&
+	       now_us >= ld->not_before_us;
+}
+
+/* Full jitter: anywhere between now and the exponential limit. */
+static void back_off(struct ld *ld, int64_t now_us)
+{
+	int64_t limit_ms = STORE_BACKOFF_BASE_MS;
+	unsigned int i;
+
+	for (i = 0; i < ld->failures && limit_ms < STORE_BACKOFF_CAP_MS; i++)
+		limit_ms *= 2;
+	limit_ms = MIN(limit_ms, STORE_BACKOFF_CAP_MS);
+	ld->failures++;
+	ld->next_call_us =
+		now_us + g_rand_int_range(ld->rand, 0, (gint32)MSEC(limit_ms));
+}
+
+static int64_t lease_to_release(const struct ld *ld)
+{
+	return ld->lease ? ld->lease : ld->take_lease;
+}
+
+static enum ld_call_kind choose_call(const struct ld *ld, int64_t now_us)
+{
+	if (ld->draining)
+		return lease_to_release(ld) ? LD_CALL_RELEASE : LD_CALL_NONE;
+	if (ld->next != LD_CALL_NONE)
+		return ld->next;
+	if (ld->leading && ld->lease)
+		return LD_CALL_RENEW;
+	return may_take(ld, now_us) ? LD_CALL_READ : LD_CALL_NONE;
+}
+
+static void fill_take(struct ld *ld)
+{
+	ld->call.lease = ld->take_lease;
+	ld->call.attempt = ++ld->attempts;
+	ld->call.epoch = ld->take_epoch;
+	ld->call.epoch_mod = ld->take_epoch_mod;
+}
+
+/*
+ * Fills in the store call to make now, LD_CALL_NONE for none. ld_reply() must
+ * follow for each call.
+ */
+void ld_next(struct ld *ld, int64_t now_us, struct ld_call *call)
+{
+	memset(call, 0, sizeof(*call));
+	if (ld->call.kind != LD_CALL_NONE || now_us < ld->next_call_us)
+		return;
+	memset(&ld->call, 0, sizeof(ld->call));
+	ld->call.kind = choose_call(ld, now_us);
+	ld->next = LD_CALL_NONE;
+	ld->call_sent_us = now_us;
+	if (ld->call.kind == LD_CALL_TAKE)
+		fill_take(ld);
+	else if (ld->call.kind == LD_CALL_RENEW)
+		ld->call.lease = ld->lease;
+	else if (ld->call.kind == LD_CALL_RELEASE)
+		ld->call.lease = lease_to_release(ld);
+	*call = ld->call;
+}
+
+/* Polls with jitter, so that the hosts don't all see a free key at once. */
+static void poll_later(struct ld *ld, int64_t now_us)
+{
+	int64_t half_us = MSEC(LEADER_POLL_MS) / 2;
+
+	ld->next_call_us = now_us + half_us +
+			   g_rand_int_range(ld->rand, 0, (gint32)half_us);
+}
+
+static void lead_until(struct ld *ld, int64_t sent_us, int64_t ttl_us)
+{
+	ld->leading = true;
+	ld->revalidate = false;
+	ld->lease_until_us = sent_us + shortened(ttl_us);
+	ld->next_call_us = sent_us + MSEC(LEADER_RENEW_MS);
+}
+
+static void won(struct ld *ld)
+{
+	ld->lease = ld->take_lease;
+	ld->take_lease = 0;
+	if (ld->draining)
+		return;
+	ld->epoch = ld->take_epoch;
+	ld->seen_epoch = MAX(ld->seen_epoch, ld->epoch);
+	lead_until(ld, ld->grant_sent_us, ld->grant_ttl_us);
+}
+
+/* The open take-over attempt, whose answer was lost, has succeeded. */
+static bool settles(const struct ld *ld, const struct ld_reply *reply)
+{
+	return ld->take_lease && reply->held && reply->own &&
+	       reply->attempt == ld->attempts &&
+	       reply->epoch == ld->take_epoch &&
+	       ld->seen_epoch <= ld->take_epoch;
+}
+
+static void after_read(struct ld *ld, int64_t now_us,
+		       const struct ld_reply *reply)
+{
+	if (settles(ld, reply)) {
+		won(ld);
+		return;
+	}
+	ld_saw_epoch(ld, reply->epoch);
+	if (reply->held && !reply->own)
+		depose(ld);
+	/* An own key of an earlier attempt lapses with its lease. */
+	if (reply->held || !may_take(ld, now_us)) {
+		poll_later(ld, now_us);
+		return;
+	}
+	ld->take_epoch = ld->seen_epoch + 1;
+	ld->take_epoch_mod = reply->epoch_mod;
+	ld->take_lease = 0;
+	ld->next = LD_CALL_GRANT;
+}
+
+static void after_grant(struct ld *ld, int64_t now_us,
+			const struct ld_reply *reply)
+{
+	if (!may_take(ld, now_us)) {
+		poll_later(ld, now_us);
+		return;
+	}
+	ld->take_lease = reply->lease;
+	ld->grant_sent_us = ld->call_sent_us;
+	ld->grant_ttl_us = reply->ttl_us;
+	ld->next = LD_CALL_TAKE;
+}
+
+static void after_take(struct ld *ld, int64_t now_us,
+		       const struct ld_reply *reply)
+{
+	if (reply->succeeded && ld->seen_epoch < ld->take_epoch) {
+		won(ld);
+		return;
+	}
+	if (!reply->succeeded)
+		ld->take_lease = 0;
+	poll_later(ld, now_us);
+}
+
+/*
+ * A lapsed lease does not end the leadership: promises may still carry it
+ * until the key is taken again, by this host or another.
+ */
+static void after_renew(struct ld *ld, int64_t now_us,
+			const struct ld_reply *reply)
+{
+	if (!ld->leading)
+		return;
+	if (reply->ttl_us > 0) {
+		lead_until(ld, ld->call_sent_us, reply->ttl_us);
+		return;
+	}
+	ld->lease = 0;
+	ld->lease_until_us = 0;
+	ld->next_call_us = now_us;
+}
+
+/* A released lease that is not known to be gone lapses by itself. */
+static void after_release(struct ld *ld)
+{
+	if (ld->lease)
+		ld->lease = 0;
+	else
+		ld->take_lease = 0;
+}
+
+/* A take-over that may have happened is settled by the next read. */
+static void after_failure(struct ld *ld, int64_t now_us, enum ld_call_kind kind,
+			  enum ld_outcome outcome)
+{
+	if (kind == LD_CALL_TAKE && outcome == LD_NO_EFFECT)
+		ld->take_lease = 0;
+	back_off(ld, now_us);
+}
+
+/*
+ * Takes the answer to the call that ld_next() gave out. The next call may be
+ * due at once.
+ */
+void ld_reply(struct ld *ld, int64_t now_us, const struct ld_reply *reply)
+{
+	enum ld_call_kind kind = ld->call.kind;
+
+	ld->call.kind = LD_CALL_NONE;
+	if (kind == LD_CALL_RELEASE) {
+		after_release(ld);
+		return;
+	}
+	if (reply->outcome != LD_DONE) {
+		after_failure(ld, now_us, kind, reply->outcome);
+		return;
+	}
+	ld->failures = 0;
+	if (kind == LD_CALL_READ)
+		after_read(ld, now_us, reply);
+	else if (kind == LD_CALL_GRANT)
+		after_grant(ld, now_us, reply);
+	else if (kind == LD_CALL_TAKE)
+		after_take(ld, now_us, reply);
+	else if (kind == LD_CALL_RENEW)
+		after_renew(ld, now_us, reply);
+}
+
+/* Stops acting for good; a lease that is held is released next. */
+void ld_drain(struct ld *ld, int64_t now_us)
+{
+	ld->draining = true;
+	ld->leading = false;
+	ld->lease_until_us = 0;
+	ld->next_call_us = now_us;
+}
+
+/* True when nothing is left to release. */
+bool ld_drained(const struct ld *ld)
+{
+	return ld->draining && !lease_to_release(ld) &&
+	       ld->call.kind == LD_CALL_NONE;
+}
--- a/wire/pr.c
+++ b/wire/pr.c
@@ -137,10 +137,9 @@
 }
 
 /* A change goes out at once, because peers act on each of the values. */
-void pr_set_status(struct kn_task *peers, int64_t doc_revision, uint64_t epoch,
-		   bool draining)
+static void say(struct pr_task *pr, int64_t doc_revision, uint64_t epoch,
+		bool draining)
 {
-	struct pr_task *pr = to_pr(peers);
 	size_t i;
 
 	if (pr->doc_revision == doc_revision && pr->epoch == epoch &&
@@ -153,6 +152,22 @@
 		pr_peer_beat_now(&pr->peers[i]);
 }
 
+void pr_set_status(struct kn_task *peers, int64_t doc_revision, uint64_t epoch,
+		   bool draining)
+{
+	struct pr_task *pr = to_pr(peers);
+
+	say(pr, doc_revision, epoch ? epoch : pr->epoch,
+	    draining || pr->task.kn->draining);
+}
+
+void pr_set_epoch(struct kn_task *peers, uint64_t epoch)
+{
+	struct pr_task *pr = to_pr(peers);
+
+	say(pr, pr->doc_revision, epoch, pr->draining);
+}
+
 int64_t pr_rtt_us(struct kn_task *peers, const char *host)
 {
 	struct pr_peer *peer = pr_peer_find(to_pr(peers), host);
@@ -211,7 +226,7 @@
 {
 	struct pr_task *pr = to_pr(task);
 
-	pr_set_status(task, pr->doc_revision, pr->epoch, true);
+	say(pr, pr->doc_revision, pr->epoch, true);
 	kn_drained(task);
 }
 
--- a/wire/pr.h
+++ b/wire/pr.h
@@ -74,9 +74,14 @@
 void pr_send_dc(struct kn_task *peers, const char *dc, int type,
 		const msgpack_sbuffer *body);
 bool pr_connected(struct kn_task *peers, const char *host);
-/* What this host says of itself in heartbeats. */
+/*
+ * What this host says of itself in heartbeats. An epoch of 0 leaves the
+ * epoch as it is.
+ */
 void pr_set_status(struct kn_task *peers, int64_t doc_revision, uint64_t epoch,
 		   bool draining);
+/* The epoch that this host leads its data centre with, 0 if it does not. */
+void pr_set_epoch(struct kn_task *peers, uint64_t epoch);
 /* Round-trip time of a link in microseconds, -1 if not connected. */
 int64_t pr_rtt_us(struct kn_task *peers, const char *host);
 /* Bytes sent to other regions so far. */
