--- a/base/limits.h
+++ b/base/limits.h
@@ -30,6 +30,7 @@
 #define HTTP_CONNS_MAX 12000 /* REQ_WAITING_MAX callers and room for others */
 #define HTTP_BODIES_MAX_BYTES (32 * 1024 * 1024) /* over all connections */
 #define HTTP_PIPELINE_MAX_BYTES 16384 /* behind a request in progress */
+#define HTTP_BACKLOG 1024 /* connections not accepted yet */
 #define HTTP_SWEEP_MS 100 /* resolution of the server's timeouts */
 #define HTTP_LINGER_MS 2000
 #define HTTP_LINGER_MAX_BYTES (4 * 1024 * 1024)
--- a/tests/unit/test_hs.c
+++ b/tests/unit/test_hs.c
@@ -2,7 +2,9 @@
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
+#include <sys/resource.h>
 #include <sys/socket.h>
+#include <unistd.h>
 
 #include "base/err.h"
 #include "base/limits.h"
@@ -302,6 +304,57 @@
 }
 END_TEST
 
+/*
+ * Guards against a loop that spins on a full descriptor table: the queue of
+ * connections must be emptied and the callers told.
+ */
+START_TEST(connections_without_descriptors_are_refused)
+{
+	struct rlimit limit, saved;
+	struct be_sock more[3];
+	int i, turns;
+
+	ck_assert_int_eq(getrlimit(RLIMIT_NOFILE, &saved), 0);
+	be_turn(&kn, 10);
+	for (i = 0; i < 3; i++)
+		be_connect(&more[i], server.port);
+	limit = saved;
+	limit.rlim_cur = (rlim_t)dup(0);
+	close((int)limit.rlim_cur);
+	ck_assert_int_eq(setrlimit(RLIMIT_NOFILE, &limit), 0);
+	for (i = 0; i < 3; i++) {
+		ck_assert(be_wait_closed(&kn, &more[i], 1000));
+		ck_assert_int_eq(strncmp(more[i].in, "HTTP/1.1 503 ", 13), 0);
+		be_close(&more[i]);
+	}
+	setrlimit(RLIMIT_NOFILE, &saved);
+	for (turns = 0; turns < 5; turns++)
+		kn_turn(&kn);
+	be_puts(&kn, &sock, "GET /a HTTP/1.1\r\n\r\n");
+	ck_assert(be_wait_text(&kn, &sock, "GET /a 0", 1000));
+}
+END_TEST
+
+/* Guards against a finished server that goes on accepting. */
+START_TEST(finished_server_refuses_connections)
+{
+	struct be_sock other;
+	int port = server.port;
+
+	hold = true;
+	be_puts(&kn, &sock, "GET /a HTTP/1.1\r\n\r\n");
+	be_turn(&kn, 20);
+	hs_finish(&server);
+	ck_assert_int_eq(gones, 1);
+	be_connect(&other, port);
+	ck_assert_int_lt(other.fd, 0);
+	be_turn(&kn, 20);
+	ck_assert(be_wait_closed(&kn, &sock, 1000));
+	ck_assert(hs_init(&server, &kn, &ops, "127.0.0.1", port, NULL));
+	ck_assert_int_eq(server.port, port);
+}
+END_TEST
+
 /* ---- time ---- */
 
 /* Guards against senders that keep a connection by sending slowly. */
@@ -506,6 +559,8 @@
 	tcase_add_test(tc, oversized_body_is_refused_while_it_is_sent);
 	tcase_add_test(tc, bodies_share_one_budget);
 	tcase_add_test(tc, connections_are_bounded);
+	tcase_add_test(tc, connections_without_descriptors_are_refused);
+	tcase_add_test(tc, finished_server_refuses_connections);
 	tcase_add_loop_test(tc, slow_senders_are_refused, 0, 2);
 	tcase_add_test(tc, idle_connections_are_closed);
 	tcase_add_test(tc, unread_reply_is_given_up);
--- a/wire/hc.c
+++ b/wire/hc.c
@@ -1,15 +1,14 @@
 #include "wire/hc.h"
 
-#include <arpa/inet.h>
 #include <errno.h>
 #include <stdio.h>
 #include <string.h>
 #include <sys/socket.h>
-#include <unistd.h>
 
 #include "base/err.h"
 #include "base/limits.h"
 #include "wire/hc_conn.h"
+#include "wire/sock.h"
 
 /* ---- connections ---- */
 
@@ -288,47 +287,6 @@
 
 /* ---- connecting ---- */
 
-static socklen_t parse_addr(const struct hc_pool *pool,
-			    struct sockaddr_storage *ss)
-{
-	struct sockaddr_in *in4 = (struct sockaddr_in *)ss;
-	struct sockaddr_in6 *in6 = (struct sockaddr_in6 *)ss;
-
-	memset(ss, 0, sizeof(*ss));
-	if (inet_pton(AF_INET, pool->addr, &in4->sin_addr) == 1) {
-		in4->sin_family = AF_INET;
-		in4->sin_port = htons((uint16_t)pool->port);
-		return sizeof(*in4);
-	}
-	if (inet_pton(AF_INET6, pool->addr, &in6->sin6_addr) == 1) {
-		in6->sin6_family = AF_INET6;
-		in6->sin6_port = htons((uint16_t)pool->port);
-		return sizeof(*in6);
-	}
-	return 0;
-}
-
-/* Returns a socket that is connected or connecting, -1 on failure. */
-static int open_socket(const struct hc_pool *pool)
-{
-	struct sockaddr_storage ss;
-	socklen_t len = parse_addr(pool, &ss);
-	int fd;
-
-	if (len == 0)
-		return -1;
-	fd = socket(ss.ss_family, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC,
-		    0);
-	if (fd < 0)
-		return -1;
-	if (connect(fd, (struct sockaddr *)&ss, len) < 0 &&
-	    errno != EINPROGRESS) {
-		close(fd);
-		return -1;
-	}
-	return fd;
-}
-
 /*
  * The socket is made here and adopted by the event loop, which tells apart a
  * connection that was never made from one that was lost.
@@ -339,7 +297,7 @@
 
 	if (!pool->vhost)
 		return NULL;
-	fd.sockfd = open_socket(pool);
+	fd.sockfd = sock_connect(pool->addr, pool->port);
 	if (fd.sockfd < 0)
 		return NULL;
 	return lws_adopt_descriptor_vhost(pool->vhost, LWS_ADOPT_SOCKET, fd,
--- a/wire/hs.c
+++ b/wire/hs.c
@@ -50,18 +50,12 @@
 	lws_set_timeout(wsi, PENDING_TIMEOUT_USER_OK, LWS_TO_KILL_ASYNC);
 }
 
-static int adopt(struct lws *wsi)
+/* Takes over an accepted connection. */
+void hs_conn_new(struct hs_server *server, struct lws *wsi)
 {
-	struct hs_server *server = lws_get_vhost_user(lws_get_vhost(wsi));
-	struct hs_conn *conn;
+	struct hs_conn *conn = g_new0(struct hs_conn, 1);
 
 	lws_set_timeout(wsi, NO_PENDING_TIMEOUT, 0);
-	server->accepted++;
-	if (server->conn_count >= server->conns_max) {
-		hs_send_busy(lws_get_socket_fd(wsi));
-		return -1;
-	}
-	conn = g_new0(struct hs_conn, 1);
 	conn->server = server;
 	conn->wsi = wsi;
 	conn->hp = hp_new(&hs_parse_ops, true, conn);
@@ -69,7 +63,6 @@
 	server->conn_count++;
 	hs_conn_deadline(conn, server->idle_timeout_ms);
 	lws_set_opaque_user_data(wsi, conn);
-	return 0;
 }
 
 /* ---- received bytes ---- */
@@ -122,31 +115,41 @@
 	g_byte_array_free(pending, TRUE);
 }
 
+/* Runs one event of a connection; returns -1 to have it closed. */
+static int serve(struct hs_conn *conn, bool rx, const char *data, size_t len)
+{
+	conn->in_callback = true;
+	if (rx)
+		receive(conn, data, len);
+	else
+		resume(conn);
+	conn->in_callback = false;
+	if (!conn->dead)
+		return 0;
+	drop(conn);
+	return -1;
+}
+
+/* The user data is the server on its listening socket, else a connection. */
 static int hs_callback(struct lws *wsi, enum lws_callback_reasons reason,
 		       void *user, void *in, size_t len)
 {
-	struct hs_conn *conn = wsi ? lws_get_opaque_user_data(wsi) : NULL;
+	void *data = wsi ? lws_get_opaque_user_data(wsi) : NULL;
 
 	switch (reason) {
-	case LWS_CALLBACK_RAW_ADOPT:
-		return adopt(wsi);
+	case LWS_CALLBACK_RAW_RX_FILE:
+		if (!data)
+			return -1;
+		hs_accept(data);
+		return 0;
 	case LWS_CALLBACK_RAW_RX:
 	case LWS_CALLBACK_RAW_WRITEABLE:
-		if (!conn)
-			return -1;
-		conn->in_callback = true;
-		if (reason == LWS_CALLBACK_RAW_RX)
-			receive(conn, in, len);
-		else
-			resume(conn);
-		conn->in_callback = false;
-		if (!conn->dead)
-			return 0;
-		drop(conn);
-		return -1;
+		return data ? serve(data, reason == LWS_CALLBACK_RAW_RX, in,
+				    len) :
+			      -1;
 	case LWS_CALLBACK_RAW_CLOSE:
-		if (conn)
-			drop(conn);
+		if (data)
+			drop(data);
 		return 0;
 	default:
 		return 0;
@@ -196,31 +199,30 @@
 	{ NULL, NULL, 0, 0, 0, NULL, 0 },
 };
 
-static struct lws_vhost *listen_vhost(struct hs_server *server,
-				      const char *addr, int port)
+/* All servers of a process share one vhost. */
+static struct lws_vhost *server_vhost(struct kn *kn)
 {
+	struct lws_vhost *vhost = lws_get_vhost_by_name(kn->lws, "hs");
 	struct lws_context_creation_info info;
 
+	if (vhost)
+		return vhost;
 	memset(&info, 0, sizeof(info));
-	info.port = port;
-	info.iface = addr;
+	info.port = CONTEXT_PORT_NO_LISTEN;
 	info.vhost_name = "hs";
 	info.protocols = hs_protocols;
-	info.user = server;
-	info.listen_accept_role = "raw-skt";
-	info.listen_accept_protocol = "hs";
-	info.options = LWS_SERVER_OPTION_ADOPT_APPLY_LISTEN_ACCEPT_CONFIG;
-	if (!strchr(addr, ':'))
-		info.options |= LWS_SERVER_OPTION_DISABLE_IPV6;
-	info.ka_time = HTTP_KEEPALIVE_PROBE_SEC;
-	info.ka_interval = HTTP_KEEPALIVE_PROBE_SEC;
-	info.ka_probes = HTTP_KEEPALIVE_PROBES;
-	return lws_create_vhost(server->kn->lws, &info);
+	return lws_create_vhost(kn->lws, &info);
 }
 
 /*
- * Listens on a numeric address; port 0 takes a free port. The server uses
- * the raw role with http-parser: see docs/design.md, section 2.3.
+ * Listens on a numeric address; port 0 takes a free port.
+ *
+ * The server uses raw sockets with http-parser and not the HTTP role of
+ * libwebsockets 4.1.6. Sent raw bytes, that role took "Content-Length : 5"
+ * and "Transfer-Encoding : chunked" for requests without a body and showed
+ * neither header to its user, so the bytes behind could not be told from
+ * the next request. It also never answered a Content-Length of -1, and each
+ * byte of a slow body started its timeout again.
  */
 bool hs_init(struct hs_server *server, struct kn *kn, const struct hs_ops *ops,
 	     const char *addr, int port, GError **err)
@@ -236,15 +238,12 @@
 	server->body_timeout_ms = HTTP_BODY_TIMEOUT_MS;
 	server->idle_timeout_ms = HTTP_IDLE_TIMEOUT_MS;
 	server->keep = g_ptr_array_new_with_free_func(g_free);
-	server->vhost = listen_vhost(server, addr, port);
-	if (!server->vhost) {
+	server->vhost = server_vhost(kn);
+	if (!hs_listen(server, addr, port, err)) {
 		g_ptr_array_free(server->keep, TRUE);
-		server->keep = NULL;
-		g_set_error(err, CB_ERROR, CB_E_LIBRARY,
-			    "cannot listen on %s:%d", addr, port);
+		server->vhost = NULL;
 		return false;
 	}
-	server->port = lws_get_vhost_listen_port(server->vhost);
 	sweep(&server->sweep);
 	return true;
 }
@@ -256,12 +255,12 @@
 	if (!server->vhost)
 		return;
 	kn_timer_cancel(&server->sweep);
+	hs_unlisten(server);
 	while (!list_empty(&server->conns)) {
 		conn = list_first_entry(&server->conns, struct hs_conn, node);
 		conn->in_callback = false;
 		hs_conn_close(conn);
 	}
-	lws_vhost_destroy(server->vhost);
 	server->vhost = NULL;
 	g_ptr_array_free(server->keep, TRUE);
 	server->keep = NULL;
--- a/wire/hs.h
+++ b/wire/hs.h
@@ -43,6 +43,9 @@
 	int body_timeout_ms;
 	int idle_timeout_ms;
 	/* private to hs */
+	struct lws *listen_wsi;
+	int listen_fd;
+	int spare_fd;
 	size_t bodies_bytes;
 	uint64_t accepted;
 	GPtrArray *keep;
--- a/wire/hs_conn.h
+++ b/wire/hs_conn.h
@@ -39,8 +39,14 @@
 };
 
 /* hs.c */
+void hs_conn_new(struct hs_server *server, struct lws *wsi);
 void hs_conn_close(struct hs_conn *conn);
 void hs_conn_deadline(struct hs_conn *conn, int delay_ms);
+/* hs_listen.c */
+bool hs_listen(struct hs_server *server, const char *addr, int port,
+	       GError **err);
+void hs_unlisten(struct hs_server *server);
+void hs_accept(struct hs_server *server);
 /* hs_parse.c */
 extern const struct hp_ops hs_parse_ops;
 void hs_feed(struct hs_conn *conn, const char *data, size_t len);
