Add the edge to the backend servers

Maps each result of the HTTP client to answered, not run or unknown, and reports signs of leaving, refusal, failure and latency. A test compares the outcome with the ledger of the stand-in in each of its modes.

--- /dev/null
+++ b/daemon/back.c
@@ -0,0 +1,274 @@
+#include "daemon/back.h"
+
+#include <stdio.h>
+#include <string.h>
+
+#include "base/err.h"
+#include "base/limits.h"
+#include "wire/hc.h"
+
+#define SERVER_NAME_MAX_BYTES (ADDR_MAX_BYTES + 8)
+
+struct http_back {
+	struct back base;
+	GHashTable *servers; /* "addr port" to struct server */
+	struct list_head calls;
+};
+
+struct server {
+	char name[SERVER_NAME_MAX_BYTES];
+	struct hc_pool pool;
+	unsigned int calls;
+	bool removed; /* freed when the last call has ended */
+};
+
+/* The part of a call that belongs to this implementation. */
+struct http_call {
+	struct list_head node;
+	struct http_back *back;
+	struct server *server;
+	struct back_call *call;
+	struct hc_call hc;
+};
+
+/* ---- servers ---- */
+
+static void print_name(char *name, const char *addr, int port)
+{
+	snprintf(name, SERVER_NAME_MAX_BYTES, "%s %d", addr, port);
+}
+
+static struct server *find_server(struct back *base, const char *addr, int port)
+{
+	struct http_back *back = (struct http_back *)base;
+	char name[SERVER_NAME_MAX_BYTES];
+
+	print_name(name, addr, port);
+	return g_hash_table_lookup(back->servers, name);
+}
+
+static void server_free(gpointer data)
+{
+	struct server *server = data;
+
+	hc_pool_finish(&server->pool);
+	g_free(server);
+}
+
+static void add_server(struct back *base, const char *addr, int port,
+		       unsigned int max_conns)
+{
+	struct http_back *back = (struct http_back *)base;
+	struct server *server = find_server(base, addr, port);
+
+	if (!server) {
+		server = g_new0(struct server, 1);
+		print_name(server->name, addr, port);
+		hc_pool_init(&server->pool, base->kn, addr, port, max_conns);
+		g_hash_table_insert(back->servers, server->name, server);
+	}
+	hc_pool_limit(&server->pool, max_conns);
+	server->removed = false;
+}
+
+static void free_if_unused(struct http_back *back, struct server *server)
+{
+	if (server->removed && server->calls == 0)
+		g_hash_table_remove(back->servers, server->name);
+}
+
+static void remove_server(struct back *base, const char *addr, int port)
+{
+	struct server *server = find_server(base, addr, port);
+
+	if (!server)
+		return;
+	server->removed = true;
+	free_if_unused((struct http_back *)base, server);
+}
+
+static unsigned int connections(struct back *base, const char *addr, int port)
+{
+	struct server *server = find_server(base, addr, port);
+
+	return server ? server->pool.conns : 0;
+}
+
+/* ---- results ---- */
+
+static bool says_leaving(const struct hc_call *hc)
+{
+	const char *value = http_headers_get(&hc->headers, "Chivebank-Leaving");
+
+	return hc->result == CB_OK && value && strcmp(value, "1") == 0;
+}
+
+/*
+ * A 503 with Chivebank-Leaving is the server's promise that it has not run
+ * the request. Any other whole answer is the caller's, also one that
+ * carries the header.
+ */
+static void judge(struct back_call *call, const struct hc_call *hc)
+{
+	call->result = hc->result;
+	if (hc->result == CB_OK) {
+		call->outcome = BACK_ANSWERED;
+		if (hc->status == 503 && says_leaving(hc)) {
+			call->outcome = BACK_NOT_RUN;
+			call->result = CB_E_NO_SERVER;
+		}
+	} else if (!hc->sent) {
+		call->outcome = BACK_NOT_RUN;
+		call->result = CB_E_NO_SERVER;
+	} else {
+		call->outcome = BACK_UNKNOWN;
+	}
+}
+
+static void report(struct http_back *back, const struct server *server,
+		   const struct hc_call *hc, int64_t latency_us)
+{
+	struct back_signs *signs = back->base.signs;
+	const char *addr = server->pool.addr;
+	int port = server->pool.port;
+
+	if (!signs)
+		return;
+	if (says_leaving(hc) && signs->leaving)
+		signs->leaving(signs, addr, port);
+	if (hc->result == CB_OK) {
+		if (signs->answered && !(says_leaving(hc) && hc->status == 503))
+			signs->answered(signs, addr, port, hc->status,
+					latency_us);
+	} else if (!hc->sent && hc->result == CB_E_UPSTREAM_LOST) {
+		if (signs->refused)
+			signs->refused(signs, addr, port);
+	} else if (signs->failed) {
+		signs->failed(signs, addr, port, hc->result);
+	}
+}
+
+/* ---- calls ---- */
+
+static void call_free(struct http_call *http)
+{
+	struct http_back *back = http->back;
+	struct server *server = http->server;
+
+	list_del(&http->node);
+	hc_call_finish(&http->hc);
+	http->call->impl = NULL;
+	g_free(http);
+	server->calls--;
+	free_if_unused(back, server);
+}
+
+static void on_done(struct hc_call *hc)
+{
+	struct http_call *http = container_of(hc, struct http_call, hc);
+	struct back_call *call = http->call;
+
+	judge(call, hc);
+	call->latency_us = hc->ended_us - hc->started_us;
+	/* A partial answer goes to nobody. */
+	if (hc->result == CB_OK) {
+		call->status = hc->status;
+		call->headers = hc->headers;
+		call->body = hc->body;
+		call->body_len = hc->body_len;
+		hc->body = NULL;
+		/* call owns the headers now, but the sign still reads them. */
+	}
+	report(http->back, http->server, hc, call->latency_us);
+	if (hc->result == CB_OK)
+		http_headers_init(&hc->headers);
+	call_free(http);
+	call->done(call);
+}
+
+static bool start(struct back *base, struct back_call *call,
+		  const struct back_request *request,
+		  void (*done)(struct back_call *call))
+{
+	struct http_back *back = (struct http_back *)base;
+	struct server *server = find_server(base, request->addr, request->port);
+	struct http_call *http;
+
+	if (!server || server->removed)
+		return false;
+	http = g_new0(struct http_call, 1);
+	if (!hc_call_start(&http->hc, &server->pool, request->method,
+			   request->target, request->headers, request->body,
+			   request->len, request->timeout_ms, on_done)) {
+		g_free(http);
+		return false;
+	}
+	http->back = back;
+	http->server = server;
+	http->call = call;
+	list_add_tail(&http->node, &back->calls);
+	server->calls++;
+	call->impl = http;
+	call->done = done;
+	call->outcome = BACK_UNKNOWN;
+	call->result = CB_OK;
+	call->status = 0;
+	http_headers_init(&call->headers);
+	call->body = NULL;
+	call->body_len = 0;
+	call->latency_us = 0;
+	return true;
+}
+
+static void cancel(struct back *base, struct back_call *call)
+{
+	struct http_call *http = call->impl;
+
+	if (!http)
+		return;
+	hc_call_cancel(&http->hc);
+	call_free(http);
+}
+
+static void finish(struct back *base)
+{
+	struct http_back *back = (struct http_back *)base;
+	struct http_call *http;
+
+	while (!list_empty(&back->calls)) {
+		http = list_first_entry(&back->calls, struct http_call, node);
+		cancel(base, http->call);
+	}
+	g_hash_table_destroy(back->servers);
+	g_free(back);
+}
+
+static const struct be_ops http_ops = {
+	.add_server = add_server,
+	.remove_server = remove_server,
+	.start = start,
+	.cancel = cancel,
+	.connections = connections,
+	.finish = finish,
+};
+
+struct back *back_http_new(struct kn *kn, struct back_signs *signs)
+{
+	struct http_back *back = g_new0(struct http_back, 1);
+
+	back->base.ops = &http_ops;
+	back->base.kn = kn;
+	back->base.signs = signs;
+	back->servers = g_hash_table_new_full(g_str_hash, g_str_equal, NULL,
+					      server_free);
+	list_init(&back->calls);
+	return &back->base;
+}
+
+void back_call_finish(struct back_call *call)
+{
+	http_headers_finish(&call->headers);
+	g_free(call->body);
+	call->body = NULL;
+	call->body_len = 0;
+}
--- /dev/null
+++ b/tests/unit/test_back.c
@@ -0,0 +1,242 @@
+#include <check.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "base/err.h"
+#include "base/limits.h"
+#include "daemon/back.h"
+#include "tests/standins/be_server.h"
+#include "tests/standins/be_sock.h"
+
+/* ---- fixture: the edge against a stand-in in the same process ---- */
+
+#define CALLS 12
+
+static struct kn kn;
+static struct be_server be;
+static struct back *back;
+static struct back_call calls[CALLS];
+static int ended, leaving, refused, failed, answered;
+static int64_t last_latency_us;
+
+static void on_leaving(struct back_signs *s, const char *addr, int port)
+{
+	ck_assert_int_eq(port, be.options.port);
+	leaving++;
+}
+
+static void on_refused(struct back_signs *s, const char *addr, int port)
+{
+	refused++;
+}
+
+static void on_failed(struct back_signs *s, const char *addr, int port,
+		      int result)
+{
+	ck_assert_int_ne(result, CB_OK);
+	failed++;
+}
+
+static void on_answered(struct back_signs *s, const char *addr, int port,
+			int status, int64_t latency_us)
+{
+	last_latency_us = latency_us;
+	answered++;
+}
+
+static struct back_signs signs = { .leaving = on_leaving,
+				   .refused = on_refused,
+				   .failed = on_failed,
+				   .answered = on_answered };
+
+static void on_done(struct back_call *call)
+{
+	ended++;
+}
+
+static void setup(void)
+{
+	struct be_options options = { .addr = "127.0.0.1",
+				      .control_port = -1,
+				      .slots = 8,
+				      .service_us = 20 * USEC_PER_MSEC,
+				      .seed = 1 };
+
+	ended = leaving = refused = failed = answered = 0;
+	memset(calls, 0, sizeof(calls));
+	ck_assert(kn_init(&kn, NULL));
+	ck_assert(be_server_init(&be, &kn, &options, NULL));
+	back = back_http_new(&kn, &signs);
+	back->ops->add_server(back, "127.0.0.1", be.options.port, 8);
+}
+
+static void teardown(void)
+{
+	int i;
+
+	back->ops->finish(back);
+	for (i = 0; i < CALLS; i++)
+		back_call_finish(&calls[i]);
+	be_server_finish(&be);
+	kn_finish(&kn);
+}
+
+static bool start(int i, const char *method, int timeout_ms)
+{
+	char target[16];
+	struct back_request request = { .addr = "127.0.0.1",
+					.port = be.options.port,
+					.method = method,
+					.target = target,
+					.timeout_ms = timeout_ms };
+
+	snprintf(target, sizeof(target), "/%d", i);
+	return back->ops->start(back, &calls[i], &request, on_done);
+}
+
+static void wait_ended(int n, int wait_ms)
+{
+	int64_t end_us = kn_now_us() + wait_ms * USEC_PER_MSEC;
+
+	while (ended < n && kn_now_us() < end_us)
+		be_turn(&kn, 1);
+	ck_assert_int_eq(ended, n);
+}
+
+/* ---- outcomes ---- */
+
+struct expectation {
+	enum be_mode mode;
+	enum back_outcome outcome;
+	int result;
+	int leaving, refused, failed, answered;
+	bool executed; /* by the ledger */
+};
+
+static const struct expectation expectations[] = {
+	{ BE_NORMAL, BACK_ANSWERED, CB_OK, 0, 0, 0, 1, true },
+	{ BE_LATE, BACK_UNKNOWN, CB_E_UPSTREAM_TIMEOUT, 0, 0, 1, 0, true },
+	{ BE_HANG, BACK_UNKNOWN, CB_E_UPSTREAM_TIMEOUT, 0, 0, 1, 0, true },
+	{ BE_TRUNCATE, BACK_UNKNOWN, CB_E_UPSTREAM_TRUNCATED, 0, 0, 1, 0,
+	  true },
+	{ BE_CLOSE_AFTER, BACK_UNKNOWN, CB_E_UPSTREAM_LOST, 0, 0, 1, 0, true },
+	{ BE_CLOSE_BEFORE, BACK_UNKNOWN, CB_E_UPSTREAM_LOST, 0, 0, 1, 0,
+	  false },
+	{ BE_LEAVING, BACK_NOT_RUN, CB_E_NO_SERVER, 1, 0, 0, 0, false },
+	{ BE_REFUSE, BACK_NOT_RUN, CB_E_NO_SERVER, 0, 1, 0, 0, false },
+};
+
+/*
+ * Guards against a request that is called not run although the server may
+ * have run it, and against a partial answer passed on.
+ */
+START_TEST(outcome_agrees_with_the_ledger)
+{
+	const struct expectation *e = &expectations[_i];
+	bool known_not_run;
+
+	be_server_mode(&be, e->mode, 1000);
+	be_turn(&kn, 20);
+	ck_assert(start(0, "POST", 300));
+	ck_assert_int_eq(ended, 0);
+	wait_ended(1, 1000);
+	ck_assert_int_eq(calls[0].outcome, e->outcome);
+	ck_assert_int_eq(calls[0].result, e->result);
+	ck_assert_int_eq(leaving, e->leaving);
+	ck_assert_int_eq(refused, e->refused);
+	ck_assert_int_eq(failed, e->failed);
+	ck_assert_int_eq(answered, e->answered);
+	ck_assert_uint_eq(be.ledger.executed, e->executed);
+	known_not_run = calls[0].outcome == BACK_NOT_RUN;
+	ck_assert(!(known_not_run && e->executed));
+	if (e->outcome == BACK_ANSWERED) {
+		ck_assert_int_eq(calls[0].status, 200);
+		ck_assert_int_eq(memcmp(calls[0].body, "POST /0 ", 8), 0);
+		ck_assert_int_ge(last_latency_us, 20 * USEC_PER_MSEC);
+	} else if (e->outcome == BACK_UNKNOWN) {
+		ck_assert_ptr_null(calls[0].body);
+		ck_assert_int_eq(calls[0].status, 0);
+		ck_assert_uint_eq(back->ops->connections(back, "127.0.0.1",
+							 be.options.port),
+				  0);
+	}
+}
+END_TEST
+
+/* ---- servers and connections ---- */
+
+/* Guards against more requests or connections than a server may get. */
+START_TEST(connection_limit_holds)
+{
+	int i;
+
+	for (i = 0; i < 8; i++)
+		ck_assert(start(i, "GET", 1000));
+	ck_assert(!start(8, "GET", 1000));
+	wait_ended(8, 1000);
+	ck_assert_uint_eq(be.ledger.in_progress_max, 8);
+	ck_assert_uint_eq(be.service.accepted, 8);
+	back->ops->add_server(back, "127.0.0.1", be.options.port, 2);
+	ck_assert_uint_eq(
+		back->ops->connections(back, "127.0.0.1", be.options.port), 2);
+	ck_assert(start(8, "GET", 1000));
+	ck_assert(start(9, "GET", 1000));
+	ck_assert(!start(10, "GET", 1000));
+	wait_ended(10, 1000);
+	ck_assert_uint_eq(be.service.accepted, 8);
+}
+END_TEST
+
+/* Guards against calls cut off, or new ones taken, by a removal. */
+START_TEST(removed_server_finishes_its_calls)
+{
+	ck_assert(start(0, "GET", 1000));
+	back->ops->remove_server(back, "127.0.0.1", be.options.port);
+	ck_assert(!start(1, "GET", 1000));
+	wait_ended(1, 1000);
+	ck_assert_int_eq(calls[0].outcome, BACK_ANSWERED);
+	be_turn(&kn, 20);
+	ck_assert_uint_eq(be.service.conn_count, 0);
+	ck_assert(!start(1, "GET", 1000));
+	back->ops->add_server(back, "127.0.0.1", be.options.port, 1);
+	ck_assert(start(1, "GET", 1000));
+	wait_ended(2, 1000);
+}
+END_TEST
+
+/* Guards against done() after cancel, and a late answer for another call. */
+START_TEST(cancelled_call_is_silent)
+{
+	ck_assert(start(0, "GET", 1000));
+	be_turn(&kn, 10);
+	back->ops->cancel(back, &calls[0]);
+	back->ops->cancel(back, &calls[0]);
+	ck_assert(start(1, "GET", 1000));
+	wait_ended(1, 1000);
+	ck_assert_int_eq(memcmp(calls[1].body, "GET /1 ", 7), 0);
+	be_turn(&kn, 50);
+	ck_assert_int_eq(ended, 1);
+	ck_assert_int_eq(answered, 1);
+}
+END_TEST
+
+int main(void)
+{
+	Suite *suite = suite_create("back");
+	TCase *tc = tcase_create("edge");
+	SRunner *runner = srunner_create(suite);
+	int failed_tests;
+
+	tcase_add_checked_fixture(tc, setup, teardown);
+	tcase_set_timeout(tc, 20);
+	tcase_add_loop_test(tc, outcome_agrees_with_the_ledger, 0,
+			    (int)G_N_ELEMENTS(expectations));
+	tcase_add_test(tc, connection_limit_holds);
+	tcase_add_test(tc, removed_server_finishes_its_calls);
+	tcase_add_test(tc, cancelled_call_is_silent);
+	suite_add_tcase(suite, tc);
+	srunner_run_all(runner, CK_NORMAL);
+	failed_tests = srunner_ntests_failed(runner);
+	srunner_free(runner);
+	return failed_tests ? EXIT_FAILURE : EXIT_SUCCESS;
+}
--- a/wire/hc.c
+++ b/wire/hc.c
@@ -192,7 +192,8 @@
 	result = hc_reply_feed(conn, data, len, &used);
 	if (result == CB_OK && !conn->complete)
 		return 0;
-	reusable = result == CB_OK && used == len && !call->close && !conn->out;
+	reusable = result == CB_OK && used == len && !call->close &&
+		   !conn->out && conn->pool->conns <= conn->pool->max_conns;
 	if (reusable)
 		make_idle(conn);
 	else
@@ -268,6 +269,17 @@
 	pool->connect_timeout_ms = HTTP_CONNECT_TIMEOUT_MS;
 }
 
+void hc_pool_limit(struct hc_pool *pool, unsigned int max_conns)
+{
+	struct hc_conn *conn;
+
+	pool->max_conns = max_conns;
+	while (pool->conns > max_conns && !list_empty(&pool->idle)) {
+		conn = list_entry(pool->idle.prev, struct hc_conn, node);
+		kill_conn(conn);
+	}
+}
+
 void hc_pool_finish(struct hc_pool *pool)
 {
 	struct hc_conn *conn;
--- a/wire/hc.h
+++ b/wire/hc.h
@@ -47,6 +47,8 @@
 /* addr is a numeric IPv4 or IPv6 address. */
 void hc_pool_init(struct hc_pool *pool, struct kn *kn, const char *addr,
 		  int port, unsigned int max_conns);
+/* Changes max_conns; connections above it close when they are idle. */
+void hc_pool_limit(struct hc_pool *pool, unsigned int max_conns);
 /* Closes all connections; calls in progress end with CB_E_UPSTREAM_LOST. */
 void hc_pool_finish(struct hc_pool *pool);
 /*
