--- a/base/limits.h
+++ b/base/limits.h
@@ -31,7 +31,7 @@
 #define HTTP_BODIES_MAX_BYTES (32 * 1024 * 1024) /* over all connections */
 #define HTTP_PIPELINE_MAX_BYTES 16384 /* behind a request in progress */
 #define HTTP_BACKLOG 1024 /* connections not accepted yet */
-#define HTTP_SWEEP_MS 100 /* resolution of the server's timeouts */
+#define HTTP_SWEEP_MS 1000 /* resolution of the server's timeouts */
 #define HTTP_LINGER_MS 2000
 #define HTTP_LINGER_MAX_BYTES (4 * 1024 * 1024)
 #define HTTP_KEEPALIVE_PROBE_SEC 15 /* finds callers whose host is gone */
--- a/tests/unit/test_hc.c
+++ b/tests/unit/test_hc.c
@@ -300,6 +300,7 @@
 {
 	use_server();
 	server.idle_timeout_ms = 100;
+	server.sweep_ms = 50;
 	ck_assert(start(0, "GET", "/0", 1000));
 	wait_ended(1, 1000);
 	be_turn(&kn, 400);
--- a/tests/unit/test_hs.c
+++ b/tests/unit/test_hs.c
@@ -58,6 +58,8 @@
 	requests = gones = 0;
 	ck_assert(kn_init(&kn, &err));
 	ck_assert(hs_init(&server, &kn, &ops, "127.0.0.1", 0, &err));
+	/* The tests use short timeouts. */
+	server.sweep_ms = 50;
 	ck_assert_int_gt(server.port, 0);
 	be_connect(&sock, server.port);
 	ck_assert_int_ge(sock.fd, 0);
@@ -312,7 +314,7 @@
 {
 	struct rlimit limit, saved;
 	struct be_sock more[3];
-	int i, turns;
+	int i;
 
 	ck_assert_int_eq(getrlimit(RLIMIT_NOFILE, &saved), 0);
 	be_turn(&kn, 10);
@@ -328,8 +330,7 @@
 		be_close(&more[i]);
 	}
 	setrlimit(RLIMIT_NOFILE, &saved);
-	for (turns = 0; turns < 5; turns++)
-		kn_turn(&kn);
+	be_turn(&kn, 10);
 	be_puts(&kn, &sock, "GET /a HTTP/1.1\r\n\r\n");
 	ck_assert(be_wait_text(&kn, &sock, "GET /a 0", 1000));
 }
--- a/wire/hs.c
+++ b/wire/hs.c
@@ -10,10 +10,22 @@
 
 /* ---- connections ---- */
 
+static void sweep(struct kn_timer *timer);
+
+static void sweep_at(struct hs_server *server, int64_t at_us, int64_t now_us)
+{
+	server->sweep_us = at_us;
+	kn_timer_set(server->kn, &server->sweep, at_us - now_us, sweep);
+}
+
 /* Sets the time at which the sweep ends the connection's present state. */
 void hs_conn_deadline(struct hs_conn *conn, int delay_ms)
 {
-	conn->deadline_us = kn_now_us() + delay_ms * USEC_PER_MSEC;
+	int64_t now_us = kn_now_us();
+
+	conn->deadline_us = now_us + delay_ms * USEC_PER_MSEC;
+	if (conn->deadline_us < conn->server->sweep_us)
+		sweep_at(conn->server, conn->deadline_us, now_us);
 }
 
 /*
@@ -176,20 +188,26 @@
 }
 
 /*
- * One timer looks at all connections: libwebsockets keeps its timers in a
- * sorted list, so a timer for each connection would cost a walk of that
- * list for each request.
+ * One timer looks at all connections, at most once in sweep_ms unless a
+ * shorter deadline is set: libwebsockets keeps its timers in a sorted list,
+ * so a timer for each connection would cost a walk of that list for each
+ * request. Without connections it doesn't run.
  */
 static void sweep(struct kn_timer *timer)
 {
 	struct hs_server *server = container_of(timer, struct hs_server, sweep);
+	int64_t now_us = kn_now_us(), next_us = INT64_MAX;
 	struct hs_conn *conn, *tmp;
-	int64_t now_us = kn_now_us();
 
+	server->sweep_us = INT64_MAX;
 	list_for_each_entry_safe(conn, tmp, &server->conns, node)
 		if (now_us >= conn->deadline_us)
 			expire(conn);
-	kn_timer_set(server->kn, timer, HTTP_SWEEP_MS * USEC_PER_MSEC, sweep);
+	list_for_each_entry(conn, &server->conns, node)
+		next_us = MIN(next_us, conn->deadline_us);
+	next_us = MAX(next_us, now_us + server->sweep_ms * USEC_PER_MSEC);
+	if (next_us < server->sweep_us)
+		sweep_at(server, next_us, now_us);
 }
 
 /* ---- server ---- */
@@ -231,12 +249,14 @@
 	server->ops = ops;
 	server->kn = kn;
 	list_init(&server->conns);
+	server->sweep_us = INT64_MAX;
 	server->conns_max = HTTP_CONNS_MAX;
 	server->body_max_bytes = HTTP_BODY_MAX_BYTES;
 	server->bodies_max_bytes = HTTP_BODIES_MAX_BYTES;
 	server->header_timeout_ms = HTTP_HEADER_TIMEOUT_MS;
 	server->body_timeout_ms = HTTP_BODY_TIMEOUT_MS;
 	server->idle_timeout_ms = HTTP_IDLE_TIMEOUT_MS;
+	server->sweep_ms = HTTP_SWEEP_MS;
 	server->keep = g_ptr_array_new_with_free_func(g_free);
 	server->vhost = server_vhost(kn);
 	if (!hs_listen(server, addr, port, err)) {
@@ -244,7 +264,6 @@
 		server->vhost = NULL;
 		return false;
 	}
-	sweep(&server->sweep);
 	return true;
 }
 
--- a/wire/hs.h
+++ b/wire/hs.h
@@ -42,6 +42,7 @@
 	int header_timeout_ms;
 	int body_timeout_ms;
 	int idle_timeout_ms;
+	int sweep_ms; /* timeouts may be this late */
 	/* private to hs */
 	struct lws *listen_wsi;
 	int listen_fd;
@@ -50,6 +51,7 @@
 	uint64_t accepted;
 	GPtrArray *keep;
 	struct kn_timer sweep;
+	int64_t sweep_us; /* when it runs, INT64_MAX for never */
 };
 
 bool hs_init(struct hs_server *server, struct kn *kn, const struct hs_ops *ops,
