--- a/tests/standins/pf_route.c
+++ b/tests/standins/pf_route.c
@@ -1,4 +1,4 @@
-#include "tests/standins/pf_server.h"
+#include "tests/standins/pf_conn.h"
 
 #include <string.h>
 
@@ -118,7 +118,7 @@
 	}
 }
 
-static void control(struct pf_server *server, const json_t *body)
+void pf_control(struct pf_server *server, const json_t *body)
 {
 	const json_t *value;
 
@@ -132,6 +132,8 @@
 		server->freeze_watches = json_is_true(value);
 	if ((value = json_object_get(body, "hosts_lag_ms")))
 		server->hosts_lag_us = json_integer_value(value) * 1000;
+	if (json_object_get(body, "hosts"))
+		set_hosts(server, body);
 	if ((value = json_object_get(body, "down")))
 		pf_set_down(server, json_is_true(value));
 }
@@ -154,7 +156,7 @@
 	struct pf_server *server = conn->server;
 
 	if (strcmp(path, "/control") == 0) {
-		control(server, body);
+		pf_control(server, body);
 		return (struct pf_answer){ 200, json_object(), false };
 	}
 	if (strcmp(path, "/ledger") == 0)
--- a/tests/standins/pf_server.c
+++ b/tests/standins/pf_server.c
@@ -1,4 +1,4 @@
-#include "tests/standins/pf_server.h"
+#include "tests/standins/pf_conn.h"
 
 #include <arpa/inet.h>
 #include <errno.h>
