Deliver messages that a timer sends without waiting for a socket

libwebsockets runs due timers before it polls, so a message sent by a timer stayed in its mailbox until the next socket event or timer; a process without peers hung. Seen with the in-process store, whose results come from a timer. Before: the new test timed out after 4 s; after: it passes. Waking the loop from every kn_send() was ruled out, because each batch of messages would cost a write and a read of a pipe.

--- a/base/kn.c
+++ b/base/kn.c
@@ -166,11 +166,23 @@
 
 /* ---- time ---- */
 
+static void wake(lws_sorted_usec_list_t *sul)
+{
+}
+
+/*
+ * libwebsockets runs timers before it waits for sockets. A message that a
+ * timer sent must not wait for the next socket event, so a timer that is due
+ * at once ends the wait.
+ */
 static void timer_fired(lws_sorted_usec_list_t *sul)
 {
 	struct kn_timer *timer = lws_container_of(sul, struct kn_timer, sul);
+	struct kn *kn = timer->kn;
 
-	timer->fn(timer);
+	timer->fn(timer); /* may free the timer */
+	if (!list_empty(&kn->ready) || kn->stopped)
+		lws_sul_schedule(kn->lws, 0, &kn->wake, wake, 1);
 }
 
 /* Starts a timer, or moves a running one. delay_us counts from now. */
@@ -178,6 +190,7 @@
 		  void (*fn)(struct kn_timer *timer))
 {
 	timer->fn = fn;
+	timer->kn = kn;
 	/* Zero would be taken as a request to cancel. */
 	lws_sul_schedule(kn->lws, 0, &timer->sul, timer_fired,
 			 delay_us > 0 ? delay_us : 1);
--- a/base/kn.h
+++ b/base/kn.h
@@ -50,6 +50,7 @@
 struct kn_timer {
 	lws_sorted_usec_list_t sul;
 	void (*fn)(struct kn_timer *timer);
+	struct kn *kn;
 };
 
 /* One per process. */
@@ -57,6 +58,7 @@
 	struct lws_context *lws;
 	struct list_head tasks;
 	struct list_head ready;
+	lws_sorted_usec_list_t wake;
 	struct ctr_set counters;
 	bool draining;
 	bool stopped;
--- a/tests/unit/test_kn.c
+++ b/tests/unit/test_kn.c
@@ -105,6 +105,42 @@
 }
 END_TEST
 
+static void stop_receive(struct kn_task *task, struct kn_msg *msg)
+{
+	kn_msg_release(msg);
+	kn_stop(task->kn, 9);
+}
+
+static const struct kn_task_ops stop_ops = { .receive = stop_receive };
+
+static void send_fn(struct kn_timer *timer)
+{
+	struct timer_state *state =
+		container_of(timer, struct timer_state, timer);
+
+	send_value(kn_find(state->kn, "sink"), 1);
+}
+
+/*
+ * Guards against a message from a timer that waits for the next socket
+ * event: with no sockets the process would hang.
+ */
+START_TEST(message_from_timer_is_delivered_at_once)
+{
+	struct timer_state state = { 0 };
+	struct kn_task sink = { 0 };
+	struct kn kn;
+
+	ck_assert(kn_init(&kn, NULL));
+	kn_add(&kn, &sink, "sink", &stop_ops);
+	ck_assert(kn_start(&kn, NULL));
+	state.kn = &kn;
+	kn_timer_set(&kn, &state.timer, 1000, send_fn);
+	ck_assert_int_eq(kn_run(&kn), 9);
+	kn_finish(&kn);
+}
+END_TEST
+
 int main(void)
 {
 	Suite *suite = suite_create("kn");
@@ -114,6 +150,7 @@
 
 	tcase_add_test(tc, messages_keep_order_through_services);
 	tcase_add_test(tc, timer_rearms_and_stops);
+	tcase_add_test(tc, message_from_timer_is_delivered_at_once);
 	suite_add_tcase(suite, tc);
 	srunner_run_all(runner, CK_NORMAL);
 	failed = srunner_ntests_failed(runner);
