--- a/base/limits.h
+++ b/base/limits.h
@@ -47,6 +47,7 @@
 #define RETRY_WINDOW_MS 5000 /* half-life of "recent" for the retry budget */
 #define ROUTE_SAMPLE 8 /* servers that a choice looks at */
 #define ROUTE_HOT_PERCENT 75 /* quantile of requests in flight */
+#define ROUTE_AGE_MS 1000 /* latency without a new sample halves */
 #define EJECT_FAILURES 5 /* consecutive */
 #define EJECT_BASE_MS 1000 /* doubles up to 32 s */
 #define EJECT_SAMPLES 64 /* answers before latency is judged */
@@ -54,9 +55,10 @@
 #define MEMBERS_SAMPLE 512 /* servers in a median */
 #define QUEUE_TARGET_SHORT_MS 20 /* CoDel target of the waiting time */
 #define QUEUE_TARGET_LONG_MS 200
-#define QUEUE_SHED_FACTOR 5 /* longest wait over target while shedding */
+#define QUEUE_SHED_FACTOR 3 /* longest wait over target while shedding */
 #define QUEUE_INTERVAL_MS 100
 #define QUEUE_SHORT_LIMIT_MS 100 /* run time of short work, by default */
+#define QUEUE_SHARE_LAG_MS 50 /* of its share that a customer may lag */
 #define QUEUE_RESERVE_MIN_PERCENT 10 /* slots kept for short work */
 #define QUEUE_RESERVE_MAX_PERCENT 75
 #define SLOT_REPORT_MS 500 /* between reports of a host that has demand */
--- a/policy/rq.c
+++ b/policy/rq.c
@@ -1,5 +1,6 @@
 #include "policy/rq.h"
 
+#include <float.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
@@ -194,6 +195,14 @@
 	return limit > 0 ? limit : 1;
 }
 
+/* Most slots that long work may hold, even when it is owed a share. */
+static int hard_limit(const struct rq *rq)
+{
+	int limit = rq->slots - rq->slots * QUEUE_RESERVE_MIN_PERCENT / 100 - 1;
+
+	return limit > 0 ? limit : 1;
+}
+
 /* Slots that the class can count on. */
 static int class_slots(const struct rq *rq, enum doc_class class_)
 {
@@ -253,6 +262,39 @@
 
 /* ---- waiting ---- */
 
+static bool waits(const struct rq_customer *customer)
+{
+	return customer->lines[DOC_SHORT].waiting > 0 ||
+	       customer->lines[DOC_LONG].waiting > 0;
+}
+
+/*
+ * Idle time is not saved up: a customer without waiting work joins level
+ * with the one that is furthest behind. Use of slots that nobody waited
+ * for is free: the accounts are cleared when the whole queue is empty.
+ */
+static void join(struct rq *rq, struct rq_customer *customer)
+{
+	struct rq_customer *other;
+	bool found = false;
+	double level = 0;
+
+	if (waits(customer))
+		return;
+	if (rq->waiting == 0) {
+		list_for_each_entry(other, &rq->customers, node)
+			other->served = 0;
+		return;
+	}
+	list_for_each_entry(other, &rq->customers, node)
+		if (waits(other) && (!found || other->served < level)) {
+			level = other->served;
+			found = true;
+		}
+	if (found && customer->served < level)
+		customer->served = level;
+}
+
 /*
  * Adds a request. Returns CB_OK, or the code to refuse it with; a refused
  * item is not linked. declared_long lets a caller take the long class for
@@ -284,9 +326,7 @@
 	item->class_ = class_;
 	item->arrived_us = now_us;
 	item->deadline_us = deadline_us;
-	/* Idle time is not saved up: the customer joins at the level. */
-	if (line->waiting == 0 && line->served < cls->served)
-		line->served = cls->served;
+	join(rq, customer);
 	list_add_tail(&item->node, &line->items);
 	line->waiting++;
 	cls->waiting++;
@@ -343,7 +383,11 @@
 	return NULL;
 }
 
-/* Chooses the customer that is furthest behind its share. */
+/*
+ * Chooses the customer that is furthest behind its share. The account
+ * covers both classes: one that gets little short work done because it
+ * asks for little makes up for it with long work.
+ */
 static struct rq_item *class_next(struct rq *rq, enum doc_class class_,
 				  int64_t now_us)
 {
@@ -354,8 +398,7 @@
 		best = NULL;
 		list_for_each_entry(customer, &rq->customers, node)
 			if (customer->lines[class_].waiting > 0 &&
-			    (!best || customer->lines[class_].served <
-					      best->lines[class_].served))
+			    (!best || customer->served < best->served))
 				best = customer;
 		item = first_useful(rq, &best->lines[class_], class_, now_us);
 		if (item)
@@ -370,43 +413,88 @@
 	struct rq_class *cls = &rq->classes[item->class_];
 
 	unlink_waiting(rq, item);
-	cls->served = line->served;
-	item->cost_us = cls->mean_us;
-	line->served += (double)item->cost_us / item->customer->weight;
+	item->charged_us = cls->mean_us;
+	item->customer->served +=
+		(double)item->charged_us / item->customer->weight;
 	line->running++;
 	item->running = true;
 	item->started_us = now_us;
 	item->counts_as = item->class_;
 	cls->running++;
-	if (item->class_ == DOC_SHORT)
-		list_add_tail(&item->node, &rq->running);
-	else
-		list_init(&item->node);
+	list_add_tail(&item->node, &rq->running);
+}
+
+/*
+ * Returns the class in which a customer waits that is further behind its
+ * share, by more than the allowed lag, than any that waits in the other
+ * class; DOC_CLASSES when there is none. Stragglers of short work count as
+ * long and can fill all that short work leaves, so without this a customer
+ * with long work would get less than its share while short work of others
+ * takes more than theirs; and the reverse where long work fills the slots.
+ */
+static enum doc_class owed_class(const struct rq *rq)
+{
+	const struct rq_customer *customer;
+	double least[DOC_CLASSES] = { DBL_MAX, DBL_MAX }, lag;
+	int64_t weights = 0;
+	int i;
+
+	if (rq->classes[DOC_SHORT].waiting == 0 ||
+	    rq->classes[DOC_LONG].waiting == 0)
+		return DOC_CLASSES;
+	list_for_each_entry(customer, &rq->customers, node) {
+		weights += customer->weight;
+		for (i = 0; i < DOC_CLASSES; i++)
+			if (customer->lines[i].waiting > 0 &&
+			    customer->served < least[i])
+				least[i] = customer->served;
+	}
+	lag = (double)QUEUE_SHARE_LAG_MS * USEC_PER_MSEC * rq->slots /
+	      (weights > 0 ? weights : 1);
+	if (least[DOC_LONG] + lag < least[DOC_SHORT])
+		return DOC_LONG;
+	if (least[DOC_SHORT] + lag < least[DOC_LONG])
+		return DOC_SHORT;
+	return DOC_CLASSES;
+}
+
+/* Chooses the class of the next item; DOC_CLASSES for none. */
+static enum doc_class next_class(const struct rq *rq)
+{
+	const struct rq_class *shorts = &rq->classes[DOC_SHORT];
+	const struct rq_class *longs = &rq->classes[DOC_LONG];
+	bool long_may = longs->waiting > 0 && longs->running < long_limit(rq);
+
+	enum doc_class owed = owed_class(rq);
+
+	if (owed == DOC_LONG && longs->running < hard_limit(rq))
+		return DOC_LONG;
+	if (shorts->waiting > 0 && (owed == DOC_SHORT || !long_may ||
+				    shorts->running < rq_reserved(rq)))
+		return DOC_SHORT;
+	return long_may ? DOC_LONG : DOC_CLASSES;
 }
 
 /*
  * Returns the next item to start, already counted as running, or NULL.
  * Short work goes first up to its reserved slots, then long work up to the
- * rest, and short work may use what long work leaves.
+ * rest, and short work may use what long work leaves. A customer that is
+ * owed its share goes before that, up to the least reserve.
  */
 struct rq_item *rq_take(struct rq *rq, int free_slots, int slots,
 			int64_t now_us)
 {
-	struct rq_class *classes = rq->classes;
 	struct rq_item *item = NULL;
-	bool long_may;
+	enum doc_class class_;
 
 	rq->slots = slots;
 	measure_demand(rq, now_us);
-	if (free_slots <= 0)
-		return NULL;
-	long_may = classes[DOC_LONG].running < long_limit(rq);
-	if (!long_may || classes[DOC_SHORT].running < rq_reserved(rq))
-		item = class_next(rq, DOC_SHORT, now_us);
-	if (!item && long_may)
-		item = class_next(rq, DOC_LONG, now_us);
-	if (!item)
-		item = class_next(rq, DOC_SHORT, now_us);
+	while (free_slots > 0 && !item) {
+		class_ = next_class(rq);
+		if (class_ == DOC_CLASSES)
+			return NULL;
+		item = class_next(rq, class_, now_us);
+	}
 	if (item)
 		start(rq, item, now_us);
 	return item;
@@ -426,7 +514,8 @@
 	struct rq_line *line = &item->customer->lines[item->class_];
 
 	stop_running(rq, item);
-	line->served -= (double)item->cost_us / item->customer->weight;
+	item->customer->served -=
+		(double)item->charged_us / item->customer->weight;
 	list_add(&item->node, &line->items);
 	line->waiting++;
 	rq->classes[item->class_].waiting++;
@@ -443,15 +532,37 @@
 	int64_t run_us = now_us - item->started_us;
 
 	stop_running(rq, item);
-	customer->lines[item->class_].served +=
-		(double)(run_us - item->cost_us) / customer->weight;
+	customer->served +=
+		(double)(run_us - item->charged_us) / customer->weight;
 	if (whole)
 		learn(rq, item, run_us);
 	item->customer = NULL;
 	customer_unref(customer);
 }
 
-/* Refuses expired work and counts overrunning short work as long. */
+/*
+ * Charges slot time beyond what was expected while it is used: a few
+ * stragglers can hold most slots for seconds before any of them ends.
+ * Short work that overruns its limit counts as long from here on.
+ */
+static void charge_running(struct rq *rq, struct rq_item *item, int64_t now_us)
+{
+	int64_t run_us = now_us - item->started_us;
+
+	if (run_us > item->charged_us) {
+		item->customer->served += (double)(run_us - item->charged_us) /
+					  item->customer->weight;
+		item->charged_us = run_us;
+	}
+	if (item->counts_as == DOC_SHORT &&
+	    run_us > item->service->short_limit_us) {
+		item->counts_as = DOC_LONG;
+		rq->classes[DOC_SHORT].running--;
+		rq->classes[DOC_LONG].running++;
+	}
+}
+
+/* Refuses expired work and keeps account of running work. */
 void rq_tick(struct rq *rq, int64_t now_us)
 {
 	struct rq_customer *customer, *c_tmp;
@@ -459,14 +570,8 @@
 	int i;
 
 	measure_demand(rq, now_us);
-	list_for_each_entry_safe(item, tmp, &rq->running, node) {
-		if (now_us - item->started_us <= item->service->short_limit_us)
-			continue;
-		list_del(&item->node);
-		item->counts_as = DOC_LONG;
-		rq->classes[DOC_SHORT].running--;
-		rq->classes[DOC_LONG].running++;
-	}
+	list_for_each_entry(item, &rq->running, node)
+		charge_running(rq, item, now_us);
 	list_for_each_entry_safe(customer, c_tmp, &rq->customers, node) {
 		customer->refs++;
 		for (i = 0; i < DOC_CLASSES; i++)
--- a/policy/rq.h
+++ b/policy/rq.h
@@ -22,7 +22,6 @@
 	struct list_head items; /* oldest first */
 	int waiting;
 	int running;
-	double served; /* slot time received over weight, in us */
 	int64_t above_since_us; /* the wait has exceeded the target; 0: no */
 	bool shedding;
 };
@@ -31,6 +30,7 @@
 	struct list_head node;
 	char name[NAME_MAX_BYTES];
 	int weight;
+	double served; /* slot time received over weight, in us */
 	bool removed;
 	int refs; /* items waiting or running */
 	struct rq_line lines[DOC_CLASSES];
@@ -50,7 +50,6 @@
 struct rq_class {
 	int waiting;
 	int running;
-	double served; /* level at which an idle customer joins */
 	int64_t mean_us; /* moving average of slot time */
 	int64_t arrived_us; /* slot time that arrived in this window */
 	int64_t demand_milli; /* slots that would hold the arrivals */
@@ -67,14 +66,14 @@
 	int64_t arrived_us;
 	int64_t deadline_us;
 	int64_t started_us;
-	int64_t cost_us; /* charged at the start */
+	int64_t charged_us; /* slot time charged so far */
 };
 
 struct rq {
 	const struct rq_ops *ops;
 	struct list_head customers;
 	struct list_head services;
-	struct list_head running; /* short work, for overruns */
+	struct list_head running;
 	struct rq_class classes[DOC_CLASSES];
 	int waiting;
 	int slots; /* usable now */
--- a/policy/rt.c
+++ b/policy/rt.c
@@ -1,54 +1,44 @@
 #include "policy/rt.h"
 
+#include <stdlib.h>
+
 #include "base/limits.h"
 
-/* Estimated time until one more request would be done. */
-static int64_t load_of(const struct rt_server *server)
+static int cmp_int(const void *a, const void *b)
 {
-	int64_t latency = server->latency_us > 0 ? server->latency_us : 1;
-
-	return (server->in_flight + 1) * latency;
+	return *(const int *)a - *(const int *)b;
 }
 
-static struct rt_server *two_choices(struct rt_server *const *usable, size_t n,
-				     GRand *rand)
+/*
+ * Latency as far as it is still believed. It halves for each period
+ * without a sample, so that a server that was slow once is tried again.
+ */
+static int64_t aged_latency(const struct rt_server *server, int64_t now_us)
 {
-	struct rt_server *a, *b;
-	gint32 i, j;
-
-	i = g_rand_int_range(rand, 0, (gint32)n);
-	if (n == 1)
-		return usable[i];
-	j = g_rand_int_range(rand, 0, (gint32)n - 1);
-	if (j >= i)
-		j++;
-	a = usable[i];
-	b = usable[j];
-	if (a->in_flight != b->in_flight)
-		return a->in_flight < b->in_flight ? a : b;
-	return load_of(a) <= load_of(b) ? a : b;
-}
+	int64_t periods =
+		(now_us - server->sampled_us) / (ROUTE_AGE_MS * USEC_PER_MSEC);
 
-static int cmp_int(const void *a, const void *b)
-{
-	return *(const int *)a - *(const int *)b;
+	return periods < 40 ? server->latency_us >> periods : 0;
 }
 
 /*
- * Prequal's rule on a sample of servers: those whose requests in flight
- * are above the sample's quantile are hot; the cold server with the lowest
- * latency is taken, and only when all are hot the one with the fewest
- * requests in flight.
+ * Chooses among the n servers that have a free slot; NULL when n is 0.
+ * Prequal's rule (NSDI 2024) on a random sample: servers whose requests in
+ * flight are above the sample's quantile are hot; the cold one with the
+ * lowest latency is taken.
  */
-static struct rt_server *hot_cold(struct rt_server *const *usable, size_t n,
-				  GRand *rand)
+struct rt_server *rt_pick(struct rt_server *const *usable, size_t n,
+			  GRand *rand, int64_t now_us)
 {
 	struct rt_server *sample[ROUTE_SAMPLE], *best = NULL;
 	int flights[ROUTE_SAMPLE] = { 0 };
 	int limit;
 	size_t k, m = n < ROUTE_SAMPLE ? n : ROUTE_SAMPLE;
-	gint32 at = g_rand_int_range(rand, 0, (gint32)n);
+	gint32 at;
 
+	if (n == 0)
+		return NULL;
+	at = g_rand_int_range(rand, 0, (gint32)n);
 	for (k = 0; k < m; k++) {
 		if (m < n)
 			at = g_rand_int_range(rand, 0, (gint32)n);
@@ -61,21 +51,12 @@
 	limit = flights[(m - 1) * ROUTE_HOT_PERCENT / 100];
 	for (k = 0; k < m; k++)
 		if (sample[k]->in_flight <= limit &&
-		    (!best || sample[k]->latency_us < best->latency_us))
+		    (!best || aged_latency(sample[k], now_us) <
+				      aged_latency(best, now_us)))
 			best = sample[k];
 	return best;
 }
 
-struct rt_server *rt_pick(enum rt_rule rule, struct rt_server *const *usable,
-			  size_t n, GRand *rand)
-{
-	if (n == 0)
-		return NULL;
-	if (rule == RT_HOT_COLD)
-		return hot_cold(usable, n, rand);
-	return two_choices(usable, n, rand);
-}
-
 /* Counts a request that was sent to the server. */
 void rt_start(struct rt_server *server)
 {
@@ -86,7 +67,7 @@
  * Counts the end of a request. run_us is its run time; 0 for one that says
  * nothing about the server's speed (refused at once, given up).
  */
-void rt_end(struct rt_server *server, int64_t run_us)
+void rt_end(struct rt_server *server, int64_t run_us, int64_t now_us)
 {
 	server->in_flight--;
 	if (run_us <= 0)
@@ -95,4 +76,5 @@
 		server->latency_us = run_us;
 	else
 		server->latency_us += (run_us - server->latency_us) / 8;
+	server->sampled_us = now_us;
 }
--- a/policy/rt.h
+++ b/policy/rt.h
@@ -6,21 +6,16 @@
 
 #include <glib.h>
 
-enum rt_rule { RT_TWO_CHOICES, RT_HOT_COLD };
-
 /* What the choice knows of a server; embedded in the caller's record. */
 struct rt_server {
 	int in_flight;
 	int64_t latency_us; /* moving average of run times, 0: no sample */
+	int64_t sampled_us; /* when the last sample came */
 };
 
-/*
- * Chooses among the n servers that have a free slot; NULL when n is 0.
- * Ties are broken at random so that equal hosts do not march in step.
- */
-struct rt_server *rt_pick(enum rt_rule rule, struct rt_server *const *usable,
-			  size_t n, GRand *rand);
+struct rt_server *rt_pick(struct rt_server *const *usable, size_t n,
+			  GRand *rand, int64_t now_us);
 void rt_start(struct rt_server *server);
-void rt_end(struct rt_server *server, int64_t run_us);
+void rt_end(struct rt_server *server, int64_t run_us, int64_t now_us);
 
 #endif
--- a/tests/unit/test_rq.c
+++ b/tests/unit/test_rq.c
@@ -123,6 +123,58 @@
 }
 END_TEST
 
+/* Offers a request that may be refused. */
+static void offer(int i, const char *customer, enum doc_class class_,
+		  int64_t now_us)
+{
+	rq_put(&rq, &items[i], rq_customer_find(&rq, customer),
+	       rq_service_get(&rq, class_ == DOC_LONG ? "batch" : "web", class_,
+			      0),
+	       false, now_us + 60000 * MS, now_us);
+}
+
+/*
+ * Guards against short work of one customer that takes the slots which
+ * another is owed for long work, because its stragglers count as long, and
+ * against the reverse.
+ */
+START_TEST(long_work_gets_its_share)
+{
+	struct rq_item *item, *running[8] = { 0 };
+	int64_t now = 0, used[2] = { 0 };
+	int i, n = 0, free_slots;
+
+	rq_customer_set(&rq, "a", 1);
+	rq_customer_set(&rq, "b", 1);
+	/* Each short run overruns and takes as long as a long one. */
+	for (; now < 20000 * MS; now += 10 * MS) {
+		for (i = 0, free_slots = 0; i < 8; i++) {
+			item = running[i];
+			/* Slots that end together would show gaps only. */
+			if (item &&
+			    now - item->started_us >= (150 + 15 * i) * MS) {
+				used[item->customer->name[0] - 'a'] +=
+					now - item->started_us;
+				rq_done(&rq, item, false, now);
+				running[i] = NULL;
+			}
+			free_slots += !running[i];
+		}
+		rq_tick(&rq, now);
+		/* Much short work raises the slots that are reserved for it. */
+		for (i = 0; i < (_i ? 6 : 1); i++)
+			offer(n++ % 4000, "a", DOC_SHORT, now);
+		offer(4000 + n++ % 4000, "b", DOC_LONG, now);
+		for (i = 0; i < 8; i++)
+			if (!running[i] &&
+			    (running[i] = rq_take(&rq, free_slots, 8, now)))
+				free_slots--;
+	}
+	ck_assert_int_ge(used[1] * 100, (used[0] + used[1]) * 45);
+	ck_assert_int_ge(used[0] * 100, (used[0] + used[1]) * 45);
+}
+END_TEST
+
 /* Guards against a declared class that does not fit the observed runs. */
 START_TEST(class_is_learned_from_runs)
 {
@@ -214,6 +266,7 @@
 	tcase_add_test(tc, customers_get_their_weight);
 	tcase_add_test(tc, idle_time_is_not_saved);
 	tcase_add_test(tc, slots_stay_reserved_for_short);
+	tcase_add_loop_test(tc, long_work_gets_its_share, 0, 2);
 	tcase_add_test(tc, class_is_learned_from_runs);
 	tcase_add_test(tc, hopeless_work_is_refused_early);
 	tcase_add_test(tc, standing_queue_is_shed);
--- a/tests/unit/test_rt.c
+++ b/tests/unit/test_rt.c
@@ -1,11 +1,12 @@
 #include <check.h>
 #include <stdlib.h>
 
+#include "base/limits.h"
 #include "policy/rt.h"
 
 #define SERVERS 50
 
-static int share_of_slow(enum rt_rule rule)
+static int share_of_slow(int64_t now_us)
 {
 	struct rt_server servers[SERVERS] = { 0 };
 	struct rt_server *usable[SERVERS];
@@ -20,7 +21,7 @@
 		servers[i].in_flight = i < 10 ? 3 : i % 3;
 	}
 	for (i = 0; i < 10000; i++) {
-		chosen = rt_pick(rule, usable, SERVERS, rand);
+		chosen = rt_pick(usable, SERVERS, rand, now_us);
 		ck_assert_ptr_nonnull(chosen);
 		slow += chosen - servers < 10;
 	}
@@ -32,8 +33,21 @@
 START_TEST(slow_servers_are_avoided)
 {
 	/* An even choice would give them 2000. */
-	ck_assert_int_le(share_of_slow(RT_TWO_CHOICES), 500);
-	ck_assert_int_le(share_of_slow(RT_HOT_COLD), 500);
+	ck_assert_int_le(share_of_slow(0), 500);
+}
+END_TEST
+
+/* Guards against never using a server again that was slow once. */
+START_TEST(old_latency_is_forgotten)
+{
+	struct rt_server two[2] = { { 0, 500000, 0 }, { 0, 10000, 0 } };
+	struct rt_server *usable[] = { &two[0], &two[1] };
+	GRand *rand = g_rand_new_with_seed(7);
+
+	ck_assert_ptr_eq(rt_pick(usable, 2, rand, 0), &two[1]);
+	two[1].sampled_us = 10 * ROUTE_AGE_MS * USEC_PER_MSEC;
+	ck_assert_ptr_eq(rt_pick(usable, 2, rand, two[1].sampled_us), &two[0]);
+	g_rand_free(rand);
 }
 END_TEST
 
@@ -43,14 +57,13 @@
 	struct rt_server one = { 0 }, *usable = &one;
 	GRand *rand = g_rand_new_with_seed(7);
 
-	ck_assert_ptr_null(rt_pick(RT_TWO_CHOICES, &usable, 0, rand));
-	ck_assert_ptr_eq(rt_pick(RT_TWO_CHOICES, &usable, 1, rand), &one);
-	ck_assert_ptr_eq(rt_pick(RT_HOT_COLD, &usable, 1, rand), &one);
+	ck_assert_ptr_null(rt_pick(&usable, 0, rand, 0));
+	ck_assert_ptr_eq(rt_pick(&usable, 1, rand, 0), &one);
 	rt_start(&one);
-	rt_end(&one, 0);
+	rt_end(&one, 0, 5);
 	ck_assert_int_eq(one.latency_us, 0);
 	rt_start(&one);
-	rt_end(&one, 1000);
+	rt_end(&one, 1000, 5);
 	ck_assert_int_eq(one.latency_us, 1000);
 	ck_assert_int_eq(one.in_flight, 0);
 	g_rand_free(rand);
@@ -65,6 +78,7 @@
 	int failed;
 
 	tcase_add_test(tc, slow_servers_are_avoided);
+	tcase_add_test(tc, old_latency_is_forgotten);
 	tcase_add_test(tc, few_servers_and_samples);
 	suite_add_tcase(suite, tc);
 	srunner_run_all(runner, CK_NORMAL);
