Add the leadership service

Promise and ask are [epoch, term ms, sent_us], so that the leader counts a promise from its own ask.

--- /dev/null
+++ b/daemon/lead.c
@@ -0,0 +1,564 @@
+#include "daemon/lead.h"
+
+#include <inttypes.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "base/err.h"
+#include "base/ev.h"
+#include "base/log.h"
+#include "daemon/svc.h"
+#include "policy/ld.h"
+#include "wire/pr.h"
+
+#define KEY_BYTES 256
+
+/* Who leads a data centre, as its hosts say in heartbeats. */
+struct lead_known {
+	char dc[NAME_MAX_BYTES];
+	char host[NAME_MAX_BYTES];
+	uint64_t epoch;
+};
+
+struct lead {
+	struct kn_task task;
+	const struct set *set;
+	struct kv *kv;
+	struct kn_task *peers;
+	uint64_t incarnation;
+	GRand *rand;
+	struct ld ld;
+	const char *names[PEERS_MAX]; /* hosts of this data centre, as in ld */
+	size_t name_count;
+	GArray *known; /* struct lead_known, this data centre first */
+	GPtrArray *subscribers;
+	struct kn_timer tick;
+	int64_t next_ask_us;
+	int64_t drain_until_us;
+	bool draining;
+	char leader_key[KEY_BYTES];
+	char epoch_key[KEY_BYTES];
+	char value[KEY_BYTES];
+	char epoch_text[24];
+	struct kv_call call;
+	enum ld_call_kind kind; /* of the store call in progress */
+	struct svc_lead said; /* published last */
+	struct ctr acting;
+	struct ctr changes;
+};
+
+static struct lead *to_lead(struct kn_task *task)
+{
+	return (struct lead *)task;
+}
+
+/* ---- publishing ---- */
+
+static void free_msg(struct kn_msg *msg)
+{
+	g_free(container_of(msg, struct svc_lead, msg));
+}
+
+static void send_to(struct lead *lead, struct kn_task *to)
+{
+	struct svc_lead *out = g_new0(struct svc_lead, 1);
+
+	*out = lead->said;
+	out->msg.type = SVC_LEAD_CHANGED;
+	out->msg.release = free_msg;
+	kn_send(to, &lead->task, &out->msg);
+}
+
+static struct lead_known *known_of(struct lead *lead, const char *dc)
+{
+	struct lead_known *known, fresh = { 0 };
+	guint i;
+
+	for (i = 0; i < lead->known->len; i++) {
+		known = &g_array_index(lead->known, struct lead_known, i);
+		if (strcmp(known->dc, dc) == 0)
+			return known;
+	}
+	g_strlcpy(fresh.dc, dc, sizeof(fresh.dc));
+	g_array_append_val(lead->known, fresh);
+	return &g_array_index(lead->known, struct lead_known, i);
+}
+
+/* What subscribers should know now. */
+static void fill_state(struct lead *lead, int64_t now_us, struct svc_lead *out)
+{
+	struct lead_known *known = known_of(lead, lead->set->dc);
+
+	memset(out, 0, sizeof(*out));
+	out->valid_until_us = ld_valid_until(&lead->ld, now_us);
+	out->leading = out->valid_until_us != 0;
+	if (out->leading) {
+		known->epoch = lead->ld.epoch;
+		g_strlcpy(known->host, lead->set->host, sizeof(known->host));
+	} else if (strcmp(known->host, lead->set->host) == 0) {
+		known->host[0] = '\0';
+	}
+	out->epoch = known->epoch;
+	g_strlcpy(out->leader, known->host, sizeof(out->leader));
+}
+
+static void emit_change(struct lead *lead)
+{
+	bool leading = lead->said.leading;
+
+	ev_emit(leading ? "leader.gained" : "leader.lost", "epoch=%" PRIu64,
+		lead->ld.epoch);
+	ctr_add(&lead->changes, 1);
+	ctr_gauge(&lead->acting, leading);
+	pr_set_epoch(lead->peers, leading ? lead->ld.epoch : 0);
+}
+
+/* Tells the subscribers if anything differs from what was said last. */
+static void publish(struct lead *lead, int64_t now_us)
+{
+	const struct svc_lead *said = &lead->said;
+	struct svc_lead now;
+	bool gained_or_lost;
+	guint i;
+
+	fill_state(lead, now_us, &now);
+	gained_or_lost = now.leading != said->leading ||
+			 (now.leading && now.epoch != said->epoch);
+	if (!gained_or_lost && now.epoch == said->epoch &&
+	    now.valid_until_us == said->valid_until_us &&
+	    strcmp(now.leader, said->leader) == 0)
+		return;
+	lead->said = now;
+	if (gained_or_lost)
+		emit_change(lead);
+	for (i = 0; i < lead->subscribers->len; i++)
+		send_to(lead, lead->subscribers->pdata[i]);
+}
+
+/* A host says that it leads with an epoch, 0 that it does not lead. */
+static void heard_leader(struct lead *lead, const char *dc, const char *host,
+			 uint64_t epoch)
+{
+	struct lead_known *known = known_of(lead, dc);
+
+	if (epoch && epoch >= known->epoch) {
+		g_strlcpy(known->host, host, sizeof(known->host));
+		known->epoch = epoch;
+	} else if (!epoch && strcmp(known->host, host) == 0) {
+		known->host[0] = '\0';
+	}
+}
+
+/* ---- peers ---- */
+
+static int peer_index(const struct lead *lead, const char *host)
+{
+	size_t i;
+
+	for (i = 0; i < lead->name_count; i++)
+		if (strcmp(lead->names[i], host) == 0)
+			return (int)i;
+	return -1;
+}
+
+/* Both messages are [epoch, term ms, sent_us of the ask]. */
+static void pack3(msgpack_sbuffer *out, uint64_t epoch, int64_t term_ms,
+		  int64_t sent_us)
+{
+	msgpack_packer pk;
+
+	msgpack_sbuffer_init(out);
+	msgpack_packer_init(&pk, out, msgpack_sbuffer_write);
+	msgpack_pack_array(&pk, 3);
+	msgpack_pack_uint64(&pk, epoch);
+	msgpack_pack_int64(&pk, term_ms);
+	msgpack_pack_int64(&pk, sent_us);
+}
+
+static bool unpack_uints(const msgpack_object *body, uint64_t *out, uint32_t n)
+{
+	uint32_t i;
+
+	if (body->type != MSGPACK_OBJECT_ARRAY || body->via.array.size < n)
+		return false;
+	for (i = 0; i < n; i++) {
+		const msgpack_object *f = &body->via.array.ptr[i];
+
+		if (f->type != MSGPACK_OBJECT_POSITIVE_INTEGER ||
+		    f->via.u64 > INT64_MAX)
+			return false;
+		out[i] = f->via.u64;
+	}
+	return true;
+}
+
+/* A term of 0 tells the others that this host leads no more. */
+static void ask_all(struct lead *lead, int64_t now_us, int64_t term_ms)
+{
+	msgpack_sbuffer body;
+
+	lead->next_ask_us = now_us + LEADER_ASK_MS * USEC_PER_MSEC;
+	pack3(&body, lead->ld.epoch, term_ms, now_us);
+	pr_send_dc(lead->peers, lead->set->dc, PR_PROMISE_ASK, &body);
+	msgpack_sbuffer_destroy(&body);
+}
+
+static void take_ask(struct lead *lead, int64_t now_us, const struct pr_in *in,
+		     int from, const uint64_t f[3])
+{
+	msgpack_sbuffer body;
+
+	if (f[1] > LEADER_PROMISE_MS)
+		return;
+	if (!ld_asked(&lead->ld, now_us, (size_t)from, f[0],
+		      (int64_t)f[1] * USEC_PER_MSEC))
+		return;
+	pack3(&body, f[0], (int64_t)f[1], (int64_t)f[2]);
+	pr_send(lead->peers, in->host, PR_PROMISE, &body);
+	msgpack_sbuffer_destroy(&body);
+}
+
+static void take_in(struct lead *lead, int64_t now_us, const struct pr_in *in)
+{
+	int from = peer_index(lead, in->host);
+	uint64_t f[4];
+
+	if (!unpack_uints(&in->body.data, f, in->type == PR_HEARTBEAT ? 4 : 3))
+		return;
+	if (in->type == PR_HEARTBEAT) {
+		heard_leader(lead, in->dc, in->host, f[3]);
+		if (from >= 0)
+			ld_saw_epoch(&lead->ld, f[3]);
+		return;
+	}
+	if (from >= 0 && in->type == PR_PROMISE_ASK)
+		take_ask(lead, now_us, in, from, f);
+	else if (from >= 0 && in->type == PR_PROMISE &&
+		 f[1] <= LEADER_PROMISE_MS)
+		ld_promised(&lead->ld, now_us, (size_t)from, (int64_t)f[2],
+			    (int64_t)f[1] * USEC_PER_MSEC);
+}
+
+/* ---- store ---- */
+
+static void advance(struct lead *lead);
+
+static const struct kv_item *find_item(const struct kv_call *call,
+				       const char *key)
+{
+	size_t i;
+
+	for (i = 0; i < call->count; i++)
+		if (strcmp(call->items[i].key, key) == 0)
+			return &call->items[i];
+	return NULL;
+}
+
+/* The leader key holds host/incarnation/attempt. */
+static void read_holder(struct lead *lead, const struct kv_item *item,
+			struct ld_reply *reply)
+{
+	char **part = g_strsplit(item->value, "/", 3);
+
+	reply->held = true;
+	if (g_strv_length(part) == 3) {
+		reply->own = strcmp(part[0], lead->set->host) == 0 &&
+			     g_ascii_strtoull(part[1], NULL, 10) ==
+				     lead->incarnation;
+		reply->attempt = g_ascii_strtoull(part[2], NULL, 10);
+	}
+	g_strfreev(part);
+}
+
+static void fill_read(struct lead *lead, struct ld_reply *reply)
+{
+	const struct kv_item *item;
+
+	item = find_item(&lead->call, lead->epoch_key);
+	if (item && item->value) {
+		reply->epoch = g_ascii_strtoull(item->value, NULL, 10);
+		reply->epoch_mod = item->mod_revision;
+	}
+	item = find_item(&lead->call, lead->leader_key);
+	if (item && item->value)
+		read_holder(lead, item, reply);
+}
+
+static void call_done(struct kv_call *call)
+{
+	struct lead *lead = call->user;
+	struct ld_reply reply = { .lease = call->lease,
+				  .ttl_us = call->ttl_s * USEC_PER_SEC,
+				  .succeeded = call->succeeded };
+	int64_t now_us = kn_now_us();
+
+	if (call->result == CB_E_TIMEOUT)
+		reply.outcome = LD_UNKNOWN;
+	else if (call->result != CB_OK)
+		reply.outcome = LD_NO_EFFECT;
+	else if (lead->kind == LD_CALL_READ)
+		fill_read(lead, &reply);
+	if (call->result != CB_OK)
+		log_info("leader.store", "call=%d result=%s", lead->kind,
+			 cb_result_name(call->result));
+	lead->kind = LD_CALL_NONE;
+	ld_tick(&lead->ld, now_us);
+	ld_reply(&lead->ld, now_us, &reply);
+	advance(lead);
+}
+
+static void start_read(struct lead *lead)
+{
+	const struct kv_op ops[] = {
+		{ .kind = KV_RANGE, .key = lead->leader_key },
+		{ .kind = KV_RANGE, .key = lead->epoch_key },
+	};
+
+	lead->kv->ops->txn(lead->kv, &lead->call, NULL, 0, ops, 2, NULL, 0);
+}
+
+static void start_take(struct lead *lead, const struct ld_call *call)
+{
+	const struct kv_cmp cmps[] = {
+		{ .key = lead->leader_key },
+		{ .key = lead->epoch_key, .mod_revision = call->epoch_mod },
+	};
+	struct kv_op ops[] = {
+		{ .kind = KV_PUT,
+		  .key = lead->leader_key,
+		  .value = lead->value,
+		  .lease = call->lease },
+		{ .kind = KV_PUT,
+		  .key = lead->epoch_key,
+		  .value = lead->epoch_text },
+	};
+
+	snprintf(lead->value, sizeof(lead->value), "%s/%" PRIu64 "/%" PRIu64,
+		 lead->set->host, lead->incarnation, call->attempt);
+	snprintf(lead->epoch_text, sizeof(lead->epoch_text), "%" PRIu64,
+		 call->epoch);
+	ops[0].len = strlen(lead->value);
+	ops[1].len = strlen(lead->epoch_text);
+	lead->kv->ops->txn(lead->kv, &lead->call, cmps, 2, ops, 2, NULL, 0);
+}
+
+static void start_call(struct lead *lead, const struct ld_call *call)
+{
+	struct kv *kv = lead->kv;
+
+	memset(&lead->call, 0, sizeof(lead->call));
+	lead->call.done = call_done;
+	lead->call.user = lead;
+	lead->kind = call->kind;
+	switch (call->kind) {
+	case LD_CALL_READ:
+		start_read(lead);
+		break;
+	case LD_CALL_GRANT:
+		kv->ops->grant(kv, &lead->call, LEADER_LEASE_MS / 1000);
+		break;
+	case LD_CALL_TAKE:
+		start_take(lead, call);
+		break;
+	case LD_CALL_RENEW:
+		kv->ops->keepalive(kv, &lead->call, call->lease);
+		break;
+	case LD_CALL_RELEASE:
+		kv->ops->revoke(kv, &lead->call, call->lease);
+		break;
+	case LD_CALL_NONE:
+		break;
+	}
+}
+
+/* ---- advancing ---- */
+
+static void check_drained(struct lead *lead, int64_t now_us)
+{
+	if (!lead->draining || lead->task.drained)
+		return;
+	if (ld_drained(&lead->ld) || now_us >= lead->drain_until_us)
+		kn_drained(&lead->task);
+}
+
+/* Makes what is due: a store call, an ask, a publication. */
+static void advance(struct lead *lead)
+{
+	int64_t now_us = kn_now_us();
+	bool was_leading = lead->said.leading;
+	struct ld_call call;
+
+	ld_next(&lead->ld, now_us, &call);
+	if (call.kind != LD_CALL_NONE)
+		start_call(lead, &call);
+	publish(lead, now_us);
+	if (lead->ld.leading &&
+	    (now_us >= lead->next_ask_us || lead->said.leading != was_leading))
+		ask_all(lead, now_us, LEADER_PROMISE_MS);
+	check_drained(lead, now_us);
+}
+
+static void check_freeze(struct lead *lead)
+{
+	if (ld_tick(&lead->ld, kn_now_us()))
+		ev_emit("leader.frozen", "epoch=%" PRIu64, lead->ld.epoch);
+}
+
+static void tick(struct kn_timer *timer)
+{
+	struct lead *lead = container_of(timer, struct lead, tick);
+
+	kn_timer_set(lead->task.kn, timer, LEADER_TICK_MS * USEC_PER_MSEC,
+		     tick);
+	check_freeze(lead);
+	advance(lead);
+}
+
+/* ---- operators' calls ---- */
+
+static json_t *leader_json(const struct lead_known *known)
+{
+	json_t *host = *known->host ? json_string(known->host) : json_null();
+
+	return json_pack("{s:s,s:o,s:I}", "dc", known->dc, "leader", host,
+			 "epoch", (json_int_t)known->epoch);
+}
+
+static void answer(struct lead *lead, struct svc_api_call *call)
+{
+	struct lead_known *known;
+	json_t *list;
+	guint i;
+
+	if (strcmp(call->path, "/v1/leaders") != 0) {
+		svc_api_fail(call, &lead->task, CB_E_UNKNOWN_PATH, "%s",
+			     call->path);
+		return;
+	}
+	if (strcmp(call->method, "GET") != 0) {
+		svc_api_fail(call, &lead->task, CB_E_METHOD, "only GET");
+		return;
+	}
+	list = json_array();
+	for (i = 0; i < lead->known->len; i++) {
+		known = &g_array_index(lead->known, struct lead_known, i);
+		json_array_append_new(list, leader_json(known));
+	}
+	svc_api_answer(call, &lead->task, 200,
+		       json_pack("{s:o}", "leaders", list));
+}
+
+/* ---- life ---- */
+
+static void lead_receive(struct kn_task *task, struct kn_msg *msg)
+{
+	struct lead *lead = to_lead(task);
+
+	check_freeze(lead);
+	switch (msg->type) {
+	case SVC_SUBSCRIBE:
+		g_ptr_array_add(lead->subscribers, msg->from);
+		send_to(lead, msg->from);
+		break;
+	case SVC_API_CALL:
+		answer(lead, (struct svc_api_call *)msg);
+		return;
+	case PR_MSG_UP:
+		lead->next_ask_us = 0;
+		break;
+	case PR_MSG_DOWN:
+		heard_leader(lead, ((struct pr_status *)msg)->dc,
+			     ((struct pr_status *)msg)->host, 0);
+		break;
+	case PR_MSG_IN:
+		take_in(lead, kn_now_us(), (struct pr_in *)msg);
+		break;
+	}
+	kn_msg_release(msg);
+	advance(lead);
+}
+
+static bool lead_start(struct kn_task *task, GError **err)
+{
+	struct lead *lead = to_lead(task);
+
+	lead->peers = kn_find(task->kn, SVC_PEERS);
+	pr_subscribe(lead->peers, task, 0);
+	pr_subscribe(lead->peers, task, PR_HEARTBEAT);
+	pr_subscribe(lead->peers, task, PR_PROMISE_ASK);
+	pr_subscribe(lead->peers, task, PR_PROMISE);
+	ld_init(&lead->ld, lead->name_count, lead->rand, kn_now_us());
+	kn_timer_set(task->kn, &lead->tick, 0, tick);
+	return true;
+}
+
+/* The others may take over at once, and the lease is given back. */
+static void lead_drain(struct kn_task *task)
+{
+	struct lead *lead = to_lead(task);
+	int64_t now_us = kn_now_us();
+	bool was_leading = lead->ld.leading;
+
+	lead->draining = true;
+	lead->drain_until_us = now_us + LEADER_DRAIN_MS * USEC_PER_MSEC;
+	ld_drain(&lead->ld, now_us);
+	if (was_leading)
+		ask_all(lead, now_us, 0);
+	advance(lead);
+}
+
+static void lead_finish(struct kn_task *task)
+{
+	struct lead *lead = to_lead(task);
+
+	kn_timer_cancel(&lead->tick);
+	ctr_finish(&lead->acting);
+	ctr_finish(&lead->changes);
+	g_ptr_array_unref(lead->subscribers);
+	g_array_unref(lead->known);
+	g_rand_free(lead->rand);
+	g_free(lead);
+}
+
+static const struct kn_task_ops lead_ops = {
+	.start = lead_start,
+	.receive = lead_receive,
+	.drain = lead_drain,
+	.finish = lead_finish,
+};
+
+/*
+ * Makes the leadership service and registers it. A store call may be in
+ * progress when it finishes, so kv is freed before kn_finish().
+ */
+struct kn_task *lead_new(struct kn *kn, const struct set *set, struct kv *kv,
+			 uint64_t incarnation)
+{
+	struct lead *lead = g_new0(struct lead, 1);
+	size_t i;
+
+	lead->set = set;
+	lead->kv = kv;
+	lead->incarnation = incarnation;
+	lead->rand = set->seed ? g_rand_new_with_seed((guint32)set->seed ^
+						      g_str_hash(set->host)) :
+				 g_rand_new();
+	lead->known = g_array_new(FALSE, FALSE, sizeof(struct lead_known));
+	lead->subscribers = g_ptr_array_new();
+	for (i = 0; i < set->peer_count; i++)
+		if (strcmp(set->peers[i].dc, set->dc) == 0)
+			lead->names[lead->name_count++] = set->peers[i].host;
+	snprintf(lead->leader_key, sizeof(lead->leader_key),
+		 "/chivebank/dc/%s/leader", set->dc);
+	snprintf(lead->epoch_key, sizeof(lead->epoch_key),
+		 "/chivebank/dc/%s/epoch", set->dc);
+	known_of(lead, set->dc);
+	kn_add(kn, &lead->task, SVC_LEAD, &lead_ops);
+	ctr_init(&lead->acting, &kn->counters, CTR_GAUGE,
+		 "chivebank_leader_acting", NULL,
+		 "1 while this host leads its data centre");
+	ctr_init(&lead->changes, &kn->counters, CTR_COUNTER,
+		 "chivebank_leader_changes_total", NULL,
+		 "Times this host began or ended to lead");
+	return &lead->task;
+}
--- /dev/null
+++ b/daemon/lead.h
@@ -0,0 +1,12 @@
+#ifndef DAEMON_LEAD_H
+#define DAEMON_LEAD_H
+
+#include "base/kn.h"
+#include "base/set.h"
+#include "wire/kv.h"
+
+/* Makes the leadership service, "lead". Add it after "peers". */
+struct kn_task *lead_new(struct kn *kn, const struct set *set, struct kv *kv,
+			 uint64_t incarnation);
+
+#endif
