--- a/base/limits.h
+++ b/base/limits.h
@@ -26,6 +26,17 @@
 #define HTTP_IDLE_TIMEOUT_MS 60000
 #define HTTP_TARGET_MAX_BYTES 2048
 #define HTTP_CONNECT_TIMEOUT_MS 2000
+#define HTTP_HEADERS_MAX_COUNT 100
+#define HTTP_CONNS_MAX 12000 /* REQ_WAITING_MAX callers and room for others */
+#define HTTP_BODIES_MAX_BYTES (32 * 1024 * 1024) /* over all connections */
+#define HTTP_PIPELINE_MAX_BYTES 16384 /* behind a request in progress */
+#define HTTP_SWEEP_MS 100 /* resolution of the server's timeouts */
+#define HTTP_LINGER_MS 2000
+#define HTTP_LINGER_MAX_BYTES (4 * 1024 * 1024)
+#define HTTP_KEEPALIVE_PROBE_SEC 15 /* finds callers whose host is gone */
+#define HTTP_KEEPALIVE_PROBES 3
+/* Below HTTP_IDLE_TIMEOUT_MS, so the server seldom closes first. */
+#define HTTP_CLIENT_IDLE_MS 30000
 
 /* ---- requests ---- */
 
@@ -43,6 +54,26 @@
 #define KEY_BATCH_MAX 64
 #define KEY_BATCH_DELAY_MS 10
 #define LEAVING_GRACE_MS 3000
+#define LEAVING_HOLD_MS 60000 /* "live" in the lagging list is not believed */
+#define RETRY_WINDOW_MS 5000 /* half-life of "recent" for the retry budget */
+#define ROUTE_SAMPLE 8 /* servers that a choice looks at */
+#define ROUTE_HOT_PERCENT 75 /* quantile of requests in flight */
+#define EJECT_FAILURES 5 /* consecutive */
+#define EJECT_BASE_MS 1000 /* doubles up to 32 s */
+#define EJECT_SAMPLES 64 /* answers before latency is judged */
+#define EJECT_LATENCY_FACTOR 10 /* times the median; stragglers give 3.5 */
+#define MEMBERS_SAMPLE 512 /* servers in a median */
+#define QUEUE_TARGET_SHORT_MS 20 /* CoDel target of the waiting time */
+#define QUEUE_TARGET_LONG_MS 200
+#define QUEUE_SHED_FACTOR 5 /* longest wait over target while shedding */
+#define QUEUE_INTERVAL_MS 100
+#define QUEUE_SHORT_LIMIT_MS 100 /* run time of short work, by default */
+#define QUEUE_RESERVE_MIN_PERCENT 10 /* slots kept for short work */
+#define QUEUE_RESERVE_MAX_PERCENT 75
+#define SLOT_REPORT_MS 500 /* between reports of a host that has demand */
+#define KEY_ENTRIES_MAX 50000 /* keys that a host remembers */
+#define KEY_BYTES_MAX (16 * 1024 * 1024) /* finished answers kept */
+#define KEY_TICKETS_MAX 1000 /* tickets per call */
 
 /* ---- peers ---- */
 
@@ -77,6 +108,15 @@
 #define STORE_BACKOFF_BASE_MS 100
 #define STORE_BACKOFF_CAP_MS 5000
 #define STORE_VALUE_MAX_BYTES (1024 * 1024)
+#define STORE_REPLY_MAX_BYTES (16 * 1024 * 1024)
+#define STORE_CONNECTIONS 16 /* of one process, besides its watches */
+/*
+ * A change on a watch stream that is open but silent is noticed after at most
+ * the probe period and the grace, which together stay under the 3 s in which
+ * a document change must be in force.
+ */
+#define STORE_PROBE_MS 2000
+#define STORE_PROBE_GRACE_MS 500
 
 /* ---- jobs ---- */
 
@@ -89,6 +129,11 @@
 #define USAGE_LAG_MAX_MS 10000
 #define RECLAIM_BOUND_MS 9400
 #define TAKEOVER_BOUND_MS 10000
+#define WORKER_ACCELERATORS_MAX 16
+#define RACKS_PER_ROW 16 /* a row holds the largest gang with room to spare */
+#define RACKS_MAX 65536
+#define RECLAIM_GRACE_MS 6000 /* leaves 3.4 s for stop, start and losses */
+#define JOB_WRITES 3 /* store writes for a job that isn't cancelled */
 
 /* ---- document ---- */
 
@@ -102,6 +147,12 @@
 #define DOC_COUNT_MAX 1000000 /* units of a guarantee or a quota */
 #define DOC_SHORT_LIMIT_DEFAULT_MS 100
 #define DOC_HISTORY_MAX 100 /* history entries in one answer */
+#define DOC_DIFF_MAX 60 /* revisions between both sides of a difference */
 #define DOC_RETRIES_MAX 8 /* merges with racing changes before a conflict */
+#define DOC_CHANGE_TIMEOUT_MS 10000 /* until an outcome is called unknown */
+#define DOC_PULL_TIMEOUT_MS 1000 /* until another peer is asked */
+/* Bodies in one read of the store; 8 of the largest take 11 MB in base64. */
+#define DOC_READ_BATCH 8
+#define DOC_PUSH_BYTES (1024 * 1024) /* of sections in one peer message */
 
 #endif
