--- a/base/limits.h
+++ b/base/limits.h
@@ -88,16 +88,38 @@
 #define PEER_RECONNECT_MIN_MS 100
 #define PEER_RECONNECT_MAX_MS 5000
 #define PEERS_MAX 128
+#define PEER_PENDING_MAX 32 /* accepted links that have not said hello */
+#define PEER_HELLO_MAX_BYTES 1024
+#define PEER_QUEUE_MAX_BYTES (2 * FRAME_MAX_BYTES) /* unsent, for each link */
+#define PEER_CLOCK_EVENT_MS 30000
+#define PEER_FLUSH_MS 200 /* for unsent frames when the process ends */
+#define FRAME_DEPTH_MAX 16 /* msgpack-c recurses up to 32 */
+#define FRAME_ELEMENTS_MAX (256 * 1024) /* 24 bytes each when unpacked */
 
 /* ---- leadership and store ---- */
 
 #define LEADER_LEASE_MS 6000
 #define LEADER_RENEW_MS 2000
 #define LEADER_PROMISE_MS 3000
+#define LEADER_ASK_MS 1000 /* between two asks for promises */
+#define LEADER_POLL_MS 1000 /* between looks at a key that others hold */
+#define LEADER_FREEZE_MS 1000 /* a longer gap between ticks is a freeze */
+#define LEADER_TICK_MS 250
+#define LEADER_MARGIN_PERCENT 2 /* for clocks that run at different rates */
+#define LEADER_DRAIN_MS 2500 /* for giving the lease back at a stop */
 #define STORE_TIMEOUT_MS 2000
 #define STORE_BACKOFF_BASE_MS 100
 #define STORE_BACKOFF_CAP_MS 5000
 #define STORE_VALUE_MAX_BYTES (1024 * 1024)
+#define STORE_REPLY_MAX_BYTES (16 * 1024 * 1024)
+#define STORE_CONNECTIONS 16 /* of one process, besides its watches */
+/*
+ * A change on a watch stream that is open but silent is noticed after at most
+ * the probe period and the grace, which together stay under the 3 s in which
+ * a document change must be in force.
+ */
+#define STORE_PROBE_MS 2000
+#define STORE_PROBE_GRACE_MS 500
 
 /* ---- jobs ---- */
 
@@ -110,5 +132,30 @@
 #define USAGE_LAG_MAX_MS 10000
 #define RECLAIM_BOUND_MS 9400
 #define TAKEOVER_BOUND_MS 10000
+#define WORKER_ACCELERATORS_MAX 16
+#define RACKS_PER_ROW 16 /* a row holds the largest gang with room to spare */
+#define RACKS_MAX 65536
+#define RECLAIM_GRACE_MS 6000 /* leaves 3.4 s for stop, start and losses */
+#define JOB_WRITES 3 /* store writes for a job that isn't cancelled */
+
+/* ---- document ---- */
+
+#define DOC_SECTION_NAME_MAX_BYTES 80 /* the longest type, '/', a name */
+#define DOC_WEIGHT_MAX 1000
+#define DOC_GUARANTEES_MAX 64
+#define DOC_PREFIXES_MAX 64
+#define DOC_POOL_WORKERS_MAX 20000
+#define DOC_WORKER_ACCELERATORS_MAX 64
+#define DOC_RACK_MAX 1000000
+#define DOC_COUNT_MAX 1000000 /* units of a guarantee or a quota */
+#define DOC_SHORT_LIMIT_DEFAULT_MS 100
+#define DOC_HISTORY_MAX 100 /* history entries in one answer */
+#define DOC_DIFF_MAX 60 /* revisions between both sides of a difference */
+#define DOC_RETRIES_MAX 8 /* merges with racing changes before a conflict */
+#define DOC_CHANGE_TIMEOUT_MS 10000 /* until an outcome is called unknown */
+#define DOC_PULL_TIMEOUT_MS 1000 /* until another peer is asked */
+/* Bodies in one read of the store; 8 of the largest take 11 MB in base64. */
+#define DOC_READ_BATCH 8
+#define DOC_PUSH_BYTES (1024 * 1024) /* of sections in one peer message */
 
 #endif
--- a/wire/pr.h
+++ b/wire/pr.h
@@ -57,7 +57,12 @@
 
 struct kn_task *pr_new(struct kn *kn, const struct set *set,
 		       uint64_t incarnation);
-/* The task receives PR_MSG_IN of that type; type 0: UP and DOWN. */
+/*
+ * The task receives PR_MSG_IN of that type; type 0: UP and DOWN. Between UP
+ * and DOWN no message is lost or reordered; a replaced link is reported as
+ * DOWN and UP. Subscribers of PR_HEARTBEAT follow a peer's document revision
+ * (body element 2), leader epoch (3) and flags (4; bit 0: draining).
+ */
 void pr_subscribe(struct kn_task *peers, struct kn_task *to, int type);
 /*
  * Sends a message to a host by name. body holds one msgpack array and is
@@ -69,9 +74,14 @@
 void pr_send_dc(struct kn_task *peers, const char *dc, int type,
 		const msgpack_sbuffer *body);
 bool pr_connected(struct kn_task *peers, const char *host);
-/* What this host says of itself in heartbeats. */
+/*
+ * What this host says of itself in heartbeats. An epoch of 0 leaves the
+ * epoch as it is.
+ */
 void pr_set_status(struct kn_task *peers, int64_t doc_revision, uint64_t epoch,
 		   bool draining);
+/* The epoch that this host leads its data centre with, 0 if it does not. */
+void pr_set_epoch(struct kn_task *peers, uint64_t epoch);
 /* Round-trip time of a link in microseconds, -1 if not connected. */
 int64_t pr_rtt_us(struct kn_task *peers, const char *host);
 /* Bytes sent to other regions so far. */
