--- a/base/limits.h
+++ b/base/limits.h
@@ -43,6 +43,11 @@
 
 #define REQ_WAITING_MAX 10000 /* waiting requests per entry host */
 #define REQ_DEADLINE_MAX_MS 60000
+#define REQ_ATTEMPTS_MAX 3
+#define FORWARD_GRACE_MS 1000 /* for the answer of a peer, after the deadline */
+#define REQ_TICK_MS 10
+#define REQ_IDLE_TICK_MS 500 /* while nothing is waiting or in progress */
+#define FRONT_FLUSH_MS 200 /* for the last replies of a stopping host */
 #define REQ_DEADLINE_DEFAULT_MS 10000
 #define BACKEND_SLOTS 8 /* requests in progress, over all entry hosts */
 #define BACKEND_CONNECTIONS 64 /* connections, over all entry hosts */
@@ -65,6 +70,8 @@
 #define EJECT_SAMPLES 64 /* answers before latency is judged */
 #define EJECT_LATENCY_FACTOR 10 /* times the median; stragglers give 3.5 */
 #define MEMBERS_SAMPLE 512 /* servers in a median */
+#define MEMBERS_POLL_MS 1000 /* leaves 2 s of LEAVING_GRACE_MS */
+#define MEMBERS_SHARE_MS 30000 /* the whole list again, should one be lost */
 #define QUEUE_TARGET_SHORT_MS 20 /* CoDel target of the waiting time */
 #define QUEUE_TARGET_LONG_MS 200
 #define QUEUE_SHED_FACTOR 3 /* longest wait over target while shedding */
@@ -74,9 +81,12 @@
 #define QUEUE_RESERVE_MIN_PERCENT 10 /* slots kept for short work */
 #define QUEUE_RESERVE_MAX_PERCENT 75
 #define SLOT_REPORT_MS 500 /* between reports of a host that has demand */
+#define SLOT_PRESS_MS 20 /* between reports while requests wait for credits */
 #define KEY_ENTRIES_MAX 50000 /* keys that a host remembers */
 #define KEY_BYTES_MAX (16 * 1024 * 1024) /* finished answers kept */
 #define KEY_TICKETS_MAX 1000 /* tickets per call */
+#define KEY_BATCHES_MAX 4 /* claim transactions in progress */
+#define KEY_HANDOVER_BYTES (4 * 1024 * 1024) /* half of what a link queues */
 
 /* ---- peers ---- */
 
--- /dev/null
+++ b/daemon/front.c
@@ -0,0 +1,447 @@
+#include "daemon/front.h"
+
+#include <stdio.h>
+#include <string.h>
+#include <strings.h>
+
+#include <jansson.h>
+
+#include "base/err.h"
+#include "base/ev.h"
+#include "base/log.h"
+#include "daemon/req.h"
+#include "daemon/svc.h"
+#include "wire/hs.h"
+
+struct front {
+	struct kn_task task;
+	const struct set *set;
+	struct kn_task *requests;
+	struct hs_server server;
+	GHashTable *pending; /* id -> struct hs_request */
+	uint64_t next_id;
+	bool draining; /* healthz fails */
+	bool refusing; /* after the drain delay */
+	int64_t idle_us; /* since then nothing is pending while refusing */
+	struct kn_timer timer;
+	struct ctr received;
+	struct ctr malformed;
+	struct ctr pending_now;
+	struct ctr gone;
+};
+
+static struct front *of_server(struct hs_server *server)
+{
+	return container_of(server, struct front, server);
+}
+
+static void refuse(struct front *f, struct hs_request *req, int code,
+		   const char *detail)
+{
+	ctr_add(&f->malformed, 1);
+	hs_reply_error(req, code, detail, 0);
+}
+
+static void add_pending(struct front *f, struct hs_request *req, uint64_t id)
+{
+	uint64_t *key = g_new(uint64_t, 1);
+
+	*key = id;
+	req->user = key;
+	g_hash_table_insert(f->pending, key, req);
+	ctr_gauge(&f->pending_now, g_hash_table_size(f->pending));
+}
+
+/* Returns the request that still waits for an answer, or NULL. */
+static struct hs_request *take_pending(struct front *f, uint64_t id)
+{
+	struct hs_request *req = g_hash_table_lookup(f->pending, &id);
+
+	if (req)
+		g_hash_table_remove(f->pending, &id);
+	ctr_gauge(&f->pending_now, g_hash_table_size(f->pending));
+	return req;
+}
+
+/* ---- requests ---- */
+
+/* Splits /r/<service>/<path>; the backend server gets /<path>. */
+static bool parse_target(const char *target, struct req_call *call)
+{
+	const char *service = target + strlen("/r/");
+	size_t len = strcspn(service, "/?");
+	const char *rest = service + len;
+
+	if (len == 0 || len >= NAME_MAX_BYTES)
+		return false;
+	memcpy(call->service, service, len);
+	call->service[len] = '\0';
+	call->target =
+		*rest == '/' ? g_strdup(rest) : g_strconcat("/", rest, NULL);
+	return true;
+}
+
+static bool method_known(const char *method)
+{
+	static const char *const known[] = { "GET",  "HEAD",  "PUT",
+					     "POST", "PATCH", "DELETE" };
+	size_t i;
+
+	for (i = 0; i < G_N_ELEMENTS(known); i++)
+		if (strcmp(known[i], method) == 0)
+			return true;
+	return false;
+}
+
+static bool parse_deadline(const char *text, int64_t *ms)
+{
+	size_t len = strlen(text);
+
+	if (len == 0 || len > 6 || strspn(text, "0123456789") != len)
+		return false;
+	*ms = (int64_t)g_ascii_strtoull(text, NULL, 10);
+	return *ms >= 1 && *ms <= REQ_DEADLINE_MAX_MS;
+}
+
+/* Reads the headers of section 3; returns what is wrong, or NULL. */
+static const char *parse_headers(const struct hs_request *req,
+				 struct req_call *call)
+{
+	const char *customer = hs_header(req, "Chivebank-Customer");
+	const char *class_ = hs_header(req, "Chivebank-Class");
+	const char *deadline = hs_header(req, "Chivebank-Deadline-Ms");
+	const char *key = hs_header(req, "Idempotency-Key");
+
+	if (!customer || !*customer || strlen(customer) >= NAME_MAX_BYTES)
+		return "Chivebank-Customer is required, at most 63 bytes";
+	snprintf(call->customer, sizeof(call->customer), "%s", customer);
+	if (class_ && strcmp(class_, "short") == 0)
+		call->class_ = DOC_SHORT;
+	else if (class_ && strcmp(class_, "long") == 0)
+		call->class_ = DOC_LONG;
+	else if (class_)
+		return "Chivebank-Class must be short or long";
+	if (deadline && !parse_deadline(deadline, &call->deadline_ms))
+		return "Chivebank-Deadline-Ms must be 1 to 60000";
+	call->key = g_strdup(key);
+	return NULL;
+}
+
+/* Headers that the backend server gets; ours stay here. */
+static void copy_headers(const struct hs_request *req, struct req_call *call)
+{
+	const struct http_header *h;
+	size_t i;
+
+	for (i = 0; i < req->headers.count; i++) {
+		h = &req->headers.items[i];
+		if (strncasecmp(h->name, "chivebank-", 10) != 0 &&
+		    !http_header_is_hop(h->name))
+			http_headers_add(&call->headers, h->name, h->value);
+	}
+}
+
+static void submit(struct front *f, struct hs_request *req)
+{
+	struct req_call *call = req_call_new();
+	const char *wrong;
+
+	ctr_add(&f->received, 1);
+	if (!method_known(req->method)) {
+		refuse(f, req, CB_E_METHOD, NULL);
+		goto drop;
+	}
+	if (!parse_target(req->target, call)) {
+		refuse(f, req, CB_E_UNKNOWN_SERVICE, NULL);
+		goto drop;
+	}
+	wrong = parse_headers(req, call);
+	if (wrong) {
+		refuse(f, req, CB_E_BAD_REQUEST, wrong);
+		goto drop;
+	}
+	copy_headers(req, call);
+	call->id = ++f->next_id;
+	call->method = g_strdup(req->method);
+	/* The body moves on, so that it is held once. */
+	call->body = req->body;
+	call->body_len = req->body_len;
+	req->body = NULL;
+	req->body_len = 0;
+	add_pending(f, req, call->id);
+	kn_send(f->requests, &f->task, &call->msg);
+	return;
+drop:
+	req_call_free(call);
+}
+
+/* ---- tickets ---- */
+
+static void release_tickets(struct kn_msg *msg)
+{
+	struct req_tickets *tickets = (struct req_tickets *)msg;
+
+	g_ptr_array_free(tickets->tickets, TRUE);
+	g_free(tickets);
+}
+
+static void ask_tickets(struct front *f, struct hs_request *req)
+{
+	json_t *body = json_loadb(req->body ? (const char *)req->body : "",
+				  req->body_len, 0, NULL);
+	json_int_t count = json_integer_value(json_object_get(body, "count"));
+	struct req_tickets *msg;
+
+	json_decref(body);
+	if (count < 1 || count > KEY_TICKETS_MAX) {
+		refuse(f, req, CB_E_BAD_REQUEST,
+		       "the body must be {count: n}, n from 1 to 1000");
+		return;
+	}
+	msg = g_new0(struct req_tickets, 1);
+	msg->msg.type = REQ_TICKETS;
+	msg->msg.release = release_tickets;
+	msg->id = ++f->next_id;
+	msg->count = (unsigned int)count;
+	msg->tickets = g_ptr_array_new_with_free_func(g_free);
+	add_pending(f, req, msg->id);
+	kn_send(f->requests, &f->task, &msg->msg);
+}
+
+static void reply_json(struct hs_request *req, int status, json_t *value)
+{
+	struct http_headers headers;
+	char *text = json_dumps(value, JSON_COMPACT);
+
+	http_headers_init(&headers);
+	http_headers_add(&headers, "Content-Type", "application/json");
+	hs_reply(req, status, &headers, text, strlen(text));
+	http_headers_finish(&headers);
+	free(text);
+	json_decref(value);
+}
+
+static void reply_tickets(struct front *f, const struct req_tickets *msg)
+{
+	struct hs_request *req = take_pending(f, msg->id);
+	json_t *list;
+	guint i;
+
+	if (!req)
+		return;
+	if (msg->tickets->len == 0) {
+		hs_reply_error(req, CB_E_DRAINING, NULL, 1);
+		return;
+	}
+	list = json_array();
+	for (i = 0; i < msg->tickets->len; i++)
+		json_array_append_new(
+			list, json_string(g_ptr_array_index(msg->tickets, i)));
+	reply_json(req, 200, json_pack("{s:o}", "tickets", list));
+}
+
+/* ---- server ---- */
+
+static void on_request(struct hs_server *server, struct hs_request *req)
+{
+	struct front *f = of_server(server);
+	size_t path = strcspn(req->target, "?");
+
+	if (path == 8 && strncmp(req->target, "/healthz", path) == 0) {
+		if (strcmp(req->method, "GET") != 0 &&
+		    strcmp(req->method, "HEAD") != 0)
+			refuse(f, req, CB_E_METHOD, NULL);
+		else
+			hs_reply(req, f->draining ? 503 : 200, NULL,
+				 f->draining ? "draining\n" : "ok\n",
+				 f->draining ? 9 : 3);
+	} else if (path == 11 && strncmp(req->target, "/v1/tickets", 11) == 0) {
+		if (strcmp(req->method, "POST") != 0)
+			refuse(f, req, CB_E_METHOD, NULL);
+		else if (f->refusing)
+			hs_reply_error(req, CB_E_DRAINING, NULL, 1);
+		else
+			ask_tickets(f, req);
+	} else if (strncmp(req->target, "/r/", 3) == 0) {
+		if (f->refusing)
+			hs_reply_error(req, CB_E_DRAINING, NULL, 1);
+		else
+			submit(f, req);
+	} else {
+		refuse(f, req, CB_E_UNKNOWN_PATH, NULL);
+	}
+}
+
+static void on_gone(struct hs_server *server, struct hs_request *req)
+{
+	struct front *f = of_server(server);
+	struct req_gone *msg;
+	uint64_t id;
+
+	if (!req->user)
+		return;
+	id = *(const uint64_t *)req->user;
+	req->user = NULL;
+	take_pending(f, id);
+	ctr_add(&f->gone, 1);
+	msg = g_new0(struct req_gone, 1);
+	msg->msg.type = REQ_GONE;
+	msg->msg.release = (void (*)(struct kn_msg *))g_free;
+	msg->id = id;
+	kn_send(f->requests, &f->task, &msg->msg);
+}
+
+/* ---- answers ---- */
+
+/* Replies with the whole answer of the backend server. */
+static void reply_answer(struct hs_request *req, const struct req_call *call)
+{
+	const struct http_headers *from = &call->reply_headers;
+	struct http_headers headers;
+	size_t i;
+
+	http_headers_init(&headers);
+	http_headers_add(&headers, "Chivebank-Outcome", "answered");
+	http_headers_add(&headers, "Chivebank-Result", "0");
+	for (i = 0; i < from->count; i++)
+		if (strncasecmp(from->items[i].name, "chivebank-", 10) != 0)
+			http_headers_add(&headers, from->items[i].name,
+					 from->items[i].value);
+	hs_reply(req, call->status, &headers, call->reply, call->reply_len);
+	http_headers_finish(&headers);
+}
+
+static void on_reply(struct front *f, const struct req_call *call)
+{
+	struct hs_request *req = take_pending(f, call->id);
+
+	/* Without a caller, a late answer goes to nobody. */
+	if (!req)
+		return;
+	if (call->outcome == KY_ANSWERED)
+		reply_answer(req, call);
+	else
+		hs_reply_error(req, call->result, NULL, call->retry_after_s);
+}
+
+static void receive(struct kn_task *task, struct kn_msg *msg)
+{
+	struct front *f = (struct front *)task;
+
+	if (msg->type == REQ_REPLY)
+		on_reply(f, (const struct req_call *)msg);
+	else if (msg->type == REQ_TICKETS)
+		reply_tickets(f, (const struct req_tickets *)msg);
+	kn_msg_release(msg);
+}
+
+/* ---- start and stop ---- */
+
+static bool start(struct kn_task *task, GError **err)
+{
+	static const struct hs_ops ops = { .request = on_request,
+					   .gone = on_gone };
+	struct front *f = (struct front *)task;
+	size_t i;
+
+	f->requests = kn_find(task->kn, SVC_REQUESTS);
+	if (!f->requests) {
+		g_set_error(err, CB_ERROR, CB_E_INTERNAL,
+			    "service \"callers\" needs \"requests\"");
+		return false;
+	}
+	if (!hs_init(&f->server, task->kn, &ops, f->set->callers.addr,
+		     f->set->callers.port, err))
+		return false;
+	for (i = 0; i < f->set->forward_header_count; i++)
+		hs_keep_header(&f->server, f->set->forward_headers[i]);
+	log_info("callers.listening", "addr=%s port=%d", f->set->callers.addr,
+		 f->server.port);
+	return true;
+}
+
+/*
+ * The stop ends once no request is pending and the last replies have had
+ * FRONT_FLUSH_MS to leave.
+ */
+static void watch_drain(struct kn_timer *timer)
+{
+	struct front *f = container_of(timer, struct front, timer);
+	int64_t now_us = kn_now_us();
+
+	if (!f->refusing) {
+		f->refusing = true;
+		hs_drain(&f->server);
+	}
+	if (g_hash_table_size(f->pending) > 0)
+		f->idle_us = 0;
+	else if (f->idle_us == 0)
+		f->idle_us = now_us;
+	if (f->server.conn_count == 0 ||
+	    (f->idle_us != 0 &&
+	     now_us - f->idle_us >= FRONT_FLUSH_MS * USEC_PER_MSEC)) {
+		kn_drained(&f->task);
+		return;
+	}
+	kn_timer_set(f->task.kn, timer, 20 * USEC_PER_MSEC, watch_drain);
+}
+
+static void drain(struct kn_task *task)
+{
+	struct front *f = (struct front *)task;
+
+	f->draining = true;
+	ev_emit("callers.draining", "pending=%u delay_ms=%d",
+		g_hash_table_size(f->pending), f->set->drain_delay_ms);
+	kn_timer_set(task->kn, &f->timer,
+		     f->set->drain_delay_ms * USEC_PER_MSEC, watch_drain);
+}
+
+static void finish(struct kn_task *task)
+{
+	struct front *f = (struct front *)task;
+
+	kn_timer_cancel(&f->timer);
+	hs_finish(&f->server);
+	g_hash_table_destroy(f->pending);
+	ctr_finish(&f->received);
+	ctr_finish(&f->malformed);
+	ctr_finish(&f->pending_now);
+	ctr_finish(&f->gone);
+	g_free(f);
+}
+
+static const struct kn_task_ops front_ops = {
+	.start = start,
+	.receive = receive,
+	.drain = drain,
+	.finish = finish,
+};
+
+struct kn_task *front_new(struct kn *kn, const struct set *set)
+{
+	struct front *f = g_new0(struct front, 1);
+
+	f->set = set;
+	f->pending = g_hash_table_new_full(g_int64_hash, g_int64_equal, g_free,
+					   NULL);
+	kn_add(kn, &f->task, SVC_CALLERS, &front_ops);
+	ctr_init(&f->received, &kn->counters, CTR_COUNTER,
+		 "chivebank_callers_requests_total", NULL,
+		 "Requests received from callers.");
+	ctr_init(&f->malformed, &kn->counters, CTR_COUNTER,
+		 "chivebank_callers_malformed_total", NULL,
+		 "Requests refused for their form.");
+	ctr_init(&f->pending_now, &kn->counters, CTR_GAUGE,
+		 "chivebank_callers_pending", NULL,
+		 "Requests without an answer so far.");
+	ctr_init(&f->gone, &kn->counters, CTR_COUNTER,
+		 "chivebank_callers_gone_total", NULL,
+		 "Callers that closed before the answer.");
+	return &f->task;
+}
+
+int front_port(const struct kn_task *task)
+{
+	return ((const struct front *)task)->server.port;
+}
--- /dev/null
+++ b/daemon/req_fwd.c
@@ -0,0 +1,274 @@
+#include <stdio.h>
+#include <string.h>
+
+#include "base/err.h"
+#include "base/log.h"
+#include "daemon/mp.h"
+#include "daemon/req_int.h"
+
+/* ---- region budget ---- */
+
+/* Takes bytes to another region out of the budget; one second's burst. */
+static bool region_allows(struct req_task *r, const char *host, size_t bytes)
+{
+	const char *region = set_peer_region(r->set, host);
+	int64_t rate = r->set->region_bytes_per_sec, now_us = kn_now_us();
+
+	if (!region || strcmp(region, r->set->region) == 0)
+		return true;
+	if (rate > 0) {
+		int64_t passed = now_us - r->region_us;
+
+		if (passed > USEC_PER_SEC)
+			passed = USEC_PER_SEC;
+		r->region_left += rate * passed / USEC_PER_SEC;
+		if (r->region_left > rate)
+			r->region_left = rate;
+		r->region_us = now_us;
+		if (r->region_left < (int64_t)bytes)
+			return false;
+		r->region_left -= (int64_t)bytes;
+	}
+	ctr_add(&r->ctrs.region_bytes, bytes);
+	return true;
+}
+
+/* ---- sending ---- */
+
+static void pack_forward(struct mp_out *out, const struct req *req)
+{
+	const struct req_call *call = req->call;
+
+	mp_begin(out, 10);
+	mp_uint(out, req->forward_id);
+	mp_str(out, call->service);
+	mp_str(out, call->method);
+	mp_str(out, call->target);
+	mp_headers(out, &call->headers);
+	mp_bin(out, call->body, call->body_len);
+	mp_int(out, (req->deadline_us - kn_now_us()) / USEC_PER_MSEC);
+	mp_str(out, call->key);
+	mp_str(out, call->customer);
+	mp_int(out, call->class_);
+}
+
+/* Sends a request to a peer; false when the peer is not connected. */
+bool req_forward(struct req *req, const char *host)
+{
+	struct req_task *r = req->r;
+	struct mp_out out;
+
+	if (!r->peers || !pr_connected(r->peers, host))
+		return false;
+	req->forward_id = ++r->next_forward;
+	snprintf(req->to_host, sizeof(req->to_host), "%s", host);
+	req->state = REQ_ST_FORWARDED;
+	pack_forward(&out, req);
+	pr_send(r->peers, host, PR_FORWARD, &out.buf);
+	mp_end(&out);
+	ctr_add(&r->ctrs.forwarded, 1);
+	req_wake(r);
+	return true;
+}
+
+/*
+ * Sends a request to the owner of its key. It is never run here: an earlier
+ * attempt may have run at the owner, even when that cannot be reached.
+ */
+void req_forward_owner(struct req *req, const struct ky_owner *owner)
+{
+	struct req_task *r = req->r;
+	const char *adopter = ky_adopter(&r->ky, owner), *host;
+	const struct req_peer *peer;
+
+	host = adopter ? adopter : owner->host;
+	if (strcmp(host, r->set->host) == 0 || req->from_host[0] != '\0') {
+		req_unknown(req, CB_E_OWNER_GONE);
+		return;
+	}
+	peer = g_hash_table_lookup(r->peer_table, host);
+	if (peer && !adopter && peer->incarnation != owner->incarnation) {
+		req_unknown(req, CB_E_OWNER_GONE);
+		return;
+	}
+	if (!peer || !region_allows(r, host, req->call->body_len + 512) ||
+	    !req_forward(req, host))
+		req_unknown(req, CB_E_OWNER_UNREACHABLE);
+}
+
+/*
+ * Sends a request to another data centre, of the same region if possible,
+ * because this one has no usable server. A keyed request stays claimed
+ * here; the peer gets it without the key.
+ */
+bool req_forward_elsewhere(struct req *req)
+{
+	struct req_task *r = req->r;
+	const struct req_peer *peer, *best = NULL;
+	bool near, best_near = false;
+	char *key = req->call->key;
+	GHashTableIter iter;
+	gpointer value;
+	bool sent;
+
+	g_hash_table_iter_init(&iter, r->peer_table);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		const char *region;
+
+		peer = value;
+		if (strcmp(peer->dc, r->set->dc) == 0 || peer->draining)
+			continue;
+		region = set_peer_region(r->set, peer->host);
+		near = region && strcmp(region, r->set->region) == 0;
+		if (!best || (near && !best_near) ||
+		    (near == best_near && g_rand_boolean(r->rand))) {
+			best = peer;
+			best_near = near;
+		}
+	}
+	if (!best)
+		return false;
+	if (!region_allows(r, best->host, req->call->body_len + 512)) {
+		req_not_run(req, CB_E_REGION_BUDGET);
+		return true;
+	}
+	req->call->key = NULL;
+	sent = req_forward(req, best->host);
+	req->call->key = key;
+	return sent;
+}
+
+/* ---- requests from peers ---- */
+
+/* Runs a request that a peer forwarded. It goes no further from here. */
+void req_forward_in(struct req_task *r, const struct pr_in *msg)
+{
+	struct req *req = g_new0(struct req, 1);
+	struct req_call *call = req_call_new();
+	struct mp_in in;
+	const void *body;
+	int64_t class_;
+
+	req->call = call;
+	mp_open(&in, &msg->body.data);
+	req->from_id = mp_get_uint(&in);
+	snprintf(req->from_host, sizeof(req->from_host), "%s", msg->host);
+	mp_get_text(&in, call->service, sizeof(call->service));
+	call->method = mp_get_str(&in);
+	call->target = mp_get_str(&in);
+	mp_get_headers(&in, &call->headers);
+	body = mp_get_bin(&in, &call->body_len);
+	call->deadline_ms = mp_get_int(&in);
+	call->key = mp_get_str(&in);
+	mp_get_text(&in, call->customer, sizeof(call->customer));
+	class_ = mp_get_int(&in);
+	if (!in.ok || !call->method || !call->target ||
+	    !http_target_ok(call->target) || !http_name_ok(call->method) ||
+	    class_ < -1 || class_ >= DOC_CLASSES) {
+		log_warn("forward.malformed", "peer=%s", msg->host);
+		call->body_len = 0;
+		req_call_free(call);
+		g_free(req);
+		return;
+	}
+	call->class_ = (int)class_;
+	if (call->body_len > 0)
+		call->body = g_memdup2(body, call->body_len);
+	if (call->deadline_ms < 1)
+		call->deadline_ms = 1;
+	req_submit(r, req);
+}
+
+/* Answers the peer that forwarded a request. */
+void req_forward_reply_out(struct req *req)
+{
+	const struct req_call *call = req->call;
+	struct req_task *r = req->r;
+	struct mp_out out;
+
+	mp_begin(&out, 7);
+	mp_uint(&out, req->from_id);
+	mp_int(&out, call->outcome);
+	mp_int(&out, call->status);
+	mp_int(&out, call->result);
+	mp_headers(&out, &call->reply_headers);
+	mp_bin(&out, call->reply, call->reply_len);
+	mp_int(&out, call->retry_after_s);
+	pr_send(r->peers, req->from_host, PR_FORWARD_REPLY, &out.buf);
+	mp_end(&out);
+}
+
+/* ---- answers from peers ---- */
+
+static struct req *find_forward(struct req_task *r, const char *host,
+				uint64_t id)
+{
+	struct req *req;
+
+	list_for_each_entry(req, &r->reqs, node)
+		if (req->state == REQ_ST_FORWARDED && req->forward_id == id &&
+		    strcmp(req->to_host, host) == 0)
+			return req;
+	return NULL;
+}
+
+/* Takes the answer of a peer. One that is too late goes to nobody. */
+void req_forward_reply_in(struct req_task *r, const struct pr_in *msg)
+{
+	struct req_call *call;
+	struct req *req;
+	struct mp_in in;
+	const void *body;
+	int64_t outcome;
+	size_t len;
+
+	mp_open(&in, &msg->body.data);
+	req = find_forward(r, msg->host, mp_get_uint(&in));
+	if (!req)
+		return;
+	call = req->call;
+	outcome = mp_get_int(&in);
+	call->status = (int)mp_get_int(&in);
+	call->result = (int)mp_get_int(&in);
+	mp_get_headers(&in, &call->reply_headers);
+	body = mp_get_bin(&in, &len);
+	call->retry_after_s = (int)mp_get_int(&in);
+	req->state = REQ_ST_NEW;
+	if (!in.ok || outcome < KY_ANSWERED || outcome > KY_UNKNOWN) {
+		http_headers_finish(&call->reply_headers);
+		http_headers_init(&call->reply_headers);
+		req_unknown(req, CB_E_PEER_LOST);
+		return;
+	}
+	call->outcome = (enum ky_outcome)outcome;
+	if (len > 0)
+		call->reply = g_memdup2(body, len);
+	call->reply_len = len;
+	req_answer(req);
+}
+
+void req_forward_cancel_in(struct req_task *r, const struct pr_in *msg)
+{
+	struct mp_in in;
+	uint64_t id;
+
+	mp_open(&in, &msg->body.data);
+	id = mp_get_uint(&in);
+	if (in.ok)
+		req_gone(r, msg->host, id);
+}
+
+/* The link to a peer broke: what it was sent may have run. */
+void req_forward_lost(struct req_task *r, const char *host)
+{
+	struct req *req, *tmp;
+
+	list_for_each_entry_safe(req, tmp, &r->reqs, node) {
+		if (req->state != REQ_ST_FORWARDED ||
+		    strcmp(req->to_host, host) != 0)
+			continue;
+		req->state = REQ_ST_NEW;
+		req_unknown(req, CB_E_PEER_LOST);
+		tmp = list_first_entry(&r->reqs, struct req, node);
+	}
+}
--- /dev/null
+++ b/daemon/req_int.h
@@ -0,0 +1,184 @@
+#ifndef DAEMON_REQ_INT_H
+#define DAEMON_REQ_INT_H
+
+#include "daemon/back.h"
+#include "daemon/req.h"
+#include "daemon/slots.h"
+#include "daemon/svc.h"
+#include "policy/ky.h"
+#include "policy/mb.h"
+#include "policy/rq.h"
+#include "policy/rt.h"
+#include "policy/ry.h"
+#include "wire/pr.h"
+
+/* Private to the request service. */
+
+struct req_task;
+
+/* An address; it may be listed for several services, which share slots. */
+struct req_endpoint {
+	struct sl_slots slots;
+	int refs;
+};
+
+/* A backend server of one service. */
+struct req_server {
+	struct mb_server mb;
+	struct req_endpoint *at;
+	struct rt_server rt;
+	struct req_group *group;
+	int64_t absent_us; /* not in the list since then; 0: listed */
+};
+
+/* Servers that share a queue: those of one service, or of any ("*"). */
+struct req_group {
+	struct list_head node;
+	struct req_task *r;
+	char service[NAME_MAX_BYTES];
+	struct rq rq;
+	GPtrArray *servers; /* of struct req_server */
+};
+
+enum req_state {
+	REQ_ST_NEW,
+	REQ_ST_QUEUED, /* in rq */
+	REQ_ST_RUNNING, /* at a backend server */
+	REQ_ST_CLAIMING, /* waits for the store */
+	REQ_ST_WAITING, /* for another attempt with the same key */
+	REQ_ST_FORWARDED,
+};
+
+struct req {
+	struct list_head node;
+	struct req_task *r;
+	struct req_call *call;
+	enum req_state state;
+	struct rq_item item;
+	struct req_group *group;
+	int64_t deadline_us;
+	bool idempotent;
+	bool maybe_ran; /* an attempt may have had an effect */
+	int maybe_result;
+	int attempts;
+	struct req_server *server; /* of the running or the last attempt */
+	struct back_call back;
+	struct ky_entry *entry;
+	struct ky_waiter waiter;
+	/* From a peer: the answer goes there. */
+	char from_host[NAME_MAX_BYTES];
+	uint64_t from_id;
+	/* Forwarded to a peer. */
+	uint64_t forward_id;
+	char to_host[NAME_MAX_BYTES];
+};
+
+/* What is known of a connected peer. */
+struct req_peer {
+	char host[NAME_MAX_BYTES];
+	char dc[NAME_MAX_BYTES];
+	uint64_t incarnation;
+	bool draining;
+};
+
+struct req_counters {
+	struct ctr waiting, running, slots;
+	struct ctr answered, not_run, unknown;
+	struct ctr retries, retries_denied, forwarded, replayed;
+	struct ctr claims, claim_batches, keys, evicted, region_bytes;
+	struct ctr wait_short_us, wait_long_us;
+	GHashTable *refused; /* result code -> struct ctr */
+};
+
+struct req_task {
+	struct kn_task task;
+	const struct set *set;
+	struct kv *kv;
+	uint64_t incarnation;
+	struct kn_task *peers, *members;
+	struct doc_view *view;
+	struct list_head groups;
+	struct list_head reqs;
+	size_t req_count;
+	struct mb mb;
+	struct ry ry;
+	struct ky ky;
+	struct slots slots;
+	struct back *back;
+	struct back_signs signs;
+	GRand *rand;
+	GHashTable *peer_table; /* host -> struct req_peer */
+	struct kn_timer tick;
+	struct kn_timer idle; /* slow housekeeping */
+	struct kn_timer drain_timer;
+	bool refusing; /* after the drain delay */
+	bool handed_over;
+	uint64_t next_forward;
+	/* Lease of the claims in the store. */
+	int64_t lease;
+	int64_t lease_us;
+	bool granting;
+	struct kv_call grant;
+	struct list_head batches; /* claims in progress */
+	/* Bytes that may go to other regions now. */
+	int64_t region_left;
+	int64_t region_us;
+	struct req_counters ctrs;
+};
+
+/* ---- req.c ---- */
+
+void req_counters_init(struct req_task *r);
+void req_counters_finish(struct req_task *r);
+void req_count_refused(struct req_task *r, int result);
+void req_wake(struct req_task *r);
+void req_check_drained(struct req_task *r);
+
+/* ---- req_run.c ---- */
+
+void req_submit(struct req_task *r, struct req *req);
+void req_enqueue(struct req *req);
+void req_not_run(struct req *req, int result);
+void req_unknown(struct req *req, int result);
+/* Answers with the answer already in req->call, and frees req. */
+void req_answer(struct req *req);
+void req_free(struct req *req);
+void req_dispatch(struct req_task *r);
+void req_expire(struct req_task *r, int64_t now_us);
+void req_gone(struct req_task *r, const char *host, uint64_t id);
+
+/* ---- req_servers.c ---- */
+
+struct req_group *req_group_get(struct req_task *r, const char *service);
+void req_servers_update(struct req_task *r, const struct req_members *members);
+void req_servers_tick(struct req_task *r, int64_t now_us);
+void req_servers_finish(struct req_task *r);
+void req_server_leaving(struct req_task *r, const char *addr, int port,
+			const char *reason, bool tell);
+bool req_group_usable(const struct req_group *group);
+void req_document(struct req_task *r, struct doc_view *view);
+void req_signs_init(struct req_task *r);
+void req_servers_api(struct req_task *r, struct svc_api_call *call);
+
+/* ---- req_key.c ---- */
+
+void req_key_begin(struct req *req);
+void req_key_end(struct req *req);
+void req_claims_tick(struct req_task *r, int64_t now_us);
+void req_claims_finish(struct req_task *r);
+void req_keys_hand_over(struct req_task *r);
+void req_keys_adopt(struct req_task *r, const struct pr_in *in);
+void req_tickets(struct req_task *r, struct req_tickets *msg);
+
+/* ---- req_fwd.c ---- */
+
+bool req_forward(struct req *req, const char *host);
+void req_forward_owner(struct req *req, const struct ky_owner *owner);
+bool req_forward_elsewhere(struct req *req);
+void req_forward_in(struct req_task *r, const struct pr_in *in);
+void req_forward_reply_out(struct req *req);
+void req_forward_reply_in(struct req_task *r, const struct pr_in *in);
+void req_forward_cancel_in(struct req_task *r, const struct pr_in *in);
+void req_forward_lost(struct req_task *r, const char *host);
+
+#endif
--- /dev/null
+++ b/daemon/req_key.c
@@ -0,0 +1,596 @@
+#include <stdio.h>
+#include <string.h>
+
+#include "base/err.h"
+#include "base/ev.h"
+#include "base/log.h"
+#include "daemon/mp.h"
+#include "daemon/req_int.h"
+
+#define KEY_STORE_PREFIX "/chivebank/keys/"
+#define STORE_KEY_BYTES (KY_KEY_BYTES + sizeof(KEY_STORE_PREFIX))
+
+/* ---- answers that are kept ---- */
+
+static void pack_answer(struct mp_out *out, const struct req_call *call)
+{
+	mp_begin(out, 2);
+	mp_headers(out, &call->reply_headers);
+	mp_bin(out, call->reply, call->reply_len);
+}
+
+/* Puts a kept answer into a call; false when it cannot be read. */
+static bool unpack_answer(const struct ky_answer *answer, struct req_call *call)
+{
+	msgpack_unpacked unpacked;
+	struct mp_in in;
+	const void *body;
+	size_t len;
+
+	msgpack_unpacked_init(&unpacked);
+	in.ok = msgpack_unpack_next(&unpacked, answer->blob, answer->len,
+				    NULL) == MSGPACK_UNPACK_SUCCESS;
+	if (in.ok) {
+		mp_open(&in, &unpacked.data);
+		mp_get_headers(&in, &call->reply_headers);
+		body = mp_get_bin(&in, &len);
+		if (in.ok && len > 0) {
+			call->reply = g_memdup2(body, len);
+			call->reply_len = len;
+		}
+	}
+	msgpack_unpacked_destroy(&unpacked);
+	return in.ok;
+}
+
+static void replay(struct req *req, const struct ky_answer *answer)
+{
+	ctr_add(&req->r->ctrs.replayed, 1);
+	if (!unpack_answer(answer, req->call)) {
+		req_unknown(req, CB_E_ANSWER_FORGOTTEN);
+		return;
+	}
+	req->call->outcome = KY_ANSWERED;
+	req->call->result = CB_OK;
+	req->call->status = answer->status;
+	req_answer(req);
+}
+
+/* ---- begin and end ---- */
+
+/* A key of the caller's choice belongs to its customer. */
+static bool full_key(const struct req_call *call, char out[KY_KEY_BYTES])
+{
+	size_t len = strlen(call->key);
+	const char *p;
+
+	if (len == 0 || len > KEY_MAX_BYTES)
+		return false;
+	for (p = call->key; *p; p++)
+		if (*p <= ' ' || *p > '~')
+			return false;
+	if (ky_is_ticket(call->key))
+		snprintf(out, KY_KEY_BYTES, "%s", call->key);
+	else
+		snprintf(out, KY_KEY_BYTES, "k/%s/%s", call->customer,
+			 call->key);
+	return true;
+}
+
+/* Digest of the request; the customer and the service are part of it. */
+static struct ky_digest digest_of(const struct req_call *call)
+{
+	char *target = g_strdup_printf("%s %s %s", call->customer,
+				       call->service, call->target);
+	struct ky_digest digest =
+		ky_digest(call->method, target, call->body, call->body_len);
+
+	g_free(target);
+	return digest;
+}
+
+/* Decides on a request with a key. */
+void req_key_begin(struct req *req)
+{
+	struct req_task *r = req->r;
+	struct ky_digest digest = digest_of(req->call);
+	char key[KY_KEY_BYTES];
+	struct ky_entry *entry;
+	struct ky_owner owner;
+	int result;
+
+	if (!full_key(req->call, key)) {
+		req_not_run(req, CB_E_BAD_KEY);
+		return;
+	}
+	if (!r->kv && !ky_is_ticket(key)) {
+		req_not_run(req, CB_E_STORE_DOWN);
+		return;
+	}
+	switch (ky_begin(&r->ky, key, &digest, kn_now_us(), &entry, &owner,
+			 &result)) {
+	case KY_RUN:
+		req->entry = entry;
+		entry->user = req;
+		req_enqueue(req);
+		break;
+	case KY_CLAIM:
+		req->entry = entry;
+		entry->user = req;
+		req->state = REQ_ST_CLAIMING;
+		ctr_add(&r->ctrs.claims, 1);
+		req_wake(r);
+		break;
+	case KY_WAIT:
+		req->state = REQ_ST_WAITING;
+		ky_wait(entry, &req->waiter);
+		req_wake(r);
+		break;
+	case KY_REPLAY:
+		replay(req, &entry->answer);
+		break;
+	case KY_LOST:
+		req_unknown(req, result);
+		break;
+	case KY_FORWARD:
+		req_forward_owner(req, &owner);
+		break;
+	case KY_REFUSE:
+		req_not_run(req, result);
+		break;
+	}
+}
+
+static void copy_answer(struct req *to, const struct req_call *from)
+{
+	struct req_call *call = to->call;
+	size_t i;
+
+	call->outcome = from->outcome;
+	call->result = from->result;
+	call->status = from->status;
+	call->retry_after_s = from->retry_after_s;
+	for (i = 0; i < from->reply_headers.count; i++)
+		http_headers_add(&call->reply_headers,
+				 from->reply_headers.items[i].name,
+				 from->reply_headers.items[i].value);
+	if (from->reply_len > 0)
+		call->reply = g_memdup2(from->reply, from->reply_len);
+	call->reply_len = from->reply_len;
+	to->state = REQ_ST_NEW;
+	req_answer(to);
+}
+
+static struct req *first_waiter(struct ky_entry *entry)
+{
+	struct ky_waiter *waiter;
+
+	if (list_empty(&entry->waiters))
+		return NULL;
+	waiter = list_first_entry(&entry->waiters, struct ky_waiter, node);
+	ky_unwait(waiter);
+	return container_of(waiter, struct req, waiter);
+}
+
+/*
+ * Records the outcome of the attempt that ran, and gives it to the others.
+ * An attempt that ends while its claim is still on its way leaves the entry
+ * to the claim.
+ */
+void req_key_end(struct req *req)
+{
+	struct ky_entry *entry = req->entry;
+	struct req_call *call = req->call;
+	struct req_task *r = req->r;
+	struct mp_out out;
+	struct req *other;
+
+	req->entry = NULL;
+	entry->user = NULL;
+	while ((other = first_waiter(entry)))
+		copy_answer(other, call);
+	if (entry->state == KY_ST_CLAIMING)
+		return;
+	if (call->outcome != KY_ANSWERED) {
+		ky_end(&r->ky, entry, call->outcome, call->result, call->status,
+		       NULL, 0, kn_now_us());
+		return;
+	}
+	pack_answer(&out, call);
+	ky_end(&r->ky, entry, KY_ANSWERED, CB_OK, call->status, out.buf.data,
+	       out.buf.size, kn_now_us());
+	mp_end(&out);
+}
+
+/* ---- claims ---- */
+
+/* One transaction that claims up to KEY_BATCH_MAX keys, or none of them. */
+struct batch {
+	struct list_head node;
+	struct kv_call call;
+	struct req_task *r;
+	size_t n;
+	struct ky_entry *entries[KEY_BATCH_MAX];
+	char keys[KEY_BATCH_MAX][STORE_KEY_BYTES];
+	char values[KEY_BATCH_MAX][KY_CLAIM_BYTES];
+};
+
+/* The attempt of a resolved claim; a waiting one takes its place. */
+static struct req *attempt_of(struct ky_entry *entry)
+{
+	struct req *req = entry->user;
+
+	if (!req && (req = first_waiter(entry))) {
+		req->entry = entry;
+		entry->user = req;
+	}
+	if (req)
+		req->state = REQ_ST_NEW;
+	return req;
+}
+
+static void claim_won(struct req_task *r, struct ky_entry *entry)
+{
+	struct req *req = attempt_of(entry);
+
+	if (req)
+		req_enqueue(req);
+	else
+		ky_end(&r->ky, entry, KY_NOT_RUN, CB_E_DEADLINE, 0, NULL, 0,
+		       kn_now_us());
+}
+
+/* Ends the claim of a key that another owner has, or that is lost. */
+static void claim_lost(struct req_task *r, struct ky_entry *entry,
+		       const struct ky_owner *owner, int result)
+{
+	struct req *req;
+
+	while ((req = attempt_of(entry))) {
+		req->entry = NULL;
+		entry->user = NULL;
+		if (owner)
+			req_forward_owner(req, owner);
+		else
+			req_unknown(req, result);
+	}
+	ky_drop(&r->ky, entry);
+}
+
+static void settle(struct batch *batch, struct ky_entry *entry,
+		   const char *value)
+{
+	struct req_task *r = batch->r;
+	struct ky_owner owner;
+	int result = CB_OK;
+
+	switch (ky_claim_settle(&r->ky, entry, value, &owner, &result)) {
+	case KY_RUN:
+		claim_won(r, entry);
+		break;
+	case KY_FORWARD:
+		claim_lost(r, entry, &owner, result);
+		break;
+	case KY_CLAIM:
+		ky_claim_again(&r->ky, entry, kn_now_us());
+		break;
+	default:
+		claim_lost(r, entry, NULL, result);
+		break;
+	}
+}
+
+static const char *value_of(const struct kv_call *call, const char *key)
+{
+	size_t i;
+
+	for (i = 0; i < call->count; i++)
+		if (strcmp(call->items[i].key, key) == 0)
+			return call->items[i].value;
+	return NULL;
+}
+
+/*
+ * Refuses the attempts of a batch that the store did not take. The entries
+ * are dropped, because the store holds no claim for them.
+ */
+static void refuse_batch(struct batch *batch, int result)
+{
+	struct ky_entry *entry;
+	struct req *req;
+	size_t i;
+
+	for (i = 0; i < batch->n; i++) {
+		entry = batch->entries[i];
+		while ((req = attempt_of(entry))) {
+			req->entry = NULL;
+			entry->user = NULL;
+			req_not_run(req, result);
+		}
+		ky_drop(&batch->r->ky, entry);
+	}
+}
+
+static void batch_done(struct kv_call *call)
+{
+	struct batch *batch = container_of(call, struct batch, call);
+	struct req_task *r = batch->r;
+	size_t i;
+
+	list_del(&batch->node);
+	if (call->result == CB_E_STORE_DOWN) {
+		refuse_batch(batch, CB_E_STORE_DOWN);
+	} else if (call->result != CB_OK) {
+		/* Unknown: the same claim again finds out, whoever won. */
+		for (i = 0; i < batch->n; i++)
+			ky_claim_again(&r->ky, batch->entries[i], kn_now_us());
+	} else {
+		for (i = 0; i < batch->n; i++)
+			settle(batch, batch->entries[i],
+			       call->succeeded ?
+				       batch->values[i] :
+				       value_of(call, batch->keys[i]));
+	}
+	g_free(batch);
+	req_wake(r);
+	req_check_drained(r);
+}
+
+static void send_batch(struct req_task *r)
+{
+	struct kv_cmp cmps[KEY_BATCH_MAX];
+	struct kv_op puts[KEY_BATCH_MAX], gets[KEY_BATCH_MAX];
+	struct batch *batch = g_new0(struct batch, 1);
+	size_t i;
+
+	batch->r = r;
+	batch->call.done = batch_done;
+	batch->n = ky_claims_take(&r->ky, batch->entries, KEY_BATCH_MAX);
+	memset(cmps, 0, sizeof(cmps));
+	memset(puts, 0, sizeof(puts));
+	memset(gets, 0, sizeof(gets));
+	for (i = 0; i < batch->n; i++) {
+		snprintf(batch->keys[i], STORE_KEY_BYTES, "%s%s",
+			 KEY_STORE_PREFIX, batch->entries[i]->key);
+		ky_claim_value(&r->ky, batch->entries[i], batch->values[i]);
+		cmps[i].key = batch->keys[i];
+		puts[i].kind = KV_PUT;
+		puts[i].key = batch->keys[i];
+		puts[i].value = batch->values[i];
+		puts[i].len = strlen(batch->values[i]);
+		puts[i].lease = r->lease;
+		gets[i].kind = KV_RANGE;
+		gets[i].key = batch->keys[i];
+	}
+	list_add_tail(&batch->node, &r->batches);
+	ctr_add(&r->ctrs.claim_batches, 1);
+	r->kv->ops->txn(r->kv, &batch->call, cmps, batch->n, puts, batch->n,
+			gets, batch->n);
+}
+
+static void granted(struct kv_call *call)
+{
+	struct req_task *r = container_of(call, struct req_task, grant);
+	struct batch batch;
+
+	r->granting = false;
+	if (call->result == CB_OK) {
+		r->lease = call->lease;
+		r->lease_us = kn_now_us();
+		req_wake(r);
+		return;
+	}
+	/* An old lease serves for a while longer. */
+	if (r->lease != 0 &&
+	    kn_now_us() - r->lease_us < KEY_KEEP_SEC * 3 / 2 * USEC_PER_SEC) {
+		r->lease_us += 60 * USEC_PER_SEC;
+		return;
+	}
+	r->lease = 0;
+	while (r->ky.claim_count > 0) {
+		batch.r = r;
+		batch.n = ky_claims_take(&r->ky, batch.entries, KEY_BATCH_MAX);
+		refuse_batch(&batch, CB_E_STORE_DOWN);
+	}
+	req_check_drained(r);
+}
+
+static unsigned int count_batches(const struct req_task *r)
+{
+	const struct list_head *node;
+	unsigned int n = 0;
+
+	for (node = r->batches.next; node != &r->batches; node = node->next)
+		n++;
+	return n;
+}
+
+/*
+ * Sends claims that are due. They hang on a lease of twice KEY_KEEP_SEC
+ * that is replaced after KEY_KEEP_SEC, so that the store forgets them.
+ */
+void req_claims_tick(struct req_task *r, int64_t now_us)
+{
+	if (r->ky.claim_count == 0)
+		return;
+	if (!r->granting &&
+	    (r->lease == 0 ||
+	     now_us - r->lease_us >= KEY_KEEP_SEC * USEC_PER_SEC)) {
+		r->granting = true;
+		r->grant.done = granted;
+		r->kv->ops->grant(r->kv, &r->grant, 2 * KEY_KEEP_SEC);
+	}
+	while (r->lease != 0 && count_batches(r) < KEY_BATCHES_MAX &&
+	       ky_claims_due(&r->ky, now_us))
+		send_batch(r);
+}
+
+/* The store ends calls in progress without telling. */
+void req_claims_finish(struct req_task *r)
+{
+	struct batch *batch, *tmp;
+
+	list_for_each_entry_safe(batch, tmp, &r->batches, node)
+		g_free(batch);
+}
+
+/* ---- tickets ---- */
+
+void req_tickets(struct req_task *r, struct req_tickets *msg)
+{
+	char text[KY_KEY_BYTES];
+	unsigned int i;
+
+	for (i = 0; i < msg->count && !r->refusing; i++)
+		if (ky_mint(&r->ky, text, sizeof(text), kn_now_us()))
+			g_ptr_array_add(msg->tickets, g_strdup(text));
+	kn_send(msg->msg.from, &r->task, &msg->msg);
+}
+
+/* ---- handing over ---- */
+
+enum adopt_kind { ADOPT_KEYS, ADOPT_ANNOUNCE };
+
+static void send_keys(struct req_task *r, const char *host, uint32_t count,
+		      const msgpack_sbuffer *keys)
+{
+	struct mp_out out;
+
+	mp_begin(&out, 5);
+	mp_int(&out, ADOPT_KEYS);
+	mp_str(&out, r->set->host);
+	mp_uint(&out, r->incarnation);
+	mp_str(&out, host);
+	mp_array(&out, count);
+	if (count > 0)
+		msgpack_sbuffer_write(&out.buf, keys->data, keys->size);
+	pr_send(r->peers, host, PR_KEY_ADOPT, &out.buf);
+	mp_end(&out);
+}
+
+static const char *heir(struct req_task *r)
+{
+	GHashTableIter iter;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, r->peer_table);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		const struct req_peer *peer = value;
+
+		if (strcmp(peer->dc, r->set->dc) == 0 && !peer->draining)
+			return peer->host;
+	}
+	return NULL;
+}
+
+static void pack_key(struct mp_out *out, const struct ky_entry *entry)
+{
+	mp_array(out, 7);
+	mp_str(out, entry->key);
+	mp_uint(out, entry->digest.low);
+	mp_uint(out, entry->digest.high);
+	mp_int(out, entry->answer.outcome);
+	mp_int(out, entry->answer.result);
+	mp_int(out, entry->answer.status);
+	mp_bin(out, entry->answer.blob, entry->answer.len);
+}
+
+/*
+ * Sends the finished keys to a peer of the data centre, newest first up to
+ * KEY_HANDOVER_BYTES, since the link drops what it cannot queue.
+ */
+void req_keys_hand_over(struct req_task *r)
+{
+	const char *host = r->peers ? heir(r) : NULL;
+	struct mp_out out;
+	struct list_head *node;
+	size_t sent = 0;
+	uint32_t count = 0, total = 0;
+
+	if (!host || r->ky.finished_count == 0)
+		return;
+	mp_begin(&out, 0);
+	msgpack_sbuffer_clear(&out.buf);
+	for (node = r->ky.finished.prev;
+	     node != &r->ky.finished && sent < KEY_HANDOVER_BYTES;
+	     node = node->prev) {
+		const struct ky_entry *entry =
+			list_entry(node, struct ky_entry, node);
+
+		if (entry->state != KY_ST_DONE)
+			continue;
+		pack_key(&out, entry);
+		count++;
+		total++;
+		sent += entry->answer.len + sizeof(*entry);
+		if (out.buf.size >= DOC_PUSH_BYTES || count >= 1000) {
+			send_keys(r, host, count, &out.buf);
+			msgpack_sbuffer_clear(&out.buf);
+			count = 0;
+		}
+	}
+	send_keys(r, host, count, &out.buf);
+	mp_end(&out);
+	ev_emit("keys.handed-over", "to=%s keys=%u", host, total);
+}
+
+static bool adopt_one(struct req_task *r, struct mp_in *list)
+{
+	struct ky_answer answer = { 0 };
+	struct ky_digest digest;
+	char key[KY_KEY_BYTES];
+	struct mp_in in;
+	int64_t outcome;
+
+	mp_get_array(list, &in);
+	mp_get_text(&in, key, sizeof(key));
+	digest.low = mp_get_uint(&in);
+	digest.high = mp_get_uint(&in);
+	outcome = mp_get_int(&in);
+	answer.result = (int)mp_get_int(&in);
+	answer.status = (int)mp_get_int(&in);
+	answer.blob = (void *)mp_get_bin(&in, &answer.len);
+	if (!in.ok || outcome < KY_ANSWERED || outcome > KY_UNKNOWN)
+		return false;
+	answer.outcome = (enum ky_outcome)outcome;
+	ky_adopt(&r->ky, key, &digest, &answer, kn_now_us());
+	return true;
+}
+
+/* Takes a stopping peer's finished keys, or the news of who took them. */
+void req_keys_adopt(struct req_task *r, const struct pr_in *msg)
+{
+	char adopter[NAME_MAX_BYTES];
+	struct ky_owner owner;
+	struct mp_in in, list;
+	struct mp_out out;
+	int64_t kind;
+	size_t count;
+
+	mp_open(&in, &msg->body.data);
+	kind = mp_get_int(&in);
+	mp_get_text(&in, owner.host, sizeof(owner.host));
+	owner.incarnation = mp_get_uint(&in);
+	mp_get_text(&in, adopter, sizeof(adopter));
+	mp_get_array(&in, &list);
+	if (!in.ok) {
+		log_warn("keys.malformed", "peer=%s", msg->host);
+		return;
+	}
+	ky_set_adopter(&r->ky, &owner, adopter);
+	if (kind != ADOPT_KEYS || strcmp(adopter, r->set->host) != 0)
+		return;
+	count = list.left;
+	while (list.left > 0 && adopt_one(r, &list))
+		;
+	ev_emit("keys.adopted", "host=%s inc=%" PRIx64 " keys=%zu", owner.host,
+		owner.incarnation, count);
+	mp_begin(&out, 5);
+	mp_int(&out, ADOPT_ANNOUNCE);
+	mp_str(&out, owner.host);
+	mp_uint(&out, owner.incarnation);
+	mp_str(&out, adopter);
+	mp_array(&out, 0);
+	pr_send_dc(r->peers, NULL, PR_KEY_ADOPT, &out.buf);
+	mp_end(&out);
+}
--- /dev/null
+++ b/daemon/req_run.c
@@ -0,0 +1,478 @@
+#include <string.h>
+
+#include "base/err.h"
+#include "base/log.h"
+#include "daemon/req_int.h"
+
+/* ---- answers ---- */
+
+static void free_call_msg(struct kn_msg *msg)
+{
+	req_call_free((struct req_call *)msg);
+}
+
+struct req_call *req_call_new(void)
+{
+	struct req_call *call = g_new0(struct req_call, 1);
+
+	call->msg.type = REQ_SUBMIT;
+	call->msg.release = free_call_msg;
+	call->class_ = -1;
+	http_headers_init(&call->headers);
+	http_headers_init(&call->reply_headers);
+	return call;
+}
+
+void req_call_free(struct req_call *call)
+{
+	g_free(call->method);
+	g_free(call->target);
+	g_free(call->key);
+	g_free(call->body);
+	g_free(call->reply);
+	http_headers_finish(&call->headers);
+	http_headers_finish(&call->reply_headers);
+	g_free(call);
+}
+
+void req_free(struct req *req)
+{
+	struct req_task *r = req->r;
+
+	list_del(&req->node);
+	list_del(&req->waiter.node);
+	r->req_count--;
+	if (req->call)
+		req_call_free(req->call);
+	g_free(req);
+	req_check_drained(r);
+}
+
+static void count_outcome(struct req_task *r, const struct req_call *call)
+{
+	if (call->outcome == KY_ANSWERED)
+		ctr_add(&r->ctrs.answered, 1);
+	else if (call->outcome == KY_UNKNOWN)
+		ctr_add(&r->ctrs.unknown, 1);
+	else
+		ctr_add(&r->ctrs.not_run, 1);
+	if (call->outcome != KY_ANSWERED)
+		req_count_refused(r, call->result);
+}
+
+void req_answer(struct req *req)
+{
+	struct req_task *r = req->r;
+	struct req_call *call;
+
+	count_outcome(r, req->call);
+	/* Other attempts with the same key are answered first. */
+	if (req->entry)
+		req_key_end(req);
+	if (req->from_host[0] != '\0') {
+		req_forward_reply_out(req);
+	} else if (req->call->msg.from) {
+		call = req->call;
+		req->call = NULL;
+		call->msg.type = REQ_REPLY;
+		kn_send(call->msg.from, &r->task, &call->msg);
+	}
+	req_free(req);
+}
+
+static int retry_after(int result)
+{
+	switch (result) {
+	case CB_E_OVERLOADED:
+	case CB_E_DEADLINE:
+	case CB_E_NO_SERVER:
+	case CB_E_DRAINING:
+	case CB_E_QUEUE_FULL:
+	case CB_E_REGION_BUDGET:
+		return 1;
+	case CB_E_STORE_DOWN:
+		return 5;
+	}
+	return 0;
+}
+
+/* Ends a request as not run, unless an earlier attempt may have run. */
+void req_not_run(struct req *req, int result)
+{
+	if (req->maybe_ran) {
+		req_unknown(req, req->maybe_result);
+		return;
+	}
+	/* Numbers of 3xx say that the outcome is unknown. */
+	if (result / 100 == 3)
+		result = CB_E_NO_SERVER;
+	req->call->outcome = KY_NOT_RUN;
+	req->call->result = result;
+	req->call->status = cb_result_http(result);
+	req->call->retry_after_s = retry_after(result);
+	req_answer(req);
+}
+
+void req_unknown(struct req *req, int result)
+{
+	if (result / 100 != 3)
+		result = CB_E_UPSTREAM_LOST;
+	req->call->outcome = KY_UNKNOWN;
+	req->call->result = result;
+	req->call->status = cb_result_http(result);
+	req_answer(req);
+}
+
+/* ---- queue ---- */
+
+static bool is_idempotent(const char *method)
+{
+	return strcmp(method, "POST") != 0 && strcmp(method, "PATCH") != 0;
+}
+
+/* Checks a new request against the document, and starts on its key. */
+void req_submit(struct req_task *r, struct req *req)
+{
+	const struct doc_service *service;
+	struct req_call *call = req->call;
+	int64_t ms = call->deadline_ms;
+
+	req->r = r;
+	list_init(&req->waiter.node);
+	list_add_tail(&req->node, &r->reqs);
+	r->req_count++;
+	req->idempotent = is_idempotent(call->method);
+	req->deadline_us = kn_now_us();
+	if (r->refusing) {
+		req_not_run(req, CB_E_DRAINING);
+		return;
+	}
+	if (!r->view || !doc_view_customer(r->view, call->customer)) {
+		req_not_run(req,
+			    r->view ? CB_E_UNKNOWN_CUSTOMER : CB_E_STORE_DOWN);
+		return;
+	}
+	service = doc_view_service(r->view, call->service);
+	if (!service) {
+		req_not_run(req, CB_E_UNKNOWN_SERVICE);
+		return;
+	}
+	if (ms <= 0)
+		ms = service->deadline_ms;
+	if (ms <= 0)
+		ms = REQ_DEADLINE_DEFAULT_MS;
+	if (ms > REQ_DEADLINE_MAX_MS)
+		ms = REQ_DEADLINE_MAX_MS;
+	req->deadline_us += ms * USEC_PER_MSEC;
+	ry_request(&r->ry, kn_now_us());
+	if (call->key)
+		req_key_begin(req);
+	else
+		req_enqueue(req);
+}
+
+static int total_waiting(const struct req_task *r)
+{
+	const struct req_group *group;
+	int n = 0;
+
+	list_for_each_entry(group, &r->groups, node)
+		n += group->rq.waiting;
+	return n;
+}
+
+/* Queues a request that may run here, or passes it on when it cannot. */
+void req_enqueue(struct req *req)
+{
+	struct req_task *r = req->r;
+	struct req_call *call = req->call;
+	const struct doc_service *service;
+	struct rq_customer *customer;
+	int result;
+
+	req->group = req_group_get(r, call->service);
+	if (!req_group_usable(req->group)) {
+		if (req->from_host[0] == '\0' && req_forward_elsewhere(req))
+			return;
+		req_not_run(req, CB_E_NO_SERVER);
+		return;
+	}
+	/* The document may have changed while a claim was on its way. */
+	service = doc_view_service(r->view, call->service);
+	customer = rq_customer_find(&req->group->rq, call->customer);
+	if (!customer || customer->removed || !service) {
+		req_not_run(req, service ? CB_E_CUSTOMER_REMOVED :
+					   CB_E_UNKNOWN_SERVICE);
+		return;
+	}
+	if (total_waiting(r) >= REQ_WAITING_MAX) {
+		req_not_run(req, CB_E_QUEUE_FULL);
+		return;
+	}
+	result =
+		rq_put(&req->group->rq, &req->item, customer,
+		       rq_service_get(&req->group->rq, call->service,
+				      service->class_, service->short_limit_ms),
+		       call->class_ == DOC_LONG, req->deadline_us, kn_now_us());
+	if (result != CB_OK) {
+		req_not_run(req, result);
+		return;
+	}
+	req->state = REQ_ST_QUEUED;
+	req_wake(r);
+	req_dispatch(r);
+}
+
+/* ---- running ---- */
+
+static void on_done(struct back_call *back);
+
+/* Starts a request at a server; false when nothing was sent. */
+static bool start_at(struct req *req, struct req_server *server, int64_t now_us)
+{
+	const struct req_call *call = req->call;
+	struct back_request request = {
+		.addr = server->mb.addr,
+		.port = server->mb.port,
+		.method = call->method,
+		.target = call->target,
+		.headers = &call->headers,
+		.body = call->body,
+		.len = call->body_len,
+		.timeout_ms = (req->deadline_us - now_us) / USEC_PER_MSEC + 1,
+	};
+
+	req->server = server;
+	req->attempts++;
+	if (!req->r->back->ops->start(req->r->back, &req->back, &request,
+				      on_done))
+		return false;
+	req->state = REQ_ST_RUNNING;
+	sl_start(&server->at->slots);
+	rt_start(&server->rt);
+	return true;
+}
+
+/* Free slots of a server that this host may use now. */
+static int server_free(const struct req_server *server, int64_t now_us)
+{
+	int slots = sl_free(&server->at->slots, now_us);
+	int allowed = mb_allowed(&server->mb) - server->rt.in_flight;
+
+	return slots < allowed ? slots : allowed;
+}
+
+struct capacity {
+	struct rt_server **usable;
+	size_t n;
+	int free;
+	int slots;
+};
+
+static void find_capacity(const struct req_group *group, struct capacity *c,
+			  int64_t now_us)
+{
+	struct req_server *server;
+	int n;
+	guint i;
+
+	c->n = 0;
+	c->free = 0;
+	c->slots = 0;
+	for (i = 0; i < group->servers->len; i++) {
+		server = g_ptr_array_index(group->servers, i);
+		if (mb_allowed(&server->mb) <= 0)
+			continue;
+		c->slots += server->rt.in_flight;
+		n = server_free(server, now_us);
+		if (n <= 0)
+			continue;
+		c->free += n;
+		c->slots += n;
+		c->usable[c->n++] = &server->rt;
+	}
+}
+
+/* Prefers a server that has not failed this request. */
+static struct req_server *choose(struct req *req, struct capacity *c,
+				 int64_t now_us)
+{
+	struct rt_server *chosen;
+	size_t i;
+
+	for (i = 0; req->server && c->n > 1 && i < c->n; i++)
+		if (c->usable[i] == &req->server->rt) {
+			c->usable[i] = c->usable[--c->n];
+			break;
+		}
+	chosen = rt_pick(c->usable, c->n, req->r->rand, now_us);
+	return container_of(chosen, struct req_server, rt);
+}
+
+/*
+ * A request that could not be sent, or that failed, goes back to its queue
+ * when it may be retried; else it ends.
+ */
+static void retry_or_end(struct req *req, bool sent, int result)
+{
+	struct req_task *r = req->r;
+	int64_t now_us = kn_now_us();
+	bool may = (!sent || req->idempotent) && now_us < req->deadline_us &&
+		   req->attempts < REQ_ATTEMPTS_MAX;
+
+	if (sent) {
+		req->maybe_ran = true;
+		req->maybe_result = result;
+	}
+	if (may && ry_retry(&r->ry, now_us)) {
+		ctr_add(&r->ctrs.retries, 1);
+		req->state = REQ_ST_QUEUED;
+		rq_put_back(&req->group->rq, &req->item);
+		return;
+	}
+	if (may)
+		ctr_add(&r->ctrs.retries_denied, 1);
+	rq_done(&req->group->rq, &req->item, false, now_us);
+	req->state = REQ_ST_NEW;
+	req_not_run(req, result);
+}
+
+static void take_answer(struct req *req)
+{
+	struct req_call *call = req->call;
+	struct back_call *back = &req->back;
+
+	call->outcome = KY_ANSWERED;
+	call->result = CB_OK;
+	call->status = back->status;
+	http_headers_finish(&call->reply_headers);
+	call->reply_headers = back->headers;
+	http_headers_init(&back->headers);
+	call->reply = back->body;
+	call->reply_len = back->body_len;
+	back->body = NULL;
+}
+
+static void on_done(struct back_call *back)
+{
+	struct req *req = container_of(back, struct req, back);
+	struct req_task *r = req->r;
+	struct req_server *server = req->server;
+	enum back_outcome outcome = back->outcome;
+	int result = back->result;
+
+	sl_end(&server->at->slots);
+	rt_end(&server->rt, outcome == BACK_ANSWERED ? back->latency_us : 0,
+	       kn_now_us());
+	if (outcome == BACK_ANSWERED) {
+		take_answer(req);
+		back_call_finish(back);
+		rq_done(&req->group->rq, &req->item, true, kn_now_us());
+		req->state = REQ_ST_NEW;
+		req_answer(req);
+	} else {
+		back_call_finish(back);
+		retry_or_end(req, outcome == BACK_UNKNOWN, result);
+	}
+	req_dispatch(r);
+}
+
+static void dispatch_group(struct req_group *group, struct capacity *c)
+{
+	int64_t now_us = kn_now_us();
+	struct rq_item *item;
+	struct req *req;
+
+	while (group->rq.waiting > 0) {
+		find_capacity(group, c, now_us);
+		item = rq_take(&group->rq, c->free, c->slots, now_us);
+		if (!item)
+			return;
+		req = container_of(item, struct req, item);
+		ctr_observe(item->class_ == DOC_SHORT ?
+				    &group->r->ctrs.wait_short_us :
+				    &group->r->ctrs.wait_long_us,
+			    (uint64_t)(now_us - item->arrived_us));
+		if (!start_at(req, choose(req, c, now_us), now_us))
+			retry_or_end(req, false, CB_E_NO_SERVER);
+	}
+}
+
+/* Starts what may start now. */
+void req_dispatch(struct req_task *r)
+{
+	struct req_group *group;
+	struct capacity c;
+	size_t servers = 0;
+
+	list_for_each_entry(group, &r->groups, node)
+		if (group->servers->len > servers)
+			servers = group->servers->len;
+	if (servers == 0)
+		return;
+	c.usable = g_new(struct rt_server *, servers);
+	list_for_each_entry(group, &r->groups, node)
+		dispatch_group(group, &c);
+	g_free(c.usable);
+}
+
+/* ---- time and callers that leave ---- */
+
+static bool waits_elsewhere(const struct req *req)
+{
+	return req->state == REQ_ST_CLAIMING || req->state == REQ_ST_WAITING ||
+	       req->state == REQ_ST_FORWARDED;
+}
+
+/* Ends requests whose deadline has passed; forwards get some grace. */
+void req_expire(struct req_task *r, int64_t now_us)
+{
+	struct req_group *group;
+	struct req *req, *tmp;
+
+	list_for_each_entry(group, &r->groups, node)
+		rq_tick(&group->rq, now_us);
+	list_for_each_entry_safe(req, tmp, &r->reqs, node) {
+		if (!waits_elsewhere(req) || now_us < req->deadline_us)
+			continue;
+		if (req->state == REQ_ST_CLAIMING)
+			req_not_run(req, CB_E_DEADLINE);
+		else if (req->state == REQ_ST_WAITING)
+			req_unknown(req, CB_E_UPSTREAM_TIMEOUT);
+		else if (now_us >=
+			 req->deadline_us + FORWARD_GRACE_MS * USEC_PER_MSEC)
+			req_unknown(req, CB_E_OWNER_UNREACHABLE);
+		else
+			continue;
+		/* Answering may have ended others that wait for this one. */
+		tmp = list_first_entry(&r->reqs, struct req, node);
+	}
+}
+
+/*
+ * The caller no longer waits. Work in the queue is taken out; work at a
+ * server goes on, since the server would run it to its end anyway and the
+ * slot stays in use.
+ */
+void req_gone(struct req_task *r, const char *host, uint64_t id)
+{
+	struct req *req;
+
+	list_for_each_entry(req, &r->reqs, node) {
+		uint64_t own =
+			host ? req->from_id : (req->call ? req->call->id : 0);
+
+		if (own != id || strcmp(req->from_host, host ? host : "") != 0)
+			continue;
+		if (req->state == REQ_ST_QUEUED) {
+			rq_cancel(&req->group->rq, &req->item);
+			req->state = REQ_ST_NEW;
+			if (!host)
+				req->call->msg.from = NULL;
+			req_not_run(req, CB_E_DEADLINE);
+		} else if (!host) {
+			req->call->msg.from = NULL;
+		}
+		return;
+	}
+}
--- /dev/null
+++ b/daemon/req_servers.c
@@ -0,0 +1,436 @@
+#include <stdio.h>
+#include <string.h>
+
+#include "base/err.h"
+#include "base/ev.h"
+#include "base/log.h"
+#include "daemon/req_int.h"
+
+#define ANY_SERVICE "*"
+
+/* ---- groups ---- */
+
+static struct req_group *find_group(struct req_task *r, const char *service)
+{
+	struct req_group *group;
+
+	list_for_each_entry(group, &r->groups, node)
+		if (strcmp(group->service, service) == 0)
+			return group;
+	return NULL;
+}
+
+static void on_refuse(struct rq *rq, struct rq_item *item, int code)
+{
+	struct req *req = container_of(item, struct req, item);
+
+	req->state = REQ_ST_NEW;
+	req_not_run(req, code);
+}
+
+static const struct rq_ops queue_ops = { .refuse = on_refuse };
+
+static void sync_customers(struct req_task *r, struct req_group *group)
+{
+	struct rq_customer *customer, *tmp;
+	size_t i;
+
+	if (!r->view)
+		return;
+	for (i = 0; i < r->view->customer_count; i++)
+		rq_customer_set(&group->rq, r->view->customers[i].name,
+				r->view->customers[i].weight);
+	list_for_each_entry_safe(customer, tmp, &group->rq.customers, node)
+		if (!customer->removed &&
+		    !doc_view_customer(r->view, customer->name))
+			rq_customer_remove(&group->rq, customer);
+}
+
+static struct req_group *new_group(struct req_task *r, const char *service)
+{
+	struct req_group *group = g_new0(struct req_group, 1);
+
+	group->r = r;
+	snprintf(group->service, sizeof(group->service), "%s", service);
+	rq_init(&group->rq, &queue_ops, kn_now_us());
+	group->servers = g_ptr_array_new();
+	list_add_tail(&group->node, &r->groups);
+	sync_customers(r, group);
+	return group;
+}
+
+/*
+ * Queue for a service: its own when it has servers of its own, else the one
+ * of the servers that take any service.
+ */
+struct req_group *req_group_get(struct req_task *r, const char *service)
+{
+	struct req_group *group = find_group(r, service), *any;
+
+	if (group && group->servers->len > 0)
+		return group;
+	any = find_group(r, ANY_SERVICE);
+	if (any && any->servers->len > 0)
+		return any;
+	return group ? group : new_group(r, service);
+}
+
+/* True when the queue has a server that may get work. */
+bool req_group_usable(const struct req_group *group)
+{
+	const struct req_server *server;
+	guint i;
+
+	for (i = 0; i < group->servers->len; i++) {
+		server = g_ptr_array_index(group->servers, i);
+		if (mb_allowed(&server->mb) > 0)
+			return true;
+	}
+	return false;
+}
+
+/* Puts the customers of a new document into force in all queues. */
+void req_document(struct req_task *r, struct doc_view *view)
+{
+	struct req_group *group;
+
+	if (r->view)
+		doc_view_unref(r->view);
+	r->view = doc_view_ref(view);
+	list_for_each_entry(group, &r->groups, node)
+		sync_customers(r, group);
+}
+
+/* ---- servers ---- */
+
+static void log_state(const struct req_server *server, const char *cause)
+{
+	ev_emit("server.state",
+		"server=%s:%d service=%s state=%s listed=%d cause=%s",
+		server->mb.addr, server->mb.port, server->mb.service,
+		mb_state_name(server->mb.state), server->mb.listed, cause);
+}
+
+static struct req_server *find_server(struct req_task *r, const char *service,
+				      const char *addr, int port)
+{
+	struct mb_server *mb = mb_find(&r->mb, service, addr, port);
+
+	return mb ? container_of(mb, struct req_server, mb) : NULL;
+}
+
+static void free_server(struct req_server *server)
+{
+	struct req_task *r = server->group->r;
+	struct req *req;
+
+	list_for_each_entry(req, &r->reqs, node)
+		if (req->server == server)
+			req->server = NULL;
+	g_ptr_array_remove(server->group->servers, server);
+	mb_remove(&server->mb);
+	if (--server->at->refs == 0) {
+		r->back->ops->remove_server(r->back, server->mb.addr,
+					    server->mb.port);
+		sl_slots_finish(&server->at->slots);
+		g_free(server->at);
+	}
+	g_free(server);
+}
+
+static struct req_endpoint *get_endpoint(struct req_task *r, const char *addr,
+					 int port)
+{
+	struct req_endpoint *at;
+	struct sl_slots *slots;
+	char name[SL_SERVER_BYTES];
+
+	snprintf(name, sizeof(name), "%s:%d", addr, port);
+	list_for_each_entry(slots, &r->slots.holder.servers, node) {
+		if (strcmp(slots->server, name) != 0)
+			continue;
+		at = container_of(slots, struct req_endpoint, slots);
+		at->refs++;
+		return at;
+	}
+	at = g_new0(struct req_endpoint, 1);
+	at->refs = 1;
+	sl_slots_init(&at->slots, &r->slots.holder, name,
+		      slots_floor(&r->slots, name));
+	r->back->ops->add_server(r->back, addr, port,
+				 slots_connections(&r->slots));
+	return at;
+}
+
+static struct req_server *add_server(struct req_task *r,
+				     const struct req_member *member)
+{
+	struct req_server *server = g_new0(struct req_server, 1);
+
+	server->group = find_group(r, member->service);
+	if (!server->group)
+		server->group = new_group(r, member->service);
+	mb_add(&r->mb, &server->mb, member->service, member->addr, member->port,
+	       member->configured);
+	server->at = get_endpoint(r, member->addr, member->port);
+	g_ptr_array_add(server->group->servers, server);
+	log_state(server, "added");
+	return server;
+}
+
+static bool in_list(const struct req_members *list,
+		    const struct mb_server *server)
+{
+	const struct req_member *member;
+	guint i;
+
+	for (i = 0; i < list->members->len; i++) {
+		member = &g_array_index(list->members, struct req_member, i);
+		if (member->port == server->port &&
+		    strcmp(member->addr, server->addr) == 0 &&
+		    strcmp(member->service, server->service) == 0)
+			return true;
+	}
+	return false;
+}
+
+/*
+ * Takes a whole list. A server that is absent gets no new work; it is
+ * forgotten by req_servers_tick() once nothing runs on it.
+ */
+void req_servers_update(struct req_task *r, const struct req_members *list)
+{
+	int64_t now_us = kn_now_us();
+	const struct req_member *member;
+	struct req_server *server;
+	struct mb_server *mb;
+	guint i;
+
+	for (i = 0; i < list->members->len; i++) {
+		member = &g_array_index(list->members, struct req_member, i);
+		server = find_server(r, member->service, member->addr,
+				     member->port);
+		if (!server)
+			server = add_server(r, member);
+		if (member->leaving)
+			req_server_leaving(r, member->addr, member->port,
+					   "listed-as-leaving", true);
+		if (mb_listed(&server->mb, true, member->leaving, now_us))
+			log_state(server, "list");
+	}
+	list_for_each_entry(mb, &r->mb.servers, node)
+		if (!in_list(list, mb) && mb_listed(mb, false, false, now_us))
+			log_state(container_of(mb, struct req_server, mb),
+				  "absent");
+	req_wake(r);
+}
+
+static void tell_members(struct req_task *r, const char *addr, int port,
+			 const char *reason)
+{
+	struct req_leaving *msg;
+
+	if (!r->members)
+		return;
+	msg = g_new0(struct req_leaving, 1);
+	msg->msg.type = REQ_LEAVING;
+	msg->msg.release = (void (*)(struct kn_msg *))g_free;
+	snprintf(msg->addr, sizeof(msg->addr), "%s", addr);
+	snprintf(msg->reason, sizeof(msg->reason), "%s", reason);
+	msg->port = port;
+	kn_send(r->members, &r->task, &msg->msg);
+}
+
+/*
+ * Takes a sign of leaving. tell: it is the first of this data centre as far
+ * as this host knows, so the other hosts are told at once.
+ */
+void req_server_leaving(struct req_task *r, const char *addr, int port,
+			const char *reason, bool tell)
+{
+	int64_t now_us = kn_now_us();
+	struct mb_server *mb;
+	bool changed = false;
+
+	list_for_each_entry(mb, &r->mb.servers, node) {
+		if (mb->port != port || strcmp(mb->addr, addr) != 0)
+			continue;
+		if (mb_leaving(mb, now_us)) {
+			changed = true;
+			log_state(container_of(mb, struct req_server, mb),
+				  reason);
+		}
+	}
+	if (changed && tell)
+		tell_members(r, addr, port, reason);
+}
+
+/* Credits wanted at a server: its part of what runs, more when some wait. */
+static int wanted(struct req_task *r, const struct req_server *server)
+{
+	const struct rq *rq = &server->group->rq;
+	int n = (int)server->group->servers->len;
+	int want;
+
+	if (mb_allowed(&server->mb) <= 0)
+		return 0;
+	want = rq->classes[DOC_SHORT].running + rq->classes[DOC_LONG].running;
+	want = want > 0 ? (want + n - 1) / n + 1 : 0;
+	if (rq->waiting > 0)
+		want = BACKEND_SLOTS;
+	want -= server->at->slots.floor;
+	if (want > slots_pool(&r->slots))
+		want = slots_pool(&r->slots);
+	return want > 0 ? want : 0;
+}
+
+/*
+ * Ends delays of ejected servers and sets the credits that are wanted. A
+ * server absent from the list is remembered for as long as a sign of
+ * leaving counts, since the list may lag and name it once more.
+ */
+void req_servers_tick(struct req_task *r, int64_t now_us)
+{
+	struct mb_server *mb, *tmp;
+	struct req_server *server;
+	struct sl_slots *slots;
+	int want;
+
+	list_for_each_entry(slots, &r->slots.holder.servers, node)
+		slots->want = 0;
+	list_for_each_entry_safe(mb, tmp, &r->mb.servers, node) {
+		server = container_of(mb, struct req_server, mb);
+		if (mb_tick(mb, now_us))
+			log_state(server, "delay-over");
+		want = wanted(r, server);
+		if (want > server->at->slots.want)
+			server->at->slots.want = want;
+		if (mb->listed)
+			server->absent_us = 0;
+		else if (server->absent_us == 0)
+			server->absent_us = now_us;
+		else if (now_us - server->absent_us >=
+				 LEAVING_HOLD_MS * USEC_PER_MSEC &&
+			 server->rt.in_flight == 0)
+			free_server(server);
+	}
+}
+
+void req_servers_finish(struct req_task *r)
+{
+	struct req_group *group;
+
+	while (!list_empty(&r->mb.servers))
+		free_server(
+			container_of(list_first_entry(&r->mb.servers,
+						      struct mb_server, node),
+				     struct req_server, mb));
+	while (!list_empty(&r->groups)) {
+		group = list_first_entry(&r->groups, struct req_group, node);
+		list_del(&group->node);
+		rq_finish(&group->rq);
+		g_ptr_array_free(group->servers, TRUE);
+		g_free(group);
+	}
+}
+
+/* ---- signs from the edge ---- */
+
+static struct req_task *of_signs(struct back_signs *signs)
+{
+	return container_of(signs, struct req_task, signs);
+}
+
+static void on_leaving(struct back_signs *signs, const char *addr, int port)
+{
+	req_server_leaving(of_signs(signs), addr, port, "server-said", true);
+}
+
+/*
+ * A server that refuses connections is gone or about to be: it gets no
+ * request until the ejection delay has passed, and no kept connection.
+ */
+static void on_refused(struct back_signs *signs, const char *addr, int port)
+{
+	struct req_task *r = of_signs(signs);
+	struct mb_server *mb;
+	int i;
+
+	list_for_each_entry(mb, &r->mb.servers, node) {
+		if (mb->port != port || strcmp(mb->addr, addr) != 0)
+			continue;
+		for (i = 0; i < EJECT_FAILURES && mb->state != MB_EJECTED; i++)
+			if (mb_failure(&r->mb, mb, kn_now_us()))
+				log_state(
+					container_of(mb, struct req_server, mb),
+					"refused-connection");
+	}
+	r->back->ops->add_server(r->back, addr, port, 0);
+	r->back->ops->add_server(r->back, addr, port,
+				 slots_connections(&r->slots));
+}
+
+static void on_failed(struct back_signs *signs, const char *addr, int port,
+		      int result)
+{
+	struct req_task *r = of_signs(signs);
+	struct mb_server *mb;
+
+	list_for_each_entry(mb, &r->mb.servers, node)
+		if (mb->port == port && strcmp(mb->addr, addr) == 0 &&
+		    mb_failure(&r->mb, mb, kn_now_us()))
+			log_state(container_of(mb, struct req_server, mb),
+				  cb_result_name(result));
+}
+
+static void on_answered(struct back_signs *signs, const char *addr, int port,
+			int status, int64_t latency_us)
+{
+	struct req_task *r = of_signs(signs);
+	struct mb_server *mb;
+
+	list_for_each_entry(mb, &r->mb.servers, node)
+		if (mb->port == port && strcmp(mb->addr, addr) == 0 &&
+		    mb_success(&r->mb, mb, latency_us, kn_now_us()))
+			log_state(container_of(mb, struct req_server, mb),
+				  mb->state == MB_LIVE ? "recovered" : "slow");
+}
+
+void req_signs_init(struct req_task *r)
+{
+	r->signs.leaving = on_leaving;
+	r->signs.refused = on_refused;
+	r->signs.failed = on_failed;
+	r->signs.answered = on_answered;
+}
+
+/* ---- API ---- */
+
+/* Answers GET /v1/servers with what this host knows of each server. */
+void req_servers_api(struct req_task *r, struct svc_api_call *call)
+{
+	json_t *servers = json_array();
+	int64_t now_us = kn_now_us();
+	struct mb_server *mb;
+
+	list_for_each_entry(mb, &r->mb.servers, node) {
+		struct req_server *server =
+			container_of(mb, struct req_server, mb);
+
+		json_array_append_new(
+			servers,
+			json_pack("{s:s,s:s,s:i,s:s,s:b,s:i,s:i,s:i,s:I}",
+				  "service", mb->service, "addr", mb->addr,
+				  "port", mb->port, "state",
+				  mb_state_name(mb->state), "listed",
+				  mb->listed, "in_progress",
+				  server->rt.in_flight, "floor",
+				  server->at->slots.floor, "credits",
+				  sl_held(&server->at->slots, now_us),
+				  "latency_us",
+				  (json_int_t)server->rt.latency_us));
+	}
+	svc_api_answer(call, &r->task, 200,
+		       json_pack("{s:s,s:o}", "host", r->set->host, "servers",
+				 servers));
+}
--- /dev/null
+++ b/daemon/slots.c
@@ -0,0 +1,221 @@
+#include "daemon/slots.h"
+
+#include <string.h>
+
+#include "base/ev.h"
+#include "base/log.h"
+#include "daemon/mp.h"
+
+/* ---- setup ---- */
+
+/* Prepares the slots of this host; hosts are those of the data centre. */
+void slots_init(struct slots *slots, const struct set *set,
+		struct kn_task *peers, uint64_t incarnation)
+{
+	size_t i;
+
+	memset(slots, 0, sizeof(*slots));
+	slots->set = set;
+	slots->peers = peers;
+	slots->hosts = g_new0(const char *, set->peer_count + 1);
+	slots->hosts[slots->host_count++] = set->host;
+	for (i = 0; i < set->peer_count; i++)
+		if (strcmp(set->peers[i].dc, set->dc) == 0)
+			slots->hosts[slots->host_count++] = set->peers[i].host;
+	sl_holder_init(&slots->holder, incarnation);
+	sl_grantor_init(&slots->grantor, slots->hosts, slots->host_count);
+}
+
+void slots_finish(struct slots *slots)
+{
+	sl_grantor_finish(&slots->grantor);
+	g_free(slots->hosts);
+}
+
+int slots_floor(const struct slots *slots, const char *server)
+{
+	return sl_floor(slots->hosts, slots->host_count, slots->set->host,
+			server);
+}
+
+int slots_pool(const struct slots *slots)
+{
+	return sl_pool(slots->host_count);
+}
+
+unsigned int slots_connections(const struct slots *slots)
+{
+	return (unsigned int)sl_connections(slots->host_count);
+}
+
+/* ---- leadership ---- */
+
+/* Takes a change or renewal of the data centre's leadership. */
+void slots_lead(struct slots *slots, const struct svc_lead *lead)
+{
+	if (lead->epoch < slots->epoch)
+		return;
+	if (lead->leading && lead->epoch != slots->grantor.epoch) {
+		sl_lead(&slots->grantor, lead->epoch, kn_now_us());
+		slots->granting = true;
+		ev_emit("slots.leading", "epoch=%" PRIu64, lead->epoch);
+	}
+	if (lead->epoch != slots->epoch)
+		slots->held = true; /* the new leader has to hear of them */
+	slots->epoch = lead->epoch;
+	slots->leading = lead->leading;
+	slots->valid_until_us = lead->valid_until_us;
+	memcpy(slots->leader, lead->leading ? slots->set->host : lead->leader,
+	       sizeof(slots->leader));
+}
+
+static bool may_grant(const struct slots *slots, int64_t now_us)
+{
+	return slots->leading && slots->granting &&
+	       now_us < slots->valid_until_us;
+}
+
+/* ---- messages ---- */
+
+/*
+ * Both messages are [epoch, incarnation, sequence, term ms, [server, held,
+ * wanted or granted, ...]]. The term is 0 in a report.
+ */
+static void send_lines(struct slots *slots, const char *host, int type,
+		       const struct sl_ask *ask, int64_t term_ms,
+		       const GArray *lines)
+{
+	const struct sl_line *line;
+	struct mp_out out;
+	guint i;
+
+	mp_begin(&out, 5);
+	mp_uint(&out, ask->epoch);
+	mp_uint(&out, ask->incarnation);
+	mp_uint(&out, ask->seq);
+	mp_int(&out, term_ms);
+	mp_array(&out, lines->len * 3UL);
+	for (i = 0; i < lines->len; i++) {
+		line = &g_array_index(lines, struct sl_line, i);
+		mp_str(&out, line->server);
+		mp_int(&out, line->held);
+		mp_int(&out, line->want);
+	}
+	pr_send(slots->peers, host, type, &out.buf);
+	mp_end(&out);
+}
+
+static bool read_lines(const struct pr_in *in, struct sl_ask *ask,
+		       int64_t *term_ms, GArray *lines)
+{
+	struct sl_line line;
+	struct mp_in body, inner;
+	int64_t held, want;
+
+	mp_open(&body, &in->body.data);
+	ask->epoch = mp_get_uint(&body);
+	ask->incarnation = mp_get_uint(&body);
+	ask->seq = mp_get_uint(&body);
+	*term_ms = mp_get_int(&body);
+	mp_get_array(&body, &inner);
+	while (body.ok && inner.ok && inner.left > 0) {
+		memset(&line, 0, sizeof(line));
+		mp_get_text(&inner, line.server, sizeof(line.server));
+		held = mp_get_int(&inner);
+		want = mp_get_int(&inner);
+		if (held < 0 || held > BACKEND_SLOTS || want < 0 ||
+		    want > BACKEND_SLOTS)
+			inner.ok = false;
+		line.held = (int)held;
+		line.want = (int)want;
+		g_array_append_val(lines, line);
+	}
+	if (body.ok && inner.ok)
+		return true;
+	log_warn("slots.malformed", "peer=%s type=%d", in->host, in->type);
+	return false;
+}
+
+static GArray *lines_new(void)
+{
+	return g_array_new(FALSE, TRUE, sizeof(struct sl_line));
+}
+
+static void ask(struct slots *slots, int64_t now_us)
+{
+	GArray *lines = lines_new(), *grants = lines_new();
+	const struct sl_ask *newest = &slots->holder.ask;
+
+	if (!sl_ask(&slots->holder, slots->epoch, lines, now_us))
+		goto out;
+	slots->asked_us = now_us;
+	slots->held = lines->len > 0;
+	if (!slots->leading) {
+		if (slots->peers)
+			send_lines(slots, slots->leader, PR_SLOT_REPORT, newest,
+				   0, lines);
+	} else if (may_grant(slots, now_us) &&
+		   sl_report(&slots->grantor, slots->set->host, newest,
+			     (const struct sl_line *)(void *)lines->data,
+			     lines->len, grants, now_us)) {
+		sl_granted(&slots->holder, newest, SLOT_TERM_MS * USEC_PER_MSEC,
+			   (const struct sl_line *)(void *)grants->data,
+			   grants->len, now_us);
+	}
+out:
+	g_array_free(lines, TRUE);
+	g_array_free(grants, TRUE);
+}
+
+/*
+ * A report makes an unanswered one void, so a pressed host still waits for
+ * its answer; only after SLOT_REPORT_MS is it taken for lost.
+ */
+void slots_tick(struct slots *slots, bool pressed, int64_t now_us)
+{
+	int64_t passed = now_us - slots->asked_us;
+	const struct sl_slots *server;
+	bool wanted = slots->held;
+
+	if (slots->leader[0] == '\0' || slots->host_count < 2)
+		return;
+	list_for_each_entry(server, &slots->holder.servers, node)
+		wanted = wanted || server->want > 0 ||
+			 sl_held(server, now_us) > 0;
+	if ((wanted && passed >= SLOT_REPORT_MS * USEC_PER_MSEC) ||
+	    (pressed && slots->holder.answered &&
+	     passed >= SLOT_PRESS_MS * USEC_PER_MSEC))
+		ask(slots, now_us);
+}
+
+/* Answers the report of a peer while this host leads. */
+void slots_report_in(struct slots *slots, const struct pr_in *in)
+{
+	GArray *lines = lines_new(), *grants = lines_new();
+	int64_t now_us = kn_now_us(), term_ms;
+	struct sl_ask ask;
+
+	if (read_lines(in, &ask, &term_ms, lines) && may_grant(slots, now_us) &&
+	    sl_report(&slots->grantor, in->host, &ask,
+		      (const struct sl_line *)(void *)lines->data, lines->len,
+		      grants, now_us))
+		send_lines(slots, in->host, PR_SLOT_GRANT, &ask, SLOT_TERM_MS,
+			   grants);
+	g_array_free(lines, TRUE);
+	g_array_free(grants, TRUE);
+}
+
+bool slots_grant_in(struct slots *slots, const struct pr_in *in)
+{
+	GArray *lines = lines_new();
+	struct sl_ask ask;
+	int64_t term_ms;
+	bool taken;
+
+	taken = read_lines(in, &ask, &term_ms, lines) &&
+		sl_granted(&slots->holder, &ask, term_ms * USEC_PER_MSEC,
+			   (const struct sl_line *)(void *)lines->data,
+			   lines->len, kn_now_us());
+	g_array_free(lines, TRUE);
+	return taken;
+}
--- /dev/null
+++ b/daemon/slots.h
@@ -0,0 +1,39 @@
+#ifndef DAEMON_SLOTS_H
+#define DAEMON_SLOTS_H
+
+#include "base/set.h"
+#include "daemon/svc.h"
+#include "policy/sl.h"
+#include "wire/pr.h"
+
+/* Slots of this host, and the credits it grants while it leads. */
+struct slots {
+	struct sl_holder holder;
+	struct sl_grantor grantor;
+	const struct set *set;
+	struct kn_task *peers; /* or NULL */
+	const char **hosts; /* all of the data centre */
+	size_t host_count;
+	char leader[NAME_MAX_BYTES];
+	uint64_t epoch; /* of the leader */
+	bool leading;
+	bool granting; /* leading, and sl_lead() was called for the epoch */
+	int64_t valid_until_us;
+	int64_t asked_us;
+	bool held; /* the last report held or wanted credits */
+};
+
+void slots_init(struct slots *slots, const struct set *set,
+		struct kn_task *peers, uint64_t incarnation);
+void slots_finish(struct slots *slots);
+int slots_floor(const struct slots *slots, const char *server);
+int slots_pool(const struct slots *slots);
+unsigned int slots_connections(const struct slots *slots);
+void slots_lead(struct slots *slots, const struct svc_lead *lead);
+/* Reports to the leader when it is time, or soon when pressed. */
+void slots_tick(struct slots *slots, bool pressed, int64_t now_us);
+void slots_report_in(struct slots *slots, const struct pr_in *in);
+/* True when credits have arrived. */
+bool slots_grant_in(struct slots *slots, const struct pr_in *in);
+
+#endif
--- a/policy/ky.h
+++ b/policy/ky.h
@@ -59,6 +59,7 @@
 	uint64_t ticket; /* sequence; 0: a key that the caller chose */
 	int64_t since_us; /* queued, or finished */
 	struct list_head waiters; /* of struct ky_waiter */
+	void *user; /* the attempt that runs or claims, for the caller */
 	struct ky_answer answer;
 };
 
--- a/wire/pr.h
+++ b/wire/pr.h
@@ -24,6 +24,7 @@
 	PR_KEY_ADOPT,
 	PR_API_FORWARD,
 	PR_API_FORWARD_REPLY,
+	PR_MEMBERS,
 	PR_TYPES
 };
 
