Add the administration API

It routes paths to the services that own them, answers health, metrics, events and customers itself, and forwards calls that only the leading host can answer over the peer link, once.

--- a/base/limits.h
+++ b/base/limits.h
@@ -155,4 +155,9 @@
 #define DOC_READ_BATCH 8
 #define DOC_PUSH_BYTES (1024 * 1024) /* of sections in one peer message */
 
+/* ---- administration API ---- */
+
+#define API_EVENTS_MAX 1000 /* events in one answer */
+#define API_FORWARD_TIMEOUT_MS 10000 /* until the leader's answer is given up */
+
 #endif
--- /dev/null
+++ b/daemon/api.c
@@ -0,0 +1,298 @@
+#include "daemon/api.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+#include "base/err.h"
+#include "daemon/api_int.h"
+
+/* Paths of other services; the first prefix that fits counts. */
+static const struct route {
+	const char *prefix;
+	const char *service;
+	bool leader; /* only the leading host can answer */
+} routes[] = {
+	{ "/v1/document", SVC_DOCUMENT, false },
+	{ "/v1/jobs", SVC_SCHEDULER, true },
+	{ "/v1/workers", SVC_SCHEDULER, true },
+	{ "/v1/servers", SVC_MEMBERS, false },
+	{ "/v1/leaders", SVC_LEAD, false },
+	{ "/v1/tickets", SVC_REQUESTS, false },
+};
+
+/* ---- calls ---- */
+
+static void release_call(struct kn_msg *msg)
+{
+	api_call_free(container_of(msg, struct api_call, call.msg));
+}
+
+/* A call that answers go back to this task for. */
+struct api_call *api_call_new(struct api *api)
+{
+	struct api_call *call = g_new0(struct api_call, 1);
+
+	call->api = api;
+	call->call.msg.release = release_call;
+	call->call.msg.from = &api->task;
+	list_add_tail(&call->node, &api->calls);
+	return call;
+}
+
+void api_call_free(struct api_call *call)
+{
+	list_del(&call->node);
+	kn_timer_cancel(&call->timer);
+	if (call->req)
+		call->req->user = NULL;
+	g_free(call->call.method);
+	g_free(call->call.path);
+	g_free(call->call.token);
+	g_free(call->call.if_match);
+	g_free(call->call.key);
+	json_decref(call->call.query);
+	json_decref(call->call.body);
+	json_decref(call->call.answer);
+	g_free(call->target);
+	g_free(call);
+}
+
+static void reply(struct api_call *call)
+{
+	struct http_headers headers;
+	char *text =
+		json_dumps(call->call.answer, JSON_ENCODE_ANY | JSON_COMPACT);
+
+	http_headers_init(&headers);
+	http_headers_add(&headers, "Content-Type", "application/json");
+	hs_reply(call->req, call->call.status, &headers, text ? text : "null",
+		 text ? strlen(text) : 4);
+	http_headers_finish(&headers);
+	call->req = NULL;
+	free(text);
+}
+
+/* Sends the answer to where the call came from and frees the call. */
+void api_send_answer(struct api_call *call)
+{
+	struct api *api = call->api;
+
+	if (call->call.status >= 400)
+		ctr_add(&api->errors, 1);
+	if (call->host[0])
+		api_forward_answer(call);
+	else if (call->req)
+		reply(call);
+	api_call_free(call);
+	if (api->task.kn->draining && !api->task.drained &&
+	    list_empty(&api->calls))
+		kn_drained(&api->task);
+}
+
+/* ---- routing ---- */
+
+static const struct route *find_route(const char *path)
+{
+	size_t i, len;
+
+	for (i = 0; i < G_N_ELEMENTS(routes); i++) {
+		len = strlen(routes[i].prefix);
+		if (strncmp(path, routes[i].prefix, len) == 0 &&
+		    (path[len] == '\0' || path[len] == '/'))
+			return &routes[i];
+	}
+	return NULL;
+}
+
+/* Answers a parsed call, or passes it to the service that does. */
+void api_dispatch(struct api_call *call)
+{
+	struct api *api = call->api;
+	const struct route *route = find_route(call->call.path);
+	struct kn_task *service;
+
+	if (!route) {
+		if (!api_answer_own(call))
+			svc_api_fail(&call->call, &api->task, CB_E_UNKNOWN_PATH,
+				     "%s", call->call.path);
+		return;
+	}
+	if (route->leader && api->lead && !api->leading) {
+		api_forward(call);
+		return;
+	}
+	service = kn_find(api->task.kn, route->service);
+	if (!service) {
+		svc_api_fail(&call->call, &api->task, CB_E_UNKNOWN_PATH,
+			     "this process does not run the service \"%s\"",
+			     route->service);
+		return;
+	}
+	call->call.msg.type = SVC_API_CALL;
+	kn_send(service, &api->task, &call->call.msg);
+}
+
+/* ---- HTTP ---- */
+
+static char *bearer_token(const struct hs_request *req)
+{
+	const char *value = hs_header(req, "Authorization");
+
+	if (!value || g_ascii_strncasecmp(value, "Bearer ", 7) != 0)
+		return NULL;
+	return g_strstrip(g_strdup(value + 7));
+}
+
+static void on_request(struct hs_server *server, struct hs_request *req)
+{
+	struct api *api = container_of(server, struct api, server);
+	struct api_call *call = api_call_new(api);
+	GError *err = NULL;
+
+	ctr_add(&api->requests, 1);
+	call->req = req;
+	req->user = call;
+	call->call.token = bearer_token(req);
+	call->call.if_match = g_strdup(hs_header(req, "If-Match"));
+	call->call.key = g_strdup(hs_header(req, "Idempotency-Key"));
+	if (api_parse(call, req->method, req->target, req->body, req->body_len,
+		      &err)) {
+		api_dispatch(call);
+		return;
+	}
+	svc_api_fail(&call->call, &api->task, err->code, "%s", err->message);
+	g_error_free(err);
+}
+
+static void on_gone(struct hs_server *server, struct hs_request *req)
+{
+	struct api_call *call = req->user;
+
+	if (call)
+		call->req = NULL;
+}
+
+static const struct hs_ops server_ops = {
+	.request = on_request,
+	.gone = on_gone,
+};
+
+/* ---- task ---- */
+
+static void on_document(struct api *api, const struct svc_doc *changed)
+{
+	doc_view_unref(api->view);
+	api->view = doc_view_ref(changed->view);
+}
+
+static void on_lead(struct api *api, const struct svc_lead *lead)
+{
+	g_strlcpy(api->leader, lead->leader, sizeof(api->leader));
+	api->leading = lead->leading;
+}
+
+static void api_receive(struct kn_task *task, struct kn_msg *msg)
+{
+	struct api *api = container_of(task, struct api, task);
+
+	switch (msg->type) {
+	case SVC_API_REPLY:
+		api_send_answer(container_of(msg, struct api_call, call.msg));
+		return;
+	case SVC_DOC_CHANGED:
+		on_document(api, container_of(msg, struct svc_doc, msg));
+		break;
+	case SVC_LEAD_CHANGED:
+		on_lead(api, container_of(msg, struct svc_lead, msg));
+		break;
+	case PR_MSG_IN:
+		api_forward_message(api, container_of(msg, struct pr_in, msg));
+		break;
+	default:
+		break;
+	}
+	kn_msg_release(msg);
+}
+
+static bool api_start(struct kn_task *task, GError **err)
+{
+	struct api *api = container_of(task, struct api, task);
+	struct kn_task *document = kn_find(task->kn, SVC_DOCUMENT);
+
+	api->peers = kn_find(task->kn, SVC_PEERS);
+	api->lead = kn_find(task->kn, SVC_LEAD);
+	if (document)
+		svc_subscribe(document, task);
+	if (api->lead)
+		svc_subscribe(api->lead, task);
+	if (api->peers) {
+		pr_subscribe(api->peers, task, PR_API_FORWARD);
+		pr_subscribe(api->peers, task, PR_API_FORWARD_REPLY);
+	}
+	api->listening =
+		hs_init(&api->server, task->kn, &server_ops,
+			api->set->admin.addr, api->set->admin.port, err);
+	if (!api->listening)
+		return false;
+	hs_keep_header(&api->server, "Authorization");
+	hs_keep_header(&api->server, "If-Match");
+	hs_keep_header(&api->server, "Idempotency-Key");
+	return true;
+}
+
+/* /healthz and the other paths are answered until the process ends. */
+static void api_drain(struct kn_task *task)
+{
+	struct api *api = container_of(task, struct api, task);
+
+	hs_drain(&api->server);
+	if (list_empty(&api->calls))
+		kn_drained(task);
+}
+
+static void api_finish(struct kn_task *task)
+{
+	struct api *api = container_of(task, struct api, task);
+	struct api_call *call, *next;
+
+	if (api->listening)
+		hs_finish(&api->server);
+	list_for_each_entry_safe(call, next, &api->calls, node) {
+		/* Those held by a service are freed with its messages. */
+		if (call->forward_id)
+			api_call_free(call);
+	}
+	doc_view_unref(api->view);
+	ctr_finish(&api->requests);
+	ctr_finish(&api->errors);
+	list_del(&api->calls);
+	g_free(api);
+}
+
+static const struct kn_task_ops api_ops = {
+	.start = api_start,
+	.receive = api_receive,
+	.drain = api_drain,
+	.finish = api_finish,
+};
+
+struct kn_task *api_new(struct kn *kn, const struct set *set)
+{
+	struct api *api = g_new0(struct api, 1);
+
+	api->set = set;
+	list_init(&api->calls);
+	ctr_init(&api->requests, &kn->counters, CTR_COUNTER,
+		 "chivebank_api_requests_total", NULL,
+		 "Calls of the administration API");
+	ctr_init(&api->errors, &kn->counters, CTR_COUNTER,
+		 "chivebank_api_errors_total", NULL,
+		 "Calls of the administration API that failed");
+	kn_add(kn, &api->task, SVC_API, &api_ops);
+	return &api->task;
+}
+
+int api_port(struct kn_task *api)
+{
+	return container_of(api, struct api, task)->server.port;
+}
--- /dev/null
+++ b/daemon/api_int.h
@@ -0,0 +1,67 @@
+#ifndef DAEMON_API_INT_H
+#define DAEMON_API_INT_H
+
+#include "base/set.h"
+#include "daemon/svc.h"
+#include "wire/hs.h"
+#include "wire/pr.h"
+
+/* Private to the administration API. */
+
+struct api {
+	struct kn_task task;
+	const struct set *set;
+	struct hs_server server;
+	bool listening;
+	struct kn_task *peers; /* or NULL */
+	struct kn_task *lead; /* or NULL: this host leads */
+	struct doc_view *view; /* NULL until a document is known */
+	char leader[NAME_MAX_BYTES];
+	bool leading;
+	struct list_head calls; /* struct api_call */
+	uint64_t next_forward;
+	struct ctr requests;
+	struct ctr errors;
+};
+
+/* A call in progress, of an operator or of a peer. */
+struct api_call {
+	struct svc_api_call call;
+	struct list_head node;
+	struct api *api;
+	struct hs_request *req; /* NULL: of a peer, or gone */
+	char *target; /* as sent */
+	/* Forwarded to the leader. */
+	uint64_t forward_id;
+	struct kn_timer timer;
+	/* Of a peer. */
+	char host[NAME_MAX_BYTES]; /* empty: not of a peer */
+	uint64_t remote_id;
+};
+
+/* ---- api.c ---- */
+
+struct api_call *api_call_new(struct api *api);
+void api_call_free(struct api_call *call);
+void api_dispatch(struct api_call *call);
+void api_send_answer(struct api_call *call);
+
+/* ---- api_parse.c ---- */
+
+/* Fills method, path, query and body. Returns false with the reason. */
+bool api_parse(struct api_call *call, const char *method, const char *target,
+	       const void *body, size_t len, GError **err);
+
+/* ---- api_own.c ---- */
+
+/* Answers the paths that no other service owns. */
+bool api_answer_own(struct api_call *call);
+
+/* ---- api_forward.c ---- */
+
+/* Sends a call to the leading host, or fails it. */
+void api_forward(struct api_call *call);
+void api_forward_message(struct api *api, struct pr_in *in);
+void api_forward_answer(struct api_call *call);
+
+#endif
--- /dev/null
+++ b/daemon/api_own.c
@@ -0,0 +1,166 @@
+#include <inttypes.h>
+#include <string.h>
+
+#include "base/err.h"
+#include "base/ev.h"
+#include "daemon/api_int.h"
+
+/* ---- health and metrics ---- */
+
+/* The platform's balancer takes a host out when it answers 503. */
+static void answer_health(struct api_call *call)
+{
+	struct api *api = call->api;
+
+	if (api->task.kn->draining)
+		svc_api_fail(&call->call, &api->task, CB_E_DRAINING,
+			     "no new requests");
+	else
+		svc_api_answer(&call->call, &api->task, 200,
+			       json_pack("{s:s}", "status", "ok"));
+}
+
+/* Metrics are text, and so are not answered as JSON. */
+static void answer_metrics(struct api_call *call)
+{
+	struct http_headers headers;
+	GString *text;
+
+	if (!call->req) {
+		svc_api_fail(&call->call, &call->api->task, CB_E_UNKNOWN_PATH,
+			     "metrics are not forwarded");
+		return;
+	}
+	text = g_string_new(NULL);
+	ctr_print(&call->api->task.kn->counters, text);
+	http_headers_init(&headers);
+	http_headers_add(&headers, "Content-Type", "text/plain; version=0.0.4");
+	hs_reply(call->req, 200, &headers, text->str, text->len);
+	http_headers_finish(&headers);
+	g_string_free(text, TRUE);
+	call->req = NULL;
+	api_call_free(call);
+}
+
+/* ---- events ---- */
+
+static bool query_number(struct api_call *call, const char *name,
+			 uint64_t missing, uint64_t *out)
+{
+	const char *text =
+		json_string_value(json_object_get(call->call.query, name));
+	char *end;
+
+	*out = missing;
+	if (!text)
+		return true;
+	*out = g_ascii_strtoull(text, &end, 10);
+	if (end > text && *end == '\0' && *text != '-')
+		return true;
+	svc_api_fail(&call->call, &call->api->task, CB_E_BAD_REQUEST,
+		     "query argument \"%s\": value \"%s\" is not allowed; "
+		     "allowed: an integer from 0",
+		     name, text);
+	return false;
+}
+
+/* Events after a sequence number, oldest first. */
+static void answer_events(struct api_call *call)
+{
+	struct ev_entry *entries;
+	uint64_t after, limit;
+	json_t *list;
+	size_t count, i;
+
+	if (!query_number(call, "after", 0, &after) ||
+	    !query_number(call, "limit", API_EVENTS_MAX, &limit))
+		return;
+	limit = MIN(limit, API_EVENTS_MAX);
+	entries = g_new(struct ev_entry, limit);
+	count = ev_copy(after, entries, limit);
+	list = json_array();
+	for (i = 0; i < count; i++)
+		json_array_append_new(
+			list,
+			json_pack("{s:I,s:I,s:I,s:s,s:s}", "seq",
+				  (json_int_t)entries[i].seq, "mono_us",
+				  (json_int_t)entries[i].mono_us, "wall_us",
+				  (json_int_t)entries[i].wall_us, "event",
+				  entries[i].name, "text", entries[i].text));
+	g_free(entries);
+	svc_api_answer(&call->call, &call->api->task, 200,
+		       json_pack("{s:s,s:o}", "host", call->api->set->host,
+				 "events", list));
+}
+
+/* ---- customers ---- */
+
+static json_t *customer_json(const struct doc_customer *customer)
+{
+	static const char *const units[] = { "accelerator", "worker", "rack" };
+	json_t *guarantees = json_array();
+	size_t i;
+
+	for (i = 0; i < customer->guarantee_count; i++)
+		json_array_append_new(
+			guarantees,
+			json_pack("{s:s,s:s,s:i}", "dc",
+				  customer->guarantees[i].dc, "unit",
+				  units[customer->guarantees[i].unit], "count",
+				  customer->guarantees[i].count));
+	return json_pack("{s:s,s:i,s:i,s:s,s:o}", "name", customer->name,
+			 "weight", customer->weight, "quota_accelerators",
+			 customer->quota_accelerators, "on_removal",
+			 customer->stop_on_removal ? "stop" : "finish",
+			 "guarantees", guarantees);
+}
+
+static void answer_customers(struct api_call *call)
+{
+	struct api *api = call->api;
+	json_t *list;
+	size_t i;
+
+	if (!api->view) {
+		svc_api_fail(&call->call, &api->task, CB_E_STORE_DOWN,
+			     "no document is known yet");
+		return;
+	}
+	list = json_array();
+	for (i = 0; i < api->view->customer_count; i++)
+		json_array_append_new(list,
+				      customer_json(&api->view->customers[i]));
+	svc_api_answer(&call->call, &api->task, 200,
+		       json_pack("{s:I,s:o}", "revision",
+				 (json_int_t)api->view->revision, "customers",
+				 list));
+}
+
+/* ---- routes ---- */
+
+static const struct {
+	const char *path;
+	void (*answer)(struct api_call *call);
+} own_paths[] = {
+	{ "/healthz", answer_health },
+	{ "/metrics", answer_metrics },
+	{ "/v1/events", answer_events },
+	{ "/v1/customers", answer_customers },
+};
+
+bool api_answer_own(struct api_call *call)
+{
+	size_t i;
+
+	for (i = 0; i < G_N_ELEMENTS(own_paths); i++) {
+		if (strcmp(call->call.path, own_paths[i].path) != 0)
+			continue;
+		if (strcmp(call->call.method, "GET") == 0)
+			own_paths[i].answer(call);
+		else
+			svc_api_fail(&call->call, &call->api->task, CB_E_METHOD,
+				     "allowed: GET");
+		return true;
+	}
+	return false;
+}
--- a/daemon/document_change.c
+++ b/daemon/document_change.c
@@ -120,9 +120,10 @@
 static void on_written(struct kv_call *call)
 {
 	struct change *c = container_of(call, struct change, call);
+	int64_t revision = c->next->revision;
 
 	if (call->result == CB_OK && call->succeeded) {
-		succeed(c, c->next->revision, g_steal_pointer(&c->next));
+		succeed(c, revision, g_steal_pointer(&c->next));
 	} else if (call->result == CB_OK && c->unknown) {
 		read_root(c);
 	} else if (call->result == CB_OK) {
--- a/tests/standins/pf_thread.c
+++ b/tests/standins/pf_thread.c
@@ -8,7 +8,7 @@
 		g_mutex_lock(&t->lock);
 		pf_step(&t->server, 1);
 		g_mutex_unlock(&t->lock);
-		g_thread_yield();
+		g_usleep(100); /* the mutex is not fair */
 	}
 	return NULL;
 }
--- /dev/null
+++ b/tests/unit/test_api.c
@@ -0,0 +1,577 @@
+#include <check.h>
+#include <stdlib.h>
+#include <string.h>
+#include <unistd.h>
+
+#include "base/err.h"
+#include "daemon/api.h"
+#include "daemon/document.h"
+#include "daemon/store.h"
+#include "daemon/svc.h"
+#include "tests/standins/pf_server.h"
+#include "wire/hc.h"
+#include "wire/pr.h"
+
+#define HOSTS 2
+#define BASE_PORT 23000
+#define IN_FORCE_US (3 * USEC_PER_SEC) /* I8 at today's size */
+
+/* A task that leads or follows, or answers as the scheduler. */
+struct fake {
+	struct kn_task task;
+	char leader[NAME_MAX_BYTES];
+	bool leading;
+	int calls;
+};
+
+struct host {
+	struct kn kn;
+	struct set set;
+	struct kn_timer tick;
+	struct kn_task *api;
+	struct fake lead;
+	struct fake scheduler;
+	struct hc_pool pool;
+	bool running;
+};
+
+struct request {
+	struct hc_call hc;
+	struct host *host;
+	int done;
+	int status;
+	json_t *answer;
+};
+
+static struct host hosts[HOSTS];
+static struct pf_thread platform;
+
+/* ---- fakes ---- */
+
+static void free_msg(struct kn_msg *msg)
+{
+	free(msg);
+}
+
+static void lead_receive(struct kn_task *task, struct kn_msg *msg)
+{
+	struct fake *fake = (struct fake *)task;
+	struct svc_lead *lead = calloc(1, sizeof(*lead));
+
+	lead->msg.type = SVC_LEAD_CHANGED;
+	lead->msg.release = free_msg;
+	g_strlcpy(lead->leader, fake->leader, sizeof(lead->leader));
+	lead->leading = fake->leading;
+	kn_send(msg->from, task, &lead->msg);
+	kn_msg_release(msg);
+}
+
+static void scheduler_receive(struct kn_task *task, struct kn_msg *msg)
+{
+	struct svc_api_call *call = container_of(msg, struct svc_api_call, msg);
+	struct fake *fake = (struct fake *)task;
+
+	fake->calls++;
+	svc_api_answer(call, task, 200,
+		       json_pack("{s:s,s:s,s:s?,s:O?}", "host", fake->leader,
+				 "path", call->path, "key", call->key, "body",
+				 call->body));
+}
+
+static const struct kn_task_ops lead_ops = { .receive = lead_receive };
+static const struct kn_task_ops scheduler_ops = { .receive =
+							  scheduler_receive };
+
+/* ---- hosts ---- */
+
+static void on_tick(struct kn_timer *timer)
+{
+	kn_timer_set(timer->kn, timer, USEC_PER_MSEC, on_tick);
+}
+
+static int peer_port(int i)
+{
+	return BASE_PORT + (int)(getpid() % 400) * HOSTS + i;
+}
+
+static void fill_set(int i, bool memory, bool peers)
+{
+	struct set *set = &hosts[i].set;
+	struct set_peer *peer = &set->peers[0];
+	char *hash =
+		g_compute_checksum_for_string(G_CHECKSUM_SHA256, "root", -1);
+
+	memset(set, 0, sizeof(*set));
+	snprintf(set->host, sizeof(set->host), "h%d", i);
+	strcpy(set->dc, "p");
+	strcpy(set->region, "r");
+	strcpy(set->admin.addr, "127.0.0.1");
+	strcpy(set->admin_token_sha256, hash);
+	g_free(hash);
+	set->store_memory = memory;
+	if (!memory) {
+		strcpy(set->store.addr, "127.0.0.1");
+		set->store.port = platform.server.kv_port;
+	}
+	if (!peers)
+		return;
+	strcpy(set->peer_listen.addr, "127.0.0.1");
+	set->peer_listen.port = peer_port(i);
+	set->peer_count = 1;
+	snprintf(peer->host, sizeof(peer->host), "h%d", 1 - i);
+	strcpy(peer->dc, "p");
+	strcpy(peer->region, "r");
+	strcpy(peer->at.addr, "127.0.0.1");
+	peer->at.port = peer_port(1 - i);
+}
+
+/* The first host leads. */
+static void start_host(int i, bool memory, bool peers)
+{
+	struct host *h = &hosts[i];
+	struct kv *kv;
+
+	memset(h, 0, sizeof(*h));
+	fill_set(i, memory, peers);
+	ck_assert(kn_init(&h->kn, NULL));
+	kn_handle_signals(&h->kn);
+	kv = store_new(&h->kn, &h->set);
+	if (peers) {
+		pr_new(&h->kn, &h->set, 100 + (uint64_t)i);
+		strcpy(h->lead.leader, "h0");
+		h->lead.leading = i == 0;
+		kn_add(&h->kn, &h->lead.task, SVC_LEAD, &lead_ops);
+		strcpy(h->scheduler.leader, h->set.host);
+		kn_add(&h->kn, &h->scheduler.task, SVC_SCHEDULER,
+		       &scheduler_ops);
+	}
+	document_new(&h->kn, &h->set, kv, 100 + (uint64_t)i);
+	h->api = api_new(&h->kn, &h->set);
+	ck_assert(kn_start(&h->kn, NULL));
+	hc_pool_init(&h->pool, &h->kn, "127.0.0.1", api_port(h->api), 8);
+	kn_timer_set(&h->kn, &h->tick, 0, on_tick);
+	h->running = true;
+}
+
+static void setup(void)
+{
+	pf_thread_start(&platform);
+}
+
+static void teardown(void)
+{
+	int i;
+
+	for (i = 0; i < HOSTS; i++) {
+		if (!hosts[i].running)
+			continue;
+		hc_pool_finish(&hosts[i].pool);
+		kn_timer_cancel(&hosts[i].tick);
+		kn_finish(&hosts[i].kn);
+		hosts[i].running = false;
+	}
+	pf_thread_stop(&platform);
+}
+
+static void turn(void)
+{
+	int i;
+
+	for (i = 0; i < HOSTS; i++)
+		if (hosts[i].running)
+			kn_turn(&hosts[i].kn);
+}
+
+/* ---- requests ---- */
+
+static void on_reply(struct hc_call *hc)
+{
+	struct request *r = container_of(hc, struct request, hc);
+
+	r->done++;
+	r->status = hc->result == CB_OK ? hc->status : -hc->result;
+	r->answer = json_loadb((char *)hc->body, hc->body_len, 0, NULL);
+	hc_call_finish(hc);
+}
+
+static void begin(struct request *r, int host, const char *method,
+		  const char *target, const char *body, const char *token,
+		  const char *if_match, const char *key)
+{
+	struct http_headers headers;
+	char *bearer = g_strconcat("Bearer ", token, NULL);
+
+	json_decref(r->answer);
+	memset(r, 0, sizeof(*r));
+	http_headers_init(&headers);
+	http_headers_add(&headers, "Authorization", bearer);
+	if (if_match)
+		http_headers_add(&headers, "If-Match", if_match);
+	if (key)
+		http_headers_add(&headers, "Idempotency-Key", key);
+	ck_assert(hc_call_start(&r->hc, &hosts[host].pool, method, target,
+				&headers, body, body ? strlen(body) : 0, 20000,
+				on_reply));
+	http_headers_finish(&headers);
+	g_free(bearer);
+}
+
+static void end(struct request *r)
+{
+	int64_t limit = kn_now_us() + 20 * USEC_PER_SEC;
+
+	while (!r->done && kn_now_us() < limit)
+		turn();
+	ck_assert_int_eq(r->done, 1);
+}
+
+/* Code of an error answer, 0 for another answer. */
+static int code(const struct request *r)
+{
+	return (int)json_integer_value(
+		json_object_get(json_object_get(r->answer, "error"), "code"));
+}
+
+static void call(struct request *r, const char *method, const char *target,
+		 const char *body, const char *if_match, int status, int wanted)
+{
+	begin(r, 0, method, target, body, "root", if_match, NULL);
+	end(r);
+	ck_assert_msg(r->status == status && code(r) == wanted,
+		      "%s %s: status %d code %d, not %d %d", method, target,
+		      r->status, code(r), status, wanted);
+}
+
+#define SECTION "/v1/document/sections/"
+
+static void put(struct request *r, const char *name, const char *body,
+		const char *if_match, int status, int wanted)
+{
+	char *target = g_strconcat(SECTION, name, NULL);
+
+	call(r, "PUT", target, body, if_match, status, wanted);
+	g_free(target);
+}
+
+static int64_t number(const struct request *r, const char *key)
+{
+	return json_integer_value(json_object_get(r->answer, key));
+}
+
+/* Starts a host that leads, and waits until it has read the document. */
+static void start_ready(int i, bool memory, bool peers)
+{
+	int64_t limit = kn_now_us() + 5 * USEC_PER_SEC;
+	struct request r = { 0 };
+
+	start_host(i, memory, peers);
+	do {
+		begin(&r, i, "GET", "/v1/customers", NULL, "root", NULL, NULL);
+		end(&r);
+	} while (r.status == 503 && kn_now_us() < limit);
+	ck_assert_int_eq(r.status, 200);
+	json_decref(r.answer);
+}
+
+/* ---- tests ---- */
+
+/*
+ * Guards against a document call that answers wrongly anywhere between the
+ * HTTP request and the store; runs standalone on the in-process store.
+ */
+START_TEST(document_calls_standalone)
+{
+	struct request r = { 0 };
+	json_t *changes;
+
+	start_ready(0, true, false);
+	put(&r, "customer/a", "{\"weight\": 1}", "0", 200, 0);
+	put(&r, "customer/a", "{\"weight\": 2}", "\"1\"", 200, 0);
+	ck_assert_int_eq(number(&r, "revision"), 2);
+	put(&r, "customer/a", "{\"weight\": 3}", "1", 409, CB_E_CONFLICT);
+	put(&r, "customer/a", "{\"weight\": 0}", "2", 422, CB_E_CHECK_FAILED);
+	put(&r, "customer/a", "{\"weight\": 3}", NULL, 400, CB_E_BAD_REQUEST);
+	put(&r, "customer/a", "{weight", "2", 400, CB_E_BAD_REQUEST);
+	put(&r, "customer/b", "{\"weight\": 9}", "0", 200, 0);
+	call(&r, "GET", SECTION "customer/a", NULL, NULL, 200, 0);
+	ck_assert_int_eq(number(&r, "revision"), 2);
+	call(&r, "GET", SECTION "customer/x", NULL, NULL, 404, CB_E_NO_SECTION);
+	call(&r, "POST", "/v1/document/check",
+	     "{\"sections\": {\"customer/a\": {\"weight\": 0}, \"customer/b\": "
+	     "null}}",
+	     NULL, 200, 0);
+	ck_assert_uint_eq(json_array_size(json_object_get(r.answer, "errors")),
+			  1);
+	call(&r, "POST", "/v1/document/revert",
+	     "{\"section\": \"customer/a\", \"revision\": 1}", "2", 200, 0);
+	call(&r, "GET", "/v1/document/diff?from=1&to=4", NULL, NULL, 200, 0);
+	changes = json_object_get(
+		json_object_get(json_object_get(r.answer, "sections"),
+				"customer/a"),
+		"changes");
+	ck_assert_uint_eq(json_array_size(changes), 0);
+	call(&r, "GET", "/v1/document/history?limit=2", NULL, NULL, 200, 0);
+	changes = json_object_get(r.answer, "changes");
+	ck_assert_uint_eq(json_array_size(changes), 2);
+	ck_assert_int_eq(json_integer_value(json_object_get(
+				 json_array_get(changes, 0), "revision")),
+			 4);
+	call(&r, "DELETE", SECTION "customer/b", NULL, "3", 200, 0);
+	call(&r, "GET", "/v1/customers", NULL, NULL, 200, 0);
+	ck_assert_uint_eq(
+		json_array_size(json_object_get(r.answer, "customers")), 1);
+	begin(&r, 0, "GET", "/v1/document", NULL, "wrong", NULL, NULL);
+	end(&r);
+	ck_assert_int_eq(code(&r), CB_E_UNAUTHORIZED);
+	call(&r, "GET", "/v1/nothing", NULL, NULL, 404, CB_E_UNKNOWN_PATH);
+	call(&r, "GET", "/v1/jobs", NULL, NULL, 404, CB_E_UNKNOWN_PATH);
+	call(&r, "POST", "/v1/customers", NULL, NULL, 405, CB_E_METHOD);
+	call(&r, "GET", "/v1/events?after=-1", NULL, NULL, 400,
+	     CB_E_BAD_REQUEST);
+	call(&r, "GET", "/v1/events", NULL, NULL, 200, 0);
+	call(&r, "GET", "/healthz", NULL, NULL, 200, 0);
+	call(&r, "GET", "/metrics", NULL, NULL, 200, 0);
+	json_decref(r.answer);
+}
+END_TEST
+
+/* Guards against a team that reads or changes what is the administrator's. */
+START_TEST(teams_see_no_tokens)
+{
+	struct request r = { 0 };
+	char *hash =
+		g_compute_checksum_for_string(G_CHECKSUM_SHA256, "token-a", -1);
+	char *body = g_strdup_printf(
+		"{\"token_sha256\": \"%s\", \"may\": [\"customer/\"]}", hash);
+	json_t *team;
+
+	start_ready(0, true, false);
+	put(&r, "team/a", body, "0", 200, 0);
+	begin(&r, 0, "GET", "/v1/document", NULL, "token-a", NULL, NULL);
+	end(&r);
+	team = json_object_get(json_object_get(r.answer, "sections"), "team/a");
+	ck_assert_ptr_nonnull(team);
+	ck_assert_ptr_null(json_object_get(team, "body"));
+	begin(&r, 0, "GET", SECTION "team/a", NULL, "token-a", NULL, NULL);
+	end(&r);
+	ck_assert_int_eq(code(&r), CB_E_FORBIDDEN);
+	begin(&r, 0, "DELETE", SECTION "team/a", NULL, "token-a", "1", NULL);
+	end(&r);
+	ck_assert_int_eq(code(&r), CB_E_FORBIDDEN);
+	json_decref(r.answer);
+	g_free(hash);
+	g_free(body);
+}
+END_TEST
+
+static size_t root_writes(void)
+{
+	size_t i, n = 0;
+	json_t *write;
+
+	g_mutex_lock(&platform.lock);
+	json_array_foreach(platform.server.store.ledger, i, write) {
+		n += strcmp(json_string_value(json_object_get(write, "key")),
+			    "/chivebank/doc/root") == 0;
+	}
+	g_mutex_unlock(&platform.lock);
+	return n;
+}
+
+/*
+ * Guards against a change that is made twice or called failed because the
+ * store's answer was lost, and against one that is called made in an outage.
+ */
+START_TEST(lost_answers_and_outages)
+{
+	struct request r = { 0 };
+
+	start_ready(0, false, false);
+	put(&r, "customer/a", "{\"weight\": 1}", "0", 200, 0);
+	pf_thread_control(&platform, "{\"drop_answers\": 2}");
+	put(&r, "customer/a", "{\"weight\": 2}", "1", 200, 0);
+	ck_assert_int_eq(number(&r, "revision"), 2);
+	ck_assert_uint_eq(root_writes(), 2);
+	pf_thread_control(&platform, "{\"drop_answers\": 0, \"down\": true}");
+	put(&r, "customer/a", "{\"weight\": 3}", "2", 503, CB_E_STORE_DOWN);
+	call(&r, "GET", SECTION "customer/a", NULL, NULL, 200, 0);
+	pf_thread_control(&platform, "{\"down\": false}");
+	put(&r, "customer/a", "{\"weight\": 4}", "2", 200, 0);
+	ck_assert_uint_eq(root_writes(), 3);
+	json_decref(r.answer);
+}
+END_TEST
+
+/* Guards against a caller's retry under its own key that conflicts. */
+START_TEST(repeated_change_is_answered_again)
+{
+	struct request r = { 0 };
+	int i;
+
+	start_ready(0, false, false);
+	for (i = 0; i < 2; i++) {
+		begin(&r, 0, "PUT", SECTION "customer/a", "{\"weight\": 1}",
+		      "root", "0", "my-key");
+		end(&r);
+		ck_assert_int_eq(r.status, 200);
+		ck_assert_int_eq(number(&r, "revision"), 1);
+	}
+	begin(&r, 0, "PUT", SECTION "customer/a", "{\"weight\": 2}", "root",
+	      "0", "my-key");
+	end(&r);
+	ck_assert_int_eq(code(&r), CB_E_KEY_REUSED);
+	ck_assert_uint_eq(root_writes(), 1);
+	json_decref(r.answer);
+}
+END_TEST
+
+/* Guards against a document that reverts with a store that went back. */
+START_TEST(older_root_is_ignored)
+{
+	struct request r = { 0 };
+
+	start_ready(0, false, false);
+	put(&r, "customer/a", "{\"weight\": 1}", "0", 200, 0);
+	put(&r, "customer/a", "{\"weight\": 2}", "1", 200, 0);
+	pf_thread_control(&platform, "{\"old_root\": true}");
+	put(&r, "customer/a", "{\"weight\": 3}", "1", 503, CB_E_STORE_BEHIND);
+	call(&r, "GET", SECTION "customer/a", NULL, NULL, 200, 0);
+	ck_assert_int_eq(number(&r, "revision"), 2);
+	pf_thread_control(&platform, "{\"old_root\": false}");
+	put(&r, "customer/a", "{\"weight\": 3}", "2", 200, 0);
+	json_decref(r.answer);
+}
+END_TEST
+
+/* Waits until a host has a revision in force; returns the time it took. */
+static int64_t wait_revision(int host, int64_t revision)
+{
+	int64_t start = kn_now_us();
+	struct request r = { 0 };
+	int64_t seen = -1;
+
+	while (seen != revision && kn_now_us() - start < IN_FORCE_US) {
+		begin(&r, host, "GET", "/v1/document", NULL, "root", NULL,
+		      NULL);
+		end(&r);
+		seen = number(&r, "revision");
+	}
+	json_decref(r.answer);
+	ck_assert_int_eq(seen, revision);
+	return kn_now_us() - start;
+}
+
+/*
+ * Guards against a change that stays on the host that made it: the leader
+ * learns of it from the store, the others from peers, also a host that
+ * starts while the store is down.
+ */
+START_TEST(changes_reach_all_hosts)
+{
+	struct request r = { 0 };
+
+	start_ready(0, false, true);
+	put(&r, "customer/a", "{\"weight\": 1}", "0", 200, 0);
+	pf_thread_control(&platform, "{\"down\": true}");
+	start_host(1, false, true);
+	wait_revision(1, 1);
+	pf_thread_control(&platform, "{\"down\": false}");
+	put(&r, "customer/a", "{\"weight\": 2}", "1", 200, 0);
+	wait_revision(1, 2);
+	begin(&r, 1, "PUT", SECTION "customer/b", "{\"weight\": 3}", "root",
+	      "0", NULL);
+	end(&r);
+	ck_assert_int_eq(r.status, 200);
+	wait_revision(0, 3);
+	json_decref(r.answer);
+}
+END_TEST
+
+/*
+ * Guards against a lost update when two operators change at once, and
+ * against a second watch in a data centre.
+ */
+START_TEST(racing_operators)
+{
+	struct request r[2 * HOSTS] = { 0 };
+	int i, same = 0;
+
+	start_ready(0, false, true);
+	start_ready(1, false, true);
+	for (i = 0; i < HOSTS; i++) {
+		begin(&r[i], i, "PUT", SECTION "customer/same",
+		      i ? "{\"weight\": 1}" : "{\"weight\": 2}", "root", "0",
+		      NULL);
+		begin(&r[HOSTS + i], i, "PUT",
+		      i ? SECTION "customer/one" : SECTION "customer/two",
+		      "{\"weight\": 1}", "root", "0", NULL);
+	}
+	for (i = 0; i < 2 * HOSTS; i++)
+		end(&r[i]);
+	for (i = 0; i < HOSTS; i++) {
+		same += r[i].status == 200;
+		ck_assert(r[i].status == 200 || code(&r[i]) == CB_E_CONFLICT);
+		ck_assert_int_eq(r[HOSTS + i].status, 200);
+	}
+	ck_assert_int_eq(same, 1);
+	wait_revision(0, 3);
+	wait_revision(1, 3);
+	ck_assert_int_eq(pf_thread_calls(&platform, "watch"), 1);
+	for (i = 0; i < 2 * HOSTS; i++)
+		json_decref(r[i].answer);
+}
+END_TEST
+
+/* Guards against a call for the leader that another host answers or drops. */
+START_TEST(leaders_calls_are_forwarded)
+{
+	int64_t limit = kn_now_us() + 5 * USEC_PER_SEC;
+	struct request r = { 0 };
+
+	start_ready(1, false, true);
+	begin(&r, 1, "GET", "/v1/jobs", NULL, "root", NULL, NULL);
+	end(&r);
+	ck_assert_int_eq(code(&r), CB_E_NO_LEADER);
+	start_ready(0, false, true);
+	while (!pr_connected(kn_find(&hosts[1].kn, SVC_PEERS), "h0") &&
+	       kn_now_us() < limit)
+		turn();
+	begin(&r, 1, "POST", "/v1/jobs/j%201?x=1", "{\"n\": 1}", "root", NULL,
+	      "k");
+	end(&r);
+	ck_assert_int_eq(r.status, 200);
+	ck_assert_str_eq(json_string_value(json_object_get(r.answer, "host")),
+			 "h0");
+	ck_assert_str_eq(json_string_value(json_object_get(r.answer, "path")),
+			 "/v1/jobs/j 1");
+	ck_assert_str_eq(json_string_value(json_object_get(r.answer, "key")),
+			 "k");
+	ck_assert_int_eq(hosts[0].scheduler.calls, 1);
+	ck_assert_int_eq(hosts[1].scheduler.calls, 0);
+	json_decref(r.answer);
+}
+END_TEST
+
+int main(void)
+{
+	Suite *suite = suite_create("api");
+	TCase *tc = tcase_create("api");
+	SRunner *runner = srunner_create(suite);
+	int failed;
+
+	tcase_set_timeout(tc, 60);
+	tcase_add_checked_fixture(tc, setup, teardown);
+	tcase_add_test(tc, document_calls_standalone);
+	tcase_add_test(tc, teams_see_no_tokens);
+	tcase_add_test(tc, lost_answers_and_outages);
+	tcase_add_test(tc, repeated_change_is_answered_again);
+	tcase_add_test(tc, older_root_is_ignored);
+	tcase_add_test(tc, changes_reach_all_hosts);
+	tcase_add_test(tc, racing_operators);
+	tcase_add_test(tc, leaders_calls_are_forwarded);
+	suite_add_tcase(suite, tc);
+	srunner_run_all(runner, CK_NORMAL);
+	failed = srunner_ntests_failed(runner);
+	srunner_free(runner);
+	return failed ? EXIT_FAILURE : EXIT_SUCCESS;
+}
--- a/wire/kvetcd.c
+++ b/wire/kvetcd.c
@@ -52,24 +52,48 @@
 						       CB_E_TIMEOUT;
 }
 
+/* No connection became free in time: nothing was sent. */
+static void on_deadline(struct kn_timer *timer)
+{
+	req_end(container_of(timer, struct etcd_req, timer), CB_E_STORE_DOWN,
+		NULL);
+}
+
+/*
+ * A read that was lost on a connection which the store had just closed is
+ * sent once more; it has no effect that could happen twice.
+ */
+static bool retry_read(struct etcd_req *req)
+{
+	struct etcd *etcd = req->etcd;
+
+	if (req->retried || req->hc.result != CB_E_UPSTREAM_LOST ||
+	    strcmp(req->path, "/v3/kv/range") != 0)
+		return false;
+	req->retried = true;
+	hc_call_finish(&req->hc);
+	list_del(&req->node);
+	list_add_tail(&req->node, &etcd->waiting);
+	etcd->kv.calls++;
+	kn_timer_set(etcd->kv.kn, &req->timer, req->deadline_us - kn_now_us(),
+		     on_deadline);
+	start_waiting(etcd);
+	return true;
+}
+
 static void on_exchange(struct hc_call *hc)
 {
 	struct etcd_req *req = container_of(hc, struct etcd_req, hc);
 	json_t *reply = NULL;
-	int result = exchange_result(req, &reply);
+	int result;
 
+	if (retry_read(req))
+		return;
+	result = exchange_result(req, &reply);
 	hc_call_finish(hc);
 	req_end(req, result, reply);
 	json_decref(reply);
 }
-
-/* No connection became free in time: nothing was sent. */
-static void on_deadline(struct kn_timer *timer)
-{
-	req_end(container_of(timer, struct etcd_req, timer), CB_E_STORE_DOWN,
-		NULL);
-}
-
 static bool req_send(struct etcd_req *req)
 {
 	struct http_headers headers;
--- a/wire/kvetcd.h
+++ b/wire/kvetcd.h
@@ -30,6 +30,7 @@
 	struct hc_call hc;
 	struct kn_timer timer;
 	int64_t deadline_us;
+	bool retried;
 	const char *method;
 	const char *path;
 	char *body;
