--- /dev/null
+++ b/daemon/wagent.c
@@ -0,0 +1,315 @@
+#include "daemon/wk.h"
+
+#include <string.h>
+
+#include <jansson.h>
+
+#include "base/err.h"
+#include "wire/hc.h"
+
+#define PATH_MAX_BYTES 32
+
+/*
+ * HTTP/1.1 with JSON to the agents. One pool of connections for each agent;
+ * two connections, so that a stop does not wait behind a slow sync.
+ */
+
+struct agent {
+	struct hc_pool pool; /* its address is also the key of the table */
+	char key[ADDR_MAX_BYTES + 8];
+};
+
+struct wagent {
+	struct wk_edge edge;
+	GHashTable *agents;
+	struct list_head calls;
+	struct list_head refused; /* to be answered by the timer */
+	struct kn_timer timer;
+};
+
+/* A call in progress; belongs to the edge. */
+struct wagent_call {
+	struct list_head node;
+	struct hc_call http;
+	struct wagent *wagent;
+	struct wk_call *call;
+	enum wk_verb verb;
+};
+
+const char *const wk_verb_names[WK_VERBS] = { "reserve",    "commit", "abort",
+					      "checkpoint", "stop",   "sync" };
+
+const char *const wk_state_names[WK_STATES] = {
+	"reserved", "barrier", "running", "checkpointing",
+	"stopped",  "done",    "failed",
+};
+
+/* Returns the state of that name, -1 when there is none. */
+int wk_state_parse(const char *name)
+{
+	int i;
+
+	for (i = 0; name && i < WK_STATES; i++)
+		if (strcmp(wk_state_names[i], name) == 0)
+			return i;
+	return -1;
+}
+
+/* ---- agents ---- */
+
+static void agent_free(gpointer data)
+{
+	struct agent *agent = data;
+
+	hc_pool_finish(&agent->pool);
+	g_free(agent);
+}
+
+static struct agent *find_agent(struct wagent *wagent, const char *addr,
+				int port)
+{
+	char key[ADDR_MAX_BYTES + 8];
+	struct agent *agent;
+
+	snprintf(key, sizeof(key), "%s:%d", addr, port);
+	agent = g_hash_table_lookup(wagent->agents, key);
+	if (agent)
+		return agent;
+	agent = g_new0(struct agent, 1);
+	strcpy(agent->key, key);
+	hc_pool_init(&agent->pool, wagent->edge.kn, addr, port,
+		     WORKER_CONNECTIONS);
+	g_hash_table_insert(wagent->agents, agent->key, agent);
+	return agent;
+}
+
+/* ---- requests ---- */
+
+static json_t *string_array(const char *const *items, size_t count)
+{
+	json_t *array = json_array();
+	size_t i;
+
+	for (i = 0; i < count; i++)
+		json_array_append_new(array, json_string(items[i]));
+	return array;
+}
+
+static char *request_body(const struct wk_request *request)
+{
+	json_t *root = json_object();
+	char *text;
+
+	json_object_set_new(root, "epoch",
+			    json_integer((json_int_t)request->epoch));
+	if (request->verb == WK_SYNC) {
+		json_object_set_new(
+			root, "renew",
+			string_array(request->renew, request->renew_count));
+		json_object_set_new(
+			root, "go",
+			string_array(request->go, request->go_count));
+		json_object_set_new(
+			root, "forget",
+			string_array(request->forget, request->forget_count));
+	} else {
+		json_object_set_new(root, "token", json_string(request->token));
+	}
+	if (request->verb == WK_RESERVE) {
+		json_object_set_new(root, "job", json_string(request->job));
+		json_object_set_new(root, "accelerators",
+				    json_integer(request->accelerators));
+	}
+	if (request->term_ms > 0)
+		json_object_set_new(root, "term_ms",
+				    json_integer(request->term_ms));
+	if (request->verb == WK_CHECKPOINT)
+		json_object_set_new(root, "grace_ms",
+				    json_integer(request->grace_ms));
+	text = json_dumps(root, JSON_COMPACT);
+	json_decref(root);
+	return text;
+}
+
+/* ---- replies ---- */
+
+static bool read_task(struct wk_task *task, const json_t *item)
+{
+	const char *token = json_string_value(json_object_get(item, "token"));
+	const char *job = json_string_value(json_object_get(item, "job"));
+	int state = wk_state_parse(
+		json_string_value(json_object_get(item, "state")));
+
+	if (!token || strlen(token) >= sizeof(task->token) || !job ||
+	    strlen(job) >= sizeof(task->job) || state < 0)
+		return false;
+	strcpy(task->token, token);
+	strcpy(task->job, job);
+	task->state = (enum wk_state)state;
+	task->accelerators =
+		(int)json_integer_value(json_object_get(item, "accelerators"));
+	task->ran_ms = json_integer_value(json_object_get(item, "ran_ms"));
+	task->checkpointed =
+		json_is_true(json_object_get(item, "checkpointed"));
+	return task->accelerators > 0;
+}
+
+/* A report that is wrong in one place is not trusted in the others. */
+static bool read_tasks(struct wk_call *call, const json_t *root)
+{
+	const json_t *tasks = json_object_get(root, "tasks");
+	json_t *item;
+	size_t i;
+
+	if (!json_is_array(tasks) || json_array_size(tasks) > WORKER_TASKS_MAX)
+		return false;
+	call->accelerators =
+		(int)json_integer_value(json_object_get(root, "accelerators"));
+	call->tasks = g_new0(struct wk_task, json_array_size(tasks) + 1);
+	json_array_foreach(tasks, i, item) {
+		if (!read_task(&call->tasks[i], item))
+			return false;
+	}
+	call->count = json_array_size(tasks);
+	return true;
+}
+
+static void read_reply(struct wagent_call *wc)
+{
+	struct wk_call *call = wc->call;
+	struct hc_call *http = &wc->http;
+	json_t *root = NULL;
+
+	if (http->result != CB_OK) {
+		call->result = http->sent ? http->result : CB_E_NO_SERVER;
+		return;
+	}
+	if (http->body)
+		root = json_loadb((const char *)http->body, http->body_len, 0,
+				  NULL);
+	call->epoch =
+		(uint64_t)json_integer_value(json_object_get(root, "epoch"));
+	if (http->status == 409)
+		call->result = CB_E_CONFLICT;
+	else if (http->status != 200 || !json_is_object(root))
+		call->result = CB_E_UPSTREAM_PROTOCOL;
+	else if (wc->verb == WK_SYNC && !read_tasks(call, root))
+		call->result = CB_E_UPSTREAM_PROTOCOL;
+	else
+		call->result = CB_OK;
+	json_decref(root);
+}
+
+static void end_call(struct wagent_call *wc)
+{
+	struct wk_call *call = wc->call;
+	struct wk_task *tasks;
+
+	list_del(&wc->node);
+	hc_call_finish(&wc->http);
+	g_free(wc);
+	call->impl = NULL;
+	tasks = call->tasks;
+	call->done(call); /* may free the call */
+	g_free(tasks);
+}
+
+static void http_done(struct hc_call *http)
+{
+	struct wagent_call *wc = container_of(http, struct wagent_call, http);
+
+	read_reply(wc);
+	end_call(wc);
+}
+
+/* ---- vtable ---- */
+
+static void answer_refused(struct kn_timer *timer)
+{
+	struct wagent *wagent = container_of(timer, struct wagent, timer);
+	struct wagent_call *wc;
+
+	while (!list_empty(&wagent->refused)) {
+		wc = list_first_entry(&wagent->refused, struct wagent_call,
+				      node);
+		wc->call->result = CB_E_NO_SERVER;
+		end_call(wc);
+	}
+}
+
+static void wagent_start(struct wk_edge *edge, struct wk_call *call,
+			 const struct wk_request *request,
+			 void (*done)(struct wk_call *call))
+{
+	struct wagent *wagent = container_of(edge, struct wagent, edge);
+	struct agent *agent = find_agent(wagent, request->addr, request->port);
+	struct wagent_call *wc = g_new0(struct wagent_call, 1);
+	char path[PATH_MAX_BYTES];
+	char *body = request_body(request);
+
+	wc->wagent = wagent;
+	wc->call = call;
+	wc->verb = request->verb;
+	call->done = done;
+	call->impl = wc;
+	call->epoch = 0;
+	call->tasks = NULL;
+	call->count = 0;
+	snprintf(path, sizeof(path), "/v1/%s", wk_verb_names[request->verb]);
+	if (hc_call_start(&wc->http, &agent->pool, "POST", path, NULL, body,
+			  strlen(body), request->timeout_ms, http_done)) {
+		list_add_tail(&wc->node, &wagent->calls);
+	} else {
+		list_add_tail(&wc->node, &wagent->refused);
+		kn_timer_set(edge->kn, &wagent->timer, 0, answer_refused);
+	}
+	free(body);
+}
+
+static void wagent_cancel(struct wk_edge *edge, struct wk_call *call)
+{
+	struct wagent_call *wc = call->impl;
+
+	(void)edge;
+	if (!wc)
+		return;
+	if (wc->http.conn)
+		hc_call_cancel(&wc->http);
+	list_del(&wc->node);
+	hc_call_finish(&wc->http);
+	g_free(wc);
+	call->impl = NULL;
+}
+
+static void wagent_finish(struct wk_edge *edge)
+{
+	struct wagent *wagent = container_of(edge, struct wagent, edge);
+	struct wagent_call *wc, *tmp;
+
+	kn_timer_cancel(&wagent->timer);
+	list_for_each_entry_safe(wc, tmp, &wagent->calls, node)
+		wagent_cancel(edge, wc->call);
+	list_for_each_entry_safe(wc, tmp, &wagent->refused, node)
+		wagent_cancel(edge, wc->call);
+	g_hash_table_destroy(wagent->agents);
+	g_free(wagent);
+}
+
+static const struct wk_ops wagent_ops = {
+	.start = wagent_start,
+	.cancel = wagent_cancel,
+	.finish = wagent_finish,
+};
+
+struct wk_edge *wagent_new(struct kn *kn)
+{
+	struct wagent *wagent = g_new0(struct wagent, 1);
+
+	wagent->edge.ops = &wagent_ops;
+	wagent->edge.kn = kn;
+	list_init(&wagent->calls);
+	list_init(&wagent->refused);
+	wagent->agents = g_hash_table_new_full(g_str_hash, g_str_equal, NULL,
+					       agent_free);
+	return &wagent->edge;
+}
--- a/daemon/wk.h
+++ b/daemon/wk.h
@@ -2,6 +2,7 @@
 #define DAEMON_WK_H
 
 #include "base/kn.h"
+#include "base/limits.h"
 
 /*
  * Edge to the workers, behind a vtable so that another test bench can
--- /dev/null
+++ b/tests/unit/test_wagent.c
@@ -0,0 +1,146 @@
+#include <check.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "base/err.h"
+#include "tests/standins/wk_agent.h"
+
+#define TIMEOUT_MS 300
+
+static struct kn kn;
+static struct wk_agent agent;
+static struct wk_edge *edge;
+static struct wk_task last; /* first task of the last report */
+static size_t last_count;
+
+static void setup(void)
+{
+	struct wk_options options = { .addr = "127.0.0.1",
+				      .accelerators = 8,
+				      .task_ms = 60000,
+				      .checkpoint_ms = 30 };
+
+	ck_assert(kn_init(&kn, NULL));
+	ck_assert(wk_agent_init(&agent, &kn, &options, 0, NULL));
+	edge = wagent_new(&kn);
+}
+
+static void teardown(void)
+{
+	edge->ops->finish(edge);
+	wk_agent_finish(&agent);
+	kn_finish(&kn);
+}
+
+static void call_done(struct wk_call *call)
+{
+	last_count = call->count;
+	if (call->count)
+		last = call->tasks[0];
+	*(bool *)call->user = true;
+}
+
+/* Makes one call and returns its result. go may be NULL. */
+static int call(enum wk_verb verb, uint64_t epoch, const char *token,
+		const char *go)
+{
+	struct wk_request request = { .verb = verb,
+				      .addr = "127.0.0.1",
+				      .port = agent.server.port,
+				      .epoch = epoch,
+				      .timeout_ms = TIMEOUT_MS,
+				      .token = token,
+				      .job = "j",
+				      .accelerators = 5,
+				      .term_ms = 5000,
+				      .grace_ms = 1000,
+				      .go = &go,
+				      .go_count = go ? 1 : 0 };
+	bool done = false;
+	struct wk_call c = { .user = &done };
+
+	edge->ops->start(edge, &c, &request, call_done);
+	while (!done)
+		kn_turn(&kn);
+	return c.result;
+}
+
+static void wait_for(enum wk_state state)
+{
+	int i;
+
+	for (i = 0; i < 1000; i++) {
+		ck_assert_int_eq(call(WK_SYNC, 2, NULL, NULL), CB_OK);
+		if (last.state == state)
+			return;
+	}
+	ck_abort_msg("state not reached");
+}
+
+/* Guards against a task that starts before its barrier, or is lost in JSON. */
+START_TEST(gang_member_runs_after_go)
+{
+	ck_assert_int_eq(call(WK_RESERVE, 2, "t", NULL), CB_OK);
+	ck_assert_int_eq(call(WK_RESERVE, 2, "t", NULL), CB_OK);
+	ck_assert_int_eq(call(WK_RESERVE, 2, "u", NULL), CB_E_CONFLICT);
+	ck_assert_int_eq(call(WK_COMMIT, 2, "t", NULL), CB_OK);
+	ck_assert_int_eq(call(WK_SYNC, 2, NULL, NULL), CB_OK);
+	ck_assert_int_eq(last.state, WK_BARRIER);
+	ck_assert_int_eq(last.accelerators, 5);
+	ck_assert_str_eq(last.job, "j");
+	ck_assert_int_eq(call(WK_SYNC, 2, NULL, "t"), CB_OK);
+	ck_assert_int_eq(last.state, WK_RUNNING);
+	ck_assert_int_eq(call(WK_CHECKPOINT, 2, "t", NULL), CB_OK);
+	wait_for(WK_STOPPED);
+	ck_assert(last.checkpointed);
+}
+END_TEST
+
+/* Guards against a worker that obeys a scheduler that was replaced. */
+START_TEST(older_epoch_is_refused)
+{
+	ck_assert_int_eq(call(WK_SYNC, 3, NULL, NULL), CB_OK);
+	ck_assert_int_eq(call(WK_RESERVE, 2, "t", NULL), CB_E_CONFLICT);
+	ck_assert_uint_eq(agent.refused, 1);
+	ck_assert_int_eq(call(WK_SYNC, 3, NULL, NULL), CB_OK);
+	ck_assert_uint_eq(last_count, 0);
+}
+END_TEST
+
+/* Guards against a late reserve that undoes the abort of its gang. */
+START_TEST(abort_wins_over_late_reserve)
+{
+	ck_assert_int_eq(call(WK_ABORT, 2, "t", NULL), CB_OK);
+	ck_assert_int_eq(call(WK_RESERVE, 2, "t", NULL), CB_E_CONFLICT);
+}
+END_TEST
+
+/* Guards against a lost answer that is taken for "no effect". */
+START_TEST(lost_answer_is_unknown)
+{
+	agent.drop_answers = 1;
+	ck_assert_int_eq(call(WK_RESERVE, 2, "t", NULL), CB_E_UPSTREAM_TIMEOUT);
+	ck_assert_int_eq(call(WK_SYNC, 2, NULL, NULL), CB_OK);
+	ck_assert_uint_eq(last_count, 1);
+}
+END_TEST
+
+int main(void)
+{
+	Suite *suite = suite_create("wagent");
+	TCase *tc = tcase_create("worker edge");
+	SRunner *runner = srunner_create(suite);
+	int failed;
+
+	tcase_add_checked_fixture(tc, setup, teardown);
+	tcase_set_timeout(tc, 30);
+	tcase_add_test(tc, gang_member_runs_after_go);
+	tcase_add_test(tc, older_epoch_is_refused);
+	tcase_add_test(tc, abort_wins_over_late_reserve);
+	tcase_add_test(tc, lost_answer_is_unknown);
+	suite_add_tcase(suite, tc);
+	srunner_run_all(runner, CK_NORMAL);
+	failed = srunner_ntests_failed(runner);
+	srunner_free(runner);
+	return failed ? EXIT_FAILURE : EXIT_SUCCESS;
+}
