Run all services but the scheduler in chivebankd

Peers are added even without a peer address, since leadership subscribes to them; without that, a process alone crashed at its start.

--- a/daemon/main.c
+++ b/daemon/main.c
@@ -7,13 +7,23 @@
 #include "base/kn.h"
 #include "base/log.h"
 #include "base/set.h"
+#include "daemon/api.h"
+#include "daemon/document.h"
+#include "daemon/front.h"
+#include "daemon/lead.h"
+#include "daemon/members.h"
+#include "daemon/req.h"
+#include "daemon/store.h"
+#include "wire/pr.h"
 
 struct options {
 	const char *settings;
 	const char *check;
 };
 
-const char *argp_program_version = "chivebankd 0.1";
+#define VERSION "0.1"
+
+const char *argp_program_version = "chivebankd " VERSION;
 
 static const char doc[] =
 	"Entry host of chivebank: serves callers and operators, talks to its "
@@ -63,6 +73,54 @@
 	return false;
 }
 
+/*
+ * Adds all services. The order is that of starting; they finish in reverse,
+ * so what others use comes first.
+ */
+static void add_services(struct kn *kn, const struct set *set)
+{
+	/* Grows from start to start, as peers and ticket owners require. */
+	uint64_t incarnation = (uint64_t)kn_wall_us();
+	struct kv *kv = store_new(kn, set);
+
+	ev_init(incarnation);
+	pr_new(kn, set, incarnation);
+	lead_new(kn, set, kv, incarnation);
+	document_new(kn, set, kv, incarnation);
+	req_new(kn, set, kv, incarnation);
+	members_new(kn, set, kv);
+	front_new(kn, set);
+	api_new(kn, set);
+}
+
+/* Runs until a signal has stopped the process. Returns the exit status. */
+static int run(const struct set *set)
+{
+	GError *err = NULL;
+	struct kn kn;
+	int status;
+
+	log_init(set->host, set->dc, set->log_level);
+	if (!kn_init(&kn, &err)) {
+		log_err("start.failed", "text=\"%s\"", err->message);
+		g_error_free(err);
+		return EXIT_FAILURE;
+	}
+	add_services(&kn, set);
+	kn_handle_signals(&kn);
+	if (kn_start(&kn, &err)) {
+		ev_emit("process.started", "version=%s", VERSION);
+		status = kn_run(&kn);
+		ev_emit("process.stopped", "status=%d", status);
+	} else {
+		log_err("start.failed", "text=\"%s\"", err->message);
+		g_error_free(err);
+		status = EXIT_FAILURE;
+	}
+	kn_finish(&kn);
+	return status;
+}
+
 int main(int argc, char **argv)
 {
 	static struct set set;
@@ -76,5 +134,5 @@
 		puts("settings are valid");
 		return EXIT_SUCCESS;
 	}
-	return EXIT_FAILURE;
+	return run(&set);
 }
