--- a/base/limits.h
+++ b/base/limits.h
@@ -80,6 +80,13 @@
 #define RACKS_PER_ROW 16 /* a row holds the largest gang with room to spare */
 #define RACKS_MAX 65536
 #define RECLAIM_GRACE_MS 6000 /* leaves 3.4 s for stop, start and losses */
+#define JOB_TASK_MAX_BYTES 16384 /* opaque description of a job's task */
+#define JOB_FAILED_WORKERS_MAX 8
+#define JOB_HOPELESS_WORKERS 3 /* failures on that many workers end a job */
+#define WORKER_BAD_JOBS 3 /* failures of that many jobs: quarantine */
+#define WORKER_QUARANTINE_PERCENT 25 /* of the workers at most */
+#define WORKER_PROBATION_MIN_MS 60000
+#define WORKER_PROBATION_MAX_MS 3600000
 #define JOB_WRITES 3 /* store writes for a job that isn't cancelled */
 
 #endif
--- a/policy/gs.c
+++ b/policy/gs.c
@@ -197,6 +197,16 @@
 	return MAX(0, c->guaranteed[unit] - c->used[unit]);
 }
 
+/* Accelerators of the guarantee that no owned gang holds. */
+int gs_accelerators_left(const struct gs *gs, int customer)
+{
+	const struct gs_customer *c = &gs->customers[customer];
+	int n = c->guaranteed[CELL_RACK] * gs->cell->rack_size;
+
+	n = (n + c->guaranteed[CELL_WORKER]) * gs->cell->worker_size;
+	return n + c->guaranteed[CELL_ACCELERATOR] - c->held;
+}
+
 static void use_units(struct gs *gs, int customer, enum cell_unit unit, int n)
 {
 	struct gs_customer *c = &gs->customers[customer];
@@ -259,6 +269,8 @@
 	if (gang->kind == CELL_HARD) {
 		add_hard(gs, hold->worker, n);
 	} else if (gang->kind == CELL_OWNED) {
+		if (hold->cover != CELL_UNITS)
+			gs->customers[gang->customer].held += n;
 		if (hold->cover == CELL_UNITS) {
 			add_hard(gs, hold->worker, n);
 		} else if (hold->cover == CELL_RACK) {
--- a/policy/gs.h
+++ b/policy/gs.h
@@ -10,6 +10,7 @@
 	struct list_head owned; /* struct cell_gang */
 	int guaranteed[CELL_UNITS];
 	int used[CELL_UNITS];
+	int held; /* accelerators under the guarantee */
 };
 
 struct gs_worker {
@@ -59,6 +60,7 @@
 bool gs_is_bound(const struct gs *gs, int worker);
 int gs_owner(const struct gs *gs, int worker);
 int gs_open(const struct gs *gs, int worker);
+int gs_accelerators_left(const struct gs *gs, int customer);
 int gs_left(const struct gs *gs, int customer, enum cell_unit unit);
 
 #endif
--- /dev/null
+++ b/policy/jb.c
@@ -0,0 +1,332 @@
+#include "policy/jb.h"
+
+#include <string.h>
+
+#include "base/err.h"
+
+static const char *const state_names[JB_STATES] = {
+	"submitted", "queued", "reserved", "running",	"checkpointing",
+	"stopped",   "done",   "failed",   "cancelled",
+};
+
+#define BIT(state) (1u << (state))
+#define ENDS (BIT(JB_FAILED) | BIT(JB_CANCELLED))
+
+/* For each state, the states that may follow. */
+static const unsigned int followers[JB_STATES] = {
+	[JB_SUBMITTED] = BIT(JB_QUEUED) | ENDS,
+	[JB_QUEUED] = BIT(JB_RESERVED) | ENDS,
+	[JB_RESERVED] = BIT(JB_RUNNING) | BIT(JB_QUEUED) | ENDS,
+	[JB_RUNNING] =
+		BIT(JB_CHECKPOINTING) | BIT(JB_STOPPED) | BIT(JB_DONE) | ENDS,
+	[JB_CHECKPOINTING] = BIT(JB_STOPPED) | BIT(JB_DONE) | ENDS,
+	[JB_STOPPED] = BIT(JB_QUEUED) | ENDS,
+};
+
+void jb_init(struct jb *jb)
+{
+	memset(jb, 0, sizeof(*jb));
+	jb->stoppable = true;
+}
+
+void jb_finish(struct jb *jb)
+{
+	json_decref(jb->task);
+	jb_clear_places(jb);
+	memset(jb, 0, sizeof(*jb));
+}
+
+const char *jb_state_name(enum jb_state state)
+{
+	return state_names[state];
+}
+
+bool jb_may_change(enum jb_state from, enum jb_state to)
+{
+	return (followers[from] & BIT(to)) != 0;
+}
+
+bool jb_ended(enum jb_state state)
+{
+	return followers[state] == 0;
+}
+
+/* Returns false and changes nothing when the transition is not legal. */
+bool jb_change(struct jb *jb, enum jb_state to, const char *reason)
+{
+	if (!jb_may_change(jb->state, to))
+		return false;
+	jb->state = to;
+	g_strlcpy(jb->reason, reason ? reason : "", sizeof(jb->reason));
+	return true;
+}
+
+/*
+ * Derives the job's id from the customer and the caller's key, so that a
+ * repeated submission meets the first one. Returns false for a key that is
+ * empty or too long.
+ */
+bool jb_make_id(char id[JB_ID_BYTES], const char *customer, const char *key)
+{
+	GChecksum *sum;
+
+	if (!key || !*key || strlen(key) > KEY_MAX_BYTES)
+		return false;
+	sum = g_checksum_new(G_CHECKSUM_SHA256);
+	g_checksum_update(sum, (const guchar *)customer, strlen(customer) + 1);
+	g_checksum_update(sum, (const guchar *)key, strlen(key));
+	g_snprintf(id, JB_ID_BYTES, "j%.24s", g_checksum_get_string(sum));
+	g_checksum_free(sum);
+	return true;
+}
+
+void jb_clear_places(struct jb *jb)
+{
+	g_free(jb->places);
+	jb->places = NULL;
+	jb->place_count = 0;
+}
+
+void jb_add_place(struct jb *jb, const char *worker, int count)
+{
+	struct jb_place *place;
+
+	jb->places = g_renew(struct jb_place, jb->places, jb->place_count + 1);
+	place = &jb->places[jb->place_count++];
+	g_strlcpy(place->worker, worker, sizeof(place->worker));
+	place->count = count;
+}
+
+/* ---- submission ---- */
+
+static bool bad(GError **err, const char *key, const char *allowed)
+{
+	g_set_error(err, CB_ERROR, CB_E_BAD_JOB, "\"%s\" must be %s", key,
+		    allowed);
+	return false;
+}
+
+/* Reads an optional integer; absent leaves *out as it is. */
+static bool get_int(const json_t *json, const char *key, int64_t min,
+		    int64_t max, int64_t *out, GError **err)
+{
+	const json_t *value = json_object_get(json, key);
+	char allowed[64];
+
+	if (!value)
+		return true;
+	g_snprintf(allowed, sizeof(allowed), "an integer from %lld to %lld",
+		   (long long)min, (long long)max);
+	if (!json_is_integer(value) || json_integer_value(value) < min ||
+	    json_integer_value(value) > max)
+		return bad(err, key, allowed);
+	*out = json_integer_value(value);
+	return true;
+}
+
+static bool get_bool(const json_t *json, const char *key, bool *out,
+		     GError **err)
+{
+	const json_t *value = json_object_get(json, key);
+
+	if (!value)
+		return true;
+	if (!json_is_boolean(value))
+		return bad(err, key, "true or false");
+	*out = json_boolean_value(value);
+	return true;
+}
+
+/* Copies a string of at most size - 1 bytes. */
+static bool get_string(const json_t *json, const char *key, char *out,
+		       size_t size, bool required, GError **err)
+{
+	const json_t *value = json_object_get(json, key);
+	const char *text = json_string_value(value);
+
+	if (!value && !required)
+		return true;
+	if (!text || strlen(text) >= size || (required && !*text))
+		return bad(err, key, "a string of suitable length");
+	g_strlcpy(out, text, size);
+	return true;
+}
+
+static bool only_known_keys(const json_t *body, GError **err)
+{
+	static const char *const known[] = { "customer", "accelerators",
+					     "urgent",	 "stoppable",
+					     "grace_ms", "declared_s",
+					     "task",	 NULL };
+	const char *key;
+	json_t *value;
+
+	json_object_foreach((json_t *)body, key, value)
+		if (!g_strv_contains(known, key)) {
+			g_set_error(err, CB_ERROR, CB_E_BAD_JOB,
+				    "unknown key \"%s\"", key);
+			return false;
+		}
+	return true;
+}
+
+static bool take_task(struct jb *jb, const json_t *body, GError **err)
+{
+	json_t *task = json_object_get(body, "task");
+
+	if (!task)
+		return true;
+	if (!json_is_object(task) ||
+	    json_dumpb(task, NULL, 0, JSON_COMPACT) > JOB_TASK_MAX_BYTES)
+		return bad(err, "task", "an object of limited size");
+	jb->task = json_deep_copy(task);
+	return true;
+}
+
+static void make_digest(struct jb *jb, const json_t *body)
+{
+	char *text = json_dumps(body, JSON_COMPACT | JSON_SORT_KEYS);
+	char *sum = g_compute_checksum_for_string(G_CHECKSUM_SHA256, text, -1);
+
+	g_strlcpy(jb->digest, sum, sizeof(jb->digest));
+	g_free(sum);
+	free(text);
+}
+
+/*
+ * Fills an initialized job from a caller's submission. The digest tells a
+ * repeated submission from another job under the same key.
+ */
+bool jb_submission(struct jb *jb, const json_t *body, const char *key,
+		   GError **err)
+{
+	int64_t accelerators = 0;
+
+	if (!json_is_object(body))
+		return bad(err, "body", "a JSON object");
+	if (!only_known_keys(body, err) ||
+	    !get_string(body, "customer", jb->customer, sizeof(jb->customer),
+			true, err) ||
+	    !get_int(body, "accelerators", 1, INT32_MAX, &accelerators, err) ||
+	    !get_int(body, "grace_ms", 0, RECLAIM_GRACE_MS, &jb->grace_ms,
+		     err) ||
+	    !get_int(body, "declared_s", 0, INT32_MAX, &jb->declared_s, err) ||
+	    !get_bool(body, "urgent", &jb->urgent, err) ||
+	    !get_bool(body, "stoppable", &jb->stoppable, err) ||
+	    !take_task(jb, body, err))
+		return false;
+	if (!accelerators)
+		return bad(err, "accelerators", "given");
+	jb->accelerators = accelerators;
+	if (!jb_make_id(jb->id, jb->customer, key)) {
+		g_set_error(err, CB_ERROR, CB_E_BAD_KEY,
+			    "Idempotency-Key must have 1 to %d bytes",
+			    KEY_MAX_BYTES);
+		return false;
+	}
+	make_digest(jb, body);
+	return true;
+}
+
+/* ---- record ---- */
+
+json_t *jb_to_json(const struct jb *jb)
+{
+	json_t *places = json_array();
+	json_t *json;
+	int i;
+
+	for (i = 0; i < jb->place_count; i++)
+		json_array_append_new(places,
+				      json_pack("[s,i]", jb->places[i].worker,
+						jb->places[i].count));
+	json = json_pack(
+		"{s:s,s:s,s:s,s:s,s:i,s:I,s:I,s:b,s:b,s:s,s:s,s:I,"
+		"s:i,s:I,s:I,s:I,s:I,s:o}",
+		"id", jb->id, "customer", jb->customer, "dc", jb->dc, "digest",
+		jb->digest, "accelerators", jb->accelerators, "declared_s",
+		(json_int_t)jb->declared_s, "grace_ms",
+		(json_int_t)jb->grace_ms, "urgent", jb->urgent, "stoppable",
+		jb->stoppable, "state", jb_state_name(jb->state), "reason",
+		jb->reason, "epoch", (json_int_t)jb->epoch, "attempt",
+		jb->attempt, "submitted_us", (json_int_t)jb->submitted_wall_us,
+		"started_us", (json_int_t)jb->started_wall_us, "ended_us",
+		(json_int_t)jb->ended_wall_us, "attained_us",
+		(json_int_t)jb->attained_us, "workers", places);
+	if (jb->task)
+		json_object_set(json, "task", jb->task);
+	return json;
+}
+
+static bool read_state(struct jb *jb, const json_t *json, GError **err)
+{
+	const char *name = json_string_value(json_object_get(json, "state"));
+	int i;
+
+	for (i = 0; i < JB_STATES; i++)
+		if (g_strcmp0(name, state_names[i]) == 0) {
+			jb->state = i;
+			return true;
+		}
+	return bad(err, "state", "a state of a job");
+}
+
+static bool read_places(struct jb *jb, const json_t *json, GError **err)
+{
+	const json_t *places = json_object_get(json, "workers");
+	json_t *place;
+	size_t i;
+
+	json_array_foreach((json_t *)places, i, place) {
+		const char *worker =
+			json_string_value(json_array_get(place, 0));
+		json_int_t n = json_integer_value(json_array_get(place, 1));
+
+		if (!worker || strlen(worker) >= NAME_MAX_BYTES || n < 1 ||
+		    n > WORKER_ACCELERATORS_MAX)
+			return bad(err, "workers", "[name, count] pairs");
+		jb_add_place(jb, worker, n);
+	}
+	return true;
+}
+
+/* Reads a record into an initialized job. */
+bool jb_from_json(struct jb *jb, const json_t *json, GError **err)
+{
+	int64_t n = 0, epoch = 0, attempt = 0;
+
+	if (!json_is_object(json))
+		return bad(err, "record", "a JSON object");
+	if (!get_string(json, "id", jb->id, sizeof(jb->id), true, err) ||
+	    !get_string(json, "customer", jb->customer, sizeof(jb->customer),
+			true, err) ||
+	    !get_string(json, "dc", jb->dc, sizeof(jb->dc), false, err) ||
+	    !get_string(json, "digest", jb->digest, sizeof(jb->digest), false,
+			err) ||
+	    !get_string(json, "reason", jb->reason, sizeof(jb->reason), false,
+			err) ||
+	    !get_int(json, "accelerators", 1, INT32_MAX, &n, err) ||
+	    !get_int(json, "grace_ms", 0, RECLAIM_GRACE_MS, &jb->grace_ms,
+		     err) ||
+	    !get_int(json, "declared_s", 0, INT32_MAX, &jb->declared_s, err) ||
+	    !get_int(json, "epoch", 0, INT64_MAX, &epoch, err) ||
+	    !get_int(json, "attempt", 0, INT32_MAX, &attempt, err) ||
+	    !get_int(json, "submitted_us", 0, INT64_MAX, &jb->submitted_wall_us,
+		     err) ||
+	    !get_int(json, "started_us", 0, INT64_MAX, &jb->started_wall_us,
+		     err) ||
+	    !get_int(json, "ended_us", 0, INT64_MAX, &jb->ended_wall_us, err) ||
+	    !get_int(json, "attained_us", 0, INT64_MAX, &jb->attained_us,
+		     err) ||
+	    !get_bool(json, "urgent", &jb->urgent, err) ||
+	    !get_bool(json, "stoppable", &jb->stoppable, err) ||
+	    !read_state(jb, json, err) || !read_places(jb, json, err) ||
+	    !take_task(jb, json, err))
+		return false;
+	if (!n)
+		return bad(err, "accelerators", "given");
+	jb->accelerators = n;
+	jb->epoch = epoch;
+	jb->attempt = attempt;
+	return true;
+}
--- a/policy/pl.c
+++ b/policy/pl.c
@@ -14,9 +14,23 @@
 /* Whether the ask may displace the gang. */
 bool pl_may_evict(const struct cell_gang *gang, const struct pl_ask *ask)
 {
-	return gang->kind == CELL_SOFT && !gang->leaving &&
-	       gang->level > ask->evict_level &&
-	       gang->saved_us <= ask->before_us;
+	if (gang->leaving || gang->level <= ask->evict_level ||
+	    gang->saved_us > ask->before_us)
+		return false;
+	if (gang->customer == ask->customer)
+		return gang->stoppable && gang->kind != CELL_HARD;
+	return gang->kind == CELL_SOFT &&
+	       (!ask->sheltered || !ask->sheltered[gang->customer]);
+}
+
+static bool avoided(const struct pl_ask *ask, int worker)
+{
+	int i;
+
+	for (i = 0; i < ask->avoid_count; i++)
+		if (ask->avoid[i] == worker)
+			return true;
+	return false;
 }
 
 /*
@@ -31,7 +45,7 @@
 	int room = w->free;
 
 	*loss = 0;
-	if (!w->usable)
+	if (!w->usable || avoided(ask, worker))
 		return 0;
 	if (ask->kind == CELL_HARD) {
 		if (gs_is_bound(gs, worker))
@@ -42,7 +56,8 @@
 	if (ask->evict_level == PL_NO_EVICTION || w->held > w->total)
 		return room;
 	list_for_each_entry(hold, &w->holds, node)
-		if (pl_may_evict(hold->gang, ask)) {
+		if (hold->gang->kind == CELL_SOFT &&
+		    pl_may_evict(hold->gang, ask)) {
 			room += hold->count;
 			*loss += pl_loss(hold->gang, ask->now_us);
 		}
--- a/policy/pl.h
+++ b/policy/pl.h
@@ -6,8 +6,9 @@
 #define PL_NO_EVICTION INT32_MAX
 
 /*
- * What work may be displaced: borrowed stoppable gangs whose level is above
- * evict_level, that have run since before_us at least.
+ * What a placement may displace: borrowed stoppable gangs, or stoppable
+ * gangs of the customer itself, whose level is above evict_level and that
+ * have run since before_us at least.
  */
 struct pl_ask {
 	enum cell_kind kind; /* CELL_SOFT or CELL_HARD */
@@ -15,6 +16,10 @@
 	int64_t before_us;
 	int64_t now_us;
 	bool use_reserved; /* may enter reserved racks */
+	int customer;
+	const bool *sheltered; /* customers that are not displaced, or NULL */
+	const int *avoid; /* workers where the job failed */
+	int avoid_count;
 };
 
 int64_t pl_loss(const struct cell_gang *gang, int64_t now_us);
@@ -27,14 +32,15 @@
 bool pl_place(struct gs *gs, struct cell_gang *gang, const struct pl_ask *ask);
 /*
  * Places a gang on cells of its customer's own guarantee. The places may be
- * in use by stoppable borrowed work.
+ * in use by stoppable borrowed work, whatever its level, or by work of the
+ * customer itself that the ask may displace.
  */
-bool pl_claim(struct gs *gs, struct cell_gang *gang, int64_t now_us);
+bool pl_claim(struct gs *gs, struct cell_gang *gang, const struct pl_ask *ask);
 /*
  * Calls fn for each gang that must leave before the held gang can start,
  * least lost work first, after marking it as leaving.
  */
-int pl_victims(struct gs *gs, struct cell_gang *gang, int64_t now_us,
+int pl_victims(struct gs *gs, struct cell_gang *gang, const struct pl_ask *ask,
 	       void (*fn)(struct cell_gang *victim, void *user), void *user);
 /* Marks the racks that a large gang should wait for; returns their count. */
 int pl_reserve(struct gs *gs, int total, int64_t now_us);
--- a/policy/plclaim.c
+++ b/policy/plclaim.c
@@ -22,12 +22,24 @@
 }
 
 /*
- * Returns the accelerators of a worker that an owner can have: all that is
- * not held by unstoppable, owned or arriving work. *loss is the work of the
- * stoppable gangs on it.
+ * Borrowed stoppable work yields to a claim. Work of the owner itself does
+ * when the ask may displace it, if the cell that it frees stays bound.
  */
-static int claim_room(const struct gs *gs, int worker, int need, int64_t now_us,
-		      int64_t *loss)
+static bool yields(const struct cell_hold *hold, const struct pl_ask *ask)
+{
+	if (hold->gang->kind == CELL_SOFT)
+		return true;
+	return hold->gang->kind == CELL_OWNED &&
+	       (hold->cover == CELL_RACK || hold->cover == CELL_WORKER) &&
+	       pl_may_evict(hold->gang, ask);
+}
+
+/*
+ * Returns the accelerators of a worker that an owner can have. *loss is the
+ * work that would be lost on it.
+ */
+static int claim_room(const struct gs *gs, int worker, int need,
+		      const struct pl_ask *ask, int64_t *loss)
 {
 	const struct cell_worker *w = &gs->cell->workers[worker];
 	const struct cell_hold *hold;
@@ -37,12 +49,10 @@
 	if (!w->usable)
 		return 0;
 	list_for_each_entry(hold, &w->holds, node) {
-		const struct cell_gang *gang = hold->gang;
-
-		if (gang->kind != CELL_SOFT)
-			room -= hold->count;
+		if (yields(hold, ask))
+			*loss += pl_loss(hold->gang, ask->now_us);
 		else
-			*loss += pl_loss(gang, now_us);
+			room -= hold->count;
 	}
 	if (w->free >= need)
 		*loss = 0;
@@ -102,8 +112,8 @@
 
 /* Chooses a worker with need accelerators from the source. */
 static bool choose_worker(const struct gs *gs, const struct cell_gang *gang,
-			  int need, enum source source, int64_t now_us,
-			  struct choice *best)
+			  int need, enum source source,
+			  const struct pl_ask *ask, struct choice *best)
 {
 	int i, room;
 
@@ -115,7 +125,7 @@
 		if (gs->cell->workers[i].total < need ||
 		    !in_source(gs, gang->customer, i, source, &c))
 			continue;
-		room = claim_room(gs, i, need, now_us, &c.score.loss);
+		room = claim_room(gs, i, need, ask, &c.score.loss);
 		c.score.spare = room - need;
 		if (room < need || taken(gang, i))
 			continue;
@@ -145,7 +155,7 @@
  * take a whole worker that the proof needs; then the next source is tried.
  */
 static bool claim_part(struct gs *gs, struct cell_gang *gang, int need,
-		       int64_t now_us)
+		       const struct pl_ask *ask)
 {
 	struct choice best;
 	int source;
@@ -153,7 +163,7 @@
 	for (source = 0; source < SOURCES; source++) {
 		if (!units_of(gs, gang->customer, source, need))
 			continue;
-		if (!choose_worker(gs, gang, need, source, now_us, &best))
+		if (!choose_worker(gs, gang, need, source, ask, &best))
 			continue;
 		cell_gang_add(gang, best.worker, need, best.cover);
 		if (gs_may_hold(gs, gang))
@@ -167,7 +177,8 @@
  * Accelerator units promise no common worker, so a gang that finds none may
  * be spread.
  */
-static bool claim_spread(struct gs *gs, struct cell_gang *gang, int64_t now_us)
+static bool claim_spread(struct gs *gs, struct cell_gang *gang,
+			 const struct pl_ask *ask)
 {
 	int need = gang->total, part;
 	struct choice best;
@@ -176,7 +187,7 @@
 		return false;
 	while (need > 0) {
 		for (part = MIN(need, gs->cell->worker_size); part > 0; part--)
-			if (choose_worker(gs, gang, part, FROM_UNITS, now_us,
+			if (choose_worker(gs, gang, part, FROM_UNITS, ask,
 					  &best))
 				break;
 		if (!part)
@@ -191,7 +202,7 @@
 
 /* Adds the workers of a rack that the owner can have whole. */
 static void take_rack(struct gs *gs, struct cell_gang *gang, int rack,
-		      int64_t now_us, int *left)
+		      const struct pl_ask *ask, int *left)
 {
 	const struct cell_rack *r = &gs->cell->racks[rack];
 	int size = gs->cell->worker_size, i;
@@ -201,7 +212,7 @@
 		int n = MIN(size, *left), worker = r->workers[i];
 
 		if (taken(gang, worker) ||
-		    claim_room(gs, worker, n, now_us, &loss) < n)
+		    claim_room(gs, worker, n, ask, &loss) < n)
 			continue;
 		cell_gang_add(gang, worker, n, CELL_RACK);
 		*left -= n;
@@ -209,27 +220,28 @@
 }
 
 /* Accelerators of a bound rack that its owner does not use. */
-static int rack_room(const struct gs *gs, int rack, int64_t now_us)
+static int rack_room(const struct gs *gs, int rack, const struct pl_ask *ask)
 {
 	const struct cell_rack *r = &gs->cell->racks[rack];
 	int room = 0, i;
 	int64_t loss;
 
 	for (i = 0; i < r->count; i++)
-		if (claim_room(gs, r->workers[i], gs->cell->worker_size, now_us,
+		if (claim_room(gs, r->workers[i], gs->cell->worker_size, ask,
 			       &loss) == gs->cell->worker_size)
 			room += gs->cell->worker_size;
 	return room;
 }
 
-static int64_t rack_loss(const struct gs *gs, int rack, int64_t now_us)
+static int64_t rack_loss(const struct gs *gs, int rack,
+			 const struct pl_ask *ask)
 {
 	const struct cell_rack *r = &gs->cell->racks[rack];
 	int64_t total = 0, loss;
 	int i;
 
 	for (i = 0; i < r->count; i++) {
-		claim_room(gs, r->workers[i], gs->cell->worker_size, now_us,
+		claim_room(gs, r->workers[i], gs->cell->worker_size, ask,
 			   &loss);
 		total += loss;
 	}
@@ -241,7 +253,7 @@
  * of the gang in the same row, then that with the least lost work; or -1.
  */
 static int choose_rack(const struct gs *gs, const struct cell_gang *gang,
-		       const bool *used, int last, int64_t now_us)
+		       const bool *used, int last, const struct pl_ask *ask)
 {
 	int64_t best_loss = INT64_MAX, loss;
 	int best = -1, best_far = INT_MAX, i, far;
@@ -256,7 +268,7 @@
 				      RACKS_PER_ROW + 1;
 		if (far > best_far)
 			continue;
-		loss = rack_loss(gs, i, now_us);
+		loss = rack_loss(gs, i, ask);
 		if (far < best_far || loss < best_loss) {
 			best = i;
 			best_far = far;
@@ -268,14 +280,14 @@
 
 /* The owner's bound rack with the least room that is at least need. */
 static int fitting_rack(const struct gs *gs, int customer, int need,
-			int64_t now_us)
+			const struct pl_ask *ask)
 {
 	int best = -1, best_room = INT_MAX, i, room;
 
 	for (i = 0; i < gs->rack_count; i++) {
 		if (gs->racks[i].bound != customer)
 			continue;
-		room = rack_room(gs, i, now_us);
+		room = rack_room(gs, i, ask);
 		if (room >= need && room < best_room) {
 			best = i;
 			best_room = room;
@@ -290,7 +302,7 @@
 	int workers_left;
 	int last;
 	int left; /* accelerators still to place */
-	int64_t now_us;
+	const struct pl_ask *ask;
 };
 
 static bool gather_rack(struct gs *gs, struct cell_gang *gang, struct gather *g)
@@ -299,13 +311,13 @@
 
 	if (g->racks_left <= 0)
 		return false;
-	rack = choose_rack(gs, gang, g->used, g->last, g->now_us);
+	rack = choose_rack(gs, gang, g->used, g->last, g->ask);
 	if (rack < 0)
 		return false;
 	g->used[rack] = true;
 	g->racks_left--;
 	g->last = rack;
-	take_rack(gs, gang, rack, g->now_us, &g->left);
+	take_rack(gs, gang, rack, g->ask, &g->left);
 	return true;
 }
 
@@ -315,7 +327,7 @@
 
 	for (i = 0; i < gs->rack_count && g->left > 0; i++)
 		if (gs->racks[i].bound == gang->customer)
-			take_rack(gs, gang, i, g->now_us, &g->left);
+			take_rack(gs, gang, i, g->ask, &g->left);
 }
 
 /* Whole workers outside of the racks that this claim binds. */
@@ -336,8 +348,7 @@
 			if (g->used[gs->cell->workers[i].rack] ||
 			    !in_source(gs, gang->customer, i, FROM_WORKER, &c))
 				continue;
-			if (claim_room(gs, i, n, g->now_us, &c.score.loss) <
-				    n ||
+			if (claim_room(gs, i, n, g->ask, &c.score.loss) < n ||
 			    taken(gang, i))
 				continue;
 			if (better(&c.score, &best.score))
@@ -356,14 +367,15 @@
  * else whatever units the customer has left, whole racks first. Units of a
  * guarantee promise no neighbourhood beyond the unit itself.
  */
-static bool claim_whole(struct gs *gs, struct cell_gang *gang, int64_t now_us)
+static bool claim_whole(struct gs *gs, struct cell_gang *gang,
+			const struct pl_ask *ask)
 {
 	int rack_accelerators = gs->cell->worker_size * gs->cell->rack_size;
-	struct gather g = { .left = gang->total, .now_us = now_us, .last = -1 };
-	int rack = fitting_rack(gs, gang->customer, gang->total, now_us);
+	struct gather g = { .left = gang->total, .ask = ask, .last = -1 };
+	int rack = fitting_rack(gs, gang->customer, gang->total, ask);
 
 	if (rack >= 0) {
-		take_rack(gs, gang, rack, now_us, &g.left);
+		take_rack(gs, gang, rack, ask, &g.left);
 		return g.left == 0;
 	}
 	g.used = g_new0(bool, gs->rack_count + 1);
@@ -381,20 +393,20 @@
 	return g.left == 0;
 }
 
-bool pl_claim(struct gs *gs, struct cell_gang *gang, int64_t now_us)
+bool pl_claim(struct gs *gs, struct cell_gang *gang, const struct pl_ask *ask)
 {
 	bool ok;
 
 	cell_gang_reset(gang);
 	gang->kind = CELL_OWNED;
 	if (gang->total <= gs->cell->worker_size) {
-		ok = claim_part(gs, gang, gang->total, now_us);
+		ok = claim_part(gs, gang, gang->total, ask);
 		if (!ok) {
 			cell_gang_reset(gang);
-			ok = claim_spread(gs, gang, now_us);
+			ok = claim_spread(gs, gang, ask);
 		}
 	} else {
-		ok = claim_whole(gs, gang, now_us);
+		ok = claim_whole(gs, gang, ask);
 	}
 	if (ok && gs_may_hold(gs, gang))
 		return true;
--- a/policy/plvict.c
+++ b/policy/plvict.c
@@ -2,12 +2,23 @@
 
 /* ---- victims ---- */
 
+static bool is_victim(const struct cell_gang *gang,
+		      const struct cell_gang *arriving,
+		      const struct pl_ask *ask)
+{
+	if (gang == arriving || gang->leaving)
+		return false;
+	if (arriving->kind == CELL_OWNED && gang->kind == CELL_SOFT)
+		return true;
+	return pl_may_evict(gang, ask);
+}
+
 /*
  * Lets gangs leave one worker until nothing is held beyond its size. Work
  * that is leaving already counts as gone.
  */
 static int worker_victims(struct gs *gs, const struct cell_gang *gang,
-			  int worker, int64_t now_us,
+			  int worker, const struct pl_ask *ask,
 			  void (*fn)(struct cell_gang *, void *), void *user)
 {
 	struct cell_worker *w = &gs->cell->workers[worker];
@@ -20,11 +31,10 @@
 	while (over > 0) {
 		best = NULL;
 		list_for_each_entry(hold, &w->holds, node) {
-			if (hold->gang->leaving || hold->gang == gang ||
-			    hold->gang->kind != CELL_SOFT)
+			if (!is_victim(hold->gang, gang, ask))
 				continue;
-			if (!best || pl_loss(hold->gang, now_us) <
-					     pl_loss(best->gang, now_us))
+			if (!best || pl_loss(hold->gang, ask->now_us) <
+					     pl_loss(best->gang, ask->now_us))
 				best = hold;
 		}
 		if (!best)
@@ -37,13 +47,13 @@
 	return asked;
 }
 
-int pl_victims(struct gs *gs, struct cell_gang *gang, int64_t now_us,
+int pl_victims(struct gs *gs, struct cell_gang *gang, const struct pl_ask *ask,
 	       void (*fn)(struct cell_gang *victim, void *user), void *user)
 {
 	int i, asked = 0;
 
 	for (i = 0; i < gang->hold_count; i++)
-		asked += worker_victims(gs, gang, gang->holds[i].worker, now_us,
+		asked += worker_victims(gs, gang, gang->holds[i].worker, ask,
 					fn, user);
 	return asked;
 }
--- /dev/null
+++ b/policy/wh.c
@@ -0,0 +1,205 @@
+#include "policy/wh.h"
+
+#include <string.h>
+
+#include <glib.h>
+
+/*
+ * A failure is evidence against the worker and against the job. Failures of
+ * several jobs on one worker quarantine the worker; failures of one job on
+ * several workers end the job, and are then no longer held against these
+ * workers. A success on a worker clears it.
+ */
+void wh_init(struct wh *wh, int workers)
+{
+	memset(wh, 0, sizeof(*wh));
+	wh_add_workers(wh, workers);
+}
+
+void wh_finish(struct wh *wh)
+{
+	g_free(wh->workers);
+	memset(wh, 0, sizeof(*wh));
+}
+
+/* Grows the table to that many workers. */
+void wh_add_workers(struct wh *wh, int workers)
+{
+	int i;
+
+	if (workers <= wh->worker_count)
+		return;
+	wh->workers = g_renew(struct wh_worker, wh->workers, workers);
+	memset(&wh->workers[wh->worker_count], 0,
+	       sizeof(*wh->workers) * (workers - wh->worker_count));
+	for (i = wh->worker_count; i < workers; i++)
+		wh->workers[i].delay_us =
+			WORKER_PROBATION_MIN_MS * USEC_PER_MSEC;
+	wh->worker_count = workers;
+}
+
+/* A fault that hits many workers at once is not theirs: a share is kept. */
+static bool may_quarantine(const struct wh *wh)
+{
+	return (wh->quarantined + 1) * 100 <=
+	       wh->worker_count * WORKER_QUARANTINE_PERCENT + 99;
+}
+
+static void quarantine(struct wh *wh, struct wh_worker *w, int64_t now_us)
+{
+	wh->quarantined++;
+	w->state = WH_QUARANTINED;
+	w->until_us = now_us + w->delay_us;
+	w->delay_us =
+		MIN(w->delay_us * 2, WORKER_PROBATION_MAX_MS * USEC_PER_MSEC);
+	w->trial = 0;
+}
+
+static void blame(struct wh_worker *w, uint64_t id)
+{
+	int i;
+
+	for (i = 0; i < w->blame_count; i++)
+		if (w->blame[i] == id)
+			return;
+	if (w->blame_count < WORKER_BAD_JOBS)
+		w->blame[w->blame_count++] = id;
+}
+
+/* Returns true when that ended a quarantine. */
+static bool forgive(struct wh *wh, struct wh_worker *w, uint64_t id)
+{
+	bool found = false;
+	int i;
+
+	for (i = 0; i < w->blame_count; i++)
+		if (w->blame[i] == id) {
+			w->blame[i--] = w->blame[--w->blame_count];
+			found = true;
+		}
+	if (!found || w->state != WH_QUARANTINED || w->blame_count > 0)
+		return false;
+	w->state = WH_GOOD;
+	w->delay_us =
+		MAX(w->delay_us / 2, WORKER_PROBATION_MIN_MS * USEC_PER_MSEC);
+	wh->quarantined--;
+	return true;
+}
+
+static void note_worker(struct wh_job *job, int worker)
+{
+	int i;
+
+	for (i = 0; i < job->failed_count; i++)
+		if (job->failed_on[i] == worker)
+			return;
+	if (job->failed_count < JOB_HOPELESS_WORKERS)
+		job->failed_on[job->failed_count++] = worker;
+}
+
+/*
+ * Records that the job failed on the worker. A failure on a worker that is
+ * quarantined already, or becomes so by it, says nothing about the job.
+ * Returns true when the state of any worker changed; job->hopeless tells
+ * whether the job is to be ended.
+ */
+bool wh_failed(struct wh *wh, struct wh_job *job, uint64_t id, int worker,
+	       int64_t now_us)
+{
+	struct wh_worker *w = &wh->workers[worker];
+	bool changed = false;
+	int i;
+
+	if (w->state == WH_QUARANTINED)
+		return false;
+	blame(w, id);
+	if ((w->state == WH_TRIAL || w->blame_count == WORKER_BAD_JOBS) &&
+	    may_quarantine(wh)) {
+		quarantine(wh, w, now_us);
+		return true;
+	}
+	note_worker(job, worker);
+	if (job->failed_count < JOB_HOPELESS_WORKERS)
+		return false;
+	job->hopeless = true;
+	for (i = 0; i < wh->worker_count; i++)
+		if (forgive(wh, &wh->workers[i], id))
+			changed = true;
+	return changed;
+}
+
+/*
+ * Records that the job ran well on the worker. Returns true when that ended
+ * the worker's probation. The next quarantine is then again half as long as
+ * the last, so a worker that fails now and then is not trusted at once.
+ */
+bool wh_succeeded(struct wh *wh, uint64_t id, int worker)
+{
+	struct wh_worker *w = &wh->workers[worker];
+	bool changed = w->state == WH_TRIAL;
+
+	if (w->state == WH_QUARANTINED)
+		return false;
+	w->state = WH_GOOD;
+	w->blame_count = 0;
+	w->trial = 0;
+	if (changed)
+		w->delay_us = MAX(w->delay_us / 2,
+				  WORKER_PROBATION_MIN_MS * USEC_PER_MSEC);
+	return changed;
+}
+
+/* Ends a quarantine that is over: one trial job. Returns true if it did. */
+bool wh_tick(struct wh *wh, int worker, int64_t now_us)
+{
+	struct wh_worker *w = &wh->workers[worker];
+
+	if (w->state != WH_QUARANTINED || now_us < w->until_us)
+		return false;
+	w->state = WH_TRIAL;
+	wh->quarantined--;
+	w->trial = 0;
+	w->blame_count = 0;
+	return true;
+}
+
+/* A worker on probation takes one job at a time. */
+bool wh_usable(const struct wh *wh, int worker)
+{
+	const struct wh_worker *w = &wh->workers[worker];
+
+	return w->state == WH_GOOD || (w->state == WH_TRIAL && !w->trial);
+}
+
+/* Returns true when the worker is not usable for further jobs from now. */
+bool wh_trial_started(struct wh *wh, uint64_t id, int worker)
+{
+	struct wh_worker *w = &wh->workers[worker];
+
+	if (w->state != WH_TRIAL || w->trial)
+		return false;
+	w->trial = id;
+	return true;
+}
+
+/* The trial job left for another reason than success or failure. */
+bool wh_trial_ended(struct wh *wh, uint64_t id, int worker)
+{
+	struct wh_worker *w = &wh->workers[worker];
+
+	if (w->state != WH_TRIAL || w->trial != id)
+		return false;
+	w->trial = 0;
+	return true;
+}
+
+/* Whether the job failed on that worker before. */
+bool wh_avoid(const struct wh_job *job, int worker)
+{
+	int i;
+
+	for (i = 0; i < job->failed_count; i++)
+		if (job->failed_on[i] == worker)
+			return true;
+	return false;
+}
--- a/tests/unit/test_gs.c
+++ b/tests/unit/test_gs.c
@@ -137,6 +137,7 @@
 	bool proved = gs_proved(&w->gs);
 	struct pl_ask ask = { .evict_level = PL_NO_EVICTION };
 
+	ask.customer = customer;
 	cell_gang_init(g, customer, total, g_rand_boolean(w->rnd));
 	if (g_rand_boolean(w->rnd)) {
 		/* Each unit alone must be claimable while the proof holds. */
@@ -148,12 +149,12 @@
 			if (!proved || !gs_left(&w->gs, customer, unit))
 				continue;
 			cell_gang_init(&probe, customer, sizes[unit], false);
-			ck_assert(pl_claim(&w->gs, &probe, 0));
+			ck_assert(pl_claim(&w->gs, &probe, &ask));
 			cell_gang_reset(&probe);
 		}
-		if (pl_claim(&w->gs, g, 0)) {
+		if (pl_claim(&w->gs, g, &ask)) {
 			gs_hold(&w->gs, g);
-			pl_victims(&w->gs, g, 0, remove_victim, &w->gs);
+			pl_victims(&w->gs, g, &ask, remove_victim, &w->gs);
 			ck_assert(cell_clear(&w->cell, g));
 		}
 		return;
@@ -283,10 +284,10 @@
 	ck_assert(pl_place(&w.gs, &b, &soft));
 	gs_hold(&w.gs, &b);
 	cell_gang_init(&c, 0, RACK_SIZE * SIZE, false);
-	ck_assert(pl_claim(&w.gs, &c, 0));
+	ck_assert(pl_claim(&w.gs, &c, &soft));
 	gs_hold(&w.gs, &c);
 	ck_assert(!cell_clear(&w.cell, &c));
-	ck_assert_int_eq(pl_victims(&w.gs, &c, 0, remove_victim, &w.gs), 1);
+	ck_assert_int_eq(pl_victims(&w.gs, &c, &soft, remove_victim, &w.gs), 1);
 	ck_assert(cell_clear(&w.cell, &c));
 	gs_release(&w.gs, &c);
 	cell_gang_reset(&c);
@@ -298,6 +299,8 @@
 START_TEST(host_failure_breaks_and_restores_the_guarantee)
 {
 	int units[CELL_UNITS] = { 0, 0, RACKS };
+	struct pl_ask soft = { .kind = CELL_SOFT,
+			       .evict_level = PL_NO_EVICTION };
 	struct cell_gang c;
 	struct world w;
 
@@ -305,7 +308,7 @@
 	gs_set_guarantee(&w.gs, 0, units);
 	ck_assert(!gs_broken(&w.gs));
 	cell_gang_init(&c, 0, SIZE, false);
-	ck_assert(pl_claim(&w.gs, &c, 0));
+	ck_assert(pl_claim(&w.gs, &c, &soft));
 	gs_hold(&w.gs, &c);
 	gs_set_usable(&w.gs, c.holds[0].worker ^ 1, false);
 	ck_assert(gs_broken(&w.gs));
--- /dev/null
+++ b/tests/unit/test_jb.c
@@ -0,0 +1,150 @@
+#include <check.h>
+#include <stdlib.h>
+
+#include "base/err.h"
+#include "policy/jb.h"
+
+static int submit(struct jb *jb, const char *text, const char *key)
+{
+	json_t *body = json_loads(text, 0, NULL);
+	GError *err = NULL;
+	int code = CB_OK;
+
+	ck_assert_ptr_nonnull(body);
+	jb_init(jb);
+	if (!jb_submission(jb, body, key, &err)) {
+		code = err->code;
+		g_error_free(err);
+	}
+	json_decref(body);
+	return code;
+}
+
+/* Guards against records that lose a field on the way through the store. */
+START_TEST(record_survives_the_store)
+{
+	struct jb a, b;
+	json_t *json, *again;
+
+	ck_assert_int_eq(submit(&a,
+				"{\"customer\":\"tensorlab\",\"accelerators\":"
+				"96,\"urgent\":true,\"stoppable\":false,"
+				"\"grace_ms\":5000,\"declared_s\":60,"
+				"\"task\":{\"image\":\"x\"}}",
+				"k1"),
+			 CB_OK);
+	a.state = JB_RUNNING;
+	a.epoch = 9;
+	a.attempt = 2;
+	a.attained_us = 1234567890123;
+	jb_add_place(&a, "w1", 8);
+	jb_add_place(&a, "w2", 3);
+	json = jb_to_json(&a);
+	jb_init(&b);
+	ck_assert(jb_from_json(&b, json, NULL));
+	again = jb_to_json(&b);
+	ck_assert(json_equal(json, again));
+	ck_assert_int_eq(b.place_count, 2);
+	json_object_set_new(json, "state", json_string("odd"));
+	jb_finish(&b);
+	jb_init(&b);
+	ck_assert(!jb_from_json(&b, json, NULL));
+	json_decref(json);
+	json_decref(again);
+	jb_finish(&a);
+	jb_finish(&b);
+}
+END_TEST
+
+/* Guards against submissions whose errors are found only when they run. */
+START_TEST(bad_submissions_are_refused)
+{
+	static const struct {
+		const char *text;
+		const char *key;
+		int code;
+	} cases[] = {
+		{ "[]", "k", CB_E_BAD_JOB },
+		{ "{\"accelerators\":1}", "k", CB_E_BAD_JOB },
+		{ "{\"customer\":\"a\"}", "k", CB_E_BAD_JOB },
+		{ "{\"customer\":\"a\",\"accelerators\":0}", "k",
+		  CB_E_BAD_JOB },
+		{ "{\"customer\":\"a\",\"accelerators\":\"1\"}", "k",
+		  CB_E_BAD_JOB },
+		{ "{\"customer\":\"a\",\"accelerators\":1,\"x\":1}", "k",
+		  CB_E_BAD_JOB },
+		{ "{\"customer\":\"a\",\"accelerators\":1,\"grace_ms\":99999}",
+		  "k", CB_E_BAD_JOB },
+		{ "{\"customer\":\"a\",\"accelerators\":1}", "", CB_E_BAD_KEY },
+		{ "{\"customer\":\"a\",\"accelerators\":1}", NULL,
+		  CB_E_BAD_KEY },
+	};
+	struct jb jb;
+	size_t i;
+
+	for (i = 0; i < G_N_ELEMENTS(cases); i++) {
+		ck_assert_int_eq(submit(&jb, cases[i].text, cases[i].key),
+				 cases[i].code);
+		jb_finish(&jb);
+	}
+}
+END_TEST
+
+/* Guards against two customers' equal keys, or one key for two jobs. */
+START_TEST(id_and_digest_tell_jobs_apart)
+{
+	struct jb a, b, c;
+
+	submit(&a, "{\"customer\":\"a\",\"accelerators\":1}", "k");
+	submit(&b, "{\"accelerators\":1,\"customer\":\"a\"}", "k");
+	submit(&c, "{\"customer\":\"b\",\"accelerators\":1}", "k");
+	ck_assert_str_eq(a.id, b.id);
+	ck_assert_str_eq(a.digest, b.digest);
+	ck_assert_str_ne(a.id, c.id);
+	jb_finish(&b);
+	submit(&b, "{\"accelerators\":2,\"customer\":\"a\"}", "k");
+	ck_assert_str_eq(a.id, b.id);
+	ck_assert_str_ne(a.digest, b.digest);
+	jb_finish(&a);
+	jb_finish(&b);
+	jb_finish(&c);
+}
+END_TEST
+
+/* Guards against a job that comes back after its end, or skips a state. */
+START_TEST(only_legal_transitions)
+{
+	struct jb jb;
+	int from, to;
+
+	for (from = JB_DONE; from < JB_STATES; from++)
+		for (to = 0; to < JB_STATES; to++)
+			ck_assert(!jb_may_change(from, to));
+	ck_assert(!jb_may_change(JB_QUEUED, JB_RUNNING));
+	ck_assert(!jb_may_change(JB_QUEUED, JB_DONE));
+	ck_assert(!jb_may_change(JB_STOPPED, JB_RUNNING));
+	jb_init(&jb);
+	ck_assert(jb_change(&jb, JB_QUEUED, "accepted"));
+	ck_assert(!jb_change(&jb, JB_DONE, "x"));
+	ck_assert_str_eq(jb.reason, "accepted");
+	jb_finish(&jb);
+}
+END_TEST
+
+int main(void)
+{
+	Suite *suite = suite_create("jb");
+	TCase *tc = tcase_create("jb");
+	SRunner *runner = srunner_create(suite);
+	int failed;
+
+	tcase_add_test(tc, record_survives_the_store);
+	tcase_add_test(tc, bad_submissions_are_refused);
+	tcase_add_test(tc, id_and_digest_tell_jobs_apart);
+	tcase_add_test(tc, only_legal_transitions);
+	suite_add_tcase(suite, tc);
+	srunner_run_all(runner, CK_NORMAL);
+	failed = srunner_ntests_failed(runner);
+	srunner_free(runner);
+	return failed ? EXIT_FAILURE : EXIT_SUCCESS;
+}
--- /dev/null
+++ b/tests/unit/test_pl.c
@@ -0,0 +1,203 @@
+#include <check.h>
+#include <stdlib.h>
+
+#include <glib.h>
+
+#include "policy/pl.h"
+
+#define WORKERS 160
+
+static struct cell cell;
+static struct gs gs;
+static struct pl_ask ask;
+
+static void setup(void)
+{
+	int i;
+
+	cell_init(&cell, 8, WORKERS_PER_RACK);
+	for (i = 0; i < WORKERS; i++)
+		cell_add_worker(&cell, i / 8, 8);
+	gs_init(&gs, &cell, 2);
+	ask = (struct pl_ask){ .kind = CELL_SOFT,
+			       .evict_level = PL_NO_EVICTION,
+			       .before_us = 100,
+			       .now_us = 100 };
+}
+
+static void teardown(void)
+{
+	gs_finish(&gs);
+	cell_finish(&cell);
+}
+
+static bool run(struct cell_gang *g, int total)
+{
+	cell_gang_init(g, 0, total, true);
+	if (!pl_place(&gs, g, &ask))
+		return false;
+	gs_hold(&gs, g);
+	return true;
+}
+
+static void end(struct cell_gang *g)
+{
+	gs_release(&gs, g);
+	cell_gang_reset(g);
+}
+
+/* Guards against small gangs that break up whole workers and racks. */
+START_TEST(small_gangs_fill_the_fullest_worker)
+{
+	struct cell_gang a, b, c;
+
+	ck_assert(run(&a, 5) && run(&b, 2) && run(&c, 3));
+	ck_assert_int_eq(b.holds[0].worker, a.holds[0].worker);
+	ck_assert_int_ne(c.holds[0].worker, a.holds[0].worker);
+	ck_assert_int_eq(cell.workers[c.holds[0].worker].rack,
+			 cell.workers[a.holds[0].worker].rack);
+	end(&a);
+	end(&b);
+	end(&c);
+}
+END_TEST
+
+/* Guards against a gang spread over more racks or rows than needed. */
+START_TEST(large_gangs_take_neighbours_in_one_row)
+{
+	struct cell_gang one, part, big;
+	int i, first = RACKS_MAX, last = -1, total = 0;
+
+	ck_assert(run(&one, 1));
+	ck_assert(run(&part, 60));
+	ck_assert_int_eq(part.hold_count, 8);
+	for (i = 0; i < part.hold_count; i++)
+		ck_assert_int_eq(cell.workers[part.holds[i].worker].rack,
+				 cell.workers[part.holds[0].worker].rack);
+	ck_assert(run(&big, 512));
+	for (i = 0; i < big.hold_count; i++) {
+		int rack = cell.workers[big.holds[i].worker].rack;
+
+		first = MIN(first, rack);
+		last = MAX(last, rack);
+		total += big.holds[i].count;
+	}
+	ck_assert_int_eq(total, 512);
+	ck_assert_int_eq(last - first, 7);
+	ck_assert_int_eq(first / RACKS_PER_ROW, last / RACKS_PER_ROW);
+	ck_assert(pl_could_hold(&cell, 512));
+	ck_assert(!pl_could_hold(&cell, 513));
+	end(&one);
+	end(&part);
+	end(&big);
+}
+END_TEST
+
+static void count_victim(struct cell_gang *victim, void *user)
+{
+	*(int *)user += victim->total;
+}
+
+/* Guards against displaced work that cost more than needed. */
+START_TEST(victims_are_those_that_lose_least)
+{
+	struct cell_gang *gangs = g_new0(struct cell_gang, WORKERS), late;
+	int i, displaced = 0;
+
+	for (i = 0; i < WORKERS; i++) {
+		ck_assert(run(&gangs[i], 8));
+		gangs[i].level = 1;
+		gangs[i].saved_us = i == 77 ? 90 : 10;
+	}
+	ck_assert(!run(&late, 8));
+	ask.evict_level = 1;
+	ck_assert(!run(&late, 8));
+	ask.evict_level = 0;
+	ck_assert(run(&late, 8));
+	ck_assert(!cell_clear(&cell, &late));
+	ck_assert_int_eq(pl_victims(&gs, &late, &ask, count_victim, &displaced),
+			 1);
+	ck_assert_int_eq(displaced, 8);
+	ck_assert(gangs[77].leaving);
+	end(&gangs[77]);
+	ck_assert(cell_clear(&cell, &late));
+	for (i = 0; i < WORKERS; i++)
+		end(&gangs[i]);
+	end(&late);
+	g_free(gangs);
+}
+END_TEST
+
+/* Guards against unstoppable work in the racks of a reservation. */
+START_TEST(reservation_keeps_unstoppable_work_out)
+{
+	struct cell_gang soft, hard;
+
+	ck_assert_int_eq(pl_reserve(&gs, 512, 100), 8);
+	ask.kind = CELL_HARD;
+	ck_assert(run(&hard, 1));
+	ck_assert(
+		!cell.racks[cell.workers[hard.holds[0].worker].rack].reserved);
+	end(&hard);
+	pl_reserve(&gs, 512, 100);
+	ask.kind = CELL_SOFT;
+	ck_assert(run(&soft, 8));
+	end(&soft);
+	pl_unreserve(&gs);
+}
+END_TEST
+
+/* Guards against moves that leave no worker free, or move what can't stop. */
+START_TEST(move_frees_a_whole_worker)
+{
+	struct cell_gang a, b, c;
+
+	ck_assert(run(&a, 5) && run(&b, 5));
+	a.level = b.level = 1;
+	ask.evict_level = 0;
+	/* 5 does not fit beside 5. */
+	ck_assert_ptr_null(pl_move(&gs, &ask));
+	ask.evict_level = PL_NO_EVICTION;
+	ck_assert(run(&c, 4));
+	end(&b);
+	/* 4 is alone now and does not fit beside 5 either. */
+	c.level = 1;
+	ask.evict_level = 0;
+	ck_assert_ptr_null(pl_move(&gs, &ask));
+	ask.evict_level = PL_NO_EVICTION;
+	end(&c);
+	ck_assert(run(&b, 4));
+	ck_assert(run(&c, 3));
+	ck_assert_int_eq(c.holds[0].worker, a.holds[0].worker);
+	end(&a);
+	c.level = b.level = 1;
+	b.saved_us = 50;
+	ask.evict_level = 0;
+	/* The two remain alone; the one that ran shorter loses less. */
+	ck_assert_ptr_eq(pl_move(&gs, &ask), &b);
+	ask.before_us = -1;
+	ck_assert_ptr_null(pl_move(&gs, &ask));
+	end(&b);
+	end(&c);
+}
+END_TEST
+
+int main(void)
+{
+	Suite *suite = suite_create("pl");
+	TCase *tc = tcase_create("pl");
+	SRunner *runner = srunner_create(suite);
+	int failed;
+
+	tcase_add_checked_fixture(tc, setup, teardown);
+	tcase_add_test(tc, small_gangs_fill_the_fullest_worker);
+	tcase_add_test(tc, large_gangs_take_neighbours_in_one_row);
+	tcase_add_test(tc, victims_are_those_that_lose_least);
+	tcase_add_test(tc, reservation_keeps_unstoppable_work_out);
+	tcase_add_test(tc, move_frees_a_whole_worker);
+	suite_add_tcase(suite, tc);
+	srunner_run_all(runner, CK_NORMAL);
+	failed = srunner_ntests_failed(runner);
+	srunner_free(runner);
+	return failed ? EXIT_FAILURE : EXIT_SUCCESS;
+}
--- /dev/null
+++ b/tests/unit/test_wh.c
@@ -0,0 +1,95 @@
+#include <check.h>
+#include <stdlib.h>
+
+#include "policy/wh.h"
+
+#define MIN_US (WORKER_PROBATION_MIN_MS * USEC_PER_MSEC)
+
+/* Guards against good workers that are blamed for a job that can't run. */
+START_TEST(hopeless_job_does_not_quarantine_workers)
+{
+	struct wh_job bad[3] = { 0 };
+	struct wh wh;
+	int i, j;
+
+	wh_init(&wh, 3);
+	for (i = 0; i < 3; i++)
+		for (j = 0; j < 3 && !bad[i].hopeless; j++)
+			ck_assert(!wh_failed(&wh, &bad[i], i + 1, j, 0));
+	for (i = 0; i < 3; i++) {
+		ck_assert(bad[i].hopeless);
+		ck_assert(wh_usable(&wh, i));
+		ck_assert_int_eq(wh.workers[i].blame_count, 0);
+	}
+	wh_finish(&wh);
+}
+END_TEST
+
+/* Guards against a bad worker that ends good jobs, or returns too early. */
+START_TEST(bad_worker_is_quarantined_with_doubling_delay)
+{
+	struct wh_job jobs[8] = { 0 };
+	int64_t now = 0;
+	struct wh wh;
+	int i;
+
+	wh_init(&wh, 2);
+	for (i = 0; i < 3; i++)
+		wh_failed(&wh, &jobs[i], i + 1, 0, now);
+	ck_assert(!wh_usable(&wh, 0));
+	ck_assert(wh_usable(&wh, 1));
+	for (i = 0; i < 3; i++)
+		ck_assert(!jobs[i].hopeless);
+	for (i = 0; i < 3; i++) {
+		int64_t delay = MIN_US << i;
+
+		ck_assert(!wh_tick(&wh, 0, now + delay - 1));
+		now += delay;
+		ck_assert(wh_tick(&wh, 0, now));
+		ck_assert(wh_usable(&wh, 0));
+		ck_assert(wh_trial_started(&wh, 9, 0));
+		ck_assert(!wh_usable(&wh, 0));
+		ck_assert(wh_failed(&wh, &jobs[4 + i], 9, 0, now));
+	}
+	now += MIN_US << 3;
+	ck_assert(wh_tick(&wh, 0, now));
+	wh_trial_started(&wh, 10, 0);
+	ck_assert(wh_succeeded(&wh, 10, 0));
+	ck_assert(wh_usable(&wh, 0));
+	wh_finish(&wh);
+}
+END_TEST
+
+/* Guards against one job that fails again and again on the same worker. */
+START_TEST(repeated_failure_of_one_job_proves_nothing)
+{
+	struct wh_job job = { 0 };
+	struct wh wh;
+	int i;
+
+	wh_init(&wh, 1);
+	for (i = 0; i < 10; i++)
+		wh_failed(&wh, &job, 1, 0, 0);
+	ck_assert(!job.hopeless);
+	ck_assert(wh_usable(&wh, 0));
+	ck_assert(wh_avoid(&job, 0));
+	wh_finish(&wh);
+}
+END_TEST
+
+int main(void)
+{
+	Suite *suite = suite_create("wh");
+	TCase *tc = tcase_create("wh");
+	SRunner *runner = srunner_create(suite);
+	int failed;
+
+	tcase_add_test(tc, hopeless_job_does_not_quarantine_workers);
+	tcase_add_test(tc, bad_worker_is_quarantined_with_doubling_delay);
+	tcase_add_test(tc, repeated_failure_of_one_job_proves_nothing);
+	suite_add_tcase(suite, tc);
+	srunner_run_all(runner, CK_NORMAL);
+	failed = srunner_ntests_failed(runner);
+	srunner_free(runner);
+	return failed ? EXIT_FAILURE : EXIT_SUCCESS;
+}
