--- a/base/limits.h
+++ b/base/limits.h
@@ -165,6 +165,21 @@
 #define SC_STARTS_PER_PASS 512
 #define SC_EVICTION_TRIES 8 /* per pass; each looks at all workers */
 #define JOB_WRITES 3 /* store writes for a job that isn't cancelled */
+#define GANG_CALL_MS 1000 /* until a call to a worker counts as lost */
+#define GANG_RETRY_MS 200
+#define GANG_PHASE_MS 4000 /* for all answers; half of the shortest term */
+#define GANG_SYNC_MS 100 /* between syncs of a worker with pending work */
+#define SCHED_TICK_MS 20 /* while a gang starts or stops */
+#define SCHED_IDLE_TICK_MS 100
+#define SCHED_EVENT_TICK_MS 2 /* after an event, for all of a burst */
+#define SCHED_PASS_MS 100 /* between two passes */
+#define SCHED_RECOVER_MS 4000 /* for the first answer of every worker */
+#define SCHED_JITTER_PERCENT 10 /* of the period of a worker's sync */
+#define SCHED_WRITES_MAX 16 /* record writes in progress */
+#define SCHED_SETTLE_MS 8000 /* below API_FORWARD_TIMEOUT_MS */
+#define SCHED_DRAIN_MS 2000 /* for pending record writes at a stop */
+#define JOB_KEEP_MS 3600000 /* an ended job */
+#define JOBS_ENDED_MAX 2000 /* kept in memory */
 
 /* ---- document ---- */
 
--- a/daemon/main.c
+++ b/daemon/main.c
@@ -13,6 +13,7 @@
 #include "daemon/lead.h"
 #include "daemon/members.h"
 #include "daemon/req.h"
+#include "daemon/sched.h"
 #include "daemon/store.h"
 #include "wire/pr.h"
 
@@ -89,6 +90,7 @@
 	document_new(kn, set, kv, incarnation);
 	req_new(kn, set, kv, incarnation);
 	members_new(kn, set, kv);
+	sched_new(kn, set, kv, incarnation);
 	front_new(kn, set);
 	api_new(kn, set);
 }
--- /dev/null
+++ b/daemon/sched.c
@@ -0,0 +1,332 @@
+#include "daemon/sched.h"
+
+#include <inttypes.h>
+
+#include "base/ev.h"
+#include "daemon/sched_int.h"
+
+#define MS(ms) ((int64_t)(ms)*USEC_PER_MSEC)
+
+static void on_tick(struct kn_timer *timer);
+
+/* Asked before everything that is sent to a worker. */
+bool sched_may_act(const struct sched *s)
+{
+	return s->phase != SCHED_OFF && s->lead.leading &&
+	       s->lead.epoch == s->epoch &&
+	       kn_now_us() < s->lead.valid_until_us;
+}
+
+static void wake_in(struct sched *s, int64_t delay_us)
+{
+	int64_t at_us = kn_now_us() + delay_us;
+
+	if (kn_timer_pending(&s->timer) && s->wake_us <= at_us)
+		return;
+	s->wake_us = at_us;
+	kn_timer_set(s->task.kn, &s->timer, delay_us, on_tick);
+}
+
+/* Every tick looks at all workers, so those for events are spaced. */
+void sched_wake(struct sched *s)
+{
+	wake_in(s, MS(SCHED_EVENT_TICK_MS));
+}
+
+/* Exponential with full jitter. */
+int64_t sched_backoff_us(struct sched *s, unsigned int failures)
+{
+	int64_t ceiling = STORE_BACKOFF_BASE_MS;
+
+	while (failures-- > 0 && ceiling < STORE_BACKOFF_CAP_MS)
+		ceiling *= 2;
+	return (int64_t)(g_rand_double(s->rand) *
+			 (double)MS(MIN(ceiling, STORE_BACKOFF_CAP_MS)));
+}
+
+/* ---- leading ---- */
+
+/* Starts to read records and to sync; decides when both are complete. */
+static void begin(struct sched *s)
+{
+	s->phase = SCHED_READING;
+	s->epoch = s->lead.epoch;
+	s->term++;
+	s->began_us = kn_now_us();
+	s->ticked_us = s->began_us;
+	s->loaded = false;
+	s->loading = false;
+	s->load_us = 0;
+	s->load_failures = 0;
+	s->write_us = 0;
+	s->write_failures = 0;
+	sched_build(s);
+	ev_emit("scheduler.begin", "epoch=%" PRIu64, s->epoch);
+	sched_wake(s);
+}
+
+static void drop_jobs(struct sched *s)
+{
+	GHashTableIter iter;
+	gpointer value;
+	unsigned int i;
+
+	g_hash_table_iter_init(&iter, s->jobs);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		struct sjob *job = value;
+
+		if (job->sc.state != SC_ENDED)
+			sc_job_finish(&s->sc, &job->sc);
+		g_hash_table_iter_steal(&iter);
+		sched_job_free(job);
+	}
+	for (i = 0; i < s->records->len; i++)
+		sched_job_free(s->records->pdata[i]);
+	g_ptr_array_set_size(s->records, 0);
+	s->ended_count = 0;
+}
+
+/* Forgets everything; whoever leads next finds it with the workers. */
+static void end(struct sched *s)
+{
+	if (s->phase == SCHED_OFF)
+		return;
+	s->closing = true;
+	s->phase = SCHED_OFF;
+	s->term++;
+	sched_calls_drop(s);
+	sched_submits_drop(s);
+	drop_jobs(s);
+	sched_workers_drop(s);
+	g_ptr_array_set_size(s->customers, 0);
+	sc_finish(&s->sc);
+	s->have_sc = false;
+	s->closing = false;
+	kn_timer_cancel(&s->timer);
+	ev_emit("scheduler.end", "epoch=%" PRIu64, s->epoch);
+}
+
+static void update_leading(struct sched *s)
+{
+	bool leads = s->lead.leading && s->view && !s->drain_us;
+
+	if (s->phase != SCHED_OFF &&
+	    (!s->lead.leading || s->lead.epoch != s->epoch))
+		end(s);
+	if (s->phase == SCHED_OFF && leads)
+		begin(s);
+}
+
+/* ---- ticks ---- */
+
+/*
+ * A worker is silent only while it is asked: time in which this host did not
+ * act, frozen or without a valid lease, doesn't count.
+ */
+static void forgive_gap(struct sched *s, int64_t now_us)
+{
+	int64_t gap_us = now_us - s->ticked_us;
+	unsigned int i;
+
+	s->ticked_us = now_us;
+	if (gap_us < MS(LEADER_FREEZE_MS))
+		return;
+	for (i = 0; i < s->workers->len; i++) {
+		struct sworker *w = s->workers->pdata[i];
+
+		w->heard_us = MIN(now_us, w->heard_us + gap_us);
+		w->next_us = now_us;
+	}
+}
+
+static void update_gauges(struct sched *s)
+{
+	uint64_t queued = 0, running = 0;
+	struct sc_job *job;
+	int i;
+
+	for (i = 0; i < s->sc.customer_count; i++)
+		queued += (uint64_t)s->sc.customers[i].queued;
+	list_for_each_entry(job, &s->sc.running, node)
+		running += job->state == SC_RUNNING;
+	ctr_gauge(&s->queued, queued);
+	ctr_gauge(&s->running, running);
+}
+
+static void pass(struct sched *s, int64_t now_us)
+{
+	/* Grace periods, ageing and quarantines need passes without events. */
+	int64_t wait_us = MS(s->dirty ? SCHED_PASS_MS : 5 * SCHED_PASS_MS);
+
+	if (s->drain_us || now_us - s->passed_us < wait_us)
+		return;
+	s->dirty = false;
+	s->passed_us = now_us;
+	sc_pass(&s->sc, now_us);
+	update_gauges(s);
+}
+
+static void check_drained(struct sched *s, int64_t now_us)
+{
+	if (s->drain_us && !s->task.drained &&
+	    (sched_store_idle(s) || now_us >= s->drain_us))
+		kn_drained(&s->task);
+}
+
+static void act(struct sched *s, int64_t now_us)
+{
+	forgive_gap(s, now_us);
+	sched_store_tick(s, now_us);
+	sched_sync_tick(s, now_us);
+	if (s->phase == SCHED_READING && sched_ready_to_decide(s, now_us))
+		sched_decide(s, now_us);
+	if (s->phase != SCHED_ON)
+		return;
+	sched_gang_tick(s, now_us);
+	pass(s, now_us);
+	sched_gang_tick(s, now_us);
+	sched_forget_ended(s, now_us);
+}
+
+static void on_tick(struct kn_timer *timer)
+{
+	struct sched *s = container_of(timer, struct sched, timer);
+	int64_t now_us = kn_now_us();
+
+	if (sched_may_act(s))
+		act(s, now_us);
+	check_drained(s, now_us);
+	if (s->phase == SCHED_OFF && !s->drain_us)
+		return;
+	wake_in(s,
+		MS(list_empty(&s->busy) ? SCHED_IDLE_TICK_MS : SCHED_TICK_MS));
+}
+
+/* ---- task ---- */
+
+static void on_document(struct sched *s, const struct svc_doc *changed)
+{
+	struct doc_view *old = s->view;
+
+	s->view = doc_view_ref(changed->view);
+	if (s->phase == SCHED_OFF) {
+		doc_view_unref(old);
+		update_leading(s);
+	} else {
+		sched_apply_view(s, old);
+		sched_wake(s);
+	}
+}
+
+static void sched_receive(struct kn_task *task, struct kn_msg *msg)
+{
+	struct sched *s = container_of(task, struct sched, task);
+
+	switch (msg->type) {
+	case SVC_API_CALL:
+		sched_api_call(s, container_of(msg, struct svc_api_call, msg));
+		return; /* goes back to the API */
+	case SVC_DOC_CHANGED:
+		on_document(s, container_of(msg, struct svc_doc, msg));
+		break;
+	case SVC_LEAD_CHANGED:
+		s->lead = *container_of(msg, struct svc_lead, msg);
+		update_leading(s);
+		break;
+	default:
+		break;
+	}
+	kn_msg_release(msg);
+}
+
+static bool sched_start(struct kn_task *task, GError **err)
+{
+	struct kn_task *lead = kn_find(task->kn, SVC_LEAD);
+	struct kn_task *document = kn_find(task->kn, SVC_DOCUMENT);
+
+	if (lead)
+		svc_subscribe(lead, task);
+	if (document)
+		svc_subscribe(document, task);
+	return true;
+}
+
+/* Nothing that runs is stopped; records are written within a bound. */
+static void sched_drain(struct kn_task *task)
+{
+	struct sched *s = container_of(task, struct sched, task);
+
+	s->drain_us = kn_now_us() + MS(SCHED_DRAIN_MS);
+	sched_wake(s);
+}
+
+static void sched_finish(struct kn_task *task)
+{
+	struct sched *s = container_of(task, struct sched, task);
+
+	end(s);
+	kn_timer_cancel(&s->timer);
+	sched_store_finish(s);
+	s->edge->ops->finish(s->edge);
+	doc_view_unref(s->view);
+	g_ptr_array_free(s->workers, TRUE);
+	g_ptr_array_free(s->customers, TRUE);
+	g_ptr_array_free(s->records, TRUE);
+	g_hash_table_destroy(s->jobs);
+	g_hash_table_destroy(s->tokens);
+	g_rand_free(s->rand);
+	ctr_finish(&s->record_writes);
+	ctr_finish(&s->starts);
+	ctr_finish(&s->syncs);
+	ctr_finish(&s->queued);
+	ctr_finish(&s->running);
+	g_free(s);
+}
+
+static const struct kn_task_ops sched_ops = {
+	.start = sched_start,
+	.receive = sched_receive,
+	.drain = sched_drain,
+	.finish = sched_finish,
+};
+
+static void init_counters(struct sched *s, struct ctr_set *set)
+{
+	ctr_init(&s->record_writes, set, CTR_COUNTER,
+		 "chivebank_job_record_writes_total", NULL,
+		 "Job records written to the store");
+	ctr_init(&s->starts, set, CTR_COUNTER, "chivebank_gang_starts_total",
+		 NULL, "Gangs that began to run");
+	ctr_init(&s->syncs, set, CTR_COUNTER, "chivebank_worker_syncs_total",
+		 NULL, "Syncs sent to workers");
+	ctr_init(&s->queued, set, CTR_GAUGE, "chivebank_jobs_queued", NULL,
+		 "Jobs that wait for a place");
+	ctr_init(&s->running, set, CTR_GAUGE, "chivebank_jobs_running", NULL,
+		 "Jobs that run");
+}
+
+struct kn_task *sched_new(struct kn *kn, const struct set *set, struct kv *kv,
+			  uint64_t incarnation)
+{
+	struct sched *s = g_new0(struct sched, 1);
+
+	s->set = set;
+	s->kv = kv;
+	s->edge = wagent_new(kn);
+	s->rand = g_rand_new_with_seed(
+		(guint32)(set->seed ? set->seed : incarnation));
+	s->workers = g_ptr_array_new();
+	s->customers = g_ptr_array_new_with_free_func(g_free);
+	s->records = g_ptr_array_new();
+	s->jobs = g_hash_table_new(g_str_hash, g_str_equal);
+	s->tokens = g_hash_table_new(g_str_hash, g_str_equal);
+	list_init(&s->busy);
+	list_init(&s->ended);
+	list_init(&s->writes);
+	list_init(&s->calls);
+	list_init(&s->submits);
+	list_init(&s->calls_out);
+	init_counters(s, &kn->counters);
+	kn_add(kn, &s->task, SVC_SCHEDULER, &sched_ops);
+	return &s->task;
+}
--- /dev/null
+++ b/daemon/sched_api.c
@@ -0,0 +1,229 @@
+#include <string.h>
+
+#include "base/err.h"
+#include "daemon/sched_int.h"
+#include "policy/pl.h"
+
+#define JOBS "/v1/jobs"
+#define WORKERS "/v1/workers"
+
+/* ---- submission ---- */
+
+static bool refuse(GError **err, int code, const char *text)
+{
+	g_set_error(err, CB_ERROR, code, "%s", text);
+	return false;
+}
+
+/* Whether the document and the pool allow the job at all. */
+static bool may_run(struct sched *s, const struct jb *jb, GError **err)
+{
+	const struct doc_customer *c = doc_view_customer(s->view, jb->customer);
+
+	if (!c)
+		return refuse(err, CB_E_UNKNOWN_CUSTOMER, jb->customer);
+	if (c->quota_accelerators && jb->accelerators > c->quota_accelerators)
+		return refuse(err, CB_E_QUOTA,
+			      "the job alone exceeds the customer's quota");
+	if (jb->accelerators > GANG_MAX_ACCELERATORS ||
+	    !pl_could_hold(&s->sc.cell, jb->accelerators))
+		return refuse(err, CB_E_NEVER_FITS,
+			      "the pool of this data centre can't hold it");
+	return true;
+}
+
+static void answer_known(struct sched *s, struct svc_api_call *call,
+			 const struct sjob *known, const struct jb *jb)
+{
+	if (strcmp(known->jb.digest, jb->digest) == 0)
+		svc_api_answer(call, &s->task, 200, jb_to_json(&known->jb));
+	else
+		svc_api_fail(call, &s->task, CB_E_KEY_REUSED,
+			     "job \"%s\" was submitted with this key", jb->id);
+}
+
+static void submit(struct sched *s, struct svc_api_call *call)
+{
+	struct sjob *job = sched_job_new(s);
+	struct sjob *known;
+	GError *err = NULL;
+
+	if (!jb_submission(&job->jb, call->body, call->key, &err))
+		goto out;
+	known = g_hash_table_lookup(s->jobs, job->jb.id);
+	if (known) {
+		answer_known(s, call, known, &job->jb);
+		sched_job_free(job);
+		return;
+	}
+	if (!may_run(s, &job->jb, &err))
+		goto out;
+	g_strlcpy(job->jb.dc, s->set->dc, sizeof(job->jb.dc));
+	job->jb.submitted_wall_us = kn_wall_us();
+	sched_submit(s, job, call);
+	return;
+out:
+	svc_api_fail(call, &s->task, err->code, "%s", err->message);
+	g_error_free(err);
+	sched_job_free(job);
+}
+
+/* ---- jobs ---- */
+
+static const char *query(const struct svc_api_call *call, const char *name)
+{
+	return json_string_value(json_object_get(call->query, name));
+}
+
+static bool matches(const struct sjob *job, const char *customer,
+		    const char *state)
+{
+	return (!customer || strcmp(customer, job->jb.customer) == 0) &&
+	       (!state || strcmp(state, jb_state_name(job->jb.state)) == 0);
+}
+
+static void list_jobs(struct sched *s, struct svc_api_call *call)
+{
+	json_t *jobs = json_array();
+	GHashTableIter iter;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, s->jobs);
+	while (g_hash_table_iter_next(&iter, NULL, &value))
+		if (matches(value, query(call, "customer"),
+			    query(call, "state")))
+			json_array_append_new(
+				jobs, jb_to_json(&((struct sjob *)value)->jb));
+	svc_api_answer(call, &s->task, 200, json_pack("{so}", "jobs", jobs));
+}
+
+/* Cancels all jobs of a customer. */
+static void cancel_all(struct sched *s, struct svc_api_call *call)
+{
+	const char *customer = query(call, "customer");
+	GHashTableIter iter;
+	gpointer value;
+	int n = 0;
+
+	if (!customer) {
+		svc_api_fail(call, &s->task, CB_E_BAD_REQUEST,
+			     "the query must name a customer");
+		return;
+	}
+	g_hash_table_iter_init(&iter, s->jobs);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		struct sjob *job = value;
+
+		if (!matches(job, customer, NULL) || jb_ended(job->jb.state) ||
+		    job->cancelled)
+			continue;
+		sched_job_cancel(job, kn_now_us());
+		n++;
+	}
+	svc_api_answer(call, &s->task, 202, json_pack("{si}", "cancelled", n));
+}
+
+static void cancel(struct sched *s, struct svc_api_call *call, struct sjob *job)
+{
+	if (job->jb.state == JB_DONE || job->jb.state == JB_FAILED) {
+		svc_api_fail(call, &s->task, CB_E_JOB_ENDED, "job \"%s\" is %s",
+			     job->jb.id, jb_state_name(job->jb.state));
+		return;
+	}
+	sched_job_cancel(job, kn_now_us());
+	svc_api_answer(call, &s->task, 202, jb_to_json(&job->jb));
+}
+
+static void one_job(struct sched *s, struct svc_api_call *call, const char *id)
+{
+	struct sjob *job = g_hash_table_lookup(s->jobs, id);
+
+	if (!job)
+		svc_api_fail(call, &s->task, CB_E_NO_JOB, "%s", id);
+	else if (strcmp(call->method, "GET") == 0)
+		svc_api_answer(call, &s->task, 200, jb_to_json(&job->jb));
+	else if (strcmp(call->method, "DELETE") == 0)
+		cancel(s, call, job);
+	else
+		svc_api_fail(call, &s->task, CB_E_METHOD, "%s", call->method);
+}
+
+/* ---- workers ---- */
+
+static const char *worker_state(const struct sched *s, const struct sworker *w)
+{
+	if (!w->in_pool)
+		return "removed";
+	if (!s->sc.live[w->index])
+		return "lost";
+	switch (s->sc.wh.workers[w->index].state) {
+	case WH_QUARANTINED:
+		return "quarantined";
+	case WH_TRIAL:
+		return "probation";
+	default:
+		return "live";
+	}
+}
+
+static void list_workers(struct sched *s, struct svc_api_call *call)
+{
+	json_t *workers = json_array();
+	unsigned int i;
+
+	for (i = 0; i < s->workers->len; i++) {
+		const struct sworker *w = s->workers->pdata[i];
+
+		json_array_append_new(
+			workers,
+			json_pack("{ss ss si si si sb}", "name", w->at.name,
+				  "state", worker_state(s, w), "rack",
+				  w->at.rack, "accelerators",
+				  w->at.accelerators, "used",
+				  s->sc.cell.workers[w->index].held,
+				  "quarantined",
+				  s->sc.wh.workers[w->index].state ==
+					  WH_QUARANTINED));
+	}
+	svc_api_answer(call, &s->task, 200,
+		       json_pack("{so}", "workers", workers));
+}
+
+/* ---- routing ---- */
+
+static void jobs_call(struct sched *s, struct svc_api_call *call)
+{
+	if (strcmp(call->method, "POST") == 0)
+		submit(s, call);
+	else if (strcmp(call->method, "GET") == 0)
+		list_jobs(s, call);
+	else if (strcmp(call->method, "DELETE") == 0)
+		cancel_all(s, call);
+	else
+		svc_api_fail(call, &s->task, CB_E_METHOD, "%s", call->method);
+}
+
+/*
+ * The API forwards calls to the leading host; one that arrives elsewhere was
+ * forwarded already, or leadership has just changed.
+ */
+void sched_api_call(struct sched *s, struct svc_api_call *call)
+{
+	if (s->drain_us)
+		svc_api_fail(call, &s->task, CB_E_DRAINING, "%s", s->set->host);
+	else if (s->phase != SCHED_ON || !sched_may_act(s))
+		svc_api_fail(call, &s->task, CB_E_NO_LEADER,
+			     "host \"%s\" does not lead data centre \"%s\", "
+			     "or is taking over",
+			     s->set->host, s->set->dc);
+	else if (strcmp(call->path, JOBS) == 0)
+		jobs_call(s, call);
+	else if (strncmp(call->path, JOBS "/", strlen(JOBS "/")) == 0)
+		one_job(s, call, call->path + strlen(JOBS "/"));
+	else if (strcmp(call->path, WORKERS) == 0 &&
+		 strcmp(call->method, "GET") == 0)
+		list_workers(s, call);
+	else
+		svc_api_fail(call, &s->task, CB_E_UNKNOWN_PATH, "%s",
+			     call->path);
+}
--- /dev/null
+++ b/daemon/sched_gang.c
@@ -0,0 +1,286 @@
+#include <inttypes.h>
+#include <string.h>
+
+#include "base/err.h"
+#include "base/ev.h"
+#include "daemon/sched_int.h"
+
+/* A call to a worker about one token. */
+struct scall {
+	struct list_head node;
+	struct wk_call call;
+	struct sched *s;
+	struct sworker *worker;
+	struct sjob *job; /* NULL for a token that no job owns */
+	char token[WK_TOKEN_BYTES];
+	int member;
+	enum gg_verb verb;
+};
+
+static const enum wk_verb wire_verbs[] = {
+	[GG_RESERVE] = WK_RESERVE,	 [GG_COMMIT] = WK_COMMIT,
+	[GG_ABORT] = WK_ABORT,		 [GG_STOP] = WK_STOP,
+	[GG_CHECKPOINT] = WK_CHECKPOINT,
+};
+
+static struct sworker *worker_at(struct sched *s, int index)
+{
+	return s->workers->pdata[index];
+}
+
+/* ---- calls ---- */
+
+static void drop_stray(struct sworker *w, const char *token)
+{
+	unsigned int i;
+
+	for (i = 0; i < w->stray->len; i++)
+		if (strcmp(w->stray->pdata[i], token) == 0)
+			g_ptr_array_remove_index_fast(w->stray, i--);
+}
+
+/*
+ * A refusal of this leader's epoch says that another one leads; the gang is
+ * left alone then, as without an answer.
+ */
+static void on_call(struct wk_call *wk)
+{
+	struct scall *c = container_of(wk, struct scall, call);
+	struct sched *s = c->s;
+	bool old = wk->epoch > s->epoch;
+	bool answered =
+		!old && (wk->result == CB_OK || wk->result == CB_E_CONFLICT);
+	struct sjob *job = c->job;
+
+	list_del(&c->node);
+	if (old)
+		ev_emit("scheduler.fenced",
+			"worker=%s epoch=%" PRIu64 " newer=%" PRIu64,
+			c->worker->at.name, s->epoch, wk->epoch);
+	if (job && strcmp(job->token, c->token) == 0)
+		gg_answer(&job->gg, c->member, c->verb, answered,
+			  wk->result == CB_OK, kn_now_us());
+	else if (!job)
+		drop_stray(c->worker, c->token);
+	sched_wake(s);
+	g_free(c);
+}
+
+static int64_t term_ms(enum gg_verb verb)
+{
+	if (verb == GG_RESERVE)
+		return RESERVATION_TERM_MS;
+	return verb == GG_COMMIT ? TASK_LEASE_MS : 0;
+}
+
+/* Sends c, unless this host must not act; then the gang hears of a loss. */
+static void start_call(struct scall *c)
+{
+	struct sched *s = c->s;
+	struct sjob *job = c->job;
+	struct wk_request request = {
+		.verb = wire_verbs[c->verb],
+		.addr = c->worker->at.addr,
+		.port = c->worker->at.port,
+		.epoch = s->epoch,
+		.timeout_ms = GANG_CALL_MS,
+		.token = c->token,
+		.job = job ? job->jb.id : "",
+		.accelerators = job ? job->counts[c->member] : 0,
+		.task = job ? job->jb.task : NULL,
+		.term_ms = term_ms(c->verb),
+		.grace_ms = SC_GRACE_MS,
+	};
+
+	list_add_tail(&c->node, &s->calls_out);
+	s->edge->ops->start(s->edge, &c->call, &request, on_call);
+}
+
+/* Stops what a worker reports and no job here owns. */
+void sched_stray_stop(struct sworker *w, const char *token, bool ran)
+{
+	struct scall *c;
+	unsigned int i;
+
+	for (i = 0; i < w->stray->len; i++)
+		if (strcmp(w->stray->pdata[i], token) == 0)
+			return;
+	if (!sched_may_act(w->s))
+		return;
+	g_ptr_array_add(w->stray, g_strdup(token));
+	ev_emit("gang.stray", "worker=%s token=%s", w->at.name, token);
+	c = g_new0(struct scall, 1);
+	c->s = w->s;
+	c->worker = w;
+	c->verb = ran ? GG_STOP : GG_ABORT;
+	g_strlcpy(c->token, token, sizeof(c->token));
+	start_call(c);
+}
+
+/* Drops all calls; their workers may still carry them out. */
+void sched_calls_drop(struct sched *s)
+{
+	struct scall *c, *next;
+
+	list_for_each_entry_safe(c, next, &s->calls_out, node) {
+		list_del(&c->node);
+		s->edge->ops->cancel(s->edge, &c->call);
+		g_free(c);
+	}
+}
+
+/* ---- what a gang asks for ---- */
+
+static void gang_call(struct gg *gg, int member, enum gg_verb verb)
+{
+	struct sjob *job = container_of(gg, struct sjob, gg);
+	struct sched *s = job->s;
+	struct scall *c;
+
+	if (!sched_may_act(s)) {
+		gg->members[member].in_call = false;
+		return;
+	}
+	c = g_new0(struct scall, 1);
+	c->s = s;
+	c->job = job;
+	c->worker = worker_at(s, job->workers[member]);
+	c->member = member;
+	c->verb = verb;
+	g_strlcpy(c->token, job->token, sizeof(c->token));
+	start_call(c);
+}
+
+static void gang_sync(struct gg *gg, int member)
+{
+	struct sjob *job = container_of(gg, struct sjob, gg);
+
+	sched_sync_soon(worker_at(job->s, job->workers[member]));
+}
+
+static void gang_running(struct gg *gg)
+{
+	struct sjob *job = container_of(gg, struct sjob, gg);
+
+	ctr_add(&job->s->starts, 1);
+	job->jb.started_wall_us = kn_wall_us();
+	sched_job_set(job, JB_RUNNING, "all members run");
+	sched_write(job);
+	sc_running(&job->s->sc, &job->sc, kn_now_us());
+}
+
+static void gang_saved(struct gg *gg)
+{
+	struct sjob *job = container_of(gg, struct sjob, gg);
+
+	sc_saved(&job->s->sc, &job->sc, kn_now_us());
+}
+
+static void gang_gone(struct gg *gg, enum gg_end end, int failed)
+{
+	struct sjob *job = container_of(gg, struct sjob, gg);
+	struct sched *s = job->s;
+	int64_t now_us = kn_now_us();
+	int worker = failed >= 0 ? job->workers[failed] : -1;
+
+	list_del(&job->busy);
+	sched_gang_clear(job);
+	s->dirty = true;
+	if (end == GG_END_DONE)
+		sc_done(&s->sc, &job->sc, now_us);
+	else if (end == GG_END_FAILED)
+		sc_failed(&s->sc, &job->sc, worker, now_us);
+	else
+		sc_left(&s->sc, &job->sc, now_us);
+	job->jb.attained_us = job->sc.attained_us;
+}
+
+static const struct gg_ops gang_ops = {
+	.call = gang_call,
+	.sync = gang_sync,
+	.running = gang_running,
+	.saved = gang_saved,
+	.gone = gang_gone,
+};
+
+/* ---- members ---- */
+
+void sched_gang_init(struct sjob *job)
+{
+	gg_init(&job->gg, &gang_ops);
+}
+
+/* Ends an attempt; answers and reports about its token are ignored. */
+void sched_gang_clear(struct sjob *job)
+{
+	if (job->token[0])
+		g_hash_table_remove(job->s->tokens, job->token);
+	job->token[0] = '\0';
+	g_clear_pointer(&job->workers, g_free);
+	g_clear_pointer(&job->counts, g_free);
+}
+
+/* Returns the member on a worker, -1 for none. */
+int sched_gang_member(const struct sjob *job, int worker)
+{
+	int i;
+
+	for (i = 0; job->workers && i < job->gg.count; i++)
+		if (job->workers[i] == worker)
+			return i;
+	return -1;
+}
+
+/*
+ * Makes one member of all holds on a worker; there is more than one hold when
+ * only a part of them is covered by a guarantee. Returns their number.
+ */
+static int fill_members(struct sjob *job)
+{
+	const struct cell_gang *gang = &job->sc.gang;
+	int i, j, n = 0;
+
+	job->workers = g_new0(int, gang->hold_count + 1);
+	job->counts = g_new0(int, gang->hold_count + 1);
+	for (i = 0; i < gang->hold_count; i++) {
+		for (j = 0; j < n; j++)
+			if (job->workers[j] == gang->holds[i].worker)
+				break;
+		if (j == n)
+			job->workers[n++] = gang->holds[i].worker;
+		job->counts[j] += gang->holds[i].count;
+	}
+	jb_clear_places(&job->jb);
+	for (i = 0; i < n; i++)
+		jb_add_place(&job->jb,
+			     worker_at(job->s, job->workers[i])->at.name,
+			     job->counts[i]);
+	return n;
+}
+
+/* Starts an attempt on the holds that the policy chose. */
+void sched_gang_start(struct sjob *job)
+{
+	struct sched *s = job->s;
+	int n = fill_members(job);
+
+	job->jb.epoch = s->epoch;
+	job->jb.attempt++;
+	snprintf(job->token, sizeof(job->token), "%" PRIu64 ".%s.%d", s->epoch,
+		 job->jb.id, job->jb.attempt);
+	g_hash_table_insert(s->tokens, job->token, job);
+	list_add_tail(&job->busy, &s->busy);
+	gg_start(&job->gg, n, kn_now_us());
+	sched_wake(s);
+}
+
+void sched_gang_tick(struct sched *s, int64_t now_us)
+{
+	struct sjob *job, *next;
+
+	list_for_each_entry_safe(job, next, &s->busy, busy) {
+		gg_tick(&job->gg, now_us);
+		if (!gg_busy(&job->gg))
+			list_del(&job->busy);
+	}
+}
--- /dev/null
+++ b/daemon/sched_int.h
@@ -0,0 +1,166 @@
+#ifndef DAEMON_SCHED_INT_H
+#define DAEMON_SCHED_INT_H
+
+#include "base/set.h"
+#include "daemon/svc.h"
+#include "daemon/wk.h"
+#include "policy/gg.h"
+#include "policy/jb.h"
+#include "policy/sc.h"
+#include "wire/kv.h"
+
+/* Between the files of the scheduler's service. */
+
+struct sched;
+
+enum sched_phase {
+	SCHED_OFF, /* does not lead, or knows no document */
+	SCHED_READING, /* reads the records, first sync with all workers */
+	SCHED_ON,
+};
+
+/* A worker of the pool, or one that has left it. */
+struct sworker {
+	struct sched *s;
+	struct doc_worker at;
+	int index; /* in sc */
+	bool in_pool;
+	bool answered; /* since this host began to lead */
+	bool in_sync;
+	int64_t heard_us;
+	int64_t next_us; /* of the next sync */
+	int64_t sent_us;
+	struct wk_call call;
+	/* Of the last report while the records are being read. */
+	struct wk_task *tasks;
+	size_t task_count;
+	GPtrArray *forget; /* tokens that have ended */
+	GPtrArray *forgetting; /* those in the sync in progress */
+	GPtrArray *stray; /* tokens being stopped that no job here owns */
+};
+
+struct sjob {
+	struct sched *s;
+	struct sc_job sc;
+	struct gg gg;
+	struct jb jb;
+	struct list_head busy; /* gg needs ticks */
+	struct list_head write; /* the record is to be written */
+	struct list_head ended;
+	char token[WK_TOKEN_BYTES];
+	int *workers; /* of the members, indexes in sc */
+	int *counts; /* accelerators of the members */
+	bool cancelled;
+	bool in_write;
+	bool again; /* changed during the write */
+	int64_t mod_revision; /* of the record */
+	int64_t ended_us;
+};
+
+struct sched {
+	struct kn_task task;
+	const struct set *set;
+	struct kv *kv;
+	struct wk_edge *edge;
+	struct doc_view *view;
+	struct svc_lead lead;
+	GRand *rand;
+	struct kn_timer timer;
+	int64_t wake_us; /* when the timer fires */
+	enum sched_phase phase;
+	uint64_t epoch;
+	uint64_t term; /* counts times of leading; old answers are dropped */
+	int64_t began_us;
+	int64_t ticked_us;
+	int64_t passed_us;
+	bool dirty; /* something changed since the last pass */
+	bool closing; /* the policy is being taken down */
+	uint64_t next_id;
+	struct sc sc;
+	bool have_sc;
+	GPtrArray *workers; /* struct sworker, by index in sc */
+	GPtrArray *customers; /* names, by index in sc */
+	GHashTable *jobs; /* id -> struct sjob */
+	GHashTable *tokens; /* token -> struct sjob */
+	struct list_head busy;
+	struct list_head ended; /* oldest first */
+	int ended_count;
+	/* The store. */
+	bool loaded;
+	GPtrArray *records; /* struct sjob read from the store */
+	struct list_head writes; /* struct sjob in order */
+	struct list_head calls; /* in progress with the store */
+	int writing;
+	int64_t write_us; /* earliest moment of the next write */
+	unsigned int write_failures;
+	int64_t load_us;
+	unsigned int load_failures;
+	bool loading;
+	struct list_head submits;
+	int64_t drain_us; /* end of the wait for writes, 0: not stopping */
+	struct list_head calls_out; /* struct scall to workers */
+	struct ctr record_writes;
+	struct ctr starts;
+	struct ctr syncs;
+	struct ctr queued;
+	struct ctr running;
+};
+
+/* ---- sched.c ---- */
+
+bool sched_may_act(const struct sched *s);
+void sched_wake(struct sched *s);
+int64_t sched_backoff_us(struct sched *s, unsigned int failures);
+
+/* ---- sched_job.c: jobs and what the policy asks for ---- */
+
+extern const struct sc_ops sched_sc_ops;
+struct sjob *sched_job_new(struct sched *s);
+void sched_job_free(struct sjob *job);
+void sched_job_set(struct sjob *job, enum jb_state to, const char *reason);
+void sched_job_enter(struct sjob *job, int64_t now_us);
+void sched_job_keep(struct sjob *job);
+void sched_job_cancel(struct sjob *job, int64_t now_us);
+void sched_forget_ended(struct sched *s, int64_t now_us);
+
+/* ---- sched_gang.c: gangs on workers ---- */
+
+void sched_gang_init(struct sjob *job);
+void sched_gang_start(struct sjob *job);
+void sched_gang_clear(struct sjob *job);
+int sched_gang_member(const struct sjob *job, int worker);
+void sched_gang_tick(struct sched *s, int64_t now_us);
+void sched_stray_stop(struct sworker *w, const char *token, bool ran);
+void sched_calls_drop(struct sched *s);
+
+/* ---- sched_sync.c: workers and customers ---- */
+
+void sched_build(struct sched *s);
+void sched_apply_view(struct sched *s, struct doc_view *old);
+void sched_sync_tick(struct sched *s, int64_t now_us);
+void sched_sync_soon(struct sworker *w);
+void sched_workers_drop(struct sched *s);
+int sched_customer(struct sched *s, const char *name);
+struct sworker *sched_worker(struct sched *s, const char *name);
+
+/* ---- sched_take.c: taking over ---- */
+
+bool sched_ready_to_decide(struct sched *s, int64_t now_us);
+void sched_decide(struct sched *s, int64_t now_us);
+
+/* ---- sched_store.c: records ---- */
+
+void sched_load(struct sched *s);
+void sched_write(struct sjob *job);
+void sched_store_tick(struct sched *s, int64_t now_us);
+void sched_delete_record(struct sched *s, const char *id);
+void sched_submit(struct sched *s, struct sjob *job, struct svc_api_call *call);
+bool sched_store_idle(const struct sched *s);
+void sched_store_finish(struct sched *s);
+void sched_submits_drop(struct sched *s);
+
+/* ---- sched_api.c ---- */
+
+void sched_api_call(struct sched *s, struct svc_api_call *call);
+
+#endif
--- /dev/null
+++ b/daemon/sched_job.c
@@ -0,0 +1,191 @@
+#include <string.h>
+
+#include "base/ev.h"
+#include "daemon/sched_int.h"
+
+struct sjob *sched_job_new(struct sched *s)
+{
+	struct sjob *job = g_new0(struct sjob, 1);
+
+	job->s = s;
+	jb_init(&job->jb);
+	list_init(&job->busy);
+	list_init(&job->write);
+	list_init(&job->ended);
+	list_init(&job->sc.node);
+	sched_gang_init(job);
+	return job;
+}
+
+/* The job must have been taken out of the policy and the tables. */
+void sched_job_free(struct sjob *job)
+{
+	list_del(&job->busy);
+	list_del(&job->write);
+	list_del(&job->ended);
+	sched_gang_clear(job);
+	gg_finish(&job->gg);
+	jb_finish(&job->jb);
+	g_free(job);
+}
+
+static void change(struct sjob *job, enum jb_state to, const char *reason)
+{
+	enum jb_state from = job->jb.state;
+
+	if (from == to || !jb_change(&job->jb, to, reason))
+		return;
+	ev_emit("job.state", "job=%s from=%s to=%s reason=\"%s\"", job->jb.id,
+		jb_state_name(from), jb_state_name(to), job->jb.reason);
+}
+
+/* Changes the state; work that ran passes through stopped. */
+void sched_job_set(struct sjob *job, enum jb_state to, const char *reason)
+{
+	if (!jb_may_change(job->jb.state, to) &&
+	    jb_may_change(job->jb.state, JB_STOPPED))
+		change(job, JB_STOPPED, reason);
+	change(job, to, reason);
+}
+
+/* Puts a job into the tables and the policy, without submitting it. */
+void sched_job_enter(struct sjob *job, int64_t now_us)
+{
+	struct sched *s = job->s;
+	int64_t waited_us = kn_wall_us() - job->jb.submitted_wall_us;
+
+	sc_job_init(&job->sc, ++s->next_id, sched_customer(s, job->jb.customer),
+		    job->jb.accelerators, job->jb.stoppable, job->jb.urgent,
+		    job->jb.grace_ms > 0);
+	job->sc.attained_us = job->jb.attained_us;
+	job->sc.submitted_us = now_us - MAX(0, waited_us);
+	g_hash_table_insert(s->jobs, job->jb.id, job);
+}
+
+/* ---- ended jobs ---- */
+
+/* Keeps a job that has ended for those who ask for it. */
+void sched_job_keep(struct sjob *job)
+{
+	job->ended_us =
+		kn_now_us() - MAX(0, kn_wall_us() - job->jb.ended_wall_us);
+	list_add_tail(&job->ended, &job->s->ended);
+	job->s->ended_count++;
+}
+
+/* Deletes jobs that ended long ago, also from the store. */
+void sched_forget_ended(struct sched *s, int64_t now_us)
+{
+	struct sjob *job;
+
+	while (!list_empty(&s->ended)) {
+		job = list_first_entry(&s->ended, struct sjob, ended);
+		if (s->ended_count <= JOBS_ENDED_MAX &&
+		    now_us - job->ended_us < JOB_KEEP_MS * USEC_PER_MSEC)
+			return;
+		if (job->in_write || !list_empty(&job->write))
+			return;
+		sched_delete_record(s, job->jb.id);
+		g_hash_table_remove(s->jobs, job->jb.id);
+		s->ended_count--;
+		sched_job_free(job);
+	}
+}
+
+/*
+ * The record states the cancellation at once, because another leader must
+ * not go on with the job.
+ */
+void sched_job_cancel(struct sjob *job, int64_t now_us)
+{
+	if (job->cancelled || jb_ended(job->jb.state))
+		return;
+	job->cancelled = true;
+	job->s->dirty = true;
+	sched_write(job);
+	sc_cancel(&job->s->sc, &job->sc, now_us);
+}
+
+/* ---- what the policy asks for ---- */
+
+static struct sjob *of(struct sc_job *job)
+{
+	return container_of(job, struct sjob, sc);
+}
+
+static struct sched *owner(struct sc *sc)
+{
+	return container_of(sc, struct sched, sc);
+}
+
+static void on_start(struct sc *sc, struct sc_job *job)
+{
+	sched_job_set(of(job), JB_RESERVED, "placed");
+	sched_gang_start(of(job));
+}
+
+static void on_checkpoint(struct sc *sc, struct sc_job *sc_job)
+{
+	struct sjob *job = of(sc_job);
+
+	sched_job_set(job, JB_CHECKPOINTING, "displaced");
+	gg_checkpoint(&job->gg, kn_now_us());
+	if (list_empty(&job->busy))
+		list_add_tail(&job->busy, &job->s->busy);
+	sched_wake(job->s);
+}
+
+static void on_stop(struct sc *sc, struct sc_job *sc_job, const char *reason)
+{
+	struct sjob *job = of(sc_job);
+
+	ev_emit("job.stop", "job=%s reason=\"%s\"", job->jb.id, reason);
+	gg_stop(&job->gg, kn_now_us());
+	if (list_empty(&job->busy))
+		list_add_tail(&job->busy, &job->s->busy);
+	sched_wake(job->s);
+}
+
+static void on_queued(struct sc *sc, struct sc_job *job, const char *reason)
+{
+	sched_job_set(of(job), JB_QUEUED, reason);
+}
+
+static void on_ended(struct sc *sc, struct sc_job *sc_job, enum sc_end end,
+		     const char *reason)
+{
+	static const enum jb_state states[] = {
+		[SC_END_DONE] = JB_DONE,
+		[SC_END_FAILED] = JB_FAILED,
+		[SC_END_CANCELLED] = JB_CANCELLED,
+	};
+	struct sjob *job = of(sc_job);
+
+	job->jb.attained_us = sc_job->attained_us;
+	job->jb.ended_wall_us = kn_wall_us();
+	if (end == SC_END_DONE && jb_may_change(job->jb.state, JB_DONE))
+		change(job, JB_DONE, reason);
+	else
+		sched_job_set(job, states[end], reason);
+	/* The record of a cancelled job says so already. */
+	if (!job->cancelled)
+		sched_write(job);
+	sched_job_keep(job);
+	owner(sc)->dirty = true;
+}
+
+static void on_broken(struct sc *sc, bool broken)
+{
+	if (!owner(sc)->closing)
+		ev_emit("guarantee.broken", "dc=%s broken=%d",
+			owner(sc)->set->dc, broken);
+}
+
+const struct sc_ops sched_sc_ops = {
+	.start = on_start,
+	.checkpoint = on_checkpoint,
+	.stop = on_stop,
+	.queued = on_queued,
+	.ended = on_ended,
+	.broken = on_broken,
+};
--- /dev/null
+++ b/daemon/sched_store.c
@@ -0,0 +1,421 @@
+#include <inttypes.h>
+#include <string.h>
+
+#include "base/err.h"
+#include "base/ev.h"
+#include "base/log.h"
+#include "daemon/sched_int.h"
+
+enum store_job { STORE_LOAD, STORE_WRITE, STORE_DELETE, STORE_SUBMIT };
+
+/* A call to the store in progress. */
+struct scall_kv {
+	struct list_head node; /* in calls, for a submission in submits */
+	struct kv_call call;
+	struct sched *s;
+	uint64_t term; /* of leading, in which it was made */
+	enum store_job kind;
+	char id[JB_ID_BYTES];
+	char *key;
+	char *text;
+	/* A submission, which is repeated until its outcome is known. */
+	struct sjob *job;
+	struct svc_api_call *api; /* NULL once answered */
+	struct kn_timer timer;
+	bool flying;
+	bool unsettled; /* an answer was lost: the record may exist */
+	int64_t began_us;
+	unsigned int failures;
+};
+
+static char *record_key(struct sched *s, const char *id)
+{
+	return g_strdup_printf("/chivebank/jobs/%s/%s", s->set->dc, id);
+}
+
+static struct scall_kv *call_new(struct sched *s, enum store_job kind,
+				 const char *id)
+{
+	struct scall_kv *c = g_new0(struct scall_kv, 1);
+
+	c->s = s;
+	c->term = s->term;
+	c->kind = kind;
+	c->key = record_key(s, id);
+	g_strlcpy(c->id, id, sizeof(c->id));
+	list_add_tail(&c->node, &s->calls);
+	return c;
+}
+
+static void call_free(struct scall_kv *c)
+{
+	list_del(&c->node);
+	kn_timer_cancel(&c->timer);
+	if (c->job)
+		sched_job_free(c->job);
+	g_free(c->key);
+	free(c->text);
+	g_free(c);
+}
+
+/* The record of a job that is being cancelled states its end. */
+static char *record_text(const struct sjob *job)
+{
+	json_t *json = jb_to_json(&job->jb);
+	char *text;
+
+	if (job->cancelled && !jb_ended(job->jb.state)) {
+		json_object_set_new(json, "state",
+				    json_string(jb_state_name(JB_CANCELLED)));
+		json_object_set_new(json, "ended_us",
+				    json_integer(kn_wall_us()));
+	}
+	text = json_dumps(json, JSON_COMPACT);
+	json_decref(json);
+	return text;
+}
+
+/* ---- reading ---- */
+
+static void take_record(struct sched *s, const struct kv_item *item)
+{
+	struct sjob *job = sched_job_new(s);
+	json_t *json = json_loadb(item->value, item->len, 0, NULL);
+	GError *err = NULL;
+
+	if (json && jb_from_json(&job->jb, json, &err)) {
+		job->mod_revision = item->mod_revision;
+		g_ptr_array_add(s->records, job);
+	} else {
+		log_err("job.bad_record", "key=%s reason=\"%s\"", item->key,
+			err ? err->message : "not JSON");
+		g_clear_error(&err);
+		sched_job_free(job);
+	}
+	json_decref(json);
+}
+
+static void on_loaded(struct kv_call *call)
+{
+	struct scall_kv *c = container_of(call, struct scall_kv, call);
+	struct sched *s = c->s;
+	size_t i;
+
+	if (c->term == s->term) {
+		s->loading = false;
+		if (call->result == CB_OK) {
+			for (i = 0; i < call->count; i++)
+				take_record(s, &call->items[i]);
+			s->loaded = true;
+		} else {
+			s->load_us = kn_now_us() +
+				     sched_backoff_us(s, s->load_failures++);
+		}
+		sched_wake(s);
+	}
+	call_free(c);
+}
+
+/* Reads all records of the data centre. */
+void sched_load(struct sched *s)
+{
+	struct scall_kv *c = call_new(s, STORE_LOAD, "");
+
+	s->loading = true;
+	c->call.done = on_loaded;
+	s->kv->ops->range(s->kv, &c->call, c->key, true);
+}
+
+/* ---- writing ---- */
+
+/* Puts the job's record on the list of those to be written. */
+void sched_write(struct sjob *job)
+{
+	if (job->in_write)
+		job->again = true;
+	else if (list_empty(&job->write))
+		list_add_tail(&job->write, &job->s->writes);
+	sched_wake(job->s);
+}
+
+static void retry_write(struct sjob *job)
+{
+	struct sched *s = job->s;
+
+	job->again = false;
+	list_del(&job->write);
+	list_add(&job->write, &s->writes);
+	s->write_us = kn_now_us() + sched_backoff_us(s, s->write_failures++);
+}
+
+/*
+ * A failed compare means that an earlier write took effect although its
+ * answer was lost, or that another leader has written; the latter is found
+ * by the epoch that workers report, and the newest epoch writes last.
+ */
+static void write_refused(struct sjob *job, const struct kv_call *call)
+{
+	if (call->count > 0)
+		job->mod_revision = call->items[0].mod_revision;
+	else
+		job->mod_revision = 0;
+	sched_write(job);
+}
+
+static void on_written(struct kv_call *call)
+{
+	struct scall_kv *c = container_of(call, struct scall_kv, call);
+	struct sched *s = c->s;
+	struct sjob *job;
+
+	s->writing--;
+	job = c->term == s->term ? g_hash_table_lookup(s->jobs, c->id) : NULL;
+	if (job) {
+		job->in_write = false;
+		if (call->result != CB_OK) {
+			retry_write(job);
+		} else if (!call->succeeded) {
+			write_refused(job, call);
+		} else {
+			s->write_failures = 0;
+			ctr_add(&s->record_writes, 1);
+			job->mod_revision = call->revision;
+			if (job->again) {
+				job->again = false;
+				sched_write(job);
+			}
+		}
+		sched_wake(s);
+	}
+	call_free(c);
+}
+
+static void start_write(struct sjob *job)
+{
+	struct sched *s = job->s;
+	struct scall_kv *c = call_new(s, STORE_WRITE, job->jb.id);
+	struct kv_cmp cmp = { c->key, job->mod_revision };
+	struct kv_op put = { .kind = KV_PUT, .key = c->key };
+	struct kv_op get = { .kind = KV_RANGE, .key = c->key };
+
+	c->text = record_text(job);
+	put.value = c->text;
+	put.len = strlen(c->text);
+	job->in_write = true;
+	s->writing++;
+	c->call.done = on_written;
+	s->kv->ops->txn(s->kv, &c->call, &cmp, 1, &put, 1, &get, 1);
+}
+
+/* Starts the writes that are due; while the store fails, one at a time. */
+void sched_store_tick(struct sched *s, int64_t now_us)
+{
+	struct sjob *job;
+	int room = s->write_failures ? 1 : SCHED_WRITES_MAX;
+
+	if (s->phase == SCHED_READING && !s->loaded && !s->loading &&
+	    now_us >= s->load_us)
+		sched_load(s);
+	while (!list_empty(&s->writes) && s->writing < room &&
+	       now_us >= s->write_us) {
+		job = list_first_entry(&s->writes, struct sjob, write);
+		list_del(&job->write);
+		start_write(job);
+	}
+}
+
+static void on_deleted(struct kv_call *call)
+{
+	call_free(container_of(call, struct scall_kv, call));
+}
+
+/* A record that stays because the store is down goes with the next leader. */
+void sched_delete_record(struct sched *s, const char *id)
+{
+	struct scall_kv *c = call_new(s, STORE_DELETE, id);
+	struct kv_op op = { .kind = KV_DELETE, .key = c->key };
+
+	c->call.done = on_deleted;
+	s->kv->ops->txn(s->kv, &c->call, NULL, 0, &op, 1, NULL, 0);
+}
+
+bool sched_store_idle(const struct sched *s)
+{
+	return list_empty(&s->writes) && s->writing == 0 &&
+	       list_empty(&s->submits);
+}
+
+/* ---- submission ---- */
+
+static void try_submit(struct scall_kv *c);
+
+static void on_submit_retry(struct kn_timer *timer)
+{
+	try_submit(container_of(timer, struct scall_kv, timer));
+}
+
+static void submit_failed(struct scall_kv *c, int code, const char *text)
+{
+	if (c->api)
+		svc_api_fail(c->api, &c->s->task, code, "%s", text);
+	c->api = NULL;
+}
+
+/* The answer of the store was lost, so it is asked again. */
+static void submit_again(struct scall_kv *c, int result)
+{
+	struct sched *s = c->s;
+
+	if (result != CB_E_STORE_DOWN)
+		c->unsettled = true;
+	if (!c->unsettled) {
+		submit_failed(c, CB_E_STORE_DOWN, "the job was not submitted");
+		call_free(c);
+		return;
+	}
+	if (kn_now_us() - c->began_us >= SCHED_SETTLE_MS * USEC_PER_MSEC)
+		submit_failed(c, CB_E_TIMEOUT,
+			      "the outcome is unknown; submit again with the "
+			      "same key");
+	kn_timer_set(s->task.kn, &c->timer, sched_backoff_us(s, c->failures++),
+		     on_submit_retry);
+}
+
+/* The record exists by this call or by an earlier one of the same job. */
+static void submit_done(struct scall_kv *c, bool created)
+{
+	struct sched *s = c->s;
+	struct sjob *job = g_hash_table_lookup(s->jobs, c->job->jb.id);
+
+	if (!job) {
+		int64_t now_us = kn_now_us();
+
+		job = g_steal_pointer(&c->job);
+		sched_job_enter(job, now_us);
+		if (jb_ended(job->jb.state)) {
+			job->sc.state = SC_ENDED;
+			sched_job_keep(job);
+		} else {
+			ev_emit("job.state",
+				"job=%s from= to=submitted reason=\"%s\"",
+				job->jb.id, job->jb.customer);
+			sc_submit(&s->sc, &job->sc, now_us);
+			sched_job_set(job, JB_QUEUED, "submitted");
+		}
+		s->dirty = true;
+		sched_wake(s);
+	}
+	if (c->api)
+		svc_api_answer(c->api, &s->task, created ? 201 : 200,
+			       jb_to_json(&job->jb));
+	c->api = NULL;
+	call_free(c);
+}
+
+/* A record under the id: the same submission, or another under its key. */
+static void submit_exists(struct scall_kv *c, const struct kv_item *item)
+{
+	json_t *json = json_loadb(item->value, item->len, 0, NULL);
+	struct jb found;
+	bool same;
+
+	jb_init(&found);
+	same = json && jb_from_json(&found, json, NULL) &&
+	       strcmp(found.digest, c->job->jb.digest) == 0;
+	json_decref(json);
+	if (!same) {
+		jb_finish(&found);
+		submit_failed(c, CB_E_KEY_REUSED, "another job has this key");
+		call_free(c);
+		return;
+	}
+	jb_finish(&c->job->jb);
+	c->job->jb = found;
+	c->job->mod_revision = item->mod_revision;
+	submit_done(c, c->unsettled);
+}
+
+static void on_submitted(struct kv_call *call)
+{
+	struct scall_kv *c = container_of(call, struct scall_kv, call);
+
+	c->flying = false;
+	if (c->term != c->s->term) {
+		submit_failed(c, CB_E_NO_LEADER,
+			      "leadership changed; submit again with the same "
+			      "key");
+		call_free(c);
+	} else if (call->result != CB_OK) {
+		submit_again(c, call->result);
+	} else if (call->succeeded) {
+		ctr_add(&c->s->record_writes, 1);
+		c->job->mod_revision = call->revision;
+		submit_done(c, true);
+	} else if (call->count > 0) {
+		submit_exists(c, &call->items[0]);
+	} else {
+		submit_again(c, CB_E_TIMEOUT);
+	}
+}
+
+static void try_submit(struct scall_kv *c)
+{
+	struct kv_cmp cmp = { c->key, 0 };
+	struct kv_op put = { .kind = KV_PUT,
+			     .key = c->key,
+			     .value = c->text,
+			     .len = strlen(c->text) };
+	struct kv_op get = { .kind = KV_RANGE, .key = c->key };
+
+	if (c->term != c->s->term) {
+		submit_failed(c, CB_E_NO_LEADER,
+			      "leadership changed; submit again with the same "
+			      "key");
+		call_free(c);
+		return;
+	}
+	c->flying = true;
+	c->call.done = on_submitted;
+	c->s->kv->ops->txn(c->s->kv, &c->call, &cmp, 1, &put, 1, &get, 1);
+}
+
+/* Takes over the job; call is answered when the record's fate is known. */
+void sched_submit(struct sched *s, struct sjob *job, struct svc_api_call *call)
+{
+	struct scall_kv *c = call_new(s, STORE_SUBMIT, job->jb.id);
+
+	list_del(&c->node);
+	list_add_tail(&c->node, &s->submits);
+	c->job = job;
+	c->api = call;
+	c->text = record_text(job);
+	c->began_us = kn_now_us();
+	try_submit(c);
+}
+
+/* Leadership has ended: submissions that wait for a retry are answered. */
+void sched_submits_drop(struct sched *s)
+{
+	struct scall_kv *c, *next;
+
+	list_for_each_entry_safe(c, next, &s->submits, node) {
+		submit_failed(c, CB_E_NO_LEADER,
+			      "leadership changed; submit again with the same "
+			      "key");
+		if (!c->flying)
+			call_free(c);
+	}
+}
+
+void sched_store_finish(struct sched *s)
+{
+	struct scall_kv *c, *next;
+
+	list_for_each_entry_safe(c, next, &s->submits, node) {
+		if (c->api)
+			kn_msg_release(&c->api->msg);
+		call_free(c);
+	}
+	list_for_each_entry_safe(c, next, &s->calls, node)
+		call_free(c);
+}
--- /dev/null
+++ b/daemon/sched_sync.c
@@ -0,0 +1,420 @@
+#include <inttypes.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "base/err.h"
+#include "base/ev.h"
+#include "base/log.h"
+#include "daemon/sched_int.h"
+
+#define MS(ms) ((int64_t)(ms)*USEC_PER_MSEC)
+
+/* ---- the document ---- */
+
+struct sworker *sched_worker(struct sched *s, const char *name)
+{
+	unsigned int i = s->workers->len;
+
+	/* The newest of that name counts; earlier ones have left the pool. */
+	while (i-- > 0) {
+		struct sworker *w = s->workers->pdata[i];
+
+		if (strcmp(w->at.name, name) == 0)
+			return w;
+	}
+	return NULL;
+}
+
+static void add_worker(struct sched *s, const struct doc_worker *at)
+{
+	int index = sc_add_worker(&s->sc, at->rack, at->accelerators);
+	struct sworker *w;
+
+	if (index < 0) {
+		log_warn("worker.unusable", "worker=%s rack=%d accelerators=%d",
+			 at->name, at->rack, at->accelerators);
+		return;
+	}
+	w = g_new0(struct sworker, 1);
+	w->s = s;
+	w->at = *at;
+	w->index = index;
+	w->in_pool = true;
+	w->heard_us = kn_now_us();
+	w->forget = g_ptr_array_new_with_free_func(g_free);
+	w->forgetting = g_ptr_array_new_with_free_func(g_free);
+	w->stray = g_ptr_array_new_with_free_func(g_free);
+	g_ptr_array_add(s->workers, w);
+	/* It counts as live once it has answered. */
+	if (s->phase == SCHED_ON)
+		sc_worker_live(&s->sc, index, false, kn_now_us());
+}
+
+static void leave_pool(struct sworker *w)
+{
+	w->in_pool = false;
+	sc_worker_live(&w->s->sc, w->index, false, kn_now_us());
+}
+
+static int by_name(const void *name, const void *worker)
+{
+	return strcmp(name, ((const struct doc_worker *)worker)->name);
+}
+
+static const struct doc_worker *pool_worker(const struct doc_pool *pool,
+					    const char *name)
+{
+	return pool ? bsearch(name, pool->workers, pool->worker_count,
+			      sizeof(*pool->workers), by_name) :
+		      NULL;
+}
+
+/* A worker whose size or rack changed is another one under the same name. */
+static bool same_place(const struct sworker *w, const struct doc_worker *at)
+{
+	return at && at->rack == w->at.rack &&
+	       at->accelerators == w->at.accelerators;
+}
+
+static void apply_pool(struct sched *s)
+{
+	const struct doc_pool *pool = doc_view_pool(s->view, s->set->dc);
+	GHashTable *known = g_hash_table_new(g_str_hash, g_str_equal);
+	unsigned int i;
+	size_t j;
+
+	for (i = 0; i < s->workers->len; i++) {
+		struct sworker *w = s->workers->pdata[i];
+		const struct doc_worker *at = pool_worker(pool, w->at.name);
+
+		if (!w->in_pool)
+			continue;
+		if (same_place(w, at)) {
+			w->at = *at;
+			g_hash_table_add(known, w->at.name);
+		} else {
+			leave_pool(w);
+		}
+	}
+	for (j = 0; pool && j < pool->worker_count; j++)
+		if (!g_hash_table_contains(known, pool->workers[j].name))
+			add_worker(s, &pool->workers[j]);
+	g_hash_table_destroy(known);
+}
+
+/* Returns the index of a customer, which is added when it is new. */
+int sched_customer(struct sched *s, const char *name)
+{
+	unsigned int i;
+
+	for (i = 0; i < s->customers->len; i++)
+		if (strcmp(s->customers->pdata[i], name) == 0)
+			return (int)i;
+	g_ptr_array_add(s->customers, g_strdup(name));
+	return sc_add_customer(&s->sc);
+}
+
+static void apply_customer(struct sched *s, const struct doc_customer *c,
+			   int64_t now_us)
+{
+	int units[CELL_UNITS] = { 0 };
+	size_t i;
+
+	for (i = 0; i < c->guarantee_count; i++)
+		if (strcmp(c->guarantees[i].dc, s->set->dc) == 0)
+			units[c->guarantees[i].unit] += c->guarantees[i].count;
+	sc_set_customer(&s->sc, sched_customer(s, c->name), c->weight,
+			c->quota_accelerators, units, now_us);
+}
+
+static bool stops_on_removal(const struct doc_view *old, const char *name)
+{
+	const struct doc_customer *c =
+		old ? doc_view_customer(old, name) : NULL;
+
+	return c && c->stop_on_removal;
+}
+
+static void apply_customers(struct sched *s, const struct doc_view *old)
+{
+	int64_t now_us = kn_now_us();
+	unsigned int i;
+	size_t j;
+
+	for (j = 0; j < s->view->customer_count; j++)
+		apply_customer(s, &s->view->customers[j], now_us);
+	for (i = 0; i < s->customers->len; i++) {
+		const char *name = s->customers->pdata[i];
+
+		if (!doc_view_customer(s->view, name))
+			sc_remove_customer(&s->sc, (int)i,
+					   stops_on_removal(old, name), now_us);
+	}
+}
+
+/* Accelerators of the largest worker, which counts as a whole one. */
+static int worker_size(const struct doc_pool *pool)
+{
+	int size = 1;
+	size_t i;
+
+	for (i = 0; pool && i < pool->worker_count; i++)
+		if (pool->workers[i].accelerators <= WORKER_ACCELERATORS_MAX)
+			size = MAX(size, pool->workers[i].accelerators);
+	return size;
+}
+
+/* Makes the policy for the document in force. */
+void sched_build(struct sched *s)
+{
+	sc_init(&s->sc, &sched_sc_ops,
+		worker_size(doc_view_pool(s->view, s->set->dc)),
+		WORKERS_PER_RACK);
+	s->have_sc = true;
+	apply_customers(s, NULL);
+	apply_pool(s);
+}
+
+/* Takes the place of the view old, whose reference it drops. */
+void sched_apply_view(struct sched *s, struct doc_view *old)
+{
+	apply_pool(s);
+	apply_customers(s, old);
+	doc_view_unref(old);
+	s->dirty = true;
+}
+
+/* ---- sync ---- */
+
+static int64_t jitter_us(struct sched *s)
+{
+	int64_t period_us = MS(WORKER_SYNC_MS);
+	int64_t span_us = period_us * SCHED_JITTER_PERCENT / 100;
+
+	return period_us - (int64_t)(g_rand_double(s->rand) * (double)span_us);
+}
+
+void sched_sync_soon(struct sworker *w)
+{
+	w->next_us = MIN(w->next_us, w->sent_us + MS(GANG_SYNC_MS));
+	sched_wake(w->s);
+}
+
+static void report_member(struct sworker *w, struct sjob *job,
+			  const struct wk_task *task, int64_t now_us)
+{
+	static const enum gg_state states[WK_STATES] = {
+		[WK_RESERVED] = GG_RESERVED, [WK_BARRIER] = GG_BARRIER,
+		[WK_RUNNING] = GG_RUNNING,   [WK_CHECKPOINTING] = GG_SAVING,
+		[WK_STOPPED] = GG_STOPPED,   [WK_DONE] = GG_DONE,
+		[WK_FAILED] = GG_FAILED,
+	};
+	int member = sched_gang_member(job, w->index);
+
+	if (member < 0)
+		return;
+	gg_report(&job->gg, member, task != NULL,
+		  task ? states[task->state] : GG_UNKNOWN,
+		  task && task->checkpointed, w->sent_us, now_us);
+	if (list_empty(&job->busy))
+		list_add_tail(&job->busy, &w->s->busy);
+}
+
+static void report_task(struct sworker *w, const struct wk_task *task,
+			int64_t now_us)
+{
+	struct sjob *job = g_hash_table_lookup(w->s->tokens, task->token);
+
+	if (job && sched_gang_member(job, w->index) >= 0)
+		report_member(w, job, task, now_us);
+	else if (task->state >= WK_STOPPED)
+		g_ptr_array_add(w->forget, g_strdup(task->token));
+	else
+		sched_stray_stop(w, task->token, task->state >= WK_RUNNING);
+}
+
+static bool reported(const struct wk_call *call, const char *token)
+{
+	size_t i;
+
+	for (i = 0; i < call->count; i++)
+		if (strcmp(call->tasks[i].token, token) == 0)
+			return true;
+	return false;
+}
+
+/* Tells the gangs on this worker that it doesn't know them. */
+static void report_absent(struct sworker *w, int64_t now_us)
+{
+	struct list_head *holds = &w->s->sc.cell.workers[w->index].holds;
+	struct cell_hold *hold;
+
+	list_for_each_entry(hold, holds, node) {
+		struct sc_job *sc_job = hold->gang->user;
+		struct sjob *job = container_of(sc_job, struct sjob, sc);
+
+		if (job->token[0] && !reported(&w->call, job->token))
+			report_member(w, job, NULL, now_us);
+	}
+}
+
+static void on_report(struct sworker *w, int64_t now_us)
+{
+	size_t i;
+
+	g_ptr_array_set_size(w->forgetting, 0);
+	w->heard_us = now_us;
+	w->answered = true;
+	if (w->s->phase == SCHED_READING) {
+		g_free(w->tasks);
+		w->tasks = g_memdup2(w->call.tasks,
+				     w->call.count * sizeof(*w->tasks));
+		w->task_count = w->call.count;
+		return;
+	}
+	if (w->in_pool && !w->s->sc.live[w->index]) {
+		ev_emit("worker.live", "worker=%s", w->at.name);
+		sc_worker_live(&w->s->sc, w->index, true, now_us);
+		w->s->dirty = true;
+	}
+	for (i = 0; i < w->call.count; i++)
+		report_task(w, &w->call.tasks[i], now_us);
+	report_absent(w, now_us);
+}
+
+static void on_sync(struct wk_call *call)
+{
+	struct sworker *w = container_of(call, struct sworker, call);
+	int64_t now_us = kn_now_us();
+	unsigned int i;
+
+	w->in_sync = false;
+	if (call->epoch > w->s->epoch)
+		ev_emit("scheduler.fenced",
+			"worker=%s epoch=%" PRIu64 " newer=%" PRIu64,
+			w->at.name, w->s->epoch, call->epoch);
+	else if (call->result == CB_OK)
+		on_report(w, now_us);
+	if (call->result != CB_OK) {
+		for (i = 0; i < w->forgetting->len; i++)
+			g_ptr_array_add(w->forget,
+					g_strdup(w->forgetting->pdata[i]));
+		/* Again soon: a lost answer is not yet a lost worker. */
+		w->next_us = MIN(w->next_us, now_us + MS(WORKER_SYNC_MS) / 5);
+	}
+}
+
+static void add_token(GPtrArray *list, struct sjob *job)
+{
+	g_ptr_array_add(list, job->token);
+}
+
+/* Collects the leases to renew and the members that may pass the barrier. */
+static void collect(struct sworker *w, GPtrArray *renew, GPtrArray *go,
+		    int64_t now_us)
+{
+	struct list_head *holds = &w->s->sc.cell.workers[w->index].holds;
+	struct cell_hold *hold;
+
+	list_for_each_entry(hold, holds, node) {
+		struct sc_job *sc_job = hold->gang->user;
+		struct sjob *job = container_of(sc_job, struct sjob, sc);
+		int member = sched_gang_member(job, w->index);
+
+		if (member < 0)
+			continue;
+		if (gg_renews(&job->gg, member, now_us))
+			add_token(renew, job);
+		if (gg_goes(&job->gg, member, now_us))
+			add_token(go, job);
+	}
+}
+
+static void start_sync(struct sworker *w, int64_t now_us)
+{
+	struct sched *s = w->s;
+	GPtrArray *renew = g_ptr_array_new();
+	GPtrArray *go = g_ptr_array_new();
+	GPtrArray *swap = w->forget;
+	struct wk_request request = {
+		.verb = WK_SYNC,
+		.addr = w->at.addr,
+		.port = w->at.port,
+		.epoch = s->epoch,
+		.timeout_ms = GANG_CALL_MS,
+		.term_ms = TASK_LEASE_MS,
+	};
+
+	g_ptr_array_set_size(w->forgetting, 0);
+	w->forget = w->forgetting;
+	w->forgetting = swap;
+	if (s->phase == SCHED_ON)
+		collect(w, renew, go, now_us);
+	request.renew = (const char *const *)renew->pdata;
+	request.renew_count = renew->len;
+	request.go = (const char *const *)go->pdata;
+	request.go_count = go->len;
+	request.forget = (const char *const *)w->forgetting->pdata;
+	request.forget_count = w->forgetting->len;
+	w->in_sync = true;
+	w->sent_us = now_us;
+	w->next_us = now_us + jitter_us(s);
+	ctr_add(&s->syncs, 1);
+	s->edge->ops->start(s->edge, &w->call, &request, on_sync);
+	g_ptr_array_free(renew, TRUE);
+	g_ptr_array_free(go, TRUE);
+}
+
+static void check_silent(struct sworker *w, int64_t now_us)
+{
+	if (!w->s->sc.live[w->index] ||
+	    now_us - w->heard_us <= 2 * MS(WORKER_SYNC_MS))
+		return;
+	ev_emit("worker.lost", "worker=%s", w->at.name);
+	sc_worker_live(&w->s->sc, w->index, false, now_us);
+	w->s->dirty = true;
+}
+
+/*
+ * Workers that have left the pool are synced as long as they may hold
+ * something, so that it is stopped.
+ */
+static bool wants_sync(const struct sworker *w)
+{
+	return w->in_pool ||
+	       !list_empty(&w->s->sc.cell.workers[w->index].holds);
+}
+
+/* To be called only while this host may act. */
+void sched_sync_tick(struct sched *s, int64_t now_us)
+{
+	unsigned int i;
+
+	for (i = 0; i < s->workers->len; i++) {
+		struct sworker *w = s->workers->pdata[i];
+
+		if (s->phase == SCHED_ON)
+			check_silent(w, now_us);
+		if (!w->in_sync && now_us >= w->next_us && wants_sync(w))
+			start_sync(w, now_us);
+	}
+}
+
+/* Ends all syncs and frees the workers. */
+void sched_workers_drop(struct sched *s)
+{
+	unsigned int i;
+
+	for (i = 0; i < s->workers->len; i++) {
+		struct sworker *w = s->workers->pdata[i];
+
+		if (w->in_sync)
+			s->edge->ops->cancel(s->edge, &w->call);
+		g_ptr_array_free(w->forget, TRUE);
+		g_ptr_array_free(w->forgetting, TRUE);
+		g_ptr_array_free(w->stray, TRUE);
+		g_free(w->tasks);
+		g_free(w);
+	}
+	g_ptr_array_set_size(s->workers, 0);
+}
--- /dev/null
+++ b/daemon/sched_take.c
@@ -0,0 +1,313 @@
+#include <inttypes.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "base/ev.h"
+#include "daemon/sched_int.h"
+
+/*
+ * Taking over: what the workers report about the tokens of a job tells
+ * whether it runs whole, because the record may lag behind.
+ */
+
+/* What the workers report about one attempt. */
+struct attempt {
+	struct sched *s;
+	char token[WK_TOKEN_BYTES];
+	char job[NAME_MAX_BYTES];
+	GArray *parts; /* struct part */
+};
+
+struct part {
+	int worker;
+	int accelerators;
+	enum gg_state state;
+	int64_t ran_ms;
+};
+
+static void attempt_free(gpointer data)
+{
+	struct attempt *attempt = data;
+
+	g_array_free(attempt->parts, TRUE);
+	g_free(attempt);
+}
+
+static void add_part(GHashTable *attempts, struct sworker *w,
+		     const struct wk_task *task)
+{
+	static const enum gg_state states[WK_STATES] = {
+		[WK_RESERVED] = GG_RESERVED, [WK_BARRIER] = GG_BARRIER,
+		[WK_RUNNING] = GG_RUNNING,   [WK_CHECKPOINTING] = GG_SAVING,
+		[WK_STOPPED] = GG_STOPPED,   [WK_DONE] = GG_DONE,
+		[WK_FAILED] = GG_FAILED,
+	};
+	struct attempt *attempt = g_hash_table_lookup(attempts, task->token);
+	struct part part = { w->index, task->accelerators, states[task->state],
+			     task->ran_ms };
+
+	if (!attempt) {
+		attempt = g_new0(struct attempt, 1);
+		g_strlcpy(attempt->token, task->token, sizeof(attempt->token));
+		g_strlcpy(attempt->job, task->job, sizeof(attempt->job));
+		attempt->parts = g_array_new(FALSE, TRUE, sizeof(struct part));
+		g_hash_table_insert(attempts, attempt->token, attempt);
+	}
+	g_array_append_val(attempt->parts, part);
+}
+
+static GHashTable *collect(struct sched *s)
+{
+	GHashTable *attempts = g_hash_table_new_full(g_str_hash, g_str_equal,
+						     NULL, attempt_free);
+	unsigned int i;
+	size_t j;
+
+	for (i = 0; i < s->workers->len; i++) {
+		struct sworker *w = s->workers->pdata[i];
+
+		for (j = 0; j < w->task_count; j++)
+			add_part(attempts, w, &w->tasks[j]);
+	}
+	return attempts;
+}
+
+static const struct part *part_at(const struct attempt *attempt, unsigned int i)
+{
+	return &g_array_index(attempt->parts, struct part, i);
+}
+
+static int total(const struct attempt *attempt)
+{
+	unsigned int i;
+	int n = 0;
+
+	for (i = 0; i < attempt->parts->len; i++)
+		n += part_at(attempt, i)->accelerators;
+	return n;
+}
+
+/* Whether some part may still run, or ran to its end. */
+static bool counts(const struct attempt *attempt)
+{
+	unsigned int i;
+
+	for (i = 0; i < attempt->parts->len; i++)
+		if (part_at(attempt, i)->state != GG_STOPPED)
+			return true;
+	return false;
+}
+
+/* The number of the attempt, which ends the token. */
+static uint64_t number(const char *token)
+{
+	const char *dot = strrchr(token, '.');
+
+	return dot ? strtoull(dot + 1, NULL, 10) : 0;
+}
+
+static bool newer(const struct attempt *a, const struct attempt *b)
+{
+	uint64_t x = strtoull(a->token, NULL, 10);
+	uint64_t y = strtoull(b->token, NULL, 10);
+
+	return x != y ? x > y : number(a->token) > number(b->token);
+}
+
+/*
+ * The newest attempt of each job. Parts of older ones are stopped like those
+ * of unknown jobs, at the next sync.
+ */
+static GHashTable *newest(GHashTable *attempts)
+{
+	GHashTable *by_job = g_hash_table_new(g_str_hash, g_str_equal);
+	struct attempt *attempt, *other;
+	GHashTableIter iter;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, attempts);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		attempt = value;
+		if (!counts(attempt))
+			continue;
+		other = g_hash_table_lookup(by_job, attempt->job);
+		if (!other || newer(attempt, other))
+			g_hash_table_replace(by_job, attempt->job, attempt);
+	}
+	return by_job;
+}
+
+/*
+ * A worker that the record names and that has not answered may still run its
+ * member, until the lease ends.
+ */
+static void add_silent(struct sjob *job, struct attempt *attempt)
+{
+	int i;
+
+	for (i = 0; i < job->jb.place_count; i++) {
+		const struct jb_place *place = &job->jb.places[i];
+		struct sworker *w = sched_worker(job->s, place->worker);
+		struct part part = { 0, place->count, GG_BARRIER, 0 };
+
+		if (!w || w->answered)
+			continue;
+		part.worker = w->index;
+		g_array_append_val(attempt->parts, part);
+	}
+}
+
+/* Takes over the members that the attempt names, whole or not. */
+static void adopt(struct sjob *job, struct attempt *attempt, int64_t now_us)
+{
+	struct sched *s = job->s;
+	bool whole = total(attempt) == job->jb.accelerators;
+	unsigned int n, i;
+	enum gg_state *states;
+	int64_t ran_ms = 0;
+
+	if (!whole)
+		add_silent(job, attempt);
+	n = attempt->parts->len;
+	states = g_new(enum gg_state, n);
+	job->workers = g_new(int, n);
+	job->counts = g_new(int, n);
+	for (i = 0; i < n; i++) {
+		const struct part *part = part_at(attempt, i);
+
+		states[i] = part->state;
+		job->workers[i] = part->worker;
+		job->counts[i] = part->accelerators;
+		ran_ms = MAX(ran_ms, part->ran_ms);
+		cell_gang_add(&job->sc.gang, part->worker, part->accelerators,
+			      CELL_UNITS);
+	}
+	g_strlcpy(job->token, attempt->token, sizeof(job->token));
+	g_hash_table_insert(s->tokens, job->token, job);
+	sc_adopt(&s->sc, &job->sc, now_us);
+	job->sc.started_us = now_us - ran_ms * USEC_PER_MSEC;
+	gg_adopt(&job->gg, states, (int)n, whole, now_us);
+	list_add_tail(&job->busy, &s->busy);
+	g_free(states);
+	ev_emit("gang.adopted", "job=%s token=%s whole=%d phase=%d", job->jb.id,
+		job->token, whole, job->gg.phase);
+	if (job->jb.state != JB_RUNNING) {
+		job->jb.state = JB_RUNNING;
+		sched_write(job);
+	}
+}
+
+/* The record says that it runs, but no worker knows of it. */
+static bool may_run_silently(const struct sjob *job)
+{
+	int i;
+
+	if (job->jb.state != JB_RUNNING)
+		return false;
+	for (i = 0; i < job->jb.place_count; i++) {
+		struct sworker *w =
+			sched_worker(job->s, job->jb.places[i].worker);
+
+		if (w && !w->answered)
+			return true;
+	}
+	return false;
+}
+
+static void submit(struct sjob *job, int64_t now_us)
+{
+	int64_t since_us = job->sc.submitted_us;
+
+	sc_submit(&job->s->sc, &job->sc, now_us);
+	/* The time that it waited under earlier leaders counts. */
+	job->sc.submitted_us = since_us;
+	job->sc.queued_us = since_us;
+	sched_job_set(job, JB_QUEUED, "submitted");
+}
+
+static void decide_job(struct sjob *job, GHashTable *by_job, int64_t now_us)
+{
+	struct sched *s = job->s;
+	struct attempt *attempt;
+
+	if (jb_ended(job->jb.state)) {
+		g_hash_table_insert(s->jobs, job->jb.id, job);
+		job->sc.state = SC_ENDED;
+		sched_job_keep(job);
+		return;
+	}
+	sched_job_enter(job, now_us);
+	attempt = g_hash_table_lookup(by_job, job->jb.id);
+	if (!attempt && may_run_silently(job)) {
+		struct attempt unseen = {
+			.parts = g_array_new(FALSE, TRUE, sizeof(struct part))
+		};
+
+		snprintf(unseen.token, sizeof(unseen.token),
+			 "%" PRIu64 ".%s.%d", job->jb.epoch, job->jb.id,
+			 job->jb.attempt);
+		adopt(job, &unseen, now_us);
+		g_array_free(unseen.parts, TRUE);
+	} else if (attempt) {
+		adopt(job, attempt, now_us);
+	} else {
+		submit(job, now_us);
+	}
+}
+
+static int by_submission(gconstpointer a, gconstpointer b)
+{
+	const struct sjob *x = *(struct sjob *const *)a;
+	const struct sjob *y = *(struct sjob *const *)b;
+
+	if (x->jb.submitted_wall_us != y->jb.submitted_wall_us)
+		return x->jb.submitted_wall_us < y->jb.submitted_wall_us ? -1 :
+									   1;
+	return strcmp(x->jb.id, y->jb.id);
+}
+
+/* Whether records and reports are complete, or as complete as they get. */
+bool sched_ready_to_decide(struct sched *s, int64_t now_us)
+{
+	unsigned int i;
+
+	if (!s->loaded)
+		return false;
+	if (now_us - s->began_us >= SCHED_RECOVER_MS * USEC_PER_MSEC)
+		return true;
+	for (i = 0; i < s->workers->len; i++)
+		if (!((struct sworker *)s->workers->pdata[i])->answered)
+			return false;
+	return true;
+}
+
+/*
+ * Adopts what runs whole, stops what doesn't, and queues the rest. Workers
+ * that have not answered don't count as live.
+ */
+void sched_decide(struct sched *s, int64_t now_us)
+{
+	GHashTable *attempts = collect(s);
+	GHashTable *by_job = newest(attempts);
+	unsigned int i;
+
+	s->phase = SCHED_ON;
+	g_ptr_array_sort(s->records, by_submission);
+	for (i = 0; i < s->records->len; i++)
+		decide_job(s->records->pdata[i], by_job, now_us);
+	g_ptr_array_set_size(s->records, 0);
+	for (i = 0; i < s->workers->len; i++) {
+		struct sworker *w = s->workers->pdata[i];
+
+		if (!w->answered)
+			sc_worker_live(&s->sc, w->index, false, now_us);
+		g_clear_pointer(&w->tasks, g_free);
+		w->task_count = 0;
+		w->next_us = now_us;
+	}
+	g_hash_table_destroy(by_job);
+	g_hash_table_destroy(attempts);
+	s->dirty = true;
+	ev_emit("scheduler.ready", "epoch=%" PRIu64 " jobs=%u workers=%u",
+		s->epoch, g_hash_table_size(s->jobs), s->workers->len);
+}
--- a/daemon/wagent.c
+++ b/daemon/wagent.c
@@ -119,6 +119,8 @@
 		json_object_set_new(root, "job", json_string(request->job));
 		json_object_set_new(root, "accelerators",
 				    json_integer(request->accelerators));
+		if (request->task)
+			json_object_set(root, "task", (json_t *)request->task);
 	}
 	if (request->term_ms > 0)
 		json_object_set_new(root, "term_ms",
--- a/daemon/wk.h
+++ b/daemon/wk.h
@@ -1,6 +1,8 @@
 #ifndef DAEMON_WK_H
 #define DAEMON_WK_H
 
+#include <jansson.h>
+
 #include "base/kn.h"
 #include "base/limits.h"
 
@@ -57,6 +59,7 @@
 	const char *token;
 	const char *job; /* reserve */
 	int accelerators; /* reserve */
+	const json_t *task; /* reserve: the job's opaque description or NULL */
 	int64_t term_ms; /* reserve: reservation, commit: lease */
 	int64_t grace_ms; /* checkpoint */
 	/* Sync: lists of tokens. */
--- /dev/null
+++ b/policy/gg.c
@@ -0,0 +1,402 @@
+#include "policy/gg.h"
+
+#include <string.h>
+
+#include <glib.h>
+
+#define MS(ms) ((int64_t)(ms)*USEC_PER_MSEC)
+
+/*
+ * A gang starts in three steps: all members reserve, all commit and wait at
+ * a barrier, all are told to go by sync. Before the last commit is answered
+ * no member can run, so an attempt that fails there leaves nothing behind. A
+ * lease is renewed only while all members are known to run or are done;
+ * without that, a member ends by itself at the end of its lease.
+ */
+
+void gg_init(struct gg *gg, const struct gg_ops *ops)
+{
+	memset(gg, 0, sizeof(*gg));
+	gg->ops = ops;
+	gg->failed = -1;
+}
+
+void gg_finish(struct gg *gg)
+{
+	g_free(gg->members);
+	gg->members = NULL;
+	gg->count = 0;
+	gg->phase = GG_P_IDLE;
+}
+
+static bool ended(const struct gg_member *m)
+{
+	return m->state >= GG_STOPPED;
+}
+
+/* Whether every member has come as far as the state, or has ended. */
+static bool all_reached(const struct gg *gg, enum gg_state state)
+{
+	int i;
+
+	for (i = 0; i < gg->count; i++)
+		if (gg->members[i].state < state)
+			return false;
+	return true;
+}
+
+static bool all_are(const struct gg *gg, enum gg_state state)
+{
+	int i;
+
+	for (i = 0; i < gg->count; i++)
+		if (gg->members[i].state != state)
+			return false;
+	return true;
+}
+
+static bool any_is(const struct gg *gg, enum gg_state state)
+{
+	int i;
+
+	for (i = 0; i < gg->count; i++)
+		if (gg->members[i].state == state)
+			return true;
+	return false;
+}
+
+/* ---- calls ---- */
+
+/* The term counts from the last moment at which the call may arrive. */
+static void may_hold(struct gg_member *m, int64_t term_ms, int64_t now_us)
+{
+	m->holds_until_us =
+		MAX(m->holds_until_us, now_us + MS(GANG_CALL_MS + term_ms));
+}
+
+static void send(struct gg *gg, int i, enum gg_verb verb, int64_t now_us)
+{
+	struct gg_member *m = &gg->members[i];
+
+	if (m->in_call || now_us < m->retry_us)
+		return;
+	m->in_call = true;
+	m->retry_us = now_us + MS(GANG_RETRY_MS);
+	if (verb == GG_RESERVE)
+		may_hold(m, RESERVATION_TERM_MS, now_us);
+	else if (verb == GG_COMMIT)
+		may_hold(m, BARRIER_TERM_MS, now_us);
+	gg->ops->call(gg, i, verb);
+}
+
+/*
+ * A worker that has not confirmed the token gets an abort, which also holds
+ * against a reserve that arrives later.
+ */
+static enum gg_verb stop_verb(const struct gg_member *m)
+{
+	return m->reserved ? GG_STOP : GG_ABORT;
+}
+
+/* Sends what the phase still needs of each member. */
+static void push(struct gg *gg, int64_t now_us)
+{
+	int i;
+
+	for (i = 0; i < gg->count; i++) {
+		struct gg_member *m = &gg->members[i];
+
+		if (ended(m))
+			continue;
+		if (gg->phase == GG_P_RESERVE && m->state == GG_UNKNOWN)
+			send(gg, i, GG_RESERVE, now_us);
+		else if (gg->phase == GG_P_COMMIT && m->state == GG_RESERVED)
+			send(gg, i, GG_COMMIT, now_us);
+		else if (gg->phase == GG_P_SAVE && m->state == GG_RUNNING)
+			send(gg, i, GG_CHECKPOINT, now_us);
+		else if (gg->phase == GG_P_STOP)
+			send(gg, i, stop_verb(m), now_us);
+		if ((gg->phase == GG_P_GO && m->state == GG_BARRIER) ||
+		    (gg->phase == GG_P_SAVE && m->state == GG_SAVING))
+			gg->ops->sync(gg, i);
+	}
+}
+
+/* ---- phases ---- */
+
+static void enter(struct gg *gg, enum gg_phase phase, int64_t limit_ms,
+		  int64_t now_us)
+{
+	int i;
+
+	gg->phase = phase;
+	gg->deadline_us = limit_ms ? now_us + MS(limit_ms) : 0;
+	for (i = 0; i < gg->count; i++)
+		gg->members[i].retry_us = 0;
+}
+
+static enum gg_end how_ended(const struct gg *gg)
+{
+	if (gg->failed >= 0)
+		return GG_END_FAILED;
+	return all_are(gg, GG_DONE) ? GG_END_DONE : GG_END_STOPPED;
+}
+
+static void to_stop(struct gg *gg, int64_t now_us)
+{
+	if (gg->phase < GG_P_STOP)
+		enter(gg, GG_P_STOP, 0, now_us);
+}
+
+/* A checkpoint of a gang is complete when it is so for every member. */
+static void update_saved(struct gg *gg, int64_t now_us)
+{
+	int i;
+
+	if (gg->phase != GG_P_SAVE || gg->told_saved ||
+	    !all_reached(gg, GG_STOPPED))
+		return;
+	for (i = 0; i < gg->count; i++)
+		if (!gg->members[i].saved && gg->members[i].state != GG_DONE)
+			return;
+	gg->told_saved = true;
+	gg->ops->saved(gg);
+	to_stop(gg, now_us);
+}
+
+/* Whether a member ended in a way that makes the other checkpoints useless. */
+static bool lost_work(const struct gg *gg)
+{
+	int i;
+
+	for (i = 0; i < gg->count; i++)
+		if (gg->members[i].state == GG_FAILED ||
+		    (gg->members[i].state == GG_STOPPED &&
+		     !gg->members[i].saved))
+			return true;
+	return false;
+}
+
+/* Goes on to the next phase when the members allow or demand it. */
+static void advance(struct gg *gg, int64_t now_us)
+{
+	if (gg->phase < GG_P_STOP && gg->phase != GG_P_SAVE &&
+	    (any_is(gg, GG_STOPPED) || any_is(gg, GG_FAILED)))
+		to_stop(gg, now_us);
+	if (gg->phase == GG_P_SAVE && lost_work(gg))
+		to_stop(gg, now_us);
+	if (gg->phase == GG_P_RESERVE && all_reached(gg, GG_RESERVED)) {
+		enter(gg, GG_P_COMMIT, GANG_PHASE_MS, now_us);
+		gg->go_until_us = now_us + MS(BARRIER_TERM_MS);
+	}
+	if (gg->phase == GG_P_COMMIT && all_reached(gg, GG_BARRIER))
+		enter(gg, GG_P_GO, BARRIER_TERM_MS, now_us);
+	if (gg->phase == GG_P_GO && all_reached(gg, GG_RUNNING)) {
+		enter(gg, GG_P_RUN, 0, now_us);
+		gg->ops->running(gg);
+	}
+	if (gg->phase == GG_P_RUN && all_are(gg, GG_DONE))
+		to_stop(gg, now_us);
+	push(gg, now_us);
+}
+
+static void end_silent(struct gg *gg, int64_t now_us)
+{
+	int i;
+
+	for (i = 0; i < gg->count; i++)
+		if (!ended(&gg->members[i]) &&
+		    now_us >= gg->members[i].holds_until_us)
+			gg->members[i].state = GG_STOPPED;
+}
+
+/*
+ * Retries calls, ends phases that take too long, and reports the end. To be
+ * called often while gg_busy().
+ */
+void gg_tick(struct gg *gg, int64_t now_us)
+{
+	if (gg->phase == GG_P_IDLE || gg->phase == GG_P_GONE)
+		return;
+	if (gg->deadline_us && now_us >= gg->deadline_us)
+		to_stop(gg, now_us);
+	if (gg->phase == GG_P_STOP)
+		end_silent(gg, now_us);
+	advance(gg, now_us);
+	update_saved(gg, now_us);
+	if (gg->phase == GG_P_STOP && all_reached(gg, GG_STOPPED)) {
+		gg->phase = GG_P_GONE;
+		gg->ops->gone(gg, how_ended(gg), gg->failed);
+	}
+}
+
+/* Whether it needs ticks; a gang that runs needs none. */
+bool gg_busy(const struct gg *gg)
+{
+	return gg->phase != GG_P_IDLE && gg->phase != GG_P_GONE &&
+	       gg->phase != GG_P_RUN;
+}
+
+/* ---- what the owner asks ---- */
+
+void gg_start(struct gg *gg, int count, int64_t now_us)
+{
+	gg->members = g_renew(struct gg_member, gg->members, count);
+	memset(gg->members, 0, sizeof(*gg->members) * count);
+	gg->count = count;
+	gg->failed = -1;
+	gg->told_saved = false;
+	enter(gg, GG_P_RESERVE, GANG_PHASE_MS, now_us);
+	push(gg, now_us);
+}
+
+/*
+ * Takes over an attempt of an earlier leader in the states that the workers
+ * report. whole tells that these members are all there are; a gang that is
+ * whole and of which all members run, save or are done goes on, and any other
+ * is stopped everywhere.
+ */
+void gg_adopt(struct gg *gg, const enum gg_state *states, int count, bool whole,
+	      int64_t now_us)
+{
+	int i;
+
+	gg->members = g_renew(struct gg_member, gg->members, count);
+	memset(gg->members, 0, sizeof(*gg->members) * count);
+	gg->count = count;
+	gg->failed = -1;
+	gg->told_saved = false;
+	for (i = 0; i < count; i++) {
+		struct gg_member *m = &gg->members[i];
+
+		m->state = states[i];
+		m->reserved = true;
+		m->changed_us = now_us;
+		may_hold(m, TASK_LEASE_MS, now_us);
+		if (states[i] == GG_FAILED && gg->failed < 0)
+			gg->failed = i;
+	}
+	enter(gg, GG_P_RUN, 0, now_us);
+	if (!whole || !all_reached(gg, GG_RUNNING) || any_is(gg, GG_STOPPED))
+		to_stop(gg, now_us);
+	else if (any_is(gg, GG_SAVING))
+		enter(gg, GG_P_SAVE, TASK_LEASE_MS, now_us);
+	/* The owner hears of ends from a tick, never from within. */
+}
+
+/* Leases are not renewed any more; gg_ops.saved() or gone() follows. */
+void gg_checkpoint(struct gg *gg, int64_t now_us)
+{
+	if (gg->phase != GG_P_RUN)
+		return;
+	enter(gg, GG_P_SAVE, 0, now_us);
+	push(gg, now_us);
+}
+
+/* Stops every member, at whatever point the gang is. */
+void gg_stop(struct gg *gg, int64_t now_us)
+{
+	if (gg->phase == GG_P_IDLE || gg->phase >= GG_P_STOP)
+		return;
+	to_stop(gg, now_us);
+	push(gg, now_us);
+}
+
+/* ---- what the workers answer ---- */
+
+static void reach(struct gg *gg, int i, enum gg_state state, int64_t now_us)
+{
+	struct gg_member *m = &gg->members[i];
+
+	if (state <= m->state || ended(m))
+		return;
+	m->state = state;
+	m->reserved = true;
+	m->changed_us = now_us;
+	if (state == GG_FAILED && gg->failed < 0)
+		gg->failed = i;
+}
+
+/*
+ * The answer to a call, or that none came. accepted: the worker carried it
+ * out; otherwise it refused, which says that it doesn't hold the token, or
+ * has no room for it. The owner doesn't pass on refusals of an old epoch.
+ */
+void gg_answer(struct gg *gg, int member, enum gg_verb verb, bool answered,
+	       bool accepted, int64_t now_us)
+{
+	struct gg_member *m;
+
+	if (gg->phase == GG_P_IDLE || gg->phase == GG_P_GONE ||
+	    member >= gg->count)
+		return;
+	m = &gg->members[member];
+	m->in_call = false;
+	if (!answered)
+		return; /* the next tick repeats it */
+	if (verb == GG_CHECKPOINT && !accepted) {
+		/* It has ended, or was forgotten: the report tells which. */
+		gg->ops->sync(gg, member);
+		return;
+	}
+	m->retry_us = 0;
+	if (verb == GG_STOP || verb == GG_ABORT)
+		reach(gg, member, GG_STOPPED, now_us);
+	else if (!accepted)
+		reach(gg, member, GG_STOPPED, now_us);
+	else if (verb == GG_RESERVE)
+		reach(gg, member, GG_RESERVED, now_us);
+	else if (verb == GG_COMMIT)
+		reach(gg, member, GG_BARRIER, now_us);
+	else if (verb == GG_CHECKPOINT)
+		reach(gg, member, GG_SAVING, now_us);
+	advance(gg, now_us);
+}
+
+/*
+ * The member's part of a worker's report. A worker that doesn't know a token
+ * it has confirmed before has restarted, and lost the member.
+ */
+void gg_report(struct gg *gg, int member, bool present, enum gg_state state,
+	       bool saved, int64_t sent_us, int64_t now_us)
+{
+	struct gg_member *m;
+
+	if (gg->phase == GG_P_IDLE || gg->phase == GG_P_GONE ||
+	    member >= gg->count)
+		return;
+	m = &gg->members[member];
+	if (present) {
+		m->saved |= saved;
+		reach(gg, member, state, now_us);
+	} else if (m->reserved && sent_us >= m->changed_us) {
+		reach(gg, member, GG_STOPPED, now_us);
+	}
+	advance(gg, now_us);
+}
+
+/* Whether a sync sent now renews the member's lease. */
+bool gg_renews(struct gg *gg, int member, int64_t now_us)
+{
+	struct gg_member *m = &gg->members[member];
+
+	if (gg->phase != GG_P_RUN || m->state != GG_RUNNING)
+		return false;
+	may_hold(m, TASK_LEASE_MS, now_us);
+	return true;
+}
+
+/*
+ * Whether a sync sent now lets the member pass the barrier. Not when other
+ * members' barriers may have lapsed.
+ */
+bool gg_goes(struct gg *gg, int member, int64_t now_us)
+{
+	struct gg_member *m = &gg->members[member];
+
+	if (gg->phase != GG_P_GO || m->state != GG_BARRIER ||
+	    now_us >= gg->go_until_us)
+		return false;
+	may_hold(m, TASK_LEASE_MS, now_us);
+	return true;
+}
--- a/tests/standins/wk_agent.c
+++ b/tests/standins/wk_agent.c
@@ -49,7 +49,7 @@
 	return NULL;
 }
 
-static int free_accelerators(struct wk_agent *agent)
+static int free_accelerators(const struct wk_agent *agent)
 {
 	int n = agent->options.accelerators;
 	struct entry *entry;
@@ -309,7 +309,7 @@
 
 /* ---- ledger and control ---- */
 
-static json_t *ledger(struct wk_agent *agent)
+json_t *wk_agent_ledger(const struct wk_agent *agent)
 {
 	json_t *entries = json_array();
 	struct entry *e;
@@ -423,7 +423,7 @@
 	advance_all(agent, now_us);
 	if (strcmp(req->target, "/ledger") == 0) {
 		json_decref(answer);
-		answer = ledger(agent);
+		answer = wk_agent_ledger(agent);
 		status = 200;
 	} else if (strcmp(req->target, "/control") == 0) {
 		status = control(agent, body);
--- a/tests/standins/wk_agent.h
+++ b/tests/standins/wk_agent.h
@@ -36,5 +36,7 @@
 bool wk_agent_init(struct wk_agent *agent, struct kn *kn,
 		   const struct wk_options *options, int port, GError **err);
 void wk_agent_finish(struct wk_agent *agent);
+/* The ledger as GET /ledger answers it. */
+json_t *wk_agent_ledger(const struct wk_agent *agent);
 
 #endif
--- /dev/null
+++ b/tests/unit/test_sched.c
@@ -0,0 +1,565 @@
+#include <check.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "base/err.h"
+#include "base/ev.h"
+#include "base/log.h"
+#include "daemon/sched.h"
+#include "daemon/svc.h"
+#include "policy/jb.h"
+#include "tests/standins/wk_agent.h"
+
+#define WORKERS 3
+
+/* ---- a store that fails on demand ---- */
+
+struct flaky {
+	struct kv kv;
+	struct kv *inner;
+	bool down;
+	int lose; /* answers of transactions to lose; the write happens */
+	struct kn_timer timer;
+	GPtrArray *failed;
+	void (*done)(struct kv_call *call);
+};
+
+static struct flaky flaky;
+
+static void fail_calls(struct kn_timer *timer)
+{
+	while (flaky.failed->len > 0) {
+		struct kv_call *call = g_ptr_array_steal_index(flaky.failed, 0);
+
+		call->result = CB_E_STORE_DOWN;
+		call->done(call);
+	}
+}
+
+static bool refuse(struct kv_call *call)
+{
+	if (!flaky.down)
+		return false;
+	g_ptr_array_add(flaky.failed, call);
+	kn_timer_set(flaky.kv.kn, &flaky.timer, 1000, fail_calls);
+	return true;
+}
+
+static void lose_answer(struct kv_call *call)
+{
+	call->result = CB_E_TIMEOUT;
+	call->succeeded = false;
+	call->done = flaky.done;
+	call->done(call);
+}
+
+static void flaky_txn(struct kv *kv, struct kv_call *call,
+		      const struct kv_cmp *cmps, size_t ncmps,
+		      const struct kv_op *then_ops, size_t nthen,
+		      const struct kv_op *else_ops, size_t nelse)
+{
+	if (refuse(call))
+		return;
+	if (flaky.lose > 0) {
+		flaky.lose--;
+		flaky.done = call->done;
+		call->done = lose_answer;
+	}
+	flaky.inner->ops->txn(flaky.inner, call, cmps, ncmps, then_ops, nthen,
+			      else_ops, nelse);
+}
+
+static void flaky_range(struct kv *kv, struct kv_call *call, const char *key,
+			bool prefix)
+{
+	if (!refuse(call))
+		flaky.inner->ops->range(flaky.inner, call, key, prefix);
+}
+
+static const struct kv_ops flaky_ops = { .txn = flaky_txn,
+					 .range = flaky_range };
+
+/* ---- a scheduler among stand-ins ---- */
+
+static struct kn kn;
+static struct set set;
+static struct wk_agent agents[WORKERS];
+static struct kn_task probe; /* sends calls, leadership and the document */
+static struct kn_task *sched;
+static struct doc_view *view;
+static int status;
+static json_t *answer;
+
+static void probe_receive(struct kn_task *task, struct kn_msg *msg)
+{
+	if (msg->type == SVC_API_REPLY) {
+		struct svc_api_call *call = (struct svc_api_call *)msg;
+
+		status = call->status;
+		answer = json_incref(call->answer);
+	}
+	kn_msg_release(msg);
+}
+
+static const struct kn_task_ops probe_ops = { .receive = probe_receive };
+
+static void free_msg(struct kn_msg *msg)
+{
+	g_free(msg);
+}
+
+static void lead(uint64_t epoch, bool leading, int64_t for_ms)
+{
+	struct svc_lead *msg = g_new0(struct svc_lead, 1);
+
+	msg->msg.type = SVC_LEAD_CHANGED;
+	msg->msg.release = free_msg;
+	msg->epoch = epoch;
+	msg->leading = leading;
+	msg->valid_until_us = kn_now_us() + for_ms * USEC_PER_MSEC;
+	kn_send(sched, &probe, &msg->msg);
+}
+
+static void release_doc(struct kn_msg *msg)
+{
+	doc_view_unref(((struct svc_doc *)msg)->view);
+	g_free(msg);
+}
+
+static void tell_document(void)
+{
+	struct svc_doc *msg = g_new0(struct svc_doc, 1);
+
+	msg->msg.type = SVC_DOC_CHANGED;
+	msg->msg.release = release_doc;
+	msg->view = doc_view_ref(view);
+	kn_send(sched, &probe, &msg->msg);
+}
+
+static void make_view(void)
+{
+	int i;
+
+	view = calloc(1, sizeof(*view));
+	view->revision = 1;
+	view->customers = calloc(1, sizeof(*view->customers));
+	view->customer_count = 1;
+	strcpy(view->customers[0].name, "c");
+	view->customers[0].weight = 1;
+	view->pools = calloc(1, sizeof(*view->pools));
+	view->pool_count = 1;
+	strcpy(view->pools[0].dc, "dc1");
+	view->pools[0].workers = calloc(WORKERS, sizeof(struct doc_worker));
+	view->pools[0].worker_count = WORKERS;
+	for (i = 0; i < WORKERS; i++) {
+		struct doc_worker *w = &view->pools[0].workers[i];
+
+		snprintf(w->name, sizeof(w->name), "w%d", i);
+		strcpy(w->addr, "127.0.0.1");
+		w->port = agents[i].server.port;
+		w->accelerators = 8;
+	}
+}
+
+static void run(int64_t ms)
+{
+	int64_t end_us = kn_now_us() + ms * USEC_PER_MSEC;
+
+	while (kn_now_us() < end_us)
+		kn_turn(&kn);
+}
+
+/* Starts a scheduler that leads at once. */
+static void start_sched(uint64_t epoch)
+{
+	sched = sched_new(&kn, &set, &flaky.kv, epoch);
+	ck_assert(sched->ops->start(sched, NULL));
+	sched->started = true;
+	tell_document();
+	lead(epoch, true, 600000);
+}
+
+/* Ends it like a process that dies: no message leaves it. */
+static void kill_sched(void)
+{
+	struct kn_msg *msg, *tmp;
+
+	list_del(&sched->node);
+	list_del(&sched->ready);
+	list_for_each_entry_safe(msg, tmp, &sched->mailbox, node)
+		kn_msg_release(msg);
+	sched->ops->finish(sched);
+}
+
+static void begin(int64_t task_ms)
+{
+	struct wk_options options = { .addr = "127.0.0.1",
+				      .accelerators = 8,
+				      .task_ms = task_ms,
+				      .checkpoint_ms = 30 };
+	int i;
+
+	log_init("test", "dc1", LOG_ERR_LEVEL);
+	ev_init(1);
+	ck_assert(kn_init(&kn, NULL));
+	memset(&flaky, 0, sizeof(flaky));
+	flaky.kv.ops = &flaky_ops;
+	flaky.kv.kn = &kn;
+	flaky.inner = kv_mem_new(&kn);
+	flaky.failed = g_ptr_array_new();
+	for (i = 0; i < WORKERS; i++)
+		ck_assert(wk_agent_init(&agents[i], &kn, &options, 0, NULL));
+	memset(&set, 0, sizeof(set));
+	strcpy(set.host, "h1");
+	strcpy(set.dc, "dc1");
+	set.seed = 3;
+	make_view();
+	memset(&probe, 0, sizeof(probe));
+	kn_add(&kn, &probe, "probe", &probe_ops);
+	start_sched(1);
+	run(150);
+}
+
+static void end(void)
+{
+	int i;
+
+	kill_sched();
+	for (i = 0; i < WORKERS; i++)
+		if (agents[i].server.kn)
+			wk_agent_finish(&agents[i]);
+	doc_view_unref(view);
+	kv_free(flaky.inner);
+	kn_timer_cancel(&flaky.timer);
+	g_ptr_array_unref(flaky.failed);
+	list_del(&probe.node);
+	kn_finish(&kn);
+}
+
+/* ---- calls ---- */
+
+static void free_call(struct kn_msg *msg)
+{
+	struct svc_api_call *call = (struct svc_api_call *)msg;
+
+	g_free(call->method);
+	g_free(call->path);
+	g_free(call->key);
+	json_decref(call->query);
+	json_decref(call->body);
+	json_decref(call->answer);
+	g_free(call);
+}
+
+/* Makes a call; its status is returned, its answer is in the global. */
+static int api(const char *method, const char *path, const char *key,
+	       json_t *body)
+{
+	struct svc_api_call *call = g_new0(struct svc_api_call, 1);
+	int i;
+
+	call->msg.type = SVC_API_CALL;
+	call->msg.release = free_call;
+	call->method = g_strdup(method);
+	call->path = g_strdup(path);
+	call->key = g_strdup(key);
+	call->query = json_object();
+	call->body = body;
+	json_decref(answer);
+	answer = NULL;
+	status = 0;
+	kn_send(sched, &probe, &call->msg);
+	for (i = 0; i < 12000 && !status; i++)
+		run(1);
+	return status;
+}
+
+static int submit(const char *key, int accelerators, char id[JB_ID_BYTES])
+{
+	int result = api("POST", "/v1/jobs", key,
+			 json_pack("{ss si sb s{ss}}", "customer", "c",
+				   "accelerators", accelerators, "stoppable", 1,
+				   "task", "image", "x"));
+
+	if (id && result < 300)
+		strcpy(id, json_string_value(json_object_get(answer, "id")));
+	return result;
+}
+
+static const char *state_of(const char *id)
+{
+	char *path = g_strdup_printf("/v1/jobs/%s", id);
+	const char *state = NULL;
+
+	if (api("GET", path, NULL, NULL) == 200)
+		state = json_string_value(json_object_get(answer, "state"));
+	g_free(path);
+	return state ? state : "";
+}
+
+static void wait_state(const char *id, const char *state, int64_t ms)
+{
+	int64_t end_us = kn_now_us() + ms * USEC_PER_MSEC;
+
+	while (strcmp(state_of(id), state) != 0) {
+		ck_assert_msg(kn_now_us() < end_us, "job is %s, not %s",
+			      state_of(id), state);
+		run(5);
+	}
+}
+
+/* ---- ledgers ---- */
+
+static struct {
+	int entries; /* ever reserved on this worker */
+	int started; /* ever passed the barrier */
+	int running; /* now */
+} seen[WORKERS];
+
+static void look(void)
+{
+	int i;
+
+	for (i = 0; i < WORKERS; i++) {
+		json_t *tasks = wk_agent_ledger(&agents[i]);
+		json_t *item;
+		size_t j;
+
+		memset(&seen[i], 0, sizeof(seen[i]));
+		json_array_foreach(json_object_get(tasks, "tasks"), j, item) {
+			const char *state = json_string_value(
+				json_object_get(item, "state"));
+
+			seen[i].entries++;
+			if (json_integer_value(json_object_get(item, "go_us")))
+				seen[i].started++;
+			seen[i].running += strcmp(state, "running") == 0;
+		}
+		json_decref(tasks);
+	}
+}
+
+static int sum_started(void)
+{
+	int i, n = 0;
+
+	look();
+	for (i = 0; i < WORKERS; i++)
+		n += seen[i].started;
+	return n;
+}
+
+static int sum_running(void)
+{
+	int i, n = 0;
+
+	look();
+	for (i = 0; i < WORKERS; i++)
+		n += seen[i].running;
+	return n;
+}
+
+/* ---- tests ---- */
+
+/* A gang that starts in part, twice or not at all. */
+START_TEST(gang_runs_once_and_whole)
+{
+	char id[JB_ID_BYTES];
+
+	begin(150);
+	ck_assert_int_eq(submit("k1", 16, id), 201);
+	wait_state(id, "running", 2000);
+	ck_assert_int_eq(sum_running(), 2);
+	wait_state(id, "done", WORKER_SYNC_MS + 2000);
+	ck_assert_int_eq(sum_started(), 2);
+	run(200);
+	ck_assert_int_eq(sum_started(), 2);
+	end();
+}
+END_TEST
+
+/* A repeated submission that makes a second job, or hides another body. */
+START_TEST(one_job_per_key)
+{
+	char first[JB_ID_BYTES], second[JB_ID_BYTES];
+
+	begin(60000);
+	flaky.lose = 1;
+	ck_assert_int_lt(submit("k1", 8, first), 300);
+	ck_assert_int_eq(submit("k1", 8, second), 200);
+	ck_assert_str_eq(first, second);
+	ck_assert_int_eq(submit("k1", 7, NULL), 422);
+	wait_state(first, "running", 2000);
+	ck_assert_int_eq(sum_started(), 1);
+	end();
+}
+END_TEST
+
+/* A takeover that stops whole gangs, or starts them a second time. */
+START_TEST(takeover_adopts_whole_gang)
+{
+	char id[JB_ID_BYTES];
+
+	begin(60000);
+	ck_assert_int_eq(submit("k1", 16, id), 201);
+	wait_state(id, "running", 2000);
+	run(50);
+	kill_sched();
+	start_sched(2);
+	run(500);
+	ck_assert_str_eq(state_of(id), "running");
+	ck_assert_int_eq(sum_started(), 2);
+	ck_assert_int_eq(sum_running(), 2);
+	end();
+}
+END_TEST
+
+static int at_barrier(void)
+{
+	int i, n = 0;
+
+	for (i = 0; i < WORKERS; i++)
+		n += (int)agents[i].calls[WK_COMMIT];
+	return n;
+}
+
+/* A takeover between commit and go that leaves a part of the gang running. */
+START_TEST(takeover_at_barrier_runs_whole)
+{
+	char id[JB_ID_BYTES];
+	int i;
+
+	begin(60000);
+	for (i = 0; i < WORKERS; i++)
+		agents[i].delay_ms = 40;
+	ck_assert_int_eq(submit("k1", 16, id), 201);
+	for (i = 0; i < 4000 && at_barrier() < 2; i++)
+		run(1);
+	ck_assert_int_eq(at_barrier(), 2);
+	ck_assert_int_eq(sum_started(), 0);
+	kill_sched();
+	start_sched(2);
+	run(200);
+	wait_state(id, "running", 5000);
+	ck_assert_int_eq(sum_running(), 2);
+	ck_assert_int_eq(sum_started(), 2);
+	end();
+}
+END_TEST
+
+/* A gang that goes on in part after one of its workers has died. */
+START_TEST(lost_worker_stops_gang)
+{
+	char id[JB_ID_BYTES];
+	int64_t died_us;
+	int victim = 0;
+
+	begin(120000);
+	ck_assert_int_eq(submit("k1", 16, id), 201);
+	wait_state(id, "running", 2000);
+	look();
+	while (!seen[victim].running)
+		victim++;
+	wk_agent_finish(&agents[victim]);
+	memset(&agents[victim], 0, sizeof(agents[victim]));
+	list_init(&agents[victim].tasks);
+	died_us = kn_now_us();
+	while (sum_running() > 0) {
+		ck_assert_int_lt(kn_now_us() - died_us,
+				 TASK_LEASE_MS * USEC_PER_MSEC);
+		run(100);
+	}
+	end();
+}
+END_TEST
+
+/* A store outage that stops running work or loses the end of a job. */
+START_TEST(store_outage_stops_nothing)
+{
+	char id[JB_ID_BYTES];
+
+	begin(1500);
+	ck_assert_int_eq(submit("k1", 16, id), 201);
+	wait_state(id, "running", 2000);
+	flaky.down = true;
+	ck_assert_int_eq(submit("k2", 1, NULL), 503);
+	ck_assert_int_eq(sum_running(), 2);
+	wait_state(id, "done", 10000);
+	flaky.down = false;
+	run(1500);
+	kill_sched();
+	start_sched(2);
+	run(500);
+	ck_assert_str_eq(state_of(id), "done");
+	ck_assert_int_eq(sum_started(), 2);
+	end();
+}
+END_TEST
+
+/* A leader whose lease has run out that still sends to workers. */
+START_TEST(no_call_without_valid_lease)
+{
+	uint64_t before;
+	int i;
+
+	begin(60000);
+	lead(1, true, -1);
+	run(50);
+	for (before = 0, i = 0; i < WORKERS; i++)
+		before += agents[i].calls[WK_SYNC];
+	run(WORKER_SYNC_MS + 500);
+	for (i = 0; i < WORKERS; i++)
+		before -= agents[i].calls[WK_SYNC];
+	ck_assert_uint_eq(before, 0);
+	ck_assert_int_eq(submit("k1", 8, NULL), 503);
+	end();
+}
+END_TEST
+
+/* A cancelled job that goes on, or that a new leader starts again. */
+START_TEST(cancelled_job_stays_cancelled)
+{
+	char id[JB_ID_BYTES];
+	char *path;
+
+	begin(60000);
+	ck_assert_int_eq(submit("k1", 16, id), 201);
+	wait_state(id, "running", 2000);
+	path = g_strdup_printf("/v1/jobs/%s", id);
+	ck_assert_int_eq(api("DELETE", path, NULL, NULL), 202);
+	ck_assert_int_eq(api("DELETE", path, NULL, NULL), 202);
+	g_free(path);
+	wait_state(id, "cancelled", 2000);
+	ck_assert_int_eq(sum_running(), 0);
+	run(100);
+	kill_sched();
+	start_sched(2);
+	run(500);
+	ck_assert_str_eq(state_of(id), "cancelled");
+	ck_assert_int_eq(sum_started(), 2);
+	end();
+}
+END_TEST
+
+int main(void)
+{
+	Suite *suite = suite_create("sched");
+	TCase *tcase = tcase_create("sched");
+	SRunner *runner = srunner_create(suite);
+	int failed;
+
+	tcase_set_timeout(tcase, 60);
+	tcase_add_test(tcase, gang_runs_once_and_whole);
+	tcase_add_test(tcase, one_job_per_key);
+	tcase_add_test(tcase, takeover_adopts_whole_gang);
+	tcase_add_test(tcase, takeover_at_barrier_runs_whole);
+	tcase_add_test(tcase, lost_worker_stops_gang);
+	tcase_add_test(tcase, store_outage_stops_nothing);
+	tcase_add_test(tcase, no_call_without_valid_lease);
+	tcase_add_test(tcase, cancelled_job_stays_cancelled);
+	suite_add_tcase(suite, tcase);
+	srunner_run_all(runner, CK_ENV);
+	failed = srunner_ntests_failed(runner);
+	srunner_free(runner);
+	return failed ? EXIT_FAILURE : EXIT_SUCCESS;
+}
