Check gang starts and stops against a model; shorten the lease

A member that dies with a fresh lease elsewhere could leave a part of its gang running for longer than TASK_LEASE_MS when the leader dies as well: 10 s until the silence counts, then 30 s of lease. A lease is now renewed only while every other member has been heard of within GANG_FRESH_MS, and lasts GANG_LEASE_MS, so both together end within TASK_LEASE_MS. It still outlasts a sync period, a takeover and the first syncs of the new leader.

It checks that nobody runs before all have committed, that a part runs alone for at most TASK_LEASE_MS plus the delay of late messages, that no worker obeys an older epoch, that two attempts never run at once and that nothing stays held.

It does not notice the freshness rule or the abort of an unconfirmed token being taken out; both have unit tests that do.

--- a/base/limits.h
+++ b/base/limits.h
@@ -168,12 +168,19 @@
 #define GANG_CALL_MS 1000 /* until a call to a worker counts as lost */
 #define GANG_RETRY_MS 200
 #define GANG_PHASE_MS 4000 /* for all answers; half of the shortest term */
+#define GANG_FRESH_MS 6000 /* a sync period, its jitter and an answer */
+/* So that a gang ends within TASK_LEASE_MS of the death of a member. */
+#define GANG_LEASE_MS (TASK_LEASE_MS - GANG_FRESH_MS - GANG_CALL_MS)
 #define GANG_SYNC_MS 100 /* between syncs of a worker with pending work */
 #define SCHED_TICK_MS 20 /* while a gang starts or stops */
 #define SCHED_IDLE_TICK_MS 100
 #define SCHED_EVENT_TICK_MS 2 /* after an event, for all of a burst */
 #define SCHED_PASS_MS 100 /* between two passes */
-#define SCHED_RECOVER_MS 4000 /* for the first answer of every worker */
+/*
+ * For the first answer of every worker. With a sync period, TAKEOVER_BOUND_MS
+ * and a call it stays below GANG_LEASE_MS, so that whole gangs live on.
+ */
+#define SCHED_RECOVER_MS 3000
 #define SCHED_JITTER_PERCENT 10 /* of the period of a worker's sync */
 #define SCHED_WRITES_MAX 16 /* record writes in progress */
 #define SCHED_SETTLE_MS 8000 /* below API_FORWARD_TIMEOUT_MS */
--- a/daemon/sched_gang.c
+++ b/daemon/sched_gang.c
@@ -70,7 +70,7 @@
 {
 	if (verb == GG_RESERVE)
 		return RESERVATION_TERM_MS;
-	return verb == GG_COMMIT ? TASK_LEASE_MS : 0;
+	return verb == GG_COMMIT ? GANG_LEASE_MS : 0;
 }
 
 /* Sends c, unless this host must not act; then the gang hears of a loss. */
--- a/daemon/sched_sync.c
+++ b/daemon/sched_sync.c
@@ -342,7 +342,7 @@
 		.port = w->at.port,
 		.epoch = s->epoch,
 		.timeout_ms = GANG_CALL_MS,
-		.term_ms = TASK_LEASE_MS,
+		.term_ms = GANG_LEASE_MS,
 	};
 
 	g_ptr_array_set_size(w->forgetting, 0);
--- a/policy/gg.c
+++ b/policy/gg.c
@@ -272,6 +272,7 @@
 		m->state = states[i];
 		m->reserved = true;
 		m->changed_us = now_us;
+		m->heard_us = now_us;
 		may_hold(m, TASK_LEASE_MS, now_us);
 		if (states[i] == GG_FAILED && gg->failed < 0)
 			gg->failed = i;
@@ -367,6 +368,7 @@
 		return;
 	m = &gg->members[member];
 	if (present) {
+		m->heard_us = MAX(m->heard_us, sent_us);
 		m->saved |= saved;
 		reach(gg, member, state, now_us);
 	} else if (m->reserved && sent_us >= m->changed_us) {
@@ -375,14 +377,23 @@
 	advance(gg, now_us);
 }
 
-/* Whether a sync sent now renews the member's lease. */
+/*
+ * Whether a sync sent now renews the member's lease. Not when another member
+ * may have died a while ago, because the gang must end within TASK_LEASE_MS
+ * of that, even when this leader dies too.
+ */
 bool gg_renews(struct gg *gg, int member, int64_t now_us)
 {
 	struct gg_member *m = &gg->members[member];
+	int i;
 
 	if (gg->phase != GG_P_RUN || m->state != GG_RUNNING)
 		return false;
-	may_hold(m, TASK_LEASE_MS, now_us);
+	for (i = 0; i < gg->count; i++)
+		if (gg->members[i].state == GG_RUNNING &&
+		    now_us - gg->members[i].heard_us > MS(GANG_FRESH_MS))
+			return false;
+	may_hold(m, GANG_LEASE_MS, now_us);
 	return true;
 }
 
@@ -397,6 +408,6 @@
 	if (gg->phase != GG_P_GO || m->state != GG_BARRIER ||
 	    now_us >= gg->go_until_us)
 		return false;
-	may_hold(m, TASK_LEASE_MS, now_us);
+	may_hold(m, GANG_LEASE_MS, now_us);
 	return true;
 }
--- a/policy/gg.h
+++ b/policy/gg.h
@@ -40,6 +40,7 @@
 	bool saved;
 	bool reserved; /* the worker has confirmed that it knows the token */
 	int64_t retry_us; /* when the next call may be sent */
+	int64_t heard_us; /* it was alive then, or later */
 	int64_t changed_us; /* of the last answer; older reports are stale */
 	int64_t holds_until_us; /* without another call it holds nothing then */
 };
--- /dev/null
+++ b/tests/unit/test_gg.c
@@ -0,0 +1,1059 @@
+#include <check.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include <glib.h>
+#include <xxhash.h>
+
+#include "policy/gg.h"
+
+#define MS(ms) ((int64_t)(ms)*USEC_PER_MSEC)
+
+/* ---- one gang without faults in between ---- */
+
+struct calls {
+	struct gg gg;
+	int sent[GG_STOP + 1];
+	int syncs;
+	int running;
+	int saved;
+	int gone;
+	enum gg_end end;
+	int failed;
+};
+
+static void note_call(struct gg *gg, int member, enum gg_verb verb)
+{
+	((struct calls *)gg)->sent[verb]++;
+}
+
+static void note_sync(struct gg *gg, int member)
+{
+	((struct calls *)gg)->syncs++;
+}
+
+static void note_running(struct gg *gg)
+{
+	((struct calls *)gg)->running++;
+}
+
+static void note_saved(struct gg *gg)
+{
+	((struct calls *)gg)->saved++;
+}
+
+static void note_gone(struct gg *gg, enum gg_end end, int failed)
+{
+	struct calls *c = (struct calls *)gg;
+
+	c->gone++;
+	c->end = end;
+	c->failed = failed;
+}
+
+static const struct gg_ops note_ops = { .call = note_call,
+					.sync = note_sync,
+					.running = note_running,
+					.saved = note_saved,
+					.gone = note_gone };
+
+static void start(struct calls *c, int members)
+{
+	memset(c, 0, sizeof(*c));
+	gg_init(&c->gg, &note_ops);
+	gg_start(&c->gg, members, 0);
+}
+
+static void run_two(struct calls *c)
+{
+	int i;
+
+	start(c, 2);
+	for (i = 0; i < 2; i++)
+		gg_answer(&c->gg, i, GG_RESERVE, true, true, MS(10));
+	for (i = 0; i < 2; i++)
+		gg_answer(&c->gg, i, GG_COMMIT, true, true, MS(20));
+	for (i = 0; i < 2; i++)
+		gg_report(&c->gg, i, true, GG_RUNNING, false, MS(30), MS(40));
+	ck_assert_int_eq(c->running, 1);
+}
+
+/* A member that is committed or let go while another one is not ready. */
+START_TEST(phases_wait_for_all)
+{
+	struct calls c;
+
+	start(&c, 2);
+	gg_answer(&c.gg, 0, GG_RESERVE, true, true, MS(10));
+	ck_assert_int_eq(c.sent[GG_COMMIT], 0);
+	gg_answer(&c.gg, 1, GG_RESERVE, true, true, MS(10));
+	ck_assert_int_eq(c.sent[GG_COMMIT], 2);
+	gg_answer(&c.gg, 0, GG_COMMIT, true, true, MS(20));
+	ck_assert(!gg_goes(&c.gg, 0, MS(20)));
+	gg_answer(&c.gg, 1, GG_COMMIT, true, true, MS(20));
+	ck_assert(gg_goes(&c.gg, 0, MS(30)));
+	ck_assert(!gg_goes(&c.gg, 0, MS(20 + BARRIER_TERM_MS)));
+	ck_assert(!gg_renews(&c.gg, 0, MS(30)));
+	gg_finish(&c.gg);
+}
+END_TEST
+
+/* A refused reserve whose gang goes on, or keeps what others reserved. */
+START_TEST(refusal_drops_all)
+{
+	struct calls c;
+
+	start(&c, 2);
+	gg_answer(&c.gg, 0, GG_RESERVE, true, true, MS(10));
+	gg_answer(&c.gg, 1, GG_RESERVE, true, false, MS(10));
+	ck_assert_int_eq(c.sent[GG_STOP], 1);
+	gg_answer(&c.gg, 0, GG_STOP, true, true, MS(20));
+	gg_tick(&c.gg, MS(30));
+	ck_assert_int_eq(c.gone, 1);
+	ck_assert_int_eq(c.sent[GG_COMMIT], 0);
+	gg_finish(&c.gg);
+	/* A reserve without an answer may still arrive, after the abort. */
+	start(&c, 1);
+	gg_answer(&c.gg, 0, GG_RESERVE, false, false, MS(1000));
+	gg_stop(&c.gg, MS(1000));
+	ck_assert_int_eq(c.sent[GG_ABORT], 1);
+	gg_finish(&c.gg);
+}
+END_TEST
+
+/* A lease that is renewed though another member may be dead. */
+START_TEST(silent_member_ends_renewal)
+{
+	struct calls c;
+
+	run_two(&c);
+	ck_assert(gg_renews(&c.gg, 0, MS(30 + GANG_FRESH_MS)));
+	gg_report(&c.gg, 0, true, GG_RUNNING, false, MS(9000), MS(9000));
+	ck_assert(!gg_renews(&c.gg, 0, MS(9000)));
+	gg_finish(&c.gg);
+}
+END_TEST
+
+/* A failed task that is reported as a stop, so that nobody is blamed. */
+START_TEST(failure_names_member)
+{
+	struct calls c;
+
+	run_two(&c);
+	gg_report(&c.gg, 1, true, GG_FAILED, false, MS(50), MS(60));
+	ck_assert_int_eq(c.sent[GG_STOP], 1);
+	gg_answer(&c.gg, 0, GG_STOP, true, true, MS(70));
+	gg_tick(&c.gg, MS(80));
+	ck_assert_int_eq(c.gone, 1);
+	ck_assert_int_eq(c.end, GG_END_FAILED);
+	ck_assert_int_eq(c.failed, 1);
+	gg_finish(&c.gg);
+}
+END_TEST
+
+/* A checkpoint that counts before it is complete on every member. */
+START_TEST(checkpoint_of_all_members)
+{
+	struct calls c;
+
+	run_two(&c);
+	gg_checkpoint(&c.gg, MS(50));
+	ck_assert_int_eq(c.sent[GG_CHECKPOINT], 2);
+	ck_assert(!gg_renews(&c.gg, 0, MS(50)));
+	gg_answer(&c.gg, 0, GG_CHECKPOINT, true, true, MS(60));
+	gg_answer(&c.gg, 1, GG_CHECKPOINT, true, true, MS(60));
+	gg_report(&c.gg, 0, true, GG_STOPPED, true, MS(70), MS(70));
+	gg_tick(&c.gg, MS(70));
+	ck_assert_int_eq(c.saved, 0);
+	gg_report(&c.gg, 1, true, GG_STOPPED, true, MS(80), MS(80));
+	gg_tick(&c.gg, MS(80));
+	ck_assert_int_eq(c.saved, 1);
+	ck_assert_int_eq(c.gone, 1);
+	gg_finish(&c.gg);
+}
+END_TEST
+
+/* A takeover that stops a whole gang, or goes on with a part of one. */
+START_TEST(adoption)
+{
+	static const enum gg_state whole[] = { GG_RUNNING, GG_DONE };
+	static const enum gg_state part[] = { GG_RUNNING, GG_BARRIER };
+	struct calls c;
+
+	memset(&c, 0, sizeof(c));
+	gg_init(&c.gg, &note_ops);
+	gg_adopt(&c.gg, whole, 2, true, 0);
+	gg_tick(&c.gg, MS(10));
+	ck_assert(gg_renews(&c.gg, 0, MS(10)));
+	ck_assert_int_eq(c.sent[GG_STOP], 0);
+	gg_adopt(&c.gg, part, 2, true, 0);
+	gg_tick(&c.gg, MS(10));
+	ck_assert_int_eq(c.sent[GG_STOP], 2);
+	gg_adopt(&c.gg, whole, 1, false, 0);
+	gg_tick(&c.gg, MS(10));
+	ck_assert_int_eq(c.sent[GG_STOP], 3);
+	gg_finish(&c.gg);
+}
+END_TEST
+
+/*
+ * ---- model: two workers, two schedulers, two faults ----
+ *
+ * Each run has a plan of at most two faults, each of which hits one message
+ * from a scheduler to a worker. All plans are run. The workers behave as
+ * tests/standins/wk_agent.c, the schedulers as daemon/sched.
+ */
+
+#define WORKERS 2
+#define SCHEDS 2
+#define TOKENS 16
+#define FLIGHT 32
+#define LATENCY_US MS(5)
+#define TASK_US MS(12000)
+#define SAVE_US MS(300)
+#define LATE_US MS(15000) /* delay of a delayed message */
+#define LEAD_US MS(6000) /* a lease of leadership, in the model not renewed */
+#define TAKEOVER_US MS(8000) /* after the crash or freeze */
+#define LIMIT_US MS(240000)
+#define SYNC_VERB 5
+
+enum fault {
+	LOSE_REQUEST,
+	LOSE_ANSWER,
+	DUPLICATE, /* a second copy comes LATE_US later */
+	DELAY,
+	CRASH_BEFORE,
+	CRASH_AFTER,
+	FREEZE, /* between the decision to send and the sending */
+	WORKER_RESTART, /* forgets everything, also the epoch */
+	WORKER_DEATH, /* for good, a new one takes its place */
+	FAULTS
+};
+
+struct plan {
+	int at[2]; /* numbers of messages, -1: none */
+	enum fault fault[2];
+	int request; /* of the owner at 4 s: 0 none, 1 stop, 2 checkpoint */
+};
+
+struct task {
+	int token; /* epoch * 100 + attempt, 0: free */
+	enum gg_state state;
+	bool aborted;
+	bool forgotten;
+	bool saved;
+	int64_t until_us;
+	int64_t go_us;
+	int64_t save_us;
+};
+
+struct msg {
+	bool used;
+	bool answer;
+	int64_t at_us;
+	int sched;
+	int worker;
+	int verb; /* enum gg_verb or SYNC_VERB */
+	int token;
+	bool renew;
+	bool go;
+	int forget; /* token */
+	int id;
+	bool lose_answer;
+	/* Answers. */
+	bool accepted;
+	int epoch;
+	struct task tasks[TOKENS];
+};
+
+struct mworker {
+	int epoch;
+	int64_t dead_until_us;
+	struct task tasks[TOKENS];
+};
+
+struct pending {
+	int id; /* 0: none */
+	int verb;
+	int token;
+	int64_t sent_us;
+};
+
+enum job_state { JOB_READING, JOB_QUEUED, JOB_ACTIVE, JOB_DONE };
+
+struct msched {
+	struct gg gg;
+	bool up;
+	int64_t frozen_until_us;
+	int64_t valid_until_us;
+	int epoch;
+	int attempt;
+	int token;
+	enum job_state job;
+	int64_t began_us;
+	int64_t retry_us;
+	bool soon[WORKERS];
+	int64_t next_us[WORKERS];
+	int64_t heard_us[WORKERS];
+	bool answered[WORKERS];
+	int forget[WORKERS];
+	struct task seen[WORKERS][TOKENS];
+	/* Calls of the gang, syncs, stops of strays. */
+	struct pending calls[WORKERS], syncs[WORKERS], strays[WORKERS];
+};
+
+static struct world {
+	int64_t now_us;
+	struct plan plan;
+	struct mworker workers[WORKERS];
+	struct msched scheds[SCHEDS];
+	struct msg flight[FLIGHT];
+	int sent; /* messages of schedulers */
+	int next_id;
+	int64_t takeover_us;
+	int64_t partial_us; /* since when a part runs alone, -1: no */
+	int64_t extra_us; /* delays of the plan */
+	bool acted;
+	const char *violation;
+} w;
+
+static GHashTable *states;
+static long runs, steps;
+
+static void violate(const char *text)
+{
+	if (!w.violation)
+		w.violation = text;
+}
+
+/* ---- workers of the model ---- */
+
+static struct task *find(struct mworker *m, int token)
+{
+	int i;
+
+	for (i = 0; i < TOKENS; i++)
+		if (m->tasks[i].token == token)
+			return &m->tasks[i];
+	return NULL;
+}
+
+static bool holds(const struct task *t)
+{
+	return t->token && t->state < GG_STOPPED;
+}
+
+static void drop(struct task *t)
+{
+	if (t->state <= GG_BARRIER)
+		t->aborted = true;
+	t->state = GG_STOPPED;
+}
+
+static void advance_task(struct task *t)
+{
+	if (!holds(t))
+		return;
+	if (t->state == GG_SAVING && w.now_us >= t->save_us) {
+		t->saved = true;
+		t->state = GG_STOPPED;
+	} else if (t->state == GG_RUNNING && w.now_us - t->go_us >= TASK_US) {
+		t->state = GG_DONE;
+	}
+	if (holds(t) && w.now_us >= t->until_us)
+		drop(t);
+}
+
+static void pass_barrier(struct task *t)
+{
+	int i;
+
+	t->state = GG_RUNNING;
+	t->go_us = w.now_us;
+	t->until_us = w.now_us + MS(GANG_LEASE_MS);
+	for (i = 0; i < WORKERS; i++) {
+		struct task *other = find(&w.workers[i], t->token);
+
+		/* A worker that has died since is not the gang's fault. */
+		if (!other ? w.extra_us == 0 : other->state < GG_BARRIER)
+			violate("runs before all have committed");
+	}
+}
+
+static bool obey_token(struct mworker *m, const struct msg *msg)
+{
+	struct task *t = find(m, msg->token);
+	int i;
+
+	if (!t && (msg->verb == GG_RESERVE || msg->verb == GG_ABORT)) {
+		for (i = 0; i < TOKENS && msg->verb == GG_RESERVE; i++)
+			if (holds(&m->tasks[i]))
+				return false; /* a gang takes it all */
+		t = find(m, 0);
+		ck_assert_ptr_nonnull(t);
+		memset(t, 0, sizeof(*t));
+		t->token = msg->token;
+		t->state = GG_RESERVED;
+		t->until_us = w.now_us + MS(RESERVATION_TERM_MS);
+		if (msg->verb == GG_ABORT) {
+			drop(t);
+			t->forgotten = true;
+		}
+		return true;
+	}
+	if (!t)
+		return false;
+	switch (msg->verb) {
+	case GG_RESERVE:
+		return holds(t);
+	case GG_COMMIT:
+		if (t->aborted)
+			return false;
+		if (t->state == GG_RESERVED) {
+			t->state = GG_BARRIER;
+			t->until_us = w.now_us + MS(BARRIER_TERM_MS);
+		}
+		return true;
+	case GG_ABORT:
+		if (t->state <= GG_BARRIER)
+			drop(t);
+		return t->aborted;
+	case GG_CHECKPOINT:
+		if (t->state > GG_SAVING)
+			return false;
+		if (t->state < GG_RUNNING) {
+			drop(t);
+		} else if (t->state == GG_RUNNING) {
+			t->state = GG_SAVING;
+			t->save_us = w.now_us + SAVE_US;
+		}
+		return true;
+	default:
+		if (holds(t))
+			drop(t);
+		return true;
+	}
+}
+
+static void obey_sync(struct mworker *m, const struct msg *msg)
+{
+	struct task *t = find(m, msg->token);
+
+	if (msg->token && t && !t->aborted) {
+		if (msg->renew && t->state == GG_RUNNING)
+			t->until_us = w.now_us + MS(GANG_LEASE_MS);
+		if (msg->go && t->state == GG_BARRIER)
+			pass_barrier(t);
+	}
+	t = msg->forget ? find(m, msg->forget) : NULL;
+	if (t && !holds(t))
+		t->forgotten = true;
+}
+
+static struct msg *free_msg(void)
+{
+	int i;
+
+	for (i = 0; i < FLIGHT; i++)
+		if (!w.flight[i].used)
+			return &w.flight[i];
+	ck_abort_msg("too many messages");
+	return NULL;
+}
+
+static void serve(struct msg *msg)
+{
+	struct mworker *m = &w.workers[msg->worker];
+	struct task before[TOKENS];
+	struct msg *answer;
+	int i;
+
+	if (w.now_us < m->dead_until_us)
+		return;
+	for (i = 0; i < TOKENS; i++)
+		advance_task(&m->tasks[i]);
+	memcpy(before, m->tasks, sizeof(before));
+	answer = free_msg();
+	*answer = *msg;
+	answer->answer = true;
+	answer->at_us = w.now_us + LATENCY_US;
+	answer->used = !msg->lose_answer;
+	answer->accepted = false;
+	if (msg->epoch >= m->epoch) {
+		m->epoch = msg->epoch;
+		answer->accepted = true;
+		if (msg->verb == SYNC_VERB)
+			obey_sync(m, msg);
+		else
+			answer->accepted = obey_token(m, msg);
+	}
+	if (msg->epoch < m->epoch &&
+	    memcmp(before, m->tasks, sizeof(before)) != 0)
+		violate("obeys an older epoch");
+	answer->epoch = m->epoch;
+	memcpy(answer->tasks, m->tasks, sizeof(answer->tasks));
+}
+
+/* ---- schedulers of the model ---- */
+
+static bool may_act(const struct msched *s)
+{
+	return s->up && w.now_us >= s->frozen_until_us &&
+	       w.now_us < s->valid_until_us;
+}
+
+static int number(const struct msched *s)
+{
+	return (int)(s - w.scheds);
+}
+
+static void stop_leading(struct msched *s, bool crash)
+{
+	if (w.takeover_us < 0)
+		w.takeover_us = w.now_us + TAKEOVER_US;
+	s->valid_until_us = MIN(s->valid_until_us, w.now_us + LEAD_US);
+	if (crash)
+		s->up = false;
+}
+
+static void restart_worker(int i, int64_t down_us)
+{
+	memset(&w.workers[i], 0, sizeof(w.workers[i]));
+	w.workers[i].dead_until_us = w.now_us + down_us;
+	w.extra_us += 1; /* marks that a worker has forgotten its tasks */
+}
+
+static bool stops_leader(enum fault fault)
+{
+	return fault == CRASH_BEFORE || fault == CRASH_AFTER || fault == FREEZE;
+}
+
+/* Applies the plan's faults to the message; returns whether it is sent. */
+static bool apply_faults(struct msched *s, struct msg *msg)
+{
+	bool sent = true;
+	int i;
+
+	for (i = 0; i < 2; i++) {
+		/* There is no third scheduler to take over. */
+		if (w.plan.at[i] != w.sent ||
+		    (s == &w.scheds[1] && stops_leader(w.plan.fault[i])))
+			continue;
+		switch (w.plan.fault[i]) {
+		case LOSE_REQUEST:
+			sent = false;
+			break;
+		case LOSE_ANSWER:
+			msg->lose_answer = true;
+			break;
+		case DUPLICATE: {
+			struct msg *copy = free_msg();
+
+			*copy = *msg;
+			copy->used = true;
+			copy->at_us += LATE_US;
+			w.extra_us += LATE_US;
+			break;
+		}
+		case DELAY:
+			msg->at_us += LATE_US;
+			w.extra_us += LATE_US;
+			break;
+		case CRASH_BEFORE:
+			sent = false;
+			stop_leading(s, true);
+			break;
+		case CRASH_AFTER:
+			stop_leading(s, true);
+			break;
+		case FREEZE:
+			msg->at_us += LATE_US;
+			w.extra_us += LATE_US;
+			s->frozen_until_us = w.now_us + LATE_US;
+			stop_leading(s, false);
+			break;
+		case WORKER_RESTART:
+			restart_worker(msg->worker, 0);
+			break;
+		default:
+			restart_worker(msg->worker, MS(20000));
+			break;
+		}
+	}
+	w.sent++;
+	return sent;
+}
+
+static void send_msg(struct msched *s, struct pending *p, int worker, int verb,
+		     int token, struct msg msg)
+{
+	struct msg *slot;
+
+	p->id = ++w.next_id;
+	p->verb = verb;
+	p->token = token;
+	p->sent_us = w.now_us;
+	msg.used = true;
+	msg.at_us = w.now_us + LATENCY_US;
+	msg.sched = number(s);
+	msg.worker = worker;
+	msg.verb = verb;
+	msg.token = token;
+	msg.epoch = s->epoch;
+	msg.id = p->id;
+	if (!apply_faults(s, &msg))
+		return;
+	slot = free_msg();
+	*slot = msg;
+}
+
+static struct msched *of(struct gg *gg)
+{
+	return (struct msched *)gg;
+}
+
+static void model_call(struct gg *gg, int member, enum gg_verb verb)
+{
+	struct msched *s = of(gg);
+
+	if (!may_act(s))
+		gg->members[member].in_call = false;
+	else
+		send_msg(s, &s->calls[member], member, verb, s->token,
+			 (struct msg){ 0 });
+}
+
+static void model_sync(struct gg *gg, int member)
+{
+	of(gg)->soon[member] = true;
+}
+
+static void model_running(struct gg *gg)
+{
+}
+
+static void model_gone(struct gg *gg, enum gg_end end, int failed)
+{
+	struct msched *s = of(gg);
+
+	s->job = end == GG_END_DONE ? JOB_DONE : JOB_QUEUED;
+	s->retry_us = w.now_us + MS(500);
+	s->token = 0;
+	memset(s->calls, 0, sizeof(s->calls));
+}
+
+static const struct gg_ops model_ops = { .call = model_call,
+					 .sync = model_sync,
+					 .running = model_running,
+					 .saved = model_running,
+					 .gone = model_gone };
+
+static void lead_at(struct msched *s, int epoch)
+{
+	int i;
+
+	s->up = true;
+	s->epoch = epoch;
+	s->valid_until_us = INT64_MAX;
+	s->job = JOB_READING;
+	s->began_us = w.now_us;
+	gg_init(&s->gg, &model_ops);
+	for (i = 0; i < WORKERS; i++)
+		s->heard_us[i] = w.now_us;
+}
+
+static void sync_worker(struct msched *s, int i)
+{
+	struct msg msg = { .forget = s->forget[i] };
+	bool busy = s->token && s->job == JOB_ACTIVE;
+
+	s->soon[i] = false;
+	s->forget[i] = 0;
+	s->next_us[i] = w.now_us + MS(WORKER_SYNC_MS);
+	msg.renew = busy && gg_renews(&s->gg, i, w.now_us);
+	msg.go = busy && gg_goes(&s->gg, i, w.now_us);
+	send_msg(s, &s->syncs[i], i, SYNC_VERB, s->token, msg);
+}
+
+/* As daemon/sched_take.c; each worker holds a half of the gang. */
+static void decide(struct msched *s)
+{
+	enum gg_state parts[WORKERS];
+	int i, j, best = 0, found = 0;
+
+	for (i = 0; i < WORKERS; i++)
+		for (j = 0; j < TOKENS; j++)
+			if (!s->seen[i][j].forgotten &&
+			    s->seen[i][j].state != GG_STOPPED)
+				best = MAX(best, s->seen[i][j].token);
+	for (i = 0; i < WORKERS && best; i++) {
+		/* One that has not answered may still run its part. */
+		parts[i] = s->answered[i] ? GG_STOPPED : GG_BARRIER;
+		for (j = 0; j < TOKENS; j++)
+			if (s->seen[i][j].token == best) {
+				parts[i] = s->seen[i][j].state;
+				found++;
+			}
+	}
+	s->job = best ? JOB_ACTIVE : JOB_QUEUED;
+	s->token = best;
+	if (best)
+		gg_adopt(&s->gg, parts, WORKERS, found == WORKERS, w.now_us);
+}
+
+static void report(struct msched *s, const struct msg *msg, int64_t sent_us)
+{
+	int i = msg->worker, j;
+	bool found = false;
+
+	s->heard_us[i] = w.now_us;
+	s->answered[i] = true;
+	memcpy(s->seen[i], msg->tasks, sizeof(s->seen[i]));
+	if (s->job == JOB_READING)
+		return;
+	for (j = 0; j < TOKENS; j++) {
+		const struct task *t = &msg->tasks[j];
+
+		if (!t->token || t->forgotten)
+			continue;
+		if (t->token == s->token) {
+			found = true;
+			gg_report(&s->gg, i, true, t->state, t->saved, sent_us,
+				  w.now_us);
+		} else if (!holds(t)) {
+			s->forget[i] = t->token;
+		} else if (!s->strays[i].id && may_act(s)) {
+			send_msg(s, &s->strays[i], i,
+				 t->state >= GG_RUNNING ? GG_STOP : GG_ABORT,
+				 t->token, (struct msg){ 0 });
+		}
+	}
+	if (!found && s->token)
+		gg_report(&s->gg, i, false, GG_UNKNOWN, false, sent_us,
+			  w.now_us);
+}
+
+static void take_answer(const struct msg *msg)
+{
+	struct msched *s = &w.scheds[msg->sched];
+	struct pending *p = msg->verb == SYNC_VERB ? &s->syncs[msg->worker] :
+						     &s->calls[msg->worker];
+	int64_t sent_us;
+
+	if (!s->up || w.now_us < s->frozen_until_us)
+		return; /* it times out while frozen */
+	if (s->strays[msg->worker].id == msg->id)
+		p = &s->strays[msg->worker];
+	if (p->id != msg->id)
+		return;
+	sent_us = p->sent_us;
+	p->id = 0;
+	if (msg->verb == SYNC_VERB) {
+		if (msg->epoch <= s->epoch)
+			report(s, msg, sent_us);
+	} else if (p == &s->calls[msg->worker] && p->token == s->token) {
+		gg_answer(&s->gg, msg->worker, msg->verb,
+			  msg->epoch <= s->epoch, msg->accepted, w.now_us);
+	}
+}
+
+static void expire(struct msched *s, struct pending *p, int worker)
+{
+	if (!p->id || w.now_us - p->sent_us < MS(GANG_CALL_MS))
+		return;
+	p->id = 0;
+	if (p == &s->calls[worker] && p->token == s->token)
+		gg_answer(&s->gg, worker, p->verb, false, false, w.now_us);
+	else if (p == &s->syncs[worker])
+		s->next_us[worker] =
+			MIN(s->next_us[worker], w.now_us + MS(1000));
+}
+
+static void tick_workers(struct msched *s)
+{
+	int i;
+
+	for (i = 0; i < WORKERS; i++) {
+		expire(s, &s->calls[i], i);
+		expire(s, &s->syncs[i], i);
+		expire(s, &s->strays[i], i);
+		if (w.now_us - s->heard_us[i] > 2 * MS(WORKER_SYNC_MS) &&
+		    s->job == JOB_ACTIVE)
+			gg_stop(&s->gg, w.now_us);
+		if (!may_act(s) || s->syncs[i].id)
+			continue;
+		if (w.now_us >= s->next_us[i] ||
+		    (s->soon[i] &&
+		     w.now_us - s->syncs[i].sent_us >= MS(GANG_SYNC_MS)))
+			sync_worker(s, i);
+	}
+}
+
+static bool both_heard(const struct msched *s)
+{
+	return s->answered[0] && s->answered[1];
+}
+
+static void tick_sched(struct msched *s)
+{
+	tick_workers(s);
+	if (!may_act(s))
+		return;
+	if (s->job == JOB_READING &&
+	    (both_heard(s) || w.now_us - s->began_us >= MS(SCHED_RECOVER_MS)))
+		decide(s);
+	if (s->job == JOB_QUEUED && w.now_us >= s->retry_us && both_heard(s) &&
+	    s->attempt < 20) {
+		s->token = s->epoch * 100 + ++s->attempt;
+		s->job = JOB_ACTIVE;
+		gg_start(&s->gg, WORKERS, w.now_us);
+	}
+	if (s->job == JOB_ACTIVE && w.plan.request && !w.acted &&
+	    w.now_us >= MS(4000)) {
+		w.acted = true;
+		if (w.plan.request == 1)
+			gg_stop(&s->gg, w.now_us);
+		else
+			gg_checkpoint(&s->gg, w.now_us);
+	}
+	if (s->job == JOB_ACTIVE)
+		gg_tick(&s->gg, w.now_us);
+}
+
+/* ---- the checks ---- */
+
+static bool runs_now(const struct task *t)
+{
+	return t && (t->state == GG_RUNNING || t->state == GG_SAVING);
+}
+
+/*
+ * A part runs alone when it runs and the other one neither runs nor is done.
+ * The bound counts from there; a message that is delayed longer than its
+ * call can extend a lease once by the delay.
+ */
+static void check_world(void)
+{
+	int i, j, running = 0, partial = 0;
+
+	for (i = 0; i < WORKERS; i++) {
+		for (j = 0; j < TOKENS; j++) {
+			struct task *t = &w.workers[i].tasks[j];
+			struct task *other = find(&w.workers[!i], t->token);
+
+			if (!t->token || !runs_now(t))
+				continue;
+			running++;
+			if (!other ||
+			    (!runs_now(other) && other->state != GG_DONE &&
+			     !other->saved))
+				partial++;
+		}
+	}
+	if (running > WORKERS)
+		violate("two attempts run at the same time");
+	if (!partial)
+		w.partial_us = -1;
+	else if (w.partial_us < 0)
+		w.partial_us = w.now_us;
+	else if (w.now_us - w.partial_us > MS(TASK_LEASE_MS) + w.extra_us)
+		violate("a part runs alone for too long");
+}
+
+static void note_state(void)
+{
+	int shape[WORKERS * TOKENS * 3 + SCHEDS * 16], n = 0, i, j;
+
+	memset(shape, 0, sizeof(shape));
+	for (i = 0; i < WORKERS; i++)
+		for (j = 0; j < TOKENS; j++)
+			if (w.workers[i].tasks[j].token) {
+				const struct task *t = &w.workers[i].tasks[j];
+
+				shape[n++] = t->token;
+				shape[n++] = (int)t->state * 2 + t->aborted;
+			}
+	for (i = 0; i < SCHEDS; i++) {
+		const struct msched *s = &w.scheds[i];
+
+		shape[n++] = s->up * 100 + (int)s->job * 10 + may_act(s);
+		shape[n++] = s->token;
+		shape[n++] = (int)s->gg.phase;
+		for (j = 0; j < s->gg.count; j++)
+			shape[n++] = (int)s->gg.members[j].state * 2 +
+				     s->gg.members[j].in_call;
+	}
+	g_hash_table_add(states, GSIZE_TO_POINTER((gsize)XXH3_64bits(
+					 shape, sizeof(*shape) * n)));
+}
+
+/* ---- runs ---- */
+
+static void step_messages(void)
+{
+	int i;
+
+	for (i = 0; i < FLIGHT; i++) {
+		struct msg msg;
+
+		if (!w.flight[i].used || w.flight[i].at_us > w.now_us)
+			continue;
+		msg = w.flight[i];
+		w.flight[i].used = false;
+		if (msg.answer)
+			take_answer(&msg);
+		else
+			serve(&msg);
+	}
+}
+
+/* Schedulers tick as daemon/sched does, more often while a gang is busy. */
+static int64_t next_time(void)
+{
+	bool busy = gg_busy(&w.scheds[0].gg) || gg_busy(&w.scheds[1].gg);
+	int64_t next_us = w.now_us + MS(busy ? 100 : 500);
+	int i;
+
+	for (i = 0; i < FLIGHT; i++)
+		if (w.flight[i].used)
+			next_us = MIN(next_us, w.flight[i].at_us);
+	return MAX(next_us, w.now_us + 1);
+}
+
+static bool quiet(void)
+{
+	int i, j;
+
+	for (i = 0; i < WORKERS; i++)
+		for (j = 0; j < TOKENS; j++)
+			if (holds(&w.workers[i].tasks[j]))
+				return false;
+	for (i = 0; i < FLIGHT; i++)
+		if (w.flight[i].used && !w.flight[i].answer &&
+		    w.flight[i].verb != SYNC_VERB)
+			return false;
+	return true;
+}
+
+static bool finished(void)
+{
+	const struct msched *s = &w.scheds[w.scheds[1].up ? 1 : 0];
+
+	return s->job == JOB_DONE && (w.takeover_us < 0 || w.scheds[1].up) &&
+	       quiet();
+}
+
+static void step(void)
+{
+	int i, j;
+
+	for (i = 0; i < WORKERS; i++)
+		for (j = 0; j < TOKENS; j++)
+			advance_task(&w.workers[i].tasks[j]);
+	step_messages();
+	if (w.takeover_us >= 0 && w.now_us >= w.takeover_us && !w.scheds[1].up)
+		lead_at(&w.scheds[1], 2);
+	for (i = 0; i < SCHEDS; i++)
+		if (w.scheds[i].up && w.now_us >= w.scheds[i].frozen_until_us)
+			tick_sched(&w.scheds[i]);
+	check_world();
+	note_state();
+	steps++;
+}
+
+static const char *run_plan(const struct plan *plan, int *sent)
+{
+	int i;
+
+	memset(&w, 0, sizeof(w));
+	w.plan = *plan;
+	w.takeover_us = -1;
+	w.partial_us = -1;
+	lead_at(&w.scheds[0], 1);
+	while (!w.violation && w.now_us < LIMIT_US && !finished()) {
+		step();
+		w.now_us = next_time();
+	}
+	if (!w.violation && !finished())
+		violate("something is held for ever, or the job never ends");
+	for (i = 0; i < SCHEDS; i++)
+		gg_finish(&w.scheds[i].gg);
+	runs++;
+	*sent = w.sent;
+	return w.violation;
+}
+
+static void require(const struct plan *plan, int *sent)
+{
+	const char *violation = run_plan(plan, sent);
+
+	ck_assert_msg(!violation,
+		      "%s: message %d fault %d, %d fault %d, "
+		      "request %d, at %lld ms",
+		      violation, plan->at[0], (int)plan->fault[0], plan->at[1],
+		      (int)plan->fault[1], plan->request,
+		      (long long)(w.now_us / USEC_PER_MSEC));
+}
+
+static void all_second_faults(struct plan *plan, int messages)
+{
+	int sent, i, f;
+
+	for (i = plan->at[0] + 1; i < messages; i++)
+		for (f = 0; f < FAULTS; f++) {
+			plan->at[1] = i;
+			plan->fault[1] = (enum fault)f;
+			require(plan, &sent);
+		}
+}
+
+/*
+ * A gang that runs in part beyond the bound, a worker that obeys an older
+ * epoch, accelerators that stay held, under any two faults.
+ */
+START_TEST(model)
+{
+	int messages, after, i, f;
+
+	states = g_hash_table_new(NULL, NULL);
+	for (int request = 0; request < 3; request++) {
+		struct plan plan = { .at = { -1, -1 }, .request = request };
+
+		require(&plan, &messages);
+		for (i = 0; i < messages; i++)
+			for (f = 0; f < FAULTS; f++) {
+				plan.at[0] = i;
+				plan.fault[0] = (enum fault)f;
+				plan.at[1] = -1;
+				require(&plan, &after);
+				all_second_faults(&plan, after);
+			}
+	}
+	printf("model: %ld plans, %ld steps, %u states\n", runs, steps,
+	       g_hash_table_size(states));
+	g_hash_table_destroy(states);
+}
+END_TEST
+
+int main(void)
+{
+	Suite *suite = suite_create("gg");
+	TCase *tcase = tcase_create("gg");
+	SRunner *runner = srunner_create(suite);
+	int failed;
+
+	tcase_set_timeout(tcase, 120);
+	tcase_add_test(tcase, phases_wait_for_all);
+	tcase_add_test(tcase, refusal_drops_all);
+	tcase_add_test(tcase, silent_member_ends_renewal);
+	tcase_add_test(tcase, failure_names_member);
+	tcase_add_test(tcase, checkpoint_of_all_members);
+	tcase_add_test(tcase, adoption);
+	tcase_add_test(tcase, model);
+	suite_add_tcase(suite, tcase);
+	srunner_run_all(runner, CK_ENV);
+	failed = srunner_ntests_failed(runner);
+	srunner_free(runner);
+	return failed ? EXIT_FAILURE : EXIT_SUCCESS;
+}
