Keep ended tasks at the workers until the end is recorded

A worker was told to forget an ended task as soon as the leader had heard of it. When the store was down and the leader died then, the next leader found a record that says running and no report, and ran the job again. A token is now forgotten only once no write of the job's end is pending.

A stopping host goes on writing records after it has given leadership up; the compare of the mod revision keeps it from overwriting a new leader. Records are read in 16 parts, because those of 14,000 jobs exceed one answer of the store, and a checkpoint states the grace that the policy gives instead of a constant.

--- a/base/limits.h
+++ b/base/limits.h
@@ -187,6 +187,7 @@
 #define SCHED_DRAIN_MS 2000 /* for pending record writes at a stop */
 #define JOB_KEEP_MS 3600000 /* an ended job */
 #define JOBS_ENDED_MAX 2000 /* kept in memory */
+#define JOBS_LIST_MAX 1000 /* in one answer; a peer message holds 4 MB */
 
 /* ---- document ---- */
 
--- a/daemon/sched.c
+++ b/daemon/sched.c
@@ -58,6 +58,7 @@
 	s->loading = false;
 	s->load_us = 0;
 	s->load_failures = 0;
+	s->load_part = 0;
 	s->write_us = 0;
 	s->write_failures = 0;
 	sched_build(s);
@@ -110,7 +111,8 @@
 {
 	bool leads = s->lead.leading && s->view && !s->drain_us;
 
-	if (s->phase != SCHED_OFF &&
+	/* A stopping host still writes the records that are pending. */
+	if (s->phase != SCHED_OFF && !s->drain_us &&
 	    (!s->lead.leading || s->lead.epoch != s->epoch))
 		end(s);
 	if (s->phase == SCHED_OFF && leads)
@@ -195,8 +197,10 @@
 
 	if (sched_may_act(s))
 		act(s, now_us);
+	else if (s->drain_us)
+		sched_store_tick(s, now_us);
 	check_drained(s, now_us);
-	if (s->phase == SCHED_OFF && !s->drain_us)
+	if (s->task.drained || (s->phase == SCHED_OFF && !s->drain_us))
 		return;
 	wake_in(s,
 		MS(list_empty(&s->busy) ? SCHED_IDLE_TICK_MS : SCHED_TICK_MS));
--- a/daemon/sched_api.c
+++ b/daemon/sched_api.c
@@ -82,19 +82,31 @@
 	       (!state || strcmp(state, jb_state_name(job->jb.state)) == 0);
 }
 
+/* A job without its task, which may be large. */
+static json_t *summary(const struct sjob *job)
+{
+	json_t *json = jb_to_json(&job->jb);
+
+	json_object_del(json, "task");
+	return json;
+}
+
+/* count tells how many there are; the list may hold fewer. */
 static void list_jobs(struct sched *s, struct svc_api_call *call)
 {
 	json_t *jobs = json_array();
 	GHashTableIter iter;
 	gpointer value;
+	int n = 0;
 
 	g_hash_table_iter_init(&iter, s->jobs);
 	while (g_hash_table_iter_next(&iter, NULL, &value))
 		if (matches(value, query(call, "customer"),
-			    query(call, "state")))
-			json_array_append_new(
-				jobs, jb_to_json(&((struct sjob *)value)->jb));
-	svc_api_answer(call, &s->task, 200, json_pack("{so}", "jobs", jobs));
+			    query(call, "state")) &&
+		    n++ < JOBS_LIST_MAX)
+			json_array_append_new(jobs, summary(value));
+	svc_api_answer(call, &s->task, 200,
+		       json_pack("{so si}", "jobs", jobs, "count", n));
 }
 
 /* Cancels all jobs of a customer. */
--- a/daemon/sched_gang.c
+++ b/daemon/sched_gang.c
@@ -73,7 +73,14 @@
 	return verb == GG_COMMIT ? GANG_LEASE_MS : 0;
 }
 
-/* Sends c, unless this host must not act; then the gang hears of a loss. */
+/* What is left of the time that the policy gives the job. */
+static int64_t grace_ms(const struct sjob *job)
+{
+	int64_t left_us = job ? job->sc.deadline_us - kn_now_us() : 0;
+
+	return MAX(1, left_us / USEC_PER_MSEC);
+}
+
 static void start_call(struct scall *c)
 {
 	struct sched *s = c->s;
@@ -89,7 +96,7 @@
 		.accelerators = job ? job->counts[c->member] : 0,
 		.task = job ? job->jb.task : NULL,
 		.term_ms = term_ms(c->verb),
-		.grace_ms = SC_GRACE_MS,
+		.grace_ms = grace_ms(job),
 	};
 
 	list_add_tail(&c->node, &s->calls_out);
--- a/daemon/sched_int.h
+++ b/daemon/sched_int.h
@@ -87,6 +87,7 @@
 	int ended_count;
 	/* The store. */
 	bool loaded;
+	unsigned int load_part; /* of the records, to be read next */
 	GPtrArray *records; /* struct sjob read from the store */
 	struct list_head writes; /* struct sjob in order */
 	struct list_head calls; /* in progress with the store */
--- a/daemon/sched_store.c
+++ b/daemon/sched_store.c
@@ -6,6 +6,9 @@
 #include "base/log.h"
 #include "daemon/sched_int.h"
 
+/* All records of 14,000 jobs exceed STORE_REPLY_MAX_BYTES in one answer. */
+#define LOAD_PARTS 16
+
 enum store_job { STORE_LOAD, STORE_WRITE, STORE_DELETE, STORE_SUBMIT };
 
 /* A call to the store in progress. */
@@ -106,7 +109,8 @@
 		if (call->result == CB_OK) {
 			for (i = 0; i < call->count; i++)
 				take_record(s, &call->items[i]);
-			s->loaded = true;
+			s->load_part++;
+			s->loaded = s->load_part == LOAD_PARTS;
 		} else {
 			s->load_us = kn_now_us() +
 				     sched_backoff_us(s, s->load_failures++);
@@ -116,10 +120,17 @@
 	call_free(c);
 }
 
-/* Reads all records of the data centre. */
+/*
+ * Reads the next part of the records of the data centre. Ids are hexadecimal
+ * after the first letter, see jb_make_id().
+ */
 void sched_load(struct sched *s)
 {
-	struct scall_kv *c = call_new(s, STORE_LOAD, "");
+	char prefix[JB_ID_BYTES];
+	struct scall_kv *c;
+
+	snprintf(prefix, sizeof(prefix), "j%x", s->load_part);
+	c = call_new(s, STORE_LOAD, prefix);
 
 	s->loading = true;
 	c->call.done = on_loaded;
--- a/daemon/sched_sync.c
+++ b/daemon/sched_sync.c
@@ -220,6 +220,18 @@
 		list_add_tail(&job->busy, &w->s->busy);
 }
 
+/*
+ * Until the end of a job is in the store, another leader knows of it only
+ * from the workers, and would run the job again.
+ */
+static bool end_unwritten(struct sched *s, const char *id)
+{
+	const struct sjob *job = g_hash_table_lookup(s->jobs, id);
+
+	return job && jb_ended(job->jb.state) &&
+	       (job->in_write || !list_empty(&job->write));
+}
+
 static void report_task(struct sworker *w, const struct wk_task *task,
 			int64_t now_us)
 {
@@ -227,9 +239,9 @@
 
 	if (job && sched_gang_member(job, w->index) >= 0)
 		report_member(w, job, task, now_us);
-	else if (task->state >= WK_STOPPED)
+	else if (task->state >= WK_STOPPED && !end_unwritten(w->s, task->job))
 		g_ptr_array_add(w->forget, g_strdup(task->token));
-	else
+	else if (task->state < WK_STOPPED)
 		sched_stray_stop(w, task->token, task->state >= WK_RUNNING);
 }
 
--- a/tests/unit/test_sched.c
+++ b/tests/unit/test_sched.c
@@ -496,6 +496,83 @@
 }
 END_TEST
 
+/* A job that runs again because its end was not in the store yet. */
+START_TEST(unwritten_end_is_found)
+{
+	char id[JB_ID_BYTES];
+
+	begin(300);
+	ck_assert_int_eq(submit("k1", 16, id), 201);
+	wait_state(id, "running", 2000);
+	flaky.down = true;
+	wait_state(id, "done", WORKER_SYNC_MS + 2000);
+	run(WORKER_SYNC_MS);
+	kill_sched();
+	flaky.down = false;
+	start_sched(2);
+	run(500);
+	wait_state(id, "done", 2000);
+	ck_assert_int_eq(sum_started(), 2);
+	end();
+}
+END_TEST
+
+/* A graceful stop that stops running work or forgets to write a record. */
+START_TEST(stop_leaves_work_running)
+{
+	char id[JB_ID_BYTES];
+
+	begin(60000);
+	ck_assert_int_eq(submit("k1", 16, id), 201);
+	flaky.down = true;
+	wait_state(id, "running", 2000);
+	flaky.down = false;
+	sched->ops->drain(sched);
+	lead(1, false, 0);
+	while (!sched->drained)
+		run(10);
+	kill_sched();
+	ck_assert_int_eq(sum_running(), 2);
+	start_sched(2);
+	run(500);
+	ck_assert_str_eq(state_of(id), "running");
+	ck_assert_int_eq(json_integer_value(json_object_get(answer, "attempt")),
+			 1);
+	ck_assert_int_eq(sum_started(), 2);
+	end();
+}
+END_TEST
+
+/* A claim of an owner that waits while others use its accelerators. */
+START_TEST(claim_is_met)
+{
+	char borrower[JB_ID_BYTES], owner[JB_ID_BYTES];
+
+	begin(120000);
+	view->customers =
+		g_realloc(view->customers, 2 * sizeof(*view->customers));
+	view->customers[1] = view->customers[0];
+	view->customer_count = 2;
+	strcpy(view->customers[1].name, "d");
+	view->customers[1].guarantees = calloc(1, sizeof(struct doc_guarantee));
+	view->customers[1].guarantee_count = 1;
+	strcpy(view->customers[1].guarantees[0].dc, "dc1");
+	view->customers[1].guarantees[0].unit = DOC_WORKER;
+	view->customers[1].guarantees[0].count = 1;
+	tell_document();
+	ck_assert_int_eq(submit("k1", 24, borrower), 201);
+	wait_state(borrower, "running", 2000);
+	ck_assert_int_eq(
+		api("POST", "/v1/jobs", "k2",
+		    json_pack("{ss si}", "customer", "d", "accelerators", 8)),
+		201);
+	strcpy(owner, json_string_value(json_object_get(answer, "id")));
+	wait_state(owner, "running", RECLAIM_BOUND_MS);
+	ck_assert_str_eq(state_of(borrower), "queued");
+	end();
+}
+END_TEST
+
 /* A leader whose lease has run out that still sends to workers. */
 START_TEST(no_call_without_valid_lease)
 {
@@ -555,6 +632,9 @@
 	tcase_add_test(tcase, takeover_at_barrier_runs_whole);
 	tcase_add_test(tcase, lost_worker_stops_gang);
 	tcase_add_test(tcase, store_outage_stops_nothing);
+	tcase_add_test(tcase, unwritten_end_is_found);
+	tcase_add_test(tcase, stop_leaves_work_running);
+	tcase_add_test(tcase, claim_is_met);
 	tcase_add_test(tcase, no_call_without_valid_lease);
 	tcase_add_test(tcase, cancelled_job_stays_cancelled);
 	suite_add_tcase(suite, tcase);
