Let the test of unwritten ends reach the sync that forgets

With a wait of one sync period the test passed without the rule that it guards, because a task is reported ended in one sync and forgotten in the next. On a scratch copy without the rule it now fails.

--- a/tests/unit/test_sched.c
+++ b/tests/unit/test_sched.c
@@ -506,7 +506,8 @@
 	wait_state(id, "running", 2000);
 	flaky.down = true;
 	wait_state(id, "done", WORKER_SYNC_MS + 2000);
-	run(WORKER_SYNC_MS);
+	/* One sync reports the ended task, the next would forget it. */
+	run(2 * WORKER_SYNC_MS + 500);
 	kill_sched();
 	flaky.down = false;
 	start_sched(2);
