Let a graceful stop wait for replies in progress

hs_active() counts connections that receive, wait or still send; without it a stop right after hs_reply() could cut off a large reply. More malformed lengths are in the table of refusals.

--- a/tests/unit/test_hs.c
+++ b/tests/unit/test_hs.c
@@ -99,7 +99,12 @@
 	{ POST "Content-Length: 5, 6\r\n\r\nhello!", 400, CB_E_BAD_FRAMING },
 	{ POST "Content-Length : 5\r\n\r\nhello", 400, CB_E_BAD_REQUEST },
 	{ POST "Transfer-Encoding : chunked\r\n\r\n", 400, CB_E_BAD_REQUEST },
+	{ POST "Content-Length: 5\r\nContent-Length: 5\r\n\r\nhello", 400,
+	  CB_E_BAD_FRAMING },
+	{ POST "Transfer-Encoding:\r\n\r\n", 501, CB_E_TRANSFER_ENCODING },
 	/* Lengths that wrap around or are no numbers. */
+	{ POST "Content-Length:\r\n\r\n", 400, CB_E_BAD_FRAMING },
+	{ POST "Content-Length: 5 5\r\n\r\n", 400, CB_E_BAD_FRAMING },
 	{ POST "Content-Length: -1\r\n\r\n", 400, CB_E_BAD_FRAMING },
 	{ POST "Content-Length: +5\r\n\r\nhello", 400, CB_E_BAD_FRAMING },
 	{ POST "Content-Length: 0x5\r\n\r\nhello", 400, CB_E_BAD_FRAMING },
@@ -446,7 +451,7 @@
 
 /* ---- replies ---- */
 
-/* Guards against a large reply that loses bytes when the kernel is full. */
+/* Guards against a large reply that loses bytes, or is cut off by a stop. */
 START_TEST(large_reply_is_whole)
 {
 	size_t len = 8 * 1024 * 1024, got = 0, i;
@@ -458,6 +463,7 @@
 	be_puts(&kn, &sock, "GET /a HTTP/1.1\r\n\r\n");
 	be_turn(&kn, 20);
 	hs_reply(held, 200, NULL, body, len);
+	ck_assert_uint_eq(hs_active(&server), 1);
 	ck_assert(be_wait_text(&kn, &sock, "\r\n\r\n", 1000));
 	ck_assert(strstr(sock.in, "Content-Length: 8388608\r\n"));
 	i = (size_t)(strstr(sock.in, "\r\n\r\n") + 4 - sock.in);
@@ -470,6 +476,7 @@
 		be_wait_text(&kn, &sock, "never", 2);
 	}
 	ck_assert_uint_eq(got, len);
+	ck_assert_uint_eq(hs_active(&server), 0);
 	g_free(body);
 }
 END_TEST
@@ -528,10 +535,11 @@
 	hold = true;
 	hs_keep_header(&server, "X-Mine");
 	be_puts(&kn, &sock,
-		"GET /a HTTP/1.1\r\nIDEMPOTENCY-KEY: k 1\r\nx-mine: 2\r\n"
+		"GET /a HTTP/1.1\r\nAccept:\r\nIDEMPOTENCY-KEY: k 1\r\nx-mine: 2\r\n"
 		"X-Other: 3\r\nChivebank-Customer:c\r\n\r\n");
 	be_turn(&kn, 20);
 	ck_assert_str_eq(hs_header(held, "Idempotency-Key"), "k 1");
+	ck_assert_str_eq(hs_header(held, "Accept"), "");
 	ck_assert_str_eq(hs_header(held, "X-Mine"), "2");
 	ck_assert_str_eq(hs_header(held, "chivebank-customer"), "c");
 	ck_assert_ptr_null(hs_header(held, "X-Other"));
--- a/wire/hs.c
+++ b/wire/hs.c
@@ -295,6 +295,17 @@
 	server->draining = true;
 }
 
+size_t hs_active(const struct hs_server *server)
+{
+	const struct hs_conn *conn;
+	size_t n = 0;
+
+	list_for_each_entry(conn, &server->conns, node)
+		if (conn->state != HS_IDLE)
+			n++;
+	return n;
+}
+
 /* Returns the first value of a request header, NULL when there is none. */
 const char *hs_header(const struct hs_request *req, const char *name)
 {
--- a/wire/hs.h
+++ b/wire/hs.h
@@ -22,7 +22,11 @@
 struct hs_ops {
 	/* A whole request has arrived; hs_reply() must follow once. */
 	void (*request)(struct hs_server *server, struct hs_request *req);
-	/* The caller closed the connection before the reply. */
+	/*
+	 * The caller closed the connection before the reply. A caller that
+	 * closes only its sending side counts as gone too: the event loop
+	 * reports both alike.
+	 */
 	void (*gone)(struct hs_server *server, struct hs_request *req);
 };
 
@@ -56,12 +60,21 @@
 
 bool hs_init(struct hs_server *server, struct kn *kn, const struct hs_ops *ops,
 	     const char *addr, int port, GError **err);
-/* Closes everything; gone() is called for each request in progress. */
+/*
+ * Closes everything; gone() is called for each request in progress. Not to
+ * be called from within request() or gone().
+ */
 void hs_finish(struct hs_server *server);
 /* Requests keep this header besides the usual ones. */
 void hs_keep_header(struct hs_server *server, const char *name);
 /* From now on each reply carries "Connection: close". */
 void hs_drain(struct hs_server *server);
+/*
+ * Connections that receive a request, wait for its reply or still send it. A
+ * graceful stop goes on until there are none: a reply handed over may not
+ * have been sent yet.
+ */
+size_t hs_active(const struct hs_server *server);
 const char *hs_header(const struct hs_request *req, const char *name);
 /*
  * Sends a whole reply and frees the request. Content-Length, Connection and
