--- a/base/limits.h
+++ b/base/limits.h
@@ -43,6 +43,11 @@
 
 #define REQ_WAITING_MAX 10000 /* waiting requests per entry host */
 #define REQ_DEADLINE_MAX_MS 60000
+#define REQ_ATTEMPTS_MAX 3
+#define FORWARD_GRACE_MS 1000 /* for the answer of a peer, after the deadline */
+#define REQ_TICK_MS 10
+#define REQ_IDLE_TICK_MS 500 /* while nothing is waiting or in progress */
+#define FRONT_FLUSH_MS 200 /* for the last replies of a stopping host */
 #define REQ_DEADLINE_DEFAULT_MS 10000
 #define BACKEND_SLOTS 8 /* requests in progress, over all entry hosts */
 #define BACKEND_CONNECTIONS 64 /* connections, over all entry hosts */
@@ -55,6 +60,33 @@
 #define KEY_BATCH_MAX 64
 #define KEY_BATCH_DELAY_MS 10
 #define LEAVING_GRACE_MS 3000
+#define LEAVING_HOLD_MS 60000 /* "live" in the lagging list is not believed */
+#define RETRY_WINDOW_MS 5000 /* half-life of "recent" for the retry budget */
+#define ROUTE_SAMPLE 8 /* servers that a choice looks at */
+#define ROUTE_HOT_PERCENT 75 /* quantile of requests in flight */
+#define ROUTE_AGE_MS 1000 /* latency without a new sample halves */
+#define EJECT_FAILURES 5 /* consecutive */
+#define EJECT_BASE_MS 1000 /* doubles up to 32 s */
+#define EJECT_SAMPLES 64 /* answers before latency is judged */
+#define EJECT_LATENCY_FACTOR 10 /* times the median; stragglers give 3.5 */
+#define MEMBERS_SAMPLE 512 /* servers in a median */
+#define MEMBERS_POLL_MS 1000 /* leaves 2 s of LEAVING_GRACE_MS */
+#define MEMBERS_SHARE_MS 30000 /* the whole list again, should one be lost */
+#define QUEUE_TARGET_SHORT_MS 20 /* CoDel target of the waiting time */
+#define QUEUE_TARGET_LONG_MS 200
+#define QUEUE_SHED_FACTOR 3 /* longest wait over target while shedding */
+#define QUEUE_INTERVAL_MS 100
+#define QUEUE_SHORT_LIMIT_MS 100 /* run time of short work, by default */
+#define QUEUE_SHARE_LAG_MS 50 /* of its share that a customer may lag */
+#define QUEUE_RESERVE_MIN_PERCENT 10 /* slots kept for short work */
+#define QUEUE_RESERVE_MAX_PERCENT 75
+#define SLOT_REPORT_MS 500 /* between reports of a host that has demand */
+#define SLOT_PRESS_MS 20 /* between reports while requests wait for credits */
+#define KEY_ENTRIES_MAX 50000 /* keys that a host remembers */
+#define KEY_BYTES_MAX (16 * 1024 * 1024) /* finished answers kept */
+#define KEY_TICKETS_MAX 1000 /* tickets per call */
+#define KEY_BATCHES_MAX 4 /* claim transactions in progress */
+#define KEY_HANDOVER_BYTES (4 * 1024 * 1024) /* half of what a link queues */
 
 /* ---- peers ---- */
 
@@ -66,16 +98,38 @@
 #define PEER_RECONNECT_MIN_MS 100
 #define PEER_RECONNECT_MAX_MS 5000
 #define PEERS_MAX 128
+#define PEER_PENDING_MAX 32 /* accepted links that have not said hello */
+#define PEER_HELLO_MAX_BYTES 1024
+#define PEER_QUEUE_MAX_BYTES (2 * FRAME_MAX_BYTES) /* unsent, for each link */
+#define PEER_CLOCK_EVENT_MS 30000
+#define PEER_FLUSH_MS 200 /* for unsent frames when the process ends */
+#define FRAME_DEPTH_MAX 16 /* msgpack-c recurses up to 32 */
+#define FRAME_ELEMENTS_MAX (256 * 1024) /* 24 bytes each when unpacked */
 
 /* ---- leadership and store ---- */
 
 #define LEADER_LEASE_MS 6000
 #define LEADER_RENEW_MS 2000
 #define LEADER_PROMISE_MS 3000
+#define LEADER_ASK_MS 1000 /* between two asks for promises */
+#define LEADER_POLL_MS 1000 /* between looks at a key that others hold */
+#define LEADER_FREEZE_MS 1000 /* a longer gap between ticks is a freeze */
+#define LEADER_TICK_MS 250
+#define LEADER_MARGIN_PERCENT 2 /* for clocks that run at different rates */
+#define LEADER_DRAIN_MS 2500 /* for giving the lease back at a stop */
 #define STORE_TIMEOUT_MS 2000
 #define STORE_BACKOFF_BASE_MS 100
 #define STORE_BACKOFF_CAP_MS 5000
 #define STORE_VALUE_MAX_BYTES (1024 * 1024)
+#define STORE_REPLY_MAX_BYTES (16 * 1024 * 1024)
+#define STORE_CONNECTIONS 16 /* of one process, besides its watches */
+/*
+ * A change on a watch stream that is open but silent is noticed after at most
+ * the probe period and the grace, which together stay under the 3 s in which
+ * a document change must be in force.
+ */
+#define STORE_PROBE_MS 2000
+#define STORE_PROBE_GRACE_MS 500
 
 /* ---- jobs ---- */
 
@@ -88,5 +142,35 @@
 #define USAGE_LAG_MAX_MS 10000
 #define RECLAIM_BOUND_MS 9400
 #define TAKEOVER_BOUND_MS 10000
+#define WORKER_ACCELERATORS_MAX 16
+#define RACKS_PER_ROW 16 /* a row holds the largest gang with room to spare */
+#define RACKS_MAX 65536
+#define RECLAIM_GRACE_MS 6000 /* leaves 3.4 s for stop, start and losses */
+#define JOB_WRITES 3 /* store writes for a job that isn't cancelled */
+
+/* ---- document ---- */
+
+#define DOC_SECTION_NAME_MAX_BYTES 80 /* the longest type, '/', a name */
+#define DOC_WEIGHT_MAX 1000
+#define DOC_GUARANTEES_MAX 64
+#define DOC_PREFIXES_MAX 64
+#define DOC_POOL_WORKERS_MAX 20000
+#define DOC_WORKER_ACCELERATORS_MAX 64
+#define DOC_RACK_MAX 1000000
+#define DOC_COUNT_MAX 1000000 /* units of a guarantee or a quota */
+#define DOC_SHORT_LIMIT_DEFAULT_MS 100
+#define DOC_HISTORY_MAX 100 /* history entries in one answer */
+#define DOC_DIFF_MAX 60 /* revisions between both sides of a difference */
+#define DOC_RETRIES_MAX 8 /* merges with racing changes before a conflict */
+#define DOC_CHANGE_TIMEOUT_MS 10000 /* until an outcome is called unknown */
+#define DOC_PULL_TIMEOUT_MS 1000 /* until another peer is asked */
+/* Bodies in one read of the store; 8 of the largest take 11 MB in base64. */
+#define DOC_READ_BATCH 8
+#define DOC_PUSH_BYTES (1024 * 1024) /* of sections in one peer message */
+
+/* ---- administration API ---- */
+
+#define API_EVENTS_MAX 1000 /* events in one answer */
+#define API_FORWARD_TIMEOUT_MS 10000 /* until the leader's answer is given up */
 
 #endif
--- /dev/null
+++ b/policy/rt.c
@@ -0,0 +1,80 @@
+#include "policy/rt.h"
+
+#include <stdlib.h>
+
+#include "base/limits.h"
+
+static int cmp_int(const void *a, const void *b)
+{
+	return *(const int *)a - *(const int *)b;
+}
+
+/*
+ * Latency as far as it is still believed. It halves for each period
+ * without a sample, so that a server that was slow once is tried again.
+ */
+static int64_t aged_latency(const struct rt_server *server, int64_t now_us)
+{
+	int64_t periods =
+		(now_us - server->sampled_us) / (ROUTE_AGE_MS * USEC_PER_MSEC);
+
+	return periods < 40 ? server->latency_us >> periods : 0;
+}
+
+/*
+ * Chooses among the n servers that have a free slot; NULL when n is 0.
+ * Prequal's rule (NSDI 2024) on a random sample: servers whose requests in
+ * flight are above the sample's quantile are hot; the cold one with the
+ * lowest latency is taken.
+ */
+struct rt_server *rt_pick(struct rt_server *const *usable, size_t n,
+			  GRand *rand, int64_t now_us)
+{
+	struct rt_server *sample[ROUTE_SAMPLE], *best = NULL;
+	int flights[ROUTE_SAMPLE] = { 0 };
+	int limit;
+	size_t k, m = n < ROUTE_SAMPLE ? n : ROUTE_SAMPLE;
+	gint32 at;
+
+	if (n == 0)
+		return NULL;
+	at = g_rand_int_range(rand, 0, (gint32)n);
+	for (k = 0; k < m; k++) {
+		if (m < n)
+			at = g_rand_int_range(rand, 0, (gint32)n);
+		else
+			at = (gint32)((at + 1) % (gint32)n);
+		sample[k] = usable[at];
+		flights[k] = sample[k]->in_flight;
+	}
+	qsort(flights, m, sizeof(flights[0]), cmp_int);
+	limit = flights[(m - 1) * ROUTE_HOT_PERCENT / 100];
+	for (k = 0; k < m; k++)
+		if (sample[k]->in_flight <= limit &&
+		    (!best || aged_latency(sample[k], now_us) <
+				      aged_latency(best, now_us)))
+			best = sample[k];
+	return best;
+}
+
+/* Counts a request that was sent to the server. */
+void rt_start(struct rt_server *server)
+{
+	server->in_flight++;
+}
+
+/*
+ * Counts the end of a request. run_us is its run time; 0 for one that says
+ * nothing about the server's speed (refused at once, given up).
+ */
+void rt_end(struct rt_server *server, int64_t run_us, int64_t now_us)
+{
+	server->in_flight--;
+	if (run_us <= 0)
+		return;
+	if (server->latency_us == 0)
+		server->latency_us = run_us;
+	else
+		server->latency_us += (run_us - server->latency_us) / 8;
+	server->sampled_us = now_us;
+}
