--- a/cli/main.c
+++ b/cli/main.c
@@ -1,4 +1,6 @@
-int main(void)
+#include "cli/cli.h"
+
+int main(int argc, char **argv)
 {
-	return 0;
+	return cli_main(argc, argv, stdout, stderr);
 }
