--- a/cli/cli_call.c
+++ b/cli/cli_call.c
@@ -189,6 +189,19 @@
 			detail ? detail : "the answer gives no reason");
 }
 
+/* Prints why an attempt failed, and returns the code in the caller's terms. */
+static int fail_attempt(struct cli *cli, const char *addr, int code, bool sent)
+{
+	if (code == CB_E_USAGE)
+		return cli_fail(cli, code, "%s; allowed: HOST:PORT", addr);
+	if (!sent)
+		return cli_fail(cli, CB_E_IO, "no connection to %s", addr);
+	code = code == CB_E_UPSTREAM_TIMEOUT ? CB_E_TIMEOUT : CB_E_PEER_LOST;
+	return cli_fail(cli, code,
+			"%s did not answer; the call may have taken effect",
+			addr);
+}
+
 /*
  * Makes a call at the first address that answers. After a failure the next
  * one is tried if the call was not sent, or if it only reads.
@@ -218,10 +231,7 @@
 			call->answer = NULL;
 			continue;
 		}
-		cli_fail(cli, code, "%s%s", addrs[i],
-			 code == CB_E_USAGE ? ": allowed: HOST:PORT" :
-			 sent && !reads ? ": the call may have taken effect" :
-					  "");
+		code = fail_attempt(cli, addrs[i], code, sent);
 		if (code == CB_E_USAGE || (sent && !reads))
 			break;
 	}
--- a/policy/docedit.c
+++ b/policy/docedit.c
@@ -171,6 +171,24 @@
 	free(text);
 }
 
+/* The root is one value of the store, so it limits the number of sections. */
+static bool check_root_size(const struct doc *doc,
+			    const struct doc_change *change, GError **err)
+{
+	char *root = doc_root_text(doc);
+	size_t len = strlen(root);
+
+	free(root);
+	if (len <= STORE_VALUE_MAX_BYTES)
+		return true;
+	g_set_error(err, CB_ERROR, CB_E_CHECK_FAILED,
+		    "section \"%s\": with it the list of %d sections takes "
+		    "%zu bytes; allowed: at most %d",
+		    change->section, g_tree_nnodes(doc->sections), len,
+		    STORE_VALUE_MAX_BYTES);
+	return false;
+}
+
 /*
  * Applies a change to a document whose bodies are all present. Returns the
  * next document, which shares the other sections, or NULL with the reason:
@@ -196,7 +214,7 @@
 		put_section(next, doc, change);
 	else
 		g_tree_remove(next->sections, change->section);
-	if (doc_check_whole(next, err))
+	if (check_root_size(next, change, err) && doc_check_whole(next, err))
 		return next;
 	doc_free(next);
 	return NULL;
