Test the request service against stand-in servers

One and two entry hosts run in the test's process with real peer links and stand-in backend servers: statuses and outcomes, retries, tickets, keys of the caller's choice, slots, leaving servers, graceful stop, forwards to the owner of a key and to another data centre, handing over of finished keys.

The test of slots over two hosts first sent short work and failed: the host that got its credits late shed some of it as overloaded, which is what the queue is for, so that test now sends long work, whose wait may be longer.

--- /dev/null
+++ b/tests/unit/test_req.c
@@ -0,0 +1,549 @@
+#include <check.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "base/err.h"
+#include "base/ev.h"
+#include "base/log.h"
+#include "daemon/front.h"
+#include "daemon/members.h"
+#include "daemon/req.h"
+#include "daemon/svc.h"
+#include "tests/standins/be_server.h"
+#include "tests/standins/be_sock.h"
+#include "wire/pr.h"
+
+#define HOSTS_MAX 2
+#define SERVERS 2
+#define BASE_PORT 22100
+
+/* ---- entry hosts and servers in one process ---- */
+
+static struct kn kn;
+static struct kv *kv;
+static struct be_server servers[SERVERS];
+static struct set sets[HOSTS_MAX];
+static struct kn_task *hosts[HOSTS_MAX][4]; /* peers to callers */
+static struct be_sock socks[40];
+
+/* Stands for the document service and for the leadership service. */
+static struct kn_task document, lead;
+
+static struct doc_view *make_view(void)
+{
+	static const struct doc_customer customer = { .name = "acme",
+						      .weight = 1 };
+	static const struct doc_service service = { .name = "web",
+						    .class_ = DOC_SHORT,
+						    .deadline_ms = 2000 };
+	struct doc_view *view = calloc(1, sizeof(*view));
+
+	view->revision = 1;
+	view->customers = calloc(1, sizeof(customer));
+	view->customers[0] = customer;
+	view->customer_count = 1;
+	view->services = calloc(1, sizeof(service));
+	view->services[0] = service;
+	view->service_count = 1;
+	return view;
+}
+
+static void release_doc(struct kn_msg *msg)
+{
+	doc_view_unref(((struct svc_doc *)msg)->view);
+	free(msg);
+}
+
+static void document_receive(struct kn_task *task, struct kn_msg *msg)
+{
+	struct svc_doc *doc = calloc(1, sizeof(*doc));
+
+	doc->msg.type = SVC_DOC_CHANGED;
+	doc->msg.release = release_doc;
+	doc->view = make_view();
+	kn_send(msg->from, task, &doc->msg);
+	kn_msg_release(msg);
+}
+
+static void release_lead(struct kn_msg *msg)
+{
+	free(msg);
+}
+
+static void lead_receive(struct kn_task *task, struct kn_msg *msg)
+{
+	struct svc_lead *state = calloc(1, sizeof(*state));
+
+	state->msg.type = SVC_LEAD_CHANGED;
+	state->msg.release = release_lead;
+	state->epoch = 1;
+	strcpy(state->leader, "host0");
+	state->leading = msg->from == hosts[0][1] || msg->from == hosts[0][2];
+	state->valid_until_us = INT64_MAX;
+	kn_send(msg->from, task, &state->msg);
+	kn_msg_release(msg);
+}
+
+static const struct kn_task_ops document_ops = { .receive = document_receive };
+static const struct kn_task_ops lead_ops = { .receive = lead_receive };
+
+static void fill_set(int i, int n, bool other_dc, bool has_servers)
+{
+	struct set *set = &sets[i];
+	int j;
+
+	memset(set, 0, sizeof(*set));
+	snprintf(set->host, sizeof(set->host), "host%d", i);
+	strcpy(set->dc, i > 0 && other_dc ? "dc2" : "dc1");
+	strcpy(set->region, "r1");
+	strcpy(set->callers.addr, "127.0.0.1");
+	set->seed = 3;
+	set->drain_delay_ms = 50;
+	strcpy(set->peer_listen.addr, "127.0.0.1");
+	if (n > 1)
+		set->peer_listen.port = BASE_PORT + i;
+	for (j = 0; j < n; j++) {
+		struct set_peer *peer = &set->peers[set->peer_count];
+
+		if (j == i)
+			continue;
+		snprintf(peer->host, sizeof(peer->host), "host%d", j);
+		strcpy(peer->dc, j > 0 && other_dc ? "dc2" : "dc1");
+		strcpy(peer->region, "r1");
+		strcpy(peer->at.addr, "127.0.0.1");
+		peer->at.port = BASE_PORT + j;
+		set->peer_count++;
+	}
+	for (j = 0; has_servers && j < SERVERS; j++) {
+		struct set_backend *backend = &set->backends[j];
+
+		strcpy(backend->service, "web");
+		strcpy(backend->at.addr, "127.0.0.1");
+		backend->at.port = servers[j].options.port;
+		set->backend_count++;
+	}
+}
+
+static void start_host(int i, uint64_t incarnation)
+{
+	int k;
+
+	memset(hosts[i], 0, sizeof(hosts[i]));
+	if (sets[i].peer_count > 0)
+		hosts[i][0] = pr_new(&kn, &sets[i], incarnation);
+	hosts[i][1] = req_new(&kn, &sets[i], kv, incarnation);
+	hosts[i][2] = members_new(&kn, &sets[i], NULL);
+	hosts[i][3] = front_new(&kn, &sets[i]);
+	for (k = 0; k < 4; k++) {
+		if (!hosts[i][k])
+			continue;
+		ck_assert(hosts[i][k]->ops->start(hosts[i][k], NULL));
+		hosts[i][k]->started = true;
+	}
+	/* So that the next host finds its own services. */
+	for (k = 0; k < 4; k++)
+		if (hosts[i][k])
+			hosts[i][k]->name = "started";
+}
+
+/* Ends a host at once, as a crash does. */
+static void kill_host(int i)
+{
+	struct kn_msg *msg, *tmp;
+	int k;
+
+	for (k = 3; k >= 0; k--) {
+		if (!hosts[i][k])
+			continue;
+		list_del(&hosts[i][k]->node);
+		list_del(&hosts[i][k]->ready);
+		list_for_each_entry_safe(msg, tmp, &hosts[i][k]->mailbox,
+					 node) {
+			list_del(&msg->node);
+			kn_msg_release(msg);
+		}
+		hosts[i][k]->ops->finish(hosts[i][k]);
+		hosts[i][k] = NULL;
+	}
+}
+
+static void begin(int n, bool other_dc, bool last_has_servers)
+{
+	int i;
+
+	log_init("test", "dc1", LOG_ERR_LEVEL);
+	ev_init(1);
+	ck_assert(kn_init(&kn, NULL));
+	kv = kv_mem_new(&kn);
+	for (i = 0; i < SERVERS; i++) {
+		struct be_options options = { .addr = "127.0.0.1",
+					      .control_port = -1,
+					      .slots = 8,
+					      .service_us = 30000,
+					      .seed = 1 };
+
+		ck_assert(be_server_init(&servers[i], &kn, &options, NULL));
+	}
+	kn_add(&kn, &document, SVC_DOCUMENT, &document_ops);
+	if (n > 1)
+		kn_add(&kn, &lead, SVC_LEAD, &lead_ops);
+	for (i = 0; i < n; i++)
+		fill_set(i, n, other_dc, i == 0 || last_has_servers);
+	for (i = 0; i < n; i++)
+		start_host(i, 100 + (uint64_t)i);
+	be_turn(&kn, n > 1 ? 500 : 50);
+}
+
+static void end(void)
+{
+	size_t i;
+
+	for (i = 0; i < G_N_ELEMENTS(socks); i++)
+		if (socks[i].fd > 0)
+			be_close(&socks[i]);
+	memset(socks, 0, sizeof(socks));
+	for (i = 0; i < HOSTS_MAX; i++)
+		kill_host((int)i);
+	kv_free(kv);
+	for (i = 0; i < SERVERS; i++)
+		be_server_finish(&servers[i]);
+	kn_finish(&kn);
+}
+
+static void mode_all(enum be_mode mode)
+{
+	int i;
+
+	for (i = 0; i < SERVERS; i++)
+		be_server_mode(&servers[i], mode, 0);
+	be_turn(&kn, 20);
+}
+
+static uint64_t executed(void)
+{
+	return servers[0].ledger.executed + servers[1].ledger.executed;
+}
+
+static void send_request(int i, int host, const char *method,
+			 const char *target, const char *headers,
+			 const char *body)
+{
+	char text[2048];
+
+	memset(&socks[i], 0, sizeof(socks[i]));
+	be_connect(&socks[i], front_port(hosts[host][3]));
+	snprintf(text, sizeof(text),
+		 "%s %s HTTP/1.1\r\nHost: x\r\nContent-Length: %zu\r\n%s\r\n%s",
+		 method, target, strlen(body), headers, body);
+	be_puts(&kn, &socks[i], text);
+}
+
+/* Sends one request and expects a piece of the answer. */
+static void expect(int host, const char *method, const char *target,
+		   const char *headers, const char *body, const char *want)
+{
+	send_request(0, host, method, target, headers, body);
+	ck_assert_msg(be_wait_text(&kn, &socks[0], want, 4000),
+		      "no \"%s\" in: %s", want, socks[0].in);
+	be_close(&socks[0]);
+	socks[0].fd = 0;
+}
+
+static void mint(int host, char *ticket, size_t size)
+{
+	char *from, *to;
+
+	send_request(0, host, "POST", "/v1/tickets", "", "{\"count\":1}");
+	ck_assert(be_wait_text(&kn, &socks[0], "]}", 2000));
+	from = strstr(socks[0].in, "t1.");
+	ck_assert_ptr_nonnull(from);
+	to = strchr(from, '"');
+	ck_assert_uint_lt((size_t)(to - from), size);
+	memcpy(ticket, from, (size_t)(to - from));
+	ticket[to - from] = '\0';
+	be_close(&socks[0]);
+	socks[0].fd = 0;
+}
+
+#define ACME "Chivebank-Customer: acme\r\n"
+
+/* ---- one host ---- */
+
+/* Guards against wrong statuses and outcomes for plain requests. */
+START_TEST(statuses_and_outcomes)
+{
+	begin(1, false, false);
+	expect(0, "GET", "/healthz", "", "", "200 OK");
+	expect(0, "GET", "/r/web/a?b=c", ACME, "", "GET /a?b=c ");
+	expect(0, "GET", "/r/web", ACME, "",
+	       "Chivebank-Outcome: answered\r\nChivebank-Result: 0");
+	expect(0, "GET", "/r/web/a", "", "", "400 Bad Request");
+	expect(0, "GET", "/r/web/a", "Chivebank-Customer: x\r\n", "",
+	       "404 Not Found");
+	expect(0, "GET", "/r/none/a", ACME, "", "Chivebank-Result: 111");
+	expect(0, "TRACE", "/r/web/a", ACME, "", "405 ");
+	expect(0, "GET", "/r/web/a", ACME "Chivebank-Class: big\r\n", "",
+	       "400 Bad");
+	expect(0, "GET", "/r/web/a", ACME "Chivebank-Deadline-Ms: 0\r\n", "",
+	       "400 Bad");
+	expect(0, "GET", "/elsewhere", "", "", "Chivebank-Outcome: not-run");
+	ck_assert_uint_eq(executed(), 2);
+	end();
+}
+END_TEST
+
+/* Guards against a second run of work that may have run (I5, I4). */
+START_TEST(only_idempotent_work_is_retried)
+{
+	begin(1, false, false);
+	mode_all(BE_CLOSE_AFTER);
+	expect(0, "POST", "/r/web/pay", ACME, "1",
+	       "Chivebank-Outcome: unknown");
+	ck_assert_uint_eq(executed(), 1);
+	/* All attempts may have run, so the outcome cannot be not-run. */
+	expect(0, "GET", "/r/web/read", ACME, "", "Chivebank-Outcome: unknown");
+	ck_assert_uint_eq(executed(), 1 + REQ_ATTEMPTS_MAX);
+	be_server_mode(&servers[0], BE_NORMAL, 0);
+	be_turn(&kn, 20);
+	expect(0, "GET", "/r/web/read", ACME, "", "GET /read ");
+	/* Nothing was sent: a POST too goes to the other server. */
+	be_server_mode(&servers[1], BE_LEAVING, 0);
+	be_turn(&kn, 20);
+	expect(0, "POST", "/r/web/pay", ACME, "2", "POST /pay ");
+	expect(0, "POST", "/r/web/pay", ACME, "3", "POST /pay ");
+	end();
+}
+END_TEST
+
+/* Guards against keyed work that runs twice or loses its answer. */
+START_TEST(keys_run_once_and_replay)
+{
+	char ticket[128], headers[300], other[300];
+	uint64_t calls;
+
+	begin(1, false, false);
+	mint(0, ticket, sizeof(ticket));
+	snprintf(headers, sizeof(headers), ACME "Idempotency-Key: %s\r\n",
+		 ticket);
+	expect(0, "POST", "/r/web/pay", headers, "1", "POST /pay ");
+	expect(0, "POST", "/r/web/pay", headers, "1", "POST /pay ");
+	expect(0, "POST", "/r/web/pay", headers, "2", "422 ");
+	ck_assert_uint_eq(executed(), 1);
+	headers[strlen(headers) - 3] ^= 1;
+	expect(0, "POST", "/r/web/pay", headers, "1", "400 Bad Request");
+	/* A key of the caller's choice is claimed in the store once. */
+	calls = kv->calls;
+	strcpy(other, ACME "Idempotency-Key: order-1\r\n");
+	send_request(1, 0, "POST", "/r/web/pay", other, "3");
+	send_request(2, 0, "POST", "/r/web/pay", other, "3");
+	ck_assert(be_wait_text(&kn, &socks[1], "POST /pay ", 2000));
+	ck_assert(be_wait_text(&kn, &socks[2], "POST /pay ", 2000));
+	expect(0, "POST", "/r/web/pay", other, "3", "POST /pay ");
+	ck_assert_uint_eq(executed(), 2);
+	ck_assert_uint_eq(kv->calls - calls, 2); /* lease and claim */
+	/* An unknown outcome stays unknown, and the work is not run again. */
+	mode_all(BE_CLOSE_AFTER);
+	strcpy(other, ACME "Idempotency-Key: order-2\r\n");
+	expect(0, "POST", "/r/web/pay", other, "4",
+	       "Chivebank-Outcome: unknown");
+	mode_all(BE_NORMAL);
+	expect(0, "POST", "/r/web/pay", other, "4",
+	       "Chivebank-Outcome: unknown");
+	ck_assert_uint_eq(executed(), 3);
+	end();
+}
+END_TEST
+
+/* Guards against more than 8 requests on a server, and lost answers. */
+START_TEST(slots_bound_the_load)
+{
+	char target[32], want[32];
+	int i;
+
+	begin(1, false, false);
+	for (i = 0; i < 40; i++) {
+		snprintf(target, sizeof(target), "/r/web/%d", i);
+		send_request(i, 0, "GET", target, ACME, "");
+	}
+	for (i = 0; i < 40; i++) {
+		snprintf(want, sizeof(want), "GET /%d ", i);
+		ck_assert(be_wait_text(&kn, &socks[i], want, 4000));
+	}
+	for (i = 0; i < SERVERS; i++) {
+		ck_assert_uint_le(servers[i].ledger.in_progress_max, 8);
+		ck_assert_uint_ge(servers[i].ledger.in_progress_max, 6);
+	}
+	end();
+}
+END_TEST
+
+/* Guards against new work for a server that has said it is leaving (I6). */
+START_TEST(leaving_server_gets_no_work)
+{
+	uint64_t before;
+	int i;
+
+	begin(1, false, false);
+	be_server_mode(&servers[0], BE_LEAVING, 0);
+	be_turn(&kn, 20);
+	for (i = 0; i < 10; i++)
+		expect(0, "GET", "/r/web/a", ACME, "", "GET /a ");
+	before = servers[0].ledger.requests;
+	be_server_mode(&servers[0], BE_NORMAL, 0);
+	for (i = 0; i < 10; i++)
+		expect(0, "GET", "/r/web/a", ACME, "", "GET /a ");
+	ck_assert_uint_eq(servers[0].ledger.requests, before);
+	/* The only other one refuses connections: nothing is left. */
+	be_server_mode(&servers[1], BE_REFUSE, 0);
+	be_turn(&kn, 50);
+	expect(0, "POST", "/r/web/a", ACME, "1", "Chivebank-Outcome: not-run");
+	end();
+}
+END_TEST
+
+/* Guards against a planned stop that cuts off requests (I7). */
+START_TEST(stop_is_graceful)
+{
+	int i;
+
+	begin(1, false, false);
+	for (i = 0; i < SERVERS; i++)
+		be_server_mode(&servers[i], BE_LATE, 300);
+	be_turn(&kn, 20);
+	send_request(1, 0, "POST", "/r/web/slow", ACME, "1");
+	be_turn(&kn, 20);
+	kn_drain(&kn);
+	expect(0, "GET", "/healthz", "", "", "503 ");
+	be_turn(&kn, 80);
+	expect(0, "POST", "/r/web/late", ACME, "2", "Chivebank-Result: 203");
+	ck_assert_int_eq(be_count(&socks[1], "HTTP/1.1"), 0);
+	ck_assert(be_wait_text(&kn, &socks[1], "POST /slow ", 2000));
+	ck_assert_uint_eq(executed(), 1);
+	end();
+}
+END_TEST
+
+/* ---- two hosts ---- */
+
+/* Guards against keys that run on two hosts, or after their owner's death. */
+START_TEST(keys_go_to_their_owner)
+{
+	char ticket[128], headers[300];
+	const char *key = ACME "Idempotency-Key: order-9\r\n";
+
+	begin(2, false, true);
+	mint(0, ticket, sizeof(ticket));
+	snprintf(headers, sizeof(headers), ACME "Idempotency-Key: %s\r\n",
+		 ticket);
+	expect(1, "POST", "/r/web/pay", headers, "1", "POST /pay ");
+	expect(0, "POST", "/r/web/pay", headers, "1", "POST /pay ");
+	ck_assert_uint_eq(executed(), 1);
+	expect(0, "POST", "/r/web/pay", key, "2", "POST /pay ");
+	expect(1, "POST", "/r/web/pay", key, "2", "POST /pay ");
+	ck_assert_uint_eq(executed(), 2);
+	mint(0, ticket, sizeof(ticket));
+	snprintf(headers, sizeof(headers), ACME "Idempotency-Key: %s\r\n",
+		 ticket);
+	kill_host(0);
+	be_turn(&kn, 100);
+	expect(1, "POST", "/r/web/pay", headers, "3",
+	       "Chivebank-Outcome: unknown");
+	expect(1, "POST", "/r/web/pay", key, "2", "Chivebank-Outcome: unknown");
+	start_host(0, 200);
+	be_turn(&kn, 1500);
+	expect(1, "POST", "/r/web/pay", headers, "3", "Chivebank-Result: 302");
+	expect(0, "POST", "/r/web/pay", headers, "3", "Chivebank-Result: 302");
+	ck_assert_uint_eq(executed(), 2);
+	end();
+}
+END_TEST
+
+/* Guards against a data centre without servers that refuses work (3.5). */
+START_TEST(other_data_centre_helps_out)
+{
+	begin(2, true, false);
+	expect(1, "GET", "/r/web/far", ACME, "", "GET /far ");
+	mode_all(BE_CLOSE_AFTER);
+	expect(1, "POST", "/r/web/far", ACME, "1",
+	       "Chivebank-Outcome: unknown");
+	ck_assert_uint_eq(executed(), 2);
+	kill_host(0);
+	be_turn(&kn, 100);
+	expect(1, "GET", "/r/web/far", ACME, "", "Chivebank-Result: 202");
+	end();
+}
+END_TEST
+
+/* Guards against two hosts that together overload a server. */
+START_TEST(hosts_share_the_slots)
+{
+	char target[32], want[32];
+	int i;
+
+	begin(2, false, true);
+	for (i = 0; i < 40; i++) {
+		snprintf(target, sizeof(target), "/r/web/%d", i);
+		/* Long work may wait for credits to move between the hosts. */
+		send_request(i, i % 2, "GET", target,
+			     ACME "Chivebank-Class: long\r\n", "");
+	}
+	for (i = 0; i < 40; i++) {
+		snprintf(want, sizeof(want), "GET /%d ", i);
+		ck_assert_msg(be_wait_text(&kn, &socks[i], want, 4000),
+			      "%d: %s", i, socks[i].in);
+	}
+	for (i = 0; i < SERVERS; i++) {
+		ck_assert_uint_le(servers[i].ledger.in_progress_max, 8);
+		/* Floors alone give 2. */
+		ck_assert_uint_gt(servers[i].ledger.in_progress_max, 2);
+	}
+	end();
+}
+END_TEST
+
+/* Guards against finished keys that are lost with a planned stop. */
+START_TEST(finished_keys_are_handed_over)
+{
+	char ticket[128], headers[300];
+
+	begin(2, false, true);
+	mint(0, ticket, sizeof(ticket));
+	snprintf(headers, sizeof(headers), ACME "Idempotency-Key: %s\r\n",
+		 ticket);
+	expect(0, "POST", "/r/web/pay", headers, "1", "POST /pay ");
+	hosts[0][1]->ops->drain(hosts[0][1]);
+	be_turn(&kn, 300);
+	ck_assert(hosts[0][1]->drained);
+	kill_host(0);
+	be_turn(&kn, 100);
+	expect(1, "POST", "/r/web/pay", headers, "1", "POST /pay ");
+	ck_assert_uint_eq(executed(), 1);
+	end();
+}
+END_TEST
+
+int main(void)
+{
+	Suite *suite = suite_create("req");
+	TCase *tc = tcase_create("requests");
+	SRunner *runner = srunner_create(suite);
+	int failed;
+
+	tcase_set_timeout(tc, 60);
+	tcase_add_test(tc, statuses_and_outcomes);
+	tcase_add_test(tc, only_idempotent_work_is_retried);
+	tcase_add_test(tc, keys_run_once_and_replay);
+	tcase_add_test(tc, slots_bound_the_load);
+	tcase_add_test(tc, leaving_server_gets_no_work);
+	tcase_add_test(tc, stop_is_graceful);
+	tcase_add_test(tc, keys_go_to_their_owner);
+	tcase_add_test(tc, other_data_centre_helps_out);
+	tcase_add_test(tc, hosts_share_the_slots);
+	tcase_add_test(tc, finished_keys_are_handed_over);
+	suite_add_tcase(suite, tc);
+	srunner_run_all(runner, CK_NORMAL);
+	failed = srunner_ntests_failed(runner);
+	srunner_free(runner);
+	return failed ? 1 : 0;
+}
