--- a/daemon/req_fwd.c
+++ b/daemon/req_fwd.c
@@ -71,6 +71,17 @@
 	return true;
 }
 
+/* Tells the peer that nobody waits for the answer any more. */
+void req_forward_cancel(struct req *req)
+{
+	struct mp_out out;
+
+	mp_begin(&out, 1);
+	mp_uint(&out, req->forward_id);
+	pr_send(req->r->peers, req->to_host, PR_FORWARD_CANCEL, &out.buf);
+	mp_end(&out);
+}
+
 /*
  * Sends a request to the owner of its key. It is never run here: an earlier
  * attempt may have run at the owner, even when that cannot be reached.
--- a/daemon/req_int.h
+++ b/daemon/req_int.h
@@ -173,6 +173,7 @@
 /* ---- req_fwd.c ---- */
 
 bool req_forward(struct req *req, const char *host);
+void req_forward_cancel(struct req *req);
 void req_forward_owner(struct req *req, const struct ky_owner *owner);
 bool req_forward_elsewhere(struct req *req);
 void req_forward_in(struct req_task *r, const struct pr_in *in);
--- a/daemon/req_run.c
+++ b/daemon/req_run.c
@@ -471,6 +471,8 @@
 				req->call->msg.from = NULL;
 			req_not_run(req, CB_E_DEADLINE);
 		} else if (!host) {
+			if (req->state == REQ_ST_FORWARDED)
+				req_forward_cancel(req);
 			req->call->msg.from = NULL;
 		}
 		return;
--- a/tests/unit/test_req.c
+++ b/tests/unit/test_req.c
@@ -12,6 +12,7 @@
 #include "daemon/svc.h"
 #include "tests/standins/be_server.h"
 #include "tests/standins/be_sock.h"
+#include "tests/standins/pf_server.h"
 #include "wire/pr.h"
 
 #define HOSTS_MAX 2
@@ -25,6 +26,8 @@
 static struct be_server servers[SERVERS];
 static struct set sets[HOSTS_MAX];
 static struct kn_task *hosts[HOSTS_MAX][4]; /* peers to callers */
+static struct pf_thread platform;
+static bool with_platform;
 static struct be_sock socks[40];
 
 /* Stands for the document service and for the leadership service. */
@@ -97,6 +100,8 @@
 	snprintf(set->host, sizeof(set->host), "host%d", i);
 	strcpy(set->dc, i > 0 && other_dc ? "dc2" : "dc1");
 	strcpy(set->region, "r1");
+	if (with_platform)
+		set->host_list.port = platform.server.control_port;
 	strcpy(set->callers.addr, "127.0.0.1");
 	set->seed = 3;
 	set->drain_delay_ms = 50;
@@ -133,7 +138,7 @@
 	if (sets[i].peer_count > 0)
 		hosts[i][0] = pr_new(&kn, &sets[i], incarnation);
 	hosts[i][1] = req_new(&kn, &sets[i], kv, incarnation);
-	hosts[i][2] = members_new(&kn, &sets[i], NULL);
+	hosts[i][2] = members_new(&kn, &sets[i], kv);
 	hosts[i][3] = front_new(&kn, &sets[i]);
 	for (k = 0; k < 4; k++) {
 		if (!hosts[i][k])
@@ -175,7 +180,12 @@
 	log_init("test", "dc1", LOG_ERR_LEVEL);
 	ev_init(1);
 	ck_assert(kn_init(&kn, NULL));
-	kv = kv_mem_new(&kn);
+	if (with_platform)
+		pf_thread_start(&platform);
+	kv = with_platform ?
+		     kv_etcd_new(&kn, "127.0.0.1", platform.server.kv_port,
+				 "127.0.0.1", platform.server.control_port) :
+		     kv_mem_new(&kn);
 	for (i = 0; i < SERVERS; i++) {
 		struct be_options options = { .addr = "127.0.0.1",
 					      .control_port = -1,
@@ -189,7 +199,8 @@
 	if (n > 1)
 		kn_add(&kn, &lead, SVC_LEAD, &lead_ops);
 	for (i = 0; i < n; i++)
-		fill_set(i, n, other_dc, i == 0 || last_has_servers);
+		fill_set(i, n, other_dc,
+			 !with_platform && (i == 0 || last_has_servers));
 	for (i = 0; i < n; i++)
 		start_host(i, 100 + (uint64_t)i);
 	be_turn(&kn, n > 1 ? 500 : 50);
@@ -209,6 +220,9 @@
 	for (i = 0; i < SERVERS; i++)
 		be_server_finish(&servers[i]);
 	kn_finish(&kn);
+	if (with_platform)
+		pf_thread_stop(&platform);
+	with_platform = false;
 }
 
 static void mode_all(enum be_mode mode)
@@ -424,8 +438,92 @@
 }
 END_TEST
 
+static void list_servers(const char *first_state)
+{
+	char json[512];
+
+	snprintf(json, sizeof(json),
+		 "{\"hosts\":[{\"addr\":\"127.0.0.1\",\"port\":%d,\"dc\":"
+		 "\"dc1\",\"service\":\"web\",\"state\":\"%s\"},"
+		 "{\"addr\":\"127.0.0.1\",\"port\":%d,\"dc\":\"dc1\","
+		 "\"service\":\"web\",\"state\":\"live\"}]}",
+		 servers[0].options.port, first_state, servers[1].options.port);
+	pf_thread_control(&platform, json);
+}
+
+/* Guards against a run without a claim, and a lost claim that runs twice. */
+START_TEST(store_faults_settle)
+{
+	const char *keys[] = { ACME "Idempotency-Key: a\r\n",
+			       ACME "Idempotency-Key: b\r\n",
+			       ACME "Idempotency-Key: c\r\n" };
+
+	with_platform = true;
+	begin(1, false, false);
+	list_servers("live");
+	be_turn(&kn, 1500);
+	expect(0, "POST", "/r/web/pay", keys[0], "1", "POST /pay ");
+	pf_thread_control(&platform, "{\"drop_answers\":1}");
+	expect(0, "POST", "/r/web/pay", keys[1], "2", "POST /pay ");
+	expect(0, "POST", "/r/web/pay", keys[1], "2", "POST /pay ");
+	ck_assert_uint_eq(executed(), 2);
+	pf_thread_control(&platform, "{\"down\":true}");
+	be_turn(&kn, 50);
+	expect(0, "POST", "/r/web/pay", keys[2], "3", "Chivebank-Result: 205");
+	expect(0, "POST", "/r/web/pay", ACME, "4", "POST /pay ");
+	ck_assert_uint_eq(executed(), 3);
+	pf_thread_control(&platform, "{\"down\":false}");
+	be_turn(&kn, 50);
+	expect(0, "POST", "/r/web/pay", keys[2], "3", "POST /pay ");
+	ck_assert_uint_eq(executed(), 4);
+	end();
+}
+END_TEST
+
 /* ---- two hosts ---- */
 
+/* Sends requests through both hosts; true when the first server got one. */
+static bool first_server_used(void)
+{
+	uint64_t before = servers[0].ledger.requests;
+	int i;
+
+	for (i = 0; i < 16; i++)
+		expect(i % 2, "GET", "/r/web/a", ACME, "", "GET /a ");
+	return servers[0].ledger.requests != before;
+}
+
+/* Guards against hosts that learn late, or not, of a leaving server (I6). */
+START_TEST(leaving_is_known_in_time)
+{
+	int64_t polls;
+
+	with_platform = true;
+	begin(2, false, false);
+	list_servers("live");
+	be_turn(&kn, 1500);
+	ck_assert(first_server_used());
+	if (_i == 0) {
+		list_servers("leaving");
+		be_turn(&kn, LEAVING_GRACE_MS - 1500);
+	} else {
+		/* The server itself tells one host, when it is asked. */
+		be_server_mode(&servers[0], BE_LEAVING, 0);
+		be_turn(&kn, 20);
+		while (servers[0].ledger.requests == servers[0].ledger.executed)
+			expect(0, "GET", "/r/web/a", ACME, "", "GET /a ");
+		be_server_mode(&servers[0], BE_NORMAL, 0);
+		be_turn(&kn, 50);
+	}
+	ck_assert(!first_server_used());
+	/* Only the leader reads the list, about once a second. */
+	polls = pf_thread_calls(&platform, "hosts");
+	be_turn(&kn, 2000);
+	ck_assert_int_le(pf_thread_calls(&platform, "hosts") - polls, 3);
+	end();
+}
+END_TEST
+
 /* Guards against keys that run on two hosts, or after their owner's death. */
 START_TEST(keys_go_to_their_owner)
 {
@@ -537,6 +635,8 @@
 	tcase_add_test(tc, slots_bound_the_load);
 	tcase_add_test(tc, leaving_server_gets_no_work);
 	tcase_add_test(tc, stop_is_graceful);
+	tcase_add_test(tc, store_faults_settle);
+	tcase_add_loop_test(tc, leaving_is_known_in_time, 0, 2);
 	tcase_add_test(tc, keys_go_to_their_owner);
 	tcase_add_test(tc, other_data_centre_helps_out);
 	tcase_add_test(tc, hosts_share_the_slots);
