Test the outcomes of changes under random faults

75 changes at two hosts while the store loses answers, is slow, refuses or shows an older root: each change that is called made stands in the document once, each that is called not made does not.

--- a/daemon/document.c
+++ b/daemon/document.c
@@ -262,6 +262,8 @@
 	set_leading(d, false);
 	kn_timer_cancel(&d->retry);
 	document_changes_finish(d);
+	document_queries_finish(d);
+	document_fetches_finish(d);
 	ctr_finish(&d->changes_done);
 	ctr_finish(&d->revision);
 	doc_view_unref(d->view);
@@ -295,6 +297,8 @@
 	d->watch.state = on_watch_state;
 	g_strlcpy(d->watch.prefix, DOC_ROOT_KEY, sizeof(d->watch.prefix));
 	list_init(&d->changes);
+	list_init(&d->fetches);
+	list_init(&d->queries);
 	ctr_init(&d->changes_done, &kn->counters, CTR_COUNTER,
 		 "chivebank_document_changes_total", NULL,
 		 "Document changes that this host carried out");
--- a/daemon/document_fetch.c
+++ b/daemon/document_fetch.c
@@ -4,15 +4,21 @@
 #include "base/log.h"
 #include "daemon/document_int.h"
 
-static void fetch_end(struct doc_fetch *fetch, int result)
+static void fetch_free(struct doc_fetch *fetch)
 {
-	fetch->done(fetch, result);
+	list_del(&fetch->node);
 	doc_free(fetch->doc);
 	if (fetch->missing)
 		g_ptr_array_free(fetch->missing, TRUE);
 	g_free(fetch);
 }
 
+static void fetch_end(struct doc_fetch *fetch, int result)
+{
+	fetch->done(fetch, result);
+	fetch_free(fetch);
+}
+
 static void fail(struct doc_fetch *fetch, GError *err)
 {
 	log_err("document.unreadable", "reason=\"%s\"", err->message);
@@ -120,6 +126,16 @@
 	fetch->done = done;
 	fetch->user = user;
 	fetch->call.done = on_root;
+	list_add_tail(&fetch->node, &d->fetches);
 	d->kv->ops->range(d->kv, &fetch->call, DOC_ROOT_KEY, false);
 	return fetch;
 }
+
+/* Frees the reads of an ending process; the store calls them no more. */
+void document_fetches_finish(struct document *d)
+{
+	struct doc_fetch *fetch, *next;
+
+	list_for_each_entry_safe(fetch, next, &d->fetches, node)
+		fetch_free(fetch);
+}
--- a/daemon/document_int.h
+++ b/daemon/document_int.h
@@ -36,6 +36,8 @@
 	uint64_t epoch;
 	/* Changes; the first one runs. */
 	struct list_head changes;
+	struct list_head fetches; /* struct doc_fetch in progress */
+	struct list_head queries; /* reads of older revisions in progress */
 	uint64_t next_change;
 	GRand *rand; /* jitter only */
 	struct ctr changes_done;
@@ -53,6 +55,7 @@
 
 /* A read of the root and of the bodies that this host lacks. */
 struct doc_fetch {
+	struct list_head node;
 	struct document *d;
 	struct kv_call call;
 	struct doc *doc; /* revision 0 when the store holds none */
@@ -69,6 +72,8 @@
 document_fetch(struct document *d,
 	       void (*done)(struct doc_fetch *fetch, int result), void *user);
 
+void document_fetches_finish(struct document *d);
+
 /* ---- document_peer.c ---- */
 
 void document_push(struct document *d, const char *host, int64_t since);
@@ -91,5 +96,6 @@
 void document_diff(struct document *d, struct svc_api_call *call, bool admin);
 void document_revert(struct document *d, struct svc_api_call *call,
 		     const char *team, int64_t base);
+void document_queries_finish(struct document *d);
 
 #endif
--- a/daemon/document_read.c
+++ b/daemon/document_read.c
@@ -7,6 +7,7 @@
 
 /* Calls that read older revisions from the store. */
 struct query {
+	struct list_head node;
 	struct document *d;
 	struct svc_api_call *api;
 	struct kv_call call;
@@ -29,11 +30,13 @@
 	q->d = d;
 	q->api = api;
 	q->keys = g_ptr_array_new_with_free_func(g_free);
+	list_add_tail(&q->node, &d->queries);
 	return q;
 }
 
 static void query_free(struct query *q)
 {
+	list_del(&q->node);
 	g_ptr_array_free(q->keys, TRUE);
 	json_decref(q->sections);
 	g_free(q->section);
@@ -291,3 +294,14 @@
 	g_ptr_array_add(q->keys, doc_section_key(section, revision));
 	read_keys(q, on_old_body);
 }
+
+/* Frees the reads of an ending process; nobody waits for them any more. */
+void document_queries_finish(struct document *d)
+{
+	struct query *q, *next;
+
+	list_for_each_entry_safe(q, next, &d->queries, node) {
+		kn_msg_release(&q->api->msg);
+		query_free(q);
+	}
+}
--- a/tests/unit/test_api.c
+++ b/tests/unit/test_api.c
@@ -522,6 +522,88 @@
 }
 END_TEST
 
+#define FAULT_ROUNDS 25
+#define FAULT_CALLS 3 /* at once in each round */
+
+static const char *const faults[] = {
+	"{}",
+	"{\"drop_answers\": 1}",
+	"{\"drop_answers\": 3}",
+	"{\"delay_ms\": 30}",
+	"{\"down\": true}",
+	"{\"old_root\": true}",
+};
+
+/* Begins a round of changes, each creating a section, at random hosts. */
+static void begin_round(struct request *r, GRand *rand, int first)
+{
+	char *target, *key;
+	int i;
+
+	for (i = 0; i < FAULT_CALLS; i++) {
+		target = g_strdup_printf(SECTION "customer/c%d", first + i);
+		key = g_strdup_printf("change-%d", first + i);
+		begin(&r[i], g_rand_int_range(rand, 0, HOSTS), "PUT", target,
+		      "{\"weight\": 1}", "root", "0", key);
+		g_free(target);
+		g_free(key);
+	}
+}
+
+/*
+ * Guards against a change that is called made and is not in the document,
+ * or is called not made and is, or is made twice, whatever answers of the
+ * store are lost, slow, old or refused.
+ */
+START_TEST(outcomes_hold_under_faults)
+{
+	struct request r[FAULT_ROUNDS * FAULT_CALLS] = { 0 }, doc = { 0 };
+	GRand *rand = g_rand_new_with_seed((guint32)_i);
+	int round, i, made = 0, unknown = 0;
+	json_t *sections;
+	char *name;
+	size_t count;
+
+	start_ready(0, false, true);
+	start_ready(1, false, true);
+	for (round = 0; round < FAULT_ROUNDS; round++) {
+		i = round * FAULT_CALLS;
+		pf_thread_control(&platform,
+				  faults[g_rand_int_range(
+					  rand, 0, G_N_ELEMENTS(faults))]);
+		begin_round(&r[i], rand, i);
+		for (; i < (round + 1) * FAULT_CALLS; i++)
+			end(&r[i]);
+		pf_thread_control(&platform,
+				  "{\"drop_answers\": 0, \"delay_ms\": 0, "
+				  "\"old_root\": false, \"down\": false}");
+	}
+	put(&doc, "customer/last", "{\"weight\": 1}", "0", 200, 0);
+	call(&doc, "GET", "/v1/document", NULL, NULL, 200, 0);
+	sections = json_object_get(doc.answer, "sections");
+	for (i = 0; i < FAULT_ROUNDS * FAULT_CALLS; i++) {
+		name = g_strdup_printf("customer/c%d", i);
+		made += r[i].status == 200;
+		unknown += code(&r[i]) == CB_E_CHANGE_UNKNOWN;
+		if (code(&r[i]) != CB_E_CHANGE_UNKNOWN)
+			ck_assert_msg((json_object_get(sections, name) !=
+				       NULL) == (r[i].status == 200),
+				      "%s: status %d code %d", name,
+				      r[i].status, code(&r[i]));
+		json_decref(r[i].answer);
+		g_free(name);
+	}
+	count = json_object_size(sections);
+	ck_assert_int_eq(number(&doc, "revision"), count);
+	ck_assert_uint_eq(root_writes(), count);
+	ck_assert_int_ge(made + unknown + 1, count);
+	ck_assert_int_ge(made, FAULT_ROUNDS);
+	wait_revision(1, (int64_t)count);
+	json_decref(doc.answer);
+	g_rand_free(rand);
+}
+END_TEST
+
 /* Guards against a call for the leader that another host answers or drops. */
 START_TEST(leaders_calls_are_forwarded)
 {
@@ -568,6 +650,7 @@
 	tcase_add_test(tc, older_root_is_ignored);
 	tcase_add_test(tc, changes_reach_all_hosts);
 	tcase_add_test(tc, racing_operators);
+	tcase_add_loop_test(tc, outcomes_hold_under_faults, 1, 4);
 	tcase_add_test(tc, leaders_calls_are_forwarded);
 	suite_add_tcase(suite, tc);
 	srunner_run_all(runner, CK_NORMAL);
