--- a/base/limits.h
+++ b/base/limits.h
@@ -81,12 +81,23 @@
 #define RACKS_MAX 65536
 #define RECLAIM_GRACE_MS 6000 /* leaves 3.4 s for stop, start and losses */
 #define JOB_TASK_MAX_BYTES 16384 /* opaque description of a job's task */
-#define JOB_FAILED_WORKERS_MAX 8
 #define JOB_HOPELESS_WORKERS 3 /* failures on that many workers end a job */
+#define JOB_FAILURES_MAX 10 /* in all, also on workers found to be bad */
 #define WORKER_BAD_JOBS 3 /* failures of that many jobs: quarantine */
 #define WORKER_QUARANTINE_PERCENT 25 /* of the workers at most */
 #define WORKER_PROBATION_MIN_MS 60000
 #define WORKER_PROBATION_MAX_MS 3600000
+#define PL_MOVE_COST_MS 30000 /* of a checkpoint and a new start */
+#define PL_SAVES_PER_FAILURE 8
+#define SC_LEVELS 4 /* of attained service */
+#define SC_LEVEL_1_ACCEL_SEC 3600
+#define SC_LEVEL_FACTOR 5
+#define SC_GRACE_MS 60000 /* of a checkpoint that no claim waits for */
+#define SC_QUANTUM_MS 300000 /* run time before work yields to its peers */
+#define SC_AGE_MS 3600000 /* waiting that long counts like one fair share */
+#define SC_PATIENCE_MS 600000 /* then a reservation displaces its racks */
+#define SC_STARTS_PER_PASS 512
+#define SC_EVICTION_TRIES 8 /* per pass; each looks at all workers */
 #define JOB_WRITES 3 /* store writes for a job that isn't cancelled */
 
 #endif
--- a/policy/pl.c
+++ b/policy/pl.c
@@ -5,17 +5,25 @@
 
 #include <glib.h>
 
-/* Work lost per accelerator when a gang stops without a checkpoint. */
+/*
+ * Accelerator-microseconds that are lost when the gang leaves: the
+ * checkpoint and the start elsewhere always, and what it did since the last
+ * checkpoint when this one fails.
+ */
 int64_t pl_loss(const struct cell_gang *gang, int64_t now_us)
 {
-	return gang->total * (now_us - gang->saved_us + 1);
+	int64_t since_us = MAX(0, now_us - gang->saved_us);
+
+	return gang->total * (PL_MOVE_COST_MS * USEC_PER_MSEC +
+			      since_us / PL_SAVES_PER_FAILURE);
 }
 
 /* Whether the ask may displace the gang. */
 bool pl_may_evict(const struct cell_gang *gang, const struct pl_ask *ask)
 {
 	if (gang->leaving || gang->level <= ask->evict_level ||
-	    gang->saved_us > ask->before_us)
+	    gang->saved_us > ask->before_us ||
+	    (ask->max_total && gang->total > ask->max_total))
 		return false;
 	if (gang->customer == ask->customer)
 		return gang->stoppable && gang->kind != CELL_HARD;
--- a/policy/pl.h
+++ b/policy/pl.h
@@ -14,8 +14,10 @@
 	enum cell_kind kind; /* CELL_SOFT or CELL_HARD */
 	int evict_level; /* PL_NO_EVICTION: free accelerators only */
 	int64_t before_us;
+	int max_total; /* larger gangs don't yield; 0 for no limit */
 	int64_t now_us;
 	bool use_reserved; /* may enter reserved racks */
+	bool reclaim; /* claims: borrowed work yields, whatever its level */
 	int customer;
 	const bool *sheltered; /* customers that are not displaced, or NULL */
 	const int *avoid; /* workers where the job failed */
@@ -31,9 +33,8 @@
  */
 bool pl_place(struct gs *gs, struct cell_gang *gang, const struct pl_ask *ask);
 /*
- * Places a gang on cells of its customer's own guarantee. The places may be
- * in use by stoppable borrowed work, whatever its level, or by work of the
- * customer itself that the ask may displace.
+ * Places a gang on cells of its customer's own guarantee, in use or not by
+ * work that the ask may displace.
  */
 bool pl_claim(struct gs *gs, struct cell_gang *gang, const struct pl_ask *ask);
 /*
--- a/policy/plclaim.c
+++ b/policy/plclaim.c
@@ -22,13 +22,13 @@
 }
 
 /*
- * Borrowed stoppable work yields to a claim. Work of the owner itself does
+ * Borrowed stoppable work yields to a reclaim. Work of the owner itself does
  * when the ask may displace it, if the cell that it frees stays bound.
  */
 static bool yields(const struct cell_hold *hold, const struct pl_ask *ask)
 {
 	if (hold->gang->kind == CELL_SOFT)
-		return true;
+		return ask->reclaim;
 	return hold->gang->kind == CELL_OWNED &&
 	       (hold->cover == CELL_RACK || hold->cover == CELL_WORKER) &&
 	       pl_may_evict(hold->gang, ask);
--- a/policy/plvict.c
+++ b/policy/plvict.c
@@ -9,7 +9,7 @@
 	if (gang == arriving || gang->leaving)
 		return false;
 	if (arriving->kind == CELL_OWNED && gang->kind == CELL_SOFT)
-		return true;
+		return ask->reclaim;
 	return pl_may_evict(gang, ask);
 }
 
--- /dev/null
+++ b/policy/sc.c
@@ -0,0 +1,474 @@
+#include "policy/sc.h"
+
+#include <string.h>
+
+#include <glib.h>
+
+#include "policy/pl.h"
+
+void sc_init(struct sc *sc, const struct sc_ops *ops, int worker_size,
+	     int rack_size)
+{
+	memset(sc, 0, sizeof(*sc));
+	sc->ops = ops;
+	cell_init(&sc->cell, worker_size, rack_size);
+	gs_init(&sc->gs, &sc->cell, 0);
+	wh_init(&sc->wh, 0);
+	list_init(&sc->waiting);
+	list_init(&sc->running);
+	list_init(&sc->leaving);
+}
+
+/* All jobs must be finished before. */
+void sc_finish(struct sc *sc)
+{
+	wh_finish(&sc->wh);
+	gs_finish(&sc->gs);
+	cell_finish(&sc->cell);
+	g_free(sc->live);
+	g_free(sc->customers);
+	g_free(sc->sheltered);
+}
+
+/* ---- workers ---- */
+
+/* Adds a live worker; returns its index or -1 as cell_add_worker(). */
+int sc_add_worker(struct sc *sc, int rack, int accelerators)
+{
+	int worker = cell_add_worker(&sc->cell, rack, accelerators);
+
+	if (worker < 0)
+		return -1;
+	gs_workers_added(&sc->gs);
+	wh_add_workers(&sc->wh, worker + 1);
+	if ((worker & (worker - 1)) == 0)
+		sc->live = g_renew(bool, sc->live, MAX(1, worker * 2));
+	sc->live[worker] = true;
+	return worker;
+}
+
+static void report_broken(struct sc *sc)
+{
+	bool broken = gs_broken(&sc->gs);
+
+	if (broken == sc->broken)
+		return;
+	sc->broken = broken;
+	sc->ops->broken(sc, broken);
+}
+
+static void update_usable(struct sc *sc, int worker)
+{
+	gs_set_usable(&sc->gs, worker,
+		      sc->live[worker] && wh_usable(&sc->wh, worker));
+	report_broken(sc);
+}
+
+static void stop_job(struct sc *sc, struct sc_job *job, const char *reason)
+{
+	job->state = SC_STOPPING;
+	job->gang.leaving = true;
+	job->reason = reason;
+	list_del(&job->node);
+	list_add_tail(&job->node, &sc->running);
+	sc->ops->stop(sc, job, reason);
+}
+
+/* A worker that died takes all gangs with it that have a part on it. */
+static void stop_worker_jobs(struct sc *sc, int worker, int64_t now_us)
+{
+	struct list_head *holds = &sc->cell.workers[worker].holds;
+	struct list_head *node = holds->next;
+
+	while (node != holds) {
+		struct cell_hold *hold =
+			list_entry(node, struct cell_hold, node);
+		struct sc_job *job = hold->gang->user;
+
+		node = node->next;
+		if (job->state == SC_WAITING) {
+			job->reason = "worker lost";
+			sc_left(sc, job, now_us);
+		} else if (job->state != SC_STOPPING) {
+			stop_job(sc, job, "worker lost");
+		}
+	}
+}
+
+/* The worker was found dead, or is back. */
+void sc_worker_live(struct sc *sc, int worker, bool live, int64_t now_us)
+{
+	if (sc->live[worker] == live)
+		return;
+	sc->live[worker] = live;
+	update_usable(sc, worker);
+	if (!live)
+		stop_worker_jobs(sc, worker, now_us);
+}
+
+/* ---- customers ---- */
+
+static void relink(struct list_head *to, struct list_head *from)
+{
+	list_init(to);
+	if (list_empty(from))
+		return;
+	list_add(to, from);
+	list_del(from);
+}
+
+/* Adds a customer without guarantees, of weight 1; returns its index. */
+int sc_add_customer(struct sc *sc)
+{
+	int n = sc->customer_count++, i, j;
+	struct sc_customer *table = g_new0(struct sc_customer, n + 1);
+
+	for (i = 0; i < n; i++) {
+		table[i] = sc->customers[i];
+		relink(&table[i].urgent, &sc->customers[i].urgent);
+		for (j = 0; j < SC_QUEUES; j++)
+			relink(&table[i].queues[j],
+			       &sc->customers[i].queues[j]);
+	}
+	list_init(&table[n].urgent);
+	for (j = 0; j < SC_QUEUES; j++)
+		list_init(&table[n].queues[j]);
+	table[n].weight = 1;
+	g_free(sc->customers);
+	sc->customers = table;
+	sc->sheltered = g_renew(bool, sc->sheltered, n + 1);
+	gs_add_customers(&sc->gs, n + 1);
+	return n;
+}
+
+void sc_set_customer(struct sc *sc, int customer, int weight, int quota,
+		     const int units[CELL_UNITS], int64_t now_us)
+{
+	struct sc_customer *c = &sc->customers[customer];
+
+	c->weight = MAX(1, weight);
+	c->quota = quota;
+	c->removed = false;
+	gs_set_guarantee(&sc->gs, customer, units);
+	report_broken(sc);
+}
+
+static void cancel_list(struct sc *sc, struct list_head *list, int64_t now_us)
+{
+	struct sc_job *job, *tmp;
+
+	list_for_each_entry_safe(job, tmp, list, node)
+		sc_cancel(sc, job, now_us);
+}
+
+static void cancel_of(struct sc *sc, struct list_head *list, int customer,
+		      int64_t now_us)
+{
+	struct sc_job *job, *tmp;
+
+	list_for_each_entry_safe(job, tmp, list, node)
+		if (job->gang.customer == customer)
+			sc_cancel(sc, job, now_us);
+}
+
+/* Running work goes on as borrowed work, unless stop is set. */
+void sc_remove_customer(struct sc *sc, int customer, bool stop, int64_t now_us)
+{
+	static const int none[CELL_UNITS];
+	struct sc_customer *c = &sc->customers[customer];
+	int i;
+
+	c->removed = true;
+	gs_set_guarantee(&sc->gs, customer, none);
+	report_broken(sc);
+	cancel_list(sc, &c->urgent, now_us);
+	for (i = 0; i < SC_QUEUES; i++)
+		cancel_list(sc, &c->queues[i], now_us);
+	cancel_of(sc, &sc->waiting, customer, now_us);
+	if (!stop)
+		return;
+	cancel_of(sc, &sc->running, customer, now_us);
+	cancel_of(sc, &sc->leaving, customer, now_us);
+}
+
+/* ---- jobs ---- */
+
+void sc_job_init(struct sc_job *job, uint64_t id, int customer,
+		 int accelerators, bool stoppable, bool urgent, bool can_save)
+{
+	memset(job, 0, sizeof(*job));
+	list_init(&job->node);
+	cell_gang_init(&job->gang, customer, accelerators, stoppable);
+	job->gang.user = job;
+	job->id = id;
+	job->urgent = urgent;
+	job->can_save = can_save;
+}
+
+/* Accelerator-microseconds that the job has had, with the current run. */
+int64_t sc_attained(const struct sc_job *job, int64_t now_us)
+{
+	if (job->started_us == 0)
+		return job->attained_us;
+	return job->attained_us + job->gang.total * (now_us - job->started_us);
+}
+
+/* Levels are SC_LEVEL_FACTOR apart, the lowest is SC_LEVEL_1_ACCEL_SEC. */
+int sc_level(const struct sc_job *job, int64_t now_us)
+{
+	int64_t sec = sc_attained(job, now_us) / USEC_PER_SEC;
+	int64_t limit = SC_LEVEL_1_ACCEL_SEC;
+	int level;
+
+	for (level = 0; level < SC_LEVELS - 1 && sec >= limit; level++)
+		limit *= SC_LEVEL_FACTOR;
+	return level;
+}
+
+enum sc_size sc_size(const struct sc *sc, int total)
+{
+	if (total <= sc->cell.worker_size)
+		return SC_IN_WORKER;
+	if (total <= sc->cell.worker_size * sc->cell.rack_size)
+		return SC_IN_RACK;
+	return SC_IN_ROW;
+}
+
+static void drop_place(struct sc *sc, struct sc_job *job)
+{
+	int i;
+
+	if (job->gang.held) {
+		sc->customers[job->gang.customer].held -= job->gang.total;
+		gs_release(&sc->gs, &job->gang);
+		for (i = 0; i < job->gang.hold_count; i++) {
+			int worker = job->gang.holds[i].worker;
+
+			if (wh_trial_ended(&sc->wh, job->id, worker))
+				update_usable(sc, worker);
+		}
+	}
+	cell_gang_reset(&job->gang);
+	report_broken(sc);
+}
+
+static void unqueue(struct sc *sc, struct sc_job *job)
+{
+	if (job->state == SC_QUEUED)
+		sc->customers[job->gang.customer].queued--;
+	list_del(&job->node);
+	if (sc->head == job)
+		sc->head = NULL;
+}
+
+static void enqueue(struct sc *sc, struct sc_job *job, int64_t now_us)
+{
+	struct sc_customer *c = &sc->customers[job->gang.customer];
+	struct list_head *queue;
+	int i;
+
+	i = sc_level(job, now_us) * SC_SIZES + sc_size(sc, job->gang.total);
+	queue = job->urgent ? &c->urgent : &c->queues[i];
+	job->state = SC_QUEUED;
+	job->queued_us = now_us;
+	job->displaced = false;
+	c->queued++;
+	/* Displaced work keeps its turn before work that never ran. */
+	if (job->attained_us > 0)
+		list_add(&job->node, queue);
+	else
+		list_add_tail(&job->node, queue);
+}
+
+static void end_job(struct sc *sc, struct sc_job *job, enum sc_end end,
+		    const char *reason)
+{
+	unqueue(sc, job);
+	drop_place(sc, job);
+	job->state = SC_ENDED;
+	sc->ops->ended(sc, job, end, reason);
+}
+
+/* Takes the job out of everything; the owner may free it then. */
+void sc_job_finish(struct sc *sc, struct sc_job *job)
+{
+	unqueue(sc, job);
+	drop_place(sc, job);
+	job->state = SC_ENDED;
+}
+
+void sc_submit(struct sc *sc, struct sc_job *job, int64_t now_us)
+{
+	job->submitted_us = now_us;
+	enqueue(sc, job, now_us);
+}
+
+/* Constant time for a job that waits, so a wave of them delays nothing. */
+void sc_cancel(struct sc *sc, struct sc_job *job, int64_t now_us)
+{
+	job->cancelled = true;
+	switch (job->state) {
+	case SC_QUEUED:
+	case SC_WAITING:
+		end_job(sc, job, SC_END_CANCELLED, "cancelled");
+		break;
+	case SC_STARTING:
+	case SC_RUNNING:
+	case SC_LEAVING:
+		stop_job(sc, job, "cancelled");
+		break;
+	default:
+		break;
+	}
+}
+
+/* Records the place that was chosen for a job; it waits or starts. */
+void sc_take(struct sc *sc, struct sc_job *job, int64_t now_us)
+{
+	int i;
+
+	unqueue(sc, job);
+	sc->customers[job->gang.customer].held += job->gang.total;
+	gs_hold(&sc->gs, &job->gang);
+	for (i = 0; i < job->gang.hold_count; i++) {
+		int worker = job->gang.holds[i].worker;
+
+		if (wh_trial_started(&sc->wh, job->id, worker))
+			update_usable(sc, worker);
+	}
+	job->state = SC_WAITING;
+	job->gang.saved_us = now_us;
+	list_add_tail(&job->node, &sc->waiting);
+}
+
+/*
+ * Takes over a gang that runs already, on the holds that the caller filled
+ * in. It counts as borrowed until a claim finds its place within the
+ * guarantee.
+ */
+void sc_adopt(struct sc *sc, struct sc_job *job, int64_t now_us)
+{
+	sc_take(sc, job, now_us);
+	job->state = SC_STARTING;
+	list_del(&job->node);
+	list_add_tail(&job->node, &sc->running);
+	sc_running(sc, job, now_us);
+}
+
+void sc_running(struct sc *sc, struct sc_job *job, int64_t now_us)
+{
+	if (job->state != SC_STARTING)
+		return;
+	job->state = SC_RUNNING;
+	job->started_us = now_us;
+	job->gang.saved_us = now_us;
+}
+
+/*
+ * Work that must leave its place: checkpoint first, then stop. grace_ms is
+ * not what the job declares, since that is often too short.
+ */
+void sc_displace(struct sc *sc, struct sc_job *job, int64_t grace_ms,
+		 int64_t now_us)
+{
+	sc->displaced++;
+	job->displaced = true;
+	if (job->state == SC_WAITING) {
+		job->reason = "displaced";
+		sc_left(sc, job, now_us);
+	} else if (job->state == SC_RUNNING && job->can_save) {
+		job->state = SC_LEAVING;
+		job->deadline_us = now_us + grace_ms * USEC_PER_MSEC;
+		list_del(&job->node);
+		list_add_tail(&job->node, &sc->leaving);
+		sc->ops->checkpoint(sc, job);
+	} else if (job->state == SC_STARTING || job->state == SC_RUNNING) {
+		stop_job(sc, job, "displaced");
+	}
+}
+
+/* A checkpoint is complete. */
+void sc_saved(struct sc *sc, struct sc_job *job, int64_t now_us)
+{
+	if (job->state != SC_LEAVING && job->state != SC_RUNNING)
+		return;
+	job->gang.saved_us = now_us;
+	if (job->state == SC_LEAVING)
+		stop_job(sc, job, "displaced");
+}
+
+/*
+ * All workers that can be reached have stopped the gang: its places are
+ * free. It may still run on a lost worker until its lease ends, so it must
+ * not start again before sc_left().
+ */
+void sc_freed(struct sc *sc, struct sc_job *job)
+{
+	if (job->state == SC_STOPPING)
+		drop_place(sc, job);
+}
+
+/* The gang runs nowhere any more, or never started. */
+void sc_left(struct sc *sc, struct sc_job *job, int64_t now_us)
+{
+	if (job->state < SC_WAITING || job->state == SC_ENDED)
+		return;
+	job->attained_us = sc_attained(job, now_us);
+	job->started_us = 0;
+	if (job->cancelled) {
+		end_job(sc, job, SC_END_CANCELLED, "cancelled");
+		return;
+	}
+	unqueue(sc, job);
+	drop_place(sc, job);
+	if (sc->customers[job->gang.customer].removed) {
+		job->state = SC_ENDED;
+		sc->ops->ended(sc, job, SC_END_CANCELLED, "customer removed");
+		return;
+	}
+	enqueue(sc, job, now_us);
+	sc->ops->queued(sc, job, job->reason ? job->reason : "not started");
+	job->reason = NULL;
+}
+
+/* The job is evidence that its workers are good. */
+void sc_ran_well(struct sc *sc, struct sc_job *job)
+{
+	int i;
+
+	for (i = 0; i < job->gang.hold_count; i++)
+		if (wh_succeeded(&sc->wh, job->id, job->gang.holds[i].worker))
+			update_usable(sc, job->gang.holds[i].worker);
+}
+
+void sc_done(struct sc *sc, struct sc_job *job, int64_t now_us)
+{
+	if (job->state < SC_STARTING || job->state == SC_ENDED)
+		return;
+	sc_ran_well(sc, job);
+	job->attained_us = sc_attained(job, now_us);
+	job->started_us = 0;
+	end_job(sc, job, SC_END_DONE, "done");
+}
+
+/*
+ * The task failed on a worker, and the gang has been stopped everywhere. It
+ * is tried again on other workers until that is hopeless.
+ */
+void sc_failed(struct sc *sc, struct sc_job *job, int worker, int64_t now_us)
+{
+	if (job->state < SC_STARTING || job->state == SC_ENDED)
+		return;
+	if (wh_failed(&sc->wh, &job->health, job->id, worker, now_us)) {
+		int i;
+
+		for (i = 0; i < sc->cell.worker_count; i++)
+			update_usable(sc, i);
+	}
+	if (job->health.hopeless && !job->cancelled) {
+		end_job(sc, job, SC_END_FAILED, "failed on several workers");
+		return;
+	}
+	job->reason = "task failed";
+	sc_left(sc, job, now_us);
+}
--- a/policy/wh.c
+++ b/policy/wh.c
@@ -47,6 +47,8 @@
 
 static void quarantine(struct wh *wh, struct wh_worker *w, int64_t now_us)
 {
+	if (w->state == WH_TRIAL)
+		wh->trials--;
 	wh->quarantined++;
 	w->state = WH_QUARANTINED;
 	w->until_us = now_us + w->delay_us;
@@ -97,6 +99,18 @@
 		job->failed_on[job->failed_count++] = worker;
 }
 
+static bool give_up(struct wh *wh, struct wh_job *job, uint64_t id)
+{
+	bool changed = false;
+	int i;
+
+	job->hopeless = true;
+	for (i = 0; i < wh->worker_count; i++)
+		if (forgive(wh, &wh->workers[i], id))
+			changed = true;
+	return changed;
+}
+
 /*
  * Records that the job failed on the worker. A failure on a worker that is
  * quarantined already, or becomes so by it, says nothing about the job.
@@ -107,12 +121,14 @@
 	       int64_t now_us)
 {
 	struct wh_worker *w = &wh->workers[worker];
-	bool changed = false;
-	int i;
 
+	job->failures++;
+	if (w->state != WH_QUARANTINED)
+		blame(w, id);
+	if (job->failures >= JOB_FAILURES_MAX)
+		return give_up(wh, job, id);
 	if (w->state == WH_QUARANTINED)
 		return false;
-	blame(w, id);
 	if ((w->state == WH_TRIAL || w->blame_count == WORKER_BAD_JOBS) &&
 	    may_quarantine(wh)) {
 		quarantine(wh, w, now_us);
@@ -121,11 +137,7 @@
 	note_worker(job, worker);
 	if (job->failed_count < JOB_HOPELESS_WORKERS)
 		return false;
-	job->hopeless = true;
-	for (i = 0; i < wh->worker_count; i++)
-		if (forgive(wh, &wh->workers[i], id))
-			changed = true;
-	return changed;
+	return give_up(wh, job, id);
 }
 
 /*
@@ -143,9 +155,11 @@
 	w->state = WH_GOOD;
 	w->blame_count = 0;
 	w->trial = 0;
-	if (changed)
+	if (changed) {
+		wh->trials--;
 		w->delay_us = MAX(w->delay_us / 2,
 				  WORKER_PROBATION_MIN_MS * USEC_PER_MSEC);
+	}
 	return changed;
 }
 
@@ -158,6 +172,7 @@
 		return false;
 	w->state = WH_TRIAL;
 	wh->quarantined--;
+	wh->trials++;
 	w->trial = 0;
 	w->blame_count = 0;
 	return true;
--- a/policy/wh.h
+++ b/policy/wh.h
@@ -23,6 +23,7 @@
 struct wh_job {
 	int failed_on[JOB_HOPELESS_WORKERS];
 	int failed_count;
+	int failures;
 	bool hopeless;
 };
 
@@ -30,6 +31,7 @@
 	struct wh_worker *workers;
 	int worker_count;
 	int quarantined;
+	int trials; /* workers on probation */
 };
 
 void wh_init(struct wh *wh, int workers);
--- a/tests/unit/test_gs.c
+++ b/tests/unit/test_gs.c
@@ -135,7 +135,7 @@
 	int customer = g_rand_int_range(w->rnd, 0, CUSTOMERS);
 	int total = g_rand_int_range(w->rnd, 1, 9), unit;
 	bool proved = gs_proved(&w->gs);
-	struct pl_ask ask = { .evict_level = PL_NO_EVICTION };
+	struct pl_ask ask = { .evict_level = PL_NO_EVICTION, .reclaim = true };
 
 	ask.customer = customer;
 	cell_gang_init(g, customer, total, g_rand_boolean(w->rnd));
@@ -271,7 +271,8 @@
 	struct pl_ask hard = { .kind = CELL_HARD,
 			       .evict_level = PL_NO_EVICTION };
 	struct pl_ask soft = { .kind = CELL_SOFT,
-			       .evict_level = PL_NO_EVICTION };
+			       .evict_level = PL_NO_EVICTION,
+			       .reclaim = true };
 	int units[CELL_UNITS] = { 0, 0, RACKS };
 	struct cell_gang a, b, c;
 	struct world w;
@@ -300,7 +301,8 @@
 {
 	int units[CELL_UNITS] = { 0, 0, RACKS };
 	struct pl_ask soft = { .kind = CELL_SOFT,
-			       .evict_level = PL_NO_EVICTION };
+			       .evict_level = PL_NO_EVICTION,
+			       .reclaim = true };
 	struct cell_gang c;
 	struct world w;
 
--- a/tests/unit/test_pl.c
+++ b/tests/unit/test_pl.c
@@ -171,7 +171,9 @@
 	ck_assert_int_eq(c.holds[0].worker, a.holds[0].worker);
 	end(&a);
 	c.level = b.level = 1;
-	b.saved_us = 50;
+	b.saved_us = 3550 * USEC_PER_SEC;
+	ask.now_us = 3600 * USEC_PER_SEC;
+	ask.before_us = ask.now_us;
 	ask.evict_level = 0;
 	/* The two remain alone; the one that ran shorter loses less. */
 	ck_assert_ptr_eq(pl_move(&gs, &ask), &b);
--- a/tests/unit/test_wh.c
+++ b/tests/unit/test_wh.c
@@ -68,11 +68,14 @@
 	int i;
 
 	wh_init(&wh, 1);
-	for (i = 0; i < 10; i++)
+	for (i = 1; i < JOB_FAILURES_MAX; i++)
 		wh_failed(&wh, &job, 1, 0, 0);
 	ck_assert(!job.hopeless);
 	ck_assert(wh_usable(&wh, 0));
 	ck_assert(wh_avoid(&job, 0));
+	/* But it does not go on for ever. */
+	wh_failed(&wh, &job, 1, 0, 0);
+	ck_assert(job.hopeless);
 	wh_finish(&wh);
 }
 END_TEST
