--- a/tests/unit/test_pr.c
+++ b/tests/unit/test_pr.c
@@ -326,6 +326,13 @@
 	ck_assert_int_eq(probes[1].downs, 1);
 	ck_assert_uint_eq(task_of(1)->connected.value, 1);
 	close(first);
+	/* An older process of the same host does not. */
+	first = dial_raw(BASE_PORT + 1);
+	send_hello(first, "host0", "dc1", 8);
+	RUN_UNTIL(is_closed(first));
+	ck_assert(!is_closed(second));
+	ck_assert_uint_eq(probes[1].last_incarnation, 9);
+	close(first);
 	close(second);
 	kn_finish(&kn);
 }
--- a/wire/pr_peer.c
+++ b/wire/pr_peer.c
@@ -253,6 +253,9 @@
 	/* A dialed link has its peer; an accepted one comes from a dialer. */
 	if (link->peer ? link->peer != peer : peer->dialer)
 		return NULL;
+	/* Incarnations grow: an older process that was frozen, say. */
+	if (peer->up && hello->incarnation < peer->incarnation)
+		return NULL;
 	return peer;
 }
 
