--- a/base/limits.h
+++ b/base/limits.h
@@ -31,7 +31,7 @@
 #define HTTP_BODIES_MAX_BYTES (32 * 1024 * 1024) /* over all connections */
 #define HTTP_PIPELINE_MAX_BYTES 16384 /* behind a request in progress */
 #define HTTP_BACKLOG 1024 /* connections not accepted yet */
-#define HTTP_SWEEP_MS 100 /* resolution of the server's timeouts */
+#define HTTP_SWEEP_MS 1000 /* resolution of the server's timeouts */
 #define HTTP_LINGER_MS 2000
 #define HTTP_LINGER_MAX_BYTES (4 * 1024 * 1024)
 #define HTTP_KEEPALIVE_PROBE_SEC 15 /* finds callers whose host is gone */
@@ -174,4 +174,9 @@
 #define DOC_READ_BATCH 8
 #define DOC_PUSH_BYTES (1024 * 1024) /* of sections in one peer message */
 
+/* ---- administration API ---- */
+
+#define API_EVENTS_MAX 1000 /* events in one answer */
+#define API_FORWARD_TIMEOUT_MS 10000 /* until the leader's answer is given up */
+
 #endif
