--- a/tests/scenarios/lib/cluster.lua
+++ b/tests/scenarios/lib/cluster.lua
@@ -93,8 +93,9 @@
 function cluster:start_backend(name, dc)
 	local old = self.backends[name]
 	local args = {"standins/backend", "--port", old and old.port or 0,
-		"--control-port", old and old.control or 0,
-		"--service-us", self.opts.service_us or 2000}
+		"--control-port", old and old.control or free_port(),
+		"--service-ms", self.opts.service_ms or 2,
+		"--reply-bytes", self.opts.reply_bytes or 0}
 	local id = spawn(name, args)
 	local port, control
 	wait_until(function()
@@ -307,12 +308,14 @@
 end
 
 function cluster:tickets(name, count)
-	return self:admin(name, "POST", "/v1/tickets", {count = count}).json
-		.tickets
+	local reply = http{port = self.hosts[name].callers, method = "POST",
+		path = "/v1/tickets", body = json_encode{count = count}}
+	return must(reply, "tickets").tickets
 end
 
--- Calls fn(i, name) for n requests in turn over all hosts that serve, with
--- `width` in progress, and returns replies with their request at .req.
+-- Sends n requests, made by make(i), with `width` in progress, and returns
+-- the replies, each with its request at .req. between(i) is called after
+-- request i has been sent.
 function cluster:load(n, width, make, between)
 	local replies, open, i = {}, {}, 0
 	while i < n or #open > 0 do
@@ -342,5 +345,24 @@
 	return reply.headers["chivebank-outcome"]
 end
 
+-- Each reply of the entry hosts states its outcome; the three outcomes have
+-- the statuses that the page lists.
+function cluster.check_outcome(reply)
+	local outcome = cluster.outcome(reply)
+	local status = reply.status
+	local text = " for " .. reply.req.method .. " " .. reply.req.path ..
+		": status " .. status .. " " .. (reply.error or "")
+	check(outcome, "outcome is stated" .. text)
+	if outcome == "not-run" then
+		check(({[400] = 1, [404] = 1, [413] = 1, [429] = 1, [503] = 1})
+			[status], "status of not-run" .. text)
+	elseif outcome == "unknown" then
+		check(status == 502 or status == 504, "status of unknown" .. text)
+	else
+		check_eq(outcome, "answered", "outcome" .. text)
+	end
+	return outcome
+end
+
 cluster.must = must
 return cluster
