Answer tickets and show servers and leaders as tables

The request service gives out tickets by its own message and takes API calls for its servers, so a routed ticket call got the list of servers. The host's leadership epoch now reaches the heartbeats when it changes.

--- a/cli/cli_job.c
+++ b/cli/cli_job.c
@@ -146,9 +146,16 @@
 int cli_server_list(struct cli *cli, struct cli_opts *o)
 {
 	static const struct cli_column columns[] = {
-		{ "SERVICE", "service" }, { "ADDR", "addr" },
-		{ "PORT", "port" },	  { "DC", "dc" },
-		{ "STATE", "state" },	  { 0 }
+		{ "SERVICE", "service" },
+		{ "ADDR", "addr" },
+		{ "PORT", "port" },
+		{ "STATE", "state" },
+		{ "LISTED", "listed" },
+		{ "IN-PROGRESS", "in_progress" },
+		{ "FLOOR", "floor" },
+		{ "CREDITS", "credits" },
+		{ "LATENCY-US", "latency_us" },
+		{ 0 }
 	};
 
 	return get(cli, "/v1/servers", columns, "servers");
@@ -167,7 +174,12 @@
 
 int cli_leaders(struct cli *cli, struct cli_opts *o)
 {
-	return get(cli, "/v1/leaders", NULL, NULL);
+	static const struct cli_column columns[] = { { "DC", "dc" },
+						     { "LEADER", "leader" },
+						     { "EPOCH", "epoch" },
+						     { 0 } };
+
+	return get(cli, "/v1/leaders", columns, "leaders");
 }
 
 /* Metrics are text; as JSON they become an object of numbers by name. */
--- a/daemon/api.c
+++ b/daemon/api.c
@@ -17,7 +17,6 @@
 	{ "/v1/workers", SVC_SCHEDULER, true },
 	{ "/v1/servers", SVC_MEMBERS, false },
 	{ "/v1/leaders", SVC_LEAD, false },
-	{ "/v1/tickets", SVC_REQUESTS, false },
 };
 
 /* ---- calls ---- */
@@ -205,6 +204,10 @@
 	case SVC_LEAD_CHANGED:
 		on_lead(api, container_of(msg, struct svc_lead, msg));
 		break;
+	case REQ_TICKETS:
+		api_take_tickets(api,
+				 container_of(msg, struct req_tickets, msg));
+		break;
 	case PR_MSG_IN:
 		api_forward_message(api, container_of(msg, struct pr_in, msg));
 		break;
@@ -259,7 +262,7 @@
 		hs_finish(&api->server);
 	list_for_each_entry_safe(call, next, &api->calls, node) {
 		/* Those held by a service are freed with its messages. */
-		if (call->forward_id)
+		if (call->forward_id || call->ticket_id)
 			api_call_free(call);
 	}
 	doc_view_unref(api->view);
--- a/daemon/api_forward.c
+++ b/daemon/api_forward.c
@@ -100,7 +100,7 @@
 			     api->set->dc);
 		return;
 	}
-	call->forward_id = ++api->next_forward;
+	call->forward_id = ++api->next_id;
 	kn_timer_set(api->task.kn, &call->timer,
 		     API_FORWARD_TIMEOUT_MS * USEC_PER_MSEC, on_timeout);
 	send_forward(call);
--- a/daemon/api_int.h
+++ b/daemon/api_int.h
@@ -2,6 +2,7 @@
 #define DAEMON_API_INT_H
 
 #include "base/set.h"
+#include "daemon/req.h"
 #include "daemon/svc.h"
 #include "wire/hs.h"
 #include "wire/pr.h"
@@ -19,7 +20,7 @@
 	char leader[NAME_MAX_BYTES];
 	bool leading;
 	struct list_head calls; /* struct api_call */
-	uint64_t next_forward;
+	uint64_t next_id; /* of forwards and ticket calls */
 	struct ctr requests;
 	struct ctr errors;
 };
@@ -31,6 +32,7 @@
 	struct api *api;
 	struct hs_request *req; /* NULL: of a peer, or gone */
 	char *target; /* as sent */
+	uint64_t ticket_id; /* waits for tickets */
 	/* Forwarded to the leader. */
 	uint64_t forward_id;
 	struct kn_timer timer;
@@ -56,6 +58,8 @@
 
 /* Answers the paths that no other service owns. */
 bool api_answer_own(struct api_call *call);
+/* Tickets from the request service, for the call that asked for them. */
+void api_take_tickets(struct api *api, const struct req_tickets *tickets);
 
 /* ---- api_forward.c ---- */
 
--- a/daemon/api_own.c
+++ b/daemon/api_own.c
@@ -136,16 +136,79 @@
 				 list));
 }
 
+/* ---- tickets ---- */
+
+static void release_tickets(struct kn_msg *msg)
+{
+	struct req_tickets *tickets =
+		container_of(msg, struct req_tickets, msg);
+
+	g_ptr_array_free(tickets->tickets, TRUE);
+	g_free(tickets);
+}
+
+static void answer_tickets(struct api_call *call)
+{
+	struct api *api = call->api;
+	struct kn_task *requests = kn_find(api->task.kn, SVC_REQUESTS);
+	const json_t *count = json_object_get(call->call.body, "count");
+	struct req_tickets *msg;
+
+	if (!requests || !json_is_integer(count) ||
+	    json_integer_value(count) < 1 ||
+	    json_integer_value(count) > KEY_TICKETS_MAX) {
+		svc_api_fail(
+			&call->call, &api->task, CB_E_BAD_REQUEST,
+			"the body must be {\"count\": n}; allowed: 1 to %d",
+			KEY_TICKETS_MAX);
+		return;
+	}
+	msg = g_new0(struct req_tickets, 1);
+	msg->msg.type = REQ_TICKETS;
+	msg->msg.release = release_tickets;
+	msg->id = call->ticket_id = ++api->next_id;
+	msg->count = (unsigned int)json_integer_value(count);
+	msg->tickets = g_ptr_array_new_with_free_func(g_free);
+	kn_send(requests, &api->task, &msg->msg);
+}
+
+void api_take_tickets(struct api *api, const struct req_tickets *tickets)
+{
+	struct api_call *call;
+	json_t *list;
+	guint i;
+
+	list_for_each_entry(call, &api->calls, node) {
+		if (call->ticket_id != tickets->id)
+			continue;
+		call->ticket_id = 0;
+		if (tickets->tickets->len == 0) {
+			svc_api_fail(&call->call, &api->task, CB_E_DRAINING,
+				     "no tickets are given out");
+			return;
+		}
+		list = json_array();
+		for (i = 0; i < tickets->tickets->len; i++)
+			json_array_append_new(
+				list, json_string(tickets->tickets->pdata[i]));
+		svc_api_answer(&call->call, &api->task, 200,
+			       json_pack("{s:o}", "tickets", list));
+		return;
+	}
+}
+
 /* ---- routes ---- */
 
 static const struct {
 	const char *path;
+	const char *method;
 	void (*answer)(struct api_call *call);
 } own_paths[] = {
-	{ "/healthz", answer_health },
-	{ "/metrics", answer_metrics },
-	{ "/v1/events", answer_events },
-	{ "/v1/customers", answer_customers },
+	{ "/healthz", "GET", answer_health },
+	{ "/metrics", "GET", answer_metrics },
+	{ "/v1/events", "GET", answer_events },
+	{ "/v1/customers", "GET", answer_customers },
+	{ "/v1/tickets", "POST", answer_tickets },
 };
 
 bool api_answer_own(struct api_call *call)
@@ -155,11 +218,11 @@
 	for (i = 0; i < G_N_ELEMENTS(own_paths); i++) {
 		if (strcmp(call->call.path, own_paths[i].path) != 0)
 			continue;
-		if (strcmp(call->call.method, "GET") == 0)
+		if (strcmp(call->call.method, own_paths[i].method) == 0)
 			own_paths[i].answer(call);
 		else
 			svc_api_fail(&call->call, &call->api->task, CB_E_METHOD,
-				     "allowed: GET");
+				     "allowed: %s", own_paths[i].method);
 		return true;
 	}
 	return false;
--- a/daemon/document.c
+++ b/daemon/document.c
@@ -189,8 +189,13 @@
 
 static void on_lead(struct document *d, const struct svc_lead *lead)
 {
-	d->epoch = lead->epoch;
 	set_leading(d, lead->leading);
+	if (lead->epoch == d->epoch)
+		return;
+	d->epoch = lead->epoch;
+	if (d->peers)
+		pr_set_status(d->peers, d->doc->revision, d->epoch,
+			      d->task.kn->draining);
 }
 
 static void on_peer_up(struct document *d, const struct pr_status *status)
--- a/tests/unit/test_cli.c
+++ b/tests/unit/test_cli.c
@@ -230,6 +230,7 @@
 	command("customer remove a", 0, "revision 5", NULL);
 	command("counters", 0, "chivebank_document_revision", NULL);
 	command("events --limit 1", 0, "SEQ", NULL);
+	command("ticket", cb_result_exit(CB_E_BAD_REQUEST), NULL, "count");
 	command("job list", cb_result_exit(CB_E_UNKNOWN_PATH), NULL,
 		"scheduler");
 	command("no such", cb_result_exit(CB_E_USAGE), NULL, "--help");
