--- a/base/limits.h
+++ b/base/limits.h
@@ -164,6 +164,8 @@
 #define DOC_HISTORY_MAX 100 /* history entries in one answer */
 #define DOC_DIFF_MAX 60 /* revisions between both sides of a difference */
 #define DOC_RETRIES_MAX 8 /* merges with racing changes before a conflict */
+#define DOC_HISTORY_KEEP 20000 /* revisions, about a day in two years */
+#define DOC_PRUNE_BATCH 32 /* old revisions removed at a time */
 #define DOC_CHANGE_TIMEOUT_MS 10000 /* until an outcome is called unknown */
 #define DOC_PULL_TIMEOUT_MS 1000 /* until another peer is asked */
 /* Bodies in one read of the store; 8 of the largest take 11 MB in base64. */
--- a/daemon/document.c
+++ b/daemon/document.c
@@ -269,6 +269,7 @@
 	document_changes_finish(d);
 	document_queries_finish(d);
 	document_fetches_finish(d);
+	document_prunes_finish(d);
 	ctr_finish(&d->changes_done);
 	ctr_finish(&d->revision);
 	doc_view_unref(d->view);
@@ -304,6 +305,8 @@
 	list_init(&d->changes);
 	list_init(&d->fetches);
 	list_init(&d->queries);
+	list_init(&d->prunes);
+	d->history_keep = DOC_HISTORY_KEEP;
 	ctr_init(&d->changes_done, &kn->counters, CTR_COUNTER,
 		 "chivebank_document_changes_total", NULL,
 		 "Document changes that this host carried out");
--- a/daemon/document_change.c
+++ b/daemon/document_change.c
@@ -89,6 +89,7 @@
 				 c->wish.section, "change", c->wish.id,
 				 "deleted", !c->wish.body));
 	document_install(d, doc, true);
+	document_prune(d, revision);
 	change_end(c);
 }
 
@@ -155,8 +156,11 @@
 	char *section_key = doc_section_key(c->wish.section, revision);
 	char *history_key = doc_history_key(revision);
 	char *root = doc_root_text(c->next);
+	int64_t old = c->wish.base; /* the revision that is replaced */
+	char *old_section = doc_section_key(c->wish.section, old);
+	char *old_history = doc_history_key(old);
 	char *body = NULL;
-	struct kv_op ops[3];
+	struct kv_op ops[5];
 	size_t n = 0;
 
 	if (c->wish.body) {
@@ -165,6 +169,12 @@
 	}
 	ops[n++] = put_op(history_key, c->history);
 	ops[n++] = put_op(DOC_ROOT_KEY, root);
+	if (old > 0 && old <= revision - c->d->history_keep) {
+		ops[n++] =
+			(struct kv_op){ .kind = KV_DELETE, .key = old_section };
+		ops[n++] =
+			(struct kv_op){ .kind = KV_DELETE, .key = old_history };
+	}
 	memset(&c->call, 0, sizeof(c->call));
 	c->call.done = on_written;
 	c->d->kv->ops->txn(c->d->kv, &c->call, &cmp, 1, ops, n, NULL, 0);
@@ -172,6 +182,8 @@
 	free(body);
 	g_free(section_key);
 	g_free(history_key);
+	g_free(old_section);
+	g_free(old_history);
 }
 
 /* ---- a caller's repetition ---- */
--- a/daemon/document_int.h
+++ b/daemon/document_int.h
@@ -38,6 +38,8 @@
 	struct list_head changes;
 	struct list_head fetches; /* struct doc_fetch in progress */
 	struct list_head queries; /* reads of older revisions in progress */
+	struct list_head prunes; /* struct doc_prune in progress */
+	int64_t history_keep; /* DOC_HISTORY_KEEP, less in tests */
 	uint64_t next_change;
 	GRand *rand; /* jitter only */
 	struct ctr changes_done;
@@ -87,6 +89,12 @@
 		     const struct doc_change *change);
 void document_changes_finish(struct document *d);
 
+/* ---- document_prune.c ---- */
+
+/* Removes old revisions after a change that made this one. */
+void document_prune(struct document *d, int64_t revision);
+void document_prunes_finish(struct document *d);
+
 /* ---- document_api.c, document_read.c ---- */
 
 void document_api_call(struct document *d, struct svc_api_call *call);
--- a/daemon/document_read.c
+++ b/daemon/document_read.c
@@ -202,6 +202,15 @@
 
 	if (failed(q))
 		return;
+	if (call->count < q->keys->len) {
+		svc_api_fail(q->api, &q->d->task, CB_E_BAD_REQUEST,
+			     "query argument \"from\": some of the changes "
+			     "since revision %" PRId64 " are no longer kept; "
+			     "the last %" PRId64 " are",
+			     q->from, q->d->history_keep);
+		query_free(q);
+		return;
+	}
 	for (i = 0; i < call->count; i++) {
 		entry = item_json(&call->items[i]);
 		add_entry(q, entry);
--- a/tests/unit/test_api.c
+++ b/tests/unit/test_api.c
@@ -6,6 +6,7 @@
 #include "base/err.h"
 #include "daemon/api.h"
 #include "daemon/document.h"
+#include "daemon/document_int.h"
 #include "daemon/store.h"
 #include "daemon/svc.h"
 #include "tests/standins/pf_server.h"
@@ -604,6 +605,52 @@
 }
 END_TEST
 
+static int keys_below(const char *prefix)
+{
+	GTreeNode *node;
+	int n = 0;
+
+	g_mutex_lock(&platform.lock);
+	for (node = g_tree_node_first(platform.server.store.keys); node;
+	     node = g_tree_node_next(node))
+		n += g_str_has_prefix(g_tree_node_key(node), prefix);
+	g_mutex_unlock(&platform.lock);
+	return n;
+}
+
+/*
+ * Guards against a history that grows for ever, and against pruning what is
+ * still in force.
+ */
+START_TEST(old_revisions_are_pruned)
+{
+	struct request r = { 0 };
+	struct document *d;
+	char base[16];
+	int i;
+
+	start_ready(0, false, false);
+	d = (struct document *)kn_find(&hosts[0].kn, SVC_DOCUMENT);
+	d->history_keep = DOC_PRUNE_BATCH;
+	put(&r, "customer/kept", "{\"weight\": 1}", "0", 200, 0);
+	for (i = 1; i < 3 * DOC_PRUNE_BATCH; i++) {
+		snprintf(base, sizeof(base), "%d", i > 1 ? i : 0);
+		put(&r, "customer/a", "{\"weight\": 1}", base, 200, 0);
+	}
+	call(&r, "GET", "/v1/document/diff?from=1&to=40", NULL, NULL, 400,
+	     CB_E_BAD_REQUEST);
+	ck_assert_int_le(keys_below("/chivebank/doc/h/"),
+			 2 * DOC_PRUNE_BATCH + 1);
+	ck_assert_int_le(keys_below("/chivebank/doc/s/customer/a/"),
+			 2 * DOC_PRUNE_BATCH);
+	ck_assert_int_eq(keys_below("/chivebank/doc/s/customer/kept/"), 1);
+	put(&r, "customer/kept", "{\"weight\": 2}", "1", 200, 0);
+	ck_assert_int_eq(keys_below("/chivebank/doc/s/customer/kept/"), 1);
+	call(&r, "GET", "/v1/document/diff?from=90&to=97", NULL, NULL, 200, 0);
+	json_decref(r.answer);
+}
+END_TEST
+
 /* Guards against a call for the leader that another host answers or drops. */
 START_TEST(leaders_calls_are_forwarded)
 {
@@ -651,6 +698,7 @@
 	tcase_add_test(tc, changes_reach_all_hosts);
 	tcase_add_test(tc, racing_operators);
 	tcase_add_loop_test(tc, outcomes_hold_under_faults, 1, 4);
+	tcase_add_test(tc, old_revisions_are_pruned);
 	tcase_add_test(tc, leaders_calls_are_forwarded);
 	suite_add_tcase(suite, tc);
 	srunner_run_all(runner, CK_NORMAL);
