--- a/wire/kvmem.c
+++ b/wire/kvmem.c
@@ -1,193 +1,10 @@
-#include "wire/kv.h"
+#include "wire/kvmem.h"
 
 #include <stdlib.h>
 #include <string.h>
 
 #include "base/err.h"
 
-/* A key with its value; in mem.keys under its own key string. */
-struct mem_key {
-	char *key;
-	char *value;
-	size_t len;
-	int64_t mod_revision;
-	int64_t lease;
-};
-
-struct mem_lease {
-	struct list_head node;
-	int64_t id;
-	int64_t ttl_s;
-	int64_t expires_us;
-};
-
-enum delivery_kind {
-	DELIVER_CALL,
-	DELIVER_EVENT,
-	DELIVER_STATE,
-	DELIVER_HOSTS
-};
-
-/* A result or event that waits for the delivery timer. */
-struct delivery {
-	struct list_head node;
-	enum delivery_kind kind;
-	struct kv_call *call;
-	struct kv_hosts_call *hosts;
-	struct kv_watch *watch;
-	struct kv_item item; /* event */
-	/* Result of a call, copied into it on delivery. */
-	bool succeeded;
-	int result;
-	int64_t revision;
-	int64_t lease;
-	int64_t ttl_s;
-	struct kv_item *items;
-	size_t count;
-};
-
-struct watch_ref {
-	struct list_head node;
-	struct kv_watch *watch;
-};
-
-struct mem {
-	struct kv kv;
-	GTree *keys; /* key -> struct mem_key */
-	struct list_head leases;
-	struct list_head watches;
-	struct list_head deliveries;
-	struct kn_timer deliver_timer;
-	struct kn_timer lease_timer;
-	int64_t revision;
-	int64_t next_lease;
-};
-
-/* ---- delivery ---- */
-
-static void free_items(struct kv_item *items, size_t count)
-{
-	size_t i;
-
-	for (i = 0; i < count; i++) {
-		g_free(items[i].key);
-		g_free(items[i].value);
-	}
-	g_free(items);
-}
-
-static void delivery_free(struct delivery *d)
-{
-	g_free(d->item.key);
-	g_free(d->item.value);
-	free_items(d->items, d->count);
-	g_free(d);
-}
-
-static void deliver_call(struct delivery *d)
-{
-	struct kv_call *call = d->call;
-
-	call->result = d->result;
-	call->succeeded = d->succeeded;
-	call->revision = d->revision;
-	call->lease = d->lease;
-	call->ttl_s = d->ttl_s;
-	call->items = d->items;
-	call->count = d->count;
-	call->done(call);
-}
-
-static void deliver_hosts(struct delivery *d)
-{
-	d->hosts->result = CB_E_STORE_DOWN;
-	d->hosts->hosts = NULL;
-	d->hosts->count = 0;
-	d->hosts->done(d->hosts);
-}
-
-/*
- * Delivers what was queued before this round. A delivery may queue more or
- * remove queued events of its watch, so entries are taken one at a time up
- * to a marker.
- */
-static void deliver(struct kn_timer *timer)
-{
-	struct mem *mem = container_of(timer, struct mem, deliver_timer);
-	struct delivery marker = { 0 };
-	struct delivery *d;
-
-	list_add_tail(&marker.node, &mem->deliveries);
-	while (mem->deliveries.next != &marker.node) {
-		d = list_first_entry(&mem->deliveries, struct delivery, node);
-		list_del(&d->node);
-		if (d->kind == DELIVER_CALL)
-			deliver_call(d);
-		else if (d->kind == DELIVER_EVENT)
-			d->watch->event(d->watch, &d->item);
-		else if (d->kind == DELIVER_STATE)
-			d->watch->state(d->watch, true);
-		else
-			deliver_hosts(d);
-		delivery_free(d);
-	}
-	list_del(&marker.node);
-	if (!list_empty(&mem->deliveries))
-		kn_timer_set(mem->kv.kn, &mem->deliver_timer, 0, deliver);
-}
-
-static struct delivery *queue(struct mem *mem, enum delivery_kind kind)
-{
-	struct delivery *d = g_new0(struct delivery, 1);
-
-	d->kind = kind;
-	d->result = CB_OK;
-	d->revision = mem->revision;
-	list_add_tail(&d->node, &mem->deliveries);
-	if (!kn_timer_pending(&mem->deliver_timer))
-		kn_timer_set(mem->kv.kn, &mem->deliver_timer, 0, deliver);
-	return d;
-}
-
-static struct delivery *queue_call(struct mem *mem, struct kv_call *call)
-{
-	struct delivery *d = queue(mem, DELIVER_CALL);
-
-	d->call = call;
-	mem->kv.calls++;
-	return d;
-}
-
-static void copy_item(struct kv_item *item, const struct mem_key *key)
-{
-	item->key = g_strdup(key->key);
-	item->len = key->len;
-	item->mod_revision = key->mod_revision;
-	item->lease = key->lease;
-	if (!key->value)
-		return;
-	item->value = g_malloc(key->len + 1);
-	memcpy(item->value, key->value, key->len + 1);
-}
-
-static void queue_event(struct mem *mem, struct kv_watch *watch,
-			const struct mem_key *key)
-{
-	struct delivery *d = queue(mem, DELIVER_EVENT);
-
-	d->watch = watch;
-	copy_item(&d->item, key);
-}
-
-static void notify(struct mem *mem, const struct mem_key *key)
-{
-	struct watch_ref *ref;
-
-	list_for_each_entry(ref, &mem->watches, node)
-		if (g_str_has_prefix(key->key, ref->watch->prefix))
-			queue_event(mem, ref->watch, key);
-}
-
 /* ---- keys ---- */
 
 static void key_free(void *data)
@@ -216,7 +33,7 @@
 	key->len = op->len;
 	key->mod_revision = mem->revision;
 	key->lease = op->lease;
-	notify(mem, key);
+	kvmem_notify(mem, key);
 	g_tree_replace(mem->keys, key->key, key);
 }
 
@@ -225,7 +42,7 @@
 	struct mem_key gone = { .key = g_strdup(name),
 				.mod_revision = mem->revision };
 
-	notify(mem, &gone);
+	kvmem_notify(mem, &gone);
 	g_tree_remove(mem->keys, gone.key);
 	g_free(gone.key);
 }
@@ -265,7 +82,7 @@
 	for (i = 0; i < found->len; i++) {
 		struct kv_item item = { 0 };
 
-		copy_item(&item, found->pdata[i]);
+		kvmem_copy_item(&item, found->pdata[i]);
 		g_array_append_val(items, item);
 	}
 	g_ptr_array_free(found, TRUE);
@@ -406,7 +223,7 @@
 		apply(mem, then_ops, nthen, items);
 	else if (valid)
 		apply(mem, else_ops, nelse, items);
-	d = queue_call(mem, call);
+	d = kvmem_queue_call(mem, call);
 	d->result = valid ? CB_OK : CB_E_STORE_DOWN;
 	d->succeeded = valid && held;
 	d->count = items->len;
@@ -432,7 +249,7 @@
 	lease->expires_us = kn_now_us() + ttl_s * USEC_PER_SEC;
 	list_add_tail(&lease->node, &mem->leases);
 	expire_leases(&mem->lease_timer);
-	d = queue_call(mem, call);
+	d = kvmem_queue_call(mem, call);
 	d->lease = mem->next_lease;
 	d->ttl_s = ttl_s;
 }
@@ -447,7 +264,7 @@
 	lease = find_lease(mem, id);
 	if (lease)
 		lease->expires_us = kn_now_us() + lease->ttl_s * USEC_PER_SEC;
-	d = queue_call(mem, call);
+	d = kvmem_queue_call(mem, call);
 	d->lease = id;
 	d->ttl_s = lease ? lease->ttl_s : 0;
 }
@@ -459,7 +276,7 @@
 
 	if (lease)
 		drop_lease(mem, lease);
-	queue_call(mem, call);
+	kvmem_queue_call(mem, call);
 }
 
 /* Reports the present keys as events, and then that the watch is up. */
@@ -474,9 +291,9 @@
 	ref->watch = watch;
 	list_add_tail(&ref->node, &mem->watches);
 	for (i = 0; i < found->len; i++)
-		queue_event(mem, watch, found->pdata[i]);
+		kvmem_queue_event(mem, watch, found->pdata[i]);
 	g_ptr_array_free(found, TRUE);
-	queue(mem, DELIVER_STATE)->watch = watch;
+	kvmem_queue(mem, DELIVER_STATE)->watch = watch;
 	kv->calls++;
 }
 
@@ -484,7 +301,6 @@
 {
 	struct mem *mem = (struct mem *)kv;
 	struct watch_ref *ref, *next_ref;
-	struct delivery *d, *next;
 
 	list_for_each_entry_safe(ref, next_ref, &mem->watches, node) {
 		if (ref->watch != watch)
@@ -492,18 +308,13 @@
 		list_del(&ref->node);
 		g_free(ref);
 	}
-	list_for_each_entry_safe(d, next, &mem->deliveries, node) {
-		if (d->watch != watch)
-			continue;
-		list_del(&d->node);
-		delivery_free(d);
-	}
+	kvmem_drop_watch(mem, watch);
 }
 
 /* There is no platform and so no list; an empty one would mean no servers. */
 static void mem_hosts(struct kv *kv, struct kv_hosts_call *call)
 {
-	queue((struct mem *)kv, DELIVER_HOSTS)->hosts = call;
+	kvmem_queue((struct mem *)kv, DELIVER_HOSTS)->hosts = call;
 	kv->calls++;
 }
 
@@ -512,12 +323,9 @@
 	struct mem *mem = (struct mem *)kv;
 	struct mem_lease *lease, *next_lease;
 	struct watch_ref *ref, *next_ref;
-	struct delivery *d, *next;
 
-	kn_timer_cancel(&mem->deliver_timer);
 	kn_timer_cancel(&mem->lease_timer);
-	list_for_each_entry_safe(d, next, &mem->deliveries, node)
-		delivery_free(d);
+	kvmem_queue_finish(mem);
 	list_for_each_entry_safe(ref, next_ref, &mem->watches, node)
 		g_free(ref);
 	list_for_each_entry_safe(lease, next_lease, &mem->leases, node)
