Report a root of the same revision from another change as behind

A store that went back and was changed again shows the revision in force with other content; changes on top of it would have replaced the document in force.

--- a/daemon/document.c
+++ b/daemon/document.c
@@ -59,6 +59,17 @@
 		document_push(d, NULL, before);
 }
 
+/*
+ * True for a root that is older than the document in force, or that has its
+ * revision from another change: then the store went back and was changed.
+ */
+bool document_is_behind(const struct document *d, const struct doc *root)
+{
+	return root->revision < d->doc->revision ||
+	       (root->revision == d->doc->revision &&
+		strcmp(root->change, d->doc->change) != 0);
+}
+
 /* Reports once for each older root that the store answers with. */
 void document_report_behind(struct document *d, const struct doc *root)
 {
@@ -111,7 +122,7 @@
 		return;
 	}
 	d->failures = 0;
-	if (fetch->doc->revision < d->doc->revision)
+	if (document_is_behind(d, fetch->doc))
 		document_report_behind(d, fetch->doc);
 	else
 		d->behind = -1;
@@ -150,7 +161,7 @@
 		g_error_free(err);
 		return;
 	}
-	if (root->revision < d->doc->revision)
+	if (document_is_behind(d, root))
 		document_report_behind(d, root);
 	else if (!d->view || doc_supersedes(root, d->doc))
 		document_refetch(d);
--- a/daemon/document_change.c
+++ b/daemon/document_change.c
@@ -320,10 +320,12 @@
 			       "the document could not be read from the store");
 		return;
 	}
-	if (fetch->doc->revision < d->doc->revision)
+	if (document_is_behind(d, fetch->doc)) {
 		document_report_behind(d, fetch->doc);
-	if (fetch->doc->revision < d->doc->revision && !c->unknown) {
-		refuse(c, CB_E_STORE_BEHIND, "the change was not made");
+		if (c->unknown)
+			settle_later(c);
+		else
+			refuse(c, CB_E_STORE_BEHIND, "the change was not made");
 		return;
 	}
 	doc_free(c->seen);
--- a/daemon/document_int.h
+++ b/daemon/document_int.h
@@ -49,6 +49,7 @@
 /* ---- document.c ---- */
 
 void document_install(struct document *d, struct doc *doc, bool announce);
+bool document_is_behind(const struct document *d, const struct doc *root);
 void document_report_behind(struct document *d, const struct doc *root);
 int64_t document_backoff_us(struct document *d, unsigned int failures);
 void document_refetch(struct document *d);
--- a/tests/unit/test_api.c
+++ b/tests/unit/test_api.c
@@ -426,6 +426,21 @@
 }
 END_TEST
 
+/* Writes a value past the document service. */
+static void put_raw(const char *key, const char *value)
+{
+	char *k = g_base64_encode((unsigned char *)key, strlen(key));
+	char *v = g_base64_encode((unsigned char *)value, strlen(value));
+	json_t *req = json_pack("{s:s,s:s}", "key", k, "value", v);
+
+	g_mutex_lock(&platform.lock);
+	json_decref(pf_store_put(&platform.server.store, req));
+	g_mutex_unlock(&platform.lock);
+	json_decref(req);
+	g_free(k);
+	g_free(v);
+}
+
 /* Guards against a document that reverts with a store that went back. */
 START_TEST(older_root_is_ignored)
 {
@@ -440,6 +455,11 @@
 	ck_assert_int_eq(number(&r, "revision"), 2);
 	pf_thread_control(&platform, "{\"old_root\": false}");
 	put(&r, "customer/a", "{\"weight\": 3}", "2", 200, 0);
+	put_raw("/chivebank/doc/root",
+		"{\"revision\": 3, \"change\": \"other\", \"sections\": {}}");
+	put(&r, "customer/b", "{\"weight\": 1}", "0", 503, CB_E_STORE_BEHIND);
+	call(&r, "GET", SECTION "customer/a", NULL, NULL, 200, 0);
+	ck_assert_int_eq(number(&r, "revision"), 3);
 	json_decref(r.answer);
 }
 END_TEST
