--- a/daemon/document.c
+++ b/daemon/document.c
@@ -59,6 +59,17 @@
 		document_push(d, NULL, before);
 }
 
+/*
+ * True for a root that is older than the document in force, or that has its
+ * revision from another change: then the store went back and was changed.
+ */
+bool document_is_behind(const struct document *d, const struct doc *root)
+{
+	return root->revision < d->doc->revision ||
+	       (root->revision == d->doc->revision &&
+		strcmp(root->change, d->doc->change) != 0);
+}
+
 /* Reports once for each older root that the store answers with. */
 void document_report_behind(struct document *d, const struct doc *root)
 {
@@ -111,7 +122,7 @@
 		return;
 	}
 	d->failures = 0;
-	if (fetch->doc->revision < d->doc->revision)
+	if (document_is_behind(d, fetch->doc))
 		document_report_behind(d, fetch->doc);
 	else
 		d->behind = -1;
@@ -150,7 +161,7 @@
 		g_error_free(err);
 		return;
 	}
-	if (root->revision < d->doc->revision)
+	if (document_is_behind(d, root))
 		document_report_behind(d, root);
 	else if (!d->view || doc_supersedes(root, d->doc))
 		document_refetch(d);
@@ -189,8 +200,13 @@
 
 static void on_lead(struct document *d, const struct svc_lead *lead)
 {
-	d->epoch = lead->epoch;
 	set_leading(d, lead->leading);
+	if (lead->epoch == d->epoch)
+		return;
+	d->epoch = lead->epoch;
+	if (d->peers)
+		pr_set_status(d->peers, d->doc->revision, d->epoch,
+			      d->task.kn->draining);
 }
 
 static void on_peer_up(struct document *d, const struct pr_status *status)
@@ -264,6 +280,7 @@
 	document_changes_finish(d);
 	document_queries_finish(d);
 	document_fetches_finish(d);
+	document_prunes_finish(d);
 	ctr_finish(&d->changes_done);
 	ctr_finish(&d->revision);
 	doc_view_unref(d->view);
@@ -299,6 +316,8 @@
 	list_init(&d->changes);
 	list_init(&d->fetches);
 	list_init(&d->queries);
+	list_init(&d->prunes);
+	d->history_keep = DOC_HISTORY_KEEP;
 	ctr_init(&d->changes_done, &kn->counters, CTR_COUNTER,
 		 "chivebank_document_changes_total", NULL,
 		 "Document changes that this host carried out");
