--- a/daemon/sched.c
+++ b/daemon/sched.c
@@ -103,6 +103,8 @@
 	s->have_sc = false;
 	s->closing = false;
 	kn_timer_cancel(&s->timer);
+	if (s->drain_us)
+		sched_wake(s); /* the drain still has to be reported */
 	ev_emit("scheduler.end", "epoch=%" PRIu64, s->epoch);
 }
 
@@ -209,6 +211,8 @@
 	struct doc_view *old = s->view;
 
 	s->view = doc_view_ref(changed->view);
+	if (s->phase != SCHED_OFF && sched_size_changed(s))
+		end(s); /* what runs is found with the workers again */
 	if (s->phase == SCHED_OFF) {
 		doc_view_unref(old);
 		update_leading(s);
--- a/daemon/sched_int.h
+++ b/daemon/sched_int.h
@@ -136,6 +136,7 @@
 /* ---- sched_sync.c: workers and customers ---- */
 
 void sched_build(struct sched *s);
+bool sched_size_changed(const struct sched *s);
 void sched_apply_view(struct sched *s, struct doc_view *old);
 void sched_sync_tick(struct sched *s, int64_t now_us);
 void sched_sync_soon(struct sworker *w);
--- a/daemon/sched_sync.c
+++ b/daemon/sched_sync.c
@@ -175,6 +175,18 @@
 	apply_pool(s);
 }
 
+/*
+ * Whether the whole workers of the pool have another size than the policy was
+ * made for. Cells can't change their size, so the policy must be made anew.
+ */
+bool sched_size_changed(const struct sched *s)
+{
+	const struct doc_pool *pool = doc_view_pool(s->view, s->set->dc);
+
+	return pool && pool->worker_count > 0 &&
+	       worker_size(pool) != s->sc.cell.worker_size;
+}
+
 /* Takes the place of the view old, whose reference it drops. */
 void sched_apply_view(struct sched *s, struct doc_view *old)
 {
--- a/tests/unit/test_sched.c
+++ b/tests/unit/test_sched.c
@@ -541,6 +541,41 @@
 }
 END_TEST
 
+/* A pool that is defined after the scheduler began and never gets work. */
+START_TEST(pool_may_come_later)
+{
+	struct doc_view *first;
+	char id[JB_ID_BYTES];
+
+	begin(200);
+	kill_sched();
+	first = view;
+	first->pool_count = 0;
+	start_sched(2);
+	run(200);
+	make_view();
+	tell_document();
+	run(200);
+	ck_assert_int_eq(submit("k1", 16, id), 201);
+	wait_state(id, "done", 10000);
+	first->pool_count = 1;
+	doc_view_unref(first);
+	end();
+}
+END_TEST
+
+/* A stop that hangs because leadership ends while the task drains. */
+START_TEST(drain_ends_without_leadership)
+{
+	begin(60000);
+	sched->ops->drain(sched);
+	lead(1, false, 0);
+	run(500);
+	ck_assert(sched->drained);
+	end();
+}
+END_TEST
+
 int main(void)
 {
 	Suite *suite = suite_create("sched");
@@ -557,6 +592,8 @@
 	tcase_add_test(tcase, store_outage_stops_nothing);
 	tcase_add_test(tcase, no_call_without_valid_lease);
 	tcase_add_test(tcase, cancelled_job_stays_cancelled);
+	tcase_add_test(tcase, pool_may_come_later);
+	tcase_add_test(tcase, drain_ends_without_leadership);
 	suite_add_tcase(suite, tcase);
 	srunner_run_all(runner, CK_ENV);
 	failed = srunner_ntests_failed(runner);
