Bound the life of claims; pass refused connections on to the data centre

A key whose owner answered not-run stayed runnable there for as long as callers tried again, while the store forgot the claim with its lease, after which another host could have claimed and run it too. The owner now uses a claim for KEY_KEEP_SEC from before it was made, and leases live for at least that long plus a margin; a failed renewal no longer stretches an old lease.

A refused connection ejects the server on all hosts of the data centre and closes kept connections to it. It is not held as a sign of leaving, because a restart looks the same and would cost a minute.

--- a/base/limits.h
+++ b/base/limits.h
@@ -87,6 +87,7 @@
 #define KEY_ENTRIES_MAX 50000 /* keys that a host remembers */
 #define KEY_BYTES_MAX (16 * 1024 * 1024) /* finished answers kept */
 #define KEY_TICKETS_MAX 1000 /* tickets per call */
+#define KEY_LEASE_MARGIN_SEC 300 /* a request and store delays, with room */
 #define KEY_BATCHES_MAX 4 /* claim transactions in progress */
 #define KEY_HANDOVER_BYTES (4 * 1024 * 1024) /* half of what a link queues */
 
--- a/daemon/req.c
+++ b/daemon/req.c
@@ -247,6 +247,14 @@
 	}
 }
 
+static void peer_sign(struct req_task *r, const struct req_leaving *sign)
+{
+	if (strcmp(sign->reason, REQ_REASON_REFUSED) == 0)
+		req_server_refused(r, sign->addr, sign->port, false);
+	else
+		req_server_leaving(r, sign->addr, sign->port, "peer", false);
+}
+
 static void receive(struct kn_task *task, struct kn_msg *msg)
 {
 	struct req_task *r = (struct req_task *)task;
@@ -268,9 +276,7 @@
 		req_servers_update(r, (struct req_members *)msg);
 		break;
 	case REQ_LEAVING:
-		req_server_leaving(r, ((struct req_leaving *)msg)->addr,
-				   ((struct req_leaving *)msg)->port, "peer",
-				   false);
+		peer_sign(r, (struct req_leaving *)msg);
 		break;
 	case SVC_SUBSCRIBE:
 		r->members = msg->from;
--- a/daemon/req.h
+++ b/daemon/req.h
@@ -18,6 +18,8 @@
 	REQ_LEAVING, /* struct req_leaving, in both directions */
 };
 
+#define REQ_REASON_REFUSED "refused-connection" /* of a req_leaving */
+
 /* A request and its answer. */
 struct req_call {
 	struct kn_msg msg;
--- a/daemon/req_int.h
+++ b/daemon/req_int.h
@@ -120,7 +120,8 @@
 	uint64_t next_forward;
 	/* Lease of the claims in the store. */
 	int64_t lease;
-	int64_t lease_us;
+	int64_t lease_us; /* when it was asked for */
+	int64_t grant_us; /* when one was last asked for */
 	bool granting;
 	struct kv_call grant;
 	struct list_head batches; /* claims in progress */
@@ -160,6 +161,8 @@
 void req_servers_finish(struct req_task *r);
 void req_server_leaving(struct req_task *r, const char *addr, int port,
 			const char *reason, bool tell);
+void req_server_refused(struct req_task *r, const char *addr, int port,
+			bool tell);
 bool req_group_usable(const struct req_group *group);
 void req_document(struct req_task *r, struct doc_view *view);
 void req_signs_init(struct req_task *r);
@@ -171,9 +174,12 @@
 void req_key_end(struct req *req);
 void req_claims_tick(struct req_task *r, int64_t now_us);
 void req_claims_finish(struct req_task *r);
+void req_tickets(struct req_task *r, struct req_tickets *msg);
+
+/* ---- req_adopt.c ---- */
+
 void req_keys_hand_over(struct req_task *r);
 void req_keys_adopt(struct req_task *r, const struct pr_in *in);
-void req_tickets(struct req_task *r, struct req_tickets *msg);
 
 /* ---- req_fwd.c ---- */
 
--- a/daemon/req_key.c
+++ b/daemon/req_key.c
@@ -368,6 +368,12 @@
 			gets, batch->n);
 }
 
+static bool lease_usable(const struct req_task *r, int64_t now_us)
+{
+	return r->lease != 0 &&
+	       now_us - r->lease_us < KEY_KEEP_SEC * USEC_PER_SEC;
+}
+
 static void granted(struct kv_call *call)
 {
 	struct req_task *r = container_of(call, struct req_task, grant);
@@ -376,17 +382,12 @@
 	r->granting = false;
 	if (call->result == CB_OK) {
 		r->lease = call->lease;
-		r->lease_us = kn_now_us();
+		r->lease_us = r->grant_us;
 		req_wake(r);
 		return;
 	}
-	/* An old lease serves for a while longer. */
-	if (r->lease != 0 &&
-	    kn_now_us() - r->lease_us < KEY_KEEP_SEC * 3 / 2 * USEC_PER_SEC) {
-		r->lease_us += 60 * USEC_PER_SEC;
+	if (lease_usable(r, kn_now_us()))
 		return;
-	}
-	r->lease = 0;
 	while (r->ky.claim_count > 0) {
 		batch.r = r;
 		batch.n = ky_claims_take(&r->ky, batch.entries, KEY_BATCH_MAX);
@@ -395,6 +396,29 @@
 	req_check_drained(r);
 }
 
+/*
+ * Asks for a lease when there is none, and for the next one when three
+ * quarters of KEY_KEEP_SEC have passed. A claim must outlive the time for
+ * which its owner would still run it, so a lease is used for KEY_KEEP_SEC
+ * from the asking and lives for twice as long and KEY_LEASE_MARGIN_SEC.
+ */
+static void renew_lease(struct req_task *r, int64_t now_us)
+{
+	int64_t age_us = now_us - r->lease_us;
+
+	if (r->granting ||
+	    (r->lease != 0 && age_us < KEY_KEEP_SEC * 3 / 4 * USEC_PER_SEC))
+		return;
+	if (lease_usable(r, now_us) &&
+	    now_us - r->grant_us < STORE_BACKOFF_CAP_MS * USEC_PER_MSEC)
+		return;
+	r->granting = true;
+	r->grant_us = now_us;
+	r->grant.done = granted;
+	r->kv->ops->grant(r->kv, &r->grant,
+			  2 * KEY_KEEP_SEC + KEY_LEASE_MARGIN_SEC);
+}
+
 static unsigned int count_batches(const struct req_task *r)
 {
 	const struct list_head *node;
@@ -405,22 +429,13 @@
 	return n;
 }
 
-/*
- * Sends claims that are due. They hang on a lease of twice KEY_KEEP_SEC
- * that is replaced after KEY_KEEP_SEC, so that the store forgets them.
- */
+/* Sends claims that are due. */
 void req_claims_tick(struct req_task *r, int64_t now_us)
 {
 	if (r->ky.claim_count == 0)
 		return;
-	if (!r->granting &&
-	    (r->lease == 0 ||
-	     now_us - r->lease_us >= KEY_KEEP_SEC * USEC_PER_SEC)) {
-		r->granting = true;
-		r->grant.done = granted;
-		r->kv->ops->grant(r->kv, &r->grant, 2 * KEY_KEEP_SEC);
-	}
-	while (r->lease != 0 && count_batches(r) < KEY_BATCHES_MAX &&
+	renew_lease(r, now_us);
+	while (lease_usable(r, now_us) && count_batches(r) < KEY_BATCHES_MAX &&
 	       ky_claims_due(&r->ky, now_us))
 		send_batch(r);
 }
@@ -446,151 +461,3 @@
 			g_ptr_array_add(msg->tickets, g_strdup(text));
 	kn_send(msg->msg.from, &r->task, &msg->msg);
 }
-
-/* ---- handing over ---- */
-
-enum adopt_kind { ADOPT_KEYS, ADOPT_ANNOUNCE };
-
-static void send_keys(struct req_task *r, const char *host, uint32_t count,
-		      const msgpack_sbuffer *keys)
-{
-	struct mp_out out;
-
-	mp_begin(&out, 5);
-	mp_int(&out, ADOPT_KEYS);
-	mp_str(&out, r->set->host);
-	mp_uint(&out, r->incarnation);
-	mp_str(&out, host);
-	mp_array(&out, count);
-	if (count > 0)
-		msgpack_sbuffer_write(&out.buf, keys->data, keys->size);
-	pr_send(r->peers, host, PR_KEY_ADOPT, &out.buf);
-	mp_end(&out);
-}
-
-static const char *heir(struct req_task *r)
-{
-	GHashTableIter iter;
-	gpointer value;
-
-	g_hash_table_iter_init(&iter, r->peer_table);
-	while (g_hash_table_iter_next(&iter, NULL, &value)) {
-		const struct req_peer *peer = value;
-
-		if (strcmp(peer->dc, r->set->dc) == 0 && !peer->draining)
-			return peer->host;
-	}
-	return NULL;
-}
-
-static void pack_key(struct mp_out *out, const struct ky_entry *entry)
-{
-	mp_array(out, 7);
-	mp_str(out, entry->key);
-	mp_uint(out, entry->digest.low);
-	mp_uint(out, entry->digest.high);
-	mp_int(out, entry->answer.outcome);
-	mp_int(out, entry->answer.result);
-	mp_int(out, entry->answer.status);
-	mp_bin(out, entry->answer.blob, entry->answer.len);
-}
-
-/*
- * Sends the finished keys to a peer of the data centre, newest first up to
- * KEY_HANDOVER_BYTES, since the link drops what it cannot queue.
- */
-void req_keys_hand_over(struct req_task *r)
-{
-	const char *host = r->peers ? heir(r) : NULL;
-	struct mp_out out;
-	struct list_head *node;
-	size_t sent = 0;
-	uint32_t count = 0, total = 0;
-
-	if (!host || r->ky.finished_count == 0)
-		return;
-	mp_begin(&out, 0);
-	msgpack_sbuffer_clear(&out.buf);
-	for (node = r->ky.finished.prev;
-	     node != &r->ky.finished && sent < KEY_HANDOVER_BYTES;
-	     node = node->prev) {
-		const struct ky_entry *entry =
-			list_entry(node, struct ky_entry, node);
-
-		if (entry->state != KY_ST_DONE)
-			continue;
-		pack_key(&out, entry);
-		count++;
-		total++;
-		sent += entry->answer.len + sizeof(*entry);
-		if (out.buf.size >= DOC_PUSH_BYTES || count >= 1000) {
-			send_keys(r, host, count, &out.buf);
-			msgpack_sbuffer_clear(&out.buf);
-			count = 0;
-		}
-	}
-	send_keys(r, host, count, &out.buf);
-	mp_end(&out);
-	ev_emit("keys.handed-over", "to=%s keys=%u", host, total);
-}
-
-static bool adopt_one(struct req_task *r, struct mp_in *list)
-{
-	struct ky_answer answer = { 0 };
-	struct ky_digest digest;
-	char key[KY_KEY_BYTES];
-	struct mp_in in;
-	int64_t outcome;
-
-	mp_get_array(list, &in);
-	mp_get_text(&in, key, sizeof(key));
-	digest.low = mp_get_uint(&in);
-	digest.high = mp_get_uint(&in);
-	outcome = mp_get_int(&in);
-	answer.result = (int)mp_get_int(&in);
-	answer.status = (int)mp_get_int(&in);
-	answer.blob = (void *)mp_get_bin(&in, &answer.len);
-	if (!in.ok || outcome < KY_ANSWERED || outcome > KY_UNKNOWN)
-		return false;
-	answer.outcome = (enum ky_outcome)outcome;
-	ky_adopt(&r->ky, key, &digest, &answer, kn_now_us());
-	return true;
-}
-
-/* Takes a stopping peer's finished keys, or the news of who took them. */
-void req_keys_adopt(struct req_task *r, const struct pr_in *msg)
-{
-	char adopter[NAME_MAX_BYTES];
-	struct ky_owner owner;
-	struct mp_in in, list;
-	struct mp_out out;
-	int64_t kind;
-	size_t count;
-
-	mp_open(&in, &msg->body.data);
-	kind = mp_get_int(&in);
-	mp_get_text(&in, owner.host, sizeof(owner.host));
-	owner.incarnation = mp_get_uint(&in);
-	mp_get_text(&in, adopter, sizeof(adopter));
-	mp_get_array(&in, &list);
-	if (!in.ok) {
-		log_warn("keys.malformed", "peer=%s", msg->host);
-		return;
-	}
-	ky_set_adopter(&r->ky, &owner, adopter);
-	if (kind != ADOPT_KEYS || strcmp(adopter, r->set->host) != 0)
-		return;
-	count = list.left;
-	while (list.left > 0 && adopt_one(r, &list))
-		;
-	ev_emit("keys.adopted", "host=%s inc=%" PRIx64 " keys=%zu", owner.host,
-		owner.incarnation, count);
-	mp_begin(&out, 5);
-	mp_int(&out, ADOPT_ANNOUNCE);
-	mp_str(&out, owner.host);
-	mp_uint(&out, owner.incarnation);
-	mp_str(&out, adopter);
-	mp_array(&out, 0);
-	pr_send_dc(r->peers, NULL, PR_KEY_ADOPT, &out.buf);
-	mp_end(&out);
-}
--- a/daemon/req_servers.c
+++ b/daemon/req_servers.c
@@ -348,26 +348,40 @@
 
 /*
  * A server that refuses connections is gone or about to be: it gets no
- * request until the ejection delay has passed, and no kept connection.
+ * request until the ejection delay has passed, and then on a new connection
+ * only. Unlike a sign of leaving this does not hold for LEAVING_HOLD_MS,
+ * because a restart looks the same.
  */
-static void on_refused(struct back_signs *signs, const char *addr, int port)
+void req_server_refused(struct req_task *r, const char *addr, int port,
+			bool tell)
 {
-	struct req_task *r = of_signs(signs);
+	unsigned int conns = slots_connections(&r->slots);
 	struct mb_server *mb;
+	bool changed = false;
 	int i;
 
 	list_for_each_entry(mb, &r->mb.servers, node) {
 		if (mb->port != port || strcmp(mb->addr, addr) != 0)
 			continue;
 		for (i = 0; i < EJECT_FAILURES && mb->state != MB_EJECTED; i++)
-			if (mb_failure(&r->mb, mb, kn_now_us()))
+			if (mb_failure(&r->mb, mb, kn_now_us())) {
+				changed = true;
 				log_state(
 					container_of(mb, struct req_server, mb),
-					"refused-connection");
+					REQ_REASON_REFUSED);
+			}
 	}
+	if (!changed)
+		return;
 	r->back->ops->add_server(r->back, addr, port, 0);
-	r->back->ops->add_server(r->back, addr, port,
-				 slots_connections(&r->slots));
+	r->back->ops->add_server(r->back, addr, port, conns);
+	if (tell)
+		tell_members(r, addr, port, REQ_REASON_REFUSED);
+}
+
+static void on_refused(struct back_signs *signs, const char *addr, int port)
+{
+	req_server_refused(of_signs(signs), addr, port, true);
 }
 
 static void on_failed(struct back_signs *signs, const char *addr, int port,
--- a/policy/ky.c
+++ b/policy/ky.c
@@ -163,6 +163,16 @@
 	return KY_RUN;
 }
 
+/*
+ * The store forgets a claim some time after KEY_KEEP_SEC, and another host
+ * may claim the key then, so an old claim is no reason to run it here.
+ */
+static bool claim_is_old(const struct ky_entry *entry, int64_t now_us)
+{
+	return entry->state == KY_ST_NOT_RUN && !entry->ticket &&
+	       now_us - entry->begun_us >= KEY_KEEP_SEC * USEC_PER_SEC;
+}
+
 /*
  * Decides on a request with a key. On KY_RUN the claim is recorded and
  * ky_end() must follow; on KY_CLAIM the entry is queued for the store.
@@ -178,12 +188,17 @@
 	if (len == 0 || len >= KY_KEY_BYTES)
 		return KY_REFUSE;
 	*entry = g_hash_table_lookup(ky->entries, key);
+	if (*entry && claim_is_old(*entry, now_us)) {
+		ky_drop(ky, *entry);
+		*entry = NULL;
+	}
 	if (*entry)
 		return known(ky, *entry, digest, result);
 	if (ky_is_ticket(key))
 		return begin_ticket(ky, key, digest, entry, owner, result);
 	*entry = entry_new(ky, key, digest);
 	(*entry)->number = ky->next_number++;
+	(*entry)->begun_us = now_us;
 	ky_claim_again(ky, *entry, now_us);
 	return KY_CLAIM;
 }
--- a/policy/ky.h
+++ b/policy/ky.h
@@ -58,6 +58,7 @@
 	uint64_t number; /* of the claim, within the incarnation */
 	uint64_t ticket; /* sequence; 0: a key that the caller chose */
 	int64_t since_us; /* queued, or finished */
+	int64_t begun_us; /* before the claim was made */
 	struct list_head waiters; /* of struct ky_waiter */
 	void *user; /* the attempt that runs or claims, for the caller */
 	struct ky_answer answer;
--- a/tests/unit/test_ky.c
+++ b/tests/unit/test_ky.c
@@ -162,6 +162,24 @@
 }
 END_TEST
 
+/* Guards against running on a claim that the store may have forgotten. */
+START_TEST(old_claims_are_not_run)
+{
+	int64_t keep = KEY_KEEP_SEC * SEC;
+
+	ck_assert_int_eq(begin("k/a/1", 0), KY_CLAIM);
+	ck_assert_uint_eq(ky_claims_take(&ky, &entry, 1), 1);
+	ck_assert_int_eq(ky_claim_settle(&ky, entry, "pg1.entry-1/1234/1",
+					 &owner, &result),
+			 KY_RUN);
+	ky_end(&ky, entry, KY_NOT_RUN, CB_E_OVERLOADED, 503, NULL, 0, 1);
+	/* Each further attempt keeps the entry, but not the claim. */
+	ck_assert_int_eq(begin("k/a/1", keep - 1), KY_RUN);
+	ky_end(&ky, entry, KY_NOT_RUN, CB_E_OVERLOADED, 503, NULL, 0, keep - 1);
+	ck_assert_int_eq(begin("k/a/1", keep), KY_CLAIM);
+}
+END_TEST
+
 /* Guards against memory that grows with finished answers. */
 START_TEST(finished_answers_are_bounded)
 {
@@ -200,6 +218,7 @@
 	tcase_add_test(tc, damaged_ticket_is_refused);
 	tcase_add_test(tc, foreign_tickets_never_run_here);
 	tcase_add_test(tc, claims_settle_by_number);
+	tcase_add_test(tc, old_claims_are_not_run);
 	tcase_add_test(tc, finished_answers_are_bounded);
 	suite_add_tcase(suite, tc);
 	srunner_run_all(runner, CK_NORMAL);
