--- a/base/limits.h
+++ b/base/limits.h
@@ -142,6 +142,8 @@
 #define BARRIER_TERM_MS 10000
 #define TASK_LEASE_MS 30000
 #define WORKER_SYNC_MS 5000
+#define WORKER_CONNECTIONS 2
+#define WORKER_TASKS_MAX 256 /* in one report */
 #define USAGE_LAG_MAX_MS 10000
 #define RECLAIM_BOUND_MS 9400
 #define TAKEOVER_BOUND_MS 10000
@@ -149,7 +151,40 @@
 #define RACKS_PER_ROW 16 /* a row holds the largest gang with room to spare */
 #define RACKS_MAX 65536
 #define RECLAIM_GRACE_MS 6000 /* leaves 3.4 s for stop, start and losses */
+#define JOB_TASK_MAX_BYTES 16384 /* opaque description of a job's task */
+#define JOB_HOPELESS_WORKERS 3 /* failures on that many workers end a job */
+#define JOB_FAILURES_MAX 10 /* in all, also on workers found to be bad */
+#define WORKER_BAD_JOBS 3 /* failures of that many jobs: quarantine */
+#define WORKER_QUARANTINE_PERCENT 25 /* of the workers at most */
+#define WORKER_PROBATION_MIN_MS 60000
+#define WORKER_PROBATION_MAX_MS 3600000
+#define PL_MOVE_COST_MS 30000 /* of a checkpoint and a new start */
+#define PL_SAVES_PER_FAILURE 8
+#define SC_LEVELS 4 /* of attained service */
+#define SC_LEVEL_1_ACCEL_SEC 3600
+#define SC_LEVEL_FACTOR 5
+#define SC_GRACE_MS 60000 /* of a checkpoint that no claim waits for */
+#define SC_QUANTUM_MS 300000 /* run time before work yields to its peers */
+#define SC_AGE_MS 3600000 /* waiting that long counts like one fair share */
+#define SC_PATIENCE_MS 600000 /* then a reservation displaces its racks */
+#define SC_STARTS_PER_PASS 512
+#define SC_EVICTION_TRIES 8 /* per pass; each looks at all workers */
 #define JOB_WRITES 3 /* store writes for a job that isn't cancelled */
+#define GANG_CALL_MS 1000 /* until a call to a worker counts as lost */
+#define GANG_RETRY_MS 200
+#define GANG_PHASE_MS 4000 /* for all answers; half of the shortest term */
+#define GANG_SYNC_MS 100 /* between syncs of a worker with pending work */
+#define SCHED_TICK_MS 20 /* while a gang starts or stops */
+#define SCHED_IDLE_TICK_MS 100
+#define SCHED_EVENT_TICK_MS 2 /* after an event, for all of a burst */
+#define SCHED_PASS_MS 100 /* between two passes */
+#define SCHED_RECOVER_MS 4000 /* for the first answer of every worker */
+#define SCHED_JITTER_PERCENT 10 /* of the period of a worker's sync */
+#define SCHED_WRITES_MAX 16 /* record writes in progress */
+#define SCHED_SETTLE_MS 8000 /* below API_FORWARD_TIMEOUT_MS */
+#define SCHED_DRAIN_MS 2000 /* for pending record writes at a stop */
+#define JOB_KEEP_MS 3600000 /* an ended job */
+#define JOBS_ENDED_MAX 2000 /* kept in memory */
 
 /* ---- document ---- */
 
@@ -165,6 +200,8 @@
 #define DOC_HISTORY_MAX 100 /* history entries in one answer */
 #define DOC_DIFF_MAX 60 /* revisions between both sides of a difference */
 #define DOC_RETRIES_MAX 8 /* merges with racing changes before a conflict */
+#define DOC_HISTORY_KEEP 20000 /* revisions, about a day in two years */
+#define DOC_PRUNE_BATCH 32 /* old revisions removed at a time */
 #define DOC_CHANGE_TIMEOUT_MS 10000 /* until an outcome is called unknown */
 #define DOC_PULL_TIMEOUT_MS 1000 /* until another peer is asked */
 /* Bodies in one read of the store; 8 of the largest take 11 MB in base64. */
--- a/daemon/document_int.h
+++ b/daemon/document_int.h
@@ -36,6 +36,10 @@
 	uint64_t epoch;
 	/* Changes; the first one runs. */
 	struct list_head changes;
+	struct list_head fetches; /* struct doc_fetch in progress */
+	struct list_head queries; /* reads of older revisions in progress */
+	struct list_head prunes; /* struct doc_prune in progress */
+	int64_t history_keep; /* DOC_HISTORY_KEEP, less in tests */
 	uint64_t next_change;
 	GRand *rand; /* jitter only */
 	struct ctr changes_done;
@@ -45,6 +49,7 @@
 /* ---- document.c ---- */
 
 void document_install(struct document *d, struct doc *doc, bool announce);
+bool document_is_behind(const struct document *d, const struct doc *root);
 void document_report_behind(struct document *d, const struct doc *root);
 int64_t document_backoff_us(struct document *d, unsigned int failures);
 void document_refetch(struct document *d);
@@ -53,6 +58,7 @@
 
 /* A read of the root and of the bodies that this host lacks. */
 struct doc_fetch {
+	struct list_head node;
 	struct document *d;
 	struct kv_call call;
 	struct doc *doc; /* revision 0 when the store holds none */
@@ -69,6 +75,8 @@
 document_fetch(struct document *d,
 	       void (*done)(struct doc_fetch *fetch, int result), void *user);
 
+void document_fetches_finish(struct document *d);
+
 /* ---- document_peer.c ---- */
 
 void document_push(struct document *d, const char *host, int64_t since);
@@ -82,6 +90,12 @@
 		     const struct doc_change *change);
 void document_changes_finish(struct document *d);
 
+/* ---- document_prune.c ---- */
+
+/* Removes old revisions after a change that made this one. */
+void document_prune(struct document *d, int64_t revision);
+void document_prunes_finish(struct document *d);
+
 /* ---- document_api.c, document_read.c ---- */
 
 void document_api_call(struct document *d, struct svc_api_call *call);
@@ -91,5 +105,6 @@
 void document_diff(struct document *d, struct svc_api_call *call, bool admin);
 void document_revert(struct document *d, struct svc_api_call *call,
 		     const char *team, int64_t base);
+void document_queries_finish(struct document *d);
 
 #endif
--- a/daemon/document_read.c
+++ b/daemon/document_read.c
@@ -7,6 +7,7 @@
 
 /* Calls that read older revisions from the store. */
 struct query {
+	struct list_head node;
 	struct document *d;
 	struct svc_api_call *api;
 	struct kv_call call;
@@ -29,11 +30,13 @@
 	q->d = d;
 	q->api = api;
 	q->keys = g_ptr_array_new_with_free_func(g_free);
+	list_add_tail(&q->node, &d->queries);
 	return q;
 }
 
 static void query_free(struct query *q)
 {
+	list_del(&q->node);
 	g_ptr_array_free(q->keys, TRUE);
 	json_decref(q->sections);
 	g_free(q->section);
@@ -199,6 +202,15 @@
 
 	if (failed(q))
 		return;
+	if (call->count < q->keys->len) {
+		svc_api_fail(q->api, &q->d->task, CB_E_BAD_REQUEST,
+			     "query argument \"from\": some of the changes "
+			     "since revision %" PRId64 " are no longer kept; "
+			     "the last %" PRId64 " are",
+			     q->from, q->d->history_keep);
+		query_free(q);
+		return;
+	}
 	for (i = 0; i < call->count; i++) {
 		entry = item_json(&call->items[i]);
 		add_entry(q, entry);
@@ -291,3 +303,14 @@
 	g_ptr_array_add(q->keys, doc_section_key(section, revision));
 	read_keys(q, on_old_body);
 }
+
+/* Frees the reads of an ending process; nobody waits for them any more. */
+void document_queries_finish(struct document *d)
+{
+	struct query *q, *next;
+
+	list_for_each_entry_safe(q, next, &d->queries, node) {
+		kn_msg_release(&q->api->msg);
+		query_free(q);
+	}
+}
--- a/daemon/wk.h
+++ b/daemon/wk.h
@@ -1,7 +1,10 @@
 #ifndef DAEMON_WK_H
 #define DAEMON_WK_H
 
+#include <jansson.h>
+
 #include "base/kn.h"
+#include "base/limits.h"
 
 /*
  * Edge to the workers, behind a vtable so that another test bench can
@@ -56,6 +59,7 @@
 	const char *token;
 	const char *job; /* reserve */
 	int accelerators; /* reserve */
+	const json_t *task; /* reserve: the job's opaque description or NULL */
 	int64_t term_ms; /* reserve: reservation, commit: lease */
 	int64_t grace_ms; /* checkpoint */
 	/* Sync: lists of tokens. */
--- a/tests/unit/test_api.c
+++ b/tests/unit/test_api.c
@@ -6,6 +6,7 @@
 #include "base/err.h"
 #include "daemon/api.h"
 #include "daemon/document.h"
+#include "daemon/document_int.h"
 #include "daemon/store.h"
 #include "daemon/svc.h"
 #include "tests/standins/pf_server.h"
@@ -425,6 +426,21 @@
 }
 END_TEST
 
+/* Writes a value past the document service. */
+static void put_raw(const char *key, const char *value)
+{
+	char *k = g_base64_encode((unsigned char *)key, strlen(key));
+	char *v = g_base64_encode((unsigned char *)value, strlen(value));
+	json_t *req = json_pack("{s:s,s:s}", "key", k, "value", v);
+
+	g_mutex_lock(&platform.lock);
+	json_decref(pf_store_put(&platform.server.store, req));
+	g_mutex_unlock(&platform.lock);
+	json_decref(req);
+	g_free(k);
+	g_free(v);
+}
+
 /* Guards against a document that reverts with a store that went back. */
 START_TEST(older_root_is_ignored)
 {
@@ -439,6 +455,11 @@
 	ck_assert_int_eq(number(&r, "revision"), 2);
 	pf_thread_control(&platform, "{\"old_root\": false}");
 	put(&r, "customer/a", "{\"weight\": 3}", "2", 200, 0);
+	put_raw("/chivebank/doc/root",
+		"{\"revision\": 3, \"change\": \"other\", \"sections\": {}}");
+	put(&r, "customer/b", "{\"weight\": 1}", "0", 503, CB_E_STORE_BEHIND);
+	call(&r, "GET", SECTION "customer/a", NULL, NULL, 200, 0);
+	ck_assert_int_eq(number(&r, "revision"), 3);
 	json_decref(r.answer);
 }
 END_TEST
@@ -522,6 +543,134 @@
 }
 END_TEST
 
+#define FAULT_ROUNDS 25
+#define FAULT_CALLS 3 /* at once in each round */
+
+static const char *const faults[] = {
+	"{}",
+	"{\"drop_answers\": 1}",
+	"{\"drop_answers\": 3}",
+	"{\"delay_ms\": 30}",
+	"{\"down\": true}",
+	"{\"old_root\": true}",
+};
+
+/* Begins a round of changes, each creating a section, at random hosts. */
+static void begin_round(struct request *r, GRand *rand, int first)
+{
+	char *target, *key;
+	int i;
+
+	for (i = 0; i < FAULT_CALLS; i++) {
+		target = g_strdup_printf(SECTION "customer/c%d", first + i);
+		key = g_strdup_printf("change-%d", first + i);
+		begin(&r[i], g_rand_int_range(rand, 0, HOSTS), "PUT", target,
+		      "{\"weight\": 1}", "root", "0", key);
+		g_free(target);
+		g_free(key);
+	}
+}
+
+/*
+ * Guards against a change that is called made and is not in the document,
+ * or is called not made and is, or is made twice, whatever answers of the
+ * store are lost, slow, old or refused.
+ */
+START_TEST(outcomes_hold_under_faults)
+{
+	struct request r[FAULT_ROUNDS * FAULT_CALLS] = { 0 }, doc = { 0 };
+	GRand *rand = g_rand_new_with_seed((guint32)_i);
+	int round, i, made = 0, unknown = 0;
+	json_t *sections;
+	char *name;
+	size_t count;
+
+	start_ready(0, false, true);
+	start_ready(1, false, true);
+	for (round = 0; round < FAULT_ROUNDS; round++) {
+		i = round * FAULT_CALLS;
+		pf_thread_control(&platform,
+				  faults[g_rand_int_range(
+					  rand, 0, G_N_ELEMENTS(faults))]);
+		begin_round(&r[i], rand, i);
+		for (; i < (round + 1) * FAULT_CALLS; i++)
+			end(&r[i]);
+		pf_thread_control(&platform,
+				  "{\"drop_answers\": 0, \"delay_ms\": 0, "
+				  "\"old_root\": false, \"down\": false}");
+	}
+	put(&doc, "customer/last", "{\"weight\": 1}", "0", 200, 0);
+	call(&doc, "GET", "/v1/document", NULL, NULL, 200, 0);
+	sections = json_object_get(doc.answer, "sections");
+	for (i = 0; i < FAULT_ROUNDS * FAULT_CALLS; i++) {
+		name = g_strdup_printf("customer/c%d", i);
+		made += r[i].status == 200;
+		unknown += code(&r[i]) == CB_E_CHANGE_UNKNOWN;
+		if (code(&r[i]) != CB_E_CHANGE_UNKNOWN)
+			ck_assert_msg((json_object_get(sections, name) !=
+				       NULL) == (r[i].status == 200),
+				      "%s: status %d code %d", name,
+				      r[i].status, code(&r[i]));
+		json_decref(r[i].answer);
+		g_free(name);
+	}
+	count = json_object_size(sections);
+	ck_assert_int_eq(number(&doc, "revision"), count);
+	ck_assert_uint_eq(root_writes(), count);
+	ck_assert_int_ge(made + unknown + 1, count);
+	ck_assert_int_ge(made, FAULT_ROUNDS);
+	wait_revision(1, (int64_t)count);
+	json_decref(doc.answer);
+	g_rand_free(rand);
+}
+END_TEST
+
+static int keys_below(const char *prefix)
+{
+	GTreeNode *node;
+	int n = 0;
+
+	g_mutex_lock(&platform.lock);
+	for (node = g_tree_node_first(platform.server.store.keys); node;
+	     node = g_tree_node_next(node))
+		n += g_str_has_prefix(g_tree_node_key(node), prefix);
+	g_mutex_unlock(&platform.lock);
+	return n;
+}
+
+/*
+ * Guards against a history that grows for ever, and against pruning what is
+ * still in force.
+ */
+START_TEST(old_revisions_are_pruned)
+{
+	struct request r = { 0 };
+	struct document *d;
+	char base[16];
+	int i;
+
+	start_ready(0, false, false);
+	d = (struct document *)kn_find(&hosts[0].kn, SVC_DOCUMENT);
+	d->history_keep = DOC_PRUNE_BATCH;
+	put(&r, "customer/kept", "{\"weight\": 1}", "0", 200, 0);
+	for (i = 1; i < 3 * DOC_PRUNE_BATCH; i++) {
+		snprintf(base, sizeof(base), "%d", i > 1 ? i : 0);
+		put(&r, "customer/a", "{\"weight\": 1}", base, 200, 0);
+	}
+	call(&r, "GET", "/v1/document/diff?from=1&to=40", NULL, NULL, 400,
+	     CB_E_BAD_REQUEST);
+	ck_assert_int_le(keys_below("/chivebank/doc/h/"),
+			 2 * DOC_PRUNE_BATCH + 1);
+	ck_assert_int_le(keys_below("/chivebank/doc/s/customer/a/"),
+			 2 * DOC_PRUNE_BATCH);
+	ck_assert_int_eq(keys_below("/chivebank/doc/s/customer/kept/"), 1);
+	put(&r, "customer/kept", "{\"weight\": 2}", "1", 200, 0);
+	ck_assert_int_eq(keys_below("/chivebank/doc/s/customer/kept/"), 1);
+	call(&r, "GET", "/v1/document/diff?from=90&to=97", NULL, NULL, 200, 0);
+	json_decref(r.answer);
+}
+END_TEST
+
 /* Guards against a call for the leader that another host answers or drops. */
 START_TEST(leaders_calls_are_forwarded)
 {
@@ -568,6 +717,8 @@
 	tcase_add_test(tc, older_root_is_ignored);
 	tcase_add_test(tc, changes_reach_all_hosts);
 	tcase_add_test(tc, racing_operators);
+	tcase_add_loop_test(tc, outcomes_hold_under_faults, 1, 4);
+	tcase_add_test(tc, old_revisions_are_pruned);
 	tcase_add_test(tc, leaders_calls_are_forwarded);
 	suite_add_tcase(suite, tc);
 	srunner_run_all(runner, CK_NORMAL);
