--- a/base/limits.h
+++ b/base/limits.h
@@ -45,7 +45,7 @@
 #define REQ_DEADLINE_MAX_MS 60000
 #define REQ_ATTEMPTS_MAX 3
 #define FORWARD_GRACE_MS 1000 /* for the answer of a peer, after the deadline */
-#define REQ_TICK_MS 10
+#define REQ_TICK_MS 25 /* a quarter of QUEUE_SHORT_LIMIT_MS */
 #define REQ_IDLE_TICK_MS 500 /* while nothing is waiting or in progress */
 #define FRONT_FLUSH_MS 200 /* for the last replies of a stopping host */
 #define REQ_DEADLINE_DEFAULT_MS 10000
@@ -68,6 +68,7 @@
 #define EJECT_FAILURES 5 /* consecutive */
 #define EJECT_BASE_MS 1000 /* doubles up to 32 s */
 #define EJECT_SAMPLES 64 /* answers before latency is judged */
+#define EJECT_JUDGE_EVERY 16 /* answers between comparisons of latency */
 #define EJECT_LATENCY_FACTOR 10 /* times the median; stragglers give 3.5 */
 #define MEMBERS_SAMPLE 512 /* servers in a median */
 #define MEMBERS_POLL_MS 1000 /* leaves 2 s of LEAVING_GRACE_MS */
@@ -76,6 +77,7 @@
 #define QUEUE_TARGET_LONG_MS 200
 #define QUEUE_SHED_FACTOR 3 /* longest wait over target while shedding */
 #define QUEUE_INTERVAL_MS 100
+#define QUEUE_EXPIRE_MS 100 /* between looks for expired requests */
 #define QUEUE_SHORT_LIMIT_MS 100 /* run time of short work, by default */
 #define QUEUE_SHARE_LAG_MS 50 /* of its share that a customer may lag */
 #define QUEUE_RESERVE_MIN_PERCENT 10 /* slots kept for short work */
@@ -85,6 +87,7 @@
 #define KEY_ENTRIES_MAX 50000 /* keys that a host remembers */
 #define KEY_BYTES_MAX (16 * 1024 * 1024) /* finished answers kept */
 #define KEY_TICKETS_MAX 1000 /* tickets per call */
+#define KEY_LEASE_MARGIN_SEC 300 /* a request and store delays, with room */
 #define KEY_BATCHES_MAX 4 /* claim transactions in progress */
 #define KEY_HANDOVER_BYTES (4 * 1024 * 1024) /* half of what a link queues */
 
@@ -155,11 +158,13 @@
 #define WORKER_QUARANTINE_PERCENT 25 /* of the workers at most */
 #define WORKER_PROBATION_MIN_MS 60000
 #define WORKER_PROBATION_MAX_MS 3600000
-#define SC_LEVELS 3 /* of attained service */
-#define SC_LEVEL_1_ACCEL_SEC 1800 /* above: below any new job */
-#define SC_LEVEL_2_ACCEL_SEC 36000
+#define PL_MOVE_COST_MS 30000 /* of a checkpoint and a new start */
+#define PL_SAVES_PER_FAILURE 8
+#define SC_LEVELS 4 /* of attained service */
+#define SC_LEVEL_1_ACCEL_SEC 3600
+#define SC_LEVEL_FACTOR 5
 #define SC_GRACE_MS 60000 /* of a checkpoint that no claim waits for */
-#define SC_QUANTUM_MS 60000 /* run time before work yields to its peers */
+#define SC_QUANTUM_MS 300000 /* run time before work yields to its peers */
 #define SC_AGE_MS 3600000 /* waiting that long counts like one fair share */
 #define SC_PATIENCE_MS 600000 /* then a reservation displaces its racks */
 #define SC_STARTS_PER_PASS 512
@@ -203,6 +208,8 @@
 #define DOC_HISTORY_MAX 100 /* history entries in one answer */
 #define DOC_DIFF_MAX 60 /* revisions between both sides of a difference */
 #define DOC_RETRIES_MAX 8 /* merges with racing changes before a conflict */
+#define DOC_HISTORY_KEEP 20000 /* revisions, about a day in two years */
+#define DOC_PRUNE_BATCH 32 /* old revisions removed at a time */
 #define DOC_CHANGE_TIMEOUT_MS 10000 /* until an outcome is called unknown */
 #define DOC_PULL_TIMEOUT_MS 1000 /* until another peer is asked */
 /* Bodies in one read of the store; 8 of the largest take 11 MB in base64. */
--- a/bench/jobs_chivebank.c
+++ b/bench/jobs_chivebank.c
@@ -9,6 +9,7 @@
 	struct sc_job job;
 	const struct load_job *load;
 	uint32_t run_no; /* changes with each start and end */
+	uint32_t saving_no; /* run whose checkpoint is under way */
 	int64_t left_us; /* run time still to do, as last saved */
 	int64_t work_from_us; /* start of useful work, 0 when not running */
 	int64_t first_start_us;
@@ -158,6 +159,15 @@
 	sc_left(&sim->sc, &job->job, sim->now_us);
 }
 
+static void task_freed(void *run, struct run_event *event)
+{
+	struct sim *sim = run;
+	struct sim_job *job = current(sim, event);
+
+	if (job)
+		sc_freed(&sim->sc, &job->job);
+}
+
 static void task_saved(void *run, struct run_event *event)
 {
 	struct sim *sim = run;
@@ -198,7 +208,9 @@
 	struct sim *sim = sim_of(sc);
 	struct sim_job *job = container_of(sc_job, struct sim_job, job);
 
-	later(sim, job->load->save_us, task_saved, job);
+	if (job->saving_no != job->run_no)
+		later(sim, job->load->save_us, task_saved, job);
+	job->saving_no = job->run_no;
 	later(sim, sc_job->deadline_us - sim->now_us, grace_over, job);
 }
 
@@ -209,6 +221,8 @@
 	bool lost = strcmp(reason, "worker lost") == 0;
 
 	job->run_no++;
+	if (lost)
+		later(sim, between_ms(sim, 100, 500), task_freed, job);
 	later(sim, lost ? RUN_LEASE_US : between_ms(sim, 100, 500), task_left,
 	      job);
 }
@@ -224,19 +238,16 @@
 	struct sim *sim = sim_of(sc);
 	struct sim_job *job = container_of(sc_job, struct sim_job, job);
 	struct run_result *r = sim->result;
-	double took = (double)(sim->now_us - job->load->arrive_us);
 
 	job->ended = true;
 	if (end == SC_END_FAILED && job->load->hopeless)
 		r->hopeless_ended++;
 	else if (end == SC_END_FAILED)
 		r->ended_early++;
-	if (end != SC_END_DONE || job->load->cancel_us || job->load->urgent)
+	if (end != SC_END_DONE)
 		return;
-	r->done++;
-	r->completion_s += took / USEC_PER_SEC;
-	r->wait_s += (double)(job->first_start_us - job->load->arrive_us) /
-		     USEC_PER_SEC;
+	r->done_us[index_of(sim, job)] = sim->now_us;
+	r->start_us[index_of(sim, job)] = job->first_start_us;
 }
 
 static void op_broken(struct sc *sc, bool broken)
@@ -254,17 +265,21 @@
 
 /* ---- outside events ---- */
 
-/* A claim counts when the guarantee can take it at its arrival. */
+/*
+ * A claim counts when the guarantee can take it at its arrival, which other
+ * urgent work of the customer that already waits may prevent.
+ */
 static void note_claim(struct sim *sim, struct sim_job *job)
 {
-	struct pl_ask ask = { .evict_level = PL_NO_EVICTION,
+	struct pl_ask ask = { .evict_level = -1,
+			      .before_us = sim->now_us,
 			      .now_us = sim->now_us,
 			      .reclaim = true,
 			      .customer = job->load->customer };
 	struct cell_gang *gang = &job->job.gang;
 
 	if (!job->load->urgent ||
-	    gs_accelerators_left(&sim->sc.gs, gang->customer) < gang->total ||
+	    !list_empty(&sim->sc.customers[gang->customer].urgent) ||
 	    !pl_claim(&sim->sc.gs, gang, &ask))
 		return;
 	cell_gang_reset(gang);
@@ -414,7 +429,6 @@
 		(double)LOAD_WORKERS * LOAD_WORKER_SIZE * load->end_us;
 	int64_t limit_us = 20 * load->end_us;
 
-	memset(result, 0, sizeof(*result));
 	sim.rnd = g_rand_new_with_seed(seed);
 	sim.jobs = g_new0(struct sim_job, load->job_count);
 	run_queue_init(&sim.queue);
@@ -423,8 +437,6 @@
 	while (sim.now_us < limit_us &&
 	       (sim.queue.heap->len > 0 || !all_ended(&sim)))
 		turn(&sim);
-	result->wait_s /= MAX(1, result->done);
-	result->completion_s /= MAX(1, result->done);
 	result->gang_ratio = run_median(sim.samples.ratios);
 	result->use = sim.samples.held_us / capacity;
 	result->useful = sim.samples.useful_us / capacity;
--- a/bench/jobs_firstfit.c
+++ b/bench/jobs_firstfit.c
@@ -113,14 +113,8 @@
 	if (to > job->start_us)
 		ff->samples.useful_us +=
 			(double)(to - job->start_us) * job->gang.total;
-	if (job->load->cancel_us || job->load->urgent)
-		return;
-	ff->result->done++;
-	ff->result->completion_s +=
-		(double)(ff->now_us - job->load->arrive_us) / USEC_PER_SEC;
-	ff->result->wait_s +=
-		(double)(job->first_start_us - job->load->arrive_us) /
-		USEC_PER_SEC;
+	ff->result->done_us[event->index] = ff->now_us;
+	ff->result->start_us[event->index] = job->first_start_us;
 }
 
 static void ff_failed(void *run, struct run_event *event)
@@ -293,7 +287,6 @@
 	struct run_event *event;
 	int i;
 
-	memset(result, 0, sizeof(*result));
 	ff.jobs = g_new0(struct ff_job, load->job_count);
 	list_init(&ff.waiting);
 	run_queue_init(&ff.queue);
@@ -301,8 +294,6 @@
 	ff_setup(&ff);
 	while ((event = run_queue_pop(&ff.queue)))
 		ff_turn(&ff, event);
-	result->wait_s /= MAX(1, result->done);
-	result->completion_s /= MAX(1, result->done);
 	result->gang_ratio = run_median(ff.samples.ratios);
 	result->use = ff.samples.held_us / capacity;
 	result->useful = ff.samples.useful_us / capacity;
--- a/bench/jobs_load.h
+++ b/bench/jobs_load.h
@@ -45,7 +45,9 @@
 extern const int load_weights[LOAD_CUSTOMERS];
 extern const int load_guarantees[LOAD_CUSTOMERS][3];
 
-void load_make(struct load *load, enum load_user user, uint32_t seed);
+/* offered: accelerator time asked for, over the capacity until the end. */
+void load_make(struct load *load, enum load_user user, double offered,
+	       uint32_t seed);
 void load_finish(struct load *load);
 
 #endif
--- a/bench/jobs_queue.c
+++ b/bench/jobs_queue.c
@@ -123,3 +123,51 @@
 	}
 	return false;
 }
+
+/* ---- results ---- */
+
+void run_result_init(struct run_result *result, const struct load *load)
+{
+	*result = (struct run_result){ 0 };
+	result->start_us = g_new0(int64_t, load->job_count + 1);
+	result->done_us = g_new0(int64_t, load->job_count + 1);
+}
+
+void run_result_finish(struct run_result *result)
+{
+	g_free(result->start_us);
+	g_free(result->done_us);
+}
+
+static void add_job(struct run_result *r, const struct load_job *job, int i)
+{
+	r->run_s += (double)job->work_us / USEC_PER_SEC;
+	r->wait_s += (double)(r->start_us[i] - job->arrive_us) / USEC_PER_SEC;
+	r->completion_s +=
+		(double)(r->done_us[i] - job->arrive_us) / USEC_PER_SEC;
+}
+
+static void divide(struct run_result *r, int n)
+{
+	r->run_s /= MAX(1, n);
+	r->wait_s /= MAX(1, n);
+	r->completion_s /= MAX(1, n);
+}
+
+void run_compare(const struct load *load, struct run_result *a,
+		 struct run_result *b)
+{
+	int i, n = 0;
+
+	for (i = 0; i < load->job_count; i++) {
+		a->done += a->done_us[i] > 0;
+		b->done += b->done_us[i] > 0;
+		if (!a->done_us[i] || !b->done_us[i] || load->jobs[i].cancel_us)
+			continue;
+		add_job(a, &load->jobs[i], i);
+		add_job(b, &load->jobs[i], i);
+		n++;
+	}
+	divide(a, n);
+	divide(b, n);
+}
--- a/bench/jobs_run.h
+++ b/bench/jobs_run.h
@@ -6,6 +6,10 @@
 
 /* What one run of a load under one scheduler gave. */
 struct run_result {
+	/* Per job; the mean values are over the jobs done by both. */
+	int64_t *start_us; /* first start, 0 for never */
+	int64_t *done_us; /* 0 for never */
+	double run_s; /* mean real run time, a lower bound of completion */
 	double wait_s; /* mean until the first start */
 	double completion_s; /* mean from arrival to the end */
 	double gang_ratio; /* median of largest startable gang / free */
@@ -67,5 +71,10 @@
 		   struct run_result *result);
 void run_first_fit(const struct load *load, uint32_t seed,
 		   struct run_result *result);
+void run_result_init(struct run_result *result, const struct load *load);
+void run_result_finish(struct run_result *result);
+/* Fills in the mean values of both from the jobs that both have done. */
+void run_compare(const struct load *load, struct run_result *a,
+		 struct run_result *b);
 
 #endif
--- a/policy/sc.c
+++ b/policy/sc.c
@@ -126,12 +126,12 @@
 	for (i = 0; i < n; i++) {
 		table[i] = sc->customers[i];
 		relink(&table[i].urgent, &sc->customers[i].urgent);
-		for (j = 0; j < SC_LEVELS; j++)
+		for (j = 0; j < SC_QUEUES; j++)
 			relink(&table[i].queues[j],
 			       &sc->customers[i].queues[j]);
 	}
 	list_init(&table[n].urgent);
-	for (j = 0; j < SC_LEVELS; j++)
+	for (j = 0; j < SC_QUEUES; j++)
 		list_init(&table[n].queues[j]);
 	table[n].weight = 1;
 	g_free(sc->customers);
@@ -182,7 +182,7 @@
 	gs_set_guarantee(&sc->gs, customer, none);
 	report_broken(sc);
 	cancel_list(sc, &c->urgent, now_us);
-	for (i = 0; i < SC_LEVELS; i++)
+	for (i = 0; i < SC_QUEUES; i++)
 		cancel_list(sc, &c->queues[i], now_us);
 	cancel_of(sc, &sc->waiting, customer, now_us);
 	if (!stop)
@@ -213,13 +213,25 @@
 	return job->attained_us + job->gang.total * (now_us - job->started_us);
 }
 
+/* Levels are SC_LEVEL_FACTOR apart, the lowest is SC_LEVEL_1_ACCEL_SEC. */
 int sc_level(const struct sc_job *job, int64_t now_us)
 {
 	int64_t sec = sc_attained(job, now_us) / USEC_PER_SEC;
+	int64_t limit = SC_LEVEL_1_ACCEL_SEC;
+	int level;
 
-	if (sec < SC_LEVEL_1_ACCEL_SEC)
-		return 0;
-	return sec < SC_LEVEL_2_ACCEL_SEC ? 1 : 2;
+	for (level = 0; level < SC_LEVELS - 1 && sec >= limit; level++)
+		limit *= SC_LEVEL_FACTOR;
+	return level;
+}
+
+enum sc_size sc_size(const struct sc *sc, int total)
+{
+	if (total <= sc->cell.worker_size)
+		return SC_IN_WORKER;
+	if (total <= sc->cell.worker_size * sc->cell.rack_size)
+		return SC_IN_RACK;
+	return SC_IN_ROW;
 }
 
 static void drop_place(struct sc *sc, struct sc_job *job)
@@ -253,8 +265,10 @@
 {
 	struct sc_customer *c = &sc->customers[job->gang.customer];
 	struct list_head *queue;
+	int i;
 
-	queue = job->urgent ? &c->urgent : &c->queues[sc_level(job, now_us)];
+	i = sc_level(job, now_us) * SC_SIZES + sc_size(sc, job->gang.total);
+	queue = job->urgent ? &c->urgent : &c->queues[i];
 	job->state = SC_QUEUED;
 	job->queued_us = now_us;
 	job->displaced = false;
@@ -383,6 +397,17 @@
 		stop_job(sc, job, "displaced");
 }
 
+/*
+ * All workers that can be reached have stopped the gang: its places are
+ * free. It may still run on a lost worker until its lease ends, so it must
+ * not start again before sc_left().
+ */
+void sc_freed(struct sc *sc, struct sc_job *job)
+{
+	if (job->state == SC_STOPPING)
+		drop_place(sc, job);
+}
+
 /* The gang runs nowhere any more, or never started. */
 void sc_left(struct sc *sc, struct sc_job *job, int64_t now_us)
 {
--- a/policy/scpass.c
+++ b/policy/scpass.c
@@ -5,15 +5,12 @@
 #include "policy/pl.h"
 #include "policy/sc.h"
 
-/* Kinds of places by size of the gang; see pl_place(). */
-enum size_class { IN_WORKER, IN_RACK, IN_ROW, SIZE_CLASSES };
-
 /*
  * Smallest size that found no place in this pass, for each kind. Free places
  * only decrease within a pass, so larger gangs need not be tried again.
  */
 struct memo {
-	int failed[SIZE_CLASSES];
+	int failed[SC_SIZES];
 };
 
 struct pass {
@@ -29,20 +26,11 @@
 	struct sc_job *head; /* first large job that found no place */
 };
 
-static enum size_class class_of(const struct sc *sc, int total)
-{
-	if (total <= sc->cell.worker_size)
-		return IN_WORKER;
-	if (total <= sc->cell.worker_size * sc->cell.rack_size)
-		return IN_RACK;
-	return IN_ROW;
-}
-
 static void memo_init(struct memo *memo)
 {
 	int i;
 
-	for (i = 0; i < SIZE_CLASSES; i++)
+	for (i = 0; i < SC_SIZES; i++)
 		memo->failed[i] = INT32_MAX;
 }
 
@@ -50,21 +38,27 @@
 static bool known_to_fail(const struct sc *sc, const struct memo *memo,
 			  int total)
 {
-	enum size_class c = class_of(sc, total);
+	enum sc_size c = sc_size(sc, total);
 
 	return total >= memo->failed[c] ||
-	       (c != IN_WORKER && memo->failed[IN_WORKER] < INT32_MAX);
+	       (c != SC_IN_WORKER && memo->failed[SC_IN_WORKER] < INT32_MAX);
 }
 
 static void note_failure(const struct sc *sc, struct memo *memo,
 			 const struct sc_job *job)
 {
-	int *failed = &memo->failed[class_of(sc, job->gang.total)];
+	int *failed = &memo->failed[sc_size(sc, job->gang.total)];
 
 	if (job->health.failed_count == 0)
 		*failed = MIN(*failed, job->gang.total);
 }
 
+/* Urgent work must not displace other urgent work of its customer. */
+static int yield_level(const struct sc_job *job, int64_t now_us)
+{
+	return job->urgent ? -1 : sc_level(job, now_us);
+}
+
 /* ---- starting ---- */
 
 static void displace(struct cell_gang *victim, void *user)
@@ -85,14 +79,41 @@
 	p->sc->ops->start(p->sc, job);
 }
 
+/* Work on the place of a claim that is leaving already has less time now. */
+static void hurry(struct pass *p, struct sc_job *job)
+{
+	const struct cell_gang *gang = &job->gang;
+	int64_t deadline_us = p->now_us + RECLAIM_GRACE_MS * USEC_PER_MSEC;
+	int i;
+
+	for (i = 0; i < gang->hold_count; i++) {
+		struct cell_hold *hold;
+
+		list_for_each_entry(
+			hold, &p->sc->cell.workers[gang->holds[i].worker].holds,
+			node) {
+			struct sc_job *other = hold->gang->user;
+
+			if (other->state != SC_LEAVING ||
+			    other->deadline_us <= deadline_us)
+				continue;
+			other->deadline_us = deadline_us;
+			p->sc->ops->checkpoint(p->sc, other);
+		}
+	}
+}
+
 /* Holds the chosen place and asks the work on it to leave. */
 static void take(struct pass *p, struct sc_job *job, const struct pl_ask *ask)
 {
-	job->gang.level = sc_level(job, p->now_us);
+	job->gang.level = yield_level(job, p->now_us);
 	sc_take(p->sc, job, p->now_us);
 	p->grace_ms = ask->reclaim ? RECLAIM_GRACE_MS : SC_GRACE_MS;
-	if (!cell_clear(&p->sc->cell, &job->gang))
+	if (!cell_clear(&p->sc->cell, &job->gang)) {
 		pl_victims(&p->sc->gs, &job->gang, ask, displace, p);
+		if (ask->reclaim)
+			hurry(p, job);
+	}
 	start_if_clear(p, job);
 }
 
@@ -155,8 +176,8 @@
 /*
  * Places a job on its customer's guarantee. Ordinary work displaces nothing
  * while it finds a free place; urgent work takes no borrowed place, from
- * which it could be displaced. Work of the customer itself yields only when
- * nothing else does: to urgent work, and to less attained service.
+ * which it could be displaced, and makes other work of its customer yield
+ * when nothing else does.
  */
 static bool claim(struct pass *p, struct sc_job *job, struct claim_memo *memo)
 {
@@ -172,9 +193,10 @@
 	ask.reclaim = true;
 	if (room && try_claim(p, job, &ask, &memo->reclaim))
 		return true;
-	if (sc->gs.customers[job->gang.customer].held < job->gang.total)
+	if (!job->urgent)
 		return false;
-	ask.evict_level = job->urgent ? -1 : sc_level(job, p->now_us);
+	ask.evict_level = -1;
+	ask.before_us = p->now_us;
 	return try_claim(p, job, &ask, &memo->own);
 }
 
@@ -192,8 +214,8 @@
 	list_for_each_entry_safe(job, tmp, queue, node) {
 		if (p->starts >= SC_STARTS_PER_PASS)
 			return;
-		if (memo->reclaim.failed[IN_WORKER] <= 1 &&
-		    memo->own.failed[IN_WORKER] <= 1)
+		if (memo->reclaim.failed[SC_IN_WORKER] <= 1 &&
+		    memo->own.failed[SC_IN_WORKER] <= 1)
 			return;
 		if (within_quota(c, job))
 			claim(p, job, memo);
@@ -206,7 +228,7 @@
 	struct sc *sc = p->sc;
 	struct claim_memo *memos =
 		g_new(struct claim_memo, sc->customer_count + 1);
-	int i, level;
+	int i, q;
 
 	for (i = 0; i < sc->customer_count; i++) {
 		memo_init(&memos[i].idle);
@@ -214,10 +236,10 @@
 		claim_queue(p, &sc->customers[i], &sc->customers[i].urgent,
 			    &memos[i]);
 	}
-	for (level = 0; level < SC_LEVELS; level++)
+	for (q = 0; q < SC_QUEUES; q++)
 		for (i = 0; i < sc->customer_count; i++)
 			claim_queue(p, &sc->customers[i],
-				    &sc->customers[i].queues[level], &memos[i]);
+				    &sc->customers[i].queues[q], &memos[i]);
 	g_free(memos);
 }
 
@@ -233,9 +255,11 @@
 		return false;
 	p->evictions--;
 	ask.evict_level = level;
+	ask.max_total = MAX(p->sc->cell.worker_size, 2 * job->gang.total);
 	if (job == p->sc->head &&
 	    p->now_us - job->queued_us > SC_PATIENCE_MS * USEC_PER_MSEC) {
 		ask.evict_level = -1;
+		ask.max_total = 0;
 		ask.sheltered = NULL;
 	}
 	if (!pl_place(&p->sc->gs, &job->gang, &ask)) {
@@ -253,7 +277,7 @@
 		return;
 	if (place_free(p, job) || place_evicting(p, job))
 		return;
-	if (!p->head && class_of(p->sc, job->gang.total) != IN_WORKER)
+	if (!p->head && sc_size(p->sc, job->gang.total) != SC_IN_WORKER)
 		p->head = job;
 }
 
@@ -262,7 +286,7 @@
 {
 	if (queue == &c->urgent)
 		return &c->queues[0];
-	if (queue == &c->queues[SC_LEVELS - 1])
+	if (queue == &c->queues[SC_QUEUES - 1])
 		return NULL;
 	return queue + 1;
 }
@@ -311,8 +335,8 @@
 static bool nothing_left(const struct pass *p)
 {
 	return p->starts >= SC_STARTS_PER_PASS ||
-	       (p->soft.failed[IN_WORKER] <= 1 &&
-		p->hard.failed[IN_WORKER] <= 1 && p->evictions <= 0);
+	       (p->soft.failed[SC_IN_WORKER] <= 1 &&
+		p->hard.failed[SC_IN_WORKER] <= 1 && p->evictions <= 0);
 }
 
 static void borrow(struct pass *p)
@@ -363,7 +387,7 @@
 	struct sc_job *job;
 
 	list_for_each_entry(job, &p->sc->running, node) {
-		job->gang.level = sc_level(job, p->now_us);
+		job->gang.level = yield_level(job, p->now_us);
 		if (p->sc->wh.trials > 0 && job->state == SC_RUNNING &&
 		    p->now_us - job->started_us >=
 			    WORKER_PROBATION_MIN_MS * USEC_PER_MSEC)
