Fence the scheduler's store writes by the epoch's key

A submission that a deposed leader still wrote was accepted, but the new leader had read the records before and didn't know the job until the next takeover. Each transaction now also compares the key of the epoch, which changes whenever another host takes over, and fails then.

A host that loses and regains leadership within one epoch, as happens in a store outage when a promise lapses for a moment, dropped all jobs and could not read them again from the store that was down, so that running gangs lost their leases. It now keeps what it knows while the epoch stays. When the policy is rebuilt within an epoch, attempts are numbered from a higher base, so that no token names two attempts.

Ruled out: comparing the leader's key, which is written at each renewal.

--- a/daemon/sched.c
+++ b/daemon/sched.c
@@ -49,6 +49,11 @@
 /* Starts to read records and to sync; decides when both are complete. */
 static void begin(struct sched *s)
 {
+	/* A token must name one attempt only, also when the record lags. */
+	if (s->epoch == s->lead.epoch)
+		s->attempt_base += JOB_FAILURES_MAX * 100;
+	else
+		s->attempt_base = 0;
 	s->phase = SCHED_READING;
 	s->epoch = s->lead.epoch;
 	s->term++;
@@ -113,9 +118,12 @@
 {
 	bool leads = s->lead.leading && s->view && !s->drain_us;
 
-	/* A stopping host still writes the records that are pending. */
-	if (s->phase != SCHED_OFF && !s->drain_us &&
-	    (!s->lead.leading || s->lead.epoch != s->epoch))
+	/*
+	 * A host may lose and regain leadership within one epoch, when the
+	 * store is down; all that it knows still holds then. A stopping host
+	 * still writes the records that are pending.
+	 */
+	if (s->phase != SCHED_OFF && !s->drain_us && s->lead.epoch != s->epoch)
 		end(s);
 	if (s->phase == SCHED_OFF && leads)
 		begin(s);
@@ -277,6 +285,7 @@
 	sched_store_finish(s);
 	s->edge->ops->finish(s->edge);
 	doc_view_unref(s->view);
+	g_free(s->epoch_key);
 	g_ptr_array_free(s->workers, TRUE);
 	g_ptr_array_free(s->customers, TRUE);
 	g_ptr_array_free(s->records, TRUE);
@@ -321,6 +330,7 @@
 	s->set = set;
 	s->kv = kv;
 	s->edge = wagent_new(kn);
+	s->epoch_key = g_strdup_printf("/chivebank/dc/%s/epoch", set->dc);
 	s->rand = g_rand_new_with_seed(
 		(guint32)(set->seed ? set->seed : incarnation));
 	s->workers = g_ptr_array_new();
--- a/daemon/sched_gang.c
+++ b/daemon/sched_gang.c
@@ -272,7 +272,7 @@
 	int n = fill_members(job);
 
 	job->jb.epoch = s->epoch;
-	job->jb.attempt++;
+	job->jb.attempt = MAX(job->jb.attempt, s->attempt_base) + 1;
 	snprintf(job->token, sizeof(job->token), "%" PRIu64 ".%s.%d", s->epoch,
 		 job->jb.id, job->jb.attempt);
 	g_hash_table_insert(s->tokens, job->token, job);
--- a/daemon/sched_int.h
+++ b/daemon/sched_int.h
@@ -69,6 +69,7 @@
 	int64_t wake_us; /* when the timer fires */
 	enum sched_phase phase;
 	uint64_t epoch;
+	int attempt_base; /* attempts of this epoch that may be unrecorded */
 	uint64_t term; /* counts times of leading; old answers are dropped */
 	int64_t began_us;
 	int64_t ticked_us;
@@ -97,6 +98,8 @@
 	int64_t load_us;
 	unsigned int load_failures;
 	bool loading;
+	char *epoch_key; /* written at each change of the leader */
+	int64_t epoch_mod; /* its mod revision under this host's epoch */
 	struct list_head submits;
 	int64_t drain_us; /* end of the wait for writes, 0: not stopping */
 	struct list_head calls_out; /* struct scall to workers */
--- a/daemon/sched_store.c
+++ b/daemon/sched_store.c
@@ -9,6 +9,8 @@
 /* All records of 14,000 jobs exceed STORE_REPLY_MAX_BYTES in one answer. */
 #define LOAD_PARTS 16
 
+#define MS(ms) ((int64_t)(ms)*USEC_PER_MSEC)
+
 enum store_job { STORE_LOAD, STORE_WRITE, STORE_DELETE, STORE_SUBMIT };
 
 /* A call to the store in progress. */
@@ -80,6 +82,37 @@
 
 /* ---- reading ---- */
 
+static const struct kv_item *find_item(const struct kv_call *call,
+				       const char *key)
+{
+	size_t i;
+
+	for (i = 0; i < call->count; i++)
+		if (strcmp(call->items[i].key, key) == 0)
+			return &call->items[i];
+	return NULL;
+}
+
+/*
+ * Whether another host has taken over: then the epoch's key has changed, and
+ * each transaction of this one fails.
+ */
+static bool deposed(const struct sched *s, const struct kv_call *call)
+{
+	const struct kv_item *item = find_item(call, s->epoch_key);
+
+	return (item ? item->mod_revision : 0) != s->epoch_mod;
+}
+
+/* Returns false when the epoch in the store is not the one to act under. */
+static bool take_epoch(struct sched *s, const struct kv_call *call)
+{
+	const struct kv_item *item = find_item(call, s->epoch_key);
+
+	s->epoch_mod = item ? item->mod_revision : 0;
+	return !item || g_ascii_strtoull(item->value, NULL, 10) == s->epoch;
+}
+
 static void take_record(struct sched *s, const struct kv_item *item)
 {
 	struct sjob *job = sched_job_new(s);
@@ -106,11 +139,13 @@
 
 	if (c->term == s->term) {
 		s->loading = false;
-		if (call->result == CB_OK) {
+		if (call->result == CB_OK && s->load_part == LOAD_PARTS) {
+			s->loaded = take_epoch(s, call);
+			s->load_us = kn_now_us() + MS(STORE_BACKOFF_BASE_MS);
+		} else if (call->result == CB_OK) {
 			for (i = 0; i < call->count; i++)
 				take_record(s, &call->items[i]);
 			s->load_part++;
-			s->loaded = s->load_part == LOAD_PARTS;
 		} else {
 			s->load_us = kn_now_us() +
 				     sched_backoff_us(s, s->load_failures++);
@@ -121,8 +156,8 @@
 }
 
 /*
- * Reads the next part of the records of the data centre. Ids are hexadecimal
- * after the first letter, see jb_make_id().
+ * Reads the next part of the records of the data centre, and at last the key
+ * of the epoch. Ids are hexadecimal after the first letter, see jb_make_id().
  */
 void sched_load(struct sched *s)
 {
@@ -131,10 +166,12 @@
 
 	snprintf(prefix, sizeof(prefix), "j%x", s->load_part);
 	c = call_new(s, STORE_LOAD, prefix);
-
 	s->loading = true;
 	c->call.done = on_loaded;
-	s->kv->ops->range(s->kv, &c->call, c->key, true);
+	if (s->load_part < LOAD_PARTS)
+		s->kv->ops->range(s->kv, &c->call, c->key, true);
+	else
+		s->kv->ops->range(s->kv, &c->call, s->epoch_key, false);
 }
 
 /* ---- writing ---- */
@@ -161,15 +198,18 @@
 
 /*
  * A failed compare means that an earlier write took effect although its
- * answer was lost, or that another leader has written; the latter is found
- * by the epoch that workers report, and the newest epoch writes last.
+ * answer was lost, or that another host leads; then the write waits until
+ * this one is told so.
  */
-static void write_refused(struct sjob *job, const struct kv_call *call)
+static void write_refused(struct scall_kv *c, struct sjob *job)
 {
-	if (call->count > 0)
-		job->mod_revision = call->items[0].mod_revision;
-	else
-		job->mod_revision = 0;
+	const struct kv_item *item = find_item(&c->call, c->key);
+
+	if (deposed(c->s, &c->call)) {
+		retry_write(job);
+		return;
+	}
+	job->mod_revision = item ? item->mod_revision : 0;
 	sched_write(job);
 }
 
@@ -186,7 +226,7 @@
 		if (call->result != CB_OK) {
 			retry_write(job);
 		} else if (!call->succeeded) {
-			write_refused(job, call);
+			write_refused(c, job);
 		} else {
 			s->write_failures = 0;
 			ctr_add(&s->record_writes, 1);
@@ -205,9 +245,11 @@
 {
 	struct sched *s = job->s;
 	struct scall_kv *c = call_new(s, STORE_WRITE, job->jb.id);
-	struct kv_cmp cmp = { c->key, job->mod_revision };
+	struct kv_cmp cmps[] = { { c->key, job->mod_revision },
+				 { s->epoch_key, s->epoch_mod } };
 	struct kv_op put = { .kind = KV_PUT, .key = c->key };
-	struct kv_op get = { .kind = KV_RANGE, .key = c->key };
+	struct kv_op gets[] = { { .kind = KV_RANGE, .key = c->key },
+				{ .kind = KV_RANGE, .key = s->epoch_key } };
 
 	c->text = record_text(job);
 	put.value = c->text;
@@ -215,7 +257,7 @@
 	job->in_write = true;
 	s->writing++;
 	c->call.done = on_written;
-	s->kv->ops->txn(s->kv, &c->call, &cmp, 1, &put, 1, &get, 1);
+	s->kv->ops->txn(s->kv, &c->call, cmps, 2, &put, 1, gets, 2);
 }
 
 /* Starts the writes that are due; while the store fails, one at a time. */
@@ -362,8 +404,13 @@
 		ctr_add(&c->s->record_writes, 1);
 		c->job->mod_revision = call->revision;
 		submit_done(c, true);
-	} else if (call->count > 0) {
-		submit_exists(c, &call->items[0]);
+	} else if (deposed(c->s, call)) {
+		submit_failed(c, CB_E_NO_LEADER,
+			      "another host leads; submit again with the same "
+			      "key");
+		call_free(c);
+	} else if (find_item(call, c->key)) {
+		submit_exists(c, find_item(call, c->key));
 	} else {
 		submit_again(c, CB_E_TIMEOUT);
 	}
@@ -371,12 +418,14 @@
 
 static void try_submit(struct scall_kv *c)
 {
-	struct kv_cmp cmp = { c->key, 0 };
+	struct kv_cmp cmps[] = { { c->key, 0 },
+				 { c->s->epoch_key, c->s->epoch_mod } };
 	struct kv_op put = { .kind = KV_PUT,
 			     .key = c->key,
 			     .value = c->text,
 			     .len = strlen(c->text) };
-	struct kv_op get = { .kind = KV_RANGE, .key = c->key };
+	struct kv_op gets[] = { { .kind = KV_RANGE, .key = c->key },
+				{ .kind = KV_RANGE, .key = c->s->epoch_key } };
 
 	if (c->term != c->s->term) {
 		submit_failed(c, CB_E_NO_LEADER,
@@ -387,7 +436,7 @@
 	}
 	c->flying = true;
 	c->call.done = on_submitted;
-	c->s->kv->ops->txn(c->s->kv, &c->call, &cmp, 1, &put, 1, &get, 1);
+	c->s->kv->ops->txn(c->s->kv, &c->call, cmps, 2, &put, 1, gets, 2);
 }
 
 /* Takes over the job; call is answered when the record's fate is known. */
--- a/tests/unit/test_sched.c
+++ b/tests/unit/test_sched.c
@@ -574,6 +574,50 @@
 }
 END_TEST
 
+static void on_put(struct kv_call *call)
+{
+}
+
+/* A job that is accepted by a host that another one has replaced. */
+START_TEST(deposed_leader_writes_nothing)
+{
+	struct kv_op op = { .kind = KV_PUT,
+			    .key = "/chivebank/dc/dc1/epoch",
+			    .value = "2",
+			    .len = 1 };
+	struct kv_call call = { .done = on_put };
+
+	begin(60000);
+	flaky.inner->ops->txn(flaky.inner, &call, NULL, 0, &op, 1, NULL, 0);
+	ck_assert_int_eq(submit("k1", 8, NULL), 503);
+	kill_sched();
+	start_sched(2);
+	run(500);
+	ck_assert_int_eq(api("GET", "/v1/jobs", NULL, NULL), 200);
+	ck_assert_uint_eq(json_array_size(json_object_get(answer, "jobs")), 0);
+	end();
+}
+END_TEST
+
+/* Work that ends because leadership was away for a moment. */
+START_TEST(regained_epoch_goes_on)
+{
+	char id[JB_ID_BYTES];
+
+	begin(60000);
+	ck_assert_int_eq(submit("k1", 16, id), 201);
+	wait_state(id, "running", 2000);
+	flaky.down = true;
+	lead(1, false, 0);
+	run(300);
+	lead(1, true, 600000);
+	run(300);
+	ck_assert_str_eq(state_of(id), "running");
+	ck_assert_int_eq(sum_running(), 2);
+	end();
+}
+END_TEST
+
 /* A leader whose lease has run out that still sends to workers. */
 START_TEST(no_call_without_valid_lease)
 {
@@ -671,6 +715,8 @@
 	tcase_add_test(tcase, unwritten_end_is_found);
 	tcase_add_test(tcase, stop_leaves_work_running);
 	tcase_add_test(tcase, claim_is_met);
+	tcase_add_test(tcase, deposed_leader_writes_nothing);
+	tcase_add_test(tcase, regained_epoch_goes_on);
 	tcase_add_test(tcase, no_call_without_valid_lease);
 	tcase_add_test(tcase, cancelled_job_stays_cancelled);
 	tcase_add_test(tcase, pool_may_come_later);
