--- a/base/limits.h
+++ b/base/limits.h
@@ -155,6 +155,16 @@
 #define WORKER_QUARANTINE_PERCENT 25 /* of the workers at most */
 #define WORKER_PROBATION_MIN_MS 60000
 #define WORKER_PROBATION_MAX_MS 3600000
+/*
+ * A lease is renewed only while all members of the gang were seen running
+ * this long ago. With a call's life of 2 s at most, the three stay within
+ * TASK_LEASE_MS, after which no member runs alone.
+ */
+#define GG_CONFIRM_MS 7000
+#define GG_LEASE_MS 20000
+#define GG_CALL_MS 2000
+#define GG_RETRY_MS 1000
+#define GG_PHASE_MS 4000 /* for all answers; two fit into a barrier term */
 #define PL_MOVE_COST_MS 30000 /* of a checkpoint and a new start */
 #define PL_SAVES_PER_FAILURE 8
 #define SC_LEVELS 4 /* of attained service */
