--- a/base/limits.h
+++ b/base/limits.h
@@ -176,6 +176,10 @@
 #define SC_PATIENCE_MS 600000 /* then a reservation displaces its racks */
 #define SC_STARTS_PER_PASS 512
 #define SC_EVICTION_TRIES 8 /* per pass; each looks at all workers */
+#define SCHED_TICK_MS 100 /* passes are at least that far apart */
+#define SCHED_POLL_MS 500 /* syncs of workers where something is awaited */
+#define SCHED_CALL_MS GG_CALL_MS
+#define SCHED_DEAD_SYNCS 3 /* failed syncs until a worker counts as dead */
 #define JOB_WRITES 3 /* store writes for a job that isn't cancelled */
 
 /* ---- document ---- */
--- a/policy/jb.c
+++ b/policy/jb.c
@@ -87,7 +87,7 @@
 	jb->place_count = 0;
 }
 
-void jb_add_place(struct jb *jb, const char *worker, int count)
+void jb_add_place(struct jb *jb, const char *worker, int count, int cover)
 {
 	struct jb_place *place;
 
@@ -95,6 +95,7 @@
 	place = &jb->places[jb->place_count++];
 	g_strlcpy(place->worker, worker, sizeof(place->worker));
 	place->count = count;
+	place->cover = cover;
 }
 
 /* ---- submission ---- */
@@ -238,8 +239,9 @@
 
 	for (i = 0; i < jb->place_count; i++)
 		json_array_append_new(places,
-				      json_pack("[s,i]", jb->places[i].worker,
-						jb->places[i].count));
+				      json_pack("[s,i,i]", jb->places[i].worker,
+						jb->places[i].count,
+						jb->places[i].cover));
 	json = json_pack(
 		"{s:s,s:s,s:s,s:s,s:i,s:I,s:I,s:b,s:b,s:s,s:s,s:I,"
 		"s:i,s:I,s:I,s:I,s:I,s:o}",
@@ -281,11 +283,13 @@
 		const char *worker =
 			json_string_value(json_array_get(place, 0));
 		json_int_t n = json_integer_value(json_array_get(place, 1));
+		json_int_t cover = json_integer_value(json_array_get(place, 2));
 
 		if (!worker || strlen(worker) >= NAME_MAX_BYTES || n < 1 ||
-		    n > WORKER_ACCELERATORS_MAX)
-			return bad(err, "workers", "[name, count] pairs");
-		jb_add_place(jb, worker, n);
+		    n > WORKER_ACCELERATORS_MAX || cover < -1 || cover > 3)
+			return bad(err, "workers",
+				   "[name, count, cover] entries");
+		jb_add_place(jb, worker, n, cover);
 	}
 	return true;
 }
--- a/policy/jb.h
+++ b/policy/jb.h
@@ -28,6 +28,7 @@
 struct jb_place {
 	char worker[NAME_MAX_BYTES];
 	int count;
+	int cover; /* enum cell_unit of the guarantee, -1 for borrowed */
 };
 
 /* A job as callers see it and as it is kept in the store. */
@@ -64,7 +65,7 @@
 bool jb_submission(struct jb *jb, const json_t *body, const char *key,
 		   GError **err);
 void jb_clear_places(struct jb *jb);
-void jb_add_place(struct jb *jb, const char *worker, int count);
+void jb_add_place(struct jb *jb, const char *worker, int count, int cover);
 json_t *jb_to_json(const struct jb *jb);
 bool jb_from_json(struct jb *jb, const json_t *json, GError **err);
 
--- a/tests/unit/test_jb.c
+++ b/tests/unit/test_jb.c
@@ -37,8 +37,8 @@
 	a.epoch = 9;
 	a.attempt = 2;
 	a.attained_us = 1234567890123;
-	jb_add_place(&a, "w1", 8);
-	jb_add_place(&a, "w2", 3);
+	jb_add_place(&a, "w1", 8, -1);
+	jb_add_place(&a, "w2", 3, 2);
 	json = jb_to_json(&a);
 	jb_init(&b);
 	ck_assert(jb_from_json(&b, json, NULL));
