Leave work beyond the guarantee to its customer's turn

The claims of a customer took free places for all of its queued work, so the first customer filled the data centre whatever its share; test_sc found it.

--- a/policy/pl.c
+++ b/policy/pl.c
@@ -80,23 +80,25 @@
 };
 
 /*
- * Lower is better: least lost work, then the smallest sufficient room, then
- * for unstoppable work a worker that holds such work already, so that whole
- * cells stay available to claims.
+ * Lower is better: least lost work, then for unstoppable work a rack that no
+ * claim could have whole, then the smallest sufficient room, then a worker
+ * that holds unstoppable work already. So whole cells stay for claims.
  */
 static void rate_worker(const struct gs *gs, int worker, int need,
 			const struct pl_ask *ask, struct best_worker *best)
 {
 	int64_t loss, score;
 	int room = worker_room(gs, worker, ask, &loss);
+	int rack = gs->cell->workers[worker].rack;
 
 	if (room < need)
 		return;
-	score = loss * 256 + (room - need) * 4;
-	if (ask->kind == CELL_HARD)
+	score = loss * 1024 + (room - need) * 4;
+	if (ask->kind == CELL_HARD) {
 		score += gs->workers[worker].hard ? 0 : 2;
-	if (gs->cell->racks[gs->cell->workers[worker].rack].reserved)
-		score += 1;
+		score += gs->racks[rack].whole == gs->cell->rack_size ? 512 : 0;
+	}
+	score += gs->cell->racks[rack].reserved;
 	if (score >= best->score)
 		return;
 	best->score = score;
--- a/policy/scpass.c
+++ b/policy/scpass.c
@@ -186,6 +186,9 @@
 	bool room = gs_accelerators_left(&sc->gs, job->gang.customer) >=
 		    job->gang.total;
 
+	/* Work beyond the guarantee waits for its customer's turn. */
+	if (!room && !job->urgent)
+		return false;
 	if (room && try_claim(p, job, &ask, &memo->idle))
 		return true;
 	if (!job->urgent && place_free(p, job))
--- /dev/null
+++ b/tests/unit/test_sc.c
@@ -0,0 +1,325 @@
+#include <check.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <time.h>
+
+#include <glib.h>
+
+#include "policy/sc.h"
+
+#define WORKERS 50
+#define SEC USEC_PER_SEC
+
+/* What the scheduler asked for last, for each job. */
+struct test_job {
+	struct sc_job job;
+	int started;
+	int checkpoints;
+	int stops;
+	int queued;
+	int ended;
+	enum sc_end end;
+};
+
+static struct sc sc;
+
+static struct test_job *of(struct sc_job *job)
+{
+	return container_of(job, struct test_job, job);
+}
+
+static void op_start(struct sc *s, struct sc_job *job)
+{
+	of(job)->started++;
+}
+
+static void op_checkpoint(struct sc *s, struct sc_job *job)
+{
+	of(job)->checkpoints++;
+}
+
+static void op_stop(struct sc *s, struct sc_job *job, const char *reason)
+{
+	of(job)->stops++;
+}
+
+static void op_queued(struct sc *s, struct sc_job *job, const char *reason)
+{
+	of(job)->queued++;
+}
+
+static void op_ended(struct sc *s, struct sc_job *job, enum sc_end end,
+		     const char *reason)
+{
+	of(job)->ended++;
+	of(job)->end = end;
+}
+
+static void op_broken(struct sc *s, bool broken)
+{
+}
+
+static const struct sc_ops ops = {
+	.start = op_start,
+	.checkpoint = op_checkpoint,
+	.stop = op_stop,
+	.queued = op_queued,
+	.ended = op_ended,
+	.broken = op_broken,
+};
+
+/* Customer 0 is guaranteed a rack, customer 1 nothing. */
+static void setup(void)
+{
+	int units[CELL_UNITS] = { 0, 0, 1 }, none[CELL_UNITS] = { 0 }, i;
+
+	sc_init(&sc, &ops, 8, WORKERS_PER_RACK);
+	for (i = 0; i < WORKERS; i++)
+		sc_add_worker(&sc, i / WORKERS_PER_RACK, 8);
+	sc_add_customer(&sc);
+	sc_add_customer(&sc);
+	sc_set_customer(&sc, 0, 1, 0, units, 0);
+	sc_set_customer(&sc, 1, 1, 0, none, 0);
+}
+
+static void teardown(void)
+{
+	sc_finish(&sc);
+}
+
+static void submit(struct test_job *j, uint64_t id, int customer, int n,
+		   bool stoppable, bool urgent, int64_t now_us)
+{
+	*j = (struct test_job){ 0 };
+	sc_job_init(&j->job, id, customer, n, stoppable, urgent, true);
+	sc_submit(&sc, &j->job, now_us);
+}
+
+static struct test_job *fill(int customer, int count, int n, bool stoppable)
+{
+	struct test_job *jobs = g_new0(struct test_job, count);
+	int i;
+
+	for (i = 0; i < count; i++)
+		submit(&jobs[i], 1000 + i, customer, n, stoppable, false, 0);
+	sc_pass(&sc, 0);
+	for (i = 0; i < count; i++)
+		if (jobs[i].started)
+			sc_running(&sc, &jobs[i].job, 1);
+	return jobs;
+}
+
+static void drop(struct test_job *jobs, int count)
+{
+	int i;
+
+	for (i = 0; i < count; i++)
+		sc_job_finish(&sc, &jobs[i].job);
+}
+
+static int count_started(const struct test_job *jobs, int count)
+{
+	int i, n = 0;
+
+	for (i = 0; i < count; i++)
+		n += jobs[i].started > 0;
+	return n;
+}
+
+/*
+ * Guards against a claim that waits for work that ignores its checkpoint:
+ * grace, stop and start together must fit into the stated bound (I1).
+ */
+START_TEST(claim_is_met_when_checkpoints_never_end)
+{
+	struct test_job *jobs = fill(1, WORKERS, 8, true), claim;
+	int64_t at_us = 100 * SEC, now_us;
+	int i;
+
+	ck_assert_int_eq(count_started(jobs, WORKERS), WORKERS);
+	submit(&claim, 1, 0, 64, false, true, at_us);
+	for (now_us = at_us; !claim.started; now_us += SEC / 10) {
+		ck_assert_int_le(now_us - at_us,
+				 RECLAIM_BOUND_MS * USEC_PER_MSEC);
+		sc_pass(&sc, now_us);
+		/* A stop takes a second until it is confirmed. */
+		for (i = 0; i < WORKERS; i++)
+			if (jobs[i].stops == 1 &&
+			    now_us >= jobs[i].job.deadline_us + SEC) {
+				jobs[i].stops = 2;
+				sc_left(&sc, &jobs[i].job, now_us);
+			}
+	}
+	for (i = 0; i < WORKERS; i++)
+		ck_assert_int_eq(jobs[i].queued, jobs[i].checkpoints);
+	ck_assert_int_eq(sc.displaced, 8);
+	ck_assert_int_eq(claim.job.gang.kind, CELL_OWNED);
+	drop(jobs, WORKERS);
+	drop(&claim, 1);
+	g_free(jobs);
+}
+END_TEST
+
+/* Guards against unstoppable work that fills up a guaranteed place. */
+START_TEST(unstoppable_work_leaves_the_guarantee_free)
+{
+	struct test_job *jobs = fill(1, WORKERS, 8, false), claim;
+
+	ck_assert_int_eq(count_started(jobs, WORKERS), WORKERS - 8);
+	submit(&claim, 1, 0, 64, false, true, SEC);
+	sc_pass(&sc, SEC);
+	ck_assert_int_eq(claim.started, 1);
+	ck_assert_int_eq(sc.displaced, 0);
+	drop(jobs, WORKERS);
+	drop(&claim, 1);
+	g_free(jobs);
+}
+END_TEST
+
+/* Guards against a wave of cancellations that holds up an urgent start. */
+START_TEST(cancellation_wave_does_not_delay_a_claim)
+{
+	const int count = 10000;
+	struct test_job *jobs = fill(1, count, 8, true), claim;
+	struct timespec a, b;
+	int i, ended = 0;
+	double ms;
+
+	clock_gettime(CLOCK_MONOTONIC, &a);
+	for (i = 0; i < count; i++)
+		sc_cancel(&sc, &jobs[i].job, SEC);
+	submit(&claim, 1, 0, 64, false, true, SEC);
+	sc_pass(&sc, SEC);
+	clock_gettime(CLOCK_MONOTONIC, &b);
+	ms = (b.tv_sec - a.tv_sec) * 1e3 + (b.tv_nsec - a.tv_nsec) / 1e6;
+	printf("sc: wave of %d and the pass took %.1f ms\n", count, ms);
+	ck_assert(ms < RECLAIM_BOUND_MS / 10);
+	for (i = 0; i < count; i++)
+		ended += jobs[i].ended;
+	ck_assert_int_eq(ended, count - WORKERS);
+	for (i = 0; i < count; i++)
+		if (jobs[i].stops)
+			sc_left(&sc, &jobs[i].job, SEC + 1);
+	sc_pass(&sc, SEC + 2);
+	ck_assert_int_eq(claim.started, 1);
+	for (i = 0; i < count; i++)
+		ck_assert_int_eq(jobs[i].end, SC_END_CANCELLED);
+	drop(jobs, count);
+	drop(&claim, 1);
+	g_free(jobs);
+}
+END_TEST
+
+/* Guards against a customer that goes beyond its quota, or over its share. */
+START_TEST(quota_and_shares_hold)
+{
+	struct test_job *a = g_new0(struct test_job, 200);
+	struct test_job *b = g_new0(struct test_job, 200);
+	int none[CELL_UNITS] = { 0 }, i;
+
+	sc_set_customer(&sc, 0, 3, 0, none, 0);
+	for (i = 0; i < 200; i++) {
+		submit(&a[i], 1 + i, 0, 8, true, false, 0);
+		submit(&b[i], 500 + i, 1, 8, true, false, 0);
+	}
+	sc_pass(&sc, 1);
+	ck_assert_int_ge(count_started(a, 200), WORKERS * 3 / 4 - 1);
+	ck_assert_int_le(count_started(a, 200), WORKERS * 3 / 4 + 1);
+	drop(a, 200);
+	drop(b, 200);
+	sc_set_customer(&sc, 1, 1, 20, none, 0);
+	for (i = 0; i < 10; i++)
+		submit(&b[i], 500 + i, 1, 8, true, false, 2);
+	sc_pass(&sc, 3);
+	ck_assert_int_eq(count_started(b, 10), 2);
+	drop(b, 10);
+	g_free(a);
+	g_free(b);
+}
+END_TEST
+
+/* Guards against a large job that small ones overtake for ever. */
+START_TEST(large_job_is_not_starved_by_backfill)
+{
+	struct test_job *small = g_new0(struct test_job, 4000), big;
+	int64_t now_us = 0;
+	int next = 0, first = 0, i;
+
+	submit(&big, 9999, 1, 256, false, false, 0);
+	/* Each second 8 unstoppable jobs arrive that run for 30 s. */
+	for (now_us = SEC; now_us < 3600 * SEC && !big.started; now_us += SEC) {
+		for (i = 0; i < 8 && next < 4000; i++, next++)
+			submit(&small[next], 10000 + next, 0, 8, false, false,
+			       now_us);
+		if (now_us == SEC)
+			sc_cancel(&sc, &small[0].job, now_us);
+		for (i = first; i < next; i++) {
+			if (small[i].started == 1 && !small[i].ended &&
+			    small[i].job.state == SC_STARTING)
+				sc_running(&sc, &small[i].job, now_us);
+			if (small[i].job.state == SC_RUNNING &&
+			    now_us - small[i].job.started_us >= 30 * SEC)
+				sc_done(&sc, &small[i].job, now_us);
+		}
+		sc_pass(&sc, now_us);
+	}
+	ck_assert_int_eq(big.started, 1);
+	drop(small, next);
+	drop(&big, 1);
+	g_free(small);
+}
+END_TEST
+
+/*
+ * Guards against decisions that depend on when a report arrives: a report
+ * from 10 s ago about a job that has moved on must change nothing.
+ */
+START_TEST(late_reports_change_nothing)
+{
+	struct test_job j;
+	int64_t attained;
+
+	submit(&j, 1, 1, 8, true, false, 0);
+	sc_pass(&sc, 0);
+	sc_running(&sc, &j.job, SEC);
+	sc_cancel(&sc, &j.job, 11 * SEC);
+	ck_assert_int_eq(j.stops, 1);
+	sc_running(&sc, &j.job, 12 * SEC);
+	sc_saved(&sc, &j.job, 12 * SEC);
+	ck_assert_int_eq(j.job.state, SC_STOPPING);
+	sc_left(&sc, &j.job, 13 * SEC);
+	attained = j.job.attained_us;
+	ck_assert_int_eq(attained, 8 * 12 * SEC);
+	sc_left(&sc, &j.job, 23 * SEC);
+	sc_done(&sc, &j.job, 23 * SEC);
+	sc_failed(&sc, &j.job, 0, 23 * SEC);
+	sc_cancel(&sc, &j.job, 23 * SEC);
+	ck_assert_int_eq(j.ended, 1);
+	ck_assert_int_eq(j.job.attained_us, attained);
+	ck_assert_int_eq(sc.cell.free, WORKERS * 8);
+	ck_assert_int_eq(sc.customers[1].held, 0);
+}
+END_TEST
+
+int main(void)
+{
+	Suite *suite = suite_create("sc");
+	TCase *tc = tcase_create("sc");
+	SRunner *runner = srunner_create(suite);
+	int failed;
+
+	setvbuf(stdout, NULL, _IOLBF, 0);
+	tcase_add_checked_fixture(tc, setup, teardown);
+	tcase_set_timeout(tc, 60);
+	tcase_add_test(tc, claim_is_met_when_checkpoints_never_end);
+	tcase_add_test(tc, unstoppable_work_leaves_the_guarantee_free);
+	tcase_add_test(tc, cancellation_wave_does_not_delay_a_claim);
+	tcase_add_test(tc, quota_and_shares_hold);
+	tcase_add_test(tc, large_job_is_not_starved_by_backfill);
+	tcase_add_test(tc, late_reports_change_nothing);
+	suite_add_tcase(suite, tc);
+	srunner_run_all(runner, CK_NORMAL);
+	failed = srunner_ntests_failed(runner);
+	srunner_free(runner);
+	return failed ? EXIT_FAILURE : EXIT_SUCCESS;
+}
