Test displacement, failures and lost store answers of the scheduler

A job that this data centre can never hold is refused and the answer says whether another data centre could hold it.

--- a/daemon/sched_api.c
+++ b/daemon/sched_api.c
@@ -4,6 +4,7 @@
 
 #include "base/err.h"
 #include "base/ev.h"
+#include "policy/pl.h"
 
 /* A submission on its way to the store. */
 struct submission {
@@ -134,7 +135,7 @@
 		return CB_E_UNKNOWN_CUSTOMER;
 	if (c->quota_accelerators && jb->accelerators > c->quota_accelerators)
 		return CB_E_QUOTA;
-	if (!sched_could_hold(s->view, jb->accelerators))
+	if (!pl_could_hold(&s->sc.cell, jb->accelerators))
 		return CB_E_NEVER_FITS;
 	return CB_OK;
 }
@@ -163,7 +164,12 @@
 		submission_free(sub);
 	} else {
 		code = check(s, &sub->jb);
-		if (code != CB_OK)
+		if (code == CB_E_NEVER_FITS)
+			fail(sub, code,
+			     sched_could_hold(s->view, sub->jb.accelerators) ?
+				     "another data centre could hold it" :
+				     "no data centre could hold it");
+		else if (code != CB_OK)
 			fail(sub, code, sub->jb.customer);
 		else
 			store_submission(s, sub);
--- a/tests/unit/test_sched.c
+++ b/tests/unit/test_sched.c
@@ -22,6 +22,46 @@
 	bool answered;
 };
 
+/* A store whose next transactions take effect but lose their answers. */
+struct lossy_kv {
+	struct kv kv;
+	struct kv *inner;
+	struct kv_ops ops;
+	struct kv_call hidden;
+	struct kv_call *lost;
+	int losses;
+};
+
+static struct lossy_kv lossy;
+
+static void lossy_done(struct kv_call *call)
+{
+	lossy.lost->result = CB_E_TIMEOUT;
+	lossy.lost->done(lossy.lost);
+}
+
+static void lossy_txn(struct kv *kv, struct kv_call *call,
+		      const struct kv_cmp *cmps, size_t ncmps,
+		      const struct kv_op *then_ops, size_t nthen,
+		      const struct kv_op *else_ops, size_t nelse)
+{
+	if (lossy.losses > 0) {
+		lossy.losses--;
+		lossy.lost = call;
+		memset(&lossy.hidden, 0, sizeof(lossy.hidden));
+		lossy.hidden.done = lossy_done;
+		call = &lossy.hidden;
+	}
+	lossy.inner->ops->txn(lossy.inner, call, cmps, ncmps, then_ops, nthen,
+			      else_ops, nelse);
+}
+
+static void lossy_range(struct kv *kv, struct kv_call *call, const char *key,
+			bool prefix)
+{
+	lossy.inner->ops->range(lossy.inner, call, key, prefix);
+}
+
 static struct kn kn;
 static struct set set;
 static struct kv *kv;
@@ -87,8 +127,15 @@
 	int i;
 
 	view->revision = 1;
-	view->customer_count = 1;
-	view->customers = calloc(1, sizeof(*view->customers));
+	view->customer_count = 2;
+	view->customers = calloc(2, sizeof(*view->customers));
+	strcpy(view->customers[1].name, "rodabersama");
+	view->customers[1].weight = 1;
+	view->customers[1].guarantee_count = 1;
+	view->customers[1].guarantees = calloc(1, sizeof(struct doc_guarantee));
+	strcpy(view->customers[1].guarantees[0].dc, DC);
+	view->customers[1].guarantees[0].unit = DOC_WORKER;
+	view->customers[1].guarantees[0].count = 1;
 	strcpy(view->customers[0].name, "tensorlab");
 	view->customers[0].weight = 1;
 	view->customers[0].quota_accelerators = 32;
@@ -197,7 +244,11 @@
 	ck_assert(kn_init(&kn, NULL));
 	for (i = 0; i < AGENTS; i++)
 		ck_assert(wk_agent_init(&agents[i], &kn, &options, 0, NULL));
-	kv = kv_mem_new(&kn);
+	lossy.inner = kv_mem_new(&kn);
+	lossy.losses = 0;
+	lossy.ops = (struct kv_ops){ .txn = lossy_txn, .range = lossy_range };
+	lossy.kv.ops = &lossy.ops;
+	kv = &lossy.kv;
 	kn_add(&kn, &api.task, SVC_API, &api_ops);
 	sched = sched_new(&kn, &set, kv, wagent_new);
 	ck_assert(kn_start(&kn, NULL));
@@ -212,7 +263,7 @@
 		wk_agent_finish(&agents[i]);
 	json_decref(api.answer);
 	kn_finish(&kn);
-	kv_free(kv);
+	kv_free(lossy.inner);
 }
 
 /* Guards against jobs that run on a part of their workers or never end. */
@@ -329,6 +380,75 @@
 }
 END_TEST
 
+/* Guards against a submission that is lost or doubled with its answer. */
+START_TEST(lost_store_answer_is_settled_by_reading_back)
+{
+	char *path;
+
+	lead(true, 1, 60000);
+	run_ms(500);
+	lossy.losses = 1;
+	path = submit(8, "k1");
+	ck_assert(reaches(path, "running", 4000));
+	ck_assert_int_eq(ask("GET", "/v1/jobs", NULL, NULL), 200);
+	ck_assert_int_eq(json_array_size(json_object_get(api.answer, "jobs")),
+			 1);
+	ck_assert_uint_eq(writes(), 2);
+	g_free(path);
+}
+END_TEST
+
+/*
+ * Guards against a claim that waits for the work that holds its place: that
+ * work is checkpointed and goes back to the queue (I1).
+ */
+START_TEST(urgent_claim_displaces_borrowed_work)
+{
+	char *path, *claim;
+	int64_t from_us;
+	int i;
+
+	for (i = 0; i < AGENTS; i++)
+		agents[i].options.task_ms = 30000;
+	lead(true, 1, 60000);
+	run_ms(500);
+	path = submit(16, "k1");
+	ck_assert(reaches(path, "running", 4000));
+	from_us = kn_now_us();
+	ck_assert_int_eq(ask("POST", "/v1/jobs",
+			     "{\"customer\":\"rodabersama\","
+			     "\"accelerators\":8,\"urgent\":true}",
+			     "k2"),
+			 201);
+	claim = g_strdup_printf("/v1/jobs/%s", text("id"));
+	ck_assert(reaches(claim, "running", RECLAIM_BOUND_MS));
+	ck_assert_int_le(kn_now_us() - from_us,
+			 RECLAIM_BOUND_MS * USEC_PER_MSEC);
+	ck_assert(reaches(path, "queued", 1000));
+	ck_assert_int_gt(
+		json_integer_value(json_object_get(api.answer, "attained_us")),
+		0);
+	g_free(path);
+	g_free(claim);
+}
+END_TEST
+
+/* Guards against a task that is tried again on the worker it failed on. */
+START_TEST(failed_job_moves_to_another_worker)
+{
+	char *path;
+
+	agents[0].options.fail = true;
+	lead(true, 1, 60000);
+	run_ms(500);
+	path = submit(8, "k1");
+	ck_assert(reaches(path, "done", 25000));
+	ck_assert_int_eq(
+		json_integer_value(json_object_get(api.answer, "attempt")), 2);
+	g_free(path);
+}
+END_TEST
+
 int main(void)
 {
 	Suite *suite = suite_create("sched");
@@ -342,6 +462,9 @@
 	tcase_add_test(tc, submission_is_idempotent);
 	tcase_add_test(tc, lost_answers_do_not_split_a_gang);
 	tcase_add_test(tc, no_leader_no_work);
+	tcase_add_test(tc, lost_store_answer_is_settled_by_reading_back);
+	tcase_add_test(tc, urgent_claim_displaces_borrowed_work);
+	tcase_add_test(tc, failed_job_moves_to_another_worker);
 	tcase_add_test(tc, takeover_adopts_a_whole_gang);
 	suite_add_tcase(suite, tc);
 	srunner_run_all(runner, CK_NORMAL);
