--- a/daemon/sched_gang.c
+++ b/daemon/sched_gang.c
@@ -251,10 +251,12 @@
 		job->counts[j] += gang->holds[i].count;
 	}
 	jb_clear_places(&job->jb);
-	for (i = 0; i < n; i++)
+	for (i = 0; i < gang->hold_count; i++)
 		jb_add_place(&job->jb,
-			     worker_at(job->s, job->workers[i])->at.name,
-			     job->counts[i]);
+			     worker_at(job->s, gang->holds[i].worker)->at.name,
+			     gang->holds[i].count,
+			     gang->kind == CELL_OWNED ? gang->holds[i].cover :
+							JB_BORROWED);
 	return n;
 }
 
--- a/tests/unit/test_sched.c
+++ b/tests/unit/test_sched.c
@@ -6,6 +6,7 @@
 #include "base/ev.h"
 #include "base/log.h"
 #include "daemon/sched.h"
+#include "daemon/sched_int.h"
 #include "daemon/svc.h"
 #include "policy/jb.h"
 #include "tests/standins/wk_agent.h"
@@ -541,6 +542,39 @@
 }
 END_TEST
 
+static int used_workers(void)
+{
+	struct sched *s = container_of(sched, struct sched, task);
+
+	return s->sc.gs.customers[0].used[CELL_WORKER];
+}
+
+/* A takeover after which guaranteed work counts as borrowed. */
+START_TEST(takeover_keeps_guaranteed_places)
+{
+	struct doc_guarantee guarantee = { "dc1", DOC_WORKER, 2 };
+	char id[JB_ID_BYTES];
+
+	begin(60000);
+	kill_sched();
+	view->customers[0].guarantees =
+		g_memdup2(&guarantee, sizeof(guarantee));
+	view->customers[0].guarantee_count = 1;
+	start_sched(2);
+	run(200);
+	ck_assert_int_eq(submit("k1", 16, id), 201);
+	wait_state(id, "running", 5000);
+	ck_assert_int_eq(used_workers(), 2);
+	run(200);
+	kill_sched();
+	start_sched(3);
+	wait_state(id, "running", 5000);
+	ck_assert_int_eq(used_workers(), 2);
+	ck_assert_int_eq(sum_started(), 2);
+	end();
+}
+END_TEST
+
 /* A pool that is defined after the scheduler began and never gets work. */
 START_TEST(pool_may_come_later)
 {
@@ -592,6 +626,7 @@
 	tcase_add_test(tcase, store_outage_stops_nothing);
 	tcase_add_test(tcase, no_call_without_valid_lease);
 	tcase_add_test(tcase, cancelled_job_stays_cancelled);
+	tcase_add_test(tcase, takeover_keeps_guaranteed_places);
 	tcase_add_test(tcase, pool_may_come_later);
 	tcase_add_test(tcase, drain_ends_without_leadership);
 	suite_add_tcase(suite, tcase);
