--- a/tests/scenarios/document_in_force.lua
+++ b/tests/scenarios/document_in_force.lua
@@ -87,7 +87,8 @@
 c:platform_control{down = false}
 wait_until(function() return (change("a1", 300)) end, 15000,
 	"changes after the outage")
-local leader = c:leader("a1")
+local leader = wait_until(function() return c:leader("a1") end, 10000,
+	"a leader after the outage")
 c:kill_host(leader)
 local other = leader == "a1" and "a2" or "a1"
 local after = wait_until(function() return (change(other, 301)) end, 12000,
