--- a/base/limits.h
+++ b/base/limits.h
@@ -155,11 +155,13 @@
 #define WORKER_QUARANTINE_PERCENT 25 /* of the workers at most */
 #define WORKER_PROBATION_MIN_MS 60000
 #define WORKER_PROBATION_MAX_MS 3600000
-#define SC_LEVELS 3 /* of attained service */
-#define SC_LEVEL_1_ACCEL_SEC 1800 /* above: below any new job */
-#define SC_LEVEL_2_ACCEL_SEC 36000
+#define PL_MOVE_COST_MS 30000 /* of a checkpoint and a new start */
+#define PL_SAVES_PER_FAILURE 8
+#define SC_LEVELS 4 /* of attained service */
+#define SC_LEVEL_1_ACCEL_SEC 3600
+#define SC_LEVEL_FACTOR 5
 #define SC_GRACE_MS 60000 /* of a checkpoint that no claim waits for */
-#define SC_QUANTUM_MS 60000 /* run time before work yields to its peers */
+#define SC_QUANTUM_MS 300000 /* run time before work yields to its peers */
 #define SC_AGE_MS 3600000 /* waiting that long counts like one fair share */
 #define SC_PATIENCE_MS 600000 /* then a reservation displaces its racks */
 #define SC_STARTS_PER_PASS 512
--- a/bench/bench_jobs.c
+++ b/bench/bench_jobs.c
@@ -6,7 +6,8 @@
 
 /*
  * Compares the scheduler's decision code with first-come first-fit on the
- * same loads, for each user and seed. Arguments: number of seeds, default 5.
+ * same loads, for each user and seed. Arguments: number of seeds, default 5;
+ * offered work over capacity, default 1.5.
  */
 
 static const char *const users[LOAD_USERS] = {
@@ -21,9 +22,9 @@
 
 static void print_row(int seed, const char *name, const struct run_result *r)
 {
-	printf("%4d %-10s %8.0f %8.0f %7.2f %6.1f %6.1f %6d %7.2f %6d %5d %5d "
+	printf("%4d %-10s %8.0f %8.0f %8.0f %7.2f %6.1f %6.1f %6d %7.2f %6d %5d %5d "
 	       "%6d %6.1f\n",
-	       seed, name, r->wait_s, r->completion_s, r->gang_ratio,
+	       seed, name, r->run_s, r->wait_s, r->completion_s, r->gang_ratio,
 	       100 * r->use, 100 * r->useful, r->claims, r->claim_worst_s,
 	       r->done, r->hopeless_ended, r->ended_early, r->displaced,
 	       r->makespan_h);
@@ -53,24 +54,29 @@
 	t->missed += !ok;
 }
 
-static void bench_user(enum load_user user, int seeds)
+static void bench_user(enum load_user user, double offered, int seeds)
 {
 	struct totals t = { 0 };
 	int seed;
 
 	printf("\n%s\n", users[user]);
-	printf("seed scheduler    wait_s   done_s    gang   use%% useful claims "
+	printf("seed scheduler     run_s   wait_s   done_s    gang   use%% useful claims "
 	       "worst_s   done nevr early  displ  hours\n");
 	for (seed = 1; seed <= seeds; seed++) {
 		struct run_result ours, base;
 		struct load load;
 
-		load_make(&load, user, seed);
+		load_make(&load, user, offered, seed);
+		run_result_init(&ours, &load);
+		run_result_init(&base, &load);
 		run_chivebank(&load, seed, &ours);
 		run_first_fit(&load, seed, &base);
+		run_compare(&load, &ours, &base);
 		print_row(seed, "chivebank", &ours);
 		print_row(seed, "first-fit", &base);
 		add(&t, &ours, &base);
+		run_result_finish(&ours);
+		run_result_finish(&base);
 		load_finish(&load);
 	}
 	printf("mean over %d seeds, chivebank to first-fit: wait %.2fx, "
@@ -86,10 +92,11 @@
 int main(int argc, char **argv)
 {
 	int seeds = argc > 1 ? atoi(argv[1]) : 5, user;
+	double offered = argc > 2 ? atof(argv[2]) : 1.5;
 
 	printf("%d workers x %d accelerators, %d customers, %d h\n",
 	       LOAD_WORKERS, LOAD_WORKER_SIZE, LOAD_CUSTOMERS, LOAD_HOURS);
 	for (user = 0; user < LOAD_USERS; user++)
-		bench_user(user, MAX(1, seeds));
+		bench_user(user, offered, MAX(1, seeds));
 	return 0;
 }
--- a/bench/jobs_load.c
+++ b/bench/jobs_load.c
@@ -6,9 +6,10 @@
 
 #include "base/limits.h"
 
+#define CREST_PERCENT 80
 #define MINUTE_US (60 * USEC_PER_SEC)
 
-const int load_weights[LOAD_CUSTOMERS] = { 4, 4, 1, 1 };
+const int load_weights[LOAD_CUSTOMERS] = { 5, 3, 1, 1 };
 
 /* Accelerators, workers, racks: 248 of 400 accelerators are guaranteed. */
 const int load_guarantees[LOAD_CUSTOMERS][3] = {
@@ -23,15 +24,14 @@
 	int size_percent[6]; /* of the sizes below */
 	double median_min;
 	double sigma; /* of the log-normal run time */
-	double load; /* offered, over the capacity */
 	int burst_jobs;
 };
 
 static const int sizes[6] = { 1, 2, 4, 8, 32, 128 };
 
 static const struct profile profiles[LOAD_USERS] = {
-	[LOAD_RODA_BERSAMA] = { { 30, 20, 20, 20, 8, 2 }, 6, 1.2, 1.15, 120 },
-	[LOAD_BENNANI] = { { 15, 15, 20, 25, 18, 7 }, 20, 1.2, 1.15, 40 },
+	[LOAD_RODA_BERSAMA] = { { 30, 20, 20, 20, 8, 2 }, 6, 1.2, 120 },
+	[LOAD_BENNANI] = { { 15, 15, 20, 25, 18, 7 }, 20, 1.2, 40 },
 };
 
 static double normal(GRand *rnd)
@@ -59,14 +59,14 @@
 	double m = profile->median_min * exp(profile->sigma * normal(rnd));
 
 	if (g_rand_int_range(rnd, 0, 20) == 0)
-		m *= 20;
-	return CLAMP(m, 0.2, 360.0);
+		m *= 10;
+	return CLAMP(m, 0.2, 240.0);
 }
 
 static void make_job(struct load_job *job, GRand *rnd,
 		     const struct profile *profile, int64_t at_us)
 {
-	static const int customers[10] = { 0, 0, 0, 0, 0, 1, 1, 2, 2, 3 };
+	static const int customers[10] = { 0, 0, 0, 0, 0, 1, 1, 1, 2, 3 };
 
 	memset(job, 0, sizeof(*job));
 	job->arrive_us = at_us;
@@ -89,21 +89,32 @@
 	return (double)job->accelerators * job->work_us;
 }
 
+/* Three crests of an hour each bring most of the work. */
+static int64_t pick_time(GRand *rnd, int64_t end_us)
+{
+	int crest = g_rand_int_range(rnd, 0, 3);
+
+	if (g_rand_int_range(rnd, 0, 100) >= CREST_PERCENT)
+		return g_rand_double(rnd) * end_us;
+	return (crest + g_rand_double(rnd) * 3 / LOAD_HOURS) * end_us / 3;
+}
+
 static void make_background(GArray *jobs, GRand *rnd,
-			    const struct profile *profile, int64_t end_us)
+			    const struct profile *profile, double offered,
+			    int64_t end_us)
 {
 	double capacity = (double)LOAD_WORKERS * LOAD_WORKER_SIZE * end_us;
-	double offered = 0;
+	double sum = 0;
 	struct load_job job;
 	int64_t at;
 	int i;
 
-	while (offered < capacity * profile->load) {
-		at = g_rand_double(rnd) * end_us;
+	while (sum < capacity * offered) {
+		at = pick_time(rnd, end_us);
 		if (g_rand_int_range(rnd, 0, profile->burst_jobs) != 0) {
 			make_job(&job, rnd, profile, at);
 			add(jobs, &job);
-			offered += work_of(&job);
+			sum += work_of(&job);
 			continue;
 		}
 		/* A burst within two minutes. */
@@ -111,7 +122,7 @@
 			make_job(&job, rnd, profile, at);
 			job.arrive_us += g_rand_double(rnd) * 2 * MINUTE_US;
 			add(jobs, &job);
-			offered += work_of(&job);
+			sum += work_of(&job);
 		}
 	}
 }
@@ -179,14 +190,15 @@
 	return x->arrive_us < y->arrive_us ? -1 : x->arrive_us > y->arrive_us;
 }
 
-void load_make(struct load *load, enum load_user user, uint32_t seed)
+void load_make(struct load *load, enum load_user user, double offered,
+	       uint32_t seed)
 {
 	GRand *rnd = g_rand_new_with_seed(seed * 2 + user);
 	GArray *jobs = g_array_new(FALSE, FALSE, sizeof(struct load_job));
 
 	memset(load, 0, sizeof(*load));
 	load->end_us = LOAD_HOURS * 60 * MINUTE_US;
-	make_background(jobs, rnd, &profiles[user], load->end_us);
+	make_background(jobs, rnd, &profiles[user], offered, load->end_us);
 	make_waves(jobs, rnd, load->end_us);
 	make_claims(jobs, rnd, &profiles[user], load->end_us);
 	make_faults(load, rnd);
--- a/policy/pl.h
+++ b/policy/pl.h
@@ -14,6 +14,7 @@
 	enum cell_kind kind; /* CELL_SOFT or CELL_HARD */
 	int evict_level; /* PL_NO_EVICTION: free accelerators only */
 	int64_t before_us;
+	int max_total; /* larger gangs don't yield; 0 for no limit */
 	int64_t now_us;
 	bool use_reserved; /* may enter reserved racks */
 	bool reclaim; /* claims: borrowed work yields, whatever its level */
--- a/policy/sc.h
+++ b/policy/sc.h
@@ -15,6 +15,12 @@
 	SC_ENDED,
 };
 
+/* Kinds of places by size of the gang; see pl_place(). */
+enum sc_size { SC_IN_WORKER, SC_IN_RACK, SC_IN_ROW, SC_SIZES };
+
+/* Order of a customer's queues: attained service, then size. */
+#define SC_QUEUES (SC_LEVELS * SC_SIZES)
+
 enum sc_end { SC_END_DONE, SC_END_FAILED, SC_END_CANCELLED };
 
 struct sc;
@@ -40,7 +46,7 @@
 
 struct sc_customer {
 	struct list_head urgent;
-	struct list_head queues[SC_LEVELS];
+	struct list_head queues[SC_QUEUES];
 	int weight;
 	int quota; /* accelerators, 0 for none */
 	int held; /* accelerators, also of arriving work */
@@ -59,7 +65,10 @@
 struct sc_ops {
 	/* Start the gang on job->gang.holds; sc_running() or sc_left(). */
 	void (*start)(struct sc *sc, struct sc_job *job);
-	/* Checkpoint; sc_saved() follows, or sc_left() if it ended. */
+	/*
+	 * Checkpoint before deadline_us; sc_saved() follows. Called again
+	 * when the deadline has moved.
+	 */
 	void (*checkpoint)(struct sc *sc, struct sc_job *job);
 	/* Stop at once; sc_left() follows. */
 	void (*stop)(struct sc *sc, struct sc_job *job, const char *reason);
@@ -106,6 +115,7 @@
 void sc_adopt(struct sc *sc, struct sc_job *job, int64_t now_us);
 void sc_running(struct sc *sc, struct sc_job *job, int64_t now_us);
 void sc_saved(struct sc *sc, struct sc_job *job, int64_t now_us);
+void sc_freed(struct sc *sc, struct sc_job *job);
 void sc_left(struct sc *sc, struct sc_job *job, int64_t now_us);
 void sc_done(struct sc *sc, struct sc_job *job, int64_t now_us);
 void sc_failed(struct sc *sc, struct sc_job *job, int worker, int64_t now_us);
@@ -116,6 +126,7 @@
 
 /* Between sc.c and scpass.c. */
 int sc_level(const struct sc_job *job, int64_t now_us);
+enum sc_size sc_size(const struct sc *sc, int total);
 void sc_displace(struct sc *sc, struct sc_job *job, int64_t grace_ms,
 		 int64_t now_us);
 void sc_take(struct sc *sc, struct sc_job *job, int64_t now_us);
