--- a/tests/scenarios/takeover.lua
+++ b/tests/scenarios/takeover.lua
@@ -36,7 +36,9 @@
 
 local first = wait_leader()
 c:kill_host(first)
+local killed_ms = now_ms()
 local second = wait_leader(first)
+print("  takeover after a kill: " .. now_ms() - killed_ms .. " ms")
 c:start_host(first)
 c:wait_ready()
 
--- a/tests/unit/test_pr.c
+++ b/tests/unit/test_pr.c
@@ -140,6 +140,19 @@
 	return (struct pr_task *)peers[i];
 }
 
+static bool event_seen(const char *name)
+{
+	static struct ev_entry entries[64];
+	size_t i, n = ev_copy(0, entries, G_N_ELEMENTS(entries));
+
+	for (i = 0; i < n; i++)
+		if (strcmp(entries[i].name, name) == 0 &&
+		    strstr(entries[i].text, "offset_us=") &&
+		    strstr(entries[i].text, "rtt_us="))
+			return true;
+	return false;
+}
+
 static msgpack_sbuffer body_of(int64_t value, size_t fill)
 {
 	msgpack_sbuffer out;
@@ -195,6 +208,7 @@
 	ck_assert_uint_lt(pr_region_bytes(peers[0]), 20000);
 	RUN_UNTIL(pr_rtt_us(peers[0], "host1") >= 0 &&
 		  pr_rtt_us(peers[1], "host0") >= 0);
+	ck_assert(event_seen("peer.clock"));
 	/* Both hosts share a wall clock, so the offset is below the rtt. */
 	ck_assert_int_lt(ABS(pr_peer_find(task_of(0), "host1")->offset_us),
 			 pr_rtt_us(peers[0], "host1") + 5000);
