--- a/policy/sc.c
+++ b/policy/sc.c
@@ -343,8 +343,7 @@
 
 /*
  * Takes over a gang that runs already, on the holds that the caller filled
- * in. It counts as borrowed until a claim finds its place within the
- * guarantee.
+ * in. It counts as borrowed unless the caller made it an owned one.
  */
 void sc_adopt(struct sc *sc, struct sc_job *job, int64_t now_us)
 {
