--- a/tests/unit/test_sched.c
+++ b/tests/unit/test_sched.c
@@ -449,6 +449,72 @@
 }
 END_TEST
 
+static void count_running(struct wk_call *call)
+{
+	size_t i;
+
+	*(int *)call->user = 0;
+	for (i = 0; i < call->count; i++)
+		*(int *)call->user += call->tasks[i].state == WK_RUNNING;
+}
+
+/* Asks a worker beside the scheduler how many tasks run on it. */
+static int running_on(int agent)
+{
+	struct wk_edge *edge = wagent_new(&kn);
+	int n = -1, drop = agents[agent].drop_answers;
+	struct wk_request request = { .verb = WK_SYNC,
+				      .addr = "127.0.0.1",
+				      .port = agents[agent].server.port,
+				      .epoch = 1,
+				      .timeout_ms = 1000 };
+	struct wk_call call = { .user = &n };
+	int64_t until_us = kn_now_us() + USEC_PER_SEC;
+
+	agents[agent].drop_answers = 0;
+	edge->ops->start(edge, &call, &request, count_running);
+	while (n < 0 && kn_now_us() < until_us)
+		kn_turn(&kn);
+	agents[agent].drop_answers = drop;
+	edge->ops->finish(edge);
+	return n;
+}
+
+/*
+ * Guards against a gang that goes on when one of its workers is lost: it
+ * must have stopped on all of them within the lease, also on the lost one,
+ * to which calls still get through (I2).
+ */
+START_TEST(lost_worker_stops_the_whole_gang)
+{
+	int64_t from_us;
+	char *path;
+	int i;
+
+	for (i = 0; i < AGENTS; i++)
+		agents[i].options.task_ms = 120000;
+	lead(true, 1, 120000);
+	run_ms(500);
+	path = submit(16, "k1");
+	ck_assert(reaches(path, "running", 4000));
+	agents[1].drop_answers = 1000000;
+	from_us = kn_now_us();
+	do {
+		run_ms(250);
+		ck_assert_int_le(kn_now_us() - from_us,
+				 TASK_LEASE_MS * USEC_PER_MSEC);
+	} while (running_on(0) != 0 || running_on(1) != 0);
+	agents[1].drop_answers = 0;
+	/* It starts again only when the lost worker's lease is over. */
+	ck_assert(reaches(path, "queued", 50000) ||
+		  reaches(path, "reserved", 1000));
+	ck_assert(reaches(path, "running", 10000));
+	ck_assert_int_eq(
+		json_integer_value(json_object_get(api.answer, "attempt")), 2);
+	g_free(path);
+}
+END_TEST
+
 int main(void)
 {
 	Suite *suite = suite_create("sched");
@@ -457,7 +523,7 @@
 	int failed;
 
 	tcase_add_checked_fixture(tc, setup, teardown);
-	tcase_set_timeout(tc, 40);
+	tcase_set_timeout(tc, 100);
 	tcase_add_test(tc, gang_runs_on_all_workers_and_ends);
 	tcase_add_test(tc, submission_is_idempotent);
 	tcase_add_test(tc, lost_answers_do_not_split_a_gang);
@@ -465,6 +531,7 @@
 	tcase_add_test(tc, lost_store_answer_is_settled_by_reading_back);
 	tcase_add_test(tc, urgent_claim_displaces_borrowed_work);
 	tcase_add_test(tc, failed_job_moves_to_another_worker);
+	tcase_add_test(tc, lost_worker_stops_the_whole_gang);
 	tcase_add_test(tc, takeover_adopts_a_whole_gang);
 	suite_add_tcase(suite, tc);
 	srunner_run_all(runner, CK_NORMAL);
