--- a/daemon/sched_gang.c
+++ b/daemon/sched_gang.c
@@ -6,29 +6,11 @@
 #include "base/ev.h"
 #include "base/log.h"
 
-/* A call to a worker; it names what it is about, not the job itself. */
-struct gang_call {
-	struct wk_call call;
-	struct sched *sched;
-	uint64_t generation;
-	char token[WK_TOKEN_BYTES];
-	enum gg_op op;
-	enum wk_verb verb;
-	int worker;
-	int64_t asked_us;
-	GPtrArray *forgotten; /* sync: what the worker was told to forget */
-};
-
 static struct sched *of_sc(struct sc *sc)
 {
 	return container_of(sc, struct sched, sc);
 }
 
-static struct sched_job *of_job(struct sc_job *job)
-{
-	return container_of(job, struct sched_job, job);
-}
-
 /* A token is "e<epoch>.<job>.<attempt>". */
 static void make_token(struct sched_job *j)
 {
@@ -37,7 +19,7 @@
 }
 
 /* Returns the job whose present attempt has the token, or NULL. */
-static struct sched_job *find_token(struct sched *s, const char *token)
+struct sched_job *sched_find_token(struct sched *s, const char *token)
 {
 	const char *from = strchr(token, '.'), *to = strrchr(token, '.');
 	char id[JB_ID_BYTES];
@@ -50,7 +32,7 @@
 	return j && strcmp(j->token, token) == 0 ? j : NULL;
 }
 
-static int member_on(const struct sched_job *j, int worker)
+int sched_member_on(const struct sched_job *j, int worker)
 {
 	int i;
 
@@ -64,7 +46,7 @@
 
 static void call_done(struct wk_call *call);
 
-static void free_call(struct gang_call *gc)
+void sched_free_call(struct sched_call *gc)
 {
 	list_del(&gc->call.node);
 	if (gc->forgotten)
@@ -76,15 +58,15 @@
 void sched_drop_calls(struct sched *s)
 {
 	while (!list_empty(&s->calls))
-		free_call(container_of(
+		sched_free_call(container_of(
 			list_first_entry(&s->calls, struct wk_call, node),
-			struct gang_call, call));
+			struct sched_call, call));
 }
 
-static struct gang_call *new_call(struct sched *s, int worker,
+struct sched_call *sched_new_call(struct sched *s, int worker,
 				  const char *token, enum wk_verb verb)
 {
-	struct gang_call *gc = g_new0(struct gang_call, 1);
+	struct sched_call *gc = g_new0(struct sched_call, 1);
 
 	gc->sched = s;
 	gc->generation = s->generation;
@@ -96,8 +78,8 @@
 	return gc;
 }
 
-static struct wk_request new_request(const struct sched *s,
-				     const struct gang_call *gc)
+struct wk_request sched_new_request(const struct sched *s,
+				    const struct sched_call *gc)
 {
 	struct wk_request request = {
 		.verb = gc->verb,
@@ -111,20 +93,20 @@
 	return request;
 }
 
-static void send_verb(struct sched *s, struct sched_job *j, int worker,
-		      const char *token, enum wk_verb verb, enum gg_op op)
+void sched_send_verb(struct sched *s, struct sched_job *j, int worker,
+		     const char *token, enum wk_verb verb, enum gg_op op)
 {
-	struct gang_call *gc;
+	struct sched_call *gc;
 	struct wk_request request;
 	int member;
 
 	if (!sched_may_send(s))
 		return;
-	gc = new_call(s, worker, token, verb);
+	gc = sched_new_call(s, worker, token, verb);
 	gc->op = op;
-	request = new_request(s, gc);
+	request = sched_new_request(s, gc);
 	if (verb == WK_RESERVE) {
-		member = member_on(j, worker);
+		member = sched_member_on(j, worker);
 		request.job = j->jb.id;
 		request.accelerators = j->job.gang.holds[member].count;
 		request.term_ms = RESERVATION_TERM_MS;
@@ -143,12 +125,12 @@
 						    WK_ABORT, WK_STOP };
 	struct sched_job *j = container_of(gg, struct sched_job, gg);
 
-	send_verb(j->sched, j, gg->members[member].worker, j->token, verbs[op],
-		  op);
+	sched_send_verb(j->sched, j, gg->members[member].worker, j->token,
+			verbs[op], op);
 }
 
 /* A worker that has seen a later leader: this one must not go on. */
-static bool deposed(struct sched *s, const struct wk_call *call)
+bool sched_deposed(struct sched *s, const struct wk_call *call)
 {
 	if (call->epoch <= s->epoch)
 		return false;
@@ -164,33 +146,35 @@
  * leaves a mark against a reserve that arrives late. Abort is refused for a
  * task that runs; it is stopped then.
  */
-static void other_way(struct sched *s, const struct gang_call *gc)
+static void other_way(struct sched *s, const struct sched_call *gc)
 {
 	if (gc->verb == WK_STOP)
-		send_verb(s, NULL, gc->worker, gc->token, WK_ABORT, gc->op);
+		sched_send_verb(s, NULL, gc->worker, gc->token, WK_ABORT,
+				gc->op);
 	else if (gc->verb == WK_ABORT)
-		send_verb(s, NULL, gc->worker, gc->token, WK_STOP, gc->op);
+		sched_send_verb(s, NULL, gc->worker, gc->token, WK_STOP,
+				gc->op);
 }
 
 static void call_done(struct wk_call *call)
 {
-	struct gang_call *gc = container_of(call, struct gang_call, call);
+	struct sched_call *gc = container_of(call, struct sched_call, call);
 	struct sched *s = gc->sched;
 	struct sched_job *j = NULL;
 	bool ok = call->result == CB_OK;
 	int member;
 
-	if (gc->generation == s->generation && !deposed(s, call)) {
+	if (gc->generation == s->generation && !sched_deposed(s, call)) {
 		if (call->result == CB_E_CONFLICT &&
 		    (gc->verb == WK_STOP || gc->verb == WK_ABORT))
 			other_way(s, gc);
 		else if (ok || call->result == CB_E_CONFLICT)
-			j = find_token(s, gc->token);
+			j = sched_find_token(s, gc->token);
 	}
-	member = j ? member_on(j, gc->worker) : -1;
+	member = j ? sched_member_on(j, gc->worker) : -1;
 	if (member >= 0 && gc->verb != WK_CHECKPOINT)
 		gg_answer(&j->gg, member, gc->op, ok, kn_now_us());
-	free_call(gc);
+	sched_free_call(gc);
 }
 
 /* ---- gangs ---- */
@@ -223,7 +207,7 @@
 					.running = gang_running,
 					.gone = gang_gone };
 
-static void make_members(struct sched *s, struct sched_job *j, uint64_t epoch)
+void sched_make_members(struct sched *s, struct sched_job *j, uint64_t epoch)
 {
 	int i, n = j->job.gang.hold_count;
 
@@ -243,10 +227,10 @@
 static void op_start(struct sc *sc, struct sc_job *job)
 {
 	struct sched *s = of_sc(sc);
-	struct sched_job *j = of_job(job);
+	struct sched_job *j = sched_of_job(job);
 
 	j->jb.attempt++;
-	make_members(s, j, s->epoch);
+	sched_make_members(s, j, s->epoch);
 	sched_note(s, j, JB_RESERVED, "place found");
 	ctr_add(&s->starts, 1);
 	gg_start(&j->gg, kn_now_us());
@@ -254,19 +238,19 @@
 
 static void op_checkpoint(struct sc *sc, struct sc_job *job)
 {
-	struct sched_job *j = of_job(job);
+	struct sched_job *j = sched_of_job(job);
 	int i;
 
 	sched_note(j->sched, j, JB_CHECKPOINTING, "displaced");
 	ctr_add(&j->sched->displaced, 1);
 	for (i = 0; i < j->gg.count; i++)
-		send_verb(j->sched, j, j->gg.members[i].worker, j->token,
-			  WK_CHECKPOINT, GG_STOP);
+		sched_send_verb(j->sched, j, j->gg.members[i].worker, j->token,
+				WK_CHECKPOINT, GG_STOP);
 }
 
 static void op_stop(struct sc *sc, struct sc_job *job, const char *reason)
 {
-	struct sched_job *j = of_job(job);
+	struct sched_job *j = sched_of_job(job);
 
 	if (j->gg.state == GG_GONE || j->gg.state == GG_IDLE)
 		j->gone = true;
@@ -276,7 +260,7 @@
 
 static void op_queued(struct sc *sc, struct sc_job *job, const char *reason)
 {
-	struct sched_job *j = of_job(job);
+	struct sched_job *j = sched_of_job(job);
 
 	j->jb.attained_us = job->attained_us;
 	if (j->jb.state == JB_RUNNING || j->jb.state == JB_CHECKPOINTING)
@@ -289,7 +273,7 @@
 {
 	static const enum jb_state states[] = { JB_DONE, JB_FAILED,
 						JB_CANCELLED };
-	struct sched_job *j = of_job(job);
+	struct sched_job *j = sched_of_job(job);
 
 	j->jb.attained_us = job->attained_us;
 	sched_note(j->sched, j, states[end], reason);
@@ -315,170 +299,6 @@
 	.broken = op_broken,
 };
 
-/* ---- sync ---- */
-
-/* Ended tasks are reported until the worker is told to forget them. */
-void sched_forget(struct sched *s, const struct sched_job *j)
-{
-	int i;
-
-	for (i = 0; i < j->gg.count; i++)
-		g_ptr_array_add(s->workers[j->gg.members[i].worker].forget,
-				g_strdup(j->token));
-}
-
-static void note_state(struct sched_job *j, int member,
-		       const struct wk_task *task, int64_t asked_us)
-{
-	enum gg_seen seen = GG_ABSENT;
-	int64_t now_us = kn_now_us();
-
-	j->member_state[member] = task->state + 1;
-	if (task->state == WK_STOPPED && task->checkpointed)
-		return; /* the others may still write */
-	if (task->state == WK_FAILED && !j->failed) {
-		j->failed = true;
-		j->failed_on = j->gg.members[member].worker;
-		gg_stop(&j->gg, "task failed", now_us);
-		return;
-	}
-	if (task->state == WK_RESERVED)
-		seen = GG_RESERVED;
-	else if (task->state == WK_BARRIER)
-		seen = GG_BARRIER;
-	else if (task->state != WK_STOPPED && task->state != WK_FAILED)
-		seen = GG_RUNNING;
-	gg_report(&j->gg, member, seen, asked_us, now_us);
-}
-
-/* A task of no present gang is stopped, or forgotten when it has ended. */
-static void orphan(struct sched *s, int worker, const struct wk_task *task)
-{
-	if (task->state >= WK_STOPPED)
-		g_ptr_array_add(s->workers[worker].forget,
-				g_strdup(task->token));
-	else
-		send_verb(s, NULL, worker, task->token, WK_STOP, GG_STOP);
-}
-
-static bool reported(const struct wk_call *call, const char *token)
-{
-	size_t i;
-
-	for (i = 0; i < call->count; i++)
-		if (strcmp(call->tasks[i].token, token) == 0)
-			return true;
-	return false;
-}
-
-/* Members that should be there but are not in the report. */
-static void note_absent(struct sched *s, int worker, const struct wk_call *call,
-			int64_t asked_us)
-{
-	struct cell_hold *hold;
-
-	list_for_each_entry(hold, &s->sc.cell.workers[worker].holds, node) {
-		struct sched_job *j = of_job(hold->gang->user);
-		int member = member_on(j, worker);
-
-		if (member >= 0 && !reported(call, j->token))
-			gg_report(&j->gg, member, GG_ABSENT, asked_us,
-				  kn_now_us());
-	}
-}
-
-static void take_report(struct sched *s, int worker, struct wk_call *call,
-			int64_t asked_us)
-{
-	size_t i;
-
-	for (i = 0; i < call->count; i++) {
-		const struct wk_task *task = &call->tasks[i];
-		struct sched_job *j;
-		int member;
-
-		if (s->phase != PHASE_READY) {
-			g_hash_table_insert(
-				s->reported,
-				g_strdup_printf("%d %s", worker, task->token),
-				GINT_TO_POINTER(task->state + 1));
-			continue;
-		}
-		j = find_token(s, task->token);
-		member = j ? member_on(j, worker) : -1;
-		if (member >= 0 && j->gg.state != GG_GONE)
-			note_state(j, member, task, asked_us);
-		else
-			orphan(s, worker, task);
-	}
-	if (s->phase == PHASE_READY)
-		note_absent(s, worker, call, asked_us);
-}
-
-static void sync_done(struct wk_call *call)
-{
-	struct gang_call *gc = container_of(call, struct gang_call, call);
-	struct sched *s = gc->sched;
-	struct sched_worker *w;
-
-	if (gc->generation != s->generation)
-		goto out;
-	w = &s->workers[gc->worker];
-	w->syncing = false;
-	w->asked = true;
-	if (deposed(s, call))
-		goto out;
-	if (call->result != CB_OK) {
-		w->failed_syncs++;
-		if (w->failed_syncs >= SCHED_DEAD_SYNCS)
-			sc_worker_live(&s->sc, gc->worker, false, kn_now_us());
-		goto out;
-	}
-	w->failed_syncs = 0;
-	take_report(s, gc->worker, call, gc->asked_us);
-	sc_worker_live(&s->sc, gc->worker, true, kn_now_us());
-out:
-	free_call(gc);
-}
-
-/* Sends one sync: renewals and goes of all gangs with a part there. */
-void sched_sync(struct sched *s, int worker)
-{
-	struct sched_worker *w = &s->workers[worker];
-	GPtrArray *renew = g_ptr_array_new(), *go = g_ptr_array_new();
-	struct gang_call *gc = new_call(s, worker, "", WK_SYNC);
-	struct wk_request request = new_request(s, gc);
-	struct cell_hold *hold;
-
-	list_for_each_entry(hold, &s->sc.cell.workers[worker].holds, node) {
-		struct sched_job *j = of_job(hold->gang->user);
-		int member = member_on(j, worker);
-
-		if (member < 0 || !gg_go(&j->gg))
-			continue;
-		gg_synced(&j->gg, member, gc->asked_us);
-		if (j->gg.state == GG_GOING)
-			g_ptr_array_add(go, j->token);
-		if (gg_renews(&j->gg, gc->asked_us))
-			g_ptr_array_add(renew, j->token);
-	}
-	gc->forgotten = w->forget;
-	w->forget = g_ptr_array_new_with_free_func(g_free);
-	request.renew = (const char *const *)renew->pdata;
-	request.renew_count = renew->len;
-	request.go = (const char *const *)go->pdata;
-	request.go_count = go->len;
-	request.forget = (const char *const *)gc->forgotten->pdata;
-	request.forget_count = gc->forgotten->len;
-	request.term_ms = GG_LEASE_MS;
-	w->syncing = true;
-	w->soon = false;
-	w->synced_us = gc->asked_us;
-	s->edge->ops->start(s->edge, &gc->call, &request, sync_done);
-	g_ptr_array_free(renew, TRUE);
-	g_ptr_array_free(go, TRUE);
-}
-
 /* ---- tick ---- */
 
 static bool all_members(const struct sched_job *j, enum wk_state state)
@@ -566,101 +386,3 @@
 	}
 	g_list_free(jobs);
 }
-
-/* ---- takeover ---- */
-
-static int worker_named(const struct sched *s, const char *name)
-{
-	int i;
-
-	for (i = 0; i < s->worker_count; i++)
-		if (strcmp(s->workers[i].at.name, name) == 0)
-			return i;
-	return -1;
-}
-
-/* Fills in the gang's holds from the record; false if a worker is unknown. */
-static bool holds_from_record(struct sched *s, struct sched_job *j)
-{
-	struct cell_gang *gang = &j->job.gang;
-	bool known = j->jb.place_count > 0;
-	int i;
-
-	gang->kind = gang->stoppable ? CELL_SOFT : CELL_HARD;
-	for (i = 0; i < j->jb.place_count; i++) {
-		const struct jb_place *place = &j->jb.places[i];
-		int worker = worker_named(s, place->worker);
-
-		if (worker < 0) {
-			known = false;
-			continue;
-		}
-		if (place->cover >= 0)
-			gang->kind = CELL_OWNED;
-		cell_gang_add(gang, worker, place->count, MAX(0, place->cover));
-	}
-	return known;
-}
-
-static bool all_present(struct sched *s, const struct sched_job *j)
-{
-	int i;
-
-	for (i = 0; i < j->gg.count; i++) {
-		char *key = g_strdup_printf("%d %s", j->gg.members[i].worker,
-					    j->token);
-		int state =
-			GPOINTER_TO_INT(g_hash_table_lookup(s->reported, key));
-
-		g_free(key);
-		if (state != WK_BARRIER + 1 && state != WK_RUNNING + 1 &&
-		    state != WK_DONE + 1)
-			return false;
-	}
-	return true;
-}
-
-/* Adopts a gang of which all members are there; stops any other. */
-static void take_over_job(struct sched *s, struct sched_job *j, int64_t now_us)
-{
-	bool known;
-
-	if (j->jb.state == JB_QUEUED || j->jb.place_count == 0) {
-		j->jb.state = JB_QUEUED;
-		sc_submit(&s->sc, &j->job, now_us);
-		return;
-	}
-	known = holds_from_record(s, j);
-	make_members(s, j, j->jb.epoch);
-	gg_adopt(&j->gg, now_us);
-	if (known && all_present(s, j)) {
-		sc_adopt(&s->sc, &j->job, now_us);
-		ev_emit("job.adopted", "job=%s attempt=%d", j->jb.id,
-			j->jb.attempt);
-		return;
-	}
-	cell_gang_reset(&j->job.gang);
-	j->jb.state = JB_RUNNING;
-	sched_note(s, j, JB_STOPPED, "member missing at takeover");
-	sched_note(s, j, JB_QUEUED, "member missing at takeover");
-	gg_stop(&j->gg, "member missing at takeover", now_us);
-}
-
-/* All workers have been asked: decides about every job of the records. */
-void sched_take_over(struct sched *s)
-{
-	GList *jobs = g_hash_table_get_values(s->jobs), *at;
-	int64_t now_us = kn_now_us();
-
-	s->phase = PHASE_READY;
-	for (at = jobs; at; at = at->next) {
-		struct sched_job *j = at->data;
-
-		if (!jb_ended(j->jb.state))
-			take_over_job(s, j, now_us);
-	}
-	g_list_free(jobs);
-	g_hash_table_remove_all(s->reported);
-	ev_emit("scheduler.ready", "epoch=%" G_GUINT64_FORMAT " jobs=%u",
-		s->epoch, g_hash_table_size(s->jobs));
-}
--- a/daemon/sched_int.h
+++ b/daemon/sched_int.h
@@ -93,12 +93,45 @@
 /* ---- operators' calls: sched_api.c ---- */
 void sched_api(struct sched *s, struct svc_api_call *call);
 
-/* ---- gangs and workers: sched_gang.c ---- */
+/* ---- gangs and calls to workers: sched_gang.c ---- */
+/* A call to a worker; it names what it is about, not the job itself. */
+struct sched_call {
+	struct wk_call call;
+	struct sched *sched;
+	uint64_t generation;
+	char token[WK_TOKEN_BYTES];
+	enum gg_op op;
+	enum wk_verb verb;
+	int worker;
+	int64_t asked_us;
+	GPtrArray *forgotten; /* sync: what the worker was told to forget */
+};
+
+static inline struct sched_job *sched_of_job(struct sc_job *job)
+{
+	return container_of(job, struct sched_job, job);
+}
+
+struct sched_job *sched_find_token(struct sched *s, const char *token);
+int sched_member_on(const struct sched_job *j, int worker);
+struct sched_call *sched_new_call(struct sched *s, int worker,
+				  const char *token, enum wk_verb verb);
+void sched_free_call(struct sched_call *gc);
+struct wk_request sched_new_request(const struct sched *s,
+				    const struct sched_call *gc);
+void sched_send_verb(struct sched *s, struct sched_job *j, int worker,
+		     const char *token, enum wk_verb verb, enum gg_op op);
+bool sched_deposed(struct sched *s, const struct wk_call *call);
+void sched_make_members(struct sched *s, struct sched_job *j, uint64_t epoch);
 extern const struct sc_ops sched_sc_ops;
 void sched_gang_tick(struct sched *s, int64_t now_us);
-void sched_sync(struct sched *s, int worker);
-void sched_take_over(struct sched *s);
 void sched_drop_calls(struct sched *s);
+
+/* ---- renewals and reports: sched_sync.c ---- */
+void sched_sync(struct sched *s, int worker);
 void sched_forget(struct sched *s, const struct sched_job *j);
 
+/* ---- sched_takeover.c ---- */
+void sched_take_over(struct sched *s);
+
 #endif
