--- a/base/limits.h
+++ b/base/limits.h
@@ -45,7 +45,7 @@
 #define REQ_DEADLINE_MAX_MS 60000
 #define REQ_ATTEMPTS_MAX 3
 #define FORWARD_GRACE_MS 1000 /* for the answer of a peer, after the deadline */
-#define REQ_TICK_MS 10
+#define REQ_TICK_MS 25 /* a quarter of QUEUE_SHORT_LIMIT_MS */
 #define REQ_IDLE_TICK_MS 500 /* while nothing is waiting or in progress */
 #define FRONT_FLUSH_MS 200 /* for the last replies of a stopping host */
 #define REQ_DEADLINE_DEFAULT_MS 10000
@@ -68,6 +68,7 @@
 #define EJECT_FAILURES 5 /* consecutive */
 #define EJECT_BASE_MS 1000 /* doubles up to 32 s */
 #define EJECT_SAMPLES 64 /* answers before latency is judged */
+#define EJECT_JUDGE_EVERY 16 /* answers between comparisons of latency */
 #define EJECT_LATENCY_FACTOR 10 /* times the median; stragglers give 3.5 */
 #define MEMBERS_SAMPLE 512 /* servers in a median */
 #define MEMBERS_POLL_MS 1000 /* leaves 2 s of LEAVING_GRACE_MS */
@@ -76,6 +77,7 @@
 #define QUEUE_TARGET_LONG_MS 200
 #define QUEUE_SHED_FACTOR 3 /* longest wait over target while shedding */
 #define QUEUE_INTERVAL_MS 100
+#define QUEUE_EXPIRE_MS 100 /* between looks for expired requests */
 #define QUEUE_SHORT_LIMIT_MS 100 /* run time of short work, by default */
 #define QUEUE_SHARE_LAG_MS 50 /* of its share that a customer may lag */
 #define QUEUE_RESERVE_MIN_PERCENT 10 /* slots kept for short work */
@@ -85,6 +87,7 @@
 #define KEY_ENTRIES_MAX 50000 /* keys that a host remembers */
 #define KEY_BYTES_MAX (16 * 1024 * 1024) /* finished answers kept */
 #define KEY_TICKETS_MAX 1000 /* tickets per call */
+#define KEY_LEASE_MARGIN_SEC 300 /* a request and store delays, with room */
 #define KEY_BATCHES_MAX 4 /* claim transactions in progress */
 #define KEY_HANDOVER_BYTES (4 * 1024 * 1024) /* half of what a link queues */
 
@@ -155,16 +158,6 @@
 #define WORKER_QUARANTINE_PERCENT 25 /* of the workers at most */
 #define WORKER_PROBATION_MIN_MS 60000
 #define WORKER_PROBATION_MAX_MS 3600000
-/*
- * A lease is renewed only while all members of the gang were seen running
- * this long ago. With a call's life of 2 s at most, the three stay within
- * TASK_LEASE_MS, after which no member runs alone.
- */
-#define GG_CONFIRM_MS 7000
-#define GG_LEASE_MS 20000
-#define GG_CALL_MS 2000
-#define GG_RETRY_MS 1000
-#define GG_PHASE_MS 4000 /* for all answers; two fit into a barrier term */
 #define PL_MOVE_COST_MS 30000 /* of a checkpoint and a new start */
 #define PL_SAVES_PER_FAILURE 8
 #define SC_LEVELS 4 /* of attained service */
@@ -176,11 +169,29 @@
 #define SC_PATIENCE_MS 600000 /* then a reservation displaces its racks */
 #define SC_STARTS_PER_PASS 512
 #define SC_EVICTION_TRIES 8 /* per pass; each looks at all workers */
-#define SCHED_TICK_MS 100 /* passes are at least that far apart */
-#define SCHED_POLL_MS 500 /* syncs of workers where something is awaited */
-#define SCHED_CALL_MS GG_CALL_MS
-#define SCHED_DEAD_SYNCS 3 /* failed syncs until a worker counts as dead */
 #define JOB_WRITES 3 /* store writes for a job that isn't cancelled */
+#define GANG_CALL_MS 1000 /* until a call to a worker counts as lost */
+#define GANG_RETRY_MS 200
+#define GANG_PHASE_MS 4000 /* for all answers; half of the shortest term */
+#define GANG_FRESH_MS 6000 /* a sync period, its jitter and an answer */
+/* So that a gang ends within TASK_LEASE_MS of the death of a member. */
+#define GANG_LEASE_MS (TASK_LEASE_MS - GANG_FRESH_MS - GANG_CALL_MS)
+#define GANG_SYNC_MS 100 /* between syncs of a worker with pending work */
+#define SCHED_TICK_MS 20 /* while a gang starts or stops */
+#define SCHED_IDLE_TICK_MS 100
+#define SCHED_EVENT_TICK_MS 2 /* after an event, for all of a burst */
+#define SCHED_PASS_MS 100 /* between two passes */
+/*
+ * For the first answer of every worker. With a sync period, TAKEOVER_BOUND_MS
+ * and a call it stays below GANG_LEASE_MS, so that whole gangs live on.
+ */
+#define SCHED_RECOVER_MS 3000
+#define SCHED_JITTER_PERCENT 10 /* of the period of a worker's sync */
+#define SCHED_WRITES_MAX 16 /* record writes in progress */
+#define SCHED_SETTLE_MS 8000 /* below API_FORWARD_TIMEOUT_MS */
+#define SCHED_DRAIN_MS 2000 /* for pending record writes at a stop */
+#define JOB_KEEP_MS 3600000 /* an ended job */
+#define JOBS_ENDED_MAX 2000 /* kept in memory */
 
 /* ---- document ---- */
 
@@ -196,6 +207,8 @@
 #define DOC_HISTORY_MAX 100 /* history entries in one answer */
 #define DOC_DIFF_MAX 60 /* revisions between both sides of a difference */
 #define DOC_RETRIES_MAX 8 /* merges with racing changes before a conflict */
+#define DOC_HISTORY_KEEP 20000 /* revisions, about a day in two years */
+#define DOC_PRUNE_BATCH 32 /* old revisions removed at a time */
 #define DOC_CHANGE_TIMEOUT_MS 10000 /* until an outcome is called unknown */
 #define DOC_PULL_TIMEOUT_MS 1000 /* until another peer is asked */
 /* Bodies in one read of the store; 8 of the largest take 11 MB in base64. */
--- a/daemon/sched.c
+++ b/daemon/sched.c
@@ -1,312 +1,250 @@
 #include "daemon/sched.h"
 
-#include <string.h>
+#include <inttypes.h>
 
-#include "base/err.h"
 #include "base/ev.h"
-#include "base/log.h"
 #include "daemon/sched_int.h"
 
-static void tick(struct kn_timer *timer);
+#define MS(ms) ((int64_t)(ms)*USEC_PER_MSEC)
 
-/* The lease may have lapsed since the last message from "lead". */
-bool sched_may_send(const struct sched *s)
-{
-	return s->leading && kn_now_us() < s->valid_until_us;
-}
-
-/* ---- document ---- */
+static void on_tick(struct kn_timer *timer);
 
-static void add_worker(struct sched *s, const struct doc_worker *at)
+/* Asked before everything that is sent to a worker. */
+bool sched_may_act(const struct sched *s)
 {
-	struct sched_worker *w;
-
-	if (sc_add_worker(&s->sc, at->rack, at->accelerators) < 0) {
-		log_warn("scheduler.worker_refused", "worker=%s rack=%d",
-			 at->name, at->rack);
-		return;
-	}
-	s->workers =
-		g_renew(struct sched_worker, s->workers, s->worker_count + 1);
-	w = &s->workers[s->worker_count++];
-	*w = (struct sched_worker){ .at = *at };
-	w->forget = g_ptr_array_new_with_free_func(g_free);
+	return s->phase != SCHED_OFF && s->lead.leading &&
+	       s->lead.epoch == s->epoch &&
+	       kn_now_us() < s->lead.valid_until_us;
 }
 
-static bool has_worker(const struct sched *s, const struct doc_worker *at)
+static void wake_in(struct sched *s, int64_t delay_us)
 {
-	int i;
+	int64_t at_us = kn_now_us() + delay_us;
 
-	for (i = 0; i < s->worker_count; i++)
-		if (strcmp(s->workers[i].at.name, at->name) == 0)
-			return true;
-	return false;
-}
-
-static void apply_pool(struct sched *s)
-{
-	const struct doc_pool *pool = doc_view_pool(s->view, s->set->dc);
-	size_t i;
-
-	for (i = 0; pool && i < pool->worker_count; i++)
-		if (!has_worker(s, &pool->workers[i]))
-			add_worker(s, &pool->workers[i]);
+	if (kn_timer_pending(&s->timer) && s->wake_us <= at_us)
+		return;
+	s->wake_us = at_us;
+	kn_timer_set(s->task.kn, &s->timer, delay_us, on_tick);
 }
 
-static void apply_customer(struct sched *s, const struct doc_customer *c)
+/* Every tick looks at all workers, so those for events are spaced. */
+void sched_wake(struct sched *s)
 {
-	int units[CELL_UNITS] = { 0 };
-	size_t i;
-
-	for (i = 0; i < c->guarantee_count; i++)
-		if (strcmp(c->guarantees[i].dc, s->set->dc) == 0)
-			units[c->guarantees[i].unit] += c->guarantees[i].count;
-	sc_set_customer(&s->sc, sched_customer(s, c->name), c->weight,
-			c->quota_accelerators, units, kn_now_us());
+	wake_in(s, MS(SCHED_EVENT_TICK_MS));
 }
 
-/* Customers that the document no longer has; before says how they end. */
-static void remove_customers(struct sched *s, const struct doc_view *before)
+/* Exponential with full jitter. */
+int64_t sched_backoff_us(struct sched *s, unsigned int failures)
 {
-	size_t i;
-
-	for (i = 0; before && i < before->customer_count; i++) {
-		const struct doc_customer *c = &before->customers[i];
+	int64_t ceiling = STORE_BACKOFF_BASE_MS;
 
-		if (!doc_view_customer(s->view, c->name))
-			sc_remove_customer(&s->sc, sched_customer(s, c->name),
-					   c->stop_on_removal, kn_now_us());
-	}
+	while (failures-- > 0 && ceiling < STORE_BACKOFF_CAP_MS)
+		ceiling *= 2;
+	return (int64_t)(g_rand_double(s->rand) *
+			 (double)MS(MIN(ceiling, STORE_BACKOFF_CAP_MS)));
 }
 
-static void apply_view(struct sched *s, const struct doc_view *before)
-{
-	size_t i;
+/* ---- leading ---- */
 
-	apply_pool(s);
-	for (i = 0; i < s->view->customer_count; i++)
-		apply_customer(s, &s->view->customers[i]);
-	remove_customers(s, before);
-}
-
-static int worker_size(const struct sched *s)
+/* Starts to read records and to sync; decides when both are complete. */
+static void begin(struct sched *s)
 {
-	const struct doc_pool *pool = doc_view_pool(s->view, s->set->dc);
-	int size = 1;
-	size_t i;
-
-	for (i = 0; pool && i < pool->worker_count; i++)
-		size = MAX(size, pool->workers[i].accelerators);
-	return size;
+	s->phase = SCHED_READING;
+	s->epoch = s->lead.epoch;
+	s->term++;
+	s->began_us = kn_now_us();
+	s->ticked_us = s->began_us;
+	s->loaded = false;
+	s->loading = false;
+	s->load_us = 0;
+	s->load_failures = 0;
+	s->write_us = 0;
+	s->write_failures = 0;
+	sched_build(s);
+	ev_emit("scheduler.begin", "epoch=%" PRIu64, s->epoch);
+	sched_wake(s);
 }
 
-/* ---- leadership ---- */
-
-/* Forgets everything; answers to calls in progress are ignored. */
-static void reset(struct sched *s)
+static void drop_jobs(struct sched *s)
 {
 	GHashTableIter iter;
 	gpointer value;
-	int i;
+	unsigned int i;
 
-	s->generation++;
-	s->phase = PHASE_IDLE;
-	if (!s->have_sc)
-		return;
-	s->edge->ops->finish(s->edge);
-	sched_drop_calls(s);
-	s->edge = s->make_edge(s->task.kn);
 	g_hash_table_iter_init(&iter, s->jobs);
 	while (g_hash_table_iter_next(&iter, NULL, &value)) {
-		struct sched_job *j = value;
+		struct sjob *job = value;
 
-		sc_job_finish(&s->sc, &j->job);
+		if (job->sc.state != SC_ENDED)
+			sc_job_finish(&s->sc, &job->sc);
 		g_hash_table_iter_steal(&iter);
-		sched_job_free(j);
+		sched_job_free(job);
 	}
-	for (i = 0; i < s->worker_count; i++)
-		g_ptr_array_free(s->workers[i].forget, TRUE);
-	g_free(s->workers);
-	s->workers = NULL;
-	s->worker_count = 0;
-	g_hash_table_remove_all(s->customers);
-	g_hash_table_remove_all(s->reported);
+	for (i = 0; i < s->records->len; i++)
+		sched_job_free(s->records->pdata[i]);
+	g_ptr_array_set_size(s->records, 0);
+	s->ended_count = 0;
+}
+
+/* Forgets everything; whoever leads next finds it with the workers. */
+static void end(struct sched *s)
+{
+	if (s->phase == SCHED_OFF)
+		return;
+	s->closing = true;
+	s->phase = SCHED_OFF;
+	s->term++;
+	sched_calls_drop(s);
+	sched_submits_drop(s);
+	drop_jobs(s);
+	sched_workers_drop(s);
+	g_ptr_array_set_size(s->customers, 0);
 	sc_finish(&s->sc);
 	s->have_sc = false;
+	s->closing = false;
+	kn_timer_cancel(&s->timer);
+	if (s->drain_us)
+		sched_wake(s); /* the drain still has to be reported */
+	ev_emit("scheduler.end", "epoch=%" PRIu64, s->epoch);
 }
 
-static void begin(struct sched *s)
+static void update_leading(struct sched *s)
 {
-	reset(s);
-	if (!s->leading || !s->view)
-		return;
-	sc_init(&s->sc, &sched_sc_ops, worker_size(s), WORKERS_PER_RACK);
-	s->have_sc = true;
-	apply_view(s, NULL);
-	s->phase = PHASE_LOADING;
-	s->load_at_us = 0;
-	s->load_failures = 0;
-	ev_emit("scheduler.loading", "epoch=%" G_GUINT64_FORMAT, s->epoch);
+	bool leads = s->lead.leading && s->view && !s->drain_us;
+
+	if (s->phase != SCHED_OFF &&
+	    (!s->lead.leading || s->lead.epoch != s->epoch))
+		end(s);
+	if (s->phase == SCHED_OFF && leads)
+		begin(s);
 }
 
-/* ---- loading ---- */
+/* ---- ticks ---- */
 
-static void load_record(struct sched *s, const struct kv_item *item)
+/*
+ * A worker is silent only while it is asked: time in which this host did not
+ * act, frozen or without a valid lease, doesn't count.
+ */
+static void forgive_gap(struct sched *s, int64_t now_us)
 {
-	json_t *json = json_loads(item->value, 0, NULL);
-	GError *err = NULL;
-	struct jb jb;
+	int64_t gap_us = now_us - s->ticked_us;
+	unsigned int i;
 
-	jb_init(&jb);
-	if (jb_from_json(&jb, json, &err)) {
-		struct sched_job *j = sched_job_new(s, &jb);
+	s->ticked_us = now_us;
+	if (gap_us < MS(LEADER_FREEZE_MS))
+		return;
+	for (i = 0; i < s->workers->len; i++) {
+		struct sworker *w = s->workers->pdata[i];
 
-		j->mod_revision = item->mod_revision;
-	} else {
-		log_warn("scheduler.bad_record", "key=%s text=\"%s\"",
-			 item->key, err->message);
-		g_error_free(err);
-		jb_finish(&jb);
+		w->heard_us = MIN(now_us, w->heard_us + gap_us);
+		w->next_us = now_us;
 	}
-	json_decref(json);
 }
 
-static void loaded(struct kv_call *call)
+static void update_gauges(struct sched *s)
 {
-	struct sched *s = container_of(call, struct sched, load);
-	int64_t delay_ms;
-	size_t i;
+	uint64_t queued = 0, running = 0;
+	struct sc_job *job;
+	int i;
 
-	s->load_busy = false;
-	if (s->phase != PHASE_LOADING)
-		return;
-	if (call->result != CB_OK) {
-		delay_ms = STORE_BACKOFF_BASE_MS << MIN(s->load_failures++, 6u);
-		delay_ms = MIN(delay_ms, STORE_BACKOFF_CAP_MS);
-		s->load_at_us =
-			kn_now_us() +
-			g_random_int_range(0, (gint32)delay_ms) * USEC_PER_MSEC;
-		return;
-	}
-	for (i = 0; i < call->count; i++)
-		load_record(s, &call->items[i]);
-	s->phase = PHASE_SYNCING;
+	for (i = 0; i < s->sc.customer_count; i++)
+		queued += (uint64_t)s->sc.customers[i].queued;
+	list_for_each_entry(job, &s->sc.running, node)
+		running += job->state == SC_RUNNING;
+	ctr_gauge(&s->queued, queued);
+	ctr_gauge(&s->running, running);
 }
 
-static void load(struct sched *s, int64_t now_us)
+static void pass(struct sched *s, int64_t now_us)
 {
-	char *prefix;
+	/* Grace periods, ageing and quarantines need passes without events. */
+	int64_t wait_us = MS(s->dirty ? SCHED_PASS_MS : 5 * SCHED_PASS_MS);
 
-	if (s->load_busy || now_us < s->load_at_us)
+	if (s->drain_us || now_us - s->passed_us < wait_us)
 		return;
-	s->load_busy = true;
-	memset(&s->load, 0, sizeof(s->load));
-	s->load.done = loaded;
-	prefix = g_strdup_printf("/chivebank/jobs/%s/", s->set->dc);
-	s->kv->ops->range(s->kv, &s->load, prefix, true);
-	g_free(prefix);
+	s->dirty = false;
+	s->passed_us = now_us;
+	sc_pass(&s->sc, now_us);
+	update_gauges(s);
 }
 
-/* ---- tick ---- */
-
-static void sync_workers(struct sched *s, int64_t now_us)
+static void check_drained(struct sched *s, int64_t now_us)
 {
-	int i;
-
-	for (i = 0; i < s->worker_count; i++) {
-		struct sched_worker *w = &s->workers[i];
-		int64_t every_ms = WORKER_SYNC_MS;
-
-		if (w->soon ||
-		    (w->failed_syncs > 0 && w->failed_syncs < SCHED_DEAD_SYNCS))
-			every_ms = SCHED_POLL_MS;
-		if (!w->syncing &&
-		    now_us - w->synced_us >= every_ms * USEC_PER_MSEC)
-			sched_sync(s, i);
-	}
+	if (s->drain_us && !s->task.drained &&
+	    (sched_store_idle(s) || now_us >= s->drain_us))
+		kn_drained(&s->task);
 }
 
-static bool all_asked(const struct sched *s)
+static void act(struct sched *s, int64_t now_us)
 {
-	int i;
-
-	for (i = 0; i < s->worker_count; i++)
-		if (!s->workers[i].asked)
-			return false;
-	return true;
+	forgive_gap(s, now_us);
+	sched_store_tick(s, now_us);
+	sched_sync_tick(s, now_us);
+	if (s->phase == SCHED_READING && sched_ready_to_decide(s, now_us))
+		sched_decide(s, now_us);
+	if (s->phase != SCHED_ON)
+		return;
+	sched_gang_tick(s, now_us);
+	pass(s, now_us);
+	sched_gang_tick(s, now_us);
+	sched_forget_ended(s, now_us);
 }
 
-static void tick(struct kn_timer *timer)
+static void on_tick(struct kn_timer *timer)
 {
 	struct sched *s = container_of(timer, struct sched, timer);
 	int64_t now_us = kn_now_us();
 
-	kn_timer_set(s->task.kn, timer, SCHED_TICK_MS * USEC_PER_MSEC, tick);
-	if (!sched_may_send(s))
+	if (sched_may_act(s))
+		act(s, now_us);
+	check_drained(s, now_us);
+	if (s->phase == SCHED_OFF && !s->drain_us)
 		return;
-	if (s->phase == PHASE_LOADING)
-		load(s, now_us);
-	if (s->phase == PHASE_SYNCING && all_asked(s))
-		sched_take_over(s);
-	if (s->phase == PHASE_READY) {
-		sched_gang_tick(s, now_us);
-		sc_pass(&s->sc, now_us);
-		ctr_add(&s->passes, 1);
-	}
-	if (s->phase >= PHASE_SYNCING)
-		sync_workers(s, now_us);
+	wake_in(s,
+		MS(list_empty(&s->busy) ? SCHED_IDLE_TICK_MS : SCHED_TICK_MS));
 }
 
 /* ---- task ---- */
 
-static void on_lead(struct sched *s, const struct svc_lead *lead)
+static void on_document(struct sched *s, const struct svc_doc *changed)
 {
-	bool changed = lead->leading != s->leading ||
-		       (lead->leading && lead->epoch != s->epoch);
-
-	s->leading = lead->leading;
-	s->epoch = lead->epoch;
-	s->valid_until_us = lead->valid_until_us;
-	if (changed)
-		begin(s);
-}
-
-static void on_document(struct sched *s, struct svc_doc *doc)
-{
-	struct doc_view *before = s->view;
-
-	s->view = doc_view_ref(doc->view);
-	if (s->have_sc)
-		apply_view(s, before);
-	else
-		begin(s);
-	if (before)
-		doc_view_unref(before);
+	struct doc_view *old = s->view;
+
+	s->view = doc_view_ref(changed->view);
+	if (s->phase != SCHED_OFF && sched_size_changed(s))
+		end(s); /* what runs is found with the workers again */
+	if (s->phase == SCHED_OFF) {
+		doc_view_unref(old);
+		update_leading(s);
+	} else {
+		sched_apply_view(s, old);
+		sched_wake(s);
+	}
 }
 
-static void receive(struct kn_task *task, struct kn_msg *msg)
+static void sched_receive(struct kn_task *task, struct kn_msg *msg)
 {
 	struct sched *s = container_of(task, struct sched, task);
 
 	switch (msg->type) {
-	case SVC_LEAD_CHANGED:
-		on_lead(s, container_of(msg, struct svc_lead, msg));
-		break;
+	case SVC_API_CALL:
+		sched_api_call(s, container_of(msg, struct svc_api_call, msg));
+		return; /* goes back to the API */
 	case SVC_DOC_CHANGED:
 		on_document(s, container_of(msg, struct svc_doc, msg));
 		break;
-	case SVC_API_CALL:
-		sched_api(s, container_of(msg, struct svc_api_call, msg));
-		return; /* goes back to the API */
+	case SVC_LEAD_CHANGED:
+		s->lead = *container_of(msg, struct svc_lead, msg);
+		update_leading(s);
+		break;
 	default:
 		break;
 	}
 	kn_msg_release(msg);
 }
 
-static bool start(struct kn_task *task, GError **err)
+static bool sched_start(struct kn_task *task, GError **err)
 {
-	struct sched *s = container_of(task, struct sched, task);
 	struct kn_task *lead = kn_find(task->kn, SVC_LEAD);
 	struct kn_task *document = kn_find(task->kn, SVC_DOCUMENT);
 
@@ -314,64 +252,85 @@
 		svc_subscribe(lead, task);
 	if (document)
 		svc_subscribe(document, task);
-	kn_timer_set(task->kn, &s->timer, SCHED_TICK_MS * USEC_PER_MSEC, tick);
 	return true;
 }
 
-static void finish(struct kn_task *task)
+/* Nothing that runs is stopped; records are written within a bound. */
+static void sched_drain(struct kn_task *task)
 {
 	struct sched *s = container_of(task, struct sched, task);
 
+	s->drain_us = kn_now_us() + MS(SCHED_DRAIN_MS);
+	sched_wake(s);
+}
+
+static void sched_finish(struct kn_task *task)
+{
+	struct sched *s = container_of(task, struct sched, task);
+
+	end(s);
 	kn_timer_cancel(&s->timer);
-	reset(s);
+	sched_store_finish(s);
 	s->edge->ops->finish(s->edge);
-	if (s->view)
-		doc_view_unref(s->view);
+	doc_view_unref(s->view);
+	g_ptr_array_free(s->workers, TRUE);
+	g_ptr_array_free(s->customers, TRUE);
+	g_ptr_array_free(s->records, TRUE);
 	g_hash_table_destroy(s->jobs);
-	g_hash_table_destroy(s->customers);
-	g_hash_table_destroy(s->reported);
-	ctr_finish(&s->writes);
-	ctr_finish(&s->passes);
+	g_hash_table_destroy(s->tokens);
+	g_rand_free(s->rand);
+	ctr_finish(&s->record_writes);
 	ctr_finish(&s->starts);
-	ctr_finish(&s->displaced);
+	ctr_finish(&s->syncs);
+	ctr_finish(&s->queued);
+	ctr_finish(&s->running);
 	g_free(s);
 }
 
 static const struct kn_task_ops sched_ops = {
-	.start = start,
-	.receive = receive,
-	.finish = finish,
+	.start = sched_start,
+	.receive = sched_receive,
+	.drain = sched_drain,
+	.finish = sched_finish,
 };
 
-static void count(struct kn *kn, struct ctr *ctr, const char *name,
-		  const char *help)
+static void init_counters(struct sched *s, struct ctr_set *set)
 {
-	ctr_init(ctr, &kn->counters, CTR_COUNTER, name, NULL, help);
+	ctr_init(&s->record_writes, set, CTR_COUNTER,
+		 "chivebank_job_record_writes_total", NULL,
+		 "Job records written to the store");
+	ctr_init(&s->starts, set, CTR_COUNTER, "chivebank_gang_starts_total",
+		 NULL, "Gangs that began to run");
+	ctr_init(&s->syncs, set, CTR_COUNTER, "chivebank_worker_syncs_total",
+		 NULL, "Syncs sent to workers");
+	ctr_init(&s->queued, set, CTR_GAUGE, "chivebank_jobs_queued", NULL,
+		 "Jobs that wait for a place");
+	ctr_init(&s->running, set, CTR_GAUGE, "chivebank_jobs_running", NULL,
+		 "Jobs that run");
 }
 
 struct kn_task *sched_new(struct kn *kn, const struct set *set, struct kv *kv,
-			  struct wk_edge *(*make_edge)(struct kn *kn))
+			  uint64_t incarnation)
 {
 	struct sched *s = g_new0(struct sched, 1);
 
 	s->set = set;
 	s->kv = kv;
-	s->make_edge = make_edge;
-	s->edge = make_edge(kn);
-	list_init(&s->calls);
+	s->edge = wagent_new(kn);
+	s->rand = g_rand_new_with_seed(
+		(guint32)(set->seed ? set->seed : incarnation));
+	s->workers = g_ptr_array_new();
+	s->customers = g_ptr_array_new_with_free_func(g_free);
+	s->records = g_ptr_array_new();
 	s->jobs = g_hash_table_new(g_str_hash, g_str_equal);
-	s->customers =
-		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
-	s->reported =
-		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
+	s->tokens = g_hash_table_new(g_str_hash, g_str_equal);
+	list_init(&s->busy);
+	list_init(&s->ended);
+	list_init(&s->writes);
+	list_init(&s->calls);
+	list_init(&s->submits);
+	list_init(&s->calls_out);
+	init_counters(s, &kn->counters);
 	kn_add(kn, &s->task, SVC_SCHEDULER, &sched_ops);
-	count(kn, &s->writes, "chivebank_job_writes_total",
-	      "Writes of job records to the store.");
-	count(kn, &s->passes, "chivebank_job_passes_total",
-	      "Scheduling passes.");
-	count(kn, &s->starts, "chivebank_job_starts_total",
-	      "Gangs that were given a place.");
-	count(kn, &s->displaced, "chivebank_job_displaced_total",
-	      "Gangs that were asked to leave their place.");
 	return &s->task;
 }
--- a/daemon/sched_api.c
+++ b/daemon/sched_api.c
@@ -1,254 +1,229 @@
-#include "daemon/sched_int.h"
-
 #include <string.h>
 
 #include "base/err.h"
-#include "base/ev.h"
+#include "daemon/sched_int.h"
 #include "policy/pl.h"
 
-/* A submission on its way to the store. */
-struct submission {
-	struct kv_call call;
-	struct sched *sched;
-	struct svc_api_call *api;
-	struct jb jb;
-	char *key;
-	char *text;
-	uint64_t generation;
-};
-
-static void submission_free(struct submission *sub)
+#define JOBS "/v1/jobs"
+#define WORKERS "/v1/workers"
+
+/* ---- submission ---- */
+
+static bool refuse(GError **err, int code, const char *text)
 {
-	jb_finish(&sub->jb);
-	g_free(sub->key);
-	free(sub->text);
-	g_free(sub);
+	g_set_error(err, CB_ERROR, code, "%s", text);
+	return false;
 }
 
-static void fail(struct submission *sub, int code, const char *text)
+/* Whether the document and the pool allow the job at all. */
+static bool may_run(struct sched *s, const struct jb *jb, GError **err)
 {
-	svc_api_fail(sub->api, &sub->sched->task, code, "%s", text);
-	submission_free(sub);
+	const struct doc_customer *c = doc_view_customer(s->view, jb->customer);
+
+	if (!c)
+		return refuse(err, CB_E_UNKNOWN_CUSTOMER, jb->customer);
+	if (c->quota_accelerators && jb->accelerators > c->quota_accelerators)
+		return refuse(err, CB_E_QUOTA,
+			      "the job alone exceeds the customer's quota");
+	if (jb->accelerators > GANG_MAX_ACCELERATORS ||
+	    !pl_could_hold(&s->sc.cell, jb->accelerators))
+		return refuse(err, CB_E_NEVER_FITS,
+			      "the pool of this data centre can't hold it");
+	return true;
 }
 
-/* The record is in the store under this leader: the job enters the queue. */
-static void enter_job(struct submission *sub, int64_t mod_revision)
+static void answer_known(struct sched *s, struct svc_api_call *call,
+			 const struct sjob *known, const struct jb *jb)
 {
-	struct sched *s = sub->sched;
-	struct sched_job *j = g_hash_table_lookup(s->jobs, sub->jb.id);
-
-	if (!j) {
-		j = sched_job_new(s, &sub->jb);
-		memset(&sub->jb, 0, sizeof(sub->jb));
-		j->mod_revision = mod_revision;
-		ev_emit("job.state",
-			"job=%s state=queued reason=\"submitted\" attempt=0",
-			j->jb.id);
-		sc_submit(&s->sc, &j->job, kn_now_us());
-	}
-	svc_api_answer(sub->api, &s->task, 201, jb_to_json(&j->jb));
-	submission_free(sub);
+	if (strcmp(known->jb.digest, jb->digest) == 0)
+		svc_api_answer(call, &s->task, 200, jb_to_json(&known->jb));
+	else
+		svc_api_fail(call, &s->task, CB_E_KEY_REUSED,
+			     "job \"%s\" was submitted with this key", jb->id);
 }
 
-/* Settles a submission whose outcome is not known by what the store holds. */
-static void settled(struct kv_call *call)
+static void submit(struct sched *s, struct svc_api_call *call)
 {
-	struct submission *sub = call->user;
-	struct jb found;
-	json_t *json;
+	struct sjob *job = sched_job_new(s);
+	struct sjob *known;
+	GError *err = NULL;
 
-	if (call->result != CB_OK) {
-		fail(sub, CB_E_CHANGE_UNKNOWN,
-		     "submit again with the same key to learn the outcome");
-		return;
-	}
-	if (sub->generation != sub->sched->generation) {
-		fail(sub, CB_E_NO_LEADER, "leadership changed");
+	if (!jb_submission(&job->jb, call->body, call->key, &err))
+		goto out;
+	known = g_hash_table_lookup(s->jobs, job->jb.id);
+	if (known) {
+		answer_known(s, call, known, &job->jb);
+		sched_job_free(job);
 		return;
 	}
-	if (call->count == 0) {
-		fail(sub, CB_E_STORE_DOWN, "submission was not stored");
-		return;
-	}
-	json = json_loads(call->items[0].value, 0, NULL);
-	jb_init(&found);
-	if (!jb_from_json(&found, json, NULL))
-		fail(sub, CB_E_INTERNAL, "stored record is malformed");
-	else if (strcmp(found.digest, sub->jb.digest) != 0)
-		fail(sub, CB_E_KEY_REUSED, sub->jb.id);
-	else
-		enter_job(sub, call->items[0].mod_revision);
-	json_decref(json);
-	jb_finish(&found);
+	if (!may_run(s, &job->jb, &err))
+		goto out;
+	g_strlcpy(job->jb.dc, s->set->dc, sizeof(job->jb.dc));
+	job->jb.submitted_wall_us = kn_wall_us();
+	sched_submit(s, job, call);
+	return;
+out:
+	svc_api_fail(call, &s->task, err->code, "%s", err->message);
+	g_error_free(err);
+	sched_job_free(job);
 }
 
-static void stored(struct kv_call *call)
-{
-	struct submission *sub = call->user;
-	struct sched *s = sub->sched;
+/* ---- jobs ---- */
 
-	if (call->result == CB_E_STORE_DOWN) {
-		fail(sub, CB_E_STORE_DOWN, "nothing was submitted");
-		return;
-	}
-	if (call->result == CB_OK && call->succeeded &&
-	    sub->generation == s->generation) {
-		enter_job(sub, call->revision);
-		return;
-	}
-	memset(call, 0, sizeof(*call));
-	call->user = sub;
-	call->done = settled;
-	s->kv->ops->range(s->kv, call, sub->key, false);
+static const char *query(const struct svc_api_call *call, const char *name)
+{
+	return json_string_value(json_object_get(call->query, name));
 }
 
-static void store_submission(struct sched *s, struct submission *sub)
+static bool matches(const struct sjob *job, const char *customer,
+		    const char *state)
 {
-	struct kv_cmp cmp = { .mod_revision = 0 };
-	struct kv_op op = { .kind = KV_PUT };
-	json_t *json;
-
-	sub->jb.state = JB_QUEUED;
-	g_strlcpy(sub->jb.dc, s->set->dc, sizeof(sub->jb.dc));
-	sub->jb.epoch = s->epoch;
-	sub->jb.submitted_wall_us = kn_wall_us();
-	json = jb_to_json(&sub->jb);
-	sub->text = json_dumps(json, JSON_COMPACT);
-	json_decref(json);
-	sub->key = g_strdup_printf("/chivebank/jobs/%s/%s", s->set->dc,
-				   sub->jb.id);
-	cmp.key = op.key = sub->key;
-	op.value = sub->text;
-	op.len = strlen(sub->text);
-	sub->call.done = stored;
-	sub->call.user = sub;
-	ctr_add(&s->writes, 1);
-	s->kv->ops->txn(s->kv, &sub->call, &cmp, 1, &op, 1, NULL, 0);
+	return (!customer || strcmp(customer, job->jb.customer) == 0) &&
+	       (!state || strcmp(state, jb_state_name(job->jb.state)) == 0);
 }
 
-/* Checks what needs no store. Returns CB_OK or what is wrong. */
-static int check(struct sched *s, const struct jb *jb)
+static void list_jobs(struct sched *s, struct svc_api_call *call)
 {
-	const struct doc_customer *c = doc_view_customer(s->view, jb->customer);
+	json_t *jobs = json_array();
+	GHashTableIter iter;
+	gpointer value;
 
-	if (!c)
-		return CB_E_UNKNOWN_CUSTOMER;
-	if (c->quota_accelerators && jb->accelerators > c->quota_accelerators)
-		return CB_E_QUOTA;
-	if (!pl_could_hold(&s->sc.cell, jb->accelerators))
-		return CB_E_NEVER_FITS;
-	return CB_OK;
+	g_hash_table_iter_init(&iter, s->jobs);
+	while (g_hash_table_iter_next(&iter, NULL, &value))
+		if (matches(value, query(call, "customer"),
+			    query(call, "state")))
+			json_array_append_new(
+				jobs, jb_to_json(&((struct sjob *)value)->jb));
+	svc_api_answer(call, &s->task, 200, json_pack("{so}", "jobs", jobs));
 }
 
-static void submit(struct sched *s, struct svc_api_call *call)
+/* Cancels all jobs of a customer. */
+static void cancel_all(struct sched *s, struct svc_api_call *call)
 {
-	struct submission *sub = g_new0(struct submission, 1);
-	struct sched_job *j;
-	GError *err = NULL;
-	int code;
-
-	sub->sched = s;
-	sub->api = call;
-	sub->generation = s->generation;
-	jb_init(&sub->jb);
-	if (!jb_submission(&sub->jb, call->body, call->key, &err)) {
-		fail(sub, err->code, err->message);
-		g_error_free(err);
+	const char *customer = query(call, "customer");
+	GHashTableIter iter;
+	gpointer value;
+	int n = 0;
+
+	if (!customer) {
+		svc_api_fail(call, &s->task, CB_E_BAD_REQUEST,
+			     "the query must name a customer");
 		return;
 	}
-	j = g_hash_table_lookup(s->jobs, sub->jb.id);
-	if (j && strcmp(j->jb.digest, sub->jb.digest) != 0) {
-		fail(sub, CB_E_KEY_REUSED, sub->jb.id);
-	} else if (j) {
-		svc_api_answer(call, &s->task, 200, jb_to_json(&j->jb));
-		submission_free(sub);
-	} else {
-		code = check(s, &sub->jb);
-		if (code == CB_E_NEVER_FITS)
-			fail(sub, code,
-			     sched_could_hold(s->view, sub->jb.accelerators) ?
-				     "another data centre could hold it" :
-				     "no data centre could hold it");
-		else if (code != CB_OK)
-			fail(sub, code, sub->jb.customer);
-		else
-			store_submission(s, sub);
+	g_hash_table_iter_init(&iter, s->jobs);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		struct sjob *job = value;
+
+		if (!matches(job, customer, NULL) || jb_ended(job->jb.state) ||
+		    job->cancelled)
+			continue;
+		sched_job_cancel(job, kn_now_us());
+		n++;
 	}
+	svc_api_answer(call, &s->task, 202, json_pack("{si}", "cancelled", n));
 }
 
-/* ---- other calls ---- */
+static void cancel(struct sched *s, struct svc_api_call *call, struct sjob *job)
+{
+	if (job->jb.state == JB_DONE || job->jb.state == JB_FAILED) {
+		svc_api_fail(call, &s->task, CB_E_JOB_ENDED, "job \"%s\" is %s",
+			     job->jb.id, jb_state_name(job->jb.state));
+		return;
+	}
+	sched_job_cancel(job, kn_now_us());
+	svc_api_answer(call, &s->task, 202, jb_to_json(&job->jb));
+}
 
-static void list_jobs(struct sched *s, struct svc_api_call *call)
+static void one_job(struct sched *s, struct svc_api_call *call, const char *id)
 {
-	json_t *jobs = json_array();
-	GHashTableIter iter;
-	gpointer value;
+	struct sjob *job = g_hash_table_lookup(s->jobs, id);
 
-	g_hash_table_iter_init(&iter, s->jobs);
-	while (g_hash_table_iter_next(&iter, NULL, &value)) {
-		struct sched_job *j = value;
+	if (!job)
+		svc_api_fail(call, &s->task, CB_E_NO_JOB, "%s", id);
+	else if (strcmp(call->method, "GET") == 0)
+		svc_api_answer(call, &s->task, 200, jb_to_json(&job->jb));
+	else if (strcmp(call->method, "DELETE") == 0)
+		cancel(s, call, job);
+	else
+		svc_api_fail(call, &s->task, CB_E_METHOD, "%s", call->method);
+}
+
+/* ---- workers ---- */
 
-		json_array_append_new(jobs, jb_to_json(&j->jb));
+static const char *worker_state(const struct sched *s, const struct sworker *w)
+{
+	if (!w->in_pool)
+		return "removed";
+	if (!s->sc.live[w->index])
+		return "lost";
+	switch (s->sc.wh.workers[w->index].state) {
+	case WH_QUARANTINED:
+		return "quarantined";
+	case WH_TRIAL:
+		return "probation";
+	default:
+		return "live";
 	}
-	svc_api_answer(call, &s->task, 200, json_pack("{s:o}", "jobs", jobs));
 }
 
 static void list_workers(struct sched *s, struct svc_api_call *call)
 {
-	static const char *const health[] = { "good", "quarantined",
-					      "probation" };
 	json_t *workers = json_array();
-	int i;
+	unsigned int i;
 
-	for (i = 0; i < s->worker_count; i++) {
-		const struct sched_worker *w = &s->workers[i];
+	for (i = 0; i < s->workers->len; i++) {
+		const struct sworker *w = s->workers->pdata[i];
 
 		json_array_append_new(
-			workers, json_pack("{s:s,s:i,s:i,s:i,s:b,s:s}", "name",
-					   w->at.name, "rack", w->at.rack,
-					   "accelerators", w->at.accelerators,
-					   "free", s->sc.cell.workers[i].free,
-					   "live", s->sc.live[i], "health",
-					   health[s->sc.wh.workers[i].state]));
+			workers,
+			json_pack("{ss ss si si si sb}", "name", w->at.name,
+				  "state", worker_state(s, w), "rack",
+				  w->at.rack, "accelerators",
+				  w->at.accelerators, "used",
+				  s->sc.cell.workers[w->index].held,
+				  "quarantined",
+				  s->sc.wh.workers[w->index].state ==
+					  WH_QUARANTINED));
 	}
 	svc_api_answer(call, &s->task, 200,
-		       json_pack("{s:o}", "workers", workers));
+		       json_pack("{so}", "workers", workers));
 }
 
-static void one_job(struct sched *s, struct svc_api_call *call, const char *id)
-{
-	struct sched_job *j = g_hash_table_lookup(s->jobs, id);
+/* ---- routing ---- */
 
-	if (!j) {
-		svc_api_fail(call, &s->task, CB_E_NO_JOB, "%s", id);
-	} else if (strcmp(call->method, "GET") == 0) {
-		svc_api_answer(call, &s->task, 200, jb_to_json(&j->jb));
-	} else if (strcmp(call->method, "DELETE") != 0) {
+static void jobs_call(struct sched *s, struct svc_api_call *call)
+{
+	if (strcmp(call->method, "POST") == 0)
+		submit(s, call);
+	else if (strcmp(call->method, "GET") == 0)
+		list_jobs(s, call);
+	else if (strcmp(call->method, "DELETE") == 0)
+		cancel_all(s, call);
+	else
 		svc_api_fail(call, &s->task, CB_E_METHOD, "%s", call->method);
-	} else if (jb_ended(j->jb.state)) {
-		svc_api_fail(call, &s->task, CB_E_JOB_ENDED, "%s", id);
-	} else {
-		sc_cancel(&s->sc, &j->job, kn_now_us());
-		svc_api_answer(call, &s->task, 202, jb_to_json(&j->jb));
-	}
 }
 
-void sched_api(struct sched *s, struct svc_api_call *call)
+/*
+ * The API forwards calls to the leading host; one that arrives elsewhere was
+ * forwarded already, or leadership has just changed.
+ */
+void sched_api_call(struct sched *s, struct svc_api_call *call)
 {
-	if (s->phase != PHASE_READY || !sched_may_send(s))
+	if (s->drain_us)
+		svc_api_fail(call, &s->task, CB_E_DRAINING, "%s", s->set->host);
+	else if (s->phase != SCHED_ON || !sched_may_act(s))
 		svc_api_fail(call, &s->task, CB_E_NO_LEADER,
-			     "this host does not schedule jobs now");
-	else if (strcmp(call->path, "/v1/workers") == 0)
+			     "host \"%s\" does not lead data centre \"%s\", "
+			     "or is taking over",
+			     s->set->host, s->set->dc);
+	else if (strcmp(call->path, JOBS) == 0)
+		jobs_call(s, call);
+	else if (strncmp(call->path, JOBS "/", strlen(JOBS "/")) == 0)
+		one_job(s, call, call->path + strlen(JOBS "/"));
+	else if (strcmp(call->path, WORKERS) == 0 &&
+		 strcmp(call->method, "GET") == 0)
 		list_workers(s, call);
-	else if (g_str_has_prefix(call->path, "/v1/jobs/"))
-		one_job(s, call, call->path + strlen("/v1/jobs/"));
-	else if (strcmp(call->path, "/v1/jobs") != 0)
+	else
 		svc_api_fail(call, &s->task, CB_E_UNKNOWN_PATH, "%s",
 			     call->path);
-	else if (strcmp(call->method, "POST") == 0)
-		submit(s, call);
-	else if (strcmp(call->method, "GET") == 0)
-		list_jobs(s, call);
-	else
-		svc_api_fail(call, &s->task, CB_E_METHOD, "%s", call->method);
 }
--- a/daemon/sched_job.c
+++ b/daemon/sched_job.c
@@ -1,184 +1,191 @@
-#include "daemon/sched_int.h"
-
 #include <string.h>
 
-#include "base/err.h"
 #include "base/ev.h"
-#include "base/log.h"
-#include "policy/pl.h"
+#include "daemon/sched_int.h"
 
-/* ---- records ---- */
+struct sjob *sched_job_new(struct sched *s)
+{
+	struct sjob *job = g_new0(struct sjob, 1);
+
+	job->s = s;
+	jb_init(&job->jb);
+	list_init(&job->busy);
+	list_init(&job->write);
+	list_init(&job->ended);
+	list_init(&job->sc.node);
+	sched_gang_init(job);
+	return job;
+}
 
-static void read_back(struct sched_job *j);
+/* The job must have been taken out of the policy and the tables. */
+void sched_job_free(struct sjob *job)
+{
+	list_del(&job->busy);
+	list_del(&job->write);
+	list_del(&job->ended);
+	sched_gang_clear(job);
+	gg_finish(&job->gg);
+	jb_finish(&job->jb);
+	g_free(job);
+}
 
-/* A leader that was succeeded must not write over its successor's record. */
-static void read_done(struct kv_call *call)
+static void change(struct sjob *job, enum jb_state to, const char *reason)
 {
-	struct sched_job *j = call->user;
+	enum jb_state from = job->jb.state;
 
-	j->writing = false;
-	if (j->orphan) {
-		sched_job_free(j);
-		return;
-	}
-	if (call->result != CB_OK) {
-		j->dirty = true;
+	if (from == to || !jb_change(&job->jb, to, reason))
 		return;
-	}
-	if (call->count > 0) {
-		json_t *json = json_loads(call->items[0].value, 0, NULL);
-		uint64_t epoch = (uint64_t)json_integer_value(
-			json_object_get(json, "epoch"));
+	ev_emit("job.state", "job=%s from=%s to=%s reason=\"%s\"", job->jb.id,
+		jb_state_name(from), jb_state_name(to), job->jb.reason);
+}
 
-		json_decref(json);
-		if (epoch > j->sched->epoch)
-			return;
-		j->mod_revision = call->items[0].mod_revision;
-	} else {
-		j->mod_revision = 0;
-	}
-	j->dirty = true;
+/* Changes the state; work that ran passes through stopped. */
+void sched_job_set(struct sjob *job, enum jb_state to, const char *reason)
+{
+	if (!jb_may_change(job->jb.state, to) &&
+	    jb_may_change(job->jb.state, JB_STOPPED))
+		change(job, JB_STOPPED, reason);
+	change(job, to, reason);
 }
 
-static void read_back(struct sched_job *j)
+/* Puts a job into the tables and the policy, without submitting it. */
+void sched_job_enter(struct sjob *job, int64_t now_us)
 {
-	j->write.done = read_done;
-	j->writing = true;
-	j->sched->kv->ops->range(j->sched->kv, &j->write, j->key, false);
+	struct sched *s = job->s;
+	int64_t waited_us = kn_wall_us() - job->jb.submitted_wall_us;
+
+	sc_job_init(&job->sc, ++s->next_id, sched_customer(s, job->jb.customer),
+		    job->jb.accelerators, job->jb.stoppable, job->jb.urgent,
+		    job->jb.grace_ms > 0);
+	job->sc.attained_us = job->jb.attained_us;
+	job->sc.submitted_us = now_us - MAX(0, waited_us);
+	g_hash_table_insert(s->jobs, job->jb.id, job);
 }
 
-static void write_done(struct kv_call *call)
+/* ---- ended jobs ---- */
+
+/* Keeps a job that has ended for those who ask for it. */
+void sched_job_keep(struct sjob *job)
 {
-	struct sched_job *j = call->user;
+	job->ended_us =
+		kn_now_us() - MAX(0, kn_wall_us() - job->jb.ended_wall_us);
+	list_add_tail(&job->ended, &job->s->ended);
+	job->s->ended_count++;
+}
 
-	j->writing = false;
-	free(j->write_text);
-	j->write_text = NULL;
-	if (j->orphan)
-		sched_job_free(j);
-	else if (call->result == CB_OK && call->succeeded)
-		j->mod_revision = call->revision;
-	else if (call->result == CB_E_STORE_DOWN)
-		j->dirty = true;
-	else
-		read_back(j);
+/* Deletes jobs that ended long ago, also from the store. */
+void sched_forget_ended(struct sched *s, int64_t now_us)
+{
+	struct sjob *job;
+
+	while (!list_empty(&s->ended)) {
+		job = list_first_entry(&s->ended, struct sjob, ended);
+		if (s->ended_count <= JOBS_ENDED_MAX &&
+		    now_us - job->ended_us < JOB_KEEP_MS * USEC_PER_MSEC)
+			return;
+		if (job->in_write || !list_empty(&job->write))
+			return;
+		sched_delete_record(s, job->jb.id);
+		g_hash_table_remove(s->jobs, job->jb.id);
+		s->ended_count--;
+		sched_job_free(job);
+	}
 }
 
 /*
- * Writes the record, or notes that it must be written when the write in
- * progress is done or the store is back. The compare with the last revision
- * keeps an earlier leader from undoing a later one's write.
+ * The record states the cancellation at once, because another leader must
+ * not go on with the job.
  */
-void sched_write(struct sched_job *j)
+void sched_job_cancel(struct sjob *job, int64_t now_us)
 {
-	struct kv_cmp cmp = { .key = j->key, .mod_revision = j->mod_revision };
-	struct kv_op op = { .kind = KV_PUT, .key = j->key };
-	json_t *json;
-
-	if (j->writing || !sched_may_send(j->sched)) {
-		j->dirty = true;
+	if (job->cancelled || jb_ended(job->jb.state))
 		return;
-	}
-	j->dirty = false;
-	j->writing = true;
-	json = jb_to_json(&j->jb);
-	j->write_text = json_dumps(json, JSON_COMPACT);
-	json_decref(json);
-	op.value = j->write_text;
-	op.len = strlen(j->write_text);
-	memset(&j->write, 0, sizeof(j->write));
-	j->write.done = write_done;
-	j->write.user = j;
-	ctr_add(&j->sched->writes, 1);
-	j->sched->kv->ops->txn(j->sched->kv, &j->write, &cmp, 1, &op, 1, NULL,
-			       0);
-}
-
-/* ---- jobs ---- */
-
-/* Takes over the contents of jb and enters the job under its id. */
-struct sched_job *sched_job_new(struct sched *s, struct jb *jb)
-{
-	struct sched_job *j = g_new0(struct sched_job, 1);
-
-	j->sched = s;
-	j->jb = *jb;
-	j->gg.state = GG_IDLE;
-	j->write.user = j;
-	j->key = g_strdup_printf("/chivebank/jobs/%s/%s", s->set->dc, jb->id);
-	sc_job_init(&j->job, ++s->next_id, sched_customer(s, jb->customer),
-		    jb->accelerators, jb->stoppable, jb->urgent, jb->stoppable);
-	j->job.attained_us = jb->attained_us;
-	g_hash_table_insert(s->jobs, j->jb.id, j);
-	return j;
-}
-
-/* A job with a write in progress is freed when that is done. */
-void sched_job_free(gpointer job)
-{
-	struct sched_job *j = job;
-
-	cell_gang_reset(&j->job.gang);
-	g_free(j->gg.members);
-	g_free(j->member_state);
-	j->gg.members = NULL;
-	j->member_state = NULL;
-	j->gg.state = GG_IDLE;
-	j->orphan = true;
-	if (j->writing)
-		return;
-	g_free(j->key);
-	jb_finish(&j->jb);
-	g_free(j);
+	job->cancelled = true;
+	job->s->dirty = true;
+	sched_write(job);
+	sc_cancel(&job->s->sc, &job->sc, now_us);
 }
 
-/* Returns the customer's index; one that the document lacks has no share. */
-int sched_customer(struct sched *s, const char *name)
+/* ---- what the policy asks for ---- */
+
+static struct sjob *of(struct sc_job *job)
 {
-	int i = GPOINTER_TO_INT(g_hash_table_lookup(s->customers, name));
+	return container_of(job, struct sjob, sc);
+}
 
-	if (i == 0) {
-		i = sc_add_customer(&s->sc) + 1;
-		g_hash_table_insert(s->customers, g_strdup(name),
-				    GINT_TO_POINTER(i));
-	}
-	return i - 1;
+static struct sched *owner(struct sc *sc)
+{
+	return container_of(sc, struct sched, sc);
 }
 
-/* Whether the empty workers of any data centre could hold the gang. */
-bool sched_could_hold(const struct doc_view *view, int accelerators)
+static void on_start(struct sc *sc, struct sc_job *job)
 {
-	bool could = false;
-	size_t i, k;
+	sched_job_set(of(job), JB_RESERVED, "placed");
+	sched_gang_start(of(job));
+}
 
-	for (i = 0; i < view->pool_count && !could; i++) {
-		const struct doc_pool *pool = &view->pools[i];
-		struct cell cell;
-		int size = 1;
+static void on_checkpoint(struct sc *sc, struct sc_job *sc_job)
+{
+	struct sjob *job = of(sc_job);
 
-		for (k = 0; k < pool->worker_count; k++)
-			size = MAX(size, pool->workers[k].accelerators);
-		cell_init(&cell, size, WORKERS_PER_RACK);
-		for (k = 0; k < pool->worker_count; k++)
-			cell_add_worker(&cell, pool->workers[k].rack,
-					pool->workers[k].accelerators);
-		could = pl_could_hold(&cell, accelerators);
-		cell_finish(&cell);
-	}
-	return could;
+	sched_job_set(job, JB_CHECKPOINTING, "displaced");
+	gg_checkpoint(&job->gg, kn_now_us());
+	if (list_empty(&job->busy))
+		list_add_tail(&job->busy, &job->s->busy);
+	sched_wake(job->s);
 }
 
-/* Changes the public state of a job: one event with its reason. */
-void sched_note(struct sched *s, struct sched_job *j, enum jb_state to,
-		const char *reason)
+static void on_stop(struct sc *sc, struct sc_job *sc_job, const char *reason)
 {
-	if (j->jb.state == to || !jb_change(&j->jb, to, reason))
-		return;
-	j->jb.epoch = s->epoch;
-	if (to == JB_RUNNING)
-		j->jb.started_wall_us = kn_wall_us();
-	if (jb_ended(to))
-		j->jb.ended_wall_us = kn_wall_us();
-	ev_emit("job.state", "job=%s state=%s reason=\"%s\" attempt=%d",
-		j->jb.id, jb_state_name(to), j->jb.reason, j->jb.attempt);
+	struct sjob *job = of(sc_job);
+
+	ev_emit("job.stop", "job=%s reason=\"%s\"", job->jb.id, reason);
+	gg_stop(&job->gg, kn_now_us());
+	if (list_empty(&job->busy))
+		list_add_tail(&job->busy, &job->s->busy);
+	sched_wake(job->s);
 }
+
+static void on_queued(struct sc *sc, struct sc_job *job, const char *reason)
+{
+	sched_job_set(of(job), JB_QUEUED, reason);
+}
+
+static void on_ended(struct sc *sc, struct sc_job *sc_job, enum sc_end end,
+		     const char *reason)
+{
+	static const enum jb_state states[] = {
+		[SC_END_DONE] = JB_DONE,
+		[SC_END_FAILED] = JB_FAILED,
+		[SC_END_CANCELLED] = JB_CANCELLED,
+	};
+	struct sjob *job = of(sc_job);
+
+	job->jb.attained_us = sc_job->attained_us;
+	job->jb.ended_wall_us = kn_wall_us();
+	if (end == SC_END_DONE && jb_may_change(job->jb.state, JB_DONE))
+		change(job, JB_DONE, reason);
+	else
+		sched_job_set(job, states[end], reason);
+	/* The record of a cancelled job says so already. */
+	if (!job->cancelled)
+		sched_write(job);
+	sched_job_keep(job);
+	owner(sc)->dirty = true;
+}
+
+static void on_broken(struct sc *sc, bool broken)
+{
+	if (!owner(sc)->closing)
+		ev_emit("guarantee.broken", "dc=%s broken=%d",
+			owner(sc)->set->dc, broken);
+}
+
+const struct sc_ops sched_sc_ops = {
+	.start = on_start,
+	.checkpoint = on_checkpoint,
+	.stop = on_stop,
+	.queued = on_queued,
+	.ended = on_ended,
+	.broken = on_broken,
+};
--- a/policy/gg.c
+++ b/policy/gg.c
@@ -1,332 +1,413 @@
 #include "policy/gg.h"
 
+#include <string.h>
+
 #include <glib.h>
 
-#define RETRY_US (GG_RETRY_MS * USEC_PER_MSEC)
-#define LEASE_US ((GG_LEASE_MS + GG_CALL_MS) * USEC_PER_MSEC)
-#define BARRIER_US (BARRIER_TERM_MS * USEC_PER_MSEC)
+#define MS(ms) ((int64_t)(ms)*USEC_PER_MSEC)
+
+/*
+ * A gang starts in three steps: all members reserve, all commit and wait at
+ * a barrier, all are told to go by sync. Before the last commit is answered
+ * no member can run, so an attempt that fails there leaves nothing behind. A
+ * lease is renewed only while all members are known to run or are done;
+ * without that, a member ends by itself at the end of its lease.
+ */
 
-static void enter(struct gg *gg, enum gg_state state, int64_t now_us)
+void gg_init(struct gg *gg, const struct gg_ops *ops)
 {
-	int i;
+	memset(gg, 0, sizeof(*gg));
+	gg->ops = ops;
+	gg->failed = -1;
+}
 
-	gg->state = state;
-	gg->since_us = now_us;
-	for (i = 0; i < gg->count; i++)
-		gg->members[i].answered = false;
+void gg_finish(struct gg *gg)
+{
+	g_free(gg->members);
+	gg->members = NULL;
+	gg->count = 0;
+	gg->phase = GG_P_IDLE;
 }
 
-static enum gg_op op_of(enum gg_state state)
+static bool ended(const struct gg_member *m)
 {
-	switch (state) {
-	case GG_RESERVING:
-		return GG_RESERVE;
-	case GG_COMMITTING:
-		return GG_COMMIT;
-	case GG_ABORTING:
-		return GG_ABORT;
-	default:
-		return GG_STOP;
-	}
+	return m->state >= GG_STOPPED;
 }
 
-static void send(struct gg *gg, int member, int64_t now_us)
+/* Whether every member has come as far as the state, or has ended. */
+static bool all_reached(const struct gg *gg, enum gg_state state)
 {
-	struct gg_member *m = &gg->members[member];
+	int i;
 
-	m->sent_us = now_us;
-	if (gg->state == GG_COMMITTING)
-		m->renewed_us = now_us;
-	gg->ops->send(gg, member, op_of(gg->state));
+	for (i = 0; i < gg->count; i++)
+		if (gg->members[i].state < state)
+			return false;
+	return true;
 }
 
-static void send_all(struct gg *gg, int64_t now_us)
+static bool all_are(const struct gg *gg, enum gg_state state)
 {
-	enum gg_state state = gg->state;
 	int i;
 
-	for (i = 0; i < gg->count && gg->state == state; i++)
-		if (!gg->members[i].gone)
-			send(gg, i, now_us);
+	for (i = 0; i < gg->count; i++)
+		if (gg->members[i].state != state)
+			return false;
+	return true;
 }
 
-/* Reserves on every worker; nothing runs before all have answered. */
-void gg_start(struct gg *gg, int64_t now_us)
+static bool any_is(const struct gg *gg, enum gg_state state)
 {
 	int i;
 
 	for (i = 0; i < gg->count; i++)
-		gg->members[i] =
-			(struct gg_member){ .worker = gg->members[i].worker };
-	gg->failed_member = -1;
-	gg->reason = NULL;
-	enter(gg, GG_RESERVING, now_us);
-	send_all(gg, now_us);
+		if (gg->members[i].state == state)
+			return true;
+	return false;
+}
+
+/* ---- calls ---- */
+
+/* The term counts from the last moment at which the call may arrive. */
+static void may_hold(struct gg_member *m, int64_t term_ms, int64_t now_us)
+{
+	m->holds_until_us =
+		MAX(m->holds_until_us, now_us + MS(GANG_CALL_MS + term_ms));
+}
+
+static void send(struct gg *gg, int i, enum gg_verb verb, int64_t now_us)
+{
+	struct gg_member *m = &gg->members[i];
+
+	if (m->in_call || now_us < m->retry_us)
+		return;
+	m->in_call = true;
+	m->retry_us = now_us + MS(GANG_RETRY_MS);
+	if (verb == GG_RESERVE)
+		may_hold(m, RESERVATION_TERM_MS, now_us);
+	else if (verb == GG_COMMIT)
+		may_hold(m, BARRIER_TERM_MS, now_us);
+	gg->ops->call(gg, i, verb);
 }
 
 /*
- * Takes over a gang that an earlier leader started. It goes on if every
- * worker reports its member; with one missing it is stopped everywhere.
+ * A worker that has not confirmed the token gets an abort, which also holds
+ * against a reserve that arrives later.
  */
-void gg_adopt(struct gg *gg, int64_t now_us)
+static enum gg_verb stop_verb(const struct gg_member *m)
+{
+	return m->reserved ? GG_STOP : GG_ABORT;
+}
+
+/* Sends what the phase still needs of each member. */
+static void push(struct gg *gg, int64_t now_us)
 {
 	int i;
 
-	for (i = 0; i < gg->count; i++)
-		gg->members[i] = (struct gg_member){
-			.worker = gg->members[i].worker,
-			.renewed_us = now_us,
-		};
-	gg->failed_member = -1;
-	gg->reason = NULL;
-	enter(gg, GG_ADOPTING, now_us);
+	for (i = 0; i < gg->count; i++) {
+		struct gg_member *m = &gg->members[i];
+
+		if (ended(m))
+			continue;
+		if (gg->phase == GG_P_RESERVE && m->state == GG_UNKNOWN)
+			send(gg, i, GG_RESERVE, now_us);
+		else if (gg->phase == GG_P_COMMIT && m->state == GG_RESERVED)
+			send(gg, i, GG_COMMIT, now_us);
+		else if (gg->phase == GG_P_SAVE && m->state == GG_RUNNING)
+			send(gg, i, GG_CHECKPOINT, now_us);
+		else if (gg->phase == GG_P_STOP)
+			send(gg, i, stop_verb(m), now_us);
+		if ((gg->phase == GG_P_GO && m->state == GG_BARRIER) ||
+		    (gg->phase == GG_P_SAVE && m->state == GG_SAVING))
+			gg->ops->sync(gg, i);
+	}
 }
 
-static void check_gone(struct gg *gg)
+/* ---- phases ---- */
+
+static void enter(struct gg *gg, enum gg_phase phase, int64_t limit_ms,
+		  int64_t now_us)
 {
 	int i;
 
+	gg->phase = phase;
+	gg->deadline_us = limit_ms ? now_us + MS(limit_ms) : 0;
 	for (i = 0; i < gg->count; i++)
-		if (!gg->members[i].gone)
-			return;
-	gg->state = GG_GONE;
-	gg->ops->gone(gg);
+		gg->members[i].retry_us = 0;
 }
 
-static bool ending(const struct gg *gg)
+static enum gg_end how_ended(const struct gg *gg)
 {
-	return gg->state == GG_ABORTING || gg->state == GG_STOPPING ||
-	       gg->state == GG_GONE || gg->state == GG_IDLE;
+	if (gg->failed >= 0)
+		return GG_END_FAILED;
+	return all_are(gg, GG_DONE) ? GG_END_DONE : GG_END_STOPPED;
 }
 
-static void end(struct gg *gg, enum gg_state state, const char *reason,
-		int64_t now_us)
+static void to_stop(struct gg *gg, int64_t now_us)
 {
-	if (ending(gg))
-		return;
-	gg->reason = reason;
-	enter(gg, state, now_us);
-	send_all(gg, now_us);
+	if (gg->phase < GG_P_STOP)
+		enter(gg, GG_P_STOP, 0, now_us);
 }
 
-/* Stops the gang on every worker, in whatever state it is. */
-void gg_stop(struct gg *gg, const char *reason, int64_t now_us)
+/* A checkpoint of a gang is complete when it is so for every member. */
+static void update_saved(struct gg *gg, int64_t now_us)
 {
-	end(gg, gg->state == GG_RESERVING ? GG_ABORTING : GG_STOPPING, reason,
-	    now_us);
+	int i;
+
+	if (gg->phase != GG_P_SAVE || gg->told_saved ||
+	    !all_reached(gg, GG_STOPPED))
+		return;
+	for (i = 0; i < gg->count; i++)
+		if (!gg->members[i].saved && gg->members[i].state != GG_DONE)
+			return;
+	gg->told_saved = true;
+	gg->ops->saved(gg);
+	to_stop(gg, now_us);
 }
 
-static bool all_answered(const struct gg *gg)
+/* Whether a member ended in a way that makes the other checkpoints useless. */
+static bool lost_work(const struct gg *gg)
 {
 	int i;
 
 	for (i = 0; i < gg->count; i++)
-		if (!gg->members[i].answered)
-			return false;
-	return true;
+		if (gg->members[i].state == GG_FAILED ||
+		    (gg->members[i].state == GG_STOPPED &&
+		     !gg->members[i].saved))
+			return true;
+	return false;
 }
 
-static void fail_member(struct gg *gg, int member, const char *reason,
-			int64_t now_us)
+/* Goes on to the next phase when the members allow or demand it. */
+static void advance(struct gg *gg, int64_t now_us)
 {
-	if (ending(gg))
-		return;
-	gg->failed_member = member;
-	gg_stop(gg, reason, now_us);
+	if (gg->phase < GG_P_STOP && gg->phase != GG_P_SAVE &&
+	    (any_is(gg, GG_STOPPED) || any_is(gg, GG_FAILED)))
+		to_stop(gg, now_us);
+	if (gg->phase == GG_P_SAVE && lost_work(gg))
+		to_stop(gg, now_us);
+	if (gg->phase == GG_P_RESERVE && all_reached(gg, GG_RESERVED)) {
+		enter(gg, GG_P_COMMIT, GANG_PHASE_MS, now_us);
+		gg->go_until_us = now_us + MS(BARRIER_TERM_MS);
+	}
+	if (gg->phase == GG_P_COMMIT && all_reached(gg, GG_BARRIER))
+		enter(gg, GG_P_GO, BARRIER_TERM_MS, now_us);
+	if (gg->phase == GG_P_GO && all_reached(gg, GG_RUNNING)) {
+		enter(gg, GG_P_RUN, 0, now_us);
+		gg->ops->running(gg);
+	}
+	if (gg->phase == GG_P_RUN && all_are(gg, GG_DONE))
+		to_stop(gg, now_us);
+	push(gg, now_us);
+}
+
+static void end_silent(struct gg *gg, int64_t now_us)
+{
+	int i;
+
+	for (i = 0; i < gg->count; i++)
+		if (!ended(&gg->members[i]) &&
+		    now_us >= gg->members[i].holds_until_us)
+			gg->members[i].state = GG_STOPPED;
 }
 
 /*
- * Takes a worker's answer. Answers to calls of an earlier state and repeated
- * answers change nothing.
+ * Retries calls, ends phases that take too long, and reports the end. To be
+ * called often while gg_busy().
  */
-void gg_answer(struct gg *gg, int member, enum gg_op op, bool ok,
-	       int64_t now_us)
+void gg_tick(struct gg *gg, int64_t now_us)
 {
-	struct gg_member *m = &gg->members[member];
-
-	if (gg->state == GG_GONE || gg->state == GG_IDLE ||
-	    op != op_of(gg->state) || m->answered || m->gone)
-		return;
-	if (op == GG_ABORT || op == GG_STOP) {
-		if (!ok || !ending(gg))
-			return;
-		m->gone = true;
-		check_gone(gg);
-		return;
-	}
-	if (!ok) {
-		fail_member(gg, member, "worker refused", now_us);
+	if (gg->phase == GG_P_IDLE || gg->phase == GG_P_GONE)
 		return;
+	if (gg->deadline_us && now_us >= gg->deadline_us)
+		to_stop(gg, now_us);
+	if (gg->phase == GG_P_STOP)
+		end_silent(gg, now_us);
+	advance(gg, now_us);
+	update_saved(gg, now_us);
+	if (gg->phase == GG_P_STOP && all_reached(gg, GG_STOPPED)) {
+		gg->phase = GG_P_GONE;
+		gg->ops->gone(gg, how_ended(gg), gg->failed);
 	}
-	m->answered = true;
-	if (!all_answered(gg))
-		return;
-	enter(gg, gg->state == GG_RESERVING ? GG_COMMITTING : GG_GOING, now_us);
-	if (gg->state == GG_COMMITTING)
-		send_all(gg, now_us);
 }
 
-/* Whether a sync says go to the gang's members now. */
-bool gg_go(const struct gg *gg)
+/* Whether it needs ticks; a gang that runs needs none. */
+bool gg_busy(const struct gg *gg)
+{
+	return gg->phase != GG_P_IDLE && gg->phase != GG_P_GONE &&
+	       gg->phase != GG_P_RUN;
+}
+
+/* ---- what the owner asks ---- */
+
+void gg_start(struct gg *gg, int count, int64_t now_us)
 {
-	return gg->state == GG_GOING || gg->state == GG_RUNS;
+	gg->members = g_renew(struct gg_member, gg->members, count);
+	memset(gg->members, 0, sizeof(*gg->members) * count);
+	gg->count = count;
+	gg->failed = -1;
+	gg->told_saved = false;
+	enter(gg, GG_P_RESERVE, GANG_PHASE_MS, now_us);
+	push(gg, now_us);
 }
 
 /*
- * Whether a sync renews the leases: only while all members are known to run,
- * so that a member that is left alone ends within TASK_LEASE_MS even when
- * every later call to its worker is lost.
+ * Takes over an attempt of an earlier leader in the states that the workers
+ * report. whole tells that these members are all there are; a gang that is
+ * whole and of which all members run, save or are done goes on, and any other
+ * is stopped everywhere.
  */
-bool gg_renews(const struct gg *gg, int64_t now_us)
+void gg_adopt(struct gg *gg, const enum gg_state *states, int count, bool whole,
+	      int64_t now_us)
 {
 	int i;
 
-	if (gg->state != GG_RUNS)
-		return false;
-	for (i = 0; i < gg->count; i++)
-		if (now_us - gg->members[i].confirmed_us >
-		    GG_CONFIRM_MS * USEC_PER_MSEC)
-			return false;
-	return true;
+	gg->members = g_renew(struct gg_member, gg->members, count);
+	memset(gg->members, 0, sizeof(*gg->members) * count);
+	gg->count = count;
+	gg->failed = -1;
+	gg->told_saved = false;
+	for (i = 0; i < count; i++) {
+		struct gg_member *m = &gg->members[i];
+
+		m->state = states[i];
+		m->reserved = true;
+		m->changed_us = now_us;
+		m->heard_us = now_us;
+		may_hold(m, TASK_LEASE_MS, now_us);
+		if (states[i] == GG_FAILED && gg->failed < 0)
+			gg->failed = i;
+	}
+	enter(gg, GG_P_RUN, 0, now_us);
+	if (!whole || !all_reached(gg, GG_RUNNING) || any_is(gg, GG_STOPPED))
+		to_stop(gg, now_us);
+	else if (any_is(gg, GG_SAVING))
+		enter(gg, GG_P_SAVE, TASK_LEASE_MS, now_us);
+	/* The owner hears of ends from a tick, never from within. */
 }
 
-/* A sync that may start or renew a lease is sent to the member's worker. */
-void gg_synced(struct gg *gg, int member, int64_t now_us)
+/* Leases are not renewed any more; gg_ops.saved() or gone() follows. */
+void gg_checkpoint(struct gg *gg, int64_t now_us)
 {
-	if (gg_go(gg))
-		gg->members[member].renewed_us = now_us;
+	if (gg->phase != GG_P_RUN)
+		return;
+	enter(gg, GG_P_SAVE, 0, now_us);
+	push(gg, now_us);
 }
 
-static void check_running(struct gg *gg, int64_t now_us)
+/* Stops every member, at whatever point the gang is. */
+void gg_stop(struct gg *gg, int64_t now_us)
 {
-	int i;
-
-	for (i = 0; i < gg->count; i++)
-		if (gg->members[i].seen != GG_RUNNING)
-			return;
-	enter(gg, GG_RUNS, now_us);
-	gg->ops->running(gg);
+	if (gg->phase == GG_P_IDLE || gg->phase >= GG_P_STOP)
+		return;
+	to_stop(gg, now_us);
+	push(gg, now_us);
 }
 
-/* All members were reported: running, or at the barrier and ready to go. */
-static void finish_adoption(struct gg *gg, int64_t now_us)
+/* ---- what the workers answer ---- */
+
+static void reach(struct gg *gg, int i, enum gg_state state, int64_t now_us)
 {
-	int i;
+	struct gg_member *m = &gg->members[i];
 
-	for (i = 0; i < gg->count; i++)
-		if (!gg->members[i].reported)
-			return;
-	enter(gg, GG_GOING, now_us);
-	check_running(gg, now_us);
+	if (state <= m->state || ended(m))
+		return;
+	m->state = state;
+	m->reserved = true;
+	m->changed_us = now_us;
+	if (state == GG_FAILED && gg->failed < 0)
+		gg->failed = i;
 }
 
 /*
- * Takes what a worker reported in a sync that was sent at asked_us. A report
- * from before the present state says nothing about a member's absence.
+ * The answer to a call, or that none came. accepted: the worker carried it
+ * out; otherwise it refused, which says that it doesn't hold the token, or
+ * has no room for it. The owner doesn't pass on refusals of an old epoch.
  */
-void gg_report(struct gg *gg, int member, enum gg_seen seen, int64_t asked_us,
-	       int64_t now_us)
+void gg_answer(struct gg *gg, int member, enum gg_verb verb, bool answered,
+	       bool accepted, int64_t now_us)
 {
-	struct gg_member *m = &gg->members[member];
+	struct gg_member *m;
 
-	if (gg->state == GG_GONE || gg->state == GG_IDLE)
+	if (gg->phase == GG_P_IDLE || gg->phase == GG_P_GONE ||
+	    member >= gg->count)
+		return;
+	m = &gg->members[member];
+	m->in_call = false;
+	if (!answered)
+		return; /* the next tick repeats it */
+	if (verb == GG_CHECKPOINT && !accepted) {
+		/* It has ended, or was forgotten: the report tells which. */
+		gg->ops->sync(gg, member);
 		return;
-	m->seen = seen;
-	if (seen == GG_RUNNING)
-		m->confirmed_us = MAX(m->confirmed_us, asked_us);
-	switch (gg->state) {
-	case GG_ADOPTING:
-		m->reported = true;
-		if (seen != GG_RUNNING && seen != GG_BARRIER)
-			fail_member(gg, member, "member missing", now_us);
-		else
-			finish_adoption(gg, now_us);
-		break;
-	case GG_GOING:
-	case GG_RUNS:
-		if (seen == GG_ABSENT && asked_us >= gg->since_us)
-			fail_member(gg, member, "member lost", now_us);
-		else if (gg->state == GG_GOING)
-			check_running(gg, now_us);
-		break;
-	default:
-		break;
 	}
-}
-
-/* The worker was declared dead. */
-void gg_lost(struct gg *gg, int member, int64_t now_us)
-{
-	fail_member(gg, member, "worker lost", now_us);
+	m->retry_us = 0;
+	if (verb == GG_STOP || verb == GG_ABORT)
+		reach(gg, member, GG_STOPPED, now_us);
+	else if (!accepted)
+		reach(gg, member, GG_STOPPED, now_us);
+	else if (verb == GG_RESERVE)
+		reach(gg, member, GG_RESERVED, now_us);
+	else if (verb == GG_COMMIT)
+		reach(gg, member, GG_BARRIER, now_us);
+	else if (verb == GG_CHECKPOINT)
+		reach(gg, member, GG_SAVING, now_us);
+	advance(gg, now_us);
 }
 
 /*
- * After the lease that may have been renewed last, and the barrier that may
- * have been entered just before, a worker runs nothing of this gang.
+ * The member's part of a worker's report. A worker that doesn't know a token
+ * it has confirmed before has restarted, and lost the member.
  */
-static bool lapsed(const struct gg *gg, const struct gg_member *m,
-		   int64_t now_us)
+void gg_report(struct gg *gg, int member, bool present, enum gg_state state,
+	       bool saved, int64_t sent_us, int64_t now_us)
 {
-	int64_t from_us = MAX(m->renewed_us, gg->since_us);
-
-	return now_us - from_us > LEASE_US + BARRIER_US;
-}
-
-static void tick_ending(struct gg *gg, int64_t now_us)
-{
-	int i;
+	struct gg_member *m;
 
-	for (i = 0; i < gg->count; i++) {
-		struct gg_member *m = &gg->members[i];
-
-		if (m->gone)
-			continue;
-		if (lapsed(gg, m, now_us))
-			m->gone = true;
-		else if (now_us - m->sent_us >= RETRY_US)
-			send(gg, i, now_us);
+	if (gg->phase == GG_P_IDLE || gg->phase == GG_P_GONE ||
+	    member >= gg->count)
+		return;
+	m = &gg->members[member];
+	if (present) {
+		m->heard_us = MAX(m->heard_us, sent_us);
+		m->saved |= saved;
+		reach(gg, member, state, now_us);
+	} else if (m->reserved && sent_us >= m->changed_us) {
+		reach(gg, member, GG_STOPPED, now_us);
 	}
-	check_gone(gg);
+	advance(gg, now_us);
 }
 
-static void tick_starting(struct gg *gg, int64_t now_us)
+/*
+ * Whether a sync sent now renews the member's lease. Not when another member
+ * may have died a while ago, because the gang must end within TASK_LEASE_MS
+ * of that, even when this leader dies too.
+ */
+bool gg_renews(struct gg *gg, int member, int64_t now_us)
 {
+	struct gg_member *m = &gg->members[member];
 	int i;
 
-	/* Members at the barrier abort soon, so a late gang is given up. */
-	if (now_us - gg->since_us >= GG_PHASE_MS * USEC_PER_MSEC) {
-		for (i = 0; i < gg->count - 1 && gg->members[i].answered; i++)
-			;
-		fail_member(gg, i, "worker silent", now_us);
-		return;
-	}
+	if (gg->phase != GG_P_RUN || m->state != GG_RUNNING)
+		return false;
 	for (i = 0; i < gg->count; i++)
-		if (!gg->members[i].answered &&
-		    now_us - gg->members[i].sent_us >= RETRY_US)
-			send(gg, i, now_us);
+		if (gg->members[i].state == GG_RUNNING &&
+		    now_us - gg->members[i].heard_us > MS(GANG_FRESH_MS))
+			return false;
+	may_hold(m, GANG_LEASE_MS, now_us);
+	return true;
 }
 
-/* Repeats calls that were not answered and ends phases that took too long. */
-void gg_tick(struct gg *gg, int64_t now_us)
+/*
+ * Whether a sync sent now lets the member pass the barrier. Not when other
+ * members' barriers may have lapsed.
+ */
+bool gg_goes(struct gg *gg, int member, int64_t now_us)
 {
-	switch (gg->state) {
-	case GG_RESERVING:
-	case GG_COMMITTING:
-		tick_starting(gg, now_us);
-		break;
-	case GG_GOING:
-		if (now_us - gg->since_us > BARRIER_US + GG_PHASE_MS * 1000)
-			gg_stop(gg, "members did not go", now_us);
-		break;
-	case GG_ADOPTING:
-		if (now_us - gg->since_us > BARRIER_US + GG_PHASE_MS * 1000)
-			gg_stop(gg, "member not reported", now_us);
-		break;
-	case GG_ABORTING:
-	case GG_STOPPING:
-		tick_ending(gg, now_us);
-		break;
-	default:
-		break;
-	}
+	struct gg_member *m = &gg->members[member];
+
+	if (gg->phase != GG_P_GO || m->state != GG_BARRIER ||
+	    now_us >= gg->go_until_us)
+		return false;
+	may_hold(m, GANG_LEASE_MS, now_us);
+	return true;
 }
--- a/policy/plclaim.c
+++ b/policy/plclaim.c
@@ -413,3 +413,74 @@
 	cell_gang_reset(gang);
 	return false;
 }
+
+/* ---- gangs that run already ---- */
+
+/* Whether a cell of the unit at the hold is the customer's, or may become. */
+static bool may_cover(const struct gs *gs, const struct cell_gang *gang,
+		      const struct cell_hold *hold, enum cell_unit unit,
+		      int *fresh)
+{
+	int rack = gs->cell->workers[hold->worker].rack;
+	bool own;
+
+	if (unit == CELL_ACCELERATOR) {
+		*fresh += hold->count;
+		return !gs_is_bound(gs, hold->worker);
+	}
+	if (unit == CELL_WORKER) {
+		own = gs->workers[hold->worker].bound == gang->customer;
+		*fresh += !own;
+		return own ||
+		       gs_open(gs, hold->worker) == gs->cell->worker_size;
+	}
+	own = gs->racks[rack].bound == gang->customer;
+	return own || rack_is_whole(gs, rack);
+}
+
+/* Racks of the gang that its customer does not use yet. */
+static int fresh_racks(const struct gs *gs, const struct cell_gang *gang)
+{
+	int i, j, n = 0;
+
+	for (i = 0; i < gang->hold_count; i++) {
+		int rack = gs->cell->workers[gang->holds[i].worker].rack;
+
+		for (j = 0; j < i; j++)
+			if (gs->cell->workers[gang->holds[j].worker].rack ==
+			    rack)
+				break;
+		n += j == i && gs->racks[rack].bound != gang->customer;
+	}
+	return n;
+}
+
+static bool cover_by(struct gs *gs, struct cell_gang *gang, enum cell_unit unit)
+{
+	int fresh = 0, i;
+
+	for (i = 0; i < gang->hold_count; i++)
+		if (!may_cover(gs, gang, &gang->holds[i], unit, &fresh))
+			return false;
+	if (unit == CELL_RACK)
+		fresh = fresh_racks(gs, gang);
+	if (fresh > gs_left(gs, gang->customer, unit))
+		return false;
+	for (i = 0; i < gang->hold_count; i++)
+		gang->holds[i].cover = unit;
+	gang->kind = CELL_OWNED;
+	return gs_may_hold(gs, gang);
+}
+
+bool pl_cover(struct gs *gs, struct cell_gang *gang)
+{
+	int unit, i;
+
+	for (unit = 0; unit < CELL_UNITS; unit++)
+		if (cover_by(gs, gang, unit))
+			return true;
+	for (i = 0; i < gang->hold_count; i++)
+		gang->holds[i].cover = CELL_UNITS;
+	gang->kind = gang->stoppable ? CELL_SOFT : CELL_HARD;
+	return false;
+}
--- a/tests/unit/test_sched.c
+++ b/tests/unit/test_sched.c
@@ -3,148 +3,155 @@
 #include <string.h>
 
 #include "base/err.h"
+#include "base/ev.h"
+#include "base/log.h"
 #include "daemon/sched.h"
 #include "daemon/svc.h"
+#include "policy/jb.h"
 #include "tests/standins/wk_agent.h"
 
-#define AGENTS 2
-#define DC "pg1"
-
-/*
- * The real scheduler over the in-process store and the HTTP edge, with
- * stand-in workers in the same process. One task plays leadership, the
- * document and the API.
- */
-struct peer_task {
-	struct kn_task task;
-	int status;
-	json_t *answer;
-	bool answered;
-};
+#define WORKERS 3
+
+/* ---- a store that fails on demand ---- */
 
-/* A store whose next transactions take effect but lose their answers. */
-struct lossy_kv {
+struct flaky {
 	struct kv kv;
 	struct kv *inner;
-	struct kv_ops ops;
-	struct kv_call hidden;
-	struct kv_call *lost;
-	int losses;
+	bool down;
+	int lose; /* answers of transactions to lose; the write happens */
+	struct kn_timer timer;
+	GPtrArray *failed;
+	void (*done)(struct kv_call *call);
 };
 
-static struct lossy_kv lossy;
+static struct flaky flaky;
+
+static void fail_calls(struct kn_timer *timer)
+{
+	while (flaky.failed->len > 0) {
+		struct kv_call *call = g_ptr_array_steal_index(flaky.failed, 0);
+
+		call->result = CB_E_STORE_DOWN;
+		call->done(call);
+	}
+}
 
-static void lossy_done(struct kv_call *call)
+static bool refuse(struct kv_call *call)
 {
-	lossy.lost->result = CB_E_TIMEOUT;
-	lossy.lost->done(lossy.lost);
+	if (!flaky.down)
+		return false;
+	g_ptr_array_add(flaky.failed, call);
+	kn_timer_set(flaky.kv.kn, &flaky.timer, 1000, fail_calls);
+	return true;
 }
 
-static void lossy_txn(struct kv *kv, struct kv_call *call,
+static void lose_answer(struct kv_call *call)
+{
+	call->result = CB_E_TIMEOUT;
+	call->succeeded = false;
+	call->done = flaky.done;
+	call->done(call);
+}
+
+static void flaky_txn(struct kv *kv, struct kv_call *call,
 		      const struct kv_cmp *cmps, size_t ncmps,
 		      const struct kv_op *then_ops, size_t nthen,
 		      const struct kv_op *else_ops, size_t nelse)
 {
-	if (lossy.losses > 0) {
-		lossy.losses--;
-		lossy.lost = call;
-		memset(&lossy.hidden, 0, sizeof(lossy.hidden));
-		lossy.hidden.done = lossy_done;
-		call = &lossy.hidden;
+	if (refuse(call))
+		return;
+	if (flaky.lose > 0) {
+		flaky.lose--;
+		flaky.done = call->done;
+		call->done = lose_answer;
 	}
-	lossy.inner->ops->txn(lossy.inner, call, cmps, ncmps, then_ops, nthen,
+	flaky.inner->ops->txn(flaky.inner, call, cmps, ncmps, then_ops, nthen,
 			      else_ops, nelse);
 }
 
-static void lossy_range(struct kv *kv, struct kv_call *call, const char *key,
+static void flaky_range(struct kv *kv, struct kv_call *call, const char *key,
 			bool prefix)
 {
-	lossy.inner->ops->range(lossy.inner, call, key, prefix);
+	if (!refuse(call))
+		flaky.inner->ops->range(flaky.inner, call, key, prefix);
 }
 
+static const struct kv_ops flaky_ops = { .txn = flaky_txn,
+					 .range = flaky_range };
+
+/* ---- a scheduler among stand-ins ---- */
+
 static struct kn kn;
 static struct set set;
-static struct kv *kv;
-static struct peer_task api;
-static struct wk_agent agents[AGENTS];
+static struct wk_agent agents[WORKERS];
+static struct kn_task probe; /* sends calls, leadership and the document */
 static struct kn_task *sched;
+static struct doc_view *view;
+static int status;
+static json_t *answer;
 
-static void api_receive(struct kn_task *task, struct kn_msg *msg)
+static void probe_receive(struct kn_task *task, struct kn_msg *msg)
 {
-	struct svc_api_call *call;
+	if (msg->type == SVC_API_REPLY) {
+		struct svc_api_call *call = (struct svc_api_call *)msg;
 
-	if (msg->type != SVC_API_REPLY) {
-		kn_msg_release(msg);
-		return;
+		status = call->status;
+		answer = json_incref(call->answer);
 	}
-	call = container_of(msg, struct svc_api_call, msg);
-	api.status = call->status;
-	json_decref(api.answer);
-	api.answer = call->answer;
-	api.answered = true;
 	kn_msg_release(msg);
 }
 
-static const struct kn_task_ops api_ops = { .receive = api_receive };
+static const struct kn_task_ops probe_ops = { .receive = probe_receive };
 
-static void run_ms(int64_t ms)
+static void free_msg(struct kn_msg *msg)
 {
-	int64_t until_us = kn_now_us() + ms * USEC_PER_MSEC;
-
-	while (kn_now_us() < until_us)
-		kn_turn(&kn);
+	g_free(msg);
 }
 
-static void release_lead(struct kn_msg *msg)
-{
-	g_free(container_of(msg, struct svc_lead, msg));
-}
-
-static void lead(bool leading, uint64_t epoch, int64_t valid_ms)
+static void lead(uint64_t epoch, bool leading, int64_t for_ms)
 {
 	struct svc_lead *msg = g_new0(struct svc_lead, 1);
 
 	msg->msg.type = SVC_LEAD_CHANGED;
-	msg->msg.release = release_lead;
-	msg->leading = leading;
+	msg->msg.release = free_msg;
 	msg->epoch = epoch;
-	msg->valid_until_us = kn_now_us() + valid_ms * USEC_PER_MSEC;
-	kn_send(sched, &api.task, &msg->msg);
+	msg->leading = leading;
+	msg->valid_until_us = kn_now_us() + for_ms * USEC_PER_MSEC;
+	kn_send(sched, &probe, &msg->msg);
 }
 
 static void release_doc(struct kn_msg *msg)
 {
-	struct svc_doc *doc = container_of(msg, struct svc_doc, msg);
+	doc_view_unref(((struct svc_doc *)msg)->view);
+	g_free(msg);
+}
+
+static void tell_document(void)
+{
+	struct svc_doc *msg = g_new0(struct svc_doc, 1);
 
-	doc_view_unref(doc->view);
-	g_free(doc);
+	msg->msg.type = SVC_DOC_CHANGED;
+	msg->msg.release = release_doc;
+	msg->view = doc_view_ref(view);
+	kn_send(sched, &probe, &msg->msg);
 }
 
-static void send_document(void)
+static void make_view(void)
 {
-	struct svc_doc *doc = g_new0(struct svc_doc, 1);
-	struct doc_view *view = calloc(1, sizeof(*view));
 	int i;
 
+	view = calloc(1, sizeof(*view));
 	view->revision = 1;
-	view->customer_count = 2;
-	view->customers = calloc(2, sizeof(*view->customers));
-	strcpy(view->customers[1].name, "rodabersama");
-	view->customers[1].weight = 1;
-	view->customers[1].guarantee_count = 1;
-	view->customers[1].guarantees = calloc(1, sizeof(struct doc_guarantee));
-	strcpy(view->customers[1].guarantees[0].dc, DC);
-	view->customers[1].guarantees[0].unit = DOC_WORKER;
-	view->customers[1].guarantees[0].count = 1;
-	strcpy(view->customers[0].name, "tensorlab");
+	view->customers = calloc(1, sizeof(*view->customers));
+	view->customer_count = 1;
+	strcpy(view->customers[0].name, "c");
 	view->customers[0].weight = 1;
-	view->customers[0].quota_accelerators = 32;
-	view->pool_count = 1;
 	view->pools = calloc(1, sizeof(*view->pools));
-	strcpy(view->pools[0].dc, DC);
-	view->pools[0].worker_count = AGENTS;
-	view->pools[0].workers = calloc(AGENTS, sizeof(struct doc_worker));
-	for (i = 0; i < AGENTS; i++) {
+	view->pool_count = 1;
+	strcpy(view->pools[0].dc, "dc1");
+	view->pools[0].workers = calloc(WORKERS, sizeof(struct doc_worker));
+	view->pools[0].worker_count = WORKERS;
+	for (i = 0; i < WORKERS; i++) {
 		struct doc_worker *w = &view->pools[0].workers[i];
 
 		snprintf(w->name, sizeof(w->name), "w%d", i);
@@ -152,389 +159,443 @@
 		w->port = agents[i].server.port;
 		w->accelerators = 8;
 	}
-	doc->msg.type = SVC_DOC_CHANGED;
-	doc->msg.release = release_doc;
-	doc->view = view;
-	kn_send(sched, &api.task, &doc->msg);
 }
 
-static void release_call(struct kn_msg *msg)
+static void run(int64_t ms)
 {
-	struct svc_api_call *call = container_of(msg, struct svc_api_call, msg);
+	int64_t end_us = kn_now_us() + ms * USEC_PER_MSEC;
+
+	while (kn_now_us() < end_us)
+		kn_turn(&kn);
+}
+
+/* Starts a scheduler that leads at once. */
+static void start_sched(uint64_t epoch)
+{
+	sched = sched_new(&kn, &set, &flaky.kv, epoch);
+	ck_assert(sched->ops->start(sched, NULL));
+	sched->started = true;
+	tell_document();
+	lead(epoch, true, 600000);
+}
+
+/* Ends it like a process that dies: no message leaves it. */
+static void kill_sched(void)
+{
+	struct kn_msg *msg, *tmp;
+
+	list_del(&sched->node);
+	list_del(&sched->ready);
+	list_for_each_entry_safe(msg, tmp, &sched->mailbox, node)
+		kn_msg_release(msg);
+	sched->ops->finish(sched);
+}
+
+static void begin(int64_t task_ms)
+{
+	struct wk_options options = { .addr = "127.0.0.1",
+				      .accelerators = 8,
+				      .task_ms = task_ms,
+				      .checkpoint_ms = 30 };
+	int i;
+
+	log_init("test", "dc1", LOG_ERR_LEVEL);
+	ev_init(1);
+	ck_assert(kn_init(&kn, NULL));
+	memset(&flaky, 0, sizeof(flaky));
+	flaky.kv.ops = &flaky_ops;
+	flaky.kv.kn = &kn;
+	flaky.inner = kv_mem_new(&kn);
+	flaky.failed = g_ptr_array_new();
+	for (i = 0; i < WORKERS; i++)
+		ck_assert(wk_agent_init(&agents[i], &kn, &options, 0, NULL));
+	memset(&set, 0, sizeof(set));
+	strcpy(set.host, "h1");
+	strcpy(set.dc, "dc1");
+	set.seed = 3;
+	make_view();
+	memset(&probe, 0, sizeof(probe));
+	kn_add(&kn, &probe, "probe", &probe_ops);
+	start_sched(1);
+	run(150);
+}
+
+static void end(void)
+{
+	int i;
+
+	kill_sched();
+	for (i = 0; i < WORKERS; i++)
+		if (agents[i].server.kn)
+			wk_agent_finish(&agents[i]);
+	doc_view_unref(view);
+	kv_free(flaky.inner);
+	kn_timer_cancel(&flaky.timer);
+	g_ptr_array_unref(flaky.failed);
+	list_del(&probe.node);
+	kn_finish(&kn);
+}
+
+/* ---- calls ---- */
+
+static void free_call(struct kn_msg *msg)
+{
+	struct svc_api_call *call = (struct svc_api_call *)msg;
 
-	json_decref(call->body);
 	g_free(call->method);
 	g_free(call->path);
 	g_free(call->key);
+	json_decref(call->query);
+	json_decref(call->body);
+	json_decref(call->answer);
 	g_free(call);
 }
 
-/* Makes an operator's call and returns the status. */
-static int ask(const char *method, const char *path, const char *body,
-	       const char *key)
+/* Makes a call; its status is returned, its answer is in the global. */
+static int api(const char *method, const char *path, const char *key,
+	       json_t *body)
 {
 	struct svc_api_call *call = g_new0(struct svc_api_call, 1);
-	int64_t until_us = kn_now_us() + 3 * USEC_PER_SEC;
+	int i;
 
 	call->msg.type = SVC_API_CALL;
-	call->msg.release = release_call;
+	call->msg.release = free_call;
 	call->method = g_strdup(method);
 	call->path = g_strdup(path);
-	call->body = body ? json_loads(body, 0, NULL) : NULL;
 	call->key = g_strdup(key);
-	api.answered = false;
-	kn_send(sched, &api.task, &call->msg);
-	while (!api.answered && kn_now_us() < until_us)
-		kn_turn(&kn);
-	ck_assert(api.answered);
-	return api.status;
+	call->query = json_object();
+	call->body = body;
+	json_decref(answer);
+	answer = NULL;
+	status = 0;
+	kn_send(sched, &probe, &call->msg);
+	for (i = 0; i < 12000 && !status; i++)
+		run(1);
+	return status;
 }
 
-static const char *text(const char *field)
+static int submit(const char *key, int accelerators, char id[JB_ID_BYTES])
 {
-	return json_string_value(json_object_get(api.answer, field));
+	int result = api("POST", "/v1/jobs", key,
+			 json_pack("{ss si sb s{ss}}", "customer", "c",
+				   "accelerators", accelerators, "stoppable", 1,
+				   "task", "image", "x"));
+
+	if (id && result < 300)
+		strcpy(id, json_string_value(json_object_get(answer, "id")));
+	return result;
 }
 
-/* Waits until the job has the state; the time is bounded. */
-static bool reaches(const char *path, const char *state, int64_t ms)
+static const char *state_of(const char *id)
 {
-	int64_t until_us = kn_now_us() + ms * USEC_PER_MSEC;
+	char *path = g_strdup_printf("/v1/jobs/%s", id);
+	const char *state = NULL;
 
-	while (kn_now_us() < until_us) {
-		if (ask("GET", path, NULL, NULL) == 200 &&
-		    strcmp(text("state"), state) == 0)
-			return true;
-		run_ms(20);
-	}
-	return false;
+	if (api("GET", path, NULL, NULL) == 200)
+		state = json_string_value(json_object_get(answer, "state"));
+	g_free(path);
+	return state ? state : "";
 }
 
-static char *submit(int accelerators, const char *key)
+static void wait_state(const char *id, const char *state, int64_t ms)
 {
-	char *body = g_strdup_printf("{\"customer\":\"tensorlab\","
-				     "\"accelerators\":%d}",
-				     accelerators);
+	int64_t end_us = kn_now_us() + ms * USEC_PER_MSEC;
 
-	ck_assert_int_eq(ask("POST", "/v1/jobs", body, key), 201);
-	g_free(body);
-	return g_strdup_printf("/v1/jobs/%s", text("id"));
+	while (strcmp(state_of(id), state) != 0) {
+		ck_assert_msg(kn_now_us() < end_us, "job is %s, not %s",
+			      state_of(id), state);
+		run(5);
+	}
 }
 
-static uint64_t writes(void)
-{
-	struct ctr *ctr;
+/* ---- ledgers ---- */
 
-	list_for_each_entry(ctr, &kn.counters.all, node)
-		if (strcmp(ctr->name, "chivebank_job_writes_total") == 0)
-			return ctr->value;
-	return 0;
-}
+static struct {
+	int entries; /* ever reserved on this worker */
+	int started; /* ever passed the barrier */
+	int running; /* now */
+} seen[WORKERS];
 
-static void setup(void)
+static void look(void)
 {
-	struct wk_options options = { .addr = "127.0.0.1",
-				      .accelerators = 8,
-				      .task_ms = 400,
-				      .checkpoint_ms = 50 };
 	int i;
 
-	memset(&set, 0, sizeof(set));
-	memset(&api, 0, sizeof(api));
-	strcpy(set.dc, DC);
-	ck_assert(kn_init(&kn, NULL));
-	for (i = 0; i < AGENTS; i++)
-		ck_assert(wk_agent_init(&agents[i], &kn, &options, 0, NULL));
-	lossy.inner = kv_mem_new(&kn);
-	lossy.losses = 0;
-	lossy.ops = (struct kv_ops){ .txn = lossy_txn, .range = lossy_range };
-	lossy.kv.ops = &lossy.ops;
-	kv = &lossy.kv;
-	kn_add(&kn, &api.task, SVC_API, &api_ops);
-	sched = sched_new(&kn, &set, kv, wagent_new);
-	ck_assert(kn_start(&kn, NULL));
-	send_document();
+	for (i = 0; i < WORKERS; i++) {
+		json_t *tasks = wk_agent_ledger(&agents[i]);
+		json_t *item;
+		size_t j;
+
+		memset(&seen[i], 0, sizeof(seen[i]));
+		json_array_foreach(json_object_get(tasks, "tasks"), j, item) {
+			const char *state = json_string_value(
+				json_object_get(item, "state"));
+
+			seen[i].entries++;
+			if (json_integer_value(json_object_get(item, "go_us")))
+				seen[i].started++;
+			seen[i].running += strcmp(state, "running") == 0;
+		}
+		json_decref(tasks);
+	}
 }
 
-static void teardown(void)
+static int sum_started(void)
 {
-	int i;
+	int i, n = 0;
 
-	for (i = 0; i < AGENTS; i++)
-		wk_agent_finish(&agents[i]);
-	json_decref(api.answer);
-	kn_finish(&kn);
-	kv_free(lossy.inner);
+	look();
+	for (i = 0; i < WORKERS; i++)
+		n += seen[i].started;
+	return n;
 }
 
-/* Guards against jobs that run on a part of their workers or never end. */
-START_TEST(gang_runs_on_all_workers_and_ends)
+static int sum_running(void)
 {
-	char *path;
+	int i, n = 0;
 
-	lead(true, 1, 60000);
-	run_ms(500);
-	path = submit(16, "k1");
-	ck_assert(reaches(path, "running", 4000));
-	ck_assert_int_eq(
-		json_array_size(json_object_get(api.answer, "workers")),
-		AGENTS);
-	ck_assert(reaches(path, "done", 12000));
-	run_ms(50);
-	ck_assert_uint_eq(writes(), JOB_WRITES);
-	g_free(path);
+	look();
+	for (i = 0; i < WORKERS; i++)
+		n += seen[i].running;
+	return n;
 }
-END_TEST
 
-/* Guards against a repeated submission that makes a second job. */
-START_TEST(submission_is_idempotent)
-{
-	char *path;
+/* ---- tests ---- */
 
-	lead(true, 1, 60000);
-	run_ms(500);
-	path = submit(8, "k1");
-	ck_assert_int_eq(ask("POST", "/v1/jobs",
-			     "{\"customer\":\"tensorlab\",\"accelerators\":8}",
-			     "k1"),
-			 200);
-	ck_assert_int_eq(ask("POST", "/v1/jobs",
-			     "{\"customer\":\"tensorlab\",\"accelerators\":4}",
-			     "k1"),
-			 422);
-	ck_assert_int_eq(ask("POST", "/v1/jobs",
-			     "{\"customer\":\"nobody\",\"accelerators\":4}",
-			     "k2"),
-			 404);
-	ck_assert_int_eq(ask("POST", "/v1/jobs",
-			     "{\"customer\":\"tensorlab\",\"accelerators\":17}",
-			     "k3"),
-			 422);
-	ck_assert_int_eq(ask("POST", "/v1/jobs",
-			     "{\"customer\":\"tensorlab\",\"accelerators\":33}",
-			     "k4"),
-			 403);
-	ck_assert_int_eq(ask("DELETE", path, NULL, NULL), 202);
-	ck_assert(reaches(path, "cancelled", 4000));
-	ck_assert_int_eq(ask("DELETE", path, NULL, NULL), 409);
-	g_free(path);
+/* A gang that starts in part, twice or not at all. */
+START_TEST(gang_runs_once_and_whole)
+{
+	char id[JB_ID_BYTES];
+
+	begin(150);
+	ck_assert_int_eq(submit("k1", 16, id), 201);
+	wait_state(id, "running", 2000);
+	ck_assert_int_eq(sum_running(), 2);
+	wait_state(id, "done", WORKER_SYNC_MS + 2000);
+	ck_assert_int_eq(sum_started(), 2);
+	run(200);
+	ck_assert_int_eq(sum_started(), 2);
+	end();
 }
 END_TEST
 
-/* Guards against lost answers of workers that leave a gang half started. */
-START_TEST(lost_answers_do_not_split_a_gang)
+/* A repeated submission that makes a second job, or hides another body. */
+START_TEST(one_job_per_key)
 {
-	char *path;
-
-	lead(true, 1, 60000);
-	run_ms(500);
-	agents[0].drop_answers = 1;
-	agents[1].drop_answers = 1;
-	path = submit(16, "k1");
-	ck_assert(reaches(path, "done", 20000));
-	g_free(path);
+	char first[JB_ID_BYTES], second[JB_ID_BYTES];
+
+	begin(60000);
+	flaky.lose = 1;
+	ck_assert_int_lt(submit("k1", 8, first), 300);
+	ck_assert_int_eq(submit("k1", 8, second), 200);
+	ck_assert_str_eq(first, second);
+	ck_assert_int_eq(submit("k1", 7, NULL), 422);
+	wait_state(first, "running", 2000);
+	ck_assert_int_eq(sum_started(), 1);
+	end();
 }
 END_TEST
 
-/* Guards against a leader that acts after its lease, or without one. */
-START_TEST(no_leader_no_work)
-{
-	run_ms(300);
-	ck_assert_int_eq(ask("GET", "/v1/jobs", NULL, NULL), 503);
-	lead(true, 1, 700);
-	run_ms(500);
-	ck_assert_int_eq(ask("GET", "/v1/workers", NULL, NULL), 200);
-	run_ms(300);
-	ck_assert_int_eq(ask("POST", "/v1/jobs",
-			     "{\"customer\":\"tensorlab\",\"accelerators\":8}",
-			     "k1"),
-			 503);
-	ck_assert_uint_eq(writes(), 0);
+/* A takeover that stops whole gangs, or starts them a second time. */
+START_TEST(takeover_adopts_whole_gang)
+{
+	char id[JB_ID_BYTES];
+
+	begin(60000);
+	ck_assert_int_eq(submit("k1", 16, id), 201);
+	wait_state(id, "running", 2000);
+	run(50);
+	kill_sched();
+	start_sched(2);
+	run(500);
+	ck_assert_str_eq(state_of(id), "running");
+	ck_assert_int_eq(sum_started(), 2);
+	ck_assert_int_eq(sum_running(), 2);
+	end();
 }
 END_TEST
 
-/* Guards against a takeover that stops or repeats a gang that runs well. */
-START_TEST(takeover_adopts_a_whole_gang)
+static int at_barrier(void)
 {
-	char *path;
+	int i, n = 0;
+
+	for (i = 0; i < WORKERS; i++)
+		n += (int)agents[i].calls[WK_COMMIT];
+	return n;
+}
+
+/* A takeover between commit and go that leaves a part of the gang running. */
+START_TEST(takeover_at_barrier_runs_whole)
+{
+	char id[JB_ID_BYTES];
 	int i;
 
-	for (i = 0; i < AGENTS; i++)
-		agents[i].options.task_ms = 6000;
-	lead(true, 1, 60000);
-	run_ms(500);
-	path = submit(16, "k1");
-	ck_assert(reaches(path, "running", 4000));
-	lead(false, 1, 0);
-	run_ms(200);
-	ck_assert_int_eq(ask("GET", path, NULL, NULL), 503);
-	lead(true, 2, 60000);
-	run_ms(500);
-	ck_assert(reaches(path, "running", 2000));
-	ck_assert_int_eq(
-		json_integer_value(json_object_get(api.answer, "attempt")), 1);
-	ck_assert(reaches(path, "done", 20000));
-	ck_assert_int_eq(
-		json_integer_value(json_object_get(api.answer, "attempt")), 1);
-	ck_assert_uint_eq(agents[0].epoch, 2);
-	g_free(path);
+	begin(60000);
+	for (i = 0; i < WORKERS; i++)
+		agents[i].delay_ms = 40;
+	ck_assert_int_eq(submit("k1", 16, id), 201);
+	for (i = 0; i < 4000 && at_barrier() < 2; i++)
+		run(1);
+	ck_assert_int_eq(at_barrier(), 2);
+	ck_assert_int_eq(sum_started(), 0);
+	kill_sched();
+	start_sched(2);
+	run(200);
+	wait_state(id, "running", 5000);
+	ck_assert_int_eq(sum_running(), 2);
+	ck_assert_int_eq(sum_started(), 2);
+	end();
 }
 END_TEST
 
-/* Guards against a submission that is lost or doubled with its answer. */
-START_TEST(lost_store_answer_is_settled_by_reading_back)
+/* A gang that goes on in part after one of its workers has died. */
+START_TEST(lost_worker_stops_gang)
 {
-	char *path;
+	char id[JB_ID_BYTES];
+	int64_t died_us;
+	int victim = 0;
+
+	begin(120000);
+	ck_assert_int_eq(submit("k1", 16, id), 201);
+	wait_state(id, "running", 2000);
+	look();
+	while (!seen[victim].running)
+		victim++;
+	wk_agent_finish(&agents[victim]);
+	memset(&agents[victim], 0, sizeof(agents[victim]));
+	list_init(&agents[victim].tasks);
+	died_us = kn_now_us();
+	while (sum_running() > 0) {
+		ck_assert_int_lt(kn_now_us() - died_us,
+				 TASK_LEASE_MS * USEC_PER_MSEC);
+		run(100);
+	}
+	end();
+}
+END_TEST
 
-	lead(true, 1, 60000);
-	run_ms(500);
-	lossy.losses = 1;
-	path = submit(8, "k1");
-	ck_assert(reaches(path, "running", 4000));
-	ck_assert_int_eq(ask("GET", "/v1/jobs", NULL, NULL), 200);
-	ck_assert_int_eq(json_array_size(json_object_get(api.answer, "jobs")),
-			 1);
-	ck_assert_uint_eq(writes(), 2);
-	g_free(path);
+/* A store outage that stops running work or loses the end of a job. */
+START_TEST(store_outage_stops_nothing)
+{
+	char id[JB_ID_BYTES];
+
+	begin(1500);
+	ck_assert_int_eq(submit("k1", 16, id), 201);
+	wait_state(id, "running", 2000);
+	flaky.down = true;
+	ck_assert_int_eq(submit("k2", 1, NULL), 503);
+	ck_assert_int_eq(sum_running(), 2);
+	wait_state(id, "done", 10000);
+	flaky.down = false;
+	run(1500);
+	kill_sched();
+	start_sched(2);
+	run(500);
+	ck_assert_str_eq(state_of(id), "done");
+	ck_assert_int_eq(sum_started(), 2);
+	end();
 }
 END_TEST
 
-/*
- * Guards against a claim that waits for the work that holds its place: that
- * work is checkpointed and goes back to the queue (I1).
- */
-START_TEST(urgent_claim_displaces_borrowed_work)
+/* A leader whose lease has run out that still sends to workers. */
+START_TEST(no_call_without_valid_lease)
 {
-	char *path, *claim;
-	int64_t from_us;
+	uint64_t before;
 	int i;
 
-	for (i = 0; i < AGENTS; i++)
-		agents[i].options.task_ms = 30000;
-	lead(true, 1, 60000);
-	run_ms(500);
-	path = submit(16, "k1");
-	ck_assert(reaches(path, "running", 4000));
-	from_us = kn_now_us();
-	ck_assert_int_eq(ask("POST", "/v1/jobs",
-			     "{\"customer\":\"rodabersama\","
-			     "\"accelerators\":8,\"urgent\":true}",
-			     "k2"),
-			 201);
-	claim = g_strdup_printf("/v1/jobs/%s", text("id"));
-	ck_assert(reaches(claim, "running", RECLAIM_BOUND_MS));
-	ck_assert_int_le(kn_now_us() - from_us,
-			 RECLAIM_BOUND_MS * USEC_PER_MSEC);
-	ck_assert(reaches(path, "queued", 1000));
-	ck_assert_int_gt(
-		json_integer_value(json_object_get(api.answer, "attained_us")),
-		0);
-	g_free(path);
-	g_free(claim);
+	begin(60000);
+	lead(1, true, -1);
+	run(50);
+	for (before = 0, i = 0; i < WORKERS; i++)
+		before += agents[i].calls[WK_SYNC];
+	run(WORKER_SYNC_MS + 500);
+	for (i = 0; i < WORKERS; i++)
+		before -= agents[i].calls[WK_SYNC];
+	ck_assert_uint_eq(before, 0);
+	ck_assert_int_eq(submit("k1", 8, NULL), 503);
+	end();
 }
 END_TEST
 
-/* Guards against a task that is tried again on the worker it failed on. */
-START_TEST(failed_job_moves_to_another_worker)
+/* A cancelled job that goes on, or that a new leader starts again. */
+START_TEST(cancelled_job_stays_cancelled)
 {
+	char id[JB_ID_BYTES];
 	char *path;
 
-	agents[0].options.fail = true;
-	lead(true, 1, 60000);
-	run_ms(500);
-	path = submit(8, "k1");
-	ck_assert(reaches(path, "done", 25000));
-	ck_assert_int_eq(
-		json_integer_value(json_object_get(api.answer, "attempt")), 2);
+	begin(60000);
+	ck_assert_int_eq(submit("k1", 16, id), 201);
+	wait_state(id, "running", 2000);
+	path = g_strdup_printf("/v1/jobs/%s", id);
+	ck_assert_int_eq(api("DELETE", path, NULL, NULL), 202);
+	ck_assert_int_eq(api("DELETE", path, NULL, NULL), 202);
 	g_free(path);
+	wait_state(id, "cancelled", 2000);
+	ck_assert_int_eq(sum_running(), 0);
+	run(100);
+	kill_sched();
+	start_sched(2);
+	run(500);
+	ck_assert_str_eq(state_of(id), "cancelled");
+	ck_assert_int_eq(sum_started(), 2);
+	end();
 }
 END_TEST
 
-static void count_running(struct wk_call *call)
+/* A pool that is defined after the scheduler began and never gets work. */
+START_TEST(pool_may_come_later)
 {
-	size_t i;
-
-	*(int *)call->user = 0;
-	for (i = 0; i < call->count; i++)
-		*(int *)call->user += call->tasks[i].state == WK_RUNNING;
-}
-
-/* Asks a worker beside the scheduler how many tasks run on it. */
-static int running_on(int agent)
-{
-	struct wk_edge *edge = wagent_new(&kn);
-	int n = -1, drop = agents[agent].drop_answers;
-	struct wk_request request = { .verb = WK_SYNC,
-				      .addr = "127.0.0.1",
-				      .port = agents[agent].server.port,
-				      .epoch = 1,
-				      .timeout_ms = 1000 };
-	struct wk_call call = { .user = &n };
-	int64_t until_us = kn_now_us() + USEC_PER_SEC;
-
-	agents[agent].drop_answers = 0;
-	edge->ops->start(edge, &call, &request, count_running);
-	while (n < 0 && kn_now_us() < until_us)
-		kn_turn(&kn);
-	agents[agent].drop_answers = drop;
-	edge->ops->finish(edge);
-	return n;
+	struct doc_view *first;
+	char id[JB_ID_BYTES];
+
+	begin(200);
+	kill_sched();
+	first = view;
+	first->pool_count = 0;
+	start_sched(2);
+	run(200);
+	make_view();
+	tell_document();
+	run(200);
+	ck_assert_int_eq(submit("k1", 16, id), 201);
+	wait_state(id, "done", 10000);
+	first->pool_count = 1;
+	doc_view_unref(first);
+	end();
 }
+END_TEST
 
-/*
- * Guards against a gang that goes on when one of its workers is lost: it
- * must have stopped on all of them within the lease, also on the lost one,
- * to which calls still get through (I2).
- */
-START_TEST(lost_worker_stops_the_whole_gang)
+/* A stop that hangs because leadership ends while the task drains. */
+START_TEST(drain_ends_without_leadership)
 {
-	int64_t from_us;
-	char *path;
-	int i;
-
-	for (i = 0; i < AGENTS; i++)
-		agents[i].options.task_ms = 120000;
-	lead(true, 1, 120000);
-	run_ms(500);
-	path = submit(16, "k1");
-	ck_assert(reaches(path, "running", 4000));
-	agents[1].drop_answers = 1000000;
-	from_us = kn_now_us();
-	do {
-		run_ms(250);
-		ck_assert_int_le(kn_now_us() - from_us,
-				 TASK_LEASE_MS * USEC_PER_MSEC);
-	} while (running_on(0) != 0 || running_on(1) != 0);
-	agents[1].drop_answers = 0;
-	/* It starts again only when the lost worker's lease is over. */
-	ck_assert(reaches(path, "queued", 50000) ||
-		  reaches(path, "reserved", 1000));
-	ck_assert(reaches(path, "running", 10000));
-	ck_assert_int_eq(
-		json_integer_value(json_object_get(api.answer, "attempt")), 2);
-	g_free(path);
+	begin(60000);
+	sched->ops->drain(sched);
+	lead(1, false, 0);
+	run(500);
+	ck_assert(sched->drained);
+	end();
 }
 END_TEST
 
 int main(void)
 {
 	Suite *suite = suite_create("sched");
-	TCase *tc = tcase_create("sched");
+	TCase *tcase = tcase_create("sched");
 	SRunner *runner = srunner_create(suite);
 	int failed;
 
-	tcase_add_checked_fixture(tc, setup, teardown);
-	tcase_set_timeout(tc, 100);
-	tcase_add_test(tc, gang_runs_on_all_workers_and_ends);
-	tcase_add_test(tc, submission_is_idempotent);
-	tcase_add_test(tc, lost_answers_do_not_split_a_gang);
-	tcase_add_test(tc, no_leader_no_work);
-	tcase_add_test(tc, lost_store_answer_is_settled_by_reading_back);
-	tcase_add_test(tc, urgent_claim_displaces_borrowed_work);
-	tcase_add_test(tc, failed_job_moves_to_another_worker);
-	tcase_add_test(tc, lost_worker_stops_the_whole_gang);
-	tcase_add_test(tc, takeover_adopts_a_whole_gang);
-	suite_add_tcase(suite, tc);
-	srunner_run_all(runner, CK_NORMAL);
+	tcase_set_timeout(tcase, 60);
+	tcase_add_test(tcase, gang_runs_once_and_whole);
+	tcase_add_test(tcase, one_job_per_key);
+	tcase_add_test(tcase, takeover_adopts_whole_gang);
+	tcase_add_test(tcase, takeover_at_barrier_runs_whole);
+	tcase_add_test(tcase, lost_worker_stops_gang);
+	tcase_add_test(tcase, store_outage_stops_nothing);
+	tcase_add_test(tcase, no_call_without_valid_lease);
+	tcase_add_test(tcase, cancelled_job_stays_cancelled);
+	tcase_add_test(tcase, pool_may_come_later);
+	tcase_add_test(tcase, drain_ends_without_leadership);
+	suite_add_tcase(suite, tcase);
+	srunner_run_all(runner, CK_ENV);
 	failed = srunner_ntests_failed(runner);
 	srunner_free(runner);
 	return failed ? EXIT_FAILURE : EXIT_SUCCESS;
