--- a/daemon/sched_take.c
+++ b/daemon/sched_take.c
@@ -143,6 +143,7 @@
  */
 static void add_silent(struct sjob *job, struct attempt *attempt)
 {
+	unsigned int last;
 	int i;
 
 	for (i = 0; i < job->jb.place_count; i++) {
@@ -153,15 +154,61 @@
 		if (!w || w->answered)
 			continue;
 		part.worker = w->index;
-		g_array_append_val(attempt->parts, part);
+		last = attempt->parts->len;
+		if (last && part_at(attempt, last - 1)->worker == w->index)
+			g_array_index(attempt->parts, struct part, last - 1)
+				.accelerators += place->count;
+		else
+			g_array_append_val(attempt->parts, part);
 	}
 }
 
+static void token_of(const struct jb *jb, char token[WK_TOKEN_BYTES])
+{
+	snprintf(token, WK_TOKEN_BYTES, "%" PRIu64 ".%s.%d", jb->epoch, jb->id,
+		 jb->attempt);
+}
+
+/*
+ * The holds of a gang that runs whole, as its record states them. Without
+ * them the place that a guarantee covers would count as borrowed and could
+ * be reclaimed from its owner. Returns false when the record is older.
+ */
+static bool hold_recorded(struct sjob *job, const struct attempt *attempt)
+{
+	struct cell_gang *gang = &job->sc.gang;
+	char token[WK_TOKEN_BYTES];
+	struct sworker *w;
+	int i, n = 0;
+
+	token_of(&job->jb, token);
+	for (i = 0; i < job->jb.place_count; i++) {
+		if (!sched_worker(job->s, job->jb.places[i].worker))
+			return false;
+		n += job->jb.places[i].count;
+	}
+	if (strcmp(token, attempt->token) != 0 || n != job->jb.accelerators)
+		return false;
+	for (i = 0; i < job->jb.place_count; i++) {
+		const struct jb_place *place = &job->jb.places[i];
+		bool owned = place->cover != JB_BORROWED;
+
+		w = sched_worker(job->s, place->worker);
+		if (owned)
+			gang->kind = CELL_OWNED;
+		cell_gang_add(gang, w->index, place->count,
+			      owned ? (enum cell_unit)place->cover :
+				      CELL_UNITS);
+	}
+	return true;
+}
+
 /* Takes over the members that the attempt names, whole or not. */
 static void adopt(struct sjob *job, struct attempt *attempt, int64_t now_us)
 {
 	struct sched *s = job->s;
 	bool whole = total(attempt) == job->jb.accelerators;
+	bool recorded = whole && hold_recorded(job, attempt);
 	unsigned int n, i;
 	enum gg_state *states;
 	int64_t ran_ms = 0;
@@ -179,8 +226,9 @@
 		job->workers[i] = part->worker;
 		job->counts[i] = part->accelerators;
 		ran_ms = MAX(ran_ms, part->ran_ms);
-		cell_gang_add(&job->sc.gang, part->worker, part->accelerators,
-			      CELL_UNITS);
+		if (!recorded)
+			cell_gang_add(&job->sc.gang, part->worker,
+				      part->accelerators, CELL_UNITS);
 	}
 	g_strlcpy(job->token, attempt->token, sizeof(job->token));
 	g_hash_table_insert(s->tokens, job->token, job);
@@ -243,9 +291,7 @@
 			.parts = g_array_new(FALSE, TRUE, sizeof(struct part))
 		};
 
-		snprintf(unseen.token, sizeof(unseen.token),
-			 "%" PRIu64 ".%s.%d", job->jb.epoch, job->jb.id,
-			 job->jb.attempt);
+		token_of(&job->jb, unseen.token);
 		adopt(job, &unseen, now_us);
 		g_array_free(unseen.parts, TRUE);
 	} else if (attempt) {
--- a/policy/pl.h
+++ b/policy/pl.h
@@ -37,11 +37,6 @@
  * work that the ask may displace.
  */
 bool pl_claim(struct gs *gs, struct cell_gang *gang, const struct pl_ask *ask);
-/*
- * Finds cells of its customer's guarantee that cover the places of a gang
- * which runs already, and sets its kind: owned, else borrowed.
- */
-bool pl_cover(struct gs *gs, struct cell_gang *gang);
 /*
  * Calls fn for each gang that must leave before the held gang can start,
  * least lost work first, after marking it as leaving.
--- a/policy/sc.c
+++ b/policy/sc.c
@@ -343,12 +343,10 @@
 
 /*
  * Takes over a gang that runs already, on the holds that the caller filled
- * in. It keeps a guaranteed place if its customer's guarantee covers it, so
- * set the guarantees before.
+ * in. It counts as borrowed unless the caller made it an owned one.
  */
 void sc_adopt(struct sc *sc, struct sc_job *job, int64_t now_us)
 {
-	pl_cover(&sc->gs, &job->gang);
 	sc_take(sc, job, now_us);
 	job->state = SC_STARTING;
 	list_del(&job->node);
--- a/tests/unit/test_sc.c
+++ b/tests/unit/test_sc.c
@@ -301,32 +301,6 @@
 }
 END_TEST
 
-/*
- * Guards against a takeover after which guaranteed work may be displaced,
- * and unstoppable work counts as stoppable.
- */
-START_TEST(adopted_work_keeps_its_guaranteed_place)
-{
-	struct test_job owned = { 0 }, hard = { 0 };
-	int i;
-
-	sc_job_init(&owned.job, 1, 0, 64, true, false, true);
-	for (i = 0; i < 8; i++)
-		cell_gang_add(&owned.job.gang, 8 + i, 8, CELL_UNITS);
-	sc_adopt(&sc, &owned.job, SEC);
-	ck_assert_int_eq(owned.job.gang.kind, CELL_OWNED);
-	ck_assert_int_eq(gs_left(&sc.gs, 0, CELL_RACK), 0);
-	sc_job_init(&hard.job, 2, 0, 8, false, false, true);
-	cell_gang_add(&hard.job.gang, 0, 8, CELL_UNITS);
-	sc_adopt(&sc, &hard.job, SEC);
-	ck_assert_int_eq(hard.job.gang.kind, CELL_HARD);
-	ck_assert_int_eq(hard.job.state, SC_RUNNING);
-	drop(&owned, 1);
-	drop(&hard, 1);
-	ck_assert_int_eq(gs_left(&sc.gs, 0, CELL_RACK), 1);
-}
-END_TEST
-
 int main(void)
 {
 	Suite *suite = suite_create("sc");
@@ -342,7 +316,6 @@
 	tcase_add_test(tc, cancellation_wave_does_not_delay_a_claim);
 	tcase_add_test(tc, quota_and_shares_hold);
 	tcase_add_test(tc, large_job_is_not_starved_by_backfill);
-	tcase_add_test(tc, adopted_work_keeps_its_guaranteed_place);
 	tcase_add_test(tc, late_reports_change_nothing);
 	suite_add_tcase(suite, tc);
 	srunner_run_all(runner, CK_NORMAL);
--- a/tests/unit/test_sched.c
+++ b/tests/unit/test_sched.c
@@ -6,6 +6,7 @@
 #include "base/ev.h"
 #include "base/log.h"
 #include "daemon/sched.h"
+#include "daemon/sched_int.h"
 #include "daemon/svc.h"
 #include "policy/jb.h"
 #include "tests/standins/wk_agent.h"
@@ -496,6 +497,84 @@
 }
 END_TEST
 
+/* A job that runs again because its end was not in the store yet. */
+START_TEST(unwritten_end_is_found)
+{
+	char id[JB_ID_BYTES];
+
+	begin(300);
+	ck_assert_int_eq(submit("k1", 16, id), 201);
+	wait_state(id, "running", 2000);
+	flaky.down = true;
+	wait_state(id, "done", WORKER_SYNC_MS + 2000);
+	/* One sync reports the ended task, the next would forget it. */
+	run(2 * WORKER_SYNC_MS + 500);
+	kill_sched();
+	flaky.down = false;
+	start_sched(2);
+	run(500);
+	wait_state(id, "done", 2000);
+	ck_assert_int_eq(sum_started(), 2);
+	end();
+}
+END_TEST
+
+/* A graceful stop that stops running work or forgets to write a record. */
+START_TEST(stop_leaves_work_running)
+{
+	char id[JB_ID_BYTES];
+
+	begin(60000);
+	ck_assert_int_eq(submit("k1", 16, id), 201);
+	flaky.down = true;
+	wait_state(id, "running", 2000);
+	flaky.down = false;
+	sched->ops->drain(sched);
+	lead(1, false, 0);
+	while (!sched->drained)
+		run(10);
+	kill_sched();
+	ck_assert_int_eq(sum_running(), 2);
+	start_sched(2);
+	run(500);
+	ck_assert_str_eq(state_of(id), "running");
+	ck_assert_int_eq(json_integer_value(json_object_get(answer, "attempt")),
+			 1);
+	ck_assert_int_eq(sum_started(), 2);
+	end();
+}
+END_TEST
+
+/* A claim of an owner that waits while others use its accelerators. */
+START_TEST(claim_is_met)
+{
+	char borrower[JB_ID_BYTES], owner[JB_ID_BYTES];
+
+	begin(120000);
+	view->customers =
+		g_realloc(view->customers, 2 * sizeof(*view->customers));
+	view->customers[1] = view->customers[0];
+	view->customer_count = 2;
+	strcpy(view->customers[1].name, "d");
+	view->customers[1].guarantees = calloc(1, sizeof(struct doc_guarantee));
+	view->customers[1].guarantee_count = 1;
+	strcpy(view->customers[1].guarantees[0].dc, "dc1");
+	view->customers[1].guarantees[0].unit = DOC_WORKER;
+	view->customers[1].guarantees[0].count = 1;
+	tell_document();
+	ck_assert_int_eq(submit("k1", 24, borrower), 201);
+	wait_state(borrower, "running", 2000);
+	ck_assert_int_eq(
+		api("POST", "/v1/jobs", "k2",
+		    json_pack("{ss si}", "customer", "d", "accelerators", 8)),
+		201);
+	strcpy(owner, json_string_value(json_object_get(answer, "id")));
+	wait_state(owner, "running", RECLAIM_BOUND_MS);
+	ck_assert_str_eq(state_of(borrower), "queued");
+	end();
+}
+END_TEST
+
 /* A leader whose lease has run out that still sends to workers. */
 START_TEST(no_call_without_valid_lease)
 {
@@ -541,6 +620,39 @@
 }
 END_TEST
 
+static int used_workers(void)
+{
+	struct sched *s = container_of(sched, struct sched, task);
+
+	return s->sc.gs.customers[0].used[CELL_WORKER];
+}
+
+/* A takeover after which guaranteed work counts as borrowed. */
+START_TEST(takeover_keeps_guaranteed_places)
+{
+	struct doc_guarantee guarantee = { "dc1", DOC_WORKER, 2 };
+	char id[JB_ID_BYTES];
+
+	begin(60000);
+	kill_sched();
+	view->customers[0].guarantees =
+		g_memdup2(&guarantee, sizeof(guarantee));
+	view->customers[0].guarantee_count = 1;
+	start_sched(2);
+	run(200);
+	ck_assert_int_eq(submit("k1", 16, id), 201);
+	wait_state(id, "running", 5000);
+	ck_assert_int_eq(used_workers(), 2);
+	run(200);
+	kill_sched();
+	start_sched(3);
+	wait_state(id, "running", 5000);
+	ck_assert_int_eq(used_workers(), 2);
+	ck_assert_int_eq(sum_started(), 2);
+	end();
+}
+END_TEST
+
 /* A pool that is defined after the scheduler began and never gets work. */
 START_TEST(pool_may_come_later)
 {
@@ -590,8 +702,12 @@
 	tcase_add_test(tcase, takeover_at_barrier_runs_whole);
 	tcase_add_test(tcase, lost_worker_stops_gang);
 	tcase_add_test(tcase, store_outage_stops_nothing);
+	tcase_add_test(tcase, unwritten_end_is_found);
+	tcase_add_test(tcase, stop_leaves_work_running);
+	tcase_add_test(tcase, claim_is_met);
 	tcase_add_test(tcase, no_call_without_valid_lease);
 	tcase_add_test(tcase, cancelled_job_stays_cancelled);
+	tcase_add_test(tcase, takeover_keeps_guaranteed_places);
 	tcase_add_test(tcase, pool_may_come_later);
 	tcase_add_test(tcase, drain_ends_without_leadership);
 	suite_add_tcase(suite, tcase);
