--- a/policy/pl.c
+++ b/policy/pl.c
@@ -31,7 +31,8 @@
 	       (!ask->sheltered || !ask->sheltered[gang->customer]);
 }
 
-static bool avoided(const struct pl_ask *ask, int worker)
+/* Whether the job is to be kept away from the worker. */
+bool pl_avoided(const struct pl_ask *ask, int worker)
 {
 	int i;
 
@@ -53,7 +54,7 @@
 	int room = w->free;
 
 	*loss = 0;
-	if (!w->usable || avoided(ask, worker))
+	if (!w->usable || pl_avoided(ask, worker))
 		return 0;
 	if (ask->kind == CELL_HARD) {
 		if (gs_is_bound(gs, worker))
--- a/policy/pl.h
+++ b/policy/pl.h
@@ -25,6 +25,7 @@
 };
 
 int64_t pl_loss(const struct cell_gang *gang, int64_t now_us);
+bool pl_avoided(const struct pl_ask *ask, int worker);
 bool pl_may_evict(const struct cell_gang *gang, const struct pl_ask *ask);
 /*
  * Places a borrowed gang of gang->total accelerators by filling in its
--- a/policy/plclaim.c
+++ b/policy/plclaim.c
@@ -46,7 +46,7 @@
 	int room = w->total;
 
 	*loss = 0;
-	if (!w->usable)
+	if (!w->usable || pl_avoided(ask, worker))
 		return 0;
 	list_for_each_entry(hold, &w->holds, node) {
 		if (yields(hold, ask))
@@ -393,7 +393,8 @@
 	return g.left == 0;
 }
 
-bool pl_claim(struct gs *gs, struct cell_gang *gang, const struct pl_ask *ask)
+static bool claim(struct gs *gs, struct cell_gang *gang,
+		  const struct pl_ask *ask)
 {
 	bool ok;
 
@@ -413,3 +414,17 @@
 	cell_gang_reset(gang);
 	return false;
 }
+
+/*
+ * Workers where the job failed are avoided, but not at the price of the
+ * guarantee.
+ */
+bool pl_claim(struct gs *gs, struct cell_gang *gang, const struct pl_ask *ask)
+{
+	struct pl_ask any = *ask;
+
+	if (ask->avoid_count > 0 && claim(gs, gang, ask))
+		return true;
+	any.avoid_count = 0;
+	return claim(gs, gang, &any);
+}
--- a/policy/wh.c
+++ b/policy/wh.c
@@ -88,15 +88,21 @@
 	return true;
 }
 
-static void note_worker(struct wh_job *job, int worker)
+/*
+ * Failures on workers that have since been found to be bad no longer count
+ * against the job.
+ */
+static void note_worker(const struct wh *wh, struct wh_job *job, int worker)
 {
-	int i;
+	int i, n = 0;
 
 	for (i = 0; i < job->failed_count; i++)
-		if (job->failed_on[i] == worker)
-			return;
-	if (job->failed_count < JOB_HOPELESS_WORKERS)
-		job->failed_on[job->failed_count++] = worker;
+		if (job->failed_on[i] != worker &&
+		    wh->workers[job->failed_on[i]].state == WH_GOOD)
+			job->failed_on[n++] = job->failed_on[i];
+	if (n < JOB_HOPELESS_WORKERS)
+		job->failed_on[n++] = worker;
+	job->failed_count = n;
 }
 
 static bool give_up(struct wh *wh, struct wh_job *job, uint64_t id)
@@ -134,7 +140,7 @@
 		quarantine(wh, w, now_us);
 		return true;
 	}
-	note_worker(job, worker);
+	note_worker(wh, job, worker);
 	if (job->failed_count < JOB_HOPELESS_WORKERS)
 		return false;
 	return give_up(wh, job, id);
--- a/tests/unit/test_wh.c
+++ b/tests/unit/test_wh.c
@@ -80,6 +80,29 @@
 }
 END_TEST
 
+/* Guards against a good job that is ended for the failures of bad workers. */
+START_TEST(failures_on_bad_workers_are_forgotten)
+{
+	struct wh_job good = { 0 }, other[2][2] = { 0 };
+	struct wh wh;
+	int i, j;
+
+	wh_init(&wh, 20);
+	for (i = 0; i < 2; i++) {
+		wh_failed(&wh, &good, 1, i, 0);
+		for (j = 0; j < 2; j++)
+			wh_failed(&wh, &other[i][j], 10 + 2 * i + j, i, 0);
+		ck_assert(!wh_usable(&wh, i));
+	}
+	wh_failed(&wh, &good, 1, 2, 0);
+	ck_assert(!good.hopeless);
+	wh_failed(&wh, &good, 1, 3, 0);
+	wh_failed(&wh, &good, 1, 4, 0);
+	ck_assert(good.hopeless);
+	wh_finish(&wh);
+}
+END_TEST
+
 int main(void)
 {
 	Suite *suite = suite_create("wh");
@@ -90,6 +113,7 @@
 	tcase_add_test(tc, hopeless_job_does_not_quarantine_workers);
 	tcase_add_test(tc, bad_worker_is_quarantined_with_doubling_delay);
 	tcase_add_test(tc, repeated_failure_of_one_job_proves_nothing);
+	tcase_add_test(tc, failures_on_bad_workers_are_forgotten);
 	suite_add_tcase(suite, tc);
 	srunner_run_all(runner, CK_NORMAL);
 	failed = srunner_ntests_failed(runner);
