Wait between tries of a job that failed three times

A gang on guaranteed cells with a bad worker used up its ten tries in minutes while no other job could show that the worker was bad.

--- a/base/limits.h
+++ b/base/limits.h
@@ -154,6 +154,8 @@
 #define JOB_TASK_MAX_BYTES 16384 /* opaque description of a job's task */
 #define JOB_HOPELESS_WORKERS 3 /* failures on that many workers end a job */
 #define JOB_FAILURES_MAX 10 /* in all, also on workers found to be bad */
+#define JOB_RETRY_MIN_MS 5000 /* doubles with each failure */
+#define JOB_RETRY_MAX_MS 1800000
 #define WORKER_BAD_JOBS 3 /* failures of that many jobs: quarantine */
 #define WORKER_QUARANTINE_PERCENT 25 /* of the workers at most */
 #define WORKER_PROBATION_MIN_MS 60000
--- a/policy/sc.c
+++ b/policy/sc.c
@@ -456,6 +456,20 @@
 	end_job(sc, job, SC_END_DONE, "done");
 }
 
+/*
+ * From the third failure on a job waits before it is tried again, so that a
+ * fault which passes doesn't use up its tries.
+ */
+static int64_t retry_delay_us(const struct sc_job *job)
+{
+	int doublings = job->health.failures - 3;
+
+	if (doublings < 0)
+		return 0;
+	return MIN(JOB_RETRY_MIN_MS << doublings, JOB_RETRY_MAX_MS) *
+	       USEC_PER_MSEC;
+}
+
 /*
  * The task failed on a worker, and the gang has been stopped everywhere. It
  * is tried again on other workers until that is hopeless.
@@ -474,6 +488,7 @@
 		end_job(sc, job, SC_END_FAILED, "failed on several workers");
 		return;
 	}
+	job->retry_us = now_us + retry_delay_us(job);
 	job->reason = "task failed";
 	sc_left(sc, job, now_us);
 }
--- a/policy/sc.h
+++ b/policy/sc.h
@@ -40,6 +40,7 @@
 	int64_t queued_us;
 	int64_t started_us;
 	int64_t deadline_us; /* leaving: end of the grace period */
+	int64_t retry_us; /* after failures: not before */
 	int64_t attained_us; /* accelerator-microseconds of earlier runs */
 	const char *reason;
 };
--- a/policy/scpass.c
+++ b/policy/scpass.c
@@ -203,8 +203,11 @@
 	return try_claim(p, job, &ask, &memo->own);
 }
 
-static bool within_quota(const struct sc_customer *c, const struct sc_job *job)
+static bool may_start(const struct pass *p, const struct sc_customer *c,
+		      const struct sc_job *job)
 {
+	if (p->now_us < job->retry_us)
+		return false;
 	return c->quota == 0 || c->held + job->gang.total <= c->quota;
 }
 
@@ -220,7 +223,7 @@
 		if (memo->reclaim.failed[SC_IN_WORKER] <= 1 &&
 		    memo->own.failed[SC_IN_WORKER] <= 1)
 			return;
-		if (within_quota(c, job))
+		if (may_start(p, c, job))
 			claim(p, job, memo);
 	}
 }
@@ -276,7 +279,7 @@
 static void try_borrow(struct pass *p, struct sc_customer *c,
 		       struct sc_job *job)
 {
-	if (!within_quota(c, job))
+	if (!may_start(p, c, job))
 		return;
 	if (place_free(p, job) || place_evicting(p, job))
 		return;
