--- a/base/limits.h
+++ b/base/limits.h
@@ -169,7 +169,7 @@
 #define SC_QUANTUM_MS 300000 /* run time before work yields to its peers */
 #define SC_AGE_MS 3600000 /* waiting that long counts like one fair share */
 #define SC_PATIENCE_MS 600000 /* then a reservation displaces its racks */
-#define SC_STARTS_PER_PASS 512
+#define SC_STARTS_PER_PASS 128
 #define SC_EVICTION_TRIES 8 /* per pass; each looks at all workers */
 #define JOB_WRITES 3 /* store writes for a job that isn't cancelled */
 #define GANG_CALL_MS 1000 /* until a call to a worker counts as lost */
