--- a/tests/fuzz/fuzz.h
+++ b/tests/fuzz/fuzz.h
@@ -6,6 +6,7 @@
 
 /* One call with one input; aborts when a property does not hold. */
 int fuzz_frame(const uint8_t *data, size_t size);
+int fuzz_message(const uint8_t *data, size_t size);
 int fuzz_settings(const uint8_t *data, size_t size);
 int fuzz_document(const uint8_t *data, size_t size);
 
--- a/tests/scenarios/document_in_force.lua
+++ b/tests/scenarios/document_in_force.lua
@@ -39,6 +39,10 @@
 	return reply.status == 200 and reply.json.revision, reply
 end
 
+check_eq(c:section("b1", "pool/pg1").body.workers[4].port, c.workers[4].via,
+	"pool on the other data centre")
+check_eq(c:worker_ledger(1).free, 8, "free accelerators of a worker")
+
 for i = 1, 5 do
 	local rev, reply = change(names[random(3)], 100 + i)
 	check(rev, "change " .. i .. ": " .. reply.body)
--- a/tests/scenarios/lib/cluster.lua
+++ b/tests/scenarios/lib/cluster.lua
@@ -30,6 +30,7 @@
 		c:start_backend(name, (opts.backends or BACKENDS)[name])
 	end
 	c:publish_hosts()
+	c:start_workers(opts.workers or 4)
 	local hosts = opts.hosts or HOSTS
 	for _, name in ipairs(sorted(hosts)) do
 		c.hosts[name] = {name = name, dc = hosts[name],
@@ -149,6 +150,49 @@
 	return count
 end
 
+-- ---- workers ----
+
+-- One process with the agents of n workers, all in pg1 and in one rack.
+function cluster:start_workers(n)
+	self.workers = {}
+	if n == 0 then return end
+	self.worker_process = spawn("workers", {"standins/worker", "--count", n,
+		"--task-ms", self.opts.task_ms or 1000})
+	wait_until(function()
+		local ports = {}
+		for port in (read_file("workers.out") or ""):gmatch("port=(%d+)") do
+			ports[#ports + 1] = tonumber(port)
+		end
+		if #ports < n then return false end
+		for i, port in ipairs(ports) do
+			local link, via = relay(port)
+			self.workers[i] = {name = "w" .. i, port = port,
+				link = link, via = via}
+		end
+		return true
+	end, 5000, "workers start")
+end
+
+function cluster:worker_control(i, body)
+	must(http{port = self.workers[i].port, method = "POST",
+		path = "/control", body = json_encode(body)}, "worker control")
+end
+
+function cluster:worker_ledger(i)
+	return must(http{port = self.workers[i].port, path = "/ledger"},
+		"worker ledger")
+end
+
+-- The section pool/pg1 with all workers.
+function cluster:pool()
+	local list = json_array{}
+	for i, worker in ipairs(self.workers) do
+		list[i] = {name = worker.name, addr = LOCAL, port = worker.via,
+			rack = 0, accelerators = 8}
+	end
+	return {workers = list}
+end
+
 -- ---- entry hosts ----
 
 function cluster:link_host(host)
@@ -272,9 +316,12 @@
 	return reply.status == 200 and reply.json or nil
 end
 
--- Two customers and the service "echo", in force on all hosts.
+-- The pool, two customers and the service "echo", in force on all hosts.
 function cluster:basic_document()
 	local first = sorted(self.hosts)[1]
+	if #self.workers > 0 then
+		must(self:put_section(first, "pool/pg1", self:pool()), "pool/pg1")
+	end
 	must(self:put_section(first, "customer/roda", {weight = 300}),
 		"customer/roda")
 	must(self:put_section(first, "customer/bennani", {weight = 100}),
--- a/tests/unit/test_fr.c
+++ b/tests/unit/test_fr.c
@@ -158,6 +158,26 @@
 }
 END_TEST
 
+/* Guards against a peer's empty strings that reach readers as null. */
+START_TEST(empty_strings_are_not_null)
+{
+	/* [nil, "", bin "", {"": ""}] */
+	static const unsigned char data[] = { 0x94, 0xc0, 0xa0, 0xc4,
+					      0x00, 0x81, 0xa0, 0xa0 };
+	const msgpack_object *f;
+	msgpack_unpacked out;
+
+	ck_assert(fr_unpack(&out, data, sizeof(data), NULL));
+	f = out.data.via.array.ptr;
+	ck_assert_int_eq(f[0].type, MSGPACK_OBJECT_NIL);
+	ck_assert_ptr_nonnull(f[1].via.str.ptr);
+	ck_assert_ptr_nonnull(f[2].via.bin.ptr);
+	ck_assert_ptr_nonnull(f[3].via.map.ptr[0].key.via.str.ptr);
+	ck_assert_ptr_nonnull(f[3].via.map.ptr[0].val.via.str.ptr);
+	msgpack_unpacked_destroy(&out);
+}
+END_TEST
+
 int main(void)
 {
 	Suite *suite = suite_create("fr");
@@ -170,6 +190,7 @@
 	tcase_add_test(tc, length_is_checked_before_allocation);
 	tcase_add_test(tc, hostile_counts_and_depth_are_refused);
 	tcase_add_test(tc, check_agrees_with_the_library);
+	tcase_add_test(tc, empty_strings_are_not_null);
 	suite_add_tcase(suite, tc);
 	srunner_run_all(runner, CK_NORMAL);
 	failed = srunner_ntests_failed(runner);
--- a/tests/unit/test_fuzz.c
+++ b/tests/unit/test_fuzz.c
@@ -10,6 +10,7 @@
 /* The same functions that tests/fuzz/run builds with libFuzzer. */
 #include "tests/fuzz/fuzz_document.c"
 #include "tests/fuzz/fuzz_frame.c"
+#include "tests/fuzz/fuzz_message.c"
 #include "tests/fuzz/fuzz_settings.c"
 
 #define ROUNDS 3000 /* mutations of each seed */
@@ -18,6 +19,7 @@
 	const char *name;
 	int (*fn)(const uint8_t *data, size_t size);
 } targets[] = { { "frame", fuzz_frame },
+		{ "message", fuzz_message },
 		{ "settings", fuzz_settings },
 		{ "document", fuzz_document } };
 
@@ -99,7 +101,7 @@
 	int failed;
 
 	tcase_set_timeout(tc, 120);
-	tcase_add_loop_test(tc, seeds_and_mutations, 0, 3);
+	tcase_add_loop_test(tc, seeds_and_mutations, 0, 4);
 	suite_add_tcase(suite, tc);
 	srunner_run_all(runner, CK_NORMAL);
 	failed = srunner_ntests_failed(runner);
--- a/wire/fr.c
+++ b/wire/fr.c
@@ -290,9 +290,42 @@
 	return true;
 }
 
+/*
+ * msgpack-c gives empty strings a null pointer, which the functions that
+ * readers pass it to, such as memchr(), don't allow for any length.
+ */
+static void point_empty(msgpack_object *object)
+{
+	uint32_t i;
+
+	switch (object->type) {
+	case MSGPACK_OBJECT_STR:
+		if (object->via.str.size == 0)
+			object->via.str.ptr = "";
+		break;
+	case MSGPACK_OBJECT_BIN:
+		if (object->via.bin.size == 0)
+			object->via.bin.ptr = "";
+		break;
+	case MSGPACK_OBJECT_ARRAY:
+		for (i = 0; i < object->via.array.size; i++)
+			point_empty(&object->via.array.ptr[i]);
+		break;
+	case MSGPACK_OBJECT_MAP:
+		for (i = 0; i < object->via.map.size; i++) {
+			point_empty(&object->via.map.ptr[i].key);
+			point_empty(&object->via.map.ptr[i].val);
+		}
+		break;
+	default:
+		break;
+	}
+}
+
 /*
  * Unpacks a checked value. Strings point into data, which must stay valid
- * as long as out. The caller destroys out, also on failure.
+ * as long as out, and are never null. The caller destroys out, also on
+ * failure.
  */
 bool fr_unpack(msgpack_unpacked *out, const unsigned char *data, size_t len,
 	       GError **err)
@@ -308,5 +341,6 @@
 			    "message of %zu bytes cannot be unpacked", len);
 		return false;
 	}
+	point_empty(&out->data);
 	return true;
 }
