--- a/tests/scenarios/lib/cluster.lua
+++ b/tests/scenarios/lib/cluster.lua
@@ -335,6 +335,29 @@
 	end
 end
 
+-- Submits a job to a host, again while no leader or no store is there. The
+-- key makes a repeated submission the same job.
+function cluster:submit(name, key, job)
+	return wait_until(function()
+		local reply = self:admin(name, "POST", "/v1/jobs", job,
+			{["Idempotency-Key"] = key})
+		if reply.status > 0 and reply.status < 500 then return reply end
+		sleep(200)
+	end, 30000, "submission of " .. key)
+end
+
+-- All tasks in the workers' ledgers, each with its worker's number.
+function cluster:tasks()
+	local all = {}
+	for i in ipairs(self.workers) do
+		for _, task in ipairs(self:worker_ledger(i).tasks) do
+			task.worker = i
+			all[#all + 1] = task
+		end
+	end
+	return all
+end
+
 -- Options of a caller's request; opts: customer, key, class, deadline,
 -- method, body, timeout, headers.
 function cluster:call(name, path, opts)
