Let the peer and leadership tests pick free ports

Two runs at once failed with "Address already in use" on port 25101: six failures in test_pr while another run of it was in progress. Two runs of test_pr at the same time now pass.

--- a/tests/unit/test_lead.c
+++ b/tests/unit/test_lead.c
@@ -1,16 +1,17 @@
 #include <check.h>
 #include <stdlib.h>
 #include <string.h>
+#include <unistd.h>
 
 #include "base/err.h"
 #include "base/ev.h"
 #include "base/log.h"
 #include "daemon/lead.h"
 #include "daemon/svc.h"
+#include "tests/standins/be_sock.h"
 #include "wire/pr.h"
 
 #define HOSTS 3
-#define BASE_PORT 25200
 
 /* ---- a store that fails on demand ---- */
 
@@ -105,6 +106,7 @@
 
 static struct kn kn;
 static struct set sets[HOSTS];
+static int ports[HOSTS]; /* free ones, so that runs don't collide */
 static struct kn_task *peers[HOSTS];
 static struct kn_task *leads[HOSTS];
 static struct probe probes[HOSTS];
@@ -124,6 +126,16 @@
 
 static const struct kn_task_ops probe_ops = { .receive = probe_receive };
 
+static void pick_ports(void)
+{
+	int fds[HOSTS], i;
+
+	for (i = 0; i < HOSTS; i++)
+		fds[i] = be_listen(&ports[i]);
+	for (i = 0; i < HOSTS; i++)
+		close(fds[i]);
+}
+
 static void fill_set(int i, int hosts)
 {
 	struct set *set = &sets[i];
@@ -134,7 +146,7 @@
 	strcpy(set->dc, "dc1");
 	set->seed = 5;
 	if (hosts > 1)
-		set->peer_listen.port = BASE_PORT + i;
+		set->peer_listen.port = ports[i];
 	strcpy(set->peer_listen.addr, "127.0.0.1");
 	for (j = 0; j < hosts; j++) {
 		struct set_peer *peer = &set->peers[set->peer_count];
@@ -144,7 +156,7 @@
 		snprintf(peer->host, sizeof(peer->host), "host%d", j);
 		strcpy(peer->dc, "dc1");
 		strcpy(peer->at.addr, "127.0.0.1");
-		peer->at.port = BASE_PORT + j;
+		peer->at.port = ports[j];
 		set->peer_count++;
 	}
 }
@@ -197,6 +209,7 @@
 	log_init("test", "dc1", LOG_ERR_LEVEL);
 	ev_init(1);
 	ck_assert(kn_init(&kn, NULL));
+	pick_ports();
 	memset(&flaky, 0, sizeof(flaky));
 	flaky.kv.ops = &flaky_ops;
 	flaky.kv.kn = &kn;
--- a/tests/unit/test_pr.c
+++ b/tests/unit/test_pr.c
@@ -9,11 +9,11 @@
 
 #include "base/ev.h"
 #include "base/log.h"
+#include "tests/standins/be_sock.h"
 #include "wire/fr.h"
 #include "wire/pr_int.h"
 
 #define HOSTS 3
-#define BASE_PORT 25100
 
 /* Records what the peer service reports to a subscriber. */
 struct probe {
@@ -28,6 +28,7 @@
 
 static struct kn kn;
 static struct set sets[HOSTS];
+static int ports[HOSTS]; /* free ones, so that runs don't collide */
 static struct kn_task *peers[HOSTS];
 static struct probe probes[HOSTS];
 static int64_t limit_us;
@@ -62,7 +63,17 @@
 	/* The last host is in another region. */
 	strcpy(peer->region, i == HOSTS - 1 ? "west" : "east");
 	strcpy(peer->at.addr, "127.0.0.1");
-	peer->at.port = BASE_PORT + i;
+	peer->at.port = ports[i];
+}
+
+static void pick_ports(void)
+{
+	int fds[HOSTS], i;
+
+	for (i = 0; i < HOSTS; i++)
+		fds[i] = be_listen(&ports[i]);
+	for (i = 0; i < HOSTS; i++)
+		close(fds[i]);
 }
 
 static void fill_set(int i)
@@ -113,6 +124,7 @@
 	log_init("test", "dc1", LOG_ERR_LEVEL);
 	ev_init(1);
 	ck_assert(kn_init(&kn, NULL));
+	pick_ports();
 	for (i = 0; i < HOSTS; i++)
 		fill_set(i);
 	limit_us = kn_now_us() + 20 * USEC_PER_SEC;
@@ -293,25 +305,25 @@
 
 	begin();
 	start_host(1, 2);
-	fd = dial_raw(BASE_PORT + 1);
+	fd = dial_raw(ports[1]);
 	send_hello(fd, "stranger", "dc1", 1);
 	RUN_UNTIL(is_closed(fd));
 	close(fd);
-	fd = dial_raw(BASE_PORT + 1);
+	fd = dial_raw(ports[1]);
 	send_hello(fd, "host0", "dc9", 1);
 	RUN_UNTIL(is_closed(fd));
 	close(fd);
 	/* The larger name must wait for this host to connect. */
-	fd = dial_raw(BASE_PORT + 1);
+	fd = dial_raw(ports[1]);
 	send_hello(fd, "host2", "dc1", 1);
 	RUN_UNTIL(is_closed(fd));
 	close(fd);
 	ck_assert_uint_eq(task_of(1)->refused.value, 3);
-	fd = dial_raw(BASE_PORT + 1);
+	fd = dial_raw(ports[1]);
 	ck_assert_int_eq(send(fd, "GET / HTTP/1.1\r\n\r\n", 18, 0), 18);
 	RUN_UNTIL(is_closed(fd));
 	close(fd);
-	fd = dial_raw(BASE_PORT + 1);
+	fd = dial_raw(ports[1]);
 	send_hello(fd, "host0", "dc1", 1);
 	RUN_UNTIL(pr_connected(peers[1], "host0"));
 	ck_assert_int_eq(send(fd, "\0\0\0\1\xc1", 5, 0), 5);
@@ -330,10 +342,10 @@
 
 	begin();
 	start_host(1, 2);
-	first = dial_raw(BASE_PORT + 1);
+	first = dial_raw(ports[1]);
 	send_hello(first, "host0", "dc1", 9);
 	RUN_UNTIL(probes[1].ups == 1);
-	second = dial_raw(BASE_PORT + 1);
+	second = dial_raw(ports[1]);
 	send_hello(second, "host0", "dc1", 9);
 	RUN_UNTIL(probes[1].ups == 2 && is_closed(first));
 	ck_assert(!is_closed(second));
@@ -341,7 +353,7 @@
 	ck_assert_uint_eq(task_of(1)->connected.value, 1);
 	close(first);
 	/* An older process of the same host does not. */
-	first = dial_raw(BASE_PORT + 1);
+	first = dial_raw(ports[1]);
 	send_hello(first, "host0", "dc1", 8);
 	RUN_UNTIL(is_closed(first));
 	ck_assert(!is_closed(second));
@@ -360,7 +372,7 @@
 
 	begin();
 	start_host(1, 2);
-	fd = dial_raw(BASE_PORT + 1);
+	fd = dial_raw(ports[1]);
 	send_hello(fd, "host0", "dc1", 9);
 	RUN_UNTIL(pr_connected(peers[1], "host0"));
 	since_us = kn_now_us();
@@ -383,7 +395,7 @@
 
 	begin();
 	start_host(1, 2);
-	fd = dial_raw(BASE_PORT + 1);
+	fd = dial_raw(ports[1]);
 	send_hello(fd, "host0", "dc1", 9);
 	RUN_UNTIL(pr_connected(peers[1], "host0"));
 	while (pr_connected(peers[1], "host0")) {
