Run the event loop on libuv, with timers in one sorted sequence

Cause: the poll() that is built into libwebsockets walks all descriptors in each round and its timers are a sorted list.

Ruled out: keeping the timers of libwebsockets. On a foreign loop it looks at them only after an event of its own, so each timer needed a wake-up through a pipe. Timers are now a GSequence with one uv timer for the first.

Sockets are closed in a later round of the loop, so the listener of the peers is shut down first; without it a restart within one process failed with "address already in use" in test_pr and test_lead.

--- a/Makefile
+++ b/Makefile
@@ -2,7 +2,7 @@
 # make SAN=1 builds with the address and undefined-behaviour sanitizers.
 
 CC ?= gcc
-PKGS := libwebsockets msgpack glib-2.0 jansson libxxhash
+PKGS := libwebsockets libuv msgpack glib-2.0 jansson libxxhash
 BUILD := build
 OPT := -O2 -g
 ifeq ($(SAN),1)
--- a/base/kn.c
+++ b/base/kn.c
@@ -4,6 +4,8 @@
 #include <string.h>
 #include <time.h>
 
+#include <uv.h>
+
 #include "base/err.h"
 #include "base/limits.h"
 #include "base/log.h"
@@ -30,12 +32,15 @@
 }
 
 /*
- * Creates the event loop. The listening and client vhosts are made by the
+ * Creates the event loop on libuv, for its epoll: the poll() that is built
+ * into libwebsockets walks all descriptors in each round, and its timers are
+ * a sorted list. The listening and client vhosts are made by the
  * modules that own the sockets.
  */
 bool kn_init(struct kn *kn, GError **err)
 {
 	struct lws_context_creation_info info;
+	void *loops[1];
 
 	memset(kn, 0, sizeof(*kn));
 	list_init(&kn->tasks);
@@ -44,7 +49,16 @@
 	lws_set_log_level(LLL_ERR | LLL_WARN, forward_lws_log);
 	memset(&info, 0, sizeof(info));
 	info.port = CONTEXT_PORT_NO_LISTEN;
-	info.options = LWS_SERVER_OPTION_EXPLICIT_VHOSTS;
+	info.options =
+		LWS_SERVER_OPTION_EXPLICIT_VHOSTS | LWS_SERVER_OPTION_LIBUV;
+	kn->loop = g_new0(uv_loop_t, 1);
+	uv_loop_init(kn->loop);
+	kn->clock = g_new0(uv_timer_t, 1);
+	uv_timer_init(kn->loop, kn->clock);
+	kn->clock->data = kn;
+	kn->timers = g_sequence_new(NULL);
+	loops[0] = kn->loop;
+	info.foreign_loops = loops;
 	info.gid = (gid_t)-1;
 	info.uid = (uid_t)-1;
 	info.pt_serv_buf_size = HTTP_HEADERS_MAX_BYTES;
@@ -58,6 +72,29 @@
 	return true;
 }
 
+/*
+ * libwebsockets closes its handles in further rounds of the loop; its second
+ * call then frees the context.
+ */
+static void free_loop(struct kn *kn)
+{
+	int i;
+
+	uv_close((uv_handle_t *)kn->clock, NULL);
+	if (kn->lws) {
+		lws_context_destroy(kn->lws);
+		for (i = 0; i < KN_CLOSE_ROUNDS; i++)
+			uv_run(kn->loop, UV_RUN_NOWAIT);
+		lws_context_destroy(kn->lws);
+		kn->lws = NULL;
+	}
+	for (i = 0; i < KN_CLOSE_ROUNDS && uv_loop_close(kn->loop) != 0; i++)
+		uv_run(kn->loop, UV_RUN_NOWAIT);
+	g_sequence_free(kn->timers);
+	g_free(kn->clock);
+	g_free(kn->loop);
+}
+
 /* Finishes all tasks, last started first, and frees the event loop. */
 void kn_finish(struct kn *kn)
 {
@@ -76,10 +113,8 @@
 		if (task->started && task->ops->finish)
 			task->ops->finish(task);
 	}
-	if (kn->lws)
-		lws_context_destroy(kn->lws);
-	kn->lws = NULL;
 	signal_context = NULL;
+	free_loop(kn);
 }
 
 /* Registers a task as a service under a name, which must outlive it. */
@@ -166,46 +201,87 @@
 
 /* ---- time ---- */
 
-static void wake(lws_sorted_usec_list_t *sul)
+static struct kn_timer *first_timer(struct kn *kn)
 {
+	GSequenceIter *first = g_sequence_get_begin_iter(kn->timers);
+
+	return g_sequence_iter_is_end(first) ? NULL : g_sequence_get(first);
+}
+
+static void clock_fired(uv_timer_t *clock);
+
+/* The clock counts milliseconds; it must not fire before the timer is due. */
+static void set_clock(struct kn *kn)
+{
+	struct kn_timer *first = first_timer(kn);
+	int64_t wait_us;
+
+	if (!first) {
+		uv_timer_stop(kn->clock);
+		return;
+	}
+	wait_us = MAX(0, first->at_us - kn_now_us());
+	uv_update_time(kn->loop);
+	uv_timer_start(
+		kn->clock, clock_fired,
+		(uint64_t)((wait_us + USEC_PER_MSEC - 1) / USEC_PER_MSEC), 0);
 }
 
 /*
- * libwebsockets runs timers before it waits for sockets. A message that a
- * timer sent must not wait for the next socket event, so a timer that is due
- * at once ends the wait.
+ * Runs the timers that are due. libuv runs timers before it waits for
+ * sockets, so the wait is skipped when one has sent a message.
  */
-static void timer_fired(lws_sorted_usec_list_t *sul)
+static void clock_fired(uv_timer_t *clock)
 {
-	struct kn_timer *timer = lws_container_of(sul, struct kn_timer, sul);
-	struct kn *kn = timer->kn;
-
-	timer->fn(timer); /* may free the timer */
+	struct kn *kn = clock->data;
+	int64_t now_us = kn_now_us();
+	struct kn_timer *timer;
+
+	while ((timer = first_timer(kn)) && timer->at_us <= now_us) {
+		g_sequence_remove(timer->place);
+		timer->place = NULL;
+		timer->fn(timer); /* may free the timer */
+	}
+	set_clock(kn);
 	if (!list_empty(&kn->ready) || kn->stopped)
-		lws_sul_schedule(kn->lws, 0, &kn->wake, wake, 1);
+		uv_stop(kn->loop);
+}
+
+static gint by_time(gconstpointer a, gconstpointer b, gpointer data)
+{
+	const struct kn_timer *x = a, *y = b;
+
+	return x->at_us < y->at_us ? -1 : x->at_us > y->at_us;
 }
 
 /* Starts a timer, or moves a running one. delay_us counts from now. */
 void kn_timer_set(struct kn *kn, struct kn_timer *timer, int64_t delay_us,
 		  void (*fn)(struct kn_timer *timer))
 {
+	if (timer->place)
+		g_sequence_remove(timer->place);
 	timer->fn = fn;
 	timer->kn = kn;
-	/* Zero would be taken as a request to cancel. */
-	lws_sul_schedule(kn->lws, 0, &timer->sul, timer_fired,
-			 delay_us > 0 ? delay_us : 1);
+	/* At least 1, so that a timer without delay waits for the next round. */
+	timer->at_us = kn_now_us() + MAX(delay_us, 1);
+	timer->place =
+		g_sequence_insert_sorted(kn->timers, timer, by_time, NULL);
+	if (first_timer(kn) == timer)
+		set_clock(kn);
 }
 
 /* Stops a timer; one that is not running is left alone. */
 void kn_timer_cancel(struct kn_timer *timer)
 {
-	lws_sul_cancel(&timer->sul);
+	if (timer->place)
+		g_sequence_remove(timer->place);
+	timer->place = NULL;
 }
 
 /* True while the timer is running. */
 bool kn_timer_pending(const struct kn_timer *timer)
 {
-	return timer->sul.list.owner != NULL;
+	return timer->place != NULL;
 }
 
 static int64_t clock_us(clockid_t clock)
@@ -264,8 +340,7 @@
 	drain_mailboxes(kn);
 	if (kn->stopped)
 		return;
-	/* A negative timeout polls without waiting. */
-	lws_service(kn->lws, list_empty(&kn->ready) ? 0 : -1);
+	uv_run(kn->loop, list_empty(&kn->ready) ? UV_RUN_ONCE : UV_RUN_NOWAIT);
 	handle_signals(kn);
 }
 
--- a/base/kn.h
+++ b/base/kn.h
@@ -12,6 +12,8 @@
 
 struct kn;
 struct kn_task;
+struct uv_loop_s;
+struct uv_timer_s;
 
 /*
  * Base of every message. The receiver owns a delivered message and calls
@@ -47,8 +49,10 @@
 	bool drained;
 };
 
+/* Zeroed memory is a timer that is not running. */
 struct kn_timer {
-	lws_sorted_usec_list_t sul;
+	GSequenceIter *place; /* NULL while it is not running */
+	int64_t at_us;
 	void (*fn)(struct kn_timer *timer);
 	struct kn *kn;
 };
@@ -56,9 +60,11 @@
 /* One per process. */
 struct kn {
 	struct lws_context *lws;
+	struct uv_loop_s *loop; /* lws runs on it */
+	struct uv_timer_s *clock; /* fires for the first of the timers */
+	GSequence *timers; /* struct kn_timer, by time */
 	struct list_head tasks;
 	struct list_head ready;
-	lws_sorted_usec_list_t wake;
 	struct ctr_set counters;
 	bool draining;
 	bool stopped;
--- a/wire/pr.c
+++ b/wire/pr.c
@@ -254,9 +254,12 @@
 		pr_peer_finish(&pr->peers[i]);
 	list_for_each_entry_safe(link, tmp, &pr->pending, node)
 		pr_link_close(link, "stopped");
-	if (pr->listener)
+	if (pr->listener) {
+		/* The library closes the socket in a later round. */
+		shutdown(lws_get_socket_fd(pr->listener), SHUT_RDWR);
 		lws_set_timeout(pr->listener, PENDING_TIMEOUT_USER_OK,
 				LWS_TO_KILL_SYNC);
+	}
 	ctr_finish(&pr->region_bytes);
 	ctr_finish(&pr->malformed);
 	ctr_finish(&pr->refused);
