Run unit tests and scenarios several at a time

Each run now takes ports from a block of its own: with one shared range, three of the scenarios that start together failed because another one had taken the port in between.

--- a/tests/standins/sr_lua.c
+++ b/tests/standins/sr_lua.c
@@ -13,8 +13,10 @@
 #include "tests/standins/sr_relay.h"
 
 #define ARGS_MAX 32
-#define PORT_FIRST 25300 /* below the range of ephemeral ports */
-#define PORT_LAST 25999
+#define PORT_FIRST 10000
+#define PORT_BLOCK 40 /* ports of one run, so that several can run at once */
+#define PORT_BLOCKS 500
+#define PORT_LAST 31999
 #define CALL_TYPE "call"
 
 static struct sr_run *run_of(lua_State *lua)
@@ -168,7 +170,7 @@
 	int port, fd, tries;
 
 	if (next == 0)
-		next = PORT_FIRST + (int)getpid() % 500;
+		next = PORT_FIRST + (int)(getpid() % PORT_BLOCKS) * PORT_BLOCK;
 	for (tries = 0; tries < PORT_LAST - PORT_FIRST; tries++) {
 		port = next++;
 		if (next > PORT_LAST)
