Move a claim away from a worker that does not answer

Trace: the claim displaced the work of the dead worker among others, its checkpoint and stop were not answered, and the worker counted as lost only after two sync periods (worker.lost 10.0 s after the submission); only then did the claim take another place.

A worker that displaced work or starting urgent work is on now counts as lost when its calls have gone unanswered for GANG_CLAIM_LOST_MS, 1 s after the first loss and without any answer in between. Other workers keep the longer time, so that a short cut of a link stops no gang that nobody waits for; an urgent job that runs already counts as such a gang too.

The new unit test claim_leaves_lost_worker fails without the change ("job is queued, not running") and passes with it; test_sched: 15 checks, no failures.

--- a/base/limits.h
+++ b/base/limits.h
@@ -172,6 +172,12 @@
 #define JOB_WRITES 3 /* store writes for a job that isn't cancelled */
 #define GANG_CALL_MS 1000 /* until a call to a worker counts as lost */
 #define GANG_RETRY_MS 200
+/*
+ * Without any answer of a worker that a claim waits for, after the first call
+ * that was lost. With two calls it leaves RECLAIM_GRACE_MS for other work to
+ * yield within RECLAIM_BOUND_MS.
+ */
+#define GANG_CLAIM_LOST_MS 1000
 #define GANG_PHASE_MS 4000 /* for all answers; half of the shortest term */
 #define GANG_FRESH_MS 6000 /* a sync period, its jitter and an answer */
 /* So that a gang ends within TASK_LEASE_MS of the death of a member. */
--- a/daemon/sched_gang.c
+++ b/daemon/sched_gang.c
@@ -62,6 +62,8 @@
 			  wk->result == CB_OK, kn_now_us());
 	else if (!job)
 		drop_stray(c->worker, c->token);
+	if (!old && !answered)
+		sched_no_answer(c->worker, kn_now_us());
 	sched_wake(s);
 	g_free(c);
 }
--- a/daemon/sched_int.h
+++ b/daemon/sched_int.h
@@ -28,6 +28,7 @@
 	bool answered; /* since this host began to lead */
 	bool in_sync;
 	int64_t heard_us;
+	int64_t failing_us; /* first call not answered since then, or 0 */
 	int64_t next_us; /* of the next sync */
 	int64_t sent_us;
 	struct wk_call call;
@@ -141,6 +142,7 @@
 void sched_apply_view(struct sched *s, struct doc_view *old);
 void sched_sync_tick(struct sched *s, int64_t now_us);
 void sched_sync_soon(struct sworker *w);
+void sched_no_answer(struct sworker *w, int64_t now_us);
 void sched_workers_drop(struct sched *s);
 int sched_customer(struct sched *s, const char *name);
 struct sworker *sched_worker(struct sched *s, const char *name);
--- a/daemon/sched_sync.c
+++ b/daemon/sched_sync.c
@@ -306,6 +306,49 @@
 	report_absent(w, now_us);
 }
 
+static void lose_worker(struct sworker *w, int64_t now_us)
+{
+	if (!w->s->sc.live[w->index])
+		return;
+	ev_emit("worker.lost", "worker=%s", w->at.name);
+	sc_worker_live(&w->s->sc, w->index, false, now_us);
+	w->s->dirty = true;
+}
+
+/* Whether work that must leave for a claim, or urgent work, waits for it. */
+static bool claim_waits(const struct sworker *w)
+{
+	struct list_head *holds = &w->s->sc.cell.workers[w->index].holds;
+	struct cell_hold *hold;
+
+	list_for_each_entry(hold, holds, node) {
+		struct sc_job *sc_job = hold->gang->user;
+		struct sjob *job = container_of(sc_job, struct sjob, sc);
+
+		if (sc_job->displaced ||
+		    (job->jb.urgent && sc_job->state == SC_STARTING))
+			return true;
+	}
+	return false;
+}
+
+/*
+ * A call was not answered. A worker that a claim waits for is lost much
+ * sooner then than by its silence in syncs, so that the claim moves to other
+ * places in time.
+ */
+void sched_no_answer(struct sworker *w, int64_t now_us)
+{
+	if (w->s->phase != SCHED_ON || !w->s->sc.live[w->index] ||
+	    !claim_waits(w))
+		return;
+	if (!w->failing_us || w->heard_us > w->failing_us)
+		w->failing_us = now_us;
+	else if (now_us - w->failing_us >= MS(GANG_CLAIM_LOST_MS))
+		lose_worker(w, now_us);
+	sched_sync_soon(w);
+}
+
 static void on_sync(struct wk_call *call)
 {
 	struct sworker *w = container_of(call, struct sworker, call);
@@ -325,6 +368,8 @@
 					g_strdup(w->forgetting->pdata[i]));
 		/* Again soon: a lost answer is not yet a lost worker. */
 		w->next_us = MIN(w->next_us, now_us + MS(WORKER_SYNC_MS) / 5);
+		if (call->epoch <= w->s->epoch)
+			sched_no_answer(w, now_us);
 	}
 }
 
@@ -391,12 +436,8 @@
 
 static void check_silent(struct sworker *w, int64_t now_us)
 {
-	if (!w->s->sc.live[w->index] ||
-	    now_us - w->heard_us <= 2 * MS(WORKER_SYNC_MS))
-		return;
-	ev_emit("worker.lost", "worker=%s", w->at.name);
-	sc_worker_live(&w->s->sc, w->index, false, now_us);
-	w->s->dirty = true;
+	if (now_us - w->heard_us > 2 * MS(WORKER_SYNC_MS))
+		lose_worker(w, now_us);
 }
 
 /*
--- a/tests/unit/test_sched.c
+++ b/tests/unit/test_sched.c
@@ -545,12 +545,9 @@
 }
 END_TEST
 
-/* A claim of an owner that waits while others use its accelerators. */
-START_TEST(claim_is_met)
+/* Adds the customer "d", to which one worker is guaranteed. */
+static void add_owner(void)
 {
-	char borrower[JB_ID_BYTES], owner[JB_ID_BYTES];
-
-	begin(120000);
 	view->customers =
 		g_realloc(view->customers, 2 * sizeof(*view->customers));
 	view->customers[1] = view->customers[0];
@@ -562,19 +559,71 @@
 	view->customers[1].guarantees[0].unit = DOC_WORKER;
 	view->customers[1].guarantees[0].count = 1;
 	tell_document();
-	ck_assert_int_eq(submit("k1", 24, borrower), 201);
-	wait_state(borrower, "running", 2000);
+}
+
+static void submit_owner(char id[JB_ID_BYTES])
+{
 	ck_assert_int_eq(
-		api("POST", "/v1/jobs", "k2",
+		api("POST", "/v1/jobs", "owner",
 		    json_pack("{ss si}", "customer", "d", "accelerators", 8)),
 		201);
-	strcpy(owner, json_string_value(json_object_get(answer, "id")));
+	strcpy(id, json_string_value(json_object_get(answer, "id")));
+}
+
+/* A claim of an owner that waits while others use its accelerators. */
+START_TEST(claim_is_met)
+{
+	char borrower[JB_ID_BYTES], owner[JB_ID_BYTES];
+
+	begin(120000);
+	add_owner();
+	ck_assert_int_eq(submit("k1", 24, borrower), 201);
+	wait_state(borrower, "running", 2000);
+	submit_owner(owner);
 	wait_state(owner, "running", RECLAIM_BOUND_MS);
 	ck_assert_str_eq(state_of(borrower), "queued");
 	end();
 }
 END_TEST
 
+/* A claim that waits for a worker that died while its work was saved. */
+START_TEST(claim_leaves_lost_worker)
+{
+	char id[WORKERS][JB_ID_BYTES], owner[JB_ID_BYTES], key[16];
+	int i, victim = -1;
+
+	begin(120000);
+	add_owner();
+	for (i = 0; i < WORKERS; i++) {
+		agents[i].options.checkpoint_ms = RECLAIM_GRACE_MS;
+		snprintf(key, sizeof(key), "k%d", i);
+		ck_assert_int_eq(
+			api("POST", "/v1/jobs", key,
+			    json_pack("{ss si sb si}", "customer", "c",
+				      "accelerators", 8, "stoppable", 1,
+				      "grace_ms", RECLAIM_GRACE_MS)),
+			201);
+		strcpy(id[i], json_string_value(json_object_get(answer, "id")));
+	}
+	for (i = 0; i < WORKERS; i++)
+		wait_state(id[i], "running", 2000);
+	submit_owner(owner);
+	for (i = 0; victim < 0 && i < 100; i++) {
+		run(10);
+		if (agents[i % WORKERS].calls[WK_CHECKPOINT] > 0)
+			victim = i % WORKERS;
+	}
+	ck_assert_int_ge(victim, 0);
+	wk_agent_finish(&agents[victim]);
+	memset(&agents[victim], 0, sizeof(agents[victim]));
+	list_init(&agents[victim].tasks);
+	for (i = 0; i < WORKERS; i++)
+		agents[i].options.checkpoint_ms = 100;
+	wait_state(owner, "running", RECLAIM_BOUND_MS);
+	end();
+}
+END_TEST
+
 /* A leader whose lease has run out that still sends to workers. */
 START_TEST(no_call_without_valid_lease)
 {
@@ -705,6 +754,7 @@
 	tcase_add_test(tcase, unwritten_end_is_found);
 	tcase_add_test(tcase, stop_leaves_work_running);
 	tcase_add_test(tcase, claim_is_met);
+	tcase_add_test(tcase, claim_leaves_lost_worker);
 	tcase_add_test(tcase, no_call_without_valid_lease);
 	tcase_add_test(tcase, cancelled_job_stays_cancelled);
 	tcase_add_test(tcase, takeover_keeps_guaranteed_places);
