Require a token for changes of jobs

POST and DELETE under /v1/jobs were open to everyone who reached the admin address; only /v1/document asked for a bearer token.

The API now sends every call other than GET and HEAD of a service that does not look up tokens itself to the document service first, which fills in the team and its "may" prefixes and sends the call back. The scheduler compares the prefixes with customer/<name> of the job. The check runs on the host that carries the call out, so a forwarded call is checked by the leading host with the token that PR_API_FORWARD carries. A check in the scheduler alone was ruled out, because it would need the teams of the document in its view.

Reads and tickets stay open, as docs/api.md says. Before a document is known, a team's token gets 205 (store unavailable) instead of 400. The text of 401 no longer speaks of sections only.

--- a/base/err.h
+++ b/base/err.h
@@ -44,7 +44,7 @@
 	X(CB_E_PEER_LOST, 307, 502, "peer connection lost")                    \
 	X(CB_E_ANSWER_FORGOTTEN, 308, 502, "answer is no longer kept")         \
 	X(CB_E_UNAUTHORIZED, 400, 401, "missing or unknown token")             \
-	X(CB_E_FORBIDDEN, 401, 403, "section belongs to another team")         \
+	X(CB_E_FORBIDDEN, 401, 403, "not allowed for this team")               \
 	X(CB_E_CONFLICT, 402, 409, "section changed since it was read")        \
 	X(CB_E_CHECK_FAILED, 403, 422, "document check failed")                \
 	X(CB_E_NO_SECTION, 404, 404, "no such section")                        \
--- a/daemon/api.c
+++ b/daemon/api.c
@@ -11,12 +11,13 @@
 	const char *prefix;
 	const char *service;
 	bool leader; /* only the leading host can answer */
+	bool token; /* the service looks up tokens itself */
 } routes[] = {
-	{ "/v1/document", SVC_DOCUMENT, false },
-	{ "/v1/jobs", SVC_SCHEDULER, true },
-	{ "/v1/workers", SVC_SCHEDULER, true },
-	{ "/v1/servers", SVC_MEMBERS, false },
-	{ "/v1/leaders", SVC_LEAD, false },
+	{ "/v1/document", SVC_DOCUMENT, false, true },
+	{ "/v1/jobs", SVC_SCHEDULER, true, false },
+	{ "/v1/workers", SVC_SCHEDULER, true, false },
+	{ "/v1/servers", SVC_MEMBERS, false, false },
+	{ "/v1/leaders", SVC_LEAD, false, false },
 };
 
 /* ---- calls ---- */
@@ -49,6 +50,8 @@
 	g_free(call->call.token);
 	g_free(call->call.if_match);
 	g_free(call->call.key);
+	g_free(call->call.team);
+	g_strfreev(call->call.may);
 	json_decref(call->call.query);
 	json_decref(call->call.body);
 	json_decref(call->call.answer);
@@ -103,12 +106,36 @@
 	return NULL;
 }
 
-/* Answers a parsed call, or passes it to the service that does. */
+static void send_to(struct api_call *call, const char *name, int type)
+{
+	struct kn_task *api = &call->api->task;
+	struct kn_task *service = kn_find(api->kn, name);
+
+	if (!service) {
+		svc_api_fail(&call->call, api, CB_E_UNKNOWN_PATH,
+			     "this process does not run the service \"%s\"",
+			     name);
+		return;
+	}
+	call->call.msg.type = type;
+	kn_send(service, api, &call->call.msg);
+}
+
+static bool changes(const struct api_call *call)
+{
+	return strcmp(call->call.method, "GET") != 0 &&
+	       strcmp(call->call.method, "HEAD") != 0;
+}
+
+/*
+ * Answers a parsed call, or passes it to the service that does. A change goes
+ * to the document service first, which knows the tokens; the host that carries
+ * the change out asks, so that a forwarding host need not be trusted.
+ */
 void api_dispatch(struct api_call *call)
 {
 	struct api *api = call->api;
 	const struct route *route = find_route(call->call.path);
-	struct kn_task *service;
 
 	if (!route) {
 		if (!api_answer_own(call))
@@ -120,15 +147,10 @@
 		api_forward(call);
 		return;
 	}
-	service = kn_find(api->task.kn, route->service);
-	if (!service) {
-		svc_api_fail(&call->call, &api->task, CB_E_UNKNOWN_PATH,
-			     "this process does not run the service \"%s\"",
-			     route->service);
-		return;
-	}
-	call->call.msg.type = SVC_API_CALL;
-	kn_send(service, &api->task, &call->call.msg);
+	if (!route->token && !call->call.team && changes(call))
+		send_to(call, SVC_DOCUMENT, SVC_API_AUTH);
+	else
+		send_to(call, route->service, SVC_API_CALL);
 }
 
 /* ---- HTTP ---- */
@@ -198,6 +220,9 @@
 	case SVC_API_REPLY:
 		api_send_answer(container_of(msg, struct api_call, call.msg));
 		return;
+	case SVC_API_AUTHED:
+		api_dispatch(container_of(msg, struct api_call, call.msg));
+		return;
 	case SVC_DOC_CHANGED:
 		on_document(api, container_of(msg, struct svc_doc, msg));
 		break;
--- a/daemon/document.c
+++ b/daemon/document.c
@@ -230,6 +230,10 @@
 		document_api_call(d,
 				  container_of(msg, struct svc_api_call, msg));
 		return; /* goes back to the API */
+	case SVC_API_AUTH:
+		document_api_auth(d,
+				  container_of(msg, struct svc_api_call, msg));
+		return; /* goes back to the API */
 	case PR_MSG_UP:
 		on_peer_up(d, container_of(msg, struct pr_status, msg));
 		break;
--- a/daemon/document_api.c
+++ b/daemon/document_api.c
@@ -265,17 +265,44 @@
 			     call->method, call->path);
 }
 
-/* Answers an operator's call; every one needs a known token. */
-void document_api_call(struct document *d, struct svc_api_call *call)
+/* ---- tokens ---- */
+
+/* Returns the team of the call's token, or fails the call. */
+static const char *find_team(struct document *d, struct svc_api_call *call)
 {
 	const char *team = doc_team_of_token(d->doc, d->set->admin_token_sha256,
 					     call->token);
 
-	if (!team) {
+	if (team)
+		return team;
+	if (call->token && !d->view)
+		svc_api_fail(call, &d->task, CB_E_STORE_DOWN,
+			     "no document is known yet");
+	else
 		svc_api_fail(call, &d->task, CB_E_UNAUTHORIZED,
 			     "header Authorization: Bearer <token>");
+	return NULL;
+}
+
+void document_api_auth(struct document *d, struct svc_api_call *call)
+{
+	const char *team = find_team(d, call);
+
+	if (!team)
+		return;
+	call->team = g_strdup(team);
+	call->may = doc_team_prefixes(d->doc, team);
+	call->msg.type = SVC_API_AUTHED;
+	kn_send(call->msg.from, &d->task, &call->msg);
+}
+
+/* Answers an operator's call; every one needs a known token. */
+void document_api_call(struct document *d, struct svc_api_call *call)
+{
+	const char *team = find_team(d, call);
+
+	if (!team)
 		return;
-	}
 	if (!d->view) {
 		svc_api_fail(call, &d->task, CB_E_STORE_DOWN,
 			     "no document is known yet");
--- a/daemon/document_int.h
+++ b/daemon/document_int.h
@@ -98,6 +98,8 @@
 
 /* ---- document_api.c, document_read.c ---- */
 
+/* Fills team and may of a call and sends it back, or fails it. */
+void document_api_auth(struct document *d, struct svc_api_call *call);
 void document_api_call(struct document *d, struct svc_api_call *call);
 bool document_query_int(struct document *d, struct svc_api_call *call,
 			const char *name, int64_t missing, int64_t *out);
--- a/daemon/sched_api.c
+++ b/daemon/sched_api.c
@@ -15,6 +15,22 @@
 	return false;
 }
 
+/* Fails the call unless its team may act for the customer. */
+static bool allowed(struct sched *s, struct svc_api_call *call,
+		    const char *customer)
+{
+	char *section = g_strconcat("customer/", customer, NULL);
+	bool ok = svc_api_may(call, section);
+
+	if (!ok)
+		svc_api_fail(call, &s->task, CB_E_FORBIDDEN,
+			     "the token's team has no prefix of \"%s\" under "
+			     "\"may\"",
+			     section);
+	g_free(section);
+	return ok;
+}
+
 /* Whether the document and the pool allow the job at all. */
 static bool may_run(struct sched *s, const struct jb *jb, GError **err)
 {
@@ -50,6 +66,10 @@
 
 	if (!jb_submission(&job->jb, call->body, call->key, &err))
 		goto out;
+	if (!allowed(s, call, job->jb.customer)) {
+		sched_job_free(job);
+		return;
+	}
 	known = g_hash_table_lookup(s->jobs, job->jb.id);
 	if (known) {
 		answer_known(s, call, known, &job->jb);
@@ -110,6 +130,8 @@
 			     "the query must name a customer");
 		return;
 	}
+	if (!allowed(s, call, customer))
+		return;
 	g_hash_table_iter_init(&iter, s->jobs);
 	while (g_hash_table_iter_next(&iter, NULL, &value)) {
 		struct sjob *job = value;
@@ -125,6 +147,8 @@
 
 static void cancel(struct sched *s, struct svc_api_call *call, struct sjob *job)
 {
+	if (!allowed(s, call, job->jb.customer))
+		return;
 	if (job->jb.state == JB_DONE || job->jb.state == JB_FAILED) {
 		svc_api_fail(call, &s->task, CB_E_JOB_ENDED, "job \"%s\" is %s",
 			     job->jb.id, jb_state_name(job->jb.state));
--- a/daemon/svc.c
+++ b/daemon/svc.c
@@ -20,6 +20,17 @@
 	kn_send(service, from, msg);
 }
 
+/* The prefixes are those of the team's section in the document. */
+bool svc_api_may(const struct svc_api_call *call, const char *section)
+{
+	size_t i;
+
+	for (i = 0; call->may && call->may[i]; i++)
+		if (g_str_has_prefix(section, call->may[i]))
+			return true;
+	return false;
+}
+
 /*
  * Sends an operator's call back to the task it came from. Takes over the
  * caller's reference to answer.
--- a/daemon/svc.h
+++ b/daemon/svc.h
@@ -23,6 +23,8 @@
 	SVC_LEAD_CHANGED, /* struct svc_lead */
 	SVC_API_CALL, /* struct svc_api_call */
 	SVC_API_REPLY, /* struct svc_api_call, sent back with the answer */
+	SVC_API_AUTH, /* struct svc_api_call, to the document service */
+	SVC_API_AUTHED, /* struct svc_api_call, sent back with team and may */
 };
 
 /* From the document service: a new revision is in force. */
@@ -57,11 +59,15 @@
 	char *token; /* bearer token or NULL */
 	char *if_match; /* or NULL */
 	char *key; /* Idempotency-Key or NULL */
+	char *team; /* whose token it is; NULL when it was not looked up */
+	char **may; /* prefixes of sections that the team may change, or NULL */
 	int status;
 	json_t *answer;
 	void *user; /* private to the API */
 };
 
+/* Whether the call's team may change a section; false without a team. */
+bool svc_api_may(const struct svc_api_call *call, const char *section);
 void svc_subscribe(struct kn_task *service, struct kn_task *from);
 void svc_api_answer(struct svc_api_call *call, struct kn_task *from, int status,
 		    json_t *answer);
--- a/policy/doc.h
+++ b/policy/doc.h
@@ -59,6 +59,8 @@
 
 const char *doc_team_of_token(const struct doc *doc, const char *admin_sha256,
 			      const char *token);
+/* Prefixes of the sections that a team may write; to be freed, never NULL. */
+char **doc_team_prefixes(const struct doc *doc, const char *team);
 struct doc *doc_apply(const struct doc *doc, const struct doc_change *change,
 		      GError **err);
 
--- a/policy/docedit.c
+++ b/policy/docedit.c
@@ -64,24 +64,42 @@
 	return search.team;
 }
 
-static bool team_may_write(const struct doc *doc, const char *team,
-			   const char *section)
+/*
+ * Returns the prefixes under the team's "may", the empty prefix for the
+ * administrator, and no prefix for an unknown team.
+ */
+char **doc_team_prefixes(const struct doc *doc, const char *team)
 {
 	char *name = g_strconcat(TEAM_PREFIX, team, NULL);
 	const struct doc_section *own = doc_find(doc, name);
+	GPtrArray *prefixes = g_ptr_array_new();
 	json_t *prefix;
-	bool may = false;
 	size_t i;
 
 	g_free(name);
-	if (!own || g_str_has_prefix(section, TEAM_PREFIX))
-		return false;
-	json_array_foreach(json_object_get(own->body, "may"), i, prefix) {
-		if (json_is_string(prefix) &&
-		    g_str_has_prefix(section, json_string_value(prefix)))
-			may = true;
+	if (strcmp(team, DOC_ADMIN) == 0)
+		g_ptr_array_add(prefixes, g_strdup(""));
+	json_array_foreach(json_object_get(own ? own->body : NULL, "may"), i,
+			   prefix) {
+		if (json_is_string(prefix))
+			g_ptr_array_add(prefixes,
+					g_strdup(json_string_value(prefix)));
 	}
-	return may;
+	g_ptr_array_add(prefixes, NULL);
+	return (char **)g_ptr_array_free(prefixes, FALSE);
+}
+
+static bool team_may_write(const struct doc *doc, const char *team,
+			   const char *section)
+{
+	char **prefixes = doc_team_prefixes(doc, team);
+	bool may = false;
+	size_t i;
+
+	for (i = 0; prefixes[i]; i++)
+		may |= g_str_has_prefix(section, prefixes[i]);
+	g_strfreev(prefixes);
+	return may && !g_str_has_prefix(section, TEAM_PREFIX);
 }
 
 static bool check_authority(const struct doc *doc,
--- a/tests/unit/test_api.c
+++ b/tests/unit/test_api.c
@@ -74,8 +74,10 @@
 
 	fake->calls++;
 	svc_api_answer(call, task, 200,
-		       json_pack("{s:s,s:s,s:s?,s:O?}", "host", fake->leader,
-				 "path", call->path, "key", call->key, "body",
+		       json_pack("{s:s,s:s,s:s?,s:s?,s:s?,s:O?}", "host",
+				 fake->leader, "path", call->path, "key",
+				 call->key, "team", call->team, "may",
+				 call->may ? call->may[0] : NULL, "body",
 				 call->body));
 }
 
@@ -701,6 +703,62 @@
 }
 END_TEST
 
+/*
+ * Guards against a change of jobs without a known token, on the leading host
+ * or forwarded, and against a service that gets another team's prefixes.
+ */
+START_TEST(changes_of_jobs_need_a_token)
+{
+	static const char *const methods[] = { "POST", "DELETE", "PUT" };
+	int64_t limit = kn_now_us() + 5 * USEC_PER_SEC;
+	struct request r = { 0 };
+	char *body, *sha256;
+	size_t i;
+	int on;
+
+	start_ready(0, false, true);
+	start_ready(1, false, true);
+	while (!pr_connected(kn_find(&hosts[1].kn, SVC_PEERS), "h0") &&
+	       kn_now_us() < limit)
+		turn();
+	sha256 = g_compute_checksum_for_string(G_CHECKSUM_SHA256, "secret", -1);
+	body = g_strdup_printf("{\"token_sha256\": \"%s\", \"may\": "
+			       "[\"customer/x\"]}",
+			       sha256);
+	put(&r, "team/x", body, "0", 200, 0);
+	wait_revision(0, 1);
+	for (on = 0; on < HOSTS; on++) {
+		for (i = 0; i < G_N_ELEMENTS(methods); i++) {
+			begin(&r, on, methods[i], "/v1/jobs/j", NULL, NULL,
+			      NULL, NULL);
+			end(&r);
+			ck_assert_int_eq(code(&r), CB_E_UNAUTHORIZED);
+			begin(&r, on, methods[i], "/v1/jobs", NULL, "guess",
+			      NULL, NULL);
+			end(&r);
+			ck_assert_int_eq(code(&r), CB_E_UNAUTHORIZED);
+		}
+	}
+	ck_assert_int_eq(hosts[0].scheduler.calls, 0);
+	for (on = 0; on < HOSTS; on++) {
+		begin(&r, on, "POST", "/v1/jobs", NULL, "secret", NULL, NULL);
+		end(&r);
+		ck_assert_str_eq(
+			json_string_value(json_object_get(r.answer, "team")),
+			"x");
+		ck_assert_str_eq(
+			json_string_value(json_object_get(r.answer, "may")),
+			"customer/x");
+		begin(&r, on, "GET", "/v1/jobs", NULL, NULL, NULL, NULL);
+		end(&r);
+		ck_assert_int_eq(r.status, 200);
+	}
+	json_decref(r.answer);
+	g_free(body);
+	g_free(sha256);
+}
+END_TEST
+
 int main(void)
 {
 	Suite *suite = suite_create("api");
@@ -720,6 +778,7 @@
 	tcase_add_loop_test(tc, outcomes_hold_under_faults, 1, 4);
 	tcase_add_test(tc, old_revisions_are_pruned);
 	tcase_add_test(tc, leaders_calls_are_forwarded);
+	tcase_add_test(tc, changes_of_jobs_need_a_token);
 	suite_add_tcase(suite, tc);
 	srunner_run_all(runner, CK_NORMAL);
 	failed = srunner_ntests_failed(runner);
--- a/tests/unit/test_sched.c
+++ b/tests/unit/test_sched.c
@@ -89,6 +89,7 @@
 static struct kn_task *sched;
 static struct doc_view *view;
 static int status;
+static const char *may = "customer/"; /* prefix that calls may change */
 static json_t *answer;
 
 static void probe_receive(struct kn_task *task, struct kn_msg *msg)
@@ -246,6 +247,7 @@
 	g_free(call->method);
 	g_free(call->path);
 	g_free(call->key);
+	g_strfreev(call->may);
 	json_decref(call->query);
 	json_decref(call->body);
 	json_decref(call->answer);
@@ -264,6 +266,7 @@
 	call->method = g_strdup(method);
 	call->path = g_strdup(path);
 	call->key = g_strdup(key);
+	call->may = may ? g_strsplit(may, ",", -1) : NULL;
 	call->query = json_object();
 	call->body = body;
 	json_decref(answer);
@@ -542,6 +545,33 @@
 }
 END_TEST
 
+/* A team that submits or cancels jobs of a customer that is not its own. */
+START_TEST(calls_need_the_customers_team)
+{
+	char id[JB_ID_BYTES];
+	char *path;
+
+	begin(60000);
+	may = NULL;
+	ck_assert_int_eq(submit("k1", 8, NULL), 403);
+	may = "service/,customer/d";
+	ck_assert_int_eq(submit("k1", 8, NULL), 403);
+	may = "customer/d,customer/c";
+	ck_assert_int_eq(submit("k1", 8, id), 201);
+	path = g_strdup_printf("/v1/jobs/%s", id);
+	may = "customer/d";
+	ck_assert_int_eq(submit("k1", 8, NULL), 403);
+	ck_assert_int_eq(api("DELETE", path, NULL, NULL), 403);
+	ck_assert_int_eq(api("GET", path, NULL, NULL), 200);
+	wait_state(id, "running", 2000);
+	may = "customer/";
+	ck_assert_int_eq(api("DELETE", path, NULL, NULL), 202);
+	wait_state(id, "cancelled", 2000);
+	g_free(path);
+	end();
+}
+END_TEST
+
 static int used_workers(void)
 {
 	struct sched *s = container_of(sched, struct sched, task);
@@ -626,6 +656,7 @@
 	tcase_add_test(tcase, store_outage_stops_nothing);
 	tcase_add_test(tcase, no_call_without_valid_lease);
 	tcase_add_test(tcase, cancelled_job_stays_cancelled);
+	tcase_add_test(tcase, calls_need_the_customers_team);
 	tcase_add_test(tcase, takeover_keeps_guaranteed_places);
 	tcase_add_test(tcase, pool_may_come_later);
 	tcase_add_test(tcase, drain_ends_without_leadership);
