Print help of command groups and fix the job commands

All job commands and worker list were run against a system with a scheduler. Wrong were: the column FREE of worker list, always "-", because the API answers "used"; the order of job list, which was that of a hash table; "line -1" in the error of a missing file; and job wait, which ended when a takeover left the data centre without a leader for a moment.

--- a/cli/cli.c
+++ b/cli/cli.c
@@ -311,8 +311,6 @@
 	{ 0 },
 };
 
-/* ---- running ---- */
-
 static char *main_doc(void)
 {
 	GString *doc = g_string_new("Operate chivebank.\vCommands:\n");
@@ -348,6 +346,113 @@
 	return NULL;
 }
 
+/* ---- groups ---- */
+
+/* Whether a command consists of the group's word and another one. */
+static bool in_group(const struct command *command, const char *group,
+		     size_t len)
+{
+	return strncmp(command->name, group, len) == 0 &&
+	       command->name[len] == ' ';
+}
+
+static bool is_group(const char *word)
+{
+	size_t i;
+
+	for (i = 0; i < G_N_ELEMENTS(commands); i++)
+		if (in_group(&commands[i], word, strlen(word)))
+			return true;
+	return false;
+}
+
+static void print_group(FILE *to, const char *group)
+{
+	size_t i;
+
+	fprintf(to, "Usage: chivebank %s COMMAND ...\n\n", group);
+	for (i = 0; i < G_N_ELEMENTS(commands); i++)
+		if (in_group(&commands[i], group, strlen(group)))
+			fprintf(to, "  %s %s\n      %s\n", commands[i].name,
+				commands[i].args_doc, commands[i].doc);
+	fprintf(to, "\nSee chivebank COMMAND --help.\n");
+}
+
+/* Edit distance between a word and the first len bytes of another. */
+static size_t distance(const char *a, const char *b, size_t len)
+{
+	size_t *row = g_new(size_t, len + 1);
+	size_t i, j, diagonal, above, result;
+
+	for (j = 0; j <= len; j++)
+		row[j] = j;
+	for (i = 1; a[i - 1]; i++) {
+		diagonal = row[0];
+		row[0] = i;
+		for (j = 1; j <= len; j++) {
+			above = row[j];
+			row[j] = MIN(MIN(above, row[j - 1]) + 1,
+				     diagonal + (a[i - 1] != b[j - 1]));
+			diagonal = above;
+		}
+	}
+	result = row[len];
+	g_free(row);
+	return result;
+}
+
+/* The first word of the command that is nearest to a word; to be freed. */
+static char *nearest_word(const char *word)
+{
+	size_t i, len, d, best = SIZE_MAX;
+	char *found = NULL;
+
+	for (i = 0; i < G_N_ELEMENTS(commands); i++) {
+		len = strcspn(commands[i].name, " ");
+		d = distance(word, commands[i].name, len);
+		if (d >= best)
+			continue;
+		best = d;
+		g_free(found);
+		found = g_strndup(commands[i].name, len);
+	}
+	return found;
+}
+
+/*
+ * Handles words that name no command: prints the commands of a group, or
+ * names the nearest word. Returns a result code.
+ */
+static int run_group(struct cli *cli, int argc, char **argv)
+{
+	char *near;
+
+	if (argc == 0)
+		return cli_fail(cli, CB_E_USAGE,
+				"no command given; see chivebank --help");
+	if (is_group(argv[0])) {
+		if (argc > 1 && (strcmp(argv[1], "--help") == 0 ||
+				 strcmp(argv[1], "-?") == 0)) {
+			print_group(cli->out, argv[0]);
+			return CB_OK;
+		}
+		print_group(cli->err, argv[0]);
+		if (argc > 1)
+			cli_fail(cli, CB_E_USAGE, "no such command: %s %s",
+				 argv[0], argv[1]);
+		return CB_E_USAGE;
+	}
+	near = nearest_word(argv[0]);
+	cli_fail(cli, CB_E_USAGE,
+		 "no such command: %s; the nearest is \"%s\", see chivebank "
+		 "%s --help",
+		 argv[0], near, near);
+	g_free(near);
+	return CB_E_USAGE;
+}
+
+/* ---- running ---- */
+
 static int run_command(struct parse *parse, int argc, char **argv)
 {
 	struct argp argp = { .options = parse->command->options,
@@ -408,7 +513,8 @@
 		code = run_command(&parse, argc - parse.first - words + 1,
 				   argv + parse.first + words - 1);
 	else
-		cli_fail(&cli, code, "no such command; see chivebank --help");
+		code = run_group(&cli, parse.first ? argc - parse.first : 0,
+				 argv + parse.first);
 	g_free(doc);
 	return cb_result_exit(code);
 }
--- a/cli/cli_job.c
+++ b/cli/cli_job.c
@@ -109,17 +109,34 @@
 	return code;
 }
 
-/* Succeeds when the job is done; another end gives CB_E_JOB_ENDED. */
+/* Failures that a takeover or the restart of a host brings. */
+static bool passing(int code)
+{
+	return code == CB_E_NO_LEADER || code == CB_E_DRAINING ||
+	       code == CB_E_IO;
+}
+
+/*
+ * Succeeds when the job is done; another end gives CB_E_JOB_ENDED. A takeover
+ * does not end the wait unless no host answers for as long as one call may
+ * take.
+ */
 int cli_job_wait(struct cli *cli, struct cli_opts *o)
 {
-	int64_t start = kn_now_us(), told = start;
+	int64_t start = kn_now_us(), told = start, answered = start;
 	char *state = NULL;
 	int code;
 
 	for (;;) {
 		g_free(state);
 		code = look(cli, o->args[0], &state);
-		if (code != CB_OK || ended(state))
+		if (code == CB_OK)
+			answered = kn_now_us();
+		if (code == CB_OK ?
+			    ended(state) :
+			    !passing(code) ||
+				    kn_now_us() - answered >=
+					    cli->timeout_ms * USEC_PER_MSEC)
 			break;
 		if (o->wait_s >= 0 &&
 		    kn_now_us() - start >= o->wait_s * USEC_PER_SEC) {
@@ -166,7 +183,7 @@
 	static const struct cli_column columns[] = {
 		{ "WORKER", "name" }, { "RACK", "rack" },
 		{ "STATE", "state" }, { "ACCELERATORS", "accelerators" },
-		{ "FREE", "free" },   { 0 }
+		{ "USED", "used" },   { 0 }
 	};
 
 	return get(cli, "/v1/workers", columns, "workers");
--- a/cli/cli_print.c
+++ b/cli/cli_print.c
@@ -88,7 +88,9 @@
 	else
 		value = json_load_file(path, JSON_REJECT_DUPLICATES, &error);
 	*code = CB_OK;
-	if (!value)
+	if (!value && error.line < 0)
+		*code = cli_fail(cli, CB_E_IO, "%s", error.text);
+	else if (!value)
 		*code = cli_fail(cli, CB_E_IO, "%s: line %d, column %d: %s",
 				 path, error.line, error.column, error.text);
 	return value;
--- a/daemon/sched_api.c
+++ b/daemon/sched_api.c
@@ -102,18 +102,37 @@
 	       (!state || strcmp(state, jb_state_name(job->jb.state)) == 0);
 }
 
+static int by_submission(const void *a, const void *b)
+{
+	const struct jb *x = &(*(struct sjob *const *)a)->jb;
+	const struct jb *y = &(*(struct sjob *const *)b)->jb;
+
+	if (x->submitted_wall_us != y->submitted_wall_us)
+		return x->submitted_wall_us < y->submitted_wall_us ? -1 : 1;
+	return strcmp(x->id, y->id);
+}
+
+/* Lists jobs in the order of their submission. */
 static void list_jobs(struct sched *s, struct svc_api_call *call)
 {
+	GPtrArray *found = g_ptr_array_new();
 	json_t *jobs = json_array();
 	GHashTableIter iter;
 	gpointer value;
+	unsigned int i;
 
 	g_hash_table_iter_init(&iter, s->jobs);
 	while (g_hash_table_iter_next(&iter, NULL, &value))
 		if (matches(value, query(call, "customer"),
 			    query(call, "state")))
-			json_array_append_new(
-				jobs, jb_to_json(&((struct sjob *)value)->jb));
+			g_ptr_array_add(found, value);
+	g_ptr_array_sort(found, by_submission);
+	for (i = 0; i < found->len; i++) {
+		const struct sjob *job = found->pdata[i];
+
+		json_array_append_new(jobs, jb_to_json(&job->jb));
+	}
+	g_ptr_array_unref(found);
 	svc_api_answer(call, &s->task, 200, json_pack("{so}", "jobs", jobs));
 }
 
--- a/tests/unit/test_cli.c
+++ b/tests/unit/test_cli.c
@@ -234,6 +234,16 @@
 	command("job list", cb_result_exit(CB_E_UNKNOWN_PATH), NULL,
 		"scheduler");
 	command("no such", cb_result_exit(CB_E_USAGE), NULL, "--help");
+	/* Help for a group that leads to no command, or to a wrong one. */
+	command("section --help", 0, "section put SECTION FILE", NULL);
+	command("job --help", 0, "job wait ID", NULL);
+	command("section", cb_result_exit(CB_E_USAGE), NULL, "section delete");
+	command("job lst", cb_result_exit(CB_E_USAGE), NULL,
+		"no such command: job lst");
+	command("sektion put", cb_result_exit(CB_E_USAGE), NULL,
+		"nearest is \"section\"");
+	command("tikets", cb_result_exit(CB_E_USAGE), NULL,
+		"nearest is \"ticket\"");
 	unlink(pool);
 	unlink(bad);
 	g_free(pool);
