Count bytes and frames of peer links and calls to the store

The control cost of a host could not be measured in bytes and calls per second: only bytes to other regions were counted. New are chivebank_peer_{sent,received}_bytes_total by data centre, chivebank_peer_{sent,received}_frames_total by message type, and chivebank_store_calls_total by kind. Bytes of a connection before its hello has named the host are not counted when the hello is refused. Each repeated read of the store counts as a call, as the platform counts it.

Bytes on store connections are not counted.

--- a/tests/unit/test_kvetcd.c
+++ b/tests/unit/test_kvetcd.c
@@ -144,6 +144,41 @@
 	kv->ops->watch(kv, &w->watch);
 }
 
+static uint64_t counted(enum kv_call_kind kind)
+{
+	return kv->calls_by_kind[kind].value;
+}
+
+/* Guards against calls that the counters miss or book as another kind. */
+START_TEST(calls_are_counted_by_kind)
+{
+	struct watcher w = { .watch = { .event = on_event,
+					.state = on_state } };
+	struct probe p;
+	uint64_t sum = 0;
+	int i;
+
+	put(&p, "/a", "one", 0, 0);
+	range(&p, "/a", false);
+	range(&p, "/a", false);
+	begin(&p);
+	kv->ops->grant(kv, &p.call, 5);
+	end(&p);
+	ck_assert_uint_eq(counted(KV_CALL_TXN), 1);
+	ck_assert_uint_eq(counted(KV_CALL_RANGE), 2);
+	ck_assert_uint_eq(counted(KV_CALL_LEASE), 1);
+	ck_assert_uint_eq(counted(KV_CALL_WATCH), 0);
+	g_strlcpy(w.watch.prefix, "/a", sizeof(w.watch.prefix));
+	kv->ops->watch(kv, &w.watch);
+	turn_until(&w.ups, 1, 5000);
+	kv->ops->unwatch(kv, &w.watch);
+	ck_assert_uint_eq(counted(KV_CALL_WATCH), 1);
+	for (i = 0; i < KV_CALL_KINDS; i++)
+		sum += counted(i);
+	ck_assert_uint_eq(sum, kv->calls);
+}
+END_TEST
+
 /* Guards against a client that speaks another dialect than the gateway. */
 START_TEST(transactions_and_leases)
 {
@@ -359,6 +394,7 @@
 
 	tcase_set_timeout(tc, 30);
 	tcase_add_checked_fixture(tc, setup, teardown);
+	tcase_add_test(tc, calls_are_counted_by_kind);
 	tcase_add_test(tc, transactions_and_leases);
 	tcase_add_test(tc, host_list_lags_and_fails);
 	tcase_add_test(tc, failures_tell_whether_a_write_may_have_happened);
--- a/tests/unit/test_pr.c
+++ b/tests/unit/test_pr.c
@@ -179,6 +179,31 @@
 	return true;
 }
 
+/*
+ * Bytes that reached the first host must be counted by both ends, and the
+ * frames by their type.
+ */
+static void check_counters(void)
+{
+	struct pr_task *a = task_of(0), *b = task_of(1);
+	GString *text = g_string_new(NULL);
+
+	ck_assert_uint_eq(a->dc_count, 1);
+	ck_assert_uint_ge(a->dcs[0].received.value, 200 * 20000);
+	ck_assert_uint_ge(b->dcs[0].sent.value, 2 * 200 * 20000);
+	ck_assert_uint_eq(a->frames_sent[PR_LEAVING].value, 200);
+	ck_assert_uint_eq(b->frames_sent[PR_LEAVING].value, 400);
+	ck_assert_uint_eq(a->frames_received[PR_LEAVING].value, 200);
+	ck_assert_uint_ge(a->frames_received[PR_HEARTBEAT].value, 1);
+	ck_assert_uint_eq(a->frames_received[PR_HELLO].value, HOSTS - 1);
+	ctr_print(&kn.counters, text);
+	ck_assert(strstr(text->str,
+			 "chivebank_peer_sent_bytes_total{dc=\"dc1\"} "));
+	ck_assert(strstr(text->str, "chivebank_peer_received_frames_total{"
+				    "type=\"leaving\"} 200\n"));
+	g_string_free(text, TRUE);
+}
+
 /* Guards against lost or reordered messages, links that are not made, and
  * inter-region bytes that are not counted. */
 START_TEST(hosts_connect_and_messages_keep_order)
@@ -206,6 +231,7 @@
 	}
 	ck_assert_uint_ge(pr_region_bytes(peers[1]), 200 * 20000);
 	ck_assert_uint_lt(pr_region_bytes(peers[0]), 20000);
+	check_counters();
 	RUN_UNTIL(pr_rtt_us(peers[0], "host1") >= 0 &&
 		  pr_rtt_us(peers[1], "host0") >= 0);
 	ck_assert(event_seen("peer.clock"));
--- a/wire/kv.h
+++ b/wire/kv.h
@@ -103,11 +103,21 @@
 	void (*finish)(struct kv *kv);
 };
 
+enum kv_call_kind {
+	KV_CALL_RANGE,
+	KV_CALL_TXN,
+	KV_CALL_LEASE,
+	KV_CALL_WATCH,
+	KV_CALL_HOSTS,
+	KV_CALL_KINDS
+};
+
 /* Base of a store connection; embedded first in each implementation. */
 struct kv {
 	const struct kv_ops *ops;
 	struct kn *kn;
 	uint64_t calls; /* made so far, a waiting watch counted as one */
+	struct ctr calls_by_kind[KV_CALL_KINDS];
 };
 
 /* Client of the published etcd v3 JSON gateway. hosts_port 0: no list. */
@@ -117,4 +127,10 @@
 struct kv *kv_mem_new(struct kn *kn);
 void kv_free(struct kv *kv);
 
+/* ---- for implementations ---- */
+
+void kv_counters_init(struct kv *kv);
+void kv_counters_finish(struct kv *kv);
+void kv_count(struct kv *kv, enum kv_call_kind kind);
+
 #endif
--- a/wire/kvetcd.c
+++ b/wire/kvetcd.c
@@ -59,6 +59,22 @@
 		NULL);
 }
 
+/* Counts a call by its path; writes are transactions. */
+void etcd_count(struct etcd *etcd, const char *path)
+{
+	enum kv_call_kind kind = KV_CALL_HOSTS;
+
+	if (strcmp(path, "/v3/kv/range") == 0)
+		kind = KV_CALL_RANGE;
+	else if (g_str_has_prefix(path, "/v3/kv/"))
+		kind = KV_CALL_TXN;
+	else if (g_str_has_prefix(path, "/v3/lease/"))
+		kind = KV_CALL_LEASE;
+	else if (strcmp(path, "/v3/watch") == 0)
+		kind = KV_CALL_WATCH;
+	kv_count(&etcd->kv, kind);
+}
+
 /*
  * A read that was lost on a connection which the store had just closed is
  * sent once more; it has no effect that could happen twice.
@@ -74,7 +90,7 @@
 	hc_call_finish(&req->hc);
 	list_del(&req->node);
 	list_add_tail(&req->node, &etcd->waiting);
-	etcd->kv.calls++;
+	etcd_count(etcd, req->path);
 	kn_timer_set(etcd->kv.kn, &req->timer, req->deadline_us - kn_now_us(),
 		     on_deadline);
 	start_waiting(etcd);
@@ -147,7 +163,7 @@
 	req->deadline_us = kn_now_us() + STORE_TIMEOUT_MS * USEC_PER_MSEC;
 	json_decref(body);
 	list_add_tail(&req->node, &etcd->waiting);
-	etcd->kv.calls++;
+	etcd_count(etcd, req->path);
 	kn_timer_set(etcd->kv.kn, &req->timer, STORE_TIMEOUT_MS * USEC_PER_MSEC,
 		     on_deadline);
 	req_send(req);
@@ -297,6 +313,7 @@
 	hc_pool_finish(&etcd->pool);
 	hc_pool_finish(&etcd->hosts_pool);
 	g_rand_free(etcd->rand);
+	kv_counters_finish(kv);
 	g_free(etcd);
 }
 
@@ -320,6 +337,7 @@
 
 	etcd->kv.ops = &etcd_ops;
 	etcd->kv.kn = kn;
+	kv_counters_init(&etcd->kv);
 	list_init(&etcd->waiting);
 	list_init(&etcd->active);
 	list_init(&etcd->watches);
--- a/wire/kvetcd.h
+++ b/wire/kvetcd.h
@@ -46,6 +46,7 @@
 					     const json_t *reply),
 				void *user);
 void etcd_req_cancel(struct etcd_req *req);
+void etcd_count(struct etcd *etcd, const char *path);
 
 /* ---- kvetcd_json.c ---- */
 
--- a/wire/kvetcd_stream.c
+++ b/wire/kvetcd_stream.c
@@ -218,7 +218,7 @@
 	stream->parser = hp_new(&reply_ops, false, stream);
 	hp_begin(stream->parser);
 	list_add_tail(&stream->node, &etcd->streams);
-	etcd->kv.calls++;
+	etcd_count(etcd, path);
 	connect_stream(stream);
 	if (stream->failed)
 		kn_timer_set(etcd->kv.kn, &stream->timer, 0, on_failed);
--- a/wire/kvmem.c
+++ b/wire/kvmem.c
@@ -199,6 +199,19 @@
 	}
 }
 
+/* Takes over items. */
+static void queue_result(struct mem *mem, struct kv_call *call,
+			 enum kv_call_kind kind, bool valid, bool held,
+			 GArray *items)
+{
+	struct delivery *d = kvmem_queue_call(mem, call, kind);
+
+	d->result = valid ? CB_OK : CB_E_STORE_DOWN;
+	d->succeeded = valid && held;
+	d->count = items->len;
+	d->items = (struct kv_item *)(void *)g_array_free(items, FALSE);
+}
+
 /*
  * Runs a transaction at once; only its result is delivered later. A put with
  * a lapsed lease refuses the whole transaction with CB_E_STORE_DOWN.
@@ -211,7 +224,6 @@
 	struct mem *mem = (struct mem *)kv;
 	GArray *items = g_array_new(FALSE, TRUE, sizeof(struct kv_item));
 	bool held = true, valid;
-	struct delivery *d;
 	size_t i;
 
 	expire_leases(&mem->lease_timer);
@@ -223,19 +235,19 @@
 		apply(mem, then_ops, nthen, items);
 	else if (valid)
 		apply(mem, else_ops, nelse, items);
-	d = kvmem_queue_call(mem, call);
-	d->result = valid ? CB_OK : CB_E_STORE_DOWN;
-	d->succeeded = valid && held;
-	d->count = items->len;
-	d->items = (struct kv_item *)(void *)g_array_free(items, FALSE);
+	queue_result(mem, call, KV_CALL_TXN, valid, held, items);
 }
 
 static void mem_range(struct kv *kv, struct kv_call *call, const char *key,
 		      bool prefix)
 {
 	struct kv_op op = { .kind = KV_RANGE, .key = key, .prefix = prefix };
+	struct mem *mem = (struct mem *)kv;
+	GArray *items = g_array_new(FALSE, TRUE, sizeof(struct kv_item));
 
-	mem_txn(kv, call, NULL, 0, &op, 1, NULL, 0);
+	expire_leases(&mem->lease_timer);
+	apply(mem, &op, 1, items);
+	queue_result(mem, call, KV_CALL_RANGE, true, true, items);
 }
 
 static void mem_grant(struct kv *kv, struct kv_call *call, int64_t ttl_s)
@@ -249,7 +261,7 @@
 	lease->expires_us = kn_now_us() + ttl_s * USEC_PER_SEC;
 	list_add_tail(&lease->node, &mem->leases);
 	expire_leases(&mem->lease_timer);
-	d = kvmem_queue_call(mem, call);
+	d = kvmem_queue_call(mem, call, KV_CALL_LEASE);
 	d->lease = mem->next_lease;
 	d->ttl_s = ttl_s;
 }
@@ -264,7 +276,7 @@
 	lease = find_lease(mem, id);
 	if (lease)
 		lease->expires_us = kn_now_us() + lease->ttl_s * USEC_PER_SEC;
-	d = kvmem_queue_call(mem, call);
+	d = kvmem_queue_call(mem, call, KV_CALL_LEASE);
 	d->lease = id;
 	d->ttl_s = lease ? lease->ttl_s : 0;
 }
@@ -276,7 +288,7 @@
 
 	if (lease)
 		drop_lease(mem, lease);
-	kvmem_queue_call(mem, call);
+	kvmem_queue_call(mem, call, KV_CALL_LEASE);
 }
 
 /* Reports the present keys as events, and then that the watch is up. */
@@ -294,7 +306,7 @@
 		kvmem_queue_event(mem, watch, found->pdata[i]);
 	g_ptr_array_free(found, TRUE);
 	kvmem_queue(mem, DELIVER_STATE)->watch = watch;
-	kv->calls++;
+	kv_count(kv, KV_CALL_WATCH);
 }
 
 static void mem_unwatch(struct kv *kv, struct kv_watch *watch)
@@ -315,7 +327,7 @@
 static void mem_hosts(struct kv *kv, struct kv_hosts_call *call)
 {
 	kvmem_queue((struct mem *)kv, DELIVER_HOSTS)->hosts = call;
-	kv->calls++;
+	kv_count(kv, KV_CALL_HOSTS);
 }
 
 static void mem_finish(struct kv *kv)
@@ -331,6 +343,7 @@
 	list_for_each_entry_safe(lease, next_lease, &mem->leases, node)
 		g_free(lease);
 	g_tree_destroy(mem->keys);
+	kv_counters_finish(kv);
 	g_free(mem);
 }
 
@@ -356,6 +369,7 @@
 
 	mem->kv.ops = &mem_ops;
 	mem->kv.kn = kn;
+	kv_counters_init(&mem->kv);
 	mem->keys = g_tree_new_full(compare_keys, NULL, NULL, key_free);
 	list_init(&mem->leases);
 	list_init(&mem->watches);
--- a/wire/kvmem.h
+++ b/wire/kvmem.h
@@ -66,7 +66,8 @@
 /* ---- kvmem_queue.c: results and events, delivered from a timer ---- */
 
 struct delivery *kvmem_queue(struct mem *mem, enum delivery_kind kind);
-struct delivery *kvmem_queue_call(struct mem *mem, struct kv_call *call);
+struct delivery *kvmem_queue_call(struct mem *mem, struct kv_call *call,
+				  enum kv_call_kind kind);
 void kvmem_queue_event(struct mem *mem, struct kv_watch *watch,
 		       const struct mem_key *key);
 /* Tells all watches of a key that it was written or deleted. */
--- a/wire/kvmem_queue.c
+++ b/wire/kvmem_queue.c
@@ -88,12 +88,13 @@
 	return d;
 }
 
-struct delivery *kvmem_queue_call(struct mem *mem, struct kv_call *call)
+struct delivery *kvmem_queue_call(struct mem *mem, struct kv_call *call,
+				  enum kv_call_kind kind)
 {
 	struct delivery *d = kvmem_queue(mem, DELIVER_CALL);
 
 	d->call = call;
-	mem->kv.calls++;
+	kv_count(&mem->kv, kind);
 	return d;
 }
 
--- a/wire/pr.c
+++ b/wire/pr.c
@@ -200,6 +200,7 @@
 		 NULL, "Links closed because the peer was silent");
 	ctr_init(&pr->connected, set, CTR_GAUGE, "chivebank_peers_connected",
 		 NULL, "Peers with an open link");
+	pr_ctr_init(pr);
 }
 
 static bool pr_start(struct kn_task *task, GError **err)
@@ -263,6 +264,7 @@
 	ctr_finish(&pr->cut_off);
 	ctr_finish(&pr->silent);
 	ctr_finish(&pr->connected);
+	pr_ctr_finish(pr);
 	g_array_unref(pr->subs);
 	g_rand_free(pr->rand);
 	g_free(pr->peers);
--- a/wire/pr_int.h
+++ b/wire/pr_int.h
@@ -51,6 +51,14 @@
 	int64_t clock_event_us;
 };
 
+/* Bytes to and from the peers of one data centre. */
+struct pr_dc {
+	const char *name;
+	char *labels;
+	struct ctr sent;
+	struct ctr received;
+};
+
 struct pr_sub {
 	struct kn_task *to;
 	int type;
@@ -76,6 +84,10 @@
 	struct ctr cut_off;
 	struct ctr silent;
 	struct ctr connected;
+	struct pr_dc *dcs;
+	size_t dc_count;
+	struct ctr frames_sent[PR_TYPES];
+	struct ctr frames_received[PR_TYPES];
 };
 
 /* What a hello says. */
@@ -138,6 +150,14 @@
 void pr_peer_link_closed(struct pr_peer *peer);
 void pr_peer_beat_now(struct pr_peer *peer);
 
+/* ---- pr_ctr.c ---- */
+
+void pr_ctr_init(struct pr_task *pr);
+void pr_ctr_finish(struct pr_task *pr);
+void pr_ctr_sent(struct pr_link *link, size_t bytes);
+void pr_ctr_received(struct pr_link *link, size_t bytes);
+void pr_ctr_frame(struct ctr counters[PR_TYPES], int type);
+
 /* ---- pr.c ---- */
 
 void pr_publish(struct pr_peer *peer, int kind);
--- a/wire/pr_link.c
+++ b/wire/pr_link.c
@@ -100,6 +100,7 @@
 static void sent(struct pr_link *link, size_t n)
 {
 	link->out_sent += n;
+	pr_ctr_sent(link, n);
 	if (link->peer && link->peer->remote)
 		ctr_add(&link->task->region_bytes, n);
 	if (link->out_sent < link->out->len) {
@@ -151,6 +152,7 @@
 			body->size);
 		return;
 	}
+	pr_ctr_frame(link->task->frames_sent, type);
 	if (link->out->len - link->out_sent > PEER_QUEUE_MAX_BYTES) {
 		ctr_add(&link->task->cut_off, 1);
 		pr_link_close(link, "send queue full");
@@ -184,8 +186,10 @@
 	bool ok;
 
 	ok = fr_split(frame, len, &msg, &err);
-	if (ok)
+	if (ok) {
+		pr_ctr_frame(link->task->frames_received, msg.type);
 		return pr_peer_receive(link, &msg);
+	}
 	log_warn("peer.malformed", "peer=%s text=\"%s\"",
 		 link->peer ? link->peer->set->host : "unknown", err->message);
 	g_error_free(err);
@@ -297,10 +301,13 @@
 		if (!link)
 			return -1;
 		enter(link);
-		if (reason == LWS_CALLBACK_RAW_RX)
+		if (reason == LWS_CALLBACK_RAW_RX) {
 			receive(link, in, len);
-		else
+			/* The first bytes, a hello, tell whose link it is. */
+			pr_ctr_received(link, len);
+		} else {
 			writable(link);
+		}
 		return leave(link);
 	case LWS_CALLBACK_RAW_CLOSE:
 		link = lws_get_opaque_user_data(wsi);
