--- a/Makefile
+++ b/Makefile
@@ -85,6 +85,7 @@
 # Unit tests run under the sanitizers.
 check:
 	.ci/packages
+	tests/check-events
 	$(MAKE) SAN=1 all
 	$(MAKE) SAN=1 run-tests
 
