Keep a customer's on_removal in its job records

The rule for running work of a removed customer stood only in the section that the removal deletes. A scheduler that took over afterwards let work of "on_removal": "stop" run on, and also queued the waiting jobs of the customer again, so that they would have started.

The record of a job now holds stop_on_removal, set at the submission and written again when the rule changes. A scheduler that takes over cancels running jobs whose record says so, and the waiting jobs of all customers that are not in the document. Reading the last body from the document history was ruled out: it would tie the scheduler to the storage form of the document, and bodies of deleted sections are pruned.

A rule that is changed within the moment before the removal is lost if the leader dies before it has written the records; the older rule counts then. A record of an earlier version without the field means "finish".

--- a/daemon/sched_api.c
+++ b/daemon/sched_api.c
@@ -79,6 +79,8 @@
 	if (!may_run(s, &job->jb, &err))
 		goto out;
 	g_strlcpy(job->jb.dc, s->set->dc, sizeof(job->jb.dc));
+	job->jb.stop_on_removal =
+		doc_view_customer(s->view, job->jb.customer)->stop_on_removal;
 	job->jb.submitted_wall_us = kn_wall_us();
 	sched_submit(s, job, call);
 	return;
--- a/daemon/sched_int.h
+++ b/daemon/sched_int.h
@@ -120,6 +120,7 @@
 void sched_job_set(struct sjob *job, enum jb_state to, const char *reason);
 void sched_job_enter(struct sjob *job, int64_t now_us);
 void sched_job_keep(struct sjob *job);
+void sched_job_rule(struct sjob *job);
 void sched_job_cancel(struct sjob *job, int64_t now_us);
 void sched_forget_ended(struct sched *s, int64_t now_us);
 
@@ -138,6 +139,7 @@
 void sched_build(struct sched *s);
 bool sched_size_changed(const struct sched *s);
 void sched_apply_view(struct sched *s, struct doc_view *old);
+void sched_apply_removals(struct sched *s, int64_t now_us);
 void sched_sync_tick(struct sched *s, int64_t now_us);
 void sched_sync_soon(struct sworker *w);
 void sched_workers_drop(struct sched *s);
--- a/daemon/sched_job.c
+++ b/daemon/sched_job.c
@@ -48,6 +48,23 @@
 	change(job, to, reason);
 }
 
+/*
+ * Brings the record up to date with the customer's on_removal. The record of
+ * a job keeps the rule, because a scheduler that starts after the section was
+ * deleted finds it nowhere else.
+ */
+void sched_job_rule(struct sjob *job)
+{
+	const struct doc_customer *c =
+		doc_view_customer(job->s->view, job->jb.customer);
+
+	if (!c || jb_ended(job->jb.state) ||
+	    c->stop_on_removal == job->jb.stop_on_removal)
+		return;
+	job->jb.stop_on_removal = c->stop_on_removal;
+	sched_write(job);
+}
+
 /* Puts a job into the tables and the policy, without submitting it. */
 void sched_job_enter(struct sjob *job, int64_t now_us)
 {
@@ -60,6 +77,7 @@
 	job->sc.attained_us = job->jb.attained_us;
 	job->sc.submitted_us = now_us - MAX(0, waited_us);
 	g_hash_table_insert(s->jobs, job->jb.id, job);
+	sched_job_rule(job);
 }
 
 /* ---- ended jobs ---- */
--- a/daemon/sched_sync.c
+++ b/daemon/sched_sync.c
@@ -152,6 +152,44 @@
 	}
 }
 
+/* The records are gone through only when a rule has changed. */
+static void apply_rules(struct sched *s, const struct doc_view *old)
+{
+	GHashTableIter iter;
+	bool changed = false;
+	gpointer job;
+	size_t i;
+
+	for (i = 0; i < s->view->customer_count && !changed; i++)
+		changed = s->view->customers[i].stop_on_removal !=
+			  stops_on_removal(old, s->view->customers[i].name);
+	if (!changed)
+		return;
+	g_hash_table_iter_init(&iter, s->jobs);
+	while (g_hash_table_iter_next(&iter, NULL, &job))
+		sched_job_rule(job);
+}
+
+/*
+ * Ends what a predecessor has not ended of customers that were removed:
+ * waiting work, and running work whose record says so.
+ */
+void sched_apply_removals(struct sched *s, int64_t now_us)
+{
+	GHashTableIter iter;
+	gpointer value;
+
+	g_hash_table_iter_init(&iter, s->jobs);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		struct sjob *job = value;
+
+		if (job->jb.stop_on_removal && !jb_ended(job->jb.state) &&
+		    !doc_view_customer(s->view, job->jb.customer))
+			sched_job_cancel(job, now_us);
+	}
+	apply_customers(s, NULL);
+}
+
 /* Accelerators of the largest worker, which counts as a whole one. */
 static int worker_size(const struct doc_pool *pool)
 {
@@ -192,6 +230,7 @@
 {
 	apply_pool(s);
 	apply_customers(s, old);
+	apply_rules(s, old);
 	doc_view_unref(old);
 	s->dirty = true;
 }
--- a/daemon/sched_take.c
+++ b/daemon/sched_take.c
@@ -342,6 +342,7 @@
 	for (i = 0; i < s->records->len; i++)
 		decide_job(s->records->pdata[i], by_job, now_us);
 	g_ptr_array_set_size(s->records, 0);
+	sched_apply_removals(s, now_us);
 	for (i = 0; i < s->workers->len; i++) {
 		struct sworker *w = s->workers->pdata[i];
 
--- a/policy/jb.c
+++ b/policy/jb.c
@@ -242,19 +242,20 @@
 				      json_pack("[s,i,i]", jb->places[i].worker,
 						jb->places[i].count,
 						jb->places[i].cover));
-	json = json_pack(
-		"{s:s,s:s,s:s,s:s,s:i,s:I,s:I,s:b,s:b,s:s,s:s,s:I,"
-		"s:i,s:I,s:I,s:I,s:I,s:o}",
-		"id", jb->id, "customer", jb->customer, "dc", jb->dc, "digest",
-		jb->digest, "accelerators", jb->accelerators, "declared_s",
-		(json_int_t)jb->declared_s, "grace_ms",
-		(json_int_t)jb->grace_ms, "urgent", jb->urgent, "stoppable",
-		jb->stoppable, "state", jb_state_name(jb->state), "reason",
-		jb->reason, "epoch", (json_int_t)jb->epoch, "attempt",
-		jb->attempt, "submitted_us", (json_int_t)jb->submitted_wall_us,
-		"started_us", (json_int_t)jb->started_wall_us, "ended_us",
-		(json_int_t)jb->ended_wall_us, "attained_us",
-		(json_int_t)jb->attained_us, "workers", places);
+	json = json_pack("{s:s,s:s,s:s,s:s,s:i,s:I,s:I,s:b,s:b,s:b,s:s,s:s,s:I,"
+			 "s:i,s:I,s:I,s:I,s:I,s:o}",
+			 "id", jb->id, "customer", jb->customer, "dc", jb->dc,
+			 "digest", jb->digest, "accelerators", jb->accelerators,
+			 "declared_s", (json_int_t)jb->declared_s, "grace_ms",
+			 (json_int_t)jb->grace_ms, "urgent", jb->urgent,
+			 "stoppable", jb->stoppable, "stop_on_removal",
+			 jb->stop_on_removal, "state", jb_state_name(jb->state),
+			 "reason", jb->reason, "epoch", (json_int_t)jb->epoch,
+			 "attempt", jb->attempt, "submitted_us",
+			 (json_int_t)jb->submitted_wall_us, "started_us",
+			 (json_int_t)jb->started_wall_us, "ended_us",
+			 (json_int_t)jb->ended_wall_us, "attained_us",
+			 (json_int_t)jb->attained_us, "workers", places);
 	if (jb->task)
 		json_object_set(json, "task", jb->task);
 	return json;
@@ -324,6 +325,7 @@
 		     err) ||
 	    !get_bool(json, "urgent", &jb->urgent, err) ||
 	    !get_bool(json, "stoppable", &jb->stoppable, err) ||
+	    !get_bool(json, "stop_on_removal", &jb->stop_on_removal, err) ||
 	    !read_state(jb, json, err) || !read_places(jb, json, err) ||
 	    !take_task(jb, json, err))
 		return false;
--- a/policy/jb.h
+++ b/policy/jb.h
@@ -43,6 +43,7 @@
 	int64_t grace_ms; /* that a checkpoint needs */
 	bool urgent;
 	bool stoppable;
+	bool stop_on_removal; /* the customer's rule, if its section goes */
 	json_t *task; /* opaque, passed on to the workers */
 	enum jb_state state;
 	char reason[NAME_MAX_BYTES];
--- a/tests/unit/test_sched.c
+++ b/tests/unit/test_sched.c
@@ -605,6 +605,51 @@
 }
 END_TEST
 
+/* Removes or restores the only customer in a new document. */
+static void set_customer(bool present, bool stop)
+{
+	struct doc_view *old = view;
+
+	make_view();
+	view->revision = old->revision + 1;
+	view->customers[0].stop_on_removal = stop;
+	view->customer_count = present;
+	doc_view_unref(old);
+}
+
+/*
+ * Work of a removed customer that goes on or starts against its on_removal,
+ * because the scheduler that saw the removal has died.
+ */
+START_TEST(removal_outlives_the_scheduler)
+{
+	char running[JB_ID_BYTES], waiting[JB_ID_BYTES];
+	bool stop = _i & 1, changed = _i & 2;
+
+	begin(60000);
+	set_customer(true, stop != changed);
+	tell_document();
+	run(100);
+	ck_assert_int_eq(submit("k1", 24, running), 201);
+	wait_state(running, "running", 2000);
+	ck_assert_int_eq(submit("k2", 24, waiting), 201);
+	set_customer(true, stop);
+	tell_document();
+	run(300);
+	kill_sched();
+	set_customer(false, false);
+	start_sched(2);
+	wait_state(waiting, "cancelled", 5000);
+	if (stop)
+		wait_state(running, "cancelled", 5000);
+	run(500);
+	ck_assert_str_eq(state_of(running), stop ? "cancelled" : "running");
+	ck_assert_int_eq(sum_running(), stop ? 0 : 3);
+	ck_assert_int_eq(sum_started(), 3);
+	end();
+}
+END_TEST
+
 /* A pool that is defined after the scheduler began and never gets work. */
 START_TEST(pool_may_come_later)
 {
@@ -658,6 +703,7 @@
 	tcase_add_test(tcase, cancelled_job_stays_cancelled);
 	tcase_add_test(tcase, calls_need_the_customers_team);
 	tcase_add_test(tcase, takeover_keeps_guaranteed_places);
+	tcase_add_loop_test(tcase, removal_outlives_the_scheduler, 0, 4);
 	tcase_add_test(tcase, pool_may_come_later);
 	tcase_add_test(tcase, drain_ends_without_leadership);
 	suite_add_tcase(suite, tcase);
