--- a/base/limits.h
+++ b/base/limits.h
@@ -13,6 +13,7 @@
 
 /* ---- kernel ---- */
 
+#define KN_CLOSE_ROUNDS 10 /* for handles that close late */
 #define KN_DRAIN_ROUNDS 64 /* mailbox rounds before sockets are served */
 #define EV_RING_EVENTS 4096 /* events kept for the API */
 #define EV_LINE_MAX_BYTES 1024
@@ -154,6 +155,8 @@
 #define JOB_TASK_MAX_BYTES 16384 /* opaque description of a job's task */
 #define JOB_HOPELESS_WORKERS 3 /* failures on that many workers end a job */
 #define JOB_FAILURES_MAX 10 /* in all, also on workers found to be bad */
+#define JOB_RETRY_MIN_MS 5000 /* doubles with each failure */
+#define JOB_RETRY_MAX_MS 1800000
 #define WORKER_BAD_JOBS 3 /* failures of that many jobs: quarantine */
 #define WORKER_QUARANTINE_PERCENT 25 /* of the workers at most */
 #define WORKER_PROBATION_MIN_MS 60000
@@ -161,13 +164,13 @@
 #define PL_MOVE_COST_MS 30000 /* of a checkpoint and a new start */
 #define PL_SAVES_PER_FAILURE 8
 #define SC_LEVELS 4 /* of attained service */
-#define SC_LEVEL_1_ACCEL_SEC 3600
-#define SC_LEVEL_FACTOR 5
+#define SC_LEVEL_1_SEC 600 /* of run time; each level is longer by */
+#define SC_LEVEL_FACTOR 4
 #define SC_GRACE_MS 60000 /* of a checkpoint that no claim waits for */
 #define SC_QUANTUM_MS 300000 /* run time before work yields to its peers */
 #define SC_AGE_MS 3600000 /* waiting that long counts like one fair share */
 #define SC_PATIENCE_MS 600000 /* then a reservation displaces its racks */
-#define SC_STARTS_PER_PASS 512
+#define SC_STARTS_PER_PASS 128
 #define SC_EVICTION_TRIES 8 /* per pass; each looks at all workers */
 #define JOB_WRITES 3 /* store writes for a job that isn't cancelled */
 #define GANG_CALL_MS 1000 /* until a call to a worker counts as lost */
@@ -192,6 +195,7 @@
 #define SCHED_DRAIN_MS 2000 /* for pending record writes at a stop */
 #define JOB_KEEP_MS 3600000 /* an ended job */
 #define JOBS_ENDED_MAX 2000 /* kept in memory */
+#define JOBS_LIST_MAX 1000 /* in one answer; a peer message holds 4 MB */
 
 /* ---- document ---- */
 
--- a/daemon/sched_api.c
+++ b/daemon/sched_api.c
@@ -114,7 +114,19 @@
 	return strcmp(x->id, y->id);
 }
 
-/* Lists jobs in the order of their submission. */
+/* A job without its task, which may be large. */
+static json_t *summary(const struct sjob *job)
+{
+	json_t *json = jb_to_json(&job->jb);
+
+	json_object_del(json, "task");
+	return json;
+}
+
+/*
+ * Lists jobs in the order of their submission. count tells how many there
+ * are; the list may hold fewer.
+ */
 static void list_jobs(struct sched *s, struct svc_api_call *call)
 {
 	GPtrArray *found = g_ptr_array_new();
@@ -129,13 +141,12 @@
 			    query(call, "state")))
 			g_ptr_array_add(found, value);
 	g_ptr_array_sort(found, by_submission);
-	for (i = 0; i < found->len; i++) {
-		const struct sjob *job = found->pdata[i];
-
-		json_array_append_new(jobs, jb_to_json(&job->jb));
-	}
+	for (i = 0; i < found->len && i < JOBS_LIST_MAX; i++)
+		json_array_append_new(jobs, summary(found->pdata[i]));
+	svc_api_answer(
+		call, &s->task, 200,
+		json_pack("{so si}", "jobs", jobs, "count", (int)found->len));
 	g_ptr_array_unref(found);
-	svc_api_answer(call, &s->task, 200, json_pack("{so}", "jobs", jobs));
 }
 
 /* Cancels all jobs of a customer. */
