--- a/daemon/sched_api.c
+++ b/daemon/sched_api.c
@@ -15,6 +15,22 @@
 	return false;
 }
 
+/* Fails the call unless its team may act for the customer. */
+static bool allowed(struct sched *s, struct svc_api_call *call,
+		    const char *customer)
+{
+	char *section = g_strconcat("customer/", customer, NULL);
+	bool ok = svc_api_may(call, section);
+
+	if (!ok)
+		svc_api_fail(call, &s->task, CB_E_FORBIDDEN,
+			     "the token's team has no prefix of \"%s\" under "
+			     "\"may\"",
+			     section);
+	g_free(section);
+	return ok;
+}
+
 /* Whether the document and the pool allow the job at all. */
 static bool may_run(struct sched *s, const struct jb *jb, GError **err)
 {
@@ -50,6 +66,10 @@
 
 	if (!jb_submission(&job->jb, call->body, call->key, &err))
 		goto out;
+	if (!allowed(s, call, job->jb.customer)) {
+		sched_job_free(job);
+		return;
+	}
 	known = g_hash_table_lookup(s->jobs, job->jb.id);
 	if (known) {
 		answer_known(s, call, known, &job->jb);
@@ -59,6 +79,8 @@
 	if (!may_run(s, &job->jb, &err))
 		goto out;
 	g_strlcpy(job->jb.dc, s->set->dc, sizeof(job->jb.dc));
+	job->jb.stop_on_removal =
+		doc_view_customer(s->view, job->jb.customer)->stop_on_removal;
 	job->jb.submitted_wall_us = kn_wall_us();
 	sched_submit(s, job, call);
 	return;
@@ -82,6 +104,16 @@
 	       (!state || strcmp(state, jb_state_name(job->jb.state)) == 0);
 }
 
+static int by_submission(const void *a, const void *b)
+{
+	const struct jb *x = &(*(struct sjob *const *)a)->jb;
+	const struct jb *y = &(*(struct sjob *const *)b)->jb;
+
+	if (x->submitted_wall_us != y->submitted_wall_us)
+		return x->submitted_wall_us < y->submitted_wall_us ? -1 : 1;
+	return strcmp(x->id, y->id);
+}
+
 /* A job without its task, which may be large. */
 static json_t *summary(const struct sjob *job)
 {
@@ -91,22 +123,30 @@
 	return json;
 }
 
-/* count tells how many there are; the list may hold fewer. */
+/*
+ * Lists jobs in the order of their submission. count tells how many there
+ * are; the list may hold fewer.
+ */
 static void list_jobs(struct sched *s, struct svc_api_call *call)
 {
+	GPtrArray *found = g_ptr_array_new();
 	json_t *jobs = json_array();
 	GHashTableIter iter;
 	gpointer value;
-	int n = 0;
+	unsigned int i;
 
 	g_hash_table_iter_init(&iter, s->jobs);
 	while (g_hash_table_iter_next(&iter, NULL, &value))
 		if (matches(value, query(call, "customer"),
-			    query(call, "state")) &&
-		    n++ < JOBS_LIST_MAX)
-			json_array_append_new(jobs, summary(value));
-	svc_api_answer(call, &s->task, 200,
-		       json_pack("{so si}", "jobs", jobs, "count", n));
+			    query(call, "state")))
+			g_ptr_array_add(found, value);
+	g_ptr_array_sort(found, by_submission);
+	for (i = 0; i < found->len && i < JOBS_LIST_MAX; i++)
+		json_array_append_new(jobs, summary(found->pdata[i]));
+	svc_api_answer(
+		call, &s->task, 200,
+		json_pack("{so si}", "jobs", jobs, "count", (int)found->len));
+	g_ptr_array_unref(found);
 }
 
 /* Cancels all jobs of a customer. */
@@ -122,6 +162,8 @@
 			     "the query must name a customer");
 		return;
 	}
+	if (!allowed(s, call, customer))
+		return;
 	g_hash_table_iter_init(&iter, s->jobs);
 	while (g_hash_table_iter_next(&iter, NULL, &value)) {
 		struct sjob *job = value;
@@ -137,6 +179,8 @@
 
 static void cancel(struct sched *s, struct svc_api_call *call, struct sjob *job)
 {
+	if (!allowed(s, call, job->jb.customer))
+		return;
 	if (job->jb.state == JB_DONE || job->jb.state == JB_FAILED) {
 		svc_api_fail(call, &s->task, CB_E_JOB_ENDED, "job \"%s\" is %s",
 			     job->jb.id, jb_state_name(job->jb.state));
