Forward waiting requests when no server of the data centre suits them

Only requests that arrived after the ejection of the last server went to another data centre. Those in the queue waited until they were refused, used up their attempts at the server that had just failed them, or became its probation trials.

A queued request now leaves for a connected peer of another data centre when no usable server suits it: none is left, the only ones left are in probation and the request must not be repeated, or the only one left has lost it before. One hop, the region budget and the retry budget hold as before. A request that may have run here is unknown, not not-run, when the peer did not run it.

The new test fails without the change: the first waiting POST has no answer within 2 s.

--- a/daemon/req_fwd.c
+++ b/daemon/req_fwd.c
@@ -108,26 +108,23 @@
 }
 
 /*
- * Sends a request to another data centre, of the same region if possible,
- * because this one has no usable server. A keyed request stays claimed
- * here; the peer gets it without the key.
+ * Chooses a connected peer of another data centre, of the same region if
+ * possible; NULL when there is none.
  */
-bool req_forward_elsewhere(struct req *req)
+static const struct req_peer *pick_elsewhere(struct req_task *r)
 {
-	struct req_task *r = req->r;
 	const struct req_peer *peer, *best = NULL;
 	bool near, best_near = false;
-	char *key = req->call->key;
 	GHashTableIter iter;
 	gpointer value;
-	bool sent;
 
 	g_hash_table_iter_init(&iter, r->peer_table);
 	while (g_hash_table_iter_next(&iter, NULL, &value)) {
 		const char *region;
 
 		peer = value;
-		if (strcmp(peer->dc, r->set->dc) == 0 || peer->draining)
+		if (strcmp(peer->dc, r->set->dc) == 0 || peer->draining ||
+		    !r->peers || !pr_connected(r->peers, peer->host))
 			continue;
 		region = set_peer_region(r->set, peer->host);
 		near = region && strcmp(region, r->set->region) == 0;
@@ -137,18 +134,97 @@
 			best_near = near;
 		}
 	}
-	if (!best)
+	return best;
+}
+
+/* True when a request may go to another data centre; it goes one hop. */
+static bool may_go_elsewhere(const struct req *req)
+{
+	return req->from_host[0] == '\0' && pick_elsewhere(req->r);
+}
+
+/*
+ * Sends a request to another data centre, because this one has no server
+ * for it. A keyed request stays claimed here; the peer gets it without the
+ * key. False when no other data centre is reachable.
+ */
+static bool forward_elsewhere(struct req *req)
+{
+	struct req_task *r = req->r;
+	const struct req_peer *peer = pick_elsewhere(r);
+	char *key = req->call->key;
+	bool sent;
+
+	if (!peer)
 		return false;
-	if (!region_allows(r, best->host, req->call->body_len + 512)) {
+	if (!region_allows(r, peer->host, req->call->body_len + 512)) {
 		req_not_run(req, CB_E_REGION_BUDGET);
 		return true;
 	}
 	req->call->key = NULL;
-	sent = req_forward(req, best->host);
+	sent = req_forward(req, peer->host);
 	req->call->key = key;
 	return sent;
 }
 
+/* ---- leaving the queue ---- */
+
+/* True when only another data centre has a server for a waiting request. */
+bool req_must_leave(const struct req *req)
+{
+	return !req_group_fits(req->group, req) && may_go_elsewhere(req);
+}
+
+void req_leave_queue(struct req *req)
+{
+	rq_cancel(&req->group->rq, &req->item);
+	req_set_state(req, REQ_ST_NEW);
+}
+
+void req_pass_on(struct req *req)
+{
+	if (!forward_elsewhere(req))
+		req_not_run(req, CB_E_NO_SERVER);
+}
+
+static bool has_live_server(const struct req_group *group)
+{
+	const struct req_server *server;
+	guint i;
+
+	for (i = 0; i < group->servers->len; i++) {
+		server = g_ptr_array_index(group->servers, i);
+		if (server->mb.state == MB_LIVE && mb_allowed(&server->mb) > 0)
+			return true;
+	}
+	return false;
+}
+
+/*
+ * Sends requests of the queue to another data centre when no live server is
+ * left here and none in probation suits them. They leave all lists first,
+ * because the end of one request may enqueue others.
+ */
+void req_forward_waiting(struct req_group *group)
+{
+	struct req *req, *tmp;
+	struct list_head out;
+
+	if (has_live_server(group))
+		return;
+	list_init(&out);
+	list_for_each_entry_safe(req, tmp, &group->r->reqs, node) {
+		if (req->state != REQ_ST_QUEUED || req->group != group ||
+		    !req_must_leave(req))
+			continue;
+		req_leave_queue(req);
+		list_del(&req->node);
+		list_add_tail(&req->node, &out);
+	}
+	while (!list_empty(&out))
+		req_pass_on(list_first_entry(&out, struct req, node));
+}
+
 /* ---- requests from peers ---- */
 
 /* Runs a request that a peer forwarded. It goes no further from here. */
@@ -251,6 +327,14 @@
 		req_unknown(req, CB_E_PEER_LOST);
 		return;
 	}
+	/* What the peer did not run may have run here before. */
+	if (outcome == KY_NOT_RUN && req->maybe_ran) {
+		http_headers_finish(&call->reply_headers);
+		http_headers_init(&call->reply_headers);
+		call->retry_after_s = 0;
+		req_unknown(req, req->maybe_result);
+		return;
+	}
 	call->outcome = (enum ky_outcome)outcome;
 	if (len > 0)
 		call->reply = g_memdup2(body, len);
--- a/daemon/req_int.h
+++ b/daemon/req_int.h
@@ -164,6 +164,7 @@
 void req_server_refused(struct req_task *r, const char *addr, int port,
 			bool tell);
 bool req_group_usable(const struct req_group *group);
+bool req_group_fits(const struct req_group *group, const struct req *req);
 void req_document(struct req_task *r, struct doc_view *view);
 void req_signs_init(struct req_task *r);
 void req_servers_api(struct req_task *r, struct svc_api_call *call);
@@ -186,7 +187,10 @@
 bool req_forward(struct req *req, const char *host);
 void req_forward_cancel(struct req *req);
 void req_forward_owner(struct req *req, const struct ky_owner *owner);
-bool req_forward_elsewhere(struct req *req);
+bool req_must_leave(const struct req *req);
+void req_leave_queue(struct req *req);
+void req_pass_on(struct req *req);
+void req_forward_waiting(struct req_group *group);
 void req_forward_in(struct req_task *r, const struct pr_in *in);
 void req_forward_reply_out(struct req *req);
 void req_forward_reply_in(struct req_task *r, const struct pr_in *in);
--- a/daemon/req_run.c
+++ b/daemon/req_run.c
@@ -204,9 +204,11 @@
 	int result;
 
 	req->group = req_group_get(r, call->service);
+	if (req_must_leave(req)) {
+		req_pass_on(req);
+		return;
+	}
 	if (!req_group_usable(req->group)) {
-		if (req->from_host[0] == '\0' && req_forward_elsewhere(req))
-			return;
 		req_not_run(req, CB_E_NO_SERVER);
 		return;
 	}
@@ -341,6 +343,10 @@
 		ctr_add(&r->ctrs.retries, 1);
 		req_set_state(req, REQ_ST_QUEUED);
 		rq_put_back(&req->group->rq, &req->item);
+		if (req_must_leave(req)) {
+			req_leave_queue(req);
+			req_pass_on(req);
+		}
 		return;
 	}
 	if (may)
@@ -397,6 +403,7 @@
 	struct req *req;
 
 	while (group->rq.waiting > 0) {
+		req_forward_waiting(group);
 		find_capacity(group, c, now_us);
 		item = rq_take(&group->rq, c->free, c->slots, now_us);
 		if (!item)
--- a/daemon/req_servers.c
+++ b/daemon/req_servers.c
@@ -89,6 +89,27 @@
 	return false;
 }
 
+/*
+ * True when a server of the queue suits the request. A trial of a server in
+ * probation may lose the request, so it takes only work that may be repeated.
+ * A retry goes to another server than the one that lost the request.
+ */
+bool req_group_fits(const struct req_group *group, const struct req *req)
+{
+	const struct req_server *server;
+	guint i;
+
+	for (i = 0; i < group->servers->len; i++) {
+		server = g_ptr_array_index(group->servers, i);
+		if (mb_allowed(&server->mb) <= 0 ||
+		    (req->maybe_ran && server == req->server))
+			continue;
+		if (server->mb.state == MB_LIVE || req->idempotent)
+			return true;
+	}
+	return false;
+}
+
 /* Puts the customers of a new document into force in all queues. */
 void req_document(struct req_task *r, struct doc_view *view)
 {
--- a/tests/unit/test_req.c
+++ b/tests/unit/test_req.c
@@ -609,6 +609,51 @@
 }
 END_TEST
 
+/*
+ * Guards against queued requests that are refused after the ejection of the
+ * last server, and against a trial that loses a POST (3.5).
+ */
+START_TEST(queue_goes_to_other_data_centre)
+{
+	char target[32], want[32];
+	uint64_t before;
+	int i;
+
+	begin(2, true, true);
+	/* Each host has one server of its own. */
+	sets[0].backends[0] = sets[0].backends[1];
+	sets[0].backend_count = sets[1].backend_count = 1;
+	kill_host(0);
+	kill_host(1);
+	start_host(0, 200);
+	start_host(1, 201);
+	be_turn(&kn, 1500);
+	be_server_mode(&servers[0], BE_HANG, 0);
+	be_turn(&kn, 20);
+	for (i = 0; i < 30; i++) {
+		snprintf(target, sizeof(target), "/r/web/%d", i);
+		/* The first 8 hold the slots of the server. */
+		send_request(i, 1, i < 8 ? "GET" : "POST", target,
+			     ACME "Chivebank-Class: long\r\n", "");
+	}
+	be_turn(&kn, 50);
+	be_server_mode(&servers[0], BE_REFUSE, 0);
+	for (i = 8; i < 30; i++) {
+		snprintf(want, sizeof(want), "POST /%d ", i);
+		ck_assert_msg(be_wait_text(&kn, &socks[i], want, 2000),
+			      "%d: %s", i, socks[i].in);
+	}
+	/* The server accepts a trial now, and would lose it. */
+	be_server_mode(&servers[0], BE_CLOSE_AFTER, 0);
+	be_turn(&kn, EJECT_BASE_MS + 200);
+	before = servers[0].ledger.executed;
+	for (i = 0; i < 3; i++)
+		expect(1, "POST", "/r/web/pay", ACME, "1", "POST /pay ");
+	ck_assert_uint_eq(servers[0].ledger.executed, before);
+	end();
+}
+END_TEST
+
 /* Guards against two hosts that together overload a server. */
 START_TEST(hosts_share_the_slots)
 {
@@ -676,6 +721,7 @@
 	tcase_add_test(tc, refusal_is_passed_on);
 	tcase_add_test(tc, keys_go_to_their_owner);
 	tcase_add_test(tc, other_data_centre_helps_out);
+	tcase_add_test(tc, queue_goes_to_other_data_centre);
 	tcase_add_test(tc, hosts_share_the_slots);
 	tcase_add_test(tc, finished_keys_are_handed_over);
 	suite_add_tcase(suite, tc);
