Wait for the last replies at a graceful stop

Both now wait until hs_active() of their server is 0. The timeouts of the server bound the wait: HTTP_BODY_TIMEOUT_MS for a reply, HTTP_LINGER_MS for a caller that does not close.

--- a/daemon/api.c
+++ b/daemon/api.c
@@ -4,6 +4,7 @@
 #include <string.h>
 
 #include "base/err.h"
+#include "base/limits.h"
 #include "daemon/api_int.h"
 
 /* Paths of other services; the first prefix that fits counts. */
@@ -74,18 +75,13 @@
 /* Sends the answer to where the call came from and frees the call. */
 void api_send_answer(struct api_call *call)
 {
-	struct api *api = call->api;
-
 	if (call->call.status >= 400)
-		ctr_add(&api->errors, 1);
+		ctr_add(&call->api->errors, 1);
 	if (call->host[0])
 		api_forward_answer(call);
 	else if (call->req)
 		reply(call);
 	api_call_free(call);
-	if (api->task.kn->draining && !api->task.drained &&
-	    list_empty(&api->calls))
-		kn_drained(&api->task);
 }
 
 /* ---- routing ---- */
@@ -243,14 +239,28 @@
 	return true;
 }
 
+/*
+ * The stop ends once no call is in progress and the last reply has been
+ * sent, within the timeouts of the server.
+ */
+static void watch_drain(struct kn_timer *timer)
+{
+	struct api *api = container_of(timer, struct api, drain_timer);
+
+	if (list_empty(&api->calls) && hs_active(&api->server) == 0)
+		kn_drained(&api->task);
+	else
+		kn_timer_set(api->task.kn, timer, STOP_POLL_MS * USEC_PER_MSEC,
+			     watch_drain);
+}
+
 /* /healthz and the other paths are answered until the process ends. */
 static void api_drain(struct kn_task *task)
 {
 	struct api *api = container_of(task, struct api, task);
 
 	hs_drain(&api->server);
-	if (list_empty(&api->calls))
-		kn_drained(task);
+	watch_drain(&api->drain_timer);
 }
 
 static void api_finish(struct kn_task *task)
@@ -258,6 +268,7 @@
 	struct api *api = container_of(task, struct api, task);
 	struct api_call *call, *next;
 
+	kn_timer_cancel(&api->drain_timer);
 	if (api->listening)
 		hs_finish(&api->server);
 	list_for_each_entry_safe(call, next, &api->calls, node) {
--- a/daemon/api_int.h
+++ b/daemon/api_int.h
@@ -20,6 +20,7 @@
 	char leader[NAME_MAX_BYTES];
 	bool leading;
 	struct list_head calls; /* struct api_call */
+	struct kn_timer drain_timer;
 	uint64_t next_id; /* of forwards and ticket calls */
 	struct ctr requests;
 	struct ctr errors;
--- a/daemon/front.c
+++ b/daemon/front.c
@@ -22,7 +22,6 @@
 	uint64_t next_id;
 	bool draining; /* healthz fails */
 	bool refusing; /* after the drain delay */
-	int64_t idle_us; /* since then nothing is pending while refusing */
 	struct kn_timer timer;
 	struct ctr received;
 	struct ctr malformed;
@@ -361,29 +360,23 @@
 }
 
 /*
- * The stop ends once no request is pending and the last replies have had
- * FRONT_FLUSH_MS to leave.
+ * The stop ends once no request is pending and the last reply has been sent.
+ * The timeouts of the server bound how long a slow caller holds it up.
  */
 static void watch_drain(struct kn_timer *timer)
 {
 	struct front *f = container_of(timer, struct front, timer);
-	int64_t now_us = kn_now_us();
 
 	if (!f->refusing) {
 		f->refusing = true;
 		hs_drain(&f->server);
 	}
-	if (g_hash_table_size(f->pending) > 0)
-		f->idle_us = 0;
-	else if (f->idle_us == 0)
-		f->idle_us = now_us;
-	if (f->server.conn_count == 0 ||
-	    (f->idle_us != 0 &&
-	     now_us - f->idle_us >= FRONT_FLUSH_MS * USEC_PER_MSEC)) {
+	if (g_hash_table_size(f->pending) == 0 && hs_active(&f->server) == 0) {
 		kn_drained(&f->task);
 		return;
 	}
-	kn_timer_set(f->task.kn, timer, 20 * USEC_PER_MSEC, watch_drain);
+	kn_timer_set(f->task.kn, timer, STOP_POLL_MS * USEC_PER_MSEC,
+		     watch_drain);
 }
 
 static void drain(struct kn_task *task)
--- a/tests/unit/test_api.c
+++ b/tests/unit/test_api.c
@@ -1,10 +1,13 @@
 #include <check.h>
+#include <netinet/in.h>
 #include <stdlib.h>
 #include <string.h>
+#include <sys/socket.h>
 #include <unistd.h>
 
 #include "base/err.h"
 #include "daemon/api.h"
+#include "daemon/api_int.h"
 #include "daemon/document.h"
 #include "daemon/document_int.h"
 #include "daemon/store.h"
@@ -276,6 +279,56 @@
 
 /* ---- tests ---- */
 
+/* Guards against a stop that cuts off a reply to a slow operator (I7). */
+START_TEST(stop_waits_for_slow_operator)
+{
+	const char *text = "GET /v1/customers HTTP/1.1\r\nHost: x\r\n"
+			   "Authorization: Bearer root\r\n\r\n";
+	struct sockaddr_in sin = { .sin_family = AF_INET };
+	struct request r = { 0 };
+	int64_t limit;
+	int fd, i, size = 2048;
+	char name[80], data[8192];
+	ssize_t n, got = 0;
+	struct api *api;
+
+	start_ready(0, true, false);
+	for (i = 0; i < 400; i++) {
+		snprintf(name, sizeof(name), "customer/c%055d", i);
+		put(&r, name, "{\"weight\": 1}", "0", 200, 0);
+	}
+	api = container_of(hosts[0].api, struct api, task);
+	/* Connections inherit the size of the send buffer. */
+	setsockopt(api->server.listen_fd, SOL_SOCKET, SO_SNDBUF, &size,
+		   sizeof(size));
+	sin.sin_port = htons((uint16_t)api_port(hosts[0].api));
+	sin.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+	fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+	setsockopt(fd, SOL_SOCKET, SO_RCVBUF, &size, sizeof(size));
+	ck_assert_int_eq(connect(fd, (struct sockaddr *)&sin, sizeof(sin)), 0);
+	ck_assert_int_eq(send(fd, text, strlen(text), 0),
+			 (ssize_t)strlen(text));
+	for (limit = kn_now_us() + 300000; kn_now_us() < limit;)
+		turn();
+	hosts[0].api->ops->drain(hosts[0].api);
+	for (limit = kn_now_us() + 300000; kn_now_us() < limit;)
+		turn();
+	ck_assert(!hosts[0].api->drained);
+	limit = kn_now_us() + 10 * USEC_PER_SEC;
+	while (!hosts[0].api->drained && kn_now_us() < limit) {
+		turn();
+		n = recv(fd, data, sizeof(data), MSG_DONTWAIT);
+		got += n > 0 ? n : 0;
+	}
+	ck_assert(hosts[0].api->drained);
+	while ((n = recv(fd, data, sizeof(data), MSG_DONTWAIT)) > 0)
+		got += n;
+	ck_assert_int_gt(got, 400 * 64);
+	close(fd);
+	json_decref(r.answer);
+}
+END_TEST
+
 /*
  * Guards against a document call that answers wrongly anywhere between the
  * HTTP request and the store; runs standalone on the in-process store.
@@ -711,6 +764,7 @@
 	tcase_set_timeout(tc, 60);
 	tcase_add_checked_fixture(tc, setup, teardown);
 	tcase_add_test(tc, document_calls_standalone);
+	tcase_add_test(tc, stop_waits_for_slow_operator);
 	tcase_add_test(tc, teams_see_no_tokens);
 	tcase_add_test(tc, lost_answers_and_outages);
 	tcase_add_test(tc, repeated_change_is_answered_again);
