Give each run of test_req its own peer ports

Two checkouts that ran the test at the same time shared ports 22100 and 22101, and 7 of 14 checks failed with "address already in use". The port now depends on the process, as in test_api.

--- a/tests/unit/test_req.c
+++ b/tests/unit/test_req.c
@@ -5,6 +5,7 @@
 #include <stdlib.h>
 #include <string.h>
 #include <sys/socket.h>
+#include <unistd.h>
 
 #include "base/err.h"
 #include "base/ev.h"
@@ -20,7 +21,7 @@
 
 #define HOSTS_MAX 2
 #define SERVERS 2
-#define BASE_PORT 22100
+#define BASE_PORT (22100 + (int)(getpid() % 400) * 5) /* for parallel runs */
 
 /* ---- entry hosts and servers in one process ---- */
 
