Forward a job to a data centre whose pool could hold it

The scheduler refused a job with CB_E_NEVER_FITS when its own pool was too small, although another data centre of the region could hold it. A submission crosses data centres once only. If no leader there can be reached, the answer is CB_E_NO_LEADER, since the job could fit.

The leader is known from heartbeats. The document service put the epoch of the known leader into the heartbeats of all hosts, so hosts that don't lead claimed to; job_elsewhere then failed whenever the first host of pg1 did not lead. Only the leadership service states the epoch now, as wire/pr.h says.

Before: job_elsewhere was refused with 422. GET of a forwarded job is answered only by the data centre that holds it.

--- a/daemon/api.c
+++ b/daemon/api.c
@@ -196,7 +196,9 @@
 
 	switch (msg->type) {
 	case SVC_API_REPLY:
-		api_send_answer(container_of(msg, struct api_call, call.msg));
+		if (!api_away(container_of(msg, struct api_call, call.msg)))
+			api_send_answer(
+				container_of(msg, struct api_call, call.msg));
 		return;
 	case SVC_DOC_CHANGED:
 		on_document(api, container_of(msg, struct svc_doc, msg));
@@ -209,7 +211,12 @@
 				 container_of(msg, struct req_tickets, msg));
 		break;
 	case PR_MSG_IN:
-		api_forward_message(api, container_of(msg, struct pr_in, msg));
+		if (container_of(msg, struct pr_in, msg)->type == PR_HEARTBEAT)
+			api_away_heartbeat(
+				api, container_of(msg, struct pr_in, msg));
+		else
+			api_forward_message(
+				api, container_of(msg, struct pr_in, msg));
 		break;
 	default:
 		break;
@@ -229,6 +236,7 @@
 	if (api->lead)
 		svc_subscribe(api->lead, task);
 	if (api->peers) {
+		pr_subscribe(api->peers, task, PR_HEARTBEAT);
 		pr_subscribe(api->peers, task, PR_API_FORWARD);
 		pr_subscribe(api->peers, task, PR_API_FORWARD_REPLY);
 	}
--- /dev/null
+++ b/daemon/api_away.c
@@ -0,0 +1,96 @@
+#include <string.h>
+
+#include "base/err.h"
+#include "base/ev.h"
+#include "daemon/api_int.h"
+#include "policy/pl.h"
+
+/* Element 3 of a heartbeat is the epoch that the sender leads with. */
+#define HEARTBEAT_EPOCH 3
+
+void api_away_heartbeat(struct api *api, struct pr_in *in)
+{
+	const msgpack_object *body = &in->body.data;
+	const msgpack_object *epoch;
+	size_t i;
+
+	if (body->type != MSGPACK_OBJECT_ARRAY ||
+	    body->via.array.size <= HEARTBEAT_EPOCH)
+		return;
+	epoch = &body->via.array.ptr[HEARTBEAT_EPOCH];
+	if (epoch->type != MSGPACK_OBJECT_POSITIVE_INTEGER)
+		return;
+	for (i = 0; i < api->set->peer_count; i++)
+		if (strcmp(api->set->peers[i].host, in->host) == 0)
+			api->peer_epochs[i] = epoch->via.u64;
+}
+
+static bool never_fits(const struct api_call *call)
+{
+	const json_t *error = json_object_get(call->call.answer, "error");
+
+	return json_integer_value(json_object_get(error, "code")) ==
+	       CB_E_NEVER_FITS;
+}
+
+/* Whether the peer's data centre is another one of the region and fits. */
+static bool could_hold(const struct api *api, const struct set_peer *peer,
+		       int accelerators)
+{
+	const struct doc_pool *pool;
+
+	if (strcmp(peer->dc, api->set->dc) == 0 ||
+	    strcmp(peer->region, api->set->region) != 0)
+		return false;
+	pool = doc_view_pool(api->view, peer->dc);
+	return pool && pl_pool_could_hold(pool, accelerators);
+}
+
+/*
+ * Takes over the refusal of a submission that another data centre of the
+ * region could hold: the call goes to the leader there. Returns false when
+ * the answer stands. A submission crosses data centres once only, so that two
+ * that know different documents don't send it back and forth.
+ */
+bool api_away(struct api_call *call)
+{
+	struct api *api = call->api;
+	const char *dc = NULL;
+	const char *leader = NULL;
+	uint64_t epoch = 0;
+	int accelerators;
+	size_t i;
+
+	if (call->other_dc || !api->view || !api->peers || !never_fits(call))
+		return false;
+	accelerators = (int)json_integer_value(
+		json_object_get(call->call.body, "accelerators"));
+	for (i = 0; i < api->set->peer_count; i++) {
+		const struct set_peer *peer = &api->set->peers[i];
+
+		/* Counting a pool takes long, so once per data centre. */
+		if ((!dc || strcmp(dc, peer->dc) != 0) &&
+		    (leader || !could_hold(api, peer, accelerators)))
+			continue;
+		dc = peer->dc;
+		if (api->peer_epochs[i] > epoch &&
+		    pr_connected(api->peers, peer->host)) {
+			epoch = api->peer_epochs[i];
+			leader = peer->host;
+		}
+	}
+	if (!dc)
+		return false;
+	json_decref(call->call.answer);
+	call->call.answer = NULL;
+	ev_emit("api.other_dc", "dc=%s leader=%s accelerators=%d", dc,
+		leader ? leader : "", accelerators);
+	if (leader)
+		api_forward_to(call, leader);
+	else
+		svc_api_fail(&call->call, &api->task, CB_E_NO_LEADER,
+			     "no leading host of data centre \"%s\", which "
+			     "could hold the job, can be reached",
+			     dc);
+	return true;
+}
--- a/daemon/api_forward.c
+++ b/daemon/api_forward.c
@@ -62,7 +62,7 @@
 	svc_api_fail(&call->call, &call->api->task, CB_E_TIMEOUT,
 		     "the leading host \"%s\" did not answer; the call may "
 		     "have taken effect",
-		     call->api->leader);
+		     call->to);
 }
 
 static void send_forward(struct api_call *call)
@@ -82,7 +82,7 @@
 	pack_text(&pk, call->call.token);
 	pack_text(&pk, call->call.if_match);
 	pack_text(&pk, call->call.key);
-	pr_send(api->peers, api->leader, PR_API_FORWARD, &out);
+	pr_send(api->peers, call->to, PR_API_FORWARD, &out);
 	msgpack_sbuffer_destroy(&out);
 	free(body);
 }
@@ -100,6 +100,14 @@
 			     api->set->dc);
 		return;
 	}
+	api_forward_to(call, api->leader);
+}
+
+void api_forward_to(struct api_call *call, const char *host)
+{
+	struct api *api = call->api;
+
+	g_strlcpy(call->to, host, sizeof(call->to));
 	call->forward_id = ++api->next_id;
 	kn_timer_set(api->task.kn, &call->timer,
 		     API_FORWARD_TIMEOUT_MS * USEC_PER_MSEC, on_timeout);
@@ -143,6 +151,7 @@
 		return;
 	call = api_call_new(api);
 	g_strlcpy(call->host, in->host, sizeof(call->host));
+	call->other_dc = strcmp(in->dc, api->set->dc) != 0;
 	call->remote_id = id;
 	method = get_text(body, 1);
 	target = get_text(body, 2);
--- a/daemon/api_int.h
+++ b/daemon/api_int.h
@@ -19,6 +19,8 @@
 	struct doc_view *view; /* NULL until a document is known */
 	char leader[NAME_MAX_BYTES];
 	bool leading;
+	/* Per peer of the settings: what it leads with, 0 if it does not. */
+	uint64_t peer_epochs[PEERS_MAX];
 	struct list_head calls; /* struct api_call */
 	uint64_t next_id; /* of forwards and ticket calls */
 	struct ctr requests;
@@ -32,12 +34,14 @@
 	struct api *api;
 	struct hs_request *req; /* NULL: of a peer, or gone */
 	char *target; /* as sent */
+	char to[NAME_MAX_BYTES]; /* host that it was forwarded to */
 	uint64_t ticket_id; /* waits for tickets */
 	/* Forwarded to the leader. */
 	uint64_t forward_id;
 	struct kn_timer timer;
 	/* Of a peer. */
 	char host[NAME_MAX_BYTES]; /* empty: not of a peer */
+	bool other_dc; /* of a peer of another data centre */
 	uint64_t remote_id;
 };
 
@@ -65,7 +69,16 @@
 
 /* Sends a call to the leading host, or fails it. */
 void api_forward(struct api_call *call);
+/* Sends a call to a connected host; its reply is the call's answer. */
+void api_forward_to(struct api_call *call, const char *host);
 void api_forward_message(struct api *api, struct pr_in *in);
 void api_forward_answer(struct api_call *call);
 
+/* ---- api_away.c ---- */
+
+/* Notes which peers lead their data centres. */
+void api_away_heartbeat(struct api *api, struct pr_in *in);
+/* Forwards a submission that this data centre's pool can't hold. */
+bool api_away(struct api_call *call);
+
 #endif
--- a/daemon/document.c
+++ b/daemon/document.c
@@ -54,7 +54,8 @@
 		tell(d, d->subscribers->pdata[i]);
 	if (!d->peers)
 		return;
-	pr_set_status(d->peers, doc->revision, d->epoch, d->task.kn->draining);
+	/* Only the leadership service states the epoch: others don't lead. */
+	pr_set_status(d->peers, doc->revision, 0, d->task.kn->draining);
 	if (announce && doc->revision > 0)
 		document_push(d, NULL, before);
 }
@@ -198,17 +199,6 @@
 		tell(d, from);
 }
 
-static void on_lead(struct document *d, const struct svc_lead *lead)
-{
-	set_leading(d, lead->leading);
-	if (lead->epoch == d->epoch)
-		return;
-	d->epoch = lead->epoch;
-	if (d->peers)
-		pr_set_status(d->peers, d->doc->revision, d->epoch,
-			      d->task.kn->draining);
-}
-
 static void on_peer_up(struct document *d, const struct pr_status *status)
 {
 	if (status->doc_revision > d->doc->revision)
@@ -224,7 +214,8 @@
 		subscribe(d, msg->from);
 		break;
 	case SVC_LEAD_CHANGED:
-		on_lead(d, container_of(msg, struct svc_lead, msg));
+		set_leading(d,
+			    container_of(msg, struct svc_lead, msg)->leading);
 		break;
 	case SVC_API_CALL:
 		document_api_call(d,
--- a/daemon/document_int.h
+++ b/daemon/document_int.h
@@ -33,7 +33,6 @@
 	struct doc *incoming; /* partly received */
 	int64_t pulled_revision;
 	int64_t pulled_us;
-	uint64_t epoch;
 	/* Changes; the first one runs. */
 	struct list_head changes;
 	struct list_head fetches; /* struct doc_fetch in progress */
--- a/daemon/sched_sync.c
+++ b/daemon/sched_sync.c
@@ -6,6 +6,7 @@
 #include "base/ev.h"
 #include "base/log.h"
 #include "daemon/sched_int.h"
+#include "policy/pl.h"
 
 #define MS(ms) ((int64_t)(ms)*USEC_PER_MSEC)
 
@@ -152,23 +153,11 @@
 	}
 }
 
-/* Accelerators of the largest worker, which counts as a whole one. */
-static int worker_size(const struct doc_pool *pool)
-{
-	int size = 1;
-	size_t i;
-
-	for (i = 0; pool && i < pool->worker_count; i++)
-		if (pool->workers[i].accelerators <= WORKER_ACCELERATORS_MAX)
-			size = MAX(size, pool->workers[i].accelerators);
-	return size;
-}
-
 /* Makes the policy for the document in force. */
 void sched_build(struct sched *s)
 {
 	sc_init(&s->sc, &sched_sc_ops,
-		worker_size(doc_view_pool(s->view, s->set->dc)),
+		pl_worker_size(doc_view_pool(s->view, s->set->dc)),
 		WORKERS_PER_RACK);
 	s->have_sc = true;
 	apply_customers(s, NULL);
@@ -184,7 +173,7 @@
 	const struct doc_pool *pool = doc_view_pool(s->view, s->set->dc);
 
 	return pool && pool->worker_count > 0 &&
-	       worker_size(pool) != s->sc.cell.worker_size;
+	       pl_worker_size(pool) != s->sc.cell.worker_size;
 }
 
 /* Takes the place of the view old, whose reference it drops. */
--- a/policy/pl.c
+++ b/policy/pl.c
@@ -399,3 +399,31 @@
 	}
 	return false;
 }
+
+/* Accelerators of the pool's largest worker, which counts as a whole one. */
+int pl_worker_size(const struct doc_pool *pool)
+{
+	int size = 1;
+	size_t i;
+
+	for (i = 0; pool && i < pool->worker_count; i++)
+		if (pool->workers[i].accelerators <= WORKER_ACCELERATORS_MAX)
+			size = MAX(size, pool->workers[i].accelerators);
+	return size;
+}
+
+/* As pl_could_hold(), for a pool as the document states it. */
+bool pl_pool_could_hold(const struct doc_pool *pool, int total)
+{
+	struct cell cell;
+	bool fits;
+	size_t i;
+
+	cell_init(&cell, pl_worker_size(pool), WORKERS_PER_RACK);
+	for (i = 0; i < pool->worker_count; i++)
+		cell_add_worker(&cell, pool->workers[i].rack,
+				pool->workers[i].accelerators);
+	fits = pl_could_hold(&cell, total);
+	cell_finish(&cell);
+	return fits;
+}
--- a/policy/pl.h
+++ b/policy/pl.h
@@ -1,6 +1,7 @@
 #ifndef POLICY_PL_H
 #define POLICY_PL_H
 
+#include "policy/docview.h"
 #include "policy/gs.h"
 
 #define PL_NO_EVICTION INT32_MAX
@@ -49,6 +50,8 @@
 void pl_unreserve(struct gs *gs);
 /* Whether empty cells could hold a gang of that many accelerators. */
 bool pl_could_hold(const struct cell *cell, int total);
+int pl_worker_size(const struct doc_pool *pool);
+bool pl_pool_could_hold(const struct doc_pool *pool, int total);
 /*
  * Finds a small stoppable gang that could go on beside other work, so that
  * its own worker would become whole; NULL when there is none.
--- a/tests/scenarios/job_elsewhere.lua
+++ b/tests/scenarios/job_elsewhere.lua
@@ -15,3 +15,8 @@
 		if task.job == reply.json.id and task.go_us > 0 then return true end
 	end
 end, 20000, "the job runs in pg1")
+-- Guards against a job without any possible place that is sent round or kept.
+reply = c:submit("b1", "nowhere", {customer = "roda", accelerators = 24})
+check(reply.status == 422 and reply.json.error.name == "CB_E_NEVER_FITS",
+	"submission that no pool could hold: " .. reply.status .. " " ..
+	reply.body)
