--- a/daemon/document.c
+++ b/daemon/document.c
@@ -198,11 +198,6 @@
 		tell(d, from);
 }
 
-static void on_lead(struct document *d, const struct svc_lead *lead)
-{
-	set_leading(d, lead->leading);
-}
-
 static void on_peer_up(struct document *d, const struct pr_status *status)
 {
 	if (status->doc_revision > d->doc->revision)
@@ -218,7 +213,8 @@
 		subscribe(d, msg->from);
 		break;
 	case SVC_LEAD_CHANGED:
-		on_lead(d, container_of(msg, struct svc_lead, msg));
+		set_leading(d,
+			    container_of(msg, struct svc_lead, msg)->leading);
 		break;
 	case SVC_API_CALL:
 		document_api_call(d,
