--- a/tests/unit/test_api.c
+++ b/tests/unit/test_api.c
@@ -15,6 +15,7 @@
 #include "tests/standins/pf_server.h"
 #include "wire/hc.h"
 #include "wire/pr.h"
+#include "tests/unit/run.h"
 
 #define HOSTS 2
 #define BASE_PORT 23000
@@ -814,10 +815,7 @@
 
 int main(void)
 {
-	Suite *suite = suite_create("api");
 	TCase *tc = tcase_create("api");
-	SRunner *runner = srunner_create(suite);
-	int failed;
 
 	tcase_set_timeout(tc, 60);
 	tcase_add_checked_fixture(tc, setup, teardown);
@@ -833,9 +831,5 @@
 	tcase_add_test(tc, old_revisions_are_pruned);
 	tcase_add_test(tc, leaders_calls_are_forwarded);
 	tcase_add_test(tc, changes_of_jobs_need_a_token);
-	suite_add_tcase(suite, tc);
-	srunner_run_all(runner, CK_NORMAL);
-	failed = srunner_ntests_failed(runner);
-	srunner_free(runner);
-	return failed ? EXIT_FAILURE : EXIT_SUCCESS;
+	return run_case("api", tc);
 }
--- a/tests/unit/test_cell.c
+++ b/tests/unit/test_cell.c
@@ -4,6 +4,7 @@
 #include <glib.h>
 
 #include "policy/cell.h"
+#include "tests/unit/run.h"
 
 #define GANGS 40
 
@@ -106,16 +107,9 @@
 
 int main(void)
 {
-	Suite *suite = suite_create("cell");
 	TCase *tc = tcase_create("cell");
-	SRunner *runner = srunner_create(suite);
-	int failed;
 
 	tcase_add_test(tc, counts_match_a_recount);
 	tcase_add_test(tc, largest_gang_follows_the_topology);
-	suite_add_tcase(suite, tc);
-	srunner_run_all(runner, CK_NORMAL);
-	failed = srunner_ntests_failed(runner);
-	srunner_free(runner);
-	return failed ? EXIT_FAILURE : EXIT_SUCCESS;
+	return run_case("cell", tc);
 }
--- a/tests/unit/test_ctr.c
+++ b/tests/unit/test_ctr.c
@@ -4,6 +4,7 @@
 
 #include "base/ctr.h"
 #include "base/ev.h"
+#include "tests/unit/run.h"
 
 /* Guards against a metrics page that scrapers can't read. */
 START_TEST(metrics_print_in_text_format)
@@ -57,16 +58,9 @@
 
 int main(void)
 {
-	Suite *suite = suite_create("ctr");
 	TCase *tc = tcase_create("counters");
-	SRunner *runner = srunner_create(suite);
-	int failed;
 
 	tcase_add_test(tc, metrics_print_in_text_format);
 	tcase_add_test(tc, ring_keeps_the_newest_events);
-	suite_add_tcase(suite, tc);
-	srunner_run_all(runner, CK_NORMAL);
-	failed = srunner_ntests_failed(runner);
-	srunner_free(runner);
-	return failed ? EXIT_FAILURE : EXIT_SUCCESS;
+	return run_case("ctr", tc);
 }
--- a/tests/unit/test_doc.c
+++ b/tests/unit/test_doc.c
@@ -4,6 +4,7 @@
 
 #include "base/err.h"
 #include "policy/doc.h"
+#include "tests/unit/run.h"
 
 static json_t *body(const char *text)
 {
@@ -333,10 +334,7 @@
 
 int main(void)
 {
-	Suite *suite = suite_create("doc");
 	TCase *tc = tcase_create("document");
-	SRunner *runner = srunner_create(suite);
-	int failed;
 
 	tcase_add_loop_test(tc, section_errors_name_key_value_and_allowed, 0,
 			    G_N_ELEMENTS(bad_sections));
@@ -347,9 +345,5 @@
 			    G_N_ELEMENTS(left_over));
 	tcase_add_test(tc, root_and_bodies_survive_the_store);
 	tcase_add_test(tc, difference_follows_names);
-	suite_add_tcase(suite, tc);
-	srunner_run_all(runner, CK_NORMAL);
-	failed = srunner_ntests_failed(runner);
-	srunner_free(runner);
-	return failed ? EXIT_FAILURE : EXIT_SUCCESS;
+	return run_case("doc", tc);
 }
--- a/tests/unit/test_docview.c
+++ b/tests/unit/test_docview.c
@@ -2,6 +2,7 @@
 #include <stdlib.h>
 
 #include "policy/doc.h"
+#include "tests/unit/run.h"
 
 static void put(struct doc **doc, const char *section, const char *text)
 {
@@ -66,16 +67,9 @@
 
 int main(void)
 {
-	Suite *suite = suite_create("docview");
 	TCase *tc = tcase_create("view");
-	SRunner *runner = srunner_create(suite);
-	int failed;
 
 	tcase_add_test(tc, view_holds_values_and_defaults);
 	tcase_add_test(tc, view_lives_until_its_last_reference);
-	suite_add_tcase(suite, tc);
-	srunner_run_all(runner, CK_NORMAL);
-	failed = srunner_ntests_failed(runner);
-	srunner_free(runner);
-	return failed ? EXIT_FAILURE : EXIT_SUCCESS;
+	return run_case("docview", tc);
 }
--- a/tests/unit/test_fr.c
+++ b/tests/unit/test_fr.c
@@ -5,6 +5,7 @@
 #include "base/err.h"
 #include "base/limits.h"
 #include "wire/fr.h"
+#include "tests/unit/run.h"
 
 static msgpack_sbuffer make_body(size_t fields)
 {
@@ -180,10 +181,7 @@
 
 int main(void)
 {
-	Suite *suite = suite_create("fr");
 	TCase *tc = tcase_create("frames");
-	SRunner *runner = srunner_create(suite);
-	int failed;
 
 	tcase_set_timeout(tc, 60);
 	tcase_add_test(tc, message_survives_pack_and_split);
@@ -191,9 +189,5 @@
 	tcase_add_test(tc, hostile_counts_and_depth_are_refused);
 	tcase_add_test(tc, check_agrees_with_the_library);
 	tcase_add_test(tc, empty_strings_are_not_null);
-	suite_add_tcase(suite, tc);
-	srunner_run_all(runner, CK_NORMAL);
-	failed = srunner_ntests_failed(runner);
-	srunner_free(runner);
-	return failed ? EXIT_FAILURE : EXIT_SUCCESS;
+	return run_case("fr", tc);
 }
--- a/tests/unit/test_fuzz.c
+++ b/tests/unit/test_fuzz.c
@@ -12,6 +12,7 @@
 #include "tests/fuzz/fuzz_frame.c"
 #include "tests/fuzz/fuzz_message.c"
 #include "tests/fuzz/fuzz_settings.c"
+#include "tests/unit/run.h"
 
 #define ROUNDS 3000 /* mutations of each seed */
 
@@ -95,16 +96,9 @@
 
 int main(void)
 {
-	Suite *suite = suite_create("fuzz");
 	TCase *tc = tcase_create("decoders");
-	SRunner *runner = srunner_create(suite);
-	int failed;
 
 	tcase_set_timeout(tc, 120);
 	tcase_add_loop_test(tc, seeds_and_mutations, 0, 4);
-	suite_add_tcase(suite, tc);
-	srunner_run_all(runner, CK_NORMAL);
-	failed = srunner_ntests_failed(runner);
-	srunner_free(runner);
-	return failed ? EXIT_FAILURE : EXIT_SUCCESS;
+	return run_case("fuzz", tc);
 }
--- a/tests/unit/test_gg.c
+++ b/tests/unit/test_gg.c
@@ -7,6 +7,7 @@
 #include <xxhash.h>
 
 #include "policy/gg.h"
+#include "tests/unit/run.h"
 
 #define MS(ms) ((int64_t)(ms)*USEC_PER_MSEC)
 
@@ -1038,10 +1039,7 @@
 
 int main(void)
 {
-	Suite *suite = suite_create("gg");
 	TCase *tcase = tcase_create("gg");
-	SRunner *runner = srunner_create(suite);
-	int failed;
 
 	tcase_set_timeout(tcase, 120);
 	tcase_add_test(tcase, phases_wait_for_all);
@@ -1051,9 +1049,5 @@
 	tcase_add_test(tcase, checkpoint_of_all_members);
 	tcase_add_test(tcase, adoption);
 	tcase_add_test(tcase, model);
-	suite_add_tcase(suite, tcase);
-	srunner_run_all(runner, CK_ENV);
-	failed = srunner_ntests_failed(runner);
-	srunner_free(runner);
-	return failed ? EXIT_FAILURE : EXIT_SUCCESS;
+	return run_case("gg", tcase);
 }
--- a/tests/unit/test_gs.c
+++ b/tests/unit/test_gs.c
@@ -6,6 +6,7 @@
 #include <glib.h>
 
 #include "policy/pl.h"
+#include "tests/unit/run.h"
 
 #define RACKS 3
 #define RACK_SIZE 2
@@ -327,18 +328,11 @@
 
 int main(void)
 {
-	Suite *suite = suite_create("gs");
 	TCase *tc = tcase_create("gs");
-	SRunner *runner = srunner_create(suite);
-	int failed;
 
 	tcase_set_timeout(tc, 120);
 	tcase_add_test(tc, proof_matches_brute_force);
 	tcase_add_test(tc, unstoppable_work_is_never_lent_a_guaranteed_place);
 	tcase_add_test(tc, host_failure_breaks_and_restores_the_guarantee);
-	suite_add_tcase(suite, tc);
-	srunner_run_all(runner, CK_NORMAL);
-	failed = srunner_ntests_failed(runner);
-	srunner_free(runner);
-	return failed ? EXIT_FAILURE : EXIT_SUCCESS;
+	return run_case("gs", tc);
 }
--- a/tests/unit/test_hc.c
+++ b/tests/unit/test_hc.c
@@ -10,6 +10,7 @@
 #include "tests/standins/be_sock.h"
 #include "wire/hc.h"
 #include "wire/hs.h"
+#include "tests/unit/run.h"
 
 /* ---- fixture: a pool against a raw listener, and against hs ---- */
 
@@ -461,10 +462,7 @@
 
 int main(void)
 {
-	Suite *suite = suite_create("hc");
 	TCase *tc = tcase_create("client");
-	SRunner *runner = srunner_create(suite);
-	int failed;
 
 	tcase_add_checked_fixture(tc, setup, teardown);
 	tcase_set_timeout(tc, 20);
@@ -482,9 +480,5 @@
 	tcase_add_loop_test(tc, cancel_closes_the_connection, 0, 2);
 	tcase_add_test(tc, finish_ends_calls);
 	tcase_add_test(tc, large_request_is_whole);
-	suite_add_tcase(suite, tc);
-	srunner_run_all(runner, CK_NORMAL);
-	failed = srunner_ntests_failed(runner);
-	srunner_free(runner);
-	return failed ? EXIT_FAILURE : EXIT_SUCCESS;
+	return run_case("hc", tc);
 }
--- a/tests/unit/test_hs.c
+++ b/tests/unit/test_hs.c
@@ -10,6 +10,7 @@
 #include "base/limits.h"
 #include "tests/standins/be_sock.h"
 #include "wire/hs.h"
+#include "tests/unit/run.h"
 
 /* ---- fixture: a server that echoes, or holds its requests ---- */
 
@@ -551,10 +552,7 @@
 
 int main(void)
 {
-	Suite *suite = suite_create("hs");
 	TCase *tc = tcase_create("server");
-	SRunner *runner = srunner_create(suite);
-	int failed;
 
 	tcase_add_checked_fixture(tc, setup, teardown);
 	tcase_set_timeout(tc, 20);
@@ -579,9 +577,5 @@
 	tcase_add_test(tc, reply_headers_are_clean);
 	tcase_add_loop_test(tc, close_and_drain_end_the_connection, 0, 3);
 	tcase_add_test(tc, keeps_listed_headers_only);
-	suite_add_tcase(suite, tc);
-	srunner_run_all(runner, CK_NORMAL);
-	failed = srunner_ntests_failed(runner);
-	srunner_free(runner);
-	return failed ? EXIT_FAILURE : EXIT_SUCCESS;
+	return run_case("hs", tc);
 }
--- a/tests/unit/test_jb.c
+++ b/tests/unit/test_jb.c
@@ -3,6 +3,7 @@
 
 #include "base/err.h"
 #include "policy/jb.h"
+#include "tests/unit/run.h"
 
 static int submit(struct jb *jb, const char *text, const char *key)
 {
@@ -133,18 +134,11 @@
 
 int main(void)
 {
-	Suite *suite = suite_create("jb");
 	TCase *tc = tcase_create("jb");
-	SRunner *runner = srunner_create(suite);
-	int failed;
 
 	tcase_add_test(tc, record_survives_the_store);
 	tcase_add_test(tc, bad_submissions_are_refused);
 	tcase_add_test(tc, id_and_digest_tell_jobs_apart);
 	tcase_add_test(tc, only_legal_transitions);
-	suite_add_tcase(suite, tc);
-	srunner_run_all(runner, CK_NORMAL);
-	failed = srunner_ntests_failed(runner);
-	srunner_free(runner);
-	return failed ? EXIT_FAILURE : EXIT_SUCCESS;
+	return run_case("jb", tc);
 }
--- a/tests/unit/test_kn.c
+++ b/tests/unit/test_kn.c
@@ -2,6 +2,7 @@
 #include <stdlib.h>
 
 #include "base/kn.h"
+#include "tests/unit/run.h"
 
 struct echo_task {
 	struct kn_task task;
@@ -143,17 +144,10 @@
 
 int main(void)
 {
-	Suite *suite = suite_create("kn");
 	TCase *tc = tcase_create("kernel");
-	SRunner *runner = srunner_create(suite);
-	int failed;
 
 	tcase_add_test(tc, messages_keep_order_through_services);
 	tcase_add_test(tc, timer_rearms_and_stops);
 	tcase_add_test(tc, message_from_timer_is_delivered_at_once);
-	suite_add_tcase(suite, tc);
-	srunner_run_all(runner, CK_NORMAL);
-	failed = srunner_ntests_failed(runner);
-	srunner_free(runner);
-	return failed ? EXIT_FAILURE : EXIT_SUCCESS;
+	return run_case("kn", tc);
 }
--- a/tests/unit/test_kvetcd.c
+++ b/tests/unit/test_kvetcd.c
@@ -5,6 +5,7 @@
 #include "base/err.h"
 #include "tests/standins/pf_server.h"
 #include "wire/kv.h"
+#include "tests/unit/run.h"
 
 struct probe {
 	struct kv_call call;
@@ -387,10 +388,7 @@
 
 int main(void)
 {
-	Suite *suite = suite_create("kvetcd");
 	TCase *tc = tcase_create("gateway");
-	SRunner *runner = srunner_create(suite);
-	int failed;
 
 	tcase_set_timeout(tc, 30);
 	tcase_add_checked_fixture(tc, setup, teardown);
@@ -402,9 +400,5 @@
 	tcase_add_test(tc, watch_comes_back_after_an_outage);
 	tcase_add_test(tc, silent_stream_is_noticed);
 	tcase_add_test(tc, watch_may_end_in_its_own_event);
-	suite_add_tcase(suite, tc);
-	srunner_run_all(runner, CK_NORMAL);
-	failed = srunner_ntests_failed(runner);
-	srunner_free(runner);
-	return failed ? EXIT_FAILURE : EXIT_SUCCESS;
+	return run_case("kvetcd", tc);
 }
--- a/tests/unit/test_kvmem.c
+++ b/tests/unit/test_kvmem.c
@@ -3,6 +3,7 @@
 
 #include "base/err.h"
 #include "wire/kv.h"
+#include "tests/unit/run.h"
 
 struct probe {
 	struct kv_call call;
@@ -174,18 +175,11 @@
 
 int main(void)
 {
-	Suite *suite = suite_create("kvmem");
 	TCase *tc = tcase_create("store");
-	SRunner *runner = srunner_create(suite);
-	int failed;
 
 	tcase_add_checked_fixture(tc, setup, teardown);
 	tcase_add_test(tc, transaction_compares_before_it_writes);
 	tcase_add_test(tc, lease_takes_its_keys_along);
 	tcase_add_test(tc, unwatch_drops_queued_events);
-	suite_add_tcase(suite, tc);
-	srunner_run_all(runner, CK_NORMAL);
-	failed = srunner_ntests_failed(runner);
-	srunner_free(runner);
-	return failed ? EXIT_FAILURE : EXIT_SUCCESS;
+	return run_case("kvmem", tc);
 }
--- a/tests/unit/test_ky.c
+++ b/tests/unit/test_ky.c
@@ -5,6 +5,7 @@
 
 #include "base/err.h"
 #include "policy/ky.h"
+#include "tests/unit/run.h"
 
 #define SEC USEC_PER_SEC
 
@@ -207,10 +208,7 @@
 
 int main(void)
 {
-	Suite *suite = suite_create("ky");
 	TCase *tc = tcase_create("keys");
-	SRunner *runner = srunner_create(suite);
-	int failed;
 
 	tcase_set_timeout(tc, 30);
 	tcase_add_checked_fixture(tc, setup, teardown);
@@ -220,9 +218,5 @@
 	tcase_add_test(tc, claims_settle_by_number);
 	tcase_add_test(tc, old_claims_are_not_run);
 	tcase_add_test(tc, finished_answers_are_bounded);
-	suite_add_tcase(suite, tc);
-	srunner_run_all(runner, CK_NORMAL);
-	failed = srunner_ntests_failed(runner);
-	srunner_free(runner);
-	return failed ? 1 : 0;
+	return run_case("ky", tc);
 }
--- a/tests/unit/test_ld.c
+++ b/tests/unit/test_ld.c
@@ -4,6 +4,7 @@
 
 #include "base/list.h"
 #include "policy/ld.h"
+#include "tests/unit/run.h"
 
 /*
  * A simulated data centre: hosts with clocks of different rates, a store with
@@ -643,10 +644,7 @@
 
 int main(void)
 {
-	Suite *suite = suite_create("ld");
 	TCase *tc = tcase_create("leadership");
-	SRunner *runner = srunner_create(suite);
-	int failed;
 
 	tcase_set_timeout(tc, 240);
 	tcase_add_test(tc, never_two_leaders);
@@ -655,9 +653,5 @@
 	tcase_add_test(tc, drain_and_alone);
 	tcase_add_test(tc, promise_counts_from_the_ask);
 	tcase_add_test(tc, promise_given_is_kept);
-	suite_add_tcase(suite, tc);
-	srunner_run_all(runner, CK_NORMAL);
-	failed = srunner_ntests_failed(runner);
-	srunner_free(runner);
-	return failed ? EXIT_FAILURE : EXIT_SUCCESS;
+	return run_case("ld", tc);
 }
--- a/tests/unit/test_lead.c
+++ b/tests/unit/test_lead.c
@@ -10,6 +10,7 @@
 #include "daemon/svc.h"
 #include "tests/standins/be_sock.h"
 #include "wire/pr.h"
+#include "tests/unit/run.h"
 
 #define HOSTS 3
 
@@ -364,19 +365,12 @@
 
 int main(void)
 {
-	Suite *suite = suite_create("lead");
 	TCase *tc = tcase_create("leadership");
-	SRunner *runner = srunner_create(suite);
-	int failed;
 
 	tcase_set_timeout(tc, 60);
 	tcase_add_test(tc, alone_leads_at_once);
 	tcase_add_test(tc, takeover_after_death_and_drain);
 	tcase_add_test(tc, lost_takeover_is_read_back);
 	tcase_add_test(tc, outage_is_survived_with_promises);
-	suite_add_tcase(suite, tc);
-	srunner_run_all(runner, CK_NORMAL);
-	failed = srunner_ntests_failed(runner);
-	srunner_free(runner);
-	return failed ? EXIT_FAILURE : EXIT_SUCCESS;
+	return run_case("lead", tc);
 }
--- a/tests/unit/test_mb.c
+++ b/tests/unit/test_mb.c
@@ -2,6 +2,7 @@
 #include <stdlib.h>
 
 #include "policy/mb.h"
+#include "tests/unit/run.h"
 
 #define SEC USEC_PER_SEC
 
@@ -107,19 +108,12 @@
 
 int main(void)
 {
-	Suite *suite = suite_create("mb");
 	TCase *tc = tcase_create("membership");
-	SRunner *runner = srunner_create(suite);
-	int failed;
 
 	tcase_add_checked_fixture(tc, setup, NULL);
 	tcase_add_test(tc, list_does_not_undo_leaving);
 	tcase_add_test(tc, absent_server_is_not_used);
 	tcase_add_test(tc, ejected_server_returns_slowly);
 	tcase_add_test(tc, panic_rule_stops_latency_ejection);
-	suite_add_tcase(suite, tc);
-	srunner_run_all(runner, CK_NORMAL);
-	failed = srunner_ntests_failed(runner);
-	srunner_free(runner);
-	return failed ? 1 : 0;
+	return run_case("mb", tc);
 }
--- a/tests/unit/test_pl.c
+++ b/tests/unit/test_pl.c
@@ -4,6 +4,7 @@
 #include <glib.h>
 
 #include "policy/pl.h"
+#include "tests/unit/run.h"
 
 #define WORKERS 160
 
@@ -186,10 +187,7 @@
 
 int main(void)
 {
-	Suite *suite = suite_create("pl");
 	TCase *tc = tcase_create("pl");
-	SRunner *runner = srunner_create(suite);
-	int failed;
 
 	tcase_add_checked_fixture(tc, setup, teardown);
 	tcase_add_test(tc, small_gangs_fill_the_fullest_worker);
@@ -197,9 +195,5 @@
 	tcase_add_test(tc, victims_are_those_that_lose_least);
 	tcase_add_test(tc, reservation_keeps_unstoppable_work_out);
 	tcase_add_test(tc, move_frees_a_whole_worker);
-	suite_add_tcase(suite, tc);
-	srunner_run_all(runner, CK_NORMAL);
-	failed = srunner_ntests_failed(runner);
-	srunner_free(runner);
-	return failed ? EXIT_FAILURE : EXIT_SUCCESS;
+	return run_case("pl", tc);
 }
--- a/tests/unit/test_pr.c
+++ b/tests/unit/test_pr.c
@@ -12,6 +12,7 @@
 #include "tests/standins/be_sock.h"
 #include "wire/fr.h"
 #include "wire/pr_int.h"
+#include "tests/unit/run.h"
 
 #define HOSTS 3
 
@@ -439,10 +440,7 @@
 
 int main(void)
 {
-	Suite *suite = suite_create("pr");
 	TCase *tc = tcase_create("peers");
-	SRunner *runner = srunner_create(suite);
-	int failed;
 
 	tcase_set_timeout(tc, 60);
 	tcase_add_test(tc, hosts_connect_and_messages_keep_order);
@@ -451,9 +449,5 @@
 	tcase_add_test(tc, second_link_replaces_the_first);
 	tcase_add_test(tc, silent_peer_is_down_in_time);
 	tcase_add_test(tc, peer_that_does_not_read_is_cut_off);
-	suite_add_tcase(suite, tc);
-	srunner_run_all(runner, CK_NORMAL);
-	failed = srunner_ntests_failed(runner);
-	srunner_free(runner);
-	return failed ? EXIT_FAILURE : EXIT_SUCCESS;
+	return run_case("pr", tc);
 }
--- a/tests/unit/test_req.c
+++ b/tests/unit/test_req.c
@@ -18,6 +18,7 @@
 #include "tests/standins/be_sock.h"
 #include "tests/standins/pf_server.h"
 #include "wire/pr.h"
+#include "tests/unit/run.h"
 
 #define HOSTS_MAX 2
 #define SERVERS 2
@@ -763,10 +764,7 @@
 
 int main(void)
 {
-	Suite *suite = suite_create("req");
 	TCase *tc = tcase_create("requests");
-	SRunner *runner = srunner_create(suite);
-	int failed;
 
 	tcase_set_timeout(tc, 60);
 	tcase_add_test(tc, statuses_and_outcomes);
@@ -784,9 +782,5 @@
 	tcase_add_test(tc, queue_goes_to_other_data_centre);
 	tcase_add_test(tc, hosts_share_the_slots);
 	tcase_add_test(tc, finished_keys_are_handed_over);
-	suite_add_tcase(suite, tc);
-	srunner_run_all(runner, CK_NORMAL);
-	failed = srunner_ntests_failed(runner);
-	srunner_free(runner);
-	return failed ? 1 : 0;
+	return run_case("req", tc);
 }
--- a/tests/unit/test_rq.c
+++ b/tests/unit/test_rq.c
@@ -3,6 +3,7 @@
 
 #include "base/err.h"
 #include "policy/rq.h"
+#include "tests/unit/run.h"
 
 #define MS USEC_PER_MSEC
 #define ITEMS 12000
@@ -257,10 +258,7 @@
 
 int main(void)
 {
-	Suite *suite = suite_create("rq");
 	TCase *tc = tcase_create("queue");
-	SRunner *runner = srunner_create(suite);
-	int failed;
 
 	tcase_add_checked_fixture(tc, setup, NULL);
 	tcase_add_test(tc, customers_get_their_weight);
@@ -270,9 +268,5 @@
 	tcase_add_test(tc, class_is_learned_from_runs);
 	tcase_add_test(tc, hopeless_work_is_refused_early);
 	tcase_add_test(tc, standing_queue_is_shed);
-	suite_add_tcase(suite, tc);
-	srunner_run_all(runner, CK_NORMAL);
-	failed = srunner_ntests_failed(runner);
-	srunner_free(runner);
-	return failed ? 1 : 0;
+	return run_case("rq", tc);
 }
--- a/tests/unit/test_rt.c
+++ b/tests/unit/test_rt.c
@@ -3,6 +3,7 @@
 
 #include "base/limits.h"
 #include "policy/rt.h"
+#include "tests/unit/run.h"
 
 #define SERVERS 50
 
@@ -72,17 +73,10 @@
 
 int main(void)
 {
-	Suite *suite = suite_create("rt");
 	TCase *tc = tcase_create("choice");
-	SRunner *runner = srunner_create(suite);
-	int failed;
 
 	tcase_add_test(tc, slow_servers_are_avoided);
 	tcase_add_test(tc, old_latency_is_forgotten);
 	tcase_add_test(tc, few_servers_and_samples);
-	suite_add_tcase(suite, tc);
-	srunner_run_all(runner, CK_NORMAL);
-	failed = srunner_ntests_failed(runner);
-	srunner_free(runner);
-	return failed ? 1 : 0;
+	return run_case("rt", tc);
 }
--- a/tests/unit/test_ry.c
+++ b/tests/unit/test_ry.c
@@ -3,6 +3,7 @@
 
 #include "base/limits.h"
 #include "policy/ry.h"
+#include "tests/unit/run.h"
 
 static int spend(struct ry *ry, int64_t now_us)
 {
@@ -49,16 +50,9 @@
 
 int main(void)
 {
-	Suite *suite = suite_create("ry");
 	TCase *tc = tcase_create("budget");
-	SRunner *runner = srunner_create(suite);
-	int failed;
 
 	tcase_add_test(tc, budget_bounds_retries);
 	tcase_add_test(tc, old_requests_stop_counting);
-	suite_add_tcase(suite, tc);
-	srunner_run_all(runner, CK_NORMAL);
-	failed = srunner_ntests_failed(runner);
-	srunner_free(runner);
-	return failed ? 1 : 0;
+	return run_case("ry", tc);
 }
--- a/tests/unit/test_sched.c
+++ b/tests/unit/test_sched.c
@@ -10,6 +10,7 @@
 #include "daemon/svc.h"
 #include "policy/jb.h"
 #include "tests/standins/wk_agent.h"
+#include "tests/unit/run.h"
 
 #define WORKERS 3
 
@@ -858,10 +859,7 @@
 
 int main(void)
 {
-	Suite *suite = suite_create("sched");
 	TCase *tcase = tcase_create("sched");
-	SRunner *runner = srunner_create(suite);
-	int failed;
 
 	tcase_set_timeout(tcase, 60);
 	tcase_add_test(tcase, gang_runs_once_and_whole);
@@ -883,9 +881,5 @@
 	tcase_add_loop_test(tcase, removal_outlives_the_scheduler, 0, 4);
 	tcase_add_test(tcase, pool_may_come_later);
 	tcase_add_test(tcase, drain_ends_without_leadership);
-	suite_add_tcase(suite, tcase);
-	srunner_run_all(runner, CK_ENV);
-	failed = srunner_ntests_failed(runner);
-	srunner_free(runner);
-	return failed ? EXIT_FAILURE : EXIT_SUCCESS;
+	return run_case("sched", tcase);
 }
--- a/tests/unit/test_set.c
+++ b/tests/unit/test_set.c
@@ -5,6 +5,7 @@
 
 #include "base/err.h"
 #include "base/set.h"
+#include "tests/unit/run.h"
 
 #define TOKEN "e3b0c44298fc1c149afbf4c8996fb92427ae41e4649b934ca495991b7852b855"
 #define HEAD                                               \
@@ -115,18 +116,11 @@
 
 int main(void)
 {
-	Suite *suite = suite_create("set");
 	TCase *tc = tcase_create("settings");
-	SRunner *runner = srunner_create(suite);
-	int failed;
 
 	tcase_add_test(tc, valid_settings_are_read);
 	tcase_add_loop_test(tc, bad_settings_name_the_key, 0,
 			    G_N_ELEMENTS(bad));
 	tcase_add_test(tc, result_codes_are_unique);
-	suite_add_tcase(suite, tc);
-	srunner_run_all(runner, CK_NORMAL);
-	failed = srunner_ntests_failed(runner);
-	srunner_free(runner);
-	return failed ? EXIT_FAILURE : EXIT_SUCCESS;
+	return run_case("set", tc);
 }
--- a/tests/unit/test_sl.c
+++ b/tests/unit/test_sl.c
@@ -5,6 +5,7 @@
 #include <string.h>
 
 #include "policy/sl.h"
+#include "tests/unit/run.h"
 
 /* ---- simulation of one data centre ---- */
 
@@ -446,19 +447,12 @@
 
 int main(void)
 {
-	Suite *suite = suite_create("sl");
 	TCase *tc = tcase_create("slots");
-	SRunner *runner = srunner_create(suite);
-	int failed;
 
 	tcase_set_timeout(tc, 60);
 	tcase_add_loop_test(tc, slots_never_exceed_server, 0, 20);
 	tcase_add_test(tc, all_slots_are_granted);
 	tcase_add_test(tc, holder_stops_first);
 	tcase_add_test(tc, floors_and_pool_fill_the_server);
-	suite_add_tcase(suite, tc);
-	srunner_run_all(runner, CK_NORMAL);
-	failed = srunner_ntests_failed(runner);
-	srunner_free(runner);
-	return failed ? 1 : 0;
+	return run_case("sl", tc);
 }
--- a/tests/unit/test_wagent.c
+++ b/tests/unit/test_wagent.c
@@ -5,6 +5,7 @@
 #include "base/err.h"
 #include "base/limits.h"
 #include "tests/standins/wk_agent.h"
+#include "tests/unit/run.h"
 
 #define TIMEOUT_MS 300
 #define STATE_WAIT_MS 5000
@@ -129,10 +130,7 @@
 
 int main(void)
 {
-	Suite *suite = suite_create("wagent");
 	TCase *tc = tcase_create("worker edge");
-	SRunner *runner = srunner_create(suite);
-	int failed;
 
 	tcase_add_checked_fixture(tc, setup, teardown);
 	tcase_set_timeout(tc, 30);
@@ -140,9 +138,5 @@
 	tcase_add_test(tc, older_epoch_is_refused);
 	tcase_add_test(tc, abort_wins_over_late_reserve);
 	tcase_add_test(tc, lost_answer_is_unknown);
-	suite_add_tcase(suite, tc);
-	srunner_run_all(runner, CK_NORMAL);
-	failed = srunner_ntests_failed(runner);
-	srunner_free(runner);
-	return failed ? EXIT_FAILURE : EXIT_SUCCESS;
+	return run_case("wagent", tc);
 }
--- a/tests/unit/test_wh.c
+++ b/tests/unit/test_wh.c
@@ -2,6 +2,7 @@
 #include <stdlib.h>
 
 #include "policy/wh.h"
+#include "tests/unit/run.h"
 
 #define MIN_US (WORKER_PROBATION_MIN_MS * USEC_PER_MSEC)
 
@@ -105,18 +106,11 @@
 
 int main(void)
 {
-	Suite *suite = suite_create("wh");
 	TCase *tc = tcase_create("wh");
-	SRunner *runner = srunner_create(suite);
-	int failed;
 
 	tcase_add_test(tc, hopeless_job_does_not_quarantine_workers);
 	tcase_add_test(tc, bad_worker_is_quarantined_with_doubling_delay);
 	tcase_add_test(tc, repeated_failure_of_one_job_proves_nothing);
 	tcase_add_test(tc, failures_on_bad_workers_are_forgotten);
-	suite_add_tcase(suite, tc);
-	srunner_run_all(runner, CK_NORMAL);
-	failed = srunner_ntests_failed(runner);
-	srunner_free(runner);
-	return failed ? EXIT_FAILURE : EXIT_SUCCESS;
+	return run_case("wh", tc);
 }
