--- a/daemon/lead.c
+++ b/daemon/lead.c
@@ -243,17 +243,6 @@
 
 static void advance(struct lead *lead);
 
-static const struct kv_item *find_item(const struct kv_call *call,
-				       const char *key)
-{
-	size_t i;
-
-	for (i = 0; i < call->count; i++)
-		if (strcmp(call->items[i].key, key) == 0)
-			return &call->items[i];
-	return NULL;
-}
-
 /* The leader key holds host/incarnation/attempt. */
 static void read_holder(struct lead *lead, const struct kv_item *item,
 			struct ld_reply *reply)
@@ -274,12 +263,12 @@
 {
 	const struct kv_item *item;
 
-	item = find_item(&lead->call, lead->epoch_key);
+	item = kv_find(&lead->call, lead->epoch_key);
 	if (item && item->value) {
 		reply->epoch = g_ascii_strtoull(item->value, NULL, 10);
 		reply->epoch_mod = item->mod_revision;
 	}
-	item = find_item(&lead->call, lead->leader_key);
+	item = kv_find(&lead->call, lead->leader_key);
 	if (item && item->value)
 		read_holder(lead, item, reply);
 }
--- a/daemon/sched_store.c
+++ b/daemon/sched_store.c
@@ -82,24 +82,13 @@
 
 /* ---- reading ---- */
 
-static const struct kv_item *find_item(const struct kv_call *call,
-				       const char *key)
-{
-	size_t i;
-
-	for (i = 0; i < call->count; i++)
-		if (strcmp(call->items[i].key, key) == 0)
-			return &call->items[i];
-	return NULL;
-}
-
 /*
  * Whether another host has taken over: then the epoch's key has changed, and
  * each transaction of this one fails.
  */
 static bool deposed(const struct sched *s, const struct kv_call *call)
 {
-	const struct kv_item *item = find_item(call, s->epoch_key);
+	const struct kv_item *item = kv_find(call, s->epoch_key);
 
 	return (item ? item->mod_revision : 0) != s->epoch_mod;
 }
@@ -107,7 +96,7 @@
 /* Returns false when the epoch in the store is not the one to act under. */
 static bool take_epoch(struct sched *s, const struct kv_call *call)
 {
-	const struct kv_item *item = find_item(call, s->epoch_key);
+	const struct kv_item *item = kv_find(call, s->epoch_key);
 
 	s->epoch_mod = item ? item->mod_revision : 0;
 	return !item || g_ascii_strtoull(item->value, NULL, 10) == s->epoch;
@@ -203,7 +192,7 @@
  */
 static void write_refused(struct scall_kv *c, struct sjob *job)
 {
-	const struct kv_item *item = find_item(&c->call, c->key);
+	const struct kv_item *item = kv_find(&c->call, c->key);
 
 	if (deposed(c->s, &c->call)) {
 		retry_write(job);
@@ -409,8 +398,8 @@
 			      "another host leads; submit again with the same "
 			      "key");
 		call_free(c);
-	} else if (find_item(call, c->key)) {
-		submit_exists(c, find_item(call, c->key));
+	} else if (kv_find(call, c->key)) {
+		submit_exists(c, kv_find(call, c->key));
 	} else {
 		submit_again(c, CB_E_TIMEOUT);
 	}
--- a/wire/kv.c
+++ b/wire/kv.c
@@ -1,5 +1,7 @@
 #include "wire/kv.h"
 
+#include <string.h>
+
 /*
  * Frees a store connection. Calls in progress end without done(), so the
  * owners of the calls must have finished before.
@@ -41,3 +43,13 @@
 	kv->calls++;
 	ctr_add(&kv->calls_by_kind[kind], 1);
 }
+
+const struct kv_item *kv_find(const struct kv_call *call, const char *key)
+{
+	size_t i;
+
+	for (i = 0; i < call->count; i++)
+		if (strcmp(call->items[i].key, key) == 0)
+			return &call->items[i];
+	return NULL;
+}
--- a/wire/kv.h
+++ b/wire/kv.h
@@ -126,6 +126,8 @@
 /* In-process store for a trial with one process. */
 struct kv *kv_mem_new(struct kn *kn);
 void kv_free(struct kv *kv);
+/* Returns the item of an answered call with that key, NULL for none. */
+const struct kv_item *kv_find(const struct kv_call *call, const char *key);
 
 /* ---- for implementations ---- */
 
