--- a/Makefile
+++ b/Makefile
@@ -21,7 +21,8 @@
 LUA_LIBS := $(shell pkg-config --libs lua5.4)
 
 # Each package is a flat folder of sources.
-LIB_SRC := $(wildcard base/*.c wire/*.c policy/*.c) \
+LIB_SRC := $(wildcard base/*.c wire/*.c policy/*.c fleet/*.c control/*.c \
+	platform/*.c) \
 	$(filter-out daemon/main.c,$(wildcard daemon/*.c))
 CLI_SRC := $(filter-out cli/main.c,$(wildcard cli/*.c))
 TEST_SRC := $(wildcard tests/unit/test_*.c)
@@ -41,6 +42,7 @@
 BINS := $(BUILD)/chivebankd $(BUILD)/chivebank
 
 ALL_C := $(wildcard base/*.[ch] wire/*.[ch] policy/*.[ch] daemon/*.[ch] \
+	fleet/*.[ch] control/*.[ch] platform/*.[ch] \
 	cli/*.[ch] bench/*.[ch] tests/*/*.[ch])
 
 all: $(BINS) $(STANDINS) $(TESTS) $(BENCHES)
--- a/base/err.h
+++ b/base/err.h
@@ -65,7 +65,8 @@
 	X(CB_E_PEER_PROTOCOL, 604, 502, "malformed peer message")              \
 	X(CB_E_FRAME_TOO_LARGE, 605, 413, "frame too large")                   \
 	X(CB_E_LIBRARY, 606, 500, "library call failed")                       \
-	X(CB_E_TIMEOUT, 607, 504, "operation timed out")
+	X(CB_E_TIMEOUT, 607, 504, "operation timed out")                       \
+	X(CB_E_HISTORY_GONE, 608, 410, "history is no longer kept")
 
 enum cb_result {
 #define CB_RESULT_ENUM(name, num, http, text) name = num,
--- /dev/null
+++ b/control/configuration.h
@@ -0,0 +1,26 @@
+#ifndef CONTROL_CONFIGURATION_H
+#define CONTROL_CONFIGURATION_H
+
+#include "control/edges.h"
+#include "control/mirror.h"
+
+/*
+ * The operators' configuration as it is in force at this host. Its version
+ * only grows while the process lives.
+ */
+struct configuration {
+	struct mirror mirror;
+	const struct edges *edges;
+	struct config *current; /* NULL before the first */
+	int64_t in_force_us; /* since when */
+	void (*changed)(struct configuration *configuration);
+	void *user; /* for changed */
+	struct ctr version;
+};
+
+void configuration_init(struct configuration *configuration,
+			const struct edges *edges, const struct site *site);
+void configuration_start(struct configuration *configuration);
+void configuration_finish(struct configuration *configuration);
+
+#endif
--- /dev/null
+++ b/control/director.h
@@ -0,0 +1,57 @@
+#ifndef CONTROL_DIRECTOR_H
+#define CONTROL_DIRECTOR_H
+
+#include "control/configuration.h"
+#include "control/leader.h"
+#include "control/ledger.h"
+#include "control/orders.h"
+
+/*
+ * The leader's scheduler: on election it reads what earlier leaders stored,
+ * then follows the submissions and the workers, plans, writes and orders.
+ */
+struct director {
+	struct kn_task task;
+	const struct edges *edges;
+	const struct site *site;
+	struct configuration *configuration;
+	struct leader leader;
+	struct ledger ledger;
+	struct orders orders;
+	struct fleet fleet;
+	bool directing; /* fleet is in use */
+	bool ready; /* everything that earlier leaders stored has been read */
+	int64_t elected_us;
+	struct mirror workers;
+	struct mirror intake;
+	bool workers_read;
+	bool intake_read;
+	GHashTable
+		*cancelled; /* ids of cancelled jobs that are not known yet */
+	struct kv_call states_call;
+	bool states_calling;
+	bool states_read;
+	GPtrArray *states; /* struct stored_state, until ready */
+	struct kn_timer pass_timer;
+	struct kn_timer states_timer;
+	int64_t next_tidy_us;
+	int64_t next_waiting_us;
+	struct ctr jobs_started;
+	struct ctr jobs_ended;
+	struct ctr passes;
+	struct ctr start_ms; /* from acceptance to the first start */
+	struct ctr done_ms; /* from acceptance to done */
+	struct ctr takeover_ms;
+	struct ctr preempted;
+	struct ctr waiting;
+	struct ctr running;
+};
+
+struct director *director_new(struct kn *kn, const struct site *site,
+			      const struct edges *edges,
+			      struct configuration *configuration,
+			      uint64_t incarnation);
+/* The configuration has changed. */
+void director_configure(struct director *director);
+
+#endif
--- /dev/null
+++ b/control/intake.c
@@ -0,0 +1,555 @@
+#include "control/intake.h"
+
+#include <string.h>
+
+#include "base/err.h"
+#include "base/log.h"
+#include "control/keys.h"
+#include "control/record.h"
+
+#define JOB_ID_LEN 16
+/* Left of the caller's deadline for the way of the answer. */
+#define ANSWER_MARGIN_MS 120
+#define RETRY_MS 80
+/* The counts may be 2 s old; the leader writes them every 500 ms. */
+#define COUNT_KEEP_MS 500
+/* A store that refuses is usually back within seconds. */
+#define STORE_RETRY_AFTER_S 1
+#define CONFIG_RETRY_AFTER_S 1
+
+enum intake_step {
+	STEP_WRITE_SPEC,
+	STEP_READ_STATE,
+	STEP_READ_SPEC, /* of a job without a state */
+	STEP_CHECK_SPEC, /* before a cancellation */
+	STEP_WRITE_CANCEL,
+	STEP_READ_COUNT,
+};
+
+struct intake_call {
+	struct list_head node;
+	struct intake *intake;
+	struct caller_call *caller;
+	enum intake_step step;
+	char *id;
+	char *queue;
+	char *customer; /* "" where none is needed */
+	bool open; /* the queue needs no key */
+	char *key;
+	char *value; /* record to be written */
+	size_t value_len;
+	bool maybe_written; /* a write without answer may still land */
+	bool spec_found;
+	int tries;
+	struct kv_call call;
+	bool calling;
+	struct kn_timer timer;
+};
+
+static void own_free(struct intake_call *own)
+{
+	if (own->calling)
+		own->intake->edges->kv->ops->cancel(own->intake->edges->kv,
+						    &own->call);
+	kn_timer_cancel(&own->timer);
+	list_del(&own->node);
+	g_free(own->id);
+	g_free(own->queue);
+	g_free(own->customer);
+	g_free(own->key);
+	g_free(own->value);
+	g_free(own);
+}
+
+/* ---- answers ---- */
+
+static const char *const verb_names[] = { "submit", "status", "cancel",
+					  "count" };
+
+static void log_answer(const struct intake *intake,
+		       const struct caller_call *call, const char *id,
+		       const char *queue, int tries)
+{
+	const struct config *config = intake->configuration->current;
+
+	/* What was asked and answered as usual needs no line of its own. */
+	if (call->result == CB_OK &&
+	    (call->verb == CALLER_STATUS || call->verb == CALLER_COUNT))
+		return;
+	log_info("caller.answer",
+		 "verb=%s job=%s queue=%s result=%d config=%" G_GINT64_FORMAT
+		 " tries=%d took_ms=%" G_GINT64_FORMAT " retry_after_s=%d",
+		 verb_names[call->verb], id ? id : "-", queue ? queue : "-",
+		 call->result, config ? config->version : 0, tries,
+		 (kn_now_us() - call->received_us) / 1000, call->retry_after_s);
+}
+
+static void answer(struct intake *intake, struct caller_call *call, int result,
+		   int retry_after_s)
+{
+	call->result = result;
+	call->retry_after_s = retry_after_s;
+	ctr_add(&intake->outcomes[call->verb], 1);
+	if (cb_result_http(result) == 503 || cb_result_http(result) == 429)
+		ctr_add(&intake->refused, 1);
+	if (result == CB_E_TIMEOUT)
+		ctr_add(&intake->unknown, 1);
+	ctr_observe(&intake->store_ms,
+		    (uint64_t)(kn_now_us() - call->received_us) / 1000);
+	intake->service.answer(call);
+}
+
+static void finish(struct intake_call *own, int result, int retry_after_s)
+{
+	struct intake *intake = own->intake;
+	struct caller_call *call = own->caller;
+
+	call->result = result;
+	call->retry_after_s = retry_after_s;
+	log_answer(intake, call, own->id, own->queue, own->tries);
+	own_free(own);
+	answer(intake, call, result, retry_after_s);
+}
+
+/* ---- steps ---- */
+
+static void run_step(struct intake_call *own);
+
+static void on_retry(struct kn_timer *timer)
+{
+	run_step(container_of(timer, struct intake_call, timer));
+}
+
+static bool time_is_left(const struct intake_call *own)
+{
+	return own->caller->deadline_us - kn_now_us() >
+	       (RETRY_MS + ANSWER_MARGIN_MS) * USEC_PER_MSEC;
+}
+
+static bool writes(const struct intake_call *own)
+{
+	return own->step == STEP_WRITE_SPEC || own->step == STEP_WRITE_CANCEL;
+}
+
+/*
+ * The store did not answer, or refused. A refusal is passed on at once,
+ * unless an earlier write may land: that one is settled by repeating it, as
+ * the record can be created only once.
+ */
+static void store_failed(struct intake_call *own, int result)
+{
+	if (result == CB_E_TIMEOUT && writes(own))
+		own->maybe_written = true;
+	if (result == CB_E_STORE_DOWN && !own->maybe_written) {
+		finish(own, CB_E_STORE_DOWN, STORE_RETRY_AFTER_S);
+		return;
+	}
+	if (time_is_left(own)) {
+		kn_timer_set(own->intake->edges->kv->kn, &own->timer,
+			     RETRY_MS * USEC_PER_MSEC, on_retry);
+		return;
+	}
+	finish(own, CB_E_TIMEOUT, 0);
+}
+
+static void next_step(struct intake_call *own, enum intake_step step)
+{
+	own->step = step;
+	run_step(own);
+}
+
+static void on_write(struct intake_call *own, const struct kv_call *call)
+{
+	/* A failed compare: an earlier try of the same request was stored. */
+	if (own->step == STEP_WRITE_SPEC || own->spec_found)
+		finish(own, CB_OK, 0);
+	else
+		finish(own, CB_E_NO_JOB, 0);
+}
+
+static bool may_see(const struct intake_call *own, const char *customer)
+{
+	return own->open || g_strcmp0(own->customer, customer) == 0;
+}
+
+static void on_state(struct intake_call *own, const struct kv_call *call)
+{
+	enum job_phase phase;
+	char *customer;
+	bool visible;
+
+	if (call->count == 0) {
+		next_step(own, STEP_READ_SPEC);
+		return;
+	}
+	if (!record_phase_read(call->items[0].value, call->items[0].len, &phase,
+			       &customer)) {
+		g_free(customer);
+		log_err("state.unreadable", "job=%s result=%d", own->id,
+			CB_E_INTERNAL);
+		finish(own, CB_E_INTERNAL, 0);
+		return;
+	}
+	visible = may_see(own, customer);
+	g_free(customer);
+	own->caller->phase = phase;
+	finish(own, visible ? CB_OK : CB_E_NO_JOB, 0);
+}
+
+static const struct kv_item *find_suffix(const struct kv_call *call,
+					 const char *suffix)
+{
+	size_t i;
+
+	for (i = 0; i < call->count; i++)
+		if (g_str_has_suffix(call->items[i].key, suffix))
+			return &call->items[i];
+	return NULL;
+}
+
+static bool spec_visible(const struct intake_call *own,
+			 const struct kv_item *item)
+{
+	struct job *job;
+	bool visible;
+
+	if (!item)
+		return false;
+	job = record_submission_read(own->id, item->value, item->len);
+	visible = job && may_see(own, job->customer);
+	if (job)
+		job_free(job);
+	return visible;
+}
+
+static void on_spec(struct intake_call *own, const struct kv_call *call)
+{
+	const struct kv_item *spec = find_suffix(call, KEY_SPEC_SUFFIX);
+	const struct kv_item *cancel = find_suffix(call, KEY_CANCEL_SUFFIX);
+
+	if (own->step == STEP_CHECK_SPEC) {
+		own->spec_found = spec_visible(own, spec);
+		/* Of another customer: as if there were none, and left alone. */
+		if (spec && !own->spec_found)
+			finish(own, CB_E_NO_JOB, 0);
+		else if (cancel)
+			finish(own, own->spec_found ? CB_OK : CB_E_NO_JOB, 0);
+		else
+			next_step(own, STEP_WRITE_CANCEL);
+		return;
+	}
+	if (!spec_visible(own, spec)) {
+		finish(own, CB_E_NO_JOB, 0);
+		return;
+	}
+	own->caller->phase = cancel ? JOB_CANCELLED : JOB_QUEUED;
+	finish(own, CB_OK, 0);
+}
+
+static void take_count(struct intake_call *own)
+{
+	struct intake *intake = own->intake;
+	int64_t count = record_waiting_read(intake->waiting,
+					    intake->waiting_len, own->queue);
+
+	own->caller->waiting = MAX(count, 0);
+	finish(own, CB_OK, 0);
+}
+
+static void on_count(struct intake_call *own, const struct kv_call *call)
+{
+	struct intake *intake = own->intake;
+
+	g_free(intake->waiting);
+	intake->waiting = NULL;
+	intake->waiting_len = 0;
+	intake->waiting_us = kn_now_us();
+	if (call->count > 0) {
+		intake->waiting =
+			g_memdup2(call->items[0].value, call->items[0].len);
+		intake->waiting_len = call->items[0].len;
+	}
+	take_count(own);
+}
+
+static void on_call(struct kv_call *call)
+{
+	struct intake_call *own = call->user;
+
+	own->calling = false;
+	if (call->result != CB_OK) {
+		store_failed(own, call->result);
+		return;
+	}
+	switch (own->step) {
+	case STEP_WRITE_SPEC:
+	case STEP_WRITE_CANCEL:
+		on_write(own, call);
+		break;
+	case STEP_READ_STATE:
+		on_state(own, call);
+		break;
+	case STEP_READ_SPEC:
+	case STEP_CHECK_SPEC:
+		on_spec(own, call);
+		break;
+	case STEP_READ_COUNT:
+		on_count(own, call);
+		break;
+	}
+}
+
+static void create(struct intake_call *own, const char *suffix)
+{
+	struct kv *kv = own->intake->edges->kv;
+	struct kv_cmp cmp = { .mod_revision = 0 };
+	struct kv_op op = { .kind = KV_PUT };
+
+	g_free(own->key);
+	own->key = g_strconcat(KEY_INTAKE_PREFIX, own->id, suffix, NULL);
+	cmp.key = own->key;
+	op.key = own->key;
+	op.value = own->value ? own->value : "";
+	op.len = own->value_len;
+	kv->ops->txn(kv, &own->call, &cmp, 1, &op, 1, NULL, 0);
+}
+
+static void read_key(struct intake_call *own, const char *prefix,
+		     const char *suffix, bool all)
+{
+	struct kv *kv = own->intake->edges->kv;
+
+	g_free(own->key);
+	own->key = g_strconcat(prefix, own->id ? own->id : "", suffix, NULL);
+	kv->ops->range(kv, &own->call, own->key, all);
+}
+
+static void run_step(struct intake_call *own)
+{
+	memset(&own->call, 0, sizeof(own->call));
+	own->call.done = on_call;
+	own->call.user = own;
+	own->calling = true;
+	own->tries++;
+	switch (own->step) {
+	case STEP_WRITE_SPEC:
+		create(own, KEY_SPEC_SUFFIX);
+		break;
+	case STEP_WRITE_CANCEL:
+		create(own, KEY_CANCEL_SUFFIX);
+		break;
+	case STEP_READ_STATE:
+		read_key(own, KEY_STATE_PREFIX, "", false);
+		break;
+	case STEP_READ_SPEC:
+	case STEP_CHECK_SPEC:
+		read_key(own, KEY_INTAKE_PREFIX, "/", true);
+		break;
+	case STEP_READ_COUNT:
+		read_key(own, KEY_WAITING, "", false);
+		break;
+	}
+}
+
+/* ---- calls ---- */
+
+static bool id_is_valid(const char *id)
+{
+	return strlen(id) == JOB_ID_LEN &&
+	       strspn(id, "0123456789abcdefABCDEF") == JOB_ID_LEN;
+}
+
+/* Puts the record of a submission into own. Returns a result code. */
+static int prepare_submission(struct intake_call *own,
+			      const struct queue *queue)
+{
+	struct caller_call *call = own->caller;
+	struct submission submission = {
+		.queue = queue->name,
+		.pool = queue->pool,
+		.customer = own->customer,
+		.priority = queue->priority,
+		.attempts = queue->attempts,
+		.stretch = queue->stretch,
+		.slo_ms = queue->slo_ms,
+		.accepted_ms = kn_wall_us() / USEC_PER_MSEC,
+	};
+	msgpack_sbuffer record;
+	struct job_spec spec;
+	GError *err = NULL;
+
+	if (!own->intake->edges->read_spec(call->body, call->body_len, &spec,
+					   &err)) {
+		log_info("job.malformed", "job=%s text=\"%s\" result=%d",
+			 own->id, err->message, err->code);
+		g_error_free(err);
+		return CB_E_BAD_JOB;
+	}
+	record_submission_write(&submission, &spec, &record);
+	own->value = g_memdup2(record.data, record.size);
+	own->value_len = record.size;
+	msgpack_sbuffer_destroy(&record);
+	job_spec_finish(&spec);
+	return CB_OK;
+}
+
+/* Which customer calls. Returns a result code. */
+static int authorize(const struct config *config, const struct queue *queue,
+		     const struct caller_call *call, const char **customer)
+{
+	const struct customer *holder =
+		call->key ? config_holder(config, call->key) : NULL;
+
+	*customer = holder ? holder->name : "";
+	return holder || queue->open ? CB_OK : CB_E_UNAUTHORIZED;
+}
+
+static int check(struct intake *intake, struct caller_call *call,
+		 const struct queue **queue, const char **customer)
+{
+	const struct config *config = intake->configuration->current;
+	size_t prefix;
+
+	if (!config)
+		return CB_E_STORE_DOWN;
+	*queue = config_route(config, call->host, call->path);
+	if (!*queue)
+		return CB_E_UNKNOWN_PATH;
+	prefix = strlen((*queue)->prefix);
+	if (call->verb == CALLER_COUNT ? call->path[prefix] != '\0' :
+					 !id_is_valid(call->path + prefix))
+		return CB_E_UNKNOWN_PATH;
+	return authorize(config, *queue, call, customer);
+}
+
+static struct intake_call *own_new(struct intake *intake,
+				   struct caller_call *call,
+				   const struct queue *queue,
+				   const char *customer)
+{
+	struct intake_call *own = g_new0(struct intake_call, 1);
+
+	own->intake = intake;
+	own->caller = call;
+	own->queue = g_strdup(queue->name);
+	own->customer = g_strdup(customer);
+	own->open = queue->open;
+	if (call->verb != CALLER_COUNT)
+		own->id =
+			g_ascii_strdown(call->path + strlen(queue->prefix), -1);
+	call->state = own;
+	list_add_tail(&own->node, &intake->calls);
+	return own;
+}
+
+static void start(struct intake_call *own, const struct queue *queue)
+{
+	int result;
+
+	switch (own->caller->verb) {
+	case CALLER_SUBMIT:
+		result = prepare_submission(own, queue);
+		if (result != CB_OK)
+			finish(own, result, 0);
+		else
+			next_step(own, STEP_WRITE_SPEC);
+		break;
+	case CALLER_STATUS:
+		next_step(own, STEP_READ_STATE);
+		break;
+	case CALLER_CANCEL:
+		next_step(own, STEP_CHECK_SPEC);
+		break;
+	case CALLER_COUNT:
+		if (own->intake->waiting_us != 0 &&
+		    kn_now_us() - own->intake->waiting_us <
+			    COUNT_KEEP_MS * USEC_PER_MSEC)
+			take_count(own);
+		else
+			next_step(own, STEP_READ_COUNT);
+		break;
+	}
+}
+
+static void intake_call(struct caller_service *service,
+			struct caller_call *call)
+{
+	struct intake *intake = container_of(service, struct intake, service);
+	const struct queue *queue = NULL;
+	const char *customer = "";
+	int result = check(intake, call, &queue, &customer);
+
+	if (result == CB_OK) {
+		start(own_new(intake, call, queue, customer), queue);
+		return;
+	}
+	call->result = result;
+	log_answer(intake, call, NULL, queue ? queue->name : NULL, 0);
+	answer(intake, call, result,
+	       result == CB_E_STORE_DOWN ? CONFIG_RETRY_AFTER_S : 0);
+}
+
+/* What was sent to the store may be carried out all the same. */
+static void intake_gone(struct caller_service *service,
+			struct caller_call *call)
+{
+	struct intake_call *own = call->state;
+
+	if (!own)
+		return;
+	log_info("caller.gone", "verb=%s job=%s took_ms=%" G_GINT64_FORMAT,
+		 verb_names[call->verb], own->id ? own->id : "-",
+		 (kn_now_us() - call->received_us) / 1000);
+	own_free(own);
+}
+
+static const struct caller_service_ops intake_ops = {
+	.call = intake_call,
+	.gone = intake_gone,
+};
+
+void intake_init(struct intake *intake, const struct edges *edges,
+		 const struct configuration *configuration)
+{
+	static const char *const labels[] = { "verb=\"submit\"",
+					      "verb=\"status\"",
+					      "verb=\"cancel\"",
+					      "verb=\"count\"" };
+	struct ctr_set *set = &edges->kv->kn->counters;
+	size_t i;
+
+	memset(intake, 0, sizeof(*intake));
+	intake->service.ops = &intake_ops;
+	intake->edges = edges;
+	intake->configuration = configuration;
+	list_init(&intake->calls);
+	for (i = 0; i < G_N_ELEMENTS(labels); i++)
+		ctr_init(&intake->outcomes[i], set, CTR_COUNTER,
+			 "chivebank_caller_calls_total", labels[i],
+			 "Calls of callers that were answered");
+	ctr_init(&intake->refused, set, CTR_COUNTER,
+		 "chivebank_caller_refused_total", NULL,
+		 "Calls that were refused as not carried out");
+	ctr_init(&intake->unknown, set, CTR_COUNTER,
+		 "chivebank_caller_unknown_total", NULL,
+		 "Calls whose outcome could not be told");
+	ctr_init(&intake->store_ms, set, CTR_HISTOGRAM, "chivebank_caller_ms",
+		 NULL, "Time from the receipt of a call to its answer");
+}
+
+void intake_finish(struct intake *intake)
+{
+	struct intake_call *own, *next;
+	size_t i;
+
+	list_for_each_entry_safe(own, next, &intake->calls, node) {
+		own->caller->state = NULL;
+		own_free(own);
+	}
+	for (i = 0; i < G_N_ELEMENTS(intake->outcomes); i++)
+		ctr_finish(&intake->outcomes[i]);
+	ctr_finish(&intake->refused);
+	ctr_finish(&intake->unknown);
+	ctr_finish(&intake->store_ms);
+	g_free(intake->waiting);
+}
--- /dev/null
+++ b/control/leader.c
@@ -0,0 +1,339 @@
+#include "control/leader.h"
+
+#include <string.h>
+
+#include "base/err.h"
+#include "base/log.h"
+#include "control/keys.h"
+
+/* The store counts in seconds here; a dead leader is missed for so long. */
+#define LEADER_LEASE_S 2
+/* Four renewals fit into a lease, so that three may be lost. */
+#define RENEW_MS 400
+/* The store's clock and the way of the answer; the lease ends earlier here. */
+#define LEASE_MARGIN_MS 200
+#define KEY_WAIT_MS 2000 /* a campaign starts from the event, not from this */
+#define CAMPAIGN_RETRY_MS 150
+/* Weak hosts let strong ones go first: more than a round trip to the store. */
+#define WEAK_DELAY_MS 60
+#define STRONG_CORES 0.4
+
+static void campaign(struct leader *leader);
+
+/* A lease runs from the arrival of the call, so from its sending at least. */
+static int64_t lease_end_us(int64_t sent_us)
+{
+	return sent_us +
+	       (LEADER_LEASE_S * 1000 - LEASE_MARGIN_MS) * USEC_PER_MSEC;
+}
+
+bool leader_valid(const struct leader *leader)
+{
+	return leader->leading && kn_now_us() < leader->valid_until_us;
+}
+
+static void on_campaign(struct kn_timer *timer)
+{
+	campaign(container_of(timer, struct leader, campaign_timer));
+}
+
+static void campaign_after(struct leader *leader, int64_t delay_ms)
+{
+	if (!leader->stopping && !kn_timer_pending(&leader->campaign_timer))
+		kn_timer_set(leader->kv->kn, &leader->campaign_timer,
+			     delay_ms * USEC_PER_MSEC, on_campaign);
+}
+
+static void drop_renewals(struct leader *leader)
+{
+	int i;
+
+	for (i = 0; i < LEADER_RENEWALS; i++) {
+		if (leader->renewals[i].busy)
+			leader->kv->ops->cancel(leader->kv,
+						&leader->renewals[i].call);
+		leader->renewals[i].busy = false;
+	}
+}
+
+static void step_down(struct leader *leader, const char *why)
+{
+	if (!leader->leading)
+		return;
+	leader->leading = false;
+	drop_renewals(leader);
+	kn_timer_cancel(&leader->timer);
+	log_warn("leader.deposed", "fence=%" G_GINT64_FORMAT " reason=\"%s\"",
+		 leader->fence, why);
+	leader->ops->deposed(leader);
+	campaign_after(leader, CAMPAIGN_RETRY_MS);
+}
+
+/* ---- renewal ---- */
+
+static void renew(struct leader *leader);
+
+static void on_tick(struct kn_timer *timer)
+{
+	struct leader *leader = container_of(timer, struct leader, timer);
+
+	if (!leader->leading)
+		return;
+	if (!leader_valid(leader)) {
+		step_down(leader, "the lease was not renewed in time");
+		return;
+	}
+	renew(leader);
+}
+
+static void on_renewal(struct kv_call *call)
+{
+	struct leader_renewal *renewal = call->user;
+	struct leader *leader = renewal->leader;
+
+	renewal->busy = false;
+	if (!leader->leading)
+		return;
+	if (call->result != CB_OK) {
+		log_info("leader.renewal_lost", "result=%d", call->result);
+		return;
+	}
+	if (!call->succeeded) {
+		step_down(leader, "the lease has ended in the store");
+		return;
+	}
+	leader->valid_until_us =
+		MAX(leader->valid_until_us, lease_end_us(renewal->sent_us));
+}
+
+static void renew(struct leader *leader)
+{
+	struct kv *kv = leader->kv;
+	int i;
+
+	for (i = 0; i < LEADER_RENEWALS; i++) {
+		struct leader_renewal *renewal = &leader->renewals[i];
+
+		if (renewal->busy)
+			continue;
+		memset(&renewal->call, 0, sizeof(renewal->call));
+		renewal->leader = leader;
+		renewal->call.done = on_renewal;
+		renewal->call.user = renewal;
+		renewal->busy = true;
+		renewal->sent_us = kn_now_us();
+		kv->ops->keepalive(kv, &renewal->call, leader->lease);
+		break;
+	}
+	kn_timer_set(kv->kn, &leader->timer, RENEW_MS * USEC_PER_MSEC, on_tick);
+}
+
+/* ---- campaign ---- */
+
+static void lead(struct leader *leader, int64_t fence)
+{
+	leader->leading = true;
+	leader->fence = fence;
+	leader->valid_until_us = lease_end_us(leader->sent_us);
+	ctr_add(&leader->elections, 1);
+	log_info("leader.elected",
+		 "fence=%" G_GINT64_FORMAT " lease=%" G_GINT64_FORMAT, fence,
+		 leader->lease);
+	leader->ops->elected(leader);
+	renew(leader);
+}
+
+static void start_call(struct leader *leader, void (*done)(struct kv_call *))
+{
+	memset(&leader->call, 0, sizeof(leader->call));
+	leader->call.done = done;
+	leader->call.user = leader;
+	leader->calling = true;
+}
+
+static void on_revoked(struct kv_call *call)
+{
+	struct leader *leader = call->user;
+
+	leader->calling = false;
+	if (call->result != CB_OK)
+		log_info("leader.revoke_lost", "result=%d", call->result);
+	campaign_after(leader, CAMPAIGN_RETRY_MS);
+}
+
+static void end_lease(struct leader *leader, int64_t lease)
+{
+	start_call(leader, on_revoked);
+	leader->kv->ops->revoke(leader->kv, &leader->call, lease);
+}
+
+static void on_created(struct kv_call *call)
+{
+	struct leader *leader = call->user;
+
+	leader->calling = false;
+	if (leader->stopping)
+		return;
+	if (call->result == CB_OK && call->succeeded) {
+		lead(leader, call->revision);
+		return;
+	}
+	/* Another one was first, or the answer was lost: the key tells. */
+	log_info("leader.not_elected", "result=%d", call->result);
+	campaign_after(leader, CAMPAIGN_RETRY_MS);
+}
+
+static void on_granted(struct kv_call *call)
+{
+	struct leader *leader = call->user;
+	struct kv_cmp cmp = { .key = KEY_LEADER, .mod_revision = 0 };
+	struct kv_op op = { .kind = KV_PUT, .key = KEY_LEADER };
+	char *value;
+
+	leader->calling = false;
+	if (call->result != CB_OK || !call->succeeded || leader->key_there ||
+	    leader->stopping) {
+		campaign_after(leader, CAMPAIGN_RETRY_MS);
+		return;
+	}
+	leader->lease = call->lease;
+	value = g_strdup_printf("%s %" G_GUINT64_FORMAT " %s:%d",
+				leader->site->host, leader->incarnation,
+				leader->site->peers.addr,
+				leader->site->peers.port);
+	op.value = value;
+	op.len = strlen(value);
+	op.lease = leader->lease;
+	start_call(leader, on_created);
+	leader->kv->ops->txn(leader->kv, &leader->call, &cmp, 1, &op, 1, NULL,
+			     0);
+	g_free(value);
+}
+
+static void campaign(struct leader *leader)
+{
+	if (leader->leading || leader->calling || leader->stopping ||
+	    !leader->key.up)
+		return;
+	if (leader->key_there) {
+		/* A key of this process that it doesn't lead by: a new fence. */
+		if (leader->key_mine)
+			end_lease(leader, leader->key_lease);
+		return;
+	}
+	start_call(leader, on_granted);
+	leader->sent_us = kn_now_us();
+	leader->kv->ops->grant(leader->kv, &leader->call, LEADER_LEASE_S);
+}
+
+/* ---- the key ---- */
+
+static void on_set(struct mirror *mirror, const struct kv_item *item)
+{
+	struct leader *leader = container_of(mirror, struct leader, key);
+	char **words = g_strsplit(item->value, " ", 3);
+
+	leader->key_there = true;
+	leader->key_created = item->mod_revision;
+	leader->key_lease = item->lease;
+	leader->key_mine =
+		words[0] && words[1] &&
+		strcmp(words[0], leader->site->host) == 0 &&
+		g_ascii_strtoull(words[1], NULL, 10) == leader->incarnation;
+	g_strlcpy(leader->current, words[0] ? words[0] : "",
+		  sizeof(leader->current));
+	g_strfreev(words);
+	log_info("leader.seen", "leader=%s fence=%" G_GINT64_FORMAT,
+		 leader->current, item->mod_revision);
+	if (leader->leading && item->mod_revision > leader->fence)
+		step_down(leader, "another host was elected");
+	else if (leader->key_mine && !leader->leading && !leader->calling)
+		campaign_after(leader, CAMPAIGN_RETRY_MS);
+}
+
+static void on_removed(struct mirror *mirror, const char *key)
+{
+	struct leader *leader = container_of(mirror, struct leader, key);
+	int64_t delay_ms =
+		leader->site->strength < STRONG_CORES ? WEAK_DELAY_MS : 0;
+
+	leader->key_there = false;
+	leader->key_mine = false;
+	leader->current[0] = '\0';
+	if (leader->leading)
+		step_down(leader, "the key is gone");
+	campaign_after(leader, delay_ms);
+}
+
+static void on_synced(struct mirror *mirror)
+{
+	struct leader *leader = container_of(mirror, struct leader, key);
+
+	if (!leader->key_there)
+		campaign_after(leader, 0);
+}
+
+static const struct mirror_ops key_ops = {
+	.set = on_set,
+	.removed = on_removed,
+	.synced = on_synced,
+};
+
+void leader_resign_now(struct leader *leader, const char *why)
+{
+	step_down(leader, why);
+}
+
+/* ---- life ---- */
+
+void leader_init(struct leader *leader, struct kv *kv, const struct site *site,
+		 uint64_t incarnation, const struct leader_ops *ops)
+{
+	memset(leader, 0, sizeof(*leader));
+	leader->ops = ops;
+	leader->kv = kv;
+	leader->site = site;
+	leader->incarnation = incarnation;
+	mirror_init(&leader->key, kv, &key_ops, KEY_LEADER, KEY_WAIT_MS);
+	ctr_init(&leader->elections, &kv->kn->counters, CTR_COUNTER,
+		 "chivebank_elections_total", NULL,
+		 "Elections that this host has won");
+}
+
+void leader_start(struct leader *leader)
+{
+	mirror_start(&leader->key);
+}
+
+static void on_resigned(struct kv_call *call)
+{
+	struct leader *leader = call->user;
+
+	leader->calling = false;
+}
+
+void leader_resign(struct leader *leader)
+{
+	bool led = leader->leading;
+
+	leader->stopping = true;
+	kn_timer_cancel(&leader->campaign_timer);
+	kn_timer_cancel(&leader->timer);
+	drop_renewals(leader);
+	step_down(leader, "the host is stopping");
+	if (!led || leader->calling)
+		return;
+	start_call(leader, on_resigned);
+	leader->kv->ops->revoke(leader->kv, &leader->call, leader->lease);
+}
+
+void leader_finish(struct leader *leader)
+{
+	mirror_finish(&leader->key);
+	if (leader->calling)
+		leader->kv->ops->cancel(leader->kv, &leader->call);
+	drop_renewals(leader);
+	kn_timer_cancel(&leader->timer);
+	kn_timer_cancel(&leader->campaign_timer);
+	ctr_finish(&leader->elections);
+}
--- /dev/null
+++ b/control/leader.h
@@ -0,0 +1,68 @@
+#ifndef CONTROL_LEADER_H
+#define CONTROL_LEADER_H
+
+#include "control/mirror.h"
+#include "control/site.h"
+
+/*
+ * Election of the one leader of a deployment, by a key under a lease of the
+ * store. The revision at which the key was created is the leader's fence. A
+ * leader acts while its lease is surely alive by its own clock.
+ */
+
+struct leader;
+
+/* Renewals under way at a time: a slow store answers after the next is due. */
+#define LEADER_RENEWALS 4
+
+struct leader_renewal {
+	struct leader *leader;
+	struct kv_call call;
+	bool busy;
+	int64_t sent_us;
+};
+
+struct leader_ops {
+	void (*elected)(struct leader *leader);
+	/* No order may be sent after that. */
+	void (*deposed)(struct leader *leader);
+};
+
+struct leader {
+	const struct leader_ops *ops;
+	struct kv *kv;
+	const struct site *site;
+	uint64_t incarnation;
+	bool leading;
+	int64_t fence;
+	char current[NAME_MAX_BYTES]; /* who leads, "" when unknown */
+	/* private */
+	struct mirror key;
+	int64_t lease;
+	int64_t valid_until_us;
+	int64_t key_lease; /* of the key that was seen last */
+	int64_t key_created;
+	bool key_mine;
+	bool key_there;
+	bool calling; /* grant, create or revoke is under way */
+	struct kv_call call;
+	struct leader_renewal renewals[LEADER_RENEWALS];
+	int64_t sent_us; /* of the grant */
+	struct kn_timer timer;
+	struct kn_timer campaign_timer;
+	bool stopping;
+	struct ctr elections;
+};
+
+void leader_init(struct leader *leader, struct kv *kv, const struct site *site,
+		 uint64_t incarnation, const struct leader_ops *ops);
+void leader_start(struct leader *leader);
+/* Gives the leadership up; another host takes over at once. */
+void leader_resign(struct leader *leader);
+/* Stops leading; this host may be elected again. */
+void leader_resign_now(struct leader *leader, const char *why);
+void leader_finish(struct leader *leader);
+/* Whether orders may be sent now. */
+bool leader_valid(const struct leader *leader);
+
+#endif
--- /dev/null
+++ b/control/ledger.c
@@ -0,0 +1,352 @@
+#include "control/ledger.h"
+
+#include <string.h>
+
+#include "base/err.h"
+#include "base/log.h"
+#include "control/keys.h"
+#include "control/record.h"
+#include "fleet/limits.h"
+
+/* After a failure; the store names no time itself. */
+#define LEDGER_RETRY_MS 100
+/* Keys of three records a removed job, within the limit of a transaction. */
+#define EXPIRED_PER_WRITE 8
+
+void ledger_init(struct ledger *ledger, struct kv *kv,
+		 const struct ledger_ops *ops)
+{
+	memset(ledger, 0, sizeof(*ledger));
+	ledger->ops = ops;
+	ledger->kv = kv;
+	ledger->writing = g_ptr_array_new();
+	ledger->writing_changes = g_array_new(FALSE, FALSE, sizeof(uint64_t));
+	ledger->expired = g_ptr_array_new_with_free_func(g_free);
+	ctr_init(&ledger->writes, &kv->kn->counters, CTR_COUNTER,
+		 "chivebank_ledger_writes_total", NULL,
+		 "Transactions of the leader that were carried out");
+	ctr_init(&ledger->retries, &kv->kn->counters, CTR_COUNTER,
+		 "chivebank_ledger_retries_total", NULL,
+		 "Transactions of the leader that had to be repeated");
+	ctr_init(&ledger->latency, &kv->kn->counters, CTR_HISTOGRAM,
+		 "chivebank_ledger_write_ms", NULL,
+		 "Time from the first try of a transaction to its answer");
+}
+
+void ledger_finish(struct ledger *ledger)
+{
+	ledger_close(ledger);
+	g_ptr_array_unref(ledger->writing);
+	g_array_unref(ledger->writing_changes);
+	g_ptr_array_unref(ledger->expired);
+	ctr_finish(&ledger->writes);
+	ctr_finish(&ledger->retries);
+	ctr_finish(&ledger->latency);
+}
+
+void ledger_open(struct ledger *ledger, struct fleet *fleet,
+		 int64_t leader_revision)
+{
+	ledger->fleet = fleet;
+	ledger->leader_revision = leader_revision;
+	ledger->open = true;
+	ledger->started_us = 0;
+}
+
+void ledger_close(struct ledger *ledger)
+{
+	if (ledger->calling)
+		ledger->kv->ops->cancel(ledger->kv, &ledger->call);
+	kn_timer_cancel(&ledger->timer);
+	ledger->calling = false;
+	ledger->open = false;
+	ledger->fleet = NULL;
+	ledger->removing = 0;
+	g_ptr_array_set_size(ledger->writing, 0);
+	g_array_set_size(ledger->writing_changes, 0);
+	g_ptr_array_set_size(ledger->expired, 0);
+	g_free(ledger->waiting);
+	ledger->waiting = NULL;
+	ledger->waiting_len = 0;
+	ledger->waiting_dirty = false;
+}
+
+/* ---- answers ---- */
+
+/* The job's changes up to the written one are stored. */
+static void settle_job(struct ledger *ledger, struct job *job, uint64_t written,
+		       int64_t revision)
+{
+	job->writing = false;
+	job->record_rev = revision;
+	list_del(&job->dirty);
+	if (job->last_change <= written) {
+		job->first_change = 0;
+		return;
+	}
+	/* It changed meanwhile; its turn is behind the others. */
+	job->first_change = written + 1;
+	list_add_tail(&job->dirty, &ledger->fleet->dirty);
+}
+
+/* Jobs that changed meanwhile go where their oldest change belongs. */
+static gint by_change(gconstpointer a, gconstpointer b)
+{
+	const struct job *left = *(struct job *const *)a;
+	const struct job *right = *(struct job *const *)b;
+
+	return left->first_change < right->first_change ? -1 : 1;
+}
+
+static void sort_dirty(struct fleet *fleet)
+{
+	GPtrArray *jobs = g_ptr_array_new();
+	guint i;
+
+	while (!list_empty(&fleet->dirty)) {
+		struct job *job =
+			list_first_entry(&fleet->dirty, struct job, dirty);
+
+		list_del(&job->dirty);
+		g_ptr_array_add(jobs, job);
+	}
+	g_ptr_array_sort(jobs, by_change);
+	for (i = 0; i < jobs->len; i++) {
+		struct job *job = g_ptr_array_index(jobs, i);
+
+		list_add_tail(&job->dirty, &fleet->dirty);
+	}
+	g_ptr_array_unref(jobs);
+}
+
+static void clear_call(struct ledger *ledger)
+{
+	guint i;
+
+	for (i = 0; i < ledger->writing->len; i++) {
+		struct job *job = g_ptr_array_index(ledger->writing, i);
+
+		job->writing = false;
+	}
+	g_ptr_array_set_size(ledger->writing, 0);
+	g_array_set_size(ledger->writing_changes, 0);
+	ledger->removing = 0;
+}
+
+static void written(struct ledger *ledger, int64_t revision)
+{
+	guint i;
+
+	for (i = 0; i < ledger->writing->len; i++)
+		settle_job(ledger, g_ptr_array_index(ledger->writing, i),
+			   g_array_index(ledger->writing_changes, uint64_t, i),
+			   revision);
+	sort_dirty(ledger->fleet);
+	if (ledger->removing > 0)
+		g_ptr_array_remove_range(ledger->expired, 0,
+					 (guint)ledger->removing);
+	if (ledger->waiting_in_call)
+		ledger->waiting_dirty = false;
+	ctr_add(&ledger->writes, 1);
+	ctr_observe(&ledger->latency,
+		    (uint64_t)((kn_now_us() - ledger->started_us) / 1000));
+	ledger->started_us = 0;
+	clear_call(ledger);
+	ledger->ops->stored(ledger);
+}
+
+static char *state_key(const struct job *job)
+{
+	return g_strconcat(KEY_STATE_PREFIX, job->id, NULL);
+}
+
+/*
+ * A compare failed: the leader's key is another's, or an earlier try of this
+ * transaction was carried out after all. Takes the records' revisions over.
+ */
+static bool still_leader(struct ledger *ledger, const struct kv_call *call)
+{
+	const struct kv_item *leader = kv_find(call, KEY_LEADER);
+	guint i;
+
+	if (!leader || leader->mod_revision != ledger->leader_revision)
+		return false;
+	for (i = 0; i < ledger->writing->len; i++) {
+		struct job *job = g_ptr_array_index(ledger->writing, i);
+		char *key = state_key(job);
+		const struct kv_item *item = kv_find(call, key);
+
+		job->record_rev = item ? item->mod_revision : 0;
+		g_free(key);
+	}
+	return true;
+}
+
+static void on_retry(struct kn_timer *timer)
+{
+	ledger_flush(container_of(timer, struct ledger, timer));
+}
+
+static void on_txn(struct kv_call *call)
+{
+	struct ledger *ledger = call->user;
+
+	ledger->calling = false;
+	if (call->result == CB_OK && call->succeeded) {
+		written(ledger, call->revision);
+		/* stored() may have closed the ledger. */
+		if (ledger->open)
+			ledger_flush(ledger);
+		return;
+	}
+	ctr_add(&ledger->retries, 1);
+	if (call->result == CB_OK && !still_leader(ledger, call)) {
+		clear_call(ledger);
+		log_warn("ledger.deposed", "fence=%" G_GINT64_FORMAT,
+			 ledger->leader_revision);
+		ledger->ops->deposed(ledger);
+		return;
+	}
+	clear_call(ledger);
+	kn_timer_set(ledger->kv->kn, &ledger->timer,
+		     call->result == CB_OK ? 0 :
+					     LEDGER_RETRY_MS * USEC_PER_MSEC,
+		     on_retry);
+}
+
+/* ---- writing ---- */
+
+struct batch {
+	GArray *cmps; /* struct kv_cmp */
+	GArray *ops; /* struct kv_op */
+	GPtrArray *memory;
+};
+
+static void batch_compare(struct batch *batch, const char *key,
+			  int64_t revision)
+{
+	struct kv_cmp cmp = { .key = key, .mod_revision = revision };
+
+	g_array_append_val(batch->cmps, cmp);
+}
+
+/* Takes value over. */
+static void batch_put(struct batch *batch, const char *key, char *value,
+		      size_t len)
+{
+	struct kv_op op = {
+		.kind = KV_PUT, .key = key, .value = value, .len = len
+	};
+
+	g_ptr_array_add(batch->memory, value);
+	g_array_append_val(batch->ops, op);
+}
+
+static void add_job(struct ledger *ledger, struct batch *batch, struct job *job)
+{
+	msgpack_sbuffer record;
+	char *key = state_key(job);
+	char *value;
+
+	record_state_write(job, &record);
+	value = g_memdup2(record.data, record.size);
+	g_ptr_array_add(batch->memory, key);
+	batch_compare(batch, key, job->record_rev);
+	batch_put(batch, key, value, record.size);
+	msgpack_sbuffer_destroy(&record);
+	job->writing = true;
+	g_ptr_array_add(ledger->writing, job);
+	g_array_append_val(ledger->writing_changes, job->last_change);
+}
+
+static void add_removals(struct ledger *ledger, struct batch *batch)
+{
+	static const char *const suffixes[] = { KEY_SPEC_SUFFIX,
+						KEY_CANCEL_SUFFIX };
+	guint i, s;
+
+	for (i = 0; i < ledger->expired->len && i < EXPIRED_PER_WRITE; i++) {
+		const char *id = g_ptr_array_index(ledger->expired, i);
+		struct kv_op op = { .kind = KV_DELETE };
+
+		for (s = 0; s < G_N_ELEMENTS(suffixes); s++) {
+			op.key = g_strconcat(KEY_INTAKE_PREFIX, id, suffixes[s],
+					     NULL);
+			g_ptr_array_add(batch->memory, (char *)op.key);
+			g_array_append_val(batch->ops, op);
+		}
+		op.key = g_strconcat(KEY_STATE_PREFIX, id, NULL);
+		g_ptr_array_add(batch->memory, (char *)op.key);
+		g_array_append_val(batch->ops, op);
+		ledger->removing++;
+	}
+}
+
+static void fill(struct ledger *ledger, struct batch *batch)
+{
+	struct job *job;
+
+	batch_compare(batch, KEY_LEADER, ledger->leader_revision);
+	list_for_each_entry(job, &ledger->fleet->dirty, dirty) {
+		if (ledger->writing->len >= RECORDS_PER_WRITE)
+			break;
+		add_job(ledger, batch, job);
+	}
+	if (ledger->writing->len == 0)
+		add_removals(ledger, batch);
+	ledger->waiting_in_call = ledger->waiting_dirty &&
+				  ledger->writing->len < RECORDS_PER_WRITE;
+	if (ledger->waiting_in_call)
+		batch_put(batch, KEY_WAITING,
+			  g_memdup2(ledger->waiting, ledger->waiting_len),
+			  ledger->waiting_len);
+}
+
+void ledger_flush(struct ledger *ledger)
+{
+	struct batch batch;
+
+	if (!ledger->open || ledger->calling ||
+	    kn_timer_pending(&ledger->timer) || ledger_idle(ledger))
+		return;
+	batch.cmps = g_array_new(FALSE, FALSE, sizeof(struct kv_cmp));
+	batch.ops = g_array_new(FALSE, FALSE, sizeof(struct kv_op));
+	batch.memory = g_ptr_array_new_with_free_func(g_free);
+	fill(ledger, &batch);
+	if (ledger->started_us == 0)
+		ledger->started_us = kn_now_us();
+	memset(&ledger->call, 0, sizeof(ledger->call));
+	ledger->call.done = on_txn;
+	ledger->call.user = ledger;
+	ledger->calling = true;
+	ledger->kv->ops->txn(ledger->kv, &ledger->call,
+			     (struct kv_cmp *)(void *)batch.cmps->data,
+			     batch.cmps->len,
+			     (struct kv_op *)(void *)batch.ops->data,
+			     batch.ops->len, NULL, 0);
+	g_array_unref(batch.cmps);
+	g_array_unref(batch.ops);
+	g_ptr_array_unref(batch.memory);
+}
+
+bool ledger_idle(const struct ledger *ledger)
+{
+	return !ledger->calling && list_empty(&ledger->fleet->dirty) &&
+	       !ledger->waiting_dirty && ledger->expired->len == 0;
+}
+
+void ledger_set_waiting(struct ledger *ledger, const void *data, size_t len)
+{
+	if (ledger->waiting && ledger->waiting_len == len &&
+	    memcmp(ledger->waiting, data, len) == 0)
+		return;
+	g_free(ledger->waiting);
+	ledger->waiting = g_memdup2(data, len);
+	ledger->waiting_len = len;
+	ledger->waiting_dirty = true;
+}
+
+void ledger_expire(struct ledger *ledger, const char *id)
+{
+	g_ptr_array_add(ledger->expired, g_strdup(id));
+}
--- /dev/null
+++ b/control/orders.c
@@ -0,0 +1,521 @@
+#include "control/orders.h"
+
+#include <string.h>
+
+#include "base/limits.h"
+#include "base/log.h"
+#include "fleet/limits.h"
+
+/* One order under way, or one hold. */
+struct orders_call {
+	struct list_head node;
+	struct orders *orders;
+	struct order_call call;
+	enum order_kind kind;
+	char *worker; /* id */
+	int64_t born_ms;
+	struct task_ref ref; /* not of a hold */
+	int64_t run;
+	int64_t sent_us;
+	int64_t wait_ms;
+	bool look; /* a hold besides the one that waits */
+};
+
+void orders_init(struct orders *orders, struct kn *kn, struct worker_edge *edge,
+		 const struct orders_ops *ops)
+{
+	static const char *const results[] = { "result=\"accepted\"",
+					       "result=\"refused\"",
+					       "result=\"other_life\"",
+					       "result=\"not_sent\"",
+					       "result=\"unknown\"" };
+	static const char *const kinds[] = { "kind=\"start\"", "kind=\"stop\"",
+					     "kind=\"hold\"", "kind=\"pace\"" };
+	size_t i;
+
+	memset(orders, 0, sizeof(*orders));
+	orders->ops = ops;
+	orders->kn = kn;
+	orders->edge = edge;
+	list_init(&orders->calls);
+	for (i = 0; i < G_N_ELEMENTS(results); i++)
+		ctr_init(&orders->results[i], &kn->counters, CTR_COUNTER,
+			 "chivebank_order_results_total", results[i],
+			 "Answers of workers to orders");
+	for (i = 0; i < G_N_ELEMENTS(kinds); i++)
+		ctr_init(&orders->sent[i], &kn->counters, CTR_COUNTER,
+			 "chivebank_orders_total", kinds[i],
+			 "Orders sent to workers");
+	ctr_init(&orders->start_ms, &kn->counters, CTR_HISTOGRAM,
+		 "chivebank_start_order_ms", NULL,
+		 "Time from a start order to its acceptance");
+	ctr_init(&orders->hold_late_ms, &kn->counters, CTR_HISTOGRAM,
+		 "chivebank_hold_late_ms", NULL,
+		 "Answer time of hold calls that waited for their whole time");
+}
+
+void orders_finish(struct orders *orders)
+{
+	size_t i;
+
+	orders_close(orders);
+	for (i = 0; i < G_N_ELEMENTS(orders->results); i++)
+		ctr_finish(&orders->results[i]);
+	for (i = 0; i < G_N_ELEMENTS(orders->sent); i++)
+		ctr_finish(&orders->sent[i]);
+	ctr_finish(&orders->start_ms);
+	ctr_finish(&orders->hold_late_ms);
+	orders->edge->ops->finish(orders->edge);
+}
+
+void orders_open(struct orders *orders, struct fleet *fleet, int64_t fence)
+{
+	orders->fleet = fleet;
+	orders->fence = fence;
+}
+
+static void own_free(struct orders_call *own)
+{
+	list_del(&own->node);
+	g_free(own->worker);
+	g_free(own);
+}
+
+void orders_close(struct orders *orders)
+{
+	struct orders_call *own, *next;
+
+	list_for_each_entry_safe(own, next, &orders->calls, node) {
+		orders->edge->ops->cancel(orders->edge, &own->call);
+		own_free(own);
+	}
+	orders->fleet = NULL;
+}
+
+/* ---- answers ---- */
+
+static struct worker *find_worker(const struct orders_call *own)
+{
+	struct worker *worker = g_hash_table_lookup(
+		own->orders->fleet->workers_by_id, own->worker);
+
+	if (!worker || worker->said.born_ms != own->born_ms)
+		return NULL;
+	return worker;
+}
+
+static struct task *find_task(const struct orders_call *own)
+{
+	struct job *job = fleet_job(own->orders->fleet, own->ref.job);
+	struct task *task = job ? job_task(job, &own->ref) : NULL;
+
+	if (!task || task->run != own->run || !task->worker ||
+	    strcmp(task->worker->said.id, own->worker) != 0)
+		return NULL;
+	return task;
+}
+
+/* Another process has the worker's address: its life there is over. */
+static void other_life(struct orders *orders, struct worker *worker,
+		       int64_t now_us)
+{
+	log_info("worker.other_life", "worker=%s tasks=%d", worker->said.id,
+		 worker->task_count);
+	fleet_life_over(orders->fleet, worker, now_us,
+			kn_wall_us() / USEC_PER_MSEC);
+}
+
+/* The answer came from a life that the store has not reported yet. */
+static void later_life(struct orders *orders, struct worker *worker,
+		       int64_t born_ms, int64_t now_us)
+{
+	log_info("worker.later_life",
+		 "worker=%s born_ms=%" G_GINT64_FORMAT
+		 " known_ms=%" G_GINT64_FORMAT,
+		 worker->said.id, born_ms, worker->said.born_ms);
+	fleet_later_life(orders->fleet, worker, born_ms, now_us);
+}
+
+/* Contact and clock of the worker. Returns NULL when this life is over. */
+static struct worker *note_contact(struct orders_call *own, int64_t now_us)
+{
+	const struct order_call *call = &own->call;
+	struct worker *worker = find_worker(own);
+
+	if (!worker)
+		return NULL;
+	if (call->result == ORDER_UNKNOWN || call->result == ORDER_NOT_SENT) {
+		if (worker->silent++ == 0)
+			worker->silent_us = now_us;
+		return worker;
+	}
+	if (call->result == ORDER_OTHER_LIFE) {
+		other_life(own->orders, worker, now_us);
+		return NULL;
+	}
+	if (call->born_ms > worker->said.born_ms) {
+		later_life(own->orders, worker, call->born_ms, now_us);
+		return NULL;
+	}
+	if (worker->silent > 0 && !worker_reachable(worker, now_us))
+		log_info("worker.regained", "worker=%s silent=%d",
+			 worker->said.id, worker->silent);
+	worker->silent = 0;
+	worker->heard_us = now_us;
+	if (call->has_clock)
+		worker_clock(worker, call->clock_ms, now_us);
+	return worker;
+}
+
+/* Whether an earlier try of the order may be carried out yet. */
+static void start_unanswered(struct task *task, int64_t now_us)
+{
+	if (task->phase != TASK_STARTING)
+		return;
+	task->uncertain = true;
+	task->retry_us = now_us;
+}
+
+static void start_refused(struct orders_call *own, struct task *task,
+			  int64_t now_us)
+{
+	struct fleet *fleet = own->orders->fleet;
+	enum start_refusal why = own->call.refusal;
+
+	if (why == REFUSED_FENCE) {
+		own->orders->ops->fenced(own->orders, own->orders->fence);
+		return;
+	}
+	if (task->phase == TASK_STARTING &&
+	    (why == REFUSED_LATE || why == REFUSED_ILL) &&
+	    task->tries < START_TRIES_MAX) {
+		/* Nothing was done, so the same order may go out again. */
+		task->retry_us = now_us;
+		if (why == REFUSED_ILL)
+			task->retry_us += REFUSED_RETRY_MS * USEC_PER_MSEC;
+		return;
+	}
+	if (why == REFUSED_OLD || task->uncertain) {
+		/* An earlier try was, or may be, carried out. */
+		fleet_stop(fleet, task, "start refused after a lost answer");
+		if (why == REFUSED_OLD)
+			task->settled_us = now_us;
+		return;
+	}
+	fleet_refused(fleet, task, why, now_us, kn_wall_us() / USEC_PER_MSEC);
+}
+
+static void on_start(struct orders_call *own, int64_t now_us)
+{
+	struct task *task = find_task(own);
+
+	if (!task)
+		return;
+	task->calling = false;
+	switch (own->call.result) {
+	case ORDER_ACCEPTED:
+		ctr_observe(&own->orders->start_ms,
+			    (uint64_t)(now_us - own->sent_us) / 1000);
+		fleet_started(own->orders->fleet, task, now_us);
+		break;
+	case ORDER_REFUSED:
+		start_refused(own, task, now_us);
+		break;
+	case ORDER_NOT_SENT:
+		if (task->phase == TASK_STARTING)
+			task->retry_us =
+				now_us + REFUSED_RETRY_MS * USEC_PER_MSEC;
+		break;
+	case ORDER_OTHER_LIFE:
+		break;
+	case ORDER_UNKNOWN:
+		start_unanswered(task, now_us);
+		break;
+	}
+}
+
+static void on_stop(struct orders_call *own, int64_t now_us)
+{
+	struct task *task = find_task(own);
+
+	if (!task || task->phase != TASK_STOPPING)
+		return;
+	task->calling = false;
+	task->retry_us = now_us + STOP_RETRY_MS * USEC_PER_MSEC;
+	if (own->call.result == ORDER_ACCEPTED) {
+		task->retry_us +=
+			own->orders->fleet->bounds.stop_ms * USEC_PER_MSEC;
+		fleet_stop_answered(own->orders->fleet, task, now_us);
+	} else if (own->call.result == ORDER_REFUSED &&
+		   own->call.refusal == REFUSED_FENCE)
+		own->orders->ops->fenced(own->orders, own->orders->fence);
+}
+
+static void on_hold(struct orders_call *own, struct worker *worker,
+		    int64_t now_us)
+{
+	struct orders *orders = own->orders;
+
+	if (own->call.result == ORDER_REFUSED) {
+		if (own->call.refusal == REFUSED_FENCE)
+			orders->ops->fenced(orders, orders->fence);
+		worker->next_hold_us = now_us + HOLD_RETRY_MS * USEC_PER_MSEC;
+		return;
+	}
+	if (own->call.result != ORDER_ACCEPTED) {
+		worker->next_hold_us = now_us + HOLD_RETRY_MS * USEC_PER_MSEC;
+		return;
+	}
+	if (own->wait_ms > 0 && own->call.report.nended == 0)
+		ctr_observe(&orders->hold_late_ms,
+			    (uint64_t)MAX(0, (now_us - own->sent_us) / 1000 -
+						     own->wait_ms));
+	worker->next_hold_us = now_us;
+	fleet_held(orders->fleet, worker, &own->call.report, own->sent_us,
+		   now_us, kn_wall_us() / USEC_PER_MSEC);
+}
+
+static void on_done(struct order_call *call)
+{
+	struct orders_call *own = container_of(call, struct orders_call, call);
+	struct orders *orders = own->orders;
+	int64_t now_us = kn_now_us();
+	struct worker *worker;
+
+	list_del(&own->node);
+	ctr_add(&orders->results[call->result], 1);
+	worker = find_worker(own);
+	if (worker && own->kind == ORDER_HOLD) {
+		if (own->look)
+			worker->looking = false;
+		else
+			worker->holding = false;
+	}
+	worker = note_contact(own, now_us);
+	if (own->kind == ORDER_START)
+		on_start(own, now_us);
+	else if (own->kind == ORDER_STOP)
+		on_stop(own, now_us);
+	else if (own->kind == ORDER_HOLD && worker)
+		on_hold(own, worker, now_us);
+	own_free(own);
+	orders->ops->changed(orders);
+}
+
+/* ---- sending ---- */
+
+static void send_order(struct orders *orders, struct orders_call *own,
+		       struct worker *worker, struct order *order,
+		       int64_t now_us)
+{
+	order->addr = worker->said.addr;
+	order->port = worker->said.port;
+	order->worker = worker->said.id;
+	order->fence = orders->fence;
+	own->orders = orders;
+	own->kind = order->kind;
+	own->worker = g_strdup(worker->said.id);
+	own->born_ms = worker->said.born_ms;
+	own->sent_us = now_us;
+	own->call.done = on_done;
+	list_add_tail(&own->node, &orders->calls);
+	ctr_add(&orders->sent[order->kind], 1);
+	orders->edge->ops->start(orders->edge, &own->call, order);
+}
+
+static void fill_ref(const struct task *task, struct orders_call *own)
+{
+	g_strlcpy(own->ref.job, task->stage->job->id, sizeof(own->ref.job));
+	own->ref.occurrence = task->stage->occurrence;
+	own->ref.step = task->stage->step;
+	own->ref.index = task->index;
+	own->run = task->run;
+}
+
+static void send_start(struct orders *orders, struct task *task, int64_t now_us)
+{
+	struct orders_call *own = g_new0(struct orders_call, 1);
+	struct worker *worker = task->worker;
+	char name[160];
+	struct order order = {
+		.kind = ORDER_START,
+		.task = name,
+		.run = task->run,
+		.payload = task->stage->job->spec.payload,
+		.checkpoint = task->checkpoint,
+		.ticket = task->ticket,
+		.timeout_ms = ORDER_TIMEOUT_MS,
+	};
+
+	task_name(task, name, sizeof(name));
+	order.lease_until_ms =
+		worker_lease(worker, orders->fleet->bounds.max_hold_ms, now_us);
+	fill_ref(task, own);
+	task->calling = true;
+	task->tries++;
+	send_order(orders, own, worker, &order, now_us);
+}
+
+static void send_stop(struct orders *orders, struct task *task, int64_t now_us)
+{
+	struct orders_call *own = g_new0(struct orders_call, 1);
+	char name[160];
+	struct order order = {
+		.kind = ORDER_STOP,
+		.task = name,
+		.run = task->run,
+		.timeout_ms = ORDER_TIMEOUT_MS,
+	};
+
+	task_name(task, name, sizeof(name));
+	fill_ref(task, own);
+	task->calling = true;
+	task->tries++;
+	send_order(orders, own, task->worker, &order, now_us);
+}
+
+/* The lease is extended only while the worker answers. */
+static int64_t hold_lease(struct orders *orders, struct worker *worker,
+			  int64_t now_us)
+{
+	if (worker->clock_us == 0 || !worker_reachable(worker, now_us) ||
+	    worker->task_count == 0)
+		return 0;
+	return worker_lease(worker, orders->fleet->bounds.max_hold_ms, now_us);
+}
+
+static void send_hold(struct orders *orders, struct worker *worker, bool look,
+		      int64_t now_us)
+{
+	struct orders_call *own = g_new0(struct orders_call, 1);
+	struct order order = {
+		.kind = ORDER_HOLD,
+		.noted = fleet_ends_noted(orders->fleet, worker),
+		.wait_ms = HOLD_WAIT_MS,
+	};
+
+	if (look || !worker->fenced || worker->ends->len > 0 ||
+	    worker->task_count == 0)
+		order.wait_ms = 0;
+	order.lease_until_ms = hold_lease(orders, worker, now_us);
+	order.timeout_ms = order.wait_ms + HOLD_TIMEOUT_MS;
+	own->wait_ms = order.wait_ms;
+	own->look = look;
+	if (look)
+		worker->looking = true;
+	else
+		worker->holding = true;
+	worker->hold_sent_us = now_us;
+	worker->acked = order.noted;
+	send_order(orders, own, worker, &order, now_us);
+}
+
+/* ---- what is due ---- */
+
+static void run_task(struct orders *orders, struct task *task, int64_t now_us,
+		     int64_t *next_us)
+{
+	uint64_t stored = fleet_stored(orders->fleet);
+
+	switch (task->phase) {
+	case TASK_PLANNED:
+		if (task->change > stored)
+			return;
+		task->phase = TASK_STARTING;
+		send_start(orders, task, now_us);
+		return;
+	case TASK_STARTING:
+		/* An adopted run is settled by the worker's lists. */
+		if (task->calling || (task->uncertain && task->tries == 0))
+			return;
+		break;
+	case TASK_STOPPING:
+		if (task->calling && task->stop_sent)
+			return;
+		break;
+	default:
+		return;
+	}
+	if (task->retry_us > now_us) {
+		*next_us = MIN(*next_us, task->retry_us);
+		return;
+	}
+	if (task->phase == TASK_STARTING && task->tries >= START_TRIES_MAX) {
+		fleet_stop(orders->fleet, task, "no answer to its start");
+		*next_us = now_us;
+		return;
+	}
+	if (task->phase == TASK_STARTING) {
+		send_start(orders, task, now_us);
+		return;
+	}
+	task->stop_sent = true;
+	send_stop(orders, task, now_us);
+}
+
+/* A stop that was answered, with no list since: a look settles it soon. */
+static bool wants_look(const struct worker *worker, int64_t now_us,
+		       const struct fleet *fleet, int64_t *next_us)
+{
+	const struct task *task;
+
+	list_for_each_entry(task, &worker->tasks, on_worker) {
+		int64_t due_us;
+
+		if (task->settled_us == 0 ||
+		    task->settled_us < worker->hold_sent_us)
+			continue;
+		if (task->phase != TASK_STOPPING)
+			continue;
+		due_us = task->settled_us + fleet->bounds.stop_ms * 1000 / 2;
+		if (due_us <= now_us)
+			return true;
+		*next_us = MIN(*next_us, due_us);
+	}
+	return false;
+}
+
+static void run_worker(struct orders *orders, struct worker *worker,
+		       int64_t now_us, int64_t *next_us)
+{
+	struct fleet *fleet = orders->fleet;
+	struct task *task, *next;
+	int64_t noted;
+
+	if (worker->said.port == 0)
+		return;
+	list_for_each_entry_safe(task, next, &worker->tasks, on_worker)
+		run_task(orders, task, now_us, next_us);
+	noted = fleet_ends_noted(fleet, worker);
+	if (worker->task_count == 0 && worker->acked >= worker->end_seen)
+		return;
+	/* While ends wait for the store the worker would answer at once. */
+	if (!worker->holding && worker->acked < worker->end_seen &&
+	    noted < worker->end_seen &&
+	    now_us < worker->hold_sent_us + HOLD_STALLED_MS * USEC_PER_MSEC) {
+		*next_us =
+			MIN(*next_us, worker->hold_sent_us +
+					      HOLD_STALLED_MS * USEC_PER_MSEC);
+		return;
+	}
+	if (!worker->holding && worker->next_hold_us <= now_us) {
+		send_hold(orders, worker, false, now_us);
+		return;
+	}
+	if (!worker->holding)
+		*next_us = MIN(*next_us, worker->next_hold_us);
+	else if (!worker->looking && wants_look(worker, now_us, fleet, next_us))
+		send_hold(orders, worker, true, now_us);
+}
+
+int64_t orders_run(struct orders *orders, int64_t now_us)
+{
+	struct worker *worker, *next;
+	int64_t next_us = INT64_MAX;
+
+	if (!orders->fleet || !orders->ops->may_send(orders))
+		return next_us;
+	list_for_each_entry_safe(worker, next, &orders->fleet->workers, node)
+		run_worker(orders, worker, now_us, &next_us);
+	return next_us;
+}
--- /dev/null
+++ b/control/record.c
@@ -0,0 +1,461 @@
+#include "control/record.h"
+
+#include <string.h>
+
+#include "daemon/mp.h"
+
+enum step_flag {
+	STEP_GANG = 1,
+	STEP_SAME_RACK = 2,
+	STEP_CHECKPOINT = 4,
+	STEP_SPECULATIVE = 8,
+	STEP_LONG_RUNNING = 16,
+	STEP_FILLS = 32,
+};
+
+#define STRETCH_UNIT 1000.0 /* stretch is kept in thousandths */
+
+/* ---- submissions ---- */
+
+static uint64_t step_flags(const struct step_spec *step)
+{
+	return (step->gang ? STEP_GANG : 0) |
+	       (step->same_rack ? STEP_SAME_RACK : 0) |
+	       (step->checkpoint ? STEP_CHECKPOINT : 0) |
+	       (step->speculative ? STEP_SPECULATIVE : 0) |
+	       (step->long_running ? STEP_LONG_RUNNING : 0) |
+	       (step->fills ? STEP_FILLS : 0);
+}
+
+static void step_write(const struct step_spec *step, struct mp_out *out)
+{
+	mp_array(out, 13);
+	mp_int(out, step->count);
+	mp_int(out, step->need.cpu_milli);
+	mp_int(out, step->need.mem_mb);
+	mp_int(out, step->need.gpus);
+	mp_int(out, step->est_ms);
+	mp_uint(out, step->after);
+	mp_uint(out, step_flags(step));
+	mp_int(out, step->max_per_worker);
+	mp_int(out, step->may_miss);
+	mp_int(out, step->target_ms);
+	mp_str(out, step->label);
+	mp_str(out, step->rack);
+	mp_str(out, step->image);
+}
+
+/* Hands the packed bytes over to out. */
+static void take_buffer(struct mp_out *from, msgpack_sbuffer *out)
+{
+	*out = from->buf;
+}
+
+void record_submission_write(const struct submission *submission,
+			     const struct job_spec *spec, msgpack_sbuffer *out)
+{
+	struct mp_out mp;
+	int i;
+
+	mp_begin(&mp, 14);
+	mp_uint(&mp, RECORD_VERSION);
+	mp_str(&mp, submission->queue);
+	mp_str(&mp, submission->pool);
+	mp_str(&mp, submission->customer);
+	mp_int(&mp, submission->priority);
+	mp_int(&mp, submission->attempts);
+	mp_int(&mp, (int64_t)(submission->stretch * STRETCH_UNIT));
+	mp_int(&mp, submission->slo_ms);
+	mp_int(&mp, submission->accepted_ms);
+	mp_str(&mp, spec->payload);
+	mp_int(&mp, spec->times);
+	mp_int(&mp, spec->first_ms);
+	mp_int(&mp, spec->interval_ms);
+	mp_array(&mp, spec->nsteps);
+	for (i = 0; i < spec->nsteps; i++)
+		step_write(&spec->steps[i], &mp);
+	take_buffer(&mp, out);
+}
+
+static void step_read(struct mp_in *in, struct step_spec *step)
+{
+	uint64_t flags;
+
+	step->count = (int)mp_get_int(in);
+	step->need.cpu_milli = mp_get_int(in);
+	step->need.mem_mb = mp_get_int(in);
+	step->need.gpus = mp_get_int(in);
+	step->est_ms = mp_get_int(in);
+	step->after = mp_get_uint(in);
+	flags = mp_get_uint(in);
+	step->gang = flags & STEP_GANG;
+	step->same_rack = flags & STEP_SAME_RACK;
+	step->checkpoint = flags & STEP_CHECKPOINT;
+	step->speculative = flags & STEP_SPECULATIVE;
+	step->long_running = flags & STEP_LONG_RUNNING;
+	step->fills = flags & STEP_FILLS;
+	step->max_per_worker = (int)mp_get_int(in);
+	step->may_miss = (int)mp_get_int(in);
+	step->target_ms = mp_get_int(in);
+	step->label = mp_get_str(in);
+	step->rack = mp_get_str(in);
+	step->image = mp_get_str(in);
+}
+
+static struct job *submission_read(const char *id, struct mp_in *in)
+{
+	struct submission head = { 0 };
+	struct mp_in steps, inner;
+	struct job_spec spec;
+	struct job *job;
+	char *payload;
+	int64_t times, first_ms, interval_ms;
+	int i;
+
+	head.queue = mp_get_str(in);
+	head.pool = mp_get_str(in);
+	head.customer = mp_get_str(in);
+	head.priority = (int)mp_get_int(in);
+	head.attempts = (int)mp_get_int(in);
+	head.stretch = (double)mp_get_int(in) / STRETCH_UNIT;
+	head.slo_ms = mp_get_int(in);
+	head.accepted_ms = mp_get_int(in);
+	payload = mp_get_str(in);
+	times = mp_get_int(in);
+	first_ms = mp_get_int(in);
+	interval_ms = mp_get_int(in);
+	mp_get_array(in, &steps);
+	if (!in->ok || steps.left < 1 || steps.left > SPEC_STEPS_MAX)
+		memset(&steps, 0, sizeof(steps));
+	job_spec_init(&spec, (int)steps.left);
+	spec.payload = payload;
+	spec.times = times;
+	spec.first_ms = first_ms;
+	spec.interval_ms = interval_ms;
+	for (i = 0; i < spec.nsteps; i++) {
+		mp_get_array(&steps, &inner);
+		step_read(&inner, &spec.steps[i]);
+		in->ok &= inner.ok;
+	}
+	if (!in->ok || !head.queue || !head.pool || !head.customer ||
+	    !job_spec_check(&spec, NULL)) {
+		job_spec_finish(&spec);
+		g_free(head.queue);
+		g_free(head.pool);
+		g_free(head.customer);
+		return NULL;
+	}
+	job = job_new(id, &spec);
+	job->queue = head.queue;
+	job->pool = head.pool;
+	job->customer = head.customer;
+	job->priority = head.priority;
+	job->attempts = head.attempts;
+	job->stretch = head.stretch;
+	job->slo_ms = head.slo_ms;
+	job->accepted_ms = head.accepted_ms;
+	return job;
+}
+
+/* Unpacks a record; false when it is none of this version. */
+static bool open_record(msgpack_unpacked *unpacked, const void *data,
+			size_t len, struct mp_in *in)
+{
+	msgpack_unpacked_init(unpacked);
+	if (msgpack_unpack_next(unpacked, data, len, NULL) !=
+	    MSGPACK_UNPACK_SUCCESS)
+		return false;
+	mp_open(in, &unpacked->data);
+	return in->ok && mp_get_uint(in) == RECORD_VERSION && in->ok;
+}
+
+struct job *record_submission_read(const char *id, const void *data, size_t len)
+{
+	msgpack_unpacked unpacked;
+	struct job *job = NULL;
+	struct mp_in in;
+
+	if (open_record(&unpacked, data, len, &in))
+		job = submission_read(id, &in);
+	msgpack_unpacked_destroy(&unpacked);
+	return job;
+}
+
+/* ---- states ---- */
+
+static bool task_is_plain(const struct task *task)
+{
+	return task->phase != TASK_DONE && task->run == 0 && task->fails == 0 &&
+	       !task->checkpoint;
+}
+
+static void task_write(const struct task *task, struct mp_out *out)
+{
+	bool holds = task->worker && task->phase != TASK_DONE;
+
+	mp_array(out, 7);
+	mp_int(out, task->index);
+	mp_uint(out, task->phase == TASK_DONE);
+	mp_int(out, task->run);
+	mp_int(out, task->fails);
+	mp_str(out, holds ? task->worker->said.id : NULL);
+	mp_int(out, holds ? task->worker->said.born_ms : 0);
+	mp_str(out, task->phase == TASK_DONE ? NULL : task->checkpoint);
+}
+
+static void stage_write(const struct stage *stage, struct mp_out *out)
+{
+	int changed = 0;
+	int i;
+
+	for (i = 0; i < stage->spec->count; i++)
+		changed += !task_is_plain(&stage->tasks[i]);
+	mp_array(out, 5);
+	mp_int(out, stage->occurrence);
+	mp_int(out, stage->step);
+	mp_int(out, stage->fails);
+	mp_int(out, stage->fail_run);
+	mp_array(out, changed);
+	for (i = 0; i < stage->spec->count; i++)
+		if (!task_is_plain(&stage->tasks[i]))
+			task_write(&stage->tasks[i], out);
+}
+
+void record_state_write(const struct job *job, msgpack_sbuffer *out)
+{
+	int64_t i, live = 0;
+	struct mp_out mp;
+
+	for (i = 0; i < job->due * job->spec.nsteps; i++)
+		live += job->stages[i] != NULL;
+	mp_begin(&mp, 7);
+	mp_uint(&mp, RECORD_VERSION);
+	mp_str(&mp, job_phase_name(job->phase));
+	mp_str(&mp, job->customer);
+	mp_uint(&mp, job->started);
+	mp_int(&mp, job->ended_ms);
+	mp_int(&mp, job->due);
+	/* Of an ended job only the phase is of interest. */
+	mp_array(&mp, job_ended(job) && !fleet_job_holds(job) ? 0 : live);
+	for (i = 0; i < job->due * job->spec.nsteps; i++)
+		if (job->stages[i] &&
+		    !(job_ended(job) && !fleet_job_holds(job)))
+			stage_write(job->stages[i], &mp);
+	take_buffer(&mp, out);
+}
+
+static void adopt(struct fleet *fleet, struct task *task, const char *id,
+		  int64_t born_ms, int64_t now_us)
+{
+	struct worker *worker = fleet_adopt_worker(fleet, id, born_ms, now_us);
+
+	fleet_adopt_run(fleet, task, worker);
+	if (job_ended(task->stage->job))
+		task->phase = TASK_STOPPING;
+}
+
+static void task_read(struct fleet *fleet, struct stage *stage,
+		      struct mp_in *in, int64_t now_us)
+{
+	int64_t index = mp_get_int(in);
+	bool done = mp_get_uint(in);
+	int64_t run = mp_get_int(in);
+	int64_t fails = mp_get_int(in);
+	char *worker = mp_get_str(in);
+	int64_t born_ms = mp_get_int(in);
+	char *checkpoint = mp_get_str(in);
+	struct task *task;
+
+	if (!in->ok || index < 0 || index >= stage->spec->count) {
+		in->ok = false;
+		g_free(worker);
+		g_free(checkpoint);
+		return;
+	}
+	task = &stage->tasks[index];
+	task->run = run;
+	task->fails = (int)fails;
+	g_free(task->checkpoint);
+	task->checkpoint = checkpoint;
+	if (done && task->phase != TASK_DONE) {
+		task->phase = TASK_DONE;
+		stage->left--;
+	}
+	if (worker && !done)
+		adopt(fleet, task, worker, born_ms, now_us);
+	g_free(worker);
+}
+
+static bool stage_read(struct fleet *fleet, struct job *job, struct mp_in *in,
+		       int64_t now_us)
+{
+	int64_t occurrence = mp_get_int(in);
+	int64_t step = mp_get_int(in);
+	int64_t fails = mp_get_int(in);
+	int64_t fail_run = mp_get_int(in);
+	struct stage *stage;
+	struct mp_in tasks;
+
+	mp_get_array(in, &tasks);
+	if (!in->ok || step < 0 || step >= SPEC_STEPS_MAX)
+		return false;
+	stage = job_stage(job, occurrence, (int)step);
+	if (!stage)
+		return false;
+	stage->fails = (int)fails;
+	stage->fail_run = fail_run;
+	while (tasks.ok && tasks.left > 0) {
+		struct mp_in inner;
+
+		mp_get_array(&tasks, &inner);
+		task_read(fleet, stage, &inner, now_us);
+		if (!inner.ok)
+			return false;
+	}
+	return tasks.ok;
+}
+
+/* Occurrences that the record does not list are over. */
+static void settle_stages(struct job *job, const bool *listed, int64_t now_us)
+{
+	int64_t k;
+	int step;
+
+	for (k = 0; k < job->due; k++) {
+		bool over = true;
+
+		if (!listed[k]) {
+			job_close(job, k);
+			job->over++;
+			continue;
+		}
+		for (step = 0; step < job->spec.nsteps; step++) {
+			struct stage *stage = job_stage(job, k, step);
+
+			if (stage->left == 0)
+				stage->state = STAGE_DONE;
+			over &= stage->state == STAGE_DONE;
+		}
+		job->over += over;
+		job_unblock(job, k, now_us);
+	}
+}
+
+static bool state_read(struct fleet *fleet, struct job *job, struct mp_in *in,
+		       int64_t now_us)
+{
+	char phase[16];
+	bool started, *listed;
+	int64_t ended_ms, due;
+	struct mp_in stages;
+	bool ok = true;
+	int number;
+
+	mp_get_text(in, phase, sizeof(phase));
+	g_free(mp_get_str(in)); /* the customer, for entry hosts */
+	started = mp_get_uint(in);
+	ended_ms = mp_get_int(in);
+	due = mp_get_int(in);
+	mp_get_array(in, &stages);
+	number = job_phase_parse(phase);
+	if (!in->ok || number < 0 || due < 0 || due > job->occurrences)
+		return false;
+	job->phase = (enum job_phase)number;
+	job->started = started;
+	job->ended_ms = ended_ms;
+	while (job->due < due)
+		job_open_next(job, now_us);
+	listed = g_new0(bool, due + 1);
+	while (ok && stages.left > 0) {
+		struct mp_in inner, peek;
+
+		mp_get_array(&stages, &inner);
+		peek = inner;
+		number = (int)mp_get_int(&peek);
+		if (number >= 0 && number < due)
+			listed[number] = true;
+		ok = stages.ok && stage_read(fleet, job, &inner, now_us);
+	}
+	settle_stages(job, listed, now_us);
+	g_free(listed);
+	return ok;
+}
+
+bool record_state_read(struct fleet *fleet, struct job *job, const void *data,
+		       size_t len, int64_t now_us)
+{
+	msgpack_unpacked unpacked;
+	struct mp_in in;
+	bool ok = open_record(&unpacked, data, len, &in) &&
+		  state_read(fleet, job, &in, now_us);
+
+	msgpack_unpacked_destroy(&unpacked);
+	return ok;
+}
+
+bool record_phase_read(const void *data, size_t len, enum job_phase *phase,
+		       char **customer)
+{
+	msgpack_unpacked unpacked;
+	struct mp_in in;
+	char name[16];
+	int number = -1;
+
+	*customer = NULL;
+	if (open_record(&unpacked, data, len, &in)) {
+		mp_get_text(&in, name, sizeof(name));
+		*customer = mp_get_str(&in);
+		number = in.ok ? job_phase_parse(name) : -1;
+	}
+	msgpack_unpacked_destroy(&unpacked);
+	*phase = (enum job_phase)MAX(number, 0);
+	return number >= 0;
+}
+
+/* ---- counts ---- */
+
+void record_waiting_write(const struct fleet *fleet, msgpack_sbuffer *out)
+{
+	GHashTable *counts = g_hash_table_new(g_str_hash, g_str_equal);
+	const struct job *job;
+	GHashTableIter iter;
+	gpointer name, count;
+	struct mp_out mp;
+
+	list_for_each_entry(job, &fleet->jobs, node) {
+		if (job->started || job_ended(job))
+			continue;
+		count = g_hash_table_lookup(counts, job->queue);
+		g_hash_table_insert(
+			counts, job->queue,
+			GINT_TO_POINTER(GPOINTER_TO_INT(count) + 1));
+	}
+	mp_begin(&mp, 1 + 2 * g_hash_table_size(counts));
+	mp_uint(&mp, RECORD_VERSION);
+	g_hash_table_iter_init(&iter, counts);
+	while (g_hash_table_iter_next(&iter, &name, &count)) {
+		mp_str(&mp, name);
+		mp_int(&mp, GPOINTER_TO_INT(count));
+	}
+	g_hash_table_unref(counts);
+	take_buffer(&mp, out);
+}
+
+int64_t record_waiting_read(const void *data, size_t len, const char *queue)
+{
+	msgpack_unpacked unpacked;
+	int64_t found = -1;
+	struct mp_in in;
+
+	if (open_record(&unpacked, data, len, &in))
+		while (in.ok && in.left > 0 && found < 0) {
+			char *name = mp_get_str(&in);
+			int64_t count = mp_get_int(&in);
+
+			if (in.ok && g_strcmp0(name, queue) == 0)
+				found = count;
+			g_free(name);
+		}
+	msgpack_unpacked_destroy(&unpacked);
+	return found;
+}
--- /dev/null
+++ b/control/site.h
@@ -0,0 +1,34 @@
+#ifndef CONTROL_SITE_H
+#define CONTROL_SITE_H
+
+#include "base/limits.h"
+#include "base/set.h"
+#include "fleet/fleet.h"
+
+#define SITE_SEEDS_MAX 8
+
+/* What a process knows from its settings when it runs on a platform. */
+struct site {
+	char host[NAME_MAX_BYTES];
+	char dc[NAME_MAX_BYTES];
+	char region[NAME_MAX_BYTES];
+	struct set_addr callers; /* port 0: not served here */
+	struct set_addr ready; /* port 0: no readiness checks */
+	struct set_addr peers; /* where other hosts reach this one */
+	struct set_addr metrics;
+	struct set_addr seeds[SITE_SEEDS_MAX]; /* some other hosts */
+	size_t seed_count;
+	struct set_addr store;
+	struct set_addr machines; /* port 0: none */
+	struct set_addr advice; /* port 0: none */
+	double strength; /* cores that this host may use */
+	int64_t memory_mb;
+	int64_t grace_ms; /* from the request to stop until the kill */
+	int64_t contact_ms; /* a host in touch has had a path for so long */
+	int64_t config_ms; /* within it, a change is in force */
+	int64_t upkeep_notice_ms;
+	double machine_calls_per_s;
+	struct fleet_bounds bounds;
+};
+
+#endif
--- a/daemon/main.c
+++ b/daemon/main.c
@@ -15,11 +15,14 @@
 #include "daemon/req.h"
 #include "daemon/sched.h"
 #include "daemon/store.h"
+#include "platform/host.h"
+#include "platform/settings.h"
 #include "wire/pr.h"
 
 struct options {
 	const char *settings;
 	const char *check;
+	bool platform;
 };
 
 #define VERSION "0.1"
@@ -29,11 +32,14 @@
 static const char doc[] =
 	"Entry host of chivebank: serves callers and operators, talks to its "
 	"peers and schedules the jobs of its data centre.\v"
-	"SIGTERM stops gracefully; a second SIGTERM stops at once.";
+	"SIGTERM stops gracefully; a second SIGTERM stops at once. With "
+	"--platform the settings are those of the platform, in the file that "
+	"the variable " PLATFORM_SETTINGS_VARIABLE " names.";
 
 static const struct argp_option option_table[] = {
 	{ "settings", 's', "FILE", 0, "Run with the settings in FILE", 0 },
 	{ "check", 'c', "FILE", 0, "Check the settings in FILE and exit", 0 },
+	{ "platform", 'p', 0, 0, "Run on the platform", 0 },
 	{ 0 }
 };
 
@@ -48,9 +54,15 @@
 	case 'c':
 		options->check = arg;
 		return 0;
+	case 'p':
+		options->platform = true;
+		return 0;
 	case ARGP_KEY_END:
-		if (!options->settings == !options->check)
-			argp_error(state, "give one of --settings and --check");
+		if (!!options->settings + !!options->check +
+			    options->platform !=
+		    1)
+			argp_error(state, "give one of --settings, --check "
+					  "and --platform");
 		return 0;
 	default:
 		return ARGP_ERR_UNKNOWN;
@@ -96,33 +108,73 @@
 }
 
 /* Runs until a signal has stopped the process. Returns the exit status. */
-static int run(const struct set *set)
+static int run(struct kn *kn)
 {
 	GError *err = NULL;
-	struct kn kn;
 	int status;
 
-	log_init(set->host, set->dc, set->log_level);
-	if (!kn_init(&kn, &err)) {
-		log_err("start.failed", "text=\"%s\"", err->message);
-		g_error_free(err);
-		return EXIT_FAILURE;
-	}
-	add_services(&kn, set);
-	kn_handle_signals(&kn);
-	if (kn_start(&kn, &err)) {
+	kn_handle_signals(kn);
+	if (kn_start(kn, &err)) {
 		ev_emit("process.started", "version=%s", VERSION);
-		status = kn_run(&kn);
+		status = kn_run(kn);
 		ev_emit("process.stopped", "status=%d", status);
 	} else {
 		log_err("start.failed", "text=\"%s\"", err->message);
 		g_error_free(err);
 		status = EXIT_FAILURE;
 	}
-	kn_finish(&kn);
+	kn_finish(kn);
 	return status;
 }
 
+static bool init_kernel(struct kn *kn)
+{
+	GError *err = NULL;
+
+	if (kn_init(kn, &err))
+		return true;
+	log_err("start.failed", "text=\"%s\"", err->message);
+	g_error_free(err);
+	return false;
+}
+
+static int run_own(const struct set *set)
+{
+	struct kn kn;
+
+	log_init(set->host, set->dc, set->log_level);
+	if (!init_kernel(&kn))
+		return EXIT_FAILURE;
+	add_services(&kn, set);
+	return run(&kn);
+}
+
+static int run_on_platform(void)
+{
+	const char *path = g_getenv(PLATFORM_SETTINGS_VARIABLE);
+	static struct site site;
+	GError *err = NULL;
+	struct kn kn;
+
+	if (!path) {
+		log_err("settings.invalid", "result=%d text=\"%s is not set\"",
+			CB_E_SETTINGS, PLATFORM_SETTINGS_VARIABLE);
+		return EXIT_FAILURE;
+	}
+	if (!platform_settings_load(&site, path, &err)) {
+		log_err("settings.invalid", "result=%d text=\"%s\"", err->code,
+			err->message);
+		g_error_free(err);
+		return EXIT_FAILURE;
+	}
+	log_init(site.host, site.dc, LOG_INFO_LEVEL);
+	if (!init_kernel(&kn))
+		return EXIT_FAILURE;
+	ev_init((uint64_t)kn_wall_us());
+	platform_host_add(&kn, &site, (uint64_t)kn_wall_us());
+	return run(&kn);
+}
+
 int main(int argc, char **argv)
 {
 	static struct set set;
@@ -130,11 +182,13 @@
 
 	if (argp_parse(&argp, argc, argv, 0, NULL, &options))
 		return EXIT_FAILURE;
+	if (options.platform)
+		return run_on_platform();
 	if (!load(&set, options.check ? options.check : options.settings))
 		return EXIT_FAILURE;
 	if (options.check) {
 		puts("settings are valid");
 		return EXIT_SUCCESS;
 	}
-	return run(&set);
+	return run_own(&set);
 }
--- /dev/null
+++ b/fleet/job.c
@@ -0,0 +1,221 @@
+#include "fleet/job.h"
+
+#include <stdio.h>
+#include <string.h>
+
+static const char *const phase_names[] = { "queued", "running", "done",
+					   "failed", "cancelled" };
+
+const char *job_phase_name(enum job_phase phase)
+{
+	return phase_names[phase];
+}
+
+int job_phase_parse(const char *name)
+{
+	int i;
+
+	for (i = 0; i < (int)G_N_ELEMENTS(phase_names); i++)
+		if (strcmp(phase_names[i], name) == 0)
+			return i;
+	return -1;
+}
+
+double step_work(const struct step_spec *step)
+{
+	return (double)step->count *
+	       ((double)step->need.cpu_milli / 1000.0 +
+		(double)(step->need.gpus * ROOM_GPU_CORES)) *
+	       (double)step->est_ms;
+}
+
+/* Takes the contents of spec over. */
+struct job *job_new(const char *id, struct job_spec *spec)
+{
+	struct job *job = g_new0(struct job, 1);
+	int i;
+
+	list_init(&job->node);
+	list_init(&job->dirty);
+	job->id = g_strdup(id);
+	job->spec = *spec;
+	memset(spec, 0, sizeof(*spec));
+	job->occurrences = MAX(job->spec.times, 1);
+	job->stages = g_new0(struct stage *,
+			     (gsize)job->occurrences * job->spec.nsteps);
+	for (i = 0; i < job->spec.nsteps; i++)
+		job->work += step_work(&job->spec.steps[i]);
+	return job;
+}
+
+static void stage_free(struct stage *stage)
+{
+	int i;
+
+	if (!stage)
+		return;
+	for (i = 0; i < stage->spec->count; i++) {
+		g_free(stage->tasks[i].checkpoint);
+		g_free(stage->tasks[i].ticket);
+	}
+	g_free(stage->tasks);
+	g_free(stage->reserved);
+	g_free(stage);
+}
+
+/* The tasks must hold no room any more. */
+void job_free(struct job *job)
+{
+	int64_t i;
+
+	for (i = 0; i < job->occurrences * job->spec.nsteps; i++)
+		stage_free(job->stages[i]);
+	g_free(job->stages);
+	job_spec_finish(&job->spec);
+	list_del(&job->node);
+	list_del(&job->dirty);
+	g_free(job->id);
+	g_free(job->queue);
+	g_free(job->pool);
+	g_free(job->customer);
+	g_free(job);
+}
+
+bool job_ended(const struct job *job)
+{
+	return job->phase == JOB_DONE || job->phase == JOB_FAILED ||
+	       job->phase == JOB_CANCELLED;
+}
+
+struct stage *job_stage(const struct job *job, int64_t occurrence, int step)
+{
+	if (occurrence < 0 || occurrence >= job->occurrences || step < 0 ||
+	    step >= job->spec.nsteps)
+		return NULL;
+	return job->stages[occurrence * job->spec.nsteps + step];
+}
+
+static struct stage *stage_new(struct job *job, int64_t occurrence, int step)
+{
+	struct stage *stage = g_new0(struct stage, 1);
+	int i;
+
+	stage->job = job;
+	stage->spec = &job->spec.steps[step];
+	stage->occurrence = (int)occurrence;
+	stage->step = step;
+	stage->left = stage->spec->count;
+	stage->tasks = g_new0(struct task, stage->spec->count);
+	for (i = 0; i < stage->spec->count; i++) {
+		stage->tasks[i].stage = stage;
+		stage->tasks[i].index = i;
+		stage->tasks[i].paced = 100;
+		list_init(&stage->tasks[i].on_worker);
+	}
+	return stage;
+}
+
+int64_t job_next_due_ms(const struct job *job)
+{
+	if (job->due >= job->occurrences)
+		return INT64_MAX;
+	if (job->spec.times == 0)
+		return 0;
+	return job->spec.first_ms + job->due * job->spec.interval_ms;
+}
+
+bool job_open_next(struct job *job, int64_t now_us)
+{
+	int step;
+
+	if (job->due >= job->occurrences)
+		return false;
+	for (step = 0; step < job->spec.nsteps; step++)
+		job->stages[job->due * job->spec.nsteps + step] =
+			stage_new(job, job->due, step);
+	job->due++;
+	job_unblock(job, job->due - 1, now_us);
+	return true;
+}
+
+void job_unblock(struct job *job, int64_t occurrence, int64_t now_us)
+{
+	uint64_t done = 0;
+	int step;
+
+	for (step = 0; step < job->spec.nsteps; step++) {
+		struct stage *stage = job_stage(job, occurrence, step);
+
+		if (!stage)
+			return;
+		if (stage->state == STAGE_DONE)
+			done |= 1ULL << step;
+		if (stage->state != STAGE_BLOCKED ||
+		    (stage->spec->after & ~done) != 0)
+			continue;
+		stage->state = STAGE_OPEN;
+		stage->opened_us = now_us;
+	}
+}
+
+void job_close(struct job *job, int64_t occurrence)
+{
+	int step;
+
+	for (step = 0; step < job->spec.nsteps; step++) {
+		struct stage **at =
+			&job->stages[occurrence * job->spec.nsteps + step];
+
+		stage_free(*at);
+		*at = NULL;
+	}
+}
+
+void task_name(const struct task *task, char *out, size_t size)
+{
+	const struct stage *stage = task->stage;
+
+	snprintf(out, size, "%s.%d.%d.%d", stage->job->id, stage->occurrence,
+		 stage->step, task->index);
+}
+
+static bool number_parse(const char **at, int64_t *out)
+{
+	char *end;
+
+	if (**at < '0' || **at > '9')
+		return false;
+	*out = g_ascii_strtoll(*at, &end, 10);
+	*at = end;
+	return true;
+}
+
+bool task_ref_parse(const char *name, struct task_ref *ref)
+{
+	size_t len = strcspn(name, ".");
+	const char *at = name + len;
+	int64_t step, index;
+
+	if (len == 0 || len >= sizeof(ref->job))
+		return false;
+	memcpy(ref->job, name, len);
+	ref->job[len] = '\0';
+	if (*at++ != '.' || !number_parse(&at, &ref->occurrence) ||
+	    *at++ != '.' || !number_parse(&at, &step) || *at++ != '.' ||
+	    !number_parse(&at, &index) || *at != '\0')
+		return false;
+	if (step >= SPEC_STEPS_MAX || index >= SPEC_TASKS_MAX)
+		return false;
+	ref->step = (int)step;
+	ref->index = (int)index;
+	return true;
+}
+
+struct task *job_task(const struct job *job, const struct task_ref *ref)
+{
+	struct stage *stage = job_stage(job, ref->occurrence, ref->step);
+
+	if (!stage || ref->index >= stage->spec->count)
+		return NULL;
+	return &stage->tasks[ref->index];
+}
--- /dev/null
+++ b/fleet/limits.h
@@ -0,0 +1,67 @@
+#ifndef FLEET_LIMITS_H
+#define FLEET_LIMITS_H
+
+/* Times and weights of the scheduler's decisions, with their units. */
+
+/* ---- orders ---- */
+
+/* A round trip between regions is 17 ms; more than that twice is a loss. */
+#define ORDER_TIMEOUT_MS 350
+/* Repeats of a start whose answer was lost; together below gang_ms. */
+#define START_TRIES_MAX 5
+/* A stop is repeated until it is answered or the worker's lease is over. */
+#define STOP_RETRY_MS 400
+/* A refusal for ill health says that nothing was done; it may be short. */
+#define REFUSED_RETRY_MS 150
+/* A hold call waits so long for an end; the lease must outlast two of them. */
+#define HOLD_WAIT_MS 1500
+#define HOLD_TIMEOUT_MS 700 /* beyond the wait */
+#define HOLD_RETRY_MS 300 /* after a call without answer */
+/* While ends wait for the store the worker would answer at once. */
+#define HOLD_STALLED_MS 400
+/* Leases are not extended for a worker that was silent for longer, so that
+ * they run out even if only the answers are lost. */
+#define SILENCE_TOLERATED_MS 1500
+/* After the computed end of a lease, for the resolution of the timers. */
+#define LEASE_SLACK_MS 150
+/* A worker without an entry in the store is not used; one of these beats. */
+#define UNLISTED_GRACE_MS 2000
+
+/* Orders of an earlier leader that were under way when it was replaced. */
+#define ADOPT_SLACK_MS 500
+
+/* ---- trust ---- */
+
+/* Failures in a row of different jobs that make a worker suspect. */
+#define STRIKES_MAX 2
+#define BAN_FIRST_MS 4000 /* bad spells last for some seconds */
+#define BAN_MAX_MS 16000
+/* A task whose percent stands still for so long is taken to hang: several
+ * reports, and longer than a restart takes. */
+#define STALL_MS 2600
+#define STALL_FACTOR 4.0 /* and this many times the usual time per percent */
+
+/* ---- queue ---- */
+
+/* A task waits for the rack of its data for this share of its duration, as
+ * elsewhere it takes several times as long. */
+#define RACK_PATIENCE 0.6
+/* Gangs at the head of the queue that hold room free for themselves. */
+#define RESERVED_GANGS_MAX 4
+/* Late jobs earn less, up to so many objectives. */
+#define LATE_FACTOR 3.0
+/* A pass is made so long after an event, for several events at once. */
+#define PASS_DELAY_MS 2
+#define PASS_TICK_MS 100 /* without events: leases, retries, due times */
+/* Tasks that one pass starts; bounds the pass and the write after it. */
+#define PASS_STARTS_MAX 512
+
+/* ---- records ---- */
+
+/* Ended jobs stay readable for the platform's status time, and as long again
+ * for requests that arrive late. */
+#define RECORD_KEEP_FACTOR 2
+#define RECORDS_PER_WRITE \
+	14 /* 32 entries, two a record, and the leader's key */
+
+#endif
--- /dev/null
+++ b/fleet/order.c
@@ -0,0 +1,137 @@
+#include "fleet/order.h"
+
+#include <string.h>
+
+#include "fleet/limits.h"
+
+/* The longest chain of what is left, by the expected durations. */
+double order_left_ms(const struct fleet *fleet, const struct job *job)
+{
+	double ends[SPEC_STEPS_MAX];
+	double longest = 0;
+	int64_t occurrence = MAX(job->due, 1) - 1;
+	int i, j;
+
+	for (i = 0; i < job->spec.nsteps; i++) {
+		const struct stage *stage = job_stage(job, occurrence, i);
+		double begin = 0;
+
+		for (j = 0; j < i; j++)
+			if (job->spec.steps[i].after >> j & 1)
+				begin = MAX(begin, ends[j]);
+		ends[i] = begin;
+		if (stage && stage->state != STAGE_DONE)
+			ends[i] += fleet_expected_ms(fleet, stage);
+		longest = MAX(longest, ends[i]);
+	}
+	return longest;
+}
+
+double order_objective_ms(const struct fleet *fleet, const struct job *job)
+{
+	return job->stretch * (double)job_spec_chain_ms(&job->spec) +
+	       (double)job->slo_ms;
+}
+
+enum order_hope order_hope(const struct fleet *fleet, const struct job *job,
+			   int64_t now_us)
+{
+	double waited_ms = (double)(now_us - job->arrived_us) / 1000.0;
+	double done_ms = waited_ms + order_left_ms(fleet, job);
+	double objective_ms = order_objective_ms(fleet, job);
+
+	/* Timed jobs are counted from each due time. */
+	if (job->spec.times > 0)
+		return HOPE_IN_TIME;
+	if (done_ms <= objective_ms)
+		return HOPE_IN_TIME;
+	return done_ms <= LATE_FACTOR * objective_ms ? HOPE_LATE : HOPE_NONE;
+}
+
+static bool wants_room(const struct job *job)
+{
+	int64_t i;
+	int t;
+
+	if (job_ended(job))
+		return false;
+	for (i = 0; i < job->due * job->spec.nsteps; i++) {
+		const struct stage *stage = job->stages[i];
+
+		if (!stage || stage->state != STAGE_OPEN)
+			continue;
+		for (t = 0; t < stage->spec->count; t++)
+			if (task_restartable(&stage->tasks[t]))
+				return true;
+	}
+	return false;
+}
+
+/*
+ * Lower ranks first. A job that has begun keeps its turn before others of
+ * its class, as its finished tasks are worth nothing until it is done.
+ */
+static double rank(const struct fleet *fleet, const struct job *job,
+		   int64_t now_us)
+{
+	double hope = (double)order_hope(fleet, job, now_us);
+	double deadline_s = (double)job->arrived_us / 1e6 +
+			    order_objective_ms(fleet, job) / 1000.0;
+
+	return (double)job->priority * 1e9 + hope * 1e8 + deadline_s;
+}
+
+static gint by_rank(gconstpointer a, gconstpointer b)
+{
+	const struct job *left = *(struct job *const *)a;
+	const struct job *right = *(struct job *const *)b;
+
+	if (left->rank != right->rank)
+		return left->rank < right->rank ? -1 : 1;
+	return strcmp(left->id, right->id);
+}
+
+GPtrArray *order_jobs(struct fleet *fleet, int64_t now_us)
+{
+	GPtrArray *jobs = g_ptr_array_new();
+	struct job *job;
+
+	list_for_each_entry(job, &fleet->jobs, node) {
+		if (!wants_room(job))
+			continue;
+		job->rank = rank(fleet, job, now_us);
+		g_ptr_array_add(jobs, job);
+	}
+	g_ptr_array_sort(jobs, by_rank);
+	return jobs;
+}
+
+/* The most accelerators that a job holds at a time. */
+static int64_t job_gpus(const struct job *job)
+{
+	int64_t most = 0;
+	int i;
+
+	for (i = 0; i < job->spec.nsteps; i++)
+		most = MAX(most, job->spec.steps[i].count *
+					 job->spec.steps[i].need.gpus);
+	return most;
+}
+
+bool order_guaranteed(const struct fleet *fleet, const struct job *job)
+{
+	const struct customer *customer;
+	const struct job *other;
+	int64_t gpus = 0;
+
+	if (job->priority != 0 || !fleet->config)
+		return false;
+	customer = config_customer(fleet->config, job->customer);
+	if (!customer || customer->guaranteed_gpus == 0)
+		return false;
+	list_for_each_entry(other, &fleet->jobs, node)
+		if (!job_ended(other) && other->priority == 0 &&
+		    strcmp(other->customer, job->customer) == 0)
+			gpus += job_gpus(other);
+	return gpus <= customer->guaranteed_gpus;
+}
--- /dev/null
+++ b/fleet/placement.c
@@ -0,0 +1,493 @@
+#include "fleet/placement.h"
+
+#include <stdlib.h>
+#include <string.h>
+
+#include "fleet/limits.h"
+
+/* ---- views ---- */
+
+static void rack_free(struct rack_view *rack)
+{
+	g_ptr_array_unref(rack->workers);
+	g_free(rack);
+}
+
+static void pool_view_free(struct pool_view *view)
+{
+	g_ptr_array_unref(view->workers);
+	g_ptr_array_unref(view->racks);
+	g_free(view);
+}
+
+static struct pool_view *view_of(struct placement *p, const char *pool)
+{
+	struct pool_view *view = g_hash_table_lookup(p->pools, pool);
+
+	if (view)
+		return view;
+	view = g_new0(struct pool_view, 1);
+	view->workers = g_ptr_array_new();
+	view->racks = g_ptr_array_new_with_free_func((GDestroyNotify)rack_free);
+	g_hash_table_insert(p->pools, g_strdup(pool), view);
+	return view;
+}
+
+static struct rack_view *rack_of(struct pool_view *view, const char *name)
+{
+	struct rack_view *rack;
+	guint i;
+
+	for (i = 0; i < view->racks->len; i++) {
+		rack = g_ptr_array_index(view->racks, i);
+		if (strcmp(rack->name, name) == 0)
+			return rack;
+	}
+	rack = g_new0(struct rack_view, 1);
+	rack->name = name;
+	rack->workers = g_ptr_array_new();
+	g_ptr_array_add(view->racks, rack);
+	return rack;
+}
+
+static bool usable(const struct worker *worker, int64_t now_us)
+{
+	return worker->listed && !worker->replaced && !worker->said.draining &&
+	       worker->banned_until_us <= now_us &&
+	       worker_reachable(worker, now_us);
+}
+
+void placement_init(struct placement *p, struct fleet *fleet, int64_t now_us)
+{
+	struct worker *worker;
+
+	p->fleet = fleet;
+	p->now_us = now_us;
+	p->pools = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
+					 (GDestroyNotify)pool_view_free);
+	list_for_each_entry(worker, &fleet->workers, node) {
+		struct pool_view *view;
+		const char *rack = worker->said.rack;
+
+		worker->reserved_for = NULL;
+		worker->busy_until_us = 0;
+		if (!usable(worker, now_us))
+			continue;
+		view = view_of(p, worker->said.pool);
+		g_ptr_array_add(view->workers, worker);
+		g_ptr_array_add(rack_of(view, rack ? rack : "")->workers,
+				worker);
+	}
+}
+
+void placement_finish(struct placement *p)
+{
+	g_hash_table_unref(p->pools);
+}
+
+struct pool_view *placement_pool(struct placement *p, const char *pool)
+{
+	return g_hash_table_lookup(p->pools, pool);
+}
+
+/* ---- fit ---- */
+
+bool placement_suits(const struct worker *worker, const struct stage *stage)
+{
+	const char *label = stage->spec->label;
+
+	return !label || worker_has_label(worker, label);
+}
+
+static int limit_by(int slots, int64_t room, int64_t need)
+{
+	if (need <= 0)
+		return slots;
+	if (room < need)
+		return 0;
+	return (int)MIN((int64_t)slots, room / need);
+}
+
+int placement_slots(const struct room *room, const struct stage *stage,
+		    int limit)
+{
+	const struct room *need = &stage->spec->need;
+	int slots = limit;
+
+	if (!stage->spec->fills)
+		slots = limit_by(slots, room->cpu_milli, need->cpu_milli);
+	slots = limit_by(slots, room->mem_mb, need->mem_mb);
+	return limit_by(slots, room->gpus, need->gpus);
+}
+
+int placement_open(const struct worker *worker, const struct stage *stage)
+{
+	struct room room = worker_free_room(worker);
+	int limit = stage->spec->count;
+
+	if (!placement_suits(worker, stage))
+		return 0;
+	if (stage->spec->max_per_worker > 0)
+		limit = MIN(limit, stage->spec->max_per_worker -
+					   worker_count(worker, stage));
+	if (limit <= 0)
+		return 0;
+	return placement_slots(&room, stage, limit);
+}
+
+/* Reserved room may be used by tasks that end before it is needed. */
+static bool reserved(const struct worker *worker, const struct stage *stage,
+		     double expected_ms, int64_t now_us)
+{
+	if (!worker->reserved_for || worker->reserved_for == stage)
+		return false;
+	return worker->busy_until_us == 0 ||
+	       now_us + (int64_t)(expected_ms * 1000.0) > worker->busy_until_us;
+}
+
+/* ---- single tasks ---- */
+
+/*
+ * Lower is better: the fullest worker that fits, by the resource that is
+ * scarce; slower workers count as emptier.
+ */
+static double fit_score(const struct worker *worker)
+{
+	struct room room = worker_free_room(worker);
+	const struct room *all = &worker->said.room;
+	double free_gpus = all->gpus > 0 ? (double)room.gpus / all->gpus : 0;
+	double free_cpu = all->cpu_milli > 0 ?
+				  (double)room.cpu_milli / all->cpu_milli :
+				  0;
+
+	return free_gpus * 4.0 + free_cpu + (1.0 - worker->speed) * 4.0;
+}
+
+struct worker *placement_task(struct placement *p, const struct stage *stage,
+			      double expected_ms)
+{
+	struct pool_view *view = placement_pool(p, stage->job->pool);
+	const char *rack = stage->spec->rack;
+	bool patient =
+		rack && p->now_us - stage->opened_us <
+				(int64_t)(expected_ms * 1000.0 * RACK_PATIENCE);
+	struct worker *best = NULL;
+	double best_score = 0;
+	bool rack_exists = false;
+	guint i;
+
+	for (i = 0; view && i < view->workers->len; i++) {
+		struct worker *worker = g_ptr_array_index(view->workers, i);
+		bool near = rack && g_strcmp0(worker->said.rack, rack) == 0;
+		double score;
+
+		rack_exists |= near && placement_suits(worker, stage);
+		if (reserved(worker, stage, expected_ms, p->now_us) ||
+		    placement_open(worker, stage) < 1)
+			continue;
+		score = fit_score(worker) + (rack && !near ? 100.0 : 0.0);
+		if (best && score >= best_score)
+			continue;
+		best = worker;
+		best_score = score;
+	}
+	if (best && patient && rack_exists && best_score >= 100.0)
+		return NULL;
+	return best;
+}
+
+/* ---- gangs ---- */
+
+struct seat {
+	struct worker *worker;
+	int slots;
+	double score;
+};
+
+static int by_score(const void *a, const void *b)
+{
+	const struct seat *left = a;
+	const struct seat *right = b;
+
+	if (left->score != right->score)
+		return left->score < right->score ? -1 : 1;
+	return strcmp(left->worker->said.id, right->worker->said.id);
+}
+
+/* The best worker for each task, NULL when there are not enough. */
+static struct worker **seat_all(struct placement *p, GPtrArray *workers,
+				const struct stage *stage, double expected_ms)
+{
+	struct seat *seats = g_new0(struct seat, workers->len + 1);
+	struct worker **chosen = NULL;
+	int nseats = 0, total = 0, taken = 0, i;
+	guint w;
+
+	for (w = 0; w < workers->len; w++) {
+		struct worker *worker = g_ptr_array_index(workers, w);
+		int slots;
+
+		if (reserved(worker, stage, expected_ms, p->now_us))
+			continue;
+		slots = placement_open(worker, stage);
+		if (slots < 1)
+			continue;
+		seats[nseats].worker = worker;
+		seats[nseats].slots = slots;
+		seats[nseats++].score = fit_score(worker);
+		total += slots;
+	}
+	if (total >= stage->spec->count) {
+		qsort(seats, nseats, sizeof(*seats), by_score);
+		chosen = g_new0(struct worker *, stage->spec->count + 1);
+		for (i = 0; i < nseats; i++)
+			while (seats[i].slots-- > 0 &&
+			       taken < stage->spec->count)
+				chosen[taken++] = seats[i].worker;
+	}
+	g_free(seats);
+	return chosen;
+}
+
+/* Accelerators that are free in a rack: less is a tighter fit. */
+static int64_t rack_free_gpus(const struct rack_view *rack)
+{
+	int64_t gpus = 0;
+	guint i;
+
+	for (i = 0; i < rack->workers->len; i++) {
+		struct room room =
+			worker_free_room(g_ptr_array_index(rack->workers, i));
+
+		gpus += room.gpus;
+	}
+	return gpus;
+}
+
+static double rack_speed(const struct rack_view *rack)
+{
+	double slowest = 10.0;
+	guint i;
+
+	for (i = 0; i < rack->workers->len; i++) {
+		const struct worker *worker =
+			g_ptr_array_index(rack->workers, i);
+
+		slowest = MIN(slowest, worker->speed);
+	}
+	return slowest;
+}
+
+static struct worker **seat_in_rack(struct placement *p, struct pool_view *view,
+				    const struct stage *stage,
+				    double expected_ms)
+{
+	struct worker **best = NULL;
+	double best_score = 0;
+	guint i;
+
+	for (i = 0; i < view->racks->len; i++) {
+		const struct rack_view *rack =
+			g_ptr_array_index(view->racks, i);
+		struct worker **chosen;
+		double score;
+
+		chosen = seat_all(p, rack->workers, stage, expected_ms);
+		if (!chosen)
+			continue;
+		score = (double)rack_free_gpus(rack) - 64.0 * rack_speed(rack);
+		if (stage->spec->rack &&
+		    strcmp(rack->name, stage->spec->rack) != 0)
+			score += 1e6;
+		if (best && score >= best_score) {
+			g_free(chosen);
+			continue;
+		}
+		g_free(best);
+		best = chosen;
+		best_score = score;
+	}
+	return best;
+}
+
+/* Whether one rack could hold the gang if it were empty. */
+static bool rack_could_hold(const struct pool_view *view,
+			    const struct stage *stage)
+{
+	guint i, w;
+
+	for (i = 0; i < view->racks->len; i++) {
+		const struct rack_view *rack =
+			g_ptr_array_index(view->racks, i);
+		int slots = 0;
+
+		for (w = 0; w < rack->workers->len; w++) {
+			const struct worker *worker =
+				g_ptr_array_index(rack->workers, w);
+			int limit = stage->spec->max_per_worker > 0 ?
+					    stage->spec->max_per_worker :
+					    stage->spec->count;
+
+			if (placement_suits(worker, stage))
+				slots += placement_slots(&worker->said.room,
+							 stage, limit);
+		}
+		if (slots >= stage->spec->count)
+			return true;
+	}
+	return false;
+}
+
+struct worker **placement_gang(struct placement *p, const struct stage *stage,
+			       double expected_ms)
+{
+	struct pool_view *view = placement_pool(p, stage->job->pool);
+	struct worker **chosen;
+
+	if (!view)
+		return NULL;
+	if (!stage->spec->same_rack && !stage->spec->rack)
+		return seat_all(p, view->workers, stage, expected_ms);
+	chosen = seat_in_rack(p, view, stage, expected_ms);
+	if (chosen)
+		return chosen;
+	if (!stage->spec->same_rack || !rack_could_hold(view, stage))
+		return seat_all(p, view->workers, stage, expected_ms);
+	return NULL;
+}
+
+/* ---- reservations ---- */
+
+struct ending {
+	int64_t at_us;
+	struct task *task;
+};
+
+static int by_time(const void *a, const void *b)
+{
+	const struct ending *left = a;
+	const struct ending *right = b;
+
+	return left->at_us < right->at_us ? -1 : left->at_us > right->at_us;
+}
+
+/* When a run ends, by its progress or else by what is usual. */
+static int64_t expected_end_us(const struct fleet *fleet,
+			       const struct task *task, int64_t now_us)
+{
+	double usual_us = fleet_expected_ms(fleet, task->stage) * 1000.0;
+	int64_t began = task->started_us ? task->started_us : now_us;
+	int64_t gained = task->percent - task->first_percent;
+
+	if (task->phase == TASK_STOPPING || task->phase == TASK_DONE)
+		return now_us + fleet->bounds.stop_ms * 1000;
+	if (gained >= 10 && task->moved_us > task->first_us)
+		usual_us = (double)(task->moved_us - began) * 100.0 /
+			   MAX(task->percent, 1);
+	return MAX(began + (int64_t)usual_us, now_us + 100000);
+}
+
+/*
+ * The time at which a set of workers has room for all tasks of a gang, if
+ * nothing else starts there. INT64_MAX when it never has.
+ */
+static int64_t room_at_us(const struct fleet *fleet, GPtrArray *workers,
+			  const struct stage *stage, int64_t now_us)
+{
+	GArray *endings = g_array_new(FALSE, FALSE, sizeof(struct ending));
+	struct room *rooms = g_new0(struct room, workers->len + 1);
+	int64_t at_us = INT64_MAX;
+	guint w, e = 0;
+
+	for (w = 0; w < workers->len; w++) {
+		struct worker *worker = g_ptr_array_index(workers, w);
+		struct task *task;
+
+		rooms[w] = worker_free_room(worker);
+		list_for_each_entry(task, &worker->tasks, on_worker) {
+			struct ending ending = {
+				expected_end_us(fleet, task, now_us), task
+			};
+
+			g_array_append_val(endings, ending);
+		}
+	}
+	qsort(endings->data, endings->len, sizeof(struct ending), by_time);
+	for (;;) {
+		const struct ending *ending;
+		int slots = 0;
+
+		for (w = 0; w < workers->len; w++) {
+			struct worker *worker = g_ptr_array_index(workers, w);
+			int limit = stage->spec->max_per_worker > 0 ?
+					    stage->spec->max_per_worker :
+					    stage->spec->count;
+
+			if (placement_suits(worker, stage))
+				slots += placement_slots(&rooms[w], stage,
+							 limit);
+		}
+		if (slots >= stage->spec->count) {
+			at_us = e == 0 ? now_us :
+					 g_array_index(endings, struct ending,
+						       e - 1)
+						 .at_us;
+			break;
+		}
+		if (e >= endings->len)
+			break;
+		ending = &g_array_index(endings, struct ending, e++);
+		for (w = 0; w < workers->len; w++)
+			if (g_ptr_array_index(workers, w) ==
+			    ending->task->worker)
+				room_add(&rooms[w],
+					 &ending->task->stage->spec->need);
+	}
+	g_free(rooms);
+	g_array_unref(endings);
+	return at_us;
+}
+
+static void reserve_all(GPtrArray *workers, struct stage *stage, int64_t at_us)
+{
+	guint i;
+
+	for (i = 0; i < workers->len; i++) {
+		struct worker *worker = g_ptr_array_index(workers, i);
+
+		if (worker->reserved_for || !placement_suits(worker, stage))
+			continue;
+		worker->reserved_for = stage;
+		worker->busy_until_us = at_us;
+	}
+}
+
+void placement_reserve(struct placement *p, struct stage *stage)
+{
+	struct pool_view *view = placement_pool(p, stage->job->pool);
+	GPtrArray *best = NULL;
+	int64_t best_us = INT64_MAX;
+	guint i;
+
+	if (!view)
+		return;
+	if (!stage->spec->same_rack || !rack_could_hold(view, stage)) {
+		best = view->workers;
+		best_us = room_at_us(p->fleet, best, stage, p->now_us);
+	}
+	for (i = 0; best != view->workers && i < view->racks->len; i++) {
+		struct rack_view *rack = g_ptr_array_index(view->racks, i);
+		struct worker *first = g_ptr_array_index(rack->workers, 0);
+		int64_t at_us;
+
+		if (first->reserved_for)
+			continue;
+		at_us = room_at_us(p->fleet, rack->workers, stage, p->now_us);
+		if (at_us >= best_us)
+			continue;
+		best = rack->workers;
+		best_us = at_us;
+	}
+	if (best && best_us != INT64_MAX)
+		reserve_all(best, stage, best_us);
+}
--- /dev/null
+++ b/fleet/plan.c
@@ -0,0 +1,141 @@
+#include "fleet/plan.h"
+
+#include "fleet/limits.h"
+#include "fleet/order.h"
+#include "fleet/placement.h"
+#include "fleet/reclaim.h"
+
+struct pass {
+	struct placement place;
+	struct fleet *fleet;
+	int64_t now_us;
+	int started;
+	int reserved;
+};
+
+/* All members of a gang get one run number, above all they ever had. */
+static int64_t next_run(const struct stage *stage)
+{
+	int64_t run = 0;
+	int i;
+
+	for (i = 0; i < stage->spec->count; i++)
+		run = MAX(run, stage->tasks[i].run);
+	return run + 1;
+}
+
+static bool gang_is_clear(const struct stage *stage)
+{
+	int i;
+
+	for (i = 0; i < stage->spec->count; i++)
+		if (!task_restartable(&stage->tasks[i]))
+			return false;
+	return true;
+}
+
+static bool plan_gang(struct pass *pass, struct stage *stage)
+{
+	double expected_ms = fleet_expected_ms(pass->fleet, stage);
+	struct worker **chosen;
+	int64_t run;
+	int i;
+
+	if (!gang_is_clear(stage))
+		return true;
+	chosen = placement_gang(&pass->place, stage, expected_ms);
+	if (!chosen)
+		return false;
+	run = next_run(stage);
+	for (i = 0; i < stage->spec->count; i++)
+		fleet_plan_run(pass->fleet, &stage->tasks[i], chosen[i], run);
+	pass->started += stage->spec->count;
+	g_free(chosen);
+	return true;
+}
+
+static bool plan_tasks(struct pass *pass, struct stage *stage)
+{
+	double expected_ms = fleet_expected_ms(pass->fleet, stage);
+	int i;
+
+	for (i = 0; i < stage->spec->count; i++) {
+		struct task *task = &stage->tasks[i];
+		struct worker *worker;
+
+		if (!task_restartable(task))
+			continue;
+		worker = placement_task(&pass->place, stage, expected_ms);
+		if (!worker)
+			return false;
+		fleet_plan_run(pass->fleet, task, worker, task->run + 1);
+		pass->started++;
+	}
+	return true;
+}
+
+/* A stage that has to wait: it takes room from others, or keeps some free. */
+static void plan_waiting(struct pass *pass, struct stage *stage)
+{
+	if (stage->reserved)
+		return;
+	if (order_guaranteed(pass->fleet, stage->job) &&
+	    reclaim(&pass->place, stage))
+		return;
+	if (stage->spec->gang && pass->reserved < RESERVED_GANGS_MAX) {
+		pass->reserved++;
+		placement_reserve(&pass->place, stage);
+	}
+}
+
+static void plan_job(struct pass *pass, struct job *job)
+{
+	int64_t i;
+
+	for (i = 0; i < job->due * job->spec.nsteps; i++) {
+		struct stage *stage = job->stages[i];
+		bool placed;
+
+		if (!stage || stage->state != STAGE_OPEN || stage->left == 0 ||
+		    pass->started >= PASS_STARTS_MAX)
+			continue;
+		placed = stage->spec->gang ? plan_gang(pass, stage) :
+					     plan_tasks(pass, stage);
+		if (placed)
+			stage->began_us = stage->began_us ? stage->began_us :
+							    pass->now_us;
+		else
+			plan_waiting(pass, stage);
+	}
+}
+
+static void keep_reservations(struct pass *pass, const GPtrArray *jobs)
+{
+	guint j;
+
+	for (j = 0; j < jobs->len; j++) {
+		struct job *job = g_ptr_array_index(jobs, j);
+		int64_t i;
+
+		for (i = 0; i < job->due * job->spec.nsteps; i++)
+			if (job->stages[i])
+				reclaim_keep(&pass->place, job->stages[i]);
+	}
+}
+
+int plan_pass(struct fleet *fleet, int64_t now_us)
+{
+	struct pass pass = { .fleet = fleet, .now_us = now_us };
+	GPtrArray *jobs = order_jobs(fleet, now_us);
+	guint i;
+
+	if (jobs->len > 0) {
+		placement_init(&pass.place, fleet, now_us);
+		keep_reservations(&pass, jobs);
+		for (i = 0; i < jobs->len; i++)
+			plan_job(&pass, g_ptr_array_index(jobs, i));
+		placement_finish(&pass.place);
+	}
+	g_ptr_array_unref(jobs);
+	return pass.started;
+}
--- /dev/null
+++ b/fleet/worker.h
@@ -0,0 +1,96 @@
+#ifndef FLEET_WORKER_H
+#define FLEET_WORKER_H
+
+#include "base/list.h"
+#include "fleet/job.h"
+#include "fleet/spec.h"
+
+/* What a worker says of itself in the store. */
+struct worker_report {
+	char *id;
+	int64_t born_ms; /* start of this life, Unix time */
+	char *pool;
+	char addr[48];
+	int port;
+	char *dc;
+	char *kind; /* or NULL */
+	char *rack; /* or NULL */
+	char **labels; /* NULL-terminated, kind and rack included */
+	struct room room; /* of the whole worker */
+	bool draining;
+	int64_t remaining_ms; /* while it drains: at least so long, 0: unknown */
+	int64_t clock_ms; /* its own clock when it wrote the report */
+};
+
+void worker_report_finish(struct worker_report *report);
+
+/* An end that the worker listed, until the store knows what it means. */
+struct worker_end {
+	int64_t number;
+	uint64_t change;
+};
+
+/*
+ * One life of a worker. All runs there share one lease, which ends at a time
+ * of the worker's clock. Its clock may be slow by LEASE_DRIFT.
+ */
+struct worker {
+	struct list_head node; /* in fleet.workers */
+	struct worker_report said;
+	struct room used;
+	struct list_head tasks; /* that hold room here */
+	int task_count;
+	bool listed; /* its entry is in the store */
+	bool replaced; /* a later life of it has been seen */
+	int64_t unlisted_us;
+	int64_t draining_us; /* when it was first seen draining, 0: it isn't */
+	/* A sample of its clock. */
+	int64_t clock_ms;
+	int64_t clock_us; /* when the sample had arrived */
+	int64_t lease_end_us; /* by then all that was ordered has lapsed */
+	/* Contact. */
+	bool fenced; /* has answered a call of this leader */
+	int64_t heard_us; /* latest answer, 0: none */
+	int silent; /* calls without answer since then */
+	int64_t silent_us; /* since when */
+	int64_t next_hold_us;
+	bool holding; /* a hold call that waits is under way */
+	bool looking; /* another one that does not wait */
+	int64_t hold_sent_us; /* the latest of them */
+	int64_t acked; /* the highest end that the worker was told to forget */
+	int64_t end_seen; /* highest number of an end that was processed */
+	int64_t end_noted; /* the highest that the store knows the meaning of */
+	GArray *ends; /* struct worker_end, by number */
+	/* Trust. */
+	int strikes; /* failures since the last success */
+	int64_t banned_until_us;
+	int64_t ban_us; /* length of the next ban */
+	const struct job *strike_job; /* only compared */
+	double speed; /* of its tasks against their expected pace, 1: as usual */
+	/* Set during a planning pass. */
+	struct stage *reserved_for;
+	int64_t busy_until_us; /* estimate of when its room is free */
+};
+
+#define LEASE_DRIFT_PERCENT \
+	2 /* clocks of workers, by the platform's contract */
+
+struct worker *worker_new(void);
+void worker_free(struct worker *worker);
+struct room worker_free_room(const struct worker *worker);
+bool worker_has_label(const struct worker *worker, const char *label);
+/* Room is taken or given back for a task; fills take no processor time. */
+void worker_take(struct worker *worker, struct task *task);
+void worker_give(struct task *task);
+void worker_clock(struct worker *worker, int64_t clock_ms, int64_t now_us);
+/*
+ * The lease to state in an order that is sent now: hold_ms from now on the
+ * worker's clock. Remembers when the lease will surely be over.
+ */
+int64_t worker_lease(struct worker *worker, int64_t hold_ms, int64_t now_us);
+/* The latest lease that was stated, without extending it. */
+bool worker_reachable(const struct worker *worker, int64_t now_us);
+/* Tasks of a stage that hold room at the worker. */
+int worker_count(const struct worker *worker, const struct stage *stage);
+
+#endif
--- a/wire/kv.h
+++ b/wire/kv.h
@@ -30,6 +30,7 @@
 	char *value; /* NUL-terminated after len bytes */
 	size_t len;
 	int64_t mod_revision;
+	int64_t create_revision; /* 0 where it is not known */
 	int64_t lease;
 };
 
@@ -94,6 +95,17 @@
 		    const struct kv_op *else_ops, size_t nelse);
 	void (*range)(struct kv *kv, struct kv_call *call, const char *key,
 		      bool prefix);
+	/*
+	 * One wait of at most wait_ms for changes of the keys with a prefix
+	 * after a revision. The items are the changes in order, with value
+	 * NULL for a deleted key; revision is where to go on. result is
+	 * CB_E_HISTORY_GONE when the store has dropped that revision. NULL
+	 * where the implementation has only watches.
+	 */
+	void (*poll)(struct kv *kv, struct kv_call *call, const char *prefix,
+		     int64_t after_revision, int64_t wait_ms);
+	/* Drops a call; done() is not called. NULL where there is no poll. */
+	void (*cancel)(struct kv *kv, struct kv_call *call);
 	void (*grant)(struct kv *kv, struct kv_call *call, int64_t ttl_s);
 	void (*keepalive)(struct kv *kv, struct kv_call *call, int64_t lease);
 	void (*revoke)(struct kv *kv, struct kv_call *call, int64_t lease);
