Send store calls through another entry host while the store turns this one away

Ruled out: reading from the leader's memory (410 must be a statement of the store), passing on jobs instead of store calls (two ways to accept a job). Every write is conditional, so a call whose answer is lost may be repeated.

--- /dev/null
+++ b/control/relay.c
@@ -0,0 +1,651 @@
+#include "control/relay.h"
+
+#include <string.h>
+
+#include "base/err.h"
+#include "base/log.h"
+#include "daemon/mp.h"
+
+/* Failures in a row after which the direct way is not tried for a while. */
+#define FAILURES_MAX 2
+/* A store that is back is noticed within that, at a tenth of a read each. */
+#define PROBE_MS 250
+#define PROBE_EXPECTED_MS 400
+/* Another host that could not help is left out for so long. */
+#define PEER_REST_MS 500
+/* The other host's own limit, and the way there and back. */
+#define PEER_MARGIN_MS 150
+/* A host in touch answers within that; the way is tried on another then. */
+#define PEER_EXPECTED_MS 600
+#define REPEATS_MAX 2 /* on the direct way, after lost answers */
+
+enum way { WAY_DIRECT, WAY_PEER };
+
+struct relay_call {
+	struct list_head node;
+	struct relay *relay;
+	struct exchange_call *call; /* of the owner, or NULL */
+	struct rpc_request *request; /* of another host, or NULL */
+	/* The request. */
+	char *method;
+	char *target;
+	void *body;
+	size_t len;
+	int64_t timeout_ms;
+	int64_t expected_ms;
+	bool repeatable;
+	/* Progress. */
+	enum way way;
+	bool sent; /* some try may have been received */
+	int status; /* of a refusal, 0: none */
+	int repeats;
+	struct relay_peer *tried[RELAY_TRIES_MAX];
+	int ntried;
+	int64_t deadline_us;
+	int64_t sent_us;
+	struct exchange_call direct;
+	bool direct_busy;
+	struct rpc_call rpc;
+	bool rpc_busy;
+	struct relay_peer *peer;
+	struct kn_timer timer;
+};
+
+static void try_peer(struct relay_call *own);
+static void try_direct(struct relay_call *own);
+
+/* ---- end of a call ---- */
+
+static void peer_release(struct relay_call *own)
+{
+	struct relay_peer *peer = own->peer;
+
+	own->peer = NULL;
+	if (!peer || --peer->calls > 0 || !peer->gone)
+		return;
+	rpc_peer_finish(&peer->rpc);
+	g_free(peer);
+}
+
+static void stop_tries(struct relay_call *own)
+{
+	kn_timer_cancel(&own->timer);
+	if (own->direct_busy)
+		own->relay->direct->ops->cancel(own->relay->direct,
+						&own->direct);
+	own->direct_busy = false;
+	if (own->rpc_busy)
+		rpc_call_cancel(&own->rpc);
+	own->rpc_busy = false;
+	peer_release(own);
+}
+
+static void own_free(struct relay_call *own)
+{
+	stop_tries(own);
+	list_del(&own->node);
+	g_free(own->method);
+	g_free(own->target);
+	g_free(own->body);
+	g_free(own);
+}
+
+static void reply_to_host(struct relay_call *own, int result, int status,
+			  const void *body, size_t len)
+{
+	struct mp_out out;
+
+	mp_begin(&out, 4);
+	mp_int(&out, result);
+	mp_uint(&out, own->sent);
+	mp_int(&out, status);
+	mp_bin(&out, body, len);
+	rpc_reply(own->request, out.buf.data, out.buf.size);
+	mp_end(&out);
+}
+
+/* body is borrowed. */
+static void finish(struct relay_call *own, int result, int status,
+		   const void *body, size_t len)
+{
+	struct exchange_call *call = own->call;
+
+	if (own->request) {
+		reply_to_host(own, result, status, body, len);
+		own_free(own);
+		return;
+	}
+	call->result = result;
+	call->sent = own->sent;
+	call->status = status;
+	call->body = body;
+	call->body_len = len;
+	call->impl = NULL;
+	list_del(&own->node);
+	call->done(call);
+	own_free(own);
+}
+
+/*
+ * No way is left. A refusal by the store is passed on as such unless an
+ * earlier try may have been received.
+ */
+static void give_up(struct relay_call *own)
+{
+	if (own->status != 0 && !own->sent)
+		finish(own, CB_OK, own->status, NULL, 0);
+	else
+		finish(own, own->sent ? CB_E_TIMEOUT : CB_E_STORE_DOWN, 0, NULL,
+		       0);
+}
+
+/* ---- the direct way ---- */
+
+static void on_probe(struct exchange_call *call);
+
+static void send_probe(struct kn_timer *timer)
+{
+	struct relay *relay = container_of(timer, struct relay, probe_timer);
+	struct exchange_request request = {
+		.method = "GET",
+		.target = relay->probe,
+		.timeout_ms = PROBE_EXPECTED_MS,
+	};
+
+	relay->probing = true;
+	relay->probe_call.done = on_probe;
+	relay->probe_call.user = relay;
+	relay->direct->ops->start(relay->direct, &relay->probe_call, &request);
+}
+
+static bool refused(int status)
+{
+	return status == 429 || status >= 500;
+}
+
+static void on_probe(struct exchange_call *call)
+{
+	struct relay *relay = call->user;
+
+	relay->probing = false;
+	if (call->result != CB_OK || refused(call->status)) {
+		kn_timer_set(relay->exchange.kn, &relay->probe_timer,
+			     PROBE_MS * USEC_PER_MSEC, send_probe);
+		return;
+	}
+	relay->direct_bad = false;
+	relay->failures = 0;
+	relay->heard_us = kn_now_us();
+	log_info("store.regained", "way=direct status=%d", call->status);
+}
+
+static void direct_lost(struct relay *relay, const char *why)
+{
+	if (relay->direct_bad)
+		return;
+	relay->direct_bad = true;
+	ctr_add(&relay->direct_lost, 1);
+	log_warn(
+		"store.lost",
+		"way=direct reason=\"%s\" failures=%d heard_ms=%" G_GINT64_FORMAT,
+		why, relay->failures,
+		relay->heard_us ? (kn_now_us() - relay->heard_us) / 1000 : -1);
+	relay->direct->ops->refresh(relay->direct);
+	if (!relay->probing && !kn_timer_pending(&relay->probe_timer))
+		kn_timer_set(relay->exchange.kn, &relay->probe_timer, 0,
+			     send_probe);
+}
+
+static void note_failure(struct relay *relay, const char *why)
+{
+	if (++relay->failures >= FAILURES_MAX)
+		direct_lost(relay, why);
+}
+
+static bool time_is_left(const struct relay_call *own)
+{
+	return kn_now_us() < own->deadline_us;
+}
+
+/* After a try that failed: another way, or the same once more. */
+static void next_way(struct relay_call *own)
+{
+	stop_tries(own);
+	if (!time_is_left(own) || (own->sent && !own->repeatable)) {
+		give_up(own);
+		return;
+	}
+	if (!own->relay->direct_bad && own->status == 0 &&
+	    own->way == WAY_DIRECT && own->repeats < REPEATS_MAX) {
+		own->repeats++;
+		try_direct(own);
+		return;
+	}
+	try_peer(own);
+}
+
+static void on_direct(struct exchange_call *call)
+{
+	struct relay_call *own = call->user;
+	struct relay *relay = own->relay;
+
+	own->direct_busy = false;
+	kn_timer_cancel(&own->timer);
+	if (call->result == CB_OK && !refused(call->status)) {
+		relay->failures = 0;
+		relay->heard_us = kn_now_us();
+		finish(own, CB_OK, call->status, call->body, call->body_len);
+		return;
+	}
+	if (call->result == CB_OK) {
+		own->status = call->status;
+		note_failure(relay, "refused");
+	} else {
+		own->sent |= call->sent;
+		note_failure(relay,
+			     call->sent ? "connection lost" : "no connection");
+	}
+	next_way(own);
+}
+
+/* No answer in the usual time: it, or the whole way, is lost. */
+static void on_direct_late(struct kn_timer *timer)
+{
+	struct relay_call *own = container_of(timer, struct relay_call, timer);
+
+	own->sent = true;
+	if (own->relay->heard_us < own->sent_us)
+		direct_lost(own->relay, "silent");
+	else
+		note_failure(own->relay, "answer lost");
+	next_way(own);
+}
+
+static void try_direct(struct relay_call *own)
+{
+	struct relay *relay = own->relay;
+	struct exchange_request request = {
+		.method = own->method,
+		.target = own->target,
+		.body = own->body,
+		.len = own->len,
+		.timeout_ms = own->timeout_ms,
+	};
+
+	own->way = WAY_DIRECT;
+	own->sent_us = kn_now_us();
+	own->direct.done = on_direct;
+	own->direct.user = own;
+	own->direct_busy = true;
+	relay->direct->ops->start(relay->direct, &own->direct, &request);
+	kn_timer_set(relay->exchange.kn, &own->timer,
+		     own->expected_ms * USEC_PER_MSEC, on_direct_late);
+}
+
+/* ---- through another host ---- */
+
+static bool was_tried(const struct relay_call *own,
+		      const struct relay_peer *peer)
+{
+	int i;
+
+	for (i = 0; i < own->ntried; i++)
+		if (own->tried[i] == peer)
+			return true;
+	return false;
+}
+
+static struct relay_peer *pick_peer(const struct relay_call *own)
+{
+	const struct relay *relay = own->relay;
+	int64_t now_us = kn_now_us();
+	guint i;
+
+	for (i = 0; i < relay->peers->len; i++) {
+		struct relay_peer *peer = g_ptr_array_index(relay->peers, i);
+
+		if (peer->bad_until_us <= now_us && !was_tried(own, peer))
+			return peer;
+	}
+	return NULL;
+}
+
+static void peer_failed(struct relay_call *own)
+{
+	if (own->peer)
+		own->peer->bad_until_us =
+			kn_now_us() + PEER_REST_MS * USEC_PER_MSEC;
+	next_way(own);
+}
+
+static void on_peer(struct rpc_call *call)
+{
+	struct relay_call *own = call->user;
+	struct mp_in in = { 0 };
+	msgpack_unpacked unpacked;
+	int64_t result, status;
+	const void *body;
+	bool sent;
+	size_t len;
+
+	own->rpc_busy = false;
+	kn_timer_cancel(&own->timer);
+	if (call->result != CB_OK) {
+		own->sent |= call->sent;
+		peer_failed(own);
+		return;
+	}
+	msgpack_unpacked_init(&unpacked);
+	if (msgpack_unpack_next(&unpacked, call->data, call->len, NULL) ==
+	    MSGPACK_UNPACK_SUCCESS)
+		mp_open(&in, &unpacked.data);
+	result = mp_get_int(&in);
+	sent = mp_get_uint(&in);
+	status = mp_get_int(&in);
+	body = mp_get_bin(&in, &len);
+	if (!in.ok) {
+		log_warn("relay.malformed", "bytes=%zu result=%d", call->len,
+			 CB_E_PEER_PROTOCOL);
+		own->sent = true;
+		peer_failed(own);
+	} else if (result != CB_OK || refused((int)status)) {
+		own->sent |= sent;
+		own->status = result == CB_OK ? (int)status : own->status;
+		peer_failed(own);
+	} else {
+		ctr_add(&own->relay->relayed, 1);
+		finish(own, CB_OK, (int)status, body, len);
+	}
+	msgpack_unpacked_destroy(&unpacked);
+}
+
+static void on_peer_late(struct kn_timer *timer)
+{
+	struct relay_call *own = container_of(timer, struct relay_call, timer);
+
+	own->sent = true;
+	peer_failed(own);
+}
+
+static void try_peer(struct relay_call *own)
+{
+	struct relay *relay = own->relay;
+	struct relay_peer *peer = own->request ? NULL : pick_peer(own);
+	struct mp_out out;
+
+	if (!peer || own->ntried >= RELAY_TRIES_MAX) {
+		give_up(own);
+		return;
+	}
+	own->way = WAY_PEER;
+	own->tried[own->ntried++] = peer;
+	own->peer = peer;
+	peer->calls++;
+	mp_begin(&out, 6);
+	mp_str(&out, own->method);
+	mp_str(&out, own->target);
+	mp_bin(&out, own->body, own->len);
+	mp_int(&out, own->timeout_ms);
+	mp_int(&out, own->expected_ms);
+	mp_uint(&out, own->repeatable);
+	own->rpc.user = own;
+	own->rpc_busy = true;
+	rpc_call_start(&own->rpc, &peer->rpc, out.buf.data, out.buf.size,
+		       own->timeout_ms + PEER_MARGIN_MS, on_peer);
+	kn_timer_set(relay->exchange.kn, &own->timer,
+		     (own->expected_ms + PEER_EXPECTED_MS) * USEC_PER_MSEC,
+		     on_peer_late);
+	mp_end(&out);
+}
+
+/* ---- calls of this host ---- */
+
+static struct relay_call *own_new(struct relay *relay, const char *method,
+				  const char *target, const void *body,
+				  size_t len, int64_t timeout_ms,
+				  int64_t expected_ms, bool repeatable)
+{
+	struct relay_call *own = g_new0(struct relay_call, 1);
+
+	own->relay = relay;
+	own->method = g_strdup(method);
+	own->target = g_strdup(target);
+	own->body = body ? g_memdup2(body, len) : NULL;
+	own->len = len;
+	own->timeout_ms = timeout_ms;
+	own->expected_ms = expected_ms;
+	own->repeatable = repeatable;
+	/* Time for a try that is lost and one that is answered. */
+	own->deadline_us =
+		kn_now_us() + (timeout_ms + expected_ms) * USEC_PER_MSEC;
+	list_add_tail(&own->node, &relay->calls);
+	return own;
+}
+
+/* done() must not be called from within start(). */
+static void begin_later(struct kn_timer *timer)
+{
+	try_peer(container_of(timer, struct relay_call, timer));
+}
+
+static void relay_start(struct exchange *exchange, struct exchange_call *call,
+			const struct exchange_request *request)
+{
+	struct relay *relay = container_of(exchange, struct relay, exchange);
+	struct relay_call *own;
+
+	own = own_new(relay, request->method, request->target, request->body,
+		      request->len, request->timeout_ms, request->expected_ms,
+		      request->repeatable);
+	own->call = call;
+	call->impl = own;
+	if (relay->direct_bad)
+		kn_timer_set(exchange->kn, &own->timer, 0, begin_later);
+	else
+		try_direct(own);
+}
+
+static void relay_cancel(struct exchange *exchange, struct exchange_call *call)
+{
+	struct relay_call *own = call->impl;
+
+	if (!own)
+		return;
+	call->impl = NULL;
+	own_free(own);
+}
+
+static void relay_refresh(struct exchange *exchange)
+{
+	struct relay *relay = container_of(exchange, struct relay, exchange);
+
+	relay->direct->ops->refresh(relay->direct);
+}
+
+/* ---- calls of other hosts ---- */
+
+static void on_request(struct rpc_server *server, struct rpc_request *request)
+{
+	struct relay *relay = container_of(server, struct relay, server);
+	char *method = NULL, *target = NULL;
+	int64_t timeout_ms, expected_ms;
+	msgpack_unpacked unpacked;
+	struct relay_call *own;
+	struct mp_in in = { 0 };
+	const void *body;
+	bool repeatable;
+	size_t len;
+
+	msgpack_unpacked_init(&unpacked);
+	if (msgpack_unpack_next(&unpacked, request->data, request->len, NULL) ==
+	    MSGPACK_UNPACK_SUCCESS)
+		mp_open(&in, &unpacked.data);
+	method = mp_get_str(&in);
+	target = mp_get_str(&in);
+	body = mp_get_bin(&in, &len);
+	timeout_ms = mp_get_int(&in);
+	expected_ms = mp_get_int(&in);
+	repeatable = mp_get_uint(&in);
+	own = own_new(relay, method ? method : "", target ? target : "",
+		      len ? body : NULL, len, CLAMP(timeout_ms, 1, 60000),
+		      CLAMP(expected_ms, 1, 60000), repeatable);
+	own->request = request;
+	ctr_add(&relay->served, 1);
+	if (!in.ok || !method || !target || relay->direct_bad)
+		give_up(own);
+	else
+		try_direct(own);
+	g_free(method);
+	g_free(target);
+	msgpack_unpacked_destroy(&unpacked);
+}
+
+static const struct rpc_server_ops server_ops = { .request = on_request };
+
+/* ---- other hosts ---- */
+
+static gint by_distance(gconstpointer a, gconstpointer b)
+{
+	const struct relay_peer *left = *(struct relay_peer *const *)a;
+	const struct relay_peer *right = *(struct relay_peer *const *)b;
+
+	return left->distance - right->distance;
+}
+
+static struct relay_peer *find_peer(const struct relay *relay,
+				    const struct set_addr *at)
+{
+	guint i;
+
+	for (i = 0; i < relay->peers->len; i++) {
+		struct relay_peer *peer = g_ptr_array_index(relay->peers, i);
+
+		if (peer->rpc.port == at->port &&
+		    strcmp(peer->rpc.addr, at->addr) == 0)
+			return peer;
+	}
+	return NULL;
+}
+
+static void drop_peer(struct relay *relay, struct relay_peer *peer)
+{
+	g_ptr_array_remove(relay->peers, peer);
+	peer->gone = true;
+	if (peer->calls > 0)
+		return;
+	rpc_peer_finish(&peer->rpc);
+	g_free(peer);
+}
+
+void relay_remove_peer(struct relay *relay, const char *host)
+{
+	guint i;
+
+	for (i = 0; i < relay->peers->len; i++) {
+		struct relay_peer *peer = g_ptr_array_index(relay->peers, i);
+
+		if (strcmp(peer->host, host) != 0)
+			continue;
+		drop_peer(relay, peer);
+		return;
+	}
+}
+
+void relay_add_peer(struct relay *relay, const char *host,
+		    const struct set_addr *at, int distance)
+{
+	struct relay_peer *peer = find_peer(relay, at);
+
+	if (at->port == relay->site->peers.port &&
+	    strcmp(at->addr, relay->site->peers.addr) == 0)
+		return;
+	if (!peer) {
+		if (*host)
+			relay_remove_peer(relay, host);
+		if (relay->peers->len >= RELAY_PEERS_MAX)
+			return;
+		peer = g_new0(struct relay_peer, 1);
+		rpc_peer_init(&peer->rpc, relay->exchange.kn, at->addr,
+			      at->port);
+		g_ptr_array_add(relay->peers, peer);
+	}
+	if (*host) {
+		g_strlcpy(peer->host, host, sizeof(peer->host));
+		peer->distance = distance;
+	}
+	g_ptr_array_sort(relay->peers, by_distance);
+}
+
+/* ---- life ---- */
+
+static void relay_finish(struct exchange *exchange)
+{
+	struct relay *relay = container_of(exchange, struct relay, exchange);
+	struct relay_call *own, *next;
+
+	list_for_each_entry_safe(own, next, &relay->calls, node) {
+		if (own->request) {
+			rpc_reply(own->request, NULL, 0);
+			own->request = NULL;
+		}
+		own_free(own);
+	}
+	if (relay->probing)
+		relay->direct->ops->cancel(relay->direct, &relay->probe_call);
+	kn_timer_cancel(&relay->probe_timer);
+	if (relay->serving)
+		rpc_server_finish(&relay->server);
+	while (relay->peers->len > 0)
+		drop_peer(relay, g_ptr_array_index(relay->peers, 0));
+	g_ptr_array_unref(relay->peers);
+	relay->direct->ops->finish(relay->direct);
+	ctr_finish(&relay->relayed);
+	ctr_finish(&relay->served);
+	ctr_finish(&relay->direct_lost);
+	g_free(relay);
+}
+
+static const struct exchange_ops relay_ops = {
+	.start = relay_start,
+	.cancel = relay_cancel,
+	.refresh = relay_refresh,
+	.finish = relay_finish,
+};
+
+struct relay *relay_new(struct kn *kn, const struct site *site,
+			struct exchange *direct, const char *probe)
+{
+	struct relay *relay = g_new0(struct relay, 1);
+	size_t i;
+
+	relay->exchange.ops = &relay_ops;
+	relay->exchange.kn = kn;
+	relay->direct = direct;
+	relay->site = site;
+	relay->probe = probe;
+	relay->peers = g_ptr_array_new();
+	list_init(&relay->calls);
+	ctr_init(&relay->relayed, &kn->counters, CTR_COUNTER,
+		 "chivebank_store_relayed_total", NULL,
+		 "Calls to the store that went through another host");
+	ctr_init(&relay->served, &kn->counters, CTR_COUNTER,
+		 "chivebank_store_served_total", NULL,
+		 "Calls to the store that were passed on for other hosts");
+	ctr_init(&relay->direct_lost, &kn->counters, CTR_COUNTER,
+		 "chivebank_store_lost_total", NULL,
+		 "Times that the direct way to the store was lost");
+	for (i = 0; i < site->seed_count; i++)
+		relay_add_peer(relay, "", &site->seeds[i], 2);
+	return relay;
+}
+
+bool relay_listen(struct relay *relay, GError **err)
+{
+	const struct set_addr *at = &relay->site->peers;
+
+	if (at->port == 0)
+		return true;
+	relay->serving = rpc_server_init(&relay->server, relay->exchange.kn,
+					 &server_ops, at->addr, at->port, err);
+	return relay->serving;
+}
--- /dev/null
+++ b/control/relay.h
@@ -0,0 +1,55 @@
+#ifndef CONTROL_RELAY_H
+#define CONTROL_RELAY_H
+
+#include "control/site.h"
+#include "wire/exchange.h"
+#include "wire/rpc.h"
+
+/*
+ * Way to the store that goes through another entry host while the store
+ * turns this one away or can't be reached from here. A call is passed on
+ * once only: a host serves others from its own way.
+ */
+
+#define RELAY_PEERS_MAX 64
+#define RELAY_TRIES_MAX 3 /* other hosts that a call is passed to */
+
+struct relay_peer {
+	struct rpc_peer rpc;
+	char host[NAME_MAX_BYTES]; /* "" for a seed */
+	int distance; /* 0: same data centre, 1: same region, 2: elsewhere */
+	int64_t bad_until_us;
+	bool gone; /* to be freed when no call uses it */
+	int calls;
+};
+
+struct relay {
+	struct exchange exchange;
+	struct exchange *direct;
+	const struct site *site;
+	const char *probe; /* target of a cheap request */
+	struct rpc_server server;
+	bool serving;
+	GPtrArray *peers; /* struct relay_peer, nearest first */
+	struct list_head calls; /* struct relay_call */
+	bool direct_bad;
+	int failures; /* of the direct way since its last success */
+	int64_t heard_us; /* last answer on the direct way */
+	struct kn_timer probe_timer;
+	struct exchange_call probe_call;
+	bool probing;
+	struct ctr relayed;
+	struct ctr served;
+	struct ctr direct_lost;
+};
+
+/* Takes direct over. */
+struct relay *relay_new(struct kn *kn, const struct site *site,
+			struct exchange *direct, const char *probe);
+bool relay_listen(struct relay *relay, GError **err);
+/* Adds or moves a host; a seed has host "". */
+void relay_add_peer(struct relay *relay, const char *host,
+		    const struct set_addr *at, int distance);
+void relay_remove_peer(struct relay *relay, const char *host);
+
+#endif
--- a/wire/exchange.c
+++ b/wire/exchange.c
@@ -90,6 +90,15 @@
 	call_free(own);
 }
 
+static void direct_refresh(struct exchange *exchange)
+{
+	struct direct *direct = container_of(exchange, struct direct, exchange);
+	unsigned int max_conns = direct->pool.max_conns;
+
+	hc_pool_limit(&direct->pool, 0);
+	hc_pool_limit(&direct->pool, max_conns);
+}
+
 static void direct_finish(struct exchange *exchange)
 {
 	struct direct *direct = container_of(exchange, struct direct, exchange);
@@ -104,6 +113,7 @@
 static const struct exchange_ops direct_ops = {
 	.start = direct_start,
 	.cancel = direct_cancel,
+	.refresh = direct_refresh,
 	.finish = direct_finish,
 };
 
--- a/wire/exchange.h
+++ b/wire/exchange.h
@@ -31,6 +31,10 @@
 	const void *body; /* JSON, or NULL */
 	size_t len;
 	int64_t timeout_ms;
+	/* By then a service that is well has answered. */
+	int64_t expected_ms;
+	/* May be sent again after it was perhaps received. */
+	bool repeatable;
 };
 
 struct exchange;
@@ -41,6 +45,8 @@
 		      const struct exchange_request *request);
 	/* Drops a call; done() is not called. */
 	void (*cancel)(struct exchange *exchange, struct exchange_call *call);
+	/* Closes idle connections, which may have gone silent. */
+	void (*refresh)(struct exchange *exchange);
 	void (*finish)(struct exchange *exchange);
 };
 
