--- a/base/kn.c
+++ b/base/kn.c
@@ -12,6 +12,7 @@
 
 /* Signals address the process; the handler only counts and wakes the loop. */
 static volatile sig_atomic_t stop_signals;
+static volatile sig_atomic_t reload_signals;
 static struct lws_context *signal_context;
 
 /* ---- setup ---- */
@@ -319,6 +320,19 @@
 	return true;
 }
 
+static void handle_reload(struct kn *kn)
+{
+	static int handled;
+	struct kn_task *task;
+
+	if (handled == reload_signals)
+		return;
+	handled = reload_signals;
+	list_for_each_entry(task, &kn->tasks, node)
+		if (task->ops->reload)
+			task->ops->reload(task);
+}
+
 static void handle_signals(struct kn *kn)
 {
 	static int handled;
@@ -341,6 +355,7 @@
 	if (kn->stopped)
 		return;
 	uv_run(kn->loop, list_empty(&kn->ready) ? UV_RUN_ONCE : UV_RUN_NOWAIT);
+	handle_reload(kn);
 	handle_signals(kn);
 }
 
@@ -391,13 +406,18 @@
 
 static void on_signal(int number)
 {
-	(void)number;
-	stop_signals++;
+	if (number == SIGHUP)
+		reload_signals++;
+	else
+		stop_signals++;
 	if (signal_context)
 		lws_cancel_service(signal_context);
 }
 
-/* SIGTERM and SIGINT drain; a second one ends the process at once. */
+/*
+ * SIGTERM and SIGINT drain; a second one ends the process at once. SIGHUP
+ * lets the tasks read their settings again.
+ */
 void kn_handle_signals(struct kn *kn)
 {
 	struct sigaction action;
@@ -408,6 +428,7 @@
 	sigemptyset(&action.sa_mask);
 	sigaction(SIGTERM, &action, NULL);
 	sigaction(SIGINT, &action, NULL);
+	sigaction(SIGHUP, &action, NULL);
 	action.sa_handler = SIG_IGN;
 	sigaction(SIGPIPE, &action, NULL);
 }
--- a/base/kn.h
+++ b/base/kn.h
@@ -33,6 +33,8 @@
 	void (*receive)(struct kn_task *task, struct kn_msg *msg);
 	/* Begins a graceful stop; kn_drained() must follow, now or later. */
 	void (*drain)(struct kn_task *task);
+	/* SIGHUP: the settings may have changed. May be NULL. */
+	void (*reload)(struct kn_task *task);
 	/* Frees what start made. Called in reverse order of starting. */
 	void (*finish)(struct kn_task *task);
 };
--- a/control/director.c
+++ b/control/director.c
@@ -538,6 +538,7 @@
 	if (!director->directing || !director->configuration->current)
 		return;
 	fleet_set_config(&director->fleet, director->configuration->current);
+	director->fleet.bounds = director->site->bounds;
 	wake(director, PASS_DELAY_MS * USEC_PER_MSEC);
 }
 
--- a/daemon/main.c
+++ b/daemon/main.c
@@ -171,7 +171,7 @@
 	if (!init_kernel(&kn))
 		return EXIT_FAILURE;
 	ev_init((uint64_t)kn_wall_us());
-	platform_host_add(&kn, &site, (uint64_t)kn_wall_us());
+	platform_host_add(&kn, &site, path, (uint64_t)kn_wall_us());
 	return run(&kn);
 }
 
