--- a/base/kn.c
+++ b/base/kn.c
@@ -293,10 +293,13 @@
 	return ts.tv_sec * USEC_PER_SEC + ts.tv_nsec / 1000;
 }
 
-/* Monotonic clock in microseconds. */
+/*
+ * Steady clock in microseconds. It counts the time for which the host was
+ * suspended, as leases run on meanwhile.
+ */
 int64_t kn_now_us(void)
 {
-	return clock_us(CLOCK_MONOTONIC);
+	return clock_us(CLOCK_BOOTTIME);
 }
 
 /* Wall clock in microseconds since the epoch, for event lines only. */
@@ -352,6 +355,7 @@
 void kn_turn(struct kn *kn)
 {
 	drain_mailboxes(kn);
+	log_flush();
 	if (kn->stopped)
 		return;
 	uv_run(kn->loop, list_empty(&kn->ready) ? UV_RUN_ONCE : UV_RUN_NOWAIT);
--- a/base/limits.h
+++ b/base/limits.h
@@ -18,6 +18,12 @@
 #define EV_RING_EVENTS 4096 /* events kept for the API */
 #define EV_LINE_MAX_BYTES 1024
 
+/* ---- log ---- */
+
+/* Of one event; a takeover with thousands of tasks says the rest in sum. */
+#define LOG_LINES_PER_SEC 300
+#define LOG_BUFFER_MAX_BYTES (128 * 1024) /* some seconds of a slow reader */
+
 /* ---- HTTP ---- */
 
 #define HTTP_HEADERS_MAX_BYTES 16384
--- a/daemon/main.c
+++ b/daemon/main.c
@@ -1,6 +1,7 @@
 #include <argp.h>
 #include <stdio.h>
 #include <stdlib.h>
+#include <unistd.h>
 
 #include "base/err.h"
 #include "base/ev.h"
@@ -124,6 +125,7 @@
 		status = EXIT_FAILURE;
 	}
 	kn_finish(kn);
+	log_flush();
 	return status;
 }
 
@@ -168,6 +170,7 @@
 		return EXIT_FAILURE;
 	}
 	log_init(site.host, site.dc, LOG_INFO_LEVEL);
+	log_collect(STDOUT_FILENO);
 	if (!init_kernel(&kn))
 		return EXIT_FAILURE;
 	ev_init((uint64_t)kn_wall_us());
--- /dev/null
+++ b/tests/unit/test_host.c
@@ -0,0 +1,506 @@
+#include <stdio.h>
+#include <string.h>
+
+#include "tests/standins/site_rig.h"
+#include "tests/unit/run.h"
+
+/* Entry hosts on the platform, against stand-ins of its store and workers. */
+
+static struct rig rig;
+
+#define JOB_A "00000000000000aa"
+#define JOB_B "00000000000000bb"
+
+static void check_promises(void)
+{
+	ck_assert_msg(!site_fleet_violation(rig.fleet), "%s",
+		      site_fleet_violation(rig.fleet));
+}
+
+static struct rig_reply ask(int host, const char *method, const char *id,
+			    const char *key)
+{
+	char path[64];
+
+	snprintf(path, sizeof(path), "%s%s", RIG_PREFIX, id);
+	return rig_call(&rig, host, method, path, key, NULL);
+}
+
+/* Hands in n jobs with ids from base on; each has to be accepted. */
+static void submit_many(int n, int base, int count, const char *payload,
+			const char *extra)
+{
+	char id[32];
+	int i, status, tries;
+
+	for (i = 0; i < n; i++) {
+		snprintf(id, sizeof(id), "%016x", base + i);
+		for (tries = 0, status = 0; status != 200 && tries < 5; tries++)
+			status = rig_submit(&rig, i % rig.nhosts, id, count,
+					    payload, extra);
+		ck_assert_int_eq(status, 200);
+	}
+}
+
+static void wait_many(int n, int base, const char *state, int64_t timeout_ms)
+{
+	char id[32];
+	int i;
+
+	for (i = 0; i < n; i++) {
+		snprintf(id, sizeof(id), "%016x", base + i);
+		ck_assert_msg(rig_wait(&rig, 0, id, state, timeout_ms),
+			      "job %s is %s and not %s", id,
+			      rig_state(&rig, 0, id), state);
+	}
+}
+
+START_TEST(job_runs_and_is_seen_everywhere)
+{
+	rig_start(&rig, 3, 4, 1);
+	ck_assert_int_eq(rig_submit(&rig, 1, JOB_A, 3, "ms=200", NULL), 200);
+	ck_assert(rig_wait(&rig, 0, JOB_A, "done", 3000));
+	ck_assert_str_eq(rig_state(&rig, 1, JOB_A), "done");
+	ck_assert_str_eq(rig_state(&rig, 2, JOB_A), "done");
+	ck_assert_uint_eq(rig.fleet->dones, 3);
+	check_promises();
+	rig_stop(&rig);
+}
+END_TEST
+
+START_TEST(same_id_is_one_job)
+{
+	rig_start(&rig, 2, 2, 1);
+	ck_assert_int_eq(rig_submit(&rig, 0, JOB_A, 2, "ms=100", NULL), 200);
+	ck_assert_int_eq(rig_submit(&rig, 1, JOB_A, 2, "ms=100", NULL), 200);
+	ck_assert(rig_wait(&rig, 0, JOB_A, "done", 3000));
+	ck_assert_int_eq(rig_submit(&rig, 1, JOB_A, 2, "ms=100", NULL), 200);
+	rig_run_ms(&rig, 500);
+	ck_assert_uint_eq(rig.fleet->starts, 2);
+	check_promises();
+	rig_stop(&rig);
+}
+END_TEST
+
+START_TEST(failed_runs_are_repeated_up_to_the_attempts)
+{
+	rig_start(&rig, 1, 4, 1);
+	ck_assert_int_eq(
+		rig_submit(&rig, 0, JOB_A, 1, "ms=50 fail=2 attempts=3", NULL),
+		200);
+	ck_assert(rig_wait(&rig, 0, JOB_A, "done", 6000));
+	ck_assert_int_eq(
+		rig_submit(&rig, 0, JOB_B, 2, "ms=50 fail=9 attempts=3", NULL),
+		200);
+	ck_assert(rig_wait(&rig, 0, JOB_B, "failed", 15000));
+	check_promises();
+	rig_stop(&rig);
+}
+END_TEST
+
+START_TEST(steps_run_in_order)
+{
+	static const char body[] =
+		"{\"spec\":\"ms=80 before=2\",\"steps\":["
+		"{\"count\":2,\"cpu\":100,\"gpu\":1,\"est_ms\":80},"
+		"{\"count\":4,\"cpu\":100,\"gpu\":1,\"est_ms\":80,\"after\":[0],"
+		"\"max_per_server\":2}]}";
+
+	rig_start(&rig, 1, 4, 1);
+	ck_assert_int_eq(
+		rig_call(&rig, 0, "POST", RIG_PREFIX JOB_A, RIG_KEY, body)
+			.status,
+		200);
+	ck_assert(rig_wait(&rig, 0, JOB_A, "done", 3000));
+	check_promises();
+	rig_stop(&rig);
+}
+END_TEST
+
+START_TEST(gang_starts_whole_and_survives_a_lost_member)
+{
+	struct site_worker *worker;
+	int working = 0;
+
+	rig_start(&rig, 2, 4, 1);
+	ck_assert_int_eq(rig_submit(&rig, 0, JOB_A, 12, "ms=800 gang=12",
+				    ",\"gang\":true"),
+			 200);
+	rig_run_ms(&rig, 400);
+	list_for_each_entry(worker, &rig.fleet->workers, node)
+		working += !list_empty(&worker->runs);
+	ck_assert_int_ge(working, 2);
+	list_for_each_entry(worker, &rig.fleet->workers, node)
+		if (!list_empty(&worker->runs))
+			break;
+	site_worker_crash(worker);
+	rig_run_ms(&rig, 300);
+	site_worker_restart(worker);
+	ck_assert(rig_wait(&rig, 0, JOB_A, "done", 9000));
+	check_promises();
+	rig_stop(&rig);
+}
+END_TEST
+
+START_TEST(cancelled_job_stops_and_stays_cancelled)
+{
+	rig_start(&rig, 2, 2, 1);
+	ck_assert_int_eq(rig_submit(&rig, 0, JOB_A, 4, "ms=9000", NULL), 200);
+	rig_run_ms(&rig, 300);
+	ck_assert_int_eq(site_fleet_running(rig.fleet), 4);
+	ck_assert_int_eq(ask(1, "DELETE", JOB_A, RIG_KEY).status, 200);
+	site_fleet_cancelled(rig.fleet, JOB_A);
+	rig_run_ms(&rig, 600);
+	ck_assert_int_eq(site_fleet_running(rig.fleet), 0);
+	ck_assert_str_eq(rig_state(&rig, 0, JOB_A), "cancelled");
+	ck_assert_int_eq(ask(0, "DELETE", JOB_A, RIG_KEY).status, 200);
+	check_promises();
+	rig_stop(&rig);
+}
+END_TEST
+
+/* A submission that arrives after its cancellation never runs. */
+START_TEST(cancelled_before_it_arrives)
+{
+	rig_start(&rig, 2, 2, 1);
+	ck_assert_int_eq(ask(0, "DELETE", JOB_A, RIG_KEY).status, 410);
+	ck_assert_int_eq(rig_submit(&rig, 1, JOB_A, 1, "ms=50", NULL), 200);
+	rig_run_ms(&rig, 500);
+	ck_assert_str_eq(rig_state(&rig, 0, JOB_A), "cancelled");
+	ck_assert_uint_eq(rig.fleet->starts, 0);
+	rig_stop(&rig);
+}
+END_TEST
+
+START_TEST(callers_without_right_are_refused)
+{
+	rig_start(&rig, 1, 2, 1);
+	ck_assert_int_eq(rig_submit(&rig, 0, JOB_A, 1, "ms=50", NULL), 200);
+	ck_assert_int_eq(ask(0, "GET", JOB_A, NULL).status, 401);
+	ck_assert_int_eq(ask(0, "GET", JOB_A, "no such key").status, 401);
+	/* Another customer sees no job there, and cancels nothing. */
+	ck_assert_int_eq(ask(0, "GET", JOB_A, "key-two").status, 410);
+	ck_assert_int_eq(ask(0, "DELETE", JOB_A, "key-two").status, 410);
+	ck_assert(rig_wait(&rig, 0, JOB_A, "done", 3000));
+	ck_assert_int_eq(ask(0, "GET", JOB_B, RIG_KEY).status, 410);
+	ck_assert_int_eq(
+		rig_call(&rig, 0, "GET", "/nowhere/" JOB_A, RIG_KEY, NULL)
+			.status,
+		404);
+	rig_stop(&rig);
+}
+END_TEST
+
+START_TEST(malformed_submissions_are_refused)
+{
+	static const char *const bodies[] = {
+		"",
+		"[]",
+		"{\"spec\":7,\"steps\":[{\"count\":1}]}",
+		"{\"spec\":\"x\"}",
+		"{\"spec\":\"x\",\"steps\":[]}",
+		"{\"spec\":\"x\",\"steps\":[{\"count\":0}]}",
+		"{\"spec\":\"x\",\"steps\":[{\"count\":99999999}]}",
+		"{\"spec\":\"x\",\"steps\":[{\"count\":1,\"cpu\":-5}]}",
+		"{\"spec\":\"x\",\"steps\":[{\"count\":1,\"after\":[0]}]}",
+		"{\"spec\":\"x\",\"steps\":[{\"count\":1}],\"times\":1e18}",
+	};
+	size_t i;
+
+	rig_start(&rig, 1, 1, 1);
+	for (i = 0; i < G_N_ELEMENTS(bodies); i++)
+		ck_assert_msg(rig_call(&rig, 0, "POST", RIG_PREFIX JOB_A,
+				       RIG_KEY, bodies[i])
+					      .status == 400,
+			      "body %zu", i);
+	ck_assert_int_eq(ask(0, "GET", JOB_A, RIG_KEY).status, 410);
+	ck_assert_int_eq(
+		rig_call(&rig, 0, "POST", RIG_PREFIX "short", RIG_KEY, "{}")
+			.status,
+		404);
+	rig_stop(&rig);
+}
+END_TEST
+
+START_TEST(change_of_configuration_is_in_force_everywhere)
+{
+	int host;
+
+	rig_start(&rig, 3, 1, 1);
+	rig_configure(&rig, 2, "key-new");
+	rig_run_ms(&rig, 300);
+	for (host = 0; host < 3; host++) {
+		ck_assert_int_eq(ask(host, "GET", JOB_A, "key-new").status,
+				 410);
+		ck_assert_int_eq(ask(host, "GET", JOB_A, RIG_KEY).status, 401);
+	}
+	/* An older version, and one that can't be read, change nothing. */
+	rig_configure(&rig, 1, RIG_KEY);
+	site_store_put(rig.store, "op/config", "{\"version\":");
+	rig_run_ms(&rig, 300);
+	ck_assert_int_eq(ask(0, "GET", JOB_A, RIG_KEY).status, 401);
+	ck_assert_int_eq(ask(0, "GET", JOB_A, "key-new").status, 410);
+	rig_stop(&rig);
+}
+END_TEST
+
+START_TEST(history_that_is_gone_is_read_again)
+{
+	rig_start(&rig, 2, 2, 1);
+	rig_configure(&rig, 2, "key-new");
+	site_store_compact(rig.store);
+	rig_run_ms(&rig, 600);
+	ck_assert_int_eq(ask(1, "GET", JOB_A, "key-new").status, 410);
+	rig_configure(&rig, 3, RIG_KEY);
+	ck_assert_int_eq(rig_submit(&rig, 0, JOB_A, 2, "ms=400", NULL), 200);
+	site_store_compact(rig.store);
+	ck_assert(rig_wait(&rig, 1, JOB_A, "done", 4000));
+	check_promises();
+	rig_stop(&rig);
+}
+END_TEST
+
+/* Entries of other writers name no worker; the others hold. */
+START_TEST(foreign_entries_are_passed_over)
+{
+	rig_start(&rig, 1, 2, 1);
+	site_store_put(rig.store, "servers/x1", "not json");
+	site_store_put(rig.store, "servers/x2", "{\"svc\":\"pool\"}");
+	site_store_put(rig.store, "servers/x3",
+		       "{\"svc\":\"pool\",\"addr\":\"127.0.0.1:1\",\"zone\":1,"
+		       "\"state\":\"odd\",\"born\":\"x\",\"clock_ms\":1}");
+	ck_assert_int_eq(rig_submit(&rig, 0, JOB_A, 16, "ms=100", NULL), 200);
+	ck_assert(rig_wait(&rig, 0, JOB_A, "done", 4000));
+	check_promises();
+	rig_stop(&rig);
+}
+END_TEST
+
+/*
+ * While the store is away nothing is accepted, a refusal comes at once once
+ * the loss is known, and running work outlasts its first lease.
+ */
+START_TEST(store_outage)
+{
+	struct rig_reply reply;
+	int tries;
+
+	rig_start(&rig, 2, 4, 1);
+	ck_assert_int_eq(rig_submit(&rig, 0, JOB_A, 4, "ms=9000", NULL), 200);
+	rig_run_ms(&rig, 300);
+	site_store_fault(rig.store, -1, SITE_SILENT, 0, 0);
+	for (tries = 0; tries < 4; tries++) {
+		reply = rig_call(&rig, 0, "POST", RIG_PREFIX JOB_B, RIG_KEY,
+				 "{\"spec\":\"ms=50\",\"steps\":[{\"count\":1,"
+				 "\"gpu\":1}]}");
+		ck_assert_int_ge(reply.status, 503);
+	}
+	ck_assert_int_eq(reply.status, 503);
+	ck_assert_int_ge(reply.retry_after_s, 1);
+	ck_assert_int_lt(reply.took_ms, 200);
+	rig_run_ms(&rig, 2000);
+	ck_assert_int_eq(site_fleet_running(rig.fleet), 4);
+	site_store_fault(rig.store, -1, SITE_WELL, 0, 0);
+	ck_assert(rig_wait(&rig, 1, JOB_A, "done", 12000));
+	ck_assert_uint_eq(rig.fleet->dones, 4);
+	ck_assert_int_eq(rig_submit(&rig, 0, JOB_B, 1, "ms=50", NULL), 200);
+	ck_assert(rig_wait(&rig, 0, JOB_B, "done", 3000));
+	check_promises();
+	rig_stop(&rig);
+}
+END_TEST
+
+/* One host is turned away in different ways; another passes its calls on. */
+START_TEST(host_that_the_store_turns_away)
+{
+	static const enum site_fault faults[] = { SITE_BUSY, SITE_MANY,
+						  SITE_SILENT };
+	int leader, host;
+	char id[32];
+	size_t i;
+
+	rig_start(&rig, 3, 4, 1);
+	leader = rig_leader(&rig);
+	for (i = 0; i < G_N_ELEMENTS(faults); i++) {
+		host = i == 0 ? leader : (int)i % 3;
+		site_store_fault(rig.store, rig.hosts[host].door, faults[i], 0,
+				 0);
+		snprintf(id, sizeof(id), "%016zx", 100 + i);
+		ck_assert_int_eq(rig_submit(&rig, host, id, 2, "ms=100", NULL),
+				 200);
+		ck_assert(rig_wait(&rig, host, id, "done", 6000));
+		/* A change reaches it too. */
+		rig_configure(&rig, 10 + (int)i * 2, "key-new");
+		rig_run_ms(&rig, 1500);
+		ck_assert_int_eq(ask(host, "GET", id, "key-new").status, 200);
+		rig_configure(&rig, 11 + (int)i * 2, RIG_KEY);
+		site_store_fault(rig.store, -1, SITE_WELL, 0, 0);
+		rig_run_ms(&rig, 1000);
+	}
+	check_promises();
+	rig_stop(&rig);
+}
+END_TEST
+
+START_TEST(leader_whose_lease_lapses)
+{
+	rig_start(&rig, 3, 4, 1);
+	submit_many(6, 0x100, 3, "ms=1500", NULL);
+	rig_run_ms(&rig, 300);
+	site_store_lapse(rig.store, "chivebank/leader");
+	ck_assert(rig_wait_leader(&rig, 3000));
+	rig_run_ms(&rig, 300);
+	site_store_lapse(rig.store, "chivebank/leader");
+	wait_many(6, 0x100, "done", 8000);
+	ck_assert_uint_eq(rig.fleet->dones, 18);
+	/* Running work was taken over, not started anew. */
+	ck_assert_uint_eq(rig.fleet->starts, 18);
+	check_promises();
+	rig_stop(&rig);
+}
+END_TEST
+
+/* Seeds of a loop test: store and workers lose and delay, leaders change. */
+static void troubled(uint32_t seed, enum site_fault store_fault,
+		     enum site_worker_fault worker_fault)
+{
+	struct site_worker *worker;
+	int i;
+
+	rig_start(&rig, 3, 6, seed);
+	site_store_fault(rig.store, -1, store_fault, 30, 0);
+	list_for_each_entry(worker, &rig.fleet->workers, node) {
+		worker->fault = worker_fault;
+		worker->percent = 30;
+	}
+	submit_many(4, 0x200, 3, "ms=300", NULL);
+	submit_many(2, 0x300, 4, "ms=300 gang=4", ",\"gang\":true");
+	for (i = 0; i < 3; i++) {
+		rig_run_ms(&rig, 500);
+		site_store_lapse(rig.store, "chivebank/leader");
+	}
+	rig_run_ms(&rig, 1500);
+	site_store_fault(rig.store, -1, SITE_WELL, 0, 0);
+	list_for_each_entry(worker, &rig.fleet->workers, node)
+		worker->fault = SITE_WORKER_WELL;
+	wait_many(4, 0x200, "done", 15000);
+	wait_many(2, 0x300, "done", 15000);
+	check_promises();
+	rig_stop(&rig);
+}
+
+START_TEST(answers_of_the_store_are_lost)
+{
+	troubled(1 + (uint32_t)_i, SITE_LOST, SITE_WORKER_WELL);
+}
+END_TEST
+
+START_TEST(writes_of_the_store_come_late)
+{
+	troubled(11 + (uint32_t)_i, SITE_LATE, SITE_WORKER_WELL);
+}
+END_TEST
+
+START_TEST(orders_are_carried_out_late)
+{
+	troubled(21 + (uint32_t)_i, SITE_LOST, SITE_WORKER_LATE);
+}
+END_TEST
+
+START_TEST(silent_worker_keeps_its_tasks_until_the_lease_is_over)
+{
+	struct site_worker *worker;
+
+	rig_start(&rig, 2, 3, 1);
+	submit_many(3, 0x400, 4, "ms=600", NULL);
+	rig_run_ms(&rig, 200);
+	list_for_each_entry(worker, &rig.fleet->workers, node)
+		if (!list_empty(&worker->runs))
+			break;
+	worker->fault = SITE_WORKER_MUTE;
+	wait_many(3, 0x400, "done", 12000);
+	check_promises();
+	rig_stop(&rig);
+}
+END_TEST
+
+START_TEST(failing_worker_is_avoided)
+{
+	struct site_worker *worker;
+
+	rig_start(&rig, 1, 4, 1);
+	worker =
+		list_first_entry(&rig.fleet->workers, struct site_worker, node);
+	worker->fault = SITE_WORKER_FAILING;
+	submit_many(10, 0x500, 2, "ms=60 attempts=3", NULL);
+	wait_many(10, 0x500, "done", 10000);
+	check_promises();
+	rig_stop(&rig);
+}
+END_TEST
+
+START_TEST(draining_worker_gets_nothing_new)
+{
+	struct site_worker *worker;
+	bool busy = false;
+
+	rig_start(&rig, 1, 3, 1);
+	worker =
+		list_first_entry(&rig.fleet->workers, struct site_worker, node);
+	site_worker_drain(worker);
+	rig_run_ms(&rig, 200);
+	submit_many(3, 0x600, 4, "ms=200", NULL);
+	rig_run_ms(&rig, 100);
+	busy = !list_empty(&worker->runs);
+	ck_assert(!busy);
+	wait_many(3, 0x600, "done", 5000);
+	rig_stop(&rig);
+}
+END_TEST
+
+START_TEST(counts_of_waiting_jobs)
+{
+	struct rig_reply reply;
+
+	rig_start(&rig, 2, 1, 1);
+	submit_many(4, 0x700, 8, "ms=3000", NULL);
+	rig_run_ms(&rig, 1300);
+	reply = rig_call(&rig, 1, "GET", RIG_PREFIX, RIG_KEY, NULL);
+	ck_assert_int_eq(reply.status, 200);
+	ck_assert_msg(strstr(reply.body, "\"waiting\":3"), "%s", reply.body);
+	ck_assert_int_eq(
+		rig_call(&rig, 0, "GET", "/none/", RIG_KEY, NULL).status, 404);
+	rig_stop(&rig);
+}
+END_TEST
+
+int main(void)
+{
+	TCase *tc = tcase_create("host");
+
+	tcase_set_timeout(tc, 120);
+	tcase_add_test(tc, job_runs_and_is_seen_everywhere);
+	tcase_add_test(tc, same_id_is_one_job);
+	tcase_add_test(tc, failed_runs_are_repeated_up_to_the_attempts);
+	tcase_add_test(tc, steps_run_in_order);
+	tcase_add_test(tc, gang_starts_whole_and_survives_a_lost_member);
+	tcase_add_test(tc, cancelled_job_stops_and_stays_cancelled);
+	tcase_add_test(tc, cancelled_before_it_arrives);
+	tcase_add_test(tc, callers_without_right_are_refused);
+	tcase_add_test(tc, malformed_submissions_are_refused);
+	tcase_add_test(tc, change_of_configuration_is_in_force_everywhere);
+	tcase_add_test(tc, history_that_is_gone_is_read_again);
+	tcase_add_test(tc, foreign_entries_are_passed_over);
+	tcase_add_test(tc, store_outage);
+	tcase_add_test(tc, host_that_the_store_turns_away);
+	tcase_add_test(tc, leader_whose_lease_lapses);
+	tcase_add_loop_test(tc, answers_of_the_store_are_lost, 0, 3);
+	tcase_add_loop_test(tc, writes_of_the_store_come_late, 0, 3);
+	tcase_add_loop_test(tc, orders_are_carried_out_late, 0, 3);
+	tcase_add_test(tc,
+		       silent_worker_keeps_its_tasks_until_the_lease_is_over);
+	tcase_add_test(tc, failing_worker_is_avoided);
+	tcase_add_test(tc, draining_worker_gets_nothing_new);
+	tcase_add_test(tc, counts_of_waiting_jobs);
+	return run_case("host", tc);
+}
