Hold running work for one more lease while nobody can lead; test the decisions

Cause: test_host store_outage: with the store silent for longer than the election's lease and one lease of the workers, all running work lapsed, though holding needs no store. The last leader now goes on holding (nothing else) for max_hold_ms; a successor counts on that for workers it can't reach, and makes those orders void by its fence. Ruled out: holding without an end (a successor could never start the tasks of a worker that only the old leader reaches).

The decisions (order, placement, reclaim, runs and ends) have tests that play loads without a network.

--- a/control/director.c
+++ b/control/director.c
@@ -47,7 +47,7 @@
 {
 	struct kn_timer *timer = &director->pass_timer;
 
-	if (!director->ready)
+	if (!director->ready && director->holding_until_us == 0)
 		return;
 	if (kn_timer_pending(timer) && timer->at_us <= kn_now_us() + delay_us)
 		return;
@@ -174,12 +174,37 @@
 	wake(director, MAX(next_us - now_us, 0));
 }
 
+static void stop_directing(struct director *director);
+
+/*
+ * Nobody may lead while the store is away. Running work is held for a while
+ * by the last leader; a later one makes its orders void by its fence, and
+ * counts on this time for workers that it can't reach.
+ */
+static void hold_on(struct director *director)
+{
+	const char *current = director->leader.current;
+	int64_t now_us = kn_now_us();
+
+	if (now_us >= director->holding_until_us ||
+	    (*current && strcmp(current, director->site->host) != 0)) {
+		log_warn("holding.over", "fence=%" G_GINT64_FORMAT,
+			 director->orders.fence);
+		stop_directing(director);
+		return;
+	}
+	orders_run(&director->orders, now_us);
+	wake(director, PASS_TICK_MS * USEC_PER_MSEC);
+}
+
 static void on_pass(struct kn_timer *timer)
 {
 	struct director *director =
 		container_of(timer, struct director, pass_timer);
 
-	if (director->directing && director->ready)
+	if (director->holding_until_us != 0)
+		hold_on(director);
+	else if (director->directing && director->ready)
 		pass(director);
 }
 
@@ -191,7 +216,12 @@
 
 static void on_fenced(struct orders *orders, int64_t fence)
 {
+	struct director *director =
+		container_of(orders, struct director, orders);
+
 	log_warn("orders.fenced", "fence=%" G_GINT64_FORMAT, fence);
+	if (director->holding_until_us != 0)
+		director->holding_until_us = kn_now_us();
 }
 
 static bool may_send(struct orders *orders)
@@ -199,7 +229,8 @@
 	struct director *director =
 		container_of(orders, struct director, orders);
 
-	return leader_valid(&director->leader);
+	return director->holding_until_us != 0 ||
+	       leader_valid(&director->leader);
 }
 
 static const struct orders_ops orders_ops = {
@@ -484,11 +515,44 @@
 	kv->ops->range(kv, &director->states_call, KEY_STATE_PREFIX, true);
 }
 
+/* Stops all that only a leader does; what runs stays known. */
+static void stop_leading(struct director *director)
+{
+	struct kv *kv = director->edges->kv;
+
+	kn_timer_cancel(&director->pass_timer);
+	kn_timer_cancel(&director->states_timer);
+	ledger_close(&director->ledger);
+	mirror_stop(&director->workers);
+	mirror_stop(&director->intake);
+	if (director->states_calling)
+		kv->ops->cancel(kv, &director->states_call);
+	director->states_calling = false;
+	g_hash_table_remove_all(director->cancelled);
+	g_ptr_array_set_size(director->states, 0);
+	director->ready = false;
+	director->workers_read = false;
+	director->intake_read = false;
+	director->states_read = false;
+}
+
+static void stop_directing(struct director *director)
+{
+	if (!director->directing)
+		return;
+	stop_leading(director);
+	orders_close(&director->orders);
+	fleet_finish(&director->fleet);
+	director->directing = false;
+	director->holding_until_us = 0;
+}
+
 static void on_elected(struct leader *leader)
 {
 	struct director *director =
 		container_of(leader, struct director, leader);
 
+	stop_directing(director);
 	director->elected_us = kn_now_us();
 	director->directing = true;
 	fleet_init(&director->fleet, &fleet_ops, director);
@@ -505,27 +569,20 @@
 {
 	struct director *director =
 		container_of(leader, struct director, leader);
-	struct kv *kv = director->edges->kv;
 
-	if (!director->directing)
+	if (!leader->lapsed || !director->ready) {
+		stop_directing(director);
 		return;
-	kn_timer_cancel(&director->pass_timer);
-	kn_timer_cancel(&director->states_timer);
-	orders_close(&director->orders);
-	ledger_close(&director->ledger);
-	mirror_stop(&director->workers);
-	mirror_stop(&director->intake);
-	if (director->states_calling)
-		kv->ops->cancel(kv, &director->states_call);
-	director->states_calling = false;
-	g_hash_table_remove_all(director->cancelled);
-	g_ptr_array_set_size(director->states, 0);
-	fleet_finish(&director->fleet);
-	director->directing = false;
-	director->ready = false;
-	director->workers_read = false;
-	director->intake_read = false;
-	director->states_read = false;
+	}
+	stop_leading(director);
+	director->orders.hold_only = true;
+	director->holding_until_us =
+		kn_now_us() +
+		director->fleet.bounds.max_hold_ms * USEC_PER_MSEC;
+	log_info("holding.begun", "fence=%" G_GINT64_FORMAT " workers=%u",
+		 director->orders.fence,
+		 g_hash_table_size(director->fleet.workers_by_id));
+	wake(director, 0);
 }
 
 static const struct leader_ops leader_ops = {
@@ -562,6 +619,7 @@
 	struct director *director = container_of(task, struct director, task);
 
 	leader_resign(&director->leader);
+	stop_directing(director);
 	kn_drained(task);
 }
 
@@ -569,7 +627,7 @@
 {
 	struct director *director = container_of(task, struct director, task);
 
-	on_deposed(&director->leader);
+	stop_directing(director);
 	leader_finish(&director->leader);
 	mirror_finish(&director->workers);
 	mirror_finish(&director->intake);
--- a/control/director.h
+++ b/control/director.h
@@ -22,6 +22,8 @@
 	bool directing; /* fleet is in use */
 	bool ready; /* everything that earlier leaders stored has been read */
 	int64_t elected_us;
+	/* Leases of running work are renewed without leading until then. */
+	int64_t holding_until_us;
 	struct mirror workers;
 	struct mirror intake;
 	bool workers_read;
--- a/control/leader.c
+++ b/control/leader.c
@@ -56,11 +56,12 @@
 	}
 }
 
-static void step_down(struct leader *leader, const char *why)
+static void step_down(struct leader *leader, bool lapsed, const char *why)
 {
 	if (!leader->leading)
 		return;
 	leader->leading = false;
+	leader->lapsed = lapsed;
 	drop_renewals(leader);
 	kn_timer_cancel(&leader->timer);
 	log_warn("leader.deposed", "fence=%" G_GINT64_FORMAT " reason=\"%s\"",
@@ -80,7 +81,7 @@
 	if (!leader->leading)
 		return;
 	if (!leader_valid(leader)) {
-		step_down(leader, "the lease was not renewed in time");
+		step_down(leader, true, "the lease was not renewed in time");
 		return;
 	}
 	renew(leader);
@@ -99,7 +100,7 @@
 		return;
 	}
 	if (!call->succeeded) {
-		step_down(leader, "the lease has ended in the store");
+		step_down(leader, false, "the lease has ended in the store");
 		return;
 	}
 	leader->valid_until_us =
@@ -246,7 +247,7 @@
 	log_info("leader.seen", "leader=%s fence=%" G_GINT64_FORMAT,
 		 leader->current, item->mod_revision);
 	if (leader->leading && item->mod_revision > leader->fence)
-		step_down(leader, "another host was elected");
+		step_down(leader, false, "another host was elected");
 	else if (leader->key_mine && !leader->leading && !leader->calling)
 		campaign_after(leader, CAMPAIGN_RETRY_MS);
 }
@@ -261,7 +262,7 @@
 	leader->key_mine = false;
 	leader->current[0] = '\0';
 	if (leader->leading)
-		step_down(leader, "the key is gone");
+		step_down(leader, false, "the key is gone");
 	campaign_after(leader, delay_ms);
 }
 
@@ -281,7 +282,7 @@
 
 void leader_resign_now(struct leader *leader, const char *why)
 {
-	step_down(leader, why);
+	step_down(leader, false, why);
 }
 
 /* ---- life ---- */
@@ -320,7 +321,7 @@
 	kn_timer_cancel(&leader->campaign_timer);
 	kn_timer_cancel(&leader->timer);
 	drop_renewals(leader);
-	step_down(leader, "the host is stopping");
+	step_down(leader, false, "the host is stopping");
 	if (!led || leader->calling)
 		return;
 	start_call(leader, on_resigned);
--- a/control/leader.h
+++ b/control/leader.h
@@ -34,6 +34,8 @@
 	const struct site *site;
 	uint64_t incarnation;
 	bool leading;
+	/* Deposed for want of a renewal only: perhaps nobody else leads. */
+	bool lapsed;
 	int64_t fence;
 	char current[NAME_MAX_BYTES]; /* who leads, "" when unknown */
 	/* private */
--- a/control/orders.c
+++ b/control/orders.c
@@ -72,6 +72,7 @@
 {
 	orders->fleet = fleet;
 	orders->fence = fence;
+	orders->hold_only = false;
 }
 
 static void own_free(struct orders_call *own)
@@ -485,7 +486,8 @@
 	if (worker->said.port == 0)
 		return;
 	list_for_each_entry_safe(task, next, &worker->tasks, on_worker)
-		run_task(orders, task, now_us, next_us);
+		if (!orders->hold_only)
+			run_task(orders, task, now_us, next_us);
 	noted = fleet_ends_noted(fleet, worker);
 	if (worker->task_count == 0 && worker->acked >= worker->end_seen)
 		return;
--- a/fleet/fleet.c
+++ b/fleet/fleet.c
@@ -494,7 +494,8 @@
 				  int64_t born_ms, int64_t now_us)
 {
 	struct worker *worker = g_hash_table_lookup(fleet->workers_by_id, id);
-	int64_t hold_us = fleet->bounds.max_hold_ms * 1000;
+	/* The last leader may have held on for as long as one lease. */
+	int64_t hold_us = 2 * fleet->bounds.max_hold_ms * 1000;
 
 	if (!worker) {
 		/* It may live without an entry; its leases decide. */
--- /dev/null
+++ b/tests/standins/fleet_make.h
@@ -0,0 +1,30 @@
+#ifndef STANDINS_FLEET_MAKE_H
+#define STANDINS_FLEET_MAKE_H
+
+#include "fleet/fleet.h"
+
+/* Jobs and workers for tests of the decisions, without a network. */
+
+#define MAKE_POOL "pool"
+
+/* A fleet with the bounds of a small deployment and one customer. */
+void make_fleet(struct fleet *fleet, struct config **config);
+void make_fleet_end(struct fleet *fleet, struct config *config);
+/* 128 cores, 256 GB; takes its first clock sample at now_us. */
+struct worker *make_worker(struct fleet *fleet, const char *id,
+			   const char *rack, int gpus, int64_t now_us);
+/* One step; gpus of each task and 4 cores for each of them. */
+struct job *make_job(struct fleet *fleet, const char *id, int priority,
+		     int count, int gpus, int64_t est_ms, int64_t now_us);
+/* Starts all planned tasks as if their orders were accepted at once. */
+int make_started(struct fleet *fleet, int64_t now_us);
+/* The worker lists an end of the task's run. */
+void make_end(struct fleet *fleet, struct task *task, enum run_end how,
+	      int64_t now_us);
+/* All running tasks of the job end as done. */
+void make_done(struct fleet *fleet, struct job *job, int64_t now_us);
+/* All changes count as stored. */
+void make_stored(struct fleet *fleet);
+struct task *make_task(struct job *job, int step, int index);
+
+#endif
--- /dev/null
+++ b/tests/unit/test_fleet.c
@@ -0,0 +1,404 @@
+#include <string.h>
+
+#include "fleet/limits.h"
+#include "fleet/plan.h"
+#include "tests/standins/fleet_make.h"
+#include "tests/unit/run.h"
+
+/* What runs where, as the leader learns it from its workers. */
+
+#define SEC 1000000LL
+#define NOW (100 * SEC)
+
+static struct fleet fleet;
+static struct config *config;
+
+static void set_up(void)
+{
+	make_fleet(&fleet, &config);
+}
+
+static void tear_down(void)
+{
+	make_fleet_end(&fleet, config);
+}
+
+static struct job *running_job(int count, bool gang)
+{
+	struct job *job = make_job(&fleet, "j", 1, count, 1, 1000, NOW);
+
+	job->spec.steps[0].gang = gang;
+	fleet_open_due(&fleet, NOW, 0);
+	plan_pass(&fleet, NOW);
+	ck_assert_int_eq(make_started(&fleet, NOW), count);
+	return job;
+}
+
+START_TEST(done_tasks_end_the_job)
+{
+	struct job *job;
+
+	make_worker(&fleet, "w1", "r1", 8, NOW);
+	job = running_job(3, false);
+	ck_assert_int_eq(job->phase, JOB_RUNNING);
+	make_end(&fleet, make_task(job, 0, 0), RUN_DONE, NOW + SEC);
+	make_end(&fleet, make_task(job, 0, 1), RUN_DONE, NOW + SEC);
+	ck_assert_int_eq(job->phase, JOB_RUNNING);
+	make_end(&fleet, make_task(job, 0, 2), RUN_DONE, NOW + SEC);
+	ck_assert_int_eq(job->phase, JOB_DONE);
+	ck_assert(!fleet_job_holds(job));
+}
+END_TEST
+
+/* An end may be forgotten only when its meaning is stored. */
+START_TEST(ends_are_noted_after_they_are_stored)
+{
+	struct worker *worker = make_worker(&fleet, "w1", "r1", 8, NOW);
+	struct job *job = running_job(2, false);
+
+	make_stored(&fleet);
+	make_end(&fleet, make_task(job, 0, 0), RUN_DONE, NOW + SEC);
+	ck_assert_int_eq(fleet_ends_noted(&fleet, worker), 0);
+	make_stored(&fleet);
+	ck_assert_int_eq(fleet_ends_noted(&fleet, worker), 1);
+}
+END_TEST
+
+START_TEST(failures_use_up_the_attempts)
+{
+	struct job *job;
+	int i;
+
+	make_worker(&fleet, "w1", "r1", 8, NOW);
+	make_worker(&fleet, "w2", "r1", 8, NOW);
+	job = running_job(1, false);
+	for (i = 0; i < 3; i++) {
+		ck_assert(!job_ended(job));
+		make_end(&fleet, make_task(job, 0, 0), RUN_FAILED, NOW);
+		plan_pass(&fleet, NOW);
+		make_started(&fleet, NOW);
+	}
+	ck_assert_int_eq(job->phase, JOB_FAILED);
+	ck_assert_ptr_null(make_task(job, 0, 0)->worker);
+}
+END_TEST
+
+START_TEST(lapsed_runs_do_not_count_as_attempts)
+{
+	struct job *job;
+	int i;
+
+	make_worker(&fleet, "w1", "r1", 8, NOW);
+	job = running_job(1, false);
+	for (i = 0; i < 10; i++) {
+		make_end(&fleet, make_task(job, 0, 0), RUN_LAPSED, NOW);
+		plan_pass(&fleet, NOW);
+		make_started(&fleet, NOW);
+	}
+	ck_assert_int_eq(job->phase, JOB_RUNNING);
+	ck_assert_int_eq(make_task(job, 0, 0)->run, 11);
+}
+END_TEST
+
+/* The failed member and the broken ones are one failure of the gang. */
+START_TEST(gang_fails_once_a_run)
+{
+	struct job *job;
+
+	make_worker(&fleet, "w1", "r1", 8, NOW);
+	make_worker(&fleet, "w2", "r1", 8, NOW);
+	job = running_job(10, true);
+	make_end(&fleet, make_task(job, 0, 3), RUN_FAILED, NOW);
+	make_end(&fleet, make_task(job, 0, 4), RUN_FAILED, NOW);
+	ck_assert_int_eq(job_stage(job, 0, 0)->fails, 1);
+	ck_assert_int_eq(make_task(job, 0, 0)->phase, TASK_STOPPING);
+	/* It starts again only when no member holds room any more. */
+	ck_assert_int_eq(plan_pass(&fleet, NOW), 0);
+	for (int i = 0; i < 10; i++)
+		if (make_task(job, 0, i)->worker)
+			make_end(&fleet, make_task(job, 0, i), RUN_BROKEN, NOW);
+	ck_assert_int_eq(plan_pass(&fleet, NOW), 10);
+	ck_assert_int_eq(make_task(job, 0, 0)->run, 2);
+	ck_assert_int_eq(make_task(job, 0, 9)->run, 2);
+}
+END_TEST
+
+START_TEST(one_done_member_ends_the_gang)
+{
+	struct job *job;
+
+	make_worker(&fleet, "w1", "r1", 8, NOW);
+	make_worker(&fleet, "w2", "r1", 8, NOW);
+	job = running_job(10, true);
+	make_end(&fleet, make_task(job, 0, 3), RUN_DONE, NOW);
+	ck_assert_int_eq(job->phase, JOB_DONE);
+	/* The room of the others is free when their ends are listed. */
+	ck_assert(fleet_job_holds(job));
+}
+END_TEST
+
+/* Nothing is concluded from a list that may be older than the order. */
+START_TEST(list_from_before_the_answer_says_nothing)
+{
+	struct hold_report empty = { 0 };
+	struct worker *worker = make_worker(&fleet, "w1", "r1", 8, NOW);
+	struct job *job = running_job(1, false);
+
+	fleet_held(&fleet, worker, &empty, NOW - 1, NOW + 1, 0);
+	ck_assert_ptr_eq(make_task(job, 0, 0)->worker, worker);
+	fleet_held(&fleet, worker, &empty, NOW + 2, NOW + 3, 0);
+	ck_assert_ptr_null(make_task(job, 0, 0)->worker);
+}
+END_TEST
+
+START_TEST(lease_of_a_silent_worker)
+{
+	struct worker *worker = make_worker(&fleet, "w1", "r1", 8, NOW);
+	struct job *job = running_job(1, false);
+	int64_t end_us;
+
+	worker_lease(worker, 6000, NOW);
+	end_us = worker->lease_end_us;
+	/* A clock that is slow by 2 % makes the lease longer. */
+	ck_assert_int_ge(end_us, NOW + 6 * SEC + 6 * SEC / 50);
+	worker->silent = 3;
+	worker->silent_us = NOW;
+	fleet_sweep(&fleet, end_us, 0);
+	ck_assert_ptr_nonnull(make_task(job, 0, 0)->worker);
+	fleet_sweep(&fleet, end_us + LEASE_SLACK_MS * 1000 + 1, 0);
+	ck_assert_ptr_null(make_task(job, 0, 0)->worker);
+	ck_assert_int_eq(make_task(job, 0, 0)->phase, TASK_WAITING);
+}
+END_TEST
+
+START_TEST(worker_that_answers_keeps_its_tasks)
+{
+	struct worker *worker = make_worker(&fleet, "w1", "r1", 8, NOW);
+	struct job *job = running_job(1, false);
+
+	worker_lease(worker, 6000, NOW);
+	fleet_sweep(&fleet, NOW + 60 * SEC, 0);
+	ck_assert_ptr_nonnull(make_task(job, 0, 0)->worker);
+}
+END_TEST
+
+/*
+ * A later life knows nothing of what ran before, but an order may have
+ * reached it under the same name: only its own list settles that.
+ */
+START_TEST(later_life_takes_the_tasks_over_until_it_lists)
+{
+	struct worker *old = make_worker(&fleet, "w1", "r1", 8, NOW);
+	struct job *job = running_job(2, false);
+	struct hold_report report = { 0 };
+	struct run_report run = { .task = (char *)"j.0.0.1", .run = 1 };
+	struct worker_report later = {
+		.id = g_strdup("w1"),
+		.born_ms = 2000,
+		.pool = g_strdup(MAKE_POOL),
+		.port = 1,
+		.room = { 128000, 262144, 8 },
+	};
+	struct worker *worker = fleet_report(&fleet, &later, NOW + SEC);
+
+	ck_assert_ptr_ne(worker, old);
+	ck_assert_ptr_eq(make_task(job, 0, 0)->worker, worker);
+	report.running = &run;
+	report.nrunning = 1;
+	fleet_held(&fleet, worker, &report, NOW + 2 * SEC, NOW + 2 * SEC, 0);
+	ck_assert_ptr_null(make_task(job, 0, 0)->worker);
+	ck_assert_ptr_eq(make_task(job, 0, 1)->worker, worker);
+}
+END_TEST
+
+START_TEST(earlier_life_is_ignored)
+{
+	struct worker *worker = make_worker(&fleet, "w1", "r1", 8, NOW);
+	struct worker_report earlier = { .id = g_strdup("w1"),
+					 .born_ms = 500,
+					 .pool = g_strdup("other") };
+
+	ck_assert_ptr_eq(fleet_report(&fleet, &earlier, NOW), worker);
+	ck_assert_str_eq(worker->said.pool, MAKE_POOL);
+}
+END_TEST
+
+START_TEST(adopted_runs_are_settled_by_the_first_list)
+{
+	struct worker *worker = make_worker(&fleet, "w1", "r1", 8, NOW);
+	struct job *job = make_job(&fleet, "j", 1, 2, 1, 1000, NOW);
+	struct run_report run = { .task = (char *)"j.0.0.0", .run = 4 };
+	struct hold_report report = { .running = &run, .nrunning = 1 };
+	int i;
+
+	fleet_open_due(&fleet, NOW, 0);
+	for (i = 0; i < 2; i++) {
+		make_task(job, 0, i)->run = 4;
+		fleet_adopt_run(&fleet, make_task(job, 0, i),
+				fleet_adopt_worker(&fleet, "w1", 1000, NOW));
+	}
+	ck_assert_int_eq(plan_pass(&fleet, NOW), 0);
+	fleet_held(&fleet, worker, &report, NOW + 1, NOW + 2, 0);
+	ck_assert_int_eq(make_task(job, 0, 0)->phase, TASK_RUNNING);
+	ck_assert_ptr_null(make_task(job, 0, 1)->worker);
+	ck_assert_int_eq(plan_pass(&fleet, NOW + 3), 1);
+	ck_assert_int_eq(make_task(job, 0, 1)->run, 5);
+}
+END_TEST
+
+/* What a deposed leader may still have ordered or held has lapsed by then. */
+START_TEST(adopted_worker_that_cannot_be_reached)
+{
+	struct job *job = make_job(&fleet, "j", 1, 1, 1, 1000, NOW);
+	struct worker *worker;
+
+	fleet_open_due(&fleet, NOW, 0);
+	worker = fleet_adopt_worker(&fleet, "gone", 7, NOW);
+	make_task(job, 0, 0)->run = 1;
+	fleet_adopt_run(&fleet, make_task(job, 0, 0), worker);
+	make_worker(&fleet, "w1", "r1", 8, NOW);
+	fleet_sweep(&fleet, NOW + 12 * SEC, 0);
+	ck_assert_int_eq(plan_pass(&fleet, NOW + 12 * SEC), 0);
+	fleet_sweep(&fleet, NOW + 13 * SEC + SEC / 2, 0);
+	ck_assert_int_eq(plan_pass(&fleet, NOW + 13 * SEC), 1);
+}
+END_TEST
+
+START_TEST(cancelled_job_gives_its_room_back_when_the_ends_are_listed)
+{
+	struct job *job;
+
+	make_worker(&fleet, "w1", "r1", 8, NOW);
+	job = running_job(2, false);
+	fleet_cancel(&fleet, job, 1);
+	ck_assert_int_eq(job->phase, JOB_CANCELLED);
+	ck_assert_int_eq(make_task(job, 0, 0)->phase, TASK_STOPPING);
+	ck_assert(fleet_job_holds(job));
+	make_end(&fleet, make_task(job, 0, 0), RUN_STOPPED, NOW);
+	make_end(&fleet, make_task(job, 0, 1), RUN_DONE, NOW);
+	ck_assert(!fleet_job_holds(job));
+	ck_assert_int_eq(job->phase, JOB_CANCELLED);
+	ck_assert_int_eq(plan_pass(&fleet, NOW), 0);
+}
+END_TEST
+
+START_TEST(later_steps_wait_for_earlier_ones)
+{
+	struct job_spec spec;
+	struct job *job;
+
+	make_worker(&fleet, "w1", "r1", 8, NOW);
+	job_spec_init(&spec, 2);
+	spec.payload = g_strdup("p");
+	spec.steps[0].count = 2;
+	spec.steps[1].count = 1;
+	spec.steps[1].after = 1;
+	job = job_new("two", &spec);
+	job->queue = g_strdup("q");
+	job->pool = g_strdup(MAKE_POOL);
+	job->customer = g_strdup("one");
+	job->attempts = 2;
+	fleet_add_job(&fleet, job);
+	fleet_open_due(&fleet, NOW, 0);
+	ck_assert_int_eq(plan_pass(&fleet, NOW), 2);
+	make_started(&fleet, NOW);
+	make_end(&fleet, make_task(job, 0, 0), RUN_DONE, NOW);
+	ck_assert_int_eq(plan_pass(&fleet, NOW), 0);
+	make_end(&fleet, make_task(job, 0, 1), RUN_DONE, NOW);
+	ck_assert_int_eq(plan_pass(&fleet, NOW), 1);
+}
+END_TEST
+
+START_TEST(occurrences_start_when_they_are_due)
+{
+	struct job *job = make_job(&fleet, "t", 1, 1, 1, 100, NOW);
+
+	make_worker(&fleet, "w1", "r1", 8, NOW);
+	/* As if it had been read with these times. */
+	g_free(job->stages);
+	job->spec.times = 2;
+	job->spec.first_ms = 5000;
+	job->spec.interval_ms = 1000;
+	job->occurrences = 2;
+	job->stages = g_new0(struct stage *, 2);
+	fleet_open_due(&fleet, NOW, 4999);
+	ck_assert_int_eq(plan_pass(&fleet, NOW), 0);
+	fleet_open_due(&fleet, NOW, 5000);
+	ck_assert_int_eq(plan_pass(&fleet, NOW), 1);
+	make_started(&fleet, NOW);
+	fleet_open_due(&fleet, NOW, 6000);
+	ck_assert_int_eq(plan_pass(&fleet, NOW), 1);
+	make_started(&fleet, NOW);
+	make_end(&fleet, &job_stage(job, 0, 0)->tasks[0], RUN_DONE, NOW);
+	ck_assert(!job_ended(job));
+	make_end(&fleet, &job_stage(job, 1, 0)->tasks[0], RUN_DONE, NOW);
+	ck_assert_int_eq(job->phase, JOB_DONE);
+}
+END_TEST
+
+/* Failures of different jobs ban a worker, those of one job do not. */
+START_TEST(worker_that_fails_is_banned)
+{
+	struct worker *bad = make_worker(&fleet, "w1", "r1", 8, NOW);
+	struct job *job, *other;
+
+	job = running_job(2, false);
+	make_end(&fleet, make_task(job, 0, 0), RUN_FAILED, NOW);
+	make_end(&fleet, make_task(job, 0, 1), RUN_FAILED, NOW);
+	ck_assert_int_eq(bad->banned_until_us, 0);
+	job->cancelled = true;
+	fleet_cancel(&fleet, job, 1);
+	other = make_job(&fleet, "k", 1, 1, 1, 1000, NOW);
+	fleet_open_due(&fleet, NOW, 0);
+	plan_pass(&fleet, NOW);
+	make_started(&fleet, NOW);
+	make_end(&fleet, make_task(other, 0, 0), RUN_FAILED, NOW);
+	ck_assert_int_gt(bad->banned_until_us, NOW);
+	ck_assert_int_eq(plan_pass(&fleet, NOW), 0);
+	ck_assert_int_eq(plan_pass(&fleet, bad->banned_until_us + 1), 1);
+}
+END_TEST
+
+START_TEST(checkpoints_serve_the_whole_gang)
+{
+	struct worker *worker = make_worker(&fleet, "w1", "r1", 8, NOW);
+	struct job *job = running_job(3, true);
+	struct run_report runs[3] = {
+		{ (char *)"j.0.0.0", 1, (char *)"saved", 40, 0 },
+		{ (char *)"j.0.0.1", 1, NULL, 40, 0 },
+		{ (char *)"j.0.0.2", 1, NULL, 40, 0 },
+	};
+	struct hold_report report = { .running = runs, .nrunning = 3 };
+
+	job->spec.steps[0].checkpoint = true;
+	fleet_held(&fleet, worker, &report, NOW + 1, NOW + 1, 0);
+	ck_assert_str_eq(make_task(job, 0, 2)->checkpoint, "saved");
+}
+END_TEST
+
+int main(void)
+{
+	TCase *tc = tcase_create("fleet");
+
+	tcase_add_checked_fixture(tc, set_up, tear_down);
+	tcase_add_test(tc, done_tasks_end_the_job);
+	tcase_add_test(tc, ends_are_noted_after_they_are_stored);
+	tcase_add_test(tc, failures_use_up_the_attempts);
+	tcase_add_test(tc, lapsed_runs_do_not_count_as_attempts);
+	tcase_add_test(tc, gang_fails_once_a_run);
+	tcase_add_test(tc, one_done_member_ends_the_gang);
+	tcase_add_test(tc, list_from_before_the_answer_says_nothing);
+	tcase_add_test(tc, lease_of_a_silent_worker);
+	tcase_add_test(tc, worker_that_answers_keeps_its_tasks);
+	tcase_add_test(tc, later_life_takes_the_tasks_over_until_it_lists);
+	tcase_add_test(tc, earlier_life_is_ignored);
+	tcase_add_test(tc, adopted_runs_are_settled_by_the_first_list);
+	tcase_add_test(tc, adopted_worker_that_cannot_be_reached);
+	tcase_add_test(
+		tc, cancelled_job_gives_its_room_back_when_the_ends_are_listed);
+	tcase_add_test(tc, later_steps_wait_for_earlier_ones);
+	tcase_add_test(tc, occurrences_start_when_they_are_due);
+	tcase_add_test(tc, worker_that_fails_is_banned);
+	tcase_add_test(tc, checkpoints_serve_the_whole_gang);
+	return run_case("fleet", tc);
+}
--- /dev/null
+++ b/tests/unit/test_plan.c
@@ -0,0 +1,373 @@
+#include <stdio.h>
+#include <string.h>
+
+#include "fleet/limits.h"
+#include "fleet/order.h"
+#include "fleet/placement.h"
+#include "fleet/plan.h"
+#include "fleet/reclaim.h"
+#include "tests/standins/fleet_make.h"
+#include "tests/unit/run.h"
+
+/* Order, placement and reclaim, without a network. */
+
+#define MSEC 1000LL
+#define SEC 1000000LL
+#define NOW (100 * SEC)
+
+static struct fleet fleet;
+static struct config *config;
+
+static void set_up(void)
+{
+	make_fleet(&fleet, &config);
+}
+
+static void tear_down(void)
+{
+	make_fleet_end(&fleet, config);
+}
+
+/* racks of size workers with 8 accelerators each. */
+static void make_racks(int racks, int size)
+{
+	char id[32], rack[32];
+	int r, w;
+
+	for (r = 0; r < racks; r++)
+		for (w = 0; w < size; w++) {
+			snprintf(id, sizeof(id), "w%d-%d", r, w);
+			snprintf(rack, sizeof(rack), "r%d", r);
+			make_worker(&fleet, id, rack, 8, NOW);
+		}
+}
+
+static int plan(int64_t now_us)
+{
+	int planned;
+
+	fleet_open_due(&fleet, now_us, 0);
+	planned = plan_pass(&fleet, now_us);
+	make_started(&fleet, now_us);
+	return planned;
+}
+
+static struct job *make_gang(const char *id, int priority, int count, int gpus,
+			     bool same_rack, int64_t est_ms)
+{
+	struct job *job =
+		make_job(&fleet, id, priority, count, gpus, est_ms, NOW);
+
+	job->spec.steps[0].gang = true;
+	job->spec.steps[0].same_rack = same_rack;
+	return job;
+}
+
+static int racks_used(struct job *job)
+{
+	GHashTable *racks = g_hash_table_new(g_str_hash, g_str_equal);
+	int i, used;
+
+	for (i = 0; i < job->spec.steps[0].count; i++)
+		if (make_task(job, 0, i)->worker)
+			g_hash_table_add(
+				racks, make_task(job, 0, i)->worker->said.rack);
+	used = (int)g_hash_table_size(racks);
+	g_hash_table_unref(racks);
+	return used;
+}
+
+START_TEST(urgent_work_comes_first)
+{
+	struct job *slow, *urgent;
+	GPtrArray *jobs;
+
+	slow = make_job(&fleet, "slow", 2, 1, 1, 1000, NOW);
+	urgent = make_job(&fleet, "urgent", 0, 1, 1, 1000, NOW + SEC);
+	fleet_open_due(&fleet, NOW, 0);
+	jobs = order_jobs(&fleet, NOW + SEC);
+	ck_assert_ptr_eq(g_ptr_array_index(jobs, 0), urgent);
+	ck_assert_ptr_eq(g_ptr_array_index(jobs, 1), slow);
+	g_ptr_array_unref(jobs);
+}
+END_TEST
+
+/* What can't be in time any more makes way for what can. */
+START_TEST(hopeless_work_comes_last)
+{
+	struct job *hopeless, *fresh;
+	GPtrArray *jobs;
+
+	hopeless = make_job(&fleet, "hopeless", 1, 1, 1, 1000, NOW);
+	fresh = make_job(&fleet, "fresh", 1, 1, 1, 1000, NOW + 30 * SEC);
+	fleet_open_due(&fleet, NOW, 0);
+	jobs = order_jobs(&fleet, NOW + 30 * SEC);
+	ck_assert_int_eq(order_hope(&fleet, hopeless, NOW + 30 * SEC),
+			 HOPE_NONE);
+	ck_assert_ptr_eq(g_ptr_array_index(jobs, 0), fresh);
+	g_ptr_array_unref(jobs);
+}
+END_TEST
+
+START_TEST(gang_of_one_rack_takes_one_rack)
+{
+	struct job *job;
+
+	make_racks(3, 4);
+	make_job(&fleet, "small", 1, 1, 1, 9000, NOW);
+	plan(NOW);
+	job = make_gang("g", 1, 4, 8, true, 1000);
+	ck_assert_int_eq(plan(NOW), 4);
+	ck_assert_int_eq(racks_used(job), 1);
+}
+END_TEST
+
+/* Small tasks fill used workers, so that whole ones stay for gangs. */
+START_TEST(small_tasks_are_packed)
+{
+	int used = 0;
+	struct worker *worker;
+
+	make_racks(2, 4);
+	make_job(&fleet, "small", 1, 16, 1, 9000, NOW);
+	ck_assert_int_eq(plan(NOW), 16);
+	list_for_each_entry(worker, &fleet.workers, node)
+		used += worker->task_count > 0;
+	ck_assert_int_eq(used, 2);
+}
+END_TEST
+
+START_TEST(gang_that_no_rack_holds_is_spread)
+{
+	struct job *job;
+
+	make_racks(3, 2);
+	job = make_gang("g", 1, 5, 8, true, 1000);
+	ck_assert_int_eq(plan(NOW), 5);
+	ck_assert_int_eq(racks_used(job), 3);
+}
+END_TEST
+
+START_TEST(limit_of_tasks_on_one_worker)
+{
+	struct job *job;
+	struct worker *worker;
+
+	make_racks(1, 3);
+	job = make_job(&fleet, "j", 1, 9, 1, 1000, NOW);
+	job->spec.steps[0].max_per_worker = 2;
+	ck_assert_int_eq(plan(NOW), 6);
+	list_for_each_entry(worker, &fleet.workers, node)
+		ck_assert_int_le(worker->task_count, 2);
+}
+END_TEST
+
+START_TEST(room_is_never_exceeded)
+{
+	struct worker *worker;
+
+	make_racks(2, 2);
+	make_job(&fleet, "a", 1, 7, 3, 1000, NOW);
+	make_gang("b", 1, 3, 4, false, 1000);
+	make_job(&fleet, "c", 0, 40, 1, 1000, NOW);
+	plan(NOW);
+	list_for_each_entry(worker, &fleet.workers, node) {
+		struct room room = worker_free_room(worker);
+
+		ck_assert_int_ge(room.gpus, 0);
+		ck_assert_int_ge(room.cpu_milli, 0);
+	}
+}
+END_TEST
+
+START_TEST(data_near_a_rack_is_waited_for_a_while)
+{
+	struct job *job;
+
+	make_racks(2, 1);
+	make_job(&fleet, "full", 1, 8, 1, 9000, NOW);
+	plan(NOW);
+	job = make_job(&fleet, "near", 1, 1, 1, 4000, NOW);
+	/* The rack that was filled above is the one with the data. */
+	job->spec.steps[0].rack = g_strdup(
+		make_task(fleet_job(&fleet, "full"), 0, 0)->worker->said.rack);
+	ck_assert_int_eq(plan(NOW), 0);
+	ck_assert_int_eq(plan(NOW + 4 * SEC), 1);
+}
+END_TEST
+
+START_TEST(draining_and_unlisted_workers_get_nothing)
+{
+	struct worker *worker;
+
+	make_racks(1, 2);
+	worker = list_first_entry(&fleet.workers, struct worker, node);
+	worker->said.draining = true;
+	fleet_unlist(&fleet, "w0-1", NOW);
+	make_job(&fleet, "j", 1, 1, 1, 1000, NOW);
+	ck_assert_int_eq(plan(NOW), 0);
+}
+END_TEST
+
+/*
+ * Load: a stream of small tasks that would fill every accelerator as it
+ * becomes free, and one gang that needs a whole rack.
+ */
+START_TEST(gang_does_not_starve_behind_small_tasks)
+{
+	struct job *gang, *small;
+	int64_t now_us = NOW;
+	char id[16];
+	int i;
+
+	make_racks(2, 2);
+	for (i = 0; i < 4; i++) {
+		snprintf(id, sizeof(id), "s%d", i);
+		make_job(&fleet, id, 1, 8, 1, 1000 + i * 300, now_us);
+	}
+	plan(now_us);
+	gang = make_gang("gang", 1, 2, 8, true, 2000);
+	for (i = 4; i < 40 && gang->phase == JOB_QUEUED; i++) {
+		now_us += 300 * MSEC;
+		snprintf(id, sizeof(id), "s%d", i - 4);
+		small = fleet_job(&fleet, id);
+		if (small)
+			make_done(&fleet, small, now_us);
+		snprintf(id, sizeof(id), "s%d", i);
+		small = make_job(&fleet, id, 1, 8, 1, 1000, now_us);
+		small->arrived_us = now_us;
+		plan(now_us);
+	}
+	ck_assert_int_eq(gang->phase, JOB_RUNNING);
+	ck_assert_int_le(now_us - NOW, 6 * SEC);
+}
+END_TEST
+
+/* Work of lower priority makes room for what the guarantee covers. */
+START_TEST(guaranteed_job_reclaims_room)
+{
+	struct job *urgent;
+	struct worker *worker;
+	struct task *task, *next;
+	int stopping = 0;
+
+	make_racks(2, 2);
+	make_job(&fleet, "batch", 2, 32, 1, 60000, NOW);
+	plan(NOW);
+	urgent = make_gang("urgent", 0, 2, 8, true, 1000);
+	ck_assert_int_eq(plan(NOW + SEC), 0);
+	list_for_each_entry(worker, &fleet.workers, node)
+		list_for_each_entry(task, &worker->tasks, on_worker)
+			stopping += task->phase == TASK_STOPPING;
+	ck_assert_int_eq(stopping, 16);
+	/* Freed room is kept for it, not given back to the batch. */
+	list_for_each_entry(worker, &fleet.workers, node)
+		list_for_each_entry_safe(task, next, &worker->tasks, on_worker)
+			if (task->phase == TASK_STOPPING && --stopping >= 8)
+				make_end(&fleet, task, RUN_STOPPED,
+					 NOW + SEC + 1);
+	ck_assert_int_eq(plan(NOW + SEC + 2), 0);
+	list_for_each_entry(worker, &fleet.workers, node)
+		list_for_each_entry_safe(task, next, &worker->tasks, on_worker)
+			if (task->phase == TASK_STOPPING)
+				make_end(&fleet, task, RUN_STOPPED,
+					 NOW + SEC + 3);
+	ck_assert_int_eq(plan(NOW + SEC + 4), 2);
+	ck_assert_int_eq(racks_used(urgent), 1);
+}
+END_TEST
+
+START_TEST(beyond_the_guarantee_nothing_is_stopped)
+{
+	make_racks(2, 2);
+	make_job(&fleet, "batch", 2, 32, 1, 60000, NOW);
+	plan(NOW);
+	/* 24 accelerators of 16 that are guaranteed. */
+	make_gang("urgent", 0, 3, 8, false, 1000);
+	ck_assert_int_eq(plan(NOW + SEC), 0);
+	ck_assert_uint_eq(fleet.preempted, 0);
+}
+END_TEST
+
+/* The runs that lose least are stopped: here those that have just begun. */
+START_TEST(victims_lose_least)
+{
+	struct job *old, *fresh;
+
+	make_racks(1, 2);
+	old = make_job(&fleet, "old", 2, 1, 8, 60000, NOW);
+	plan(NOW);
+	fresh = make_job(&fleet, "fresh", 2, 1, 8, 60000, NOW + 30 * SEC);
+	plan(NOW + 30 * SEC);
+	make_job(&fleet, "urgent", 0, 1, 8, 1000, NOW + 31 * SEC);
+	plan(NOW + 31 * SEC);
+	ck_assert_int_eq(make_task(old, 0, 0)->phase, TASK_RUNNING);
+	ck_assert_int_eq(make_task(fresh, 0, 0)->phase, TASK_STOPPING);
+}
+END_TEST
+
+/*
+ * Load: three times more urgent work than fits for 10 s, each 1 s long. What
+ * callers get: jobs that are served are served in time, by order of arrival
+ * among those that can still be, and the last comers are not all late.
+ */
+START_TEST(crest_serves_in_time_what_it_can)
+{
+	int64_t now_us;
+	int served = 0, in_time = 0, made = 0;
+	GPtrArray *jobs = g_ptr_array_new();
+	char id[16];
+	guint i;
+
+	make_racks(1, 2);
+	for (now_us = NOW; now_us <= NOW + 25 * SEC; now_us += 100 * MSEC) {
+		for (i = 0; i < jobs->len; i++) {
+			struct job *job = g_ptr_array_index(jobs, i);
+			struct task *task = make_task(job, 0, 0);
+
+			if (task->phase != TASK_RUNNING ||
+			    now_us - task->started_us < SEC)
+				continue;
+			make_done(&fleet, job, now_us);
+			served++;
+			in_time += now_us - job->arrived_us <= 4 * SEC;
+		}
+		if (now_us < NOW + 10 * SEC) {
+			snprintf(id, sizeof(id), "c%d", made++);
+			/* 6 a second of which 2 fit. */
+			if (made % 5 < 3)
+				g_ptr_array_add(jobs,
+						make_job(&fleet, id, 1, 1, 8,
+							 1000, now_us));
+		}
+		plan(now_us);
+	}
+	/* Two at a time, all the time. */
+	ck_assert_int_eq(served, 50);
+	/* At best 28 end within 4 s of their arrival; most of these have to. */
+	ck_assert_int_ge(in_time, 20);
+	g_ptr_array_unref(jobs);
+}
+END_TEST
+
+int main(void)
+{
+	TCase *tc = tcase_create("plan");
+
+	tcase_add_checked_fixture(tc, set_up, tear_down);
+	tcase_add_test(tc, urgent_work_comes_first);
+	tcase_add_test(tc, hopeless_work_comes_last);
+	tcase_add_test(tc, gang_of_one_rack_takes_one_rack);
+	tcase_add_test(tc, small_tasks_are_packed);
+	tcase_add_test(tc, gang_that_no_rack_holds_is_spread);
+	tcase_add_test(tc, limit_of_tasks_on_one_worker);
+	tcase_add_test(tc, room_is_never_exceeded);
+	tcase_add_test(tc, data_near_a_rack_is_waited_for_a_while);
+	tcase_add_test(tc, draining_and_unlisted_workers_get_nothing);
+	tcase_add_test(tc, gang_does_not_starve_behind_small_tasks);
+	tcase_add_test(tc, guaranteed_job_reclaims_room);
+	tcase_add_test(tc, beyond_the_guarantee_nothing_is_stopped);
+	tcase_add_test(tc, victims_lose_least);
+	tcase_add_test(tc, crest_serves_in_time_what_it_can);
+	return run_case("plan", tc);
+}
