--- a/control/director.c
+++ b/control/director.c
@@ -13,6 +13,8 @@
  * that drains has to be known within drain_ms. */
 #define WORKERS_WAIT_MS 1200
 #define INTAKE_WAIT_MS 1500
+/* Workers write every second or two, all of them; each poll is paid for. */
+#define WORKERS_GATHER_MS 120
 #define STATES_RETRY_MS 100
 #define TIDY_MS 1000
 /* The counts may be 2 s old; a host adds up to COUNT_KEEP_MS. */
@@ -704,6 +706,7 @@
 	orders_init(&director->orders, kn, edges->workers, &orders_ops);
 	mirror_init(&director->workers, edges->kv, &workers_ops,
 		    edges->reports_prefix, WORKERS_WAIT_MS);
+	director->workers.gather_ms = WORKERS_GATHER_MS;
 	mirror_init(&director->intake, edges->kv, &intake_ops,
 		    KEY_INTAKE_PREFIX, INTAKE_WAIT_MS);
 	return director;
--- a/control/intake.c
+++ b/control/intake.c
@@ -9,12 +9,12 @@
 
 #define JOB_ID_LEN 16
 /* Left of the caller's deadline for the way of the answer. */
-#define ANSWER_MARGIN_MS 120
+#define ANSWER_MARGIN_MS 100
 #define RETRY_MS 80
 /* The counts may be 2 s old; the leader writes them every 500 ms. */
 #define COUNT_KEEP_MS 500
-/* A store that refuses is usually back within seconds. */
-#define STORE_RETRY_AFTER_S 1
+/* Outages last for some seconds, and a caller comes back a few times only. */
+#define STORE_RETRY_AFTER_S 2
 #define CONFIG_RETRY_AFTER_S 1
 
 enum intake_step {
@@ -44,6 +44,7 @@
 	struct kv_call call;
 	bool calling;
 	struct kn_timer timer;
+	struct kn_timer deadline;
 };
 
 static void own_free(struct intake_call *own)
@@ -52,6 +53,7 @@
 		own->intake->edges->kv->ops->cancel(own->intake->edges->kv,
 						    &own->call);
 	kn_timer_cancel(&own->timer);
+	kn_timer_cancel(&own->deadline);
 	list_del(&own->node);
 	g_free(own->id);
 	g_free(own->queue);
@@ -123,7 +125,7 @@
 static bool time_is_left(const struct intake_call *own)
 {
 	return own->caller->deadline_us - kn_now_us() >
-	       (RETRY_MS + ANSWER_MARGIN_MS) * USEC_PER_MSEC;
+	       (2 * RETRY_MS + ANSWER_MARGIN_MS) * USEC_PER_MSEC;
 }
 
 static bool writes(const struct intake_call *own)
@@ -132,16 +134,18 @@
 }
 
 /*
- * The store did not answer, or refused. A refusal is passed on at once,
- * unless an earlier write may land: that one is settled by repeating it, as
- * the record can be created only once.
+ * The store did not answer, or refused. A write without answer is settled by
+ * repeating it, as the record can be created only once. When no way to the
+ * store is left the caller is told at once: that its job was not accepted,
+ * or, if a write may still land, that the outcome is unknown.
  */
 static void store_failed(struct intake_call *own, int result)
 {
 	if (result == CB_E_TIMEOUT && writes(own))
 		own->maybe_written = true;
-	if (result == CB_E_STORE_DOWN && !own->maybe_written) {
-		finish(own, CB_E_STORE_DOWN, STORE_RETRY_AFTER_S);
+	if (result == CB_E_STORE_DOWN) {
+		finish(own, own->maybe_written ? CB_E_TIMEOUT : CB_E_STORE_DOWN,
+		       STORE_RETRY_AFTER_S);
 		return;
 	}
 	if (time_is_left(own)) {
@@ -149,7 +153,16 @@
 			     RETRY_MS * USEC_PER_MSEC, on_retry);
 		return;
 	}
-	finish(own, CB_E_TIMEOUT, 0);
+	finish(own, CB_E_TIMEOUT, STORE_RETRY_AFTER_S);
+}
+
+/* The caller's time is up while the store has not answered. */
+static void on_deadline(struct kn_timer *timer)
+{
+	struct intake_call *own =
+		container_of(timer, struct intake_call, deadline);
+
+	finish(own, CB_E_TIMEOUT, STORE_RETRY_AFTER_S);
 }
 
 static void next_step(struct intake_call *own, enum intake_step step)
@@ -439,6 +452,11 @@
 			g_ascii_strdown(call->path + strlen(queue->prefix), -1);
 	call->state = own;
 	list_add_tail(&own->node, &intake->calls);
+	kn_timer_set(intake->edges->kv->kn, &own->deadline,
+		     MAX(call->deadline_us - kn_now_us() -
+				 ANSWER_MARGIN_MS * USEC_PER_MSEC,
+			 0),
+		     on_deadline);
 	return own;
 }
 
--- a/control/mirror.c
+++ b/control/mirror.c
@@ -130,6 +130,11 @@
 	mirror->kv->ops->range(mirror->kv, &mirror->call, mirror->prefix, true);
 }
 
+static void on_gathered(struct kn_timer *timer)
+{
+	wait_for_more(container_of(timer, struct mirror, timer));
+}
+
 static void on_poll(struct kv_call *call)
 {
 	struct mirror *mirror = call->user;
@@ -152,7 +157,12 @@
 		apply(mirror, &call->items[i]);
 	mirror->revision = MAX(mirror->revision, call->revision);
 	/* An event may have stopped the mirror. */
-	if (mirror->up && !mirror->calling)
+	if (!mirror->up || mirror->calling)
+		return;
+	if (call->count > 0 && mirror->gather_ms > 0)
+		kn_timer_set(mirror->kv->kn, &mirror->timer,
+			     mirror->gather_ms * USEC_PER_MSEC, on_gathered);
+	else
 		wait_for_more(mirror);
 }
 
