--- a/control/director.c
+++ b/control/director.c
@@ -7,6 +7,7 @@
 #include "control/keys.h"
 #include "control/record.h"
 #include "fleet/limits.h"
+#include "fleet/order.h"
 #include "fleet/plan.h"
 
 /* A silent store is noticed within this and the grace of a poll; a worker
@@ -75,35 +76,62 @@
 		ctr_observe(&director->done_ms, (uint64_t)MAX(ms, 0));
 }
 
+static void log_task(const struct director *director, const char *event,
+		     const struct task *task, const char *why)
+{
+	const struct worker *worker = task->worker;
+
+	log_info(event,
+		 "job=%s occurrence=%d step=%d index=%d run=%lld worker=%s "
+		 "fence=%lld fails=%d percent=%d reason=\"%s\"",
+		 task->stage->job->id, task->stage->occurrence,
+		 task->stage->step, task->index, (long long)task->run,
+		 worker ? worker->said.id : "-",
+		 (long long)director->leader.fence, task->fails, task->percent,
+		 why);
+}
+
+static void log_job(const struct director *director, const char *event,
+		    const struct job *job, const char *why)
+{
+	log_info(event,
+		 "job=%s queue=%s customer=%s phase=%s age_ms=%lld "
+		 "objective_ms=%.0f fence=%lld reason=\"%s\"",
+		 job->id, job->queue, job->customer, job_phase_name(job->phase),
+		 (long long)(kn_now_us() - job->arrived_us) / 1000,
+		 order_objective_ms(&director->fleet, job),
+		 (long long)director->leader.fence, why);
+}
+
+static void log_known(const struct job *job, const struct kv_item *item)
+{
+	const struct step_spec *first = &job->spec.steps[0];
+
+	log_info("job.known",
+		 "job=%s queue=%s customer=%s priority=%d steps=%d tasks=%d "
+		 "gpus=%lld gang=%d same_rack=%d chain_ms=%lld revision=%lld "
+		 "age_ms=%lld",
+		 job->id, job->queue, job->customer, job->priority,
+		 job->spec.nsteps, first->count, (long long)first->need.gpus,
+		 first->gang, first->same_rack,
+		 (long long)job_spec_chain_ms(&job->spec),
+		 (long long)item->mod_revision,
+		 (long long)(wall_ms() - job->accepted_ms));
+}
+
 static void on_note(void *user, const char *event, const struct job *job,
 		    const struct task *task, const char *why)
 {
 	struct director *director = user;
-	const struct worker *worker = task ? task->worker : NULL;
 
 	if (strcmp(event, "job.started") == 0)
 		observe_start(director, job);
 	else if (strcmp(event, "job.ended") == 0)
 		observe_end(director, job);
 	if (task)
-		log_info(
-			event,
-			"job=%s occurrence=%d step=%d index=%d run=%" G_GINT64_FORMAT
-			" worker=%s fence=%" G_GINT64_FORMAT
-			" fails=%d percent=%d reason=\"%s\"",
-			job->id, task->stage->occurrence, task->stage->step,
-			task->index, task->run, worker ? worker->said.id : "-",
-			director->leader.fence, task->fails, task->percent,
-			why);
+		log_task(director, event, task, why);
 	else
-		log_info(
-			event,
-			"job=%s queue=%s customer=%s phase=%s age_ms=%" G_GINT64_FORMAT
-			" fence=%" G_GINT64_FORMAT " reason=\"%s\"",
-			job->id, job->queue, job->customer,
-			job_phase_name(job->phase),
-			(kn_now_us() - job->arrived_us) / 1000,
-			director->leader.fence, why);
+		log_job(director, event, job, why);
 }
 
 static const struct fleet_ops fleet_ops = { .note = on_note };
@@ -289,12 +317,7 @@
 		kn_now_us() - CLAMP(wall_ms() - job->accepted_ms, 0, 86400000) *
 				      USEC_PER_MSEC;
 	fleet_add_job(&director->fleet, job);
-	log_info(
-		"job.known",
-		"job=%s queue=%s customer=%s steps=%d revision=%" G_GINT64_FORMAT
-		" age_ms=%" G_GINT64_FORMAT,
-		id, job->queue, job->customer, job->spec.nsteps,
-		item->mod_revision, wall_ms() - job->accepted_ms);
+	log_known(job, item);
 	if (director->ready && g_hash_table_contains(director->cancelled, id))
 		fleet_cancel(&director->fleet, job, wall_ms());
 }
--- a/tests/standins/fleet_make.c
+++ b/tests/standins/fleet_make.c
@@ -119,7 +119,7 @@
 	struct hold_report report = { 0 };
 	struct run_report *running =
 		g_new0(struct run_report, worker->task_count + 1);
-	char (*names)[160] = g_malloc0((gsize)(worker->task_count + 2) * 160);
+	char(*names)[160] = g_malloc0((gsize)(worker->task_count + 2) * 160);
 	struct end_report end = { .number = worker->end_seen + 1,
 				  .run = task->run,
 				  .how = how };
