Choose a claim anew in time, ask the last leader to let go, know workers that left

A worker that drained, whose entry is gone and at whose address nobody listens, has left. Ruled out: refused connections alone (a cut may refuse), a missing entry alone (a cut off worker runs on). Also: urgent jobs beyond the guarantee take room from runs that lose under 150 core-seconds. Tests: claim_is_chosen_anew, last_leader_that_lets_go, worker_that_has_left, cheap_room_for_urgent_work.

--- a/control/director.c
+++ b/control/director.c
@@ -565,6 +565,7 @@
 {
 	if (!director->directing)
 		return;
+	relay_ask_end(&director->question);
 	stop_leading(director);
 	orders_close(&director->orders);
 	fleet_finish(&director->fleet);
@@ -572,6 +573,48 @@
 	director->holding_until_us = 0;
 }
 
+/* Another host asks, which leads with a later fence. */
+static void on_stand_down(void *user, int64_t fence)
+{
+	struct director *director = user;
+
+	if (!director->directing || director->orders.fence >= fence)
+		return;
+	log_info("holding.ended", "fence=%lld later=%lld",
+		 (long long)director->orders.fence, (long long)fence);
+	stop_directing(director);
+}
+
+static void on_last_leader_gone(void *user)
+{
+	struct director *director = user;
+
+	log_info("takeover.released", "last=%s fence=%lld",
+		 director->leader.previous.host,
+		 (long long)director->leader.fence);
+	fleet_last_leader_gone(&director->fleet);
+	wake(director, 0);
+}
+
+/*
+ * The last leader may go on holding what runs for a while. If it can be
+ * asked, it stops that, and what it may have held lapses sooner.
+ */
+static void ask_last_leader(struct director *director)
+{
+	const struct leader_mark *last = &director->leader.previous;
+	int64_t hold_ms = director->site->bounds.max_hold_ms;
+
+	director->fleet.held_on_ms = 0;
+	/* An earlier process of this host is gone, and this one holds nothing. */
+	if (!last->host[0] || strcmp(last->host, director->site->host) == 0)
+		return;
+	director->fleet.held_on_ms = hold_ms;
+	relay_ask(&director->question, director->relay, &last->peers,
+		  director->leader.fence, kn_now_us() + hold_ms * USEC_PER_MSEC,
+		  on_last_leader_gone, director);
+}
+
 static void on_elected(struct leader *leader)
 {
 	struct director *director =
@@ -583,6 +626,7 @@
 	fleet_init(&director->fleet, &fleet_ops, director);
 	director->fleet.bounds = director->site->bounds;
 	director->fleet.fence = leader->fence;
+	ask_last_leader(director);
 	ledger_open(&director->ledger, &director->fleet, leader->fence);
 	orders_open(&director->orders, &director->fleet, leader->fence);
 	mirror_start(&director->workers);
@@ -711,13 +755,16 @@
 struct director *director_new(struct kn *kn, const struct site *site,
 			      const struct edges *edges,
 			      struct configuration *configuration,
-			      uint64_t incarnation)
+			      struct relay *relay, uint64_t incarnation)
 {
 	struct director *director = g_new0(struct director, 1);
 
 	director->edges = edges;
 	director->site = site;
 	director->configuration = configuration;
+	director->relay = relay;
+	relay->stand_down = on_stand_down;
+	relay->user = director;
 	director->cancelled =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
 	director->states = g_ptr_array_new_with_free_func(stored_state_free);
--- a/control/director.h
+++ b/control/director.h
@@ -5,6 +5,7 @@
 #include "control/leader.h"
 #include "control/ledger.h"
 #include "control/orders.h"
+#include "control/relay.h"
 
 /*
  * The leader's scheduler: on election it reads what earlier leaders stored,
@@ -15,6 +16,8 @@
 	const struct edges *edges;
 	const struct site *site;
 	struct configuration *configuration;
+	struct relay *relay;
+	struct relay_question question; /* to the last leader */
 	struct leader leader;
 	struct ledger ledger;
 	struct orders orders;
@@ -52,7 +55,7 @@
 struct director *director_new(struct kn *kn, const struct site *site,
 			      const struct edges *edges,
 			      struct configuration *configuration,
-			      uint64_t incarnation);
+			      struct relay *relay, uint64_t incarnation);
 /* The configuration has changed. */
 void director_configure(struct director *director);
 
--- a/control/keys.h
+++ b/control/keys.h
@@ -4,6 +4,8 @@
 /* Keys of the store that the product owns. */
 
 #define KEY_LEADER "chivebank/leader"
+/* The same without a lease: who led last. Under the prefix of the above. */
+#define KEY_LAST_LEADER "chivebank/leader/last"
 /* Written by entry hosts for callers, read by the leader. */
 #define KEY_INTAKE_PREFIX "chivebank/intake/" /* then ID and one of: */
 #define KEY_SPEC_SUFFIX "/spec"
--- a/control/leader.c
+++ b/control/leader.c
@@ -188,7 +188,10 @@
 {
 	struct leader *leader = call->user;
 	struct kv_cmp cmp = { .key = KEY_LEADER, .mod_revision = 0 };
-	struct kv_op op = { .kind = KV_PUT, .key = KEY_LEADER };
+	struct kv_op ops[2] = {
+		{ .kind = KV_PUT, .key = KEY_LEADER },
+		{ .kind = KV_PUT, .key = KEY_LAST_LEADER },
+	};
 	char *value;
 
 	leader->calling = false;
@@ -198,15 +201,16 @@
 		return;
 	}
 	leader->lease = call->lease;
-	value = g_strdup_printf("%s %" G_GUINT64_FORMAT " %s:%d",
+	leader->previous = leader->last;
+	value = g_strdup_printf("%s %" G_GUINT64_FORMAT " %s %d",
 				leader->site->host, leader->incarnation,
 				leader->site->peers.addr,
 				leader->site->peers.port);
-	op.value = value;
-	op.len = strlen(value);
-	op.lease = leader->lease;
+	ops[0].value = ops[1].value = value;
+	ops[0].len = ops[1].len = strlen(value);
+	ops[0].lease = leader->lease;
 	start_call(leader, on_created);
-	leader->kv->ops->txn(leader->kv, &leader->call, &cmp, 1, &op, 1, NULL,
+	leader->kv->ops->txn(leader->kv, &leader->call, &cmp, 1, ops, 2, NULL,
 			     0);
 	g_free(value);
 }
@@ -229,21 +233,46 @@
 
 /* ---- the key ---- */
 
+static bool read_mark(const struct kv_item *item, struct leader_mark *mark)
+{
+	char **words = g_strsplit(item->value, " ", 4);
+	bool ok = g_strv_length(words) == 4;
+
+	memset(mark, 0, sizeof(*mark));
+	if (ok) {
+		g_strlcpy(mark->host, words[0], sizeof(mark->host));
+		mark->incarnation = g_ascii_strtoull(words[1], NULL, 10);
+		g_strlcpy(mark->peers.addr, words[2], sizeof(mark->peers.addr));
+		mark->peers.port = (int)g_ascii_strtoll(words[3], NULL, 10);
+	} else {
+		log_err("leader.unreadable", "key=%s bytes=%zu result=%d",
+			item->key, item->len, CB_E_INTERNAL);
+	}
+	g_strfreev(words);
+	return ok;
+}
+
+bool leader_is_mine(const struct leader *leader, const struct leader_mark *mark)
+{
+	return strcmp(mark->host, leader->site->host) == 0 &&
+	       mark->incarnation == leader->incarnation;
+}
+
 static void on_set(struct mirror *mirror, const struct kv_item *item)
 {
 	struct leader *leader = container_of(mirror, struct leader, key);
-	char **words = g_strsplit(item->value, " ", 3);
+	struct leader_mark mark;
 
+	read_mark(item, &mark);
+	if (strcmp(item->key, KEY_LAST_LEADER) == 0) {
+		leader->last = mark;
+		return;
+	}
 	leader->key_there = true;
 	leader->key_created = item->mod_revision;
 	leader->key_lease = item->lease;
-	leader->key_mine =
-		words[0] && words[1] &&
-		strcmp(words[0], leader->site->host) == 0 &&
-		g_ascii_strtoull(words[1], NULL, 10) == leader->incarnation;
-	g_strlcpy(leader->current, words[0] ? words[0] : "",
-		  sizeof(leader->current));
-	g_strfreev(words);
+	leader->key_mine = leader_is_mine(leader, &mark);
+	g_strlcpy(leader->current, mark.host, sizeof(leader->current));
 	log_info("leader.seen", "leader=%s fence=%" G_GINT64_FORMAT,
 		 leader->current, item->mod_revision);
 	if (leader->leading && item->mod_revision > leader->fence)
@@ -258,6 +287,8 @@
 	int64_t delay_ms =
 		leader->site->strength < STRONG_CORES ? WEAK_DELAY_MS : 0;
 
+	if (strcmp(key, KEY_LEADER) != 0)
+		return;
 	leader->key_there = false;
 	leader->key_mine = false;
 	leader->current[0] = '\0';
--- a/control/orders.c
+++ b/control/orders.c
@@ -148,6 +148,8 @@
 	if (call->result == ORDER_UNKNOWN || call->result == ORDER_NOT_SENT) {
 		if (worker->silent++ == 0)
 			worker->silent_us = now_us;
+		worker->refusals =
+			call->nobody_listens ? worker->refusals + 1 : 0;
 		return worker;
 	}
 	if (call->result == ORDER_OTHER_LIFE) {
@@ -162,6 +164,7 @@
 		log_info("worker.regained", "worker=%s silent=%d",
 			 worker->said.id, worker->silent);
 	worker->silent = 0;
+	worker->refusals = 0;
 	worker->heard_us = now_us;
 	if (call->has_clock)
 		worker_clock(worker, call->clock_ms, now_us);
--- a/control/relay.c
+++ b/control/relay.c
@@ -19,8 +19,14 @@
 #define PEER_EXPECTED_MS 600
 #define REPEATS_MAX 2 /* on the direct way, after lost answers */
 
+/* A question without answer is asked again; the process may be restarting. */
+#define QUESTION_MS 400
+
 enum way { WAY_DIRECT, WAY_PEER };
 
+/* What hosts say to each other; the first element of each request. */
+enum relay_verb { RELAY_STORE_CALL, RELAY_STAND_DOWN };
+
 struct relay_call {
 	struct list_head node;
 	struct relay *relay;
@@ -381,7 +387,8 @@
 	own->tried[own->ntried++] = peer;
 	own->peer = peer;
 	peer->calls++;
-	mp_begin(&out, 6);
+	mp_begin(&out, 7);
+	mp_uint(&out, RELAY_STORE_CALL);
 	mp_str(&out, own->method);
 	mp_str(&out, own->target);
 	mp_bin(&out, own->body, own->len);
@@ -464,44 +471,131 @@
 
 /* ---- calls of other hosts ---- */
 
-static void on_request(struct rpc_server *server, struct rpc_request *request)
+static void on_store_call(struct relay *relay, struct rpc_request *request,
+			  struct mp_in *in)
 {
-	struct relay *relay = container_of(server, struct relay, server);
-	char *method = NULL, *target = NULL;
+	char *method = mp_get_str(in);
+	char *target = mp_get_str(in);
 	int64_t timeout_ms, expected_ms;
-	msgpack_unpacked unpacked;
 	struct relay_call *own;
-	struct mp_in in = { 0 };
 	const void *body;
 	bool repeatable;
 	size_t len;
 
-	msgpack_unpacked_init(&unpacked);
-	if (msgpack_unpack_next(&unpacked, request->data, request->len, NULL) ==
-	    MSGPACK_UNPACK_SUCCESS)
-		mp_open(&in, &unpacked.data);
-	method = mp_get_str(&in);
-	target = mp_get_str(&in);
-	body = mp_get_bin(&in, &len);
-	timeout_ms = mp_get_int(&in);
-	expected_ms = mp_get_int(&in);
-	repeatable = mp_get_uint(&in);
+	body = mp_get_bin(in, &len);
+	timeout_ms = mp_get_int(in);
+	expected_ms = mp_get_int(in);
+	repeatable = mp_get_uint(in);
 	own = own_new(relay, method ? method : "", target ? target : "",
 		      len ? body : NULL, len, CLAMP(timeout_ms, 1, 60000),
 		      CLAMP(expected_ms, 1, 60000), repeatable);
 	own->request = request;
 	ctr_add(&relay->served, 1);
-	if (!in.ok || !method || !target || relay->direct_bad)
+	if (!in->ok || !method || !target || relay->direct_bad)
 		give_up(own);
 	else
 		try_direct(own);
 	g_free(method);
 	g_free(target);
+}
+
+static void on_request(struct rpc_server *server, struct rpc_request *request)
+{
+	struct relay *relay = container_of(server, struct relay, server);
+	msgpack_unpacked unpacked;
+	struct mp_in in = { 0 };
+	uint64_t verb;
+
+	msgpack_unpacked_init(&unpacked);
+	if (msgpack_unpack_next(&unpacked, request->data, request->len, NULL) ==
+	    MSGPACK_UNPACK_SUCCESS)
+		mp_open(&in, &unpacked.data);
+	verb = mp_get_uint(&in);
+	if (in.ok && verb == RELAY_STORE_CALL) {
+		on_store_call(relay, request, &in);
+	} else if (in.ok && verb == RELAY_STAND_DOWN) {
+		if (relay->stand_down)
+			relay->stand_down(relay->user, mp_get_int(&in));
+		rpc_reply(request, "", 0);
+	} else {
+		log_warn("relay.malformed", "bytes=%zu result=%d", request->len,
+			 CB_E_PEER_PROTOCOL);
+		rpc_reply(request, "", 0);
+	}
 	msgpack_unpacked_destroy(&unpacked);
 }
 
 static const struct rpc_server_ops server_ops = { .request = on_request };
 
+/* ---- questions ---- */
+
+static void ask(struct relay_question *question);
+
+static void on_ask_again(struct kn_timer *timer)
+{
+	ask(container_of(timer, struct relay_question, timer));
+}
+
+static void on_answer(struct rpc_call *call)
+{
+	struct relay_question *question = call->user;
+	void (*done)(void *user) = question->done;
+	void *user = question->user;
+
+	question->asking = false;
+	if (call->result != CB_OK) {
+		kn_timer_set(question->relay->exchange.kn, &question->timer,
+			     QUESTION_MS * USEC_PER_MSEC, on_ask_again);
+		return;
+	}
+	kn_timer_cancel(&question->timer);
+	done(user);
+}
+
+static void ask(struct relay_question *question)
+{
+	struct mp_out out;
+
+	if (kn_now_us() > question->until_us)
+		return;
+	mp_begin(&out, 2);
+	mp_uint(&out, RELAY_STAND_DOWN);
+	mp_int(&out, question->fence);
+	question->call.user = question;
+	question->asking = true;
+	rpc_call_start(&question->call, &question->peer, out.buf.data,
+		       out.buf.size, QUESTION_MS, on_answer);
+	mp_end(&out);
+}
+
+void relay_ask(struct relay_question *question, struct relay *relay,
+	       const struct set_addr *at, int64_t fence, int64_t until_us,
+	       void (*done)(void *user), void *user)
+{
+	relay_ask_end(question);
+	memset(question, 0, sizeof(*question));
+	question->relay = relay;
+	question->fence = fence;
+	question->until_us = until_us;
+	question->done = done;
+	question->user = user;
+	question->open = true;
+	rpc_peer_init(&question->peer, relay->exchange.kn, at->addr, at->port);
+	ask(question);
+}
+
+void relay_ask_end(struct relay_question *question)
+{
+	if (!question->open)
+		return;
+	question->open = false;
+	kn_timer_cancel(&question->timer);
+	if (question->asking)
+		rpc_call_cancel(&question->call);
+	question->asking = false;
+	rpc_peer_finish(&question->peer);
+}
+
 /* ---- other hosts ---- */
 
 static gint by_distance(gconstpointer a, gconstpointer b)
--- a/control/relay.h
+++ b/control/relay.h
@@ -38,6 +38,9 @@
 	struct kn_timer probe_timer;
 	struct exchange_call probe_call;
 	bool probing;
+	/* Another host leads with that fence; stops what this one held. */
+	void (*stand_down)(void *user, int64_t fence);
+	void *user; /* for stand_down */
 	struct ctr relayed;
 	struct ctr served;
 	struct ctr direct_lost;
@@ -47,6 +50,29 @@
 struct relay *relay_new(struct kn *kn, const struct site *site,
 			struct exchange *direct, const char *probe);
 bool relay_listen(struct relay *relay, GError **err);
+/*
+ * Asks the process at an address to hold no work any more, as this host
+ * leads with that fence. done(user) is called when it has answered, and not
+ * if it does not. One question at a time.
+ */
+struct relay_question {
+	struct relay *relay;
+	struct rpc_peer peer;
+	struct rpc_call call;
+	bool open;
+	bool asking;
+	int64_t fence;
+	int64_t until_us;
+	struct kn_timer timer;
+	void (*done)(void *user);
+	void *user;
+};
+
+void relay_ask(struct relay_question *question, struct relay *relay,
+	       const struct set_addr *at, int64_t fence, int64_t until_us,
+	       void (*done)(void *user), void *user);
+/* Harmless for a question that was not asked, or was answered. */
+void relay_ask_end(struct relay_question *question);
 /* Adds or moves a host; a seed has host "". */
 void relay_add_peer(struct relay *relay, const char *host,
 		    const struct set_addr *at, int distance);
--- a/control/worker_edge.h
+++ b/control/worker_edge.h
@@ -50,6 +50,7 @@
 	void *impl; /* private to the implementation */
 	enum order_result result;
 	enum start_refusal refusal;
+	bool nobody_listens; /* not sent: the connection was refused */
 	bool has_clock;
 	int64_t clock_ms; /* the worker's clock when it answered */
 	int64_t born_ms; /* the life that answered, 0: not said */
--- a/fleet/fleet.c
+++ b/fleet/fleet.c
@@ -494,8 +494,8 @@
 				  int64_t born_ms, int64_t now_us)
 {
 	struct worker *worker = g_hash_table_lookup(fleet->workers_by_id, id);
-	/* The last leader may have held on for as long as one lease. */
-	int64_t hold_us = 2 * fleet->bounds.max_hold_ms * 1000;
+	int64_t hold_us =
+		(fleet->bounds.max_hold_ms + fleet->held_on_ms) * 1000;
 
 	if (!worker) {
 		/* It may live without an entry; its leases decide. */
@@ -509,13 +509,25 @@
 		g_hash_table_insert(fleet->workers_by_id, worker->said.id,
 				    worker);
 	}
-	worker->lease_end_us =
-		MAX(worker->lease_end_us,
+	worker->adopted_end_us =
+		MAX(worker->adopted_end_us,
 		    now_us + hold_us * 100 / (100 - LEASE_DRIFT_PERCENT) +
 			    ADOPT_SLACK_MS * 1000);
 	return worker;
 }
 
+void fleet_last_leader_gone(struct fleet *fleet)
+{
+	int64_t less_us =
+		fleet->held_on_ms * 1000 * 100 / (100 - LEASE_DRIFT_PERCENT);
+	struct worker *worker;
+
+	fleet->held_on_ms = 0;
+	list_for_each_entry(worker, &fleet->workers, node)
+		worker->adopted_end_us =
+			MAX(worker->adopted_end_us - less_us, 0);
+}
+
 /* ---- what workers list ---- */
 
 static struct task *find_task(const struct fleet *fleet, const char *name)
@@ -687,6 +699,7 @@
 	if (!old)
 		return worker;
 	worker->lease_end_us = old->lease_end_us;
+	worker->adopted_end_us = old->adopted_end_us;
 	worker->next_hold_us = 0;
 	old->replaced = true;
 	old->listed = false;
@@ -769,12 +782,18 @@
 	struct worker *worker, *next;
 
 	list_for_each_entry_safe(worker, next, &fleet->workers, node) {
-		if (worker->task_count > 0 && worker->lease_end_us > 0 &&
-		    now_us > worker->lease_end_us + LEASE_SLACK_MS * 1000 &&
+		int64_t end_us =
+			MAX(worker->lease_end_us, worker->adopted_end_us);
+
+		if (worker->task_count > 0 && end_us > 0 &&
+		    now_us > end_us + LEASE_SLACK_MS * 1000 &&
 		    !worker_reachable(worker, now_us)) {
 			fleet->lapsed++;
 			release_all(fleet, worker, "lease is over");
 		}
+		if (worker->task_count > 0 && !worker->listed &&
+		    worker->said.draining && worker->refusals >= LEFT_REFUSALS)
+			release_all(fleet, worker, "its worker has left");
 		if (worker->task_count == 0 && !worker->listed &&
 		    (worker->replaced ||
 		     now_us - worker->unlisted_us > UNLISTED_GRACE_MS * 1000))
--- a/fleet/fleet.h
+++ b/fleet/fleet.h
@@ -97,7 +97,9 @@
 	struct list_head dirty; /* jobs with changes that are not stored */
 	GHashTable *stats; /* queue name -> struct queue_stats */
 	uint64_t change; /* number of the latest change */
-	int64_t fence; /* of this leader; also the base of nothing else */
+	int64_t fence; /* of this leader */
+	/* For so long after its election the last leader may still hold work. */
+	int64_t held_on_ms;
 	/* Totals for metrics. */
 	uint64_t preempted;
 	uint64_t moved;
@@ -148,9 +150,11 @@
 /* Chooses the worker and the number of the next run. */
 void fleet_plan_run(struct fleet *fleet, struct task *task,
 		    struct worker *worker, int64_t run);
+/* The last leader has said that it holds nothing any more. */
+void fleet_last_leader_gone(struct fleet *fleet);
 /*
  * The worker at which an earlier leader started a run, made up if it has no
- * entry. By its lease_end_us all that was ordered there before has lapsed.
+ * entry. By its adopted_end_us all that was ordered there before has lapsed.
  */
 struct worker *fleet_adopt_worker(struct fleet *fleet, const char *id,
 				  int64_t born_ms, int64_t now_us);
--- a/fleet/limits.h
+++ b/fleet/limits.h
@@ -24,6 +24,9 @@
 #define SILENCE_TOLERATED_MS 1500
 /* After the computed end of a lease, for the resolution of the timers. */
 #define LEASE_SLACK_MS 150
+/* A draining worker whose entry is gone has left when nobody listens at its
+ * address any more, asked so often. */
+#define LEFT_REFUSALS 2
 /* A worker without an entry in the store is not used; one of these beats. */
 #define UNLISTED_GRACE_MS 2000
 
--- a/fleet/placement.c
+++ b/fleet/placement.c
@@ -412,7 +412,7 @@
 			g_array_append_val(endings, ending);
 		}
 	}
-	qsort(endings->data, endings->len, sizeof(struct ending), by_time);
+	g_array_sort(endings, by_time);
 	for (;;) {
 		const struct ending *ending;
 		int slots = 0;
--- a/fleet/plan.c
+++ b/fleet/plan.c
@@ -74,13 +74,28 @@
 	return true;
 }
 
+/*
+ * What a job may take from others: all that it needs if its guarantee covers
+ * it, and what loses little if it is urgent and can still be in time.
+ */
+static double claim(const struct pass *pass, const struct job *job)
+{
+	if (order_guaranteed(pass->fleet, job))
+		return G_MAXDOUBLE;
+	if (job->priority == 0 &&
+	    order_hope(pass->fleet, job, pass->now_us) == HOPE_IN_TIME)
+		return RECLAIM_CHEAP_CORE_MS;
+	return 0;
+}
+
 /* A stage that has to wait: it takes room from others, or keeps some free. */
 static void plan_waiting(struct pass *pass, struct stage *stage)
 {
+	double max_loss = claim(pass, stage->job);
+
 	if (stage->reserved)
 		return;
-	if (order_guaranteed(pass->fleet, stage->job) &&
-	    reclaim(&pass->place, stage))
+	if (max_loss > 0 && reclaim(&pass->place, stage, max_loss))
 		return;
 	if (stage->spec->gang && pass->reserved < RESERVED_GANGS_MAX) {
 		pass->reserved++;
--- a/fleet/reclaim.c
+++ b/fleet/reclaim.c
@@ -106,7 +106,7 @@
 		victim.loss = loss_of_all(p->fleet, task, p->now_us);
 		g_array_append_val(victims, victim);
 	}
-	qsort(victims->data, victims->len, sizeof(struct victim), by_loss);
+	g_array_sort(victims, by_loss);
 	if (stage->spec->max_per_worker > 0)
 		limit = MIN(limit, stage->spec->max_per_worker -
 					   worker_count(worker, stage));
@@ -167,7 +167,7 @@
 		make_offer(p, worker, stage, want, &offer);
 		g_array_append_val(offers, offer);
 	}
-	qsort(offers->data, offers->len, sizeof(struct offer), by_price);
+	g_array_sort(offers, by_price);
 	for (kept = 0; kept < offers->len && slots < want; kept++) {
 		const struct offer *offer =
 			&g_array_index(offers, struct offer, kept);
@@ -190,7 +190,7 @@
 
 /* Within one rack if the gang fits in one, else anywhere in the pool. */
 static GArray *choose_best(struct placement *p, const struct stage *stage,
-			   int want)
+			   int want, double *least)
 {
 	struct pool_view *view = placement_pool(p, stage->job->pool);
 	GArray *best = NULL;
@@ -215,7 +215,8 @@
 		best = offers;
 		best_loss = loss;
 	}
-	return best ? best : choose(p, view->workers, stage, want, &loss);
+	*least = best_loss;
+	return best ? best : choose(p, view->workers, stage, want, least);
 }
 
 static int tasks_waiting(const struct stage *stage)
@@ -228,13 +229,18 @@
 	return count;
 }
 
-bool reclaim(struct placement *p, struct stage *stage)
+bool reclaim(struct placement *p, struct stage *stage, double max_loss)
 {
-	GArray *offers = choose_best(p, stage, tasks_waiting(stage));
+	double loss = 0;
+	GArray *offers = choose_best(p, stage, tasks_waiting(stage), &loss);
 	guint i, v;
 
 	if (!offers)
 		return false;
+	if (loss > max_loss) {
+		offers_free(offers);
+		return false;
+	}
 	g_free(stage->reserved);
 	stage->reserved = g_new0(struct worker *, offers->len + 1);
 	stage->reserved_us = p->now_us;
@@ -265,7 +271,8 @@
 		return;
 	if (stage->left == 0 || job_ended(stage->job) || !view ||
 	    tasks_waiting(stage) == 0 ||
-	    p->now_us - stage->reserved_us > RECLAIM_KEEP_MS * 1000) {
+	    p->now_us - stage->reserved_us >
+		    (p->fleet->bounds.stop_ms + RECLAIM_KEEP_MS) * 1000) {
 		g_free(stage->reserved);
 		stage->reserved = NULL;
 		return;
--- a/fleet/reclaim.h
+++ b/fleet/reclaim.h
@@ -17,12 +17,17 @@
 		      const struct job *claimant);
 /*
  * Stops runs until the stage has room, and reserves their workers for it.
- * Returns false when no choice of runs makes enough room.
+ * Returns false when no choice of runs makes enough room, or when stopping
+ * them would lose more than max_loss core-milliseconds.
  */
-bool reclaim(struct placement *p, struct stage *stage);
+bool reclaim(struct placement *p, struct stage *stage, double max_loss);
 /* Reserves again what earlier passes have emptied for stages. */
 void reclaim_keep(struct placement *p, struct stage *stage);
 
-#define RECLAIM_KEEP_MS 3000 /* a reservation that was not used lapses */
+/* Beyond the time of a stop: its order, its list and a loss. What is not
+ * free by then is chosen anew, several times within the bound of a claim. */
+#define RECLAIM_KEEP_MS 500
+/* What an urgent job that is late loses is worth so many core-seconds. */
+#define RECLAIM_CHEAP_CORE_MS 150000.0
 
 #endif
--- a/fleet/worker.h
+++ b/fleet/worker.h
@@ -48,11 +48,14 @@
 	int64_t clock_ms;
 	int64_t clock_us; /* when the sample had arrived */
 	int64_t lease_end_us; /* by then all that was ordered has lapsed */
+	/* By then all that earlier leaders may have ordered has lapsed. */
+	int64_t adopted_end_us;
 	/* Contact. */
 	bool fenced; /* has answered a call of this leader */
 	int64_t heard_us; /* latest answer, 0: none */
 	int silent; /* calls without answer since then */
 	int64_t silent_us; /* since when */
+	int refusals; /* connections refused in a row: nobody listens there */
 	int64_t next_hold_us;
 	bool holding; /* a hold call that waits is under way */
 	bool looking; /* another one that does not wait */
--- a/tests/unit/test_fleet.c
+++ b/tests/unit/test_fleet.c
@@ -252,6 +252,7 @@
 	struct job *job = make_job(&fleet, "j", 1, 1, 1, 1000, NOW);
 	struct worker *worker;
 
+	fleet.held_on_ms = 6000;
 	fleet_open_due(&fleet, NOW, 0);
 	worker = fleet_adopt_worker(&fleet, "gone", 7, NOW);
 	make_task(job, 0, 0)->run = 1;
@@ -264,6 +265,49 @@
 }
 END_TEST
 
+/* The last leader holds nothing any more: half of the time is enough. */
+START_TEST(last_leader_that_lets_go)
+{
+	struct job *job = make_job(&fleet, "j", 1, 1, 1, 1000, NOW);
+
+	fleet.held_on_ms = 6000;
+	fleet_open_due(&fleet, NOW, 0);
+	make_task(job, 0, 0)->run = 1;
+	fleet_adopt_run(&fleet, make_task(job, 0, 0),
+			fleet_adopt_worker(&fleet, "gone", 7, NOW));
+	make_worker(&fleet, "w1", "r1", 8, NOW);
+	fleet_last_leader_gone(&fleet);
+	fleet_sweep(&fleet, NOW + 6 * SEC, 0);
+	ck_assert_int_eq(plan_pass(&fleet, NOW + 6 * SEC), 0);
+	fleet_sweep(&fleet, NOW + 7 * SEC, 0);
+	ck_assert_int_eq(plan_pass(&fleet, NOW + 7 * SEC), 1);
+}
+END_TEST
+
+/*
+ * A worker that drained and has left ends all that it ran: its entry is gone
+ * and nobody listens. Either alone says nothing.
+ */
+START_TEST(worker_that_has_left)
+{
+	struct worker *worker = make_worker(&fleet, "w1", "r1", 8, NOW);
+	struct job *job = running_job(1, false);
+
+	worker_lease(worker, 6000, NOW);
+	worker->said.draining = true;
+	worker->refusals = 5;
+	fleet_sweep(&fleet, NOW + SEC, 0);
+	ck_assert_ptr_nonnull(make_task(job, 0, 0)->worker);
+	worker->refusals = 0;
+	fleet_unlist(&fleet, "w1", NOW + SEC);
+	fleet_sweep(&fleet, NOW + SEC, 0);
+	ck_assert_ptr_nonnull(make_task(job, 0, 0)->worker);
+	worker->refusals = LEFT_REFUSALS;
+	fleet_sweep(&fleet, NOW + SEC, 0);
+	ck_assert_ptr_null(make_task(job, 0, 0)->worker);
+}
+END_TEST
+
 START_TEST(cancelled_job_gives_its_room_back_when_the_ends_are_listed)
 {
 	struct job *job;
@@ -394,6 +438,8 @@
 	tcase_add_test(tc, earlier_life_is_ignored);
 	tcase_add_test(tc, adopted_runs_are_settled_by_the_first_list);
 	tcase_add_test(tc, adopted_worker_that_cannot_be_reached);
+	tcase_add_test(tc, last_leader_that_lets_go);
+	tcase_add_test(tc, worker_that_has_left);
 	tcase_add_test(
 		tc, cancelled_job_gives_its_room_back_when_the_ends_are_listed);
 	tcase_add_test(tc, later_steps_wait_for_earlier_ones);
--- a/tests/unit/test_plan.c
+++ b/tests/unit/test_plan.c
@@ -277,7 +277,7 @@
 }
 END_TEST
 
-START_TEST(beyond_the_guarantee_nothing_is_stopped)
+START_TEST(beyond_the_guarantee_nothing_dear_is_stopped)
 {
 	make_racks(2, 2);
 	make_job(&fleet, "batch", 2, 32, 1, 60000, NOW);
@@ -289,6 +289,49 @@
 }
 END_TEST
 
+/*
+ * A claim whose workers do not give their room back is chosen anew, in time
+ * for its bound: here a worker starts to drain.
+ */
+START_TEST(claim_is_chosen_anew)
+{
+	struct worker *worker;
+	struct task *task, *next;
+
+	make_racks(1, 2);
+	make_job(&fleet, "batch", 2, 16, 1, 60000, NOW);
+	plan(NOW);
+	make_gang("urgent", 0, 1, 8, false, 1000);
+	plan(NOW + 1);
+	worker = fleet_job(&fleet, "urgent")->stages[0]->reserved[0];
+	worker->said.draining = true;
+	plan(NOW + 950 * MSEC);
+	list_for_each_entry(worker, &fleet.workers, node)
+		list_for_each_entry_safe(task, next, &worker->tasks, on_worker)
+			if (task->phase == TASK_STOPPING &&
+			    !worker->said.draining)
+				make_end(&fleet, task, RUN_STOPPED,
+					 NOW + 1300 * MSEC);
+	ck_assert_int_eq(plan(NOW + 1400 * MSEC), 1);
+}
+END_TEST
+
+/* Urgent work beyond the guarantee takes room from what loses little. */
+START_TEST(cheap_room_for_urgent_work)
+{
+	struct job *urgent;
+
+	make_racks(1, 2);
+	make_job(&fleet, "batch", 2, 16, 1, 60000, NOW);
+	plan(NOW);
+	urgent = make_gang("urgent", 0, 1, 8, false, 1000);
+	g_free(urgent->customer);
+	urgent->customer = g_strdup("two");
+	plan(NOW + SEC);
+	ck_assert_uint_eq(fleet.preempted, 8);
+}
+END_TEST
+
 /* The runs that lose least are stopped: here those that have just begun. */
 START_TEST(victims_lose_least)
 {
@@ -366,7 +409,9 @@
 	tcase_add_test(tc, draining_and_unlisted_workers_get_nothing);
 	tcase_add_test(tc, gang_does_not_starve_behind_small_tasks);
 	tcase_add_test(tc, guaranteed_job_reclaims_room);
-	tcase_add_test(tc, beyond_the_guarantee_nothing_is_stopped);
+	tcase_add_test(tc, beyond_the_guarantee_nothing_dear_is_stopped);
+	tcase_add_test(tc, claim_is_chosen_anew);
+	tcase_add_test(tc, cheap_room_for_urgent_work);
 	tcase_add_test(tc, victims_lose_least);
 	tcase_add_test(tc, crest_serves_in_time_what_it_can);
 	return run_case("plan", tc);
