--- /dev/null
+++ b/control/advice_edge.h
@@ -0,0 +1,42 @@
+#ifndef CONTROL_ADVICE_EDGE_H
+#define CONTROL_ADVICE_EDGE_H
+
+#include <glib.h>
+
+#include "base/kn.h"
+
+/* The service that knows at which workers a step may run. */
+
+struct advice_row {
+	const char *worker;
+	const char *ticket;
+};
+
+struct advice_call {
+	void (*done)(struct advice_call *call);
+	void *user;
+	void *impl;
+	int result; /* CB_OK, or why there is no answer */
+	/* Valid until done() returns. */
+	struct advice_row *rows;
+	size_t nrows;
+	int64_t valid_ms; /* of the tickets, from the question on */
+};
+
+struct advice_edge;
+
+struct advice_edge_ops {
+	/* done() is called once, never from within. */
+	void (*ask)(struct advice_edge *edge, struct advice_call *call,
+		    const char *step, const char *const *workers,
+		    size_t nworkers);
+	void (*cancel)(struct advice_edge *edge, struct advice_call *call);
+	void (*finish)(struct advice_edge *edge);
+};
+
+struct advice_edge {
+	const struct advice_edge_ops *ops;
+	struct kn *kn;
+};
+
+#endif
--- /dev/null
+++ b/control/advisor.c
@@ -0,0 +1,117 @@
+#include "control/advisor.h"
+
+#include <stdio.h>
+#include <string.h>
+
+#include "base/err.h"
+#include "base/log.h"
+
+void advisor_init(struct advisor *advisor, struct advice_edge *edge,
+		  struct ctr_set *counters, void (*changed)(void *user),
+		  void *user)
+{
+	memset(advisor, 0, sizeof(*advisor));
+	advisor->edge = edge;
+	advisor->changed = changed;
+	advisor->user = user;
+	ctr_init(&advisor->questions, counters, CTR_COUNTER,
+		 "chivebank_advice_questions_total", NULL,
+		 "Questions to the advice service");
+	ctr_init(&advisor->answer_ms, counters, CTR_HISTOGRAM,
+		 "chivebank_advice_ms", NULL,
+		 "Time from a question to the advice service to its answer");
+}
+
+void advisor_close(struct advisor *advisor)
+{
+	if (advisor->calling)
+		advisor->edge->ops->cancel(advisor->edge, &advisor->call);
+	advisor->calling = false;
+	advisor->fleet = NULL;
+}
+
+void advisor_finish(struct advisor *advisor)
+{
+	advisor_close(advisor);
+	if (advisor->edge)
+		advisor->edge->ops->finish(advisor->edge);
+	ctr_finish(&advisor->questions);
+	ctr_finish(&advisor->answer_ms);
+}
+
+void advisor_open(struct advisor *advisor, struct fleet *fleet)
+{
+	advisor->fleet = fleet;
+}
+
+static struct stage *asked_stage(const struct advisor *advisor)
+{
+	struct job *job = fleet_job(advisor->fleet, advisor->step.job);
+
+	return job ? job_stage(job, advisor->step.occurrence,
+			       advisor->step.step) :
+		     NULL;
+}
+
+static void on_answer(struct advice_call *call)
+{
+	struct advisor *advisor = call->user;
+	struct stage *stage;
+	size_t i;
+
+	advisor->calling = false;
+	ctr_observe(&advisor->answer_ms,
+		    (uint64_t)(kn_now_us() - advisor->sent_us) / 1000);
+	log_info("advice.answer",
+		 "job=%s step=%d result=%d granted=%zu valid_ms=%lld",
+		 advisor->step.job, advisor->step.step, call->result,
+		 call->nrows, (long long)call->valid_ms);
+	stage = asked_stage(advisor);
+	for (i = 0; stage && i < call->nrows; i++)
+		advice_granted(stage, call->rows[i].worker,
+			       call->rows[i].ticket, advisor->sent_us,
+			       call->valid_ms);
+	if (call->nrows > 0)
+		advisor->changed(advisor->user);
+}
+
+static void ask(struct advisor *advisor, struct stage *stage,
+		const GPtrArray *workers, int64_t now_us)
+{
+	const char *ids[ADVICE_WORKERS_MAX];
+	char name[160];
+	guint i;
+
+	for (i = 0; i < workers->len; i++) {
+		const struct worker *worker = g_ptr_array_index(workers, i);
+
+		ids[i] = worker->said.id;
+	}
+	g_strlcpy(advisor->step.job, stage->job->id, sizeof(advisor->step.job));
+	advisor->step.occurrence = stage->occurrence;
+	advisor->step.step = stage->step;
+	snprintf(name, sizeof(name), "%s.%d.%d", stage->job->id,
+		 stage->occurrence, stage->step);
+	advice_asked(stage, now_us);
+	advisor->call.done = on_answer;
+	advisor->call.user = advisor;
+	advisor->calling = true;
+	advisor->sent_us = now_us;
+	ctr_add(&advisor->questions, 1);
+	advisor->edge->ops->ask(advisor->edge, &advisor->call, name, ids,
+				workers->len);
+}
+
+void advisor_run(struct advisor *advisor, int64_t now_us)
+{
+	GPtrArray *workers;
+	struct stage *stage;
+
+	if (!advisor->edge || !advisor->fleet || advisor->calling)
+		return;
+	workers = g_ptr_array_new();
+	stage = advice_wanted(advisor->fleet, now_us, workers);
+	if (stage)
+		ask(advisor, stage, workers, now_us);
+	g_ptr_array_unref(workers);
+}
--- a/control/configuration.c
+++ b/control/configuration.c
@@ -15,8 +15,11 @@
 		container_of(mirror, struct configuration, mirror);
 	struct config *config;
 
-	if (strcmp(item->key, own->edges->config_key) != 0)
+	if (strcmp(item->key, own->edges->config_key) != 0) {
+		if (own->other)
+			own->other(own, item);
 		return;
+	}
 	config = own->edges->read_config(item->value, item->len);
 	if (!config) {
 		log_err("config.unreadable",
--- a/control/director.c
+++ b/control/director.c
@@ -9,6 +9,8 @@
 #include "fleet/limits.h"
 #include "fleet/order.h"
 #include "fleet/plan.h"
+#include "fleet/rescue.h"
+#include "fleet/sharing.h"
 
 /* A silent store is noticed within this and the grace of a poll; a worker
  * that drains has to be known within drain_ms. */
@@ -188,8 +190,13 @@
 	fleet_open_due(&director->fleet, now_us, wall_ms());
 	fleet_sweep(&director->fleet, now_us, wall_ms());
 	if (director->configuration->current &&
-	    !store_stalled(director, now_us))
+	    !store_stalled(director, now_us)) {
+		rescue_pass(&director->fleet, now_us);
+		sharing_pass(&director->fleet, now_us);
 		plan_pass(&director->fleet, now_us);
+	}
+	advisor_run(&director->advisor, now_us);
+	maintenance_run(&director->maintenance, now_us);
 	next_us = orders_run(&director->orders, now_us);
 	if (now_us >= director->next_waiting_us) {
 		director->next_waiting_us = now_us + WAITING_MS * USEC_PER_MSEC;
@@ -548,6 +555,8 @@
 	kn_timer_cancel(&director->pass_timer);
 	kn_timer_cancel(&director->states_timer);
 	ledger_close(&director->ledger);
+	advisor_close(&director->advisor);
+	maintenance_close(&director->maintenance);
 	mirror_stop(&director->workers);
 	mirror_stop(&director->intake);
 	if (director->states_calling)
@@ -629,6 +638,9 @@
 	ask_last_leader(director);
 	ledger_open(&director->ledger, &director->fleet, leader->fence);
 	orders_open(&director->orders, &director->fleet, leader->fence);
+	advisor_open(&director->advisor, &director->fleet);
+	maintenance_open(&director->maintenance, &director->fleet,
+			 leader->fence);
 	mirror_start(&director->workers);
 	mirror_start(&director->intake);
 	read_states(director);
@@ -668,6 +680,24 @@
 	wake(director, PASS_DELAY_MS * USEC_PER_MSEC);
 }
 
+void director_operator_key(struct director *director,
+			   const struct kv_item *item)
+{
+	struct wave *wave = director->edges->read_wave(item->key, item->value,
+						       item->len, kn_now_us());
+
+	if (wave)
+		maintenance_add(&director->maintenance, wave);
+	else
+		log_info("operator.key_ignored", "key=%s revision=%lld",
+			 item->key, (long long)item->mod_revision);
+}
+
+static void on_advice(void *user)
+{
+	wake(user, 0);
+}
+
 /* ---- task ---- */
 
 static bool director_start(struct kn_task *task, GError **err)
@@ -702,6 +732,8 @@
 	mirror_finish(&director->intake);
 	ledger_finish(&director->ledger);
 	orders_finish(&director->orders);
+	advisor_finish(&director->advisor);
+	maintenance_finish(&director->maintenance);
 	g_hash_table_unref(director->cancelled);
 	g_ptr_array_unref(director->states);
 	ctr_finish(&director->jobs_started);
@@ -774,6 +806,9 @@
 		    &leader_ops);
 	ledger_init(&director->ledger, edges->kv, &ledger_ops);
 	orders_init(&director->orders, kn, edges->workers, &orders_ops);
+	advisor_init(&director->advisor, edges->advice, &kn->counters,
+		     on_advice, director);
+	maintenance_init(&director->maintenance, edges, edges->machines);
 	mirror_init(&director->workers, edges->kv, &workers_ops,
 		    edges->reports_prefix, WORKERS_WAIT_MS);
 	director->workers.gather_ms = WORKERS_GATHER_MS;
--- a/control/director.h
+++ b/control/director.h
@@ -1,9 +1,11 @@
 #ifndef CONTROL_DIRECTOR_H
 #define CONTROL_DIRECTOR_H
 
+#include "control/advisor.h"
 #include "control/configuration.h"
 #include "control/leader.h"
 #include "control/ledger.h"
+#include "control/maintenance.h"
 #include "control/orders.h"
 #include "control/relay.h"
 
@@ -21,6 +23,8 @@
 	struct leader leader;
 	struct ledger ledger;
 	struct orders orders;
+	struct advisor advisor;
+	struct maintenance maintenance;
 	struct fleet fleet;
 	bool directing; /* fleet is in use */
 	bool ready; /* everything that earlier leaders stored has been read */
@@ -56,6 +60,9 @@
 			      const struct edges *edges,
 			      struct configuration *configuration,
 			      struct relay *relay, uint64_t incarnation);
+/* The operators have written another key, perhaps a wave of upkeep. */
+void director_operator_key(struct director *director,
+			   const struct kv_item *item);
 /* The configuration has changed. */
 void director_configure(struct director *director);
 
--- /dev/null
+++ b/control/machine_edge.h
@@ -0,0 +1,34 @@
+#ifndef CONTROL_MACHINE_EDGE_H
+#define CONTROL_MACHINE_EDGE_H
+
+#include "base/kn.h"
+#include "fleet/upkeep.h"
+
+/* The platform's list of the hosts of workers, and orders for them. */
+
+struct machine_call {
+	void (*done)(struct machine_call *call);
+	void *user;
+	void *impl;
+	/* CB_OK; CB_E_CONFLICT: refused for now; others: unknown. */
+	int result;
+	GPtrArray *machines; /* of a list: struct machine; taken by the owner */
+};
+
+struct machine_edge;
+
+struct machine_edge_ops {
+	/* The whole list, over all pages. done() is never called within. */
+	void (*list)(struct machine_edge *edge, struct machine_call *call);
+	void (*upkeep)(struct machine_edge *edge, struct machine_call *call,
+		       const char *host, int64_t wave, int64_t fence);
+	void (*cancel)(struct machine_edge *edge, struct machine_call *call);
+	void (*finish)(struct machine_edge *edge);
+};
+
+struct machine_edge {
+	const struct machine_edge_ops *ops;
+	struct kn *kn;
+};
+
+#endif
--- /dev/null
+++ b/control/maintenance.h
@@ -0,0 +1,44 @@
+#ifndef CONTROL_MAINTENANCE_H
+#define CONTROL_MAINTENANCE_H
+
+#include "control/edges.h"
+#include "control/machine_edge.h"
+
+/*
+ * Carries out the operators' waves of upkeep while this host leads: follows
+ * the list of hosts, orders one host after the other, and says in the store
+ * when a wave runs and when it is done.
+ */
+struct maintenance {
+	const struct edges *edges;
+	struct machine_edge *machines; /* NULL: there is no such service */
+	struct fleet *fleet; /* NULL while this host does not lead */
+	int64_t fence;
+	struct list_head waves; /* struct wave, known at any time */
+	GPtrArray *list; /* struct machine */
+	int64_t listed_us; /* when the list was read, 0: never */
+	struct machine_call list_call;
+	bool listing;
+	struct machine_call order_call;
+	bool ordering;
+	struct wave *order_wave;
+	struct upkeep_host *order_host;
+	struct kv_call status_call;
+	bool writing; /* or reading what earlier leaders have said */
+	bool informed;
+	struct wave *status_wave;
+	bool status_done; /* what is being written */
+	struct ctr orders;
+};
+
+void maintenance_init(struct maintenance *maintenance,
+		      const struct edges *edges, struct machine_edge *machines);
+void maintenance_finish(struct maintenance *maintenance);
+/* Takes a wave over; one that is known already is freed. */
+void maintenance_add(struct maintenance *maintenance, struct wave *wave);
+void maintenance_open(struct maintenance *maintenance, struct fleet *fleet,
+		      int64_t fence);
+void maintenance_close(struct maintenance *maintenance);
+void maintenance_run(struct maintenance *maintenance, int64_t now_us);
+
+#endif
--- a/control/orders.c
+++ b/control/orders.c
@@ -5,6 +5,7 @@
 #include "base/limits.h"
 #include "base/log.h"
 #include "fleet/limits.h"
+#include "fleet/sharing.h"
 
 /* One order under way, or one hold. */
 struct orders_call {
@@ -19,6 +20,7 @@
 	int64_t sent_us;
 	int64_t wait_ms;
 	bool look; /* a hold besides the one that waits */
+	int percent; /* pace */
 };
 
 void orders_init(struct orders *orders, struct kn *kn, struct worker_edge *edge,
@@ -255,6 +257,17 @@
 		own->orders->ops->fenced(own->orders, own->orders->fence);
 }
 
+static void on_pace(struct orders_call *own)
+{
+	struct task *task = find_task(own);
+
+	if (!task)
+		return;
+	task->pacing = false;
+	if (own->call.result == ORDER_ACCEPTED)
+		task->paced = own->percent;
+}
+
 static void on_hold(struct orders_call *own, struct worker *worker,
 		    int64_t now_us)
 {
@@ -300,6 +313,8 @@
 		on_start(own, now_us);
 	else if (own->kind == ORDER_STOP)
 		on_stop(own, now_us);
+	else if (own->kind == ORDER_PACE)
+		on_pace(own);
 	else if (own->kind == ORDER_HOLD && worker)
 		on_hold(own, worker, now_us);
 	own_free(own);
@@ -378,6 +393,25 @@
 	send_order(orders, own, task->worker, &order, now_us);
 }
 
+static void send_pace(struct orders *orders, struct task *task, int64_t now_us)
+{
+	struct orders_call *own = g_new0(struct orders_call, 1);
+	char name[160];
+	struct order order = {
+		.kind = ORDER_PACE,
+		.task = name,
+		.run = task->run,
+		.percent = sharing_pace(task),
+		.timeout_ms = ORDER_TIMEOUT_MS,
+	};
+
+	task_name(task, name, sizeof(name));
+	fill_ref(task, own);
+	own->percent = order.percent;
+	task->pacing = true;
+	send_order(orders, own, task->worker, &order, now_us);
+}
+
 /* The lease is extended only while the worker answers. */
 static int64_t hold_lease(struct orders *orders, struct worker *worker,
 			  int64_t now_us)
@@ -398,6 +432,9 @@
 		.wait_ms = HOLD_WAIT_MS,
 	};
 
+	/* Tails change within seconds where tasks of both sorts run. */
+	if (sharing_mixed(worker))
+		order.wait_ms = HOLD_WAIT_MIXED_MS;
 	if (look || !worker->fenced || worker->ends->len > 0 ||
 	    worker->task_count == 0)
 		order.wait_ms = 0;
@@ -437,6 +474,10 @@
 		if (task->calling && task->stop_sent)
 			return;
 		break;
+	case TASK_RUNNING:
+		if (!task->pacing && task->paced != sharing_pace(task))
+			send_pace(orders, task, now_us);
+		return;
 	default:
 		return;
 	}
--- a/fleet/fleet.c
+++ b/fleet/fleet.c
@@ -60,6 +60,7 @@
 		job->attempts = queue->attempts;
 		job->stretch = queue->stretch;
 		job->slo_ms = queue->slo_ms;
+		job->advised = queue->advised;
 	}
 }
 
@@ -67,6 +68,10 @@
 
 void fleet_add_job(struct fleet *fleet, struct job *job)
 {
+	const struct queue *queue =
+		fleet->config ? config_queue(fleet->config, job->queue) : NULL;
+
+	job->advised = queue && queue->advised;
 	list_add_tail(&job->node, &fleet->jobs);
 	g_hash_table_insert(fleet->jobs_by_id, job->id, job);
 }
@@ -263,6 +268,9 @@
 	task->first_us = 0;
 	task->moved_us = 0;
 	task->paced = 100;
+	task->pacing = false;
+	g_free(task->ticket);
+	task->ticket = NULL;
 	task->change = fleet_touch(fleet, task->stage->job);
 }
 
--- a/fleet/job.c
+++ b/fleet/job.c
@@ -3,6 +3,8 @@
 #include <stdio.h>
 #include <string.h>
 
+#include "fleet/advice.h"
+
 static const char *const phase_names[] = { "queued", "running", "done",
 					   "failed", "cancelled" };
 
@@ -58,6 +60,7 @@
 		g_free(stage->tasks[i].checkpoint);
 		g_free(stage->tasks[i].ticket);
 	}
+	advice_finish(stage);
 	g_free(stage->tasks);
 	g_free(stage->reserved);
 	g_free(stage);
--- a/fleet/job.h
+++ b/fleet/job.h
@@ -43,6 +43,7 @@
 	int64_t settled_us; /* when the latest order was answered, 0: never */
 	char *ticket; /* permission to start at the worker, or NULL */
 	int paced; /* percent of its speed that was ordered, 100: full */
+	bool pacing; /* such an order is under way */
 	/* Progress, from the worker's lists. */
 	int64_t started_us; /* when the run was confirmed */
 	int percent;
@@ -74,6 +75,8 @@
 	/* Room that is being emptied for it; NULL-terminated, or NULL. */
 	struct worker **reserved;
 	int64_t reserved_us;
+	GHashTable *grants; /* of the advice service, see fleet/advice.h */
+	int64_t asked_us; /* it was asked last, 0: never */
 	struct task *tasks; /* spec->count of them */
 };
 
@@ -94,6 +97,7 @@
 	int64_t arrived_us; /* the same on the steady clock of this host */
 	struct job_spec spec;
 	enum job_phase phase;
+	bool advised; /* its queue needs permission for each worker */
 	bool cancelled;
 	bool started; /* a task has started at some time */
 	int64_t ended_ms; /* Unix time, 0: not ended */
--- a/fleet/limits.h
+++ b/fleet/limits.h
@@ -15,6 +15,7 @@
 #define REFUSED_RETRY_MS 150
 /* A hold call waits so long for an end; the lease must outlast two of them. */
 #define HOLD_WAIT_MS 1500
+#define HOLD_WAIT_MIXED_MS 300 /* where serving and filling tasks run */
 #define HOLD_TIMEOUT_MS 700 /* beyond the wait */
 #define HOLD_RETRY_MS 300 /* after a call without answer */
 /* While ends wait for the store the worker would answer at once. */
@@ -43,6 +44,15 @@
  * reports, and longer than a restart takes. */
 #define STALL_MS 2600
 #define STALL_FACTOR 4.0 /* and this many times the usual time per percent */
+/* More work than that is not given up: a worker that hangs often goes on
+ * after a few seconds. */
+#define STALL_LOSS_MAX_MS 3000.0
+/* From so many percent on, the pace of a run tells when it ends. */
+#define PACE_KNOWN_PERCENT 10
+/* Workers that leave usually stay a little longer than they say. */
+#define LEAVE_GRACE_MS 1000
+/* More work than that stays where it is, for the chance that it ends. */
+#define LEAVE_LOSS_MAX_MS 4000.0
 
 /* ---- queue ---- */
 
--- a/fleet/placement.c
+++ b/fleet/placement.c
@@ -3,7 +3,9 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "fleet/advice.h"
 #include "fleet/limits.h"
+#include "fleet/rescue.h"
 
 /* ---- views ---- */
 
@@ -53,7 +55,7 @@
 static bool usable(const struct worker *worker, int64_t now_us)
 {
 	return worker->listed && !worker->replaced && !worker->said.draining &&
-	       worker->banned_until_us <= now_us &&
+	       !worker->cordoned && worker->banned_until_us <= now_us &&
 	       worker_reachable(worker, now_us);
 }
 
@@ -71,7 +73,8 @@
 
 		worker->reserved_for = NULL;
 		worker->busy_until_us = 0;
-		if (!usable(worker, now_us))
+		if (!usable(worker, now_us) ||
+		    rescue_suspect(fleet, worker, now_us))
 			continue;
 		view = view_of(p, worker->said.pool);
 		g_ptr_array_add(view->workers, worker);
@@ -92,10 +95,13 @@
 
 /* ---- fit ---- */
 
-bool placement_suits(const struct worker *worker, const struct stage *stage)
+bool placement_suits(const struct worker *worker, const struct stage *stage,
+		     int64_t now_us)
 {
 	const char *label = stage->spec->label;
 
+	if (stage->job->advised && !advice_ticket(stage, worker, now_us))
+		return false;
 	return !label || worker_has_label(worker, label);
 }
 
@@ -120,12 +126,13 @@
 	return limit_by(slots, room->gpus, need->gpus);
 }
 
-int placement_open(const struct worker *worker, const struct stage *stage)
+int placement_open(const struct worker *worker, const struct stage *stage,
+		   int64_t now_us)
 {
 	struct room room = worker_free_room(worker);
 	int limit = stage->spec->count;
 
-	if (!placement_suits(worker, stage))
+	if (!placement_suits(worker, stage, now_us))
 		return 0;
 	if (stage->spec->max_per_worker > 0)
 		limit = MIN(limit, stage->spec->max_per_worker -
@@ -181,9 +188,10 @@
 		bool near = rack && g_strcmp0(worker->said.rack, rack) == 0;
 		double score;
 
-		rack_exists |= near && placement_suits(worker, stage);
+		rack_exists |=
+			near && placement_suits(worker, stage, p->now_us);
 		if (reserved(worker, stage, expected_ms, p->now_us) ||
-		    placement_open(worker, stage) < 1)
+		    placement_open(worker, stage, p->now_us) < 1)
 			continue;
 		score = fit_score(worker) + (rack && !near ? 100.0 : 0.0);
 		if (best && score >= best_score)
@@ -229,7 +237,7 @@
 
 		if (reserved(worker, stage, expected_ms, p->now_us))
 			continue;
-		slots = placement_open(worker, stage);
+		slots = placement_open(worker, stage, p->now_us);
 		if (slots < 1)
 			continue;
 		seats[nseats].worker = worker;
@@ -311,7 +319,8 @@
 }
 
 /* Whether one rack could hold the gang if it were empty. */
-static bool rack_could_hold(const struct pool_view *view,
+static bool rack_could_hold(const struct placement *p,
+			    const struct pool_view *view,
 			    const struct stage *stage)
 {
 	guint i, w;
@@ -328,7 +337,7 @@
 					    stage->spec->max_per_worker :
 					    stage->spec->count;
 
-			if (placement_suits(worker, stage))
+			if (placement_suits(worker, stage, p->now_us))
 				slots += placement_slots(&worker->said.room,
 							 stage, limit);
 		}
@@ -351,7 +360,7 @@
 	chosen = seat_in_rack(p, view, stage, expected_ms);
 	if (chosen)
 		return chosen;
-	if (!stage->spec->same_rack || !rack_could_hold(view, stage))
+	if (!stage->spec->same_rack || !rack_could_hold(p, view, stage))
 		return seat_all(p, view->workers, stage, expected_ms);
 	return NULL;
 }
@@ -391,9 +400,11 @@
  * The time at which a set of workers has room for all tasks of a gang, if
  * nothing else starts there. INT64_MAX when it never has.
  */
-static int64_t room_at_us(const struct fleet *fleet, GPtrArray *workers,
-			  const struct stage *stage, int64_t now_us)
+static int64_t room_at_us(const struct placement *p, GPtrArray *workers,
+			  const struct stage *stage)
 {
+	const struct fleet *fleet = p->fleet;
+	int64_t now_us = p->now_us;
 	GArray *endings = g_array_new(FALSE, FALSE, sizeof(struct ending));
 	struct room *rooms = g_new0(struct room, workers->len + 1);
 	int64_t at_us = INT64_MAX;
@@ -423,7 +434,7 @@
 					    stage->spec->max_per_worker :
 					    stage->spec->count;
 
-			if (placement_suits(worker, stage))
+			if (placement_suits(worker, stage, p->now_us))
 				slots += placement_slots(&rooms[w], stage,
 							 limit);
 		}
@@ -448,14 +459,16 @@
 	return at_us;
 }
 
-static void reserve_all(GPtrArray *workers, struct stage *stage, int64_t at_us)
+static void reserve_all(const struct placement *p, GPtrArray *workers,
+			struct stage *stage, int64_t at_us)
 {
 	guint i;
 
 	for (i = 0; i < workers->len; i++) {
 		struct worker *worker = g_ptr_array_index(workers, i);
 
-		if (worker->reserved_for || !placement_suits(worker, stage))
+		if (worker->reserved_for ||
+		    !placement_suits(worker, stage, p->now_us))
 			continue;
 		worker->reserved_for = stage;
 		worker->busy_until_us = at_us;
@@ -471,9 +484,9 @@
 
 	if (!view)
 		return;
-	if (!stage->spec->same_rack || !rack_could_hold(view, stage)) {
+	if (!stage->spec->same_rack || !rack_could_hold(p, view, stage)) {
 		best = view->workers;
-		best_us = room_at_us(p->fleet, best, stage, p->now_us);
+		best_us = room_at_us(p, best, stage);
 	}
 	for (i = 0; best != view->workers && i < view->racks->len; i++) {
 		struct rack_view *rack = g_ptr_array_index(view->racks, i);
@@ -482,12 +495,12 @@
 
 		if (first->reserved_for)
 			continue;
-		at_us = room_at_us(p->fleet, rack->workers, stage, p->now_us);
+		at_us = room_at_us(p, rack->workers, stage);
 		if (at_us >= best_us)
 			continue;
 		best = rack->workers;
 		best_us = at_us;
 	}
 	if (best && best_us != INT64_MAX)
-		reserve_all(best, stage, best_us);
+		reserve_all(p, best, stage, best_us);
 }
--- a/fleet/placement.h
+++ b/fleet/placement.h
@@ -31,12 +31,14 @@
 struct pool_view *placement_pool(struct placement *p, const char *pool);
 
 /* A worker that may run tasks of the stage at all, room aside. */
-bool placement_suits(const struct worker *worker, const struct stage *stage);
+bool placement_suits(const struct worker *worker, const struct stage *stage,
+		     int64_t now_us);
 /* Tasks of the stage that fit into room, at most limit. */
 int placement_slots(const struct room *room, const struct stage *stage,
 		    int limit);
 /* How many more tasks of the stage the worker takes now. */
-int placement_open(const struct worker *worker, const struct stage *stage);
+int placement_open(const struct worker *worker, const struct stage *stage,
+		   int64_t now_us);
 
 /* A worker for one task, NULL when it has to wait. */
 struct worker *placement_task(struct placement *p, const struct stage *stage,
--- a/fleet/plan.c
+++ b/fleet/plan.c
@@ -1,5 +1,6 @@
 #include "fleet/plan.h"
 
+#include "fleet/advice.h"
 #include "fleet/limits.h"
 #include "fleet/order.h"
 #include "fleet/placement.h"
@@ -34,6 +35,15 @@
 	return true;
 }
 
+static void plan_run(struct pass *pass, struct task *task,
+		     struct worker *worker, int64_t run)
+{
+	fleet_plan_run(pass->fleet, task, worker, run);
+	if (task->stage->job->advised)
+		task->ticket = g_strdup(
+			advice_ticket(task->stage, worker, pass->now_us));
+}
+
 static bool plan_gang(struct pass *pass, struct stage *stage)
 {
 	double expected_ms = fleet_expected_ms(pass->fleet, stage);
@@ -48,7 +58,7 @@
 		return false;
 	run = next_run(stage);
 	for (i = 0; i < stage->spec->count; i++)
-		fleet_plan_run(pass->fleet, &stage->tasks[i], chosen[i], run);
+		plan_run(pass, &stage->tasks[i], chosen[i], run);
 	pass->started += stage->spec->count;
 	g_free(chosen);
 	return true;
@@ -68,7 +78,7 @@
 		worker = placement_task(&pass->place, stage, expected_ms);
 		if (!worker)
 			return false;
-		fleet_plan_run(pass->fleet, task, worker, task->run + 1);
+		plan_run(pass, task, worker, task->run + 1);
 		pass->started++;
 	}
 	return true;
--- a/fleet/reclaim.c
+++ b/fleet/reclaim.c
@@ -4,6 +4,7 @@
 #include <string.h>
 
 #include "fleet/order.h"
+#include "fleet/rescue.h"
 
 double reclaim_loss(const struct fleet *fleet, const struct task *task,
 		    int64_t now_us)
@@ -43,7 +44,7 @@
 	const struct job *job = task->stage->job;
 
 	if (job == claimant || task->phase == TASK_DONE ||
-	    task->phase == TASK_STOPPING)
+	    task->phase == TASK_STOPPING || !rescue_may_interrupt(task))
 		return false;
 	if (job->priority > claimant->priority)
 		return true;
@@ -160,7 +161,7 @@
 		struct worker *worker = g_ptr_array_index(workers, i);
 		struct offer offer;
 
-		if (!placement_suits(worker, stage) ||
+		if (!placement_suits(worker, stage, p->now_us) ||
 		    (worker->reserved_for && worker->reserved_for != stage &&
 		     worker->busy_until_us == 0))
 			continue;
--- /dev/null
+++ b/fleet/rescue.c
@@ -0,0 +1,126 @@
+#include "fleet/rescue.h"
+
+#include "fleet/limits.h"
+
+bool rescue_may_interrupt(const struct task *task)
+{
+	const struct stage *stage = task->stage;
+	int away = 0;
+	int i;
+
+	if (!stage->spec->long_running)
+		return true;
+	for (i = 0; i < stage->spec->count; i++) {
+		const struct task *other = &stage->tasks[i];
+
+		away += other != task &&
+			(other->phase != TASK_RUNNING || other->percent < 100);
+	}
+	return away < stage->spec->may_miss;
+}
+
+bool rescue_stalled(const struct fleet *fleet, const struct task *task,
+		    int64_t now_us)
+{
+	double percent_us =
+		fleet_expected_ms(fleet, task->stage) * 1000.0 / 100.0;
+
+	if (task->phase != TASK_RUNNING || task->first_us == 0 ||
+	    task->percent >= 100 || task->stage->spec->long_running)
+		return false;
+	/* What is not told is no sign: the worker may be out of reach. */
+	if (!task->worker || task->worker->silent > 0)
+		return false;
+	return (double)(now_us - task->moved_us) >
+	       MAX(STALL_MS * 1000.0, STALL_FACTOR * percent_us);
+}
+
+bool rescue_suspect(const struct fleet *fleet, const struct worker *worker,
+		    int64_t now_us)
+{
+	const struct task *task;
+
+	list_for_each_entry(task, &worker->tasks, on_worker)
+		if (rescue_stalled(fleet, task, now_us))
+			return true;
+	return false;
+}
+
+/* What a stop loses: all that was done since the last checkpoint. */
+static double lost_ms(const struct fleet *fleet, const struct task *task)
+{
+	double done_ms = fleet_expected_ms(fleet, task->stage) *
+			 (double)task->percent / 100.0;
+
+	if (!task->stage->spec->checkpoint)
+		return done_ms;
+	return MIN(done_ms,
+		   (double)(fleet->bounds.save_ms + fleet->bounds.restore_ms));
+}
+
+/* Time until the run ends where it is, by its pace so far. */
+static double left_ms(const struct fleet *fleet, const struct task *task,
+		      int64_t now_us)
+{
+	double ran_ms = (double)(now_us - task->started_us) / 1000.0;
+	double expected_ms = fleet_expected_ms(fleet, task->stage);
+
+	if (task->percent >= PACE_KNOWN_PERCENT)
+		expected_ms = ran_ms * 100.0 / task->percent;
+	return MAX(expected_ms - ran_ms, 0.0);
+}
+
+/* A run that its worker will take along when it leaves. */
+static bool leaves_too_early(const struct fleet *fleet, const struct task *task,
+			     int64_t now_us)
+{
+	const struct worker *worker = task->worker;
+	int64_t passed_ms;
+
+	if (!worker->said.draining || worker->draining_us == 0 ||
+	    worker->said.remaining_ms == 0 || task->phase != TASK_RUNNING)
+		return false;
+	if (task->stage->spec->long_running)
+		return true;
+	passed_ms = (now_us - worker->draining_us) / 1000;
+	return left_ms(fleet, task, now_us) >
+	       (double)(worker->said.remaining_ms - passed_ms + LEAVE_GRACE_MS);
+}
+
+static const char *reason(const struct fleet *fleet, const struct task *task,
+			  int64_t now_us)
+{
+	if (rescue_stalled(fleet, task, now_us) &&
+	    lost_ms(fleet, task) <= STALL_LOSS_MAX_MS)
+		return "stands still";
+	if (leaves_too_early(fleet, task, now_us) &&
+	    (lost_ms(fleet, task) <= LEAVE_LOSS_MAX_MS ||
+	     task->stage->spec->long_running))
+		return "its worker leaves too early";
+	return NULL;
+}
+
+int rescue_pass(struct fleet *fleet, int64_t now_us)
+{
+	struct worker *worker;
+	int moved = 0;
+
+	list_for_each_entry(worker, &fleet->workers, node) {
+		struct task *task, *next;
+
+		list_for_each_entry_safe(task, next, &worker->tasks,
+					 on_worker) {
+			const char *why = reason(fleet, task, now_us);
+
+			if (!why || !rescue_may_interrupt(task))
+				continue;
+			moved++;
+			fleet->moved++;
+			fleet_stop(fleet, task, why);
+			/* A gang's other members here have changed too. */
+			next = list_first_entry(&worker->tasks, struct task,
+						on_worker);
+		}
+	}
+	return moved;
+}
--- /dev/null
+++ b/fleet/sharing.c
@@ -0,0 +1,91 @@
+#include "fleet/sharing.h"
+
+/* A pace works after 100 ms, and a tail is told with the next report. */
+#define SHARING_STEP_MS 500
+/* Well for so long before the filling tasks get more again. */
+#define SHARING_CALM_MS 3000
+#define SHARING_RAISE_PERCENT 20
+/* Raised only while the tail is so far below the target. */
+#define SHARING_CALM_SHARE 0.7
+
+static bool serves(const struct task *task)
+{
+	return task->stage->spec->target_ms > 0 &&
+	       task->stage->spec->long_running;
+}
+
+static bool fills(const struct task *task)
+{
+	return task->stage->spec->fills;
+}
+
+bool sharing_mixed(const struct worker *worker)
+{
+	const struct task *task;
+	bool serving = false, filling = false;
+
+	list_for_each_entry(task, &worker->tasks, on_worker) {
+		serving |= serves(task);
+		filling |= fills(task);
+	}
+	return serving && filling;
+}
+
+int sharing_pace(const struct task *task)
+{
+	return fills(task) ? task->worker->fill_percent : 100;
+}
+
+/* The worst tail of the serving tasks, as a share of its target. */
+static double worst_tail(const struct worker *worker)
+{
+	const struct task *task;
+	double worst = 0;
+
+	list_for_each_entry(task, &worker->tasks, on_worker)
+		if (serves(task) && task->phase == TASK_RUNNING)
+			worst = MAX(
+				worst,
+				(double)task->load /
+					(double)task->stage->spec->target_ms);
+	return worst;
+}
+
+static int next_percent(struct worker *worker, double tail, int64_t now_us)
+{
+	int percent = worker->fill_percent;
+
+	if (tail > 1.0) {
+		worker->calm_us = now_us;
+		if (now_us - worker->paced_us < SHARING_STEP_MS * 1000)
+			return percent;
+		return percent > 25 ? percent / 2 : 0;
+	}
+	if (tail > SHARING_CALM_SHARE)
+		worker->calm_us = now_us;
+	if (percent == 100 ||
+	    now_us - worker->calm_us < SHARING_CALM_MS * 1000 ||
+	    now_us - worker->paced_us < SHARING_CALM_MS * 1000)
+		return percent;
+	return MIN(percent + SHARING_RAISE_PERCENT, 100);
+}
+
+int sharing_pass(struct fleet *fleet, int64_t now_us)
+{
+	struct worker *worker;
+	int changed = 0;
+
+	list_for_each_entry(worker, &fleet->workers, node) {
+		int percent = 100;
+
+		if (sharing_mixed(worker))
+			percent = next_percent(worker, worst_tail(worker),
+					       now_us);
+		if (percent == worker->fill_percent)
+			continue;
+		worker->fill_percent = percent;
+		worker->paced_us = now_us;
+		changed++;
+	}
+	return changed;
+}
--- /dev/null
+++ b/fleet/sharing.h
@@ -0,0 +1,19 @@
+#ifndef FLEET_SHARING_H
+#define FLEET_SHARING_H
+
+#include "fleet/fleet.h"
+
+/*
+ * Pace of tasks that fill what serving tasks leave. It answers interference:
+ * while a serving task on a worker is over its latency target, the filling
+ * tasks beside it work less; when it has been well for a while, more again.
+ */
+
+/* Whether tasks of both sorts run at the worker. */
+bool sharing_mixed(const struct worker *worker);
+/* Sets worker.fill_percent of all workers. Returns how many changed. */
+int sharing_pass(struct fleet *fleet, int64_t now_us);
+/* The pace that a running task should have now, in percent. */
+int sharing_pace(const struct task *task);
+
+#endif
--- /dev/null
+++ b/fleet/upkeep.c
@@ -0,0 +1,231 @@
+#include "fleet/upkeep.h"
+
+#include <string.h>
+
+#include "fleet/rescue.h"
+
+/* Hosts that are emptied in advance, beyond those that may be down. */
+#define UPKEEP_AHEAD 1
+/* A host that is not seen down and up again by then is ordered once more. */
+#define UPKEEP_REPEAT_MS 8000
+/* An order shows in the list by then, and the host is up again. */
+#define UPKEEP_EFFECT_MS 5000
+/* Tasks that were stopped for an upkeep are gone by then, or out of reach. */
+#define UPKEEP_STOP_MS 2000
+/* Stops at one host, its way down and up, and the lists that show it. */
+#define UPKEEP_HOST_MS 4000
+/* Kept of a wave's time for orders that have to be repeated. */
+#define UPKEEP_SPARE_SHARE 0.2
+
+static void host_free(void *data)
+{
+	struct upkeep_host *host = data;
+
+	g_free(host->name);
+	g_free(host);
+}
+
+struct wave *wave_new(int64_t number, char **hosts, int64_t within_ms, int cap,
+		      int64_t now_us)
+{
+	struct wave *wave = g_new0(struct wave, 1);
+
+	list_init(&wave->node);
+	wave->number = number;
+	wave->within_ms = within_ms;
+	wave->cap = MAX(cap, 1);
+	wave->known_us = now_us;
+	wave->hosts = g_ptr_array_new_with_free_func(host_free);
+	for (; *hosts; hosts++) {
+		struct upkeep_host *host = g_new0(struct upkeep_host, 1);
+
+		host->name = g_strdup(*hosts);
+		g_ptr_array_add(wave->hosts, host);
+	}
+	return wave;
+}
+
+void wave_free(struct wave *wave)
+{
+	list_del(&wave->node);
+	g_ptr_array_unref(wave->hosts);
+	g_free(wave);
+}
+
+static const struct machine *find_machine(const GPtrArray *machines,
+					  const char *name)
+{
+	guint i;
+
+	for (i = 0; i < machines->len; i++) {
+		const struct machine *machine = g_ptr_array_index(machines, i);
+
+		if (strcmp(machine->name, name) == 0)
+			return machine;
+	}
+	return NULL;
+}
+
+struct worker *upkeep_worker(const struct fleet *fleet,
+			     const GPtrArray *machines, const char *host)
+{
+	const struct machine *machine = find_machine(machines, host);
+
+	if (!machine || !machine->worker)
+		return NULL;
+	return g_hash_table_lookup(fleet->workers_by_id, machine->worker);
+}
+
+/* A later life at the host, or the host up again, ends its upkeep. */
+static void see_host(struct fleet *fleet, struct upkeep_host *host,
+		     const GPtrArray *machines, int64_t now_us)
+{
+	const struct machine *machine = find_machine(machines, host->name);
+	const struct worker *worker;
+
+	if (host->state != UPKEEP_ORDERED)
+		return;
+	if (!machine) {
+		/* It has been taken away: nothing is left to do. */
+		host->state = UPKEEP_DONE;
+		host->down = false;
+		return;
+	}
+	if (!machine->up) {
+		host->down = true;
+		return;
+	}
+	worker = upkeep_worker(fleet, machines, host->name);
+	/* An order that was accepted and shows no effect: it was done before. */
+	if (host->down || (worker && worker->said.born_ms != host->born_ms) ||
+	    (host->accepted &&
+	     now_us - host->ordered_us > UPKEEP_EFFECT_MS * 1000)) {
+		host->state = UPKEEP_DONE;
+		host->down = false;
+	} else if (now_us - host->ordered_us > UPKEEP_REPEAT_MS * 1000) {
+		host->state = UPKEEP_EMPTYING;
+	}
+}
+
+void upkeep_update(struct fleet *fleet, struct wave *wave,
+		   const GPtrArray *machines, int64_t now_us)
+{
+	int emptying = 0;
+	guint i;
+
+	wave->done = true;
+	for (i = 0; i < wave->hosts->len; i++) {
+		struct upkeep_host *host = g_ptr_array_index(wave->hosts, i);
+		struct worker *worker;
+
+		see_host(fleet, host, machines, now_us);
+		if (host->state != UPKEEP_DONE && machines->len > 0 &&
+		    !find_machine(machines, host->name))
+			host->state = UPKEEP_DONE;
+		wave->done &= host->state == UPKEEP_DONE;
+		worker = upkeep_worker(fleet, machines, host->name);
+		if (host->state == UPKEEP_WAITING &&
+		    emptying < wave->cap + UPKEEP_AHEAD)
+			host->state = UPKEEP_EMPTYING;
+		emptying += host->state == UPKEEP_EMPTYING ||
+			    host->state == UPKEEP_ORDERED;
+		if (worker)
+			worker->cordoned = host->state == UPKEEP_EMPTYING ||
+					   host->state == UPKEEP_ORDERED;
+	}
+}
+
+static int down_count(const struct wave *wave)
+{
+	int down = 0;
+	guint i;
+
+	for (i = 0; i < wave->hosts->len; i++) {
+		const struct upkeep_host *host =
+			g_ptr_array_index(wave->hosts, i);
+
+		down += host->state == UPKEEP_ORDERED;
+	}
+	return down;
+}
+
+/* Whether the rest of the wave takes all the time that is left. */
+static bool is_urgent(const struct wave *wave, int64_t now_us)
+{
+	int64_t left_ms = wave->within_ms - (now_us - wave->known_us) / 1000;
+	int64_t open = 0;
+	guint i;
+
+	for (i = 0; i < wave->hosts->len; i++) {
+		const struct upkeep_host *host =
+			g_ptr_array_index(wave->hosts, i);
+
+		open += host->state != UPKEEP_DONE;
+	}
+	return (double)left_ms < (double)(open * UPKEEP_HOST_MS) / wave->cap *
+					 (1.0 + UPKEEP_SPARE_SHARE);
+}
+
+/*
+ * Stops what may be stopped, so that checkpoints are written. Returns whether
+ * nothing is left that has to be waited for.
+ */
+static bool emptied(struct fleet *fleet, struct upkeep_host *host,
+		    struct worker *worker, int64_t now_us)
+{
+	struct task *task, *next;
+	bool kept = false;
+
+	if (host->emptied_us == 0)
+		host->emptied_us = now_us;
+	list_for_each_entry_safe(task, next, &worker->tasks, on_worker) {
+		if (!rescue_may_interrupt(task)) {
+			kept = true;
+			continue;
+		}
+		if (task->phase != TASK_STARTING && task->phase != TASK_RUNNING)
+			continue;
+		fleet_stop(fleet, task, "upkeep of its host");
+		next = list_first_entry(&worker->tasks, struct task, on_worker);
+	}
+	return worker->task_count == 0 ||
+	       (!kept && now_us - host->emptied_us > UPKEEP_STOP_MS * 1000);
+}
+
+struct upkeep_host *upkeep_next(struct fleet *fleet, struct wave *wave,
+				const GPtrArray *machines, int64_t now_us)
+{
+	bool urgent = is_urgent(wave, now_us);
+	guint i;
+
+	if (down_count(wave) >= wave->cap)
+		return NULL;
+	for (i = 0; i < wave->hosts->len; i++) {
+		struct upkeep_host *host = g_ptr_array_index(wave->hosts, i);
+		const struct machine *machine =
+			find_machine(machines, host->name);
+		struct worker *worker;
+
+		if (host->state != UPKEEP_EMPTYING || !machine || !machine->up)
+			continue;
+		worker = upkeep_worker(fleet, machines, host->name);
+		if (!worker || worker->task_count == 0 ||
+		    (urgent && emptied(fleet, host, worker, now_us)))
+			return host;
+	}
+	return NULL;
+}
+
+void upkeep_ordered(struct upkeep_host *host, int64_t born_ms, int64_t now_us)
+{
+	host->state = UPKEEP_ORDERED;
+	host->ordered_us = now_us;
+	host->born_ms = born_ms;
+	host->down = false;
+	host->accepted = false;
+}
+
+void upkeep_again(struct upkeep_host *host)
+{
+	host->state = UPKEEP_EMPTYING;
+}
--- a/fleet/worker.h
+++ b/fleet/worker.h
@@ -70,6 +70,12 @@
 	int64_t ban_us; /* length of the next ban */
 	const struct job *strike_job; /* only compared */
 	double speed; /* of its tasks against their expected pace, 1: as usual */
+	/* Pace of the tasks that fill, and since when it is that. */
+	int fill_percent;
+	int64_t paced_us;
+	int64_t calm_us; /* the serving tasks have been well since then */
+	/* Is to be emptied for upkeep; gets no new tasks. */
+	bool cordoned;
 	/* Set during a planning pass. */
 	struct stage *reserved_for;
 	int64_t busy_until_us; /* estimate of when its room is free */
--- a/wire/exchange.c
+++ b/wire/exchange.c
@@ -61,6 +61,7 @@
 	struct direct *direct = container_of(exchange, struct direct, exchange);
 	struct direct_call *own = g_new0(struct direct_call, 1);
 	struct http_headers headers;
+	size_t i;
 
 	own->call = call;
 	call->impl = own;
@@ -69,6 +70,9 @@
 	call->body_len = 0;
 	list_add_tail(&own->node, &direct->calls);
 	http_headers_init(&headers);
+	for (i = 0; request->headers && i < request->headers->count; i++)
+		http_headers_add(&headers, request->headers->items[i].name,
+				 request->headers->items[i].value);
 	if (request->body)
 		http_headers_add(&headers, "Content-Type", "application/json");
 	if (!hc_call_start(&own->hc, &direct->pool, request->method,
--- a/wire/exchange.h
+++ b/wire/exchange.h
@@ -2,6 +2,7 @@
 #define WIRE_EXCHANGE_H
 
 #include "base/kn.h"
+#include "wire/http.h"
 
 /*
  * One request and its reply with a service that can be reached in more than
@@ -28,6 +29,7 @@
 struct exchange_request {
 	const char *method;
 	const char *target;
+	const struct http_headers *headers; /* besides the usual, or NULL */
 	const void *body; /* JSON, or NULL */
 	size_t len;
 	int64_t timeout_ms;
