Add a randomized soak of real processes

Cause: the users ask for one that injects faults from outside and checks the promises while it runs. chivebankd processes run against the stand-ins; their ways to the store and to the workers go through relays that cut, refuse, slow, lose one direction or go silent; processes are killed, stopped, frozen and told to reload; the store and the workers lose, delay and refuse.

--- a/Makefile
+++ b/Makefile
@@ -39,13 +39,14 @@
 STANDINS := $(patsubst tests/standins/%_main.c,$(BUILD)/standins/%,\
 	$(STANDIN_MAIN))
 BENCHES := $(patsubst bench/%.c,$(BUILD)/bench/%,$(BENCH_MAIN))
+SOAK_SRC := $(wildcard tests/soak/*.c)
 BINS := $(BUILD)/chivebankd $(BUILD)/chivebank
 
 ALL_C := $(wildcard base/*.[ch] wire/*.[ch] policy/*.[ch] daemon/*.[ch] \
 	fleet/*.[ch] control/*.[ch] platform/*.[ch] \
 	cli/*.[ch] bench/*.[ch] tests/*/*.[ch])
 
-all: $(BINS) $(STANDINS) $(TESTS) $(BENCHES)
+all: $(BINS) $(STANDINS) $(TESTS) $(BENCHES) $(BUILD)/soak-run
 
 $(BUILD)/%.o: %.c
 	@mkdir -p $(@D)
@@ -79,6 +80,10 @@
 	@echo LD $@
 	@$(CC) $(LDFLAGS) -o $@ $^ $(LDLIBS) $(LUA_LIBS)
 
+$(BUILD)/soak-run: $(call obj,$(SOAK_SRC)) $(call obj,$(STANDIN_SRC)) $(LIB)
+	@echo LD $@
+	@$(CC) $(LDFLAGS) -o $@ $^ $(LDLIBS) $(LUA_LIBS)
+
 $(BUILD)/bench/%: $(BUILD)/bench/%.o $(call obj,$(BENCH_SRC)) $(LIB)
 	@mkdir -p $(@D)
 	@echo LD $@
@@ -105,6 +110,10 @@
 scenarios: all
 	tests/run-scenarios $(BUILD)
 
+# make soak SEEDS="1 2 3" SECONDS=20
+soak: $(BINS) $(BUILD)/soak-run
+	tests/run-soak $(BUILD) $(SECONDS) $(SEEDS)
+
 scenario: all
 	tests/run-scenarios $(BUILD) $(S) $(SEED)
 
@@ -122,7 +131,7 @@
 clean:
 	rm -rf build build-san
 
-.PHONY: all check run-tests demo bench scenarios scenario format \
+.PHONY: all check run-tests demo bench scenarios scenario soak format \
 	format-check lint clean
 .SECONDARY:
 
--- /dev/null
+++ b/tests/soak/soak.h
@@ -0,0 +1,82 @@
+#ifndef SOAK_SOAK_H
+#define SOAK_SOAK_H
+
+#include "control/site.h"
+#include "tests/standins/site_fleet.h"
+#include "wire/hc.h"
+
+/*
+ * Randomized soak: real chivebankd processes against stand-ins of the store
+ * and the workers, with faults from outside, checked from what callers and
+ * workers see. One seed gives one course of faults and load.
+ */
+
+#define SOAK_HOSTS_MAX 12
+#define SOAK_KEY "key-one"
+
+struct soak_options {
+	uint32_t seed;
+	int seconds;
+	int hosts;
+	int workers;
+	const char *binary;
+	const char *dir; /* settings and logs */
+};
+
+struct soak_host {
+	char name[16];
+	char settings[256];
+	int callers_port;
+	int peers_port;
+	int door; /* at the store */
+	int relay; /* on its way to the store */
+	int proc; /* -1: not running */
+	int64_t start_us; /* when it is to be started again, 0: it runs */
+	int64_t kill_us; /* when a graceful stop is cut short, 0: none */
+	bool frozen;
+	struct hc_pool pool; /* of its callers */
+};
+
+struct soak {
+	struct soak_options options;
+	struct kn kn;
+	struct site_store *store;
+	struct site_fleet *fleet;
+	struct soak_host hosts[SOAK_HOSTS_MAX];
+	int *worker_relays;
+	GRand *rand;
+	int config_version;
+	struct list_head jobs; /* struct soak_job */
+	int accepted;
+	int rejected;
+	int unknown;
+	int faults;
+	bool healing; /* no more faults and jobs */
+};
+
+int soak_below(struct soak *soak, int n);
+bool soak_chance(struct soak *soak, int percent);
+void soak_violated(struct soak *soak, const char *rule, const char *id,
+		   const char *detail);
+
+/* ---- soak_jobs.c ---- */
+
+/* Hands in, asks for and cancels jobs, for one step of the clock. */
+void soak_jobs_step(struct soak *soak);
+/* Whether every job has come to its end. */
+bool soak_jobs_settled(struct soak *soak);
+/* Checks that hold at the end. */
+void soak_jobs_check(struct soak *soak);
+void soak_jobs_finish(struct soak *soak);
+
+/* ---- soak_faults.c ---- */
+
+bool soak_host_start(struct soak *soak, struct soak_host *host);
+/* One fault, or the end of some. */
+void soak_faults_step(struct soak *soak);
+/* Ends all faults; processes that are down are started. */
+void soak_faults_heal(struct soak *soak);
+/* Starts and kills what is due. */
+void soak_hosts_step(struct soak *soak);
+
+#endif
--- /dev/null
+++ b/tests/soak/soak_faults.c
@@ -0,0 +1,286 @@
+#include <signal.h>
+#include <stdio.h>
+#include <string.h>
+
+#include "base/limits.h"
+#include "tests/soak/soak.h"
+#include "tests/standins/sr_proc.h"
+#include "tests/standins/sr_relay.h"
+
+#define RESTART_MS 600
+#define GRACE_MS 2500
+
+static void say(const struct soak *soak, const char *what, const char *where)
+{
+	printf("%9.3f fault=%s at=%s\n", (double)kn_now_us() / 1e6, what,
+	       where);
+}
+
+/* ---- hosts ---- */
+
+bool soak_host_start(struct soak *soak, struct soak_host *host)
+{
+	char variable[300];
+	char *argv[] = { (char *)"/usr/bin/env", variable,
+			 (char *)soak->options.binary, (char *)"--platform",
+			 NULL };
+
+	snprintf(variable, sizeof(variable), "CHIVEBANK_CONFIG=%s",
+		 host->settings);
+	host->proc = sr_proc_spawn(host->name, argv);
+	host->start_us = 0;
+	host->kill_us = 0;
+	host->frozen = false;
+	return host->proc >= 0;
+}
+
+static bool runs(const struct soak_host *host)
+{
+	return host->proc >= 0 && host->start_us == 0;
+}
+
+void soak_hosts_step(struct soak *soak)
+{
+	int i, code;
+
+	for (i = 0; i < soak->options.hosts; i++) {
+		struct soak_host *host = &soak->hosts[i];
+
+		if (host->kill_us && kn_now_us() > host->kill_us)
+			sr_proc_signal(host->proc, SIGKILL);
+		if (runs(host) && sr_proc_ended(host->proc, &code)) {
+			if (!host->kill_us)
+				soak_violated(soak, "EXIT", host->name,
+					      "a process ended by itself");
+			host->start_us =
+				kn_now_us() + RESTART_MS * USEC_PER_MSEC / 2;
+		}
+		if (host->start_us && kn_now_us() > host->start_us)
+			soak_host_start(soak, host);
+	}
+}
+
+static void kill_host(struct soak *soak, struct soak_host *host)
+{
+	say(soak, "kill", host->name);
+	sr_proc_signal(host->proc, SIGKILL);
+	host->kill_us = kn_now_us();
+}
+
+static void stop_host(struct soak *soak, struct soak_host *host)
+{
+	say(soak, "term", host->name);
+	sr_proc_signal(host->proc, SIGTERM);
+	host->kill_us = kn_now_us() + GRACE_MS * USEC_PER_MSEC;
+}
+
+static void freeze_host(struct soak *soak, struct soak_host *host)
+{
+	say(soak, host->frozen ? "thaw" : "freeze", host->name);
+	sr_proc_signal(host->proc, host->frozen ? SIGCONT : SIGSTOP);
+	host->frozen = !host->frozen;
+}
+
+static void fault_host(struct soak *soak)
+{
+	struct soak_host *host =
+		&soak->hosts[soak_below(soak, soak->options.hosts)];
+	const struct site_item *item =
+		site_store_get(soak->store, "chivebank/leader");
+	int i;
+
+	/* Often the leader. */
+	if (item && soak_chance(soak, 50))
+		for (i = 0; i < soak->options.hosts; i++)
+			if (g_str_has_prefix(item->value, soak->hosts[i].name))
+				host = &soak->hosts[i];
+	if (!runs(host) || host->kill_us)
+		return;
+	switch (soak_below(soak, 5)) {
+	case 0:
+	case 1:
+		kill_host(soak, host);
+		break;
+	case 2:
+		stop_host(soak, host);
+		break;
+	case 3:
+		freeze_host(soak, host);
+		break;
+	default:
+		say(soak, "hup", host->name);
+		sr_proc_signal(host->proc, SIGHUP);
+		break;
+	}
+}
+
+/* ---- the store ---- */
+
+static void fault_way(struct soak *soak)
+{
+	static const enum sr_relay_state states[] = { SR_CUT, SR_REFUSED,
+						      SR_ONE_WAY, SR_SLOW,
+						      SR_OPEN };
+	static const char *const names[] = { "cut", "refuse", "one_way", "slow",
+					     "open" };
+	bool all = soak_chance(soak, 20);
+	int n = soak_below(soak, 5);
+	int one = soak_below(soak, soak->options.hosts);
+	int i;
+
+	say(soak, names[n], all ? "way of all" : soak->hosts[one].name);
+	for (i = 0; i < soak->options.hosts; i++)
+		if (all || i == one)
+			sr_relay_set(soak->hosts[i].relay, states[n]);
+	if (soak_chance(soak, 30))
+		sr_relay_silence(soak->hosts[one].relay);
+}
+
+static void fault_store(struct soak *soak)
+{
+	static const enum site_fault faults[] = { SITE_WELL, SITE_BUSY,
+						  SITE_MANY, SITE_LOST,
+						  SITE_LATE, SITE_SILENT };
+	static const char *const names[] = { "well", "busy", "many",
+					     "lost", "late", "silent" };
+	int n = soak_below(soak, 6);
+	int door = soak_chance(soak, 40) ?
+			   -1 :
+			   soak_below(soak, soak->options.hosts);
+
+	if (soak_chance(soak, 15)) {
+		say(soak, "compact", "store");
+		site_store_compact(soak->store);
+		return;
+	}
+	if (soak_chance(soak, 15)) {
+		say(soak, "lapse", "leader");
+		site_store_lapse(soak->store, "chivebank/leader");
+		return;
+	}
+	say(soak, names[n], door < 0 ? "store" : "one door");
+	site_store_fault(soak->store, door, faults[n], 30,
+			 soak_chance(soak, 20) ? 60 : 0);
+}
+
+/* ---- workers ---- */
+
+static struct site_worker *any_worker(struct soak *soak, int *index)
+{
+	struct site_worker *worker;
+	int n = 0;
+
+	*index = soak_below(soak, soak->options.workers);
+	list_for_each_entry(worker, &soak->fleet->workers, node)
+		if (n++ == *index)
+			return worker;
+	return NULL;
+}
+
+static void fault_worker(struct soak *soak)
+{
+	static const char *const names[] = { "well",	"mute",	   "ill",
+					     "failing", "stalled", "late" };
+	static const enum site_worker_fault faults[] = {
+		SITE_WORKER_WELL,    SITE_WORKER_MUTE,	  SITE_WORKER_ILL,
+		SITE_WORKER_FAILING, SITE_WORKER_STALLED, SITE_WORKER_LATE
+	};
+	int index, n = soak_below(soak, 6);
+	struct site_worker *worker = any_worker(soak, &index);
+
+	/* Failing ones use attempts up, which would fail good jobs. */
+	if (faults[n] == SITE_WORKER_FAILING)
+		n = 0;
+	switch (soak_below(soak, 5)) {
+	case 0:
+		say(soak, worker->up ? "crash" : "restart", worker->id);
+		if (worker->up)
+			site_worker_crash(worker);
+		else
+			site_worker_restart(worker);
+		break;
+	case 1:
+		say(soak, "way", worker->id);
+		sr_relay_set(soak->worker_relays[index],
+			     (enum sr_relay_state)soak_below(soak, 5));
+		break;
+	case 2:
+		say(soak, "silence", worker->id);
+		sr_relay_silence(soak->worker_relays[index]);
+		break;
+	default:
+		say(soak, names[n], worker->id);
+		worker->fault = faults[n];
+		worker->percent = 40;
+		break;
+	}
+}
+
+/* ---- operators ---- */
+
+static void change_config(struct soak *soak)
+{
+	char *text;
+
+	soak->config_version += 1 + soak_below(soak, 3);
+	say(soak, "config", "store");
+	text = g_strdup_printf(
+		"{\"version\":%d,\"routes\":[{\"name\":\"q\",\"host\":"
+		"\"127.0.0.1\",\"prefix\":\"/jobs/\",\"slo_ms\":1000,"
+		"\"prio\":1,\"svc\":\"pool\",\"attempts\":3,\"stretch\":3.0}],"
+		"\"svcs\":[{\"name\":\"pool\"}],\"limits\":{},\"tenants\":[{"
+		"\"name\":\"one\",\"api_keys\":[\"%s\",\"key-%d\"]}]}",
+		soak->config_version, SOAK_KEY, soak->config_version);
+	site_store_put(soak->store, "op/config", text);
+	g_free(text);
+}
+
+void soak_faults_step(struct soak *soak)
+{
+	if (!soak_chance(soak, 6))
+		return;
+	soak->faults++;
+	switch (soak_below(soak, 9)) {
+	case 0:
+	case 1:
+		fault_host(soak);
+		break;
+	case 2:
+		fault_way(soak);
+		break;
+	case 3:
+		fault_store(soak);
+		break;
+	case 4:
+		change_config(soak);
+		break;
+	case 5:
+	case 6:
+		soak_faults_heal(soak);
+		break;
+	default:
+		fault_worker(soak);
+		break;
+	}
+}
+
+void soak_faults_heal(struct soak *soak)
+{
+	struct site_worker *worker;
+	int i = 0;
+
+	site_store_fault(soak->store, -1, SITE_WELL, 0, 0);
+	list_for_each_entry(worker, &soak->fleet->workers, node) {
+		sr_relay_set(soak->worker_relays[i++], SR_OPEN);
+		worker->fault = SITE_WORKER_WELL;
+		if (!worker->up)
+			site_worker_restart(worker);
+	}
+	for (i = 0; i < soak->options.hosts; i++) {
+		struct soak_host *host = &soak->hosts[i];
+
+		sr_relay_set(host->relay, SR_OPEN);
+		if (host->frozen)
+			freeze_host(soak, host);
+	}
+}
--- /dev/null
+++ b/tests/soak/soak_jobs.c
@@ -0,0 +1,271 @@
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "base/err.h"
+#include "base/limits.h"
+#include "tests/soak/soak.h"
+
+#define JOBS_MAX 400
+#define TRIES_MAX 12
+#define CALL_TIMEOUT_MS 4000
+
+enum soak_phase { SOAK_HANDING_IN, SOAK_ACCEPTED, SOAK_REJECTED, SOAK_UNKNOWN };
+
+/* One job, as its caller sees it. */
+struct soak_job {
+	struct list_head node;
+	struct soak *soak;
+	char id[20];
+	char *body;
+	bool poison; /* fails until its attempts are used up */
+	enum soak_phase phase;
+	int tries;
+	bool only_refusals; /* so far each try was answered 429 or 503 */
+	bool cancelling;
+	bool cancelled; /* and its caller was told so */
+	char state[16]; /* as it was told last */
+	int64_t next_us;
+	struct hc_call call;
+	bool calling;
+	enum { CALL_POST, CALL_GET, CALL_DELETE } kind;
+};
+
+static struct soak_host *any_host(struct soak *soak)
+{
+	return &soak->hosts[soak_below(soak, soak->options.hosts)];
+}
+
+static char *make_body(struct soak *soak, bool *poison)
+{
+	int count = 1 + soak_below(soak, 6);
+	bool gang = soak_chance(soak, 35);
+	bool steps = !gang && soak_chance(soak, 30);
+	int ms = 100 + soak_below(soak, 1200);
+	char *payload, *body;
+
+	*poison = soak_chance(soak, 6);
+	payload = g_strdup_printf("ms=%d gpus=%d gang=%d before=%d fail=%d "
+				  "attempts=3 beyond=%d",
+				  ms, 1, gang ? count : 0, count,
+				  *poison ? 99 :
+				  gang	  ? 0 :
+					    soak_below(soak, 2),
+				  steps ? 2 : 0);
+	body = g_strdup_printf(
+		"{\"spec\":\"%s\",\"steps\":[{\"count\":%d,\"cpu\":1000,"
+		"\"mem_mb\":100,\"gpu\":1,\"est_ms\":%d%s%s}%s%s]}",
+		payload, count, ms, gang ? ",\"gang\":true" : "",
+		steps ? ",\"max_per_server\":2" : "",
+		steps ? ",{\"count\":2,\"cpu\":500,\"gpu\":1,\"est_ms\":200,"
+			"\"after\":[0],\"max_per_server\":2}" :
+			"",
+		"");
+	g_free(payload);
+	return body;
+}
+
+static void add_job(struct soak *soak)
+{
+	struct soak_job *job = g_new0(struct soak_job, 1);
+
+	job->soak = soak;
+	snprintf(job->id, sizeof(job->id), "%08x%08x", g_rand_int(soak->rand),
+		 g_rand_int(soak->rand));
+	job->body = make_body(soak, &job->poison);
+	job->only_refusals = true;
+	list_add_tail(&job->node, &soak->jobs);
+}
+
+/* ---- answers ---- */
+
+static void on_post(struct soak_job *job, int status)
+{
+	struct soak *soak = job->soak;
+
+	if (status == 200) {
+		job->phase = SOAK_ACCEPTED;
+		soak->accepted++;
+		if (soak_chance(soak, 10))
+			job->cancelling = true;
+		return;
+	}
+	job->only_refusals &= status == 429 || status == 503;
+	if (job->tries < TRIES_MAX)
+		return;
+	job->phase = job->only_refusals ? SOAK_REJECTED : SOAK_UNKNOWN;
+	if (job->only_refusals)
+		soak->rejected++;
+	else
+		soak->unknown++;
+}
+
+static bool is_final(const char *state)
+{
+	return strcmp(state, "done") == 0 || strcmp(state, "failed") == 0 ||
+	       strcmp(state, "cancelled") == 0;
+}
+
+static void on_state(struct soak_job *job, int status, const char *body)
+{
+	static const char *const states[] = { "queued", "running", "done",
+					      "failed", "cancelled" };
+	size_t i;
+
+	if (status == 410)
+		soak_violated(job->soak, "LOST", job->id,
+			      "an accepted job is not known");
+	if (status != 200 || !body)
+		return;
+	for (i = 0; i < G_N_ELEMENTS(states); i++) {
+		if (!strstr(body, states[i]))
+			continue;
+		if (is_final(job->state) && strcmp(job->state, states[i]) != 0)
+			soak_violated(job->soak, "MIXED", job->id,
+				      "an ended job has another state");
+		g_strlcpy(job->state, states[i], sizeof(job->state));
+	}
+}
+
+static void on_cancel(struct soak_job *job, int status)
+{
+	if (status == 410)
+		soak_violated(job->soak, "LOST", job->id,
+			      "an accepted job is not there to be cancelled");
+	if (status != 200)
+		return;
+	job->cancelling = false;
+	job->cancelled = true;
+	site_fleet_cancelled(job->soak->fleet, job->id);
+}
+
+static void on_done(struct hc_call *call)
+{
+	struct soak_job *job = call->user;
+	char *body = call->body ?
+			     g_strndup((char *)call->body, call->body_len) :
+			     NULL;
+	int status = call->result == CB_OK ? call->status : 0;
+
+	job->calling = false;
+	job->next_us = kn_now_us() +
+		       (100 + soak_below(job->soak, 500)) * USEC_PER_MSEC;
+	if (job->kind == CALL_POST)
+		on_post(job, status);
+	else if (job->kind == CALL_GET)
+		on_state(job, status, body);
+	else
+		on_cancel(job, status);
+	g_free(body);
+	hc_call_finish(call);
+}
+
+static void start_call(struct soak_job *job, const char *method)
+{
+	struct soak_host *host = any_host(job->soak);
+	bool post = job->kind == CALL_POST;
+	struct http_headers headers;
+	char path[64];
+
+	snprintf(path, sizeof(path), "/jobs/%s", job->id);
+	http_headers_init(&headers);
+	http_headers_add(&headers, "Chivebank-Key", SOAK_KEY);
+	http_headers_add(&headers, "Chivebank-Deadline-Ms", "3000");
+	job->calling = hc_call_start(&job->call, &host->pool, method, path,
+				     &headers, post ? job->body : NULL,
+				     post ? strlen(job->body) : 0,
+				     CALL_TIMEOUT_MS, on_done);
+	job->call.user = job;
+	http_headers_finish(&headers);
+}
+
+static void step_job(struct soak_job *job)
+{
+	if (job->calling || kn_now_us() < job->next_us)
+		return;
+	if (job->phase == SOAK_HANDING_IN) {
+		job->kind = CALL_POST;
+		job->tries++;
+		start_call(job, "POST");
+	} else if (job->phase == SOAK_ACCEPTED && job->cancelling) {
+		job->kind = CALL_DELETE;
+		start_call(job, "DELETE");
+	} else if (job->phase == SOAK_ACCEPTED && !is_final(job->state)) {
+		job->kind = CALL_GET;
+		start_call(job, "GET");
+	}
+}
+
+void soak_jobs_step(struct soak *soak)
+{
+	struct soak_job *job;
+	int open = 0;
+
+	list_for_each_entry(job, &soak->jobs, node) {
+		step_job(job);
+		open += job->phase == SOAK_HANDING_IN;
+	}
+	if (!soak->healing && soak->accepted < JOBS_MAX && open < 20 &&
+	    soak_chance(soak, 8))
+		add_job(soak);
+}
+
+bool soak_jobs_settled(struct soak *soak)
+{
+	struct soak_job *job;
+
+	list_for_each_entry(job, &soak->jobs, node)
+		if (job->phase == SOAK_HANDING_IN ||
+		    (job->phase == SOAK_ACCEPTED &&
+		     (job->cancelling || !is_final(job->state))))
+			return false;
+	return true;
+}
+
+static bool has_run(struct soak *soak, const char *id)
+{
+	GHashTableIter iter;
+	gpointer name;
+
+	g_hash_table_iter_init(&iter, soak->fleet->tasks);
+	while (g_hash_table_iter_next(&iter, &name, NULL))
+		if (g_str_has_prefix(name, id))
+			return true;
+	return false;
+}
+
+void soak_jobs_check(struct soak *soak)
+{
+	struct soak_job *job;
+
+	list_for_each_entry(job, &soak->jobs, node) {
+		if (job->phase == SOAK_REJECTED && has_run(soak, job->id))
+			soak_violated(soak, "REFUSED", job->id,
+				      "it ran, and all tries were refused");
+		if (job->phase != SOAK_ACCEPTED)
+			continue;
+		if (!is_final(job->state))
+			soak_violated(soak, "LOST", job->id,
+				      "it did not end after the faults");
+		else if (strcmp(job->state, "failed") == 0 && !job->poison)
+			soak_violated(soak, "LOST", job->id,
+				      "it is shown as failed without cause");
+		else if (strcmp(job->state, "cancelled") == 0 &&
+			 !job->cancelled)
+			soak_violated(soak, "LOST", job->id,
+				      "nobody has cancelled it");
+	}
+}
+
+void soak_jobs_finish(struct soak *soak)
+{
+	struct soak_job *job, *next;
+
+	list_for_each_entry_safe(job, next, &soak->jobs, node) {
+		if (job->calling)
+			hc_call_cancel(&job->call);
+		list_del(&job->node);
+		g_free(job->body);
+		g_free(job);
+	}
+}
--- /dev/null
+++ b/tests/soak/soak_main.c
@@ -0,0 +1,266 @@
+#include <argp.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+#include <unistd.h>
+
+#include "base/ev.h"
+#include "base/limits.h"
+#include "tests/soak/soak.h"
+#include "tests/standins/sr_proc.h"
+#include "tests/standins/sr_relay.h"
+#include "wire/sock.h"
+
+#define STEP_MS 20
+#define SETTLE_SEC 60 /* after the faults, for the longest chain of retries */
+
+static const struct argp_option option_table[] = {
+	{ "seed", 's', "N", 0, "Course of faults and load", 0 },
+	{ "seconds", 't', "N", 0, "Length of the faults", 0 },
+	{ "hosts", 'n', "N", 0, "Entry hosts", 0 },
+	{ "workers", 'w', "N", 0, "Workers", 0 },
+	{ "binary", 'b', "FILE", 0, "chivebankd", 0 },
+	{ "dir", 'd', "DIR", 0, "Settings and logs", 0 },
+	{ 0 }
+};
+
+static error_t parse_option(int key, char *arg, struct argp_state *state)
+{
+	struct soak_options *options = state->input;
+
+	switch (key) {
+	case 's':
+		options->seed = (uint32_t)strtoul(arg, NULL, 10);
+		return 0;
+	case 't':
+		options->seconds = atoi(arg);
+		return 0;
+	case 'n':
+		options->hosts = CLAMP(atoi(arg), 1, SOAK_HOSTS_MAX);
+		return 0;
+	case 'w':
+		options->workers = atoi(arg);
+		return 0;
+	case 'b':
+		options->binary = arg;
+		return 0;
+	case 'd':
+		options->dir = arg;
+		return 0;
+	default:
+		return ARGP_ERR_UNKNOWN;
+	}
+}
+
+static const struct argp argp = { .options = option_table,
+				  .parser = parse_option };
+
+int soak_below(struct soak *soak, int n)
+{
+	return g_rand_int_range(soak->rand, 0, n);
+}
+
+bool soak_chance(struct soak *soak, int percent)
+{
+	return soak_below(soak, 100) < percent;
+}
+
+void soak_violated(struct soak *soak, const char *rule, const char *id,
+		   const char *detail)
+{
+	g_ptr_array_add(soak->fleet->violations,
+			g_strdup_printf("%s: %s: %s", rule, id, detail));
+	printf("%9.3f VIOLATION %s: %s: %s\n", (double)kn_now_us() / 1e6, rule,
+	       id, detail);
+}
+
+/* Ports are below those that the kernel hands out. */
+static int next_port(struct soak *soak)
+{
+	static int port;
+	int fd;
+
+	if (port == 0)
+		port = 12000 + (int)(soak->options.seed * 37 % 8000) +
+		       (int)(getpid() % 50) * 200;
+	for (;;) {
+		port = port >= 31000 ? 12000 : port + 1;
+		fd = sock_listen("127.0.0.1", port);
+		if (fd < 0)
+			continue;
+		close(fd);
+		return port;
+	}
+}
+
+static void write_settings(struct soak *soak, struct soak_host *host)
+{
+	GString *seeds = g_string_new(NULL);
+	char *text;
+	int i;
+
+	for (i = 0; i < soak->options.hosts && i < 3; i++)
+		g_string_append_printf(seeds, "%s\"127.0.0.1:%d\"",
+				       i ? "," : "", soak->hosts[i].peers_port);
+	text = g_strdup_printf(
+		"{\"node\":\"%s\",\"zone\":\"d1\",\"region\":\"r1\","
+		"\"listen\":{\"front\":\"127.0.0.1:%d\","
+		"\"ctl\":\"127.0.0.1:%d\"},\"seeds\":[%s],"
+		"\"limits\":{\"cpu_share\":1,\"cores\":1},"
+		"\"platform\":{\"addr\":\"127.0.0.1:%d\"},"
+		"\"bounds\":{\"max_hold_ms\":3000,\"stop_ms\":100,"
+		"\"gang_ms\":1000,\"config_ms\":2500,\"status_s\":600,"
+		"\"grace_s\":2}}",
+		host->name, host->callers_port, host->peers_port, seeds->str,
+		sr_relay_port(host->relay));
+	snprintf(host->settings, sizeof(host->settings), "%s/%s.json",
+		 soak->options.dir, host->name);
+	if (!g_file_set_contents(host->settings, text, -1, NULL))
+		abort();
+	g_free(text);
+	g_string_free(seeds, TRUE);
+}
+
+static void add_workers(struct soak *soak)
+{
+	static const struct site_bounds bounds = {
+		.max_hold_ms = 3000,
+		.gang_ms = 1000,
+		.stop_ms = 100,
+		.beat_ms = 400,
+		.late_ms = 1500,
+	};
+	char rack[32];
+	int i;
+
+	soak->fleet = site_fleet_new(&soak->kn, soak->store, &bounds,
+				     soak->options.seed);
+	/* A cancellation takes effect after a takeover at the latest. */
+	soak->fleet->cancel_ms = SETTLE_SEC * 1000;
+	soak->worker_relays = g_new0(int, soak->options.workers);
+	for (i = 0; i < soak->options.workers; i++) {
+		struct site_worker *worker;
+
+		snprintf(rack, sizeof(rack), "rack-%d", i / 4);
+		worker = site_fleet_add(soak->fleet, rack, 4, next_port(soak));
+		soak->worker_relays[i] =
+			sr_relay_new(next_port(soak), worker->server.port);
+		worker->told_port = sr_relay_port(soak->worker_relays[i]);
+	}
+}
+
+static void add_hosts(struct soak *soak)
+{
+	int i;
+
+	for (i = 0; i < soak->options.hosts; i++) {
+		struct soak_host *host = &soak->hosts[i];
+		int port = site_store_open(soak->store, next_port(soak));
+
+		host->door = soak->store->ndoors - 1;
+		snprintf(host->name, sizeof(host->name), "host-%c", 'a' + i);
+		host->callers_port = next_port(soak);
+		host->peers_port = next_port(soak);
+		host->relay = sr_relay_new(next_port(soak), port);
+		hc_pool_init(&host->pool, &soak->kn, "127.0.0.1",
+			     host->callers_port, 64);
+		host->pool.connect_timeout_ms = 500;
+	}
+	for (i = 0; i < soak->options.hosts; i++) {
+		write_settings(soak, &soak->hosts[i]);
+		if (!soak_host_start(soak, &soak->hosts[i]))
+			abort();
+	}
+}
+
+static void put_config(struct soak *soak)
+{
+	soak->config_version = 1;
+	site_store_put(
+		soak->store, "op/config",
+		"{\"version\":1,\"routes\":[{\"name\":\"q\",\"host\":"
+		"\"127.0.0.1\",\"prefix\":\"/jobs/\",\"slo_ms\":1000,"
+		"\"prio\":1,\"svc\":\"pool\",\"attempts\":3,\"stretch\":3.0}],"
+		"\"svcs\":[{\"name\":\"pool\"}],\"limits\":{},\"tenants\":[{"
+		"\"name\":\"one\",\"api_keys\":[\"" SOAK_KEY "\"]}]}");
+}
+
+static void on_wake(struct kn_timer *timer)
+{
+}
+
+static void run_step(struct soak *soak)
+{
+	int64_t until_us = kn_now_us() + STEP_MS * USEC_PER_MSEC;
+	struct kn_timer timer = { 0 };
+
+	while (kn_now_us() < until_us) {
+		kn_timer_set(&soak->kn, &timer, MAX(until_us - kn_now_us(), 0),
+			     on_wake);
+		kn_turn(&soak->kn);
+		kn_timer_cancel(&timer);
+	}
+	soak_hosts_step(soak);
+	soak_jobs_step(soak);
+}
+
+static void run(struct soak *soak)
+{
+	int64_t end_us = kn_now_us() + soak->options.seconds * USEC_PER_SEC;
+
+	while (kn_now_us() < end_us) {
+		run_step(soak);
+		soak_faults_step(soak);
+	}
+	soak_faults_heal(soak);
+	soak->healing = true;
+	end_us = kn_now_us() + SETTLE_SEC * USEC_PER_SEC;
+	while (kn_now_us() < end_us && !soak_jobs_settled(soak))
+		run_step(soak);
+	soak_jobs_check(soak);
+}
+
+int main(int argc, char **argv)
+{
+	static struct soak soak = {
+		.options = { .seed = 1,
+			     .seconds = 20,
+			     .hosts = 3,
+			     .workers = 6,
+			     .binary = "build/chivebankd",
+			     .dir = "build/soak" },
+	};
+	guint failed;
+	int i;
+
+	if (argp_parse(&argp, argc, argv, 0, NULL, &soak.options))
+		return EXIT_FAILURE;
+	setvbuf(stdout, NULL, _IOLBF, 0);
+	soak.rand = g_rand_new_with_seed(soak.options.seed);
+	list_init(&soak.jobs);
+	if (!sr_proc_init(soak.options.dir) || !kn_init(&soak.kn, NULL))
+		return EXIT_FAILURE;
+	ev_init(soak.options.seed);
+	sr_relay_start();
+	soak.store = site_store_new(&soak.kn, soak.options.seed);
+	add_workers(&soak);
+	put_config(&soak);
+	if (!kn_start(&soak.kn, NULL))
+		return EXIT_FAILURE;
+	add_hosts(&soak);
+	run(&soak);
+	failed = soak.fleet->violations->len;
+	printf("seed=%u accepted=%d rejected=%d unknown=%d faults=%d "
+	       "starts=%llu violations=%u\n",
+	       soak.options.seed, soak.accepted, soak.rejected, soak.unknown,
+	       soak.faults, (unsigned long long)soak.fleet->starts, failed);
+	sr_proc_kill_all();
+	soak_jobs_finish(&soak);
+	for (i = 0; i < soak.options.hosts; i++)
+		hc_pool_finish(&soak.hosts[i].pool);
+	kn_finish(&soak.kn);
+	sr_relay_stop();
+	g_rand_free(soak.rand);
+	g_free(soak.worker_relays);
+	return failed ? EXIT_FAILURE : EXIT_SUCCESS;
+}
--- a/tests/standins/site_fleet.c
+++ b/tests/standins/site_fleet.c
@@ -637,7 +637,7 @@
 	json_t *entry = json_pack(
 		"{s:s,s:o,s:s,s:s,s:i,s:s,s:i,s:{s:I,s:I,s:I},s:[s,s],s:I,s:I}",
 		"svc", "pool", "addr",
-		json_sprintf("127.0.0.1:%d", worker->server.port), "zone", "d1",
+		json_sprintf("127.0.0.1:%d", worker->told_port), "zone", "d1",
 		"version", "v1", "slots", 8, "state",
 		worker->draining ? "draining" : "ready", "cold_left_ms", 0,
 		"headroom", "cpu", (json_int_t)128000, "mem_mb",
@@ -757,6 +757,7 @@
 	if (!hs_init(&worker->server, fleet->task.kn, &worker_ops, "127.0.0.1",
 		     port, NULL))
 		abort();
+	worker->told_port = worker->server.port;
 	snprintf(worker->id, sizeof(worker->id), "w-%d", worker->server.port);
 	g_strlcpy(worker->rack, rack, sizeof(worker->rack));
 	worker->gpus = gpus;
--- a/tests/standins/site_fleet.h
+++ b/tests/standins/site_fleet.h
@@ -35,6 +35,7 @@
 	struct list_head node;
 	struct site_fleet *fleet;
 	struct hs_server server;
+	int told_port; /* in its entry: its own, or that of a relay */
 	char id[32];
 	char rack[16];
 	int64_t gpus;
--- a/tests/standins/sr_proc.h
+++ b/tests/standins/sr_proc.h
@@ -5,7 +5,7 @@
 #include <stdint.h>
 #include <sys/types.h>
 
-#define SR_PROCS_MAX 64
+#define SR_PROCS_MAX 4096
 
 /* The processes that a scenario has started; ids count from 0. */
 bool sr_proc_init(const char *dir);
--- a/tests/standins/sr_relay.c
+++ b/tests/standins/sr_relay.c
@@ -22,12 +22,14 @@
 	size_t len;
 	bool ended; /* the sender has closed its side */
 	bool shut; /* and the receiver has been told */
+	int64_t due_us; /* what was read is sent then */
 };
 
 struct pair {
 	struct list_head node;
 	int fd[2]; /* 0: accepted, 1: connected to the target */
 	struct flow flow[2]; /* flow[i] is read from fd[i] */
+	bool silent;
 };
 
 struct relay {
@@ -134,7 +136,15 @@
 		flow->ended = n == 0;
 		flow->at = 0;
 		flow->len = n > 0 ? (size_t)n : 0;
+		flow->due_us =
+			relay->state == SR_SLOW ?
+				g_get_monotonic_time() + SR_SLOW_MS * 1000 :
+				0;
 	}
+	if (pair->silent || (relay->state == SR_ONE_WAY && i == 1))
+		flow->len = 0;
+	if (flow->len > 0 && g_get_monotonic_time() < flow->due_us)
+		return true;
 	if (flow->len > 0) {
 		n = send(to, flow->data + flow->at, flow->len, MSG_NOSIGNAL);
 		if (n < 0)
@@ -204,7 +214,8 @@
 		*pfd += 2;
 		if (relay->state == SR_REFUSED)
 			pair_reset(pair);
-		else if (both[0].revents || both[1].revents)
+		else if (both[0].revents || both[1].revents ||
+			 pair->flow[0].due_us || pair->flow[1].due_us)
 			serve_pair(relay, pair, both);
 	}
 	if (own->revents & POLLIN)
@@ -311,6 +322,16 @@
 	g_mutex_unlock(&lock);
 }
 
+void sr_relay_silence(int id)
+{
+	struct pair *pair;
+
+	g_mutex_lock(&lock);
+	list_for_each_entry(pair, &relays[id].pairs, node)
+		pair->silent = true;
+	g_mutex_unlock(&lock);
+}
+
 int64_t sr_relay_bytes(int id)
 {
 	int64_t bytes;
