--- /dev/null
+++ b/tests/unit/test_decode.c
@@ -0,0 +1,184 @@
+#include <string.h>
+
+#include "base/err.h"
+#include "platform/decode.h"
+#include "platform/settings.h"
+#include "tests/unit/run.h"
+
+/* What others write on the platform, as types of the product. */
+
+static const char config_text[] =
+	"{\"version\":7,\"routes\":[{\"name\":\"r\",\"host\":\"a.example\","
+	"\"prefix\":\"/q/\",\"slo_ms\":300,\"prio\":0,\"svc\":\"s\","
+	"\"attempts\":3,\"stretch\":1.5,\"public\":true,\"advice\":{"
+	"\"decide_ms\":10,\"each_ms\":1,\"valid_ms\":3000}},{\"name\":\"r2\","
+	"\"host\":\"a.example\",\"prefix\":\"/q/long/\",\"svc\":\"s\"},"
+	"{\"name\":\"broken\"}],\"svcs\":[{\"name\":\"s\","
+	"\"admission_check\":true}],\"tenants\":[{\"name\":\"t\","
+	"\"api_keys\":[\"k1\",\"k2\"],\"guaranteed\":{\"gpu\":8}}]}";
+
+START_TEST(configuration)
+{
+	struct config *config =
+		platform_config_read(config_text, strlen(config_text));
+	const struct queue *queue;
+
+	ck_assert_ptr_nonnull(config);
+	ck_assert_int_eq(config->version, 7);
+	ck_assert_uint_eq(config->queues->len, 2);
+	queue = config_route(config, "A.example:80", "/q/00");
+	ck_assert_str_eq(queue->name, "r");
+	ck_assert(queue->open && queue->advised);
+	/* The longest prefix counts. */
+	queue = config_route(config, "a.example", "/q/long/00");
+	ck_assert_str_eq(queue->name, "r2");
+	ck_assert_ptr_null(config_route(config, "b.example", "/q/00"));
+	ck_assert_ptr_null(config_route(config, "a.example", "/x/00"));
+	ck_assert_int_eq(config_holder(config, "k2")->guaranteed_gpus, 8);
+	ck_assert_ptr_null(config_holder(config, "k3"));
+	ck_assert(config_pool(config, "s")->guarded);
+	config_unref(config);
+	ck_assert_ptr_null(platform_config_read("{}", 2));
+	ck_assert_ptr_null(platform_config_read("[", 1));
+}
+END_TEST
+
+static bool read_report(const char *text, struct worker_report *report)
+{
+	return platform_report_read("servers/i-1", text, strlen(text), report);
+}
+
+START_TEST(reports_of_workers)
+{
+	static const char good[] =
+		"{\"svc\":\"s\",\"addr\":\"10.0.0.9:80\",\"zone\":\"z\","
+		"\"state\":\"draining\",\"headroom\":{\"cpu\":1,\"mem_mb\":2,"
+		"\"gpu\":3},\"labels\":[\"a\",\"r1\"],\"clock_ms\":5,"
+		"\"born\":6,\"remaining_ms\":70}";
+	static const char *const bad[] = {
+		"",
+		"{}",
+		"{\"svc\":\"s\",\"addr\":\"10.0.0.9\",\"zone\":\"z\","
+		"\"state\":\"ready\",\"headroom\":{\"cpu\":1,\"mem_mb\":2},"
+		"\"clock_ms\":5,\"born\":6}",
+		"{\"svc\":\"s\",\"addr\":\"10.0.0.9:80\",\"zone\":\"z\","
+		"\"state\":\"odd\",\"headroom\":{\"cpu\":1,\"mem_mb\":2},"
+		"\"clock_ms\":5,\"born\":6}",
+		"{\"svc\":\"s\",\"addr\":\"10.0.0.9:80\",\"zone\":\"z\","
+		"\"state\":\"ready\",\"headroom\":{\"cpu\":\"1\"},"
+		"\"clock_ms\":5,\"born\":6}",
+		"{\"svc\":\"s\",\"addr\":\"10.0.0.9:80\",\"zone\":\"z\","
+		"\"state\":\"ready\",\"headroom\":{\"cpu\":1,\"mem_mb\":2},"
+		"\"clock_ms\":5,\"born\":6.5}",
+	};
+	struct worker_report report;
+	size_t i;
+
+	ck_assert(read_report(good, &report));
+	ck_assert_str_eq(report.id, "i-1");
+	ck_assert_str_eq(report.addr, "10.0.0.9");
+	ck_assert_int_eq(report.port, 80);
+	ck_assert_str_eq(report.rack, "r1");
+	ck_assert(report.draining);
+	ck_assert_int_eq(report.room.gpus, 3);
+	ck_assert_int_eq(report.remaining_ms, 70);
+	worker_report_finish(&report);
+	for (i = 0; i < G_N_ELEMENTS(bad); i++)
+		ck_assert_msg(!read_report(bad[i], &report), "entry %zu", i);
+}
+END_TEST
+
+START_TEST(submissions)
+{
+	static const char good[] =
+		"{\"spec\":\"x\",\"steps\":[{\"count\":2,\"cpu\":500,"
+		"\"affinity\":\"r1\"},{\"count\":1,\"after\":[0],"
+		"\"gang\":true,\"same_rack\":true,\"required_label\":\"a\","
+		"\"max_per_server\":3,\"checkpoint\":true}],\"times\":2,"
+		"\"first_ms\":10,\"interval_ms\":20}";
+	struct job_spec spec;
+	GError *err = NULL;
+
+	ck_assert(platform_spec_read(good, strlen(good), &spec, &err));
+	ck_assert_int_eq(spec.nsteps, 2);
+	ck_assert_str_eq(spec.steps[0].rack, "r1");
+	ck_assert_uint_eq(spec.steps[1].after, 1);
+	ck_assert(spec.steps[1].gang && spec.steps[1].same_rack);
+	ck_assert_str_eq(spec.steps[1].label, "a");
+	ck_assert_int_eq(spec.steps[1].max_per_worker, 3);
+	ck_assert_int_eq(spec.times, 2);
+	job_spec_finish(&spec);
+	ck_assert(!platform_spec_read("{\"spec\":1}", 10, &spec, &err));
+	ck_assert_int_eq(err->code, CB_E_BAD_JOB);
+	g_clear_error(&err);
+}
+END_TEST
+
+START_TEST(waves)
+{
+	static const char text[] = "{\"wave\":3,\"machines\":[\"m1\",\"m2\"],"
+				   "\"within_s\":20,\"cap\":2}";
+	struct wave *wave =
+		platform_wave_read("op/wave/3", text, strlen(text), 9);
+
+	ck_assert_int_eq(wave->number, 3);
+	ck_assert_uint_eq(wave->hosts->len, 2);
+	ck_assert_int_eq(wave->within_ms, 20000);
+	ck_assert_int_eq(wave->cap, 2);
+	wave_free(wave);
+	ck_assert_ptr_null(
+		platform_wave_read("op/other", text, strlen(text), 9));
+	ck_assert_ptr_null(platform_wave_read("op/wave/3", "{}", 2, 9));
+	ck_assert(platform_wave_done("{\"state\":\"done\"}", 16));
+	ck_assert(!platform_wave_done("{\"state\":\"running\"}", 19));
+}
+END_TEST
+
+START_TEST(settings)
+{
+	static const char good[] =
+		"{\"node\":\"n\",\"zone\":\"z\",\"region\":\"r\",\"ip\":"
+		"\"10.0.0.1\",\"listen\":{\"front\":\"10.0.0.1:1\"},"
+		"\"seeds\":[\"10.0.0.2:9\",\"bad\"],\"limits\":{\"cpu_share\":"
+		"0.25,\"cores\":2},\"bounds\":{\"grace_s\":6,\"max_hold_ms\":"
+		"9000},\"platform\":{\"addr\":\"10.0.0.3:8\"},\"new\":1}";
+	static const char *const bad[] = {
+		"",
+		"{}",
+		"{\"node\":\"\",\"zone\":\"z\",\"region\":\"r\"}",
+		"{\"node\":\"n\",\"zone\":\"z\",\"region\":\"r\"}",
+		"{\"node\":\"n\",\"zone\":\"z\",\"region\":\"r\","
+		"\"platform\":{\"addr\":\"nowhere\"}}",
+	};
+	struct site site;
+	GError *err = NULL;
+	size_t i;
+
+	ck_assert(platform_settings_parse(&site, good, strlen(good), &err));
+	ck_assert_str_eq(site.host, "n");
+	ck_assert_uint_eq(site.seed_count, 1);
+	ck_assert_double_eq_tol(site.strength, 0.5, 0.001);
+	ck_assert_int_eq(site.bounds.max_hold_ms, 9000);
+	ck_assert_int_eq(site.grace_ms, 6000);
+	ck_assert_int_eq(site.advice.port, 0);
+	for (i = 0; i < G_N_ELEMENTS(bad); i++) {
+		ck_assert_msg(!platform_settings_parse(&site, bad[i],
+						       strlen(bad[i]), &err),
+			      "settings %zu", i);
+		ck_assert_int_eq(err->code, CB_E_SETTINGS);
+		g_clear_error(&err);
+	}
+}
+END_TEST
+
+int main(void)
+{
+	TCase *tc = tcase_create("decode");
+
+	tcase_add_test(tc, configuration);
+	tcase_add_test(tc, reports_of_workers);
+	tcase_add_test(tc, submissions);
+	tcase_add_test(tc, waves);
+	tcase_add_test(tc, settings);
+	return run_case("decode", tc);
+}
--- /dev/null
+++ b/tests/unit/test_record.c
@@ -0,0 +1,183 @@
+#include <string.h>
+
+#include "control/record.h"
+#include "fleet/plan.h"
+#include "tests/standins/fleet_make.h"
+#include "tests/unit/run.h"
+
+/* Records of jobs in the store: written by one leader, read by the next. */
+
+#define NOW 100000000LL
+
+static struct fleet fleet, next;
+static struct config *config, *next_config;
+
+static void set_up(void)
+{
+	make_fleet(&fleet, &config);
+	make_fleet(&next, &next_config);
+	make_worker(&fleet, "w1", "r", 8, NOW);
+	make_worker(&next, "w1", "r", 8, NOW);
+}
+
+static void tear_down(void)
+{
+	make_fleet_end(&fleet, config);
+	make_fleet_end(&next, next_config);
+}
+
+static struct job *copy_submission(const struct job *job)
+{
+	struct submission head = { .queue = job->queue,
+				   .pool = job->pool,
+				   .customer = job->customer,
+				   .priority = job->priority,
+				   .attempts = job->attempts,
+				   .stretch = job->stretch,
+				   .slo_ms = job->slo_ms,
+				   .accepted_ms = 77 };
+	msgpack_sbuffer record;
+	struct job *copy;
+
+	record_submission_write(&head, &job->spec, &record);
+	copy = record_submission_read(job->id, record.data, record.size);
+	msgpack_sbuffer_destroy(&record);
+	return copy;
+}
+
+START_TEST(submission_survives)
+{
+	struct job *job = make_job(&fleet, "j", 1, 3, 2, 1500, NOW);
+	struct job *copy;
+
+	job->stretch = 1.5;
+	job->spec.steps[0].gang = true;
+	job->spec.steps[0].checkpoint = true;
+	job->spec.steps[0].label = g_strdup("ssd");
+	job->spec.steps[0].max_per_worker = 2;
+	copy = copy_submission(job);
+	ck_assert_ptr_nonnull(copy);
+	ck_assert_str_eq(copy->queue, "q");
+	ck_assert_str_eq(copy->spec.payload, "payload");
+	ck_assert_int_eq(copy->accepted_ms, 77);
+	ck_assert_double_eq_tol(copy->stretch, 1.5, 0.001);
+	ck_assert(copy->spec.steps[0].gang && copy->spec.steps[0].checkpoint);
+	ck_assert(!copy->spec.steps[0].same_rack);
+	ck_assert_str_eq(copy->spec.steps[0].label, "ssd");
+	ck_assert_int_eq(copy->spec.steps[0].max_per_worker, 2);
+	ck_assert_int_eq(copy->spec.steps[0].need.gpus, 2);
+	job_free(copy);
+}
+END_TEST
+
+/* The next leader knows each run that may be under way, and no other. */
+START_TEST(state_survives_a_takeover)
+{
+	struct job *job = make_job(&fleet, "j", 1, 4, 1, 1500, NOW);
+	msgpack_sbuffer record;
+	enum job_phase phase;
+	struct job *copy;
+	char *customer;
+
+	fleet_open_due(&fleet, NOW, 0);
+	plan_pass(&fleet, NOW);
+	make_started(&fleet, NOW);
+	make_end(&fleet, make_task(job, 0, 0), RUN_DONE, NOW);
+	make_end(&fleet, make_task(job, 0, 1), RUN_FAILED, NOW);
+	make_task(job, 0, 2)->checkpoint = g_strdup("saved");
+	record_state_write(job, &record);
+	ck_assert(
+		record_phase_read(record.data, record.size, &phase, &customer));
+	ck_assert_int_eq(phase, JOB_RUNNING);
+	ck_assert_str_eq(customer, "one");
+	g_free(customer);
+
+	copy = copy_submission(job);
+	fleet_add_job(&next, copy);
+	ck_assert(
+		record_state_read(&next, copy, record.data, record.size, NOW));
+	msgpack_sbuffer_destroy(&record);
+	ck_assert(copy->started);
+	ck_assert_int_eq(make_task(copy, 0, 0)->phase, TASK_DONE);
+	ck_assert_ptr_null(make_task(copy, 0, 0)->worker);
+	ck_assert_int_eq(make_task(copy, 0, 1)->fails, 1);
+	ck_assert_ptr_null(make_task(copy, 0, 1)->worker);
+	ck_assert_int_eq(make_task(copy, 0, 2)->phase, TASK_STARTING);
+	ck_assert_str_eq(make_task(copy, 0, 2)->worker->said.id, "w1");
+	ck_assert_str_eq(make_task(copy, 0, 2)->checkpoint, "saved");
+	ck_assert_int_eq(job_stage(copy, 0, 0)->left, 3);
+}
+END_TEST
+
+START_TEST(ended_job_keeps_its_phase)
+{
+	struct job *job = make_job(&fleet, "j", 1, 1, 1, 1500, NOW);
+	msgpack_sbuffer record;
+	struct job *copy;
+
+	fleet_open_due(&fleet, NOW, 0);
+	fleet_cancel(&fleet, job, 5);
+	record_state_write(job, &record);
+	copy = copy_submission(job);
+	fleet_add_job(&next, copy);
+	ck_assert(
+		record_state_read(&next, copy, record.data, record.size, NOW));
+	msgpack_sbuffer_destroy(&record);
+	ck_assert_int_eq(copy->phase, JOB_CANCELLED);
+	ck_assert_int_eq(copy->ended_ms, 5);
+	ck_assert_int_eq(plan_pass(&next, NOW), 0);
+}
+END_TEST
+
+/* Every prefix of a record, and every record with one byte changed. */
+START_TEST(broken_records_are_refused)
+{
+	struct job *job = make_job(&fleet, "j", 1, 2, 1, 1500, NOW);
+	struct submission head = { .queue = (char *)"q",
+				   .pool = (char *)MAKE_POOL,
+				   .customer = (char *)"one" };
+	msgpack_sbuffer record;
+	size_t i;
+
+	record_submission_write(&head, &job->spec, &record);
+	for (i = 0; i < record.size; i++) {
+		struct job *copy = record_submission_read("j", record.data, i);
+
+		ck_assert_ptr_null(copy);
+		record.data[i] ^= 0x55;
+		copy = record_submission_read("j", record.data, record.size);
+		if (copy)
+			job_free(copy);
+		record.data[i] ^= 0x55;
+	}
+	msgpack_sbuffer_destroy(&record);
+}
+END_TEST
+
+START_TEST(counts_of_waiting_jobs)
+{
+	msgpack_sbuffer record;
+
+	make_job(&fleet, "a", 1, 1, 1, 100, NOW);
+	make_job(&fleet, "b", 1, 1, 1, 100, NOW)->started = true;
+	record_waiting_write(&fleet, &record);
+	ck_assert_int_eq(record_waiting_read(record.data, record.size, "q"), 1);
+	ck_assert_int_eq(record_waiting_read(record.data, record.size, "x"),
+			 -1);
+	msgpack_sbuffer_destroy(&record);
+	ck_assert_int_eq(record_waiting_read("", 0, "q"), -1);
+}
+END_TEST
+
+int main(void)
+{
+	TCase *tc = tcase_create("record");
+
+	tcase_add_checked_fixture(tc, set_up, tear_down);
+	tcase_add_test(tc, submission_survives);
+	tcase_add_test(tc, state_survives_a_takeover);
+	tcase_add_test(tc, ended_job_keeps_its_phase);
+	tcase_add_test(tc, broken_records_are_refused);
+	tcase_add_test(tc, counts_of_waiting_jobs);
+	return run_case("record", tc);
+}
