--- a/cli/cli.c
+++ b/cli/cli.c
@@ -165,6 +165,9 @@
 	  "Merge the event lines of several log files into one time line, "
 	  "with the clocks of the hosts corrected by their peer.clock events",
 	  no_options, 1, CLI_ARGS_MAX, cli_timeline },
+	{ "explain", "ID FILE...",
+	  "Print what several log files tell of one job, in order of time",
+	  no_options, 2, CLI_ARGS_MAX, cli_explain },
 };
 
 /* ---- parsing ---- */
--- a/cli/cli.h
+++ b/cli/cli.h
@@ -110,5 +110,6 @@
 int cli_events(struct cli *cli, struct cli_opts *o);
 int cli_ticket(struct cli *cli, struct cli_opts *o);
 int cli_timeline(struct cli *cli, struct cli_opts *o);
+int cli_explain(struct cli *cli, struct cli_opts *o);
 
 #endif
--- a/fleet/fleet.c
+++ b/fleet/fleet.c
@@ -272,6 +272,8 @@
 	g_free(task->ticket);
 	task->ticket = NULL;
 	task->change = fleet_touch(fleet, task->stage->job);
+	note(fleet, "task.planned", task->stage->job, task,
+	     task->stage->spec->gang ? "the gang fits" : "there is room");
 }
 
 void fleet_adopt_run(struct fleet *fleet, struct task *task,
--- a/fleet/reclaim.c
+++ b/fleet/reclaim.c
@@ -234,6 +234,7 @@
 {
 	double loss = 0;
 	GArray *offers = choose_best(p, stage, tasks_waiting(stage), &loss);
+	char *why;
 	guint i, v;
 
 	if (!offers)
@@ -245,6 +246,7 @@
 	g_free(stage->reserved);
 	stage->reserved = g_new0(struct worker *, offers->len + 1);
 	stage->reserved_us = p->now_us;
+	why = g_strdup_printf("room for job %s", stage->job->id);
 	for (i = 0; i < offers->len; i++) {
 		struct offer *offer = &g_array_index(offers, struct offer, i);
 
@@ -256,9 +258,10 @@
 				g_ptr_array_index(offer->victims, v);
 
 			p->fleet->preempted++;
-			fleet_stop(p->fleet, task, "room for a guaranteed job");
+			fleet_stop(p->fleet, task, why);
 		}
 	}
+	g_free(why);
 	offers_free(offers);
 	return true;
 }
--- a/tests/standins/site_fleet.c
+++ b/tests/standins/site_fleet.c
@@ -19,6 +19,7 @@
 	bool noted; /* and that end was acknowledged */
 	struct site_worker *done_at;
 	int64_t done_born_ms; /* life of the worker */
+	int64_t done_lapses; /* of its lease before the end */
 };
 
 struct site_run {
@@ -156,6 +157,15 @@
 		violated(worker->fleet, "ROUTE", run->name, "too many");
 }
 
+/* The worker's lease has not run out since the end. */
+static bool same_lease(const struct site_task *task)
+{
+	const struct site_worker *worker = task->done_at;
+
+	return worker->born_ms == task->done_born_ms &&
+	       worker->lapses == task->done_lapses && !worker->lapsed;
+}
+
 /*
  * An end that was never acknowledged is void once the lease of its worker has
  * lapsed, or its life is over: nobody can know of it.
@@ -164,9 +174,7 @@
 {
 	const struct site_worker *worker = task->done_at;
 
-	return task->noted ||
-	       (worker->up && worker->born_ms == task->done_born_ms &&
-		clock_ms(worker) <= worker->until_ms);
+	return task->noted || (worker->up && same_lease(task));
 }
 
 static void check_start(struct site_worker *worker, const struct site_run *run,
@@ -248,6 +256,7 @@
 		run->task->noted = false;
 		run->task->done_at = worker;
 		run->task->done_born_ms = worker->born_ms;
+		run->task->done_lapses = worker->lapses;
 		worker->fleet->dones++;
 	}
 	if (strcmp(how, "failed") == 0)
@@ -471,7 +480,7 @@
 		if (end->number > noted)
 			return;
 		if (strcmp(end->how, "done") == 0 &&
-		    end->task->done_at == worker)
+		    end->task->done_at == worker && same_lease(end->task))
 			end->task->noted = true;
 		g_ptr_array_remove_index(worker->ends, 0);
 	}
@@ -709,9 +718,13 @@
 	list_for_each_entry(worker, &fleet->workers, node) {
 		if (!worker->up)
 			continue;
-		if (!list_empty(&worker->runs) &&
-		    clock_ms(worker) > worker->until_ms)
+		if (clock_ms(worker) <= worker->until_ms) {
+			worker->lapsed = false;
+		} else if (!worker->lapsed) {
+			worker->lapsed = true;
+			worker->lapses++;
 			lapse_all(worker);
+		}
 		advance_all(worker, TICK_MS * USEC_PER_MSEC);
 		answer_holds(worker, worker->ends->len > 0);
 		if (beat && !worker->unlisted)
--- a/tests/standins/site_fleet.h
+++ b/tests/standins/site_fleet.h
@@ -49,6 +49,8 @@
 	double pace; /* of its work, 1: as usual */
 	int64_t fence;
 	int64_t until_ms; /* lease, on its own clock */
+	int64_t lapses; /* times that the lease has run out */
+	bool lapsed; /* and it is out now */
 	int64_t next_end;
 	struct list_head runs; /* struct site_run */
 	GPtrArray *ends; /* struct site_end */
