--- /dev/null
+++ b/control/director_feed.c
@@ -0,0 +1,157 @@
+#include "control/director_int.h"
+
+#include <string.h>
+
+#include "base/err.h"
+#include "base/log.h"
+#include "control/keys.h"
+#include "control/record.h"
+#include "fleet/limits.h"
+
+/* ---- submissions ---- */
+
+/* Splits PREFIX ID SUFFIX. Returns a new string, NULL for another key. */
+static char *intake_id(const char *key, const char *suffix)
+{
+	const char *id = key + strlen(KEY_INTAKE_PREFIX);
+
+	if (!g_str_has_suffix(id, suffix) || strlen(id) <= strlen(suffix))
+		return NULL;
+	return g_strndup(id, strlen(id) - strlen(suffix));
+}
+
+static void accept_job(struct director *director, const char *id,
+		       const struct kv_item *item)
+{
+	struct job *job;
+
+	if (fleet_job(&director->fleet, id))
+		return;
+	job = record_submission_read(id, item->value, item->len);
+	if (!job) {
+		log_err("job.unreadable",
+			"job=%s revision=%" G_GINT64_FORMAT " result=%d", id,
+			item->mod_revision, CB_E_BAD_JOB);
+		return;
+	}
+	job->arrived_us =
+		kn_now_us() -
+		CLAMP(director_wall_ms() - job->accepted_ms, 0, 86400000) *
+			USEC_PER_MSEC;
+	fleet_add_job(&director->fleet, job);
+	director_log_known(job, item);
+	if (director->ready && g_hash_table_contains(director->cancelled, id))
+		fleet_cancel(&director->fleet, job, director_wall_ms());
+}
+
+static void cancel_job(struct director *director, const char *id)
+{
+	struct job *job = fleet_job(&director->fleet, id);
+
+	g_hash_table_add(director->cancelled, g_strdup(id));
+	if (director->ready && job)
+		fleet_cancel(&director->fleet, job, director_wall_ms());
+}
+
+static void on_intake_set(struct mirror *mirror, const struct kv_item *item)
+{
+	struct director *director =
+		container_of(mirror, struct director, intake);
+	char *id = intake_id(item->key, KEY_SPEC_SUFFIX);
+
+	if (id) {
+		accept_job(director, id, item);
+	} else {
+		id = intake_id(item->key, KEY_CANCEL_SUFFIX);
+		if (id)
+			cancel_job(director, id);
+	}
+	g_free(id);
+	director_wake(director, PASS_DELAY_MS * USEC_PER_MSEC);
+}
+
+static void on_intake_removed(struct mirror *mirror, const char *key)
+{
+	struct director *director =
+		container_of(mirror, struct director, intake);
+	char *id = intake_id(key, KEY_CANCEL_SUFFIX);
+
+	if (id)
+		g_hash_table_remove(director->cancelled, id);
+	g_free(id);
+}
+
+static void on_intake_synced(struct mirror *mirror)
+{
+	struct director *director =
+		container_of(mirror, struct director, intake);
+
+	director->intake_read = true;
+	director_get_ready(director);
+}
+
+const struct mirror_ops director_intake_ops = {
+	.set = on_intake_set,
+	.removed = on_intake_removed,
+	.synced = on_intake_synced,
+};
+
+/* ---- workers ---- */
+
+static void on_worker_set(struct mirror *mirror, const struct kv_item *item)
+{
+	struct director *director =
+		container_of(mirror, struct director, workers);
+	const char *id = item->key + strlen(mirror->prefix);
+	struct worker_report report;
+	struct worker *known;
+
+	if (!director->edges->read_report(item->key, item->value, item->len,
+					  &report)) {
+		log_warn("worker.unreadable",
+			 "worker=%s revision=%" G_GINT64_FORMAT " bytes=%zu",
+			 id, item->mod_revision, item->len);
+		fleet_unlist(&director->fleet, id, kn_now_us());
+		return;
+	}
+	known = g_hash_table_lookup(director->fleet.workers_by_id, id);
+	if (!known || known->said.born_ms != report.born_ms ||
+	    known->said.draining != report.draining || !known->listed) {
+		log_info(
+			"worker.seen",
+			"worker=%s pool=%s dc=%s rack=%s born_ms=%" G_GINT64_FORMAT
+			" draining=%d revision=%" G_GINT64_FORMAT,
+			id, report.pool, report.dc,
+			report.rack ? report.rack : "-", report.born_ms,
+			report.draining, item->mod_revision);
+		director_wake(director, PASS_DELAY_MS * USEC_PER_MSEC);
+	}
+	fleet_report(&director->fleet, &report, kn_now_us());
+}
+
+static void on_worker_removed(struct mirror *mirror, const char *key)
+{
+	struct director *director =
+		container_of(mirror, struct director, workers);
+	const char *id = key + strlen(mirror->prefix);
+
+	log_info("worker.unlisted", "worker=%s revision=%" G_GINT64_FORMAT, id,
+		 mirror->revision);
+	fleet_unlist(&director->fleet, id, kn_now_us());
+	director_wake(director, PASS_DELAY_MS * USEC_PER_MSEC);
+}
+
+static void on_workers_synced(struct mirror *mirror)
+{
+	struct director *director =
+		container_of(mirror, struct director, workers);
+
+	director->workers_read = true;
+	director_get_ready(director);
+}
+
+const struct mirror_ops director_workers_ops = {
+	.set = on_worker_set,
+	.removed = on_worker_removed,
+	.synced = on_workers_synced,
+};
--- /dev/null
+++ b/control/director_pass.c
@@ -0,0 +1,185 @@
+#include "control/director_int.h"
+
+#include "base/log.h"
+#include "control/record.h"
+#include "fleet/limits.h"
+#include "fleet/plan.h"
+#include "fleet/rescue.h"
+#include "fleet/sharing.h"
+
+#define TIDY_MS 1000
+/* The counts may be 2 s old; a host adds up to COUNT_KEEP_MS. */
+#define WAITING_MS 500
+/* While changes wait for the store for longer, nothing new is planned. */
+#define STORE_STALLED_MS 700
+
+int64_t director_wall_ms(void)
+{
+	return kn_wall_us() / USEC_PER_MSEC;
+}
+
+static void on_pass(struct kn_timer *timer);
+
+void director_wake(struct director *director, int64_t delay_us)
+{
+	struct kn_timer *timer = &director->pass_timer;
+
+	if (!director->ready && director->holding_until_us == 0)
+		return;
+	if (kn_timer_pending(timer) && timer->at_us <= kn_now_us() + delay_us)
+		return;
+	kn_timer_set(director->task.kn, timer, delay_us, on_pass);
+}
+
+static bool store_stalled(const struct director *director, int64_t now_us)
+{
+	return director->ledger.started_us != 0 &&
+	       now_us - director->ledger.started_us >
+		       STORE_STALLED_MS * USEC_PER_MSEC;
+}
+
+/* Ended jobs whose records nobody asks for any more. */
+static void tidy(struct director *director)
+{
+	int64_t keep_ms = director->site->bounds.status_ms * RECORD_KEEP_FACTOR;
+	struct job *job, *next;
+
+	list_for_each_entry_safe(job, next, &director->fleet.jobs, node) {
+		if (!job_ended(job) || job->first_change != 0 || job->writing ||
+		    director_wall_ms() - job->ended_ms < keep_ms ||
+		    fleet_job_holds(job))
+			continue;
+		ledger_expire(&director->ledger, job->id);
+		fleet_drop_job(&director->fleet, job);
+	}
+	director->edges->workers->ops->trim(director->edges->workers);
+}
+
+static void publish_waiting(struct director *director)
+{
+	msgpack_sbuffer record;
+	const struct job *job;
+	uint64_t waiting = 0, running = 0;
+
+	record_waiting_write(&director->fleet, &record);
+	ledger_set_waiting(&director->ledger, record.data, record.size);
+	msgpack_sbuffer_destroy(&record);
+	list_for_each_entry(job, &director->fleet.jobs, node) {
+		waiting += job->phase == JOB_QUEUED;
+		running += job->phase == JOB_RUNNING;
+	}
+	ctr_gauge(&director->waiting, waiting);
+	ctr_gauge(&director->running, running);
+	ctr_gauge(&director->preempted, director->fleet.preempted);
+}
+
+static void pass(struct director *director)
+{
+	int64_t now_us = kn_now_us();
+	int64_t next_us;
+
+	ctr_add(&director->passes, 1);
+	fleet_open_due(&director->fleet, now_us, director_wall_ms());
+	fleet_sweep(&director->fleet, now_us, director_wall_ms());
+	if (director->configuration->current &&
+	    !store_stalled(director, now_us)) {
+		rescue_pass(&director->fleet, now_us);
+		sharing_pass(&director->fleet, now_us);
+		plan_pass(&director->fleet, now_us);
+	}
+	advisor_run(&director->advisor, now_us);
+	maintenance_run(&director->maintenance, now_us);
+	next_us = orders_run(&director->orders, now_us);
+	if (now_us >= director->next_waiting_us) {
+		director->next_waiting_us = now_us + WAITING_MS * USEC_PER_MSEC;
+		publish_waiting(director);
+	}
+	if (now_us >= director->next_tidy_us) {
+		director->next_tidy_us = now_us + TIDY_MS * USEC_PER_MSEC;
+		tidy(director);
+	}
+	ledger_flush(&director->ledger);
+	next_us = MIN(next_us, now_us + PASS_TICK_MS * USEC_PER_MSEC);
+	director_wake(director, MAX(next_us - now_us, 0));
+}
+
+/*
+ * Nobody may lead while the store is away. Running work is held for a while
+ * by the last leader; a later one makes its orders void by its fence, and
+ * counts on this time for workers that it can't reach.
+ */
+static void hold_on(struct director *director)
+{
+	const char *current = director->leader.current;
+	int64_t now_us = kn_now_us();
+
+	if (now_us >= director->holding_until_us ||
+	    (*current && strcmp(current, director->site->host) != 0)) {
+		log_warn("holding.over", "fence=%" G_GINT64_FORMAT,
+			 director->orders.fence);
+		director_stop(director);
+		return;
+	}
+	orders_run(&director->orders, now_us);
+	director_wake(director, PASS_TICK_MS * USEC_PER_MSEC);
+}
+
+static void on_pass(struct kn_timer *timer)
+{
+	struct director *director =
+		container_of(timer, struct director, pass_timer);
+
+	if (director->holding_until_us != 0)
+		hold_on(director);
+	else if (director->directing && director->ready)
+		pass(director);
+}
+
+static void on_orders_changed(struct orders *orders)
+{
+	director_wake(container_of(orders, struct director, orders),
+		      PASS_DELAY_MS * USEC_PER_MSEC);
+}
+
+static void on_fenced(struct orders *orders, int64_t fence)
+{
+	struct director *director =
+		container_of(orders, struct director, orders);
+
+	log_warn("orders.fenced", "fence=%" G_GINT64_FORMAT, fence);
+	if (director->holding_until_us != 0)
+		director->holding_until_us = kn_now_us();
+}
+
+static bool may_send(struct orders *orders)
+{
+	struct director *director =
+		container_of(orders, struct director, orders);
+
+	return director->holding_until_us != 0 ||
+	       leader_valid(&director->leader);
+}
+
+const struct orders_ops director_orders_ops = {
+	.changed = on_orders_changed,
+	.fenced = on_fenced,
+	.may_send = may_send,
+};
+
+static void on_stored(struct ledger *ledger)
+{
+	director_wake(container_of(ledger, struct director, ledger), 0);
+}
+
+static void on_ledger_deposed(struct ledger *ledger)
+{
+	struct director *director =
+		container_of(ledger, struct director, ledger);
+
+	leader_resign_now(&director->leader, "a write met another leader");
+}
+
+const struct ledger_ops director_ledger_ops = {
+	.stored = on_stored,
+	.deposed = on_ledger_deposed,
+};
--- a/control/ledger.c
+++ b/control/ledger.c
@@ -259,25 +259,27 @@
 	g_array_append_val(ledger->writing_changes, job->last_change);
 }
 
+/* Takes key over. */
+static void batch_remove(struct batch *batch, char *key)
+{
+	struct kv_op op = { .kind = KV_DELETE, .key = key };
+
+	g_ptr_array_add(batch->memory, key);
+	g_array_append_val(batch->ops, op);
+}
+
 static void add_removals(struct ledger *ledger, struct batch *batch)
 {
-	static const char *const suffixes[] = { KEY_SPEC_SUFFIX,
-						KEY_CANCEL_SUFFIX };
-	guint i, s;
+	guint i;
 
 	for (i = 0; i < ledger->expired->len && i < EXPIRED_PER_WRITE; i++) {
 		const char *id = g_ptr_array_index(ledger->expired, i);
-		struct kv_op op = { .kind = KV_DELETE };
-
-		for (s = 0; s < G_N_ELEMENTS(suffixes); s++) {
-			op.key = g_strconcat(KEY_INTAKE_PREFIX, id, suffixes[s],
-					     NULL);
-			g_ptr_array_add(batch->memory, (char *)op.key);
-			g_array_append_val(batch->ops, op);
-		}
-		op.key = g_strconcat(KEY_STATE_PREFIX, id, NULL);
-		g_ptr_array_add(batch->memory, (char *)op.key);
-		g_array_append_val(batch->ops, op);
+
+		batch_remove(batch, g_strconcat(KEY_INTAKE_PREFIX, id,
+						KEY_SPEC_SUFFIX, NULL));
+		batch_remove(batch, g_strconcat(KEY_INTAKE_PREFIX, id,
+						KEY_CANCEL_SUFFIX, NULL));
+		batch_remove(batch, g_strconcat(KEY_STATE_PREFIX, id, NULL));
 		ledger->removing++;
 	}
 }
--- a/control/relay.c
+++ b/control/relay.c
@@ -1,4 +1,4 @@
-#include "control/relay.h"
+#include "control/relay_int.h"
 
 #include <string.h>
 
@@ -19,14 +19,8 @@
 #define PEER_EXPECTED_MS 600
 #define REPEATS_MAX 2 /* on the direct way, after lost answers */
 
-/* A question without answer is asked again; the process may be restarting. */
-#define QUESTION_MS 400
-
 enum way { WAY_DIRECT, WAY_PEER };
 
-/* What hosts say to each other; the first element of each request. */
-enum relay_verb { RELAY_STORE_CALL, RELAY_STAND_DOWN };
-
 struct relay_call {
 	struct list_head node;
 	struct relay *relay;
@@ -527,149 +521,6 @@
 
 static const struct rpc_server_ops server_ops = { .request = on_request };
 
-/* ---- questions ---- */
-
-static void ask(struct relay_question *question);
-
-static void on_ask_again(struct kn_timer *timer)
-{
-	ask(container_of(timer, struct relay_question, timer));
-}
-
-static void on_answer(struct rpc_call *call)
-{
-	struct relay_question *question = call->user;
-	void (*done)(void *user) = question->done;
-	void *user = question->user;
-
-	question->asking = false;
-	if (call->result != CB_OK) {
-		kn_timer_set(question->relay->exchange.kn, &question->timer,
-			     QUESTION_MS * USEC_PER_MSEC, on_ask_again);
-		return;
-	}
-	kn_timer_cancel(&question->timer);
-	done(user);
-}
-
-static void ask(struct relay_question *question)
-{
-	struct mp_out out;
-
-	if (kn_now_us() > question->until_us)
-		return;
-	mp_begin(&out, 2);
-	mp_uint(&out, RELAY_STAND_DOWN);
-	mp_int(&out, question->fence);
-	question->call.user = question;
-	question->asking = true;
-	rpc_call_start(&question->call, &question->peer, out.buf.data,
-		       out.buf.size, QUESTION_MS, on_answer);
-	mp_end(&out);
-}
-
-void relay_ask(struct relay_question *question, struct relay *relay,
-	       const struct set_addr *at, int64_t fence, int64_t until_us,
-	       void (*done)(void *user), void *user)
-{
-	relay_ask_end(question);
-	memset(question, 0, sizeof(*question));
-	question->relay = relay;
-	question->fence = fence;
-	question->until_us = until_us;
-	question->done = done;
-	question->user = user;
-	question->open = true;
-	rpc_peer_init(&question->peer, relay->exchange.kn, at->addr, at->port);
-	ask(question);
-}
-
-void relay_ask_end(struct relay_question *question)
-{
-	if (!question->open)
-		return;
-	question->open = false;
-	kn_timer_cancel(&question->timer);
-	if (question->asking)
-		rpc_call_cancel(&question->call);
-	question->asking = false;
-	rpc_peer_finish(&question->peer);
-}
-
-/* ---- other hosts ---- */
-
-static gint by_distance(gconstpointer a, gconstpointer b)
-{
-	const struct relay_peer *left = *(struct relay_peer *const *)a;
-	const struct relay_peer *right = *(struct relay_peer *const *)b;
-
-	return left->distance - right->distance;
-}
-
-static struct relay_peer *find_peer(const struct relay *relay,
-				    const struct set_addr *at)
-{
-	guint i;
-
-	for (i = 0; i < relay->peers->len; i++) {
-		struct relay_peer *peer = g_ptr_array_index(relay->peers, i);
-
-		if (peer->rpc.port == at->port &&
-		    strcmp(peer->rpc.addr, at->addr) == 0)
-			return peer;
-	}
-	return NULL;
-}
-
-static void drop_peer(struct relay *relay, struct relay_peer *peer)
-{
-	g_ptr_array_remove(relay->peers, peer);
-	peer->gone = true;
-	if (peer->calls > 0)
-		return;
-	rpc_peer_finish(&peer->rpc);
-	g_free(peer);
-}
-
-void relay_remove_peer(struct relay *relay, const char *host)
-{
-	guint i;
-
-	for (i = 0; i < relay->peers->len; i++) {
-		struct relay_peer *peer = g_ptr_array_index(relay->peers, i);
-
-		if (strcmp(peer->host, host) != 0)
-			continue;
-		drop_peer(relay, peer);
-		return;
-	}
-}
-
-void relay_add_peer(struct relay *relay, const char *host,
-		    const struct set_addr *at, int distance)
-{
-	struct relay_peer *peer = find_peer(relay, at);
-
-	if (at->port == relay->site->peers.port &&
-	    strcmp(at->addr, relay->site->peers.addr) == 0)
-		return;
-	if (!peer) {
-		if (*host)
-			relay_remove_peer(relay, host);
-		if (relay->peers->len >= RELAY_PEERS_MAX)
-			return;
-		peer = g_new0(struct relay_peer, 1);
-		rpc_peer_init(&peer->rpc, relay->exchange.kn, at->addr,
-			      at->port);
-		g_ptr_array_add(relay->peers, peer);
-	}
-	if (*host) {
-		g_strlcpy(peer->host, host, sizeof(peer->host));
-		peer->distance = distance;
-	}
-	g_ptr_array_sort(relay->peers, by_distance);
-}
-
 /* ---- life ---- */
 
 static void relay_finish(struct exchange *exchange)
@@ -690,7 +541,7 @@
 	if (relay->serving)
 		rpc_server_finish(&relay->server);
 	while (relay->peers->len > 0)
-		drop_peer(relay, g_ptr_array_index(relay->peers, 0));
+		relay_drop_peer(relay, g_ptr_array_index(relay->peers, 0));
 	g_ptr_array_unref(relay->peers);
 	relay->direct->ops->finish(relay->direct);
 	ctr_finish(&relay->relayed);
--- /dev/null
+++ b/control/relay_ask.c
@@ -0,0 +1,76 @@
+#include "control/relay_int.h"
+
+#include <string.h>
+
+#include "base/err.h"
+#include "daemon/mp.h"
+
+/* A question without answer is asked again; the process may be restarting. */
+#define QUESTION_MS 400
+
+static void ask(struct relay_question *question);
+
+static void on_ask_again(struct kn_timer *timer)
+{
+	ask(container_of(timer, struct relay_question, timer));
+}
+
+static void on_answer(struct rpc_call *call)
+{
+	struct relay_question *question = call->user;
+	void (*done)(void *user) = question->done;
+	void *user = question->user;
+
+	question->asking = false;
+	if (call->result != CB_OK) {
+		kn_timer_set(question->relay->exchange.kn, &question->timer,
+			     QUESTION_MS * USEC_PER_MSEC, on_ask_again);
+		return;
+	}
+	kn_timer_cancel(&question->timer);
+	done(user);
+}
+
+static void ask(struct relay_question *question)
+{
+	struct mp_out out;
+
+	if (kn_now_us() > question->until_us)
+		return;
+	mp_begin(&out, 2);
+	mp_uint(&out, RELAY_STAND_DOWN);
+	mp_int(&out, question->fence);
+	question->call.user = question;
+	question->asking = true;
+	rpc_call_start(&question->call, &question->peer, out.buf.data,
+		       out.buf.size, QUESTION_MS, on_answer);
+	mp_end(&out);
+}
+
+void relay_ask(struct relay_question *question, struct relay *relay,
+	       const struct set_addr *at, int64_t fence, int64_t until_us,
+	       void (*done)(void *user), void *user)
+{
+	relay_ask_end(question);
+	memset(question, 0, sizeof(*question));
+	question->relay = relay;
+	question->fence = fence;
+	question->until_us = until_us;
+	question->done = done;
+	question->user = user;
+	question->open = true;
+	rpc_peer_init(&question->peer, relay->exchange.kn, at->addr, at->port);
+	ask(question);
+}
+
+void relay_ask_end(struct relay_question *question)
+{
+	if (!question->open)
+		return;
+	question->open = false;
+	kn_timer_cancel(&question->timer);
+	if (question->asking)
+		rpc_call_cancel(&question->call);
+	question->asking = false;
+	rpc_peer_finish(&question->peer);
+}
--- /dev/null
+++ b/fleet/life.c
@@ -0,0 +1,183 @@
+#include "fleet/fleet_int.h"
+
+#include <string.h>
+
+#include "fleet/limits.h"
+
+static void release_all(struct fleet *fleet, struct worker *worker,
+			const char *why)
+{
+	while (!list_empty(&worker->tasks)) {
+		struct task *task = list_first_entry(&worker->tasks,
+						     struct task, on_worker);
+
+		fleet_note(fleet, "task.lost", task->stage->job, task, why);
+		fleet_release(fleet, task);
+		if (task->phase != TASK_DONE)
+			fleet_break_gang(fleet, task, why);
+	}
+}
+
+void fleet_life_over(struct fleet *fleet, struct worker *worker, int64_t now_us,
+		     int64_t wall_ms)
+{
+	release_all(fleet, worker, "its worker's life is over");
+	worker->replaced = true;
+	worker->listed = false;
+}
+
+/*
+ * A later life of a worker knows nothing of what ran before. Its tasks move
+ * over all the same: an order may have reached the later life under the same
+ * name, so only a list of that life tells that a run is over.
+ */
+static struct worker *new_life(struct fleet *fleet, struct worker *old,
+			       int64_t now_us)
+{
+	struct worker *worker = worker_new();
+
+	list_add_tail(&worker->node, &fleet->workers);
+	if (!old)
+		return worker;
+	worker->lease_end_us = old->lease_end_us;
+	worker->adopted_end_us = old->adopted_end_us;
+	worker->next_hold_us = 0;
+	old->replaced = true;
+	old->listed = false;
+	while (!list_empty(&old->tasks)) {
+		struct task *task =
+			list_first_entry(&old->tasks, struct task, on_worker);
+
+		fleet_note(fleet, "task.moved_life", task->stage->job, task,
+			   "its worker started again");
+		worker_give(task);
+		worker_take(worker, task);
+		task->settled_us = now_us;
+		fleet_touch(fleet, task->stage->job);
+	}
+	return worker;
+}
+
+void fleet_later_life(struct fleet *fleet, struct worker *worker,
+		      int64_t born_ms, int64_t now_us)
+{
+	struct worker *later = new_life(fleet, worker, now_us);
+
+	/* All that is said of the machine stays true but for its start. */
+	later->said = worker->said;
+	memset(&worker->said, 0, sizeof(worker->said));
+	worker->said.id = g_strdup(later->said.id);
+	worker->said.born_ms = later->said.born_ms;
+	later->said.born_ms = born_ms;
+	later->listed = true;
+	g_hash_table_remove(fleet->workers_by_id, later->said.id);
+	g_hash_table_insert(fleet->workers_by_id, later->said.id, later);
+}
+
+struct worker *fleet_report(struct fleet *fleet, struct worker_report *report,
+			    int64_t now_us)
+{
+	struct worker *worker =
+		g_hash_table_lookup(fleet->workers_by_id, report->id);
+
+	if (worker && report->born_ms < worker->said.born_ms) {
+		worker_report_finish(report);
+		return worker;
+	}
+	if (!worker || report->born_ms != worker->said.born_ms)
+		worker = new_life(fleet, worker, now_us);
+	if (report->draining && worker->draining_us == 0)
+		worker->draining_us = now_us;
+	if (worker->heard_us == 0)
+		worker_clock(worker, report->clock_ms, now_us);
+	g_hash_table_remove(fleet->workers_by_id, report->id);
+	worker_report_finish(&worker->said);
+	worker->said = *report;
+	memset(report, 0, sizeof(*report));
+	worker->listed = true;
+	worker->replaced = false;
+	g_hash_table_insert(fleet->workers_by_id, worker->said.id, worker);
+	return worker;
+}
+
+void fleet_unlist(struct fleet *fleet, const char *id, int64_t now_us)
+{
+	struct worker *worker = g_hash_table_lookup(fleet->workers_by_id, id);
+
+	if (!worker || !worker->listed)
+		return;
+	worker->listed = false;
+	worker->unlisted_us = now_us;
+}
+
+static void forget_worker(struct fleet *fleet, struct worker *worker)
+{
+	if (g_hash_table_lookup(fleet->workers_by_id, worker->said.id) ==
+	    worker)
+		g_hash_table_remove(fleet->workers_by_id, worker->said.id);
+	worker_free(worker);
+}
+
+void fleet_sweep(struct fleet *fleet, int64_t now_us, int64_t wall_ms)
+{
+	struct worker *worker, *next;
+
+	list_for_each_entry_safe(worker, next, &fleet->workers, node) {
+		int64_t end_us =
+			MAX(worker->lease_end_us, worker->adopted_end_us);
+
+		if (worker->task_count > 0 && end_us > 0 &&
+		    now_us > end_us + LEASE_SLACK_MS * 1000 &&
+		    !worker_reachable(worker, now_us)) {
+			fleet->lapsed++;
+			release_all(fleet, worker, "lease is over");
+		}
+		if (worker->task_count > 0 && !worker->listed &&
+		    worker->said.draining && worker->refusals >= LEFT_REFUSALS)
+			release_all(fleet, worker, "its worker has left");
+		if (worker->task_count == 0 && !worker->listed &&
+		    (worker->replaced ||
+		     now_us - worker->unlisted_us > UNLISTED_GRACE_MS * 1000))
+			forget_worker(fleet, worker);
+	}
+}
+
+/* ---- takeover ---- */
+
+struct worker *fleet_adopt_worker(struct fleet *fleet, const char *id,
+				  int64_t born_ms, int64_t now_us)
+{
+	struct worker *worker = g_hash_table_lookup(fleet->workers_by_id, id);
+	int64_t hold_us =
+		(fleet->bounds.max_hold_ms + fleet->held_on_ms) * 1000;
+
+	if (!worker) {
+		/* It may live without an entry; its leases decide. */
+		worker = worker_new();
+		worker->said.id = g_strdup(id);
+		worker->said.pool = g_strdup("");
+		worker->said.born_ms = born_ms;
+		worker->unlisted_us = now_us;
+		worker->silent = 1;
+		list_add_tail(&worker->node, &fleet->workers);
+		g_hash_table_insert(fleet->workers_by_id, worker->said.id,
+				    worker);
+	}
+	worker->adopted_end_us =
+		MAX(worker->adopted_end_us,
+		    now_us + hold_us * 100 / (100 - LEASE_DRIFT_PERCENT) +
+			    ADOPT_SLACK_MS * 1000);
+	return worker;
+}
+
+void fleet_last_leader_gone(struct fleet *fleet)
+{
+	int64_t less_us =
+		fleet->held_on_ms * 1000 * 100 / (100 - LEASE_DRIFT_PERCENT);
+	struct worker *worker;
+
+	fleet->held_on_ms = 0;
+	list_for_each_entry(worker, &fleet->workers, node)
+		worker->adopted_end_us =
+			MAX(worker->adopted_end_us - less_us, 0);
+}
--- /dev/null
+++ b/fleet/listing.c
@@ -0,0 +1,132 @@
+#include "fleet/fleet_int.h"
+
+static struct task *find_task(const struct fleet *fleet, const char *name)
+{
+	struct task_ref ref;
+	struct job *job;
+
+	if (!task_ref_parse(name, &ref))
+		return NULL;
+	job = fleet_job(fleet, ref.job);
+	return job ? job_task(job, &ref) : NULL;
+}
+
+static void note_end(struct fleet *fleet, struct worker *worker, int64_t number)
+{
+	struct worker_end end = { .number = number, .change = fleet->change };
+
+	worker->end_seen = number;
+	g_array_append_val(worker->ends, end);
+}
+
+static void handle_ends(struct fleet *fleet, struct worker *worker,
+			const struct hold_report *report, int64_t now_us,
+			int64_t wall_ms)
+{
+	size_t i;
+
+	for (i = 0; i < report->nended; i++) {
+		const struct end_report *end = &report->ended[i];
+		struct task *task;
+
+		if (end->number <= worker->end_seen)
+			continue;
+		task = find_task(fleet, end->task);
+		if (task && task->worker == worker && task->run == end->run) {
+			fleet_take_checkpoint(task, end->checkpoint);
+			fleet_run_ended(fleet, task, end->how, now_us, wall_ms);
+		}
+		note_end(fleet, worker, end->number);
+	}
+}
+
+static void update_run(struct fleet *fleet, struct task *task,
+		       const struct run_report *run, int64_t now_us)
+{
+	if (task->phase == TASK_STARTING)
+		fleet_started(fleet, task, now_us);
+	fleet_take_checkpoint(task, run->checkpoint);
+	task->load = run->load;
+	if (task->first_us == 0) {
+		task->first_us = now_us;
+		task->first_percent = run->percent;
+	}
+	if (run->percent != task->percent) {
+		task->percent = run->percent;
+		task->moved_us = now_us;
+	}
+}
+
+/*
+ * A run that the worker lists neither as running nor as ended is over, if
+ * the call was sent after the latest order for it was answered, or if it was
+ * adopted: orders of earlier leaders are refused by the fence of this call.
+ */
+static bool run_is_gone(const struct task *task, int64_t sent_us)
+{
+	if (task->phase == TASK_PLANNED || task->calling)
+		return false;
+	if (task->phase == TASK_STARTING && task->uncertain && task->tries == 0)
+		return true;
+	if (task->phase == TASK_DONE && task->settled_us == 0)
+		return true;
+	return task->settled_us != 0 && task->settled_us < sent_us;
+}
+
+struct run_key {
+	const char *task;
+	int64_t run;
+};
+
+void fleet_held(struct fleet *fleet, struct worker *worker,
+		const struct hold_report *report, int64_t sent_us,
+		int64_t now_us, int64_t wall_ms)
+{
+	GHashTable *listed = g_hash_table_new(g_direct_hash, g_direct_equal);
+	struct task *task, *next;
+	size_t i;
+
+	worker->fenced = true;
+	handle_ends(fleet, worker, report, now_us, wall_ms);
+	for (i = 0; i < report->nrunning; i++) {
+		const struct run_report *run = &report->running[i];
+
+		task = find_task(fleet, run->task);
+		if (!task || task->worker != worker || task->run != run->run)
+			continue;
+		g_hash_table_add(listed, task);
+		update_run(fleet, task, run, now_us);
+	}
+	list_for_each_entry_safe(task, next, &worker->tasks, on_worker) {
+		if (g_hash_table_contains(listed, task) ||
+		    !run_is_gone(task, sent_us))
+			continue;
+		fleet_note(fleet, "task.gone", task->stage->job, task,
+			   "not listed by its worker");
+		fleet_release(fleet, task);
+		if (task->phase != TASK_DONE)
+			fleet_break_gang(fleet, task, "a member is gone");
+		/* The list may have changed under a gang. */
+		next = list_first_entry(&worker->tasks, struct task, on_worker);
+	}
+	g_hash_table_unref(listed);
+}
+
+int64_t fleet_ends_noted(struct fleet *fleet, struct worker *worker)
+{
+	uint64_t stored = fleet_stored(fleet);
+	guint known = 0;
+
+	while (known < worker->ends->len) {
+		const struct worker_end *end =
+			&g_array_index(worker->ends, struct worker_end, known);
+
+		if (end->change > stored)
+			break;
+		worker->end_noted = end->number;
+		known++;
+	}
+	if (known > 0)
+		g_array_remove_range(worker->ends, 0, known);
+	return worker->end_noted;
+}
--- /dev/null
+++ b/fleet/run.c
@@ -0,0 +1,259 @@
+#include "fleet/fleet_int.h"
+
+#include "fleet/limits.h"
+
+bool task_restartable(const struct task *task)
+{
+	return task->phase == TASK_WAITING && !task->worker;
+}
+
+void fleet_plan_run(struct fleet *fleet, struct task *task,
+		    struct worker *worker, int64_t run)
+{
+	worker_take(worker, task);
+	task->phase = TASK_PLANNED;
+	task->run = run;
+	task->failed_last = false;
+	task->uncertain = false;
+	task->tries = 0;
+	task->calling = false;
+	task->stop_sent = false;
+	task->retry_us = 0;
+	task->settled_us = 0;
+	task->started_us = 0;
+	task->percent = 0;
+	task->first_us = 0;
+	task->moved_us = 0;
+	task->paced = 100;
+	task->pacing = false;
+	g_free(task->ticket);
+	task->ticket = NULL;
+	task->change = fleet_touch(fleet, task->stage->job);
+	fleet_note(fleet, "task.planned", task->stage->job, task,
+		   task->stage->spec->gang ? "the gang fits" : "there is room");
+}
+
+void fleet_adopt_run(struct fleet *fleet, struct task *task,
+		     struct worker *worker)
+{
+	worker_take(worker, task);
+	task->phase = TASK_STARTING;
+	task->uncertain = true;
+}
+
+void fleet_started(struct fleet *fleet, struct task *task, int64_t now_us)
+{
+	struct job *job = task->stage->job;
+
+	task->settled_us = now_us;
+	if (task->phase != TASK_STARTING)
+		return;
+	task->phase = TASK_RUNNING;
+	task->started_us = now_us;
+	task->moved_us = now_us;
+	if (task->worker)
+		task->worker->fenced = true;
+	if (job->phase != JOB_QUEUED)
+		return;
+	job->phase = JOB_RUNNING;
+	job->started = true;
+	fleet_note(fleet, "job.started", job, task, "first task started");
+	fleet_touch(fleet, job);
+}
+
+/* Stops the other members of a gang that cannot go on. */
+void fleet_break_gang(struct fleet *fleet, struct task *task, const char *why)
+{
+	struct stage *stage = task->stage;
+	int i;
+
+	if (!stage->spec->gang)
+		return;
+	for (i = 0; i < stage->spec->count; i++)
+		if (&stage->tasks[i] != task)
+			fleet_stop_one(fleet, &stage->tasks[i], why);
+}
+
+/* The run is over and its room free; the task waits again unless done. */
+void fleet_release(struct fleet *fleet, struct task *task)
+{
+	if (task->worker)
+		worker_give(task);
+	if (task->phase == TASK_DONE)
+		return;
+	task->phase = TASK_WAITING;
+	g_free(task->ticket);
+	task->ticket = NULL;
+	fleet_touch(fleet, task->stage->job);
+}
+
+static void strike(struct fleet *fleet, struct worker *worker,
+		   const struct job *job, int64_t now_us)
+{
+	/* A job that fails everywhere must not taint its workers. */
+	if (worker->strike_job == job && worker->strikes > 0)
+		return;
+	worker->strike_job = job;
+	if (++worker->strikes < STRIKES_MAX || worker->banned_until_us > now_us)
+		return;
+	worker->banned_until_us = now_us + worker->ban_us;
+	worker->ban_us = MIN(worker->ban_us * 2, BAN_MAX_MS * 1000);
+	worker->strikes = STRIKES_MAX - 1; /* one more failure bans again */
+	worker->strike_job = NULL;
+	fleet->banned++;
+	fleet_note(fleet, "worker.banned", job, NULL, worker->said.id);
+}
+
+static void task_done(struct fleet *fleet, struct task *task)
+{
+	if (task->phase == TASK_DONE)
+		return;
+	task->phase = TASK_DONE;
+	task->stage->left--;
+	g_free(task->checkpoint);
+	task->checkpoint = NULL;
+	fleet_touch(fleet, task->stage->job);
+}
+
+/* All tasks of the stage are done: later steps open, or the job ends. */
+static void stage_done(struct fleet *fleet, struct stage *stage, int64_t now_us,
+		       int64_t wall_ms)
+{
+	struct job *job = stage->job;
+	int step;
+
+	if (stage->left > 0 || stage->state == STAGE_DONE)
+		return;
+	stage->state = STAGE_DONE;
+	job_unblock(job, stage->occurrence, now_us);
+	for (step = 0; step < job->spec.nsteps; step++) {
+		struct stage *other = job_stage(job, stage->occurrence, step);
+
+		if (!other || other->state != STAGE_DONE)
+			return;
+	}
+	job->over++;
+	if (job->over == job->occurrences)
+		fleet_end_job(fleet, job, JOB_DONE, wall_ms, "all tasks done");
+}
+
+static void run_done(struct fleet *fleet, struct task *task, int64_t now_us,
+		     int64_t wall_ms)
+{
+	struct stage *stage = task->stage;
+	int i;
+
+	if (task->phase == TASK_RUNNING)
+		fleet_learn(fleet, task, now_us);
+	task_done(fleet, task);
+	if (stage->spec->gang)
+		for (i = 0; i < stage->spec->count; i++)
+			task_done(fleet, &stage->tasks[i]);
+	stage_done(fleet, stage, now_us, wall_ms);
+}
+
+/* Returns the failures that count against the attempts of the task. */
+static int count_failure(struct task *task)
+{
+	struct stage *stage = task->stage;
+
+	task->failed_last = true;
+	task->failed_at = task->worker;
+	if (!stage->spec->gang)
+		return ++task->fails;
+	if (stage->fail_run != task->run) {
+		stage->fail_run = task->run;
+		stage->fails++;
+	}
+	return stage->fails;
+}
+
+static void run_failed(struct fleet *fleet, struct task *task, int64_t now_us,
+		       int64_t wall_ms)
+{
+	struct job *job = task->stage->job;
+	int fails = count_failure(task);
+
+	strike(fleet, task->worker, job, now_us);
+	fleet_touch(fleet, job);
+	if (!task->stage->spec->long_running && fails >= job->attempts)
+		fleet_end_job(fleet, job, JOB_FAILED, wall_ms,
+			      "attempts used up");
+}
+
+void fleet_take_checkpoint(struct task *task, const char *checkpoint)
+{
+	struct stage *stage = task->stage;
+	int i;
+
+	if (!checkpoint || !*checkpoint || task->phase == TASK_DONE ||
+	    !stage->spec->checkpoint ||
+	    g_strcmp0(task->checkpoint, checkpoint) == 0)
+		return;
+	g_free(task->checkpoint);
+	task->checkpoint = g_strdup(checkpoint);
+	if (!stage->spec->gang)
+		return;
+	/* All members resume from one value. */
+	for (i = 0; i < stage->spec->count; i++) {
+		if (&stage->tasks[i] == task)
+			continue;
+		g_free(stage->tasks[i].checkpoint);
+		stage->tasks[i].checkpoint = g_strdup(checkpoint);
+	}
+}
+
+static const char *const end_names[RUN_ENDS] = { "done",   "failed", "stopped",
+						 "lapsed", "broken", "alone" };
+
+/* The current run of a task has ended at its worker. */
+void fleet_run_ended(struct fleet *fleet, struct task *task, enum run_end how,
+		     int64_t now_us, int64_t wall_ms)
+{
+	struct worker *worker = task->worker;
+
+	fleet_note(fleet, "task.ended", task->stage->job, task, end_names[how]);
+	switch (how) {
+	case RUN_DONE:
+		worker->strikes = 0;
+		worker->ban_us = BAN_FIRST_MS * 1000;
+		if (task->phase != TASK_DONE)
+			run_done(fleet, task, now_us, wall_ms);
+		break;
+	case RUN_FAILED:
+		if (task->phase != TASK_DONE)
+			run_failed(fleet, task, now_us, wall_ms);
+		break;
+	default:
+		break;
+	}
+	fleet_release(fleet, task);
+	if (task->phase != TASK_DONE)
+		fleet_break_gang(fleet, task, end_names[how]);
+}
+
+void fleet_refused(struct fleet *fleet, struct task *task,
+		   enum start_refusal why, int64_t now_us, int64_t wall_ms)
+{
+	static const char *const names[REFUSALS] = {
+		"newer fence", "old run",  "lease was over", "no room",
+		"no ticket",   "not well", "malformed"
+	};
+
+	fleet_note(fleet, "task.refused", task->stage->job, task, names[why]);
+	if (why == REFUSED_ILL)
+		strike(fleet, task->worker, task->stage->job, now_us);
+	fleet_release(fleet, task);
+	fleet_break_gang(fleet, task, "a member was refused");
+}
+
+void fleet_stop(struct fleet *fleet, struct task *task, const char *why)
+{
+	fleet_stop_one(fleet, task, why);
+	fleet_break_gang(fleet, task, why);
+}
+
+void fleet_stop_answered(struct fleet *fleet, struct task *task, int64_t now_us)
+{
+	task->settled_us = now_us;
+}
--- a/tests/standins/site_store.c
+++ b/tests/standins/site_store.c
@@ -346,8 +346,9 @@
 		    json_integer_value(json_object_get(row, "lease")));
 		g_free(value);
 	}
-	json_array_foreach(json_object_get(txn, "remove"), i, row)
+	json_array_foreach(json_object_get(txn, "remove"), i, row) {
 		del(store, json_string_value(row));
+	}
 	*body = json_pack("{s:I}", "rev", (json_int_t)store->revision);
 	return 200;
 }
