--- a/fleet/limits.h
+++ b/fleet/limits.h
@@ -38,6 +38,8 @@
 
 /* Failures in a row of different jobs that make a worker suspect. */
 #define STRIKES_MAX 2
+/* With more of a pool banned than this share, the jobs are to blame. */
+#define BANNED_SHARE_MAX 0.34
 #define BAN_FIRST_MS 4000 /* bad spells last for some seconds */
 #define BAN_MAX_MS 16000
 /* A task whose percent stands still for so long is taken to hang: several
--- a/fleet/placement.c
+++ b/fleet/placement.c
@@ -52,15 +52,30 @@
 	return rack;
 }
 
-static bool usable(const struct worker *worker, int64_t now_us)
+static bool present(const struct worker *worker, int64_t now_us)
 {
 	return worker->listed && !worker->replaced && !worker->said.draining &&
-	       !worker->cordoned && worker->banned_until_us <= now_us &&
-	       worker_reachable(worker, now_us);
+	       !worker->cordoned && worker_reachable(worker, now_us);
+}
+
+/* Whether so many workers are banned that bans say nothing of them. */
+static bool bans_are_void(const struct fleet *fleet, int64_t now_us)
+{
+	const struct worker *worker;
+	int all = 0, banned = 0;
+
+	list_for_each_entry(worker, &fleet->workers, node) {
+		if (!present(worker, now_us))
+			continue;
+		all++;
+		banned += worker->banned_until_us > now_us;
+	}
+	return banned > all * BANNED_SHARE_MAX;
 }
 
 void placement_init(struct placement *p, struct fleet *fleet, int64_t now_us)
 {
+	bool any = bans_are_void(fleet, now_us);
 	struct worker *worker;
 
 	p->fleet = fleet;
@@ -73,7 +88,8 @@
 
 		worker->reserved_for = NULL;
 		worker->busy_until_us = 0;
-		if (!usable(worker, now_us) ||
+		if (!present(worker, now_us) ||
+		    (!any && worker->banned_until_us > now_us) ||
 		    rescue_suspect(fleet, worker, now_us))
 			continue;
 		view = view_of(p, worker->said.pool);
--- a/tests/unit/test_fleet.c
+++ b/tests/unit/test_fleet.c
@@ -386,6 +386,9 @@
 	struct worker *bad = make_worker(&fleet, "w1", "r1", 8, NOW);
 	struct job *job, *other;
 
+	/* Others that have no room for it: one of three is not most of them. */
+	make_worker(&fleet, "w2", "r1", 0, NOW);
+	make_worker(&fleet, "w3", "r1", 0, NOW);
 	job = running_job(2, false);
 	make_end(&fleet, make_task(job, 0, 0), RUN_FAILED, NOW);
 	make_end(&fleet, make_task(job, 0, 1), RUN_FAILED, NOW);
--- a/tests/unit/test_plan.c
+++ b/tests/unit/test_plan.c
@@ -332,6 +332,35 @@
 }
 END_TEST
 
+/*
+ * Load: a batch of jobs that can't be done fails on every worker. What
+ * callers get: the others still run, as bans of most workers mean nothing.
+ */
+START_TEST(hopeless_jobs_do_not_ban_all_workers)
+{
+	struct worker *worker;
+
+	make_racks(1, 4);
+	list_for_each_entry(worker, &fleet.workers, node)
+		worker->banned_until_us = NOW + 9 * SEC;
+	make_job(&fleet, "good", 1, 4, 1, 1000, NOW);
+	ck_assert_int_eq(plan(NOW), 4);
+}
+END_TEST
+
+START_TEST(one_banned_worker_gets_nothing)
+{
+	struct worker *worker;
+
+	make_racks(1, 4);
+	worker = list_first_entry(&fleet.workers, struct worker, node);
+	worker->banned_until_us = NOW + 9 * SEC;
+	make_job(&fleet, "good", 1, 30, 1, 1000, NOW);
+	ck_assert_int_eq(plan(NOW), 24);
+	ck_assert_int_eq(worker->task_count, 0);
+}
+END_TEST
+
 /* The runs that lose least are stopped: here those that have just begun. */
 START_TEST(victims_lose_least)
 {
@@ -410,6 +439,8 @@
 	tcase_add_test(tc, gang_does_not_starve_behind_small_tasks);
 	tcase_add_test(tc, guaranteed_job_reclaims_room);
 	tcase_add_test(tc, beyond_the_guarantee_nothing_dear_is_stopped);
+	tcase_add_test(tc, hopeless_jobs_do_not_ban_all_workers);
+	tcase_add_test(tc, one_banned_worker_gets_nothing);
 	tcase_add_test(tc, claim_is_chosen_anew);
 	tcase_add_test(tc, cheap_room_for_urgent_work);
 	tcase_add_test(tc, victims_lose_least);
