--- a/daemon/main.c
+++ b/daemon/main.c
@@ -1,4 +1,5 @@
 #include <argp.h>
+#include <signal.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <unistd.h>
@@ -183,6 +184,8 @@
 	static struct set set;
 	struct options options = { 0 };
 
+	/* Until the kernel handles it: a reload may be asked for early. */
+	signal(SIGHUP, SIG_IGN);
 	if (argp_parse(&argp, argc, argv, 0, NULL, &options))
 		return EXIT_FAILURE;
 	if (options.platform)
--- a/tests/soak/soak.h
+++ b/tests/soak/soak.h
@@ -31,6 +31,7 @@
 	int door; /* at the store */
 	int relay; /* on its way to the store */
 	int proc; /* -1: not running */
+	int64_t started_us; /* when the process was started */
 	int64_t start_us; /* when it is to be started again, 0: it runs */
 	int64_t kill_us; /* when a graceful stop is cut short, 0: none */
 	bool frozen;
