--- a/control/intake.c
+++ b/control/intake.c
@@ -432,6 +432,9 @@
 	if (call->verb == CALLER_COUNT ? call->path[prefix] != '\0' :
 					 !id_is_valid(call->path + prefix))
 		return CB_E_UNKNOWN_PATH;
+	if (config->body_max_bytes > 0 &&
+	    (int64_t)call->body_len > config->body_max_bytes)
+		return CB_E_BODY_TOO_LARGE;
 	return authorize(config, *queue, call, customer);
 }
 
--- a/control/site.h
+++ b/control/site.h
@@ -22,12 +22,8 @@
 	struct set_addr machines; /* port 0: none */
 	struct set_addr advice; /* port 0: none */
 	double strength; /* cores that this host may use */
-	int64_t memory_mb;
 	int64_t grace_ms; /* from the request to stop until the kill */
-	int64_t contact_ms; /* a host in touch has had a path for so long */
 	int64_t config_ms; /* within it, a change is in force */
-	int64_t upkeep_notice_ms;
-	double machine_calls_per_s;
 	struct fleet_bounds bounds;
 };
 
--- a/fleet/config.c
+++ b/fleet/config.c
@@ -15,7 +15,6 @@
 void pool_free(struct pool *pool)
 {
 	g_free(pool->name);
-	g_free(pool->health_path);
 	g_free(pool);
 }
 
--- a/fleet/config.h
+++ b/fleet/config.h
@@ -21,14 +21,12 @@
 	bool open; /* needs no key */
 	/* Placement needs the permission of the advice service. */
 	bool advised;
-	int64_t advice_valid_ms;
 };
 
 struct pool {
 	char *name;
 	bool guarded; /* its workers refuse what does not fit */
 	bool spare; /* its hosts are switched off */
-	char *health_path;
 };
 
 struct customer {
--- a/fleet/fleet.h
+++ b/fleet/fleet.h
@@ -63,13 +63,10 @@
 struct fleet_bounds {
 	int64_t max_hold_ms;
 	int64_t stop_ms;
-	int64_t gang_ms;
 	int64_t reclaim_ms;
-	int64_t early_ms;
 	int64_t status_ms;
 	int64_t save_ms;
 	int64_t restore_ms;
-	double cross_rack_factor;
 };
 
 /* What was learned of the tasks of a queue. */
--- a/fleet/limits.h
+++ b/fleet/limits.h
@@ -7,7 +7,8 @@
 
 /* A round trip between regions is 17 ms; more than that twice is a loss. */
 #define ORDER_TIMEOUT_MS 350
-/* Repeats of a start whose answer was lost; together below gang_ms. */
+/* Repeats of a start whose answer was lost; together they take less than the
+ * members of a gang wait for each other. */
 #define START_TRIES_MAX 5
 /* A stop is repeated until it is answered or the worker's lease is over. */
 #define STOP_RETRY_MS 400
--- a/fleet/placement.c
+++ b/fleet/placement.c
@@ -170,10 +170,7 @@
 
 /* ---- single tasks ---- */
 
-/*
- * Lower is better: the fullest worker that fits, by the resource that is
- * scarce; slower workers count as emptier.
- */
+/* Lower is better: the fullest worker that fits, accelerators first. */
 static double fit_score(const struct worker *worker)
 {
 	struct room room = worker_free_room(worker);
@@ -183,12 +180,25 @@
 				  (double)room.cpu_milli / all->cpu_milli :
 				  0;
 
-	return free_gpus * 4.0 + free_cpu + (1.0 - worker->speed) * 4.0;
+	return free_gpus * 4.0 + free_cpu;
 }
 
-struct worker *placement_task(struct placement *p, const struct stage *stage,
+/* A worker where the run before has failed is taken if there is no other. */
+#define FAILED_HERE_SCORE 50.0
+/* Off the rack of the data only if nothing there fits. */
+#define OFF_RACK_SCORE 100.0
+
+static double failed_score(const struct task *task, const struct worker *worker)
+{
+	return task->failed_last && task->failed_at == worker ?
+		       FAILED_HERE_SCORE :
+		       0.0;
+}
+
+struct worker *placement_task(struct placement *p, const struct task *task,
 			      double expected_ms)
 {
+	const struct stage *stage = task->stage;
 	struct pool_view *view = placement_pool(p, stage->job->pool);
 	const char *rack = stage->spec->rack;
 	bool patient =
@@ -209,13 +219,14 @@
 		if (reserved(worker, stage, expected_ms, p->now_us) ||
 		    placement_open(worker, stage, p->now_us) < 1)
 			continue;
-		score = fit_score(worker) + (rack && !near ? 100.0 : 0.0);
+		score = fit_score(worker) + failed_score(task, worker) +
+			(rack && !near ? OFF_RACK_SCORE : 0.0);
 		if (best && score >= best_score)
 			continue;
 		best = worker;
 		best_score = score;
 	}
-	if (best && patient && rack_exists && best_score >= 100.0)
+	if (best && patient && rack_exists && best_score >= OFF_RACK_SCORE)
 		return NULL;
 	return best;
 }
@@ -238,6 +249,17 @@
 	return strcmp(left->worker->said.id, right->worker->said.id);
 }
 
+static double gang_failed_score(const struct stage *stage,
+				const struct worker *worker)
+{
+	double score = 0;
+	int i;
+
+	for (i = 0; i < stage->spec->count; i++)
+		score = MAX(score, failed_score(&stage->tasks[i], worker));
+	return score;
+}
+
 /* The best worker for each task, NULL when there are not enough. */
 static struct worker **seat_all(struct placement *p, GPtrArray *workers,
 				const struct stage *stage, double expected_ms)
@@ -258,7 +280,8 @@
 			continue;
 		seats[nseats].worker = worker;
 		seats[nseats].slots = slots;
-		seats[nseats++].score = fit_score(worker);
+		seats[nseats++].score =
+			fit_score(worker) + gang_failed_score(stage, worker);
 		total += slots;
 	}
 	if (total >= stage->spec->count) {
@@ -288,20 +311,6 @@
 	return gpus;
 }
 
-static double rack_speed(const struct rack_view *rack)
-{
-	double slowest = 10.0;
-	guint i;
-
-	for (i = 0; i < rack->workers->len; i++) {
-		const struct worker *worker =
-			g_ptr_array_index(rack->workers, i);
-
-		slowest = MIN(slowest, worker->speed);
-	}
-	return slowest;
-}
-
 static struct worker **seat_in_rack(struct placement *p, struct pool_view *view,
 				    const struct stage *stage,
 				    double expected_ms)
@@ -319,7 +328,7 @@
 		chosen = seat_all(p, rack->workers, stage, expected_ms);
 		if (!chosen)
 			continue;
-		score = (double)rack_free_gpus(rack) - 64.0 * rack_speed(rack);
+		score = (double)rack_free_gpus(rack);
 		if (stage->spec->rack &&
 		    strcmp(rack->name, stage->spec->rack) != 0)
 			score += 1e6;
--- a/fleet/placement.h
+++ b/fleet/placement.h
@@ -41,7 +41,7 @@
 		   int64_t now_us);
 
 /* A worker for one task, NULL when it has to wait. */
-struct worker *placement_task(struct placement *p, const struct stage *stage,
+struct worker *placement_task(struct placement *p, const struct task *task,
 			      double expected_ms);
 /*
  * Workers for all tasks of a gang, one for each task in order, in a new
--- a/fleet/plan.c
+++ b/fleet/plan.c
@@ -75,7 +75,7 @@
 
 		if (!task_restartable(task))
 			continue;
-		worker = placement_task(&pass->place, stage, expected_ms);
+		worker = placement_task(&pass->place, task, expected_ms);
 		if (!worker)
 			return false;
 		plan_run(pass, task, worker, task->run + 1);
--- a/fleet/worker.c
+++ b/fleet/worker.c
@@ -23,7 +23,6 @@
 	list_init(&worker->tasks);
 	worker->ends = g_array_new(FALSE, FALSE, sizeof(struct worker_end));
 	worker->ban_us = BAN_FIRST_MS * 1000;
-	worker->speed = 1.0;
 	worker->fill_percent = 100;
 	return worker;
 }
--- a/fleet/worker.h
+++ b/fleet/worker.h
@@ -69,7 +69,6 @@
 	int64_t banned_until_us;
 	int64_t ban_us; /* length of the next ban */
 	const struct job *strike_job; /* only compared */
-	double speed; /* of its tasks against their expected pace, 1: as usual */
 	/* Pace of the tasks that fill, and since when it is that. */
 	int fill_percent;
 	int64_t paced_us;
--- a/tests/standins/fleet_make.c
+++ b/tests/standins/fleet_make.c
@@ -17,13 +17,10 @@
 	static const struct fleet_bounds bounds = {
 		.max_hold_ms = 6000,
 		.stop_ms = 400,
-		.gang_ms = 3000,
 		.reclaim_ms = 2900,
-		.early_ms = 250,
 		.status_ms = 120000,
 		.save_ms = 2000,
 		.restore_ms = 600,
-		.cross_rack_factor = 3,
 	};
 
 	fleet_init(fleet, NULL, NULL);
--- a/tests/unit/test_plan.c
+++ b/tests/unit/test_plan.c
@@ -361,6 +361,24 @@
 }
 END_TEST
 
+/* The next run of a failed task goes elsewhere if it can. */
+START_TEST(failed_task_changes_its_worker)
+{
+	struct worker *first;
+	struct job *job;
+
+	make_racks(1, 2);
+	make_job(&fleet, "used", 1, 1, 1, 60000, NOW);
+	plan(NOW);
+	job = make_job(&fleet, "j", 1, 1, 1, 1000, NOW);
+	plan(NOW);
+	first = make_task(job, 0, 0)->worker;
+	make_end(&fleet, make_task(job, 0, 0), RUN_FAILED, NOW + SEC);
+	ck_assert_int_eq(plan(NOW + SEC), 1);
+	ck_assert_ptr_ne(make_task(job, 0, 0)->worker, first);
+}
+END_TEST
+
 /* The runs that lose least are stopped: here those that have just begun. */
 START_TEST(victims_lose_least)
 {
@@ -441,6 +459,7 @@
 	tcase_add_test(tc, beyond_the_guarantee_nothing_dear_is_stopped);
 	tcase_add_test(tc, hopeless_jobs_do_not_ban_all_workers);
 	tcase_add_test(tc, one_banned_worker_gets_nothing);
+	tcase_add_test(tc, failed_task_changes_its_worker);
 	tcase_add_test(tc, claim_is_chosen_anew);
 	tcase_add_test(tc, cheap_room_for_urgent_work);
 	tcase_add_test(tc, victims_lose_least);
