--- a/tests/soak/soak.h
+++ b/tests/soak/soak.h
@@ -35,6 +35,8 @@
 	int64_t start_us; /* when it is to be started again, 0: it runs */
 	int64_t kill_us; /* when a graceful stop is cut short, 0: none */
 	bool frozen;
+	int64_t thaw_us;
+	int64_t way_heal_us; /* of its way to the store, 0: it is well */
 	struct hc_pool pool; /* of its callers */
 };
 
@@ -45,6 +47,8 @@
 	struct site_fleet *fleet;
 	struct soak_host hosts[SOAK_HOSTS_MAX];
 	int *worker_relays;
+	int64_t *worker_heal_us; /* of each worker, 0: it is well */
+	int64_t store_heal_us;
 	GRand *rand;
 	int config_version;
 	struct list_head jobs; /* struct soak_job */
--- a/tests/soak/soak_faults.c
+++ b/tests/soak/soak_faults.c
@@ -9,6 +9,16 @@
 
 #define RESTART_MS 600
 #define GRACE_MS 2500
+/* Faults last from well below to well above the leases. */
+#define FAULT_MIN_MS 300
+#define FAULT_MAX_MS 6000
+
+static int64_t fault_end_us(struct soak *soak)
+{
+	return kn_now_us() +
+	       (FAULT_MIN_MS + soak_below(soak, FAULT_MAX_MS - FAULT_MIN_MS)) *
+		       USEC_PER_MSEC;
+}
 
 static void say(const struct soak *soak, const char *what, const char *where)
 {
@@ -77,9 +87,19 @@
 
 static void freeze_host(struct soak *soak, struct soak_host *host)
 {
-	say(soak, host->frozen ? "thaw" : "freeze", host->name);
-	sr_proc_signal(host->proc, host->frozen ? SIGCONT : SIGSTOP);
-	host->frozen = !host->frozen;
+	say(soak, "freeze", host->name);
+	sr_proc_signal(host->proc, SIGSTOP);
+	host->frozen = true;
+	host->thaw_us = fault_end_us(soak);
+}
+
+static void thaw_host(struct soak *soak, struct soak_host *host)
+{
+	if (!host->frozen)
+		return;
+	say(soak, "thaw", host->name);
+	sr_proc_signal(host->proc, SIGCONT);
+	host->frozen = false;
 }
 
 static void fault_host(struct soak *soak)
@@ -134,9 +154,12 @@
 	int i;
 
 	say(soak, names[n], all ? "way of all" : soak->hosts[one].name);
-	for (i = 0; i < soak->options.hosts; i++)
-		if (all || i == one)
-			sr_relay_set(soak->hosts[i].relay, states[n]);
+	for (i = 0; i < soak->options.hosts; i++) {
+		if (!all && i != one)
+			continue;
+		sr_relay_set(soak->hosts[i].relay, states[n]);
+		soak->hosts[i].way_heal_us = fault_end_us(soak);
+	}
 	if (soak_chance(soak, 30))
 		sr_relay_silence(soak->hosts[one].relay);
 }
@@ -164,6 +187,7 @@
 		return;
 	}
 	say(soak, names[n], door < 0 ? "store" : "one door");
+	soak->store_heal_us = fault_end_us(soak);
 	site_store_fault(soak->store, door, faults[n], 30,
 			 soak_chance(soak, 20) ? 60 : 0);
 }
@@ -196,6 +220,7 @@
 	/* Failing ones use attempts up, which would fail good jobs. */
 	if (faults[n] == SITE_WORKER_FAILING)
 		n = 0;
+	soak->worker_heal_us[index] = fault_end_us(soak);
 	switch (soak_below(soak, 5)) {
 	case 0:
 		say(soak, worker->up ? "crash" : "restart", worker->id);
@@ -240,12 +265,52 @@
 	g_free(text);
 }
 
+static void heal_worker(struct soak *soak, struct site_worker *worker,
+			int index)
+{
+	soak->worker_heal_us[index] = 0;
+	sr_relay_set(soak->worker_relays[index], SR_OPEN);
+	worker->fault = SITE_WORKER_WELL;
+	if (!worker->up)
+		site_worker_restart(worker);
+}
+
+/* Ends what has lasted long enough, or all. */
+static void heal(struct soak *soak, bool all)
+{
+	int64_t now_us = all ? INT64_MAX : kn_now_us();
+	struct site_worker *worker;
+	int i;
+
+	if (soak->store_heal_us && now_us > soak->store_heal_us) {
+		soak->store_heal_us = 0;
+		site_store_fault(soak->store, -1, SITE_WELL, 0, 0);
+	}
+	for (i = 0; i < soak->options.hosts; i++) {
+		struct soak_host *host = &soak->hosts[i];
+
+		if (host->way_heal_us && now_us > host->way_heal_us) {
+			host->way_heal_us = 0;
+			sr_relay_set(host->relay, SR_OPEN);
+		}
+		if (host->frozen && now_us > host->thaw_us)
+			thaw_host(soak, host);
+	}
+	i = 0;
+	list_for_each_entry(worker, &soak->fleet->workers, node) {
+		if (soak->worker_heal_us[i] && now_us > soak->worker_heal_us[i])
+			heal_worker(soak, worker, i);
+		i++;
+	}
+}
+
 void soak_faults_step(struct soak *soak)
 {
-	if (!soak_chance(soak, 6))
+	heal(soak, false);
+	if (!soak_chance(soak, 4))
 		return;
 	soak->faults++;
-	switch (soak_below(soak, 9)) {
+	switch (soak_below(soak, 7)) {
 	case 0:
 	case 1:
 		fault_host(soak);
@@ -259,10 +324,6 @@
 	case 4:
 		change_config(soak);
 		break;
-	case 5:
-	case 6:
-		soak_faults_heal(soak);
-		break;
 	default:
 		fault_worker(soak);
 		break;
@@ -271,21 +332,5 @@
 
 void soak_faults_heal(struct soak *soak)
 {
-	struct site_worker *worker;
-	int i = 0;
-
-	site_store_fault(soak->store, -1, SITE_WELL, 0, 0);
-	list_for_each_entry(worker, &soak->fleet->workers, node) {
-		sr_relay_set(soak->worker_relays[i++], SR_OPEN);
-		worker->fault = SITE_WORKER_WELL;
-		if (!worker->up)
-			site_worker_restart(worker);
-	}
-	for (i = 0; i < soak->options.hosts; i++) {
-		struct soak_host *host = &soak->hosts[i];
-
-		sr_relay_set(host->relay, SR_OPEN);
-		if (host->frozen)
-			freeze_host(soak, host);
-	}
+	heal(soak, true);
 }
--- a/tests/soak/soak_main.c
+++ b/tests/soak/soak_main.c
@@ -138,6 +138,7 @@
 	/* A cancellation takes effect after a takeover at the latest. */
 	soak->fleet->cancel_ms = SETTLE_SEC * 1000;
 	soak->worker_relays = g_new0(int, soak->options.workers);
+	soak->worker_heal_us = g_new0(int64_t, soak->options.workers);
 	for (i = 0; i < soak->options.workers; i++) {
 		struct site_worker *worker;
 
@@ -262,5 +263,6 @@
 	sr_relay_stop();
 	g_rand_free(soak.rand);
 	g_free(soak.worker_relays);
+	g_free(soak.worker_heal_us);
 	return failed ? EXIT_FAILURE : EXIT_SUCCESS;
 }
