--- a/control/intake.c
+++ b/control/intake.c
@@ -451,8 +451,7 @@
 	own->customer = g_strdup(customer);
 	own->open = queue->open;
 	if (call->verb != CALLER_COUNT)
-		own->id =
-			g_ascii_strdown(call->path + strlen(queue->prefix), -1);
+		own->id = g_strdup(call->path + strlen(queue->prefix));
 	call->state = own;
 	list_add_tail(&own->node, &intake->calls);
 	kn_timer_set(intake->edges->kv->kn, &own->deadline,
--- a/tests/unit/test_host.c
+++ b/tests/unit/test_host.c
@@ -82,6 +82,21 @@
 }
 END_TEST
 
+/* Names of jobs are the caller's, to the letter. */
+START_TEST(case_of_an_id_is_kept)
+{
+	rig_start(&rig, 1, 2, 1);
+	ck_assert_int_eq(
+		rig_submit(&rig, 0, "ABCDEF0123456789", 1, "ms=50", NULL), 200);
+	ck_assert(rig_wait(&rig, 0, "ABCDEF0123456789", "done", 3000));
+	ck_assert_int_eq(ask(0, "GET", "abcdef0123456789", RIG_KEY).status,
+			 410);
+	ck_assert_ptr_nonnull(g_hash_table_lookup(rig.fleet->tasks,
+						  "ABCDEF0123456789.0.0.0"));
+	rig_stop(&rig);
+}
+END_TEST
+
 START_TEST(failed_runs_are_repeated_up_to_the_attempts)
 {
 	rig_start(&rig, 1, 4, 1);
@@ -481,6 +496,7 @@
 	tcase_set_timeout(tc, 120);
 	tcase_add_test(tc, job_runs_and_is_seen_everywhere);
 	tcase_add_test(tc, same_id_is_one_job);
+	tcase_add_test(tc, case_of_an_id_is_kept);
 	tcase_add_test(tc, failed_runs_are_repeated_up_to_the_attempts);
 	tcase_add_test(tc, steps_run_in_order);
 	tcase_add_test(tc, gang_starts_whole_and_survives_a_lost_member);
