--- a/tests/soak/soak_main.c
+++ b/tests/soak/soak_main.c
@@ -96,7 +96,7 @@
 static void write_settings(struct soak *soak, struct soak_host *host)
 {
 	GString *seeds = g_string_new(NULL);
-	char *text;
+	char *text, *path;
 	int i;
 
 	for (i = 0; i < soak->options.hosts && i < 3; i++)
@@ -113,8 +113,9 @@
 		"\"grace_s\":2}}",
 		host->name, host->callers_port, host->peers_port, seeds->str,
 		sr_relay_port(host->relay));
-	snprintf(host->settings, sizeof(host->settings), "%s/%s.json",
-		 soak->options.dir, host->name);
+	path = g_strconcat(soak->options.dir, "/", host->name, ".json", NULL);
+	g_strlcpy(host->settings, path, sizeof(host->settings));
+	g_free(path);
 	if (!g_file_set_contents(host->settings, text, -1, NULL))
 		abort();
 	g_free(text);
