Remove what nothing reads; export the fleet's totals as metrics

Cause: a read of the folder fleet/ as a newcomer found the pools of the configuration, the fence of the fleet and the parameters of three functions which no code reads, and three totals (moved, lapsed and banned) which are counted and shown nowhere.

The unread parts are removed. No decision changes: the unit tests of fleet, plan, sharing, decode, record and advice pass before and after under the sanitizers.

--- a/control/configuration.c
+++ b/control/configuration.c
@@ -32,7 +32,7 @@
 			 "version=%" G_GINT64_FORMAT
 			 " in_force=%" G_GINT64_FORMAT,
 			 config->version, own->current->version);
-		config_unref(config);
+		config_free(config);
 		return;
 	}
 	log_info("config.in_force",
@@ -40,7 +40,7 @@
 		 " queues=%u customers=%u",
 		 config->version, item->mod_revision, config->queues->len,
 		 config->customers->len);
-	config_unref(own->current);
+	config_free(own->current);
 	own->current = config;
 	own->in_force_us = kn_now_us();
 	ctr_gauge(&own->version, (uint64_t)config->version);
@@ -84,6 +84,6 @@
 void configuration_finish(struct configuration *own)
 {
 	mirror_finish(&own->mirror);
-	config_unref(own->current);
+	config_free(own->current);
 	ctr_finish(&own->version);
 }
--- a/control/director.c
+++ b/control/director.c
@@ -94,6 +94,9 @@
 	ctr_finish(&director->done_ms);
 	ctr_finish(&director->takeover_ms);
 	ctr_finish(&director->preempted);
+	ctr_finish(&director->moved);
+	ctr_finish(&director->lapsed);
+	ctr_finish(&director->banned);
 	ctr_finish(&director->waiting);
 	ctr_finish(&director->running);
 	g_free(director);
@@ -129,6 +132,12 @@
 		 "Time from an election to the first orders");
 	ctr_init(&director->preempted, set, CTR_GAUGE, "chivebank_preempted",
 		 NULL, "Runs that were stopped for guaranteed jobs");
+	ctr_init(&director->moved, set, CTR_GAUGE, "chivebank_moved", NULL,
+		 "Runs that were stopped to do better elsewhere");
+	ctr_init(&director->lapsed, set, CTR_GAUGE, "chivebank_lapsed", NULL,
+		 "Workers whose tasks were given up with their lease");
+	ctr_init(&director->banned, set, CTR_GAUGE, "chivebank_banned", NULL,
+		 "Bans of workers where different jobs failed");
 	ctr_init(&director->waiting, set, CTR_GAUGE, "chivebank_jobs_waiting",
 		 NULL, "Jobs that have not started");
 	ctr_init(&director->running, set, CTR_GAUGE, "chivebank_jobs_running",
--- a/control/director.h
+++ b/control/director.h
@@ -52,6 +52,9 @@
 	struct ctr done_ms; /* from acceptance to done */
 	struct ctr takeover_ms;
 	struct ctr preempted;
+	struct ctr moved;
+	struct ctr lapsed;
+	struct ctr banned;
 	struct ctr waiting;
 	struct ctr running;
 };
--- a/control/director_pass.c
+++ b/control/director_pass.c
@@ -71,6 +71,9 @@
 	ctr_gauge(&director->waiting, waiting);
 	ctr_gauge(&director->running, running);
 	ctr_gauge(&director->preempted, director->fleet.preempted);
+	ctr_gauge(&director->moved, director->fleet.moved);
+	ctr_gauge(&director->lapsed, director->fleet.lapsed);
+	ctr_gauge(&director->banned, director->fleet.banned);
 }
 
 static void pass(struct director *director)
@@ -80,7 +83,7 @@
 
 	ctr_add(&director->passes, 1);
 	fleet_open_due(&director->fleet, now_us, director_wall_ms());
-	fleet_sweep(&director->fleet, now_us, director_wall_ms());
+	fleet_sweep(&director->fleet, now_us);
 	if (director->configuration->current &&
 	    !store_stalled(director, now_us)) {
 		rescue_pass(&director->fleet, now_us);
--- a/control/orders.c
+++ b/control/orders.c
@@ -119,13 +119,11 @@
 }
 
 /* Another process has the worker's address: its life there is over. */
-static void other_life(struct orders *orders, struct worker *worker,
-		       int64_t now_us)
+static void other_life(struct orders *orders, struct worker *worker)
 {
 	log_info("worker.other_life", "worker=%s tasks=%d", worker->said.id,
 		 worker->task_count);
-	fleet_life_over(orders->fleet, worker, now_us,
-			kn_wall_us() / USEC_PER_MSEC);
+	fleet_life_over(orders->fleet, worker);
 }
 
 /* The answer came from a life that the store has not reported yet. */
@@ -155,7 +153,7 @@
 		return worker;
 	}
 	if (call->result == ORDER_OTHER_LIFE) {
-		other_life(own->orders, worker, now_us);
+		other_life(own->orders, worker);
 		return NULL;
 	}
 	if (call->born_ms > worker->said.born_ms) {
@@ -208,7 +206,7 @@
 			task->settled_us = now_us;
 		return;
 	}
-	fleet_refused(fleet, task, why, now_us, kn_wall_us() / USEC_PER_MSEC);
+	fleet_refused(fleet, task, why, now_us);
 }
 
 static void on_start(struct orders_call *own, int64_t now_us)
--- a/control/takeover.c
+++ b/control/takeover.c
@@ -198,7 +198,6 @@
 	director->directing = true;
 	fleet_init(&director->fleet, &director_fleet_ops, director);
 	director->fleet.bounds = director->site->bounds;
-	director->fleet.fence = leader->fence;
 	ask_last_leader(director);
 	ledger_open(&director->ledger, &director->fleet, leader->fence);
 	orders_open(&director->orders, &director->fleet, leader->fence);
--- a/fleet/config.c
+++ b/fleet/config.c
@@ -12,12 +12,6 @@
 	g_free(queue);
 }
 
-void pool_free(struct pool *pool)
-{
-	g_free(pool->name);
-	g_free(pool);
-}
-
 void customer_free(struct customer *customer)
 {
 	g_free(customer->name);
@@ -29,30 +23,20 @@
 {
 	struct config *config = g_new0(struct config, 1);
 
-	config->refs = 1;
 	config->queues =
 		g_ptr_array_new_with_free_func((GDestroyNotify)queue_free);
-	config->pools =
-		g_ptr_array_new_with_free_func((GDestroyNotify)pool_free);
 	config->customers =
 		g_ptr_array_new_with_free_func((GDestroyNotify)customer_free);
 	config->by_key = g_hash_table_new(g_str_hash, g_str_equal);
 	return config;
 }
 
-struct config *config_ref(struct config *config)
-{
-	config->refs++;
-	return config;
-}
-
-void config_unref(struct config *config)
+void config_free(struct config *config)
 {
-	if (!config || --config->refs > 0)
+	if (!config)
 		return;
 	g_hash_table_unref(config->by_key);
 	g_ptr_array_unref(config->queues);
-	g_ptr_array_unref(config->pools);
 	g_ptr_array_unref(config->customers);
 	g_free(config);
 }
@@ -114,19 +98,6 @@
 	return NULL;
 }
 
-const struct pool *config_pool(const struct config *config, const char *name)
-{
-	guint i;
-
-	for (i = 0; i < config->pools->len; i++) {
-		const struct pool *pool = g_ptr_array_index(config->pools, i);
-
-		if (strcmp(pool->name, name) == 0)
-			return pool;
-	}
-	return NULL;
-}
-
 const struct customer *config_customer(const struct config *config,
 				       const char *name)
 {
--- a/fleet/config.h
+++ b/fleet/config.h
@@ -6,7 +6,8 @@
 
 #include <glib.h>
 
-/* The operators' configuration: queues, pools of workers, customers. */
+/* The operators' configuration: queues and customers. What it says of pools is
+ * not needed: no worker is given more than it has room for. */
 
 /* Where jobs are handed in, and how they are treated. */
 struct queue {
@@ -23,12 +24,6 @@
 	bool advised;
 };
 
-struct pool {
-	char *name;
-	bool guarded; /* its workers refuse what does not fit */
-	bool spare; /* its hosts are switched off */
-};
-
 struct customer {
 	char *name;
 	char **keys; /* NULL-terminated */
@@ -36,20 +31,16 @@
 };
 
 struct config {
-	int refs;
 	int64_t version;
 	GPtrArray *queues; /* struct queue */
-	GPtrArray *pools; /* struct pool */
 	GPtrArray *customers; /* struct customer */
 	GHashTable *by_key; /* key -> struct customer, borrowed */
 	int64_t body_max_bytes; /* of a request; 0: the product's own limit */
 };
 
 struct config *config_new(void);
-struct config *config_ref(struct config *config);
-void config_unref(struct config *config);
+void config_free(struct config *config);
 void queue_free(struct queue *queue);
-void pool_free(struct pool *pool);
 void customer_free(struct customer *customer);
 /* To be called once all customers have been added. */
 void config_index(struct config *config);
@@ -61,7 +52,6 @@
 const struct queue *config_route(const struct config *config, const char *host,
 				 const char *path);
 const struct queue *config_queue(const struct config *config, const char *name);
-const struct pool *config_pool(const struct config *config, const char *name);
 const struct customer *config_customer(const struct config *config,
 				       const char *name);
 const struct customer *config_holder(const struct config *config,
--- a/fleet/fleet.h
+++ b/fleet/fleet.h
@@ -94,7 +94,6 @@
 	struct list_head dirty; /* jobs with changes that are not stored */
 	GHashTable *stats; /* queue name -> struct queue_stats */
 	uint64_t change; /* number of the latest change */
-	int64_t fence; /* of this leader */
 	/* For so long after its election the last leader may still hold work. */
 	int64_t held_on_ms;
 	/* Totals for metrics. */
@@ -137,10 +136,9 @@
 /* The worker's entry is gone from the store. */
 void fleet_unlist(struct fleet *fleet, const char *id, int64_t now_us);
 /* The life is over: nothing runs there any more. */
-void fleet_life_over(struct fleet *fleet, struct worker *worker, int64_t now_us,
-		     int64_t wall_ms);
+void fleet_life_over(struct fleet *fleet, struct worker *worker);
 /* Lapsed leases, lives that are over, bans. Frees workers that are gone. */
-void fleet_sweep(struct fleet *fleet, int64_t now_us, int64_t wall_ms);
+void fleet_sweep(struct fleet *fleet, int64_t now_us);
 
 /* ---- runs ---- */
 
@@ -160,7 +158,7 @@
 		     struct worker *worker);
 void fleet_started(struct fleet *fleet, struct task *task, int64_t now_us);
 void fleet_refused(struct fleet *fleet, struct task *task,
-		   enum start_refusal why, int64_t now_us, int64_t wall_ms);
+		   enum start_refusal why, int64_t now_us);
 /* Gives a run up; it is stopped, and the rest of its gang too. */
 void fleet_stop(struct fleet *fleet, struct task *task, const char *why);
 void fleet_stop_answered(struct fleet *fleet, struct task *task,
--- a/fleet/life.c
+++ b/fleet/life.c
@@ -18,8 +18,7 @@
 	}
 }
 
-void fleet_life_over(struct fleet *fleet, struct worker *worker, int64_t now_us,
-		     int64_t wall_ms)
+void fleet_life_over(struct fleet *fleet, struct worker *worker)
 {
 	release_all(fleet, worker, "its worker's life is over");
 	worker->replaced = true;
@@ -118,7 +117,7 @@
 	worker_free(worker);
 }
 
-void fleet_sweep(struct fleet *fleet, int64_t now_us, int64_t wall_ms)
+void fleet_sweep(struct fleet *fleet, int64_t now_us)
 {
 	struct worker *worker, *next;
 
--- a/fleet/run.c
+++ b/fleet/run.c
@@ -233,7 +233,7 @@
 }
 
 void fleet_refused(struct fleet *fleet, struct task *task,
-		   enum start_refusal why, int64_t now_us, int64_t wall_ms)
+		   enum start_refusal why, int64_t now_us)
 {
 	static const char *const names[REFUSALS] = {
 		"newer fence", "old run",  "lease was over", "no room",
--- a/tests/standins/fleet_make.c
+++ b/tests/standins/fleet_make.c
@@ -35,7 +35,7 @@
 void make_fleet_end(struct fleet *fleet, struct config *config)
 {
 	fleet_finish(fleet);
-	config_unref(config);
+	config_free(config);
 }
 
 struct worker *make_worker(struct fleet *fleet, const char *id,
--- a/tests/unit/test_fleet.c
+++ b/tests/unit/test_fleet.c
@@ -163,9 +163,9 @@
 	ck_assert_int_ge(end_us, NOW + 6 * SEC + 6 * SEC / 50);
 	worker->silent = 3;
 	worker->silent_us = NOW;
-	fleet_sweep(&fleet, end_us, 0);
+	fleet_sweep(&fleet, end_us);
 	ck_assert_ptr_nonnull(make_task(job, 0, 0)->worker);
-	fleet_sweep(&fleet, end_us + LEASE_SLACK_MS * 1000 + 1, 0);
+	fleet_sweep(&fleet, end_us + LEASE_SLACK_MS * 1000 + 1);
 	ck_assert_ptr_null(make_task(job, 0, 0)->worker);
 	ck_assert_int_eq(make_task(job, 0, 0)->phase, TASK_WAITING);
 }
@@ -177,7 +177,7 @@
 	struct job *job = running_job(1, false);
 
 	worker_lease(worker, 6000, NOW);
-	fleet_sweep(&fleet, NOW + 60 * SEC, 0);
+	fleet_sweep(&fleet, NOW + 60 * SEC);
 	ck_assert_ptr_nonnull(make_task(job, 0, 0)->worker);
 }
 END_TEST
@@ -258,9 +258,9 @@
 	make_task(job, 0, 0)->run = 1;
 	fleet_adopt_run(&fleet, make_task(job, 0, 0), worker);
 	make_worker(&fleet, "w1", "r1", 8, NOW);
-	fleet_sweep(&fleet, NOW + 12 * SEC, 0);
+	fleet_sweep(&fleet, NOW + 12 * SEC);
 	ck_assert_int_eq(plan_pass(&fleet, NOW + 12 * SEC), 0);
-	fleet_sweep(&fleet, NOW + 13 * SEC + SEC / 2, 0);
+	fleet_sweep(&fleet, NOW + 13 * SEC + SEC / 2);
 	ck_assert_int_eq(plan_pass(&fleet, NOW + 13 * SEC), 1);
 }
 END_TEST
@@ -277,9 +277,9 @@
 			fleet_adopt_worker(&fleet, "gone", 7, NOW));
 	make_worker(&fleet, "w1", "r1", 8, NOW);
 	fleet_last_leader_gone(&fleet);
-	fleet_sweep(&fleet, NOW + 6 * SEC, 0);
+	fleet_sweep(&fleet, NOW + 6 * SEC);
 	ck_assert_int_eq(plan_pass(&fleet, NOW + 6 * SEC), 0);
-	fleet_sweep(&fleet, NOW + 7 * SEC, 0);
+	fleet_sweep(&fleet, NOW + 7 * SEC);
 	ck_assert_int_eq(plan_pass(&fleet, NOW + 7 * SEC), 1);
 }
 END_TEST
@@ -296,14 +296,14 @@
 	worker_lease(worker, 6000, NOW);
 	worker->said.draining = true;
 	worker->refusals = 5;
-	fleet_sweep(&fleet, NOW + SEC, 0);
+	fleet_sweep(&fleet, NOW + SEC);
 	ck_assert_ptr_nonnull(make_task(job, 0, 0)->worker);
 	worker->refusals = 0;
 	fleet_unlist(&fleet, "w1", NOW + SEC);
-	fleet_sweep(&fleet, NOW + SEC, 0);
+	fleet_sweep(&fleet, NOW + SEC);
 	ck_assert_ptr_nonnull(make_task(job, 0, 0)->worker);
 	worker->refusals = LEFT_REFUSALS;
-	fleet_sweep(&fleet, NOW + SEC, 0);
+	fleet_sweep(&fleet, NOW + SEC);
 	ck_assert_ptr_null(make_task(job, 0, 0)->worker);
 }
 END_TEST
