--- a/base/kn.c
+++ b/base/kn.c
@@ -15,7 +15,7 @@
 static volatile sig_atomic_t reload_signals;
 static struct lws_context *signal_context;
 
-/* ---- setup ---- */
+/* Setup. */
 
 static void forward_lws_log(int level, const char *line)
 {
@@ -143,7 +143,7 @@
 	return NULL;
 }
 
-/* ---- messages ---- */
+/* Messages. */
 
 /* Puts a message into a task's mailbox; order per sender is kept. */
 void kn_send(struct kn_task *to, struct kn_task *from, struct kn_msg *msg)
@@ -200,7 +200,7 @@
 	}
 }
 
-/* ---- time ---- */
+/* Time. */
 
 static struct kn_timer *first_timer(struct kn *kn)
 {
@@ -308,7 +308,7 @@
 	return clock_us(CLOCK_REALTIME);
 }
 
-/* ---- running ---- */
+/* Running. */
 
 /* Starts all tasks in the order they were added. */
 bool kn_start(struct kn *kn, GError **err)
--- a/base/limits.h
+++ b/base/limits.h
@@ -6,25 +6,25 @@
 #define USEC_PER_SEC 1000000LL
 #define USEC_PER_MSEC 1000LL
 
-/* ---- names ---- */
+/* Names. */
 
 #define NAME_MAX_BYTES 64 /* host, data centre, customer, service, section */
 #define ADDR_MAX_BYTES 48 /* an IPv6 address in text */
 
-/* ---- kernel ---- */
+/* Kernel. */
 
 #define KN_CLOSE_ROUNDS 10 /* for handles that close late */
 #define KN_DRAIN_ROUNDS 64 /* mailbox rounds before sockets are served */
 #define EV_RING_EVENTS 4096 /* events kept for the API */
 #define EV_LINE_MAX_BYTES 1024
 
-/* ---- log ---- */
+/* Log. */
 
 /* Of one event; a takeover with thousands of tasks says the rest in sum. */
 #define LOG_LINES_PER_SEC 300
 #define LOG_BUFFER_MAX_BYTES (128 * 1024) /* some seconds of a slow reader */
 
-/* ---- HTTP ---- */
+/* HTTP. */
 
 #define HTTP_HEADERS_MAX_BYTES 16384
 #define HTTP_BODY_MAX_BYTES (1024 * 1024)
@@ -46,7 +46,7 @@
 /* Below HTTP_IDLE_TIMEOUT_MS, so the server seldom closes first. */
 #define HTTP_CLIENT_IDLE_MS 30000
 
-/* ---- requests ---- */
+/* Requests. */
 
 #define REQ_WAITING_MAX 10000 /* waiting requests per entry host */
 #define REQ_DEADLINE_MAX_MS 60000
@@ -98,7 +98,7 @@
 #define KEY_BATCHES_MAX 4 /* claim transactions in progress */
 #define KEY_HANDOVER_BYTES (4 * 1024 * 1024) /* half of what a link queues */
 
-/* ---- peers ---- */
+/* Peers. */
 
 #define FRAME_MAX_BYTES (4 * 1024 * 1024)
 #define PEER_HEARTBEAT_MS 500
@@ -116,7 +116,7 @@
 #define FRAME_DEPTH_MAX 16 /* msgpack-c recurses up to 32 */
 #define FRAME_ELEMENTS_MAX (256 * 1024) /* 24 bytes each when unpacked */
 
-/* ---- leadership and store ---- */
+/* Leadership and store. */
 
 #define LEADER_LEASE_MS 6000
 #define LEADER_RENEW_MS 2000
@@ -142,7 +142,7 @@
 #define STORE_PROBE_MS 2000
 #define STORE_PROBE_GRACE_MS 500
 
-/* ---- jobs ---- */
+/* Jobs. */
 
 #define WORKERS_PER_RACK 8
 #define GANG_MAX_ACCELERATORS 512
@@ -210,7 +210,7 @@
 #define JOBS_ENDED_MAX 2000 /* kept in memory */
 #define JOBS_LIST_MAX 1000 /* in one answer; a peer message holds 4 MB */
 
-/* ---- document ---- */
+/* Document. */
 
 #define DOC_SECTION_NAME_MAX_BYTES 80 /* the longest type, '/', a name */
 #define DOC_WEIGHT_MAX 1000
@@ -232,7 +232,7 @@
 #define DOC_READ_BATCH 8
 #define DOC_PUSH_BYTES (1024 * 1024) /* of sections in one peer message */
 
-/* ---- administration API ---- */
+/* Administration API. */
 
 #define API_EVENTS_MAX 1000 /* events in one answer */
 #define API_FORWARD_TIMEOUT_MS 10000 /* until the leader's answer is given up */
--- a/base/log.c
+++ b/base/log.c
@@ -38,7 +38,7 @@
 	return -1;
 }
 
-/* ---- collected lines ---- */
+/* Collected lines. */
 
 /* Lines of one event in the current second. */
 struct event_rate {
--- a/base/set.c
+++ b/base/set.c
@@ -21,7 +21,7 @@
 		     GError **err);
 };
 
-/* ---- values ---- */
+/* Values. */
 
 static bool fail(GError **err, const char *path, const json_t *value,
 		 const char *allowed)
@@ -80,7 +80,7 @@
 	       inet_pton(AF_INET6, text, buf) == 1;
 }
 
-/* ---- objects ---- */
+/* Objects. */
 
 /* Refuses the first key of object that is not in the list. */
 static bool check_keys(const json_t *object, const char *const *known,
@@ -146,7 +146,7 @@
 	return read_name(out, json_object_get(object, key), full, err);
 }
 
-/* ---- keys ---- */
+/* Keys. */
 
 static bool read_host(struct set *set, const json_t *value, const char *path,
 		      GError **err)
@@ -367,7 +367,7 @@
 	{ "log_level", false, read_log_level },
 };
 
-/* ---- the whole ---- */
+/* The whole. */
 
 static bool check_whole(const struct set *set, GError **err)
 {
--- a/bench/crest.h
+++ b/bench/crest.h
@@ -58,14 +58,14 @@
 		    guint32 seed);
 void crest_free(struct crest_load *load);
 
-/* ---- the runs ---- */
+/* The runs. */
 
 enum crest_baseline { CREST_FIFO, CREST_FIFO_DROPS };
 
 void crest_run_fifo(struct crest_load *load, enum crest_baseline kind);
 void crest_run_policy(struct crest_load *load, guint32 seed);
 
-/* ---- event queue ---- */
+/* Event queue. */
 
 struct crest_event {
 	int64_t at_us;
--- a/bench/crest_load.c
+++ b/bench/crest_load.c
@@ -84,7 +84,7 @@
 	g_free(load->reqs);
 }
 
-/* ---- event queue ---- */
+/* Event queue. */
 
 void crest_heap_init(struct crest_heap *heap)
 {
--- a/bench/crest_run.c
+++ b/bench/crest_run.c
@@ -8,7 +8,7 @@
 
 #define SHORT_LIMIT_MS 20 /* of the service sections */
 
-/* ---- slots, common to all runs ---- */
+/* Slots, common to all runs. */
 
 struct run {
 	struct crest_load *load;
@@ -62,7 +62,7 @@
 	run->busy_long -= holds_long(req);
 }
 
-/* ---- single first-come queue ---- */
+/* Single first-come queue. */
 
 /*
  * One queue in order of arrival over all slots. CREST_FIFO knows no
@@ -106,7 +106,7 @@
 	crest_heap_finish(&run.ends);
 }
 
-/* ---- the decision modules ---- */
+/* The decision modules. */
 
 struct policy_run {
 	struct run run;
--- a/bench/jobs_chivebank.c
+++ b/bench/jobs_chivebank.c
@@ -73,7 +73,7 @@
 			(double)(to - from) * job->load->accelerators;
 }
 
-/* ---- behaviour of tasks ---- */
+/* Behaviour of tasks. */
 
 static void task_done(void *run, struct run_event *event)
 {
@@ -186,7 +186,7 @@
 	sc_saved(&sim->sc, &job->job, sim->now_us);
 }
 
-/* ---- what the scheduler asks for ---- */
+/* What the scheduler asks for. */
 
 static void op_start(struct sc *sc, struct sc_job *sc_job)
 {
@@ -263,7 +263,7 @@
 	.broken = op_broken,
 };
 
-/* ---- outside events ---- */
+/* Outside events. */
 
 /*
  * A claim counts when the guarantee can take it at its arrival, which other
@@ -342,7 +342,7 @@
 	}
 }
 
-/* ---- run ---- */
+/* Run. */
 
 static void setup(struct sim *sim, const struct load *load)
 {
--- a/bench/jobs_firstfit.c
+++ b/bench/jobs_firstfit.c
@@ -28,7 +28,7 @@
 	int64_t now_us;
 };
 
-/* ---- first fit, under the same topology rule ---- */
+/* First fit, under the same topology rule. */
 
 static bool fit_worker(struct ff *ff, struct cell_gang *gang)
 {
@@ -82,7 +82,7 @@
 	return false;
 }
 
-/* ---- events ---- */
+/* Events. */
 
 static void leave(struct ff *ff, struct ff_job *job)
 {
@@ -228,7 +228,7 @@
 			      0, 0);
 }
 
-/* ---- run ---- */
+/* Run. */
 
 static void ff_setup(struct ff *ff)
 {
--- a/bench/jobs_queue.c
+++ b/bench/jobs_queue.c
@@ -3,7 +3,7 @@
 #include "base/limits.h"
 #include "bench/jobs_run.h"
 
-/* ---- events ---- */
+/* Events. */
 
 void run_queue_init(struct run_queue *queue)
 {
@@ -72,7 +72,7 @@
 	return event;
 }
 
-/* ---- samples ---- */
+/* Samples. */
 
 void run_samples_init(struct run_samples *samples)
 {
@@ -124,7 +124,7 @@
 	return false;
 }
 
-/* ---- results ---- */
+/* Results. */
 
 void run_result_init(struct run_result *result, const struct load *load)
 {
--- a/bench/load.c
+++ b/bench/load.c
@@ -63,7 +63,7 @@
 	return (double)(user + sys) / (double)sysconf(_SC_CLK_TCK);
 }
 
-/* ---- calls ---- */
+/* Calls. */
 
 static void on_done(struct hc_call *hc);
 
@@ -141,7 +141,7 @@
 		start_call(load, now_us);
 }
 
-/* ---- loop ---- */
+/* Loop. */
 
 /* Arrivals follow a seeded Poisson process. */
 static void arrive(struct load *load, int64_t now_us)
@@ -199,7 +199,7 @@
 	}
 }
 
-/* ---- results ---- */
+/* Results. */
 
 static int compare(const void *a, const void *b)
 {
--- a/cli/cli.c
+++ b/cli/cli.c
@@ -28,7 +28,7 @@
 	OPT_WAIT,
 };
 
-/* ---- options ---- */
+/* Options. */
 
 static const struct argp_option common_options[] = {
 	{ "addr", OPT_ADDR, "HOST:PORT[,...]", 0,
@@ -103,7 +103,7 @@
 	OPTION("count", OPT_COUNT, "N", "Number of tickets (1)"), END_OF_OPTIONS
 };
 
-/* ---- commands ---- */
+/* Commands. */
 
 static const struct command {
 	const char *name;
@@ -170,7 +170,7 @@
 	  no_options, 2, CLI_ARGS_MAX, cli_explain },
 };
 
-/* ---- parsing ---- */
+/* Parsing. */
 
 struct parse {
 	struct cli *cli;
@@ -349,7 +349,7 @@
 	return NULL;
 }
 
-/* ---- groups ---- */
+/* Groups. */
 
 /* Whether a command consists of the group's word and another one. */
 static bool in_group(const struct command *command, const char *group,
@@ -454,7 +454,7 @@
 	return CB_E_USAGE;
 }
 
-/* ---- running ---- */
+/* Running. */
 
 static int run_command(struct parse *parse, int argc, char **argv)
 {
--- a/cli/cli.h
+++ b/cli/cli.h
@@ -57,11 +57,11 @@
 	char *text;
 };
 
-/* ---- main of the program, also for tests ---- */
+/* Main of the program, also for tests. */
 
 int cli_main(int argc, char **argv, FILE *out, FILE *err);
 
-/* ---- cli_call.c ---- */
+/* Cli_call.c. */
 
 /* Returns a result code; a failure has been printed. */
 int cli_call(struct cli *cli, struct cli_call *call);
@@ -71,7 +71,7 @@
 int cli_fail(struct cli *cli, int code, const char *fmt, ...)
 	__attribute__((format(printf, 3, 4)));
 
-/* ---- cli_print.c ---- */
+/* Cli_print.c. */
 
 struct cli_column {
 	const char *title;
@@ -84,7 +84,7 @@
 		     json_t *rows);
 json_t *cli_read_json(struct cli *cli, const char *path, int *code);
 
-/* ---- commands ---- */
+/* Commands. */
 
 int cli_document_get(struct cli *cli, struct cli_opts *o);
 int cli_document_check(struct cli *cli, struct cli_opts *o);
--- a/cli/cli_call.c
+++ b/cli/cli_call.c
@@ -53,7 +53,7 @@
 	memset(call, 0, sizeof(*call));
 }
 
-/* ---- one attempt ---- */
+/* One attempt. */
 
 static void on_progress(struct kn_timer *timer)
 {
@@ -143,7 +143,7 @@
 	return result;
 }
 
-/* ---- addresses in turn ---- */
+/* Addresses in turn. */
 
 /* Splits host:port; the host may stand in brackets. */
 static bool split_address(const char *addr, char **host, int *port)
--- a/cli/cli_document.c
+++ b/cli/cli_document.c
@@ -7,7 +7,7 @@
 
 #define SECTIONS "/v1/document/sections/"
 
-/* ---- document ---- */
+/* Document. */
 
 /* Makes a call and prints the answer, as a table unless --json is given. */
 static int show(struct cli *cli, struct cli_call *call,
@@ -130,7 +130,7 @@
 	return code;
 }
 
-/* ---- changes ---- */
+/* Changes. */
 
 /* Makes a change and prints the new revision; ends the call. */
 static int change(struct cli *cli, struct cli_call *call,
@@ -235,7 +235,7 @@
 	return code;
 }
 
-/* ---- customers ---- */
+/* Customers. */
 
 int cli_customer_list(struct cli *cli, struct cli_opts *o)
 {
--- a/cli/cli_job.c
+++ b/cli/cli_job.c
@@ -37,7 +37,7 @@
 	return show(cli, &call, columns, rows);
 }
 
-/* ---- jobs ---- */
+/* Jobs. */
 
 int cli_job_submit(struct cli *cli, struct cli_opts *o)
 {
@@ -158,7 +158,7 @@
 	return code;
 }
 
-/* ---- the other lists ---- */
+/* The other lists. */
 
 int cli_server_list(struct cli *cli, struct cli_opts *o)
 {
--- a/cli/timeline.c
+++ b/cli/timeline.c
@@ -3,7 +3,7 @@
 #include <stdlib.h>
 #include <string.h>
 
-/* ---- memory ---- */
+/* Memory. */
 
 static void clear_process(void *data)
 {
@@ -51,7 +51,7 @@
 	return &g_array_index(tl->hosts, struct tl_host, i);
 }
 
-/* ---- fields of a line ---- */
+/* Fields of a line. */
 
 /* Finds " key=" and returns what follows, NULL when absent. */
 static const char *find_field(const char *line, const char *key)
@@ -85,7 +85,7 @@
 	return end > value;
 }
 
-/* ---- reading ---- */
+/* Reading. */
 
 static unsigned int find_host(struct tl *tl, const char *name)
 {
@@ -193,7 +193,7 @@
 	free(line);
 }
 
-/* ---- clocks ---- */
+/* Clocks. */
 
 /* Takes a shorter way to a host over one measurement. */
 static bool relax(struct tl *tl, unsigned int from, unsigned int to,
--- a/control/director.c
+++ b/control/director.c
@@ -49,7 +49,7 @@
 	director_wake(user, 0);
 }
 
-/* ---- task ---- */
+/* Task. */
 
 static bool director_start(struct kn_task *task, GError **err)
 {
--- a/control/director_feed.c
+++ b/control/director_feed.c
@@ -8,7 +8,7 @@
 #include "control/record.h"
 #include "fleet/limits.h"
 
-/* ---- submissions ---- */
+/* Submissions. */
 
 /* Splits PREFIX ID SUFFIX. Returns a new string, NULL for another key. */
 static char *intake_id(const char *key, const char *suffix)
@@ -96,7 +96,7 @@
 	.synced = on_intake_synced,
 };
 
-/* ---- workers ---- */
+/* Workers. */
 
 static void on_worker_set(struct mirror *mirror, const struct kv_item *item)
 {
--- a/control/hosts.c
+++ b/control/hosts.c
@@ -28,7 +28,7 @@
 	hosts->calling = true;
 }
 
-/* ---- this host ---- */
+/* This host. */
 
 static void on_registered(struct kv_call *call)
 {
@@ -97,7 +97,7 @@
 	hosts->kv->ops->grant(hosts->kv, &hosts->call, HOST_LEASE_S);
 }
 
-/* ---- the others ---- */
+/* The others. */
 
 static int distance(const struct site *site, const char *dc, const char *region)
 {
--- a/control/intake.c
+++ b/control/intake.c
@@ -63,7 +63,7 @@
 	g_free(own);
 }
 
-/* ---- answers ---- */
+/* Answers. */
 
 static const char *const verb_names[] = { "submit", "status", "cancel",
 					  "count" };
@@ -113,7 +113,7 @@
 	answer(intake, call, result, retry_after_s);
 }
 
-/* ---- steps ---- */
+/* Steps. */
 
 static void run_step(struct intake_call *own);
 
@@ -364,7 +364,7 @@
 	}
 }
 
-/* ---- calls ---- */
+/* Calls. */
 
 static bool id_is_valid(const char *id)
 {
--- a/control/leader.c
+++ b/control/leader.c
@@ -70,7 +70,7 @@
 	campaign_after(leader, CAMPAIGN_RETRY_MS);
 }
 
-/* ---- renewal ---- */
+/* Renewal. */
 
 static void renew(struct leader *leader);
 
@@ -129,7 +129,7 @@
 	kn_timer_set(kv->kn, &leader->timer, RENEW_MS * USEC_PER_MSEC, on_tick);
 }
 
-/* ---- campaign ---- */
+/* Campaign. */
 
 static void lead(struct leader *leader, int64_t fence)
 {
@@ -231,7 +231,7 @@
 	leader->kv->ops->grant(leader->kv, &leader->call, LEADER_LEASE_S);
 }
 
-/* ---- the key ---- */
+/* The key. */
 
 static bool read_mark(const struct kv_item *item, struct leader_mark *mark)
 {
@@ -316,7 +316,7 @@
 	step_down(leader, false, why);
 }
 
-/* ---- life ---- */
+/* Life. */
 
 void leader_init(struct leader *leader, struct kv *kv, const struct site *site,
 		 uint64_t incarnation, const struct leader_ops *ops)
--- a/control/ledger.c
+++ b/control/ledger.c
@@ -71,7 +71,7 @@
 	ledger->waiting_dirty = false;
 }
 
-/* ---- answers ---- */
+/* Answers. */
 
 /* The job's changes up to the written one are stored. */
 static void settle_job(struct ledger *ledger, struct job *job, uint64_t written,
@@ -214,7 +214,7 @@
 		     on_retry);
 }
 
-/* ---- writing ---- */
+/* Writing. */
 
 struct batch {
 	GArray *cmps; /* struct kv_cmp */
--- a/control/maintenance.c
+++ b/control/maintenance.c
@@ -71,7 +71,7 @@
 	}
 }
 
-/* ---- what earlier leaders have said ---- */
+/* What earlier leaders have said. */
 
 static void on_said(struct kv_call *call)
 {
@@ -124,7 +124,7 @@
 	own->fleet = NULL;
 }
 
-/* ---- the list ---- */
+/* The list. */
 
 static void on_list(struct machine_call *call)
 {
@@ -152,7 +152,7 @@
 	own->machines->ops->list(own->machines, &own->list_call);
 }
 
-/* ---- orders ---- */
+/* Orders. */
 
 static void on_order(struct machine_call *call)
 {
@@ -189,7 +189,7 @@
 				   wave->number, own->fence);
 }
 
-/* ---- status ---- */
+/* Status. */
 
 static void on_status(struct kv_call *call)
 {
--- a/control/orders.c
+++ b/control/orders.c
@@ -95,7 +95,7 @@
 	orders->fleet = NULL;
 }
 
-/* ---- answers ---- */
+/* Answers. */
 
 static struct worker *find_worker(const struct orders_call *own)
 {
@@ -319,7 +319,7 @@
 	orders->ops->changed(orders);
 }
 
-/* ---- sending ---- */
+/* Sending. */
 
 static void send_order(struct orders *orders, struct orders_call *own,
 		       struct worker *worker, struct order *order,
@@ -449,7 +449,7 @@
 	send_order(orders, own, worker, &order, now_us);
 }
 
-/* ---- what is due ---- */
+/* What is due. */
 
 static void run_task(struct orders *orders, struct task *task, int64_t now_us,
 		     int64_t *next_us)
--- a/control/record.c
+++ b/control/record.c
@@ -15,7 +15,7 @@
 
 #define STRETCH_UNIT 1000.0 /* stretch is kept in thousandths */
 
-/* ---- submissions ---- */
+/* Submissions. */
 
 static uint64_t step_flags(const struct step_spec *step)
 {
@@ -181,7 +181,7 @@
 	return job;
 }
 
-/* ---- states ---- */
+/* States. */
 
 static bool task_is_plain(const struct task *task)
 {
@@ -412,7 +412,7 @@
 	return number >= 0;
 }
 
-/* ---- counts ---- */
+/* Counts. */
 
 void record_waiting_write(const struct fleet *fleet, msgpack_sbuffer *out)
 {
--- a/control/relay.c
+++ b/control/relay.c
@@ -54,7 +54,7 @@
 static void try_peer(struct relay_call *own);
 static void try_direct(struct relay_call *own);
 
-/* ---- end of a call ---- */
+/* End of a call. */
 
 static void peer_release(struct relay_call *own)
 {
@@ -139,7 +139,7 @@
 		       0);
 }
 
-/* ---- the direct way ---- */
+/* The direct way. */
 
 static void on_probe(struct exchange_call *call);
 
@@ -282,7 +282,7 @@
 		     own->expected_ms * USEC_PER_MSEC, on_direct_late);
 }
 
-/* ---- through another host ---- */
+/* Through another host. */
 
 static bool was_tried(const struct relay_call *own,
 		      const struct relay_peer *peer)
@@ -399,7 +399,7 @@
 	mp_end(&out);
 }
 
-/* ---- calls of this host ---- */
+/* Calls of this host. */
 
 static struct relay_call *own_new(struct relay *relay, const char *method,
 				  const char *target, const void *body,
@@ -463,7 +463,7 @@
 	relay->direct->ops->refresh(relay->direct);
 }
 
-/* ---- calls of other hosts ---- */
+/* Calls of other hosts. */
 
 static void on_store_call(struct relay *relay, struct rpc_request *request,
 			  struct mp_in *in)
@@ -521,7 +521,7 @@
 
 static const struct rpc_server_ops server_ops = { .request = on_request };
 
-/* ---- life ---- */
+/* Life. */
 
 static void relay_finish(struct exchange *exchange)
 {
--- a/daemon/api.c
+++ b/daemon/api.c
@@ -21,7 +21,7 @@
 	{ "/v1/leaders", SVC_LEAD, false, false },
 };
 
-/* ---- calls ---- */
+/* Calls. */
 
 static void release_call(struct kn_msg *msg)
 {
@@ -87,7 +87,7 @@
 	api_call_free(call);
 }
 
-/* ---- routing ---- */
+/* Routing. */
 
 static const struct route *find_route(const char *path)
 {
@@ -149,7 +149,7 @@
 		send_to(call, route->service, SVC_API_CALL);
 }
 
-/* ---- HTTP ---- */
+/* HTTP. */
 
 static char *bearer_token(const struct hs_request *req)
 {
@@ -194,7 +194,7 @@
 	.gone = on_gone,
 };
 
-/* ---- task ---- */
+/* Task. */
 
 static void on_document(struct api *api, const struct svc_doc *changed)
 {
--- a/daemon/api_forward.c
+++ b/daemon/api_forward.c
@@ -51,7 +51,7 @@
 	return true;
 }
 
-/* ---- the forwarding host ---- */
+/* The forwarding host. */
 
 /* The leader may have carried the call out. */
 static void on_timeout(struct kn_timer *timer)
@@ -137,7 +137,7 @@
 	}
 }
 
-/* ---- the leading host ---- */
+/* The leading host. */
 
 static void on_forward(struct api *api, struct pr_in *in)
 {
--- a/daemon/api_int.h
+++ b/daemon/api_int.h
@@ -46,27 +46,27 @@
 	uint64_t remote_id;
 };
 
-/* ---- api.c ---- */
+/* Api.c. */
 
 struct api_call *api_call_new(struct api *api);
 void api_call_free(struct api_call *call);
 void api_dispatch(struct api_call *call);
 void api_send_answer(struct api_call *call);
 
-/* ---- api_parse.c ---- */
+/* Api_parse.c. */
 
 /* Fills method, path, query and body. Returns false with the reason. */
 bool api_parse(struct api_call *call, const char *method, const char *target,
 	       const void *body, size_t len, GError **err);
 
-/* ---- api_own.c ---- */
+/* Api_own.c. */
 
 /* Answers the paths that no other service owns. */
 bool api_answer_own(struct api_call *call);
 /* Tickets from the request service, for the call that asked for them. */
 void api_take_tickets(struct api *api, const struct req_tickets *tickets);
 
-/* ---- api_forward.c ---- */
+/* Api_forward.c. */
 
 /* Sends a call to the leading host, or fails it. */
 void api_forward(struct api_call *call);
@@ -75,7 +75,7 @@
 void api_forward_message(struct api *api, struct pr_in *in);
 void api_forward_answer(struct api_call *call);
 
-/* ---- api_away.c ---- */
+/* Api_away.c. */
 
 /* Notes which peers lead their data centres. */
 void api_away_heartbeat(struct api *api, struct pr_in *in);
--- a/daemon/api_own.c
+++ b/daemon/api_own.c
@@ -5,7 +5,7 @@
 #include "base/ev.h"
 #include "daemon/api_int.h"
 
-/* ---- health and metrics ---- */
+/* Health and metrics. */
 
 /* The platform's balancer takes a host out when it answers 503. */
 static void answer_health(struct api_call *call)
@@ -42,7 +42,7 @@
 	api_call_free(call);
 }
 
-/* ---- events ---- */
+/* Events. */
 
 static bool query_number(struct api_call *call, const char *name,
 			 uint64_t missing, uint64_t *out)
@@ -93,7 +93,7 @@
 				 "events", list));
 }
 
-/* ---- customers ---- */
+/* Customers. */
 
 static json_t *customer_json(const struct doc_customer *customer)
 {
@@ -136,7 +136,7 @@
 				 list));
 }
 
-/* ---- tickets ---- */
+/* Tickets. */
 
 static void release_tickets(struct kn_msg *msg)
 {
@@ -197,7 +197,7 @@
 	}
 }
 
-/* ---- routes ---- */
+/* Routes. */
 
 static const struct {
 	const char *path;
--- a/daemon/back.c
+++ b/daemon/back.c
@@ -31,7 +31,7 @@
 	struct hc_call hc;
 };
 
-/* ---- servers ---- */
+/* Servers. */
 
 static void print_name(char *name, const char *addr, int port)
 {
@@ -94,7 +94,7 @@
 	return server ? server->pool.conns : 0;
 }
 
-/* ---- results ---- */
+/* Results. */
 
 static bool says_leaving(const struct hc_call *hc)
 {
@@ -148,7 +148,7 @@
 	}
 }
 
-/* ---- calls ---- */
+/* Calls. */
 
 static void call_free(struct http_call *http)
 {
--- a/daemon/document.c
+++ b/daemon/document.c
@@ -8,7 +8,7 @@
 #include "base/log.h"
 #include "daemon/document_int.h"
 
-/* ---- the document in force ---- */
+/* The document in force. */
 
 static void release_doc(struct kn_msg *msg)
 {
@@ -84,7 +84,7 @@
 		d->doc->revision);
 }
 
-/* ---- reading the store ---- */
+/* Reading the store. */
 
 /* Exponential with full jitter. */
 int64_t document_backoff_us(struct document *d, unsigned int failures)
@@ -189,7 +189,7 @@
 		d->kv->ops->unwatch(d->kv, &d->watch);
 }
 
-/* ---- task ---- */
+/* Task. */
 
 static void subscribe(struct document *d, struct kn_task *from)
 {
--- a/daemon/document_api.c
+++ b/daemon/document_api.c
@@ -5,7 +5,7 @@
 
 #define SECTIONS_PATH "/v1/document/sections/"
 
-/* ---- arguments ---- */
+/* Arguments. */
 
 static bool parse_int(const char *text, int64_t *out)
 {
@@ -53,7 +53,7 @@
 	return ok;
 }
 
-/* ---- reading ---- */
+/* Reading. */
 
 static bool hidden(const struct doc_section *section, bool admin)
 {
@@ -119,7 +119,7 @@
 	svc_api_answer(call, &d->task, 200, answer);
 }
 
-/* ---- check ---- */
+/* Check. */
 
 /*
  * Tries one change on a document. Returns the changed document and frees the
@@ -182,7 +182,7 @@
 				 errors));
 }
 
-/* ---- writing ---- */
+/* Writing. */
 
 static void write_section(struct document *d, struct svc_api_call *call,
 			  const char *name, const char *team, bool put)
@@ -221,7 +221,7 @@
 		document_revert(d, call, team, base);
 }
 
-/* ---- routes ---- */
+/* Routes. */
 
 static bool method_is(const struct svc_api_call *call, const char *method)
 {
@@ -265,7 +265,7 @@
 			     call->method, call->path);
 }
 
-/* ---- tokens ---- */
+/* Tokens. */
 
 /* Returns the team of the call's token, or fails the call. */
 static const char *find_team(struct document *d, struct svc_api_call *call)
--- a/daemon/document_change.c
+++ b/daemon/document_change.c
@@ -70,7 +70,7 @@
 	change_end(c);
 }
 
-/* ---- outcome ---- */
+/* Outcome. */
 
 /* The change is revision `revision`; doc, taken over, holds it. */
 static void succeed(struct change *c, int64_t revision, struct doc *doc)
@@ -116,7 +116,7 @@
 		     document_backoff_us(c->d, c->failures++), on_later);
 }
 
-/* ---- writing ---- */
+/* Writing. */
 
 static void on_written(struct kv_call *call)
 {
@@ -186,7 +186,7 @@
 	g_free(old_history);
 }
 
-/* ---- a caller's repetition ---- */
+/* A caller's repetition. */
 
 static bool same_body(const struct change *c, const struct doc_section *section)
 {
@@ -245,7 +245,7 @@
 	g_free(id);
 }
 
-/* ---- applying ---- */
+/* Applying. */
 
 /*
  * Applies the change to what was read, and writes the result. A conflict
@@ -276,7 +276,7 @@
 	write_next(c);
 }
 
-/* ---- settling a lost answer ---- */
+/* Settling a lost answer. */
 
 static void on_history(struct kv_call *call)
 {
@@ -303,7 +303,7 @@
 		read_history(c, c->next->revision, on_history);
 }
 
-/* ---- reading ---- */
+/* Reading. */
 
 static void on_read(struct doc_fetch *fetch, int result)
 {
@@ -342,7 +342,7 @@
 	document_fetch(c->d, on_read, c);
 }
 
-/* ---- start ---- */
+/* Start. */
 
 static void start_first(struct document *d)
 {
--- a/daemon/document_int.h
+++ b/daemon/document_int.h
@@ -45,7 +45,7 @@
 	struct ctr revision;
 };
 
-/* ---- document.c ---- */
+/* Document.c. */
 
 void document_install(struct document *d, struct doc *doc, bool announce);
 bool document_is_behind(const struct document *d, const struct doc *root);
@@ -53,7 +53,7 @@
 int64_t document_backoff_us(struct document *d, unsigned int failures);
 void document_refetch(struct document *d);
 
-/* ---- document_fetch.c ---- */
+/* Document_fetch.c. */
 
 /* A read of the root and of the bodies that this host lacks. */
 struct doc_fetch {
@@ -76,26 +76,26 @@
 
 void document_fetches_finish(struct document *d);
 
-/* ---- document_peer.c ---- */
+/* Document_peer.c. */
 
 void document_push(struct document *d, const char *host, int64_t since);
 void document_pull(struct document *d, const char *host, int64_t revision);
 void document_peer_message(struct document *d, struct pr_in *in);
 
-/* ---- document_change.c ---- */
+/* Document_change.c. */
 
 /* Starts a change; takes over change.body and copies the texts. */
 void document_change(struct document *d, struct svc_api_call *call,
 		     const struct doc_change *change);
 void document_changes_finish(struct document *d);
 
-/* ---- document_prune.c ---- */
+/* Document_prune.c. */
 
 /* Removes old revisions after a change that made this one. */
 void document_prune(struct document *d, int64_t revision);
 void document_prunes_finish(struct document *d);
 
-/* ---- document_api.c, document_read.c ---- */
+/* Document_api.c, document_read.c. */
 
 /* Fills team and may of a call and sends it back, or fails it. */
 void document_api_auth(struct document *d, struct svc_api_call *call);
--- a/daemon/document_peer.c
+++ b/daemon/document_peer.c
@@ -18,7 +18,7 @@
 	msgpack_pack_str_body(pk, text, len);
 }
 
-/* ---- push ---- */
+/* Push. */
 
 struct push {
 	struct document *d;
@@ -92,7 +92,7 @@
 	msgpack_sbuffer_destroy(&push.sections);
 }
 
-/* ---- pull ---- */
+/* Pull. */
 
 /*
  * Asks a host for a revision. The same one is not asked for again before
@@ -117,7 +117,7 @@
 	msgpack_sbuffer_destroy(&body);
 }
 
-/* ---- receiving ---- */
+/* Receiving. */
 
 static const msgpack_object *field(const msgpack_object *array, uint32_t i,
 				   msgpack_object_type type)
--- a/daemon/document_read.c
+++ b/daemon/document_read.c
@@ -84,7 +84,7 @@
 		g_ptr_array_add(q->keys, doc_history_key(revision));
 }
 
-/* ---- history ---- */
+/* History. */
 
 static void on_history(struct kv_call *call)
 {
@@ -124,7 +124,7 @@
 	read_keys(q, on_history);
 }
 
-/* ---- difference ---- */
+/* Difference. */
 
 /* Newest first: the first entry of a section ends it, the last begins it. */
 static void add_entry(struct query *q, json_t *entry)
@@ -259,7 +259,7 @@
 	read_keys(q, on_diff_history);
 }
 
-/* ---- revert ---- */
+/* Revert. */
 
 static void on_old_body(struct kv_call *call)
 {
--- a/daemon/front.c
+++ b/daemon/front.c
@@ -62,7 +62,7 @@
 	return req;
 }
 
-/* ---- requests ---- */
+/* Requests. */
 
 /* Splits /r/<service>/<path>; the backend server gets /<path>. */
 static bool parse_target(const char *target, struct req_call *call)
@@ -174,7 +174,7 @@
 	req_call_free(call);
 }
 
-/* ---- tickets ---- */
+/* Tickets. */
 
 static void release_tickets(struct kn_msg *msg)
 {
@@ -239,7 +239,7 @@
 	reply_json(req, 200, json_pack("{s:o}", "tickets", list));
 }
 
-/* ---- server ---- */
+/* Server. */
 
 static void on_request(struct hs_server *server, struct hs_request *req)
 {
@@ -290,7 +290,7 @@
 	kn_send(f->requests, &f->task, &msg->msg);
 }
 
-/* ---- answers ---- */
+/* Answers. */
 
 /* Replies with the whole answer of the backend server. */
 static void reply_answer(struct hs_request *req, const struct req_call *call)
@@ -334,7 +334,7 @@
 	kn_msg_release(msg);
 }
 
-/* ---- start and stop ---- */
+/* Start and stop. */
 
 static bool start(struct kn_task *task, GError **err)
 {
--- a/daemon/lead.c
+++ b/daemon/lead.c
@@ -52,7 +52,7 @@
 	return (struct lead *)task;
 }
 
-/* ---- publishing ---- */
+/* Publishing. */
 
 static void free_msg(struct kn_msg *msg)
 {
@@ -149,7 +149,7 @@
 	}
 }
 
-/* ---- peers ---- */
+/* Peers. */
 
 static int peer_index(const struct lead *lead, const char *host)
 {
@@ -239,7 +239,7 @@
 			    (int64_t)f[1] * USEC_PER_MSEC);
 }
 
-/* ---- store ---- */
+/* Store. */
 
 static void advance(struct lead *lead);
 
@@ -360,7 +360,7 @@
 	}
 }
 
-/* ---- advancing ---- */
+/* Advancing. */
 
 static void check_drained(struct lead *lead, int64_t now_us)
 {
@@ -403,7 +403,7 @@
 	advance(lead);
 }
 
-/* ---- operators' calls ---- */
+/* Operators' calls. */
 
 static json_t *leader_json(const struct lead_known *known)
 {
@@ -437,7 +437,7 @@
 		       json_pack("{s:o}", "leaders", list));
 }
 
-/* ---- life ---- */
+/* Life. */
 
 static void lead_receive(struct kn_task *task, struct kn_msg *msg)
 {
--- a/daemon/members.c
+++ b/daemon/members.c
@@ -35,7 +35,7 @@
 			 (m->leading && kn_now_us() < m->valid_until_us));
 }
 
-/* ---- the list ---- */
+/* The list. */
 
 static void release_members(struct kn_msg *msg)
 {
@@ -118,7 +118,7 @@
 	return true;
 }
 
-/* ---- polling ---- */
+/* Polling. */
 
 static void poll_now(struct kn_timer *timer);
 
@@ -195,7 +195,7 @@
 	m->kv->ops->hosts(m->kv, &m->call);
 }
 
-/* ---- messages ---- */
+/* Messages. */
 
 static void members_in(struct members *m, const struct pr_in *msg)
 {
@@ -298,7 +298,7 @@
 	kn_msg_release(msg);
 }
 
-/* ---- start and stop ---- */
+/* Start and stop. */
 
 static bool start(struct kn_task *task, GError **err)
 {
--- a/daemon/mp.c
+++ b/daemon/mp.c
@@ -4,7 +4,7 @@
 
 #include <glib.h>
 
-/* ---- packing ---- */
+/* Packing. */
 
 void mp_begin(struct mp_out *out, size_t elements)
 {
@@ -64,7 +64,7 @@
 	}
 }
 
-/* ---- reading ---- */
+/* Reading. */
 
 void mp_open(struct mp_in *in, const msgpack_object *array)
 {
--- a/daemon/req.c
+++ b/daemon/req.c
@@ -8,7 +8,7 @@
 #include "base/log.h"
 #include "daemon/req_int.h"
 
-/* ---- counters ---- */
+/* Counters. */
 
 struct counter {
 	size_t offset;
@@ -136,7 +136,7 @@
 	ctr_gauge(&r->ctrs.evicted, r->ky.evicted);
 }
 
-/* ---- time ---- */
+/* Time. */
 
 static void on_tick(struct kn_timer *timer);
 
@@ -193,7 +193,7 @@
 		     on_idle);
 }
 
-/* ---- messages ---- */
+/* Messages. */
 
 static void submit(struct req_task *r, struct req_call *call)
 {
@@ -300,7 +300,7 @@
 	kn_msg_release(msg);
 }
 
-/* ---- start and stop ---- */
+/* Start and stop. */
 
 static bool start(struct kn_task *task, GError **err)
 {
--- a/daemon/req_adopt.c
+++ b/daemon/req_adopt.c
@@ -5,7 +5,7 @@
 #include "daemon/mp.h"
 #include "daemon/req_int.h"
 
-/* ---- handing over ---- */
+/* Handing over. */
 
 enum adopt_kind { ADOPT_KEYS, ADOPT_ANNOUNCE };
 
--- a/daemon/req_fwd.c
+++ b/daemon/req_fwd.c
@@ -6,7 +6,7 @@
 #include "daemon/mp.h"
 #include "daemon/req_int.h"
 
-/* ---- region budget ---- */
+/* Region budget. */
 
 /* Takes bytes to another region out of the budget; one second's burst. */
 static bool region_allows(struct req_task *r, const char *host, size_t bytes)
@@ -33,7 +33,7 @@
 	return true;
 }
 
-/* ---- sending ---- */
+/* Sending. */
 
 static void pack_forward(struct mp_out *out, const struct req *req)
 {
@@ -167,7 +167,7 @@
 	return sent;
 }
 
-/* ---- leaving the queue ---- */
+/* Leaving the queue. */
 
 /* True when only another data centre has a server for a waiting request. */
 bool req_must_leave(const struct req *req)
@@ -225,7 +225,7 @@
 		req_pass_on(list_first_entry(&out, struct req, node));
 }
 
-/* ---- requests from peers ---- */
+/* Requests from peers. */
 
 /* Runs a request that a peer forwarded. It goes no further from here. */
 void req_forward_in(struct req_task *r, const struct pr_in *msg)
@@ -285,7 +285,7 @@
 	mp_end(&out);
 }
 
-/* ---- answers from peers ---- */
+/* Answers from peers. */
 
 static struct req *find_forward(struct req_task *r, const char *host,
 				uint64_t id)
--- a/daemon/req_int.h
+++ b/daemon/req_int.h
@@ -131,7 +131,7 @@
 	struct req_counters ctrs;
 };
 
-/* ---- req.c ---- */
+/* Req.c. */
 
 void req_counters_init(struct req_task *r);
 void req_counters_finish(struct req_task *r);
@@ -139,7 +139,7 @@
 void req_wake(struct req_task *r);
 void req_check_drained(struct req_task *r);
 
-/* ---- req_run.c ---- */
+/* Req_run.c. */
 
 void req_submit(struct req_task *r, struct req *req);
 void req_enqueue(struct req *req);
@@ -153,7 +153,7 @@
 void req_expire(struct req_task *r, int64_t now_us);
 void req_gone(struct req_task *r, const char *host, uint64_t id);
 
-/* ---- req_servers.c ---- */
+/* Req_servers.c. */
 
 struct req_group *req_group_get(struct req_task *r, const char *service);
 void req_servers_update(struct req_task *r, const struct req_members *members);
@@ -169,7 +169,7 @@
 void req_signs_init(struct req_task *r);
 void req_servers_api(struct req_task *r, struct svc_api_call *call);
 
-/* ---- req_key.c ---- */
+/* Req_key.c. */
 
 void req_key_begin(struct req *req);
 void req_key_end(struct req *req);
@@ -177,12 +177,12 @@
 void req_claims_finish(struct req_task *r);
 void req_tickets(struct req_task *r, struct req_tickets *msg);
 
-/* ---- req_adopt.c ---- */
+/* Req_adopt.c. */
 
 void req_keys_hand_over(struct req_task *r);
 void req_keys_adopt(struct req_task *r, const struct pr_in *in);
 
-/* ---- req_fwd.c ---- */
+/* Req_fwd.c. */
 
 bool req_forward(struct req *req, const char *host);
 void req_forward_cancel(struct req *req);
--- a/daemon/req_key.c
+++ b/daemon/req_key.c
@@ -10,7 +10,7 @@
 #define KEY_STORE_PREFIX "/chivebank/keys/"
 #define STORE_KEY_BYTES (KY_KEY_BYTES + sizeof(KEY_STORE_PREFIX))
 
-/* ---- answers that are kept ---- */
+/* Answers that are kept. */
 
 static void pack_answer(struct mp_out *out, const struct req_call *call)
 {
@@ -56,7 +56,7 @@
 	req_answer(req);
 }
 
-/* ---- begin and end ---- */
+/* Begin and end. */
 
 /* A key of the caller's choice belongs to its customer. */
 static bool full_key(const struct req_call *call, char out[KY_KEY_BYTES])
@@ -202,7 +202,7 @@
 	mp_end(&out);
 }
 
-/* ---- claims ---- */
+/* Claims. */
 
 /* One transaction that claims up to KEY_BATCH_MAX keys, or none of them. */
 struct batch {
@@ -449,7 +449,7 @@
 		g_free(batch);
 }
 
-/* ---- tickets ---- */
+/* Tickets. */
 
 void req_tickets(struct req_task *r, struct req_tickets *msg)
 {
--- a/daemon/req_run.c
+++ b/daemon/req_run.c
@@ -4,7 +4,7 @@
 #include "base/log.h"
 #include "daemon/req_int.h"
 
-/* ---- answers ---- */
+/* Answers. */
 
 static void free_call_msg(struct kn_msg *msg)
 {
@@ -125,7 +125,7 @@
 	req_answer(req);
 }
 
-/* ---- queue ---- */
+/* Queue. */
 
 static bool is_idempotent(const char *method)
 {
@@ -238,7 +238,7 @@
 	req_dispatch(r);
 }
 
-/* ---- running ---- */
+/* Running. */
 
 static void on_done(struct back_call *back);
 
@@ -436,7 +436,7 @@
 	g_free(c.usable);
 }
 
-/* ---- time and callers that leave ---- */
+/* Time and callers that leave. */
 
 /* Ends requests whose deadline has passed; forwards get some grace. */
 void req_expire(struct req_task *r, int64_t now_us)
--- a/daemon/req_servers.c
+++ b/daemon/req_servers.c
@@ -8,7 +8,7 @@
 
 #define ANY_SERVICE "*"
 
-/* ---- groups ---- */
+/* Groups. */
 
 static struct req_group *find_group(struct req_task *r, const char *service)
 {
@@ -122,7 +122,7 @@
 		sync_customers(r, group);
 }
 
-/* ---- servers ---- */
+/* Servers. */
 
 static void log_state(const struct req_server *server, const char *cause)
 {
@@ -355,7 +355,7 @@
 	}
 }
 
-/* ---- signs from the edge ---- */
+/* Signs from the edge. */
 
 static struct req_task *of_signs(struct back_signs *signs)
 {
@@ -439,7 +439,7 @@
 	r->signs.answered = on_answered;
 }
 
-/* ---- API ---- */
+/* API. */
 
 /* Answers GET /v1/servers with what this host knows of each server. */
 void req_servers_api(struct req_task *r, struct svc_api_call *call)
--- a/daemon/sched.c
+++ b/daemon/sched.c
@@ -44,7 +44,7 @@
 			 (double)MS(MIN(ceiling, STORE_BACKOFF_CAP_MS)));
 }
 
-/* ---- leading ---- */
+/* Leading. */
 
 /* Starts to read records and to sync; decides when both are complete. */
 static void begin(struct sched *s)
@@ -129,7 +129,7 @@
 		begin(s);
 }
 
-/* ---- ticks ---- */
+/* Ticks. */
 
 /*
  * A worker is silent only while it is asked: time in which this host did not
@@ -216,7 +216,7 @@
 		MS(list_empty(&s->busy) ? SCHED_IDLE_TICK_MS : SCHED_TICK_MS));
 }
 
-/* ---- task ---- */
+/* Task. */
 
 static void on_document(struct sched *s, const struct svc_doc *changed)
 {
--- a/daemon/sched_api.c
+++ b/daemon/sched_api.c
@@ -7,7 +7,7 @@
 #define JOBS "/v1/jobs"
 #define WORKERS "/v1/workers"
 
-/* ---- submission ---- */
+/* Submission. */
 
 static bool refuse(GError **err, int code, const char *text)
 {
@@ -90,7 +90,7 @@
 	sched_job_free(job);
 }
 
-/* ---- jobs ---- */
+/* Jobs. */
 
 static const char *query(const struct svc_api_call *call, const char *name)
 {
@@ -204,7 +204,7 @@
 		svc_api_fail(call, &s->task, CB_E_METHOD, "%s", call->method);
 }
 
-/* ---- workers ---- */
+/* Workers. */
 
 static const char *worker_state(const struct sched *s, const struct sworker *w)
 {
@@ -245,7 +245,7 @@
 		       json_pack("{so}", "workers", workers));
 }
 
-/* ---- routing ---- */
+/* Routing. */
 
 static void jobs_call(struct sched *s, struct svc_api_call *call)
 {
--- a/daemon/sched_gang.c
+++ b/daemon/sched_gang.c
@@ -28,7 +28,7 @@
 	return s->workers->pdata[index];
 }
 
-/* ---- calls ---- */
+/* Calls. */
 
 static void drop_stray(struct sworker *w, const char *token)
 {
@@ -138,7 +138,7 @@
 	}
 }
 
-/* ---- what a gang asks for ---- */
+/* What a gang asks for. */
 
 static void gang_call(struct gg *gg, int member, enum gg_verb verb)
 {
@@ -212,7 +212,7 @@
 	.gone = gang_gone,
 };
 
-/* ---- members ---- */
+/* Members. */
 
 void sched_gang_init(struct sjob *job)
 {
--- a/daemon/sched_int.h
+++ b/daemon/sched_int.h
@@ -111,13 +111,13 @@
 	struct ctr running;
 };
 
-/* ---- sched.c ---- */
+/* Sched.c. */
 
 bool sched_may_act(const struct sched *s);
 void sched_wake(struct sched *s);
 int64_t sched_backoff_us(struct sched *s, unsigned int failures);
 
-/* ---- sched_job.c: jobs and what the policy asks for ---- */
+/* Sched_job.c: jobs and what the policy asks for. */
 
 extern const struct sc_ops sched_sc_ops;
 struct sjob *sched_job_new(struct sched *s);
@@ -129,7 +129,7 @@
 void sched_job_cancel(struct sjob *job, int64_t now_us);
 void sched_forget_ended(struct sched *s, int64_t now_us);
 
-/* ---- sched_gang.c: gangs on workers ---- */
+/* Sched_gang.c: gangs on workers. */
 
 void sched_gang_init(struct sjob *job);
 void sched_gang_start(struct sjob *job);
@@ -139,7 +139,7 @@
 void sched_stray_stop(struct sworker *w, const char *token, bool ran);
 void sched_calls_drop(struct sched *s);
 
-/* ---- sched_sync.c: workers and customers ---- */
+/* Sched_sync.c: workers and customers. */
 
 void sched_build(struct sched *s);
 bool sched_size_changed(const struct sched *s);
@@ -152,12 +152,12 @@
 int sched_customer(struct sched *s, const char *name);
 struct sworker *sched_worker(struct sched *s, const char *name);
 
-/* ---- sched_take.c: taking over ---- */
+/* Sched_take.c: taking over. */
 
 bool sched_ready_to_decide(struct sched *s, int64_t now_us);
 void sched_decide(struct sched *s, int64_t now_us);
 
-/* ---- sched_store.c: records ---- */
+/* Sched_store.c: records. */
 
 void sched_load(struct sched *s);
 void sched_write(struct sjob *job);
@@ -168,7 +168,7 @@
 void sched_store_finish(struct sched *s);
 void sched_submits_drop(struct sched *s);
 
-/* ---- sched_api.c ---- */
+/* Sched_api.c. */
 
 void sched_api_call(struct sched *s, struct svc_api_call *call);
 
--- a/daemon/sched_job.c
+++ b/daemon/sched_job.c
@@ -80,7 +80,7 @@
 	sched_job_rule(job);
 }
 
-/* ---- ended jobs ---- */
+/* Ended jobs. */
 
 /* Keeps a job that has ended for those who ask for it. */
 void sched_job_keep(struct sjob *job)
@@ -124,7 +124,7 @@
 	sc_cancel(&job->s->sc, &job->sc, now_us);
 }
 
-/* ---- what the policy asks for ---- */
+/* What the policy asks for. */
 
 static struct sjob *of(struct sc_job *job)
 {
--- a/daemon/sched_store.c
+++ b/daemon/sched_store.c
@@ -80,7 +80,7 @@
 	return text;
 }
 
-/* ---- reading ---- */
+/* Reading. */
 
 /*
  * Whether another host has taken over: then the epoch's key has changed, and
@@ -163,7 +163,7 @@
 		s->kv->ops->range(s->kv, &c->call, s->epoch_key, false);
 }
 
-/* ---- writing ---- */
+/* Writing. */
 
 /* Puts the job's record on the list of those to be written. */
 void sched_write(struct sjob *job)
@@ -287,7 +287,7 @@
 	       list_empty(&s->submits);
 }
 
-/* ---- submission ---- */
+/* Submission. */
 
 static void try_submit(struct scall_kv *c);
 
--- a/daemon/sched_sync.c
+++ b/daemon/sched_sync.c
@@ -10,7 +10,7 @@
 
 #define MS(ms) ((int64_t)(ms)*USEC_PER_MSEC)
 
-/* ---- the document ---- */
+/* The document. */
 
 struct sworker *sched_worker(struct sched *s, const char *name)
 {
@@ -224,7 +224,7 @@
 	s->dirty = true;
 }
 
-/* ---- sync ---- */
+/* Sync. */
 
 static int64_t jitter_us(struct sched *s)
 {
--- a/daemon/slots.c
+++ b/daemon/slots.c
@@ -6,7 +6,7 @@
 #include "base/log.h"
 #include "daemon/mp.h"
 
-/* ---- setup ---- */
+/* Setup. */
 
 /* Prepares the slots of this host; hosts are those of the data centre. */
 void slots_init(struct slots *slots, const struct set *set,
@@ -48,7 +48,7 @@
 	return (unsigned int)sl_connections(slots->host_count);
 }
 
-/* ---- leadership ---- */
+/* Leadership. */
 
 /* Takes a change or renewal of the data centre's leadership. */
 void slots_lead(struct slots *slots, const struct svc_lead *lead)
@@ -75,7 +75,7 @@
 	       now_us < slots->valid_until_us;
 }
 
-/* ---- messages ---- */
+/* Messages. */
 
 /*
  * Both messages are [epoch, incarnation, sequence, term ms, [server, held,
--- a/daemon/wagent.c
+++ b/daemon/wagent.c
@@ -55,7 +55,7 @@
 	return -1;
 }
 
-/* ---- agents ---- */
+/* Agents. */
 
 static void agent_free(gpointer data)
 {
@@ -83,7 +83,7 @@
 	return agent;
 }
 
-/* ---- requests ---- */
+/* Requests. */
 
 static json_t *string_array(const char *const *items, size_t count)
 {
@@ -133,7 +133,7 @@
 	return text;
 }
 
-/* ---- replies ---- */
+/* Replies. */
 
 static bool read_task(struct wk_task *task, const json_t *item)
 {
@@ -224,7 +224,7 @@
 	end_call(wc);
 }
 
-/* ---- vtable ---- */
+/* Vtable. */
 
 static void answer_refused(struct kn_timer *timer)
 {
--- a/fleet/fleet.c
+++ b/fleet/fleet.c
@@ -62,7 +62,7 @@
 	}
 }
 
-/* ---- jobs ---- */
+/* Jobs. */
 
 void fleet_add_job(struct fleet *fleet, struct job *job)
 {
--- a/fleet/fleet.h
+++ b/fleet/fleet.h
@@ -107,7 +107,7 @@
 void fleet_finish(struct fleet *fleet);
 void fleet_set_config(struct fleet *fleet, const struct config *config);
 
-/* ---- jobs ---- */
+/* Jobs. */
 
 /* Takes the job over; it must not be known yet. */
 void fleet_add_job(struct fleet *fleet, struct job *job);
@@ -125,7 +125,7 @@
 int64_t fleet_waiting(const struct fleet *fleet, const char *queue);
 bool fleet_job_holds(const struct job *job);
 
-/* ---- workers ---- */
+/* Workers. */
 
 /* Takes the contents of report over. Returns the worker's current life. */
 struct worker *fleet_report(struct fleet *fleet, struct worker_report *report,
@@ -140,7 +140,7 @@
 /* Lapsed leases, lives that are over, bans. Frees workers that are gone. */
 void fleet_sweep(struct fleet *fleet, int64_t now_us);
 
-/* ---- runs ---- */
+/* Runs. */
 
 /* Chooses the worker and the number of the next run. */
 void fleet_plan_run(struct fleet *fleet, struct task *task,
--- a/fleet/life.c
+++ b/fleet/life.c
@@ -141,7 +141,7 @@
 	}
 }
 
-/* ---- takeover ---- */
+/* Takeover. */
 
 struct worker *fleet_adopt_worker(struct fleet *fleet, const char *id,
 				  int64_t born_ms, int64_t now_us)
--- a/fleet/limits.h
+++ b/fleet/limits.h
@@ -3,7 +3,7 @@
 
 /* Times and weights of the scheduler's decisions, with their units. */
 
-/* ---- orders ---- */
+/* Orders. */
 
 /* A round trip between regions is 17 ms; more than that twice is a loss. */
 #define ORDER_TIMEOUT_MS 350
@@ -35,7 +35,7 @@
 /* Orders of an earlier leader that were under way when it was replaced. */
 #define ADOPT_SLACK_MS 500
 
-/* ---- trust ---- */
+/* Trust. */
 
 /* Failures in a row of different jobs that make a worker suspect. */
 #define STRIKES_MAX 2
@@ -57,7 +57,7 @@
 /* More work than that stays where it is, for the chance that it ends. */
 #define LEAVE_LOSS_MAX_MS 4000.0
 
-/* ---- queue ---- */
+/* Queue. */
 
 /* A task waits for the rack of its data for this share of its duration, as
  * elsewhere it takes several times as long. */
@@ -72,7 +72,7 @@
 /* Tasks that one pass starts; bounds the pass and the write after it. */
 #define PASS_STARTS_MAX 512
 
-/* ---- records ---- */
+/* Records. */
 
 /* Ended jobs stay readable for the platform's status time, and as long again
  * for requests that arrive late. */
--- a/fleet/placement.c
+++ b/fleet/placement.c
@@ -7,7 +7,7 @@
 #include "fleet/limits.h"
 #include "fleet/rescue.h"
 
-/* ---- views ---- */
+/* Views. */
 
 static void rack_free(struct rack_view *rack)
 {
@@ -109,7 +109,7 @@
 	return g_hash_table_lookup(p->pools, pool);
 }
 
-/* ---- fit ---- */
+/* Fit. */
 
 bool placement_suits(const struct worker *worker, const struct stage *stage,
 		     int64_t now_us)
@@ -168,7 +168,7 @@
 	       now_us + (int64_t)(expected_ms * 1000.0) > worker->busy_until_us;
 }
 
-/* ---- single tasks ---- */
+/* Single tasks. */
 
 /* Lower is better: the fullest worker that fits, accelerators first. */
 static double fit_score(const struct worker *worker)
@@ -231,7 +231,7 @@
 	return best;
 }
 
-/* ---- gangs ---- */
+/* Gangs. */
 
 struct seat {
 	struct worker *worker;
@@ -390,7 +390,7 @@
 	return NULL;
 }
 
-/* ---- reservations ---- */
+/* Reservations. */
 
 struct ending {
 	int64_t at_us;
--- a/policy/cell.c
+++ b/policy/cell.c
@@ -207,7 +207,7 @@
 	return MIN(best, GANG_MAX_ACCELERATORS);
 }
 
-/* ---- gangs ---- */
+/* Gangs. */
 
 void cell_gang_init(struct cell_gang *gang, int customer, int total,
 		    bool stoppable)
--- a/policy/doc.c
+++ b/policy/doc.c
@@ -7,7 +7,7 @@
 
 #define DOC_PREFIX "/chivebank/doc/"
 
-/* ---- documents ---- */
+/* Documents. */
 
 static int compare_names(const void *a, const void *b, void *unused)
 {
@@ -70,7 +70,7 @@
 	return json_dumps(body, JSON_COMPACT | JSON_SORT_KEYS);
 }
 
-/* ---- the root ---- */
+/* The root. */
 
 static gboolean add_to_root(void *key, void *value, void *data)
 {
@@ -153,7 +153,7 @@
 	return NULL;
 }
 
-/* ---- bodies ---- */
+/* Bodies. */
 
 static gboolean share_body(void *key, void *value, void *data)
 {
@@ -215,7 +215,7 @@
 	return true;
 }
 
-/* ---- keys of the store ---- */
+/* Keys of the store. */
 
 /* Key of a section's body at a revision, to be freed with g_free(). */
 char *doc_section_key(const char *name, int64_t revision)
--- a/policy/doc.h
+++ b/policy/doc.h
@@ -36,7 +36,7 @@
 	const char *owner; /* new owner, administrator only; or NULL */
 };
 
-/* ---- doc.c: documents and their form in the store ---- */
+/* Doc.c: documents and their form in the store. */
 
 struct doc *doc_new(void);
 void doc_free(struct doc *doc);
@@ -55,7 +55,7 @@
 json_t *doc_history_entry(const struct doc *before, const struct doc *after,
 			  const struct doc_change *change, int64_t wall_us);
 
-/* ---- docedit.c: who may change what, and changes ---- */
+/* Docedit.c: who may change what, and changes. */
 
 const char *doc_team_of_token(const struct doc *doc, const char *admin_sha256,
 			      const char *token);
@@ -64,17 +64,17 @@
 struct doc *doc_apply(const struct doc *doc, const struct doc_change *change,
 		      GError **err);
 
-/* ---- docchk.c: checks ---- */
+/* Docchk.c: checks. */
 
 bool doc_check_name(const char *name, GError **err);
 bool doc_check_section(const char *name, const json_t *body, GError **err);
 bool doc_check_whole(const struct doc *doc, GError **err);
 
-/* ---- docparse.c: the parsed view ---- */
+/* Docparse.c: the parsed view. */
 
 struct doc_view *doc_view_new(const struct doc *doc);
 
-/* ---- docdiff.c: differences ---- */
+/* Docdiff.c: differences. */
 
 json_t *doc_diff(const json_t *from, const json_t *to);
 
--- a/policy/docchk.c
+++ b/policy/docchk.c
@@ -44,7 +44,7 @@
 	char path[3 * NAME_MAX_BYTES];
 };
 
-/* ---- values ---- */
+/* Values. */
 
 static bool fail(const struct place *place, const char *key,
 		 const json_t *value, const char *allowed, GError **err)
@@ -124,7 +124,7 @@
 	       (!slash[1] || valid_name(slash + 1));
 }
 
-/* ---- objects ---- */
+/* Objects. */
 
 static const struct field *find_field(const struct field *fields,
 				      const char *key)
@@ -178,7 +178,7 @@
 	snprintf(place->path, sizeof(place->path), "%s[%zu].", array, i);
 }
 
-/* ---- sections ---- */
+/* Sections. */
 
 static const char *const units[] = { "accelerator", "worker", "rack", NULL };
 static const char *const removals[] = { "finish", "stop", NULL };
@@ -346,7 +346,7 @@
 	return ok;
 }
 
-/* ---- the sections' types ---- */
+/* The sections' types. */
 
 static const struct section_type {
 	const char *prefix;
--- a/policy/docedit.c
+++ b/policy/docedit.c
@@ -7,7 +7,7 @@
 
 #define TEAM_PREFIX "team/"
 
-/* ---- authority ---- */
+/* Authority. */
 
 /* Takes the same time wherever the texts differ. */
 static bool equal_hashes(const char *a, const char *b)
@@ -132,7 +132,7 @@
 	return true;
 }
 
-/* ---- changes ---- */
+/* Changes. */
 
 /*
  * A change of a section that has changed since it was read conflicts; a
--- a/policy/docparse.c
+++ b/policy/docparse.c
@@ -2,7 +2,7 @@
 
 #include <string.h>
 
-/* ---- sections, all checked before ---- */
+/* Sections, all checked before. */
 
 static int64_t integer(const json_t *body, const char *key, int64_t missing)
 {
@@ -89,7 +89,7 @@
 	}
 }
 
-/* ---- the view ---- */
+/* The view. */
 
 static gboolean parse_section(void *key, void *value, void *data)
 {
--- a/policy/docwhole.c
+++ b/policy/docwhole.c
@@ -5,7 +5,7 @@
 
 #include "base/err.h"
 
-/* ---- guarantees against a pool ---- */
+/* Guarantees against a pool. */
 
 /* What all customers together are guaranteed in one data centre. */
 struct demand {
@@ -228,7 +228,7 @@
 	return true;
 }
 
-/* ---- tokens ---- */
+/* Tokens. */
 
 struct token_check {
 	GHashTable *seen; /* hash -> section name */
@@ -273,7 +273,7 @@
 	return check.ok;
 }
 
-/* ---- the whole ---- */
+/* The whole. */
 
 /*
  * Checks across sections, on a document with all bodies present and each
--- a/policy/gg.c
+++ b/policy/gg.c
@@ -65,7 +65,7 @@
 	return false;
 }
 
-/* ---- calls ---- */
+/* Calls. */
 
 /* The term counts from the last moment at which the call may arrive. */
 static void may_hold(struct gg_member *m, int64_t term_ms, int64_t now_us)
@@ -122,7 +122,7 @@
 	}
 }
 
-/* ---- phases ---- */
+/* Phases. */
 
 static void enter(struct gg *gg, enum gg_phase phase, int64_t limit_ms,
 		  int64_t now_us)
@@ -237,7 +237,7 @@
 	       gg->phase != GG_P_RUN;
 }
 
-/* ---- what the owner asks ---- */
+/* What the owner asks. */
 
 void gg_start(struct gg *gg, int count, int64_t now_us)
 {
@@ -303,7 +303,7 @@
 	push(gg, now_us);
 }
 
-/* ---- what the workers answer ---- */
+/* What the workers answer. */
 
 static void reach(struct gg *gg, int i, enum gg_state state, int64_t now_us)
 {
--- a/policy/gs.c
+++ b/policy/gs.c
@@ -48,7 +48,7 @@
 	gs->customer_count = customers;
 }
 
-/* ---- what claims can have ---- */
+/* What claims can have. */
 
 bool gs_is_bound(const struct gs *gs, int worker)
 {
@@ -156,7 +156,7 @@
 	count_broken(gs, worker, 1);
 }
 
-/* ---- proof ---- */
+/* Proof. */
 
 /*
  * Returns how many cells of a unit are missing for all unused guarantees to
@@ -216,7 +216,7 @@
 	gs->need[unit] += gs_left(gs, customer, unit);
 }
 
-/* ---- holding ---- */
+/* Holding. */
 
 static void add_hard(struct gs *gs, int worker, int n)
 {
@@ -338,7 +338,7 @@
 	list_del(&gang->owned);
 }
 
-/* ---- changes of guarantees ---- */
+/* Changes of guarantees. */
 
 /*
  * Takes the cover off a hold. The gang stays owned while another hold is
--- a/policy/jb.c
+++ b/policy/jb.c
@@ -98,7 +98,7 @@
 	place->cover = cover;
 }
 
-/* ---- submission ---- */
+/* Submission. */
 
 static bool bad(GError **err, const char *key, const char *allowed)
 {
@@ -229,7 +229,7 @@
 	return true;
 }
 
-/* ---- record ---- */
+/* Record. */
 
 json_t *jb_to_json(const struct jb *jb)
 {
--- a/policy/ky.c
+++ b/policy/ky.c
@@ -9,7 +9,7 @@
 #include "base/err.h"
 #include "policy/kyt.h"
 
-/* ---- setup ---- */
+/* Setup. */
 
 static void entry_free(gpointer data)
 {
@@ -62,7 +62,7 @@
 	return digest;
 }
 
-/* ---- entries ---- */
+/* Entries. */
 
 static bool same_owner(const struct ky_owner *a, const struct ky_owner *b)
 {
@@ -267,7 +267,7 @@
 	kyt_expire(ky, now_us);
 }
 
-/* ---- claims in the store ---- */
+/* Claims in the store. */
 
 /* Queues a claim, first or once more after an undecided answer. */
 void ky_claim_again(struct ky *ky, struct ky_entry *entry, int64_t now_us)
@@ -358,7 +358,7 @@
 	return KY_FORWARD;
 }
 
-/* ---- adoption ---- */
+/* Adoption. */
 
 static char *owner_name(const struct ky_owner *owner)
 {
--- a/policy/ky.h
+++ b/policy/ky.h
@@ -88,13 +88,13 @@
 void ky_init(struct ky *ky, const char *host, uint64_t incarnation);
 void ky_finish(struct ky *ky);
 
-/* ---- tickets ---- */
+/* Tickets. */
 
 bool ky_mint(struct ky *ky, char *text, size_t size, int64_t now_us);
 bool ky_is_ticket(const char *key);
 bool ky_ticket_parse(const char *key, struct ky_owner *owner, uint64_t *seq);
 
-/* ---- requests ---- */
+/* Requests. */
 
 struct ky_digest ky_digest(const char *method, const char *target,
 			   const void *body, size_t len);
@@ -109,7 +109,7 @@
 	    int64_t now_us);
 void ky_expire(struct ky *ky, int64_t now_us);
 
-/* ---- claims in the store ---- */
+/* Claims in the store. */
 
 bool ky_claims_due(const struct ky *ky, int64_t now_us);
 size_t ky_claims_take(struct ky *ky, struct ky_entry **out, size_t max);
@@ -121,7 +121,7 @@
 void ky_claim_again(struct ky *ky, struct ky_entry *entry, int64_t now_us);
 void ky_drop(struct ky *ky, struct ky_entry *entry);
 
-/* ---- adoption ---- */
+/* Adoption. */
 
 const char *ky_adopter(const struct ky *ky, const struct ky_owner *owner);
 void ky_set_adopter(struct ky *ky, const struct ky_owner *owner,
--- a/policy/kyt.c
+++ b/policy/kyt.c
@@ -76,7 +76,7 @@
 	}
 }
 
-/* ---- text form ---- */
+/* Text form. */
 
 /* Guards against damage in transit, not against forgery. */
 static uint32_t check_of(const char *text, size_t len)
--- a/policy/ld.c
+++ b/policy/ld.c
@@ -36,7 +36,7 @@
 	return term_us - term_us * LEADER_MARGIN_PERCENT / 100;
 }
 
-/* ---- acting ---- */
+/* Acting. */
 
 /* The first of the peers' promises to end; without peers it never does. */
 static int64_t promises_until(const struct ld *ld, int64_t now_us)
@@ -93,7 +93,7 @@
 	return true;
 }
 
-/* ---- promises ---- */
+/* Promises. */
 
 static void depose(struct ld *ld)
 {
@@ -154,7 +154,7 @@
 		MAX(peer->promised_until_us, sent_us + shortened(term_us));
 }
 
-/* ---- store calls ---- */
+/* Store calls. */
 
 static bool may_take(const struct ld *ld, int64_t now_us)
 {
--- a/policy/mb.c
+++ b/policy/mb.c
@@ -49,7 +49,7 @@
 	return NULL;
 }
 
-/* ---- transitions ---- */
+/* Transitions. */
 
 static void start_probation(struct mb_server *server)
 {
@@ -122,7 +122,7 @@
 	return false;
 }
 
-/* ---- signs from requests ---- */
+/* Signs from requests. */
 
 static int cmp_i64(const void *a, const void *b)
 {
--- a/policy/pl.c
+++ b/policy/pl.c
@@ -73,7 +73,7 @@
 	return room;
 }
 
-/* ---- part of one worker ---- */
+/* Part of one worker. */
 
 struct best_worker {
 	int worker;
@@ -138,7 +138,7 @@
 	return best.worker;
 }
 
-/* ---- whole workers of one or more racks ---- */
+/* Whole workers of one or more racks. */
 
 /* Whole workers of a rack that the ask may take, with the lost work. */
 static int rack_whole(const struct gs *gs, int rack, const struct pl_ask *ask,
--- a/policy/plclaim.c
+++ b/policy/plclaim.c
@@ -74,7 +74,7 @@
 	return gs->racks[rack].whole == gs->cell->rack_size;
 }
 
-/* ---- one worker ---- */
+/* One worker. */
 
 /* Where a part of a worker may come from. */
 enum source { FROM_OWN, FROM_UNITS, FROM_WORKER, FROM_RACK, SOURCES };
@@ -198,7 +198,7 @@
 	return true;
 }
 
-/* ---- whole workers ---- */
+/* Whole workers. */
 
 /* Adds the workers of a rack that the owner can have whole. */
 static void take_rack(struct gs *gs, struct cell_gang *gang, int rack,
--- a/policy/plvict.c
+++ b/policy/plvict.c
@@ -1,6 +1,6 @@
 #include "policy/pl.h"
 
-/* ---- victims ---- */
+/* Victims. */
 
 static bool is_victim(const struct cell_gang *gang,
 		      const struct cell_gang *arriving,
@@ -58,7 +58,7 @@
 	return asked;
 }
 
-/* ---- reservation ---- */
+/* Reservation. */
 
 void pl_unreserve(struct gs *gs)
 {
@@ -98,7 +98,7 @@
 	return racks;
 }
 
-/* ---- moves ---- */
+/* Moves. */
 
 /* The only gang of a worker when it is stoppable and runs nowhere else. */
 static struct cell_gang *lone_gang(const struct gs *gs, int worker,
--- a/policy/rq.c
+++ b/policy/rq.c
@@ -22,7 +22,7 @@
 	return QUEUE_SHED_FACTOR * target_us[class_];
 }
 
-/* ---- customers and services ---- */
+/* Customers and services. */
 
 void rq_init(struct rq *rq, const struct rq_ops *ops, int64_t now_us)
 {
@@ -144,7 +144,7 @@
 	return service;
 }
 
-/* ---- waiting ---- */
+/* Waiting. */
 
 static bool waits(const struct rq_customer *customer)
 {
@@ -229,7 +229,7 @@
 	customer_unref(customer);
 }
 
-/* ---- starting ---- */
+/* Starting. */
 
 /* CoDel: the line stands above target for an interval, or it does not. */
 static void judge_wait(struct rq_line *line, enum doc_class class_,
--- a/policy/rqc.c
+++ b/policy/rqc.c
@@ -2,7 +2,7 @@
 
 #include "policy/rq.h"
 
-/* ---- learning ---- */
+/* Learning. */
 
 /*
  * Learns from one run. The band between the two limits keeps a service
@@ -30,7 +30,7 @@
 	cls->mean_us += (slot_us - cls->mean_us) / 64;
 }
 
-/* ---- capacity ---- */
+/* Capacity. */
 
 /*
  * Slots that long work may not take: what the arrivals of short work need
--- a/policy/sc.c
+++ b/policy/sc.c
@@ -30,7 +30,7 @@
 	g_free(sc->sheltered);
 }
 
-/* ---- workers ---- */
+/* Workers. */
 
 /* Adds a live worker; returns its index or -1 as cell_add_worker(). */
 int sc_add_worker(struct sc *sc, int rack, int accelerators)
@@ -106,7 +106,7 @@
 		stop_worker_jobs(sc, worker, now_us);
 }
 
-/* ---- customers ---- */
+/* Customers. */
 
 static void relink(struct list_head *to, struct list_head *from)
 {
@@ -191,7 +191,7 @@
 	cancel_of(sc, &sc->leaving, customer, now_us);
 }
 
-/* ---- jobs ---- */
+/* Jobs. */
 
 void sc_job_init(struct sc_job *job, uint64_t id, int customer,
 		 int accelerators, bool stoppable, bool urgent, bool can_save)
--- a/policy/scpass.c
+++ b/policy/scpass.c
@@ -59,7 +59,7 @@
 	return job->urgent ? -1 : sc_level(job, now_us);
 }
 
-/* ---- starting ---- */
+/* Starting. */
 
 static void displace(struct cell_gang *victim, void *user)
 {
@@ -149,7 +149,7 @@
 	return true;
 }
 
-/* ---- claims ---- */
+/* Claims. */
 
 /* What is known to fail for the claims of one customer. */
 struct claim_memo {
@@ -249,7 +249,7 @@
 	g_free(memos);
 }
 
-/* ---- borrowed work ---- */
+/* Borrowed work. */
 
 static bool place_evicting(struct pass *p, struct sc_job *job)
 {
@@ -368,7 +368,7 @@
 	}
 }
 
-/* ---- upkeep ---- */
+/* Upkeep. */
 
 /* A customer at or below its fair share is not displaced by its peers. */
 static void shelter(struct pass *p)
--- a/policy/sl.c
+++ b/policy/sl.c
@@ -5,7 +5,7 @@
 
 #include <xxhash.h>
 
-/* ---- floors ---- */
+/* Floors. */
 
 static uint64_t weight_of(const char *host, const char *server)
 {
@@ -51,7 +51,7 @@
 	return share < BACKEND_SLOTS ? share : BACKEND_SLOTS;
 }
 
-/* ---- holder ---- */
+/* Holder. */
 
 void sl_holder_init(struct sl_holder *holder, uint64_t incarnation)
 {
@@ -180,7 +180,7 @@
 	return true;
 }
 
-/* ---- grantor ---- */
+/* Grantor. */
 
 struct sl_ghost {
 	char name[NAME_MAX_BYTES];
--- a/policy/sl.h
+++ b/policy/sl.h
@@ -26,7 +26,7 @@
 	uint64_t seq;
 };
 
-/* ---- floors ---- */
+/* Floors. */
 
 /* hosts: all entry hosts configured for the data centre. */
 int sl_floor(const char *const *hosts, size_t n, const char *host,
@@ -34,7 +34,7 @@
 int sl_pool(size_t hosts);
 int sl_connections(size_t hosts);
 
-/* ---- holder: every entry host ---- */
+/* Holder: every entry host. */
 
 /* Slots of one server on this host; embedded in the caller's record. */
 struct sl_slots {
@@ -68,7 +68,7 @@
 		int64_t term_us, const struct sl_line *lines, size_t n,
 		int64_t now_us);
 
-/* ---- grantor: the leader ---- */
+/* Grantor: the leader. */
 
 struct sl_grantor {
 	uint64_t epoch;
--- a/tests/soak/soak.h
+++ b/tests/soak/soak.h
@@ -64,7 +64,7 @@
 void soak_violated(struct soak *soak, const char *rule, const char *id,
 		   const char *detail);
 
-/* ---- soak_jobs.c ---- */
+/* Soak_jobs.c. */
 
 /* Hands in, asks for and cancels jobs, for one step of the clock. */
 void soak_jobs_step(struct soak *soak);
@@ -74,7 +74,7 @@
 void soak_jobs_check(struct soak *soak);
 void soak_jobs_finish(struct soak *soak);
 
-/* ---- soak_faults.c ---- */
+/* Soak_faults.c. */
 
 bool soak_host_start(struct soak *soak, struct soak_host *host);
 /* One fault, or the end of some. */
--- a/tests/soak/soak_faults.c
+++ b/tests/soak/soak_faults.c
@@ -26,7 +26,7 @@
 	       where);
 }
 
-/* ---- hosts ---- */
+/* Hosts. */
 
 bool soak_host_start(struct soak *soak, struct soak_host *host)
 {
@@ -139,7 +139,7 @@
 	}
 }
 
-/* ---- the store ---- */
+/* The store. */
 
 static void fault_way(struct soak *soak)
 {
@@ -192,7 +192,7 @@
 			 soak_chance(soak, 20) ? 60 : 0);
 }
 
-/* ---- workers ---- */
+/* Workers. */
 
 static struct site_worker *any_worker(struct soak *soak, int *index)
 {
@@ -246,7 +246,7 @@
 	}
 }
 
-/* ---- operators ---- */
+/* Operators. */
 
 static void change_config(struct soak *soak)
 {
--- a/tests/soak/soak_jobs.c
+++ b/tests/soak/soak_jobs.c
@@ -77,7 +77,7 @@
 	list_add_tail(&job->node, &soak->jobs);
 }
 
-/* ---- answers ---- */
+/* Answers. */
 
 static void on_post(struct soak_job *job, int status)
 {
--- a/tests/standins/be_server.c
+++ b/tests/standins/be_server.c
@@ -36,7 +36,7 @@
 	return -1;
 }
 
-/* ---- replies ---- */
+/* Replies. */
 
 static GString *reply_text(struct be_server *be, const struct hs_request *req)
 {
@@ -99,7 +99,7 @@
 	g_string_free(text, TRUE);
 }
 
-/* ---- jobs ---- */
+/* Jobs. */
 
 static void start_next(struct be_server *be);
 
@@ -215,7 +215,7 @@
 	job_free(job);
 }
 
-/* ---- control ---- */
+/* Control. */
 
 static void reply_json(struct hs_request *req, int status, json_t *value)
 {
@@ -297,7 +297,7 @@
 					   .gone = on_gone };
 static const struct hs_ops control_ops = { .request = on_control };
 
-/* ---- server ---- */
+/* Server. */
 
 static bool listen_service(struct be_server *be, GError **err)
 {
--- a/tests/standins/pf_route.c
+++ b/tests/standins/pf_route.c
@@ -15,7 +15,7 @@
 	json_object_set_new(server->calls, kind, json_integer(n + 1));
 }
 
-/* ---- store ---- */
+/* Store. */
 
 static const struct {
 	const char *path;
@@ -83,7 +83,7 @@
 	return (struct pf_answer){ 404, json_object(), false };
 }
 
-/* ---- hosts, control, ledger ---- */
+/* Hosts, control, ledger. */
 
 static json_t *listed_hosts(struct pf_server *server)
 {
--- a/tests/standins/pf_server.c
+++ b/tests/standins/pf_server.c
@@ -10,7 +10,7 @@
 
 #define POLL_MAX 512
 
-/* ---- sockets ---- */
+/* Sockets. */
 
 static int listen_at(int *port)
 {
@@ -100,7 +100,7 @@
 	}
 }
 
-/* ---- requests ---- */
+/* Requests. */
 
 static int on_url(struct http_parser *parser, const char *at, size_t len)
 {
@@ -228,7 +228,7 @@
 	list_add_tail(&conn->node, &server->conns);
 }
 
-/* ---- serving ---- */
+/* Serving. */
 
 static void feed_watch(struct pf_conn *conn)
 {
--- a/tests/standins/pf_store.c
+++ b/tests/standins/pf_store.c
@@ -9,7 +9,7 @@
 	int64_t expires_us;
 };
 
-/* ---- keys ---- */
+/* Keys. */
 
 static void kv_free(void *data)
 {
@@ -149,7 +149,7 @@
 	return found;
 }
 
-/* ---- range, put, delete ---- */
+/* Range, put, delete. */
 
 static const struct pf_kv *shown(struct pf_store *store, struct pf_kv *kv)
 {
@@ -238,7 +238,7 @@
 	g_ptr_array_free(found, TRUE);
 }
 
-/* ---- transactions ---- */
+/* Transactions. */
 
 static int64_t compared_value(const json_t *cmp, const struct pf_kv *kv,
 			      int64_t *wanted)
@@ -339,7 +339,7 @@
 			 "succeeded", held, "responses", responses);
 }
 
-/* ---- leases ---- */
+/* Leases. */
 
 json_t *pf_store_grant(struct pf_store *store, const json_t *req)
 {
@@ -418,7 +418,7 @@
 	}
 }
 
-/* ---- watches ---- */
+/* Watches. */
 
 json_t *pf_store_events(struct pf_store *store, const char *key,
 			const char *end, int64_t from_revision)
--- a/tests/standins/site_fleet.c
+++ b/tests/standins/site_fleet.c
@@ -65,7 +65,7 @@
 	json_t *body;
 };
 
-/* ---- checks ---- */
+/* Checks. */
 
 static void violated(struct site_fleet *fleet, const char *rule,
 		     const char *task, const char *detail)
@@ -207,7 +207,7 @@
 		violated(fleet, "UNASKED", run->name, "after its cancellation");
 }
 
-/* ---- runs ---- */
+/* Runs. */
 
 static void run_free(struct site_run *run)
 {
@@ -375,7 +375,7 @@
 			"lapsed");
 }
 
-/* ---- orders ---- */
+/* Orders. */
 
 static const char *text_of(const json_t *body, const char *name)
 {
@@ -662,7 +662,7 @@
 	.gone = on_gone,
 };
 
-/* ---- time ---- */
+/* Time. */
 
 static void write_entry(struct site_worker *worker)
 {
@@ -735,7 +735,7 @@
 	kn_timer_set(fleet->task.kn, timer, TICK_MS * USEC_PER_MSEC, on_tick);
 }
 
-/* ---- life ---- */
+/* Life. */
 
 void site_worker_crash(struct site_worker *worker)
 {
--- a/tests/standins/site_store.c
+++ b/tests/standins/site_store.c
@@ -37,7 +37,7 @@
 	bool never;
 };
 
-/* ---- items ---- */
+/* Items. */
 
 static void item_free(void *data)
 {
@@ -127,7 +127,7 @@
 	return g_tree_lookup(store->items, key);
 }
 
-/* ---- answers ---- */
+/* Answers. */
 
 static void reply(struct hs_request *req, int status, json_t *body)
 {
@@ -191,7 +191,7 @@
 	add_later(door_of(req)->store, req, 0)->never = true;
 }
 
-/* ---- polls ---- */
+/* Polls. */
 
 static bool has_prefix(const char *key, const char *prefix)
 {
@@ -274,7 +274,7 @@
 	wake_waits(store);
 }
 
-/* ---- transactions ---- */
+/* Transactions. */
 
 static bool compare(struct site_store *store, const json_t *rows)
 {
@@ -387,7 +387,7 @@
 	wake_waits(store);
 }
 
-/* ---- leases ---- */
+/* Leases. */
 
 static void end_lease(struct site_store *store, int64_t id)
 {
@@ -440,7 +440,7 @@
 	       json_pack("{s:I}", "ttl_ms", (json_int_t)lease->ttl_ms));
 }
 
-/* ---- reading ---- */
+/* Reading. */
 
 static void on_key(struct site_store *store, struct hs_request *req,
 		   const char *key)
@@ -478,7 +478,7 @@
 			 "store_revision", (json_int_t)store->revision));
 }
 
-/* ---- requests ---- */
+/* Requests. */
 
 /* A new string, NULL when the query has no such field. */
 static char *query_field(const char *target, const char *name)
@@ -584,7 +584,7 @@
 	.gone = on_gone,
 };
 
-/* ---- time ---- */
+/* Time. */
 
 static void run_later(struct site_later *later)
 {
@@ -635,7 +635,7 @@
 	kn_timer_set(store->task.kn, timer, TICK_MS * USEC_PER_MSEC, on_tick);
 }
 
-/* ---- life ---- */
+/* Life. */
 
 static bool store_start(struct kn_task *task, GError **err)
 {
--- a/tests/standins/sr_http.c
+++ b/tests/standins/sr_http.c
@@ -28,7 +28,7 @@
 	list_del(&call->node);
 }
 
-/* ---- parsing ---- */
+/* Parsing. */
 
 static void store_header(struct sr_call *call)
 {
@@ -97,7 +97,7 @@
 	.on_message_complete = on_complete,
 };
 
-/* ---- sockets ---- */
+/* Sockets. */
 
 static void receive(struct sr_call *call)
 {
--- a/tests/standins/sr_lua.c
+++ b/tests/standins/sr_lua.c
@@ -25,7 +25,7 @@
 	return lua_touserdata(lua, lua_upvalueindex(1));
 }
 
-/* ---- time ---- */
+/* Time. */
 
 static void check_deadline(lua_State *lua)
 {
@@ -59,7 +59,7 @@
 	return 0;
 }
 
-/* ---- processes ---- */
+/* Processes. */
 
 /* spawn(name, {program, arguments...}); program is relative to BUILD. */
 static int do_spawn(lua_State *lua)
@@ -131,7 +131,7 @@
 	return 1;
 }
 
-/* ---- links ---- */
+/* Links. */
 
 /* relay(target_port) returns an id and the relay's port. */
 static int do_relay(lua_State *lua)
@@ -186,7 +186,7 @@
 	return luaL_error(lua, "no free port");
 }
 
-/* ---- HTTP ---- */
+/* HTTP. */
 
 static json_t *headers_field(lua_State *lua, int index)
 {
@@ -273,7 +273,7 @@
 	return 1;
 }
 
-/* ---- values and files ---- */
+/* Values and files. */
 
 static int do_json_decode(lua_State *lua)
 {
--- a/tests/standins/sr_relay.c
+++ b/tests/standins/sr_relay.c
@@ -49,7 +49,7 @@
 static GThread *thread;
 static bool stopping;
 
-/* ---- sockets ---- */
+/* Sockets. */
 
 static struct sockaddr_in local(int port)
 {
@@ -120,7 +120,7 @@
 		pair_reset(pair);
 }
 
-/* ---- carrying ---- */
+/* Carrying. */
 
 /* Moves bytes from fd[i] to the other; false when the connection broke. */
 static bool carry(struct relay *relay, struct pair *pair, int i)
@@ -259,7 +259,7 @@
 	return NULL;
 }
 
-/* ---- control ---- */
+/* Control. */
 
 void sr_relay_start(void)
 {
--- a/tests/standins/wk_agent.c
+++ b/tests/standins/wk_agent.c
@@ -33,7 +33,7 @@
 	char *text;
 };
 
-/* ---- tasks ---- */
+/* Tasks. */
 
 static bool holds(const struct entry *entry)
 {
@@ -102,7 +102,7 @@
 		end(entry, WK_STOPPED, now_us);
 }
 
-/* ---- verbs ---- */
+/* Verbs. */
 
 static int reserve(struct wk_agent *agent, const json_t *body,
 		   const char *token, int64_t now_us)
@@ -309,7 +309,7 @@
 	return status;
 }
 
-/* ---- ledger and control ---- */
+/* Ledger and control. */
 
 json_t *wk_agent_ledger(const struct wk_agent *agent)
 {
@@ -358,7 +358,7 @@
 	return 200;
 }
 
-/* ---- HTTP ---- */
+/* HTTP. */
 
 static void send_delayed(struct wk_agent *agent, int64_t now_us)
 {
--- a/tests/unit/test_api.c
+++ b/tests/unit/test_api.c
@@ -51,7 +51,7 @@
 static struct host hosts[HOSTS];
 static struct pf_thread platform;
 
-/* ---- fakes ---- */
+/* Fakes. */
 
 static void free_msg(struct kn_msg *msg)
 {
@@ -89,7 +89,7 @@
 static const struct kn_task_ops scheduler_ops = { .receive =
 							  scheduler_receive };
 
-/* ---- hosts ---- */
+/* Hosts. */
 
 static void on_tick(struct kn_timer *timer)
 {
@@ -189,7 +189,7 @@
 			kn_turn(&hosts[i].kn);
 }
 
-/* ---- requests ---- */
+/* Requests. */
 
 static void on_reply(struct hc_call *hc)
 {
@@ -280,7 +280,7 @@
 	json_decref(r.answer);
 }
 
-/* ---- tests ---- */
+/* Tests. */
 
 /* Guards against a stop that cuts off a reply to a slow operator (I7). */
 START_TEST(stop_waits_for_slow_operator)
--- a/tests/unit/test_back.c
+++ b/tests/unit/test_back.c
@@ -8,7 +8,7 @@
 #include "tests/standins/be_server.h"
 #include "tests/standins/be_sock.h"
 
-/* ---- fixture: the edge against a stand-in in the same process ---- */
+/* Fixture: the edge against a stand-in in the same process. */
 
 #define CALLS 12
 
@@ -103,7 +103,7 @@
 	ck_assert_int_eq(ended, n);
 }
 
-/* ---- outcomes ---- */
+/* Outcomes. */
 
 struct expectation {
 	enum be_mode mode;
@@ -163,7 +163,7 @@
 }
 END_TEST
 
-/* ---- servers and connections ---- */
+/* Servers and connections. */
 
 /* Guards against more requests or connections than a server may get. */
 START_TEST(connection_limit_holds)
--- a/tests/unit/test_cli.c
+++ b/tests/unit/test_cli.c
@@ -11,7 +11,7 @@
 #include "daemon/document.h"
 #include "daemon/store.h"
 
-/* ---- time line ---- */
+/* Time line. */
 
 static void read_log(struct tl *tl, const char *text)
 {
@@ -84,7 +84,7 @@
 }
 END_TEST
 
-/* ---- commands ---- */
+/* Commands. */
 
 static struct kn kn;
 static struct set set;
--- a/tests/unit/test_gg.c
+++ b/tests/unit/test_gg.c
@@ -11,7 +11,7 @@
 
 #define MS(ms) ((int64_t)(ms)*USEC_PER_MSEC)
 
-/* ---- one gang without faults in between ---- */
+/* One gang without faults in between. */
 
 struct calls {
 	struct gg gg;
@@ -328,7 +328,7 @@
 		w.violation = text;
 }
 
-/* ---- workers of the model ---- */
+/* Workers of the model. */
 
 static struct task *find(struct mworker *m, int token)
 {
@@ -496,7 +496,7 @@
 	memcpy(answer->tasks, m->tasks, sizeof(answer->tasks));
 }
 
-/* ---- schedulers of the model ---- */
+/* Schedulers of the model. */
 
 static bool may_act(const struct msched *s)
 {
@@ -822,7 +822,7 @@
 		gg_tick(&s->gg, w.now_us);
 }
 
-/* ---- the checks ---- */
+/* The checks. */
 
 static bool runs_now(const struct task *t)
 {
@@ -889,7 +889,7 @@
 					 shape, sizeof(*shape) * n)));
 }
 
-/* ---- runs ---- */
+/* Runs. */
 
 static void step_messages(void)
 {
--- a/tests/unit/test_gs.c
+++ b/tests/unit/test_gs.c
@@ -15,7 +15,7 @@
 #define CUSTOMERS 3
 #define GANGS 12
 
-/* ---- brute force ---- */
+/* Brute force. */
 
 struct brute {
 	int open[WORKERS]; /* accelerators that claims can have */
--- a/tests/unit/test_hc.c
+++ b/tests/unit/test_hc.c
@@ -12,7 +12,7 @@
 #include "wire/hs.h"
 #include "tests/unit/run.h"
 
-/* ---- fixture: a pool against a raw listener, and against hs ---- */
+/* Fixture: a pool against a raw listener, and against hs. */
 
 #define CALLS 8
 
@@ -100,7 +100,7 @@
 		ck_assert_int_eq(memcmp(calls[i].body, text, strlen(text)), 0);
 }
 
-/* ---- replies ---- */
+/* Replies. */
 
 struct reply {
 	const char *method;
@@ -225,7 +225,7 @@
 }
 END_TEST
 
-/* ---- connections ---- */
+/* Connections. */
 
 /* Guards against a new connection for each request. */
 START_TEST(connections_are_reused)
@@ -333,7 +333,7 @@
 }
 END_TEST
 
-/* ---- failures ---- */
+/* Failures. */
 
 /* Guards against a refused connection that looks as if it had been used. */
 START_TEST(refused_connection_was_not_sent)
--- a/tests/unit/test_hs.c
+++ b/tests/unit/test_hs.c
@@ -12,7 +12,7 @@
 #include "wire/hs.h"
 #include "tests/unit/run.h"
 
-/* ---- fixture: a server that echoes, or holds its requests ---- */
+/* Fixture: a server that echoes, or holds its requests. */
 
 static struct kn kn;
 static struct hs_server server;
@@ -73,7 +73,7 @@
 	kn_finish(&kn);
 }
 
-/* ---- framing ---- */
+/* Framing. */
 
 struct refusal {
 	const char *bytes;
@@ -226,7 +226,7 @@
 }
 END_TEST
 
-/* ---- bounds ---- */
+/* Bounds. */
 
 /* Guards against headers and targets without a bound, sent in pieces. */
 START_TEST(refuses_headers_over_the_limit)
@@ -362,7 +362,7 @@
 }
 END_TEST
 
-/* ---- time ---- */
+/* Time. */
 
 /* Guards against senders that keep a connection by sending slowly. */
 START_TEST(slow_senders_are_refused)
@@ -419,7 +419,7 @@
 }
 END_TEST
 
-/* ---- callers that leave ---- */
+/* Callers that leave. */
 
 /* Guards against replies to callers that have closed or half-closed. */
 START_TEST(gone_is_reported_once)
@@ -450,7 +450,7 @@
 }
 END_TEST
 
-/* ---- replies ---- */
+/* Replies. */
 
 /* Guards against a large reply that loses bytes, or is cut off by a stop. */
 START_TEST(large_reply_is_whole)
--- a/tests/unit/test_ld.c
+++ b/tests/unit/test_ld.c
@@ -139,7 +139,7 @@
 	ld_init(&host->ld, (size_t)sim->n - 1, sim->rand, clock_of(sim, i));
 }
 
-/* ---- store ---- */
+/* Store. */
 
 static void expire_leader(struct sim *sim)
 {
@@ -259,7 +259,7 @@
 	}
 }
 
-/* ---- hosts ---- */
+/* Hosts. */
 
 static void ask_all(struct sim *sim, int i)
 {
@@ -435,7 +435,7 @@
 	g_free(sim);
 }
 
-/* ---- tests ---- */
+/* Tests. */
 
 /* Guards against two leaders at one instant under any mix of faults, and
  * against a data centre that stays without one after the faults end. */
--- a/tests/unit/test_lead.c
+++ b/tests/unit/test_lead.c
@@ -14,7 +14,7 @@
 
 #define HOSTS 3
 
-/* ---- a store that fails on demand ---- */
+/* A store that fails on demand. */
 
 struct flaky {
 	struct kv kv;
@@ -96,7 +96,7 @@
 					 .keepalive = flaky_keepalive,
 					 .revoke = flaky_revoke };
 
-/* ---- hosts, all in one kernel ---- */
+/* Hosts, all in one kernel. */
 
 struct probe {
 	struct kn_task task;
@@ -265,7 +265,7 @@
 	return leader();
 }
 
-/* ---- tests ---- */
+/* Tests. */
 
 /* Guards against a host without peers that waits before it leads, and an API
  * answer that does not name it. */
--- a/tests/unit/test_pr.c
+++ b/tests/unit/test_pr.c
@@ -282,7 +282,7 @@
 }
 END_TEST
 
-/* ---- a peer that is played by the test ---- */
+/* A peer that is played by the test. */
 
 static int dial_raw(int port)
 {
--- a/tests/unit/test_req.c
+++ b/tests/unit/test_req.c
@@ -24,7 +24,7 @@
 #define SERVERS 2
 #define BASE_PORT (22100 + (int)(getpid() % 400) * 5) /* for parallel runs */
 
-/* ---- entry hosts and servers in one process ---- */
+/* Entry hosts and servers in one process. */
 
 static struct kn kn;
 static struct kv *kv;
@@ -287,7 +287,7 @@
 
 #define ACME "Chivebank-Customer: acme\r\n"
 
-/* ---- one host ---- */
+/* One host. */
 
 /* Guards against wrong statuses and outcomes for plain requests. */
 START_TEST(statuses_and_outcomes)
@@ -544,7 +544,7 @@
 }
 END_TEST
 
-/* ---- two hosts ---- */
+/* Two hosts. */
 
 /*
  * Sends requests through a host, several at once so that it needs both
--- a/tests/unit/test_sched.c
+++ b/tests/unit/test_sched.c
@@ -14,7 +14,7 @@
 
 #define WORKERS 3
 
-/* ---- a store that fails on demand ---- */
+/* A store that fails on demand. */
 
 struct flaky {
 	struct kv kv;
@@ -81,7 +81,7 @@
 static const struct kv_ops flaky_ops = { .txn = flaky_txn,
 					 .range = flaky_range };
 
-/* ---- a scheduler among stand-ins ---- */
+/* A scheduler among stand-ins. */
 
 static struct kn kn;
 static struct set set;
@@ -239,7 +239,7 @@
 	kn_finish(&kn);
 }
 
-/* ---- calls ---- */
+/* Calls. */
 
 static void free_call(struct kn_msg *msg)
 {
@@ -313,7 +313,7 @@
 	}
 }
 
-/* ---- ledgers ---- */
+/* Ledgers. */
 
 static struct {
 	int entries; /* ever reserved on this worker */
@@ -364,7 +364,7 @@
 	return n;
 }
 
-/* ---- tests ---- */
+/* Tests. */
 
 /* A gang that starts in part, twice or not at all. */
 START_TEST(gang_runs_once_and_whole)
--- a/tests/unit/test_sharing.c
+++ b/tests/unit/test_sharing.c
@@ -149,7 +149,7 @@
 }
 END_TEST
 
-/* ---- waves ---- */
+/* Waves. */
 
 static GPtrArray *machines;
 
--- a/tests/unit/test_sl.c
+++ b/tests/unit/test_sl.c
@@ -7,7 +7,7 @@
 #include "policy/sl.h"
 #include "tests/unit/run.h"
 
-/* ---- simulation of one data centre ---- */
+/* Simulation of one data centre. */
 
 #define HOSTS_MAX 6
 #define SERVERS 2
--- a/wire/fr.c
+++ b/wire/fr.c
@@ -6,7 +6,7 @@
 #include "base/err.h"
 #include "base/limits.h"
 
-/* ---- reading ---- */
+/* Reading. */
 
 /* Prepares a reader that waits for the head of the first frame. */
 void fr_reader_init(struct fr_reader *reader)
@@ -94,7 +94,7 @@
 	return body;
 }
 
-/* ---- checking ---- */
+/* Checking. */
 
 struct walk {
 	const unsigned char *p;
@@ -195,7 +195,7 @@
 	return false;
 }
 
-/* ---- messages ---- */
+/* Messages. */
 
 static size_t put_array_head(unsigned char *out, size_t n)
 {
--- a/wire/hc.c
+++ b/wire/hc.c
@@ -10,7 +10,7 @@
 #include "wire/hc_conn.h"
 #include "wire/sock.h"
 
-/* ---- connections ---- */
+/* Connections. */
 
 /* Frees a connection. Its socket is closed by libwebsockets afterwards. */
 static void forget(struct hc_conn *conn)
@@ -46,7 +46,7 @@
 	call->done(call);
 }
 
-/* ---- timer ---- */
+/* Timer. */
 
 static void pool_tick(struct kn_timer *timer);
 
@@ -112,7 +112,7 @@
 	end_call(call, result);
 }
 
-/* ---- sending ---- */
+/* Sending. */
 
 /*
  * Sends what the kernel takes. Returns false when the connection is broken.
@@ -160,7 +160,7 @@
 	return flush(conn);
 }
 
-/* ---- receiving ---- */
+/* Receiving. */
 
 static void make_idle(struct hc_conn *conn)
 {
@@ -232,7 +232,7 @@
 	}
 }
 
-/* ---- pool ---- */
+/* Pool. */
 
 static const struct lws_protocols hc_protocols[] = {
 	{ "hc", hc_callback, 0, 0, 0, NULL, 0 },
@@ -297,7 +297,7 @@
 	kn_timer_cancel(&pool->timer);
 }
 
-/* ---- connecting ---- */
+/* Connecting. */
 
 /*
  * The socket is made here and adopted by the event loop, which tells apart a
@@ -338,7 +338,7 @@
 	return conn;
 }
 
-/* ---- calls ---- */
+/* Calls. */
 
 static GString *print_request(const struct hc_pool *pool, const char *method,
 			      const char *target,
--- a/wire/hp.c
+++ b/wire/hp.c
@@ -23,7 +23,7 @@
 	GString *value;
 };
 
-/* ---- headers ---- */
+/* Headers. */
 
 static int fail(struct hp *hp, enum hp_state error)
 {
@@ -132,7 +132,7 @@
 	return result;
 }
 
-/* ---- body ---- */
+/* Body. */
 
 static int on_body(http_parser *parser, const char *at, size_t len)
 {
@@ -174,7 +174,7 @@
 	.on_message_complete = on_message_complete,
 };
 
-/* ---- parser ---- */
+/* Parser. */
 
 /* Returns a parser for requests, or for replies; begin with hp_begin(). */
 struct hp *hp_new(const struct hp_ops *ops, bool request, void *user)
--- a/wire/hs.c
+++ b/wire/hs.c
@@ -8,7 +8,7 @@
 #include "base/log.h"
 #include "wire/hs_conn.h"
 
-/* ---- connections ---- */
+/* Connections. */
 
 static void sweep(struct kn_timer *timer);
 
@@ -77,7 +77,7 @@
 	lws_set_opaque_user_data(wsi, conn);
 }
 
-/* ---- received bytes ---- */
+/* Received bytes. */
 
 /*
  * Keeps bytes that arrive behind a request in progress, so that reading
@@ -168,7 +168,7 @@
 	}
 }
 
-/* ---- timeouts ---- */
+/* Timeouts. */
 
 static void expire(struct hs_conn *conn)
 {
@@ -210,7 +210,7 @@
 		sweep_at(server, next_us, now_us);
 }
 
-/* ---- server ---- */
+/* Server. */
 
 static const struct lws_protocols hs_protocols[] = {
 	{ "hs", hs_callback, 0, 0, 0, NULL, 0 },
--- a/wire/hs_parse.c
+++ b/wire/hs_parse.c
@@ -5,7 +5,7 @@
 #include "base/limits.h"
 #include "wire/hs_conn.h"
 
-/* ---- requests ---- */
+/* Requests. */
 
 /* Frees the connection's request and gives its bytes back to the budget. */
 void hs_request_free(struct hs_conn *conn)
@@ -39,7 +39,7 @@
 	hs_conn_deadline(conn, conn->server->header_timeout_ms);
 }
 
-/* ---- parser callbacks ---- */
+/* Parser callbacks. */
 
 /*
  * Headers outside this list and hs_keep_header() are dropped, so a waiting
@@ -148,7 +148,7 @@
 	.body = on_body,
 };
 
-/* ---- input ---- */
+/* Input. */
 
 static int error_code(const struct hs_conn *conn, enum hp_state state)
 {
--- a/wire/hs_reply.c
+++ b/wire/hs_reply.c
@@ -7,7 +7,7 @@
 #include "base/limits.h"
 #include "wire/hs_conn.h"
 
-/* ---- sending ---- */
+/* Sending. */
 
 /*
  * After the last reply the caller may still be sending. Closing with unread
@@ -60,7 +60,7 @@
 	reply_sent(conn);
 }
 
-/* ---- composing ---- */
+/* Composing. */
 
 /* Returns the Date header line; it is composed once a second. */
 static const char *date_line(void)
--- a/wire/kv.h
+++ b/wire/kv.h
@@ -141,7 +141,7 @@
 /* Returns the item of an answered call with that key, NULL for none. */
 const struct kv_item *kv_find(const struct kv_call *call, const char *key);
 
-/* ---- for implementations ---- */
+/* For implementations. */
 
 void kv_counters_init(struct kv *kv);
 void kv_counters_finish(struct kv *kv);
--- a/wire/kvetcd.c
+++ b/wire/kvetcd.c
@@ -6,7 +6,7 @@
 #include "base/err.h"
 #include "base/log.h"
 
-/* ---- requests ---- */
+/* Requests. */
 
 static void req_free(struct etcd_req *req)
 {
@@ -181,7 +181,7 @@
 	start_waiting(etcd);
 }
 
-/* ---- calls ---- */
+/* Calls. */
 
 static void on_call(struct etcd_req *req, int result, const json_t *reply)
 {
@@ -249,7 +249,7 @@
 		   json_pack("{s:o}", "ID", etcd_int_json(lease)));
 }
 
-/* ---- host list ---- */
+/* Host list. */
 
 static bool parse_host(const json_t *entry, struct kv_host *host)
 {
@@ -295,7 +295,7 @@
 		       on_hosts, call);
 }
 
-/* ---- connection ---- */
+/* Connection. */
 
 static void etcd_finish(struct kv *kv)
 {
--- a/wire/kvetcd.h
+++ b/wire/kvetcd.h
@@ -48,7 +48,7 @@
 void etcd_req_cancel(struct etcd_req *req);
 void etcd_count(struct etcd *etcd, const char *path);
 
-/* ---- kvetcd_json.c ---- */
+/* Kvetcd_json.c. */
 
 json_t *etcd_range_json(const char *key, bool prefix);
 json_t *etcd_txn_json(const struct kv_cmp *cmps, size_t ncmps,
@@ -64,13 +64,13 @@
 void etcd_txn_items(const json_t *reply, GArray *items);
 void etcd_items_free(GArray *items);
 
-/* ---- kvetcd_watch.c ---- */
+/* Kvetcd_watch.c. */
 
 void etcd_watch(struct kv *kv, struct kv_watch *watch);
 void etcd_unwatch(struct kv *kv, struct kv_watch *watch);
 void etcd_watches_finish(struct etcd *etcd);
 
-/* ---- kvetcd_stream.c ---- */
+/* Kvetcd_stream.c. */
 
 /* A streamed reply: JSON values, one a line. */
 struct etcd_stream {
--- a/wire/kvetcd_json.c
+++ b/wire/kvetcd_json.c
@@ -4,7 +4,7 @@
 #include <stdlib.h>
 #include <string.h>
 
-/* ---- writing ---- */
+/* Writing. */
 
 /* The gateway writes 64-bit integers as text. */
 json_t *etcd_int_json(int64_t value)
@@ -94,7 +94,7 @@
 			 ops_json(else_ops, nelse));
 }
 
-/* ---- reading ---- */
+/* Reading. */
 
 /* Field of a reply; gateways write either spelling. */
 json_t *etcd_get(const json_t *object, const char *snake, const char *camel)
--- a/wire/kvetcd_stream.c
+++ b/wire/kvetcd_stream.c
@@ -9,7 +9,7 @@
 
 #define VHOST_NAME "etcd-stream"
 
-/* ---- reply ---- */
+/* Reply. */
 
 /* Hands on all whole lines. Returns false on a malformed one. */
 static bool take_lines(struct etcd_stream *stream)
@@ -69,7 +69,7 @@
 	return state == HP_MORE;
 }
 
-/* ---- socket ---- */
+/* Socket. */
 
 static void stream_free(struct etcd_stream *stream)
 {
--- a/wire/kvetcd_watch.c
+++ b/wire/kvetcd_watch.c
@@ -25,7 +25,7 @@
 
 static void read_keys(struct kn_timer *timer);
 
-/* ---- connection lost ---- */
+/* Connection lost. */
 
 static int64_t backoff_us(struct etcd_watch *w)
 {
@@ -77,7 +77,7 @@
 	lose(container_of(timer, struct etcd_watch, timer), "stream_timeout");
 }
 
-/* ---- probe ---- */
+/* Probe. */
 
 static void probe(struct kn_timer *timer);
 
@@ -135,7 +135,7 @@
 				body, on_probe, w);
 }
 
-/* ---- stream ---- */
+/* Stream. */
 
 static void deliver(struct etcd_watch *w, const json_t *event)
 {
@@ -192,7 +192,7 @@
 				 on_value, on_stream_lost, w);
 }
 
-/* ---- reading before the stream ---- */
+/* Reading before the stream. */
 
 static void on_read(struct etcd_req *req, int result, const json_t *reply)
 {
@@ -231,7 +231,7 @@
 				on_read, w);
 }
 
-/* ---- owner's calls ---- */
+/* Owner's calls. */
 
 void etcd_watch(struct kv *kv, struct kv_watch *watch)
 {
--- a/wire/kvmem.c
+++ b/wire/kvmem.c
@@ -5,7 +5,7 @@
 
 #include "base/err.h"
 
-/* ---- keys ---- */
+/* Keys. */
 
 static void key_free(void *data)
 {
@@ -88,7 +88,7 @@
 	g_ptr_array_free(found, TRUE);
 }
 
-/* ---- leases ---- */
+/* Leases. */
 
 static struct mem_lease *find_lease(struct mem *mem, int64_t id)
 {
@@ -144,7 +144,7 @@
 		kn_timer_set(mem->kv.kn, timer, next - now, expire_leases);
 }
 
-/* ---- operations ---- */
+/* Operations. */
 
 static bool compare_holds(struct mem *mem, const struct kv_cmp *cmp)
 {
--- a/wire/kvmem.h
+++ b/wire/kvmem.h
@@ -63,7 +63,7 @@
 	int64_t next_lease;
 };
 
-/* ---- kvmem_queue.c: results and events, delivered from a timer ---- */
+/* Kvmem_queue.c: results and events, delivered from a timer. */
 
 struct delivery *kvmem_queue(struct mem *mem, enum delivery_kind kind);
 struct delivery *kvmem_queue_call(struct mem *mem, struct kv_call *call,
--- a/wire/pr.c
+++ b/wire/pr.c
@@ -9,7 +9,7 @@
 	return (struct pr_task *)task;
 }
 
-/* ---- publishing ---- */
+/* Publishing. */
 
 static void free_status(struct kn_msg *msg)
 {
@@ -104,7 +104,7 @@
 			send_status(&pr->peers[i], to, PR_MSG_UP);
 }
 
-/* ---- sending ---- */
+/* Sending. */
 
 void pr_send(struct kn_task *peers, const char *host, int type,
 	     const msgpack_sbuffer *body)
@@ -178,7 +178,7 @@
 	return to_pr(peers)->region_bytes.value;
 }
 
-/* ---- life ---- */
+/* Life. */
 
 static void init_counters(struct pr_task *pr)
 {
--- a/wire/pr_int.h
+++ b/wire/pr_int.h
@@ -116,19 +116,19 @@
 	int64_t held_us;
 };
 
-/* ---- pr_msg.c ---- */
+/* Pr_msg.c. */
 
 void pr_hello_pack(msgpack_sbuffer *out, const struct pr_hello *hello);
 bool pr_hello_unpack(const msgpack_object *body, struct pr_hello *hello);
 void pr_heartbeat_pack(msgpack_sbuffer *out, const struct pr_heartbeat *beat);
 bool pr_heartbeat_unpack(const msgpack_object *body, struct pr_heartbeat *beat);
 
-/* ---- pr_sock.c ---- */
+/* Pr_sock.c. */
 
 bool pr_sock_listen(const struct set_addr *at, int *fd, GError **err);
 int pr_sock_connect(const struct set_addr *at);
 
-/* ---- pr_link.c ---- */
+/* Pr_link.c. */
 
 bool pr_link_vhost(struct pr_task *pr, GError **err);
 struct pr_link *pr_link_connect(struct pr_peer *peer);
@@ -136,7 +136,7 @@
 void pr_link_send(struct pr_link *link, int type, const msgpack_sbuffer *body);
 void pr_link_flush(struct pr_link *link, int64_t until_us);
 
-/* ---- pr_peer.c ---- */
+/* Pr_peer.c. */
 
 struct pr_peer *pr_peer_find(struct pr_task *pr, const char *host);
 void pr_peer_init(struct pr_task *pr, struct pr_peer *peer,
@@ -150,7 +150,7 @@
 void pr_peer_link_closed(struct pr_peer *peer);
 void pr_peer_beat_now(struct pr_peer *peer);
 
-/* ---- pr_ctr.c ---- */
+/* Pr_ctr.c. */
 
 void pr_ctr_init(struct pr_task *pr);
 void pr_ctr_finish(struct pr_task *pr);
@@ -158,7 +158,7 @@
 void pr_ctr_received(struct pr_link *link, size_t bytes);
 void pr_ctr_frame(struct ctr counters[PR_TYPES], int type);
 
-/* ---- pr.c ---- */
+/* Pr.c. */
 
 void pr_publish(struct pr_peer *peer, int kind);
 void pr_deliver(struct pr_peer *peer, const struct fr_msg *msg);
--- a/wire/pr_link.c
+++ b/wire/pr_link.c
@@ -10,7 +10,7 @@
 
 #define SHRINK_BYTES 65536 /* larger send buffers are freed when empty */
 
-/* ---- life ---- */
+/* Life. */
 
 static void link_free(struct pr_link *link)
 {
@@ -90,7 +90,7 @@
 	return link;
 }
 
-/* ---- sending ---- */
+/* Sending. */
 
 static int link_fd(struct pr_link *link)
 {
@@ -177,7 +177,7 @@
 	}
 }
 
-/* ---- receiving ---- */
+/* Receiving. */
 
 static bool handle_frame(struct pr_link *link, unsigned char *frame, size_t len)
 {
@@ -251,7 +251,7 @@
 		lws_callback_on_writable(link->wsi);
 }
 
-/* ---- connections ---- */
+/* Connections. */
 
 static struct lws *adopt(struct pr_task *pr, int fd, lws_adoption_type type)
 {
--- a/wire/pr_peer.c
+++ b/wire/pr_peer.c
@@ -21,7 +21,7 @@
 	return NULL;
 }
 
-/* ---- connecting ---- */
+/* Connecting. */
 
 static void dial(struct kn_timer *timer);
 
@@ -50,7 +50,7 @@
 		dial_later(peer);
 }
 
-/* ---- heartbeats ---- */
+/* Heartbeats. */
 
 static int64_t beat_us(const struct pr_peer *peer)
 {
@@ -160,7 +160,7 @@
 	return true;
 }
 
-/* ---- up and down ---- */
+/* Up and down. */
 
 static void go_down(struct pr_peer *peer)
 {
@@ -221,7 +221,7 @@
 	kn_timer_set(kn_of(peer), &peer->beat, 0, beat_due);
 }
 
-/* ---- hello ---- */
+/* Hello. */
 
 /* Sends this host's hello on a link. */
 void pr_peer_greet(struct pr_link *link)
@@ -303,7 +303,7 @@
 	return true;
 }
 
-/* ---- life ---- */
+/* Life. */
 
 /* Prepares the state of a configured host; nothing is connected yet. */
 void pr_peer_init(struct pr_task *pr, struct pr_peer *peer,
--- a/wire/rpc.c
+++ b/wire/rpc.c
@@ -24,7 +24,7 @@
 	struct list_head requests; /* of a server's connection */
 };
 
-/* ---- connections ---- */
+/* Connections. */
 
 static void fail_calls(struct rpc_peer *peer, int result);
 
@@ -111,7 +111,7 @@
 	lws_callback_on_writable(conn->wsi);
 }
 
-/* ---- receiving ---- */
+/* Receiving. */
 
 static void on_call_frame(struct rpc_conn *conn, uint64_t id, const void *data,
 			  size_t len)
@@ -306,7 +306,7 @@
 	return conn;
 }
 
-/* ---- server ---- */
+/* Server. */
 
 static void rpc_accept(struct rpc_server *server)
 {
@@ -374,7 +374,7 @@
 	g_free(request);
 }
 
-/* ---- client ---- */
+/* Client. */
 
 /* All calls of a lost connection; done() may start new ones. */
 static void fail_calls(struct rpc_peer *peer, int result)
--- a/wire/rpc.h
+++ b/wire/rpc.h
@@ -12,7 +12,7 @@
 
 struct rpc_conn;
 
-/* ---- server ---- */
+/* Server. */
 
 struct rpc_server;
 
@@ -47,7 +47,7 @@
 /* Sends the result and frees the request. */
 void rpc_reply(struct rpc_request *request, const void *data, size_t len);
 
-/* ---- client ---- */
+/* Client. */
 
 /* One other process; connects on the first call. */
 struct rpc_peer {
