Say when a worker is not reached any more

Cause: a read of the log lines as a newcomer found worker.regained without a line for the loss before it; an operator had to infer the loss from the lapse of the lease seconds later.

Ruled out: a line for each call without answer, which under a lossy network is hundreds of lines a second and no change of a belief.

Before: the new unit test silent_worker_is_said_to_be_lost_once fails with 0 lines for 1. After: it passes; tests/check-events passes. No decision reads the new flag.

--- a/control/director_log.c
+++ b/control/director_log.c
@@ -80,4 +80,23 @@
 		log_job(director, event, job, why);
 }
 
-const struct fleet_ops director_fleet_ops = { .note = on_note };
+static void on_lost(void *user, const struct worker *worker, int64_t now_us)
+{
+	int64_t end_us = MAX(worker->lease_end_us, worker->adopted_end_us);
+
+	log_warn(
+		"worker.unreachable",
+		"worker=%s silent=%d heard_ms=%lld tasks=%d lease_left_ms=%lld "
+		"listed=%d refusals=%d",
+		worker->said.id, worker->silent,
+		worker->heard_us ?
+			(long long)(now_us - worker->heard_us) / 1000 :
+			-1LL,
+		worker->task_count, (long long)MAX(0, end_us - now_us) / 1000,
+		worker->listed, worker->refusals);
+}
+
+const struct fleet_ops director_fleet_ops = {
+	.note = on_note,
+	.lost = on_lost,
+};
--- a/control/orders.c
+++ b/control/orders.c
@@ -160,9 +160,10 @@
 		later_life(own->orders, worker, call->born_ms, now_us);
 		return NULL;
 	}
-	if (worker->silent > 0 && !worker_reachable(worker, now_us))
+	if (worker->lost)
 		log_info("worker.regained", "worker=%s silent=%d",
 			 worker->said.id, worker->silent);
+	worker->lost = false;
 	worker->silent = 0;
 	worker->refusals = 0;
 	worker->heard_us = now_us;
--- a/fleet/fleet.h
+++ b/fleet/fleet.h
@@ -80,6 +80,8 @@
 	/* One line of the log about a job's decision. */
 	void (*note)(void *user, const char *event, const struct job *job,
 		     const struct task *task, const char *why);
+	/* One line of the log: the worker is not reached any more. */
+	void (*lost)(void *user, const struct worker *worker, int64_t now_us);
 };
 
 struct fleet {
--- a/fleet/life.c
+++ b/fleet/life.c
@@ -117,6 +117,17 @@
 	worker_free(worker);
 }
 
+/* Says once that a worker is not reached. */
+static void notice_silence(struct fleet *fleet, struct worker *worker,
+			   int64_t now_us)
+{
+	if (worker->lost || worker_reachable(worker, now_us))
+		return;
+	worker->lost = true;
+	if (fleet->ops)
+		fleet->ops->lost(fleet->user, worker, now_us);
+}
+
 void fleet_sweep(struct fleet *fleet, int64_t now_us)
 {
 	struct worker *worker, *next;
@@ -125,6 +136,7 @@
 		int64_t end_us =
 			MAX(worker->lease_end_us, worker->adopted_end_us);
 
+		notice_silence(fleet, worker, now_us);
 		if (worker->task_count > 0 && end_us > 0 &&
 		    now_us > end_us + LEASE_SLACK_MS * 1000 &&
 		    !worker_reachable(worker, now_us)) {
--- a/fleet/worker.h
+++ b/fleet/worker.h
@@ -55,6 +55,7 @@
 	int64_t heard_us; /* latest answer, 0: none */
 	int silent; /* calls without answer since then */
 	int64_t silent_us; /* since when */
+	bool lost; /* silent for longer than is tolerated */
 	int refusals; /* connections refused in a row: nobody listens there */
 	int64_t next_hold_us;
 	bool holding; /* a hold call that waits is under way */
--- a/tests/unit/test_fleet.c
+++ b/tests/unit/test_fleet.c
@@ -171,6 +171,42 @@
 }
 END_TEST
 
+static int lost_lines;
+
+static void ignore_note(void *user, const char *event, const struct job *job,
+			const struct task *task, const char *why)
+{
+}
+
+static void count_lost(void *user, const struct worker *worker, int64_t now_us)
+{
+	lost_lines++;
+}
+
+/* An operator reads once that a worker is not reached, and when. */
+START_TEST(silent_worker_is_said_to_be_lost_once)
+{
+	static const struct fleet_ops ops = {
+		.note = ignore_note,
+		.lost = count_lost,
+	};
+	struct worker *worker = make_worker(&fleet, "w1", "r1", 8, NOW);
+
+	lost_lines = 0;
+	fleet.ops = &ops;
+	fleet_sweep(&fleet, NOW + 60 * SEC);
+	ck_assert_int_eq(lost_lines, 0);
+	worker->silent = 2;
+	worker->silent_us = NOW;
+	fleet_sweep(&fleet, NOW + SILENCE_TOLERATED_MS * 1000 - 1);
+	ck_assert_int_eq(lost_lines, 0);
+	fleet_sweep(&fleet, NOW + SILENCE_TOLERATED_MS * 1000);
+	fleet_sweep(&fleet, NOW + 60 * SEC);
+	ck_assert_int_eq(lost_lines, 1);
+	fleet.ops = NULL;
+}
+END_TEST
+
 START_TEST(worker_that_answers_keeps_its_tasks)
 {
 	struct worker *worker = make_worker(&fleet, "w1", "r1", 8, NOW);
@@ -436,6 +472,7 @@
 	tcase_add_test(tc, one_done_member_ends_the_gang);
 	tcase_add_test(tc, list_from_before_the_answer_says_nothing);
 	tcase_add_test(tc, lease_of_a_silent_worker);
+	tcase_add_test(tc, silent_worker_is_said_to_be_lost_once);
 	tcase_add_test(tc, worker_that_answers_keeps_its_tasks);
 	tcase_add_test(tc, later_life_takes_the_tasks_over_until_it_lists);
 	tcase_add_test(tc, earlier_life_is_ignored);
