--- a/tests/unit/test_api.c
+++ b/tests/unit/test_api.c
@@ -12,13 +12,15 @@
 #include "daemon/document_int.h"
 #include "daemon/store.h"
 #include "daemon/svc.h"
+#include "tests/standins/be_sock.h"
 #include "tests/standins/pf_server.h"
 #include "wire/hc.h"
 #include "wire/pr.h"
 #include "tests/unit/run.h"
 
 #define HOSTS 2
-#define BASE_PORT 23000
+#define PORT_FIRST 24200
+#define PORT_BLOCKS 400 /* of one run each, as several may run at once */
 #define IN_FORCE_US (3 * USEC_PER_SEC) /* I8 at today's size */
 
 /* A task that leads or follows, or answers as the scheduler. */
@@ -98,7 +100,13 @@
 
 static int peer_port(int i)
 {
-	return BASE_PORT + (int)(getpid() % 400) * HOSTS + i;
+	static int first;
+
+	if (first == 0)
+		first = be_free_ports(
+			PORT_FIRST + (int)(getpid() % PORT_BLOCKS) * HOSTS,
+			HOSTS);
+	return first + i;
 }
 
 static void fill_set(int i, bool memory, bool peers)
--- a/tests/unit/test_req.c
+++ b/tests/unit/test_req.c
@@ -22,7 +22,9 @@
 
 #define HOSTS_MAX 2
 #define SERVERS 2
-#define BASE_PORT (22100 + (int)(getpid() % 400) * 5) /* for parallel runs */
+#define PORT_FIRST 22100
+#define PORT_BLOCK 5 /* ports of one run, as several may run at once */
+#define PORT_BLOCKS 400
 
 /* Entry hosts and servers in one process. */
 
@@ -96,6 +98,18 @@
 static const struct kn_task_ops document_ops = { .receive = document_receive };
 static const struct kn_task_ops lead_ops = { .receive = lead_receive };
 
+/* Peer port of a host; the ports are the same for the whole process. */
+static int peer_port(int i)
+{
+	static int first;
+
+	if (first == 0)
+		first = be_free_ports(
+			PORT_FIRST + (int)(getpid() % PORT_BLOCKS) * PORT_BLOCK,
+			HOSTS_MAX);
+	return first + i;
+}
+
 static void fill_set(int i, int n, bool other_dc, bool has_servers)
 {
 	struct set *set = &sets[i];
@@ -112,7 +126,7 @@
 	set->drain_delay_ms = 50;
 	strcpy(set->peer_listen.addr, "127.0.0.1");
 	if (n > 1)
-		set->peer_listen.port = BASE_PORT + i;
+		set->peer_listen.port = peer_port(i);
 	for (j = 0; j < n; j++) {
 		struct set_peer *peer = &set->peers[set->peer_count];
 
@@ -122,7 +136,7 @@
 		strcpy(peer->dc, j > 0 && other_dc ? "dc2" : "dc1");
 		strcpy(peer->region, "r1");
 		strcpy(peer->at.addr, "127.0.0.1");
-		peer->at.port = BASE_PORT + j;
+		peer->at.port = peer_port(j);
 		set->peer_count++;
 	}
 	for (j = 0; has_servers && j < SERVERS; j++) {
@@ -137,6 +151,7 @@
 
 static void start_host(int i, uint64_t incarnation)
 {
+	GError *err = NULL;
 	int k;
 
 	memset(hosts[i], 0, sizeof(hosts[i]));
@@ -148,7 +163,9 @@
 	for (k = 0; k < 4; k++) {
 		if (!hosts[i][k])
 			continue;
-		ck_assert(hosts[i][k]->ops->start(hosts[i][k], NULL));
+		ck_assert_msg(hosts[i][k]->ops->start(hosts[i][k], &err),
+			      "host %d, task %d: %s", i, k,
+			      err ? err->message : "no reason given");
 		hosts[i][k]->started = true;
 	}
 	/* So that the next host finds its own services. */
@@ -742,6 +759,18 @@
 END_TEST
 
 /* Guards against finished keys that are lost with a planned stop. */
+/* Several runs, and the soak, share the ports of one machine. */
+START_TEST(busy_ports_are_passed_over)
+{
+	int busy;
+	int fd = be_listen(&busy);
+
+	ck_assert_int_gt(be_free_ports(busy, 2), busy);
+	ck_assert_int_gt(be_free_ports(busy - 1, 2), busy);
+	close(fd);
+}
+END_TEST
+
 START_TEST(finished_keys_are_handed_over)
 {
 	char ticket[128], headers[300];
@@ -781,6 +810,7 @@
 	tcase_add_test(tc, other_data_centre_helps_out);
 	tcase_add_test(tc, queue_goes_to_other_data_centre);
 	tcase_add_test(tc, hosts_share_the_slots);
+	tcase_add_test(tc, busy_ports_are_passed_over);
 	tcase_add_test(tc, finished_keys_are_handed_over);
 	return run_case("req", tc);
 }
