--- a/tests/standins/site_fleet.c
+++ b/tests/standins/site_fleet.c
@@ -7,39 +7,12 @@
 #include <jansson.h>
 
 #include "base/limits.h"
+#include "tests/standins/site_check.h"
+#include "tests/standins/site_reply.h"
 
 #define TICK_MS 5
 #define MISSED_BEATS 3
 
-/* What all workers together know of one task. */
-struct site_task {
-	char *name;
-	int fails; /* runs that ended so */
-	int void_fails; /* of these, ends that were lost with their worker */
-	bool done;
-	bool noted; /* and that end was acknowledged */
-	struct site_worker *done_at;
-	int64_t done_born_ms; /* life of the worker */
-	int64_t done_lapses; /* of its lease before the end */
-};
-
-struct site_run {
-	struct list_head node;
-	struct site_worker *worker;
-	struct site_task *task;
-	char *name;
-	int64_t run;
-	int64_t ms;
-	int64_t gpus;
-	int64_t gang;
-	int64_t worked_us;
-	int64_t present_us; /* since when it waits for its gang */
-	bool working;
-	int64_t stop_us; /* when a stop takes effect, 0: none */
-	bool fails;
-	char *checkpoint;
-};
-
 struct site_end {
 	int64_t number;
 	char *name;
@@ -65,150 +38,13 @@
 	json_t *body;
 };
 
-/* Checks. */
-
-static void violated(struct site_fleet *fleet, const char *rule,
-		     const char *task, const char *detail)
-{
-	g_ptr_array_add(fleet->violations,
-			g_strdup_printf("%s: %s: %s", rule, task, detail));
-	fprintf(stderr, "VIOLATION %s: %s: %s\n", rule, task, detail);
-}
-
-const char *site_fleet_violation(const struct site_fleet *fleet)
-{
-	return fleet->violations->len > 0 ?
-		       g_ptr_array_index(fleet->violations, 0) :
-		       NULL;
-}
-
-static int64_t payload_number(const char *payload, const char *name,
-			      int64_t fallback)
-{
-	char **words = g_strsplit(payload, " ", -1);
-	char *prefix = g_strconcat(name, "=", NULL);
-	int64_t value = fallback;
-	char **word;
-
-	for (word = words; *word; word++)
-		if (g_str_has_prefix(*word, prefix))
-			value = g_ascii_strtoll(*word + strlen(prefix), NULL,
-						10);
-	g_strfreev(words);
-	g_free(prefix);
-	return value;
-}
-
-static struct site_task *task_of(struct site_fleet *fleet, const char *name)
-{
-	struct site_task *task = g_hash_table_lookup(fleet->tasks, name);
-
-	if (task)
-		return task;
-	task = g_new0(struct site_task, 1);
-	task->name = g_strdup(name);
-	g_hash_table_insert(fleet->tasks, task->name, task);
-	return task;
-}
+/* Runs. */
 
 static int64_t clock_ms(const struct site_worker *worker)
 {
 	return 1000 + (kn_now_us() - worker->started_us) / USEC_PER_MSEC;
 }
 
-/* ID, occurrence, step and index of a name; false if it is none. */
-static bool name_parts(const char *name, char id[32], int *k, int *step,
-		       int *index)
-{
-	return sscanf(name, "%31[^.].%d.%d.%d", id, k, step, index) == 4;
-}
-
-static void check_order(struct site_fleet *fleet, const char *name,
-			const char *payload)
-{
-	int64_t before = payload_number(payload, "before", 0);
-	char id[32], other[96];
-	int k, step, index, i;
-
-	if (!name_parts(name, id, &k, &step, &index) || step == 0)
-		return;
-	for (i = 0; i < before; i++) {
-		snprintf(other, sizeof(other), "%s.%d.%d.%d", id, k, step - 1,
-			 i);
-		if (!task_of(fleet, other)->done)
-			violated(fleet, "ORDER", name, other);
-	}
-}
-
-static void check_room(struct site_worker *worker, const struct site_run *run,
-		       const char *payload)
-{
-	int64_t beyond = payload_number(payload, "beyond", 0);
-	const struct site_run *other;
-	int64_t gpus = 0, same = 0;
-	size_t step_len = (size_t)(strrchr(run->name, '.') - run->name);
-
-	list_for_each_entry(other, &worker->runs, node) {
-		gpus += other->gpus;
-		same += strncmp(other->name, run->name, step_len + 1) == 0;
-	}
-	if (gpus > worker->gpus)
-		violated(worker->fleet, "LIMIT", run->name, worker->id);
-	if (beyond > 0 && same > beyond)
-		violated(worker->fleet, "ROUTE", run->name, "too many");
-}
-
-/* The worker's lease has not run out since the end. */
-static bool same_lease(const struct site_task *task)
-{
-	const struct site_worker *worker = task->done_at;
-
-	return worker->born_ms == task->done_born_ms &&
-	       worker->lapses == task->done_lapses && !worker->lapsed;
-}
-
-/*
- * An end that was never acknowledged is void once the lease of its worker has
- * lapsed, or its life is over: nobody can know of it.
- */
-static bool end_stands(const struct site_task *task)
-{
-	const struct site_worker *worker = task->done_at;
-
-	return task->noted || (worker->up && same_lease(task));
-}
-
-static void check_start(struct site_worker *worker, const struct site_run *run,
-			const char *payload)
-{
-	struct site_fleet *fleet = worker->fleet;
-	const struct site_worker *other;
-	const struct site_run *twin;
-	char id[32];
-	int64_t *since;
-	int k, step, index;
-
-	list_for_each_entry(other, &fleet->workers, node)
-		list_for_each_entry(twin, &other->runs, node)
-			if (twin != run && strcmp(twin->name, run->name) == 0)
-				violated(fleet, "TWICE", run->name, other->id);
-	if (run->task->done && end_stands(run->task))
-		violated(fleet, "TWICE", run->name, "after it was done");
-	run->task->done = false;
-	if (run->task->fails - run->task->void_fails >=
-	    payload_number(payload, "attempts", 3))
-		violated(fleet, "BUDGET", run->name, "attempts used up");
-	check_order(fleet, run->name, payload);
-	check_room(worker, run, payload);
-	if (!name_parts(run->name, id, &k, &step, &index))
-		violated(fleet, "UNASKED", run->name, "malformed name");
-	since = g_hash_table_lookup(fleet->cancelled, id);
-	if (since && kn_now_us() - *since > fleet->cancel_ms * USEC_PER_MSEC)
-		violated(fleet, "UNASKED", run->name, "after its cancellation");
-}
-
-/* Runs. */
-
 static void run_free(struct site_run *run)
 {
 	list_del(&run->node);
@@ -414,13 +250,14 @@
 
 	run->worker = worker;
 	run->name = g_strdup(text_of(body, "task"));
-	run->task = task_of(worker->fleet, run->name);
+	run->task = site_task_of(worker->fleet, run->name);
 	run->run = int_of(body, "run");
-	run->ms = payload_number(payload, "ms", 100);
-	run->gpus = payload_number(payload, "gpus", 1);
-	run->gang = payload_number(payload, "gang", 0);
-	run->fails = run->task->fails < payload_number(payload, "fail", 0) ||
-		     worker->fault == SITE_WORKER_FAILING;
+	run->ms = site_payload_number(payload, "ms", 100);
+	run->gpus = site_payload_number(payload, "gpus", 1);
+	run->gang = site_payload_number(payload, "gang", 0);
+	run->fails =
+		run->task->fails < site_payload_number(payload, "fail", 0) ||
+		worker->fault == SITE_WORKER_FAILING;
 	run->present_us = kn_now_us();
 	run->checkpoint = g_strdup(checkpoint);
 	if (checkpoint)
@@ -428,7 +265,7 @@
 	list_add_tail(&run->node, &worker->runs);
 	worker->fleet->starts++;
 	worker->fleet->last_start_us = kn_now_us();
-	check_start(worker, run, payload);
+	site_check_start(worker, run, payload);
 }
 
 /* Returns the reason of a refusal, NULL when the run is there. */
@@ -482,7 +319,7 @@
 		if (end->number > noted)
 			return;
 		if (strcmp(end->how, "done") == 0 &&
-		    end->task->done_at == worker && same_lease(end->task))
+		    end->task->done_at == worker && site_same_lease(end->task))
 			end->task->noted = true;
 		g_ptr_array_remove_index(worker->ends, 0);
 	}
@@ -498,19 +335,6 @@
 	return NULL;
 }
 
-static void reply(struct hs_request *req, int status, json_t *body)
-{
-	char *text = json_dumps(body, JSON_COMPACT);
-	struct http_headers headers;
-
-	http_headers_init(&headers);
-	http_headers_add(&headers, "Content-Type", "application/json");
-	hs_reply(req, status, &headers, text, strlen(text));
-	http_headers_finish(&headers);
-	free(text);
-	json_decref(body);
-}
-
 static json_t *lists(struct site_worker *worker)
 {
 	json_t *running = json_array();
@@ -557,7 +381,7 @@
 		if (!all && hold->until_us > kn_now_us())
 			continue;
 		hold_free(hold);
-		reply(req, 200, lists(worker));
+		site_reply(req, 200, lists(worker));
 	}
 }
 
@@ -624,7 +448,7 @@
 	}
 	if (worker->fault == SITE_WORKER_ILL &&
 	    strcmp(req->target, "/run-start") == 0) {
-		reply(req, 503, json_object());
+		site_reply(req, 503, json_object());
 		json_decref(body);
 		return;
 	}
@@ -632,16 +456,16 @@
 	if (worker->fault == SITE_WORKER_MUTE)
 		goto out;
 	if (reason)
-		reply(req, 409,
-		      json_pack("{s:I,s:s}", "clock_ms",
-				(json_int_t)clock_ms(worker), "reason",
-				reason));
+		site_reply(req, 409,
+			   json_pack("{s:I,s:s}", "clock_ms",
+				     (json_int_t)clock_ms(worker), "reason",
+				     reason));
 	else if (strcmp(req->target, "/hold") == 0)
 		wait_for_end(worker, req, int_of(body, "wait_ms"));
 	else
-		reply(req, 200,
-		      json_pack("{s:I}", "clock_ms",
-				(json_int_t)clock_ms(worker)));
+		site_reply(req, 200,
+			   json_pack("{s:I}", "clock_ms",
+				     (json_int_t)clock_ms(worker)));
 out:
 	json_decref(body);
 }
--- a/tests/standins/site_store.c
+++ b/tests/standins/site_store.c
@@ -6,6 +6,7 @@
 #include <jansson.h>
 
 #include "base/limits.h"
+#include "tests/standins/site_reply.h"
 
 #define TICK_MS 5
 #define PAGE_ITEMS 20 /* small, so that tests see pages */
@@ -129,20 +130,6 @@
 
 /* Answers. */
 
-static void reply(struct hs_request *req, int status, json_t *body)
-{
-	char *text = json_dumps(body, JSON_COMPACT);
-	struct http_headers headers;
-
-	req->user = NULL;
-	http_headers_init(&headers);
-	http_headers_add(&headers, "Content-Type", "application/json");
-	hs_reply(req, status, &headers, text, strlen(text));
-	http_headers_finish(&headers);
-	free(text);
-	json_decref(body);
-}
-
 static struct site_door *door_of(struct hs_request *req)
 {
 	return container_of(req->server, struct site_door, server);
@@ -178,7 +165,7 @@
 	struct site_later *later;
 
 	if (door->delay_ms == 0) {
-		reply(req, status, body);
+		site_reply(req, status, body);
 		return;
 	}
 	later = add_later(door->store, req, door->delay_ms);
@@ -554,10 +541,10 @@
 		never_answer(req);
 		break;
 	case SITE_BUSY:
-		reply(req, 503, json_object());
+		site_reply(req, 503, json_object());
 		break;
 	case SITE_MANY:
-		reply(req, 429, json_object());
+		site_reply(req, 429, json_object());
 		break;
 	default:
 		route(door->store, req);
@@ -600,7 +587,7 @@
 	if (req) {
 		body = json_incref(later->answer);
 		later->req = NULL;
-		reply(req, later->status, body);
+		site_reply(req, later->status, body);
 	}
 	later_free(later);
 }
