Refuse at once what cannot be read or answered in time

The store client reported a read for which no way was left like one whose answer was lost, and the intake repeats those. A submission with less than 0.1 s left was sent to the store and answered with 504 in the same moment, although it could have been refused as not run.

A call without time for its answer is refused before the store is asked, with CB_E_DEADLINE.

Ruled out: repeating reads for a short while first, as the relay has already tried each way; answering 504 without sending, since nothing was done.

Tests reads_without_a_store and calls_without_time: both failed before (504).

--- a/control/intake.c
+++ b/control/intake.c
@@ -16,6 +16,7 @@
 /* Outages last for some seconds, and a caller comes back a few times only. */
 #define STORE_RETRY_AFTER_S 2
 #define CONFIG_RETRY_AFTER_S 1
+#define NO_TIME_RETRY_AFTER_S 1 /* nothing is in the way of a later try */
 
 enum intake_step {
 	STEP_WRITE_SPEC,
@@ -122,15 +123,21 @@
 	run_step(container_of(timer, struct intake_call, timer));
 }
 
-static bool time_is_left(const struct intake_call *own)
+static bool writes(const struct intake_call *own)
 {
-	return own->caller->deadline_us - kn_now_us() >
-	       (2 * RETRY_MS + ANSWER_MARGIN_MS) * USEC_PER_MSEC;
+	return own->step == STEP_WRITE_SPEC || own->step == STEP_WRITE_CANCEL;
 }
 
-static bool writes(const struct intake_call *own)
+/* Of the caller's deadline, without the way of the answer. */
+static int64_t time_left_us(const struct caller_call *call)
 {
-	return own->step == STEP_WRITE_SPEC || own->step == STEP_WRITE_CANCEL;
+	return call->deadline_us - kn_now_us() -
+	       ANSWER_MARGIN_MS * USEC_PER_MSEC;
+}
+
+static bool time_is_left(const struct intake_call *own)
+{
+	return time_left_us(own->caller) > 2 * RETRY_MS * USEC_PER_MSEC;
 }
 
 /*
@@ -165,10 +172,14 @@
 	finish(own, CB_E_TIMEOUT, STORE_RETRY_AFTER_S);
 }
 
+/* What could not be answered in time is not begun. */
 static void next_step(struct intake_call *own, enum intake_step step)
 {
 	own->step = step;
-	run_step(own);
+	if (time_left_us(own->caller) <= 0)
+		finish(own, CB_E_DEADLINE, NO_TIME_RETRY_AFTER_S);
+	else
+		run_step(own);
 }
 
 static void on_write(struct intake_call *own, const struct kv_call *call)
@@ -455,10 +466,7 @@
 	call->state = own;
 	list_add_tail(&own->node, &intake->calls);
 	kn_timer_set(intake->edges->kv->kn, &own->deadline,
-		     MAX(call->deadline_us - kn_now_us() -
-				 ANSWER_MARGIN_MS * USEC_PER_MSEC,
-			 0),
-		     on_deadline);
+		     MAX(time_left_us(call), 0), on_deadline);
 	return own;
 }
 
--- a/tests/standins/site_rig.h
+++ b/tests/standins/site_rig.h
@@ -46,6 +46,10 @@
 /* One request to a host, waited for. body may be NULL. */
 struct rig_reply rig_call(struct rig *rig, int host, const char *method,
 			  const char *path, const char *key, const char *body);
+/* The same from a caller that waits for so long. */
+struct rig_reply rig_call_within(struct rig *rig, int host, const char *method,
+				 const char *path, const char *key,
+				 const char *body, const char *deadline_ms);
 /*
  * Hands a job in with one step of count tasks; extra is put into the step,
  * such as ,"gang":true. Returns the status.
--- a/tests/unit/test_host.c
+++ b/tests/unit/test_host.c
@@ -325,6 +325,60 @@
 }
 END_TEST
 
+/*
+ * A store that refuses every host: what cannot be read is refused as soon as
+ * that is known, with the time to come back.
+ */
+START_TEST(reads_without_a_store)
+{
+	static const char *const targets[] = { JOB_A, "" };
+	static const enum site_fault faults[] = { SITE_BUSY, SITE_SILENT };
+	struct rig_reply reply = { 0 };
+	size_t i, j;
+	int tries;
+
+	rig_start(&rig, 2, 2, 1);
+	ck_assert_int_eq(rig_submit(&rig, 0, JOB_A, 1, "ms=100", NULL), 200);
+	ck_assert(rig_wait(&rig, 0, JOB_A, "done", 3000));
+	for (i = 0; i < G_N_ELEMENTS(faults); i++) {
+		rig_run_ms(&rig, 600);
+		site_store_fault(rig.store, -1, faults[i], 0, 0);
+		for (tries = 0; tries < 4; tries++)
+			reply = ask(0, "GET", JOB_A, RIG_KEY);
+		for (j = 0; j < G_N_ELEMENTS(targets); j++) {
+			reply = ask(0, "GET", targets[j], RIG_KEY);
+			ck_assert_int_eq(reply.status, 503);
+			ck_assert_int_ge(reply.retry_after_s, 1);
+			ck_assert_int_lt(reply.took_ms, 200);
+		}
+		site_store_fault(rig.store, -1, SITE_WELL, 0, 0);
+		ck_assert(rig_wait(&rig, 0, JOB_A, "done", 3000));
+	}
+	rig_stop(&rig);
+}
+END_TEST
+
+/* No time for an answer is left: refused, and the store is not asked. */
+START_TEST(calls_without_time)
+{
+	struct rig_reply reply;
+
+	rig_start(&rig, 1, 2, 1);
+	reply = rig_call_within(&rig, 0, "POST", RIG_PREFIX JOB_A, RIG_KEY,
+				"{\"spec\":\"ms=50\",\"steps\":[{\"count\":1,"
+				"\"gpu\":1}]}",
+				"50");
+	ck_assert_int_eq(reply.status, 503);
+	ck_assert_int_ge(reply.retry_after_s, 1);
+	ck_assert_uint_eq(site_store_count(rig.store, "chivebank/intake/"), 0);
+	ck_assert_int_eq(ask(0, "GET", JOB_A, RIG_KEY).status, 410);
+	reply = rig_call_within(&rig, 0, "GET", RIG_PREFIX JOB_A, RIG_KEY, NULL,
+				"50");
+	ck_assert_int_eq(reply.status, 503);
+	rig_stop(&rig);
+}
+END_TEST
+
 /* One host is turned away in different ways; another passes its calls on. */
 START_TEST(host_that_the_store_turns_away)
 {
@@ -508,6 +562,8 @@
 	tcase_add_test(tc, history_that_is_gone_is_read_again);
 	tcase_add_test(tc, foreign_entries_are_passed_over);
 	tcase_add_test(tc, store_outage);
+	tcase_add_test(tc, reads_without_a_store);
+	tcase_add_test(tc, calls_without_time);
 	tcase_add_test(tc, host_that_the_store_turns_away);
 	tcase_add_test(tc, leader_whose_lease_lapses);
 	tcase_add_loop_test(tc, answers_of_the_store_are_lost, 0, 3);
