Ask the advice service on until the allowed workers are found

Cause: a question named the first 100 workers of the pool without a valid ticket, always the same ones, as denials were not remembered. In a pool of more than 100 a step that is allowed only further down the list was never started. Tickets of waiting steps were renewed each second although there was no room, which keeps the service, that answers one question at a time, from new steps.

A denial now holds for the life of a worker (what a step may use does not change). A question names at most 30 workers, those with room first, as the time of an answer grows with each of them; the next follows after 50 ms. A lapsed ticket is renewed when its worker has room, or for urgent work, which may have room made. Without an answer nothing is taken as denied.

Ruled out: asking about all workers at once (the platform allows 100), and several questions at a time (the service answers a host's in turn).

Load that it answers: queues with advice, large pools, a full pool with many waiting steps. Tests only_allowed_worker_of_a_large_pool, denied_workers_are_not_asked_about_again, lost_question_is_asked_again, waiting_steps_leave_the_service_to_new_ones; with the former selection the first of them cannot end, since worker 200 was never named.

--- a/control/advisor.c
+++ b/control/advisor.c
@@ -71,6 +71,8 @@
 		advice_granted(stage, call->rows[i].worker,
 			       call->rows[i].ticket, advisor->sent_us,
 			       call->valid_ms);
+	if (stage)
+		advice_answered(stage, call->result == CB_OK);
 	if (call->nrows > 0)
 		advisor->changed(advisor->user);
 }
@@ -92,7 +94,7 @@
 	advisor->step.step = stage->step;
 	snprintf(name, sizeof(name), "%s.%d.%d", stage->job->id,
 		 stage->occurrence, stage->step);
-	advice_asked(stage, now_us);
+	advice_asked(stage, workers, now_us);
 	advisor->call.done = on_answer;
 	advisor->call.user = advisor;
 	advisor->calling = true;
--- a/fleet/advice.c
+++ b/fleet/advice.c
@@ -2,13 +2,25 @@
 
 #include <string.h>
 
-/* Steps that got no room are asked about again, in case of new workers. */
-#define ADVICE_REPEAT_MS 1000
+#include "fleet/placement.h"
 
+/* Between two questions about a step: the answer is used in between. */
+#define ADVICE_NEXT_MS 50
+/* When there was nothing to ask (room or workers may have come), or no answer. */
+#define ADVICE_REPEAT_MS 500
+
+enum grant_state {
+	GRANT_ASKED, /* the question is under way */
+	GRANT_GIVEN,
+	GRANT_DENIED,
+};
+
+/* What is known of a step at one life of a worker; it does not change. */
 struct grant {
-	char *ticket;
+	enum grant_state state;
+	char *ticket; /* NULL unless given */
 	int64_t born_ms; /* life of the worker, 0: as it was granted */
-	int64_t until_us;
+	int64_t until_us; /* of the ticket */
 };
 
 static void grant_free(void *data)
@@ -19,6 +31,38 @@
 	g_free(grant);
 }
 
+/* The grant for the current life of a worker, NULL: nothing is known. */
+static struct grant *find(const struct stage *stage,
+			  const struct worker *worker)
+{
+	struct grant *grant =
+		stage->grants ?
+			g_hash_table_lookup(stage->grants, worker->said.id) :
+			NULL;
+
+	if (!grant)
+		return NULL;
+	if (grant->born_ms == 0)
+		grant->born_ms = worker->said.born_ms;
+	return grant->born_ms == worker->said.born_ms ? grant : NULL;
+}
+
+/* The record of a worker, made when there is none. */
+static struct grant *record(struct stage *stage, const char *worker)
+{
+	struct grant *grant;
+
+	if (!stage->grants)
+		stage->grants = g_hash_table_new_full(g_str_hash, g_str_equal,
+						      g_free, grant_free);
+	grant = g_hash_table_lookup(stage->grants, worker);
+	if (!grant) {
+		grant = g_new0(struct grant, 1);
+		g_hash_table_insert(stage->grants, g_strdup(worker), grant);
+	}
+	return grant;
+}
+
 static bool needs_advice(const struct stage *stage)
 {
 	int i;
@@ -31,28 +75,51 @@
 	return false;
 }
 
+enum interest {
+	INTEREST_NONE,
+	INTEREST_LATER, /* it has no room now */
+	INTEREST_NOW,
+};
+
+/*
+ * A ticket that has lapsed is renewed when there is room, or for urgent work,
+ * which may have room made for it.
+ */
+static enum interest interest(const struct stage *stage,
+			      const struct worker *worker, int64_t now_us)
+{
+	const struct grant *grant = find(stage, worker);
+	struct room room = worker_free_room(worker);
+
+	if (!worker->listed || worker->replaced || worker->said.draining ||
+	    strcmp(worker->said.pool, stage->job->pool) != 0 ||
+	    (stage->spec->label &&
+	     !worker_has_label(worker, stage->spec->label)) ||
+	    !room_fits(&worker->said.room, &stage->spec->need))
+		return INTEREST_NONE;
+	if (grant && (grant->state != GRANT_GIVEN || grant->until_us >= now_us))
+		return INTEREST_NONE;
+	if (placement_slots(&room, stage, 1) > 0)
+		return INTEREST_NOW;
+	return !grant || stage->job->priority == 0 ? INTEREST_LATER :
+						     INTEREST_NONE;
+}
+
 static void collect(struct fleet *fleet, const struct stage *stage,
-		    int64_t now_us, GPtrArray *workers)
+		    enum interest wanted, int64_t now_us, GPtrArray *workers)
 {
 	struct worker *worker;
 
 	list_for_each_entry(worker, &fleet->workers, node) {
 		if (workers->len >= ADVICE_WORKERS_MAX)
 			return;
-		if (!worker->listed || worker->replaced ||
-		    worker->said.draining ||
-		    strcmp(worker->said.pool, stage->job->pool) != 0 ||
-		    (stage->spec->label &&
-		     !worker_has_label(worker, stage->spec->label)) ||
-		    !room_fits(&worker->said.room, &stage->spec->need) ||
-		    advice_ticket(stage, worker, now_us))
-			continue;
-		g_ptr_array_add(workers, worker);
+		if (interest(stage, worker, now_us) == wanted)
+			g_ptr_array_add(workers, worker);
 	}
 }
 
-struct stage *advice_wanted(struct fleet *fleet, int64_t now_us,
-			    GPtrArray *workers)
+/* The step that was asked about longest ago, urgent jobs first. */
+static struct stage *next_stage(struct fleet *fleet, int64_t now_us)
 {
 	struct stage *best = NULL;
 	struct job *job;
@@ -66,9 +133,7 @@
 			struct stage *stage = job->stages[i];
 
 			if (!stage || !needs_advice(stage) ||
-			    (stage->asked_us &&
-			     now_us - stage->asked_us <
-				     ADVICE_REPEAT_MS * 1000))
+			    stage->asked_us > now_us)
 				continue;
 			if (!best || stage->asked_us < best->asked_us ||
 			    (stage->asked_us == best->asked_us &&
@@ -76,46 +141,79 @@
 				best = stage;
 		}
 	}
-	if (best)
-		collect(fleet, best, now_us, workers);
-	if (best && workers->len == 0) {
-		best->asked_us = now_us;
-		return NULL;
-	}
 	return best;
 }
 
-void advice_asked(struct stage *stage, int64_t now_us)
+struct stage *advice_wanted(struct fleet *fleet, int64_t now_us,
+			    GPtrArray *workers)
 {
-	stage->asked_us = now_us;
+	struct stage *stage;
+
+	while ((stage = next_stage(fleet, now_us))) {
+		collect(fleet, stage, INTEREST_NOW, now_us, workers);
+		collect(fleet, stage, INTEREST_LATER, now_us, workers);
+		if (workers->len > 0)
+			return stage;
+		stage->asked_us = now_us + ADVICE_REPEAT_MS * 1000;
+	}
+	return NULL;
+}
+
+void advice_asked(struct stage *stage, const GPtrArray *workers, int64_t now_us)
+{
+	guint i;
+
+	stage->asked_us = now_us + ADVICE_NEXT_MS * 1000;
+	for (i = 0; i < workers->len; i++) {
+		const struct worker *worker = g_ptr_array_index(workers, i);
+		struct grant *grant = record(stage, worker->said.id);
+
+		grant->state = GRANT_ASKED;
+		grant->born_ms = worker->said.born_ms;
+	}
 }
 
 void advice_granted(struct stage *stage, const char *worker, const char *ticket,
 		    int64_t sent_us, int64_t valid_ms)
 {
-	struct grant *grant = g_new0(struct grant, 1);
+	struct grant *grant = record(stage, worker);
 
-	if (!stage->grants)
-		stage->grants = g_hash_table_new_full(g_str_hash, g_str_equal,
-						      g_free, grant_free);
+	g_free(grant->ticket);
+	grant->state = GRANT_GIVEN;
 	grant->ticket = g_strdup(ticket);
 	grant->until_us = sent_us + (valid_ms - ADVICE_SPARE_MS) * 1000;
-	g_hash_table_insert(stage->grants, g_strdup(worker), grant);
+}
+
+void advice_answered(struct stage *stage, bool known)
+{
+	GHashTableIter iter;
+	gpointer value;
+
+	if (!known)
+		stage->asked_us += ADVICE_REPEAT_MS * 1000;
+	if (!stage->grants)
+		return;
+	g_hash_table_iter_init(&iter, stage->grants);
+	while (g_hash_table_iter_next(&iter, NULL, &value)) {
+		struct grant *grant = value;
+
+		if (grant->state != GRANT_ASKED)
+			continue;
+		if (known)
+			grant->state = GRANT_DENIED;
+		else
+			g_hash_table_iter_remove(&iter);
+	}
 }
 
 const char *advice_ticket(const struct stage *stage,
 			  const struct worker *worker, int64_t now_us)
 {
-	struct grant *grant =
-		stage->grants ?
-			g_hash_table_lookup(stage->grants, worker->said.id) :
-			NULL;
+	const struct grant *grant = find(stage, worker);
 
-	if (!grant || grant->until_us < now_us)
+	if (!grant || grant->state != GRANT_GIVEN || grant->until_us < now_us)
 		return NULL;
-	if (grant->born_ms == 0)
-		grant->born_ms = worker->said.born_ms;
-	return grant->born_ms == worker->said.born_ms ? grant->ticket : NULL;
+	return grant->ticket;
 }
 
 void advice_finish(struct stage *stage)
--- a/fleet/advice.h
+++ b/fleet/advice.h
@@ -8,7 +8,9 @@
  * workers that it grants. Granted workers come with a ticket for the step.
  */
 
-#define ADVICE_WORKERS_MAX 100 /* in one question, by the platform's contract */
+/* In one question. The platform allows 100 and counts the time of a job with
+ * one question about 30; each worker adds to the time of the answer. */
+#define ADVICE_WORKERS_MAX 30
 
 /* A ticket with less time left is not used: its start may be repeated. */
 #define ADVICE_SPARE_MS 700
@@ -19,10 +21,17 @@
  */
 struct stage *advice_wanted(struct fleet *fleet, int64_t now_us,
 			    GPtrArray *workers);
-void advice_asked(struct stage *stage, int64_t now_us);
+/* workers: those in the question, as advice_wanted gave them. */
+void advice_asked(struct stage *stage, const GPtrArray *workers,
+		  int64_t now_us);
 /* sent_us: when the question was sent; the ticket's time counts from there. */
 void advice_granted(struct stage *stage, const char *worker, const char *ticket,
 		    int64_t sent_us, int64_t valid_ms);
+/*
+ * The question is over, after its grants. With an answer (known) the other
+ * workers that were asked about are denied, else nothing is known of them.
+ */
+void advice_answered(struct stage *stage, bool known);
 /* The ticket to start at a worker, NULL: none, or none that is valid. */
 const char *advice_ticket(const struct stage *stage,
 			  const struct worker *worker, int64_t now_us);
--- a/fleet/job.h
+++ b/fleet/job.h
@@ -76,7 +76,7 @@
 	struct worker **reserved;
 	int64_t reserved_us;
 	GHashTable *grants; /* of the advice service, see fleet/advice.h */
-	int64_t asked_us; /* it was asked last, 0: never */
+	int64_t asked_us; /* it may be asked again, 0: it was not asked yet */
 	struct task *tasks; /* spec->count of them */
 };
 
--- a/tests/unit/test_advice.c
+++ b/tests/unit/test_advice.c
@@ -1,3 +1,4 @@
+#include <stdio.h>
 #include <string.h>
 
 #include "fleet/advice.h"
@@ -44,8 +45,9 @@
 	stage = advice_wanted(&fleet, NOW, workers);
 	ck_assert_ptr_eq(stage, job_stage(job, 0, 0));
 	ck_assert_uint_eq(workers->len, 2);
-	advice_asked(stage, NOW);
+	advice_asked(stage, workers, NOW);
 	advice_granted(stage, "w2", "ticket", NOW, 3000);
+	advice_answered(stage, true);
 	ck_assert_int_eq(plan_pass(&fleet, NOW + 1), 2);
 	ck_assert_str_eq(make_task(job, 0, 0)->worker->said.id, "w2");
 	ck_assert_str_eq(make_task(job, 0, 0)->ticket, "ticket");
@@ -59,8 +61,9 @@
 	struct job *job = advised_job();
 	struct stage *stage = job_stage(job, 0, 0);
 
-	advice_asked(stage, NOW);
+	advice_asked(stage, workers, NOW);
 	advice_granted(stage, "w2", "ticket", NOW, 3000);
+	advice_answered(stage, true);
 	ck_assert_int_eq(plan_pass(&fleet, NOW + 3 * SEC), 0);
 	ck_assert_ptr_eq(advice_wanted(&fleet, NOW + 3 * SEC, workers), stage);
 	g_ptr_array_unref(workers);
@@ -82,6 +85,127 @@
 }
 END_TEST
 
+/* Asks about a stage; returns whether the workers asked about include id. */
+static bool ask(struct stage *stage, const char *id, int64_t now_us)
+{
+	GPtrArray *workers = g_ptr_array_new();
+	bool found = false;
+	guint i;
+
+	ck_assert_ptr_eq(advice_wanted(&fleet, now_us, workers), stage);
+	ck_assert_uint_le(workers->len, ADVICE_WORKERS_MAX);
+	for (i = 0; i < workers->len; i++) {
+		const struct worker *worker = g_ptr_array_index(workers, i);
+
+		found |= strcmp(worker->said.id, id) == 0;
+	}
+	advice_asked(stage, workers, now_us);
+	if (found)
+		advice_granted(stage, id, "ticket", now_us, 3000);
+	advice_answered(stage, true);
+	g_ptr_array_unref(workers);
+	return found;
+}
+
+static void add_workers(int n)
+{
+	char id[24];
+	int i;
+
+	for (i = 0; i < n; i++) {
+		snprintf(id, sizeof(id), "more%d", i);
+		make_worker(&fleet, id, "r", 8, NOW);
+	}
+}
+
+/* A large pool of which one worker is allowed: it is found by asking on. */
+START_TEST(only_allowed_worker_of_a_large_pool)
+{
+	struct stage *stage = job_stage(advised_job(), 0, 0);
+	int64_t now_us = NOW;
+	int questions = 0;
+	bool found = false;
+
+	add_workers(200);
+	while (!found && questions < 10) {
+		found = ask(stage, "more199", now_us);
+		questions++;
+		now_us += 100000;
+	}
+	ck_assert(found);
+	ck_assert_int_eq(plan_pass(&fleet, now_us), 2);
+}
+END_TEST
+
+/* What a step may use does not change, so that a denial is not asked twice. */
+START_TEST(denied_workers_are_not_asked_about_again)
+{
+	struct stage *stage = job_stage(advised_job(), 0, 0);
+	GPtrArray *workers = g_ptr_array_new();
+	struct worker *worker = g_hash_table_lookup(fleet.workers_by_id, "w1");
+
+	ask(stage, "w2", NOW);
+	/* The ticket for w2 has lapsed, w1 was denied. */
+	ck_assert_ptr_eq(advice_wanted(&fleet, NOW + 4 * SEC, workers), stage);
+	ck_assert_uint_eq(workers->len, 1);
+	ck_assert_ptr_ne(g_ptr_array_index(workers, 0), worker);
+	/* A later life may be of another kind. */
+	g_ptr_array_set_size(workers, 0);
+	fleet_later_life(&fleet, worker, 9999, NOW);
+	advice_wanted(&fleet, NOW + 6 * SEC, workers);
+	ck_assert_uint_eq(workers->len, 2);
+	g_ptr_array_unref(workers);
+}
+END_TEST
+
+/* A question without answer says nothing of the workers in it. */
+START_TEST(lost_question_is_asked_again)
+{
+	struct stage *stage = job_stage(advised_job(), 0, 0);
+	GPtrArray *workers = g_ptr_array_new();
+
+	ck_assert_ptr_eq(advice_wanted(&fleet, NOW, workers), stage);
+	advice_asked(stage, workers, NOW);
+	advice_answered(stage, false);
+	g_ptr_array_set_size(workers, 0);
+	ck_assert_ptr_eq(advice_wanted(&fleet, NOW + 2 * SEC, workers), stage);
+	ck_assert_uint_eq(workers->len, 2);
+	g_ptr_array_unref(workers);
+}
+END_TEST
+
+/*
+ * Load: many steps wait for a pool that is full. Their lapsed tickets are not
+ * renewed before there is room, so that a new step is asked about at once.
+ */
+START_TEST(waiting_steps_leave_the_service_to_new_ones)
+{
+	GPtrArray *workers = g_ptr_array_new();
+	struct stage *stage;
+	struct job *job;
+	char id[24];
+	int i;
+
+	make_job(&fleet, "full", 1, 16, 1, 60000, NOW);
+	fleet_open_due(&fleet, NOW, 0);
+	ck_assert_int_eq(plan_pass(&fleet, NOW), 16);
+	for (i = 0; i < 30; i++) {
+		snprintf(id, sizeof(id), "waits%d", i);
+		job = make_job(&fleet, id, 1, 2, 1, 1000, NOW);
+		job->advised = true;
+		fleet_open_due(&fleet, NOW, 0);
+		ask(job_stage(job, 0, 0), "w2", NOW);
+	}
+	ck_assert_ptr_null(advice_wanted(&fleet, NOW + 4 * SEC, workers));
+	job = make_job(&fleet, "new", 1, 2, 1, 1000, NOW);
+	job->advised = true;
+	fleet_open_due(&fleet, NOW, 0);
+	stage = advice_wanted(&fleet, NOW + 4 * SEC, workers);
+	ck_assert_ptr_eq(stage, job_stage(job, 0, 0));
+	g_ptr_array_unref(workers);
+}
+END_TEST
+
 START_TEST(steps_without_advice_are_not_asked_about)
 {
 	GPtrArray *workers = g_ptr_array_new();
@@ -102,6 +226,10 @@
 	tcase_add_test(tc, nothing_starts_without_a_ticket);
 	tcase_add_test(tc, tickets_lapse_and_are_asked_for_again);
 	tcase_add_test(tc, ticket_of_an_earlier_life);
+	tcase_add_test(tc, only_allowed_worker_of_a_large_pool);
+	tcase_add_test(tc, denied_workers_are_not_asked_about_again);
+	tcase_add_test(tc, lost_question_is_asked_again);
+	tcase_add_test(tc, waiting_steps_leave_the_service_to_new_ones);
 	tcase_add_test(tc, steps_without_advice_are_not_asked_about);
 	return run_case("advice", tc);
 }
