Count every host that may be down against the cap of a wave

Cause, found by reading maintenance after a takeover: a new leader counted no host as down, although the list shows those that the last leader took down. An order without answer lost its place after 8 s, though it may be carried out later, so that one host more than the cap could go down. A refused order was repeated with every pass. An order for a host was sent without looking whether this host still leads, and within the time in which two hosts may not take turns (lease_ms of the platform's bounds, which is no lease).

Now a host counts as down when the list says so, and from its order until it is seen down and up again; an order without answer is repeated first, at the same host. A refusal waits 500 ms. Orders need a valid election, and start after the platform's pause for turns.

Ruled out: forgetting the order of an earlier leader, as its late effect can not be told from a new one.

Tests hosts_that_an_earlier_leader_took_down, order_without_answer_holds_its_ place, refused_order_waits in test_upkeep, with the waves' tests moved there from test_sharing; each of the three fails with its part of the former code.

--- a/control/director_pass.c
+++ b/control/director_pass.c
@@ -91,7 +91,8 @@
 		plan_pass(&director->fleet, now_us);
 	}
 	advisor_run(&director->advisor, now_us);
-	maintenance_run(&director->maintenance, now_us);
+	maintenance_run(&director->maintenance, leader_valid(&director->leader),
+			now_us);
 	next_us = orders_run(&director->orders, now_us);
 	if (now_us >= director->next_waiting_us) {
 		director->next_waiting_us = now_us + WAITING_MS * USEC_PER_MSEC;
--- a/control/maintenance.c
+++ b/control/maintenance.c
@@ -51,13 +51,14 @@
 }
 
 void maintenance_open(struct maintenance *own, struct fleet *fleet,
-		      int64_t fence)
+		      int64_t fence, int64_t settle_ms)
 {
 	struct wave *wave;
 	guint i;
 
 	own->fleet = fleet;
 	own->fence = fence;
+	own->orders_from_us = kn_now_us() + settle_ms * USEC_PER_MSEC;
 	own->informed = false;
 	/* What an earlier leader has done is done at once, by the platform. */
 	list_for_each_entry(wave, &own->waves, node) {
@@ -166,7 +167,7 @@
 		own->order_host->accepted = true;
 	/* One without answer may be carried out: it counts as down. */
 	if (call->result == CB_E_CONFLICT)
-		upkeep_again(own->order_host);
+		upkeep_again(own->order_host, kn_now_us());
 }
 
 static void order(struct maintenance *own, struct wave *wave, int64_t now_us)
@@ -229,7 +230,7 @@
 	g_free(value);
 }
 
-void maintenance_run(struct maintenance *own, int64_t now_us)
+void maintenance_run(struct maintenance *own, bool may_order, int64_t now_us)
 {
 	struct wave *wave;
 
@@ -248,7 +249,8 @@
 			return;
 		upkeep_update(own->fleet, wave, own->list, now_us);
 		write_status(own, wave);
-		if (!own->ordering)
+		if (may_order && !own->ordering &&
+		    now_us >= own->orders_from_us)
 			order(own, wave, now_us);
 	}
 }
--- a/control/maintenance.h
+++ b/control/maintenance.h
@@ -14,6 +14,7 @@
 	struct machine_edge *machines; /* NULL: there is no such service */
 	struct fleet *fleet; /* NULL while this host does not lead */
 	int64_t fence;
+	int64_t orders_from_us;
 	struct list_head waves; /* struct wave, known at any time */
 	GPtrArray *list; /* struct machine */
 	int64_t listed_us; /* when the list was read, 0: never */
@@ -36,9 +37,15 @@
 void maintenance_finish(struct maintenance *maintenance);
 /* Takes a wave over; one that is known already is freed. */
 void maintenance_add(struct maintenance *maintenance, struct wave *wave);
+/*
+ * settle_ms: no order is given before, as those of the last leader may still
+ * be under way.
+ */
 void maintenance_open(struct maintenance *maintenance, struct fleet *fleet,
-		      int64_t fence);
+		      int64_t fence, int64_t settle_ms);
 void maintenance_close(struct maintenance *maintenance);
-void maintenance_run(struct maintenance *maintenance, int64_t now_us);
+/* may_order: this host still leads by its clock. */
+void maintenance_run(struct maintenance *maintenance, bool may_order,
+		     int64_t now_us);
 
 #endif
--- a/control/takeover.c
+++ b/control/takeover.c
@@ -203,7 +203,7 @@
 	orders_open(&director->orders, &director->fleet, leader->fence);
 	advisor_open(&director->advisor, &director->fleet);
 	maintenance_open(&director->maintenance, &director->fleet,
-			 leader->fence);
+			 leader->fence, director->site->machine_turn_ms);
 	mirror_start(&director->workers);
 	mirror_start(&director->intake);
 	read_states(director);
--- a/fleet/upkeep.c
+++ b/fleet/upkeep.c
@@ -14,9 +14,21 @@
 #define UPKEEP_STOP_MS 2000
 /* Stops at one host, its way down and up, and the lists that show it. */
 #define UPKEEP_HOST_MS 4000
+/* After a refusal, which says that the host or the service is busy. */
+#define UPKEEP_RETRY_MS 500
 /* Kept of a wave's time for orders that have to be repeated. */
 #define UPKEEP_SPARE_SHARE 0.2
 
+void machine_free(void *data)
+{
+	struct machine *machine = data;
+
+	g_free(machine->name);
+	g_free(machine->pool);
+	g_free(machine->worker);
+	g_free(machine);
+}
+
 static void host_free(void *data)
 {
 	struct upkeep_host *host = data;
@@ -103,7 +115,7 @@
 		host->state = UPKEEP_DONE;
 		host->down = false;
 	} else if (now_us - host->ordered_us > UPKEEP_REPEAT_MS * 1000) {
-		host->state = UPKEEP_EMPTYING;
+		host->repeat = true;
 	}
 }
 
@@ -135,7 +147,11 @@
 	}
 }
 
-static int down_count(const struct wave *wave)
+/*
+ * Hosts that are down or may be: ordered, also without an answer, or shown as
+ * down by the list, perhaps for an earlier leader.
+ */
+static int down_count(const struct wave *wave, const GPtrArray *machines)
 {
 	int down = 0;
 	guint i;
@@ -144,7 +160,11 @@
 		const struct upkeep_host *host =
 			g_ptr_array_index(wave->hosts, i);
 
-		down += host->state == UPKEEP_ORDERED;
+		const struct machine *machine =
+			find_machine(machines, host->name);
+
+		down += host->state == UPKEEP_ORDERED ||
+			(host->state != UPKEEP_DONE && machine && !machine->up);
 	}
 	return down;
 }
@@ -192,13 +212,34 @@
 	       (!kept && now_us - host->emptied_us > UPKEEP_STOP_MS * 1000);
 }
 
+/* A host whose order got no answer and shows no effect. */
+static struct upkeep_host *host_to_repeat(const struct wave *wave,
+					  const GPtrArray *machines)
+{
+	guint i;
+
+	for (i = 0; i < wave->hosts->len; i++) {
+		struct upkeep_host *host = g_ptr_array_index(wave->hosts, i);
+		const struct machine *machine =
+			find_machine(machines, host->name);
+
+		if (host->state == UPKEEP_ORDERED && host->repeat && machine &&
+		    machine->up)
+			return host;
+	}
+	return NULL;
+}
+
 struct upkeep_host *upkeep_next(struct fleet *fleet, struct wave *wave,
 				const GPtrArray *machines, int64_t now_us)
 {
+	struct upkeep_host *repeated = host_to_repeat(wave, machines);
 	bool urgent = is_urgent(wave, now_us);
 	guint i;
 
-	if (down_count(wave) >= wave->cap)
+	if (repeated)
+		return repeated;
+	if (down_count(wave, machines) >= wave->cap)
 		return NULL;
 	for (i = 0; i < wave->hosts->len; i++) {
 		struct upkeep_host *host = g_ptr_array_index(wave->hosts, i);
@@ -206,7 +247,8 @@
 			find_machine(machines, host->name);
 		struct worker *worker;
 
-		if (host->state != UPKEEP_EMPTYING || !machine || !machine->up)
+		if (host->state != UPKEEP_EMPTYING || !machine ||
+		    !machine->up || host->retry_us > now_us)
 			continue;
 		worker = upkeep_worker(fleet, machines, host->name);
 		if (!worker || worker->task_count == 0 ||
@@ -223,9 +265,11 @@
 	host->born_ms = born_ms;
 	host->down = false;
 	host->accepted = false;
+	host->repeat = false;
 }
 
-void upkeep_again(struct upkeep_host *host)
+void upkeep_again(struct upkeep_host *host, int64_t now_us)
 {
 	host->state = UPKEEP_EMPTYING;
+	host->retry_us = now_us + UPKEEP_RETRY_MS * 1000;
 }
--- a/fleet/upkeep.h
+++ b/fleet/upkeep.h
@@ -17,6 +17,9 @@
 	bool up;
 };
 
+/* A GDestroyNotify for lists of them. */
+void machine_free(void *machine);
+
 enum upkeep_state {
 	UPKEEP_WAITING,
 	UPKEEP_EMPTYING, /* gets no new tasks */
@@ -30,6 +33,8 @@
 	bool down; /* taken down and not seen up since */
 	int64_t ordered_us;
 	bool accepted; /* the order was answered so */
+	bool repeat; /* it got no answer and shows no effect */
+	int64_t retry_us; /* after a refusal: no order before that */
 	int64_t emptied_us; /* its tasks were stopped then, 0: they were not */
 	int64_t born_ms; /* life of its worker when it was ordered, 0: none */
 };
@@ -56,8 +61,8 @@
 struct upkeep_host *upkeep_next(struct fleet *fleet, struct wave *wave,
 				const GPtrArray *machines, int64_t now_us);
 void upkeep_ordered(struct upkeep_host *host, int64_t born_ms, int64_t now_us);
-/* The platform refused, or did not answer. */
-void upkeep_again(struct upkeep_host *host);
+/* The platform refused: nothing was done. */
+void upkeep_again(struct upkeep_host *host, int64_t now_us);
 struct worker *upkeep_worker(const struct fleet *fleet,
 			     const GPtrArray *machines, const char *host);
 
--- a/tests/unit/test_sharing.c
+++ b/tests/unit/test_sharing.c
@@ -1,11 +1,10 @@
 #include "fleet/plan.h"
 #include "fleet/rescue.h"
 #include "fleet/sharing.h"
-#include "fleet/upkeep.h"
 #include "tests/standins/fleet_make.h"
 #include "tests/unit/run.h"
 
-/* Tasks that last: beside tasks that fill, on hosts that are taken down. */
+/* Tasks that last, beside tasks that fill, and work that has to move. */
 
 #define MSEC 1000LL
 #define SEC 1000000LL
@@ -149,104 +148,6 @@
 }
 END_TEST
 
-/* Waves. */
-
-static GPtrArray *machines;
-
-static struct machine *add_machine(const char *name, const char *worker)
-{
-	struct machine *machine = g_new0(struct machine, 1);
-
-	machine->name = g_strdup(name);
-	machine->pool = g_strdup(MAKE_POOL);
-	machine->worker = g_strdup(worker);
-	machine->up = true;
-	if (!machines)
-		machines = g_ptr_array_new();
-	g_ptr_array_add(machines, machine);
-	return machine;
-}
-
-static struct wave *make_wave(const char *names, int64_t within_ms, int cap)
-{
-	char **hosts = g_strsplit(names, ",", -1);
-	struct wave *wave = wave_new(1, hosts, within_ms, cap, NOW);
-
-	g_strfreev(hosts);
-	return wave;
-}
-
-/* Idle hosts go at once, up to the cap; busy ones get nothing new. */
-START_TEST(wave_takes_idle_hosts_first)
-{
-	struct worker *busy = make_worker(&fleet, "w1", "r", 1, NOW);
-	struct upkeep_host *host;
-	struct wave *wave;
-
-	make_job(&fleet, "j", 1, 1, 1, 60000, NOW);
-	start_all();
-	make_worker(&fleet, "w2", "r", 1, NOW);
-	add_machine("m1", "w1");
-	add_machine("m2", "w2");
-	wave = make_wave("m1,m2", 20000, 1);
-	upkeep_update(&fleet, wave, machines, NOW);
-	ck_assert(busy->cordoned);
-	host = upkeep_next(&fleet, wave, machines, NOW);
-	ck_assert_str_eq(host->name, "m2");
-	upkeep_ordered(host, 1000, NOW);
-	/* The cap counts it until it has been seen up again. */
-	ck_assert_ptr_null(upkeep_next(&fleet, wave, machines, NOW));
-	wave_free(wave);
-}
-END_TEST
-
-START_TEST(wave_ends_in_time_with_busy_hosts)
-{
-	struct upkeep_host *host;
-	struct machine *machine;
-	struct wave *wave;
-	struct job *job;
-
-	make_worker(&fleet, "w1", "r", 1, NOW);
-	job = make_job(&fleet, "j", 1, 1, 1, 60000, NOW);
-	start_all();
-	machine = add_machine("m1", "w1");
-	wave = make_wave("m1", 20000, 1);
-	upkeep_update(&fleet, wave, machines, NOW);
-	ck_assert_ptr_null(upkeep_next(&fleet, wave, machines, NOW + SEC));
-	ck_assert_int_eq(make_task(job, 0, 0)->phase, TASK_RUNNING);
-	ck_assert_ptr_null(upkeep_next(&fleet, wave, machines, NOW + 16 * SEC));
-	ck_assert_int_eq(make_task(job, 0, 0)->phase, TASK_STOPPING);
-	make_end(&fleet, make_task(job, 0, 0), RUN_STOPPED, NOW + 16 * SEC);
-	host = upkeep_next(&fleet, wave, machines, NOW + 16 * SEC);
-	ck_assert_ptr_nonnull(host);
-	upkeep_ordered(host, 1000, NOW + 16 * SEC);
-	machine->up = false;
-	upkeep_update(&fleet, wave, machines, NOW + 17 * SEC);
-	ck_assert(!wave->done);
-	machine->up = true;
-	upkeep_update(&fleet, wave, machines, NOW + 18 * SEC);
-	ck_assert(wave->done);
-	wave_free(wave);
-}
-END_TEST
-
-/* No host goes down with a task that is needed. */
-START_TEST(wave_waits_for_tasks_that_may_not_miss)
-{
-	struct wave *wave;
-
-	make_worker(&fleet, "w1", "r", 1, NOW);
-	serving_job(1, 0);
-	start_all();
-	add_machine("m1", "w1");
-	wave = make_wave("m1", 20000, 1);
-	upkeep_update(&fleet, wave, machines, NOW);
-	ck_assert_ptr_null(upkeep_next(&fleet, wave, machines, NOW + 19 * SEC));
-	wave_free(wave);
-}
-END_TEST
-
 int main(void)
 {
 	TCase *tc = tcase_create("sharing");
@@ -258,8 +159,5 @@
 	tcase_add_test(tc, task_that_stands_still_moves);
 	tcase_add_test(tc, much_work_is_not_given_up_for_a_stall);
 	tcase_add_test(tc, task_leaves_before_its_worker_does);
-	tcase_add_test(tc, wave_takes_idle_hosts_first);
-	tcase_add_test(tc, wave_ends_in_time_with_busy_hosts);
-	tcase_add_test(tc, wave_waits_for_tasks_that_may_not_miss);
 	return run_case("sharing", tc);
 }
--- /dev/null
+++ b/tests/unit/test_upkeep.c
@@ -0,0 +1,228 @@
+#include "fleet/plan.h"
+#include "fleet/upkeep.h"
+#include "tests/standins/fleet_make.h"
+#include "tests/unit/run.h"
+
+/* Waves of upkeep, with the platform's list of hosts as input. */
+
+#define SEC 1000000LL
+#define NOW (100 * SEC)
+
+static struct fleet fleet;
+static struct config *config;
+static GPtrArray *machines;
+
+static void set_up(void)
+{
+	make_fleet(&fleet, &config);
+	machines = g_ptr_array_new_with_free_func(machine_free);
+}
+
+static void tear_down(void)
+{
+	g_ptr_array_unref(machines);
+	make_fleet_end(&fleet, config);
+}
+
+static struct job *serving_job(int count, int may_miss)
+{
+	struct job *job = make_job(&fleet, "serve", 1, count, 1, 1000, NOW);
+
+	job->spec.steps[0].long_running = true;
+	job->spec.steps[0].target_ms = 100;
+	job->spec.steps[0].may_miss = may_miss;
+	return job;
+}
+
+static void start_all(void)
+{
+	struct worker *worker;
+	struct task *task;
+
+	fleet_open_due(&fleet, NOW, 0);
+	plan_pass(&fleet, NOW);
+	make_started(&fleet, NOW);
+	list_for_each_entry(worker, &fleet.workers, node)
+		list_for_each_entry(task, &worker->tasks, on_worker)
+			task->percent = 100;
+}
+
+static struct machine *add_machine(const char *name, const char *worker)
+{
+	struct machine *machine = g_new0(struct machine, 1);
+
+	machine->name = g_strdup(name);
+	machine->pool = g_strdup(MAKE_POOL);
+	machine->worker = g_strdup(worker);
+	machine->up = true;
+	g_ptr_array_add(machines, machine);
+	return machine;
+}
+
+static struct wave *make_wave(const char *names, int64_t within_ms, int cap)
+{
+	char **hosts = g_strsplit(names, ",", -1);
+	struct wave *wave = wave_new(1, hosts, within_ms, cap, NOW);
+
+	g_strfreev(hosts);
+	return wave;
+}
+
+/* Idle hosts go at once, up to the cap; busy ones get nothing new. */
+START_TEST(wave_takes_idle_hosts_first)
+{
+	struct worker *busy = make_worker(&fleet, "w1", "r", 1, NOW);
+	struct upkeep_host *host;
+	struct wave *wave;
+
+	make_job(&fleet, "j", 1, 1, 1, 60000, NOW);
+	start_all();
+	make_worker(&fleet, "w2", "r", 1, NOW);
+	add_machine("m1", "w1");
+	add_machine("m2", "w2");
+	wave = make_wave("m1,m2", 20000, 1);
+	upkeep_update(&fleet, wave, machines, NOW);
+	ck_assert(busy->cordoned);
+	host = upkeep_next(&fleet, wave, machines, NOW);
+	ck_assert_str_eq(host->name, "m2");
+	upkeep_ordered(host, 1000, NOW);
+	/* The cap counts it until it has been seen up again. */
+	ck_assert_ptr_null(upkeep_next(&fleet, wave, machines, NOW));
+	wave_free(wave);
+}
+END_TEST
+
+START_TEST(wave_ends_in_time_with_busy_hosts)
+{
+	struct upkeep_host *host;
+	struct machine *machine;
+	struct wave *wave;
+	struct job *job;
+
+	make_worker(&fleet, "w1", "r", 1, NOW);
+	job = make_job(&fleet, "j", 1, 1, 1, 60000, NOW);
+	start_all();
+	machine = add_machine("m1", "w1");
+	wave = make_wave("m1", 20000, 1);
+	upkeep_update(&fleet, wave, machines, NOW);
+	ck_assert_ptr_null(upkeep_next(&fleet, wave, machines, NOW + SEC));
+	ck_assert_int_eq(make_task(job, 0, 0)->phase, TASK_RUNNING);
+	ck_assert_ptr_null(upkeep_next(&fleet, wave, machines, NOW + 16 * SEC));
+	ck_assert_int_eq(make_task(job, 0, 0)->phase, TASK_STOPPING);
+	make_end(&fleet, make_task(job, 0, 0), RUN_STOPPED, NOW + 16 * SEC);
+	host = upkeep_next(&fleet, wave, machines, NOW + 16 * SEC);
+	ck_assert_ptr_nonnull(host);
+	upkeep_ordered(host, 1000, NOW + 16 * SEC);
+	machine->up = false;
+	upkeep_update(&fleet, wave, machines, NOW + 17 * SEC);
+	ck_assert(!wave->done);
+	machine->up = true;
+	upkeep_update(&fleet, wave, machines, NOW + 18 * SEC);
+	ck_assert(wave->done);
+	wave_free(wave);
+}
+END_TEST
+
+/* No host goes down with a task that is needed. */
+START_TEST(wave_waits_for_tasks_that_may_not_miss)
+{
+	struct wave *wave;
+
+	make_worker(&fleet, "w1", "r", 1, NOW);
+	serving_job(1, 0);
+	start_all();
+	add_machine("m1", "w1");
+	wave = make_wave("m1", 20000, 1);
+	upkeep_update(&fleet, wave, machines, NOW);
+	ck_assert_ptr_null(upkeep_next(&fleet, wave, machines, NOW + 19 * SEC));
+	wave_free(wave);
+}
+END_TEST
+
+/*
+ * An earlier leader has taken hosts down, or has given orders that this one
+ * does not know of: what the list shows as down counts.
+ */
+START_TEST(hosts_that_an_earlier_leader_took_down)
+{
+	struct upkeep_host *host;
+	struct machine *down;
+	struct wave *wave;
+
+	make_worker(&fleet, "w1", "r", 1, NOW);
+	down = add_machine("m1", NULL);
+	add_machine("m2", "w1");
+	down->up = false;
+	wave = make_wave("m1,m2", 20000, 1);
+	upkeep_update(&fleet, wave, machines, NOW);
+	ck_assert_ptr_null(upkeep_next(&fleet, wave, machines, NOW));
+	down->up = true;
+	upkeep_update(&fleet, wave, machines, NOW + SEC);
+	/* Whether that was for this wave is not known: ordered again. */
+	host = upkeep_next(&fleet, wave, machines, NOW + SEC);
+	ck_assert_str_eq(host->name, "m1");
+	wave_free(wave);
+}
+END_TEST
+
+/* An order without answer may still be carried out: it holds its place. */
+START_TEST(order_without_answer_holds_its_place)
+{
+	struct upkeep_host *host;
+	struct wave *wave;
+	struct job *job;
+
+	make_worker(&fleet, "w1", "r", 1, NOW);
+	job = make_job(&fleet, "j", 1, 1, 1, 5000, NOW);
+	start_all();
+	make_worker(&fleet, "w2", "r", 1, NOW);
+	add_machine("m1", "w1");
+	add_machine("m2", "w2");
+	wave = make_wave("m1,m2", 60000, 1);
+	upkeep_update(&fleet, wave, machines, NOW);
+	host = upkeep_next(&fleet, wave, machines, NOW);
+	ck_assert_str_eq(host->name, "m2");
+	upkeep_ordered(host, 1000, NOW);
+	/* The first one is idle by now, but the order has its place. */
+	make_done(&fleet, job, NOW + 5 * SEC);
+	upkeep_update(&fleet, wave, machines, NOW + 9 * SEC);
+	ck_assert_ptr_eq(upkeep_next(&fleet, wave, machines, NOW + 9 * SEC),
+			 host);
+	upkeep_ordered(host, 1000, NOW + 9 * SEC);
+	ck_assert_ptr_null(upkeep_next(&fleet, wave, machines, NOW + 9 * SEC));
+	wave_free(wave);
+}
+END_TEST
+
+/* A refusal is not repeated with every pass. */
+START_TEST(refused_order_waits)
+{
+	struct upkeep_host *host;
+	struct wave *wave;
+
+	make_worker(&fleet, "w1", "r", 1, NOW);
+	add_machine("m1", "w1");
+	wave = make_wave("m1", 60000, 1);
+	upkeep_update(&fleet, wave, machines, NOW);
+	host = upkeep_next(&fleet, wave, machines, NOW);
+	upkeep_ordered(host, 1000, NOW);
+	upkeep_again(host, NOW);
+	ck_assert_ptr_null(upkeep_next(&fleet, wave, machines, NOW + 1000));
+	ck_assert_ptr_eq(upkeep_next(&fleet, wave, machines, NOW + SEC), host);
+	wave_free(wave);
+}
+END_TEST
+
+int main(void)
+{
+	TCase *tc = tcase_create("upkeep");
+
+	tcase_add_checked_fixture(tc, set_up, tear_down);
+	tcase_add_test(tc, wave_takes_idle_hosts_first);
+	tcase_add_test(tc, wave_ends_in_time_with_busy_hosts);
+	tcase_add_test(tc, wave_waits_for_tasks_that_may_not_miss);
+	tcase_add_test(tc, hosts_that_an_earlier_leader_took_down);
+	tcase_add_test(tc, order_without_answer_holds_its_place);
+	tcase_add_test(tc, refused_order_waits);
+	return run_case("upkeep", tc);
+}
