Do not take a task that was paced down for one that hangs

A run is now taken to hang only for the time that its pace explains; since the pace changed last.

Ruled out: never moving a filling task (one that really hangs stays for good).

Load that the placement answers: more filling than serving tasks. Tests paced_task_does_not_stand_still, paced_task_teaches_no_duration, pace_of_an_adopted_run_is_unknown, filling_tasks_are_spread (test_sharing).

--- a/fleet/job.h
+++ b/fleet/job.h
@@ -43,6 +43,7 @@
 	int64_t settled_us; /* when the latest order was answered, 0: never */
 	char *ticket; /* permission to start at the worker, or NULL */
 	int paced; /* percent of its speed that was ordered, 100: full */
+#define TASK_PACE_UNKNOWN (-1) /* an earlier leader may have ordered it */
 	bool pacing; /* such an order is under way */
 	/* Progress, from the worker's lists. */
 	int64_t started_us; /* when the run was confirmed */
--- a/fleet/placement.c
+++ b/fleet/placement.c
@@ -170,8 +170,21 @@
 
 /* Single tasks. */
 
+/* Tasks that fill share what the others leave: where there are few of them. */
+static double fill_score(const struct worker *worker)
+{
+	const struct room *all = &worker->said.room;
+	const struct task *task;
+	double fills = 0;
+
+	list_for_each_entry(task, &worker->tasks, on_worker)
+		fills += task->stage->spec->fills;
+	return fills +
+	       (double)worker->used.cpu_milli / (double)MAX(all->cpu_milli, 1);
+}
+
 /* Lower is better: the fullest worker that fits, accelerators first. */
-static double fit_score(const struct worker *worker)
+static double fit_score(const struct worker *worker, const struct stage *stage)
 {
 	struct room room = worker_free_room(worker);
 	const struct room *all = &worker->said.room;
@@ -180,6 +193,8 @@
 				  (double)room.cpu_milli / all->cpu_milli :
 				  0;
 
+	if (stage->spec->fills)
+		return fill_score(worker);
 	return free_gpus * 4.0 + free_cpu;
 }
 
@@ -219,7 +234,7 @@
 		if (reserved(worker, stage, expected_ms, p->now_us) ||
 		    placement_open(worker, stage, p->now_us) < 1)
 			continue;
-		score = fit_score(worker) + failed_score(task, worker) +
+		score = fit_score(worker, stage) + failed_score(task, worker) +
 			(rack && !near ? OFF_RACK_SCORE : 0.0);
 		if (best && score >= best_score)
 			continue;
@@ -280,8 +295,8 @@
 			continue;
 		seats[nseats].worker = worker;
 		seats[nseats].slots = slots;
-		seats[nseats++].score =
-			fit_score(worker) + gang_failed_score(stage, worker);
+		seats[nseats++].score = fit_score(worker, stage) +
+					gang_failed_score(stage, worker);
 		total += slots;
 	}
 	if (total >= stage->spec->count) {
--- a/fleet/rescue.c
+++ b/fleet/rescue.c
@@ -1,6 +1,7 @@
 #include "fleet/rescue.h"
 
 #include "fleet/limits.h"
+#include "fleet/sharing.h"
 
 bool rescue_may_interrupt(const struct task *task)
 {
@@ -19,20 +20,37 @@
 	return away < stage->spec->may_miss;
 }
 
-bool rescue_stalled(const struct fleet *fleet, const struct task *task,
-		    int64_t now_us)
+/* Without progress for so long a run is taken to hang, INT64_MAX: never. */
+static int64_t stall_us(const struct fleet *fleet, const struct task *task)
 {
 	double percent_us =
 		fleet_expected_ms(fleet, task->stage) * 1000.0 / 100.0;
+	double usual_us = MAX(STALL_MS * 1000.0, STALL_FACTOR * percent_us);
+	int pace = sharing_pace(task);
+
+	if (task->paced != TASK_PACE_UNKNOWN)
+		pace = MIN(pace, task->paced);
+	return pace > 0 ? (int64_t)(usual_us * 100.0 / pace) : INT64_MAX;
+}
+
+/* Since when the run could have made progress at its present pace. */
+static int64_t still_since_us(const struct task *task)
+{
+	return task->stage->spec->fills ?
+		       MAX(task->moved_us, task->worker->paced_us) :
+		       task->moved_us;
+}
 
+bool rescue_stalled(const struct fleet *fleet, const struct task *task,
+		    int64_t now_us)
+{
 	if (task->phase != TASK_RUNNING || task->first_us == 0 ||
 	    task->percent >= 100 || task->stage->spec->long_running)
 		return false;
 	/* What is not told is no sign: the worker may be out of reach. */
 	if (!task->worker || task->worker->silent > 0)
 		return false;
-	return (double)(now_us - task->moved_us) >
-	       MAX(STALL_MS * 1000.0, STALL_FACTOR * percent_us);
+	return now_us - still_since_us(task) > stall_us(fleet, task);
 }
 
 bool rescue_suspect(const struct fleet *fleet, const struct worker *worker,
--- a/fleet/run.c
+++ b/fleet/run.c
@@ -39,6 +39,8 @@
 	worker_take(worker, task);
 	task->phase = TASK_STARTING;
 	task->uncertain = true;
+	if (task->stage->spec->fills)
+		task->paced = TASK_PACE_UNKNOWN;
 }
 
 void fleet_started(struct fleet *fleet, struct task *task, int64_t now_us)
--- a/tests/unit/test_sharing.c
+++ b/tests/unit/test_sharing.c
@@ -77,6 +77,105 @@
 }
 END_TEST
 
+static struct job *filling_job(const char *id, int count)
+{
+	struct job *job = make_job(&fleet, id, 1, count, 1, 1500, NOW);
+
+	job->spec.steps[0].fills = true;
+	return job;
+}
+
+/* A task that was paced down does not hang. */
+START_TEST(paced_task_does_not_stand_still)
+{
+	struct worker *worker = make_worker(&fleet, "w", "r", 8, NOW);
+	struct job *job = filling_job("fill", 1);
+	struct task *task;
+
+	start_all();
+	task = make_task(job, 0, 0);
+	task->percent = 50;
+	task->first_us = NOW;
+	task->moved_us = NOW + SEC;
+	worker->fill_percent = 0;
+	worker->paced_us = NOW + SEC;
+	task->paced = 0;
+	ck_assert_int_eq(rescue_pass(&fleet, NOW + 60 * SEC), 0);
+	/* Slow, but on its way. */
+	worker->fill_percent = 20;
+	worker->paced_us = NOW + 60 * SEC;
+	task->paced = 20;
+	ck_assert_int_eq(rescue_pass(&fleet, NOW + 70 * SEC), 0);
+	/* At a fifth of its speed it would have moved by now. */
+	ck_assert_int_eq(rescue_pass(&fleet, NOW + 80 * SEC), 1);
+}
+END_TEST
+
+/* What a task takes while it is paced down tells nothing of its queue. */
+START_TEST(paced_task_teaches_no_duration)
+{
+	struct worker *worker = make_worker(&fleet, "w", "r", 8, NOW);
+	struct job *job = filling_job("fill", 1);
+	double expected_ms;
+
+	start_all();
+	expected_ms = fleet_expected_ms(&fleet, job_stage(job, 0, 0));
+	worker->paced_us = NOW + SEC;
+	make_done(&fleet, job, NOW + 30 * SEC);
+	job = filling_job("other", 1);
+	fleet_open_due(&fleet, NOW, 0);
+	ck_assert_double_eq(fleet_expected_ms(&fleet, job_stage(job, 0, 0)),
+			    expected_ms);
+}
+END_TEST
+
+/* The leader before may have paced a run that is taken over. */
+START_TEST(pace_of_an_adopted_run_is_unknown)
+{
+	struct worker *worker = make_worker(&fleet, "w", "r", 8, NOW);
+	struct job *fill = filling_job("fill", 1);
+	struct job *plain = make_job(&fleet, "j", 1, 1, 1, 1500, NOW);
+
+	fleet_open_due(&fleet, NOW, 0);
+	make_task(fill, 0, 0)->run = 1;
+	make_task(plain, 0, 0)->run = 1;
+	fleet_adopt_run(&fleet, make_task(fill, 0, 0), worker);
+	fleet_adopt_run(&fleet, make_task(plain, 0, 0), worker);
+	ck_assert_int_ne(make_task(fill, 0, 0)->paced,
+			 sharing_pace(make_task(fill, 0, 0)));
+	ck_assert_int_eq(make_task(plain, 0, 0)->paced,
+			 sharing_pace(make_task(plain, 0, 0)));
+}
+END_TEST
+
+/*
+ * Load: more filling tasks than serving ones. They are spread over the
+ * workers, as each of them slows the serving task beside it and its own kind.
+ */
+START_TEST(filling_tasks_are_spread)
+{
+	struct worker *worker;
+	struct job *job;
+
+	make_worker(&fleet, "w1", "r", 8, NOW);
+	make_worker(&fleet, "w2", "r", 8, NOW);
+	make_worker(&fleet, "w3", "r", 8, NOW);
+	job = serving_job(2, 1);
+	job->spec.steps[0].max_per_worker = 1;
+	start_all();
+	filling_job("fill", 6);
+	start_all();
+	list_for_each_entry(worker, &fleet.workers, node) {
+		const struct task *task;
+		int fills = 0;
+
+		list_for_each_entry(task, &worker->tasks, on_worker)
+			fills += task->stage->spec->fills;
+		ck_assert_int_eq(fills, 2);
+	}
+}
+END_TEST
+
 START_TEST(so_many_of_a_step_may_be_away)
 {
 	struct job *job;
@@ -155,6 +254,10 @@
 	tcase_add_checked_fixture(tc, set_up, tear_down);
 	tcase_add_test(
 		tc, filling_tasks_make_way_while_the_tail_is_over_its_target);
+	tcase_add_test(tc, paced_task_does_not_stand_still);
+	tcase_add_test(tc, paced_task_teaches_no_duration);
+	tcase_add_test(tc, pace_of_an_adopted_run_is_unknown);
+	tcase_add_test(tc, filling_tasks_are_spread);
 	tcase_add_test(tc, so_many_of_a_step_may_be_away);
 	tcase_add_test(tc, task_that_stands_still_moves);
 	tcase_add_test(tc, much_work_is_not_given_up_for_a_stall);
