Test advice, waves and lasting tasks from end to end

Cause: advice, waves of upkeep and pace were tested as decisions only.

Stand-ins of the advice service and of the platform's list of hosts, written from the published protocol, join the rig; the worker stand-in checks tickets, knows tasks that last and tasks that fill, and notes a serving task that is over its target for 4 s. test_duties: a step that only the last of 70 workers may run; tickets that lapse in the queue, with a change of leader; a wave under load, through three changes of leader, and without answers to its orders; filling beside serving tasks; a lasting task whose worker is lost.

--- a/tests/standins/site_check.c
+++ b/tests/standins/site_check.c
@@ -5,8 +5,8 @@
 
 #include "base/limits.h"
 
-static void violated(struct site_fleet *fleet, const char *rule,
-		     const char *task, const char *detail)
+void site_violated(struct site_fleet *fleet, const char *rule, const char *task,
+		   const char *detail)
 {
 	g_ptr_array_add(fleet->violations,
 			g_strdup_printf("%s: %s: %s", rule, task, detail));
@@ -69,7 +69,7 @@
 		snprintf(other, sizeof(other), "%s.%d.%d.%d", id, k, step - 1,
 			 i);
 		if (!site_task_of(fleet, other)->done)
-			violated(fleet, "ORDER", name, other);
+			site_violated(fleet, "ORDER", name, other);
 	}
 }
 
@@ -86,9 +86,9 @@
 		same += strncmp(other->name, run->name, step_len + 1) == 0;
 	}
 	if (gpus > worker->gpus)
-		violated(worker->fleet, "LIMIT", run->name, worker->id);
+		site_violated(worker->fleet, "LIMIT", run->name, worker->id);
 	if (beyond > 0 && same > beyond)
-		violated(worker->fleet, "ROUTE", run->name, "too many");
+		site_violated(worker->fleet, "ROUTE", run->name, "too many");
 }
 
 /* The worker's lease has not run out since the end. */
@@ -124,18 +124,20 @@
 	list_for_each_entry(other, &fleet->workers, node)
 		list_for_each_entry(twin, &other->runs, node)
 			if (twin != run && strcmp(twin->name, run->name) == 0)
-				violated(fleet, "TWICE", run->name, other->id);
+				site_violated(fleet, "TWICE", run->name,
+					      other->id);
 	if (run->task->done && end_stands(run->task))
-		violated(fleet, "TWICE", run->name, "after it was done");
+		site_violated(fleet, "TWICE", run->name, "after it was done");
 	run->task->done = false;
 	if (run->task->fails - run->task->void_fails >=
 	    site_payload_number(payload, "attempts", 3))
-		violated(fleet, "BUDGET", run->name, "attempts used up");
+		site_violated(fleet, "BUDGET", run->name, "attempts used up");
 	check_order(fleet, run->name, payload);
 	check_room(worker, run, payload);
 	if (!name_parts(run->name, id, &k, &step, &index))
-		violated(fleet, "UNASKED", run->name, "malformed name");
+		site_violated(fleet, "UNASKED", run->name, "malformed name");
 	since = g_hash_table_lookup(fleet->cancelled, id);
 	if (since && kn_now_us() - *since > fleet->cancel_ms * USEC_PER_MSEC)
-		violated(fleet, "UNASKED", run->name, "after its cancellation");
+		site_violated(fleet, "UNASKED", run->name,
+			      "after its cancellation");
 }
--- a/tests/standins/site_check.h
+++ b/tests/standins/site_check.h
@@ -32,8 +32,18 @@
 	int64_t stop_us; /* when a stop takes effect, 0: none */
 	bool fails;
 	char *checkpoint;
+	/* See site_serving.h. */
+	bool lasting;
+	bool fills;
+	int64_t target_ms;
+	int64_t over_us; /* since when it is over its target, 0: it isn't */
+	int percent_pace;
+	int paces; /* orders on its pace */
 };
 
+void site_violated(struct site_fleet *fleet, const char *rule, const char *task,
+		   const char *detail);
+
 /* A number from a payload of name=value words. */
 int64_t site_payload_number(const char *payload, const char *name,
 			    int64_t fallback);
--- a/tests/standins/site_fleet.c
+++ b/tests/standins/site_fleet.c
@@ -7,8 +7,10 @@
 #include <jansson.h>
 
 #include "base/limits.h"
+#include "tests/standins/site_advice.h"
 #include "tests/standins/site_check.h"
 #include "tests/standins/site_reply.h"
+#include "tests/standins/site_serving.h"
 
 #define TICK_MS 5
 #define MISSED_BEATS 3
@@ -174,8 +176,10 @@
 	run->working = true;
 	if (worker->fault == SITE_WORKER_STALLED)
 		return true;
-	run->worked_us += (int64_t)((double)passed_us * worker->pace);
-	if (run->worked_us < run->ms * USEC_PER_MSEC)
+	run->worked_us += (int64_t)((double)passed_us * worker->pace *
+				    run->percent_pace / 100.0);
+	site_serving_check(run);
+	if (run->lasting || run->worked_us < run->ms * USEC_PER_MSEC)
 		return true;
 	end_run(run, run->fails ? "failed" : "done");
 	return false;
@@ -259,6 +263,7 @@
 		run->task->fails < site_payload_number(payload, "fail", 0) ||
 		worker->fault == SITE_WORKER_FAILING;
 	run->present_us = kn_now_us();
+	site_serving_begin(run, payload);
 	run->checkpoint = g_strdup(checkpoint);
 	if (checkpoint)
 		run->worked_us = g_ascii_strtoll(checkpoint, NULL, 10);
@@ -268,6 +273,24 @@
 	site_check_start(worker, run, payload);
 }
 
+/* A start of a queue with advice (advised=1) carries the step's ticket. */
+static bool has_ticket(const struct site_worker *worker, const json_t *body)
+{
+	const char *name = text_of(body, "task");
+	char *step, *ticket;
+	bool same;
+
+	if (!site_payload_number(text_of(body, "spec"), "advised", 0))
+		return true;
+	step = g_strndup(name, (gsize)(strrchr(name, '.') - name));
+	ticket = site_advice_ticket(worker, step);
+	same = worker->allowed &&
+	       g_strcmp0(text_of(body, "ticket"), ticket) == 0;
+	g_free(step);
+	g_free(ticket);
+	return same;
+}
+
 /* Returns the reason of a refusal, NULL when the run is there. */
 static const char *on_start(struct site_worker *worker, const json_t *body)
 {
@@ -284,6 +307,10 @@
 	extend(worker, body);
 	if (find_run(worker, name, run))
 		return NULL;
+	if (!has_ticket(worker, body)) {
+		worker->fleet->ticket_refusals++;
+		return "ticket";
+	}
 	if (highest && run <= *highest)
 		return "old";
 	list_for_each_entry(other, &worker->runs, node)
@@ -345,12 +372,16 @@
 	list_for_each_entry(run, &worker->runs, node)
 		json_array_append_new(
 			running,
-			json_pack("[s,I,s,I,i]", run->name,
-				  (json_int_t)run->run,
-				  run->checkpoint ? run->checkpoint : "",
-				  (json_int_t)(run->worked_us * 100 /
-					       MAX(run->ms * USEC_PER_MSEC, 1)),
-				  1));
+			json_pack(
+				"[s,I,s,I,I]", run->name, (json_int_t)run->run,
+				run->checkpoint ? run->checkpoint : "",
+				(json_int_t)MIN(
+					run->worked_us * 100 /
+						MAX(run->ms * USEC_PER_MSEC, 1),
+					100),
+				(json_int_t)(run->lasting ?
+						     site_serving_tail(run) :
+						     1)));
 	for (i = 0; i < worker->ends->len; i++) {
 		const struct site_end *end = g_ptr_array_index(worker->ends, i);
 
@@ -406,6 +437,10 @@
 		return on_stop(worker, body);
 	if (strcmp(target, "/hold") == 0)
 		return on_hold(worker, body);
+	if (strcmp(target, "/pace") == 0)
+		return site_serving_pace(find_run(worker, text_of(body, "task"),
+						  int_of(body, "run")),
+					 body);
 	return NULL;
 }
 
@@ -630,6 +665,7 @@
 	g_strlcpy(worker->rack, rack, sizeof(worker->rack));
 	worker->gpus = gpus;
 	worker->pace = 1.0;
+	worker->allowed = true;
 	list_add_tail(&worker->node, &fleet->workers);
 	site_worker_restart(worker);
 	return worker;
--- a/tests/standins/site_fleet.h
+++ b/tests/standins/site_fleet.h
@@ -47,6 +47,7 @@
 	enum site_worker_fault fault;
 	int percent; /* of late orders */
 	double pace; /* of its work, 1: as usual */
+	bool allowed; /* the advice service grants it */
 	int64_t fence;
 	int64_t until_ms; /* lease, on its own clock */
 	int64_t lapses; /* times that the lease has run out */
@@ -72,6 +73,7 @@
 	int64_t next_beat_us;
 	uint64_t starts;
 	uint64_t dones;
+	uint64_t ticket_refusals;
 	int64_t last_start_us;
 	int64_t cancel_ms; /* after that no task of a cancelled job starts */
 };
--- a/tests/standins/site_rig.c
+++ b/tests/standins/site_rig.c
@@ -17,9 +17,10 @@
 	abort();
 }
 
-static void write_settings(struct rig_host *host, int index, int store_port,
+static void write_settings(struct rig *rig, int index, int store_port,
 			   const int *peer_ports, int hosts)
 {
+	struct rig_host *host = &rig->hosts[index];
 	GString *seeds = g_string_new(NULL);
 	GError *err = NULL;
 	char *text;
@@ -34,11 +35,14 @@
 		"\"ctl\":\"127.0.0.1:%d\"},\"seeds\":[%s],"
 		"\"limits\":{\"cpu_share\":1,\"cores\":1},"
 		"\"platform\":{\"addr\":\"127.0.0.1:%d\"},"
+		"\"cloud\":{\"addr\":\"127.0.0.1:%d\"},"
+		"\"advice\":\"127.0.0.1:%d\","
 		"\"bounds\":{\"max_hold_ms\":2500,\"stop_ms\":100,"
 		"\"gang_ms\":1000,\"config_ms\":1500,\"status_s\":60,"
-		"\"grace_s\":2}}",
+		"\"lease_ms\":500,\"grace_s\":2}}",
 		index, ports_reserve(), peer_ports[index], seeds->str,
-		store_port);
+		store_port, rig->machines->server.port,
+		rig->advice->server.port);
 	g_snprintf(host->path, sizeof(host->path), "/tmp/chivebank-rig-%d-%d",
 		   (int)getpid(), index);
 	if (!g_file_set_contents(host->path, text, -1, &err))
@@ -55,7 +59,7 @@
 	int port = site_store_open(rig->store, 0);
 
 	host->door = rig->store->ndoors - 1;
-	write_settings(host, index, port, peer_ports, hosts);
+	write_settings(rig, index, port, peer_ports, hosts);
 	if (!platform_settings_load(&host->site, host->path, &err))
 		fail(err->message);
 	platform_host_add(&rig->kn, &host->site, host->path,
@@ -86,6 +90,8 @@
 		snprintf(rack, sizeof(rack), "rack-%d", i / 4);
 		site_fleet_add(rig->fleet, rack, 8, 0);
 	}
+	rig->machines = site_machines_new(&rig->kn, rig->fleet);
+	rig->advice = site_advice_new(&rig->kn, rig->fleet);
 	rig_configure(rig, 1, RIG_KEY);
 	for (i = 0; i < hosts; i++)
 		peer_ports[i] = ports_reserve();
@@ -110,6 +116,8 @@
 		hc_pool_finish(&rig->hosts[i].pool);
 		unlink(rig->hosts[i].path);
 	}
+	site_advice_free(rig->advice);
+	site_machines_free(rig->machines);
 	kn_finish(&rig->kn);
 }
 
@@ -142,12 +150,17 @@
 		"\"attempts\":3,\"stretch\":3.0,\"public\":false},"
 		"{\"name\":\"urgent\",\"host\":\"%s\",\"prefix\":\"/urgent/\","
 		"\"slo_ms\":300,\"prio\":0,\"svc\":\"pool\",\"attempts\":3,"
-		"\"stretch\":1.5,\"public\":false}],"
+		"\"stretch\":1.5,\"public\":false},"
+		"{\"name\":\"advised\",\"host\":\"%s\",\"prefix\":\"%s\","
+		"\"slo_ms\":1000,\"prio\":1,\"svc\":\"pool\",\"attempts\":3,"
+		"\"stretch\":3.0,\"public\":false,\"advice\":{"
+		"\"decide_ms\":20,\"each_ms\":2,\"valid_ms\":3000}}],"
 		"\"svcs\":[{\"name\":\"pool\",\"health_path\":\"/healthz\"}],"
 		"\"limits\":{},\"tenants\":[{\"name\":\"one\",\"api_keys\":"
 		"[\"%s\"],\"guaranteed\":{\"gpu\":16}},{\"name\":\"two\","
 		"\"api_keys\":[\"key-two\"]}]}",
-		version, 1, RIG_HOST, RIG_PREFIX, RIG_HOST, key);
+		version, 1, RIG_HOST, RIG_PREFIX, RIG_HOST, RIG_HOST,
+		RIG_ADVISED_PREFIX, key);
 
 	site_store_put(rig->store, "op/config", text);
 	g_free(text);
--- a/tests/standins/site_rig.h
+++ b/tests/standins/site_rig.h
@@ -2,17 +2,21 @@
 #define STANDINS_SITE_RIG_H
 
 #include "control/site.h"
+#include "tests/standins/site_advice.h"
 #include "tests/standins/site_fleet.h"
+#include "tests/standins/site_machines.h"
 #include "wire/hc.h"
 
 /*
- * A whole deployment in one process: stand-ins of the store and the workers,
- * and entry hosts of the product, all over loopback.
+ * A whole deployment in one process: stand-ins of the store, the workers,
+ * their hosts and the advice service, and entry hosts of the product, all over
+ * loopback.
  */
 
 #define RIG_HOSTS_MAX 5
 #define RIG_HOST "127.0.0.1"
 #define RIG_PREFIX "/jobs/"
+#define RIG_ADVISED_PREFIX "/advised/" /* starts need a ticket */
 #define RIG_KEY "key-one"
 
 struct rig_host {
@@ -26,6 +30,8 @@
 	struct kn kn;
 	struct site_store *store;
 	struct site_fleet *fleet;
+	struct site_machines *machines;
+	struct site_advice *advice;
 	struct rig_host hosts[RIG_HOSTS_MAX];
 	int nhosts;
 };
--- /dev/null
+++ b/tests/unit/test_duties.c
@@ -0,0 +1,284 @@
+#include <stdio.h>
+#include <string.h>
+
+#include "tests/standins/site_rig.h"
+#include "tests/standins/site_serving.h"
+#include "tests/unit/run.h"
+
+/*
+ * What a deployment may ask beyond jobs that end: permissions for each worker,
+ * waves of upkeep, tasks that last beside tasks that fill.
+ */
+
+static struct rig rig;
+
+#define JOB_A "00000000000000aa"
+#define JOB_B "00000000000000bb"
+
+static void check_promises(void)
+{
+	ck_assert_msg(!site_fleet_violation(rig.fleet), "%s",
+		      site_fleet_violation(rig.fleet));
+}
+
+static void submit_step(const char *prefix, const char *id, const char *payload,
+			const char *step)
+{
+	char path[64], body[512];
+
+	snprintf(path, sizeof(path), "%s%s", prefix, id);
+	snprintf(body, sizeof(body), "{\"spec\":\"%s\",\"steps\":[{%s}]}",
+		 payload, step);
+	ck_assert_int_eq(rig_call(&rig, 0, "POST", path, RIG_KEY, body).status,
+			 200);
+}
+
+static bool wait_done(const char *prefix, const char *id, int64_t timeout_ms)
+{
+	int64_t until_us = kn_now_us() + timeout_ms * USEC_PER_MSEC;
+	struct rig_reply reply;
+	char path[64];
+
+	snprintf(path, sizeof(path), "%s%s", prefix, id);
+	while (kn_now_us() < until_us) {
+		reply = rig_call(&rig, 0, "GET", path, RIG_KEY, NULL);
+		if (reply.status == 200 && strstr(reply.body, "\"done\""))
+			return true;
+		rig_run_ms(&rig, 50);
+	}
+	return false;
+}
+
+/* Advice. */
+
+#define ADVISED_STEP "\"count\":4,\"cpu\":1000,\"gpu\":1,\"est_ms\":100"
+
+/* One of many workers is allowed, and it is the last of all. */
+START_TEST(step_runs_where_it_is_allowed)
+{
+	struct site_worker *worker;
+
+	rig_start(&rig, 2, 70, 1);
+	list_for_each_entry(worker, &rig.fleet->workers, node)
+		worker->allowed = worker->node.next == &rig.fleet->workers;
+	submit_step(RIG_ADVISED_PREFIX, JOB_A, "ms=100 advised=1",
+		    ADVISED_STEP);
+	ck_assert(wait_done(RIG_ADVISED_PREFIX, JOB_A, 5000));
+	ck_assert_uint_eq(rig.fleet->starts, 4);
+	ck_assert_uint_eq(rig.fleet->ticket_refusals, 0);
+	ck_assert_uint_le(rig.advice->largest, 30);
+	check_promises();
+	rig_stop(&rig);
+}
+END_TEST
+
+/* More work than the allowed workers hold: tickets lapse in the queue. */
+START_TEST(tickets_are_renewed_for_work_that_waits)
+{
+	struct site_worker *worker;
+	char id[32];
+	int allowed = 0, i;
+
+	rig_start(&rig, 2, 6, 1);
+	list_for_each_entry(worker, &rig.fleet->workers, node)
+		worker->allowed = allowed++ < 2;
+	for (i = 0; i < 9; i++) {
+		snprintf(id, sizeof(id), "%016x", 0x100 + i);
+		submit_step(RIG_ADVISED_PREFIX, id, "ms=1300 advised=1 gpus=4",
+			    "\"count\":2,\"gpu\":4,\"est_ms\":1300");
+	}
+	rig_run_ms(&rig, 1000);
+	site_store_lapse(rig.store, "chivebank/leader");
+	for (i = 0; i < 9; i++) {
+		snprintf(id, sizeof(id), "%016x", 0x100 + i);
+		ck_assert(wait_done(RIG_ADVISED_PREFIX, id, 15000));
+	}
+	ck_assert_uint_eq(rig.fleet->ticket_refusals, 0);
+	check_promises();
+	rig_stop(&rig);
+}
+END_TEST
+
+/* Waves. */
+
+static void order_wave(int within_s, int cap)
+{
+	GString *text = g_string_new("{\"wave\":1,\"machines\":[");
+	guint i;
+
+	for (i = 0; i < rig.machines->machines->len; i++) {
+		const struct site_machine *machine =
+			g_ptr_array_index(rig.machines->machines, i);
+
+		g_string_append_printf(text, "%s\"%s\"", i ? "," : "",
+				       machine->name);
+	}
+	g_string_append_printf(text, "],\"within_s\":%d,\"cap\":%d}", within_s,
+			       cap);
+	site_store_put(rig.store, "op/wave/1", text->str);
+	g_string_free(text, TRUE);
+}
+
+static const char *wave_status(void)
+{
+	const struct site_item *item =
+		site_store_get(rig.store, "status/wave/1");
+
+	return item ? item->value : "";
+}
+
+static bool wait_wave(int64_t timeout_ms)
+{
+	int64_t until_us = kn_now_us() + timeout_ms * USEC_PER_MSEC;
+
+	while (kn_now_us() < until_us && !strstr(wave_status(), "done"))
+		rig_run_ms(&rig, 20);
+	return strstr(wave_status(), "done") != NULL;
+}
+
+/* Each host was taken down, once, and no more of them than the cap at once. */
+static void check_wave(int cap)
+{
+	guint i;
+
+	for (i = 0; i < rig.machines->machines->len; i++) {
+		const struct site_machine *machine =
+			g_ptr_array_index(rig.machines->machines, i);
+
+		ck_assert_int_eq(machine->begun, 1);
+		ck_assert_int_eq(machine->up_us, 0);
+	}
+	ck_assert_int_le(rig.machines->most_down, cap);
+}
+
+START_TEST(wave_is_carried_out_under_load)
+{
+	char id[32];
+	int i;
+
+	rig_start(&rig, 2, 5, 1);
+	for (i = 0; i < 4; i++) {
+		snprintf(id, sizeof(id), "%016x", 0x200 + i);
+		submit_step(RIG_PREFIX, id, "ms=500",
+			    "\"count\":6,\"gpu\":1,\"est_ms\":500");
+	}
+	order_wave(20, 2);
+	rig_run_ms(&rig, 1000);
+	ck_assert_ptr_nonnull(strstr(wave_status(), "running"));
+	ck_assert(wait_wave(20000));
+	check_wave(2);
+	for (i = 0; i < 4; i++) {
+		snprintf(id, sizeof(id), "%016x", 0x200 + i);
+		ck_assert(wait_done(RIG_PREFIX, id, 5000));
+	}
+	check_promises();
+	rig_stop(&rig);
+}
+END_TEST
+
+START_TEST(wave_goes_on_with_another_leader)
+{
+	int i;
+
+	rig_start(&rig, 3, 6, 1);
+	order_wave(30, 1);
+	for (i = 0; i < 3; i++) {
+		rig_run_ms(&rig, 1100);
+		site_store_lapse(rig.store, "chivebank/leader");
+	}
+	ck_assert(wait_wave(30000));
+	check_wave(1);
+	rig_stop(&rig);
+}
+END_TEST
+
+START_TEST(wave_without_answers_to_its_orders)
+{
+	rig_start(&rig, 1, 3, 1);
+	rig.machines->mute = true;
+	order_wave(30, 1);
+	ck_assert(wait_wave(30000));
+	check_wave(1);
+	rig_stop(&rig);
+}
+END_TEST
+
+/* Tasks that last. */
+
+#define SERVING_STEP                                                 \
+	"\"count\":2,\"cpu\":60000,\"gpu\":1,\"long_running\":true," \
+	"\"target_ms\":100,\"may_miss\":1,\"max_per_server\":1"
+
+static struct site_run *run_with(bool lasting)
+{
+	struct site_worker *worker;
+	struct site_run *run;
+
+	list_for_each_entry(worker, &rig.fleet->workers, node)
+		list_for_each_entry(run, &worker->runs, node)
+			if (run->lasting == lasting)
+				return run;
+	return NULL;
+}
+
+/* Filling tasks are paced down in time, and go on all the same. */
+START_TEST(filling_tasks_leave_serving_ones_within_their_target)
+{
+	struct site_run *run;
+
+	rig_start(&rig, 1, 2, 1);
+	submit_step(RIG_PREFIX, JOB_A, "ms=200 lasting=1 target=100",
+		    SERVING_STEP);
+	rig_run_ms(&rig, 700);
+	submit_step(RIG_PREFIX, JOB_B, "ms=1500 fills=1",
+		    "\"count\":2,\"cpu\":90000,\"gpu\":1,\"est_ms\":1500,"
+		    "\"fills\":true");
+	rig_run_ms(&rig, 200);
+	ck_assert_ptr_nonnull(run_with(true));
+	ck_assert(wait_done(RIG_PREFIX, JOB_B, 20000));
+	run = run_with(true);
+	ck_assert_ptr_nonnull(run);
+	ck_assert_int_le(site_serving_tail(run), 100);
+	check_promises();
+	rig_stop(&rig);
+}
+END_TEST
+
+/* By the platform's rules a task that lasts is back within that. */
+#define LASTING_BACK_MS 6000
+
+/* A task that lasts is started again when its worker is gone. */
+START_TEST(lasting_task_moves_from_a_lost_worker)
+{
+	int64_t until_us;
+
+	rig_start(&rig, 2, 3, 1);
+	submit_step(RIG_PREFIX, JOB_A, "ms=200 lasting=1 target=100",
+		    SERVING_STEP);
+	rig_run_ms(&rig, 700);
+	ck_assert_int_eq(site_fleet_running(rig.fleet), 2);
+	site_worker_crash(run_with(true)->worker);
+	until_us = kn_now_us() + LASTING_BACK_MS * USEC_PER_MSEC;
+	while (kn_now_us() < until_us && site_fleet_running(rig.fleet) < 2)
+		rig_run_ms(&rig, 20);
+	ck_assert_int_eq(site_fleet_running(rig.fleet), 2);
+	check_promises();
+	rig_stop(&rig);
+}
+END_TEST
+
+int main(void)
+{
+	TCase *tc = tcase_create("duties");
+
+	tcase_set_timeout(tc, 120);
+	tcase_add_test(tc, step_runs_where_it_is_allowed);
+	tcase_add_test(tc, tickets_are_renewed_for_work_that_waits);
+	tcase_add_test(tc, wave_is_carried_out_under_load);
+	tcase_add_test(tc, wave_goes_on_with_another_leader);
+	tcase_add_test(tc, wave_without_answers_to_its_orders);
+	tcase_add_test(tc,
+		       filling_tasks_leave_serving_ones_within_their_target);
+	tcase_add_test(tc, lasting_task_moves_from_a_lost_worker);
+	return run_case("duties", tc);
+}
