Stop no more runs than a claim needs

The last of the workers that make room for a claim gave room for all tasks of the claim, not only for those still without a place; and at one worker the cheapest runs were stopped first, also when a dearer one, which was needed all the same, made enough room alone.

Ruled out: waiting before reclaiming (docs/measurements.md, a failed trial).

Tests no_more_is_stopped_than_is_needed (16 runs stopped before, 12 after) and runs_that_make_no_room_go_on.

--- a/fleet/reclaim.c
+++ b/fleet/reclaim.c
@@ -79,6 +79,25 @@
 	return task->phase == TASK_DONE || task->phase == TASK_STOPPING;
 }
 
+/* Runs that make no room for a further task go on, the dearest first. */
+static void spare_victims(const struct placement *p, struct room *room,
+			  const struct stage *stage, struct offer *offer)
+{
+	guint i = offer->victims->len;
+
+	while (i-- > 0) {
+		struct task *task = g_ptr_array_index(offer->victims, i);
+		struct room less = *room;
+
+		room_sub(&less, &task->stage->spec->need);
+		if (placement_slots(&less, stage, offer->slots) < offer->slots)
+			continue;
+		*room = less;
+		offer->loss -= loss_of_all(p->fleet, task, p->now_us);
+		g_ptr_array_remove_index(offer->victims, i);
+	}
+}
+
 /*
  * Makes room at one worker for up to want tasks, the cheapest runs first,
  * as long as the price of a slot does not rise above the best so far.
@@ -122,9 +141,17 @@
 		offer->loss += victim->loss;
 		offer->slots = placement_slots(&room, stage, limit);
 	}
+	spare_victims(p, &room, stage, offer);
 	g_array_unref(victims);
 }
 
+static void remake_offer(struct placement *p, const struct stage *stage,
+			 int want, struct offer *offer)
+{
+	g_ptr_array_unref(offer->victims);
+	make_offer(p, offer->worker, stage, want, offer);
+}
+
 static int by_price(const void *a, const void *b)
 {
 	const struct offer *left = a;
@@ -170,9 +197,11 @@
 	}
 	g_array_sort(offers, by_price);
 	for (kept = 0; kept < offers->len && slots < want; kept++) {
-		const struct offer *offer =
+		struct offer *offer =
 			&g_array_index(offers, struct offer, kept);
 
+		if (offer->slots > want - slots)
+			remake_offer(p, stage, want - slots, offer);
 		slots += offer->slots;
 		*loss += offer->loss;
 	}
--- a/tests/unit/test_plan.c
+++ b/tests/unit/test_plan.c
@@ -396,6 +396,38 @@
 }
 END_TEST
 
+/* The last of the workers that make room gives only what is still needed. */
+START_TEST(no_more_is_stopped_than_is_needed)
+{
+	struct job *urgent;
+
+	make_racks(1, 2);
+	make_job(&fleet, "batch", 2, 16, 1, 60000, NOW);
+	plan(NOW);
+	urgent = make_gang("urgent", 0, 3, 4, false, 1000);
+	plan(NOW + SEC);
+	ck_assert_uint_eq(fleet.preempted, 12);
+	ck_assert_int_eq(urgent->phase, JOB_QUEUED);
+}
+END_TEST
+
+/* A small run that makes no room for the claim is not stopped beside others. */
+START_TEST(runs_that_make_no_room_go_on)
+{
+	struct job *large, *small;
+
+	make_racks(1, 1);
+	large = make_job(&fleet, "large", 2, 1, 7, 60000, NOW);
+	plan(NOW);
+	small = make_job(&fleet, "small", 2, 1, 1, 60000, NOW + 5 * SEC);
+	plan(NOW + 5 * SEC);
+	make_job(&fleet, "urgent", 0, 1, 7, 1000, NOW + 6 * SEC);
+	plan(NOW + 6 * SEC);
+	ck_assert_int_eq(make_task(large, 0, 0)->phase, TASK_STOPPING);
+	ck_assert_int_eq(make_task(small, 0, 0)->phase, TASK_RUNNING);
+}
+END_TEST
+
 /*
  * Load: three times more urgent work than fits for 10 s, each 1 s long. What
  * callers get: jobs that are served are served in time, by order of arrival
@@ -463,6 +495,8 @@
 	tcase_add_test(tc, claim_is_chosen_anew);
 	tcase_add_test(tc, cheap_room_for_urgent_work);
 	tcase_add_test(tc, victims_lose_least);
+	tcase_add_test(tc, no_more_is_stopped_than_is_needed);
+	tcase_add_test(tc, runs_that_make_no_room_go_on);
 	tcase_add_test(tc, crest_serves_in_time_what_it_can);
 	return run_case("plan", tc);
 }
