--- a/daemon/sched_gang.c
+++ b/daemon/sched_gang.c
@@ -14,13 +14,15 @@
 	struct sjob *job; /* NULL for a token that no job owns */
 	char token[WK_TOKEN_BYTES];
 	int member;
-	enum gg_verb verb;
+	enum gang_start_verb verb;
 };
 
 static const enum wk_verb wire_verbs[] = {
-	[GG_RESERVE] = WK_RESERVE,	 [GG_COMMIT] = WK_COMMIT,
-	[GG_ABORT] = WK_ABORT,		 [GG_STOP] = WK_STOP,
-	[GG_CHECKPOINT] = WK_CHECKPOINT,
+	[GANG_START_RESERVE] = WK_RESERVE,
+	[GANG_START_COMMIT] = WK_COMMIT,
+	[GANG_START_ABORT] = WK_ABORT,
+	[GANG_START_STOP] = WK_STOP,
+	[GANG_START_CHECKPOINT] = WK_CHECKPOINT,
 };
 
 static struct sworker *worker_at(struct sched *s, int index)
@@ -58,8 +60,8 @@
 			"worker=%s epoch=%" PRIu64 " newer=%" PRIu64,
 			c->worker->at.name, s->epoch, wk->epoch);
 	if (job && strcmp(job->token, c->token) == 0)
-		gg_answer(&job->gg, c->member, c->verb, answered,
-			  wk->result == CB_OK, kn_now_us());
+		gang_start_answer(&job->gg, c->member, c->verb, answered,
+				  wk->result == CB_OK, kn_now_us());
 	else if (!job)
 		drop_stray(c->worker, c->token);
 	if (!old && !answered)
@@ -68,11 +70,11 @@
 	g_free(c);
 }
 
-static int64_t term_ms(enum gg_verb verb)
+static int64_t term_ms(enum gang_start_verb verb)
 {
-	if (verb == GG_RESERVE)
+	if (verb == GANG_START_RESERVE)
 		return RESERVATION_TERM_MS;
-	return verb == GG_COMMIT ? GANG_LEASE_MS : 0;
+	return verb == GANG_START_COMMIT ? GANG_LEASE_MS : 0;
 }
 
 /* What is left of the time that the policy gives the job. */
@@ -121,7 +123,7 @@
 	c = g_new0(struct scall, 1);
 	c->s = w->s;
 	c->worker = w;
-	c->verb = ran ? GG_STOP : GG_ABORT;
+	c->verb = ran ? GANG_START_STOP : GANG_START_ABORT;
 	g_strlcpy(c->token, token, sizeof(c->token));
 	start_call(c);
 }
@@ -140,7 +142,8 @@
 
 /* What a gang asks for. */
 
-static void gang_call(struct gg *gg, int member, enum gg_verb verb)
+static void gang_call(struct gang_start *gg, int member,
+		      enum gang_start_verb verb)
 {
 	struct sjob *job = container_of(gg, struct sjob, gg);
 	struct sched *s = job->s;
@@ -160,14 +163,14 @@
 	start_call(c);
 }
 
-static void gang_sync(struct gg *gg, int member)
+static void gang_sync(struct gang_start *gg, int member)
 {
 	struct sjob *job = container_of(gg, struct sjob, gg);
 
 	sched_sync_soon(worker_at(job->s, job->workers[member]));
 }
 
-static void gang_running(struct gg *gg)
+static void gang_running(struct gang_start *gg)
 {
 	struct sjob *job = container_of(gg, struct sjob, gg);
 
@@ -178,14 +181,15 @@
 	sc_running(&job->s->sc, &job->sc, kn_now_us());
 }
 
-static void gang_saved(struct gg *gg)
+static void gang_saved(struct gang_start *gg)
 {
 	struct sjob *job = container_of(gg, struct sjob, gg);
 
 	sc_saved(&job->s->sc, &job->sc, kn_now_us());
 }
 
-static void gang_gone(struct gg *gg, enum gg_end end, int failed)
+static void gang_gone(struct gang_start *gg, enum gang_start_end end,
+		      int failed)
 {
 	struct sjob *job = container_of(gg, struct sjob, gg);
 	struct sched *s = job->s;
@@ -195,16 +199,16 @@
 	list_del(&job->busy);
 	sched_gang_clear(job);
 	s->dirty = true;
-	if (end == GG_END_DONE)
+	if (end == GANG_START_END_DONE)
 		sc_done(&s->sc, &job->sc, now_us);
-	else if (end == GG_END_FAILED)
+	else if (end == GANG_START_END_FAILED)
 		sc_failed(&s->sc, &job->sc, worker, now_us);
 	else
 		sc_left(&s->sc, &job->sc, now_us);
 	job->jb.attained_us = job->sc.attained_us;
 }
 
-static const struct gg_ops gang_ops = {
+static const struct gang_start_ops gang_ops = {
 	.call = gang_call,
 	.sync = gang_sync,
 	.running = gang_running,
@@ -216,7 +220,7 @@
 
 void sched_gang_init(struct sjob *job)
 {
-	gg_init(&job->gg, &gang_ops);
+	gang_start_init(&job->gg, &gang_ops);
 }
 
 /* Ends an attempt; answers and reports about its token are ignored. */
@@ -281,7 +285,7 @@
 		 job->jb.id, job->jb.attempt);
 	g_hash_table_insert(s->tokens, job->token, job);
 	list_add_tail(&job->busy, &s->busy);
-	gg_start(&job->gg, n, kn_now_us());
+	gang_start_start(&job->gg, n, kn_now_us());
 	sched_wake(s);
 }
 
@@ -290,8 +294,8 @@
 	struct sjob *job, *next;
 
 	list_for_each_entry_safe(job, next, &s->busy, busy) {
-		gg_tick(&job->gg, now_us);
-		if (!gg_busy(&job->gg))
+		gang_start_tick(&job->gg, now_us);
+		if (!gang_start_busy(&job->gg))
 			list_del(&job->busy);
 	}
 }
--- a/daemon/sched_int.h
+++ b/daemon/sched_int.h
@@ -4,7 +4,7 @@
 #include "base/set.h"
 #include "daemon/svc.h"
 #include "daemon/wk.h"
-#include "policy/gg.h"
+#include "policy/gang_start.h"
 #include "policy/jb.h"
 #include "policy/sc.h"
 #include "wire/kv.h"
@@ -43,7 +43,7 @@
 struct sjob {
 	struct sched *s;
 	struct sc_job sc;
-	struct gg gg;
+	struct gang_start gg;
 	struct jb jb;
 	struct list_head busy; /* gg needs ticks */
 	struct list_head write; /* the record is to be written */
--- a/daemon/sched_job.c
+++ b/daemon/sched_job.c
@@ -24,7 +24,7 @@
 	list_del(&job->write);
 	list_del(&job->ended);
 	sched_gang_clear(job);
-	gg_finish(&job->gg);
+	gang_start_finish(&job->gg);
 	jb_finish(&job->jb);
 	g_free(job);
 }
@@ -147,7 +147,7 @@
 	struct sjob *job = of(sc_job);
 
 	sched_job_set(job, JB_CHECKPOINTING, "displaced");
-	gg_checkpoint(&job->gg, kn_now_us());
+	gang_start_checkpoint(&job->gg, kn_now_us());
 	if (list_empty(&job->busy))
 		list_add_tail(&job->busy, &job->s->busy);
 	sched_wake(job->s);
@@ -158,7 +158,7 @@
 	struct sjob *job = of(sc_job);
 
 	ev_emit("job.stop", "job=%s reason=\"%s\"", job->jb.id, reason);
-	gg_stop(&job->gg, kn_now_us());
+	gang_start_stop(&job->gg, kn_now_us());
 	if (list_empty(&job->busy))
 		list_add_tail(&job->busy, &job->s->busy);
 	sched_wake(job->s);
--- a/daemon/sched_sync.c
+++ b/daemon/sched_sync.c
@@ -243,19 +243,22 @@
 static void report_member(struct sworker *w, struct sjob *job,
 			  const struct wk_task *task, int64_t now_us)
 {
-	static const enum gg_state states[WK_STATES] = {
-		[WK_RESERVED] = GG_RESERVED, [WK_BARRIER] = GG_BARRIER,
-		[WK_RUNNING] = GG_RUNNING,   [WK_CHECKPOINTING] = GG_SAVING,
-		[WK_STOPPED] = GG_STOPPED,   [WK_DONE] = GG_DONE,
-		[WK_FAILED] = GG_FAILED,
+	static const enum gang_start_state states[WK_STATES] = {
+		[WK_RESERVED] = GANG_START_RESERVED,
+		[WK_BARRIER] = GANG_START_BARRIER,
+		[WK_RUNNING] = GANG_START_RUNNING,
+		[WK_CHECKPOINTING] = GANG_START_SAVING,
+		[WK_STOPPED] = GANG_START_STOPPED,
+		[WK_DONE] = GANG_START_DONE,
+		[WK_FAILED] = GANG_START_FAILED,
 	};
 	int member = sched_gang_member(job, w->index);
 
 	if (member < 0)
 		return;
-	gg_report(&job->gg, member, task != NULL,
-		  task ? states[task->state] : GG_UNKNOWN,
-		  task && task->checkpointed, w->sent_us, now_us);
+	gang_start_report(&job->gg, member, task != NULL,
+			  task ? states[task->state] : GANG_START_UNKNOWN,
+			  task && task->checkpointed, w->sent_us, now_us);
 	if (list_empty(&job->busy))
 		list_add_tail(&job->busy, &w->s->busy);
 }
@@ -420,9 +423,9 @@
 
 		if (member < 0)
 			continue;
-		if (gg_renews(&job->gg, member, now_us))
+		if (gang_start_renews(&job->gg, member, now_us))
 			add_token(renew, job);
-		if (gg_goes(&job->gg, member, now_us))
+		if (gang_start_goes(&job->gg, member, now_us))
 			add_token(go, job);
 	}
 }
--- a/daemon/sched_take.c
+++ b/daemon/sched_take.c
@@ -21,7 +21,7 @@
 struct part {
 	int worker;
 	int accelerators;
-	enum gg_state state;
+	enum gang_start_state state;
 	int64_t ran_ms;
 };
 
@@ -36,11 +36,14 @@
 static void add_part(GHashTable *attempts, struct sworker *w,
 		     const struct wk_task *task)
 {
-	static const enum gg_state states[WK_STATES] = {
-		[WK_RESERVED] = GG_RESERVED, [WK_BARRIER] = GG_BARRIER,
-		[WK_RUNNING] = GG_RUNNING,   [WK_CHECKPOINTING] = GG_SAVING,
-		[WK_STOPPED] = GG_STOPPED,   [WK_DONE] = GG_DONE,
-		[WK_FAILED] = GG_FAILED,
+	static const enum gang_start_state states[WK_STATES] = {
+		[WK_RESERVED] = GANG_START_RESERVED,
+		[WK_BARRIER] = GANG_START_BARRIER,
+		[WK_RUNNING] = GANG_START_RUNNING,
+		[WK_CHECKPOINTING] = GANG_START_SAVING,
+		[WK_STOPPED] = GANG_START_STOPPED,
+		[WK_DONE] = GANG_START_DONE,
+		[WK_FAILED] = GANG_START_FAILED,
 	};
 	struct attempt *attempt = g_hash_table_lookup(attempts, task->token);
 	struct part part = { w->index, task->accelerators, states[task->state],
@@ -93,7 +96,7 @@
 	unsigned int i;
 
 	for (i = 0; i < attempt->parts->len; i++)
-		if (part_at(attempt, i)->state != GG_STOPPED)
+		if (part_at(attempt, i)->state != GANG_START_STOPPED)
 			return true;
 	return false;
 }
@@ -149,7 +152,7 @@
 	for (i = 0; i < job->jb.place_count; i++) {
 		const struct jb_place *place = &job->jb.places[i];
 		struct sworker *w = sched_worker(job->s, place->worker);
-		struct part part = { 0, place->count, GG_BARRIER, 0 };
+		struct part part = { 0, place->count, GANG_START_BARRIER, 0 };
 
 		if (!w || w->answered)
 			continue;
@@ -210,13 +213,13 @@
 	bool whole = total(attempt) == job->jb.accelerators;
 	bool recorded = whole && hold_recorded(job, attempt);
 	unsigned int n, i;
-	enum gg_state *states;
+	enum gang_start_state *states;
 	int64_t ran_ms = 0;
 
 	if (!whole)
 		add_silent(job, attempt);
 	n = attempt->parts->len;
-	states = g_new(enum gg_state, n);
+	states = g_new(enum gang_start_state, n);
 	job->workers = g_new(int, n);
 	job->counts = g_new(int, n);
 	for (i = 0; i < n; i++) {
@@ -234,7 +237,7 @@
 	g_hash_table_insert(s->tokens, job->token, job);
 	sc_adopt(&s->sc, &job->sc, now_us);
 	job->sc.started_us = now_us - ran_ms * USEC_PER_MSEC;
-	gg_adopt(&job->gg, states, (int)n, whole, now_us);
+	gang_start_adopt(&job->gg, states, (int)n, whole, now_us);
 	list_add_tail(&job->busy, &s->busy);
 	g_free(states);
 	ev_emit("gang.adopted", "job=%s token=%s whole=%d phase=%d", job->jb.id,
--- /dev/null
+++ b/policy/gang_start.h
@@ -0,0 +1,108 @@
+#ifndef POLICY_GANG_START_H
+#define POLICY_GANG_START_H
+
+#include <stdbool.h>
+#include <stdint.h>
+
+#include "base/limits.h"
+
+enum gang_start_verb {
+	GANG_START_RESERVE,
+	GANG_START_COMMIT,
+	GANG_START_ABORT,
+	GANG_START_CHECKPOINT,
+	GANG_START_STOP
+};
+
+/* In the order in which a member passes through them. */
+enum gang_start_state {
+	GANG_START_UNKNOWN, /* no answer to reserve yet */
+	GANG_START_RESERVED,
+	GANG_START_BARRIER,
+	GANG_START_RUNNING,
+	GANG_START_SAVING,
+	GANG_START_STOPPED,
+	GANG_START_DONE,
+	GANG_START_FAILED,
+};
+
+enum gang_start_phase {
+	GANG_START_P_IDLE,
+	GANG_START_P_RESERVE,
+	GANG_START_P_COMMIT,
+	GANG_START_P_GO, /* all members are at the barrier or past it */
+	GANG_START_P_RUN,
+	GANG_START_P_SAVE,
+	GANG_START_P_STOP,
+	GANG_START_P_GONE,
+};
+
+enum gang_start_end {
+	GANG_START_END_STOPPED,
+	GANG_START_END_DONE,
+	GANG_START_END_FAILED
+};
+
+/* The part of a gang on one worker, as far as its worker has told. */
+struct gang_start_member {
+	enum gang_start_state state;
+	bool in_call;
+	bool saved;
+	bool reserved; /* the worker has confirmed that it knows the token */
+	int64_t retry_us; /* when the next call may be sent */
+	int64_t heard_us; /* it was alive then, or later */
+	int64_t changed_us; /* of the last answer; older reports are stale */
+	int64_t holds_until_us; /* without another call it holds nothing then */
+};
+
+struct gang_start;
+
+/*
+ * Asked of the owner. call() is answered by gang_start_answer() later, or never;
+ * the others must not call back into the gang at once.
+ */
+struct gang_start_ops {
+	void (*call)(struct gang_start *gg, int member,
+		     enum gang_start_verb verb);
+	/* Sync with the member's worker soon. */
+	void (*sync)(struct gang_start *gg, int member);
+	void (*running)(struct gang_start *gg);
+	/* Checkpoints of all members are complete, and they have stopped. */
+	void (*saved)(struct gang_start *gg);
+	/* No member holds anything any more. failed: a member or -1. */
+	void (*gone)(struct gang_start *gg, enum gang_start_end end,
+		     int failed);
+};
+
+/* One attempt to run one gang. */
+struct gang_start {
+	const struct gang_start_ops *ops;
+	struct gang_start_member *members;
+	int count;
+	enum gang_start_phase phase;
+	int64_t deadline_us; /* of the phase, 0: none */
+	int64_t go_until_us; /* no barrier lapses before */
+	int failed; /* member whose task failed, or -1 */
+	bool told_saved;
+};
+
+void gang_start_init(struct gang_start *gg, const struct gang_start_ops *ops);
+void gang_start_finish(struct gang_start *gg);
+void gang_start_start(struct gang_start *gg, int count, int64_t now_us);
+void gang_start_adopt(struct gang_start *gg,
+		      const enum gang_start_state *states, int count,
+		      bool whole, int64_t now_us);
+void gang_start_checkpoint(struct gang_start *gg, int64_t now_us);
+void gang_start_stop(struct gang_start *gg, int64_t now_us);
+void gang_start_answer(struct gang_start *gg, int member,
+		       enum gang_start_verb verb, bool answered, bool accepted,
+		       int64_t now_us);
+void gang_start_report(struct gang_start *gg, int member, bool present,
+		       enum gang_start_state state, bool saved, int64_t sent_us,
+		       int64_t now_us);
+bool gang_start_renews(struct gang_start *gg, int member, int64_t now_us);
+bool gang_start_goes(struct gang_start *gg, int member, int64_t now_us);
+bool gang_start_busy(const struct gang_start *gg);
+void gang_start_tick(struct gang_start *gg, int64_t now_us);
+
+#endif
--- a/tests/unit/test_gg.c
+++ b/tests/unit/test_gang_start.c
@@ -6,7 +6,7 @@
 #include <glib.h>
 #include <xxhash.h>
 
-#include "policy/gg.h"
+#include "policy/gang_start.h"
 #include "tests/unit/run.h"
 
 #define MS(ms) ((int64_t)(ms)*USEC_PER_MSEC)
@@ -14,37 +14,39 @@
 /* One gang without faults in between. */
 
 struct calls {
-	struct gg gg;
-	int sent[GG_STOP + 1];
+	struct gang_start gg;
+	int sent[GANG_START_STOP + 1];
 	int syncs;
 	int running;
 	int saved;
 	int gone;
-	enum gg_end end;
+	enum gang_start_end end;
 	int failed;
 };
 
-static void note_call(struct gg *gg, int member, enum gg_verb verb)
+static void note_call(struct gang_start *gg, int member,
+		      enum gang_start_verb verb)
 {
 	((struct calls *)gg)->sent[verb]++;
 }
 
-static void note_sync(struct gg *gg, int member)
+static void note_sync(struct gang_start *gg, int member)
 {
 	((struct calls *)gg)->syncs++;
 }
 
-static void note_running(struct gg *gg)
+static void note_running(struct gang_start *gg)
 {
 	((struct calls *)gg)->running++;
 }
 
-static void note_saved(struct gg *gg)
+static void note_saved(struct gang_start *gg)
 {
 	((struct calls *)gg)->saved++;
 }
 
-static void note_gone(struct gg *gg, enum gg_end end, int failed)
+static void note_gone(struct gang_start *gg, enum gang_start_end end,
+		      int failed)
 {
 	struct calls *c = (struct calls *)gg;
 
@@ -53,17 +55,17 @@
 	c->failed = failed;
 }
 
-static const struct gg_ops note_ops = { .call = note_call,
-					.sync = note_sync,
-					.running = note_running,
-					.saved = note_saved,
-					.gone = note_gone };
+static const struct gang_start_ops note_ops = { .call = note_call,
+						.sync = note_sync,
+						.running = note_running,
+						.saved = note_saved,
+						.gone = note_gone };
 
 static void start(struct calls *c, int members)
 {
 	memset(c, 0, sizeof(*c));
-	gg_init(&c->gg, &note_ops);
-	gg_start(&c->gg, members, 0);
+	gang_start_init(&c->gg, &note_ops);
+	gang_start_start(&c->gg, members, 0);
 }
 
 static void run_two(struct calls *c)
@@ -72,11 +74,14 @@
 
 	start(c, 2);
 	for (i = 0; i < 2; i++)
-		gg_answer(&c->gg, i, GG_RESERVE, true, true, MS(10));
+		gang_start_answer(&c->gg, i, GANG_START_RESERVE, true, true,
+				  MS(10));
 	for (i = 0; i < 2; i++)
-		gg_answer(&c->gg, i, GG_COMMIT, true, true, MS(20));
+		gang_start_answer(&c->gg, i, GANG_START_COMMIT, true, true,
+				  MS(20));
 	for (i = 0; i < 2; i++)
-		gg_report(&c->gg, i, true, GG_RUNNING, false, MS(30), MS(40));
+		gang_start_report(&c->gg, i, true, GANG_START_RUNNING, false,
+				  MS(30), MS(40));
 	ck_assert_int_eq(c->running, 1);
 }
 
@@ -86,17 +91,17 @@
 	struct calls c;
 
 	start(&c, 2);
-	gg_answer(&c.gg, 0, GG_RESERVE, true, true, MS(10));
-	ck_assert_int_eq(c.sent[GG_COMMIT], 0);
-	gg_answer(&c.gg, 1, GG_RESERVE, true, true, MS(10));
-	ck_assert_int_eq(c.sent[GG_COMMIT], 2);
-	gg_answer(&c.gg, 0, GG_COMMIT, true, true, MS(20));
-	ck_assert(!gg_goes(&c.gg, 0, MS(20)));
-	gg_answer(&c.gg, 1, GG_COMMIT, true, true, MS(20));
-	ck_assert(gg_goes(&c.gg, 0, MS(30)));
-	ck_assert(!gg_goes(&c.gg, 0, MS(20 + BARRIER_TERM_MS)));
-	ck_assert(!gg_renews(&c.gg, 0, MS(30)));
-	gg_finish(&c.gg);
+	gang_start_answer(&c.gg, 0, GANG_START_RESERVE, true, true, MS(10));
+	ck_assert_int_eq(c.sent[GANG_START_COMMIT], 0);
+	gang_start_answer(&c.gg, 1, GANG_START_RESERVE, true, true, MS(10));
+	ck_assert_int_eq(c.sent[GANG_START_COMMIT], 2);
+	gang_start_answer(&c.gg, 0, GANG_START_COMMIT, true, true, MS(20));
+	ck_assert(!gang_start_goes(&c.gg, 0, MS(20)));
+	gang_start_answer(&c.gg, 1, GANG_START_COMMIT, true, true, MS(20));
+	ck_assert(gang_start_goes(&c.gg, 0, MS(30)));
+	ck_assert(!gang_start_goes(&c.gg, 0, MS(20 + BARRIER_TERM_MS)));
+	ck_assert(!gang_start_renews(&c.gg, 0, MS(30)));
+	gang_start_finish(&c.gg);
 }
 END_TEST
 
@@ -106,20 +111,20 @@
 	struct calls c;
 
 	start(&c, 2);
-	gg_answer(&c.gg, 0, GG_RESERVE, true, true, MS(10));
-	gg_answer(&c.gg, 1, GG_RESERVE, true, false, MS(10));
-	ck_assert_int_eq(c.sent[GG_STOP], 1);
-	gg_answer(&c.gg, 0, GG_STOP, true, true, MS(20));
-	gg_tick(&c.gg, MS(30));
+	gang_start_answer(&c.gg, 0, GANG_START_RESERVE, true, true, MS(10));
+	gang_start_answer(&c.gg, 1, GANG_START_RESERVE, true, false, MS(10));
+	ck_assert_int_eq(c.sent[GANG_START_STOP], 1);
+	gang_start_answer(&c.gg, 0, GANG_START_STOP, true, true, MS(20));
+	gang_start_tick(&c.gg, MS(30));
 	ck_assert_int_eq(c.gone, 1);
-	ck_assert_int_eq(c.sent[GG_COMMIT], 0);
-	gg_finish(&c.gg);
+	ck_assert_int_eq(c.sent[GANG_START_COMMIT], 0);
+	gang_start_finish(&c.gg);
 	/* A reserve without an answer may still arrive, after the abort. */
 	start(&c, 1);
-	gg_answer(&c.gg, 0, GG_RESERVE, false, false, MS(1000));
-	gg_stop(&c.gg, MS(1000));
-	ck_assert_int_eq(c.sent[GG_ABORT], 1);
-	gg_finish(&c.gg);
+	gang_start_answer(&c.gg, 0, GANG_START_RESERVE, false, false, MS(1000));
+	gang_start_stop(&c.gg, MS(1000));
+	ck_assert_int_eq(c.sent[GANG_START_ABORT], 1);
+	gang_start_finish(&c.gg);
 }
 END_TEST
 
@@ -129,10 +134,11 @@
 	struct calls c;
 
 	run_two(&c);
-	ck_assert(gg_renews(&c.gg, 0, MS(30 + GANG_FRESH_MS)));
-	gg_report(&c.gg, 0, true, GG_RUNNING, false, MS(9000), MS(9000));
-	ck_assert(!gg_renews(&c.gg, 0, MS(9000)));
-	gg_finish(&c.gg);
+	ck_assert(gang_start_renews(&c.gg, 0, MS(30 + GANG_FRESH_MS)));
+	gang_start_report(&c.gg, 0, true, GANG_START_RUNNING, false, MS(9000),
+			  MS(9000));
+	ck_assert(!gang_start_renews(&c.gg, 0, MS(9000)));
+	gang_start_finish(&c.gg);
 }
 END_TEST
 
@@ -142,14 +148,15 @@
 	struct calls c;
 
 	run_two(&c);
-	gg_report(&c.gg, 1, true, GG_FAILED, false, MS(50), MS(60));
-	ck_assert_int_eq(c.sent[GG_STOP], 1);
-	gg_answer(&c.gg, 0, GG_STOP, true, true, MS(70));
-	gg_tick(&c.gg, MS(80));
+	gang_start_report(&c.gg, 1, true, GANG_START_FAILED, false, MS(50),
+			  MS(60));
+	ck_assert_int_eq(c.sent[GANG_START_STOP], 1);
+	gang_start_answer(&c.gg, 0, GANG_START_STOP, true, true, MS(70));
+	gang_start_tick(&c.gg, MS(80));
 	ck_assert_int_eq(c.gone, 1);
-	ck_assert_int_eq(c.end, GG_END_FAILED);
+	ck_assert_int_eq(c.end, GANG_START_END_FAILED);
 	ck_assert_int_eq(c.failed, 1);
-	gg_finish(&c.gg);
+	gang_start_finish(&c.gg);
 }
 END_TEST
 
@@ -159,42 +166,46 @@
 	struct calls c;
 
 	run_two(&c);
-	gg_checkpoint(&c.gg, MS(50));
-	ck_assert_int_eq(c.sent[GG_CHECKPOINT], 2);
-	ck_assert(!gg_renews(&c.gg, 0, MS(50)));
-	gg_answer(&c.gg, 0, GG_CHECKPOINT, true, true, MS(60));
-	gg_answer(&c.gg, 1, GG_CHECKPOINT, true, true, MS(60));
-	gg_report(&c.gg, 0, true, GG_STOPPED, true, MS(70), MS(70));
-	gg_tick(&c.gg, MS(70));
+	gang_start_checkpoint(&c.gg, MS(50));
+	ck_assert_int_eq(c.sent[GANG_START_CHECKPOINT], 2);
+	ck_assert(!gang_start_renews(&c.gg, 0, MS(50)));
+	gang_start_answer(&c.gg, 0, GANG_START_CHECKPOINT, true, true, MS(60));
+	gang_start_answer(&c.gg, 1, GANG_START_CHECKPOINT, true, true, MS(60));
+	gang_start_report(&c.gg, 0, true, GANG_START_STOPPED, true, MS(70),
+			  MS(70));
+	gang_start_tick(&c.gg, MS(70));
 	ck_assert_int_eq(c.saved, 0);
-	gg_report(&c.gg, 1, true, GG_STOPPED, true, MS(80), MS(80));
-	gg_tick(&c.gg, MS(80));
+	gang_start_report(&c.gg, 1, true, GANG_START_STOPPED, true, MS(80),
+			  MS(80));
+	gang_start_tick(&c.gg, MS(80));
 	ck_assert_int_eq(c.saved, 1);
 	ck_assert_int_eq(c.gone, 1);
-	gg_finish(&c.gg);
+	gang_start_finish(&c.gg);
 }
 END_TEST
 
 /* A takeover that stops a whole gang, or goes on with a part of one. */
 START_TEST(adoption)
 {
-	static const enum gg_state whole[] = { GG_RUNNING, GG_DONE };
-	static const enum gg_state part[] = { GG_RUNNING, GG_BARRIER };
+	static const enum gang_start_state whole[] = { GANG_START_RUNNING,
+						       GANG_START_DONE };
+	static const enum gang_start_state part[] = { GANG_START_RUNNING,
+						      GANG_START_BARRIER };
 	struct calls c;
 
 	memset(&c, 0, sizeof(c));
-	gg_init(&c.gg, &note_ops);
-	gg_adopt(&c.gg, whole, 2, true, 0);
-	gg_tick(&c.gg, MS(10));
-	ck_assert(gg_renews(&c.gg, 0, MS(10)));
-	ck_assert_int_eq(c.sent[GG_STOP], 0);
-	gg_adopt(&c.gg, part, 2, true, 0);
-	gg_tick(&c.gg, MS(10));
-	ck_assert_int_eq(c.sent[GG_STOP], 2);
-	gg_adopt(&c.gg, whole, 1, false, 0);
-	gg_tick(&c.gg, MS(10));
-	ck_assert_int_eq(c.sent[GG_STOP], 3);
-	gg_finish(&c.gg);
+	gang_start_init(&c.gg, &note_ops);
+	gang_start_adopt(&c.gg, whole, 2, true, 0);
+	gang_start_tick(&c.gg, MS(10));
+	ck_assert(gang_start_renews(&c.gg, 0, MS(10)));
+	ck_assert_int_eq(c.sent[GANG_START_STOP], 0);
+	gang_start_adopt(&c.gg, part, 2, true, 0);
+	gang_start_tick(&c.gg, MS(10));
+	ck_assert_int_eq(c.sent[GANG_START_STOP], 2);
+	gang_start_adopt(&c.gg, whole, 1, false, 0);
+	gang_start_tick(&c.gg, MS(10));
+	ck_assert_int_eq(c.sent[GANG_START_STOP], 3);
+	gang_start_finish(&c.gg);
 }
 END_TEST
 
@@ -240,7 +251,7 @@
 
 struct task {
 	int token; /* epoch * 100 + attempt, 0: free */
-	enum gg_state state;
+	enum gang_start_state state;
 	bool aborted;
 	bool forgotten;
 	bool saved;
@@ -255,7 +266,7 @@
 	int64_t at_us;
 	int sched;
 	int worker;
-	int verb; /* enum gg_verb or SYNC_VERB */
+	int verb; /* enum gang_start_verb or SYNC_VERB */
 	int token;
 	bool renew;
 	bool go;
@@ -284,7 +295,7 @@
 enum job_state { JOB_READING, JOB_QUEUED, JOB_ACTIVE, JOB_DONE };
 
 struct msched {
-	struct gg gg;
+	struct gang_start gg;
 	bool up;
 	int64_t frozen_until_us;
 	int64_t valid_until_us;
@@ -342,25 +353,26 @@
 
 static bool holds(const struct task *t)
 {
-	return t->token && t->state < GG_STOPPED;
+	return t->token && t->state < GANG_START_STOPPED;
 }
 
 static void drop(struct task *t)
 {
-	if (t->state <= GG_BARRIER)
+	if (t->state <= GANG_START_BARRIER)
 		t->aborted = true;
-	t->state = GG_STOPPED;
+	t->state = GANG_START_STOPPED;
 }
 
 static void advance_task(struct task *t)
 {
 	if (!holds(t))
 		return;
-	if (t->state == GG_SAVING && w.now_us >= t->save_us) {
+	if (t->state == GANG_START_SAVING && w.now_us >= t->save_us) {
 		t->saved = true;
-		t->state = GG_STOPPED;
-	} else if (t->state == GG_RUNNING && w.now_us - t->go_us >= TASK_US) {
-		t->state = GG_DONE;
+		t->state = GANG_START_STOPPED;
+	} else if (t->state == GANG_START_RUNNING &&
+		   w.now_us - t->go_us >= TASK_US) {
+		t->state = GANG_START_DONE;
 	}
 	if (holds(t) && w.now_us >= t->until_us)
 		drop(t);
@@ -370,14 +382,15 @@
 {
 	int i;
 
-	t->state = GG_RUNNING;
+	t->state = GANG_START_RUNNING;
 	t->go_us = w.now_us;
 	t->until_us = w.now_us + MS(GANG_LEASE_MS);
 	for (i = 0; i < WORKERS; i++) {
 		struct task *other = find(&w.workers[i], t->token);
 
 		/* A worker that has died since is not the gang's fault. */
-		if (!other ? w.extra_us == 0 : other->state < GG_BARRIER)
+		if (!other ? w.extra_us == 0 :
+			     other->state < GANG_START_BARRIER)
 			violate("runs before all have committed");
 	}
 }
@@ -387,17 +400,18 @@
 	struct task *t = find(m, msg->token);
 	int i;
 
-	if (!t && (msg->verb == GG_RESERVE || msg->verb == GG_ABORT)) {
-		for (i = 0; i < TOKENS && msg->verb == GG_RESERVE; i++)
+	if (!t && (msg->verb == GANG_START_RESERVE ||
+		   msg->verb == GANG_START_ABORT)) {
+		for (i = 0; i < TOKENS && msg->verb == GANG_START_RESERVE; i++)
 			if (holds(&m->tasks[i]))
 				return false; /* a gang takes it all */
 		t = find(m, 0);
 		ck_assert_ptr_nonnull(t);
 		memset(t, 0, sizeof(*t));
 		t->token = msg->token;
-		t->state = GG_RESERVED;
+		t->state = GANG_START_RESERVED;
 		t->until_us = w.now_us + MS(RESERVATION_TERM_MS);
-		if (msg->verb == GG_ABORT) {
+		if (msg->verb == GANG_START_ABORT) {
 			drop(t);
 			t->forgotten = true;
 		}
@@ -406,27 +420,27 @@
 	if (!t)
 		return false;
 	switch (msg->verb) {
-	case GG_RESERVE:
+	case GANG_START_RESERVE:
 		return holds(t);
-	case GG_COMMIT:
+	case GANG_START_COMMIT:
 		if (t->aborted)
 			return false;
-		if (t->state == GG_RESERVED) {
-			t->state = GG_BARRIER;
+		if (t->state == GANG_START_RESERVED) {
+			t->state = GANG_START_BARRIER;
 			t->until_us = w.now_us + MS(BARRIER_TERM_MS);
 		}
 		return true;
-	case GG_ABORT:
-		if (t->state <= GG_BARRIER)
+	case GANG_START_ABORT:
+		if (t->state <= GANG_START_BARRIER)
 			drop(t);
 		return t->aborted;
-	case GG_CHECKPOINT:
-		if (t->state > GG_SAVING)
+	case GANG_START_CHECKPOINT:
+		if (t->state > GANG_START_SAVING)
 			return false;
-		if (t->state < GG_RUNNING) {
+		if (t->state < GANG_START_RUNNING) {
 			drop(t);
-		} else if (t->state == GG_RUNNING) {
-			t->state = GG_SAVING;
+		} else if (t->state == GANG_START_RUNNING) {
+			t->state = GANG_START_SAVING;
 			t->save_us = w.now_us + SAVE_US;
 		}
 		return true;
@@ -442,9 +456,9 @@
 	struct task *t = find(m, msg->token);
 
 	if (msg->token && t && !t->aborted) {
-		if (msg->renew && t->state == GG_RUNNING)
+		if (msg->renew && t->state == GANG_START_RUNNING)
 			t->until_us = w.now_us + MS(GANG_LEASE_MS);
-		if (msg->go && t->state == GG_BARRIER)
+		if (msg->go && t->state == GANG_START_BARRIER)
 			pass_barrier(t);
 	}
 	t = msg->forget ? find(m, msg->forget) : NULL;
@@ -609,12 +623,13 @@
 	*slot = msg;
 }
 
-static struct msched *of(struct gg *gg)
+static struct msched *of(struct gang_start *gg)
 {
 	return (struct msched *)gg;
 }
 
-static void model_call(struct gg *gg, int member, enum gg_verb verb)
+static void model_call(struct gang_start *gg, int member,
+		       enum gang_start_verb verb)
 {
 	struct msched *s = of(gg);
 
@@ -625,30 +640,31 @@
 			 (struct msg){ 0 });
 }
 
-static void model_sync(struct gg *gg, int member)
+static void model_sync(struct gang_start *gg, int member)
 {
 	of(gg)->soon[member] = true;
 }
 
-static void model_running(struct gg *gg)
+static void model_running(struct gang_start *gg)
 {
 }
 
-static void model_gone(struct gg *gg, enum gg_end end, int failed)
+static void model_gone(struct gang_start *gg, enum gang_start_end end,
+		       int failed)
 {
 	struct msched *s = of(gg);
 
-	s->job = end == GG_END_DONE ? JOB_DONE : JOB_QUEUED;
+	s->job = end == GANG_START_END_DONE ? JOB_DONE : JOB_QUEUED;
 	s->retry_us = w.now_us + MS(500);
 	s->token = 0;
 	memset(s->calls, 0, sizeof(s->calls));
 }
 
-static const struct gg_ops model_ops = { .call = model_call,
-					 .sync = model_sync,
-					 .running = model_running,
-					 .saved = model_running,
-					 .gone = model_gone };
+static const struct gang_start_ops model_ops = { .call = model_call,
+						 .sync = model_sync,
+						 .running = model_running,
+						 .saved = model_running,
+						 .gone = model_gone };
 
 static void lead_at(struct msched *s, int epoch)
 {
@@ -659,7 +675,7 @@
 	s->valid_until_us = INT64_MAX;
 	s->job = JOB_READING;
 	s->began_us = w.now_us;
-	gg_init(&s->gg, &model_ops);
+	gang_start_init(&s->gg, &model_ops);
 	for (i = 0; i < WORKERS; i++)
 		s->heard_us[i] = w.now_us;
 }
@@ -672,25 +688,26 @@
 	s->soon[i] = false;
 	s->forget[i] = 0;
 	s->next_us[i] = w.now_us + MS(WORKER_SYNC_MS);
-	msg.renew = busy && gg_renews(&s->gg, i, w.now_us);
-	msg.go = busy && gg_goes(&s->gg, i, w.now_us);
+	msg.renew = busy && gang_start_renews(&s->gg, i, w.now_us);
+	msg.go = busy && gang_start_goes(&s->gg, i, w.now_us);
 	send_msg(s, &s->syncs[i], i, SYNC_VERB, s->token, msg);
 }
 
 /* As daemon/sched_take.c; each worker holds a half of the gang. */
 static void decide(struct msched *s)
 {
-	enum gg_state parts[WORKERS];
+	enum gang_start_state parts[WORKERS];
 	int i, j, best = 0, found = 0;
 
 	for (i = 0; i < WORKERS; i++)
 		for (j = 0; j < TOKENS; j++)
 			if (!s->seen[i][j].forgotten &&
-			    s->seen[i][j].state != GG_STOPPED)
+			    s->seen[i][j].state != GANG_START_STOPPED)
 				best = MAX(best, s->seen[i][j].token);
 	for (i = 0; i < WORKERS && best; i++) {
 		/* One that has not answered may still run its part. */
-		parts[i] = s->answered[i] ? GG_STOPPED : GG_BARRIER;
+		parts[i] = s->answered[i] ? GANG_START_STOPPED :
+					    GANG_START_BARRIER;
 		for (j = 0; j < TOKENS; j++)
 			if (s->seen[i][j].token == best) {
 				parts[i] = s->seen[i][j].state;
@@ -700,7 +717,8 @@
 	s->job = best ? JOB_ACTIVE : JOB_QUEUED;
 	s->token = best;
 	if (best)
-		gg_adopt(&s->gg, parts, WORKERS, found == WORKERS, w.now_us);
+		gang_start_adopt(&s->gg, parts, WORKERS, found == WORKERS,
+				 w.now_us);
 }
 
 static void report(struct msched *s, const struct msg *msg, int64_t sent_us)
@@ -720,19 +738,21 @@
 			continue;
 		if (t->token == s->token) {
 			found = true;
-			gg_report(&s->gg, i, true, t->state, t->saved, sent_us,
-				  w.now_us);
+			gang_start_report(&s->gg, i, true, t->state, t->saved,
+					  sent_us, w.now_us);
 		} else if (!holds(t)) {
 			s->forget[i] = t->token;
 		} else if (!s->strays[i].id && may_act(s)) {
 			send_msg(s, &s->strays[i], i,
-				 t->state >= GG_RUNNING ? GG_STOP : GG_ABORT,
+				 t->state >= GANG_START_RUNNING ?
+					 GANG_START_STOP :
+					 GANG_START_ABORT,
 				 t->token, (struct msg){ 0 });
 		}
 	}
 	if (!found && s->token)
-		gg_report(&s->gg, i, false, GG_UNKNOWN, false, sent_us,
-			  w.now_us);
+		gang_start_report(&s->gg, i, false, GANG_START_UNKNOWN, false,
+				  sent_us, w.now_us);
 }
 
 static void take_answer(const struct msg *msg)
@@ -754,8 +774,9 @@
 		if (msg->epoch <= s->epoch)
 			report(s, msg, sent_us);
 	} else if (p == &s->calls[msg->worker] && p->token == s->token) {
-		gg_answer(&s->gg, msg->worker, msg->verb,
-			  msg->epoch <= s->epoch, msg->accepted, w.now_us);
+		gang_start_answer(&s->gg, msg->worker, msg->verb,
+				  msg->epoch <= s->epoch, msg->accepted,
+				  w.now_us);
 	}
 }
 
@@ -765,7 +786,8 @@
 		return;
 	p->id = 0;
 	if (p == &s->calls[worker] && p->token == s->token)
-		gg_answer(&s->gg, worker, p->verb, false, false, w.now_us);
+		gang_start_answer(&s->gg, worker, p->verb, false, false,
+				  w.now_us);
 	else if (p == &s->syncs[worker])
 		s->next_us[worker] =
 			MIN(s->next_us[worker], w.now_us + MS(1000));
@@ -781,7 +803,7 @@
 		expire(s, &s->strays[i], i);
 		if (w.now_us - s->heard_us[i] > 2 * MS(WORKER_SYNC_MS) &&
 		    s->job == JOB_ACTIVE)
-			gg_stop(&s->gg, w.now_us);
+			gang_start_stop(&s->gg, w.now_us);
 		if (!may_act(s) || s->syncs[i].id)
 			continue;
 		if (w.now_us >= s->next_us[i] ||
@@ -808,25 +830,26 @@
 	    s->attempt < 20) {
 		s->token = s->epoch * 100 + ++s->attempt;
 		s->job = JOB_ACTIVE;
-		gg_start(&s->gg, WORKERS, w.now_us);
+		gang_start_start(&s->gg, WORKERS, w.now_us);
 	}
 	if (s->job == JOB_ACTIVE && w.plan.request && !w.acted &&
 	    w.now_us >= MS(4000)) {
 		w.acted = true;
 		if (w.plan.request == 1)
-			gg_stop(&s->gg, w.now_us);
+			gang_start_stop(&s->gg, w.now_us);
 		else
-			gg_checkpoint(&s->gg, w.now_us);
+			gang_start_checkpoint(&s->gg, w.now_us);
 	}
 	if (s->job == JOB_ACTIVE)
-		gg_tick(&s->gg, w.now_us);
+		gang_start_tick(&s->gg, w.now_us);
 }
 
 /* The checks. */
 
 static bool runs_now(const struct task *t)
 {
-	return t && (t->state == GG_RUNNING || t->state == GG_SAVING);
+	return t && (t->state == GANG_START_RUNNING ||
+		     t->state == GANG_START_SAVING);
 }
 
 /*
@@ -847,8 +870,8 @@
 				continue;
 			running++;
 			if (!other ||
-			    (!runs_now(other) && other->state != GG_DONE &&
-			     !other->saved))
+			    (!runs_now(other) &&
+			     other->state != GANG_START_DONE && !other->saved))
 				partial++;
 		}
 	}
@@ -912,7 +935,8 @@
 /* Schedulers tick as daemon/sched does, more often while a gang is busy. */
 static int64_t next_time(void)
 {
-	bool busy = gg_busy(&w.scheds[0].gg) || gg_busy(&w.scheds[1].gg);
+	bool busy = gang_start_busy(&w.scheds[0].gg) ||
+		    gang_start_busy(&w.scheds[1].gg);
 	int64_t next_us = w.now_us + MS(busy ? 100 : 500);
 	int i;
 
@@ -979,7 +1003,7 @@
 	if (!w.violation && !finished())
 		violate("something is held for ever, or the job never ends");
 	for (i = 0; i < SCHEDS; i++)
-		gg_finish(&w.scheds[i].gg);
+		gang_start_finish(&w.scheds[i].gg);
 	runs++;
 	*sent = w.sent;
 	return w.violation;
@@ -1039,7 +1063,7 @@
 
 int main(void)
 {
-	TCase *tcase = tcase_create("gg");
+	TCase *tcase = tcase_create("gang_start");
 
 	tcase_set_timeout(tcase, 120);
 	tcase_add_test(tcase, phases_wait_for_all);
@@ -1049,5 +1073,5 @@
 	tcase_add_test(tcase, checkpoint_of_all_members);
 	tcase_add_test(tcase, adoption);
 	tcase_add_test(tcase, model);
-	return run_case("gg", tcase);
+	return run_case("gang_start", tcase);
 }
