--- a/bench/bench_scale.c
+++ b/bench/bench_scale.c
@@ -93,7 +93,7 @@
 		cell_gang_init(&small[i], 0, 4, true);
 		cell_gang_add(&small[i], i, 4, CELL_ACCELERATOR);
 		if (g_rand_int_range(rnd, 0, 100) < 40)
-			gs_hold(&sc.gs, &small[i]);
+			shares_hold(&sc.gs, &small[i]);
 	}
 	for (i = 0; i < PLACEMENTS; i++) {
 		int j = g_rand_int_range(rnd, 0, workers);
@@ -102,25 +102,25 @@
 		ask.evict_level = i % 2 ? PL_NO_EVICTION : -1;
 		t = now_s();
 		if (pl_place(&sc.gs, &big, &ask)) {
-			gs_hold(&sc.gs, &big);
+			shares_hold(&sc.gs, &big);
 			t = (now_s() - t) * 1e6;
-			gs_release(&sc.gs, &big);
+			shares_release(&sc.gs, &big);
 		} else {
 			t = (now_s() - t) * 1e6;
 		}
 		cell_gang_reset(&big);
 		g_array_append_val(times, t);
 		if (small[j].held) {
-			gs_release(&sc.gs, &small[j]);
+			shares_release(&sc.gs, &small[j]);
 		} else {
 			small[j].kind = CELL_SOFT;
-			gs_hold(&sc.gs, &small[j]);
+			shares_hold(&sc.gs, &small[j]);
 		}
 	}
 	run_median(times); /* sorts */
 	p99 = g_array_index(times, double, times->len * 99 / 100);
 	for (i = 0; i < workers; i++) {
-		gs_release(&sc.gs, &small[i]);
+		shares_release(&sc.gs, &small[i]);
 		cell_gang_reset(&small[i]);
 	}
 	sc_finish(&sc);
@@ -199,9 +199,9 @@
 	print_slope("pass that finds no place", a->pass_full_ms,
 		    b->pass_full_ms, (double)b->workers / a->workers);
 	printf("bytes: worker %zu, rack %zu, job %zu, hold (task) %zu\n",
-	       sizeof(struct cell_worker) + sizeof(struct gs_worker) +
+	       sizeof(struct cell_worker) + sizeof(struct shares_worker) +
 		       sizeof(struct wh_worker) + sizeof(bool),
-	       sizeof(struct cell_rack) + sizeof(struct gs_rack),
+	       sizeof(struct cell_rack) + sizeof(struct shares_rack),
 	       sizeof(struct sc_job), sizeof(struct cell_hold));
 	printf("targets: placement p99 <= 2000 us, pass over 14000 jobs "
 	       "<= 100 ms\n");
--- a/policy/pl.c
+++ b/policy/pl.c
@@ -46,7 +46,7 @@
  * Returns the accelerators of a worker that the ask may take, and in *loss
  * the work that would be lost on it.
  */
-static int worker_room(const struct gs *gs, int worker,
+static int worker_room(const struct shares *gs, int worker,
 		       const struct pl_ask *ask, int64_t *loss)
 {
 	const struct cell_worker *w = &gs->cell->workers[worker];
@@ -57,7 +57,7 @@
 	if (!w->usable || pl_avoided(ask, worker))
 		return 0;
 	if (ask->kind == CELL_HARD) {
-		if (gs_is_bound(gs, worker))
+		if (shares_is_bound(gs, worker))
 			return 0;
 		if (gs->cell->racks[w->rack].reserved && !ask->use_reserved)
 			return 0;
@@ -85,7 +85,7 @@
  * claim could have whole, then the smallest sufficient room, then a worker
  * that holds unstoppable work already. So whole cells stay for claims.
  */
-static void rate_worker(const struct gs *gs, int worker, int need,
+static void rate_worker(const struct shares *gs, int worker, int need,
 			const struct pl_ask *ask, struct best_worker *best)
 {
 	int64_t loss, score;
@@ -117,7 +117,7 @@
 	return INT_MAX;
 }
 
-static int best_worker(struct gs *gs, int need, const struct pl_ask *ask)
+static int best_worker(struct shares *gs, int need, const struct pl_ask *ask)
 {
 	const struct cell *cell = gs->cell;
 	struct best_worker best = { .worker = -1, .score = INT64_MAX };
@@ -141,8 +141,8 @@
 /* Whole workers of one or more racks. */
 
 /* Whole workers of a rack that the ask may take, with the lost work. */
-static int rack_whole(const struct gs *gs, int rack, const struct pl_ask *ask,
-		      int64_t *loss, int *part)
+static int rack_whole(const struct shares *gs, int rack,
+		      const struct pl_ask *ask, int64_t *loss, int *part)
 {
 	const struct cell *cell = gs->cell;
 	const struct cell_rack *r = &cell->racks[rack];
@@ -181,7 +181,7 @@
 }
 
 /* Takes up to *left whole workers of a rack, those with least loss first. */
-static void take_whole(struct gs *gs, struct cell_gang *gang, int rack,
+static void take_whole(struct shares *gs, struct cell_gang *gang, int rack,
 		       const struct pl_ask *ask, int *left)
 {
 	const struct cell_rack *r = &gs->cell->racks[rack];
@@ -213,7 +213,7 @@
 }
 
 /* Places the accelerators beyond the whole workers on the best fit. */
-static bool take_part(struct gs *gs, struct cell_gang *gang, int first,
+static bool take_part(struct shares *gs, struct cell_gang *gang, int first,
 		      int last, int part, const struct pl_ask *ask)
 {
 	struct best_worker best = { .worker = -1, .score = INT64_MAX };
@@ -241,7 +241,7 @@
 }
 
 /* The rack with the least loss, then the fewest whole workers to spare. */
-static bool place_in_rack(struct gs *gs, struct cell_gang *gang, int full,
+static bool place_in_rack(struct shares *gs, struct cell_gang *gang, int full,
 			  int part, const struct pl_ask *ask)
 {
 	int64_t best_score = INT64_MAX, loss, score;
@@ -275,7 +275,7 @@
 	int64_t loss[RACKS_PER_ROW];
 };
 
-static void read_row(const struct gs *gs, struct row *row, int first,
+static void read_row(const struct shares *gs, struct row *row, int first,
 		     const struct pl_ask *ask)
 {
 	int i;
@@ -324,7 +324,7 @@
 	}
 }
 
-static bool place_in_row(struct gs *gs, struct cell_gang *gang, int full,
+static bool place_in_row(struct shares *gs, struct cell_gang *gang, int full,
 			 int part, const struct pl_ask *ask)
 {
 	struct window best = { .score = INT64_MAX };
@@ -342,7 +342,8 @@
 	return take_part(gs, gang, best.first, best.last, part, ask);
 }
 
-bool pl_place(struct gs *gs, struct cell_gang *gang, const struct pl_ask *ask)
+bool pl_place(struct shares *gs, struct cell_gang *gang,
+	      const struct pl_ask *ask)
 {
 	int size = gs->cell->worker_size;
 	int full = gang->total / size, part = gang->total % size, worker;
@@ -361,7 +362,7 @@
 	} else {
 		ok = place_in_row(gs, gang, full, part, ask);
 	}
-	if (ok && gs_may_hold(gs, gang))
+	if (ok && shares_may_hold(gs, gang))
 		return true;
 	cell_gang_reset(gang);
 	return false;
--- a/policy/pl.h
+++ b/policy/pl.h
@@ -2,7 +2,7 @@
 #define POLICY_PL_H
 
 #include "policy/docview.h"
-#include "policy/gs.h"
+#include "policy/shares.h"
 
 #define PL_NO_EVICTION INT32_MAX
 
@@ -33,21 +33,24 @@
  * holds. Returns false and leaves the gang without holds when it fits
  * nowhere. Nothing is held yet.
  */
-bool pl_place(struct gs *gs, struct cell_gang *gang, const struct pl_ask *ask);
+bool pl_place(struct shares *gs, struct cell_gang *gang,
+	      const struct pl_ask *ask);
 /*
  * Places a gang on cells of its customer's own guarantee, in use or not by
  * work that the ask may displace.
  */
-bool pl_claim(struct gs *gs, struct cell_gang *gang, const struct pl_ask *ask);
+bool pl_claim(struct shares *gs, struct cell_gang *gang,
+	      const struct pl_ask *ask);
 /*
  * Calls fn for each gang that must leave before the held gang can start,
  * least lost work first, after marking it as leaving.
  */
-int pl_victims(struct gs *gs, struct cell_gang *gang, const struct pl_ask *ask,
+int pl_victims(struct shares *gs, struct cell_gang *gang,
+	       const struct pl_ask *ask,
 	       void (*fn)(struct cell_gang *victim, void *user), void *user);
 /* Marks the racks that a large gang should wait for; returns their count. */
-int pl_reserve(struct gs *gs, int total, int64_t now_us);
-void pl_unreserve(struct gs *gs);
+int pl_reserve(struct shares *gs, int total, int64_t now_us);
+void pl_unreserve(struct shares *gs);
 /* Whether empty cells could hold a gang of that many accelerators. */
 bool pl_could_hold(const struct cell *cell, int total);
 int pl_worker_size(const struct doc_pool *pool);
@@ -56,6 +59,6 @@
  * Finds a small stoppable gang that could go on beside other work, so that
  * its own worker would become whole; NULL when there is none.
  */
-struct cell_gang *pl_move(struct gs *gs, const struct pl_ask *ask);
+struct cell_gang *pl_move(struct shares *gs, const struct pl_ask *ask);
 
 #endif
--- a/policy/plclaim.c
+++ b/policy/plclaim.c
@@ -38,7 +38,7 @@
  * Returns the accelerators of a worker that an owner can have. *loss is the
  * work that would be lost on it.
  */
-static int claim_room(const struct gs *gs, int worker, int need,
+static int claim_room(const struct shares *gs, int worker, int need,
 		      const struct pl_ask *ask, int64_t *loss)
 {
 	const struct cell_worker *w = &gs->cell->workers[worker];
@@ -69,7 +69,7 @@
 	return false;
 }
 
-static bool rack_is_whole(const struct gs *gs, int rack)
+static bool rack_is_whole(const struct shares *gs, int rack)
 {
 	return gs->racks[rack].whole == gs->cell->rack_size;
 }
@@ -85,21 +85,21 @@
 	struct claim_score score;
 };
 
-static bool in_source(const struct gs *gs, int customer, int worker,
+static bool in_source(const struct shares *gs, int customer, int worker,
 		      enum source source, struct choice *c)
 {
 	int rack = gs->cell->workers[worker].rack;
-	bool whole_worker = gs_open(gs, worker) == gs->cell->worker_size;
+	bool whole_worker = shares_open(gs, worker) == gs->cell->worker_size;
 
 	switch (source) {
 	case FROM_OWN:
-		c->cover = gs->racks[rack].bound != GS_NONE ? CELL_RACK :
-							      CELL_WORKER;
-		return gs_owner(gs, worker) == customer;
+		c->cover = gs->racks[rack].bound != SHARES_NONE ? CELL_RACK :
+								  CELL_WORKER;
+		return shares_owner(gs, worker) == customer;
 	case FROM_UNITS:
 		c->cover = CELL_ACCELERATOR;
 		c->score.breaks = whole_worker + rack_is_whole(gs, rack);
-		return !gs_is_bound(gs, worker);
+		return !shares_is_bound(gs, worker);
 	case FROM_WORKER:
 		c->cover = CELL_WORKER;
 		c->score.breaks = rack_is_whole(gs, rack);
@@ -111,7 +111,7 @@
 }
 
 /* Chooses a worker with need accelerators from the source. */
-static bool choose_worker(const struct gs *gs, const struct cell_gang *gang,
+static bool choose_worker(const struct shares *gs, const struct cell_gang *gang,
 			  int need, enum source source,
 			  const struct pl_ask *ask, struct choice *best)
 {
@@ -135,18 +135,18 @@
 	return best->worker >= 0;
 }
 
-static int units_of(const struct gs *gs, int customer, enum source source,
+static int units_of(const struct shares *gs, int customer, enum source source,
 		    int need)
 {
 	switch (source) {
 	case FROM_OWN:
 		return 1;
 	case FROM_UNITS:
-		return gs_left(gs, customer, CELL_ACCELERATOR) >= need;
+		return shares_left(gs, customer, CELL_ACCELERATOR) >= need;
 	case FROM_WORKER:
-		return gs_left(gs, customer, CELL_WORKER);
+		return shares_left(gs, customer, CELL_WORKER);
 	default:
-		return gs_left(gs, customer, CELL_RACK);
+		return shares_left(gs, customer, CELL_RACK);
 	}
 }
 
@@ -154,7 +154,7 @@
  * Tries the sources in turn. Several accelerator units on one worker may
  * take a whole worker that the proof needs; then the next source is tried.
  */
-static bool claim_part(struct gs *gs, struct cell_gang *gang, int need,
+static bool claim_part(struct shares *gs, struct cell_gang *gang, int need,
 		       const struct pl_ask *ask)
 {
 	struct choice best;
@@ -166,7 +166,7 @@
 		if (!choose_worker(gs, gang, need, source, ask, &best))
 			continue;
 		cell_gang_add(gang, best.worker, need, best.cover);
-		if (gs_may_hold(gs, gang))
+		if (shares_may_hold(gs, gang))
 			return true;
 		cell_gang_reset(gang);
 	}
@@ -177,13 +177,13 @@
  * Accelerator units promise no common worker, so a gang that finds none may
  * be spread.
  */
-static bool claim_spread(struct gs *gs, struct cell_gang *gang,
+static bool claim_spread(struct shares *gs, struct cell_gang *gang,
 			 const struct pl_ask *ask)
 {
 	int need = gang->total, part;
 	struct choice best;
 
-	if (gs_left(gs, gang->customer, CELL_ACCELERATOR) < need)
+	if (shares_left(gs, gang->customer, CELL_ACCELERATOR) < need)
 		return false;
 	while (need > 0) {
 		for (part = MIN(need, gs->cell->worker_size); part > 0; part--)
@@ -201,7 +201,7 @@
 /* Whole workers. */
 
 /* Adds the workers of a rack that the owner can have whole. */
-static void take_rack(struct gs *gs, struct cell_gang *gang, int rack,
+static void take_rack(struct shares *gs, struct cell_gang *gang, int rack,
 		      const struct pl_ask *ask, int *left)
 {
 	const struct cell_rack *r = &gs->cell->racks[rack];
@@ -220,7 +220,8 @@
 }
 
 /* Accelerators of a bound rack that its owner does not use. */
-static int rack_room(const struct gs *gs, int rack, const struct pl_ask *ask)
+static int rack_room(const struct shares *gs, int rack,
+		     const struct pl_ask *ask)
 {
 	const struct cell_rack *r = &gs->cell->racks[rack];
 	int room = 0, i;
@@ -233,7 +234,7 @@
 	return room;
 }
 
-static int64_t rack_loss(const struct gs *gs, int rack,
+static int64_t rack_loss(const struct shares *gs, int rack,
 			 const struct pl_ask *ask)
 {
 	const struct cell_rack *r = &gs->cell->racks[rack];
@@ -252,7 +253,7 @@
  * Returns the whole unbound rack to bind next: the nearest to the last one
  * of the gang in the same row, then that with the least lost work; or -1.
  */
-static int choose_rack(const struct gs *gs, const struct cell_gang *gang,
+static int choose_rack(const struct shares *gs, const struct cell_gang *gang,
 		       const bool *used, int last, const struct pl_ask *ask)
 {
 	int64_t best_loss = INT64_MAX, loss;
@@ -279,7 +280,7 @@
 }
 
 /* The owner's bound rack with the least room that is at least need. */
-static int fitting_rack(const struct gs *gs, int customer, int need,
+static int fitting_rack(const struct shares *gs, int customer, int need,
 			const struct pl_ask *ask)
 {
 	int best = -1, best_room = INT_MAX, i, room;
@@ -305,7 +306,8 @@
 	const struct pl_ask *ask;
 };
 
-static bool gather_rack(struct gs *gs, struct cell_gang *gang, struct gather *g)
+static bool gather_rack(struct shares *gs, struct cell_gang *gang,
+			struct gather *g)
 {
 	int rack;
 
@@ -321,7 +323,8 @@
 	return true;
 }
 
-static void gather_own(struct gs *gs, struct cell_gang *gang, struct gather *g)
+static void gather_own(struct shares *gs, struct cell_gang *gang,
+		       struct gather *g)
 {
 	int i;
 
@@ -331,7 +334,7 @@
 }
 
 /* Whole workers outside of the racks that this claim binds. */
-static void gather_workers(struct gs *gs, struct cell_gang *gang,
+static void gather_workers(struct shares *gs, struct cell_gang *gang,
 			   struct gather *g)
 {
 	struct choice best;
@@ -367,7 +370,7 @@
  * else whatever units the customer has left, whole racks first. Units of a
  * guarantee promise no neighbourhood beyond the unit itself.
  */
-static bool claim_whole(struct gs *gs, struct cell_gang *gang,
+static bool claim_whole(struct shares *gs, struct cell_gang *gang,
 			const struct pl_ask *ask)
 {
 	int rack_accelerators = gs->cell->worker_size * gs->cell->rack_size;
@@ -379,8 +382,8 @@
 		return g.left == 0;
 	}
 	g.used = g_new0(bool, gs->rack_count + 1);
-	g.racks_left = gs_left(gs, gang->customer, CELL_RACK);
-	g.workers_left = gs_left(gs, gang->customer, CELL_WORKER);
+	g.racks_left = shares_left(gs, gang->customer, CELL_RACK);
+	g.workers_left = shares_left(gs, gang->customer, CELL_WORKER);
 	while (g.left >= rack_accelerators && gather_rack(gs, gang, &g))
 		;
 	if (g.left > 0 && g.left <= rack_accelerators)
@@ -393,7 +396,7 @@
 	return g.left == 0;
 }
 
-static bool claim(struct gs *gs, struct cell_gang *gang,
+static bool claim(struct shares *gs, struct cell_gang *gang,
 		  const struct pl_ask *ask)
 {
 	bool ok;
@@ -409,7 +412,7 @@
 	} else {
 		ok = claim_whole(gs, gang, ask);
 	}
-	if (ok && gs_may_hold(gs, gang))
+	if (ok && shares_may_hold(gs, gang))
 		return true;
 	cell_gang_reset(gang);
 	return false;
@@ -419,7 +422,8 @@
  * Workers where the job failed are avoided, but not at the price of the
  * guarantee.
  */
-bool pl_claim(struct gs *gs, struct cell_gang *gang, const struct pl_ask *ask)
+bool pl_claim(struct shares *gs, struct cell_gang *gang,
+	      const struct pl_ask *ask)
 {
 	struct pl_ask any = *ask;
 
--- a/policy/plvict.c
+++ b/policy/plvict.c
@@ -17,7 +17,7 @@
  * Lets gangs leave one worker until nothing is held beyond its size. Work
  * that is leaving already counts as gone.
  */
-static int worker_victims(struct gs *gs, const struct cell_gang *gang,
+static int worker_victims(struct shares *gs, const struct cell_gang *gang,
 			  int worker, const struct pl_ask *ask,
 			  void (*fn)(struct cell_gang *, void *), void *user)
 {
@@ -47,7 +47,8 @@
 	return asked;
 }
 
-int pl_victims(struct gs *gs, struct cell_gang *gang, const struct pl_ask *ask,
+int pl_victims(struct shares *gs, struct cell_gang *gang,
+	       const struct pl_ask *ask,
 	       void (*fn)(struct cell_gang *victim, void *user), void *user)
 {
 	int i, asked = 0;
@@ -60,7 +61,7 @@
 
 /* Reservation. */
 
-void pl_unreserve(struct gs *gs)
+void pl_unreserve(struct shares *gs)
 {
 	int i;
 
@@ -72,7 +73,7 @@
  * Prefers the racks where most workers could be had whole by stopping what
  * is stoppable; unstoppable work is then kept out of them.
  */
-int pl_reserve(struct gs *gs, int total, int64_t now_us)
+int pl_reserve(struct shares *gs, int total, int64_t now_us)
 {
 	struct pl_ask ask = {
 		.kind = CELL_HARD,
@@ -101,7 +102,7 @@
 /* Moves. */
 
 /* The only gang of a worker when it is stoppable and runs nowhere else. */
-static struct cell_gang *lone_gang(const struct gs *gs, int worker,
+static struct cell_gang *lone_gang(const struct shares *gs, int worker,
 				   const struct pl_ask *ask)
 {
 	const struct cell_worker *w = &gs->cell->workers[worker];
@@ -132,7 +133,7 @@
  * Returns the gang that loses least among those that could go on beside
  * other work, leaving a whole free worker behind, or NULL.
  */
-struct cell_gang *pl_move(struct gs *gs, const struct pl_ask *ask)
+struct cell_gang *pl_move(struct shares *gs, const struct pl_ask *ask)
 {
 	struct cell_gang *best = NULL, *gang;
 	int i;
--- a/policy/sc.c
+++ b/policy/sc.c
@@ -12,7 +12,7 @@
 	memset(sc, 0, sizeof(*sc));
 	sc->ops = ops;
 	cell_init(&sc->cell, worker_size, rack_size);
-	gs_init(&sc->gs, &sc->cell, 0);
+	shares_init(&sc->gs, &sc->cell, 0);
 	wh_init(&sc->wh, 0);
 	list_init(&sc->waiting);
 	list_init(&sc->running);
@@ -23,7 +23,7 @@
 void sc_finish(struct sc *sc)
 {
 	wh_finish(&sc->wh);
-	gs_finish(&sc->gs);
+	shares_finish(&sc->gs);
 	cell_finish(&sc->cell);
 	g_free(sc->live);
 	g_free(sc->customers);
@@ -39,7 +39,7 @@
 
 	if (worker < 0)
 		return -1;
-	gs_workers_added(&sc->gs);
+	shares_workers_added(&sc->gs);
 	wh_add_workers(&sc->wh, worker + 1);
 	if ((worker & (worker - 1)) == 0)
 		sc->live = g_renew(bool, sc->live, MAX(1, worker * 2));
@@ -49,7 +49,7 @@
 
 static void report_broken(struct sc *sc)
 {
-	bool broken = gs_broken(&sc->gs);
+	bool broken = shares_broken(&sc->gs);
 
 	if (broken == sc->broken)
 		return;
@@ -59,8 +59,8 @@
 
 static void update_usable(struct sc *sc, int worker)
 {
-	gs_set_usable(&sc->gs, worker,
-		      sc->live[worker] && wh_usable(&sc->wh, worker));
+	shares_set_usable(&sc->gs, worker,
+			  sc->live[worker] && wh_usable(&sc->wh, worker));
 	report_broken(sc);
 }
 
@@ -137,7 +137,7 @@
 	g_free(sc->customers);
 	sc->customers = table;
 	sc->sheltered = g_renew(bool, sc->sheltered, n + 1);
-	gs_add_customers(&sc->gs, n + 1);
+	shares_add_customers(&sc->gs, n + 1);
 	return n;
 }
 
@@ -149,7 +149,7 @@
 	c->weight = MAX(1, weight);
 	c->quota = quota;
 	c->removed = false;
-	gs_set_guarantee(&sc->gs, customer, units);
+	shares_set_guarantee(&sc->gs, customer, units);
 	report_broken(sc);
 }
 
@@ -179,7 +179,7 @@
 	int i;
 
 	c->removed = true;
-	gs_set_guarantee(&sc->gs, customer, none);
+	shares_set_guarantee(&sc->gs, customer, none);
 	report_broken(sc);
 	cancel_list(sc, &c->urgent, now_us);
 	for (i = 0; i < SC_QUEUES; i++)
@@ -244,7 +244,7 @@
 
 	if (job->gang.held) {
 		sc->customers[job->gang.customer].held -= job->gang.total;
-		gs_release(&sc->gs, &job->gang);
+		shares_release(&sc->gs, &job->gang);
 		for (i = 0; i < job->gang.hold_count; i++) {
 			int worker = job->gang.holds[i].worker;
 
@@ -333,7 +333,7 @@
 
 	unqueue(sc, job);
 	sc->customers[job->gang.customer].held += job->gang.total;
-	gs_hold(&sc->gs, &job->gang);
+	shares_hold(&sc->gs, &job->gang);
 	for (i = 0; i < job->gang.hold_count; i++) {
 		int worker = job->gang.holds[i].worker;
 
--- a/policy/sc.h
+++ b/policy/sc.h
@@ -1,7 +1,7 @@
 #ifndef POLICY_SC_H
 #define POLICY_SC_H
 
-#include "policy/gs.h"
+#include "policy/shares.h"
 #include "policy/wh.h"
 
 enum sc_state {
@@ -82,7 +82,7 @@
 struct sc {
 	const struct sc_ops *ops;
 	struct cell cell;
-	struct gs gs;
+	struct shares gs;
 	struct wh wh;
 	bool *live; /* per worker */
 	struct sc_customer *customers;
--- a/policy/scpass.c
+++ b/policy/scpass.c
@@ -183,7 +183,7 @@
 {
 	struct sc *sc = p->sc;
 	struct pl_ask ask = make_ask(p, job);
-	bool room = gs_accelerators_left(&sc->gs, job->gang.customer) >=
+	bool room = shares_accelerators_left(&sc->gs, job->gang.customer) >=
 		    job->gang.total;
 
 	/* Work beyond the guarantee waits for its customer's turn. */
@@ -432,7 +432,7 @@
 		return;
 	for (i = 0; i < sc->cell.worker_count; i++)
 		if (wh_tick(&sc->wh, i, p->now_us))
-			gs_set_usable(&sc->gs, i, sc->live[i]);
+			shares_set_usable(&sc->gs, i, sc->live[i]);
 }
 
 /*
--- a/policy/gs.c
+++ b/policy/shares.c
@@ -1,19 +1,19 @@
-#include "policy/gs.h"
+#include "policy/shares.h"
 
 #include <string.h>
 
 #include <glib.h>
 
 /* The cells may already have workers; customers start without guarantees. */
-void gs_init(struct gs *gs, struct cell *cell, int customers)
+void shares_init(struct shares *gs, struct cell *cell, int customers)
 {
 	memset(gs, 0, sizeof(*gs));
 	gs->cell = cell;
-	gs_add_customers(gs, customers);
-	gs_workers_added(gs);
+	shares_add_customers(gs, customers);
+	shares_workers_added(gs);
 }
 
-void gs_finish(struct gs *gs)
+void shares_finish(struct shares *gs)
 {
 	g_free(gs->customers);
 	g_free(gs->workers);
@@ -22,14 +22,14 @@
 }
 
 /* Grows the table to that many customers; owned lists move with it. */
-void gs_add_customers(struct gs *gs, int customers)
+void shares_add_customers(struct shares *gs, int customers)
 {
-	struct gs_customer *table;
+	struct shares_customer *table;
 	int i;
 
 	if (customers <= gs->customer_count)
 		return;
-	table = g_new0(struct gs_customer, customers);
+	table = g_new0(struct shares_customer, customers);
 	for (i = 0; i < customers; i++) {
 		struct list_head *head = &table[i].owned;
 
@@ -50,27 +50,27 @@
 
 /* What claims can have. */
 
-bool gs_is_bound(const struct gs *gs, int worker)
+bool shares_is_bound(const struct shares *gs, int worker)
 {
-	return gs_owner(gs, worker) != GS_NONE;
+	return shares_owner(gs, worker) != SHARES_NONE;
 }
 
 /* Returns the customer whose bound cell contains the worker. */
-int gs_owner(const struct gs *gs, int worker)
+int shares_owner(const struct shares *gs, int worker)
 {
 	int rack = gs->cell->workers[worker].rack;
 
-	if (gs->racks[rack].bound != GS_NONE)
+	if (gs->racks[rack].bound != SHARES_NONE)
 		return gs->racks[rack].bound;
 	return gs->workers[worker].bound;
 }
 
 /* Accelerators of a worker that a claim for an unbound cell could have. */
-int gs_open(const struct gs *gs, int worker)
+int shares_open(const struct shares *gs, int worker)
 {
 	const struct cell_worker *w = &gs->cell->workers[worker];
 
-	if (!w->usable || gs_is_bound(gs, worker))
+	if (!w->usable || shares_is_bound(gs, worker))
 		return 0;
 	return w->total - gs->workers[worker].hard;
 }
@@ -79,11 +79,11 @@
  * Adds (sign 1) or takes away (-1) a worker's part of the counts of what
  * claims can have. A rack counts when all of its workers are whole.
  */
-static void count_worker(struct gs *gs, int worker, int sign)
+static void count_worker(struct shares *gs, int worker, int sign)
 {
 	struct cell *cell = gs->cell;
-	struct gs_rack *rack = &gs->racks[cell->workers[worker].rack];
-	int open = gs_open(gs, worker);
+	struct shares_rack *rack = &gs->racks[cell->workers[worker].rack];
+	int open = shares_open(gs, worker);
 
 	if (!cell->workers[worker].usable)
 		rack->down += sign;
@@ -98,7 +98,7 @@
 		gs->have[CELL_RACK]++;
 }
 
-static void count_rack(struct gs *gs, int rack, int sign)
+static void count_rack(struct shares *gs, int rack, int sign)
 {
 	const struct cell_rack *r = &gs->cell->racks[rack];
 	int i;
@@ -107,45 +107,46 @@
 		count_worker(gs, r->workers[i], sign);
 }
 
-static bool is_down(const struct gs *gs, int worker)
+static bool is_down(const struct shares *gs, int worker)
 {
 	return !gs->cell->workers[worker].usable;
 }
 
-static void count_broken(struct gs *gs, int worker, int sign)
+static void count_broken(struct shares *gs, int worker, int sign)
 {
 	int rack = gs->cell->workers[worker].rack;
 
-	if (gs->racks[rack].bound != GS_NONE) {
+	if (gs->racks[rack].bound != SHARES_NONE) {
 		if (gs->racks[rack].down)
 			gs->broken_cells += sign;
 	} else if (is_down(gs, worker)) {
 		gs->broken_cells +=
 			sign * (gs->workers[worker].unit_used +
-				(gs->workers[worker].bound != GS_NONE));
+				(gs->workers[worker].bound != SHARES_NONE));
 	}
 }
 
 /* Takes in the workers that were added to the cells since the last call. */
-void gs_workers_added(struct gs *gs)
+void shares_workers_added(struct shares *gs)
 {
 	int i;
 
-	gs->workers =
-		g_renew(struct gs_worker, gs->workers, gs->cell->worker_count);
-	gs->racks = g_renew(struct gs_rack, gs->racks, gs->cell->rack_count);
+	gs->workers = g_renew(struct shares_worker, gs->workers,
+			      gs->cell->worker_count);
+	gs->racks =
+		g_renew(struct shares_rack, gs->racks, gs->cell->rack_count);
 	for (i = gs->rack_count; i < gs->cell->rack_count; i++)
-		gs->racks[i] = (struct gs_rack){ .bound = GS_NONE };
+		gs->racks[i] = (struct shares_rack){ .bound = SHARES_NONE };
 	gs->rack_count = gs->cell->rack_count;
 	for (i = gs->worker_count; i < gs->cell->worker_count; i++) {
-		gs->workers[i] = (struct gs_worker){ .bound = GS_NONE };
+		gs->workers[i] = (struct shares_worker){ .bound = SHARES_NONE };
 		gs->worker_count = i + 1;
 		count_worker(gs, i, 1);
 	}
 }
 
 /* Marks a worker as usable or not, here and in the cells. */
-void gs_set_usable(struct gs *gs, int worker, bool usable)
+void shares_set_usable(struct shares *gs, int worker, bool usable)
 {
 	if (gs->cell->workers[worker].usable == usable)
 		return;
@@ -164,7 +165,7 @@
  * then whole workers from what is left, then single accelerators; since all
  * racks and all whole workers have one size, the order is no restriction.
  */
-int gs_missing(const struct gs *gs, enum cell_unit unit)
+int shares_missing(const struct shares *gs, enum cell_unit unit)
 {
 	int need = gs->need[CELL_RACK];
 
@@ -177,48 +178,50 @@
 }
 
 /* Whether all guaranteed cells not in use could be claimed at once. */
-bool gs_proved(const struct gs *gs)
+bool shares_proved(const struct shares *gs)
 {
-	return !gs_missing(gs, CELL_RACK) && !gs_missing(gs, CELL_WORKER) &&
-	       !gs_missing(gs, CELL_ACCELERATOR);
+	return !shares_missing(gs, CELL_RACK) &&
+	       !shares_missing(gs, CELL_WORKER) &&
+	       !shares_missing(gs, CELL_ACCELERATOR);
 }
 
 /* Whether a guarantee can't be met, also in a cell that its owner uses. */
-bool gs_broken(const struct gs *gs)
+bool shares_broken(const struct shares *gs)
 {
-	return !gs_proved(gs) || gs->broken_cells > 0;
+	return !shares_proved(gs) || gs->broken_cells > 0;
 }
 
 /* Units of a customer's guarantee that it does not use now. */
-int gs_left(const struct gs *gs, int customer, enum cell_unit unit)
+int shares_left(const struct shares *gs, int customer, enum cell_unit unit)
 {
-	const struct gs_customer *c = &gs->customers[customer];
+	const struct shares_customer *c = &gs->customers[customer];
 
 	return MAX(0, c->guaranteed[unit] - c->used[unit]);
 }
 
 /* Accelerators of the guarantee that no owned gang holds. */
-int gs_accelerators_left(const struct gs *gs, int customer)
+int shares_accelerators_left(const struct shares *gs, int customer)
 {
-	const struct gs_customer *c = &gs->customers[customer];
+	const struct shares_customer *c = &gs->customers[customer];
 	int n = c->guaranteed[CELL_RACK] * gs->cell->rack_size;
 
 	n = (n + c->guaranteed[CELL_WORKER]) * gs->cell->worker_size;
 	return n + c->guaranteed[CELL_ACCELERATOR] - c->held;
 }
 
-static void use_units(struct gs *gs, int customer, enum cell_unit unit, int n)
+static void use_units(struct shares *gs, int customer, enum cell_unit unit,
+		      int n)
 {
-	struct gs_customer *c = &gs->customers[customer];
+	struct shares_customer *c = &gs->customers[customer];
 
-	gs->need[unit] -= gs_left(gs, customer, unit);
+	gs->need[unit] -= shares_left(gs, customer, unit);
 	c->used[unit] += n;
-	gs->need[unit] += gs_left(gs, customer, unit);
+	gs->need[unit] += shares_left(gs, customer, unit);
 }
 
 /* Holding. */
 
-static void add_hard(struct gs *gs, int worker, int n)
+static void add_hard(struct shares *gs, int worker, int n)
 {
 	count_worker(gs, worker, -1);
 	gs->workers[worker].hard += n;
@@ -226,42 +229,42 @@
 }
 
 /* Adds n accelerators of its owner to a worker cell, binding it at first. */
-static void use_worker(struct gs *gs, int customer, int worker, int n)
+static void use_worker(struct shares *gs, int customer, int worker, int n)
 {
-	struct gs_worker *w = &gs->workers[worker];
+	struct shares_worker *w = &gs->workers[worker];
 	bool bound;
 
 	w->owner_used += n;
 	bound = w->owner_used > 0;
-	if (bound == (w->bound != GS_NONE))
+	if (bound == (w->bound != SHARES_NONE))
 		return;
 	count_broken(gs, worker, -1);
 	count_worker(gs, worker, -1);
-	w->bound = bound ? customer : GS_NONE;
+	w->bound = bound ? customer : SHARES_NONE;
 	count_worker(gs, worker, 1);
 	count_broken(gs, worker, 1);
 	use_units(gs, customer, CELL_WORKER, bound ? 1 : -1);
 }
 
-static void use_rack(struct gs *gs, int customer, int worker, int n)
+static void use_rack(struct shares *gs, int customer, int worker, int n)
 {
 	int rack = gs->cell->workers[worker].rack;
-	struct gs_rack *r = &gs->racks[rack];
+	struct shares_rack *r = &gs->racks[rack];
 	bool bound;
 
 	r->owner_used += n;
 	bound = r->owner_used > 0;
-	if (bound == (r->bound != GS_NONE))
+	if (bound == (r->bound != SHARES_NONE))
 		return;
 	count_broken(gs, worker, -1);
 	count_rack(gs, rack, -1);
-	r->bound = bound ? customer : GS_NONE;
+	r->bound = bound ? customer : SHARES_NONE;
 	count_rack(gs, rack, 1);
 	count_broken(gs, worker, 1);
 	use_units(gs, customer, CELL_RACK, bound ? 1 : -1);
 }
 
-static void apply_hold(struct gs *gs, const struct cell_gang *gang,
+static void apply_hold(struct shares *gs, const struct cell_gang *gang,
 		       const struct cell_hold *hold, int sign)
 {
 	int n = sign * hold->count;
@@ -287,7 +290,7 @@
 	}
 }
 
-static void apply(struct gs *gs, const struct cell_gang *gang, int sign)
+static void apply(struct shares *gs, const struct cell_gang *gang, int sign)
 {
 	int i;
 
@@ -300,7 +303,7 @@
  * failure has broken it already, makes nothing worse. Stoppable borrowed
  * work always does; unstoppable work must not enter a bound cell.
  */
-bool gs_may_hold(struct gs *gs, struct cell_gang *gang)
+bool shares_may_hold(struct shares *gs, struct cell_gang *gang)
 {
 	int before[CELL_UNITS], unit, i;
 	bool ok = true;
@@ -309,18 +312,18 @@
 		return true;
 	for (i = 0; i < gang->hold_count; i++)
 		if (gang->kind == CELL_HARD &&
-		    gs_is_bound(gs, gang->holds[i].worker))
+		    shares_is_bound(gs, gang->holds[i].worker))
 			return false;
 	for (unit = 0; unit < CELL_UNITS; unit++)
-		before[unit] = gs_missing(gs, unit);
+		before[unit] = shares_missing(gs, unit);
 	apply(gs, gang, 1);
 	for (unit = 0; unit < CELL_UNITS; unit++)
-		ok = ok && gs_missing(gs, unit) <= before[unit];
+		ok = ok && shares_missing(gs, unit) <= before[unit];
 	apply(gs, gang, -1);
 	return ok;
 }
 
-void gs_hold(struct gs *gs, struct cell_gang *gang)
+void shares_hold(struct shares *gs, struct cell_gang *gang)
 {
 	apply(gs, gang, 1);
 	cell_hold(gs->cell, gang);
@@ -329,7 +332,7 @@
 			      &gs->customers[gang->customer].owned);
 }
 
-void gs_release(struct gs *gs, struct cell_gang *gang)
+void shares_release(struct shares *gs, struct cell_gang *gang)
 {
 	if (!gang->held)
 		return;
@@ -344,7 +347,7 @@
  * Takes the cover off a hold. The gang stays owned while another hold is
  * covered, since stopping it would take a guaranteed place from its owner.
  */
-static void uncover(struct gs *gs, struct cell_gang *gang,
+static void uncover(struct shares *gs, struct cell_gang *gang,
 		    struct cell_hold *hold)
 {
 	int i;
@@ -361,7 +364,7 @@
 	list_del(&gang->owned);
 }
 
-static int hold_place(const struct gs *gs, const struct cell_hold *hold)
+static int hold_place(const struct shares *gs, const struct cell_hold *hold)
 {
 	if (hold->cover == CELL_RACK)
 		return gs->cell->workers[hold->worker].rack;
@@ -369,7 +372,7 @@
 }
 
 /* Uncovers the holds of a gang in one cell. Returns how many there were. */
-static int uncover_place(struct gs *gs, struct cell_gang *gang,
+static int uncover_place(struct shares *gs, struct cell_gang *gang,
 			 enum cell_unit unit, int place)
 {
 	int i, found = 0;
@@ -386,8 +389,8 @@
 }
 
 /* Returns the place of the latest hold that the unit covers, or -1. */
-static int covered_place(const struct gs *gs, const struct gs_customer *c,
-			 enum cell_unit unit)
+static int covered_place(const struct shares *gs,
+			 const struct shares_customer *c, enum cell_unit unit)
 {
 	const struct list_head *node;
 	int i;
@@ -407,7 +410,8 @@
  * Frees one cell of the unit from use under the customer's guarantee. The
  * work in it goes on as borrowed work. Returns the number of gangs.
  */
-static int drop_cell(struct gs *gs, struct gs_customer *c, enum cell_unit unit)
+static int drop_cell(struct shares *gs, struct shares_customer *c,
+		     enum cell_unit unit)
 {
 	struct cell_gang *gang, *tmp;
 	int place = covered_place(gs, c, unit), dropped = 0;
@@ -422,15 +426,16 @@
  * guarantee goes on as borrowed work. Returns the number of gangs that
  * became borrowed at least in part.
  */
-int gs_set_guarantee(struct gs *gs, int customer, const int units[CELL_UNITS])
+int shares_set_guarantee(struct shares *gs, int customer,
+			 const int units[CELL_UNITS])
 {
-	struct gs_customer *c = &gs->customers[customer];
+	struct shares_customer *c = &gs->customers[customer];
 	int unit, n, dropped = 0;
 
 	for (unit = 0; unit < CELL_UNITS; unit++) {
-		gs->need[unit] -= gs_left(gs, customer, unit);
+		gs->need[unit] -= shares_left(gs, customer, unit);
 		c->guaranteed[unit] = units[unit];
-		gs->need[unit] += gs_left(gs, customer, unit);
+		gs->need[unit] += shares_left(gs, customer, unit);
 	}
 	for (unit = 0; unit < CELL_UNITS; unit++)
 		while (c->used[unit] > c->guaranteed[unit]) {
--- a/tests/unit/test_pl.c
+++ b/tests/unit/test_pl.c
@@ -9,7 +9,7 @@
 #define WORKERS 160
 
 static struct cell cell;
-static struct gs gs;
+static struct shares gs;
 static struct pl_ask ask;
 
 static void setup(void)
@@ -19,7 +19,7 @@
 	cell_init(&cell, 8, WORKERS_PER_RACK);
 	for (i = 0; i < WORKERS; i++)
 		cell_add_worker(&cell, i / 8, 8);
-	gs_init(&gs, &cell, 2);
+	shares_init(&gs, &cell, 2);
 	ask = (struct pl_ask){ .kind = CELL_SOFT,
 			       .evict_level = PL_NO_EVICTION,
 			       .before_us = 100,
@@ -28,7 +28,7 @@
 
 static void teardown(void)
 {
-	gs_finish(&gs);
+	shares_finish(&gs);
 	cell_finish(&cell);
 }
 
@@ -37,13 +37,13 @@
 	cell_gang_init(g, 0, total, true);
 	if (!pl_place(&gs, g, &ask))
 		return false;
-	gs_hold(&gs, g);
+	shares_hold(&gs, g);
 	return true;
 }
 
 static void end(struct cell_gang *g)
 {
-	gs_release(&gs, g);
+	shares_release(&gs, g);
 	cell_gang_reset(g);
 }
 
--- a/tests/unit/test_gs.c
+++ b/tests/unit/test_shares.c
@@ -70,7 +70,7 @@
 
 struct world {
 	struct cell cell;
-	struct gs gs;
+	struct shares gs;
 	struct cell_gang gangs[GANGS];
 	GRand *rnd;
 	bool down[WORKERS];
@@ -126,7 +126,7 @@
 
 static void remove_victim(struct cell_gang *victim, void *user)
 {
-	gs_release(user, victim);
+	shares_release(user, victim);
 	cell_gang_reset(victim);
 }
 
@@ -135,7 +135,7 @@
 {
 	int customer = g_rand_int_range(w->rnd, 0, CUSTOMERS);
 	int total = g_rand_int_range(w->rnd, 1, 9), unit;
-	bool proved = gs_proved(&w->gs);
+	bool proved = shares_proved(&w->gs);
 	struct pl_ask ask = { .evict_level = PL_NO_EVICTION, .reclaim = true };
 
 	ask.customer = customer;
@@ -147,14 +147,14 @@
 						     SIZE * RACK_SIZE };
 			struct cell_gang probe;
 
-			if (!proved || !gs_left(&w->gs, customer, unit))
+			if (!proved || !shares_left(&w->gs, customer, unit))
 				continue;
 			cell_gang_init(&probe, customer, sizes[unit], false);
 			ck_assert(pl_claim(&w->gs, &probe, &ask));
 			cell_gang_reset(&probe);
 		}
 		if (pl_claim(&w->gs, g, &ask)) {
-			gs_hold(&w->gs, g);
+			shares_hold(&w->gs, g);
 			pl_victims(&w->gs, g, &ask, remove_victim, &w->gs);
 			ck_assert(cell_clear(&w->cell, g));
 		}
@@ -162,7 +162,7 @@
 	}
 	ask.kind = g->stoppable ? CELL_SOFT : CELL_HARD;
 	if (pl_place(&w->gs, g, &ask)) {
-		gs_hold(&w->gs, g);
+		shares_hold(&w->gs, g);
 		ck_assert(cell_clear(&w->cell, g));
 	}
 }
@@ -177,7 +177,7 @@
 	for (i = 0; i < WORKERS; i++)
 		cell_add_worker(&w->cell, i / RACK_SIZE,
 				seed % 3 == 0 && i == WORKERS - 1 ? 1 : SIZE);
-	gs_init(&w->gs, &w->cell, CUSTOMERS);
+	shares_init(&w->gs, &w->cell, CUSTOMERS);
 	for (i = 0; i < GANGS; i++)
 		cell_gang_init(&w->gangs[i], 0, 0, true);
 }
@@ -187,13 +187,13 @@
 	int i;
 
 	for (i = 0; i < GANGS; i++) {
-		gs_release(&w->gs, &w->gangs[i]);
+		shares_release(&w->gs, &w->gangs[i]);
 		cell_gang_reset(&w->gangs[i]);
 	}
 	for (i = 0; i < CUSTOMERS; i++)
 		for (int u = 0; u < CELL_UNITS; u++)
 			ck_assert_int_eq(w->gs.customers[i].used[u], 0);
-	gs_finish(&w->gs);
+	shares_finish(&w->gs);
 	cell_finish(&w->cell);
 	g_rand_free(w->rnd);
 }
@@ -204,7 +204,8 @@
 				  g_rand_int_range(w->rnd, 0, 2),
 				  g_rand_int_range(w->rnd, 0, 2) };
 
-	gs_set_guarantee(&w->gs, g_rand_int_range(w->rnd, 0, CUSTOMERS), units);
+	shares_set_guarantee(&w->gs, g_rand_int_range(w->rnd, 0, CUSTOMERS),
+			     units);
 }
 
 /* One random change; returns whether it may break the proof. */
@@ -220,11 +221,11 @@
 	if (what == 1) {
 		i = g_rand_int_range(w->rnd, 0, WORKERS);
 		w->down[i] = !w->down[i];
-		gs_set_usable(&w->gs, i, !w->down[i]);
+		shares_set_usable(&w->gs, i, !w->down[i]);
 		return true;
 	}
 	if (g->held) {
-		gs_release(&w->gs, g);
+		shares_release(&w->gs, g);
 		cell_gang_reset(g);
 	} else {
 		start(w, g);
@@ -246,17 +247,17 @@
 		world_init(&w, seed);
 		change_guarantee(&w);
 		for (i = 0; i < 200; i++) {
-			bool before = !gs_broken(&w.gs);
+			bool before = !shares_broken(&w.gs);
 			bool may_break = step(&w);
 
-			ck_assert_msg(gs_proved(&w.gs) == brute_proved(&w),
+			ck_assert_msg(shares_proved(&w.gs) == brute_proved(&w),
 				      "seed %d step %d", seed, i);
 			if (before && !may_break)
-				ck_assert_msg(gs_proved(&w.gs),
+				ck_assert_msg(shares_proved(&w.gs),
 					      "seed %d step %d broken", seed,
 					      i);
 			cases++;
-			proved += gs_proved(&w.gs);
+			proved += shares_proved(&w.gs);
 		}
 		world_finish(&w);
 	}
@@ -279,19 +280,19 @@
 	struct world w;
 
 	world_init(&w, 1);
-	gs_set_guarantee(&w.gs, 0, units);
+	shares_set_guarantee(&w.gs, 0, units);
 	cell_gang_init(&a, 1, 1, false);
 	ck_assert(!pl_place(&w.gs, &a, &hard));
 	cell_gang_init(&b, 1, WORKERS * SIZE, true);
 	ck_assert(pl_place(&w.gs, &b, &soft));
-	gs_hold(&w.gs, &b);
+	shares_hold(&w.gs, &b);
 	cell_gang_init(&c, 0, RACK_SIZE * SIZE, false);
 	ck_assert(pl_claim(&w.gs, &c, &soft));
-	gs_hold(&w.gs, &c);
+	shares_hold(&w.gs, &c);
 	ck_assert(!cell_clear(&w.cell, &c));
 	ck_assert_int_eq(pl_victims(&w.gs, &c, &soft, remove_victim, &w.gs), 1);
 	ck_assert(cell_clear(&w.cell, &c));
-	gs_release(&w.gs, &c);
+	shares_release(&w.gs, &c);
 	cell_gang_reset(&c);
 	world_finish(&w);
 }
@@ -308,19 +309,19 @@
 	struct world w;
 
 	world_init(&w, 1);
-	gs_set_guarantee(&w.gs, 0, units);
-	ck_assert(!gs_broken(&w.gs));
+	shares_set_guarantee(&w.gs, 0, units);
+	ck_assert(!shares_broken(&w.gs));
 	cell_gang_init(&c, 0, SIZE, false);
 	ck_assert(pl_claim(&w.gs, &c, &soft));
-	gs_hold(&w.gs, &c);
-	gs_set_usable(&w.gs, c.holds[0].worker ^ 1, false);
-	ck_assert(gs_broken(&w.gs));
-	gs_set_usable(&w.gs, c.holds[0].worker ^ 1, true);
-	ck_assert(!gs_broken(&w.gs));
+	shares_hold(&w.gs, &c);
+	shares_set_usable(&w.gs, c.holds[0].worker ^ 1, false);
+	ck_assert(shares_broken(&w.gs));
+	shares_set_usable(&w.gs, c.holds[0].worker ^ 1, true);
+	ck_assert(!shares_broken(&w.gs));
 	units[CELL_RACK] = 0;
-	ck_assert_int_eq(gs_set_guarantee(&w.gs, 0, units), 1);
+	ck_assert_int_eq(shares_set_guarantee(&w.gs, 0, units), 1);
 	ck_assert_int_eq(c.kind, CELL_HARD);
-	gs_release(&w.gs, &c);
+	shares_release(&w.gs, &c);
 	cell_gang_reset(&c);
 	world_finish(&w);
 }
@@ -328,11 +329,11 @@
 
 int main(void)
 {
-	TCase *tc = tcase_create("gs");
+	TCase *tc = tcase_create("shares");
 
 	tcase_set_timeout(tc, 120);
 	tcase_add_test(tc, proof_matches_brute_force);
 	tcase_add_test(tc, unstoppable_work_is_never_lent_a_guaranteed_place);
 	tcase_add_test(tc, host_failure_breaks_and_restores_the_guarantee);
-	return run_case("gs", tc);
+	return run_case("shares", tc);
 }
