--- a/daemon/sched_api.c
+++ b/daemon/sched_api.c
@@ -32,7 +32,7 @@
 }
 
 /* Whether the document and the pool allow the job at all. */
-static bool may_run(struct sched *s, const struct jb *jb, GError **err)
+static bool may_run(struct sched *s, const struct job_entry *jb, GError **err)
 {
 	const struct doc_customer *c = doc_view_customer(s->view, jb->customer);
 
@@ -49,10 +49,11 @@
 }
 
 static void answer_known(struct sched *s, struct svc_api_call *call,
-			 const struct sjob *known, const struct jb *jb)
+			 const struct sjob *known, const struct job_entry *jb)
 {
 	if (strcmp(known->jb.digest, jb->digest) == 0)
-		svc_api_answer(call, &s->task, 200, jb_to_json(&known->jb));
+		svc_api_answer(call, &s->task, 200,
+			       job_entry_to_json(&known->jb));
 	else
 		svc_api_fail(call, &s->task, CB_E_KEY_REUSED,
 			     "job \"%s\" was submitted with this key", jb->id);
@@ -64,7 +65,7 @@
 	struct sjob *known;
 	GError *err = NULL;
 
-	if (!jb_submission(&job->jb, call->body, call->key, &err))
+	if (!job_entry_submission(&job->jb, call->body, call->key, &err))
 		goto out;
 	if (!allowed(s, call, job->jb.customer)) {
 		sched_job_free(job);
@@ -101,13 +102,14 @@
 		    const char *state)
 {
 	return (!customer || strcmp(customer, job->jb.customer) == 0) &&
-	       (!state || strcmp(state, jb_state_name(job->jb.state)) == 0);
+	       (!state ||
+		strcmp(state, job_entry_state_name(job->jb.state)) == 0);
 }
 
 static int by_submission(const void *a, const void *b)
 {
-	const struct jb *x = &(*(struct sjob *const *)a)->jb;
-	const struct jb *y = &(*(struct sjob *const *)b)->jb;
+	const struct job_entry *x = &(*(struct sjob *const *)a)->jb;
+	const struct job_entry *y = &(*(struct sjob *const *)b)->jb;
 
 	if (x->submitted_wall_us != y->submitted_wall_us)
 		return x->submitted_wall_us < y->submitted_wall_us ? -1 : 1;
@@ -117,7 +119,7 @@
 /* A job without its task, which may be large. */
 static json_t *summary(const struct sjob *job)
 {
-	json_t *json = jb_to_json(&job->jb);
+	json_t *json = job_entry_to_json(&job->jb);
 
 	json_object_del(json, "task");
 	return json;
@@ -168,8 +170,8 @@
 	while (g_hash_table_iter_next(&iter, NULL, &value)) {
 		struct sjob *job = value;
 
-		if (!matches(job, customer, NULL) || jb_ended(job->jb.state) ||
-		    job->cancelled)
+		if (!matches(job, customer, NULL) ||
+		    job_entry_ended(job->jb.state) || job->cancelled)
 			continue;
 		sched_job_cancel(job, kn_now_us());
 		n++;
@@ -181,13 +183,14 @@
 {
 	if (!allowed(s, call, job->jb.customer))
 		return;
-	if (job->jb.state == JB_DONE || job->jb.state == JB_FAILED) {
+	if (job->jb.state == JOB_ENTRY_DONE ||
+	    job->jb.state == JOB_ENTRY_FAILED) {
 		svc_api_fail(call, &s->task, CB_E_JOB_ENDED, "job \"%s\" is %s",
-			     job->jb.id, jb_state_name(job->jb.state));
+			     job->jb.id, job_entry_state_name(job->jb.state));
 		return;
 	}
 	sched_job_cancel(job, kn_now_us());
-	svc_api_answer(call, &s->task, 202, jb_to_json(&job->jb));
+	svc_api_answer(call, &s->task, 202, job_entry_to_json(&job->jb));
 }
 
 static void one_job(struct sched *s, struct svc_api_call *call, const char *id)
@@ -197,7 +200,8 @@
 	if (!job)
 		svc_api_fail(call, &s->task, CB_E_NO_JOB, "%s", id);
 	else if (strcmp(call->method, "GET") == 0)
-		svc_api_answer(call, &s->task, 200, jb_to_json(&job->jb));
+		svc_api_answer(call, &s->task, 200,
+			       job_entry_to_json(&job->jb));
 	else if (strcmp(call->method, "DELETE") == 0)
 		cancel(s, call, job);
 	else
--- a/daemon/sched_gang.c
+++ b/daemon/sched_gang.c
@@ -176,7 +176,7 @@
 
 	ctr_add(&job->s->starts, 1);
 	job->jb.started_wall_us = kn_wall_us();
-	sched_job_set(job, JB_RUNNING, "all members run");
+	sched_job_set(job, JOB_ENTRY_RUNNING, "all members run");
 	sched_write(job);
 	sc_running(&job->s->sc, &job->sc, kn_now_us());
 }
@@ -263,13 +263,14 @@
 			job->workers[n++] = gang->holds[i].worker;
 		job->counts[j] += gang->holds[i].count;
 	}
-	jb_clear_places(&job->jb);
+	job_entry_clear_places(&job->jb);
 	for (i = 0; i < gang->hold_count; i++)
-		jb_add_place(&job->jb,
-			     worker_at(job->s, gang->holds[i].worker)->at.name,
-			     gang->holds[i].count,
-			     gang->kind == CELL_OWNED ? gang->holds[i].cover :
-							JB_BORROWED);
+		job_entry_add_place(
+			&job->jb,
+			worker_at(job->s, gang->holds[i].worker)->at.name,
+			gang->holds[i].count,
+			gang->kind == CELL_OWNED ? gang->holds[i].cover :
+						   JOB_ENTRY_BORROWED);
 	return n;
 }
 
--- a/daemon/sched_int.h
+++ b/daemon/sched_int.h
@@ -5,7 +5,7 @@
 #include "daemon/svc.h"
 #include "daemon/wk.h"
 #include "policy/gang_start.h"
-#include "policy/jb.h"
+#include "policy/job_entry.h"
 #include "policy/sc.h"
 #include "wire/kv.h"
 
@@ -44,7 +44,7 @@
 	struct sched *s;
 	struct sc_job sc;
 	struct gang_start gg;
-	struct jb jb;
+	struct job_entry jb;
 	struct list_head busy; /* gg needs ticks */
 	struct list_head write; /* the record is to be written */
 	struct list_head ended;
@@ -122,7 +122,8 @@
 extern const struct sc_ops sched_sc_ops;
 struct sjob *sched_job_new(struct sched *s);
 void sched_job_free(struct sjob *job);
-void sched_job_set(struct sjob *job, enum jb_state to, const char *reason);
+void sched_job_set(struct sjob *job, enum job_entry_state to,
+		   const char *reason);
 void sched_job_enter(struct sjob *job, int64_t now_us);
 void sched_job_keep(struct sjob *job);
 void sched_job_rule(struct sjob *job);
--- a/daemon/sched_job.c
+++ b/daemon/sched_job.c
@@ -8,7 +8,7 @@
 	struct sjob *job = g_new0(struct sjob, 1);
 
 	job->s = s;
-	jb_init(&job->jb);
+	job_entry_init(&job->jb);
 	list_init(&job->busy);
 	list_init(&job->write);
 	list_init(&job->ended);
@@ -25,26 +25,29 @@
 	list_del(&job->ended);
 	sched_gang_clear(job);
 	gang_start_finish(&job->gg);
-	jb_finish(&job->jb);
+	job_entry_finish(&job->jb);
 	g_free(job);
 }
 
-static void change(struct sjob *job, enum jb_state to, const char *reason)
+static void change(struct sjob *job, enum job_entry_state to,
+		   const char *reason)
 {
-	enum jb_state from = job->jb.state;
+	enum job_entry_state from = job->jb.state;
 
-	if (from == to || !jb_change(&job->jb, to, reason))
+	if (from == to || !job_entry_change(&job->jb, to, reason))
 		return;
 	ev_emit("job.state", "job=%s from=%s to=%s reason=\"%s\"", job->jb.id,
-		jb_state_name(from), jb_state_name(to), job->jb.reason);
+		job_entry_state_name(from), job_entry_state_name(to),
+		job->jb.reason);
 }
 
 /* Changes the state; work that ran passes through stopped. */
-void sched_job_set(struct sjob *job, enum jb_state to, const char *reason)
+void sched_job_set(struct sjob *job, enum job_entry_state to,
+		   const char *reason)
 {
-	if (!jb_may_change(job->jb.state, to) &&
-	    jb_may_change(job->jb.state, JB_STOPPED))
-		change(job, JB_STOPPED, reason);
+	if (!job_entry_may_change(job->jb.state, to) &&
+	    job_entry_may_change(job->jb.state, JOB_ENTRY_STOPPED))
+		change(job, JOB_ENTRY_STOPPED, reason);
 	change(job, to, reason);
 }
 
@@ -58,7 +61,7 @@
 	const struct doc_customer *c =
 		doc_view_customer(job->s->view, job->jb.customer);
 
-	if (!c || jb_ended(job->jb.state) ||
+	if (!c || job_entry_ended(job->jb.state) ||
 	    c->stop_on_removal == job->jb.stop_on_removal)
 		return;
 	job->jb.stop_on_removal = c->stop_on_removal;
@@ -116,7 +119,7 @@
  */
 void sched_job_cancel(struct sjob *job, int64_t now_us)
 {
-	if (job->cancelled || jb_ended(job->jb.state))
+	if (job->cancelled || job_entry_ended(job->jb.state))
 		return;
 	job->cancelled = true;
 	job->s->dirty = true;
@@ -138,7 +141,7 @@
 
 static void on_start(struct sc *sc, struct sc_job *job)
 {
-	sched_job_set(of(job), JB_RESERVED, "placed");
+	sched_job_set(of(job), JOB_ENTRY_RESERVED, "placed");
 	sched_gang_start(of(job));
 }
 
@@ -146,7 +149,7 @@
 {
 	struct sjob *job = of(sc_job);
 
-	sched_job_set(job, JB_CHECKPOINTING, "displaced");
+	sched_job_set(job, JOB_ENTRY_CHECKPOINTING, "displaced");
 	gang_start_checkpoint(&job->gg, kn_now_us());
 	if (list_empty(&job->busy))
 		list_add_tail(&job->busy, &job->s->busy);
@@ -166,23 +169,24 @@
 
 static void on_queued(struct sc *sc, struct sc_job *job, const char *reason)
 {
-	sched_job_set(of(job), JB_QUEUED, reason);
+	sched_job_set(of(job), JOB_ENTRY_QUEUED, reason);
 }
 
 static void on_ended(struct sc *sc, struct sc_job *sc_job, enum sc_end end,
 		     const char *reason)
 {
-	static const enum jb_state states[] = {
-		[SC_END_DONE] = JB_DONE,
-		[SC_END_FAILED] = JB_FAILED,
-		[SC_END_CANCELLED] = JB_CANCELLED,
+	static const enum job_entry_state states[] = {
+		[SC_END_DONE] = JOB_ENTRY_DONE,
+		[SC_END_FAILED] = JOB_ENTRY_FAILED,
+		[SC_END_CANCELLED] = JOB_ENTRY_CANCELLED,
 	};
 	struct sjob *job = of(sc_job);
 
 	job->jb.attained_us = sc_job->attained_us;
 	job->jb.ended_wall_us = kn_wall_us();
-	if (end == SC_END_DONE && jb_may_change(job->jb.state, JB_DONE))
-		change(job, JB_DONE, reason);
+	if (end == SC_END_DONE &&
+	    job_entry_may_change(job->jb.state, JOB_ENTRY_DONE))
+		change(job, JOB_ENTRY_DONE, reason);
 	else
 		sched_job_set(job, states[end], reason);
 	/* The record of a cancelled job says so already. */
--- a/daemon/sched_store.c
+++ b/daemon/sched_store.c
@@ -20,7 +20,7 @@
 	struct sched *s;
 	uint64_t term; /* of leading, in which it was made */
 	enum store_job kind;
-	char id[JB_ID_BYTES];
+	char id[JOB_ENTRY_ID_BYTES];
 	char *key;
 	char *text;
 	/* A submission, which is repeated until its outcome is known. */
@@ -66,12 +66,13 @@
 /* The record of a job that is being cancelled states its end. */
 static char *record_text(const struct sjob *job)
 {
-	json_t *json = jb_to_json(&job->jb);
+	json_t *json = job_entry_to_json(&job->jb);
 	char *text;
 
-	if (job->cancelled && !jb_ended(job->jb.state)) {
-		json_object_set_new(json, "state",
-				    json_string(jb_state_name(JB_CANCELLED)));
+	if (job->cancelled && !job_entry_ended(job->jb.state)) {
+		json_object_set_new(
+			json, "state",
+			json_string(job_entry_state_name(JOB_ENTRY_CANCELLED)));
 		json_object_set_new(json, "ended_us",
 				    json_integer(kn_wall_us()));
 	}
@@ -108,7 +109,7 @@
 	json_t *json = json_loadb(item->value, item->len, 0, NULL);
 	GError *err = NULL;
 
-	if (json && jb_from_json(&job->jb, json, &err)) {
+	if (json && job_entry_from_json(&job->jb, json, &err)) {
 		job->mod_revision = item->mod_revision;
 		g_ptr_array_add(s->records, job);
 	} else {
@@ -146,11 +147,11 @@
 
 /*
  * Reads the next part of the records of the data centre, and at last the key
- * of the epoch. Ids are hexadecimal after the first letter, see jb_make_id().
+ * of the epoch. Ids are hexadecimal after the first letter, see job_entry_make_id().
  */
 void sched_load(struct sched *s)
 {
-	char prefix[JB_ID_BYTES];
+	char prefix[JOB_ENTRY_ID_BYTES];
 	struct scall_kv *c;
 
 	snprintf(prefix, sizeof(prefix), "j%x", s->load_part);
@@ -334,7 +335,7 @@
 
 		job = g_steal_pointer(&c->job);
 		sched_job_enter(job, now_us);
-		if (jb_ended(job->jb.state)) {
+		if (job_entry_ended(job->jb.state)) {
 			job->sc.state = SC_ENDED;
 			sched_job_keep(job);
 		} else {
@@ -342,14 +343,14 @@
 				"job=%s from= to=submitted reason=\"%s\"",
 				job->jb.id, job->jb.customer);
 			sc_submit(&s->sc, &job->sc, now_us);
-			sched_job_set(job, JB_QUEUED, "submitted");
+			sched_job_set(job, JOB_ENTRY_QUEUED, "submitted");
 		}
 		s->dirty = true;
 		sched_wake(s);
 	}
 	if (c->api)
 		svc_api_answer(c->api, &s->task, created ? 201 : 200,
-			       jb_to_json(&job->jb));
+			       job_entry_to_json(&job->jb));
 	c->api = NULL;
 	call_free(c);
 }
@@ -358,20 +359,20 @@
 static void submit_exists(struct scall_kv *c, const struct kv_item *item)
 {
 	json_t *json = json_loadb(item->value, item->len, 0, NULL);
-	struct jb found;
+	struct job_entry found;
 	bool same;
 
-	jb_init(&found);
-	same = json && jb_from_json(&found, json, NULL) &&
+	job_entry_init(&found);
+	same = json && job_entry_from_json(&found, json, NULL) &&
 	       strcmp(found.digest, c->job->jb.digest) == 0;
 	json_decref(json);
 	if (!same) {
-		jb_finish(&found);
+		job_entry_finish(&found);
 		submit_failed(c, CB_E_KEY_REUSED, "another job has this key");
 		call_free(c);
 		return;
 	}
-	jb_finish(&c->job->jb);
+	job_entry_finish(&c->job->jb);
 	c->job->jb = found;
 	c->job->mod_revision = item->mod_revision;
 	submit_done(c, c->unsettled);
--- a/daemon/sched_sync.c
+++ b/daemon/sched_sync.c
@@ -184,7 +184,8 @@
 	while (g_hash_table_iter_next(&iter, NULL, &value)) {
 		struct sjob *job = value;
 
-		if (job->jb.stop_on_removal && !jb_ended(job->jb.state) &&
+		if (job->jb.stop_on_removal &&
+		    !job_entry_ended(job->jb.state) &&
 		    !doc_view_customer(s->view, job->jb.customer))
 			sched_job_cancel(job, now_us);
 	}
@@ -271,7 +272,7 @@
 {
 	const struct sjob *job = g_hash_table_lookup(s->jobs, id);
 
-	return job && jb_ended(job->jb.state) &&
+	return job && job_entry_ended(job->jb.state) &&
 	       (job->in_write || !list_empty(&job->write));
 }
 
--- a/daemon/sched_take.c
+++ b/daemon/sched_take.c
@@ -150,7 +150,7 @@
 	int i;
 
 	for (i = 0; i < job->jb.place_count; i++) {
-		const struct jb_place *place = &job->jb.places[i];
+		const struct job_entry_place *place = &job->jb.places[i];
 		struct sworker *w = sched_worker(job->s, place->worker);
 		struct part part = { 0, place->count, GANG_START_BARRIER, 0 };
 
@@ -166,7 +166,7 @@
 	}
 }
 
-static void token_of(const struct jb *jb, char token[WK_TOKEN_BYTES])
+static void token_of(const struct job_entry *jb, char token[WK_TOKEN_BYTES])
 {
 	snprintf(token, WK_TOKEN_BYTES, "%" PRIu64 ".%s.%d", jb->epoch, jb->id,
 		 jb->attempt);
@@ -193,8 +193,8 @@
 	if (strcmp(token, attempt->token) != 0 || n != job->jb.accelerators)
 		return false;
 	for (i = 0; i < job->jb.place_count; i++) {
-		const struct jb_place *place = &job->jb.places[i];
-		bool owned = place->cover != JB_BORROWED;
+		const struct job_entry_place *place = &job->jb.places[i];
+		bool owned = place->cover != JOB_ENTRY_BORROWED;
 
 		w = sched_worker(job->s, place->worker);
 		if (owned)
@@ -242,8 +242,8 @@
 	g_free(states);
 	ev_emit("gang.adopted", "job=%s token=%s whole=%d phase=%d", job->jb.id,
 		job->token, whole, job->gg.phase);
-	if (job->jb.state != JB_RUNNING) {
-		job->jb.state = JB_RUNNING;
+	if (job->jb.state != JOB_ENTRY_RUNNING) {
+		job->jb.state = JOB_ENTRY_RUNNING;
 		sched_write(job);
 	}
 }
@@ -253,7 +253,7 @@
 {
 	int i;
 
-	if (job->jb.state != JB_RUNNING)
+	if (job->jb.state != JOB_ENTRY_RUNNING)
 		return false;
 	for (i = 0; i < job->jb.place_count; i++) {
 		struct sworker *w =
@@ -273,7 +273,7 @@
 	/* The time that it waited under earlier leaders counts. */
 	job->sc.submitted_us = since_us;
 	job->sc.queued_us = since_us;
-	sched_job_set(job, JB_QUEUED, "submitted");
+	sched_job_set(job, JOB_ENTRY_QUEUED, "submitted");
 }
 
 static void decide_job(struct sjob *job, GHashTable *by_job, int64_t now_us)
@@ -281,7 +281,7 @@
 	struct sched *s = job->s;
 	struct attempt *attempt;
 
-	if (jb_ended(job->jb.state)) {
+	if (job_entry_ended(job->jb.state)) {
 		g_hash_table_insert(s->jobs, job->jb.id, job);
 		job->sc.state = SC_ENDED;
 		sched_job_keep(job);
--- a/policy/jb.c
+++ b/policy/job_entry.c
@@ -1,60 +1,64 @@
-#include "policy/jb.h"
+#include "policy/job_entry.h"
 
 #include <string.h>
 
 #include "base/err.h"
 
-static const char *const state_names[JB_STATES] = {
+static const char *const state_names[JOB_ENTRY_STATES] = {
 	"submitted", "queued", "reserved", "running",	"checkpointing",
 	"stopped",   "done",   "failed",   "cancelled",
 };
 
 #define BIT(state) (1u << (state))
-#define ENDS (BIT(JB_FAILED) | BIT(JB_CANCELLED))
+#define ENDS (BIT(JOB_ENTRY_FAILED) | BIT(JOB_ENTRY_CANCELLED))
 
 /* For each state, the states that may follow. */
-static const unsigned int followers[JB_STATES] = {
-	[JB_SUBMITTED] = BIT(JB_QUEUED) | ENDS,
-	[JB_QUEUED] = BIT(JB_RESERVED) | ENDS,
-	[JB_RESERVED] = BIT(JB_RUNNING) | BIT(JB_QUEUED) | ENDS,
-	[JB_RUNNING] =
-		BIT(JB_CHECKPOINTING) | BIT(JB_STOPPED) | BIT(JB_DONE) | ENDS,
-	[JB_CHECKPOINTING] = BIT(JB_STOPPED) | BIT(JB_DONE) | ENDS,
-	[JB_STOPPED] = BIT(JB_QUEUED) | ENDS,
+static const unsigned int followers[JOB_ENTRY_STATES] = {
+	[JOB_ENTRY_SUBMITTED] = BIT(JOB_ENTRY_QUEUED) | ENDS,
+	[JOB_ENTRY_QUEUED] = BIT(JOB_ENTRY_RESERVED) | ENDS,
+	[JOB_ENTRY_RESERVED] =
+		BIT(JOB_ENTRY_RUNNING) | BIT(JOB_ENTRY_QUEUED) | ENDS,
+	[JOB_ENTRY_RUNNING] = BIT(JOB_ENTRY_CHECKPOINTING) |
+			      BIT(JOB_ENTRY_STOPPED) | BIT(JOB_ENTRY_DONE) |
+			      ENDS,
+	[JOB_ENTRY_CHECKPOINTING] =
+		BIT(JOB_ENTRY_STOPPED) | BIT(JOB_ENTRY_DONE) | ENDS,
+	[JOB_ENTRY_STOPPED] = BIT(JOB_ENTRY_QUEUED) | ENDS,
 };
 
-void jb_init(struct jb *jb)
+void job_entry_init(struct job_entry *jb)
 {
 	memset(jb, 0, sizeof(*jb));
 	jb->stoppable = true;
 }
 
-void jb_finish(struct jb *jb)
+void job_entry_finish(struct job_entry *jb)
 {
 	json_decref(jb->task);
-	jb_clear_places(jb);
+	job_entry_clear_places(jb);
 	memset(jb, 0, sizeof(*jb));
 }
 
-const char *jb_state_name(enum jb_state state)
+const char *job_entry_state_name(enum job_entry_state state)
 {
 	return state_names[state];
 }
 
-bool jb_may_change(enum jb_state from, enum jb_state to)
+bool job_entry_may_change(enum job_entry_state from, enum job_entry_state to)
 {
 	return (followers[from] & BIT(to)) != 0;
 }
 
-bool jb_ended(enum jb_state state)
+bool job_entry_ended(enum job_entry_state state)
 {
 	return followers[state] == 0;
 }
 
 /* Returns false and changes nothing when the transition is not legal. */
-bool jb_change(struct jb *jb, enum jb_state to, const char *reason)
+bool job_entry_change(struct job_entry *jb, enum job_entry_state to,
+		      const char *reason)
 {
-	if (!jb_may_change(jb->state, to))
+	if (!job_entry_may_change(jb->state, to))
 		return false;
 	jb->state = to;
 	g_strlcpy(jb->reason, reason ? reason : "", sizeof(jb->reason));
@@ -66,7 +70,8 @@
  * repeated submission meets the first one. Returns false for a key that is
  * empty or too long.
  */
-bool jb_make_id(char id[JB_ID_BYTES], const char *customer, const char *key)
+bool job_entry_make_id(char id[JOB_ENTRY_ID_BYTES], const char *customer,
+		       const char *key)
 {
 	GChecksum *sum;
 
@@ -75,23 +80,26 @@
 	sum = g_checksum_new(G_CHECKSUM_SHA256);
 	g_checksum_update(sum, (const guchar *)customer, strlen(customer) + 1);
 	g_checksum_update(sum, (const guchar *)key, strlen(key));
-	g_snprintf(id, JB_ID_BYTES, "j%.24s", g_checksum_get_string(sum));
+	g_snprintf(id, JOB_ENTRY_ID_BYTES, "j%.24s",
+		   g_checksum_get_string(sum));
 	g_checksum_free(sum);
 	return true;
 }
 
-void jb_clear_places(struct jb *jb)
+void job_entry_clear_places(struct job_entry *jb)
 {
 	g_free(jb->places);
 	jb->places = NULL;
 	jb->place_count = 0;
 }
 
-void jb_add_place(struct jb *jb, const char *worker, int count, int cover)
+void job_entry_add_place(struct job_entry *jb, const char *worker, int count,
+			 int cover)
 {
-	struct jb_place *place;
+	struct job_entry_place *place;
 
-	jb->places = g_renew(struct jb_place, jb->places, jb->place_count + 1);
+	jb->places = g_renew(struct job_entry_place, jb->places,
+			     jb->place_count + 1);
 	place = &jb->places[jb->place_count++];
 	g_strlcpy(place->worker, worker, sizeof(place->worker));
 	place->count = count;
@@ -171,7 +179,7 @@
 	return true;
 }
 
-static bool take_task(struct jb *jb, const json_t *body, GError **err)
+static bool take_task(struct job_entry *jb, const json_t *body, GError **err)
 {
 	json_t *task = json_object_get(body, "task");
 
@@ -184,7 +192,7 @@
 	return true;
 }
 
-static void make_digest(struct jb *jb, const json_t *body)
+static void make_digest(struct job_entry *jb, const json_t *body)
 {
 	char *text = json_dumps(body, JSON_COMPACT | JSON_SORT_KEYS);
 	char *sum = g_compute_checksum_for_string(G_CHECKSUM_SHA256, text, -1);
@@ -198,8 +206,8 @@
  * Fills an initialized job from a caller's submission. The digest tells a
  * repeated submission from another job under the same key.
  */
-bool jb_submission(struct jb *jb, const json_t *body, const char *key,
-		   GError **err)
+bool job_entry_submission(struct job_entry *jb, const json_t *body,
+			  const char *key, GError **err)
 {
 	int64_t accelerators = 0;
 
@@ -219,7 +227,7 @@
 	if (!accelerators)
 		return bad(err, "accelerators", "given");
 	jb->accelerators = accelerators;
-	if (!jb_make_id(jb->id, jb->customer, key)) {
+	if (!job_entry_make_id(jb->id, jb->customer, key)) {
 		g_set_error(err, CB_ERROR, CB_E_BAD_KEY,
 			    "Idempotency-Key must have 1 to %d bytes",
 			    KEY_MAX_BYTES);
@@ -231,7 +239,7 @@
 
 /* Record. */
 
-json_t *jb_to_json(const struct jb *jb)
+json_t *job_entry_to_json(const struct job_entry *jb)
 {
 	json_t *places = json_array();
 	json_t *json;
@@ -242,31 +250,31 @@
 				      json_pack("[s,i,i]", jb->places[i].worker,
 						jb->places[i].count,
 						jb->places[i].cover));
-	json = json_pack("{s:s,s:s,s:s,s:s,s:i,s:I,s:I,s:b,s:b,s:b,s:s,s:s,s:I,"
-			 "s:i,s:I,s:I,s:I,s:I,s:o}",
-			 "id", jb->id, "customer", jb->customer, "dc", jb->dc,
-			 "digest", jb->digest, "accelerators", jb->accelerators,
-			 "declared_s", (json_int_t)jb->declared_s, "grace_ms",
-			 (json_int_t)jb->grace_ms, "urgent", jb->urgent,
-			 "stoppable", jb->stoppable, "stop_on_removal",
-			 jb->stop_on_removal, "state", jb_state_name(jb->state),
-			 "reason", jb->reason, "epoch", (json_int_t)jb->epoch,
-			 "attempt", jb->attempt, "submitted_us",
-			 (json_int_t)jb->submitted_wall_us, "started_us",
-			 (json_int_t)jb->started_wall_us, "ended_us",
-			 (json_int_t)jb->ended_wall_us, "attained_us",
-			 (json_int_t)jb->attained_us, "workers", places);
+	json = json_pack(
+		"{s:s,s:s,s:s,s:s,s:i,s:I,s:I,s:b,s:b,s:b,s:s,s:s,s:I,"
+		"s:i,s:I,s:I,s:I,s:I,s:o}",
+		"id", jb->id, "customer", jb->customer, "dc", jb->dc, "digest",
+		jb->digest, "accelerators", jb->accelerators, "declared_s",
+		(json_int_t)jb->declared_s, "grace_ms",
+		(json_int_t)jb->grace_ms, "urgent", jb->urgent, "stoppable",
+		jb->stoppable, "stop_on_removal", jb->stop_on_removal, "state",
+		job_entry_state_name(jb->state), "reason", jb->reason, "epoch",
+		(json_int_t)jb->epoch, "attempt", jb->attempt, "submitted_us",
+		(json_int_t)jb->submitted_wall_us, "started_us",
+		(json_int_t)jb->started_wall_us, "ended_us",
+		(json_int_t)jb->ended_wall_us, "attained_us",
+		(json_int_t)jb->attained_us, "workers", places);
 	if (jb->task)
 		json_object_set(json, "task", jb->task);
 	return json;
 }
 
-static bool read_state(struct jb *jb, const json_t *json, GError **err)
+static bool read_state(struct job_entry *jb, const json_t *json, GError **err)
 {
 	const char *name = json_string_value(json_object_get(json, "state"));
 	int i;
 
-	for (i = 0; i < JB_STATES; i++)
+	for (i = 0; i < JOB_ENTRY_STATES; i++)
 		if (g_strcmp0(name, state_names[i]) == 0) {
 			jb->state = i;
 			return true;
@@ -274,7 +282,7 @@
 	return bad(err, "state", "a state of a job");
 }
 
-static bool read_places(struct jb *jb, const json_t *json, GError **err)
+static bool read_places(struct job_entry *jb, const json_t *json, GError **err)
 {
 	const json_t *places = json_object_get(json, "workers");
 	json_t *place;
@@ -290,13 +298,13 @@
 		    n > WORKER_ACCELERATORS_MAX || cover < -1 || cover > 3)
 			return bad(err, "workers",
 				   "[name, count, cover] entries");
-		jb_add_place(jb, worker, n, cover);
+		job_entry_add_place(jb, worker, n, cover);
 	}
 	return true;
 }
 
 /* Reads a record into an initialized job. */
-bool jb_from_json(struct jb *jb, const json_t *json, GError **err)
+bool job_entry_from_json(struct job_entry *jb, const json_t *json, GError **err)
 {
 	int64_t n = 0, epoch = 0, attempt = 0;
 
--- a/tests/unit/test_jb.c
+++ b/tests/unit/test_job_entry.c
@@ -2,18 +2,18 @@
 #include <stdlib.h>
 
 #include "base/err.h"
-#include "policy/jb.h"
+#include "policy/job_entry.h"
 #include "tests/unit/run.h"
 
-static int submit(struct jb *jb, const char *text, const char *key)
+static int submit(struct job_entry *jb, const char *text, const char *key)
 {
 	json_t *body = json_loads(text, 0, NULL);
 	GError *err = NULL;
 	int code = CB_OK;
 
 	ck_assert_ptr_nonnull(body);
-	jb_init(jb);
-	if (!jb_submission(jb, body, key, &err)) {
+	job_entry_init(jb);
+	if (!job_entry_submission(jb, body, key, &err)) {
 		code = err->code;
 		g_error_free(err);
 	}
@@ -24,7 +24,7 @@
 /* Guards against records that lose a field on the way through the store. */
 START_TEST(record_survives_the_store)
 {
-	struct jb a, b;
+	struct job_entry a, b;
 	json_t *json, *again;
 
 	ck_assert_int_eq(submit(&a,
@@ -34,26 +34,26 @@
 				"\"task\":{\"image\":\"x\"}}",
 				"k1"),
 			 CB_OK);
-	a.state = JB_RUNNING;
+	a.state = JOB_ENTRY_RUNNING;
 	a.epoch = 9;
 	a.attempt = 2;
 	a.attained_us = 1234567890123;
-	jb_add_place(&a, "w1", 8, -1);
-	jb_add_place(&a, "w2", 3, 2);
-	json = jb_to_json(&a);
-	jb_init(&b);
-	ck_assert(jb_from_json(&b, json, NULL));
-	again = jb_to_json(&b);
+	job_entry_add_place(&a, "w1", 8, -1);
+	job_entry_add_place(&a, "w2", 3, 2);
+	json = job_entry_to_json(&a);
+	job_entry_init(&b);
+	ck_assert(job_entry_from_json(&b, json, NULL));
+	again = job_entry_to_json(&b);
 	ck_assert(json_equal(json, again));
 	ck_assert_int_eq(b.place_count, 2);
 	json_object_set_new(json, "state", json_string("odd"));
-	jb_finish(&b);
-	jb_init(&b);
-	ck_assert(!jb_from_json(&b, json, NULL));
+	job_entry_finish(&b);
+	job_entry_init(&b);
+	ck_assert(!job_entry_from_json(&b, json, NULL));
 	json_decref(json);
 	json_decref(again);
-	jb_finish(&a);
-	jb_finish(&b);
+	job_entry_finish(&a);
+	job_entry_finish(&b);
 }
 END_TEST
 
@@ -80,13 +80,13 @@
 		{ "{\"customer\":\"a\",\"accelerators\":1}", NULL,
 		  CB_E_BAD_KEY },
 	};
-	struct jb jb;
+	struct job_entry jb;
 	size_t i;
 
 	for (i = 0; i < G_N_ELEMENTS(cases); i++) {
 		ck_assert_int_eq(submit(&jb, cases[i].text, cases[i].key),
 				 cases[i].code);
-		jb_finish(&jb);
+		job_entry_finish(&jb);
 	}
 }
 END_TEST
@@ -94,7 +94,7 @@
 /* Guards against two customers' equal keys, or one key for two jobs. */
 START_TEST(id_and_digest_tell_jobs_apart)
 {
-	struct jb a, b, c;
+	struct job_entry a, b, c;
 
 	submit(&a, "{\"customer\":\"a\",\"accelerators\":1}", "k");
 	submit(&b, "{\"accelerators\":1,\"customer\":\"a\"}", "k");
@@ -102,43 +102,43 @@
 	ck_assert_str_eq(a.id, b.id);
 	ck_assert_str_eq(a.digest, b.digest);
 	ck_assert_str_ne(a.id, c.id);
-	jb_finish(&b);
+	job_entry_finish(&b);
 	submit(&b, "{\"accelerators\":2,\"customer\":\"a\"}", "k");
 	ck_assert_str_eq(a.id, b.id);
 	ck_assert_str_ne(a.digest, b.digest);
-	jb_finish(&a);
-	jb_finish(&b);
-	jb_finish(&c);
+	job_entry_finish(&a);
+	job_entry_finish(&b);
+	job_entry_finish(&c);
 }
 END_TEST
 
 /* Guards against a job that comes back after its end, or skips a state. */
 START_TEST(only_legal_transitions)
 {
-	struct jb jb;
+	struct job_entry jb;
 	int from, to;
 
-	for (from = JB_DONE; from < JB_STATES; from++)
-		for (to = 0; to < JB_STATES; to++)
-			ck_assert(!jb_may_change(from, to));
-	ck_assert(!jb_may_change(JB_QUEUED, JB_RUNNING));
-	ck_assert(!jb_may_change(JB_QUEUED, JB_DONE));
-	ck_assert(!jb_may_change(JB_STOPPED, JB_RUNNING));
-	jb_init(&jb);
-	ck_assert(jb_change(&jb, JB_QUEUED, "accepted"));
-	ck_assert(!jb_change(&jb, JB_DONE, "x"));
+	for (from = JOB_ENTRY_DONE; from < JOB_ENTRY_STATES; from++)
+		for (to = 0; to < JOB_ENTRY_STATES; to++)
+			ck_assert(!job_entry_may_change(from, to));
+	ck_assert(!job_entry_may_change(JOB_ENTRY_QUEUED, JOB_ENTRY_RUNNING));
+	ck_assert(!job_entry_may_change(JOB_ENTRY_QUEUED, JOB_ENTRY_DONE));
+	ck_assert(!job_entry_may_change(JOB_ENTRY_STOPPED, JOB_ENTRY_RUNNING));
+	job_entry_init(&jb);
+	ck_assert(job_entry_change(&jb, JOB_ENTRY_QUEUED, "accepted"));
+	ck_assert(!job_entry_change(&jb, JOB_ENTRY_DONE, "x"));
 	ck_assert_str_eq(jb.reason, "accepted");
-	jb_finish(&jb);
+	job_entry_finish(&jb);
 }
 END_TEST
 
 int main(void)
 {
-	TCase *tc = tcase_create("jb");
+	TCase *tc = tcase_create("job_entry");
 
 	tcase_add_test(tc, record_survives_the_store);
 	tcase_add_test(tc, bad_submissions_are_refused);
 	tcase_add_test(tc, id_and_digest_tell_jobs_apart);
 	tcase_add_test(tc, only_legal_transitions);
-	return run_case("jb", tc);
+	return run_case("job_entry", tc);
 }
--- a/tests/unit/test_sched.c
+++ b/tests/unit/test_sched.c
@@ -8,7 +8,7 @@
 #include "daemon/sched.h"
 #include "daemon/sched_int.h"
 #include "daemon/svc.h"
-#include "policy/jb.h"
+#include "policy/job_entry.h"
 #include "tests/standins/wk_agent.h"
 #include "tests/unit/run.h"
 
@@ -279,7 +279,8 @@
 	return status;
 }
 
-static int submit(const char *key, int accelerators, char id[JB_ID_BYTES])
+static int submit(const char *key, int accelerators,
+		  char id[JOB_ENTRY_ID_BYTES])
 {
 	int result = api("POST", "/v1/jobs", key,
 			 json_pack("{ss si sb s{ss}}", "customer", "c",
@@ -369,7 +370,7 @@
 /* A gang that starts in part, twice or not at all. */
 START_TEST(gang_runs_once_and_whole)
 {
-	char id[JB_ID_BYTES];
+	char id[JOB_ENTRY_ID_BYTES];
 
 	begin(150);
 	ck_assert_int_eq(submit("k1", 16, id), 201);
@@ -386,7 +387,7 @@
 /* A repeated submission that makes a second job, or hides another body. */
 START_TEST(one_job_per_key)
 {
-	char first[JB_ID_BYTES], second[JB_ID_BYTES];
+	char first[JOB_ENTRY_ID_BYTES], second[JOB_ENTRY_ID_BYTES];
 
 	begin(60000);
 	flaky.lose = 1;
@@ -403,7 +404,7 @@
 /* A takeover that stops whole gangs, or starts them a second time. */
 START_TEST(takeover_adopts_whole_gang)
 {
-	char id[JB_ID_BYTES];
+	char id[JOB_ENTRY_ID_BYTES];
 
 	begin(60000);
 	ck_assert_int_eq(submit("k1", 16, id), 201);
@@ -431,7 +432,7 @@
 /* A takeover between commit and go that leaves a part of the gang running. */
 START_TEST(takeover_at_barrier_runs_whole)
 {
-	char id[JB_ID_BYTES];
+	char id[JOB_ENTRY_ID_BYTES];
 	int i;
 
 	begin(60000);
@@ -455,7 +456,7 @@
 /* A gang that goes on in part after one of its workers has died. */
 START_TEST(lost_worker_stops_gang)
 {
-	char id[JB_ID_BYTES];
+	char id[JOB_ENTRY_ID_BYTES];
 	int64_t died_us;
 	int victim = 0;
 
@@ -481,7 +482,7 @@
 /* A store outage that stops running work or loses the end of a job. */
 START_TEST(store_outage_stops_nothing)
 {
-	char id[JB_ID_BYTES];
+	char id[JOB_ENTRY_ID_BYTES];
 
 	begin(1500);
 	ck_assert_int_eq(submit("k1", 16, id), 201);
@@ -504,7 +505,7 @@
 /* A job that runs again because its end was not in the store yet. */
 START_TEST(unwritten_end_is_found)
 {
-	char id[JB_ID_BYTES];
+	char id[JOB_ENTRY_ID_BYTES];
 
 	begin(300);
 	ck_assert_int_eq(submit("k1", 16, id), 201);
@@ -526,7 +527,7 @@
 /* A graceful stop that stops running work or forgets to write a record. */
 START_TEST(stop_leaves_work_running)
 {
-	char id[JB_ID_BYTES];
+	char id[JOB_ENTRY_ID_BYTES];
 
 	begin(60000);
 	ck_assert_int_eq(submit("k1", 16, id), 201);
@@ -565,7 +566,7 @@
 	tell_document();
 }
 
-static void submit_owner(char id[JB_ID_BYTES])
+static void submit_owner(char id[JOB_ENTRY_ID_BYTES])
 {
 	ck_assert_int_eq(
 		api("POST", "/v1/jobs", "owner",
@@ -577,7 +578,7 @@
 /* A claim of an owner that waits while others use its accelerators. */
 START_TEST(claim_is_met)
 {
-	char borrower[JB_ID_BYTES], owner[JB_ID_BYTES];
+	char borrower[JOB_ENTRY_ID_BYTES], owner[JOB_ENTRY_ID_BYTES];
 
 	begin(120000);
 	add_owner();
@@ -618,7 +619,7 @@
 /* Work that ends because leadership was away for a moment. */
 START_TEST(regained_epoch_goes_on)
 {
-	char id[JB_ID_BYTES];
+	char id[JOB_ENTRY_ID_BYTES];
 
 	begin(60000);
 	ck_assert_int_eq(submit("k1", 16, id), 201);
@@ -637,7 +638,8 @@
 /* A claim that waits for a worker that died while its work was saved. */
 START_TEST(claim_leaves_lost_worker)
 {
-	char id[WORKERS][JB_ID_BYTES], owner[JB_ID_BYTES], key[16];
+	char id[WORKERS][JOB_ENTRY_ID_BYTES], owner[JOB_ENTRY_ID_BYTES],
+		key[16];
 	int i, victim = -1;
 
 	begin(120000);
@@ -695,7 +697,7 @@
 /* A cancelled job that goes on, or that a new leader starts again. */
 START_TEST(cancelled_job_stays_cancelled)
 {
-	char id[JB_ID_BYTES];
+	char id[JOB_ENTRY_ID_BYTES];
 	char *path;
 
 	begin(60000);
@@ -720,7 +722,7 @@
 /* A team that submits or cancels jobs of a customer that is not its own. */
 START_TEST(calls_need_the_customers_team)
 {
-	char id[JB_ID_BYTES];
+	char id[JOB_ENTRY_ID_BYTES];
 	char *path;
 
 	begin(60000);
@@ -755,7 +757,7 @@
 START_TEST(takeover_keeps_guaranteed_places)
 {
 	struct doc_guarantee guarantee = { "dc1", DOC_WORKER, 2 };
-	char id[JB_ID_BYTES];
+	char id[JOB_ENTRY_ID_BYTES];
 
 	begin(60000);
 	kill_sched();
@@ -795,7 +797,7 @@
  */
 START_TEST(removal_outlives_the_scheduler)
 {
-	char running[JB_ID_BYTES], waiting[JB_ID_BYTES];
+	char running[JOB_ENTRY_ID_BYTES], waiting[JOB_ENTRY_ID_BYTES];
 	bool stop = _i & 1, changed = _i & 2;
 
 	begin(60000);
@@ -826,7 +828,7 @@
 START_TEST(pool_may_come_later)
 {
 	struct doc_view *first;
-	char id[JB_ID_BYTES];
+	char id[JOB_ENTRY_ID_BYTES];
 
 	begin(200);
 	kill_sched();
