--- a/daemon/front.c
+++ b/daemon/front.c
@@ -317,7 +317,7 @@
 	/* Without a caller, a late answer goes to nobody. */
 	if (!req)
 		return;
-	if (call->outcome == KY_ANSWERED)
+	if (call->outcome == IDEM_ANSWERED)
 		reply_answer(req, call);
 	else
 		hs_reply_error(req, call->result, NULL, call->retry_after_s);
--- a/daemon/req.c
+++ b/daemon/req.c
@@ -187,7 +187,7 @@
 
 	req_servers_tick(r, now_us);
 	slots_tick(&r->slots, false, now_us);
-	ky_expire(&r->ky, now_us);
+	idem_expire(&r->ky, now_us);
 	update_gauges(r);
 	kn_timer_set(r->task.kn, &r->idle, REQ_IDLE_TICK_MS * USEC_PER_MSEC,
 		     on_idle);
@@ -386,7 +386,7 @@
 	req_servers_finish(r);
 	r->back->ops->finish(r->back);
 	slots_finish(&r->slots);
-	ky_finish(&r->ky);
+	idem_finish(&r->ky);
 	g_hash_table_destroy(r->peer_table);
 	g_hash_table_destroy(r->local);
 	req_counters_finish(r);
@@ -417,7 +417,7 @@
 	list_init(&r->batches);
 	mb_init(&r->mb);
 	ry_init(&r->ry, kn_now_us());
-	ky_init(&r->ky, set->host, incarnation);
+	idem_init(&r->ky, set->host, incarnation);
 	req_signs_init(r);
 	r->back = back_http_new(kn, &r->signs);
 	r->rand = set->seed ? g_rand_new_with_seed((guint32)set->seed) :
--- a/daemon/req.h
+++ b/daemon/req.h
@@ -3,7 +3,7 @@
 
 #include "base/kn.h"
 #include "base/set.h"
-#include "policy/ky.h"
+#include "policy/idem.h"
 #include "wire/http.h"
 #include "wire/kv.h"
 
@@ -35,7 +35,7 @@
 	unsigned char *body;
 	size_t body_len;
 	/* Answer. */
-	enum ky_outcome outcome;
+	enum idem_outcome outcome;
 	int result;
 	int status;
 	int retry_after_s; /* 0: none */
--- a/daemon/req_adopt.c
+++ b/daemon/req_adopt.c
@@ -41,7 +41,7 @@
 	return NULL;
 }
 
-static void pack_key(struct mp_out *out, const struct ky_entry *entry)
+static void pack_key(struct mp_out *out, const struct idem_entry *entry)
 {
 	mp_array(out, 7);
 	mp_str(out, entry->key);
@@ -72,10 +72,10 @@
 	for (node = r->ky.finished.prev;
 	     node != &r->ky.finished && sent < KEY_HANDOVER_BYTES;
 	     node = node->prev) {
-		const struct ky_entry *entry =
-			list_entry(node, struct ky_entry, node);
+		const struct idem_entry *entry =
+			list_entry(node, struct idem_entry, node);
 
-		if (entry->state != KY_ST_DONE)
+		if (entry->state != IDEM_ST_DONE)
 			continue;
 		pack_key(&out, entry);
 		count++;
@@ -94,9 +94,9 @@
 
 static bool adopt_one(struct req_task *r, struct mp_in *list)
 {
-	struct ky_answer answer = { 0 };
-	struct ky_digest digest;
-	char key[KY_KEY_BYTES];
+	struct idem_answer answer = { 0 };
+	struct idem_digest digest;
+	char key[IDEM_KEY_BYTES];
 	struct mp_in in;
 	int64_t outcome;
 
@@ -108,10 +108,10 @@
 	answer.result = (int)mp_get_int(&in);
 	answer.status = (int)mp_get_int(&in);
 	answer.blob = (void *)mp_get_bin(&in, &answer.len);
-	if (!in.ok || outcome < KY_ANSWERED || outcome > KY_UNKNOWN)
+	if (!in.ok || outcome < IDEM_ANSWERED || outcome > IDEM_UNKNOWN)
 		return false;
-	answer.outcome = (enum ky_outcome)outcome;
-	ky_adopt(&r->ky, key, &digest, &answer, kn_now_us());
+	answer.outcome = (enum idem_outcome)outcome;
+	idem_adopt(&r->ky, key, &digest, &answer, kn_now_us());
 	return true;
 }
 
@@ -119,7 +119,7 @@
 void req_keys_adopt(struct req_task *r, const struct pr_in *msg)
 {
 	char adopter[NAME_MAX_BYTES];
-	struct ky_owner owner;
+	struct idem_owner owner;
 	struct mp_in in, list;
 	struct mp_out out;
 	int64_t kind;
@@ -135,7 +135,7 @@
 		log_warn("keys.malformed", "peer=%s", msg->host);
 		return;
 	}
-	ky_set_adopter(&r->ky, &owner, adopter);
+	idem_set_adopter(&r->ky, &owner, adopter);
 	if (kind != ADOPT_KEYS || strcmp(adopter, r->set->host) != 0)
 		return;
 	count = list.left;
--- a/daemon/req_fwd.c
+++ b/daemon/req_fwd.c
@@ -86,10 +86,10 @@
  * Sends a request to the owner of its key. It is never run here: an earlier
  * attempt may have run at the owner, even when that cannot be reached.
  */
-void req_forward_owner(struct req *req, const struct ky_owner *owner)
+void req_forward_owner(struct req *req, const struct idem_owner *owner)
 {
 	struct req_task *r = req->r;
-	const char *adopter = ky_adopter(&r->ky, owner), *host;
+	const char *adopter = idem_adopter(&r->ky, owner), *host;
 	const struct req_peer *peer;
 
 	host = adopter ? adopter : owner->host;
@@ -321,21 +321,21 @@
 	body = mp_get_bin(&in, &len);
 	call->retry_after_s = (int)mp_get_int(&in);
 	req_set_state(req, REQ_ST_NEW);
-	if (!in.ok || outcome < KY_ANSWERED || outcome > KY_UNKNOWN) {
+	if (!in.ok || outcome < IDEM_ANSWERED || outcome > IDEM_UNKNOWN) {
 		http_headers_finish(&call->reply_headers);
 		http_headers_init(&call->reply_headers);
 		req_unknown(req, CB_E_PEER_LOST);
 		return;
 	}
 	/* What the peer did not run may have run here before. */
-	if (outcome == KY_NOT_RUN && req->maybe_ran) {
+	if (outcome == IDEM_NOT_RUN && req->maybe_ran) {
 		http_headers_finish(&call->reply_headers);
 		http_headers_init(&call->reply_headers);
 		call->retry_after_s = 0;
 		req_unknown(req, req->maybe_result);
 		return;
 	}
-	call->outcome = (enum ky_outcome)outcome;
+	call->outcome = (enum idem_outcome)outcome;
 	if (len > 0)
 		call->reply = g_memdup2(body, len);
 	call->reply_len = len;
--- a/daemon/req_int.h
+++ b/daemon/req_int.h
@@ -5,7 +5,7 @@
 #include "daemon/req.h"
 #include "daemon/slots.h"
 #include "daemon/svc.h"
-#include "policy/ky.h"
+#include "policy/idem.h"
 #include "policy/mb.h"
 #include "policy/rq.h"
 #include "policy/rt.h"
@@ -63,8 +63,8 @@
 	int attempts;
 	struct req_server *server; /* of the running or the last attempt */
 	struct back_call back;
-	struct ky_entry *entry;
-	struct ky_waiter waiter;
+	struct idem_entry *entry;
+	struct idem_waiter waiter;
 	uint64_t local_id; /* of the sender in this process; 0: from a peer */
 	/* From a peer: the answer goes there. */
 	char from_host[NAME_MAX_BYTES];
@@ -105,7 +105,7 @@
 	GHashTable *local; /* local_id -> struct req */
 	struct mb mb;
 	struct ry ry;
-	struct ky ky;
+	struct idem ky;
 	struct slots slots;
 	struct back *back;
 	struct back_signs signs;
@@ -186,7 +186,7 @@
 
 bool req_forward(struct req *req, const char *host);
 void req_forward_cancel(struct req *req);
-void req_forward_owner(struct req *req, const struct ky_owner *owner);
+void req_forward_owner(struct req *req, const struct idem_owner *owner);
 bool req_must_leave(const struct req *req);
 void req_leave_queue(struct req *req);
 void req_pass_on(struct req *req);
--- a/daemon/req_key.c
+++ b/daemon/req_key.c
@@ -8,7 +8,7 @@
 #include "daemon/req_int.h"
 
 #define KEY_STORE_PREFIX "/chivebank/keys/"
-#define STORE_KEY_BYTES (KY_KEY_BYTES + sizeof(KEY_STORE_PREFIX))
+#define STORE_KEY_BYTES (IDEM_KEY_BYTES + sizeof(KEY_STORE_PREFIX))
 
 /* Answers that are kept. */
 
@@ -20,7 +20,8 @@
 }
 
 /* Puts a kept answer into a call; false when it cannot be read. */
-static bool unpack_answer(const struct ky_answer *answer, struct req_call *call)
+static bool unpack_answer(const struct idem_answer *answer,
+			  struct req_call *call)
 {
 	msgpack_unpacked unpacked;
 	struct mp_in in;
@@ -43,14 +44,14 @@
 	return in.ok;
 }
 
-static void replay(struct req *req, const struct ky_answer *answer)
+static void replay(struct req *req, const struct idem_answer *answer)
 {
 	ctr_add(&req->r->ctrs.replayed, 1);
 	if (!unpack_answer(answer, req->call)) {
 		req_unknown(req, CB_E_ANSWER_FORGOTTEN);
 		return;
 	}
-	req->call->outcome = KY_ANSWERED;
+	req->call->outcome = IDEM_ANSWERED;
 	req->call->result = CB_OK;
 	req->call->status = answer->status;
 	req_answer(req);
@@ -59,7 +60,7 @@
 /* Begin and end. */
 
 /* A key of the caller's choice belongs to its customer. */
-static bool full_key(const struct req_call *call, char out[KY_KEY_BYTES])
+static bool full_key(const struct req_call *call, char out[IDEM_KEY_BYTES])
 {
 	size_t len = strlen(call->key);
 	const char *p;
@@ -69,21 +70,21 @@
 	for (p = call->key; *p; p++)
 		if (*p <= ' ' || *p > '~')
 			return false;
-	if (ky_is_ticket(call->key))
-		snprintf(out, KY_KEY_BYTES, "%s", call->key);
+	if (idem_is_ticket(call->key))
+		snprintf(out, IDEM_KEY_BYTES, "%s", call->key);
 	else
-		snprintf(out, KY_KEY_BYTES, "k/%s/%s", call->customer,
+		snprintf(out, IDEM_KEY_BYTES, "k/%s/%s", call->customer,
 			 call->key);
 	return true;
 }
 
 /* Digest of the request; the customer and the service are part of it. */
-static struct ky_digest digest_of(const struct req_call *call)
+static struct idem_digest digest_of(const struct req_call *call)
 {
 	char *target = g_strdup_printf("%s %s %s", call->customer,
 				       call->service, call->target);
-	struct ky_digest digest =
-		ky_digest(call->method, target, call->body, call->body_len);
+	struct idem_digest digest =
+		idem_digest(call->method, target, call->body, call->body_len);
 
 	g_free(target);
 	return digest;
@@ -93,49 +94,49 @@
 void req_key_begin(struct req *req)
 {
 	struct req_task *r = req->r;
-	struct ky_digest digest = digest_of(req->call);
-	char key[KY_KEY_BYTES];
-	struct ky_entry *entry;
-	struct ky_owner owner;
+	struct idem_digest digest = digest_of(req->call);
+	char key[IDEM_KEY_BYTES];
+	struct idem_entry *entry;
+	struct idem_owner owner;
 	int result;
 
 	if (!full_key(req->call, key)) {
 		req_not_run(req, CB_E_BAD_KEY);
 		return;
 	}
-	if (!r->kv && !ky_is_ticket(key)) {
+	if (!r->kv && !idem_is_ticket(key)) {
 		req_not_run(req, CB_E_STORE_DOWN);
 		return;
 	}
-	switch (ky_begin(&r->ky, key, &digest, kn_now_us(), &entry, &owner,
-			 &result)) {
-	case KY_RUN:
+	switch (idem_begin(&r->ky, key, &digest, kn_now_us(), &entry, &owner,
+			   &result)) {
+	case IDEM_RUN:
 		req->entry = entry;
 		entry->user = req;
 		req_enqueue(req);
 		break;
-	case KY_CLAIM:
+	case IDEM_CLAIM:
 		req->entry = entry;
 		entry->user = req;
 		req_set_state(req, REQ_ST_CLAIMING);
 		ctr_add(&r->ctrs.claims, 1);
 		req_wake(r);
 		break;
-	case KY_WAIT:
+	case IDEM_WAIT:
 		req_set_state(req, REQ_ST_WAITING);
-		ky_wait(entry, &req->waiter);
+		idem_wait(entry, &req->waiter);
 		req_wake(r);
 		break;
-	case KY_REPLAY:
+	case IDEM_REPLAY:
 		replay(req, &entry->answer);
 		break;
-	case KY_LOST:
+	case IDEM_LOST:
 		req_unknown(req, result);
 		break;
-	case KY_FORWARD:
+	case IDEM_FORWARD:
 		req_forward_owner(req, &owner);
 		break;
-	case KY_REFUSE:
+	case IDEM_REFUSE:
 		req_not_run(req, result);
 		break;
 	}
@@ -161,14 +162,14 @@
 	req_answer(to);
 }
 
-static struct req *first_waiter(struct ky_entry *entry)
+static struct req *first_waiter(struct idem_entry *entry)
 {
-	struct ky_waiter *waiter;
+	struct idem_waiter *waiter;
 
 	if (list_empty(&entry->waiters))
 		return NULL;
-	waiter = list_first_entry(&entry->waiters, struct ky_waiter, node);
-	ky_unwait(waiter);
+	waiter = list_first_entry(&entry->waiters, struct idem_waiter, node);
+	idem_unwait(waiter);
 	return container_of(waiter, struct req, waiter);
 }
 
@@ -179,7 +180,7 @@
  */
 void req_key_end(struct req *req)
 {
-	struct ky_entry *entry = req->entry;
+	struct idem_entry *entry = req->entry;
 	struct req_call *call = req->call;
 	struct req_task *r = req->r;
 	struct mp_out out;
@@ -189,16 +190,16 @@
 	entry->user = NULL;
 	while ((other = first_waiter(entry)))
 		copy_answer(other, call);
-	if (entry->state == KY_ST_CLAIMING)
+	if (entry->state == IDEM_ST_CLAIMING)
 		return;
-	if (call->outcome != KY_ANSWERED) {
-		ky_end(&r->ky, entry, call->outcome, call->result, call->status,
-		       NULL, 0, kn_now_us());
+	if (call->outcome != IDEM_ANSWERED) {
+		idem_end(&r->ky, entry, call->outcome, call->result,
+			 call->status, NULL, 0, kn_now_us());
 		return;
 	}
 	pack_answer(&out, call);
-	ky_end(&r->ky, entry, KY_ANSWERED, CB_OK, call->status, out.buf.data,
-	       out.buf.size, kn_now_us());
+	idem_end(&r->ky, entry, IDEM_ANSWERED, CB_OK, call->status,
+		 out.buf.data, out.buf.size, kn_now_us());
 	mp_end(&out);
 }
 
@@ -210,13 +211,13 @@
 	struct kv_call call;
 	struct req_task *r;
 	size_t n;
-	struct ky_entry *entries[KEY_BATCH_MAX];
+	struct idem_entry *entries[KEY_BATCH_MAX];
 	char keys[KEY_BATCH_MAX][STORE_KEY_BYTES];
-	char values[KEY_BATCH_MAX][KY_CLAIM_BYTES];
+	char values[KEY_BATCH_MAX][IDEM_CLAIM_BYTES];
 };
 
 /* The attempt of a resolved claim; a waiting one takes its place. */
-static struct req *attempt_of(struct ky_entry *entry)
+static struct req *attempt_of(struct idem_entry *entry)
 {
 	struct req *req = entry->user;
 
@@ -229,20 +230,20 @@
 	return req;
 }
 
-static void claim_won(struct req_task *r, struct ky_entry *entry)
+static void claim_won(struct req_task *r, struct idem_entry *entry)
 {
 	struct req *req = attempt_of(entry);
 
 	if (req)
 		req_enqueue(req);
 	else
-		ky_end(&r->ky, entry, KY_NOT_RUN, CB_E_DEADLINE, 0, NULL, 0,
-		       kn_now_us());
+		idem_end(&r->ky, entry, IDEM_NOT_RUN, CB_E_DEADLINE, 0, NULL, 0,
+			 kn_now_us());
 }
 
 /* Ends the claim of a key that another owner has, or that is lost. */
-static void claim_lost(struct req_task *r, struct ky_entry *entry,
-		       const struct ky_owner *owner, int result)
+static void claim_lost(struct req_task *r, struct idem_entry *entry,
+		       const struct idem_owner *owner, int result)
 {
 	struct req *req;
 
@@ -254,25 +255,25 @@
 		else
 			req_unknown(req, result);
 	}
-	ky_drop(&r->ky, entry);
+	idem_drop(&r->ky, entry);
 }
 
-static void settle(struct batch *batch, struct ky_entry *entry,
+static void settle(struct batch *batch, struct idem_entry *entry,
 		   const char *value)
 {
 	struct req_task *r = batch->r;
-	struct ky_owner owner;
+	struct idem_owner owner;
 	int result = CB_OK;
 
-	switch (ky_claim_settle(&r->ky, entry, value, &owner, &result)) {
-	case KY_RUN:
+	switch (idem_claim_settle(&r->ky, entry, value, &owner, &result)) {
+	case IDEM_RUN:
 		claim_won(r, entry);
 		break;
-	case KY_FORWARD:
+	case IDEM_FORWARD:
 		claim_lost(r, entry, &owner, result);
 		break;
-	case KY_CLAIM:
-		ky_claim_again(&r->ky, entry, kn_now_us());
+	case IDEM_CLAIM:
+		idem_claim_again(&r->ky, entry, kn_now_us());
 		break;
 	default:
 		claim_lost(r, entry, NULL, result);
@@ -296,7 +297,7 @@
  */
 static void refuse_batch(struct batch *batch, int result)
 {
-	struct ky_entry *entry;
+	struct idem_entry *entry;
 	struct req *req;
 	size_t i;
 
@@ -307,7 +308,7 @@
 			entry->user = NULL;
 			req_not_run(req, result);
 		}
-		ky_drop(&batch->r->ky, entry);
+		idem_drop(&batch->r->ky, entry);
 	}
 }
 
@@ -323,7 +324,8 @@
 	} else if (call->result != CB_OK) {
 		/* Unknown: the same claim again finds out, whoever won. */
 		for (i = 0; i < batch->n; i++)
-			ky_claim_again(&r->ky, batch->entries[i], kn_now_us());
+			idem_claim_again(&r->ky, batch->entries[i],
+					 kn_now_us());
 	} else {
 		for (i = 0; i < batch->n; i++)
 			settle(batch, batch->entries[i],
@@ -345,14 +347,14 @@
 
 	batch->r = r;
 	batch->call.done = batch_done;
-	batch->n = ky_claims_take(&r->ky, batch->entries, KEY_BATCH_MAX);
+	batch->n = idem_claims_take(&r->ky, batch->entries, KEY_BATCH_MAX);
 	memset(cmps, 0, sizeof(cmps));
 	memset(puts, 0, sizeof(puts));
 	memset(gets, 0, sizeof(gets));
 	for (i = 0; i < batch->n; i++) {
 		snprintf(batch->keys[i], STORE_KEY_BYTES, "%s%s",
 			 KEY_STORE_PREFIX, batch->entries[i]->key);
-		ky_claim_value(&r->ky, batch->entries[i], batch->values[i]);
+		idem_claim_value(&r->ky, batch->entries[i], batch->values[i]);
 		cmps[i].key = batch->keys[i];
 		puts[i].kind = KV_PUT;
 		puts[i].key = batch->keys[i];
@@ -390,7 +392,8 @@
 		return;
 	while (r->ky.claim_count > 0) {
 		batch.r = r;
-		batch.n = ky_claims_take(&r->ky, batch.entries, KEY_BATCH_MAX);
+		batch.n =
+			idem_claims_take(&r->ky, batch.entries, KEY_BATCH_MAX);
 		refuse_batch(&batch, CB_E_STORE_DOWN);
 	}
 	req_check_drained(r);
@@ -436,7 +439,7 @@
 		return;
 	renew_lease(r, now_us);
 	while (lease_usable(r, now_us) && count_batches(r) < KEY_BATCHES_MAX &&
-	       ky_claims_due(&r->ky, now_us))
+	       idem_claims_due(&r->ky, now_us))
 		send_batch(r);
 }
 
@@ -453,11 +456,11 @@
 
 void req_tickets(struct req_task *r, struct req_tickets *msg)
 {
-	char text[KY_KEY_BYTES];
+	char text[IDEM_KEY_BYTES];
 	unsigned int i;
 
 	for (i = 0; i < msg->count && !r->refusing; i++)
-		if (ky_mint(&r->ky, text, sizeof(text), kn_now_us()))
+		if (idem_mint(&r->ky, text, sizeof(text), kn_now_us()))
 			g_ptr_array_add(msg->tickets, g_strdup(text));
 	kn_send(msg->msg.from, &r->task, &msg->msg);
 }
--- a/daemon/req_run.c
+++ b/daemon/req_run.c
@@ -52,13 +52,13 @@
 
 static void count_outcome(struct req_task *r, const struct req_call *call)
 {
-	if (call->outcome == KY_ANSWERED)
+	if (call->outcome == IDEM_ANSWERED)
 		ctr_add(&r->ctrs.answered, 1);
-	else if (call->outcome == KY_UNKNOWN)
+	else if (call->outcome == IDEM_UNKNOWN)
 		ctr_add(&r->ctrs.unknown, 1);
 	else
 		ctr_add(&r->ctrs.not_run, 1);
-	if (call->outcome != KY_ANSWERED)
+	if (call->outcome != IDEM_ANSWERED)
 		req_count_refused(r, call->result);
 }
 
@@ -108,7 +108,7 @@
 	/* Numbers of 3xx say that the outcome is unknown. */
 	if (result / 100 == 3)
 		result = CB_E_NO_SERVER;
-	req->call->outcome = KY_NOT_RUN;
+	req->call->outcome = IDEM_NOT_RUN;
 	req->call->result = result;
 	req->call->status = cb_result_http(result);
 	req->call->retry_after_s = retry_after(result);
@@ -119,7 +119,7 @@
 {
 	if (result / 100 != 3)
 		result = CB_E_UPSTREAM_LOST;
-	req->call->outcome = KY_UNKNOWN;
+	req->call->outcome = IDEM_UNKNOWN;
 	req->call->result = result;
 	req->call->status = cb_result_http(result);
 	req_answer(req);
@@ -361,7 +361,7 @@
 	struct req_call *call = req->call;
 	struct back_call *back = &req->back;
 
-	call->outcome = KY_ANSWERED;
+	call->outcome = IDEM_ANSWERED;
 	call->result = CB_OK;
 	call->status = back->status;
 	http_headers_finish(&call->reply_headers);
--- a/policy/ky.c
+++ b/policy/idem.c
@@ -1,4 +1,4 @@
-#include "policy/ky.h"
+#include "policy/idem.h"
 
 #include <inttypes.h>
 #include <stdio.h>
@@ -13,14 +13,14 @@
 
 static void entry_free(gpointer data)
 {
-	struct ky_entry *entry = data;
+	struct idem_entry *entry = data;
 
 	g_free(entry->answer.blob);
 	g_free(entry);
 }
 
 /* Prepares the keys of one incarnation of this host. */
-void ky_init(struct ky *ky, const char *host, uint64_t incarnation)
+void idem_init(struct idem *ky, const char *host, uint64_t incarnation)
 {
 	memset(ky, 0, sizeof(*ky));
 	snprintf(ky->self.host, sizeof(ky->self.host), "%s", host);
@@ -35,7 +35,7 @@
 	kyt_init(ky);
 }
 
-void ky_finish(struct ky *ky)
+void idem_finish(struct idem *ky)
 {
 	g_hash_table_destroy(ky->entries);
 	g_hash_table_destroy(ky->adopted);
@@ -43,12 +43,12 @@
 }
 
 /* Digest of what a key stands for; parts are separated by a NUL. */
-struct ky_digest ky_digest(const char *method, const char *target,
-			   const void *body, size_t len)
+struct idem_digest idem_digest(const char *method, const char *target,
+			       const void *body, size_t len)
 {
 	XXH3_state_t *state = XXH3_createState();
 	XXH128_hash_t hash;
-	struct ky_digest digest;
+	struct idem_digest digest;
 
 	XXH3_128bits_reset(state);
 	XXH3_128bits_update(state, method, strlen(method) + 1);
@@ -64,15 +64,15 @@
 
 /* Entries. */
 
-static bool same_owner(const struct ky_owner *a, const struct ky_owner *b)
+static bool same_owner(const struct idem_owner *a, const struct idem_owner *b)
 {
 	return a->incarnation == b->incarnation && !strcmp(a->host, b->host);
 }
 
-static struct ky_entry *entry_new(struct ky *ky, const char *key,
-				  const struct ky_digest *digest)
+static struct idem_entry *entry_new(struct idem *ky, const char *key,
+				    const struct idem_digest *digest)
 {
-	struct ky_entry *entry = g_new0(struct ky_entry, 1);
+	struct idem_entry *entry = g_new0(struct idem_entry, 1);
 
 	snprintf(entry->key, sizeof(entry->key), "%s", key);
 	entry->digest = *digest;
@@ -82,7 +82,7 @@
 	return entry;
 }
 
-static void entry_unlink_finished(struct ky *ky, struct ky_entry *entry)
+static void entry_unlink_finished(struct idem *ky, struct idem_entry *entry)
 {
 	list_del(&entry->node);
 	ky->finished_count--;
@@ -90,137 +90,137 @@
 }
 
 /* Removes an entry that is neither queued nor in progress. */
-void ky_drop(struct ky *ky, struct ky_entry *entry)
+void idem_drop(struct idem *ky, struct idem_entry *entry)
 {
-	if (entry->state == KY_ST_DONE || entry->state == KY_ST_NOT_RUN)
+	if (entry->state == IDEM_ST_DONE || entry->state == IDEM_ST_NOT_RUN)
 		entry_unlink_finished(ky, entry);
-	else if (entry->state == KY_ST_CLAIMING && !list_empty(&entry->node))
+	else if (entry->state == IDEM_ST_CLAIMING && !list_empty(&entry->node))
 		ky->claim_count--;
 	list_del(&entry->node);
 	g_hash_table_remove(ky->entries, entry->key);
 }
 
 /* Verdict for a key that this process remembers. */
-static enum ky_verdict known(struct ky *ky, struct ky_entry *entry,
-			     const struct ky_digest *digest, int *result)
+static enum idem_verdict known(struct idem *ky, struct idem_entry *entry,
+			       const struct idem_digest *digest, int *result)
 {
 	if (entry->digest.low != digest->low ||
 	    entry->digest.high != digest->high) {
 		*result = CB_E_KEY_REUSED;
-		return KY_REFUSE;
+		return IDEM_REFUSE;
 	}
 	switch (entry->state) {
-	case KY_ST_CLAIMING:
-	case KY_ST_RUNNING:
-		return KY_WAIT;
-	case KY_ST_NOT_RUN:
+	case IDEM_ST_CLAIMING:
+	case IDEM_ST_RUNNING:
+		return IDEM_WAIT;
+	case IDEM_ST_NOT_RUN:
 		entry_unlink_finished(ky, entry);
 		g_free(entry->answer.blob);
 		memset(&entry->answer, 0, sizeof(entry->answer));
-		entry->state = KY_ST_RUNNING;
-		return KY_RUN;
-	case KY_ST_DONE:
+		entry->state = IDEM_ST_RUNNING;
+		return IDEM_RUN;
+	case IDEM_ST_DONE:
 		break;
 	}
-	if (entry->answer.outcome == KY_ANSWERED)
-		return KY_REPLAY;
+	if (entry->answer.outcome == IDEM_ANSWERED)
+		return IDEM_REPLAY;
 	*result = entry->answer.result;
-	return KY_LOST;
+	return IDEM_LOST;
 }
 
-static enum ky_verdict begin_ticket(struct ky *ky, const char *key,
-				    const struct ky_digest *digest,
-				    struct ky_entry **entry,
-				    struct ky_owner *owner, int *result)
+static enum idem_verdict begin_ticket(struct idem *ky, const char *key,
+				      const struct idem_digest *digest,
+				      struct idem_entry **entry,
+				      struct idem_owner *owner, int *result)
 {
 	uint64_t seq;
 
 	*result = CB_E_BAD_KEY;
-	if (!ky_ticket_parse(key, owner, &seq))
-		return KY_REFUSE;
+	if (!idem_ticket_parse(key, owner, &seq))
+		return IDEM_REFUSE;
 	if (!same_owner(owner, &ky->self)) {
 		/* Adopted, but not handed over: it may have run. */
 		*result = CB_E_OWNER_GONE;
 		return strcmp(owner->host, ky->self.host) == 0 &&
-				       !ky_adopter(ky, owner) ?
-			       KY_LOST :
-			       KY_FORWARD;
+				       !idem_adopter(ky, owner) ?
+			       IDEM_LOST :
+			       IDEM_FORWARD;
 	}
 	switch (kyt_state(ky, seq)) {
 	case KYT_NEVER_MINTED:
-		return KY_REFUSE;
+		return IDEM_REFUSE;
 	case KYT_EXPIRED:
 	case KYT_USED:
 		*result = CB_E_ANSWER_FORGOTTEN;
-		return KY_LOST;
+		return IDEM_LOST;
 	case KYT_FRESH:
 		break;
 	}
 	kyt_mark(ky, seq, true);
 	*entry = entry_new(ky, key, digest);
-	(*entry)->state = KY_ST_RUNNING;
+	(*entry)->state = IDEM_ST_RUNNING;
 	(*entry)->ticket = seq;
-	return KY_RUN;
+	return IDEM_RUN;
 }
 
 /*
  * The store forgets a claim some time after KEY_KEEP_SEC, and another host
  * may claim the key then, so an old claim is no reason to run it here.
  */
-static bool claim_is_old(const struct ky_entry *entry, int64_t now_us)
+static bool claim_is_old(const struct idem_entry *entry, int64_t now_us)
 {
-	return entry->state == KY_ST_NOT_RUN && !entry->ticket &&
+	return entry->state == IDEM_ST_NOT_RUN && !entry->ticket &&
 	       now_us - entry->begun_us >= KEY_KEEP_SEC * USEC_PER_SEC;
 }
 
 /*
- * Decides on a request with a key. On KY_RUN the claim is recorded and
- * ky_end() must follow; on KY_CLAIM the entry is queued for the store.
+ * Decides on a request with a key. On IDEM_RUN the claim is recorded and
+ * idem_end() must follow; on IDEM_CLAIM the entry is queued for the store.
  */
-enum ky_verdict ky_begin(struct ky *ky, const char *key,
-			 const struct ky_digest *digest, int64_t now_us,
-			 struct ky_entry **entry, struct ky_owner *owner,
-			 int *result)
+enum idem_verdict idem_begin(struct idem *ky, const char *key,
+			     const struct idem_digest *digest, int64_t now_us,
+			     struct idem_entry **entry,
+			     struct idem_owner *owner, int *result)
 {
 	size_t len = strlen(key);
 
 	*result = CB_E_BAD_KEY;
-	if (len == 0 || len >= KY_KEY_BYTES)
-		return KY_REFUSE;
+	if (len == 0 || len >= IDEM_KEY_BYTES)
+		return IDEM_REFUSE;
 	*entry = g_hash_table_lookup(ky->entries, key);
 	if (*entry && claim_is_old(*entry, now_us)) {
-		ky_drop(ky, *entry);
+		idem_drop(ky, *entry);
 		*entry = NULL;
 	}
 	if (*entry)
 		return known(ky, *entry, digest, result);
-	if (ky_is_ticket(key))
+	if (idem_is_ticket(key))
 		return begin_ticket(ky, key, digest, entry, owner, result);
 	*entry = entry_new(ky, key, digest);
 	(*entry)->number = ky->next_number++;
 	(*entry)->begun_us = now_us;
-	ky_claim_again(ky, *entry, now_us);
-	return KY_CLAIM;
+	idem_claim_again(ky, *entry, now_us);
+	return IDEM_CLAIM;
 }
 
-/* Adds a later attempt; the caller answers all of them after ky_end(). */
-void ky_wait(struct ky_entry *entry, struct ky_waiter *waiter)
+/* Adds a later attempt; the caller answers all of them after idem_end(). */
+void idem_wait(struct idem_entry *entry, struct idem_waiter *waiter)
 {
 	list_add_tail(&waiter->node, &entry->waiters);
 }
 
-void ky_unwait(struct ky_waiter *waiter)
+void idem_unwait(struct idem_waiter *waiter)
 {
 	list_del(&waiter->node);
 }
 
-static void shrink(struct ky *ky)
+static void shrink(struct idem *ky)
 {
 	while (!list_empty(&ky->finished) &&
 	       (ky->finished_count > KEY_ENTRIES_MAX ||
 		ky->blob_bytes > KEY_BYTES_MAX)) {
-		ky_drop(ky,
-			list_first_entry(&ky->finished, struct ky_entry, node));
+		idem_drop(ky, list_first_entry(&ky->finished, struct idem_entry,
+					       node));
 		ky->evicted++;
 	}
 }
@@ -228,19 +228,19 @@
 /*
  * Records the outcome. A ticket that was not run becomes fresh again and
  * its entry is freed, so entry and its waiters must not be used after; the
- * caller takes the waiters off first. An evicted key answers KY_LOST: by
+ * caller takes the waiters off first. An evicted key answers IDEM_LOST: by
  * its bit when it is a ticket, else by its claim in the store.
  */
-void ky_end(struct ky *ky, struct ky_entry *entry, enum ky_outcome outcome,
-	    int result, int status, const void *blob, size_t len,
-	    int64_t now_us)
+void idem_end(struct idem *ky, struct idem_entry *entry,
+	      enum idem_outcome outcome, int result, int status,
+	      const void *blob, size_t len, int64_t now_us)
 {
-	if (outcome == KY_NOT_RUN && entry->ticket) {
+	if (outcome == IDEM_NOT_RUN && entry->ticket) {
 		kyt_mark(ky, entry->ticket, false);
-		ky_drop(ky, entry);
+		idem_drop(ky, entry);
 		return;
 	}
-	entry->state = outcome == KY_NOT_RUN ? KY_ST_NOT_RUN : KY_ST_DONE;
+	entry->state = outcome == IDEM_NOT_RUN ? IDEM_ST_NOT_RUN : IDEM_ST_DONE;
 	entry->since_us = now_us;
 	entry->answer.outcome = outcome;
 	entry->answer.result = result;
@@ -254,15 +254,16 @@
 }
 
 /* Forgets what is older than KEY_KEEP_SEC. */
-void ky_expire(struct ky *ky, int64_t now_us)
+void idem_expire(struct idem *ky, int64_t now_us)
 {
-	struct ky_entry *entry;
+	struct idem_entry *entry;
 
 	while (!list_empty(&ky->finished)) {
-		entry = list_first_entry(&ky->finished, struct ky_entry, node);
+		entry = list_first_entry(&ky->finished, struct idem_entry,
+					 node);
 		if (now_us - entry->since_us < KEY_KEEP_SEC * USEC_PER_SEC)
 			break;
-		ky_drop(ky, entry);
+		idem_drop(ky, entry);
 	}
 	kyt_expire(ky, now_us);
 }
@@ -270,33 +271,33 @@
 /* Claims in the store. */
 
 /* Queues a claim, first or once more after an undecided answer. */
-void ky_claim_again(struct ky *ky, struct ky_entry *entry, int64_t now_us)
+void idem_claim_again(struct idem *ky, struct idem_entry *entry, int64_t now_us)
 {
-	entry->state = KY_ST_CLAIMING;
+	entry->state = IDEM_ST_CLAIMING;
 	entry->since_us = now_us;
 	list_add_tail(&entry->node, &ky->claims);
 	ky->claim_count++;
 }
 
 /* True when a batch is full or its oldest claim has waited long enough. */
-bool ky_claims_due(const struct ky *ky, int64_t now_us)
+bool idem_claims_due(const struct idem *ky, int64_t now_us)
 {
-	const struct ky_entry *oldest;
+	const struct idem_entry *oldest;
 
 	if (ky->claim_count == 0)
 		return false;
-	oldest = list_first_entry(&ky->claims, struct ky_entry, node);
+	oldest = list_first_entry(&ky->claims, struct idem_entry, node);
 	return ky->claim_count >= KEY_BATCH_MAX ||
 	       now_us - oldest->since_us >= KEY_BATCH_DELAY_MS * USEC_PER_MSEC;
 }
 
 /* Takes up to max queued claims for one transaction. */
-size_t ky_claims_take(struct ky *ky, struct ky_entry **out, size_t max)
+size_t idem_claims_take(struct idem *ky, struct idem_entry **out, size_t max)
 {
 	size_t n = 0;
 
 	while (n < max && !list_empty(&ky->claims)) {
-		out[n] = list_first_entry(&ky->claims, struct ky_entry, node);
+		out[n] = list_first_entry(&ky->claims, struct idem_entry, node);
 		list_del(&out[n]->node);
 		ky->claim_count--;
 		n++;
@@ -305,14 +306,14 @@
 }
 
 /* Value of the claim: host/incarnation/number, numbers in hexadecimal. */
-void ky_claim_value(const struct ky *ky, const struct ky_entry *entry,
-		    char out[KY_CLAIM_BYTES])
+void idem_claim_value(const struct idem *ky, const struct idem_entry *entry,
+		      char out[IDEM_CLAIM_BYTES])
 {
-	snprintf(out, KY_CLAIM_BYTES, "%s/%" PRIx64 "/%" PRIx64, ky->self.host,
-		 ky->self.incarnation, entry->number);
+	snprintf(out, IDEM_CLAIM_BYTES, "%s/%" PRIx64 "/%" PRIx64,
+		 ky->self.host, ky->self.incarnation, entry->number);
 }
 
-static bool parse_claim(const char *value, struct ky_owner *owner)
+static bool parse_claim(const char *value, struct idem_owner *owner)
 {
 	const char *slash = strchr(value, '/');
 	size_t len = slash ? (size_t)(slash - value) : 0;
@@ -329,44 +330,44 @@
  * Resolves a claim by the value the store holds, NULL when it holds none.
  * Our own number means that the claim is ours even if the reply to it was
  * lost. Another number of this incarnation belongs to an attempt that was
- * forgotten here, so it may have run. KY_CLAIM: claim again with the same
- * number, which is safe since the transaction creates only. For KY_FORWARD
- * and KY_LOST the caller drops the entry after answering its waiters.
+ * forgotten here, so it may have run. IDEM_CLAIM: claim again with the same
+ * number, which is safe since the transaction creates only. For IDEM_FORWARD
+ * and IDEM_LOST the caller drops the entry after answering its waiters.
  */
-enum ky_verdict ky_claim_settle(struct ky *ky, struct ky_entry *entry,
-				const char *value, struct ky_owner *owner,
-				int *result)
+enum idem_verdict idem_claim_settle(struct idem *ky, struct idem_entry *entry,
+				    const char *value, struct idem_owner *owner,
+				    int *result)
 {
-	char own[KY_CLAIM_BYTES];
+	char own[IDEM_CLAIM_BYTES];
 
 	if (!value)
-		return KY_CLAIM;
-	ky_claim_value(ky, entry, own);
+		return IDEM_CLAIM;
+	idem_claim_value(ky, entry, own);
 	if (strcmp(own, value) == 0) {
-		entry->state = KY_ST_RUNNING;
-		return KY_RUN;
+		entry->state = IDEM_ST_RUNNING;
+		return IDEM_RUN;
 	}
 	*result = CB_E_OWNER_GONE;
 	if (!parse_claim(value, owner))
-		return KY_LOST;
+		return IDEM_LOST;
 	if (same_owner(owner, &ky->self)) {
 		*result = CB_E_ANSWER_FORGOTTEN;
-		return KY_LOST;
+		return IDEM_LOST;
 	}
-	if (strcmp(owner->host, ky->self.host) == 0 && !ky_adopter(ky, owner))
-		return KY_LOST;
-	return KY_FORWARD;
+	if (strcmp(owner->host, ky->self.host) == 0 && !idem_adopter(ky, owner))
+		return IDEM_LOST;
+	return IDEM_FORWARD;
 }
 
 /* Adoption. */
 
-static char *owner_name(const struct ky_owner *owner)
+static char *owner_name(const struct idem_owner *owner)
 {
 	return g_strdup_printf("%s/%" PRIx64, owner->host, owner->incarnation);
 }
 
 /* Host that keeps the finished keys of a stopped incarnation, or NULL. */
-const char *ky_adopter(const struct ky *ky, const struct ky_owner *owner)
+const char *idem_adopter(const struct idem *ky, const struct idem_owner *owner)
 {
 	char *name = owner_name(owner);
 	const char *host = g_hash_table_lookup(ky->adopted, name);
@@ -375,25 +376,26 @@
 	return host;
 }
 
-void ky_set_adopter(struct ky *ky, const struct ky_owner *owner,
-		    const char *host)
+void idem_set_adopter(struct idem *ky, const struct idem_owner *owner,
+		      const char *host)
 {
 	g_hash_table_replace(ky->adopted, owner_name(owner), g_strdup(host));
 }
 
 /* Takes over one finished key; false when this host knows it already. */
-bool ky_adopt(struct ky *ky, const char *key, const struct ky_digest *digest,
-	      const struct ky_answer *answer, int64_t now_us)
+bool idem_adopt(struct idem *ky, const char *key,
+		const struct idem_digest *digest,
+		const struct idem_answer *answer, int64_t now_us)
 {
-	struct ky_entry *entry;
+	struct idem_entry *entry;
 
-	if (strlen(key) >= KY_KEY_BYTES ||
+	if (strlen(key) >= IDEM_KEY_BYTES ||
 	    g_hash_table_contains(ky->entries, key) ||
-	    answer->outcome == KY_NOT_RUN)
+	    answer->outcome == IDEM_NOT_RUN)
 		return false;
 	entry = entry_new(ky, key, digest);
 	entry->adopted = true;
-	ky_end(ky, entry, answer->outcome, answer->result, answer->status,
-	       answer->blob, answer->len, now_us);
+	idem_end(ky, entry, answer->outcome, answer->result, answer->status,
+		 answer->blob, answer->len, now_us);
 	return true;
 }
--- a/policy/kyt.c
+++ b/policy/kyt.c
@@ -14,26 +14,26 @@
 	unsigned char used[CHUNK_TICKETS / 8];
 };
 
-void kyt_init(struct ky *ky)
+void kyt_init(struct idem *ky)
 {
 	ky->chunks = g_ptr_array_new_with_free_func(g_free);
 	ky->first_ticket = 1;
 	ky->next_ticket = 1;
 }
 
-void kyt_finish(struct ky *ky)
+void kyt_finish(struct idem *ky)
 {
 	g_ptr_array_free(ky->chunks, TRUE);
 }
 
-static struct chunk *chunk_of(const struct ky *ky, uint64_t seq)
+static struct chunk *chunk_of(const struct idem *ky, uint64_t seq)
 {
 	return g_ptr_array_index(ky->chunks,
 				 (seq - ky->first_ticket) / CHUNK_TICKETS);
 }
 
 /* Tells what is known of a ticket of this incarnation. */
-enum kyt_state kyt_state(const struct ky *ky, uint64_t seq)
+enum kyt_state kyt_state(const struct idem *ky, uint64_t seq)
 {
 	uint64_t at;
 
@@ -46,7 +46,7 @@
 								 KYT_FRESH;
 }
 
-void kyt_mark(struct ky *ky, uint64_t seq, bool used)
+void kyt_mark(struct idem *ky, uint64_t seq, bool used)
 {
 	uint64_t at;
 
@@ -61,7 +61,7 @@
 }
 
 /* Forgets chunks whose last ticket is older than KEY_KEEP_SEC. */
-void kyt_expire(struct ky *ky, int64_t now_us)
+void kyt_expire(struct idem *ky, int64_t now_us)
 {
 	struct chunk *chunk;
 
@@ -88,7 +88,7 @@
  * Mints a ticket t1.<host>.<incarnation>.<sequence>.<check>; the numbers
  * are in hexadecimal. Returns false when size is too small.
  */
-bool ky_mint(struct ky *ky, char *text, size_t size, int64_t now_us)
+bool idem_mint(struct idem *ky, char *text, size_t size, int64_t now_us)
 {
 	uint64_t seq = ky->next_ticket;
 	uint64_t at = (seq - ky->first_ticket) / CHUNK_TICKETS;
@@ -107,7 +107,7 @@
 	return true;
 }
 
-bool ky_is_ticket(const char *key)
+bool idem_is_ticket(const char *key)
 {
 	return strncmp(key, "t1.", 3) == 0;
 }
@@ -132,12 +132,12 @@
 }
 
 /* Reads a ticket; false when it is damaged. */
-bool ky_ticket_parse(const char *key, struct ky_owner *owner, uint64_t *seq)
+bool idem_ticket_parse(const char *key, struct idem_owner *owner, uint64_t *seq)
 {
 	size_t len = strlen(key), checked;
 	uint64_t check;
 
-	if (!ky_is_ticket(key) || len > KEY_MAX_BYTES || len < 9 ||
+	if (!idem_is_ticket(key) || len > KEY_MAX_BYTES || len < 9 ||
 	    key[len - 9] != '.')
 		return false;
 	checked = len - 9;
