--- a/policy/idem.c
+++ b/policy/idem.c
@@ -7,7 +7,7 @@
 #include <xxhash.h>
 
 #include "base/err.h"
-#include "policy/kyt.h"
+#include "policy/idem_ticket.h"
 
 /* Setup. */
 
@@ -32,14 +32,14 @@
 	list_init(&ky->claims);
 	list_init(&ky->finished);
 	ky->next_number = 1;
-	kyt_init(ky);
+	idem_ticket_init(ky);
 }
 
 void idem_finish(struct idem *ky)
 {
 	g_hash_table_destroy(ky->entries);
 	g_hash_table_destroy(ky->adopted);
-	kyt_finish(ky);
+	idem_ticket_finish(ky);
 }
 
 /* Digest of what a key stands for; parts are separated by a NUL. */
@@ -146,17 +146,17 @@
 			       IDEM_LOST :
 			       IDEM_FORWARD;
 	}
-	switch (kyt_state(ky, seq)) {
-	case KYT_NEVER_MINTED:
+	switch (idem_ticket_state(ky, seq)) {
+	case IDEM_TICKET_NEVER_MINTED:
 		return IDEM_REFUSE;
-	case KYT_EXPIRED:
-	case KYT_USED:
+	case IDEM_TICKET_EXPIRED:
+	case IDEM_TICKET_USED:
 		*result = CB_E_ANSWER_FORGOTTEN;
 		return IDEM_LOST;
-	case KYT_FRESH:
+	case IDEM_TICKET_FRESH:
 		break;
 	}
-	kyt_mark(ky, seq, true);
+	idem_ticket_mark(ky, seq, true);
 	*entry = entry_new(ky, key, digest);
 	(*entry)->state = IDEM_ST_RUNNING;
 	(*entry)->ticket = seq;
@@ -236,7 +236,7 @@
 	      const void *blob, size_t len, int64_t now_us)
 {
 	if (outcome == IDEM_NOT_RUN && entry->ticket) {
-		kyt_mark(ky, entry->ticket, false);
+		idem_ticket_mark(ky, entry->ticket, false);
 		idem_drop(ky, entry);
 		return;
 	}
@@ -265,7 +265,7 @@
 			break;
 		idem_drop(ky, entry);
 	}
-	kyt_expire(ky, now_us);
+	idem_ticket_expire(ky, now_us);
 }
 
 /* Claims in the store. */
--- a/policy/kyt.c
+++ b/policy/idem_ticket.c
@@ -1,4 +1,4 @@
-#include "policy/kyt.h"
+#include "policy/idem_ticket.h"
 
 #include <inttypes.h>
 #include <stdio.h>
@@ -14,14 +14,14 @@
 	unsigned char used[CHUNK_TICKETS / 8];
 };
 
-void kyt_init(struct idem *ky)
+void idem_ticket_init(struct idem *ky)
 {
 	ky->chunks = g_ptr_array_new_with_free_func(g_free);
 	ky->first_ticket = 1;
 	ky->next_ticket = 1;
 }
 
-void kyt_finish(struct idem *ky)
+void idem_ticket_finish(struct idem *ky)
 {
 	g_ptr_array_free(ky->chunks, TRUE);
 }
@@ -33,20 +33,21 @@
 }
 
 /* Tells what is known of a ticket of this incarnation. */
-enum kyt_state kyt_state(const struct idem *ky, uint64_t seq)
+enum idem_ticket_state idem_ticket_state(const struct idem *ky, uint64_t seq)
 {
 	uint64_t at;
 
 	if (seq == 0 || seq >= ky->next_ticket)
-		return KYT_NEVER_MINTED;
+		return IDEM_TICKET_NEVER_MINTED;
 	if (seq < ky->first_ticket)
-		return KYT_EXPIRED;
+		return IDEM_TICKET_EXPIRED;
 	at = (seq - ky->first_ticket) % CHUNK_TICKETS;
-	return chunk_of(ky, seq)->used[at / 8] & (1 << at % 8) ? KYT_USED :
-								 KYT_FRESH;
+	return chunk_of(ky, seq)->used[at / 8] & (1 << at % 8) ?
+		       IDEM_TICKET_USED :
+		       IDEM_TICKET_FRESH;
 }
 
-void kyt_mark(struct idem *ky, uint64_t seq, bool used)
+void idem_ticket_mark(struct idem *ky, uint64_t seq, bool used)
 {
 	uint64_t at;
 
@@ -61,7 +62,7 @@
 }
 
 /* Forgets chunks whose last ticket is older than KEY_KEEP_SEC. */
-void kyt_expire(struct idem *ky, int64_t now_us)
+void idem_ticket_expire(struct idem *ky, int64_t now_us)
 {
 	struct chunk *chunk;
 
--- /dev/null
+++ b/policy/idem_ticket.h
@@ -0,0 +1,21 @@
+#ifndef POLICY_IDEM_TICKET_H
+#define POLICY_IDEM_TICKET_H
+
+#include "policy/idem.h"
+
+/* Tickets of this incarnation, one bit each; used by idem.c. */
+
+enum idem_ticket_state {
+	IDEM_TICKET_NEVER_MINTED,
+	IDEM_TICKET_EXPIRED,
+	IDEM_TICKET_FRESH,
+	IDEM_TICKET_USED
+};
+
+void idem_ticket_init(struct idem *ky);
+void idem_ticket_finish(struct idem *ky);
+enum idem_ticket_state idem_ticket_state(const struct idem *ky, uint64_t seq);
+void idem_ticket_mark(struct idem *ky, uint64_t seq, bool used);
+void idem_ticket_expire(struct idem *ky, int64_t now_us);
+
+#endif
