--- a/daemon/lead.c
+++ b/daemon/lead.c
@@ -8,7 +8,7 @@
 #include "base/ev.h"
 #include "base/log.h"
 #include "daemon/svc.h"
-#include "policy/ld.h"
+#include "policy/leadership.h"
 #include "wire/pr.h"
 
 #define KEY_BYTES 256
@@ -27,7 +27,7 @@
 	struct kn_task *peers;
 	uint64_t incarnation;
 	GRand *rand;
-	struct ld ld;
+	struct leadership ld;
 	const char *names[PEERS_MAX]; /* hosts of this data centre, as in ld */
 	size_t name_count;
 	GArray *known; /* struct lead_known, this data centre first */
@@ -41,7 +41,7 @@
 	char value[KEY_BYTES];
 	char epoch_text[24];
 	struct kv_call call;
-	enum ld_call_kind kind; /* of the store call in progress */
+	enum leadership_call_kind kind; /* of the store call in progress */
 	struct svc_lead said; /* published last */
 	struct ctr acting;
 	struct ctr changes;
@@ -90,7 +90,7 @@
 	struct lead_known *known = known_of(lead, lead->set->dc);
 
 	memset(out, 0, sizeof(*out));
-	out->valid_until_us = ld_valid_until(&lead->ld, now_us);
+	out->valid_until_us = leadership_valid_until(&lead->ld, now_us);
 	out->leading = out->valid_until_us != 0;
 	if (out->leading) {
 		known->epoch = lead->ld.epoch;
@@ -210,8 +210,8 @@
 
 	if (f[1] > LEADER_PROMISE_MS)
 		return;
-	if (!ld_asked(&lead->ld, now_us, (size_t)from, f[0],
-		      (int64_t)f[1] * USEC_PER_MSEC))
+	if (!leadership_asked(&lead->ld, now_us, (size_t)from, f[0],
+			      (int64_t)f[1] * USEC_PER_MSEC))
 		return;
 	pack3(&body, f[0], (int64_t)f[1], (int64_t)f[2]);
 	pr_send(lead->peers, in->host, PR_PROMISE, &body);
@@ -228,15 +228,16 @@
 	if (in->type == PR_HEARTBEAT) {
 		heard_leader(lead, in->dc, in->host, f[3]);
 		if (from >= 0)
-			ld_saw_epoch(&lead->ld, f[3]);
+			leadership_saw_epoch(&lead->ld, f[3]);
 		return;
 	}
 	if (from >= 0 && in->type == PR_PROMISE_ASK)
 		take_ask(lead, now_us, in, from, f);
 	else if (from >= 0 && in->type == PR_PROMISE &&
 		 f[1] <= LEADER_PROMISE_MS)
-		ld_promised(&lead->ld, now_us, (size_t)from, (int64_t)f[2],
-			    (int64_t)f[1] * USEC_PER_MSEC);
+		leadership_promised(&lead->ld, now_us, (size_t)from,
+				    (int64_t)f[2],
+				    (int64_t)f[1] * USEC_PER_MSEC);
 }
 
 /* Store. */
@@ -245,7 +246,7 @@
 
 /* The leader key holds host/incarnation/attempt. */
 static void read_holder(struct lead *lead, const struct kv_item *item,
-			struct ld_reply *reply)
+			struct leadership_reply *reply)
 {
 	char **part = g_strsplit(item->value, "/", 3);
 
@@ -259,7 +260,7 @@
 	g_strfreev(part);
 }
 
-static void fill_read(struct lead *lead, struct ld_reply *reply)
+static void fill_read(struct lead *lead, struct leadership_reply *reply)
 {
 	const struct kv_item *item;
 
@@ -276,23 +277,23 @@
 static void call_done(struct kv_call *call)
 {
 	struct lead *lead = call->user;
-	struct ld_reply reply = { .lease = call->lease,
-				  .ttl_us = call->ttl_s * USEC_PER_SEC,
-				  .succeeded = call->succeeded };
+	struct leadership_reply reply = { .lease = call->lease,
+					  .ttl_us = call->ttl_s * USEC_PER_SEC,
+					  .succeeded = call->succeeded };
 	int64_t now_us = kn_now_us();
 
 	if (call->result == CB_E_TIMEOUT)
-		reply.outcome = LD_UNKNOWN;
+		reply.outcome = LEADERSHIP_UNKNOWN;
 	else if (call->result != CB_OK)
-		reply.outcome = LD_NO_EFFECT;
-	else if (lead->kind == LD_CALL_READ)
+		reply.outcome = LEADERSHIP_NO_EFFECT;
+	else if (lead->kind == LEADERSHIP_CALL_READ)
 		fill_read(lead, &reply);
 	if (call->result != CB_OK)
 		log_info("leader.store", "call=%d result=%s", lead->kind,
 			 cb_result_name(call->result));
-	lead->kind = LD_CALL_NONE;
-	ld_tick(&lead->ld, now_us);
-	ld_reply(&lead->ld, now_us, &reply);
+	lead->kind = LEADERSHIP_CALL_NONE;
+	leadership_tick(&lead->ld, now_us);
+	leadership_reply(&lead->ld, now_us, &reply);
 	advance(lead);
 }
 
@@ -306,7 +307,7 @@
 	lead->kv->ops->txn(lead->kv, &lead->call, NULL, 0, ops, 2, NULL, 0);
 }
 
-static void start_take(struct lead *lead, const struct ld_call *call)
+static void start_take(struct lead *lead, const struct leadership_call *call)
 {
 	const struct kv_cmp cmps[] = {
 		{ .key = lead->leader_key },
@@ -331,7 +332,7 @@
 	lead->kv->ops->txn(lead->kv, &lead->call, cmps, 2, ops, 2, NULL, 0);
 }
 
-static void start_call(struct lead *lead, const struct ld_call *call)
+static void start_call(struct lead *lead, const struct leadership_call *call)
 {
 	struct kv *kv = lead->kv;
 
@@ -340,22 +341,22 @@
 	lead->call.user = lead;
 	lead->kind = call->kind;
 	switch (call->kind) {
-	case LD_CALL_READ:
+	case LEADERSHIP_CALL_READ:
 		start_read(lead);
 		break;
-	case LD_CALL_GRANT:
+	case LEADERSHIP_CALL_GRANT:
 		kv->ops->grant(kv, &lead->call, LEADER_LEASE_MS / 1000);
 		break;
-	case LD_CALL_TAKE:
+	case LEADERSHIP_CALL_TAKE:
 		start_take(lead, call);
 		break;
-	case LD_CALL_RENEW:
+	case LEADERSHIP_CALL_RENEW:
 		kv->ops->keepalive(kv, &lead->call, call->lease);
 		break;
-	case LD_CALL_RELEASE:
+	case LEADERSHIP_CALL_RELEASE:
 		kv->ops->revoke(kv, &lead->call, call->lease);
 		break;
-	case LD_CALL_NONE:
+	case LEADERSHIP_CALL_NONE:
 		break;
 	}
 }
@@ -366,7 +367,7 @@
 {
 	if (!lead->draining || lead->task.drained)
 		return;
-	if (ld_drained(&lead->ld) || now_us >= lead->drain_until_us)
+	if (leadership_drained(&lead->ld) || now_us >= lead->drain_until_us)
 		kn_drained(&lead->task);
 }
 
@@ -375,10 +376,10 @@
 {
 	int64_t now_us = kn_now_us();
 	bool was_leading = lead->said.leading;
-	struct ld_call call;
+	struct leadership_call call;
 
-	ld_next(&lead->ld, now_us, &call);
-	if (call.kind != LD_CALL_NONE)
+	leadership_next(&lead->ld, now_us, &call);
+	if (call.kind != LEADERSHIP_CALL_NONE)
 		start_call(lead, &call);
 	publish(lead, now_us);
 	if (lead->ld.leading &&
@@ -389,7 +390,7 @@
 
 static void check_freeze(struct lead *lead)
 {
-	if (ld_tick(&lead->ld, kn_now_us()))
+	if (leadership_tick(&lead->ld, kn_now_us()))
 		ev_emit("leader.frozen", "epoch=%" PRIu64, lead->ld.epoch);
 }
 
@@ -476,7 +477,7 @@
 	pr_subscribe(lead->peers, task, PR_HEARTBEAT);
 	pr_subscribe(lead->peers, task, PR_PROMISE_ASK);
 	pr_subscribe(lead->peers, task, PR_PROMISE);
-	ld_init(&lead->ld, lead->name_count, lead->rand, kn_now_us());
+	leadership_init(&lead->ld, lead->name_count, lead->rand, kn_now_us());
 	kn_timer_set(task->kn, &lead->tick, 0, tick);
 	return true;
 }
@@ -490,7 +491,7 @@
 
 	lead->draining = true;
 	lead->drain_until_us = now_us + LEADER_DRAIN_MS * USEC_PER_MSEC;
-	ld_drain(&lead->ld, now_us);
+	leadership_drain(&lead->ld, now_us);
 	if (was_leading)
 		ask_all(lead, now_us, 0);
 	advance(lead);
--- a/policy/ld.c
+++ b/policy/leadership.c
@@ -1,4 +1,4 @@
-#include "policy/ld.h"
+#include "policy/leadership.h"
 
 #include <string.h>
 
@@ -18,7 +18,8 @@
 #define MSEC(ms) ((ms)*USEC_PER_MSEC)
 
 /* Prepares a host that started now, among peer_count others. */
-void ld_init(struct ld *ld, size_t peer_count, GRand *rand, int64_t now_us)
+void leadership_init(struct leadership *ld, size_t peer_count, GRand *rand,
+		     int64_t now_us)
 {
 	memset(ld, 0, sizeof(*ld));
 	ld->peer_count = peer_count;
@@ -39,7 +40,7 @@
 /* Acting. */
 
 /* The first of the peers' promises to end; without peers it never does. */
-static int64_t promises_until(const struct ld *ld, int64_t now_us)
+static int64_t promises_until(const struct leadership *ld, int64_t now_us)
 {
 	int64_t until_us = now_us + MSEC(LEADER_PROMISE_MS);
 	size_t i;
@@ -55,7 +56,7 @@
  * Returns the time until which this host may act as the leader, 0 if it may
  * not act now.
  */
-int64_t ld_valid_until(const struct ld *ld, int64_t now_us)
+int64_t leadership_valid_until(const struct leadership *ld, int64_t now_us)
 {
 	int64_t until_us;
 
@@ -67,9 +68,9 @@
 }
 
 /* True while this host may act as the leader. */
-bool ld_may_act(const struct ld *ld, int64_t now_us)
+bool leadership_may_act(const struct leadership *ld, int64_t now_us)
 {
-	return ld_valid_until(ld, now_us) > now_us;
+	return leadership_valid_until(ld, now_us) > now_us;
 }
 
 /*
@@ -77,7 +78,7 @@
  * after a freeze: what was held before it counts no more until it is
  * confirmed, since queued messages may be as old as the freeze.
  */
-bool ld_tick(struct ld *ld, int64_t now_us)
+bool leadership_tick(struct leadership *ld, int64_t now_us)
 {
 	bool frozen = now_us - ld->last_tick_us > MSEC(LEADER_FREEZE_MS);
 	size_t i;
@@ -95,7 +96,7 @@
 
 /* Promises. */
 
-static void depose(struct ld *ld)
+static void depose(struct leadership *ld)
 {
 	ld->leading = false;
 	ld->lease = 0;
@@ -103,7 +104,7 @@
 }
 
 /* A higher epoch ends this host's leadership. */
-void ld_saw_epoch(struct ld *ld, uint64_t epoch)
+void leadership_saw_epoch(struct leadership *ld, uint64_t epoch)
 {
 	if (epoch <= ld->seen_epoch)
 		return;
@@ -117,12 +118,12 @@
  * term of 0 says that it leads no more. Returns true when the promise is
  * given. No promise is given during a take-over, which may succeed.
  */
-bool ld_asked(struct ld *ld, int64_t now_us, size_t from, uint64_t epoch,
-	      int64_t term_us)
+bool leadership_asked(struct leadership *ld, int64_t now_us, size_t from,
+		      uint64_t epoch, int64_t term_us)
 {
-	bool taking = ld->next != LD_CALL_NONE ||
-		      ld->call.kind == LD_CALL_GRANT ||
-		      ld->call.kind == LD_CALL_TAKE;
+	bool taking = ld->next != LEADERSHIP_CALL_NONE ||
+		      ld->call.kind == LEADERSHIP_CALL_GRANT ||
+		      ld->call.kind == LEADERSHIP_CALL_TAKE;
 
 	if (term_us == 0) {
 		if (ld->given_to == from)
@@ -132,7 +133,7 @@
 	if (epoch < ld->seen_epoch || term_us < 0 ||
 	    term_us > MSEC(LEADER_PROMISE_MS))
 		return false;
-	ld_saw_epoch(ld, epoch);
+	leadership_saw_epoch(ld, epoch);
 	if (ld->leading || taking)
 		return false;
 	ld->given_to = from;
@@ -141,10 +142,10 @@
 }
 
 /* Peer `from` has given the promise that was asked for at sent_us. */
-void ld_promised(struct ld *ld, int64_t now_us, size_t from, int64_t sent_us,
-		 int64_t term_us)
+void leadership_promised(struct leadership *ld, int64_t now_us, size_t from,
+			 int64_t sent_us, int64_t term_us)
 {
-	struct ld_peer *peer = &ld->peers[from];
+	struct leadership_peer *peer = &ld->peers[from];
 
 	/* An ask from before a freeze counts no more. */
 	if (sent_us > now_us || now_us - sent_us > MSEC(LEADER_FREEZE_MS) ||
@@ -156,14 +157,14 @@
 
 /* Store calls. */
 
-static bool may_take(const struct ld *ld, int64_t now_us)
+static bool may_take(const struct leadership *ld, int64_t now_us)
 {
 	return !ld->draining && now_us >= ld->given_until_us &&
 	       now_us >= ld->not_before_us;
 }
 
 /* Full jitter: anywhere between now and the exponential limit. */
-static void back_off(struct ld *ld, int64_t now_us)
+static void back_off(struct leadership *ld, int64_t now_us)
 {
 	int64_t limit_ms = STORE_BACKOFF_BASE_MS;
 	unsigned int i;
@@ -176,23 +177,26 @@
 		now_us + g_rand_int_range(ld->rand, 0, (gint32)MSEC(limit_ms));
 }
 
-static int64_t lease_to_release(const struct ld *ld)
+static int64_t lease_to_release(const struct leadership *ld)
 {
 	return ld->lease ? ld->lease : ld->take_lease;
 }
 
-static enum ld_call_kind choose_call(const struct ld *ld, int64_t now_us)
+static enum leadership_call_kind choose_call(const struct leadership *ld,
+					     int64_t now_us)
 {
 	if (ld->draining)
-		return lease_to_release(ld) ? LD_CALL_RELEASE : LD_CALL_NONE;
-	if (ld->next != LD_CALL_NONE)
+		return lease_to_release(ld) ? LEADERSHIP_CALL_RELEASE :
+					      LEADERSHIP_CALL_NONE;
+	if (ld->next != LEADERSHIP_CALL_NONE)
 		return ld->next;
 	if (ld->leading && ld->lease)
-		return LD_CALL_RENEW;
-	return may_take(ld, now_us) ? LD_CALL_READ : LD_CALL_NONE;
+		return LEADERSHIP_CALL_RENEW;
+	return may_take(ld, now_us) ? LEADERSHIP_CALL_READ :
+				      LEADERSHIP_CALL_NONE;
 }
 
-static void fill_take(struct ld *ld)
+static void fill_take(struct leadership *ld)
 {
 	ld->call.lease = ld->take_lease;
 	ld->call.attempt = ++ld->attempts;
@@ -201,29 +205,30 @@
 }
 
 /*
- * Fills in the store call to make now, LD_CALL_NONE for none. ld_reply() must
+ * Fills in the store call to make now, LEADERSHIP_CALL_NONE for none. leadership_reply() must
  * follow for each call.
  */
-void ld_next(struct ld *ld, int64_t now_us, struct ld_call *call)
+void leadership_next(struct leadership *ld, int64_t now_us,
+		     struct leadership_call *call)
 {
 	memset(call, 0, sizeof(*call));
-	if (ld->call.kind != LD_CALL_NONE || now_us < ld->next_call_us)
+	if (ld->call.kind != LEADERSHIP_CALL_NONE || now_us < ld->next_call_us)
 		return;
 	memset(&ld->call, 0, sizeof(ld->call));
 	ld->call.kind = choose_call(ld, now_us);
-	ld->next = LD_CALL_NONE;
+	ld->next = LEADERSHIP_CALL_NONE;
 	ld->call_sent_us = now_us;
-	if (ld->call.kind == LD_CALL_TAKE)
+	if (ld->call.kind == LEADERSHIP_CALL_TAKE)
 		fill_take(ld);
-	else if (ld->call.kind == LD_CALL_RENEW)
+	else if (ld->call.kind == LEADERSHIP_CALL_RENEW)
 		ld->call.lease = ld->lease;
-	else if (ld->call.kind == LD_CALL_RELEASE)
+	else if (ld->call.kind == LEADERSHIP_CALL_RELEASE)
 		ld->call.lease = lease_to_release(ld);
 	*call = ld->call;
 }
 
 /* Polls with jitter, so that the hosts don't all see a free key at once. */
-static void poll_later(struct ld *ld, int64_t now_us)
+static void poll_later(struct leadership *ld, int64_t now_us)
 {
 	int64_t half_us = MSEC(LEADER_POLL_MS) / 2;
 
@@ -231,7 +236,7 @@
 			   g_rand_int_range(ld->rand, 0, (gint32)half_us);
 }
 
-static void lead_until(struct ld *ld, int64_t sent_us, int64_t ttl_us)
+static void lead_until(struct leadership *ld, int64_t sent_us, int64_t ttl_us)
 {
 	ld->leading = true;
 	ld->revalidate = false;
@@ -239,7 +244,7 @@
 	ld->next_call_us = sent_us + MSEC(LEADER_RENEW_MS);
 }
 
-static void won(struct ld *ld)
+static void won(struct leadership *ld)
 {
 	ld->lease = ld->take_lease;
 	ld->take_lease = 0;
@@ -251,7 +256,8 @@
 }
 
 /* The open take-over attempt, whose answer was lost, has succeeded. */
-static bool settles(const struct ld *ld, const struct ld_reply *reply)
+static bool settles(const struct leadership *ld,
+		    const struct leadership_reply *reply)
 {
 	return ld->take_lease && reply->held && reply->own &&
 	       reply->attempt == ld->attempts &&
@@ -259,14 +265,14 @@
 	       ld->seen_epoch <= ld->take_epoch;
 }
 
-static void after_read(struct ld *ld, int64_t now_us,
-		       const struct ld_reply *reply)
+static void after_read(struct leadership *ld, int64_t now_us,
+		       const struct leadership_reply *reply)
 {
 	if (settles(ld, reply)) {
 		won(ld);
 		return;
 	}
-	ld_saw_epoch(ld, reply->epoch);
+	leadership_saw_epoch(ld, reply->epoch);
 	if (reply->held && !reply->own)
 		depose(ld);
 	/* An own key of an earlier attempt lapses with its lease. */
@@ -277,11 +283,11 @@
 	ld->take_epoch = ld->seen_epoch + 1;
 	ld->take_epoch_mod = reply->epoch_mod;
 	ld->take_lease = 0;
-	ld->next = LD_CALL_GRANT;
+	ld->next = LEADERSHIP_CALL_GRANT;
 }
 
-static void after_grant(struct ld *ld, int64_t now_us,
-			const struct ld_reply *reply)
+static void after_grant(struct leadership *ld, int64_t now_us,
+			const struct leadership_reply *reply)
 {
 	if (!may_take(ld, now_us)) {
 		poll_later(ld, now_us);
@@ -290,11 +296,11 @@
 	ld->take_lease = reply->lease;
 	ld->grant_sent_us = ld->call_sent_us;
 	ld->grant_ttl_us = reply->ttl_us;
-	ld->next = LD_CALL_TAKE;
+	ld->next = LEADERSHIP_CALL_TAKE;
 }
 
-static void after_take(struct ld *ld, int64_t now_us,
-		       const struct ld_reply *reply)
+static void after_take(struct leadership *ld, int64_t now_us,
+		       const struct leadership_reply *reply)
 {
 	if (reply->succeeded && ld->seen_epoch < ld->take_epoch) {
 		won(ld);
@@ -309,8 +315,8 @@
  * A lapsed lease does not end the leadership: promises may still carry it
  * until the key is taken again, by this host or another.
  */
-static void after_renew(struct ld *ld, int64_t now_us,
-			const struct ld_reply *reply)
+static void after_renew(struct leadership *ld, int64_t now_us,
+			const struct leadership_reply *reply)
 {
 	if (!ld->leading)
 		return;
@@ -324,7 +330,7 @@
 }
 
 /* A released lease that is not known to be gone lapses by itself. */
-static void after_release(struct ld *ld)
+static void after_release(struct leadership *ld)
 {
 	if (ld->lease)
 		ld->lease = 0;
@@ -333,44 +339,46 @@
 }
 
 /* A take-over that may have happened is settled by the next read. */
-static void after_failure(struct ld *ld, int64_t now_us, enum ld_call_kind kind,
-			  enum ld_outcome outcome)
+static void after_failure(struct leadership *ld, int64_t now_us,
+			  enum leadership_call_kind kind,
+			  enum leadership_outcome outcome)
 {
-	if (kind == LD_CALL_TAKE && outcome == LD_NO_EFFECT)
+	if (kind == LEADERSHIP_CALL_TAKE && outcome == LEADERSHIP_NO_EFFECT)
 		ld->take_lease = 0;
 	back_off(ld, now_us);
 }
 
 /*
- * Takes the answer to the call that ld_next() gave out. The next call may be
+ * Takes the answer to the call that leadership_next() gave out. The next call may be
  * due at once.
  */
-void ld_reply(struct ld *ld, int64_t now_us, const struct ld_reply *reply)
+void leadership_reply(struct leadership *ld, int64_t now_us,
+		      const struct leadership_reply *reply)
 {
-	enum ld_call_kind kind = ld->call.kind;
+	enum leadership_call_kind kind = ld->call.kind;
 
-	ld->call.kind = LD_CALL_NONE;
-	if (kind == LD_CALL_RELEASE) {
+	ld->call.kind = LEADERSHIP_CALL_NONE;
+	if (kind == LEADERSHIP_CALL_RELEASE) {
 		after_release(ld);
 		return;
 	}
-	if (reply->outcome != LD_DONE) {
+	if (reply->outcome != LEADERSHIP_DONE) {
 		after_failure(ld, now_us, kind, reply->outcome);
 		return;
 	}
 	ld->failures = 0;
-	if (kind == LD_CALL_READ)
+	if (kind == LEADERSHIP_CALL_READ)
 		after_read(ld, now_us, reply);
-	else if (kind == LD_CALL_GRANT)
+	else if (kind == LEADERSHIP_CALL_GRANT)
 		after_grant(ld, now_us, reply);
-	else if (kind == LD_CALL_TAKE)
+	else if (kind == LEADERSHIP_CALL_TAKE)
 		after_take(ld, now_us, reply);
-	else if (kind == LD_CALL_RENEW)
+	else if (kind == LEADERSHIP_CALL_RENEW)
 		after_renew(ld, now_us, reply);
 }
 
 /* Stops acting for good; a lease that is held is released next. */
-void ld_drain(struct ld *ld, int64_t now_us)
+void leadership_drain(struct leadership *ld, int64_t now_us)
 {
 	ld->draining = true;
 	ld->leading = false;
@@ -379,8 +387,8 @@
 }
 
 /* True when nothing is left to release. */
-bool ld_drained(const struct ld *ld)
+bool leadership_drained(const struct leadership *ld)
 {
 	return ld->draining && !lease_to_release(ld) &&
-	       ld->call.kind == LD_CALL_NONE;
+	       ld->call.kind == LEADERSHIP_CALL_NONE;
 }
--- a/policy/ld.h
+++ b/policy/leadership.h
@@ -1,5 +1,5 @@
-#ifndef POLICY_LD_H
-#define POLICY_LD_H
+#ifndef POLICY_LEADERSHIP_H
+#define POLICY_LEADERSHIP_H
 
 #include <stdbool.h>
 #include <stddef.h>
@@ -14,33 +14,33 @@
  * monotonic microseconds of that host.
  */
 
-enum ld_call_kind {
-	LD_CALL_NONE,
-	LD_CALL_READ, /* read the leader key and the epoch key */
-	LD_CALL_GRANT, /* ask for a store lease */
-	LD_CALL_TAKE, /* create the leader key and raise the epoch */
-	LD_CALL_RENEW, /* keep the lease alive */
-	LD_CALL_RELEASE /* revoke the lease, which deletes the leader key */
+enum leadership_call_kind {
+	LEADERSHIP_CALL_NONE,
+	LEADERSHIP_CALL_READ, /* read the leader key and the epoch key */
+	LEADERSHIP_CALL_GRANT, /* ask for a store lease */
+	LEADERSHIP_CALL_TAKE, /* create the leader key and raise the epoch */
+	LEADERSHIP_CALL_RENEW, /* keep the lease alive */
+	LEADERSHIP_CALL_RELEASE /* revoke the lease, which deletes the leader key */
 };
 
 /* A store call to make now. At most one is in progress. */
-struct ld_call {
-	enum ld_call_kind kind;
+struct leadership_call {
+	enum leadership_call_kind kind;
 	int64_t lease; /* take, renew, release */
 	uint64_t attempt; /* take: part of the leader key's value */
 	uint64_t epoch; /* take: the new epoch */
 	int64_t epoch_mod; /* take: mod revision to compare, 0 for no key */
 };
 
-enum ld_outcome {
-	LD_DONE,
-	LD_NO_EFFECT, /* the store refused or was not reached */
-	LD_UNKNOWN /* the answer was lost */
+enum leadership_outcome {
+	LEADERSHIP_DONE,
+	LEADERSHIP_NO_EFFECT, /* the store refused or was not reached */
+	LEADERSHIP_UNKNOWN /* the answer was lost */
 };
 
 /* The store's answer to the call in progress. */
-struct ld_reply {
-	enum ld_outcome outcome;
+struct leadership_reply {
+	enum leadership_outcome outcome;
 	int64_t lease; /* grant */
 	int64_t ttl_us; /* grant, renew; 0 when the lease has lapsed */
 	bool succeeded; /* take: the compares held */
@@ -53,13 +53,13 @@
 };
 
 /* Another entry host of the data centre. */
-struct ld_peer {
+struct leadership_peer {
 	int64_t promised_until_us; /* it does not act until then */
 };
 
-struct ld {
+struct leadership {
 	size_t peer_count;
-	struct ld_peer peers[PEERS_MAX];
+	struct leadership_peer peers[PEERS_MAX];
 	GRand *rand; /* of the caller */
 	int64_t last_tick_us;
 	int64_t not_before_us; /* earlier promises may be forgotten */
@@ -75,8 +75,8 @@
 	int64_t lease;
 	int64_t lease_until_us;
 	/* Store call in progress, the one to make next, and when it is due. */
-	struct ld_call call;
-	enum ld_call_kind next;
+	struct leadership_call call;
+	enum leadership_call_kind next;
 	int64_t call_sent_us;
 	int64_t next_call_us;
 	unsigned int failures;
@@ -89,18 +89,21 @@
 	int64_t take_epoch_mod;
 };
 
-void ld_init(struct ld *ld, size_t peer_count, GRand *rand, int64_t now_us);
-bool ld_tick(struct ld *ld, int64_t now_us);
-bool ld_may_act(const struct ld *ld, int64_t now_us);
-int64_t ld_valid_until(const struct ld *ld, int64_t now_us);
-void ld_next(struct ld *ld, int64_t now_us, struct ld_call *call);
-void ld_reply(struct ld *ld, int64_t now_us, const struct ld_reply *reply);
-void ld_drain(struct ld *ld, int64_t now_us);
-bool ld_drained(const struct ld *ld);
-bool ld_asked(struct ld *ld, int64_t now_us, size_t from, uint64_t epoch,
-	      int64_t term_us);
-void ld_promised(struct ld *ld, int64_t now_us, size_t from, int64_t sent_us,
-		 int64_t term_us);
-void ld_saw_epoch(struct ld *ld, uint64_t epoch);
+void leadership_init(struct leadership *ld, size_t peer_count, GRand *rand,
+		     int64_t now_us);
+bool leadership_tick(struct leadership *ld, int64_t now_us);
+bool leadership_may_act(const struct leadership *ld, int64_t now_us);
+int64_t leadership_valid_until(const struct leadership *ld, int64_t now_us);
+void leadership_next(struct leadership *ld, int64_t now_us,
+		     struct leadership_call *call);
+void leadership_reply(struct leadership *ld, int64_t now_us,
+		      const struct leadership_reply *reply);
+void leadership_drain(struct leadership *ld, int64_t now_us);
+bool leadership_drained(const struct leadership *ld);
+bool leadership_asked(struct leadership *ld, int64_t now_us, size_t from,
+		      uint64_t epoch, int64_t term_us);
+void leadership_promised(struct leadership *ld, int64_t now_us, size_t from,
+			 int64_t sent_us, int64_t term_us);
+void leadership_saw_epoch(struct leadership *ld, uint64_t epoch);
 
 #endif
--- a/tests/unit/test_ld.c
+++ b/tests/unit/test_leadership.c
@@ -3,7 +3,7 @@
 #include <string.h>
 
 #include "base/list.h"
-#include "policy/ld.h"
+#include "policy/leadership.h"
 #include "tests/unit/run.h"
 
 /*
@@ -26,15 +26,15 @@
 	int to;
 	int from;
 	uint64_t life; /* of the host concerned */
-	struct ld_call call;
-	struct ld_reply reply;
+	struct leadership_call call;
+	struct leadership_reply reply;
 	uint64_t epoch;
 	int64_t sent_us; /* the asker's clock */
 	int64_t term_us;
 };
 
 struct sim_host {
-	struct ld ld;
+	struct leadership ld;
 	bool alive;
 	int64_t frozen_until_us;
 	uint64_t life;
@@ -136,7 +136,8 @@
 	host->life++;
 	host->frozen_until_us = 0;
 	host->next_ask_us = 0;
-	ld_init(&host->ld, (size_t)sim->n - 1, sim->rand, clock_of(sim, i));
+	leadership_init(&host->ld, (size_t)sim->n - 1, sim->rand,
+			clock_of(sim, i));
 }
 
 /* Store. */
@@ -149,7 +150,7 @@
 }
 
 static void fill_read(struct sim *sim, const struct sim_event *ev,
-		      struct ld_reply *reply)
+		      struct leadership_reply *reply)
 {
 	reply->held = sim->leader_lease != 0;
 	reply->own =
@@ -160,10 +161,10 @@
 }
 
 static void take(struct sim *sim, const struct sim_event *ev,
-		 struct ld_reply *reply)
+		 struct leadership_reply *reply)
 {
 	if (sim->lease_ends_us[ev->call.lease] <= sim->now_us) {
-		reply->outcome = LD_NO_EFFECT;
+		reply->outcome = LEADERSHIP_NO_EFFECT;
 		return;
 	}
 	if (sim->leader_lease || ev->call.epoch_mod != sim->epoch_mod)
@@ -179,37 +180,37 @@
 }
 
 static void at_store(struct sim *sim, const struct sim_event *ev,
-		     struct ld_reply *reply)
+		     struct leadership_reply *reply)
 {
 	int64_t *ends_us = &sim->lease_ends_us[ev->call.lease];
 
 	expire_leader(sim);
 	switch (ev->call.kind) {
-	case LD_CALL_READ:
+	case LEADERSHIP_CALL_READ:
 		fill_read(sim, ev, reply);
 		break;
-	case LD_CALL_GRANT:
+	case LEADERSHIP_CALL_GRANT:
 		reply->lease = ++sim->next_lease;
 		ck_assert_int_lt(reply->lease, 4096);
 		sim->lease_ends_us[reply->lease] =
 			sim->now_us + LEADER_LEASE_MS * USEC_PER_MSEC;
 		reply->ttl_us = LEADER_LEASE_MS * USEC_PER_MSEC;
 		break;
-	case LD_CALL_TAKE:
+	case LEADERSHIP_CALL_TAKE:
 		take(sim, ev, reply);
 		break;
-	case LD_CALL_RENEW:
+	case LEADERSHIP_CALL_RENEW:
 		if (*ends_us > sim->now_us) {
 			*ends_us =
 				sim->now_us + LEADER_LEASE_MS * USEC_PER_MSEC;
 			reply->ttl_us = LEADER_LEASE_MS * USEC_PER_MSEC;
 		}
 		break;
-	case LD_CALL_RELEASE:
+	case LEADERSHIP_CALL_RELEASE:
 		*ends_us = 0;
 		expire_leader(sim);
 		break;
-	case LD_CALL_NONE:
+	case LEADERSHIP_CALL_NONE:
 		break;
 	}
 }
@@ -217,20 +218,21 @@
 /* A call that times out may still take effect after its caller was told. */
 static void run_at_store(struct sim *sim, struct sim_event *ev)
 {
-	struct ld_reply reply = { 0 };
-	bool timed_out = ev->reply.outcome == LD_UNKNOWN;
+	struct leadership_reply reply = { 0 };
+	bool timed_out = ev->reply.outcome == LEADERSHIP_UNKNOWN;
 	struct sim_event *back;
 
 	if (sim->store_down && chance(sim, 90)) {
 		if (timed_out)
 			return;
-		reply.outcome = chance(sim, 50) ? LD_UNKNOWN : LD_NO_EFFECT;
+		reply.outcome = chance(sim, 50) ? LEADERSHIP_UNKNOWN :
+						  LEADERSHIP_NO_EFFECT;
 	} else {
 		at_store(sim, ev, &reply);
 		if (timed_out)
 			return;
 		if (sim->faults && chance(sim, 5))
-			reply.outcome = LD_UNKNOWN;
+			reply.outcome = LEADERSHIP_UNKNOWN;
 	}
 	back = post(sim, AT_CALLER, ev->from, ev->from);
 	back->life = ev->life;
@@ -241,21 +243,21 @@
 {
 	struct sim_host *host = &sim->hosts[i];
 	struct sim_event *ev, *lost;
-	struct ld_call call;
+	struct leadership_call call;
 
-	ld_next(&host->ld, clock_of(sim, i), &call);
-	if (call.kind == LD_CALL_NONE)
+	leadership_next(&host->ld, clock_of(sim, i), &call);
+	if (call.kind == LEADERSHIP_CALL_NONE)
 		return;
 	ev = post(sim, AT_STORE, -1, i);
 	ev->life = host->life;
 	ev->call = call;
 	if (ev->at_us - sim->now_us > SEC) {
 		/* The caller gives up before the store gets the call. */
-		ev->reply.outcome = LD_UNKNOWN;
+		ev->reply.outcome = LEADERSHIP_UNKNOWN;
 		lost = post(sim, AT_CALLER, i, i);
 		lost->at_us = sim->now_us + SEC;
 		lost->life = host->life;
-		lost->reply.outcome = LD_UNKNOWN;
+		lost->reply.outcome = LEADERSHIP_UNKNOWN;
 	}
 }
 
@@ -289,23 +291,25 @@
 	int64_t now_us = clock_of(sim, ev->to);
 	struct sim_event *back;
 
-	ld_tick(&host->ld, now_us);
+	leadership_tick(&host->ld, now_us);
 	if (ev->kind == AT_CALLER) {
 		if (ev->life == host->life)
-			ld_reply(&host->ld, now_us, &ev->reply);
+			leadership_reply(&host->ld, now_us, &ev->reply);
 	} else if (host->cut || sim->hosts[ev->from].cut) {
 		return;
 	} else if (ev->kind == ASK) {
-		if (!ld_asked(&host->ld, now_us, peer_index(ev->to, ev->from),
-			      ev->epoch, ev->term_us))
+		if (!leadership_asked(&host->ld, now_us,
+				      peer_index(ev->to, ev->from), ev->epoch,
+				      ev->term_us))
 			return;
 		back = post(sim, PROMISE, ev->from, ev->to);
 		back->life = ev->life;
 		back->sent_us = ev->sent_us;
 		back->term_us = ev->term_us;
 	} else if (ev->life == host->life) {
-		ld_promised(&host->ld, now_us, peer_index(ev->to, ev->from),
-			    ev->sent_us, ev->term_us);
+		leadership_promised(&host->ld, now_us,
+				    peer_index(ev->to, ev->from), ev->sent_us,
+				    ev->term_us);
 	}
 }
 
@@ -343,7 +347,8 @@
 	for (i = 0; i < sim->n; i++) {
 		struct sim_host *host = &sim->hosts[i];
 
-		if (!host->alive || !ld_may_act(&host->ld, clock_of(sim, i)))
+		if (!host->alive ||
+		    !leadership_may_act(&host->ld, clock_of(sim, i)))
 			continue;
 		ck_assert_msg(acting < 0, "hosts %d and %d act at %lld us",
 			      acting, i, (long long)sim->now_us);
@@ -390,7 +395,7 @@
 	for (i = 0; i < sim->n; i++) {
 		if (!running(sim, i))
 			continue;
-		ld_tick(&sim->hosts[i].ld, clock_of(sim, i));
+		leadership_tick(&sim->hosts[i].ld, clock_of(sim, i));
 		call_store(sim, i);
 		ask_all(sim, i);
 	}
@@ -521,9 +526,10 @@
 	ck_assert_int_eq(sim->acting, leader);
 	sim->hosts[leader].frozen_until_us = sim->now_us + 2 * SEC;
 	run_for(sim, 2 * SEC - STEP_US);
-	ld_tick(&sim->hosts[leader].ld, clock_of(sim, leader) + STEP_US);
-	ck_assert(!ld_may_act(&sim->hosts[leader].ld,
-			      clock_of(sim, leader) + STEP_US));
+	leadership_tick(&sim->hosts[leader].ld,
+			clock_of(sim, leader) + STEP_US);
+	ck_assert(!leadership_may_act(&sim->hosts[leader].ld,
+				      clock_of(sim, leader) + STEP_US));
 	sim_free(sim);
 }
 END_TEST
@@ -543,14 +549,14 @@
 	run_for(sim, 8 * SEC);
 	leader = sim->acting;
 	now_us = clock_of(sim, leader);
-	ld_drain(&sim->hosts[leader].ld, now_us);
-	ck_assert(!ld_may_act(&sim->hosts[leader].ld, now_us));
+	leadership_drain(&sim->hosts[leader].ld, now_us);
+	ck_assert(!leadership_may_act(&sim->hosts[leader].ld, now_us));
 	for (i = 0; i < 3; i++)
 		if (i != leader)
-			ld_asked(&sim->hosts[i].ld, clock_of(sim, i),
-				 peer_index(i, leader), 1, 0);
+			leadership_asked(&sim->hosts[i].ld, clock_of(sim, i),
+					 peer_index(i, leader), 1, 0);
 	run_for(sim, 3 * SEC);
-	ck_assert(ld_drained(&sim->hosts[leader].ld));
+	ck_assert(leadership_drained(&sim->hosts[leader].ld));
 	ck_assert_int_ge(sim->acting, 0);
 	ck_assert_int_ne(sim->acting, leader);
 	sim_free(sim);
@@ -558,18 +564,19 @@
 END_TEST
 
 /* Steps a host through a take-over up to the call `stop`. */
-static void take_over(struct ld *ld, int64_t now_us, enum ld_call_kind stop)
+static void take_over(struct leadership *ld, int64_t now_us,
+		      enum leadership_call_kind stop)
 {
-	struct ld_reply reply = { .lease = 9, .ttl_us = 6 * SEC };
-	struct ld_call call;
+	struct leadership_reply reply = { .lease = 9, .ttl_us = 6 * SEC };
+	struct leadership_call call;
 
 	for (;;) {
-		ld_next(ld, now_us, &call);
-		ck_assert_int_ne(call.kind, LD_CALL_NONE);
+		leadership_next(ld, now_us, &call);
+		ck_assert_int_ne(call.kind, LEADERSHIP_CALL_NONE);
 		if (call.kind == stop)
 			return;
-		reply.succeeded = call.kind == LD_CALL_TAKE;
-		ld_reply(ld, now_us, &reply);
+		reply.succeeded = call.kind == LEADERSHIP_CALL_TAKE;
+		leadership_reply(ld, now_us, &reply);
 	}
 }
 
@@ -578,30 +585,31 @@
 START_TEST(promise_counts_from_the_ask)
 {
 	GRand *rand = g_rand_new_with_seed(1);
-	struct ld_reply lapsed = { 0 };
+	struct leadership_reply lapsed = { 0 };
 	int64_t t = 100 * SEC;
-	struct ld_call call;
-	struct ld ld;
-
-	ld_init(&ld, 1, rand, t - 3 * SEC);
-	ld_tick(&ld, t - SEC);
-	ld_tick(&ld, t);
-	take_over(&ld, t, LD_CALL_TAKE);
-	ld_reply(&ld, t, &(struct ld_reply){ .succeeded = true });
-	ck_assert_int_gt(ld_valid_until(&ld, t), t + 5 * SEC);
-	ck_assert_int_lt(ld_valid_until(&ld, t), t + 6 * SEC);
+	struct leadership_call call;
+	struct leadership ld;
+
+	leadership_init(&ld, 1, rand, t - 3 * SEC);
+	leadership_tick(&ld, t - SEC);
+	leadership_tick(&ld, t);
+	take_over(&ld, t, LEADERSHIP_CALL_TAKE);
+	leadership_reply(&ld, t,
+			 &(struct leadership_reply){ .succeeded = true });
+	ck_assert_int_gt(leadership_valid_until(&ld, t), t + 5 * SEC);
+	ck_assert_int_lt(leadership_valid_until(&ld, t), t + 6 * SEC);
 	t += 2 * SEC;
-	ld_next(&ld, t, &call);
-	ck_assert_int_eq(call.kind, LD_CALL_RENEW);
-	ld_reply(&ld, t, &lapsed);
-	ck_assert(!ld_may_act(&ld, t));
-	ld_promised(&ld, t, 0, t - 900000, 3 * SEC);
-	ck_assert_int_gt(ld_valid_until(&ld, t), t + 2000000);
-	ck_assert_int_lt(ld_valid_until(&ld, t), t + 2100000);
-	ld_tick(&ld, t + 2 * SEC);
-	ck_assert(!ld_may_act(&ld, t + 2 * SEC));
-	ld_promised(&ld, t + 2 * SEC, 0, t, 3 * SEC);
-	ck_assert(!ld_may_act(&ld, t + 2 * SEC));
+	leadership_next(&ld, t, &call);
+	ck_assert_int_eq(call.kind, LEADERSHIP_CALL_RENEW);
+	leadership_reply(&ld, t, &lapsed);
+	ck_assert(!leadership_may_act(&ld, t));
+	leadership_promised(&ld, t, 0, t - 900000, 3 * SEC);
+	ck_assert_int_gt(leadership_valid_until(&ld, t), t + 2000000);
+	ck_assert_int_lt(leadership_valid_until(&ld, t), t + 2100000);
+	leadership_tick(&ld, t + 2 * SEC);
+	ck_assert(!leadership_may_act(&ld, t + 2 * SEC));
+	leadership_promised(&ld, t + 2 * SEC, 0, t, 3 * SEC);
+	ck_assert(!leadership_may_act(&ld, t + 2 * SEC));
 	g_rand_free(rand);
 }
 END_TEST
@@ -611,33 +619,35 @@
 START_TEST(promise_given_is_kept)
 {
 	GRand *rand = g_rand_new_with_seed(1);
-	struct ld_reply lost = { .outcome = LD_UNKNOWN };
-	struct ld_reply own = { .held = true, .own = true, .attempt = 1 };
+	struct leadership_reply lost = { .outcome = LEADERSHIP_UNKNOWN };
+	struct leadership_reply own = { .held = true,
+					.own = true,
+					.attempt = 1 };
 	int64_t t = 100 * SEC;
-	struct ld_call call;
-	struct ld ld;
-
-	ld_init(&ld, 2, rand, t - 3 * SEC);
-	ld_tick(&ld, t - SEC);
-	ld_tick(&ld, t);
-	take_over(&ld, t, LD_CALL_TAKE);
-	ck_assert(!ld_asked(&ld, t, 1, 0, 3 * SEC));
-	ld_reply(&ld, t, &lost);
+	struct leadership_call call;
+	struct leadership ld;
+
+	leadership_init(&ld, 2, rand, t - 3 * SEC);
+	leadership_tick(&ld, t - SEC);
+	leadership_tick(&ld, t);
+	take_over(&ld, t, LEADERSHIP_CALL_TAKE);
+	ck_assert(!leadership_asked(&ld, t, 1, 0, 3 * SEC));
+	leadership_reply(&ld, t, &lost);
 	t += SEC / 2;
-	take_over(&ld, t, LD_CALL_READ);
-	ck_assert(ld_asked(&ld, t, 1, 0, 3 * SEC));
+	take_over(&ld, t, LEADERSHIP_CALL_READ);
+	ck_assert(leadership_asked(&ld, t, 1, 0, 3 * SEC));
 	own.epoch = ld.take_epoch;
-	ld_reply(&ld, t, &own);
-	ck_assert(!ld_may_act(&ld, t));
-	ck_assert(!ld_may_act(&ld, t + 3 * SEC - 1));
-	ck_assert(ld_may_act(&ld, t + 3 * SEC));
-	ck_assert(!ld_asked(&ld, t, 1, ld.epoch - 1, 3 * SEC));
+	leadership_reply(&ld, t, &own);
+	ck_assert(!leadership_may_act(&ld, t));
+	ck_assert(!leadership_may_act(&ld, t + 3 * SEC - 1));
+	ck_assert(leadership_may_act(&ld, t + 3 * SEC));
+	ck_assert(!leadership_asked(&ld, t, 1, ld.epoch - 1, 3 * SEC));
 	/* A higher epoch ends it, and no key is taken under a promise. */
-	ck_assert(ld_asked(&ld, t, 1, ld.epoch + 1, 3 * SEC));
-	ld_next(&ld, t + 2 * SEC, &call);
-	ck_assert_int_eq(call.kind, LD_CALL_NONE);
-	ld_next(&ld, t + 3 * SEC, &call);
-	ck_assert_int_eq(call.kind, LD_CALL_READ);
+	ck_assert(leadership_asked(&ld, t, 1, ld.epoch + 1, 3 * SEC));
+	leadership_next(&ld, t + 2 * SEC, &call);
+	ck_assert_int_eq(call.kind, LEADERSHIP_CALL_NONE);
+	leadership_next(&ld, t + 3 * SEC, &call);
+	ck_assert_int_eq(call.kind, LEADERSHIP_CALL_READ);
 	g_rand_free(rand);
 }
 END_TEST
@@ -653,5 +663,5 @@
 	tcase_add_test(tc, drain_and_alone);
 	tcase_add_test(tc, promise_counts_from_the_ask);
 	tcase_add_test(tc, promise_given_is_kept);
-	return run_case("ld", tc);
+	return run_case("leadership", tc);
 }
