--- a/daemon/req.c
+++ b/daemon/req.c
@@ -415,7 +415,7 @@
 	list_init(&r->reqs);
 	list_init(&r->away);
 	list_init(&r->batches);
-	mb_init(&r->mb);
+	membership_init(&r->mb);
 	ry_init(&r->ry, kn_now_us());
 	idem_init(&r->ky, set->host, incarnation);
 	req_signs_init(r);
--- a/daemon/req_int.h
+++ b/daemon/req_int.h
@@ -6,7 +6,7 @@
 #include "daemon/slots.h"
 #include "daemon/svc.h"
 #include "policy/idem.h"
-#include "policy/mb.h"
+#include "policy/membership.h"
 #include "policy/rq.h"
 #include "policy/rt.h"
 #include "policy/ry.h"
@@ -24,7 +24,7 @@
 
 /* A backend server of one service. */
 struct req_server {
-	struct mb_server mb;
+	struct membership_server mb;
 	struct req_endpoint *at;
 	struct rt_server rt;
 	struct req_group *group;
@@ -103,7 +103,7 @@
 	struct list_head away; /* claiming, waiting, forwarded */
 	size_t req_count;
 	GHashTable *local; /* local_id -> struct req */
-	struct mb mb;
+	struct membership mb;
 	struct ry ry;
 	struct idem ky;
 	struct slots slots;
--- a/daemon/req_servers.c
+++ b/daemon/req_servers.c
@@ -83,7 +83,7 @@
 
 	for (i = 0; i < group->servers->len; i++) {
 		server = g_ptr_array_index(group->servers, i);
-		if (mb_allowed(&server->mb) > 0)
+		if (membership_allowed(&server->mb) > 0)
 			return true;
 	}
 	return false;
@@ -101,10 +101,10 @@
 
 	for (i = 0; i < group->servers->len; i++) {
 		server = g_ptr_array_index(group->servers, i);
-		if (mb_allowed(&server->mb) <= 0 ||
+		if (membership_allowed(&server->mb) <= 0 ||
 		    (req->maybe_ran && server == req->server))
 			continue;
-		if (server->mb.state == MB_LIVE || req->idempotent)
+		if (server->mb.state == MEMBERSHIP_LIVE || req->idempotent)
 			return true;
 	}
 	return false;
@@ -129,13 +129,15 @@
 	ev_emit("server.state",
 		"server=%s:%d service=%s state=%s listed=%d cause=%s",
 		server->mb.addr, server->mb.port, server->mb.service,
-		mb_state_name(server->mb.state), server->mb.listed, cause);
+		membership_state_name(server->mb.state), server->mb.listed,
+		cause);
 }
 
 static struct req_server *find_server(struct req_task *r, const char *service,
 				      const char *addr, int port)
 {
-	struct mb_server *mb = mb_find(&r->mb, service, addr, port);
+	struct membership_server *mb =
+		membership_find(&r->mb, service, addr, port);
 
 	return mb ? container_of(mb, struct req_server, mb) : NULL;
 }
@@ -149,7 +151,7 @@
 		if (req->server == server)
 			req->server = NULL;
 	g_ptr_array_remove(server->group->servers, server);
-	mb_remove(&server->mb);
+	membership_remove(&server->mb);
 	if (--server->at->refs == 0) {
 		r->back->ops->remove_server(r->back, server->mb.addr,
 					    server->mb.port);
@@ -191,8 +193,8 @@
 	server->group = find_group(r, member->service);
 	if (!server->group)
 		server->group = new_group(r, member->service);
-	mb_add(&r->mb, &server->mb, member->service, member->addr, member->port,
-	       member->configured);
+	membership_add(&r->mb, &server->mb, member->service, member->addr,
+		       member->port, member->configured);
 	server->at = get_endpoint(r, member->addr, member->port);
 	g_ptr_array_add(server->group->servers, server);
 	log_state(server, "added");
@@ -200,7 +202,7 @@
 }
 
 static bool in_list(const struct req_members *list,
-		    const struct mb_server *server)
+		    const struct membership_server *server)
 {
 	const struct req_member *member;
 	guint i;
@@ -224,7 +226,7 @@
 	int64_t now_us = kn_now_us();
 	const struct req_member *member;
 	struct req_server *server;
-	struct mb_server *mb;
+	struct membership_server *mb;
 	guint i;
 
 	for (i = 0; i < list->members->len; i++) {
@@ -236,11 +238,13 @@
 		if (member->leaving)
 			req_server_leaving(r, member->addr, member->port,
 					   "listed-as-leaving", true);
-		if (mb_listed(&server->mb, true, member->leaving, now_us))
+		if (membership_listed(&server->mb, true, member->leaving,
+				      now_us))
 			log_state(server, "list");
 	}
 	list_for_each_entry(mb, &r->mb.servers, node)
-		if (!in_list(list, mb) && mb_listed(mb, false, false, now_us))
+		if (!in_list(list, mb) &&
+		    membership_listed(mb, false, false, now_us))
 			log_state(container_of(mb, struct req_server, mb),
 				  "absent");
 	req_wake(r);
@@ -270,13 +274,13 @@
 			const char *reason, bool tell)
 {
 	int64_t now_us = kn_now_us();
-	struct mb_server *mb;
+	struct membership_server *mb;
 	bool changed = false;
 
 	list_for_each_entry(mb, &r->mb.servers, node) {
 		if (mb->port != port || strcmp(mb->addr, addr) != 0)
 			continue;
-		if (mb_leaving(mb, now_us)) {
+		if (membership_leaving(mb, now_us)) {
 			changed = true;
 			log_state(container_of(mb, struct req_server, mb),
 				  reason);
@@ -293,7 +297,7 @@
 	int n = (int)server->group->servers->len;
 	int want;
 
-	if (mb_allowed(&server->mb) <= 0)
+	if (membership_allowed(&server->mb) <= 0)
 		return 0;
 	want = rq->classes[DOC_SHORT].running + rq->classes[DOC_LONG].running;
 	want = want > 0 ? (want + n - 1) / n + 1 : 0;
@@ -312,7 +316,7 @@
  */
 void req_servers_tick(struct req_task *r, int64_t now_us)
 {
-	struct mb_server *mb, *tmp;
+	struct membership_server *mb, *tmp;
 	struct req_server *server;
 	struct sl_slots *slots;
 	int want;
@@ -321,7 +325,7 @@
 		slots->want = 0;
 	list_for_each_entry_safe(mb, tmp, &r->mb.servers, node) {
 		server = container_of(mb, struct req_server, mb);
-		if (mb_tick(mb, now_us))
+		if (membership_tick(mb, now_us))
 			log_state(server, "delay-over");
 		want = wanted(r, server);
 		if (want > server->at->slots.want)
@@ -342,10 +346,10 @@
 	struct req_group *group;
 
 	while (!list_empty(&r->mb.servers))
-		free_server(
-			container_of(list_first_entry(&r->mb.servers,
-						      struct mb_server, node),
-				     struct req_server, mb));
+		free_server(container_of(
+			list_first_entry(&r->mb.servers,
+					 struct membership_server, node),
+			struct req_server, mb));
 	while (!list_empty(&r->groups)) {
 		group = list_first_entry(&r->groups, struct req_group, node);
 		list_del(&group->node);
@@ -377,15 +381,16 @@
 			bool tell)
 {
 	unsigned int conns = slots_connections(&r->slots);
-	struct mb_server *mb;
+	struct membership_server *mb;
 	bool changed = false;
 	int i;
 
 	list_for_each_entry(mb, &r->mb.servers, node) {
 		if (mb->port != port || strcmp(mb->addr, addr) != 0)
 			continue;
-		for (i = 0; i < EJECT_FAILURES && mb->state != MB_EJECTED; i++)
-			if (mb_failure(&r->mb, mb, kn_now_us())) {
+		for (i = 0;
+		     i < EJECT_FAILURES && mb->state != MEMBERSHIP_EJECTED; i++)
+			if (membership_failure(&r->mb, mb, kn_now_us())) {
 				changed = true;
 				log_state(
 					container_of(mb, struct req_server, mb),
@@ -409,11 +414,11 @@
 		      int result)
 {
 	struct req_task *r = of_signs(signs);
-	struct mb_server *mb;
+	struct membership_server *mb;
 
 	list_for_each_entry(mb, &r->mb.servers, node)
 		if (mb->port == port && strcmp(mb->addr, addr) == 0 &&
-		    mb_failure(&r->mb, mb, kn_now_us()))
+		    membership_failure(&r->mb, mb, kn_now_us()))
 			log_state(container_of(mb, struct req_server, mb),
 				  cb_result_name(result));
 }
@@ -422,13 +427,14 @@
 			int status, int64_t latency_us)
 {
 	struct req_task *r = of_signs(signs);
-	struct mb_server *mb;
+	struct membership_server *mb;
 
 	list_for_each_entry(mb, &r->mb.servers, node)
 		if (mb->port == port && strcmp(mb->addr, addr) == 0 &&
-		    mb_success(&r->mb, mb, latency_us, kn_now_us()))
+		    membership_success(&r->mb, mb, latency_us, kn_now_us()))
 			log_state(container_of(mb, struct req_server, mb),
-				  mb->state == MB_LIVE ? "recovered" : "slow");
+				  mb->state == MEMBERSHIP_LIVE ? "recovered" :
+								 "slow");
 }
 
 void req_signs_init(struct req_task *r)
@@ -446,7 +452,7 @@
 {
 	json_t *servers = json_array();
 	int64_t now_us = kn_now_us();
-	struct mb_server *mb;
+	struct membership_server *mb;
 
 	list_for_each_entry(mb, &r->mb.servers, node) {
 		struct req_server *server =
@@ -457,7 +463,7 @@
 			json_pack("{s:s,s:s,s:i,s:s,s:b,s:i,s:i,s:i,s:I}",
 				  "service", mb->service, "addr", mb->addr,
 				  "port", mb->port, "state",
-				  mb_state_name(mb->state), "listed",
+				  membership_state_name(mb->state), "listed",
 				  mb->listed, "in_progress",
 				  server->rt.in_flight, "floor",
 				  server->at->slots.floor, "credits",
--- a/policy/mb.c
+++ b/policy/membership.c
@@ -1,10 +1,10 @@
-#include "policy/mb.h"
+#include "policy/membership.h"
 
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
 
-const char *mb_state_name(enum mb_state state)
+const char *membership_state_name(enum membership_state state)
 {
 	static const char *const names[] = { "live", "leaving", "ejected",
 					     "probation" };
@@ -12,14 +12,15 @@
 	return names[state];
 }
 
-void mb_init(struct mb *mb)
+void membership_init(struct membership *mb)
 {
 	list_init(&mb->servers);
 }
 
 /* Adds a server, live, in the caller's memory. */
-void mb_add(struct mb *mb, struct mb_server *server, const char *service,
-	    const char *addr, int port, bool configured)
+void membership_add(struct membership *mb, struct membership_server *server,
+		    const char *service, const char *addr, int port,
+		    bool configured)
 {
 	memset(server, 0, sizeof(*server));
 	snprintf(server->service, sizeof(server->service), "%s", service);
@@ -27,20 +28,21 @@
 	server->port = port;
 	server->configured = configured;
 	server->listed = true;
-	server->state = MB_LIVE;
+	server->state = MEMBERSHIP_LIVE;
 	list_add_tail(&server->node, &mb->servers);
 }
 
-void mb_remove(struct mb_server *server)
+void membership_remove(struct membership_server *server)
 {
 	list_del(&server->node);
 }
 
 /* Finds a server; service NULL matches any. */
-struct mb_server *mb_find(const struct mb *mb, const char *service,
-			  const char *addr, int port)
+struct membership_server *membership_find(const struct membership *mb,
+					  const char *service, const char *addr,
+					  int port)
 {
-	struct mb_server *server;
+	struct membership_server *server;
 
 	list_for_each_entry(server, &mb->servers, node)
 		if (server->port == port && strcmp(server->addr, addr) == 0 &&
@@ -51,20 +53,20 @@
 
 /* Transitions. */
 
-static void start_probation(struct mb_server *server)
+static void start_probation(struct membership_server *server)
 {
-	server->state = MB_PROBATION;
+	server->state = MEMBERSHIP_PROBATION;
 	server->failures = 0;
 	server->allowed = 1;
 	server->successes = 0;
 	server->samples = 0;
 }
 
-static void eject(struct mb_server *server, bool slow, int64_t now_us)
+static void eject(struct membership_server *server, bool slow, int64_t now_us)
 {
 	int shift = server->ejections < 5 ? server->ejections : 5;
 
-	server->state = MB_EJECTED;
+	server->state = MEMBERSHIP_EJECTED;
 	server->slow = slow;
 	server->until_us = now_us + ((EJECT_BASE_MS * USEC_PER_MSEC) << shift);
 	server->ejections++;
@@ -76,16 +78,16 @@
  * not clear a sign of leaving that the server gave itself until
  * LEAVING_HOLD_MS have passed; then it returns through probation.
  */
-bool mb_listed(struct mb_server *server, bool listed, bool leaving,
-	       int64_t now_us)
+bool membership_listed(struct membership_server *server, bool listed,
+		       bool leaving, int64_t now_us)
 {
 	bool changed = server->listed != (listed || server->configured);
 
 	server->listed = listed || server->configured;
 	server->list_leaving = listed && leaving;
 	if (listed && leaving)
-		return mb_leaving(server, now_us) || changed;
-	if (server->state == MB_LEAVING && server->listed &&
+		return membership_leaving(server, now_us) || changed;
+	if (server->state == MEMBERSHIP_LEAVING && server->listed &&
 	    now_us - server->leaving_us >= LEAVING_HOLD_MS * USEC_PER_MSEC) {
 		start_probation(server);
 		changed = true;
@@ -94,11 +96,11 @@
 }
 
 /* Takes a sign of leaving, from the server, the list or a peer. */
-bool mb_leaving(struct mb_server *server, int64_t now_us)
+bool membership_leaving(struct membership_server *server, int64_t now_us)
 {
-	if (server->state == MB_LEAVING)
+	if (server->state == MEMBERSHIP_LEAVING)
 		return false;
-	server->state = MB_LEAVING;
+	server->state = MEMBERSHIP_LEAVING;
 	server->leaving_us = now_us;
 	return true;
 }
@@ -107,13 +109,13 @@
  * Ends the delay of an ejected server. A configured server that has left
  * returns after LEAVING_HOLD_MS, since no list announces its return.
  */
-bool mb_tick(struct mb_server *server, int64_t now_us)
+bool membership_tick(struct membership_server *server, int64_t now_us)
 {
-	if (server->state == MB_EJECTED && now_us >= server->until_us) {
+	if (server->state == MEMBERSHIP_EJECTED && now_us >= server->until_us) {
 		start_probation(server);
 		return true;
 	}
-	if (server->state == MB_LEAVING && server->configured &&
+	if (server->state == MEMBERSHIP_LEAVING && server->configured &&
 	    !server->list_leaving &&
 	    now_us - server->leaving_us >= LEAVING_HOLD_MS * USEC_PER_MSEC) {
 		start_probation(server);
@@ -132,14 +134,14 @@
 }
 
 /* Median latency of the live servers of a service, 0 when unknown. */
-static int64_t median_latency(const struct mb *mb, const char *service)
+static int64_t median_latency(const struct membership *mb, const char *service)
 {
 	int64_t values[MEMBERS_SAMPLE];
-	const struct mb_server *server;
+	const struct membership_server *server;
 	size_t n = 0;
 
 	list_for_each_entry(server, &mb->servers, node)
-		if (n < MEMBERS_SAMPLE && server->state == MB_LIVE &&
+		if (n < MEMBERS_SAMPLE && server->state == MEMBERSHIP_LIVE &&
 		    server->samples >= EJECT_SAMPLES &&
 		    strcmp(server->service, service) == 0)
 			values[n++] = server->latency_us;
@@ -150,24 +152,24 @@
 }
 
 /* True when ejecting one more would leave less than half of the servers. */
-static bool panic(const struct mb *mb, const char *service)
+static bool panic(const struct membership *mb, const char *service)
 {
-	const struct mb_server *server;
+	const struct membership_server *server;
 	int total = 0, out = 0;
 
 	list_for_each_entry(server, &mb->servers, node) {
 		if (strcmp(server->service, service) != 0 || !server->listed)
 			continue;
 		total++;
-		if (server->state != MB_LIVE)
+		if (server->state != MEMBERSHIP_LIVE)
 			out++;
 	}
 	return 2 * (out + 1) > total;
 }
 
 /* Takes a whole answer that needed run_us. */
-bool mb_success(struct mb *mb, struct mb_server *server, int64_t run_us,
-		int64_t now_us)
+bool membership_success(struct membership *mb, struct membership_server *server,
+			int64_t run_us, int64_t now_us)
 {
 	int64_t median;
 
@@ -177,18 +179,18 @@
 				      run_us - server->latency_us;
 	if (server->samples < EJECT_SAMPLES)
 		server->samples++;
-	if (server->state == MB_PROBATION) {
+	if (server->state == MEMBERSHIP_PROBATION) {
 		if (++server->successes < server->allowed)
 			return false;
 		server->successes = 0;
 		server->allowed *= 2;
 		if (server->allowed < BACKEND_SLOTS)
 			return false;
-		server->state = MB_LIVE;
+		server->state = MEMBERSHIP_LIVE;
 		server->ejections = 0;
 		return true;
 	}
-	if (server->state != MB_LIVE || server->samples < EJECT_SAMPLES)
+	if (server->state != MEMBERSHIP_LIVE || server->samples < EJECT_SAMPLES)
 		return false;
 	/* The median sorts all servers, so it is not taken every time. */
 	if (++server->unjudged < EJECT_JUDGE_EVERY)
@@ -203,26 +205,28 @@
 }
 
 /* Takes a failure of the server: refused, lost, malformed, timed out. */
-bool mb_failure(struct mb *mb, struct mb_server *server, int64_t now_us)
+bool membership_failure(struct membership *mb, struct membership_server *server,
+			int64_t now_us)
 {
 	(void)mb;
 	server->failures++;
-	if (server->state == MB_PROBATION) {
+	if (server->state == MEMBERSHIP_PROBATION) {
 		eject(server, false, now_us);
 		return true;
 	}
-	if (server->state != MB_LIVE || server->failures < EJECT_FAILURES)
+	if (server->state != MEMBERSHIP_LIVE ||
+	    server->failures < EJECT_FAILURES)
 		return false;
 	eject(server, false, now_us);
 	return true;
 }
 
 /* Requests that may be in flight to the server, over all its slots. */
-int mb_allowed(const struct mb_server *server)
+int membership_allowed(const struct membership_server *server)
 {
 	if (!server->listed)
 		return 0;
-	if (server->state == MB_LIVE)
+	if (server->state == MEMBERSHIP_LIVE)
 		return BACKEND_SLOTS;
-	return server->state == MB_PROBATION ? server->allowed : 0;
+	return server->state == MEMBERSHIP_PROBATION ? server->allowed : 0;
 }
--- /dev/null
+++ b/policy/membership.h
@@ -0,0 +1,66 @@
+#ifndef POLICY_MEMBERSHIP_H
+#define POLICY_MEMBERSHIP_H
+
+#include <stdbool.h>
+#include <stddef.h>
+#include <stdint.h>
+
+#include "base/limits.h"
+#include "base/list.h"
+
+enum membership_state {
+	MEMBERSHIP_LIVE,
+	MEMBERSHIP_LEAVING,
+	MEMBERSHIP_EJECTED,
+	MEMBERSHIP_PROBATION
+};
+
+/* One backend server; embedded in the caller's record. */
+struct membership_server {
+	struct list_head node;
+	char service[NAME_MAX_BYTES];
+	char addr[ADDR_MAX_BYTES];
+	int port;
+	enum membership_state state;
+	bool configured; /* in the settings: always counts as listed */
+	bool listed;
+	bool list_leaving; /* what the list says of it */
+	bool slow; /* ejected for latency, not for failures */
+	int failures; /* consecutive */
+	int allowed; /* requests in flight during probation */
+	int successes; /* since allowed last grew */
+	int ejections; /* in a row, for the delay */
+	int64_t leaving_us; /* first sign of leaving */
+	int64_t until_us; /* ejected: end of the delay */
+	int64_t latency_us;
+	int samples;
+	int unjudged; /* answers since latency was last compared */
+};
+
+struct membership {
+	struct list_head servers;
+};
+
+void membership_init(struct membership *mb);
+void membership_add(struct membership *mb, struct membership_server *server,
+		    const char *service, const char *addr, int port,
+		    bool configured);
+void membership_remove(struct membership_server *server);
+struct membership_server *membership_find(const struct membership *mb,
+					  const char *service, const char *addr,
+					  int port);
+
+/* Each returns true when the state has changed. */
+bool membership_listed(struct membership_server *server, bool listed,
+		       bool leaving, int64_t now_us);
+bool membership_leaving(struct membership_server *server, int64_t now_us);
+bool membership_success(struct membership *mb, struct membership_server *server,
+			int64_t run_us, int64_t now_us);
+bool membership_failure(struct membership *mb, struct membership_server *server,
+			int64_t now_us);
+bool membership_tick(struct membership_server *server, int64_t now_us);
+
+int membership_allowed(const struct membership_server *server);
+const char *membership_state_name(enum membership_state state);
+
+#endif
