--- a/base/limits.h
+++ b/base/limits.h
@@ -168,8 +168,8 @@
 #define WORKER_QUARANTINE_PERCENT 25 /* of the workers at most */
 #define WORKER_PROBATION_MIN_MS 60000
 #define WORKER_PROBATION_MAX_MS 3600000
-#define PL_MOVE_COST_MS 30000 /* of a checkpoint and a new start */
-#define PL_SAVES_PER_FAILURE 8
+#define PLACING_MOVE_COST_MS 30000 /* of a checkpoint and a new start */
+#define PLACING_SAVES_PER_FAILURE 8
 #define SC_LEVELS 4 /* of attained service */
 #define SC_LEVEL_1_SEC 600 /* of run time; each level is longer by */
 #define SC_LEVEL_FACTOR 4
--- a/bench/bench_scale.c
+++ b/bench/bench_scale.c
@@ -7,7 +7,7 @@
 #include <glib.h>
 
 #include "bench/jobs_run.h"
-#include "policy/pl.h"
+#include "policy/placing.h"
 #include "policy/sc.h"
 
 /*
@@ -81,8 +81,8 @@
 {
 	GArray *times = g_array_new(FALSE, FALSE, sizeof(double));
 	struct cell_gang *small = g_new0(struct cell_gang, workers);
-	struct pl_ask ask = { .kind = CELL_SOFT,
-			      .evict_level = PL_NO_EVICTION };
+	struct placing_ask ask = { .kind = CELL_SOFT,
+				   .evict_level = PLACING_NO_EVICTION };
 	struct cell_gang big;
 	struct sc sc;
 	double p99, t;
@@ -99,9 +99,9 @@
 		int j = g_rand_int_range(rnd, 0, workers);
 
 		cell_gang_init(&big, 1, GANG_MAX_ACCELERATORS, true);
-		ask.evict_level = i % 2 ? PL_NO_EVICTION : -1;
+		ask.evict_level = i % 2 ? PLACING_NO_EVICTION : -1;
 		t = now_s();
-		if (pl_place(&sc.gs, &big, &ask)) {
+		if (placing_place(&sc.gs, &big, &ask)) {
 			shares_hold(&sc.gs, &big);
 			t = (now_s() - t) * 1e6;
 			shares_release(&sc.gs, &big);
--- a/bench/jobs_chivebank.c
+++ b/bench/jobs_chivebank.c
@@ -1,7 +1,7 @@
 #include <string.h>
 
 #include "bench/jobs_run.h"
-#include "policy/pl.h"
+#include "policy/placing.h"
 #include "policy/sc.h"
 
 /* A job under the real decision code. */
@@ -271,16 +271,16 @@
  */
 static void note_claim(struct sim *sim, struct sim_job *job)
 {
-	struct pl_ask ask = { .evict_level = -1,
-			      .before_us = sim->now_us,
-			      .now_us = sim->now_us,
-			      .reclaim = true,
-			      .customer = job->load->customer };
+	struct placing_ask ask = { .evict_level = -1,
+				   .before_us = sim->now_us,
+				   .now_us = sim->now_us,
+				   .reclaim = true,
+				   .customer = job->load->customer };
 	struct cell_gang *gang = &job->job.gang;
 
 	if (!job->load->urgent ||
 	    !list_empty(&sim->sc.customers[gang->customer].urgent) ||
-	    !pl_claim(&sim->sc.gs, gang, &ask))
+	    !placing_claim(&sim->sc.gs, gang, &ask))
 		return;
 	cell_gang_reset(gang);
 	job->claim_us = sim->now_us;
--- a/daemon/api_away.c
+++ b/daemon/api_away.c
@@ -3,7 +3,7 @@
 #include "base/err.h"
 #include "base/ev.h"
 #include "daemon/api_int.h"
-#include "policy/pl.h"
+#include "policy/placing.h"
 
 /* Element 3 of a heartbeat is the epoch that the sender leads with. */
 #define HEARTBEAT_EPOCH 3
@@ -43,7 +43,7 @@
 	    strcmp(peer->region, api->set->region) != 0)
 		return false;
 	pool = doc_view_pool(api->view, peer->dc);
-	return pool && pl_pool_could_hold(pool, accelerators);
+	return pool && placing_pool_could_hold(pool, accelerators);
 }
 
 /*
--- a/daemon/sched_api.c
+++ b/daemon/sched_api.c
@@ -2,7 +2,7 @@
 
 #include "base/err.h"
 #include "daemon/sched_int.h"
-#include "policy/pl.h"
+#include "policy/placing.h"
 
 #define JOBS "/v1/jobs"
 #define WORKERS "/v1/workers"
@@ -42,7 +42,7 @@
 		return refuse(err, CB_E_QUOTA,
 			      "the job alone exceeds the customer's quota");
 	if (jb->accelerators > GANG_MAX_ACCELERATORS ||
-	    !pl_could_hold(&s->sc.cell, jb->accelerators))
+	    !placing_could_hold(&s->sc.cell, jb->accelerators))
 		return refuse(err, CB_E_NEVER_FITS,
 			      "the pool of this data centre can't hold it");
 	return true;
--- a/daemon/sched_sync.c
+++ b/daemon/sched_sync.c
@@ -6,7 +6,7 @@
 #include "base/ev.h"
 #include "base/log.h"
 #include "daemon/sched_int.h"
-#include "policy/pl.h"
+#include "policy/placing.h"
 
 #define MS(ms) ((int64_t)(ms)*USEC_PER_MSEC)
 
@@ -196,7 +196,7 @@
 void sched_build(struct sched *s)
 {
 	sc_init(&s->sc, &sched_sc_ops,
-		pl_worker_size(doc_view_pool(s->view, s->set->dc)),
+		placing_worker_size(doc_view_pool(s->view, s->set->dc)),
 		WORKERS_PER_RACK);
 	s->have_sc = true;
 	apply_customers(s, NULL);
@@ -212,7 +212,7 @@
 	const struct doc_pool *pool = doc_view_pool(s->view, s->set->dc);
 
 	return pool && pool->worker_count > 0 &&
-	       pl_worker_size(pool) != s->sc.cell.worker_size;
+	       placing_worker_size(pool) != s->sc.cell.worker_size;
 }
 
 /* Takes the place of the view old, whose reference it drops. */
--- a/policy/pl.c
+++ b/policy/placing.c
@@ -1,4 +1,4 @@
-#include "policy/pl.h"
+#include "policy/placing.h"
 
 #include <limits.h>
 #include <string.h>
@@ -10,16 +10,17 @@
  * checkpoint and the start elsewhere always, and what it did since the last
  * checkpoint when this one fails.
  */
-int64_t pl_loss(const struct cell_gang *gang, int64_t now_us)
+int64_t placing_loss(const struct cell_gang *gang, int64_t now_us)
 {
 	int64_t since_us = MAX(0, now_us - gang->saved_us);
 
-	return gang->total * (PL_MOVE_COST_MS * USEC_PER_MSEC +
-			      since_us / PL_SAVES_PER_FAILURE);
+	return gang->total * (PLACING_MOVE_COST_MS * USEC_PER_MSEC +
+			      since_us / PLACING_SAVES_PER_FAILURE);
 }
 
 /* Whether the ask may displace the gang. */
-bool pl_may_evict(const struct cell_gang *gang, const struct pl_ask *ask)
+bool placing_may_evict(const struct cell_gang *gang,
+		       const struct placing_ask *ask)
 {
 	if (gang->leaving || gang->level <= ask->evict_level ||
 	    gang->saved_us > ask->before_us ||
@@ -32,7 +33,7 @@
 }
 
 /* Whether the job is to be kept away from the worker. */
-bool pl_avoided(const struct pl_ask *ask, int worker)
+bool placing_avoided(const struct placing_ask *ask, int worker)
 {
 	int i;
 
@@ -47,14 +48,14 @@
  * the work that would be lost on it.
  */
 static int worker_room(const struct shares *gs, int worker,
-		       const struct pl_ask *ask, int64_t *loss)
+		       const struct placing_ask *ask, int64_t *loss)
 {
 	const struct cell_worker *w = &gs->cell->workers[worker];
 	const struct cell_hold *hold;
 	int room = w->free;
 
 	*loss = 0;
-	if (!w->usable || pl_avoided(ask, worker))
+	if (!w->usable || placing_avoided(ask, worker))
 		return 0;
 	if (ask->kind == CELL_HARD) {
 		if (shares_is_bound(gs, worker))
@@ -62,13 +63,13 @@
 		if (gs->cell->racks[w->rack].reserved && !ask->use_reserved)
 			return 0;
 	}
-	if (ask->evict_level == PL_NO_EVICTION || w->held > w->total)
+	if (ask->evict_level == PLACING_NO_EVICTION || w->held > w->total)
 		return room;
 	list_for_each_entry(hold, &w->holds, node)
 		if (hold->gang->kind == CELL_SOFT &&
-		    pl_may_evict(hold->gang, ask)) {
+		    placing_may_evict(hold->gang, ask)) {
 			room += hold->count;
-			*loss += pl_loss(hold->gang, ask->now_us);
+			*loss += placing_loss(hold->gang, ask->now_us);
 		}
 	return room;
 }
@@ -86,7 +87,7 @@
  * that holds unstoppable work already. So whole cells stay for claims.
  */
 static void rate_worker(const struct shares *gs, int worker, int need,
-			const struct pl_ask *ask, struct best_worker *best)
+			const struct placing_ask *ask, struct best_worker *best)
 {
 	int64_t loss, score;
 	int room = worker_room(gs, worker, ask, &loss);
@@ -117,11 +118,12 @@
 	return INT_MAX;
 }
 
-static int best_worker(struct shares *gs, int need, const struct pl_ask *ask)
+static int best_worker(struct shares *gs, int need,
+		       const struct placing_ask *ask)
 {
 	const struct cell *cell = gs->cell;
 	struct best_worker best = { .worker = -1, .score = INT64_MAX };
-	bool free_only = ask->evict_level == PL_NO_EVICTION;
+	bool free_only = ask->evict_level == PLACING_NO_EVICTION;
 	int i, j, fit;
 
 	for (i = 0; i < cell->rack_count; i++) {
@@ -142,7 +144,7 @@
 
 /* Whole workers of a rack that the ask may take, with the lost work. */
 static int rack_whole(const struct shares *gs, int rack,
-		      const struct pl_ask *ask, int64_t *loss, int *part)
+		      const struct placing_ask *ask, int64_t *loss, int *part)
 {
 	const struct cell *cell = gs->cell;
 	const struct cell_rack *r = &cell->racks[rack];
@@ -150,7 +152,7 @@
 
 	*loss = 0;
 	*part = 0;
-	if (ask->evict_level == PL_NO_EVICTION && !r->free)
+	if (ask->evict_level == PLACING_NO_EVICTION && !r->free)
 		return 0;
 	for (i = 0; i < r->count; i++) {
 		int64_t lost;
@@ -182,7 +184,7 @@
 
 /* Takes up to *left whole workers of a rack, those with least loss first. */
 static void take_whole(struct shares *gs, struct cell_gang *gang, int rack,
-		       const struct pl_ask *ask, int *left)
+		       const struct placing_ask *ask, int *left)
 {
 	const struct cell_rack *r = &gs->cell->racks[rack];
 	struct pick picks[WORKERS_PER_RACK] = { 0 };
@@ -214,7 +216,7 @@
 
 /* Places the accelerators beyond the whole workers on the best fit. */
 static bool take_part(struct shares *gs, struct cell_gang *gang, int first,
-		      int last, int part, const struct pl_ask *ask)
+		      int last, int part, const struct placing_ask *ask)
 {
 	struct best_worker best = { .worker = -1, .score = INT64_MAX };
 	int i, j;
@@ -242,7 +244,7 @@
 
 /* The rack with the least loss, then the fewest whole workers to spare. */
 static bool place_in_rack(struct shares *gs, struct cell_gang *gang, int full,
-			  int part, const struct pl_ask *ask)
+			  int part, const struct placing_ask *ask)
 {
 	int64_t best_score = INT64_MAX, loss, score;
 	int best = -1, i, whole, other, left = full;
@@ -276,7 +278,7 @@
 };
 
 static void read_row(const struct shares *gs, struct row *row, int first,
-		     const struct pl_ask *ask)
+		     const struct placing_ask *ask)
 {
 	int i;
 
@@ -325,7 +327,7 @@
 }
 
 static bool place_in_row(struct shares *gs, struct cell_gang *gang, int full,
-			 int part, const struct pl_ask *ask)
+			 int part, const struct placing_ask *ask)
 {
 	struct window best = { .score = INT64_MAX };
 	int first, i, left = full;
@@ -342,8 +344,8 @@
 	return take_part(gs, gang, best.first, best.last, part, ask);
 }
 
-bool pl_place(struct shares *gs, struct cell_gang *gang,
-	      const struct pl_ask *ask)
+bool placing_place(struct shares *gs, struct cell_gang *gang,
+		   const struct placing_ask *ask)
 {
 	int size = gs->cell->worker_size;
 	int full = gang->total / size, part = gang->total % size, worker;
@@ -369,7 +371,7 @@
 }
 
 /* Counts what the usable workers could hold if they were empty. */
-bool pl_could_hold(const struct cell *cell, int total)
+bool placing_could_hold(const struct cell *cell, int total)
 {
 	int size = cell->worker_size, full = total / size;
 	int part = total % size, row_whole = 0, row_other = 0, i, j;
@@ -402,7 +404,7 @@
 }
 
 /* Accelerators of the pool's largest worker, which counts as a whole one. */
-int pl_worker_size(const struct doc_pool *pool)
+int placing_worker_size(const struct doc_pool *pool)
 {
 	int size = 1;
 	size_t i;
@@ -413,18 +415,18 @@
 	return size;
 }
 
-/* As pl_could_hold(), for a pool as the document states it. */
-bool pl_pool_could_hold(const struct doc_pool *pool, int total)
+/* As placing_could_hold(), for a pool as the document states it. */
+bool placing_pool_could_hold(const struct doc_pool *pool, int total)
 {
 	struct cell cell;
 	bool fits;
 	size_t i;
 
-	cell_init(&cell, pl_worker_size(pool), WORKERS_PER_RACK);
+	cell_init(&cell, placing_worker_size(pool), WORKERS_PER_RACK);
 	for (i = 0; i < pool->worker_count; i++)
 		cell_add_worker(&cell, pool->workers[i].rack,
 				pool->workers[i].accelerators);
-	fits = pl_could_hold(&cell, total);
+	fits = placing_could_hold(&cell, total);
 	cell_finish(&cell);
 	return fits;
 }
--- a/policy/pl.h
+++ b/policy/placing.h
@@ -1,19 +1,19 @@
-#ifndef POLICY_PL_H
-#define POLICY_PL_H
+#ifndef POLICY_PLACING_H
+#define POLICY_PLACING_H
 
 #include "policy/docview.h"
 #include "policy/shares.h"
 
-#define PL_NO_EVICTION INT32_MAX
+#define PLACING_NO_EVICTION INT32_MAX
 
 /*
  * What a placement may displace: borrowed stoppable gangs, or stoppable
  * gangs of the customer itself, whose level is above evict_level and that
  * have run since before_us at least.
  */
-struct pl_ask {
+struct placing_ask {
 	enum cell_kind kind; /* CELL_SOFT or CELL_HARD */
-	int evict_level; /* PL_NO_EVICTION: free accelerators only */
+	int evict_level; /* PLACING_NO_EVICTION: free accelerators only */
 	int64_t before_us;
 	int max_total; /* larger gangs don't yield; 0 for no limit */
 	int64_t now_us;
@@ -25,40 +25,43 @@
 	int avoid_count;
 };
 
-int64_t pl_loss(const struct cell_gang *gang, int64_t now_us);
-bool pl_avoided(const struct pl_ask *ask, int worker);
-bool pl_may_evict(const struct cell_gang *gang, const struct pl_ask *ask);
+int64_t placing_loss(const struct cell_gang *gang, int64_t now_us);
+bool placing_avoided(const struct placing_ask *ask, int worker);
+bool placing_may_evict(const struct cell_gang *gang,
+		       const struct placing_ask *ask);
 /*
  * Places a borrowed gang of gang->total accelerators by filling in its
  * holds. Returns false and leaves the gang without holds when it fits
  * nowhere. Nothing is held yet.
  */
-bool pl_place(struct shares *gs, struct cell_gang *gang,
-	      const struct pl_ask *ask);
+bool placing_place(struct shares *gs, struct cell_gang *gang,
+		   const struct placing_ask *ask);
 /*
  * Places a gang on cells of its customer's own guarantee, in use or not by
  * work that the ask may displace.
  */
-bool pl_claim(struct shares *gs, struct cell_gang *gang,
-	      const struct pl_ask *ask);
+bool placing_claim(struct shares *gs, struct cell_gang *gang,
+		   const struct placing_ask *ask);
 /*
  * Calls fn for each gang that must leave before the held gang can start,
  * least lost work first, after marking it as leaving.
  */
-int pl_victims(struct shares *gs, struct cell_gang *gang,
-	       const struct pl_ask *ask,
-	       void (*fn)(struct cell_gang *victim, void *user), void *user);
+int placing_victims(struct shares *gs, struct cell_gang *gang,
+		    const struct placing_ask *ask,
+		    void (*fn)(struct cell_gang *victim, void *user),
+		    void *user);
 /* Marks the racks that a large gang should wait for; returns their count. */
-int pl_reserve(struct shares *gs, int total, int64_t now_us);
-void pl_unreserve(struct shares *gs);
+int placing_reserve(struct shares *gs, int total, int64_t now_us);
+void placing_unreserve(struct shares *gs);
 /* Whether empty cells could hold a gang of that many accelerators. */
-bool pl_could_hold(const struct cell *cell, int total);
-int pl_worker_size(const struct doc_pool *pool);
-bool pl_pool_could_hold(const struct doc_pool *pool, int total);
+bool placing_could_hold(const struct cell *cell, int total);
+int placing_worker_size(const struct doc_pool *pool);
+bool placing_pool_could_hold(const struct doc_pool *pool, int total);
 /*
  * Finds a small stoppable gang that could go on beside other work, so that
  * its own worker would become whole; NULL when there is none.
  */
-struct cell_gang *pl_move(struct shares *gs, const struct pl_ask *ask);
+struct cell_gang *placing_move(struct shares *gs,
+			       const struct placing_ask *ask);
 
 #endif
--- a/policy/plclaim.c
+++ b/policy/placing_claim.c
@@ -3,7 +3,7 @@
 
 #include <glib.h>
 
-#include "policy/pl.h"
+#include "policy/placing.h"
 
 /* Lower is better; the first field that differs decides. */
 struct claim_score {
@@ -25,13 +25,13 @@
  * Borrowed stoppable work yields to a reclaim. Work of the owner itself does
  * when the ask may displace it, if the cell that it frees stays bound.
  */
-static bool yields(const struct cell_hold *hold, const struct pl_ask *ask)
+static bool yields(const struct cell_hold *hold, const struct placing_ask *ask)
 {
 	if (hold->gang->kind == CELL_SOFT)
 		return ask->reclaim;
 	return hold->gang->kind == CELL_OWNED &&
 	       (hold->cover == CELL_RACK || hold->cover == CELL_WORKER) &&
-	       pl_may_evict(hold->gang, ask);
+	       placing_may_evict(hold->gang, ask);
 }
 
 /*
@@ -39,18 +39,18 @@
  * work that would be lost on it.
  */
 static int claim_room(const struct shares *gs, int worker, int need,
-		      const struct pl_ask *ask, int64_t *loss)
+		      const struct placing_ask *ask, int64_t *loss)
 {
 	const struct cell_worker *w = &gs->cell->workers[worker];
 	const struct cell_hold *hold;
 	int room = w->total;
 
 	*loss = 0;
-	if (!w->usable || pl_avoided(ask, worker))
+	if (!w->usable || placing_avoided(ask, worker))
 		return 0;
 	list_for_each_entry(hold, &w->holds, node) {
 		if (yields(hold, ask))
-			*loss += pl_loss(hold->gang, ask->now_us);
+			*loss += placing_loss(hold->gang, ask->now_us);
 		else
 			room -= hold->count;
 	}
@@ -113,7 +113,7 @@
 /* Chooses a worker with need accelerators from the source. */
 static bool choose_worker(const struct shares *gs, const struct cell_gang *gang,
 			  int need, enum source source,
-			  const struct pl_ask *ask, struct choice *best)
+			  const struct placing_ask *ask, struct choice *best)
 {
 	int i, room;
 
@@ -155,7 +155,7 @@
  * take a whole worker that the proof needs; then the next source is tried.
  */
 static bool claim_part(struct shares *gs, struct cell_gang *gang, int need,
-		       const struct pl_ask *ask)
+		       const struct placing_ask *ask)
 {
 	struct choice best;
 	int source;
@@ -178,7 +178,7 @@
  * be spread.
  */
 static bool claim_spread(struct shares *gs, struct cell_gang *gang,
-			 const struct pl_ask *ask)
+			 const struct placing_ask *ask)
 {
 	int need = gang->total, part;
 	struct choice best;
@@ -202,7 +202,7 @@
 
 /* Adds the workers of a rack that the owner can have whole. */
 static void take_rack(struct shares *gs, struct cell_gang *gang, int rack,
-		      const struct pl_ask *ask, int *left)
+		      const struct placing_ask *ask, int *left)
 {
 	const struct cell_rack *r = &gs->cell->racks[rack];
 	int size = gs->cell->worker_size, i;
@@ -221,7 +221,7 @@
 
 /* Accelerators of a bound rack that its owner does not use. */
 static int rack_room(const struct shares *gs, int rack,
-		     const struct pl_ask *ask)
+		     const struct placing_ask *ask)
 {
 	const struct cell_rack *r = &gs->cell->racks[rack];
 	int room = 0, i;
@@ -235,7 +235,7 @@
 }
 
 static int64_t rack_loss(const struct shares *gs, int rack,
-			 const struct pl_ask *ask)
+			 const struct placing_ask *ask)
 {
 	const struct cell_rack *r = &gs->cell->racks[rack];
 	int64_t total = 0, loss;
@@ -254,7 +254,8 @@
  * of the gang in the same row, then that with the least lost work; or -1.
  */
 static int choose_rack(const struct shares *gs, const struct cell_gang *gang,
-		       const bool *used, int last, const struct pl_ask *ask)
+		       const bool *used, int last,
+		       const struct placing_ask *ask)
 {
 	int64_t best_loss = INT64_MAX, loss;
 	int best = -1, best_far = INT_MAX, i, far;
@@ -281,7 +282,7 @@
 
 /* The owner's bound rack with the least room that is at least need. */
 static int fitting_rack(const struct shares *gs, int customer, int need,
-			const struct pl_ask *ask)
+			const struct placing_ask *ask)
 {
 	int best = -1, best_room = INT_MAX, i, room;
 
@@ -303,7 +304,7 @@
 	int workers_left;
 	int last;
 	int left; /* accelerators still to place */
-	const struct pl_ask *ask;
+	const struct placing_ask *ask;
 };
 
 static bool gather_rack(struct shares *gs, struct cell_gang *gang,
@@ -371,7 +372,7 @@
  * guarantee promise no neighbourhood beyond the unit itself.
  */
 static bool claim_whole(struct shares *gs, struct cell_gang *gang,
-			const struct pl_ask *ask)
+			const struct placing_ask *ask)
 {
 	int rack_accelerators = gs->cell->worker_size * gs->cell->rack_size;
 	struct gather g = { .left = gang->total, .ask = ask, .last = -1 };
@@ -397,7 +398,7 @@
 }
 
 static bool claim(struct shares *gs, struct cell_gang *gang,
-		  const struct pl_ask *ask)
+		  const struct placing_ask *ask)
 {
 	bool ok;
 
@@ -422,10 +423,10 @@
  * Workers where the job failed are avoided, but not at the price of the
  * guarantee.
  */
-bool pl_claim(struct shares *gs, struct cell_gang *gang,
-	      const struct pl_ask *ask)
+bool placing_claim(struct shares *gs, struct cell_gang *gang,
+		   const struct placing_ask *ask)
 {
-	struct pl_ask any = *ask;
+	struct placing_ask any = *ask;
 
 	if (ask->avoid_count > 0 && claim(gs, gang, ask))
 		return true;
--- a/policy/plvict.c
+++ b/policy/placing_victims.c
@@ -1,16 +1,16 @@
-#include "policy/pl.h"
+#include "policy/placing.h"
 
 /* Victims. */
 
 static bool is_victim(const struct cell_gang *gang,
 		      const struct cell_gang *arriving,
-		      const struct pl_ask *ask)
+		      const struct placing_ask *ask)
 {
 	if (gang == arriving || gang->leaving)
 		return false;
 	if (arriving->kind == CELL_OWNED && gang->kind == CELL_SOFT)
 		return ask->reclaim;
-	return pl_may_evict(gang, ask);
+	return placing_may_evict(gang, ask);
 }
 
 /*
@@ -18,7 +18,7 @@
  * that is leaving already counts as gone.
  */
 static int worker_victims(struct shares *gs, const struct cell_gang *gang,
-			  int worker, const struct pl_ask *ask,
+			  int worker, const struct placing_ask *ask,
 			  void (*fn)(struct cell_gang *, void *), void *user)
 {
 	struct cell_worker *w = &gs->cell->workers[worker];
@@ -33,8 +33,9 @@
 		list_for_each_entry(hold, &w->holds, node) {
 			if (!is_victim(hold->gang, gang, ask))
 				continue;
-			if (!best || pl_loss(hold->gang, ask->now_us) <
-					     pl_loss(best->gang, ask->now_us))
+			if (!best ||
+			    placing_loss(hold->gang, ask->now_us) <
+				    placing_loss(best->gang, ask->now_us))
 				best = hold;
 		}
 		if (!best)
@@ -47,9 +48,10 @@
 	return asked;
 }
 
-int pl_victims(struct shares *gs, struct cell_gang *gang,
-	       const struct pl_ask *ask,
-	       void (*fn)(struct cell_gang *victim, void *user), void *user)
+int placing_victims(struct shares *gs, struct cell_gang *gang,
+		    const struct placing_ask *ask,
+		    void (*fn)(struct cell_gang *victim, void *user),
+		    void *user)
 {
 	int i, asked = 0;
 
@@ -61,7 +63,7 @@
 
 /* Reservation. */
 
-void pl_unreserve(struct shares *gs)
+void placing_unreserve(struct shares *gs)
 {
 	int i;
 
@@ -73,9 +75,9 @@
  * Prefers the racks where most workers could be had whole by stopping what
  * is stoppable; unstoppable work is then kept out of them.
  */
-int pl_reserve(struct shares *gs, int total, int64_t now_us)
+int placing_reserve(struct shares *gs, int total, int64_t now_us)
 {
-	struct pl_ask ask = {
+	struct placing_ask ask = {
 		.kind = CELL_HARD,
 		.evict_level = INT32_MIN,
 		.before_us = now_us,
@@ -85,9 +87,9 @@
 	struct cell_gang probe;
 	int i, racks = 0;
 
-	pl_unreserve(gs);
+	placing_unreserve(gs);
 	cell_gang_init(&probe, 0, total, false);
-	if (total <= gs->cell->worker_size || !pl_place(gs, &probe, &ask))
+	if (total <= gs->cell->worker_size || !placing_place(gs, &probe, &ask))
 		return 0;
 	for (i = 0; i < probe.hold_count; i++) {
 		int rack = gs->cell->workers[probe.holds[i].worker].rack;
@@ -103,7 +105,7 @@
 
 /* The only gang of a worker when it is stoppable and runs nowhere else. */
 static struct cell_gang *lone_gang(const struct shares *gs, int worker,
-				   const struct pl_ask *ask)
+				   const struct placing_ask *ask)
 {
 	const struct cell_worker *w = &gs->cell->workers[worker];
 	struct cell_hold *hold;
@@ -112,7 +114,7 @@
 	    w->holds.next == &w->holds || w->holds.next->next != &w->holds)
 		return NULL;
 	hold = list_first_entry(&w->holds, struct cell_hold, node);
-	if (hold->gang->hold_count != 1 || !pl_may_evict(hold->gang, ask))
+	if (hold->gang->hold_count != 1 || !placing_may_evict(hold->gang, ask))
 		return NULL;
 	return hold->gang;
 }
@@ -133,7 +135,7 @@
  * Returns the gang that loses least among those that could go on beside
  * other work, leaving a whole free worker behind, or NULL.
  */
-struct cell_gang *pl_move(struct shares *gs, const struct pl_ask *ask)
+struct cell_gang *placing_move(struct shares *gs, const struct placing_ask *ask)
 {
 	struct cell_gang *best = NULL, *gang;
 	int i;
@@ -142,8 +144,8 @@
 		gang = lone_gang(gs, i, ask);
 		if (!gang || !fits_beside(gs->cell, i, gang->total))
 			continue;
-		if (!best ||
-		    pl_loss(gang, ask->now_us) < pl_loss(best, ask->now_us))
+		if (!best || placing_loss(gang, ask->now_us) <
+				     placing_loss(best, ask->now_us))
 			best = gang;
 	}
 	return best;
--- a/policy/sc.c
+++ b/policy/sc.c
@@ -4,7 +4,7 @@
 
 #include <glib.h>
 
-#include "policy/pl.h"
+#include "policy/placing.h"
 
 void sc_init(struct sc *sc, const struct sc_ops *ops, int worker_size,
 	     int rack_size)
--- a/policy/sc.h
+++ b/policy/sc.h
@@ -15,7 +15,7 @@
 	SC_ENDED,
 };
 
-/* Kinds of places by size of the gang; see pl_place(). */
+/* Kinds of places by size of the gang; see placing_place(). */
 enum sc_size { SC_IN_WORKER, SC_IN_RACK, SC_IN_ROW, SC_SIZES };
 
 /* Order of a customer's queues: attained service, then size. */
--- a/policy/scpass.c
+++ b/policy/scpass.c
@@ -2,7 +2,7 @@
 
 #include <glib.h>
 
-#include "policy/pl.h"
+#include "policy/placing.h"
 #include "policy/sc.h"
 
 /*
@@ -104,24 +104,26 @@
 }
 
 /* Holds the chosen place and asks the work on it to leave. */
-static void take(struct pass *p, struct sc_job *job, const struct pl_ask *ask)
+static void take(struct pass *p, struct sc_job *job,
+		 const struct placing_ask *ask)
 {
 	job->gang.level = yield_level(job, p->now_us);
 	sc_take(p->sc, job, p->now_us);
 	p->grace_ms = ask->reclaim ? RECLAIM_GRACE_MS : SC_GRACE_MS;
 	if (!cell_clear(&p->sc->cell, &job->gang)) {
-		pl_victims(&p->sc->gs, &job->gang, ask, displace, p);
+		placing_victims(&p->sc->gs, &job->gang, ask, displace, p);
 		if (ask->reclaim)
 			hurry(p, job);
 	}
 	start_if_clear(p, job);
 }
 
-static struct pl_ask make_ask(const struct pass *p, const struct sc_job *job)
+static struct placing_ask make_ask(const struct pass *p,
+				   const struct sc_job *job)
 {
-	struct pl_ask ask = {
+	struct placing_ask ask = {
 		.kind = job->gang.stoppable ? CELL_SOFT : CELL_HARD,
-		.evict_level = PL_NO_EVICTION,
+		.evict_level = PLACING_NO_EVICTION,
 		.before_us = p->now_us - SC_QUANTUM_MS * USEC_PER_MSEC,
 		.now_us = p->now_us,
 		.use_reserved = job == p->sc->head,
@@ -136,12 +138,12 @@
 
 static bool place_free(struct pass *p, struct sc_job *job)
 {
-	struct pl_ask ask = make_ask(p, job);
+	struct placing_ask ask = make_ask(p, job);
 	struct memo *memo = job->gang.stoppable ? &p->soft : &p->hard;
 
 	if (known_to_fail(p->sc, memo, job->gang.total) && !ask.use_reserved)
 		return false;
-	if (!pl_place(&p->sc->gs, &job->gang, &ask)) {
+	if (!placing_place(&p->sc->gs, &job->gang, &ask)) {
 		note_failure(p->sc, memo, job);
 		return false;
 	}
@@ -159,13 +161,13 @@
 };
 
 static bool try_claim(struct pass *p, struct sc_job *job,
-		      const struct pl_ask *ask, struct memo *memo)
+		      const struct placing_ask *ask, struct memo *memo)
 {
 	struct sc *sc = p->sc;
 
 	if (known_to_fail(sc, memo, job->gang.total))
 		return false;
-	if (pl_claim(&sc->gs, &job->gang, ask)) {
+	if (placing_claim(&sc->gs, &job->gang, ask)) {
 		take(p, job, ask);
 		return true;
 	}
@@ -182,7 +184,7 @@
 static bool claim(struct pass *p, struct sc_job *job, struct claim_memo *memo)
 {
 	struct sc *sc = p->sc;
-	struct pl_ask ask = make_ask(p, job);
+	struct placing_ask ask = make_ask(p, job);
 	bool room = shares_accelerators_left(&sc->gs, job->gang.customer) >=
 		    job->gang.total;
 
@@ -253,7 +255,7 @@
 
 static bool place_evicting(struct pass *p, struct sc_job *job)
 {
-	struct pl_ask ask = make_ask(p, job);
+	struct placing_ask ask = make_ask(p, job);
 	int level = sc_level(job, p->now_us);
 	struct memo *memo = &p->evict[level];
 
@@ -268,7 +270,7 @@
 		ask.max_total = 0;
 		ask.sheltered = NULL;
 	}
-	if (!pl_place(&p->sc->gs, &job->gang, &ask)) {
+	if (!placing_place(&p->sc->gs, &job->gang, &ask)) {
 		note_failure(p->sc, memo, job);
 		return false;
 	}
@@ -442,22 +444,22 @@
 static void reserve(struct pass *p)
 {
 	struct sc *sc = p->sc;
-	struct pl_ask ask;
+	struct placing_ask ask;
 	struct cell_gang *gang;
 
 	if (!sc->head)
 		sc->head = p->head;
 	if (!sc->head) {
-		pl_unreserve(&sc->gs);
+		placing_unreserve(&sc->gs);
 		return;
 	}
-	pl_reserve(&sc->gs, sc->head->gang.total, p->now_us);
+	placing_reserve(&sc->gs, sc->head->gang.total, p->now_us);
 	if (sc->cell.free < sc->head->gang.total || !list_empty(&sc->leaving))
 		return;
 	ask = make_ask(p, sc->head);
 	ask.evict_level = -1;
 	ask.sheltered = NULL;
-	gang = pl_move(&sc->gs, &ask);
+	gang = placing_move(&sc->gs, &ask);
 	if (gang) {
 		gang->leaving = true;
 		sc_displace(sc, gang->user, SC_GRACE_MS, p->now_us);
--- a/tests/unit/test_shares.c
+++ b/tests/unit/test_shares.c
@@ -5,7 +5,7 @@
 
 #include <glib.h>
 
-#include "policy/pl.h"
+#include "policy/placing.h"
 #include "tests/unit/run.h"
 
 #define RACKS 3
@@ -136,7 +136,8 @@
 	int customer = g_rand_int_range(w->rnd, 0, CUSTOMERS);
 	int total = g_rand_int_range(w->rnd, 1, 9), unit;
 	bool proved = shares_proved(&w->gs);
-	struct pl_ask ask = { .evict_level = PL_NO_EVICTION, .reclaim = true };
+	struct placing_ask ask = { .evict_level = PLACING_NO_EVICTION,
+				   .reclaim = true };
 
 	ask.customer = customer;
 	cell_gang_init(g, customer, total, g_rand_boolean(w->rnd));
@@ -150,18 +151,18 @@
 			if (!proved || !shares_left(&w->gs, customer, unit))
 				continue;
 			cell_gang_init(&probe, customer, sizes[unit], false);
-			ck_assert(pl_claim(&w->gs, &probe, &ask));
+			ck_assert(placing_claim(&w->gs, &probe, &ask));
 			cell_gang_reset(&probe);
 		}
-		if (pl_claim(&w->gs, g, &ask)) {
+		if (placing_claim(&w->gs, g, &ask)) {
 			shares_hold(&w->gs, g);
-			pl_victims(&w->gs, g, &ask, remove_victim, &w->gs);
+			placing_victims(&w->gs, g, &ask, remove_victim, &w->gs);
 			ck_assert(cell_clear(&w->cell, g));
 		}
 		return;
 	}
 	ask.kind = g->stoppable ? CELL_SOFT : CELL_HARD;
-	if (pl_place(&w->gs, g, &ask)) {
+	if (placing_place(&w->gs, g, &ask)) {
 		shares_hold(&w->gs, g);
 		ck_assert(cell_clear(&w->cell, g));
 	}
@@ -270,11 +271,11 @@
 /* Guards against unstoppable work on a place that is guaranteed. */
 START_TEST(unstoppable_work_is_never_lent_a_guaranteed_place)
 {
-	struct pl_ask hard = { .kind = CELL_HARD,
-			       .evict_level = PL_NO_EVICTION };
-	struct pl_ask soft = { .kind = CELL_SOFT,
-			       .evict_level = PL_NO_EVICTION,
-			       .reclaim = true };
+	struct placing_ask hard = { .kind = CELL_HARD,
+				    .evict_level = PLACING_NO_EVICTION };
+	struct placing_ask soft = { .kind = CELL_SOFT,
+				    .evict_level = PLACING_NO_EVICTION,
+				    .reclaim = true };
 	int units[CELL_UNITS] = { 0, 0, RACKS };
 	struct cell_gang a, b, c;
 	struct world w;
@@ -282,15 +283,16 @@
 	world_init(&w, 1);
 	shares_set_guarantee(&w.gs, 0, units);
 	cell_gang_init(&a, 1, 1, false);
-	ck_assert(!pl_place(&w.gs, &a, &hard));
+	ck_assert(!placing_place(&w.gs, &a, &hard));
 	cell_gang_init(&b, 1, WORKERS * SIZE, true);
-	ck_assert(pl_place(&w.gs, &b, &soft));
+	ck_assert(placing_place(&w.gs, &b, &soft));
 	shares_hold(&w.gs, &b);
 	cell_gang_init(&c, 0, RACK_SIZE * SIZE, false);
-	ck_assert(pl_claim(&w.gs, &c, &soft));
+	ck_assert(placing_claim(&w.gs, &c, &soft));
 	shares_hold(&w.gs, &c);
 	ck_assert(!cell_clear(&w.cell, &c));
-	ck_assert_int_eq(pl_victims(&w.gs, &c, &soft, remove_victim, &w.gs), 1);
+	ck_assert_int_eq(
+		placing_victims(&w.gs, &c, &soft, remove_victim, &w.gs), 1);
 	ck_assert(cell_clear(&w.cell, &c));
 	shares_release(&w.gs, &c);
 	cell_gang_reset(&c);
@@ -302,9 +304,9 @@
 START_TEST(host_failure_breaks_and_restores_the_guarantee)
 {
 	int units[CELL_UNITS] = { 0, 0, RACKS };
-	struct pl_ask soft = { .kind = CELL_SOFT,
-			       .evict_level = PL_NO_EVICTION,
-			       .reclaim = true };
+	struct placing_ask soft = { .kind = CELL_SOFT,
+				    .evict_level = PLACING_NO_EVICTION,
+				    .reclaim = true };
 	struct cell_gang c;
 	struct world w;
 
@@ -312,7 +314,7 @@
 	shares_set_guarantee(&w.gs, 0, units);
 	ck_assert(!shares_broken(&w.gs));
 	cell_gang_init(&c, 0, SIZE, false);
-	ck_assert(pl_claim(&w.gs, &c, &soft));
+	ck_assert(placing_claim(&w.gs, &c, &soft));
 	shares_hold(&w.gs, &c);
 	shares_set_usable(&w.gs, c.holds[0].worker ^ 1, false);
 	ck_assert(shares_broken(&w.gs));
