--- a/policy/rqc.c
+++ b/policy/admission_capacity.c
@@ -1,4 +1,4 @@
-#include "policy/rqc.h"
+#include "policy/admission_capacity.h"
 
 #include "policy/rq.h"
 
@@ -8,7 +8,8 @@
  * Learns from one run. The band between the two limits keeps a service
  * with a share of stragglers from changing its class back and forth.
  */
-void rqc_learn(struct rq *rq, struct rq_item *item, int64_t run_us)
+void admission_capacity_learn(struct rq *rq, struct rq_item *item,
+			      int64_t run_us)
 {
 	struct rq_service *service = item->service;
 	struct rq_class *cls = &rq->classes[item->class_];
@@ -49,7 +50,7 @@
 	return (int)(want < most ? want : most);
 }
 
-int rqc_long_limit(const struct rq *rq)
+int admission_capacity_long_limit(const struct rq *rq)
 {
 	int limit = rq->slots - rq_reserved(rq);
 
@@ -58,7 +59,7 @@
 }
 
 /* Most slots that long work may hold, even when it is owed a share. */
-int rqc_hard_limit(const struct rq *rq)
+int admission_capacity_hard_limit(const struct rq *rq)
 {
 	int limit = rq->slots - rq->slots * QUEUE_RESERVE_MIN_PERCENT / 100 - 1;
 
@@ -71,7 +72,7 @@
 	int slots;
 
 	if (class_ == DOC_LONG)
-		return rqc_long_limit(rq);
+		return admission_capacity_long_limit(rq);
 	slots = rq->slots - rq->classes[DOC_LONG].running;
 	if (slots < rq_reserved(rq))
 		slots = rq_reserved(rq);
@@ -104,7 +105,7 @@
 }
 
 /* Measures the slots that arrivals need, in windows. */
-void rqc_measure(struct rq *rq, int64_t now_us)
+void admission_capacity_measure(struct rq *rq, int64_t now_us)
 {
 	int64_t passed = now_us - rq->window_us;
 	struct rq_class *cls;
--- a/policy/rq.c
+++ b/policy/rq.c
@@ -6,7 +6,7 @@
 #include <string.h>
 
 #include "base/err.h"
-#include "policy/rqc.h"
+#include "policy/admission_capacity.h"
 
 static const int64_t target_us[DOC_CLASSES] = {
 	[DOC_SHORT] = QUEUE_TARGET_SHORT_MS * USEC_PER_MSEC,
@@ -193,7 +193,7 @@
 	struct rq_class *cls = &rq->classes[class_];
 	int64_t wait;
 
-	rqc_measure(rq, now_us);
+	admission_capacity_measure(rq, now_us);
 	cls->arrived_us += cls->mean_us;
 	if (customer->removed)
 		return CB_E_CUSTOMER_REMOVED;
@@ -347,12 +347,13 @@
 {
 	const struct rq_class *shorts = &rq->classes[DOC_SHORT];
 	const struct rq_class *longs = &rq->classes[DOC_LONG];
-	bool long_may =
-		longs->waiting > 0 && longs->running < rqc_long_limit(rq);
+	bool long_may = longs->waiting > 0 &&
+			longs->running < admission_capacity_long_limit(rq);
 
 	enum doc_class owed = owed_class(rq);
 
-	if (owed == DOC_LONG && longs->running < rqc_hard_limit(rq))
+	if (owed == DOC_LONG &&
+	    longs->running < admission_capacity_hard_limit(rq))
 		return DOC_LONG;
 	if (shorts->waiting > 0 && (owed == DOC_SHORT || !long_may ||
 				    shorts->running < rq_reserved(rq)))
@@ -373,7 +374,7 @@
 	enum doc_class class_;
 
 	rq->slots = slots;
-	rqc_measure(rq, now_us);
+	admission_capacity_measure(rq, now_us);
 	while (free_slots > 0 && !item) {
 		class_ = next_class(rq);
 		if (class_ == DOC_CLASSES)
@@ -420,7 +421,7 @@
 	customer->served +=
 		(double)(run_us - item->charged_us) / customer->weight;
 	if (whole)
-		rqc_learn(rq, item, run_us);
+		admission_capacity_learn(rq, item, run_us);
 	item->customer = NULL;
 	customer_unref(customer);
 }
@@ -473,7 +474,7 @@
 {
 	struct rq_item *item;
 
-	rqc_measure(rq, now_us);
+	admission_capacity_measure(rq, now_us);
 	list_for_each_entry(item, &rq->running, node)
 		charge_running(rq, item, now_us);
 	if (now_us - rq->expired_us < QUEUE_EXPIRE_MS * USEC_PER_MSEC)
