--- a/bench/crest_run.c
+++ b/bench/crest_run.c
@@ -3,7 +3,7 @@
 #include <string.h>
 
 #include "base/err.h"
-#include "policy/rq.h"
+#include "policy/admission.h"
 #include "policy/rt.h"
 
 #define SHORT_LIMIT_MS 20 /* of the service sections */
@@ -110,16 +110,17 @@
 
 struct policy_run {
 	struct run run;
-	struct rq rq;
-	struct rq_item *items;
-	struct rq_customer *customers[CREST_CUSTOMERS];
-	struct rq_service *services[DOC_CLASSES];
+	struct admission rq;
+	struct admission_item *items;
+	struct admission_customer *customers[CREST_CUSTOMERS];
+	struct admission_service *services[DOC_CLASSES];
 	struct rt_server servers[CREST_SERVERS];
 	GRand *rand;
 	int64_t now_us;
 };
 
-static void on_refuse(struct rq *rq, struct rq_item *item, int code)
+static void on_refuse(struct admission *rq, struct admission_item *item,
+		      int code)
 {
 	struct policy_run *p =
 		(struct policy_run *)((char *)rq -
@@ -133,9 +134,9 @@
 static void policy_arrive(struct policy_run *p, size_t i)
 {
 	struct crest_req *req = &p->run.load->reqs[i];
-	int code = rq_put(&p->rq, &p->items[i], p->customers[req->customer],
-			  p->services[req->class_], false, req->deadline_us,
-			  p->now_us);
+	int code = admission_put(
+		&p->rq, &p->items[i], p->customers[req->customer],
+		p->services[req->class_], false, req->deadline_us, p->now_us);
 
 	if (code == CB_OK)
 		return;
@@ -146,12 +147,12 @@
 static void policy_start(struct policy_run *p)
 {
 	struct rt_server *usable[CREST_SERVERS], *chosen;
-	struct rq_item *item;
+	struct admission_item *item;
 	size_t n;
 	int i;
 
-	while ((item = rq_take(&p->rq, CREST_SLOTS - p->run.busy, CREST_SLOTS,
-			       p->now_us))) {
+	while ((item = admission_take(&p->rq, CREST_SLOTS - p->run.busy,
+				      CREST_SLOTS, p->now_us))) {
 		for (i = 0, n = 0; i < CREST_SERVERS; i++)
 			if (p->servers[i].in_flight < BACKEND_SLOTS)
 				usable[n++] = &p->servers[i];
@@ -171,31 +172,31 @@
 	run_end(&p->run, i, p->now_us);
 	rt_end(&p->servers[req->server], whole ? p->now_us - req->start_us : 0,
 	       p->now_us);
-	rq_done(&p->rq, &p->items[i], whole, p->now_us);
+	admission_done(&p->rq, &p->items[i], whole, p->now_us);
 }
 
 static void policy_init(struct policy_run *p, struct crest_load *load,
 			guint32 seed)
 {
-	static const struct rq_ops ops = { .refuse = on_refuse };
+	static const struct admission_ops ops = { .refuse = on_refuse };
 	char name[16];
 	int i;
 
 	memset(p, 0, sizeof(*p));
 	run_init(&p->run, load);
-	rq_init(&p->rq, &ops, 0);
-	p->items = g_new0(struct rq_item, load->n);
+	admission_init(&p->rq, &ops, 0);
+	p->items = g_new0(struct admission_item, load->n);
 	p->rand = g_rand_new_with_seed(seed);
 	for (i = 0; i < CREST_CUSTOMERS; i++) {
 		g_snprintf(name, sizeof(name), "c%d", i);
 		p->customers[i] =
-			rq_customer_set(&p->rq, name, crest_weights[i]);
+			admission_customer_set(&p->rq, name, crest_weights[i]);
 	}
 	/* Both are declared short; the long one has to be learned. */
 	p->services[DOC_SHORT] =
-		rq_service_get(&p->rq, "s", DOC_SHORT, SHORT_LIMIT_MS);
+		admission_service_get(&p->rq, "s", DOC_SHORT, SHORT_LIMIT_MS);
 	p->services[DOC_LONG] =
-		rq_service_get(&p->rq, "l", DOC_SHORT, SHORT_LIMIT_MS);
+		admission_service_get(&p->rq, "l", DOC_SHORT, SHORT_LIMIT_MS);
 }
 
 /* Drives rq and rt by the same arrivals and run times. */
@@ -219,7 +220,7 @@
 		if (tick <= next) {
 			p.now_us = tick;
 			tick += tick_us;
-			rq_tick(&p.rq, p.now_us);
+			admission_tick(&p.rq, p.now_us);
 		} else if (ends && event.at_us == next) {
 			p.now_us = next;
 			crest_heap_pop(&p.run.ends);
@@ -230,7 +231,7 @@
 		}
 		policy_start(&p);
 	}
-	rq_finish(&p.rq);
+	admission_finish(&p.rq);
 	g_free(p.items);
 	g_rand_free(p.rand);
 	crest_heap_finish(&p.run.ends);
--- a/daemon/req.c
+++ b/daemon/req.c
@@ -374,10 +374,10 @@
 	while (!list_empty(&r->reqs)) {
 		req = list_first_entry(&r->reqs, struct req, node);
 		if (req->state == REQ_ST_QUEUED)
-			rq_cancel(&req->group->rq, &req->item);
+			admission_cancel(&req->group->rq, &req->item);
 		else if (req->state == REQ_ST_RUNNING)
-			rq_done(&req->group->rq, &req->item, false,
-				kn_now_us());
+			admission_done(&req->group->rq, &req->item, false,
+				       kn_now_us());
 		if (req->state == REQ_ST_RUNNING)
 			r->back->ops->cancel(r->back, &req->back);
 		req_free(req);
--- a/daemon/req_fwd.c
+++ b/daemon/req_fwd.c
@@ -177,7 +177,7 @@
 
 void req_leave_queue(struct req *req)
 {
-	rq_cancel(&req->group->rq, &req->item);
+	admission_cancel(&req->group->rq, &req->item);
 	req_set_state(req, REQ_ST_NEW);
 }
 
--- a/daemon/req_int.h
+++ b/daemon/req_int.h
@@ -7,7 +7,7 @@
 #include "daemon/svc.h"
 #include "policy/idem.h"
 #include "policy/membership.h"
-#include "policy/rq.h"
+#include "policy/admission.h"
 #include "policy/rt.h"
 #include "policy/ry.h"
 #include "wire/pr.h"
@@ -36,7 +36,7 @@
 	struct list_head node;
 	struct req_task *r;
 	char service[NAME_MAX_BYTES];
-	struct rq rq;
+	struct admission rq;
 	GPtrArray *servers; /* of struct req_server */
 };
 
@@ -54,7 +54,7 @@
 	struct req_task *r;
 	struct req_call *call;
 	enum req_state state;
-	struct rq_item item;
+	struct admission_item item;
 	struct req_group *group;
 	int64_t deadline_us;
 	bool idempotent;
--- a/daemon/req_run.c
+++ b/daemon/req_run.c
@@ -200,7 +200,7 @@
 	struct req_task *r = req->r;
 	struct req_call *call = req->call;
 	const struct doc_service *service;
-	struct rq_customer *customer;
+	struct admission_customer *customer;
 	int result;
 
 	req->group = req_group_get(r, call->service);
@@ -214,7 +214,7 @@
 	}
 	/* The document may have changed while a claim was on its way. */
 	service = doc_view_service(r->view, call->service);
-	customer = rq_customer_find(&req->group->rq, call->customer);
+	customer = admission_customer_find(&req->group->rq, call->customer);
 	if (!customer || customer->removed || !service) {
 		req_not_run(req, service ? CB_E_CUSTOMER_REMOVED :
 					   CB_E_UNKNOWN_SERVICE);
@@ -224,11 +224,11 @@
 		req_not_run(req, CB_E_QUEUE_FULL);
 		return;
 	}
-	result =
-		rq_put(&req->group->rq, &req->item, customer,
-		       rq_service_get(&req->group->rq, call->service,
+	result = admission_put(
+		&req->group->rq, &req->item, customer,
+		admission_service_get(&req->group->rq, call->service,
 				      service->class_, service->short_limit_ms),
-		       call->class_ == DOC_LONG, req->deadline_us, kn_now_us());
+		call->class_ == DOC_LONG, req->deadline_us, kn_now_us());
 	if (result != CB_OK) {
 		req_not_run(req, result);
 		return;
@@ -342,7 +342,7 @@
 	if (may && ry_retry(&r->ry, now_us)) {
 		ctr_add(&r->ctrs.retries, 1);
 		req_set_state(req, REQ_ST_QUEUED);
-		rq_put_back(&req->group->rq, &req->item);
+		admission_put_back(&req->group->rq, &req->item);
 		if (req_must_leave(req)) {
 			req_leave_queue(req);
 			req_pass_on(req);
@@ -351,7 +351,7 @@
 	}
 	if (may)
 		ctr_add(&r->ctrs.retries_denied, 1);
-	rq_done(&req->group->rq, &req->item, false, now_us);
+	admission_done(&req->group->rq, &req->item, false, now_us);
 	req_set_state(req, REQ_ST_NEW);
 	req_not_run(req, result);
 }
@@ -386,7 +386,7 @@
 	if (outcome == BACK_ANSWERED) {
 		take_answer(req);
 		back_call_finish(back);
-		rq_done(&req->group->rq, &req->item, true, kn_now_us());
+		admission_done(&req->group->rq, &req->item, true, kn_now_us());
 		req_set_state(req, REQ_ST_NEW);
 		req_answer(req);
 	} else {
@@ -399,13 +399,13 @@
 static void dispatch_group(struct req_group *group, struct capacity *c)
 {
 	int64_t now_us = kn_now_us();
-	struct rq_item *item;
+	struct admission_item *item;
 	struct req *req;
 
 	while (group->rq.waiting > 0) {
 		req_forward_waiting(group);
 		find_capacity(group, c, now_us);
-		item = rq_take(&group->rq, c->free, c->slots, now_us);
+		item = admission_take(&group->rq, c->free, c->slots, now_us);
 		if (!item)
 			return;
 		req = container_of(item, struct req, item);
@@ -445,7 +445,7 @@
 	struct req *req, *tmp;
 
 	list_for_each_entry(group, &r->groups, node)
-		rq_tick(&group->rq, now_us);
+		admission_tick(&group->rq, now_us);
 	list_for_each_entry_safe(req, tmp, &r->away, node) {
 		if (now_us < req->deadline_us)
 			continue;
@@ -494,7 +494,7 @@
 	if (!host)
 		req->call->msg.from = NULL;
 	if (req->state == REQ_ST_QUEUED) {
-		rq_cancel(&req->group->rq, &req->item);
+		admission_cancel(&req->group->rq, &req->item);
 		req_set_state(req, REQ_ST_NEW);
 		req_not_run(req, CB_E_DEADLINE);
 	} else if (!host && req->state == REQ_ST_FORWARDED) {
--- a/daemon/req_servers.c
+++ b/daemon/req_servers.c
@@ -20,7 +20,8 @@
 	return NULL;
 }
 
-static void on_refuse(struct rq *rq, struct rq_item *item, int code)
+static void on_refuse(struct admission *rq, struct admission_item *item,
+		      int code)
 {
 	struct req *req = container_of(item, struct req, item);
 
@@ -28,22 +29,22 @@
 	req_not_run(req, code);
 }
 
-static const struct rq_ops queue_ops = { .refuse = on_refuse };
+static const struct admission_ops queue_ops = { .refuse = on_refuse };
 
 static void sync_customers(struct req_task *r, struct req_group *group)
 {
-	struct rq_customer *customer, *tmp;
+	struct admission_customer *customer, *tmp;
 	size_t i;
 
 	if (!r->view)
 		return;
 	for (i = 0; i < r->view->customer_count; i++)
-		rq_customer_set(&group->rq, r->view->customers[i].name,
-				r->view->customers[i].weight);
+		admission_customer_set(&group->rq, r->view->customers[i].name,
+				       r->view->customers[i].weight);
 	list_for_each_entry_safe(customer, tmp, &group->rq.customers, node)
 		if (!customer->removed &&
 		    !doc_view_customer(r->view, customer->name))
-			rq_customer_remove(&group->rq, customer);
+			admission_customer_remove(&group->rq, customer);
 }
 
 static struct req_group *new_group(struct req_task *r, const char *service)
@@ -52,7 +53,7 @@
 
 	group->r = r;
 	snprintf(group->service, sizeof(group->service), "%s", service);
-	rq_init(&group->rq, &queue_ops, kn_now_us());
+	admission_init(&group->rq, &queue_ops, kn_now_us());
 	group->servers = g_ptr_array_new();
 	list_add_tail(&group->node, &r->groups);
 	sync_customers(r, group);
@@ -293,7 +294,7 @@
 /* Credits wanted at a server: its part of what runs, more when some wait. */
 static int wanted(struct req_task *r, const struct req_server *server)
 {
-	const struct rq *rq = &server->group->rq;
+	const struct admission *rq = &server->group->rq;
 	int n = (int)server->group->servers->len;
 	int want;
 
@@ -353,7 +354,7 @@
 	while (!list_empty(&r->groups)) {
 		group = list_first_entry(&r->groups, struct req_group, node);
 		list_del(&group->node);
-		rq_finish(&group->rq);
+		admission_finish(&group->rq);
 		g_ptr_array_free(group->servers, TRUE);
 		g_free(group);
 	}
--- a/policy/rq.c
+++ b/policy/admission.c
@@ -1,4 +1,4 @@
-#include "policy/rq.h"
+#include "policy/admission.h"
 
 #include <float.h>
 #include <stdio.h>
@@ -24,7 +24,8 @@
 
 /* Customers and services. */
 
-void rq_init(struct rq *rq, const struct rq_ops *ops, int64_t now_us)
+void admission_init(struct admission *rq, const struct admission_ops *ops,
+		    int64_t now_us)
 {
 	memset(rq, 0, sizeof(*rq));
 	rq->ops = ops;
@@ -39,10 +40,10 @@
 }
 
 /* Frees customers and services; no item may be left. */
-void rq_finish(struct rq *rq)
+void admission_finish(struct admission *rq)
 {
-	struct rq_customer *customer, *c_tmp;
-	struct rq_service *service, *s_tmp;
+	struct admission_customer *customer, *c_tmp;
+	struct admission_service *service, *s_tmp;
 
 	list_for_each_entry_safe(customer, c_tmp, &rq->customers, node)
 		free(customer);
@@ -52,9 +53,10 @@
 	list_init(&rq->services);
 }
 
-struct rq_customer *rq_customer_find(struct rq *rq, const char *name)
+struct admission_customer *admission_customer_find(struct admission *rq,
+						   const char *name)
 {
-	struct rq_customer *customer;
+	struct admission_customer *customer;
 
 	list_for_each_entry(customer, &rq->customers, node)
 		if (strcmp(customer->name, name) == 0)
@@ -63,9 +65,10 @@
 }
 
 /* Adds a customer or changes its weight. */
-struct rq_customer *rq_customer_set(struct rq *rq, const char *name, int weight)
+struct admission_customer *admission_customer_set(struct admission *rq,
+						  const char *name, int weight)
 {
-	struct rq_customer *customer = rq_customer_find(rq, name);
+	struct admission_customer *customer = admission_customer_find(rq, name);
 	int i;
 
 	if (!customer) {
@@ -80,7 +83,7 @@
 	return customer;
 }
 
-static void customer_unref(struct rq_customer *customer)
+static void customer_unref(struct admission_customer *customer)
 {
 	if (--customer->refs > 0 || !customer->removed)
 		return;
@@ -88,7 +91,7 @@
 	free(customer);
 }
 
-static void unlink_waiting(struct rq *rq, struct rq_item *item)
+static void unlink_waiting(struct admission *rq, struct admission_item *item)
 {
 	list_del(&item->node);
 	item->customer->lines[item->class_].waiting--;
@@ -96,9 +99,9 @@
 	rq->waiting--;
 }
 
-static void refuse(struct rq *rq, struct rq_item *item, int code)
+static void refuse(struct admission *rq, struct admission_item *item, int code)
 {
-	struct rq_customer *customer = item->customer;
+	struct admission_customer *customer = item->customer;
 
 	unlink_waiting(rq, item);
 	item->customer = NULL;
@@ -107,9 +110,10 @@
 }
 
 /* Refuses the customer's waiting work; its running work ends by itself. */
-void rq_customer_remove(struct rq *rq, struct rq_customer *customer)
+void admission_customer_remove(struct admission *rq,
+			       struct admission_customer *customer)
 {
-	struct rq_item *item, *tmp;
+	struct admission_item *item, *tmp;
 	int i;
 
 	customer->removed = true;
@@ -122,10 +126,12 @@
 }
 
 /* Finds a service; the declared class counts until runs were observed. */
-struct rq_service *rq_service_get(struct rq *rq, const char *name,
-				  enum doc_class declared, int short_limit_ms)
+struct admission_service *admission_service_get(struct admission *rq,
+						const char *name,
+						enum doc_class declared,
+						int short_limit_ms)
 {
-	struct rq_service *service;
+	struct admission_service *service;
 
 	if (short_limit_ms <= 0)
 		short_limit_ms = QUEUE_SHORT_LIMIT_MS;
@@ -146,7 +152,7 @@
 
 /* Waiting. */
 
-static bool waits(const struct rq_customer *customer)
+static bool waits(const struct admission_customer *customer)
 {
 	return customer->lines[DOC_SHORT].waiting > 0 ||
 	       customer->lines[DOC_LONG].waiting > 0;
@@ -157,9 +163,9 @@
  * with the one that is furthest behind. Use of slots that nobody waited
  * for is free: the accounts are cleared when the whole queue is empty.
  */
-static void join(struct rq *rq, struct rq_customer *customer)
+static void join(struct admission *rq, struct admission_customer *customer)
 {
-	struct rq_customer *other;
+	struct admission_customer *other;
 	bool found = false;
 	double level = 0;
 
@@ -184,13 +190,14 @@
  * item is not linked. declared_long lets a caller take the long class for
  * work of a short service, never the reverse.
  */
-int rq_put(struct rq *rq, struct rq_item *item, struct rq_customer *customer,
-	   struct rq_service *service, bool declared_long, int64_t deadline_us,
-	   int64_t now_us)
+int admission_put(struct admission *rq, struct admission_item *item,
+		  struct admission_customer *customer,
+		  struct admission_service *service, bool declared_long,
+		  int64_t deadline_us, int64_t now_us)
 {
 	enum doc_class class_ = declared_long ? DOC_LONG : service->class_;
-	struct rq_line *line = &customer->lines[class_];
-	struct rq_class *cls = &rq->classes[class_];
+	struct admission_line *line = &customer->lines[class_];
+	struct admission_class *cls = &rq->classes[class_];
 	int64_t wait;
 
 	admission_capacity_measure(rq, now_us);
@@ -199,7 +206,7 @@
 		return CB_E_CUSTOMER_REMOVED;
 	if (rq->waiting >= REQ_WAITING_MAX)
 		return CB_E_QUEUE_FULL;
-	wait = rq_expected_wait(rq, customer, class_);
+	wait = admission_expected_wait(rq, customer, class_);
 	if (now_us + wait >= deadline_us)
 		return CB_E_DEADLINE;
 	if (line->shedding && wait > shed_wait_us(class_))
@@ -220,9 +227,9 @@
 }
 
 /* Takes a waiting item out, without calling refuse(). */
-void rq_cancel(struct rq *rq, struct rq_item *item)
+void admission_cancel(struct admission *rq, struct admission_item *item)
 {
-	struct rq_customer *customer = item->customer;
+	struct admission_customer *customer = item->customer;
 
 	unlink_waiting(rq, item);
 	item->customer = NULL;
@@ -232,7 +239,7 @@
 /* Starting. */
 
 /* CoDel: the line stands above target for an interval, or it does not. */
-static void judge_wait(struct rq_line *line, enum doc_class class_,
+static void judge_wait(struct admission_line *line, enum doc_class class_,
 		       int64_t wait_us, int64_t now_us)
 {
 	if (wait_us < target_us[class_]) {
@@ -247,14 +254,17 @@
 }
 
 /* Returns the first item worth starting, after refusing those that are not. */
-static struct rq_item *first_useful(struct rq *rq, struct rq_line *line,
-				    enum doc_class class_, int64_t now_us)
+static struct admission_item *first_useful(struct admission *rq,
+					   struct admission_line *line,
+					   enum doc_class class_,
+					   int64_t now_us)
 {
-	struct rq_item *item;
+	struct admission_item *item;
 	int64_t wait;
 
 	while (line->waiting > 0) {
-		item = list_first_entry(&line->items, struct rq_item, node);
+		item = list_first_entry(&line->items, struct admission_item,
+					node);
 		wait = now_us - item->arrived_us;
 		judge_wait(line, class_, wait, now_us);
 		if (now_us >= item->deadline_us)
@@ -272,11 +282,11 @@
  * covers both classes: one that gets little short work done because it
  * asks for little makes up for it with long work.
  */
-static struct rq_item *class_next(struct rq *rq, enum doc_class class_,
-				  int64_t now_us)
+static struct admission_item *class_next(struct admission *rq,
+					 enum doc_class class_, int64_t now_us)
 {
-	struct rq_customer *customer, *best;
-	struct rq_item *item;
+	struct admission_customer *customer, *best;
+	struct admission_item *item;
 
 	while (rq->classes[class_].waiting > 0) {
 		best = NULL;
@@ -291,10 +301,11 @@
 	return NULL;
 }
 
-static void start(struct rq *rq, struct rq_item *item, int64_t now_us)
+static void start(struct admission *rq, struct admission_item *item,
+		  int64_t now_us)
 {
-	struct rq_line *line = &item->customer->lines[item->class_];
-	struct rq_class *cls = &rq->classes[item->class_];
+	struct admission_line *line = &item->customer->lines[item->class_];
+	struct admission_class *cls = &rq->classes[item->class_];
 
 	unlink_waiting(rq, item);
 	item->charged_us = cls->mean_us;
@@ -316,9 +327,9 @@
  * with long work would get less than its share while short work of others
  * takes more than theirs; and the reverse where long work fills the slots.
  */
-static enum doc_class owed_class(const struct rq *rq)
+static enum doc_class owed_class(const struct admission *rq)
 {
-	const struct rq_customer *customer;
+	const struct admission_customer *customer;
 	double least[DOC_CLASSES] = { DBL_MAX, DBL_MAX }, lag;
 	int64_t weights = 0;
 	int i;
@@ -343,10 +354,10 @@
 }
 
 /* Chooses the class of the next item; DOC_CLASSES for none. */
-static enum doc_class next_class(const struct rq *rq)
+static enum doc_class next_class(const struct admission *rq)
 {
-	const struct rq_class *shorts = &rq->classes[DOC_SHORT];
-	const struct rq_class *longs = &rq->classes[DOC_LONG];
+	const struct admission_class *shorts = &rq->classes[DOC_SHORT];
+	const struct admission_class *longs = &rq->classes[DOC_LONG];
 	bool long_may = longs->waiting > 0 &&
 			longs->running < admission_capacity_long_limit(rq);
 
@@ -356,7 +367,7 @@
 	    longs->running < admission_capacity_hard_limit(rq))
 		return DOC_LONG;
 	if (shorts->waiting > 0 && (owed == DOC_SHORT || !long_may ||
-				    shorts->running < rq_reserved(rq)))
+				    shorts->running < admission_reserved(rq)))
 		return DOC_SHORT;
 	return long_may ? DOC_LONG : DOC_CLASSES;
 }
@@ -367,10 +378,10 @@
  * rest, and short work may use what long work leaves. A customer that is
  * owed its share goes before that, up to the least reserve.
  */
-struct rq_item *rq_take(struct rq *rq, int free_slots, int slots,
-			int64_t now_us)
+struct admission_item *admission_take(struct admission *rq, int free_slots,
+				      int slots, int64_t now_us)
 {
-	struct rq_item *item = NULL;
+	struct admission_item *item = NULL;
 	enum doc_class class_;
 
 	rq->slots = slots;
@@ -386,7 +397,7 @@
 	return item;
 }
 
-static void stop_running(struct rq *rq, struct rq_item *item)
+static void stop_running(struct admission *rq, struct admission_item *item)
 {
 	list_del(&item->node);
 	item->running = false;
@@ -395,9 +406,9 @@
 }
 
 /* Returns a taken item to the head of its line, for a retry. */
-void rq_put_back(struct rq *rq, struct rq_item *item)
+void admission_put_back(struct admission *rq, struct admission_item *item)
 {
-	struct rq_line *line = &item->customer->lines[item->class_];
+	struct admission_line *line = &item->customer->lines[item->class_];
 
 	stop_running(rq, item);
 	item->customer->served -=
@@ -412,9 +423,10 @@
  * Ends a running item and corrects the customer's account to the slot time
  * that was really used. whole tells that the run time is the work's own.
  */
-void rq_done(struct rq *rq, struct rq_item *item, bool whole, int64_t now_us)
+void admission_done(struct admission *rq, struct admission_item *item,
+		    bool whole, int64_t now_us)
 {
-	struct rq_customer *customer = item->customer;
+	struct admission_customer *customer = item->customer;
 	int64_t run_us = now_us - item->started_us;
 
 	stop_running(rq, item);
@@ -431,7 +443,8 @@
  * stragglers can hold most slots for seconds before any of them ends.
  * Short work that overruns its limit counts as long from here on.
  */
-static void charge_running(struct rq *rq, struct rq_item *item, int64_t now_us)
+static void charge_running(struct admission *rq, struct admission_item *item,
+			   int64_t now_us)
 {
 	int64_t run_us = now_us - item->started_us;
 
@@ -448,10 +461,10 @@
 	}
 }
 
-static void refuse_expired(struct rq *rq, int64_t now_us)
+static void refuse_expired(struct admission *rq, int64_t now_us)
 {
-	struct rq_customer *customer, *c_tmp;
-	struct rq_item *item, *tmp;
+	struct admission_customer *customer, *c_tmp;
+	struct admission_item *item, *tmp;
 	int i;
 
 	list_for_each_entry_safe(customer, c_tmp, &rq->customers, node) {
@@ -470,9 +483,9 @@
  * 10,000 waiting requests every 10 ms took half a core, so that is done
  * once in QUEUE_EXPIRE_MS; what is taken is always checked.
  */
-void rq_tick(struct rq *rq, int64_t now_us)
+void admission_tick(struct admission *rq, int64_t now_us)
 {
-	struct rq_item *item;
+	struct admission_item *item;
 
 	admission_capacity_measure(rq, now_us);
 	list_for_each_entry(item, &rq->running, node)
--- a/policy/admission_capacity.c
+++ b/policy/admission_capacity.c
@@ -1,6 +1,6 @@
 #include "policy/admission_capacity.h"
 
-#include "policy/rq.h"
+#include "policy/admission.h"
 
 /* Learning. */
 
@@ -8,11 +8,11 @@
  * Learns from one run. The band between the two limits keeps a service
  * with a share of stragglers from changing its class back and forth.
  */
-void admission_capacity_learn(struct rq *rq, struct rq_item *item,
+void admission_capacity_learn(struct admission *rq, struct admission_item *item,
 			      int64_t run_us)
 {
-	struct rq_service *service = item->service;
-	struct rq_class *cls = &rq->classes[item->class_];
+	struct admission_service *service = item->service;
+	struct admission_class *cls = &rq->classes[item->class_];
 	bool over = run_us > service->short_limit_us;
 	int64_t slot_us = run_us;
 
@@ -37,7 +37,7 @@
  * Slots that long work may not take: what the arrivals of short work need
  * plus a quarter, within bounds that leave some to either class (DARC).
  */
-int rq_reserved(const struct rq *rq)
+int admission_reserved(const struct admission *rq)
 {
 	int64_t want = rq->classes[DOC_SHORT].demand_milli * 5 / 4 / 1000 + 1;
 	int64_t least = (int64_t)rq->slots * QUEUE_RESERVE_MIN_PERCENT / 100;
@@ -50,16 +50,16 @@
 	return (int)(want < most ? want : most);
 }
 
-int admission_capacity_long_limit(const struct rq *rq)
+int admission_capacity_long_limit(const struct admission *rq)
 {
-	int limit = rq->slots - rq_reserved(rq);
+	int limit = rq->slots - admission_reserved(rq);
 
 	/* With a single slot both classes have to share it. */
 	return limit > 0 ? limit : 1;
 }
 
 /* Most slots that long work may hold, even when it is owed a share. */
-int admission_capacity_hard_limit(const struct rq *rq)
+int admission_capacity_hard_limit(const struct admission *rq)
 {
 	int limit = rq->slots - rq->slots * QUEUE_RESERVE_MIN_PERCENT / 100 - 1;
 
@@ -67,15 +67,15 @@
 }
 
 /* Slots that the class can count on. */
-static int class_slots(const struct rq *rq, enum doc_class class_)
+static int class_slots(const struct admission *rq, enum doc_class class_)
 {
 	int slots;
 
 	if (class_ == DOC_LONG)
 		return admission_capacity_long_limit(rq);
 	slots = rq->slots - rq->classes[DOC_LONG].running;
-	if (slots < rq_reserved(rq))
-		slots = rq_reserved(rq);
+	if (slots < admission_reserved(rq))
+		slots = admission_reserved(rq);
 	return slots > 0 ? slots : 1;
 }
 
@@ -84,12 +84,12 @@
  * customer's line: bounded both by the line over the customer's share of
  * the class and by the whole class, since others may leave their share.
  */
-int64_t rq_expected_wait(const struct rq *rq,
-			 const struct rq_customer *customer,
-			 enum doc_class class_)
+int64_t admission_expected_wait(const struct admission *rq,
+				const struct admission_customer *customer,
+				enum doc_class class_)
 {
-	const struct rq_class *cls = &rq->classes[class_];
-	const struct rq_customer *other;
+	const struct admission_class *cls = &rq->classes[class_];
+	const struct admission_customer *other;
 	int64_t slots = class_slots(rq, class_);
 	int64_t weights = 0, own, all;
 
@@ -105,10 +105,10 @@
 }
 
 /* Measures the slots that arrivals need, in windows. */
-void admission_capacity_measure(struct rq *rq, int64_t now_us)
+void admission_capacity_measure(struct admission *rq, int64_t now_us)
 {
 	int64_t passed = now_us - rq->window_us;
-	struct rq_class *cls;
+	struct admission_class *cls;
 	int i;
 
 	if (passed < QUEUE_INTERVAL_MS * USEC_PER_MSEC)
--- a/policy/admission_capacity.h
+++ b/policy/admission_capacity.h
@@ -1,14 +1,14 @@
 #ifndef POLICY_ADMISSION_CAPACITY_H
 #define POLICY_ADMISSION_CAPACITY_H
 
-#include "policy/rq.h"
+#include "policy/admission.h"
 
-/* Capacity and observed run times of a queue; used by rq.c. */
+/* Capacity and observed run times of a queue; used by admission.c. */
 
-void admission_capacity_learn(struct rq *rq, struct rq_item *item,
+void admission_capacity_learn(struct admission *rq, struct admission_item *item,
 			      int64_t run_us);
-int admission_capacity_long_limit(const struct rq *rq);
-int admission_capacity_hard_limit(const struct rq *rq);
-void admission_capacity_measure(struct rq *rq, int64_t now_us);
+int admission_capacity_long_limit(const struct admission *rq);
+int admission_capacity_hard_limit(const struct admission *rq);
+void admission_capacity_measure(struct admission *rq, int64_t now_us);
 
 #endif
--- a/tests/unit/test_rq.c
+++ b/tests/unit/test_admission.c
@@ -2,42 +2,44 @@
 #include <stdlib.h>
 
 #include "base/err.h"
-#include "policy/rq.h"
+#include "policy/admission.h"
 #include "tests/unit/run.h"
 
 #define MS USEC_PER_MSEC
 #define ITEMS 12000
 
-static struct rq rq;
-static struct rq_item items[ITEMS];
+static struct admission rq;
+static struct admission_item items[ITEMS];
 static int refused[1000];
 static int refused_count;
 
-static void on_refuse(struct rq *q, struct rq_item *item, int code)
+static void on_refuse(struct admission *q, struct admission_item *item,
+		      int code)
 {
 	refused[code]++;
 	refused_count++;
 }
 
-static const struct rq_ops ops = { .refuse = on_refuse };
+static const struct admission_ops ops = { .refuse = on_refuse };
 
 static void setup(void)
 {
-	rq_init(&rq, &ops, 0);
+	admission_init(&rq, &ops, 0);
 	rq.slots = 8;
 }
 
 static void put(int i, const char *customer, const char *service,
 		int64_t deadline_us, int64_t now_us)
 {
-	struct rq_customer *c = rq_customer_find(&rq, customer);
+	struct admission_customer *c = admission_customer_find(&rq, customer);
 	bool is_long = strcmp(service, "batch") == 0;
 
 	ck_assert_int_eq(
-		rq_put(&rq, &items[i], c,
-		       rq_service_get(&rq, service,
+		admission_put(&rq, &items[i], c,
+			      admission_service_get(
+				      &rq, service,
 				      is_long ? DOC_LONG : DOC_SHORT, 0),
-		       false, deadline_us, now_us),
+			      false, deadline_us, now_us),
 		CB_OK);
 }
 
@@ -47,52 +49,52 @@
 	const char *names[] = { "a", "b", "c" };
 	const int weights[] = { 6, 3, 1 };
 	int got[3] = { 0 }, i, n;
-	struct rq_item *item;
+	struct admission_item *item;
 
 	for (i = 0; i < 3; i++)
-		rq_customer_set(&rq, names[i], weights[i]);
+		admission_customer_set(&rq, names[i], weights[i]);
 	for (i = 0; i < 3000; i++)
 		put(i, names[i % 3], "web", 60000 * MS, 0);
 	for (n = 0; n < 1000; n++) {
-		item = rq_take(&rq, 1, 8, 0);
+		item = admission_take(&rq, 1, 8, 0);
 		ck_assert_ptr_nonnull(item);
 		got[item->customer->name[0] - 'a']++;
-		rq_done(&rq, item, false, rq.classes[DOC_SHORT].mean_us);
+		admission_done(&rq, item, false, rq.classes[DOC_SHORT].mean_us);
 	}
 	ck_assert_int_ge(got[0], 590);
 	ck_assert_int_ge(got[1], 290);
 	ck_assert_int_ge(got[2], 95);
 	/* The rest of c goes on alone and uses the whole capacity. */
-	rq_customer_remove(&rq, rq_customer_find(&rq, "a"));
-	rq_customer_remove(&rq, rq_customer_find(&rq, "b"));
+	admission_customer_remove(&rq, admission_customer_find(&rq, "a"));
+	admission_customer_remove(&rq, admission_customer_find(&rq, "b"));
 	ck_assert_int_eq(refused[CB_E_CUSTOMER_REMOVED],
 			 2000 - got[0] - got[1]);
-	while ((item = rq_take(&rq, 1, 8, 0)))
-		rq_done(&rq, item, false, 0);
+	while ((item = admission_take(&rq, 1, 8, 0)))
+		admission_done(&rq, item, false, 0);
 	ck_assert_int_eq(rq.waiting, 0);
-	ck_assert_ptr_null(rq_customer_find(&rq, "a"));
+	ck_assert_ptr_null(admission_customer_find(&rq, "a"));
 }
 END_TEST
 
 /* Guards against a customer that saves up its idle time for a burst. */
 START_TEST(idle_time_is_not_saved)
 {
-	struct rq_item *item;
+	struct admission_item *item;
 	int i, early = 0;
 
-	rq_customer_set(&rq, "a", 1);
-	rq_customer_set(&rq, "b", 1);
+	admission_customer_set(&rq, "a", 1);
+	admission_customer_set(&rq, "b", 1);
 	for (i = 0; i < 400; i++)
 		put(i, "a", "web", 60000 * MS, 0);
 	for (i = 0; i < 200; i++)
-		rq_done(&rq, rq_take(&rq, 1, 8, 0), false,
-			rq.classes[DOC_SHORT].mean_us);
+		admission_done(&rq, admission_take(&rq, 1, 8, 0), false,
+			       rq.classes[DOC_SHORT].mean_us);
 	for (i = 400; i < 600; i++)
 		put(i, "b", "web", 60000 * MS, 0);
 	for (i = 0; i < 100; i++) {
-		item = rq_take(&rq, 1, 8, 0);
+		item = admission_take(&rq, 1, 8, 0);
 		early += item->customer->name[0] == 'b';
-		rq_done(&rq, item, false, rq.classes[DOC_SHORT].mean_us);
+		admission_done(&rq, item, false, rq.classes[DOC_SHORT].mean_us);
 	}
 	ck_assert_int_le(early, 55);
 	ck_assert_int_ge(early, 45);
@@ -102,24 +104,24 @@
 /* Guards against short work that waits behind long work. */
 START_TEST(slots_stay_reserved_for_short)
 {
-	struct rq_item *item, *short_item;
+	struct admission_item *item, *short_item;
 	int running = 0, i;
 
-	rq_customer_set(&rq, "a", 1);
+	admission_customer_set(&rq, "a", 1);
 	for (i = 0; i < 20; i++)
 		put(i, "a", "batch", 60000 * MS, 0);
-	while ((item = rq_take(&rq, 8 - running, 8, 0)))
+	while ((item = admission_take(&rq, 8 - running, 8, 0)))
 		running++;
-	ck_assert_int_eq(running, 8 - rq_reserved(&rq));
+	ck_assert_int_eq(running, 8 - admission_reserved(&rq));
 	ck_assert_int_lt(running, 8);
 	put(20, "a", "web", 1000 * MS, 0);
-	short_item = rq_take(&rq, 8 - running, 8, 0);
+	short_item = admission_take(&rq, 8 - running, 8, 0);
 	ck_assert_ptr_eq(short_item, &items[20]);
 	/* Past its limit it counts as long and gives up its reserved slot. */
-	rq_tick(&rq, QUEUE_SHORT_LIMIT_MS * MS + 1);
+	admission_tick(&rq, QUEUE_SHORT_LIMIT_MS * MS + 1);
 	ck_assert_int_eq(rq.classes[DOC_SHORT].running, 0);
 	ck_assert_int_eq(rq.classes[DOC_LONG].running, running + 1);
-	rq_done(&rq, short_item, true, 5000 * MS);
+	admission_done(&rq, short_item, true, 5000 * MS);
 	ck_assert_int_eq(rq.classes[DOC_LONG].running, running);
 }
 END_TEST
@@ -128,10 +130,11 @@
 static void offer(int i, const char *customer, enum doc_class class_,
 		  int64_t now_us)
 {
-	rq_put(&rq, &items[i], rq_customer_find(&rq, customer),
-	       rq_service_get(&rq, class_ == DOC_LONG ? "batch" : "web", class_,
-			      0),
-	       false, now_us + 60000 * MS, now_us);
+	admission_put(
+		&rq, &items[i], admission_customer_find(&rq, customer),
+		admission_service_get(&rq, class_ == DOC_LONG ? "batch" : "web",
+				      class_, 0),
+		false, now_us + 60000 * MS, now_us);
 }
 
 /*
@@ -141,12 +144,12 @@
  */
 START_TEST(long_work_gets_its_share)
 {
-	struct rq_item *item, *running[8] = { 0 };
+	struct admission_item *item, *running[8] = { 0 };
 	int64_t now = 0, used[2] = { 0 };
 	int i, n = 0, free_slots;
 
-	rq_customer_set(&rq, "a", 1);
-	rq_customer_set(&rq, "b", 1);
+	admission_customer_set(&rq, "a", 1);
+	admission_customer_set(&rq, "b", 1);
 	/* Each short run overruns and takes as long as a long one. */
 	for (; now < 20000 * MS; now += 10 * MS) {
 		for (i = 0, free_slots = 0; i < 8; i++) {
@@ -156,19 +159,19 @@
 			    now - item->started_us >= (150 + 15 * i) * MS) {
 				used[item->customer->name[0] - 'a'] +=
 					now - item->started_us;
-				rq_done(&rq, item, false, now);
+				admission_done(&rq, item, false, now);
 				running[i] = NULL;
 			}
 			free_slots += !running[i];
 		}
-		rq_tick(&rq, now);
+		admission_tick(&rq, now);
 		/* Much short work raises the slots that are reserved for it. */
 		for (i = 0; i < (_i ? 6 : 1); i++)
 			offer(n++ % 4000, "a", DOC_SHORT, now);
 		offer(4000 + n++ % 4000, "b", DOC_LONG, now);
 		for (i = 0; i < 8; i++)
-			if (!running[i] &&
-			    (running[i] = rq_take(&rq, free_slots, 8, now)))
+			if (!running[i] && (running[i] = admission_take(
+						    &rq, free_slots, 8, now)))
 				free_slots--;
 	}
 	ck_assert_int_ge(used[1] * 100, (used[0] + used[1]) * 45);
@@ -179,28 +182,28 @@
 /* Guards against a declared class that does not fit the observed runs. */
 START_TEST(class_is_learned_from_runs)
 {
-	struct rq_service *web;
-	struct rq_item *item;
+	struct admission_service *web;
+	struct admission_item *item;
 	int64_t now = 0;
 	int i;
 
-	rq_customer_set(&rq, "a", 1);
-	web = rq_service_get(&rq, "web", DOC_SHORT, 10);
+	admission_customer_set(&rq, "a", 1);
+	web = admission_service_get(&rq, "web", DOC_SHORT, 10);
 	for (i = 0; i < 200; i++) {
 		put(0, "a", "web", now + 60000 * MS, now);
-		item = rq_take(&rq, 8, 8, now);
+		item = admission_take(&rq, 8, 8, now);
 		/* One straggler in twenty does not make a service long. */
 		now += (i < 100 && i % 20 ? 5 : 500) * MS;
-		rq_done(&rq, item, true, now);
+		admission_done(&rq, item, true, now);
 		if (i < 100)
 			ck_assert_int_eq(web->class_, DOC_SHORT);
 	}
 	ck_assert_int_eq(web->class_, DOC_LONG);
 	for (i = 0; i < 100; i++) {
 		put(0, "a", "web", now + 60000 * MS, now);
-		item = rq_take(&rq, 8, 8, now);
+		item = admission_take(&rq, 8, 8, now);
 		now += 5 * MS;
-		rq_done(&rq, item, true, now);
+		admission_done(&rq, item, true, now);
 	}
 	ck_assert_int_eq(web->class_, DOC_SHORT);
 }
@@ -209,21 +212,24 @@
 /* Guards against waiting without hope: expired, late, or over the limit. */
 START_TEST(hopeless_work_is_refused_early)
 {
-	struct rq_customer *a = rq_customer_set(&rq, "a", 1);
-	struct rq_service *web = rq_service_get(&rq, "web", DOC_SHORT, 0);
+	struct admission_customer *a = admission_customer_set(&rq, "a", 1);
+	struct admission_service *web =
+		admission_service_get(&rq, "web", DOC_SHORT, 0);
 	int i;
 
 	for (i = 0; i < 1000; i++)
 		put(i, "a", "web", 60000 * MS, 0);
 	/* 1000 x 10 ms over at most 8 slots is more than a second. */
-	ck_assert_int_ge(rq_expected_wait(&rq, a, DOC_SHORT), 1000 * MS);
-	ck_assert_int_eq(rq_put(&rq, &items[1000], a, web, false, 1000 * MS, 0),
-			 CB_E_DEADLINE);
+	ck_assert_int_ge(admission_expected_wait(&rq, a, DOC_SHORT), 1000 * MS);
+	ck_assert_int_eq(
+		admission_put(&rq, &items[1000], a, web, false, 1000 * MS, 0),
+		CB_E_DEADLINE);
 	for (i = 1000; i < REQ_WAITING_MAX; i++)
 		put(i, "a", "web", 60000 * MS, 0);
-	ck_assert_int_eq(rq_put(&rq, &items[i], a, web, false, 60000 * MS, 0),
-			 CB_E_QUEUE_FULL);
-	rq_tick(&rq, 60000 * MS);
+	ck_assert_int_eq(
+		admission_put(&rq, &items[i], a, web, false, 60000 * MS, 0),
+		CB_E_QUEUE_FULL);
+	admission_tick(&rq, 60000 * MS);
 	ck_assert_int_eq(refused[CB_E_DEADLINE], REQ_WAITING_MAX);
 	ck_assert_int_eq(rq.waiting, 0);
 }
@@ -232,24 +238,27 @@
 /* Guards against a queue that stays long for the whole of a crest. */
 START_TEST(standing_queue_is_shed)
 {
-	struct rq_item *item;
+	struct admission_item *item;
 	int64_t now = 0, worst = 0, wait;
 	int i = 0, code;
 
-	rq_customer_set(&rq, "a", 1);
+	admission_customer_set(&rq, "a", 1);
 	/* One slot, 10 ms of work: twice as much arrives as can be done. */
 	for (now = 0; now < 5000 * MS && i < ITEMS; now += 10 * MS) {
 		for (code = 0; code < 2; code++, i++)
-			if (rq_put(&rq, &items[i], rq_customer_find(&rq, "a"),
-				   rq_service_get(&rq, "web", DOC_SHORT, 0),
-				   false, now + 60000 * MS, now) != CB_OK)
+			if (admission_put(&rq, &items[i],
+					  admission_customer_find(&rq, "a"),
+					  admission_service_get(&rq, "web",
+								DOC_SHORT, 0),
+					  false, now + 60000 * MS,
+					  now) != CB_OK)
 				refused_count++;
-		item = rq_take(&rq, 1, 1, now);
+		item = admission_take(&rq, 1, 1, now);
 		ck_assert_ptr_nonnull(item);
 		wait = now - item->arrived_us;
 		if (now > 1000 * MS && wait > worst)
 			worst = wait;
-		rq_done(&rq, item, true, now + 10 * MS);
+		admission_done(&rq, item, true, now + 10 * MS);
 	}
 	ck_assert_int_le(worst, QUEUE_SHED_FACTOR * QUEUE_TARGET_SHORT_MS * MS);
 	ck_assert_int_ge(refused_count, 450);
@@ -268,5 +277,5 @@
 	tcase_add_test(tc, class_is_learned_from_runs);
 	tcase_add_test(tc, hopeless_work_is_refused_early);
 	tcase_add_test(tc, standing_queue_is_shed);
-	return run_case("rq", tc);
+	return run_case("admission", tc);
 }
