--- a/bench/bench_route.c
+++ b/bench/bench_route.c
@@ -4,7 +4,7 @@
 #include <string.h>
 
 #include "bench/crest.h"
-#include "policy/rt.h"
+#include "policy/routing.h"
 
 #define SEEDS 5
 #define RUN_US (60 * USEC_PER_SEC)
@@ -23,7 +23,7 @@
 #define GATEWAYS 2
 
 struct server {
-	struct rt_server seen[GATEWAYS];
+	struct routing_server seen[GATEWAYS];
 	int in_flight;
 	bool slow;
 	int64_t until_us;
@@ -45,11 +45,11 @@
 }
 
 /* The less loaded of two random servers, by requests then by latency. */
-static struct rt_server *two_choices(struct rt_server *const *usable, size_t n,
-				     GRand *rand)
+static struct routing_server *two_choices(struct routing_server *const *usable,
+					  size_t n, GRand *rand)
 {
-	struct rt_server *a = usable[g_rand_int_range(rand, 0, (gint32)n)];
-	struct rt_server *b = usable[g_rand_int_range(rand, 0, (gint32)n)];
+	struct routing_server *a = usable[g_rand_int_range(rand, 0, (gint32)n)];
+	struct routing_server *b = usable[g_rand_int_range(rand, 0, (gint32)n)];
 
 	if (a->in_flight != b->in_flight)
 		return a->in_flight < b->in_flight ? a : b;
@@ -59,7 +59,7 @@
 static int choose(struct server *servers, enum rule rule, int gateway,
 		  GRand *rand, int64_t now_us)
 {
-	struct rt_server *usable[CREST_SERVERS], *chosen;
+	struct routing_server *usable[CREST_SERVERS], *chosen;
 	size_t n = 0;
 	int i;
 
@@ -74,7 +74,7 @@
 	else if (rule == TWO_CHOICES)
 		chosen = two_choices(usable, n, rand);
 	else
-		chosen = rt_pick(usable, n, rand, now_us);
+		chosen = routing_pick(usable, n, rand, now_us);
 	for (i = 0; &servers[i].seen[gateway] != chosen; i++)
 		;
 	return i;
@@ -118,8 +118,8 @@
 			req = g_array_index(reqs, struct request, event.req);
 			took = event.at_us - req.at_us;
 			servers[req.server].in_flight--;
-			rt_end(&servers[req.server].seen[req.gateway], took,
-			       event.at_us);
+			routing_end(&servers[req.server].seen[req.gateway],
+				    took, event.at_us);
 			g_array_append_val(times, took);
 			sum += (double)took;
 			continue;
@@ -137,7 +137,7 @@
 		took = (int64_t)(exponential(rand, MEAN_US) *
 				 speed_factor(&servers[req.server], rand, now));
 		servers[req.server].in_flight++;
-		rt_start(&servers[req.server].seen[req.gateway]);
+		routing_start(&servers[req.server].seen[req.gateway]);
 		crest_heap_push(&ends, now + took, reqs->len);
 		g_array_append_val(reqs, req);
 	}
--- a/bench/crest_run.c
+++ b/bench/crest_run.c
@@ -4,7 +4,7 @@
 
 #include "base/err.h"
 #include "policy/admission.h"
-#include "policy/rt.h"
+#include "policy/routing.h"
 
 #define SHORT_LIMIT_MS 20 /* of the service sections */
 
@@ -114,7 +114,7 @@
 	struct admission_item *items;
 	struct admission_customer *customers[CREST_CUSTOMERS];
 	struct admission_service *services[DOC_CLASSES];
-	struct rt_server servers[CREST_SERVERS];
+	struct routing_server servers[CREST_SERVERS];
 	GRand *rand;
 	int64_t now_us;
 };
@@ -146,7 +146,7 @@
 
 static void policy_start(struct policy_run *p)
 {
-	struct rt_server *usable[CREST_SERVERS], *chosen;
+	struct routing_server *usable[CREST_SERVERS], *chosen;
 	struct admission_item *item;
 	size_t n;
 	int i;
@@ -156,8 +156,8 @@
 		for (i = 0, n = 0; i < CREST_SERVERS; i++)
 			if (p->servers[i].in_flight < BACKEND_SLOTS)
 				usable[n++] = &p->servers[i];
-		chosen = rt_pick(usable, n, p->rand, p->now_us);
-		rt_start(chosen);
+		chosen = routing_pick(usable, n, p->rand, p->now_us);
+		routing_start(chosen);
 		i = (int)(item - p->items);
 		p->run.load->reqs[i].server = (int)(chosen - p->servers);
 		run_start(&p->run, (size_t)i, true, p->now_us);
@@ -170,8 +170,8 @@
 	bool whole = req->start_us + req->run_us <= req->deadline_us;
 
 	run_end(&p->run, i, p->now_us);
-	rt_end(&p->servers[req->server], whole ? p->now_us - req->start_us : 0,
-	       p->now_us);
+	routing_end(&p->servers[req->server],
+		    whole ? p->now_us - req->start_us : 0, p->now_us);
 	admission_done(&p->rq, &p->items[i], whole, p->now_us);
 }
 
--- a/daemon/req_int.h
+++ b/daemon/req_int.h
@@ -8,7 +8,7 @@
 #include "policy/idem.h"
 #include "policy/membership.h"
 #include "policy/admission.h"
-#include "policy/rt.h"
+#include "policy/routing.h"
 #include "policy/ry.h"
 #include "wire/pr.h"
 
@@ -26,7 +26,7 @@
 struct req_server {
 	struct membership_server mb;
 	struct req_endpoint *at;
-	struct rt_server rt;
+	struct routing_server rt;
 	struct req_group *group;
 	int64_t absent_us; /* not in the list since then; 0: listed */
 };
--- a/daemon/req_run.c
+++ b/daemon/req_run.c
@@ -264,7 +264,7 @@
 		return false;
 	req_set_state(req, REQ_ST_RUNNING);
 	sl_start(&server->at->slots);
-	rt_start(&server->rt);
+	routing_start(&server->rt);
 	return true;
 }
 
@@ -278,7 +278,7 @@
 }
 
 struct capacity {
-	struct rt_server **usable;
+	struct routing_server **usable;
 	size_t n;
 	int free;
 	int slots;
@@ -312,7 +312,7 @@
 static struct req_server *choose(struct req *req, struct capacity *c,
 				 int64_t now_us)
 {
-	struct rt_server *chosen;
+	struct routing_server *chosen;
 	size_t i;
 
 	for (i = 0; req->server && c->n > 1 && i < c->n; i++)
@@ -320,7 +320,7 @@
 			c->usable[i] = c->usable[--c->n];
 			break;
 		}
-	chosen = rt_pick(c->usable, c->n, req->r->rand, now_us);
+	chosen = routing_pick(c->usable, c->n, req->r->rand, now_us);
 	return container_of(chosen, struct req_server, rt);
 }
 
@@ -381,8 +381,9 @@
 	int result = back->result;
 
 	sl_end(&server->at->slots);
-	rt_end(&server->rt, outcome == BACK_ANSWERED ? back->latency_us : 0,
-	       kn_now_us());
+	routing_end(&server->rt,
+		    outcome == BACK_ANSWERED ? back->latency_us : 0,
+		    kn_now_us());
 	if (outcome == BACK_ANSWERED) {
 		take_answer(req);
 		back_call_finish(back);
@@ -430,7 +431,7 @@
 			servers = group->servers->len;
 	if (servers == 0)
 		return;
-	c.usable = g_new(struct rt_server *, servers);
+	c.usable = g_new(struct routing_server *, servers);
 	list_for_each_entry(group, &r->groups, node)
 		dispatch_group(group, &c);
 	g_free(c.usable);
--- a/policy/rt.c
+++ b/policy/routing.c
@@ -1,4 +1,4 @@
-#include "policy/rt.h"
+#include "policy/routing.h"
 
 #include <stdlib.h>
 
@@ -13,7 +13,7 @@
  * Latency as far as it is still believed. It halves for each period
  * without a sample, so that a server that was slow once is tried again.
  */
-static int64_t aged_latency(const struct rt_server *server, int64_t now_us)
+static int64_t aged_latency(const struct routing_server *server, int64_t now_us)
 {
 	int64_t periods =
 		(now_us - server->sampled_us) / (ROUTE_AGE_MS * USEC_PER_MSEC);
@@ -27,10 +27,10 @@
  * flight are above the sample's quantile are hot; the cold one with the
  * lowest latency is taken.
  */
-struct rt_server *rt_pick(struct rt_server *const *usable, size_t n,
-			  GRand *rand, int64_t now_us)
+struct routing_server *routing_pick(struct routing_server *const *usable,
+				    size_t n, GRand *rand, int64_t now_us)
 {
-	struct rt_server *sample[ROUTE_SAMPLE], *best = NULL;
+	struct routing_server *sample[ROUTE_SAMPLE], *best = NULL;
 	int flights[ROUTE_SAMPLE] = { 0 };
 	int limit;
 	size_t k, m = n < ROUTE_SAMPLE ? n : ROUTE_SAMPLE;
@@ -58,7 +58,7 @@
 }
 
 /* Counts a request that was sent to the server. */
-void rt_start(struct rt_server *server)
+void routing_start(struct routing_server *server)
 {
 	server->in_flight++;
 }
@@ -67,7 +67,7 @@
  * Counts the end of a request. run_us is its run time; 0 for one that says
  * nothing about the server's speed (refused at once, given up).
  */
-void rt_end(struct rt_server *server, int64_t run_us, int64_t now_us)
+void routing_end(struct routing_server *server, int64_t run_us, int64_t now_us)
 {
 	server->in_flight--;
 	if (run_us <= 0)
