--- a/daemon/req.c
+++ b/daemon/req.c
@@ -416,7 +416,7 @@
 	list_init(&r->away);
 	list_init(&r->batches);
 	membership_init(&r->mb);
-	ry_init(&r->ry, kn_now_us());
+	retry_budget_init(&r->ry, kn_now_us());
 	idem_init(&r->ky, set->host, incarnation);
 	req_signs_init(r);
 	r->back = back_http_new(kn, &r->signs);
--- a/daemon/req_int.h
+++ b/daemon/req_int.h
@@ -9,7 +9,7 @@
 #include "policy/membership.h"
 #include "policy/admission.h"
 #include "policy/routing.h"
-#include "policy/ry.h"
+#include "policy/retry_budget.h"
 #include "wire/pr.h"
 
 /* Private to the request service. */
@@ -104,7 +104,7 @@
 	size_t req_count;
 	GHashTable *local; /* local_id -> struct req */
 	struct membership mb;
-	struct ry ry;
+	struct retry_budget ry;
 	struct idem ky;
 	struct slots slots;
 	struct back *back;
--- a/daemon/req_run.c
+++ b/daemon/req_run.c
@@ -177,7 +177,7 @@
 	if (ms > REQ_DEADLINE_MAX_MS)
 		ms = REQ_DEADLINE_MAX_MS;
 	req->deadline_us += ms * USEC_PER_MSEC;
-	ry_request(&r->ry, kn_now_us());
+	retry_budget_request(&r->ry, kn_now_us());
 	if (call->key)
 		req_key_begin(req);
 	else
@@ -339,7 +339,7 @@
 		req->maybe_ran = true;
 		req->maybe_result = result;
 	}
-	if (may && ry_retry(&r->ry, now_us)) {
+	if (may && retry_budget_retry(&r->ry, now_us)) {
 		ctr_add(&r->ctrs.retries, 1);
 		req_set_state(req, REQ_ST_QUEUED);
 		admission_put_back(&req->group->rq, &req->item);
--- a/policy/ry.c
+++ b/policy/retry_budget.c
@@ -1,11 +1,11 @@
-#include "policy/ry.h"
+#include "policy/retry_budget.h"
 
 #include "base/limits.h"
 
 #define ONE_RETRY_MILLI 1000
 
 /* Refills the fixed part in whole thousandths. */
-static void refill(struct ry *ry, int64_t now_us)
+static void refill(struct retry_budget *ry, int64_t now_us)
 {
 	const int64_t full = RETRY_BUDGET_MIN_PER_SEC * ONE_RETRY_MILLI;
 	const int64_t step_us = USEC_PER_SEC / full;
@@ -22,7 +22,7 @@
  * retries later. A step takes off 1/64 and comes 45 times (64 ln 2) in
  * RETRY_WINDOW_MS; smaller steps would be lost to rounding.
  */
-static void decay(struct ry *ry, int64_t now_us)
+static void decay(struct retry_budget *ry, int64_t now_us)
 {
 	const int64_t step_us = RETRY_WINDOW_MS * USEC_PER_MSEC / 45;
 	int64_t steps = (now_us - ry->decayed_us) / step_us;
@@ -34,14 +34,14 @@
 		ry->share_milli -= (ry->share_milli + 63) / 64;
 }
 
-static void update(struct ry *ry, int64_t now_us)
+static void update(struct retry_budget *ry, int64_t now_us)
 {
 	refill(ry, now_us);
 	decay(ry, now_us);
 }
 
 /* Starts with the fixed part of one second. */
-void ry_init(struct ry *ry, int64_t now_us)
+void retry_budget_init(struct retry_budget *ry, int64_t now_us)
 {
 	ry->floor_milli = RETRY_BUDGET_MIN_PER_SEC * ONE_RETRY_MILLI;
 	ry->share_milli = 0;
@@ -50,14 +50,14 @@
 }
 
 /* Counts a request that is not itself a retry. */
-void ry_request(struct ry *ry, int64_t now_us)
+void retry_budget_request(struct retry_budget *ry, int64_t now_us)
 {
 	update(ry, now_us);
 	ry->share_milli += RETRY_BUDGET_PERCENT * ONE_RETRY_MILLI / 100;
 }
 
 /* Takes one retry out of the budget; false when it is exhausted. */
-bool ry_retry(struct ry *ry, int64_t now_us)
+bool retry_budget_retry(struct retry_budget *ry, int64_t now_us)
 {
 	update(ry, now_us);
 	if (ry->share_milli >= ONE_RETRY_MILLI) {
--- /dev/null
+++ b/policy/retry_budget.h
@@ -0,0 +1,19 @@
+#ifndef POLICY_RETRY_BUDGET_H
+#define POLICY_RETRY_BUDGET_H
+
+#include <stdbool.h>
+#include <stdint.h>
+
+/* Retry budget, in thousandths of a retry. */
+struct retry_budget {
+	int64_t floor_milli; /* left of the fixed rate */
+	int64_t share_milli; /* left of the share of recent requests */
+	int64_t updated_us;
+	int64_t decayed_us;
+};
+
+void retry_budget_init(struct retry_budget *ry, int64_t now_us);
+void retry_budget_request(struct retry_budget *ry, int64_t now_us);
+bool retry_budget_retry(struct retry_budget *ry, int64_t now_us);
+
+#endif
--- a/tests/unit/test_ry.c
+++ b/tests/unit/test_retry_budget.c
@@ -2,14 +2,14 @@
 #include <stdlib.h>
 
 #include "base/limits.h"
-#include "policy/ry.h"
+#include "policy/retry_budget.h"
 #include "tests/unit/run.h"
 
-static int spend(struct ry *ry, int64_t now_us)
+static int spend(struct retry_budget *ry, int64_t now_us)
 {
 	int n = 0;
 
-	while (ry_retry(ry, now_us))
+	while (retry_budget_retry(ry, now_us))
 		n++;
 	return n;
 }
@@ -18,15 +18,15 @@
 START_TEST(budget_bounds_retries)
 {
 	int64_t now = 0;
-	struct ry ry;
+	struct retry_budget ry;
 	int i, retries = 0;
 
-	ry_init(&ry, now);
+	retry_budget_init(&ry, now);
 	ck_assert_int_eq(spend(&ry, now), RETRY_BUDGET_MIN_PER_SEC);
 	for (i = 0; i < 100000; i++) {
 		now += 1000;
-		ry_request(&ry, now);
-		retries += ry_retry(&ry, now);
+		retry_budget_request(&ry, now);
+		retries += retry_budget_retry(&ry, now);
 	}
 	ck_assert_int_le(retries, 10000 + 100 * RETRY_BUDGET_MIN_PER_SEC + 1);
 	ck_assert_int_ge(retries, 10000);
@@ -36,12 +36,12 @@
 /* Guards against a past crest that pays for retries minutes later. */
 START_TEST(old_requests_stop_counting)
 {
-	struct ry ry;
+	struct retry_budget ry;
 	int i;
 
-	ry_init(&ry, 0);
+	retry_budget_init(&ry, 0);
 	for (i = 0; i < 10000; i++)
-		ry_request(&ry, 0);
+		retry_budget_request(&ry, 0);
 	ck_assert_int_le(spend(&ry, 60 * USEC_PER_SEC), 15);
 	ck_assert_int_eq(spend(&ry, 61 * USEC_PER_SEC),
 			 RETRY_BUDGET_MIN_PER_SEC);
@@ -54,5 +54,5 @@
 
 	tcase_add_test(tc, budget_bounds_retries);
 	tcase_add_test(tc, old_requests_stop_counting);
-	return run_case("ry", tc);
+	return run_case("retry_budget", tc);
 }
