--- a/base/limits.h
+++ b/base/limits.h
@@ -170,15 +170,18 @@
 #define WORKER_PROBATION_MAX_MS 3600000
 #define PLACING_MOVE_COST_MS 30000 /* of a checkpoint and a new start */
 #define PLACING_SAVES_PER_FAILURE 8
-#define SC_LEVELS 4 /* of attained service */
-#define SC_LEVEL_1_SEC 600 /* of run time; each level is longer by */
-#define SC_LEVEL_FACTOR 4
-#define SC_GRACE_MS 60000 /* of a checkpoint that no claim waits for */
-#define SC_QUANTUM_MS 300000 /* run time before work yields to its peers */
-#define SC_AGE_MS 3600000 /* waiting that long counts like one fair share */
-#define SC_PATIENCE_MS 600000 /* then a reservation displaces its racks */
-#define SC_STARTS_PER_PASS 128
-#define SC_EVICTION_TRIES 8 /* per pass; each looks at all workers */
+#define SCHEDULER_LEVELS 4 /* of attained service */
+#define SCHEDULER_LEVEL_1_SEC 600 /* of run time; each level is longer by */
+#define SCHEDULER_LEVEL_FACTOR 4
+#define SCHEDULER_GRACE_MS 60000 /* of a checkpoint that no claim waits for */
+#define SCHEDULER_QUANTUM_MS \
+	300000 /* run time before work yields to its peers */
+#define SCHEDULER_AGE_MS \
+	3600000 /* waiting that long counts like one fair share */
+#define SCHEDULER_PATIENCE_MS \
+	600000 /* then a reservation displaces its racks */
+#define SCHEDULER_STARTS_PER_PASS 128
+#define SCHEDULER_EVICTION_TRIES 8 /* per pass; each looks at all workers */
 #define JOB_WRITES 3 /* store writes for a job that isn't cancelled */
 #define GANG_CALL_MS 1000 /* until a call to a worker counts as lost */
 #define GANG_RETRY_MS 200
--- a/bench/bench_scale.c
+++ b/bench/bench_scale.c
@@ -8,7 +8,7 @@
 
 #include "bench/jobs_run.h"
 #include "policy/placing.h"
-#include "policy/sc.h"
+#include "policy/scheduler.h"
 
 /*
  * Cost of placement and of a scheduling pass at growing sizes, up to and
@@ -35,24 +35,25 @@
 	return t.tv_sec + t.tv_nsec / 1e9;
 }
 
-static void op_job(struct sc *sc, struct sc_job *job)
+static void op_job(struct scheduler *sc, struct scheduler_job *job)
 {
 }
 
-static void op_stop(struct sc *sc, struct sc_job *job, const char *reason)
+static void op_stop(struct scheduler *sc, struct scheduler_job *job,
+		    const char *reason)
 {
 }
 
-static void op_ended(struct sc *sc, struct sc_job *job, enum sc_end end,
-		     const char *reason)
+static void op_ended(struct scheduler *sc, struct scheduler_job *job,
+		     enum scheduler_end end, const char *reason)
 {
 }
 
-static void op_broken(struct sc *sc, bool broken)
+static void op_broken(struct scheduler *sc, bool broken)
 {
 }
 
-static const struct sc_ops ops = {
+static const struct scheduler_ops ops = {
 	.start = op_job,
 	.checkpoint = op_job,
 	.stop = op_stop,
@@ -61,18 +62,19 @@
 	.broken = op_broken,
 };
 
-static void make(struct sc *sc, int workers)
+static void make(struct scheduler *sc, int workers)
 {
 	static const int none[CELL_UNITS];
 	int units[CELL_UNITS] = { 0, 1, 0 }, i;
 
-	sc_init(sc, &ops, 8, WORKERS_PER_RACK);
+	scheduler_init(sc, &ops, 8, WORKERS_PER_RACK);
 	for (i = 0; i < workers; i++)
-		sc_add_worker(sc, i / WORKERS_PER_RACK, 8);
+		scheduler_add_worker(sc, i / WORKERS_PER_RACK, 8);
 	for (i = 0; i < CUSTOMERS; i++) {
-		sc_add_customer(sc);
-		sc_set_customer(sc, i, 1 + i % 10, 0,
-				workers > 2 * CUSTOMERS ? units : none, 0);
+		scheduler_add_customer(sc);
+		scheduler_set_customer(sc, i, 1 + i % 10, 0,
+				       workers > 2 * CUSTOMERS ? units : none,
+				       0);
 	}
 }
 
@@ -84,7 +86,7 @@
 	struct placing_ask ask = { .kind = CELL_SOFT,
 				   .evict_level = PLACING_NO_EVICTION };
 	struct cell_gang big;
-	struct sc sc;
+	struct scheduler sc;
 	double p99, t;
 	int i;
 
@@ -123,7 +125,7 @@
 		shares_release(&sc.gs, &small[i]);
 		cell_gang_reset(&small[i]);
 	}
-	sc_finish(&sc);
+	scheduler_finish(&sc);
 	g_array_free(times, TRUE);
 	g_free(small);
 	return p99;
@@ -133,30 +135,30 @@
 static double pass_ms(int workers, int jobs, bool full, GRand *rnd)
 {
 	static const int sizes[] = { 1, 1, 2, 4, 8, 16, 64, 512 };
-	struct sc_job *table = g_new0(struct sc_job, jobs);
+	struct scheduler_job *table = g_new0(struct scheduler_job, jobs);
 	double worst = 0, t;
-	struct sc sc;
+	struct scheduler sc;
 	int i;
 
 	make(&sc, workers);
 	for (i = 0; i < jobs; i++) {
-		sc_job_init(&table[i], i + 1,
-			    g_rand_int_range(rnd, 0, CUSTOMERS),
-			    sizes[g_rand_int_range(rnd, 0, 8)],
-			    g_rand_int_range(rnd, 0, 100) < 85, false, true);
-		sc_submit(&sc, &table[i], i);
+		scheduler_job_init(
+			&table[i], i + 1, g_rand_int_range(rnd, 0, CUSTOMERS),
+			sizes[g_rand_int_range(rnd, 0, 8)],
+			g_rand_int_range(rnd, 0, 100) < 85, false, true);
+		scheduler_submit(&sc, &table[i], i);
 	}
 	/* The first passes fill the workers, the later ones find no place. */
 	for (i = 0; i < 200; i++) {
 		t = now_s();
-		sc_pass(&sc, USEC_PER_SEC * (1 + i));
+		scheduler_pass(&sc, USEC_PER_SEC * (1 + i));
 		t = (now_s() - t) * 1e3;
 		if ((i >= 120) == full)
 			worst = MAX(worst, t);
 	}
 	for (i = 0; i < jobs; i++)
-		sc_job_finish(&sc, &table[i]);
-	sc_finish(&sc);
+		scheduler_job_finish(&sc, &table[i]);
+	scheduler_finish(&sc);
 	g_free(table);
 	return worst;
 }
@@ -202,7 +204,7 @@
 	       sizeof(struct cell_worker) + sizeof(struct shares_worker) +
 		       sizeof(struct wh_worker) + sizeof(bool),
 	       sizeof(struct cell_rack) + sizeof(struct shares_rack),
-	       sizeof(struct sc_job), sizeof(struct cell_hold));
+	       sizeof(struct scheduler_job), sizeof(struct cell_hold));
 	printf("targets: placement p99 <= 2000 us, pass over 14000 jobs "
 	       "<= 100 ms\n");
 	g_rand_free(rnd);
--- a/bench/jobs_chivebank.c
+++ b/bench/jobs_chivebank.c
@@ -2,11 +2,11 @@
 
 #include "bench/jobs_run.h"
 #include "policy/placing.h"
-#include "policy/sc.h"
+#include "policy/scheduler.h"
 
 /* A job under the real decision code. */
 struct sim_job {
-	struct sc_job job;
+	struct scheduler_job job;
 	const struct load_job *load;
 	uint32_t run_no; /* changes with each start and end */
 	uint32_t saving_no; /* run whose checkpoint is under way */
@@ -19,7 +19,7 @@
 };
 
 struct sim {
-	struct sc sc;
+	struct scheduler sc;
 	const struct load *load;
 	struct run_queue queue;
 	struct run_samples samples;
@@ -30,7 +30,7 @@
 	bool pass_due;
 };
 
-static struct sim *sim_of(struct sc *sc)
+static struct sim *sim_of(struct scheduler *sc)
 {
 	return (struct sim *)sc;
 }
@@ -83,7 +83,7 @@
 	if (!job)
 		return;
 	count_useful(sim, job, job->left_us);
-	sc_done(&sim->sc, &job->job, sim->now_us);
+	scheduler_done(&sim->sc, &job->job, sim->now_us);
 }
 
 static void task_failed(void *run, struct run_event *event)
@@ -102,7 +102,7 @@
 			worker = gang->holds[i].worker;
 	job->run_no++;
 	job->work_from_us = 0;
-	sc_failed(&sim->sc, &job->job, worker, sim->now_us);
+	scheduler_failed(&sim->sc, &job->job, worker, sim->now_us);
 }
 
 static bool will_fail(const struct sim *sim, const struct sim_job *job)
@@ -126,7 +126,7 @@
 
 	if (!job)
 		return;
-	sc_running(&sim->sc, &job->job, sim->now_us);
+	scheduler_running(&sim->sc, &job->job, sim->now_us);
 	if (job->first_start_us == 0) {
 		job->first_start_us = sim->now_us;
 		if (job->claim_us > 0)
@@ -135,7 +135,7 @@
 				    (double)(sim->now_us - job->claim_us) /
 					    USEC_PER_SEC);
 	}
-	if (job->job.state != SC_RUNNING)
+	if (job->job.state != SCHEDULER_RUNNING)
 		return;
 	if (will_fail(sim, job)) {
 		later(sim, RUN_FAIL_US, task_failed, job);
@@ -156,7 +156,7 @@
 		return;
 	job->run_no++;
 	job->restart = true;
-	sc_left(&sim->sc, &job->job, sim->now_us);
+	scheduler_left(&sim->sc, &job->job, sim->now_us);
 }
 
 static void task_freed(void *run, struct run_event *event)
@@ -165,7 +165,7 @@
 	struct sim_job *job = current(sim, event);
 
 	if (job)
-		sc_freed(&sim->sc, &job->job);
+		scheduler_freed(&sim->sc, &job->job);
 }
 
 static void task_saved(void *run, struct run_event *event)
@@ -175,7 +175,7 @@
 	int64_t done;
 
 	if (job->ended || job->run_no != event->run_no ||
-	    job->job.state != SC_LEAVING)
+	    job->job.state != SCHEDULER_LEAVING)
 		return;
 	done = sim->now_us - job->work_from_us;
 	if (job->work_from_us > 0 && done > 0) {
@@ -183,15 +183,15 @@
 		count_useful(sim, job, done);
 		job->left_us -= done;
 	}
-	sc_saved(&sim->sc, &job->job, sim->now_us);
+	scheduler_saved(&sim->sc, &job->job, sim->now_us);
 }
 
 /* What the scheduler asks for. */
 
-static void op_start(struct sc *sc, struct sc_job *sc_job)
+static void op_start(struct scheduler *sc, struct scheduler_job *scheduler_job)
 {
 	struct sim *sim = sim_of(sc);
-	struct sim_job *job = container_of(sc_job, struct sim_job, job);
+	struct sim_job *job = container_of(scheduler_job, struct sim_job, job);
 
 	job->run_no++;
 	job->work_from_us = 0;
@@ -203,21 +203,23 @@
 	current(run, event);
 }
 
-static void op_checkpoint(struct sc *sc, struct sc_job *sc_job)
+static void op_checkpoint(struct scheduler *sc,
+			  struct scheduler_job *scheduler_job)
 {
 	struct sim *sim = sim_of(sc);
-	struct sim_job *job = container_of(sc_job, struct sim_job, job);
+	struct sim_job *job = container_of(scheduler_job, struct sim_job, job);
 
 	if (job->saving_no != job->run_no)
 		later(sim, job->load->save_us, task_saved, job);
 	job->saving_no = job->run_no;
-	later(sim, sc_job->deadline_us - sim->now_us, grace_over, job);
+	later(sim, scheduler_job->deadline_us - sim->now_us, grace_over, job);
 }
 
-static void op_stop(struct sc *sc, struct sc_job *sc_job, const char *reason)
+static void op_stop(struct scheduler *sc, struct scheduler_job *scheduler_job,
+		    const char *reason)
 {
 	struct sim *sim = sim_of(sc);
-	struct sim_job *job = container_of(sc_job, struct sim_job, job);
+	struct sim_job *job = container_of(scheduler_job, struct sim_job, job);
 	bool lost = strcmp(reason, "worker lost") == 0;
 
 	job->run_no++;
@@ -227,34 +229,35 @@
 	      job);
 }
 
-static void op_queued(struct sc *sc, struct sc_job *sc_job, const char *reason)
+static void op_queued(struct scheduler *sc, struct scheduler_job *scheduler_job,
+		      const char *reason)
 {
 	sim_of(sc)->pass_due = true;
 }
 
-static void op_ended(struct sc *sc, struct sc_job *sc_job, enum sc_end end,
-		     const char *reason)
+static void op_ended(struct scheduler *sc, struct scheduler_job *scheduler_job,
+		     enum scheduler_end end, const char *reason)
 {
 	struct sim *sim = sim_of(sc);
-	struct sim_job *job = container_of(sc_job, struct sim_job, job);
+	struct sim_job *job = container_of(scheduler_job, struct sim_job, job);
 	struct run_result *r = sim->result;
 
 	job->ended = true;
-	if (end == SC_END_FAILED && job->load->hopeless)
+	if (end == SCHEDULER_END_FAILED && job->load->hopeless)
 		r->hopeless_ended++;
-	else if (end == SC_END_FAILED)
+	else if (end == SCHEDULER_END_FAILED)
 		r->ended_early++;
-	if (end != SC_END_DONE)
+	if (end != SCHEDULER_END_DONE)
 		return;
 	r->done_us[index_of(sim, job)] = sim->now_us;
 	r->start_us[index_of(sim, job)] = job->first_start_us;
 }
 
-static void op_broken(struct sc *sc, bool broken)
+static void op_broken(struct scheduler *sc, bool broken)
 {
 }
 
-static const struct sc_ops ops = {
+static const struct scheduler_ops ops = {
 	.start = op_start,
 	.checkpoint = op_checkpoint,
 	.stop = op_stop,
@@ -293,7 +296,7 @@
 	struct sim_job *job = &sim->jobs[event->index];
 
 	note_claim(sim, job);
-	sc_submit(&sim->sc, &job->job, sim->now_us);
+	scheduler_submit(&sim->sc, &job->job, sim->now_us);
 	sim->pass_due = true;
 }
 
@@ -304,7 +307,7 @@
 
 	if (job->ended)
 		return;
-	sc_cancel(&sim->sc, &job->job, sim->now_us);
+	scheduler_cancel(&sim->sc, &job->job, sim->now_us);
 	sim->pass_due = true;
 }
 
@@ -313,8 +316,8 @@
 	struct sim *sim = run;
 	const struct load_fault *f = &sim->load->faults[event->index];
 
-	sc_worker_live(&sim->sc, f->worker, sim->now_us >= f->to_us,
-		       sim->now_us);
+	scheduler_worker_live(&sim->sc, f->worker, sim->now_us >= f->to_us,
+			      sim->now_us);
 	sim->pass_due = true;
 }
 
@@ -348,13 +351,14 @@
 {
 	int i;
 
-	sc_init(&sim->sc, &ops, LOAD_WORKER_SIZE, WORKERS_PER_RACK);
+	scheduler_init(&sim->sc, &ops, LOAD_WORKER_SIZE, WORKERS_PER_RACK);
 	for (i = 0; i < LOAD_WORKERS; i++)
-		sc_add_worker(&sim->sc, i / WORKERS_PER_RACK, LOAD_WORKER_SIZE);
+		scheduler_add_worker(&sim->sc, i / WORKERS_PER_RACK,
+				     LOAD_WORKER_SIZE);
 	for (i = 0; i < LOAD_CUSTOMERS; i++) {
-		sc_add_customer(&sim->sc);
-		sc_set_customer(&sim->sc, i, load_weights[i], 0,
-				load_guarantees[i], 0);
+		scheduler_add_customer(&sim->sc);
+		scheduler_set_customer(&sim->sc, i, load_weights[i], 0,
+				       load_guarantees[i], 0);
 	}
 	for (i = 0; i < load->job_count; i++) {
 		const struct load_job *l = &load->jobs[i];
@@ -362,8 +366,9 @@
 
 		job->load = l;
 		job->left_us = l->work_us;
-		sc_job_init(&job->job, i + 1, l->customer, l->accelerators,
-			    l->stoppable, l->urgent, true);
+		scheduler_job_init(&job->job, i + 1, l->customer,
+				   l->accelerators, l->stoppable, l->urgent,
+				   true);
 		run_queue_add(&sim->queue, l->arrive_us, arrive, i, 0);
 		if (l->cancel_us)
 			run_queue_add(&sim->queue, l->cancel_us, cancel, i, 0);
@@ -395,7 +400,7 @@
 	/* Quarantines and waiting jobs need a pass without other events. */
 	if (!event) {
 		sim->now_us += RUN_SAMPLE_US;
-		sc_pass(&sim->sc, sim->now_us);
+		scheduler_pass(&sim->sc, sim->now_us);
 		return;
 	}
 	count_held(sim, event->at_us);
@@ -404,7 +409,7 @@
 	g_free(event);
 	if (sim->pass_due) {
 		sim->pass_due = false;
-		sc_pass(&sim->sc, sim->now_us);
+		scheduler_pass(&sim->sc, sim->now_us);
 	}
 }
 
@@ -413,8 +418,8 @@
 	int i;
 
 	for (i = 0; i < sim->load->job_count; i++)
-		sc_job_finish(&sim->sc, &sim->jobs[i].job);
-	sc_finish(&sim->sc);
+		scheduler_job_finish(&sim->sc, &sim->jobs[i].job);
+	scheduler_finish(&sim->sc);
 	run_queue_finish(&sim->queue);
 	run_samples_finish(&sim->samples);
 	g_rand_free(sim->rnd);
--- a/daemon/sched.c
+++ b/daemon/sched.c
@@ -81,8 +81,8 @@
 	while (g_hash_table_iter_next(&iter, NULL, &value)) {
 		struct sjob *job = value;
 
-		if (job->sc.state != SC_ENDED)
-			sc_job_finish(&s->sc, &job->sc);
+		if (job->sc.state != SCHEDULER_ENDED)
+			scheduler_job_finish(&s->sc, &job->sc);
 		g_hash_table_iter_steal(&iter);
 		sched_job_free(job);
 	}
@@ -105,7 +105,7 @@
 	drop_jobs(s);
 	sched_workers_drop(s);
 	g_ptr_array_set_size(s->customers, 0);
-	sc_finish(&s->sc);
+	scheduler_finish(&s->sc);
 	s->have_sc = false;
 	s->closing = false;
 	kn_timer_cancel(&s->timer);
@@ -154,13 +154,13 @@
 static void update_gauges(struct sched *s)
 {
 	uint64_t queued = 0, running = 0;
-	struct sc_job *job;
+	struct scheduler_job *job;
 	int i;
 
 	for (i = 0; i < s->sc.customer_count; i++)
 		queued += (uint64_t)s->sc.customers[i].queued;
 	list_for_each_entry(job, &s->sc.running, node)
-		running += job->state == SC_RUNNING;
+		running += job->state == SCHEDULER_RUNNING;
 	ctr_gauge(&s->queued, queued);
 	ctr_gauge(&s->running, running);
 }
@@ -174,7 +174,7 @@
 		return;
 	s->dirty = false;
 	s->passed_us = now_us;
-	sc_pass(&s->sc, now_us);
+	scheduler_pass(&s->sc, now_us);
 	update_gauges(s);
 }
 
--- a/daemon/sched_gang.c
+++ b/daemon/sched_gang.c
@@ -178,14 +178,14 @@
 	job->jb.started_wall_us = kn_wall_us();
 	sched_job_set(job, JOB_ENTRY_RUNNING, "all members run");
 	sched_write(job);
-	sc_running(&job->s->sc, &job->sc, kn_now_us());
+	scheduler_running(&job->s->sc, &job->sc, kn_now_us());
 }
 
 static void gang_saved(struct gang_start *gg)
 {
 	struct sjob *job = container_of(gg, struct sjob, gg);
 
-	sc_saved(&job->s->sc, &job->sc, kn_now_us());
+	scheduler_saved(&job->s->sc, &job->sc, kn_now_us());
 }
 
 static void gang_gone(struct gang_start *gg, enum gang_start_end end,
@@ -200,11 +200,11 @@
 	sched_gang_clear(job);
 	s->dirty = true;
 	if (end == GANG_START_END_DONE)
-		sc_done(&s->sc, &job->sc, now_us);
+		scheduler_done(&s->sc, &job->sc, now_us);
 	else if (end == GANG_START_END_FAILED)
-		sc_failed(&s->sc, &job->sc, worker, now_us);
+		scheduler_failed(&s->sc, &job->sc, worker, now_us);
 	else
-		sc_left(&s->sc, &job->sc, now_us);
+		scheduler_left(&s->sc, &job->sc, now_us);
 	job->jb.attained_us = job->sc.attained_us;
 }
 
--- a/daemon/sched_int.h
+++ b/daemon/sched_int.h
@@ -6,7 +6,7 @@
 #include "daemon/wk.h"
 #include "policy/gang_start.h"
 #include "policy/job_entry.h"
-#include "policy/sc.h"
+#include "policy/scheduler.h"
 #include "wire/kv.h"
 
 /* Between the files of the scheduler's service. */
@@ -42,7 +42,7 @@
 
 struct sjob {
 	struct sched *s;
-	struct sc_job sc;
+	struct scheduler_job sc;
 	struct gang_start gg;
 	struct job_entry jb;
 	struct list_head busy; /* gg needs ticks */
@@ -78,7 +78,7 @@
 	bool dirty; /* something changed since the last pass */
 	bool closing; /* the policy is being taken down */
 	uint64_t next_id;
-	struct sc sc;
+	struct scheduler sc;
 	bool have_sc;
 	GPtrArray *workers; /* struct sworker, by index in sc */
 	GPtrArray *customers; /* names, by index in sc */
@@ -119,7 +119,7 @@
 
 /* Sched_job.c: jobs and what the policy asks for. */
 
-extern const struct sc_ops sched_sc_ops;
+extern const struct scheduler_ops sched_sc_ops;
 struct sjob *sched_job_new(struct sched *s);
 void sched_job_free(struct sjob *job);
 void sched_job_set(struct sjob *job, enum job_entry_state to,
--- a/daemon/sched_job.c
+++ b/daemon/sched_job.c
@@ -74,9 +74,10 @@
 	struct sched *s = job->s;
 	int64_t waited_us = kn_wall_us() - job->jb.submitted_wall_us;
 
-	sc_job_init(&job->sc, ++s->next_id, sched_customer(s, job->jb.customer),
-		    job->jb.accelerators, job->jb.stoppable, job->jb.urgent,
-		    job->jb.grace_ms > 0);
+	scheduler_job_init(&job->sc, ++s->next_id,
+			   sched_customer(s, job->jb.customer),
+			   job->jb.accelerators, job->jb.stoppable,
+			   job->jb.urgent, job->jb.grace_ms > 0);
 	job->sc.attained_us = job->jb.attained_us;
 	job->sc.submitted_us = now_us - MAX(0, waited_us);
 	g_hash_table_insert(s->jobs, job->jb.id, job);
@@ -124,30 +125,31 @@
 	job->cancelled = true;
 	job->s->dirty = true;
 	sched_write(job);
-	sc_cancel(&job->s->sc, &job->sc, now_us);
+	scheduler_cancel(&job->s->sc, &job->sc, now_us);
 }
 
 /* What the policy asks for. */
 
-static struct sjob *of(struct sc_job *job)
+static struct sjob *of(struct scheduler_job *job)
 {
 	return container_of(job, struct sjob, sc);
 }
 
-static struct sched *owner(struct sc *sc)
+static struct sched *owner(struct scheduler *sc)
 {
 	return container_of(sc, struct sched, sc);
 }
 
-static void on_start(struct sc *sc, struct sc_job *job)
+static void on_start(struct scheduler *sc, struct scheduler_job *job)
 {
 	sched_job_set(of(job), JOB_ENTRY_RESERVED, "placed");
 	sched_gang_start(of(job));
 }
 
-static void on_checkpoint(struct sc *sc, struct sc_job *sc_job)
+static void on_checkpoint(struct scheduler *sc,
+			  struct scheduler_job *scheduler_job)
 {
-	struct sjob *job = of(sc_job);
+	struct sjob *job = of(scheduler_job);
 
 	sched_job_set(job, JOB_ENTRY_CHECKPOINTING, "displaced");
 	gang_start_checkpoint(&job->gg, kn_now_us());
@@ -156,9 +158,10 @@
 	sched_wake(job->s);
 }
 
-static void on_stop(struct sc *sc, struct sc_job *sc_job, const char *reason)
+static void on_stop(struct scheduler *sc, struct scheduler_job *scheduler_job,
+		    const char *reason)
 {
-	struct sjob *job = of(sc_job);
+	struct sjob *job = of(scheduler_job);
 
 	ev_emit("job.stop", "job=%s reason=\"%s\"", job->jb.id, reason);
 	gang_start_stop(&job->gg, kn_now_us());
@@ -167,24 +170,25 @@
 	sched_wake(job->s);
 }
 
-static void on_queued(struct sc *sc, struct sc_job *job, const char *reason)
+static void on_queued(struct scheduler *sc, struct scheduler_job *job,
+		      const char *reason)
 {
 	sched_job_set(of(job), JOB_ENTRY_QUEUED, reason);
 }
 
-static void on_ended(struct sc *sc, struct sc_job *sc_job, enum sc_end end,
-		     const char *reason)
+static void on_ended(struct scheduler *sc, struct scheduler_job *scheduler_job,
+		     enum scheduler_end end, const char *reason)
 {
 	static const enum job_entry_state states[] = {
-		[SC_END_DONE] = JOB_ENTRY_DONE,
-		[SC_END_FAILED] = JOB_ENTRY_FAILED,
-		[SC_END_CANCELLED] = JOB_ENTRY_CANCELLED,
+		[SCHEDULER_END_DONE] = JOB_ENTRY_DONE,
+		[SCHEDULER_END_FAILED] = JOB_ENTRY_FAILED,
+		[SCHEDULER_END_CANCELLED] = JOB_ENTRY_CANCELLED,
 	};
-	struct sjob *job = of(sc_job);
+	struct sjob *job = of(scheduler_job);
 
-	job->jb.attained_us = sc_job->attained_us;
+	job->jb.attained_us = scheduler_job->attained_us;
 	job->jb.ended_wall_us = kn_wall_us();
-	if (end == SC_END_DONE &&
+	if (end == SCHEDULER_END_DONE &&
 	    job_entry_may_change(job->jb.state, JOB_ENTRY_DONE))
 		change(job, JOB_ENTRY_DONE, reason);
 	else
@@ -196,14 +200,14 @@
 	owner(sc)->dirty = true;
 }
 
-static void on_broken(struct sc *sc, bool broken)
+static void on_broken(struct scheduler *sc, bool broken)
 {
 	if (!owner(sc)->closing)
 		ev_emit("guarantee.broken", "dc=%s broken=%d",
 			owner(sc)->set->dc, broken);
 }
 
-const struct sc_ops sched_sc_ops = {
+const struct scheduler_ops sched_sc_ops = {
 	.start = on_start,
 	.checkpoint = on_checkpoint,
 	.stop = on_stop,
--- a/daemon/sched_store.c
+++ b/daemon/sched_store.c
@@ -336,13 +336,13 @@
 		job = g_steal_pointer(&c->job);
 		sched_job_enter(job, now_us);
 		if (job_entry_ended(job->jb.state)) {
-			job->sc.state = SC_ENDED;
+			job->sc.state = SCHEDULER_ENDED;
 			sched_job_keep(job);
 		} else {
 			ev_emit("job.state",
 				"job=%s from= to=submitted reason=\"%s\"",
 				job->jb.id, job->jb.customer);
-			sc_submit(&s->sc, &job->sc, now_us);
+			scheduler_submit(&s->sc, &job->sc, now_us);
 			sched_job_set(job, JOB_ENTRY_QUEUED, "submitted");
 		}
 		s->dirty = true;
--- a/daemon/sched_sync.c
+++ b/daemon/sched_sync.c
@@ -28,7 +28,7 @@
 
 static void add_worker(struct sched *s, const struct doc_worker *at)
 {
-	int index = sc_add_worker(&s->sc, at->rack, at->accelerators);
+	int index = scheduler_add_worker(&s->sc, at->rack, at->accelerators);
 	struct sworker *w;
 
 	if (index < 0) {
@@ -48,13 +48,13 @@
 	g_ptr_array_add(s->workers, w);
 	/* It counts as live once it has answered. */
 	if (s->phase == SCHED_ON)
-		sc_worker_live(&s->sc, index, false, kn_now_us());
+		scheduler_worker_live(&s->sc, index, false, kn_now_us());
 }
 
 static void leave_pool(struct sworker *w)
 {
 	w->in_pool = false;
-	sc_worker_live(&w->s->sc, w->index, false, kn_now_us());
+	scheduler_worker_live(&w->s->sc, w->index, false, kn_now_us());
 }
 
 static int by_name(const void *name, const void *worker)
@@ -112,7 +112,7 @@
 		if (strcmp(s->customers->pdata[i], name) == 0)
 			return (int)i;
 	g_ptr_array_add(s->customers, g_strdup(name));
-	return sc_add_customer(&s->sc);
+	return scheduler_add_customer(&s->sc);
 }
 
 static void apply_customer(struct sched *s, const struct doc_customer *c,
@@ -124,8 +124,8 @@
 	for (i = 0; i < c->guarantee_count; i++)
 		if (strcmp(c->guarantees[i].dc, s->set->dc) == 0)
 			units[c->guarantees[i].unit] += c->guarantees[i].count;
-	sc_set_customer(&s->sc, sched_customer(s, c->name), c->weight,
-			c->quota_accelerators, units, now_us);
+	scheduler_set_customer(&s->sc, sched_customer(s, c->name), c->weight,
+			       c->quota_accelerators, units, now_us);
 }
 
 static bool stops_on_removal(const struct doc_view *old, const char *name)
@@ -148,8 +148,9 @@
 		const char *name = s->customers->pdata[i];
 
 		if (!doc_view_customer(s->view, name))
-			sc_remove_customer(&s->sc, (int)i,
-					   stops_on_removal(old, name), now_us);
+			scheduler_remove_customer(&s->sc, (int)i,
+						  stops_on_removal(old, name),
+						  now_us);
 	}
 }
 
@@ -195,9 +196,9 @@
 /* Makes the policy for the document in force. */
 void sched_build(struct sched *s)
 {
-	sc_init(&s->sc, &sched_sc_ops,
-		placing_worker_size(doc_view_pool(s->view, s->set->dc)),
-		WORKERS_PER_RACK);
+	scheduler_init(&s->sc, &sched_sc_ops,
+		       placing_worker_size(doc_view_pool(s->view, s->set->dc)),
+		       WORKERS_PER_RACK);
 	s->have_sc = true;
 	apply_customers(s, NULL);
 	apply_pool(s);
@@ -306,8 +307,8 @@
 	struct cell_hold *hold;
 
 	list_for_each_entry(hold, holds, node) {
-		struct sc_job *sc_job = hold->gang->user;
-		struct sjob *job = container_of(sc_job, struct sjob, sc);
+		struct scheduler_job *scheduler_job = hold->gang->user;
+		struct sjob *job = container_of(scheduler_job, struct sjob, sc);
 
 		if (job->token[0] && !reported(&w->call, job->token))
 			report_member(w, job, NULL, now_us);
@@ -330,7 +331,7 @@
 	}
 	if (w->in_pool && !w->s->sc.live[w->index]) {
 		ev_emit("worker.live", "worker=%s", w->at.name);
-		sc_worker_live(&w->s->sc, w->index, true, now_us);
+		scheduler_worker_live(&w->s->sc, w->index, true, now_us);
 		w->s->dirty = true;
 	}
 	for (i = 0; i < w->call.count; i++)
@@ -343,7 +344,7 @@
 	if (!w->s->sc.live[w->index])
 		return;
 	ev_emit("worker.lost", "worker=%s", w->at.name);
-	sc_worker_live(&w->s->sc, w->index, false, now_us);
+	scheduler_worker_live(&w->s->sc, w->index, false, now_us);
 	w->s->dirty = true;
 }
 
@@ -354,11 +355,12 @@
 	struct cell_hold *hold;
 
 	list_for_each_entry(hold, holds, node) {
-		struct sc_job *sc_job = hold->gang->user;
-		struct sjob *job = container_of(sc_job, struct sjob, sc);
+		struct scheduler_job *scheduler_job = hold->gang->user;
+		struct sjob *job = container_of(scheduler_job, struct sjob, sc);
 
-		if (sc_job->displaced ||
-		    (job->jb.urgent && sc_job->state == SC_STARTING))
+		if (scheduler_job->displaced ||
+		    (job->jb.urgent &&
+		     scheduler_job->state == SCHEDULER_STARTING))
 			return true;
 	}
 	return false;
@@ -418,8 +420,8 @@
 	struct cell_hold *hold;
 
 	list_for_each_entry(hold, holds, node) {
-		struct sc_job *sc_job = hold->gang->user;
-		struct sjob *job = container_of(sc_job, struct sjob, sc);
+		struct scheduler_job *scheduler_job = hold->gang->user;
+		struct sjob *job = container_of(scheduler_job, struct sjob, sc);
 		int member = sched_gang_member(job, w->index);
 
 		if (member < 0)
--- a/daemon/sched_take.c
+++ b/daemon/sched_take.c
@@ -235,7 +235,7 @@
 	}
 	g_strlcpy(job->token, attempt->token, sizeof(job->token));
 	g_hash_table_insert(s->tokens, job->token, job);
-	sc_adopt(&s->sc, &job->sc, now_us);
+	scheduler_adopt(&s->sc, &job->sc, now_us);
 	job->sc.started_us = now_us - ran_ms * USEC_PER_MSEC;
 	gang_start_adopt(&job->gg, states, (int)n, whole, now_us);
 	list_add_tail(&job->busy, &s->busy);
@@ -269,7 +269,7 @@
 {
 	int64_t since_us = job->sc.submitted_us;
 
-	sc_submit(&job->s->sc, &job->sc, now_us);
+	scheduler_submit(&job->s->sc, &job->sc, now_us);
 	/* The time that it waited under earlier leaders counts. */
 	job->sc.submitted_us = since_us;
 	job->sc.queued_us = since_us;
@@ -283,7 +283,7 @@
 
 	if (job_entry_ended(job->jb.state)) {
 		g_hash_table_insert(s->jobs, job->jb.id, job);
-		job->sc.state = SC_ENDED;
+		job->sc.state = SCHEDULER_ENDED;
 		sched_job_keep(job);
 		return;
 	}
@@ -350,7 +350,7 @@
 		struct sworker *w = s->workers->pdata[i];
 
 		if (!w->answered)
-			sc_worker_live(&s->sc, w->index, false, now_us);
+			scheduler_worker_live(&s->sc, w->index, false, now_us);
 		g_clear_pointer(&w->tasks, g_free);
 		w->task_count = 0;
 		w->next_us = now_us;
--- a/policy/sc.c
+++ b/policy/scheduler.c
@@ -1,4 +1,4 @@
-#include "policy/sc.h"
+#include "policy/scheduler.h"
 
 #include <string.h>
 
@@ -6,8 +6,8 @@
 
 #include "policy/placing.h"
 
-void sc_init(struct sc *sc, const struct sc_ops *ops, int worker_size,
-	     int rack_size)
+void scheduler_init(struct scheduler *sc, const struct scheduler_ops *ops,
+		    int worker_size, int rack_size)
 {
 	memset(sc, 0, sizeof(*sc));
 	sc->ops = ops;
@@ -20,7 +20,7 @@
 }
 
 /* All jobs must be finished before. */
-void sc_finish(struct sc *sc)
+void scheduler_finish(struct scheduler *sc)
 {
 	wh_finish(&sc->wh);
 	shares_finish(&sc->gs);
@@ -33,7 +33,7 @@
 /* Workers. */
 
 /* Adds a live worker; returns its index or -1 as cell_add_worker(). */
-int sc_add_worker(struct sc *sc, int rack, int accelerators)
+int scheduler_add_worker(struct scheduler *sc, int rack, int accelerators)
 {
 	int worker = cell_add_worker(&sc->cell, rack, accelerators);
 
@@ -47,7 +47,7 @@
 	return worker;
 }
 
-static void report_broken(struct sc *sc)
+static void report_broken(struct scheduler *sc)
 {
 	bool broken = shares_broken(&sc->gs);
 
@@ -57,16 +57,17 @@
 	sc->ops->broken(sc, broken);
 }
 
-static void update_usable(struct sc *sc, int worker)
+static void update_usable(struct scheduler *sc, int worker)
 {
 	shares_set_usable(&sc->gs, worker,
 			  sc->live[worker] && wh_usable(&sc->wh, worker));
 	report_broken(sc);
 }
 
-static void stop_job(struct sc *sc, struct sc_job *job, const char *reason)
+static void stop_job(struct scheduler *sc, struct scheduler_job *job,
+		     const char *reason)
 {
-	job->state = SC_STOPPING;
+	job->state = SCHEDULER_STOPPING;
 	job->gang.leaving = true;
 	job->reason = reason;
 	list_del(&job->node);
@@ -75,7 +76,7 @@
 }
 
 /* A worker that died takes all gangs with it that have a part on it. */
-static void stop_worker_jobs(struct sc *sc, int worker, int64_t now_us)
+static void stop_worker_jobs(struct scheduler *sc, int worker, int64_t now_us)
 {
 	struct list_head *holds = &sc->cell.workers[worker].holds;
 	struct list_head *node = holds->next;
@@ -83,20 +84,21 @@
 	while (node != holds) {
 		struct cell_hold *hold =
 			list_entry(node, struct cell_hold, node);
-		struct sc_job *job = hold->gang->user;
+		struct scheduler_job *job = hold->gang->user;
 
 		node = node->next;
-		if (job->state == SC_WAITING) {
+		if (job->state == SCHEDULER_WAITING) {
 			job->reason = "worker lost";
-			sc_left(sc, job, now_us);
-		} else if (job->state != SC_STOPPING) {
+			scheduler_left(sc, job, now_us);
+		} else if (job->state != SCHEDULER_STOPPING) {
 			stop_job(sc, job, "worker lost");
 		}
 	}
 }
 
 /* The worker was found dead, or is back. */
-void sc_worker_live(struct sc *sc, int worker, bool live, int64_t now_us)
+void scheduler_worker_live(struct scheduler *sc, int worker, bool live,
+			   int64_t now_us)
 {
 	if (sc->live[worker] == live)
 		return;
@@ -118,20 +120,21 @@
 }
 
 /* Adds a customer without guarantees, of weight 1; returns its index. */
-int sc_add_customer(struct sc *sc)
+int scheduler_add_customer(struct scheduler *sc)
 {
 	int n = sc->customer_count++, i, j;
-	struct sc_customer *table = g_new0(struct sc_customer, n + 1);
+	struct scheduler_customer *table =
+		g_new0(struct scheduler_customer, n + 1);
 
 	for (i = 0; i < n; i++) {
 		table[i] = sc->customers[i];
 		relink(&table[i].urgent, &sc->customers[i].urgent);
-		for (j = 0; j < SC_QUEUES; j++)
+		for (j = 0; j < SCHEDULER_QUEUES; j++)
 			relink(&table[i].queues[j],
 			       &sc->customers[i].queues[j]);
 	}
 	list_init(&table[n].urgent);
-	for (j = 0; j < SC_QUEUES; j++)
+	for (j = 0; j < SCHEDULER_QUEUES; j++)
 		list_init(&table[n].queues[j]);
 	table[n].weight = 1;
 	g_free(sc->customers);
@@ -141,10 +144,11 @@
 	return n;
 }
 
-void sc_set_customer(struct sc *sc, int customer, int weight, int quota,
-		     const int units[CELL_UNITS], int64_t now_us)
+void scheduler_set_customer(struct scheduler *sc, int customer, int weight,
+			    int quota, const int units[CELL_UNITS],
+			    int64_t now_us)
 {
-	struct sc_customer *c = &sc->customers[customer];
+	struct scheduler_customer *c = &sc->customers[customer];
 
 	c->weight = MAX(1, weight);
 	c->quota = quota;
@@ -153,36 +157,38 @@
 	report_broken(sc);
 }
 
-static void cancel_list(struct sc *sc, struct list_head *list, int64_t now_us)
+static void cancel_list(struct scheduler *sc, struct list_head *list,
+			int64_t now_us)
 {
-	struct sc_job *job, *tmp;
+	struct scheduler_job *job, *tmp;
 
 	list_for_each_entry_safe(job, tmp, list, node)
-		sc_cancel(sc, job, now_us);
+		scheduler_cancel(sc, job, now_us);
 }
 
-static void cancel_of(struct sc *sc, struct list_head *list, int customer,
-		      int64_t now_us)
+static void cancel_of(struct scheduler *sc, struct list_head *list,
+		      int customer, int64_t now_us)
 {
-	struct sc_job *job, *tmp;
+	struct scheduler_job *job, *tmp;
 
 	list_for_each_entry_safe(job, tmp, list, node)
 		if (job->gang.customer == customer)
-			sc_cancel(sc, job, now_us);
+			scheduler_cancel(sc, job, now_us);
 }
 
 /* Running work goes on as borrowed work, unless stop is set. */
-void sc_remove_customer(struct sc *sc, int customer, bool stop, int64_t now_us)
+void scheduler_remove_customer(struct scheduler *sc, int customer, bool stop,
+			       int64_t now_us)
 {
 	static const int none[CELL_UNITS];
-	struct sc_customer *c = &sc->customers[customer];
+	struct scheduler_customer *c = &sc->customers[customer];
 	int i;
 
 	c->removed = true;
 	shares_set_guarantee(&sc->gs, customer, none);
 	report_broken(sc);
 	cancel_list(sc, &c->urgent, now_us);
-	for (i = 0; i < SC_QUEUES; i++)
+	for (i = 0; i < SCHEDULER_QUEUES; i++)
 		cancel_list(sc, &c->queues[i], now_us);
 	cancel_of(sc, &sc->waiting, customer, now_us);
 	if (!stop)
@@ -193,8 +199,9 @@
 
 /* Jobs. */
 
-void sc_job_init(struct sc_job *job, uint64_t id, int customer,
-		 int accelerators, bool stoppable, bool urgent, bool can_save)
+void scheduler_job_init(struct scheduler_job *job, uint64_t id, int customer,
+			int accelerators, bool stoppable, bool urgent,
+			bool can_save)
 {
 	memset(job, 0, sizeof(*job));
 	list_init(&job->node);
@@ -206,7 +213,7 @@
 }
 
 /* Accelerator-microseconds that the job has had, with the current run. */
-int64_t sc_attained(const struct sc_job *job, int64_t now_us)
+int64_t scheduler_attained(const struct scheduler_job *job, int64_t now_us)
 {
 	if (job->started_us == 0)
 		return job->attained_us;
@@ -214,31 +221,32 @@
 }
 
 /*
- * Levels are SC_LEVEL_FACTOR apart, the lowest is SC_LEVEL_1_SEC of run time.
+ * Levels are SCHEDULER_LEVEL_FACTOR apart, the lowest is SCHEDULER_LEVEL_1_SEC of run time.
  * Counted in accelerator-seconds instead, large gangs were displaced more
  * often; that cost 1 point of completion time and 7 of the gang ratio.
  */
-int sc_level(const struct sc_job *job, int64_t now_us)
+int scheduler_level(const struct scheduler_job *job, int64_t now_us)
 {
-	int64_t sec = sc_attained(job, now_us) / job->gang.total / USEC_PER_SEC;
-	int64_t limit = SC_LEVEL_1_SEC;
+	int64_t sec = scheduler_attained(job, now_us) / job->gang.total /
+		      USEC_PER_SEC;
+	int64_t limit = SCHEDULER_LEVEL_1_SEC;
 	int level;
 
-	for (level = 0; level < SC_LEVELS - 1 && sec >= limit; level++)
-		limit *= SC_LEVEL_FACTOR;
+	for (level = 0; level < SCHEDULER_LEVELS - 1 && sec >= limit; level++)
+		limit *= SCHEDULER_LEVEL_FACTOR;
 	return level;
 }
 
-enum sc_size sc_size(const struct sc *sc, int total)
+enum scheduler_size scheduler_size(const struct scheduler *sc, int total)
 {
 	if (total <= sc->cell.worker_size)
-		return SC_IN_WORKER;
+		return SCHEDULER_IN_WORKER;
 	if (total <= sc->cell.worker_size * sc->cell.rack_size)
-		return SC_IN_RACK;
-	return SC_IN_ROW;
+		return SCHEDULER_IN_RACK;
+	return SCHEDULER_IN_ROW;
 }
 
-static void drop_place(struct sc *sc, struct sc_job *job)
+static void drop_place(struct scheduler *sc, struct scheduler_job *job)
 {
 	int i;
 
@@ -256,24 +264,26 @@
 	report_broken(sc);
 }
 
-static void unqueue(struct sc *sc, struct sc_job *job)
+static void unqueue(struct scheduler *sc, struct scheduler_job *job)
 {
-	if (job->state == SC_QUEUED)
+	if (job->state == SCHEDULER_QUEUED)
 		sc->customers[job->gang.customer].queued--;
 	list_del(&job->node);
 	if (sc->head == job)
 		sc->head = NULL;
 }
 
-static void enqueue(struct sc *sc, struct sc_job *job, int64_t now_us)
+static void enqueue(struct scheduler *sc, struct scheduler_job *job,
+		    int64_t now_us)
 {
-	struct sc_customer *c = &sc->customers[job->gang.customer];
+	struct scheduler_customer *c = &sc->customers[job->gang.customer];
 	struct list_head *queue;
 	int i;
 
-	i = sc_level(job, now_us) * SC_SIZES + sc_size(sc, job->gang.total);
+	i = scheduler_level(job, now_us) * SCHEDULER_SIZES +
+	    scheduler_size(sc, job->gang.total);
 	queue = job->urgent ? &c->urgent : &c->queues[i];
-	job->state = SC_QUEUED;
+	job->state = SCHEDULER_QUEUED;
 	job->queued_us = now_us;
 	job->displaced = false;
 	c->queued++;
@@ -284,41 +294,43 @@
 		list_add_tail(&job->node, queue);
 }
 
-static void end_job(struct sc *sc, struct sc_job *job, enum sc_end end,
-		    const char *reason)
+static void end_job(struct scheduler *sc, struct scheduler_job *job,
+		    enum scheduler_end end, const char *reason)
 {
 	unqueue(sc, job);
 	drop_place(sc, job);
-	job->state = SC_ENDED;
+	job->state = SCHEDULER_ENDED;
 	sc->ops->ended(sc, job, end, reason);
 }
 
 /* Takes the job out of everything; the owner may free it then. */
-void sc_job_finish(struct sc *sc, struct sc_job *job)
+void scheduler_job_finish(struct scheduler *sc, struct scheduler_job *job)
 {
 	unqueue(sc, job);
 	drop_place(sc, job);
-	job->state = SC_ENDED;
+	job->state = SCHEDULER_ENDED;
 }
 
-void sc_submit(struct sc *sc, struct sc_job *job, int64_t now_us)
+void scheduler_submit(struct scheduler *sc, struct scheduler_job *job,
+		      int64_t now_us)
 {
 	job->submitted_us = now_us;
 	enqueue(sc, job, now_us);
 }
 
 /* Constant time for a job that waits, so a wave of them delays nothing. */
-void sc_cancel(struct sc *sc, struct sc_job *job, int64_t now_us)
+void scheduler_cancel(struct scheduler *sc, struct scheduler_job *job,
+		      int64_t now_us)
 {
 	job->cancelled = true;
 	switch (job->state) {
-	case SC_QUEUED:
-	case SC_WAITING:
-		end_job(sc, job, SC_END_CANCELLED, "cancelled");
+	case SCHEDULER_QUEUED:
+	case SCHEDULER_WAITING:
+		end_job(sc, job, SCHEDULER_END_CANCELLED, "cancelled");
 		break;
-	case SC_STARTING:
-	case SC_RUNNING:
-	case SC_LEAVING:
+	case SCHEDULER_STARTING:
+	case SCHEDULER_RUNNING:
+	case SCHEDULER_LEAVING:
 		stop_job(sc, job, "cancelled");
 		break;
 	default:
@@ -327,7 +339,8 @@
 }
 
 /* Records the place that was chosen for a job; it waits or starts. */
-void sc_take(struct sc *sc, struct sc_job *job, int64_t now_us)
+void scheduler_take(struct scheduler *sc, struct scheduler_job *job,
+		    int64_t now_us)
 {
 	int i;
 
@@ -340,7 +353,7 @@
 		if (wh_trial_started(&sc->wh, job->id, worker))
 			update_usable(sc, worker);
 	}
-	job->state = SC_WAITING;
+	job->state = SCHEDULER_WAITING;
 	job->gang.saved_us = now_us;
 	list_add_tail(&job->node, &sc->waiting);
 }
@@ -349,22 +362,24 @@
  * Takes over a gang that runs already, on the holds that the caller filled
  * in. It counts as borrowed unless the caller made it an owned one.
  */
-void sc_adopt(struct sc *sc, struct sc_job *job, int64_t now_us)
+void scheduler_adopt(struct scheduler *sc, struct scheduler_job *job,
+		     int64_t now_us)
 {
 	if (job->gang.kind != CELL_OWNED)
 		job->gang.kind = job->gang.stoppable ? CELL_SOFT : CELL_HARD;
-	sc_take(sc, job, now_us);
-	job->state = SC_STARTING;
+	scheduler_take(sc, job, now_us);
+	job->state = SCHEDULER_STARTING;
 	list_del(&job->node);
 	list_add_tail(&job->node, &sc->running);
-	sc_running(sc, job, now_us);
+	scheduler_running(sc, job, now_us);
 }
 
-void sc_running(struct sc *sc, struct sc_job *job, int64_t now_us)
+void scheduler_running(struct scheduler *sc, struct scheduler_job *job,
+		       int64_t now_us)
 {
-	if (job->state != SC_STARTING)
+	if (job->state != SCHEDULER_STARTING)
 		return;
-	job->state = SC_RUNNING;
+	job->state = SCHEDULER_RUNNING;
 	job->started_us = now_us;
 	job->gang.saved_us = now_us;
 }
@@ -373,62 +388,66 @@
  * Work that must leave its place: checkpoint first, then stop. grace_ms is
  * not what the job declares, since that is often too short.
  */
-void sc_displace(struct sc *sc, struct sc_job *job, int64_t grace_ms,
-		 int64_t now_us)
+void scheduler_displace(struct scheduler *sc, struct scheduler_job *job,
+			int64_t grace_ms, int64_t now_us)
 {
 	sc->displaced++;
 	job->displaced = true;
-	if (job->state == SC_WAITING) {
+	if (job->state == SCHEDULER_WAITING) {
 		job->reason = "displaced";
-		sc_left(sc, job, now_us);
-	} else if (job->state == SC_RUNNING && job->can_save) {
-		job->state = SC_LEAVING;
+		scheduler_left(sc, job, now_us);
+	} else if (job->state == SCHEDULER_RUNNING && job->can_save) {
+		job->state = SCHEDULER_LEAVING;
 		job->deadline_us = now_us + grace_ms * USEC_PER_MSEC;
 		list_del(&job->node);
 		list_add_tail(&job->node, &sc->leaving);
 		sc->ops->checkpoint(sc, job);
-	} else if (job->state == SC_STARTING || job->state == SC_RUNNING) {
+	} else if (job->state == SCHEDULER_STARTING ||
+		   job->state == SCHEDULER_RUNNING) {
 		stop_job(sc, job, "displaced");
 	}
 }
 
 /* A checkpoint is complete. */
-void sc_saved(struct sc *sc, struct sc_job *job, int64_t now_us)
+void scheduler_saved(struct scheduler *sc, struct scheduler_job *job,
+		     int64_t now_us)
 {
-	if (job->state != SC_LEAVING && job->state != SC_RUNNING)
+	if (job->state != SCHEDULER_LEAVING && job->state != SCHEDULER_RUNNING)
 		return;
 	job->gang.saved_us = now_us;
-	if (job->state == SC_LEAVING)
+	if (job->state == SCHEDULER_LEAVING)
 		stop_job(sc, job, "displaced");
 }
 
 /*
  * All workers that can be reached have stopped the gang: its places are
  * free. It may still run on a lost worker until its lease ends, so it must
- * not start again before sc_left().
+ * not start again before scheduler_left().
  */
-void sc_freed(struct sc *sc, struct sc_job *job)
+void scheduler_freed(struct scheduler *sc, struct scheduler_job *job)
 {
-	if (job->state == SC_STOPPING)
+	if (job->state == SCHEDULER_STOPPING)
 		drop_place(sc, job);
 }
 
 /* The gang runs nowhere any more, or never started. */
-void sc_left(struct sc *sc, struct sc_job *job, int64_t now_us)
+void scheduler_left(struct scheduler *sc, struct scheduler_job *job,
+		    int64_t now_us)
 {
-	if (job->state < SC_WAITING || job->state == SC_ENDED)
+	if (job->state < SCHEDULER_WAITING || job->state == SCHEDULER_ENDED)
 		return;
-	job->attained_us = sc_attained(job, now_us);
+	job->attained_us = scheduler_attained(job, now_us);
 	job->started_us = 0;
 	if (job->cancelled) {
-		end_job(sc, job, SC_END_CANCELLED, "cancelled");
+		end_job(sc, job, SCHEDULER_END_CANCELLED, "cancelled");
 		return;
 	}
 	unqueue(sc, job);
 	drop_place(sc, job);
 	if (sc->customers[job->gang.customer].removed) {
-		job->state = SC_ENDED;
-		sc->ops->ended(sc, job, SC_END_CANCELLED, "customer removed");
+		job->state = SCHEDULER_ENDED;
+		sc->ops->ended(sc, job, SCHEDULER_END_CANCELLED,
+			       "customer removed");
 		return;
 	}
 	enqueue(sc, job, now_us);
@@ -437,7 +456,7 @@
 }
 
 /* The job is evidence that its workers are good. */
-void sc_ran_well(struct sc *sc, struct sc_job *job)
+void scheduler_ran_well(struct scheduler *sc, struct scheduler_job *job)
 {
 	int i;
 
@@ -446,21 +465,22 @@
 			update_usable(sc, job->gang.holds[i].worker);
 }
 
-void sc_done(struct sc *sc, struct sc_job *job, int64_t now_us)
+void scheduler_done(struct scheduler *sc, struct scheduler_job *job,
+		    int64_t now_us)
 {
-	if (job->state < SC_STARTING || job->state == SC_ENDED)
+	if (job->state < SCHEDULER_STARTING || job->state == SCHEDULER_ENDED)
 		return;
-	sc_ran_well(sc, job);
-	job->attained_us = sc_attained(job, now_us);
+	scheduler_ran_well(sc, job);
+	job->attained_us = scheduler_attained(job, now_us);
 	job->started_us = 0;
-	end_job(sc, job, SC_END_DONE, "done");
+	end_job(sc, job, SCHEDULER_END_DONE, "done");
 }
 
 /*
  * From the third failure on a job waits before it is tried again, so that a
  * fault which passes doesn't use up its tries.
  */
-static int64_t retry_delay_us(const struct sc_job *job)
+static int64_t retry_delay_us(const struct scheduler_job *job)
 {
 	int doublings = job->health.failures - 3;
 
@@ -474,9 +494,10 @@
  * The task failed on a worker, and the gang has been stopped everywhere. It
  * is tried again on other workers until that is hopeless.
  */
-void sc_failed(struct sc *sc, struct sc_job *job, int worker, int64_t now_us)
+void scheduler_failed(struct scheduler *sc, struct scheduler_job *job,
+		      int worker, int64_t now_us)
 {
-	if (job->state < SC_STARTING || job->state == SC_ENDED)
+	if (job->state < SCHEDULER_STARTING || job->state == SCHEDULER_ENDED)
 		return;
 	if (wh_failed(&sc->wh, &job->health, job->id, worker, now_us)) {
 		int i;
@@ -485,10 +506,11 @@
 			update_usable(sc, i);
 	}
 	if (job->health.hopeless && !job->cancelled) {
-		end_job(sc, job, SC_END_FAILED, "failed on several workers");
+		end_job(sc, job, SCHEDULER_END_FAILED,
+			"failed on several workers");
 		return;
 	}
 	job->retry_us = now_us + retry_delay_us(job);
 	job->reason = "task failed";
-	sc_left(sc, job, now_us);
+	scheduler_left(sc, job, now_us);
 }
--- a/policy/scpass.c
+++ b/policy/scheduler_pass.c
@@ -3,60 +3,61 @@
 #include <glib.h>
 
 #include "policy/placing.h"
-#include "policy/sc.h"
+#include "policy/scheduler.h"
 
 /*
  * Smallest size that found no place in this pass, for each kind. Free places
  * only decrease within a pass, so larger gangs need not be tried again.
  */
 struct memo {
-	int failed[SC_SIZES];
+	int failed[SCHEDULER_SIZES];
 };
 
 struct pass {
-	struct sc *sc;
+	struct scheduler *sc;
 	int64_t now_us;
 	int weight; /* of all customers with work */
 	int starts;
 	int evictions; /* tries left */
 	struct memo soft;
 	struct memo hard;
-	struct memo evict[SC_LEVELS];
+	struct memo evict[SCHEDULER_LEVELS];
 	int64_t grace_ms; /* of the work that is displaced now */
-	struct sc_job *head; /* first large job that found no place */
+	struct scheduler_job *head; /* first large job that found no place */
 };
 
 static void memo_init(struct memo *memo)
 {
 	int i;
 
-	for (i = 0; i < SC_SIZES; i++)
+	for (i = 0; i < SCHEDULER_SIZES; i++)
 		memo->failed[i] = INT32_MAX;
 }
 
 /* A part of a worker that is not to be had excludes whole workers too. */
-static bool known_to_fail(const struct sc *sc, const struct memo *memo,
+static bool known_to_fail(const struct scheduler *sc, const struct memo *memo,
 			  int total)
 {
-	enum sc_size c = sc_size(sc, total);
+	enum scheduler_size c = scheduler_size(sc, total);
 
 	return total >= memo->failed[c] ||
-	       (c != SC_IN_WORKER && memo->failed[SC_IN_WORKER] < INT32_MAX);
+	       (c != SCHEDULER_IN_WORKER &&
+		memo->failed[SCHEDULER_IN_WORKER] < INT32_MAX);
 }
 
-static void note_failure(const struct sc *sc, struct memo *memo,
-			 const struct sc_job *job)
+static void note_failure(const struct scheduler *sc, struct memo *memo,
+			 const struct scheduler_job *job)
 {
-	int *failed = &memo->failed[sc_size(sc, job->gang.total)];
+	int *failed = &memo->failed[scheduler_size(sc, job->gang.total)];
 
 	if (job->health.failed_count == 0)
 		*failed = MIN(*failed, job->gang.total);
 }
 
 /* Urgent work must not displace other urgent work of its customer. */
-static int yield_level(const struct sc_job *job, int64_t now_us)
+static int yield_level(const struct scheduler_job *job, int64_t now_us)
 {
-	return job->urgent ? -1 : sc_level(job, now_us);
+	return job->urgent ? -1 : scheduler_level(job, now_us);
 }
 
 /* Starting. */
@@ -65,14 +66,14 @@
 {
 	struct pass *p = user;
 
-	sc_displace(p->sc, victim->user, p->grace_ms, p->now_us);
+	scheduler_displace(p->sc, victim->user, p->grace_ms, p->now_us);
 }
 
-static void start_if_clear(struct pass *p, struct sc_job *job)
+static void start_if_clear(struct pass *p, struct scheduler_job *job)
 {
 	if (!cell_clear(&p->sc->cell, &job->gang))
 		return;
-	job->state = SC_STARTING;
+	job->state = SCHEDULER_STARTING;
 	list_del(&job->node);
 	list_add_tail(&job->node, &p->sc->running);
 	p->starts++;
@@ -80,7 +81,7 @@
 }
 
 /* Work on the place of a claim that is leaving already has less time now. */
-static void hurry(struct pass *p, struct sc_job *job)
+static void hurry(struct pass *p, struct scheduler_job *job)
 {
 	const struct cell_gang *gang = &job->gang;
 	int64_t deadline_us = p->now_us + RECLAIM_GRACE_MS * USEC_PER_MSEC;
@@ -92,9 +93,9 @@
 		list_for_each_entry(
 			hold, &p->sc->cell.workers[gang->holds[i].worker].holds,
 			node) {
-			struct sc_job *other = hold->gang->user;
+			struct scheduler_job *other = hold->gang->user;
 
-			if (other->state != SC_LEAVING ||
+			if (other->state != SCHEDULER_LEAVING ||
 			    other->deadline_us <= deadline_us)
 				continue;
 			other->deadline_us = deadline_us;
@@ -104,12 +105,12 @@
 }
 
 /* Holds the chosen place and asks the work on it to leave. */
-static void take(struct pass *p, struct sc_job *job,
+static void take(struct pass *p, struct scheduler_job *job,
 		 const struct placing_ask *ask)
 {
 	job->gang.level = yield_level(job, p->now_us);
-	sc_take(p->sc, job, p->now_us);
-	p->grace_ms = ask->reclaim ? RECLAIM_GRACE_MS : SC_GRACE_MS;
+	scheduler_take(p->sc, job, p->now_us);
+	p->grace_ms = ask->reclaim ? RECLAIM_GRACE_MS : SCHEDULER_GRACE_MS;
 	if (!cell_clear(&p->sc->cell, &job->gang)) {
 		placing_victims(&p->sc->gs, &job->gang, ask, displace, p);
 		if (ask->reclaim)
@@ -119,12 +120,12 @@
 }
 
 static struct placing_ask make_ask(const struct pass *p,
-				   const struct sc_job *job)
+				   const struct scheduler_job *job)
 {
 	struct placing_ask ask = {
 		.kind = job->gang.stoppable ? CELL_SOFT : CELL_HARD,
 		.evict_level = PLACING_NO_EVICTION,
-		.before_us = p->now_us - SC_QUANTUM_MS * USEC_PER_MSEC,
+		.before_us = p->now_us - SCHEDULER_QUANTUM_MS * USEC_PER_MSEC,
 		.now_us = p->now_us,
 		.use_reserved = job == p->sc->head,
 		.customer = job->gang.customer,
@@ -136,7 +137,7 @@
 	return ask;
 }
 
-static bool place_free(struct pass *p, struct sc_job *job)
+static bool place_free(struct pass *p, struct scheduler_job *job)
 {
 	struct placing_ask ask = make_ask(p, job);
 	struct memo *memo = job->gang.stoppable ? &p->soft : &p->hard;
@@ -160,10 +161,10 @@
 	struct memo own; /* so does work of the customer itself */
 };
 
-static bool try_claim(struct pass *p, struct sc_job *job,
+static bool try_claim(struct pass *p, struct scheduler_job *job,
 		      const struct placing_ask *ask, struct memo *memo)
 {
-	struct sc *sc = p->sc;
+	struct scheduler *sc = p->sc;
 
 	if (known_to_fail(sc, memo, job->gang.total))
 		return false;
@@ -181,9 +182,10 @@
  * which it could be displaced, and makes other work of its customer yield
  * when nothing else does.
  */
-static bool claim(struct pass *p, struct sc_job *job, struct claim_memo *memo)
+static bool claim(struct pass *p, struct scheduler_job *job,
+		  struct claim_memo *memo)
 {
-	struct sc *sc = p->sc;
+	struct scheduler *sc = p->sc;
 	struct placing_ask ask = make_ask(p, job);
 	bool room = shares_accelerators_left(&sc->gs, job->gang.customer) >=
 		    job->gang.total;
@@ -205,25 +207,25 @@
 	return try_claim(p, job, &ask, &memo->own);
 }
 
-static bool may_start(const struct pass *p, const struct sc_customer *c,
-		      const struct sc_job *job)
+static bool may_start(const struct pass *p, const struct scheduler_customer *c,
+		      const struct scheduler_job *job)
 {
 	if (p->now_us < job->retry_us)
 		return false;
 	return c->quota == 0 || c->held + job->gang.total <= c->quota;
 }
 
-static void claim_queue(struct pass *p, struct sc_customer *c,
+static void claim_queue(struct pass *p, struct scheduler_customer *c,
 			struct list_head *queue, struct claim_memo *memo)
 {
-	struct sc_job *job, *tmp;
+	struct scheduler_job *job, *tmp;
 
 	memo_init(&memo->own);
 	list_for_each_entry_safe(job, tmp, queue, node) {
-		if (p->starts >= SC_STARTS_PER_PASS)
+		if (p->starts >= SCHEDULER_STARTS_PER_PASS)
 			return;
-		if (memo->reclaim.failed[SC_IN_WORKER] <= 1 &&
-		    memo->own.failed[SC_IN_WORKER] <= 1)
+		if (memo->reclaim.failed[SCHEDULER_IN_WORKER] <= 1 &&
+		    memo->own.failed[SCHEDULER_IN_WORKER] <= 1)
 			return;
 		if (may_start(p, c, job))
 			claim(p, job, memo);
@@ -233,7 +235,7 @@
 /* Urgent work of all customers first, then the rest. */
 static void claims(struct pass *p)
 {
-	struct sc *sc = p->sc;
+	struct scheduler *sc = p->sc;
 	struct claim_memo *memos =
 		g_new(struct claim_memo, sc->customer_count + 1);
 	int i, q;
@@ -244,7 +246,7 @@
 		claim_queue(p, &sc->customers[i], &sc->customers[i].urgent,
 			    &memos[i]);
 	}
-	for (q = 0; q < SC_QUEUES; q++)
+	for (q = 0; q < SCHEDULER_QUEUES; q++)
 		for (i = 0; i < sc->customer_count; i++)
 			claim_queue(p, &sc->customers[i],
 				    &sc->customers[i].queues[q], &memos[i]);
@@ -253,10 +255,10 @@
 
 /* Borrowed work. */
 
-static bool place_evicting(struct pass *p, struct sc_job *job)
+static bool place_evicting(struct pass *p, struct scheduler_job *job)
 {
 	struct placing_ask ask = make_ask(p, job);
-	int level = sc_level(job, p->now_us);
+	int level = scheduler_level(job, p->now_us);
 	struct memo *memo = &p->evict[level];
 
 	if (p->evictions <= 0 || known_to_fail(p->sc, memo, job->gang.total))
@@ -265,7 +267,8 @@
 	ask.evict_level = level;
 	ask.max_total = MAX(p->sc->cell.worker_size, 2 * job->gang.total);
 	if (job == p->sc->head &&
-	    p->now_us - job->queued_us > SC_PATIENCE_MS * USEC_PER_MSEC) {
+	    p->now_us - job->queued_us >
+		    SCHEDULER_PATIENCE_MS * USEC_PER_MSEC) {
 		ask.evict_level = -1;
 		ask.max_total = 0;
 		ask.sheltered = NULL;
@@ -278,29 +281,30 @@
 	return true;
 }
 
-static void try_borrow(struct pass *p, struct sc_customer *c,
-		       struct sc_job *job)
+static void try_borrow(struct pass *p, struct scheduler_customer *c,
+		       struct scheduler_job *job)
 {
 	if (!may_start(p, c, job))
 		return;
 	if (place_free(p, job) || place_evicting(p, job))
 		return;
-	if (!p->head && sc_size(p->sc, job->gang.total) != SC_IN_WORKER)
+	if (!p->head &&
+	    scheduler_size(p->sc, job->gang.total) != SCHEDULER_IN_WORKER)
 		p->head = job;
 }
 
-static struct list_head *next_queue(struct sc_customer *c,
+static struct list_head *next_queue(struct scheduler_customer *c,
 				    struct list_head *queue)
 {
 	if (queue == &c->urgent)
 		return &c->queues[0];
-	if (queue == &c->queues[SC_QUEUES - 1])
+	if (queue == &c->queues[SCHEDULER_QUEUES - 1])
 		return NULL;
 	return queue + 1;
 }
 
 /* Sets the customer's cursor on its next job; NULL queue at the end. */
-static void settle_cursor(struct sc_customer *c)
+static void settle_cursor(struct scheduler_customer *c)
 {
 	while (c->queue && c->next == c->queue) {
 		c->queue = next_queue(c, c->queue);
@@ -313,26 +317,26 @@
  * Use over share, 1 for a customer that has just its fair share, less what
  * its first job has waited.
  */
-static void update_use(const struct pass *p, struct sc_customer *c)
+static void update_use(const struct pass *p, struct scheduler_customer *c)
 {
-	const struct sc_job *job;
+	const struct scheduler_job *job;
 	double share = (double)c->weight / MAX(1, p->weight);
 
 	c->use = c->held / (MAX(1, p->sc->cell.accelerators) * share);
 	if (!c->queue)
 		return;
-	job = list_entry(c->next, struct sc_job, node);
+	job = list_entry(c->next, struct scheduler_job, node);
 	c->use -= (double)(p->now_us - job->queued_us) /
-		  (SC_AGE_MS * USEC_PER_MSEC);
+		  (SCHEDULER_AGE_MS * USEC_PER_MSEC);
 }
 
-static struct sc_customer *lowest_use(struct sc *sc)
+static struct scheduler_customer *lowest_use(struct scheduler *sc)
 {
-	struct sc_customer *best = NULL;
+	struct scheduler_customer *best = NULL;
 	int i;
 
 	for (i = 0; i < sc->customer_count; i++) {
-		struct sc_customer *c = &sc->customers[i];
+		struct scheduler_customer *c = &sc->customers[i];
 
 		if (c->queue && (!best || c->use < best->use))
 			best = c;
@@ -342,16 +346,16 @@
 
 static bool nothing_left(const struct pass *p)
 {
-	return p->starts >= SC_STARTS_PER_PASS ||
-	       (p->soft.failed[SC_IN_WORKER] <= 1 &&
-		p->hard.failed[SC_IN_WORKER] <= 1 && p->evictions <= 0);
+	return p->starts >= SCHEDULER_STARTS_PER_PASS ||
+	       (p->soft.failed[SCHEDULER_IN_WORKER] <= 1 &&
+		p->hard.failed[SCHEDULER_IN_WORKER] <= 1 && p->evictions <= 0);
 }
 
 static void borrow(struct pass *p)
 {
-	struct sc *sc = p->sc;
-	struct sc_customer *c;
-	struct sc_job *job;
+	struct scheduler *sc = p->sc;
+	struct scheduler_customer *c;
+	struct scheduler_job *job;
 	int i;
 
 	for (i = 0; i < sc->customer_count; i++) {
@@ -362,7 +366,7 @@
 		update_use(p, c);
 	}
 	while (!nothing_left(p) && (c = lowest_use(sc))) {
-		job = list_entry(c->next, struct sc_job, node);
+		job = list_entry(c->next, struct scheduler_job, node);
 		c->next = c->next->next;
 		try_borrow(p, c, job);
 		settle_cursor(c);
@@ -375,7 +379,7 @@
 /* A customer at or below its fair share is not displaced by its peers. */
 static void shelter(struct pass *p)
 {
-	struct sc *sc = p->sc;
+	struct scheduler *sc = p->sc;
 	int i;
 
 	p->weight = 0;
@@ -383,7 +387,7 @@
 		if (sc->customers[i].queued || sc->customers[i].held)
 			p->weight += sc->customers[i].weight;
 	for (i = 0; i < sc->customer_count; i++) {
-		const struct sc_customer *c = &sc->customers[i];
+		const struct scheduler_customer *c = &sc->customers[i];
 
 		sc->sheltered[i] = (int64_t)c->held * p->weight <=
 				   (int64_t)c->weight * sc->cell.accelerators;
@@ -392,25 +396,25 @@
 
 static void update_levels(struct pass *p)
 {
-	struct sc_job *job;
+	struct scheduler_job *job;
 
 	list_for_each_entry(job, &p->sc->running, node) {
 		job->gang.level = yield_level(job, p->now_us);
-		if (p->sc->wh.trials > 0 && job->state == SC_RUNNING &&
+		if (p->sc->wh.trials > 0 && job->state == SCHEDULER_RUNNING &&
 		    p->now_us - job->started_us >=
 			    WORKER_PROBATION_MIN_MS * USEC_PER_MSEC)
-			sc_ran_well(p->sc, job);
+			scheduler_ran_well(p->sc, job);
 	}
 }
 
 /* Work whose grace period is over is stopped without a checkpoint. */
 static void end_grace(struct pass *p)
 {
-	struct sc_job *job, *tmp;
+	struct scheduler_job *job, *tmp;
 
 	list_for_each_entry_safe(job, tmp, &p->sc->leaving, node)
 		if (p->now_us >= job->deadline_us) {
-			job->state = SC_STOPPING;
+			job->state = SCHEDULER_STOPPING;
 			list_del(&job->node);
 			list_add_tail(&job->node, &p->sc->running);
 			p->sc->ops->stop(p->sc, job, "grace period over");
@@ -419,7 +423,7 @@
 
 static void start_waiting(struct pass *p)
 {
-	struct sc_job *job, *tmp;
+	struct scheduler_job *job, *tmp;
 
 	list_for_each_entry_safe(job, tmp, &p->sc->waiting, node)
 		start_if_clear(p, job);
@@ -427,7 +431,7 @@
 
 static void end_quarantines(struct pass *p)
 {
-	struct sc *sc = p->sc;
+	struct scheduler *sc = p->sc;
 	int i;
 
 	if (sc->wh.quarantined == 0)
@@ -443,7 +447,7 @@
  */
 static void reserve(struct pass *p)
 {
-	struct sc *sc = p->sc;
+	struct scheduler *sc = p->sc;
 	struct placing_ask ask;
 	struct cell_gang *gang;
 
@@ -462,23 +466,24 @@
 	gang = placing_move(&sc->gs, &ask);
 	if (gang) {
 		gang->leaving = true;
-		sc_displace(sc, gang->user, SC_GRACE_MS, p->now_us);
+		scheduler_displace(sc, gang->user, SCHEDULER_GRACE_MS,
+				   p->now_us);
 	}
 }
 
-void sc_pass(struct sc *sc, int64_t now_us)
+void scheduler_pass(struct scheduler *sc, int64_t now_us)
 {
 	struct pass p = {
 		.sc = sc,
 		.now_us = now_us,
-		.evictions = SC_EVICTION_TRIES,
+		.evictions = SCHEDULER_EVICTION_TRIES,
 	};
 	int i;
 
 	sc->passes++;
 	memo_init(&p.soft);
 	memo_init(&p.hard);
-	for (i = 0; i < SC_LEVELS; i++)
+	for (i = 0; i < SCHEDULER_LEVELS; i++)
 		memo_init(&p.evict[i]);
 	shelter(&p);
 	update_levels(&p);
--- a/tests/unit/test_sc.c
+++ b/tests/unit/test_scheduler.c
@@ -5,61 +5,63 @@
 
 #include <glib.h>
 
-#include "policy/sc.h"
+#include "policy/scheduler.h"
 
 #define WORKERS 50
 #define SEC USEC_PER_SEC
 
 /* What the scheduler asked for last, for each job. */
 struct test_job {
-	struct sc_job job;
+	struct scheduler_job job;
 	int started;
 	int checkpoints;
 	int stops;
 	int queued;
 	int ended;
-	enum sc_end end;
+	enum scheduler_end end;
 };
 
-static struct sc sc;
+static struct scheduler sc;
 
-static struct test_job *of(struct sc_job *job)
+static struct test_job *of(struct scheduler_job *job)
 {
 	return container_of(job, struct test_job, job);
 }
 
-static void op_start(struct sc *s, struct sc_job *job)
+static void op_start(struct scheduler *s, struct scheduler_job *job)
 {
 	of(job)->started++;
 }
 
-static void op_checkpoint(struct sc *s, struct sc_job *job)
+static void op_checkpoint(struct scheduler *s, struct scheduler_job *job)
 {
 	of(job)->checkpoints++;
 }
 
-static void op_stop(struct sc *s, struct sc_job *job, const char *reason)
+static void op_stop(struct scheduler *s, struct scheduler_job *job,
+		    const char *reason)
 {
 	of(job)->stops++;
 }
 
-static void op_queued(struct sc *s, struct sc_job *job, const char *reason)
+static void op_queued(struct scheduler *s, struct scheduler_job *job,
+		      const char *reason)
 {
 	of(job)->queued++;
 }
 
-static void op_ended(struct sc *s, struct sc_job *job, enum sc_end end,
-		     const char *reason)
+static void op_ended(struct scheduler *s, struct scheduler_job *job,
+		     enum scheduler_end end, const char *reason)
 {
 	of(job)->ended++;
 	of(job)->end = end;
 }
 
-static void op_broken(struct sc *s, bool broken)
+static void op_broken(struct scheduler *s, bool broken)
 {
 }
 
-static const struct sc_ops ops = {
+static const struct scheduler_ops ops = {
 	.start = op_start,
 	.checkpoint = op_checkpoint,
 	.stop = op_stop,
@@ -73,26 +75,26 @@
 {
 	int units[CELL_UNITS] = { 0, 0, 1 }, none[CELL_UNITS] = { 0 }, i;
 
-	sc_init(&sc, &ops, 8, WORKERS_PER_RACK);
+	scheduler_init(&sc, &ops, 8, WORKERS_PER_RACK);
 	for (i = 0; i < WORKERS; i++)
-		sc_add_worker(&sc, i / WORKERS_PER_RACK, 8);
-	sc_add_customer(&sc);
-	sc_add_customer(&sc);
-	sc_set_customer(&sc, 0, 1, 0, units, 0);
-	sc_set_customer(&sc, 1, 1, 0, none, 0);
+		scheduler_add_worker(&sc, i / WORKERS_PER_RACK, 8);
+	scheduler_add_customer(&sc);
+	scheduler_add_customer(&sc);
+	scheduler_set_customer(&sc, 0, 1, 0, units, 0);
+	scheduler_set_customer(&sc, 1, 1, 0, none, 0);
 }
 
 static void teardown(void)
 {
-	sc_finish(&sc);
+	scheduler_finish(&sc);
 }
 
 static void submit(struct test_job *j, uint64_t id, int customer, int n,
 		   bool stoppable, bool urgent, int64_t now_us)
 {
 	*j = (struct test_job){ 0 };
-	sc_job_init(&j->job, id, customer, n, stoppable, urgent, true);
-	sc_submit(&sc, &j->job, now_us);
+	scheduler_job_init(&j->job, id, customer, n, stoppable, urgent, true);
+	scheduler_submit(&sc, &j->job, now_us);
 }
 
 static struct test_job *fill(int customer, int count, int n, bool stoppable)
@@ -102,10 +104,10 @@
 
 	for (i = 0; i < count; i++)
 		submit(&jobs[i], 1000 + i, customer, n, stoppable, false, 0);
-	sc_pass(&sc, 0);
+	scheduler_pass(&sc, 0);
 	for (i = 0; i < count; i++)
 		if (jobs[i].started)
-			sc_running(&sc, &jobs[i].job, 1);
+			scheduler_running(&sc, &jobs[i].job, 1);
 	return jobs;
 }
 
@@ -114,7 +116,7 @@
 	int i;
 
 	for (i = 0; i < count; i++)
-		sc_job_finish(&sc, &jobs[i].job);
+		scheduler_job_finish(&sc, &jobs[i].job);
 }
 
 static int count_started(const struct test_job *jobs, int count)
@@ -141,13 +143,13 @@
 	for (now_us = at_us; !claim.started; now_us += SEC / 10) {
 		ck_assert_int_le(now_us - at_us,
 				 RECLAIM_BOUND_MS * USEC_PER_MSEC);
-		sc_pass(&sc, now_us);
+		scheduler_pass(&sc, now_us);
 		/* A stop takes a second until it is confirmed. */
 		for (i = 0; i < WORKERS; i++)
 			if (jobs[i].stops == 1 &&
 			    now_us >= jobs[i].job.deadline_us + SEC) {
 				jobs[i].stops = 2;
-				sc_left(&sc, &jobs[i].job, now_us);
+				scheduler_left(&sc, &jobs[i].job, now_us);
 			}
 	}
 	for (i = 0; i < WORKERS; i++)
@@ -167,7 +169,7 @@
 
 	ck_assert_int_eq(count_started(jobs, WORKERS), WORKERS - 8);
 	submit(&claim, 1, 0, 64, false, true, SEC);
-	sc_pass(&sc, SEC);
+	scheduler_pass(&sc, SEC);
 	ck_assert_int_eq(claim.started, 1);
 	ck_assert_int_eq(sc.displaced, 0);
 	drop(jobs, WORKERS);
@@ -187,9 +189,9 @@
 
 	clock_gettime(CLOCK_MONOTONIC, &a);
 	for (i = 0; i < count; i++)
-		sc_cancel(&sc, &jobs[i].job, SEC);
+		scheduler_cancel(&sc, &jobs[i].job, SEC);
 	submit(&claim, 1, 0, 64, false, true, SEC);
-	sc_pass(&sc, SEC);
+	scheduler_pass(&sc, SEC);
 	clock_gettime(CLOCK_MONOTONIC, &b);
 	ms = (b.tv_sec - a.tv_sec) * 1e3 + (b.tv_nsec - a.tv_nsec) / 1e6;
 	printf("sc: wave of %d and the pass took %.1f ms\n", count, ms);
@@ -199,11 +201,11 @@
 	ck_assert_int_eq(ended, count - WORKERS);
 	for (i = 0; i < count; i++)
 		if (jobs[i].stops)
-			sc_left(&sc, &jobs[i].job, SEC + 1);
-	sc_pass(&sc, SEC + 2);
+			scheduler_left(&sc, &jobs[i].job, SEC + 1);
+	scheduler_pass(&sc, SEC + 2);
 	ck_assert_int_eq(claim.started, 1);
 	for (i = 0; i < count; i++)
-		ck_assert_int_eq(jobs[i].end, SC_END_CANCELLED);
+		ck_assert_int_eq(jobs[i].end, SCHEDULER_END_CANCELLED);
 	drop(jobs, count);
 	drop(&claim, 1);
 	g_free(jobs);
@@ -217,20 +219,20 @@
 	struct test_job *b = g_new0(struct test_job, 200);
 	int none[CELL_UNITS] = { 0 }, i;
 
-	sc_set_customer(&sc, 0, 3, 0, none, 0);
+	scheduler_set_customer(&sc, 0, 3, 0, none, 0);
 	for (i = 0; i < 200; i++) {
 		submit(&a[i], 1 + i, 0, 8, true, false, 0);
 		submit(&b[i], 500 + i, 1, 8, true, false, 0);
 	}
-	sc_pass(&sc, 1);
+	scheduler_pass(&sc, 1);
 	ck_assert_int_ge(count_started(a, 200), WORKERS * 3 / 4 - 1);
 	ck_assert_int_le(count_started(a, 200), WORKERS * 3 / 4 + 1);
 	drop(a, 200);
 	drop(b, 200);
-	sc_set_customer(&sc, 1, 1, 20, none, 0);
+	scheduler_set_customer(&sc, 1, 1, 20, none, 0);
 	for (i = 0; i < 10; i++)
 		submit(&b[i], 500 + i, 1, 8, true, false, 2);
-	sc_pass(&sc, 3);
+	scheduler_pass(&sc, 3);
 	ck_assert_int_eq(count_started(b, 10), 2);
 	drop(b, 10);
 	g_free(a);
@@ -252,16 +254,16 @@
 			submit(&small[next], 10000 + next, 0, 8, false, false,
 			       now_us);
 		if (now_us == SEC)
-			sc_cancel(&sc, &small[0].job, now_us);
+			scheduler_cancel(&sc, &small[0].job, now_us);
 		for (i = first; i < next; i++) {
 			if (small[i].started == 1 && !small[i].ended &&
-			    small[i].job.state == SC_STARTING)
-				sc_running(&sc, &small[i].job, now_us);
-			if (small[i].job.state == SC_RUNNING &&
+			    small[i].job.state == SCHEDULER_STARTING)
+				scheduler_running(&sc, &small[i].job, now_us);
+			if (small[i].job.state == SCHEDULER_RUNNING &&
 			    now_us - small[i].job.started_us >= 30 * SEC)
-				sc_done(&sc, &small[i].job, now_us);
+				scheduler_done(&sc, &small[i].job, now_us);
 		}
-		sc_pass(&sc, now_us);
+		scheduler_pass(&sc, now_us);
 	}
 	ck_assert_int_eq(big.started, 1);
 	drop(small, next);
@@ -280,20 +282,20 @@
 	int64_t attained;
 
 	submit(&j, 1, 1, 8, true, false, 0);
-	sc_pass(&sc, 0);
-	sc_running(&sc, &j.job, SEC);
-	sc_cancel(&sc, &j.job, 11 * SEC);
+	scheduler_pass(&sc, 0);
+	scheduler_running(&sc, &j.job, SEC);
+	scheduler_cancel(&sc, &j.job, 11 * SEC);
 	ck_assert_int_eq(j.stops, 1);
-	sc_running(&sc, &j.job, 12 * SEC);
-	sc_saved(&sc, &j.job, 12 * SEC);
-	ck_assert_int_eq(j.job.state, SC_STOPPING);
-	sc_left(&sc, &j.job, 13 * SEC);
+	scheduler_running(&sc, &j.job, 12 * SEC);
+	scheduler_saved(&sc, &j.job, 12 * SEC);
+	ck_assert_int_eq(j.job.state, SCHEDULER_STOPPING);
+	scheduler_left(&sc, &j.job, 13 * SEC);
 	attained = j.job.attained_us;
 	ck_assert_int_eq(attained, 8 * 12 * SEC);
-	sc_left(&sc, &j.job, 23 * SEC);
-	sc_done(&sc, &j.job, 23 * SEC);
-	sc_failed(&sc, &j.job, 0, 23 * SEC);
-	sc_cancel(&sc, &j.job, 23 * SEC);
+	scheduler_left(&sc, &j.job, 23 * SEC);
+	scheduler_done(&sc, &j.job, 23 * SEC);
+	scheduler_failed(&sc, &j.job, 0, 23 * SEC);
+	scheduler_cancel(&sc, &j.job, 23 * SEC);
 	ck_assert_int_eq(j.ended, 1);
 	ck_assert_int_eq(j.job.attained_us, attained);
 	ck_assert_int_eq(sc.cell.free, WORKERS * 8);
@@ -306,11 +308,11 @@
 {
 	struct test_job hard = { 0 };
 
-	sc_job_init(&hard.job, 2, 1, 8, false, false, true);
+	scheduler_job_init(&hard.job, 2, 1, 8, false, false, true);
 	cell_gang_add(&hard.job.gang, 0, 8, CELL_UNITS);
-	sc_adopt(&sc, &hard.job, SEC);
+	scheduler_adopt(&sc, &hard.job, SEC);
 	ck_assert_int_eq(hard.job.gang.kind, CELL_HARD);
-	ck_assert_int_eq(hard.job.state, SC_RUNNING);
+	ck_assert_int_eq(hard.job.state, SCHEDULER_RUNNING);
 	drop(&hard, 1);
 }
 END_TEST
@@ -318,7 +320,7 @@
 int main(void)
 {
 	Suite *suite = suite_create("sc");
-	TCase *tc = tcase_create("sc");
+	TCase *tc = tcase_create("scheduler");
 	SRunner *runner = srunner_create(suite);
 	int failed;
 
