--- a/daemon/req.c
+++ b/daemon/req.c
@@ -118,7 +118,7 @@
 
 static void update_gauges(struct req_task *r)
 {
-	const struct sl_slots *slots;
+	const struct slot_credits_slots *slots;
 	const struct req_group *group;
 	uint64_t held = 0, waiting = 0, running = 0;
 	int64_t now_us = kn_now_us();
@@ -127,7 +127,8 @@
 		waiting += (uint64_t)group->rq.waiting;
 	list_for_each_entry(slots, &r->slots.holder.servers, node) {
 		running += (uint64_t)slots->running;
-		held += (uint64_t)(slots->floor + sl_held(slots, now_us));
+		held += (uint64_t)(slots->floor +
+				   slot_credits_held(slots, now_us));
 	}
 	ctr_gauge(&r->ctrs.waiting, waiting);
 	ctr_gauge(&r->ctrs.running, running);
--- a/daemon/req_run.c
+++ b/daemon/req_run.c
@@ -263,7 +263,7 @@
 				      on_done))
 		return false;
 	req_set_state(req, REQ_ST_RUNNING);
-	sl_start(&server->at->slots);
+	slot_credits_start(&server->at->slots);
 	routing_start(&server->rt);
 	return true;
 }
@@ -271,7 +271,7 @@
 /* Free slots of a server that this host may use now. */
 static int server_free(const struct req_server *server, int64_t now_us)
 {
-	int slots = sl_free(&server->at->slots, now_us);
+	int slots = slot_credits_free(&server->at->slots, now_us);
 	int allowed = membership_allowed(&server->mb) - server->rt.in_flight;
 
 	return slots < allowed ? slots : allowed;
@@ -380,7 +380,7 @@
 	enum back_outcome outcome = back->outcome;
 	int result = back->result;
 
-	sl_end(&server->at->slots);
+	slot_credits_end(&server->at->slots);
 	routing_end(&server->rt,
 		    outcome == BACK_ANSWERED ? back->latency_us : 0,
 		    kn_now_us());
--- a/daemon/req_servers.c
+++ b/daemon/req_servers.c
@@ -156,7 +156,7 @@
 	if (--server->at->refs == 0) {
 		r->back->ops->remove_server(r->back, server->mb.addr,
 					    server->mb.port);
-		sl_slots_finish(&server->at->slots);
+		slot_credits_slots_finish(&server->at->slots);
 		g_free(server->at);
 	}
 	g_free(server);
@@ -166,8 +166,8 @@
 					 int port)
 {
 	struct req_endpoint *at;
-	struct sl_slots *slots;
-	char name[SL_SERVER_BYTES];
+	struct slot_credits_slots *slots;
+	char name[SLOT_CREDITS_SERVER_BYTES];
 
 	snprintf(name, sizeof(name), "%s:%d", addr, port);
 	list_for_each_entry(slots, &r->slots.holder.servers, node) {
@@ -179,8 +179,8 @@
 	}
 	at = g_new0(struct req_endpoint, 1);
 	at->refs = 1;
-	sl_slots_init(&at->slots, &r->slots.holder, name,
-		      slots_floor(&r->slots, name));
+	slot_credits_slots_init(&at->slots, &r->slots.holder, name,
+				slots_floor(&r->slots, name));
 	r->back->ops->add_server(r->back, addr, port,
 				 slots_connections(&r->slots));
 	return at;
@@ -319,7 +319,7 @@
 {
 	struct membership_server *mb, *tmp;
 	struct req_server *server;
-	struct sl_slots *slots;
+	struct slot_credits_slots *slots;
 	int want;
 
 	list_for_each_entry(slots, &r->slots.holder.servers, node)
@@ -468,7 +468,7 @@
 				  mb->listed, "in_progress",
 				  server->rt.in_flight, "floor",
 				  server->at->slots.floor, "credits",
-				  sl_held(&server->at->slots, now_us),
+				  slot_credits_held(&server->at->slots, now_us),
 				  "latency_us",
 				  (json_int_t)server->rt.latency_us));
 	}
--- a/daemon/slots.c
+++ b/daemon/slots.c
@@ -22,30 +22,31 @@
 	for (i = 0; i < set->peer_count; i++)
 		if (strcmp(set->peers[i].dc, set->dc) == 0)
 			slots->hosts[slots->host_count++] = set->peers[i].host;
-	sl_holder_init(&slots->holder, incarnation);
-	sl_grantor_init(&slots->grantor, slots->hosts, slots->host_count);
+	slot_credits_holder_init(&slots->holder, incarnation);
+	slot_credits_grantor_init(&slots->grantor, slots->hosts,
+				  slots->host_count);
 }
 
 void slots_finish(struct slots *slots)
 {
-	sl_grantor_finish(&slots->grantor);
+	slot_credits_grantor_finish(&slots->grantor);
 	g_free(slots->hosts);
 }
 
 int slots_floor(const struct slots *slots, const char *server)
 {
-	return sl_floor(slots->hosts, slots->host_count, slots->set->host,
-			server);
+	return slot_credits_floor(slots->hosts, slots->host_count,
+				  slots->set->host, server);
 }
 
 int slots_pool(const struct slots *slots)
 {
-	return sl_pool(slots->host_count);
+	return slot_credits_pool(slots->host_count);
 }
 
 unsigned int slots_connections(const struct slots *slots)
 {
-	return (unsigned int)sl_connections(slots->host_count);
+	return (unsigned int)slot_credits_connections(slots->host_count);
 }
 
 /* Leadership. */
@@ -56,7 +57,7 @@
 	if (lead->epoch < slots->epoch)
 		return;
 	if (lead->leading && lead->epoch != slots->grantor.epoch) {
-		sl_lead(&slots->grantor, lead->epoch, kn_now_us());
+		slot_credits_lead(&slots->grantor, lead->epoch, kn_now_us());
 		slots->granting = true;
 		ev_emit("slots.leading", "epoch=%" PRIu64, lead->epoch);
 	}
@@ -82,10 +83,10 @@
  * wanted or granted, ...]]. The term is 0 in a report.
  */
 static void send_lines(struct slots *slots, const char *host, int type,
-		       const struct sl_ask *ask, int64_t term_ms,
+		       const struct slot_credits_ask *ask, int64_t term_ms,
 		       const GArray *lines)
 {
-	const struct sl_line *line;
+	const struct slot_credits_line *line;
 	struct mp_out out;
 	guint i;
 
@@ -96,7 +97,7 @@
 	mp_int(&out, term_ms);
 	mp_array(&out, lines->len * 3UL);
 	for (i = 0; i < lines->len; i++) {
-		line = &g_array_index(lines, struct sl_line, i);
+		line = &g_array_index(lines, struct slot_credits_line, i);
 		mp_str(&out, line->server);
 		mp_int(&out, line->held);
 		mp_int(&out, line->want);
@@ -105,10 +106,10 @@
 	mp_end(&out);
 }
 
-static bool read_lines(const struct pr_in *in, struct sl_ask *ask,
+static bool read_lines(const struct pr_in *in, struct slot_credits_ask *ask,
 		       int64_t *term_ms, GArray *lines)
 {
-	struct sl_line line;
+	struct slot_credits_line line;
 	struct mp_in body, inner;
 	int64_t held, want;
 
@@ -138,15 +139,15 @@
 
 static GArray *lines_new(void)
 {
-	return g_array_new(FALSE, TRUE, sizeof(struct sl_line));
+	return g_array_new(FALSE, TRUE, sizeof(struct slot_credits_line));
 }
 
 static void ask(struct slots *slots, int64_t now_us)
 {
 	GArray *lines = lines_new(), *grants = lines_new();
-	const struct sl_ask *newest = &slots->holder.ask;
+	const struct slot_credits_ask *newest = &slots->holder.ask;
 
-	if (!sl_ask(&slots->holder, slots->epoch, lines, now_us))
+	if (!slot_credits_ask(&slots->holder, slots->epoch, lines, now_us))
 		goto out;
 	slots->asked_us = now_us;
 	slots->held = lines->len > 0;
@@ -155,12 +156,15 @@
 			send_lines(slots, slots->leader, PR_SLOT_REPORT, newest,
 				   0, lines);
 	} else if (may_grant(slots, now_us) &&
-		   sl_report(&slots->grantor, slots->set->host, newest,
-			     (const struct sl_line *)(void *)lines->data,
-			     lines->len, grants, now_us)) {
-		sl_granted(&slots->holder, newest, SLOT_TERM_MS * USEC_PER_MSEC,
-			   (const struct sl_line *)(void *)grants->data,
-			   grants->len, now_us);
+		   slot_credits_report(
+			   &slots->grantor, slots->set->host, newest,
+			   (const struct slot_credits_line *)(void *)
+				   lines->data,
+			   lines->len, grants, now_us)) {
+		slot_credits_granted(
+			&slots->holder, newest, SLOT_TERM_MS * USEC_PER_MSEC,
+			(const struct slot_credits_line *)(void *)grants->data,
+			grants->len, now_us);
 	}
 out:
 	g_array_free(lines, TRUE);
@@ -174,14 +178,14 @@
 void slots_tick(struct slots *slots, bool pressed, int64_t now_us)
 {
 	int64_t passed = now_us - slots->asked_us;
-	const struct sl_slots *server;
+	const struct slot_credits_slots *server;
 	bool wanted = slots->held;
 
 	if (slots->leader[0] == '\0' || slots->host_count < 2)
 		return;
 	list_for_each_entry(server, &slots->holder.servers, node)
 		wanted = wanted || server->want > 0 ||
-			 sl_held(server, now_us) > 0;
+			 slot_credits_held(server, now_us) > 0;
 	if ((wanted && passed >= SLOT_REPORT_MS * USEC_PER_MSEC) ||
 	    (pressed && slots->holder.answered &&
 	     passed >= SLOT_PRESS_MS * USEC_PER_MSEC))
@@ -193,12 +197,13 @@
 {
 	GArray *lines = lines_new(), *grants = lines_new();
 	int64_t now_us = kn_now_us(), term_ms;
-	struct sl_ask ask;
+	struct slot_credits_ask ask;
 
 	if (read_lines(in, &ask, &term_ms, lines) && may_grant(slots, now_us) &&
-	    sl_report(&slots->grantor, in->host, &ask,
-		      (const struct sl_line *)(void *)lines->data, lines->len,
-		      grants, now_us))
+	    slot_credits_report(
+		    &slots->grantor, in->host, &ask,
+		    (const struct slot_credits_line *)(void *)lines->data,
+		    lines->len, grants, now_us))
 		send_lines(slots, in->host, PR_SLOT_GRANT, &ask, SLOT_TERM_MS,
 			   grants);
 	g_array_free(lines, TRUE);
@@ -208,14 +213,15 @@
 bool slots_grant_in(struct slots *slots, const struct pr_in *in)
 {
 	GArray *lines = lines_new();
-	struct sl_ask ask;
+	struct slot_credits_ask ask;
 	int64_t term_ms;
 	bool taken;
 
 	taken = read_lines(in, &ask, &term_ms, lines) &&
-		sl_granted(&slots->holder, &ask, term_ms * USEC_PER_MSEC,
-			   (const struct sl_line *)(void *)lines->data,
-			   lines->len, kn_now_us());
+		slot_credits_granted(
+			&slots->holder, &ask, term_ms * USEC_PER_MSEC,
+			(const struct slot_credits_line *)(void *)lines->data,
+			lines->len, kn_now_us());
 	g_array_free(lines, TRUE);
 	return taken;
 }
--- a/daemon/slots.h
+++ b/daemon/slots.h
@@ -3,13 +3,13 @@
 
 #include "base/set.h"
 #include "daemon/svc.h"
-#include "policy/sl.h"
+#include "policy/slot_credits.h"
 #include "wire/pr.h"
 
 /* Slots of this host, and the credits it grants while it leads. */
 struct slots {
-	struct sl_holder holder;
-	struct sl_grantor grantor;
+	struct slot_credits_holder holder;
+	struct slot_credits_grantor grantor;
 	const struct set *set;
 	struct kn_task *peers; /* or NULL */
 	const char **hosts; /* all of the data centre */
@@ -17,7 +17,7 @@
 	char leader[NAME_MAX_BYTES];
 	uint64_t epoch; /* of the leader */
 	bool leading;
-	bool granting; /* leading, and sl_lead() was called for the epoch */
+	bool granting; /* leading, and slot_credits_lead() was called for the epoch */
 	int64_t valid_until_us;
 	int64_t asked_us;
 	bool held; /* the last report held or wanted credits */
--- a/policy/sl.c
+++ b/policy/slot_credits.c
@@ -1,4 +1,4 @@
-#include "policy/sl.h"
+#include "policy/slot_credits.h"
 
 #include <stdio.h>
 #include <string.h>
@@ -14,8 +14,8 @@
 }
 
 /* Slots of the server that belong to the host for good. */
-int sl_floor(const char *const *hosts, size_t n, const char *host,
-	     const char *server)
+int slot_credits_floor(const char *const *hosts, size_t n, const char *host,
+		       const char *server)
 {
 	uint64_t own = weight_of(host, server), other;
 	int before = 0;
@@ -35,7 +35,7 @@
 }
 
 /* Slots of each server that are granted as credits. */
-int sl_pool(size_t hosts)
+int slot_credits_pool(size_t hosts)
 {
 	if (hosts <= 1)
 		return 0;
@@ -44,7 +44,7 @@
 }
 
 /* Connections that one host may have open to a server. */
-int sl_connections(size_t hosts)
+int slot_credits_connections(size_t hosts)
 {
 	int share = BACKEND_CONNECTIONS / (hosts > 0 ? (int)hosts : 1);
 
@@ -53,7 +53,8 @@
 
 /* Holder. */
 
-void sl_holder_init(struct sl_holder *holder, uint64_t incarnation)
+void slot_credits_holder_init(struct slot_credits_holder *holder,
+			      uint64_t incarnation)
 {
 	memset(holder, 0, sizeof(*holder));
 	list_init(&holder->servers);
@@ -61,9 +62,10 @@
 	holder->answered = true;
 }
 
-/* Adds a server; floor comes from sl_floor(). */
-void sl_slots_init(struct sl_slots *slots, struct sl_holder *holder,
-		   const char *server, int floor)
+/* Adds a server; floor comes from slot_credits_floor(). */
+void slot_credits_slots_init(struct slot_credits_slots *slots,
+			     struct slot_credits_holder *holder,
+			     const char *server, int floor)
 {
 	memset(slots, 0, sizeof(*slots));
 	snprintf(slots->server, sizeof(slots->server), "%s", server);
@@ -72,37 +74,38 @@
 }
 
 /* Removes a server; nothing may be running on it. */
-void sl_slots_finish(struct sl_slots *slots)
+void slot_credits_slots_finish(struct slot_credits_slots *slots)
 {
 	list_del(&slots->node);
 }
 
-static int usable_credits(const struct sl_slots *slots, int64_t now_us)
+static int usable_credits(const struct slot_credits_slots *slots,
+			  int64_t now_us)
 {
 	return now_us < slots->credits_until_us ? slots->credits : 0;
 }
 
 /* Requests that may be started on the server now. */
-int sl_free(const struct sl_slots *slots, int64_t now_us)
+int slot_credits_free(const struct slot_credits_slots *slots, int64_t now_us)
 {
 	int n = slots->floor + usable_credits(slots, now_us) - slots->running;
 
 	return n > 0 ? n : 0;
 }
 
-/* Counts a request; sl_free() must have been above 0 at this time. */
-void sl_start(struct sl_slots *slots)
+/* Counts a request; slot_credits_free() must have been above 0 at this time. */
+void slot_credits_start(struct slot_credits_slots *slots)
 {
 	slots->running++;
 }
 
-void sl_end(struct sl_slots *slots)
+void slot_credits_end(struct slot_credits_slots *slots)
 {
 	slots->running--;
 }
 
 /* Credits that are in use or may still be used without asking again. */
-int sl_held(const struct sl_slots *slots, int64_t now_us)
+int slot_credits_held(const struct slot_credits_slots *slots, int64_t now_us)
 {
 	int used = slots->running - slots->floor;
 	int usable = usable_credits(slots, now_us);
@@ -112,16 +115,16 @@
 
 /*
  * Begins a new report to the leader of an epoch and fills lines (of struct
- * sl_line) with the servers on which this host holds or wants credits.
+ * slot_credits_line) with the servers on which this host holds or wants credits.
  * Credits beyond what is wanted are given up here. The report makes every
  * earlier unanswered one void, so what it states is an upper bound until
  * the leader answers it. Returns false for an epoch that is behind.
  */
-bool sl_ask(struct sl_holder *holder, uint64_t epoch, GArray *lines,
-	    int64_t now_us)
+bool slot_credits_ask(struct slot_credits_holder *holder, uint64_t epoch,
+		      GArray *lines, int64_t now_us)
 {
-	struct sl_slots *slots;
-	struct sl_line line;
+	struct slot_credits_slots *slots;
+	struct slot_credits_line line;
 
 	if (epoch < holder->ask.epoch)
 		return false;
@@ -134,7 +137,7 @@
 			slots->credits = slots->want;
 		memset(&line, 0, sizeof(line));
 		snprintf(line.server, sizeof(line.server), "%s", slots->server);
-		line.held = sl_held(slots, now_us);
+		line.held = slot_credits_held(slots, now_us);
 		line.want = slots->want;
 		if (line.held > 0 || line.want > 0)
 			g_array_append_val(lines, line);
@@ -142,8 +145,8 @@
 	return true;
 }
 
-static const struct sl_line *find_line(const struct sl_line *lines, size_t n,
-				       const char *server)
+static const struct slot_credits_line *
+find_line(const struct slot_credits_line *lines, size_t n, const char *server)
 {
 	size_t i;
 
@@ -157,12 +160,13 @@
  * Takes the answer to the newest report; any other is refused. The term
  * counts from the moment of asking, so that it ends here first.
  */
-bool sl_granted(struct sl_holder *holder, const struct sl_ask *ask,
-		int64_t term_us, const struct sl_line *lines, size_t n,
-		int64_t now_us)
+bool slot_credits_granted(struct slot_credits_holder *holder,
+			  const struct slot_credits_ask *ask, int64_t term_us,
+			  const struct slot_credits_line *lines, size_t n,
+			  int64_t now_us)
 {
-	const struct sl_line *line;
-	struct sl_slots *slots;
+	const struct slot_credits_line *line;
+	struct slot_credits_slots *slots;
 
 	if (ask->epoch != holder->ask.epoch || ask->seq != holder->ask.seq ||
 	    ask->incarnation != holder->ask.incarnation || holder->answered)
@@ -182,7 +186,7 @@
 
 /* Grantor. */
 
-struct sl_ghost {
+struct slot_credits_ghost {
 	char name[NAME_MAX_BYTES];
 	uint64_t incarnation;
 	uint64_t seq;
@@ -191,29 +195,29 @@
 };
 
 /* What each host may hold of one server, and what it asked for last. */
-struct sl_gserver {
+struct slot_credits_gserver {
 	int *out;
 	int *want;
 };
 
 static void gserver_free(gpointer data)
 {
-	struct sl_gserver *server = data;
+	struct slot_credits_gserver *server = data;
 
 	g_free(server->out);
 	g_free(server->want);
 	g_free(server);
 }
 
-void sl_grantor_init(struct sl_grantor *grantor, const char *const *hosts,
-		     size_t n)
+void slot_credits_grantor_init(struct slot_credits_grantor *grantor,
+			       const char *const *hosts, size_t n)
 {
 	size_t i;
 
 	memset(grantor, 0, sizeof(*grantor));
 	grantor->host_count = n;
-	grantor->pool = sl_pool(n);
-	grantor->hosts = g_new0(struct sl_ghost, n);
+	grantor->pool = slot_credits_pool(n);
+	grantor->hosts = g_new0(struct slot_credits_ghost, n);
 	for (i = 0; i < n; i++)
 		snprintf(grantor->hosts[i].name, NAME_MAX_BYTES, "%s",
 			 hosts[i]);
@@ -221,7 +225,7 @@
 						 g_free, gserver_free);
 }
 
-void sl_grantor_finish(struct sl_grantor *grantor)
+void slot_credits_grantor_finish(struct slot_credits_grantor *grantor)
 {
 	g_hash_table_destroy(grantor->servers);
 	g_free(grantor->hosts);
@@ -231,7 +235,8 @@
  * Begins an epoch. Nothing is known of what the earlier leader granted
  * until each host has reported, or until all of it must have ended.
  */
-void sl_lead(struct sl_grantor *grantor, uint64_t epoch, int64_t now_us)
+void slot_credits_lead(struct slot_credits_grantor *grantor, uint64_t epoch,
+		       int64_t now_us)
 {
 	size_t i;
 
@@ -249,14 +254,15 @@
  * True when nothing granted to the host is in use any more: the term has
  * ended for its last report, and so has the longest deadline after it.
  */
-static bool lapsed(const struct sl_ghost *host, int64_t now_us)
+static bool lapsed(const struct slot_credits_ghost *host, int64_t now_us)
 {
 	return now_us - host->contact_us >=
 	       (SLOT_TERM_MS + REQ_DEADLINE_MAX_MS) * USEC_PER_MSEC;
 }
 
 /* True while credits are held back for a host that was not heard. */
-bool sl_holding_back(const struct sl_grantor *grantor, int64_t now_us)
+bool slot_credits_holding_back(const struct slot_credits_grantor *grantor,
+			       int64_t now_us)
 {
 	size_t i;
 
@@ -267,14 +273,15 @@
 	return false;
 }
 
-static struct sl_gserver *gserver_get(struct sl_grantor *grantor,
-				      const char *name)
+static struct slot_credits_gserver *
+gserver_get(struct slot_credits_grantor *grantor, const char *name)
 {
-	struct sl_gserver *server = g_hash_table_lookup(grantor->servers, name);
+	struct slot_credits_gserver *server =
+		g_hash_table_lookup(grantor->servers, name);
 
 	if (server)
 		return server;
-	server = g_new0(struct sl_gserver, 1);
+	server = g_new0(struct slot_credits_gserver, 1);
 	server->out = g_new0(int, grantor->host_count);
 	server->want = g_new0(int, grantor->host_count);
 	g_hash_table_insert(grantor->servers, g_strdup(name), server);
@@ -282,8 +289,8 @@
 }
 
 /* Credits that no other host may hold. */
-static int available(const struct sl_grantor *grantor,
-		     const struct sl_gserver *server, size_t self,
+static int available(const struct slot_credits_grantor *grantor,
+		     const struct slot_credits_gserver *server, size_t self,
 		     int64_t now_us)
 {
 	int left = grantor->pool;
@@ -299,7 +306,7 @@
 	return left > 0 ? left : 0;
 }
 
-static bool active(const struct sl_ghost *host, int64_t now_us)
+static bool active(const struct slot_credits_ghost *host, int64_t now_us)
 {
 	return host->heard &&
 	       now_us - host->contact_us < SLOT_TERM_MS * USEC_PER_MSEC;
@@ -310,9 +317,9 @@
  * credits are dealt one at a time, in an order that differs by server so
  * that the odd credits are spread.
  */
-static int fair_part(const struct sl_grantor *grantor,
-		     const struct sl_gserver *server, const char *name,
-		     size_t self, int64_t now_us)
+static int fair_part(const struct slot_credits_grantor *grantor,
+		     const struct slot_credits_gserver *server,
+		     const char *name, size_t self, int64_t now_us)
 {
 	size_t i, k, n = grantor->host_count;
 	size_t first = XXH3_64bits(name, strlen(name)) % n;
@@ -331,8 +338,8 @@
 	return part;
 }
 
-static struct sl_ghost *find_host(struct sl_grantor *grantor, const char *name,
-				  size_t *index)
+static struct slot_credits_ghost *
+find_host(struct slot_credits_grantor *grantor, const char *name, size_t *index)
 {
 	for (*index = 0; *index < grantor->host_count; (*index)++)
 		if (strcmp(grantor->hosts[*index].name, name) == 0)
@@ -340,8 +347,8 @@
 	return NULL;
 }
 
-static bool unused(const struct sl_grantor *grantor,
-		   const struct sl_gserver *server)
+static bool unused(const struct slot_credits_grantor *grantor,
+		   const struct slot_credits_gserver *server)
 {
 	size_t i;
 
@@ -352,10 +359,10 @@
 }
 
 /* Replaces what is known of a host by its report. */
-static void take_report(struct sl_grantor *grantor, size_t index,
-			const struct sl_line *lines, size_t n)
+static void take_report(struct slot_credits_grantor *grantor, size_t index,
+			const struct slot_credits_line *lines, size_t n)
 {
-	struct sl_gserver *server;
+	struct slot_credits_gserver *server;
 	GHashTableIter iter;
 	gpointer value;
 	size_t i;
@@ -376,18 +383,19 @@
 }
 
 /*
- * Takes a host's report and fills grants (of struct sl_line) with the
+ * Takes a host's report and fills grants (of struct slot_credits_line) with the
  * answer. Must be called only while this host leads. Returns false, and
  * nothing must be sent, for a report that is meant for another epoch or
  * that was overtaken by a newer one.
  */
-bool sl_report(struct sl_grantor *grantor, const char *host,
-	       const struct sl_ask *ask, const struct sl_line *lines, size_t n,
-	       GArray *grants, int64_t now_us)
+bool slot_credits_report(struct slot_credits_grantor *grantor, const char *host,
+			 const struct slot_credits_ask *ask,
+			 const struct slot_credits_line *lines, size_t n,
+			 GArray *grants, int64_t now_us)
 {
-	struct sl_gserver *server;
-	struct sl_ghost *from;
-	struct sl_line grant;
+	struct slot_credits_gserver *server;
+	struct slot_credits_ghost *from;
+	struct slot_credits_line grant;
 	size_t index, i;
 	int left;
 
--- /dev/null
+++ b/policy/slot_credits.h
@@ -0,0 +1,96 @@
+#ifndef POLICY_SLOT_CREDITS_H
+#define POLICY_SLOT_CREDITS_H
+
+#include <stdbool.h>
+#include <stddef.h>
+#include <stdint.h>
+
+#include <glib.h>
+
+#include "base/limits.h"
+#include "base/list.h"
+
+#define SLOT_CREDITS_SERVER_BYTES (ADDR_MAX_BYTES + 8) /* addr:port */
+
+/* One server in a report or a grant. A server not named counts as 0. */
+struct slot_credits_line {
+	char server[SLOT_CREDITS_SERVER_BYTES];
+	int held; /* report: credits in use or still usable */
+	int want; /* report: credits asked for; grant: credits granted */
+};
+
+/* Identifies one report; the grant that answers it repeats it. */
+struct slot_credits_ask {
+	uint64_t epoch; /* of the leader that the report is meant for */
+	uint64_t incarnation; /* of the holder; grows with each start */
+	uint64_t seq;
+};
+
+/* Floors. */
+
+/* hosts: all entry hosts configured for the data centre. */
+int slot_credits_floor(const char *const *hosts, size_t n, const char *host,
+		       const char *server);
+int slot_credits_pool(size_t hosts);
+int slot_credits_connections(size_t hosts);
+
+/* Holder: every entry host. */
+
+/* Slots of one server on this host; embedded in the caller's record. */
+struct slot_credits_slots {
+	struct list_head node;
+	char server[SLOT_CREDITS_SERVER_BYTES];
+	int floor;
+	int running;
+	int want; /* credits, set by the caller before slot_credits_ask() */
+	int credits;
+	int64_t credits_until_us;
+};
+
+struct slot_credits_holder {
+	struct list_head servers;
+	struct slot_credits_ask ask; /* the newest */
+	int64_t asked_us;
+	bool answered;
+};
+
+void slot_credits_holder_init(struct slot_credits_holder *holder,
+			      uint64_t incarnation);
+void slot_credits_slots_init(struct slot_credits_slots *slots,
+			     struct slot_credits_holder *holder,
+			     const char *server, int floor);
+void slot_credits_slots_finish(struct slot_credits_slots *slots);
+int slot_credits_free(const struct slot_credits_slots *slots, int64_t now_us);
+void slot_credits_start(struct slot_credits_slots *slots);
+void slot_credits_end(struct slot_credits_slots *slots);
+int slot_credits_held(const struct slot_credits_slots *slots, int64_t now_us);
+bool slot_credits_ask(struct slot_credits_holder *holder, uint64_t epoch,
+		      GArray *lines, int64_t now_us);
+bool slot_credits_granted(struct slot_credits_holder *holder,
+			  const struct slot_credits_ask *ask, int64_t term_us,
+			  const struct slot_credits_line *lines, size_t n,
+			  int64_t now_us);
+
+/* Grantor: the leader. */
+
+struct slot_credits_grantor {
+	uint64_t epoch;
+	int pool;
+	size_t host_count;
+	struct slot_credits_ghost *hosts;
+	GHashTable *servers; /* server -> struct slot_credits_gserver */
+};
+
+void slot_credits_grantor_init(struct slot_credits_grantor *grantor,
+			       const char *const *hosts, size_t n);
+void slot_credits_grantor_finish(struct slot_credits_grantor *grantor);
+void slot_credits_lead(struct slot_credits_grantor *grantor, uint64_t epoch,
+		       int64_t now_us);
+bool slot_credits_report(struct slot_credits_grantor *grantor, const char *host,
+			 const struct slot_credits_ask *ask,
+			 const struct slot_credits_line *lines, size_t n,
+			 GArray *grants, int64_t now_us);
+bool slot_credits_holding_back(const struct slot_credits_grantor *grantor,
+			       int64_t now_us);
+
+#endif
--- a/tests/unit/test_sl.c
+++ b/tests/unit/test_slot_credits.c
@@ -4,7 +4,7 @@
 #include <stdlib.h>
 #include <string.h>
 
-#include "policy/sl.h"
+#include "policy/slot_credits.h"
 #include "tests/unit/run.h"
 
 /* Simulation of one data centre. */
@@ -25,9 +25,9 @@
 };
 
 struct host {
-	struct sl_holder holder;
-	struct sl_slots slots[SERVERS];
-	struct sl_grantor grantor;
+	struct slot_credits_holder holder;
+	struct slot_credits_slots slots[SERVERS];
+	struct slot_credits_grantor grantor;
 	int64_t offset_us; /* of its monotonic clock */
 	int64_t frozen_until_us;
 	int64_t cut_until_us; /* from all others */
@@ -43,8 +43,8 @@
 	int from;
 	int to;
 	int64_t at_us;
-	struct sl_ask ask;
-	struct sl_line lines[SERVERS];
+	struct slot_credits_ask ask;
+	struct slot_credits_line lines[SERVERS];
 	size_t n;
 };
 
@@ -100,14 +100,15 @@
 		if (sim->runs[k].used && sim->runs[k].host == i)
 			sim->runs[k].used = false;
 	host->offset_us = upto(sim, 1000 * USEC_PER_SEC);
-	sl_holder_init(&host->holder, ++sim->incarnations);
+	slot_credits_holder_init(&host->holder, ++sim->incarnations);
 	for (k = 0; k < SERVERS; k++)
-		sl_slots_init(&host->slots[k], &host->holder, server_names[k],
-			      sl_floor(sim->names, sim->n, sim->names[i],
-				       server_names[k]));
+		slot_credits_slots_init(
+			&host->slots[k], &host->holder, server_names[k],
+			slot_credits_floor(sim->names, sim->n, sim->names[i],
+					   server_names[k]));
 	if (host->grantor.hosts)
-		sl_grantor_finish(&host->grantor);
-	sl_grantor_init(&host->grantor, sim->names, sim->n);
+		slot_credits_grantor_finish(&host->grantor);
+	slot_credits_grantor_init(&host->grantor, sim->names, sim->n);
 	host->leader = -1;
 	host->epoch = 0;
 	host->learn_at_us = sim->now_us + upto(sim, USEC_PER_SEC);
@@ -145,11 +146,13 @@
 
 static void ask(struct sim *sim, int i)
 {
-	GArray *lines = g_array_new(FALSE, FALSE, sizeof(struct sl_line));
+	GArray *lines =
+		g_array_new(FALSE, FALSE, sizeof(struct slot_credits_line));
 	struct host *host = &sim->hosts[i];
 	struct packet packet = { .from = i, .to = host->leader };
 
-	if (sl_ask(&host->holder, host->epoch, lines, clock_of(sim, i))) {
+	if (slot_credits_ask(&host->holder, host->epoch, lines,
+			     clock_of(sim, i))) {
 		packet.ask = host->holder.ask;
 		fill(&packet, lines);
 		send_packet(sim, &packet);
@@ -159,17 +162,19 @@
 
 static void deliver(struct sim *sim, const struct packet *in)
 {
-	GArray *grants = g_array_new(FALSE, FALSE, sizeof(struct sl_line));
+	GArray *grants =
+		g_array_new(FALSE, FALSE, sizeof(struct slot_credits_line));
 	struct host *host = &sim->hosts[in->to];
 	struct packet out = { .grant = true, .from = in->to, .to = in->from };
 
 	if (in->grant) {
-		sl_granted(&host->holder, &in->ask,
-			   SLOT_TERM_MS * USEC_PER_MSEC, in->lines, in->n,
-			   clock_of(sim, in->to));
+		slot_credits_granted(&host->holder, &in->ask,
+				     SLOT_TERM_MS * USEC_PER_MSEC, in->lines,
+				     in->n, clock_of(sim, in->to));
 	} else if (sim->leader == in->to && sim->now_us < sim->lease_until_us &&
-		   sl_report(&host->grantor, sim->names[in->from], &in->ask,
-			     in->lines, in->n, grants, clock_of(sim, in->to))) {
+		   slot_credits_report(&host->grantor, sim->names[in->from],
+				       &in->ask, in->lines, in->n, grants,
+				       clock_of(sim, in->to))) {
 		out.ask = in->ask;
 		fill(&out, grants);
 		send_packet(sim, &out);
@@ -189,8 +194,8 @@
 		sim->leader = candidate;
 		sim->epoch++;
 		sim->lease_until_us = sim->now_us + 6 * USEC_PER_SEC;
-		sl_lead(&sim->hosts[candidate].grantor, sim->epoch,
-			clock_of(sim, candidate));
+		slot_credits_lead(&sim->hosts[candidate].grantor, sim->epoch,
+				  clock_of(sim, candidate));
 		for (i = 0; i < sim->n; i++)
 			sim->hosts[i].learn_at_us =
 				sim->now_us + upto(sim, 3 * USEC_PER_SEC);
@@ -210,7 +215,8 @@
 	int s, k;
 
 	for (s = 0; s < SERVERS; s++)
-		while (sl_free(&host->slots[s], now) > 0 && !chance(sim, 4)) {
+		while (slot_credits_free(&host->slots[s], now) > 0 &&
+		       !chance(sim, 4)) {
 			for (k = 0; sim->runs[k].used; k++)
 				ck_assert_int_lt(k, RUNS_MAX - 1);
 			sim->runs[k] = (struct run){
@@ -222,7 +228,7 @@
 							    60 * USEC_PER_SEC :
 							    USEC_PER_SEC)
 			};
-			sl_start(&host->slots[s]);
+			slot_credits_start(&host->slots[s]);
 			sim->started++;
 		}
 }
@@ -241,7 +247,8 @@
 		if (!run->ended) {
 			counts[run->server]++;
 		} else if (!frozen(sim, run->host)) {
-			sl_end(&sim->hosts[run->host].slots[run->server]);
+			slot_credits_end(
+				&sim->hosts[run->host].slots[run->server]);
 			run->used = false;
 		}
 	}
@@ -322,7 +329,7 @@
 	int i;
 
 	for (i = 0; i < sim->n; i++)
-		sl_grantor_finish(&sim->hosts[i].grantor);
+		slot_credits_grantor_finish(&sim->hosts[i].grantor);
 	g_rand_free(sim->rand);
 }
 
@@ -342,7 +349,7 @@
 	ck_assert_msg(!sim.over, "seed %d: %d in progress at %" PRId64 " us",
 		      1000 + _i, sim.most, sim.now_us);
 	/* Credits were in use: floors alone would not reach this. */
-	ck_assert_int_gt(sim.most, BACKEND_SLOTS - sl_pool(sim.n));
+	ck_assert_int_gt(sim.most, BACKEND_SLOTS - slot_credits_pool(sim.n));
 	sim_finish(&sim);
 }
 END_TEST
@@ -364,8 +371,8 @@
 		samples += SERVERS;
 		for (i = 0; i < 3; i++)
 			for (s = 0; s < SERVERS; s++)
-				sum += sl_held(&sim.hosts[i].slots[s],
-					       clock_of(&sim, i)) +
+				sum += slot_credits_held(&sim.hosts[i].slots[s],
+							 clock_of(&sim, i)) +
 				       1;
 	}
 	/* One message in ten is lost, so some credits lapse on the way. */
@@ -381,40 +388,45 @@
 START_TEST(holder_stops_first)
 {
 	const char *names[] = { "a", "b" };
-	GArray *lines = g_array_new(FALSE, FALSE, sizeof(struct sl_line));
+	GArray *lines =
+		g_array_new(FALSE, FALSE, sizeof(struct slot_credits_line));
 	const int64_t term = SLOT_TERM_MS * USEC_PER_MSEC;
-	struct sl_line grant = { .server = "s", .want = 3 };
-	struct sl_grantor grantor;
-	struct sl_holder holder;
-	struct sl_slots slots;
-	struct sl_ask old;
-
-	sl_holder_init(&holder, 7);
-	sl_slots_init(&slots, &holder, "s", 1);
+	struct slot_credits_line grant = { .server = "s", .want = 3 };
+	struct slot_credits_grantor grantor;
+	struct slot_credits_holder holder;
+	struct slot_credits_slots slots;
+	struct slot_credits_ask old;
+
+	slot_credits_holder_init(&holder, 7);
+	slot_credits_slots_init(&slots, &holder, "s", 1);
 	slots.want = 3;
-	ck_assert(sl_ask(&holder, 1, lines, 0));
-	ck_assert(sl_granted(&holder, &holder.ask, term, &grant, 1, term - 10));
-	ck_assert_int_eq(sl_free(&slots, term - 1), 4);
-	ck_assert_int_eq(sl_free(&slots, term), 1);
-	ck_assert(sl_ask(&holder, 1, lines, term));
-	ck_assert(!sl_granted(&holder, &holder.ask, term, &grant, 1, 2 * term));
-	ck_assert_int_eq(sl_free(&slots, 2 * term), 1);
+	ck_assert(slot_credits_ask(&holder, 1, lines, 0));
+	ck_assert(slot_credits_granted(&holder, &holder.ask, term, &grant, 1,
+				       term - 10));
+	ck_assert_int_eq(slot_credits_free(&slots, term - 1), 4);
+	ck_assert_int_eq(slot_credits_free(&slots, term), 1);
+	ck_assert(slot_credits_ask(&holder, 1, lines, term));
+	ck_assert(!slot_credits_granted(&holder, &holder.ask, term, &grant, 1,
+					2 * term));
+	ck_assert_int_eq(slot_credits_free(&slots, 2 * term), 1);
 	/* A leader of an older epoch is not asked any more. */
-	ck_assert(sl_ask(&holder, 2, lines, term));
-	ck_assert(!sl_ask(&holder, 1, lines, term));
-
-	sl_grantor_init(&grantor, names, 2);
-	sl_lead(&grantor, 2, 0);
-	ck_assert(sl_holding_back(&grantor, 0));
-	ck_assert(sl_report(&grantor, "a", &holder.ask, NULL, 0, lines, 0));
+	ck_assert(slot_credits_ask(&holder, 2, lines, term));
+	ck_assert(!slot_credits_ask(&holder, 1, lines, term));
+
+	slot_credits_grantor_init(&grantor, names, 2);
+	slot_credits_lead(&grantor, 2, 0);
+	ck_assert(slot_credits_holding_back(&grantor, 0));
+	ck_assert(slot_credits_report(&grantor, "a", &holder.ask, NULL, 0,
+				      lines, 0));
 	old = holder.ask;
 	old.incarnation--;
 	old.seq += 10;
-	ck_assert(!sl_report(&grantor, "a", &old, NULL, 0, lines, 1));
-	ck_assert(!sl_report(&grantor, "x", &holder.ask, NULL, 0, lines, 1));
-	ck_assert(!sl_holding_back(&grantor,
-				   term + REQ_DEADLINE_MAX_MS * USEC_PER_MSEC));
-	sl_grantor_finish(&grantor);
+	ck_assert(!slot_credits_report(&grantor, "a", &old, NULL, 0, lines, 1));
+	ck_assert(!slot_credits_report(&grantor, "x", &holder.ask, NULL, 0,
+				       lines, 1));
+	ck_assert(!slot_credits_holding_back(
+		&grantor, term + REQ_DEADLINE_MAX_MS * USEC_PER_MSEC));
+	slot_credits_grantor_finish(&grantor);
 	g_array_free(lines, TRUE);
 }
 END_TEST
@@ -430,13 +442,15 @@
 		for (k = 0; k < 50; k++) {
 			snprintf(server, sizeof(server), "10.0.0.%d:80", k);
 			for (i = 0, sum = 0; i < n; i++) {
-				int f = sl_floor(names, n, names[i], server);
+				int f = slot_credits_floor(names, n, names[i],
+							   server);
 
 				sum += f;
 				total[i] += n == 9 ? f : 0;
 			}
-			ck_assert_int_eq(sum + sl_pool(n), BACKEND_SLOTS);
-			ck_assert_int_le(n * sl_connections(n),
+			ck_assert_int_eq(sum + slot_credits_pool(n),
+					 BACKEND_SLOTS);
+			ck_assert_int_le(n * slot_credits_connections(n),
 					 BACKEND_CONNECTIONS);
 		}
 	/* 200 floors over 9 hosts, about 22 each. */
@@ -454,5 +468,5 @@
 	tcase_add_test(tc, all_slots_are_granted);
 	tcase_add_test(tc, holder_stops_first);
 	tcase_add_test(tc, floors_and_pool_fill_the_server);
-	return run_case("sl", tc);
+	return run_case("slot_credits", tc);
 }
