--- a/bench/bench_scale.c
+++ b/bench/bench_scale.c
@@ -202,7 +202,7 @@
 		    b->pass_full_ms, (double)b->workers / a->workers);
 	printf("bytes: worker %zu, rack %zu, job %zu, hold (task) %zu\n",
 	       sizeof(struct cell_worker) + sizeof(struct shares_worker) +
-		       sizeof(struct wh_worker) + sizeof(bool),
+		       sizeof(struct worker_health_worker) + sizeof(bool),
 	       sizeof(struct cell_rack) + sizeof(struct shares_rack),
 	       sizeof(struct scheduler_job), sizeof(struct cell_hold));
 	printf("targets: placement p99 <= 2000 us, pass over 14000 jobs "
--- a/daemon/sched_api.c
+++ b/daemon/sched_api.c
@@ -217,9 +217,9 @@
 	if (!s->sc.live[w->index])
 		return "lost";
 	switch (s->sc.wh.workers[w->index].state) {
-	case WH_QUARANTINED:
+	case WORKER_HEALTH_QUARANTINED:
 		return "quarantined";
-	case WH_TRIAL:
+	case WORKER_HEALTH_TRIAL:
 		return "probation";
 	default:
 		return "live";
@@ -243,7 +243,7 @@
 				  s->sc.cell.workers[w->index].held,
 				  "quarantined",
 				  s->sc.wh.workers[w->index].state ==
-					  WH_QUARANTINED));
+					  WORKER_HEALTH_QUARANTINED));
 	}
 	svc_api_answer(call, &s->task, 200,
 		       json_pack("{so}", "workers", workers));
--- a/policy/scheduler.c
+++ b/policy/scheduler.c
@@ -13,7 +13,7 @@
 	sc->ops = ops;
 	cell_init(&sc->cell, worker_size, rack_size);
 	shares_init(&sc->gs, &sc->cell, 0);
-	wh_init(&sc->wh, 0);
+	worker_health_init(&sc->wh, 0);
 	list_init(&sc->waiting);
 	list_init(&sc->running);
 	list_init(&sc->leaving);
@@ -22,7 +22,7 @@
 /* All jobs must be finished before. */
 void scheduler_finish(struct scheduler *sc)
 {
-	wh_finish(&sc->wh);
+	worker_health_finish(&sc->wh);
 	shares_finish(&sc->gs);
 	cell_finish(&sc->cell);
 	g_free(sc->live);
@@ -40,7 +40,7 @@
 	if (worker < 0)
 		return -1;
 	shares_workers_added(&sc->gs);
-	wh_add_workers(&sc->wh, worker + 1);
+	worker_health_add_workers(&sc->wh, worker + 1);
 	if ((worker & (worker - 1)) == 0)
 		sc->live = g_renew(bool, sc->live, MAX(1, worker * 2));
 	sc->live[worker] = true;
@@ -60,7 +60,8 @@
 static void update_usable(struct scheduler *sc, int worker)
 {
 	shares_set_usable(&sc->gs, worker,
-			  sc->live[worker] && wh_usable(&sc->wh, worker));
+			  sc->live[worker] &&
+				  worker_health_usable(&sc->wh, worker));
 	report_broken(sc);
 }
 
@@ -256,7 +257,7 @@
 		for (i = 0; i < job->gang.hold_count; i++) {
 			int worker = job->gang.holds[i].worker;
 
-			if (wh_trial_ended(&sc->wh, job->id, worker))
+			if (worker_health_trial_ended(&sc->wh, job->id, worker))
 				update_usable(sc, worker);
 		}
 	}
@@ -350,7 +351,7 @@
 	for (i = 0; i < job->gang.hold_count; i++) {
 		int worker = job->gang.holds[i].worker;
 
-		if (wh_trial_started(&sc->wh, job->id, worker))
+		if (worker_health_trial_started(&sc->wh, job->id, worker))
 			update_usable(sc, worker);
 	}
 	job->state = SCHEDULER_WAITING;
@@ -461,7 +462,8 @@
 	int i;
 
 	for (i = 0; i < job->gang.hold_count; i++)
-		if (wh_succeeded(&sc->wh, job->id, job->gang.holds[i].worker))
+		if (worker_health_succeeded(&sc->wh, job->id,
+					    job->gang.holds[i].worker))
 			update_usable(sc, job->gang.holds[i].worker);
 }
 
@@ -499,7 +501,8 @@
 {
 	if (job->state < SCHEDULER_STARTING || job->state == SCHEDULER_ENDED)
 		return;
-	if (wh_failed(&sc->wh, &job->health, job->id, worker, now_us)) {
+	if (worker_health_failed(&sc->wh, &job->health, job->id, worker,
+				 now_us)) {
 		int i;
 
 		for (i = 0; i < sc->cell.worker_count; i++)
--- a/policy/scheduler.h
+++ b/policy/scheduler.h
@@ -2,7 +2,7 @@
 #define POLICY_SCHEDULER_H
 
 #include "policy/shares.h"
-#include "policy/wh.h"
+#include "policy/worker_health.h"
 
 enum scheduler_state {
 	SCHEDULER_IDLE,
@@ -38,7 +38,7 @@
 struct scheduler_job {
 	struct list_head node; /* in a queue or in one of sc's lists */
 	struct cell_gang gang;
-	struct wh_job health;
+	struct worker_health_job health;
 	uint64_t id; /* not 0 */
 	bool urgent;
 	bool cancelled;
@@ -94,7 +94,7 @@
 	const struct scheduler_ops *ops;
 	struct cell cell;
 	struct shares gs;
-	struct wh wh;
+	struct worker_health wh;
 	bool *live; /* per worker */
 	struct scheduler_customer *customers;
 	int customer_count;
--- a/policy/scheduler_pass.c
+++ b/policy/scheduler_pass.c
@@ -437,7 +437,7 @@
 	if (sc->wh.quarantined == 0)
 		return;
 	for (i = 0; i < sc->cell.worker_count; i++)
-		if (wh_tick(&sc->wh, i, p->now_us))
+		if (worker_health_tick(&sc->wh, i, p->now_us))
 			shares_set_usable(&sc->gs, i, sc->live[i]);
 }
 
--- a/policy/wh.c
+++ b/policy/worker_health.c
@@ -1,4 +1,4 @@
-#include "policy/wh.h"
+#include "policy/worker_health.h"
 
 #include <string.h>
 
@@ -10,26 +10,27 @@
  * several workers end the job, and are then no longer held against these
  * workers. A success on a worker clears it.
  */
-void wh_init(struct wh *wh, int workers)
+void worker_health_init(struct worker_health *wh, int workers)
 {
 	memset(wh, 0, sizeof(*wh));
-	wh_add_workers(wh, workers);
+	worker_health_add_workers(wh, workers);
 }
 
-void wh_finish(struct wh *wh)
+void worker_health_finish(struct worker_health *wh)
 {
 	g_free(wh->workers);
 	memset(wh, 0, sizeof(*wh));
 }
 
 /* Grows the table to that many workers. */
-void wh_add_workers(struct wh *wh, int workers)
+void worker_health_add_workers(struct worker_health *wh, int workers)
 {
 	int i;
 
 	if (workers <= wh->worker_count)
 		return;
-	wh->workers = g_renew(struct wh_worker, wh->workers, workers);
+	wh->workers =
+		g_renew(struct worker_health_worker, wh->workers, workers);
 	memset(&wh->workers[wh->worker_count], 0,
 	       sizeof(*wh->workers) * (workers - wh->worker_count));
 	for (i = wh->worker_count; i < workers; i++)
@@ -39,25 +40,26 @@
 }
 
 /* A fault that hits many workers at once is not theirs: a share is kept. */
-static bool may_quarantine(const struct wh *wh)
+static bool may_quarantine(const struct worker_health *wh)
 {
 	return (wh->quarantined + 1) * 100 <=
 	       wh->worker_count * WORKER_QUARANTINE_PERCENT + 99;
 }
 
-static void quarantine(struct wh *wh, struct wh_worker *w, int64_t now_us)
+static void quarantine(struct worker_health *wh, struct worker_health_worker *w,
+		       int64_t now_us)
 {
-	if (w->state == WH_TRIAL)
+	if (w->state == WORKER_HEALTH_TRIAL)
 		wh->trials--;
 	wh->quarantined++;
-	w->state = WH_QUARANTINED;
+	w->state = WORKER_HEALTH_QUARANTINED;
 	w->until_us = now_us + w->delay_us;
 	w->delay_us =
 		MIN(w->delay_us * 2, WORKER_PROBATION_MAX_MS * USEC_PER_MSEC);
 	w->trial = 0;
 }
 
-static void blame(struct wh_worker *w, uint64_t id)
+static void blame(struct worker_health_worker *w, uint64_t id)
 {
 	int i;
 
@@ -69,7 +71,8 @@
 }
 
 /* Returns true when that ended a quarantine. */
-static bool forgive(struct wh *wh, struct wh_worker *w, uint64_t id)
+static bool forgive(struct worker_health *wh, struct worker_health_worker *w,
+		    uint64_t id)
 {
 	bool found = false;
 	int i;
@@ -79,9 +82,10 @@
 			w->blame[i--] = w->blame[--w->blame_count];
 			found = true;
 		}
-	if (!found || w->state != WH_QUARANTINED || w->blame_count > 0)
+	if (!found || w->state != WORKER_HEALTH_QUARANTINED ||
+	    w->blame_count > 0)
 		return false;
-	w->state = WH_GOOD;
+	w->state = WORKER_HEALTH_GOOD;
 	w->delay_us =
 		MAX(w->delay_us / 2, WORKER_PROBATION_MIN_MS * USEC_PER_MSEC);
 	wh->quarantined--;
@@ -92,20 +96,22 @@
  * Failures on workers that have since been found to be bad no longer count
  * against the job.
  */
-static void note_worker(const struct wh *wh, struct wh_job *job, int worker)
+static void note_worker(const struct worker_health *wh,
+			struct worker_health_job *job, int worker)
 {
 	int i, n = 0;
 
 	for (i = 0; i < job->failed_count; i++)
 		if (job->failed_on[i] != worker &&
-		    wh->workers[job->failed_on[i]].state == WH_GOOD)
+		    wh->workers[job->failed_on[i]].state == WORKER_HEALTH_GOOD)
 			job->failed_on[n++] = job->failed_on[i];
 	if (n < JOB_HOPELESS_WORKERS)
 		job->failed_on[n++] = worker;
 	job->failed_count = n;
 }
 
-static bool give_up(struct wh *wh, struct wh_job *job, uint64_t id)
+static bool give_up(struct worker_health *wh, struct worker_health_job *job,
+		    uint64_t id)
 {
 	bool changed = false;
 	int i;
@@ -123,19 +129,21 @@
  * Returns true when the state of any worker changed; job->hopeless tells
  * whether the job is to be ended.
  */
-bool wh_failed(struct wh *wh, struct wh_job *job, uint64_t id, int worker,
-	       int64_t now_us)
+bool worker_health_failed(struct worker_health *wh,
+			  struct worker_health_job *job, uint64_t id,
+			  int worker, int64_t now_us)
 {
-	struct wh_worker *w = &wh->workers[worker];
+	struct worker_health_worker *w = &wh->workers[worker];
 
 	job->failures++;
-	if (w->state != WH_QUARANTINED)
+	if (w->state != WORKER_HEALTH_QUARANTINED)
 		blame(w, id);
 	if (job->failures >= JOB_FAILURES_MAX)
 		return give_up(wh, job, id);
-	if (w->state == WH_QUARANTINED)
+	if (w->state == WORKER_HEALTH_QUARANTINED)
 		return false;
-	if ((w->state == WH_TRIAL || w->blame_count == WORKER_BAD_JOBS) &&
+	if ((w->state == WORKER_HEALTH_TRIAL ||
+	     w->blame_count == WORKER_BAD_JOBS) &&
 	    may_quarantine(wh)) {
 		quarantine(wh, w, now_us);
 		return true;
@@ -151,14 +159,14 @@
  * the worker's probation. The next quarantine is then again half as long as
  * the last, so a worker that fails now and then is not trusted at once.
  */
-bool wh_succeeded(struct wh *wh, uint64_t id, int worker)
+bool worker_health_succeeded(struct worker_health *wh, uint64_t id, int worker)
 {
-	struct wh_worker *w = &wh->workers[worker];
-	bool changed = w->state == WH_TRIAL;
+	struct worker_health_worker *w = &wh->workers[worker];
+	bool changed = w->state == WORKER_HEALTH_TRIAL;
 
-	if (w->state == WH_QUARANTINED)
+	if (w->state == WORKER_HEALTH_QUARANTINED)
 		return false;
-	w->state = WH_GOOD;
+	w->state = WORKER_HEALTH_GOOD;
 	w->blame_count = 0;
 	w->trial = 0;
 	if (changed) {
@@ -170,13 +178,13 @@
 }
 
 /* Ends a quarantine that is over: one trial job. Returns true if it did. */
-bool wh_tick(struct wh *wh, int worker, int64_t now_us)
+bool worker_health_tick(struct worker_health *wh, int worker, int64_t now_us)
 {
-	struct wh_worker *w = &wh->workers[worker];
+	struct worker_health_worker *w = &wh->workers[worker];
 
-	if (w->state != WH_QUARANTINED || now_us < w->until_us)
+	if (w->state != WORKER_HEALTH_QUARANTINED || now_us < w->until_us)
 		return false;
-	w->state = WH_TRIAL;
+	w->state = WORKER_HEALTH_TRIAL;
 	wh->quarantined--;
 	wh->trials++;
 	w->trial = 0;
@@ -185,37 +193,40 @@
 }
 
 /* A worker on probation takes one job at a time. */
-bool wh_usable(const struct wh *wh, int worker)
+bool worker_health_usable(const struct worker_health *wh, int worker)
 {
-	const struct wh_worker *w = &wh->workers[worker];
+	const struct worker_health_worker *w = &wh->workers[worker];
 
-	return w->state == WH_GOOD || (w->state == WH_TRIAL && !w->trial);
+	return w->state == WORKER_HEALTH_GOOD ||
+	       (w->state == WORKER_HEALTH_TRIAL && !w->trial);
 }
 
 /* Returns true when the worker is not usable for further jobs from now. */
-bool wh_trial_started(struct wh *wh, uint64_t id, int worker)
+bool worker_health_trial_started(struct worker_health *wh, uint64_t id,
+				 int worker)
 {
-	struct wh_worker *w = &wh->workers[worker];
+	struct worker_health_worker *w = &wh->workers[worker];
 
-	if (w->state != WH_TRIAL || w->trial)
+	if (w->state != WORKER_HEALTH_TRIAL || w->trial)
 		return false;
 	w->trial = id;
 	return true;
 }
 
 /* The trial job left for another reason than success or failure. */
-bool wh_trial_ended(struct wh *wh, uint64_t id, int worker)
+bool worker_health_trial_ended(struct worker_health *wh, uint64_t id,
+			       int worker)
 {
-	struct wh_worker *w = &wh->workers[worker];
+	struct worker_health_worker *w = &wh->workers[worker];
 
-	if (w->state != WH_TRIAL || w->trial != id)
+	if (w->state != WORKER_HEALTH_TRIAL || w->trial != id)
 		return false;
 	w->trial = 0;
 	return true;
 }
 
 /* Whether the job failed on that worker before. */
-bool wh_avoid(const struct wh_job *job, int worker)
+bool worker_health_avoid(const struct worker_health_job *job, int worker)
 {
 	int i;
 
