Print what a platform host knows: chivebank status

Cause: on call there were logs and counters, but no view of what a host believes now: whether it sees a leader, how old its configuration and its last answer of the store are, and in which state the leader takes each worker to be.

Ruled out: a call of the callers' interface, which belongs to the platform.

Tests: follower_tells_leader_and_store, leader_tells_workers_and_queue.

--- a/cli/cli.h
+++ b/cli/cli.h
@@ -82,6 +82,8 @@
 /* rows: an array of objects, or an object of objects by name. */
 void cli_print_table(struct cli *cli, const struct cli_column *columns,
 		     json_t *rows);
+/* status: the object that a host on a platform answers. */
+void cli_print_status(struct cli *cli, json_t *status);
 json_t *cli_read_json(struct cli *cli, const char *path, int *code);
 
 /* Commands. */
@@ -106,6 +108,8 @@
 int cli_server_list(struct cli *cli, struct cli_opts *o);
 int cli_worker_list(struct cli *cli, struct cli_opts *o);
 int cli_leaders(struct cli *cli, struct cli_opts *o);
+/* Of a host on a platform, from its metrics address. */
+int cli_status(struct cli *cli, struct cli_opts *o);
 int cli_counters(struct cli *cli, struct cli_opts *o);
 int cli_events(struct cli *cli, struct cli_opts *o);
 int cli_ticket(struct cli *cli, struct cli_opts *o);
--- a/policy/scheduler.h
+++ b/policy/scheduler.h
@@ -148,7 +148,7 @@
 /* One look at everything that may change now. */
 void scheduler_pass(struct scheduler *sc, int64_t now_us);
 
-/* Between scheduler.c and scpass.c. */
+/* Between scheduler.c and scheduler_pass.c. */
 int scheduler_level(const struct scheduler_job *job, int64_t now_us);
 enum scheduler_size scheduler_size(const struct scheduler *sc, int total);
 void scheduler_displace(struct scheduler *sc, struct scheduler_job *job,
--- /dev/null
+++ b/tests/unit/test_overview.c
@@ -0,0 +1,104 @@
+#include <stdio.h>
+#include <string.h>
+
+#include "cli/cli.h"
+#include "control/overview.h"
+#include "fleet/plan.h"
+#include "tests/standins/fleet_make.h"
+#include "tests/unit/run.h"
+
+/* What a host tells operators of itself, and how the command prints it. */
+
+#define SEC 1000000LL
+#define NOW (100 * SEC)
+
+static struct director director;
+static struct relay relay;
+static struct configuration configuration;
+static struct config *config;
+static struct site site = { .host = "h1", .dc = "d1" };
+static char text[4096];
+
+static void set_up(void)
+{
+	memset(&director, 0, sizeof(director));
+	memset(&relay, 0, sizeof(relay));
+	memset(&configuration, 0, sizeof(configuration));
+	make_fleet(&director.fleet, &config);
+	relay.peers = g_ptr_array_new();
+	relay.heard_us = NOW - SEC;
+	configuration.in_force_us = NOW - 2 * SEC;
+	director.site = &site;
+	director.relay = &relay;
+	director.configuration = &configuration;
+	strcpy(director.leader.current, "h2");
+}
+
+static void tear_down(void)
+{
+	g_ptr_array_unref(relay.peers);
+	make_fleet_end(&director.fleet, config);
+}
+
+static void print(json_t *status)
+{
+	struct cli cli = { 0 };
+
+	cli.out = fmemopen(text, sizeof(text), "w");
+	cli_print_status(&cli, status);
+	fclose(cli.out);
+	json_decref(status);
+}
+
+static void ck_said(const char *wanted)
+{
+	ck_assert_msg(strstr(text, wanted), "no \"%s\" in:\n%s", wanted, text);
+}
+
+START_TEST(follower_tells_leader_and_store)
+{
+	print(overview(&director, NOW));
+	ck_said("host=\"h1\"");
+	ck_said("leader=\"h2\"");
+	ck_said("leads=false");
+	ck_said("store: direct=true answered_ms=1000");
+	ck_said("configuration=null");
+	ck_assert_ptr_null(strstr(text, "WORKER"));
+}
+END_TEST
+
+START_TEST(leader_tells_workers_and_queue)
+{
+	struct worker *worker;
+
+	configuration.current = config;
+	director.directing = true;
+	director.leader.leading = true;
+	director.orders.fence = 42;
+	make_worker(&director.fleet, "w1", "r1", 8, NOW);
+	worker = make_worker(&director.fleet, "w2", "r1", 8, NOW);
+	worker->said.draining = true;
+	make_job(&director.fleet, "runs", 1, 3, 1, 1000, NOW);
+	fleet_open_due(&director.fleet, NOW, 0);
+	plan_pass(&director.fleet, NOW);
+	make_started(&director.fleet, NOW);
+	make_job(&director.fleet, "waits", 1, 1, 9, 1000, NOW - 5 * SEC);
+	print(overview(&director, NOW));
+	ck_said("fence=42");
+	ck_said("jobs: queued=1 running=1");
+	ck_said("oldest_queued_ms=5000");
+	ck_said("in_force_ms=2000");
+	ck_said("draining");
+	ck_said("w1");
+}
+END_TEST
+
+int main(void)
+{
+	TCase *tc = tcase_create("overview");
+
+	tcase_add_checked_fixture(tc, set_up, tear_down);
+	tcase_add_test(tc, follower_tells_leader_and_store);
+	tcase_add_test(tc, leader_tells_workers_and_queue);
+	return run_case("overview", tc);
+}
