Let what a host reads not grow with the number of hosts

Cause: each entry host followed the entries of all others by a waiting call.

A host now reads the list of one data centre at a time, its own every other time, each 5 s (each 0.7 s at first). The relay needs no more: its peers may be some seconds old, and a peer that is gone is tried once. The key holds the data centre; the data centres come from the settings.

Ruled out: watching only the own data centre (a host that is alone in its own would know the seeds only); a longer gathering pause (still n times n).

--- a/control/hosts.c
+++ b/control/hosts.c
@@ -11,7 +11,16 @@
 #define HOST_LEASE_S 30
 #define HOST_RENEW_MS 8000
 #define HOST_RETRY_MS 500
-#define HOSTS_WAIT_MS 10000
+/* Hosts that start together have registered by then. */
+#define LIST_FIRST_MS 400
+/* Between the lists of a host that has just started. */
+#define LIST_EARLY_MS 700
+/* Later: a host that went away is tried in vain until the next one. */
+#define LIST_MS 5000
+/* So that the hosts' reads spread out. */
+#define LIST_JITTER_PERCENT 20
+/* Each data centre is read so often before the pause grows. */
+#define LIST_EARLY_ROUNDS 2
 
 static void on_tick(struct kn_timer *timer);
 
@@ -55,8 +64,7 @@
 		return;
 	}
 	hosts->lease = call->lease;
-	value = g_strdup_printf("%s %s %s %d", site->dc, site->region,
-				site->peers.addr, site->peers.port);
+	value = g_strdup_printf("%s %d", site->peers.addr, site->peers.port);
 	op.value = value;
 	op.len = strlen(value);
 	op.lease = hosts->lease;
@@ -99,55 +107,138 @@
 
 /* The others. */
 
-static int distance(const struct site *site, const char *dc, const char *region)
+static int distance(const struct site *site, const struct site_dc *dc)
 {
-	if (strcmp(site->dc, dc) == 0)
+	if (strcmp(site->dc, dc->name) == 0)
 		return 0;
-	return strcmp(site->region, region) == 0 ? 1 : 2;
+	return strcmp(site->region, dc->region) == 0 ? 1 : 2;
 }
 
-static void on_set(struct mirror *mirror, const struct kv_item *item)
+static const struct site_dc *own_dc(const struct site *site)
 {
-	struct hosts *hosts = container_of(mirror, struct hosts, mirror);
-	const char *host = item->key + strlen(KEY_HOSTS_PREFIX);
-	char **words = g_strsplit(item->value, " ", 4);
+	size_t i;
+
+	for (i = 0; i < site->dc_count; i++)
+		if (strcmp(site->dcs[i].name, site->dc) == 0)
+			return &site->dcs[i];
+	return &site->dcs[0];
+}
+
+/* The own data centre and the others in turn: own, b, own, c, own, b ... */
+const struct site_dc *hosts_list_turn(const struct site *site, unsigned int n)
+{
+	const struct site_dc *own = own_dc(site);
+	size_t others = site->dc_count - 1;
+	size_t turn, i;
+
+	if (others == 0 || n % 2 == 0)
+		return own;
+	turn = n / 2 % others;
+	for (i = 0; i < site->dc_count; i++)
+		if (&site->dcs[i] != own && turn-- == 0)
+			break;
+	return &site->dcs[i];
+}
+
+static void take_host(struct hosts *hosts, const struct kv_item *item)
+{
+	const char *host = item->key + strlen(hosts->list_prefix);
+	char **words = g_strsplit(item->value ? item->value : "", " ", 2);
 	struct set_addr at = { 0 };
 
-	if (g_strv_length(words) != 4 || strcmp(item->key, hosts->key) == 0) {
-		g_strfreev(words);
-		return;
+	if (g_strv_length(words) == 2) {
+		g_strlcpy(at.addr, words[0], sizeof(at.addr));
+		at.port = (int)g_ascii_strtoll(words[1], NULL, 10);
+		relay_add_peer(hosts->relay, host, &at,
+			       distance(hosts->site, hosts->list_dc));
+		if (!g_hash_table_contains(hosts->known, host)) {
+			log_info("host.seen",
+				 "peer=%s dc=%s revision=%" G_GINT64_FORMAT,
+				 host, hosts->list_dc->name,
+				 item->mod_revision);
+			g_hash_table_insert(hosts->known, g_strdup(host),
+					    g_strdup(hosts->list_dc->name));
+		}
 	}
-	g_strlcpy(at.addr, words[2], sizeof(at.addr));
-	at.port = (int)g_ascii_strtoll(words[3], NULL, 10);
-	relay_add_peer(hosts->relay, host, &at,
-		       distance(hosts->site, words[0], words[1]));
-	log_info("host.seen", "peer=%s dc=%s revision=%" G_GINT64_FORMAT, host,
-		 words[0], item->mod_revision);
 	g_strfreev(words);
 }
 
-static void on_removed(struct mirror *mirror, const char *key)
+static bool is_listed(const struct hosts *hosts, const struct kv_call *call,
+		      const char *host)
 {
-	struct hosts *hosts = container_of(mirror, struct hosts, mirror);
-	const char *host = key + strlen(KEY_HOSTS_PREFIX);
+	size_t i;
 
-	log_info("host.unlisted", "peer=%s", host);
-	relay_remove_peer(hosts->relay, host);
-	if (strcmp(key, hosts->key) == 0 && !hosts->calling) {
-		hosts->registered = false;
-		tick_after(hosts, 0);
+	for (i = 0; i < call->count; i++)
+		if (strcmp(call->items[i].key + strlen(hosts->list_prefix),
+			   host) == 0)
+			return true;
+	return false;
+}
+
+/* Hosts of the data centre that are in its list no more. */
+static void drop_unlisted(struct hosts *hosts, const struct kv_call *call)
+{
+	GHashTableIter iter;
+	gpointer host, dc;
+
+	g_hash_table_iter_init(&iter, hosts->known);
+	while (g_hash_table_iter_next(&iter, &host, &dc)) {
+		if (strcmp(dc, hosts->list_dc->name) != 0 ||
+		    is_listed(hosts, call, host))
+			continue;
+		log_info("host.unlisted", "peer=%s", (const char *)host);
+		relay_remove_peer(hosts->relay, host);
+		g_hash_table_iter_remove(&iter);
 	}
 }
 
-static void on_synced(struct mirror *mirror)
+static void on_list_timer(struct kn_timer *timer);
+
+static void list_after(struct hosts *hosts, int64_t ms)
 {
+	int64_t jitter = ms * LIST_JITTER_PERCENT / 100;
+	uint32_t spread = g_str_hash(hosts->site->host) + hosts->reads * 97;
+
+	ms += (int64_t)(spread % (2 * jitter + 1)) - jitter;
+	kn_timer_set(hosts->kv->kn, &hosts->list_timer, ms * USEC_PER_MSEC,
+		     on_list_timer);
 }
 
-static const struct mirror_ops mirror_ops = {
-	.set = on_set,
-	.removed = on_removed,
-	.synced = on_synced,
-};
+static void on_list(struct kv_call *call)
+{
+	struct hosts *hosts = call->user;
+	bool early = hosts->reads < 2 * LIST_EARLY_ROUNDS *
+					    (unsigned int)hosts->site->dc_count;
+	size_t i;
+
+	hosts->listing = false;
+	if (call->result == CB_OK) {
+		drop_unlisted(hosts, call);
+		for (i = 0; i < call->count; i++)
+			if (strcmp(call->items[i].key, hosts->key) != 0)
+				take_host(hosts, &call->items[i]);
+	} else {
+		log_info("hosts.not_read", "dc=%s result=%d",
+			 hosts->list_dc->name, call->result);
+	}
+	list_after(hosts, early ? LIST_EARLY_MS : LIST_MS);
+}
+
+static void on_list_timer(struct kn_timer *timer)
+{
+	struct hosts *hosts = container_of(timer, struct hosts, list_timer);
+
+	hosts->list_dc = hosts_list_turn(hosts->site, hosts->reads++);
+	g_free(hosts->list_prefix);
+	hosts->list_prefix =
+		g_strconcat(KEY_HOSTS_PREFIX, hosts->list_dc->name, "/", NULL);
+	memset(&hosts->list_call, 0, sizeof(hosts->list_call));
+	hosts->list_call.done = on_list;
+	hosts->list_call.user = hosts;
+	hosts->listing = true;
+	hosts->kv->ops->range(hosts->kv, &hosts->list_call, hosts->list_prefix,
+			      true);
+}
 
 void hosts_init(struct hosts *hosts, struct kv *kv, const struct site *site,
 		struct relay *relay)
@@ -156,22 +247,27 @@
 	hosts->kv = kv;
 	hosts->site = site;
 	hosts->relay = relay;
-	hosts->key = g_strconcat(KEY_HOSTS_PREFIX, site->host, NULL);
-	mirror_init(&hosts->mirror, kv, &mirror_ops, KEY_HOSTS_PREFIX,
-		    HOSTS_WAIT_MS);
+	hosts->key =
+		g_strconcat(KEY_HOSTS_PREFIX, site->dc, "/", site->host, NULL);
+	hosts->known =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 }
 
 void hosts_start(struct hosts *hosts)
 {
-	mirror_start(&hosts->mirror);
 	tick_after(hosts, 0);
+	list_after(hosts, LIST_FIRST_MS);
 }
 
 void hosts_finish(struct hosts *hosts)
 {
 	if (hosts->calling)
 		hosts->kv->ops->cancel(hosts->kv, &hosts->call);
+	if (hosts->listing)
+		hosts->kv->ops->cancel(hosts->kv, &hosts->list_call);
 	kn_timer_cancel(&hosts->timer);
-	mirror_finish(&hosts->mirror);
+	kn_timer_cancel(&hosts->list_timer);
+	g_hash_table_unref(hosts->known);
+	g_free(hosts->list_prefix);
 	g_free(hosts->key);
 }
--- a/control/keys.h
+++ b/control/keys.h
@@ -13,7 +13,7 @@
 /* Written by the leader. */
 #define KEY_STATE_PREFIX "chivebank/state/" /* then ID */
 #define KEY_WAITING "chivebank/waiting"
-/* One a host, under a lease. */
+/* Then data centre, "/" and host; one a host, under a lease. */
 #define KEY_HOSTS_PREFIX "chivebank/hosts/"
 
 #endif
--- a/control/site.h
+++ b/control/site.h
@@ -6,12 +6,21 @@
 #include "fleet/fleet.h"
 
 #define SITE_SEEDS_MAX 8
+#define SITE_DCS_MAX 64
+
+struct site_dc {
+	char name[NAME_MAX_BYTES];
+	char region[NAME_MAX_BYTES];
+};
 
 /* What a process knows from its settings when it runs on a platform. */
 struct site {
 	char host[NAME_MAX_BYTES];
 	char dc[NAME_MAX_BYTES];
 	char region[NAME_MAX_BYTES];
+	struct site_dc
+		dcs[SITE_DCS_MAX]; /* all of them, the own one included */
+	size_t dc_count;
 	struct set_addr callers; /* port 0: not served here */
 	struct set_addr ready; /* port 0: no readiness checks */
 	struct set_addr peers; /* where other hosts reach this one */
--- a/tests/unit/test_decode.c
+++ b/tests/unit/test_decode.c
@@ -1,6 +1,7 @@
 #include <string.h>
 
 #include "base/err.h"
+#include "control/hosts.h"
 #include "platform/decode.h"
 #include "platform/settings.h"
 #include "tests/unit/run.h"
@@ -170,6 +171,26 @@
 }
 END_TEST
 
+/* Every data centre is read, the own one every other time. */
+START_TEST(lists_of_hosts_take_turns)
+{
+	static const char *const turns[] = { "b", "a", "b", "c",
+					     "b", "a", "b", "c" };
+	struct site site = { .dc = "b", .dc_count = 3 };
+	struct site alone = { .dc = "b", .dc_count = 1 };
+	unsigned int i;
+
+	strcpy(site.dcs[0].name, "b");
+	strcpy(site.dcs[1].name, "a");
+	strcpy(site.dcs[2].name, "c");
+	strcpy(alone.dcs[0].name, "b");
+	for (i = 0; i < G_N_ELEMENTS(turns); i++) {
+		ck_assert_str_eq(hosts_list_turn(&site, i)->name, turns[i]);
+		ck_assert_str_eq(hosts_list_turn(&alone, i)->name, "b");
+	}
+}
+END_TEST
+
 int main(void)
 {
 	TCase *tc = tcase_create("decode");
@@ -179,5 +200,6 @@
 	tcase_add_test(tc, submissions);
 	tcase_add_test(tc, waves);
 	tcase_add_test(tc, settings);
+	tcase_add_test(tc, lists_of_hosts_take_turns);
 	return run_case("decode", tc);
 }
--- a/tests/unit/test_host.c
+++ b/tests/unit/test_host.c
@@ -411,6 +411,33 @@
 }
 END_TEST
 
+/*
+ * Load: many other hosts come and go. What this host reads does not grow with
+ * that, or the store would have to tell each of n hosts of n others.
+ */
+START_TEST(registrations_of_others_cost_nothing)
+{
+	uint64_t before, quiet, busy;
+	char key[64];
+	int i;
+
+	rig_start(&rig, 1, 1, 1);
+	rig_run_ms(&rig, 3000);
+	before = rig.store->doors[0].calls;
+	rig_run_ms(&rig, 2000);
+	quiet = rig.store->doors[0].calls - before;
+	before = rig.store->doors[0].calls;
+	for (i = 0; i < 100; i++) {
+		snprintf(key, sizeof(key), "chivebank/hosts/d1/other-%d", i);
+		site_store_put(rig.store, key, "127.0.0.1 1");
+		rig_run_ms(&rig, 20);
+	}
+	busy = rig.store->doors[0].calls - before;
+	ck_assert_uint_le(busy, quiet + 2);
+	rig_stop(&rig);
+}
+END_TEST
+
 START_TEST(leader_whose_lease_lapses)
 {
 	rig_start(&rig, 3, 4, 1);
@@ -565,6 +592,7 @@
 	tcase_add_test(tc, reads_without_a_store);
 	tcase_add_test(tc, calls_without_time);
 	tcase_add_test(tc, host_that_the_store_turns_away);
+	tcase_add_test(tc, registrations_of_others_cost_nothing);
 	tcase_add_test(tc, leader_whose_lease_lapses);
 	tcase_add_loop_test(tc, answers_of_the_store_are_lost, 0, 3);
 	tcase_add_loop_test(tc, writes_of_the_store_come_late, 0, 3);
