--- a/fleet/plan.c
+++ b/fleet/plan.c
@@ -94,7 +94,7 @@
 		return G_MAXDOUBLE;
 	if (job->priority == 0 &&
 	    order_hope(pass->fleet, job, pass->now_us) == HOPE_IN_TIME)
-		return RECLAIM_CHEAP_CORE_MS;
+		return RECLAIM_OWN_WORK_FACTOR * job->work;
 	return 0;
 }
 
--- a/fleet/reclaim.h
+++ b/fleet/reclaim.h
@@ -27,7 +27,8 @@
 /* Beyond the time of a stop: its order, its list and a loss. What is not
  * free by then is chosen anew, several times within the bound of a claim. */
 #define RECLAIM_KEEP_MS 500
-/* What an urgent job that is late loses is worth so many core-seconds. */
-#define RECLAIM_CHEAP_CORE_MS 150000.0
+/* Urgent work beyond the guarantee stops at most so many times the work that
+ * it does itself: it is worth about that much more than batch work. */
+#define RECLAIM_OWN_WORK_FACTOR 4.0
 
 #endif
