--- a/fleet/order.c
+++ b/fleet/order.c
@@ -68,8 +68,8 @@
 }
 
 /*
- * Lower ranks first. A job that has begun keeps its turn before others of
- * its class, as its finished tasks are worth nothing until it is done.
+ * Lower ranks first: by priority, then what can still be in time before what
+ * can still be late, and by the time at which each would be late.
  */
 static double rank(const struct fleet *fleet, const struct job *job,
 		   int64_t now_us)
--- a/tests/standins/fleet_make.c
+++ b/tests/standins/fleet_make.c
@@ -1,5 +1,7 @@
 #include "tests/standins/fleet_make.h"
 
+#include "fleet/plan.h"
+
 #include <stdio.h>
 #include <string.h>
 
@@ -91,6 +93,30 @@
 	}
 }
 
+struct job *make_serving_job(struct fleet *fleet, int count, int may_miss,
+			     int64_t now_us)
+{
+	struct job *job = make_job(fleet, "serve", 1, count, 1, 1000, now_us);
+
+	job->spec.steps[0].long_running = true;
+	job->spec.steps[0].target_ms = 100;
+	job->spec.steps[0].may_miss = may_miss;
+	return job;
+}
+
+void make_all_started(struct fleet *fleet, int64_t now_us)
+{
+	struct worker *worker;
+	struct task *task;
+
+	fleet_open_due(fleet, now_us, 0);
+	plan_pass(fleet, now_us);
+	make_started(fleet, now_us);
+	list_for_each_entry(worker, &fleet->workers, node)
+		list_for_each_entry(task, &worker->tasks, on_worker)
+			task->percent = 100;
+}
+
 int make_started(struct fleet *fleet, int64_t now_us)
 {
 	struct worker *worker;
--- a/tests/standins/fleet_make.h
+++ b/tests/standins/fleet_make.h
@@ -16,6 +16,11 @@
 /* One step; gpus of each task and 4 cores for each of them. */
 struct job *make_job(struct fleet *fleet, const char *id, int priority,
 		     int count, int gpus, int64_t est_ms, int64_t now_us);
+/* Tasks that last, with a target of 100 ms; may_miss of them may be away. */
+struct job *make_serving_job(struct fleet *fleet, int count, int may_miss,
+			     int64_t now_us);
+/* Opens what is due, plans it and starts what was planned; all are at work. */
+void make_all_started(struct fleet *fleet, int64_t now_us);
 /* Starts all planned tasks as if their orders were accepted at once. */
 int make_started(struct fleet *fleet, int64_t now_us);
 /* The worker lists an end of the task's run. */
--- a/tests/unit/test_sharing.c
+++ b/tests/unit/test_sharing.c
@@ -23,39 +23,16 @@
 	make_fleet_end(&fleet, config);
 }
 
-static struct job *serving_job(int count, int may_miss)
-{
-	struct job *job = make_job(&fleet, "serve", 1, count, 1, 1000, NOW);
-
-	job->spec.steps[0].long_running = true;
-	job->spec.steps[0].target_ms = 100;
-	job->spec.steps[0].may_miss = may_miss;
-	return job;
-}
-
-static void start_all(void)
-{
-	struct worker *worker;
-	struct task *task;
-
-	fleet_open_due(&fleet, NOW, 0);
-	plan_pass(&fleet, NOW);
-	make_started(&fleet, NOW);
-	list_for_each_entry(worker, &fleet.workers, node)
-		list_for_each_entry(task, &worker->tasks, on_worker)
-			task->percent = 100;
-}
-
 START_TEST(filling_tasks_make_way_while_the_tail_is_over_its_target)
 {
 	struct worker *worker = make_worker(&fleet, "w", "r", 8, NOW);
-	struct job *serve = serving_job(1, 0);
+	struct job *serve = make_serving_job(&fleet, 1, 0, NOW);
 	struct job *fill = make_job(&fleet, "fill", 2, 2, 1, 60000, NOW);
 	int64_t now_us = NOW;
 	int steps;
 
 	fill->spec.steps[0].fills = true;
-	start_all();
+	make_all_started(&fleet, NOW);
 	ck_assert(sharing_mixed(worker));
 	make_task(serve, 0, 0)->load = 150;
 	for (steps = 0; steps < 8; steps++) {
@@ -92,7 +69,7 @@
 	struct job *job = filling_job("fill", 1);
 	struct task *task;
 
-	start_all();
+	make_all_started(&fleet, NOW);
 	task = make_task(job, 0, 0);
 	task->percent = 50;
 	task->first_us = NOW;
@@ -118,7 +95,7 @@
 	struct job *job = filling_job("fill", 1);
 	double expected_ms;
 
-	start_all();
+	make_all_started(&fleet, NOW);
 	expected_ms = fleet_expected_ms(&fleet, job_stage(job, 0, 0));
 	worker->paced_us = NOW + SEC;
 	make_done(&fleet, job, NOW + 30 * SEC);
@@ -160,11 +137,11 @@
 	make_worker(&fleet, "w1", "r", 8, NOW);
 	make_worker(&fleet, "w2", "r", 8, NOW);
 	make_worker(&fleet, "w3", "r", 8, NOW);
-	job = serving_job(2, 1);
+	job = make_serving_job(&fleet, 2, 1, NOW);
 	job->spec.steps[0].max_per_worker = 1;
-	start_all();
+	make_all_started(&fleet, NOW);
 	filling_job("fill", 6);
-	start_all();
+	make_all_started(&fleet, NOW);
 	list_for_each_entry(worker, &fleet.workers, node) {
 		const struct task *task;
 		int fills = 0;
@@ -181,8 +158,8 @@
 	struct job *job;
 
 	make_worker(&fleet, "w", "r", 8, NOW);
-	job = serving_job(4, 1);
-	start_all();
+	job = make_serving_job(&fleet, 4, 1, NOW);
+	make_all_started(&fleet, NOW);
 	ck_assert(rescue_may_interrupt(make_task(job, 0, 0)));
 	fleet_stop(&fleet, make_task(job, 0, 0), "test");
 	ck_assert(!rescue_may_interrupt(make_task(job, 0, 1)));
@@ -195,7 +172,7 @@
 	struct job *job = make_job(&fleet, "j", 1, 1, 1, 2000, NOW);
 	struct task *task;
 
-	start_all();
+	make_all_started(&fleet, NOW);
 	task = make_task(job, 0, 0);
 	task->percent = 20;
 	task->first_us = NOW;
@@ -218,7 +195,7 @@
 
 	make_worker(&fleet, "w", "r", 8, NOW);
 	job = make_job(&fleet, "j", 1, 1, 1, 20000, NOW);
-	start_all();
+	make_all_started(&fleet, NOW);
 	task = make_task(job, 0, 0);
 	task->percent = 80;
 	task->first_us = NOW;
@@ -235,7 +212,7 @@
 	struct job *longer = make_job(&fleet, "long", 1, 1, 1, 30000, NOW);
 	struct job *shorter = make_job(&fleet, "short", 1, 1, 1, 1500, NOW);
 
-	start_all();
+	make_all_started(&fleet, NOW);
 	make_task(longer, 0, 0)->percent = 5;
 	make_task(shorter, 0, 0)->percent = 5;
 	worker->said.draining = true;
--- a/tests/unit/test_upkeep.c
+++ b/tests/unit/test_upkeep.c
@@ -24,29 +24,6 @@
 	make_fleet_end(&fleet, config);
 }
 
-static struct job *serving_job(int count, int may_miss)
-{
-	struct job *job = make_job(&fleet, "serve", 1, count, 1, 1000, NOW);
-
-	job->spec.steps[0].long_running = true;
-	job->spec.steps[0].target_ms = 100;
-	job->spec.steps[0].may_miss = may_miss;
-	return job;
-}
-
-static void start_all(void)
-{
-	struct worker *worker;
-	struct task *task;
-
-	fleet_open_due(&fleet, NOW, 0);
-	plan_pass(&fleet, NOW);
-	make_started(&fleet, NOW);
-	list_for_each_entry(worker, &fleet.workers, node)
-		list_for_each_entry(task, &worker->tasks, on_worker)
-			task->percent = 100;
-}
-
 static struct machine *add_machine(const char *name, const char *worker)
 {
 	struct machine *machine = g_new0(struct machine, 1);
@@ -76,7 +53,7 @@
 	struct wave *wave;
 
 	make_job(&fleet, "j", 1, 1, 1, 60000, NOW);
-	start_all();
+	make_all_started(&fleet, NOW);
 	make_worker(&fleet, "w2", "r", 1, NOW);
 	add_machine("m1", "w1");
 	add_machine("m2", "w2");
@@ -101,7 +78,7 @@
 
 	make_worker(&fleet, "w1", "r", 1, NOW);
 	job = make_job(&fleet, "j", 1, 1, 1, 60000, NOW);
-	start_all();
+	make_all_started(&fleet, NOW);
 	machine = add_machine("m1", "w1");
 	wave = make_wave("m1", 20000, 1);
 	upkeep_update(&fleet, wave, machines, NOW);
@@ -129,8 +106,8 @@
 	struct wave *wave;
 
 	make_worker(&fleet, "w1", "r", 1, NOW);
-	serving_job(1, 0);
-	start_all();
+	make_serving_job(&fleet, 1, 0, NOW);
+	make_all_started(&fleet, NOW);
 	add_machine("m1", "w1");
 	wave = make_wave("m1", 20000, 1);
 	upkeep_update(&fleet, wave, machines, NOW);
@@ -174,7 +151,7 @@
 
 	make_worker(&fleet, "w1", "r", 1, NOW);
 	job = make_job(&fleet, "j", 1, 1, 1, 5000, NOW);
-	start_all();
+	make_all_started(&fleet, NOW);
 	make_worker(&fleet, "w2", "r", 1, NOW);
 	add_machine("m1", "w1");
 	add_machine("m2", "w2");
