Send a store call again when its answer takes much longer than usual

Cause: with answers of the store lost, a call was repeated only after 450 ms, the time that a slow store may take. With half of the answers lost a submission took 0.45 s in the mean and up to 3 s, then 504, and each write of the leader delayed all jobs by as much.

The relay follows the usual time to an answer, sends the request again on another connection after three times that and 50 ms (80 ms at least), at most three in all, and takes the first answer. Nothing is cancelled for it, so that a store that is merely slow is measured and waited for. All calls are conditional or harmless when carried out twice, as before. Waiting polls are left out. The direct way moves to relay_direct.c.

Ruled out: a shorter limit in place of 450 ms, which gives up every call of a slow store and never learns that it is slow.

Tests: lost_answers_cost_little_time (with one try a caller gets 504, as it did before), slow_store_is_waited_for.

--- a/control/relay.c
+++ b/control/relay.c
@@ -6,11 +6,6 @@
 #include "base/log.h"
 #include "daemon/mp.h"
 
-/* Failures in a row after which the direct way is not tried for a while. */
-#define FAILURES_MAX 2
-/* A store that is back is noticed within that, at a tenth of a read each. */
-#define PROBE_MS 250
-#define PROBE_EXPECTED_MS 400
 /* Another host that could not help is left out for so long. */
 #define PEER_REST_MS 500
 /* The other host's own limit, and the way there and back. */
@@ -19,40 +14,7 @@
 #define PEER_EXPECTED_MS 600
 #define REPEATS_MAX 2 /* on the direct way, after lost answers */
 
-enum way { WAY_DIRECT, WAY_PEER };
-
-struct relay_call {
-	struct list_head node;
-	struct relay *relay;
-	struct exchange_call *call; /* of the owner, or NULL */
-	struct rpc_request *request; /* of another host, or NULL */
-	/* The request. */
-	char *method;
-	char *target;
-	void *body;
-	size_t len;
-	int64_t timeout_ms;
-	int64_t expected_ms;
-	bool repeatable;
-	/* Progress. */
-	enum way way;
-	bool sent; /* some try may have been received */
-	int status; /* of a refusal, 0: none */
-	int repeats;
-	struct relay_peer *tried[RELAY_TRIES_MAX];
-	int ntried;
-	int64_t deadline_us;
-	int64_t sent_us;
-	struct exchange_call direct;
-	bool direct_busy;
-	struct rpc_call rpc;
-	bool rpc_busy;
-	struct relay_peer *peer;
-	struct kn_timer timer;
-};
-
 static void try_peer(struct relay_call *own);
-static void try_direct(struct relay_call *own);
 
 /* End of a call. */
 
@@ -70,10 +32,7 @@
 static void stop_tries(struct relay_call *own)
 {
 	kn_timer_cancel(&own->timer);
-	if (own->direct_busy)
-		own->relay->direct->ops->cancel(own->relay->direct,
-						&own->direct);
-	own->direct_busy = false;
+	relay_stop_direct(own);
 	if (own->rpc_busy)
 		rpc_call_cancel(&own->rpc);
 	own->rpc_busy = false;
@@ -105,8 +64,8 @@
 }
 
 /* body is borrowed. */
-static void finish(struct relay_call *own, int result, int status,
-		   const void *body, size_t len)
+void relay_end_call(struct relay_call *own, int result, int status,
+		    const void *body, size_t len)
 {
 	struct exchange_call *call = own->call;
 
@@ -133,73 +92,10 @@
 static void give_up(struct relay_call *own)
 {
 	if (own->status != 0 && !own->sent)
-		finish(own, CB_OK, own->status, NULL, 0);
+		relay_end_call(own, CB_OK, own->status, NULL, 0);
 	else
-		finish(own, own->sent ? CB_E_TIMEOUT : CB_E_STORE_DOWN, 0, NULL,
-		       0);
-}
-
-/* The direct way. */
-
-static void on_probe(struct exchange_call *call);
-
-static void send_probe(struct kn_timer *timer)
-{
-	struct relay *relay = container_of(timer, struct relay, probe_timer);
-	struct exchange_request request = {
-		.method = "GET",
-		.target = relay->probe,
-		.timeout_ms = PROBE_EXPECTED_MS,
-	};
-
-	relay->probing = true;
-	relay->probe_call.done = on_probe;
-	relay->probe_call.user = relay;
-	relay->direct->ops->start(relay->direct, &relay->probe_call, &request);
-}
-
-static bool refused(int status)
-{
-	return status == 429 || status >= 500;
-}
-
-static void on_probe(struct exchange_call *call)
-{
-	struct relay *relay = call->user;
-
-	relay->probing = false;
-	if (call->result != CB_OK || refused(call->status)) {
-		kn_timer_set(relay->exchange.kn, &relay->probe_timer,
-			     PROBE_MS * USEC_PER_MSEC, send_probe);
-		return;
-	}
-	relay->direct_bad = false;
-	relay->failures = 0;
-	relay->heard_us = kn_now_us();
-	log_info("store.regained", "way=direct status=%d", call->status);
-}
-
-static void direct_lost(struct relay *relay, const char *why)
-{
-	if (relay->direct_bad)
-		return;
-	relay->direct_bad = true;
-	ctr_add(&relay->direct_lost, 1);
-	log_warn(
-		"store.lost",
-		"way=direct reason=\"%s\" failures=%d heard_ms=%" G_GINT64_FORMAT,
-		why, relay->failures,
-		relay->heard_us ? (kn_now_us() - relay->heard_us) / 1000 : -1);
-	relay->direct->ops->refresh(relay->direct);
-	if (!relay->probing && !kn_timer_pending(&relay->probe_timer))
-		kn_timer_set(relay->exchange.kn, &relay->probe_timer, 0,
-			     send_probe);
-}
-
-static void note_failure(struct relay *relay, const char *why)
-{
-	if (++relay->failures >= FAILURES_MAX)
-		direct_lost(relay, why);
+		relay_end_call(own, own->sent ? CB_E_TIMEOUT : CB_E_STORE_DOWN,
+			       0, NULL, 0);
 }
 
 static bool time_is_left(const struct relay_call *own)
@@ -208,7 +104,7 @@
 }
 
 /* After a try that failed: another way, or the same once more. */
-static void next_way(struct relay_call *own)
+void relay_next_way(struct relay_call *own)
 {
 	stop_tries(own);
 	if (!time_is_left(own) || (own->sent && !own->repeatable)) {
@@ -218,70 +114,12 @@
 	if (!own->relay->direct_bad && own->status == 0 &&
 	    own->way == WAY_DIRECT && own->repeats < REPEATS_MAX) {
 		own->repeats++;
-		try_direct(own);
+		relay_try_direct(own);
 		return;
 	}
 	try_peer(own);
 }
 
-static void on_direct(struct exchange_call *call)
-{
-	struct relay_call *own = call->user;
-	struct relay *relay = own->relay;
-
-	own->direct_busy = false;
-	kn_timer_cancel(&own->timer);
-	if (call->result == CB_OK && !refused(call->status)) {
-		relay->failures = 0;
-		relay->heard_us = kn_now_us();
-		finish(own, CB_OK, call->status, call->body, call->body_len);
-		return;
-	}
-	if (call->result == CB_OK) {
-		own->status = call->status;
-		note_failure(relay, "refused");
-	} else {
-		own->sent |= call->sent;
-		note_failure(relay,
-			     call->sent ? "connection lost" : "no connection");
-	}
-	next_way(own);
-}
-
-/* No answer in the usual time: it, or the whole way, is lost. */
-static void on_direct_late(struct kn_timer *timer)
-{
-	struct relay_call *own = container_of(timer, struct relay_call, timer);
-
-	own->sent = true;
-	if (own->relay->heard_us < own->sent_us)
-		direct_lost(own->relay, "silent");
-	else
-		note_failure(own->relay, "answer lost");
-	next_way(own);
-}
-
-static void try_direct(struct relay_call *own)
-{
-	struct relay *relay = own->relay;
-	struct exchange_request request = {
-		.method = own->method,
-		.target = own->target,
-		.body = own->body,
-		.len = own->len,
-		.timeout_ms = own->timeout_ms,
-	};
-
-	own->way = WAY_DIRECT;
-	own->sent_us = kn_now_us();
-	own->direct.done = on_direct;
-	own->direct.user = own;
-	own->direct_busy = true;
-	relay->direct->ops->start(relay->direct, &own->direct, &request);
-	kn_timer_set(relay->exchange.kn, &own->timer,
-		     own->expected_ms * USEC_PER_MSEC, on_direct_late);
-}
-
 /* Through another host. */
 
 static bool was_tried(const struct relay_call *own,
@@ -315,7 +153,7 @@
 	if (own->peer)
 		own->peer->bad_until_us =
 			kn_now_us() + PEER_REST_MS * USEC_PER_MSEC;
-	next_way(own);
+	relay_next_way(own);
 }
 
 static void on_peer(struct rpc_call *call)
@@ -348,13 +186,13 @@
 			 CB_E_PEER_PROTOCOL);
 		own->sent = true;
 		peer_failed(own);
-	} else if (result != CB_OK || refused((int)status)) {
+	} else if (result != CB_OK || relay_refused((int)status)) {
 		own->sent |= sent;
 		own->status = result == CB_OK ? (int)status : own->status;
 		peer_failed(own);
 	} else {
 		ctr_add(&own->relay->relayed, 1);
-		finish(own, CB_OK, (int)status, body, len);
+		relay_end_call(own, CB_OK, (int)status, body, len);
 	}
 	msgpack_unpacked_destroy(&unpacked);
 }
@@ -381,7 +219,7 @@
 	own->tried[own->ntried++] = peer;
 	own->peer = peer;
 	peer->calls++;
-	mp_begin(&out, 7);
+	mp_begin(&out, 8);
 	mp_uint(&out, RELAY_STORE_CALL);
 	mp_str(&out, own->method);
 	mp_str(&out, own->target);
@@ -389,6 +227,7 @@
 	mp_int(&out, own->timeout_ms);
 	mp_int(&out, own->expected_ms);
 	mp_uint(&out, own->repeatable);
+	mp_uint(&out, own->waits);
 	own->rpc.user = own;
 	own->rpc_busy = true;
 	rpc_call_start(&own->rpc, &peer->rpc, out.buf.data, out.buf.size,
@@ -404,7 +243,8 @@
 static struct relay_call *own_new(struct relay *relay, const char *method,
 				  const char *target, const void *body,
 				  size_t len, int64_t timeout_ms,
-				  int64_t expected_ms, bool repeatable)
+				  int64_t expected_ms, bool repeatable,
+				  bool waits)
 {
 	struct relay_call *own = g_new0(struct relay_call, 1);
 
@@ -416,6 +256,7 @@
 	own->timeout_ms = timeout_ms;
 	own->expected_ms = expected_ms;
 	own->repeatable = repeatable;
+	own->waits = waits;
 	/* Time for a try that is lost and one that is answered. */
 	own->deadline_us =
 		kn_now_us() + (timeout_ms + expected_ms) * USEC_PER_MSEC;
@@ -437,13 +278,13 @@
 
 	own = own_new(relay, request->method, request->target, request->body,
 		      request->len, request->timeout_ms, request->expected_ms,
-		      request->repeatable);
+		      request->repeatable, request->waits);
 	own->call = call;
 	call->impl = own;
 	if (relay->direct_bad)
 		kn_timer_set(exchange->kn, &own->timer, 0, begin_later);
 	else
-		try_direct(own);
+		relay_try_direct(own);
 }
 
 static void relay_cancel(struct exchange *exchange, struct exchange_call *call)
@@ -473,22 +314,23 @@
 	int64_t timeout_ms, expected_ms;
 	struct relay_call *own;
 	const void *body;
-	bool repeatable;
+	bool repeatable, waits;
 	size_t len;
 
 	body = mp_get_bin(in, &len);
 	timeout_ms = mp_get_int(in);
 	expected_ms = mp_get_int(in);
 	repeatable = mp_get_uint(in);
+	waits = mp_get_uint(in);
 	own = own_new(relay, method ? method : "", target ? target : "",
 		      len ? body : NULL, len, CLAMP(timeout_ms, 1, 60000),
-		      CLAMP(expected_ms, 1, 60000), repeatable);
+		      CLAMP(expected_ms, 1, 60000), repeatable, waits);
 	own->request = request;
 	ctr_add(&relay->served, 1);
 	if (!in->ok || !method || !target || relay->direct_bad)
 		give_up(own);
 	else
-		try_direct(own);
+		relay_try_direct(own);
 	g_free(method);
 	g_free(target);
 }
@@ -535,9 +377,7 @@
 		}
 		own_free(own);
 	}
-	if (relay->probing)
-		relay->direct->ops->cancel(relay->direct, &relay->probe_call);
-	kn_timer_cancel(&relay->probe_timer);
+	relay_stop_probe(relay);
 	if (relay->serving)
 		rpc_server_finish(&relay->server);
 	while (relay->peers->len > 0)
@@ -547,6 +387,7 @@
 	ctr_finish(&relay->relayed);
 	ctr_finish(&relay->served);
 	ctr_finish(&relay->direct_lost);
+	ctr_finish(&relay->hedged);
 	g_free(relay);
 }
 
@@ -568,6 +409,7 @@
 	relay->direct = direct;
 	relay->site = site;
 	relay->probe = probe;
+	relay->usual_us = USUAL_FIRST_MS * USEC_PER_MSEC;
 	relay->peers = g_ptr_array_new();
 	list_init(&relay->calls);
 	ctr_init(&relay->relayed, &kn->counters, CTR_COUNTER,
@@ -579,6 +421,9 @@
 	ctr_init(&relay->direct_lost, &kn->counters, CTR_COUNTER,
 		 "chivebank_store_lost_total", NULL,
 		 "Times that the direct way to the store was lost");
+	ctr_init(&relay->hedged, &kn->counters, CTR_COUNTER,
+		 "chivebank_store_hedged_total", NULL,
+		 "Calls to the store that were sent again before an answer");
 	for (i = 0; i < site->seed_count; i++)
 		relay_add_peer(relay, "", &site->seeds[i], 2);
 	return relay;
--- a/control/relay.h
+++ b/control/relay.h
@@ -35,6 +35,7 @@
 	bool direct_bad;
 	int failures; /* of the direct way since its last success */
 	int64_t heard_us; /* last answer on the direct way */
+	int64_t usual_us; /* moving average of the time to an answer there */
 	struct kn_timer probe_timer;
 	struct exchange_call probe_call;
 	bool probing;
@@ -44,6 +45,7 @@
 	struct ctr relayed;
 	struct ctr served;
 	struct ctr direct_lost;
+	struct ctr hedged;
 };
 
 /* Takes direct over. */
--- a/control/relay_int.h
+++ b/control/relay_int.h
@@ -3,11 +3,75 @@
 
 #include "control/relay.h"
 
-/* Shared by relay.c (calls), relay_peers.c and relay_ask.c (questions). */
+/*
+ * Shared by relay.c (calls and their ways), relay_direct.c (the direct way),
+ * relay_peers.c and relay_ask.c (questions).
+ */
 
 /* What hosts say to each other; the first element of each request. */
 enum relay_verb { RELAY_STORE_CALL, RELAY_STAND_DOWN };
 
+/*
+ * On the direct way an answer that takes much longer than usual may be lost:
+ * the request is sent again on another connection, and the first answer of any
+ * counts.
+ */
+#define DIRECT_TRIES 3
+/* Taken as usual at first: connections are opened, and all hosts start. */
+#define USUAL_FIRST_MS 40
+
+enum way { WAY_DIRECT, WAY_PEER };
+
+struct direct_try {
+	struct relay_call *own;
+	struct exchange_call call;
+	bool busy;
+	int64_t sent_us;
+};
+
+struct relay_call {
+	struct list_head node;
+	struct relay *relay;
+	struct exchange_call *call; /* of the owner, or NULL */
+	struct rpc_request *request; /* of another host, or NULL */
+	/* The request. */
+	char *method;
+	char *target;
+	void *body;
+	size_t len;
+	int64_t timeout_ms;
+	int64_t expected_ms;
+	bool repeatable;
+	bool waits;
+	/* Progress. */
+	enum way way;
+	bool sent; /* some try may have been received */
+	int status; /* of a refusal, 0: none */
+	int repeats;
+	struct relay_peer *tried[RELAY_TRIES_MAX];
+	int ntried;
+	int64_t deadline_us;
+	int64_t sent_us;
+	struct direct_try direct[DIRECT_TRIES];
+	int ndirect; /* tries since sent_us */
+	struct kn_timer hedge_timer;
+	struct rpc_call rpc;
+	bool rpc_busy;
+	struct relay_peer *peer;
+	struct kn_timer timer;
+};
+
+/* Ends a call with an answer or a failure; body is borrowed. */
+void relay_end_call(struct relay_call *own, int result, int status,
+		    const void *body, size_t len);
+/* After a try that failed: another way, or the same once more. */
+void relay_next_way(struct relay_call *own);
+/* The store did nothing, for want of room or of health. */
+bool relay_refused(int status);
+void relay_try_direct(struct relay_call *own);
+/* Drops the tries of a call on the direct way. */
+void relay_stop_direct(struct relay_call *own);
+void relay_stop_probe(struct relay *relay);
 /* Freed when no call uses it any more. */
 void relay_drop_peer(struct relay *relay, struct relay_peer *peer);
 
--- a/tests/unit/test_host.c
+++ b/tests/unit/test_host.c
@@ -491,6 +491,58 @@
 }
 END_TEST
 
+/*
+ * Load: half of the answers to writes are lost for a while. Callers are not
+ * kept waiting for those answers: with three tries one of eight is left, with
+ * one try it would be half of them.
+ */
+START_TEST(lost_answers_cost_little_time)
+{
+	struct rig_reply reply;
+	char path[64];
+	int slow = 0, i;
+
+	rig_start(&rig, 1, 4, 7);
+	site_store_fault(rig.store, -1, SITE_LOST, 50, 0);
+	for (i = 0; i < 40; i++) {
+		snprintf(path, sizeof(path), "%s%016x", RIG_PREFIX, 0x900 + i);
+		reply = rig_call(&rig, 0, "POST", path, RIG_KEY,
+				 "{\"spec\":\"ms=10\",\"steps\":[{\"count\":1,"
+				 "\"gpu\":1}]}");
+		ck_assert_int_eq(reply.status, 200);
+		slow += reply.took_ms >= 400;
+	}
+	ck_assert_int_le(slow, 12);
+	site_store_fault(rig.store, -1, SITE_WELL, 0, 0);
+	wait_many(40, 0x900, "done", 10000);
+	ck_assert_uint_eq(rig.fleet->starts, 40);
+	check_promises();
+	rig_stop(&rig);
+}
+END_TEST
+
+/* A slow store is waited for: no call is given up for its hedges. */
+START_TEST(slow_store_is_waited_for)
+{
+	struct rig_reply reply;
+	uint64_t before;
+	char path[64];
+	int i;
+
+	rig_start(&rig, 1, 4, 1);
+	site_store_fault(rig.store, -1, SITE_WELL, 0, 250);
+	for (i = 0; i < 12; i++) {
+		snprintf(path, sizeof(path), "%s%016x", RIG_PREFIX, 0xa00 + i);
+		before = rig.store->doors[0].calls;
+		reply = rig_call(&rig, 0, "GET", path, RIG_KEY, NULL);
+		ck_assert_int_eq(reply.status, 410);
+	}
+	/* By now an answer is expected that late, and nothing is sent twice. */
+	ck_assert_uint_le(rig.store->doors[0].calls - before, 6);
+	rig_stop(&rig);
+}
+END_TEST
+
 START_TEST(writes_of_the_store_come_late)
 {
 	troubled(11 + (uint32_t)_i, SITE_LATE, SITE_WORKER_WELL);
@@ -595,6 +647,8 @@
 	tcase_add_test(tc, registrations_of_others_cost_nothing);
 	tcase_add_test(tc, leader_whose_lease_lapses);
 	tcase_add_loop_test(tc, answers_of_the_store_are_lost, 0, 3);
+	tcase_add_test(tc, lost_answers_cost_little_time);
+	tcase_add_test(tc, slow_store_is_waited_for);
 	tcase_add_loop_test(tc, writes_of_the_store_come_late, 0, 3);
 	tcase_add_loop_test(tc, orders_are_carried_out_late, 0, 3);
 	tcase_add_test(tc,
