--- a/control/hosts.c
+++ b/control/hosts.c
@@ -159,6 +159,10 @@
 			g_hash_table_insert(hosts->known, g_strdup(host),
 					    g_strdup(hosts->list_dc->name));
 		}
+	} else {
+		log_warn("host.unreadable",
+			 "peer=%s revision=%" G_GINT64_FORMAT " bytes=%zu",
+			 host, item->mod_revision, item->len);
 	}
 	g_strfreev(words);
 }
--- a/control/maintenance.c
+++ b/control/maintenance.c
@@ -80,8 +80,12 @@
 	size_t i;
 
 	own->writing = false;
-	if (call->result != CB_OK)
+	if (call->result != CB_OK) {
+		/* Asked again with the next pass. */
+		log_warn("waves.not_read", "fence=%lld result=%d",
+			 (long long)own->fence, call->result);
 		return;
+	}
 	own->informed = true;
 	for (i = 0; i < call->count; i++) {
 		const struct kv_item *item = &call->items[i];
@@ -197,8 +201,15 @@
 	struct maintenance *own = call->user;
 
 	own->writing = false;
-	if (call->result != CB_OK || !call->succeeded)
+	if (call->result != CB_OK || !call->succeeded) {
+		/* Written again, unless another host leads by now. */
+		log_warn("wave.not_said",
+			 "wave=%lld done=%d fence=%lld result=%d leads=%d",
+			 (long long)own->status_wave->number, own->status_done,
+			 (long long)own->fence, call->result,
+			 call->result != CB_OK || call->succeeded);
 		return;
+	}
 	own->status_wave->said_running = true;
 	own->status_wave->said_done = own->status_done;
 }
