Bring lasting tasks back in a full pool, and do not blame their workers

Cause, found by reading the platform's rules against fleet/: a task that lasts is owed its place within seconds of its last run, however full the pool is. Its job counted as hopeless once it was older than three objectives, so a task that lost its worker went behind all other work of its priority, and nothing made room for it. A run that its worker listed as done was never started again. Failures at work, which such tasks may have at any time, banned the worker once two jobs had one there. A worker that takes a task and does not bring it to work kept it for ever.

Ruled out: to raise the job's priority, since a guarantee goes before it and preemption of its own kind would follow.

Any end is followed by a start. A failure at work is no strike. A run that is not at work 6 s after its last progress moves.

--- a/fleet/job.h
+++ b/fleet/job.h
@@ -73,6 +73,7 @@
 	int64_t fail_run; /* the last run of the gang that was counted */
 	int64_t opened_us;
 	int64_t began_us; /* first order of all its tasks, 0: not yet */
+	int64_t crowded_us; /* since when one of them finds no room, 0: none */
 	/* Room that is being emptied for it; NULL-terminated, or NULL. */
 	struct worker **reserved;
 	int64_t reserved_us;
--- /dev/null
+++ b/fleet/lasting.h
@@ -0,0 +1,20 @@
+#ifndef FLEET_LASTING_H
+#define FLEET_LASTING_H
+
+#include "fleet/fleet.h"
+
+/*
+ * Tasks that run until their job is cancelled. It answers a pool that is full
+ * of other work: a task that lost its worker is at work again within seconds,
+ * whatever its priority and whatever else waits.
+ */
+
+bool lasting_job(const struct job *job);
+/* Whether a task of the stage has been without room for too long. */
+bool lasting_overdue(const struct stage *stage, int64_t now_us);
+/* Whether a run that was confirmed does not come to work. */
+bool lasting_stalled(const struct task *task, int64_t now_us);
+/* Whether the failure of a run tells nothing of its worker. */
+bool lasting_failure_expected(const struct task *task);
+
+#endif
--- a/fleet/order.c
+++ b/fleet/order.c
@@ -2,6 +2,7 @@
 
 #include <string.h>
 
+#include "fleet/lasting.h"
 #include "fleet/limits.h"
 
 /* The longest chain of what is left, by the expected durations. */
@@ -40,8 +41,8 @@
 	double done_ms = waited_ms + order_left_ms(fleet, job);
 	double objective_ms = order_objective_ms(fleet, job);
 
-	/* Timed jobs are counted from each due time. */
-	if (job->spec.times > 0)
+	/* Timed jobs are counted from each due time, lasting ones not at all. */
+	if (job->spec.times > 0 || lasting_job(job))
 		return HOPE_IN_TIME;
 	if (done_ms <= objective_ms)
 		return HOPE_IN_TIME;
@@ -68,8 +69,9 @@
 }
 
 /*
- * Lower ranks first: by priority, then what can still be in time before what
- * can still be late, and by the time at which each would be late.
+ * Lower ranks first: what lasts and has lost its room, then by priority, then
+ * what can still be in time before what can still be late, and by the time at
+ * which each would be late.
  */
 static double rank(const struct fleet *fleet, const struct job *job,
 		   int64_t now_us)
@@ -78,6 +80,8 @@
 	double deadline_s = (double)job->arrived_us / 1e6 +
 			    order_objective_ms(fleet, job) / 1000.0;
 
+	if (lasting_job(job) && job->started)
+		return (double)job->arrived_us / 1e6 - 1e9;
 	return (double)job->priority * 1e9 + hope * 1e8 + deadline_s;
 }
 
--- a/fleet/plan.c
+++ b/fleet/plan.c
@@ -1,6 +1,7 @@
 #include "fleet/plan.h"
 
 #include "fleet/advice.h"
+#include "fleet/lasting.h"
 #include "fleet/limits.h"
 #include "fleet/order.h"
 #include "fleet/placement.h"
@@ -85,12 +86,16 @@
 }
 
 /*
- * What a job may take from others: all that it needs if its guarantee covers
- * it, and what loses little if it is urgent and can still be in time.
+ * What a stage may take from others: all that it needs if its guarantee covers
+ * it or if it lasts and has waited for too long, and what loses little if it
+ * is urgent and can still be in time.
  */
-static double claim(const struct pass *pass, const struct job *job)
+static double claim(const struct pass *pass, const struct stage *stage)
 {
-	if (order_guaranteed(pass->fleet, job))
+	const struct job *job = stage->job;
+
+	if (order_guaranteed(pass->fleet, job) ||
+	    lasting_overdue(stage, pass->now_us))
 		return G_MAXDOUBLE;
 	if (job->priority == 0 &&
 	    order_hope(pass->fleet, job, pass->now_us) == HOPE_IN_TIME)
@@ -101,7 +106,7 @@
 /* A stage that has to wait: it takes room from others, or keeps some free. */
 static void plan_waiting(struct pass *pass, struct stage *stage)
 {
-	double max_loss = claim(pass, stage->job);
+	double max_loss = claim(pass, stage);
 
 	if (stage->reserved)
 		return;
@@ -126,11 +131,15 @@
 			continue;
 		placed = stage->spec->gang ? plan_gang(pass, stage) :
 					     plan_tasks(pass, stage);
-		if (placed)
+		if (placed) {
 			stage->began_us = stage->began_us ? stage->began_us :
 							    pass->now_us;
-		else
-			plan_waiting(pass, stage);
+			stage->crowded_us = 0;
+			continue;
+		}
+		stage->crowded_us =
+			stage->crowded_us ? stage->crowded_us : pass->now_us;
+		plan_waiting(pass, stage);
 	}
 }
 
--- a/fleet/reclaim.c
+++ b/fleet/reclaim.c
@@ -3,6 +3,7 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "fleet/lasting.h"
 #include "fleet/order.h"
 #include "fleet/rescue.h"
 
@@ -39,18 +40,21 @@
 }
 
 bool reclaim_may_stop(const struct fleet *fleet, const struct task *task,
-		      const struct job *claimant)
+		      const struct stage *claimant, int64_t now_us)
 {
 	const struct job *job = task->stage->job;
 
-	if (job == claimant || task->phase == TASK_DONE ||
+	if (job == claimant->job || task->phase == TASK_DONE ||
 	    task->phase == TASK_STOPPING || !rescue_may_interrupt(task))
 		return false;
-	if (job->priority > claimant->priority)
+	if (lasting_overdue(claimant, now_us))
+		return !task->stage->spec->long_running &&
+		       !order_guaranteed(fleet, job);
+	if (job->priority > claimant->job->priority)
 		return true;
 	/* Of the same priority: what its customer has beyond the guarantee. */
 	return job->priority == 0 && !order_guaranteed(fleet, job) &&
-	       order_guaranteed(fleet, claimant);
+	       order_guaranteed(fleet, claimant->job);
 }
 
 struct victim {
@@ -121,7 +125,7 @@
 			room_add(&room, &task->stage->spec->need);
 			continue;
 		}
-		if (!reclaim_may_stop(p->fleet, task, stage->job))
+		if (!reclaim_may_stop(p->fleet, task, stage, p->now_us))
 			continue;
 		victim.loss = loss_of_all(p->fleet, task, p->now_us);
 		g_array_append_val(victims, victim);
--- a/fleet/reclaim.h
+++ b/fleet/reclaim.h
@@ -12,9 +12,9 @@
 /* Core-milliseconds that are lost when a run is stopped now. */
 double reclaim_loss(const struct fleet *fleet, const struct task *task,
 		    int64_t now_us);
-/* Whether a run may be stopped for the sake of a job. */
+/* Whether a run may be stopped for the sake of a stage. */
 bool reclaim_may_stop(const struct fleet *fleet, const struct task *task,
-		      const struct job *claimant);
+		      const struct stage *claimant, int64_t now_us);
 /*
  * Stops runs until the stage has room, and reserves their workers for it.
  * Returns false when no choice of runs makes enough room, or when stopping
--- a/fleet/rescue.c
+++ b/fleet/rescue.c
@@ -1,5 +1,6 @@
 #include "fleet/rescue.h"
 
+#include "fleet/lasting.h"
 #include "fleet/limits.h"
 #include "fleet/sharing.h"
 
@@ -45,11 +46,13 @@
 		    int64_t now_us)
 {
 	if (task->phase != TASK_RUNNING || task->first_us == 0 ||
-	    task->percent >= 100 || task->stage->spec->long_running)
+	    task->percent >= 100)
 		return false;
 	/* What is not told is no sign: the worker may be out of reach. */
 	if (!task->worker || task->worker->silent > 0)
 		return false;
+	if (task->stage->spec->long_running)
+		return lasting_stalled(task, now_us);
 	return now_us - still_since_us(task) > stall_us(fleet, task);
 }
 
@@ -130,7 +133,9 @@
 					 on_worker) {
 			const char *why = reason(fleet, task, now_us);
 
-			if (!why || !rescue_may_interrupt(task))
+			/* A task that never came to work is not interrupted. */
+			if (!why || (!rescue_may_interrupt(task) &&
+				     !lasting_stalled(task, now_us)))
 				continue;
 			moved++;
 			fleet->moved++;
--- a/fleet/run.c
+++ b/fleet/run.c
@@ -1,5 +1,6 @@
 #include "fleet/fleet_int.h"
 
+#include "fleet/lasting.h"
 #include "fleet/limits.h"
 
 bool task_restartable(const struct task *task)
@@ -176,7 +177,8 @@
 	struct job *job = task->stage->job;
 	int fails = count_failure(task);
 
-	strike(fleet, task->worker, job, now_us);
+	if (!lasting_failure_expected(task))
+		strike(fleet, task->worker, job, now_us);
 	fleet_touch(fleet, job);
 	if (!task->stage->spec->long_running && fails >= job->attempts)
 		fleet_end_job(fleet, job, JOB_FAILED, wall_ms,
@@ -219,7 +221,9 @@
 	case RUN_DONE:
 		worker->strikes = 0;
 		worker->ban_us = BAN_FIRST_MS * 1000;
-		if (task->phase != TASK_DONE)
+		/* What lasts is started again however it ends. */
+		if (task->phase != TASK_DONE &&
+		    !task->stage->spec->long_running)
 			run_done(fleet, task, now_us, wall_ms);
 		break;
 	case RUN_FAILED:
--- /dev/null
+++ b/tests/unit/test_lasting.c
@@ -0,0 +1,230 @@
+#include <stdio.h>
+#include <string.h>
+
+#include "fleet/lasting.h"
+#include "fleet/plan.h"
+#include "fleet/rescue.h"
+#include "tests/standins/fleet_make.h"
+#include "tests/unit/run.h"
+
+/* Tasks that run until their job is cancelled, without a network. */
+
+#define MSEC 1000LL
+#define SEC 1000000LL
+#define NOW (100 * SEC)
+
+static struct fleet fleet;
+static struct config *config;
+
+static void set_up(void)
+{
+	make_fleet(&fleet, &config);
+}
+
+static void tear_down(void)
+{
+	make_fleet_end(&fleet, config);
+}
+
+static int plan(int64_t now_us)
+{
+	int planned;
+
+	fleet_open_due(&fleet, now_us, 0);
+	planned = plan_pass(&fleet, now_us);
+	make_started(&fleet, now_us);
+	return planned;
+}
+
+/* All that runs makes progress, so that nothing is taken to hang. */
+static void go_on(int64_t now_us)
+{
+	struct worker *worker;
+	struct task *task;
+
+	list_for_each_entry(worker, &fleet.workers, node)
+		list_for_each_entry(task, &worker->tasks, on_worker)
+			task->moved_us = now_us;
+}
+
+static void end_stops(int64_t now_us)
+{
+	struct worker *worker;
+	struct task *task, *next;
+
+	list_for_each_entry(worker, &fleet.workers, node)
+		list_for_each_entry_safe(task, next, &worker->tasks, on_worker)
+			if (task->phase == TASK_STOPPING)
+				make_end(&fleet, task, RUN_STOPPED, now_us);
+}
+
+START_TEST(task_runs_again_however_it_ends)
+{
+	static const enum run_end ends[] = { RUN_DONE, RUN_FAILED, RUN_STOPPED,
+					     RUN_LAPSED };
+	struct job *job;
+	size_t i;
+
+	make_worker(&fleet, "w1", "r", 8, NOW);
+	make_worker(&fleet, "w2", "r", 8, NOW);
+	job = make_serving_job(&fleet, 1, 0, NOW);
+	plan(NOW);
+	for (i = 0; i < G_N_ELEMENTS(ends); i++) {
+		int64_t now_us = NOW + (int64_t)(i + 1) * 5 * SEC;
+
+		make_task(job, 0, 0)->percent = 100;
+		make_end(&fleet, make_task(job, 0, 0), ends[i], now_us);
+		ck_assert_int_eq(plan(now_us), 1);
+		ck_assert_int_eq(job->phase, JOB_RUNNING);
+	}
+}
+END_TEST
+
+static void fail_two_jobs(struct worker *worker, int percent)
+{
+	struct job *jobs[2];
+	int i;
+
+	jobs[0] = make_job(&fleet, "a", 1, 1, 1, 1000, NOW);
+	jobs[1] = make_job(&fleet, "b", 1, 1, 1, 1000, NOW);
+	for (i = 0; i < 2; i++)
+		jobs[i]->spec.steps[0].long_running = true;
+	plan(NOW);
+	for (i = 0; i < 2; i++) {
+		struct task *task = make_task(jobs[i], 0, 0);
+
+		ck_assert_ptr_eq(task->worker, worker);
+		task->percent = percent;
+		make_end(&fleet, task, RUN_FAILED, NOW + SEC);
+	}
+}
+
+/* Load: several services of which a task dies now and then, on one worker. */
+START_TEST(failures_at_work_do_not_ban_the_worker)
+{
+	struct worker *worker = make_worker(&fleet, "w", "r", 8, NOW);
+
+	fail_two_jobs(worker, 100);
+	ck_assert_int_eq(worker->banned_until_us, 0);
+}
+END_TEST
+
+START_TEST(failures_during_startup_ban_the_worker)
+{
+	struct worker *worker = make_worker(&fleet, "w", "r", 8, NOW);
+
+	fail_two_jobs(worker, 30);
+	ck_assert_int_gt(worker->banned_until_us, NOW);
+}
+END_TEST
+
+/* By the platform's rules a task that lasts is back within that. */
+#define BACK_MS 9000
+
+/*
+ * Load: a pool that is full of longer work of its own and higher priorities,
+ * with more of it waiting, when a serving task loses its worker. What callers
+ * get: the service is whole again in time.
+ */
+START_TEST(lost_task_comes_back_in_a_full_pool)
+{
+	struct worker *lost;
+	struct job *serve;
+	int64_t now_us;
+	char id[16];
+	int i;
+
+	for (i = 0; i < 3; i++) {
+		snprintf(id, sizeof(id), "w%d", i);
+		make_worker(&fleet, id, "r", 8, NOW);
+	}
+	serve = make_serving_job(&fleet, 2, 1, NOW);
+	serve->priority = 2;
+	serve->spec.steps[0].max_per_worker = 1;
+	plan(NOW);
+	for (i = 0; i < 12; i++) {
+		snprintf(id, sizeof(id), "b%d", i);
+		make_job(&fleet, id, i % 2, 4, 1, 60000, NOW);
+	}
+	plan(NOW);
+	lost = make_task(serve, 0, 1)->worker;
+	now_us = NOW + 60 * SEC;
+	fleet_unlist(&fleet, lost->said.id, now_us);
+	fleet_life_over(&fleet, lost);
+	ck_assert_ptr_null(make_task(serve, 0, 1)->worker);
+	for (i = 0; i * 100 < BACK_MS; i++) {
+		now_us += 100 * MSEC;
+		go_on(now_us);
+		plan(now_us);
+		if (i % 5 == 4)
+			end_stops(now_us);
+	}
+	ck_assert_int_eq(make_task(serve, 0, 1)->phase, TASK_RUNNING);
+	/* No more was stopped than it needs. */
+	ck_assert_uint_eq(fleet.preempted, 1);
+}
+END_TEST
+
+/* What the guarantee of a customer covers stays. */
+START_TEST(guaranteed_work_is_not_stopped_for_it)
+{
+	struct job *serve;
+	int64_t now_us;
+
+	make_worker(&fleet, "w", "r", 8, NOW);
+	make_job(&fleet, "sure", 0, 8, 1, 60000, NOW);
+	plan(NOW);
+	serve = make_serving_job(&fleet, 1, 0, NOW);
+	for (now_us = NOW; now_us < NOW + 9 * SEC; now_us += 100 * MSEC)
+		plan(now_us);
+	ck_assert_uint_eq(fleet.preempted, 0);
+	ck_assert_int_eq(make_task(serve, 0, 0)->phase, TASK_WAITING);
+}
+END_TEST
+
+/* A worker that accepts a task and does nothing. */
+START_TEST(task_that_does_not_come_to_work_moves)
+{
+	struct job *job;
+	struct task *task;
+
+	make_worker(&fleet, "w", "r", 8, NOW);
+	job = make_serving_job(&fleet, 1, 0, NOW);
+	plan(NOW);
+	task = make_task(job, 0, 0);
+	task->first_us = NOW;
+	task->percent = 40;
+	ck_assert_int_eq(rescue_pass(&fleet, NOW + 5 * SEC), 0);
+	ck_assert_int_eq(rescue_pass(&fleet, NOW + 7 * SEC), 1);
+}
+END_TEST
+
+START_TEST(task_at_work_stays)
+{
+	struct job *job;
+	struct task *task;
+
+	make_worker(&fleet, "w", "r", 8, NOW);
+	job = make_serving_job(&fleet, 1, 1, NOW);
+	plan(NOW);
+	task = make_task(job, 0, 0);
+	task->first_us = NOW;
+	task->percent = 100;
+	ck_assert_int_eq(rescue_pass(&fleet, NOW + 60 * SEC), 0);
+}
+END_TEST
+
+int main(void)
+{
+	TCase *tc = tcase_create("lasting");
+
+	tcase_add_checked_fixture(tc, set_up, tear_down);
+	tcase_add_test(tc, task_runs_again_however_it_ends);
+	tcase_add_test(tc, failures_at_work_do_not_ban_the_worker);
+	tcase_add_test(tc, failures_during_startup_ban_the_worker);
+	tcase_add_test(tc, lost_task_comes_back_in_a_full_pool);
+	tcase_add_test(tc, guaranteed_work_is_not_stopped_for_it);
+	tcase_add_test(tc, task_that_does_not_come_to_work_moves);
+	tcase_add_test(tc, task_at_work_stays);
+	return run_case("lasting", tc);
+}
