Count the room that a stopped run really gives back

Cause, found by reading: a task that fills takes no processor time of its worker, but a claim and the time of a reservation counted its share as free after its end. A claim then stopped filling tasks, got no room, and was chosen anew in the same way until its bound was over. Besides, workers that could give no room at all were the cheapest offers and were reserved for the claim.

Change: task_room() is the one statement of what a task takes, and workers without a slot are no offer.

Before: filling_victims_give_no_processor_time and claim_reserves_only_what_gives_room (test_plan) fail.

--- a/fleet/placement.c
+++ b/fleet/placement.c
@@ -466,6 +466,7 @@
 	g_array_sort(endings, by_time);
 	for (;;) {
 		const struct ending *ending;
+		struct room frees;
 		int slots = 0;
 
 		for (w = 0; w < workers->len; w++) {
@@ -488,11 +489,11 @@
 		if (e >= endings->len)
 			break;
 		ending = &g_array_index(endings, struct ending, e++);
+		frees = task_room(ending->task);
 		for (w = 0; w < workers->len; w++)
 			if (g_ptr_array_index(workers, w) ==
 			    ending->task->worker)
-				room_add(&rooms[w],
-					 &ending->task->stage->spec->need);
+				room_add(&rooms[w], &frees);
 	}
 	g_free(rooms);
 	g_array_unref(endings);
--- a/fleet/reclaim.c
+++ b/fleet/reclaim.c
@@ -91,9 +91,10 @@
 
 	while (i-- > 0) {
 		struct task *task = g_ptr_array_index(offer->victims, i);
+		struct room frees = task_room(task);
 		struct room less = *room;
 
-		room_sub(&less, &task->stage->spec->need);
+		room_sub(&less, &frees);
 		if (placement_slots(&less, stage, offer->slots) < offer->slots)
 			continue;
 		*room = less;
@@ -120,9 +121,10 @@
 	offer->victims = g_ptr_array_new();
 	list_for_each_entry(task, &worker->tasks, on_worker) {
 		struct victim victim = { task, 0 };
+		struct room frees = task_room(task);
 
 		if (ends_anyway(task)) {
-			room_add(&room, &task->stage->spec->need);
+			room_add(&room, &frees);
 			continue;
 		}
 		if (!reclaim_may_stop(p->fleet, task, stage, p->now_us))
@@ -139,8 +141,9 @@
 	for (i = 0; i < victims->len && offer->slots < limit; i++) {
 		const struct victim *victim =
 			&g_array_index(victims, struct victim, i);
+		struct room frees = task_room(victim->task);
 
-		room_add(&room, &victim->task->stage->spec->need);
+		room_add(&room, &frees);
 		g_ptr_array_add(offer->victims, victim->task);
 		offer->loss += victim->loss;
 		offer->slots = placement_slots(&room, stage, limit);
@@ -160,8 +163,8 @@
 {
 	const struct offer *left = a;
 	const struct offer *right = b;
-	double left_price = left->loss / MAX(left->slots, 1);
-	double right_price = right->loss / MAX(right->slots, 1);
+	double left_price = left->loss / left->slots;
+	double right_price = right->loss / right->slots;
 
 	return left_price < right_price ? -1 : left_price > right_price;
 }
@@ -197,6 +200,10 @@
 		     worker->busy_until_us == 0))
 			continue;
 		make_offer(p, worker, stage, want, &offer);
+		if (offer.slots == 0) {
+			g_ptr_array_unref(offer.victims);
+			continue;
+		}
 		g_array_append_val(offers, offer);
 	}
 	g_array_sort(offers, by_price);
--- a/fleet/worker.c
+++ b/fleet/worker.c
@@ -49,7 +49,7 @@
 	       g_strv_contains((const char *const *)worker->said.labels, label);
 }
 
-static struct room task_room(const struct task *task)
+struct room task_room(const struct task *task)
 {
 	struct room room = task->stage->spec->need;
 
--- a/fleet/worker.h
+++ b/fleet/worker.h
@@ -88,7 +88,9 @@
 void worker_free(struct worker *worker);
 struct room worker_free_room(const struct worker *worker);
 bool worker_has_label(const struct worker *worker, const char *label);
-/* Room is taken or given back for a task; fills take no processor time. */
+/* What a task takes of its worker; tasks that fill take no processor time. */
+struct room task_room(const struct task *task);
+/* That room is taken or given back. */
 void worker_take(struct worker *worker, struct task *task);
 void worker_give(struct task *task);
 void worker_clock(struct worker *worker, int64_t clock_ms, int64_t now_us);
--- a/tests/unit/test_plan.c
+++ b/tests/unit/test_plan.c
@@ -450,6 +450,46 @@
 }
 END_TEST
 
+/* A worker that can give no room stays open to others. */
+START_TEST(claim_reserves_only_what_gives_room)
+{
+	struct worker *worker;
+	struct job *lasts;
+
+	make_racks(1, 2);
+	lasts = make_job(&fleet, "lasts", 1, 1, 8, 1000, NOW);
+	lasts->spec.steps[0].long_running = true;
+	plan(NOW);
+	make_job(&fleet, "batch", 2, 1, 8, 60000, NOW);
+	plan(NOW);
+	make_job(&fleet, "urgent", 0, 1, 8, 1000, NOW);
+	plan(NOW + SEC);
+	ck_assert_uint_eq(fleet.preempted, 1);
+	worker = make_task(lasts, 0, 0)->worker;
+	ck_assert_ptr_null(worker->reserved_for);
+}
+END_TEST
+
+/* Tasks that fill take no processor time, so stopping them gives none back. */
+START_TEST(filling_victims_give_no_processor_time)
+{
+	struct job *plain, *fill, *urgent;
+
+	make_racks(1, 1);
+	plain = make_job(&fleet, "plain", 2, 1, 0, 60000, NOW);
+	plain->spec.steps[0].need.cpu_milli = 100000;
+	fill = make_job(&fleet, "fill", 2, 1, 0, 60000, NOW);
+	fill->spec.steps[0].need.cpu_milli = 90000;
+	fill->spec.steps[0].fills = true;
+	plan(NOW);
+	urgent = make_job(&fleet, "urgent", 0, 1, 0, 1000, NOW);
+	urgent->spec.steps[0].need.cpu_milli = 60000;
+	plan(NOW + SEC);
+	ck_assert_int_eq(make_task(plain, 0, 0)->phase, TASK_STOPPING);
+	ck_assert_int_eq(make_task(fill, 0, 0)->phase, TASK_RUNNING);
+}
+END_TEST
+
 /*
  * Load: three times more urgent work than fits for 10 s, each 1 s long. What
  * callers get: jobs that are served are served in time, by order of arrival
@@ -520,6 +560,8 @@
 	tcase_add_test(tc, victims_lose_least);
 	tcase_add_test(tc, no_more_is_stopped_than_is_needed);
 	tcase_add_test(tc, runs_that_make_no_room_go_on);
+	tcase_add_test(tc, claim_reserves_only_what_gives_room);
+	tcase_add_test(tc, filling_victims_give_no_processor_time);
 	tcase_add_test(tc, crest_serves_in_time_what_it_can);
 	return run_case("plan", tc);
 }
