Give slow tasks of speculative steps a second run

Cause: a step may say that copies of its tasks may run in parallel, and that the first one to finish counts. The flag was read, stored and not used, so that a task on a slow worker held its job back although room was idle.

Weighed: a list of runs in each task, against one copy beside it. Kept: one copy; a further one would only help when two workers are slow at once, and each place that walks the tasks of a worker goes on as it is.

Change: fleet/speculate.c decides by the run's own pace: it must need two usual durations more, half of one after its first report, and nothing may wait for room. The copy is a task of its own at another worker, chosen and stored like any other. Whichever run goes on alone becomes the task's run; the first that is done counts, and the other is stopped. Failures of both count. The state record holds the copy until its room is free.

Before: no test could pass. After: test_speculate (10), copy_survives_a_takeover (test_record), copies_get_a_job_past_a_slow_worker and copies_survive_a_takeover (test_duties, end to end).

--- a/control/orders.c
+++ b/control/orders.c
@@ -110,9 +110,9 @@
 static struct task *find_task(const struct orders_call *own)
 {
 	struct job *job = fleet_job(own->orders->fleet, own->ref.job);
-	struct task *task = job ? job_task(job, &own->ref) : NULL;
+	struct task *task = job ? job_run(job, &own->ref, own->run) : NULL;
 
-	if (!task || task->run != own->run || !task->worker ||
+	if (!task || !task->worker ||
 	    strcmp(task->worker->said.id, own->worker) != 0)
 		return NULL;
 	return task;
@@ -360,7 +360,7 @@
 		.task = name,
 		.run = task->run,
 		.payload = task->stage->job->spec.payload,
-		.checkpoint = task->checkpoint,
+		.checkpoint = task_original(task)->checkpoint,
 		.ticket = task->ticket,
 		.timeout_ms = ORDER_TIMEOUT_MS,
 	};
--- a/control/record.c
+++ b/control/record.c
@@ -192,8 +192,9 @@
 static void task_write(const struct task *task, struct mp_out *out)
 {
 	bool holds = task->worker && task->phase != TASK_DONE;
+	const struct task *copy = task_has_copy(task) ? task->copy : NULL;
 
-	mp_array(out, 7);
+	mp_array(out, copy ? 10 : 7);
 	mp_int(out, task->index);
 	mp_uint(out, task->phase == TASK_DONE);
 	mp_int(out, task->run);
@@ -201,6 +202,11 @@
 	mp_str(out, holds ? task->worker->said.id : NULL);
 	mp_int(out, holds ? task->worker->said.born_ms : 0);
 	mp_str(out, task->phase == TASK_DONE ? NULL : task->checkpoint);
+	if (!copy)
+		return;
+	mp_int(out, copy->run);
+	mp_str(out, copy->worker->said.id);
+	mp_int(out, copy->worker->said.born_ms);
 }
 
 static void stage_write(const struct stage *stage, struct mp_out *out)
@@ -254,6 +260,24 @@
 		task->phase = TASK_STOPPING;
 }
 
+static void copy_read(struct fleet *fleet, struct task *task, struct mp_in *in,
+		      int64_t now_us)
+{
+	int64_t run = mp_get_int(in);
+	char *worker = mp_get_str(in);
+	int64_t born_ms = mp_get_int(in);
+	struct task *copy;
+
+	if (in->ok && worker) {
+		copy = task_add_copy(task);
+		copy->run = run;
+		adopt(fleet, copy, worker, born_ms, now_us);
+		if (task->phase == TASK_DONE)
+			copy->phase = TASK_STOPPING;
+	}
+	g_free(worker);
+}
+
 static void task_read(struct fleet *fleet, struct stage *stage,
 		      struct mp_in *in, int64_t now_us)
 {
@@ -284,6 +308,8 @@
 	if (worker && !done)
 		adopt(fleet, task, worker, born_ms, now_us);
 	g_free(worker);
+	if (in->left > 0)
+		copy_read(fleet, task, in, now_us);
 }
 
 static bool stage_read(struct fleet *fleet, struct job *job, struct mp_in *in,
--- a/fleet/fleet.c
+++ b/fleet/fleet.c
@@ -128,8 +128,11 @@
 	for (i = 0; i < job->due * job->spec.nsteps; i++) {
 		struct stage *stage = job->stages[i];
 
-		for (t = 0; stage && t < stage->spec->count; t++)
+		for (t = 0; stage && t < stage->spec->count; t++) {
 			fn(fleet, &stage->tasks[t], why);
+			if (stage->tasks[t].copy)
+				fn(fleet, stage->tasks[t].copy, why);
+		}
 	}
 }
 
--- a/fleet/fleet_int.h
+++ b/fleet/fleet_int.h
@@ -18,11 +18,15 @@
 void fleet_learn(struct fleet *fleet, const struct task *task, int64_t now_us);
 /* Stops the other members of a gang that cannot go on. */
 void fleet_break_gang(struct fleet *fleet, struct task *task, const char *why);
-/* The run is over and its room free; the task waits again unless done. */
+/*
+ * The run is over and its room free; the task waits again unless done or its
+ * copy goes on.
+ */
 void fleet_release(struct fleet *fleet, struct task *task);
 /* The current run of a task has ended at its worker. */
 void fleet_run_ended(struct fleet *fleet, struct task *task, enum run_end how,
 		     int64_t now_us, int64_t wall_ms);
-void fleet_take_checkpoint(struct task *task, const char *checkpoint);
+/* run: the task or its copy; the checkpoint serves both. */
+void fleet_take_checkpoint(struct task *run, const char *checkpoint);
 
 #endif
--- a/fleet/job.c
+++ b/fleet/job.c
@@ -45,21 +45,30 @@
 	job->occurrences = MAX(job->spec.times, 1);
 	job->stages = g_new0(struct stage *,
 			     (gsize)job->occurrences * job->spec.nsteps);
-	for (i = 0; i < job->spec.nsteps; i++)
+	for (i = 0; i < job->spec.nsteps; i++) {
 		job->work += step_work(&job->spec.steps[i]);
+		job->speculative |= job->spec.steps[i].speculative;
+	}
 	return job;
 }
 
+static void task_finish(struct task *task)
+{
+	g_free(task->checkpoint);
+	g_free(task->ticket);
+	if (task->copy)
+		task_finish(task->copy);
+	g_free(task->copy);
+}
+
 static void stage_free(struct stage *stage)
 {
 	int i;
 
 	if (!stage)
 		return;
-	for (i = 0; i < stage->spec->count; i++) {
-		g_free(stage->tasks[i].checkpoint);
-		g_free(stage->tasks[i].ticket);
-	}
+	for (i = 0; i < stage->spec->count; i++)
+		task_finish(&stage->tasks[i]);
 	advice_finish(stage);
 	g_free(stage->tasks);
 	g_free(stage->reserved);
@@ -98,6 +107,14 @@
 	return job->stages[occurrence * job->spec.nsteps + step];
 }
 
+static void task_init(struct task *task, struct stage *stage, int index)
+{
+	task->stage = stage;
+	task->index = index;
+	task->paced = 100;
+	list_init(&task->on_worker);
+}
+
 static struct stage *stage_new(struct job *job, int64_t occurrence, int step)
 {
 	struct stage *stage = g_new0(struct stage, 1);
@@ -109,12 +126,8 @@
 	stage->step = step;
 	stage->left = stage->spec->count;
 	stage->tasks = g_new0(struct task, stage->spec->count);
-	for (i = 0; i < stage->spec->count; i++) {
-		stage->tasks[i].stage = stage;
-		stage->tasks[i].index = i;
-		stage->tasks[i].paced = 100;
-		list_init(&stage->tasks[i].on_worker);
-	}
+	for (i = 0; i < stage->spec->count; i++)
+		task_init(&stage->tasks[i], stage, i);
 	return stage;
 }
 
@@ -222,3 +235,38 @@
 		return NULL;
 	return &stage->tasks[ref->index];
 }
+
+struct task *job_run(const struct job *job, const struct task_ref *ref,
+		     int64_t run)
+{
+	struct task *task = job_task(job, ref);
+
+	if (task && task->run != run)
+		task = task->copy;
+	return task && task->run == run ? task : NULL;
+}
+
+struct task *task_original(struct task *task)
+{
+	return task->original ? task->original : task;
+}
+
+bool task_has_copy(const struct task *task)
+{
+	return task->copy && task->copy->worker;
+}
+
+int64_t task_next_run(const struct task *task)
+{
+	return MAX(task->run, task->copy ? task->copy->run : 0) + 1;
+}
+
+struct task *task_add_copy(struct task *task)
+{
+	if (!task->copy) {
+		task->copy = g_new0(struct task, 1);
+		task_init(task->copy, task->stage, task->index);
+		task->copy->original = task;
+	}
+	return task->copy;
+}
--- a/fleet/job.h
+++ b/fleet/job.h
@@ -8,6 +8,8 @@
  * Jobs as the leader keeps them. A job has stages, one for each step of each
  * occurrence that is due; a stage has tasks. A task has at most one run at a
  * time, and holds room at the run's worker until that run is known to be over.
+ * A speculative task may have a copy beside it: a second run of the same task
+ * at another worker, with orders and room of its own.
  */
 
 struct worker;
@@ -26,6 +28,8 @@
 struct task {
 	struct stage *stage;
 	int index;
+	struct task *copy; /* its second run, NULL: there was none */
+	struct task *original; /* of a copy, or NULL */
 	enum task_phase phase;
 	int64_t run; /* number of the latest start, 0: none */
 	int fails; /* runs that ended as failed */
@@ -99,6 +103,7 @@
 	int64_t arrived_us; /* the same on the steady clock of this host */
 	struct job_spec spec;
 	enum job_phase phase;
+	bool speculative; /* some of its tasks may have copies */
 	bool advised; /* its queue needs permission for each worker */
 	bool cancelled;
 	bool started; /* a task has started at some time */
@@ -149,5 +154,16 @@
 };
 bool task_ref_parse(const char *name, struct task_ref *ref);
 struct task *job_task(const struct job *job, const struct task_ref *ref);
+/* The task or its copy, whichever has that run; NULL for neither. */
+struct task *job_run(const struct job *job, const struct task_ref *ref,
+		     int64_t run);
+/* The task that a run belongs to: itself but for copies. */
+struct task *task_original(struct task *task);
+/* Whether the copy of a task holds room. */
+bool task_has_copy(const struct task *task);
+/* Above all numbers of runs that the task and its copy ever had. */
+int64_t task_next_run(const struct task *task);
+/* The copy of a task, made when there is none. */
+struct task *task_add_copy(struct task *task);
 
 #endif
--- a/fleet/listing.c
+++ b/fleet/listing.c
@@ -1,14 +1,20 @@
 #include "fleet/fleet_int.h"
 
-static struct task *find_task(const struct fleet *fleet, const char *name)
+/* The task or copy that has the run at the worker, NULL: nothing of ours. */
+static struct task *find_run(const struct fleet *fleet,
+			     const struct worker *worker, const char *name,
+			     int64_t run)
 {
+	struct task *task;
+
 	struct task_ref ref;
 	struct job *job;
 
 	if (!task_ref_parse(name, &ref))
 		return NULL;
 	job = fleet_job(fleet, ref.job);
-	return job ? job_task(job, &ref) : NULL;
+	task = job ? job_run(job, &ref, run) : NULL;
+	return task && task->worker == worker ? task : NULL;
 }
 
 static void note_end(struct fleet *fleet, struct worker *worker, int64_t number)
@@ -31,8 +37,8 @@
 
 		if (end->number <= worker->end_seen)
 			continue;
-		task = find_task(fleet, end->task);
-		if (task && task->worker == worker && task->run == end->run) {
+		task = find_run(fleet, worker, end->task, end->run);
+		if (task) {
 			fleet_take_checkpoint(task, end->checkpoint);
 			fleet_run_ended(fleet, task, end->how, now_us, wall_ms);
 		}
@@ -91,8 +97,8 @@
 	for (i = 0; i < report->nrunning; i++) {
 		const struct run_report *run = &report->running[i];
 
-		task = find_task(fleet, run->task);
-		if (!task || task->worker != worker || task->run != run->run)
+		task = find_run(fleet, worker, run->task, run->run);
+		if (!task)
 			continue;
 		g_hash_table_add(listed, task);
 		update_run(fleet, task, run, now_us);
--- a/fleet/placement.c
+++ b/fleet/placement.c
@@ -229,6 +229,9 @@
 		bool near = rack && g_strcmp0(worker->said.rack, rack) == 0;
 		double score;
 
+		/* A copy runs elsewhere than the task. */
+		if (task->original && task->original->worker == worker)
+			continue;
 		rack_exists |=
 			near && placement_suits(worker, stage, p->now_us);
 		if (reserved(worker, stage, expected_ms, p->now_us) ||
--- a/fleet/plan.c
+++ b/fleet/plan.c
@@ -6,6 +6,7 @@
 #include "fleet/order.h"
 #include "fleet/placement.h"
 #include "fleet/reclaim.h"
+#include "fleet/speculate.h"
 
 struct pass {
 	struct placement place;
@@ -13,6 +14,7 @@
 	int64_t now_us;
 	int started;
 	int reserved;
+	bool crowded; /* something that could run has found no room */
 };
 
 /* All members of a gang get one run number, above all they ever had. */
@@ -79,7 +81,7 @@
 		worker = placement_task(&pass->place, task, expected_ms);
 		if (!worker)
 			return false;
-		plan_run(pass, task, worker, task->run + 1);
+		plan_run(pass, task, worker, task_next_run(task));
 		pass->started++;
 	}
 	return true;
@@ -139,6 +141,7 @@
 		}
 		stage->crowded_us =
 			stage->crowded_us ? stage->crowded_us : pass->now_us;
+		pass->crowded = true;
 		plan_waiting(pass, stage);
 	}
 }
@@ -157,17 +160,71 @@
 	}
 }
 
+/* A second run at another worker. */
+static void plan_copy(struct pass *pass, struct task *task)
+{
+	double expected_ms = fleet_expected_ms(pass->fleet, task->stage);
+	struct task *copy = task_add_copy(task);
+	struct worker *worker = placement_task(&pass->place, copy, expected_ms);
+
+	if (!worker)
+		return;
+	plan_run(pass, copy, worker, task_next_run(task));
+	pass->started++;
+}
+
+static void plan_copies_of(struct pass *pass, struct job *job)
+{
+	int64_t i;
+	int t;
+
+	for (i = 0; i < job->due * job->spec.nsteps; i++) {
+		struct stage *stage = job->stages[i];
+
+		if (!stage || stage->state != STAGE_OPEN ||
+		    !stage->spec->speculative)
+			continue;
+		for (t = 0; t < stage->spec->count; t++)
+			if (speculate_wanted(pass->fleet, &stage->tasks[t],
+					     pass->now_us))
+				plan_copy(pass, &stage->tasks[t]);
+	}
+}
+
+/* Copies use what is idle: none while something else waits for room. */
+static void plan_copies(struct pass *pass)
+{
+	struct job *job;
+
+	if (pass->crowded)
+		return;
+	list_for_each_entry(job, &pass->fleet->jobs, node)
+		if (job->speculative && !job_ended(job))
+			plan_copies_of(pass, job);
+}
+
+static bool any_speculative(const struct fleet *fleet)
+{
+	const struct job *job;
+
+	list_for_each_entry(job, &fleet->jobs, node)
+		if (job->speculative && job->phase == JOB_RUNNING)
+			return true;
+	return false;
+}
+
 int plan_pass(struct fleet *fleet, int64_t now_us)
 {
 	struct pass pass = { .fleet = fleet, .now_us = now_us };
 	GPtrArray *jobs = order_jobs(fleet, now_us);
 	guint i;
 
-	if (jobs->len > 0) {
+	if (jobs->len > 0 || any_speculative(fleet)) {
 		placement_init(&pass.place, fleet, now_us);
 		keep_reservations(&pass, jobs);
 		for (i = 0; i < jobs->len; i++)
 			plan_job(&pass, g_ptr_array_index(jobs, i));
+		plan_copies(&pass);
 		placement_finish(&pass.place);
 	}
 	g_ptr_array_unref(jobs);
--- a/fleet/run.c
+++ b/fleet/run.c
@@ -5,7 +5,7 @@
 
 bool task_restartable(const struct task *task)
 {
-	return task->phase == TASK_WAITING && !task->worker;
+	return task->phase == TASK_WAITING && !task->worker && !task->original;
 }
 
 void fleet_plan_run(struct fleet *fleet, struct task *task,
@@ -31,7 +31,9 @@
 	task->ticket = NULL;
 	task->change = fleet_touch(fleet, task->stage->job);
 	fleet_note(fleet, "task.planned", task->stage->job, task,
-		   task->stage->spec->gang ? "the gang fits" : "there is room");
+		   task->original	   ? "the first run is slow" :
+		   task->stage->spec->gang ? "the gang fits" :
+					     "there is room");
 }
 
 void fleet_adopt_run(struct fleet *fleet, struct task *task,
@@ -77,7 +79,43 @@
 			fleet_stop_one(fleet, &stage->tasks[i], why);
 }
 
-/* The run is over and its room free; the task waits again unless done. */
+/*
+ * The copy's run becomes that of the task, and the task's that of the copy;
+ * what belongs to the task whatever runs stays where it is.
+ */
+static void swap_runs(struct task *task)
+{
+	struct task *copy = task->copy;
+	struct worker *first = task->worker, *second = copy->worker;
+	struct task run = *copy;
+
+	if (first)
+		worker_give(task);
+	if (second)
+		worker_give(copy);
+	run = *copy;
+	*copy = *task;
+	*task = run;
+	task->copy = copy;
+	task->original = NULL;
+	task->fails = copy->fails;
+	task->checkpoint = copy->checkpoint;
+	copy->copy = NULL;
+	copy->original = task;
+	copy->fails = 0;
+	copy->checkpoint = NULL;
+	list_init(&task->on_worker);
+	list_init(&copy->on_worker);
+	if (second)
+		worker_take(second, task);
+	if (first)
+		worker_take(first, copy);
+}
+
+/*
+ * The run is over and its room free; the task waits again unless done or its
+ * copy goes on.
+ */
 void fleet_release(struct fleet *fleet, struct task *task)
 {
 	if (task->worker)
@@ -88,6 +126,8 @@
 	g_free(task->ticket);
 	task->ticket = NULL;
 	fleet_touch(fleet, task->stage->job);
+	if (task_has_copy(task))
+		swap_runs(task);
 }
 
 static void strike(struct fleet *fleet, struct worker *worker,
@@ -149,6 +189,8 @@
 	if (task->phase == TASK_RUNNING)
 		fleet_learn(fleet, task, now_us);
 	task_done(fleet, task);
+	if (task_has_copy(task))
+		fleet_stop_one(fleet, task->copy, "the other run was first");
 	if (stage->spec->gang)
 		for (i = 0; i < stage->spec->count; i++)
 			task_done(fleet, &stage->tasks[i]);
@@ -163,7 +205,7 @@
 	task->failed_last = true;
 	task->failed_at = task->worker;
 	if (!stage->spec->gang)
-		return ++task->fails;
+		return ++task_original(task)->fails;
 	if (stage->fail_run != task->run) {
 		stage->fail_run = task->run;
 		stage->fails++;
@@ -185,8 +227,9 @@
 			      "attempts used up");
 }
 
-void fleet_take_checkpoint(struct task *task, const char *checkpoint)
+void fleet_take_checkpoint(struct task *run, const char *checkpoint)
 {
+	struct task *task = task_original(run);
 	struct stage *stage = task->stage;
 	int i;
 
@@ -215,19 +258,26 @@
 		     int64_t now_us, int64_t wall_ms)
 {
 	struct worker *worker = task->worker;
+	bool ended;
 
 	fleet_note(fleet, "task.ended", task->stage->job, task, end_names[how]);
+	/* The first that is done counts, as if there were no other. */
+	if (how == RUN_DONE && task->original &&
+	    task->original->phase != TASK_DONE) {
+		task = task->original;
+		swap_runs(task);
+	}
+	ended = task_original(task)->phase == TASK_DONE;
 	switch (how) {
 	case RUN_DONE:
 		worker->strikes = 0;
 		worker->ban_us = BAN_FIRST_MS * 1000;
 		/* What lasts is started again however it ends. */
-		if (task->phase != TASK_DONE &&
-		    !task->stage->spec->long_running)
+		if (!ended && !task->stage->spec->long_running)
 			run_done(fleet, task, now_us, wall_ms);
 		break;
 	case RUN_FAILED:
-		if (task->phase != TASK_DONE)
+		if (!ended)
 			run_failed(fleet, task, now_us, wall_ms);
 		break;
 	default:
--- /dev/null
+++ b/fleet/speculate.c
@@ -0,0 +1,39 @@
+#include "fleet/speculate.h"
+
+/* From this share of its usual duration on, the pace of a run is known. */
+#define SPECULATE_AFTER 0.5
+/* The run must need so many usual durations more: a copy costs one of them. */
+#define SPECULATE_GAIN 2.0
+
+static bool may_be_copied(const struct task *task)
+{
+	const struct step_spec *spec = task->stage->spec;
+
+	return spec->speculative && !spec->gang && !spec->long_running &&
+	       !spec->fills && !task->original &&
+	       (!task->copy || task->copy->run == 0);
+}
+
+/* By the progress since the first report, which may be a resumed run's. */
+static double left_ms(const struct task *task, int64_t now_us)
+{
+	double gained = MAX(task->percent - task->first_percent, 1);
+	double took_ms = (double)(now_us - task->first_us) / 1000.0;
+
+	return took_ms / gained * (100.0 - task->percent);
+}
+
+bool speculate_wanted(const struct fleet *fleet, const struct task *task,
+		      int64_t now_us)
+{
+	double usual_ms;
+
+	if (!may_be_copied(task) || task->phase != TASK_RUNNING ||
+	    task->first_us == 0 || task->uncertain)
+		return false;
+	usual_ms = fleet_expected_ms(fleet, task->stage);
+	if ((double)(now_us - task->first_us) <
+	    usual_ms * 1000.0 * SPECULATE_AFTER)
+		return false;
+	return left_ms(task, now_us) > usual_ms * SPECULATE_GAIN;
+}
--- a/tests/standins/site_check.h
+++ b/tests/standins/site_check.h
@@ -12,6 +12,7 @@
 	int void_fails; /* of these, ends that were lost with their worker */
 	bool done;
 	bool noted; /* and that end was acknowledged */
+	int64_t noted_us;
 	struct site_worker *done_at;
 	int64_t done_born_ms; /* life of the worker */
 	int64_t done_lapses; /* of its lease before the end */
--- a/tests/standins/site_fleet.c
+++ b/tests/standins/site_fleet.c
@@ -348,6 +348,7 @@
 		if (strcmp(end->how, "done") == 0 &&
 		    end->task->done_at == worker && site_same_lease(end->task))
 			end->task->noted = true;
+		end->task->noted_us = kn_now_us();
 		g_ptr_array_remove_index(worker->ends, 0);
 	}
 }
--- a/tests/standins/site_fleet.h
+++ b/tests/standins/site_fleet.h
@@ -8,7 +8,8 @@
  * which check the promises of the system from what they see. The payload of
  * a job tells them what its tasks do, as NAME=NUMBER separated by blanks:
  * ms (duration), gpus, gang (members), before (tasks of the step before),
- * fail (runs that fail), attempts, beyond (tasks on one worker).
+ * fail (runs that fail), attempts, beyond (tasks on one worker), copies (a
+ * second run may be beside the first).
  */
 
 enum site_worker_fault {
--- a/tests/unit/test_duties.c
+++ b/tests/unit/test_duties.c
@@ -267,6 +267,57 @@
 }
 END_TEST
 
+/* Copies. */
+
+#define COPIED_STEP "\"count\":4,\"gpu\":1,\"est_ms\":400,\"speculative\":true"
+
+/* Without its copies the job would take twenty times as long. */
+START_TEST(copies_get_a_job_past_a_slow_worker)
+{
+	struct site_worker *worker;
+
+	rig_start(&rig, 2, 2, 1);
+	worker =
+		list_first_entry(&rig.fleet->workers, struct site_worker, node);
+	worker->pace = 0.05;
+	worker = list_entry(worker->node.next, struct site_worker, node);
+	worker->pace = 0.05;
+	submit_step(RIG_PREFIX, JOB_A, "ms=400 copies=1", COPIED_STEP);
+	rig_run_ms(&rig, 200);
+	/* All run on one worker; the other one is well. */
+	list_for_each_entry(worker, &rig.fleet->workers, node)
+		if (list_empty(&worker->runs))
+			worker->pace = 1.0;
+	ck_assert(wait_done(RIG_PREFIX, JOB_A, 6000));
+	rig_run_ms(&rig, 1500);
+	ck_assert_int_eq(site_fleet_running(rig.fleet), 0);
+	check_promises();
+	rig_stop(&rig);
+}
+END_TEST
+
+/* The next leader knows both runs of each task. */
+START_TEST(copies_survive_a_takeover)
+{
+	struct site_worker *worker;
+
+	rig_start(&rig, 2, 2, 1);
+	list_for_each_entry(worker, &rig.fleet->workers, node)
+		worker->pace = 0.1;
+	submit_step(RIG_PREFIX, JOB_A, "ms=400 copies=1", COPIED_STEP);
+	/* By then the slow runs have copies. */
+	rig_run_ms(&rig, 2500);
+	ck_assert_int_eq(site_fleet_running(rig.fleet), 8);
+	site_store_lapse(rig.store, "chivebank/leader");
+	ck_assert(wait_done(RIG_PREFIX, JOB_A, 8000));
+	rig_run_ms(&rig, 1500);
+	ck_assert_int_eq(site_fleet_running(rig.fleet), 0);
+	ck_assert_uint_eq(rig.fleet->starts, 8);
+	check_promises();
+	rig_stop(&rig);
+}
+END_TEST
+
 int main(void)
 {
 	TCase *tc = tcase_create("duties");
@@ -280,5 +331,7 @@
 	tcase_add_test(tc,
 		       filling_tasks_leave_serving_ones_within_their_target);
 	tcase_add_test(tc, lasting_task_moves_from_a_lost_worker);
+	tcase_add_test(tc, copies_get_a_job_past_a_slow_worker);
+	tcase_add_test(tc, copies_survive_a_takeover);
 	return run_case("duties", tc);
 }
--- a/tests/unit/test_record.c
+++ b/tests/unit/test_record.c
@@ -109,6 +109,49 @@
 }
 END_TEST
 
+/* A copy that runs is known to the next leader, also once the task is done. */
+START_TEST(copy_survives_a_takeover)
+{
+	struct job *job = make_job(&fleet, "j", 1, 1, 1, 1500, NOW);
+	struct task *task;
+	msgpack_sbuffer record;
+	struct job *adopted;
+	int done;
+
+	make_worker(&fleet, "w2", "r", 8, NOW);
+	make_worker(&next, "w2", "r", 8, NOW);
+	job->spec.steps[0].speculative = true;
+	job->speculative = true;
+	fleet_open_due(&fleet, NOW, 0);
+	plan_pass(&fleet, NOW);
+	make_started(&fleet, NOW);
+	task = make_task(job, 0, 0);
+	task->first_us = NOW;
+	ck_assert_int_eq(plan_pass(&fleet, NOW + 2000000), 1);
+	make_started(&fleet, NOW + 2000000);
+	for (done = 0; done < 2; done++) {
+		if (done)
+			make_end(&fleet, task, RUN_DONE, NOW + 3000000);
+		record_state_write(job, &record);
+		adopted = copy_submission(job);
+		fleet_add_job(&next, adopted);
+		ck_assert(record_state_read(&next, adopted, record.data,
+					    record.size, NOW));
+		msgpack_sbuffer_destroy(&record);
+		ck_assert(task_has_copy(make_task(adopted, 0, 0)));
+		ck_assert_int_eq(make_task(adopted, 0, 0)->copy->run, 2);
+		ck_assert_int_eq(make_task(adopted, 0, 0)->copy->phase,
+				 done ? TASK_STOPPING : TASK_STARTING);
+		ck_assert_int_eq(plan_pass(&next, NOW), 0);
+		fleet_finish(&next);
+		config_free(next_config);
+		make_fleet(&next, &next_config);
+		make_worker(&next, "w1", "r", 8, NOW);
+		make_worker(&next, "w2", "r", 8, NOW);
+	}
+}
+END_TEST
+
 START_TEST(ended_job_keeps_its_phase)
 {
 	struct job *job = make_job(&fleet, "j", 1, 1, 1, 1500, NOW);
@@ -176,6 +219,7 @@
 	tcase_add_checked_fixture(tc, set_up, tear_down);
 	tcase_add_test(tc, submission_survives);
 	tcase_add_test(tc, state_survives_a_takeover);
+	tcase_add_test(tc, copy_survives_a_takeover);
 	tcase_add_test(tc, ended_job_keeps_its_phase);
 	tcase_add_test(tc, broken_records_are_refused);
 	tcase_add_test(tc, counts_of_waiting_jobs);
--- /dev/null
+++ b/tests/unit/test_speculate.c
@@ -0,0 +1,215 @@
+#include <stdio.h>
+#include <string.h>
+
+#include "fleet/plan.h"
+#include "fleet/speculate.h"
+#include "tests/standins/fleet_make.h"
+#include "tests/unit/run.h"
+
+/* Second runs of slow tasks, without a network. */
+
+#define SEC 1000000LL
+#define NOW (100 * SEC)
+
+static struct fleet fleet;
+static struct config *config;
+
+static void set_up(void)
+{
+	make_fleet(&fleet, &config);
+	make_worker(&fleet, "w1", "r", 8, NOW);
+	make_worker(&fleet, "w2", "r", 8, NOW);
+}
+
+static void tear_down(void)
+{
+	make_fleet_end(&fleet, config);
+}
+
+static int plan(int64_t now_us)
+{
+	int planned;
+
+	fleet_open_due(&fleet, now_us, 0);
+	planned = plan_pass(&fleet, now_us);
+	make_started(&fleet, now_us);
+	return planned;
+}
+
+/* A task of 2 s that has done 4 percent in 2 s. */
+static struct task *make_slow(void)
+{
+	struct job *job = make_job(&fleet, "slow", 1, 1, 1, 2000, NOW);
+	struct task *task;
+
+	job->spec.steps[0].speculative = true;
+	job->speculative = true;
+	plan(NOW);
+	task = make_task(job, 0, 0);
+	task->first_us = NOW;
+	task->percent = 4;
+	task->moved_us = NOW + 2 * SEC;
+	return task;
+}
+
+START_TEST(slow_run_gets_a_copy_elsewhere)
+{
+	struct task *task = make_slow();
+
+	ck_assert_int_eq(plan(NOW + SEC / 2), 0);
+	ck_assert_int_eq(plan(NOW + 2 * SEC), 1);
+	ck_assert(task_has_copy(task));
+	ck_assert_ptr_ne(task->copy->worker, task->worker);
+	ck_assert_int_eq(task->run, 1);
+	ck_assert_int_eq(task->copy->run, 2);
+	/* One is enough. */
+	ck_assert_int_eq(plan(NOW + 3 * SEC), 0);
+}
+END_TEST
+
+START_TEST(run_at_its_usual_pace_gets_none)
+{
+	struct task *task = make_slow();
+
+	task->percent = 60;
+	ck_assert_int_eq(plan(NOW + 2 * SEC), 0);
+}
+END_TEST
+
+START_TEST(tasks_that_may_not_be_copied_get_none)
+{
+	struct task *task = make_slow();
+
+	task->stage->job->spec.steps[0].speculative = false;
+	ck_assert_int_eq(plan(NOW + 2 * SEC), 0);
+	task->stage->job->spec.steps[0].speculative = true;
+	task->stage->job->spec.steps[0].gang = true;
+	ck_assert_int_eq(plan(NOW + 2 * SEC), 0);
+}
+END_TEST
+
+/*
+ * Load: more work than fits. What callers get: the room goes to work that
+ * waits, and not to second runs.
+ */
+START_TEST(waiting_work_goes_before_copies)
+{
+	make_slow();
+	make_job(&fleet, "more", 2, 40, 1, 1000, NOW);
+	ck_assert_int_eq(plan(NOW + 2 * SEC), 15);
+}
+END_TEST
+
+START_TEST(copy_that_is_done_first_counts)
+{
+	struct task *task = make_slow();
+	struct job *job = task->stage->job;
+	struct worker *slow = task->worker;
+
+	plan(NOW + 2 * SEC);
+	make_end(&fleet, task->copy, RUN_DONE, NOW + 4 * SEC);
+	ck_assert_int_eq(job->phase, JOB_DONE);
+	ck_assert_int_eq(task->phase, TASK_DONE);
+	ck_assert_ptr_null(task->worker);
+	/* The slow run is stopped, and its room free when that is listed. */
+	ck_assert_int_eq(task->copy->phase, TASK_STOPPING);
+	ck_assert_ptr_eq(task->copy->worker, slow);
+	ck_assert_int_eq(task->copy->run, 1);
+	make_end(&fleet, task->copy, RUN_STOPPED, NOW + 5 * SEC);
+	ck_assert_int_eq(slow->task_count, 0);
+	ck_assert(!fleet_job_holds(job));
+	ck_assert_int_eq(job->phase, JOB_DONE);
+}
+END_TEST
+
+START_TEST(copy_stops_when_the_first_run_is_done)
+{
+	struct task *task = make_slow();
+
+	plan(NOW + 2 * SEC);
+	make_end(&fleet, task, RUN_DONE, NOW + 4 * SEC);
+	ck_assert_int_eq(task->stage->job->phase, JOB_DONE);
+	ck_assert_int_eq(task->copy->phase, TASK_STOPPING);
+	/* It was done as well before the stop reached it. */
+	make_end(&fleet, task->copy, RUN_DONE, NOW + 4 * SEC + 1);
+	ck_assert_int_eq(task->stage->left, 0);
+	ck_assert(!fleet_job_holds(task->stage->job));
+}
+END_TEST
+
+START_TEST(copy_goes_on_when_the_first_worker_is_lost)
+{
+	struct task *task = make_slow();
+	struct worker *other;
+
+	plan(NOW + 2 * SEC);
+	other = task->copy->worker;
+	fleet_life_over(&fleet, task->worker);
+	ck_assert_ptr_eq(task->worker, other);
+	ck_assert_int_eq(task->run, 2);
+	ck_assert_int_eq(task->phase, TASK_RUNNING);
+	ck_assert(!task_has_copy(task));
+	ck_assert_int_eq(plan(NOW + 3 * SEC), 0);
+	make_end(&fleet, task, RUN_DONE, NOW + 5 * SEC);
+	ck_assert_int_eq(task->stage->job->phase, JOB_DONE);
+}
+END_TEST
+
+START_TEST(numbers_of_runs_rise_over_both)
+{
+	struct task *task = make_slow();
+
+	plan(NOW + 2 * SEC);
+	make_end(&fleet, task->copy, RUN_LAPSED, NOW + 3 * SEC);
+	make_end(&fleet, task, RUN_LAPSED, NOW + 3 * SEC);
+	ck_assert_int_eq(plan(NOW + 3 * SEC), 1);
+	ck_assert_int_eq(task->run, 3);
+}
+END_TEST
+
+START_TEST(failures_of_both_count)
+{
+	struct task *task = make_slow();
+
+	task->stage->job->attempts = 2;
+	plan(NOW + 2 * SEC);
+	make_end(&fleet, task->copy, RUN_FAILED, NOW + 3 * SEC);
+	ck_assert_int_eq(task->fails, 1);
+	ck_assert_int_eq(task->phase, TASK_RUNNING);
+	make_end(&fleet, task, RUN_FAILED, NOW + 3 * SEC);
+	ck_assert_int_eq(task->stage->job->phase, JOB_FAILED);
+}
+END_TEST
+
+START_TEST(cancellation_stops_both)
+{
+	struct task *task = make_slow();
+
+	plan(NOW + 2 * SEC);
+	fleet_cancel(&fleet, task->stage->job, 1);
+	ck_assert_int_eq(task->phase, TASK_STOPPING);
+	ck_assert_int_eq(task->copy->phase, TASK_STOPPING);
+	make_end(&fleet, task, RUN_STOPPED, NOW + 3 * SEC);
+	ck_assert(fleet_job_holds(task->stage->job));
+	make_end(&fleet, task, RUN_STOPPED, NOW + 3 * SEC);
+	ck_assert(!fleet_job_holds(task->stage->job));
+}
+END_TEST
+
+int main(void)
+{
+	TCase *tc = tcase_create("speculate");
+
+	tcase_add_checked_fixture(tc, set_up, tear_down);
+	tcase_add_test(tc, slow_run_gets_a_copy_elsewhere);
+	tcase_add_test(tc, run_at_its_usual_pace_gets_none);
+	tcase_add_test(tc, tasks_that_may_not_be_copied_get_none);
+	tcase_add_test(tc, waiting_work_goes_before_copies);
+	tcase_add_test(tc, copy_that_is_done_first_counts);
+	tcase_add_test(tc, copy_stops_when_the_first_run_is_done);
+	tcase_add_test(tc, copy_goes_on_when_the_first_worker_is_lost);
+	tcase_add_test(tc, numbers_of_runs_rise_over_both);
+	tcase_add_test(tc, failures_of_both_count);
+	tcase_add_test(tc, cancellation_stops_both);
+	return run_case("speculate", tc);
+}
