Give no new tasks to a worker that has stopped answering

Such a worker was used until it had been silent for 1.5 s: a trace of one worker shows seven starts in one wave, and one more 0.13 s later, when 30 orders had already had no answer. Each such task stays bound to the worker until that answers again or its lease is over.

Change: a second call in a row without answer takes the worker out of the view of new placements. The lease goes on being held as before.

Before: worker_that_does_not_answer_gets_nothing (test_plan) fails.

--- a/fleet/limits.h
+++ b/fleet/limits.h
@@ -24,6 +24,9 @@
 /* Leases are not extended for a worker that was silent for longer, so that
  * they run out even if only the answers are lost. */
 #define SILENCE_TOLERATED_MS 1500
+/* A worker with so many calls in a row without answer gets no new tasks: one
+ * may be lost on its way, a second one says that it does not answer. */
+#define SILENT_CALLS_MAX 2
 /* After the computed end of a lease, for the resolution of the timers. */
 #define LEASE_SLACK_MS 150
 /* A draining worker whose entry is gone has left when nobody listens at its
--- a/fleet/placement.c
+++ b/fleet/placement.c
@@ -55,7 +55,8 @@
 static bool present(const struct worker *worker, int64_t now_us)
 {
 	return worker->listed && !worker->replaced && !worker->said.draining &&
-	       !worker->cordoned && worker_reachable(worker, now_us);
+	       !worker->cordoned && worker->silent < SILENT_CALLS_MAX &&
+	       worker_reachable(worker, now_us);
 }
 
 /* Whether so many workers are banned that bans say nothing of them. */
--- a/tests/unit/test_plan.c
+++ b/tests/unit/test_plan.c
@@ -370,6 +370,23 @@
 }
 END_TEST
 
+/* A worker that resets connections is not given one task after the other. */
+START_TEST(worker_that_does_not_answer_gets_nothing)
+{
+	struct worker *worker;
+
+	make_racks(1, 2);
+	worker = list_first_entry(&fleet.workers, struct worker, node);
+	worker->silent = 2;
+	worker->silent_us = NOW - 100 * MSEC;
+	make_job(&fleet, "j", 1, 12, 1, 1000, NOW);
+	ck_assert_int_eq(plan(NOW), 8);
+	ck_assert_int_eq(worker->task_count, 0);
+	worker->silent = 1;
+	ck_assert_int_eq(plan(NOW), 4);
+}
+END_TEST
+
 START_TEST(one_banned_worker_gets_nothing)
 {
 	struct worker *worker;
@@ -553,6 +570,7 @@
 	tcase_add_test(tc, beyond_the_guarantee_nothing_dear_is_stopped);
 	tcase_add_test(tc, beyond_the_guarantee_cheap_work_is_stopped);
 	tcase_add_test(tc, hopeless_jobs_do_not_ban_all_workers);
+	tcase_add_test(tc, worker_that_does_not_answer_gets_nothing);
 	tcase_add_test(tc, one_banned_worker_gets_nothing);
 	tcase_add_test(tc, failed_task_changes_its_worker);
 	tcase_add_test(tc, claim_is_chosen_anew);
