Let a weak host hand the leadership over to a stronger one

Cause: on the grown sites hosts have 0.12 cores and 10 Mbit/s, or 0.5 cores and 200 Mbit/s. All start within 0.3 s, and whoever is first leads to the end.

Ruled out: longer time-outs, as a gang's members wait only gang_ms for each other; a later campaign of weak hosts, as an hour of weak hosts only is served too.

Change: entries of hosts tell how well they can lead, by processor and link. Weak hosts also wait a moment at their first campaign. A leader that knows a host of twice its strength ends its lease, once, at a moment without a write under way, 3 s after its election at the earliest.

Tests: weak_leader_hands_over (fails before), equal_hosts_keep_their_leader (test_host).

--- a/control/director.c
+++ b/control/director.c
@@ -147,16 +147,17 @@
 struct director *director_new(struct kn *kn, const struct site *site,
 			      const struct edges *edges,
 			      struct configuration *configuration,
-			      struct relay *relay, uint64_t incarnation)
+			      const struct hosts *hosts, uint64_t incarnation)
 {
 	struct director *director = g_new0(struct director, 1);
 
 	director->edges = edges;
 	director->site = site;
 	director->configuration = configuration;
-	director->relay = relay;
-	relay->stand_down = director_on_stand_down;
-	relay->user = director;
+	director->hosts = hosts;
+	director->relay = hosts->relay;
+	director->relay->stand_down = director_on_stand_down;
+	director->relay->user = director;
 	director->cancelled =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
 	director->states = g_ptr_array_new_with_free_func(stored_state_free);
--- a/control/director.h
+++ b/control/director.h
@@ -3,6 +3,7 @@
 
 #include "control/advisor.h"
 #include "control/configuration.h"
+#include "control/hosts.h"
 #include "control/leader.h"
 #include "control/ledger.h"
 #include "control/maintenance.h"
@@ -19,6 +20,7 @@
 	const struct site *site;
 	struct configuration *configuration;
 	struct relay *relay;
+	const struct hosts *hosts;
 	struct relay_question question; /* to the last leader */
 	struct leader leader;
 	struct ledger ledger;
@@ -62,7 +64,7 @@
 struct director *director_new(struct kn *kn, const struct site *site,
 			      const struct edges *edges,
 			      struct configuration *configuration,
-			      struct relay *relay, uint64_t incarnation);
+			      const struct hosts *hosts, uint64_t incarnation);
 /* The operators have written another key, perhaps a wave of upkeep. */
 void director_operator_key(struct director *director,
 			   const struct kv_item *item);
--- a/control/director_pass.c
+++ b/control/director_pass.c
@@ -10,6 +10,8 @@
 #define TIDY_MS 1000
 /* The counts may be 2 s old; a host adds up to COUNT_KEEP_MS. */
 #define WAITING_MS 500
+/* By then the lists of hosts have been read, and what was taken over runs. */
+#define HAND_OVER_MS 3000
 /* While changes wait for the store for longer, nothing new is planned. */
 #define STORE_STALLED_MS 700
 
@@ -76,11 +78,24 @@
 	ctr_gauge(&director->banned, director->fleet.banned);
 }
 
+/* A weak host leads only until a stronger one is there. */
+static bool hand_over(struct director *director, int64_t now_us)
+{
+	if (now_us - director->elected_us < HAND_OVER_MS * USEC_PER_MSEC ||
+	    director->ledger.started_us != 0 ||
+	    !hosts_any_stronger(director->hosts))
+		return false;
+	leader_hand_over(&director->leader);
+	return !director->leader.leading;
+}
+
 static void pass(struct director *director)
 {
 	int64_t now_us = kn_now_us();
 	int64_t next_us;
 
+	if (hand_over(director, now_us))
+		return;
 	ctr_add(&director->passes, 1);
 	fleet_open_due(&director->fleet, now_us, director_wall_ms());
 	fleet_sweep(&director->fleet, now_us);
--- a/control/hosts.c
+++ b/control/hosts.c
@@ -64,7 +64,8 @@
 		return;
 	}
 	hosts->lease = call->lease;
-	value = g_strdup_printf("%s %d", site->peers.addr, site->peers.port);
+	value = g_strdup_printf("%s %d %d", site->peers.addr, site->peers.port,
+				site_strength(site));
 	op.value = value;
 	op.len = strlen(value);
 	op.lease = hosts->lease;
@@ -140,24 +141,57 @@
 	return &site->dcs[i];
 }
 
+/* A host of a list that was read. */
+struct peer {
+	const struct site_dc *dc;
+	int strength; /* see site_strength() */
+};
+
+static struct peer *peer_new(const struct site_dc *dc, const char *strength)
+{
+	struct peer *peer = g_new0(struct peer, 1);
+
+	peer->dc = dc;
+	peer->strength = (int)g_ascii_strtoll(strength, NULL, 10);
+	return peer;
+}
+
+/* A leader spends much more than another host: a little less does not count. */
+#define MUCH_STRONGER 2
+
+bool hosts_any_stronger(const struct hosts *hosts)
+{
+	int own = site_strength(hosts->site);
+	GHashTableIter iter;
+	gpointer peer;
+
+	g_hash_table_iter_init(&iter, hosts->known);
+	while (g_hash_table_iter_next(&iter, NULL, &peer))
+		if (((const struct peer *)peer)->strength >=
+		    MUCH_STRONGER * own)
+			return true;
+	return false;
+}
+
 static void take_host(struct hosts *hosts, const struct kv_item *item)
 {
 	const char *host = item->key + strlen(hosts->list_prefix);
-	char **words = g_strsplit(item->value ? item->value : "", " ", 2);
+	char **words = g_strsplit(item->value ? item->value : "", " ", 3);
 	struct set_addr at = { 0 };
 
-	if (g_strv_length(words) == 2) {
+	if (g_strv_length(words) == 3) {
 		g_strlcpy(at.addr, words[0], sizeof(at.addr));
 		at.port = (int)g_ascii_strtoll(words[1], NULL, 10);
 		relay_add_peer(hosts->relay, host, &at,
 			       distance(hosts->site, hosts->list_dc));
 		if (!g_hash_table_contains(hosts->known, host)) {
 			log_info("host.seen",
-				 "peer=%s dc=%s revision=%" G_GINT64_FORMAT,
-				 host, hosts->list_dc->name,
+				 "peer=%s dc=%s strength=%s "
+				 "revision=%" G_GINT64_FORMAT,
+				 host, hosts->list_dc->name, words[2],
 				 item->mod_revision);
 			g_hash_table_insert(hosts->known, g_strdup(host),
-					    g_strdup(hosts->list_dc->name));
+					    peer_new(hosts->list_dc, words[2]));
 		}
 	} else {
 		log_warn("host.unreadable",
@@ -183,11 +217,11 @@
 static void drop_unlisted(struct hosts *hosts, const struct kv_call *call)
 {
 	GHashTableIter iter;
-	gpointer host, dc;
+	gpointer host, peer;
 
 	g_hash_table_iter_init(&iter, hosts->known);
-	while (g_hash_table_iter_next(&iter, &host, &dc)) {
-		if (strcmp(dc, hosts->list_dc->name) != 0 ||
+	while (g_hash_table_iter_next(&iter, &host, &peer)) {
+		if (((const struct peer *)peer)->dc != hosts->list_dc ||
 		    is_listed(hosts, call, host))
 			continue;
 		log_info("host.unlisted", "peer=%s", (const char *)host);
--- a/control/hosts.h
+++ b/control/hosts.h
@@ -22,7 +22,7 @@
 	bool registered;
 	struct kn_timer timer;
 	/* The others. */
-	GHashTable *known; /* name -> its data centre, of all that were read */
+	GHashTable *known; /* name -> struct peer, of all that were read */
 	struct kv_call list_call;
 	bool listing;
 	char *list_prefix; /* of the data centre that is being read */
@@ -35,6 +35,8 @@
 		struct relay *relay);
 void hosts_start(struct hosts *hosts);
 void hosts_finish(struct hosts *hosts);
+/* Whether a host is known that would lead much better than this one. */
+bool hosts_any_stronger(const struct hosts *hosts);
 /* The data centre whose hosts the nth list tells. */
 const struct site_dc *hosts_list_turn(const struct site *site, unsigned int n);
 
--- a/control/leader.c
+++ b/control/leader.c
@@ -16,7 +16,9 @@
 #define CAMPAIGN_RETRY_MS 150
 /* Weak hosts let strong ones go first: more than a round trip to the store. */
 #define WEAK_DELAY_MS 60
-#define STRONG_CORES 0.4
+/* A host that hands over stays out until a stronger one has surely seen that
+ * the key is gone. */
+#define YIELD_MS 1000
 
 static void campaign(struct leader *leader);
 
@@ -39,6 +41,9 @@
 
 static void campaign_after(struct leader *leader, int64_t delay_ms)
 {
+	int64_t yield_ms = (leader->yield_until_us - kn_now_us()) / 1000;
+
+	delay_ms = MAX(delay_ms, yield_ms);
 	if (!leader->stopping && !kn_timer_pending(&leader->campaign_timer))
 		kn_timer_set(leader->kv->kn, &leader->campaign_timer,
 			     delay_ms * USEC_PER_MSEC, on_campaign);
@@ -281,12 +286,14 @@
 		campaign_after(leader, CAMPAIGN_RETRY_MS);
 }
 
+static int64_t first_delay_ms(const struct leader *leader)
+{
+	return site_strength(leader->site) < 100 ? WEAK_DELAY_MS : 0;
+}
+
 static void on_removed(struct mirror *mirror, const char *key)
 {
 	struct leader *leader = container_of(mirror, struct leader, key);
-	int64_t delay_ms =
-		leader->site->strength < STRONG_CORES ? WEAK_DELAY_MS : 0;
-
 	if (strcmp(key, KEY_LEADER) != 0)
 		return;
 	leader->key_there = false;
@@ -294,7 +301,7 @@
 	leader->current[0] = '\0';
 	if (leader->leading)
 		step_down(leader, false, "the key is gone");
-	campaign_after(leader, delay_ms);
+	campaign_after(leader, first_delay_ms(leader));
 }
 
 static void on_synced(struct mirror *mirror)
@@ -302,7 +309,7 @@
 	struct leader *leader = container_of(mirror, struct leader, key);
 
 	if (!leader->key_there)
-		campaign_after(leader, 0);
+		campaign_after(leader, first_delay_ms(leader));
 }
 
 static const struct mirror_ops key_ops = {
@@ -337,6 +344,15 @@
 	mirror_start(&leader->key);
 }
 
+void leader_hand_over(struct leader *leader)
+{
+	if (!leader->leading || leader->calling)
+		return;
+	leader->yield_until_us = kn_now_us() + YIELD_MS * USEC_PER_MSEC;
+	step_down(leader, false, "a stronger host is there");
+	end_lease(leader, leader->lease);
+}
+
 static void on_resigned(struct kv_call *call)
 {
 	struct leader *leader = call->user;
--- a/control/leader.h
+++ b/control/leader.h
@@ -61,6 +61,7 @@
 	int64_t sent_us; /* of the grant */
 	struct kn_timer timer;
 	struct kn_timer campaign_timer;
+	int64_t yield_until_us; /* no campaign before that */
 	bool stopping;
 	struct ctr elections;
 };
@@ -70,6 +71,8 @@
 void leader_start(struct leader *leader);
 /* Gives the leadership up; another host takes over at once. */
 void leader_resign(struct leader *leader);
+/* Gives the leadership up for a host that is better at it. */
+void leader_hand_over(struct leader *leader);
 /* Stops leading; this host may be elected again. */
 void leader_resign_now(struct leader *leader, const char *why);
 void leader_finish(struct leader *leader);
--- a/control/site.h
+++ b/control/site.h
@@ -30,7 +30,8 @@
 	struct set_addr store;
 	struct set_addr machines; /* port 0: none */
 	struct set_addr advice; /* port 0: none */
-	double strength; /* cores that this host may use */
+	double cores; /* that this host may use */
+	double link_mbps; /* 0: not told */
 	int64_t grace_ms; /* from the request to stop until the kill */
 	int64_t config_ms; /* within it, a change is in force */
 	/* Two hosts do not give orders for one machine within that time. */
@@ -38,4 +39,7 @@
 	struct fleet_bounds bounds;
 };
 
+/* How well a host can lead, in percent of what a leader needs; at most 100. */
+int site_strength(const struct site *site);
+
 #endif
--- a/tests/unit/test_decode.c
+++ b/tests/unit/test_decode.c
@@ -140,7 +140,7 @@
 		"{\"node\":\"n\",\"zone\":\"z\",\"region\":\"r\",\"ip\":"
 		"\"10.0.0.1\",\"listen\":{\"front\":\"10.0.0.1:1\"},"
 		"\"seeds\":[\"10.0.0.2:9\",\"bad\"],\"limits\":{\"cpu_share\":"
-		"0.25,\"cores\":2},\"bounds\":{\"grace_s\":6,\"max_hold_ms\":"
+		"0.25,\"cores\":2,\"link_mbps\":20},\"bounds\":{\"grace_s\":6,\"max_hold_ms\":"
 		"9000},\"platform\":{\"addr\":\"10.0.0.3:8\"},\"new\":1}";
 	static const char *const bad[] = {
 		"",
@@ -157,7 +157,10 @@
 	ck_assert(platform_settings_parse(&site, good, strlen(good), &err));
 	ck_assert_str_eq(site.host, "n");
 	ck_assert_uint_eq(site.seed_count, 1);
-	ck_assert_double_eq_tol(site.strength, 0.5, 0.001);
+	ck_assert_double_eq_tol(site.cores, 0.5, 0.001);
+	ck_assert_double_eq_tol(site.link_mbps, 20.0, 0.001);
+	/* The narrow link counts, not the processor. */
+	ck_assert_int_eq(site_strength(&site), 40);
 	ck_assert_int_eq(site.bounds.max_hold_ms, 9000);
 	ck_assert_int_eq(site.grace_ms, 6000);
 	ck_assert_int_eq(site.advice.port, 0);
--- a/tests/unit/test_host.c
+++ b/tests/unit/test_host.c
@@ -429,7 +429,7 @@
 	before = rig.store->doors[0].calls;
 	for (i = 0; i < 100; i++) {
 		snprintf(key, sizeof(key), "chivebank/hosts/d1/other-%d", i);
-		site_store_put(rig.store, key, "127.0.0.1 1");
+		site_store_put(rig.store, key, "127.0.0.1 1 100");
 		rig_run_ms(&rig, 20);
 	}
 	busy = rig.store->doors[0].calls - before;
@@ -456,6 +456,46 @@
 }
 END_TEST
 
+/*
+ * A host that is too weak to lead was first: it gives way to a stronger one
+ * while nothing else happens, and nothing runs twice.
+ */
+START_TEST(weak_leader_hands_over)
+{
+	int64_t until_us;
+	int weak;
+
+	rig_start(&rig, 3, 4, 1);
+	weak = rig_leader(&rig);
+	submit_many(6, 0x100, 3, "ms=9000", NULL);
+	rig.hosts[weak].site.cores = 0.1;
+	until_us = kn_now_us() + 6000 * USEC_PER_MSEC;
+	while (kn_now_us() < until_us &&
+	       (rig_leader(&rig) == weak || rig_leader(&rig) < 0))
+		rig_run_ms(&rig, 10);
+	ck_assert_int_ne(rig_leader(&rig), weak);
+	ck_assert_int_ge(rig_leader(&rig), 0);
+	wait_many(6, 0x100, "done", 12000);
+	ck_assert_uint_eq(rig.fleet->starts, 18);
+	ck_assert_int_ne(rig_leader(&rig), weak);
+	check_promises();
+	rig_stop(&rig);
+}
+END_TEST
+
+/* Hosts that are all alike do not pass the leadership around. */
+START_TEST(equal_hosts_keep_their_leader)
+{
+	int leader;
+
+	rig_start(&rig, 3, 2, 1);
+	leader = rig_leader(&rig);
+	rig_run_ms(&rig, 5000);
+	ck_assert_int_eq(rig_leader(&rig), leader);
+	rig_stop(&rig);
+}
+END_TEST
+
 /* Seeds of a loop test: store and workers lose and delay, leaders change. */
 static void troubled(uint32_t seed, enum site_fault store_fault,
 		     enum site_worker_fault worker_fault)
@@ -646,6 +686,8 @@
 	tcase_add_test(tc, host_that_the_store_turns_away);
 	tcase_add_test(tc, registrations_of_others_cost_nothing);
 	tcase_add_test(tc, leader_whose_lease_lapses);
+	tcase_add_test(tc, weak_leader_hands_over);
+	tcase_add_test(tc, equal_hosts_keep_their_leader);
 	tcase_add_loop_test(tc, answers_of_the_store_are_lost, 0, 3);
 	tcase_add_test(tc, lost_answers_cost_little_time);
 	tcase_add_test(tc, slow_store_is_waited_for);
