Choose gangs as victims by what they lose as a whole

Cause, found by reading: a claim that needs several workers added the work of a whole gang for each of its members, so that a gang over two workers looked twice as dear as it is, and two members at one worker were two victims.

Change: fleet/offer.c says what one worker can give; a gang is one victim there. Once a gang is to stop, its other workers are offered for nothing. Two orders are tried, by the whole loss and by the part at the worker, and the choice that loses less is taken.

Before: gang_counts_once_for_all_its_workers and members_at_one_worker_lose_once (test_reclaim) fail. After: they pass.

--- a/fleet/job.h
+++ b/fleet/job.h
@@ -81,6 +81,7 @@
 	/* Room that is being emptied for it; NULL-terminated, or NULL. */
 	struct worker **reserved;
 	int64_t reserved_us;
+	bool giving_way; /* its gang is to stop for the claim being chosen */
 	GHashTable *grants; /* of the advice service, see fleet/advice.h */
 	int64_t asked_us; /* it may be asked again, 0: it was not asked yet */
 	struct task *tasks; /* spec->count of them */
--- /dev/null
+++ b/fleet/offer.c
@@ -0,0 +1,130 @@
+#include "fleet/offer.h"
+
+#include <string.h>
+
+#include "fleet/reclaim.h"
+
+/* One run, or all members of a gang that run at one worker. */
+struct victim {
+	struct task *task;
+	struct room frees;
+	double loss; /* of all members, wherever they run */
+	double part; /* of the members here */
+};
+
+static bool ends_anyway(const struct task *task)
+{
+	return task->phase == TASK_DONE || task->phase == TASK_STOPPING ||
+	       task->stage->giving_way;
+}
+
+static double loss_of_all(const struct placement *p, const struct task *task)
+{
+	const struct stage *stage = task->stage;
+	double loss = 0;
+	int i;
+
+	if (!stage->spec->gang)
+		return reclaim_loss(p->fleet, task, p->now_us);
+	for (i = 0; i < stage->spec->count; i++)
+		if (stage->tasks[i].worker)
+			loss += reclaim_loss(p->fleet, &stage->tasks[i],
+					     p->now_us);
+	return loss;
+}
+
+static void add_victim(GArray *victims, const struct placement *p,
+		       struct task *task)
+{
+	struct victim victim = { .task = task };
+	struct room frees = task_room(task);
+	double loss = reclaim_loss(p->fleet, task, p->now_us);
+	guint i;
+
+	for (i = 0; task->stage->spec->gang && i < victims->len; i++) {
+		struct victim *known =
+			&g_array_index(victims, struct victim, i);
+
+		if (known->task->stage != task->stage)
+			continue;
+		room_add(&known->frees, &frees);
+		known->part += loss;
+		return;
+	}
+	victim.frees = frees;
+	victim.part = loss;
+	victim.loss = loss_of_all(p, task);
+	g_array_append_val(victims, victim);
+}
+
+static int by_loss(const void *a, const void *b)
+{
+	const struct victim *left = a;
+	const struct victim *right = b;
+
+	return left->loss < right->loss ? -1 : left->loss > right->loss;
+}
+
+/* Runs that make no room for a further task go on, the dearest first. */
+static void spare_victims(struct offer *offer, GArray *victims, guint taken,
+			  struct room *room, const struct stage *stage)
+{
+	while (taken-- > 0) {
+		const struct victim *victim =
+			&g_array_index(victims, struct victim, taken);
+		struct room less = *room;
+
+		room_sub(&less, &victim->frees);
+		if (placement_slots(&less, stage, offer->slots) <
+		    offer->slots) {
+			offer->loss += victim->loss;
+			offer->part += victim->part;
+			g_ptr_array_add(offer->victims, victim->task);
+			continue;
+		}
+		*room = less;
+	}
+}
+
+/* The cheapest runs first, until there is room for up to want tasks. */
+void offer_init(struct offer *offer, struct placement *p, struct worker *worker,
+		const struct stage *stage, int want)
+{
+	GArray *victims = g_array_new(FALSE, FALSE, sizeof(struct victim));
+	struct room room = worker_free_room(worker);
+	struct task *task;
+	int limit = want;
+	guint taken = 0;
+
+	memset(offer, 0, sizeof(*offer));
+	offer->worker = worker;
+	offer->victims = g_ptr_array_new();
+	list_for_each_entry(task, &worker->tasks, on_worker) {
+		struct room frees = task_room(task);
+
+		if (ends_anyway(task))
+			room_add(&room, &frees);
+		else if (reclaim_may_stop(p->fleet, task, stage, p->now_us))
+			add_victim(victims, p, task);
+	}
+	g_array_sort(victims, by_loss);
+	if (stage->spec->max_per_worker > 0)
+		limit = MIN(limit, stage->spec->max_per_worker -
+					   worker_count(worker, stage));
+	limit = MAX(limit, 0);
+	offer->slots = placement_slots(&room, stage, limit);
+	while (taken < victims->len && offer->slots < limit) {
+		const struct victim *victim =
+			&g_array_index(victims, struct victim, taken++);
+
+		room_add(&room, &victim->frees);
+		offer->slots = placement_slots(&room, stage, limit);
+	}
+	spare_victims(offer, victims, taken, &room, stage);
+	g_array_unref(victims);
+}
+
+void offer_finish(struct offer *offer)
+{
+	g_ptr_array_unref(offer->victims);
+}
--- a/fleet/reclaim.c
+++ b/fleet/reclaim.c
@@ -4,6 +4,7 @@
 #include <string.h>
 
 #include "fleet/lasting.h"
+#include "fleet/offer.h"
 #include "fleet/order.h"
 #include "fleet/rescue.h"
 
@@ -24,21 +25,6 @@
 	return cores * (ran_ms + (double)fleet->bounds.stop_ms);
 }
 
-static double loss_of_all(const struct fleet *fleet, const struct task *task,
-			  int64_t now_us)
-{
-	const struct stage *stage = task->stage;
-	double loss = 0;
-	int i;
-
-	if (!stage->spec->gang)
-		return reclaim_loss(fleet, task, now_us);
-	for (i = 0; i < stage->spec->count; i++)
-		if (stage->tasks[i].worker)
-			loss += reclaim_loss(fleet, &stage->tasks[i], now_us);
-	return loss;
-}
-
 bool reclaim_may_stop(const struct fleet *fleet, const struct task *task,
 		      const struct stage *claimant, int64_t now_us)
 {
@@ -57,176 +43,166 @@
 	       order_guaranteed(fleet, claimant->job);
 }
 
-struct victim {
-	struct task *task;
-	double loss;
-};
-
-static int by_loss(const void *a, const void *b)
-{
-	const struct victim *left = a;
-	const struct victim *right = b;
-
-	return left->loss < right->loss ? -1 : left->loss > right->loss;
-}
-
-/* One worker, and what has to stop there to make room for some tasks. */
-struct offer {
-	struct worker *worker;
-	int slots;
-	double loss;
-	GPtrArray *victims; /* struct task */
+/* Which loss of an offer decides its turn. */
+enum price {
+	PRICE_WHOLE, /* all of a gang: cheap where one worker is enough */
+	PRICE_PART, /* its part at the worker: cheap where many are needed */
+	PRICES
 };
 
-static bool ends_anyway(const struct task *task)
+static double price(const struct offer *offer, enum price by)
 {
-	return task->phase == TASK_DONE || task->phase == TASK_STOPPING;
+	return (by == PRICE_WHOLE ? offer->loss : offer->part) / offer->slots;
 }
 
-/* Runs that make no room for a further task go on, the dearest first. */
-static void spare_victims(const struct placement *p, struct room *room,
-			  const struct stage *stage, struct offer *offer)
+static void offers_free(GArray *offers)
 {
-	guint i = offer->victims->len;
-
-	while (i-- > 0) {
-		struct task *task = g_ptr_array_index(offer->victims, i);
-		struct room frees = task_room(task);
-		struct room less = *room;
+	guint i;
 
-		room_sub(&less, &frees);
-		if (placement_slots(&less, stage, offer->slots) < offer->slots)
-			continue;
-		*room = less;
-		offer->loss -= loss_of_all(p->fleet, task, p->now_us);
-		g_ptr_array_remove_index(offer->victims, i);
-	}
+	for (i = 0; offers && i < offers->len; i++)
+		offer_finish(&g_array_index(offers, struct offer, i));
+	if (offers)
+		g_array_unref(offers);
 }
 
-/*
- * Makes room at one worker for up to want tasks, the cheapest runs first,
- * as long as the price of a slot does not rise above the best so far.
- */
-static void make_offer(struct placement *p, struct worker *worker,
-		       const struct stage *stage, int want, struct offer *offer)
+/* What each worker can give; those that can give nothing are left out. */
+static GArray *offers_of(struct placement *p, GPtrArray *workers,
+			 const struct stage *stage, int want)
 {
-	GArray *victims = g_array_new(FALSE, FALSE, sizeof(struct victim));
-	struct room room = worker_free_room(worker);
-	struct task *task;
-	int limit = want;
+	GArray *offers = g_array_new(FALSE, FALSE, sizeof(struct offer));
 	guint i;
 
-	memset(offer, 0, sizeof(*offer));
-	offer->worker = worker;
-	offer->victims = g_ptr_array_new();
-	list_for_each_entry(task, &worker->tasks, on_worker) {
-		struct victim victim = { task, 0 };
-		struct room frees = task_room(task);
+	for (i = 0; i < workers->len; i++) {
+		struct worker *worker = g_ptr_array_index(workers, i);
+		struct offer offer;
 
-		if (ends_anyway(task)) {
-			room_add(&room, &frees);
-			continue;
-		}
-		if (!reclaim_may_stop(p->fleet, task, stage, p->now_us))
+		if (!placement_suits(worker, stage, p->now_us) ||
+		    (worker->reserved_for && worker->reserved_for != stage &&
+		     worker->busy_until_us == 0))
 			continue;
-		victim.loss = loss_of_all(p->fleet, task, p->now_us);
-		g_array_append_val(victims, victim);
+		offer_init(&offer, p, worker, stage, want);
+		if (offer.slots == 0)
+			offer_finish(&offer);
+		else
+			g_array_append_val(offers, offer);
 	}
-	g_array_sort(victims, by_loss);
-	if (stage->spec->max_per_worker > 0)
-		limit = MIN(limit, stage->spec->max_per_worker -
-					   worker_count(worker, stage));
-	limit = MAX(limit, 0);
-	offer->slots = placement_slots(&room, stage, limit);
-	for (i = 0; i < victims->len && offer->slots < limit; i++) {
-		const struct victim *victim =
-			&g_array_index(victims, struct victim, i);
-		struct room frees = task_room(victim->task);
-
-		room_add(&room, &frees);
-		g_ptr_array_add(offer->victims, victim->task);
-		offer->loss += victim->loss;
-		offer->slots = placement_slots(&room, stage, limit);
-	}
-	spare_victims(p, &room, stage, offer);
-	g_array_unref(victims);
+	return offers;
 }
 
-static void remake_offer(struct placement *p, const struct stage *stage,
-			 int want, struct offer *offer)
+/* Moves the cheapest offer from there on to the place. */
+static struct offer *take_cheapest(GArray *offers, guint place, enum price by)
 {
-	g_ptr_array_unref(offer->victims);
-	make_offer(p, offer->worker, stage, want, offer);
+	struct offer *first = &g_array_index(offers, struct offer, place);
+	guint i, best = place;
+	struct offer moved;
+
+	for (i = place + 1; i < offers->len; i++)
+		if (price(&g_array_index(offers, struct offer, i), by) <
+		    price(&g_array_index(offers, struct offer, best), by))
+			best = i;
+	moved = *first;
+	*first = g_array_index(offers, struct offer, best);
+	g_array_index(offers, struct offer, best) = moved;
+	return first;
 }
 
-static int by_price(const void *a, const void *b)
+/* The workers at which a gang runs that is stopped now become cheaper. */
+static void renew_offers(struct placement *p, GArray *offers, guint from,
+			 const struct stage *stage, int want,
+			 const struct stage *stopped)
 {
-	const struct offer *left = a;
-	const struct offer *right = b;
-	double left_price = left->loss / left->slots;
-	double right_price = right->loss / right->slots;
+	guint i;
+
+	for (i = from; i < offers->len; i++) {
+		struct offer *offer = &g_array_index(offers, struct offer, i);
+		struct worker *worker = offer->worker;
 
-	return left_price < right_price ? -1 : left_price > right_price;
+		if (worker_count(worker, stopped) == 0)
+			continue;
+		offer_finish(offer);
+		offer_init(offer, p, worker, stage, want);
+	}
 }
 
-static void offers_free(GArray *offers)
+/* The gangs among the victims of an offer end at all their workers. */
+static void stop_gangs(struct placement *p, GArray *offers, guint place,
+		       const struct stage *stage, int want, GPtrArray *stopped)
 {
-	guint i;
+	GPtrArray *victims = g_array_index(offers, struct offer, place).victims;
+	guint v;
 
-	for (i = 0; i < offers->len; i++)
-		g_ptr_array_unref(
-			g_array_index(offers, struct offer, i).victims);
-	g_array_unref(offers);
+	for (v = 0; v < victims->len; v++) {
+		struct task *task = g_ptr_array_index(victims, v);
+
+		if (!task->stage->spec->gang)
+			continue;
+		task->stage->giving_way = true;
+		g_ptr_array_add(stopped, task->stage);
+		renew_offers(p, offers, place + 1, stage, want, task->stage);
+	}
 }
 
 /*
  * The cheapest workers that together have room for the stage; the rest is
  * removed. Returns NULL when there are not enough.
  */
-static GArray *choose(struct placement *p, GPtrArray *workers,
-		      const struct stage *stage, int want, double *loss)
+static GArray *choose_by(struct placement *p, GPtrArray *workers,
+			 const struct stage *stage, int want, enum price by,
+			 double *loss)
 {
-	GArray *offers = g_array_new(FALSE, FALSE, sizeof(struct offer));
-	int slots = 0;
+	GArray *offers = offers_of(p, workers, stage, want);
+	GPtrArray *stopped = g_ptr_array_new();
 	guint i, kept = 0;
 
 	*loss = 0;
-	for (i = 0; i < workers->len; i++) {
-		struct worker *worker = g_ptr_array_index(workers, i);
-		struct offer offer;
+	while (kept < offers->len && want > 0) {
+		struct offer *offer = take_cheapest(offers, kept, by);
 
-		if (!placement_suits(worker, stage, p->now_us) ||
-		    (worker->reserved_for && worker->reserved_for != stage &&
-		     worker->busy_until_us == 0))
-			continue;
-		make_offer(p, worker, stage, want, &offer);
-		if (offer.slots == 0) {
-			g_ptr_array_unref(offer.victims);
-			continue;
+		if (offer->slots > want) {
+			struct worker *worker = offer->worker;
+
+			offer_finish(offer);
+			offer_init(offer, p, worker, stage, want);
 		}
-		g_array_append_val(offers, offer);
-	}
-	g_array_sort(offers, by_price);
-	for (kept = 0; kept < offers->len && slots < want; kept++) {
-		struct offer *offer =
-			&g_array_index(offers, struct offer, kept);
-
-		if (offer->slots > want - slots)
-			remake_offer(p, stage, want - slots, offer);
-		slots += offer->slots;
 		*loss += offer->loss;
+		want -= offer->slots;
+		stop_gangs(p, offers, kept++, stage, MAX(want, 1), stopped);
 	}
-	if (slots < want) {
-		offers_free(offers);
-		return NULL;
+	for (i = 0; i < stopped->len; i++) {
+		struct stage *gang = g_ptr_array_index(stopped, i);
+
+		gang->giving_way = false;
 	}
-	while (offers->len > kept) {
-		g_ptr_array_unref(
-			g_array_index(offers, struct offer, offers->len - 1)
-				.victims);
-		g_array_set_size(offers, offers->len - 1);
+	g_ptr_array_unref(stopped);
+	for (i = kept; i < offers->len; i++)
+		offer_finish(&g_array_index(offers, struct offer, i));
+	g_array_set_size(offers, kept);
+	if (want <= 0)
+		return offers;
+	offers_free(offers);
+	return NULL;
+}
+
+/* The choice that loses least, of those by each price. */
+static GArray *choose(struct placement *p, GPtrArray *workers,
+		      const struct stage *stage, int want, double *least)
+{
+	GArray *best = NULL;
+	enum price by;
+
+	for (by = 0; by < PRICES; by++) {
+		double loss;
+		GArray *offers = choose_by(p, workers, stage, want, by, &loss);
+
+		if (!offers || (best && loss >= *least)) {
+			offers_free(offers);
+			continue;
+		}
+		offers_free(best);
+		best = offers;
+		*least = loss;
 	}
-	return offers;
+	return best;
 }
 
 /* Within one rack if the gang fits in one, else anywhere in the pool. */
@@ -297,7 +273,9 @@
 			struct task *task =
 				g_ptr_array_index(offer->victims, v);
 
-			p->fleet->preempted++;
+			p->fleet->preempted += task->stage->spec->gang ?
+						       task->stage->holding :
+						       1;
 			fleet_stop(p->fleet, task, why);
 		}
 	}
--- /dev/null
+++ b/tests/unit/test_reclaim.c
@@ -0,0 +1,140 @@
+#include <stdio.h>
+
+#include "fleet/plan.h"
+#include "fleet/reclaim.h"
+#include "tests/standins/fleet_make.h"
+#include "tests/unit/run.h"
+
+/* The choice of what has to stop for a claim, without a network. */
+
+#define SEC 1000000LL
+#define NOW (100 * SEC)
+
+static struct fleet fleet;
+static struct config *config;
+
+static void set_up(void)
+{
+	make_fleet(&fleet, &config);
+}
+
+static void tear_down(void)
+{
+	make_fleet_end(&fleet, config);
+}
+
+static void make_workers(int count)
+{
+	char id[16];
+	int i;
+
+	for (i = 0; i < count; i++) {
+		snprintf(id, sizeof(id), "w%d", i);
+		make_worker(&fleet, id, "r", 8, NOW);
+	}
+}
+
+/* A job that fills its workers and runs since then. */
+static struct job *running(const char *id, int count, int gpus, bool gang,
+			   int64_t since_us)
+{
+	struct job *job = make_job(&fleet, id, 2, count, gpus, 60000, since_us);
+
+	job->spec.steps[0].gang = gang;
+	fleet_open_due(&fleet, since_us, 0);
+	ck_assert_int_eq(plan_pass(&fleet, since_us), count);
+	make_started(&fleet, since_us);
+	return job;
+}
+
+static void claim(int count, int64_t now_us)
+{
+	struct job *urgent =
+		make_job(&fleet, "urgent", 0, count, 8, 1000, now_us);
+
+	urgent->spec.steps[0].gang = count > 1;
+	fleet_open_due(&fleet, now_us, 0);
+	ck_assert_int_eq(plan_pass(&fleet, now_us), 0);
+}
+
+static enum task_phase phase(struct job *job)
+{
+	return make_task(job, 0, 0)->phase;
+}
+
+START_TEST(cheaper_jobs_give_way_before_a_gang)
+{
+	struct job *gang, *first, *second;
+
+	make_workers(4);
+	gang = running("gang", 2, 8, true, NOW);
+	first = running("first", 1, 8, false, NOW + 2 * SEC);
+	second = running("second", 1, 8, false, NOW + 2 * SEC);
+	/* The gang has done 2 x 8 s of work, each of the others 6 s. */
+	claim(2, NOW + 8 * SEC);
+	ck_assert_int_eq(phase(first), TASK_STOPPING);
+	ck_assert_int_eq(phase(second), TASK_STOPPING);
+	ck_assert_int_eq(phase(gang), TASK_RUNNING);
+}
+END_TEST
+
+/*
+ * Load: a full pool with a gang over several workers. To stop it loses less
+ * than the single jobs that look cheaper one by one.
+ */
+START_TEST(gang_counts_once_for_all_its_workers)
+{
+	struct job *gang, *first, *second;
+
+	make_workers(4);
+	first = running("first", 1, 8, false, NOW);
+	second = running("second", 1, 8, false, NOW);
+	gang = running("gang", 2, 8, true, NOW + SEC);
+	/* 2 x 7 s of work in the gang, 2 x 8 s in the others. */
+	claim(2, NOW + 8 * SEC);
+	ck_assert_int_eq(phase(gang), TASK_STOPPING);
+	ck_assert_int_eq(phase(first), TASK_RUNNING);
+	ck_assert_int_eq(phase(second), TASK_RUNNING);
+	ck_assert_uint_eq(fleet.preempted, 2);
+}
+END_TEST
+
+/* For one worker the whole gang is dearer than one job that has run longer. */
+START_TEST(single_job_gives_way_for_one_worker)
+{
+	struct job *gang, *first;
+
+	make_workers(3);
+	first = running("first", 1, 8, false, NOW);
+	gang = running("gang", 2, 8, true, NOW + SEC);
+	claim(1, NOW + 8 * SEC);
+	ck_assert_int_eq(phase(first), TASK_STOPPING);
+	ck_assert_int_eq(phase(gang), TASK_RUNNING);
+}
+END_TEST
+
+/* Members at one worker are stopped together, so they lose once. */
+START_TEST(members_at_one_worker_lose_once)
+{
+	struct job *gang, *other;
+
+	make_workers(2);
+	other = running("other", 1, 8, false, NOW);
+	gang = running("gang", 4, 2, true, NOW + SEC);
+	claim(1, NOW + 8 * SEC);
+	ck_assert_int_eq(phase(gang), TASK_STOPPING);
+	ck_assert_int_eq(phase(other), TASK_RUNNING);
+}
+END_TEST
+
+int main(void)
+{
+	TCase *tc = tcase_create("reclaim");
+
+	tcase_add_checked_fixture(tc, set_up, tear_down);
+	tcase_add_test(tc, cheaper_jobs_give_way_before_a_gang);
+	tcase_add_test(tc, gang_counts_once_for_all_its_workers);
+	tcase_add_test(tc, single_job_gives_way_for_one_worker);
+	tcase_add_test(tc, members_at_one_worker_lose_once);
+	return run_case("reclaim", tc);
+}
