--- a/control/director_log.c
+++ b/control/director_log.c
@@ -55,12 +55,13 @@
 
 	log_info("job.known",
 		 "job=%s queue=%s customer=%s priority=%d steps=%d tasks=%d "
-		 "gpus=%lld gang=%d same_rack=%d chain_ms=%lld revision=%lld "
-		 "age_ms=%lld",
+		 "cpu_milli=%lld gpus=%lld gang=%d same_rack=%d checkpoint=%d "
+		 "lasts=%d chain_ms=%lld revision=%lld age_ms=%lld",
 		 job->id, job->queue, job->customer, job->priority,
-		 job->spec.nsteps, first->count, (long long)first->need.gpus,
-		 first->gang, first->same_rack,
-		 (long long)job_spec_chain_ms(&job->spec),
+		 job->spec.nsteps, first->count,
+		 (long long)first->need.cpu_milli, (long long)first->need.gpus,
+		 first->gang, first->same_rack, first->checkpoint,
+		 first->long_running, (long long)job_spec_chain_ms(&job->spec),
 		 (long long)item->mod_revision,
 		 (long long)(director_wall_ms() - job->accepted_ms));
 }
