Lend hosts of spare pools to pools that are full

Cause: a configuration may have spare pools, whose hosts are off and are moved into a pool by an order. The list of hosts was read for waves only, and spare pools were not known, so that they stayed off at a crest.

Weighed: to keep loans in the store, against forgetting them at a takeover. Kept: forgetting; a host that an earlier leader has lent goes on serving, which costs its price and no work. To move hosts between pools that are not spare was not built: it ends work in one pool for the sake of another.

Once work has found no room for 0.5 s, as many spare hosts are ordered as its waiting tasks need; each goes back when it has been idle for 15 s, empty. Refusals are not repeated at once.

Before: no test could pass. After: test_lending (6), spare_hosts_help_a_full_pool and spare_hosts_stay_off_while_there_is_room (test_duties, end to end). No site at hand has spare pools.

--- a/control/machine_edge.h
+++ b/control/machine_edge.h
@@ -22,6 +22,9 @@
 	void (*list)(struct machine_edge *edge, struct machine_call *call);
 	void (*upkeep)(struct machine_edge *edge, struct machine_call *call,
 		       const char *host, int64_t wave, int64_t fence);
+	/* Ends all that runs on the host; it comes up in the other pool. */
+	void (*move)(struct machine_edge *edge, struct machine_call *call,
+		     const char *host, const char *pool, int64_t fence);
 	void (*cancel)(struct machine_edge *edge, struct machine_call *call);
 	void (*finish)(struct machine_edge *edge);
 };
--- a/control/maintenance.c
+++ b/control/maintenance.c
@@ -16,6 +16,10 @@
 	own->edges = edges;
 	own->machines = machines;
 	list_init(&own->waves);
+	lending_init(&own->lending);
+	ctr_init(&own->moves, &edges->kv->kn->counters, CTR_COUNTER,
+		 "chivebank_host_moves_total", NULL,
+		 "Orders to move a host of workers to another pool");
 	ctr_init(&own->orders, &edges->kv->kn->counters, CTR_COUNTER,
 		 "chivebank_upkeep_orders_total", NULL,
 		 "Orders to take a host of workers down");
@@ -33,6 +37,7 @@
 	if (own->machines)
 		own->machines->ops->finish(own->machines);
 	ctr_finish(&own->orders);
+	ctr_finish(&own->moves);
 }
 
 void maintenance_add(struct maintenance *own, struct wave *wave)
@@ -126,6 +131,7 @@
 	own->listing = false;
 	own->ordering = false;
 	own->writing = false;
+	lending_finish(&own->lending);
 	own->fleet = NULL;
 }
 
@@ -194,6 +200,38 @@
 				   wave->number, own->fence);
 }
 
+/* Loans. */
+
+static void on_moved(struct machine_call *call)
+{
+	struct maintenance *own = call->user;
+	struct loan *loan = own->order_loan;
+
+	own->ordering = false;
+	log_info("host.moved",
+		 "host=%s home=%s pool=%s returning=%d fence=%lld result=%d",
+		 loan->host, loan->home, loan->pool,
+		 loan->state == LOAN_RETURNING, (long long)own->fence,
+		 call->result);
+	lending_answered(loan, call->result == CB_E_CONFLICT, kn_now_us());
+}
+
+static void lend(struct maintenance *own, int64_t now_us)
+{
+	const char *pool;
+
+	own->order_loan = lending_next(&own->lending, own->fleet, own->list,
+				       now_us, &pool);
+	if (!own->order_loan)
+		return;
+	own->ordering = true;
+	own->order_call.done = on_moved;
+	own->order_call.user = own;
+	ctr_add(&own->moves, 1);
+	own->machines->ops->move(own->machines, &own->order_call,
+				 own->order_loan->host, pool, own->fence);
+}
+
 /* Status. */
 
 static void on_status(struct kv_call *call)
@@ -241,12 +279,10 @@
 	g_free(value);
 }
 
-void maintenance_run(struct maintenance *own, bool may_order, int64_t now_us)
+static void run_waves(struct maintenance *own, bool may_order, int64_t now_us)
 {
 	struct wave *wave;
 
-	if (!own->machines || !own->fleet || list_empty(&own->waves))
-		return;
 	if (!own->informed) {
 		if (!own->writing)
 			read_said(own);
@@ -260,8 +296,21 @@
 			return;
 		upkeep_update(own->fleet, wave, own->list, now_us);
 		write_status(own, wave);
-		if (may_order && !own->ordering &&
-		    now_us >= own->orders_from_us)
+		if (may_order && !own->ordering)
 			order(own, wave, now_us);
 	}
 }
+
+void maintenance_run(struct maintenance *own, bool may_order, int64_t now_us)
+{
+	if (!own->machines || !own->fleet)
+		return;
+	may_order &= now_us >= own->orders_from_us;
+	if (!list_empty(&own->waves))
+		run_waves(own, may_order, now_us);
+	if (!lending_wanted(&own->lending, own->fleet, now_us))
+		return;
+	read_list(own, now_us);
+	if (own->list && may_order && !own->ordering)
+		lend(own, now_us);
+}
--- a/control/maintenance.h
+++ b/control/maintenance.h
@@ -3,11 +3,13 @@
 
 #include "control/edges.h"
 #include "control/machine_edge.h"
+#include "fleet/lending.h"
 
 /*
- * Carries out the operators' waves of upkeep while this host leads: follows
- * the list of hosts, orders one host after the other, and says in the store
- * when a wave runs and when it is done.
+ * Orders for the hosts of workers while this host leads: follows their list,
+ * carries out the operators' waves of upkeep one host after the other, says in
+ * the store when a wave runs and when it is done, and lends hosts of spare
+ * pools. A host that another leader has lent stays where it is.
  */
 struct maintenance {
 	const struct edges *edges;
@@ -24,12 +26,15 @@
 	bool ordering;
 	struct wave *order_wave;
 	struct upkeep_host *order_host;
+	struct lending lending;
+	struct loan *order_loan;
 	struct kv_call status_call;
 	bool writing; /* or reading what earlier leaders have said */
 	bool informed;
 	struct wave *status_wave;
 	bool status_done; /* what is being written */
 	struct ctr orders;
+	struct ctr moves;
 };
 
 void maintenance_init(struct maintenance *maintenance,
--- a/fleet/config.c
+++ b/fleet/config.c
@@ -27,6 +27,7 @@
 		g_ptr_array_new_with_free_func((GDestroyNotify)queue_free);
 	config->customers =
 		g_ptr_array_new_with_free_func((GDestroyNotify)customer_free);
+	config->spare_pools = g_ptr_array_new_with_free_func(g_free);
 	config->by_key = g_hash_table_new(g_str_hash, g_str_equal);
 	return config;
 }
@@ -38,6 +39,7 @@
 	g_hash_table_unref(config->by_key);
 	g_ptr_array_unref(config->queues);
 	g_ptr_array_unref(config->customers);
+	g_ptr_array_unref(config->spare_pools);
 	g_free(config);
 }
 
--- a/fleet/config.h
+++ b/fleet/config.h
@@ -6,8 +6,9 @@
 
 #include <glib.h>
 
-/* The operators' configuration: queues and customers. What it says of pools is
- * not needed: no worker is given more than it has room for. */
+/* The operators' configuration: queues, customers and spare pools. What it
+ * says of other pools is not needed: no worker is given more than it has room
+ * for. */
 
 /* Where jobs are handed in, and how they are treated. */
 struct queue {
@@ -34,6 +35,7 @@
 	int64_t version;
 	GPtrArray *queues; /* struct queue */
 	GPtrArray *customers; /* struct customer */
+	GPtrArray *spare_pools; /* char *; their hosts are off until moved */
 	GHashTable *by_key; /* key -> struct customer, borrowed */
 	int64_t body_max_bytes; /* of a request; 0: the product's own limit */
 };
--- a/fleet/upkeep.c
+++ b/fleet/upkeep.c
@@ -64,8 +64,8 @@
 	g_free(wave);
 }
 
-static const struct machine *find_machine(const GPtrArray *machines,
-					  const char *name)
+const struct machine *upkeep_machine(const GPtrArray *machines,
+				     const char *name)
 {
 	guint i;
 
@@ -81,7 +81,7 @@
 struct worker *upkeep_worker(const struct fleet *fleet,
 			     const GPtrArray *machines, const char *host)
 {
-	const struct machine *machine = find_machine(machines, host);
+	const struct machine *machine = upkeep_machine(machines, host);
 
 	if (!machine || !machine->worker)
 		return NULL;
@@ -92,7 +92,7 @@
 static void see_host(struct fleet *fleet, struct upkeep_host *host,
 		     const GPtrArray *machines, int64_t now_us)
 {
-	const struct machine *machine = find_machine(machines, host->name);
+	const struct machine *machine = upkeep_machine(machines, host->name);
 	const struct worker *worker;
 
 	if (host->state != UPKEEP_ORDERED)
@@ -132,7 +132,7 @@
 
 		see_host(fleet, host, machines, now_us);
 		if (host->state != UPKEEP_DONE && machines->len > 0 &&
-		    !find_machine(machines, host->name))
+		    !upkeep_machine(machines, host->name))
 			host->state = UPKEEP_DONE;
 		wave->done &= host->state == UPKEEP_DONE;
 		worker = upkeep_worker(fleet, machines, host->name);
@@ -161,7 +161,7 @@
 			g_ptr_array_index(wave->hosts, i);
 
 		const struct machine *machine =
-			find_machine(machines, host->name);
+			upkeep_machine(machines, host->name);
 
 		down += host->state == UPKEEP_ORDERED ||
 			(host->state != UPKEEP_DONE && machine && !machine->up);
@@ -221,7 +221,7 @@
 	for (i = 0; i < wave->hosts->len; i++) {
 		struct upkeep_host *host = g_ptr_array_index(wave->hosts, i);
 		const struct machine *machine =
-			find_machine(machines, host->name);
+			upkeep_machine(machines, host->name);
 
 		if (host->state == UPKEEP_ORDERED && host->repeat && machine &&
 		    machine->up)
@@ -244,7 +244,7 @@
 	for (i = 0; i < wave->hosts->len; i++) {
 		struct upkeep_host *host = g_ptr_array_index(wave->hosts, i);
 		const struct machine *machine =
-			find_machine(machines, host->name);
+			upkeep_machine(machines, host->name);
 		struct worker *worker;
 
 		if (host->state != UPKEEP_EMPTYING || !machine ||
--- a/fleet/upkeep.h
+++ b/fleet/upkeep.h
@@ -15,6 +15,8 @@
 	char *pool;
 	char *worker; /* id of the worker that lives there, or NULL */
 	bool up;
+	bool changing; /* on its way to another pool, or in upkeep */
+	struct room room; /* none where it is not told */
 };
 
 /* A GDestroyNotify for lists of them. */
@@ -63,6 +65,9 @@
 void upkeep_ordered(struct upkeep_host *host, int64_t born_ms, int64_t now_us);
 /* The platform refused: nothing was done. */
 void upkeep_again(struct upkeep_host *host, int64_t now_us);
+/* NULL when the list does not have it. */
+const struct machine *upkeep_machine(const GPtrArray *machines,
+				     const char *name);
 struct worker *upkeep_worker(const struct fleet *fleet,
 			     const GPtrArray *machines, const char *host);
 
--- a/tests/standins/site_machines.c
+++ b/tests/standins/site_machines.c
@@ -7,6 +7,7 @@
 #include <jansson.h>
 
 #include "base/limits.h"
+#include "tests/standins/site_check.h"
 #include "tests/standins/site_reply.h"
 
 #define TICK_MS 10
@@ -30,14 +31,16 @@
 static json_t *row(const struct site_machine *machine)
 {
 	bool up = machine->up_us == 0;
+	const char *state = up ? "up" : machine->moving ? "moving" : "upkeep";
 	json_t *row = json_pack(
 		"{s:s,s:s,s:s,s:s,s:[s,s],s:{s:I,s:I,s:I}}", "machine",
-		machine->name, "pool", "pool", "state", up ? "up" : "upkeep",
+		machine->name, "pool",
+		machine->spare ? SITE_SPARE_POOL : "pool", "state", state,
 		"zone", "d1", "labels", "a", machine->worker->rack, "headroom",
 		"cpu", (json_int_t)128000, "mem_mb", (json_int_t)262144, "gpu",
 		(json_int_t)machine->worker->gpus);
 
-	if (up)
+	if (up && !machine->spare)
 		json_object_set_new(row, "id",
 				    json_string(machine->worker->id));
 	return row;
@@ -116,6 +119,55 @@
 		site_reply(req, 200, json_object());
 }
 
+/* Moves. */
+
+static const char *move(struct site_machine *machine, const char *pool,
+			int64_t fence)
+{
+	bool spare = strcmp(pool, SITE_SPARE_POOL) == 0;
+
+	if (fence < machine->fence)
+		return "fence";
+	machine->fence = fence;
+	if (machine->spare == spare && !machine->moving)
+		return NULL;
+	if (machine->up_us != 0)
+		return "busy";
+	if (!machine->spare) {
+		if (!list_empty(&machine->worker->runs))
+			site_violated(machine->worker->fleet, "MOVE",
+				      machine->name, "it has work");
+		site_worker_crash(machine->worker);
+	}
+	machine->spare = spare;
+	machine->moving = true;
+	machine->moves++;
+	machine->up_us = kn_now_us() + SITE_MOVE_MS * USEC_PER_MSEC;
+	return NULL;
+}
+
+static void on_move(struct site_machines *own, struct hs_request *req)
+{
+	json_t *body = json_loadb((char *)req->body, req->body_len, 0, NULL);
+	struct site_machine *machine =
+		find(own, json_string_value(json_object_get(body, "machine")));
+	const char *pool = json_string_value(json_object_get(body, "pool"));
+	const char *fence = hs_header(req, "Chivebank-Fence-Token");
+	const char *reason = NULL;
+	bool known = machine && pool && fence &&
+		     hs_header(req, "Chivebank-Duty-Holder");
+
+	if (known)
+		reason = move(machine, pool, g_ascii_strtoll(fence, NULL, 10));
+	json_decref(body);
+	if (own->mute)
+		return;
+	if (reason)
+		site_reply(req, 409, json_pack("{s:s}", "reason", reason));
+	else
+		site_reply(req, known ? 200 : 400, json_object());
+}
+
 static void on_request(struct hs_server *server, struct hs_request *req)
 {
 	struct site_machines *own =
@@ -125,6 +177,8 @@
 		on_list(own, req);
 	else if (strcmp(req->target, "/machine-upkeep") == 0)
 		on_upkeep(own, req);
+	else if (strcmp(req->target, "/machine-move") == 0)
+		on_move(own, req);
 	else
 		site_reply(req, 404, json_object());
 }
@@ -144,8 +198,11 @@
 		if (machine->up_us == 0 || machine->up_us > kn_now_us())
 			continue;
 		machine->up_us = 0;
-		own->down--;
-		site_worker_restart(machine->worker);
+		if (!machine->moving)
+			own->down--;
+		if (!machine->spare)
+			site_worker_restart(machine->worker);
+		machine->moving = false;
 	}
 	kn_timer_set(own->server.kn, timer, TICK_MS * USEC_PER_MSEC, on_tick);
 }
@@ -173,6 +230,21 @@
 	return own;
 }
 
+void site_machines_spare(struct site_machines *own, struct site_worker *worker)
+{
+	guint i;
+
+	for (i = 0; i < own->machines->len; i++) {
+		struct site_machine *machine =
+			g_ptr_array_index(own->machines, i);
+
+		if (machine->worker != worker)
+			continue;
+		machine->spare = true;
+		site_worker_crash(worker);
+	}
+}
+
 void site_machines_free(struct site_machines *own)
 {
 	kn_timer_cancel(&own->timer);
--- a/tests/standins/site_machines.h
+++ b/tests/standins/site_machines.h
@@ -12,7 +12,10 @@
 struct site_machine {
 	char name[40];
 	struct site_worker *worker;
-	int64_t up_us; /* when its upkeep is over, 0: it is up */
+	bool spare; /* in the spare pool, off */
+	bool moving; /* to the other pool */
+	int moves;
+	int64_t up_us; /* when its upkeep or move is over, 0: it is up */
 	int64_t wave; /* of its latest upkeep, 0: none */
 	int64_t fence; /* highest that it has seen */
 	int begun; /* upkeeps */
@@ -30,11 +33,16 @@
 };
 
 #define SITE_UPKEEP_MS 300
+#define SITE_MOVE_MS 200
+#define SITE_SPARE_POOL "spare"
 #define SITE_MACHINES_PAGE 2
 
 /* Listens on a free port; knows the workers that the fleet has now. */
 struct site_machines *site_machines_new(struct kn *kn,
 					struct site_fleet *fleet);
+/* Takes a worker out of the pool; its host is off from now on. */
+void site_machines_spare(struct site_machines *machines,
+			 struct site_worker *worker);
 void site_machines_free(struct site_machines *machines);
 
 #endif
--- a/tests/standins/site_rig.c
+++ b/tests/standins/site_rig.c
@@ -155,7 +155,8 @@
 		"\"slo_ms\":1000,\"prio\":1,\"svc\":\"pool\",\"attempts\":3,"
 		"\"stretch\":3.0,\"public\":false,\"advice\":{"
 		"\"decide_ms\":20,\"each_ms\":2,\"valid_ms\":3000}}],"
-		"\"svcs\":[{\"name\":\"pool\",\"health_path\":\"/healthz\"}],"
+		"\"svcs\":[{\"name\":\"pool\",\"health_path\":\"/healthz\"},"
+		"{\"name\":\"spare\",\"spare\":true}],"
 		"\"limits\":{},\"tenants\":[{\"name\":\"one\",\"api_keys\":"
 		"[\"%s\"],\"guaranteed\":{\"gpu\":16}},{\"name\":\"two\","
 		"\"api_keys\":[\"key-two\"]}]}",
--- a/tests/unit/test_duties.c
+++ b/tests/unit/test_duties.c
@@ -318,6 +318,70 @@
 }
 END_TEST
 
+/* Spare hosts. */
+
+static int hosts_lent(void)
+{
+	int lent = 0;
+	guint i;
+
+	for (i = 0; i < rig.machines->machines->len; i++) {
+		const struct site_machine *machine =
+			g_ptr_array_index(rig.machines->machines, i);
+
+		lent += machine->moves;
+	}
+	return lent;
+}
+
+/* Load: three times more work than the pool has room for, for seconds. */
+START_TEST(spare_hosts_help_a_full_pool)
+{
+	struct site_worker *worker;
+	char id[32];
+	int count = 0, i;
+
+	rig_start(&rig, 2, 4, 1);
+	list_for_each_entry(worker, &rig.fleet->workers, node)
+		if (count++ >= 1)
+			site_machines_spare(rig.machines, worker);
+	rig_run_ms(&rig, 1500);
+	for (i = 0; i < 6; i++) {
+		snprintf(id, sizeof(id), "%016x", 0x300 + i);
+		submit_step(RIG_PREFIX, id, "ms=1500",
+			    "\"count\":8,\"gpu\":1,\"est_ms\":1500");
+	}
+	for (i = 0; i < 6; i++) {
+		snprintf(id, sizeof(id), "%016x", 0x300 + i);
+		/* One worker alone would take 9 s. */
+		ck_assert(wait_done(RIG_PREFIX, id, i == 0 ? 6500 : 3000));
+	}
+	ck_assert_int_ge(hosts_lent(), 2);
+	ck_assert_int_le(hosts_lent(), 3);
+	check_promises();
+	rig_stop(&rig);
+}
+END_TEST
+
+START_TEST(spare_hosts_stay_off_while_there_is_room)
+{
+	struct site_worker *worker;
+	int count = 0;
+
+	rig_start(&rig, 1, 2, 1);
+	list_for_each_entry(worker, &rig.fleet->workers, node)
+		if (count++ >= 1)
+			site_machines_spare(rig.machines, worker);
+	rig_run_ms(&rig, 1500);
+	submit_step(RIG_PREFIX, JOB_A, "ms=500",
+		    "\"count\":8,\"gpu\":1,\"est_ms\":500");
+	ck_assert(wait_done(RIG_PREFIX, JOB_A, 4000));
+	ck_assert_int_eq(hosts_lent(), 0);
+	ck_assert_uint_eq(rig.machines->lists, 0);
+	rig_stop(&rig);
+}
+END_TEST
+
 int main(void)
 {
 	TCase *tc = tcase_create("duties");
@@ -333,5 +397,7 @@
 	tcase_add_test(tc, lasting_task_moves_from_a_lost_worker);
 	tcase_add_test(tc, copies_get_a_job_past_a_slow_worker);
 	tcase_add_test(tc, copies_survive_a_takeover);
+	tcase_add_test(tc, spare_hosts_help_a_full_pool);
+	tcase_add_test(tc, spare_hosts_stay_off_while_there_is_room);
 	return run_case("duties", tc);
 }
--- /dev/null
+++ b/tests/unit/test_lending.c
@@ -0,0 +1,210 @@
+#include <stdio.h>
+#include <string.h>
+
+#include "fleet/lending.h"
+#include "fleet/plan.h"
+#include "fleet/upkeep.h"
+#include "tests/standins/fleet_make.h"
+#include "tests/unit/run.h"
+
+/* Hosts of spare pools, without a network. */
+
+#define SEC 1000000LL
+#define NOW (100 * SEC)
+#define SPARE "off"
+
+static struct fleet fleet;
+static struct config *config;
+static struct lending lending;
+static GPtrArray *machines;
+
+static struct machine *add_machine(const char *name, const char *pool)
+{
+	struct machine *machine = g_new0(struct machine, 1);
+
+	machine->name = g_strdup(name);
+	machine->pool = g_strdup(pool);
+	machine->up = true;
+	machine->room = (struct room){ 128000, 262144, 8 };
+	g_ptr_array_add(machines, machine);
+	return machine;
+}
+
+static void set_up(void)
+{
+	make_fleet(&fleet, &config);
+	g_ptr_array_add(config->spare_pools, g_strdup(SPARE));
+	lending_init(&lending);
+	machines = g_ptr_array_new_with_free_func(machine_free);
+	make_worker(&fleet, "w0", "r", 8, NOW);
+	add_machine("m0", MAKE_POOL);
+	add_machine("m1", SPARE);
+	add_machine("m2", SPARE);
+}
+
+static void tear_down(void)
+{
+	lending_finish(&lending);
+	g_ptr_array_unref(machines);
+	make_fleet_end(&fleet, config);
+}
+
+static void plan(int64_t now_us)
+{
+	fleet_open_due(&fleet, now_us, 0);
+	plan_pass(&fleet, now_us);
+	make_started(&fleet, now_us);
+}
+
+/* Fills the pool, and count tasks wait from NOW on. */
+static void crowd(int count)
+{
+	make_job(&fleet, "full", 1, 8, 1, 60000, NOW);
+	plan(NOW);
+	make_job(&fleet, "more", 1, count, 1, 60000, NOW);
+	plan(NOW);
+}
+
+/* The host is in its new pool, and its worker has written an entry. */
+static void arrive(int index)
+{
+	struct machine *machine = g_ptr_array_index(machines, index);
+	char id[16];
+
+	snprintf(id, sizeof(id), "w%d", index);
+	g_free(machine->pool);
+	machine->pool = g_strdup(MAKE_POOL);
+	machine->worker = g_strdup(id);
+	make_worker(&fleet, id, "r", 8, NOW);
+}
+
+START_TEST(no_more_than_is_needed_is_lent)
+{
+	const char *pool;
+
+	crowd(8);
+	ck_assert(!lending_wanted(&lending, &fleet, NOW + SEC / 4));
+	ck_assert(lending_wanted(&lending, &fleet, NOW + SEC));
+	ck_assert_ptr_nonnull(
+		lending_next(&lending, &fleet, machines, NOW + SEC, &pool));
+	ck_assert_str_eq(pool, MAKE_POOL);
+	/* That one has room for all 8. */
+	ck_assert_ptr_null(
+		lending_next(&lending, &fleet, machines, NOW + SEC, &pool));
+}
+END_TEST
+
+START_TEST(more_hosts_for_more_work)
+{
+	const char *pool;
+	struct loan *first, *second;
+
+	crowd(30);
+	first = lending_next(&lending, &fleet, machines, NOW + SEC, &pool);
+	second = lending_next(&lending, &fleet, machines, NOW + SEC, &pool);
+	ck_assert_str_eq(first->host, "m1");
+	ck_assert_str_eq(second->host, "m2");
+	/* There are no more spare ones, and the others are never taken. */
+	ck_assert_ptr_null(
+		lending_next(&lending, &fleet, machines, NOW + SEC, &pool));
+}
+END_TEST
+
+START_TEST(work_that_fits_nowhere_lends_nothing)
+{
+	struct job *job = make_job(&fleet, "huge", 1, 1, 1, 1000, NOW);
+	const char *pool;
+
+	job->spec.steps[0].need.mem_mb = 1 << 30;
+	plan(NOW);
+	ck_assert_ptr_null(
+		lending_next(&lending, &fleet, machines, NOW + SEC, &pool));
+}
+END_TEST
+
+/* Given back once it was idle for long, and empty when it goes. */
+START_TEST(idle_host_goes_back)
+{
+	struct worker *worker;
+	const char *pool;
+	struct loan *loan;
+	struct job *job;
+	int64_t now_us;
+
+	crowd(4);
+	loan = lending_next(&lending, &fleet, machines, NOW + SEC, &pool);
+	lending_answered(loan, false, NOW + SEC);
+	arrive(1);
+	plan(NOW + 2 * SEC);
+	worker = g_hash_table_lookup(fleet.workers_by_id, "w1");
+	ck_assert_int_eq(worker->task_count, 4);
+	job = fleet_job(&fleet, "more");
+	for (now_us = NOW + 2 * SEC; now_us < NOW + 30 * SEC; now_us += SEC)
+		ck_assert_ptr_null(lending_next(&lending, &fleet, machines,
+						now_us, &pool));
+	make_done(&fleet, job, now_us);
+	ck_assert_ptr_null(
+		lending_next(&lending, &fleet, machines, now_us, &pool));
+	now_us += 5 * SEC;
+	ck_assert_ptr_null(
+		lending_next(&lending, &fleet, machines, now_us, &pool));
+	now_us += 11 * SEC;
+	ck_assert_ptr_eq(
+		lending_next(&lending, &fleet, machines, now_us, &pool), loan);
+	ck_assert_str_eq(pool, SPARE);
+	ck_assert(worker->cordoned);
+	/* A refusal keeps it in use. */
+	lending_answered(loan, true, now_us);
+	ck_assert_ptr_null(
+		lending_next(&lending, &fleet, machines, now_us, &pool));
+	ck_assert(!worker->cordoned);
+}
+END_TEST
+
+START_TEST(host_that_never_comes_is_forgotten)
+{
+	const char *pool;
+	struct loan *loan;
+
+	crowd(8);
+	loan = lending_next(&lending, &fleet, machines, NOW + SEC, &pool);
+	lending_answered(loan, false, NOW + SEC);
+	/* Its order was not carried out: it is asked once more. */
+	loan = lending_next(&lending, &fleet, machines, NOW + 7 * SEC, &pool);
+	ck_assert_ptr_nonnull(loan);
+	ck_assert_int_eq(loan->state, LOAN_COMING);
+}
+END_TEST
+
+/* Another host is asked then, and the same one only much later. */
+START_TEST(refusal_is_not_repeated_at_once)
+{
+	const char *pool;
+	struct loan *loan;
+
+	crowd(8);
+	loan = lending_next(&lending, &fleet, machines, NOW + SEC, &pool);
+	lending_answered(loan, true, NOW + SEC);
+	loan = lending_next(&lending, &fleet, machines, NOW + SEC, &pool);
+	ck_assert_str_eq(loan->host, "m2");
+	lending_answered(loan, true, NOW + SEC);
+	ck_assert_ptr_null(
+		lending_next(&lending, &fleet, machines, NOW + 2 * SEC, &pool));
+	loan = lending_next(&lending, &fleet, machines, NOW + 12 * SEC, &pool);
+	ck_assert_str_eq(loan->host, "m1");
+}
+END_TEST
+
+int main(void)
+{
+	TCase *tc = tcase_create("lending");
+
+	tcase_add_checked_fixture(tc, set_up, tear_down);
+	tcase_add_test(tc, no_more_than_is_needed_is_lent);
+	tcase_add_test(tc, more_hosts_for_more_work);
+	tcase_add_test(tc, work_that_fits_nowhere_lends_nothing);
+	tcase_add_test(tc, idle_host_goes_back);
+	tcase_add_test(tc, host_that_never_comes_is_forgotten);
+	tcase_add_test(tc, refusal_is_not_repeated_at_once);
+	return run_case("lending", tc);
+}
