Soak: faults between hosts, steps of the time of day, hundreds of hosts

Cause: the soak's relays stood on the ways to the store and to the workers only, no clock was ever wrong in it, and it had room for 12 hosts.

Change: hosts find each other by the ports of relays, which the stand-in of the store puts in place of their own; these are cut, reset, slowed and silenced. A small library, loaded into the processes of the soak only, shifts their time of day by up to 5 s.

Found: a timed job of the soak itself was no JSON, and its refusal with 400 was not noticed; a well-formed job that is refused as malformed is a violation now.

--- a/Makefile
+++ b/Makefile
@@ -40,13 +40,15 @@
 	$(STANDIN_MAIN))
 BENCHES := $(patsubst bench/%.c,$(BUILD)/bench/%,$(BENCH_MAIN))
 SOAK_SRC := $(wildcard tests/soak/*.c)
+# Loaded into the processes of the soak, to shift their time of day.
+SOAK_CLOCK := $(BUILD)/soak-clock.so
 BINS := $(BUILD)/chivebankd $(BUILD)/chivebank
 
 ALL_C := $(wildcard base/*.[ch] wire/*.[ch] policy/*.[ch] daemon/*.[ch] \
 	fleet/*.[ch] control/*.[ch] platform/*.[ch] \
 	cli/*.[ch] bench/*.[ch] tests/*/*.[ch])
 
-all: $(BINS) $(STANDINS) $(TESTS) $(BENCHES) $(BUILD)/soak-run
+all: $(BINS) $(STANDINS) $(TESTS) $(BENCHES) $(BUILD)/soak-run $(SOAK_CLOCK)
 
 $(BUILD)/%.o: %.c
 	@mkdir -p $(@D)
@@ -84,6 +86,11 @@
 	@echo LD $@
 	@$(CC) $(LDFLAGS) -o $@ $^ $(LDLIBS) $(LUA_LIBS)
 
+$(SOAK_CLOCK): tests/clock/clock.c
+	@mkdir -p $(@D)
+	@echo LD $@
+	@$(CC) -shared -fPIC -D_GNU_SOURCE -Wall -Wextra -Werror -O2 -o $@ $<
+
 $(BUILD)/bench/%: $(BUILD)/bench/%.o $(call obj,$(BENCH_SRC)) $(LIB)
 	@mkdir -p $(@D)
 	@echo LD $@
@@ -111,7 +118,7 @@
 	tests/run-scenarios $(BUILD)
 
 # make soak SEEDS="1 2 3" SECONDS=20
-soak: $(BINS) $(BUILD)/soak-run
+soak: $(BINS) $(BUILD)/soak-run $(SOAK_CLOCK)
 	tests/run-soak $(BUILD) $(SECONDS) $(SEEDS)
 
 scenario: all
--- a/tests/soak/soak.h
+++ b/tests/soak/soak.h
@@ -11,7 +11,9 @@
  * workers see. One seed gives one course of faults and load.
  */
 
-#define SOAK_HOSTS_MAX 12
+#define SOAK_HOSTS_MAX 250
+/* By the platform's rules, on days on which clocks jump. */
+#define SOAK_EARLY_MS (250 + 5000)
 #define SOAK_KEY "key-one"
 
 struct soak_options {
@@ -20,16 +22,19 @@
 	int hosts;
 	int workers;
 	const char *binary;
+	const char *clock; /* library that shifts the time of day */
 	const char *dir; /* settings and logs */
 };
 
 struct soak_host {
 	char name[16];
 	char settings[256];
+	char clock[256]; /* file with the offset of its time of day */
 	int callers_port;
 	int peers_port;
 	int door; /* at the store */
 	int relay; /* on its way to the store */
+	int peers_relay; /* on the way of other hosts to it */
 	int proc; /* -1: not running */
 	int64_t started_us; /* when the process was started */
 	int64_t start_us; /* when it is to be started again, 0: it runs */
@@ -37,6 +42,8 @@
 	bool frozen;
 	int64_t thaw_us;
 	int64_t way_heal_us; /* of its way to the store, 0: it is well */
+	int64_t peers_heal_us; /* of the way of others to it, 0: it is well */
+	int64_t clock_heal_us; /* of its time of day, 0: it is right */
 	struct hc_pool pool; /* of its callers */
 };
 
--- a/tests/soak/soak_faults.c
+++ b/tests/soak/soak_faults.c
@@ -30,11 +30,18 @@
 
 bool soak_host_start(struct soak *soak, struct soak_host *host)
 {
-	char variable[300];
-	char *argv[] = { (char *)"/usr/bin/env", variable,
-			 (char *)soak->options.binary, (char *)"--platform",
+	char variable[300], clock[300], preload[300];
+	char *argv[] = { (char *)"/usr/bin/env",
+			 variable,
+			 clock,
+			 preload,
+			 (char *)soak->options.binary,
+			 (char *)"--platform",
 			 NULL };
 
+	snprintf(clock, sizeof(clock), "SOAK_CLOCK=%s", host->clock);
+	snprintf(preload, sizeof(preload), "LD_PRELOAD=%s",
+		 soak->options.clock);
 	snprintf(variable, sizeof(variable), "CHIVEBANK_CONFIG=%s",
 		 host->settings);
 	host->proc = sr_proc_spawn(host->name, argv);
@@ -113,7 +120,7 @@
 	/* Often the leader. */
 	if (item && soak_chance(soak, 50))
 		for (i = 0; i < soak->options.hosts; i++)
-			if (g_str_has_prefix(item->value, soak->hosts[i].name))
+			if (atoi(item->value + strlen("host-")) == i)
 				host = &soak->hosts[i];
 	if (!runs(host) || host->kill_us)
 		return;
@@ -164,6 +171,58 @@
 		sr_relay_silence(soak->hosts[one].relay);
 }
 
+/* The way of all other hosts to one, or to all of them. */
+static void fault_peers(struct soak *soak)
+{
+	static const enum sr_relay_state states[] = { SR_CUT, SR_REFUSED,
+						      SR_ONE_WAY, SR_SLOW };
+	static const char *const names[] = { "cut", "refuse", "one_way",
+					     "slow" };
+	bool all = soak_chance(soak, 30);
+	int n = soak_below(soak, 4);
+	int one = soak_below(soak, soak->options.hosts);
+	int i;
+
+	say(soak, names[n], all ? "peers of all" : "peers of one");
+	for (i = 0; i < soak->options.hosts; i++) {
+		if (!all && i != one)
+			continue;
+		sr_relay_set(soak->hosts[i].peers_relay, states[n]);
+		soak->hosts[i].peers_heal_us = fault_end_us(soak);
+	}
+	if (soak_chance(soak, 30))
+		sr_relay_silence(soak->hosts[one].peers_relay);
+}
+
+/* The time of day. */
+
+#define CLOCK_STEP_MAX_MS 5000
+
+static void set_clock(struct soak *soak, struct soak_host *host, int ms)
+{
+	char text[24];
+	FILE *file = fopen(host->clock, "r+");
+
+	/* In place: the process has the file open. */
+	snprintf(text, sizeof(text), "%-12d", ms);
+	if (!file || fputs(text, file) < 0)
+		soak_violated(soak, "SOAK", host->name, "its clock file");
+	if (file)
+		fclose(file);
+}
+
+static void fault_clock(struct soak *soak)
+{
+	struct soak_host *host =
+		&soak->hosts[soak_below(soak, soak->options.hosts)];
+	int ms = soak_below(soak, 2 * CLOCK_STEP_MAX_MS) - CLOCK_STEP_MAX_MS;
+
+	say(soak, "clock", host->name);
+	soak->fleet->early_ms = SOAK_EARLY_MS;
+	host->clock_heal_us = fault_end_us(soak);
+	set_clock(soak, host, ms);
+}
+
 static void fault_store(struct soak *soak)
 {
 	static const enum site_fault faults[] = { SITE_WELL, SITE_BUSY,
@@ -293,6 +352,14 @@
 			host->way_heal_us = 0;
 			sr_relay_set(host->relay, SR_OPEN);
 		}
+		if (host->peers_heal_us && now_us > host->peers_heal_us) {
+			host->peers_heal_us = 0;
+			sr_relay_set(host->peers_relay, SR_OPEN);
+		}
+		if (host->clock_heal_us && now_us > host->clock_heal_us) {
+			host->clock_heal_us = 0;
+			set_clock(soak, host, 0);
+		}
 		if (host->frozen && now_us > host->thaw_us)
 			thaw_host(soak, host);
 	}
@@ -310,7 +377,7 @@
 	if (!soak_chance(soak, 4))
 		return;
 	soak->faults++;
-	switch (soak_below(soak, 7)) {
+	switch (soak_below(soak, 9)) {
 	case 0:
 	case 1:
 		fault_host(soak);
@@ -318,6 +385,12 @@
 	case 2:
 		fault_way(soak);
 		break;
+	case 5:
+		fault_peers(soak);
+		break;
+	case 6:
+		fault_clock(soak);
+		break;
 	case 3:
 		fault_store(soak);
 		break;
--- a/tests/soak/soak_jobs.c
+++ b/tests/soak/soak_jobs.c
@@ -9,6 +9,9 @@
 #define JOBS_MAX 400
 #define TRIES_MAX 12
 #define CALL_TIMEOUT_MS 4000
+/* A job of two occurrences, the first so long after it is handed in. */
+#define TIMED_FIRST_MS 700
+#define TIMED_EVERY_MS 900
 
 enum soak_phase { SOAK_HANDING_IN, SOAK_ACCEPTED, SOAK_REJECTED, SOAK_UNKNOWN };
 
@@ -41,26 +44,35 @@
 	int count = 1 + soak_below(soak, 6);
 	bool gang = soak_chance(soak, 35);
 	bool steps = !gang && soak_chance(soak, 30);
+	bool timed = !gang && !steps && soak_chance(soak, 25);
 	int ms = 100 + soak_below(soak, 1200);
+	int64_t due_ms = kn_wall_us() / USEC_PER_MSEC + TIMED_FIRST_MS;
+	char *times =
+		timed ? g_strdup_printf(",\"times\":2,\"first_ms\":%lld,"
+					"\"interval_ms\":%d",
+					(long long)due_ms, TIMED_EVERY_MS) :
+			g_strdup("");
 	char *payload, *body;
 
 	*poison = soak_chance(soak, 6);
 	payload = g_strdup_printf("ms=%d gpus=%d gang=%d before=%d fail=%d "
-				  "attempts=3 beyond=%d",
+				  "attempts=3 beyond=%d due=%lld every=%d",
 				  ms, 1, gang ? count : 0, count,
 				  *poison ? 99 :
 				  gang	  ? 0 :
 					    soak_below(soak, 2),
-				  steps ? 2 : 0);
+				  steps ? 2 : 0, timed ? (long long)due_ms : 0,
+				  TIMED_EVERY_MS);
 	body = g_strdup_printf(
 		"{\"spec\":\"%s\",\"steps\":[{\"count\":%d,\"cpu\":1000,"
-		"\"mem_mb\":100,\"gpu\":1,\"est_ms\":%d%s%s}%s%s]}",
+		"\"mem_mb\":100,\"gpu\":1,\"est_ms\":%d%s%s}%s]%s}",
 		payload, count, ms, gang ? ",\"gang\":true" : "",
 		steps ? ",\"max_per_server\":2" : "",
 		steps ? ",{\"count\":2,\"cpu\":500,\"gpu\":1,\"est_ms\":200,"
 			"\"after\":[0],\"max_per_server\":2}" :
 			"",
-		"");
+		times);
+	g_free(times);
 	g_free(payload);
 	return body;
 }
@@ -90,6 +102,9 @@
 			job->cancelling = true;
 		return;
 	}
+	if (status >= 400 && status < 429)
+		soak_violated(soak, "REFUSED", job->id,
+			      "a well-formed job is taken for malformed");
 	job->only_refusals &= status == 429 || status == 503;
 	if (job->tries < TRIES_MAX)
 		return;
--- a/tests/soak/soak_main.c
+++ b/tests/soak/soak_main.c
@@ -20,6 +20,7 @@
 	{ "hosts", 'n', "N", 0, "Entry hosts", 0 },
 	{ "workers", 'w', "N", 0, "Workers", 0 },
 	{ "binary", 'b', "FILE", 0, "chivebankd", 0 },
+	{ "clock", 'c', "FILE", 0, "Library that shifts the time of day", 0 },
 	{ "dir", 'd', "DIR", 0, "Settings and logs", 0 },
 	{ 0 }
 };
@@ -44,6 +45,9 @@
 	case 'b':
 		options->binary = arg;
 		return 0;
+	case 'c':
+		options->clock = arg;
+		return 0;
 	case 'd':
 		options->dir = arg;
 		return 0;
@@ -81,8 +85,9 @@
 	int i;
 
 	for (i = 0; i < soak->options.hosts && i < 3; i++)
-		g_string_append_printf(seeds, "%s\"127.0.0.1:%d\"",
-				       i ? "," : "", soak->hosts[i].peers_port);
+		g_string_append_printf(
+			seeds, "%s\"127.0.0.1:%d\"", i ? "," : "",
+			sr_relay_port(soak->hosts[i].peers_relay));
 	text = g_strdup_printf(
 		"{\"node\":\"%s\",\"zone\":\"d1\",\"region\":\"r1\","
 		"\"listen\":{\"front\":\"127.0.0.1:%d\","
@@ -97,6 +102,10 @@
 	path = g_strconcat(soak->options.dir, "/", host->name, ".json", NULL);
 	g_strlcpy(host->settings, path, sizeof(host->settings));
 	g_free(path);
+	snprintf(host->clock, sizeof(host->clock), "%s/%s.clock",
+		 soak->options.dir, host->name);
+	if (!g_file_set_contents(host->clock, "0", -1, NULL))
+		abort();
 	if (!g_file_set_contents(host->settings, text, -1, NULL))
 		abort();
 	g_free(text);
@@ -141,10 +150,12 @@
 		int port = site_store_open(soak->store, ports_reserve());
 
 		host->door = soak->store->ndoors - 1;
-		snprintf(host->name, sizeof(host->name), "host-%c", 'a' + i);
+		snprintf(host->name, sizeof(host->name), "host-%d", i);
 		host->callers_port = ports_reserve();
 		host->peers_port = ports_reserve();
 		host->relay = sr_relay_new(ports_reserve(), port);
+		host->peers_relay =
+			sr_relay_new(ports_reserve(), host->peers_port);
 		hc_pool_init(&host->pool, &soak->kn, "127.0.0.1",
 			     host->callers_port, 64);
 		host->pool.connect_timeout_ms = 500;
@@ -156,6 +167,33 @@
 	}
 }
 
+/* Hosts find each other by the ports of their relays. */
+static char *translate(void *user, const char *key, const char *value)
+{
+	struct soak *soak = user;
+	char **words, *text;
+	int i, w;
+
+	if (!g_str_has_prefix(key, "chivebank/hosts/") &&
+	    !g_str_has_prefix(key, "chivebank/leader"))
+		return NULL;
+	words = g_strsplit(value, " ", -1);
+	for (w = 0; words[w]; w++)
+		for (i = 0; i < soak->options.hosts; i++) {
+			const struct soak_host *host = &soak->hosts[i];
+
+			if (atoi(words[w]) != host->peers_port)
+				continue;
+			g_free(words[w]);
+			words[w] = g_strdup_printf(
+				"%d", sr_relay_port(host->peers_relay));
+			break;
+		}
+	text = g_strjoinv(" ", words);
+	g_strfreev(words);
+	return text;
+}
+
 static void put_config(struct soak *soak)
 {
 	soak->config_version = 1;
@@ -211,6 +249,7 @@
 			     .hosts = 3,
 			     .workers = 6,
 			     .binary = "build/chivebankd",
+			     .clock = "build/soak-clock.so",
 			     .dir = "build/soak" },
 	};
 	guint failed;
@@ -226,6 +265,8 @@
 	ev_init(soak.options.seed);
 	sr_relay_start();
 	soak.store = site_store_new(&soak.kn, soak.options.seed);
+	soak.store->translate = translate;
+	soak.store->user = &soak;
 	add_workers(&soak);
 	put_config(&soak);
 	if (!kn_start(&soak.kn, NULL))
--- a/tests/standins/site_check.c
+++ b/tests/standins/site_check.c
@@ -73,6 +73,21 @@
 	}
 }
 
+/* Stand-ins have the true time of day. */
+static void check_due(struct site_fleet *fleet, const char *name,
+		      const char *payload)
+{
+	int64_t due_ms = site_payload_number(payload, "due", 0);
+	char id[32];
+	int k, step, index;
+
+	if (due_ms == 0 || !name_parts(name, id, &k, &step, &index))
+		return;
+	due_ms += k * site_payload_number(payload, "every", 0);
+	if (kn_wall_us() / USEC_PER_MSEC < due_ms - fleet->early_ms)
+		site_violated(fleet, "ORDER", name, "before its time");
+}
+
 static void check_room(struct site_worker *worker, const struct site_run *run,
 		       const char *payload)
 {
@@ -145,6 +160,7 @@
 	    site_payload_number(payload, "attempts", 3))
 		site_violated(fleet, "BUDGET", run->name, "attempts used up");
 	check_order(fleet, run->name, payload);
+	check_due(fleet, run->name, payload);
 	check_room(worker, run, payload);
 	if (!name_parts(run->name, id, &k, &step, &index))
 		site_violated(fleet, "UNASKED", run->name, "malformed name");
--- a/tests/standins/site_fleet.c
+++ b/tests/standins/site_fleet.c
@@ -753,6 +753,9 @@
 	g_free(task);
 }
 
+/* Early starts that the platform's rules allow. */
+#define EARLY_MS 250
+
 struct site_fleet *site_fleet_new(struct kn *kn, struct site_store *store,
 				  const struct site_bounds *bounds,
 				  uint32_t seed)
@@ -762,6 +765,7 @@
 	fleet->store = store;
 	fleet->bounds = *bounds;
 	fleet->cancel_ms = 2000;
+	fleet->early_ms = EARLY_MS;
 	fleet->tasks =
 		g_hash_table_new_full(g_str_hash, g_str_equal, NULL, task_free);
 	fleet->cancelled =
--- a/tests/standins/site_fleet.h
+++ b/tests/standins/site_fleet.h
@@ -9,7 +9,8 @@
  * a job tells them what its tasks do, as NAME=NUMBER separated by blanks:
  * ms (duration), gpus, gang (members), before (tasks of the step before),
  * fail (runs that fail), attempts, beyond (tasks on one worker), copies (a
- * second run may be beside the first).
+ * second run may be beside the first), due (Unix time in ms of the first
+ * occurrence), every (ms between occurrences).
  */
 
 enum site_worker_fault {
@@ -77,6 +78,7 @@
 	uint64_t ticket_refusals;
 	int64_t last_start_us;
 	int64_t cancel_ms; /* after that no task of a cancelled job starts */
+	int64_t early_ms; /* a task may start so long before its due time */
 };
 
 struct site_fleet *site_fleet_new(struct kn *kn, struct site_store *store,
--- a/tests/standins/site_store.c
+++ b/tests/standins/site_store.c
@@ -95,6 +95,20 @@
 			       item ? item->len : 0);
 }
 
+static void translate(struct site_store *store, struct site_item *item)
+{
+	char *value =
+		store->translate ?
+			store->translate(store->user, item->key, item->value) :
+			NULL;
+
+	if (!value)
+		return;
+	g_free(item->value);
+	item->value = value;
+	item->len = strlen(value);
+}
+
 static void put(struct site_store *store, const char *key, const void *value,
 		size_t len, int64_t lease)
 {
@@ -106,6 +120,7 @@
 	memcpy(item->value, value, len);
 	item->value[len] = '\0';
 	item->len = len;
+	translate(store, item);
 	item->revision = store->revision;
 	item->created = old ? old->created : store->revision;
 	item->lease = lease;
@@ -185,17 +200,35 @@
 	return strncmp(key, prefix, strlen(prefix)) == 0;
 }
 
+/* Index of the first event after a revision; events are in that order. */
+static guint first_after(const struct site_store *store, int64_t after)
+{
+	guint low = 0, high = store->events->len;
+
+	while (low < high) {
+		guint middle = (low + high) / 2;
+		const struct site_event *event =
+			g_ptr_array_index(store->events, middle);
+
+		if (event->revision <= after)
+			low = middle + 1;
+		else
+			high = middle;
+	}
+	return low;
+}
+
 static json_t *events_after(struct site_store *store, const char *prefix,
 			    int64_t after)
 {
 	json_t *events = json_array();
 	guint i;
 
-	for (i = 0; i < store->events->len; i++) {
+	for (i = first_after(store, after); i < store->events->len; i++) {
 		const struct site_event *event =
 			g_ptr_array_index(store->events, i);
 
-		if (event->revision <= after || !has_prefix(event->key, prefix))
+		if (!has_prefix(event->key, prefix))
 			continue;
 		json_array_append_new(
 			events,
--- a/tests/standins/site_store.h
+++ b/tests/standins/site_store.h
@@ -20,7 +20,7 @@
 };
 
 #define SITE_LATE_MS 700
-#define SITE_DOORS_MAX 16
+#define SITE_DOORS_MAX 256
 
 struct site_store;
 
@@ -66,6 +66,11 @@
 	/* Sees each change; for checks. May be NULL. */
 	void (*changed)(void *user, const char *key, const char *value,
 			size_t len);
+	/*
+	 * What is stored in place of a value, a new string, or NULL for the
+	 * value itself: addresses that hosts tell can lead through relays.
+	 */
+	char *(*translate)(void *user, const char *key, const char *value);
 	void *user;
 };
 
--- a/tests/standins/sr_relay.h
+++ b/tests/standins/sr_relay.h
@@ -4,7 +4,7 @@
 #include <stdbool.h>
 #include <stdint.h>
 
-#define SR_RELAYS_MAX 256
+#define SR_RELAYS_MAX 1024
 
 enum sr_relay_state {
 	SR_OPEN,
