--- a/Makefile
+++ b/Makefile
@@ -114,6 +114,11 @@
 bench: all
 	bench/run $(BUILD)
 
+# make experiment EXPERIMENT=bench/crest.json BASE=HEAD~3 SEEDS=5
+EXPERIMENT ?= bench/crest.json
+experiment: $(BUILD)/bench/bench_experiment
+	bench/experiment $(BUILD) $(EXPERIMENT) "$(BASE)" $(SEEDS)
+
 scenarios: all
 	tests/run-scenarios $(BUILD)
 
@@ -138,7 +143,7 @@
 clean:
 	rm -rf build build-san
 
-.PHONY: all check run-tests demo bench scenarios scenario soak format \
+.PHONY: all check run-tests demo bench experiment scenarios scenario soak format \
 	format-check lint clean
 .SECONDARY:
 
