Lay the services of the daemon out in a folder each

Change: daemon/requests, jobs, document, leadership and admin; main.c, svc.c and store.c stay. mp.c moves to wire/, which both daemon/ and control/ build on. Paths and header guards follow; nothing else differs.

--- a/Makefile
+++ b/Makefile
@@ -23,7 +23,7 @@
 # Each package is a flat folder of sources.
 LIB_SRC := $(wildcard base/*.c wire/*.c policy/*.c fleet/*.c control/*.c \
 	platform/*.c) \
-	$(filter-out daemon/main.c,$(wildcard daemon/*.c))
+	$(filter-out daemon/main.c,$(wildcard daemon/*.c daemon/*/*.c))
 CLI_SRC := $(filter-out cli/main.c,$(wildcard cli/*.c))
 TEST_SRC := $(wildcard tests/unit/test_*.c)
 # A stand-in program is tests/standins/<name>_main.c; the other files in
@@ -44,7 +44,7 @@
 SOAK_CLOCK := $(BUILD)/soak-clock.so
 BINS := $(BUILD)/chivebankd $(BUILD)/chivebank
 
-ALL_C := $(wildcard base/*.[ch] wire/*.[ch] policy/*.[ch] daemon/*.[ch] \
+ALL_C := $(wildcard base/*.[ch] wire/*.[ch] policy/*.[ch] daemon/*.[ch] daemon/*/*.[ch] \
 	fleet/*.[ch] control/*.[ch] platform/*.[ch] \
 	cli/*.[ch] bench/*.[ch] tests/*/*.[ch])
 
--- a/control/record.c
+++ b/control/record.c
@@ -2,7 +2,7 @@
 
 #include <string.h>
 
-#include "daemon/mp.h"
+#include "wire/mp.h"
 
 enum step_flag {
 	STEP_GANG = 1,
--- a/control/relay.c
+++ b/control/relay.c
@@ -4,7 +4,7 @@
 
 #include "base/err.h"
 #include "base/log.h"
-#include "daemon/mp.h"
+#include "wire/mp.h"
 
 /* Another host that could not help is left out for so long. */
 #define PEER_REST_MS 500
--- a/control/relay_ask.c
+++ b/control/relay_ask.c
@@ -3,7 +3,7 @@
 #include <string.h>
 
 #include "base/err.h"
-#include "daemon/mp.h"
+#include "wire/mp.h"
 
 /* A question without answer is asked again; the process may be restarting. */
 #define QUESTION_MS 400
--- a/daemon/api.c
+++ b/daemon/admin/api.c
@@ -1,11 +1,11 @@
-#include "daemon/api.h"
+#include "daemon/admin/api.h"
 
 #include <stdlib.h>
 #include <string.h>
 
 #include "base/err.h"
 #include "base/limits.h"
-#include "daemon/api_int.h"
+#include "daemon/admin/api_int.h"
 
 /* Paths of other services; the first prefix that fits counts. */
 static const struct route {
--- a/daemon/api.h
+++ b/daemon/admin/api.h
@@ -1,5 +1,5 @@
-#ifndef DAEMON_API_H
-#define DAEMON_API_H
+#ifndef DAEMON_ADMIN_API_H
+#define DAEMON_ADMIN_API_H
 
 #include "base/kn.h"
 #include "base/set.h"
--- a/daemon/api_away.c
+++ b/daemon/admin/api_away.c
@@ -2,7 +2,7 @@
 
 #include "base/err.h"
 #include "base/ev.h"
-#include "daemon/api_int.h"
+#include "daemon/admin/api_int.h"
 #include "policy/placing.h"
 
 /* Element 3 of a heartbeat is the epoch that the sender leads with. */
--- a/daemon/api_forward.c
+++ b/daemon/admin/api_forward.c
@@ -2,7 +2,7 @@
 #include <string.h>
 
 #include "base/err.h"
-#include "daemon/api_int.h"
+#include "daemon/admin/api_int.h"
 
 /*
  * A forward is [id, method, target, body, token, If-Match, key], and its
--- a/daemon/api_int.h
+++ b/daemon/admin/api_int.h
@@ -1,8 +1,8 @@
-#ifndef DAEMON_API_INT_H
-#define DAEMON_API_INT_H
+#ifndef DAEMON_ADMIN_API_INT_H
+#define DAEMON_ADMIN_API_INT_H
 
 #include "base/set.h"
-#include "daemon/req.h"
+#include "daemon/requests/req.h"
 #include "daemon/svc.h"
 #include "wire/hs.h"
 #include "wire/pr.h"
--- a/daemon/api_own.c
+++ b/daemon/admin/api_own.c
@@ -3,7 +3,7 @@
 
 #include "base/err.h"
 #include "base/ev.h"
-#include "daemon/api_int.h"
+#include "daemon/admin/api_int.h"
 
 /* Health and metrics. */
 
--- a/daemon/api_parse.c
+++ b/daemon/admin/api_parse.c
@@ -1,7 +1,7 @@
 #include <string.h>
 
 #include "base/err.h"
-#include "daemon/api_int.h"
+#include "daemon/admin/api_int.h"
 
 static bool fail(GError **err, const char *text)
 {
--- a/daemon/document.c
+++ b/daemon/document/document.c
@@ -1,4 +1,4 @@
-#include "daemon/document.h"
+#include "daemon/document/document.h"
 
 #include <inttypes.h>
 #include <string.h>
@@ -6,7 +6,7 @@
 #include "base/err.h"
 #include "base/ev.h"
 #include "base/log.h"
-#include "daemon/document_int.h"
+#include "daemon/document/document_int.h"
 
 /* The document in force. */
 
--- a/daemon/document.h
+++ b/daemon/document/document.h
@@ -1,5 +1,5 @@
-#ifndef DAEMON_DOCUMENT_H
-#define DAEMON_DOCUMENT_H
+#ifndef DAEMON_DOCUMENT_DOCUMENT_H
+#define DAEMON_DOCUMENT_DOCUMENT_H
 
 #include "base/set.h"
 #include "wire/kv.h"
--- a/daemon/document_api.c
+++ b/daemon/document/document_api.c
@@ -1,7 +1,7 @@
 #include <string.h>
 
 #include "base/err.h"
-#include "daemon/document_int.h"
+#include "daemon/document/document_int.h"
 
 #define SECTIONS_PATH "/v1/document/sections/"
 
--- a/daemon/document_change.c
+++ b/daemon/document/document_change.c
@@ -4,7 +4,7 @@
 
 #include "base/err.h"
 #include "base/ev.h"
-#include "daemon/document_int.h"
+#include "daemon/document/document_int.h"
 
 /*
  * A change reads the root, applies itself to it and writes section, history
--- a/daemon/document_fetch.c
+++ b/daemon/document/document_fetch.c
@@ -2,7 +2,7 @@
 
 #include "base/err.h"
 #include "base/log.h"
-#include "daemon/document_int.h"
+#include "daemon/document/document_int.h"
 
 static void fetch_free(struct doc_fetch *fetch)
 {
--- a/daemon/document_int.h
+++ b/daemon/document/document_int.h
@@ -1,5 +1,5 @@
-#ifndef DAEMON_DOCUMENT_INT_H
-#define DAEMON_DOCUMENT_INT_H
+#ifndef DAEMON_DOCUMENT_DOCUMENT_INT_H
+#define DAEMON_DOCUMENT_DOCUMENT_INT_H
 
 #include "base/set.h"
 #include "daemon/svc.h"
--- a/daemon/document_peer.c
+++ b/daemon/document/document_peer.c
@@ -3,7 +3,7 @@
 #include <string.h>
 
 #include "base/log.h"
-#include "daemon/document_int.h"
+#include "daemon/document/document_int.h"
 
 /*
  * A push is [revision, root JSON, [[section, body text]...]]. A document
--- a/daemon/document_prune.c
+++ b/daemon/document/document_prune.c
@@ -2,7 +2,7 @@
 
 #include "base/err.h"
 #include "base/log.h"
-#include "daemon/document_int.h"
+#include "daemon/document/document_int.h"
 
 /*
  * History entries and bodies older than history_keep revisions are removed,
--- a/daemon/document_read.c
+++ b/daemon/document/document_read.c
@@ -3,7 +3,7 @@
 #include <string.h>
 
 #include "base/err.h"
-#include "daemon/document_int.h"
+#include "daemon/document/document_int.h"
 
 /* Calls that read older revisions from the store. */
 struct query {
--- a/daemon/sched.c
+++ b/daemon/jobs/sched.c
@@ -1,9 +1,9 @@
-#include "daemon/sched.h"
+#include "daemon/jobs/sched.h"
 
 #include <inttypes.h>
 
 #include "base/ev.h"
-#include "daemon/sched_int.h"
+#include "daemon/jobs/sched_int.h"
 
 #define MS(ms) ((int64_t)(ms)*USEC_PER_MSEC)
 
--- a/daemon/sched.h
+++ b/daemon/jobs/sched.h
@@ -1,5 +1,5 @@
-#ifndef DAEMON_SCHED_H
-#define DAEMON_SCHED_H
+#ifndef DAEMON_JOBS_SCHED_H
+#define DAEMON_JOBS_SCHED_H
 
 #include "base/kn.h"
 #include "base/set.h"
--- a/daemon/sched_api.c
+++ b/daemon/jobs/sched_api.c
@@ -1,7 +1,7 @@
 #include <string.h>
 
 #include "base/err.h"
-#include "daemon/sched_int.h"
+#include "daemon/jobs/sched_int.h"
 #include "policy/placing.h"
 
 #define JOBS "/v1/jobs"
--- a/daemon/sched_gang.c
+++ b/daemon/jobs/sched_gang.c
@@ -3,7 +3,7 @@
 
 #include "base/err.h"
 #include "base/ev.h"
-#include "daemon/sched_int.h"
+#include "daemon/jobs/sched_int.h"
 
 /* A call to a worker about one token. */
 struct scall {
--- a/daemon/sched_int.h
+++ b/daemon/jobs/sched_int.h
@@ -1,9 +1,9 @@
-#ifndef DAEMON_SCHED_INT_H
-#define DAEMON_SCHED_INT_H
+#ifndef DAEMON_JOBS_SCHED_INT_H
+#define DAEMON_JOBS_SCHED_INT_H
 
 #include "base/set.h"
 #include "daemon/svc.h"
-#include "daemon/wk.h"
+#include "daemon/jobs/wk.h"
 #include "policy/gang_start.h"
 #include "policy/job_entry.h"
 #include "policy/scheduler.h"
--- a/daemon/sched_job.c
+++ b/daemon/jobs/sched_job.c
@@ -1,7 +1,7 @@
 #include <string.h>
 
 #include "base/ev.h"
-#include "daemon/sched_int.h"
+#include "daemon/jobs/sched_int.h"
 
 struct sjob *sched_job_new(struct sched *s)
 {
--- a/daemon/sched_store.c
+++ b/daemon/jobs/sched_store.c
@@ -4,7 +4,7 @@
 #include "base/err.h"
 #include "base/ev.h"
 #include "base/log.h"
-#include "daemon/sched_int.h"
+#include "daemon/jobs/sched_int.h"
 
 /* All records of 14,000 jobs exceed STORE_REPLY_MAX_BYTES in one answer. */
 #define LOAD_PARTS 16
--- a/daemon/sched_sync.c
+++ b/daemon/jobs/sched_sync.c
@@ -5,7 +5,7 @@
 #include "base/err.h"
 #include "base/ev.h"
 #include "base/log.h"
-#include "daemon/sched_int.h"
+#include "daemon/jobs/sched_int.h"
 #include "policy/placing.h"
 
 #define MS(ms) ((int64_t)(ms)*USEC_PER_MSEC)
--- a/daemon/sched_take.c
+++ b/daemon/jobs/sched_take.c
@@ -3,7 +3,7 @@
 #include <string.h>
 
 #include "base/ev.h"
-#include "daemon/sched_int.h"
+#include "daemon/jobs/sched_int.h"
 
 /*
  * Taking over: what the workers report about the tokens of a job tells
--- a/daemon/wagent.c
+++ b/daemon/jobs/wagent.c
@@ -1,4 +1,4 @@
-#include "daemon/wk.h"
+#include "daemon/jobs/wk.h"
 
 #include <string.h>
 
--- a/daemon/wk.h
+++ b/daemon/jobs/wk.h
@@ -1,5 +1,5 @@
-#ifndef DAEMON_WK_H
-#define DAEMON_WK_H
+#ifndef DAEMON_JOBS_WK_H
+#define DAEMON_JOBS_WK_H
 
 #include <jansson.h>
 
--- a/daemon/lead.c
+++ b/daemon/leadership/lead.c
@@ -1,4 +1,4 @@
-#include "daemon/lead.h"
+#include "daemon/leadership/lead.h"
 
 #include <inttypes.h>
 #include <stdlib.h>
--- a/daemon/lead.h
+++ b/daemon/leadership/lead.h
@@ -1,5 +1,5 @@
-#ifndef DAEMON_LEAD_H
-#define DAEMON_LEAD_H
+#ifndef DAEMON_LEADERSHIP_LEAD_H
+#define DAEMON_LEADERSHIP_LEAD_H
 
 #include "base/kn.h"
 #include "base/set.h"
--- a/daemon/back.c
+++ b/daemon/requests/back.c
@@ -1,4 +1,4 @@
-#include "daemon/back.h"
+#include "daemon/requests/back.h"
 
 #include <stdio.h>
 #include <string.h>
--- a/daemon/back.h
+++ b/daemon/requests/back.h
@@ -1,5 +1,5 @@
-#ifndef DAEMON_BACK_H
-#define DAEMON_BACK_H
+#ifndef DAEMON_REQUESTS_BACK_H
+#define DAEMON_REQUESTS_BACK_H
 
 #include "base/kn.h"
 #include "wire/http.h"
--- a/daemon/front.c
+++ b/daemon/requests/front.c
@@ -1,4 +1,4 @@
-#include "daemon/front.h"
+#include "daemon/requests/front.h"
 
 #include <stdio.h>
 #include <string.h>
@@ -9,7 +9,7 @@
 #include "base/err.h"
 #include "base/ev.h"
 #include "base/log.h"
-#include "daemon/req.h"
+#include "daemon/requests/req.h"
 #include "daemon/svc.h"
 #include "wire/hs.h"
 
--- a/daemon/members.c
+++ b/daemon/requests/members.c
@@ -1,4 +1,4 @@
-#include "daemon/members.h"
+#include "daemon/requests/members.h"
 
 #include <stdio.h>
 #include <string.h>
@@ -6,8 +6,8 @@
 #include "base/err.h"
 #include "base/ev.h"
 #include "base/log.h"
-#include "daemon/mp.h"
-#include "daemon/req.h"
+#include "wire/mp.h"
+#include "daemon/requests/req.h"
 #include "daemon/svc.h"
 #include "wire/pr.h"
 
--- a/daemon/members.h
+++ b/daemon/requests/members.h
@@ -1,5 +1,5 @@
-#ifndef DAEMON_MEMBERS_H
-#define DAEMON_MEMBERS_H
+#ifndef DAEMON_REQUESTS_MEMBERS_H
+#define DAEMON_REQUESTS_MEMBERS_H
 
 #include "base/set.h"
 #include "wire/kv.h"
--- a/daemon/req.c
+++ b/daemon/requests/req.c
@@ -1,4 +1,4 @@
-#include "daemon/req.h"
+#include "daemon/requests/req.h"
 
 #include <stdio.h>
 #include <string.h>
@@ -6,7 +6,7 @@
 #include "base/err.h"
 #include "base/ev.h"
 #include "base/log.h"
-#include "daemon/req_int.h"
+#include "daemon/requests/req_int.h"
 
 /* Counters. */
 
--- a/daemon/req.h
+++ b/daemon/requests/req.h
@@ -1,5 +1,5 @@
-#ifndef DAEMON_REQ_H
-#define DAEMON_REQ_H
+#ifndef DAEMON_REQUESTS_REQ_H
+#define DAEMON_REQUESTS_REQ_H
 
 #include "base/kn.h"
 #include "base/set.h"
--- a/daemon/req_adopt.c
+++ b/daemon/requests/req_adopt.c
@@ -2,8 +2,8 @@
 
 #include "base/ev.h"
 #include "base/log.h"
-#include "daemon/mp.h"
-#include "daemon/req_int.h"
+#include "wire/mp.h"
+#include "daemon/requests/req_int.h"
 
 /* Handing over. */
 
--- a/daemon/req_fwd.c
+++ b/daemon/requests/req_fwd.c
@@ -3,8 +3,8 @@
 
 #include "base/err.h"
 #include "base/log.h"
-#include "daemon/mp.h"
-#include "daemon/req_int.h"
+#include "wire/mp.h"
+#include "daemon/requests/req_int.h"
 
 /* Region budget. */
 
--- a/daemon/req_int.h
+++ b/daemon/requests/req_int.h
@@ -1,9 +1,9 @@
-#ifndef DAEMON_REQ_INT_H
-#define DAEMON_REQ_INT_H
+#ifndef DAEMON_REQUESTS_REQ_INT_H
+#define DAEMON_REQUESTS_REQ_INT_H
 
-#include "daemon/back.h"
-#include "daemon/req.h"
-#include "daemon/slots.h"
+#include "daemon/requests/back.h"
+#include "daemon/requests/req.h"
+#include "daemon/requests/slots.h"
 #include "daemon/svc.h"
 #include "policy/idem.h"
 #include "policy/membership.h"
--- a/daemon/req_key.c
+++ b/daemon/requests/req_key.c
@@ -4,8 +4,8 @@
 #include "base/err.h"
 #include "base/ev.h"
 #include "base/log.h"
-#include "daemon/mp.h"
-#include "daemon/req_int.h"
+#include "wire/mp.h"
+#include "daemon/requests/req_int.h"
 
 #define KEY_STORE_PREFIX "/chivebank/keys/"
 #define STORE_KEY_BYTES (IDEM_KEY_BYTES + sizeof(KEY_STORE_PREFIX))
--- a/daemon/req_run.c
+++ b/daemon/requests/req_run.c
@@ -2,7 +2,7 @@
 
 #include "base/err.h"
 #include "base/log.h"
-#include "daemon/req_int.h"
+#include "daemon/requests/req_int.h"
 
 /* Answers. */
 
--- a/daemon/req_servers.c
+++ b/daemon/requests/req_servers.c
@@ -4,7 +4,7 @@
 #include "base/err.h"
 #include "base/ev.h"
 #include "base/log.h"
-#include "daemon/req_int.h"
+#include "daemon/requests/req_int.h"
 
 #define ANY_SERVICE "*"
 
--- a/daemon/slots.c
+++ b/daemon/requests/slots.c
@@ -1,10 +1,10 @@
-#include "daemon/slots.h"
+#include "daemon/requests/slots.h"
 
 #include <string.h>
 
 #include "base/ev.h"
 #include "base/log.h"
-#include "daemon/mp.h"
+#include "wire/mp.h"
 
 /* Setup. */
 
--- a/daemon/slots.h
+++ b/daemon/requests/slots.h
@@ -1,5 +1,5 @@
-#ifndef DAEMON_SLOTS_H
-#define DAEMON_SLOTS_H
+#ifndef DAEMON_REQUESTS_SLOTS_H
+#define DAEMON_REQUESTS_SLOTS_H
 
 #include "base/set.h"
 #include "daemon/svc.h"
--- a/tests/fuzz/fuzz_message.c
+++ b/tests/fuzz/fuzz_message.c
@@ -1,7 +1,7 @@
 #include <stdlib.h>
 #include <string.h>
 
-#include "daemon/mp.h"
+#include "wire/mp.h"
 #include "tests/fuzz/fuzz.h"
 #include "wire/fr.h"
 
--- a/tests/standins/wk_agent.h
+++ b/tests/standins/wk_agent.h
@@ -3,7 +3,7 @@
 
 #include <jansson.h>
 
-#include "daemon/wk.h"
+#include "daemon/jobs/wk.h"
 #include "wire/hs.h"
 
 struct wk_options {
--- a/tests/unit/test_api.c
+++ b/tests/unit/test_api.c
@@ -6,10 +6,10 @@
 #include <unistd.h>
 
 #include "base/err.h"
-#include "daemon/api.h"
-#include "daemon/api_int.h"
-#include "daemon/document.h"
-#include "daemon/document_int.h"
+#include "daemon/admin/api.h"
+#include "daemon/admin/api_int.h"
+#include "daemon/document/document.h"
+#include "daemon/document/document_int.h"
 #include "daemon/store.h"
 #include "daemon/svc.h"
 #include "tests/standins/ports.h"
--- a/tests/unit/test_cli.c
+++ b/tests/unit/test_cli.c
@@ -7,8 +7,8 @@
 #include "base/kn.h"
 #include "cli/cli.h"
 #include "cli/timeline.h"
-#include "daemon/api.h"
-#include "daemon/document.h"
+#include "daemon/admin/api.h"
+#include "daemon/document/document.h"
 #include "daemon/store.h"
 
 /* Time line. */
--- a/tests/unit/test_gang_start.c
+++ b/tests/unit/test_gang_start.c
@@ -693,7 +693,7 @@
 	send_msg(s, &s->syncs[i], i, SYNC_VERB, s->token, msg);
 }
 
-/* As daemon/sched_take.c; each worker holds a half of the gang. */
+/* As daemon/jobs/sched_take.c; each worker holds a half of the gang. */
 static void decide(struct msched *s)
 {
 	enum gang_start_state parts[WORKERS];
--- a/tests/unit/test_lead.c
+++ b/tests/unit/test_lead.c
@@ -6,7 +6,7 @@
 #include "base/err.h"
 #include "base/ev.h"
 #include "base/log.h"
-#include "daemon/lead.h"
+#include "daemon/leadership/lead.h"
 #include "daemon/svc.h"
 #include "tests/standins/be_sock.h"
 #include "wire/pr.h"
--- a/daemon/mp.c
+++ b/wire/mp.c
@@ -1,4 +1,4 @@
-#include "daemon/mp.h"
+#include "wire/mp.h"
 
 #include <string.h>
 
--- a/daemon/mp.h
+++ b/wire/mp.h
@@ -1,5 +1,5 @@
-#ifndef DAEMON_MP_H
-#define DAEMON_MP_H
+#ifndef WIRE_MP_H
+#define WIRE_MP_H
 
 #include <stdbool.h>
 #include <stdint.h>
