--- a/control/director_pass.c
+++ b/control/director_pass.c
@@ -35,10 +35,9 @@
 
 static bool store_stalled(const struct director *director, int64_t now_us)
 {
-	int64_t since_us = ledger_since_us(&director->ledger);
-
-	return since_us != 0 &&
-	       now_us - since_us > STORE_STALLED_MS * USEC_PER_MSEC;
+	return director->ledger.started_us != 0 &&
+	       now_us - director->ledger.started_us >
+		       STORE_STALLED_MS * USEC_PER_MSEC;
 }
 
 /* Ended jobs whose records nobody asks for any more. */
@@ -83,7 +82,7 @@
 static bool hand_over(struct director *director, int64_t now_us)
 {
 	if (now_us - director->elected_us < HAND_OVER_MS * USEC_PER_MSEC ||
-	    ledger_since_us(&director->ledger) != 0 ||
+	    director->ledger.started_us != 0 ||
 	    !hosts_any_stronger(director->hosts))
 		return false;
 	leader_hand_over(&director->leader);
