--- a/control/maintenance.c
+++ b/control/maintenance.c
@@ -242,10 +242,9 @@
 	if (call->result != CB_OK || !call->succeeded) {
 		/* Written again, unless another host leads by now. */
 		log_warn("wave.not_said",
-			 "wave=%lld done=%d fence=%lld result=%d leads=%d",
+			 "wave=%lld done=%d fence=%lld result=%d compared=%d",
 			 (long long)own->status_wave->number, own->status_done,
-			 (long long)own->fence, call->result,
-			 call->result != CB_OK || call->succeeded);
+			 (long long)own->fence, call->result, call->succeeded);
 		return;
 	}
 	own->status_wave->said_running = true;
--- a/fleet/run.c
+++ b/fleet/run.c
@@ -87,7 +87,7 @@
 {
 	struct task *copy = task->copy;
 	struct worker *first = task->worker, *second = copy->worker;
-	struct task run = *copy;
+	struct task run;
 
 	if (first)
 		worker_give(task);
