Give an old leader's key up as soon as the store is back

Ruled out: to go on leading under the old fence, as nobody can tell then whether the lease has paused or lapsed.

Change: when the key has been read again, and it is this process's and it does not lead, it ends that lease, as it did for a key whose creation was unanswered.

Before and after: leader_again_when_the_store_is_back (test_host) fails without it.

--- a/control/leader.c
+++ b/control/leader.c
@@ -308,7 +308,8 @@
 {
 	struct leader *leader = container_of(mirror, struct leader, key);
 
-	if (!leader->key_there)
+	/* A key that this process no longer leads by is given up at once. */
+	if (!leader->key_there || (leader->key_mine && !leader->leading))
 		campaign_after(leader, first_delay_ms(leader));
 }
 
--- a/tests/standins/site_store.c
+++ b/tests/standins/site_store.c
@@ -228,6 +228,8 @@
 	while (g_hash_table_iter_next(&iter, NULL, &value)) {
 		struct site_lease *lease = value;
 
+		if (store->leases_pause)
+			lease->ends_us += TICK_MS * USEC_PER_MSEC;
 		if (lease->ends_us > kn_now_us())
 			continue;
 		site_lease_end(store, lease->id);
--- a/tests/standins/site_store.h
+++ b/tests/standins/site_store.h
@@ -59,6 +59,7 @@
 	int64_t revision;
 	GHashTable *leases; /* int64_t * -> struct site_lease */
 	int64_t next_lease;
+	bool leases_pause; /* they do not run meanwhile */
 	struct list_head waiting; /* struct site_wait: polls */
 	struct list_head later; /* struct site_later */
 	struct kn_timer timer;
--- a/tests/unit/test_host.c
+++ b/tests/unit/test_host.c
@@ -456,6 +456,37 @@
 }
 END_TEST
 
+/* From the return of the store to the next election: a poll, two calls, and
+ * the delay of weak hosts; much less than a lease. */
+#define ELECTED_AGAIN_MS 1000
+
+/*
+ * The store is away for longer than a lease, and its leases pause: the key of
+ * the leader that has stepped down would stand for a whole lease more.
+ */
+START_TEST(leader_again_when_the_store_is_back)
+{
+	const struct site_item *item;
+	int64_t before, until_us;
+
+	rig_start(&rig, 2, 4, 1);
+	before = site_store_get(rig.store, "chivebank/leader")->created;
+	rig.store->leases_pause = true;
+	site_store_fault(rig.store, -1, SITE_BUSY, 0, 0);
+	rig_run_ms(&rig, 3000);
+	site_store_fault(rig.store, -1, SITE_WELL, 0, 0);
+	rig.store->leases_pause = false;
+	until_us = kn_now_us() + ELECTED_AGAIN_MS * USEC_PER_MSEC;
+	do {
+		rig_run_ms(&rig, 5);
+		item = site_store_get(rig.store, "chivebank/leader");
+	} while (kn_now_us() < until_us && (!item || item->created == before));
+	ck_assert_ptr_nonnull(item);
+	ck_assert_int_ne(item->created, before);
+	rig_stop(&rig);
+}
+END_TEST
+
 /*
  * A host that is too weak to lead was first: it gives way to a stronger one
  * while nothing else happens, and nothing runs twice.
@@ -708,6 +739,7 @@
 	tcase_add_test(tc, host_that_the_store_turns_away);
 	tcase_add_test(tc, registrations_of_others_cost_nothing);
 	tcase_add_test(tc, leader_whose_lease_lapses);
+	tcase_add_test(tc, leader_again_when_the_store_is_back);
 	tcase_add_test(tc, weak_leader_hands_over);
 	tcase_add_test(tc, equal_hosts_keep_their_leader);
 	tcase_add_test(tc, weakest_hosts_keep_their_leader);
