Soak: a failure that no leader heard of within the lease does not count

The trace: the worker's connections are silenced during run 2, which fails there; no leader hears of it, and its lease lapses (task.lost reason="lease is over"). Runs 1 and 3 were noted as failed, run 4 started, and the check counted three. By the platform's rules an end is taken note of only if the worker's lease has not lapsed in between, and that stands for good; so the start is allowed.

Change: a lapse makes the unacknowledged failures of the worker void, as its crash did. A failure that was acknowledged before counts as it did.

--- a/tests/standins/site_fleet_int.h
+++ b/tests/standins/site_fleet_int.h
@@ -18,6 +18,7 @@
 	const char *how;
 	char *checkpoint;
 	struct site_task *task;
+	bool is_void; /* its failure counts no more */
 };
 
 struct site_hold {
@@ -53,6 +54,8 @@
 		       int64_t run);
 void site_runs_advance(struct site_worker *worker, int64_t passed_us);
 void site_runs_lapse(struct site_worker *worker);
+/* The failures that nobody has acknowledged so far are void for good. */
+void site_ends_void(struct site_worker *worker);
 
 /* Site_orders.c. */
 
--- a/tests/standins/site_run.c
+++ b/tests/standins/site_run.c
@@ -180,3 +180,16 @@
 			list_first_entry(&worker->runs, struct site_run, node),
 			"lapsed");
 }
+
+void site_ends_void(struct site_worker *worker)
+{
+	guint i;
+
+	for (i = 0; i < worker->ends->len; i++) {
+		struct site_end *end = g_ptr_array_index(worker->ends, i);
+
+		if (!end->is_void && strcmp(end->how, "failed") == 0)
+			end->task->void_fails++;
+		end->is_void = true;
+	}
+}
