--- a/tests/soak/soak.h
+++ b/tests/soak/soak.h
@@ -27,7 +27,7 @@
 };
 
 struct soak_host {
-	char name[16];
+	char name[24];
 	char settings[256];
 	char clock[256]; /* file with the offset of its time of day */
 	int callers_port;
--- a/tests/soak/soak_main.c
+++ b/tests/soak/soak_main.c
@@ -102,8 +102,9 @@
 	path = g_strconcat(soak->options.dir, "/", host->name, ".json", NULL);
 	g_strlcpy(host->settings, path, sizeof(host->settings));
 	g_free(path);
-	snprintf(host->clock, sizeof(host->clock), "%s/%s.clock",
-		 soak->options.dir, host->name);
+	path = g_strconcat(soak->options.dir, "/", host->name, ".clock", NULL);
+	g_strlcpy(host->clock, path, sizeof(host->clock));
+	g_free(path);
 	if (!g_file_set_contents(host->clock, "0", -1, NULL))
 		abort();
 	if (!g_file_set_contents(host->settings, text, -1, NULL))
