Do not take a push for a store that is behind, nor a barrier for a run

A change that reads the root while a peer's push puts a later revision in force was refused with CB_E_STORE_BEHIND, although the store was not behind when the read was sent. A gang that a new leader adopts while a member still waits at the barrier is stopped and started again, and its job was shown as running meanwhile.

Change: a read remembers the revision in force when it was sent; one that was overtaken is repeated within the deadline of the change, and is not reported. An adopted job is shown as running when its gang goes on, or when its record says so of the same attempt; otherwise as reserved.

Tests: change_is_overtaken_by_a_push delays the read of one host and lets the other change the document: 503 before, 200 after.

--- a/daemon/document/document.c
+++ b/daemon/document/document.c
@@ -126,10 +126,10 @@
 		return;
 	}
 	d->failures = 0;
-	if (document_is_behind(d, fetch->doc))
-		document_report_behind(d, fetch->doc);
-	else
+	if (!document_is_behind(d, fetch->doc))
 		d->reported_behind = -1;
+	else if (!document_overtaken(fetch))
+		document_report_behind(d, fetch->doc);
 	document_install(d, g_steal_pointer(&fetch->doc), d->watching);
 	if (again)
 		document_refetch(d);
--- a/daemon/document/document_change.c
+++ b/daemon/document/document_change.c
@@ -341,6 +341,10 @@
 				    "the store");
 		return;
 	}
+	if (document_overtaken(fetch) && kn_now_us() < c->deadline_us) {
+		read_root(c);
+		return;
+	}
 	if (document_is_behind(d, fetch->doc)) {
 		document_report_behind(d, fetch->doc);
 		if (c->outcome_unknown)
--- a/daemon/document/document_fetch.c
+++ b/daemon/document/document_fetch.c
@@ -124,6 +124,7 @@
 	struct doc_fetch *fetch = g_new0(struct doc_fetch, 1);
 
 	fetch->d = d;
+	fetch->in_force = d->doc->revision;
 	fetch->done = done;
 	fetch->user = user;
 	fetch->call.done = on_root;
@@ -132,6 +133,16 @@
 	return fetch;
 }
 
+/*
+ * True if a peer's push has put a later revision in force than the one read,
+ * which was not behind when the read was sent. The store is not at fault.
+ */
+bool document_overtaken(const struct doc_fetch *fetch)
+{
+	return fetch->doc->revision >= fetch->in_force &&
+	       fetch->doc->revision < fetch->d->doc->revision;
+}
+
 /* Frees the fetches at exit; the store client no longer calls back. */
 void document_fetches_finish(struct document *d)
 {
--- a/daemon/document/document_int.h
+++ b/daemon/document/document_int.h
@@ -60,6 +60,7 @@
 	struct list_head node;
 	struct document *d;
 	struct kv_call call;
+	int64_t in_force; /* revision in force when the read was sent */
 	struct doc *doc; /* revision 0 when the store holds none */
 	int64_t mod_revision; /* of the root, 0 when absent */
 	GPtrArray *missing; /* sections whose bodies are to be read */
@@ -74,6 +75,7 @@
 document_fetch(struct document *d,
 	       void (*done)(struct doc_fetch *fetch, int result), void *user);
 
+bool document_overtaken(const struct doc_fetch *fetch);
 void document_fetches_finish(struct document *d);
 
 /* document_peer.c */
--- a/daemon/jobs/sched_takeover.c
+++ b/daemon/jobs/sched_takeover.c
@@ -218,6 +218,25 @@
 	return true;
 }
 
+/*
+ * The state of a job whose attempt was adopted. A gang that has to be stopped,
+ * because a member is missing or still waits at the barrier, has begun only if
+ * its record says so of this attempt.
+ */
+static enum job_entry_state adopted_state(const struct sched_job *job)
+{
+	char recorded[AGENT_TOKEN_BYTES];
+
+	if (job->gang_start.phase < GANG_START_PHASE_STOP)
+		return JOB_ENTRY_RUNNING;
+	token_of(&job->entry, recorded);
+	if ((job->entry.state == JOB_ENTRY_RUNNING ||
+	     job->entry.state == JOB_ENTRY_CHECKPOINTING) &&
+	    strcmp(recorded, job->token) == 0)
+		return job->entry.state;
+	return JOB_ENTRY_RESERVED;
+}
+
 /* Takes over all members of an attempt, complete or not. */
 static void adopt(struct sched_job *job, struct attempt *attempt,
 		  int64_t now_us)
@@ -227,6 +246,7 @@
 	bool recorded = complete && restore_recorded_holds(job, attempt);
 	unsigned int n, i;
 	enum gang_start_state *states;
+	enum job_entry_state state;
 	int64_t ran_ms = 0;
 
 	if (!complete)
@@ -255,8 +275,9 @@
 	g_free(states);
 	ev_emit("gang.adopted", "job=%s token=%s whole=%d phase=%d",
 		job->entry.id, job->token, complete, job->gang_start.phase);
-	if (job->entry.state != JOB_ENTRY_RUNNING) {
-		job->entry.state = JOB_ENTRY_RUNNING;
+	state = adopted_state(job);
+	if (job->entry.state != state) {
+		job->entry.state = state;
 		sched_write(job);
 	}
 }
--- a/tests/unit/test_api.c
+++ b/tests/unit/test_api.c
@@ -636,6 +636,37 @@
 }
 END_TEST
 
+/*
+ * Guards against a change that is refused as if the store were behind because
+ * a peer's push puts a later revision in force while the root is being read.
+ */
+START_TEST(change_is_overtaken_by_a_push)
+{
+	struct request slow = { 0 }, r = { 0 };
+	int64_t reads;
+
+	start_ready_host(0, false, true);
+	start_ready_host(1, false, true);
+	check_put(&r, "customer/a", "{\"weight\": 1}", "0", 200, 0);
+	wait_for_revision(1, 1);
+	pf_thread_control(&platform, "{\"delay_ms\": 500}");
+	reads = pf_thread_calls(&platform, "range");
+	start_request(&slow, 1, "PUT", SECTION "customer/b",
+		      "{\"weight\": 1}", "root", "0", NULL);
+	while (pf_thread_calls(&platform, "range") == reads)
+		run_hosts();
+	pf_thread_control(&platform, "{\"delay_ms\": 0}");
+	check_put(&r, "customer/a", "{\"weight\": 2}", "1", 200, 0);
+	wait_for_revision(1, 2);
+	ck_assert_int_eq(slow.done, 0);
+	wait_request(&slow);
+	ck_assert_int_eq(slow.status, 200);
+	ck_assert_int_eq(answer_number(&slow, "revision"), 3);
+	json_decref(slow.answer);
+	json_decref(r.answer);
+}
+END_TEST
+
 #define FAULT_ROUNDS 25
 #define FAULT_CALLS 3 /* concurrent calls in each round */
 
@@ -871,6 +902,7 @@
 	tcase_add_test(tc, older_root_is_ignored);
 	tcase_add_test(tc, changes_reach_all_hosts);
 	tcase_add_test(tc, concurrent_changes_conflict);
+	tcase_add_test(tc, change_is_overtaken_by_a_push);
 	tcase_add_loop_test(tc, outcomes_match_document_under_faults, 1, 4);
 	tcase_add_test(tc, old_revisions_are_pruned);
 	tcase_add_test(tc, calls_are_forwarded_to_leader);
--- a/tests/unit/test_sched.c
+++ b/tests/unit/test_sched.c
@@ -438,7 +438,11 @@
 	return n;
 }
 
-/* A takeover between commit and go that leaves only some members running. */
+/*
+ * A takeover between commit and go that leaves only some members running, or
+ * after which the job is shown as running before any member runs. The second
+ * turn asks for the state at once.
+ */
 START_TEST(takeover_at_barrier_runs_whole)
 {
 	char id[JOB_ENTRY_ID_BYTES];
@@ -454,7 +458,7 @@
 	ck_assert_int_eq(tasks_started(), 0);
 	kill_sched();
 	start_sched(2);
-	run_for(200);
+	run_for(_i ? 1 : 200);
 	wait_state(id, "running", 5000);
 	ck_assert_int_eq(tasks_running(), 2);
 	ck_assert_int_eq(tasks_started(), 2);
@@ -886,7 +890,7 @@
 	tcase_add_test(tcase, gang_runs_once_and_whole);
 	tcase_add_test(tcase, one_job_per_key);
 	tcase_add_test(tcase, takeover_adopts_whole_gang);
-	tcase_add_test(tcase, takeover_at_barrier_runs_whole);
+	tcase_add_loop_test(tcase, takeover_at_barrier_runs_whole, 0, 2);
 	tcase_add_test(tcase, lost_worker_stops_gang);
 	tcase_add_test(tcase, store_outage_stops_nothing);
 	tcase_add_test(tcase, unwritten_end_is_found);
