Let a planning pass look at each worker once

Cause: with 1,100 workers most of a pass went into repeated work. Each task of a wide stage scored every worker again; each waiting stage did so in each pass although the pool was full; the guarantee of a job was summed over all jobs for each run that might be stopped; a rack was found by comparing names; the time at which a rack has room for a gang counted the slots of all its workers again after each end.

The lists of workers and the reservations get files of their own. No decision changes.

Test: small_task_starts_behind_a_large_one.

--- a/fleet/job.h
+++ b/fleet/job.h
@@ -122,6 +122,8 @@
 	uint64_t last_change;
 	bool writing; /* a write of its record is pending */
 	int64_t record_rev; /* revision of its stored record, 0: none */
+	/* Whether its customer's guarantee covers it, as of the last pass. */
+	bool guaranteed;
 	/* Sort keys of the queue. */
 	double rank;
 	double work; /* declared core-milliseconds */
--- a/fleet/order.c
+++ b/fleet/order.c
@@ -126,20 +126,38 @@
 	return peak;
 }
 
-bool order_within_guarantee(const struct fleet *fleet, const struct job *job)
+/* Accelerators that the customer's unfinished urgent jobs need together. */
+static int64_t *urgent_gpus(GHashTable *by_customer, const char *customer)
 {
+	int64_t *gpus = g_hash_table_lookup(by_customer, customer);
+
+	if (!gpus) {
+		gpus = g_new0(int64_t, 1);
+		g_hash_table_insert(by_customer, (char *)customer, gpus);
+	}
+	return gpus;
+}
+
+void order_mark_guaranteed(struct fleet *fleet)
+{
+	GHashTable *by_customer =
+		g_hash_table_new_full(g_str_hash, g_str_equal, NULL, g_free);
 	const struct customer *customer;
-	const struct job *other;
-	int64_t gpus = 0;
+	struct job *job;
 
-	if (job->priority != 0 || !fleet->config)
-		return false;
-	customer = config_customer(fleet->config, job->customer);
-	if (!customer || customer->guaranteed_gpus == 0)
-		return false;
-	list_for_each_entry(other, &fleet->jobs, node)
-		if (!job_ended(other) && other->priority == 0 &&
-		    strcmp(other->customer, job->customer) == 0)
-			gpus += job_peak_gpus(other);
-	return gpus <= customer->guaranteed_gpus;
+	list_for_each_entry(job, &fleet->jobs, node) {
+		job->guaranteed = false;
+		if (job->priority == 0 && !job_ended(job))
+			*urgent_gpus(by_customer, job->customer) +=
+				job_peak_gpus(job);
+	}
+	list_for_each_entry(job, &fleet->jobs, node) {
+		if (job->priority != 0 || job_ended(job) || !fleet->config)
+			continue;
+		customer = config_customer(fleet->config, job->customer);
+		job->guaranteed = customer && customer->guaranteed_gpus > 0 &&
+				  *urgent_gpus(by_customer, job->customer) <=
+					  customer->guaranteed_gpus;
+	}
+	g_hash_table_unref(by_customer);
 }
--- a/fleet/order.h
+++ b/fleet/order.h
@@ -22,10 +22,10 @@
 /* All jobs with tasks to start, in order. The array does not own the jobs. */
 GPtrArray *order_jobs(struct fleet *fleet, int64_t now_us);
 /*
- * Whether the customer's guarantee covers a job: the job has priority 0, and
- * all unfinished jobs of priority 0 of the customer together need no more
- * accelerators than are guaranteed.
+ * Sets job.guaranteed of all jobs. The customer's guarantee covers a job if the
+ * job has priority 0, and all unfinished jobs of priority 0 of the customer
+ * together need no more accelerators than are guaranteed.
  */
-bool order_within_guarantee(const struct fleet *fleet, const struct job *job);
+void order_mark_guaranteed(struct fleet *fleet);
 
 #endif
--- a/fleet/placement.h
+++ b/fleet/placement.h
@@ -14,12 +14,18 @@
 	struct fleet *fleet;
 	int64_t now_us;
 	GHashTable *pools; /* name -> struct pool_view */
+	/* Scores of the workers of a pool for the stage placed last. */
+	const struct stage *scored; /* NULL: none */
+	GArray *scores; /* double, in the order of pool_view.workers */
+	guint taken; /* index of the worker chosen last */
 };
 
 /* The usable workers of one pool, as a flat list and grouped by rack. */
 struct pool_view {
 	GPtrArray *workers;
 	GPtrArray *racks; /* struct rack_view */
+	GHashTable *racks_by_name;
+	GArray *full_for; /* struct full_for, private to placement.c */
 };
 
 struct rack_view {
--- /dev/null
+++ b/fleet/placement_view.c
@@ -0,0 +1,162 @@
+#include "fleet/placement_int.h"
+
+#include <string.h>
+
+#include "fleet/evict.h"
+#include "fleet/limits.h"
+#include "fleet/order.h"
+
+/* A task that no worker of the pool had room for. */
+struct full_for {
+	struct room need;
+	double expected_ms;
+};
+
+/* Lists of usable workers by pool and rack. */
+
+static void rack_free(struct rack_view *rack)
+{
+	g_ptr_array_unref(rack->workers);
+	g_free(rack);
+}
+
+static void pool_view_free(struct pool_view *view)
+{
+	g_ptr_array_unref(view->workers);
+	g_hash_table_unref(view->racks_by_name);
+	g_ptr_array_unref(view->racks);
+	g_array_unref(view->full_for);
+	g_free(view);
+}
+
+static struct pool_view *get_pool_view(struct placement *p, const char *pool)
+{
+	struct pool_view *view = g_hash_table_lookup(p->pools, pool);
+
+	if (view)
+		return view;
+	view = g_new0(struct pool_view, 1);
+	view->workers = g_ptr_array_new();
+	view->racks = g_ptr_array_new_with_free_func((GDestroyNotify)rack_free);
+	view->full_for = g_array_new(FALSE, FALSE, sizeof(struct full_for));
+	view->racks_by_name = g_hash_table_new(g_str_hash, g_str_equal);
+	g_hash_table_insert(p->pools, g_strdup(pool), view);
+	return view;
+}
+
+static struct rack_view *get_rack_view(struct pool_view *view, const char *name)
+{
+	struct rack_view *rack = g_hash_table_lookup(view->racks_by_name, name);
+
+	if (rack)
+		return rack;
+	rack = g_new0(struct rack_view, 1);
+	rack->name = name;
+	rack->workers = g_ptr_array_new();
+	g_ptr_array_add(view->racks, rack);
+	g_hash_table_insert(view->racks_by_name, (char *)name, rack);
+	return rack;
+}
+
+static bool is_usable(const struct worker *worker, int64_t now_us)
+{
+	return worker->listed && !worker->replaced &&
+	       !worker->reported.draining && !worker->cordoned &&
+	       worker->unanswered_calls < UNANSWERED_CALLS_MAX &&
+	       worker_reachable(worker, now_us);
+}
+
+/*
+ * Whether more workers are banned than BANNED_SHARE_MAX. The failures are then
+ * put down to the jobs rather than to the workers, and bans are ignored.
+ */
+static bool ignore_bans(const struct fleet *fleet, int64_t now_us)
+{
+	const struct worker *worker;
+	int all = 0, banned = 0;
+
+	list_for_each_entry(worker, &fleet->workers, node) {
+		if (!is_usable(worker, now_us))
+			continue;
+		all++;
+		banned += worker->banned_until_us > now_us;
+	}
+	return banned > all * BANNED_SHARE_MAX;
+}
+
+void placement_init(struct placement *p, struct fleet *fleet, int64_t now_us)
+{
+	bool any = ignore_bans(fleet, now_us);
+	struct worker *worker;
+
+	order_mark_guaranteed(fleet);
+	p->fleet = fleet;
+	p->now_us = now_us;
+	p->scored = NULL;
+	p->scores = g_array_new(FALSE, FALSE, sizeof(double));
+	p->pools = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
+					 (GDestroyNotify)pool_view_free);
+	list_for_each_entry(worker, &fleet->workers, node) {
+		struct pool_view *view;
+		const char *rack = worker->reported.rack;
+
+		worker->reserved_for = NULL;
+		worker->busy_until_us = 0;
+		if (!is_usable(worker, now_us) ||
+		    (!any && worker->banned_until_us > now_us) ||
+		    evict_worker_suspect(fleet, worker, now_us))
+			continue;
+		view = get_pool_view(p, worker->reported.pool);
+		g_ptr_array_add(view->workers, worker);
+		g_ptr_array_add(get_rack_view(view, rack ? rack : "")->workers,
+				worker);
+	}
+}
+
+void placement_finish(struct placement *p)
+{
+	g_array_unref(p->scores);
+	g_hash_table_unref(p->pools);
+}
+
+struct pool_view *placement_pool(struct placement *p, const char *pool)
+{
+	return g_hash_table_lookup(p->pools, pool);
+}
+
+/* Pools without room. */
+
+/*
+ * Whether a task that needs no more, for no longer, has found no room in this
+ * pass: then no worker has room for this one either.
+ */
+bool placement_pool_is_full(const struct pool_view *view,
+			    const struct stage *stage, double expected_ms)
+{
+	const struct room *need = &stage->spec->need;
+	guint i;
+
+	for (i = 0; !stage->spec->fills && i < view->full_for->len; i++) {
+		const struct full_for *full =
+			&g_array_index(view->full_for, struct full_for, i);
+
+		if (full->need.cpu_milli <= need->cpu_milli &&
+		    full->need.mem_mb <= need->mem_mb &&
+		    full->need.gpus <= need->gpus &&
+		    full->expected_ms <= expected_ms)
+			return true;
+	}
+	return false;
+}
+
+/* Stages that not every worker may run say nothing about other stages. */
+void placement_note_full(struct pool_view *view, const struct task *task,
+			 double expected_ms)
+{
+	const struct step_spec *spec = task->stage->spec;
+	struct full_for full = { spec->need, expected_ms };
+
+	if (!spec->label && !spec->fills && spec->max_per_worker == 0 &&
+	    !task->stage->job->advised && !task->original)
+		g_array_append_val(view->full_for, full);
+}
--- a/fleet/plan.c
+++ b/fleet/plan.c
@@ -104,8 +104,7 @@
 {
 	const struct job *job = stage->job;
 
-	if (order_within_guarantee(pass->fleet, job) ||
-	    long_running_overdue(stage, pass->now_us))
+	if (job->guaranteed || long_running_overdue(stage, pass->now_us))
 		return G_MAXDOUBLE;
 	if (job->priority == 0 &&
 	    order_feasibility(pass->fleet, job, pass->now_us) ==
--- a/fleet/reclaim.c
+++ b/fleet/reclaim.c
@@ -34,13 +34,12 @@
 	    task->phase == TASK_STOPPING || !evict_allowed(task))
 		return false;
 	if (long_running_overdue(claimant, now_us))
-		return !task->stage->spec->long_running &&
-		       !order_within_guarantee(fleet, job);
+		return !task->stage->spec->long_running && !job->guaranteed;
 	if (job->priority > claimant->job->priority)
 		return true;
 	/* Same priority: only runs of customers that exceed their guarantee. */
-	return job->priority == 0 && !order_within_guarantee(fleet, job) &&
-	       order_within_guarantee(fleet, claimant->job);
+	return job->priority == 0 && !job->guaranteed &&
+	       claimant->job->guaranteed;
 }
 
 /* The loss by which options are ordered. */
--- a/tests/unit/test_api.c
+++ b/tests/unit/test_api.c
@@ -651,8 +651,8 @@
 	wait_for_revision(1, 1);
 	pf_thread_control(&platform, "{\"delay_ms\": 500}");
 	reads = pf_thread_calls(&platform, "range");
-	start_request(&slow, 1, "PUT", SECTION "customer/b",
-		      "{\"weight\": 1}", "root", "0", NULL);
+	start_request(&slow, 1, "PUT", SECTION "customer/b", "{\"weight\": 1}",
+		      "root", "0", NULL);
 	while (pf_thread_calls(&platform, "range") == reads)
 		run_hosts();
 	pf_thread_control(&platform, "{\"delay_ms\": 0}");
--- a/tests/unit/test_plan.c
+++ b/tests/unit/test_plan.c
@@ -181,6 +181,25 @@
 }
 END_TEST
 
+/*
+ * Guards against small or short tasks that are kept out of a pool because a
+ * larger one found no room in the same pass.
+ */
+START_TEST(small_task_starts_behind_a_large_one)
+{
+	make_racks(1, 2);
+	make_job(&fleet, "half", 1, 2, 5, 60000, NOW);
+	ck_assert_int_eq(plan(NOW), 2);
+	make_job(&fleet, "large", 1, 1, 8, 1000, NOW);
+	make_job(&fleet, "wide", 1, 1, 4, 1000, NOW);
+	make_job(&fleet, "small", 1, 3, 2, 1000, NOW);
+	ck_assert_int_eq(plan(NOW), 2);
+	ck_assert_int_eq(
+		first_occurrence_task(fleet_job(&fleet, "small"), 0, 1)->phase,
+		TASK_RUNNING);
+}
+END_TEST
+
 START_TEST(task_waits_for_its_preferred_rack)
 {
 	struct job *job;
@@ -571,6 +590,7 @@
 	tcase_add_test(tc, gang_larger_than_a_rack_is_spread);
 	tcase_add_test(tc, max_per_worker_is_respected);
 	tcase_add_test(tc, room_is_never_exceeded);
+	tcase_add_test(tc, small_task_starts_behind_a_large_one);
 	tcase_add_test(tc, task_waits_for_its_preferred_rack);
 	tcase_add_test(tc, draining_and_unlisted_workers_get_no_tasks);
 	tcase_add_test(tc, gang_does_not_starve_behind_small_tasks);
