Count a job that becomes late among the costs of a preemption

An urgent job that has just begun has little work to lose, so that it was the cheapest victim, and with an objective of 1.5 times its duration it could not be done in time after that.

Change: what it costs to stop a run holds, beside the lost work, a share of the cost of its job being late, if the job meets its objective when the run goes on and misses it when the run is stopped: 4 times the job's own work for urgent jobs, a quarter of it for others.

Tests: urgent_job_in_time_is_preempted_last fails before (the urgent job is stopped, the batch job goes on); late_urgent_job_is_preempted_by_its_loss.

--- a/fleet/job.h
+++ b/fleet/job.h
@@ -124,6 +124,8 @@
 	int64_t record_rev; /* revision of its stored record, 0: none */
 	/* Whether its customer's guarantee covers it, as of the last pass. */
 	bool guaranteed;
+	double slack_ms; /* see order_slack_ms() */
+	int64_t slack_at_us; /* when it was computed */
 	/* Sort keys of the queue. */
 	double rank;
 	double work; /* declared core-milliseconds */
--- a/fleet/order.c
+++ b/fleet/order.c
@@ -34,6 +34,18 @@
 	       (double)job->slo_ms;
 }
 
+double order_slack_ms(const struct fleet *fleet, struct job *job,
+		      int64_t now_us)
+{
+	if (job->slack_at_us != now_us) {
+		job->slack_at_us = now_us;
+		job->slack_ms = order_objective_ms(fleet, job) -
+				order_remaining_ms(fleet, job) -
+				(double)(now_us - job->arrived_us) / 1000.0;
+	}
+	return job->slack_ms;
+}
+
 enum order_feasibility order_feasibility(const struct fleet *fleet,
 					 const struct job *job, int64_t now_us)
 {
--- a/fleet/order.h
+++ b/fleet/order.h
@@ -17,6 +17,12 @@
 double order_remaining_ms(const struct fleet *fleet, const struct job *job);
 /* Time after its acceptance within which a job earns its full worth. */
 double order_objective_ms(const struct fleet *fleet, const struct job *job);
+/*
+ * Time by which a job would end before its objective if its unfinished stages
+ * started now; negative: after it. Kept in the job for the rest of a pass.
+ */
+double order_slack_ms(const struct fleet *fleet, struct job *job,
+		      int64_t now_us);
 enum order_feasibility order_feasibility(const struct fleet *fleet,
 					 const struct job *job, int64_t now_us);
 /* All jobs with tasks to start, in order. The array does not own the jobs. */
--- a/fleet/reclaim.c
+++ b/fleet/reclaim.c
@@ -8,6 +8,40 @@
 #include "fleet/order.h"
 #include "fleet/reclaim_option.h"
 
+/*
+ * What it costs that a job ends late, in multiples of its own work: a late
+ * urgent job is of little use to its caller.
+ */
+#define LATE_COST_URGENT 4.0
+#define LATE_COST_OTHER 0.25
+
+static double lost_ms(const struct fleet *fleet, const struct task *task,
+		      double ran_ms)
+{
+	return task->stage->spec->checkpoint ?
+		       MIN(ran_ms, (double)fleet->bounds.restore_ms) :
+		       ran_ms;
+}
+
+/*
+ * The cost if the job meets its objective when the run goes on, and misses it
+ * when the run is stopped now; 0 otherwise. All tasks of a gang share it.
+ */
+static double late_cost(const struct fleet *fleet, const struct task *task,
+			double ran_ms, int64_t now_us)
+{
+	struct job *job = task->stage->job;
+	double spare_ms = order_slack_ms(fleet, job, now_us) + ran_ms;
+	double delay_ms =
+		lost_ms(fleet, task, ran_ms) + (double)fleet->bounds.stop_ms;
+
+	if (job->spec.times > 0 || task->stage->spec->long_running ||
+	    spare_ms < 0 || spare_ms >= delay_ms)
+		return 0;
+	return job->work *
+	       (job->priority == 0 ? LATE_COST_URGENT : LATE_COST_OTHER);
+}
+
 double reclaim_loss(const struct fleet *fleet, const struct task *task,
 		    int64_t now_us)
 {
@@ -20,9 +54,10 @@
 		return 0;
 	if (task->started_us)
 		ran_ms = (double)(now_us - task->started_us) / 1000.0;
-	if (task->stage->spec->checkpoint)
-		ran_ms = MIN(ran_ms, (double)fleet->bounds.restore_ms);
-	return cores * (ran_ms + (double)fleet->bounds.stop_ms);
+	return cores * (lost_ms(fleet, task, ran_ms) +
+			(double)fleet->bounds.stop_ms) +
+	       late_cost(fleet, task, ran_ms, now_us) /
+		       task->stage->spec->count;
 }
 
 bool reclaim_may_stop(const struct fleet *fleet, const struct task *task,
--- a/fleet/reclaim.h
+++ b/fleet/reclaim.h
@@ -6,10 +6,14 @@
 /*
  * Selection of runs to preempt for a stage that finds no room, above all for
  * jobs that their customer's guarantee covers while others occupy the pool
- * beyond theirs. The runs whose stop loses the least work are chosen.
+ * beyond theirs. The runs whose stop costs least are chosen: the work that is
+ * lost, and the jobs that miss their objective through it.
  */
 
-/* Work in core-milliseconds that is lost if the run is stopped now. */
+/*
+ * What it costs to stop the run now, in core-milliseconds: the work that is
+ * lost, and the run's share of the cost of a job that ends late through it.
+ */
 double reclaim_loss(const struct fleet *fleet, const struct task *task,
 		    int64_t now_us);
 /* Whether a run may be stopped to make room for the claimant. */
--- a/tests/unit/test_reclaim.c
+++ b/tests/unit/test_reclaim.c
@@ -127,6 +127,52 @@
 }
 END_TEST
 
+/*
+ * Guards against urgent jobs that end late because another customer's
+ * guarantee takes their room, when work that can wait would do: the urgent one
+ * has just begun, so that the work lost with it is less.
+ */
+START_TEST(urgent_job_in_time_is_preempted_last)
+{
+	struct job *batch, *quote;
+
+	make_workers(2);
+	batch = start_running_job("batch", 1, 8, false, NOW);
+	quote = make_job(&fleet, "quote", 0, 1, 8, 4000, NOW + 5 * SEC);
+	g_free(quote->customer);
+	quote->customer = g_strdup("two");
+	quote->stretch = 1.5;
+	quote->slo_ms = 300;
+	fleet_open_due(&fleet, NOW + 5 * SEC, 0);
+	ck_assert_int_eq(plan_pass(&fleet, NOW + 5 * SEC), 1);
+	confirm_planned_runs(&fleet, NOW + 5 * SEC);
+	plan_urgent_job(1, NOW + 8 * SEC);
+	ck_assert_int_eq(phase(batch), TASK_STOPPING);
+	ck_assert_int_eq(phase(quote), TASK_RUNNING);
+}
+END_TEST
+
+/* A job that is late in any case is stopped for the work lost alone. */
+START_TEST(late_urgent_job_is_preempted_by_its_loss)
+{
+	struct job *batch, *quote;
+
+	make_workers(2);
+	batch = start_running_job("batch", 1, 8, false, NOW);
+	quote = make_job(&fleet, "quote", 0, 1, 8, 4000, NOW - 6 * SEC);
+	g_free(quote->customer);
+	quote->customer = g_strdup("two");
+	quote->stretch = 1.5;
+	quote->slo_ms = 300;
+	fleet_open_due(&fleet, NOW + 5 * SEC, 0);
+	ck_assert_int_eq(plan_pass(&fleet, NOW + 5 * SEC), 1);
+	confirm_planned_runs(&fleet, NOW + 5 * SEC);
+	plan_urgent_job(1, NOW + 8 * SEC);
+	ck_assert_int_eq(phase(batch), TASK_RUNNING);
+	ck_assert_int_eq(phase(quote), TASK_STOPPING);
+}
+END_TEST
+
 int main(void)
 {
 	TCase *tc = tcase_create("reclaim");
@@ -136,5 +182,7 @@
 	tcase_add_test(tc, gang_loss_counts_once_for_all_workers);
 	tcase_add_test(tc, single_job_is_preempted_for_one_worker);
 	tcase_add_test(tc, gang_loss_counts_once_at_one_worker);
+	tcase_add_test(tc, urgent_job_in_time_is_preempted_last);
+	tcase_add_test(tc, late_urgent_job_is_preempted_by_its_loss);
 	return run_case("reclaim", tc);
 }
