Rest between planning passes for as long as a pass took

Cause: each answer of a worker or of the store starts a pass within 2 ms. With 1,100 workers on a host with half a core the passes followed each other without a pause, and answers waited in the sockets behind them.

Change: no pass begins before a rest of the length of the last one, at most 100 ms. The length of the passes is a histogram of the metrics, chivebank_pass_us.

--- a/control/director.c
+++ b/control/director.c
@@ -89,6 +89,7 @@
 	ctr_finish(&director->jobs_started);
 	ctr_finish(&director->jobs_ended);
 	ctr_finish(&director->passes);
+	ctr_finish(&director->pass_us);
 	ctr_finish(&director->start_ms);
 	ctr_finish(&director->done_ms);
 	ctr_finish(&director->takeover_ms);
@@ -120,6 +121,8 @@
 		 "Jobs that ended under this leader");
 	ctr_init(&director->passes, set, CTR_COUNTER, "chivebank_passes_total",
 		 NULL, "Planning passes");
+	ctr_init(&director->pass_us, set, CTR_HISTOGRAM, "chivebank_pass_us",
+		 NULL, "Time that a planning pass takes");
 	ctr_init(&director->start_ms, set, CTR_HISTOGRAM,
 		 "chivebank_job_start_ms", NULL,
 		 "Time from acceptance of a job to its first start");
--- a/control/director.h
+++ b/control/director.h
@@ -49,12 +49,14 @@
 	bool states_read;
 	GPtrArray *states; /* struct stored_state; empty once ready */
 	struct kn_timer pass_timer;
+	int64_t rest_until_us; /* no pass begins before */
 	struct kn_timer states_timer;
 	int64_t next_cleanup_us;
 	int64_t next_counts_us;
 	struct ctr jobs_started;
 	struct ctr jobs_ended;
 	struct ctr passes;
+	struct ctr pass_us;
 	struct ctr start_ms; /* from acceptance to the first start */
 	struct ctr done_ms; /* from acceptance to completion */
 	struct ctr takeover_ms;
--- a/control/director_pass.c
+++ b/control/director_pass.c
@@ -14,6 +14,9 @@
 /* Minimum time as leader before a handover: by then the lists of hosts have
  * been read, and the work that was taken over runs. */
 #define HAND_OVER_MIN_LEAD_MS 3000
+/* A pass is followed by a rest of the same length, so that answers of workers
+ * and the store are read in between; longer passes rest for this time. */
+#define PASS_REST_MAX_MS 100
 /* No new work is planned while a write to the store has been pending for
  * longer than this. */
 #define STORE_STALL_LIMIT_MS 700
@@ -29,6 +32,7 @@
 {
 	struct kn_timer *timer = &director->pass_timer;
 
+	delay_us = MAX(delay_us, director->rest_until_us - kn_now_us());
 	if (!director->ready && director->holding_until_us == 0)
 		return;
 	if (kn_timer_pending(timer) && timer->at_us <= kn_now_us() + delay_us)
@@ -99,7 +103,7 @@
 static void pass(struct director *director)
 {
 	int64_t now_us = kn_now_us();
-	int64_t next_us;
+	int64_t next_us, took_us;
 
 	if (hand_over(director, now_us))
 		return;
@@ -127,6 +131,11 @@
 		remove_expired_jobs(director);
 	}
 	ledger_flush(&director->ledger);
+	took_us = kn_now_us() - now_us;
+	ctr_observe(&director->pass_us, (uint64_t)took_us);
+	director->rest_until_us =
+		now_us + took_us +
+		MIN(took_us, PASS_REST_MAX_MS * USEC_PER_MSEC);
 	next_us = MIN(next_us, now_us + PASS_TICK_MS * USEC_PER_MSEC);
 	director_schedule_pass(director, MAX(next_us - now_us, 0));
 }
