Send relayed calls on the direct route once it works again

A probe without an answer was followed by a pause of 250 ms, so that the return of a silent store was seen after up to 0.65 s.

Change: calls that wait for another host are sent on the direct route when its probe succeeds. The interval of the probes includes the time that a probe waits for its answer.

--- a/control/relay.c
+++ b/control/relay.c
@@ -241,6 +241,23 @@
 	mp_end(&out);
 }
 
+/*
+ * Once the direct route works again, the other host may still be without the
+ * store, and a call would wait for it until its timeout.
+ */
+void relay_leave_peers(struct relay *relay)
+{
+	struct relay_call *rcall;
+
+	list_for_each_entry(rcall, &relay->calls, node) {
+		if (!rcall->rpc_busy || !rcall->repeatable)
+			continue;
+		rcall->sent = true;
+		cancel_attempts(rcall);
+		relay_try_direct(rcall);
+	}
+}
+
 /* Calls of this host. */
 
 static struct relay_call *
--- a/control/relay.h
+++ b/control/relay.h
@@ -40,6 +40,7 @@
 	struct kn_timer probe_timer;
 	struct exchange_call probe_call;
 	bool probing;
+	int64_t probed_us; /* when the last probe was sent */
 	/* Another host leads with that fencing token: releases the work that
 	 * this host still holds as a former leader. */
 	void (*release_work)(void *user, int64_t fence);
--- a/control/relay_direct.c
+++ b/control/relay_direct.c
@@ -7,8 +7,9 @@
 #define FAILURES_MAX 2
 /* Interval of the probes that detect the return of the store; a probe costs a
  * tenth of a read. */
-#define PROBE_MS 250
+#define PROBE_INTERVAL_MS 250
 #define PROBE_EXPECTED_MS 400
+#define PROBE_PAUSE_MIN_MS 50 /* after a probe without answer */
 #define HEDGE_MIN_MS 80 /* several round trips between regions */
 #define HEDGE_MARGIN_MS 50
 #define HEDGE_FACTOR 3 /* times the average latency */
@@ -26,6 +27,7 @@
 	};
 
 	relay->probing = true;
+	relay->probed_us = kn_now_us();
 	relay->probe_call.done = on_probe;
 	relay->probe_call.user = relay;
 	relay->direct->ops->start(relay->direct, &relay->probe_call, &request);
@@ -40,16 +42,21 @@
 {
 	struct relay *relay = call->user;
 
+	int64_t next_us = relay->probed_us + PROBE_INTERVAL_MS * USEC_PER_MSEC;
+
 	relay->probing = false;
 	if (call->result != CB_OK || relay_is_refusal(call->status)) {
 		kn_timer_set(relay->exchange.kn, &relay->probe_timer,
-			     PROBE_MS * USEC_PER_MSEC, send_probe);
+			     MAX(next_us - kn_now_us(),
+				 PROBE_PAUSE_MIN_MS * USEC_PER_MSEC),
+			     send_probe);
 		return;
 	}
 	relay->direct_down = false;
 	relay->failures = 0;
 	relay->last_answer_us = kn_now_us();
 	log_info("store.regained", "way=direct status=%d", call->status);
+	relay_leave_peers(relay);
 }
 
 static void direct_lost(struct relay *relay, const char *why)
--- a/control/relay_int.h
+++ b/control/relay_int.h
@@ -68,6 +68,8 @@
 		    const void *body, size_t len);
 /* After a failed attempt: repeats it or takes another route. */
 void relay_next_route(struct relay_call *rcall);
+/* Sends the calls that wait for other hosts on the direct route instead. */
+void relay_leave_peers(struct relay *relay);
 /* Whether a status means that the store is overloaded or failing and has not
  * carried out the request. */
 bool relay_is_refusal(int status);
--- a/tests/unit/test_host.c
+++ b/tests/unit/test_host.c
@@ -417,6 +417,31 @@
 }
 END_TEST
 
+/* A probe of the direct route every 250 ms, and a call. */
+#define DIRECT_AGAIN_MAX_MS 400
+
+/*
+ * A host that the store refused is served again, while the host that relays its
+ * calls loses the store: the caller does not wait for the other host's timeout.
+ */
+START_TEST(relayed_call_returns_to_the_direct_route)
+{
+	struct rig_reply reply;
+
+	rig_start(&rig, 2, 2, 1);
+	site_store_fault(rig.store, rig.hosts[0].door, SITE_BUSY, 0, 0);
+	rig_run_ms(&rig, 1000);
+	ck_assert_int_eq(rig_submit(&rig, 0, JOB_A, 1, "ms=100", NULL), 200);
+	site_store_fault(rig.store, rig.hosts[1].door, SITE_SILENT, 0, 0);
+	site_store_fault(rig.store, rig.hosts[0].door, SITE_WELL, 0, 0);
+	reply = rig_call(&rig, 0, "POST", RIG_PREFIX JOB_B, RIG_KEY,
+			 "{\"spec\":\"ms=50\",\"steps\":[{\"count\":1}]}");
+	ck_assert_int_eq(reply.status, 200);
+	ck_assert_int_le(reply.took_ms, DIRECT_AGAIN_MAX_MS);
+	rig_stop(&rig);
+}
+END_TEST
+
 /*
  * Load: 100 other hosts register. The reads of this host do not grow with
  * that; otherwise the store would send n changes to each of n hosts.
@@ -746,6 +771,7 @@
 	tcase_add_test(tc, reads_without_a_store_fail_fast);
 	tcase_add_test(tc, calls_without_time_left_are_refused);
 	tcase_add_test(tc, calls_of_a_refused_host_are_relayed);
+	tcase_add_test(tc, relayed_call_returns_to_the_direct_route);
 	tcase_add_test(tc, registrations_elsewhere_cause_no_reads);
 	tcase_add_test(tc, leader_whose_lease_lapses);
 	tcase_add_test(tc, reelection_after_a_store_outage);
