Take nothing from a malformed message, and bound what it allocates

Cause, found by a new fuzz target over the readers of what the platform, its workers, callers and other hosts write, and by reading them: a hold reply whose list of runs was missing, of another type or had an unreadable row counted as a report that these runs are gone, so that their tasks were started again elsewhere. A record of the store, an answer of a relaying host or a request for a relay that declares an array of 2^32 elements made msgpack-c allocate for all of them (274 GB were asked for). Empty strings in them came as null pointers.

--- a/control/record.c
+++ b/control/record.c
@@ -2,6 +2,7 @@
 
 #include <string.h>
 
+#include "wire/fr.h"
 #include "wire/mp.h"
 
 enum step_flag {
@@ -161,9 +162,7 @@
 static bool open_record(msgpack_unpacked *unpacked, const void *data,
 			size_t len, struct mp_in *in)
 {
-	msgpack_unpacked_init(unpacked);
-	if (msgpack_unpack_next(unpacked, data, len, NULL) !=
-	    MSGPACK_UNPACK_SUCCESS)
+	if (!fr_unpack_record(unpacked, data, len, NULL))
 		return false;
 	mp_open(in, &unpacked->data);
 	return in->ok && mp_get_uint(in) == RECORD_VERSION && in->ok;
--- a/tests/fuzz/fuzz.h
+++ b/tests/fuzz/fuzz.h
@@ -9,6 +9,7 @@
 int fuzz_message(const uint8_t *data, size_t size);
 int fuzz_settings(const uint8_t *data, size_t size);
 int fuzz_document(const uint8_t *data, size_t size);
+int fuzz_platform(const uint8_t *data, size_t size);
 
 /* tests/fuzz/run builds with FUZZER; the unit test calls the functions. */
 #ifdef FUZZER
--- a/tests/unit/test_decode.c
+++ b/tests/unit/test_decode.c
@@ -198,11 +198,63 @@
 }
 END_TEST
 
+/* Reads a hold reply and returns whether it is taken. */
+static bool read_hold(const char *text, size_t *running, size_t *ended)
+{
+	json_t *reply = json_loads(text, 0, NULL);
+	struct hold_report report;
+	bool ok = platform_hold_read(reply, &report);
+
+	*running = report.nrunning;
+	*ended = report.nended;
+	g_free(report.running);
+	g_free(report.ended);
+	json_decref(reply);
+	return ok;
+}
+
+/*
+ * Guards against a report that is taken although runs are missing in it: their
+ * tasks would count as gone.
+ */
+START_TEST(hold_reports)
+{
+	static const char *const malformed[] = {
+		"{}",
+		"{\"running\":[]}",
+		"{\"ended\":[]}",
+		"{\"running\":{},\"ended\":[]}",
+		"{\"running\":null,\"ended\":[]}",
+		"{\"running\":[7],\"ended\":[]}",
+		"{\"running\":[[]],\"ended\":[]}",
+		"{\"running\":[[\"a.0.0.0\"]],\"ended\":[]}",
+		"{\"running\":[[\"a.0.0.0\",\"1\",\"\",4]],\"ended\":[]}",
+		"{\"running\":[],\"ended\":[[1,\"a.0.0.0\"]]}",
+	};
+	size_t i, running, ended;
+
+	for (i = 0; i < G_N_ELEMENTS(malformed); i++) {
+		ck_assert_msg(!read_hold(malformed[i], &running, &ended), "%s",
+			      malformed[i]);
+		ck_assert_uint_eq(running + ended, 0);
+	}
+	ck_assert(!platform_hold_read(NULL, &(struct hold_report){ 0 }));
+	ck_assert(read_hold("{\"running\":[],\"ended\":[]}", &running, &ended));
+	ck_assert(read_hold("{\"running\":[[\"a.0.0.0\",2,\"x\",1e300]],"
+			    "\"ended\":[[5,\"a.0.0.1\",1,\"done\",\"\"],"
+			    "[6,\"a.0.0.2\",1,\"new\",\"\"]]}",
+			    &running, &ended));
+	ck_assert_uint_eq(running, 1);
+	ck_assert_uint_eq(ended, 1);
+}
+END_TEST
+
 int main(void)
 {
 	TCase *tc = tcase_create("decode");
 
 	tcase_add_test(tc, configuration);
+	tcase_add_test(tc, hold_reports);
 	tcase_add_test(tc, worker_reports);
 	tcase_add_test(tc, submissions);
 	tcase_add_test(tc, upkeep_waves);
--- a/tests/unit/test_fuzz.c
+++ b/tests/unit/test_fuzz.c
@@ -11,6 +11,7 @@
 #include "tests/fuzz/fuzz_document.c"
 #include "tests/fuzz/fuzz_frame.c"
 #include "tests/fuzz/fuzz_message.c"
+#include "tests/fuzz/fuzz_platform.c"
 #include "tests/fuzz/fuzz_settings.c"
 #include "tests/unit/run.h"
 
@@ -22,7 +23,8 @@
 } targets[] = { { "frame", fuzz_frame },
 		{ "message", fuzz_message },
 		{ "settings", fuzz_settings },
-		{ "document", fuzz_document } };
+		{ "document", fuzz_document },
+		{ "platform", fuzz_platform } };
 
 /* Changes, removes, doubles or swaps a few bytes of a copy. */
 static void mutate(GRand *rand, const char *data, size_t size, int target)
@@ -99,6 +101,6 @@
 	TCase *tc = tcase_create("decoders");
 
 	tcase_set_timeout(tc, 120);
-	tcase_add_loop_test(tc, seeds_and_mutations, 0, 4);
+	tcase_add_loop_test(tc, seeds_and_mutations, 0, 5);
 	return run_case("fuzz", tc);
 }
--- a/wire/fr.c
+++ b/wire/fr.c
@@ -100,6 +100,7 @@
 	const unsigned char *p;
 	const unsigned char *end;
 	size_t elements;
+	size_t elements_max;
 };
 
 /* Sizes that follow a type byte: a count of count_bytes, fixed payload. */
@@ -163,7 +164,7 @@
 {
 	size_t payload, children;
 
-	if (depth > FRAME_DEPTH_MAX || ++w->elements > FRAME_ELEMENTS_MAX ||
+	if (depth > FRAME_DEPTH_MAX || ++w->elements > w->elements_max ||
 	    !next_shape(w, &payload, &children))
 		return false;
 	if (payload > (size_t)(w->end - w->p))
@@ -183,9 +184,10 @@
  * and element count. msgpack-c allocates arrays by their declared count, so
  * a value must pass this check before it is unpacked.
  */
-bool fr_check(const unsigned char *data, size_t len, GError **err)
+static bool check(const unsigned char *data, size_t len, size_t elements_max,
+		  GError **err)
 {
-	struct walk w = { data, data + len, 0 };
+	struct walk w = { data, data + len, 0, elements_max };
 
 	if (walk(&w, 0) && w.p == w.end)
 		return true;
@@ -195,6 +197,11 @@
 	return false;
 }
 
+bool fr_check(const unsigned char *data, size_t len, GError **err)
+{
+	return check(data, len, FRAME_ELEMENTS_MAX, err);
+}
+
 /* Messages. */
 
 static size_t put_array_head(unsigned char *out, size_t n)
@@ -322,18 +329,13 @@
 	}
 }
 
-/*
- * Unpacks a checked value. Strings point into data, which must stay valid
- * as long as out, and are never null. The caller destroys out, also on
- * failure.
- */
-bool fr_unpack(msgpack_unpacked *out, const unsigned char *data, size_t len,
-	       GError **err)
+static bool unpack(msgpack_unpacked *out, const unsigned char *data, size_t len,
+		   size_t elements_max, GError **err)
 {
 	size_t offset = 0;
 
 	msgpack_unpacked_init(out);
-	if (!fr_check(data, len, err))
+	if (!check(data, len, elements_max, err))
 		return false;
 	if (msgpack_unpack_next(out, (const char *)data, len, &offset) !=
 	    MSGPACK_UNPACK_SUCCESS) {
@@ -344,3 +346,24 @@
 	point_empty(&out->data);
 	return true;
 }
+
+/*
+ * Unpacks a checked value. Strings point into data, which must stay valid
+ * as long as out, and are never null. The caller destroys out, also on
+ * failure.
+ */
+bool fr_unpack(msgpack_unpacked *out, const unsigned char *data, size_t len,
+	       GError **err)
+{
+	return unpack(out, data, len, FRAME_ELEMENTS_MAX, err);
+}
+
+/*
+ * The same for a record from the store, whose size the store bounds: it may
+ * have as many elements as bytes.
+ */
+bool fr_unpack_record(msgpack_unpacked *out, const unsigned char *data,
+		      size_t len, GError **err)
+{
+	return unpack(out, data, len, len, err);
+}
--- a/wire/fr.h
+++ b/wire/fr.h
@@ -37,5 +37,7 @@
 bool fr_pack(GByteArray *out, int type, const unsigned char *body, size_t len);
 bool fr_unpack(msgpack_unpacked *out, const unsigned char *data, size_t len,
 	       GError **err);
+bool fr_unpack_record(msgpack_unpacked *out, const unsigned char *data,
+		      size_t len, GError **err);
 
 #endif
--- a/wire/mp.c
+++ b/wire/mp.c
@@ -106,6 +106,13 @@
 	return 0;
 }
 
+static bool is_text(const msgpack_object *obj)
+{
+	return obj->type == MSGPACK_OBJECT_STR &&
+	       (obj->via.str.size == 0 ||
+		!memchr(obj->via.str.ptr, '\0', obj->via.str.size));
+}
+
 void mp_get_text(struct mp_in *in, char *out, size_t size)
 {
 	const msgpack_object *obj = next(in);
@@ -113,13 +120,13 @@
 	out[0] = '\0';
 	if (obj && obj->type == MSGPACK_OBJECT_NIL)
 		return;
-	if (!obj || obj->type != MSGPACK_OBJECT_STR ||
-	    obj->via.str.size >= size ||
-	    memchr(obj->via.str.ptr, '\0', obj->via.str.size)) {
+	if (!obj || !is_text(obj) || obj->via.str.size >= size) {
 		in->ok = false;
 		return;
 	}
-	memcpy(out, obj->via.str.ptr, obj->via.str.size);
+	/* The pointer of an empty string is NULL. */
+	if (obj->via.str.size > 0)
+		memcpy(out, obj->via.str.ptr, obj->via.str.size);
 	out[obj->via.str.size] = '\0';
 }
 
@@ -127,9 +134,10 @@
 {
 	const msgpack_object *obj = next(in);
 
-	if (obj && obj->type == MSGPACK_OBJECT_STR &&
-	    !memchr(obj->via.str.ptr, '\0', obj->via.str.size))
-		return g_strndup(obj->via.str.ptr, obj->via.str.size);
+	if (obj && is_text(obj))
+		return obj->via.str.size > 0 ?
+			       g_strndup(obj->via.str.ptr, obj->via.str.size) :
+			       g_strdup("");
 	if (!obj || obj->type != MSGPACK_OBJECT_NIL)
 		in->ok = false;
 	return NULL;
