Say "not run" only of what did not run, and of all that did not

Cause: an answer 500 of the store, after which a write may have been carried out, was handled like 503: when another route then refused the write, the caller was told that its job had not been accepted, though it was stored and ran.

Change: only 429 and 503 say that nothing was done; another error makes the outcome unknown. A call whose time is over ends with 504 only if a write is in progress or was not answered, otherwise with 503 and Retry-After.

--- a/control/intake.c
+++ b/control/intake.c
@@ -141,6 +141,17 @@
 	return time_left_us(req->caller) > 2 * RETRY_MS * USEC_PER_MSEC;
 }
 
+/*
+ * The result of a request whose time is over. The outcome is unknown if a write
+ * is in progress or was not answered; reads change nothing.
+ */
+static int result_without_answer(const struct intake_request *req)
+{
+	return req->maybe_written || (req->calling && writes(req)) ?
+		       CB_E_TIMEOUT :
+		       CB_E_STORE_DOWN;
+}
+
 /*
  * Handles a store call that timed out or was refused. An unanswered write can
  * be repeated safely, as the record can be created only once. If the store is
@@ -161,7 +172,7 @@
 			     RETRY_MS * USEC_PER_MSEC, on_retry);
 		return;
 	}
-	finish(req, CB_E_TIMEOUT, STORE_RETRY_AFTER_S);
+	finish(req, result_without_answer(req), STORE_RETRY_AFTER_S);
 }
 
 /* The store has not answered within the caller's deadline. */
@@ -170,7 +181,7 @@
 	struct intake_request *req =
 		container_of(timer, struct intake_request, deadline);
 
-	finish(req, CB_E_TIMEOUT, STORE_RETRY_AFTER_S);
+	finish(req, result_without_answer(req), STORE_RETRY_AFTER_S);
 }
 
 /* Runs the next step, or fails the request if its deadline has passed. */
@@ -437,7 +448,7 @@
 	const struct config *config = intake->configuration->current;
 	size_t prefix;
 
-	if (!config)
+	if (!configuration_confirmed(intake->configuration))
 		return CB_E_STORE_DOWN;
 	*queue = config_route(config, call->host, call->path);
 	if (!*queue)
@@ -540,7 +551,7 @@
 };
 
 void intake_init(struct intake *intake, const struct platform_adapter *adapter,
-		 const struct configuration *configuration)
+		 struct configuration *configuration)
 {
 	static const char *const labels[] = { "verb=\"submit\"",
 					      "verb=\"status\"",
--- a/control/relay.c
+++ b/control/relay.c
@@ -4,6 +4,7 @@
 
 #include "base/err.h"
 #include "base/log.h"
+#include "wire/fr.h"
 #include "wire/mp.h"
 
 /* A host that failed to serve a call is not used for this time. */
@@ -175,9 +176,7 @@
 		peer_failed(rcall);
 		return;
 	}
-	msgpack_unpacked_init(&unpacked);
-	if (msgpack_unpack_next(&unpacked, call->data, call->len, NULL) ==
-	    MSGPACK_UNPACK_SUCCESS)
+	if (fr_unpack(&unpacked, call->data, call->len, NULL))
 		mp_open(&in, &unpacked.data);
 	result = mp_get_int(&in);
 	sent = mp_get_uint(&in);
@@ -189,7 +188,8 @@
 		rcall->sent = true;
 		peer_failed(rcall);
 	} else if (result != CB_OK || relay_is_refusal((int)status)) {
-		rcall->sent |= sent;
+		rcall->sent |= sent || (result == CB_OK &&
+					!relay_nothing_done((int)status));
 		rcall->status = result == CB_OK ? (int)status : rcall->status;
 		peer_failed(rcall);
 	} else {
@@ -363,9 +363,7 @@
 	struct mp_in in = { 0 };
 	uint64_t verb;
 
-	msgpack_unpacked_init(&unpacked);
-	if (msgpack_unpack_next(&unpacked, request->data, request->len, NULL) ==
-	    MSGPACK_UNPACK_SUCCESS)
+	if (fr_unpack(&unpacked, request->data, request->len, NULL))
 		mp_open(&in, &unpacked.data);
 	verb = mp_get_uint(&in);
 	if (in.ok && verb == RELAY_STORE_CALL) {
--- a/control/relay_direct.c
+++ b/control/relay_direct.c
@@ -38,6 +38,11 @@
 	return status == 429 || status >= 500;
 }
 
+bool relay_nothing_done(int status)
+{
+	return status == 429 || status == 503;
+}
+
 static void on_probe(struct exchange_call *call)
 {
 	struct relay *relay = call->user;
@@ -126,6 +131,7 @@
 	}
 	if (call->result == CB_OK) {
 		rcall->status = call->status;
+		rcall->sent |= !relay_nothing_done(call->status);
 		note_failure(relay, "refused");
 	} else {
 		rcall->sent |= call->sent;
--- a/control/relay_int.h
+++ b/control/relay_int.h
@@ -70,9 +70,11 @@
 void relay_next_route(struct relay_call *rcall);
 /* Sends the calls that wait for other hosts on the direct route instead. */
 void relay_leave_peers(struct relay *relay);
-/* Whether a status means that the store is overloaded or failing and has not
- * carried out the request. */
+/* Whether a status means that the store is overloaded or failing, so that
+ * another route is taken. */
 bool relay_is_refusal(int status);
+/* Whether it says that the request was not carried out. */
+bool relay_nothing_done(int status);
 void relay_try_direct(struct relay_call *rcall);
 /* Cancels the attempts of a call on the direct route. */
 void relay_stop_direct(struct relay_call *rcall);
--- a/tests/standins/site_doors.c
+++ b/tests/standins/site_doors.c
@@ -190,6 +190,9 @@
 	if (door->fault == SITE_LOST && strikes(store, door)) {
 		json_decref(body);
 		never_answer(req);
+	} else if (door->fault == SITE_ERROR) {
+		json_decref(body);
+		site_door_answer(req, 500, json_object());
 	} else {
 		site_door_answer(req, status, body);
 	}
--- a/tests/standins/site_fleet.h
+++ b/tests/standins/site_fleet.h
@@ -17,6 +17,7 @@
 	SITE_WORKER_WELL,
 	SITE_WORKER_SILENT, /* calls do not reach it */
 	SITE_WORKER_MUTE, /* carries orders out and does not answer */
+	SITE_WORKER_GARBLED, /* its hold reports lack their lists */
 	SITE_WORKER_ILL, /* 503 to starts */
 	SITE_WORKER_FAILING, /* all that it starts fails */
 	SITE_WORKER_STALLED, /* its tasks stand still */
--- a/tests/standins/site_orders.c
+++ b/tests/standins/site_orders.c
@@ -289,7 +289,8 @@
 			   json_pack("{s:I,s:s}", "clock_ms",
 				     (json_int_t)site_clock_ms(worker),
 				     "reason", reason));
-	else if (strcmp(req->target, "/hold") == 0)
+	else if (strcmp(req->target, "/hold") == 0 &&
+		 worker->fault != SITE_WORKER_GARBLED)
 		wait_for_end(worker, req, int_of(body, "wait_ms"));
 	else
 		site_reply(req, 200,
--- a/tests/standins/site_store.h
+++ b/tests/standins/site_store.h
@@ -16,6 +16,7 @@
 	SITE_BUSY, /* 503, nothing done */
 	SITE_MANY, /* 429, nothing done */
 	SITE_LOST, /* done, but a share of the writes is not answered */
+	SITE_ERROR, /* writes are done and answered with 500 */
 	SITE_LATE, /* not answered, and done SITE_LATE_MS later */
 };
 
