Accept no key after a pause before the store has confirmed it

Cause: a host that was paused for over a second reads its sockets before its timers. A call that waited there was served under the configuration from before the pause, although its key had been withdrawn meanwhile: 410 for the status of a job, that is, as if the key were good.

Change: a tick of 200 ms and each call look for a pause. After one the configuration is read again at once, an answer to an earlier read is ignored, and calls get 503 with Retry-After until the store has answered.

Test: paused_host_accepts_no_withdrawn_key (test_host), 410 before, 503 after and 401 once the configuration is read.

--- a/control/configuration.c
+++ b/control/configuration.c
@@ -10,6 +10,44 @@
  * configuration read again, within half of config_ms. */
 #define WATCH_TIMEOUT_DIVISOR 3
 
+#define TICK_MS 200
+/* A process that did not run for longer counts as paused. */
+#define PAUSE_MIN_MS 1000
+
+/*
+ * A paused process reads its sockets before its timers, so that the pause is
+ * looked for here too, not only by the tick.
+ */
+static void detect_pause(struct configuration *configuration)
+{
+	int64_t now_us = kn_now_us();
+	int64_t passed_us = now_us - configuration->ticked_us;
+
+	configuration->ticked_us = now_us;
+	if (passed_us < PAUSE_MIN_MS * USEC_PER_MSEC)
+		return;
+	configuration->paused_us = now_us;
+	log_warn("config.unconfirmed", "paused_ms=%" G_GINT64_FORMAT,
+		 passed_us / 1000);
+	mirror_reread(&configuration->mirror);
+}
+
+static void on_tick(struct kn_timer *timer)
+{
+	struct configuration *configuration =
+		container_of(timer, struct configuration, tick);
+
+	detect_pause(configuration);
+	kn_timer_set(timer->kn, timer, TICK_MS * USEC_PER_MSEC, on_tick);
+}
+
+bool configuration_confirmed(struct configuration *configuration)
+{
+	detect_pause(configuration);
+	return configuration->current &&
+	       configuration->mirror.synced_us > configuration->paused_us;
+}
+
 static void on_set(struct mirror *mirror, const struct kv_item *item)
 {
 	struct configuration *configuration =
@@ -82,11 +120,15 @@
 
 void configuration_start(struct configuration *configuration)
 {
+	configuration->ticked_us = kn_now_us();
+	kn_timer_set(configuration->adapter->kv->kn, &configuration->tick,
+		     TICK_MS * USEC_PER_MSEC, on_tick);
 	mirror_start(&configuration->mirror);
 }
 
 void configuration_finish(struct configuration *configuration)
 {
+	kn_timer_cancel(&configuration->tick);
 	mirror_finish(&configuration->mirror);
 	config_free(configuration->current);
 	ctr_finish(&configuration->version);
--- a/control/intake.h
+++ b/control/intake.h
@@ -13,7 +13,7 @@
 struct intake {
 	struct caller_service service;
 	const struct platform_adapter *adapter;
-	const struct configuration *configuration;
+	struct configuration *configuration;
 	struct list_head calls; /* struct intake_request */
 	/* Cached counts of waiting jobs. */
 	char *waiting;
@@ -26,7 +26,7 @@
 };
 
 void intake_init(struct intake *intake, const struct platform_adapter *adapter,
-		 const struct configuration *configuration);
+		 struct configuration *configuration);
 void intake_finish(struct intake *intake);
 
 #endif
--- a/control/mirror.c
+++ b/control/mirror.c
@@ -198,6 +198,16 @@
 		read_all(mirror);
 }
 
+void mirror_reread(struct mirror *mirror)
+{
+	if (!mirror->calling && !kn_timer_pending(&mirror->timer))
+		return;
+	if (mirror->calling)
+		mirror->kv->ops->cancel(mirror->kv, &mirror->call);
+	kn_timer_cancel(&mirror->timer);
+	read_all(mirror);
+}
+
 void mirror_stop(struct mirror *mirror)
 {
 	if (mirror->calling)
--- a/control/mirror.h
+++ b/control/mirror.h
@@ -45,6 +45,8 @@
 		 const struct mirror_ops *ops, const char *prefix,
 		 int64_t wait_ms);
 void mirror_start(struct mirror *mirror);
+/* Reads all keys at once; an answer that is on its way is ignored. */
+void mirror_reread(struct mirror *mirror);
 /* Stops and clears the copy; mirror_start() may be called again. */
 void mirror_stop(struct mirror *mirror);
 void mirror_finish(struct mirror *mirror);
--- a/tests/unit/test_host.c
+++ b/tests/unit/test_host.c
@@ -442,6 +442,77 @@
 }
 END_TEST
 
+/*
+ * A write is carried out and answered with 500, and then refused on the other
+ * route: the caller must not be told that its job was not accepted.
+ */
+START_TEST(error_of_the_store_is_no_refusal)
+{
+	struct rig_reply reply;
+
+	rig_start(&rig, 2, 2, 1);
+	site_store_fault(rig.store, rig.hosts[1].door, SITE_BUSY, 0, 0);
+	site_store_fault(rig.store, rig.hosts[0].door, SITE_ERROR, 0, 0);
+	reply = rig_call(&rig, 0, "POST", RIG_PREFIX JOB_A, RIG_KEY,
+			 "{\"spec\":\"ms=50\",\"steps\":[{\"count\":1}]}");
+	ck_assert_uint_eq(site_store_count(rig.store, "chivebank/intake/"), 1);
+	ck_assert_int_ne(reply.status, 503);
+	ck_assert_int_ne(reply.status, 429);
+	rig_stop(&rig);
+}
+END_TEST
+
+/*
+ * The store does not answer within the callers' time: reads have changed
+ * nothing and say so; a submission may still be carried out.
+ */
+START_TEST(only_writes_end_with_an_unknown_outcome)
+{
+	struct rig_reply reply;
+
+	rig_start(&rig, 2, 2, 1);
+	site_store_fault(rig.store, -1, SITE_WELL, 0, 5000);
+	reply = rig_call_within(&rig, 0, "GET", RIG_PREFIX JOB_A, RIG_KEY, NULL,
+				"400");
+	ck_assert_int_eq(reply.status, 503);
+	ck_assert_int_ge(reply.retry_after_s, 1);
+	reply = rig_call_within(
+		&rig, 0, "POST", RIG_PREFIX JOB_A, RIG_KEY,
+		"{\"spec\":\"ms=50\",\"steps\":[{\"count\":1}]}", "400");
+	ck_assert_int_eq(reply.status, 504);
+	rig_stop(&rig);
+}
+END_TEST
+
+/* Longer than configuration.c takes for a pause, and shorter than the timeout
+ * of a poll, through which the store would be taken for lost. */
+#define PAUSE_MS 1100
+
+/*
+ * A key is withdrawn while the process is paused. After the pause it is not
+ * accepted any more, although the store has not answered yet.
+ */
+START_TEST(paused_host_accepts_no_withdrawn_key)
+{
+	struct rig_reply reply;
+
+	rig_start(&rig, 1, 1, 1);
+	ck_assert_int_eq(call_host(0, "GET", JOB_A, RIG_KEY).status, 410);
+	rig_configure(&rig, 3, RIG_KEY); /* begins a new poll */
+	rig_run_ms(&rig, 50);
+	site_store_fault(rig.store, -1, SITE_WELL, 0, 300);
+	g_usleep(PAUSE_MS * 1000);
+	rig_configure(&rig, 5, "key-new");
+	reply = call_host(0, "GET", JOB_A, RIG_KEY);
+	ck_assert_int_eq(reply.status, 503);
+	ck_assert_int_ge(reply.retry_after_s, 1);
+	rig_run_ms(&rig, 1500);
+	ck_assert_int_eq(call_host(0, "GET", JOB_A, RIG_KEY).status, 401);
+	ck_assert_int_eq(call_host(0, "GET", JOB_A, "key-new").status, 410);
+	rig_stop(&rig);
+}
+END_TEST
+
 /*
  * Load: 100 other hosts register. The reads of this host do not grow with
  * that; otherwise the store would send n changes to each of n hosts.
@@ -699,6 +770,30 @@
 }
 END_TEST
 
+/*
+ * The hold reports of a worker are malformed for a while. Its tasks go on, and
+ * none is taken for ended and started elsewhere.
+ */
+START_TEST(malformed_reports_end_no_task)
+{
+	struct site_worker *worker;
+
+	rig_start(&rig, 1, 2, 1);
+	ck_assert_int_eq(rig_submit(&rig, 0, JOB_A, 4, "ms=4000", NULL), 200);
+	rig_run_ms(&rig, 500);
+	ck_assert_int_eq(site_fleet_running(rig.fleet), 4);
+	list_for_each_entry(worker, &rig.fleet->workers, node)
+		worker->fault = SITE_WORKER_GARBLED;
+	rig_run_ms(&rig, 1500);
+	list_for_each_entry(worker, &rig.fleet->workers, node)
+		worker->fault = SITE_WORKER_WELL;
+	ck_assert(rig_wait(&rig, 0, JOB_A, "done", 8000));
+	ck_assert_uint_eq(rig.fleet->starts, 4);
+	check_invariants();
+	rig_stop(&rig);
+}
+END_TEST
+
 START_TEST(failing_worker_is_avoided)
 {
 	struct site_worker *worker;
@@ -772,6 +867,9 @@
 	tcase_add_test(tc, calls_without_time_left_are_refused);
 	tcase_add_test(tc, calls_of_a_refused_host_are_relayed);
 	tcase_add_test(tc, relayed_call_returns_to_the_direct_route);
+	tcase_add_test(tc, error_of_the_store_is_no_refusal);
+	tcase_add_test(tc, only_writes_end_with_an_unknown_outcome);
+	tcase_add_test(tc, paused_host_accepts_no_withdrawn_key);
 	tcase_add_test(tc, registrations_elsewhere_cause_no_reads);
 	tcase_add_test(tc, leader_whose_lease_lapses);
 	tcase_add_test(tc, reelection_after_a_store_outage);
@@ -785,6 +883,7 @@
 	tcase_add_loop_test(tc, orders_are_delayed, 0, 3);
 	tcase_add_test(tc,
 		       silent_worker_keeps_its_tasks_until_the_lease_is_over);
+	tcase_add_test(tc, malformed_reports_end_no_task);
 	tcase_add_test(tc, failing_worker_is_avoided);
 	tcase_add_test(tc, draining_worker_gets_nothing_new);
 	tcase_add_test(tc, counts_of_waiting_jobs);
