Notice a poll that has gone silent within a part of a second

The leader saw none of the 64 jobs handed in until its time-out 1.3 s later, and urgent jobs have less time to spare than that. Polls were not sent again on another connection, as their answers may be late on purpose.

Change: the exchange knows how long an answer may be delayed on purpose, and a poll is sent again after that time and the delay of a hedge. The polls for submissions and for workers' reports wait for 250 and 800 ms, not 1,500 and 1,200.

Test: silent_poll_delays_no_submission (test_host) fails before.

--- a/control/director.c
+++ b/control/director.c
@@ -6,10 +6,11 @@
 #include "control/keys.h"
 #include "fleet/limits.h"
 
-/* The loss of the store is noticed within this time-out plus the time of a
- * call. That has to be short enough to see a draining worker in drain_ms. */
-#define WORKERS_WATCH_TIMEOUT_MS 1200
-#define INTAKE_WATCH_TIMEOUT_MS 1500
+/* A poll that has gone silent is noticed within this time-out plus the time of
+ * a call. Urgent jobs wait for a part of a second at most, and a draining worker
+ * has to be seen in drain_ms. */
+#define WORKERS_WATCH_TIMEOUT_MS 800
+#define INTAKE_WATCH_TIMEOUT_MS 250
 /* Every worker writes a report each second or two and each poll has a cost,
  * so several reports are fetched with one poll. */
 #define WORKERS_BATCH_MS 120
--- a/control/relay.c
+++ b/control/relay.c
@@ -230,7 +230,7 @@
 	mp_int(&out, rcall->timeout_ms);
 	mp_int(&out, rcall->expected_ms);
 	mp_uint(&out, rcall->repeatable);
-	mp_uint(&out, rcall->waits);
+	mp_int(&out, rcall->wait_ms);
 	rcall->rpc.user = rcall;
 	rcall->rpc_busy = true;
 	rpc_call_start(&rcall->rpc, &peer->rpc, out.buf.data, out.buf.size,
@@ -263,7 +263,7 @@
 static struct relay_call *
 relay_call_new(struct relay *relay, const char *method, const char *target,
 	       const void *body, size_t len, int64_t timeout_ms,
-	       int64_t expected_ms, bool repeatable, bool waits)
+	       int64_t expected_ms, bool repeatable, int64_t wait_ms)
 {
 	struct relay_call *rcall = g_new0(struct relay_call, 1);
 
@@ -275,7 +275,7 @@
 	rcall->timeout_ms = timeout_ms;
 	rcall->expected_ms = expected_ms;
 	rcall->repeatable = repeatable;
-	rcall->waits = waits;
+	rcall->wait_ms = wait_ms;
 	/* Time for an attempt that is lost and one that is answered. */
 	rcall->deadline_us =
 		kn_now_us() + (timeout_ms + expected_ms) * USEC_PER_MSEC;
@@ -298,7 +298,7 @@
 	rcall = relay_call_new(relay, request->method, request->target,
 			       request->body, request->len, request->timeout_ms,
 			       request->expected_ms, request->repeatable,
-			       request->waits);
+			       request->wait_ms);
 	rcall->call = call;
 	call->impl = rcall;
 	if (relay->direct_down)
@@ -331,21 +331,22 @@
 {
 	char *method = mp_get_str(in);
 	char *target = mp_get_str(in);
-	int64_t timeout_ms, expected_ms;
+	int64_t timeout_ms, expected_ms, wait_ms;
 	struct relay_call *rcall;
 	const void *body;
-	bool repeatable, waits;
+	bool repeatable;
 	size_t len;
 
 	body = mp_get_bin(in, &len);
 	timeout_ms = mp_get_int(in);
 	expected_ms = mp_get_int(in);
 	repeatable = mp_get_uint(in);
-	waits = mp_get_uint(in);
+	wait_ms = mp_get_int(in);
 	rcall = relay_call_new(relay, method ? method : "",
 			       target ? target : "", len ? body : NULL, len,
 			       CLAMP(timeout_ms, 1, 60000),
-			       CLAMP(expected_ms, 1, 60000), repeatable, waits);
+			       CLAMP(expected_ms, 1, 60000), repeatable,
+			       CLAMP(wait_ms, 0, 60000));
 	rcall->request = request;
 	ctr_add(&relay->served, 1);
 	if (!in->ok || !method || !target || relay->direct_down)
--- a/control/relay_direct.c
+++ b/control/relay_direct.c
@@ -122,7 +122,7 @@
 	if (call->result == CB_OK && !relay_is_refusal(call->status)) {
 		relay->failures = 0;
 		relay->last_answer_us = kn_now_us();
-		if (!rcall->waits)
+		if (rcall->wait_ms == 0)
 			update_latency(relay, relay->last_answer_us -
 						      attempt->sent_us);
 		relay_end_call(rcall, CB_OK, call->status, call->body,
@@ -177,10 +177,11 @@
 	attempt->call.done = on_direct_reply;
 	attempt->call.user = attempt;
 	relay->direct->ops->start(relay->direct, &attempt->call, &request);
-	if (rcall->repeatable && !rcall->waits &&
-	    rcall->ndirect < DIRECT_ATTEMPTS_MAX)
+	if (rcall->repeatable && rcall->ndirect < DIRECT_ATTEMPTS_MAX)
 		kn_timer_set(relay->exchange.kn, &rcall->hedge_timer,
-			     hedge_delay_us(relay), on_hedge);
+			     rcall->wait_ms * USEC_PER_MSEC +
+				     hedge_delay_us(relay),
+			     on_hedge);
 }
 
 static void on_hedge(struct kn_timer *timer)
--- a/control/relay_int.h
+++ b/control/relay_int.h
@@ -44,7 +44,7 @@
 	int64_t timeout_ms;
 	int64_t expected_ms;
 	bool repeatable;
-	bool waits;
+	int64_t wait_ms; /* so long the store may delay the answer */
 	/* Progress. */
 	enum relay_route route;
 	bool sent; /* the store may have received an attempt */
--- a/tests/standins/site_doors.c
+++ b/tests/standins/site_doors.c
@@ -126,6 +126,13 @@
 				   (json_int_t)store->revision));
 }
 
+void site_store_silence_polls(struct site_store *store)
+{
+	while (!list_empty(&store->waiting))
+		site_wait_free(list_first_entry(&store->waiting,
+						struct site_wait, node));
+}
+
 void site_waits_wake(struct site_store *store)
 {
 	struct site_wait *wait, *next;
--- a/tests/standins/site_store.h
+++ b/tests/standins/site_store.h
@@ -83,6 +83,8 @@
 /* door -1: all of them. */
 void site_store_fault(struct site_store *store, int door, enum site_fault fault,
 		      int percent, int delay_ms);
+/* The polls that wait now are never answered; new ones are. */
+void site_store_silence_polls(struct site_store *store);
 /* Writes as an operator or a worker. */
 void site_store_put(struct site_store *store, const char *key,
 		    const char *value);
--- a/tests/unit/test_host.c
+++ b/tests/unit/test_host.c
@@ -484,6 +484,32 @@
 }
 END_TEST
 
+/* A poll of 250 ms, the delay of a hedge, and the job of 50 ms. */
+#define SEEN_MAX_MS 900
+
+/*
+ * The store forgets a poll that waits for submissions. The next submission is
+ * seen as soon as an answer to the poll is overdue.
+ */
+START_TEST(silent_poll_delays_no_submission)
+{
+	int i;
+
+	rig_start(&rig, 1, 2, 1);
+	for (i = 0; i < 3; i++) {
+		char id[32];
+
+		snprintf(id, sizeof(id), "%016x", 0x500 + i);
+		rig_run_ms(&rig, 100);
+		site_store_silence_polls(rig.store);
+		ck_assert_int_eq(rig_submit(&rig, 0, id, 1, "ms=50", NULL),
+				 200);
+		ck_assert(rig_wait(&rig, 0, id, "done", SEEN_MAX_MS));
+	}
+	rig_stop(&rig);
+}
+END_TEST
+
 /* Longer than configuration.c takes for a pause, and shorter than the timeout
  * of a poll, through which the store would be taken for lost. */
 #define PAUSE_MS 1100
@@ -869,6 +895,7 @@
 	tcase_add_test(tc, relayed_call_returns_to_the_direct_route);
 	tcase_add_test(tc, error_of_the_store_is_no_refusal);
 	tcase_add_test(tc, only_writes_end_with_an_unknown_outcome);
+	tcase_add_test(tc, silent_poll_delays_no_submission);
 	tcase_add_test(tc, paused_host_accepts_no_withdrawn_key);
 	tcase_add_test(tc, registrations_elsewhere_cause_no_reads);
 	tcase_add_test(tc, leader_whose_lease_lapses);
--- a/wire/exchange.h
+++ b/wire/exchange.h
@@ -37,8 +37,8 @@
 	int64_t expected_ms;
 	/* May be sent again after it was perhaps received. */
 	bool repeatable;
-	/* The service answers late on purpose, when something happens. */
-	bool waits;
+	/* So long the service may delay the answer until something happens. */
+	int64_t wait_ms;
 };
 
 struct exchange;
