Arm the timer of the event loop from one reading of the clock

Cause: set_clock() passed the time left to MAX(), which evaluates it twice. When the process was interrupted in between for two milliseconds or more, past the time at which the first timer was due, the wait became negative, and as an unsigned number it meant never: the loop waited for its sockets alone, without any timer, for up to 30 s (the next timer of libwebsockets).

Change: the clock is read once, here and where else a macro did so twice.

Test: timer_fires_after_a_delay_between_readings (test_kn) delays the process between readings; before, it hangs until its time-out.

--- a/base/kn.c
+++ b/base/kn.c
@@ -215,13 +215,15 @@
 static void set_clock(struct kn *kn)
 {
 	struct kn_timer *first = first_timer(kn);
-	int64_t wait_us;
+	int64_t left_us, wait_us;
 
 	if (!first) {
 		uv_timer_stop(kn->clock);
 		return;
 	}
-	wait_us = MAX(0, first->at_us - kn_now_us());
+	/* MAX() would read the time twice, and the second may be past. */
+	left_us = first->at_us - kn_now_us();
+	wait_us = MAX(0, left_us);
 	uv_update_time(kn->loop);
 	uv_timer_start(
 		kn->clock, clock_fired,
--- a/control/director_pass.c
+++ b/control/director_pass.c
@@ -32,7 +32,9 @@
 {
 	struct kn_timer *timer = &director->pass_timer;
 
-	delay_us = MAX(delay_us, director->rest_until_us - kn_now_us());
+	int64_t rest_us = director->rest_until_us - kn_now_us();
+
+	delay_us = MAX(delay_us, rest_us);
 	if (!director->ready && director->holding_until_us == 0)
 		return;
 	if (kn_timer_pending(timer) && timer->at_us <= kn_now_us() + delay_us)
--- a/control/intake.c
+++ b/control/intake.c
@@ -469,6 +469,7 @@
 					  const char *customer)
 {
 	struct intake_request *req = g_new0(struct intake_request, 1);
+	int64_t left_us = time_left_us(call);
 
 	req->intake = intake;
 	req->caller = call;
@@ -479,8 +480,8 @@
 		req->id = g_strdup(call->path + strlen(queue->prefix));
 	call->state = req;
 	list_add_tail(&req->node, &intake->calls);
-	kn_timer_set(intake->adapter->kv->kn, &req->deadline,
-		     MAX(time_left_us(call), 0), on_deadline);
+	kn_timer_set(intake->adapter->kv->kn, &req->deadline, MAX(left_us, 0),
+		     on_deadline);
 	return req;
 }
 
--- a/control/relay_direct.c
+++ b/control/relay_direct.c
@@ -47,13 +47,13 @@
 {
 	struct relay *relay = call->user;
 
-	int64_t next_us = relay->probed_us + PROBE_INTERVAL_MS * USEC_PER_MSEC;
+	int64_t pause_us = relay->probed_us +
+			   PROBE_INTERVAL_MS * USEC_PER_MSEC - kn_now_us();
 
 	relay->probing = false;
 	if (call->result != CB_OK || relay_is_refusal(call->status)) {
 		kn_timer_set(relay->exchange.kn, &relay->probe_timer,
-			     MAX(next_us - kn_now_us(),
-				 PROBE_PAUSE_MIN_MS * USEC_PER_MSEC),
+			     MAX(pause_us, PROBE_PAUSE_MIN_MS * USEC_PER_MSEC),
 			     send_probe);
 		return;
 	}
--- a/daemon/jobs/sched_job.c
+++ b/daemon/jobs/sched_job.c
@@ -92,8 +92,9 @@
 /* Keeps an ended job for API queries until sched_expire_ended(). */
 void sched_job_retain(struct sched_job *job)
 {
-	job->ended_us =
-		kn_now_us() - MAX(0, kn_wall_us() - job->entry.ended_wall_us);
+	int64_t ago_us = kn_wall_us() - job->entry.ended_wall_us;
+
+	job->ended_us = kn_now_us() - MAX(0, ago_us);
 	list_add_tail(&job->ended, &job->s->ended);
 	job->s->ended_count++;
 }
--- a/tests/unit/test_kn.c
+++ b/tests/unit/test_kn.c
@@ -1,7 +1,11 @@
 #include <check.h>
 #include <stdlib.h>
+#include <sys/syscall.h>
+#include <time.h>
+#include <unistd.h>
 
 #include "base/kn.h"
+#include "base/limits.h"
 #include "tests/unit/run.h"
 
 struct echo_task {
@@ -126,6 +130,56 @@
  * Guards against a message from a timer that waits for the next socket
  * event: with no sockets the process would hang.
  */
+/* Time by which each reading of the clock is later than it would be, in us. */
+static int64_t clock_step_us;
+static int64_t clock_ahead_us;
+
+/* In place of the C library's: the host runs something else between readings. */
+int clock_gettime(clockid_t clock, struct timespec *ts)
+{
+	int result = (int)syscall(SYS_clock_gettime, clock, ts);
+
+	clock_ahead_us += clock_step_us;
+	ts->tv_nsec += clock_ahead_us * 1000;
+	ts->tv_sec += ts->tv_nsec / 1000000000;
+	ts->tv_nsec %= 1000000000;
+	return result;
+}
+
+static void count_fired(struct kn_timer *timer)
+{
+	container_of(timer, struct timer_state, timer)->fired++;
+}
+
+/*
+ * Guards against a timer that never fires because the time at which it is due
+ * passes between two readings of the clock: the process then waits for its
+ * sockets alone.
+ */
+START_TEST(timer_fires_after_a_delay_between_readings)
+{
+	struct timer_state timer = { 0 }, limit = { 0 };
+	struct kn kn;
+	int step_ms;
+
+	ck_assert(kn_init(&kn, NULL));
+	for (step_ms = 1; step_ms <= 5; step_ms++) {
+		timer.fired = 0;
+		kn_timer_set(&kn, &limit.timer, 2 * USEC_PER_SEC, count_fired);
+		clock_step_us = step_ms * USEC_PER_MSEC;
+		kn_timer_set(&kn, &timer.timer, (step_ms * 3 / 2) * 1000,
+			     count_fired);
+		clock_step_us = 0;
+		while (timer.fired == 0 && limit.fired == 0)
+			kn_turn(&kn);
+		ck_assert_int_eq(limit.fired, 0);
+		ck_assert_int_eq(timer.fired, 1);
+	}
+	kn_timer_cancel(&limit.timer);
+	kn_finish(&kn);
+}
+END_TEST
+
 START_TEST(message_from_timer_is_delivered_at_once)
 {
 	struct timer_state state = { 0 };
@@ -149,5 +203,6 @@
 	tcase_add_test(tc, messages_keep_order_through_services);
 	tcase_add_test(tc, timer_rearms_and_stops);
 	tcase_add_test(tc, message_from_timer_is_delivered_at_once);
+	tcase_add_test(tc, timer_fires_after_a_delay_between_readings);
 	return run_case("kn", tc);
 }
