Do not keep a job from the workers that were freed for it

A job for which runs had been stopped has workers of its own that the other jobs may not use, and was passed over when a smaller job ahead of it had found no room.

Change: stages with reserved workers always look.

Test: reserved_room_is_used_behind_a_smaller_job (test_plan) fails before.

--- a/fleet/placement_int.h
+++ b/fleet/placement_int.h
@@ -10,7 +10,7 @@
 
 /*
  * Whether a task that needs no more than those of the stage, for no longer, has
- * found no room in this pass.
+ * found no room in this pass. Never so for a stage with workers reserved.
  */
 bool placement_pool_is_full(const struct pool_view *view,
 			    const struct stage *stage, double expected_ms);
--- a/fleet/placement_view.c
+++ b/fleet/placement_view.c
@@ -136,7 +136,9 @@
 	const struct room *need = &stage->spec->need;
 	guint i;
 
-	for (i = 0; !stage->spec->fills && i < view->full_for->len; i++) {
+	if (stage->spec->fills || stage->reserved)
+		return false;
+	for (i = 0; i < view->full_for->len; i++) {
 		const struct full_for *full =
 			&g_array_index(view->full_for, struct full_for, i);
 
--- a/tests/unit/test_plan.c
+++ b/tests/unit/test_plan.c
@@ -200,6 +200,34 @@
 }
 END_TEST
 
+/*
+ * Guards against a job that is kept from the workers that were freed for it,
+ * because a smaller job ahead of it found no room in the same pass.
+ */
+START_TEST(reserved_room_is_used_behind_a_smaller_job)
+{
+	struct job *urgent, *ahead;
+	struct worker *worker;
+	struct task *task, *next;
+
+	make_racks(1, 2);
+	make_job(&fleet, "batch", 2, 2, 8, 60000, NOW);
+	plan(NOW);
+	urgent = make_job(&fleet, "urgent", 0, 1, 8, 2000, NOW + SEC);
+	ck_assert_int_eq(plan(NOW + SEC), 0);
+	list_for_each_entry(worker, &fleet.workers, node)
+		list_for_each_entry_safe(task, next, &worker->tasks, on_worker)
+			if (task->phase == TASK_STOPPING)
+				report_run_end(&fleet, task, RUN_STOPPED,
+					       NOW + SEC);
+	ahead = make_job(&fleet, "ahead", 0, 1, 4, 500, NOW + SEC);
+	ahead->slo_ms = 0;
+	plan(NOW + SEC + 50 * MSEC);
+	ck_assert_int_eq(first_occurrence_task(urgent, 0, 0)->phase,
+			 TASK_RUNNING);
+}
+END_TEST
+
 START_TEST(task_waits_for_its_preferred_rack)
 {
 	struct job *job;
@@ -591,6 +619,7 @@
 	tcase_add_test(tc, max_per_worker_is_respected);
 	tcase_add_test(tc, room_is_never_exceeded);
 	tcase_add_test(tc, small_task_starts_behind_a_large_one);
+	tcase_add_test(tc, reserved_room_is_used_behind_a_smaller_job);
 	tcase_add_test(tc, task_waits_for_its_preferred_rack);
 	tcase_add_test(tc, draining_and_unlisted_workers_get_no_tasks);
 	tcase_add_test(tc, gang_does_not_starve_behind_small_tasks);
