--- a/control/site.h
+++ b/control/site.h
@@ -32,6 +32,7 @@
 	struct set_addr advice; /* port 0: none */
 	double cores; /* CPU limit of this host */
 	double link_mbps; /* 0: unknown */
+	int64_t descriptors_max; /* of this process, 0: not known */
 	int64_t grace_ms; /* from the stop signal to the kill */
 	int64_t config_ms; /* time limit to apply a configuration change */
 	/* Minimum time between orders of two hosts to the same machine. */
--- a/tests/standins/site_rig.c
+++ b/tests/standins/site_rig.c
@@ -33,7 +33,7 @@
 		"{\"node\":\"h%d\",\"zone\":\"d1\",\"region\":\"r1\","
 		"\"listen\":{\"front\":\"127.0.0.1:%d\","
 		"\"ctl\":\"127.0.0.1:%d\"},\"seeds\":[%s],"
-		"\"limits\":{\"cpu_share\":1,\"cores\":1},"
+		"\"limits\":{\"cpu_share\":1,\"cores\":1,\"max_fds\":64},"
 		"\"platform\":{\"addr\":\"127.0.0.1:%d\"},"
 		"\"cloud\":{\"addr\":\"127.0.0.1:%d\"},"
 		"\"advice\":\"127.0.0.1:%d\","
--- a/tests/unit/test_host.c
+++ b/tests/unit/test_host.c
@@ -820,6 +820,32 @@
 }
 END_TEST
 
+/*
+ * Load: wide steps on many workers. Guards against a leader that runs out of
+ * descriptors because it keeps the connections of past starts open: the rig's
+ * hosts have 64.
+ */
+START_TEST(idle_connections_to_workers_are_bounded)
+{
+	struct site_worker *worker;
+	size_t most = 0, conns = 0;
+
+	rig_start(&rig, 1, 8, 1);
+	ck_assert_int_eq(rig_submit(&rig, 0, JOB_A, 64, "ms=4000", NULL), 200);
+	rig_run_ms(&rig, 600);
+	list_for_each_entry(worker, &rig.fleet->workers, node)
+		most += worker->server.conn_count;
+	ck_assert_uint_gt(most, 32);
+	rig_run_ms(&rig, 1500);
+	list_for_each_entry(worker, &rig.fleet->workers, node)
+		conns += worker->server.conn_count;
+	ck_assert_uint_le(conns, 32);
+	ck_assert(rig_wait(&rig, 0, JOB_A, "done", 8000));
+	check_invariants();
+	rig_stop(&rig);
+}
+END_TEST
+
 START_TEST(failing_worker_is_avoided)
 {
 	struct site_worker *worker;
@@ -911,6 +937,7 @@
 	tcase_add_test(tc,
 		       silent_worker_keeps_its_tasks_until_the_lease_is_over);
 	tcase_add_test(tc, malformed_reports_end_no_task);
+	tcase_add_test(tc, idle_connections_to_workers_are_bounded);
 	tcase_add_test(tc, failing_worker_is_avoided);
 	tcase_add_test(tc, draining_worker_gets_nothing_new);
 	tcase_add_test(tc, counts_of_waiting_jobs);
