--- a/tests/unit/test_reclaim.c
+++ b/tests/unit/test_reclaim.c
@@ -127,6 +127,24 @@
 }
 END_TEST
 
+/*
+ * Makes an urgent job of 4 s, of a customer without a guarantee, that came in
+ * at arrived_us and has been running since NOW + 5 s.
+ */
+static struct job *start_running_quote(int64_t arrived_us)
+{
+	struct job *job = make_job(&fleet, "quote", 0, 1, 8, 4000, arrived_us);
+
+	g_free(job->customer);
+	job->customer = g_strdup("two");
+	job->stretch = 1.5;
+	job->slo_ms = 300;
+	fleet_open_due(&fleet, NOW + 5 * SEC, 0);
+	ck_assert_int_eq(plan_pass(&fleet, NOW + 5 * SEC), 1);
+	confirm_planned_runs(&fleet, NOW + 5 * SEC);
+	return job;
+}
+
 /*
  * Guards against urgent jobs that end late because another customer's
  * guarantee takes their room, when work that can wait would do: the urgent one
@@ -138,14 +156,7 @@
 
 	make_workers(2);
 	batch = start_running_job("batch", 1, 8, false, NOW);
-	quote = make_job(&fleet, "quote", 0, 1, 8, 4000, NOW + 5 * SEC);
-	g_free(quote->customer);
-	quote->customer = g_strdup("two");
-	quote->stretch = 1.5;
-	quote->slo_ms = 300;
-	fleet_open_due(&fleet, NOW + 5 * SEC, 0);
-	ck_assert_int_eq(plan_pass(&fleet, NOW + 5 * SEC), 1);
-	confirm_planned_runs(&fleet, NOW + 5 * SEC);
+	quote = start_running_quote(NOW + 5 * SEC);
 	plan_urgent_job(1, NOW + 8 * SEC);
 	ck_assert_int_eq(phase(batch), TASK_STOPPING);
 	ck_assert_int_eq(phase(quote), TASK_RUNNING);
@@ -159,14 +170,7 @@
 
 	make_workers(2);
 	batch = start_running_job("batch", 1, 8, false, NOW);
-	quote = make_job(&fleet, "quote", 0, 1, 8, 4000, NOW - 6 * SEC);
-	g_free(quote->customer);
-	quote->customer = g_strdup("two");
-	quote->stretch = 1.5;
-	quote->slo_ms = 300;
-	fleet_open_due(&fleet, NOW + 5 * SEC, 0);
-	ck_assert_int_eq(plan_pass(&fleet, NOW + 5 * SEC), 1);
-	confirm_planned_runs(&fleet, NOW + 5 * SEC);
+	quote = start_running_quote(NOW - 6 * SEC);
 	plan_urgent_job(1, NOW + 8 * SEC);
 	ck_assert_int_eq(phase(batch), TASK_RUNNING);
 	ck_assert_int_eq(phase(quote), TASK_STOPPING);
