Let the tests' event loop wake up when its timer is due too early

Cause: test_backend_client outcome_matches_execution timed out once beside load (20 s in its first turn).

Change: the timer sets itself again until the turn is over. No check is changed.

--- a/tests/standins/be_sock.c
+++ b/tests/standins/be_sock.c
@@ -9,9 +9,15 @@
 
 #include "base/limits.h"
 
+#define WAKE_US (2 * USEC_PER_MSEC)
+
+/*
+ * Set again each time: timers run before the event loop waits, so that one that
+ * is due before kn_turn() begins would not end the wait.
+ */
 static void wake(struct kn_timer *timer)
 {
-	(void)timer;
+	kn_timer_set(timer->kn, timer, WAKE_US, wake);
 }
 
 /* Connects and makes the socket non-blocking; fd is -1 on failure. */
@@ -74,7 +80,7 @@
 {
 	struct kn_timer timer = { 0 };
 
-	kn_timer_set(kn, &timer, 2 * USEC_PER_MSEC, wake);
+	kn_timer_set(kn, &timer, WAKE_US, wake);
 	kn_turn(kn);
 	kn_timer_cancel(&timer);
 }
