--- /dev/null
+++ b/review/cases.c
@@ -0,0 +1,291 @@
+#include <signal.h>
+#include <stdio.h>
+#include <stdlib.h>
+#include <string.h>
+
+#include "base/limits.h"
+#include "review/stage.h"
+#include "tests/standins/sr_proc.h"
+
+/*
+ * One worker ends more tasks than it lists at a time while the store is down.
+ */
+static void many_ends(struct stage *stage)
+{
+	char id[20], body[300];
+	int i, most = 0;
+
+	stage_init(stage, 3, 1, 128000);
+	stage_start(stage);
+	/* 1,200 tasks of a tenth of a core and of 12 s fill the worker. */
+	for (i = 0; i < 3; i++) {
+		snprintf(id, sizeof(id), "5c0e7a21d94b36%02x", i);
+		snprintf(body, sizeof(body),
+			 "{\"spec\":\"ms=12000\",\"steps\":[{\"count\":400,"
+			 "\"cpu\":100,\"mem_mb\":64,\"est_ms\":12000}]}");
+		stage_submit(stage, i, id, body);
+	}
+	for (i = 0; i < 120; i++) {
+		stage_run_ms(stage, 100);
+		most = MAX(most, worker_running(&stage->workers[0], NULL));
+	}
+	stage_say(stage, "most tasks at work at a time: %d", most);
+	if (stage->trouble) {
+		stage_say(stage, "trouble: the store is down for 4.5 s");
+		stage->store_down = true;
+		site_store_fault(stage->store, -1, SITE_SILENT, 0, 0);
+	}
+	stage_run_ms(stage, 4500);
+	if (stage->trouble) {
+		stage_say(stage, "trouble ends");
+		site_store_fault(stage->store, -1, SITE_WELL, 0, 0);
+		stage->store_down = false;
+	}
+	stage_run_ms(stage, 30000);
+	for (i = 0; i < 3; i++) {
+		char state[200];
+
+		snprintf(id, sizeof(id), "5c0e7a21d94b36%02x", i);
+		stage_state(stage, i, id, state, sizeof(state));
+	}
+}
+
+/*
+ * A worker that drains is cut off, with its connections refused, and works on.
+ */
+static void drain_refused(struct stage *stage)
+{
+	struct stage_worker *worker;
+	int i;
+
+	stage_init(stage, 3, 9, 16000);
+	stage_start(stage);
+	stage_submit(stage, 0, "5c0e7a21d94b36f8",
+		     "{\"spec\":\"ms=14000\",\"steps\":[{\"count\":12,"
+		     "\"cpu\":8000,\"mem_mb\":1024,\"gpu\":1,"
+		     "\"est_ms\":14000}]}");
+	stage_run_ms(stage, 6000);
+	worker = &stage->workers[0];
+	for (i = 0; i < stage->nworkers; i++) {
+		stage_say(stage, "%s runs %d tasks", stage->workers[i].id,
+			  worker_running(&stage->workers[i], NULL));
+		if (worker_running(&stage->workers[i], NULL) > 0)
+			worker = &stage->workers[i];
+	}
+	/* It serves on for some seconds, as the page allows. */
+	stage_say(stage, "plan: %s drains", worker->id);
+	worker->draining = true;
+	worker->drained_us = kn_now_us() + 12 * USEC_PER_SEC;
+	worker_write_entry(worker);
+	stage_run_ms(stage, 300);
+	if (stage->trouble) {
+		stage_say(stage, "trouble: %s is cut off for 5.5 s",
+			  worker->id);
+		worker->silent_store = true;
+		link_set(worker->link, LINK_REFUSED);
+	}
+	stage_run_ms(stage, 5500);
+	if (stage->trouble) {
+		stage_say(stage, "trouble ends");
+		worker->silent_store = false;
+		link_set(worker->link, LINK_OPEN);
+	}
+	stage_run_ms(stage, 20000);
+}
+
+/*
+ * The leader's data centre is cut off with workers in it; the host that takes
+ * over is stopped as planned, and a third one follows.
+ */
+static void zone_cut(struct stage *stage)
+{
+	struct stage_worker *worker;
+	int i, first, second;
+
+	stage_init(stage, 3, 12, 16000);
+	stage_start(stage);
+	stage_submit(stage, 0, "5c0e7a21d94b36f8",
+		     "{\"spec\":\"ms=24000\",\"steps\":[{\"count\":16,"
+		     "\"cpu\":8000,\"mem_mb\":1024,\"gpu\":1,"
+		     "\"est_ms\":24000}]}");
+	stage_run_ms(stage, 3000);
+	first = stage_leader(stage);
+	for (i = 0; i < stage->nworkers; i++)
+		stage_say(stage, "%s in %s runs %d tasks",
+			  stage->workers[i].id, stage->workers[i].zone,
+			  worker_running(&stage->workers[i], NULL));
+	if (stage->trouble) {
+		int64_t fence =
+			site_store_get(stage->store, "chivebank/leader")
+				->revision;
+
+		stage_say(stage, "trouble: data centre %s is cut off, with "
+				 "%s and its workers",
+			  stage->hosts[first].zone, stage->hosts[first].name);
+		site_store_fault(stage->store, stage->hosts[first].door,
+				 SITE_SILENT, 0, 0);
+		for (i = 0; i < stage->nhosts; i++)
+			link_set(stage->hosts[i].link,
+				 i == first ? LINK_CUT : LINK_NO_STORE);
+		for (i = 0; i < stage->nworkers; i++) {
+			worker = &stage->workers[i];
+			/* The leader of before the cut reaches only workers in
+			 * its data centre, later ones only the others. */
+			if (strcmp(worker->zone, stage->hosts[first].zone)) {
+				worker->fence_below = fence + 1;
+				continue;
+			}
+			worker->silent_store = true;
+			worker->fence_above = fence;
+		}
+		second = stage_wait_leader(stage, 8000, first);
+		if (second < 0)
+			stage_abort(stage, "no other host was elected");
+	} else {
+		second = (first + 1) % stage->nhosts;
+	}
+	stage_run_ms(stage, 400);
+	stage_say(stage, "plan: SIGTERM for %s", stage->hosts[second].name);
+	sr_proc_signal(stage->hosts[second].proc, SIGTERM);
+	stage_run_ms(stage, 14000);
+	if (stage->trouble) {
+		stage_say(stage, "trouble ends");
+		site_store_fault(stage->store, stage->hosts[first].door,
+				 SITE_WELL, 0, 0);
+		for (i = 0; i < stage->nhosts; i++)
+			link_set(stage->hosts[i].link, LINK_OPEN);
+		for (i = 0; i < stage->nworkers; i++) {
+			stage->workers[i].silent_store = false;
+			stage->workers[i].fence_above = 0;
+			stage->workers[i].fence_below = 0;
+		}
+	}
+	stage_run_ms(stage, 10000);
+}
+
+/* A schedule whose occurrences of two weeks are due when it is handed in. */
+static void long_schedule(struct stage *stage)
+{
+	GString *body = g_string_new(NULL);
+	int64_t now_ms = kn_wall_us() / USEC_PER_MSEC;
+	char state[200];
+	int i, started = 0;
+
+	stage_init(stage, 3, 6, 128000);
+	stage_start(stage);
+	g_string_append(body, "{\"spec\":\"ms=500\",\"steps\":[");
+	for (i = 0; i < 8; i++) {
+		g_string_append_printf(body,
+				       "%s{\"count\":1,\"cpu\":1000,"
+				       "\"mem_mb\":256,\"est_ms\":500",
+				       i ? "," : "");
+		if (i)
+			g_string_append_printf(body, ",\"after\":[%d]", i - 1);
+		g_string_append_c(body, '}');
+	}
+	g_string_append_printf(
+		body,
+		"],\"times\":20000,\"first_ms\":%lld,\"interval_ms\":60000}",
+		(long long)(now_ms -
+			    (stage->trouble ? 20000 * 60000LL : 30000LL)));
+	stage_submit(stage, 0, "5c0e7a21d94b3600",
+		     "{\"spec\":\"ms=500\",\"steps\":[{\"count\":2,"
+		     "\"cpu\":1000,\"mem_mb\":256,\"est_ms\":500}]}");
+	stage_run_ms(stage, 2000);
+	stage_state(stage, 0, "5c0e7a21d94b3600", state, sizeof(state));
+	stage_submit(stage, 0, "5c0e7a21d94b36f8", body->str);
+	stage_run_ms(stage, 3000);
+	stage_submit(stage, 1, "5c0e7a21d94b3601",
+		     "{\"spec\":\"ms=500\",\"steps\":[{\"count\":2,"
+		     "\"cpu\":1000,\"mem_mb\":256,\"est_ms\":500}]}");
+	for (i = 0; i < 20; i++) {
+		stage_run_ms(stage, 1000);
+		stage_state(stage, i % 3, "5c0e7a21d94b3601", state,
+			    sizeof(state));
+		started |= strstr(state, "done") != NULL;
+	}
+	for (i = 0; i < stage->nworkers; i++)
+		stage_say(stage, "%s runs %d tasks", stage->workers[i].id,
+			  worker_running(&stage->workers[i], NULL));
+	if (!started)
+		stage_broken(stage, "LOST",
+			     "an accepted job has nothing running for 20 s, "
+			     "with the workers' room free");
+	g_string_free(body, TRUE);
+}
+
+/*
+ * Jobs queue up behind full workers while answers of the store are lost and
+ * the writes are carried out late; more come just after.
+ */
+static void late_count(struct stage *stage)
+{
+	static const char job[] =
+		"{\"spec\":\"ms=1000\",\"steps\":[{\"count\":1,"
+		"\"cpu\":8000,\"mem_mb\":1024,\"gpu\":1,"
+		"\"est_ms\":1000}]}";
+	char state[200];
+	int i, host, told;
+
+	stage_init(stage, 3, 6, 16000);
+	stage_start(stage);
+	stage_submit(stage, 0, "5c0e7a21d94b3600",
+		     "{\"spec\":\"ms=90000\",\"steps\":[{\"count\":12,"
+		     "\"cpu\":8000,\"mem_mb\":1024,\"gpu\":1,"
+		     "\"est_ms\":90000}]}");
+	stage_run_ms(stage, 2000);
+	if (stage->trouble) {
+		stage_say(stage, "trouble: a share .35 of the store's writes "
+				 "is not answered and done 1 to 6 s later");
+		stage->late_percent = 35;
+	}
+	for (i = 0; i < 8; i++) {
+		stage_submit_many(stage, 1 + i, 1, job);
+		stage_run_ms(stage, 480);
+	}
+	if (stage->trouble) {
+		stage_say(stage, "trouble ends");
+		stage->late_percent = 0;
+	}
+	stage_submit_many(stage, 9, 12, job);
+	/* The last late writes and contact_ms; longer than visible_ms + 2 s. */
+	stage_run_ms(stage, 10000);
+	for (i = 0; i < 3; i++) {
+		for (host = 0; host < stage->nhosts; host++) {
+			stage_state(stage, host, "", state, sizeof(state));
+			told = strstr(state, "waiting\":") ?
+				       atoi(strstr(state, "waiting\":") + 9) :
+				       -1;
+			if (told >= 0 && told < 10)
+				stage_broken(stage, "MIXED",
+					     "%s says that %d jobs wait, while "
+					     "20 accepted ones have not begun",
+					     stage->hosts[host].name, told);
+		}
+		stage_run_ms(stage, 1000);
+	}
+}
+
+int main(int argc, char **argv)
+{
+	static const struct {
+		const char *name;
+		void (*run)(struct stage *stage);
+	} cases[] = {
+		{ "many-ends", many_ends },
+		{ "drain-refused", drain_refused },
+		{ "zone-cut", zone_cut },
+		{ "late-count", late_count },
+		{ "long-schedule", long_schedule },
+	};
+	static struct stage stage;
+	size_t i;
+
+	for (i = 0; argc > 1 && i < G_N_ELEMENTS(cases); i++) {
+		if (strcmp(cases[i].name, argv[1]) != 0)
+			continue;
+		cases[i].run(&stage);
+		return stage_end(&stage);
+	}
+	return 2;
+}
