--- a/review/cases.c
+++ b/review/cases.c
@@ -7,6 +7,72 @@
 #include "review/stage.h"
 #include "tests/standins/sr_proc.h"
 
+#define ONE_TASK(ms, extra)                                             \
+	"{\"spec\":\"ms=" ms "\",\"steps\":[{\"count\":1,\"cpu\":8000," \
+	"\"mem_mb\":1024,\"gpu\":1,\"est_ms\":" ms extra "}]}"
+
+/*
+ * The workers of one kind, a third of all, are cut off once from the entry
+ * hosts while they have tasks. Jobs that need this kind come afterwards.
+ */
+static void workers_cut(struct stage *stage)
+{
+	static const char job[] = ONE_TASK("2000", ",\"required_label\":\"b\"");
+	struct stage_worker *worker;
+	bool began = false;
+	char state[200];
+	int i, step;
+
+	stage_init(stage, 3, 12, 16000);
+	for (i = 0; i < 4; i++)
+		g_strlcpy(stage->workers[i].kind, "b",
+			  sizeof(stage->workers[i].kind));
+	stage_start(stage);
+	stage_submit(stage, 0, "5c0e7a21d94b3600",
+		     "{\"spec\":\"ms=6000\",\"steps\":[{\"count\":8,"
+		     "\"cpu\":8000,\"mem_mb\":1024,\"gpu\":1,"
+		     "\"est_ms\":6000,\"required_label\":\"b\"}]}");
+	stage_run_ms(stage, 3000);
+	if (stage->trouble)
+		stage_say(stage, "trouble: 4 of 12 workers are cut off from "
+				 "all entry hosts for 11.5 s");
+	for (i = 0; i < 4; i++) {
+		worker = &stage->workers[i];
+		worker->cut = stage->trouble;
+		if (stage->trouble)
+			link_set(worker->link, LINK_CUT);
+	}
+	stage_run_ms(stage, 11500);
+	if (stage->trouble)
+		stage_say(stage, "trouble ends");
+	for (i = 0; i < 4; i++) {
+		stage->workers[i].cut = false;
+		if (stage->trouble)
+			link_set(stage->workers[i].link, LINK_OPEN);
+	}
+	stage_run_ms(stage, 4000);
+	stage_submit(stage, 1, "5c0e7a21d94b3601", job);
+	/* finish_s and 3 s more */
+	for (step = 0; step < 170; step++) {
+		stage_run_ms(stage, 100);
+		for (i = 0; i < stage->nworkers; i++)
+			if (worker_running(&stage->workers[i],
+					   "5c0e7a21d94b3601"))
+				began = true;
+	}
+	stage_state(stage, 2, "5c0e7a21d94b3600", state, sizeof(state));
+	stage_state(stage, 2, "5c0e7a21d94b3601", state, sizeof(state));
+	for (i = 0; i < stage->nworkers; i++)
+		stage_say(stage, "%s kind %s runs %d tasks",
+			  stage->workers[i].id, stage->workers[i].kind,
+			  worker_running(&stage->workers[i], NULL));
+	if (!began && !strstr(state, "done"))
+		stage_broken(
+			stage, "LOST",
+			"an accepted job has had nothing running for 17 s, "
+			"with four idle workers that may run it");
+}
+
 /*
  * One worker ends more tasks than it lists at a time while the store is down.
  */
@@ -93,6 +159,8 @@
 	stage_run_ms(stage, 20000);
 }
 
+#define ZONE_CUT_MS 11900
+
 /*
  * The leader's data centre is cut off with workers in it; the host that takes
  * over is stopped as planned, and a third one follows.
@@ -100,6 +168,7 @@
 static void zone_cut(struct stage *stage)
 {
 	struct stage_worker *worker;
+	int64_t cut_us = 0;
 	int i, first, second;
 
 	stage_init(stage, 3, 12, 16000);
@@ -111,16 +180,19 @@
 	stage_run_ms(stage, 3000);
 	first = stage_leader(stage);
 	for (i = 0; i < stage->nworkers; i++)
-		stage_say(stage, "%s in %s runs %d tasks",
-			  stage->workers[i].id, stage->workers[i].zone,
+		stage_say(stage, "%s in %s runs %d tasks", stage->workers[i].id,
+			  stage->workers[i].zone,
 			  worker_running(&stage->workers[i], NULL));
 	if (stage->trouble) {
-		int64_t fence =
-			site_store_get(stage->store, "chivebank/leader")
+		int64_t fence;
+
+		cut_us = kn_now_us();
+		fence = site_store_get(stage->store, "chivebank/leader")
 				->revision;
 
-		stage_say(stage, "trouble: data centre %s is cut off, with "
-				 "%s and its workers",
+		stage_say(stage,
+			  "trouble: data centre %s is cut off, with "
+			  "%s and its workers",
 			  stage->hosts[first].zone, stage->hosts[first].name);
 		site_store_fault(stage->store, stage->hosts[first].door,
 				 SITE_SILENT, 0, 0);
@@ -144,10 +216,14 @@
 	} else {
 		second = (first + 1) % stage->nhosts;
 	}
-	stage_run_ms(stage, 400);
+	stage_run_ms(stage, 150);
 	stage_say(stage, "plan: SIGTERM for %s", stage->hosts[second].name);
 	sr_proc_signal(stage->hosts[second].proc, SIGTERM);
-	stage_run_ms(stage, 14000);
+	if (stage->trouble)
+		stage_run_ms(stage,
+			     ZONE_CUT_MS - (kn_now_us() - cut_us) / 1000);
+	else
+		stage_run_ms(stage, 8000);
 	if (stage->trouble) {
 		stage_say(stage, "trouble ends");
 		site_store_fault(stage->store, stage->hosts[first].door,
@@ -272,6 +348,7 @@
 		const char *name;
 		void (*run)(struct stage *stage);
 	} cases[] = {
+		{ "workers-cut", workers_cut },
 		{ "many-ends", many_ends },
 		{ "drain-refused", drain_refused },
 		{ "zone-cut", zone_cut },
--- a/review/link.c
+++ b/review/link.c
@@ -173,15 +173,17 @@
 			for (s = 0; s < 2; s++)
 				fds[n++] = (struct pollfd){
 					.fd = pair->fds[s],
-					.events = pair->cut ?
-							  0 :
-							  (pair->count[s] <
-								   BUFFER_BYTES ?
-								   POLLIN :
-								   0) |
-								  (pair->count[1 - s] ?
-									   POLLOUT :
-									   0)
+					.events =
+						pair->cut ?
+							0 :
+							(pair->count[s] <
+									 BUFFER_BYTES ?
+								 POLLIN :
+								 0) |
+								(pair->count[1 -
+									     s] ?
+									 POLLOUT :
+									 0)
 				};
 		}
 		pthread_mutex_unlock(&lock);
--- a/review/stage.c
+++ b/review/stage.c
@@ -16,6 +16,7 @@
 #include "tests/standins/sr_proc.h"
 
 #define TICK_US 5000
+#define RESTART_US 500000 /* the platform's delay */
 
 double stage_now_s(const struct stage *stage)
 {
@@ -158,9 +159,9 @@
 	json_array_foreach(json_object_get(body, "writes"), i, row) {
 		const char *key =
 			json_string_value(json_object_get(row, "key"));
-		size_t bytes = json_string_length(
-				       json_object_get(row, "value")) /
-			       4 * 3;
+		size_t bytes =
+			json_string_length(json_object_get(row, "value")) / 4 *
+			3;
 
 		if (bytes <= STAGE_VALUE_BYTES)
 			continue;
@@ -255,6 +256,7 @@
 	server->body_max_bytes = 16 * 1024 * 1024;
 	store_ops = server->ops;
 	server->ops = &limited_store_ops;
+	host->proc = -1;
 	host->link = link_new(host->ctl_port);
 	hc_pool_init(&host->pool, &stage->kn, "127.0.0.1", host->front_port,
 		     64);
@@ -268,9 +270,15 @@
 	for (i = 0; i < stage->nhosts; i++) {
 		struct stage_host *host = &stage->hosts[i];
 
-		if (!host->runs || !sr_proc_ended(host->proc, &code))
+		if (!host->runs) {
+			if (host->proc >= 0 && kn_now_us() > host->restart_us)
+				stage_host_spawn(stage, host);
+			continue;
+		}
+		if (!sr_proc_ended(host->proc, &code))
 			continue;
 		host->runs = false;
+		host->restart_us = kn_now_us() + RESTART_US;
 		stage_say(stage, "%s: ended with %d", host->name, code);
 		if (code != 0 && code != -SIGKILL)
 			stage_broken(stage, "Fault",
@@ -323,8 +331,8 @@
 	stage->stop_ms = 400;
 	stage->nhosts = hosts;
 	stage->nworkers = workers;
-	stage->rand = seed ? g_rand_new_with_seed((guint32)atoi(seed)) :
-			     g_rand_new();
+	stage->rand =
+		seed ? g_rand_new_with_seed((guint32)atoi(seed)) : g_rand_new();
 	stage->past = g_ptr_array_new();
 	stage->by_task = g_hash_table_new(g_str_hash, g_str_equal);
 	if (!stage->dir || !sr_proc_init(stage->dir) ||
@@ -369,8 +377,8 @@
 	struct kn_timer timer = { 0 };
 
 	while (kn_now_us() < until_us && !(done && *done)) {
-		kn_timer_set(&stage->kn, &timer,
-			     MAX(until_us - kn_now_us(), 0), on_wake);
+		kn_timer_set(&stage->kn, &timer, MAX(until_us - kn_now_us(), 0),
+			     on_wake);
 		kn_turn(&stage->kn);
 		kn_timer_cancel(&timer);
 	}
@@ -398,8 +406,7 @@
 	int64_t until_us = kn_now_us() + timeout_ms * USEC_PER_MSEC;
 	int leader = stage_leader(stage);
 
-	while ((leader < 0 || leader == other_than) &&
-	       kn_now_us() < until_us) {
+	while ((leader < 0 || leader == other_than) && kn_now_us() < until_us) {
 		stage_run_ms(stage, 10);
 		leader = stage_leader(stage);
 	}
@@ -544,8 +551,8 @@
 		 size_t size)
 {
 	char reply[200];
-	int status = stage_call(stage, host, "GET", id, NULL, reply,
-				sizeof(reply));
+	int status =
+		stage_call(stage, host, "GET", id, NULL, reply, sizeof(reply));
 
 	stage_say(stage, "client: GET %s -> %d %s", id, status, reply);
 	snprintf(state, size, "%d %s", status, reply);
--- a/review/stage.h
+++ b/review/stage.h
@@ -65,11 +65,13 @@
 	int link; /* callers reach the worker through this relay */
 	int64_t room_cpu;
 	char id[16];
+	char kind[4];
 	char rack[16];
 	char zone[16];
 	bool up;
 	bool draining;
 	bool silent_store; /* its writes to the store do not arrive */
+	bool cut; /* no request is delivered */
 	/* A partition between hosts of different terms: requests with a fence
 	 * above or below these are not delivered. 0: all are. */
 	int64_t fence_above, fence_below;
@@ -98,6 +100,7 @@
 	int link; /* other hosts reach it through this relay */
 	int proc;
 	bool runs;
+	int64_t restart_us;
 	char settings[300];
 	struct hc_pool pool;
 };
--- a/review/worker.c
+++ b/review/worker.c
@@ -48,9 +48,10 @@
 		worker->zone, "version", "v1", "slots", 8, "state",
 		worker->draining ? "draining" : "ready", "cold_left_ms", 0,
 		"headroom", "cpu", (json_int_t)worker->room_cpu, "mem_mb",
-		(json_int_t)262144, "gpu", (json_int_t)8, "labels", "a",
-		worker->rack, "clock_ms", (json_int_t)worker_clock_ms(worker),
-		"born", (json_int_t)worker->born_ms);
+		(json_int_t)262144, "gpu", (json_int_t)8, "labels",
+		worker->kind, worker->rack, "clock_ms",
+		(json_int_t)worker_clock_ms(worker), "born",
+		(json_int_t)worker->born_ms);
 	if (worker->draining)
 		json_object_set_new(entry, "remaining_ms", json_integer(2500));
 	text = json_dumps(entry, JSON_COMPACT);
@@ -71,15 +72,17 @@
 		    3 * stage->beat_ms * USEC_PER_MSEC ||
 	    !site_store_get(stage->store, key))
 		return;
-	stage_say(stage, "store: entry of %s expired after three intervals of "
-			 "silence", worker->id);
+	stage_say(stage,
+		  "store: entry of %s expired after three intervals of "
+		  "silence",
+		  worker->id);
 	site_store_remove(stage->store, key);
 }
 
 /* Runs and their ends. */
 
-static struct stage_run *find_run(struct stage_worker *worker,
-				  const char *task, int64_t number)
+static struct stage_run *find_run(struct stage_worker *worker, const char *task,
+				  int64_t number)
 {
 	struct stage_run *run;
 
@@ -268,23 +271,22 @@
 
 	list_for_each_entry(run, &worker->runs, node)
 		json_array_append_new(
-			running,
-			json_pack("[s,I,s,I,I]", run->task,
-				  (json_int_t)run->run, "",
-				  (json_int_t)MIN((kn_now_us() -
-						   run->begun_us) /
-							  10 / run->ms,
-						  99),
-				  (json_int_t)1));
+			running, json_pack("[s,I,s,I,I]", run->task,
+					   (json_int_t)run->run, "",
+					   (json_int_t)MIN((kn_now_us() -
+							    run->begun_us) /
+								   10 / run->ms,
+							   99),
+					   (json_int_t)1));
 	for (i = 0; i < worker->ends->len && i < STAGE_ENDS_LISTED; i++) {
 		const struct stage_end *end =
 			g_ptr_array_index(worker->ends, i);
 
 		json_array_append_new(
-			ended, json_pack("[I,s,I,s,s]", (json_int_t)end->number,
-					 end->past->task,
-					 (json_int_t)end->past->run,
-					 end->past->how, ""));
+			ended,
+			json_pack("[I,s,I,s,s]", (json_int_t)end->number,
+				  end->past->task, (json_int_t)end->past->run,
+				  end->past->how, ""));
 	}
 	return json_pack("{s:I,s:I,s:o,s:o}", "clock_ms",
 			 (json_int_t)worker_clock_ms(worker), "born",
@@ -358,8 +360,9 @@
 	json_t *body = json_loadb((char *)req->body, req->body_len, 0, NULL);
 	const char *meant = hs_header(req, "Chivebank-Expect-Instance");
 
-	if (!worker->up || !body ||
-	    (worker->fence_above && int_of(body, "fence") > worker->fence_above) ||
+	if (!worker->up || worker->cut || !body ||
+	    (worker->fence_above &&
+	     int_of(body, "fence") > worker->fence_above) ||
 	    int_of(body, "fence") < worker->fence_below) {
 		json_decref(body);
 		return; /* not delivered */
@@ -413,8 +416,7 @@
 			end_run(worker, run, "lapsed");
 		else if (run->stop_us && kn_now_us() >= run->stop_us)
 			end_run(worker, run, "stopped");
-		else if (kn_now_us() - run->begun_us >=
-			 run->ms * USEC_PER_MSEC)
+		else if (kn_now_us() - run->begun_us >= run->ms * USEC_PER_MSEC)
 			end_run(worker, run, "done");
 	}
 	answer_holds(worker);
@@ -455,8 +457,7 @@
 	worker->lapsed = false;
 	worker->next_end = 0;
 	worker->clock_us = kn_now_us();
-	worker->born_ms =
-		kn_wall_us() / USEC_PER_MSEC + worker->wall_skew_ms;
+	worker->born_ms = kn_wall_us() / USEC_PER_MSEC + worker->wall_skew_ms;
 	worker->draining = false;
 	worker->up = true;
 	link_set(worker->link, LINK_OPEN);
@@ -477,6 +478,7 @@
 	worker->highest =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	snprintf(worker->id, sizeof(worker->id), "i-%08x", 0x5a00 + index);
+	g_strlcpy(worker->kind, "a", sizeof(worker->kind));
 	snprintf(worker->rack, sizeof(worker->rack), "r%d-1",
 		 1 + index % stage->nhosts);
 	snprintf(worker->zone, sizeof(worker->zone), "z%d",
@@ -519,16 +521,16 @@
 
 			if (later->begun_us <= past->ended_us)
 				continue;
-			stage_broken(stage, "TWICE",
-				     "%s run %lld began on %s %.3f s after run "
-				     "%lld had ended done on %s, and that end "
-				     "was taken note of",
-				     past->task, (long long)later->run,
-				     later->worker,
-				     (double)(later->begun_us -
-					      past->ended_us) /
-					     1e6,
-				     (long long)past->run, past->worker);
+			stage_broken(
+				stage, "TWICE",
+				"%s run %lld began on %s %.3f s after run "
+				"%lld had ended done on %s, and that end "
+				"was taken note of",
+				past->task, (long long)later->run,
+				later->worker,
+				(double)(later->begun_us - past->ended_us) /
+					1e6,
+				(long long)past->run, past->worker);
 		}
 	}
 }
