--- a/review/4/run.sh
+++ b/review/4/run.sh
@@ -5,7 +5,7 @@
 [ -x target/chivebankd ] && [ -x build/review-stage ] || exit 2
 folder=$(mktemp -d) || exit 2
 trap 'rm -rf "$folder"' EXIT
-STAGE_DIR=$folder timeout -k 2 115 build/review-stage long-schedule \
+STAGE_DIR=$folder timeout -k 2 115 build/review-stage drain-refused \
 	>review/4/record.txt 2>&1
 status=$?
 [ $status -le 1 ] || exit 2
--- a/review/cases.c
+++ b/review/cases.c
@@ -290,6 +290,8 @@
 	g_string_free(body, TRUE);
 }
 
+#define LOST_MS 4500
+
 /*
  * Jobs queue up behind full workers while answers of the store are lost and
  * the writes are carried out late; more come just after.
@@ -314,15 +316,15 @@
 		stage_say(stage, "trouble: a share .35 of the store's writes "
 				 "is not answered and done 1 to 6 s later");
 		stage->late_percent = 35;
+		stage->late_until_us = kn_now_us() + LOST_MS * USEC_PER_MSEC;
 	}
 	for (i = 0; i < 8; i++) {
 		stage_submit_many(stage, 1 + i, 1, job);
-		stage_run_ms(stage, 480);
-	}
-	if (stage->trouble) {
-		stage_say(stage, "trouble ends");
-		stage->late_percent = 0;
+		stage_run_ms(stage, 460);
 	}
+	while (stage->trouble && kn_now_us() < stage->late_until_us)
+		stage_run_ms(stage, 10);
+	stage_say(stage, "trouble ends");
 	stage_submit_many(stage, 9, 12, job);
 	/* The last late writes and contact_ms; longer than visible_ms + 2 s. */
 	stage_run_ms(stage, 10000);
@@ -342,6 +344,38 @@
 	}
 }
 
+/*
+ * A worker starts while its time of day is 2 s ahead, and again under its id
+ * after the time was set back.
+ */
+static void earlier_born(struct stage *stage)
+{
+	static const char job[] =
+		"{\"spec\":\"ms=300\",\"steps\":[{\"count\":4,\"cpu\":4000,"
+		"\"mem_mb\":256,\"gpu\":1,\"est_ms\":300,"
+		"\"required_label\":\"b\"}]}";
+	struct stage_worker *worker;
+
+	stage_init(stage, 3, 4, 16000);
+	worker = &stage->workers[0];
+	g_strlcpy(worker->kind, "b", sizeof(worker->kind));
+	stage_start(stage);
+	worker_crash(worker);
+	stage_run_ms(stage, 300);
+	worker->wall_skew_ms = stage->trouble ? 2000 : 0;
+	worker_restart(worker);
+	stage_run_ms(stage, 100);
+	stage_submit(stage, 0, "5c0e7a21d94b3600", job);
+	stage_run_ms(stage, 900);
+	worker->wall_skew_ms = 0;
+	worker_crash(worker);
+	stage_run_ms(stage, 200);
+	worker_restart(worker);
+	stage_run_ms(stage, 1500);
+	stage_submit(stage, 0, "5c0e7a21d94b3601", job);
+	stage_run_ms(stage, 8000);
+}
+
 int main(int argc, char **argv)
 {
 	static const struct {
@@ -353,6 +387,7 @@
 		{ "drain-refused", drain_refused },
 		{ "zone-cut", zone_cut },
 		{ "late-count", late_count },
+		{ "earlier-born", earlier_born },
 		{ "long-schedule", long_schedule },
 	};
 	static struct stage stage;
--- a/review/stage.c
+++ b/review/stage.c
@@ -204,7 +204,8 @@
 	struct late_write *late;
 	int64_t delay_ms;
 
-	if (g_rand_int_range(stage->rand, 0, 100) >= stage->late_percent)
+	if (kn_now_us() > stage->late_until_us ||
+	    g_rand_int_range(stage->rand, 0, 100) >= stage->late_percent)
 		return false;
 	delay_ms = g_rand_int_range(stage->rand, 1000, 6000);
 	late = g_new0(struct late_write, 1);
--- a/review/stage.h
+++ b/review/stage.h
@@ -118,6 +118,7 @@
 	bool trouble;
 	bool store_down;
 	int late_percent; /* of the writes: not answered, and done later */
+	int64_t late_until_us;
 	GRand *rand;
 	int violations;
 	int64_t begun_us;
