--- a/review/cases.c
+++ b/review/cases.c
@@ -313,9 +313,9 @@
 		     "\"est_ms\":90000}]}");
 	stage_run_ms(stage, 2000);
 	if (stage->trouble) {
-		stage_say(stage, "trouble: a share .35 of the store's writes "
+		stage_say(stage, "trouble: a share .3 of the store's writes "
 				 "is not answered and done 1 to 6 s later");
-		stage->late_percent = 35;
+		stage->late_percent = 30;
 		stage->late_until_us = kn_now_us() + LOST_MS * USEC_PER_MSEC;
 	}
 	for (i = 0; i < 8; i++) {
