--- a/control/orders.c
+++ b/control/orders.c
@@ -19,6 +19,7 @@
 	int64_t run;
 	int64_t sent_us;
 	int64_t wait_ms;
+	int64_t acked_end; /* ORDER_HOLD */
 	bool immediate; /* a hold without a wait, beside the one that waits */
 	int percent; /* ORDER_PACE */
 };
@@ -304,6 +305,7 @@
 			(uint64_t)MAX(0, (now_us - pending->sent_us) / 1000 -
 						 pending->wait_ms));
 	worker->next_hold_us = now_us;
+	worker->acked = MAX(worker->acked, pending->acked_end);
 	fleet_handle_hold(orders->fleet, worker, &pending->call.report,
 			  pending->sent_us, now_us,
 			  kn_wall_us() / USEC_PER_MSEC);
@@ -471,7 +473,7 @@
 	else
 		worker->holding = true;
 	worker->hold_sent_us = now_us;
-	worker->acked = order.acked_end;
+	pending->acked_end = order.acked_end;
 	send_order(orders, pending, worker, &order, now_us);
 }
 
@@ -549,6 +551,18 @@
 	return false;
 }
 
+/*
+ * Whether a worker must be called: it has tasks, or ends to be acknowledged, or
+ * its latest call had no answer. Only an answer makes a worker usable again, so
+ * an idle one that has become unreachable is called until it answers.
+ */
+static bool needs_hold(const struct worker *worker)
+{
+	return worker->task_count > 0 || worker->acked < worker->end_seen ||
+	       (worker->unanswered_calls > 0 && worker->listed &&
+		!worker->replaced);
+}
+
 static void process_worker(struct orders *orders, struct worker *worker,
 			   int64_t now_us, int64_t *next_us)
 {
@@ -562,7 +576,7 @@
 		if (!orders->hold_only)
 			process_task(orders, task, now_us, next_us);
 	acked_end = fleet_ends_stored(fleet, worker);
-	if (worker->task_count == 0 && worker->acked >= worker->end_seen)
+	if (!needs_hold(worker))
 		return;
 	/* While the ends that the worker lists are not stored yet, it would
 	 * answer a hold immediately with the same ends. */
--- a/fleet/worker.h
+++ b/fleet/worker.h
@@ -63,7 +63,8 @@
 	bool holding; /* a hold call that waits for an end is pending */
 	bool poll_pending; /* a hold call that does not wait is pending */
 	int64_t hold_sent_us; /* when the latest hold call was sent */
-	int64_t acked; /* highest end number acknowledged to the worker */
+	/* Highest end number of which the acknowledgement was answered. */
+	int64_t acked;
 	int64_t end_seen; /* highest end number processed */
 	int64_t last_end_stored; /* highest end number whose effect is stored */
 	GArray *ends; /* struct worker_end, by number */
--- a/tests/unit/test_host.c
+++ b/tests/unit/test_host.c
@@ -796,6 +796,56 @@
 }
 END_TEST
 
+static void fault_all_workers(enum site_worker_fault fault)
+{
+	struct site_worker *worker;
+
+	list_for_each_entry(worker, &rig.fleet->workers, node)
+		worker->fault = fault;
+}
+
+/*
+ * Guards against a worker that stays unused for good: it is cut off for longer
+ * than its lease, which releases its tasks, and is reachable again.
+ */
+START_TEST(regained_worker_is_used_again)
+{
+	rig_start(&rig, 2, 1, 1);
+	ck_assert_int_eq(rig_submit(&rig, 0, JOB_A, 4, "ms=2500", NULL), 200);
+	rig_run_ms(&rig, 500);
+	ck_assert_int_eq(site_fleet_running(rig.fleet), 4);
+	fault_all_workers(SITE_WORKER_SILENT);
+	rig_run_ms(&rig, 8000);
+	ck_assert_int_eq(site_fleet_running(rig.fleet), 0);
+	fault_all_workers(SITE_WORKER_WELL);
+	ck_assert(rig_wait(&rig, 0, JOB_A, "done", 6000));
+	check_invariants();
+	rig_stop(&rig);
+}
+END_TEST
+
+/*
+ * Guards against a worker that stays unused because the acknowledgement of the
+ * last end there, after which it is idle, got no answer.
+ */
+START_TEST(worker_is_used_after_a_lost_acknowledgement)
+{
+	int i;
+
+	rig_start(&rig, 1, 1, 1);
+	ck_assert_int_eq(rig_submit(&rig, 0, JOB_A, 1, "ms=200", NULL), 200);
+	for (i = 0; i < 2000 && rig.fleet->dones == 0; i++)
+		rig_run_ms(&rig, 1);
+	fault_all_workers(SITE_WORKER_MUTE);
+	rig_run_ms(&rig, 2500);
+	fault_all_workers(SITE_WORKER_WELL);
+	ck_assert_int_eq(rig_submit(&rig, 0, JOB_B, 1, "ms=50", NULL), 200);
+	ck_assert(rig_wait(&rig, 0, JOB_B, "done", 4000));
+	check_invariants();
+	rig_stop(&rig);
+}
+END_TEST
+
 /*
  * The hold reports of a worker are malformed for a while. Its tasks go on, and
  * none is taken for ended and started elsewhere.
@@ -936,6 +986,8 @@
 	tcase_add_loop_test(tc, orders_are_delayed, 0, 3);
 	tcase_add_test(tc,
 		       silent_worker_keeps_its_tasks_until_the_lease_is_over);
+	tcase_add_test(tc, regained_worker_is_used_again);
+	tcase_add_test(tc, worker_is_used_after_a_lost_acknowledgement);
 	tcase_add_test(tc, malformed_reports_end_no_task);
 	tcase_add_test(tc, idle_connections_to_workers_are_bounded);
 	tcase_add_test(tc, failing_worker_is_avoided);
