--- a/fleet/fleet_int.h
+++ b/fleet/fleet_int.h
@@ -6,8 +6,8 @@
 /*
  * Internal interface of the files that implement the fleet: fleet.c (jobs),
  * run.c (a run from its planning to its end), hold_report.c (hold reports of
- * workers), incarnation.c (incarnations of workers), durations.c (estimated
- * durations).
+ * workers), incarnation.c (incarnations of workers), proof.c (runs that are
+ * over without a reported end), durations.c (estimated durations).
  */
 
 void fleet_note(struct fleet *fleet, const char *event, const struct job *job,
@@ -28,6 +28,28 @@
  * holds resources.
  */
 void fleet_release(struct fleet *fleet, struct task *task);
+/*
+ * Why a run whose end was not reported is known to be over. Only these release
+ * it: a missing answer, registration or listener may also mean a partition
+ * behind which the run goes on.
+ */
+enum run_proof {
+	PROOF_NOT_REPORTED, /* its worker's report does not name it */
+	PROOF_PROCESS_ENDED, /* its worker's process has been replaced */
+	PROOF_LEASE_EXPIRED, /* since its latest possible extension */
+	PROOF_COUNT
+};
+bool proof_lease_expired(const struct worker *worker, int64_t now_us);
+/*
+ * Whether a run that a hold report names neither as running nor as ended is
+ * over; sent_us is when the hold call was sent.
+ */
+bool proof_not_reported(const struct task *task, int64_t sent_us);
+/* Releases a run that is over, logs the proof and stops the run's gang. */
+void fleet_run_lost(struct fleet *fleet, struct task *task,
+		    enum run_proof proof);
+void fleet_worker_runs_lost(struct fleet *fleet, struct worker *worker,
+			    enum run_proof proof);
 /* Handles a reported end of the task's current run. */
 void fleet_run_ended(struct fleet *fleet, struct task *task, enum run_end how,
 		     int64_t now_us, int64_t wall_ms);
--- a/fleet/hold_report.c
+++ b/fleet/hold_report.c
@@ -64,30 +64,6 @@
 	}
 }
 
-/*
- * Whether a run that a hold report names neither as running nor as ended can
- * be taken as ended. That needs the hold call to have been sent after the
- * latest order for the run was answered. An adopted run is always taken as
- * ended, because the call's fence token makes the worker refuse all orders of
- * earlier leaders.
- */
-static bool run_is_gone(const struct task *task, int64_t sent_us)
-{
-	if (task->phase == TASK_PLANNED || task->calling)
-		return false;
-	if (task->phase == TASK_STARTING && task->unconfirmed &&
-	    task->tries == 0)
-		return true;
-	if (task->phase == TASK_DONE && task->answered_us == 0)
-		return true;
-	return task->answered_us != 0 && task->answered_us < sent_us;
-}
-
-struct run_key {
-	const char *task;
-	int64_t run;
-};
-
 void fleet_handle_hold(struct fleet *fleet, struct worker *worker,
 		       const struct hold_report *report, int64_t sent_us,
 		       int64_t now_us, int64_t wall_ms)
@@ -109,14 +85,9 @@
 	}
 	list_for_each_entry_safe(task, next, &worker->tasks, on_worker) {
 		if (g_hash_table_contains(listed, task) ||
-		    !run_is_gone(task, sent_us))
+		    !proof_not_reported(task, sent_us))
 			continue;
-		fleet_note(fleet, "task.gone", task->stage->job, task,
-			   "missing in its worker's report");
-		fleet_release(fleet, task);
-		if (task->phase != TASK_DONE)
-			fleet_break_gang(fleet, task,
-					 "a member is no longer running");
+		fleet_run_lost(fleet, task, PROOF_NOT_REPORTED);
 		/* Stopping the gang may have changed the list: start over. */
 		next = list_first_entry(&worker->tasks, struct task, on_worker);
 	}
--- a/fleet/incarnation.c
+++ b/fleet/incarnation.c
@@ -4,23 +4,9 @@
 
 #include "fleet/limits.h"
 
-static void release_worker_tasks(struct fleet *fleet, struct worker *worker,
-				 const char *why)
-{
-	while (!list_empty(&worker->tasks)) {
-		struct task *task = list_first_entry(&worker->tasks,
-						     struct task, on_worker);
-
-		fleet_note(fleet, "task.lost", task->stage->job, task, why);
-		fleet_release(fleet, task);
-		if (task->phase != TASK_DONE)
-			fleet_break_gang(fleet, task, why);
-	}
-}
-
 void fleet_worker_ended(struct fleet *fleet, struct worker *worker)
 {
-	release_worker_tasks(fleet, worker, "its worker process has ended");
+	fleet_worker_runs_lost(fleet, worker, PROOF_PROCESS_ENDED);
 	worker->replaced = true;
 	worker->listed = false;
 }
@@ -133,21 +119,13 @@
 	struct worker *worker, *next;
 
 	list_for_each_entry_safe(worker, next, &fleet->workers, node) {
-		int64_t end_us =
-			MAX(worker->lease_end_us, worker->adopted_lease_end_us);
-
 		report_unreachable(fleet, worker, now_us);
-		if (worker->task_count > 0 && end_us > 0 &&
-		    now_us > end_us + LEASE_SLACK_MS * 1000 &&
-		    !worker_reachable(worker, now_us)) {
+		if (worker->task_count > 0 &&
+		    proof_lease_expired(worker, now_us)) {
 			fleet->lapsed++;
-			release_worker_tasks(fleet, worker, "lease is over");
+			fleet_worker_runs_lost(fleet, worker,
+					       PROOF_LEASE_EXPIRED);
 		}
-		if (worker->task_count > 0 && !worker->listed &&
-		    worker->reported.draining &&
-		    worker->refusals >= DEPARTED_REFUSALS)
-			release_worker_tasks(fleet, worker,
-					     "its worker has shut down");
 		if (worker->task_count == 0 && !worker->listed &&
 		    (worker->replaced ||
 		     now_us - worker->unlisted_us > UNLISTED_GRACE_MS * 1000))
--- a/fleet/limits.h
+++ b/fleet/limits.h
@@ -35,9 +35,6 @@
 #define UNANSWERED_CALLS_MAX 2
 /* Added to the computed end of a lease for the timer resolution. */
 #define LEASE_SLACK_MS 150
-/* A draining worker that is no longer registered counts as gone after so many
- * refused connections in a row. */
-#define DEPARTED_REFUSALS 2
 /* A worker that is no longer registered gets no tasks, and is dropped after
  * this time, which is one heartbeat of the workers. */
 #define UNLISTED_GRACE_MS 2000
--- /dev/null
+++ b/fleet/proof.c
@@ -0,0 +1,60 @@
+#include "fleet/fleet_int.h"
+
+#include "fleet/limits.h"
+
+static const char *const proof_names[PROOF_COUNT] = {
+	"missing in its worker's report",
+	"its worker process has ended",
+	"lease is over",
+};
+
+void fleet_run_lost(struct fleet *fleet, struct task *task,
+		    enum run_proof proof)
+{
+	fleet_note(fleet,
+		   proof == PROOF_NOT_REPORTED ? "task.gone" : "task.lost",
+		   task->stage->job, task, proof_names[proof]);
+	fleet_release(fleet, task);
+	if (task->phase != TASK_DONE)
+		fleet_break_gang(fleet, task, proof_names[proof]);
+}
+
+void fleet_worker_runs_lost(struct fleet *fleet, struct worker *worker,
+			    enum run_proof proof)
+{
+	while (!list_empty(&worker->tasks))
+		fleet_run_lost(fleet,
+			       list_first_entry(&worker->tasks, struct task,
+						on_worker),
+			       proof);
+}
+
+/*
+ * A worker that answers reports its runs, so its lease says nothing about
+ * them.
+ */
+bool proof_lease_expired(const struct worker *worker, int64_t now_us)
+{
+	int64_t end_us =
+		MAX(worker->lease_end_us, worker->adopted_lease_end_us);
+
+	return end_us > 0 && now_us > end_us + LEASE_SLACK_MS * 1000 &&
+	       !worker_reachable(worker, now_us);
+}
+
+/*
+ * The hold call must have been sent after the latest order for the run was
+ * answered. An adopted run that is missing is over in any case, because the
+ * call's fence token makes the worker refuse all orders of earlier leaders.
+ */
+bool proof_not_reported(const struct task *task, int64_t sent_us)
+{
+	if (task->phase == TASK_PLANNED || task->calling)
+		return false;
+	if (task->phase == TASK_STARTING && task->unconfirmed &&
+	    task->tries == 0)
+		return true;
+	if (task->phase == TASK_DONE && task->answered_us == 0)
+		return true;
+	return task->answered_us != 0 && task->answered_us < sent_us;
+}
--- a/tests/unit/test_fleet.c
+++ b/tests/unit/test_fleet.c
@@ -341,25 +341,26 @@
 END_TEST
 
 /*
- * The runs of a draining worker end when it is no longer registered and refuses
- * connections. Neither condition is enough alone.
+ * Guards against runs that are started elsewhere while they go on behind a
+ * partition: a draining worker that is no longer registered and refuses
+ * connections may still be at work until its lease has expired.
  */
-START_TEST(departed_worker_ends_its_runs)
+START_TEST(draining_worker_keeps_its_runs_until_its_lease_expires)
 {
 	struct worker *worker = make_worker(&fleet, "w1", "r1", 8, NOW);
 	struct job *job = running_job(1, false);
+	int64_t over_us;
 
 	worker_extend_lease(worker, 6000, NOW);
+	over_us = worker->lease_end_us + LEASE_SLACK_MS * 1000;
 	worker->reported.draining = true;
-	worker->refusals = 5;
-	fleet_expire(&fleet, NOW + SEC);
-	ck_assert_ptr_nonnull(first_occurrence_task(job, 0, 0)->worker);
-	worker->refusals = 0;
-	fleet_unlist(&fleet, "w1", NOW + SEC);
-	fleet_expire(&fleet, NOW + SEC);
+	worker->refusals = 20;
+	worker->unanswered_calls = 20;
+	worker->unanswered_since_us = NOW;
+	fleet_unlist(&fleet, "w1", NOW);
+	fleet_expire(&fleet, over_us);
 	ck_assert_ptr_nonnull(first_occurrence_task(job, 0, 0)->worker);
-	worker->refusals = DEPARTED_REFUSALS;
-	fleet_expire(&fleet, NOW + SEC);
+	fleet_expire(&fleet, over_us + 1);
 	ck_assert_ptr_null(first_occurrence_task(job, 0, 0)->worker);
 }
 END_TEST
@@ -507,7 +508,8 @@
 	tcase_add_test(tc, first_report_resolves_adopted_runs);
 	tcase_add_test(tc, unreachable_adopted_worker_expires);
 	tcase_add_test(tc, stopped_old_leader_shortens_the_wait);
-	tcase_add_test(tc, departed_worker_ends_its_runs);
+	tcase_add_test(tc,
+		       draining_worker_keeps_its_runs_until_its_lease_expires);
 	tcase_add_test(tc, cancelled_job_frees_resources_on_reported_ends);
 	tcase_add_test(tc, later_steps_wait_for_earlier_ones);
 	tcase_add_test(tc, occurrences_start_when_they_are_due);
