--- a/fleet/fleet.h
+++ b/fleet/fleet.h
@@ -53,12 +53,15 @@
 	char *checkpoint;
 };
 
-/* The answer to a hold call: what runs on the worker and what has ended. */
+/* The answer to a hold call: what runs on the worker, and the oldest ends that
+ * were not acknowledged. */
 struct hold_report {
 	struct run_report *running;
 	size_t nrunning;
 	struct end_report *ended;
 	size_t nended;
+	/* More ends may follow: the worker lists a limited number at a time. */
+	bool truncated;
 };
 
 /* Time limits of the platform's contract that scheduling must keep. */
--- a/fleet/fleet_int.h
+++ b/fleet/fleet_int.h
@@ -34,7 +34,7 @@
  * behind which the run goes on.
  */
 enum run_proof {
-	PROOF_NOT_REPORTED, /* its worker's report does not name it */
+	PROOF_NOT_REPORTED, /* its worker's whole report does not name it */
 	PROOF_PROCESS_ENDED, /* its worker's process has been replaced */
 	PROOF_LEASE_EXPIRED, /* since its latest possible extension */
 	PROOF_COUNT
@@ -44,7 +44,8 @@
  * Whether a run that a hold report names neither as running nor as ended is
  * over; sent_us is when the hold call was sent.
  */
-bool proof_not_reported(const struct task *task, int64_t sent_us);
+bool proof_not_reported(const struct task *task,
+			const struct hold_report *report, int64_t sent_us);
 /* Releases a run that is over, logs the proof and stops the run's gang. */
 void fleet_run_lost(struct fleet *fleet, struct task *task,
 		    enum run_proof proof);
--- a/fleet/hold_report.c
+++ b/fleet/hold_report.c
@@ -85,7 +85,7 @@
 	}
 	list_for_each_entry_safe(task, next, &worker->tasks, on_worker) {
 		if (g_hash_table_contains(listed, task) ||
-		    !proof_not_reported(task, sent_us))
+		    !proof_not_reported(task, report, sent_us))
 			continue;
 		fleet_run_lost(fleet, task, PROOF_NOT_REPORTED);
 		/* Stopping the gang may have changed the list: start over. */
--- a/fleet/proof.c
+++ b/fleet/proof.c
@@ -47,8 +47,12 @@
  * answered. An adopted run that is missing is over in any case, because the
  * call's fence token makes the worker refuse all orders of earlier leaders.
  */
-bool proof_not_reported(const struct task *task, int64_t sent_us)
+bool proof_not_reported(const struct task *task,
+			const struct hold_report *report, int64_t sent_us)
 {
+	/* Its end may be among those that the report has no place for. */
+	if (report->truncated)
+		return false;
 	if (task->phase == TASK_PLANNED || task->calling)
 		return false;
 	if (task->phase == TASK_STARTING && task->unconfirmed &&
--- a/tests/standins/site_orders.c
+++ b/tests/standins/site_orders.c
@@ -156,6 +156,8 @@
 	return NULL;
 }
 
+#define ENDS_PER_ANSWER 500
+
 static json_t *lists(struct site_worker *worker)
 {
 	json_t *running = json_array();
@@ -176,7 +178,7 @@
 				(json_int_t)(run->lasting ?
 						     site_serving_tail(run) :
 						     1)));
-	for (i = 0; i < worker->ends->len; i++) {
+	for (i = 0; i < worker->ends->len && i < ENDS_PER_ANSWER; i++) {
 		const struct site_end *end = g_ptr_array_index(worker->ends, i);
 
 		json_array_append_new(
--- a/tests/unit/test_decode.c
+++ b/tests/unit/test_decode.c
@@ -249,12 +249,43 @@
 }
 END_TEST
 
+/* A worker lists 500 ends at a time: an answer with as many may leave some
+ * out. */
+START_TEST(full_list_of_ends_is_truncated)
+{
+	GString *text = g_string_new("{\"running\":[],\"ended\":[");
+	struct hold_report report;
+	json_t *reply, *ended;
+	int i;
+
+	for (i = 1; i <= 500; i++)
+		g_string_append_printf(text,
+				       "%s[%d,\"a.0.0.%d\",1,\"done\",\"\"]",
+				       i > 1 ? "," : "", i, i);
+	g_string_append(text, "]}");
+	reply = json_loads(text->str, 0, NULL);
+	ended = json_object_get(reply, "ended");
+	ck_assert(platform_hold_read(reply, &report));
+	ck_assert(report.truncated);
+	g_free(report.running);
+	g_free(report.ended);
+	json_array_remove(ended, 0);
+	ck_assert(platform_hold_read(reply, &report));
+	ck_assert(!report.truncated);
+	g_free(report.running);
+	g_free(report.ended);
+	json_decref(reply);
+	g_string_free(text, TRUE);
+}
+END_TEST
+
 int main(void)
 {
 	TCase *tc = tcase_create("decode");
 
 	tcase_add_test(tc, configuration);
 	tcase_add_test(tc, hold_reports);
+	tcase_add_test(tc, full_list_of_ends_is_truncated);
 	tcase_add_test(tc, worker_reports);
 	tcase_add_test(tc, submissions);
 	tcase_add_test(tc, upkeep_waves);
--- a/tests/unit/test_fleet.c
+++ b/tests/unit/test_fleet.c
@@ -164,6 +164,31 @@
 }
 END_TEST
 
+/*
+ * Guards against runs that count as gone, and are started again, because their
+ * ends do not fit into a report: only a whole report shows that a run is gone.
+ */
+START_TEST(truncated_report_ends_no_run)
+{
+	struct worker *worker = make_worker(&fleet, "w1", "r1", 8, NOW);
+	struct job *job = running_job(2, false);
+	struct end_report end = { .number = 1,
+				  .task = (char *)"j.0.0.0",
+				  .run = 1,
+				  .how = RUN_DONE };
+	struct hold_report report = { .ended = &end,
+				      .nended = 1,
+				      .truncated = true };
+
+	fleet_handle_hold(&fleet, worker, &report, NOW + 1, NOW + 2, 0);
+	ck_assert_int_eq(first_occurrence_task(job, 0, 0)->phase, TASK_DONE);
+	ck_assert_ptr_eq(first_occurrence_task(job, 0, 1)->worker, worker);
+	report.truncated = false;
+	fleet_handle_hold(&fleet, worker, &report, NOW + 3, NOW + 4, 0);
+	ck_assert_ptr_null(first_occurrence_task(job, 0, 1)->worker);
+}
+END_TEST
+
 START_TEST(lease_of_a_silent_worker)
 {
 	struct worker *worker = make_worker(&fleet, "w1", "r1", 8, NOW);
@@ -500,6 +525,7 @@
 	tcase_add_test(tc, gang_fails_once_a_run);
 	tcase_add_test(tc, one_done_member_ends_the_gang);
 	tcase_add_test(tc, report_older_than_the_answer_is_ignored);
+	tcase_add_test(tc, truncated_report_ends_no_run);
 	tcase_add_test(tc, lease_of_a_silent_worker);
 	tcase_add_test(tc, unreachable_worker_is_logged_once);
 	tcase_add_test(tc, worker_that_answers_keeps_its_tasks);
--- a/tests/unit/test_host.c
+++ b/tests/unit/test_host.c
@@ -896,6 +896,43 @@
 }
 END_TEST
 
+/*
+ * Guards against tasks that run again because their ends are beyond those that
+ * a worker lists at a time: more tasks end while the store is down, so that no
+ * end can be acknowledged, and the next leader adopts them.
+ */
+START_TEST(ends_beyond_a_full_list_run_once)
+{
+	static const char body[] =
+		"{\"spec\":\"ms=10000 gpus=0\",\"steps\":[{\"count\":650,\"cpu\":100,"
+		"\"mem_mb\":64,\"est_ms\":10000}]}";
+	const int tasks = 650;
+	struct site_worker *worker;
+	int i;
+
+	rig_start(&rig, 2, 1, 1);
+	worker =
+		list_first_entry(&rig.fleet->workers, struct site_worker, node);
+	worker->pace = 0.5;
+	ck_assert_int_eq(
+		rig_call(&rig, 0, "POST", RIG_PREFIX JOB_A, RIG_KEY, body)
+			.status,
+		200);
+	for (i = 0; i < 500 && site_fleet_running(rig.fleet) < tasks; i++)
+		rig_run_ms(&rig, 20);
+	ck_assert_int_eq(site_fleet_running(rig.fleet), tasks);
+	site_store_fault(rig.store, -1, SITE_SILENT, 0, 0);
+	worker->pace = 1000.0;
+	rig_run_ms(&rig, 2500);
+	ck_assert_uint_eq(rig.fleet->dones, tasks);
+	site_store_fault(rig.store, -1, SITE_WELL, 0, 0);
+	ck_assert(rig_wait(&rig, 0, JOB_A, "done", 15000));
+	ck_assert_uint_eq(rig.fleet->starts, tasks);
+	check_invariants();
+	rig_stop(&rig);
+}
+END_TEST
+
 START_TEST(failing_worker_is_avoided)
 {
 	struct site_worker *worker;
@@ -990,6 +1027,7 @@
 	tcase_add_test(tc, worker_is_used_after_a_lost_acknowledgement);
 	tcase_add_test(tc, malformed_reports_end_no_task);
 	tcase_add_test(tc, idle_connections_to_workers_are_bounded);
+	tcase_add_test(tc, ends_beyond_a_full_list_run_once);
 	tcase_add_test(tc, failing_worker_is_avoided);
 	tcase_add_test(tc, draining_worker_gets_nothing_new);
 	tcase_add_test(tc, counts_of_waiting_jobs);
