--- a/control/director.c
+++ b/control/director.c
@@ -161,6 +161,7 @@
 	director->relay = hosts->relay;
 	director->relay->release_work = director_on_release_request;
 	director->relay->user = director;
+	director->released_us = kn_now_us();
 	director->cancelled =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
 	director->states = g_ptr_array_new_with_free_func(stored_state_free);
--- a/control/director.h
+++ b/control/director.h
@@ -22,8 +22,15 @@
 	struct configuration *configuration;
 	struct relay *relay;
 	const struct hosts *hosts;
-	/* Asks the previous leader to stop renewing leases. */
-	struct relay_release_request release_request;
+	/* Ask the earlier leaders to stop extending leases; in the order of
+	 * leader.earlier. */
+	struct relay_release_request release_requests[LEADER_LIST_MAX];
+	int releases_pending;
+	/* The latest time at which one of them has stopped. */
+	int64_t earlier_released_us;
+	struct kn_timer earlier_timer; /* none extends leases after it */
+	/* Since when this process extends no lease, unless fleet_active. */
+	int64_t released_us;
 	struct leader leader;
 	struct ledger ledger;
 	struct orders orders;
--- a/control/director_int.h
+++ b/control/director_int.h
@@ -40,8 +40,12 @@
 void director_finish_takeover(struct director *director);
 /* Stops leading, stops renewing leases, and frees the fleet. */
 void director_stop(struct director *director);
-/* Another host leads with this fence and asks for the end of renewals. */
-void director_on_release_request(void *user, int64_t fence);
+/*
+ * Another host leads with this fence and asks for the end of renewals. Returns
+ * since when this process extends no lease, or -1 if it leads with a later
+ * fence.
+ */
+int64_t director_on_release_request(void *user, int64_t fence);
 void director_log_submission(const struct job *job, const struct kv_item *item);
 
 #endif
--- a/control/director_log.c
+++ b/control/director_log.c
@@ -84,8 +84,8 @@
 static void on_unreachable(void *user, const struct worker *worker,
 			   int64_t now_us)
 {
-	int64_t end_us =
-		MAX(worker->lease_end_us, worker->adopted_lease_end_us);
+	const struct director *director = user;
+	int64_t end_us = fleet_lease_end_us(&director->fleet, worker);
 
 	log_warn(
 		"worker.unreachable",
--- a/control/leader.c
+++ b/control/leader.c
@@ -23,6 +23,7 @@
 /* After a handover a host does not campaign until a stronger host has
  * certainly seen the removal of the key. */
 #define HAND_OVER_PAUSE_MS 1000
+#define FORGET_RETRY_MS 500
 
 static void campaign(struct leader *leader);
 
@@ -68,6 +69,64 @@
 	}
 }
 
+/* The list of earlier leaders. */
+
+static struct leader_identity own_identity(const struct leader *leader)
+{
+	struct leader_identity self = { .incarnation = leader->incarnation,
+					.peers = leader->site->peers };
+
+	g_strlcpy(self.host, leader->site->host, sizeof(self.host));
+	return self;
+}
+
+static void on_forget_retry(struct kn_timer *timer)
+{
+	leader_forget_earlier(container_of(timer, struct leader, forget_timer));
+}
+
+static void on_forgotten(struct kv_call *call)
+{
+	struct leader *leader = call->user;
+
+	leader->forget_pending = false;
+	/* A failed comparison means that another host leads. */
+	if (call->result != CB_OK && leader->leading)
+		kn_timer_set(leader->kv->kn, &leader->forget_timer,
+			     FORGET_RETRY_MS * USEC_PER_MSEC, on_forget_retry);
+}
+
+static void cancel_forget(struct leader *leader)
+{
+	kn_timer_cancel(&leader->forget_timer);
+	if (leader->forget_pending)
+		leader->kv->ops->cancel(leader->kv, &leader->forget_call);
+	leader->forget_pending = false;
+}
+
+void leader_forget_earlier(struct leader *leader)
+{
+	struct kv_cmp cmp = { .key = KEY_LEADER,
+			      .mod_revision = leader->fence };
+	struct kv_op op = { .kind = KV_PUT, .key = KEY_LAST_LEADER };
+	struct leader_list list = { .at = { own_identity(leader) },
+				    .count = 1 };
+	char *value;
+
+	if (!leader->leading || leader->forget_pending)
+		return;
+	value = leader_list_format(&list);
+	op.value = value;
+	op.len = strlen(value);
+	memset(&leader->forget_call, 0, sizeof(leader->forget_call));
+	leader->forget_call.done = on_forgotten;
+	leader->forget_call.user = leader;
+	leader->forget_pending = true;
+	leader->kv->ops->txn(leader->kv, &leader->forget_call, &cmp, 1, &op, 1,
+			     NULL, 0);
+	g_free(value);
+}
+
 static void step_down(struct leader *leader, bool lapsed, const char *why)
 {
 	if (!leader->leading)
@@ -75,6 +134,7 @@
 	leader->leading = false;
 	leader->lapsed = lapsed;
 	cancel_renewals(leader);
+	cancel_forget(leader);
 	kn_timer_cancel(&leader->timer);
 	log_warn("leader.deposed", "fence=%" G_GINT64_FORMAT " reason=\"%s\"",
 		 leader->fence, why);
@@ -202,12 +262,19 @@
 static void on_granted(struct kv_call *call)
 {
 	struct leader *leader = call->user;
-	struct kv_cmp cmp = { .key = KEY_LEADER, .mod_revision = 0 };
+	/* A leader in between would have changed the list of leaders. */
+	struct kv_cmp cmps[2] = {
+		{ .key = KEY_LEADER, .mod_revision = 0 },
+		{ .key = KEY_LAST_LEADER,
+		  .mod_revision = leader->recorded_revision },
+	};
 	struct kv_op ops[2] = {
 		{ .kind = KV_PUT, .key = KEY_LEADER },
 		{ .kind = KV_PUT, .key = KEY_LAST_LEADER },
 	};
-	char *value;
+	struct leader_identity self = own_identity(leader);
+	struct leader_list list = { .at = { self }, .count = 1 };
+	char *values[2];
 
 	leader->call_pending = false;
 	if (call->result != CB_OK || !call->succeeded || leader->key_exists ||
@@ -216,18 +283,22 @@
 		return;
 	}
 	leader->lease = call->lease;
-	leader->previous = leader->last;
-	value = g_strdup_printf("%s %" G_GUINT64_FORMAT " %s %d",
-				leader->site->host, leader->incarnation,
-				leader->site->peers.addr,
-				leader->site->peers.port);
-	ops[0].value = ops[1].value = value;
-	ops[0].len = ops[1].len = strlen(value);
+	leader->earlier = leader->recorded;
+	leader_list_remove(&leader->earlier, leader->site->host);
+	values[0] = leader_list_format(&list);
+	list = leader->earlier;
+	leader_list_prepend(&list, &self);
+	values[1] = leader_list_format(&list);
+	ops[0].value = values[0];
+	ops[0].len = strlen(values[0]);
 	ops[0].lease = leader->lease;
+	ops[1].value = values[1];
+	ops[1].len = strlen(values[1]);
 	start_call(leader, on_campaign_txn);
-	leader->kv->ops->txn(leader->kv, &leader->call, &cmp, 1, ops, 2, NULL,
+	leader->kv->ops->txn(leader->kv, &leader->call, cmps, 2, ops, 2, NULL,
 			     0);
-	g_free(value);
+	g_free(values[0]);
+	g_free(values[1]);
 }
 
 static void campaign(struct leader *leader)
@@ -249,23 +320,13 @@
 
 /* Watch on the leader key. */
 
-static bool parse_identity(const struct kv_item *item,
-			   struct leader_identity *mark)
+static bool read_list(const struct kv_item *item, struct leader_list *list)
 {
-	char **words = g_strsplit(item->value, " ", 4);
-	bool ok = g_strv_length(words) == 4;
+	bool ok = leader_list_parse(list, item->value);
 
-	memset(mark, 0, sizeof(*mark));
-	if (ok) {
-		g_strlcpy(mark->host, words[0], sizeof(mark->host));
-		mark->incarnation = g_ascii_strtoull(words[1], NULL, 10);
-		g_strlcpy(mark->peers.addr, words[2], sizeof(mark->peers.addr));
-		mark->peers.port = (int)g_ascii_strtoll(words[3], NULL, 10);
-	} else {
+	if (!ok)
 		log_err("leader.unreadable", "key=%s bytes=%zu result=%d",
 			item->key, item->len, CB_E_INTERNAL);
-	}
-	g_strfreev(words);
 	return ok;
 }
 
@@ -279,18 +340,20 @@
 static void on_set(struct mirror *mirror, const struct kv_item *item)
 {
 	struct leader *leader = container_of(mirror, struct leader, key);
-	struct leader_identity mark;
+	struct leader_list list;
 
-	parse_identity(item, &mark);
 	if (strcmp(item->key, KEY_LAST_LEADER) == 0) {
-		leader->last = mark;
+		read_list(item, &leader->recorded);
+		leader->recorded_revision = item->mod_revision;
 		return;
 	}
+	if (!read_list(item, &list))
+		memset(&list, 0, sizeof(list));
 	leader->key_exists = true;
 	leader->key_created = item->mod_revision;
 	leader->key_lease = item->lease;
-	leader->key_is_own = leader_is_self(leader, &mark);
-	g_strlcpy(leader->current, mark.host, sizeof(leader->current));
+	leader->key_is_own = leader_is_self(leader, &list.at[0]);
+	g_strlcpy(leader->current, list.at[0].host, sizeof(leader->current));
 	log_info("leader.seen", "leader=%s fence=%" G_GINT64_FORMAT,
 		 leader->current, item->mod_revision);
 	if (leader->leading && item->mod_revision > leader->fence)
@@ -308,6 +371,10 @@
 static void on_removed(struct mirror *mirror, const char *key)
 {
 	struct leader *leader = container_of(mirror, struct leader, key);
+	if (strcmp(key, KEY_LAST_LEADER) == 0) {
+		leader->recorded.count = 0;
+		leader->recorded_revision = 0;
+	}
 	if (strcmp(key, KEY_LEADER) != 0)
 		return;
 	leader->key_exists = false;
@@ -335,6 +402,11 @@
 	.synced = on_synced,
 };
 
+int64_t leader_lapsed_us(const struct leader *leader)
+{
+	return leader->valid_until_us;
+}
+
 void leader_step_down(struct leader *leader, const char *why)
 {
 	step_down(leader, false, why);
@@ -398,6 +470,7 @@
 	if (leader->call_pending)
 		leader->kv->ops->cancel(leader->kv, &leader->call);
 	cancel_renewals(leader);
+	cancel_forget(leader);
 	kn_timer_cancel(&leader->timer);
 	kn_timer_cancel(&leader->campaign_timer);
 	ctr_finish(&leader->elections);
--- a/control/leader.h
+++ b/control/leader.h
@@ -1,6 +1,7 @@
 #ifndef CONTROL_LEADER_H
 #define CONTROL_LEADER_H
 
+#include "control/leader_list.h"
 #include "control/mirror.h"
 #include "control/site.h"
 
@@ -17,13 +18,6 @@
  * the next is due. */
 #define LEADER_RENEWALS 4
 
-/* Identifies a process that leads or has led. */
-struct leader_identity {
-	char host[NAME_MAX_BYTES]; /* "": none */
-	uint64_t incarnation;
-	struct set_addr peers; /* its address for other hosts */
-};
-
 struct leader_renewal {
 	struct leader *leader;
 	struct kv_call call;
@@ -50,10 +44,13 @@
 	bool lapsed;
 	int64_t fence; /* fencing token of the latest leadership */
 	char current[NAME_MAX_BYTES]; /* host that leads, "": unknown */
-	struct leader_identity last; /* latest leader, may be this process */
-	struct leader_identity previous; /* leader before this process */
+	/* Leaders before this one that may still extend leases, other hosts'
+	 * only. */
+	struct leader_list earlier;
 	/* private */
 	struct mirror key;
+	struct leader_list recorded; /* KEY_LAST_LEADER as last seen */
+	int64_t recorded_revision; /* 0: there is none */
 	int64_t lease;
 	int64_t valid_until_us;
 	int64_t key_lease; /* lease of the key as last seen */
@@ -68,6 +65,9 @@
 	struct kn_timer campaign_timer;
 	int64_t no_campaign_until_us; /* after a handover */
 	bool stopping;
+	struct kv_call forget_call; /* removes earlier from the store */
+	bool forget_pending;
+	struct kn_timer forget_timer;
 	struct ctr elections;
 };
 
@@ -80,6 +80,13 @@
 void leader_hand_over(struct leader *leader);
 /* Stops leading without revoking the lease; may be elected again. */
 void leader_step_down(struct leader *leader, const char *why);
+/*
+ * No earlier leader extends leases any more: later leaders need not ask them.
+ * Stores that while this host leads.
+ */
+void leader_forget_earlier(struct leader *leader);
+/* When the leadership that has lapsed ended by this host's clock. */
+int64_t leader_lapsed_us(const struct leader *leader);
 void leader_finish(struct leader *leader);
 bool leader_is_self(const struct leader *leader,
 		    const struct leader_identity *mark);
--- a/control/relay.c
+++ b/control/relay.c
@@ -357,6 +357,26 @@
 	g_free(target);
 }
 
+/* Answers with the time since which this process extends no lease, or with an
+ * error if it still does. */
+static void on_release_work(struct relay *relay, struct rpc_request *request,
+			    int64_t fence)
+{
+	int64_t released_us = relay->release_work ?
+				      relay->release_work(relay->user, fence) :
+				      -1;
+	struct mp_out out;
+
+	if (released_us < 0) {
+		rpc_reply(request, NULL, 0);
+		return;
+	}
+	mp_begin(&out, 1);
+	mp_int(&out, MAX(kn_now_us() - released_us, 0) / USEC_PER_MSEC);
+	rpc_reply(request, out.buf.data, out.buf.size);
+	mp_end(&out);
+}
+
 static void on_request(struct rpc_server *server, struct rpc_request *request)
 {
 	struct relay *relay = container_of(server, struct relay, server);
@@ -370,9 +390,7 @@
 	if (in.ok && verb == RELAY_STORE_CALL) {
 		on_store_call(relay, request, &in);
 	} else if (in.ok && verb == RELAY_RELEASE_WORK) {
-		if (relay->release_work)
-			relay->release_work(relay->user, mp_get_int(&in));
-		rpc_reply(request, "", 0);
+		on_release_work(relay, request, mp_get_int(&in));
 	} else {
 		log_warn("relay.malformed", "bytes=%zu result=%d", request->len,
 			 CB_E_PEER_PROTOCOL);
--- a/control/relay.h
+++ b/control/relay.h
@@ -41,9 +41,13 @@
 	struct exchange_call probe_call;
 	bool probing;
 	int64_t probed_us; /* when the last probe was sent */
-	/* Another host leads with that fencing token: releases the work that
-	 * this host still holds as a former leader. */
-	void (*release_work)(void *user, int64_t fence);
+	/*
+	 * Another host leads with that fencing token: releases the work that
+	 * this host still holds as a former leader. Returns since when this
+	 * process extends no lease, or -1 if it still does, as it leads with a
+	 * later token.
+	 */
+	int64_t (*release_work)(void *user, int64_t fence);
 	void *user; /* for release_work */
 	struct ctr relayed;
 	struct ctr served;
@@ -66,20 +70,24 @@
 	int64_t fence;
 	int64_t until_us; /* not repeated after that */
 	struct kn_timer timer;
-	void (*done)(void *user);
+	/* released_us: since when the process extends no lease, at the latest,
+	 * on this host's clock. */
+	void (*done)(struct relay_release_request *req, int64_t released_us);
 	void *user;
 };
 
 /*
  * Asks the process at an address to release the work that it holds, as this
  * host leads with that fencing token. Repeats the request until until_us.
- * done(user) is called once the process has confirmed, otherwise never. Cancels
+ * done() is called once the process has confirmed, otherwise never. Cancels
  * an earlier request of the same struct.
  */
 void relay_request_release(struct relay_release_request *req,
 			   struct relay *relay, const struct set_addr *at,
 			   int64_t fence, int64_t until_us,
-			   void (*done)(void *user), void *user);
+			   void (*done)(struct relay_release_request *req,
+					int64_t released_us),
+			   void *user);
 /* Does nothing if no request was started. */
 void relay_cancel_release(struct relay_release_request *req);
 
--- a/control/relay_release.c
+++ b/control/relay_release.c
@@ -3,6 +3,7 @@
 #include <string.h>
 
 #include "base/err.h"
+#include "wire/fr.h"
 #include "wire/mp.h"
 
 /* Time-out of a request, and delay before it is repeated after an error: the
@@ -16,21 +17,39 @@
 	send_request(container_of(timer, struct relay_release_request, timer));
 }
 
+/* Milliseconds for which the process has extended no lease, -1: it may do so,
+ * or has not said so. */
+static int64_t read_answer(const struct rpc_call *call)
+{
+	msgpack_unpacked unpacked;
+	struct mp_in in = { 0 };
+	int64_t ago_ms;
+
+	if (call->result != CB_OK)
+		return -1;
+	if (fr_unpack(&unpacked, call->data, call->len, NULL))
+		mp_open(&in, &unpacked.data);
+	ago_ms = mp_get_int(&in);
+	if (!in.ok)
+		ago_ms = -1;
+	msgpack_unpacked_destroy(&unpacked);
+	return ago_ms;
+}
+
 static void on_answer(struct rpc_call *call)
 {
 	struct relay_release_request *req = call->user;
-	void (*done)(void *user) = req->done;
-	void *user = req->user;
+	int64_t ago_ms = read_answer(call);
 
 	req->calling = false;
-	if (call->result != CB_OK) {
+	if (ago_ms < 0) {
 		kn_timer_set(req->relay->exchange.kn, &req->timer,
 			     RELEASE_TIMEOUT_MS * USEC_PER_MSEC,
 			     on_release_retry);
 		return;
 	}
 	kn_timer_cancel(&req->timer);
-	done(user);
+	req->done(req, kn_now_us() - ago_ms * USEC_PER_MSEC);
 }
 
 static void send_request(struct relay_release_request *req)
@@ -52,7 +71,9 @@
 void relay_request_release(struct relay_release_request *req,
 			   struct relay *relay, const struct set_addr *at,
 			   int64_t fence, int64_t until_us,
-			   void (*done)(void *user), void *user)
+			   void (*done)(struct relay_release_request *req,
+					int64_t released_us),
+			   void *user)
 {
 	relay_cancel_release(req);
 	memset(req, 0, sizeof(*req));
--- a/control/takeover.c
+++ b/control/takeover.c
@@ -111,6 +111,16 @@
 	kv->ops->range(kv, &director->states_call, KEY_STATE_PREFIX, true);
 }
 
+static void cancel_release_requests(struct director *director)
+{
+	int i;
+
+	kn_timer_cancel(&director->earlier_timer);
+	for (i = 0; i < LEADER_LIST_MAX; i++)
+		relay_cancel_release(&director->release_requests[i]);
+	director->releases_pending = 0;
+}
+
 /* Stops all work of a leader, but keeps the fleet and the leases in it. */
 static void stop_leading(struct director *director)
 {
@@ -138,56 +148,95 @@
 {
 	if (!director->fleet_active)
 		return;
-	relay_cancel_release(&director->release_request);
+	cancel_release_requests(director);
 	stop_leading(director);
 	orders_close(&director->orders);
 	fleet_finish(&director->fleet);
 	director->fleet_active = false;
 	director->holding_until_us = 0;
+	director->released_us = kn_now_us();
 }
 
-void director_on_release_request(void *user, int64_t fence)
+int64_t director_on_release_request(void *user, int64_t fence)
 {
 	struct director *director = user;
 
-	if (!director->fleet_active || director->orders.fence >= fence)
-		return;
-	log_info("holding.ended", "fence=%lld later=%lld",
-		 (long long)director->orders.fence, (long long)fence);
-	director_stop(director);
+	if (director->fleet_active && director->orders.fence >= fence)
+		return -1;
+	if (director->fleet_active) {
+		log_info("holding.ended", "fence=%lld later=%lld",
+			 (long long)director->orders.fence, (long long)fence);
+		director_stop(director);
+	}
+	return director->released_us;
 }
 
-static void on_release_confirmed(void *user)
+/* No earlier leader extends leases from stopped_us on. */
+static void on_earlier_stopped(struct director *director, int64_t stopped_us)
 {
-	struct director *director = user;
-
-	log_info("takeover.released", "last=%s fence=%lld",
-		 director->leader.previous.host,
-		 (long long)director->leader.fence);
-	fleet_old_leader_stopped(&director->fleet);
+	cancel_release_requests(director);
+	fleet_earlier_leaders_stopped(&director->fleet, stopped_us);
+	leader_forget_earlier(&director->leader);
 	director_schedule_pass(director, 0);
 }
 
+static void on_release_confirmed(struct relay_release_request *req,
+				 int64_t released_us)
+{
+	struct director *director = req->user;
+	size_t i = (size_t)(req - director->release_requests);
+
+	log_info("takeover.released",
+		 "last=%s fence=%lld released_ms=%lld pending=%d",
+		 director->leader.earlier.at[i].host,
+		 (long long)director->leader.fence,
+		 (long long)(kn_now_us() - released_us) / 1000,
+		 director->releases_pending - 1);
+	director->earlier_released_us =
+		MAX(director->earlier_released_us, released_us);
+	if (--director->releases_pending == 0)
+		on_earlier_stopped(director, director->earlier_released_us);
+}
+
+static void on_earlier_timeout(struct kn_timer *timer)
+{
+	struct director *director =
+		container_of(timer, struct director, earlier_timer);
+
+	log_info("takeover.unreleased", "fence=%lld pending=%d",
+		 (long long)director->leader.fence, director->releases_pending);
+	on_earlier_stopped(director, director->fleet.extended_until_us);
+}
+
 /*
- * The previous leader may go on renewing leases for up to max_hold_ms. It is
- * asked to stop; once it confirms, leases at workers that can't be reached
- * are known to end sooner.
+ * A leader whose election has lapsed may go on extending leases for
+ * max_hold_ms. All earlier leaders that have not confirmed yet that they have
+ * stopped are asked, as also the leader before the last one may be cut off and
+ * at work; once all have confirmed, leases at workers that can't be reached are
+ * known to end sooner. After max_hold_ms none extends leases any more.
  */
 static void request_release(struct director *director)
 {
-	const struct leader_identity *last = &director->leader.previous;
-	int64_t hold_ms = director->site->bounds.max_hold_ms;
+	const struct leader_list *earlier = &director->leader.earlier;
+	int64_t until_us = director->elected_us +
+			   director->site->bounds.max_hold_ms * USEC_PER_MSEC;
+	int i;
 
-	director->fleet.old_leader_hold_ms = 0;
-	/* An earlier process of this host has ended, and this process renews
-	 * no leases. */
-	if (!last->host[0] || strcmp(last->host, director->site->host) == 0)
+	/* An earlier process of this host had ended when this one started, and
+	 * this process extends no lease since then. */
+	director->earlier_released_us = director->released_us;
+	director->fleet.extended_until_us = director->released_us;
+	if (earlier->count == 0)
 		return;
-	director->fleet.old_leader_hold_ms = hold_ms;
-	relay_request_release(&director->release_request, director->relay,
-			      &last->peers, director->leader.fence,
-			      kn_now_us() + hold_ms * USEC_PER_MSEC,
-			      on_release_confirmed, director);
+	director->fleet.extended_until_us = until_us;
+	director->releases_pending = earlier->count;
+	kn_timer_set(director->task.kn, &director->earlier_timer,
+		     until_us - kn_now_us(), on_earlier_timeout);
+	for (i = 0; i < earlier->count; i++)
+		relay_request_release(&director->release_requests[i],
+				      director->relay, &earlier->at[i].peers,
+				      director->leader.fence, until_us,
+				      on_release_confirmed, director);
 }
 
 static void on_elected(struct leader *leader)
@@ -222,8 +271,10 @@
 	}
 	stop_leading(director);
 	director->orders.hold_only = true;
+	/* From the end of the leadership, which may be noticed later, as a
+	 * later leader counts from its election. */
 	director->holding_until_us =
-		kn_now_us() +
+		leader_lapsed_us(leader) +
 		director->fleet.bounds.max_hold_ms * USEC_PER_MSEC;
 	log_info("holding.begun", "fence=%" G_GINT64_FORMAT " workers=%u",
 		 director->orders.fence,
--- a/fleet/fleet.h
+++ b/fleet/fleet.h
@@ -101,8 +101,8 @@
 	struct list_head dirty; /* jobs with changes not in the store yet */
 	GHashTable *stats; /* queue name -> struct queue_stats */
 	uint64_t change; /* number of the latest change */
-	/* How long the previous leader may still extend leases, 0: never. */
-	int64_t old_leader_hold_ms;
+	/* Until when an earlier leader may have extended leases. */
+	int64_t extended_until_us;
 	/* Counters for metrics. */
 	uint64_t preempted;
 	uint64_t moved;
@@ -159,12 +159,14 @@
 /* Assigns the task to a worker for the run with the given number. */
 void fleet_plan_run(struct fleet *fleet, struct task *task,
 		    struct worker *worker, int64_t run);
-/* The previous leader has confirmed that it extends no lease any more. */
-void fleet_old_leader_stopped(struct fleet *fleet);
+/* No earlier leader has extended a lease after stopped_us. */
+void fleet_earlier_leaders_stopped(struct fleet *fleet, int64_t stopped_us);
+/* When the worker's lease has expired, whichever leader extended it last. */
+int64_t fleet_lease_end_us(const struct fleet *fleet,
+			   const struct worker *worker);
 /*
  * Returns the worker on which an earlier leader started a run. It is created
- * if it is not registered. Sets adopted_lease_end_us, by which all orders of
- * earlier leaders have expired there.
+ * if it is not registered.
  */
 struct worker *fleet_adopt_worker(struct fleet *fleet, const char *id,
 				  int64_t born_ms, int64_t now_us);
--- a/fleet/fleet_int.h
+++ b/fleet/fleet_int.h
@@ -39,7 +39,8 @@
 	PROOF_LEASE_EXPIRED, /* since its latest possible extension */
 	PROOF_COUNT
 };
-bool proof_lease_expired(const struct worker *worker, int64_t now_us);
+bool proof_lease_expired(const struct fleet *fleet, const struct worker *worker,
+			 int64_t now_us);
 /*
  * Whether a run that a hold report names neither as running nor as ended is
  * over; sent_us is when the hold call was sent.
--- a/fleet/incarnation.c
+++ b/fleet/incarnation.c
@@ -25,7 +25,7 @@
 	if (!old)
 		return worker;
 	worker->lease_end_us = old->lease_end_us;
-	worker->adopted_lease_end_us = old->adopted_lease_end_us;
+	worker->adopted = old->adopted;
 	worker->next_hold_us = 0;
 	old->replaced = true;
 	old->listed = false;
@@ -121,7 +121,7 @@
 	list_for_each_entry_safe(worker, next, &fleet->workers, node) {
 		report_unreachable(fleet, worker, now_us);
 		if (worker->task_count > 0 &&
-		    proof_lease_expired(worker, now_us)) {
+		    proof_lease_expired(fleet, worker, now_us)) {
 			fleet->lapsed++;
 			fleet_worker_runs_lost(fleet, worker,
 					       PROOF_LEASE_EXPIRED);
@@ -139,8 +139,6 @@
 				  int64_t born_ms, int64_t now_us)
 {
 	struct worker *worker = g_hash_table_lookup(fleet->workers_by_id, id);
-	int64_t hold_us =
-		(fleet->bounds.max_hold_ms + fleet->old_leader_hold_ms) * 1000;
 
 	if (!worker) {
 		/*
@@ -157,21 +155,23 @@
 		g_hash_table_insert(fleet->workers_by_id, worker->reported.id,
 				    worker);
 	}
-	worker->adopted_lease_end_us =
-		MAX(worker->adopted_lease_end_us,
-		    now_us + hold_us * 100 / (100 - LEASE_DRIFT_PERCENT) +
-			    ADOPT_SLACK_MS * 1000);
+	worker->adopted = true;
 	return worker;
 }
 
-void fleet_old_leader_stopped(struct fleet *fleet)
+void fleet_earlier_leaders_stopped(struct fleet *fleet, int64_t stopped_us)
 {
-	int64_t less_us = fleet->old_leader_hold_ms * 1000 * 100 /
+	fleet->extended_until_us = MIN(fleet->extended_until_us, stopped_us);
+}
+
+int64_t fleet_lease_end_us(const struct fleet *fleet,
+			   const struct worker *worker)
+{
+	int64_t hold_us = fleet->bounds.max_hold_ms * 1000 * 100 /
 			  (100 - LEASE_DRIFT_PERCENT);
-	struct worker *worker;
 
-	fleet->old_leader_hold_ms = 0;
-	list_for_each_entry(worker, &fleet->workers, node)
-		worker->adopted_lease_end_us =
-			MAX(worker->adopted_lease_end_us - less_us, 0);
+	if (!worker->adopted)
+		return worker->lease_end_us;
+	return MAX(worker->lease_end_us,
+		   fleet->extended_until_us + hold_us + ADOPT_SLACK_MS * 1000);
 }
--- a/fleet/proof.c
+++ b/fleet/proof.c
@@ -33,10 +33,10 @@
  * A worker that answers reports its runs, so its lease says nothing about
  * them.
  */
-bool proof_lease_expired(const struct worker *worker, int64_t now_us)
+bool proof_lease_expired(const struct fleet *fleet, const struct worker *worker,
+			 int64_t now_us)
 {
-	int64_t end_us =
-		MAX(worker->lease_end_us, worker->adopted_lease_end_us);
+	int64_t end_us = fleet_lease_end_us(fleet, worker);
 
 	return end_us > 0 && now_us > end_us + LEASE_SLACK_MS * 1000 &&
 	       !worker_reachable(worker, now_us);
--- a/fleet/worker.h
+++ b/fleet/worker.h
@@ -50,8 +50,7 @@
 	int64_t clock_us; /* when the sample arrived */
 	/* All orders of this leader have expired by then. */
 	int64_t lease_end_us;
-	/* All orders of earlier leaders have expired by then. */
-	int64_t adopted_lease_end_us;
+	bool adopted; /* earlier leaders may have extended its lease */
 	/* Contact. */
 	bool fenced; /* it knows this leader's fence token */
 	int64_t heard_us; /* latest answer, 0: none */
--- a/tests/unit/test_fleet.c
+++ b/tests/unit/test_fleet.c
@@ -330,7 +330,7 @@
 	struct job *job = make_job(&fleet, "j", 1, 1, 1, 1000, NOW);
 	struct worker *worker;
 
-	fleet.old_leader_hold_ms = 6000;
+	fleet.extended_until_us = NOW + 6 * SEC;
 	fleet_open_due(&fleet, NOW, 0);
 	worker = fleet_adopt_worker(&fleet, "gone", 7, NOW);
 	first_occurrence_task(job, 0, 0)->run = 1;
@@ -351,13 +351,13 @@
 {
 	struct job *job = make_job(&fleet, "j", 1, 1, 1, 1000, NOW);
 
-	fleet.old_leader_hold_ms = 6000;
+	fleet.extended_until_us = NOW + 6 * SEC;
 	fleet_open_due(&fleet, NOW, 0);
 	first_occurrence_task(job, 0, 0)->run = 1;
 	fleet_adopt_run(&fleet, first_occurrence_task(job, 0, 0),
 			fleet_adopt_worker(&fleet, "gone", 7, NOW));
 	make_worker(&fleet, "w1", "r1", 8, NOW);
-	fleet_old_leader_stopped(&fleet);
+	fleet_earlier_leaders_stopped(&fleet, NOW);
 	fleet_expire(&fleet, NOW + 6 * SEC);
 	ck_assert_int_eq(plan_pass(&fleet, NOW + 6 * SEC), 0);
 	fleet_expire(&fleet, NOW + 7 * SEC);
@@ -365,6 +365,29 @@
 }
 END_TEST
 
+/*
+ * Guards against a release before the lease ends: until the earlier leaders
+ * confirm, they may extend leases, so the time counts from there and not from
+ * the takeover.
+ */
+START_TEST(wait_counts_from_the_release)
+{
+	struct job *job = make_job(&fleet, "j", 1, 1, 1, 1000, NOW);
+
+	fleet.extended_until_us = NOW + 6 * SEC;
+	fleet_open_due(&fleet, NOW, 0);
+	first_occurrence_task(job, 0, 0)->run = 1;
+	fleet_adopt_run(&fleet, first_occurrence_task(job, 0, 0),
+			fleet_adopt_worker(&fleet, "gone", 7, NOW));
+	make_worker(&fleet, "w1", "r1", 8, NOW);
+	fleet_earlier_leaders_stopped(&fleet, NOW + 3 * SEC);
+	fleet_expire(&fleet, NOW + 9 * SEC);
+	ck_assert_int_eq(plan_pass(&fleet, NOW + 9 * SEC), 0);
+	fleet_expire(&fleet, NOW + 10 * SEC);
+	ck_assert_int_eq(plan_pass(&fleet, NOW + 10 * SEC), 1);
+}
+END_TEST
+
 /*
  * Guards against runs that are started elsewhere while they go on behind a
  * partition: a draining worker that is no longer registered and refuses
@@ -534,6 +557,7 @@
 	tcase_add_test(tc, first_report_resolves_adopted_runs);
 	tcase_add_test(tc, unreachable_adopted_worker_expires);
 	tcase_add_test(tc, stopped_old_leader_shortens_the_wait);
+	tcase_add_test(tc, wait_counts_from_the_release);
 	tcase_add_test(tc,
 		       draining_worker_keeps_its_runs_until_its_lease_expires);
 	tcase_add_test(tc, cancelled_job_frees_resources_on_reported_ends);
--- a/tests/unit/test_host.c
+++ b/tests/unit/test_host.c
@@ -584,6 +584,50 @@
 }
 END_TEST
 
+#define LAST_LEADER_KEY "chivebank/leader/last"
+
+/*
+ * Guards against a run that is started elsewhere while a leader before the last
+ * one still extends its lease: it was cut off, has not confirmed that it has
+ * stopped, and the last leader, which has, is not the only one to be asked.
+ */
+START_TEST(every_unconfirmed_leader_is_waited_for)
+{
+	struct site_worker *worker;
+	const struct site_item *item;
+	char *list;
+
+	rig_start(&rig, 2, 2, 1);
+	ck_assert_int_eq(rig_submit(&rig, 0, JOB_A, 1, "ms=60000", NULL), 200);
+	rig_run_ms(&rig, 500);
+	ck_assert_int_eq(site_fleet_running(rig.fleet), 1);
+	list_for_each_entry(worker, &rig.fleet->workers, node)
+		if (!list_empty(&worker->runs))
+			break;
+	/* An earlier leader at whose address nobody answers. */
+	item = site_store_get(rig.store, LAST_LEADER_KEY);
+	list = g_strconcat(item->value, " cut-off 7 127.0.0.1 1", NULL);
+	site_store_put(rig.store, LAST_LEADER_KEY, list);
+	g_free(list);
+	rig_run_ms(&rig, 100);
+	worker->fault = SITE_WORKER_SILENT;
+	site_store_lapse(rig.store, "chivebank/leader");
+	ck_assert(rig_wait_leader(&rig, 3000));
+	item = site_store_get(rig.store, LAST_LEADER_KEY);
+	ck_assert_msg(strstr(item->value, "cut-off"), "%s", item->value);
+	/* Twice max_hold_ms: of the earlier leader's last extension, and of
+	 * the lease. */
+	rig_run_ms(&rig, 5000);
+	ck_assert_uint_eq(rig.fleet->starts, 1);
+	rig_run_ms(&rig, 2000);
+	ck_assert_uint_eq(rig.fleet->starts, 2);
+	/* The next leaders need not ask it. */
+	item = site_store_get(rig.store, LAST_LEADER_KEY);
+	ck_assert_msg(!strstr(item->value, "cut-off"), "%s", item->value);
+	rig_stop(&rig);
+}
+END_TEST
+
 /* Time limit from the return of the store to the next election: a poll, two
  * calls and the extra delay of weak hosts, much less than a lease. */
 #define REELECTION_MAX_MS 1000
@@ -1012,6 +1056,7 @@
 	tcase_add_test(tc, paused_host_accepts_no_withdrawn_key);
 	tcase_add_test(tc, registrations_elsewhere_cause_no_reads);
 	tcase_add_test(tc, leader_whose_lease_lapses);
+	tcase_add_test(tc, every_unconfirmed_leader_is_waited_for);
 	tcase_add_test(tc, reelection_after_a_store_outage);
 	tcase_add_test(tc, weak_leader_hands_over);
 	tcase_add_test(tc, equal_hosts_keep_their_leader);
