--- a/control/orders.c
+++ b/control/orders.c
@@ -189,6 +189,7 @@
 /* The start got no answer and may still be carried out; repeats it. */
 static void mark_start_uncertain(struct task *task, int64_t now_us)
 {
+	task->sent = true;
 	if (task->phase != TASK_STARTING)
 		return;
 	task->unconfirmed = true;
@@ -215,6 +216,7 @@
 			task->retry_us += REFUSED_RETRY_MS * USEC_PER_MSEC;
 		return;
 	}
+	task->sent |= why == REFUSED_STALE_RUN;
 	if (why == REFUSED_STALE_RUN || task->unconfirmed) {
 		/* An earlier attempt was or may have been carried out. */
 		fleet_stop(fleet, task,
@@ -233,6 +235,7 @@
 	if (!task)
 		return;
 	task->calling = false;
+	task->start_pending = false;
 	switch (pending->call.result) {
 	case ORDER_ACCEPTED:
 		ctr_observe(&pending->orders->start_ms,
@@ -392,6 +395,7 @@
 		worker, orders->fleet->bounds.max_hold_ms, now_us);
 	fill_ref(task, pending);
 	task->calling = true;
+	task->start_pending = true;
 	task->tries++;
 	send_order(orders, pending, worker, &order, now_us);
 }
@@ -479,7 +483,8 @@
 
 /* Orders that are due. */
 
-static void process_task(struct orders *orders, struct task *task,
+/* Returns false if the tasks of the worker may have changed. */
+static bool process_task(struct orders *orders, struct task *task,
 			 int64_t now_us, int64_t *next_us)
 {
 	uint64_t stored = fleet_stored_change(orders->fleet);
@@ -487,43 +492,52 @@
 	switch (task->phase) {
 	case TASK_PLANNED:
 		if (task->change > stored)
-			return;
+			return true;
 		task->phase = TASK_STARTING;
 		send_start(orders, task, now_us);
-		return;
+		return true;
 	case TASK_STARTING:
 		/* Whether an adopted run exists is known from the worker's
 		 * answer to a hold. */
 		if (task->calling || (task->unconfirmed && task->tries == 0))
-			return;
+			return true;
 		break;
 	case TASK_STOPPING:
 		if (task->calling && task->stop_sent)
-			return;
+			return true;
 		break;
 	case TASK_RUNNING:
 		if (!task->pace_pending &&
 		    task->pace_percent != throttle_percent(task))
 			send_pace(orders, task, now_us);
-		return;
+		return true;
 	default:
-		return;
+		return true;
+	}
+	if (task->phase == TASK_STOPPING &&
+	    fleet_release_unsent(orders->fleet, task)) {
+		*next_us = now_us;
+		return false;
 	}
 	if (task->retry_us > now_us) {
 		*next_us = MIN(*next_us, task->retry_us);
-		return;
+		return true;
 	}
 	if (task->phase == TASK_STARTING && task->tries >= START_TRIES_MAX) {
-		fleet_stop(orders->fleet, task, "start order was not answered");
 		*next_us = now_us;
-		return;
+		/* A start without an answer may still be carried out. */
+		if (!fleet_release_unsent(orders->fleet, task))
+			fleet_stop(orders->fleet, task,
+				   "start order was not answered");
+		return false;
 	}
 	if (task->phase == TASK_STARTING) {
 		send_start(orders, task, now_us);
-		return;
+		return true;
 	}
 	task->stop_sent = true;
 	send_stop(orders, task, now_us);
+	return true;
 }
 
 /*
@@ -573,8 +587,9 @@
 	if (worker->reported.port == 0)
 		return;
 	list_for_each_entry_safe(task, next, &worker->tasks, on_worker)
-		if (!orders->hold_only)
-			process_task(orders, task, now_us, next_us);
+		if (!orders->hold_only &&
+		    !process_task(orders, task, now_us, next_us))
+			break;
 	acked_end = fleet_ends_stored(fleet, worker);
 	if (!needs_hold(worker))
 		return;
--- a/fleet/fleet.h
+++ b/fleet/fleet.h
@@ -180,6 +180,11 @@
 void fleet_stop(struct fleet *fleet, struct task *task, const char *why);
 void fleet_stop_answered(struct fleet *fleet, struct task *task,
 			 int64_t now_us);
+/*
+ * Releases the run if no start of it has been sent, which shows that it is not
+ * there. Returns whether it did; the gang is then stopped.
+ */
+bool fleet_release_unsent(struct fleet *fleet, struct task *task);
 /* Applies the answer to a hold call that was sent at sent_us. */
 void fleet_handle_hold(struct fleet *fleet, struct worker *worker,
 		       const struct hold_report *report, int64_t sent_us,
--- a/fleet/fleet_int.h
+++ b/fleet/fleet_int.h
@@ -36,6 +36,7 @@
 enum run_proof {
 	PROOF_NOT_REPORTED, /* its worker's whole report does not name it */
 	PROOF_PROCESS_ENDED, /* its worker's process has been replaced */
+	PROOF_NOT_SENT, /* there was no connection for its start */
 	PROOF_LEASE_EXPIRED, /* since its latest possible extension */
 	PROOF_COUNT
 };
--- a/fleet/job.h
+++ b/fleet/job.h
@@ -40,6 +40,8 @@
 	uint64_t change; /* number of the change that assigned the worker */
 	/* Orders. */
 	bool unconfirmed; /* read from the store, or an order got no answer */
+	bool start_pending; /* a start order has no result yet */
+	bool sent; /* a start of the run may have reached its worker */
 	int tries; /* of the pending order */
 	bool calling; /* an order is pending */
 	bool stop_sent; /* the pending order is a stop */
--- a/fleet/proof.c
+++ b/fleet/proof.c
@@ -5,6 +5,7 @@
 static const char *const proof_names[PROOF_COUNT] = {
 	"missing in its worker's report",
 	"its worker process has ended",
+	"its start was not sent",
 	"lease is over",
 };
 
@@ -62,3 +63,11 @@
 		return true;
 	return task->answered_us != 0 && task->answered_us < sent_us;
 }
+
+bool fleet_release_unsent(struct fleet *fleet, struct task *task)
+{
+	if (task->sent || task->start_pending)
+		return false;
+	fleet_run_lost(fleet, task, PROOF_NOT_SENT);
+	return true;
+}
--- a/fleet/run.c
+++ b/fleet/run.c
@@ -16,6 +16,8 @@
 	task->run = run;
 	task->failed_last = false;
 	task->unconfirmed = false;
+	task->sent = false;
+	task->start_pending = false;
 	task->tries = 0;
 	task->calling = false;
 	task->stop_sent = false;
@@ -42,6 +44,7 @@
 	worker_assign(worker, task);
 	task->phase = TASK_STARTING;
 	task->unconfirmed = true;
+	task->sent = true;
 	if (task->stage->spec->fills)
 		task->pace_percent = TASK_PACE_UNKNOWN;
 }
@@ -51,6 +54,7 @@
 	struct job *job = task->stage->job;
 
 	task->answered_us = now_us;
+	task->sent = true;
 	if (task->phase != TASK_STARTING)
 		return;
 	task->phase = TASK_RUNNING;
--- a/tests/unit/test_host.c
+++ b/tests/unit/test_host.c
@@ -977,6 +977,29 @@
 }
 END_TEST
 
+/*
+ * Guards against tasks that wait for a lease which no worker can hold: a worker
+ * is registered at whose address nobody listens, so no start has been sent.
+ */
+START_TEST(start_that_was_not_sent_needs_no_lease)
+{
+	static const char entry[] =
+		"{\"svc\":\"pool\",\"addr\":\"127.0.0.1:1\",\"zone\":\"d1\","
+		"\"state\":\"ready\",\"headroom\":{\"cpu\":128000,\"mem_mb\":"
+		"262144,\"gpu\":8},\"labels\":[\"a\",\"rack-0\"],\"clock_ms\":1,"
+		"\"born\":1}";
+
+	rig_start(&rig, 1, 1, 1);
+	site_store_put(rig.store, "servers/absent", entry);
+	rig_run_ms(&rig, 300);
+	ck_assert_int_eq(rig_submit(&rig, 0, JOB_A, 12, "ms=100", NULL), 200);
+	/* Less than the lease of the rig's workers, max_hold_ms. */
+	ck_assert(rig_wait(&rig, 0, JOB_A, "done", 2400));
+	check_invariants();
+	rig_stop(&rig);
+}
+END_TEST
+
 START_TEST(failing_worker_is_avoided)
 {
 	struct site_worker *worker;
@@ -1073,6 +1096,7 @@
 	tcase_add_test(tc, malformed_reports_end_no_task);
 	tcase_add_test(tc, idle_connections_to_workers_are_bounded);
 	tcase_add_test(tc, ends_beyond_a_full_list_run_once);
+	tcase_add_test(tc, start_that_was_not_sent_needs_no_lease);
 	tcase_add_test(tc, failing_worker_is_avoided);
 	tcase_add_test(tc, draining_worker_gets_nothing_new);
 	tcase_add_test(tc, counts_of_waiting_jobs);
