--- a/tests/unit/test_decode.c
+++ b/tests/unit/test_decode.c
@@ -74,6 +74,15 @@
 		"{\"svc\":\"s\",\"addr\":\"10.0.0.9:80\",\"zone\":\"z\","
 		"\"state\":\"ready\",\"headroom\":{\"cpu\":1,\"mem_mb\":2},"
 		"\"clock_ms\":5,\"born\":6.5}",
+		"{\"svc\":\"s\",\"addr\":\"10.0.0.9:80\",\"zone\":\"z\","
+		"\"state\":\"ready\",\"headroom\":{\"cpu\":1,\"mem_mb\":2},"
+		"\"clock_ms\":9223372036854775807,\"born\":6}",
+		"{\"svc\":\"s\",\"addr\":\"10.0.0.9:80\",\"zone\":\"z\","
+		"\"state\":\"ready\",\"headroom\":{\"cpu\":1,\"mem_mb\":2,"
+		"\"gpu\":1e300},\"clock_ms\":5,\"born\":-6}",
+		"{\"svc\":\"s\",\"addr\":\"10.0.0.9:80\",\"zone\":\"z\","
+		"\"state\":\"ready\",\"headroom\":{\"cpu\":9223372036854775807,"
+		"\"mem_mb\":2},\"clock_ms\":5,\"born\":6}",
 	};
 	struct worker_report report;
 	size_t i;
