--- a/fleet/fleet_int.h
+++ b/fleet/fleet_int.h
@@ -56,6 +56,12 @@
 /* Handles a reported end of the task's current run. */
 void fleet_run_ended(struct fleet *fleet, struct task *task, enum run_end how,
 		     int64_t now_us, int64_t wall_ms);
+/*
+ * Handles the reported end of a run that was done and has been released since.
+ * Counts unless a later run of the task or of its gang may have begun.
+ */
+void fleet_late_done(struct fleet *fleet, struct task *task, int64_t run,
+		     int64_t now_us, int64_t wall_ms);
 /* run: the task or its copy, which share the checkpoint. */
 void fleet_take_checkpoint(struct task *run, const char *checkpoint);
 
--- a/fleet/hold_report.c
+++ b/fleet/hold_report.c
@@ -1,19 +1,21 @@
 #include "fleet/fleet_int.h"
 
+/* Returns the job that a task name refers to, or NULL. */
+static struct job *find_job(const struct fleet *fleet, const char *name,
+			    struct task_ref *ref)
+{
+	return task_ref_parse(name, ref) ? fleet_job(fleet, ref->job) : NULL;
+}
+
 /* Returns the task or copy whose run is assigned to the worker, or NULL. */
 static struct task *find_run(const struct fleet *fleet,
 			     const struct worker *worker, const char *name,
 			     int64_t run)
 {
-	struct task *task;
-
 	struct task_ref ref;
-	struct job *job;
+	struct job *job = find_job(fleet, name, &ref);
+	struct task *task = job ? job_find_run(job, &ref, run) : NULL;
 
-	if (!task_ref_parse(name, &ref))
-		return NULL;
-	job = fleet_job(fleet, ref.job);
-	task = job ? job_find_run(job, &ref, run) : NULL;
 	return task && task->worker == worker ? task : NULL;
 }
 
@@ -26,6 +28,18 @@
 	g_array_append_val(worker->ends, end);
 }
 
+/* An end of a run that is not assigned to the worker any more. */
+static void handle_late_end(struct fleet *fleet, const struct end_report *end,
+			    int64_t now_us, int64_t wall_ms)
+{
+	struct task_ref ref;
+	struct job *job = find_job(fleet, end->task, &ref);
+	struct task *task = job ? job_find_task(job, &ref) : NULL;
+
+	if (task && end->how == RUN_DONE)
+		fleet_late_done(fleet, task, end->run, now_us, wall_ms);
+}
+
 static void handle_ends(struct fleet *fleet, struct worker *worker,
 			const struct hold_report *report, int64_t now_us,
 			int64_t wall_ms)
@@ -42,6 +56,8 @@
 		if (task) {
 			fleet_take_checkpoint(task, end->checkpoint);
 			fleet_run_ended(fleet, task, end->how, now_us, wall_ms);
+		} else {
+			handle_late_end(fleet, end, now_us, wall_ms);
 		}
 		record_end(fleet, worker, end->number);
 	}
--- a/fleet/run.c
+++ b/fleet/run.c
@@ -299,6 +299,35 @@
 		fleet_break_gang(fleet, task, end_names[how]);
 }
 
+/* Whether the task has a run of another number that may have begun. */
+static bool has_other_run(const struct task *task, int64_t run)
+{
+	return task->worker && task->phase != TASK_PLANNED && task->run != run;
+}
+
+void fleet_late_done(struct fleet *fleet, struct task *task, int64_t run,
+		     int64_t now_us, int64_t wall_ms)
+{
+	struct stage *stage = task->stage;
+	int first = stage->spec->gang ? 0 : task->index;
+	int last = stage->spec->gang ? stage->spec->count - 1 : task->index;
+	int i;
+
+	if (job_ended(stage->job) || task->phase == TASK_DONE ||
+	    stage->spec->long_running || run > task->run)
+		return;
+	for (i = first; i <= last; i++)
+		if (has_other_run(&stage->tasks[i], run) ||
+		    task_has_copy(&stage->tasks[i]))
+			return;
+	fleet_note(fleet, "task.ended", stage->job, task, "done, late");
+	for (i = first; i <= last; i++)
+		if (stage->tasks[i].phase == TASK_PLANNED)
+			fleet_stop_one(fleet, &stage->tasks[i],
+				       "an earlier run was done");
+	run_done(fleet, task, now_us, wall_ms);
+}
+
 void fleet_run_refused(struct fleet *fleet, struct task *task,
 		       enum start_refusal why, int64_t now_us)
 {
--- a/tests/unit/test_fleet.c
+++ b/tests/unit/test_fleet.c
@@ -209,6 +209,72 @@
 }
 END_TEST
 
+static struct hold_report one_end(struct end_report *end, const char *task,
+				  int64_t number)
+{
+	*end = (struct end_report){ .number = number,
+				    .task = (char *)task,
+				    .run = 1,
+				    .how = RUN_DONE };
+	return (struct hold_report){ .ended = end, .nended = 1 };
+}
+
+/*
+ * Guards against a task that runs again after it was done: its worker was cut
+ * off for longer than the lease and lists the end afterwards.
+ */
+START_TEST(late_end_of_a_released_run_counts)
+{
+	struct worker *worker = make_worker(&fleet, "w1", "r1", 8, NOW);
+	struct job *job = running_job(2, false);
+	struct hold_report report;
+	struct end_report end;
+
+	worker_extend_lease(worker, 6000, NOW);
+	worker->unanswered_calls = 3;
+	worker->unanswered_since_us = NOW;
+	fleet_expire(&fleet, NOW + 10 * SEC);
+	ck_assert_int_eq(first_occurrence_task(job, 0, 0)->phase, TASK_WAITING);
+	report = one_end(&end, "j.0.0.0", 1);
+	fleet_handle_hold(&fleet, worker, &report, NOW + 11 * SEC,
+			  NOW + 11 * SEC, 0);
+	ck_assert_int_eq(first_occurrence_task(job, 0, 0)->phase, TASK_DONE);
+	/* The other one is planned by now, and its start not sent. */
+	worker->unanswered_calls = 0;
+	ck_assert_int_eq(plan_pass(&fleet, NOW + 11 * SEC), 1);
+	report = one_end(&end, "j.0.0.1", 2);
+	fleet_handle_hold(&fleet, worker, &report, NOW + 12 * SEC,
+			  NOW + 12 * SEC, 0);
+	ck_assert_int_eq(job->phase, JOB_DONE);
+	ck_assert(!fleet_job_holds_room(job));
+}
+END_TEST
+
+/* A run that has been started again goes on. */
+START_TEST(late_end_ends_no_later_run)
+{
+	struct worker *worker = make_worker(&fleet, "w1", "r1", 8, NOW);
+	struct job *job = running_job(1, false);
+	struct task *task = first_occurrence_task(job, 0, 0);
+	struct hold_report report;
+	struct end_report end;
+
+	worker_extend_lease(worker, 6000, NOW);
+	worker->unanswered_calls = 3;
+	worker->unanswered_since_us = NOW;
+	fleet_expire(&fleet, NOW + 10 * SEC);
+	make_worker(&fleet, "w2", "r1", 8, NOW + 10 * SEC);
+	ck_assert_int_eq(plan_pass(&fleet, NOW + 10 * SEC), 1);
+	ck_assert_int_eq(confirm_planned_runs(&fleet, NOW + 10 * SEC), 1);
+	report = one_end(&end, "j.0.0.0", 1);
+	fleet_handle_hold(&fleet, worker, &report, NOW + 11 * SEC,
+			  NOW + 11 * SEC, 0);
+	ck_assert_int_eq(task->phase, TASK_RUNNING);
+	ck_assert_int_eq(task->run, 2);
+	ck_assert_int_eq(job->phase, JOB_RUNNING);
+}
+END_TEST
+
 static int lost_calls;
 
 static void ignore_note(void *user, const char *event, const struct job *job,
@@ -550,6 +616,8 @@
 	tcase_add_test(tc, report_older_than_the_answer_is_ignored);
 	tcase_add_test(tc, truncated_report_ends_no_run);
 	tcase_add_test(tc, lease_of_a_silent_worker);
+	tcase_add_test(tc, late_end_of_a_released_run_counts);
+	tcase_add_test(tc, late_end_ends_no_later_run);
 	tcase_add_test(tc, unreachable_worker_is_logged_once);
 	tcase_add_test(tc, worker_that_answers_keeps_its_tasks);
 	tcase_add_test(tc, new_incarnation_keeps_tasks_until_it_reports);
