--- a/control/ledger.c
+++ b/control/ledger.c
@@ -52,6 +52,7 @@
 	ledger->leader_revision = leader_revision;
 	ledger->open = true;
 	ledger->started_us = 0;
+	ledger->counts_rev = -1;
 }
 
 void ledger_close(struct ledger *ledger)
@@ -147,8 +148,10 @@
 	if (ledger->removals_in_call > 0)
 		g_ptr_array_remove_range(ledger->removed_jobs, 0,
 					 (guint)ledger->removals_in_call);
-	if (ledger->counts_in_call)
+	if (ledger->counts_in_call) {
 		ledger->counts_dirty = false;
+		ledger->counts_rev = revision;
+	}
 	ctr_add(&ledger->writes, 1);
 	ctr_observe(&ledger->latency,
 		    (uint64_t)((kn_now_us() - ledger->started_us) / 1000));
@@ -165,7 +168,7 @@
 /*
  * Handles a failed comparison: either another host holds the leader's key, or
  * an earlier attempt at this transaction was executed after all. In the second
- * case, updates the known revisions of the records and returns true.
+ * case, updates the known revisions of the records and counts and returns true.
  */
 static bool still_leader(struct ledger *ledger, const struct kv_call *call)
 {
@@ -174,6 +177,11 @@
 
 	if (!leader || leader->mod_revision != ledger->leader_revision)
 		return false;
+	if (ledger->counts_in_call) {
+		const struct kv_item *counts = kv_find(call, KEY_WAITING);
+
+		ledger->counts_rev = counts ? counts->mod_revision : 0;
+	}
 	for (i = 0; i < ledger->jobs_in_call->len; i++) {
 		struct job *job = g_ptr_array_index(ledger->jobs_in_call, i);
 		char *key = state_key(job);
@@ -300,12 +308,18 @@
 	}
 	if (ledger->jobs_in_call->len == 0)
 		add_removals(ledger, batch);
-	ledger->counts_in_call = ledger->counts_dirty &&
-				 ledger->jobs_in_call->len < RECORDS_PER_WRITE;
-	if (ledger->counts_in_call)
-		batch_put(batch, KEY_WAITING,
-			  g_memdup2(ledger->counts, ledger->counts_len),
-			  ledger->counts_len);
+	/* While the revision is not known, the comparison may fail: no records
+	 * wait for that. */
+	ledger->counts_in_call =
+		ledger->counts_dirty &&
+		ledger->jobs_in_call->len <
+			(ledger->counts_rev < 0 ? 1 : RECORDS_PER_WRITE);
+	if (!ledger->counts_in_call)
+		return;
+	batch_compare(batch, KEY_WAITING, MAX(ledger->counts_rev, 0));
+	batch_put(batch, KEY_WAITING,
+		  g_memdup2(ledger->counts, ledger->counts_len),
+		  ledger->counts_len);
 }
 
 void ledger_flush(struct ledger *ledger)
--- a/control/ledger.h
+++ b/control/ledger.h
@@ -37,6 +37,8 @@
 	char *counts; /* latest counts record; written when it changes */
 	size_t counts_len;
 	bool counts_dirty;
+	/* Revision of the stored counts, 0: there are none, -1: not known. */
+	int64_t counts_rev;
 	bool counts_in_call;
 	bool answered; /* the latest transaction was answered */
 	struct kn_timer timer;
--- a/tests/unit/test_host.c
+++ b/tests/unit/test_host.c
@@ -1,4 +1,5 @@
 #include <stdio.h>
+#include <stdlib.h>
 #include <string.h>
 
 #include "tests/standins/site_rig.h"
@@ -1050,6 +1051,51 @@
 }
 END_TEST
 
+static int waiting_jobs(int host)
+{
+	struct rig_reply reply =
+		rig_call(&rig, host, "GET", RIG_PREFIX, RIG_KEY, NULL);
+	const char *at = strstr(reply.body, "\"waiting\":");
+
+	return at ? atoi(at + strlen("\"waiting\":")) : -1;
+}
+
+/*
+ * Guards against counts that stay wrong because a write that got no answer is
+ * carried out after newer ones.
+ */
+START_TEST(late_write_of_counts_overwrites_none)
+{
+	const int rounds = 6;
+	int leader, other, i;
+	char id[32];
+
+	rig_start(&rig, 2, 1, 1);
+	ck_assert_int_eq(rig_submit(&rig, 0, JOB_A, 8, "ms=60000", NULL), 200);
+	rig_run_ms(&rig, 1000);
+	leader = rig_leader(&rig);
+	other = 1 - leader;
+	for (i = 0; i < rounds; i++) {
+		snprintf(id, sizeof(id), "%016x", 0x800 + 2 * i);
+		ck_assert_int_eq(rig_submit(&rig, other, id, 1, "ms=100", NULL),
+				 200);
+		site_store_fault(rig.store, rig.hosts[leader].door, SITE_LATE,
+				 100, 0);
+		rig_run_ms(&rig, 520);
+		snprintf(id, sizeof(id), "%016x", 0x801 + 2 * i);
+		ck_assert_int_eq(rig_submit(&rig, other, id, 1, "ms=100", NULL),
+				 200);
+		site_store_fault(rig.store, rig.hosts[leader].door, SITE_WELL,
+				 0, 0);
+		/* Late writes come after 700 ms, counts within 500 ms, and
+		 * hosts may keep them for 2 s. */
+		rig_run_ms(&rig, 3500);
+		ck_assert_int_eq(waiting_jobs(other), 2 * (i + 1));
+	}
+	rig_stop(&rig);
+}
+END_TEST
+
 int main(void)
 {
 	TCase *tc = tcase_create("host");
@@ -1100,5 +1146,6 @@
 	tcase_add_test(tc, failing_worker_is_avoided);
 	tcase_add_test(tc, draining_worker_gets_nothing_new);
 	tcase_add_test(tc, counts_of_waiting_jobs);
+	tcase_add_test(tc, late_write_of_counts_overwrites_none);
 	return run_case("host", tc);
 }
