--- a/tests/soak/soak.h
+++ b/tests/soak/soak.h
@@ -15,12 +15,16 @@
 /* By the platform's rules, on days on which clocks jump. */
 #define SOAK_EARLY_MS (250 + 5000)
 #define SOAK_KEY "key-one"
+#define SOAK_RACK_WORKERS 4 /* workers of one rack */
 
 struct soak_options {
 	uint32_t seed;
 	int seconds;
 	int hosts;
 	int workers;
+	int dcs; /* data centres, to which the hosts belong in turn */
+	/* Shape of faults: series of takeovers, and wider and longer jobs. */
+	bool takeovers;
 	const char *binary;
 	const char *clock; /* library that shifts the time of day */
 	const char *dir; /* settings and logs */
@@ -64,6 +68,14 @@
 	int unknown;
 	int faults;
 	bool healing; /* no more faults and jobs */
+	int64_t faults_end_us; /* when the faults end */
+	int64_t healed_us; /* when they have ended */
+	bool rack_jobs; /* a job for each rack was handed in */
+	/* Of a series of ends of leaders: how many follow, when the next is due,
+	 * and the latest leader that was ended. */
+	int series_left;
+	int64_t series_at_us;
+	int64_t series_fence;
 };
 
 int soak_below(struct soak *soak, int n);
@@ -77,6 +89,8 @@
 void soak_jobs_step(struct soak *soak);
 /* Whether every job has come to its end. */
 bool soak_jobs_settled(struct soak *soak);
+/* Checks that no job stands still, once the faults are over. */
+void soak_jobs_check_still(struct soak *soak);
 /* Checks that hold at the end. */
 void soak_jobs_check(struct soak *soak);
 void soak_jobs_finish(struct soak *soak);
@@ -84,6 +98,13 @@
 /* Soak_faults.c. */
 
 bool soak_host_start(struct soak *soak, struct soak_host *host);
+bool soak_host_runs(const struct soak_host *host);
+void soak_host_kill(struct soak *soak, struct soak_host *host);
+/* Asks it to stop, and kills it when its time for that is over. */
+void soak_host_stop(struct soak *soak, struct soak_host *host);
+void soak_host_freeze(struct soak *soak, struct soak_host *host);
+/* Writes a line of the course of faults. */
+void soak_say(const char *what, const char *where);
 /* One fault, or the end of some. */
 void soak_faults_step(struct soak *soak);
 /* Ends all faults; processes that are down are started. */
@@ -91,4 +112,9 @@
 /* Starts and kills what is due. */
 void soak_hosts_step(struct soak *soak);
 
+/* Soak_takeovers.c. */
+
+/* Takes the series of faults a step further. */
+void soak_takeovers_step(struct soak *soak);
+
 #endif
--- a/tests/soak/soak_faults.c
+++ b/tests/soak/soak_faults.c
@@ -20,7 +20,7 @@
 		       USEC_PER_MSEC;
 }
 
-static void say(const struct soak *soak, const char *what, const char *where)
+void soak_say(const char *what, const char *where)
 {
 	printf("%9.3f fault=%s at=%s\n", (double)kn_now_us() / 1e6, what,
 	       where);
@@ -52,7 +52,7 @@
 	return host->proc >= 0;
 }
 
-static bool runs(const struct soak_host *host)
+bool soak_host_runs(const struct soak_host *host)
 {
 	return host->proc >= 0 && host->start_us == 0;
 }
@@ -66,7 +66,7 @@
 
 		if (host->kill_us && kn_now_us() > host->kill_us)
 			sr_proc_signal(host->proc, SIGKILL);
-		if (runs(host) && sr_proc_ended(host->proc, &code)) {
+		if (soak_host_runs(host) && sr_proc_ended(host->proc, &code)) {
 			if (!host->kill_us)
 				soak_violated(soak, "EXIT", host->name,
 					      "a process ended by itself");
@@ -78,23 +78,23 @@
 	}
 }
 
-static void kill_host(struct soak *soak, struct soak_host *host)
+void soak_host_kill(struct soak *soak, struct soak_host *host)
 {
-	say(soak, "kill", host->name);
+	soak_say("kill", host->name);
 	sr_proc_signal(host->proc, SIGKILL);
 	host->kill_us = kn_now_us();
 }
 
-static void stop_host(struct soak *soak, struct soak_host *host)
+void soak_host_stop(struct soak *soak, struct soak_host *host)
 {
-	say(soak, "term", host->name);
+	soak_say("term", host->name);
 	sr_proc_signal(host->proc, SIGTERM);
 	host->kill_us = kn_now_us() + GRACE_MS * USEC_PER_MSEC;
 }
 
-static void freeze_host(struct soak *soak, struct soak_host *host)
+void soak_host_freeze(struct soak *soak, struct soak_host *host)
 {
-	say(soak, "freeze", host->name);
+	soak_say("freeze", host->name);
 	sr_proc_signal(host->proc, SIGSTOP);
 	host->frozen = true;
 	host->thaw_us = fault_end_us(soak);
@@ -104,7 +104,7 @@
 {
 	if (!host->frozen)
 		return;
-	say(soak, "thaw", host->name);
+	soak_say("thaw", host->name);
 	sr_proc_signal(host->proc, SIGCONT);
 	host->frozen = false;
 }
@@ -122,25 +122,25 @@
 		for (i = 0; i < soak->options.hosts; i++)
 			if (atoi(item->value + strlen("host-")) == i)
 				host = &soak->hosts[i];
-	if (!runs(host) || host->kill_us)
+	if (!soak_host_runs(host) || host->kill_us)
 		return;
 	switch (soak_below(soak, 6)) {
 	case 0:
 	case 1:
-		kill_host(soak, host);
+		soak_host_kill(soak, host);
 		break;
 	case 2:
-		stop_host(soak, host);
+		soak_host_stop(soak, host);
 		break;
 	case 3:
 	case 4:
-		freeze_host(soak, host);
+		soak_host_freeze(soak, host);
 		break;
 	default:
 		/* Before its first instruction no process can handle it. */
 		if (kn_now_us() - host->started_us < 300 * USEC_PER_MSEC)
 			break;
-		say(soak, "hup", host->name);
+		soak_say("hup", host->name);
 		sr_proc_signal(host->proc, SIGHUP);
 		break;
 	}
@@ -160,7 +160,7 @@
 	int one = soak_below(soak, soak->options.hosts);
 	int i;
 
-	say(soak, names[n], all ? "way of all" : soak->hosts[one].name);
+	soak_say(names[n], all ? "way of all" : soak->hosts[one].name);
 	for (i = 0; i < soak->options.hosts; i++) {
 		if (!all && i != one)
 			continue;
@@ -183,7 +183,7 @@
 	int one = soak_below(soak, soak->options.hosts);
 	int i;
 
-	say(soak, names[n], all ? "peers of all" : "peers of one");
+	soak_say(names[n], all ? "peers of all" : "peers of one");
 	for (i = 0; i < soak->options.hosts; i++) {
 		if (!all && i != one)
 			continue;
@@ -217,7 +217,7 @@
 		&soak->hosts[soak_below(soak, soak->options.hosts)];
 	int ms = soak_below(soak, 2 * CLOCK_STEP_MAX_MS) - CLOCK_STEP_MAX_MS;
 
-	say(soak, "clock", host->name);
+	soak_say("clock", host->name);
 	soak->fleet->early_ms = SOAK_EARLY_MS;
 	host->clock_heal_us = fault_end_us(soak);
 	set_clock(soak, host, ms);
@@ -236,16 +236,16 @@
 			   soak_below(soak, soak->options.hosts);
 
 	if (soak_chance(soak, 15)) {
-		say(soak, "compact", "store");
+		soak_say("compact", "store");
 		site_store_compact(soak->store);
 		return;
 	}
 	if (soak_chance(soak, 15)) {
-		say(soak, "lapse", "leader");
+		soak_say("lapse", "leader");
 		site_store_lapse(soak->store, "chivebank/leader");
 		return;
 	}
-	say(soak, names[n], door < 0 ? "store" : "one door");
+	soak_say(names[n], door < 0 ? "store" : "one door");
 	soak->store_heal_us = fault_end_us(soak);
 	site_store_fault(soak->store, door, faults[n], 30,
 			 soak_chance(soak, 20) ? 60 : 0);
@@ -282,23 +282,23 @@
 	soak->worker_heal_us[index] = fault_end_us(soak);
 	switch (soak_below(soak, 5)) {
 	case 0:
-		say(soak, worker->up ? "crash" : "restart", worker->id);
+		soak_say(worker->up ? "crash" : "restart", worker->id);
 		if (worker->up)
 			site_worker_crash(worker);
 		else
 			site_worker_restart(worker);
 		break;
 	case 1:
-		say(soak, "way", worker->id);
+		soak_say("way", worker->id);
 		sr_relay_set(soak->worker_relays[index],
 			     (enum sr_relay_state)soak_below(soak, 5));
 		break;
 	case 2:
-		say(soak, "silence", worker->id);
+		soak_say("silence", worker->id);
 		sr_relay_silence(soak->worker_relays[index]);
 		break;
 	default:
-		say(soak, names[n], worker->id);
+		soak_say(names[n], worker->id);
 		worker->fault = faults[n];
 		worker->percent = 40;
 		break;
@@ -312,7 +312,7 @@
 	char *text;
 
 	soak->config_version += 1 + soak_below(soak, 3);
-	say(soak, "config", "store");
+	soak_say("config", "store");
 	text = g_strdup_printf(
 		"{\"version\":%d,\"routes\":[{\"name\":\"q\",\"host\":"
 		"\"127.0.0.1\",\"prefix\":\"/jobs/\",\"slo_ms\":1000,"
@@ -330,6 +330,8 @@
 	soak->worker_heal_us[index] = 0;
 	sr_relay_set(soak->worker_relays[index], SR_OPEN);
 	worker->fault = SITE_WORKER_WELL;
+	if (worker->draining && worker->up)
+		site_worker_crash(worker);
 	if (!worker->up)
 		site_worker_restart(worker);
 }
@@ -374,6 +376,10 @@
 void soak_faults_step(struct soak *soak)
 {
 	heal(soak, false);
+	if (soak->options.takeovers) {
+		soak_takeovers_step(soak);
+		return;
+	}
 	if (!soak_chance(soak, 4))
 		return;
 	soak->faults++;
--- a/tests/soak/soak_jobs.c
+++ b/tests/soak/soak_jobs.c
@@ -5,10 +5,17 @@
 #include "base/err.h"
 #include "base/limits.h"
 #include "tests/soak/soak.h"
+#include "tests/standins/site_fleet_int.h"
 
 #define JOBS_MAX 400
 #define TRIES_MAX 12
 #define CALL_TIMEOUT_MS 4000
+#define TASKS_MAX 6
+#define TASK_MS 1200
+#define LARGE_TASKS_MAX 40
+#define LARGE_TASK_MS 5000
+/* Jobs of up to so many tasks may be for the workers of one rack only. */
+#define LABELLED_TASKS_MAX 8
 /* A job of two occurrences, the first so long after it is handed in. */
 #define TIMED_FIRST_MS 700
 #define TIMED_EVERY_MS 900
@@ -28,6 +35,10 @@
 	bool cancelling;
 	bool cancelled; /* and its caller was told so */
 	char state[16]; /* as it was told last */
+	int tasks; /* of its widest step */
+	int64_t due_ms; /* Unix time of its first occurrence, 0: at once */
+	int64_t still_us; /* since when nothing of it runs, 0: some does */
+	bool stood_still; /* and that was reported */
 	int64_t next_us;
 	struct hc_call call;
 	bool calling;
@@ -39,34 +50,42 @@
 	return &soak->hosts[soak_below(soak, soak->options.hosts)];
 }
 
-static char *make_body(struct soak *soak, bool *poison)
+static void make_body(struct soak *soak, struct soak_job *job)
 {
-	int count = 1 + soak_below(soak, 6);
+	bool large = soak->options.takeovers;
+	int count = 1 + soak_below(soak, large ? LARGE_TASKS_MAX : TASKS_MAX);
 	bool gang = soak_chance(soak, 35);
 	bool steps = !gang && soak_chance(soak, 30);
 	bool timed = !gang && !steps && soak_chance(soak, 25);
-	int ms = 100 + soak_below(soak, 1200);
+	int ms = 100 + soak_below(soak, large ? LARGE_TASK_MS : TASK_MS);
+	int est_ms = large ? ms * (30 + soak_below(soak, 170)) / 100 : ms;
+	bool labelled =
+		large && count <= LABELLED_TASKS_MAX && soak_chance(soak, 50);
 	int64_t due_ms = kn_wall_us() / USEC_PER_MSEC + TIMED_FIRST_MS;
 	char *times =
 		timed ? g_strdup_printf(",\"times\":2,\"first_ms\":%lld,"
 					"\"interval_ms\":%d",
 					(long long)due_ms, TIMED_EVERY_MS) :
 			g_strdup("");
-	char *payload, *body;
+	char *payload;
 
-	*poison = soak_chance(soak, 6);
+	job->tasks = count;
+	job->due_ms = timed ? due_ms : 0;
+	job->poison = soak_chance(soak, 6);
 	payload = g_strdup_printf("ms=%d gpus=%d gang=%d before=%d fail=%d "
 				  "attempts=3 beyond=%d due=%lld every=%d",
 				  ms, 1, gang ? count : 0, count,
-				  *poison ? 99 :
-				  gang	  ? 0 :
-					    soak_below(soak, 2),
+				  job->poison ? 99 :
+				  gang	      ? 0 :
+						soak_below(soak, 2),
 				  steps ? 2 : 0, timed ? (long long)due_ms : 0,
 				  TIMED_EVERY_MS);
-	body = g_strdup_printf(
+	job->body = g_strdup_printf(
 		"{\"spec\":\"%s\",\"steps\":[{\"count\":%d,\"cpu\":1000,"
-		"\"mem_mb\":100,\"gpu\":1,\"est_ms\":%d%s%s}%s]%s}",
-		payload, count, ms, gang ? ",\"gang\":true" : "",
+		"\"mem_mb\":100,\"gpu\":1,\"est_ms\":%d%s%s%s}%s]%s}",
+		payload, count, est_ms,
+		labelled ? ",\"required_label\":\"rack-0\"" : "",
+		gang ? ",\"gang\":true" : "",
 		steps ? ",\"max_per_server\":2" : "",
 		steps ? ",{\"count\":2,\"cpu\":500,\"gpu\":1,\"est_ms\":200,"
 			"\"after\":[0],\"max_per_server\":2}" :
@@ -74,19 +93,43 @@
 		times);
 	g_free(times);
 	g_free(payload);
-	return body;
 }
 
-static void add_job(struct soak *soak)
+static struct soak_job *add_job(struct soak *soak)
 {
 	struct soak_job *job = g_new0(struct soak_job, 1);
 
 	job->soak = soak;
 	snprintf(job->id, sizeof(job->id), "%08x%08x", g_rand_int(soak->rand),
 		 g_rand_int(soak->rand));
-	job->body = make_body(soak, &job->poison);
 	job->only_refusals = true;
 	list_add_tail(&job->node, &soak->jobs);
+	return job;
+}
+
+/* So long after the faults, workers are used again. */
+#define RACK_JOBS_MS 5000
+
+/* One job for each rack, which shows whether its workers are used again. */
+static void add_rack_jobs(struct soak *soak)
+{
+	int racks = soak->options.workers / SOAK_RACK_WORKERS;
+	int rack;
+
+	if (soak->rack_jobs ||
+	    kn_now_us() < soak->healed_us + RACK_JOBS_MS * USEC_PER_MSEC)
+		return;
+	soak->rack_jobs = true;
+	for (rack = 0; rack < racks; rack++) {
+		struct soak_job *job = add_job(soak);
+
+		job->tasks = 2;
+		job->body = g_strdup_printf(
+			"{\"spec\":\"ms=300\",\"steps\":[{\"count\":2,\"cpu\":1000,"
+			"\"mem_mb\":100,\"gpu\":1,\"est_ms\":300,"
+			"\"required_label\":\"rack-%d\"}]}",
+			rack);
+	}
 }
 
 /* Answers. */
@@ -221,14 +264,18 @@
 		open += job->phase == SOAK_HANDING_IN;
 	}
 	if (!soak->healing && soak->accepted < JOBS_MAX && open < 20 &&
-	    soak_chance(soak, 8))
-		add_job(soak);
+	    soak_chance(soak, soak->options.takeovers ? 2 : 8))
+		make_body(soak, add_job(soak));
+	if (soak->healing)
+		add_rack_jobs(soak);
 }
 
 bool soak_jobs_settled(struct soak *soak)
 {
 	struct soak_job *job;
 
+	if (!soak->rack_jobs)
+		return false;
 	list_for_each_entry(job, &soak->jobs, node)
 		if (job->phase == SOAK_HANDING_IN ||
 		    (job->phase == SOAK_ACCEPTED &&
@@ -237,6 +284,67 @@
 	return true;
 }
 
+/* Free accelerators, of all of them; each task needs one. */
+static void count_room(const struct soak *soak, int64_t *unused, int64_t *all)
+{
+	const struct site_worker *worker;
+	const struct site_run *run;
+
+	*unused = *all = 0;
+	list_for_each_entry(worker, &soak->fleet->workers, node) {
+		*all += worker->gpus;
+		*unused += worker->gpus;
+		list_for_each_entry(run, &worker->runs, node)
+			*unused -= run->gpus;
+	}
+}
+
+static bool runs_somewhere(const struct soak *soak, const struct soak_job *job)
+{
+	const struct site_worker *worker;
+	const struct site_run *run;
+
+	list_for_each_entry(worker, &soak->fleet->workers, node)
+		list_for_each_entry(run, &worker->runs, node)
+			if (g_str_has_prefix(run->name, job->id))
+				return true;
+	return false;
+}
+
+/*
+ * The platform's rule: so long after the faults, no job has nothing running for
+ * STILL_MS while a task's turn has come, there is room for it twice over and
+ * under half of all room is in use.
+ */
+#define FINISH_MS 14000
+#define STILL_MS 3000
+
+void soak_jobs_check_still(struct soak *soak)
+{
+	int64_t now_us = kn_now_us(), unused, all;
+	struct soak_job *job;
+
+	if (now_us < soak->healed_us + FINISH_MS * USEC_PER_MSEC)
+		return;
+	count_room(soak, &unused, &all);
+	list_for_each_entry(job, &soak->jobs, node) {
+		if (job->phase != SOAK_ACCEPTED || job->cancelling ||
+		    is_final(job->state) || runs_somewhere(soak, job) ||
+		    unused < 2 * job->tasks || unused * 2 < all ||
+		    kn_wall_us() / USEC_PER_MSEC < job->due_ms) {
+			job->still_us = 0;
+			continue;
+		}
+		if (job->still_us == 0)
+			job->still_us = now_us;
+		if (job->stood_still ||
+		    now_us - job->still_us < STILL_MS * USEC_PER_MSEC)
+			continue;
+		job->stood_still = true;
+		soak_violated(soak, "LOST", job->id, "it stands still");
+	}
+}
+
 static bool has_run(struct soak *soak, const char *id)
 {
 	GHashTableIter iter;
--- a/tests/soak/soak_main.c
+++ b/tests/soak/soak_main.c
@@ -19,6 +19,8 @@
 	{ "seconds", 't', "N", 0, "Length of the faults", 0 },
 	{ "hosts", 'n', "N", 0, "Entry hosts", 0 },
 	{ "workers", 'w', "N", 0, "Workers", 0 },
+	{ "dcs", 'z', "N", 0, "Data centres of the hosts", 0 },
+	{ "takeovers", 'k', NULL, 0, "Series of takeovers, large jobs", 0 },
 	{ "binary", 'b', "FILE", 0, "chivebankd", 0 },
 	{ "clock", 'c', "FILE", 0, "Library that shifts the time of day", 0 },
 	{ "dir", 'd', "DIR", 0, "Settings and logs", 0 },
@@ -42,6 +44,12 @@
 	case 'w':
 		options->workers = atoi(arg);
 		return 0;
+	case 'z':
+		options->dcs = CLAMP(atoi(arg), 1, 9);
+		return 0;
+	case 'k':
+		options->takeovers = true;
+		return 0;
 	case 'b':
 		options->binary = arg;
 		return 0;
@@ -89,7 +97,7 @@
 			seeds, "%s\"127.0.0.1:%d\"", i ? "," : "",
 			sr_relay_port(soak->hosts[i].peers_relay));
 	text = g_strdup_printf(
-		"{\"node\":\"%s\",\"zone\":\"d1\",\"region\":\"r1\","
+		"{\"node\":\"%s\",\"zone\":\"d%d\",\"region\":\"r1\","
 		"\"listen\":{\"front\":\"127.0.0.1:%d\","
 		"\"ctl\":\"127.0.0.1:%d\"},\"seeds\":[%s],"
 		"\"limits\":{\"cpu_share\":1,\"cores\":1},"
@@ -97,7 +105,8 @@
 		"\"bounds\":{\"max_hold_ms\":3000,\"stop_ms\":100,"
 		"\"gang_ms\":1000,\"config_ms\":2500,\"status_s\":600,"
 		"\"grace_s\":2}}",
-		host->name, host->callers_port, host->peers_port, seeds->str,
+		host->name, 1 + (int)(host - soak->hosts) % soak->options.dcs,
+		host->callers_port, host->peers_port, seeds->str,
 		sr_relay_port(host->relay));
 	path = g_strconcat(soak->options.dir, "/", host->name, ".json", NULL);
 	g_strlcpy(host->settings, path, sizeof(host->settings));
@@ -134,7 +143,7 @@
 	for (i = 0; i < soak->options.workers; i++) {
 		struct site_worker *worker;
 
-		snprintf(rack, sizeof(rack), "rack-%d", i / 4);
+		snprintf(rack, sizeof(rack), "rack-%d", i / SOAK_RACK_WORKERS);
 		worker = site_fleet_add(soak->fleet, rack, 4, ports_reserve());
 		soak->worker_relays[i] =
 			sr_relay_new(ports_reserve(), worker->server.port);
@@ -230,15 +239,19 @@
 {
 	int64_t end_us = kn_now_us() + soak->options.seconds * USEC_PER_SEC;
 
+	soak->faults_end_us = end_us;
 	while (kn_now_us() < end_us) {
 		run_step(soak);
 		soak_faults_step(soak);
 	}
 	soak_faults_heal(soak);
 	soak->healing = true;
+	soak->healed_us = kn_now_us();
 	end_us = kn_now_us() + SETTLE_SEC * USEC_PER_SEC;
-	while (kn_now_us() < end_us && !soak_jobs_settled(soak))
+	while (kn_now_us() < end_us && !soak_jobs_settled(soak)) {
 		run_step(soak);
+		soak_jobs_check_still(soak);
+	}
 	soak_jobs_check(soak);
 }
 
@@ -249,6 +262,7 @@
 			     .seconds = 20,
 			     .hosts = 3,
 			     .workers = 6,
+			     .dcs = 1,
 			     .binary = "build/chivebankd",
 			     .clock = "build/soak-clock.so",
 			     .dir = "build/soak" },
