--- a/fleet/fleet.c
+++ b/fleet/fleet.c
@@ -196,8 +196,12 @@
 {
 	struct job *job;
 
-	list_for_each_entry(job, &fleet->jobs, node)
-		while (!job_ended(job) && job_next_due_ms(job) <= wall_ms &&
+	list_for_each_entry(job, &fleet->jobs, node) {
+		if (job_ended(job))
+			continue;
+		job_close_occurrences(job);
+		while (job_next_due_ms(job) <= wall_ms && job_may_open(job) &&
 		       job_open_occurrence(job, now_us))
 			;
+	}
 }
--- a/fleet/fleet.h
+++ b/fleet/fleet.h
@@ -120,7 +120,10 @@
 void fleet_add_job(struct fleet *fleet, struct job *job);
 struct job *fleet_job(const struct fleet *fleet, const char *id);
 void fleet_cancel(struct fleet *fleet, struct job *job, int64_t wall_ms);
-/* Creates the stages of all occurrences that are due. */
+/*
+ * Creates the stages of the occurrences that are due, of each job as many as
+ * its record has room for, and frees those that are over.
+ */
 void fleet_open_due(struct fleet *fleet, int64_t now_us, int64_t wall_ms);
 /* Frees a job that holds no resources. */
 void fleet_remove_job(struct fleet *fleet, struct job *job);
--- a/fleet/job.c
+++ b/fleet/job.c
@@ -139,6 +139,33 @@
 	return job->spec.first_ms + job->due * job->spec.interval_ms;
 }
 
+static bool occurrence_is_over(const struct job *job, int64_t occurrence)
+{
+	int step;
+
+	for (step = 0; step < job->spec.nsteps; step++) {
+		const struct stage *stage = job_stage(job, occurrence, step);
+
+		if (stage && (stage->state != STAGE_DONE || stage->holding > 0))
+			return false;
+	}
+	return true;
+}
+
+void job_close_occurrences(struct job *job)
+{
+	while (job->closed < job->due && occurrence_is_over(job, job->closed))
+		job_free_occurrence(job, job->closed++);
+}
+
+bool job_may_open(const struct job *job)
+{
+	int64_t open = job->due - job->closed;
+
+	return open == 0 ||
+	       (open + 1) * job_spec_tasks(&job->spec) <= SPEC_JOB_TASKS_MAX;
+}
+
 bool job_open_occurrence(struct job *job, int64_t now_us)
 {
 	int step;
--- a/fleet/job.h
+++ b/fleet/job.h
@@ -120,6 +120,7 @@
 	int64_t occurrences; /* the total; stages has room for all */
 	int64_t due; /* occurrences that have become due */
 	int64_t over; /* occurrences of which all tasks are done */
+	int64_t closed; /* all occurrences before it are over and freed */
 	uint64_t first_change; /* oldest change not in the store, 0: none */
 	uint64_t last_change;
 	bool writing; /* a write of its record is pending */
@@ -141,6 +142,13 @@
 struct stage *job_stage(const struct job *job, int64_t occurrence, int step);
 /* Creates the stages of the next occurrence; false if there is none. */
 bool job_open_occurrence(struct job *job, int64_t now_us);
+/*
+ * Frees the oldest occurrences that are over and hold no resources. What is
+ * left is what the job's record contains.
+ */
+void job_close_occurrences(struct job *job);
+/* Whether another occurrence may be open beside those that are. */
+bool job_may_open(const struct job *job);
 /* Unix time of the next occurrence, INT64_MAX if there is none. */
 int64_t job_next_due_ms(const struct job *job);
 /* Opens the blocked stages whose dependencies are done. */
--- a/fleet/spec.c
+++ b/fleet/spec.c
@@ -107,9 +107,26 @@
 	for (i = 0; i < spec->nsteps; i++)
 		if (!step_check(&spec->steps[i], i, err))
 			return false;
+	if (job_spec_tasks(spec) > SPEC_JOB_TASKS_MAX) {
+		g_set_error(err, CB_ERROR, CB_E_BAD_JOB,
+			    "%" G_GINT64_FORMAT
+			    " tasks given, must be at most %d",
+			    job_spec_tasks(spec), SPEC_JOB_TASKS_MAX);
+		return false;
+	}
 	return true;
 }
 
+int64_t job_spec_tasks(const struct job_spec *spec)
+{
+	int64_t tasks = 0;
+	int i;
+
+	for (i = 0; i < spec->nsteps; i++)
+		tasks += spec->steps[i].count;
+	return tasks;
+}
+
 int64_t job_spec_chain_ms(const struct job_spec *spec)
 {
 	int64_t ends[SPEC_STEPS_MAX];
--- a/fleet/spec.h
+++ b/fleet/spec.h
@@ -10,6 +10,11 @@
 
 #define SPEC_STEPS_MAX 64 /* step_spec.after has one bit for each step */
 #define SPEC_TASKS_MAX 4096 /* per step; bounds the memory of one job */
+/*
+ * Of all steps of an occurrence, and of all open occurrences of a job together:
+ * their state must fit into one record of the store.
+ */
+#define SPEC_JOB_TASKS_MAX 8192
 #define SPEC_TIMES_MAX 100000 /* occurrences of a recurring job */
 #define SPEC_PAYLOAD_MAX_BYTES 4000
 #define SPEC_LABEL_MAX_BYTES 128
@@ -53,6 +58,8 @@
 void job_spec_finish(struct job_spec *spec);
 /* Returns false and sets err (CB_E_BAD_JOB) if the spec is invalid. */
 bool job_spec_check(const struct job_spec *spec, GError **err);
+/* Tasks of all steps of an occurrence. */
+int64_t job_spec_tasks(const struct job_spec *spec);
 /* Critical path of the steps by their declared durations. */
 int64_t job_spec_chain_ms(const struct job_spec *spec);
 
--- a/tests/unit/test_record.c
+++ b/tests/unit/test_record.c
@@ -180,6 +180,97 @@
 END_TEST
 
 /* Truncated records are refused; one changed byte must not crash the reader. */
+/* By the platform's contract. */
+#define VALUE_BYTES_MAX 1048576
+
+static size_t record_size(const struct job *job)
+{
+	msgpack_sbuffer record;
+	size_t size;
+
+	record_state_write(job, &record);
+	size = record.size;
+	msgpack_sbuffer_destroy(&record);
+	return size;
+}
+
+static struct job *make_schedule(int64_t times, int nsteps)
+{
+	struct job_spec spec;
+	struct job *job;
+	int i;
+
+	job_spec_init(&spec, nsteps);
+	spec.payload = g_strdup("p");
+	spec.times = times;
+	spec.first_ms = 1;
+	spec.interval_ms = 1;
+	for (i = 0; i < nsteps; i++) {
+		spec.steps[i].count = 1;
+		spec.steps[i].after = i ? 1ULL << (i - 1) : 0;
+	}
+	job = job_new("t", &spec);
+	job->queue = g_strdup("q");
+	job->pool = g_strdup(MAKE_POOL);
+	job->customer = g_strdup("one");
+	job->attempts = 3;
+	fleet_add_job(&fleet, job);
+	return job;
+}
+
+/*
+ * Guards against a record that the store refuses for its size, so that the
+ * leader stores nothing any more: a schedule that is overdue by all of its
+ * occurrences, with 8 steps each.
+ */
+START_TEST(record_of_an_overdue_schedule_fits)
+{
+	struct job *job = make_schedule(20000, 8);
+
+	fleet_open_due(&fleet, NOW, 30000);
+	ck_assert_int_gt(job->due, 0);
+	ck_assert_uint_le(record_size(job), VALUE_BYTES_MAX);
+}
+END_TEST
+
+/*
+ * Guards against a record that grows with the occurrences that are over, and
+ * against occurrences that are left out: a new leader takes over in between.
+ */
+START_TEST(occurrences_that_are_over_leave_the_record)
+{
+	struct job *job = make_schedule(3000, 1), *copy;
+	msgpack_sbuffer record;
+	size_t largest = 0;
+	int64_t i;
+
+	for (i = 0; i < 1500; i++) {
+		fleet_open_due(&fleet, NOW, i + 1);
+		ck_assert_int_eq(plan_pass(&fleet, NOW), 1);
+		confirm_planned_runs(&fleet, NOW);
+		report_run_end(&fleet, &job_stage(job, i, 0)->tasks[0],
+			       RUN_DONE, NOW);
+		largest = MAX(largest, record_size(job));
+	}
+	ck_assert_uint_le(largest, 1000);
+	copy = copy_submission(job);
+	fleet_add_job(&next, copy);
+	record_state_write(job, &record);
+	ck_assert(
+		record_state_read(&next, copy, record.data, record.size, NOW));
+	msgpack_sbuffer_destroy(&record);
+	ck_assert_int_eq(copy->over, 1500);
+	for (; i < 3000; i++) {
+		fleet_open_due(&next, NOW, i + 1);
+		ck_assert_int_eq(plan_pass(&next, NOW), 1);
+		confirm_planned_runs(&next, NOW);
+		report_run_end(&next, &job_stage(copy, i, 0)->tasks[0],
+			       RUN_DONE, NOW);
+	}
+	ck_assert_int_eq(copy->phase, JOB_DONE);
+}
+END_TEST
+
 START_TEST(broken_records_are_refused)
 {
 	struct job *job = make_job(&fleet, "j", 1, 2, 1, 1500, NOW);
@@ -228,6 +319,8 @@
 	tcase_add_test(tc, state_survives_a_takeover);
 	tcase_add_test(tc, copy_survives_a_takeover);
 	tcase_add_test(tc, ended_job_keeps_its_phase);
+	tcase_add_test(tc, record_of_an_overdue_schedule_fits);
+	tcase_add_test(tc, occurrences_that_are_over_leave_the_record);
 	tcase_add_test(tc, broken_records_are_refused);
 	tcase_add_test(tc, counts_of_waiting_jobs);
 	return run_case("record", tc);
