--- a/fleet/evict.c
+++ b/fleet/evict.c
@@ -21,9 +21,18 @@
 	return missing < stage->spec->may_miss;
 }
 
+/* Counter of the stalled runs of a task, or of its gang. */
+static int *stall_count(const struct task *task)
+{
+	return task->stage->spec->gang ?
+		       &task->stage->stalls :
+		       &task_original((struct task *)task)->stalls;
+}
+
 /*
  * Time without progress after which a run counts as stalled. It is longer for
- * throttled tasks; INT64_MAX if the task is throttled to 0 percent.
+ * throttled tasks; INT64_MAX if the task is throttled to 0 percent. It doubles
+ * with each stalled run, as the task may be slower than it was declared.
  */
 static int64_t stall_timeout_us(const struct fleet *fleet,
 				const struct task *task)
@@ -33,6 +42,7 @@
 	double usual_us = MAX(STALL_MS * 1000.0, STALL_FACTOR * percent_us);
 	int pace = throttle_percent(task);
 
+	usual_us *= 1 << MIN(*stall_count(task), STALL_DOUBLINGS_MAX);
 	if (task->pace_percent != TASK_PACE_UNKNOWN)
 		pace = MIN(pace, task->pace_percent);
 	return pace > 0 ? (int64_t)(usual_us * 100.0 / pace) : INT64_MAX;
@@ -151,6 +161,8 @@
 				continue;
 			evicted++;
 			fleet->moved++;
+			if (evict_run_stalled(fleet, task, now_us))
+				++*stall_count(task);
 			fleet_stop(fleet, task, why);
 			/* Other tasks of its gang may be gone: scan again. */
 			next = list_first_entry(&worker->tasks, struct task,
--- a/fleet/job.h
+++ b/fleet/job.h
@@ -33,6 +33,7 @@
 	enum task_phase phase;
 	int64_t run; /* number of the latest run, 0: none */
 	int fails; /* failed runs */
+	int stalls; /* runs stopped as they made no progress; not of a gang */
 	bool failed_last; /* the latest run failed */
 	char *checkpoint; /* the newest, or NULL */
 	struct worker *worker; /* whose resources it holds, or NULL */
@@ -77,6 +78,7 @@
 	int left; /* tasks that are not done */
 	int holding; /* tasks that hold resources */
 	int fails; /* failed runs of a gang */
+	int stalls; /* runs of a gang stopped as they made no progress */
 	int64_t fail_run; /* the latest run of the gang counted in fails */
 	int64_t opened_us;
 	int64_t began_us; /* when all its tasks were first placed, 0: not yet */
--- a/fleet/limits.h
+++ b/fleet/limits.h
@@ -56,6 +56,7 @@
  * reports and is longer than a restart takes. */
 #define STALL_MS 2600
 #define STALL_FACTOR 4.0 /* at least so many times the usual time per percent */
+#define STALL_DOUBLINGS_MAX 5 /* of this time, one for each stalled run */
 /* A hung task that would lose more work is not moved, because a worker that
  * hangs often continues after a few seconds. */
 #define STALL_LOSS_MAX_MS 3000.0
--- a/fleet/run.c
+++ b/fleet/run.c
@@ -84,7 +84,8 @@
 
 /*
  * Exchanges the runs of a task and its copy, with worker, phase and progress.
- * The failure count and the checkpoint belong to the task and stay with it.
+ * The counts of failures and stalls and the checkpoint belong to the task and
+ * stay with it.
  */
 static void swap_runs(struct task *task)
 {
@@ -102,10 +103,12 @@
 	task->copy = copy;
 	task->original = NULL;
 	task->fails = copy->fails;
+	task->stalls = copy->stalls;
 	task->checkpoint = copy->checkpoint;
 	copy->copy = NULL;
 	copy->original = task;
 	copy->fails = 0;
+	copy->stalls = 0;
 	copy->checkpoint = NULL;
 	list_init(&task->on_worker);
 	list_init(&copy->on_worker);
--- a/tests/unit/test_fleet.c
+++ b/tests/unit/test_fleet.c
@@ -1,5 +1,6 @@
 #include <string.h>
 
+#include "fleet/evict.h"
 #include "fleet/limits.h"
 #include "fleet/plan.h"
 #include "tests/standins/fleet_fixture.h"
@@ -275,6 +276,42 @@
 }
 END_TEST
 
+/*
+ * Guards against a task that is stopped as stalled and started again for ever,
+ * because its first percent takes longer than the time without progress after
+ * which a run counts as stalled: it is declared as 60 s and takes 300 s.
+ */
+START_TEST(slow_task_is_not_stopped_for_ever)
+{
+	const int64_t percent_us = 3 * SEC;
+	struct worker *worker = make_worker(&fleet, "w1", "r1", 8, NOW);
+	struct job *job = make_job(&fleet, "j", 1, 1, 1, 60000, NOW);
+	struct task *task;
+	int64_t now_us, began_us = NOW;
+	int stops = 0;
+
+	fleet_open_due(&fleet, NOW, 0);
+	task = first_occurrence_task(job, 0, 0);
+	for (now_us = NOW; now_us < NOW + 60 * SEC; now_us += SEC / 10) {
+		struct run_report run = { .task = (char *)"j.0.0.0" };
+		struct hold_report report = { .running = &run, .nrunning = 1 };
+
+		plan_pass(&fleet, now_us);
+		if (confirm_planned_runs(&fleet, now_us) > 0)
+			began_us = now_us;
+		run.run = task->run;
+		run.percent = (int)((now_us - began_us) / percent_us);
+		fleet_handle_hold(&fleet, worker, &report, now_us, now_us, 0);
+		if (evict_pass(&fleet, now_us) == 0)
+			continue;
+		stops++;
+		report_run_end(&fleet, task, RUN_STOPPED, now_us);
+	}
+	ck_assert_int_le(stops, 2);
+	ck_assert_int_gt(task->percent, 10);
+}
+END_TEST
+
 static int lost_calls;
 
 static void ignore_note(void *user, const char *event, const struct job *job,
@@ -618,6 +655,7 @@
 	tcase_add_test(tc, lease_of_a_silent_worker);
 	tcase_add_test(tc, late_end_of_a_released_run_counts);
 	tcase_add_test(tc, late_end_ends_no_later_run);
+	tcase_add_test(tc, slow_task_is_not_stopped_for_ever);
 	tcase_add_test(tc, unreachable_worker_is_logged_once);
 	tcase_add_test(tc, worker_that_answers_keeps_its_tasks);
 	tcase_add_test(tc, new_incarnation_keeps_tasks_until_it_reports);
