--- a/control/orders.c
+++ b/control/orders.c
@@ -169,7 +169,9 @@
 		end_incarnation(pending->orders, worker);
 		return NULL;
 	}
-	if (call->born_ms > worker->reported.born_ms) {
+	/* This life was known when the call was sent, so another one that
+	 * answers is later, also if its time of day was set back. */
+	if (call->born_ms != 0 && call->born_ms != worker->reported.born_ms) {
 		adopt_later_incarnation(pending->orders, worker, call->born_ms,
 					now_us);
 		return NULL;
--- a/tests/unit/test_host.c
+++ b/tests/unit/test_host.c
@@ -1001,6 +1001,36 @@
 }
 END_TEST
 
+/*
+ * Guards against ends that are taken for those of the worker's former process,
+ * so that their tasks run again: the process has started again in place while
+ * its time of day was set back, so its start time is lower.
+ */
+START_TEST(restart_with_a_lower_start_time_is_noticed)
+{
+	struct site_worker *worker;
+
+	rig_start(&rig, 1, 1, 1);
+	worker =
+		list_first_entry(&rig.fleet->workers, struct site_worker, node);
+	ck_assert_int_eq(rig_submit(&rig, 0, JOB_A, 4, "ms=100", NULL), 200);
+	ck_assert(rig_wait(&rig, 0, JOB_A, "done", 3000));
+	rig_run_ms(&rig, 500);
+	g_ptr_array_set_size(worker->ends, 0);
+	g_hash_table_remove_all(worker->highest);
+	worker->fence = 0;
+	worker->until_ms = 0;
+	worker->next_end = 0;
+	worker->started_us = kn_now_us();
+	worker->born_ms -= 5000;
+	ck_assert_int_eq(rig_submit(&rig, 0, JOB_B, 4, "ms=300", NULL), 200);
+	ck_assert(rig_wait(&rig, 0, JOB_B, "done", 3000));
+	ck_assert_uint_eq(rig.fleet->starts, 8);
+	check_invariants();
+	rig_stop(&rig);
+}
+END_TEST
+
 START_TEST(failing_worker_is_avoided)
 {
 	struct site_worker *worker;
@@ -1143,6 +1173,7 @@
 	tcase_add_test(tc, idle_connections_to_workers_are_bounded);
 	tcase_add_test(tc, ends_beyond_a_full_list_run_once);
 	tcase_add_test(tc, start_that_was_not_sent_needs_no_lease);
+	tcase_add_test(tc, restart_with_a_lower_start_time_is_noticed);
 	tcase_add_test(tc, failing_worker_is_avoided);
 	tcase_add_test(tc, draining_worker_gets_nothing_new);
 	tcase_add_test(tc, counts_of_waiting_jobs);
