--- a/control/orders.c
+++ b/control/orders.c
@@ -289,6 +289,20 @@
 		task->pace_percent = pending->percent;
 }
 
+/*
+ * Orders that found no connection are due at once when a hold is answered: its
+ * connection is free until the next hold, and may be the only one that the
+ * worker has left for this host.
+ */
+static void hasten_orders(struct worker *worker, int64_t now_us)
+{
+	struct task *task;
+
+	list_for_each_entry(task, &worker->tasks, on_worker)
+		if (!task->calling && task->answered_us == 0)
+			task->retry_us = MIN(task->retry_us, now_us);
+}
+
 static void on_hold(struct pending_order *pending, struct worker *worker,
 		    int64_t now_us)
 {
@@ -311,6 +325,7 @@
 						 pending->wait_ms));
 	worker->next_hold_us = now_us;
 	worker->acked = MAX(worker->acked, pending->acked_end);
+	hasten_orders(worker, now_us);
 	fleet_handle_hold(orders->fleet, worker, &pending->call.report,
 			  pending->sent_us, now_us,
 			  kn_wall_us() / USEC_PER_MSEC);
--- a/tests/unit/test_host.c
+++ b/tests/unit/test_host.c
@@ -1031,6 +1031,32 @@
 }
 END_TEST
 
+/*
+ * Guards against a stop that never reaches its worker: the worker takes no new
+ * connection, and a hold call is always pending on the one that is left.
+ */
+START_TEST(stop_uses_the_connection_of_the_hold)
+{
+	struct site_worker *worker;
+	int i;
+
+	rig_start(&rig, 1, 1, 1);
+	worker =
+		list_first_entry(&rig.fleet->workers, struct site_worker, node);
+	worker->server.conns_max = 1;
+	ck_assert_int_eq(rig_submit(&rig, 0, JOB_A, 1, "ms=60000", NULL), 200);
+	for (i = 0; i < 100 && site_fleet_running(rig.fleet) == 0; i++)
+		rig_run_ms(&rig, 20);
+	rig_run_ms(&rig, 300);
+	ck_assert_int_eq(call_host(0, "DELETE", JOB_A, RIG_KEY).status, 200);
+	/* A hold call waits for 1.5 s. */
+	for (i = 0; i < 20 && site_fleet_running(rig.fleet) > 0; i++)
+		rig_run_ms(&rig, 100);
+	ck_assert_int_eq(site_fleet_running(rig.fleet), 0);
+	rig_stop(&rig);
+}
+END_TEST
+
 START_TEST(failing_worker_is_avoided)
 {
 	struct site_worker *worker;
@@ -1174,6 +1200,7 @@
 	tcase_add_test(tc, ends_beyond_a_full_list_run_once);
 	tcase_add_test(tc, start_that_was_not_sent_needs_no_lease);
 	tcase_add_test(tc, restart_with_a_lower_start_time_is_noticed);
+	tcase_add_test(tc, stop_uses_the_connection_of_the_hold);
 	tcase_add_test(tc, failing_worker_is_avoided);
 	tcase_add_test(tc, draining_worker_gets_nothing_new);
 	tcase_add_test(tc, counts_of_waiting_jobs);
