--- a/control/leader.c
+++ b/control/leader.c
@@ -320,14 +320,11 @@
 
 /* Watch on the leader key. */
 
-static bool read_list(const struct kv_item *item, struct leader_list *list)
+static void read_list(const struct kv_item *item, struct leader_list *list)
 {
-	bool ok = leader_list_parse(list, item->value);
-
-	if (!ok)
+	if (!leader_list_parse(list, item->value))
 		log_err("leader.unreadable", "key=%s bytes=%zu result=%d",
 			item->key, item->len, CB_E_INTERNAL);
-	return ok;
 }
 
 bool leader_is_self(const struct leader *leader,
@@ -347,8 +344,7 @@
 		leader->recorded_revision = item->mod_revision;
 		return;
 	}
-	if (!read_list(item, &list))
-		memset(&list, 0, sizeof(list));
+	read_list(item, &list);
 	leader->key_exists = true;
 	leader->key_created = item->mod_revision;
 	leader->key_lease = item->lease;
@@ -371,8 +367,9 @@
 static void on_removed(struct mirror *mirror, const char *key)
 {
 	struct leader *leader = container_of(mirror, struct leader, key);
+
 	if (strcmp(key, KEY_LAST_LEADER) == 0) {
-		leader->recorded.count = 0;
+		leader_list_set_unknown(&leader->recorded);
 		leader->recorded_revision = 0;
 	}
 	if (strcmp(key, KEY_LEADER) != 0)
--- a/control/leader_list.c
+++ b/control/leader_list.c
@@ -20,15 +20,25 @@
 	return true;
 }
 
-/* Replaces the last two entries by one that can't be asked. */
-static void merge_oldest(struct leader_list *list)
+/* No host has this name and address, so that the leader never answers. */
+static void set_unknown(struct leader_identity *leader)
 {
-	struct leader_identity *oldest = &list->at[list->count - 2];
+	memset(leader, 0, sizeof(*leader));
+	g_strlcpy(leader->host, "-", sizeof(leader->host));
+	g_strlcpy(leader->peers.addr, "-", sizeof(leader->peers.addr));
+}
 
-	memset(oldest, 0, sizeof(*oldest));
-	g_strlcpy(oldest->host, "-", sizeof(oldest->host));
-	g_strlcpy(oldest->peers.addr, "-", sizeof(oldest->peers.addr));
+/* Replaces the last two entries by one that never answers. */
+static void merge_oldest(struct leader_list *list)
+{
 	list->count--;
+	set_unknown(&list->at[list->count - 1]);
+}
+
+void leader_list_set_unknown(struct leader_list *list)
+{
+	list->count = 1;
+	set_unknown(&list->at[0]);
 }
 
 bool leader_list_parse(struct leader_list *list, const char *text)
@@ -44,7 +54,7 @@
 		ok = identity_parse(&list->at[list->count++], words + i);
 	}
 	if (!ok)
-		list->count = 0;
+		leader_list_set_unknown(list);
 	g_strfreev(words);
 	return ok;
 }
--- a/control/leader_list.h
+++ b/control/leader_list.h
@@ -31,11 +31,14 @@
 
 /*
  * Reads "HOST INCARNATION ADDRESS PORT" once for each leader, separated by
- * blanks. Returns false, with an empty list, if the text has another form.
+ * blanks. If the text has another form, returns false and a list of one leader
+ * that never answers.
  */
 bool leader_list_parse(struct leader_list *list, const char *text);
 /* Returns the text of a list; allocated. */
 char *leader_list_format(const struct leader_list *list);
+/* A list of one leader that never answers: any host may have led. */
+void leader_list_set_unknown(struct leader_list *list);
 /* Removes the entries of a host: its process has ended or extends no lease. */
 void leader_list_remove(struct leader_list *list, const char *host);
 /* Puts a leader first; replaces an entry of the same host. */
--- a/control/takeover.c
+++ b/control/takeover.c
@@ -174,7 +174,7 @@
 /* No earlier leader extends leases from stopped_us on. */
 static void on_earlier_stopped(struct director *director, int64_t stopped_us)
 {
-	cancel_release_requests(director);
+	kn_timer_cancel(&director->earlier_timer);
 	fleet_earlier_leaders_stopped(&director->fleet, stopped_us);
 	leader_forget_earlier(&director->leader);
 	director_schedule_pass(director, 0);
--- a/tests/unit/test_leader_list.c
+++ b/tests/unit/test_leader_list.c
@@ -47,7 +47,9 @@
 }
 END_TEST
 
-START_TEST(other_texts_are_refused)
+/* Guards against an unreadable list that is taken for an empty one: earlier
+ * leaders would count as stopped. */
+START_TEST(other_texts_name_a_leader_that_never_answers)
 {
 	static const char *const bad[] = { "", "a 5 10.0.0.1",
 					   "a 5 10.0.0.1 1 b",
@@ -57,7 +59,8 @@
 
 	for (i = 0; i < G_N_ELEMENTS(bad); i++) {
 		ck_assert_msg(!leader_list_parse(&list, bad[i]), "%s", bad[i]);
-		ck_assert_int_eq(list.count, 0);
+		ck_assert_int_eq(list.count, 1);
+		ck_assert_str_eq(list.at[0].host, "-");
 	}
 }
 END_TEST
@@ -88,7 +91,7 @@
 	TCase *tc = tcase_create("leader_list");
 
 	tcase_add_test(tc, latest_leader_comes_first);
-	tcase_add_test(tc, other_texts_are_refused);
+	tcase_add_test(tc, other_texts_name_a_leader_that_never_answers);
 	tcase_add_test(tc, full_list_keeps_an_entry_that_never_answers);
 	return run_case("leader_list", tc);
 }
