--- a/tests/unit/test_release_model.c
+++ b/tests/unit/test_release_model.c
@@ -400,7 +400,7 @@
 	for (w = 0; w < WORKERS; w++)
 		if (strcmp(m.workers[w].id, worker->reported.id) == 0)
 			at = &m.workers[w];
-	if (!at->up || !connected(dc, at->dc))
+	if (at && (!at->up || !connected(dc, at->dc)))
 		at = NULL;
 	/* Another process at the address: the known life has ended. */
 	if (at && at->born_ms != worker->reported.born_ms) {
