--- a/tests/soak/soak.h
+++ b/tests/soak/soak.h
@@ -103,6 +103,10 @@
 /* Asks it to stop, and kills it when its time for that is over. */
 void soak_host_stop(struct soak *soak, struct soak_host *host);
 void soak_host_freeze(struct soak *soak, struct soak_host *host);
+void soak_worker_crash(struct soak *soak, struct site_worker *worker,
+		       int index);
+void soak_worker_restart(struct soak *soak, struct site_worker *worker,
+			 int index);
 /* Writes a line of the course of faults. */
 void soak_say(const char *what, const char *where);
 /* One fault, or the end of some. */
--- a/tests/soak/soak_faults.c
+++ b/tests/soak/soak_faults.c
@@ -284,9 +284,9 @@
 	case 0:
 		soak_say(worker->up ? "crash" : "restart", worker->id);
 		if (worker->up)
-			site_worker_crash(worker);
+			soak_worker_crash(soak, worker, index);
 		else
-			site_worker_restart(worker);
+			soak_worker_restart(soak, worker, index);
 		break;
 	case 1:
 		soak_say("way", worker->id);
@@ -324,16 +324,32 @@
 	g_free(text);
 }
 
+/* Its connections end with the process, also those that a cut holds up. */
+void soak_worker_crash(struct soak *soak, struct site_worker *worker, int index)
+{
+	sr_relay_set(soak->worker_relays[index], SR_REFUSED);
+	site_worker_crash(worker);
+}
+
+void soak_worker_restart(struct soak *soak, struct site_worker *worker,
+			 int index)
+{
+	sr_relay_set(soak->worker_relays[index], SR_REFUSED);
+	site_worker_restart(worker);
+	sr_relay_set(soak->worker_relays[index], SR_OPEN);
+}
+
 static void heal_worker(struct soak *soak, struct site_worker *worker,
 			int index)
 {
 	soak->worker_heal_us[index] = 0;
-	sr_relay_set(soak->worker_relays[index], SR_OPEN);
 	worker->fault = SITE_WORKER_WELL;
 	if (worker->draining && worker->up)
-		site_worker_crash(worker);
+		soak_worker_crash(soak, worker, index);
 	if (!worker->up)
-		site_worker_restart(worker);
+		soak_worker_restart(soak, worker, index);
+	else
+		sr_relay_set(soak->worker_relays[index], SR_OPEN);
 }
 
 /* Ends what has lasted long enough, or all. */
--- a/tests/soak/soak_takeovers.c
+++ b/tests/soak/soak_takeovers.c
@@ -141,7 +141,7 @@
 		if (soak_chance(soak, 30))
 			site_worker_drain(worker);
 		else if (worker->up)
-			site_worker_crash(worker);
+			soak_worker_crash(soak, worker, index);
 		soak->worker_heal_us[index] =
 			in_ms(soak_below(soak, RESTART_MAX_MS));
 	}
