--- a/fleet/placement.c
+++ b/fleet/placement.c
@@ -183,7 +183,7 @@
 				       double expected_ms)
 {
 	const struct stage *stage = task->stage;
-	struct pool_view *view = placement_pool(p, stage->job->pool);
+	struct pool_view *view = placement_workers_for(p, stage);
 	struct worker *best = NULL;
 	double best_score = NO_ROOM;
 	const double *scores;
@@ -340,7 +340,7 @@
 				      const struct stage *stage,
 				      double expected_ms)
 {
-	struct pool_view *view = placement_pool(p, stage->job->pool);
+	struct pool_view *view = placement_workers_for(p, stage);
 	struct worker **chosen;
 
 	if (!view || placement_pool_is_full(view, stage, expected_ms))
--- a/fleet/placement.h
+++ b/fleet/placement.h
@@ -14,6 +14,8 @@
 	struct fleet *fleet;
 	int64_t now_us;
 	GHashTable *pools; /* name -> struct pool_view */
+	/* The same with the banned workers; NULL until it is needed. */
+	GHashTable *pools_banned_too;
 	/* Scores of the workers of a pool for the stage placed last. */
 	const struct stage *scored; /* NULL: none */
 	GArray *scores; /* double, in the order of pool_view.workers */
@@ -35,7 +37,12 @@
 
 void placement_init(struct placement *p, struct fleet *fleet, int64_t now_us);
 void placement_finish(struct placement *p);
-struct pool_view *placement_pool(struct placement *p, const char *pool);
+/*
+ * Returns the workers of the stage's pool, NULL if there are none. Banned ones
+ * are among them only if no other has the stage's label.
+ */
+struct pool_view *placement_workers_for(struct placement *p,
+					const struct stage *stage);
 
 /*
  * Whether the worker may run tasks of the stage, by label and by permission
--- a/fleet/placement_reserve.c
+++ b/fleet/placement_reserve.c
@@ -138,7 +138,7 @@
 
 void placement_reserve(struct placement *p, struct stage *stage)
 {
-	struct pool_view *view = placement_pool(p, stage->job->pool);
+	struct pool_view *view = placement_workers_for(p, stage);
 	GPtrArray *best = NULL;
 	int64_t best_us = INT64_MAX;
 	guint i;
--- a/fleet/placement_view.c
+++ b/fleet/placement_view.c
@@ -29,9 +29,9 @@
 	g_free(view);
 }
 
-static struct pool_view *get_pool_view(struct placement *p, const char *pool)
+static struct pool_view *get_pool_view(GHashTable *pools, const char *pool)
 {
-	struct pool_view *view = g_hash_table_lookup(p->pools, pool);
+	struct pool_view *view = g_hash_table_lookup(pools, pool);
 
 	if (view)
 		return view;
@@ -40,7 +40,7 @@
 	view->racks = g_ptr_array_new_with_free_func((GDestroyNotify)rack_free);
 	view->full_for = g_array_new(FALSE, FALSE, sizeof(struct full_for));
 	view->racks_by_name = g_hash_table_new(g_str_hash, g_str_equal);
-	g_hash_table_insert(p->pools, g_strdup(pool), view);
+	g_hash_table_insert(pools, g_strdup(pool), view);
 	return view;
 }
 
@@ -84,9 +84,32 @@
 	return banned > all * BANNED_SHARE_MAX;
 }
 
+/* Returns the views of all pools, with or without the banned workers. */
+static GHashTable *view_pools(const struct placement *p, bool banned_too)
+{
+	GHashTable *pools =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
+				      (GDestroyNotify)pool_view_free);
+	struct worker *worker;
+
+	list_for_each_entry(worker, &p->fleet->workers, node) {
+		const char *rack = worker->reported.rack;
+		struct pool_view *view;
+
+		if (!is_usable(worker, p->now_us) ||
+		    (!banned_too && worker->banned_until_us > p->now_us) ||
+		    evict_worker_suspect(p->fleet, worker, p->now_us))
+			continue;
+		view = get_pool_view(pools, worker->reported.pool);
+		g_ptr_array_add(view->workers, worker);
+		g_ptr_array_add(get_rack_view(view, rack ? rack : "")->workers,
+				worker);
+	}
+	return pools;
+}
+
 void placement_init(struct placement *p, struct fleet *fleet, int64_t now_us)
 {
-	bool any = ignore_bans(fleet, now_us);
 	struct worker *worker;
 
 	order_mark_guaranteed(fleet);
@@ -94,34 +117,45 @@
 	p->now_us = now_us;
 	p->scored = NULL;
 	p->scores = g_array_new(FALSE, FALSE, sizeof(double));
-	p->pools = g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
-					 (GDestroyNotify)pool_view_free);
 	list_for_each_entry(worker, &fleet->workers, node) {
-		struct pool_view *view;
-		const char *rack = worker->reported.rack;
-
 		worker->reserved_for = NULL;
 		worker->busy_until_us = 0;
-		if (!is_usable(worker, now_us) ||
-		    (!any && worker->banned_until_us > now_us) ||
-		    evict_worker_suspect(fleet, worker, now_us))
-			continue;
-		view = get_pool_view(p, worker->reported.pool);
-		g_ptr_array_add(view->workers, worker);
-		g_ptr_array_add(get_rack_view(view, rack ? rack : "")->workers,
-				worker);
 	}
+	p->pools = view_pools(p, ignore_bans(fleet, now_us));
+	p->pools_banned_too = NULL;
 }
 
 void placement_finish(struct placement *p)
 {
 	g_array_unref(p->scores);
 	g_hash_table_unref(p->pools);
+	if (p->pools_banned_too)
+		g_hash_table_unref(p->pools_banned_too);
+}
+
+static bool has_labelled_worker(const struct pool_view *view, const char *label)
+{
+	guint i;
+
+	for (i = 0; view && i < view->workers->len; i++)
+		if (worker_has_label(g_ptr_array_index(view->workers, i),
+				     label))
+			return true;
+	return false;
 }
 
-struct pool_view *placement_pool(struct placement *p, const char *pool)
+struct pool_view *placement_workers_for(struct placement *p,
+					const struct stage *stage)
 {
-	return g_hash_table_lookup(p->pools, pool);
+	const char *label = stage->spec->label;
+	struct pool_view *view =
+		g_hash_table_lookup(p->pools, stage->job->pool);
+
+	if (!label || has_labelled_worker(view, label))
+		return view;
+	if (!p->pools_banned_too)
+		p->pools_banned_too = view_pools(p, true);
+	return g_hash_table_lookup(p->pools_banned_too, stage->job->pool);
 }
 
 /* Pools without room. */
--- a/fleet/reclaim.c
+++ b/fleet/reclaim.c
@@ -267,7 +267,7 @@
 static GArray *choose_in_pool(struct placement *p, const struct stage *stage,
 			      int want, double *least)
 {
-	struct pool_view *view = placement_pool(p, stage->job->pool);
+	struct pool_view *view = placement_workers_for(p, stage);
 	GArray *best = NULL;
 	double best_loss = 0, loss;
 	guint i;
@@ -347,7 +347,7 @@
 
 void reclaim_renew_reservation(struct placement *p, struct stage *stage)
 {
-	struct pool_view *view = placement_pool(p, stage->job->pool);
+	struct pool_view *view = placement_workers_for(p, stage);
 	struct worker **at;
 
 	if (!stage->reserved)
--- a/tests/unit/test_plan.c
+++ b/tests/unit/test_plan.c
@@ -606,6 +606,37 @@
 }
 END_TEST
 
+/*
+ * Guards against a job that stands still although the workers that it needs are
+ * free: all of them, a small part of the pool, are banned.
+ */
+START_TEST(bans_of_all_workers_with_a_label_are_ignored)
+{
+	struct worker *labelled = make_worker(&fleet, "w0", "r1", 8, NOW);
+	struct job *job = make_job(&fleet, "l", 1, 2, 1, 1000, NOW);
+	struct job *other = make_job(&fleet, "o", 1, 2, 1, 1000, NOW);
+	char id[8];
+	int i;
+
+	for (i = 1; i < 8; i++) {
+		snprintf(id, sizeof(id), "w%d", i);
+		make_worker(&fleet, id, "r1", 8, NOW);
+	}
+	g_strfreev(labelled->reported.labels);
+	labelled->reported.labels = g_strsplit("a,b", ",", -1);
+	labelled->banned_until_us = NOW + 4 * SEC;
+	job->spec.steps[0].label = g_strdup("b");
+	fleet_open_due(&fleet, NOW, 0);
+	ck_assert_int_eq(plan_pass(&fleet, NOW), 4);
+	for (i = 0; i < 2; i++) {
+		ck_assert_ptr_eq(first_occurrence_task(job, 0, i)->worker,
+				 labelled);
+		ck_assert_ptr_ne(first_occurrence_task(other, 0, i)->worker,
+				 labelled);
+	}
+}
+END_TEST
+
 int main(void)
 {
 	TCase *tc = tcase_create("plan");
@@ -638,5 +669,6 @@
 	tcase_add_test(tc, only_workers_that_free_room_are_reserved);
 	tcase_add_test(tc, best_effort_victims_free_no_cpu);
 	tcase_add_test(tc, overload_serves_feasible_jobs_in_time);
+	tcase_add_test(tc, bans_of_all_workers_with_a_label_are_ignored);
 	return run_case("plan", tc);
 }
