--- a/control/leader.c
+++ b/control/leader.c
@@ -344,6 +344,11 @@
 		leader->recorded_revision = item->mod_revision;
 		return;
 	}
+	if (strcmp(item->key, KEY_LEADER) != 0) {
+		log_info("leader.key_ignored", "key=%s revision=%lld",
+			 item->key, (long long)item->mod_revision);
+		return;
+	}
 	read_list(item, &list);
 	leader->key_exists = true;
 	leader->key_created = item->mod_revision;
--- a/tests/unit/test_odd_entries.c
+++ b/tests/unit/test_odd_entries.c
@@ -200,6 +200,23 @@
 }
 END_TEST
 
+/*
+ * Guards against hosts that elect no leader, so that all jobs stand still: a key
+ * beside the leader's appears while there is no leader.
+ */
+START_TEST(odd_key_beside_the_leader_is_no_leader)
+{
+	rig_start(&rig, 2, 2, 1);
+	site_store_lapse(rig.store, "chivebank/leader");
+	site_store_put(rig.store, "chivebank/leader/odd", "{");
+	site_store_put(rig.store, "chivebank/leader2", "odd 1 127.0.0.1 1");
+	rig_run_ms(&rig, 300);
+	ck_assert(rig_wait_leader(&rig, 5000));
+	run_job("00000000000000a1");
+	rig_stop(&rig);
+}
+END_TEST
+
 int main(void)
 {
 	TCase *tc = tcase_create("odd_entries");
@@ -207,5 +224,6 @@
 	tcase_set_timeout(tc, 60);
 	tcase_add_loop_test(tc, odd_entries_stop_no_host, 0,
 			    (int)G_N_ELEMENTS(prefixes));
+	tcase_add_test(tc, odd_key_beside_the_leader_is_no_leader);
 	return run_case("odd_entries", tc);
 }
