--- a/tests/unit/test_plan.c
+++ b/tests/unit/test_plan.c
@@ -615,7 +615,7 @@
 	struct worker *labelled = make_worker(&fleet, "w0", "r1", 8, NOW);
 	struct job *job = make_job(&fleet, "l", 1, 2, 1, 1000, NOW);
 	struct job *other = make_job(&fleet, "o", 1, 2, 1, 1000, NOW);
-	char id[8];
+	char id[16];
 	int i;
 
 	for (i = 1; i < 8; i++) {
