--- a/tests/soak/soak_faults.c
+++ b/tests/soak/soak_faults.c
@@ -12,6 +12,7 @@
 /* Faults last from well below to well above the leases. */
 #define FAULT_MIN_MS 300
 #define FAULT_MAX_MS 6000
+#define ODD_ENTRIES_PER_1000 10 /* steps of the clock */
 
 static int64_t fault_end_us(struct soak *soak)
 {
@@ -305,6 +306,44 @@
 	}
 }
 
+/* Another program writes entries that are none. */
+static void write_odd_entry(struct soak *soak)
+{
+	static const char *const prefixes[] = {
+		"servers/odd-%d",
+		"chivebank/hosts/d1/odd-%d",
+		"chivebank/hosts/%d",
+		"chivebank/intake/%016d/spec",
+		"chivebank/intake/%016d/cancel",
+		"chivebank/state/%016d",
+		"chivebank/leader/%d",
+		"op/odd-%d",
+		"op/wave/%d",
+	};
+	static const char *const values[] = {
+		"",
+		"{",
+		"[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[[",
+		"\xff\xfe",
+		"1e999",
+		"{\"svc\":\"pool\",\"addr\":\"127.0.0.1:65536\"}",
+		"{\"svc\":\"pool\",\"addr\":\"127.0.0.1:1\",\"zone\":\"d1\","
+		"\"state\":\"ready\",\"headroom\":{\"cpu\":"
+		"9223372036854775807,\"mem_mb\":1},\"labels\":[],"
+		"\"clock_ms\":9223372036854775807,\"born\":1}",
+		"{\"wave\":1e300,\"machines\":[\"m\"],\"cap\":-1}",
+		"odd 99999999999999999999 127.0.0.1 99999",
+	};
+	char *key = g_strdup_printf(
+		prefixes[soak_below(soak, G_N_ELEMENTS(prefixes))],
+		soak_below(soak, 1000));
+
+	soak_say("entry", key);
+	site_store_put(soak->store, key,
+		       values[soak_below(soak, G_N_ELEMENTS(values))]);
+	g_free(key);
+}
+
 /* Operators. */
 
 static void change_config(struct soak *soak)
@@ -392,6 +431,8 @@
 void soak_faults_step(struct soak *soak)
 {
 	heal(soak, false);
+	if (soak_below(soak, 1000) < ODD_ENTRIES_PER_1000)
+		write_odd_entry(soak);
 	if (soak->options.takeovers) {
 		soak_takeovers_step(soak);
 		return;
