--- a/fleet/proof.c
+++ b/fleet/proof.c
@@ -9,6 +9,7 @@
 	"lease is over",
 };
 
+/* The task waits for its next run, or goes on with that of its copy. */
 void fleet_run_lost(struct fleet *fleet, struct task *task,
 		    enum run_proof proof)
 {
