--- a/tests/unit/test_release_model.c
+++ b/tests/unit/test_release_model.c
@@ -44,7 +44,7 @@
 };
 
 struct model_worker {
-	char id[8];
+	char id[16];
 	int dc;
 	bool up;
 	int64_t up_at_us;
