Log what the release of a run rests on

Cause: a run that is given up although it goes on runs twice, and the log named only the proof, not the values behind it.

Change: one line, task.released, in place of task.gone and task.lost. It names the proof, the state of the run, the report that leaves it out (when it was asked for, its rows, the incarnation it came from) and the lease.

--- a/control/director_log.c
+++ b/control/director_log.c
@@ -81,6 +81,43 @@
 		log_job(director, event, job, why);
 }
 
+/* Milliseconds since a time, -1 if there was none. */
+static long long age_ms(int64_t us, int64_t now_us)
+{
+	return us ? (long long)(now_us - us) / 1000 : -1LL;
+}
+
+/* One line tells the proof and all that it rests on. */
+static void on_released(void *user, const struct task *task,
+			const struct run_release *release)
+{
+	const struct director *director = user;
+	const struct hold_report *report = release->report;
+	const struct worker *worker = task->worker;
+	int64_t now_us = kn_now_us();
+	int64_t end_us = fleet_lease_end_us(&director->fleet, worker);
+
+	log_info("task.released",
+		 "job=%s occurrence=%d step=%d index=%d run=%lld worker=%s "
+		 "fence=%lld proof=\"%s\" phase=%d unconfirmed=%d tries=%d "
+		 "answered_ms=%lld asked_ms=%lld running=%zd ended=%zd "
+		 "truncated=%d born_ms=%lld report_born_ms=%lld heard_ms=%lld "
+		 "silent=%d adopted=%d lease_over_ms=%lld",
+		 task->stage->job->id, task->stage->occurrence,
+		 task->stage->step, task->index, (long long)task->run,
+		 worker->reported.id, (long long)director->leader.fence,
+		 release->proof, task->phase, task->unconfirmed, task->tries,
+		 age_ms(task->answered_us, now_us),
+		 age_ms(release->report_sent_us, now_us),
+		 report ? (ssize_t)report->nrunning : -1,
+		 report ? (ssize_t)report->nended : -1,
+		 report && report->truncated,
+		 (long long)worker->reported.born_ms,
+		 report ? (long long)report->born_ms : -1LL,
+		 age_ms(worker->heard_us, now_us), worker->unanswered_calls,
+		 worker->adopted, age_ms(end_us, now_us));
+}
+
 static void on_unreachable(void *user, const struct worker *worker,
 			   int64_t now_us)
 {
@@ -92,14 +129,13 @@
 		"worker=%s silent=%d heard_ms=%lld tasks=%d lease_left_ms=%lld "
 		"listed=%d refusals=%d",
 		worker->reported.id, worker->unanswered_calls,
-		worker->heard_us ?
-			(long long)(now_us - worker->heard_us) / 1000 :
-			-1LL,
-		worker->task_count, (long long)MAX(0, end_us - now_us) / 1000,
-		worker->listed, worker->refusals);
+		age_ms(worker->heard_us, now_us), worker->task_count,
+		(long long)MAX(0, end_us - now_us) / 1000, worker->listed,
+		worker->refusals);
 }
 
 const struct fleet_ops director_fleet_ops = {
 	.note = on_note,
+	.released = on_released,
 	.lost = on_unreachable,
 };
--- a/control/orders.c
+++ b/control/orders.c
@@ -326,6 +326,7 @@
 	worker->next_hold_us = now_us;
 	worker->acked = MAX(worker->acked, pending->acked_end);
 	hasten_orders(worker, now_us);
+	pending->call.report.born_ms = pending->call.born_ms;
 	fleet_handle_hold(orders->fleet, worker, &pending->call.report,
 			  pending->sent_us, now_us,
 			  kn_wall_us() / USEC_PER_MSEC);
--- a/fleet/fleet.h
+++ b/fleet/fleet.h
@@ -62,6 +62,7 @@
 	size_t nended;
 	/* More ends may follow: the worker lists a limited number at a time. */
 	bool truncated;
+	int64_t born_ms; /* incarnation that reports, 0: not known */
 };
 
 /* Time limits of the platform's contract that scheduling must keep. */
@@ -81,10 +82,20 @@
 	double samples;
 };
 
+/* What shows that a run whose end was not reported is over. */
+struct run_release {
+	const char *proof;
+	const struct hold_report *report; /* that leaves it out, or NULL */
+	int64_t report_sent_us; /* when the report was asked for */
+};
+
 struct fleet_ops {
 	/* Logs a scheduling event of a job. */
 	void (*note)(void *user, const char *event, const struct job *job,
 		     const struct task *task, const char *why);
+	/* Logs the release of a run, which still has its worker. */
+	void (*released)(void *user, const struct task *task,
+			 const struct run_release *release);
 	/* Logs that a worker has become unreachable. */
 	void (*lost)(void *user, const struct worker *worker, int64_t now_us);
 };
--- a/fleet/fleet_int.h
+++ b/fleet/fleet_int.h
@@ -48,9 +48,13 @@
  */
 bool proof_not_reported(const struct task *task,
 			const struct hold_report *report, int64_t sent_us);
-/* Releases a run that is over, logs the proof and stops the run's gang. */
+/*
+ * Releases a run that is over, logs the proof and stops the run's gang. report:
+ * the one that leaves the run out, with the time when it was asked for, or NULL.
+ */
 void fleet_run_lost(struct fleet *fleet, struct task *task,
-		    enum run_proof proof);
+		    enum run_proof proof, const struct hold_report *report,
+		    int64_t sent_us);
 void fleet_worker_runs_lost(struct fleet *fleet, struct worker *worker,
 			    enum run_proof proof);
 /* Handles a reported end of the task's current run. */
--- a/fleet/hold_report.c
+++ b/fleet/hold_report.c
@@ -103,7 +103,8 @@
 		if (g_hash_table_contains(listed, task) ||
 		    !proof_not_reported(task, report, sent_us))
 			continue;
-		fleet_run_lost(fleet, task, PROOF_NOT_REPORTED);
+		fleet_run_lost(fleet, task, PROOF_NOT_REPORTED, report,
+			       sent_us);
 		/* Stopping the gang may have changed the list: start over. */
 		next = list_first_entry(&worker->tasks, struct task, on_worker);
 	}
--- a/fleet/proof.c
+++ b/fleet/proof.c
@@ -11,11 +11,15 @@
 
 /* The task waits for its next run, or goes on with that of its copy. */
 void fleet_run_lost(struct fleet *fleet, struct task *task,
-		    enum run_proof proof)
+		    enum run_proof proof, const struct hold_report *report,
+		    int64_t sent_us)
 {
-	fleet_note(fleet,
-		   proof == PROOF_NOT_REPORTED ? "task.gone" : "task.lost",
-		   task->stage->job, task, proof_names[proof]);
+	const struct run_release release = { .proof = proof_names[proof],
+					     .report = report,
+					     .report_sent_us = sent_us };
+
+	if (fleet->ops && fleet->ops->released)
+		fleet->ops->released(fleet->user, task, &release);
 	fleet_release(fleet, task);
 	if (task->phase != TASK_DONE)
 		fleet_break_gang(fleet, task, proof_names[proof]);
@@ -28,7 +32,7 @@
 		fleet_run_lost(fleet,
 			       list_first_entry(&worker->tasks, struct task,
 						on_worker),
-			       proof);
+			       proof, NULL, 0);
 }
 
 /*
@@ -69,6 +73,6 @@
 {
 	if (task->sent || task->start_pending)
 		return false;
-	fleet_run_lost(fleet, task, PROOF_NOT_SENT);
+	fleet_run_lost(fleet, task, PROOF_NOT_SENT, NULL, 0);
 	return true;
 }
