Release a run only if two reports leave it out

What callers saw: tasks ran twice at once, several at a time, under one leader. The first run was at work, was never told to stop and ended done.

Cause: a run that one report of its worker named neither as running nor as ended counted as over. A run that has just been accepted, that is being stopped (for up to stop_ms), or that ends while the lists are read is in neither of them for a time.

The record does not show which proof was used, so that this is its cause is suspected, not shown.

Change: the first report that leaves a run out is noted (task.missing). The run is over once a report that was asked for stop_ms and 100 ms later leaves it out too. A call for that report is made in time. A run that is listed again starts from the beginning.

--- a/control/orders.c
+++ b/control/orders.c
@@ -469,6 +469,44 @@
 				   now_us);
 }
 
+/*
+ * When a report is to be asked for that tells whether the run is over.
+ * INT64_MAX if one has been, or if the usual reports are enough.
+ */
+static int64_t report_due_us(const struct fleet *fleet, const struct task *task)
+{
+	int64_t asked_us = task->worker->hold_sent_us, due_us;
+
+	if (task->missing_us != 0) {
+		due_us = proof_missing_again_us(fleet, task);
+		return asked_us >= due_us ? INT64_MAX : due_us;
+	}
+	if (task->phase != TASK_STOPPING || task->answered_us == 0 ||
+	    task->answered_us < asked_us)
+		return INT64_MAX;
+	return task->answered_us + fleet->bounds.stop_ms * 1000 / 2;
+}
+
+/*
+ * Whether a stop was answered, or a report has left a run out, and no hold was
+ * sent since. The lists in the answer to an immediate hold then confirm the end
+ * of the run early.
+ */
+static bool needs_report(const struct fleet *fleet, const struct worker *worker,
+			 int64_t now_us, int64_t *next_us)
+{
+	const struct task *task;
+
+	list_for_each_entry(task, &worker->tasks, on_worker) {
+		int64_t due_us = report_due_us(fleet, task);
+
+		if (due_us <= now_us)
+			return true;
+		*next_us = MIN(*next_us, due_us);
+	}
+	return false;
+}
+
 static void send_hold(struct orders *orders, struct worker *worker,
 		      bool immediate, int64_t now_us)
 {
@@ -478,13 +516,15 @@
 		.acked_end = fleet_ends_stored(orders->fleet, worker),
 		.wait_ms = HOLD_WAIT_MS,
 	};
+	int64_t ignored_us = 0;
 
 	/* Where serving and best-effort tasks share a worker, tail
 	 * latencies change within seconds. */
 	if (throttle_mixed_load(worker))
 		order.wait_ms = HOLD_WAIT_MIXED_MS;
 	if (immediate || !worker->fenced || worker->ends->len > 0 ||
-	    worker->task_count == 0)
+	    worker->task_count == 0 ||
+	    needs_report(orders->fleet, worker, now_us, &ignored_us))
 		order.wait_ms = 0;
 	order.lease_until_ms = extended_lease_end(orders, worker, now_us);
 	order.timeout_ms = order.wait_ms + HOLD_TIMEOUT_MS;
@@ -558,31 +598,6 @@
 	return true;
 }
 
-/*
- * Whether a stop was answered and no hold was sent since. The list in the
- * answer to an immediate hold then confirms the end of the run early.
- */
-static bool needs_immediate_hold(const struct worker *worker, int64_t now_us,
-				 const struct fleet *fleet, int64_t *next_us)
-{
-	const struct task *task;
-
-	list_for_each_entry(task, &worker->tasks, on_worker) {
-		int64_t due_us;
-
-		if (task->answered_us == 0 ||
-		    task->answered_us < worker->hold_sent_us)
-			continue;
-		if (task->phase != TASK_STOPPING)
-			continue;
-		due_us = task->answered_us + fleet->bounds.stop_ms * 1000 / 2;
-		if (due_us <= now_us)
-			return true;
-		*next_us = MIN(*next_us, due_us);
-	}
-	return false;
-}
-
 /*
  * Whether a worker must be called: it has tasks, or ends to be acknowledged, or
  * its latest call had no answer. Only an answer makes a worker usable again, so
@@ -629,7 +644,7 @@
 	if (!worker->holding)
 		*next_us = MIN(*next_us, worker->next_hold_us);
 	else if (!worker->poll_pending &&
-		 needs_immediate_hold(worker, now_us, fleet, next_us))
+		 needs_report(fleet, worker, now_us, next_us))
 		send_hold(orders, worker, true, now_us);
 }
 
--- a/fleet/fleet.h
+++ b/fleet/fleet.h
@@ -203,6 +203,12 @@
 void fleet_handle_hold(struct fleet *fleet, struct worker *worker,
 		       const struct hold_report *report, int64_t sent_us,
 		       int64_t now_us, int64_t wall_ms);
+/*
+ * When a run that a report has left out is to be asked for again; only a report
+ * that is asked for from then on shows that the run is over.
+ */
+int64_t proof_missing_again_us(const struct fleet *fleet,
+			       const struct task *task);
 /* Returns the highest end number of which the effect is in the store. */
 int64_t fleet_ends_stored(struct fleet *fleet, struct worker *worker);
 /* Estimated duration of a task: declared value and measured mean combined. */
--- a/fleet/fleet_int.h
+++ b/fleet/fleet_int.h
@@ -34,7 +34,7 @@
  * behind which the run goes on.
  */
 enum run_proof {
-	PROOF_NOT_REPORTED, /* its worker's whole report does not name it */
+	PROOF_NOT_REPORTED, /* two whole reports of its worker leave it out */
 	PROOF_PROCESS_ENDED, /* its worker's process has been replaced */
 	PROOF_NOT_SENT, /* there was no connection for its start */
 	PROOF_LEASE_EXPIRED, /* since its latest possible extension */
@@ -44,10 +44,11 @@
 			 int64_t now_us);
 /*
  * Whether a run that a hold report names neither as running nor as ended is
- * over; sent_us is when the hold call was sent.
+ * over; sent_us is when the hold call was sent. Notes the first such report.
  */
-bool proof_not_reported(const struct task *task,
-			const struct hold_report *report, int64_t sent_us);
+bool proof_not_reported(struct fleet *fleet, struct task *task,
+			const struct hold_report *report, int64_t sent_us,
+			int64_t now_us);
 /*
  * Releases a run that is over, logs the proof and stops the run's gang. report:
  * the one that leaves the run out, with the time when it was asked for, or NULL.
--- a/fleet/hold_report.c
+++ b/fleet/hold_report.c
@@ -68,6 +68,7 @@
 {
 	if (task->phase == TASK_STARTING)
 		fleet_run_started(fleet, task, now_us);
+	task->missing_us = 0;
 	fleet_take_checkpoint(task, run->checkpoint);
 	task->load = run->load;
 	if (task->first_report_us == 0) {
@@ -101,7 +102,7 @@
 	}
 	list_for_each_entry_safe(task, next, &worker->tasks, on_worker) {
 		if (g_hash_table_contains(listed, task) ||
-		    !proof_not_reported(task, report, sent_us))
+		    !proof_not_reported(fleet, task, report, sent_us, now_us))
 			continue;
 		fleet_run_lost(fleet, task, PROOF_NOT_REPORTED, report,
 			       sent_us);
--- a/fleet/incarnation.c
+++ b/fleet/incarnation.c
@@ -38,6 +38,7 @@
 		worker_unassign(task);
 		worker_assign(worker, task);
 		task->answered_us = now_us;
+		task->missing_us = 0;
 		fleet_mark_changed(fleet, task->stage->job);
 	}
 	return worker;
--- a/fleet/job.h
+++ b/fleet/job.h
@@ -48,6 +48,8 @@
 	bool stop_sent; /* the pending order is a stop */
 	int64_t retry_us; /* no order is sent before that */
 	int64_t answered_us; /* when the latest order was answered, 0: never */
+	/* When the first report that leaves the run out arrived, 0: none has. */
+	int64_t missing_us;
 	char *ticket; /* permission to start on the worker, or NULL */
 	int pace_percent; /* ordered share of its speed, 100: full */
 /* An earlier leader may have ordered any pace. */
--- a/fleet/limits.h
+++ b/fleet/limits.h
@@ -33,6 +33,9 @@
 /* A worker that left so many calls in a row unanswered gets no new tasks. A
  * single one may be lost in the network. */
 #define UNANSWERED_CALLS_MAX 2
+/* A run that a report leaves out is over if a report that was asked for so long
+ * after the longest stop leaves it out too. */
+#define MISSING_SLACK_MS 100
 /* Added to the computed end of a lease for the timer resolution. */
 #define LEASE_SLACK_MS 150
 /* A worker that is no longer registered gets no tasks, and is dropped after
--- a/fleet/proof.c
+++ b/fleet/proof.c
@@ -3,7 +3,7 @@
 #include "fleet/limits.h"
 
 static const char *const proof_names[PROOF_COUNT] = {
-	"missing in its worker's report",
+	"missing in its worker's reports",
 	"its worker process has ended",
 	"its start was not sent",
 	"lease is over",
@@ -49,12 +49,13 @@
 }
 
 /*
- * The hold call must have been sent after the latest order for the run was
- * answered. An adopted run that is missing is over in any case, because the
- * call's fence token makes the worker refuse all orders of earlier leaders.
+ * Whether the report would name the run if it was there. The hold call must
+ * have been sent after the latest order for the run was answered. An adopted
+ * run can't come later in any case, because the call's fence token makes the
+ * worker refuse all orders of earlier leaders.
  */
-bool proof_not_reported(const struct task *task,
-			const struct hold_report *report, int64_t sent_us)
+static bool leaves_out(const struct task *task,
+		       const struct hold_report *report, int64_t sent_us)
 {
 	/* Its end may be among those that the report has no place for. */
 	if (report->truncated)
@@ -69,6 +70,33 @@
 	return task->answered_us != 0 && task->answered_us < sent_us;
 }
 
+int64_t proof_missing_again_us(const struct fleet *fleet,
+			       const struct task *task)
+{
+	return task->missing_us +
+	       (fleet->bounds.stop_ms + MISSING_SLACK_MS) * 1000;
+}
+
+/*
+ * A report is not a snapshot: a run that has just been accepted, that is being
+ * stopped or that ends while the lists are read may be in neither of them. An
+ * accepted run whose end was not acknowledged turns up again, so the run is
+ * over once a later report leaves it out as well.
+ */
+bool proof_not_reported(struct fleet *fleet, struct task *task,
+			const struct hold_report *report, int64_t sent_us,
+			int64_t now_us)
+{
+	if (!leaves_out(task, report, sent_us))
+		return false;
+	if (task->missing_us != 0)
+		return sent_us >= proof_missing_again_us(fleet, task);
+	task->missing_us = now_us;
+	fleet_note(fleet, "task.missing", task->stage->job, task,
+		   "a report leaves it out");
+	return false;
+}
+
 bool fleet_release_unsent(struct fleet *fleet, struct task *task)
 {
 	if (task->sent || task->start_pending)
--- a/tests/soak/soak.h
+++ b/tests/soak/soak.h
@@ -25,6 +25,7 @@
 	int dcs; /* data centres, to which the hosts belong in turn */
 	/* Shape of faults: series of takeovers, and wider and longer jobs. */
 	bool takeovers;
+	int gap_percent; /* of runs that workers leave out of lists for a time */
 	const char *binary;
 	const char *clock; /* library that shifts the time of day */
 	const char *dir; /* settings and logs */
--- a/tests/standins/site_check.h
+++ b/tests/standins/site_check.h
@@ -31,6 +31,8 @@
 	int64_t present_us; /* since when it waits for its gang */
 	bool working;
 	int64_t stop_us; /* when a stop takes effect, 0: none */
+	int64_t gap_us; /* how long it is in no list, 0: it always is in one */
+	int64_t listed_us; /* it is not listed before */
 	bool fails;
 	char *checkpoint;
 	/* See site_serving.h. */
--- a/tests/standins/site_fleet.h
+++ b/tests/standins/site_fleet.h
@@ -30,6 +30,11 @@
 	int64_t stop_ms;
 	int64_t beat_ms;
 	int64_t late_ms; /* of an order that is carried out late */
+	/*
+	 * Share of the runs, in percent, that are in neither list for a time:
+	 * after their start, while they are being stopped and after their end.
+	 */
+	int gap_percent;
 };
 
 struct site_fleet;
--- a/tests/standins/site_fleet_int.h
+++ b/tests/standins/site_fleet_int.h
@@ -19,6 +19,7 @@
 	char *checkpoint;
 	struct site_task *task;
 	bool is_void; /* its failure counts no more */
+	int64_t listed_us; /* it is not listed before */
 };
 
 struct site_hold {
@@ -63,6 +64,8 @@
 /* Answers the hold calls whose time is over, or all of them. */
 void site_holds_answer(struct site_worker *worker, bool all);
 void site_hold_free(struct site_hold *hold);
+/* Returns how many ends the worker lists now. */
+guint site_ends_listed(const struct site_worker *worker);
 /* Carries out the late orders that are due. */
 void site_late_run(struct site_fleet *fleet);
 void site_late_free(struct site_late *late);
--- a/tests/unit/test_host.c
+++ b/tests/unit/test_host.c
@@ -982,6 +982,22 @@
  * Guards against tasks that wait for a lease which no worker can hold: a worker
  * is registered at whose address nobody listens, so no start has been sent.
  */
+/*
+ * Guards against two runs at once: workers leave runs out of their lists for a
+ * time after the start, during a stop and after the end.
+ */
+START_TEST(runs_between_two_lists_run_once)
+{
+	rig_start(&rig, 2, 6, 1);
+	rig.fleet->bounds.gap_percent = 100;
+	submit_many(6, 0x300, 4, "ms=700", NULL);
+	wait_many(6, 0x300, "done", 15000);
+	check_invariants();
+	ck_assert_uint_eq(rig.fleet->starts, 24);
+	rig_stop(&rig);
+}
+END_TEST
+
 START_TEST(start_that_was_not_sent_needs_no_lease)
 {
 	static const char entry[] =
@@ -1198,6 +1214,7 @@
 	tcase_add_test(tc, malformed_reports_end_no_task);
 	tcase_add_test(tc, idle_connections_to_workers_are_bounded);
 	tcase_add_test(tc, ends_beyond_a_full_list_run_once);
+	tcase_add_test(tc, runs_between_two_lists_run_once);
 	tcase_add_test(tc, start_that_was_not_sent_needs_no_lease);
 	tcase_add_test(tc, restart_with_a_lower_start_time_is_noticed);
 	tcase_add_test(tc, stop_uses_the_connection_of_the_hold);
