Stop runs that a worker lists and no task holds

What callers saw: a run that had been given up went on beside the next one until it ended done. Two runs of one task at once, for seconds.

Cause: a listed run that no task of the leader holds was passed over. It was neither stopped nor taken back, its room counted as free, and no line told of it.

Change: such a run is taken back while nothing of the task has been started since. Otherwise it is an orphan: it is stopped, and its room stays in use until its end is listed or a report leaves it out stop_ms after a stop was answered. A warning (task.unheld) and a counter (chivebank_unheld) show each one. A report that an end has overtaken is not used. So any wrong release lasts for one round trip and stop_ms.

Tests: listed_run_that_no_task_holds_is_stopped (test_host) failed before: 2 runs and not 1. listed_run_is_taken_back and listed_run_beside_a_later_one_is_stopped (test_fleet) show the decisions in virtual time; they need functions that did not exist before.

--- a/control/director.c
+++ b/control/director.c
@@ -98,6 +98,7 @@
 	ctr_finish(&director->moved);
 	ctr_finish(&director->lapsed);
 	ctr_finish(&director->banned);
+	ctr_finish(&director->unheld);
 	ctr_finish(&director->waiting);
 	ctr_finish(&director->running);
 	g_free(director);
@@ -141,6 +142,8 @@
 		 "Workers whose tasks were given up with their lease");
 	ctr_init(&director->banned, set, CTR_GAUGE, "chivebank_banned", NULL,
 		 "Bans of workers where different jobs failed");
+	ctr_init(&director->unheld, set, CTR_GAUGE, "chivebank_unheld", NULL,
+		 "Runs listed by workers that no task held");
 	ctr_init(&director->waiting, set, CTR_GAUGE, "chivebank_jobs_waiting",
 		 NULL, "Jobs that have not started");
 	ctr_init(&director->running, set, CTR_GAUGE, "chivebank_jobs_running",
--- a/control/director.h
+++ b/control/director.h
@@ -71,6 +71,7 @@
 	struct ctr moved;
 	struct ctr lapsed;
 	struct ctr banned;
+	struct ctr unheld;
 	struct ctr waiting;
 	struct ctr running;
 };
--- a/control/director_log.c
+++ b/control/director_log.c
@@ -118,6 +118,21 @@
 		 worker->adopted, age_ms(end_us, now_us));
 }
 
+static void on_unheld(void *user, const struct worker *worker,
+		      const struct run_report *run, const struct task *task)
+{
+	const struct director *director = user;
+
+	log_warn("task.unheld",
+		 "task=%s run=%lld worker=%s fence=%lld percent=%d "
+		 "held_run=%lld held_by=%s phase=%d",
+		 run->task, (long long)run->run, worker->reported.id,
+		 (long long)director->leader.fence, run->percent,
+		 task ? (long long)task->run : -1LL,
+		 task && task->worker ? task->worker->reported.id : "-",
+		 task ? (int)task->phase : -1);
+}
+
 static void on_unreachable(void *user, const struct worker *worker,
 			   int64_t now_us)
 {
@@ -137,5 +152,6 @@
 const struct fleet_ops director_fleet_ops = {
 	.note = on_note,
 	.released = on_released,
+	.unheld = on_unheld,
 	.lost = on_unreachable,
 };
--- a/control/director_pass.c
+++ b/control/director_pass.c
@@ -85,6 +85,7 @@
 	ctr_gauge(&director->moved, director->fleet.moved);
 	ctr_gauge(&director->lapsed, director->fleet.lapsed);
 	ctr_gauge(&director->banned, director->fleet.banned);
+	ctr_gauge(&director->unheld, director->fleet.unheld);
 }
 
 /*
--- a/control/orders.c
+++ b/control/orders.c
@@ -5,6 +5,7 @@
 #include "base/limits.h"
 #include "base/log.h"
 #include "fleet/limits.h"
+#include "fleet/orphan.h"
 #include "fleet/throttle.h"
 
 /* Context of an order that was sent and has no answer yet. */
@@ -16,6 +17,7 @@
 	char *worker; /* id */
 	int64_t born_ms;
 	struct task_ref ref; /* not set for a hold */
+	char *orphan; /* task name, if the stop is for an orphan */
 	int64_t run;
 	int64_t sent_us;
 	int64_t wait_ms;
@@ -82,6 +84,7 @@
 {
 	list_del(&pending->node);
 	g_free(pending->worker);
+	g_free(pending->orphan);
 	g_free(pending);
 }
 
@@ -278,6 +281,24 @@
 					     pending->orders->fence);
 }
 
+static void on_orphan_stop(struct pending_order *pending, int64_t now_us)
+{
+	struct worker *worker = find_worker(pending);
+	struct orphan *orphan =
+		worker ? orphan_find(worker, pending->orphan, pending->run) :
+			 NULL;
+
+	if (!orphan)
+		return;
+	orphan->calling = false;
+	orphan->retry_us = now_us + STOP_RETRY_MS * USEC_PER_MSEC;
+	if (pending->call.result == ORDER_ACCEPTED) {
+		orphan->answered_us = now_us;
+		orphan->retry_us +=
+			pending->orders->fleet->bounds.stop_ms * USEC_PER_MSEC;
+	}
+}
+
 static void on_pace(struct pending_order *pending)
 {
 	struct task *task = find_task(pending);
@@ -352,6 +373,8 @@
 	worker = update_contact(pending, now_us);
 	if (pending->kind == ORDER_START)
 		on_start(pending, now_us);
+	else if (pending->orphan)
+		on_orphan_stop(pending, now_us);
 	else if (pending->kind == ORDER_STOP)
 		on_stop(pending, now_us);
 	else if (pending->kind == ORDER_PACE)
@@ -436,6 +459,23 @@
 	send_order(orders, pending, task->worker, &order, now_us);
 }
 
+static void send_orphan_stop(struct orders *orders, struct orphan *orphan,
+			     int64_t now_us)
+{
+	struct pending_order *pending = g_new0(struct pending_order, 1);
+	struct order order = {
+		.kind = ORDER_STOP,
+		.task = orphan->task,
+		.run = orphan->run,
+		.timeout_ms = ORDER_TIMEOUT_MS,
+	};
+
+	pending->orphan = g_strdup(orphan->task);
+	pending->run = orphan->run;
+	orphan->calling = true;
+	send_order(orders, pending, orphan->worker, &order, now_us);
+}
+
 static void send_pace(struct orders *orders, struct task *task, int64_t now_us)
 {
 	struct pending_order *pending = g_new0(struct pending_order, 1);
@@ -605,11 +645,27 @@
  */
 static bool needs_hold(const struct worker *worker)
 {
-	return worker->task_count > 0 || worker->acked < worker->end_seen ||
+	return worker->task_count > 0 || !list_empty(&worker->orphans) ||
+	       worker->acked < worker->end_seen ||
 	       (worker->unanswered_calls > 0 && worker->listed &&
 		!worker->replaced);
 }
 
+static void stop_orphans(struct orders *orders, struct worker *worker,
+			 int64_t now_us, int64_t *next_us)
+{
+	struct orphan *orphan;
+
+	list_for_each_entry(orphan, &worker->orphans, node) {
+		if (orphan->calling)
+			continue;
+		if (orphan->retry_us <= now_us)
+			send_orphan_stop(orders, orphan, now_us);
+		else
+			*next_us = MIN(*next_us, orphan->retry_us);
+	}
+}
+
 static void process_worker(struct orders *orders, struct worker *worker,
 			   int64_t now_us, int64_t *next_us)
 {
@@ -623,6 +679,8 @@
 		if (!orders->hold_only &&
 		    !process_task(orders, task, now_us, next_us))
 			break;
+	if (!orders->hold_only)
+		stop_orphans(orders, worker, now_us, next_us);
 	acked_end = fleet_ends_stored(fleet, worker);
 	if (!needs_hold(worker))
 		return;
--- a/fleet/fleet.h
+++ b/fleet/fleet.h
@@ -96,6 +96,12 @@
 	/* Logs the release of a run, which still has its worker. */
 	void (*released)(void *user, const struct task *task,
 			 const struct run_release *release);
+	/*
+	 * Logs that a worker lists a run that no task holds. task: the one of
+	 * that name, or NULL.
+	 */
+	void (*unheld)(void *user, const struct worker *worker,
+		       const struct run_report *run, const struct task *task);
 	/* Logs that a worker has become unreachable. */
 	void (*lost)(void *user, const struct worker *worker, int64_t now_us);
 };
@@ -119,6 +125,7 @@
 	uint64_t moved;
 	uint64_t lapsed;
 	uint64_t banned;
+	uint64_t unheld;
 };
 
 void fleet_init(struct fleet *fleet, const struct fleet_ops *ops, void *user);
--- a/fleet/hold_report.c
+++ b/fleet/hold_report.c
@@ -1,5 +1,7 @@
 #include "fleet/fleet_int.h"
 
+#include "fleet/orphan.h"
+
 /* Returns the job that a task name refers to, or NULL. */
 static struct job *find_job(const struct fleet *fleet, const char *name,
 			    struct task_ref *ref)
@@ -60,9 +62,67 @@
 			handle_late_end(fleet, end, now_us, wall_ms);
 		}
 		record_end(fleet, worker, end->number);
+		worker->end_read_us = now_us;
 	}
 }
 
+/*
+ * Whether the released run can go on as the task's: nothing of the task has
+ * been started since.
+ */
+static bool can_resume(const struct task *task, int64_t run)
+{
+	if (job_ended(task->stage->job) || task->stage->spec->gang ||
+	    task->stage->spec->speculative || task->copy)
+		return false;
+	return (task->phase == TASK_WAITING && !task->worker &&
+		task->run == run) ||
+	       (task->phase == TASK_PLANNED && task->run == run + 1);
+}
+
+static void resume(struct fleet *fleet, struct worker *worker,
+		   struct task *task, int64_t run, int64_t now_us)
+{
+	if (task->phase == TASK_PLANNED)
+		fleet_stop_one(fleet, task, "an earlier run goes on");
+	task->run = run;
+	task->calling = false;
+	task->start_pending = false;
+	fleet_adopt_run(fleet, task, worker);
+	fleet_run_started(fleet, task, now_us);
+	fleet_mark_changed(fleet, task->stage->job);
+}
+
+/*
+ * A run that its worker lists and that no task holds was released too early, so
+ * that another one may be at work beside it. It is taken back while no other
+ * has been started, and stopped otherwise.
+ */
+static struct task *handle_unheld(struct fleet *fleet, struct worker *worker,
+				  const struct run_report *run, int64_t sent_us,
+				  int64_t now_us)
+{
+	struct room none = { 0 }, room;
+	struct task_ref ref;
+	struct job *job = find_job(fleet, run->task, &ref);
+	struct task *task = job ? job_find_task(job, &ref) : NULL;
+
+	/* Its end may have been read from a report that overtook this one. */
+	if (sent_us <= worker->end_read_us ||
+	    orphan_find(worker, run->task, run->run))
+		return NULL;
+	fleet->unheld++;
+	if (fleet->ops && fleet->ops->unheld)
+		fleet->ops->unheld(fleet->user, worker, run, task);
+	if (task && can_resume(task, run->run)) {
+		resume(fleet, worker, task, run->run, now_us);
+		return task;
+	}
+	room = task ? task_room(task) : none;
+	orphan_add(worker, run->task, run->run, &room);
+	return NULL;
+}
+
 static void update_run(struct fleet *fleet, struct task *task,
 		       const struct run_report *run, int64_t now_us)
 {
@@ -91,10 +151,14 @@
 
 	worker->fenced = true;
 	handle_ends(fleet, worker, report, now_us, wall_ms);
+	orphans_update(fleet, worker, report, sent_us);
 	for (i = 0; i < report->nrunning; i++) {
 		const struct run_report *run = &report->running[i];
 
 		task = find_run(fleet, worker, run->task, run->run);
+		if (!task)
+			task = handle_unheld(fleet, worker, run, sent_us,
+					     now_us);
 		if (!task)
 			continue;
 		g_hash_table_add(listed, task);
--- a/fleet/incarnation.c
+++ b/fleet/incarnation.c
@@ -3,6 +3,7 @@
 #include <string.h>
 
 #include "fleet/limits.h"
+#include "fleet/orphan.h"
 
 void fleet_worker_ended(struct fleet *fleet, struct worker *worker)
 {
@@ -127,9 +128,13 @@
 			fleet_worker_runs_lost(fleet, worker,
 					       PROOF_LEASE_EXPIRED);
 		}
+		if (!list_empty(&worker->orphans) &&
+		    proof_lease_expired(fleet, worker, now_us))
+			orphans_free(worker);
 		if (worker->task_count == 0 && !worker->listed &&
 		    (worker->replaced ||
-		     now_us - worker->unlisted_us > UNLISTED_GRACE_MS * 1000))
+		     (list_empty(&worker->orphans) &&
+		      now_us - worker->unlisted_us > UNLISTED_GRACE_MS * 1000)))
 			remove_worker(fleet, worker);
 	}
 }
--- a/fleet/worker.c
+++ b/fleet/worker.c
@@ -3,6 +3,7 @@
 #include <string.h>
 
 #include "fleet/limits.h"
+#include "fleet/orphan.h"
 
 void worker_report_finish(struct worker_report *report)
 {
@@ -21,6 +22,7 @@
 
 	list_init(&worker->node);
 	list_init(&worker->tasks);
+	list_init(&worker->orphans);
 	worker->ends = g_array_new(FALSE, FALSE, sizeof(struct worker_end));
 	worker->ban_us = BAN_FIRST_MS * 1000;
 	worker->fill_pace_percent = 100;
@@ -30,6 +32,7 @@
 void worker_free(struct worker *worker)
 {
 	list_del(&worker->node);
+	orphans_free(worker);
 	worker_report_finish(&worker->reported);
 	g_array_unref(worker->ends);
 	g_free(worker);
--- a/fleet/worker.h
+++ b/fleet/worker.h
@@ -41,6 +41,9 @@
 	struct room used; /* resources held by tasks */
 	struct list_head tasks; /* that hold resources of the worker */
 	int task_count;
+	struct list_head orphans; /* runs that no task holds, fleet/orphan.h */
+	/* When the latest end of a run was read; earlier reports are outdated. */
+	int64_t end_read_us;
 	bool listed; /* it is registered in the store */
 	bool replaced; /* a later incarnation has been seen */
 	int64_t unlisted_us; /* when its registration disappeared */
--- a/tests/unit/test_fleet.c
+++ b/tests/unit/test_fleet.c
@@ -2,6 +2,7 @@
 
 #include "fleet/evict.h"
 #include "fleet/limits.h"
+#include "fleet/orphan.h"
 #include "fleet/plan.h"
 #include "tests/standins/fleet_fixture.h"
 #include "tests/unit/run.h"
@@ -372,6 +373,98 @@
 }
 END_TEST
 
+/* Releases the only run of a job although it goes on, and returns its task. */
+static struct task *released_task(struct worker *worker, struct job *job)
+{
+	struct task *task = first_occurrence_task(job, 0, 0);
+
+	worker_extend_lease(worker, 6000, NOW);
+	worker->unanswered_calls = 3;
+	worker->unanswered_since_us = NOW;
+	fleet_expire(&fleet, NOW + 10 * SEC);
+	ck_assert_int_eq(task->phase, TASK_WAITING);
+	worker->unanswered_calls = 0;
+	return task;
+}
+
+static const struct run_report listed_run = { .task = (char *)"j.0.0.0",
+					      .run = 1 };
+static const struct hold_report listing = {
+	.running = (struct run_report *)&listed_run,
+	.nrunning = 1,
+};
+
+/*
+ * Guards against a second run beside one that goes on: a run that was released
+ * and is listed is taken back while the next one has not been started.
+ */
+START_TEST(listed_run_is_taken_back)
+{
+	struct worker *worker = make_worker(&fleet, "w1", "r1", 8, NOW);
+	struct job *job = running_job(1, false);
+	struct task *task = released_task(worker, job);
+
+	fleet_handle_hold(&fleet, worker, &listing, NOW + 11 * SEC,
+			  NOW + 11 * SEC, 0);
+	ck_assert_int_eq(task->phase, TASK_RUNNING);
+	ck_assert_ptr_eq(task->worker, worker);
+	ck_assert_int_eq(task->run, 1);
+	ck_assert_int_eq(plan_pass(&fleet, NOW + 11 * SEC), 0);
+	/* Also when the next one is planned already. */
+	task = released_task(worker, job);
+	ck_assert_int_eq(plan_pass(&fleet, NOW + 12 * SEC), 1);
+	fleet_handle_hold(&fleet, worker, &listing, NOW + 12 * SEC,
+			  NOW + 12 * SEC, 0);
+	ck_assert_int_eq(task->phase, TASK_RUNNING);
+	ck_assert_int_eq(task->run, 1);
+	ck_assert_uint_eq(fleet.unheld, 2);
+	ck_assert(list_empty(&worker->orphans));
+}
+END_TEST
+
+/*
+ * Guards against two runs that go on beside each other until they end: the one
+ * that no task holds is stopped, and holds its room until it has ended.
+ */
+START_TEST(listed_run_beside_a_later_one_is_stopped)
+{
+	struct worker *worker = make_worker(&fleet, "w1", "r1", 8, NOW);
+	struct job *job = running_job(1, false);
+	struct task *task = released_task(worker, job);
+	struct hold_report report;
+	struct end_report end;
+	struct orphan *orphan;
+
+	worker->reported.draining = true;
+	make_worker(&fleet, "w2", "r1", 8, NOW);
+	ck_assert_int_eq(plan_pass(&fleet, NOW + 11 * SEC), 1);
+	confirm_planned_runs(&fleet, NOW + 11 * SEC);
+	fleet_handle_hold(&fleet, worker, &listing, NOW + 11 * SEC,
+			  NOW + 11 * SEC, 0);
+	ck_assert_int_eq(task->run, 2);
+	orphan = orphan_find(worker, "j.0.0.0", 1);
+	ck_assert_ptr_nonnull(orphan);
+	ck_assert_int_eq(worker_free_room(worker).gpus, 7);
+	/* A stop that may still take effect, then one that has. */
+	orphan->answered_us = NOW + 12 * SEC;
+	report = (struct hold_report){ 0 };
+	fleet_handle_hold(&fleet, worker, &report, NOW + 12 * SEC + 1,
+			  NOW + 12 * SEC + 1, 0);
+	ck_assert_ptr_nonnull(orphan_find(worker, "j.0.0.0", 1));
+	report = one_end(&end, "j.0.0.0", 1);
+	end.how = RUN_STOPPED;
+	fleet_handle_hold(&fleet, worker, &report, NOW + 12 * SEC + 2,
+			  NOW + 12 * SEC + 2, 0);
+	ck_assert(list_empty(&worker->orphans));
+	ck_assert_int_eq(worker_free_room(worker).gpus, 8);
+	/* A report that was overtaken by the one with the end. */
+	fleet_handle_hold(&fleet, worker, &listing, NOW + 12 * SEC + 1,
+			  NOW + 12 * SEC + 3, 0);
+	ck_assert(list_empty(&worker->orphans));
+	ck_assert_int_eq(task->phase, TASK_RUNNING);
+}
+END_TEST
+
 static int lost_calls;
 
 static void ignore_note(void *user, const char *event, const struct job *job,
@@ -714,6 +807,8 @@
 	tcase_add_test(tc, truncated_report_ends_no_run);
 	tcase_add_test(tc, lease_of_a_silent_worker);
 	tcase_add_test(tc, late_end_of_a_released_run_counts);
+	tcase_add_test(tc, listed_run_is_taken_back);
+	tcase_add_test(tc, listed_run_beside_a_later_one_is_stopped);
 	tcase_add_test(tc, late_end_ends_no_later_run);
 	tcase_add_test(tc, slow_task_is_not_stopped_for_ever);
 	tcase_add_test(tc, unreachable_worker_is_logged_once);
--- a/tests/unit/test_host.c
+++ b/tests/unit/test_host.c
@@ -2,6 +2,7 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "tests/standins/site_check.h"
 #include "tests/standins/site_rig.h"
 #include "tests/unit/run.h"
 
@@ -998,6 +999,43 @@
 }
 END_TEST
 
+/* A run that the worker lists and that no task holds. */
+static void add_unheld_run(struct site_worker *worker, const char *name)
+{
+	struct site_run *run = g_new0(struct site_run, 1);
+
+	run->worker = worker;
+	run->name = g_strdup(name);
+	run->task = site_task_of(rig.fleet, name);
+	run->run = 1;
+	run->ms = 60000;
+	run->gpus = 1;
+	run->percent_pace = 100;
+	run->present_us = kn_now_us();
+	list_add_tail(&run->node, &worker->runs);
+}
+
+/* Guards against a run that goes on until its end although no task holds it. */
+START_TEST(listed_run_that_no_task_holds_is_stopped)
+{
+	struct site_worker *worker;
+
+	rig_start(&rig, 1, 1, 1);
+	ck_assert_int_eq(rig_submit(&rig, 0, JOB_A, 1, "ms=4000", NULL), 200);
+	rig_run_ms(&rig, 500);
+	ck_assert_int_eq(site_fleet_running(rig.fleet), 1);
+	worker =
+		list_first_entry(&rig.fleet->workers, struct site_worker, node);
+	add_unheld_run(worker, JOB_B ".0.0.0");
+	/* The next report comes within the time that a hold waits. */
+	rig_run_ms(&rig, 2500);
+	ck_assert_int_eq(site_fleet_running(rig.fleet), 1);
+	ck_assert(rig_wait(&rig, 0, JOB_A, "done", 6000));
+	check_invariants();
+	rig_stop(&rig);
+}
+END_TEST
+
 START_TEST(start_that_was_not_sent_needs_no_lease)
 {
 	static const char entry[] =
@@ -1215,6 +1253,7 @@
 	tcase_add_test(tc, idle_connections_to_workers_are_bounded);
 	tcase_add_test(tc, ends_beyond_a_full_list_run_once);
 	tcase_add_test(tc, runs_between_two_lists_run_once);
+	tcase_add_test(tc, listed_run_that_no_task_holds_is_stopped);
 	tcase_add_test(tc, start_that_was_not_sent_needs_no_lease);
 	tcase_add_test(tc, restart_with_a_lower_start_time_is_noticed);
 	tcase_add_test(tc, stop_uses_the_connection_of_the_hold);
