Take an end of an unknown kind for an end

What callers saw: nothing yet; found by reading. With another kind of end a task would run twice, or wait.

Cause: platform_hold_read() left such rows out. The run was then in neither of the worker's lists, so that it counted as missing, and its number was not acknowledged unless a later one was.

Change: the row is kept as RUN_OTHERWISE. It releases the run and counts as no attempt.

--- a/fleet/fleet.h
+++ b/fleet/fleet.h
@@ -20,6 +20,7 @@
 	RUN_LAPSED, /* the lease expired */
 	RUN_BROKEN, /* another member of the gang ended */
 	RUN_ALONE, /* other members of the gang did not start in time */
+	RUN_OTHERWISE, /* in a way that this program does not know */
 	RUN_END_COUNT
 };
 
--- a/fleet/run.c
+++ b/fleet/run.c
@@ -264,9 +264,9 @@
 	}
 }
 
-static const char *const end_names[RUN_END_COUNT] = { "done",	 "failed",
-						      "stopped", "lapsed",
-						      "broken",	 "alone" };
+static const char *const end_names[RUN_END_COUNT] = {
+	"done", "failed", "stopped", "lapsed", "broken", "alone", "otherwise"
+};
 
 void fleet_run_ended(struct fleet *fleet, struct task *task, enum run_end how,
 		     int64_t now_us, int64_t wall_ms)
--- a/tests/unit/test_fleet.c
+++ b/tests/unit/test_fleet.c
@@ -90,6 +90,24 @@
 }
 END_TEST
 
+/*
+ * Guards against an end that is neither taken note of nor acknowledged, because
+ * it is of a kind that is not known: its run would be in none of the lists.
+ */
+START_TEST(end_of_an_unknown_kind_is_an_end)
+{
+	struct worker *worker = make_worker(&fleet, "w1", "r1", 8, NOW);
+	struct job *job = running_job(1, false);
+	struct task *task = first_occurrence_task(job, 0, 0);
+
+	report_run_end(&fleet, task, RUN_OTHERWISE, NOW + SEC);
+	ck_assert_int_eq(task->phase, TASK_WAITING);
+	ck_assert_int_eq(task->fails, 0);
+	mark_changes_stored(&fleet);
+	ck_assert_int_eq(fleet_ends_stored(&fleet, worker), 1);
+}
+END_TEST
+
 START_TEST(lapsed_runs_do_not_count_as_attempts)
 {
 	struct job *job;
@@ -799,6 +817,7 @@
 	tcase_add_test(tc, done_tasks_end_the_job);
 	tcase_add_test(tc, ends_are_acknowledged_after_they_are_stored);
 	tcase_add_test(tc, failures_use_up_the_attempts);
+	tcase_add_test(tc, end_of_an_unknown_kind_is_an_end);
 	tcase_add_test(tc, lapsed_runs_do_not_count_as_attempts);
 	tcase_add_test(tc, gang_fails_once_a_run);
 	tcase_add_test(tc, one_done_member_ends_the_gang);
