Count the first answer to a stop

Cause: stops are repeated each stop_ms + 400 ms until the run has ended. Each answer began the wait for the second report anew, which ends stop_ms + 100 ms after the first. With stop_ms 900 it never ended.

Change: the first answer counts. No start of the run is accepted after it, so that a repeated stop changes nothing.

Test: repeated_stops_do_not_delay_the_release (test_fleet) failed before.

--- a/fleet/run.c
+++ b/fleet/run.c
@@ -356,8 +356,10 @@
 	fleet_break_gang(fleet, task, why);
 }
 
+/* The first answer counts: a run can't begin after it, however often the stop is
+ * repeated. */
 void fleet_stop_answered(struct fleet *fleet, struct task *task, int64_t now_us)
 {
-	task->answered_us = now_us;
-	task->missing_us = 0;
+	if (task->answered_us == 0)
+		task->answered_us = now_us;
 }
--- a/tests/unit/test_fleet.c
+++ b/tests/unit/test_fleet.c
@@ -225,6 +225,30 @@
 }
 END_TEST
 
+/*
+ * Guards against a run that is never released, as each repeated stop is answered
+ * before the second report is asked for.
+ */
+START_TEST(repeated_stops_do_not_delay_the_release)
+{
+	struct worker *worker = make_worker(&fleet, "w1", "r1", 8, NOW);
+	struct job *job = running_job(1, false);
+	struct task *task = first_occurrence_task(job, 0, 0);
+	const struct hold_report empty = { 0 };
+	int64_t step_us = asked_again_us() * 3 / 4, now_us = NOW;
+	int i;
+
+	fleet_stop(&fleet, task, "test");
+	for (i = 0; i < 3; i++) {
+		now_us += step_us;
+		fleet_stop_answered(&fleet, task, now_us);
+		fleet_handle_hold(&fleet, worker, &empty, now_us + 1,
+				  now_us + 1, 0);
+	}
+	ck_assert_ptr_null(task->worker);
+}
+END_TEST
+
 /*
  * A hold report may be older than the answer to the start order. That it does
  * not name the run must not end the run then.
@@ -822,6 +846,7 @@
 	tcase_add_test(tc, gang_fails_once_a_run);
 	tcase_add_test(tc, one_done_member_ends_the_gang);
 	tcase_add_test(tc, run_between_two_lists_is_not_started_again);
+	tcase_add_test(tc, repeated_stops_do_not_delay_the_release);
 	tcase_add_test(tc, report_older_than_the_answer_is_ignored);
 	tcase_add_test(tc, truncated_report_ends_no_run);
 	tcase_add_test(tc, lease_of_a_silent_worker);
