Take an answer of another worker for no proof at a wrong address

What callers saw: tasks ran twice at once after another worker had answered at the address in a worker's entry.

Cause: status 421 says that another process has the address. All runs of the worker that was meant were released on it. If its entry is wrong, or if it has never answered at that address, this says nothing about it.

Change: 421 shows that an incarnation has ended only at the address where that incarnation itself has answered this leader, since a port belongs to one process. At any other address the call counts as unanswered, and the runs wait for the lease. The line worker.other_life names both addresses.

Test: answer_of_another_worker_ends_no_run (test_host). The stand-in workers answer 421 to calls for another worker now, as the platform's do.

--- a/control/orders.c
+++ b/control/orders.c
@@ -15,6 +15,8 @@
 	struct order_call call;
 	enum order_kind kind;
 	char *worker; /* id */
+	char addr[48]; /* that the order was sent to */
+	int port;
 	int64_t born_ms;
 	struct task_ref ref; /* not set for a hold */
 	char *orphan; /* task name, if the stop is for an orphan */
@@ -124,14 +126,30 @@
 }
 
 /*
- * Another process answers at the worker's address, so the known incarnation
- * of the worker has ended.
+ * Whether another process has taken the address at which the worker itself has
+ * answered, so that this incarnation of it has ended. At any other address the
+ * worker's registration may be wrong or out of date.
  */
-static void end_incarnation(struct orders *orders, struct worker *worker)
+static bool has_lost_address(const struct pending_order *pending,
+			     const struct worker *worker)
 {
-	log_info("worker.other_life", "worker=%s tasks=%d", worker->reported.id,
-		 worker->task_count);
-	fleet_worker_ended(orders->fleet, worker);
+	bool lost = worker->heard_us != 0 &&
+		    pending->port == worker->heard_port &&
+		    strcmp(pending->addr, worker->heard_addr) == 0;
+
+	log_info("worker.other_life",
+		 "worker=%s addr=%s port=%d heard_addr=%s heard_port=%d "
+		 "tasks=%d ended=%d",
+		 worker->reported.id, pending->addr, pending->port,
+		 worker->heard_us ? worker->heard_addr : "-",
+		 worker->heard_port, worker->task_count, lost);
+	return lost;
+}
+
+static void count_unanswered(struct worker *worker, int64_t now_us)
+{
+	if (worker->unanswered_calls++ == 0)
+		worker->unanswered_since_us = now_us;
 }
 
 /*
@@ -162,14 +180,17 @@
 	if (!worker)
 		return NULL;
 	if (call->result == ORDER_UNKNOWN || call->result == ORDER_NOT_SENT) {
-		if (worker->unanswered_calls++ == 0)
-			worker->unanswered_since_us = now_us;
+		count_unanswered(worker, now_us);
 		worker->refusals =
 			call->connection_refused ? worker->refusals + 1 : 0;
 		return worker;
 	}
 	if (call->result == ORDER_OTHER_INCARNATION) {
-		end_incarnation(pending->orders, worker);
+		if (!has_lost_address(pending, worker)) {
+			count_unanswered(worker, now_us);
+			return worker;
+		}
+		fleet_worker_ended(pending->orders->fleet, worker);
 		return NULL;
 	}
 	/* This life was known when the call was sent, so another one that
@@ -186,6 +207,9 @@
 	worker->unanswered_calls = 0;
 	worker->refusals = 0;
 	worker->heard_us = now_us;
+	worker->heard_port = pending->port;
+	g_strlcpy(worker->heard_addr, pending->addr,
+		  sizeof(worker->heard_addr));
 	if (call->has_clock)
 		worker_set_clock(worker, call->clock_ms, now_us);
 	return worker;
@@ -251,12 +275,11 @@
 		start_refused(pending, task, now_us);
 		break;
 	case ORDER_NOT_SENT:
+	case ORDER_OTHER_INCARNATION:
 		if (task->phase == TASK_STARTING)
 			task->retry_us =
 				now_us + REFUSED_RETRY_MS * USEC_PER_MSEC;
 		break;
-	case ORDER_OTHER_INCARNATION:
-		break;
 	case ORDER_UNKNOWN:
 		mark_start_uncertain(task, now_us);
 		break;
@@ -398,6 +421,8 @@
 	pending->orders = orders;
 	pending->kind = order->kind;
 	pending->worker = g_strdup(worker->reported.id);
+	g_strlcpy(pending->addr, order->addr, sizeof(pending->addr));
+	pending->port = order->port;
 	pending->born_ms = worker->reported.born_ms;
 	pending->sent_us = now_us;
 	pending->call.done = on_done;
--- a/fleet/worker.h
+++ b/fleet/worker.h
@@ -57,6 +57,9 @@
 	/* Contact. */
 	bool fenced; /* it knows this leader's fence token */
 	int64_t heard_us; /* latest answer, 0: none */
+	/* Where it answered last, empty: nowhere yet. */
+	char heard_addr[48];
+	int heard_port;
 	int unanswered_calls; /* since the latest answer */
 	int64_t unanswered_since_us; /* time of the first of these calls */
 	bool unreachable; /* unanswered for UNREACHABLE_AFTER_MS; logged */
--- a/tests/standins/site_fleet.c
+++ b/tests/standins/site_fleet.c
@@ -127,6 +127,7 @@
 	if (!hs_init(&worker->server, fleet->task.kn, &site_worker_ops,
 		     "127.0.0.1", port, NULL))
 		abort();
+	hs_keep_header(&worker->server, EXPECT_INSTANCE);
 	worker->told_port = worker->server.port;
 	snprintf(worker->id, sizeof(worker->id), "w-%d", worker->server.port);
 	g_strlcpy(worker->rack, rack, sizeof(worker->rack));
--- a/tests/standins/site_fleet_int.h
+++ b/tests/standins/site_fleet_int.h
@@ -38,6 +38,9 @@
 	json_t *body;
 };
 
+/* Header that names the worker which a call is meant for. */
+#define EXPECT_INSTANCE "Chivebank-Expect-Instance"
+
 /* Site_run.c. */
 
 /* The worker's own steady clock. */
--- a/tests/standins/site_orders.c
+++ b/tests/standins/site_orders.c
@@ -308,12 +308,20 @@
 	struct site_worker *worker =
 		container_of(server, struct site_worker, server);
 	json_t *body = json_loadb((char *)req->body, req->body_len, 0, NULL);
-	const char *reason;
+	const char *reason, *meant;
 
 	if (!worker->up || worker->fault == SITE_WORKER_SILENT || !body) {
 		json_decref(body);
 		return; /* never answered */
 	}
+	meant = hs_header(req, EXPECT_INSTANCE);
+	if (meant && strcmp(meant, worker->id) != 0) {
+		site_reply(req, 421,
+			   json_pack("{s:I}", "clock_ms",
+				     (json_int_t)site_clock_ms(worker)));
+		json_decref(body);
+		return;
+	}
 	if (comes_late(worker, req->target)) {
 		delay_order(worker, req->target, body);
 		json_decref(body);
--- a/tests/unit/test_host.c
+++ b/tests/unit/test_host.c
@@ -999,6 +999,36 @@
 }
 END_TEST
 
+/*
+ * Guards against two runs at once: another worker answers at the address in a
+ * worker's entry, which says nothing about the one that is meant.
+ */
+START_TEST(answer_of_another_worker_ends_no_run)
+{
+	struct site_worker *worker, *other;
+
+	rig_start(&rig, 1, 2, 1);
+	ck_assert_int_eq(rig_submit(&rig, 0, JOB_A, 1, "ms=4000", NULL), 200);
+	rig_run_ms(&rig, 500);
+	worker =
+		list_first_entry(&rig.fleet->workers, struct site_worker, node);
+	other = list_entry(rig.fleet->workers.prev, struct site_worker, node);
+	if (list_empty(&worker->runs)) {
+		other = worker;
+		worker = list_entry(rig.fleet->workers.prev, struct site_worker,
+				    node);
+	}
+	ck_assert(!list_empty(&worker->runs));
+	worker->told_port = other->server.port;
+	rig_run_ms(&rig, 1500);
+	worker->told_port = worker->server.port;
+	ck_assert(rig_wait(&rig, 0, JOB_A, "done", 6000));
+	ck_assert_uint_eq(rig.fleet->starts, 1);
+	check_invariants();
+	rig_stop(&rig);
+}
+END_TEST
+
 /* A run that the worker lists and that no task holds. */
 static void add_unheld_run(struct site_worker *worker, const char *name)
 {
@@ -1253,6 +1283,7 @@
 	tcase_add_test(tc, idle_connections_to_workers_are_bounded);
 	tcase_add_test(tc, ends_beyond_a_full_list_run_once);
 	tcase_add_test(tc, runs_between_two_lists_run_once);
+	tcase_add_test(tc, answer_of_another_worker_ends_no_run);
 	tcase_add_test(tc, listed_run_that_no_task_holds_is_stopped);
 	tcase_add_test(tc, start_that_was_not_sent_needs_no_lease);
 	tcase_add_test(tc, restart_with_a_lower_start_time_is_noticed);
