Count a leader of the same name at another address

What callers saw: nothing yet; found by reading. A leader that has been replaced by a host of its name at another address could extend leases while its runs were released.

Cause: the list of earlier leaders was compared by the host's name alone, on the ground that a host has one process. That holds for one address only. A host also counted the end of its earlier process from the making of its own objects, a little before it listens.

Change: entries are removed by name and address. The time counts from the moment at which the host listens, which it can do only when the earlier process has gone.

Tests: same_name_elsewhere_is_another_leader (test_leader_list) failed before: the list was empty. port_belongs_to_one_server (test_rpc) shows the ground: a second listener at the address is refused while the first is open. It held before as well.

--- a/control/director.c
+++ b/control/director.c
@@ -55,6 +55,8 @@
 {
 	struct director *director = container_of(task, struct director, task);
 
+	/* The host listens by now, so an earlier process of it has ended. */
+	director->released_us = kn_now_us();
 	leader_start(&director->leader);
 	return true;
 }
@@ -164,7 +166,6 @@
 	director->relay = hosts->relay;
 	director->relay->release_work = director_on_release_request;
 	director->relay->user = director;
-	director->released_us = kn_now_us();
 	director->cancelled =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
 	director->states = g_ptr_array_new_with_free_func(stored_state_free);
--- a/control/leader.c
+++ b/control/leader.c
@@ -284,7 +284,7 @@
 	}
 	leader->lease = call->lease;
 	leader->earlier = leader->recorded;
-	leader_list_remove(&leader->earlier, leader->site->host);
+	leader_list_remove(&leader->earlier, &self);
 	values[0] = leader_list_format(&list);
 	list = leader->earlier;
 	leader_list_prepend(&list, &self);
--- a/control/leader_list.c
+++ b/control/leader_list.c
@@ -75,12 +75,20 @@
 	return g_string_free(text, FALSE);
 }
 
-void leader_list_remove(struct leader_list *list, const char *host)
+static bool same_place(const struct leader_identity *left,
+		       const struct leader_identity *right)
+{
+	return strcmp(left->host, right->host) == 0 &&
+	       strcmp(left->peers.addr, right->peers.addr) == 0;
+}
+
+void leader_list_remove(struct leader_list *list,
+			const struct leader_identity *leader)
 {
 	int i, kept = 0;
 
 	for (i = 0; i < list->count; i++)
-		if (strcmp(list->at[i].host, host) != 0)
+		if (!same_place(&list->at[i], leader))
 			list->at[kept++] = list->at[i];
 	list->count = kept;
 }
@@ -88,7 +96,7 @@
 void leader_list_prepend(struct leader_list *list,
 			 const struct leader_identity *leader)
 {
-	leader_list_remove(list, leader->host);
+	leader_list_remove(list, leader);
 	if (list->count == LEADER_LIST_MAX)
 		merge_oldest(list);
 	memmove(list->at + 1, list->at,
--- a/control/leader_list.h
+++ b/control/leader_list.h
@@ -39,9 +39,14 @@
 char *leader_list_format(const struct leader_list *list);
 /* A list of one leader that never answers: any host may have led. */
 void leader_list_set_unknown(struct leader_list *list);
-/* Removes the entries of a host: its process has ended or extends no lease. */
-void leader_list_remove(struct leader_list *list, const char *host);
-/* Puts a leader first; replaces an entry of the same host. */
+/*
+ * Removes the entries of a host at its address. Only one process at a time can
+ * have it, so that the earlier ones have ended. A process of the same name at
+ * another address may go on.
+ */
+void leader_list_remove(struct leader_list *list,
+			const struct leader_identity *leader);
+/* Puts a leader first; replaces an entry of the same host and address. */
 void leader_list_prepend(struct leader_list *list,
 			 const struct leader_identity *leader);
 
--- a/tests/unit/test_leader_list.c
+++ b/tests/unit/test_leader_list.c
@@ -42,11 +42,30 @@
 	/* A host has one process at a time. */
 	leader_list_prepend(&list, &a);
 	check_text(&list, "a 5 10.0.0.1 1 b 5 10.0.0.1 2");
-	leader_list_remove(&list, "a");
+	leader_list_remove(&list, &a);
 	check_text(&list, "b 5 10.0.0.1 2");
 }
 END_TEST
 
+/*
+ * Guards against a leader that counts as ended because a process of the same
+ * name, at another address, leads after it.
+ */
+START_TEST(same_name_elsewhere_is_another_leader)
+{
+	struct leader_identity old = leader_named("a", 1);
+	struct leader_identity new = leader_named("a", 1);
+	struct leader_list list = { 0 };
+
+	g_strlcpy(new.peers.addr, "10.0.0.2", sizeof(new.peers.addr));
+	leader_list_prepend(&list, &old);
+	leader_list_remove(&list, &new);
+	check_text(&list, "a 5 10.0.0.1 1");
+	leader_list_prepend(&list, &new);
+	check_text(&list, "a 5 10.0.0.2 1 a 5 10.0.0.1 1");
+}
+END_TEST
+
 /* Guards against an unreadable list that is taken for an empty one: earlier
  * leaders would count as stopped. */
 START_TEST(other_texts_name_a_leader_that_never_answers)
@@ -90,6 +109,7 @@
 {
 	TCase *tc = tcase_create("leader_list");
 
+	tcase_add_test(tc, same_name_elsewhere_is_another_leader);
 	tcase_add_test(tc, latest_leader_comes_first);
 	tcase_add_test(tc, other_texts_name_a_leader_that_never_answers);
 	tcase_add_test(tc, full_list_keeps_an_entry_that_never_answers);
--- a/tests/unit/test_release_model.c
+++ b/tests/unit/test_release_model.c
@@ -477,7 +477,7 @@
 	m.key_until_us = m.now_us + LEADER_LEASE_US;
 	host->valid_until_us = m.now_us + LEADER_LEASE_US - SEC / 5;
 	host->earlier = m.recorded;
-	leader_list_remove(&host->earlier, self.host);
+	leader_list_remove(&host->earlier, &self);
 	memset(host->confirmed, 0, sizeof(host->confirmed));
 	m.recorded = host->earlier;
 	leader_list_prepend(&m.recorded, &self);
--- a/tests/unit/test_rpc.c
+++ b/tests/unit/test_rpc.c
@@ -129,6 +129,22 @@
 }
 END_TEST
 
+/*
+ * Guards against two processes of one host that extend leases at a time: a host
+ * leads only while it listens, so the later process has to wait.
+ */
+START_TEST(port_belongs_to_one_server)
+{
+	struct rpc_server second;
+	GError *err = NULL;
+
+	ck_assert(!rpc_server_init(&second, &kn, &server_ops, "127.0.0.1", port,
+				   &err));
+	ck_assert_ptr_nonnull(strstr(err->message, "cannot listen on"));
+	g_error_free(err);
+}
+END_TEST
+
 START_TEST(malformed_frames_close_the_connection)
 {
 	static const char *const frames[] = {
@@ -158,6 +174,7 @@
 	tcase_add_test(tc, calls_share_a_connection);
 	tcase_add_test(tc, no_answer_in_time);
 	tcase_add_test(tc, connection_refused);
+	tcase_add_test(tc, port_belongs_to_one_server);
 	tcase_add_test(tc, malformed_frames_close_the_connection);
 	return run_case("rpc", tc);
 }
