Stop a run at the next life of its worker if a start had no answer

What callers saw: nothing yet; found by reading. A task would run twice at once.

Cause: a first start had no answer, a second one was accepted, and the worker started again in place. The report of its new life left the run out, and it was released. The platform may carry the first start out seconds later, at the new life, which does not know the run.

Change: a run with a start that had no answer is stopped at the new life, which then refuses the start, and released when two reports leave it out after that. Answers to orders that were sent to the earlier life count for nothing. A run whose starts were all answered is released on the first report of the new life, which names its start time, as "its worker process has ended". A report that does not name it shows nothing.

Test: start_without_answer_is_stopped_at_the_next_life (test_fleet) failed before: the run kept running. new_incarnation_keeps_tasks_until_it_reports now also checks that a report without the start time releases nothing, and failed before.

--- a/control/orders.c
+++ b/control/orders.c
@@ -257,6 +257,13 @@
 	fleet_run_refused(fleet, task, why, now_us);
 }
 
+/* The worker has restarted since the order was sent. */
+static bool is_for_earlier_life(const struct pending_order *pending,
+				const struct task *task)
+{
+	return pending->born_ms != task->worker->reported.born_ms;
+}
+
 static void on_start(struct pending_order *pending, int64_t now_us)
 {
 	struct task *task = find_task(pending);
@@ -265,6 +272,10 @@
 		return;
 	task->calling = false;
 	task->start_pending = false;
+	if (is_for_earlier_life(pending, task)) {
+		task->sent |= pending->call.result != ORDER_NOT_SENT;
+		return;
+	}
 	switch (pending->call.result) {
 	case ORDER_ACCEPTED:
 		ctr_observe(&pending->orders->start_ms,
@@ -293,6 +304,8 @@
 	if (!task || task->phase != TASK_STOPPING)
 		return;
 	task->calling = false;
+	if (is_for_earlier_life(pending, task))
+		return;
 	task->retry_us = now_us + STOP_RETRY_MS * USEC_PER_MSEC;
 	if (pending->call.result == ORDER_ACCEPTED) {
 		task->retry_us +=
--- a/fleet/fleet_int.h
+++ b/fleet/fleet_int.h
@@ -42,6 +42,9 @@
 };
 bool proof_lease_expired(const struct fleet *fleet, const struct worker *worker,
 			 int64_t now_us);
+/* Whether a report comes from a later incarnation than the run's. */
+bool proof_process_replaced(const struct task *task,
+			    const struct hold_report *report);
 /*
  * Whether a run that a hold report names neither as running nor as ended is
  * over; sent_us is when the hold call was sent. Notes the first such report.
--- a/fleet/hold_report.c
+++ b/fleet/hold_report.c
@@ -165,11 +165,17 @@
 		update_run(fleet, task, run, now_us);
 	}
 	list_for_each_entry_safe(task, next, &worker->tasks, on_worker) {
-		if (g_hash_table_contains(listed, task) ||
-		    !proof_not_reported(fleet, task, report, sent_us, now_us))
+		enum run_proof proof = PROOF_PROCESS_ENDED;
+
+		if (g_hash_table_contains(listed, task))
 			continue;
-		fleet_run_lost(fleet, task, PROOF_NOT_REPORTED, report,
-			       sent_us);
+		if (!proof_process_replaced(task, report)) {
+			proof = PROOF_NOT_REPORTED;
+			if (!proof_not_reported(fleet, task, report, sent_us,
+						now_us))
+				continue;
+		}
+		fleet_run_lost(fleet, task, proof, report, sent_us);
 		/* Stopping the gang may have changed the list: start over. */
 		next = list_first_entry(&worker->tasks, struct task, on_worker);
 	}
--- a/fleet/incarnation.c
+++ b/fleet/incarnation.c
@@ -12,10 +12,43 @@
 	worker->listed = false;
 }
 
+/* Whether the run was read from the store and no order has been sent for it. */
+static bool is_adopted(const struct task *task)
+{
+	return task->unconfirmed && task->tries == 0;
+}
+
+/*
+ * A start without an answer may be carried out late, by the new incarnation, to
+ * which the run is unknown. After a stop that incarnation refuses the start.
+ * Starts of earlier leaders are refused because of the fence token.
+ */
+static void end_earlier_life(struct fleet *fleet, struct task *task,
+			     int64_t now_us)
+{
+	task->missing_us = 0;
+	if (task->phase == TASK_PLANNED)
+		return;
+	if (is_adopted(task)) {
+		task->answered_us = now_us;
+		return;
+	}
+	if (!task->unconfirmed && !task->start_pending) {
+		task->earlier_life = task->phase != TASK_STARTING;
+		return;
+	}
+	task->unconfirmed = true;
+	fleet_stop_one(fleet, task,
+		       "its worker restarted and a start has no answer");
+	task->answered_us = 0;
+	task->stop_sent = false;
+	task->retry_us = 0;
+}
+
 /*
  * A new incarnation of a worker has none of the earlier runs. The tasks are
- * moved to it nevertheless: a repeated start order may have reached the new
- * incarnation, so only its hold report shows whether a run has ended.
+ * moved to it nevertheless, and released once it has reported: its answer shows
+ * that the earlier incarnation has ended.
  */
 static struct worker *new_incarnation(struct fleet *fleet, struct worker *old,
 				      int64_t now_us)
@@ -38,8 +71,7 @@
 			   "its worker restarted");
 		worker_unassign(task);
 		worker_assign(worker, task);
-		task->answered_us = now_us;
-		task->missing_us = 0;
+		end_earlier_life(fleet, task, now_us);
 		fleet_mark_changed(fleet, task->stage->job);
 	}
 	return worker;
--- a/fleet/job.h
+++ b/fleet/job.h
@@ -43,6 +43,8 @@
 	bool unconfirmed; /* read from the store, or an order got no answer */
 	bool start_pending; /* a start order has no result yet */
 	bool sent; /* a start of the run may have reached its worker */
+	/* Its worker has restarted since, and no start may be carried out late. */
+	bool earlier_life;
 	int tries; /* of the pending order */
 	bool calling; /* an order is pending */
 	bool stop_sent; /* the pending order is a stop */
--- a/fleet/proof.c
+++ b/fleet/proof.c
@@ -70,6 +70,14 @@
 	return task->answered_us != 0 && task->answered_us < sent_us;
 }
 
+/* Only the worker itself tells that it has restarted, in its own report. */
+bool proof_process_replaced(const struct task *task,
+			    const struct hold_report *report)
+{
+	return task->earlier_life && report->born_ms != 0 &&
+	       report->born_ms == task->worker->reported.born_ms;
+}
+
 int64_t proof_missing_again_us(const struct fleet *fleet,
 			       const struct task *task)
 {
--- a/tests/unit/test_fleet.c
+++ b/tests/unit/test_fleet.c
@@ -577,12 +577,47 @@
 	ck_assert_ptr_eq(first_occurrence_task(job, 0, 0)->worker, worker);
 	report.running = &run;
 	report.nrunning = 1;
-	report_twice(worker, &report, NOW + 2 * SEC);
+	/* A report that may be of the earlier incarnation shows nothing. */
+	fleet_handle_hold(&fleet, worker, &report, NOW + 2 * SEC, NOW + 2 * SEC,
+			  0);
+	ck_assert_ptr_eq(first_occurrence_task(job, 0, 0)->worker, worker);
+	report.born_ms = 2000;
+	fleet_handle_hold(&fleet, worker, &report, NOW + 2 * SEC, NOW + 2 * SEC,
+			  0);
 	ck_assert_ptr_null(first_occurrence_task(job, 0, 0)->worker);
 	ck_assert_ptr_eq(first_occurrence_task(job, 0, 1)->worker, worker);
 }
 END_TEST
 
+/*
+ * Guards against a start without an answer that is carried out after the worker
+ * has restarted, beside the next run: the new incarnation does not know the run,
+ * so it has to be told to refuse it.
+ */
+START_TEST(start_without_answer_is_stopped_at_the_next_life)
+{
+	struct hold_report report = { .born_ms = 2000 };
+	struct worker *worker;
+	struct task *task;
+	struct job *job;
+
+	make_worker(&fleet, "w1", "r1", 8, NOW);
+	job = running_job(1, false);
+	task = first_occurrence_task(job, 0, 0);
+	/* The first start had no answer, the second one was accepted. */
+	task->tries = 2;
+	task->unconfirmed = true;
+	fleet_worker_restarted(&fleet, task->worker, 2000, NOW + SEC);
+	worker = task->worker;
+	ck_assert_int_eq(task->phase, TASK_STOPPING);
+	report_twice(worker, &report, NOW + 2 * SEC);
+	ck_assert_ptr_eq(task->worker, worker);
+	fleet_stop_answered(&fleet, task, NOW + 3 * SEC);
+	report_twice(worker, &report, NOW + 4 * SEC);
+	ck_assert_ptr_null(task->worker);
+}
+END_TEST
+
 START_TEST(earlier_incarnation_is_ignored)
 {
 	struct worker *worker = make_worker(&fleet, "w1", "r1", 8, NOW);
@@ -858,6 +893,7 @@
 	tcase_add_test(tc, unreachable_worker_is_logged_once);
 	tcase_add_test(tc, worker_that_answers_keeps_its_tasks);
 	tcase_add_test(tc, new_incarnation_keeps_tasks_until_it_reports);
+	tcase_add_test(tc, start_without_answer_is_stopped_at_the_next_life);
 	tcase_add_test(tc, earlier_incarnation_is_ignored);
 	tcase_add_test(tc, first_report_resolves_adopted_runs);
 	tcase_add_test(tc, unreachable_adopted_worker_expires);
