Stop a later run when an earlier one was done

What callers saw: of two runs of a task the first was done, and the second worked on until its end.

Cause: the late end "done" of a released run counted only while no later run had been started. Otherwise the later one went on, although the task was done, and one that had been started by mistake doubled the whole work.

Change: the late end counts. A later run of the task that has been started is an orphan: it is stopped, and holds its room until its end is reported. For a gang whose later run may have begun, and for a task with a copy, nothing changes.

Test: late_end_ends_no_later_run asserted that the later run goes on. That bounds nothing, so late_end_stops_a_later_run replaces it, for a run that is starting, at work or being stopped; it failed before in all three. Other kinds of late ends have no effect (other_late_ends_have_no_effect).

--- a/fleet/fleet_int.h
+++ b/fleet/fleet_int.h
@@ -66,7 +66,8 @@
 		     int64_t now_us, int64_t wall_ms);
 /*
  * Handles the reported end of a run that was done and has been released since.
- * Counts unless a later run of the task or of its gang may have begun.
+ * A later run of the task is stopped. Without effect if the task has a copy, or
+ * if a later run of its gang may have begun.
  */
 void fleet_late_done(struct fleet *fleet, struct task *task, int64_t run,
 		     int64_t now_us, int64_t wall_ms);
--- a/fleet/run.c
+++ b/fleet/run.c
@@ -2,6 +2,7 @@
 
 #include "fleet/long_running.h"
 #include "fleet/limits.h"
+#include "fleet/orphan.h"
 
 bool task_restartable(const struct task *task)
 {
@@ -313,6 +314,18 @@
 	return task->worker && task->phase != TASK_PLANNED && task->run != run;
 }
 
+/* The task no longer needs its run, which is stopped at its worker. */
+static void orphan_run(struct task *task)
+{
+	struct worker *worker = task->worker;
+	struct room room = task_room(task);
+	char name[160];
+
+	task_name(task, name, sizeof(name));
+	worker_unassign(task);
+	orphan_add(worker, name, task->run, &room);
+}
+
 void fleet_late_done(struct fleet *fleet, struct task *task, int64_t run,
 		     int64_t now_us, int64_t wall_ms)
 {
@@ -325,9 +338,12 @@
 	    stage->spec->long_running || run > task->run)
 		return;
 	for (i = first; i <= last; i++)
-		if (has_other_run(&stage->tasks[i], run) ||
+		if ((stage->spec->gang &&
+		     has_other_run(&stage->tasks[i], run)) ||
 		    task_has_copy(&stage->tasks[i]))
 			return;
+	if (has_other_run(task, run))
+		orphan_run(task);
 	fleet_note(fleet, "task.ended", stage->job, task, "done, late");
 	for (i = first; i <= last; i++)
 		if (stage->tasks[i].phase == TASK_PLANNED)
