Take the clock of a worker's next life from its answer

What callers saw: tasks of a worker that restarted in place and then fell silent stood still, the longer the machine had been up: by 2 % of that time.

Cause: an incarnation that was noticed by its answer had no sample of its clock until its next answer. A start that was sent before counted the lease from the origin of this host's clock, and added the drift of 2 % to the whole time since then. Clocks of test deployments start near zero, so that they do not show it.

Change: the answer that shows the new incarnation includes its clock, which is the first sample.

--- a/control/orders.c
+++ b/control/orders.c
@@ -157,14 +157,16 @@
  * in the store yet.
  */
 static void adopt_later_incarnation(struct orders *orders,
-				    struct worker *worker, int64_t born_ms,
+				    struct worker *worker,
+				    const struct order_call *call,
 				    int64_t now_us)
 {
 	log_info("worker.later_life",
 		 "worker=%s born_ms=%" G_GINT64_FORMAT
 		 " known_ms=%" G_GINT64_FORMAT,
-		 worker->reported.id, born_ms, worker->reported.born_ms);
-	fleet_worker_restarted(orders->fleet, worker, born_ms, now_us);
+		 worker->reported.id, call->born_ms, worker->reported.born_ms);
+	fleet_worker_restarted(orders->fleet, worker, call->born_ms,
+			       call->clock_ms, now_us);
 }
 
 /*
@@ -196,8 +198,7 @@
 	/* This life was known when the call was sent, so another one that
 	 * answers is later, also if its time of day was set back. */
 	if (call->born_ms != 0 && call->born_ms != worker->reported.born_ms) {
-		adopt_later_incarnation(pending->orders, worker, call->born_ms,
-					now_us);
+		adopt_later_incarnation(pending->orders, worker, call, now_us);
 		return NULL;
 	}
 	if (worker->unreachable)
--- a/fleet/fleet.h
+++ b/fleet/fleet.h
@@ -163,9 +163,12 @@
 struct worker *fleet_update_worker(struct fleet *fleet,
 				   struct worker_report *report,
 				   int64_t now_us);
-/* A later incarnation, not registered yet, has answered a call. */
+/*
+ * A later incarnation, not registered yet, has answered a call, at the time
+ * clock_ms of its own clock.
+ */
 void fleet_worker_restarted(struct fleet *fleet, struct worker *worker,
-			    int64_t born_ms, int64_t now_us);
+			    int64_t born_ms, int64_t clock_ms, int64_t now_us);
 /* The worker's registration has disappeared from the store. */
 void fleet_unlist(struct fleet *fleet, const char *id, int64_t now_us);
 /* The incarnation has ended, and so have all its runs. */
--- a/fleet/incarnation.c
+++ b/fleet/incarnation.c
@@ -78,10 +78,11 @@
 }
 
 void fleet_worker_restarted(struct fleet *fleet, struct worker *worker,
-			    int64_t born_ms, int64_t now_us)
+			    int64_t born_ms, int64_t clock_ms, int64_t now_us)
 {
 	struct worker *later = new_incarnation(fleet, worker, now_us);
 
+	worker_set_clock(later, clock_ms, now_us);
 	/* The registration still holds, except for the start time. */
 	later->reported = worker->reported;
 	memset(&worker->reported, 0, sizeof(worker->reported));
--- a/tests/unit/test_advice.c
+++ b/tests/unit/test_advice.c
@@ -81,7 +81,7 @@
 
 	advice_granted(stage, "w2", "ticket", NOW, 9000);
 	ck_assert_ptr_nonnull(advice_ticket(stage, worker, NOW));
-	fleet_worker_restarted(&fleet, worker, 9999, NOW);
+	fleet_worker_restarted(&fleet, worker, 9999, 7000, NOW);
 	worker = g_hash_table_lookup(fleet.workers_by_id, "w2");
 	ck_assert_ptr_null(advice_ticket(stage, worker, NOW));
 }
@@ -161,7 +161,7 @@
 	ck_assert_ptr_ne(g_ptr_array_index(workers, 0), worker);
 	/* A new incarnation may be a machine of another kind. */
 	g_ptr_array_set_size(workers, 0);
-	fleet_worker_restarted(&fleet, worker, 9999, NOW);
+	fleet_worker_restarted(&fleet, worker, 9999, 7000, NOW);
 	advice_next_question(&fleet, NOW + 6 * SEC, workers);
 	ck_assert_uint_eq(workers->len, 2);
 	g_ptr_array_unref(workers);
--- a/tests/unit/test_fleet.c
+++ b/tests/unit/test_fleet.c
@@ -641,7 +641,7 @@
 	/* The first start had no answer, the second one was accepted. */
 	task->tries = 2;
 	task->unconfirmed = true;
-	fleet_worker_restarted(&fleet, task->worker, 2000, NOW + SEC);
+	fleet_worker_restarted(&fleet, task->worker, 2000, 7000, NOW + SEC);
 	worker = task->worker;
 	ck_assert_int_eq(task->phase, TASK_STOPPING);
 	report_twice(worker, &report, NOW + 2 * SEC);
@@ -652,6 +652,26 @@
 }
 END_TEST
 
+/*
+ * Guards against tasks that stand still: without a sample of the new
+ * incarnation's clock the end of its lease was counted from the start of this
+ * host's clock, and was later by 2 % of the time since then.
+ */
+START_TEST(lease_counts_on_the_clock_of_the_next_life)
+{
+	const int64_t day_us = 24 * 3600 * SEC;
+	struct worker *worker;
+
+	make_worker(&fleet, "w1", "r1", 8, day_us);
+	worker = g_hash_table_lookup(fleet.workers_by_id, "w1");
+	fleet_worker_restarted(&fleet, worker, 2000, 7000, day_us);
+	worker = g_hash_table_lookup(fleet.workers_by_id, "w1");
+	ck_assert_int_eq(worker_extend_lease(worker, 6000, day_us + SEC),
+			 7000 + 1000 + 6000);
+	ck_assert_int_le(worker->lease_end_us, day_us + 8 * SEC);
+}
+END_TEST
+
 START_TEST(earlier_incarnation_is_ignored)
 {
 	struct worker *worker = make_worker(&fleet, "w1", "r1", 8, NOW);
@@ -930,6 +950,7 @@
 	tcase_add_test(tc, worker_that_answers_keeps_its_tasks);
 	tcase_add_test(tc, new_incarnation_keeps_tasks_until_it_reports);
 	tcase_add_test(tc, start_without_answer_is_stopped_at_the_next_life);
+	tcase_add_test(tc, lease_counts_on_the_clock_of_the_next_life);
 	tcase_add_test(tc, earlier_incarnation_is_ignored);
 	tcase_add_test(tc, first_report_resolves_adopted_runs);
 	tcase_add_test(tc, unreachable_adopted_worker_expires);
--- a/tests/unit/test_release_model.c
+++ b/tests/unit/test_release_model.c
@@ -405,7 +405,7 @@
 	/* Another process at the address: the known life has ended. */
 	if (at && at->born_ms != worker->reported.born_ms) {
 		fleet_worker_restarted(&host->fleet, worker, at->born_ms,
-				       m.now_us);
+				       clock_ms(at), m.now_us);
 		return;
 	}
 	if (worker->task_count == 0 && worker->unanswered_calls == 0 &&
