Use a silent worker's registration with a lower start time

A worker that started again at another address, after its time of day had been set back, was never called again.

Cause: a registration with a lower start time was taken for one of an earlier incarnation in any case.

Change: it is used when the known incarnation leaves calls unanswered. Runs remember the incarnation that has them, so that the answer of that incarnation, after an entry that was out of date, does not count as one of a later one.

Test: silent_worker_may_return_with_a_lower_start_time (test_fleet) failed before: the port of the entry was not used.

--- a/fleet/incarnation.c
+++ b/fleet/incarnation.c
@@ -24,7 +24,7 @@
  * Starts of earlier leaders are refused because of the fence token.
  */
 static void end_earlier_life(struct fleet *fleet, struct task *task,
-			     int64_t now_us)
+			     int64_t born_ms, int64_t now_us)
 {
 	task->missing_us = 0;
 	if (task->phase == TASK_PLANNED)
@@ -34,7 +34,8 @@
 		return;
 	}
 	if (!task->unconfirmed && !task->start_pending) {
-		task->earlier_life = task->phase != TASK_STARTING;
+		if (task->phase != TASK_STARTING && task->life_ms == 0)
+			task->life_ms = born_ms;
 		return;
 	}
 	task->unconfirmed = true;
@@ -71,7 +72,7 @@
 			   "its worker restarted");
 		worker_unassign(task);
 		worker_assign(worker, task);
-		end_earlier_life(fleet, task, now_us);
+		end_earlier_life(fleet, task, old->reported.born_ms, now_us);
 		fleet_mark_changed(fleet, task->stage->job);
 	}
 	return worker;
@@ -94,13 +95,25 @@
 	g_hash_table_insert(fleet->workers_by_id, later->reported.id, later);
 }
 
+/*
+ * A lower start time is that of an earlier incarnation, unless the known one
+ * leaves calls unanswered: the worker's time of day may have been set back
+ * before it started again.
+ */
+static bool is_outdated(const struct worker *worker,
+			const struct worker_report *report)
+{
+	return report->born_ms < worker->reported.born_ms &&
+	       worker->unanswered_calls == 0;
+}
+
 struct worker *fleet_update_worker(struct fleet *fleet,
 				   struct worker_report *report, int64_t now_us)
 {
 	struct worker *worker =
 		g_hash_table_lookup(fleet->workers_by_id, report->id);
 
-	if (worker && report->born_ms < worker->reported.born_ms) {
+	if (worker && is_outdated(worker, report)) {
 		worker_report_finish(report);
 		return worker;
 	}
--- a/fleet/job.h
+++ b/fleet/job.h
@@ -43,8 +43,11 @@
 	bool unconfirmed; /* read from the store, or an order got no answer */
 	bool start_pending; /* a start order has no result yet */
 	bool sent; /* a start of the run may have reached its worker */
-	/* Its worker has restarted since, and no start may be carried out late. */
-	bool earlier_life;
+	/*
+	 * Start time of the incarnation that had the run, if its worker has
+	 * restarted since and no start may be carried out late; otherwise 0.
+	 */
+	int64_t life_ms;
 	int tries; /* of the pending order */
 	bool calling; /* an order is pending */
 	bool stop_sent; /* the pending order is a stop */
--- a/fleet/proof.c
+++ b/fleet/proof.c
@@ -74,7 +74,8 @@
 bool proof_process_replaced(const struct task *task,
 			    const struct hold_report *report)
 {
-	return task->earlier_life && report->born_ms != 0 &&
+	return task->life_ms != 0 && report->born_ms != 0 &&
+	       report->born_ms != task->life_ms &&
 	       report->born_ms == task->worker->reported.born_ms;
 }
 
--- a/fleet/run.c
+++ b/fleet/run.c
@@ -18,7 +18,7 @@
 	task->failed_last = false;
 	task->unconfirmed = false;
 	task->sent = false;
-	task->earlier_life = false;
+	task->life_ms = 0;
 	task->start_pending = false;
 	task->tries = 0;
 	task->calling = false;
@@ -47,7 +47,7 @@
 	worker_assign(worker, task);
 	task->phase = TASK_STARTING;
 	task->missing_us = 0;
-	task->earlier_life = false;
+	task->life_ms = 0;
 	task->unconfirmed = true;
 	task->sent = true;
 	if (task->stage->spec->fills)
--- a/tests/unit/test_fleet.c
+++ b/tests/unit/test_fleet.c
@@ -684,6 +684,33 @@
 }
 END_TEST
 
+/*
+ * Guards against a worker that is never called again: it has started again at
+ * another address, after its time of day was set back.
+ */
+START_TEST(silent_worker_may_return_with_a_lower_start_time)
+{
+	struct worker *worker = make_worker(&fleet, "w1", "r1", 8, NOW);
+	struct hold_report report = { .born_ms = 1000 };
+	struct job *job = running_job(1, false);
+	struct task *task = first_occurrence_task(job, 0, 0);
+	struct worker_report later = { .id = g_strdup("w1"),
+				       .born_ms = 500,
+				       .pool = g_strdup(MAKE_POOL),
+				       .port = 2 };
+
+	worker->unanswered_calls = 1;
+	worker = fleet_update_worker(&fleet, &later, NOW + SEC);
+	ck_assert_int_eq(worker->reported.port, 2);
+	ck_assert_ptr_eq(task->worker, worker);
+	/* The entry was out of date: the same incarnation answers again. */
+	fleet_worker_restarted(&fleet, worker, 1000, 7000, NOW + SEC);
+	fleet_handle_hold(&fleet, task->worker, &report, NOW + 2 * SEC,
+			  NOW + 2 * SEC, 0);
+	ck_assert_ptr_nonnull(task->worker);
+}
+END_TEST
+
 START_TEST(first_report_resolves_adopted_runs)
 {
 	struct worker *worker = make_worker(&fleet, "w1", "r1", 8, NOW);
@@ -952,6 +979,7 @@
 	tcase_add_test(tc, start_without_answer_is_stopped_at_the_next_life);
 	tcase_add_test(tc, lease_counts_on_the_clock_of_the_next_life);
 	tcase_add_test(tc, earlier_incarnation_is_ignored);
+	tcase_add_test(tc, silent_worker_may_return_with_a_lower_start_time);
 	tcase_add_test(tc, first_report_resolves_adopted_runs);
 	tcase_add_test(tc, unreachable_adopted_worker_expires);
 	tcase_add_test(tc, stopped_old_leader_shortens_the_wait);
