Compare the revision of a wave's status

A wave would be said to be running for good after it was done.

Cause: the status of a wave was written under the leader's key alone. A copy of the write "running" that got no answer could be carried out after "done", which is not written again.

On a mismatch the stored status is read from the answer.

Test: late_write_of_a_status_overwrites_none (test_site_features) failed before: the status was "running" 1.5 s after it had been "done".

--- a/control/maintenance.c
+++ b/control/maintenance.c
@@ -84,6 +84,16 @@
 
 /* Statuses of waves that earlier leaders stored. */
 
+/* item: NULL if there is none. */
+static void read_status(const struct maintenance *maintenance,
+			struct wave *wave, const struct kv_item *item)
+{
+	wave->status_revision = item ? item->mod_revision : 0;
+	if (item &&
+	    maintenance->adapter->read_wave_status(item->value, item->len))
+		wave->done_reported = true;
+}
+
 static void on_stored_statuses(struct kv_call *call)
 {
 	struct maintenance *maintenance = call->user;
@@ -105,10 +115,8 @@
 		struct wave *wave;
 
 		list_for_each_entry(wave, &maintenance->waves, node)
-			if (wave->number == g_ascii_strtoll(number, NULL, 10) &&
-			    maintenance->adapter->read_wave_status(item->value,
-								   item->len))
-				wave->done_reported = true;
+			if (wave->number == g_ascii_strtoll(number, NULL, 10))
+				read_status(maintenance, wave, item);
 	}
 }
 
@@ -252,41 +260,59 @@
 
 /* Status of waves. */
 
+static char *status_key(const struct maintenance *maintenance,
+			const struct wave *wave)
+{
+	return g_strdup_printf("%s%lld",
+			       maintenance->adapter->wave_status_prefix,
+			       (long long)wave->number);
+}
+
 static void on_status(struct kv_call *call)
 {
 	struct maintenance *maintenance = call->user;
 
+	struct wave *wave = maintenance->status_wave;
+	char *key;
+
 	maintenance->status_pending = false;
 	if (call->result != CB_OK || !call->succeeded) {
+		if (call->result == CB_OK) {
+			key = status_key(maintenance, wave);
+			read_status(maintenance, wave, kv_find(call, key));
+			g_free(key);
+		}
 		/* Written again by the next pass, unless another host leads by
 		 * now. */
 		log_warn("wave.not_said",
 			 "wave=%lld done=%d fence=%lld result=%d compared=%d",
-			 (long long)maintenance->status_wave->number,
-			 maintenance->status_done,
+			 (long long)wave->number, maintenance->status_done,
 			 (long long)maintenance->fence, call->result,
 			 call->succeeded);
 		return;
 	}
-	maintenance->status_wave->running_reported = true;
-	maintenance->status_wave->done_reported = maintenance->status_done;
+	wave->status_revision = call->revision;
+	wave->running_reported = true;
+	wave->done_reported = maintenance->status_done;
 }
 
 static void write_status(struct maintenance *maintenance, struct wave *wave)
 {
 	struct kv *kv = maintenance->adapter->kv;
-	struct kv_cmp cmp = { .key = KEY_LEADER,
-			      .mod_revision = maintenance->fence };
+	/* A write without an answer may be carried out after later ones. */
+	struct kv_cmp cmps[2] = {
+		{ .key = KEY_LEADER, .mod_revision = maintenance->fence },
+		{ .mod_revision = wave->status_revision },
+	};
 	struct kv_op op = { .kind = KV_PUT };
 	char *key, *value;
 
 	if (maintenance->status_pending || wave->done_reported ||
 	    (wave->running_reported && !wave->done))
 		return;
-	key = g_strdup_printf("%s%lld",
-			      maintenance->adapter->wave_status_prefix,
-			      (long long)wave->number);
+	key = status_key(maintenance, wave);
 	value = maintenance->adapter->write_wave_status(wave->done);
+	cmps[1].key = key;
 	op.key = key;
 	op.value = value;
 	op.len = strlen(value);
@@ -296,7 +322,7 @@
 	maintenance->status_call.done = on_status;
 	maintenance->status_call.user = maintenance;
 	maintenance->status_pending = true;
-	kv->ops->txn(kv, &maintenance->status_call, &cmp, 1, &op, 1, NULL, 0);
+	kv->ops->txn(kv, &maintenance->status_call, cmps, 2, &op, 1, NULL, 0);
 	g_free(key);
 	g_free(value);
 }
--- a/fleet/upkeep.h
+++ b/fleet/upkeep.h
@@ -50,6 +50,7 @@
 	int cap;
 	int64_t announced_us; /* when this leader first read it */
 	bool done;
+	int64_t status_revision; /* of the stored status, 0: none */
 	bool running_reported; /* status published for the operators */
 	bool done_reported;
 };
--- a/tests/unit/test_site_features.c
+++ b/tests/unit/test_site_features.c
@@ -180,6 +180,25 @@
 }
 END_TEST
 
+/*
+ * Guards against a wave that is said to be running for good: a write that got no
+ * answer is carried out after the one that says that the wave is done.
+ */
+START_TEST(late_write_of_a_status_overwrites_none)
+{
+	rig_start(&rig, 1, 1, 1);
+	site_store_fault(rig.store, rig.hosts[0].door, SITE_LATE, 100, 0);
+	order_wave(20, 1);
+	rig_run_ms(&rig, 300);
+	site_store_fault(rig.store, rig.hosts[0].door, SITE_WELL, 0, 0);
+	ck_assert(wait_wave(5000));
+	/* Late writes come after 700 ms. */
+	rig_run_ms(&rig, 1500);
+	ck_assert_ptr_nonnull(strstr(wave_status(), "done"));
+	rig_stop(&rig);
+}
+END_TEST
+
 START_TEST(wave_continues_after_leader_changes)
 {
 	int i;
@@ -398,6 +417,7 @@
 	tcase_add_test(tc, step_runs_where_it_is_allowed);
 	tcase_add_test(tc, tickets_are_renewed_for_waiting_jobs);
 	tcase_add_test(tc, wave_is_carried_out_under_load);
+	tcase_add_test(tc, late_write_of_a_status_overwrites_none);
 	tcase_add_test(tc, wave_continues_after_leader_changes);
 	tcase_add_test(tc, wave_without_answers_to_its_orders);
 	tcase_add_test(tc, best_effort_tasks_slow_down_for_serving_tasks);
