Take only a worker's own answer for a refusal

What callers saw: tasks ran twice at once. A start that was carried out was answered with 503 by another program on the way.

Cause: any answer 429, 503, 400 or 409 counted as the worker's refusal, which shows that nothing was done, and released the run.

Since such answers come at once, attempts are at least 150 ms apart. After a start without an answer a report is asked for at once, so that a run that did begin goes on and is not stopped after five attempts.

--- a/control/orders.c
+++ b/control/orders.c
@@ -216,14 +216,20 @@
 	return worker;
 }
 
-/* The start got no answer and may still be carried out; repeats it. */
-static void mark_start_uncertain(struct task *task, int64_t now_us)
+/*
+ * The start got no answer, or one that is not the worker's own, and may still
+ * be carried out; repeats it, and asks for a report meanwhile.
+ */
+static void mark_start_uncertain(const struct pending_order *pending,
+				 struct task *task, int64_t now_us)
 {
 	task->sent = true;
 	if (task->phase != TASK_STARTING)
 		return;
 	task->unconfirmed = true;
-	task->retry_us = now_us;
+	task->uncertain_us = now_us;
+	task->retry_us = MAX(now_us, pending->sent_us +
+					     REFUSED_RETRY_MS * USEC_PER_MSEC);
 }
 
 static void start_refused(struct pending_order *pending, struct task *task,
@@ -293,7 +299,7 @@
 				now_us + REFUSED_RETRY_MS * USEC_PER_MSEC;
 		break;
 	case ORDER_UNKNOWN:
-		mark_start_uncertain(task, now_us);
+		mark_start_uncertain(pending, task, now_us);
 		break;
 	}
 }
@@ -560,6 +566,8 @@
 		due_us = proof_missing_again_us(fleet, task);
 		return asked_us >= due_us ? INT64_MAX : due_us;
 	}
+	if (task->phase == TASK_STARTING && asked_us < task->uncertain_us)
+		return task->uncertain_us;
 	if (task->phase != TASK_STOPPING || task->answered_us == 0 ||
 	    task->answered_us < asked_us)
 		return INT64_MAX;
@@ -567,8 +575,8 @@
 }
 
 /*
- * Whether a stop was answered, or a report has left a run out, and no hold was
- * sent since. The lists in the answer to an immediate hold then confirm the end
+ * Whether a start had no answer, a stop was answered, or a report has left a run
+ * out, and no hold was sent since. The lists in the answer to an immediate hold then confirm the end
  * of the run early.
  */
 static bool needs_report(const struct fleet *fleet, const struct worker *worker,
--- a/fleet/job.h
+++ b/fleet/job.h
@@ -52,6 +52,7 @@
 	bool calling; /* an order is pending */
 	bool stop_sent; /* the pending order is a stop */
 	int64_t retry_us; /* no order is sent before that */
+	int64_t uncertain_us; /* when the latest start had no answer, 0: never */
 	int64_t answered_us; /* when the latest order was answered, 0: never */
 	/* When the first report that leaves the run out arrived, 0: none has. */
 	int64_t missing_us;
--- a/fleet/run.c
+++ b/fleet/run.c
@@ -19,6 +19,7 @@
 	task->unconfirmed = false;
 	task->sent = false;
 	task->life_ms = 0;
+	task->uncertain_us = 0;
 	task->start_pending = false;
 	task->tries = 0;
 	task->calling = false;
--- a/tests/standins/site_fleet.h
+++ b/tests/standins/site_fleet.h
@@ -19,6 +19,7 @@
 	SITE_WORKER_MUTE, /* carries orders out and does not answer */
 	SITE_WORKER_GARBLED, /* its hold reports lack their lists */
 	SITE_WORKER_ILL, /* 503 to starts */
+	SITE_WORKER_BEHIND_PROXY, /* carries starts out, and a proxy answers 503 */
 	SITE_WORKER_FAILING, /* all that it starts fails */
 	SITE_WORKER_STALLED, /* its tasks stand still */
 	SITE_WORKER_LATE, /* a share of the orders is carried out late */
