Soak with workers that start again in place

The soak had played no doubled run. Its workers never answered 421, never started again in place, never moved to another port, and kept both lists whole.

So two runs of one task at once are reproduced with real processes in two ways, by gaps and by lives.

--- a/tests/soak/soak.h
+++ b/tests/soak/soak.h
@@ -25,6 +25,7 @@
 	int dcs; /* data centres, to which the hosts belong in turn */
 	/* Shape of faults: series of takeovers, and wider and longer jobs. */
 	bool takeovers;
+	bool lives; /* restarts in place, wrong entries, short pauses */
 	int gap_percent; /* of runs that workers leave out of lists for a time */
 	const char *binary;
 	const char *clock; /* library that shifts the time of day */
@@ -59,6 +60,7 @@
 	struct site_fleet *fleet;
 	struct soak_host hosts[SOAK_HOSTS_MAX];
 	int *worker_relays;
+	int *spare_relays; /* of each worker, for another port of it */
 	int64_t *worker_heal_us; /* of each worker, 0: it is well */
 	int64_t store_heal_us;
 	GRand *rand;
@@ -71,6 +73,9 @@
 	bool healing; /* no more faults and jobs */
 	int64_t faults_end_us; /* when the faults end */
 	int64_t healed_us; /* when they have ended */
+	/* The host that is being paused in series, and how many pauses follow. */
+	struct soak_host *paused;
+	int pauses_left;
 	bool rack_jobs; /* a job for each rack was handed in */
 	/* Of a series of ends of leaders: how many follow, when the next is due,
 	 * and the latest leader that was ended. */
@@ -121,5 +126,11 @@
 
 /* Takes the series of faults a step further. */
 void soak_takeovers_step(struct soak *soak);
+/* The host that leads by the store's key, or NULL. */
+struct soak_host *soak_leading_host(struct soak *soak);
+
+/* Soak_lives.c. */
+
+void soak_lives_step(struct soak *soak);
 
 #endif
--- a/tests/soak/soak_faults.c
+++ b/tests/soak/soak_faults.c
@@ -383,6 +383,7 @@
 {
 	soak->worker_heal_us[index] = 0;
 	worker->fault = SITE_WORKER_WELL;
+	worker->told_port = sr_relay_port(soak->worker_relays[index]);
 	if (worker->draining && worker->up)
 		soak_worker_crash(soak, worker, index);
 	if (!worker->up)
@@ -433,6 +434,8 @@
 	heal(soak, false);
 	if (soak_below(soak, 1000) < ODD_ENTRIES_PER_1000)
 		write_odd_entry(soak);
+	if (soak->options.lives)
+		soak_lives_step(soak);
 	if (soak->options.takeovers) {
 		soak_takeovers_step(soak);
 		return;
--- a/tests/soak/soak_main.c
+++ b/tests/soak/soak_main.c
@@ -21,6 +21,8 @@
 	{ "workers", 'w', "N", 0, "Workers", 0 },
 	{ "dcs", 'z', "N", 0, "Data centres of the hosts", 0 },
 	{ "takeovers", 'k', NULL, 0, "Series of takeovers, large jobs", 0 },
+	{ "lives", 'l', NULL, 0,
+	  "Workers start again in place, short pauses, wrong entries", 0 },
 	{ "gaps", 'g', "N", 0,
 	  "Percent of runs that workers leave out of their lists for a time",
 	  0 },
@@ -53,6 +55,9 @@
 	case 'k':
 		options->takeovers = true;
 		return 0;
+	case 'l':
+		options->lives = true;
+		return 0;
 	case 'g':
 		options->gap_percent = CLAMP(atoi(arg), 0, 100);
 		return 0;
@@ -152,6 +157,7 @@
 	/* A cancellation takes effect after a takeover at the latest. */
 	soak->fleet->cancel_ms = SETTLE_SEC * 1000;
 	soak->worker_relays = g_new0(int, soak->options.workers);
+	soak->spare_relays = g_new0(int, soak->options.workers);
 	soak->worker_heal_us = g_new0(int64_t, soak->options.workers);
 	for (i = 0; i < soak->options.workers; i++) {
 		struct site_worker *worker;
@@ -160,6 +166,9 @@
 		worker = site_fleet_add(soak->fleet, rack, 4, ports_reserve());
 		soak->worker_relays[i] =
 			sr_relay_new(ports_reserve(), worker->server.port);
+		soak->spare_relays[i] =
+			sr_relay_new(ports_reserve(), worker->server.port);
+		sr_relay_set(soak->spare_relays[i], SR_REFUSED);
 		worker->told_port = sr_relay_port(soak->worker_relays[i]);
 	}
 }
@@ -314,6 +323,7 @@
 	sr_relay_stop();
 	g_rand_free(soak.rand);
 	g_free(soak.worker_relays);
+	g_free(soak.spare_relays);
 	g_free(soak.worker_heal_us);
 	return failed ? EXIT_FAILURE : EXIT_SUCCESS;
 }
--- a/tests/soak/soak_takeovers.c
+++ b/tests/soak/soak_takeovers.c
@@ -29,7 +29,7 @@
 	return kn_now_us() + ms * USEC_PER_MSEC;
 }
 
-static struct soak_host *leading_host(struct soak *soak, int64_t *created)
+static struct soak_host *find_leader(struct soak *soak, int64_t *created)
 {
 	const struct site_item *item =
 		site_store_get(soak->store, "chivebank/leader");
@@ -44,6 +44,13 @@
 	return NULL;
 }
 
+struct soak_host *soak_leading_host(struct soak *soak)
+{
+	int64_t created;
+
+	return find_leader(soak, &created);
+}
+
 /* A leader that is cut off from the store and from all other hosts, but not
  * from the workers. */
 static void isolate(struct soak *soak, struct soak_host *host)
@@ -185,7 +192,7 @@
 			soak_below(soak,
 				   SERIES_KILLS_MAX - SERIES_KILLS_MIN + 1);
 	}
-	host = leading_host(soak, &created);
+	host = find_leader(soak, &created);
 	if (soak->series_left == 0 || !host || created <= soak->series_fence)
 		return;
 	if (soak->series_at_us == 0)
--- a/tests/standins/site_fleet.c
+++ b/tests/standins/site_fleet.c
@@ -93,20 +93,25 @@
 	g_free(key);
 }
 
-void site_worker_restart(struct site_worker *worker)
+void site_worker_restart_at(struct site_worker *worker, int64_t born_ms)
 {
 	g_hash_table_remove_all(worker->highest);
 	worker->fence = 0;
 	worker->until_ms = 0;
 	worker->next_end = 0;
 	worker->started_us = kn_now_us();
-	worker->born_ms =
-		MAX(worker->born_ms + 1, kn_wall_us() / USEC_PER_MSEC);
+	worker->born_ms = born_ms;
 	worker->draining = false;
 	worker->up = true;
 	write_entry(worker);
 }
 
+void site_worker_restart(struct site_worker *worker)
+{
+	site_worker_restart_at(
+		worker, MAX(worker->born_ms + 1, kn_wall_us() / USEC_PER_MSEC));
+}
+
 void site_worker_drain(struct site_worker *worker)
 {
 	worker->draining = true;
--- a/tests/standins/site_fleet.h
+++ b/tests/standins/site_fleet.h
@@ -98,6 +98,8 @@
 void site_worker_crash(struct site_worker *worker);
 /* A new life under the same id and address. */
 void site_worker_restart(struct site_worker *worker);
+/* The same at another time of day. */
+void site_worker_restart_at(struct site_worker *worker, int64_t born_ms);
 void site_worker_drain(struct site_worker *worker);
 /* The harness says that a job was cancelled, and its caller was told so. */
 void site_fleet_cancelled(struct site_fleet *fleet, const char *job);
