Model gaps in lists, late starts and lives in the release of runs

The model of releases knew neither runs that are in no list for a time, nor stops that take stop_ms, nor starts that are carried out late by the next life of a worker, nor a lower start time after a restart in place.

--- a/tests/unit/test_release_model.c
+++ b/tests/unit/test_release_model.c
@@ -4,14 +4,17 @@
 #include "control/leader_list.h"
 #include "control/record.h"
 #include "fleet/limits.h"
+#include "fleet/orphan.h"
 #include "fleet/plan.h"
 #include "tests/standins/fleet_fixture.h"
 #include "tests/unit/run.h"
 
 /*
  * A model of leaders and workers in virtual time, with random partitions of
- * data centres, pauses and changes of the leader, lost answers, restarts of
- * workers and lists of ends that are cut short. Guards, over many seeds, against
+ * data centres, pauses and changes of the leader, lost answers, starts that are
+ * carried out late, restarts of workers, also with a lower start time, lists of
+ * ends that are cut short, and runs that are in neither list after their start,
+ * during a stop and after their end. Guards, over many seeds, against
  * two runs of a task at a time and a run after an acknowledged end "done", and
  * against tasks that never end once the faults are over. The decisions are the
  * product's; the model stands for the orders, the store and the workers.
@@ -27,6 +30,10 @@
 #define FAULTS_US (60 * SEC)
 #define END_US (300 * SEC)
 #define ENDS_PER_ANSWER 4
+#define STOP_US (4 * SEC / 10) /* bounds.stop_ms of the fixture */
+#define GAP_PER_1000 300 /* runs that are left out of the lists for a time */
+#define LATE_MAX_US (4 * SEC / 10)
+#define LATES_MAX 64
 #define LEADER_LEASE_US (2 * SEC)
 #define HOLD_US (6 * SEC) /* bounds.max_hold_ms of the fixture */
 
@@ -34,6 +41,17 @@
 	int job, index;
 	int64_t run;
 	int64_t end_us;
+	bool gaps; /* it is left out of the lists for STOP_US */
+	int64_t listed_us;
+	int64_t stop_us; /* when a stop takes effect, 0: none */
+};
+
+/* A start that is carried out late, by the life that is there then. */
+struct model_late {
+	struct model_run run;
+	int worker;
+	int64_t fence;
+	int64_t at_us; /* 0: unused */
 };
 
 struct model_end {
@@ -41,6 +59,7 @@
 	int64_t number;
 	bool done;
 	int64_t lapses;
+	int64_t listed_us;
 };
 
 struct model_worker {
@@ -81,6 +100,7 @@
 	int cut_dc; /* cut off from the others and the store, -1: none */
 	struct model_host hosts[HOSTS];
 	struct model_worker workers[WORKERS];
+	struct model_late lates[LATES_MAX];
 	msgpack_sbuffer records[JOBS];
 	bool stored[JOBS];
 	struct leader_list recorded;
@@ -146,7 +166,9 @@
 	struct model_end end = { .run = run,
 				 .number = ++worker->next_end,
 				 .done = done,
-				 .lapses = worker->lapses };
+				 .lapses = worker->lapses,
+				 .listed_us =
+					 m.now_us + (run.gaps ? STOP_US : 0) };
 
 	g_array_remove_index(worker->runs, i);
 	g_array_append_val(worker->ends, end);
@@ -173,7 +195,10 @@
 static void worker_start(struct model_worker *worker)
 {
 	worker->up = true;
-	worker->born_ms = m.now_us / 1000 + 1;
+	/* Its time of day may have been set back. */
+	worker->born_ms = worker->born_ms > 10000 && chance(300) ?
+				  worker->born_ms - 1 - up_to(5000) :
+				  m.now_us / 1000 + 1;
 	worker->started_us = m.now_us;
 	worker->fence = 0;
 	worker->until_ms = 0;
@@ -200,14 +225,16 @@
 		const struct model_run *run =
 			&g_array_index(worker->runs, struct model_run, i - 1);
 
-		if (worker->lapsed)
+		if (worker->lapsed ||
+		    (run->stop_us && m.now_us >= run->stop_us))
 			end_run(worker, i - 1, false);
 		else if (m.now_us >= run->end_us)
 			end_run(worker, i - 1, true);
 	}
 	if (m.faults && chance(2)) {
 		worker->up = false;
-		worker->up_at_us = m.now_us + up_to(3 * SEC);
+		worker->up_at_us =
+			m.now_us + (chance(500) ? up_to(3 * SEC) : 0);
 		g_array_set_size(worker->runs, 0);
 		g_array_set_size(worker->ends, 0);
 	}
@@ -229,17 +256,24 @@
 	return task->stage->job->id[1] - '0';
 }
 
-static void begin(struct model_worker *worker, const struct task *task)
+static struct model_run ordered_run(const struct task *task)
 {
-	struct model_run run = { .job = job_number(task),
-				 .index = task->index,
-				 .run = task->run,
-				 .end_us =
-					 m.now_us + SEC / 2 + up_to(8 * SEC) };
+	return (struct model_run){ .job = job_number(task),
+				   .index = task->index,
+				   .run = task->run };
+}
 
-	if (find_run(worker, run.job, run.index, run.run) >= 0 ||
+static void begin(struct model_worker *worker, struct model_run run,
+		  int64_t fence)
+{
+	if (fence < worker->fence ||
+	    find_run(worker, run.job, run.index, run.run) >= 0 ||
 	    run.run <= worker->highest[run.job][run.index])
 		return;
+	worker->fence = fence;
+	run.end_us = m.now_us + SEC / 2 + up_to(8 * SEC);
+	run.gaps = m.faults && chance(GAP_PER_1000);
+	run.listed_us = m.now_us + (run.gaps ? STOP_US : 0);
 	ck_assert_msg(!m.noted[run.job][run.index],
 		      "job %d task %d begins after it was done, at %.2f s",
 		      run.job, run.index, (double)m.now_us / 1e6);
@@ -247,14 +281,53 @@
 	check_single(run.job, run.index);
 }
 
-static void stop(struct model_worker *worker, const struct task *task)
+static void begin_late(struct model_worker *worker, const struct model_run *run,
+		       int64_t fence)
+{
+	int i;
+
+	for (i = 0; i < LATES_MAX; i++) {
+		struct model_late *late = &m.lates[i];
+
+		if (late->at_us != 0)
+			continue;
+		late->run = *run;
+		late->worker = (int)(worker - m.workers);
+		late->fence = fence;
+		late->at_us = m.now_us + 1 + up_to(LATE_MAX_US);
+		return;
+	}
+}
+
+static void lates_tick(void)
+{
+	int i;
+
+	for (i = 0; i < LATES_MAX; i++) {
+		struct model_late *late = &m.lates[i];
+		struct model_worker *worker = &m.workers[late->worker];
+
+		if (late->at_us == 0 || late->at_us > m.now_us)
+			continue;
+		late->at_us = 0;
+		if (worker->up)
+			begin(worker, late->run, late->fence);
+	}
+}
+
+static void stop(struct model_worker *worker, const struct model_run *run)
 {
-	int i = find_run(worker, job_number(task), task->index, task->run);
-	int64_t *highest = &worker->highest[job_number(task)][task->index];
+	int i = find_run(worker, run->job, run->index, run->run);
+	int64_t *highest = &worker->highest[run->job][run->index];
+	struct model_run *there;
 
-	if (i >= 0)
-		end_run(worker, (guint)i, false);
-	*highest = MAX(*highest, task->run);
+	if (i < 0) {
+		*highest = MAX(*highest, run->run);
+		return;
+	}
+	there = &g_array_index(worker->runs, struct model_run, i);
+	if (there->stop_us == 0)
+		there->stop_us = m.now_us + STOP_US;
 }
 
 static void acknowledge(struct model_worker *worker, int64_t number)
@@ -301,6 +374,8 @@
 		const struct model_run *run =
 			&g_array_index(at->runs, struct model_run, i);
 
+		if (run->listed_us > m.now_us || (run->gaps && run->stop_us))
+			continue;
 		snprintf(names[n], sizeof(names[n]), "j%d.0.0.%d", run->job,
 			 run->index);
 		running[report.nrunning].task = names[n++];
@@ -310,6 +385,8 @@
 		const struct model_end *end =
 			&g_array_index(at->ends, struct model_end, i);
 
+		if (end->listed_us > m.now_us)
+			break;
 		snprintf(names[n], sizeof(names[n]), "j%d.0.0.%d", end->run.job,
 			 end->run.index);
 		ended[i].task = names[n++];
@@ -319,6 +396,7 @@
 		report.nended++;
 	}
 	report.truncated = report.nended == ENDS_PER_ANSWER;
+	report.born_ms = at->born_ms;
 	fleet_handle_hold(&host->fleet, worker, &report, m.now_us, m.now_us,
 			  m.now_us / 1000);
 	g_free(running);
@@ -357,6 +435,7 @@
 		  struct model_worker *at, struct task *task)
 {
 	bool lost = m.faults && chance(100);
+	struct model_run run = ordered_run(task);
 
 	if (task->phase == TASK_PLANNED &&
 	    task->change <= fleet_stored_change(&host->fleet))
@@ -374,7 +453,12 @@
 		task->tries++;
 		extend(at,
 		       worker_extend_lease(worker, HOLD_US / 1000, m.now_us));
-		begin(at, task);
+		if (m.faults && chance(100)) {
+			begin_late(at, &run, host->fence);
+			lost = true;
+		} else {
+			begin(at, run, host->fence);
+		}
 		task->sent = true;
 		task->unconfirmed |= lost;
 		if (!lost)
@@ -384,12 +468,27 @@
 			return false;
 		if (!at || lost)
 			return true;
-		stop(at, task);
+		stop(at, &run);
 		fleet_stop_answered(&host->fleet, task, m.now_us);
 	}
 	return true;
 }
 
+static void stop_orphans(struct worker *worker, struct model_worker *at)
+{
+	struct orphan *orphan;
+
+	list_for_each_entry(orphan, &worker->orphans, node) {
+		struct model_run run = { .run = orphan->run };
+
+		if (sscanf(orphan->task, "j%d.0.0.%d", &run.job, &run.index) !=
+		    2)
+			continue;
+		stop(at, &run);
+		orphan->answered_us = m.now_us;
+	}
+}
+
 static void call_worker(struct model_host *host, struct worker *worker)
 {
 	struct model_worker *at = NULL;
@@ -409,11 +508,13 @@
 		return;
 	}
 	if (worker->task_count == 0 && worker->unanswered_calls == 0 &&
-	    worker->acked >= worker->end_seen)
+	    list_empty(&worker->orphans) && worker->acked >= worker->end_seen)
 		return;
 	answers = hold(host, worker, at);
 	if (!host->leading || (at && !answers))
 		return;
+	if (at)
+		stop_orphans(worker, at);
 	list_for_each_entry_safe(task, next, &worker->tasks, on_worker)
 		if (!order(host, worker, at, task))
 			break;
@@ -607,6 +708,7 @@
 		if (has_store(index) && is_running(&m.hosts[index]))
 			elect(index);
 	}
+	lates_tick();
 	for (i = 0; i < WORKERS; i++)
 		worker_tick(&m.workers[i]);
 	for (i = 0; i < HOSTS; i++)
