Count all room in the soak's check for jobs that stand still

Cause: counted the room for a labelled job at its workers only, without a trace of a run that needed it. Change: the check counts all room again, as before. So a labelled job with a full rack may fail the check; a trace of that would be the reason to narrow it.

--- a/tests/soak/soak_jobs.c
+++ b/tests/soak/soak_jobs.c
@@ -36,7 +36,6 @@
 	bool cancelled; /* and its caller was told so */
 	char state[16]; /* as it was told last */
 	int tasks; /* of its widest step */
-	int rack; /* the only one that may run it, -1: any */
 	int64_t due_ms; /* Unix time of its first occurrence, 0: at once */
 	int64_t still_us; /* since when nothing of it runs, 0: some does */
 	bool stood_still; /* and that was reported */
@@ -71,7 +70,6 @@
 	char *payload;
 
 	job->tasks = count;
-	job->rack = labelled ? 0 : -1;
 	job->due_ms = timed ? due_ms : 0;
 	job->poison = soak_chance(soak, 6);
 	payload = g_strdup_printf("ms=%d gpus=%d gang=%d before=%d fail=%d "
@@ -105,7 +103,6 @@
 	snprintf(job->id, sizeof(job->id), "%08x%08x", g_rand_int(soak->rand),
 		 g_rand_int(soak->rand));
 	job->only_refusals = true;
-	job->rack = -1;
 	list_add_tail(&job->node, &soak->jobs);
 	return job;
 }
@@ -127,7 +124,6 @@
 		struct soak_job *job = add_job(soak);
 
 		job->tasks = 2;
-		job->rack = rack;
 		job->body = g_strdup_printf(
 			"{\"spec\":\"ms=300\",\"steps\":[{\"count\":2,\"cpu\":1000,"
 			"\"mem_mb\":100,\"gpu\":1,\"est_ms\":300,"
@@ -288,18 +284,14 @@
 	return true;
 }
 
-/* Free accelerators, of all of them, of one rack or (-1) of all; each task
- * needs one. */
-static void count_room(const struct soak *soak, int rack, int64_t *unused,
-		       int64_t *all)
+/* Free accelerators, of all of them; each task needs one. */
+static void count_room(const struct soak *soak, int64_t *unused, int64_t *all)
 {
 	const struct site_worker *worker;
 	const struct site_run *run;
 
 	*unused = *all = 0;
 	list_for_each_entry(worker, &soak->fleet->workers, node) {
-		if (rack >= 0 && atoi(worker->rack + strlen("rack-")) != rack)
-			continue;
 		*all += worker->gpus;
 		*unused += worker->gpus;
 		list_for_each_entry(run, &worker->runs, node)
@@ -329,17 +321,16 @@
 
 void soak_jobs_check_still(struct soak *soak)
 {
-	int64_t now_us = kn_now_us(), unused, all, fits, some;
+	int64_t now_us = kn_now_us(), unused, all;
 	struct soak_job *job;
 
 	if (now_us < soak->healed_us + FINISH_MS * USEC_PER_MSEC)
 		return;
-	count_room(soak, -1, &unused, &all);
+	count_room(soak, &unused, &all);
 	list_for_each_entry(job, &soak->jobs, node) {
-		count_room(soak, job->rack, &fits, &some);
 		if (job->phase != SOAK_ACCEPTED || job->cancelling ||
 		    is_final(job->state) || runs_somewhere(soak, job) ||
-		    fits < 2 * job->tasks || unused * 2 < all ||
+		    unused < 2 * job->tasks || unused * 2 < all ||
 		    kn_wall_us() / USEC_PER_MSEC < job->due_ms) {
 			job->still_us = 0;
 			continue;
