Test what counts as not sent

The proof "its start was not sent" needs the mark of what was sent to be right on each path. Two tests hold for a repeated start that is pending while its worker starts again, and for a task that exchanges its run with that of its copy.

--- a/tests/unit/test_fleet.c
+++ b/tests/unit/test_fleet.c
@@ -672,6 +672,32 @@
 }
 END_TEST
 
+/*
+ * Guards against a run that is released as not sent although a start of it may
+ * have reached its worker.
+ */
+START_TEST(start_that_may_have_been_sent_is_not_released)
+{
+	struct task *task;
+
+	make_worker(&fleet, "w1", "r1", 8, NOW);
+	task = first_occurrence_task(running_job(1, false), 0, 0);
+	task->phase = TASK_STARTING;
+	/* A repeated start is pending, and none before it was sent. */
+	task->sent = false;
+	task->start_pending = true;
+	ck_assert(!fleet_release_unsent(&fleet, task));
+	/* Its worker has restarted meanwhile, so the start may reach that life. */
+	fleet_worker_restarted(&fleet, task->worker, 2000, 7000, NOW + SEC);
+	ck_assert_int_eq(task->phase, TASK_STOPPING);
+	ck_assert(!fleet_release_unsent(&fleet, task));
+	/* The order had found no connection. */
+	task->start_pending = false;
+	ck_assert(fleet_release_unsent(&fleet, task));
+	ck_assert_ptr_null(task->worker);
+}
+END_TEST
+
 START_TEST(earlier_incarnation_is_ignored)
 {
 	struct worker *worker = make_worker(&fleet, "w1", "r1", 8, NOW);
@@ -978,6 +1004,7 @@
 	tcase_add_test(tc, new_incarnation_keeps_tasks_until_it_reports);
 	tcase_add_test(tc, start_without_answer_is_stopped_at_the_next_life);
 	tcase_add_test(tc, lease_counts_on_the_clock_of_the_next_life);
+	tcase_add_test(tc, start_that_may_have_been_sent_is_not_released);
 	tcase_add_test(tc, earlier_incarnation_is_ignored);
 	tcase_add_test(tc, silent_worker_may_return_with_a_lower_start_time);
 	tcase_add_test(tc, first_report_resolves_adopted_runs);
--- a/tests/unit/test_speculate.c
+++ b/tests/unit/test_speculate.c
@@ -122,6 +122,25 @@
 }
 END_TEST
 
+/*
+ * Guards against a run that is released as not sent although it was: the task
+ * has exchanged its run with that of its copy.
+ */
+START_TEST(exchanged_runs_keep_what_was_sent)
+{
+	struct task *task = make_slow();
+
+	plan(NOW + 2 * SEC);
+	task->copy->sent = false;
+	task->copy->start_pending = false;
+	report_run_end(&fleet, task, RUN_LAPSED, NOW + 3 * SEC);
+	/* The task goes on with the run of its copy, which was not sent. */
+	ck_assert_int_eq(task->run, 2);
+	ck_assert(fleet_release_unsent(&fleet, task));
+	ck_assert_ptr_null(task->worker);
+}
+END_TEST
+
 START_TEST(copy_stops_when_the_first_run_is_done)
 {
 	struct task *task = make_slow();
@@ -206,6 +225,7 @@
 	tcase_add_test(tc, ineligible_tasks_get_no_copy);
 	tcase_add_test(tc, waiting_work_precedes_copies);
 	tcase_add_test(tc, copy_that_is_done_first_counts);
+	tcase_add_test(tc, exchanged_runs_keep_what_was_sent);
 	tcase_add_test(tc, copy_stops_when_the_first_run_is_done);
 	tcase_add_test(tc, copy_survives_loss_of_the_first_worker);
 	tcase_add_test(tc, run_numbers_are_shared_by_both);
