Release a run with its worker's life only if that life has listed it

Cause, from the log: a worker started again in place at 01.501. A start was answered at 01.595, by the new process, as answers to starts do not name the life. The new registration was read at 01.624, and the run counted as one of the earlier life. The first report of the new life left it out, since it had just been accepted, and the run was released as "its worker process has ended".

Change: a run belongs to the incarnation whose report has listed it. Only such a run is released on the first report of another incarnation. One that no report has listed needs two reports that leave it out.

Test: start_answered_by_the_next_life_is_kept (test_fleet) failed before: the task had no worker.

--- a/fleet/fleet_int.h
+++ b/fleet/fleet_int.h
@@ -42,7 +42,8 @@
 };
 bool proof_lease_expired(const struct fleet *fleet, const struct worker *worker,
 			 int64_t now_us);
-/* Whether a report comes from a later incarnation than the run's. */
+/* Whether a report comes from another incarnation than the one that listed the
+ * run. */
 bool proof_process_replaced(const struct task *task,
 			    const struct hold_report *report);
 /*
--- a/fleet/hold_report.c
+++ b/fleet/hold_report.c
@@ -124,12 +124,13 @@
 }
 
 static void update_run(struct fleet *fleet, struct task *task,
+		       const struct hold_report *report,
 		       const struct run_report *run, int64_t now_us)
 {
 	if (task->phase == TASK_STARTING)
 		fleet_run_started(fleet, task, now_us);
 	task->missing_us = 0;
-	task->life_ms = 0;
+	task->life_ms = report->born_ms;
 	fleet_take_checkpoint(task, run->checkpoint);
 	task->load = run->load;
 	if (task->first_report_us == 0) {
@@ -163,7 +164,7 @@
 		if (!task)
 			continue;
 		g_hash_table_add(listed, task);
-		update_run(fleet, task, run, now_us);
+		update_run(fleet, task, report, run, now_us);
 	}
 	list_for_each_entry_safe(task, next, &worker->tasks, on_worker) {
 		enum run_proof proof = PROOF_PROCESS_ENDED;
--- a/fleet/incarnation.c
+++ b/fleet/incarnation.c
@@ -24,7 +24,7 @@
  * Starts of earlier leaders are refused because of the fence token.
  */
 static void end_earlier_life(struct fleet *fleet, struct task *task,
-			     int64_t born_ms, int64_t now_us)
+			     int64_t now_us)
 {
 	task->missing_us = 0;
 	if (task->phase == TASK_PLANNED)
@@ -33,11 +33,8 @@
 		task->answered_us = now_us;
 		return;
 	}
-	if (!task->unconfirmed && !task->start_pending) {
-		if (task->phase != TASK_STARTING && task->life_ms == 0)
-			task->life_ms = born_ms;
+	if (!task->unconfirmed && !task->start_pending)
 		return;
-	}
 	task->unconfirmed = true;
 	fleet_stop_one(fleet, task,
 		       "its worker restarted and a start has no answer");
@@ -72,7 +69,7 @@
 			   "its worker restarted");
 		worker_unassign(task);
 		worker_assign(worker, task);
-		end_earlier_life(fleet, task, old->reported.born_ms, now_us);
+		end_earlier_life(fleet, task, now_us);
 		fleet_mark_changed(fleet, task->stage->job);
 	}
 	return worker;
--- a/fleet/job.h
+++ b/fleet/job.h
@@ -43,10 +43,7 @@
 	bool unconfirmed; /* read from the store, or an order got no answer */
 	bool start_pending; /* a start order has no result yet */
 	bool sent; /* a start of the run may have reached its worker */
-	/*
-	 * Start time of the incarnation that had the run, if its worker has
-	 * restarted since and no start may be carried out late; otherwise 0.
-	 */
+	/* Start time of the incarnation that has listed the run, 0: none has. */
 	int64_t life_ms;
 	int tries; /* of the pending order */
 	bool calling; /* an order is pending */
--- a/fleet/proof.c
+++ b/fleet/proof.c
@@ -70,11 +70,16 @@
 	return task->answered_us != 0 && task->answered_us < sent_us;
 }
 
-/* Only the worker itself tells that it has restarted, in its own report. */
+/*
+ * Only the worker's own reports tell which incarnation has a run: an answer to a
+ * start may come from the next one. A start without an answer may reach that
+ * one late.
+ */
 bool proof_process_replaced(const struct task *task,
 			    const struct hold_report *report)
 {
 	return task->life_ms != 0 && report->born_ms != 0 &&
+	       !task->unconfirmed && !task->start_pending &&
 	       report->born_ms != task->life_ms &&
 	       report->born_ms == task->worker->reported.born_ms;
 }
--- a/tests/unit/test_fleet.c
+++ b/tests/unit/test_fleet.c
@@ -598,6 +598,10 @@
 	struct job *job = running_job(2, false);
 	struct hold_report report = { 0 };
 	struct run_report run = { .task = (char *)"j.0.0.1", .run = 1 };
+	struct run_report first = { .task = (char *)"j.0.0.0", .run = 1 };
+	struct hold_report earlier = { .running = &first,
+				       .nrunning = 1,
+				       .born_ms = 1000 };
 	struct worker_report later = {
 		.id = g_strdup("w1"),
 		.born_ms = 2000,
@@ -605,8 +609,10 @@
 		.port = 1,
 		.room = { 128000, 262144, 8 },
 	};
-	struct worker *worker = fleet_update_worker(&fleet, &later, NOW + SEC);
+	struct worker *worker;
 
+	fleet_handle_hold(&fleet, old, &earlier, NOW + 1, NOW + 1, 0);
+	worker = fleet_update_worker(&fleet, &later, NOW + SEC);
 	ck_assert_ptr_ne(worker, old);
 	ck_assert_ptr_eq(first_occurrence_task(job, 0, 0)->worker, worker);
 	report.running = &run;
@@ -698,6 +704,35 @@
 }
 END_TEST
 
+/*
+ * Guards against a run that is released although the new incarnation has it: the
+ * answer to its start came from that incarnation, before this host knew of it,
+ * and its first report does not list the run yet.
+ */
+START_TEST(start_answered_by_the_next_life_is_kept)
+{
+	struct hold_report report = { .born_ms = 2000 };
+	struct run_report run = { .task = (char *)"j.0.0.0", .run = 1 };
+	struct worker *worker = make_worker(&fleet, "w1", "r1", 8, NOW);
+	struct task *task = first_occurrence_task(running_job(1, false), 0, 0);
+
+	fleet_worker_restarted(&fleet, worker, 2000, 7000, NOW + 1);
+	fleet_handle_hold(&fleet, task->worker, &report, NOW + 2, NOW + 2, 0);
+	ck_assert_ptr_nonnull(task->worker);
+	report.running = &run;
+	report.nrunning = 1;
+	fleet_handle_hold(&fleet, task->worker, &report, NOW + SEC, NOW + SEC,
+			  0);
+	ck_assert_int_eq(task->phase, TASK_RUNNING);
+	/* That incarnation has it, and ends. */
+	report = (struct hold_report){ .born_ms = 3000 };
+	fleet_worker_restarted(&fleet, task->worker, 3000, 7000, NOW + 2 * SEC);
+	fleet_handle_hold(&fleet, task->worker, &report, NOW + 2 * SEC,
+			  NOW + 2 * SEC, 0);
+	ck_assert_ptr_null(task->worker);
+}
+END_TEST
+
 START_TEST(earlier_incarnation_is_ignored)
 {
 	struct worker *worker = make_worker(&fleet, "w1", "r1", 8, NOW);
@@ -1005,6 +1040,7 @@
 	tcase_add_test(tc, start_without_answer_is_stopped_at_the_next_life);
 	tcase_add_test(tc, lease_counts_on_the_clock_of_the_next_life);
 	tcase_add_test(tc, start_that_may_have_been_sent_is_not_released);
+	tcase_add_test(tc, start_answered_by_the_next_life_is_kept);
 	tcase_add_test(tc, earlier_incarnation_is_ignored);
 	tcase_add_test(tc, silent_worker_may_return_with_a_lower_start_time);
 	tcase_add_test(tc, first_report_resolves_adopted_runs);
