--- a/tests/soak/soak.h
+++ b/tests/soak/soak.h
@@ -43,6 +43,11 @@
 	int peers_relay; /* on the way of other hosts to it */
 	int proc; /* -1: not running */
 	int64_t started_us; /* when the process was started */
+	/* A process that is started while the one before is being stopped. */
+	bool overlaps;
+	int successor; /* -1: none */
+	int64_t successor_us; /* when it is to be started again */
+	int64_t overlap_end_us; /* when it took the place of the one before */
 	int64_t start_us; /* when it is to be started again, 0: it runs */
 	int64_t kill_us; /* when a graceful stop is cut short, 0: none */
 	bool frozen;
@@ -108,6 +113,8 @@
 void soak_host_kill(struct soak *soak, struct soak_host *host);
 /* Asks it to stop, and kills it when its time for that is over. */
 void soak_host_stop(struct soak *soak, struct soak_host *host);
+/* The same, and its next process is started before it has gone. */
+void soak_host_replace(struct soak *soak, struct soak_host *host);
 void soak_host_freeze(struct soak *soak, struct soak_host *host);
 void soak_worker_crash(struct soak *soak, struct site_worker *worker,
 		       int index);
--- a/tests/soak/soak_lives.c
+++ b/tests/soak/soak_lives.c
@@ -107,11 +107,31 @@
 	host->thaw_us = within_us(soak, PAUSE_MAX_MS);
 }
 
+/* Often the leader, whose next process may lead before it has gone. */
+static void replace_host(struct soak *soak)
+{
+	struct soak_host *host = soak_leading_host(soak);
+
+	if (!host || soak_chance(soak, 30))
+		host = &soak->hosts[soak_below(soak, soak->options.hosts)];
+	if (!soak_host_runs(host) || host->kill_us || host->frozen ||
+	    host->overlaps)
+		return;
+	soak->faults++;
+	soak_say("replace", host->name);
+	soak_host_replace(soak, host);
+	/* The process before it stands still before it can stop. */
+	if (soak_chance(soak, 30))
+		soak_host_freeze(soak, host);
+}
+
 void soak_lives_step(struct soak *soak)
 {
 	if (soak_below(soak, 1000) < 20)
 		restart_in_place(soak);
 	if (soak_below(soak, 1000) < 10)
 		write_wrong_entry(soak);
+	if (soak_below(soak, 1000) < 4)
+		replace_host(soak);
 	pause_host(soak);
 }
