Let a later run go on if the lease of the first one had expired

By the platform's rules an end is taken note of only if the lease did not lapse before, so that the task was not done.

Change: a late end stops a later run only if this leader had released the first one because reports left it out. After the end of a lease, and after a takeover, the later run goes on, as it did before.

--- a/fleet/fleet_int.h
+++ b/fleet/fleet_int.h
@@ -67,8 +67,10 @@
 		     int64_t now_us, int64_t wall_ms);
 /*
  * Handles the reported end of a run that was done and has been released since.
- * A later run of the task is stopped. Without effect if the task has a copy, or
- * if a later run of its gang may have begun.
+ * Without effect if the task has a copy, or if a later run of its gang may have
+ * begun. A later run of the task alone is stopped if reports had left the run
+ * out. It goes on if the lease of the first one had expired: by the platform's
+ * rules an end before that does not count when it is read after it.
  */
 void fleet_late_done(struct fleet *fleet, struct task *task, int64_t run,
 		     int64_t now_us, int64_t wall_ms);
--- a/fleet/job.h
+++ b/fleet/job.h
@@ -43,6 +43,7 @@
 	bool unconfirmed; /* read from the store, or an order got no answer */
 	bool start_pending; /* a start order has no result yet */
 	bool sent; /* a start of the run may have reached its worker */
+	int64_t missed_run; /* the latest that reports left out, 0: none */
 	/* Start time of the incarnation that has listed the run, 0: none has. */
 	int64_t life_ms;
 	int tries; /* of the pending order */
--- a/fleet/proof.c
+++ b/fleet/proof.c
@@ -20,6 +20,8 @@
 
 	if (fleet->ops && fleet->ops->released)
 		fleet->ops->released(fleet->user, task, &release);
+	if (proof == PROOF_NOT_REPORTED)
+		task->missed_run = task->run;
 	fleet_release(fleet, task);
 	if (task->phase != TASK_DONE)
 		fleet_break_gang(fleet, task, proof_names[proof]);
--- a/fleet/run.c
+++ b/fleet/run.c
@@ -339,9 +339,9 @@
 	    stage->spec->long_running || run > task->run)
 		return;
 	for (i = first; i <= last; i++)
-		if ((stage->spec->gang &&
-		     has_other_run(&stage->tasks[i], run)) ||
-		    task_has_copy(&stage->tasks[i]))
+		if (task_has_copy(&stage->tasks[i]) ||
+		    (has_other_run(&stage->tasks[i], run) &&
+		     (stage->spec->gang || task->missed_run != run)))
 			return;
 	if (has_other_run(task, run))
 		orphan_run(task);
--- a/tests/unit/test_fleet.c
+++ b/tests/unit/test_fleet.c
@@ -354,6 +354,34 @@
 }
 END_TEST
 
+/*
+ * A run that was started again after the lease of the first one had expired goes
+ * on.
+ */
+START_TEST(late_end_ends_no_later_run)
+{
+	struct worker *worker = make_worker(&fleet, "w1", "r1", 8, NOW);
+	struct job *job = running_job(1, false);
+	struct task *task = first_occurrence_task(job, 0, 0);
+	struct hold_report report;
+	struct end_report end;
+
+	worker_extend_lease(worker, 6000, NOW);
+	worker->unanswered_calls = 3;
+	worker->unanswered_since_us = NOW;
+	fleet_expire(&fleet, NOW + 10 * SEC);
+	make_worker(&fleet, "w2", "r1", 8, NOW + 10 * SEC);
+	ck_assert_int_eq(plan_pass(&fleet, NOW + 10 * SEC), 1);
+	ck_assert_int_eq(confirm_planned_runs(&fleet, NOW + 10 * SEC), 1);
+	report = one_end(&end, "j.0.0.0", 1);
+	fleet_handle_hold(&fleet, worker, &report, NOW + 11 * SEC,
+			  NOW + 11 * SEC, 0);
+	ck_assert_int_eq(task->phase, TASK_RUNNING);
+	ck_assert_int_eq(task->run, 2);
+	ck_assert_int_eq(job->phase, JOB_RUNNING);
+}
+END_TEST
+
 /*
  * Guards against a task that works on after it was done: its first run was
  * released, the next one is starting, at work or being stopped.
@@ -369,10 +397,10 @@
 	struct end_report end;
 	struct worker *other;
 
-	worker_extend_lease(worker, 6000, NOW);
-	worker->unanswered_calls = 3;
-	worker->unanswered_since_us = NOW;
-	fleet_expire(&fleet, NOW + 10 * SEC);
+	report = (struct hold_report){ 0 };
+	report_twice(worker, &report, NOW + SEC);
+	ck_assert_int_eq(task->phase, TASK_WAITING);
+	worker->reported.draining = true;
 	other = make_worker(&fleet, "w2", "r1", 8, NOW + 10 * SEC);
 	ck_assert_int_eq(plan_pass(&fleet, NOW + 10 * SEC), 1);
 	ck_assert_int_eq(confirm_planned_runs(&fleet, NOW + 10 * SEC), 1);
@@ -1030,6 +1058,7 @@
 	tcase_add_test(tc, late_end_of_a_released_run_counts);
 	tcase_add_test(tc, listed_run_is_taken_back);
 	tcase_add_test(tc, listed_run_beside_a_later_one_is_stopped);
+	tcase_add_test(tc, late_end_ends_no_later_run);
 	tcase_add_loop_test(tc, late_end_stops_a_later_run, 0, 3);
 	tcase_add_loop_test(tc, other_late_ends_have_no_effect, RUN_FAILED,
 			    RUN_END_COUNT);
