--- a/control/orders.h
+++ b/control/orders.h
@@ -8,8 +8,7 @@
  * Sends the leader's orders to workers and passes their answers to the fleet.
  * A start is sent once its worker and run number are in the store. An order
  * without an answer may still be carried out, so it is repeated at the same
- * worker; the run counts as over only when a stop was answered or the lease
- * has expired.
+ * worker. fleet/proof.c decides when a run without a reported end is over.
  */
 
 struct orders;
--- a/fleet/fleet.h
+++ b/fleet/fleet.h
@@ -218,7 +218,7 @@
  * When a run that a report has left out is to be asked for again; only a report
  * that is asked for from then on shows that the run is over.
  */
-int64_t proof_missing_again_us(const struct fleet *fleet,
+int64_t fleet_missing_again_us(const struct fleet *fleet,
 			       const struct task *task);
 /* Returns the highest end number of which the effect is in the store. */
 int64_t fleet_ends_stored(struct fleet *fleet, struct worker *worker);
--- a/fleet/proof.c
+++ b/fleet/proof.c
@@ -86,7 +86,7 @@
 	       report->born_ms == task->worker->reported.born_ms;
 }
 
-int64_t proof_missing_again_us(const struct fleet *fleet,
+int64_t fleet_missing_again_us(const struct fleet *fleet,
 			       const struct task *task)
 {
 	return task->missing_us +
@@ -106,7 +106,7 @@
 	if (!leaves_out(task, report, sent_us))
 		return false;
 	if (task->missing_us != 0)
-		return sent_us >= proof_missing_again_us(fleet, task);
+		return sent_us >= fleet_missing_again_us(fleet, task);
 	task->missing_us = now_us;
 	fleet_note(fleet, "task.missing", task->stage->job, task,
 		   "a report leaves it out");
--- a/tests/unit/test_fleet.c
+++ b/tests/unit/test_fleet.c
@@ -313,6 +313,20 @@
 }
 END_TEST
 
+/* Ends the lease of the worker of a job, and returns the job's first task. */
+static struct task *released_task(struct worker *worker, struct job *job)
+{
+	struct task *task = first_occurrence_task(job, 0, 0);
+
+	worker_extend_lease(worker, 6000, NOW);
+	worker->unanswered_calls = 3;
+	worker->unanswered_since_us = NOW;
+	fleet_expire(&fleet, NOW + 10 * SEC);
+	ck_assert_int_eq(task->phase, TASK_WAITING);
+	worker->unanswered_calls = 0;
+	return task;
+}
+
 static struct hold_report one_end(struct end_report *end, const char *task,
 				  int64_t number)
 {
@@ -334,17 +348,12 @@
 	struct hold_report report;
 	struct end_report end;
 
-	worker_extend_lease(worker, 6000, NOW);
-	worker->unanswered_calls = 3;
-	worker->unanswered_since_us = NOW;
-	fleet_expire(&fleet, NOW + 10 * SEC);
-	ck_assert_int_eq(first_occurrence_task(job, 0, 0)->phase, TASK_WAITING);
+	released_task(worker, job);
 	report = one_end(&end, "j.0.0.0", 1);
 	fleet_handle_hold(&fleet, worker, &report, NOW + 11 * SEC,
 			  NOW + 11 * SEC, 0);
 	ck_assert_int_eq(first_occurrence_task(job, 0, 0)->phase, TASK_DONE);
 	/* The other one is planned by now, and its start not sent. */
-	worker->unanswered_calls = 0;
 	ck_assert_int_eq(plan_pass(&fleet, NOW + 11 * SEC), 1);
 	report = one_end(&end, "j.0.0.1", 2);
 	fleet_handle_hold(&fleet, worker, &report, NOW + 12 * SEC,
@@ -362,14 +371,10 @@
 {
 	struct worker *worker = make_worker(&fleet, "w1", "r1", 8, NOW);
 	struct job *job = running_job(1, false);
-	struct task *task = first_occurrence_task(job, 0, 0);
+	struct task *task = released_task(worker, job);
 	struct hold_report report;
 	struct end_report end;
 
-	worker_extend_lease(worker, 6000, NOW);
-	worker->unanswered_calls = 3;
-	worker->unanswered_since_us = NOW;
-	fleet_expire(&fleet, NOW + 10 * SEC);
 	make_worker(&fleet, "w2", "r1", 8, NOW + 10 * SEC);
 	ck_assert_int_eq(plan_pass(&fleet, NOW + 10 * SEC), 1);
 	ck_assert_int_eq(confirm_planned_runs(&fleet, NOW + 10 * SEC), 1);
@@ -421,14 +426,10 @@
 {
 	struct worker *worker = make_worker(&fleet, "w1", "r1", 8, NOW);
 	struct job *job = running_job(1, false);
-	struct task *task = first_occurrence_task(job, 0, 0);
+	struct task *task = released_task(worker, job);
 	struct hold_report report;
 	struct end_report end;
 
-	worker_extend_lease(worker, 6000, NOW);
-	worker->unanswered_calls = 3;
-	worker->unanswered_since_us = NOW;
-	fleet_expire(&fleet, NOW + 10 * SEC);
 	report = one_end(&end, "j.0.0.0", 1);
 	end.how = (enum run_end)_i;
 	fleet_handle_hold(&fleet, worker, &report, NOW + 11 * SEC,
@@ -477,20 +478,6 @@
 }
 END_TEST
 
-/* Releases the only run of a job although it goes on, and returns its task. */
-static struct task *released_task(struct worker *worker, struct job *job)
-{
-	struct task *task = first_occurrence_task(job, 0, 0);
-
-	worker_extend_lease(worker, 6000, NOW);
-	worker->unanswered_calls = 3;
-	worker->unanswered_since_us = NOW;
-	fleet_expire(&fleet, NOW + 10 * SEC);
-	ck_assert_int_eq(task->phase, TASK_WAITING);
-	worker->unanswered_calls = 0;
-	return task;
-}
-
 static const struct run_report listed_run = { .task = (char *)"j.0.0.0",
 					      .run = 1 };
 static const struct hold_report listing = {
