Ask for a third report if a run was never listed

Two reports that are stop_ms apart may meet two different gaps.

Change: a run that no report has listed, and that was not stopped, needs three reports. One that has been listed has one gap left, and one that was stopped does not go on for longer than stop_ms, so that two are enough.

Tests: run_that_was_never_listed_needs_three_reports (test_fleet). Tests that released a run which was never listed give three reports.

--- a/control/orders.c
+++ b/control/orders.c
@@ -206,7 +206,7 @@
 {
 	int64_t asked_us = task->worker->hold_sent_us, due_us;
 
-	if (task->missing_us != 0) {
+	if (task->missing > 0) {
 		due_us = fleet_missing_again_us(fleet, task);
 		return asked_us >= due_us ? INT64_MAX : due_us;
 	}
--- a/fleet/fleet.c
+++ b/fleet/fleet.c
@@ -165,7 +165,7 @@
 		fleet_note(fleet, "task.stop", task->stage->job, task, why);
 		task->phase = TASK_STOPPING;
 		task->answered_us = 0;
-		task->missing_us = 0;
+		task->missing = 0;
 		task->stop_sent = false;
 		task->retry_us = 0;
 		break;
--- a/fleet/fleet.h
+++ b/fleet/fleet.h
@@ -216,7 +216,7 @@
 		       int64_t now_us, int64_t wall_ms);
 /*
  * When a run that a report has left out is to be asked for again; only a report
- * that is asked for from then on shows that the run is over.
+ * that is asked for from then on counts as another one.
  */
 int64_t fleet_missing_again_us(const struct fleet *fleet,
 			       const struct task *task);
--- a/fleet/fleet_int.h
+++ b/fleet/fleet_int.h
@@ -34,7 +34,7 @@
  * behind which the run goes on.
  */
 enum run_proof {
-	PROOF_NOT_REPORTED, /* two whole reports of its worker leave it out */
+	PROOF_NOT_REPORTED, /* whole reports of its worker leave it out */
 	PROOF_PROCESS_ENDED, /* its worker's process has been replaced */
 	PROOF_NOT_SENT, /* there was no connection for its start */
 	PROOF_LEASE_EXPIRED, /* since its latest possible extension */
--- a/fleet/hold_report.c
+++ b/fleet/hold_report.c
@@ -129,7 +129,7 @@
 {
 	if (task->phase == TASK_STARTING)
 		fleet_run_started(fleet, task, now_us);
-	task->missing_us = 0;
+	task->missing = 0;
 	task->life_ms = report->born_ms;
 	fleet_take_checkpoint(task, run->checkpoint);
 	task->load = run->load;
--- a/fleet/incarnation.c
+++ b/fleet/incarnation.c
@@ -26,7 +26,7 @@
 static void end_earlier_life(struct fleet *fleet, struct task *task,
 			     int64_t now_us)
 {
-	task->missing_us = 0;
+	task->missing = 0;
 	if (task->phase == TASK_PLANNED)
 		return;
 	if (is_adopted(task)) {
--- a/fleet/job.h
+++ b/fleet/job.h
@@ -52,7 +52,8 @@
 	int64_t retry_us; /* no order is sent before that */
 	int64_t uncertain_us; /* when the latest start had no answer, 0: never */
 	int64_t answered_us; /* when the latest order was answered, 0: never */
-	/* When the first report that leaves the run out arrived, 0: none has. */
+	/* Reports in a row that leave the run out, and when the latest arrived. */
+	int missing;
 	int64_t missing_us;
 	char *ticket; /* permission to start on the worker, or NULL */
 	int pace_percent; /* ordered share of its speed, 100: full */
--- a/fleet/proof.c
+++ b/fleet/proof.c
@@ -95,22 +95,33 @@
 
 /*
  * A report is not a snapshot: a run that has just been accepted, that is being
- * stopped or that ends while the lists are read may be in neither of them. An
- * accepted run whose end was not acknowledged turns up again, so the run is
- * over once a later report leaves it out as well.
+ * stopped or that ends while the lists are read may be in neither of them, for
+ * stop_ms at most. Reports that are asked for further apart than that meet
+ * different gaps, of which a run has two, one if it has been listed. After a
+ * stop no run goes on for longer than stop_ms.
  */
+static int reports_needed(const struct task *task)
+{
+	bool may_have_begun_unseen =
+		task->phase != TASK_STOPPING && task->first_report_us == 0;
+
+	return may_have_begun_unseen ? 3 : 2;
+}
+
 bool proof_not_reported(struct fleet *fleet, struct task *task,
 			const struct hold_report *report, int64_t sent_us,
 			int64_t now_us)
 {
-	if (!leaves_out(task, report, sent_us))
+	if (!leaves_out(task, report, sent_us) ||
+	    (task->missing > 0 &&
+	     sent_us < fleet_missing_again_us(fleet, task)))
 		return false;
-	if (task->missing_us != 0)
-		return sent_us >= fleet_missing_again_us(fleet, task);
+	task->missing++;
 	task->missing_us = now_us;
-	fleet_note(fleet, "task.missing", task->stage->job, task,
-		   "a report leaves it out");
-	return false;
+	if (task->missing == 1)
+		fleet_note(fleet, "task.missing", task->stage->job, task,
+			   "a report leaves it out");
+	return task->missing >= reports_needed(task);
 }
 
 bool fleet_release_unsent(struct fleet *fleet, struct task *task)
--- a/fleet/run.c
+++ b/fleet/run.c
@@ -26,7 +26,7 @@
 	task->stop_sent = false;
 	task->retry_us = 0;
 	task->answered_us = 0;
-	task->missing_us = 0;
+	task->missing = 0;
 	task->started_us = 0;
 	task->percent = 0;
 	task->first_report_us = 0;
@@ -47,7 +47,7 @@
 {
 	worker_assign(worker, task);
 	task->phase = TASK_STARTING;
-	task->missing_us = 0;
+	task->missing = 0;
 	task->life_ms = 0;
 	task->unconfirmed = true;
 	task->sent = true;
@@ -60,7 +60,7 @@
 	struct job *job = task->stage->job;
 
 	task->answered_us = now_us;
-	task->missing_us = 0;
+	task->missing = 0;
 	task->sent = true;
 	if (task->phase != TASK_STARTING)
 		return;
--- a/tests/unit/test_fleet.c
+++ b/tests/unit/test_fleet.c
@@ -173,16 +173,48 @@
 	return (fleet.bounds.stop_ms + MISSING_SLACK_MS) * 1000;
 }
 
-/* Two reports leave out the same, the second asked for as early as it counts. */
-static void report_twice(struct worker *worker,
-			 const struct hold_report *report, int64_t now_us)
+/*
+ * So many reports leave out the same, each asked for as early as it counts.
+ * Returns when the last one arrived.
+ */
+static int64_t report_times(int times, struct worker *worker,
+			    const struct hold_report *report, int64_t now_us)
 {
-	int64_t again_us = now_us + asked_again_us();
+	int i;
 
-	fleet_handle_hold(&fleet, worker, report, now_us, now_us, 0);
-	fleet_handle_hold(&fleet, worker, report, again_us, again_us, 0);
+	for (i = 0; i < times; i++) {
+		now_us += i > 0 ? asked_again_us() : 0;
+		fleet_handle_hold(&fleet, worker, report, now_us, now_us, 0);
+	}
+	return now_us;
 }
 
+/*
+ * Guards against a short run that is released while it is done: it is in no list
+ * just after its start, is listed, and is in no list just after its end.
+ */
+START_TEST(run_that_was_never_listed_needs_three_reports)
+{
+	const struct hold_report empty = { 0 };
+	struct worker *worker = make_worker(&fleet, "w1", "r1", 8, NOW);
+	struct job *job = running_job(3, false);
+	struct run_report run = { .task = (char *)"j.0.0.0", .run = 1 };
+	const struct hold_report report = { .running = &run, .nrunning = 1 };
+	int64_t now_us;
+
+	/* Asked for before the other starts were answered. */
+	fleet_handle_hold(&fleet, worker, &report, NOW, NOW + 1, 0);
+	fleet_stop(&fleet, first_occurrence_task(job, 0, 1), "test");
+	fleet_stop_answered(&fleet, first_occurrence_task(job, 0, 1), NOW + 1);
+	now_us = report_times(2, worker, &empty, NOW + SEC);
+	ck_assert_ptr_null(first_occurrence_task(job, 0, 0)->worker);
+	ck_assert_ptr_null(first_occurrence_task(job, 0, 1)->worker);
+	ck_assert_ptr_eq(first_occurrence_task(job, 0, 2)->worker, worker);
+	report_times(1, worker, &empty, now_us + asked_again_us());
+	ck_assert_ptr_null(first_occurrence_task(job, 0, 2)->worker);
+}
+END_TEST
+
 /*
  * Guards against two runs at once: a run that ends, is being stopped or has
  * just been accepted while its worker reads its lists is in neither of them.
@@ -261,7 +293,7 @@
 
 	fleet_handle_hold(&fleet, worker, &empty, NOW - 1, NOW + 1, 0);
 	ck_assert_ptr_eq(first_occurrence_task(job, 0, 0)->worker, worker);
-	report_twice(worker, &empty, NOW + 2);
+	report_times(3, worker, &empty, NOW + 2);
 	ck_assert_ptr_null(first_occurrence_task(job, 0, 0)->worker);
 }
 END_TEST
@@ -288,7 +320,7 @@
 	fleet_handle_hold(&fleet, worker, &report, NOW + SEC, NOW + SEC, 0);
 	ck_assert_ptr_eq(first_occurrence_task(job, 0, 1)->worker, worker);
 	report.truncated = false;
-	report_twice(worker, &report, NOW + 2 * SEC);
+	report_times(3, worker, &report, NOW + 2 * SEC);
 	ck_assert_ptr_null(first_occurrence_task(job, 0, 1)->worker);
 }
 END_TEST
@@ -403,7 +435,7 @@
 	struct worker *other;
 
 	report = (struct hold_report){ 0 };
-	report_twice(worker, &report, NOW + SEC);
+	report_times(3, worker, &report, NOW + SEC);
 	ck_assert_int_eq(task->phase, TASK_WAITING);
 	worker->reported.draining = true;
 	other = make_worker(&fleet, "w2", "r1", 8, NOW + 10 * SEC);
@@ -665,10 +697,10 @@
 	fleet_worker_restarted(&fleet, task->worker, 2000, 7000, NOW + SEC);
 	worker = task->worker;
 	ck_assert_int_eq(task->phase, TASK_STOPPING);
-	report_twice(worker, &report, NOW + 2 * SEC);
+	report_times(2, worker, &report, NOW + 2 * SEC);
 	ck_assert_ptr_eq(task->worker, worker);
 	fleet_stop_answered(&fleet, task, NOW + 3 * SEC);
-	report_twice(worker, &report, NOW + 4 * SEC);
+	report_times(2, worker, &report, NOW + 4 * SEC);
 	ck_assert_ptr_null(task->worker);
 }
 END_TEST
@@ -802,7 +834,7 @@
 				fleet_adopt_worker(&fleet, "w1", 1000, NOW));
 	}
 	ck_assert_int_eq(plan_pass(&fleet, NOW), 0);
-	report_twice(worker, &report, NOW + 1);
+	report_times(3, worker, &report, NOW + 1);
 	ck_assert_int_eq(first_occurrence_task(job, 0, 0)->phase, TASK_RUNNING);
 	ck_assert_ptr_null(first_occurrence_task(job, 0, 1)->worker);
 	ck_assert_int_eq(plan_pass(&fleet, NOW + SEC), 1);
@@ -1037,6 +1069,7 @@
 	tcase_add_test(tc, lapsed_runs_do_not_count_as_attempts);
 	tcase_add_test(tc, gang_fails_once_a_run);
 	tcase_add_test(tc, one_done_member_ends_the_gang);
+	tcase_add_test(tc, run_that_was_never_listed_needs_three_reports);
 	tcase_add_test(tc, run_between_two_lists_is_not_started_again);
 	tcase_add_test(tc, repeated_stops_do_not_delay_the_release);
 	tcase_add_test(tc, report_older_than_the_answer_is_ignored);
--- a/tests/unit/test_release_model.c
+++ b/tests/unit/test_release_model.c
@@ -108,6 +108,7 @@
 	int leader; /* by the store's key, -1: none */
 	int64_t key_until_us;
 	bool noted[JOBS][TASKS]; /* an end "done" was acknowledged */
+	int64_t begun[JOBS][TASKS]; /* the latest run */
 	bool faults;
 } m;
 
@@ -277,6 +278,7 @@
 	ck_assert_msg(!m.noted[run.job][run.index],
 		      "job %d task %d begins after it was done, at %.2f s",
 		      run.job, run.index, (double)m.now_us / 1e6);
+	m.begun[run.job][run.index] = MAX(m.begun[run.job][run.index], run.run);
 	g_array_append_val(worker->runs, run);
 	check_single(run.job, run.index);
 }
@@ -330,6 +332,14 @@
 		there->stop_us = m.now_us + STOP_US;
 }
 
+static void note_done(const struct model_run *run)
+{
+	ck_assert_msg(m.begun[run->job][run->index] <= run->run,
+		      "job %d task %d has begun after it was done, at %.2f s",
+		      run->job, run->index, (double)m.now_us / 1e6);
+	m.noted[run->job][run->index] = true;
+}
+
 static void acknowledge(struct model_worker *worker, int64_t number)
 {
 	while (worker->ends->len > 0) {
@@ -340,7 +350,7 @@
 			return;
 		if (end->done && end->lapses == worker->lapses &&
 		    !worker->lapsed)
-			m.noted[end->run.job][end->run.index] = true;
+			note_done(&end->run);
 		g_array_remove_index(worker->ends, 0);
 	}
 }
