Check that two reports release no run that was never listed

Cause: after the change to three reports, two tests checked only that the third one releases the run, so that they would have held with one. Change: both check that the run is still held after the second one.

--- a/tests/unit/test_fleet.c
+++ b/tests/unit/test_fleet.c
@@ -290,10 +290,13 @@
 	struct hold_report empty = { 0 };
 	struct worker *worker = make_worker(&fleet, "w1", "r1", 8, NOW);
 	struct job *job = running_job(1, false);
+	int64_t now_us;
 
 	fleet_handle_hold(&fleet, worker, &empty, NOW - 1, NOW + 1, 0);
 	ck_assert_ptr_eq(first_occurrence_task(job, 0, 0)->worker, worker);
-	report_times(3, worker, &empty, NOW + 2);
+	now_us = report_times(2, worker, &empty, NOW + 2);
+	ck_assert_ptr_eq(first_occurrence_task(job, 0, 0)->worker, worker);
+	report_times(1, worker, &empty, now_us + asked_again_us());
 	ck_assert_ptr_null(first_occurrence_task(job, 0, 0)->worker);
 }
 END_TEST
@@ -825,6 +828,7 @@
 	struct job *job = make_job(&fleet, "j", 1, 2, 1, 1000, NOW);
 	struct run_report run = { .task = (char *)"j.0.0.0", .run = 4 };
 	struct hold_report report = { .running = &run, .nrunning = 1 };
+	int64_t now_us;
 	int i;
 
 	fleet_open_due(&fleet, NOW, 0);
@@ -834,10 +838,13 @@
 				fleet_adopt_worker(&fleet, "w1", 1000, NOW));
 	}
 	ck_assert_int_eq(plan_pass(&fleet, NOW), 0);
-	report_times(3, worker, &report, NOW + 1);
+	now_us = report_times(2, worker, &report, NOW + 1);
+	ck_assert_ptr_eq(first_occurrence_task(job, 0, 1)->worker, worker);
+	now_us += asked_again_us();
+	report_times(1, worker, &report, now_us);
 	ck_assert_int_eq(first_occurrence_task(job, 0, 0)->phase, TASK_RUNNING);
 	ck_assert_ptr_null(first_occurrence_task(job, 0, 1)->worker);
-	ck_assert_int_eq(plan_pass(&fleet, NOW + SEC), 1);
+	ck_assert_int_eq(plan_pass(&fleet, now_us), 1);
 	ck_assert_int_eq(first_occurrence_task(job, 0, 1)->run, 5);
 }
 END_TEST
