--- a/control/callers.h
+++ b/control/callers.h
@@ -12,7 +12,7 @@
 enum caller_verb { CALLER_SUBMIT, CALLER_STATUS, CALLER_CANCEL, CALLER_COUNT };
 
 struct caller_call {
-	struct list_head node; /* for use by the service */
+	struct list_head node; /* for use by the adapter */
 	enum caller_verb verb;
 	char *host; /* Host header of the request */
 	char *path; /* without query */
--- a/wire/hs.c
+++ b/wire/hs.c
@@ -41,6 +41,8 @@
 	lws_set_opaque_user_data(conn->wsi, NULL);
 	if (conn->req && conn->state == HS_BUSY && server->ops->gone)
 		server->ops->gone(server, conn->req);
+	if (conn->state == HS_WRITE && server->ops->reply_lost)
+		server->ops->reply_lost(server, conn->out_len - conn->out_off);
 	hs_request_free(conn);
 	if (conn->pending)
 		g_byte_array_free(conn->pending, TRUE);
--- a/wire/hs.h
+++ b/wire/hs.h
@@ -28,6 +28,11 @@
 	 * reports both alike.
 	 */
 	void (*gone)(struct hs_server *server, struct hs_request *req);
+	/*
+	 * A connection has ended before the kernel took all of its reply;
+	 * unsent is the number of bytes that are lost. May be NULL.
+	 */
+	void (*reply_lost)(struct hs_server *server, size_t unsent);
 };
 
 /* A listening HTTP/1.1 server; embedded in the task that owns it. */
