Keep a graceful stop going when SIGTERM is repeated

A supervisor that repeats its signal is planned work; the one way to end a process early is SIGKILL.

Cause: handle_signals() took any signal during a stop as an order to exit.

Change: further signals are logged (stop.repeated) and change nothing.

Evidence: repeated_stop_signals_cut_no_call (test_callers) failed before the change ("Assertion '!kn.stopped' failed") and passes now.

--- a/base/kn.c
+++ b/base/kn.c
@@ -345,12 +345,10 @@
 	if (handled == stop_signals)
 		return;
 	handled = stop_signals;
-	if (kn->draining) {
-		log_warn("stop.forced", "signals=%d", handled);
-		kn_stop(kn, 1);
-		return;
-	}
-	kn_drain(kn);
+	if (kn->draining)
+		log_info("stop.repeated", "signals=%d", handled);
+	else
+		kn_drain(kn);
 }
 
 /* Runs one round of mailboxes, sockets and timers. */
@@ -421,8 +419,8 @@
 }
 
 /*
- * SIGTERM and SIGINT drain; a second one ends the process at once. SIGHUP
- * lets the tasks read their settings again.
+ * SIGTERM and SIGINT drain; further ones change nothing, as a supervisor may
+ * repeat them. SIGHUP lets the tasks read their settings again.
  */
 void kn_handle_signals(struct kn *kn)
 {
--- a/daemon/main.c
+++ b/daemon/main.c
@@ -34,8 +34,8 @@
 static const char doc[] =
 	"Entry host of chivebank: serves callers and operators, communicates "
 	"with its peers and schedules the jobs of its data centre.\v"
-	"SIGTERM stops the process gracefully; a second SIGTERM stops it "
-	"immediately. With --platform the settings are read in the platform's "
+	"SIGTERM stops the process gracefully; further ones change nothing. "
+	"With --platform the settings are read in the platform's "
 	"format; " PLATFORM_SETTINGS_VARIABLE " holds the path of the file.";
 
 static const struct argp_option option_table[] = {
--- /dev/null
+++ b/tests/unit/test_callers.c
@@ -0,0 +1,110 @@
+#include <check.h>
+#include <signal.h>
+#include <string.h>
+#include <unistd.h>
+
+#include "base/err.h"
+#include "base/limits.h"
+#include "platform/callers.h"
+#include "tests/standins/be_sock.h"
+#include "tests/standins/ports.h"
+#include "tests/unit/run.h"
+
+/* Fixture: the callers' address, and a service that holds its calls. */
+
+#define GRACE_MS 1200
+#define GET "GET /jobs/00000000000000aa HTTP/1.1\r\nHost: x\r\n"
+#define LONG_DEADLINE "Chivebank-Deadline-Ms: 30000\r\n\r\n"
+
+static struct kn kn;
+static struct site site;
+static struct be_sock sock;
+static struct caller_service service;
+static GPtrArray *held; /* struct caller_call */
+
+static void answer(struct caller_call *call, int result)
+{
+	call->result = result;
+	service.answer(call);
+}
+
+static void on_call(struct caller_service *s, struct caller_call *call)
+{
+	g_ptr_array_add(held, call);
+}
+
+static void on_disconnected(struct caller_service *s, struct caller_call *call)
+{
+	g_ptr_array_remove(held, call);
+}
+
+static const struct caller_service_ops service_ops = {
+	.call = on_call,
+	.disconnected = on_disconnected,
+};
+
+static void setup(void)
+{
+	GError *err = NULL;
+
+	held = g_ptr_array_new();
+	service.ops = &service_ops;
+	g_strlcpy(site.callers.addr, "127.0.0.1", sizeof(site.callers.addr));
+	site.callers.port = ports_reserve();
+	site.grace_ms = GRACE_MS;
+	ck_assert(kn_init(&kn, &err));
+	platform_callers_new(&kn, &site, &service);
+	kn_handle_signals(&kn);
+	ck_assert(kn_start(&kn, &err));
+	be_connect(&sock, site.callers.port);
+	ck_assert_int_ge(sock.fd, 0);
+}
+
+static void teardown(void)
+{
+	be_close(&sock);
+	g_ptr_array_free(held, TRUE);
+}
+
+static void send_call(const char *text)
+{
+	be_puts(&kn, &sock, text);
+	be_turn(&kn, 50);
+}
+
+/* Runs the process to its end, as main() does. */
+static void run_to_end(void)
+{
+	kn_run(&kn);
+	kn_finish(&kn);
+}
+
+START_TEST(repeated_stop_signals_cut_no_call)
+{
+	int i;
+
+	send_call(GET LONG_DEADLINE);
+	ck_assert_uint_eq(held->len, 1);
+	for (i = 0; i < 3; i++) {
+		ck_assert_int_eq(raise(SIGTERM), 0);
+		be_turn(&kn, 50);
+	}
+	ck_assert(kn.draining);
+	ck_assert(!kn.stopped);
+	answer(g_ptr_array_remove_index(held, 0), CB_OK);
+	ck_assert(be_wait_text(&kn, &sock, "HTTP/1.1 200 ", 500));
+	be_close(&sock);
+	run_to_end();
+	ck_assert_int_eq(kn.exit_code, 0);
+}
+END_TEST
+
+int main(void)
+{
+	TCase *tc = tcase_create("callers");
+
+	tcase_add_checked_fixture(tc, setup, teardown);
+	tcase_set_timeout(tc, 40);
+	tcase_add_test(tc, repeated_stop_signals_cut_no_call);
+	return run_case("callers", tc);
+}
