Answer all calls of a stop before the supervisor kills the host

Cause: the stop had no end of its own. check_stopped() waited until nothing was in progress, and a call is bounded by its caller's deadline only, up to 60 s. A caller that sent half a request held the stop up for the 30 s of the body time-out.

The intake answers 504 if a write may still land and 503 with Retry-After 1 otherwise; calls that come later are refused at once.

--- a/control/callers.h
+++ b/control/callers.h
@@ -39,6 +39,8 @@
 	/* The caller disconnected; answer() is not called any more. */
 	void (*disconnected)(struct caller_service *service,
 			     struct caller_call *call);
+	/* Answers all calls in progress at once, as the host ends. */
+	void (*expire)(struct caller_service *service);
 };
 
 struct caller_service {
--- a/control/intake.c
+++ b/control/intake.c
@@ -17,6 +17,7 @@
 /* Store outages last some seconds, and callers retry only a few times. */
 #define STORE_RETRY_AFTER_S 2
 #define CONFIG_RETRY_AFTER_S 1
+#define DRAINING_RETRY_AFTER_S 1 /* the balancer chooses another host */
 #define DEADLINE_RETRY_AFTER_S 1 /* a retry with more time can succeed */
 
 enum intake_step {
@@ -141,15 +142,16 @@
 	return time_left_us(req->caller) > 2 * RETRY_MS * USEC_PER_MSEC;
 }
 
-/*
- * The result of a request whose time is over. The outcome is unknown if a write
- * is in progress or was not answered; reads change nothing.
- */
+/* A write is in progress or was not answered; reads change nothing. */
+static bool outcome_is_unknown(const struct intake_request *req)
+{
+	return req->maybe_written || (req->calling && writes(req));
+}
+
+/* The result of a request whose time is over. */
 static int result_without_answer(const struct intake_request *req)
 {
-	return req->maybe_written || (req->calling && writes(req)) ?
-		       CB_E_TIMEOUT :
-		       CB_E_STORE_DOWN;
+	return outcome_is_unknown(req) ? CB_E_TIMEOUT : CB_E_STORE_DOWN;
 }
 
 /*
@@ -546,9 +548,22 @@
 	request_free(req);
 }
 
+/* Another host can serve the calls that have changed nothing. */
+static void intake_expire(struct caller_service *service)
+{
+	struct intake *intake = container_of(service, struct intake, service);
+	struct intake_request *req, *next;
+
+	list_for_each_entry_safe(req, next, &intake->calls, node)
+		finish(req,
+		       outcome_is_unknown(req) ? CB_E_TIMEOUT : CB_E_DRAINING,
+		       DRAINING_RETRY_AFTER_S);
+}
+
 static const struct caller_service_ops intake_ops = {
 	.call = intake_call,
 	.disconnected = intake_disconnected,
+	.expire = intake_expire,
 };
 
 void intake_init(struct intake *intake, const struct platform_adapter *adapter,
--- a/tests/unit/test_callers.c
+++ b/tests/unit/test_callers.c
@@ -21,6 +21,7 @@
 static struct be_sock sock;
 static struct caller_service service;
 static GPtrArray *held; /* struct caller_call */
+static int64_t drained_us;
 
 static void answer(struct caller_call *call, int result)
 {
@@ -38,9 +39,16 @@
 	g_ptr_array_remove(held, call);
 }
 
+static void on_expire(struct caller_service *s)
+{
+	while (held->len > 0)
+		answer(g_ptr_array_remove_index(held, 0), CB_E_DRAINING);
+}
+
 static const struct caller_service_ops service_ops = {
 	.call = on_call,
 	.disconnected = on_disconnected,
+	.expire = on_expire,
 };
 
 static void setup(void)
@@ -72,11 +80,30 @@
 	be_turn(&kn, 50);
 }
 
-/* Runs the process to its end, as main() does. */
-static void run_to_end(void)
+static void begin_stop(void)
+{
+	kn_drain(&kn);
+	drained_us = kn_now_us();
+}
+
+/* Runs the process to its end, as main() does. Returns how long it took. */
+static int64_t run_to_end(void)
 {
 	kn_run(&kn);
 	kn_finish(&kn);
+	return (kn_now_us() - drained_us) / USEC_PER_MSEC;
+}
+
+/* Reads what the ended process has sent. */
+static const char *received(struct be_sock *from)
+{
+	ssize_t n;
+
+	while ((n = read(from->fd, from->in + from->len,
+			 sizeof(from->in) - 1 - from->len)) > 0)
+		from->len += (size_t)n;
+	from->in[from->len] = '\0';
+	return from->in;
 }
 
 START_TEST(repeated_stop_signals_cut_no_call)
@@ -99,6 +126,28 @@
 }
 END_TEST
 
+START_TEST(stop_answers_all_calls_before_the_grace_ends)
+{
+	send_call(GET LONG_DEADLINE);
+	ck_assert_uint_eq(held->len, 1);
+	begin_stop();
+	ck_assert_int_lt(run_to_end(), GRACE_MS);
+	ck_assert_ptr_nonnull(strstr(received(&sock), "HTTP/1.1 503 "));
+	ck_assert_ptr_nonnull(strstr(sock.in, "Chivebank-Outcome: not-run"));
+}
+END_TEST
+
+/* The rest of the request never comes. */
+START_TEST(half_sent_request_does_not_hold_up_the_stop)
+{
+	send_call("POST /jobs/00000000000000aa HTTP/1.1\r\nHost: x\r\n"
+		  "Content-Length: 100\r\n\r\nhalf");
+	begin_stop();
+	ck_assert_int_lt(run_to_end(), GRACE_MS);
+	ck_assert_ptr_nonnull(strstr(received(&sock), "HTTP/1.1 503 "));
+}
+END_TEST
+
 int main(void)
 {
 	TCase *tc = tcase_create("callers");
@@ -106,5 +155,7 @@
 	tcase_add_checked_fixture(tc, setup, teardown);
 	tcase_set_timeout(tc, 40);
 	tcase_add_test(tc, repeated_stop_signals_cut_no_call);
+	tcase_add_test(tc, stop_answers_all_calls_before_the_grace_ends);
+	tcase_add_test(tc, half_sent_request_does_not_hold_up_the_stop);
 	return run_case("callers", tc);
 }
--- a/wire/hs.c
+++ b/wire/hs.c
@@ -297,6 +297,15 @@
 	server->draining = true;
 }
 
+void hs_refuse_unfinished(struct hs_server *server)
+{
+	struct hs_conn *conn, *tmp;
+
+	list_for_each_entry_safe(conn, tmp, &server->conns, node)
+		if (conn->state == HS_HEAD || conn->state == HS_BODY)
+			hs_refuse(conn, CB_E_DRAINING);
+}
+
 size_t hs_active(const struct hs_server *server)
 {
 	const struct hs_conn *conn;
--- a/wire/hs.h
+++ b/wire/hs.h
@@ -74,6 +74,8 @@
 void hs_keep_header(struct hs_server *server, const char *name);
 /* From now on each reply carries "Connection: close". */
 void hs_drain(struct hs_server *server);
+/* Refuses the requests of which only a part has arrived. */
+void hs_refuse_unfinished(struct hs_server *server);
 /*
  * Connections that receive a request, wait for its reply or still send it. A
  * graceful stop goes on until there are none: a reply handed over may not
--- a/wire/hs_reply.c
+++ b/wire/hs_reply.c
@@ -184,8 +184,10 @@
 /* Refuses a request that has not been handed to the owner, and closes. */
 void hs_refuse(struct hs_conn *conn, int code)
 {
+	bool elsewhere = code == CB_E_OVERLOADED || code == CB_E_DRAINING;
+
 	conn->close_after = true;
-	send_error(conn, code, NULL, code == CB_E_OVERLOADED ? 1 : 0);
+	send_error(conn, code, NULL, elsewhere ? 1 : 0);
 }
 
 /* Tells a caller beyond the connection limit, as far as one send allows. */
