Serve the requests that have arrived when a stop ends

Cause: the event loop runs timers before it reads sockets. A host that gets no processor for a while wakes up with the end of its stop due; it finds no request in progress while whole requests wait to be read, or their connections to be accepted, and closing them resets the callers. The same holds for what arrives while another task is the last one to drain.

Change: kn_run() serves what has arrived for some more rounds of the loop after a drain. The callers' server refuses by then, so that each request that is read is answered in the same round.

--- a/base/kn.c
+++ b/base/kn.c
@@ -363,11 +363,29 @@
 	handle_signals(kn);
 }
 
+/*
+ * Serves what has arrived already. Timers run before sockets are read, so that
+ * after a time without processor a drain can end with requests unread, and
+ * closing their connections would reset them.
+ */
+static void serve_arrived(struct kn *kn)
+{
+	int i;
+
+	for (i = 0; i < KN_LAST_ROUNDS; i++) {
+		drain_mailboxes(kn);
+		log_flush();
+		uv_run(kn->loop, UV_RUN_NOWAIT);
+	}
+}
+
 /* Runs until kn_stop() or until all tasks have drained. */
 int kn_run(struct kn *kn)
 {
 	while (!kn->stopped)
 		kn_turn(kn);
+	if (kn->draining)
+		serve_arrived(kn);
 	return kn->exit_code;
 }
 
--- a/tests/unit/test_callers.c
+++ b/tests/unit/test_callers.c
@@ -148,6 +148,29 @@
 }
 END_TEST
 
+/* The process gets no processor from before the request to after the time. */
+START_TEST(requests_unread_at_the_end_of_a_stop_are_answered)
+{
+	struct be_sock late;
+
+	begin_stop();
+	be_turn(&kn, 50);
+	ck_assert_int_gt(
+		send(sock.fd, GET LONG_DEADLINE, strlen(GET LONG_DEADLINE), 0),
+		0);
+	be_connect(&late, site.callers.port); /* waits to be accepted */
+	ck_assert_int_ge(late.fd, 0);
+	ck_assert_int_gt(
+		send(late.fd, GET LONG_DEADLINE, strlen(GET LONG_DEADLINE), 0),
+		0);
+	usleep((GRACE_MS + 100) * USEC_PER_MSEC);
+	run_to_end();
+	ck_assert_ptr_nonnull(strstr(received(&sock), "HTTP/1.1 503 "));
+	ck_assert_ptr_nonnull(strstr(received(&late), "HTTP/1.1 503 "));
+	be_close(&late);
+}
+END_TEST
+
 int main(void)
 {
 	TCase *tc = tcase_create("callers");
@@ -157,5 +180,6 @@
 	tcase_add_test(tc, repeated_stop_signals_cut_no_call);
 	tcase_add_test(tc, stop_answers_all_calls_before_the_grace_ends);
 	tcase_add_test(tc, half_sent_request_does_not_hold_up_the_stop);
+	tcase_add_test(tc, requests_unread_at_the_end_of_a_stop_are_answered);
 	return run_case("callers", tc);
 }
