--- a/tests/unit/test_hs.c
+++ b/tests/unit/test_hs.c
@@ -400,6 +400,34 @@
 }
 END_TEST
 
+/* The process gets no processor from before the request to after the time-out. */
+START_TEST(request_that_waits_for_the_process_is_not_timed_out)
+{
+	static const char *const parts[] = {
+		"GET /a HTTP/1.1\r\n\r\n",
+		POST "Content-Length: 2\r\n\r\na|b",
+		"GET /a HTTP/1.1\r\nA: b|\r\n\r\n",
+	};
+	char **part = g_strsplit(parts[_i], "|", 2);
+
+	server.idle_timeout_ms = 100;
+	server.header_timeout_ms = 100;
+	server.body_timeout_ms = 100;
+	be_puts(&kn, &sock, "GET /0 HTTP/1.1\r\n\r\n");
+	ck_assert(be_wait_text(&kn, &sock, "GET /0 0", 1000));
+	if (part[1])
+		be_puts(&kn, &sock, part[0]);
+	be_turn(&kn, 20);
+	ck_assert_int_gt(send(sock.fd, part[1] ? part[1] : part[0],
+			      strlen(part[1] ? part[1] : part[0]), 0),
+			 0);
+	usleep(300 * USEC_PER_MSEC);
+	ck_assert(be_wait_text(&kn, &sock, " /a ", 1000));
+	ck_assert_int_eq(requests, 2);
+	g_strfreev(part);
+}
+END_TEST
+
 /* Guards against a caller that doesn't read and so holds its reply. */
 START_TEST(unread_reply_is_given_up)
 {
@@ -570,6 +598,8 @@
 	tcase_add_test(tc, finished_server_refuses_connections);
 	tcase_add_loop_test(tc, slow_senders_are_refused, 0, 2);
 	tcase_add_test(tc, idle_connections_are_closed);
+	tcase_add_loop_test(
+		tc, request_that_waits_for_the_process_is_not_timed_out, 0, 3);
 	tcase_add_test(tc, unread_reply_is_given_up);
 	tcase_add_loop_test(tc, gone_is_reported_once, 0, 2);
 	tcase_add_test(tc, unfinished_request_is_dropped);
