Answer pipelined requests before a drain closes their connection

What callers saw: of two requests that a host had read together during a stop, the second one got no answer.

Cause: during a drain each reply closes its connection, also when a further request has been read already; its bytes were discarded.

Change: the connection is closed by the reply behind which nothing has been read.

Evidence: drain_answers_the_requests_that_were_read_together (test_hs, with an immediate and a later reply) failed before the change in both.

--- a/tests/unit/test_hs.c
+++ b/tests/unit/test_hs.c
@@ -558,6 +558,23 @@
 }
 END_TEST
 
+START_TEST(drain_answers_the_requests_that_were_read_together)
+{
+	hold = _i == 1;
+	hs_drain(&server);
+	be_puts(&kn, &sock, "GET /0 HTTP/1.1\r\n\r\nGET /1 HTTP/1.1\r\n\r\n");
+	be_turn(&kn, 20);
+	if (hold) {
+		hold = false;
+		echo(held);
+	}
+	ck_assert(be_wait_closed(&kn, &sock, 1000));
+	ck_assert(strstr(sock.in, "GET /0 0"));
+	ck_assert(strstr(sock.in, "GET /1 0"));
+	ck_assert_int_eq(be_count(&sock, "Connection: close\r\n"), 1);
+}
+END_TEST
+
 /* Guards against headers that vanish, or that every caller can pile up. */
 START_TEST(keeps_listed_headers_only)
 {
@@ -606,6 +623,8 @@
 	tcase_add_test(tc, large_reply_is_whole);
 	tcase_add_test(tc, reply_headers_are_clean);
 	tcase_add_loop_test(tc, close_and_drain_end_the_connection, 0, 3);
+	tcase_add_loop_test(
+		tc, drain_answers_the_requests_that_were_read_together, 0, 2);
 	tcase_add_test(tc, keeps_listed_headers_only);
 	return run_case("hs", tc);
 }
--- a/wire/hs_conn.h
+++ b/wire/hs_conn.h
@@ -31,6 +31,7 @@
 	struct hp *hp;
 	struct hs_request *req;
 	size_t body_declared;
+	size_t behind; /* bytes of this read behind the current request */
 	GByteArray *pending; /* pipelined bytes behind the current request */
 	char *out;
 	size_t out_len;
--- a/wire/hs_reply.c
+++ b/wire/hs_reply.c
@@ -105,7 +105,9 @@
 	bool head = conn->head;
 	GString *out = g_string_sized_new(512 + len);
 
-	if (conn->server->draining)
+	/* A request that was read together with this one is answered too. */
+	if (conn->server->draining && conn->behind == 0 &&
+	    (!conn->pending || conn->pending->len == 0))
 		conn->close_after = true;
 	g_string_append_printf(out, "HTTP/1.1 %d %s\r\n", status,
 			       hp_reason(status));
