Read the sockets before timers that are overdue

What callers saw: after a time without processor, a host reset, refused or gave up what had been answered or asked for in time, as its time-outs ran before the bytes that waited in the kernel were read.

Cause: libuv runs timers before it polls sockets. A process that is preempted outside of the poll wakes up with its time-outs due and its sockets unread.

Evidence: timer_that_is_overdue_finds_the_sockets_read (test_kn) failed before the change: the timer ran with no request read.

--- a/base/kn.c
+++ b/base/kn.c
@@ -230,13 +230,8 @@
 		(uint64_t)((wait_us + USEC_PER_MSEC - 1) / USEC_PER_MSEC), 0);
 }
 
-/*
- * Runs the timers that are due. libuv runs timers before it waits for
- * sockets, so the wait is skipped when one has sent a message.
- */
-static void clock_fired(uv_timer_t *clock)
+static void run_timers(struct kn *kn)
 {
-	struct kn *kn = clock->data;
 	int64_t now_us = kn_now_us();
 	struct kn_timer *timer;
 
@@ -246,6 +241,24 @@
 		timer->fn(timer); /* may free the timer */
 	}
 	set_clock(kn);
+}
+
+/*
+ * libuv runs timers before it waits for sockets, so the wait is skipped when
+ * one has sent a message. After a time without processor, time-outs are due
+ * whose answers wait in the kernel: the sockets are read first then.
+ */
+static void clock_fired(uv_timer_t *clock)
+{
+	struct kn *kn = clock->data;
+	struct kn_timer *first = first_timer(kn);
+
+	if (first && kn_now_us() - first->at_us > KN_LATE_MS * USEC_PER_MSEC) {
+		kn->late = true;
+		uv_stop(kn->loop);
+		return;
+	}
+	run_timers(kn);
 	if (!list_empty(&kn->ready) || kn->stopped)
 		uv_stop(kn->loop);
 }
@@ -351,6 +364,18 @@
 		kn_drain(kn);
 }
 
+/* Serves what has arrived already, without waiting. */
+static void serve_arrived(struct kn *kn)
+{
+	int i;
+
+	for (i = 0; i < KN_ARRIVED_ROUNDS; i++) {
+		uv_run(kn->loop, UV_RUN_NOWAIT);
+		drain_mailboxes(kn);
+		log_flush();
+	}
+}
+
 /* Runs one round of mailboxes, sockets and timers. */
 void kn_turn(struct kn *kn)
 {
@@ -359,31 +384,21 @@
 	if (kn->stopped)
 		return;
 	uv_run(kn->loop, list_empty(&kn->ready) ? UV_RUN_ONCE : UV_RUN_NOWAIT);
+	if (kn->late) {
+		serve_arrived(kn);
+		kn->late = false;
+		run_timers(kn);
+	}
 	handle_reload(kn);
 	handle_signals(kn);
 }
 
-/*
- * Serves what has arrived already. Timers run before sockets are read, so that
- * after a time without processor a drain can end with requests unread, and
- * closing their connections would reset them.
- */
-static void serve_arrived(struct kn *kn)
-{
-	int i;
-
-	for (i = 0; i < KN_LAST_ROUNDS; i++) {
-		drain_mailboxes(kn);
-		log_flush();
-		uv_run(kn->loop, UV_RUN_NOWAIT);
-	}
-}
-
 /* Runs until kn_stop() or until all tasks have drained. */
 int kn_run(struct kn *kn)
 {
 	while (!kn->stopped)
 		kn_turn(kn);
+	/* Closing a connection resets it while a request of it is unread. */
 	if (kn->draining)
 		serve_arrived(kn);
 	return kn->exit_code;
--- a/base/kn.h
+++ b/base/kn.h
@@ -68,6 +68,7 @@
 	struct list_head tasks;
 	struct list_head ready;
 	struct ctr_set counters;
+	bool late; /* timers are overdue and wait for the sockets */
 	bool draining;
 	bool stopped;
 	int exit_code;
--- a/tests/unit/test_kn.c
+++ b/tests/unit/test_kn.c
@@ -1,12 +1,16 @@
 #include <check.h>
 #include <stdlib.h>
+#include <string.h>
+#include <sys/socket.h>
 #include <sys/syscall.h>
 #include <time.h>
 #include <unistd.h>
 
 #include "base/kn.h"
 #include "base/limits.h"
+#include "tests/standins/be_sock.h"
 #include "tests/unit/run.h"
+#include "wire/hs.h"
 
 struct echo_task {
 	struct kn_task task;
@@ -180,6 +184,43 @@
 }
 END_TEST
 
+static int requests;
+
+static void count_request(struct hs_server *server, struct hs_request *req)
+{
+	requests++;
+	hs_reply(req, 200, NULL, NULL, 0);
+}
+
+static void note_requests(struct kn_timer *timer)
+{
+	container_of(timer, struct timer_state, timer)->fired = 1 + requests;
+}
+
+START_TEST(timer_that_is_overdue_finds_the_sockets_read)
+{
+	static const struct hs_ops ops = { .request = count_request };
+	static const char get[] = "GET / HTTP/1.1\r\n\r\n";
+	struct timer_state state = { 0 };
+	struct hs_server server;
+	struct be_sock sock;
+	struct kn kn;
+
+	ck_assert(kn_init(&kn, NULL));
+	ck_assert(hs_init(&server, &kn, &ops, "127.0.0.1", 0, NULL));
+	kn_timer_set(&kn, &state.timer, 100 * USEC_PER_MSEC, note_requests);
+	be_connect(&sock, server.port);
+	ck_assert_int_gt(send(sock.fd, get, strlen(get), 0), 0);
+	usleep(200 * USEC_PER_MSEC);
+	while (state.fired == 0)
+		kn_turn(&kn);
+	ck_assert_int_eq(state.fired, 1 + 1);
+	be_close(&sock);
+	hs_finish(&server);
+	kn_finish(&kn);
+}
+END_TEST
+
 START_TEST(message_from_timer_is_delivered_at_once)
 {
 	struct timer_state state = { 0 };
@@ -202,6 +243,7 @@
 
 	tcase_add_test(tc, messages_keep_order_through_services);
 	tcase_add_test(tc, timer_rearms_and_stops);
+	tcase_add_test(tc, timer_that_is_overdue_finds_the_sockets_read);
 	tcase_add_test(tc, message_from_timer_is_delivered_at_once);
 	tcase_add_test(tc, timer_fires_after_a_delay_between_readings);
 	return run_case("kn", tc);
--- a/wire/hs.c
+++ b/wire/hs.c
@@ -172,31 +172,14 @@
 
 /* Timeouts. */
 
-/* Whether bytes have arrived that the event loop has not read yet. */
-static bool has_unread(const struct hs_conn *conn)
-{
-	char byte;
-
-	return recv(lws_get_socket_fd(conn->wsi), &byte, 1,
-		    MSG_PEEK | MSG_DONTWAIT) > 0;
-}
-
-/*
- * Timers run before sockets are read: after a time without processor the bytes
- * that were waited for may be there, and the next sweep looks again.
- */
 static void expire(struct hs_conn *conn)
 {
 	switch (conn->state) {
 	case HS_HEAD:
 	case HS_BODY:
-		if (!has_unread(conn))
-			hs_refuse(conn, CB_E_SLOW_SENDER);
+		hs_refuse(conn, CB_E_SLOW_SENDER);
 		break;
 	case HS_IDLE:
-		if (!has_unread(conn))
-			hs_conn_close(conn);
-		break;
 	case HS_WRITE:
 	case HS_LINGER:
 		hs_conn_close(conn);
