Store no checkpoints that the record has no room for

What callers saw: nothing yet. A job whose tasks save large checkpoints would have stopped all jobs of the deployment, as the leader repeats a transaction that the store refuses for its size.

Cause: the checkpoints of all tasks are part of the job's record and had no limit of their own.

Change: if the checkpoints of a job have more than 512 KB, half of a value of the store, none of them is stored, and record.no_checkpoints says so. A part of them would give the members of a gang different ones. A later leader starts the waiting tasks anew; running ones report theirs again.

Evidence: record_of_large_checkpoints_fits (test_record, 600 tasks of 4,000 bytes) failed before the change with a record of 2,406,841 bytes.

--- a/control/record.c
+++ b/control/record.c
@@ -2,6 +2,7 @@
 
 #include <string.h>
 
+#include "base/log.h"
 #include "wire/fr.h"
 #include "wire/mp.h"
 
@@ -15,6 +16,8 @@
 };
 
 #define STRETCH_SCALE 1000.0 /* stretch is stored in thousandths */
+/* Of all tasks of a job: half of what the store takes in one value. */
+#define RECORD_CHECKPOINTS_MAX_BYTES (512 * 1024)
 
 /* Submissions. */
 
@@ -188,7 +191,46 @@
 	       !task->checkpoint;
 }
 
-static void task_write(const struct task *task, struct mp_out *out)
+/* A task that is done needs none. */
+static const char *stored_checkpoint(const struct task *task)
+{
+	return task->phase == TASK_DONE ? NULL : task->checkpoint;
+}
+
+static size_t checkpoint_bytes(const struct stage *stage)
+{
+	size_t bytes = 0;
+	int i;
+
+	for (i = 0; i < stage->spec->count; i++) {
+		const char *text = stored_checkpoint(&stage->tasks[i]);
+
+		bytes += text ? strlen(text) : 0;
+	}
+	return bytes;
+}
+
+/*
+ * Whether the record has room for the checkpoints. Without them the tasks of a
+ * later leader begin anew; a part of them would give the members of a gang
+ * different ones.
+ */
+static bool checkpoints_fit(const struct job *job)
+{
+	size_t bytes = 0;
+	int64_t i;
+
+	for (i = 0; i < job->due * job->spec.nsteps; i++)
+		bytes += job->stages[i] ? checkpoint_bytes(job->stages[i]) : 0;
+	if (bytes <= RECORD_CHECKPOINTS_MAX_BYTES)
+		return true;
+	log_warn("record.no_checkpoints", "job=%s bytes=%zu limit=%d", job->id,
+		 bytes, RECORD_CHECKPOINTS_MAX_BYTES);
+	return false;
+}
+
+static void task_write(const struct task *task, bool checkpoints,
+		       struct mp_out *out)
 {
 	bool holds = task->worker && task->phase != TASK_DONE;
 	const struct task *copy = task_has_copy(task) ? task->copy : NULL;
@@ -200,7 +242,7 @@
 	mp_int(out, task->fails);
 	mp_str(out, holds ? task->worker->reported.id : NULL);
 	mp_int(out, holds ? task->worker->reported.born_ms : 0);
-	mp_str(out, task->phase == TASK_DONE ? NULL : task->checkpoint);
+	mp_str(out, checkpoints ? stored_checkpoint(task) : NULL);
 	if (!copy)
 		return;
 	mp_int(out, copy->run);
@@ -208,7 +250,8 @@
 	mp_int(out, copy->worker->reported.born_ms);
 }
 
-static void stage_write(const struct stage *stage, struct mp_out *out)
+static void stage_write(const struct stage *stage, bool checkpoints,
+			struct mp_out *out)
 {
 	int changed = 0;
 	int i;
@@ -223,11 +266,12 @@
 	mp_array(out, changed);
 	for (i = 0; i < stage->spec->count; i++)
 		if (!task_is_initial(&stage->tasks[i]))
-			task_write(&stage->tasks[i], out);
+			task_write(&stage->tasks[i], checkpoints, out);
 }
 
 void record_state_write(const struct job *job, msgpack_sbuffer *out)
 {
+	bool checkpoints = checkpoints_fit(job);
 	int64_t i, live = 0;
 	struct mp_out mp;
 
@@ -245,7 +289,7 @@
 	for (i = 0; i < job->due * job->spec.nsteps; i++)
 		if (job->stages[i] &&
 		    !(job_ended(job) && !fleet_job_holds_room(job)))
-			stage_write(job->stages[i], &mp);
+			stage_write(job->stages[i], checkpoints, &mp);
 	move_buffer(&mp, out);
 }
 
--- a/tests/unit/test_record.c
+++ b/tests/unit/test_record.c
@@ -233,6 +233,29 @@
 }
 END_TEST
 
+START_TEST(record_of_large_checkpoints_fits)
+{
+	struct job *job = make_job(&fleet, "big", 1, 600, 1, 100, NOW), *copy;
+	char *checkpoint = g_strnfill(4000, 'c');
+	msgpack_sbuffer record;
+	int i;
+
+	job->spec.steps[0].checkpoint = true;
+	fleet_open_due(&fleet, NOW, 0);
+	for (i = 0; i < 600; i++)
+		first_occurrence_task(job, 0, i)->checkpoint =
+			g_strdup(checkpoint);
+	record_state_write(job, &record);
+	ck_assert_uint_le(record.size, VALUE_BYTES_MAX);
+	copy = copy_submission(job);
+	fleet_add_job(&next, copy);
+	ck_assert(
+		record_state_read(&next, copy, record.data, record.size, NOW));
+	msgpack_sbuffer_destroy(&record);
+	g_free(checkpoint);
+}
+END_TEST
+
 /*
  * Guards against a record that grows with the occurrences that are over, and
  * against occurrences that are left out: a new leader takes over in between.
@@ -320,6 +343,7 @@
 	tcase_add_test(tc, copy_survives_a_takeover);
 	tcase_add_test(tc, ended_job_keeps_its_phase);
 	tcase_add_test(tc, record_of_an_overdue_schedule_fits);
+	tcase_add_test(tc, record_of_large_checkpoints_fits);
 	tcase_add_test(tc, occurrences_that_are_over_leave_the_record);
 	tcase_add_test(tc, broken_records_are_refused);
 	tcase_add_test(tc, counts_of_waiting_jobs);
