Remove only the records of a job that the leader has read

What callers saw: GET of an accepted job was answered 410. Its id had been used before, and a removal of the earlier records that the store carried out late took the new ones; or, after a takeover, the job's submission could not be read.

Cause: a removal of an old job compared the leader's key only.

A removal now compares the revisions of the submission and of the state, so that it has no effect once one of them has been written since, however late it is carried out. If its comparison fails, it is dropped.

--- a/control/director_pass.c
+++ b/control/director_pass.c
@@ -60,7 +60,8 @@
 		    director_wall_ms() - job->ended_ms < keep_ms ||
 		    fleet_job_holds_room(job))
 			continue;
-		ledger_remove_job(&director->ledger, job->id);
+		ledger_remove_job(&director->ledger, job->id, job->spec_rev,
+				  job->record_rev);
 		fleet_remove_job(&director->fleet, job);
 	}
 	director->adapter->workers->ops->trim(director->adapter->workers);
--- a/control/director_watch.c
+++ b/control/director_watch.c
@@ -37,6 +37,7 @@
 			item->mod_revision, CB_E_BAD_JOB);
 		return;
 	}
+	job->spec_rev = item->mod_revision;
 	job->arrived_us =
 		kn_now_us() -
 		CLAMP(director_wall_ms() - job->accepted_ms, 0, 86400000) *
--- a/control/ledger.c
+++ b/control/ledger.c
@@ -10,9 +10,27 @@
 
 /* Delay after a failure. The store gives no time for a retry. */
 #define LEDGER_RETRY_MS 100
-/* Three keys are removed for each job. This keeps a transaction within the
- * store's limit of operations. */
-#define REMOVED_JOBS_PER_WRITE 8
+/* A write has up to 32 entries: five a job, the leader's key, the counts. */
+#define REMOVED_JOBS_PER_WRITE 5
+
+/* The records of a job that the fleet no longer has. */
+struct removal {
+	char *spec_key;
+	char *cancel_key;
+	char *state_key;
+	int64_t spec_rev; /* 0: there is none */
+	int64_t state_rev;
+};
+
+static void removal_free(void *data)
+{
+	struct removal *removal = data;
+
+	g_free(removal->spec_key);
+	g_free(removal->cancel_key);
+	g_free(removal->state_key);
+	g_free(removal);
+}
 
 void ledger_init(struct ledger *ledger, struct kv *kv,
 		 const struct ledger_ops *ops)
@@ -22,7 +40,7 @@
 	ledger->kv = kv;
 	ledger->jobs_in_call = g_ptr_array_new();
 	ledger->changes_in_call = g_array_new(FALSE, FALSE, sizeof(uint64_t));
-	ledger->removed_jobs = g_ptr_array_new_with_free_func(g_free);
+	ledger->removals = g_ptr_array_new_with_free_func(removal_free);
 	ctr_init(&ledger->writes, &kv->kn->counters, CTR_COUNTER,
 		 "chivebank_ledger_writes_total", NULL,
 		 "Transactions of the leader that were carried out");
@@ -39,7 +57,7 @@
 	ledger_close(ledger);
 	g_ptr_array_unref(ledger->jobs_in_call);
 	g_array_unref(ledger->changes_in_call);
-	g_ptr_array_unref(ledger->removed_jobs);
+	g_ptr_array_unref(ledger->removals);
 	ctr_finish(&ledger->writes);
 	ctr_finish(&ledger->retries);
 	ctr_finish(&ledger->latency);
@@ -66,7 +84,7 @@
 	ledger->removals_in_call = 0;
 	g_ptr_array_set_size(ledger->jobs_in_call, 0);
 	g_array_set_size(ledger->changes_in_call, 0);
-	g_ptr_array_set_size(ledger->removed_jobs, 0);
+	g_ptr_array_set_size(ledger->removals, 0);
 	g_free(ledger->counts);
 	ledger->counts = NULL;
 	ledger->counts_len = 0;
@@ -146,7 +164,7 @@
 			revision);
 	sort_dirty(ledger->fleet);
 	if (ledger->removals_in_call > 0)
-		g_ptr_array_remove_range(ledger->removed_jobs, 0,
+		g_ptr_array_remove_range(ledger->removals, 0,
 					 (guint)ledger->removals_in_call);
 	if (ledger->counts_in_call) {
 		ledger->counts_dirty = false;
@@ -165,10 +183,37 @@
 	return g_strconcat(KEY_STATE_PREFIX, job->id, NULL);
 }
 
+static bool has_revision(const struct kv_call *call, const char *key,
+			 int64_t revision)
+{
+	const struct kv_item *item = kv_find(call, key);
+
+	return (item ? item->mod_revision : 0) == revision;
+}
+
+/* Drops the removals of records that are gone or have been written since. */
+static void drop_changed_removals(struct ledger *ledger,
+				  const struct kv_call *call)
+{
+	guint i;
+
+	for (i = (guint)ledger->removals_in_call; i-- > 0;) {
+		const struct removal *removal =
+			g_ptr_array_index(ledger->removals, i);
+
+		if (has_revision(call, removal->spec_key, removal->spec_rev) &&
+		    has_revision(call, removal->state_key, removal->state_rev))
+			continue;
+		log_info("ledger.not_removed", "key=%s revision=%lld",
+			 removal->state_key, (long long)removal->state_rev);
+		g_ptr_array_remove_index(ledger->removals, i);
+	}
+}
+
 /*
  * Handles a failed comparison: either another host holds the leader's key, or
  * an earlier attempt at this transaction was executed after all. In the second
- * case, updates the known revisions of the records and counts and returns true.
+ * case, updates what is known of the records and counts and returns true.
  */
 static bool still_leader(struct ledger *ledger, const struct kv_call *call)
 {
@@ -190,6 +235,7 @@
 		job->record_rev = item ? item->mod_revision : 0;
 		g_free(key);
 	}
+	drop_changed_removals(ledger, call);
 	return true;
 }
 
@@ -270,28 +316,28 @@
 	g_array_append_val(ledger->changes_in_call, job->last_change);
 }
 
-/* Takes ownership of key. */
-static void batch_remove(struct batch *batch, char *key)
+static void batch_remove(struct batch *batch, const char *key)
 {
 	struct kv_op op = { .kind = KV_DELETE, .key = key };
 
-	g_ptr_array_add(batch->memory, key);
 	g_array_append_val(batch->ops, op);
 }
 
+/* The cancellation has no comparison: it belongs to the submission. */
 static void add_removals(struct ledger *ledger, struct batch *batch)
 {
 	guint i;
 
-	for (i = 0; i < ledger->removed_jobs->len && i < REMOVED_JOBS_PER_WRITE;
+	for (i = 0; i < ledger->removals->len && i < REMOVED_JOBS_PER_WRITE;
 	     i++) {
-		const char *id = g_ptr_array_index(ledger->removed_jobs, i);
-
-		batch_remove(batch, g_strconcat(KEY_INTAKE_PREFIX, id,
-						KEY_SPEC_SUFFIX, NULL));
-		batch_remove(batch, g_strconcat(KEY_INTAKE_PREFIX, id,
-						KEY_CANCEL_SUFFIX, NULL));
-		batch_remove(batch, g_strconcat(KEY_STATE_PREFIX, id, NULL));
+		const struct removal *removal =
+			g_ptr_array_index(ledger->removals, i);
+
+		batch_compare(batch, removal->spec_key, removal->spec_rev);
+		batch_compare(batch, removal->state_key, removal->state_rev);
+		batch_remove(batch, removal->spec_key);
+		batch_remove(batch, removal->cancel_key);
+		batch_remove(batch, removal->state_key);
 		ledger->removals_in_call++;
 	}
 }
@@ -352,7 +398,7 @@
 bool ledger_idle(const struct ledger *ledger)
 {
 	return !ledger->call_pending && list_empty(&ledger->fleet->dirty) &&
-	       !ledger->counts_dirty && ledger->removed_jobs->len == 0;
+	       !ledger->counts_dirty && ledger->removals->len == 0;
 }
 
 void ledger_set_queue_counts(struct ledger *ledger, const void *data,
@@ -367,7 +413,17 @@
 	ledger->counts_dirty = true;
 }
 
-void ledger_remove_job(struct ledger *ledger, const char *id)
+void ledger_remove_job(struct ledger *ledger, const char *id, int64_t spec_rev,
+		       int64_t state_rev)
 {
-	g_ptr_array_add(ledger->removed_jobs, g_strdup(id));
+	struct removal *removal = g_new0(struct removal, 1);
+
+	removal->spec_key =
+		g_strconcat(KEY_INTAKE_PREFIX, id, KEY_SPEC_SUFFIX, NULL);
+	removal->cancel_key =
+		g_strconcat(KEY_INTAKE_PREFIX, id, KEY_CANCEL_SUFFIX, NULL);
+	removal->state_key = g_strconcat(KEY_STATE_PREFIX, id, NULL);
+	removal->spec_rev = spec_rev;
+	removal->state_rev = state_rev;
+	g_ptr_array_add(ledger->removals, removal);
 }
--- a/control/ledger.h
+++ b/control/ledger.h
@@ -32,8 +32,8 @@
 	int64_t started_us; /* first attempt of the transaction, 0: none */
 	GPtrArray *jobs_in_call; /* struct job, borrowed: jobs being written */
 	GArray *changes_in_call; /* uint64_t: last change of each */
-	GPtrArray *removed_jobs; /* char *: ids whose records must go */
-	size_t removals_in_call; /* number of ids in the transaction */
+	GPtrArray *removals; /* struct removal: jobs whose records must go */
+	size_t removals_in_call; /* number of them in the transaction */
 	char *counts; /* latest counts record; written when it changes */
 	size_t counts_len;
 	bool counts_dirty;
@@ -59,8 +59,12 @@
 /* Sets the counts of waiting jobs for the next transaction. Copies data. */
 void ledger_set_queue_counts(struct ledger *ledger, const void *data,
 			     size_t len);
-/* Removes the stored records of a job that the fleet no longer has. */
-void ledger_remove_job(struct ledger *ledger, const char *id);
+/*
+ * Removes the stored records of a job that the fleet no longer has, while its
+ * submission and its state have these revisions (0: there is none).
+ */
+void ledger_remove_job(struct ledger *ledger, const char *id, int64_t spec_rev,
+		       int64_t state_rev);
 /* Whether nothing is being written and nothing is left to be written. */
 bool ledger_idle(const struct ledger *ledger);
 
--- a/control/takeover.c
+++ b/control/takeover.c
@@ -17,7 +17,9 @@
 	if (!job) {
 		log_warn("state.orphan", "job=%s revision=%" G_GINT64_FORMAT,
 			 state->id, state->revision);
-		ledger_remove_job(&director->ledger, state->id);
+		/* One that can't be read is there, and holds the removal off. */
+		ledger_remove_job(&director->ledger, state->id, 0,
+				  state->revision);
 		return;
 	}
 	job->record_rev = state->revision;
--- a/fleet/job.h
+++ b/fleet/job.h
@@ -133,6 +133,7 @@
 	uint64_t first_change; /* oldest change not in the store, 0: none */
 	uint64_t last_change;
 	bool writing; /* a write of its record is pending */
+	int64_t spec_rev; /* revision of its stored submission */
 	int64_t record_rev; /* revision of its stored record, 0: none */
 	/* Whether its customer's guarantee covers it, as of the last pass. */
 	bool guaranteed;
--- a/tests/standins/site_store.c
+++ b/tests/standins/site_store.c
@@ -339,14 +339,20 @@
 	}
 }
 
-void site_store_put(struct site_store *store, const char *key,
-		    const char *value)
+void site_store_put_bytes(struct site_store *store, const char *key,
+			  const void *value, size_t len)
 {
 	store->revision++;
-	put(store, key, value, strlen(value), 0);
+	put(store, key, value, len, 0);
 	site_waits_wake(store);
 }
 
+void site_store_put(struct site_store *store, const char *key,
+		    const char *value)
+{
+	site_store_put_bytes(store, key, value, strlen(value));
+}
+
 void site_store_remove(struct site_store *store, const char *key)
 {
 	store->revision++;
--- a/tests/standins/site_store.h
+++ b/tests/standins/site_store.h
@@ -88,6 +88,9 @@
 /* Writes as an operator or a worker. */
 void site_store_put(struct site_store *store, const char *key,
 		    const char *value);
+/* The same for a value that is no text. */
+void site_store_put_bytes(struct site_store *store, const char *key,
+			  const void *value, size_t len);
 void site_store_remove(struct site_store *store, const char *key);
 /* NULL when there is no such key. */
 const struct site_item *site_store_get(struct site_store *store,
--- a/tests/unit/test_intake.c
+++ b/tests/unit/test_intake.c
@@ -12,6 +12,10 @@
 #define JOB_BODY                                                              \
 	"{\"spec\":\"ms=100\",\"steps\":[{\"count\":1,\"cpu\":100,\"gpu\":1," \
 	"\"est_ms\":100}]}"
+/* Due in the year 2200. */
+#define JOB_OF_LATER                                                   \
+	"{\"spec\":\"ms=100\",\"times\":1,\"first_ms\":7258118400000," \
+	"\"steps\":[{\"count\":1,\"cpu\":100,\"est_ms\":100}]}"
 
 static struct rig rig;
 
@@ -34,6 +38,83 @@
 }
 END_TEST
 
+#define SPEC_A "chivebank/intake/" JOB_A "/spec"
+#define STATE_A "chivebank/state/" JOB_A
+
+static void run_until_gone(const char *key, int64_t timeout_ms)
+{
+	int64_t until_us = kn_now_us() + timeout_ms * USEC_PER_MSEC;
+
+	while (site_store_get(rig.store, key) && kn_now_us() < until_us)
+		rig_run_ms(&rig, 5);
+	ck_assert_ptr_null(site_store_get(rig.store, key));
+}
+
+static void finish_job_a(void)
+{
+	ck_assert_int_eq(rig_submit(&rig, 0, JOB_A, 1, "ms=50", NULL), 200);
+	ck_assert(rig_wait(&rig, 0, JOB_A, "done", 5000));
+}
+
+static void take_over(void)
+{
+	int64_t fence = site_store_get(rig.store, "chivebank/leader")->revision;
+	const struct site_item *leader;
+
+	site_store_lapse(rig.store, "chivebank/leader");
+	do {
+		rig_run_ms(&rig, 20);
+		leader = site_store_get(rig.store, "chivebank/leader");
+	} while (!leader || leader->revision == fence);
+	rig_run_ms(&rig, 2500);
+}
+
+/* The store carries a removal out after the job was handed in again. */
+START_TEST(late_removal_removes_no_job_that_was_handed_in_again)
+{
+	rig_start(&rig, 1, 1, 2);
+	finish_job_a();
+	rig_run_ms(&rig, 1500);
+	site_store_fault(rig.store, -1, SITE_LATE, 100, 0);
+	rig.hosts[0].site.bounds.status_ms = 1;
+	while (list_empty(&rig.store->later))
+		rig_run_ms(&rig, 5);
+	site_store_fault(rig.store, -1, SITE_WELL, 0, 0);
+	rig.hosts[0].site.bounds.status_ms = 60000;
+	run_until_gone(SPEC_A, SITE_LATE_MS - 50);
+	ck_assert_int_eq(rig_call(&rig, 0, "POST", RIG_PREFIX JOB_A, RIG_KEY,
+				  JOB_OF_LATER)
+				 .status,
+			 200);
+	rig_run_ms(&rig, 2 * SITE_LATE_MS);
+	ck_assert_str_eq(rig_state(&rig, 0, JOB_A), "queued");
+	rig_stop(&rig);
+}
+END_TEST
+
+START_TEST(takeover_removes_no_job_whose_submission_is_unreadable)
+{
+	rig_start(&rig, 2, 1, 3);
+	finish_job_a();
+	site_store_put(rig.store, SPEC_A, "unreadable");
+	take_over();
+	ck_assert_str_eq(rig_state(&rig, 0, JOB_A), "done");
+	ck_assert_ptr_nonnull(site_store_get(rig.store, SPEC_A));
+	rig_stop(&rig);
+}
+END_TEST
+
+START_TEST(takeover_removes_a_state_without_a_submission)
+{
+	rig_start(&rig, 2, 1, 4);
+	finish_job_a();
+	site_store_remove(rig.store, SPEC_A);
+	take_over();
+	ck_assert_ptr_null(site_store_get(rig.store, STATE_A));
+	rig_stop(&rig);
+}
+END_TEST
+
 int main(void)
 {
 	TCase *tc = tcase_create("intake");
@@ -41,5 +122,10 @@
 	tcase_set_timeout(tc, 30);
 	tcase_add_test(
 		tc, stop_answers_a_submission_that_the_store_does_not_answer);
+	tcase_add_test(tc,
+		       late_removal_removes_no_job_that_was_handed_in_again);
+	tcase_add_test(tc,
+		       takeover_removes_no_job_whose_submission_is_unreadable);
+	tcase_add_test(tc, takeover_removes_a_state_without_a_submission);
 	return run_case("intake", tc);
 }
