Count the time until a job is removed on one clock

What callers saw: GET of a job that had just ended was answered 410 after a change of the leader.

Cause: the end was stored with the time of day of the leader then, and compared with that of the leader now. A clock that is behind by more than twice status_s, as one may be after the start of its host, made the end look old; one that is ahead kept the records for as much longer.

The leader now counts on its monotonic clock from when it finds that the end is stored, which is later than the end by every clock.

--- a/control/director_pass.c
+++ b/control/director_pass.c
@@ -49,16 +49,32 @@
 		       STORE_STALL_LIMIT_MS * USEC_PER_MSEC;
 }
 
-/* Removes ended jobs whose time for status requests is over. */
-static void remove_expired_jobs(struct director *director)
+/*
+ * Whether the time for status requests is over. It counts on this host's
+ * monotonic clock from when this leader first finds that the end is stored: the
+ * wall clocks of two leaders may differ by any amount.
+ */
+static bool is_expired(const struct director *director, struct job *job,
+		       int64_t now_us)
 {
 	int64_t keep_ms = director->site->bounds.status_ms * RECORD_KEEP_FACTOR;
+
+	if (!job_ended(job) || job->first_change != 0 || job->writing ||
+	    fleet_job_holds_room(job))
+		return false;
+	if (!job->end_stored) {
+		job->end_stored = true;
+		job->end_stored_us = now_us;
+	}
+	return now_us - job->end_stored_us >= keep_ms * USEC_PER_MSEC;
+}
+
+static void remove_expired_jobs(struct director *director, int64_t now_us)
+{
 	struct job *job, *next;
 
 	list_for_each_entry_safe(job, next, &director->fleet.jobs, node) {
-		if (!job_ended(job) || job->first_change != 0 || job->writing ||
-		    director_wall_ms() - job->ended_ms < keep_ms ||
-		    fleet_job_holds_room(job))
+		if (!is_expired(director, job, now_us))
 			continue;
 		ledger_remove_job(&director->ledger, job->id, job->spec_rev,
 				  job->record_rev);
@@ -132,7 +148,7 @@
 	if (now_us >= director->next_cleanup_us) {
 		director->next_cleanup_us =
 			now_us + CLEANUP_INTERVAL_MS * USEC_PER_MSEC;
-		remove_expired_jobs(director);
+		remove_expired_jobs(director, now_us);
 	}
 	ledger_flush(&director->ledger);
 	took_us = kn_now_us() - now_us;
--- a/fleet/job.h
+++ b/fleet/job.h
@@ -124,6 +124,9 @@
 	bool cancelled;
 	bool started; /* at least one task has started */
 	int64_t ended_ms; /* Unix time, 0: not ended */
+	/* This leader has found the end in the store, and when. */
+	bool end_stored;
+	int64_t end_stored_us;
 	/* Stages of occurrence k start at k * nsteps; NULL: not due or over. */
 	struct stage **stages;
 	int64_t occurrences; /* the total; stages has room for all */
--- a/tests/unit/test_intake.c
+++ b/tests/unit/test_intake.c
@@ -3,6 +3,7 @@
 #include <string.h>
 
 #include "base/limits.h"
+#include "control/record.h"
 #include "tests/standins/site_rig.h"
 #include "tests/unit/run.h"
 
@@ -115,6 +116,51 @@
 }
 END_TEST
 
+/* The stored state of job A as a leader wrote it whose time was ended_ms. */
+static void store_end_of_job_a(int64_t ended_ms)
+{
+	struct job_spec spec;
+	msgpack_sbuffer record;
+	struct job *job;
+
+	job_spec_init(&spec, 1);
+	spec.steps[0].count = 1;
+	job = job_new(JOB_A, &spec);
+	job->customer = g_strdup("one");
+	job->phase = JOB_DONE;
+	job->ended_ms = ended_ms;
+	record_state_write(job, &record);
+	site_store_put_bytes(rig.store, STATE_A, record.data, record.size);
+	msgpack_sbuffer_destroy(&record);
+	job_free(job);
+}
+
+START_TEST(job_that_ended_by_a_wrong_clock_is_not_removed_at_once)
+{
+	rig_start(&rig, 2, 1, 5);
+	finish_job_a();
+	store_end_of_job_a(1);
+	take_over();
+	ck_assert_str_eq(rig_state(&rig, 0, JOB_A), "done");
+	rig_stop(&rig);
+}
+END_TEST
+
+/* And it does not stay for as long as the other clock is ahead. */
+START_TEST(job_that_ended_by_a_clock_ahead_is_removed_in_time)
+{
+	rig_start(&rig, 2, 1, 6);
+	finish_job_a();
+	store_end_of_job_a(kn_wall_us() / 1000 + 3600 * 1000);
+	rig.hosts[0].site.bounds.status_ms = 500;
+	rig.hosts[1].site.bounds.status_ms = 500;
+	take_over();
+	run_until_gone(SPEC_A, 2000);
+	ck_assert_ptr_null(site_store_get(rig.store, STATE_A));
+	rig_stop(&rig);
+}
+END_TEST
+
 int main(void)
 {
 	TCase *tc = tcase_create("intake");
@@ -127,5 +173,8 @@
 	tcase_add_test(tc,
 		       takeover_removes_no_job_whose_submission_is_unreadable);
 	tcase_add_test(tc, takeover_removes_a_state_without_a_submission);
+	tcase_add_test(tc,
+		       job_that_ended_by_a_wrong_clock_is_not_removed_at_once);
+	tcase_add_test(tc, job_that_ended_by_a_clock_ahead_is_removed_in_time);
 	return run_case("intake", tc);
 }
