Show jobs without a customer after their queue was closed

What callers saw: GET and DELETE of an accepted job were answered 410 after a new configuration required keys on its queue.

Cause: a job that is handed in without a key has no customer, which no caller with a key has either.

Evidence: job_without_a_key_is_known_after_its_queue_was_closed (test_intake) failed before the change: 410 in place of 200.

Such a job was everyone's when it was accepted, so it is visible to each caller that the queue lets in. Jobs with a customer stay hidden from others (job_is_known_to_its_customer_only).

--- a/control/intake.c
+++ b/control/intake.c
@@ -206,9 +206,12 @@
 		finish(req, CB_E_NO_JOB, 0);
 }
 
+/* A job that was handed in without a key is everyone's, also once its queue
+ * requires one. */
 static bool may_see(const struct intake_request *req, const char *customer)
 {
-	return req->open || g_strcmp0(req->customer, customer) == 0;
+	return req->open || !customer || !*customer ||
+	       strcmp(req->customer, customer) == 0;
 }
 
 static void on_state(struct intake_request *req, const struct kv_call *call)
--- a/tests/unit/test_intake.c
+++ b/tests/unit/test_intake.c
@@ -10,6 +10,7 @@
 /* Calls of callers at an entry host, with a simulated store. */
 
 #define JOB_A "00000000000000aa"
+#define JOB_B "00000000000000bb"
 #define JOB_BODY                                                              \
 	"{\"spec\":\"ms=100\",\"steps\":[{\"count\":1,\"cpu\":100,\"gpu\":1," \
 	"\"est_ms\":100}]}"
@@ -161,6 +162,74 @@
 }
 END_TEST
 
+#define TENANTS                                                    \
+	"{\"name\":\"one\",\"api_keys\":[\"key-one\",\"key-1\"]}," \
+	"{\"name\":\"two\",\"api_keys\":[\"key-two\"]}"
+
+/* A configuration with the queue of the rig, open or not, and an open one. */
+static void configure(int version, bool open, const char *tenants)
+{
+	char *text = g_strdup_printf(
+		"{\"version\":%d,\"routes\":[{\"name\":\"q1\",\"host\":\"%s\","
+		"\"prefix\":\"%s\",\"slo_ms\":1000,\"svc\":\"pool\","
+		"\"attempts\":3,\"stretch\":3.0,\"public\":%s},"
+		"{\"name\":\"everyone\",\"host\":\"%s\",\"prefix\":\"/all/\","
+		"\"slo_ms\":1000,\"svc\":\"pool\",\"attempts\":3,"
+		"\"stretch\":3.0,\"public\":true}],"
+		"\"svcs\":[{\"name\":\"pool\"}],\"limits\":{},"
+		"\"tenants\":[%s]}",
+		version, RIG_HOST, RIG_PREFIX, open ? "true" : "false",
+		RIG_HOST, tenants);
+
+	site_store_put(rig.store, "op/config", text);
+	g_free(text);
+	rig_run_ms(&rig, 300);
+}
+
+static int status_of(const char *method, const char *path, const char *key)
+{
+	return rig_call(&rig, 0, method, path, key, NULL).status;
+}
+
+static int submit(const char *path, const char *key, const char *body)
+{
+	return rig_call(&rig, 0, "POST", path, key, body).status;
+}
+
+/* Also a job that has no state yet. */
+START_TEST(job_without_a_key_is_known_after_its_queue_was_closed)
+{
+	rig_start(&rig, 1, 1, 7);
+	configure(2, true, TENANTS);
+	ck_assert_int_eq(submit(RIG_PREFIX JOB_A, NULL, JOB_BODY), 200);
+	ck_assert_int_eq(submit(RIG_PREFIX JOB_B, NULL, JOB_OF_LATER), 200);
+	rig_run_ms(&rig, 500);
+	configure(3, false, TENANTS);
+	ck_assert_int_eq(status_of("GET", RIG_PREFIX JOB_A, NULL), 401);
+	ck_assert_int_eq(status_of("GET", RIG_PREFIX JOB_A, "key-one"), 200);
+	ck_assert_int_eq(status_of("GET", RIG_PREFIX JOB_B, "key-two"), 200);
+	ck_assert_int_eq(status_of("DELETE", RIG_PREFIX JOB_B, "key-two"), 200);
+	rig_stop(&rig);
+}
+END_TEST
+
+START_TEST(job_is_known_to_its_customer_only)
+{
+	rig_start(&rig, 1, 1, 8);
+	configure(2, false, TENANTS);
+	ck_assert_int_eq(submit(RIG_PREFIX JOB_A, "key-one", JOB_BODY), 200);
+	ck_assert_int_eq(submit(RIG_PREFIX JOB_B, "key-one", JOB_OF_LATER),
+			 200);
+	rig_run_ms(&rig, 500);
+	ck_assert_int_eq(status_of("GET", RIG_PREFIX JOB_A, "key-1"), 200);
+	ck_assert_int_eq(status_of("GET", RIG_PREFIX JOB_A, "key-two"), 410);
+	ck_assert_int_eq(status_of("GET", RIG_PREFIX JOB_B, "key-two"), 410);
+	ck_assert_int_eq(status_of("DELETE", RIG_PREFIX JOB_B, "key-two"), 410);
+	ck_assert_str_eq(rig_state(&rig, 0, JOB_B), "queued");
+	rig_stop(&rig);
+}
+END_TEST
+
 int main(void)
 {
 	TCase *tc = tcase_create("intake");
@@ -176,5 +245,8 @@
 	tcase_add_test(tc,
 		       job_that_ended_by_a_wrong_clock_is_not_removed_at_once);
 	tcase_add_test(tc, job_that_ended_by_a_clock_ahead_is_removed_in_time);
+	tcase_add_test(tc,
+		       job_without_a_key_is_known_after_its_queue_was_closed);
+	tcase_add_test(tc, job_is_known_to_its_customer_only);
 	return run_case("intake", tc);
 }
