--- a/fleet/job.h
+++ b/fleet/job.h
@@ -124,6 +124,9 @@
 	bool cancelled;
 	bool started; /* at least one task has started */
 	int64_t ended_ms; /* Unix time, 0: not ended */
+	/* This leader has found the end in the store, and when. */
+	bool end_stored;
+	int64_t end_stored_us;
 	/* Stages of occurrence k start at k * nsteps; NULL: not due or over. */
 	struct stage **stages;
 	int64_t occurrences; /* the total; stages has room for all */
@@ -133,6 +136,7 @@
 	uint64_t first_change; /* oldest change not in the store, 0: none */
 	uint64_t last_change;
 	bool writing; /* a write of its record is pending */
+	int64_t spec_rev; /* revision of its stored submission */
 	int64_t record_rev; /* revision of its stored record, 0: none */
 	/* Whether its customer's guarantee covers it, as of the last pass. */
 	bool guaranteed;
--- a/tests/unit/test_intake.c
+++ b/tests/unit/test_intake.c
@@ -3,15 +3,21 @@
 #include <string.h>
 
 #include "base/limits.h"
+#include "control/record.h"
 #include "tests/standins/site_rig.h"
 #include "tests/unit/run.h"
 
 /* Calls of callers at an entry host, with a simulated store. */
 
 #define JOB_A "00000000000000aa"
+#define JOB_B "00000000000000bb"
 #define JOB_BODY                                                              \
 	"{\"spec\":\"ms=100\",\"steps\":[{\"count\":1,\"cpu\":100,\"gpu\":1," \
 	"\"est_ms\":100}]}"
+/* Due in the year 2200. */
+#define JOB_OF_LATER                                                   \
+	"{\"spec\":\"ms=100\",\"times\":1,\"first_ms\":7258118400000," \
+	"\"steps\":[{\"count\":1,\"cpu\":100,\"est_ms\":100}]}"
 
 static struct rig rig;
 
@@ -34,6 +40,196 @@
 }
 END_TEST
 
+#define SPEC_A "chivebank/intake/" JOB_A "/spec"
+#define STATE_A "chivebank/state/" JOB_A
+
+static void run_until_gone(const char *key, int64_t timeout_ms)
+{
+	int64_t until_us = kn_now_us() + timeout_ms * USEC_PER_MSEC;
+
+	while (site_store_get(rig.store, key) && kn_now_us() < until_us)
+		rig_run_ms(&rig, 5);
+	ck_assert_ptr_null(site_store_get(rig.store, key));
+}
+
+static void finish_job_a(void)
+{
+	ck_assert_int_eq(rig_submit(&rig, 0, JOB_A, 1, "ms=50", NULL), 200);
+	ck_assert(rig_wait(&rig, 0, JOB_A, "done", 5000));
+}
+
+static void take_over(void)
+{
+	int64_t fence = site_store_get(rig.store, "chivebank/leader")->revision;
+	const struct site_item *leader;
+
+	site_store_lapse(rig.store, "chivebank/leader");
+	do {
+		rig_run_ms(&rig, 20);
+		leader = site_store_get(rig.store, "chivebank/leader");
+	} while (!leader || leader->revision == fence);
+	rig_run_ms(&rig, 2500);
+}
+
+/* The store carries a removal out after the job was handed in again. */
+START_TEST(late_removal_removes_no_job_that_was_handed_in_again)
+{
+	rig_start(&rig, 1, 1, 2);
+	finish_job_a();
+	rig_run_ms(&rig, 1500);
+	site_store_fault(rig.store, -1, SITE_LATE, 100, 0);
+	rig.hosts[0].site.bounds.status_ms = 1;
+	while (list_empty(&rig.store->later))
+		rig_run_ms(&rig, 5);
+	site_store_fault(rig.store, -1, SITE_WELL, 0, 0);
+	rig.hosts[0].site.bounds.status_ms = 60000;
+	run_until_gone(SPEC_A, SITE_LATE_MS - 50);
+	ck_assert_int_eq(rig_call(&rig, 0, "POST", RIG_PREFIX JOB_A, RIG_KEY,
+				  JOB_OF_LATER)
+				 .status,
+			 200);
+	rig_run_ms(&rig, 2 * SITE_LATE_MS);
+	ck_assert_str_eq(rig_state(&rig, 0, JOB_A), "queued");
+	rig_stop(&rig);
+}
+END_TEST
+
+START_TEST(takeover_removes_no_job_whose_submission_is_unreadable)
+{
+	rig_start(&rig, 2, 1, 3);
+	finish_job_a();
+	site_store_put(rig.store, SPEC_A, "unreadable");
+	take_over();
+	ck_assert_str_eq(rig_state(&rig, 0, JOB_A), "done");
+	ck_assert_ptr_nonnull(site_store_get(rig.store, SPEC_A));
+	rig_stop(&rig);
+}
+END_TEST
+
+START_TEST(takeover_removes_a_state_without_a_submission)
+{
+	rig_start(&rig, 2, 1, 4);
+	finish_job_a();
+	site_store_remove(rig.store, SPEC_A);
+	take_over();
+	ck_assert_ptr_null(site_store_get(rig.store, STATE_A));
+	rig_stop(&rig);
+}
+END_TEST
+
+/* The stored state of job A as a leader wrote it whose time was ended_ms. */
+static void store_end_of_job_a(int64_t ended_ms)
+{
+	struct job_spec spec;
+	msgpack_sbuffer record;
+	struct job *job;
+
+	job_spec_init(&spec, 1);
+	spec.steps[0].count = 1;
+	job = job_new(JOB_A, &spec);
+	job->customer = g_strdup("one");
+	job->phase = JOB_DONE;
+	job->ended_ms = ended_ms;
+	record_state_write(job, &record);
+	site_store_put_bytes(rig.store, STATE_A, record.data, record.size);
+	msgpack_sbuffer_destroy(&record);
+	job_free(job);
+}
+
+START_TEST(job_that_ended_by_a_wrong_clock_is_not_removed_at_once)
+{
+	rig_start(&rig, 2, 1, 5);
+	finish_job_a();
+	store_end_of_job_a(1);
+	take_over();
+	ck_assert_str_eq(rig_state(&rig, 0, JOB_A), "done");
+	rig_stop(&rig);
+}
+END_TEST
+
+/* And it does not stay for as long as the other clock is ahead. */
+START_TEST(job_that_ended_by_a_clock_ahead_is_removed_in_time)
+{
+	rig_start(&rig, 2, 1, 6);
+	finish_job_a();
+	store_end_of_job_a(kn_wall_us() / 1000 + 3600 * 1000);
+	rig.hosts[0].site.bounds.status_ms = 500;
+	rig.hosts[1].site.bounds.status_ms = 500;
+	take_over();
+	run_until_gone(SPEC_A, 2000);
+	ck_assert_ptr_null(site_store_get(rig.store, STATE_A));
+	rig_stop(&rig);
+}
+END_TEST
+
+#define TENANTS                                                    \
+	"{\"name\":\"one\",\"api_keys\":[\"key-one\",\"key-1\"]}," \
+	"{\"name\":\"two\",\"api_keys\":[\"key-two\"]}"
+
+/* A configuration with the queue of the rig, open or not, and an open one. */
+static void configure(int version, bool open, const char *tenants)
+{
+	char *text = g_strdup_printf(
+		"{\"version\":%d,\"routes\":[{\"name\":\"q1\",\"host\":\"%s\","
+		"\"prefix\":\"%s\",\"slo_ms\":1000,\"svc\":\"pool\","
+		"\"attempts\":3,\"stretch\":3.0,\"public\":%s},"
+		"{\"name\":\"everyone\",\"host\":\"%s\",\"prefix\":\"/all/\","
+		"\"slo_ms\":1000,\"svc\":\"pool\",\"attempts\":3,"
+		"\"stretch\":3.0,\"public\":true}],"
+		"\"svcs\":[{\"name\":\"pool\"}],\"limits\":{},"
+		"\"tenants\":[%s]}",
+		version, RIG_HOST, RIG_PREFIX, open ? "true" : "false",
+		RIG_HOST, tenants);
+
+	site_store_put(rig.store, "op/config", text);
+	g_free(text);
+	rig_run_ms(&rig, 300);
+}
+
+static int status_of(const char *method, const char *path, const char *key)
+{
+	return rig_call(&rig, 0, method, path, key, NULL).status;
+}
+
+static int submit(const char *path, const char *key, const char *body)
+{
+	return rig_call(&rig, 0, "POST", path, key, body).status;
+}
+
+/* Also a job that has no state yet. */
+START_TEST(job_without_a_key_is_known_after_its_queue_was_closed)
+{
+	rig_start(&rig, 1, 1, 7);
+	configure(2, true, TENANTS);
+	ck_assert_int_eq(submit(RIG_PREFIX JOB_A, NULL, JOB_BODY), 200);
+	ck_assert_int_eq(submit(RIG_PREFIX JOB_B, NULL, JOB_OF_LATER), 200);
+	rig_run_ms(&rig, 500);
+	configure(3, false, TENANTS);
+	ck_assert_int_eq(status_of("GET", RIG_PREFIX JOB_A, NULL), 401);
+	ck_assert_int_eq(status_of("GET", RIG_PREFIX JOB_A, "key-one"), 200);
+	ck_assert_int_eq(status_of("GET", RIG_PREFIX JOB_B, "key-two"), 200);
+	ck_assert_int_eq(status_of("DELETE", RIG_PREFIX JOB_B, "key-two"), 200);
+	rig_stop(&rig);
+}
+END_TEST
+
+START_TEST(job_is_known_to_its_customer_only)
+{
+	rig_start(&rig, 1, 1, 8);
+	configure(2, false, TENANTS);
+	ck_assert_int_eq(submit(RIG_PREFIX JOB_A, "key-one", JOB_BODY), 200);
+	ck_assert_int_eq(submit(RIG_PREFIX JOB_B, "key-one", JOB_OF_LATER),
+			 200);
+	rig_run_ms(&rig, 500);
+	ck_assert_int_eq(status_of("GET", RIG_PREFIX JOB_A, "key-1"), 200);
+	ck_assert_int_eq(status_of("GET", RIG_PREFIX JOB_A, "key-two"), 410);
+	ck_assert_int_eq(status_of("GET", RIG_PREFIX JOB_B, "key-two"), 410);
+	ck_assert_int_eq(status_of("DELETE", RIG_PREFIX JOB_B, "key-two"), 410);
+	ck_assert_str_eq(rig_state(&rig, 0, JOB_B), "queued");
+	rig_stop(&rig);
+}
+END_TEST
+
 int main(void)
 {
 	TCase *tc = tcase_create("intake");
@@ -41,5 +237,16 @@
 	tcase_set_timeout(tc, 30);
 	tcase_add_test(
 		tc, stop_answers_a_submission_that_the_store_does_not_answer);
+	tcase_add_test(tc,
+		       late_removal_removes_no_job_that_was_handed_in_again);
+	tcase_add_test(tc,
+		       takeover_removes_no_job_whose_submission_is_unreadable);
+	tcase_add_test(tc, takeover_removes_a_state_without_a_submission);
+	tcase_add_test(tc,
+		       job_that_ended_by_a_wrong_clock_is_not_removed_at_once);
+	tcase_add_test(tc, job_that_ended_by_a_clock_ahead_is_removed_in_time);
+	tcase_add_test(tc,
+		       job_without_a_key_is_known_after_its_queue_was_closed);
+	tcase_add_test(tc, job_is_known_to_its_customer_only);
 	return run_case("intake", tc);
 }
