Answer every request of a stop before the supervisor kills the host

What callers saw: requests that were in progress when the supervisor's grace was over got no answer, as the process was killed then.

Cause: a stop of the standalone daemon had no end of its own. Callers and the request service waited until nothing was in progress, and a request is bounded by its caller's deadline only, up to 60 s after the drain delay. Half a request held the stop up for the 30 s of the body time-out, a claim for as long as the store took.

Change: the setting grace_ms names the time from SIGTERM until SIGKILL. The callers' server stops by hs_stop. Shortly before the server refuses what is half sent, the request service ends all requests, also those of peers: what is queued or not sent yet is answered not run (CB_E_DRAINING, Retry-After 1), what may have reached a backend server is unknown with the result of its deadline. cancel() of the backend client tells which: it returns whether a byte was sent. Keys of unknown requests are finished as unknown and handed over, so that no peer runs them; queued claims are not sent to the store any more.

The default is 10 s, the shortest of the usual supervisors: docker stop and supervisord wait 10 s, Kubernetes 30 s, systemd 90 s. A value below the supervisor's only ends long requests earlier; one above it cuts them. Settings with a drain_delay_ms from 10000 need grace_ms from now on, which the error says.

Evidence: five tests of test_req failed before the change, as the services had not drained when the grace was over, and pass now: stop_answers_sent_requests_as_unknown_and_others_as_not_run, half_sent_request_does_not_hold_up_the_stop, request_whose_key_is_being_claimed_at_a_stop_is_not_run, key_of_a_request_that_a_stop_left_unknown_is_never_run and stop_answers_requests_of_peers. cancel_returns_whether_a_byte_was_sent (test_backend_client) and the cases of test_set are new.

--- a/base/set.c
+++ b/base/set.c
@@ -10,6 +10,8 @@
 #define PORT_MAX 65535
 #define DRAIN_DELAY_MAX_MS 600000
 #define DRAIN_DELAY_DEFAULT_MS 2000
+#define GRACE_MAX_MS 3600000
+#define GRACE_DEFAULT_MS 10000
 #define REGION_BYTES_DEFAULT_PER_SEC (1024 * 1024)
 #define SHA256_HEX_CHARS 64
 
@@ -317,6 +319,17 @@
 	return true;
 }
 
+static bool read_grace(struct set *set, const json_t *value, const char *path,
+		       GError **err)
+{
+	int64_t ms;
+
+	if (!read_integer(&ms, value, 1, GRACE_MAX_MS, path, err))
+		return false;
+	set->grace_ms = (int)ms;
+	return true;
+}
+
 static bool read_region_bytes(struct set *set, const json_t *value,
 			      const char *path, GError **err)
 {
@@ -362,6 +375,7 @@
 	{ "admin_token_sha256", true, read_token },
 	{ "forward_headers", false, read_forward_headers },
 	{ "drain_delay_ms", false, read_drain_delay },
+	{ "grace_ms", false, read_grace },
 	{ "region_bytes_per_sec", false, read_region_bytes },
 	{ "seed", false, read_seed },
 	{ "log_level", false, read_log_level },
@@ -369,10 +383,23 @@
 
 /* The whole. */
 
+static bool check_grace(const struct set *set, GError **err)
+{
+	json_t *value = json_integer(set->grace_ms);
+	bool ok = set->grace_ms > set->drain_delay_ms ||
+		  fail(err, "grace_ms", value, "more than drain_delay_ms");
+
+	json_decref(value);
+	return ok;
+}
+
 static bool check_whole(const struct set *set, GError **err)
 {
 	size_t i, j;
 
+	if (!check_grace(set, err))
+		return false;
+
 	if (set->peer_count > 0 && set->peer_listen.port == 0)
 		return fail(err, "peer_listen", NULL,
 			    "an address, since peers are configured");
@@ -424,6 +451,7 @@
 
 	memset(set, 0, sizeof(*set));
 	set->drain_delay_ms = DRAIN_DELAY_DEFAULT_MS;
+	set->grace_ms = GRACE_DEFAULT_MS;
 	set->region_bytes_per_sec = REGION_BYTES_DEFAULT_PER_SEC;
 	set->log_level = LOG_INFO_LEVEL;
 	root = json_loadb(text, len, JSON_REJECT_DUPLICATES, &where);
--- a/base/set.h
+++ b/base/set.h
@@ -51,6 +51,7 @@
 	char forward_headers[SET_HEADERS_MAX][NAME_MAX_BYTES];
 	size_t forward_header_count;
 	int drain_delay_ms;
+	int grace_ms; /* from SIGTERM until the supervisor kills */
 	int64_t region_bytes_per_sec;
 	uint64_t seed; /* 0: from the system's random source */
 	enum log_level log_level;
--- a/daemon/requests/backend_client.c
+++ b/daemon/requests/backend_client.c
@@ -229,14 +229,17 @@
 	return true;
 }
 
-static void cancel(struct backend_client *base, struct backend_call *call)
+static bool cancel(struct backend_client *base, struct backend_call *call)
 {
 	struct http_call *http = call->impl;
+	bool sent;
 
 	if (!http)
-		return;
+		return false;
+	sent = http->hc.sent;
 	hc_call_cancel(&http->hc);
 	call_free(http);
+	return sent;
 }
 
 static void finish(struct backend_client *base)
--- a/daemon/requests/backend_client.h
+++ b/daemon/requests/backend_client.h
@@ -90,9 +90,10 @@
 		      void (*done)(struct backend_call *call));
 	/*
 	 * Ends a call in progress without done(); the server may still execute
-	 * the request. Does nothing if the call has ended.
+	 * the request. Returns whether a byte may have arrived at the server;
+	 * does nothing, and returns false, if the call has ended.
 	 */
-	void (*cancel)(struct backend_client *client,
+	bool (*cancel)(struct backend_client *client,
 		       struct backend_call *call);
 	/* Current number of connections to the server, idle and busy. */
 	unsigned int (*connections)(struct backend_client *client,
--- a/daemon/requests/callers.c
+++ b/daemon/requests/callers.c
@@ -11,7 +11,8 @@
 #include "base/log.h"
 #include "daemon/requests/req.h"
 #include "daemon/svc.h"
-#include "wire/hs.h"
+#include "daemon/stop.h"
+#include "wire/hs_stop.h"
 
 struct callers {
 	struct kn_task task;
@@ -22,7 +23,8 @@
 	uint64_t next_id;
 	bool draining; /* /healthz returns 503; requests are still accepted */
 	bool refusing; /* the drain delay is over: requests are rejected */
-	struct kn_timer timer;
+	struct kn_timer settle; /* the drain delay */
+	struct hs_stop stop;
 	struct ctr received;
 	struct ctr malformed;
 	struct ctr pending_now;
@@ -369,44 +371,47 @@
 	return true;
 }
 
-/*
- * Ends the drain once no request is pending and the last reply has been sent.
- * The time-outs of the HTTP server limit how long a slow caller delays this.
- */
-static void poll_drain(struct kn_timer *timer)
+static void refuse_new(struct kn_timer *timer)
 {
-	struct callers *callers = container_of(timer, struct callers, timer);
+	container_of(timer, struct callers, settle)->refusing = true;
+}
 
-	if (!callers->refusing) {
-		callers->refusing = true;
-		hs_drain(&callers->server);
-	}
-	if (g_hash_table_size(callers->pending) == 0 &&
-	    hs_active(&callers->server) == 0) {
-		kn_drained(&callers->task);
-		return;
-	}
-	kn_timer_set(callers->task.kn, timer, STOP_POLL_MS * USEC_PER_MSEC,
-		     poll_drain);
+/* The requests service has answered everything by now. */
+static void on_expire(struct hs_stop *stop)
+{
+	container_of(stop, struct callers, stop)->refusing = true;
+}
+
+static void on_stop_ended(struct hs_stop *stop)
+{
+	kn_drained(&container_of(stop, struct callers, stop)->task);
 }
 
+static const struct hs_stop_ops stop_ops = {
+	.expire = on_expire,
+	.ended = on_stop_ended,
+};
+
 static void drain(struct kn_task *task)
 {
 	struct callers *callers = (struct callers *)task;
+	const struct hs_stop_times times = stop_times(callers->set);
 
 	callers->draining = true;
 	ev_emit("callers.draining", "pending=%u delay_ms=%d",
 		g_hash_table_size(callers->pending),
 		callers->set->drain_delay_ms);
-	kn_timer_set(task->kn, &callers->timer,
-		     callers->set->drain_delay_ms * USEC_PER_MSEC, poll_drain);
+	kn_timer_set(task->kn, &callers->settle,
+		     times.settle_ms * USEC_PER_MSEC, refuse_new);
+	hs_stop_begin(&callers->stop, &callers->server, &stop_ops, &times);
 }
 
 static void finish(struct kn_task *task)
 {
 	struct callers *callers = (struct callers *)task;
 
-	kn_timer_cancel(&callers->timer);
+	kn_timer_cancel(&callers->settle);
+	hs_stop_finish(&callers->stop);
 	hs_finish(&callers->server);
 	g_hash_table_destroy(callers->pending);
 	ctr_finish(&callers->received);
--- a/daemon/requests/req.c
+++ b/daemon/requests/req.c
@@ -7,6 +7,7 @@
 #include "base/ev.h"
 #include "base/log.h"
 #include "daemon/requests/req_int.h"
+#include "daemon/stop.h"
 
 /* Metrics. */
 
@@ -169,7 +170,7 @@
 	list_for_each_entry(group, &r->groups, node)
 		queued = queued || group->admission.waiting > 0;
 	slots_report_if_due(&r->slots, queued, now_us);
-	if (r->kv)
+	if (r->kv && !r->stopping)
 		req_claims_tick(r, now_us);
 	req_dispatch(r);
 	if (r->req_count > 0 || r->keys.claim_count > 0)
@@ -342,8 +343,9 @@
 /* Completes a drain once no request and no claim is in progress. */
 void req_check_drained(struct req_task *r)
 {
-	if (!r->refusing || r->task.drained || r->req_count > 0 ||
-	    !list_empty(&r->batches))
+	if (!r->refusing || r->task.drained || r->req_count > 0)
+		return;
+	if (!list_empty(&r->batches) && !r->stopping)
 		return;
 	if (!r->handed_over) {
 		r->handed_over = true;
@@ -361,6 +363,17 @@
 	req_check_drained(r);
 }
 
+/* Also for the requests of peers, which the callers' server doesn't know. */
+static void on_stop(struct kn_timer *timer)
+{
+	struct req_task *r = container_of(timer, struct req_task, stop_timer);
+
+	r->refusing = true;
+	r->stopping = true;
+	req_end_all(r);
+	req_check_drained(r);
+}
+
 /*
  * Refuses new requests only after drain_delay_ms, so that the load balancer has
  * time to notice that this host is draining.
@@ -370,7 +383,10 @@
 	struct req_task *r = (struct req_task *)task;
 
 	kn_timer_set(task->kn, &r->drain_timer,
-		     r->set->drain_delay_ms * USEC_PER_MSEC, on_drain_delay);
+		     stop_times(r->set).settle_ms * USEC_PER_MSEC,
+		     on_drain_delay);
+	kn_timer_set(task->kn, &r->stop_timer, stop_services_us(r->set),
+		     on_stop);
 }
 
 static void finish(struct kn_task *task)
@@ -381,6 +397,7 @@
 	kn_timer_cancel(&r->tick_timer);
 	kn_timer_cancel(&r->maintenance_timer);
 	kn_timer_cancel(&r->drain_timer);
+	kn_timer_cancel(&r->stop_timer);
 	r->refusing = false;
 	while (!list_empty(&r->suspended))
 		req_free(list_first_entry(&r->suspended, struct req, node));
--- a/daemon/requests/req_int.h
+++ b/daemon/requests/req_int.h
@@ -122,6 +122,8 @@
 	bool tick_for_claims; /* tick_timer runs at KEY_BATCH_DELAY_MS */
 	struct kn_timer maintenance_timer; /* each REQ_IDLE_TICK_MS */
 	struct kn_timer drain_timer;
+	struct kn_timer stop_timer;
+	bool stopping; /* the grace is nearly over: everything is answered */
 	bool refusing; /* no new requests: the drain delay has passed */
 	bool handed_over;
 	uint64_t next_forward;
@@ -158,6 +160,7 @@
 void req_free(struct req *req);
 void req_dispatch(struct req_task *r);
 void req_expire(struct req_task *r, int64_t now_us);
+void req_end_all(struct req_task *r);
 void req_cancel(struct req_task *r, const char *host, uint64_t id);
 
 /* Defined in req_servers.c. */
--- a/daemon/requests/req_run.c
+++ b/daemon/requests/req_run.c
@@ -490,6 +490,53 @@
 	}
 }
 
+/*
+ * Ends an attempt as its deadline would: the outcome is unknown if a byte may
+ * have arrived at the server.
+ */
+static void end_attempt(struct req *req)
+{
+	struct req_server *server = req->server;
+	struct req_task *r = req->r;
+	int64_t now_us = kn_now_us();
+
+	if (r->back->ops->cancel(r->back, &req->back)) {
+		req->maybe_ran = true;
+		req->maybe_result = CB_E_UPSTREAM_TIMEOUT;
+	}
+	backend_call_finish(&req->back);
+	slot_credits_end(&server->endpoint->slots);
+	routing_end(&server->routing, 0, now_us);
+	admission_done(&req->group->admission, &req->item, false, now_us);
+	req_set_state(req, REQ_ST_NEW);
+}
+
+/* Answers all requests, as the process is about to end. */
+void req_end_all(struct req_task *r)
+{
+	struct req *req;
+
+	while (!list_empty(&r->active)) {
+		req = list_first_entry(&r->active, struct req, node);
+		if (req->state == REQ_ST_QUEUED)
+			req_dequeue(req);
+		else if (req->state == REQ_ST_RUNNING)
+			end_attempt(req);
+		req_answer_not_run(req, CB_E_DRAINING);
+	}
+	while (!list_empty(&r->suspended)) {
+		req = list_first_entry(&r->suspended, struct req, node);
+		if (req->state == REQ_ST_CLAIMING) {
+			req_answer_not_run(req, CB_E_DRAINING);
+		} else if (req->state == REQ_ST_WAITING) {
+			req_answer_unknown(req, CB_E_UPSTREAM_TIMEOUT);
+		} else {
+			req_forward_cancel(req);
+			req_answer_unknown(req, CB_E_OWNER_UNREACHABLE);
+		}
+	}
+}
+
 static struct req *find_from_peer(struct list_head *list, const char *host,
 				  uint64_t id)
 {
--- a/tests/unit/test_backend_client.c
+++ b/tests/unit/test_backend_client.c
@@ -1,6 +1,8 @@
 #include <check.h>
 #include <stdlib.h>
 #include <string.h>
+#include <sys/socket.h>
+#include <unistd.h>
 
 #include "base/err.h"
 #include "base/limits.h"
@@ -81,11 +83,11 @@
 	kn_finish(&kn);
 }
 
-static bool start(int i, const char *method, int timeout_ms)
+static bool start_at(int i, int port, const char *method, int timeout_ms)
 {
 	char target[16];
 	struct backend_request request = { .addr = "127.0.0.1",
-					   .port = be.options.port,
+					   .port = port,
 					   .method = method,
 					   .target = target,
 					   .timeout_ms = timeout_ms };
@@ -94,6 +96,11 @@
 	return client->ops->start(client, &calls[i], &request, on_done);
 }
 
+static bool start(int i, const char *method, int timeout_ms)
+{
+	return start_at(i, be.options.port, method, timeout_ms);
+}
+
 static void wait_ended(int n, int wait_ms)
 {
 	int64_t end_us = kn_now_us() + wait_ms * USEC_PER_MSEC;
@@ -231,6 +238,28 @@
 }
 END_TEST
 
+/* What was sent must not be called not run. */
+START_TEST(cancel_returns_whether_a_byte_was_sent)
+{
+	int port, listener = be_listen(&port);
+	struct be_sock fill;
+
+	/* Its queue is full, so that the call is still connecting. */
+	ck_assert_int_eq(listen(listener, 0), 0);
+	be_connect(&fill, port);
+	client->ops->add_server(client, "127.0.0.1", port, 1);
+	ck_assert(start_at(0, port, "GET", 1000));
+	be_turn(&kn, 50);
+	ck_assert(!client->ops->cancel(client, &calls[0]));
+	ck_assert(start(1, "GET", 1000));
+	be_turn(&kn, 10);
+	ck_assert(client->ops->cancel(client, &calls[1]));
+	ck_assert(!client->ops->cancel(client, &calls[1]));
+	be_close(&fill);
+	close(listener);
+}
+END_TEST
+
 int main(void)
 {
 	Suite *suite = suite_create("backend_client");
@@ -245,6 +274,7 @@
 	tcase_add_test(tc, connection_limit_is_enforced);
 	tcase_add_test(tc, removed_server_finishes_its_calls);
 	tcase_add_test(tc, cancelled_call_has_no_callback);
+	tcase_add_test(tc, cancel_returns_whether_a_byte_was_sent);
 	suite_add_tcase(suite, tc);
 	srunner_run_all(runner, CK_NORMAL);
 	failed_tests = srunner_ntests_failed(runner);
--- a/tests/unit/test_req.c
+++ b/tests/unit/test_req.c
@@ -121,6 +121,7 @@
 	strcpy(set->callers.addr, "127.0.0.1");
 	set->seed = 3;
 	set->drain_delay_ms = 50;
+	set->grace_ms = 20000;
 	strcpy(set->peer_listen.addr, "127.0.0.1");
 	if (n > 1)
 		set->peer_listen.port = peer_port(i);
@@ -483,6 +484,77 @@
 }
 END_TEST
 
+#define GRACE_MS 1000
+#define LONG_CALL                        \
+	ACME "Chivebank-Class: long\r\n" \
+	     "Chivebank-Deadline-Ms: 30000\r\n"
+
+/* Begins the stop of a host and turns until its grace is over. */
+static void stop_whole(int host)
+{
+	int64_t end_us = kn_now_us() + GRACE_MS * USEC_PER_MSEC;
+	int k;
+
+	for (k = 1; k < 4; k++)
+		if (hosts[host][k]->ops->drain)
+			hosts[host][k]->ops->drain(hosts[host][k]);
+	while (kn_now_us() < end_us)
+		be_turn(&kn, 5);
+	ck_assert(hosts[host][1]->drained);
+	ck_assert(hosts[host][3]->drained);
+}
+
+/* More requests than there are slots, so that some are queued. */
+START_TEST(stop_answers_sent_requests_as_unknown_and_others_as_not_run)
+{
+	unsigned int unknown = 0, not_run = 0;
+	const int n = 24;
+	int i;
+
+	begin(1, false, false);
+	sets[0].grace_ms = GRACE_MS;
+	sets[0].drain_delay_ms = 400;
+	set_mode_all(BE_HANG);
+	for (i = 1; i <= n; i++)
+		send_request(i, 0, "POST", "/r/web/slow", LONG_CALL, "1");
+	stop_whole(0);
+	for (i = 1; i <= n; i++) {
+		ck_assert(be_wait_text(&kn, &socks[i], "}}\n", 10));
+		if (strstr(socks[i].in, "Chivebank-Outcome: unknown")) {
+			unknown++;
+			ck_assert_int_eq(
+				be_count(&socks[i], "Chivebank-Result: 301"),
+				1);
+			continue;
+		}
+		not_run++;
+		ck_assert_int_eq(be_count(&socks[i], "Chivebank-Result: 203"),
+				 1);
+		ck_assert_int_eq(be_count(&socks[i], "Retry-After: 1"), 1);
+	}
+	ck_assert_uint_gt(not_run, 0);
+	ck_assert_uint_eq(unknown, servers[0].ledger.requests +
+					   servers[1].ledger.requests);
+	end();
+}
+END_TEST
+
+/* The rest of the request never comes. */
+START_TEST(half_sent_request_does_not_hold_up_the_stop)
+{
+	begin(1, false, false);
+	sets[0].grace_ms = GRACE_MS;
+	be_connect(&socks[1], callers_bound_port(hosts[0][3]));
+	be_puts(&kn, &socks[1],
+		"POST /r/web/x HTTP/1.1\r\nHost: x\r\n" ACME
+		"Content-Length: 100\r\n\r\nhalf");
+	be_turn(&kn, 20);
+	stop_whole(0);
+	ck_assert(be_wait_text(&kn, &socks[1], "Chivebank-Result: 203", 10));
+	end();
+}
+END_TEST
+
 /* Connects with buffers so small that they cannot hold a large reply. */
 static void connect_slow(struct be_sock *sock, int port)
 {
@@ -583,6 +655,25 @@
 }
 END_TEST
 
+/* The store holds its answer back until the stop is over. */
+START_TEST(request_whose_key_is_being_claimed_at_a_stop_is_not_run)
+{
+	with_platform = true;
+	begin(1, false, false);
+	sets[0].grace_ms = GRACE_MS;
+	list_servers("live");
+	be_turn(&kn, 1500);
+	pf_thread_control(&platform, "{\"delay_ms\":1500}");
+	send_request(1, 0, "POST", "/r/web/pay",
+		     LONG_CALL "Idempotency-Key: a\r\n", "1");
+	be_turn(&kn, 20);
+	stop_whole(0);
+	ck_assert(be_wait_text(&kn, &socks[1], "Chivebank-Result: 203", 10));
+	ck_assert_uint_eq(executed(), 0);
+	end();
+}
+END_TEST
+
 /* Two hosts. */
 
 /*
@@ -820,6 +911,49 @@
 }
 END_TEST
 
+/* A peer must not run what may have run at the host that has stopped. */
+START_TEST(key_of_a_request_that_a_stop_left_unknown_is_never_run)
+{
+	char ticket[128], headers[300];
+
+	begin(2, false, true);
+	sets[0].grace_ms = GRACE_MS;
+	mint(0, ticket, sizeof(ticket));
+	snprintf(headers, sizeof(headers), LONG_CALL "Idempotency-Key: %s\r\n",
+		 ticket);
+	set_mode_all(BE_HANG);
+	send_request(1, 0, "POST", "/r/web/pay", headers, "1");
+	be_turn(&kn, 20);
+	stop_whole(0);
+	ck_assert(
+		be_wait_text(&kn, &socks[1], "Chivebank-Outcome: unknown", 10));
+	be_turn(&kn, 100);
+	set_mode_all(BE_NORMAL);
+	kill_host(0);
+	be_turn(&kn, 100);
+	expect(1, "POST", "/r/web/pay", headers, "1", "Chivebank-Result: 301");
+	ck_assert_uint_eq(
+		servers[0].ledger.requests + servers[1].ledger.requests, 1);
+	end();
+}
+END_TEST
+
+/* A peer that waits for the answer is told before the process ends. */
+START_TEST(stop_answers_requests_of_peers)
+{
+	begin(2, true, false);
+	sets[0].grace_ms = GRACE_MS;
+	set_mode_all(BE_HANG);
+	send_request(1, 1, "POST", "/r/web/pay", LONG_CALL, "1");
+	be_turn(&kn, 100);
+	ck_assert_uint_eq(
+		servers[0].ledger.requests + servers[1].ledger.requests, 1);
+	stop_whole(0);
+	ck_assert(be_wait_text(&kn, &socks[1], "Chivebank-Result: 301", 10));
+	end();
+}
+END_TEST
+
 int main(void)
 {
 	TCase *tc = tcase_create("requests");
@@ -831,6 +965,12 @@
 	tcase_add_test(tc, slots_bound_the_load);
 	tcase_add_test(tc, leaving_server_gets_no_work);
 	tcase_add_test(tc, stop_is_graceful);
+	tcase_add_test(
+		tc,
+		stop_answers_sent_requests_as_unknown_and_others_as_not_run);
+	tcase_add_test(tc, half_sent_request_does_not_hold_up_the_stop);
+	tcase_add_test(tc,
+		       request_whose_key_is_being_claimed_at_a_stop_is_not_run);
 	tcase_add_test(tc, stop_waits_for_slow_caller);
 	tcase_add_test(tc, store_faults_do_not_repeat_work);
 	tcase_add_loop_test(tc, leaving_reaches_all_hosts_in_time, 0, 2);
@@ -840,5 +980,8 @@
 	tcase_add_test(tc, queue_goes_to_other_data_centre);
 	tcase_add_test(tc, hosts_share_the_slots);
 	tcase_add_test(tc, finished_keys_are_handed_over);
+	tcase_add_test(tc,
+		       key_of_a_request_that_a_stop_left_unknown_is_never_run);
+	tcase_add_test(tc, stop_answers_requests_of_peers);
 	return run_case("req", tc);
 }
--- a/tests/unit/test_set.c
+++ b/tests/unit/test_set.c
@@ -43,6 +43,10 @@
 	ck_assert_str_eq(message_of("{" HEAD MEMORY "}"), "");
 	ck_assert(set.store_memory);
 	ck_assert_int_eq(set.admin.port, 8081);
+	ck_assert_int_eq(set.grace_ms, 10000);
+	ck_assert_str_eq(message_of("{" HEAD MEMORY ",\"drain_delay_ms\":9999,"
+				    "\"grace_ms\":10000}"),
+			 "");
 	ck_assert_str_eq(message_of("{" HEAD ETCD
 				    ",\"peer_listen\":{\"addr\":\"127.0.0.1\","
 				    "\"port\":7},\"peers\":[" PEER(
@@ -68,6 +72,9 @@
 	{ "{" MEMORY "}", "\"host\"" },
 	{ "{" HEAD MEMORY ",\"drain_delay_ms\":-1}", "-1" },
 	{ "{" HEAD MEMORY ",\"drain_delay_ms\":\"2\"}", "integer from 0" },
+	{ "{" HEAD MEMORY ",\"grace_ms\":0}", "grace_ms" },
+	{ "{" HEAD MEMORY ",\"grace_ms\":2000}", "more than drain_delay_ms" },
+	{ "{" HEAD MEMORY ",\"drain_delay_ms\":10000}", "\"grace_ms\"" },
 	{ "{" HEAD MEMORY ",\"seed\":1,\"seed\":2}", "duplicate" },
 	{ "{" HEAD MEMORY ",\"log_level\":\"loud\"}", "\"loud\"" },
 	{ "{" HEAD MEMORY ",\"host_list\":{\"addr\":\"h\",\"port\":1}}",
