Answer the operators' calls of a stop before its grace ends

What operators saw: a call that was in progress when the supervisor's grace was over got no answer. A call that a peer had forwarded was answered by the peer's time-out of 10 s only.

Cause: the drain of the administration API waited until nothing was in progress without an end of its own; a change takes up to 10 s, a submission that the store does not answer as long as the store is away, and half a request 30 s.

Change: the API stops by hs_stop, which asks its owner for work that no connection shows, such as the calls of peers. Shortly before the servers answer what is left, the document service answers its changes: those that wait, and one that has only read the document, are not run (CB_E_DRAINING) and are not written any more; one whose transaction was sent is CB_E_CHANGE_UNKNOWN. Then the API answers what other services and hosts still hold, a change as unknown and a read as not run; the service's own answer is dropped when it comes. Calls that come later are refused, apart from /healthz, /metrics and /v1/events.

--- a/base/limits.h
+++ b/base/limits.h
@@ -55,7 +55,6 @@
 #define FORWARD_GRACE_MS 1000 /* for the answer of a peer, after the deadline */
 #define REQ_TICK_MS 25 /* a quarter of QUEUE_SHORT_LIMIT_MS */
 #define REQ_IDLE_TICK_MS 500 /* while nothing is waiting or in progress */
-#define STOP_POLL_MS 20 /* looks for replies in progress, while stopping */
 #define REQ_DEADLINE_DEFAULT_MS 10000
 #define BACKEND_SLOTS 8 /* requests in progress, over all entry hosts */
 #define BACKEND_CONNECTIONS 64 /* connections, over all entry hosts */
--- a/daemon/admin/api.c
+++ b/daemon/admin/api.c
@@ -6,6 +6,7 @@
 #include "base/err.h"
 #include "base/limits.h"
 #include "daemon/admin/api_int.h"
+#include "daemon/stop.h"
 
 /* Path prefixes that other services answer; the first match is used. */
 static const struct route {
@@ -140,6 +141,11 @@
 				     "%s", call->call.path);
 		return;
 	}
+	if (api->refusing) {
+		svc_api_fail(&call->call, &api->task, CB_E_DRAINING, "%s",
+			     api->set->host);
+		return;
+	}
 	if (route->leader_only && api->lead && !api->leading) {
 		api_forward(call);
 		return;
@@ -209,19 +215,25 @@
 	api->leading = lead->leading;
 }
 
+/* An answer of a service, or a call whose token it has looked up. */
+static void on_returned(struct api_call *call)
+{
+	if (call->ended)
+		api_call_free(call);
+	else if (call->call.msg.type == SVC_API_AUTHED)
+		api_dispatch(call);
+	else if (!api_forward_to_other_dc(call))
+		api_send_answer(call);
+}
+
 static void api_receive(struct kn_task *task, struct kn_msg *msg)
 {
 	struct api *api = container_of(task, struct api, task);
 
 	switch (msg->type) {
 	case SVC_API_REPLY:
-		if (!api_forward_to_other_dc(
-			    container_of(msg, struct api_call, call.msg)))
-			api_send_answer(
-				container_of(msg, struct api_call, call.msg));
-		return;
 	case SVC_API_AUTHED:
-		api_dispatch(container_of(msg, struct api_call, call.msg));
+		on_returned(container_of(msg, struct api_call, call.msg));
 		return;
 	case SVC_DOC_CHANGED:
 		on_document(api, container_of(msg, struct svc_doc, msg));
@@ -274,27 +286,73 @@
 }
 
 /*
- * The drain is complete once no call is in progress and the last reply has
- * been sent. The timeouts of the server bound the wait.
+ * Answers a call that a service or another host still works on, by another
+ * call that takes its place. A change may take effect yet.
  */
-static void check_drained(struct kn_timer *timer)
+static void end_call(struct api_call *call)
 {
-	struct api *api = container_of(timer, struct api, drain_timer);
+	struct api *api = call->api;
+	struct api_call *last;
 
-	if (list_empty(&api->calls) && hs_active(&api->server) == 0)
-		kn_drained(&api->task);
-	else
-		kn_timer_set(api->task.kn, timer, STOP_POLL_MS * USEC_PER_MSEC,
-			     check_drained);
+	/* Those with a status, or for tickets, are answered in this round. */
+	if (call->ended || call->call.status || call->ticket_id)
+		return;
+	last = api_call_new(api);
+	last->req = call->req;
+	if (last->req)
+		last->req->user = last;
+	call->req = NULL;
+	memcpy(last->peer_host, call->peer_host, sizeof(last->peer_host));
+	call->peer_host[0] = '\0';
+	last->remote_id = call->remote_id;
+	svc_api_fail(&last->call, &api->task,
+		     is_change(call) ? CB_E_CHANGE_UNKNOWN : CB_E_DRAINING,
+		     "%s", api->set->host);
+	call->ended = true;
+	if (call->forward_id)
+		api_call_free(call);
 }
 
-/* All paths, also /healthz, are answered until the process ends. */
+static void on_expire(struct hs_stop *stop)
+{
+	struct api *api = container_of(stop, struct api, stop);
+	struct api_call *call, *next;
+
+	api->refusing = true;
+	list_for_each_entry_safe(call, next, &api->calls, node)
+		end_call(call);
+}
+
+/* Calls of peers have no connection here. */
+static bool is_busy(const struct hs_stop *stop)
+{
+	const struct api *api = container_of(stop, struct api, stop);
+	const struct api_call *call;
+
+	list_for_each_entry(call, &api->calls, node)
+		if (!call->ended)
+			return true;
+	return false;
+}
+
+static void on_stop_ended(struct hs_stop *stop)
+{
+	kn_drained(&container_of(stop, struct api, stop)->task);
+}
+
+static const struct hs_stop_ops stop_ops = {
+	.expire = on_expire,
+	.busy = is_busy,
+	.ended = on_stop_ended,
+};
+
+/* /healthz and /metrics are answered until the process ends. */
 static void api_drain(struct kn_task *task)
 {
 	struct api *api = container_of(task, struct api, task);
+	const struct hs_stop_times times = stop_times(api->set);
 
-	hs_drain(&api->server);
-	check_drained(&api->drain_timer);
+	hs_stop_begin(&api->stop, &api->server, &stop_ops, &times);
 }
 
 static void api_finish(struct kn_task *task)
@@ -302,7 +360,7 @@
 	struct api *api = container_of(task, struct api, task);
 	struct api_call *call, *next;
 
-	kn_timer_cancel(&api->drain_timer);
+	hs_stop_finish(&api->stop);
 	if (api->listening)
 		hs_finish(&api->server);
 	list_for_each_entry_safe(call, next, &api->calls, node) {
--- a/daemon/admin/api_int.h
+++ b/daemon/admin/api_int.h
@@ -4,7 +4,7 @@
 #include "base/set.h"
 #include "daemon/requests/req.h"
 #include "daemon/svc.h"
-#include "wire/hs.h"
+#include "wire/hs_stop.h"
 #include "wire/pr.h"
 
 /* Private to the administration API. */
@@ -22,7 +22,8 @@
 	/* For each peer of the settings its leader epoch, 0 if none. */
 	uint64_t peer_epochs[PEERS_MAX];
 	struct list_head calls; /* struct api_call */
-	struct kn_timer drain_timer;
+	struct hs_stop stop;
+	bool refusing; /* the services are no longer called */
 	uint64_t last_id; /* last forward_id or ticket_id given to a call */
 	struct ctr requests;
 	struct ctr errors;
@@ -34,6 +35,7 @@
 	struct list_head node;
 	struct api *api;
 	struct hs_request *req; /* NULL: from a peer, or disconnected */
+	bool ended; /* answered by the stop; the service's answer is dropped */
 	char *target; /* path and query as received */
 	char forwarded_to[NAME_MAX_BYTES]; /* host name */
 	uint64_t ticket_id; /* id of the ticket request it waits for, or 0 */
--- a/daemon/document/document.c
+++ b/daemon/document/document.c
@@ -7,6 +7,7 @@
 #include "base/ev.h"
 #include "base/log.h"
 #include "daemon/document/document_int.h"
+#include "daemon/stop.h"
 
 /* Installing a document and notifying its subscribers. */
 
@@ -260,11 +261,23 @@
 	return true;
 }
 
-/* No changes are aborted: each one ends by its own deadline. */
+static void on_stop(struct kn_timer *timer)
+{
+	struct document *d = container_of(timer, struct document, stop_timer);
+
+	d->stopping = true;
+	document_changes_stop(d);
+	if (!d->task.drained)
+		kn_drained(&d->task);
+}
+
+/* A change ends by its own deadline, or when the grace is nearly over. */
 static void document_drain(struct kn_task *task)
 {
 	struct document *d = container_of(task, struct document, task);
 
+	kn_timer_set(task->kn, &d->stop_timer, stop_services_us(d->set),
+		     on_stop);
 	if (list_empty(&d->changes))
 		kn_drained(task);
 }
@@ -275,6 +288,7 @@
 
 	set_leading(d, false);
 	kn_timer_cancel(&d->retry);
+	kn_timer_cancel(&d->stop_timer);
 	document_changes_finish(d);
 	document_queries_finish(d);
 	document_fetches_finish(d);
--- a/daemon/document/document_change.c
+++ b/daemon/document/document_change.c
@@ -21,7 +21,7 @@
 struct change {
 	struct list_head node;
 	struct document *d;
-	struct svc_api_call *api;
+	struct svc_api_call *api; /* NULL once answered by a stop */
 	struct doc_change proposed;
 	struct kv_call call;
 	struct kn_timer timer;
@@ -31,6 +31,7 @@
 	struct doc *next; /* as written by the last transaction */
 	int64_t replaced_mod; /* mod revision of the root that next replaces */
 	char *history; /* entry written with next */
+	bool writing; /* a transaction was sent and not answered */
 	bool outcome_unknown; /* a sent transaction may have been applied */
 	unsigned int merges; /* times the root was modified concurrently */
 	unsigned int failures;
@@ -61,13 +62,20 @@
 	change_free(c);
 	if (!list_empty(&d->changes))
 		start_first_change(d);
-	else if (d->task.kn->draining)
+	else if (d->task.kn->draining && !d->task.drained)
 		kn_drained(&d->task);
 }
 
+static void answer_error(struct change *c, int code, const char *text)
+{
+	if (c->api)
+		svc_api_fail(c->api, &c->d->task, code, "%s", text);
+	c->api = NULL;
+}
+
 static void fail_change(struct change *c, int code, const char *text)
 {
-	svc_api_fail(c->api, &c->d->task, code, "%s", text);
+	answer_error(c, code, text);
 	change_end(c);
 }
 
@@ -87,11 +95,13 @@
 		"in_force=%" PRId64,
 		revision, c->proposed.section, c->proposed.team, c->proposed.id,
 		doc->revision);
-	svc_api_answer(c->api, &d->task, 200,
-		       json_pack("{s:I,s:s,s:s,s:b}", "revision",
-				 (json_int_t)revision, "section",
-				 c->proposed.section, "change", c->proposed.id,
-				 "deleted", !c->proposed.body));
+	if (c->api)
+		svc_api_answer(c->api, &d->task, 200,
+			       json_pack("{s:I,s:s,s:s,s:b}", "revision",
+					 (json_int_t)revision, "section",
+					 c->proposed.section, "change",
+					 c->proposed.id, "deleted",
+					 !c->proposed.body));
 	document_install(d, doc, true);
 	document_prune(d, revision);
 	change_end(c);
@@ -104,16 +114,23 @@
 	read_root(container_of(timer, struct change, timer));
 }
 
+static void answer_unknown(struct change *c)
+{
+	char *text = g_strdup_printf(
+		"change \"%s\" of section \"%s\" may have been applied as "
+		"revision %" PRId64
+		"; check the history when the store answers again",
+		c->proposed.id, c->proposed.section, c->next->revision);
+
+	answer_error(c, CB_E_CHANGE_UNKNOWN, text);
+	g_free(text);
+}
+
 /* Reads the root again after a delay; past the deadline, fails the call. */
 static void retry_later(struct change *c)
 {
-	if (kn_now_us() >= c->deadline_us) {
-		svc_api_fail(c->api, &c->d->task, CB_E_CHANGE_UNKNOWN,
-			     "change \"%s\" of section \"%s\" may have been "
-			     "applied as revision %" PRId64
-			     "; check the history when the store answers again",
-			     c->proposed.id, c->proposed.section,
-			     c->next->revision);
+	if (!c->api || kn_now_us() >= c->deadline_us) {
+		answer_unknown(c);
 		change_end(c);
 		return;
 	}
@@ -128,6 +145,7 @@
 	struct change *c = container_of(call, struct change, call);
 	int64_t revision = c->next->revision;
 
+	c->writing = false;
 	if (call->result == CB_OK && call->succeeded) {
 		complete_change(c, revision, g_steal_pointer(&c->next));
 	} else if (call->result == CB_OK && c->outcome_unknown) {
@@ -189,6 +207,7 @@
 	}
 	memset(&c->call, 0, sizeof(c->call));
 	c->call.done = on_written;
+	c->writing = true;
 	c->d->kv->ops->txn(c->d->kv, &c->call, &cmp, 1, ops, n, NULL, 0);
 	free(root);
 	free(body);
@@ -277,7 +296,8 @@
 	c->next = doc_apply(c->current, &c->proposed, &err);
 	if (!c->next) {
 		section = doc_find(c->current, c->proposed.section);
-		if (err->code == CB_E_CONFLICT && c->api->key && section)
+		if (err->code == CB_E_CONFLICT && c->api && c->api->key &&
+		    section)
 			read_history(c, section->revision,
 				     on_conflicting_entry);
 		else
@@ -306,6 +326,8 @@
 	} else if (strcmp(id, c->proposed.id) == 0) {
 		complete_change(c, c->next->revision,
 				g_steal_pointer(&c->current));
+	} else if (!c->api) {
+		change_end(c);
 	} else {
 		c->outcome_unknown = false;
 		apply(c);
@@ -329,6 +351,11 @@
 	struct change *c = fetch->user;
 	struct document *d = c->d;
 
+	/* What a stop has answered is not written any more. */
+	if (!c->api) {
+		change_end(c);
+		return;
+	}
 	if (result != CB_OK) {
 		if (c->outcome_unknown)
 			retry_later(c);
@@ -408,6 +435,11 @@
 		json_decref(change->body);
 		return;
 	}
+	if (d->stopping) {
+		svc_api_fail(call, &d->task, CB_E_DRAINING, "%s", d->set->host);
+		json_decref(change->body);
+		return;
+	}
 	c = g_new0(struct change, 1);
 	c->d = d;
 	c->api = call;
@@ -422,13 +454,33 @@
 		start_first_change(d);
 }
 
+/*
+ * The first change may be in the store already, or get there; it goes on
+ * without a caller until the store has answered. The others have not begun.
+ */
+void document_changes_stop(struct document *d)
+{
+	struct change *c, *next;
+
+	list_for_each_entry_safe(c, next, &d->changes, node) {
+		if (c->writing || c->outcome_unknown) {
+			answer_unknown(c);
+			continue;
+		}
+		answer_error(c, CB_E_DRAINING, "nothing was changed");
+		if (c != list_first_entry(&d->changes, struct change, node))
+			change_free(c);
+	}
+}
+
 /* Frees the changes at exit without answering their calls. */
 void document_changes_finish(struct document *d)
 {
 	struct change *c, *next;
 
 	list_for_each_entry_safe(c, next, &d->changes, node) {
-		kn_msg_release(&c->api->msg);
+		if (c->api)
+			kn_msg_release(&c->api->msg);
 		change_free(c);
 	}
 }
--- a/daemon/document/document_int.h
+++ b/daemon/document/document_int.h
@@ -36,6 +36,8 @@
 	/* Operations of the store. */
 	struct list_head changes; /* struct change; the first one is running */
 	struct list_head fetches; /* struct doc_fetch in progress */
+	struct kn_timer stop_timer;
+	bool stopping; /* the grace is nearly over: no more changes */
 	struct list_head queries; /* struct query in progress */
 	struct list_head prunes; /* struct doc_prune in progress */
 	int64_t history_keep; /* DOC_HISTORY_KEEP, less in tests */
@@ -89,6 +91,8 @@
 /* Queues a change. Takes ownership of change->body and copies the strings. */
 void document_change(struct document *d, struct svc_api_call *call,
 		     const struct doc_change *change);
+/* Answers all changes, as the process is about to end. */
+void document_changes_stop(struct document *d);
 void document_changes_finish(struct document *d);
 
 /* document_prune.c */
--- a/tests/unit/test_api.c
+++ b/tests/unit/test_api.c
@@ -27,7 +27,9 @@
 	struct kn_task task;
 	char leader[NAME_MAX_BYTES];
 	bool leading;
+	bool holds; /* calls are kept and not answered */
 	int calls;
+	GPtrArray *held; /* of struct svc_api_call */
 };
 
 struct host {
@@ -78,6 +80,10 @@
 	struct fake *fake = (struct fake *)task;
 
 	fake->calls++;
+	if (fake->holds) {
+		g_ptr_array_add(fake->held, call);
+		return;
+	}
 	svc_api_answer(call, task, 200,
 		       json_pack("{s:s,s:s,s:s?,s:s?,s:s?,s:O?}", "host",
 				 fake->leader, "path", call->path, "key",
@@ -89,8 +95,20 @@
 }
 
 static const struct kn_task_ops lead_ops = { .receive = lead_receive };
-static const struct kn_task_ops scheduler_ops = { .receive =
-							  scheduler_receive };
+
+static void scheduler_finish(struct kn_task *task)
+{
+	struct fake *fake = (struct fake *)task;
+	guint i;
+
+	for (i = 0; i < fake->held->len; i++)
+		kn_msg_release(
+			&((struct svc_api_call *)fake->held->pdata[i])->msg);
+	g_ptr_array_free(fake->held, TRUE);
+}
+
+static const struct kn_task_ops scheduler_ops = { .receive = scheduler_receive,
+						  .finish = scheduler_finish };
 
 /* Hosts. */
 
@@ -121,6 +139,7 @@
 	strcpy(set->dc, "p");
 	strcpy(set->region, "r");
 	strcpy(set->admin.addr, "127.0.0.1");
+	set->grace_ms = 20000;
 	strcpy(set->admin_token_sha256, hash);
 	g_free(hash);
 	set->store_memory = memory;
@@ -157,6 +176,7 @@
 		h->lead.leading = i == 0;
 		kn_add(&h->kn, &h->lead.task, SVC_LEAD, &lead_ops);
 		strcpy(h->scheduler.leader, h->set.host);
+		h->scheduler.held = g_ptr_array_new();
 		kn_add(&h->kn, &h->scheduler.task, SVC_SCHEDULER,
 		       &scheduler_ops);
 	}
@@ -486,6 +506,88 @@
 }
 END_TEST
 
+#define GRACE_MS 2000
+
+/* Turns the hosts until one has stopped; returns how long its stop took. */
+static int64_t stop_whole(int host)
+{
+	int64_t begun_us = kn_now_us();
+
+	hosts[host].set.grace_ms = GRACE_MS;
+	kn_drain(&hosts[host].kn);
+	while (!hosts[host].kn.stopped &&
+	       kn_now_us() < begun_us + 3 * GRACE_MS * USEC_PER_MSEC)
+		run_hosts();
+	return (kn_now_us() - begun_us) / USEC_PER_MSEC;
+}
+
+/* The store takes so long that one change is being written, one queued. */
+START_TEST(stop_answers_changes_before_the_grace_ends)
+{
+	struct request first = { 0 }, second = { 0 };
+
+	start_ready_host(0, false, false);
+	pf_thread_control(&platform, "{\"delay_ms\":1000}");
+	start_request(&first, 0, "PUT", SECTION "customer/a", "{\"weight\": 1}",
+		      "root", "0", NULL);
+	start_request(&second, 0, "PUT", SECTION "customer/b",
+		      "{\"weight\": 1}", "root", "0", NULL);
+	run_hosts();
+	ck_assert_int_lt(stop_whole(0), GRACE_MS);
+	ck_assert_int_eq(first.done, 1);
+	ck_assert_int_eq(error_code(&first), CB_E_CHANGE_UNKNOWN);
+	ck_assert_int_eq(second.done, 1);
+	ck_assert_int_eq(error_code(&second), CB_E_DRAINING);
+	json_decref(first.answer);
+	json_decref(second.answer);
+}
+END_TEST
+
+/* The store answers so late that the change has only been read for. */
+START_TEST(change_that_a_stop_answers_as_not_run_is_not_written)
+{
+	struct request r = { 0 };
+
+	start_ready_host(0, false, false);
+	pf_thread_control(&platform, "{\"delay_ms\":1600}");
+	start_request(&r, 0, "PUT", SECTION "customer/a", "{\"weight\": 1}",
+		      "root", "0", NULL);
+	run_hosts();
+	ck_assert_int_lt(stop_whole(0), GRACE_MS);
+	ck_assert_int_eq(error_code(&r), CB_E_DRAINING);
+	ck_assert_uint_eq(count_root_writes(), 0);
+	json_decref(r.answer);
+}
+END_TEST
+
+/* Of the leader, or of the host that has forwarded the call. */
+START_TEST(stop_answers_calls_that_were_forwarded)
+{
+	struct request change = { 0 }, read = { 0 };
+	int64_t limit = kn_now_us() + 5 * USEC_PER_SEC;
+
+	start_ready_host(0, false, true);
+	start_ready_host(1, false, true);
+	while (!pr_connected(kn_find(&hosts[1].kn, SVC_PEERS), "h0") &&
+	       kn_now_us() < limit)
+		run_hosts();
+	hosts[0].scheduler.holds = true;
+	start_request(&change, 1, "POST", "/v1/jobs", "{\"n\": 1}", "root",
+		      NULL, "k");
+	start_request(&read, 1, "GET", "/v1/jobs", NULL, "root", NULL, NULL);
+	while (hosts[0].scheduler.calls < 2 && kn_now_us() < limit)
+		run_hosts();
+	ck_assert_int_eq(hosts[0].scheduler.calls, 2);
+	ck_assert_int_lt(stop_whole(_i), GRACE_MS);
+	while ((!change.done || !read.done) && kn_now_us() < limit)
+		run_hosts();
+	ck_assert_int_eq(error_code(&change), CB_E_CHANGE_UNKNOWN);
+	ck_assert_int_eq(error_code(&read), CB_E_DRAINING);
+	json_decref(change.answer);
+	json_decref(read.answer);
+}
+END_TEST
+
 /*
  * Guards against a retry under the same idempotency key that is answered with
  * a conflict, since the first attempt has changed the revision.
@@ -898,6 +1000,11 @@
 	tcase_add_test(tc, stop_waits_for_slow_operator);
 	tcase_add_test(tc, teams_cannot_read_or_change_teams);
 	tcase_add_test(tc, changes_with_lost_answers_and_outages);
+	tcase_add_test(tc, stop_answers_changes_before_the_grace_ends);
+	tcase_add_test(tc,
+		       change_that_a_stop_answers_as_not_run_is_not_written);
+	tcase_add_loop_test(tc, stop_answers_calls_that_were_forwarded, 0,
+			    HOSTS);
 	tcase_add_test(tc, retry_with_same_key_is_answered_again);
 	tcase_add_test(tc, older_root_is_ignored);
 	tcase_add_test(tc, changes_reach_all_hosts);
--- a/wire/hs_stop.c
+++ b/wire/hs_stop.c
@@ -23,12 +23,18 @@
 	return times;
 }
 
+static bool is_idle(const struct hs_stop *stop)
+{
+	return hs_active(stop->server) == 0 &&
+	       !(stop->ops->busy && stop->ops->busy(stop));
+}
+
 static void check(struct kn_timer *timer)
 {
 	struct hs_stop *stop = container_of(timer, struct hs_stop, timer);
 	struct hs_server *server = stop->server;
 	int64_t passed_ms = (kn_now_us() - stop->begun_us) / USEC_PER_MSEC;
-	bool idle = hs_active(server) == 0;
+	bool idle = is_idle(stop);
 
 	if (!stop->expired && (idle || passed_ms >= stop->times.answer_ms)) {
 		stop->expired = true;
--- a/wire/hs_stop.h
+++ b/wire/hs_stop.h
@@ -12,6 +12,8 @@
 	 * before answer_ms.
 	 */
 	void (*expire)(struct hs_stop *stop);
+	/* Work of the owner that no connection shows; may be NULL. */
+	bool (*busy)(const struct hs_stop *stop);
 	/* The stop has ended: nothing is in progress, or limit_ms have passed. */
 	void (*ended)(struct hs_stop *stop);
 };
