Deliver the messages of the last round of a stop

What callers saw: nothing in a trace. A call that was read in the last round of the event loop could get no answer.

Cause: the rounds that serve what has arrived after a drain end with reading sockets, and an answer that another task than the reader gives, as the API's do, waits in a mailbox then.

Change: kn_run() delivers the mailboxes once more after the last round.

Evidence: message_of_the_last_round_of_a_stop_is_delivered (test_kn) failed before the change: 3 of 4 messages came. The same class was looked for in calls that come when the servers have drained and another task has not, kept connections and new ones, unread at the end: requests_are_refused_until_the_process_ends (test_req), peers_are_refused_until_the_process_ends (test_req) and operators_are_refused_until_the_process_ends (test_api) passed without a further change.

--- a/base/kn.c
+++ b/base/kn.c
@@ -377,6 +377,8 @@
 		log_flush();
 		uv_run(kn->loop, UV_RUN_NOWAIT);
 	}
+	/* Some answers are sent by another task than the one that has read. */
+	drain_mailboxes(kn);
 }
 
 /* Runs until kn_stop() or until all tasks have drained. */
--- a/tests/unit/test_api.c
+++ b/tests/unit/test_api.c
@@ -12,6 +12,7 @@
 #include "daemon/document/document_int.h"
 #include "daemon/store.h"
 #include "daemon/svc.h"
+#include "tests/standins/be_sock.h"
 #include "tests/standins/ports.h"
 #include "tests/standins/pf_server.h"
 #include "wire/hc.h"
@@ -560,6 +561,60 @@
 }
 END_TEST
 
+/* What the ended process has sent contains the text. */
+static bool received(struct be_sock *sock, const char *text)
+{
+	ssize_t n = read(sock->fd, sock->in, sizeof(sock->in));
+
+	sock->len = n > 0 ? (size_t)n : 0;
+	return memmem(sock->in, sock->len, text, strlen(text)) != NULL;
+}
+
+static void drain_never(struct kn_task *task)
+{
+}
+
+static const struct kn_task_ops drain_never_ops = { .receive = lead_receive,
+						    .drain = drain_never };
+
+#define PUT_A                                               \
+	"PUT " SECTION "customer/a HTTP/1.1\r\nHost: x\r\n" \
+	"Authorization: Bearer root\r\nIf-Match: 0\r\n"     \
+	"Content-Length: 13\r\n\r\n{\"weight\": 1}"
+
+/* The API has drained, another task has not. */
+START_TEST(operators_are_refused_until_the_process_ends)
+{
+	struct kn *kn = &hosts[0].kn;
+	struct kn_task other = { 0 };
+	struct be_sock kept, late, last;
+
+	start_ready_host(0, false, false);
+	kn_add(kn, &other, "other", &drain_never_ops);
+	be_connect(&kept, api_port(hosts[0].api));
+	be_turn(kn, 20);
+	kn_drain(kn);
+	be_turn(kn, 300);
+	ck_assert(hosts[0].api->drained);
+	be_connect(&late, api_port(hosts[0].api));
+	be_puts(kn, &late, PUT_A);
+	ck_assert(be_wait_text(kn, &late, "\"code\":203", 100));
+	/* At the end one is unread, and one waits to be accepted. */
+	be_connect(&last, api_port(hosts[0].api));
+	ck_assert_int_gt(send(kept.fd, PUT_A, strlen(PUT_A), 0), 0);
+	ck_assert_int_gt(send(last.fd, PUT_A, strlen(PUT_A), 0), 0);
+	kn_drained(&other);
+	kn_run(kn);
+	ck_assert(received(&kept, "\"code\":203"));
+	ck_assert(received(&last, "\"code\":203"));
+	ck_assert_uint_eq(count_root_writes(), 0);
+	be_close(&kept);
+	be_close(&late);
+	be_close(&last);
+	list_del(&other.node);
+}
+END_TEST
+
 /* Of the leader, or of the host that has forwarded the call. */
 START_TEST(stop_answers_calls_that_were_forwarded)
 {
@@ -1003,6 +1058,7 @@
 	tcase_add_test(tc, stop_answers_changes_before_the_grace_ends);
 	tcase_add_test(tc,
 		       change_that_a_stop_answers_as_not_run_is_not_written);
+	tcase_add_test(tc, operators_are_refused_until_the_process_ends);
 	tcase_add_loop_test(tc, stop_answers_calls_that_were_forwarded, 0,
 			    HOSTS);
 	tcase_add_test(tc, retry_with_same_key_is_answered_again);
--- a/tests/unit/test_kn.c
+++ b/tests/unit/test_kn.c
@@ -4,6 +4,8 @@
 #include <time.h>
 #include <unistd.h>
 
+#include <uv.h>
+
 #include "base/kn.h"
 #include "base/limits.h"
 #include "tests/unit/run.h"
@@ -110,6 +112,44 @@
 }
 END_TEST
 
+static int checks;
+
+static void send_each_round(uv_check_t *check)
+{
+	checks++;
+	send_value(kn_find(check->data, "sink"), 1);
+}
+
+static void count_message(struct kn_task *task, struct kn_msg *msg)
+{
+	((struct echo_task *)task)->count++;
+	kn_msg_release(msg);
+}
+
+static const struct kn_task_ops count_ops = { .receive = count_message };
+
+/* The answer to the request that is read last is such a message. */
+START_TEST(message_of_the_last_round_of_a_stop_is_delivered)
+{
+	struct echo_task sink = { 0 };
+	uv_check_t check;
+	struct kn kn;
+
+	ck_assert(kn_init(&kn, NULL));
+	kn_add(&kn, &sink.task, "sink", &count_ops);
+	ck_assert(kn_start(&kn, NULL));
+	uv_check_init(kn.loop, &check);
+	check.data = &kn;
+	uv_check_start(&check, send_each_round);
+	kn_drain(&kn);
+	kn_run(&kn);
+	ck_assert_int_gt(checks, 0);
+	ck_assert_int_eq(sink.count, checks);
+	uv_close((uv_handle_t *)&check, NULL);
+	kn_finish(&kn);
+}
+END_TEST
+
 static void stop_receive(struct kn_task *task, struct kn_msg *msg)
 {
 	kn_msg_release(msg);
@@ -202,6 +242,7 @@
 
 	tcase_add_test(tc, messages_keep_order_through_services);
 	tcase_add_test(tc, timer_rearms_and_stops);
+	tcase_add_test(tc, message_of_the_last_round_of_a_stop_is_delivered);
 	tcase_add_test(tc, message_from_timer_is_delivered_at_once);
 	tcase_add_test(tc, timer_fires_after_a_delay_between_readings);
 	return run_case("kn", tc);
--- a/tests/unit/test_req.c
+++ b/tests/unit/test_req.c
@@ -555,6 +555,77 @@
 }
 END_TEST
 
+/* What the ended process has sent contains the text. */
+static bool received(struct be_sock *sock, const char *text)
+{
+	ssize_t n = read(sock->fd, sock->in, sizeof(sock->in));
+
+	sock->len = n > 0 ? (size_t)n : 0;
+	return memmem(sock->in, sock->len, text, strlen(text)) != NULL;
+}
+
+static void drain_never(struct kn_task *task)
+{
+}
+
+static void drop_msg(struct kn_task *task, struct kn_msg *msg)
+{
+	kn_msg_release(msg);
+}
+
+static const struct kn_task_ops drain_never_ops = { .receive = drop_msg,
+						    .drain = drain_never };
+
+#define POST_WEB "POST /r/web/x HTTP/1.1\r\nHost: x\r\n" ACME
+#define TICKETS                                    \
+	"POST /v1/tickets HTTP/1.1\r\nHost: x\r\n" \
+	"Content-Length: 11\r\n\r\n{\"count\":1}"
+
+/* The callers' server has drained, another task has not. */
+START_TEST(requests_are_refused_until_the_process_ends)
+{
+	static const char *const texts[] = {
+		POST_WEB "\r\n", POST_WEB "Idempotency-Key: a\r\n\r\n", TICKETS
+	};
+	struct kn_task other = { 0 };
+	size_t i;
+
+	begin(1, false, false);
+	kn_add(&kn, &other, "other", &drain_never_ops);
+	for (i = 0; i < G_N_ELEMENTS(texts); i++)
+		be_connect(&socks[20 + i], callers_bound_port(hosts[0][3]));
+	be_turn(&kn, 20);
+	kn_drain(&kn);
+	be_turn(&kn, 200);
+	ck_assert(hosts[0][1]->drained && hosts[0][3]->drained);
+	expect(0, "GET", "/healthz", "", "", "503 ");
+	for (i = 0; i < G_N_ELEMENTS(texts); i++) {
+		be_connect(&socks[5 + i], callers_bound_port(hosts[0][3]));
+		be_puts(&kn, &socks[5 + i], texts[i]);
+		ck_assert(be_wait_text(&kn, &socks[5 + i],
+				       "Chivebank-Result: 203", 100));
+	}
+	/* At the end all are unread, or wait to be accepted. */
+	for (i = 0; i < G_N_ELEMENTS(texts); i++) {
+		be_connect(&socks[10 + i], callers_bound_port(hosts[0][3]));
+		ck_assert_int_gt(
+			send(socks[20 + i].fd, texts[i], strlen(texts[i]), 0),
+			0);
+		ck_assert_int_gt(
+			send(socks[10 + i].fd, texts[i], strlen(texts[i]), 0),
+			0);
+	}
+	kn_drained(&other);
+	kn_run(&kn);
+	for (i = 0; i < G_N_ELEMENTS(texts); i++) {
+		ck_assert(received(&socks[20 + i], "Result: 203"));
+		ck_assert(received(&socks[10 + i], "Result: 203"));
+	}
+	list_del(&other.node);
+	end();
+}
+END_TEST
+
 /* Connects with buffers so small that they cannot hold a large reply. */
 static void connect_slow(struct be_sock *sock, int port)
 {
@@ -938,6 +1009,24 @@
 }
 END_TEST
 
+/* Its request service has drained, another task has not. */
+START_TEST(peers_are_refused_until_the_process_ends)
+{
+	char ticket[128], headers[300];
+
+	begin(2, false, true);
+	mint(0, ticket, sizeof(ticket));
+	snprintf(headers, sizeof(headers), ACME "Idempotency-Key: %s\r\n",
+		 ticket);
+	hosts[0][1]->ops->drain(hosts[0][1]);
+	be_turn(&kn, 200);
+	ck_assert(hosts[0][1]->drained);
+	expect(1, "POST", "/r/web/pay", headers, "1", "Chivebank-Result: 203");
+	ck_assert_uint_eq(executed(), 0);
+	end();
+}
+END_TEST
+
 /* A peer that waits for the answer is told before the process ends. */
 START_TEST(stop_answers_requests_of_peers)
 {
@@ -968,6 +1057,7 @@
 	tcase_add_test(
 		tc,
 		stop_answers_sent_requests_as_unknown_and_others_as_not_run);
+	tcase_add_test(tc, requests_are_refused_until_the_process_ends);
 	tcase_add_test(tc, half_sent_request_does_not_hold_up_the_stop);
 	tcase_add_test(tc,
 		       request_whose_key_is_being_claimed_at_a_stop_is_not_run);
@@ -983,5 +1073,6 @@
 	tcase_add_test(tc,
 		       key_of_a_request_that_a_stop_left_unknown_is_never_run);
 	tcase_add_test(tc, stop_answers_requests_of_peers);
+	tcase_add_test(tc, peers_are_refused_until_the_process_ends);
 	return run_case("req", tc);
 }
