Show the up time of weeks on the soak's clocks

The soak's processes and the stand-in workers began their steady clocks at the up time of the machine or at a second, so that a value that is compared with the origin of a clock went unnoticed.

The clock library adds SOAK_UPTIME_DAYS to the steady clocks. libuv, libwebsockets and glib wait for relative times, which stay right; no absolute timer is linked (of the libraries only libuv imports pthread_cond_timedwait, for a call that is not used here). Workers add uptime_ms to their clock.

--- a/tests/clock/clock.c
+++ b/tests/clock/clock.c
@@ -6,10 +6,13 @@
 
 /*
  * Loaded into the processes of the soak: their time of day is off by the
- * milliseconds that the file SOAK_CLOCK holds. Steady clocks stay as they are.
+ * milliseconds that the file SOAK_CLOCK holds, and their steady clocks show
+ * SOAK_UPTIME_DAYS more. Waits are relative in libuv, libwebsockets and glib;
+ * a wait for an absolute time of a steady clock would last too long.
  */
 
 #define NSEC_PER_SEC 1000000000LL
+#define SEC_PER_DAY 86400
 #define NSEC_PER_MSEC 1000000LL
 
 static long long offset_ms(void)
@@ -30,11 +33,31 @@
 	return strtoll(text, NULL, 10);
 }
 
+static long long uptime_sec(void)
+{
+	static long long sec = -1;
+
+	if (sec < 0) {
+		const char *days = getenv("SOAK_UPTIME_DAYS");
+
+		sec = days ? strtoll(days, NULL, 10) * SEC_PER_DAY : 0;
+	}
+	return sec;
+}
+
+static int is_steady(clockid_t clock)
+{
+	return clock == CLOCK_MONOTONIC || clock == CLOCK_MONOTONIC_RAW ||
+	       clock == CLOCK_MONOTONIC_COARSE || clock == CLOCK_BOOTTIME;
+}
+
 int clock_gettime(clockid_t clock, struct timespec *ts)
 {
 	int result = (int)syscall(SYS_clock_gettime, clock, ts);
 	long long ns;
 
+	if (result == 0 && is_steady(clock))
+		ts->tv_sec += uptime_sec();
 	if (result != 0 || clock != CLOCK_REALTIME)
 		return result;
 	ns = ts->tv_sec * NSEC_PER_SEC + ts->tv_nsec +
--- a/tests/standins/site_fleet.h
+++ b/tests/standins/site_fleet.h
@@ -50,6 +50,7 @@
 	int64_t gpus;
 	int64_t born_ms;
 	int64_t started_us; /* origin of its clock */
+	int64_t uptime_ms; /* which shows so much more */
 	bool up;
 	bool draining;
 	bool unlisted; /* writes no entry */
--- a/tests/standins/site_run.c
+++ b/tests/standins/site_run.c
@@ -11,7 +11,8 @@
 
 int64_t site_clock_ms(const struct site_worker *worker)
 {
-	return 1000 + (kn_now_us() - worker->started_us) / USEC_PER_MSEC;
+	return 1000 + worker->uptime_ms +
+	       (kn_now_us() - worker->started_us) / USEC_PER_MSEC;
 }
 
 void site_run_free(struct site_run *run)
