Judge calls that end without an answer in the soak

What was missing: nothing in the soak looked at connections that end without an answer, so that a stop that cuts calls passed.

The soak notes for each call when its last byte was sent, and for each host its starts, signals and ends. A call that was sent whole and ended without a whole answer around planned work, with no unplanned fault near, is a violation LOST; each one is printed with its age and these times, and those inside the slack are counted. SIGKILL follows at the end of the grace, not 500 ms later, and a process that is still there is a violation GRACE, unless it was frozen.

--- a/tests/soak/soak.h
+++ b/tests/soak/soak.h
@@ -16,6 +16,8 @@
 #define SOAK_EARLY_MS (250 + 5000)
 #define SOAK_KEY "key-one"
 #define SOAK_RACK_WORKERS 4 /* workers of one rack */
+#define SOAK_GRACE_MS 2000
+#define SOAK_CONFIG_MS 2500
 
 struct soak_options {
 	uint32_t seed;
@@ -26,12 +28,20 @@
 	/* Shape of faults: series of takeovers, and wider and longer jobs. */
 	bool takeovers;
 	bool lives; /* restarts in place, wrong entries, short pauses */
+	bool stops; /* only planned stops and changes, callers in use */
+	int starve; /* busy processes beside the hosts on one core, 0: none */
 	int gap_percent; /* of runs that workers leave out of lists for a time */
 	const char *binary;
 	const char *clock; /* library that shifts the time of day */
 	const char *dir; /* settings and logs */
 };
 
+/* What happened to a host, for the judgement of its calls. */
+struct soak_mark {
+	int64_t at_us;
+	const char *what;
+};
+
 struct soak_host {
 	char name[24];
 	char settings[256];
@@ -50,6 +60,12 @@
 	int64_t overlap_end_us; /* when it took the place of the one before */
 	int64_t start_us; /* when it is to be started again, 0: it runs */
 	int64_t kill_us; /* when a graceful stop is cut short, 0: none */
+	int64_t term_us; /* its first SIGTERM, 0: none */
+	int64_t disrupted_us; /* it was without an unplanned fault since */
+	int64_t frozen_us; /* when it was frozen last */
+	GArray *marks; /* struct soak_mark */
+	int status_s; /* in its settings */
+	int uptime_days; /* of its steady clocks */
 	bool frozen;
 	int64_t thaw_us;
 	int64_t way_heal_us; /* of its way to the store, 0: it is well */
@@ -68,6 +84,14 @@
 	int *spare_relays; /* of each worker, for another port of it */
 	int64_t *worker_heal_us; /* of each worker, 0: it is well */
 	int64_t store_heal_us;
+	int64_t store_disrupted_us; /* it was without a fault since */
+	int64_t config_us; /* of its latest change */
+	/* Calls that were sent whole and ended without a whole answer. */
+	uint64_t calls; /* of callers of kept connections, answered */
+	int cut_lost; /* counted by the rule */
+	int cut_slack; /* so soon after they were sent that none had read them */
+	int cut_disrupted; /* with an unplanned fault near */
+	int cut_unplanned; /* with nothing near */
 	GRand *rand;
 	int config_version;
 	struct list_head jobs; /* struct soak_job */
@@ -129,6 +153,36 @@
 /* Starts and kills what is due. */
 void soak_hosts_step(struct soak *soak);
 
+/* Writes its settings file. */
+void soak_host_settings(struct soak *soak, struct soak_host *host);
+void soak_host_signal(struct soak *soak, struct soak_host *host, int number);
+void soak_change_config(struct soak *soak);
+/* Notes what happens to it. */
+void soak_host_mark(struct soak_host *host, const char *what);
+
+/* Soak_judge.c. */
+
+/* A call that was sent whole and whose connection ended before its answer. */
+void soak_judge_cut(struct soak *soak, const struct soak_host *host,
+		    int64_t sent_us, int64_t ended_us, const char *what);
+
+/* Soak_callers.c. */
+
+/* Callers of kept connections, in a thread of their own. */
+void soak_callers_start(struct soak *soak);
+/* Judges what they have seen. */
+void soak_callers_step(struct soak *soak);
+/* They send no more calls. */
+void soak_callers_stop(struct soak *soak);
+
+/* Soak_stops.c. */
+
+void soak_stops_step(struct soak *soak);
+/* Binds a new process to the core of the hosts. */
+void soak_starve_host(struct soak *soak, int proc);
+void soak_starve_start(struct soak *soak);
+void soak_starve_end(struct soak *soak);
+
 /* Soak_takeovers.c. */
 
 /* Takes the series of faults a step further. */
--- a/tests/soak/soak_faults.c
+++ b/tests/soak/soak_faults.c
@@ -8,7 +8,6 @@
 #include "tests/standins/sr_relay.h"
 
 #define RESTART_MS 600
-#define GRACE_MS 2500
 /* Interval at which the platform tries to start the next process of a host. */
 #define SUCCESSOR_MS 100
 /* Faults last from well below to well above the leases. */
@@ -31,23 +30,47 @@
 
 /* Hosts. */
 
+void soak_host_mark(struct soak_host *host, const char *what)
+{
+	const struct soak_mark mark = { .at_us = kn_now_us(), .what = what };
+
+	g_array_append_val(host->marks, mark);
+}
+
+void soak_host_signal(struct soak *soak, struct soak_host *host, int number)
+{
+	const char *what = number == SIGTERM ? "term" : "hup";
+
+	soak_say(what, host->name);
+	soak_host_mark(host, what);
+	sr_proc_signal(host->proc, number);
+}
+
 static int spawn(struct soak *soak, struct soak_host *host, const char *name)
 {
-	char variable[300], clock[300], preload[300];
+	char variable[300], clock[300], uptime[40], preload[300];
 	char *argv[] = { (char *)"/usr/bin/env",
 			 variable,
 			 clock,
+			 uptime,
 			 preload,
 			 (char *)soak->options.binary,
 			 (char *)"--platform",
 			 NULL };
+	int proc;
 
+	snprintf(uptime, sizeof(uptime), "SOAK_UPTIME_DAYS=%d",
+		 host->uptime_days);
 	snprintf(clock, sizeof(clock), "SOAK_CLOCK=%s", host->clock);
 	snprintf(preload, sizeof(preload), "LD_PRELOAD=%s",
 		 soak->options.clock);
 	snprintf(variable, sizeof(variable), "CHIVEBANK_CONFIG=%s",
 		 host->settings);
-	return sr_proc_spawn(name, argv);
+	proc = sr_proc_spawn(name, argv);
+	if (proc >= 0)
+		soak_starve_host(soak, proc);
+	soak_host_mark(host, "start");
+	return proc;
 }
 
 bool soak_host_start(struct soak *soak, struct soak_host *host)
@@ -57,6 +80,7 @@
 	host->started_us = kn_now_us();
 	host->start_us = 0;
 	host->kill_us = 0;
+	host->term_us = 0;
 	host->frozen = false;
 	return host->proc >= 0;
 }
@@ -94,6 +118,7 @@
 	host->successor = -1;
 	host->overlaps = false;
 	host->kill_us = 0;
+	host->term_us = 0;
 	host->frozen = false;
 	host->started_us = kn_now_us();
 	host->overlap_end_us = kn_now_us();
@@ -106,6 +131,20 @@
 					       5 * SUCCESSOR_MS * USEC_PER_MSEC;
 }
 
+/* No stop lasts until the end of its grace; one that was frozen may. */
+static void end_grace(struct soak *soak, struct soak_host *host)
+{
+	bool runs = sr_proc_signal(host->proc, SIGKILL);
+
+	if (!runs || !host->term_us)
+		return;
+	soak_host_mark(host, "killed");
+	if (!host->frozen && host->frozen_us < host->term_us)
+		soak_violated(soak, "GRACE", host->name,
+			      "a stop lasted until the end of its grace");
+	host->term_us = 0;
+}
+
 void soak_hosts_step(struct soak *soak)
 {
 	int i, code;
@@ -113,8 +152,8 @@
 	for (i = 0; i < soak->options.hosts; i++) {
 		struct soak_host *host = &soak->hosts[i];
 
-		if (host->kill_us && kn_now_us() > host->kill_us)
-			sr_proc_signal(host->proc, SIGKILL);
+		if (host->kill_us && kn_now_us() >= host->kill_us)
+			end_grace(soak, host);
 		if (host->overlaps) {
 			step_successor(soak, host);
 			if (sr_proc_ended(host->proc, &code))
@@ -125,9 +164,13 @@
 			if (!host->kill_us && !may_have_met_it(host))
 				soak_violated(soak, "EXIT", host->name,
 					      "a process ended by itself");
+			soak_host_mark(host, "ended");
 			host->start_us =
 				kn_now_us() + RESTART_MS * USEC_PER_MSEC / 2;
 		}
+		/* A process that was killed is away until it starts again. */
+		if (host->start_us && host->disrupted_us > host->started_us)
+			host->disrupted_us = kn_now_us();
 		if (host->start_us && kn_now_us() > host->start_us)
 			soak_host_start(soak, host);
 	}
@@ -137,14 +180,17 @@
 {
 	soak_say("kill", host->name);
 	sr_proc_signal(host->proc, SIGKILL);
+	soak_host_mark(host, "kill");
 	host->kill_us = kn_now_us();
+	host->term_us = 0;
+	host->disrupted_us = kn_now_us();
 }
 
 void soak_host_stop(struct soak *soak, struct soak_host *host)
 {
-	soak_say("term", host->name);
-	sr_proc_signal(host->proc, SIGTERM);
-	host->kill_us = kn_now_us() + GRACE_MS * USEC_PER_MSEC;
+	soak_host_signal(soak, host, SIGTERM);
+	host->term_us = kn_now_us();
+	host->kill_us = host->term_us + SOAK_GRACE_MS * USEC_PER_MSEC;
 }
 
 void soak_host_replace(struct soak *soak, struct soak_host *host)
@@ -158,7 +204,9 @@
 {
 	soak_say("freeze", host->name);
 	sr_proc_signal(host->proc, SIGSTOP);
+	soak_host_mark(host, "freeze");
 	host->frozen = true;
+	host->frozen_us = kn_now_us();
 	host->thaw_us = fault_end_us(soak);
 }
 
@@ -202,8 +250,7 @@
 		/* Before its first instruction no process can handle it. */
 		if (kn_now_us() - host->started_us < 300 * USEC_PER_MSEC)
 			break;
-		soak_say("hup", host->name);
-		sr_proc_signal(host->proc, SIGHUP);
+		soak_host_signal(soak, host, SIGHUP);
 		break;
 	}
 }
@@ -299,16 +346,19 @@
 
 	if (soak_chance(soak, 15)) {
 		soak_say("compact", "store");
+		soak->store_disrupted_us = kn_now_us();
 		site_store_compact(soak->store);
 		return;
 	}
 	if (soak_chance(soak, 15)) {
 		soak_say("lapse", "leader");
+		soak->store_disrupted_us = kn_now_us();
 		site_store_lapse(soak->store, "chivebank/leader");
 		return;
 	}
 	soak_say(names[n], door < 0 ? "store" : "one door");
 	soak->store_heal_us = fault_end_us(soak);
+	soak->store_disrupted_us = kn_now_us();
 	site_store_fault(soak->store, door, faults[n], 30,
 			 soak_chance(soak, 20) ? 60 : 0);
 }
@@ -407,12 +457,13 @@
 
 /* Operators. */
 
-static void change_config(struct soak *soak)
+void soak_change_config(struct soak *soak)
 {
 	char *text;
 
 	soak->config_version += 1 + soak_below(soak, 3);
 	soak_say("config", "store");
+	soak->config_us = kn_now_us();
 	text = g_strdup_printf(
 		"{\"version\":%d,\"routes\":[{\"name\":\"q\",\"host\":"
 		"\"127.0.0.1\",\"prefix\":\"/jobs/\",\"slo_ms\":1000,"
@@ -460,6 +511,8 @@
 	struct site_worker *worker;
 	int i;
 
+	if (soak->store_heal_us)
+		soak->store_disrupted_us = kn_now_us();
 	if (soak->store_heal_us && now_us > soak->store_heal_us) {
 		soak->store_heal_us = 0;
 		site_store_fault(soak->store, -1, SITE_WELL, 0, 0);
@@ -467,6 +520,9 @@
 	for (i = 0; i < soak->options.hosts; i++) {
 		struct soak_host *host = &soak->hosts[i];
 
+		if (host->frozen || host->way_heal_us || host->peers_heal_us ||
+		    host->clock_heal_us)
+			host->disrupted_us = kn_now_us();
 		if (host->way_heal_us && now_us > host->way_heal_us) {
 			host->way_heal_us = 0;
 			sr_relay_set(host->relay, SR_OPEN);
@@ -493,6 +549,10 @@
 void soak_faults_step(struct soak *soak)
 {
 	heal(soak, false);
+	if (soak->options.stops) {
+		soak_stops_step(soak);
+		return;
+	}
 	if (soak_below(soak, 1000) < ODD_ENTRIES_PER_1000)
 		write_odd_entry(soak);
 	if (soak->options.lives)
@@ -522,7 +582,7 @@
 		fault_store(soak);
 		break;
 	case 4:
-		change_config(soak);
+		soak_change_config(soak);
 		break;
 	default:
 		fault_worker(soak);
--- a/tests/soak/soak_jobs.c
+++ b/tests/soak/soak_jobs.c
@@ -205,6 +205,12 @@
 			     NULL;
 	int status = call->result == CB_OK ? call->status : 0;
 
+	if ((call->result == CB_E_UPSTREAM_LOST ||
+	     call->result == CB_E_UPSTREAM_TRUNCATED) &&
+	    call->sent_us)
+		soak_judge_cut(job->soak,
+			       container_of(call->pool, struct soak_host, pool),
+			       call->sent_us, call->ended_us, job->id);
 	job->calling = false;
 	job->next_us = kn_now_us() +
 		       (100 + soak_below(job->soak, 500)) * USEC_PER_MSEC;
--- a/tests/soak/soak_main.c
+++ b/tests/soak/soak_main.c
@@ -13,6 +13,11 @@
 
 #define STEP_MS 20
 #define SETTLE_SEC 60 /* after the faults, for the longest chain of retries */
+#define STARVE_MAX 32
+#define MSEC_PER_DAY (24 * 3600 * 1000LL)
+
+/* Up times that hosts and workers show. */
+static const int uptime_days[] = { 0, 25, 400 };
 
 static const struct argp_option option_table[] = {
 	{ "seed", 's', "N", 0, "Course of faults and load", 0 },
@@ -23,6 +28,10 @@
 	{ "takeovers", 'k', NULL, 0, "Series of takeovers, large jobs", 0 },
 	{ "lives", 'l', NULL, 0,
 	  "Workers start again in place, short pauses, wrong entries", 0 },
+	{ "stops", 'o', NULL, 0,
+	  "Only planned stops of hosts, with callers of kept connections", 0 },
+	{ "starve", 'x', "N", 0,
+	  "Hosts share one core with so many busy processes", 0 },
 	{ "gaps", 'g', "N", 0,
 	  "Percent of runs that workers leave out of their lists for a time",
 	  0 },
@@ -58,6 +67,12 @@
 	case 'l':
 		options->lives = true;
 		return 0;
+	case 'o':
+		options->stops = true;
+		return 0;
+	case 'x':
+		options->starve = CLAMP(atoi(arg), 0, STARVE_MAX);
+		return 0;
 	case 'g':
 		options->gap_percent = CLAMP(atoi(arg), 0, 100);
 		return 0;
@@ -103,7 +118,7 @@
 	return soak->options.gap_percent ? 400 : 100;
 }
 
-static void write_settings(struct soak *soak, struct soak_host *host)
+void soak_host_settings(struct soak *soak, struct soak_host *host)
 {
 	GString *seeds = g_string_new(NULL);
 	char *text, *path;
@@ -120,19 +135,15 @@
 		"\"limits\":{\"cpu_share\":1,\"cores\":1},"
 		"\"platform\":{\"addr\":\"127.0.0.1:%d\"},"
 		"\"bounds\":{\"max_hold_ms\":3000,\"stop_ms\":%d,"
-		"\"gang_ms\":1000,\"config_ms\":2500,\"status_s\":600,"
-		"\"grace_s\":2}}",
+		"\"gang_ms\":1000,\"config_ms\":%d,\"status_s\":%d,"
+		"\"grace_s\":%d}}",
 		host->name, 1 + (int)(host - soak->hosts) % soak->options.dcs,
 		host->callers_port, host->peers_port, seeds->str,
-		sr_relay_port(host->relay), stop_ms(soak));
+		sr_relay_port(host->relay), stop_ms(soak), SOAK_CONFIG_MS,
+		host->status_s, SOAK_GRACE_MS / 1000);
 	path = g_strconcat(soak->options.dir, "/", host->name, ".json", NULL);
 	g_strlcpy(host->settings, path, sizeof(host->settings));
 	g_free(path);
-	path = g_strconcat(soak->options.dir, "/", host->name, ".clock", NULL);
-	g_strlcpy(host->clock, path, sizeof(host->clock));
-	g_free(path);
-	if (!g_file_set_contents(host->clock, "0", -1, NULL))
-		abort();
 	if (!g_file_set_contents(host->settings, text, -1, NULL))
 		abort();
 	g_free(text);
@@ -164,6 +175,10 @@
 
 		snprintf(rack, sizeof(rack), "rack-%d", i / SOAK_RACK_WORKERS);
 		worker = site_fleet_add(soak->fleet, rack, 4, ports_reserve());
+		worker->uptime_ms =
+			uptime_days[(soak->options.seed + (uint32_t)i) %
+				    G_N_ELEMENTS(uptime_days)] *
+			MSEC_PER_DAY;
 		soak->worker_relays[i] =
 			sr_relay_new(ports_reserve(), worker->server.port);
 		soak->spare_relays[i] =
@@ -188,12 +203,22 @@
 		host->relay = sr_relay_new(ports_reserve(), port);
 		host->peers_relay =
 			sr_relay_new(ports_reserve(), host->peers_port);
+		host->marks =
+			g_array_new(FALSE, FALSE, sizeof(struct soak_mark));
+		host->status_s = 600;
+		host->uptime_days =
+			uptime_days[(soak->options.seed + (uint32_t)i) %
+				    G_N_ELEMENTS(uptime_days)];
+		snprintf(host->clock, sizeof(host->clock), "%s/%s.clock",
+			 soak->options.dir, host->name);
+		if (!g_file_set_contents(host->clock, "0", -1, NULL))
+			abort();
 		hc_pool_init(&host->pool, &soak->kn, "127.0.0.1",
 			     host->callers_port, 64);
 		host->pool.connect_timeout_ms = 500;
 	}
 	for (i = 0; i < soak->options.hosts; i++) {
-		write_settings(soak, &soak->hosts[i]);
+		soak_host_settings(soak, &soak->hosts[i]);
 		if (!soak_host_start(soak, &soak->hosts[i]))
 			abort();
 	}
@@ -246,6 +271,12 @@
 {
 	int64_t until_us = kn_now_us() + STEP_MS * USEC_PER_MSEC;
 	struct kn_timer timer = { 0 };
+	int i;
+
+	/* The end of a grace is kept to the millisecond. */
+	for (i = 0; i < soak->options.hosts; i++)
+		if (soak->hosts[i].kill_us > kn_now_us())
+			until_us = MIN(until_us, soak->hosts[i].kill_us);
 
 	while (kn_now_us() < until_us) {
 		kn_timer_set(&soak->kn, &timer, MAX(until_us - kn_now_us(), 0),
@@ -254,6 +285,7 @@
 		kn_timer_cancel(&timer);
 	}
 	soak_hosts_step(soak);
+	soak_callers_step(soak);
 	soak_jobs_step(soak);
 }
 
@@ -262,11 +294,15 @@
 	int64_t end_us = kn_now_us() + soak->options.seconds * USEC_PER_SEC;
 
 	soak->faults_end_us = end_us;
+	if (soak->options.stops)
+		soak_callers_start(soak);
 	while (kn_now_us() < end_us) {
 		run_step(soak);
 		soak_faults_step(soak);
 	}
 	soak_faults_heal(soak);
+	soak_callers_stop(soak);
+	soak_starve_end(soak);
 	soak->healing = true;
 	soak->healed_us = kn_now_us();
 	end_us = kn_now_us() + SETTLE_SEC * USEC_PER_SEC;
@@ -308,17 +344,23 @@
 	put_config(&soak);
 	if (!kn_start(&soak.kn, NULL))
 		return EXIT_FAILURE;
+	soak_starve_start(&soak);
 	add_hosts(&soak);
 	run(&soak);
 	failed = soak.fleet->violations->len;
 	printf("seed=%u accepted=%d rejected=%d unknown=%d faults=%d "
-	       "starts=%llu violations=%u\n",
+	       "starts=%llu calls=%llu cut_lost=%d cut_in_slack=%d "
+	       "cut_near_faults=%d cut_elsewhere=%d violations=%u\n",
 	       soak.options.seed, soak.accepted, soak.rejected, soak.unknown,
-	       soak.faults, (unsigned long long)soak.fleet->starts, failed);
+	       soak.faults, (unsigned long long)soak.fleet->starts,
+	       (unsigned long long)soak.calls, soak.cut_lost, soak.cut_slack,
+	       soak.cut_disrupted, soak.cut_unplanned, failed);
 	sr_proc_kill_all();
 	soak_jobs_finish(&soak);
-	for (i = 0; i < soak.options.hosts; i++)
+	for (i = 0; i < soak.options.hosts; i++) {
 		hc_pool_finish(&soak.hosts[i].pool);
+		g_array_free(soak.hosts[i].marks, TRUE);
+	}
 	kn_finish(&soak.kn);
 	sr_relay_stop();
 	g_rand_free(soak.rand);
--- a/wire/hc.c
+++ b/wire/hc.c
@@ -137,6 +137,8 @@
 		conn->call->sent = true;
 		conn->out_off += (size_t)n;
 	}
+	if (conn->out)
+		conn->call->sent_us = kn_now_us();
 	g_free(conn->out);
 	conn->out = NULL;
 	return true;
--- a/wire/hc.h
+++ b/wire/hc.h
@@ -41,6 +41,7 @@
 	unsigned char *body;
 	size_t body_len;
 	int64_t started_us;
+	int64_t sent_us; /* when the kernel took its last byte, 0: not yet */
 	int64_t ended_us;
 };
 
