Read all that has arrived before a stop ends

What callers saw: with many connections waiting to be accepted when a host that had got no processor ended, only some of them got an answer.

Cause: the last rounds of the loop were a fixed number, and a round accepts 64 connections and reads 16 KB of each.

--- a/base/kn.c
+++ b/base/kn.c
@@ -60,6 +60,7 @@
 	kn->timers = g_sequence_new(NULL);
 	loops[0] = kn->loop;
 	info.foreign_loops = loops;
+	info.user = kn;
 	info.gid = (gid_t)-1;
 	info.uid = (uid_t)-1;
 	info.pt_serv_buf_size = HTTP_HEADERS_MAX_BYTES;
@@ -364,15 +365,30 @@
 		kn_drain(kn);
 }
 
-/* Serves what has arrived already, without waiting. */
+/* Notes that bytes, or a connection, of a socket were taken. */
+void kn_note_arrival(struct lws *wsi)
+{
+	struct kn *kn = lws_context_user(lws_get_context(wsi));
+
+	kn->arrivals++;
+}
+
+/*
+ * Serves what has arrived already, without waiting: a round reads only a part
+ * of each socket and accepts only some connections.
+ */
 static void serve_arrived(struct kn *kn)
 {
-	int i;
+	int64_t until_us = kn_now_us() + KN_ARRIVED_MS * USEC_PER_MSEC;
+	int idle = 0;
+
+	while (idle < KN_IDLE_ROUNDS && kn_now_us() < until_us) {
+		uint64_t before = kn->arrivals;
 
-	for (i = 0; i < KN_ARRIVED_ROUNDS; i++) {
 		uv_run(kn->loop, UV_RUN_NOWAIT);
 		drain_mailboxes(kn);
 		log_flush();
+		idle = kn->arrivals == before ? idle + 1 : 0;
 	}
 }
 
--- a/base/kn.h
+++ b/base/kn.h
@@ -68,6 +68,7 @@
 	struct list_head tasks;
 	struct list_head ready;
 	struct ctr_set counters;
+	uint64_t arrivals; /* see kn_note_arrival() */
 	bool late; /* timers are overdue and wait for the sockets */
 	bool draining;
 	bool stopped;
@@ -94,5 +95,6 @@
 void kn_drained(struct kn_task *task);
 void kn_stop(struct kn *kn, int exit_code);
 void kn_handle_signals(struct kn *kn);
+void kn_note_arrival(struct lws *wsi);
 
 #endif
--- a/base/limits.h
+++ b/base/limits.h
@@ -14,7 +14,8 @@
 /* Kernel. */
 
 #define KN_CLOSE_ROUNDS 10 /* for handles that close late */
-#define KN_ARRIVED_ROUNDS 4 /* accept, read, answer, and one to spare */
+#define KN_IDLE_ROUNDS 2 /* without a byte, until all that has arrived is read */
+#define KN_ARRIVED_MS 150 /* for reading what has arrived */
 #define KN_LATE_MS 20 /* a timer that is later: sockets are read first */
 #define KN_DRAIN_ROUNDS 64 /* mailbox rounds before sockets are served */
 #define EV_RING_EVENTS 4096 /* events kept for the API */
--- a/tests/unit/test_callers.c
+++ b/tests/unit/test_callers.c
@@ -171,6 +171,71 @@
 }
 END_TEST
 
+#define WAITING 1000 /* several times what one round accepts */
+
+START_TEST(many_connections_unread_at_the_end_of_a_stop_are_answered)
+{
+	static struct be_sock late[WAITING];
+	int i;
+
+	begin_stop();
+	be_turn(&kn, 50);
+	for (i = 0; i < WAITING; i++) {
+		be_connect(&late[i], site.callers.port);
+		ck_assert_int_gt(send(late[i].fd, GET LONG_DEADLINE,
+				      strlen(GET LONG_DEADLINE), 0),
+				 0);
+	}
+	usleep((GRACE_MS + 100) * USEC_PER_MSEC);
+	run_to_end();
+	for (i = 0; i < WAITING; i++) {
+		ck_assert_ptr_nonnull(
+			strstr(received(&late[i]), "HTTP/1.1 503 "));
+		be_close(&late[i]);
+	}
+}
+END_TEST
+
+#define LARGE_BYTES 250000 /* several times what one round reads */
+
+START_TEST(large_request_unread_at_the_end_of_a_stop_is_answered)
+{
+	GString *text = g_string_new("POST /jobs/00000000000000aa HTTP/1.1\r\n"
+				     "Host: x\r\n");
+	size_t sent = 0;
+	ssize_t n;
+
+	g_string_append_printf(text, "Content-Length: %d\r\n" LONG_DEADLINE,
+			       LARGE_BYTES);
+	g_string_append_printf(text, "%*s", LARGE_BYTES, "");
+	begin_stop();
+	be_turn(&kn, 50);
+	while (sent < text->len &&
+	       (n = send(sock.fd, text->str + sent, text->len - sent, 0)) > 0)
+		sent += (size_t)n;
+	ck_assert_uint_eq(sent, text->len);
+	usleep((GRACE_MS + 100) * USEC_PER_MSEC);
+	run_to_end();
+	ck_assert_ptr_nonnull(strstr(received(&sock), "HTTP/1.1 503 "));
+	g_string_free(text, TRUE);
+}
+END_TEST
+
+/* The process gets no processor until after the time at which the stop could
+ * end. */
+START_TEST(request_unread_amid_a_stop_is_answered)
+{
+	begin_stop();
+	be_turn(&kn, 50);
+	ck_assert_int_gt(
+		send(sock.fd, GET LONG_DEADLINE, strlen(GET LONG_DEADLINE), 0),
+		0);
+	usleep(GRACE_MS / 2 * USEC_PER_MSEC);
+	run_to_end();
+	ck_assert_ptr_nonnull(strstr(received(&sock), "HTTP/1.1 503 "));
+}
+END_TEST
+
 int main(void)
 {
 	TCase *tc = tcase_create("callers");
@@ -181,5 +246,10 @@
 	tcase_add_test(tc, stop_answers_all_calls_before_the_grace_ends);
 	tcase_add_test(tc, half_sent_request_does_not_hold_up_the_stop);
 	tcase_add_test(tc, requests_unread_at_the_end_of_a_stop_are_answered);
+	tcase_add_test(
+		tc, many_connections_unread_at_the_end_of_a_stop_are_answered);
+	tcase_add_test(tc,
+		       large_request_unread_at_the_end_of_a_stop_is_answered);
+	tcase_add_test(tc, request_unread_amid_a_stop_is_answered);
 	return run_case("callers", tc);
 }
--- a/wire/hc.c
+++ b/wire/hc.c
@@ -222,6 +222,7 @@
 
 	switch (reason) {
 	case LWS_CALLBACK_RAW_RX:
+		kn_note_arrival(wsi);
 		return conn ? on_rx(conn, in, len) : -1;
 	case LWS_CALLBACK_RAW_WRITEABLE:
 		return conn && on_writable(conn) ? 0 : -1;
--- a/wire/hs.c
+++ b/wire/hs.c
@@ -154,13 +154,14 @@
 	case LWS_CALLBACK_RAW_RX_FILE:
 		if (!data)
 			return -1;
+		kn_note_arrival(wsi);
 		hs_accept(data);
 		return 0;
 	case LWS_CALLBACK_RAW_RX:
+		kn_note_arrival(wsi);
+		return data ? serve(data, true, in, len) : -1;
 	case LWS_CALLBACK_RAW_WRITEABLE:
-		return data ? serve(data, reason == LWS_CALLBACK_RAW_RX, in,
-				    len) :
-			      -1;
+		return data ? serve(data, false, NULL, 0) : -1;
 	case LWS_CALLBACK_RAW_CLOSE:
 		if (data)
 			drop(data);
--- a/wire/kvetcd_stream.c
+++ b/wire/kvetcd_stream.c
@@ -125,6 +125,7 @@
 	case LWS_CALLBACK_RAW_WRITEABLE:
 		return write_request(stream);
 	case LWS_CALLBACK_RAW_RX:
+		kn_note_arrival(wsi);
 		if (!take_bytes(stream, in, len) || !stream->user)
 			return -1;
 		return 0;
--- a/wire/pr_link.c
+++ b/wire/pr_link.c
@@ -292,6 +292,7 @@
 
 	switch (reason) {
 	case LWS_CALLBACK_RAW_RX_FILE:
+		kn_note_arrival(wsi);
 		accept_all(lws_vhost_user(lws_get_vhost(wsi)),
 			   (int)lws_get_socket_fd(wsi));
 		return 0;
@@ -302,6 +303,7 @@
 			return -1;
 		enter(link);
 		if (reason == LWS_CALLBACK_RAW_RX) {
+			kn_note_arrival(wsi);
 			receive(link, in, len);
 			/* The first bytes, a hello, tell whose link it is. */
 			pr_ctr_received(link, len);
--- a/wire/rpc.c
+++ b/wire/rpc.c
@@ -248,10 +248,12 @@
 
 	switch (reason) {
 	case LWS_CALLBACK_RAW_RX_FILE:
+		kn_note_arrival(wsi);
 		if (data)
 			rpc_accept(data);
 		return 0;
 	case LWS_CALLBACK_RAW_RX:
+		kn_note_arrival(wsi);
 		return data ? on_rx(data, in, len) : -1;
 	case LWS_CALLBACK_RAW_WRITEABLE:
 		return data ? on_writable(data) : -1;
