Say that the outcome of a time-out is unknown

What callers saw: an answer 504 to a submission that the store may have carried out, or had carried out, said "Chivebank-Outcome: not-run".

Cause: send_error() took the outcome from the class of the result code, and CB_E_TIMEOUT is of the class of the process, not of the unknown outcomes.

Change: the outcome is unknown with each 502 and 504.

Evidence: outcome_of_a_time_out_is_unknown (test_hs) failed before the change for CB_E_TIMEOUT and CB_E_PEER_PROTOCOL.

--- a/tests/unit/test_hs.c
+++ b/tests/unit/test_hs.c
@@ -595,6 +595,21 @@
 }
 END_TEST
 
+/* A refusal that is said not to have run may be repeated elsewhere. */
+START_TEST(outcome_of_a_time_out_is_unknown)
+{
+	static const int codes[] = { CB_E_TIMEOUT, CB_E_PEER_PROTOCOL,
+				     CB_E_CHANGE_UNKNOWN, CB_E_UPSTREAM_LOST };
+
+	hold = true;
+	be_puts(&kn, &sock, "GET /a HTTP/1.1\r\n\r\n");
+	be_turn(&kn, 20);
+	hs_reply_error(held, codes[_i], NULL, 0);
+	ck_assert(be_wait_text(&kn, &sock, "Chivebank-Outcome: unknown\r\n",
+			       1000));
+}
+END_TEST
+
 int main(void)
 {
 	TCase *tc = tcase_create("server");
@@ -626,5 +641,6 @@
 	tcase_add_loop_test(
 		tc, drain_answers_the_requests_that_were_read_together, 0, 2);
 	tcase_add_test(tc, keeps_listed_headers_only);
+	tcase_add_loop_test(tc, outcome_of_a_time_out_is_unknown, 0, 4);
 	return run_case("hs", tc);
 }
--- a/wire/hs_reply.c
+++ b/wire/hs_reply.c
@@ -157,7 +157,8 @@
 static void send_error(struct hs_conn *conn, int code, const char *detail,
 		       int retry_after_s)
 {
-	bool unknown = code / 100 == 3 || code == CB_E_CHANGE_UNKNOWN;
+	int status = cb_result_http(code);
+	bool unknown = status == 502 || status == 504;
 	GString *body = error_body(code, detail);
 	struct http_headers headers;
 	char number[16];
@@ -172,7 +173,7 @@
 		g_snprintf(number, sizeof(number), "%d", retry_after_s);
 		http_headers_add(&headers, "Retry-After", number);
 	}
-	send_reply(conn, cb_result_http(code), &headers, body->str, body->len);
+	send_reply(conn, status, &headers, body->str, body->len);
 	http_headers_finish(&headers);
 	g_string_free(body, TRUE);
 }
