--- a/tests/unit/test_host.c
+++ b/tests/unit/test_host.c
@@ -1,7 +1,10 @@
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
+#include <unistd.h>
 
+#include "platform/host.h"
+#include "platform/settings.h"
 #include "tests/standins/site_check.h"
 #include "tests/standins/site_rig.h"
 #include "tests/unit/run.h"
@@ -1264,6 +1267,51 @@
 }
 END_TEST
 
+/* Writes the settings of host 0 with another time until the kill. */
+static void write_grace(const char *path, char seconds)
+{
+	char *text, *at;
+
+	ck_assert(g_file_get_contents(rig.hosts[0].path, &text, NULL, NULL));
+	at = strstr(text, "\"grace_s\":");
+	ck_assert_ptr_nonnull(at);
+	at[strlen("\"grace_s\":")] = seconds;
+	ck_assert(g_file_set_contents(path, text, -1, NULL));
+	g_free(text);
+}
+
+START_TEST(settings_that_change_while_the_process_starts_hold)
+{
+	static struct site site;
+	static struct kn kn;
+	char path[80];
+
+	rig_start(&rig, 1, 1, 1);
+	snprintf(path, sizeof(path), "%s-second", rig.hosts[0].path);
+	write_grace(path, '2');
+	ck_assert(platform_settings_load(&site, path, NULL));
+	site.callers.port = site.peers.port = 0;
+	ck_assert(kn_init(&kn, NULL));
+	platform_host_add(&kn, &site, path, 7);
+	write_grace(path, '9');
+	ck_assert(kn_start(&kn, NULL));
+	ck_assert_int_eq(site.grace_ms, 9000);
+	kn_finish(&kn);
+	unlink(path);
+	rig_stop(&rig);
+}
+END_TEST
+
+START_TEST(settings_that_change_just_before_a_stop_hold)
+{
+	rig_start(&rig, 1, 1, 1);
+	write_grace(rig.hosts[0].path, '9');
+	kn_drain(&rig.kn);
+	ck_assert_int_eq(rig.hosts[0].site.grace_ms, 9000);
+	rig_stop(&rig);
+}
+END_TEST
+
 int main(void)
 {
 	TCase *tc = tcase_create("host");
@@ -1321,5 +1369,7 @@
 	tcase_add_test(tc, draining_worker_gets_nothing_new);
 	tcase_add_test(tc, counts_of_waiting_jobs);
 	tcase_add_test(tc, late_write_of_counts_overwrites_none);
+	tcase_add_test(tc, settings_that_change_while_the_process_starts_hold);
+	tcase_add_test(tc, settings_that_change_just_before_a_stop_hold);
 	return run_case("host", tc);
 }
