Remove the leader's key that a stop amid an election has left

What callers saw: for up to two seconds after the stop of a host nobody could lead, and waiting jobs stood still.

Cause: a stopping host ignored the answer to its campaign. If the transaction had been carried out, its key stayed until its lease ran out.

Change: a stopping host ends the lease unless the store says that the key was not created.

Evidence: stop_amid_an_election_leaves_no_leader_key (test_leader) failed before the change: the key was there 1 s after the stop began, with a lease of 2 s.

--- a/control/leader.c
+++ b/control/leader.c
@@ -247,8 +247,12 @@
 	struct leader *leader = call->user;
 
 	leader->call_pending = false;
-	if (leader->stopping)
+	if (leader->stopping) {
+		/* The key may have been created, and would block others. */
+		if (call->result != CB_OK || call->succeeded)
+			revoke_lease(leader, leader->lease);
 		return;
+	}
 	if (call->result == CB_OK && call->succeeded) {
 		start_leading(leader, call->revision);
 		return;
