Count the grace of a stop from its signal

What callers saw: a host that was busy when SIGTERM came planned its stop from the end of that work, and the kill came before its last answers.

Cause: hs_stop counted from when the signal was handled.

Change: the signal handler notes the time of the first stop signal, and the times at which a stop answers and ends count from it. stop.draining tells how late the signal was handled.

Evidence: grace_counts_from_the_signal (test_callers) failed before the change: the process ended 1,544 ms after the signal, with a grace of 1,200.

--- a/base/kn.c
+++ b/base/kn.c
@@ -12,6 +12,7 @@
 
 /* Signals address the process; the handler only counts and wakes the loop. */
 static volatile sig_atomic_t stop_signals;
+static volatile int64_t first_stop_us; /* when the first of them came */
 static volatile sig_atomic_t reload_signals;
 static struct lws_context *signal_context;
 
@@ -352,6 +353,23 @@
 			task->ops->reload(task);
 }
 
+static void begin_drain(struct kn *kn, int64_t since_us)
+{
+	struct kn_task *task;
+
+	kn->draining = true;
+	kn->drain_us = since_us;
+	log_info("stop.draining",
+		 "reason=signal handled_after_ms=%" G_GINT64_FORMAT,
+		 (kn_now_us() - since_us) / 1000);
+	list_for_each_entry(task, &kn->tasks, node) {
+		if (task->ops->drain)
+			task->ops->drain(task);
+		else
+			kn_drained(task);
+	}
+}
+
 static void handle_signals(struct kn *kn)
 {
 	static int handled;
@@ -362,7 +380,7 @@
 	if (kn->draining)
 		log_info("stop.repeated", "signals=%d", handled);
 	else
-		kn_drain(kn);
+		begin_drain(kn, first_stop_us);
 }
 
 /* Notes that bytes, or a connection, of a socket were taken. */
@@ -423,18 +441,8 @@
 /* Begins the graceful stop of all tasks. */
 void kn_drain(struct kn *kn)
 {
-	struct kn_task *task;
-
-	if (kn->draining)
-		return;
-	kn->draining = true;
-	log_info("stop.draining", "reason=signal");
-	list_for_each_entry(task, &kn->tasks, node) {
-		if (task->ops->drain)
-			task->ops->drain(task);
-		else
-			kn_drained(task);
-	}
+	if (!kn->draining)
+		begin_drain(kn, kn_now_us());
 }
 
 /* A task reports that nothing of it is in progress any more. */
@@ -461,8 +469,8 @@
 {
 	if (number == SIGHUP)
 		reload_signals++;
-	else
-		stop_signals++;
+	else if (stop_signals++ == 0)
+		first_stop_us = kn_now_us();
 	if (signal_context)
 		lws_cancel_service(signal_context);
 }
--- a/base/kn.h
+++ b/base/kn.h
@@ -71,6 +71,7 @@
 	uint64_t arrivals; /* see kn_note_arrival() */
 	bool late; /* timers are overdue and wait for the sockets */
 	bool draining;
+	int64_t drain_us; /* when the signal for it came, 0: not draining */
 	bool stopped;
 	int exit_code;
 };
--- a/tests/unit/test_callers.c
+++ b/tests/unit/test_callers.c
@@ -137,6 +137,18 @@
 }
 END_TEST
 
+/* The process is busy when the signal comes. */
+START_TEST(grace_counts_from_the_signal)
+{
+	send_call(GET LONG_DEADLINE);
+	drained_us = kn_now_us();
+	ck_assert_int_eq(raise(SIGTERM), 0);
+	usleep(400 * USEC_PER_MSEC);
+	ck_assert_int_lt(run_to_end(), GRACE_MS);
+	ck_assert_ptr_nonnull(strstr(received(&sock), "HTTP/1.1 503 "));
+}
+END_TEST
+
 /* The rest of the request never comes. */
 START_TEST(half_sent_request_does_not_hold_up_the_stop)
 {
@@ -244,6 +256,7 @@
 	tcase_set_timeout(tc, 40);
 	tcase_add_test(tc, repeated_stop_signals_cut_no_call);
 	tcase_add_test(tc, stop_answers_all_calls_before_the_grace_ends);
+	tcase_add_test(tc, grace_counts_from_the_signal);
 	tcase_add_test(tc, half_sent_request_does_not_hold_up_the_stop);
 	tcase_add_test(tc, requests_unread_at_the_end_of_a_stop_are_answered);
 	tcase_add_test(
--- a/wire/hs_stop.c
+++ b/wire/hs_stop.c
@@ -48,6 +48,16 @@
 			     check);
 }
 
+/* The balancer notices the stop from now on; the grace counts from its signal. */
+static int64_t settle_us(const struct hs_stop *stop)
+{
+	int64_t answer_us =
+		stop->begun_us + stop->times.answer_ms * USEC_PER_MSEC;
+
+	return MIN(stop->times.settle_ms * USEC_PER_MSEC,
+		   MAX(answer_us - kn_now_us(), 0));
+}
+
 void hs_stop_begin(struct hs_stop *stop, struct hs_server *server,
 		   const struct hs_stop_ops *ops,
 		   const struct hs_stop_times *times)
@@ -55,11 +65,11 @@
 	stop->ops = ops;
 	stop->server = server;
 	stop->times = *times;
-	stop->begun_us = kn_now_us();
+	stop->begun_us =
+		server->kn->drain_us ? server->kn->drain_us : kn_now_us();
 	stop->expired = false;
 	hs_drain(server);
-	kn_timer_set(server->kn, &stop->timer, times->settle_ms * USEC_PER_MSEC,
-		     check);
+	kn_timer_set(server->kn, &stop->timer, settle_us(stop), check);
 }
 
 void hs_stop_finish(struct hs_stop *stop)
--- a/wire/hs_stop.h
+++ b/wire/hs_stop.h
@@ -18,9 +18,11 @@
 	void (*ended)(struct hs_stop *stop);
 };
 
-/* Times since the beginning of a stop, in milliseconds. */
+/* Times since the signal to stop, in milliseconds. */
 struct hs_stop_times {
-	int64_t settle_ms; /* so long requests are served, also if none is open */
+	/* Since the beginning: so long requests are served, also if none is
+	 * open. */
+	int64_t settle_ms;
 	int64_t answer_ms; /* no request is in progress any more */
 	int64_t limit_ms; /* the stop ends, whatever is not sent by then */
 };
