Answer a second request that a drain has not read yet

What callers saw: of two requests on one connection, the second of which had arrived and was not read when the first was answered during a stop, the second got no answer. An empty line behind a request, which some callers send, kept its connection open and counted as a request that is being received.

Cause: only bytes that had been read were looked at, whatever they were.

Change: the reply closes the connection unless more has been read or waits to be read, and empty lines before a request are skipped.

Evidence: drain_answers_a_request_that_was_not_read_yet and empty_line_behind_a_request_holds_up_no_drain (test_hs) failed before the change.

--- a/tests/unit/test_hs.c
+++ b/tests/unit/test_hs.c
@@ -558,6 +558,37 @@
 }
 END_TEST
 
+START_TEST(drain_answers_a_request_that_was_not_read_yet)
+{
+	hold = true;
+	be_puts(&kn, &sock, "GET /0 HTTP/1.1\r\n\r\n");
+	be_turn(&kn, 20);
+	hs_drain(&server);
+	ck_assert_int_gt(send(sock.fd, "GET /1 HTTP/1.1\r\n\r\n", 19, 0), 0);
+	hold = false;
+	echo(held);
+	ck_assert(be_wait_closed(&kn, &sock, 1000));
+	ck_assert(strstr(sock.in, "GET /0 0"));
+	ck_assert(strstr(sock.in, "GET /1 0"));
+}
+END_TEST
+
+/* Some callers end a body with an empty line. */
+START_TEST(empty_line_behind_a_request_holds_up_no_drain)
+{
+	static const char *const pieces[] = { "ab\r\n", "ab" };
+
+	hs_drain(&server);
+	be_puts(&kn, &sock, POST "Content-Length: 2\r\n\r\n");
+	be_puts(&kn, &sock, pieces[_i]);
+	if (_i == 1)
+		be_puts(&kn, &sock, "\r\n");
+	be_turn(&kn, 20);
+	ck_assert_uint_eq(hs_active(&server), 1); /* lingers */
+	ck_assert(strstr(sock.in, "Connection: close\r\n"));
+}
+END_TEST
+
 START_TEST(drain_answers_the_requests_that_were_read_together)
 {
 	hold = _i == 1;
@@ -640,6 +671,9 @@
 	tcase_add_loop_test(tc, close_and_drain_end_the_connection, 0, 3);
 	tcase_add_loop_test(
 		tc, drain_answers_the_requests_that_were_read_together, 0, 2);
+	tcase_add_test(tc, drain_answers_a_request_that_was_not_read_yet);
+	tcase_add_loop_test(tc, empty_line_behind_a_request_holds_up_no_drain,
+			    0, 3);
 	tcase_add_test(tc, keeps_listed_headers_only);
 	tcase_add_loop_test(tc, outcome_of_a_time_out_is_unknown, 0, 4);
 	return run_case("hs", tc);
--- a/wire/hs_parse.c
+++ b/wire/hs_parse.c
@@ -166,14 +166,28 @@
 	}
 }
 
+/* Empty lines before a request are no part of it. */
+static size_t empty_lines(const char *data, size_t len)
+{
+	size_t n = 0;
+
+	while (n < len && (data[n] == '\r' || data[n] == '\n'))
+		n++;
+	return n;
+}
+
 /* Parses at most one request; returns the number of bytes used. */
 static size_t feed_one(struct hs_conn *conn, const char *data, size_t len)
 {
 	enum hp_state state;
 	size_t used;
 
-	if (conn->state == HS_IDLE)
+	if (conn->state == HS_IDLE) {
+		used = empty_lines(data, len);
+		if (used > 0)
+			return used;
 		request_begin(conn);
+	}
 	used = hp_feed(conn->hp, data, len, &state);
 	if (state == HP_MORE)
 		return len;
@@ -185,6 +199,7 @@
 		conn->close_after = true;
 	conn->state = HS_BUSY;
 	conn->deadline_us = INT64_MAX;
+	used += empty_lines(data + used, len - used);
 	conn->behind = len - used;
 	conn->server->ops->request(conn->server, conn->req);
 	conn->behind = 0;
--- a/wire/hs_reply.c
+++ b/wire/hs_reply.c
@@ -1,4 +1,5 @@
 #include <errno.h>
+#include <poll.h>
 #include <string.h>
 #include <sys/socket.h>
 #include <time.h>
@@ -98,6 +99,16 @@
 		g_string_append_printf(out, "Content-Length: %zu\r\n", len);
 }
 
+/* Whether the caller has sent more than the request that is answered. */
+static bool has_more(const struct hs_conn *conn)
+{
+	struct pollfd fd = { .fd = lws_get_socket_fd(conn->wsi),
+			     .events = POLLIN };
+
+	return conn->behind > 0 || (conn->pending && conn->pending->len > 0) ||
+	       poll(&fd, 1, 0) > 0;
+}
+
 static void send_reply(struct hs_conn *conn, int status,
 		       const struct http_headers *headers, const void *body,
 		       size_t len)
@@ -105,9 +116,7 @@
 	bool head = conn->head;
 	GString *out = g_string_sized_new(512 + len);
 
-	/* A request that was read together with this one is answered too. */
-	if (conn->server->draining && conn->behind == 0 &&
-	    (!conn->pending || conn->pending->len == 0))
+	if (conn->server->draining && !has_more(conn))
 		conn->close_after = true;
 	g_string_append_printf(out, "HTTP/1.1 %d %s\r\n", status,
 			       hp_reason(status));
