Stop listening before the last requests of a stop are answered

What callers saw: a caller that connected just before the end of a host and sent its request then was reset.

Cause: a stop accepted connections until the process ended.

Evidence: connection_made_before_the_end_of_a_stop_is_answered (test_callers) failed before the change: the process ended while it still listened.

--- a/tests/unit/test_callers.c
+++ b/tests/unit/test_callers.c
@@ -183,6 +183,28 @@
 }
 END_TEST
 
+START_TEST(connection_made_before_the_end_of_a_stop_is_answered)
+{
+	struct be_sock late, probe;
+	bool listens = true;
+
+	begin_stop();
+	be_connect(&late, site.callers.port);
+	be_turn(&kn, 20);
+	while (listens && !kn.stopped) {
+		be_connect(&probe, site.callers.port);
+		listens = probe.fd >= 0;
+		be_close(&probe);
+		be_turn(&kn, 10);
+	}
+	ck_assert(!kn.stopped);
+	be_puts(&kn, &late, GET LONG_DEADLINE);
+	ck_assert(be_wait_text(&kn, &late, "HTTP/1.1 503 ", 500));
+	be_close(&late);
+	ck_assert_int_lt(run_to_end(), GRACE_MS);
+}
+END_TEST
+
 #define WAITING 1000 /* several times what one round accepts */
 
 START_TEST(many_connections_unread_at_the_end_of_a_stop_are_answered)
@@ -263,6 +285,8 @@
 		tc, many_connections_unread_at_the_end_of_a_stop_are_answered);
 	tcase_add_test(tc,
 		       large_request_unread_at_the_end_of_a_stop_is_answered);
+	tcase_add_test(tc,
+		       connection_made_before_the_end_of_a_stop_is_answered);
 	tcase_add_test(tc, request_unread_amid_a_stop_is_answered);
 	return run_case("callers", tc);
 }
--- a/wire/hs.c
+++ b/wire/hs.c
@@ -262,6 +262,7 @@
 	server->sweep_ms = HTTP_SWEEP_MS;
 	server->keep = g_ptr_array_new_with_free_func(g_free);
 	server->vhost = server_vhost(kn);
+	server->listening = true;
 	if (!hs_listen(server, addr, port, err)) {
 		g_ptr_array_free(server->keep, TRUE);
 		server->vhost = NULL;
@@ -277,7 +278,9 @@
 	if (!server->vhost)
 		return;
 	kn_timer_cancel(&server->sweep);
-	hs_unlisten(server);
+	if (server->listening)
+		hs_unlisten(server);
+	server->listening = false;
 	while (!list_empty(&server->conns)) {
 		conn = list_first_entry(&server->conns, struct hs_conn, node);
 		conn->in_callback = false;
@@ -298,6 +301,20 @@
 	server->draining = true;
 }
 
+void hs_stop_listening(struct hs_server *server)
+{
+	uint64_t before;
+
+	if (!server->listening)
+		return;
+	do {
+		before = server->accepted;
+		hs_accept(server);
+	} while (server->accepted != before);
+	hs_unlisten(server);
+	server->listening = false;
+}
+
 void hs_refuse_unfinished(struct hs_server *server)
 {
 	struct hs_conn *conn, *tmp;
--- a/wire/hs.h
+++ b/wire/hs.h
@@ -53,6 +53,7 @@
 	int idle_timeout_ms;
 	int sweep_ms; /* timeouts may be this late */
 	/* private to hs */
+	bool listening;
 	struct lws *listen_wsi;
 	int listen_fd;
 	int spare_fd;
@@ -74,6 +75,8 @@
 void hs_keep_header(struct hs_server *server, const char *name);
 /* From now on each reply carries "Connection: close". */
 void hs_drain(struct hs_server *server);
+/* Takes the connections that wait, and no more from now on. */
+void hs_stop_listening(struct hs_server *server);
 /* Refuses the requests of which only a part has arrived. */
 void hs_refuse_unfinished(struct hs_server *server);
 /*
--- a/wire/hs_stop.c
+++ b/wire/hs_stop.c
@@ -3,6 +3,9 @@
 #include "base/limits.h"
 
 #define STOP_CHECK_MS 20
+/* For the requests of callers that connected before the server stopped to
+ * listen: several round trips between regions. */
+#define STOP_QUIET_MS 100
 /* Parts of the grace period that are kept for sending the last replies, and for
  * the end of the process. */
 #define SEND_PART 4
@@ -29,23 +32,38 @@
 	       !(stop->ops->busy && stop->ops->busy(stop));
 }
 
+static bool has_passed(const struct hs_stop *stop, int64_t ms)
+{
+	return kn_now_us() >= stop->begun_us + ms * USEC_PER_MSEC;
+}
+
+/* Callers connect elsewhere from now on, and nothing is begun any more. */
+static void expire(struct hs_stop *stop)
+{
+	stop->expired = true;
+	stop->expired_us = kn_now_us();
+	hs_stop_listening(stop->server);
+	stop->ops->expire(stop);
+	hs_refuse_unfinished(stop->server);
+}
+
+static bool is_quiet(const struct hs_stop *stop)
+{
+	return kn_now_us() - stop->expired_us >= STOP_QUIET_MS * USEC_PER_MSEC;
+}
+
 static void check(struct kn_timer *timer)
 {
 	struct hs_stop *stop = container_of(timer, struct hs_stop, timer);
-	struct hs_server *server = stop->server;
-	int64_t passed_ms = (kn_now_us() - stop->begun_us) / USEC_PER_MSEC;
 	bool idle = is_idle(stop);
 
-	if (!stop->expired && (idle || passed_ms >= stop->times.answer_ms)) {
-		stop->expired = true;
-		stop->ops->expire(stop);
-		hs_refuse_unfinished(server);
-	}
-	if (idle || passed_ms >= stop->times.limit_ms)
+	if (!stop->expired && (idle || has_passed(stop, stop->times.answer_ms)))
+		expire(stop);
+	if ((idle && is_quiet(stop)) || has_passed(stop, stop->times.limit_ms))
 		stop->ops->ended(stop);
 	else
-		kn_timer_set(server->kn, timer, STOP_CHECK_MS * USEC_PER_MSEC,
-			     check);
+		kn_timer_set(stop->server->kn, timer,
+			     STOP_CHECK_MS * USEC_PER_MSEC, check);
 }
 
 /* The balancer notices the stop from now on; the grace counts from its signal. */
--- a/wire/hs_stop.h
+++ b/wire/hs_stop.h
@@ -37,6 +37,7 @@
 	struct hs_stop_times times;
 	int64_t begun_us;
 	bool expired;
+	int64_t expired_us;
 	struct kn_timer timer;
 };
 
