Show a job to the key that handed it in

What callers saw: GET and DELETE of an accepted job were answered 410 after its customer was renamed or its key was given to another customer, and at hosts whose configuration was that before or after such a change.

Cause: a job was visible only to callers whose key belongs now to a customer of the name that it was stored with.

Evidence: job_is_known_by_its_key_after_its_customer_was_renamed and job_is_known_by_its_key_after_the_key_has_moved (test_intake) failed before the change: 410 in place of 200.

The key that a caller presents is what proves who handed the job in, and does not depend on a configuration. Submissions and states have a digest of it now, at the end, so that records without it are read as before (records_without_queue_and_key_are_read). A key that no customer has any more is refused as before, and other keys of other customers still see nothing.

--- a/control/intake.c
+++ b/control/intake.c
@@ -37,6 +37,7 @@
 	char *id;
 	char *queue;
 	char *customer; /* "" without an API key */
+	char *key_digest; /* of the API key, or NULL */
 	bool open; /* the queue requires no API key */
 	char *key;
 	char *value; /* record to be written */
@@ -61,6 +62,7 @@
 	g_free(req->id);
 	g_free(req->queue);
 	g_free(req->customer);
+	g_free(req->key_digest);
 	g_free(req->key);
 	g_free(req->value);
 	g_free(req);
@@ -206,18 +208,25 @@
 		finish(req, CB_E_NO_JOB, 0);
 }
 
-/* A job that was handed in without a key is everyone's, also once its queue
- * requires one. */
-static bool may_see(const struct intake_request *req, const char *customer)
+/*
+ * A job that was handed in without a key is everyone's, also once its queue
+ * requires one. Otherwise it is the customer's, and of whoever has the key that
+ * it was handed in with: the customer may have another name by now, and hosts
+ * may have different configurations.
+ */
+static bool may_see(const struct intake_request *req,
+		    const struct job_owner *owner)
 {
-	return req->open || !customer || !*customer ||
-	       strcmp(req->customer, customer) == 0;
+	return req->open || !owner->customer || !*owner->customer ||
+	       strcmp(req->customer, owner->customer) == 0 ||
+	       (req->key_digest &&
+		g_strcmp0(req->key_digest, owner->key_digest) == 0);
 }
 
 static void on_state(struct intake_request *req, const struct kv_call *call)
 {
 	enum job_phase phase;
-	char *customer;
+	struct job_owner owner;
 	bool visible;
 
 	if (call->count == 0) {
@@ -225,15 +234,15 @@
 		return;
 	}
 	if (!record_phase_read(call->items[0].value, call->items[0].len, &phase,
-			       &customer)) {
-		g_free(customer);
+			       &owner)) {
+		job_owner_finish(&owner);
 		log_err("state.unreadable", "job=%s result=%d", req->id,
 			CB_E_INTERNAL);
 		finish(req, CB_E_INTERNAL, 0);
 		return;
 	}
-	visible = may_see(req, customer);
-	g_free(customer);
+	visible = may_see(req, &owner);
+	job_owner_finish(&owner);
 	req->caller->phase = phase;
 	finish(req, visible ? CB_OK : CB_E_NO_JOB, 0);
 }
@@ -252,15 +261,20 @@
 static bool spec_visible(const struct intake_request *req,
 			 const struct kv_item *item)
 {
+	struct job_owner owner;
 	struct job *job;
 	bool visible;
 
 	if (!item)
 		return false;
 	job = record_submission_read(req->id, item->value, item->len);
-	visible = job && may_see(req, job->customer);
-	if (job)
-		job_free(job);
+	if (!job)
+		return false;
+	owner = (struct job_owner){ .queue = job->queue,
+				    .customer = job->customer,
+				    .key_digest = job->key_digest };
+	visible = may_see(req, &owner);
+	job_free(job);
 	return visible;
 }
 
@@ -411,6 +425,7 @@
 		.queue = queue->name,
 		.pool = queue->pool,
 		.customer = req->customer,
+		.key_digest = req->key_digest,
 		.priority = queue->priority,
 		.attempts = queue->attempts,
 		.stretch = queue->stretch,
@@ -480,6 +495,9 @@
 	req->caller = call;
 	req->queue = g_strdup(queue->name);
 	req->customer = g_strdup(customer);
+	/* A key that no customer has gives no right to a job. */
+	if (*customer)
+		req->key_digest = record_key_digest(call->key);
 	req->open = queue->open;
 	if (call->verb != CALLER_COUNT)
 		req->id = g_strdup(call->path + strlen(queue->prefix));
--- a/control/record.c
+++ b/control/record.c
@@ -14,6 +14,8 @@
 	STEP_FILLS = 32,
 };
 
+#define KEY_DIGEST_CHARS 32
+
 #define STRETCH_SCALE 1000.0 /* stretch is stored in thousandths */
 
 /* Submissions. */
@@ -58,7 +60,7 @@
 	struct mp_out mp;
 	int i;
 
-	mp_begin(&mp, 14);
+	mp_begin(&mp, 15);
 	mp_uint(&mp, RECORD_VERSION);
 	mp_str(&mp, submission->queue);
 	mp_str(&mp, submission->pool);
@@ -75,6 +77,7 @@
 	mp_array(&mp, spec->nsteps);
 	for (i = 0; i < spec->nsteps; i++)
 		step_write(&spec->steps[i], &mp);
+	mp_str(&mp, submission->key_digest);
 	move_buffer(&mp, out);
 }
 
@@ -103,6 +106,12 @@
 	step->image = mp_get_str(in);
 }
 
+/* A field at the end that records of earlier versions lack. */
+static char *read_added_str(struct mp_in *in)
+{
+	return in->ok && in->left > 0 ? mp_get_str(in) : NULL;
+}
+
 static struct job *submission_read(const char *id, struct mp_in *in)
 {
 	struct submission head = { 0 };
@@ -138,18 +147,21 @@
 		step_read(&inner, &spec.steps[i]);
 		in->ok &= inner.ok;
 	}
+	head.key_digest = read_added_str(in);
 	if (!in->ok || !head.queue || !head.pool || !head.customer ||
 	    !job_spec_check(&spec, NULL)) {
 		job_spec_finish(&spec);
 		g_free(head.queue);
 		g_free(head.pool);
 		g_free(head.customer);
+		g_free(head.key_digest);
 		return NULL;
 	}
 	job = job_new(id, &spec);
 	job->queue = head.queue;
 	job->pool = head.pool;
 	job->customer = head.customer;
+	job->key_digest = head.key_digest;
 	job->priority = head.priority;
 	job->attempts = head.attempts;
 	job->stretch = head.stretch;
@@ -233,7 +245,7 @@
 
 	for (i = 0; i < job->due * job->spec.nsteps; i++)
 		live += job->stages[i] != NULL;
-	mp_begin(&mp, 7);
+	mp_begin(&mp, 9);
 	mp_uint(&mp, RECORD_VERSION);
 	mp_str(&mp, job_phase_name(job->phase));
 	mp_str(&mp, job->customer);
@@ -246,6 +258,8 @@
 		if (job->stages[i] &&
 		    !(job_ended(job) && !fleet_job_holds_room(job)))
 			stage_write(job->stages[i], &mp);
+	mp_str(&mp, job->queue);
+	mp_str(&mp, job->key_digest);
 	move_buffer(&mp, out);
 }
 
@@ -420,18 +434,40 @@
 	return ok;
 }
 
+void job_owner_finish(struct job_owner *owner)
+{
+	g_free(owner->queue);
+	g_free(owner->customer);
+	g_free(owner->key_digest);
+}
+
+char *record_key_digest(const char *key)
+{
+	char *digest =
+		g_compute_checksum_for_string(G_CHECKSUM_SHA256, key, -1);
+
+	digest[KEY_DIGEST_CHARS] = '\0';
+	return digest;
+}
+
 bool record_phase_read(const void *data, size_t len, enum job_phase *phase,
-		       char **customer)
+		       struct job_owner *owner)
 {
+	struct mp_in in, stages;
 	msgpack_unpacked unpacked;
-	struct mp_in in;
 	char name[16];
 	int number = -1;
 
-	*customer = NULL;
+	memset(owner, 0, sizeof(*owner));
 	if (open_record(&unpacked, data, len, &in)) {
 		mp_get_text(&in, name, sizeof(name));
-		*customer = mp_get_str(&in);
+		owner->customer = mp_get_str(&in);
+		mp_get_uint(&in); /* started */
+		mp_get_int(&in); /* ended_ms */
+		mp_get_int(&in); /* due */
+		mp_get_array(&in, &stages);
+		owner->queue = read_added_str(&in);
+		owner->key_digest = read_added_str(&in);
 		number = in.ok ? job_phase_parse(name) : -1;
 	}
 	msgpack_unpacked_destroy(&unpacked);
--- a/control/record.h
+++ b/control/record.h
@@ -18,6 +18,7 @@
 	char *queue;
 	char *pool;
 	char *customer; /* "" for a queue that requires no API key */
+	char *key_digest; /* of the API key of the call, or NULL */
 	int priority;
 	int attempts;
 	double stretch;
@@ -39,12 +40,22 @@
  */
 bool record_state_read(struct fleet *fleet, struct job *job, const void *data,
 		       size_t len, int64_t now_us);
+/* What tells which callers may see a job. */
+struct job_owner {
+	char *queue; /* NULL in records of earlier versions */
+	char *customer;
+	char *key_digest; /* or NULL */
+};
+
+void job_owner_finish(struct job_owner *owner);
 /*
- * Reads the phase and the customer of a state record; returns false if it is
- * malformed. *customer is newly allocated.
+ * Reads the phase and the owner of a state record; returns false if it is
+ * malformed. The caller finishes the owner in any case.
  */
 bool record_phase_read(const void *data, size_t len, enum job_phase *phase,
-		       char **customer);
+		       struct job_owner *owner);
+/* The API key itself is not stored. Returns a new string. */
+char *record_key_digest(const char *key);
 
 /* Writes the number of jobs per queue that wait for their first start. */
 void record_waiting_write(const struct fleet *fleet, msgpack_sbuffer *out);
--- a/fleet/job.c
+++ b/fleet/job.c
@@ -89,6 +89,7 @@
 	g_free(job->queue);
 	g_free(job->pool);
 	g_free(job->customer);
+	g_free(job->key_digest);
 	g_free(job);
 }
 
--- a/fleet/job.h
+++ b/fleet/job.h
@@ -111,6 +111,8 @@
 	char *queue;
 	char *pool;
 	char *customer; /* empty for a queue that needs no key */
+	/* See record.h; NULL for a job that was handed in without a key. */
+	char *key_digest;
 	int priority;
 	int attempts;
 	double stretch;
--- a/tests/fuzz/fuzz_platform.c
+++ b/tests/fuzz/fuzz_platform.c
@@ -82,14 +82,14 @@
 static void read_record(const char *text, size_t size)
 {
 	enum job_phase phase;
-	char *customer = NULL;
+	struct job_owner owner;
 	struct job *job;
 
 	job = record_submission_read("0123456789abcdef", text, size);
 	if (job)
 		job_free(job);
-	record_phase_read(text, size, &phase, &customer);
-	g_free(customer);
+	record_phase_read(text, size, &phase, &owner);
+	job_owner_finish(&owner);
 	record_waiting_read(text, size, "q");
 }
 
--- a/tests/unit/test_intake.c
+++ b/tests/unit/test_intake.c
@@ -230,6 +230,50 @@
 }
 END_TEST
 
+/* Of a job that has a state and of one that has none yet. */
+static void check_known_by(const char *key, int status)
+{
+	ck_assert_int_eq(status_of("GET", RIG_PREFIX JOB_A, key), status);
+	ck_assert_int_eq(status_of("GET", RIG_PREFIX JOB_B, key), status);
+}
+
+START_TEST(job_is_known_by_its_key_after_its_customer_was_renamed)
+{
+	rig_start(&rig, 1, 1, 9);
+	configure(2, false, TENANTS);
+	ck_assert_int_eq(submit(RIG_PREFIX JOB_A, "key-one", JOB_BODY), 200);
+	ck_assert_int_eq(submit(RIG_PREFIX JOB_B, "key-one", JOB_OF_LATER),
+			 200);
+	rig_run_ms(&rig, 500);
+	configure(3, false,
+		  "{\"name\":\"uno\",\"api_keys\":[\"key-one\"]},"
+		  "{\"name\":\"two\",\"api_keys\":[\"key-two\"]}");
+	check_known_by("key-one", 200);
+	check_known_by("key-two", 410);
+	check_known_by("key-1", 401);
+	ck_assert_int_eq(status_of("DELETE", RIG_PREFIX JOB_B, "key-one"), 200);
+	rig_stop(&rig);
+}
+END_TEST
+
+START_TEST(job_is_known_by_its_key_after_the_key_has_moved)
+{
+	rig_start(&rig, 1, 1, 10);
+	configure(2, false, TENANTS);
+	ck_assert_int_eq(submit(RIG_PREFIX JOB_A, "key-one", JOB_BODY), 200);
+	ck_assert_int_eq(submit(RIG_PREFIX JOB_B, "key-one", JOB_OF_LATER),
+			 200);
+	rig_run_ms(&rig, 500);
+	configure(3, false,
+		  "{\"name\":\"one\",\"api_keys\":[\"key-1\"]},"
+		  "{\"name\":\"two\",\"api_keys\":[\"key-two\",\"key-one\"]}");
+	check_known_by("key-one", 200);
+	check_known_by("key-1", 200);
+	check_known_by("key-two", 410);
+	rig_stop(&rig);
+}
+END_TEST
+
 int main(void)
 {
 	TCase *tc = tcase_create("intake");
@@ -248,5 +292,8 @@
 	tcase_add_test(tc,
 		       job_without_a_key_is_known_after_its_queue_was_closed);
 	tcase_add_test(tc, job_is_known_to_its_customer_only);
+	tcase_add_test(tc,
+		       job_is_known_by_its_key_after_its_customer_was_renamed);
+	tcase_add_test(tc, job_is_known_by_its_key_after_the_key_has_moved);
 	return run_case("intake", tc);
 }
--- a/tests/unit/test_record.c
+++ b/tests/unit/test_record.c
@@ -31,6 +31,7 @@
 	struct submission head = { .queue = job->queue,
 				   .pool = job->pool,
 				   .customer = job->customer,
+				   .key_digest = job->key_digest,
 				   .priority = job->priority,
 				   .attempts = job->attempts,
 				   .stretch = job->stretch,
@@ -77,8 +78,9 @@
 	msgpack_sbuffer record;
 	enum job_phase phase;
 	struct job *copy;
-	char *customer;
+	struct job_owner owner;
 
+	job->key_digest = record_key_digest("key-one");
 	fleet_open_due(&fleet, NOW, 0);
 	plan_pass(&fleet, NOW);
 	confirm_planned_runs(&fleet, NOW);
@@ -87,11 +89,12 @@
 		       NOW);
 	first_occurrence_task(job, 0, 2)->checkpoint = g_strdup("saved");
 	record_state_write(job, &record);
-	ck_assert(
-		record_phase_read(record.data, record.size, &phase, &customer));
+	ck_assert(record_phase_read(record.data, record.size, &phase, &owner));
 	ck_assert_int_eq(phase, JOB_RUNNING);
-	ck_assert_str_eq(customer, "one");
-	g_free(customer);
+	ck_assert_str_eq(owner.customer, "one");
+	ck_assert_str_eq(owner.queue, job->queue);
+	ck_assert_str_eq(owner.key_digest, job->key_digest);
+	job_owner_finish(&owner);
 
 	copy = copy_submission(job);
 	fleet_add_job(&next, copy);
@@ -295,6 +298,42 @@
 }
 END_TEST
 
+/* Without the fields that were added at the end. */
+START_TEST(records_without_queue_and_key_are_read)
+{
+	struct job *job = make_job(&fleet, "j", 1, 2, 1, 1500, NOW);
+	struct submission head = { .queue = (char *)"q",
+				   .pool = (char *)MAKE_POOL,
+				   .customer = (char *)"one" };
+	struct job_owner owner;
+	msgpack_sbuffer record;
+	enum job_phase phase;
+	struct job *copy;
+
+	record_submission_write(&head, &job->spec, &record);
+	ck_assert_int_eq((unsigned char)record.data[0], 0x9f);
+	record.data[0] = (char)0x9e;
+	copy = record_submission_read("j", record.data, record.size - 1);
+	ck_assert_ptr_nonnull(copy);
+	ck_assert_str_eq(copy->customer, "one");
+	ck_assert_ptr_null(copy->key_digest);
+	msgpack_sbuffer_destroy(&record);
+
+	record_state_write(job, &record);
+	ck_assert_int_eq((unsigned char)record.data[0], 0x99);
+	record.data[0] = (char)0x97;
+	record.size -= 1 + 1 + strlen(job->queue);
+	ck_assert(record_phase_read(record.data, record.size, &phase, &owner));
+	ck_assert_str_eq(owner.customer, "one");
+	ck_assert_ptr_null(owner.queue);
+	job_owner_finish(&owner);
+	fleet_add_job(&next, copy);
+	ck_assert(
+		record_state_read(&next, copy, record.data, record.size, NOW));
+	msgpack_sbuffer_destroy(&record);
+}
+END_TEST
+
 START_TEST(counts_of_waiting_jobs)
 {
 	msgpack_sbuffer record;
@@ -322,6 +361,7 @@
 	tcase_add_test(tc, record_of_an_overdue_schedule_fits);
 	tcase_add_test(tc, occurrences_that_are_over_leave_the_record);
 	tcase_add_test(tc, broken_records_are_refused);
+	tcase_add_test(tc, records_without_queue_and_key_are_read);
 	tcase_add_test(tc, counts_of_waiting_jobs);
 	return run_case("record", tc);
 }
