Show through an open queue its own jobs only

What callers saw: a job was shown as cancelled though no caller of its customer had cancelled it. A DELETE of its id without a key, through the prefix of an open queue, had.

Cause: a call through an open queue could see and cancel each job, of any queue and customer.

Evidence: open_queue_cancels_no_job_of_another_queue (test_intake) failed before the change: 200 in place of 410.

An open queue makes its own jobs everyone's, no others, so the queue of the call is compared with the job's.

--- a/control/intake.c
+++ b/control/intake.c
@@ -212,12 +212,15 @@
  * A job that was handed in without a key is everyone's, also once its queue
  * requires one. Otherwise it is the customer's, and of whoever has the key that
  * it was handed in with: the customer may have another name by now, and hosts
- * may have different configurations.
+ * may have different configurations. An open queue shows its own jobs.
  */
 static bool may_see(const struct intake_request *req,
 		    const struct job_owner *owner)
 {
-	return req->open || !owner->customer || !*owner->customer ||
+	bool open = req->open &&
+		    (!owner->queue || strcmp(owner->queue, req->queue) == 0);
+
+	return open || !owner->customer || !*owner->customer ||
 	       strcmp(req->customer, owner->customer) == 0 ||
 	       (req->key_digest &&
 		g_strcmp0(req->key_digest, owner->key_digest) == 0);
--- a/tests/unit/test_intake.c
+++ b/tests/unit/test_intake.c
@@ -274,6 +274,25 @@
 }
 END_TEST
 
+START_TEST(open_queue_cancels_no_job_of_another_queue)
+{
+	rig_start(&rig, 1, 1, 11);
+	configure(2, false, TENANTS);
+	ck_assert_int_eq(submit(RIG_PREFIX JOB_A, "key-one", JOB_BODY), 200);
+	ck_assert_int_eq(submit(RIG_PREFIX JOB_B, "key-one", JOB_OF_LATER),
+			 200);
+	rig_run_ms(&rig, 500);
+	ck_assert_int_eq(status_of("DELETE", "/all/" JOB_B, NULL), 410);
+	ck_assert_int_eq(status_of("GET", "/all/" JOB_A, NULL), 410);
+	ck_assert_int_eq(status_of("GET", "/all/" JOB_A, "key-one"), 200);
+	ck_assert_str_eq(rig_state(&rig, 0, JOB_B), "queued");
+	configure(3, true, TENANTS);
+	ck_assert_int_eq(status_of("GET", RIG_PREFIX JOB_A, NULL), 200);
+	ck_assert_int_eq(status_of("DELETE", RIG_PREFIX JOB_B, NULL), 200);
+	rig_stop(&rig);
+}
+END_TEST
+
 int main(void)
 {
 	TCase *tc = tcase_create("intake");
@@ -295,5 +314,6 @@
 	tcase_add_test(tc,
 		       job_is_known_by_its_key_after_its_customer_was_renamed);
 	tcase_add_test(tc, job_is_known_by_its_key_after_the_key_has_moved);
+	tcase_add_test(tc, open_queue_cancels_no_job_of_another_queue);
 	return run_case("intake", tc);
 }
