Sample the clocks of idle workers from their registrations

What callers saw: tasks of a worker that fell silent stood still by 2 % of the time for which the worker had had no task before, 12 minutes after 10 hours.

Cause: a worker without tasks is not called, so the sample of its clock grew old, and the first start after that allowed for the drift since the sample. The computed end of a lease never moves back. A worker adopted at a takeover whose first answer had no clock got no sample, and its lease counted from the origin of the host's clock.

Evidence: lease_of_an_idle_worker_ends_in_time and lease_of_a_worker_without_a_sample_counts_on_its_registration (test_fleet) failed before the change, with clocks at a week.

A registration is never ahead of the worker's clock, so a lease that counts on it ends no later than computed. Answers stay the better sample for 30 s; what is uncertain is then 2 % of that.

--- a/fleet/incarnation.c
+++ b/fleet/incarnation.c
@@ -118,7 +118,7 @@
 		worker = new_incarnation(fleet, worker, now_us);
 	if (report->draining && worker->draining_us == 0)
 		worker->draining_us = now_us;
-	if (worker->heard_us == 0)
+	if (worker_needs_clock(worker, now_us))
 		worker_set_clock(worker, report->clock_ms, now_us);
 	g_hash_table_remove(fleet->workers_by_id, report->id);
 	worker_report_finish(&worker->reported);
--- a/fleet/limits.h
+++ b/fleet/limits.h
@@ -38,6 +38,9 @@
 #define MISSING_SLACK_MS 100
 /* Added to the computed end of a lease for the timer resolution. */
 #define LEASE_SLACK_MS 150
+/* A sample of a worker's clock that is older is replaced by the clock of its
+ * next registration; the end of a lease is then known to 2 % of this time. */
+#define CLOCK_SAMPLE_MAX_MS 30000
 /* A worker that is no longer registered gets no tasks, and is dropped after
  * this time, which is one heartbeat of the workers. */
 #define UNLISTED_GRACE_MS 2000
--- a/fleet/worker.c
+++ b/fleet/worker.c
@@ -90,6 +90,12 @@
 	worker->clock_us = now_us;
 }
 
+bool worker_needs_clock(const struct worker *worker, int64_t now_us)
+{
+	return worker->heard_us == 0 || worker->clock_us == 0 ||
+	       now_us - worker->clock_us > CLOCK_SAMPLE_MAX_MS * 1000;
+}
+
 int64_t worker_extend_lease(struct worker *worker, int64_t hold_ms,
 			    int64_t now_us)
 {
--- a/fleet/worker.h
+++ b/fleet/worker.h
@@ -104,6 +104,12 @@
 void worker_unassign(struct task *task);
 /* Stores a sample of the worker's clock that arrived at now_us. */
 void worker_set_clock(struct worker *worker, int64_t clock_ms, int64_t now_us);
+/*
+ * Whether the clock of a registration tells more than the latest sample,
+ * although the registration is older than its arrival: workers without tasks
+ * are not called, and the doubt about their clocks grows by the drift.
+ */
+bool worker_needs_clock(const struct worker *worker, int64_t now_us);
 /*
  * Extends the lease to hold_ms from now and returns its end on the worker's
  * clock, to be sent with an order. Updates lease_end_us, the time by which the
--- a/tests/unit/test_fleet.c
+++ b/tests/unit/test_fleet.c
@@ -728,6 +728,50 @@
 }
 END_TEST
 
+/* The worker's clock is slow by the drift; it registers each second or so. */
+START_TEST(lease_of_an_idle_worker_ends_in_time)
+{
+	const int64_t week_us = 7 * 24 * 3600 * SEC;
+	const int64_t idle_us = 10 * 3600 * SEC;
+	struct worker_report report = {
+		.id = g_strdup("w1"),
+		.born_ms = 1000,
+		.pool = g_strdup(MAKE_POOL),
+		.port = 1,
+		.dc = g_strdup("d1"),
+		.room = { 128000, 262144, 8 },
+		.clock_ms = 5000 + (idle_us - SEC) * 98 / 100 / 1000,
+	};
+	struct worker *worker = make_worker(&fleet, "w1", "r1", 8, week_us);
+
+	worker->heard_us = week_us;
+	worker_set_clock(worker, 5000, week_us);
+	/* A registration tells less than an answer just before. */
+	make_worker(&fleet, "w1", "r1", 8, week_us + SEC);
+	ck_assert_int_eq(worker->clock_us, week_us);
+	fleet_update_worker(&fleet, &report, week_us + idle_us);
+	ck_assert_int_eq(worker->clock_us, week_us + idle_us);
+	worker_extend_lease(worker, 6000, week_us + idle_us + SEC);
+	ck_assert_int_le(worker->lease_end_us, week_us + idle_us + 8 * SEC);
+}
+END_TEST
+
+/* The first answer of an adopted worker was a refusal, which has no clock. */
+START_TEST(lease_of_a_worker_without_a_sample_counts_on_its_registration)
+{
+	const int64_t week_us = 7 * 24 * 3600 * SEC;
+	struct worker *worker;
+
+	worker = fleet_adopt_worker(&fleet, "w1", 1000, week_us);
+	worker->heard_us = week_us;
+	ck_assert_ptr_eq(make_worker(&fleet, "w1", "r1", 8, week_us + SEC),
+			 worker);
+	ck_assert_int_eq(worker_extend_lease(worker, 6000, week_us + 2 * SEC),
+			 5000 + 1000 + 6000);
+	ck_assert_int_le(worker->lease_end_us, week_us + 9 * SEC);
+}
+END_TEST
+
 /*
  * Guards against a run that is released as not sent although a start of it may
  * have reached its worker.
@@ -1095,6 +1139,10 @@
 	tcase_add_test(tc, new_incarnation_keeps_tasks_until_it_reports);
 	tcase_add_test(tc, start_without_answer_is_stopped_at_the_next_life);
 	tcase_add_test(tc, lease_counts_on_the_clock_of_the_next_life);
+	tcase_add_test(tc, lease_of_an_idle_worker_ends_in_time);
+	tcase_add_test(
+		tc,
+		lease_of_a_worker_without_a_sample_counts_on_its_registration);
 	tcase_add_test(tc, start_that_may_have_been_sent_is_not_released);
 	tcase_add_test(tc, start_answered_by_the_next_life_is_kept);
 	tcase_add_test(tc, earlier_incarnation_is_ignored);
