Apply the settings in force to jobs that arrive late

What callers saw: a job was shown as failed after fewer failed runs than the attempts of its queue in the configuration in force.

Cause: a host may accept a job by the configuration before. The leader applies a new configuration to the jobs that it has, and kept the settings of the submission for one that arrived after that.

Evidence: job_accepted_by_older_settings_has_the_attempts_in_force (test_fleet) failed before the change: the job failed after one failed run, with 3 attempts in force.

A job gets the settings in force when it is added; a queue that is not in the configuration leaves those of the submission, as before.

--- a/fleet/fleet.c
+++ b/fleet/fleet.c
@@ -43,33 +43,36 @@
 	g_hash_table_unref(fleet->stats);
 }
 
+/* Jobs of a removed queue keep its last settings. */
+static void apply_queue(struct job *job, const struct config *config)
+{
+	const struct queue *queue = config_queue(config, job->queue);
+
+	if (!queue)
+		return;
+	job->priority = queue->priority;
+	job->attempts = queue->attempts;
+	job->stretch = queue->stretch;
+	job->slo_ms = queue->slo_ms;
+	job->advised = queue->advised;
+}
+
 void fleet_set_config(struct fleet *fleet, const struct config *config)
 {
 	struct job *job;
 
 	fleet->config = config;
-	list_for_each_entry(job, &fleet->jobs, node) {
-		const struct queue *queue = config_queue(config, job->queue);
-
-		/* Jobs of a removed queue keep its last settings. */
-		if (!queue)
-			continue;
-		job->priority = queue->priority;
-		job->attempts = queue->attempts;
-		job->stretch = queue->stretch;
-		job->slo_ms = queue->slo_ms;
-		job->advised = queue->advised;
-	}
+	list_for_each_entry(job, &fleet->jobs, node)
+		apply_queue(job, config);
 }
 
 /* Jobs. */
 
 void fleet_add_job(struct fleet *fleet, struct job *job)
 {
-	const struct queue *queue =
-		fleet->config ? config_queue(fleet->config, job->queue) : NULL;
-
-	job->advised = queue && queue->advised;
+	/* The host that accepted the job may have an older configuration. */
+	if (fleet->config)
+		apply_queue(job, fleet->config);
 	list_add_tail(&job->node, &fleet->jobs);
 	g_hash_table_insert(fleet->jobs_by_id, job->id, job);
 }
--- a/tests/unit/test_fleet.c
+++ b/tests/unit/test_fleet.c
@@ -90,6 +90,42 @@
 }
 END_TEST
 
+/* Of two hosts, the one that accepts it has the configuration before. */
+START_TEST(job_accepted_by_older_settings_has_the_attempts_in_force)
+{
+	struct queue *queue = g_new0(struct queue, 1);
+	struct job_spec spec;
+	struct job *job;
+
+	queue->name = g_strdup("q");
+	queue->host = g_strdup("h");
+	queue->prefix = g_strdup("/q/");
+	queue->pool = g_strdup(MAKE_POOL);
+	queue->attempts = 3;
+	queue->stretch = 2;
+	g_ptr_array_add(config->queues, queue);
+	fleet_set_config(&fleet, config);
+	make_worker(&fleet, "w1", "r1", 8, NOW);
+	job_spec_init(&spec, 1);
+	spec.payload = g_strdup("payload");
+	spec.steps[0].count = 1;
+	spec.steps[0].need = (struct room){ 4000, 1000, 1 };
+	job = job_new("job", &spec);
+	job->queue = g_strdup("q");
+	job->pool = g_strdup(MAKE_POOL);
+	job->customer = g_strdup("one");
+	job->attempts = 1;
+	job->stretch = 1;
+	fleet_add_job(&fleet, job);
+	fleet_open_due(&fleet, NOW, 0);
+	plan_pass(&fleet, NOW);
+	ck_assert_int_eq(confirm_planned_runs(&fleet, NOW), 1);
+	report_run_end(&fleet, first_occurrence_task(job, 0, 0), RUN_FAILED,
+		       NOW + SEC);
+	ck_assert_int_eq(job->phase, JOB_RUNNING);
+}
+END_TEST
+
 /*
  * Guards against an end that is neither taken note of nor acknowledged, because
  * it is of a kind that is not known: its run would be in none of the lists.
@@ -1116,6 +1152,8 @@
 	tcase_add_test(tc, done_tasks_end_the_job);
 	tcase_add_test(tc, ends_are_acknowledged_after_they_are_stored);
 	tcase_add_test(tc, failures_use_up_the_attempts);
+	tcase_add_test(
+		tc, job_accepted_by_older_settings_has_the_attempts_in_force);
 	tcase_add_test(tc, end_of_an_unknown_kind_is_an_end);
 	tcase_add_test(tc, lapsed_runs_do_not_count_as_attempts);
 	tcase_add_test(tc, gang_fails_once_a_run);
