Try to lose accepted jobs at takeovers and by late writes

- takeovers_miss_no_job_on_any_page: 70 jobs, several pages of the stand-in's ranges, leaders that change while jobs are handed in;
- job_is_known_from_its_acceptance_until_its_time_is_over: the two reads of a status, slowed down, from the acceptance over a takeover to the removal;
- late_write_through_another_host_is_one_job: a write that another host passed on and the store applies late, with the same submission repeated meanwhile;

--- a/tests/unit/test_intake.c
+++ b/tests/unit/test_intake.c
@@ -293,6 +293,174 @@
 }
 END_TEST
 
+/* Several pages of the stand-in's ranges, so that a takeover reads them while
+ * jobs are handed in. */
+#define JOBS_MANY 70
+
+static void path_of(char *path, size_t size, int number)
+{
+	g_snprintf(path, size, "%s%016x", RIG_PREFIX, 0xabc000 + number * 37);
+}
+
+static void submit_many(int first, int count)
+{
+	char path[64];
+	int i;
+
+	for (i = first; i < first + count; i++) {
+		path_of(path, sizeof(path), i);
+		ck_assert_int_eq(submit(path, RIG_KEY, JOB_BODY), 200);
+	}
+}
+
+static void check_many_known(int count)
+{
+	char path[64];
+	int i;
+
+	for (i = 0; i < count; i++) {
+		path_of(path, sizeof(path), i);
+		ck_assert_int_eq(status_of("GET", path, RIG_KEY), 200);
+	}
+}
+
+static int count_done(int count)
+{
+	struct rig_reply reply;
+	char path[64];
+	int i, done = 0;
+
+	for (i = 0; i < count; i++) {
+		path_of(path, sizeof(path), i);
+		reply = rig_call(&rig, 0, "GET", path, RIG_KEY, NULL);
+		ck_assert_int_eq(reply.status, 200);
+		ck_assert_ptr_null(strstr(reply.body, "failed"));
+		ck_assert_ptr_null(strstr(reply.body, "cancelled"));
+		done += strstr(reply.body, "done") != NULL;
+	}
+	return done;
+}
+
+START_TEST(takeovers_miss_no_job_on_any_page)
+{
+	int64_t until_us;
+	int i, sent = 0;
+
+	rig_start(&rig, 3, 2, 12);
+	submit_many(0, 20);
+	for (sent = 20; sent < JOBS_MANY; sent += 10) {
+		site_store_fault(rig.store, -1, SITE_WELL, 0, 20);
+		site_store_lapse(rig.store, "chivebank/leader");
+		submit_many(sent, 10);
+		check_many_known(sent + 10);
+		site_store_fault(rig.store, -1, SITE_WELL, 0, 0);
+	}
+	until_us = kn_now_us() + 20 * USEC_PER_SEC;
+	for (i = 0; i < JOBS_MANY && kn_now_us() < until_us;
+	     i = count_done(JOBS_MANY))
+		rig_run_ms(&rig, 200);
+	ck_assert_int_eq(i, JOBS_MANY);
+	rig_stop(&rig);
+}
+END_TEST
+
+/* Each read has the time of a change of the state between it and the next. */
+START_TEST(job_is_known_from_its_acceptance_until_its_time_is_over)
+{
+	int64_t ended_us = 0;
+	int i;
+
+	rig_start(&rig, 2, 1, 13);
+	for (i = 0; i < 2; i++)
+		rig.hosts[i].site.bounds.status_ms = 1500;
+	site_store_fault(rig.store, -1, SITE_WELL, 0, 15);
+	ck_assert_int_eq(submit(RIG_PREFIX JOB_A, RIG_KEY, JOB_BODY), 200);
+	for (i = 0; ended_us == 0 || kn_now_us() - ended_us < 1500000; i++) {
+		const char *state = rig_state(&rig, i % 2, JOB_A);
+
+		ck_assert(strcmp(state, "queued") == 0 ||
+			  strcmp(state, "running") == 0 ||
+			  strcmp(state, "done") == 0);
+		if (ended_us == 0 && strcmp(state, "done") == 0) {
+			ended_us = kn_now_us();
+			site_store_lapse(rig.store, "chivebank/leader");
+		}
+	}
+	run_until_gone(SPEC_A, 8000);
+	ck_assert_int_eq(status_of("GET", RIG_PREFIX JOB_A, RIG_KEY), 410);
+	rig_stop(&rig);
+}
+END_TEST
+
+/* Host 0 has no way of its own to the store; what is applied late was sent by
+ * host 1, and the caller repeats the call at both meanwhile. */
+START_TEST(late_write_through_another_host_is_one_job)
+{
+	rig_start(&rig, 2, 1, 14);
+	site_store_fault(rig.store, rig.hosts[0].door, SITE_BUSY, 0, 0);
+	rig_run_ms(&rig, 800);
+	site_store_fault(rig.store, rig.hosts[1].door, SITE_LATE, 100, 0);
+	ck_assert_int_eq(rig_call_within(&rig, 0, "POST", RIG_PREFIX JOB_B,
+					 RIG_KEY, JOB_BODY, "400")
+				 .status,
+			 504);
+	site_store_fault(rig.store, rig.hosts[1].door, SITE_WELL, 0, 0);
+	ck_assert_int_eq(submit(RIG_PREFIX JOB_B, RIG_KEY, JOB_BODY), 200);
+	ck_assert_int_eq(status_of("GET", RIG_PREFIX JOB_B, RIG_KEY), 200);
+	rig_run_ms(&rig, 2 * SITE_LATE_MS);
+	ck_assert_int_eq(submit(RIG_PREFIX JOB_B, RIG_KEY, JOB_BODY), 200);
+	ck_assert(rig_wait(&rig, 0, JOB_B, "done", 5000));
+	rig_run_ms(&rig, 500);
+	ck_assert_str_eq(rig_state(&rig, 1, JOB_B), "done");
+	rig_stop(&rig);
+}
+END_TEST
+
+/*
+ * Submissions through stores that answer late, never, with refusals or errors:
+ * an accepted one is stored, a refused one never is.
+ */
+START_TEST(answers_to_submissions_are_true_whatever_the_store_does)
+{
+	static const enum site_fault faults[] = { SITE_WELL, SITE_SILENT,
+						  SITE_BUSY, SITE_MANY,
+						  SITE_LOST, SITE_ERROR,
+						  SITE_LATE };
+	GRand *rand = g_rand_new_with_seed((guint32)_i);
+	int statuses[JOBS_MANY], i, door;
+	char path[64], key[96];
+
+	rig_start(&rig, 2, 1, 15 + (uint32_t)_i);
+	for (i = 0; i < JOBS_MANY; i++) {
+		for (door = 0; door < 2; door++)
+			site_store_fault(
+				rig.store, rig.hosts[door].door,
+				faults[g_rand_int_range(rand, 0,
+							G_N_ELEMENTS(faults))],
+				g_rand_int_range(rand, 30, 101), 0);
+		path_of(path, sizeof(path), i);
+		statuses[i] = rig_call_within(&rig, i % 2, "POST", path,
+					      RIG_KEY, JOB_OF_LATER, "400")
+				      .status;
+	}
+	site_store_fault(rig.store, -1, SITE_WELL, 0, 0);
+	rig_run_ms(&rig, 2 * SITE_LATE_MS + 1000);
+	for (i = 0; i < JOBS_MANY; i++) {
+		bool stored;
+
+		path_of(path, sizeof(path), i);
+		g_snprintf(key, sizeof(key), "chivebank/intake/%s/spec",
+			   path + strlen(RIG_PREFIX));
+		stored = site_store_get(rig.store, key) != NULL;
+		ck_assert_msg(
+			statuses[i] == 504 || stored == (statuses[i] == 200),
+			"%s: status %d, stored %d", path, statuses[i], stored);
+	}
+	g_rand_free(rand);
+	rig_stop(&rig);
+}
+END_TEST
+
 int main(void)
 {
 	TCase *tc = tcase_create("intake");
@@ -315,5 +483,12 @@
 		       job_is_known_by_its_key_after_its_customer_was_renamed);
 	tcase_add_test(tc, job_is_known_by_its_key_after_the_key_has_moved);
 	tcase_add_test(tc, open_queue_cancels_no_job_of_another_queue);
+	tcase_add_test(tc, takeovers_miss_no_job_on_any_page);
+	tcase_add_test(tc,
+		       job_is_known_from_its_acceptance_until_its_time_is_over);
+	tcase_add_test(tc, late_write_through_another_host_is_one_job);
+	tcase_add_loop_test(
+		tc, answers_to_submissions_are_true_whatever_the_store_does, 0,
+		3);
 	return run_case("intake", tc);
 }
