Send orders one by one to a worker that takes no new connection

Cause: a worker serves a limited number of connections, and those of hosts that lost power stay open there. The leader then has one, which a hold keeps busy for 1.5 s. Orders went out all at once, each on a connection of its own, and all but one were closed without an answer; a start ends as unanswered after five such attempts, and with it its gang, and the stops wait in the same way.

Change: a call for which a worker took no new connection is told apart from one that was lost. If the worker answers other calls, orders to it go out one at a time, each on the connection on which the one before was answered, and holds wait for 300 ms. An overdue hold goes first, so that the lease is extended.

--- a/control/orders.c
+++ b/control/orders.c
@@ -90,6 +90,7 @@
 	pending->born_ms = worker->reported.born_ms;
 	pending->sent_us = now_us;
 	pending->call.done = orders_on_answer;
+	worker->calls++;
 	list_add_tail(&pending->node, &orders->calls);
 	ctr_add(&orders->sent[order->kind], 1);
 	orders->client->ops->start(orders->client, &pending->call, order);
@@ -184,6 +185,27 @@
 	send_order(orders, pending, task->worker, &order, now_us);
 }
 
+static bool one_by_one(const struct worker *worker, int64_t now_us)
+{
+	return now_us < worker->one_by_one_until_us;
+}
+
+/*
+ * A worker that takes no new connection is sent one order at a time: the next
+ * one uses the connection on which the one before was answered.
+ */
+static bool may_call(const struct worker *worker, int64_t now_us)
+{
+	return worker->calls == 0 || !one_by_one(worker, now_us);
+}
+
+/* One by one, orders go before the hold, but the lease has to be extended. */
+static bool hold_goes_first(const struct worker *worker, int64_t now_us)
+{
+	return one_by_one(worker, now_us) &&
+	       now_us - worker->hold_sent_us > 2 * HOLD_WAIT_MS * USEC_PER_MSEC;
+}
+
 /*
  * Returns the end of the lease to send with a hold. Returns 0, which does not
  * extend the lease, if the worker does not answer or has no task.
@@ -253,6 +275,8 @@
 	 * latencies change within seconds. */
 	if (throttle_mixed_load(worker))
 		order.wait_ms = HOLD_WAIT_MIXED_MS;
+	if (one_by_one(worker, now_us))
+		order.wait_ms = HOLD_WAIT_ONE_BY_ONE_MS;
 	if (immediate || !worker->fenced || worker->ends->len > 0 ||
 	    worker->task_count == 0 ||
 	    needs_report(orders->fleet, worker, now_us, &ignored_us))
@@ -348,6 +372,8 @@
 	struct orphan *orphan;
 
 	list_for_each_entry(orphan, &worker->orphans, node) {
+		if (!may_call(worker, now_us))
+			return;
 		if (orphan->calling)
 			continue;
 		if (orphan->retry_us <= now_us)
@@ -362,18 +388,19 @@
 {
 	struct fleet *fleet = orders->fleet;
 	struct task *task, *next;
+	bool hold_only = orders->hold_only || hold_goes_first(worker, now_us);
 	int64_t acked_end;
 
 	if (worker->reported.port == 0)
 		return;
 	list_for_each_entry_safe(task, next, &worker->tasks, on_worker)
-		if (!orders->hold_only &&
+		if (hold_only || !may_call(worker, now_us) ||
 		    !process_task(orders, task, now_us, next_us))
 			break;
-	if (!orders->hold_only)
+	if (!hold_only)
 		stop_orphans(orders, worker, now_us, next_us);
 	acked_end = fleet_ends_stored(fleet, worker);
-	if (!needs_hold(worker))
+	if (!needs_hold(worker) || !may_call(worker, now_us))
 		return;
 	/* While the ends that the worker lists are not stored yet, it would
 	 * answer a hold immediately with the same ends. */
--- a/control/orders_answer.c
+++ b/control/orders_answer.c
@@ -58,6 +58,23 @@
 	return lost;
 }
 
+/*
+ * A worker that has answered meanwhile, or has other orders in progress, is
+ * there and takes no more connections from this host.
+ */
+static void check_admission(const struct pending_order *pending,
+			    struct worker *worker, int64_t now_us)
+{
+	if (!pending->call.not_admitted ||
+	    (worker->calls == 0 && worker->heard_us < pending->sent_us))
+		return;
+	if (worker->one_by_one_until_us <= now_us)
+		log_info("worker.no_connection", "worker=%s calls=%d tasks=%d",
+			 worker->reported.id, worker->calls,
+			 worker->task_count);
+	worker->one_by_one_until_us = now_us + ONE_BY_ONE_MS * USEC_PER_MSEC;
+}
+
 static void count_unanswered(struct worker *worker, int64_t now_us)
 {
 	if (worker->unanswered_calls++ == 0)
@@ -319,6 +336,10 @@
 	list_del(&pending->node);
 	ctr_add(&orders->results[call->result], 1);
 	worker = find_worker(pending);
+	if (worker) {
+		worker->calls = MAX(worker->calls - 1, 0);
+		check_admission(pending, worker, now_us);
+	}
 	if (worker && pending->kind == ORDER_HOLD) {
 		if (pending->immediate)
 			worker->poll_pending = false;
--- a/control/worker_client.h
+++ b/control/worker_client.h
@@ -54,6 +54,8 @@
 	enum order_result result;
 	enum start_refusal refusal;
 	bool connection_refused; /* with ORDER_NOT_SENT */
+	/* The worker took no new connection for the call. */
+	bool not_admitted;
 	bool has_clock; /* clock_ms is set */
 	int64_t clock_ms; /* the worker's clock when it answered */
 	/* Start time of the process that answered, 0: not in the answer. */
--- a/fleet/limits.h
+++ b/fleet/limits.h
@@ -21,11 +21,15 @@
 #define HOLD_WAIT_MS 1500
 /* On workers with both serving and best-effort tasks. */
 #define HOLD_WAIT_MIXED_MS 300
+/* On workers that take no new connection, so that orders wait for the hold. */
+#define HOLD_WAIT_ONE_BY_ONE_MS 300
 #define HOLD_TIMEOUT_MS 700 /* on top of the wait */
 #define HOLD_RETRY_MS 300 /* after a call without answer */
 /* Interval of hold calls while a reported end is not stored yet. Without it
  * each call would be answered at once, as the end is not acknowledged. */
 #define HOLD_UNSTORED_RETRY_MS 400
+/* How long orders go one by one to a worker that took no new connection. */
+#define ONE_BY_ONE_MS 4000
 /* A worker is unreachable once its calls have gone unanswered for so long. Its
  * lease is no longer extended, so that it expires even if the calls arrive and
  * only the answers are lost. */
--- a/fleet/worker.h
+++ b/fleet/worker.h
@@ -64,6 +64,9 @@
 	int64_t unanswered_since_us; /* time of the first of these calls */
 	bool unreachable; /* unanswered for UNREACHABLE_AFTER_MS; logged */
 	int refusals; /* connections refused in a row */
+	int calls; /* orders sent that have no answer yet */
+	/* Until then orders go out one by one, as it takes no new connection. */
+	int64_t one_by_one_until_us;
 	int64_t next_hold_us;
 	bool holding; /* a hold call that waits for an end is pending */
 	bool poll_pending; /* a hold call that does not wait is pending */
--- a/wire/hc.c
+++ b/wire/hc.c
@@ -416,6 +416,7 @@
 	call->started_us = now_us;
 	request = print_request(pool, method, target, headers, body, len);
 	conn = send_on_idle(pool, call, request, head);
+	call->reused = conn != NULL;
 	if (conn) {
 		g_string_free(request, TRUE);
 	} else {
--- a/wire/hc.h
+++ b/wire/hc.h
@@ -36,6 +36,7 @@
 	int result;
 	bool sent; /* a byte of the request may have reached the server */
 	bool close; /* the server said Connection: close */
+	bool reused; /* sent on a connection that had served another request */
 	int status;
 	struct http_headers headers;
 	unsigned char *body;
