Let no job wait for a rack for long while most room is free

What callers saw: nothing was reported; found by reading. A job has nothing running for longer than the 3 s that the platform allows (LOST) although there is room for it twice over and less than half of the room is in use.

Cause: a gang that runs slower on several racks waits until one of them has room for all of it, without an end of its own; a task with data in a rack waits there for 0.6 of its expected duration.

Evidence: same_rack_gang_starts_while_most_room_is_free and task_leaves_its_rack_while_most_room_is_free (test_plan) failed before: nothing was planned after 2.9 s with a quarter and a third of the accelerators in use.

Change: after 2 s without a place, a job that has nothing running is placed on any rack if the platform's condition holds. Otherwise it waits as before, which same_rack_gang_waits_while_room_is_short holds; it passed before too.

Runs: test_plan 31 of 31; test_fleet, test_reclaim, test_lending, test_speculate, test_upkeep, test_long_running, test_advice, test_placing passed.

--- a/fleet/placement.c
+++ b/fleet/placement.c
@@ -163,6 +163,56 @@
 	return (const double *)(void *)p->scores->data;
 }
 
+/* Whether less than half of each resource of the workers is in use. */
+static bool mostly_unused(const GPtrArray *workers)
+{
+	struct room all = { 0 }, used = { 0 };
+	guint i;
+
+	for (i = 0; i < workers->len; i++) {
+		const struct worker *worker = g_ptr_array_index(workers, i);
+
+		room_add(&all, &worker->reported.room);
+		room_add(&used, &worker->used);
+	}
+	return used.cpu_milli * 2 <= all.cpu_milli &&
+	       used.mem_mb * 2 <= all.mem_mb && used.gpus * 2 <= all.gpus;
+}
+
+/* Whether twice the room is free that the next start of the stage needs. */
+static bool has_room_twice(const struct placement *p, const GPtrArray *workers,
+			   const struct stage *stage)
+{
+	int wanted = 2 * (stage->spec->gang ? stage->spec->count : 1);
+	guint i;
+
+	for (i = 0; i < workers->len && wanted > 0; i++) {
+		const struct worker *worker = g_ptr_array_index(workers, i);
+		struct room room = worker_free_room(worker);
+
+		if (placement_eligible(worker, stage, p->now_us))
+			wanted -= placement_slots(&room, stage, wanted);
+	}
+	return wanted <= 0;
+}
+
+/*
+ * Whether the stage may wait no longer for the rack that suits it best. The
+ * platform counts a job as lost if it has nothing running for 3 s although
+ * there is room for it twice over and less than half of the room is in use.
+ */
+static bool rack_wait_over(const struct placement *p,
+			   const struct pool_view *view,
+			   const struct stage *stage)
+{
+	return stage->unplaced_since_us != 0 &&
+	       p->now_us - stage->unplaced_since_us >=
+		       RACK_WAIT_MAX_MS * 1000 &&
+	       !fleet_job_holds_room(stage->job) &&
+	       mostly_unused(view->workers) &&
+	       has_room_twice(p, view->workers, stage);
+}
+
 static bool rack_is_usable(const struct placement *p,
 			   const struct pool_view *view,
 			   const struct stage *stage)
@@ -213,7 +263,7 @@
 	if (best && stage->spec->rack && best_score >= OTHER_RACK_PENALTY &&
 	    p->now_us - stage->opened_us <
 		    (int64_t)(expected_ms * 1000.0 * RACK_WAIT_SHARE) &&
-	    rack_is_usable(p, view, stage))
+	    rack_is_usable(p, view, stage) && !rack_wait_over(p, view, stage))
 		return NULL;
 	p->taken = place;
 	return best;
@@ -351,7 +401,8 @@
 	if (chosen)
 		return chosen;
 	if (!stage->spec->same_rack ||
-	    !placement_fits_in_empty_rack(p, view, stage))
+	    !placement_fits_in_empty_rack(p, view, stage) ||
+	    rack_wait_over(p, view, stage))
 		return assign_gang(p, view->workers, stage, expected_ms);
 	return NULL;
 }
--- a/tests/unit/test_plan.c
+++ b/tests/unit/test_plan.c
@@ -245,6 +245,56 @@
 }
 END_TEST
 
+/* Starts a long task that takes all accelerators of a worker in each rack. */
+static void fill_a_worker_in_each_rack(int racks)
+{
+	char id[32], rack[32];
+	struct job *job;
+	int r;
+
+	for (r = 0; r < racks; r++) {
+		snprintf(id, sizeof(id), "long%d", r);
+		snprintf(rack, sizeof(rack), "r%d", r);
+		job = make_job(&fleet, id, 1, 1, 8, 60000, NOW);
+		job->spec.steps[0].rack = g_strdup(rack);
+	}
+	ck_assert_int_eq(plan(NOW), racks);
+}
+
+/* The platform allows 3 s with nothing running while most room is free. */
+START_TEST(same_rack_gang_starts_while_most_room_is_free)
+{
+	make_racks(3, 4);
+	fill_a_worker_in_each_rack(3);
+	make_gang("g", 1, 4, 8, true, 60000);
+	ck_assert_int_eq(plan(NOW), 0);
+	ck_assert_int_eq(plan(NOW + 29 * SEC / 10), 4);
+}
+END_TEST
+
+START_TEST(same_rack_gang_waits_while_room_is_short)
+{
+	make_racks(2, 4);
+	fill_a_worker_in_each_rack(2);
+	make_gang("g", 1, 4, 8, true, 60000);
+	ck_assert_int_eq(plan(NOW), 0);
+	ck_assert_int_eq(plan(NOW + 29 * SEC / 10), 0);
+}
+END_TEST
+
+START_TEST(task_leaves_its_rack_while_most_room_is_free)
+{
+	struct job *job;
+
+	make_racks(3, 1);
+	fill_a_worker_in_each_rack(1);
+	job = make_job(&fleet, "near", 1, 1, 1, 60000, NOW);
+	job->spec.steps[0].rack = g_strdup("r0");
+	ck_assert_int_eq(plan(NOW), 0);
+	ck_assert_int_eq(plan(NOW + 29 * SEC / 10), 1);
+}
+END_TEST
+
 START_TEST(draining_and_unlisted_workers_get_no_tasks)
 {
 	struct worker *worker;
@@ -652,6 +702,9 @@
 	tcase_add_test(tc, small_task_starts_behind_a_large_one);
 	tcase_add_test(tc, reserved_room_is_used_behind_a_smaller_job);
 	tcase_add_test(tc, task_waits_for_its_preferred_rack);
+	tcase_add_test(tc, same_rack_gang_starts_while_most_room_is_free);
+	tcase_add_test(tc, same_rack_gang_waits_while_room_is_short);
+	tcase_add_test(tc, task_leaves_its_rack_while_most_room_is_free);
 	tcase_add_test(tc, draining_and_unlisted_workers_get_no_tasks);
 	tcase_add_test(tc, gang_does_not_starve_behind_small_tasks);
 	tcase_add_test(tc, guaranteed_job_reclaims_room);
