--- a/Makefile
+++ b/Makefile
@@ -122,7 +122,7 @@
 scenarios: all
 	tests/run-scenarios $(BUILD)
 
-# make soak SEEDS="1 2 3" SECONDS=20
+# make soak SEEDS="1 2 3" SECONDS=20 SOAK_OPTIONS=--stops
 soak: $(BINS) $(BUILD)/soak-run $(SOAK_CLOCK)
 	tests/run-soak $(BUILD) $(SECONDS) $(SEEDS)
 
--- a/tests/soak/soak.h
+++ b/tests/soak/soak.h
@@ -177,7 +177,9 @@
 
 /* Soak_stops.c. */
 
+void soak_stops_start(struct soak *soak);
 void soak_stops_step(struct soak *soak);
+void soak_stops_end(struct soak *soak);
 /* Binds a new process to the core of the hosts. */
 void soak_starve_host(struct soak *soak, int proc);
 void soak_starve_start(struct soak *soak);
--- a/tests/soak/soak_main.c
+++ b/tests/soak/soak_main.c
@@ -13,7 +13,7 @@
 
 #define STEP_MS 20
 #define SETTLE_SEC 60 /* after the faults, for the longest chain of retries */
-#define STARVE_MAX 32
+#define STARVE_MAX 128
 #define MSEC_PER_DAY (24 * 3600 * 1000LL)
 
 /* Up times that hosts and workers show. */
@@ -294,14 +294,17 @@
 	int64_t end_us = kn_now_us() + soak->options.seconds * USEC_PER_SEC;
 
 	soak->faults_end_us = end_us;
-	if (soak->options.stops)
+	if (soak->options.stops) {
+		soak_stops_start(soak);
 		soak_callers_start(soak);
+	}
 	while (kn_now_us() < end_us) {
 		run_step(soak);
 		soak_faults_step(soak);
 	}
 	soak_faults_heal(soak);
 	soak_callers_stop(soak);
+	soak_stops_end(soak);
 	soak_starve_end(soak);
 	soak->healing = true;
 	soak->healed_us = kn_now_us();
--- a/tests/soak/soak_stops.c
+++ b/tests/soak/soak_stops.c
@@ -10,8 +10,7 @@
 /*
  * Planned work only: graceful stops, in series and while a process starts, of
  * one host, several or all; SIGHUP around them, also with changed settings; and
- * changes of the configuration. By the seed the store is well, slow or loses
- * answers meanwhile.
+ * changes of the configuration.
  */
 
 #define SIGNALS_MAX 3
@@ -157,12 +156,19 @@
 	}
 }
 
+/* By the seed: well, slow all the time, losing answers or slow in between. */
+enum store_kind { STORE_WELL, STORE_FAR, STORE_LOSES, STORE_SLOW, STORE_KINDS };
+
+static enum store_kind store_kind(const struct soak *soak)
+{
+	return (enum store_kind)(soak->options.seed % STORE_KINDS);
+}
+
 static void fault_store(struct soak *soak)
 {
-	bool slow = soak->options.seed % 4 == 1;
+	bool slow = store_kind(soak) == STORE_SLOW;
 
-	if (soak->options.seed % 4 > 2 || soak->options.seed % 4 == 0 ||
-	    soak->store_heal_us)
+	if (soak->store_heal_us || (!slow && store_kind(soak) != STORE_LOSES))
 		return;
 	soak->faults++;
 	soak_say(slow ? "slow" : "lost", "store");
@@ -174,10 +180,28 @@
 		       0);
 }
 
+/* A store that is far away is no fault: calls are judged as with a near one. */
+void soak_stops_start(struct soak *soak)
+{
+	int delay_ms =
+		SLOW_MIN_MS + soak_below(soak, SLOW_MAX_MS - SLOW_MIN_MS);
+
+	plan = g_array_new(FALSE, FALSE, sizeof(struct planned));
+	if (store_kind(soak) != STORE_FAR)
+		return;
+	printf("%9.3f store delay_ms=%d\n", (double)kn_now_us() / 1e6,
+	       delay_ms);
+	site_store_fault(soak->store, -1, SITE_WELL, 0, delay_ms);
+}
+
+/* Ends the delay too. */
+void soak_stops_end(struct soak *soak)
+{
+	site_store_fault(soak->store, -1, SITE_WELL, 0, 0);
+}
+
 void soak_stops_step(struct soak *soak)
 {
-	if (!plan)
-		plan = g_array_new(FALSE, FALSE, sizeof(struct planned));
 	stop_starting_hosts(soak);
 	deliver_due(soak);
 	if (soak_below(soak, 1000) < 12)
