End a stop before the grace whatever a task has in progress

What callers saw: with a short grace the process was killed while the scheduler or the leadership waited for a store that did not answer, with every call that the servers had still been able to answer.

Cause: these drains have ends of their own, 2 s and 2.5 s, that do not look at the grace, and the kernel waits for every task without an end.

Change: both end when the services answer what they hold, or earlier. The kernel has a limit for the whole drain, which the standalone daemon sets to the time at which the servers end; it logs each task that has not drained. What is left behind is logged as a warning: stop.cut, leader.not_released, scheduler.not_written.

--- a/base/kn.c
+++ b/base/kn.c
@@ -115,6 +115,7 @@
 			task->ops->finish(task);
 	}
 	signal_context = NULL;
+	kn_timer_cancel(&kn->drain_timer);
 	free_loop(kn);
 }
 
@@ -391,6 +392,24 @@
 	return kn->exit_code;
 }
 
+void kn_limit_drain(struct kn *kn, int64_t ms)
+{
+	kn->drain_limit_ms = ms;
+}
+
+static void cut_drain(struct kn_timer *timer)
+{
+	struct kn *kn = container_of(timer, struct kn, drain_timer);
+	const struct kn_task *task;
+
+	list_for_each_entry(task, &kn->tasks, node)
+		if (!task->drained)
+			log_warn("stop.cut",
+				 "task=%s limit_ms=%" G_GINT64_FORMAT,
+				 task->name, kn->drain_limit_ms);
+	kn_stop(kn, 0);
+}
+
 /* Begins the graceful stop of all tasks. */
 void kn_drain(struct kn *kn)
 {
@@ -400,6 +419,9 @@
 		return;
 	kn->draining = true;
 	log_info("stop.draining", "reason=signal");
+	if (kn->drain_limit_ms > 0)
+		kn_timer_set(kn, &kn->drain_timer,
+			     kn->drain_limit_ms * USEC_PER_MSEC, cut_drain);
 	list_for_each_entry(task, &kn->tasks, node) {
 		if (task->ops->drain)
 			task->ops->drain(task);
--- a/base/kn.h
+++ b/base/kn.h
@@ -69,6 +69,8 @@
 	struct list_head ready;
 	struct ctr_set counters;
 	bool draining;
+	int64_t drain_limit_ms; /* 0: none */
+	struct kn_timer drain_timer;
 	bool stopped;
 	int exit_code;
 };
@@ -89,6 +91,8 @@
 bool kn_start(struct kn *kn, GError **err);
 int kn_run(struct kn *kn);
 void kn_turn(struct kn *kn);
+/* A drain ends after ms, whatever the tasks have in progress. */
+void kn_limit_drain(struct kn *kn, int64_t ms);
 void kn_drain(struct kn *kn);
 void kn_drained(struct kn_task *task);
 void kn_stop(struct kn *kn, int exit_code);
--- a/daemon/jobs/sched.c
+++ b/daemon/jobs/sched.c
@@ -3,7 +3,9 @@
 #include <inttypes.h>
 
 #include "base/ev.h"
+#include "base/log.h"
 #include "daemon/jobs/sched_int.h"
+#include "daemon/stop.h"
 
 #define MS(ms) ((int64_t)(ms)*USEC_PER_MSEC)
 
@@ -193,9 +195,15 @@
 
 static void check_drained(struct sched *s, int64_t now_us)
 {
-	if (s->drain_us && !s->task.drained &&
-	    (sched_store_idle(s) || now_us >= s->drain_us))
-		kn_drained(&s->task);
+	size_t pending = sched_store_pending(s);
+
+	if (!s->drain_us || s->task.drained ||
+	    (pending > 0 && now_us < s->drain_us))
+		return;
+	if (pending > 0)
+		log_warn("scheduler.not_written",
+			 "epoch=%" PRIu64 " records=%zu", s->epoch, pending);
+	kn_drained(&s->task);
 }
 
 static void run_as_leader(struct sched *s, int64_t now_us)
@@ -288,7 +296,8 @@
 {
 	struct sched *s = container_of(task, struct sched, task);
 
-	s->drain_us = kn_now_us() + MS(SCHED_DRAIN_MS);
+	s->drain_us =
+		kn_now_us() + MIN(MS(SCHED_DRAIN_MS), stop_services_us(s->set));
 	sched_wake(s);
 }
 
--- a/daemon/jobs/sched_int.h
+++ b/daemon/jobs/sched_int.h
@@ -171,7 +171,8 @@
 void sched_delete_record(struct sched *s, const char *id);
 void sched_submit(struct sched *s, struct sched_job *job,
 		  struct svc_api_call *call);
-bool sched_store_idle(const struct sched *s);
+/* Record writes and submissions that the store has not answered. */
+size_t sched_store_pending(const struct sched *s);
 void sched_store_finish(struct sched *s);
 void sched_submits_fail(struct sched *s);
 
--- a/daemon/jobs/sched_store.c
+++ b/daemon/jobs/sched_store.c
@@ -293,10 +293,20 @@
 	s->kv->ops->txn(s->kv, &c->call, NULL, 0, &op, 1, NULL, 0);
 }
 
-bool sched_store_idle(const struct sched *s)
+static size_t list_count(const struct list_head *list)
 {
-	return list_empty(&s->writes) && s->writing == 0 &&
-	       list_empty(&s->submits);
+	const struct list_head *node;
+	size_t n = 0;
+
+	for (node = list->next; node != list; node = node->next)
+		n++;
+	return n;
+}
+
+size_t sched_store_pending(const struct sched *s)
+{
+	return list_count(&s->writes) + (size_t)s->writing +
+	       list_count(&s->submits);
 }
 
 /* Submissions. */
--- a/daemon/leadership/lead.c
+++ b/daemon/leadership/lead.c
@@ -7,6 +7,7 @@
 #include "base/err.h"
 #include "base/ev.h"
 #include "base/log.h"
+#include "daemon/stop.h"
 #include "daemon/svc.h"
 #include "policy/leadership.h"
 #include "wire/pr.h"
@@ -373,8 +374,13 @@
 {
 	if (!lead->draining || lead->task.drained)
 		return;
-	if (leadership_drained(&lead->ld) || now_us >= lead->drain_deadline_us)
-		kn_drained(&lead->task);
+	if (!leadership_drained(&lead->ld)) {
+		if (now_us < lead->drain_deadline_us)
+			return;
+		log_warn("leader.not_released", "epoch=%" PRIu64,
+			 lead->ld.epoch);
+	}
+	kn_drained(&lead->task);
 }
 
 /*
@@ -505,7 +511,8 @@
 	bool was_leading = lead->ld.leading;
 
 	lead->draining = true;
-	lead->drain_deadline_us = now_us + LEADER_DRAIN_MS * USEC_PER_MSEC;
+	lead->drain_deadline_us = now_us + MIN(LEADER_DRAIN_MS * USEC_PER_MSEC,
+					       stop_services_us(lead->set));
 	leadership_drain(&lead->ld, now_us);
 	if (was_leading)
 		request_promises(lead, now_us, 0);
--- a/daemon/main.c
+++ b/daemon/main.c
@@ -16,6 +16,7 @@
 #include "daemon/requests/members.h"
 #include "daemon/requests/req.h"
 #include "daemon/jobs/sched.h"
+#include "daemon/stop.h"
 #include "daemon/store.h"
 #include "platform/host.h"
 #include "platform/settings.h"
@@ -149,6 +150,7 @@
 	if (!init_kernel(&kn))
 		return EXIT_FAILURE;
 	add_services(&kn, set);
+	kn_limit_drain(&kn, stop_times(set).limit_ms);
 	return run(&kn);
 }
 
--- a/tests/unit/test_kn.c
+++ b/tests/unit/test_kn.c
@@ -150,6 +150,31 @@
 }
 END_TEST
 
+static void drain_never(struct kn_task *task)
+{
+}
+
+static const struct kn_task_ops drain_never_ops = { .receive = echo_receive,
+						    .drain = drain_never };
+
+/* Above it the supervisor kills the process, and its answers with it. */
+START_TEST(drain_ends_at_its_limit)
+{
+	int64_t begun_us = kn_now_us();
+	struct echo_task stuck = { 0 };
+	struct kn kn;
+
+	ck_assert(kn_init(&kn, NULL));
+	kn_add(&kn, &stuck.task, "stuck", &drain_never_ops);
+	ck_assert(kn_start(&kn, NULL));
+	kn_limit_drain(&kn, 100);
+	kn_drain(&kn);
+	ck_assert_int_eq(kn_run(&kn), 0);
+	ck_assert_int_ge(kn_now_us() - begun_us, 100 * USEC_PER_MSEC);
+	kn_finish(&kn);
+}
+END_TEST
+
 static void stop_receive(struct kn_task *task, struct kn_msg *msg)
 {
 	kn_msg_release(msg);
@@ -242,6 +267,7 @@
 
 	tcase_add_test(tc, messages_keep_order_through_services);
 	tcase_add_test(tc, timer_rearms_and_stops);
+	tcase_add_test(tc, drain_ends_at_its_limit);
 	tcase_add_test(tc, message_of_the_last_round_of_a_stop_is_delivered);
 	tcase_add_test(tc, message_from_timer_is_delivered_at_once);
 	tcase_add_test(tc, timer_fires_after_a_delay_between_readings);
--- a/tests/unit/test_lead.c
+++ b/tests/unit/test_lead.c
@@ -20,6 +20,7 @@
 	struct kv kv;
 	struct kv *inner;
 	bool down;
+	bool silent; /* calls are not answered */
 	bool lose_takeover; /* the write is carried out, the reply is lost */
 	struct kn_timer timer;
 	GPtrArray *failed; /* struct kv_call to fail */
@@ -41,6 +42,8 @@
 
 static bool fail_if_down(struct kv_call *call)
 {
+	if (flaky.silent)
+		return true;
 	if (!flaky.down)
 		return false;
 	g_ptr_array_add(flaky.failed, call);
@@ -146,6 +149,7 @@
 	snprintf(set->host, sizeof(set->host), "host%d", i);
 	strcpy(set->dc, "dc1");
 	set->seed = 5;
+	set->grace_ms = 20000;
 	if (hosts > 1)
 		set->peer_listen.port = ports[i];
 	strcpy(set->peer_listen.addr, "127.0.0.1");
@@ -371,6 +375,25 @@
 }
 END_TEST
 
+/* The store does not answer before the supervisor's SIGKILL. */
+START_TEST(drain_ends_before_a_short_grace)
+{
+	int64_t begun_us;
+
+	setup(1);
+	ck_assert_int_eq(run(6000, true), 0);
+	sets[0].grace_ms = 1000;
+	flaky.silent = true;
+	begun_us = kn_now_us();
+	leads[0]->ops->drain(leads[0]);
+	while (!leads[0]->drained && kn_now_us() - begun_us < 4 * USEC_PER_SEC)
+		run(10, false);
+	ck_assert_int_lt((kn_now_us() - begun_us) / USEC_PER_MSEC,
+			 sets[0].grace_ms);
+	teardown();
+}
+END_TEST
+
 int main(void)
 {
 	TCase *tc = tcase_create("leadership");
@@ -380,5 +403,6 @@
 	tcase_add_test(tc, takeover_after_death_and_drain);
 	tcase_add_test(tc, lost_takeover_reply_is_recovered);
 	tcase_add_test(tc, promises_keep_leader_in_outage);
+	tcase_add_test(tc, drain_ends_before_a_short_grace);
 	return run_case("lead", tc);
 }
--- a/tests/unit/test_sched.c
+++ b/tests/unit/test_sched.c
@@ -221,6 +221,7 @@
 	strcpy(set.host, "h1");
 	strcpy(set.dc, "dc1");
 	set.seed = 3;
+	set.grace_ms = 20000;
 	make_view();
 	memset(&test_task, 0, sizeof(test_task));
 	kn_add(&kn, &test_task, "probe", &test_task_ops);
@@ -882,6 +883,27 @@
 }
 END_TEST
 
+/* The store does not come back before the supervisor's SIGKILL. */
+START_TEST(drain_ends_before_a_short_grace)
+{
+	char id[JOB_ENTRY_ID_BYTES];
+	int64_t begun_us;
+
+	start_cluster(60000);
+	set.grace_ms = 1000;
+	ck_assert_int_eq(submit("k1", 16, id), 201);
+	store.down = true;
+	wait_state(id, "running", 2000);
+	begun_us = kn_now_us();
+	sched->ops->drain(sched);
+	while (!sched->drained && kn_now_us() - begun_us < 3 * USEC_PER_SEC)
+		run_for(10);
+	ck_assert_int_lt((kn_now_us() - begun_us) / USEC_PER_MSEC,
+			 set.grace_ms);
+	stop_cluster();
+}
+END_TEST
+
 int main(void)
 {
 	TCase *tcase = tcase_create("sched");
@@ -906,5 +928,6 @@
 	tcase_add_loop_test(tcase, removal_outlives_the_scheduler, 0, 4);
 	tcase_add_test(tcase, pool_may_come_later);
 	tcase_add_test(tcase, drain_ends_without_leadership);
+	tcase_add_test(tcase, drain_ends_before_a_short_grace);
 	return run_case("sched", tcase);
 }
