--- a/tests/standins/sr_lua.c
+++ b/tests/standins/sr_lua.c
@@ -392,6 +392,7 @@
 	lua_pushlightuserdata(lua, run);
 	luaL_setfuncs(lua, functions, 1);
 	lua_pop(lua, 1);
+	sr_tcp_open(lua);
 	lua_pushinteger(lua, run->seed);
 	lua_setglobal(lua, "SEED");
 }
--- a/tests/standins/sr_lua.h
+++ b/tests/standins/sr_lua.h
@@ -19,6 +19,9 @@
 /* Adds the primitives to a Lua state; run must outlive it. */
 void sr_lua_open(lua_State *lua, struct sr_run *run);
 
+/* sr_tcp.c */
+void sr_tcp_open(lua_State *lua);
+
 /* sr_json.c */
 void sr_json_push(lua_State *lua, const json_t *value);
 json_t *sr_json_take(lua_State *lua, int index);
