Let callers beyond the connection limit read their refusal

What callers saw: a caller that had sent its request before its connection was accepted got 503 and then a reset. A reset may destroy the reply on its way, and a caller that still sends sees it before it reads.

Cause: a connection beyond the limit, or without a descriptor, was sent 503 and closed at once, with its request unread.

Change: up to 64 connections beyond the limit are kept until their callers have read the refusal, at most for the time of every last reply; what they send is discarded. They take no room of others. Above that, and without a descriptor, the sending side is closed first and what has arrived is read, up to 64 KB, so that only a longer request that is still on its way is reset.

Evidence: three tests of test_hs failed before the change with "Connection reset by peer" behind the 503 and pass now: caller_beyond_the_limit_is_answered_without_a_reset (4 and 900,000 bytes), callers_far_beyond_the_limit_are_answered_without_a_reset and caller_without_a_descriptor_is_answered_without_a_reset. refused_callers_take_no_room_of_others failed while these counted as the others.

--- a/base/limits.h
+++ b/base/limits.h
@@ -36,6 +36,7 @@
 #define HTTP_CONNECT_TIMEOUT_MS 2000
 #define HTTP_HEADERS_MAX_COUNT 100
 #define HTTP_CONNS_MAX 12000 /* REQ_WAITING_MAX callers and room for others */
+#define HTTP_REFUSED_MAX 64 /* beyond it, that read their refusal at leisure */
 #define HTTP_BODIES_MAX_BYTES (32 * 1024 * 1024) /* over all connections */
 #define HTTP_PIPELINE_MAX_BYTES 16384 /* behind a request in progress */
 #define HTTP_BACKLOG 1024 /* connections not accepted yet */
--- a/tests/unit/test_hs.c
+++ b/tests/unit/test_hs.c
@@ -1,4 +1,5 @@
 #include <check.h>
+#include <errno.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
@@ -312,6 +313,122 @@
 }
 END_TEST
 
+/* Sends all of a request; a reset on the way fails. */
+static void send_whole(struct be_sock *to, size_t body_len)
+{
+	GString *text = g_string_new(NULL);
+	size_t sent = 0;
+	ssize_t n;
+
+	g_string_printf(text, POST "Content-Length: %zu\r\n\r\n", body_len);
+	g_string_set_size(text, text->len + body_len);
+	while (sent < text->len) {
+		n = send(to->fd, text->str + sent, text->len - sent,
+			 MSG_NOSIGNAL);
+		ck_assert_msg(n > 0 || errno == EAGAIN, "sent %zu of %zu: %s",
+			      sent, text->len, strerror(errno));
+		sent += n > 0 ? (size_t)n : 0;
+		if (n < 0)
+			be_turn(&kn, 1);
+	}
+	g_string_free(text, TRUE);
+}
+
+/* Reads until the server ends the connection, which must not be a reset. */
+static void expect_busy(struct be_sock *from)
+{
+	int64_t end_us = kn_now_us() + USEC_PER_SEC;
+	ssize_t n;
+
+	for (;;) {
+		n = read(from->fd, from->in + from->len,
+			 sizeof(from->in) - 1 - from->len);
+		if (n == 0)
+			break;
+		ck_assert_msg(n > 0 || errno == EAGAIN, "%s", strerror(errno));
+		ck_assert_int_lt(kn_now_us(), end_us);
+		from->len += n > 0 ? (size_t)n : 0;
+		be_turn(&kn, 1);
+	}
+	ck_assert_int_eq(strncmp(from->in, "HTTP/1.1 503 ", 13), 0);
+	ck_assert_ptr_nonnull(strstr(from->in, "Retry-After: 1\r\n"));
+}
+
+static const size_t body_lens[] = { 4, 900000 };
+
+/* The request has been sent before the connection is accepted. */
+START_TEST(caller_beyond_the_limit_is_answered_without_a_reset)
+{
+	struct be_sock other;
+
+	server.conns_max = 1;
+	be_turn(&kn, 10);
+	be_connect(&other, server.port);
+	send_whole(&other, body_lens[_i]);
+	expect_busy(&other);
+	be_close(&other);
+	ck_assert_int_eq(requests, 0);
+}
+END_TEST
+
+START_TEST(refused_callers_take_no_room_of_others)
+{
+	struct be_sock refused, other;
+
+	server.conns_max = 1;
+	be_turn(&kn, 10);
+	be_connect(&refused, server.port);
+	ck_assert(be_wait_text(&kn, &refused, "HTTP/1.1 503 ", 1000));
+	be_close(&sock);
+	be_turn(&kn, 20);
+	be_connect(&other, server.port);
+	be_puts(&kn, &other, "GET /b HTTP/1.1\r\n\r\n");
+	ck_assert(be_wait_text(&kn, &other, "GET /b 0", 1000));
+	be_close(&other);
+	be_close(&refused);
+}
+END_TEST
+
+/* The limit of those that are answered at leisure is reached too. */
+START_TEST(callers_far_beyond_the_limit_are_answered_without_a_reset)
+{
+	struct be_sock *others = g_new0(struct be_sock, HTTP_REFUSED_MAX + 4);
+	int i;
+
+	server.conns_max = 1;
+	be_turn(&kn, 10);
+	for (i = 0; i < HTTP_REFUSED_MAX + 4; i++) {
+		be_connect(&others[i], server.port);
+		send_whole(&others[i], 4);
+	}
+	for (i = 0; i < HTTP_REFUSED_MAX + 4; i++)
+		expect_busy(&others[i]);
+	ck_assert_uint_le(server.conn_count, 1 + HTTP_REFUSED_MAX);
+	for (i = 0; i < HTTP_REFUSED_MAX + 4; i++)
+		be_close(&others[i]);
+	g_free(others);
+}
+END_TEST
+
+START_TEST(caller_without_a_descriptor_is_answered_without_a_reset)
+{
+	struct rlimit limit, saved;
+	struct be_sock other;
+
+	ck_assert_int_eq(getrlimit(RLIMIT_NOFILE, &saved), 0);
+	be_turn(&kn, 10);
+	be_connect(&other, server.port);
+	send_whole(&other, 4);
+	limit = saved;
+	limit.rlim_cur = (rlim_t)dup(0);
+	close((int)limit.rlim_cur);
+	ck_assert_int_eq(setrlimit(RLIMIT_NOFILE, &limit), 0);
+	expect_busy(&other);
+	setrlimit(RLIMIT_NOFILE, &saved);
+	be_close(&other);
+}
+END_TEST
+
 /*
  * Guards against a loop that spins on a full descriptor table: the queue of
  * connections must be emptied and the callers told.
@@ -611,6 +728,14 @@
 	tcase_add_test(tc, oversized_body_is_refused_while_it_is_sent);
 	tcase_add_test(tc, bodies_share_one_budget);
 	tcase_add_test(tc, connections_are_bounded);
+	tcase_add_loop_test(tc,
+			    caller_beyond_the_limit_is_answered_without_a_reset,
+			    0, G_N_ELEMENTS(body_lens));
+	tcase_add_test(tc, refused_callers_take_no_room_of_others);
+	tcase_add_test(
+		tc, callers_far_beyond_the_limit_are_answered_without_a_reset);
+	tcase_add_test(tc,
+		       caller_without_a_descriptor_is_answered_without_a_reset);
 	tcase_add_test(tc, connections_without_descriptors_are_refused);
 	tcase_add_test(tc, finished_server_refuses_connections);
 	tcase_add_loop_test(tc, slow_senders_are_refused, 0, 2);
--- a/wire/hs.c
+++ b/wire/hs.c
@@ -38,6 +38,7 @@
 
 	list_del(&conn->node);
 	server->conn_count--;
+	server->refused_count -= conn->refused;
 	lws_set_opaque_user_data(conn->wsi, NULL);
 	if (conn->req && conn->state == HS_BUSY && server->ops->gone)
 		server->ops->gone(server, conn->req);
@@ -65,7 +66,7 @@
 }
 
 /* Takes over an accepted connection. */
-void hs_conn_new(struct hs_server *server, struct lws *wsi)
+struct hs_conn *hs_conn_new(struct hs_server *server, struct lws *wsi)
 {
 	struct hs_conn *conn = g_new0(struct hs_conn, 1);
 
@@ -77,6 +78,7 @@
 	server->conn_count++;
 	hs_conn_deadline(conn, server->idle_timeout_ms);
 	lws_set_opaque_user_data(wsi, conn);
+	return conn;
 }
 
 /* Received bytes. */
--- a/wire/hs.h
+++ b/wire/hs.h
@@ -42,6 +42,7 @@
 	struct lws_vhost *vhost;
 	struct list_head conns;
 	size_t conn_count;
+	size_t refused_count; /* of these, beyond conns_max */
 	int port; /* the bound port, also when port 0 was asked for */
 	bool draining;
 	/* Set from base/limits.h by hs_init(); the owner may change them. */
--- a/wire/hs_conn.h
+++ b/wire/hs_conn.h
@@ -22,6 +22,7 @@
 	enum hs_state state;
 	bool in_callback; /* lws is on the stack above */
 	bool dead;
+	bool refused; /* beyond conns_max: gets its refusal only */
 	bool close_after; /* the reply is the last one */
 	bool head; /* the request is HEAD */
 	bool http10;
@@ -40,7 +41,7 @@
 };
 
 /* hs.c */
-void hs_conn_new(struct hs_server *server, struct lws *wsi);
+struct hs_conn *hs_conn_new(struct hs_server *server, struct lws *wsi);
 void hs_conn_close(struct hs_conn *conn);
 void hs_conn_deadline(struct hs_conn *conn, int delay_ms);
 /* hs_listen.c */
--- a/wire/hs_listen.c
+++ b/wire/hs_listen.c
@@ -1,6 +1,7 @@
 #include <errno.h>
 #include <fcntl.h>
 #include <string.h>
+#include <sys/socket.h>
 #include <unistd.h>
 
 #include "base/err.h"
@@ -17,6 +18,24 @@
 /* Accepted at most in one round, so that open connections are served too. */
 #define ACCEPT_BATCH 64
 
+/* Read of a request that is refused unread, so that closing resets nothing. */
+#define REFUSE_READ_BYTES 65536
+
+/* Closes a connection that can't be kept until its caller has read. */
+static void refuse_at_once(int fd)
+{
+	char data[4096];
+	size_t total = 0;
+	ssize_t n;
+
+	hs_send_busy(fd);
+	shutdown(fd, SHUT_WR);
+	while (total < REFUSE_READ_BYTES &&
+	       (n = recv(fd, data, sizeof(data), MSG_DONTWAIT)) > 0)
+		total += (size_t)n;
+	close(fd);
+}
+
 /*
  * With no descriptor left the queue of connections can't be emptied and the
  * loop would spin on it; giving up the spare one allows to refuse them.
@@ -27,10 +46,8 @@
 
 	close(server->spare_fd);
 	fd = accept4(server->listen_fd, NULL, NULL, SOCK_CLOEXEC);
-	if (fd >= 0) {
-		hs_send_busy(fd);
-		close(fd);
-	}
+	if (fd >= 0)
+		refuse_at_once(fd);
 	server->spare_fd = open("/dev/null", O_RDONLY | O_CLOEXEC);
 	log_warn("http.accept", "error=no_descriptor connections=%zu",
 		 server->conn_count);
@@ -41,7 +58,9 @@
 static bool accept_one(struct hs_server *server)
 {
 	lws_sock_file_fd_type fd;
+	struct hs_conn *conn;
 	struct lws *wsi;
+	bool full;
 
 	fd.sockfd = accept4(server->listen_fd, NULL, NULL,
 			    SOCK_NONBLOCK | SOCK_CLOEXEC);
@@ -50,16 +69,23 @@
 	if (fd.sockfd < 0)
 		return errno == EINTR || errno == ECONNABORTED;
 	server->accepted++;
-	if (server->conn_count >= server->conns_max) {
-		hs_send_busy(fd.sockfd);
-		close(fd.sockfd);
+	full = server->conn_count - server->refused_count >= server->conns_max;
+	if (full && server->refused_count >= HTTP_REFUSED_MAX) {
+		refuse_at_once(fd.sockfd);
 		return true;
 	}
 	sock_tune(fd.sockfd);
 	wsi = lws_adopt_descriptor_vhost(server->vhost, LWS_ADOPT_SOCKET, fd,
 					 "hs", NULL);
-	if (wsi)
-		hs_conn_new(server, wsi);
+	if (!wsi)
+		return true;
+	conn = hs_conn_new(server, wsi);
+	if (!full)
+		return true;
+	/* What the caller sends is discarded until it has read the refusal. */
+	conn->refused = true;
+	server->refused_count++;
+	hs_refuse(conn, CB_E_OVERLOADED);
 	return true;
 }
 
