Log what a stop does to requests and operators' calls

What operators saw: a request that a stop cut, or left unknown, left no trace on a standalone host; callers.draining is the only line of its stop.

Change: calls.stopping and calls.stopped, which the platform's callers had, are written by stop_log (wire/) for the callers of both and for the API, with the name of the server. A warning names each request that ends without an answer (request.cut), whose reply was not sent whole (request.reply_lost), or that a stop has left unknown (request.unfinished, document.unfinished, api.unfinished). chivebank_callers_cut_total counts requests without a whole answer by cause: caller, stop, reply, as chivebank_caller_cut_total does on the platform.

--- a/daemon/admin/api.c
+++ b/daemon/admin/api.c
@@ -5,6 +5,7 @@
 
 #include "base/err.h"
 #include "base/limits.h"
+#include "base/log.h"
 #include "daemon/admin/api_int.h"
 #include "daemon/stop.h"
 
@@ -79,6 +80,7 @@
 /* Sends the answer to the operator or the peer and frees the call. */
 void api_send_answer(struct api_call *call)
 {
+	stop_log_answer(&call->api->log, call->call.status);
 	if (call->call.status >= 400)
 		ctr_add(&call->api->errors, 1);
 	if (call->peer_host[0])
@@ -190,10 +192,21 @@
 
 static void on_gone(struct hs_server *server, struct hs_request *req)
 {
+	struct api *api = container_of(server, struct api, server);
 	struct api_call *call = req->user;
+	int64_t age_ms;
 
-	if (call)
-		call->req = NULL;
+	if (!call)
+		return;
+	call->req = NULL;
+	if (!api->finishing)
+		return;
+	api->log.cut++;
+	age_ms = (kn_now_us() - req->received_us) / USEC_PER_MSEC;
+	log_warn("request.cut",
+		 "server=api cause=stop method=%s target=%.64s"
+		 " age_ms=%" G_GINT64_FORMAT,
+		 req->method, req->target, age_ms);
 }
 
 static const struct hs_ops server_ops = {
@@ -305,6 +318,10 @@
 	memcpy(last->peer_host, call->peer_host, sizeof(last->peer_host));
 	call->peer_host[0] = '\0';
 	last->remote_id = call->remote_id;
+	if (is_change(call))
+		log_warn("api.unfinished", "method=%s path=%.64s to=%s",
+			 call->call.method, call->call.path,
+			 call->forwarded_to);
 	svc_api_fail(&last->call, &api->task,
 		     is_change(call) ? CB_E_CHANGE_UNKNOWN : CB_E_DRAINING,
 		     "%s", api->set->host);
@@ -323,16 +340,20 @@
 		end_call(call);
 }
 
-/* Calls of peers have no connection here. */
-static bool is_busy(const struct hs_stop *stop)
+static size_t count_calls(const struct api *api)
 {
-	const struct api *api = container_of(stop, struct api, stop);
 	const struct api_call *call;
+	size_t n = 0;
 
 	list_for_each_entry(call, &api->calls, node)
-		if (!call->ended)
-			return true;
-	return false;
+		n += !call->ended;
+	return n;
+}
+
+/* Calls of peers have no connection here. */
+static bool is_busy(const struct hs_stop *stop)
+{
+	return count_calls(container_of(stop, struct api, stop)) > 0;
 }
 
 static void on_stop_ended(struct hs_stop *stop)
@@ -346,15 +367,39 @@
 	.ended = on_stop_ended,
 };
 
+static int64_t oldest_ms(const struct api *api)
+{
+	int64_t now_us = kn_now_us(), oldest_us = 0;
+	const struct api_call *call;
+
+	list_for_each_entry(call, &api->calls, node)
+		if (call->req)
+			oldest_us =
+				MAX(oldest_us, now_us - call->req->received_us);
+	return oldest_us / USEC_PER_MSEC;
+}
+
 /* /healthz and /metrics are answered until the process ends. */
 static void api_drain(struct kn_task *task)
 {
 	struct api *api = container_of(task, struct api, task);
 	const struct hs_stop_times times = stop_times(api->set);
 
+	stop_log_begin(&api->log, &api->server, count_calls(api),
+		       oldest_ms(api), api->set->grace_ms);
 	hs_stop_begin(&api->stop, &api->server, &stop_ops, &times);
 }
 
+static void finish_server(struct api *api)
+{
+	size_t calls = count_calls(api), connections = api->server.conn_count;
+	int64_t oldest = oldest_ms(api);
+
+	api->finishing = true;
+	hs_finish(&api->server);
+	stop_log_end(&api->log, calls, oldest, connections);
+}
+
 static void api_finish(struct kn_task *task)
 {
 	struct api *api = container_of(task, struct api, task);
@@ -362,7 +407,7 @@
 
 	hs_stop_finish(&api->stop);
 	if (api->listening)
-		hs_finish(&api->server);
+		finish_server(api);
 	list_for_each_entry_safe(call, next, &api->calls, node) {
 		/* Calls held by a service are freed with its messages. */
 		if (call->forward_id || call->ticket_id)
@@ -387,6 +432,7 @@
 	struct api *api = g_new0(struct api, 1);
 
 	api->set = set;
+	api->log.server = "api";
 	list_init(&api->calls);
 	ctr_init(&api->requests, &kn->counters, CTR_COUNTER,
 		 "chivebank_api_requests_total", NULL,
--- a/daemon/admin/api_int.h
+++ b/daemon/admin/api_int.h
@@ -6,6 +6,7 @@
 #include "daemon/svc.h"
 #include "wire/hs_stop.h"
 #include "wire/pr.h"
+#include "wire/stop_log.h"
 
 /* Private to the administration API. */
 
@@ -23,6 +24,8 @@
 	uint64_t peer_epochs[PEERS_MAX];
 	struct list_head calls; /* struct api_call */
 	struct hs_stop stop;
+	struct stop_log log;
+	bool finishing;
 	bool refusing; /* the services are no longer called */
 	uint64_t last_id; /* last forward_id or ticket_id given to a call */
 	struct ctr requests;
--- a/daemon/document/document_change.c
+++ b/daemon/document/document_change.c
@@ -4,6 +4,7 @@
 
 #include "base/err.h"
 #include "base/ev.h"
+#include "base/log.h"
 #include "daemon/document/document_int.h"
 
 /*
@@ -464,6 +465,10 @@
 
 	list_for_each_entry_safe(c, next, &d->changes, node) {
 		if (c->writing || c->outcome_unknown) {
+			log_warn("document.unfinished",
+				 "section=%s change=%s revision=%" PRId64,
+				 c->proposed.section, c->proposed.id,
+				 c->next->revision);
 			answer_unknown(c);
 			continue;
 		}
--- a/daemon/requests/callers.c
+++ b/daemon/requests/callers.c
@@ -13,6 +13,10 @@
 #include "daemon/svc.h"
 #include "daemon/stop.h"
 #include "wire/hs_stop.h"
+#include "wire/stop_log.h"
+
+/* Why a request, or its reply, did not reach its caller whole. */
+enum cut_cause { CUT_BY_CALLER, CUT_BY_STOP, CUT_REPLY, CUT_CAUSES };
 
 struct callers {
 	struct kn_task task;
@@ -25,10 +29,13 @@
 	bool refusing; /* the drain delay is over: requests are rejected */
 	struct kn_timer settle; /* the drain delay */
 	struct hs_stop stop;
+	struct stop_log log;
+	bool finishing;
 	struct ctr received;
 	struct ctr malformed;
 	struct ctr pending_now;
 	struct ctr disconnected;
+	struct ctr cuts[CUT_CAUSES];
 };
 
 static struct callers *server_to_callers(struct hs_server *server)
@@ -43,6 +50,12 @@
 	hs_reply_error(req, code, detail, 0);
 }
 
+static void refuse_draining(struct callers *callers, struct hs_request *req)
+{
+	stop_log_answer(&callers->log, 503);
+	hs_reply_error(req, CB_E_DRAINING, NULL, 1);
+}
+
 static void add_pending(struct callers *callers, struct hs_request *req,
 			uint64_t id)
 {
@@ -239,7 +252,7 @@
 	if (!req)
 		return;
 	if (msg->tickets->len == 0) {
-		hs_reply_error(req, CB_E_DRAINING, NULL, 1);
+		refuse_draining(callers, req);
 		return;
 	}
 	list = json_array();
@@ -268,12 +281,12 @@
 		if (strcmp(req->method, "POST") != 0)
 			reject(callers, req, CB_E_METHOD, NULL);
 		else if (callers->refusing)
-			hs_reply_error(req, CB_E_DRAINING, NULL, 1);
+			refuse_draining(callers, req);
 		else
 			request_tickets(callers, req);
 	} else if (strncmp(req->target, "/r/", 3) == 0) {
 		if (callers->refusing)
-			hs_reply_error(req, CB_E_DRAINING, NULL, 1);
+			refuse_draining(callers, req);
 		else
 			submit(callers, req);
 	} else {
@@ -281,6 +294,50 @@
 	}
 }
 
+static int64_t age_ms(const struct hs_request *req)
+{
+	return (kn_now_us() - req->received_us) / USEC_PER_MSEC;
+}
+
+static int64_t oldest_ms(const struct callers *callers)
+{
+	GHashTableIter iter;
+	int64_t oldest = 0;
+	gpointer req;
+
+	g_hash_table_iter_init(&iter, callers->pending);
+	while (g_hash_table_iter_next(&iter, NULL, &req))
+		oldest = MAX(oldest, age_ms(req));
+	return oldest;
+}
+
+/* Counts a request whose connection has ended, by the caller or by us. */
+static void count_cut(struct callers *callers, const struct hs_request *req)
+{
+	ctr_add(&callers->cuts[callers->finishing ? CUT_BY_STOP :
+						    CUT_BY_CALLER],
+		1);
+	if (!callers->finishing)
+		return;
+	callers->log.cut++;
+	log_warn("request.cut",
+		 "server=callers cause=stop method=%s target=%.64s"
+		 " age_ms=%" G_GINT64_FORMAT,
+		 req->method, req->target, age_ms(req));
+}
+
+static void on_reply_lost(struct hs_server *server, size_t unsent)
+{
+	struct callers *callers = server_to_callers(server);
+
+	ctr_add(&callers->cuts[CUT_REPLY], 1);
+	if (callers->finishing)
+		callers->log.cut++;
+	log_warn("request.reply_lost",
+		 "server=callers stopping=%d unsent_bytes=%zu",
+		 callers->log.begun_us != 0, unsent);
+}
+
 static void on_disconnect(struct hs_server *server, struct hs_request *req)
 {
 	struct callers *callers = server_to_callers(server);
@@ -293,6 +350,7 @@
 	req->user = NULL;
 	take_pending(callers, id);
 	ctr_add(&callers->disconnected, 1);
+	count_cut(callers, req);
 	msg = g_new0(struct req_cancel, 1);
 	msg->msg.type = REQ_CANCEL;
 	msg->msg.release = (void (*)(struct kn_msg *))g_free;
@@ -327,6 +385,7 @@
 	/* The caller has disconnected. */
 	if (!req)
 		return;
+	stop_log_answer(&callers->log, call->status);
 	if (call->outcome == IDEM_ANSWERED)
 		reply_answer(req, call);
 	else
@@ -349,7 +408,8 @@
 static bool start(struct kn_task *task, GError **err)
 {
 	static const struct hs_ops ops = { .request = on_request,
-					   .gone = on_disconnect };
+					   .gone = on_disconnect,
+					   .reply_lost = on_reply_lost };
 	struct callers *callers = (struct callers *)task;
 	size_t i;
 
@@ -401,23 +461,40 @@
 	ev_emit("callers.draining", "pending=%u delay_ms=%d",
 		g_hash_table_size(callers->pending),
 		callers->set->drain_delay_ms);
+	stop_log_begin(&callers->log, &callers->server,
+		       g_hash_table_size(callers->pending), oldest_ms(callers),
+		       callers->set->grace_ms);
 	kn_timer_set(task->kn, &callers->settle,
 		     times.settle_ms * USEC_PER_MSEC, refuse_new);
 	hs_stop_begin(&callers->stop, &callers->server, &stop_ops, &times);
 }
 
+static void finish_server(struct callers *callers)
+{
+	size_t calls = g_hash_table_size(callers->pending);
+	size_t connections = callers->server.conn_count;
+	int64_t oldest = oldest_ms(callers);
+
+	callers->finishing = true;
+	hs_finish(&callers->server);
+	stop_log_end(&callers->log, calls, oldest, connections);
+}
+
 static void finish(struct kn_task *task)
 {
 	struct callers *callers = (struct callers *)task;
+	size_t i;
 
 	kn_timer_cancel(&callers->settle);
 	hs_stop_finish(&callers->stop);
-	hs_finish(&callers->server);
+	finish_server(callers);
 	g_hash_table_destroy(callers->pending);
 	ctr_finish(&callers->received);
 	ctr_finish(&callers->malformed);
 	ctr_finish(&callers->pending_now);
 	ctr_finish(&callers->disconnected);
+	for (i = 0; i < CUT_CAUSES; i++)
+		ctr_finish(&callers->cuts[i]);
 	g_free(callers);
 }
 
@@ -430,9 +507,16 @@
 
 struct kn_task *callers_new(struct kn *kn, const struct set *set)
 {
+	static const char *const causes[CUT_CAUSES] = {
+		[CUT_BY_CALLER] = "cause=\"caller\"",
+		[CUT_BY_STOP] = "cause=\"stop\"",
+		[CUT_REPLY] = "cause=\"reply\"",
+	};
 	struct callers *callers = g_new0(struct callers, 1);
+	size_t i;
 
 	callers->set = set;
+	callers->log.server = "callers";
 	callers->pending = g_hash_table_new_full(g_int64_hash, g_int64_equal,
 						 g_free, NULL);
 	kn_add(kn, &callers->task, SVC_CALLERS, &callers_task_ops);
@@ -448,6 +532,10 @@
 	ctr_init(&callers->disconnected, &kn->counters, CTR_COUNTER,
 		 "chivebank_callers_gone_total", NULL,
 		 "Callers that closed before the answer.");
+	for (i = 0; i < CUT_CAUSES; i++)
+		ctr_init(&callers->cuts[i], &kn->counters, CTR_COUNTER,
+			 "chivebank_callers_cut_total", causes[i],
+			 "Requests that ended without a whole answer.");
 	return &callers->task;
 }
 
--- a/daemon/requests/req_run.c
+++ b/daemon/requests/req_run.c
@@ -511,6 +511,18 @@
 	req_set_state(req, REQ_ST_NEW);
 }
 
+/* The caller learns only that the request may have run. */
+static void log_unknown(const struct req *req, int result)
+{
+	int64_t left_ms = (req->deadline_us - kn_now_us()) / USEC_PER_MSEC;
+
+	log_warn("request.unfinished",
+		 "service=%s method=%s target=%.64s result=%d"
+		 " left_ms=%" G_GINT64_FORMAT,
+		 req->call->service, req->call->method, req->call->target,
+		 result, left_ms);
+}
+
 /* Answers all requests, as the process is about to end. */
 void req_end_all(struct req_task *r)
 {
@@ -522,6 +534,8 @@
 			req_dequeue(req);
 		else if (req->state == REQ_ST_RUNNING)
 			end_attempt(req);
+		if (req->maybe_ran)
+			log_unknown(req, req->maybe_result);
 		req_answer_not_run(req, CB_E_DRAINING);
 	}
 	while (!list_empty(&r->suspended)) {
@@ -529,9 +543,11 @@
 		if (req->state == REQ_ST_CLAIMING) {
 			req_answer_not_run(req, CB_E_DRAINING);
 		} else if (req->state == REQ_ST_WAITING) {
+			log_unknown(req, CB_E_UPSTREAM_TIMEOUT);
 			req_answer_unknown(req, CB_E_UPSTREAM_TIMEOUT);
 		} else {
 			req_forward_cancel(req);
+			log_unknown(req, CB_E_OWNER_UNREACHABLE);
 			req_answer_unknown(req, CB_E_OWNER_UNREACHABLE);
 		}
 	}
--- a/tests/unit/test_req.c
+++ b/tests/unit/test_req.c
@@ -539,6 +539,78 @@
 }
 END_TEST
 
+/* Redirects the log lines of this process; returns where they are read. */
+static int capture_log(void)
+{
+	int ends[2];
+
+	ck_assert_int_eq(pipe(ends), 0);
+	dup2(ends[1], STDERR_FILENO);
+	close(ends[1]);
+	log_init("test", "dc1", LOG_INFO_LEVEL);
+	return ends[0];
+}
+
+static void expect_line(const char *log, const char *event, const char *text)
+{
+	char *name = g_strconcat("event=", event, " ", NULL);
+	const char *line = strstr(log, name);
+	const char *found = line ? strstr(line, text) : NULL;
+
+	ck_assert_msg(found && found < line + strcspn(line, "\n"),
+		      "no %s with %s in: %s", event, text, log);
+	g_free(name);
+}
+
+/* A caller without an answer must leave a trace. */
+START_TEST(stop_logs_the_requests_that_it_cuts)
+{
+	char log[16384] = "";
+	ssize_t n;
+	int fd;
+
+	begin(1, false, false);
+	sets[0].grace_ms = GRACE_MS;
+	set_mode_all(BE_HANG);
+	send_request(1, 0, "POST", "/r/web/slow", LONG_CALL, "1");
+	be_turn(&kn, 50);
+	fd = capture_log();
+	stop_whole(0);
+	send_request(2, 0, "GET", "/r/web/late", ACME, "");
+	be_turn(&kn, 50);
+	kill_host(0);
+	n = read(fd, log, sizeof(log) - 1);
+	ck_assert_int_gt(n, 0);
+	expect_line(log, "calls.stopping", "server=callers calls=1 ");
+	expect_line(log, "request.unfinished", "target=/slow result=301 ");
+	expect_line(log, "calls.stopped", "answered=1 refused=1 cut=0 ");
+	close(fd);
+	end();
+}
+END_TEST
+
+START_TEST(request_without_an_answer_is_logged_when_the_process_ends)
+{
+	char log[16384] = "";
+	ssize_t n;
+	int fd;
+
+	begin(1, false, false);
+	set_mode_all(BE_HANG);
+	send_request(1, 0, "POST", "/r/web/slow", LONG_CALL, "1");
+	be_turn(&kn, 50);
+	fd = capture_log();
+	kill_host(0);
+	n = read(fd, log, sizeof(log) - 1);
+	ck_assert_int_gt(n, 0);
+	expect_line(log, "request.cut",
+		    "cause=stop method=POST target=/r/web/");
+	expect_line(log, "calls.stopped", "cut=1 calls=1 ");
+	close(fd);
+	end();
+}
+END_TEST
+
 /* The rest of the request never comes. */
 START_TEST(half_sent_request_does_not_hold_up_the_stop)
 {
@@ -1057,6 +1129,9 @@
 	tcase_add_test(
 		tc,
 		stop_answers_sent_requests_as_unknown_and_others_as_not_run);
+	tcase_add_test(tc, stop_logs_the_requests_that_it_cuts);
+	tcase_add_test(
+		tc, request_without_an_answer_is_logged_when_the_process_ends);
 	tcase_add_test(tc, requests_are_refused_until_the_process_ends);
 	tcase_add_test(tc, half_sent_request_does_not_hold_up_the_stop);
 	tcase_add_test(tc,
--- a/wire/hs.h
+++ b/wire/hs.h
@@ -15,6 +15,7 @@
 	struct http_headers headers; /* those that hs_keep_header() names */
 	unsigned char *body; /* NULL when empty */
 	size_t body_len;
+	int64_t received_us; /* when the whole of it had arrived */
 	void *user; /* for the owner of the server */
 	void *conn; /* private to hs */
 };
--- a/wire/hs_parse.c
+++ b/wire/hs_parse.c
@@ -186,6 +186,7 @@
 	conn->state = HS_BUSY;
 	conn->deadline_us = INT64_MAX;
 	conn->behind = len - used;
+	conn->req->received_us = kn_now_us();
 	conn->server->ops->request(conn->server, conn->req);
 	conn->behind = 0;
 	return used;
