--- a/base/kn.c
+++ b/base/kn.c
@@ -117,6 +117,7 @@
 			task->ops->finish(task);
 	}
 	signal_context = NULL;
+	kn_timer_cancel(&kn->drain_timer);
 	free_loop(kn);
 }
 
@@ -353,6 +354,24 @@
 			task->ops->reload(task);
 }
 
+void kn_limit_drain(struct kn *kn, int64_t ms)
+{
+	kn->drain_limit_ms = ms;
+}
+
+static void cut_drain(struct kn_timer *timer)
+{
+	struct kn *kn = container_of(timer, struct kn, drain_timer);
+	const struct kn_task *task;
+
+	list_for_each_entry(task, &kn->tasks, node)
+		if (!task->drained)
+			log_warn("stop.cut",
+				 "task=%s limit_ms=%" G_GINT64_FORMAT,
+				 task->name, kn->drain_limit_ms);
+	kn_stop(kn, 0);
+}
+
 static void begin_drain(struct kn *kn, int64_t since_us)
 {
 	struct kn_task *task;
@@ -362,6 +381,11 @@
 	log_info("stop.draining",
 		 "reason=signal handled_after_ms=%" G_GINT64_FORMAT,
 		 (kn_now_us() - since_us) / 1000);
+	if (kn->drain_limit_ms > 0)
+		kn_timer_set(kn, &kn->drain_timer,
+			     since_us + kn->drain_limit_ms * USEC_PER_MSEC -
+				     kn_now_us(),
+			     cut_drain);
 	list_for_each_entry(task, &kn->tasks, node) {
 		if (task->ops->drain)
 			task->ops->drain(task);
--- a/base/kn.h
+++ b/base/kn.h
@@ -72,6 +72,8 @@
 	bool late; /* timers are overdue and wait for the sockets */
 	bool draining;
 	int64_t drain_us; /* when the signal for it came, 0: not draining */
+	int64_t drain_limit_ms; /* 0: none */
+	struct kn_timer drain_timer;
 	bool stopped;
 	int exit_code;
 };
@@ -92,6 +94,8 @@
 bool kn_start(struct kn *kn, GError **err);
 int kn_run(struct kn *kn);
 void kn_turn(struct kn *kn);
+/* A drain ends after ms, whatever the tasks have in progress. */
+void kn_limit_drain(struct kn *kn, int64_t ms);
 void kn_drain(struct kn *kn);
 void kn_drained(struct kn_task *task);
 void kn_stop(struct kn *kn, int exit_code);
--- a/base/limits.h
+++ b/base/limits.h
@@ -14,7 +14,7 @@
 /* Kernel. */
 
 #define KN_CLOSE_ROUNDS 10 /* for handles that close late */
-#define KN_IDLE_ROUNDS 2 /* without a byte, until all that has arrived is read */
+#define KN_IDLE_ROUNDS 2 /* without a byte: all that has arrived is read */
 #define KN_ARRIVED_MS 150 /* for reading what has arrived */
 #define KN_LATE_MS 20 /* a timer that is later: sockets are read first */
 #define KN_DRAIN_ROUNDS 64 /* mailbox rounds before sockets are served */
@@ -38,6 +38,7 @@
 #define HTTP_CONNECT_TIMEOUT_MS 2000
 #define HTTP_HEADERS_MAX_COUNT 100
 #define HTTP_CONNS_MAX 12000 /* REQ_WAITING_MAX callers and room for others */
+#define HTTP_REFUSED_MAX 64 /* beyond it, that read their refusal at leisure */
 #define HTTP_BODIES_MAX_BYTES (32 * 1024 * 1024) /* over all connections */
 #define HTTP_PIPELINE_MAX_BYTES 16384 /* behind a request in progress */
 #define HTTP_BACKLOG 1024 /* connections not accepted yet */
--- a/wire/hs.h
+++ b/wire/hs.h
@@ -15,6 +15,7 @@
 	struct http_headers headers; /* those that hs_keep_header() names */
 	unsigned char *body; /* NULL when empty */
 	size_t body_len;
+	int64_t received_us; /* when the whole of it had arrived */
 	void *user; /* for the owner of the server */
 	void *conn; /* private to hs */
 };
@@ -42,6 +43,7 @@
 	struct lws_vhost *vhost;
 	struct list_head conns;
 	size_t conn_count;
+	size_t refused_count; /* of these, beyond conns_max */
 	int port; /* the bound port, also when port 0 was asked for */
 	bool draining;
 	/* Set from base/limits.h by hs_init(); the owner may change them. */
--- a/wire/hs_stop.c
+++ b/wire/hs_stop.c
@@ -37,12 +37,13 @@
 	return kn_now_us() >= stop->begun_us + ms * USEC_PER_MSEC;
 }
 
-/* Callers connect elsewhere from now on, and nothing is begun any more. */
+/* Nothing is begun any more. */
 static void expire(struct hs_stop *stop)
 {
 	stop->expired = true;
 	stop->expired_us = kn_now_us();
-	hs_stop_listening(stop->server);
+	if (!stop->ops->keeps_listening)
+		hs_stop_listening(stop->server);
 	stop->ops->expire(stop);
 	hs_refuse_unfinished(stop->server);
 }
--- a/wire/hs_stop.h
+++ b/wire/hs_stop.h
@@ -16,6 +16,8 @@
 	bool (*busy)(const struct hs_stop *stop);
 	/* The stop has ended: nothing is in progress, or limit_ms have passed. */
 	void (*ended)(struct hs_stop *stop);
+	/* New connections are taken, and refused, until the process ends. */
+	bool keeps_listening;
 };
 
 /* Times since the signal to stop, in milliseconds. */
