Tell the key of a submission whose outcome a stop left unknown

Cause: the hint is printed for 3xx results and the time-out only. Submissions get 406 since a stop answers the calls in progress.

Evidence: submission_that_a_stop_left_unknown_tells_its_key (test_cli) failed before the change.

--- a/cli/cli_job.c
+++ b/cli/cli_job.c
@@ -52,7 +52,8 @@
 		code = show(cli, &call, NULL, NULL);
 	else
 		cli_call_finish(&call);
-	if (code / 100 == 3 || code == CB_E_TIMEOUT)
+	if (code / 100 == 3 || code == CB_E_TIMEOUT ||
+	    code == CB_E_CHANGE_UNKNOWN)
 		fprintf(cli->err,
 			"chivebank: repeat with --key %s; the job runs once\n",
 			key);
--- a/tests/unit/test_cli.c
+++ b/tests/unit/test_cli.c
@@ -10,6 +10,7 @@
 #include "daemon/admin/api.h"
 #include "daemon/document/document.h"
 #include "daemon/store.h"
+#include "daemon/svc.h"
 
 /* Time line. */
 
@@ -251,6 +252,31 @@
 }
 END_TEST
 
+static void unknown_receive(struct kn_task *task, struct kn_msg *msg)
+{
+	svc_api_fail(container_of(msg, struct svc_api_call, msg), task,
+		     CB_E_CHANGE_UNKNOWN, "stopped");
+}
+
+static const struct kn_task_ops unknown_ops = { .receive = unknown_receive };
+
+/* Without the key the same job would be submitted twice. */
+START_TEST(submission_that_a_stop_left_unknown_tells_its_key)
+{
+	char *job = write_file("{}"), *line;
+	struct kn_task scheduler = { 0 };
+
+	kn_add(&kn, &scheduler, SVC_SCHEDULER, &unknown_ops);
+	line = g_strdup_printf("job submit %s", job);
+	command(line, cb_result_exit(CB_E_CHANGE_UNKNOWN), NULL,
+		"repeat with --key");
+	list_del(&scheduler.node);
+	g_free(line);
+	unlink(job);
+	g_free(job);
+}
+END_TEST
+
 int main(void)
 {
 	Suite *suite = suite_create("cli");
@@ -262,6 +288,8 @@
 	tcase_set_timeout(calls, 60);
 	tcase_add_checked_fixture(calls, setup, teardown);
 	tcase_add_test(calls, commands_reach_the_api);
+	tcase_add_test(calls,
+		       submission_that_a_stop_left_unknown_tells_its_key);
 	suite_add_tcase(suite, tc);
 	suite_add_tcase(suite, calls);
 	srunner_run_all(runner, CK_NORMAL);
