--- a/tests/unit/test_api.c
+++ b/tests/unit/test_api.c
@@ -582,6 +582,23 @@
 	"Authorization: Bearer root\r\nIf-Match: 0\r\n"     \
 	"Content-Length: 13\r\n\r\n{\"weight\": 1}"
 
+/* The rest of the call never comes. */
+START_TEST(half_sent_call_does_not_hold_up_the_stop)
+{
+	struct be_sock half;
+
+	start_ready_host(0, false, false);
+	be_connect(&half, api_port(hosts[0].api));
+	be_puts(&hosts[0].kn, &half,
+		"POST /v1/jobs HTTP/1.1\r\nHost: x\r\n"
+		"Content-Length: 100\r\n\r\nhalf");
+	be_turn(&hosts[0].kn, 20);
+	ck_assert_int_lt(stop_whole(0), GRACE_MS);
+	ck_assert(received(&half, "Chivebank-Result: 203"));
+	be_close(&half);
+}
+END_TEST
+
 /* The API has drained, another task has not. */
 START_TEST(operators_are_refused_until_the_process_ends)
 {
@@ -1058,6 +1075,7 @@
 	tcase_add_test(tc, stop_answers_changes_before_the_grace_ends);
 	tcase_add_test(tc,
 		       change_that_a_stop_answers_as_not_run_is_not_written);
+	tcase_add_test(tc, half_sent_call_does_not_hold_up_the_stop);
 	tcase_add_test(tc, operators_are_refused_until_the_process_ends);
 	tcase_add_loop_test(tc, stop_answers_calls_that_were_forwarded, 0,
 			    HOSTS);
