Flush the links to peers within the grace

What callers saw: with a grace below 3.2 s the supervisor's SIGKILL could come while the process still waited for a peer that does not read, and what it had for other peers, such as finished keys, was lost with it.

Cause: the links are flushed for up to 200 ms after the stop has ended, whatever is left of the grace then: a sixteenth, 250 ms at most.

Change: at most three quarters of that; frames that are not sent by then are logged (peer.unsent).

Evidence: peer_that_does_not_read_holds_up_no_stop (test_pr) failed before the change: 202 ms where 50 ms are left.

--- a/tests/unit/test_pr.c
+++ b/tests/unit/test_pr.c
@@ -90,6 +90,7 @@
 	strcpy(sets[i].region, self.region);
 	sets[i].peer_listen = self.at;
 	sets[i].seed = 5;
+	sets[i].grace_ms = 20000;
 	for (j = 0; j < HOSTS; j++)
 		if (j != i)
 			set_host(&sets[i].peers[sets[i].peer_count++], j);
@@ -438,6 +439,30 @@
 }
 END_TEST
 
+/* Less is left of a short grace than PEER_FLUSH_MS. */
+START_TEST(peer_that_does_not_read_holds_up_no_stop)
+{
+	msgpack_sbuffer body = body_of(0, 1000000);
+	int64_t begun_us;
+	int fd, i;
+
+	begin();
+	sets[1].grace_ms = 800;
+	start_host(1, 2);
+	fd = dial_raw(ports[1]);
+	send_hello(fd, "host0", "dc1", 9);
+	RUN_UNTIL(pr_connected(peers[1], "host0"));
+	for (i = 0; i < 7; i++)
+		pr_send(peers[1], "host0", PR_LEAVING, &body);
+	begun_us = kn_now_us();
+	stop_host(1);
+	ck_assert_int_le(kn_now_us() - begun_us, 800 / 16 * USEC_PER_MSEC);
+	msgpack_sbuffer_destroy(&body);
+	close(fd);
+	kn_finish(&kn);
+}
+END_TEST
+
 int main(void)
 {
 	TCase *tc = tcase_create("peers");
@@ -449,5 +474,6 @@
 	tcase_add_test(tc, second_link_replaces_the_first);
 	tcase_add_test(tc, silent_peer_is_down_in_time);
 	tcase_add_test(tc, peer_that_does_not_read_is_cut_off);
+	tcase_add_test(tc, peer_that_does_not_read_holds_up_no_stop);
 	return run_case("pr", tc);
 }
--- a/wire/pr.c
+++ b/wire/pr.c
@@ -2,6 +2,8 @@
 #include <string.h>
 #include <sys/socket.h>
 
+#include "base/log.h"
+#include "wire/hs_stop.h"
 #include "wire/pr_int.h"
 
 static struct pr_task *to_pr(struct kn_task *task)
@@ -229,16 +231,29 @@
 	kn_drained(task);
 }
 
+/* A part of what a stop leaves of the grace for the end of the process. */
+static int64_t flush_ms(const struct pr_task *pr)
+{
+	int64_t grace_ms = pr->set->grace_ms;
+	int64_t end_ms = grace_ms - hs_stop_times(0, grace_ms).limit_ms;
+
+	return MIN(PEER_FLUSH_MS, end_ms * 3 / 4);
+}
+
 static void flush_all(struct pr_task *pr)
 {
-	int64_t until_us = kn_now_us() + PEER_FLUSH_MS * USEC_PER_MSEC;
+	int64_t until_us = kn_now_us() + flush_ms(pr) * USEC_PER_MSEC;
 	struct pr_link *link;
 	size_t i;
 
 	for (i = 0; i < pr->set->peer_count; i++) {
 		link = pr->peers[i].link;
-		if (link && link->state == PR_OPEN)
-			pr_link_flush(link, until_us);
+		if (!link || link->state != PR_OPEN)
+			continue;
+		pr_link_flush(link, until_us);
+		if (link->out->len > 0)
+			log_warn("peer.unsent", "peer=%s bytes=%u",
+				 pr->peers[i].set->host, link->out->len);
 	}
 }
 
