Cancel only the submission that was checked

What callers saw: DELETE was answered 410 while the job, whose POST was answered 200 at that time, was shown as cancelled; and a customer's DELETE could cancel a job that another customer handed in at that moment.

Cause: the cancellation was written some time after the submission was read, without a comparison with it.

Evidence: cancellation_takes_no_job_that_another_customer_hands_in and cancellation_of_a_job_that_arrives_meanwhile_is_answered_so (test_intake) failed before the change: the cancellation was stored, and 410 in place of 200.

The write compares the revision of the submission that was checked, so that check and write are of the same submission; otherwise the check is repeated, until the caller's deadline.

--- a/control/intake.c
+++ b/control/intake.c
@@ -44,6 +44,7 @@
 	size_t value_len;
 	bool maybe_written; /* an unanswered write may still be applied */
 	bool spec_found;
+	int64_t spec_rev; /* as read by STEP_CHECK_SPEC, 0: there is none */
 	int tries;
 	struct kv_call call;
 	bool calling;
@@ -200,6 +201,14 @@
 
 static void on_write(struct intake_request *req, const struct kv_call *call)
 {
+	const struct kv_item *item = kv_find(call, req->key);
+
+	/* The submission has been written or removed since it was checked. */
+	if (req->step == STEP_WRITE_CANCEL && !call->succeeded &&
+	    (!item || item->mod_revision == 0)) {
+		next_step(req, STEP_CHECK_SPEC);
+		return;
+	}
 	/* After a failed compare too: the record exists already, from an
 	 * earlier attempt of the same request. */
 	if (req->step == STEP_WRITE_SPEC || req->spec_found)
@@ -288,6 +297,7 @@
 
 	if (req->step == STEP_CHECK_SPEC) {
 		req->spec_found = spec_visible(req, spec);
+		req->spec_rev = spec ? spec->mod_revision : 0;
 		/* Reports another customer's job as unknown, and does not
 		 * cancel it. */
 		if (spec && !req->spec_found)
@@ -359,19 +369,27 @@
 	}
 }
 
+/* Creates the record, a cancellation only beside the submission that was
+ * checked. */
 static void create(struct intake_request *req, const char *suffix)
 {
 	struct kv *kv = req->intake->adapter->kv;
-	struct kv_cmp cmp = { .mod_revision = 0 };
+	struct kv_cmp cmps[2] = { { .mod_revision = 0 },
+				  { .mod_revision = req->spec_rev } };
 	struct kv_op op = { .kind = KV_PUT };
+	char *spec_key =
+		g_strconcat(KEY_INTAKE_PREFIX, req->id, KEY_SPEC_SUFFIX, NULL);
 
 	g_free(req->key);
 	req->key = g_strconcat(KEY_INTAKE_PREFIX, req->id, suffix, NULL);
-	cmp.key = req->key;
+	cmps[0].key = req->key;
+	cmps[1].key = spec_key;
 	op.key = req->key;
 	op.value = req->value ? req->value : "";
 	op.len = req->value_len;
-	kv->ops->txn(kv, &req->call, &cmp, 1, &op, 1, NULL, 0);
+	kv->ops->txn(kv, &req->call, cmps,
+		     req->step == STEP_WRITE_CANCEL ? 2 : 1, &op, 1, NULL, 0);
+	g_free(spec_key);
 }
 
 static void read_key(struct intake_request *req, const char *prefix,
--- a/tests/unit/test_intake.c
+++ b/tests/unit/test_intake.c
@@ -4,6 +4,7 @@
 
 #include "base/limits.h"
 #include "control/record.h"
+#include "platform/decode.h"
 #include "tests/standins/site_rig.h"
 #include "tests/unit/run.h"
 
@@ -20,6 +21,7 @@
 	"\"steps\":[{\"count\":1,\"cpu\":100,\"est_ms\":100}]}"
 
 static struct rig rig;
+static const char *submitter;
 
 /* The store carries out each write and answers none. */
 START_TEST(stop_answers_a_submission_that_the_store_does_not_answer)
@@ -41,6 +43,7 @@
 END_TEST
 
 #define SPEC_A "chivebank/intake/" JOB_A "/spec"
+#define CANCEL_A "chivebank/intake/" JOB_A "/cancel"
 #define STATE_A "chivebank/state/" JOB_A
 
 static void run_until_gone(const char *key, int64_t timeout_ms)
@@ -293,6 +296,59 @@
 }
 END_TEST
 
+/* Stores the submission of job A that the submitter hands in. */
+static void on_submission_due(struct kn_timer *timer)
+{
+	static const char body[] = JOB_OF_LATER;
+	struct submission submission = { .queue = (char *)"q1",
+					 .pool = (char *)"pool",
+					 .attempts = 3,
+					 .stretch = 3 };
+	msgpack_sbuffer record;
+	struct job_spec spec;
+
+	submission.customer = (char *)submitter;
+	ck_assert(platform_spec_read(body, strlen(body), &spec, NULL));
+	record_submission_write(&submission, &spec, &record);
+	site_store_put_bytes(rig.store, SPEC_A, record.data, record.size);
+	msgpack_sbuffer_destroy(&record);
+	job_spec_finish(&spec);
+}
+
+/* The submission arrives between the check of a cancellation and its write. */
+static int cancel_while_submitted_by(const char *customer)
+{
+	struct kn_timer timer = { 0 };
+	int status;
+
+	submitter = customer;
+	site_store_fault(rig.store, rig.hosts[0].door, SITE_WELL, 0, 100);
+	kn_timer_set(&rig.kn, &timer, 50 * USEC_PER_MSEC, on_submission_due);
+	status = status_of("DELETE", RIG_PREFIX JOB_A, RIG_KEY);
+	site_store_fault(rig.store, -1, SITE_WELL, 0, 0);
+	rig_run_ms(&rig, 300);
+	return status;
+}
+
+START_TEST(cancellation_takes_no_job_that_another_customer_hands_in)
+{
+	rig_start(&rig, 1, 1, 20);
+	ck_assert_int_eq(cancel_while_submitted_by("two"), 410);
+	ck_assert_int_eq(status_of("GET", RIG_PREFIX JOB_A, "key-two"), 200);
+	ck_assert_ptr_null(site_store_get(rig.store, CANCEL_A));
+	rig_stop(&rig);
+}
+END_TEST
+
+START_TEST(cancellation_of_a_job_that_arrives_meanwhile_is_answered_so)
+{
+	rig_start(&rig, 1, 1, 21);
+	ck_assert_int_eq(cancel_while_submitted_by("one"), 200);
+	ck_assert_str_eq(rig_state(&rig, 0, JOB_A), "cancelled");
+	rig_stop(&rig);
+}
+END_TEST
+
 /* Several pages of the stand-in's ranges, so that a takeover reads them while
  * jobs are handed in. */
 #define JOBS_MANY 70
@@ -483,6 +539,11 @@
 		       job_is_known_by_its_key_after_its_customer_was_renamed);
 	tcase_add_test(tc, job_is_known_by_its_key_after_the_key_has_moved);
 	tcase_add_test(tc, open_queue_cancels_no_job_of_another_queue);
+	tcase_add_test(
+		tc, cancellation_takes_no_job_that_another_customer_hands_in);
+	tcase_add_test(
+		tc,
+		cancellation_of_a_job_that_arrives_meanwhile_is_answered_so);
 	tcase_add_test(tc, takeovers_miss_no_job_on_any_page);
 	tcase_add_test(tc,
 		       job_is_known_from_its_acceptance_until_its_time_is_over);
