--- a/fleet/worker.h
+++ b/fleet/worker.h
@@ -47,7 +47,8 @@
 	bool listed; /* it is registered in the store */
 	bool replaced; /* a later incarnation has been seen */
 	int64_t unlisted_us; /* when its registration disappeared */
-	int64_t draining_us; /* when it was first seen draining, 0: never */
+	/* When its remaining_ms was first seen, 0: it has not been draining. */
+	int64_t draining_us;
 	/* The latest sample of the worker's clock. */
 	int64_t clock_ms;
 	int64_t clock_us; /* when the sample arrived */
--- a/tests/unit/test_fleet.c
+++ b/tests/unit/test_fleet.c
@@ -1021,6 +1021,43 @@
 }
 END_TEST
 
+static void report_draining(int64_t remaining_ms, int64_t now_us)
+{
+	struct worker_report report = {
+		.id = g_strdup("w1"),
+		.born_ms = 1000,
+		.pool = g_strdup(MAKE_POOL),
+		.port = 1,
+		.dc = g_strdup("d1"),
+		.room = { 128000, 262144, 8 },
+		.draining = true,
+		.remaining_ms = remaining_ms,
+		.clock_ms = 5000,
+	};
+
+	fleet_update_worker(&fleet, &report, now_us);
+}
+
+/* Each report says what is left when it is written. */
+START_TEST(run_that_ends_before_its_worker_leaves_is_not_stopped)
+{
+	struct task *task;
+
+	make_worker(&fleet, "w1", "r1", 8, NOW);
+	task = first_occurrence_task(running_job(1, false), 0, 0);
+	task->stage->job->spec.steps[0].est_ms = 6000;
+	report_draining(7500, NOW);
+	report_draining(4500, NOW + 3 * SEC);
+	task->percent = 50;
+	task->progress_us = NOW + 3 * SEC;
+	ck_assert_int_eq(evict_pass(&fleet, NOW + 3 * SEC), 0);
+	ck_assert_int_eq(task->phase, TASK_RUNNING);
+	/* The same figure again is of the same time. */
+	report_draining(4500, NOW + 5 * SEC);
+	ck_assert_int_eq(evict_pass(&fleet, NOW + 6 * SEC), 1);
+}
+END_TEST
+
 START_TEST(cancelled_job_frees_resources_on_reported_ends)
 {
 	struct job *job;
@@ -1191,6 +1228,8 @@
 	tcase_add_test(tc, wait_counts_from_the_release);
 	tcase_add_test(tc,
 		       draining_worker_keeps_its_runs_until_its_lease_expires);
+	tcase_add_test(tc,
+		       run_that_ends_before_its_worker_leaves_is_not_stopped);
 	tcase_add_test(tc, cancelled_job_frees_resources_on_reported_ends);
 	tcase_add_test(tc, later_steps_wait_for_earlier_ones);
 	tcase_add_test(tc, occurrences_start_when_they_are_due);
