Let no job wait for reserved room for long while most room is free

What callers saw: nothing was reported; found by reading. A job has nothing running for longer than the 3 s that the platform allows (LOST) although there is room for it twice over and less than half of the room is in use.

Cause: a gang without room reserves the workers that it could use until the runs there are expected to end, and a job that ends later starts on none of them. If the gang needs more than what is free, all workers of a pool may be reserved for as long as their longest run.

Evidence: reserved_room_is_used_while_most_room_is_free (test_plan) failed before: with a quarter of the accelerators in use, a task that needs one of them was not planned after 2.9 s.

Change: the condition that ends the wait for a rack also ends that for reserved room, and a job that it holds for is not passed over because another one found no room in the same pass. The load of a pool is summed up once a pass.

Runs: test_plan 32 of 32; test_fleet, test_reclaim, test_lending, test_speculate, test_upkeep, test_long_running, test_advice, test_placing, test_scheduler, test_connections passed.

--- a/fleet/limits.h
+++ b/fleet/limits.h
@@ -80,9 +80,9 @@
 /* How long a task waits for a worker in the rack of its data, as a share of
  * its duration. In another rack it takes several times as long. */
 #define RACK_WAIT_SHARE 0.6
-/* A job with nothing running waits for a rack no longer than this while most
- * of the room is free. */
-#define RACK_WAIT_MAX_MS 2000
+/* A job with nothing running waits no longer than this for a rack, or for room
+ * that is reserved, while most of the room is free. */
+#define ROOM_WAIT_MAX_MS 2000
 /* Gangs at the head of the queue for which workers are reserved. */
 #define RESERVED_GANGS_MAX 4
 /* A late job earns less, and nothing beyond so many times its objective. */
--- a/fleet/placement.c
+++ b/fleet/placement.c
@@ -118,6 +118,61 @@
 		       0.0;
 }
 
+/* Whether at most half of each resource was in use when first looked at. */
+static bool mostly_unused(struct pool_view *view)
+{
+	const GPtrArray *workers = view->workers;
+	struct room all = { 0 }, used = { 0 };
+	guint i;
+
+	if (view->load_known)
+		return view->mostly_unused;
+	for (i = 0; i < workers->len; i++) {
+		const struct worker *worker = g_ptr_array_index(workers, i);
+
+		room_add(&all, &worker->reported.room);
+		room_add(&used, &worker->used);
+	}
+	view->load_known = true;
+	view->mostly_unused = used.cpu_milli * 2 <= all.cpu_milli &&
+			      used.mem_mb * 2 <= all.mem_mb &&
+			      used.gpus * 2 <= all.gpus;
+	return view->mostly_unused;
+}
+
+/* Whether twice the room is free that the next start of the stage needs. */
+static bool has_room_twice(const struct placement *p, const GPtrArray *workers,
+			   const struct stage *stage)
+{
+	int wanted = 2 * (stage->spec->gang ? stage->spec->count : 1);
+	guint i;
+
+	for (i = 0; i < workers->len && wanted > 0; i++) {
+		const struct worker *worker = g_ptr_array_index(workers, i);
+		struct room room = worker_free_room(worker);
+
+		if (placement_eligible(worker, stage, p->now_us))
+			wanted -= placement_slots(&room, stage, wanted);
+	}
+	return wanted <= 0;
+}
+
+/*
+ * Whether the stage may wait no longer for the rack that suits it best, or for
+ * room that is reserved. The platform counts a job as lost if it has nothing
+ * running for 3 s although there is room for it twice over and less than half
+ * of the room is in use.
+ */
+static bool wait_over(const struct placement *p, struct pool_view *view,
+		      const struct stage *stage)
+{
+	return stage->unplaced_since_us != 0 &&
+	       p->now_us - stage->unplaced_since_us >=
+		       ROOM_WAIT_MAX_MS * 1000 &&
+	       !fleet_job_holds_room(stage->job) && mostly_unused(view) &&
+	       has_room_twice(p, view->workers, stage);
+}
+
 /* Score of a worker that can take no task of the stage. */
 #define NO_ROOM G_MAXDOUBLE
 
@@ -129,7 +184,8 @@
 	const char *rack = stage->spec->rack;
 	bool near = rack && g_strcmp0(worker->reported.rack, rack) == 0;
 
-	if (is_reserved(worker, stage, expected_ms, p->now_us) ||
+	if ((!p->scored_reserved &&
+	     is_reserved(worker, stage, expected_ms, p->now_us)) ||
 	    placement_free_slots(worker, stage, p->now_us) < 1)
 		return NO_ROOM;
 	return fit_score(worker, stage) +
@@ -141,19 +197,21 @@
  * task, as a task changes only the score of the worker that it goes to: wide
  * stages would otherwise look at each worker once for each task.
  */
-static const double *stage_scores(struct placement *p,
-				  const struct pool_view *view,
+static const double *stage_scores(struct placement *p, struct pool_view *view,
 				  const struct stage *stage, double expected_ms)
 {
+	bool reserved_too = wait_over(p, view, stage);
 	guint i;
 
-	if (p->scored == stage && p->scores->len == view->workers->len) {
+	if (p->scored == stage && p->scored_reserved == reserved_too &&
+	    p->scores->len == view->workers->len) {
 		g_array_index(p->scores, double, p->taken) = stage_score(
 			p, g_ptr_array_index(view->workers, p->taken), stage,
 			expected_ms);
 		return (const double *)(void *)p->scores->data;
 	}
 	p->scored = stage;
+	p->scored_reserved = reserved_too;
 	p->taken = 0;
 	g_array_set_size(p->scores, view->workers->len);
 	for (i = 0; i < view->workers->len; i++)
@@ -163,56 +221,6 @@
 	return (const double *)(void *)p->scores->data;
 }
 
-/* Whether less than half of each resource of the workers is in use. */
-static bool mostly_unused(const GPtrArray *workers)
-{
-	struct room all = { 0 }, used = { 0 };
-	guint i;
-
-	for (i = 0; i < workers->len; i++) {
-		const struct worker *worker = g_ptr_array_index(workers, i);
-
-		room_add(&all, &worker->reported.room);
-		room_add(&used, &worker->used);
-	}
-	return used.cpu_milli * 2 <= all.cpu_milli &&
-	       used.mem_mb * 2 <= all.mem_mb && used.gpus * 2 <= all.gpus;
-}
-
-/* Whether twice the room is free that the next start of the stage needs. */
-static bool has_room_twice(const struct placement *p, const GPtrArray *workers,
-			   const struct stage *stage)
-{
-	int wanted = 2 * (stage->spec->gang ? stage->spec->count : 1);
-	guint i;
-
-	for (i = 0; i < workers->len && wanted > 0; i++) {
-		const struct worker *worker = g_ptr_array_index(workers, i);
-		struct room room = worker_free_room(worker);
-
-		if (placement_eligible(worker, stage, p->now_us))
-			wanted -= placement_slots(&room, stage, wanted);
-	}
-	return wanted <= 0;
-}
-
-/*
- * Whether the stage may wait no longer for the rack that suits it best. The
- * platform counts a job as lost if it has nothing running for 3 s although
- * there is room for it twice over and less than half of the room is in use.
- */
-static bool rack_wait_over(const struct placement *p,
-			   const struct pool_view *view,
-			   const struct stage *stage)
-{
-	return stage->unplaced_since_us != 0 &&
-	       p->now_us - stage->unplaced_since_us >=
-		       RACK_WAIT_MAX_MS * 1000 &&
-	       !fleet_job_holds_room(stage->job) &&
-	       mostly_unused(view->workers) &&
-	       has_room_twice(p, view->workers, stage);
-}
-
 static bool rack_is_usable(const struct placement *p,
 			   const struct pool_view *view,
 			   const struct stage *stage)
@@ -239,7 +247,8 @@
 	const double *scores;
 	guint i, place = 0;
 
-	if (!view || placement_pool_is_full(view, stage, expected_ms))
+	if (!view || (placement_pool_is_full(view, stage, expected_ms) &&
+		      !wait_over(p, view, stage)))
 		return NULL;
 	scores = stage_scores(p, view, stage, expected_ms);
 	for (i = 0; i < view->workers->len; i++) {
@@ -263,7 +272,7 @@
 	if (best && stage->spec->rack && best_score >= OTHER_RACK_PENALTY &&
 	    p->now_us - stage->opened_us <
 		    (int64_t)(expected_ms * 1000.0 * RACK_WAIT_SHARE) &&
-	    rack_is_usable(p, view, stage) && !rack_wait_over(p, view, stage))
+	    rack_is_usable(p, view, stage) && !wait_over(p, view, stage))
 		return NULL;
 	p->taken = place;
 	return best;
@@ -302,7 +311,7 @@
 /* Assigns the best workers to all tasks; NULL if there are too few slots. */
 static struct worker **assign_gang(struct placement *p, GPtrArray *workers,
 				   const struct stage *stage,
-				   double expected_ms)
+				   double expected_ms, bool reserved_too)
 {
 	struct candidate *candidates =
 		g_new0(struct candidate, workers->len + 1);
@@ -314,7 +323,8 @@
 		struct worker *worker = g_ptr_array_index(workers, w);
 		int slots;
 
-		if (is_reserved(worker, stage, expected_ms, p->now_us))
+		if (!reserved_too &&
+		    is_reserved(worker, stage, expected_ms, p->now_us))
 			continue;
 		slots = placement_free_slots(worker, stage, p->now_us);
 		if (slots < 1)
@@ -356,7 +366,7 @@
 static struct worker **assign_in_rack(struct placement *p,
 				      struct pool_view *view,
 				      const struct stage *stage,
-				      double expected_ms)
+				      double expected_ms, bool reserved_too)
 {
 	struct worker **best = NULL;
 	double best_score = 0;
@@ -368,7 +378,8 @@
 		struct worker **chosen;
 		double score;
 
-		chosen = assign_gang(p, rack->workers, stage, expected_ms);
+		chosen = assign_gang(p, rack->workers, stage, expected_ms,
+				     reserved_too);
 		if (!chosen)
 			continue;
 		score = (double)rack_free_gpus(rack);
@@ -392,17 +403,20 @@
 {
 	struct pool_view *view = placement_workers_for(p, stage);
 	struct worker **chosen;
+	bool over;
 
-	if (!view || placement_pool_is_full(view, stage, expected_ms))
+	if (!view)
+		return NULL;
+	over = wait_over(p, view, stage);
+	if (!over && placement_pool_is_full(view, stage, expected_ms))
 		return NULL;
 	if (!stage->spec->same_rack && !stage->spec->rack)
-		return assign_gang(p, view->workers, stage, expected_ms);
-	chosen = assign_in_rack(p, view, stage, expected_ms);
+		return assign_gang(p, view->workers, stage, expected_ms, over);
+	chosen = assign_in_rack(p, view, stage, expected_ms, over);
 	if (chosen)
 		return chosen;
-	if (!stage->spec->same_rack ||
-	    !placement_fits_in_empty_rack(p, view, stage) ||
-	    rack_wait_over(p, view, stage))
-		return assign_gang(p, view->workers, stage, expected_ms);
+	if (!stage->spec->same_rack || over ||
+	    !placement_fits_in_empty_rack(p, view, stage))
+		return assign_gang(p, view->workers, stage, expected_ms, over);
 	return NULL;
 }
--- a/fleet/placement.h
+++ b/fleet/placement.h
@@ -18,6 +18,7 @@
 	GHashTable *pools_banned_too;
 	/* Scores of the workers of a pool for the stage placed last. */
 	const struct stage *scored; /* NULL: none */
+	bool scored_reserved; /* the scores count reserved room as free */
 	GArray *scores; /* double, in the order of pool_view.workers */
 	guint taken; /* index of the worker chosen last */
 };
@@ -28,6 +29,8 @@
 	GPtrArray *racks; /* struct rack_view */
 	GHashTable *racks_by_name;
 	GArray *full_for; /* struct full_for, private to placement.c */
+	bool load_known; /* mostly_unused is set */
+	bool mostly_unused; /* at most half of each resource is in use */
 };
 
 struct rack_view {
--- a/tests/unit/test_plan.c
+++ b/tests/unit/test_plan.c
@@ -295,6 +295,18 @@
 }
 END_TEST
 
+START_TEST(reserved_room_is_used_while_most_room_is_free)
+{
+	make_racks(3, 4);
+	fill_a_worker_in_each_rack(3);
+	/* It needs more than the 9 free workers, and all 12 are reserved. */
+	make_gang("wide", 1, 10, 8, false, 60000);
+	make_job(&fleet, "long", 1, 1, 1, 600000, NOW + MSEC);
+	ck_assert_int_eq(plan(NOW + MSEC), 0);
+	ck_assert_int_eq(plan(NOW + 29 * SEC / 10), 1);
+}
+END_TEST
+
 START_TEST(draining_and_unlisted_workers_get_no_tasks)
 {
 	struct worker *worker;
@@ -705,6 +717,7 @@
 	tcase_add_test(tc, same_rack_gang_starts_while_most_room_is_free);
 	tcase_add_test(tc, same_rack_gang_waits_while_room_is_short);
 	tcase_add_test(tc, task_leaves_its_rack_while_most_room_is_free);
+	tcase_add_test(tc, reserved_room_is_used_while_most_room_is_free);
 	tcase_add_test(tc, draining_and_unlisted_workers_get_no_tasks);
 	tcase_add_test(tc, gang_does_not_starve_behind_small_tasks);
 	tcase_add_test(tc, guaranteed_job_reclaims_room);
