Let a run of an earlier leader end with the worker that has gone

What callers saw: nothing was reported; found by reading. A worker that listed a run which no task holds, and then left for good, was kept by the leader and called each 300 ms until another host led.

Cause: such a run is given up when the lease of its worker is over. The leader extends no lease for it, and the worker had not been taken over with tasks, so the end of its lease counted as unknown and never came.

Evidence: run_of_an_earlier_leader_goes_with_its_worker (test_fleet) failed before, 3 of 3: the worker is still there 20 s after it left.

Change: the lease of such a worker is taken to be one that earlier leaders may have extended, whose end is known from the election.

Runs: test_fleet 47 of 47.

--- a/fleet/hold_report.c
+++ b/fleet/hold_report.c
@@ -118,6 +118,8 @@
 		resume(fleet, worker, task, run->run, now_us);
 		return task;
 	}
+	/* An earlier leader may have extended the lease that it runs on. */
+	worker->adopted = true;
 	room = task ? task_room(task) : none;
 	orphan_add(worker, run->task, run->run, &room);
 	return NULL;
--- a/tests/unit/test_fleet.c
+++ b/tests/unit/test_fleet.c
@@ -591,6 +591,26 @@
 }
 END_TEST
 
+/* Guards against a worker that is called for ever after it has gone. */
+START_TEST(run_of_an_earlier_leader_goes_with_its_worker)
+{
+	struct worker *worker = make_worker(&fleet, "w1", "r1", 8, NOW);
+	int64_t gone_us = NOW + 12 * SEC;
+
+	fleet.extended_until_us = NOW + 11 * SEC;
+	fleet_handle_hold(&fleet, worker, &listing, NOW + 11 * SEC,
+			  NOW + 11 * SEC, 0);
+	ck_assert(!list_empty(&worker->orphans));
+	worker->unanswered_calls = 1;
+	worker->unanswered_since_us = gone_us;
+	fleet_unlist(&fleet, "w1", gone_us);
+	fleet_expire(&fleet, gone_us + 3 * SEC);
+	ck_assert(!list_empty(&fleet.workers));
+	fleet_expire(&fleet, gone_us + 20 * SEC);
+	ck_assert(list_empty(&fleet.workers));
+}
+END_TEST
+
 static int lost_calls;
 
 static void ignore_note(void *user, const char *event, const struct job *job,
@@ -1085,6 +1105,7 @@
 	tcase_add_test(tc, late_end_of_a_released_run_counts);
 	tcase_add_test(tc, listed_run_is_taken_back);
 	tcase_add_test(tc, listed_run_beside_a_later_one_is_stopped);
+	tcase_add_test(tc, run_of_an_earlier_leader_goes_with_its_worker);
 	tcase_add_test(tc, late_end_ends_no_later_run);
 	tcase_add_loop_test(tc, late_end_stops_a_later_run, 0, 3);
 	tcase_add_loop_test(tc, other_late_ends_have_no_effect, RUN_FAILED,
