End a stop though callers go on calling

Cause: a stop ended once no connection was in use. Callers whose last reply closed their connection connect again at once, so that some connection always waited for its caller to close it, and the stop lasted until its limit: of 2,000 ms, 125 were left for the end of the process. That process did nothing for the last 213 ms, by its calls and its log, on a machine with more work than cores; why is not traced.

Change: once all calls are refused, the stop waits for the connections that were accepted before; of later ones, for those whose reply is not sent yet.

--- a/tests/unit/test_callers.c
+++ b/tests/unit/test_callers.c
@@ -148,6 +148,43 @@
 }
 END_TEST
 
+static struct be_sock again[4];
+static int calls_again;
+
+/* Closes the oldest of the connections and calls on another one. */
+static void call_again(struct kn_timer *timer)
+{
+	struct be_sock *next = &again[calls_again++ % G_N_ELEMENTS(again)];
+
+	be_close(next);
+	be_connect(next, site.callers.port);
+	ck_assert_int_ge(next->fd, 0);
+	send(next->fd, GET LONG_DEADLINE, strlen(GET LONG_DEADLINE),
+	     MSG_NOSIGNAL);
+	kn_timer_set(&kn, timer, 2 * USEC_PER_MSEC, call_again);
+}
+
+START_TEST(callers_that_call_again_do_not_hold_up_the_stop)
+{
+	struct kn_timer timer = { 0 };
+	int64_t took_ms;
+	size_t i;
+
+	for (i = 0; i < G_N_ELEMENTS(again); i++)
+		be_connect(&again[i], site.callers.port);
+	begin_stop();
+	call_again(&timer);
+	kn_run(&kn);
+	took_ms = (kn_now_us() - drained_us) / USEC_PER_MSEC;
+	kn_timer_cancel(&timer);
+	run_to_end();
+	/* Half of the time that is kept for sending is left. */
+	ck_assert_int_lt(took_ms, GRACE_MS * 7 / 8);
+	for (i = 0; i < G_N_ELEMENTS(again); i++)
+		be_close(&again[i]);
+}
+END_TEST
+
 /* The process gets no processor from before the request to after the time. */
 START_TEST(requests_unread_at_the_end_of_a_stop_are_answered)
 {
@@ -180,6 +217,7 @@
 	tcase_add_test(tc, repeated_stop_signals_cut_no_call);
 	tcase_add_test(tc, stop_answers_all_calls_before_the_grace_ends);
 	tcase_add_test(tc, half_sent_request_does_not_hold_up_the_stop);
+	tcase_add_test(tc, callers_that_call_again_do_not_hold_up_the_stop);
 	tcase_add_test(tc, requests_unread_at_the_end_of_a_stop_are_answered);
 	return run_case("callers", tc);
 }
--- a/wire/hs.c
+++ b/wire/hs.c
@@ -72,6 +72,7 @@
 	lws_set_timeout(wsi, NO_PENDING_TIMEOUT, 0);
 	conn->server = server;
 	conn->wsi = wsi;
+	conn->number = server->accepted;
 	conn->hp = hp_new(&hs_parse_ops, true, conn);
 	list_add_tail(&conn->node, &server->conns);
 	server->conn_count++;
@@ -324,12 +325,18 @@
 }
 
 size_t hs_active(const struct hs_server *server)
+{
+	return hs_active_of(server, UINT64_MAX);
+}
+
+size_t hs_active_of(const struct hs_server *server, uint64_t accepted)
 {
 	const struct hs_conn *conn;
 	size_t n = 0;
 
 	list_for_each_entry(conn, &server->conns, node)
-		if (conn->state != HS_IDLE)
+		if (conn->state == HS_BUSY || conn->state == HS_WRITE ||
+		    (conn->state != HS_IDLE && conn->number <= accepted))
 			n++;
 	return n;
 }
--- a/wire/hs.h
+++ b/wire/hs.h
@@ -82,6 +82,11 @@
  * have been sent yet.
  */
 size_t hs_active(const struct hs_server *server);
+/*
+ * The same, but of connections behind the first so many that were accepted only
+ * those that wait for a reply or send it.
+ */
+size_t hs_active_of(const struct hs_server *server, uint64_t accepted);
 const char *hs_header(const struct hs_request *req, const char *name);
 /*
  * Sends a whole reply and frees the request. Content-Length, Connection and
--- a/wire/hs_conn.h
+++ b/wire/hs_conn.h
@@ -19,6 +19,7 @@
 	struct list_head node;
 	struct hs_server *server;
 	struct lws *wsi;
+	uint64_t number; /* in the order in which they were accepted */
 	enum hs_state state;
 	bool in_callback; /* lws is on the stack above */
 	bool dead;
--- a/wire/hs_stop.c
+++ b/wire/hs_stop.c
@@ -28,10 +28,11 @@
 	struct hs_stop *stop = container_of(timer, struct hs_stop, timer);
 	struct hs_server *server = stop->server;
 	int64_t passed_ms = (kn_now_us() - stop->begun_us) / USEC_PER_MSEC;
-	bool idle = hs_active(server) == 0;
+	bool idle = hs_active_of(server, stop->accepted) == 0;
 
 	if (!stop->expired && (idle || passed_ms >= stop->times.answer_ms)) {
 		stop->expired = true;
+		stop->accepted = server->accepted;
 		stop->ops->expire(stop);
 		hs_refuse_unfinished(server);
 	}
@@ -51,6 +52,7 @@
 	stop->times = *times;
 	stop->begun_us = kn_now_us();
 	stop->expired = false;
+	stop->accepted = UINT64_MAX;
 	hs_drain(server);
 	kn_timer_set(server->kn, &stop->timer, times->settle_ms * USEC_PER_MSEC,
 		     check);
--- a/wire/hs_stop.h
+++ b/wire/hs_stop.h
@@ -33,6 +33,7 @@
 	struct hs_stop_times times;
 	int64_t begun_us;
 	bool expired;
+	uint64_t accepted; /* connections, when it expired */
 	struct kn_timer timer;
 };
 
