Count the time left of a later life of a draining worker

What callers saw: nothing; found by a review. Runs of a draining worker that had started again were not moved before it left.

Cause: the time since which a worker drains is kept for one life, and was set only if its registration began to drain or named another time left.

Change: it is also set if it is not known.

Evidence: later_life_of_a_draining_worker_drains_too (test_fleet) failed before the change.

--- a/fleet/incarnation.c
+++ b/fleet/incarnation.c
@@ -117,7 +117,7 @@
 	if (!worker || report->born_ms != worker->reported.born_ms)
 		worker = new_incarnation(fleet, worker, now_us);
 	if (report->draining &&
-	    (!worker->reported.draining ||
+	    (worker->draining_us == 0 || !worker->reported.draining ||
 	     report->remaining_ms != worker->reported.remaining_ms))
 		worker->draining_us = now_us;
 	if (worker_needs_clock(worker, now_us))
--- a/tests/unit/test_fleet.c
+++ b/tests/unit/test_fleet.c
@@ -1078,6 +1078,23 @@
 }
 END_TEST
 
+static struct worker *known_worker(void)
+{
+	return g_hash_table_lookup(fleet.workers_by_id, "w1");
+}
+
+/* Its registration has the same time left as the one of the life before. */
+START_TEST(later_life_of_a_draining_worker_drains_too)
+{
+	make_worker(&fleet, "w1", "r1", 8, NOW);
+	report_draining(7500, NOW);
+	fleet_worker_restarted(&fleet, known_worker(), 1000 + 1, 100, NOW);
+	known_worker()->reported.born_ms = 1000;
+	report_draining(7500, NOW + SEC);
+	ck_assert_int_eq(known_worker()->draining_us, NOW + SEC);
+}
+END_TEST
+
 START_TEST(cancelled_job_frees_resources_on_reported_ends)
 {
 	struct job *job;
@@ -1251,6 +1268,7 @@
 		       draining_worker_keeps_its_runs_until_its_lease_expires);
 	tcase_add_test(tc,
 		       run_that_ends_before_its_worker_leaves_is_not_stopped);
+	tcase_add_test(tc, later_life_of_a_draining_worker_drains_too);
 	tcase_add_test(tc, cancelled_job_frees_resources_on_reported_ends);
 	tcase_add_test(tc, later_steps_wait_for_earlier_ones);
 	tcase_add_test(tc, occurrences_start_when_they_are_due);
