Look for unread bytes before a connection is timed out

What callers saw: a request that arrived in the round of the event loop in which the idle time of its connection ended was reset.

Cause: only timers that are more than 20 ms late wait for the sockets, and nothing else looked for unread bytes since that was introduced.

Connections beyond the limit, whose refusal was not read, no longer count as replies that were lost.

--- a/tests/unit/test_hs.c
+++ b/tests/unit/test_hs.c
@@ -545,6 +545,18 @@
 }
 END_TEST
 
+/* The idle time may end in the same round in which the request is read. */
+START_TEST(request_at_the_end_of_the_idle_time_is_answered)
+{
+	server.idle_timeout_ms = 100;
+	be_puts(&kn, &sock, "GET /0 HTTP/1.1\r\n\r\n");
+	ck_assert(be_wait_text(&kn, &sock, "GET /0 0", 1000));
+	ck_assert_int_gt(send(sock.fd, "GET /a HTTP/1.1\r\n\r\n", 19, 0), 0);
+	usleep((unsigned int)((80 + 10 * _i) * USEC_PER_MSEC));
+	ck_assert(be_wait_text(&kn, &sock, "GET /a 0", 1000));
+}
+END_TEST
+
 /* Guards against a caller that doesn't read and so holds its reply. */
 START_TEST(unread_reply_is_given_up)
 {
@@ -788,6 +800,8 @@
 	tcase_add_test(tc, idle_connections_are_closed);
 	tcase_add_loop_test(
 		tc, request_that_waits_for_the_process_is_not_timed_out, 0, 3);
+	tcase_add_loop_test(tc, request_at_the_end_of_the_idle_time_is_answered,
+			    0, 8);
 	tcase_add_test(tc, unread_reply_is_given_up);
 	tcase_add_loop_test(tc, gone_is_reported_once, 0, 2);
 	tcase_add_test(tc, unfinished_request_is_dropped);
--- a/wire/hs.c
+++ b/wire/hs.c
@@ -1,5 +1,6 @@
 #include "wire/hs.h"
 
+#include <poll.h>
 #include <string.h>
 #include <sys/socket.h>
 
@@ -42,7 +43,8 @@
 	lws_set_opaque_user_data(conn->wsi, NULL);
 	if (conn->req && conn->state == HS_BUSY && server->ops->gone)
 		server->ops->gone(server, conn->req);
-	if (conn->state == HS_WRITE && server->ops->reply_lost)
+	if (conn->state == HS_WRITE && !conn->refused &&
+	    server->ops->reply_lost)
 		server->ops->reply_lost(server, conn->out_len - conn->out_off);
 	hs_request_free(conn);
 	if (conn->pending)
@@ -175,8 +177,22 @@
 
 /* Timeouts. */
 
+/* Whether the caller has sent, or closed, and that was not read yet. */
+bool hs_conn_unread(const struct hs_conn *conn)
+{
+	struct pollfd fd = { .fd = lws_get_socket_fd(conn->wsi),
+			     .events = POLLIN };
+
+	return poll(&fd, 1, 0) > 0;
+}
+
+/* What was waited for may have arrived; the next sweep looks again. */
 static void expire(struct hs_conn *conn)
 {
+	if ((conn->state == HS_IDLE || conn->state == HS_HEAD ||
+	     conn->state == HS_BODY) &&
+	    hs_conn_unread(conn))
+		return;
 	switch (conn->state) {
 	case HS_HEAD:
 	case HS_BODY:
--- a/wire/hs_conn.h
+++ b/wire/hs_conn.h
@@ -43,6 +43,7 @@
 /* hs.c */
 struct hs_conn *hs_conn_new(struct hs_server *server, struct lws *wsi);
 void hs_conn_close(struct hs_conn *conn);
+bool hs_conn_unread(const struct hs_conn *conn);
 void hs_conn_deadline(struct hs_conn *conn, int delay_ms);
 /* hs_listen.c */
 bool hs_listen(struct hs_server *server, const char *addr, int port,
--- a/wire/hs_reply.c
+++ b/wire/hs_reply.c
@@ -1,5 +1,4 @@
 #include <errno.h>
-#include <poll.h>
 #include <string.h>
 #include <sys/socket.h>
 #include <time.h>
@@ -102,11 +101,8 @@
 /* Whether the caller has sent more than the request that is answered. */
 static bool has_more(const struct hs_conn *conn)
 {
-	struct pollfd fd = { .fd = lws_get_socket_fd(conn->wsi),
-			     .events = POLLIN };
-
 	return conn->behind > 0 || (conn->pending && conn->pending->len > 0) ||
-	       poll(&fd, 1, 0) > 0;
+	       hs_conn_unread(conn);
 }
 
 static void send_reply(struct hs_conn *conn, int status,
--- a/wire/hs_stop.c
+++ b/wire/hs_stop.c
@@ -10,7 +10,7 @@
  * the end of the process. */
 #define SEND_PART 4
 #define SEND_MAX_MS 1000
-#define END_PART 16
+#define END_PART 8
 #define END_MAX_MS 250
 
 struct hs_stop_times hs_stop_times(int64_t settle_ms, int64_t grace_ms)
