Call a cancellation unknown that may be stored

What callers saw: nothing; found by reading, without a test. A cancellation whose write was not answered, and whose repetition found the submission changed when its time was over, was answered 503.

Cause: next_step() did not ask whether an earlier write may still land.

Change: such a call is answered 504.

--- a/control/intake.c
+++ b/control/intake.c
@@ -194,7 +194,8 @@
 {
 	req->step = step;
 	if (time_left_us(req->caller) <= 0)
-		finish(req, CB_E_DEADLINE, DEADLINE_RETRY_AFTER_S);
+		finish(req, req->maybe_written ? CB_E_TIMEOUT : CB_E_DEADLINE,
+		       DEADLINE_RETRY_AFTER_S);
 	else
 		run_step(req);
 }
