Keep the last reads of a stop within its reserve

What callers saw: nothing; found by a review. Under constant arrivals the reads before overdue timers and those at the end of the process could take 340 ms of the 250 ms, or of the 125 ms with a grace of 2 s, that a stop keeps for its end.

The signal handler notes the time before it counts the signal.

--- a/base/kn.c
+++ b/base/kn.c
@@ -419,9 +419,9 @@
  * Serves what has arrived already, without waiting: a round reads only a part
  * of each socket and accepts only some connections.
  */
-static void serve_arrived(struct kn *kn)
+static void serve_arrived(struct kn *kn, int64_t limit_ms)
 {
-	int64_t until_us = kn_now_us() + KN_ARRIVED_MS * USEC_PER_MSEC;
+	int64_t until_us = kn_now_us() + limit_ms * USEC_PER_MSEC;
 	int idle = 0;
 
 	while (idle < KN_IDLE_ROUNDS && kn_now_us() < until_us) {
@@ -443,7 +443,7 @@
 		return;
 	uv_run(kn->loop, list_empty(&kn->ready) ? UV_RUN_ONCE : UV_RUN_NOWAIT);
 	if (kn->late) {
-		serve_arrived(kn);
+		serve_arrived(kn, KN_LATE_READ_MS);
 		kn->late = false;
 		run_timers(kn);
 	}
@@ -458,7 +458,7 @@
 		kn_turn(kn);
 	/* Closing a connection resets it while a request of it is unread. */
 	if (kn->draining)
-		serve_arrived(kn);
+		serve_arrived(kn, KN_LAST_READ_MS);
 	return kn->exit_code;
 }
 
@@ -491,10 +491,13 @@
 
 static void on_signal(int number)
 {
-	if (number == SIGHUP)
+	if (number == SIGHUP) {
 		reload_signals++;
-	else if (stop_signals++ == 0)
-		first_stop_us = kn_now_us();
+	} else {
+		if (first_stop_us == 0)
+			first_stop_us = kn_now_us();
+		stop_signals++;
+	}
 	if (signal_context)
 		lws_cancel_service(signal_context);
 }
--- a/base/limits.h
+++ b/base/limits.h
@@ -15,7 +15,10 @@
 
 #define KN_CLOSE_ROUNDS 10 /* for handles that close late */
 #define KN_IDLE_ROUNDS 2 /* without a byte: all that has arrived is read */
-#define KN_ARRIVED_MS 150 /* for reading what has arrived */
+/* For reading what has arrived; below the time that callers' answers and the
+ * end of a stop have in reserve. */
+#define KN_LATE_READ_MS 50 /* before timers that are overdue */
+#define KN_LAST_READ_MS 150 /* when the process ends */
 #define KN_LATE_MS 20 /* a timer that is later: sockets are read first */
 #define KN_DRAIN_ROUNDS 64 /* mailbox rounds before sockets are served */
 #define EV_RING_EVENTS 4096 /* events kept for the API */
