Build the soak with the sanitizers

GCC with the sanitizers takes the name of the clock's file for one that may overlap its own source (-Werror=restrict), so that make check failed to build since the soak judges calls. The name is composed apart.

--- a/tests/soak/soak_main.c
+++ b/tests/soak/soak_main.c
@@ -195,6 +195,7 @@
 	for (i = 0; i < soak->options.hosts; i++) {
 		struct soak_host *host = &soak->hosts[i];
 		int port = site_store_open(soak->store, ports_reserve());
+		char *path;
 
 		host->door = soak->store->ndoors - 1;
 		snprintf(host->name, sizeof(host->name), "host-%d", i);
@@ -209,8 +210,10 @@
 		host->uptime_days =
 			uptime_days[(soak->options.seed + (uint32_t)i) %
 				    G_N_ELEMENTS(uptime_days)];
-		snprintf(host->clock, sizeof(host->clock), "%s/%s.clock",
-			 soak->options.dir, host->name);
+		path = g_strconcat(soak->options.dir, "/", host->name, ".clock",
+				   NULL);
+		g_strlcpy(host->clock, path, sizeof(host->clock));
+		g_free(path);
 		if (!g_file_set_contents(host->clock, "0", -1, NULL))
 			abort();
 		hc_pool_init(&host->pool, &soak->kn, "127.0.0.1",
