Flush the links to peers within what a stop leaves

What the sanitizer run saw: peer_that_does_not_read_holds_up_no_stop (test_pr) failed; with a grace of 800 ms the end of the process took 77 ms and not the 50 that the test allows.

Cause: a stop keeps twice as much of a short grace for its end since the last requests are read there, and the flush took three quarters of that.

Change: the flush takes a quarter, so that both fit.

--- a/wire/pr.c
+++ b/wire/pr.c
@@ -231,13 +231,14 @@
 	kn_drained(task);
 }
 
-/* A part of what a stop leaves of the grace for the end of the process. */
+/* A quarter of what a stop leaves of the grace for the end of the process; the
+ * last requests are read before. */
 static int64_t flush_ms(const struct pr_task *pr)
 {
 	int64_t grace_ms = pr->set->grace_ms;
 	int64_t end_ms = grace_ms - hs_stop_times(0, grace_ms).limit_ms;
 
-	return MIN(PEER_FLUSH_MS, end_ms * 3 / 4);
+	return MIN(PEER_FLUSH_MS, end_ms / 4);
 }
 
 static void flush_all(struct pr_task *pr)
