--- a/review/scene/path.c
+++ b/review/scene/path.c
@@ -12,6 +12,7 @@
 #include <glib.h>
 
 #include "base/list.h"
+#include "tests/standins/ports.h"
 
 #define BUFFER_BYTES 65536
 #define WAKE_MS 2
@@ -155,6 +156,8 @@
 {
 	struct pair *pair, *next;
 
+	if (path->fd < 0)
+		return;
 	accept_all(path);
 	list_for_each_entry_safe(pair, next, &path->pairs, node) {
 		if (path->cut)
@@ -178,7 +181,7 @@
 	for (p = 0; p < path_count; p++) {
 		struct pollfd pfd = { .fd = paths[p].fd, .events = POLLIN };
 
-		if (paths[p].cut)
+		if (paths[p].cut || paths[p].fd < 0)
 			continue;
 		g_array_append_val(fds, pfd);
 		list_for_each_entry(pair, &paths[p].pairs, node)
@@ -226,27 +229,37 @@
 	for (p = 0; p < path_count; p++) {
 		list_for_each_entry_safe(pair, next, &paths[p].pairs, node)
 			pair_free(pair);
-		close(paths[p].fd);
+		if (paths[p].fd >= 0)
+			close(paths[p].fd);
 	}
 }
 
-int path_new(int target_port)
+static int listen_on(int port)
 {
-	struct sockaddr_in sa = local(0);
-	socklen_t len = sizeof(sa);
-	struct path *path = &paths[path_count];
+	struct sockaddr_in sa = local(port);
 	int fd = socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK | SOCK_CLOEXEC, 0);
+	int one = 1;
 
-	if (path_count == PATHS_MAX ||
-	    bind(fd, (struct sockaddr *)&sa, sizeof(sa)) < 0 ||
+	setsockopt(fd, SOL_SOCKET, SO_REUSEADDR, &one, sizeof(one));
+	if (bind(fd, (struct sockaddr *)&sa, sizeof(sa)) < 0 ||
 	    listen(fd, 128) < 0) {
 		close(fd);
 		return -1;
 	}
-	getsockname(fd, (struct sockaddr *)&sa, &len);
+	return fd;
+}
+
+int path_new(int target_port)
+{
+	struct path *path = &paths[path_count];
+	int port = ports_reserve();
+	int fd = path_count < PATHS_MAX ? listen_on(port) : -1;
+
+	if (fd < 0)
+		return -1;
 	g_mutex_lock(&lock);
 	path->fd = fd;
-	path->port = ntohs(sa.sin_port);
+	path->port = port;
 	path->target_port = target_port;
 	list_init(&path->pairs);
 	path_count++;
@@ -291,3 +304,26 @@
 	g_mutex_unlock(&lock);
 	return cut;
 }
+
+void path_end(int id)
+{
+	struct pair *pair, *next;
+
+	g_mutex_lock(&lock);
+	list_for_each_entry_safe(pair, next, &paths[id].pairs, node)
+		pair_reset(pair);
+	close(paths[id].fd);
+	paths[id].fd = -1;
+	g_mutex_unlock(&lock);
+}
+
+bool path_begin(int id)
+{
+	bool ok;
+
+	g_mutex_lock(&lock);
+	paths[id].fd = listen_on(paths[id].port);
+	ok = paths[id].fd >= 0;
+	g_mutex_unlock(&lock);
+	return ok;
+}
--- a/review/scene/path.h
+++ b/review/scene/path.h
@@ -24,5 +24,11 @@
  */
 void path_cut_on(int id, const char *text);
 bool path_is_cut(int id);
+/*
+ * The target has ended: its connections are reset, and new ones are refused
+ * until it begins again. Returns false if it can't listen.
+ */
+void path_end(int id);
+bool path_begin(int id);
 
 #endif
--- a/review/scene/scene.c
+++ b/review/scene/scene.c
@@ -128,16 +128,27 @@
 		"\"api_keys\":[\"" SCENE_KEY "\"]}]}");
 }
 
-struct site_worker *scene_add_worker(struct scene *scene, const char *pool)
+static struct site_worker *add_worker(struct scene *scene, const char *rack,
+				      const char *pool)
 {
 	struct site_worker *worker =
-		site_fleet_add(scene->fleet, "r1", 8, ports_reserve());
+		site_fleet_add(scene->fleet, rack, 8, ports_reserve());
 
 	cloud_add(scene->cloud, worker, pool);
-	scene_record("machine m-%s in %s", worker->id, pool);
+	scene_record("machine m-%s in %s, rack %s", worker->id, pool, rack);
 	return worker;
 }
 
+struct site_worker *scene_add_worker(struct scene *scene, const char *pool)
+{
+	return add_worker(scene, "r1", pool);
+}
+
+struct site_worker *scene_add_racked(struct scene *scene, const char *rack)
+{
+	return add_worker(scene, rack, CLOUD_POOL);
+}
+
 /* Entry hosts. */
 
 static void write_settings(struct scene *scene, struct scene_host *host)
@@ -327,17 +338,22 @@
 	return waiting.reply;
 }
 
-int scene_submit(struct scene *scene, int host, const char *id, int count,
-		 int gpus, int64_t work_ms)
+int scene_submit_for(struct scene *scene, int host, const char *id, int count,
+		     int gpus, int64_t work_ms, const char *label)
 {
-	char path[64], body[400];
+	char path[64], body[400], extra[64] = "";
 	struct scene_reply reply;
 
+	if (label)
+		snprintf(extra, sizeof(extra), ",\"required_label\":\"%s\"",
+			 label);
 	snprintf(path, sizeof(path), "/jobs/%s", id);
 	snprintf(body, sizeof(body),
 		 "{\"spec\":\"ms=%lld gpus=%d\",\"steps\":[{\"count\":%d,"
-		 "\"cpu\":15000,\"mem_mb\":39000,\"gpu\":%d,\"est_ms\":%lld}]}",
-		 (long long)work_ms, gpus, count, gpus, (long long)work_ms);
+		 "\"cpu\":15000,\"mem_mb\":29000,\"gpu\":%d,\"est_ms\":%lld"
+		 "%s}]}",
+		 (long long)work_ms, gpus, count, gpus, (long long)work_ms,
+		 extra);
 	reply = scene_call(scene, host, "POST", path, body);
 	scene_record("client: POST %s to h%d (%d tasks of %d GPUs, %lld ms) "
 		     "-> %d",
@@ -345,6 +361,12 @@
 	return reply.status;
 }
 
+int scene_submit(struct scene *scene, int host, const char *id, int count,
+		 int gpus, int64_t work_ms)
+{
+	return scene_submit_for(scene, host, id, count, gpus, work_ms, NULL);
+}
+
 const char *scene_state(struct scene *scene, int host, const char *id)
 {
 	static const char *const states[] = { "queued", "running", "done",
--- a/review/scene/scene.h
+++ b/review/scene/scene.h
@@ -51,6 +51,8 @@
 /* Arguments: program, folder for settings and logs, file of the record. */
 void scene_init(struct scene *scene, int argc, char **argv);
 struct site_worker *scene_add_worker(struct scene *scene, const char *pool);
+/* The same in a rack of its own, which is one of its labels. */
+struct site_worker *scene_add_racked(struct scene *scene, const char *rack);
 /* Starts the entry hosts and waits for a leader. */
 void scene_start(struct scene *scene, int hosts);
 /* Ends all processes. Returns the exit status. */
@@ -68,6 +70,9 @@
 /* Hands in a job with one step; records the answer and returns its status. */
 int scene_submit(struct scene *scene, int host, const char *id, int count,
 		 int gpus, int64_t work_ms);
+/* The same for minions with a label; NULL: for any. */
+int scene_submit_for(struct scene *scene, int host, const char *id, int count,
+		     int gpus, int64_t work_ms, const char *label);
 /* The state of a job as a host tells it, "" if it does not. */
 const char *scene_state(struct scene *scene, int host, const char *id);
 bool scene_wait_state(struct scene *scene, int host, const char *id,
