Keep the trial of a schedule that has run for two weeks

Tried: hosts on a store that holds a job with 20,160 occurrences, all but one over. Seen: the host that is elected takes 657 MB when it reads the record, 3 of 3 times; 8 MB with 60 occurrences. No case, as the records are made and no disruption stands behind it.

--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -17,15 +17,17 @@
 	exit 1
 }
 objects=""
-for source in review/scene/*.c $(printf 'tests/standins/%s.c ' $standins); do
+for source in review/scene/{cloud,path,scene}.c $(printf 'tests/standins/%s.c ' $standins); do
 	object="$out/scene-$(basename "$source" .c).o"
 	${CC:-gcc} $flags -c -o "$object" "$source"
 	objects="$objects $object"
 done
+link() {
+	${CC:-gcc} $flags -o "$out/$1" "$2" $objects "$out/libchivebank.a" \
+		$(pkg-config --libs $packages) -lhttp_parser -lcap -lm
+}
 for source in review/*/case.c; do
-	number=$(basename "$(dirname "$source")")
-	${CC:-gcc} $flags -o "$out/case-$number" "$source" $objects \
-		"$out/libchivebank.a" $(pkg-config --libs $packages) \
-		-lhttp_parser -lcap -lm
+	link "case-$(basename "$(dirname "$source")")" "$source"
 done
+link trial-schedule review/scene/trial_schedule.c
 echo "built in $out"
