--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -17,7 +17,7 @@
 	exit 1
 }
 objects=""
-for source in review/scene/{cloud,path,scene}.c $(printf 'tests/standins/%s.c ' $standins); do
+for source in review/{cloud,path,scene}.c $(printf 'tests/standins/%s.c ' $standins); do
 	object="$out/scene-$(basename "$source" .c).o"
 	${CC:-gcc} $flags -c -o "$object" "$source"
 	objects="$objects $object"
@@ -29,5 +29,5 @@
 for source in review/*/case.c; do
 	link "case-$(basename "$(dirname "$source")")" "$source"
 done
-link trial-schedule review/scene/trial_schedule.c
+link trial-schedule review/trial_schedule.c
 echo "built in $out"
--- a/review/scene/cloud.c
+++ b/review/cloud.c
@@ -1,4 +1,4 @@
-#include "review/scene/cloud.h"
+#include "review/cloud.h"
 
 #include <stdio.h>
 #include <stdlib.h>
@@ -7,7 +7,7 @@
 #include <jansson.h>
 
 #include "base/limits.h"
-#include "review/scene/scene.h"
+#include "review/scene.h"
 #include "tests/standins/site_reply.h"
 
 #define TICK_MS 10
--- a/review/scene/cloud.h
+++ b/review/cloud.h
@@ -1,5 +1,5 @@
-#ifndef REVIEW_SCENE_CLOUD_H
-#define REVIEW_SCENE_CLOUD_H
+#ifndef REVIEW_CLOUD_H
+#define REVIEW_CLOUD_H
 
 #include "tests/standins/site_fleet.h"
 
--- a/review/scene/path.c
+++ b/review/path.c
@@ -1,10 +1,12 @@
-#include "review/scene/path.h"
+#include "review/path.h"
 
 #include <arpa/inet.h>
+#include <dirent.h>
 #include <errno.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
 #include <poll.h>
+#include <stdio.h>
 #include <string.h>
 #include <sys/socket.h>
 #include <unistd.h>
@@ -31,6 +33,7 @@
 	int fd[2]; /* 0: accepted, 1: connected to the target */
 	struct flow flow[2]; /* flow[i] is read from fd[i] */
 	bool lost; /* opened while the path was cut */
+	int pid; /* of the process that has connected, 0: not known */
 };
 
 struct path {
@@ -38,10 +41,15 @@
 	int port;
 	int target_port;
 	bool cut;
-	const char *cut_on;
+	bool identifies; /* notes which process has connected */
+	int blocked; /* process whose connections are cut, 0: none */
 	struct list_head pairs;
 };
 
+#define KNOWN_MAX 16
+
+static int known[KNOWN_MAX];
+static int known_count;
 static struct path paths[PATHS_MAX];
 static int path_count;
 static GMutex lock;
@@ -78,6 +86,65 @@
 	pair_free(pair);
 }
 
+/* The inode of the socket of this machine that has the two ports, 0: none. */
+static unsigned long socket_inode(unsigned int from, unsigned int to)
+{
+	unsigned int local_port, remote_port;
+	unsigned long inode, found = 0;
+	FILE *file = fopen("/proc/net/tcp", "r");
+	char line[300];
+
+	while (file && found == 0 && fgets(line, sizeof(line), file))
+		if (sscanf(line,
+			   " %*d: %*x:%x %*x:%x %*x %*x:%*x %*x:%*x %*x %*d "
+			   "%*d %lu",
+			   &local_port, &remote_port, &inode) == 3 &&
+		    local_port == from && remote_port == to)
+			found = inode;
+	if (file)
+		fclose(file);
+	return found;
+}
+
+static bool process_has(int pid, unsigned long inode)
+{
+	char path[300], target[64], wanted[64];
+	struct dirent *entry;
+	bool found = false;
+	DIR *dir;
+	ssize_t n;
+
+	snprintf(wanted, sizeof(wanted), "socket:[%lu]", inode);
+	snprintf(path, sizeof(path), "/proc/%d/fd", pid);
+	dir = opendir(path);
+	while (dir && !found && (entry = readdir(dir))) {
+		snprintf(path, sizeof(path), "/proc/%d/fd/%.64s", pid,
+			 entry->d_name);
+		n = readlink(path, target, sizeof(target) - 1);
+		target[MAX(n, 0)] = '\0';
+		found = strcmp(target, wanted) == 0;
+	}
+	if (dir)
+		closedir(dir);
+	return found;
+}
+
+/* Which of the known processes has made the connection. */
+static int connected_process(const struct path *path, int fd)
+{
+	struct sockaddr_in sa = { 0 };
+	socklen_t len = sizeof(sa);
+	unsigned long inode;
+	int i;
+
+	getpeername(fd, (struct sockaddr *)&sa, &len);
+	inode = socket_inode(ntohs(sa.sin_port), (unsigned int)path->port);
+	for (i = 0; inode && i < known_count; i++)
+		if (process_has(known[i], inode))
+			return known[i];
+	return 0;
+}
+
 static bool connect_target(const struct path *path, struct pair *pair)
 {
 	struct sockaddr_in sa = local(path->target_port);
@@ -90,6 +157,11 @@
 	       errno == EINPROGRESS;
 }
 
+static bool is_blocked(const struct path *path, const struct pair *pair)
+{
+	return path->blocked != 0 && pair->pid == path->blocked;
+}
+
 static void accept_all(struct path *path)
 {
 	struct pair *pair;
@@ -101,7 +173,8 @@
 		pair = g_new0(struct pair, 1);
 		pair->fd[0] = fd;
 		pair->fd[1] = -1;
-		pair->lost = path->cut;
+		pair->pid = path->identifies ? connected_process(path, fd) : 0;
+		pair->lost = path->cut || is_blocked(path, pair);
 		list_add_tail(&pair->node, &path->pairs);
 		if (!pair->lost && !connect_target(path, pair))
 			pair_reset(pair);
@@ -109,7 +182,7 @@
 }
 
 /* Returns whether the connection goes on. */
-static bool carry(struct path *path, struct pair *pair, int i)
+static bool carry(struct pair *pair, int i)
 {
 	struct flow *flow = &pair->flow[i];
 	ssize_t n;
@@ -122,12 +195,6 @@
 		flow->at = 0;
 		flow->len = n > 0 ? (size_t)n : 0;
 	}
-	if (path->cut_on && flow->len > 0 &&
-	    memmem(flow->data, flow->len, path->cut_on, strlen(path->cut_on))) {
-		path->cut = true;
-		path->cut_on = NULL;
-		return true;
-	}
 	if (flow->len > 0) {
 		n = send(pair->fd[1 - i], flow->data + flow->at, flow->len,
 			 MSG_NOSIGNAL);
@@ -159,12 +226,14 @@
 	if (path->fd < 0)
 		return;
 	accept_all(path);
+	if (path->cut)
+		return;
 	list_for_each_entry_safe(pair, next, &path->pairs, node) {
-		if (path->cut)
-			return;
+		if (is_blocked(path, pair))
+			continue;
 		if (pair->lost || has_error(pair->fd[0]) ||
-		    has_error(pair->fd[1]) || !carry(path, pair, 0) ||
-		    (!path->cut && !carry(path, pair, 1)))
+		    has_error(pair->fd[1]) || !carry(pair, 0) ||
+		    !carry(pair, 1))
 			pair_reset(pair);
 		else if (pair->flow[0].shut && pair->flow[1].shut)
 			pair_free(pair);
@@ -185,7 +254,8 @@
 			continue;
 		g_array_append_val(fds, pfd);
 		list_for_each_entry(pair, &paths[p].pairs, node)
-			for (i = 0; i < 2; i++) {
+			for (i = 0; i < 2 && !is_blocked(&paths[p], pair);
+			     i++) {
 				const struct flow *flow = &pair->flow[i];
 
 				pfd.fd = pair->fd[i];
@@ -267,6 +337,13 @@
 	return path_count - 1;
 }
 
+void path_identify(int id)
+{
+	g_mutex_lock(&lock);
+	paths[id].identifies = true;
+	g_mutex_unlock(&lock);
+}
+
 int path_port(int id)
 {
 	return paths[id].port;
@@ -288,21 +365,21 @@
 	g_mutex_unlock(&lock);
 }
 
-void path_cut_on(int id, const char *text)
+void path_block(int id, int pid)
 {
 	g_mutex_lock(&lock);
-	paths[id].cut_on = text;
+	/* Those that wait to be accepted were opened before the change. */
+	accept_all(&paths[id]);
+	paths[id].blocked = pid;
 	g_mutex_unlock(&lock);
 }
 
-bool path_is_cut(int id)
+void path_know(int pid)
 {
-	bool cut;
-
 	g_mutex_lock(&lock);
-	cut = paths[id].cut;
+	if (known_count < KNOWN_MAX)
+		known[known_count++] = pid;
 	g_mutex_unlock(&lock);
-	return cut;
 }
 
 void path_end(int id)
--- a/review/scene/path.h
+++ b/review/path.h
@@ -1,5 +1,5 @@
-#ifndef REVIEW_SCENE_PATH_H
-#define REVIEW_SCENE_PATH_H
+#ifndef REVIEW_PATH_H
+#define REVIEW_PATH_H
 
 #include <stdbool.h>
 
@@ -19,11 +19,13 @@
 void path_cut(int id);
 void path_heal(int id);
 /*
- * The path is cut when the first bytes with this text are on their way; path
- * -1 takes the text back. The text must stay valid.
+ * The same for the connections of one process only; 0: of none. The process
+ * must have been named with path_know() before it connected.
  */
-void path_cut_on(int id, const char *text);
-bool path_is_cut(int id);
+void path_block(int id, int pid);
+void path_know(int pid);
+/* Connections from now on are told apart by their process. */
+void path_identify(int id);
 /*
  * The target has ended: its connections are reset, and new ones are refused
  * until it begins again. Returns false if it can't listen.
--- a/review/scene/scene.c
+++ b/review/scene.c
@@ -1,4 +1,4 @@
-#include "review/scene/scene.h"
+#include "review/scene.h"
 
 #include <stdarg.h>
 #include <stdio.h>
@@ -7,7 +7,7 @@
 
 #include "base/ev.h"
 #include "base/limits.h"
-#include "review/scene/path.h"
+#include "review/path.h"
 #include "tests/standins/ports.h"
 #include "tests/standins/sr_proc.h"
 
@@ -206,6 +206,7 @@
 	host->proc = sr_proc_spawn(host->name, argv);
 	if (host->proc < 0)
 		scene_give_up("an entry host does not start");
+	path_know((int)sr_proc_pid(host->proc));
 }
 
 void scene_start(struct scene *scene, int hosts)
@@ -225,6 +226,7 @@
 		host->store_path = path_new(site_store_open(scene->store, 0));
 		host->cloud_path = path_new(scene->cloud->server.port);
 		host->peers_path = path_new(host->peers_port);
+		path_identify(host->peers_path);
 		hc_pool_init(&host->pool, &scene->kn, "127.0.0.1",
 			     host->callers_port, 16);
 	}
@@ -289,6 +291,11 @@
 	run_until(scene, kn_now_us() + ms * USEC_PER_MSEC, NULL);
 }
 
+int scene_pid(const struct scene *scene, int host)
+{
+	return (int)sr_proc_pid(scene->hosts[host].proc);
+}
+
 int scene_leader(struct scene *scene)
 {
 	const struct site_item *item =
--- a/review/scene/scene.h
+++ b/review/scene.h
@@ -1,7 +1,7 @@
-#ifndef REVIEW_SCENE_SCENE_H
-#define REVIEW_SCENE_SCENE_H
+#ifndef REVIEW_SCENE_H
+#define REVIEW_SCENE_H
 
-#include "review/scene/cloud.h"
+#include "review/cloud.h"
 #include "tests/standins/site_check.h"
 #include "tests/standins/site_fleet.h"
 #include "wire/hc.h"
@@ -63,6 +63,7 @@
 void scene_record(const char *format, ...) G_GNUC_PRINTF(1, 2);
 
 void scene_run_ms(struct scene *scene, int64_t ms);
+int scene_pid(const struct scene *scene, int host);
 /* Index of the leading host by the store's key, -1: none. */
 int scene_leader(struct scene *scene);
 struct scene_reply scene_call(struct scene *scene, int host, const char *method,
