--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -1,7 +1,7 @@
-#!/usr/bin/env bash
+#!/bin/sh
 # Builds the stand-ins and the programs of review/6 to review/10 in
 # build/review-2, with the packages of deploy/system.toml.
-set -euo pipefail
+set -eu
 cd "$(dirname "$0")/.."
 out=build/review-2
 packages="libwebsockets libuv msgpack glib-2.0 jansson libxxhash"
@@ -17,7 +17,8 @@
 	exit 1
 }
 objects=""
-for source in review/{cloud,path,scene}.c $(printf 'tests/standins/%s.c ' $standins); do
+for source in review/cloud.c review/path.c review/scene.c \
+	$(printf 'tests/standins/%s.c ' $standins); do
 	object="$out/scene-$(basename "$source" .c).o"
 	${CC:-gcc} $flags -c -o "$object" "$source"
 	objects="$objects $object"
