--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -31,4 +31,5 @@
 	link "case-$(basename "$(dirname "$source")")" "$source"
 done
 link trial-schedule review/trial_schedule.c
+link trial-ban review/trial_ban.c
 echo "built in $out"
