Start no task in an evacuated data centre

Cause: an operator's key op/evacuate/DC was logged as operator.key_ignored, and the data centre got starts as before.

Change, where the bounds of the settings have evac_ms; elsewhere nothing changes, as the fleet then has no set of evacuations: - fleet/evacuation.[ch]: the set, and which runs must not be started. - control/configuration.c owns the set on every host. A key's removal counts from the event, or from a later read of all keys. - Placement leaves the workers out of all its views, advice is not asked for them, spare hosts there are not lent, lent ones go back although tasks wait, and a reclaim's reservation that counts on them is made anew. - Planned runs are dropped with their gang, before each planning pass and again before each start. A start without an answer is repeated for half of evac_ms, then stopped. - A leader plans and starts nothing before its configuration is confirmed after a pause, nor with a copy of the operators' keys that is older than half of evac_ms: reads may fail while the lease is renewed.

--- a/control/configuration.c
+++ b/control/configuration.c
@@ -10,6 +10,15 @@
  * configuration read again, within half of config_ms. */
 #define WATCH_TIMEOUT_DIVISOR 3
 
+/* evac_ms is divided by this for the same time-out. After a lost answer the keys
+ * have then been read again before the copy is too old for starts. */
+#define EVACUATION_WATCH_DIVISOR 4
+/* A watch costs a call each time. */
+#define WATCH_TIMEOUT_MIN_MS 100
+/* Starts need a copy of the operators' keys that is no older than evac_ms
+ * divided by this; the rest is left for the orders that have been sent. */
+#define STARTS_AGE_DIVISOR 2
+
 #define TICK_MS 200
 /* A process that did not run for longer counts as paused. */
 #define PAUSE_MIN_MS 1000
@@ -48,12 +57,112 @@
 	       configuration->mirror.synced_us > configuration->paused_us;
 }
 
+bool configuration_allows_starts(struct configuration *configuration)
+{
+	int64_t evac_ms = configuration->site->bounds.evac_ms;
+	int64_t age_us;
+
+	if (evac_ms == 0)
+		return true;
+	if (!configuration_confirmed(configuration))
+		return false;
+	age_us = kn_now_us() - configuration->mirror.synced_us;
+	return age_us <= MAX(evac_ms / STARTS_AGE_DIVISOR,
+			     2 * configuration->mirror.wait_ms) *
+				 USEC_PER_MSEC;
+}
+
+/* Evacuations. */
+
+/* Returns the data centre that the key of a request names, NULL for other keys.
+ */
+static const char *evacuated_dc(const struct configuration *configuration,
+				const char *key)
+{
+	const char *prefix = configuration->adapter->evacuations_prefix;
+
+	return prefix && g_str_has_prefix(key, prefix) ? key + strlen(prefix) :
+							 NULL;
+}
+
+static void evacuation_changed(struct configuration *configuration,
+			       const char *dc, bool evacuated)
+{
+	if (!configuration->evacuations_allowed)
+		return;
+	ctr_gauge(&configuration->evacuated,
+		  evacuation_count(&configuration->evacuation));
+	if (configuration->evacuation_changed)
+		configuration->evacuation_changed(configuration, dc, evacuated);
+}
+
+static void log_unusable(const struct configuration *configuration,
+			 const char *dc, const struct kv_item *item)
+{
+	char *text = g_strescape(dc, NULL);
+
+	if (site_has_dc(configuration->site, dc))
+		log_warn("evacuation.unreadable",
+			 "dc=%s revision=%" G_GINT64_FORMAT " bytes=%zu", text,
+			 item->mod_revision, item->len);
+	else
+		log_warn("evacuation.unknown_dc",
+			 "dc=\"%.128s\" revision=%" G_GINT64_FORMAT, text,
+			 item->mod_revision);
+	g_free(text);
+}
+
+/* A request that can't be used changes nothing: an earlier one stays. */
+static void request_evacuation(struct configuration *configuration,
+			       const char *dc, const struct kv_item *item)
+{
+	if (!site_has_dc(configuration->site, dc) ||
+	    !configuration->adapter->read_evacuation(item->value, item->len)) {
+		if (configuration->evacuations_allowed)
+			log_unusable(configuration, dc, item);
+		return;
+	}
+	if (evacuation_begin(&configuration->evacuation, dc, kn_now_us()))
+		evacuation_changed(configuration, dc, true);
+}
+
+void configuration_apply_site(struct configuration *configuration)
+{
+	const struct site *site = configuration->site;
+	bool allowed = site->bounds.evac_ms > 0;
+	int64_t wait_ms = site->config_ms / WATCH_TIMEOUT_DIVISOR;
+	GHashTableIter iter;
+	gpointer dc;
+
+	if (allowed)
+		wait_ms = CLAMP(site->bounds.evac_ms / EVACUATION_WATCH_DIVISOR,
+				MIN(wait_ms, WATCH_TIMEOUT_MIN_MS), wait_ms);
+	configuration->mirror.wait_ms = wait_ms;
+	if (allowed == configuration->evacuations_allowed)
+		return;
+	/* Requests that were read before count from now on, or no more. */
+	configuration->evacuations_allowed = true;
+	g_hash_table_iter_init(&iter, configuration->evacuation.since);
+	while (g_hash_table_iter_next(&iter, &dc, NULL))
+		evacuation_changed(configuration, dc, allowed);
+	configuration->evacuations_allowed = allowed;
+	if (!allowed)
+		ctr_gauge(&configuration->evacuated, 0);
+}
+
+/* Keys. */
+
 static void on_set(struct mirror *mirror, const struct kv_item *item)
 {
 	struct configuration *configuration =
 		container_of(mirror, struct configuration, mirror);
+	const char *dc = evacuated_dc(configuration, item->key);
 	struct config *config;
 
+	if (dc)
+		request_evacuation(configuration, dc, item);
+	if (dc && configuration->evacuations_allowed)
+		return;
 	if (strcmp(item->key, configuration->adapter->config_key) != 0) {
 		if (configuration->operator_key)
 			configuration->operator_key(configuration, item);
@@ -88,14 +197,27 @@
 		configuration->changed(configuration);
 }
 
-/* Removing an operator's key does not change what is in force. */
+/* Only an evacuation ends with its key. */
 static void on_removed(struct mirror *mirror, const char *key)
 {
+	struct configuration *configuration =
+		container_of(mirror, struct configuration, mirror);
+	const char *dc = evacuated_dc(configuration, key);
+
+	if (dc && evacuation_end(&configuration->evacuation, dc))
+		evacuation_changed(configuration, dc, false);
+	if (dc && configuration->evacuations_allowed)
+		return;
 	log_warn("config.removed", "key=%s", key);
 }
 
 static void on_synced(struct mirror *mirror)
 {
+	struct configuration *configuration =
+		container_of(mirror, struct configuration, mirror);
+
+	if (configuration->evacuations_allowed && configuration->synced)
+		configuration->synced(configuration);
 }
 
 static const struct mirror_ops mirror_ops = {
@@ -110,12 +232,17 @@
 {
 	memset(configuration, 0, sizeof(*configuration));
 	configuration->adapter = adapter;
+	configuration->site = site;
+	evacuation_init(&configuration->evacuation);
 	mirror_init(&configuration->mirror, adapter->kv, &mirror_ops,
-		    adapter->operator_prefix,
-		    site->config_ms / WATCH_TIMEOUT_DIVISOR);
+		    adapter->operator_prefix, 0);
 	ctr_init(&configuration->version, &adapter->kv->kn->counters, CTR_GAUGE,
 		 "chivebank_config_version", NULL,
 		 "Version of the configuration in force");
+	ctr_init(&configuration->evacuated, &adapter->kv->kn->counters,
+		 CTR_GAUGE, "chivebank_evacuated_dcs", NULL,
+		 "Evacuated data centres");
+	configuration_apply_site(configuration);
 }
 
 void configuration_start(struct configuration *configuration)
@@ -131,5 +258,7 @@
 	kn_timer_cancel(&configuration->tick);
 	mirror_finish(&configuration->mirror);
 	config_free(configuration->current);
+	evacuation_finish(&configuration->evacuation);
 	ctr_finish(&configuration->version);
+	ctr_finish(&configuration->evacuated);
 }
--- a/control/director.c
+++ b/control/director.c
@@ -24,12 +24,22 @@
 	g_free(state);
 }
 
+void director_apply_bounds(struct director *director)
+{
+	struct fleet *fleet = &director->fleet;
+
+	fleet->bounds = director->site->bounds;
+	fleet->evacuation = fleet->bounds.evac_ms > 0 ?
+				    &director->configuration->evacuation :
+				    NULL;
+}
+
 void director_apply_config(struct director *director)
 {
 	if (!director->fleet_active || !director->configuration->current)
 		return;
 	fleet_set_config(&director->fleet, director->configuration->current);
-	director->fleet.bounds = director->site->bounds;
+	director_apply_bounds(director);
 	director_schedule_pass(director, PASS_DELAY_MS * USEC_PER_MSEC);
 }
 
@@ -46,6 +56,21 @@
 			 item->key, (long long)item->mod_revision);
 }
 
+void director_handle_evacuation(struct director *director, const char *dc,
+				bool evacuated)
+{
+	log_info(evacuated ? "evacuation.begun" : "evacuation.ended",
+		 "dc=%s fence=%" G_GINT64_FORMAT " runs=%" G_GINT64_FORMAT, dc,
+		 director->ready ? director->leader.fence : 0,
+		 director->ready ? evacuation_runs(&director->fleet, dc) : -1);
+	director_schedule_pass(director, 0);
+}
+
+void director_handle_synced(struct director *director)
+{
+	director_schedule_pass(director, 0);
+}
+
 static void on_advice(void *user)
 {
 	director_schedule_pass(user, 0);
@@ -101,6 +126,7 @@
 	ctr_finish(&director->lapsed);
 	ctr_finish(&director->banned);
 	ctr_finish(&director->unheld);
+	ctr_finish(&director->evacuated_runs);
 	ctr_finish(&director->waiting);
 	ctr_finish(&director->running);
 	g_free(director);
@@ -146,6 +172,9 @@
 		 "Bans of workers where different jobs failed");
 	ctr_init(&director->unheld, set, CTR_GAUGE, "chivebank_unheld", NULL,
 		 "Runs listed by workers that no task held");
+	ctr_init(&director->evacuated_runs, set, CTR_GAUGE,
+		 "chivebank_evacuated_runs", NULL,
+		 "Runs in progress in evacuated data centres");
 	ctr_init(&director->waiting, set, CTR_GAUGE, "chivebank_jobs_waiting",
 		 NULL, "Jobs that have not started");
 	ctr_init(&director->running, set, CTR_GAUGE, "chivebank_jobs_running",
--- a/control/director.h
+++ b/control/director.h
@@ -72,6 +72,7 @@
 	struct ctr lapsed;
 	struct ctr banned;
 	struct ctr unheld;
+	struct ctr evacuated_runs;
 	struct ctr waiting;
 	struct ctr running;
 };
@@ -86,6 +87,11 @@
  */
 void director_handle_operator_key(struct director *director,
 				  const struct kv_item *item);
+/* The operators have evacuated a data centre, or have taken that back. */
+void director_handle_evacuation(struct director *director, const char *dc,
+				bool evacuated);
+/* The operators' keys have been read, so that starts may go on. */
+void director_handle_synced(struct director *director);
 /* Applies the current configuration if this host leads. */
 void director_apply_config(struct director *director);
 
--- a/control/director_int.h
+++ b/control/director_int.h
@@ -31,6 +31,8 @@
 
 /* Unix time in milliseconds. */
 int64_t director_wall_ms(void);
+/* Gives the fleet the bounds of the settings. */
+void director_apply_bounds(struct director *director);
 /* Schedules a pass after at most delay_us. */
 void director_schedule_pass(struct director *director, int64_t delay_us);
 /*
--- a/control/director_pass.c
+++ b/control/director_pass.c
@@ -2,6 +2,7 @@
 
 #include "base/log.h"
 #include "control/record.h"
+#include "fleet/evacuation.h"
 #include "fleet/evict.h"
 #include "fleet/limits.h"
 #include "fleet/plan.h"
@@ -103,6 +104,8 @@
 	ctr_gauge(&director->lapsed, director->fleet.lapsed);
 	ctr_gauge(&director->banned, director->fleet.banned);
 	ctr_gauge(&director->unheld, director->fleet.unheld);
+	ctr_gauge(&director->evacuated_runs,
+		  (uint64_t)evacuation_all_runs(&director->fleet));
 }
 
 /*
@@ -130,11 +133,13 @@
 	ctr_add(&director->passes, 1);
 	fleet_open_due(&director->fleet, now_us, director_wall_ms());
 	fleet_expire(&director->fleet, now_us);
+	evacuation_pass(&director->fleet, now_us);
 	if (director->configuration->current &&
 	    !store_stalled(director, now_us)) {
 		evict_pass(&director->fleet, now_us);
 		throttle_pass(&director->fleet, now_us);
-		plan_pass(&director->fleet, now_us);
+		if (configuration_allows_starts(director->configuration))
+			plan_pass(&director->fleet, now_us);
 	}
 	advisor_run(&director->advisor, now_us);
 	maintenance_run(&director->maintenance, leader_valid(&director->leader),
@@ -219,10 +224,19 @@
 	       leader_valid(&director->leader);
 }
 
+static bool may_start(struct orders *orders)
+{
+	struct director *director =
+		container_of(orders, struct director, orders);
+
+	return configuration_allows_starts(director->configuration);
+}
+
 const struct orders_ops director_orders_ops = {
 	.changed = on_orders_changed,
 	.fenced = on_fenced,
 	.may_send = may_send,
+	.may_start = may_start,
 };
 
 static void on_stored(struct ledger *ledger)
--- a/control/orders.c
+++ b/control/orders.c
@@ -3,6 +3,7 @@
 #include <string.h>
 
 #include "base/limits.h"
+#include "fleet/evacuation.h"
 #include "fleet/limits.h"
 #include "fleet/orphan.h"
 #include "fleet/throttle.h"
@@ -302,9 +303,14 @@
 {
 	uint64_t stored = fleet_stored_change(orders->fleet);
 
+	/* The request may have been read after the pass that planned the run. */
+	if (evacuation_stop(orders->fleet, task, now_us)) {
+		*next_us = now_us;
+		return false;
+	}
 	switch (task->phase) {
 	case TASK_PLANNED:
-		if (task->change > stored)
+		if (task->change > stored || !orders->ops->may_start(orders))
 			return true;
 		task->phase = TASK_STARTING;
 		send_start(orders, task, now_us);
@@ -345,7 +351,8 @@
 		return false;
 	}
 	if (task->phase == TASK_STARTING) {
-		send_start(orders, task, now_us);
+		if (orders->ops->may_start(orders))
+			send_start(orders, task, now_us);
 		return true;
 	}
 	task->stop_sent = true;
--- a/control/orders.h
+++ b/control/orders.h
@@ -20,6 +20,8 @@
 	void (*fenced)(struct orders *orders, int64_t fence);
 	/* Whether this host may send orders now. */
 	bool (*may_send)(struct orders *orders);
+	/* Whether it may start tasks now; asked before each start. */
+	bool (*may_start)(struct orders *orders);
 };
 
 struct orders {
--- a/control/platform_adapter.h
+++ b/control/platform_adapter.h
@@ -26,6 +26,10 @@
 	 */
 	struct wave *(*read_wave)(const char *key, const char *value,
 				  size_t len, int64_t now_us);
+	/* Of the requests to evacuate a data centre, followed by its name. */
+	const char *evacuations_prefix;
+	/* Whether the value is that of a valid request. */
+	bool (*read_evacuation)(const char *value, size_t len);
 	const char *wave_status_prefix; /* followed by the wave's number */
 	char *(*write_wave_status)(bool done);
 	/* Returns whether the status says that the wave is done. */
--- a/control/site.h
+++ b/control/site.h
@@ -40,6 +40,8 @@
 	struct fleet_bounds bounds;
 };
 
+/* Whether the settings list the data centre. */
+bool site_has_dc(const struct site *site, const char *dc);
 /*
  * Capacity of a host as leader, in percent of the cores and bandwidth that a
  * leader needs; at most 100.
--- a/control/takeover.c
+++ b/control/takeover.c
@@ -141,6 +141,7 @@
 	g_hash_table_remove_all(director->cancelled);
 	g_ptr_array_set_size(director->states, 0);
 	director->ready = false;
+	ctr_gauge(&director->evacuated_runs, 0);
 	director->workers_read = false;
 	director->intake_read = false;
 	director->states_read = false;
@@ -250,7 +251,7 @@
 	director->elected_us = kn_now_us();
 	director->fleet_active = true;
 	fleet_init(&director->fleet, &director_fleet_ops, director);
-	director->fleet.bounds = director->site->bounds;
+	director_apply_bounds(director);
 	request_release(director);
 	ledger_open(&director->ledger, &director->fleet, leader->fence);
 	orders_open(&director->orders, &director->fleet, leader->fence);
--- a/fleet/advice.c
+++ b/fleet/advice.c
@@ -2,6 +2,7 @@
 
 #include <string.h>
 
+#include "fleet/evacuation.h"
 #include "fleet/placement.h"
 
 /* Minimum time between two questions about a step, so that the answer to the
@@ -92,7 +93,8 @@
  * worker has free resources, or for a job of the highest priority, for which
  * other tasks may be preempted.
  */
-static enum interest worker_interest(const struct stage *stage,
+static enum interest worker_interest(const struct fleet *fleet,
+				     const struct stage *stage,
 				     const struct worker *worker,
 				     int64_t now_us)
 {
@@ -100,6 +102,7 @@
 	struct room room = worker_free_room(worker);
 
 	if (!worker->listed || worker->replaced || worker->reported.draining ||
+	    evacuation_of_worker(fleet, worker) ||
 	    strcmp(worker->reported.pool, stage->job->pool) != 0 ||
 	    (stage->spec->label &&
 	     !worker_has_label(worker, stage->spec->label)) ||
@@ -122,7 +125,7 @@
 	list_for_each_entry(worker, &fleet->workers, node) {
 		if (workers->len >= ADVICE_WORKERS_MAX)
 			return;
-		if (worker_interest(stage, worker, now_us) == wanted)
+		if (worker_interest(fleet, stage, worker, now_us) == wanted)
 			g_ptr_array_add(workers, worker);
 	}
 }
--- /dev/null
+++ b/fleet/evacuation.c
@@ -0,0 +1,153 @@
+#include "fleet/evacuation.h"
+
+#include "fleet/fleet_int.h"
+
+void evacuation_init(struct evacuation *evacuation)
+{
+	evacuation->since =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+}
+
+void evacuation_finish(struct evacuation *evacuation)
+{
+	g_hash_table_unref(evacuation->since);
+}
+
+bool evacuation_begin(struct evacuation *evacuation, const char *dc,
+		      int64_t now_us)
+{
+	int64_t *since_us;
+
+	if (g_hash_table_contains(evacuation->since, dc))
+		return false;
+	since_us = g_new(int64_t, 1);
+	*since_us = now_us;
+	g_hash_table_insert(evacuation->since, g_strdup(dc), since_us);
+	return true;
+}
+
+bool evacuation_end(struct evacuation *evacuation, const char *dc)
+{
+	return g_hash_table_remove(evacuation->since, dc);
+}
+
+unsigned int evacuation_count(const struct evacuation *evacuation)
+{
+	return g_hash_table_size(evacuation->since);
+}
+
+bool evacuation_in_force(const struct fleet *fleet)
+{
+	return fleet->evacuation && evacuation_count(fleet->evacuation) > 0;
+}
+
+/* When the request to evacuate the data centre was read; NULL: there is none. */
+static const int64_t *requested_us(const struct fleet *fleet, const char *dc)
+{
+	if (!fleet->evacuation || !dc)
+		return NULL;
+	return g_hash_table_lookup(fleet->evacuation->since, dc);
+}
+
+bool evacuation_of_dc(const struct fleet *fleet, const char *dc)
+{
+	return requested_us(fleet, dc) != NULL;
+}
+
+bool evacuation_of_worker(const struct fleet *fleet,
+			  const struct worker *worker)
+{
+	return evacuation_of_dc(fleet, worker->reported.dc);
+}
+
+/* Runs at the worker, without those of which no start has been sent. */
+static int64_t runs_at(const struct worker *worker)
+{
+	const struct task *task;
+	int64_t runs = 0;
+
+	list_for_each_entry(task, &worker->tasks, on_worker)
+		runs += task->phase != TASK_PLANNED;
+	return runs;
+}
+
+int64_t evacuation_runs(const struct fleet *fleet, const char *dc)
+{
+	const struct worker *worker;
+	int64_t runs = 0;
+
+	list_for_each_entry(worker, &fleet->workers, node)
+		if (g_strcmp0(worker->reported.dc, dc) == 0)
+			runs += runs_at(worker);
+	return runs;
+}
+
+int64_t evacuation_all_runs(const struct fleet *fleet)
+{
+	const struct worker *worker;
+	int64_t runs = 0;
+
+	list_for_each_entry(worker, &fleet->workers, node)
+		if (evacuation_of_worker(fleet, worker))
+			runs += runs_at(worker);
+	return runs;
+}
+
+/*
+ * Why the run must not be started at its worker, or NULL. A start without an
+ * answer is repeated for half of evac_ms, as the run may be there already and
+ * its gang wait for it. The other half is left for a stop to reach the worker,
+ * which refuses a late start of the run from then on. A run that was read from
+ * the store is not started by this leader, and may be in progress.
+ */
+static const char *objection(const struct fleet *fleet, const struct task *task,
+			     int64_t now_us)
+{
+	const int64_t *since_us;
+
+	if (task->phase != TASK_PLANNED &&
+	    (task->phase != TASK_STARTING || task->calling))
+		return NULL;
+	since_us = requested_us(fleet, task->worker->reported.dc);
+	if (!since_us)
+		return NULL;
+	if (task->phase == TASK_PLANNED)
+		return "its data centre is evacuated";
+	if (!task->unconfirmed)
+		return "its data centre is evacuated, and the start failed";
+	if (task->tries > 0 &&
+	    now_us - *since_us >= fleet->bounds.evac_ms * 1000 / 2)
+		return "its data centre is evacuated, and the start was not "
+		       "answered";
+	return NULL;
+}
+
+bool evacuation_stop(struct fleet *fleet, struct task *task, int64_t now_us)
+{
+	const char *why = objection(fleet, task, now_us);
+
+	if (!why)
+		return false;
+	/* A run that is stopped has a line of its own. */
+	if (task->phase == TASK_PLANNED)
+		fleet_note(fleet, "task.dropped", task->stage->job, task, why);
+	fleet_stop(fleet, task, why);
+	return true;
+}
+
+void evacuation_pass(struct fleet *fleet, int64_t now_us)
+{
+	struct worker *worker;
+
+	list_for_each_entry(worker, &fleet->workers, node) {
+		struct task *task, *next;
+
+		if (!evacuation_of_worker(fleet, worker))
+			continue;
+		list_for_each_entry_safe(task, next, &worker->tasks, on_worker)
+			/* Members of its gang may be gone: scan again. */
+			if (evacuation_stop(fleet, task, now_us))
+				next = list_first_entry(&worker->tasks,
+							struct task, on_worker);
+	}
+}
--- a/fleet/fleet.h
+++ b/fleet/fleet.h
@@ -74,6 +74,9 @@
 	int64_t status_ms;
 	int64_t save_ms;
 	int64_t restore_ms;
+	/* From an operator's request to evacuate a data centre on, after which
+	 * no run may begin there; 0: data centres are not evacuated. */
+	int64_t evac_ms;
 };
 
 /* Measured durations of the tasks of a queue. */
@@ -107,11 +110,15 @@
 	void (*lost)(void *user, const struct worker *worker, int64_t now_us);
 };
 
+struct evacuation;
+
 struct fleet {
 	const struct fleet_ops *ops;
 	void *user;
 	struct fleet_bounds bounds;
 	const struct config *config; /* borrowed */
+	/* See fleet/evacuation.h; borrowed, NULL: there are no evacuations. */
+	const struct evacuation *evacuation;
 	struct list_head jobs;
 	GHashTable *jobs_by_id;
 	struct list_head workers;
--- a/fleet/lending.c
+++ b/fleet/lending.c
@@ -2,6 +2,7 @@
 
 #include <string.h>
 
+#include "fleet/evacuation.h"
 #include "fleet/placement.h"
 #include "fleet/upkeep.h"
 
@@ -99,9 +100,23 @@
 	return NULL;
 }
 
+/* The worker of such a host gets no tasks, also after a move. */
+static bool is_evacuated(const struct fleet *fleet,
+			 const struct machine *machine)
+{
+	const struct worker *worker =
+		machine->worker ? g_hash_table_lookup(fleet->workers_by_id,
+						      machine->worker) :
+				  NULL;
+
+	return evacuation_of_dc(fleet, machine->dc) ||
+	       (worker && evacuation_of_worker(fleet, worker));
+}
+
 /* Tasks of the stage that fit on the hosts already requested for its pool. */
 static int requested_slots(const struct lending *lending,
-			   const GPtrArray *machines, const struct stage *stage)
+			   const struct fleet *fleet, const GPtrArray *machines,
+			   const struct stage *stage)
 {
 	const struct loan *loan;
 	int slots = 0;
@@ -111,6 +126,7 @@
 			upkeep_find_machine(machines, loan->host);
 
 		if (loan->state == LOAN_REQUESTED && machine &&
+		    !is_evacuated(fleet, machine) &&
 		    strcmp(loan->pool, stage->job->pool) == 0)
 			slots += placement_slots(&machine->room, stage,
 						 stage->spec->count);
@@ -131,6 +147,7 @@
 
 		if (machine->changing || !is_spare_pool(fleet, machine->pool) ||
 		    find_loan(lending, machine->name) ||
+		    is_evacuated(fleet, machine) ||
 		    !room_fits(&machine->room, &stage->spec->need))
 			continue;
 		loan = g_new0(struct loan, 1);
@@ -166,7 +183,9 @@
 		worker->cordoned = false;
 		loan->cordoned = false;
 	}
-	if (worker->task_count > 0 || overdue_stage(fleet, loan->pool, now_us))
+	if (worker->task_count > 0 ||
+	    (!is_evacuated(fleet, machine) &&
+	     overdue_stage(fleet, loan->pool, now_us)))
 		loan->idle_us = 0;
 	else if (loan->idle_us == 0)
 		loan->idle_us = now_us;
@@ -218,7 +237,7 @@
 		*pool = loan->home;
 		return loan;
 	}
-	if (!stage || requested_slots(lending, machines, stage) >=
+	if (!stage || requested_slots(lending, fleet, machines, stage) >=
 			      overdue_tasks(stage, now_us))
 		return NULL;
 	loan = lend_host(lending, fleet, machines, stage, now_us);
--- a/fleet/placement_view.c
+++ b/fleet/placement_view.c
@@ -2,6 +2,7 @@
 
 #include <string.h>
 
+#include "fleet/evacuation.h"
 #include "fleet/evict.h"
 #include "fleet/limits.h"
 #include "fleet/order.h"
@@ -58,12 +59,14 @@
 	return rack;
 }
 
-static bool is_usable(const struct worker *worker, int64_t now_us)
+static bool is_usable(const struct fleet *fleet, const struct worker *worker,
+		      int64_t now_us)
 {
 	return worker->listed && !worker->replaced &&
 	       !worker->reported.draining && !worker->cordoned &&
 	       worker->unanswered_calls < UNANSWERED_CALLS_MAX &&
-	       worker_reachable(worker, now_us);
+	       worker_reachable(worker, now_us) &&
+	       !evacuation_of_worker(fleet, worker);
 }
 
 /*
@@ -76,7 +79,7 @@
 	int all = 0, banned = 0;
 
 	list_for_each_entry(worker, &fleet->workers, node) {
-		if (!is_usable(worker, now_us))
+		if (!is_usable(fleet, worker, now_us))
 			continue;
 		all++;
 		banned += worker->banned_until_us > now_us;
@@ -96,7 +99,7 @@
 		const char *rack = worker->reported.rack;
 		struct pool_view *view;
 
-		if (!is_usable(worker, p->now_us) ||
+		if (!is_usable(p->fleet, worker, p->now_us) ||
 		    (!banned_too && worker->banned_until_us > p->now_us) ||
 		    evict_worker_suspect(p->fleet, worker, p->now_us))
 			continue;
--- a/fleet/reclaim.c
+++ b/fleet/reclaim.c
@@ -3,6 +3,7 @@
 #include <stdlib.h>
 #include <string.h>
 
+#include "fleet/evacuation.h"
 #include "fleet/evict.h"
 #include "fleet/long_running.h"
 #include "fleet/order.h"
@@ -345,6 +346,26 @@
 	return true;
 }
 
+/*
+ * Whether the reservation counts on a worker that may be in an evacuated data
+ * centre. Other workers have to be freed then, and the time for a reclaim does
+ * not allow to wait until the reservation expires. The worker may be gone, so
+ * that only its place in the view tells.
+ */
+static bool reservation_evacuated(const struct placement *p,
+				  const struct pool_view *view,
+				  const struct stage *stage)
+{
+	struct worker **at;
+
+	if (!evacuation_in_force(p->fleet))
+		return false;
+	for (at = stage->reserved; *at; at++)
+		if (!g_ptr_array_find(view->workers, *at, NULL))
+			return true;
+	return false;
+}
+
 void reclaim_renew_reservation(struct placement *p, struct stage *stage)
 {
 	struct pool_view *view = placement_workers_for(p, stage);
@@ -354,6 +375,7 @@
 		return;
 	if (stage->left == 0 || job_ended(stage->job) || !view ||
 	    count_waiting(stage) == 0 ||
+	    reservation_evacuated(p, view, stage) ||
 	    p->now_us - stage->reserved_us >
 		    (p->fleet->bounds.stop_ms + RECLAIM_RESERVATION_SLACK_MS) *
 			    1000) {
--- a/fleet/upkeep.c
+++ b/fleet/upkeep.c
@@ -26,6 +26,7 @@
 	g_free(machine->name);
 	g_free(machine->pool);
 	g_free(machine->worker);
+	g_free(machine->dc);
 	g_free(machine);
 }
 
--- a/fleet/upkeep.h
+++ b/fleet/upkeep.h
@@ -14,6 +14,7 @@
 	char *name;
 	char *pool;
 	char *worker; /* id of the worker on the host, or NULL */
+	char *dc; /* or NULL */
 	bool up;
 	bool changing; /* being moved to another pool, or in upkeep */
 	struct room room; /* all 0 if the list does not give it */
--- a/tests/unit/test_decode.c
+++ b/tests/unit/test_decode.c
@@ -147,6 +147,54 @@
 }
 END_TEST
 
+START_TEST(evacuations)
+{
+	static const char *const odd[] = { "", "{", "[]", "1", "null", "x" };
+	size_t i;
+
+	ck_assert(platform_evacuation_read("{}", 2));
+	ck_assert(platform_evacuation_read("{\"why\":\"power\"}", 15));
+	for (i = 0; i < G_N_ELEMENTS(odd); i++)
+		ck_assert_msg(!platform_evacuation_read(odd[i], strlen(odd[i])),
+			      "value %s", odd[i]);
+}
+END_TEST
+
+/* Guards against absurd times, which would overflow or stop all work. */
+START_TEST(bound_of_evacuations)
+{
+	static const struct {
+		const char *field;
+		int64_t evac_ms;
+	} cases[] = {
+		{ "", 0 },
+		{ "\"evac_ms\":5000", 5000 },
+		{ "\"evac_ms\":0", 0 },
+		{ "\"evac_ms\":-5", 0 },
+		{ "\"evac_ms\":1e300", 0 },
+		{ "\"evac_ms\":9223372036854775807", 0 },
+		{ "\"evac_ms\":\"soon\"", 0 },
+	};
+	struct site site;
+	size_t i;
+
+	for (i = 0; i < G_N_ELEMENTS(cases); i++) {
+		char *text = g_strdup_printf(
+			"{\"node\":\"n\",\"zone\":\"z\",\"region\":\"r\","
+			"\"platform\":{\"addr\":\"10.0.0.3:8\"},"
+			"\"zones\":{\"y\":\"r\"},\"bounds\":{%s}}",
+			cases[i].field);
+
+		ck_assert(platform_settings_parse(&site, text, strlen(text),
+						  NULL));
+		ck_assert_int_eq(site.bounds.evac_ms, cases[i].evac_ms);
+		g_free(text);
+	}
+	ck_assert(site_has_dc(&site, "z") && site_has_dc(&site, "y"));
+	ck_assert(!site_has_dc(&site, "") && !site_has_dc(&site, "x"));
+}
+END_TEST
+
 START_TEST(settings)
 {
 	static const char good[] =
@@ -298,6 +346,8 @@
 	tcase_add_test(tc, worker_reports);
 	tcase_add_test(tc, submissions);
 	tcase_add_test(tc, upkeep_waves);
+	tcase_add_test(tc, evacuations);
+	tcase_add_test(tc, bound_of_evacuations);
 	tcase_add_test(tc, settings);
 	tcase_add_test(tc, host_lists_rotate);
 	return run_case("decode", tc);
--- a/tests/unit/test_lending.c
+++ b/tests/unit/test_lending.c
@@ -1,6 +1,7 @@
 #include <stdio.h>
 #include <string.h>
 
+#include "fleet/evacuation.h"
 #include "fleet/lending.h"
 #include "fleet/plan.h"
 #include "fleet/upkeep.h"
@@ -199,6 +200,41 @@
 }
 END_TEST
 
+/* The worker of an evacuated host would get no tasks. */
+START_TEST(host_in_an_evacuated_data_centre_is_not_lent)
+{
+	struct evacuation evacuation;
+	const char *pool;
+	struct loan *loan;
+	int64_t now_us = NOW + SEC;
+
+	evacuation_init(&evacuation);
+	fleet.evacuation = &evacuation;
+	((struct machine *)g_ptr_array_index(machines, 1))->dc = g_strdup("d2");
+	add_waiting_tasks(30);
+	evacuation_begin(&evacuation, "d2", NOW);
+	loan = lending_next_move(&lending, &fleet, machines, now_us, &pool);
+	ck_assert_str_eq(loan->host, "m2");
+	ck_assert_ptr_null(
+		lending_next_move(&lending, &fleet, machines, now_us, &pool));
+	ck_assert(evacuation_end(&evacuation, "d2"));
+	loan = lending_next_move(&lending, &fleet, machines, now_us, &pool);
+	ck_assert_str_eq(loan->host, "m1");
+	/* A lent one goes back, although tasks wait for room. */
+	add_lent_worker(1);
+	evacuation_begin(&evacuation, "d1", NOW);
+	ck_assert_ptr_null(
+		lending_next_move(&lending, &fleet, machines, now_us, &pool));
+	now_us += 16 * SEC;
+	ck_assert_ptr_eq(
+		lending_next_move(&lending, &fleet, machines, now_us, &pool),
+		loan);
+	ck_assert_str_eq(pool, SPARE);
+	evacuation_finish(&evacuation);
+	fleet.evacuation = NULL;
+}
+END_TEST
+
 int main(void)
 {
 	TCase *tc = tcase_create("lending");
@@ -210,5 +246,6 @@
 	tcase_add_test(tc, idle_host_is_returned);
 	tcase_add_test(tc, lost_move_is_requested_again);
 	tcase_add_test(tc, refused_host_is_retried_later);
+	tcase_add_test(tc, host_in_an_evacuated_data_centre_is_not_lent);
 	return run_case("lending", tc);
 }
