Apply an order of a mode before the stand-in answers it

The scenario graceful_stop failed now and then: "status of the hanging request: got 200, want 504". The stand-in for backend servers answered an order of a mode at once and applied it by a timer, 1 to 2 ms later; the request of the scenario came in between and was served.

be_server_mode() now changes the mode before it returns, and control() answers after it, so that the order of events of one loop decides. Only a port that another process has for a moment is still taken later. The port that an order came over can't close before its answer, so "refuse" is ordered over the control port only; nothing orders it otherwise.

--- a/tests/standins/be_server.c
+++ b/tests/standins/be_server.c
@@ -257,6 +257,9 @@
 			&delay_ms) < 0)
 		name = "";
 	mode = be_mode_parse(name);
+	/* The port that the order came over can't close before its answer. */
+	if (mode == BE_REFUSE && req->server == &be->service)
+		mode = -1;
 	if (mode >= 0)
 		be_server_mode(be, (enum be_mode)mode, delay_ms);
 	json_decref(root);
@@ -335,24 +338,26 @@
 			kn_timer_set(be->kn, &job->timer, 0, job_timer);
 }
 
-static void apply_mode(struct kn_timer *timer)
+/* Another process may have the port for a moment. */
+static void reopen_service(struct kn_timer *timer)
 {
-	struct be_server *be = container_of(timer, struct be_server, change);
+	struct be_server *be = container_of(timer, struct be_server, reopen);
 
-	be->mode = be->next_mode;
-	if (be->mode == BE_REFUSE)
-		unlisten_service(be);
-	else if (!listen_service(be, NULL))
-		kn_timer_set(be->kn, timer, 10 * USEC_PER_MSEC, apply_mode);
-	if (be->mode != BE_HANG)
-		end_hanging(be);
+	if (!listen_service(be, NULL))
+		kn_timer_set(be->kn, timer, 10 * USEC_PER_MSEC, reopen_service);
 }
 
 void be_server_mode(struct be_server *be, enum be_mode mode, int delay_ms)
 {
-	be->next_mode = mode;
+	be->mode = mode;
 	be->delay_us = delay_ms * USEC_PER_MSEC;
-	kn_timer_set(be->kn, &be->change, 0, apply_mode);
+	kn_timer_cancel(&be->reopen);
+	if (mode == BE_REFUSE)
+		unlisten_service(be);
+	else
+		reopen_service(&be->reopen);
+	if (mode != BE_HANG)
+		end_hanging(be);
 }
 
 bool be_server_init(struct be_server *be, struct kn *kn,
@@ -374,7 +379,7 @@
 
 void be_server_finish(struct be_server *be)
 {
-	kn_timer_cancel(&be->change);
+	kn_timer_cancel(&be->reopen);
 	unlisten_service(be);
 	hs_finish(&be->control);
 	free_jobs(&be->waiting);
--- a/tests/standins/be_server.h
+++ b/tests/standins/be_server.h
@@ -9,7 +9,7 @@
  * Stand-in for a backend server. The service port answers any request with
  * "<method> <target> <XXH64 of the body>\n", padded to reply_bytes. GET
  * /ledger, GET /ledger?summary and POST /control are answered on both ports;
- * the control port stays open in the mode refuse.
+ * the control port stays open in the mode refuse, which is ordered there only.
  */
 
 enum be_mode {
@@ -49,14 +49,16 @@
 	struct list_head running;
 	unsigned int running_count;
 	struct be_ledger ledger;
-	struct kn_timer change; /* applies next_mode */
-	enum be_mode next_mode;
+	struct kn_timer reopen; /* tries again to listen */
 };
 
 bool be_server_init(struct be_server *be, struct kn *kn,
 		    const struct be_options *options, GError **err);
 void be_server_finish(struct be_server *be);
-/* Changes the mode once the loop runs again. */
+/*
+ * Changes the mode before it returns, so that a request sent after the answer
+ * to an order meets it. Not to be called while a request is received.
+ */
 void be_server_mode(struct be_server *be, enum be_mode mode, int delay_ms);
 int be_mode_parse(const char *name);
 json_t *be_server_ledger(struct be_server *be, bool entries);
