Judge gangs as of one moment, not by ledgers read in turn

The scenario gang_whole failed now and then: "went: accelerators committed: got 8, want 16". The check read the ledgers of the workers one after the other. A worker read early could commit, and one read late could go, before the reading ended, so a gang that kept the barrier looked as if it had not.

jobs:gangs() takes the time before it reads the first ledger and judges gangs as of then: later commits, starts and ends are left out. The ledgers are complete up to that time, as each process stamps an event before it can answer a later request, and all read the clock of one machine.

The check is as strict. A gang that went before the moment must have all its commits before it too, where the old check took later ones; what comes after the moment is judged at the next reading. The checks of one worker's ledger (second start, epochs) still see all of it.

--- a/tests/scenarios/lib/jobs.lua
+++ b/tests/scenarios/lib/jobs.lua
@@ -161,15 +161,28 @@
 	check(last_barrier <= first_go, token .. " went before the last commit")
 end
 
+-- The entry as it was at a time before its ledger was read.
+local function entry_at(entry, at_us)
+	local e = {}
+	for key, value in pairs(entry) do e[key] = value end
+	for _, key in ipairs{"barrier_us", "go_us", "end_us"} do
+		if e[key] > at_us then e[key] = 0 end
+	end
+	return e
+end
+
 -- Merges the ledgers: token -> {job, members that went, running and done
 -- accelerators, partial_ms, last_go_us}. Checks that no token went twice on
 -- a worker, and that each worker reserved and went under the epoch of the
 -- token only, never under an older epoch after a newer one.
+-- The ledgers are read one after the other while gangs start and end, so
+-- gangs are judged as of the time before the first of them was read. All
+-- processes stamp with the clock of the machine, and a worker shows in its
+-- ledger all that it has stamped before it was asked.
 function jobs:gangs()
 	local gangs, seen, newest = {}, {}, {}
-	local entries = self:entries()
-	local now_us = now_ms() * 1000
-	for _, e in ipairs(entries) do
+	local at_us = now_ms() * 1000
+	for _, e in ipairs(self:entries()) do
 		local epoch, job = e.token:match("^(%d+)%.(.+)%.%d+$")
 		local text = " of " .. e.token .. " on " .. e.worker
 		check(not (e.go_us > 0 and seen[e.worker .. e.token]),
@@ -181,23 +194,26 @@
 				"older epoch after a newer one" .. text)
 			newest[e.worker] = e.epoch
 		end
+		if e.go_us > 0 then
+			check_eq(e.go_epoch, tonumber(epoch), "go" .. text)
+		end
+		e = entry_at(e, at_us)
 		local gang = gangs[e.token] or {job = job, members = {},
 			entries = {}, done = 0, last_go_us = 0}
 		gangs[e.token] = gang
 		gang.entries[#gang.entries + 1] = e
 		if e.go_us > 0 then
-			check_eq(e.go_epoch, tonumber(epoch), "go" .. text)
 			gang.members[#gang.members + 1] = e
 			gang.last_go_us = math.max(gang.last_go_us, e.go_us)
-			gang.done = gang.done +
-				(e.state == "done" and e.accelerators or 0)
+			gang.done = gang.done + (e.end_us > 0 and
+				e.state == "done" and e.accelerators or 0)
 		end
 	end
 	for token, gang in pairs(gangs) do
 		local size = self.accepted[gang.job]
 		check(size, "token of an unknown job " .. token)
 		check_barrier(token, gang.entries, size)
-		gang.partial_ms = partial_ms(gang, size, now_us)
+		gang.partial_ms = partial_ms(gang, size, at_us)
 		check(gang.partial_ms <= jobs.LEASE_MS, token ..
 			" ran partially for " .. gang.partial_ms .. " ms")
 	end
