Let bans yield where the only other room is full

A long-running task stood still for 15 s, where 9 s are allowed, while a sound worker was idle: the worker was banned after two jobs that can never be done, and the only other one with the label was full. Bans were ignored only if all workers with the label were banned, or a third of all.

Any job whose only room is on banned workers waited like that. They are now avoided rather than left out: a stage may use them once the others have no room for it and it has waited for 3 s (long-running, so that room is reclaimed from other work first), or for 2 s if its job would be lost otherwise: nothing of it runs and most of the room is free. It does not if a run of it failed on a banned worker, as its attempts would be used up there. A pool without any other worker is treated like a label without one. While most of the room is in use, bans hold as before for the queue.

placement_workers_for() decides, so choice, reservation and reclaim agree. Its cost is nothing while no worker is banned.

--- a/fleet/long_running.c
+++ b/fleet/long_running.c
@@ -6,6 +6,8 @@
  * of one order.
  */
 #define LONG_RUNNING_WAIT_MAX_MS 2000
+/* By then runs that were stopped to make room have ended. */
+#define LONG_RUNNING_AVOID_MAX_MS 3000
 /* Time to become ready after the start; the platform allows 6 s for it. */
 #define LONG_RUNNING_STARTUP_MS 6000
 #define LONG_RUNNING_READY_PERCENT 100
@@ -20,11 +22,20 @@
 	return false;
 }
 
-bool long_running_overdue(const struct stage *stage, int64_t now_us)
+static bool has_waited(const struct stage *stage, int64_t ms, int64_t now_us)
 {
 	return stage->spec->long_running && stage->unplaced_since_us != 0 &&
-	       now_us - stage->unplaced_since_us >=
-		       LONG_RUNNING_WAIT_MAX_MS * 1000;
+	       now_us - stage->unplaced_since_us >= ms * 1000;
+}
+
+bool long_running_overdue(const struct stage *stage, int64_t now_us)
+{
+	return has_waited(stage, LONG_RUNNING_WAIT_MAX_MS, now_us);
+}
+
+bool long_running_takes_any(const struct stage *stage, int64_t now_us)
+{
+	return has_waited(stage, LONG_RUNNING_AVOID_MAX_MS, now_us);
 }
 
 bool long_running_stalled(const struct task *task, int64_t now_us)
--- a/fleet/long_running.h
+++ b/fleet/long_running.h
@@ -12,6 +12,8 @@
 bool long_running_job(const struct job *job);
 /* Whether a task of the stage has been without a worker for too long. */
 bool long_running_overdue(const struct stage *stage, int64_t now_us);
+/* Whether it may also go to workers that other work keeps away from. */
+bool long_running_takes_any(const struct stage *stage, int64_t now_us);
 /* Whether a started run has not become ready in time. */
 bool long_running_stalled(const struct task *task, int64_t now_us);
 /* Whether a failure of the run says nothing about the worker's health. */
--- a/fleet/placement.c
+++ b/fleet/placement.c
@@ -173,6 +173,12 @@
 	       has_room_twice(p, view->workers, stage);
 }
 
+bool placement_wait_over(const struct placement *p, struct pool_view *view,
+			 const struct stage *stage)
+{
+	return wait_over(p, view, stage);
+}
+
 /* Score of a worker that can take no task of the stage. */
 #define NO_ROOM G_MAXDOUBLE
 
--- a/fleet/placement.h
+++ b/fleet/placement.h
@@ -14,8 +14,9 @@
 	struct fleet *fleet;
 	int64_t now_us;
 	GHashTable *pools; /* name -> struct pool_view */
-	/* The same with the banned workers; NULL until it is needed. */
-	GHashTable *pools_banned_too;
+	/* The same with those that are avoided; NULL until it is needed. */
+	GHashTable *pools_avoided_too;
+	bool avoided; /* there are such workers */
 	/* Scores of the workers of a pool for the stage placed last. */
 	const struct stage *scored; /* NULL: none */
 	bool scored_reserved; /* the scores count reserved room as free */
@@ -41,8 +42,9 @@
 void placement_init(struct placement *p, struct fleet *fleet, int64_t now_us);
 void placement_finish(struct placement *p);
 /*
- * Returns the workers of the stage's pool, NULL if there are none. Banned ones
- * are among them only if no other has the stage's label.
+ * Returns the workers of the stage's pool, NULL if there are none. Banned
+ * ones, which are avoided, are among them only if no other has the stage's
+ * label, or if the stage may wait no longer for the others to have room.
  */
 struct pool_view *placement_workers_for(struct placement *p,
 					const struct stage *stage);
--- a/fleet/placement_view.c
+++ b/fleet/placement_view.c
@@ -4,6 +4,7 @@
 
 #include "fleet/evict.h"
 #include "fleet/limits.h"
+#include "fleet/long_running.h"
 #include "fleet/order.h"
 
 /* A task that no worker of the pool had room for. */
@@ -84,8 +85,8 @@
 	return banned > all * BANNED_SHARE_MAX;
 }
 
-/* Returns the views of all pools, with or without the banned workers. */
-static GHashTable *view_pools(const struct placement *p, bool banned_too)
+/* Returns the views of all pools, with or without the workers to avoid. */
+static GHashTable *view_pools(struct placement *p, bool avoid_banned)
 {
 	GHashTable *pools =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
@@ -97,9 +98,12 @@
 		struct pool_view *view;
 
 		if (!is_usable(worker, p->now_us) ||
-		    (!banned_too && worker->banned_until_us > p->now_us) ||
 		    evict_worker_suspect(p->fleet, worker, p->now_us))
 			continue;
+		if (avoid_banned && worker->banned_until_us > p->now_us) {
+			p->avoided = true;
+			continue;
+		}
 		view = get_pool_view(pools, worker->reported.pool);
 		g_ptr_array_add(view->workers, worker);
 		g_ptr_array_add(get_rack_view(view, rack ? rack : "")->workers,
@@ -121,41 +125,104 @@
 		worker->reserved_for = NULL;
 		worker->busy_until_us = 0;
 	}
-	p->pools = view_pools(p, ignore_bans(fleet, now_us));
-	p->pools_banned_too = NULL;
+	p->avoided = false;
+	p->pools = view_pools(p, !ignore_bans(fleet, now_us));
+	p->pools_avoided_too = NULL;
 }
 
 void placement_finish(struct placement *p)
 {
 	g_array_unref(p->scores);
 	g_hash_table_unref(p->pools);
-	if (p->pools_banned_too)
-		g_hash_table_unref(p->pools_banned_too);
+	if (p->pools_avoided_too)
+		g_hash_table_unref(p->pools_avoided_too);
+}
+
+static struct pool_view *all_workers(struct placement *p,
+				     const struct stage *stage)
+{
+	if (!p->pools_avoided_too)
+		p->pools_avoided_too = view_pools(p, false);
+	return g_hash_table_lookup(p->pools_avoided_too, stage->job->pool);
 }
 
+/* Whether a worker may run the stage, by its label. */
 static bool has_labelled_worker(const struct pool_view *view, const char *label)
 {
 	guint i;
 
 	for (i = 0; view && i < view->workers->len; i++)
-		if (worker_has_label(g_ptr_array_index(view->workers, i),
+		if (!label ||
+		    worker_has_label(g_ptr_array_index(view->workers, i),
 				     label))
 			return true;
 	return false;
 }
 
+/* Whether the workers have room for the next start of the stage. */
+static bool has_room(const struct placement *p, const struct pool_view *view,
+		     const struct stage *stage)
+{
+	int wanted = stage->spec->gang ? stage->spec->count : 1;
+	guint i;
+
+	for (i = 0; i < view->workers->len && wanted > 0; i++)
+		wanted -= placement_free_slots(
+			g_ptr_array_index(view->workers, i), stage, p->now_us);
+	return wanted <= 0;
+}
+
+/* Whether a run of the stage that ended last has failed on an avoided worker. */
+static bool failed_on_avoided(const struct placement *p,
+			      const struct stage *stage)
+{
+	const struct worker *worker;
+	int i;
+
+	/* The pointer to the worker of a failed run may dangle. */
+	list_for_each_entry(worker, &p->fleet->workers, node)
+		for (i = 0; worker->banned_until_us > p->now_us &&
+			    i < stage->spec->count;
+		     i++)
+			if (stage->tasks[i].failed_last &&
+			    stage->tasks[i].failed_at == worker)
+				return true;
+	return false;
+}
+
+/*
+ * Whether the stage has waited so long for room on other workers that it may go
+ * to those that are avoided. A long-running stage does so however much of the
+ * room is in use, but not before runs that were stopped for it have made room.
+ * Any other stage does so only where its job would be lost, and not if a run of
+ * it has failed on a banned worker, as its attempts would be used up there.
+ */
+static bool may_use_avoided(struct placement *p, const struct pool_view *view,
+			    const struct stage *stage)
+{
+	bool over;
+
+	if (!p->avoided || stage->reserved || stage->unplaced_since_us == 0 ||
+	    p->now_us - stage->unplaced_since_us < ROOM_WAIT_MAX_MS * 1000)
+		return false;
+	if (stage->spec->long_running)
+		over = long_running_takes_any(stage, p->now_us);
+	else
+		over = placement_wait_over(p, all_workers(p, stage), stage) &&
+		       !failed_on_avoided(p, stage);
+	return over && !has_room(p, view, stage);
+}
+
 struct pool_view *placement_workers_for(struct placement *p,
 					const struct stage *stage)
 {
-	const char *label = stage->spec->label;
 	struct pool_view *view =
 		g_hash_table_lookup(p->pools, stage->job->pool);
 
-	if (!label || has_labelled_worker(view, label))
-		return view;
-	if (!p->pools_banned_too)
-		p->pools_banned_too = view_pools(p, true);
-	return g_hash_table_lookup(p->pools_banned_too, stage->job->pool);
+	if (!has_labelled_worker(view, stage->spec->label) ||
+	    may_use_avoided(p, view, stage))
+		return all_workers(p, stage);
+	return view;
 }
 
 /* Pools without room. */
--- a/tests/unit/test_long_running.c
+++ b/tests/unit/test_long_running.c
@@ -189,6 +189,67 @@
 }
 END_TEST
 
+/* Two of three workers are full of work of its kind, the third one is banned. */
+static struct job *make_only_room_banned(const char *id, struct worker **banned)
+{
+	struct job *full = make_job(&fleet, "full", 1, 2, 8, 1000, NOW);
+	struct job *job;
+
+	make_worker(&fleet, "w0", "r", 8, NOW);
+	make_worker(&fleet, "w1", "r", 8, NOW);
+	full->spec.steps[0].long_running = true;
+	plan(NOW);
+	*banned = make_worker(&fleet, "w2", "r", 8, NOW);
+	(*banned)->banned_until_us = NOW + 16 * SEC;
+	job = make_job(&fleet, id, 1, 1, 4, 1000, NOW);
+	job->spec.steps[0].long_running = true;
+	return job;
+}
+
+/*
+ * Guards against a task that stands still for as long as a ban lasts, although
+ * the banned worker is sound and idle.
+ */
+START_TEST(banned_worker_is_used_when_the_others_are_full)
+{
+	struct worker *banned;
+	struct job *job = make_only_room_banned("serve", &banned);
+	int64_t now_us;
+
+	for (now_us = NOW; now_us < NOW + 5 * SEC; now_us += 100 * MSEC) {
+		mark_progress(now_us);
+		plan(now_us);
+	}
+	ck_assert_ptr_eq(first_occurrence_task(job, 0, 0)->worker, banned);
+}
+END_TEST
+
+/* Room that other work has to give up is preferred to a banned worker. */
+START_TEST(banned_worker_is_used_after_room_was_reclaimed)
+{
+	struct worker *banned;
+	struct job *serve;
+	int64_t now_us;
+
+	make_worker(&fleet, "w0", "r", 8, NOW);
+	make_worker(&fleet, "w1", "r", 8, NOW);
+	make_job(&fleet, "b", 1, 2, 8, 60000, NOW);
+	plan(NOW);
+	banned = make_worker(&fleet, "w2", "r", 8, NOW);
+	banned->banned_until_us = NOW + 16 * SEC;
+	serve = make_latency_job(&fleet, 1, 0, NOW);
+	for (now_us = NOW; now_us < NOW + 5 * SEC; now_us += 100 * MSEC) {
+		mark_progress(now_us);
+		plan(now_us);
+		if ((now_us - NOW) / (100 * MSEC) % 5 == 4)
+			end_stops(now_us);
+	}
+	ck_assert_uint_eq(fleet.preempted, 1);
+	ck_assert_ptr_nonnull(first_occurrence_task(serve, 0, 0)->worker);
+	ck_assert_int_eq(banned->task_count, 0);
+}
+END_TEST
+
 /* A worker may accept a task and never get it ready. */
 START_TEST(task_that_does_not_become_ready_moves)
 {
@@ -231,6 +292,8 @@
 	tcase_add_test(tc, failures_during_startup_ban_the_worker);
 	tcase_add_test(tc, lost_task_restarts_in_a_full_pool);
 	tcase_add_test(tc, guaranteed_work_is_not_preempted);
+	tcase_add_test(tc, banned_worker_is_used_when_the_others_are_full);
+	tcase_add_test(tc, banned_worker_is_used_after_room_was_reclaimed);
 	tcase_add_test(tc, task_that_does_not_become_ready_moves);
 	tcase_add_test(tc, ready_task_stays);
 	return run_case("long_running", tc);
--- a/tests/unit/test_plan.c
+++ b/tests/unit/test_plan.c
@@ -699,6 +699,101 @@
 }
 END_TEST
 
+/* The same in a small pool of its own. */
+START_TEST(bans_of_a_whole_pool_are_ignored)
+{
+	struct worker *worker = make_worker(&fleet, "w", "r", 8, NOW);
+
+	make_racks(1, 4);
+	g_free(worker->reported.pool);
+	worker->reported.pool = g_strdup("small");
+	worker->banned_until_us = NOW + 4 * SEC;
+	g_free(make_job(&fleet, "j", 1, 1, 1, 1000, NOW)->pool);
+	fleet_job(&fleet, "j")->pool = g_strdup("small");
+	ck_assert_int_eq(plan(NOW), 1);
+	ck_assert_int_eq(worker->task_count, 1);
+}
+END_TEST
+
+#define BANNED 4
+
+/*
+ * Eight workers have a small task each, and four others are banned: room for
+ * tasks of eight accelerators is only there.
+ */
+static void make_whole_room_banned(struct worker *banned[BANNED])
+{
+	char id[16];
+	int i;
+
+	for (i = 0; i < 8; i++) {
+		snprintf(id, sizeof(id), "w%d", i);
+		make_worker(&fleet, id, "r", 8, NOW);
+	}
+	make_job(&fleet, "small", 1, 8, 1, 60000, NOW)
+		->spec.steps[0]
+		.max_per_worker = 1;
+	ck_assert_int_eq(plan(NOW), 8);
+	for (i = 0; i < BANNED; i++) {
+		snprintf(id, sizeof(id), "b%d", i);
+		banned[i] = make_worker(&fleet, id, "r", 8, NOW);
+		banned[i]->banned_until_us = NOW + 16 * SEC;
+	}
+}
+
+/*
+ * Guards against a job that waits for the end of a ban while most of the room
+ * is free, but only banned workers have it. The platform allows 3 s.
+ */
+START_TEST(bans_yield_where_a_job_would_be_lost)
+{
+	struct worker *banned[BANNED];
+	struct job *job;
+
+	make_whole_room_banned(banned);
+	job = make_job(&fleet, "whole", 1, 2, 8, 1000, NOW);
+	job->spec.steps[0].gang = _i == 1;
+	ck_assert_int_eq(plan(NOW), 0);
+	ck_assert_int_eq(plan(NOW + 19 * SEC / 10), 0);
+	ck_assert_int_ge(plan(NOW + 29 * SEC / 10), 1);
+	ck_assert_int_gt(
+		first_occurrence_task(job, 0, 0)->worker->banned_until_us, NOW);
+}
+END_TEST
+
+/* A broken worker must not attract the work of a pool that is in use. */
+START_TEST(bans_hold_while_most_room_is_in_use)
+{
+	struct worker *banned[BANNED];
+
+	make_whole_room_banned(banned);
+	make_job(&fleet, "more", 1, 8, 6, 60000, NOW);
+	ck_assert_int_eq(plan(NOW), 8);
+	make_job(&fleet, "whole", 1, 1, 8, 1000, NOW);
+	ck_assert_int_eq(plan(NOW), 0);
+	ck_assert_int_eq(plan(NOW + 4 * SEC), 0);
+}
+END_TEST
+
+/* A broken worker must not use up the attempts of a job. */
+START_TEST(bans_hold_where_a_run_of_the_job_has_failed)
+{
+	struct worker *banned[BANNED];
+	struct task *task;
+	struct job *job;
+
+	make_whole_room_banned(banned);
+	job = make_job(&fleet, "whole", 1, 1, 8, 1000, NOW);
+	plan(NOW);
+	ck_assert_int_eq(plan(NOW + 2 * SEC), 1);
+	task = first_occurrence_task(job, 0, 0);
+	report_run_end(&fleet, task, RUN_FAILED, NOW + 3 * SEC);
+	ck_assert_int_eq(plan(NOW + 3 * SEC), 0);
+	ck_assert_int_eq(plan(NOW + 6 * SEC), 0);
+	ck_assert_int_eq(plan(NOW + 16 * SEC), 1);
+}
+END_TEST
+
 int main(void)
 {
 	TCase *tc = tcase_create("plan");
@@ -736,5 +831,9 @@
 	tcase_add_test(tc, best_effort_victims_free_no_cpu);
 	tcase_add_test(tc, overload_serves_feasible_jobs_in_time);
 	tcase_add_test(tc, bans_of_all_workers_with_a_label_are_ignored);
+	tcase_add_test(tc, bans_of_a_whole_pool_are_ignored);
+	tcase_add_loop_test(tc, bans_yield_where_a_job_would_be_lost, 0, 2);
+	tcase_add_test(tc, bans_hold_while_most_room_is_in_use);
+	tcase_add_test(tc, bans_hold_where_a_run_of_the_job_has_failed);
 	return run_case("plan", tc);
 }
