Keep no host of a wave from work without end

A host of a wave was cordoned at its turn until its tasks had ended or could be stopped.

The cordon itself had no bound either: jobs also stood still while a wave waited for ordinary long tasks. A worker that drains is therefore avoided like a banned one and takes what would be lost otherwise; only while its host is emptied, 5 s at most, and after the order it gets nothing. No more hosts are emptied than may be taken down, tasks that don't last are stopped only when all of the host's may be, and a host with one that may not be stopped now lets others go first after 10 s. What the waves mean for a worker is derived anew in each pass, so that nothing is left behind when a host leaves the list. worker.cordoned is the lending's alone; a test that read it for a wave reads worker.upkeep.

--- a/control/maintenance.c
+++ b/control/maintenance.c
@@ -61,7 +61,6 @@
 		      int64_t fence, int64_t settle_ms)
 {
 	struct wave *wave;
-	guint i;
 
 	maintenance->fleet = fleet;
 	maintenance->fence = fence;
@@ -73,12 +72,8 @@
 	 * wave under an earlier leader. */
 	list_for_each_entry(wave, &maintenance->waves, node) {
 		wave->running_reported = false;
-		for (i = 0; !wave->done_reported && i < wave->hosts->len; i++) {
-			struct upkeep_host *host =
-				g_ptr_array_index(wave->hosts, i);
-
-			host->state = UPKEEP_WAITING;
-		}
+		if (!wave->done_reported)
+			wave_restart(wave);
 	}
 }
 
@@ -206,12 +201,14 @@
 {
 	struct upkeep_host *host = upkeep_next(maintenance->fleet, wave,
 					       maintenance->list, now_us);
-	const struct worker *worker;
+	struct worker *worker;
 
 	if (!host)
 		return;
 	worker = upkeep_find_worker(maintenance->fleet, maintenance->list,
 				    host->name);
+	if (worker)
+		worker->upkeep = WORKER_CLOSED;
 	upkeep_ordered(host, worker ? worker->reported.born_ms : 0, now_us);
 	maintenance->order_wave = wave;
 	maintenance->order_host = host;
@@ -337,6 +334,8 @@
 			read_stored_statuses(maintenance);
 		return;
 	}
+	if (maintenance->list)
+		upkeep_clear(maintenance->fleet);
 	list_for_each_entry(wave, &maintenance->waves, node) {
 		if (wave->done_reported)
 			continue;
--- a/control/overview.c
+++ b/control/overview.c
@@ -37,7 +37,7 @@
 		return "unlisted";
 	if (worker->reported.draining)
 		return "draining";
-	if (worker->cordoned)
+	if (worker->cordoned || worker->upkeep != WORKER_STAYS)
 		return "cordoned";
 	return worker->banned_until_us > now_us ? "banned" : "ready";
 }
--- a/fleet/evict.c
+++ b/fleet/evict.c
@@ -21,6 +21,13 @@
 	return missing < stage->spec->may_miss;
 }
 
+bool evict_forbidden(const struct task *task)
+{
+	const struct step_spec *spec = task->stage->spec;
+
+	return spec->long_running && spec->may_miss == 0;
+}
+
 /* Counter of the stalled runs of a task, or of its gang. */
 static int *stall_count(const struct task *task)
 {
--- a/fleet/evict.h
+++ b/fleet/evict.h
@@ -22,5 +22,7 @@
  * how many of its tasks may be down through actions of the scheduler.
  */
 bool evict_allowed(const struct task *task);
+/* Whether the run may never be interrupted: its step may miss no task. */
+bool evict_forbidden(const struct task *task);
 
 #endif
--- a/fleet/placement.h
+++ b/fleet/placement.h
@@ -42,9 +42,10 @@
 void placement_init(struct placement *p, struct fleet *fleet, int64_t now_us);
 void placement_finish(struct placement *p);
 /*
- * Returns the workers of the stage's pool, NULL if there are none. Banned
- * ones, which are avoided, are among them only if no other has the stage's
- * label, or if the stage may wait no longer for the others to have room.
+ * Returns the workers of the stage's pool, NULL if there are none. Those that
+ * are avoided, because they are banned or drain for upkeep, are among them only
+ * if no other has the stage's label, or if the stage may wait no longer for the
+ * others to have room.
  */
 struct pool_view *placement_workers_for(struct placement *p,
 					const struct stage *stage);
--- a/fleet/placement_view.c
+++ b/fleet/placement_view.c
@@ -63,6 +63,7 @@
 {
 	return worker->listed && !worker->replaced &&
 	       !worker->reported.draining && !worker->cordoned &&
+	       worker->upkeep != WORKER_CLOSED &&
 	       worker->unanswered_calls < UNANSWERED_CALLS_MAX &&
 	       worker_reachable(worker, now_us);
 }
@@ -85,8 +86,9 @@
 	return banned > all * BANNED_SHARE_MAX;
 }
 
-/* Returns the views of all pools, with or without the workers to avoid. */
-static GHashTable *view_pools(struct placement *p, bool avoid_banned)
+/* Returns the views of all pools, without banned or draining workers if asked. */
+static GHashTable *view_pools(struct placement *p, bool avoid_banned,
+			      bool avoid_draining)
 {
 	GHashTable *pools =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free,
@@ -100,7 +102,8 @@
 		if (!is_usable(worker, p->now_us) ||
 		    evict_worker_suspect(p->fleet, worker, p->now_us))
 			continue;
-		if (avoid_banned && worker->banned_until_us > p->now_us) {
+		if ((avoid_banned && worker->banned_until_us > p->now_us) ||
+		    (avoid_draining && worker->upkeep == WORKER_DRAINS)) {
 			p->avoided = true;
 			continue;
 		}
@@ -126,7 +129,7 @@
 		worker->busy_until_us = 0;
 	}
 	p->avoided = false;
-	p->pools = view_pools(p, !ignore_bans(fleet, now_us));
+	p->pools = view_pools(p, !ignore_bans(fleet, now_us), true);
 	p->pools_avoided_too = NULL;
 }
 
@@ -142,7 +145,7 @@
 				     const struct stage *stage)
 {
 	if (!p->pools_avoided_too)
-		p->pools_avoided_too = view_pools(p, false);
+		p->pools_avoided_too = view_pools(p, false, false);
 	return g_hash_table_lookup(p->pools_avoided_too, stage->job->pool);
 }
 
--- a/fleet/upkeep.c
+++ b/fleet/upkeep.c
@@ -3,6 +3,7 @@
 #include <string.h>
 
 #include "fleet/evict.h"
+#include "fleet/fleet_int.h"
 
 /* Number of hosts drained in advance, beyond those that may be down. */
 #define UPKEEP_DRAIN_AHEAD 1
@@ -12,6 +13,12 @@
 #define UPKEEP_EFFECT_MS 5000
 /* By then stopped tasks have ended, or their worker is unreachable. */
 #define UPKEEP_STOP_MS 2000
+/* A host that was emptied gets work again if it isn't ordered by then, as when
+ * too many others are down. */
+#define UPKEEP_EMPTY_MAX_MS 5000
+/* A host with a task that can't be stopped now, as its step is short of tasks,
+ * lets others go first after this time, and for as long. */
+#define UPKEEP_HELD_MAX_MS 10000
 /* Time per host: stopping its tasks, down, up, and the lists that show it. */
 #define UPKEEP_HOST_MS 4000
 /* Wait after a refusal, which means that the host or the service is busy. */
@@ -34,6 +41,7 @@
 	struct upkeep_host *host = data;
 
 	g_free(host->name);
+	g_free(host->worker);
 	g_free(host);
 }
 
@@ -64,6 +72,22 @@
 	g_free(wave);
 }
 
+void wave_restart(struct wave *wave)
+{
+	guint i;
+
+	for (i = 0; i < wave->hosts->len; i++) {
+		struct upkeep_host *host = g_ptr_array_index(wave->hosts, i);
+
+		host->state = UPKEEP_WAITING;
+		host->down = false;
+		host->blocked = false;
+		host->retry_us = 0;
+		host->drain_started_us = 0;
+		host->held_us = 0;
+	}
+}
+
 const struct machine *upkeep_find_machine(const GPtrArray *machines,
 					  const char *name)
 {
@@ -124,6 +148,94 @@
 	}
 }
 
+void upkeep_clear(struct fleet *fleet)
+{
+	struct worker *worker;
+
+	list_for_each_entry(worker, &fleet->workers, node)
+		worker->upkeep = WORKER_STAYS;
+}
+
+/* The list names no worker for a host that is down: the last one counts. */
+static struct worker *note_worker(const struct fleet *fleet,
+				  struct upkeep_host *host,
+				  const struct machine *machine)
+{
+	if (machine && machine->worker &&
+	    g_strcmp0(machine->worker, host->worker) != 0) {
+		g_free(host->worker);
+		host->worker = g_strdup(machine->worker);
+	}
+	return host->worker ?
+		       g_hash_table_lookup(fleet->workers_by_id, host->worker) :
+		       NULL;
+}
+
+/* A run on the worker that may never be stopped, or NULL. */
+static const struct task *forbidden_task(const struct worker *worker)
+{
+	const struct task *task;
+
+	if (!worker)
+		return NULL;
+	list_for_each_entry(task, &worker->tasks, on_worker)
+		if (task->phase != TASK_STOPPING && evict_forbidden(task))
+			return task;
+	return NULL;
+}
+
+/* Takes the host's turn to be drained away from it. */
+static void end_turn(struct upkeep_host *host)
+{
+	host->state = UPKEEP_WAITING;
+	host->drain_started_us = 0;
+	host->held_us = 0;
+}
+
+/*
+ * Drains a host that is to be taken down if there is a turn left. A host with a
+ * task that may never be stopped takes none: nothing says when that task ends,
+ * so that its room would be kept from other work, and the turn from other hosts.
+ */
+static void update_turn(struct fleet *fleet, struct upkeep_host *host,
+			const struct worker *worker, bool turn_left,
+			int64_t now_us)
+{
+	const struct task *task = forbidden_task(worker);
+
+	if (task && !host->blocked)
+		fleet_note(fleet, "upkeep.blocked", task->stage->job, task,
+			   host->name);
+	host->blocked = task != NULL;
+	if (host->blocked) {
+		end_turn(host);
+	} else if (host->held_us != 0 &&
+		   now_us - host->held_us > UPKEEP_HELD_MAX_MS * 1000) {
+		end_turn(host);
+		host->retry_us = now_us + UPKEEP_HELD_MAX_MS * 1000;
+	} else if (turn_left && host->retry_us <= now_us) {
+		host->state = UPKEEP_DRAINING;
+	}
+	if (now_us - host->drain_started_us > UPKEEP_EMPTY_MAX_MS * 1000)
+		host->drain_started_us = 0;
+}
+
+static enum worker_upkeep worker_upkeep(const struct upkeep_host *host,
+					const struct worker *worker)
+{
+	switch (host->state) {
+	case UPKEEP_DRAINING:
+		return host->drain_started_us ? WORKER_CLOSED : WORKER_DRAINS;
+	case UPKEEP_ORDERED:
+		/* It has been down, and its worker has started again. */
+		if (host->down && worker->reported.born_ms != host->born_ms)
+			return WORKER_STAYS;
+		return WORKER_CLOSED;
+	default:
+		return WORKER_STAYS;
+	}
+}
+
 void upkeep_update(struct fleet *fleet, struct wave *wave,
 		   const GPtrArray *machines, int64_t now_us)
 {
@@ -133,22 +245,24 @@
 	wave->done = true;
 	for (i = 0; i < wave->hosts->len; i++) {
 		struct upkeep_host *host = g_ptr_array_index(wave->hosts, i);
-		struct worker *worker;
+		const struct machine *machine =
+			upkeep_find_machine(machines, host->name);
+		struct worker *worker = note_worker(fleet, host, machine);
 
 		update_host(fleet, host, machines, now_us);
-		if (host->state != UPKEEP_DONE && machines->len > 0 &&
-		    !upkeep_find_machine(machines, host->name))
+		if (host->state != UPKEEP_DONE && machines->len > 0 && !machine)
 			host->state = UPKEEP_DONE;
 		wave->done &= host->state == UPKEEP_DONE;
-		worker = upkeep_find_worker(fleet, machines, host->name);
-		if (host->state == UPKEEP_WAITING &&
-		    draining < wave->cap + UPKEEP_DRAIN_AHEAD)
-			host->state = UPKEEP_DRAINING;
+		if (host->state == UPKEEP_WAITING ||
+		    host->state == UPKEEP_DRAINING)
+			update_turn(fleet, host, worker,
+				    draining < wave->cap + UPKEEP_DRAIN_AHEAD,
+				    now_us);
 		draining += host->state == UPKEEP_DRAINING ||
 			    host->state == UPKEEP_ORDERED;
 		if (worker)
-			worker->cordoned = host->state == UPKEEP_DRAINING ||
-					   host->state == UPKEEP_ORDERED;
+			worker->upkeep = MAX(worker->upkeep,
+					     worker_upkeep(host, worker));
 	}
 }
 
@@ -187,38 +301,54 @@
 		const struct upkeep_host *host =
 			g_ptr_array_index(wave->hosts, i);
 
-		open += host->state != UPKEEP_DONE;
+		open += host->state != UPKEEP_DONE && !host->blocked;
 	}
 	return (double)left_ms < (double)(open * UPKEEP_HOST_MS) / wave->cap *
 					 (1.0 + UPKEEP_RETRY_MARGIN);
 }
 
+/* Whether a run that goes on there may not be stopped now. */
+static bool has_held_task(const struct worker *worker)
+{
+	const struct task *task;
+
+	list_for_each_entry(task, &worker->tasks, on_worker)
+		if (task->phase != TASK_STOPPING && !evict_allowed(task))
+			return true;
+	return false;
+}
+
 /*
- * Stops the tasks that may be interrupted, so that they write checkpoints.
- * Returns whether the host can be taken down: no task is left, or only tasks
- * that did not end within UPKEEP_STOP_MS.
+ * Stops the tasks that may be interrupted, so that they write checkpoints: those
+ * that last one after the other, as their steps allow, and the others when all
+ * may be stopped, as the host can't be taken down before. Returns whether it
+ * can: no task is left, or only tasks that did not end within UPKEEP_STOP_MS.
  */
 static bool drain_host(struct fleet *fleet, struct upkeep_host *host,
 		       struct worker *worker, int64_t now_us)
 {
+	bool held = has_held_task(worker);
 	struct task *task, *next;
-	bool must_wait = false;
 
-	if (host->drain_started_us == 0)
-		host->drain_started_us = now_us;
 	list_for_each_entry_safe(task, next, &worker->tasks, on_worker) {
-		if (!evict_allowed(task)) {
-			must_wait = true;
-			continue;
-		}
-		if (task->phase != TASK_STARTING && task->phase != TASK_RUNNING)
+		if ((task->phase != TASK_STARTING &&
+		     task->phase != TASK_RUNNING) ||
+		    !evict_allowed(task) ||
+		    (held && !task->stage->spec->long_running))
 			continue;
 		fleet_stop(fleet, task, "host drained for upkeep");
 		next = list_first_entry(&worker->tasks, struct task, on_worker);
 	}
+	if (held || has_held_task(worker)) {
+		host->held_us = host->held_us ? host->held_us : now_us;
+		host->drain_started_us = 0;
+		return false;
+	}
+	host->held_us = 0;
+	if (host->drain_started_us == 0)
+		host->drain_started_us = now_us;
 	return worker->task_count == 0 ||
-	       (!must_wait &&
-		now_us - host->drain_started_us > UPKEEP_STOP_MS * 1000);
+	       now_us - host->drain_started_us > UPKEEP_STOP_MS * 1000;
 }
 
 /* A host whose order got no answer and had no visible effect, or NULL. */
@@ -244,13 +374,12 @@
 {
 	struct upkeep_host *repeated = find_unanswered_host(wave, machines);
 	bool behind = is_behind_schedule(wave, now_us);
+	int slots = wave->cap - count_down(wave, machines);
 	guint i;
 
 	if (repeated)
 		return repeated;
-	if (count_down(wave, machines) >= wave->cap)
-		return NULL;
-	for (i = 0; i < wave->hosts->len; i++) {
+	for (i = 0; slots > 0 && i < wave->hosts->len; i++) {
 		struct upkeep_host *host = g_ptr_array_index(wave->hosts, i);
 		const struct machine *machine =
 			upkeep_find_machine(machines, host->name);
@@ -263,6 +392,8 @@
 		if (!worker || worker->task_count == 0 ||
 		    (behind && drain_host(fleet, host, worker, now_us)))
 			return host;
+		/* No more hosts are emptied than may be taken down. */
+		slots -= host->drain_started_us != 0;
 	}
 	return NULL;
 }
@@ -280,5 +411,6 @@
 void upkeep_refused(struct upkeep_host *host, int64_t now_us)
 {
 	host->state = UPKEEP_DRAINING;
+	host->drain_started_us = 0;
 	host->retry_us = now_us + UPKEEP_RETRY_MS * 1000;
 }
--- a/fleet/upkeep.h
+++ b/fleet/upkeep.h
@@ -6,7 +6,10 @@
 /*
  * Planned maintenance (upkeep) under load. Each host of a wave has to be taken
  * down once, all within a time limit and at most cap at the same time. Hosts
- * are drained of tasks first, as far as the time limit allows.
+ * are drained of tasks first, as far as the time limit allows. No worker is
+ * kept from work without end: a host whose tasks may never be stopped isn't
+ * drained before they have ended, and one that drains still takes what finds no
+ * room elsewhere.
  */
 
 /* A host of workers, as the platform lists it. */
@@ -24,13 +27,14 @@
 
 enum upkeep_state {
 	UPKEEP_WAITING,
-	UPKEEP_DRAINING, /* the worker gets no new tasks */
+	UPKEEP_DRAINING, /* the worker gets tasks only if no other has room */
 	UPKEEP_ORDERED, /* the order to take it down was sent */
 	UPKEEP_DONE,
 };
 
 struct upkeep_host {
 	char *name;
+	char *worker; /* id of the worker that the list named last, or NULL */
 	enum upkeep_state state;
 	bool down; /* seen down since the order */
 	int64_t ordered_us;
@@ -38,6 +42,9 @@
 	bool repeat; /* no answer and no effect: order again */
 	int64_t retry_us; /* after a refusal: next order not before */
 	int64_t drain_started_us; /* when its tasks were stopped, 0: not yet */
+	/* Since when a task on it could not be stopped when its turn came. */
+	int64_t held_us;
+	bool blocked; /* by a task that may never be stopped */
 	/* Incarnation of the worker when ordered, 0: there was none. */
 	int64_t born_ms;
 };
@@ -58,9 +65,13 @@
 struct wave *wave_new(int64_t number, char **hosts, int64_t within_ms, int cap,
 		      int64_t now_us);
 void wave_free(struct wave *wave);
+/* A new leader begins with all hosts of the wave again. */
+void wave_restart(struct wave *wave);
+/* Clears worker.upkeep of all workers, before the waves are updated. */
+void upkeep_clear(struct fleet *fleet);
 /*
  * Updates the states of all hosts of the wave from the latest list of struct
- * machine, and sets worker.cordoned of their workers.
+ * machine, and sets worker.upkeep of their workers.
  */
 void upkeep_update(struct fleet *fleet, struct wave *wave,
 		   const GPtrArray *machines, int64_t now_us);
--- a/fleet/worker.h
+++ b/fleet/worker.h
@@ -30,6 +30,13 @@
 	uint64_t change; /* once this change is stored, so is the effect */
 };
 
+/* What an upkeep that is ahead of the worker's host means for new tasks. */
+enum worker_upkeep {
+	WORKER_STAYS,
+	WORKER_DRAINS, /* gets tasks only if no other worker has room */
+	WORKER_CLOSED, /* gets no tasks */
+};
+
 /*
  * One incarnation of a worker: from a start of the process to its end. All its
  * runs share one lease, whose end is a time of the worker's own clock. That
@@ -87,8 +94,9 @@
 	int64_t fill_pace_since_us;
 	/* Since when serving tasks are well within their latency targets. */
 	int64_t serving_ok_since_us;
-	/* It is being emptied for maintenance and gets no new tasks. */
+	/* Its lent host is being returned: it gets no new tasks. */
 	bool cordoned;
+	enum worker_upkeep upkeep; /* set by fleet/upkeep.c */
 	/* Set during a planning pass. */
 	struct stage *reserved_for;
 	int64_t busy_until_us; /* estimated time at which its room is free */
