Order lent hosts back again when their return had no answer

Cause: a loan left the state LOAN_RETURNING only by a refusal or by the host being seen at home. The states of a host that arrived without its worker, that was moved home by an order whose answer was lost, or that was moved to a third pool had no end either, and the next life of a worker had no cordon.

Change: an order without an effect in a list requested 5 s later has ended. The host is used again if tasks wait, and ordered back otherwise; one without a worker counts as no room and goes back. A loan ends with its host in another pool. Cordons are derived anew in each pass from waves and loans.

--- a/control/maintenance.c
+++ b/control/maintenance.c
@@ -165,6 +165,7 @@
 	if (maintenance->list)
 		g_ptr_array_unref(maintenance->list);
 	maintenance->list = call->machines;
+	maintenance->list_us = maintenance->listed_us;
 }
 
 static void read_list(struct maintenance *maintenance, int64_t now_us)
@@ -244,9 +245,9 @@
 {
 	const char *pool;
 
-	maintenance->loan_in_call =
-		lending_next_move(&maintenance->lending, maintenance->fleet,
-				  maintenance->list, now_us, &pool);
+	maintenance->loan_in_call = lending_next_move(
+		&maintenance->lending, maintenance->fleet, maintenance->list,
+		maintenance->list_us, now_us, &pool);
 	if (!maintenance->loan_in_call)
 		return;
 	maintenance->order_pending = true;
@@ -357,12 +358,17 @@
 	if (!maintenance->machines || !maintenance->fleet)
 		return;
 	may_order &= now_us >= maintenance->no_orders_until_us;
+	fleet_uncordon_all(maintenance->fleet);
 	if (!list_empty(&maintenance->waves))
 		run_waves(maintenance, may_order, now_us);
 	if (!lending_needs_hosts(&maintenance->lending, maintenance->fleet,
 				 now_us))
 		return;
 	read_list(maintenance, now_us);
-	if (maintenance->list && may_order && !maintenance->order_pending)
+	if (!maintenance->list)
+		return;
+	if (may_order && !maintenance->order_pending)
 		move_host(maintenance, now_us);
+	lending_cordon(&maintenance->lending, maintenance->fleet,
+		       maintenance->list);
 }
--- a/control/maintenance.h
+++ b/control/maintenance.h
@@ -20,7 +20,8 @@
 	int64_t no_orders_until_us; /* no orders before this time */
 	struct list_head waves; /* struct wave; kept while not leading */
 	GPtrArray *list; /* struct machine, the latest list */
-	int64_t listed_us; /* when the list was last requested, 0: never */
+	int64_t list_us; /* when it was requested */
+	int64_t listed_us; /* when one was last requested, 0: never */
 	struct machine_call list_call;
 	bool list_pending;
 	struct machine_call order_call;
--- a/fleet/fleet.h
+++ b/fleet/fleet.h
@@ -171,6 +171,8 @@
 			    int64_t born_ms, int64_t clock_ms, int64_t now_us);
 /* The worker's registration has disappeared from the store. */
 void fleet_unlist(struct fleet *fleet, const char *id, int64_t now_us);
+/* Clears the cordons of all workers, before they are derived anew. */
+void fleet_uncordon_all(struct fleet *fleet);
 /* The incarnation has ended, and so have all its runs. */
 void fleet_worker_ended(struct fleet *fleet, struct worker *worker);
 /*
--- a/fleet/incarnation.c
+++ b/fleet/incarnation.c
@@ -142,6 +142,14 @@
 	worker->unlisted_us = now_us;
 }
 
+void fleet_uncordon_all(struct fleet *fleet)
+{
+	struct worker *worker;
+
+	list_for_each_entry(worker, &fleet->workers, node)
+		worker->cordoned = false;
+}
+
 static void remove_worker(struct fleet *fleet, struct worker *worker)
 {
 	if (g_hash_table_lookup(fleet->workers_by_id, worker->reported.id) ==
--- a/fleet/lending.c
+++ b/fleet/lending.c
@@ -99,9 +99,22 @@
 	return NULL;
 }
 
+/*
+ * Whether the loan's latest order shows in a list that was requested at
+ * listed_us, if it was carried out. A refused one was not, but an earlier one
+ * that got no answer may have been.
+ */
+static bool order_settled(const struct loan *loan, int64_t listed_us)
+{
+	if (loan->refused)
+		return listed_us >= loan->since_us;
+	return listed_us - loan->since_us > LEND_ARRIVAL_TIMEOUT_MS * 1000;
+}
+
 /* Tasks of the stage that fit on the hosts already requested for its pool. */
 static int requested_slots(const struct lending *lending,
-			   const GPtrArray *machines, const struct stage *stage)
+			   const GPtrArray *machines, const struct stage *stage,
+			   int64_t now_us)
 {
 	const struct loan *loan;
 	int slots = 0;
@@ -111,6 +124,7 @@
 			upkeep_find_machine(machines, loan->host);
 
 		if (loan->state == LOAN_REQUESTED && machine &&
+		    !order_settled(loan, now_us) &&
 		    strcmp(loan->pool, stage->job->pool) == 0)
 			slots += placement_slots(&machine->room, stage,
 						 stage->spec->count);
@@ -144,82 +158,119 @@
 	return NULL;
 }
 
+/* Whether the host is in the pool that it is lent to. */
+static bool is_lent(const struct loan *loan, const struct machine *machine)
+{
+	return machine->up && !machine->changing &&
+	       strcmp(machine->pool, loan->pool) == 0;
+}
+
+/*
+ * A host whose worker has registered is in use. An order without a visible
+ * effect has ended: a host that has arrived without its worker goes back after a
+ * while, and one that has not gone back is in use again.
+ */
+static void update_state(struct loan *loan, const struct machine *machine,
+			 const struct worker *worker, int64_t listed_us)
+{
+	bool arrived = worker && loan->state != LOAN_RETURNING;
+
+	if (loan->state == LOAN_ACTIVE || !is_lent(loan, machine) ||
+	    (!arrived && !order_settled(loan, listed_us)))
+		return;
+	if (loan->state != LOAN_RETURNING)
+		loan->idle_us = 0;
+	loan->state = LOAN_ACTIVE;
+}
+
+/* Whether the host has tasks, as far as this leader knows. */
+static bool is_busy(const struct machine *machine, const struct worker *worker)
+{
+	return worker ? worker->task_count > 0 : !machine->worker;
+}
+
 /* Updates a loan from the host list. Returns whether to return its host now. */
-static bool update_loan(struct fleet *fleet, struct loan *loan,
-			const struct machine *machine, int64_t now_us)
-{
-	struct worker *worker =
-		machine && machine->worker ?
-			g_hash_table_lookup(fleet->workers_by_id,
-					    machine->worker) :
-			NULL;
-
-	if (loan->state == LOAN_REQUESTED && worker && machine->up &&
-	    strcmp(machine->pool, loan->pool) == 0) {
-		loan->state = LOAN_ACTIVE;
-		loan->since_us = now_us;
-	}
-	if (loan->state != LOAN_ACTIVE || !worker)
+static bool update_loan(const struct fleet *fleet, struct loan *loan,
+			const struct machine *machine,
+			const struct worker *worker, int64_t listed_us,
+			int64_t now_us)
+{
+	update_state(loan, machine, worker, listed_us);
+	if (loan->state != LOAN_ACTIVE || !is_lent(loan, machine))
 		return false;
-	if (loan->cordoned) {
-		/* The return order was refused. */
-		worker->cordoned = false;
-		loan->cordoned = false;
-	}
-	if (worker->task_count > 0 || overdue_stage(fleet, loan->pool, now_us))
+	if (is_busy(machine, worker) ||
+	    overdue_stage(fleet, loan->pool, now_us))
 		loan->idle_us = 0;
 	else if (loan->idle_us == 0)
 		loan->idle_us = now_us;
-	if (loan->idle_us == 0 || worker->task_count > 0 ||
-	    now_us - loan->idle_us < LEND_IDLE_RETURN_MS * 1000)
-		return false;
-	/* The worker must get no tasks while its host is being moved. */
-	worker->cordoned = true;
-	loan->cordoned = true;
-	return true;
+	return loan->idle_us != 0 &&
+	       now_us - loan->idle_us >= LEND_IDLE_RETURN_MS * 1000;
 }
 
 /*
- * Whether the host has been returned, was removed from the list or has not
- * arrived in time, or the wait after a refusal is over.
+ * Whether the host has been returned or moved elsewhere, was removed from the
+ * list or has not arrived in time, or the wait after a refusal is over.
  */
 static bool loan_expired(const struct loan *loan, const struct machine *machine,
-			 int64_t now_us)
+			 int64_t listed_us, int64_t now_us)
 {
-	bool late = now_us - loan->since_us > LEND_ARRIVAL_TIMEOUT_MS * 1000;
-
-	if (loan->state == LOAN_REFUSED)
-		return now_us - loan->since_us > LEND_REFUSED_RETRY_MS * 1000;
 	if (!machine)
 		return true;
-	return late && strcmp(machine->pool, loan->home) == 0 &&
-	       loan->state != LOAN_ACTIVE;
+	if (strcmp(machine->pool, loan->pool) == 0)
+		return false;
+	if (loan->state == LOAN_REFUSED)
+		return now_us - loan->since_us > LEND_REFUSED_RETRY_MS * 1000;
+	return loan->state == LOAN_ACTIVE || order_settled(loan, listed_us);
+}
+
+void lending_cordon(const struct lending *lending, struct fleet *fleet,
+		    const GPtrArray *machines)
+{
+	const struct loan *loan;
+
+	list_for_each_entry(loan, &lending->loans, node) {
+		struct worker *worker =
+			upkeep_find_worker(fleet, machines, loan->host);
+
+		if (worker && loan->state == LOAN_RETURNING)
+			worker->cordoned = true;
+	}
 }
 
 struct loan *lending_next_move(struct lending *lending, struct fleet *fleet,
-			       const GPtrArray *machines, int64_t now_us,
-			       const char **pool)
+			       const GPtrArray *machines, int64_t listed_us,
+			       int64_t now_us, const char **pool)
 {
 	const struct stage *stage = overdue_stage(fleet, NULL, now_us);
 	struct loan *loan, *next;
+	bool regained = false;
 
 	list_for_each_entry_safe(loan, next, &lending->loans, node) {
 		const struct machine *machine =
 			upkeep_find_machine(machines, loan->host);
+		const struct worker *worker =
+			upkeep_find_worker(fleet, machines, loan->host);
+		bool returning = loan->state == LOAN_RETURNING;
 
-		if (loan_expired(loan, machine, now_us)) {
+		if (loan_expired(loan, machine, listed_us, now_us)) {
 			loan_free(loan);
 			continue;
 		}
-		if (!update_loan(fleet, loan, machine, now_us))
+		if (!update_loan(fleet, loan, machine, worker, listed_us,
+				 now_us)) {
+			/* The next pass uses its room first. */
+			regained |= returning && loan->state == LOAN_ACTIVE;
 			continue;
+		}
 		loan->state = LOAN_RETURNING;
+		loan->refused = false;
 		loan->since_us = now_us;
 		*pool = loan->home;
 		return loan;
 	}
-	if (!stage || requested_slots(lending, machines, stage) >=
-			      overdue_tasks(stage, now_us))
+	if (!stage || regained ||
+	    requested_slots(lending, machines, stage, now_us) >=
+		    overdue_tasks(stage, now_us))
 		return NULL;
 	loan = lend_host(lending, fleet, machines, stage, now_us);
 	*pool = loan ? loan->pool : NULL;
@@ -230,12 +281,10 @@
 {
 	if (!refused)
 		return;
-	if (loan->state == LOAN_RETURNING) {
-		/* The return is ordered again after another idle period. */
-		loan->state = LOAN_ACTIVE;
-		loan->idle_us = now_us;
-	} else {
+	loan->refused = true;
+	loan->since_us = now_us;
+	/* A return is ordered again after another idle period. */
+	loan->idle_us = now_us;
+	if (loan->state == LOAN_REQUESTED)
 		loan->state = LOAN_REFUSED;
-		loan->since_us = now_us;
-	}
 }
--- a/fleet/lending.h
+++ b/fleet/lending.h
@@ -23,9 +23,9 @@
 	char *host;
 	char *home; /* the spare pool that it belongs to */
 	char *pool; /* the pool that it is lent to */
-	int64_t since_us; /* time of entry into the state */
+	bool refused; /* the latest order was refused */
+	int64_t since_us; /* of the latest order, or of its refusal */
 	int64_t idle_us; /* idle since then, 0: the host is needed */
-	bool cordoned; /* the worker is cordoned for the return */
 };
 
 struct lending {
@@ -40,14 +40,18 @@
 /*
  * Updates all loans and returns the one whose host is to be moved to *pool
  * now, NULL for none. machines is the latest list of struct machine
- * (fleet/upkeep.h).
+ * (fleet/upkeep.h), which was requested at listed_us.
  */
 struct loan *lending_next_move(struct lending *lending, struct fleet *fleet,
-			       const GPtrArray *machines, int64_t now_us,
-			       const char **pool);
+			       const GPtrArray *machines, int64_t listed_us,
+			       int64_t now_us, const char **pool);
+/* Cordons the workers of hosts that are being returned: they get no tasks. */
+void lending_cordon(const struct lending *lending, struct fleet *fleet,
+		    const GPtrArray *machines);
 /*
- * Handles the answer to a move order. If it was refused, nothing was done;
- * else the move was carried out or may still be.
+ * Handles the answer to a move order. If it was refused, nothing was done; else
+ * the move may be carried out, and the list tells whether it was. An order that
+ * has no effect there in time is repeated.
  */
 void lending_move_answered(struct loan *loan, bool refused, int64_t now_us);
 
--- a/fleet/worker.h
+++ b/fleet/worker.h
@@ -87,7 +87,10 @@
 	int64_t fill_pace_since_us;
 	/* Since when serving tasks are well within their latency targets. */
 	int64_t serving_ok_since_us;
-	/* It is being emptied for maintenance and gets no new tasks. */
+	/*
+	 * It is being emptied for maintenance and gets no new tasks. Derived
+	 * anew in each pass, so that it ends with its cause.
+	 */
 	bool cordoned;
 	/* Set during a planning pass. */
 	struct stage *reserved_for;
--- a/tests/unit/test_lending.c
+++ b/tests/unit/test_lending.c
@@ -17,6 +17,30 @@
 static struct config *config;
 static struct lending lending;
 static GPtrArray *machines;
+static const char *pool; /* of the latest move */
+
+static struct worker *find_worker(const char *id)
+{
+	return g_hash_table_lookup(fleet.workers_by_id, id);
+}
+
+/* As control/maintenance.c does it. */
+static struct loan *next_move_of_list(int64_t listed_us, int64_t now_us)
+{
+	struct loan *loan;
+
+	fleet_uncordon_all(&fleet);
+	loan = lending_next_move(&lending, &fleet, machines, listed_us, now_us,
+				 &pool);
+	lending_cordon(&lending, &fleet, machines);
+	return loan;
+}
+
+/* With a list that was requested just now. */
+static struct loan *next_move(int64_t now_us)
+{
+	return next_move_of_list(now_us, now_us);
+}
 
 static struct machine *add_machine(const char *name, const char *pool)
 {
@@ -80,46 +104,187 @@
 
 START_TEST(no_host_beyond_need_is_requested)
 {
-	const char *pool;
-
 	add_waiting_tasks(8);
 	ck_assert(!lending_needs_hosts(&lending, &fleet, NOW + SEC / 4));
 	ck_assert(lending_needs_hosts(&lending, &fleet, NOW + SEC));
-	ck_assert_ptr_nonnull(lending_next_move(&lending, &fleet, machines,
-						NOW + SEC, &pool));
+	ck_assert_ptr_nonnull(next_move(NOW + SEC));
 	ck_assert_str_eq(pool, MAKE_POOL);
 	/* The requested host has room for all 8 tasks. */
-	ck_assert_ptr_null(lending_next_move(&lending, &fleet, machines,
-					     NOW + SEC, &pool));
+	ck_assert_ptr_null(next_move(NOW + SEC));
 }
 END_TEST
 
 START_TEST(hosts_are_requested_for_each_shortage)
 {
-	const char *pool;
 	struct loan *first, *second;
 
 	add_waiting_tasks(30);
-	first = lending_next_move(&lending, &fleet, machines, NOW + SEC, &pool);
-	second =
-		lending_next_move(&lending, &fleet, machines, NOW + SEC, &pool);
+	first = next_move(NOW + SEC);
+	second = next_move(NOW + SEC);
 	ck_assert_str_eq(first->host, "m1");
 	ck_assert_str_eq(second->host, "m2");
 	/* No spare hosts are left; hosts of other pools are never taken. */
-	ck_assert_ptr_null(lending_next_move(&lending, &fleet, machines,
-					     NOW + SEC, &pool));
+	ck_assert_ptr_null(next_move(NOW + SEC));
 }
 END_TEST
 
 START_TEST(oversized_task_requests_no_host)
 {
 	struct job *job = make_job(&fleet, "huge", 1, 1, 1, 1000, NOW);
-	const char *pool;
 
 	job->spec.steps[0].need.mem_mb = 1 << 30;
 	plan(NOW);
-	ck_assert_ptr_null(lending_next_move(&lending, &fleet, machines,
-					     NOW + SEC, &pool));
+	ck_assert_ptr_null(next_move(NOW + SEC));
+}
+END_TEST
+
+/*
+ * Lends m1 for tasks that end at NOW + 2 s, and lets it be idle until its
+ * return is ordered. Returns the time of that order.
+ */
+static int64_t order_return(struct loan **loan)
+{
+	int64_t now_us = NOW + 2 * SEC;
+
+	add_waiting_tasks(4);
+	*loan = next_move(NOW + SEC);
+	lending_move_answered(*loan, false, NOW + SEC);
+	add_lent_worker(1);
+	plan(now_us);
+	finish_job_tasks(&fleet, fleet_job(&fleet, "more"), now_us);
+	while (!next_move(now_us))
+		now_us += SEC;
+	ck_assert_int_eq((*loan)->state, LOAN_RETURNING);
+	ck_assert(find_worker("w1")->cordoned);
+	return now_us;
+}
+
+/*
+ * An order to return a host that got no answer and was not carried out: without
+ * another one its worker would stay in the pool and get no tasks any more.
+ */
+START_TEST(return_without_answer_is_ordered_again)
+{
+	struct loan *loan;
+	int64_t now_us = order_return(&loan);
+
+	lending_move_answered(loan, false, now_us + SEC);
+	ck_assert_ptr_null(next_move(now_us + 4 * SEC));
+	ck_assert(find_worker("w1")->cordoned);
+	ck_assert_ptr_eq(next_move(now_us + 6 * SEC), loan);
+	ck_assert_str_eq(pool, SPARE);
+	ck_assert(find_worker("w1")->cordoned);
+}
+END_TEST
+
+/* The same, while tasks wait for room: they get the host, and no other one. */
+START_TEST(host_whose_return_was_lost_is_used)
+{
+	struct loan *loan;
+	int64_t now_us = order_return(&loan) + 6 * SEC;
+
+	make_job(&fleet, "late", 1, 8, 1, 60000, now_us);
+	plan(now_us);
+	ck_assert_ptr_null(next_move(now_us + SEC));
+	ck_assert(!find_worker("w1")->cordoned);
+	plan(now_us + SEC);
+	ck_assert_int_eq(find_worker("w1")->task_count, 8);
+	ck_assert_ptr_null(next_move(now_us + 20 * SEC));
+}
+END_TEST
+
+/* The list is older than the order: the host may have gone meanwhile. */
+START_TEST(old_list_tells_nothing_of_an_order)
+{
+	struct loan *loan;
+	int64_t now_us = order_return(&loan);
+
+	ck_assert_ptr_null(next_move_of_list(now_us, now_us + 9 * SEC));
+	ck_assert(find_worker("w1")->cordoned);
+}
+END_TEST
+
+/* The worker of a host that is being returned starts again, as it may. */
+START_TEST(next_life_gets_no_tasks_during_a_return)
+{
+	struct loan *loan;
+	int64_t now_us = order_return(&loan);
+	struct worker *before = find_worker("w1");
+
+	fleet_worker_restarted(&fleet, before, before->reported.born_ms + 1, 0,
+			       now_us);
+	next_move(now_us);
+	ck_assert_ptr_ne(find_worker("w1"), before);
+	ck_assert(find_worker("w1")->cordoned);
+}
+END_TEST
+
+/*
+ * The first order to return the host got no answer, but was carried out, and
+ * the second one is refused, as the host is on its way.
+ */
+START_TEST(returned_host_can_be_lent_again)
+{
+	struct machine *machine = g_ptr_array_index(machines, 1);
+	struct loan *loan;
+	int64_t now_us = order_return(&loan);
+
+	lending_move_answered(loan, false, now_us + SEC);
+	ck_assert_ptr_eq(next_move(now_us + 6 * SEC), loan);
+	lending_move_answered(loan, true, now_us + 6 * SEC);
+	g_free(machine->pool);
+	machine->pool = g_strdup(SPARE);
+	g_clear_pointer(&machine->worker, g_free);
+	now_us += 10 * SEC;
+	make_job(&fleet, "late", 1, 8, 1, 60000, now_us);
+	plan(now_us);
+	loan = next_move(now_us + SEC);
+	ck_assert_ptr_nonnull(loan);
+	ck_assert_str_eq(loan->host, "m1");
+	ck_assert_str_eq(pool, MAKE_POOL);
+}
+END_TEST
+
+/* A host arrives, and its worker never registers: others are lent beside it,
+ * and it goes back. */
+START_TEST(host_without_worker_is_no_room)
+{
+	struct machine *machine = g_ptr_array_index(machines, 1);
+	struct loan *loan, *other;
+	int64_t now_us = NOW + SEC;
+
+	add_waiting_tasks(8);
+	loan = next_move(now_us);
+	lending_move_answered(loan, false, now_us);
+	g_free(machine->pool);
+	machine->pool = g_strdup(MAKE_POOL);
+	machine->worker = g_strdup("w1");
+	ck_assert_ptr_null(next_move(now_us + 2 * SEC));
+	other = next_move(now_us + 6 * SEC);
+	ck_assert_ptr_nonnull(other);
+	ck_assert_str_eq(other->host, "m2");
+	lending_move_answered(other, false, now_us + 6 * SEC);
+	add_lent_worker(2);
+	plan(now_us + 8 * SEC);
+	ck_assert_int_eq(find_worker("w2")->task_count, 8);
+	ck_assert_ptr_null(next_move(now_us + 9 * SEC));
+	ck_assert_ptr_eq(next_move(now_us + 25 * SEC), loan);
+	ck_assert_str_eq(pool, SPARE);
+}
+END_TEST
+
+/* An operator moves a lent host to a third pool: it is lent no more. */
+START_TEST(host_moved_by_others_is_left_there)
+{
+	struct machine *machine = g_ptr_array_index(machines, 1);
+	struct loan *loan;
+	int64_t now_us = order_return(&loan);
+
+	g_free(machine->pool);
+	machine->pool = g_strdup("third");
+	ck_assert_ptr_null(next_move(now_us + 6 * SEC));
+	ck_assert(list_empty(&lending.loans));
+	ck_assert(!find_worker("w1")->cordoned);
 }
 END_TEST
 
@@ -127,13 +292,12 @@
 START_TEST(idle_host_is_returned)
 {
 	struct worker *worker;
-	const char *pool;
 	struct loan *loan;
 	struct job *job;
 	int64_t now_us;
 
 	add_waiting_tasks(4);
-	loan = lending_next_move(&lending, &fleet, machines, NOW + SEC, &pool);
+	loan = next_move(NOW + SEC);
 	lending_move_answered(loan, false, NOW + SEC);
 	add_lent_worker(1);
 	plan(NOW + 2 * SEC);
@@ -141,39 +305,31 @@
 	ck_assert_int_eq(worker->task_count, 4);
 	job = fleet_job(&fleet, "more");
 	for (now_us = NOW + 2 * SEC; now_us < NOW + 30 * SEC; now_us += SEC)
-		ck_assert_ptr_null(lending_next_move(&lending, &fleet, machines,
-						     now_us, &pool));
+		ck_assert_ptr_null(next_move(now_us));
 	finish_job_tasks(&fleet, job, now_us);
-	ck_assert_ptr_null(
-		lending_next_move(&lending, &fleet, machines, now_us, &pool));
+	ck_assert_ptr_null(next_move(now_us));
 	now_us += 5 * SEC;
-	ck_assert_ptr_null(
-		lending_next_move(&lending, &fleet, machines, now_us, &pool));
+	ck_assert_ptr_null(next_move(now_us));
 	now_us += 11 * SEC;
-	ck_assert_ptr_eq(
-		lending_next_move(&lending, &fleet, machines, now_us, &pool),
-		loan);
+	ck_assert_ptr_eq(next_move(now_us), loan);
 	ck_assert_str_eq(pool, SPARE);
 	ck_assert(worker->cordoned);
 	/* If the return is refused, the host stays in use. */
 	lending_move_answered(loan, true, now_us);
-	ck_assert_ptr_null(
-		lending_next_move(&lending, &fleet, machines, now_us, &pool));
+	ck_assert_ptr_null(next_move(now_us));
 	ck_assert(!worker->cordoned);
 }
 END_TEST
 
 START_TEST(lost_move_is_requested_again)
 {
-	const char *pool;
 	struct loan *loan;
 
 	add_waiting_tasks(8);
-	loan = lending_next_move(&lending, &fleet, machines, NOW + SEC, &pool);
+	loan = next_move(NOW + SEC);
 	lending_move_answered(loan, false, NOW + SEC);
 	/* The move was not carried out, so it is ordered again. */
-	loan = lending_next_move(&lending, &fleet, machines, NOW + 7 * SEC,
-				 &pool);
+	loan = next_move(NOW + 7 * SEC);
 	ck_assert_ptr_nonnull(loan);
 	ck_assert_int_eq(loan->state, LOAN_REQUESTED);
 }
@@ -182,19 +338,16 @@
 /* After a refusal another host is requested, and the same one much later. */
 START_TEST(refused_host_is_retried_later)
 {
-	const char *pool;
 	struct loan *loan;
 
 	add_waiting_tasks(8);
-	loan = lending_next_move(&lending, &fleet, machines, NOW + SEC, &pool);
+	loan = next_move(NOW + SEC);
 	lending_move_answered(loan, true, NOW + SEC);
-	loan = lending_next_move(&lending, &fleet, machines, NOW + SEC, &pool);
+	loan = next_move(NOW + SEC);
 	ck_assert_str_eq(loan->host, "m2");
 	lending_move_answered(loan, true, NOW + SEC);
-	ck_assert_ptr_null(lending_next_move(&lending, &fleet, machines,
-					     NOW + 2 * SEC, &pool));
-	loan = lending_next_move(&lending, &fleet, machines, NOW + 12 * SEC,
-				 &pool);
+	ck_assert_ptr_null(next_move(NOW + 2 * SEC));
+	loan = next_move(NOW + 12 * SEC);
 	ck_assert_str_eq(loan->host, "m1");
 }
 END_TEST
@@ -208,6 +361,13 @@
 	tcase_add_test(tc, hosts_are_requested_for_each_shortage);
 	tcase_add_test(tc, oversized_task_requests_no_host);
 	tcase_add_test(tc, idle_host_is_returned);
+	tcase_add_test(tc, return_without_answer_is_ordered_again);
+	tcase_add_test(tc, host_whose_return_was_lost_is_used);
+	tcase_add_test(tc, old_list_tells_nothing_of_an_order);
+	tcase_add_test(tc, next_life_gets_no_tasks_during_a_return);
+	tcase_add_test(tc, returned_host_can_be_lent_again);
+	tcase_add_test(tc, host_without_worker_is_no_room);
+	tcase_add_test(tc, host_moved_by_others_is_left_there);
 	tcase_add_test(tc, lost_move_is_requested_again);
 	tcase_add_test(tc, refused_host_is_retried_later);
 	return run_case("lending", tc);
