Reset connections whose call is given up, so that no order arrives late

Cause: kill_conn() closed a call that was given up or cancelled in order, and the kernel went on sending its request. A paused host could also send a request after its time, as sockets are served before timers.

Change: connections of wire/hc.c are reset when they are closed, also by the end of the process; nothing is sent once the time of a call is over; on the ways to the platform the kernel drops bytes that are not acknowledged for 1.5 s.

--- a/base/limits.h
+++ b/base/limits.h
@@ -135,6 +135,8 @@
 #define LEADER_DRAIN_MS 2500 /* for giving the lease back at a stop */
 #define STORE_TIMEOUT_MS 2000
 #define EXCHANGE_CONNECT_TIMEOUT_MS 400 /* a lost first packet costs 1 s */
+/* The longest time of an order. Bytes of a paused host are not sent after it. */
+#define EXCHANGE_ACK_TIMEOUT_MS 1500
 #define STORE_BACKOFF_BASE_MS 100
 #define STORE_BACKOFF_CAP_MS 5000
 #define STORE_VALUE_MAX_BYTES (1024 * 1024)
--- a/tests/unit/test_hc.c
+++ b/tests/unit/test_hc.c
@@ -1,4 +1,5 @@
 #include <check.h>
+#include <errno.h>
 #include <stdio.h>
 #include <stdlib.h>
 #include <string.h>
@@ -416,6 +417,89 @@
 }
 END_TEST
 
+/* Reads what has arrived, up to the end of the connection or for wait_ms. */
+static size_t read_rest(int fd, int wait_ms, bool *reset)
+{
+	int64_t end_us = kn_now_us() + wait_ms * USEC_PER_MSEC;
+	static char in[65536];
+	size_t got = 0;
+	ssize_t n = 1;
+
+	while (n != 0 && kn_now_us() < end_us) {
+		be_turn(&kn, 1);
+		n = recv(fd, in, sizeof(in), MSG_DONTWAIT);
+		if (n > 0)
+			got += (size_t)n;
+		else if (n < 0 && errno != EAGAIN)
+			break;
+	}
+	*reset = n < 0 && errno == ECONNRESET;
+	return got;
+}
+
+/*
+ * Guards against a request that is given up, or whose sender ends, and is
+ * carried out late: the kernel would go on sending what it has taken. The full
+ * buffer of a receiver that does not read stands for a cut of the network.
+ */
+START_TEST(given_up_request_does_not_arrive)
+{
+	size_t len = 256 * 1024;
+	char *body = g_malloc0(len);
+	int small = 4096;
+	bool reset;
+
+	setsockopt(listener, SOL_SOCKET, SO_RCVBUF, &small, sizeof(small));
+	ck_assert(hc_call_start(&calls[0], &pool, "POST", "/", NULL, body, len,
+				200, on_done));
+	ck_assert(be_accept(&kn, listener, &peer, 1000));
+	if (_i == 0)
+		wait_ended(1, 1000);
+	else if (_i == 1)
+		hc_call_cancel(&calls[0]);
+	else
+		hc_pool_finish(&pool);
+	be_turn(&kn, 20);
+	ck_assert_uint_lt(read_rest(peer.fd, 1000, &reset), len / 2);
+	ck_assert(reset);
+	g_free(body);
+}
+END_TEST
+
+static void on_slow_request(struct hs_server *s, struct hs_request *req)
+{
+	g_usleep(200 * USEC_PER_MSEC);
+	hs_reply(req, 200, NULL, "/", 1);
+}
+
+/*
+ * Guards against a request that leaves after its time, when this process was
+ * paused: sockets are served before timers.
+ */
+START_TEST(nothing_is_sent_after_the_deadline)
+{
+	static const struct hs_ops slow = { .request = on_slow_request };
+	struct hc_pool other;
+	bool reset;
+
+	server.ops = &slow;
+	hc_pool_init(&other, &kn, "127.0.0.1", server.port, 1);
+	/* The pause begins while the connection is ready to be written to. */
+	ck_assert(hc_call_start(&calls[1], &other, "GET", "/", NULL, NULL, 0,
+				1000, on_done));
+	wait_ended(1, 1000);
+	ck_assert(hc_call_start(&calls[2], &other, "GET", "/", NULL, NULL, 0,
+				1000, on_done));
+	ck_assert(start(0, "POST", "/late", 100));
+	ck_assert(be_accept(&kn, listener, &peer, 1000));
+	wait_ended(3, 1000);
+	ck_assert_int_eq(calls[0].result, CB_E_UPSTREAM_TIMEOUT);
+	ck_assert(!calls[0].sent);
+	ck_assert_uint_eq(read_rest(peer.fd, 200, &reset), 0);
+	hc_pool_finish(&other);
+}
+END_TEST
+
 /* Guards against calls that never end when their pool is finished. */
 START_TEST(finish_ends_calls)
 {
@@ -478,6 +562,8 @@
 	tcase_add_test(tc, connecting_has_its_own_timeout);
 	tcase_add_test(tc, late_reply_is_dropped);
 	tcase_add_loop_test(tc, cancel_closes_the_connection, 0, 2);
+	tcase_add_loop_test(tc, given_up_request_does_not_arrive, 0, 3);
+	tcase_add_test(tc, nothing_is_sent_after_the_deadline);
 	tcase_add_test(tc, finish_ends_calls);
 	tcase_add_test(tc, large_request_is_whole);
 	return run_case("hc", tc);
--- a/wire/exchange.c
+++ b/wire/exchange.c
@@ -131,6 +131,7 @@
 	list_init(&direct->calls);
 	hc_pool_init(&direct->pool, kn, addr, port, max_conns);
 	direct->pool.connect_timeout_ms = EXCHANGE_CONNECT_TIMEOUT_MS;
+	direct->pool.ack_timeout_ms = EXCHANGE_ACK_TIMEOUT_MS;
 	direct->pool.body_max_bytes = STORE_REPLY_MAX_BYTES;
 	return &direct->exchange;
 }
--- a/wire/hc.c
+++ b/wire/hc.c
@@ -26,7 +26,10 @@
 	g_free(conn);
 }
 
-/* Closes a connection from outside of its own callback. */
+/*
+ * Closes a connection from outside of its own callback. The shutdown wakes its
+ * callback, and closing the socket then resets the connection.
+ */
 static void kill_conn(struct hc_conn *conn)
 {
 	struct lws *wsi = conn->wsi;
@@ -150,7 +153,9 @@
 	socklen_t len = sizeof(int);
 	int error = 0;
 
-	if (!conn->call)
+	/* After a pause of this process a socket may be served before the timer
+	 * that ends the call. */
+	if (!conn->call || due_us(conn) <= kn_now_us())
 		return true;
 	if (!conn->connected) {
 		if (getsockopt(lws_get_socket_fd(conn->wsi), SOL_SOCKET,
@@ -315,6 +320,9 @@
 	fd.sockfd = sock_connect(pool->addr, pool->port);
 	if (fd.sockfd < 0)
 		return NULL;
+	sock_reset_on_close(fd.sockfd);
+	if (pool->ack_timeout_ms > 0)
+		sock_ack_timeout(fd.sockfd, pool->ack_timeout_ms);
 	return lws_adopt_descriptor_vhost(pool->vhost, LWS_ADOPT_SOCKET, fd,
 					  "hc", NULL);
 }
--- a/wire/hc.h
+++ b/wire/hc.h
@@ -7,7 +7,12 @@
 
 struct hc_call;
 
-/* Keep-alive connections to one server; one request at a time on each. */
+/*
+ * Keep-alive connections to one server; one request at a time on each. A request
+ * that is given up does not arrive later: what the server has not received by
+ * then is dropped and its connection is reset, also when this process ends.
+ * Nothing is sent after the time of a call is over.
+ */
 struct hc_pool {
 	struct kn *kn;
 	struct lws_vhost *vhost;
@@ -20,6 +25,8 @@
 	/* Set from base/limits.h by hc_pool_init(); the owner may change them. */
 	size_t body_max_bytes;
 	int connect_timeout_ms;
+	/* Bytes without an acknowledgement end a connection, 0: never. */
+	int ack_timeout_ms;
 	/* private to hc */
 	struct kn_timer timer;
 	int64_t timer_us;
--- a/wire/sock.c
+++ b/wire/sock.c
@@ -109,3 +109,15 @@
 	set_tcp(fd, TCP_KEEPCNT, HTTP_KEEPALIVE_PROBES);
 	set_tcp(fd, TCP_NODELAY, 1);
 }
+
+void sock_reset_on_close(int fd)
+{
+	struct linger now = { .l_onoff = 1 };
+
+	setsockopt(fd, SOL_SOCKET, SO_LINGER, &now, sizeof(now));
+}
+
+void sock_ack_timeout(int fd, int timeout_ms)
+{
+	set_tcp(fd, TCP_USER_TIMEOUT, timeout_ms);
+}
