Acknowledge ends only to the life of a worker that has reported them

Cause: the numbers of ends begin anew with each life of a worker. A hold call always carried the highest number whose end was stored, and names only the worker.

Change: an acknowledgement is sent only while no start may be at an unknown life: the known one has listed the run, or has answered a hold that was sent after the start was answered. It goes out before the starts of the same pass. The model of releases sees restarts only in the answer to a hold call, and the soak restarts workers unseen and has short tasks (--lives).

--- a/control/orders.c
+++ b/control/orders.c
@@ -266,7 +266,7 @@
 	struct pending_order *pending = g_new0(struct pending_order, 1);
 	struct order order = {
 		.kind = ORDER_HOLD,
-		.acked_end = fleet_ends_stored(orders->fleet, worker),
+		.acked_end = fleet_ends_acknowledged(orders->fleet, worker),
 		.wait_ms = HOLD_WAIT_MS,
 	};
 	int64_t ignored_us = 0;
@@ -279,6 +279,8 @@
 		order.wait_ms = HOLD_WAIT_ONE_BY_ONE_MS;
 	if (immediate || !worker->fenced || worker->ends->len > 0 ||
 	    worker->task_count == 0 ||
+	    (worker->acked < worker->end_seen &&
+	     order.acked_end < worker->end_seen) ||
 	    needs_report(orders->fleet, worker, now_us, &ignored_us))
 		order.wait_ms = 0;
 	order.lease_until_ms = extended_lease_end(orders, worker, now_us);
@@ -383,6 +385,20 @@
 	}
 }
 
+/*
+ * Whether to acknowledge the reported ends now. The acknowledgement goes out
+ * before the starts that follow from the ends, on the connection on which they
+ * were reported, so that it reaches no later life of the worker.
+ */
+static bool acknowledges_first(const struct orders *orders,
+			       struct worker *worker, int64_t now_us)
+{
+	return !worker->holding && worker->acked < worker->end_seen &&
+	       worker->next_hold_us <= now_us && !one_by_one(worker, now_us) &&
+	       fleet_ends_acknowledged(orders->fleet, worker) >=
+		       worker->end_seen;
+}
+
 static void process_worker(struct orders *orders, struct worker *worker,
 			   int64_t now_us, int64_t *next_us)
 {
@@ -393,19 +409,22 @@
 
 	if (worker->reported.port == 0)
 		return;
+	if (acknowledges_first(orders, worker, now_us))
+		send_hold(orders, worker, false, now_us);
 	list_for_each_entry_safe(task, next, &worker->tasks, on_worker)
 		if (hold_only || !may_call(worker, now_us) ||
 		    !process_task(orders, task, now_us, next_us))
 			break;
 	if (!hold_only)
 		stop_orphans(orders, worker, now_us, next_us);
-	acked_end = fleet_ends_stored(fleet, worker);
+	acked_end = fleet_ends_acknowledged(fleet, worker);
 	if (!needs_hold(worker) || !may_call(worker, now_us))
 		return;
-	/* While the ends that the worker lists are not stored yet, it would
+	/* While the ends that the worker lists can't be acknowledged, it would
 	 * answer a hold immediately with the same ends. */
 	if (!worker->holding && worker->acked < worker->end_seen &&
 	    acked_end < worker->end_seen &&
+	    !fleet_life_needs_report(fleet, worker) &&
 	    now_us < worker->hold_sent_us +
 			     HOLD_UNSTORED_RETRY_MS * USEC_PER_MSEC) {
 		*next_us = MIN(*next_us,
--- a/fleet/fleet.h
+++ b/fleet/fleet.h
@@ -224,6 +224,16 @@
 			       const struct task *task);
 /* Returns the highest end number of which the effect is in the store. */
 int64_t fleet_ends_stored(struct fleet *fleet, struct worker *worker);
+/*
+ * Returns the highest end number that a hold call may acknowledge now, 0 for
+ * none: only ends of the life that has reported them.
+ */
+int64_t fleet_ends_acknowledged(struct fleet *fleet, struct worker *worker);
+/*
+ * Whether the ends that are stored can't be acknowledged yet, and a report that
+ * is asked for now may change that.
+ */
+bool fleet_life_needs_report(struct fleet *fleet, struct worker *worker);
 /* Estimated duration of a task: declared value and measured mean combined. */
 double fleet_expected_ms(const struct fleet *fleet, const struct stage *stage);
 /* Whether the task waits for a run: it is no copy and holds no resources. */
--- a/fleet/hold_report.c
+++ b/fleet/hold_report.c
@@ -154,6 +154,8 @@
 	size_t i;
 
 	worker->fenced = true;
+	if (report->born_ms == 0 || report->born_ms == worker->reported.born_ms)
+		worker->confirmed_us = MAX(worker->confirmed_us, sent_us);
 	handle_ends(fleet, worker, report, now_us, wall_ms);
 	orphans_update(fleet, worker, report, sent_us);
 	for (i = 0; i < report->nrunning; i++) {
@@ -204,3 +206,55 @@
 		g_array_remove_range(worker->ends, 0, known);
 	return worker->last_end_stored;
 }
+
+/*
+ * Whether a later life of the worker, which nothing has been heard of, may have
+ * the run. It is known to be at this life if that has listed it, or has answered
+ * a hold call that was sent after the start was answered. Starts of earlier
+ * leaders are refused by then.
+ */
+static bool may_be_at_next_life(const struct worker *worker,
+				const struct task *task)
+{
+	if (task->start_pending)
+		return true;
+	if (!task->sent || (task->unconfirmed && task->tries == 0) ||
+	    (task->first_report_us != 0 &&
+	     task->life_ms == worker->reported.born_ms))
+		return false;
+	return task->answered_us == 0 ||
+	       task->answered_us >= worker->confirmed_us;
+}
+
+/*
+ * The numbers of ends begin anew with each life of a worker, and a call names
+ * only the worker. A later life that took an acknowledgement for its own ends
+ * would drop them unread. It has ends only of runs that may be there.
+ */
+int64_t fleet_ends_acknowledged(struct fleet *fleet, struct worker *worker)
+{
+	const struct task *task;
+
+	list_for_each_entry(task, &worker->tasks, on_worker)
+		if (may_be_at_next_life(worker, task))
+			return 0;
+	return fleet_ends_stored(fleet, worker);
+}
+
+bool fleet_life_needs_report(struct fleet *fleet, struct worker *worker)
+{
+	const struct task *task;
+	bool needs = false;
+
+	if (worker->acked >= worker->end_seen ||
+	    fleet_ends_stored(fleet, worker) < worker->end_seen)
+		return false;
+	list_for_each_entry(task, &worker->tasks, on_worker) {
+		if (!may_be_at_next_life(worker, task))
+			continue;
+		if (task->start_pending || task->answered_us == 0)
+			return false;
+		needs = true;
+	}
+	return needs;
+}
--- a/fleet/worker.h
+++ b/fleet/worker.h
@@ -72,6 +72,8 @@
 	bool holding; /* a hold call that waits for an end is pending */
 	bool poll_pending; /* a hold call that does not wait is pending */
 	int64_t hold_sent_us; /* when the latest hold call was sent */
+	/* When the latest hold call that this life has answered was sent. */
+	int64_t confirmed_us;
 	/* Highest end number of which the acknowledgement was answered. */
 	int64_t acked;
 	int64_t end_seen; /* highest end number processed */
--- a/tests/soak/soak_faults.c
+++ b/tests/soak/soak_faults.c
@@ -496,6 +496,7 @@
 {
 	soak->worker_heal_us[index] = 0;
 	worker->fault = SITE_WORKER_WELL;
+	worker->unlisted = false;
 	worker->told_port = sr_relay_port(soak->worker_relays[index]);
 	if (worker->draining && worker->up)
 		soak_worker_crash(soak, worker, index);
--- a/tests/soak/soak_jobs.c
+++ b/tests/soak/soak_jobs.c
@@ -12,6 +12,7 @@
 #define CALL_TIMEOUT_MS 4000
 #define TASKS_MAX 6
 #define TASK_MS 1200
+#define SHORT_TASK_MS 40
 #define LARGE_TASKS_MAX 40
 #define LARGE_TASK_MS 5000
 /* Jobs of up to so many tasks may be for the workers of one rack only. */
@@ -50,6 +51,15 @@
 	return &soak->hosts[soak_below(soak, soak->options.hosts)];
 }
 
+static int task_ms(struct soak *soak)
+{
+	/* They end before the first report that could list them. */
+	if (soak->options.lives && soak_chance(soak, 40))
+		return 5 + soak_below(soak, SHORT_TASK_MS);
+	return 100 + soak_below(soak, soak->options.takeovers ? LARGE_TASK_MS :
+								TASK_MS);
+}
+
 static void make_body(struct soak *soak, struct soak_job *job)
 {
 	bool large = soak->options.takeovers;
@@ -57,7 +67,7 @@
 	bool gang = soak_chance(soak, 35);
 	bool steps = !gang && soak_chance(soak, 30);
 	bool timed = !gang && !steps && soak_chance(soak, 25);
-	int ms = 100 + soak_below(soak, large ? LARGE_TASK_MS : TASK_MS);
+	int ms = task_ms(soak);
 	int est_ms = large ? ms * (30 + soak_below(soak, 170)) / 100 : ms;
 	bool labelled =
 		large && count <= LABELLED_TASKS_MAX && soak_chance(soak, 50);
--- a/tests/soak/soak_lives.c
+++ b/tests/soak/soak_lives.c
@@ -7,12 +7,14 @@
 
 /*
  * Workers that start again in place, under their ids: also with a lower start
- * time, at another port, and while they are cut off; entries that name the
- * address of another worker; leaders that are paused for short times in series.
+ * time, at another port, while they are cut off, and without a new entry for a
+ * time; entries that name the address of another worker; leaders that are paused
+ * for short times in series.
  */
 
 #define BORN_BACK_MAX_MS 5000
 #define CUT_MAX_MS 3000
+#define UNSEEN_MAX_MS 1000
 #define WRONG_ENTRY_MAX_MS 1500
 #define PAUSES 6
 #define PAUSE_MAX_MS 250
@@ -70,6 +72,24 @@
 	}
 }
 
+/* It is cut off from the store, so that its entry is that of its earlier life. */
+static void restart_unseen(struct soak *soak)
+{
+	int index = soak_below(soak, soak->options.workers);
+	struct site_worker *worker = nth_worker(soak, index);
+
+	if (!worker->up || worker->draining || soak->worker_heal_us[index])
+		return;
+	soak->faults++;
+	soak_say("restart unseen", worker->id);
+	sr_relay_set(soak->worker_relays[index], SR_REFUSED);
+	worker->unlisted = true;
+	site_worker_halt(worker);
+	site_worker_restart(worker);
+	sr_relay_set(soak->worker_relays[index], SR_OPEN);
+	soak->worker_heal_us[index] = within_us(soak, UNSEEN_MAX_MS);
+}
+
 /* An entry names the address of another worker for a time. */
 static void write_wrong_entry(struct soak *soak)
 {
@@ -129,6 +149,8 @@
 {
 	if (soak_below(soak, 1000) < 20)
 		restart_in_place(soak);
+	if (soak_below(soak, 1000) < 80)
+		restart_unseen(soak);
 	if (soak_below(soak, 1000) < 10)
 		write_wrong_entry(soak);
 	if (soak_below(soak, 1000) < 4)
--- a/tests/standins/site_fleet.c
+++ b/tests/standins/site_fleet.c
@@ -69,10 +69,9 @@
 
 /* Life. */
 
-void site_worker_crash(struct site_worker *worker)
+void site_worker_halt(struct site_worker *worker)
 {
 	struct site_hold *hold, *next;
-	char *key = g_strconcat("servers/", worker->id, NULL);
 
 	while (!list_empty(&worker->runs)) {
 		struct site_run *run =
@@ -89,6 +88,13 @@
 	site_ends_void(worker);
 	g_ptr_array_set_size(worker->ends, 0);
 	worker->up = false;
+}
+
+void site_worker_crash(struct site_worker *worker)
+{
+	char *key = g_strconcat("servers/", worker->id, NULL);
+
+	site_worker_halt(worker);
 	site_store_remove(worker->fleet->store, key);
 	g_free(key);
 }
@@ -103,7 +109,8 @@
 	worker->born_ms = born_ms;
 	worker->draining = false;
 	worker->up = true;
-	write_entry(worker);
+	if (!worker->unlisted)
+		write_entry(worker);
 }
 
 void site_worker_restart(struct site_worker *worker)
--- a/tests/standins/site_fleet.h
+++ b/tests/standins/site_fleet.h
@@ -95,9 +95,11 @@
 /* port 0: any. */
 struct site_worker *site_fleet_add(struct site_fleet *fleet, const char *rack,
 				   int64_t gpus, int port);
-/* It is gone with all that it ran; its entry goes later. */
+/* It is gone with all that it ran; its entry stays. */
+void site_worker_halt(struct site_worker *worker);
+/* The same, and its entry is gone too. */
 void site_worker_crash(struct site_worker *worker);
-/* A new life under the same id and address. */
+/* A new life under the same id and address. If it is unlisted, no entry tells. */
 void site_worker_restart(struct site_worker *worker);
 /* The same at another time of day. */
 void site_worker_restart_at(struct site_worker *worker, int64_t born_ms);
--- a/tests/unit/test_fleet.c
+++ b/tests/unit/test_fleet.c
@@ -70,6 +70,85 @@
 }
 END_TEST
 
+/* The life reports that task 0 of the job has ended as its end number 4. */
+static void report_fourth_end(struct worker *worker, int64_t sent_us)
+{
+	struct end_report end = { .number = 4,
+				  .task = (char *)"j.0.0.0",
+				  .run = 1 };
+	struct hold_report report = { .ended = &end,
+				      .nended = 1,
+				      .born_ms = worker->reported.born_ms };
+
+	fleet_handle_hold(&fleet, worker, &report, sent_us, NOW + SEC, 0);
+	mark_changes_stored(&fleet);
+}
+
+/*
+ * Guards against a task that runs twice: its worker has started again, unseen,
+ * has taken a start and reported nothing yet. Its ends have the numbers of those
+ * that the earlier life has reported, and it would drop them unread.
+ */
+START_TEST(ends_are_acknowledged_to_the_life_that_reported_them)
+{
+	struct worker *worker = make_worker(&fleet, "w1", "r1", 8, NOW);
+	struct task *late = first_occurrence_task(running_job(2, false), 0, 1);
+	struct run_report run = { .task = (char *)"j.0.0.1", .run = 1 };
+	struct hold_report report = { .running = &run,
+				      .nrunning = 1,
+				      .born_ms = worker->reported.born_ms };
+
+	late->start_pending = true;
+	report_fourth_end(worker, NOW + 2);
+	ck_assert_int_eq(fleet_ends_stored(&fleet, worker), 4);
+	ck_assert_int_eq(fleet_ends_acknowledged(&fleet, worker), 0);
+	ck_assert(!fleet_life_needs_report(&fleet, worker));
+	late->start_pending = false;
+	late->answered_us = NOW + 3;
+	ck_assert_int_eq(fleet_ends_acknowledged(&fleet, worker), 0);
+	ck_assert(fleet_life_needs_report(&fleet, worker));
+	fleet_handle_hold(&fleet, worker, &report, NOW + 3, NOW + SEC, 0);
+	ck_assert_int_eq(fleet_ends_acknowledged(&fleet, worker), 4);
+	ck_assert(!fleet_life_needs_report(&fleet, worker));
+}
+END_TEST
+
+/*
+ * Guards against ends that are never acknowledged: a run that has ended is in no
+ * list, as the list of ends is full.
+ */
+START_TEST(answer_after_the_start_confirms_the_life)
+{
+	struct worker *worker = make_worker(&fleet, "w1", "r1", 8, NOW);
+	struct task *late = first_occurrence_task(running_job(2, false), 0, 1);
+	struct hold_report full = { .truncated = true,
+				    .born_ms = worker->reported.born_ms };
+
+	late->answered_us = NOW + 3;
+	report_fourth_end(worker, NOW + 2);
+	ck_assert_int_eq(fleet_ends_acknowledged(&fleet, worker), 0);
+	fleet_handle_hold(&fleet, worker, &full, NOW + 4, NOW + SEC, 0);
+	ck_assert_int_eq(fleet_ends_acknowledged(&fleet, worker), 4);
+}
+END_TEST
+
+/* A start that was not sent can't be at another life. */
+START_TEST(planned_runs_delay_no_acknowledgement)
+{
+	struct worker *worker = make_worker(&fleet, "w1", "r1", 8, NOW);
+	struct job *job = running_job(1, false);
+
+	report_run_end(&fleet, first_occurrence_task(job, 0, 0), RUN_DONE,
+		       NOW + SEC);
+	make_job(&fleet, "next", 1, 1, 1, 1000, NOW);
+	fleet_open_due(&fleet, NOW, 0);
+	plan_pass(&fleet, NOW);
+	mark_changes_stored(&fleet);
+	ck_assert_int_eq(worker->task_count, 1);
+	ck_assert_int_eq(fleet_ends_acknowledged(&fleet, worker), 1);
+}
+END_TEST
+
 START_TEST(failures_use_up_the_attempts)
 {
 	struct job *job;
@@ -1225,6 +1304,10 @@
 	tcase_add_checked_fixture(tc, set_up, tear_down);
 	tcase_add_test(tc, done_tasks_end_the_job);
 	tcase_add_test(tc, ends_are_acknowledged_after_they_are_stored);
+	tcase_add_test(tc,
+		       ends_are_acknowledged_to_the_life_that_reported_them);
+	tcase_add_test(tc, answer_after_the_start_confirms_the_life);
+	tcase_add_test(tc, planned_runs_delay_no_acknowledgement);
 	tcase_add_test(tc, failures_use_up_the_attempts);
 	tcase_add_test(
 		tc, job_accepted_by_older_settings_has_the_attempts_in_force);
--- a/tests/unit/test_release_model.c
+++ b/tests/unit/test_release_model.c
@@ -12,9 +12,9 @@
 /*
  * A model of leaders and workers in virtual time, with random partitions of
  * data centres, pauses and changes of the leader, lost answers, starts that are
- * carried out late, restarts of workers, also with a lower start time, lists of
- * ends that are cut short, and runs that are in neither list after their start,
- * during a stop and after their end. Guards, over many seeds, against
+ * carried out late, restarts of workers, also with a lower start time and seen
+ * only in the answer to a hold, lists of ends that are cut short, and runs that
+ * are in neither list after their start, during a stop and after their end. Guards, over many seeds, against
  * two runs of a task at a time and a run after an acknowledged end "done", and
  * against tasks that never end once the faults are over. The decisions are the
  * product's; the model stands for the orders, the store and the workers.
@@ -32,6 +32,8 @@
 #define ENDS_PER_ANSWER 4
 #define STOP_US (4 * SEC / 10) /* bounds.stop_ms of the fixture */
 #define GAP_PER_1000 300 /* runs that are left out of the lists for a time */
+#define SHORT_PER_1000 200 /* runs that end at once */
+#define HOLD_PER_1000 500 /* else another hold is pending */
 #define LATE_MAX_US (4 * SEC / 10)
 #define LATES_MAX 64
 #define LEADER_LEASE_US (2 * SEC)
@@ -272,7 +274,8 @@
 	    run.run <= worker->highest[run.job][run.index])
 		return;
 	worker->fence = fence;
-	run.end_us = m.now_us + SEC / 2 + up_to(8 * SEC);
+	run.end_us = m.now_us + 1 +
+		     (chance(SHORT_PER_1000) ? 0 : SEC / 2 + up_to(8 * SEC));
 	run.gaps = m.faults && chance(GAP_PER_1000);
 	run.listed_us = m.now_us + (run.gaps ? STOP_US : 0);
 	ck_assert_msg(!m.noted[run.job][run.index],
@@ -430,11 +433,17 @@
 	at->fence = host->fence;
 	if (until_ms > 0)
 		extend(at, until_ms);
-	acknowledge(at, fleet_ends_stored(&host->fleet, worker));
+	acknowledge(at, fleet_ends_acknowledged(&host->fleet, worker));
 	if (m.faults && chance(100)) {
 		unanswered(worker);
 		return false;
 	}
+	/* Another process at the address: the known life has ended. */
+	if (at->born_ms != worker->reported.born_ms) {
+		fleet_worker_restarted(&host->fleet, worker, at->born_ms,
+				       clock_ms(at), m.now_us);
+		return false;
+	}
 	answered(worker, at);
 	give_report(host, worker, at);
 	return true;
@@ -504,24 +513,19 @@
 	struct model_worker *at = NULL;
 	struct task *task, *next;
 	int dc = (int)(host - m.hosts), w;
-	bool answers;
+	bool answers, holds;
 
 	for (w = 0; w < WORKERS; w++)
 		if (strcmp(m.workers[w].id, worker->reported.id) == 0)
 			at = &m.workers[w];
 	if (at && (!at->up || !connected(dc, at->dc)))
 		at = NULL;
-	/* Another process at the address: the known life has ended. */
-	if (at && at->born_ms != worker->reported.born_ms) {
-		fleet_worker_restarted(&host->fleet, worker, at->born_ms,
-				       clock_ms(at), m.now_us);
-		return;
-	}
 	if (worker->task_count == 0 && worker->unanswered_calls == 0 &&
 	    list_empty(&worker->orphans) && worker->acked >= worker->end_seen)
 		return;
-	answers = hold(host, worker, at);
-	if (!host->leading || (at && !answers))
+	holds = !m.faults || !host->leading || chance(HOLD_PER_1000);
+	answers = holds && hold(host, worker, at);
+	if (!host->leading || (at && holds && !answers))
 		return;
 	if (at)
 		stop_orphans(worker, at);
