Keep only the open occurrences of a job in memory

Cause: reading a record opened all occurrences that were due and then freed those that were over, and a job had a pointer for each stage of each occurrence that it would ever have.

Change: job.stages has the stages of the open occurrences only, in order, and reading a record makes those that it lists. The passes go through them instead of all that were due. A recurring job may have 1,000,000 occurrences instead of 100,000: a year has 525,600 minutes.

--- a/control/record.c
+++ b/control/record.c
@@ -230,10 +230,10 @@
 static bool checkpoints_fit(const struct job *job)
 {
 	size_t bytes = 0;
-	int64_t i;
+	guint i;
 
-	for (i = 0; i < job->due * job->spec.nsteps; i++)
-		bytes += job->stages[i] ? checkpoint_bytes(job->stages[i]) : 0;
+	for (i = 0; i < job->stages->len; i++)
+		bytes += checkpoint_bytes(g_ptr_array_index(job->stages, i));
 	if (bytes <= RECORD_CHECKPOINTS_MAX_BYTES)
 		return true;
 	log_warn("record.no_checkpoints", "job=%s bytes=%zu limit=%d", job->id,
@@ -284,11 +284,13 @@
 void record_state_write(const struct job *job, msgpack_sbuffer *out)
 {
 	bool checkpoints = checkpoints_fit(job);
-	int64_t i, live = 0;
+	/* An ended job needs no task state once it holds no worker. */
+	guint live = job_ended(job) && !fleet_job_holds_room(job) ?
+			     0 :
+			     job->stages->len;
 	struct mp_out mp;
+	guint i;
 
-	for (i = 0; i < job->due * job->spec.nsteps; i++)
-		live += job->stages[i] != NULL;
 	mp_begin(&mp, 9);
 	mp_uint(&mp, RECORD_VERSION);
 	mp_str(&mp, job_phase_name(job->phase));
@@ -296,12 +298,10 @@
 	mp_uint(&mp, job->started);
 	mp_int(&mp, job->ended_ms);
 	mp_int(&mp, job->due);
-	/* An ended job needs no task state once it holds no worker. */
-	mp_array(&mp, job_ended(job) && !fleet_job_holds_room(job) ? 0 : live);
-	for (i = 0; i < job->due * job->spec.nsteps; i++)
-		if (job->stages[i] &&
-		    !(job_ended(job) && !fleet_job_holds_room(job)))
-			stage_write(job->stages[i], checkpoints, &mp);
+	mp_array(&mp, live);
+	for (i = 0; i < live; i++)
+		stage_write(g_ptr_array_index(job->stages, i), checkpoints,
+			    &mp);
 	mp_str(&mp, job->queue);
 	mp_str(&mp, job->key_digest);
 	move_buffer(&mp, out);
@@ -382,7 +382,9 @@
 	mp_get_array(in, &tasks);
 	if (!in->ok || step < 0 || step >= SPEC_STEPS_MAX)
 		return false;
-	stage = job_stage(job, occurrence, (int)step);
+	stage = job_reopen_occurrence(job, occurrence) ?
+			job_stage(job, occurrence, (int)step) :
+			NULL;
 	if (!stage)
 		return false;
 	stage->fails = (int)fails;
@@ -398,31 +400,29 @@
 	return tasks.ok;
 }
 
-/* Closes the occurrences that the record does not list, as they are over, and
- * derives the stage states of the others. */
-static void restore_stage_states(struct job *job, const bool *listed,
-				 int64_t now_us)
+/*
+ * Derives the stage states of the occurrences that the record lists. The others
+ * that were due are over: nothing is made for them, as there may be many.
+ */
+static void restore_stage_states(struct job *job, int64_t now_us)
 {
-	int64_t k;
-	int step;
-
-	for (k = 0; k < job->due; k++) {
-		bool over = true;
+	guint nsteps = (guint)job->spec.nsteps;
+	const struct stage *first;
+	guint i;
 
-		if (!listed[k]) {
-			job_free_occurrence(job, k);
-			job->over++;
-			continue;
-		}
-		for (step = 0; step < job->spec.nsteps; step++) {
-			struct stage *stage = job_stage(job, k, step);
+	job->closed = job->due;
+	job->over = job->due;
+	for (i = 0; i < job->stages->len; i++) {
+		struct stage *stage = g_ptr_array_index(job->stages, i);
 
-			if (stage->left == 0)
-				stage->state = STAGE_DONE;
-			over &= stage->state == STAGE_DONE;
-		}
-		job->over += over;
-		job_unblock(job, k, now_us);
+		if (stage->left == 0)
+			stage->state = STAGE_DONE;
+	}
+	for (i = 0; i < job->stages->len; i += nsteps) {
+		first = g_ptr_array_index(job->stages, i);
+		job->closed = MIN(job->closed, first->occurrence);
+		job->over -= !job_occurrence_done(job, first->occurrence);
+		job_unblock(job, first->occurrence, now_us);
 	}
 }
 
@@ -430,7 +430,7 @@
 		       int64_t now_us)
 {
 	char phase[16];
-	bool started, *listed;
+	bool started;
 	int64_t ended_ms, due;
 	struct mp_in stages;
 	bool ok = true;
@@ -448,21 +448,14 @@
 	job->phase = (enum job_phase)number;
 	job->started = started;
 	job->ended_ms = ended_ms;
-	while (job->due < due)
-		job_open_occurrence(job, now_us);
-	listed = g_new0(bool, due + 1);
+	job->due = due;
 	while (ok && stages.left > 0) {
-		struct mp_in inner, peek;
+		struct mp_in inner;
 
 		mp_get_array(&stages, &inner);
-		peek = inner;
-		number = (int)mp_get_int(&peek);
-		if (number >= 0 && number < due)
-			listed[number] = true;
 		ok = stages.ok && stage_read(fleet, job, &inner, now_us);
 	}
-	restore_stage_states(job, listed, now_us);
-	g_free(listed);
+	restore_stage_states(job, now_us);
 	return ok;
 }
 
--- a/fleet/advice.c
+++ b/fleet/advice.c
@@ -137,15 +137,14 @@
 	struct job *job;
 
 	list_for_each_entry(job, &fleet->jobs, node) {
-		int64_t i;
+		guint i;
 
 		if (job_ended(job) || !job->advised)
 			continue;
-		for (i = 0; i < job->due * job->spec.nsteps; i++) {
-			struct stage *stage = job->stages[i];
+		for (i = 0; i < job->stages->len; i++) {
+			struct stage *stage = g_ptr_array_index(job->stages, i);
 
-			if (!stage || !needs_advice(stage) ||
-			    stage->asked_us > now_us)
+			if (!needs_advice(stage) || stage->asked_us > now_us)
 				continue;
 			if (!best || stage->asked_us < best->asked_us ||
 			    (stage->asked_us == best->asked_us &&
--- a/fleet/fleet.c
+++ b/fleet/fleet.c
@@ -125,13 +125,13 @@
 static void each_task(struct fleet *fleet, struct job *job, task_fn fn,
 		      const char *why)
 {
-	int64_t i;
+	guint i;
 	int t;
 
-	for (i = 0; i < job->due * job->spec.nsteps; i++) {
-		struct stage *stage = job->stages[i];
+	for (i = 0; i < job->stages->len; i++) {
+		struct stage *stage = g_ptr_array_index(job->stages, i);
 
-		for (t = 0; stage && t < stage->spec->count; t++) {
+		for (t = 0; t < stage->spec->count; t++) {
 			fn(fleet, &stage->tasks[t], why);
 			if (stage->tasks[t].copy)
 				fn(fleet, stage->tasks[t].copy, why);
@@ -141,11 +141,14 @@
 
 bool fleet_job_holds_room(const struct job *job)
 {
-	int64_t i;
+	guint i;
 
-	for (i = 0; i < job->due * job->spec.nsteps; i++)
-		if (job->stages[i] && job->stages[i]->holding > 0)
+	for (i = 0; i < job->stages->len; i++) {
+		const struct stage *stage = g_ptr_array_index(job->stages, i);
+
+		if (stage->holding > 0)
 			return true;
+	}
 	return false;
 }
 
--- a/fleet/job.c
+++ b/fleet/job.c
@@ -42,8 +42,7 @@
 	job->spec = *spec;
 	memset(spec, 0, sizeof(*spec));
 	job->occurrences = MAX(job->spec.times, 1);
-	job->stages = g_new0(struct stage *,
-			     (gsize)job->occurrences * job->spec.nsteps);
+	job->stages = g_ptr_array_new();
 	for (i = 0; i < job->spec.nsteps; i++) {
 		job->work += step_work(&job->spec.steps[i]);
 		job->speculative |= job->spec.steps[i].speculative;
@@ -64,8 +63,6 @@
 {
 	int i;
 
-	if (!stage)
-		return;
 	for (i = 0; i < stage->spec->count; i++)
 		task_finish(&stage->tasks[i]);
 	advice_free(stage);
@@ -77,11 +74,11 @@
 /* No task may hold resources any more. */
 void job_free(struct job *job)
 {
-	int64_t i;
+	guint i;
 
-	for (i = 0; i < job->occurrences * job->spec.nsteps; i++)
-		stage_free(job->stages[i]);
-	g_free(job->stages);
+	for (i = 0; i < job->stages->len; i++)
+		stage_free(g_ptr_array_index(job->stages, i));
+	g_ptr_array_unref(job->stages);
 	job_spec_finish(&job->spec);
 	list_del(&job->node);
 	list_del(&job->dirty);
@@ -99,12 +96,37 @@
 	       job->phase == JOB_CANCELLED;
 }
 
+/*
+ * Returns the place of the first open occurrence that is not before this one. As
+ * a rule the open ones follow each other without a gap.
+ */
+static guint find_place(const struct job *job, int64_t occurrence)
+{
+	guint nsteps = (guint)job->spec.nsteps;
+	guint low = 0, high = job->stages->len / nsteps;
+	const struct stage *stage;
+
+	while (low < high) {
+		guint middle = low + (high - low) / 2;
+
+		stage = g_ptr_array_index(job->stages, middle * nsteps);
+		if (stage->occurrence < occurrence)
+			low = middle + 1;
+		else
+			high = middle;
+	}
+	return low * nsteps;
+}
+
 struct stage *job_stage(const struct job *job, int64_t occurrence, int step)
 {
-	if (occurrence < 0 || occurrence >= job->occurrences || step < 0 ||
-	    step >= job->spec.nsteps)
+	guint place = find_place(job, occurrence);
+	struct stage *stage;
+
+	if (place >= job->stages->len || step < 0 || step >= job->spec.nsteps)
 		return NULL;
-	return job->stages[occurrence * job->spec.nsteps + step];
+	stage = g_ptr_array_index(job->stages, place + (guint)step);
+	return stage->occurrence == occurrence ? stage : NULL;
 }
 
 static void task_init(struct task *task, struct stage *stage, int index)
@@ -161,22 +183,33 @@
 
 bool job_may_open(const struct job *job)
 {
-	int64_t open = job->due - job->closed;
+	int64_t open = job->stages->len / (guint)job->spec.nsteps;
 
 	return open == 0 ||
 	       (open + 1) * job_spec_tasks(&job->spec) <= SPEC_JOB_TASKS_MAX;
 }
 
-bool job_open_occurrence(struct job *job, int64_t now_us)
+bool job_reopen_occurrence(struct job *job, int64_t occurrence)
 {
+	guint place = find_place(job, occurrence);
 	int step;
 
-	if (job->due >= job->occurrences)
+	if (occurrence < 0 || occurrence >= job->due)
 		return false;
+	if (job_stage(job, occurrence, 0))
+		return true;
 	for (step = 0; step < job->spec.nsteps; step++)
-		job->stages[job->due * job->spec.nsteps + step] =
-			stage_new(job, job->due, step);
+		g_ptr_array_insert(job->stages, (gint)place + step,
+				   stage_new(job, occurrence, step));
+	return true;
+}
+
+bool job_open_occurrence(struct job *job, int64_t now_us)
+{
+	if (job->due >= job->occurrences)
+		return false;
 	job->due++;
+	job_reopen_occurrence(job, job->due - 1);
 	job_unblock(job, job->due - 1, now_us);
 	return true;
 }
@@ -201,17 +234,29 @@
 	}
 }
 
-void job_free_occurrence(struct job *job, int64_t occurrence)
+bool job_occurrence_done(const struct job *job, int64_t occurrence)
 {
 	int step;
 
 	for (step = 0; step < job->spec.nsteps; step++) {
-		struct stage **at =
-			&job->stages[occurrence * job->spec.nsteps + step];
+		const struct stage *stage = job_stage(job, occurrence, step);
 
-		stage_free(*at);
-		*at = NULL;
+		if (!stage || stage->state != STAGE_DONE)
+			return false;
 	}
+	return true;
+}
+
+void job_free_occurrence(struct job *job, int64_t occurrence)
+{
+	guint place = find_place(job, occurrence);
+	int step;
+
+	if (!job_stage(job, occurrence, 0))
+		return;
+	for (step = 0; step < job->spec.nsteps; step++)
+		stage_free(g_ptr_array_index(job->stages, place + (guint)step));
+	g_ptr_array_remove_range(job->stages, place, (guint)job->spec.nsteps);
 }
 
 void task_name(const struct task *task, char *out, size_t size)
--- a/fleet/job.h
+++ b/fleet/job.h
@@ -129,9 +129,12 @@
 	/* This leader has found the end in the store, and when. */
 	bool end_stored;
 	int64_t end_stored_us;
-	/* Stages of occurrence k start at k * nsteps; NULL: not due or over. */
-	struct stage **stages;
-	int64_t occurrences; /* the total; stages has room for all */
+	/*
+	 * struct stage: of each occurrence that is open all steps, in order. It
+	 * grows with these only, not with those that are over.
+	 */
+	GPtrArray *stages;
+	int64_t occurrences; /* the total */
 	int64_t due; /* occurrences that have become due */
 	int64_t over; /* occurrences of which all tasks are done */
 	int64_t closed; /* all occurrences before it are over and freed */
@@ -153,10 +156,15 @@
 struct job *job_new(const char *id, struct job_spec *spec);
 void job_free(struct job *job);
 bool job_ended(const struct job *job);
-/* Returns NULL when the occurrence is not due yet or already over. */
+/* Returns NULL when the occurrence is not open. */
 struct stage *job_stage(const struct job *job, int64_t occurrence, int step);
 /* Creates the stages of the next occurrence; false if there is none. */
 bool job_open_occurrence(struct job *job, int64_t now_us);
+/*
+ * Creates the stages of an occurrence that has become due before, if they are
+ * not there. Returns false if it has not.
+ */
+bool job_reopen_occurrence(struct job *job, int64_t occurrence);
 /*
  * Frees the oldest occurrences that are over and hold no resources. What is
  * left is what the job's record contains.
@@ -168,7 +176,9 @@
 int64_t job_next_due_ms(const struct job *job);
 /* Opens the blocked stages whose dependencies are done. */
 void job_unblock(struct job *job, int64_t occurrence, int64_t now_us);
-/* Frees the stages of an occurrence of which all tasks are done. */
+/* Whether the occurrence is open and all its tasks are done. */
+bool job_occurrence_done(const struct job *job, int64_t occurrence);
+/* Frees the stages of an occurrence of which all tasks are done, if open. */
 void job_free_occurrence(struct job *job, int64_t occurrence);
 /* Declared core-milliseconds; a GPU counts as ROOM_GPU_CORES cores. */
 double step_work(const struct step_spec *step);
--- a/fleet/lending.c
+++ b/fleet/lending.c
@@ -53,8 +53,7 @@
 	int count = 0;
 	int i;
 
-	if (!stage || stage->state != STAGE_OPEN ||
-	    stage->unplaced_since_us == 0 ||
+	if (stage->state != STAGE_OPEN || stage->unplaced_since_us == 0 ||
 	    now_us - stage->unplaced_since_us < LEND_MIN_WAIT_MS * 1000)
 		return 0;
 	for (i = 0; i < stage->spec->count; i++)
@@ -69,13 +68,17 @@
 	const struct job *job;
 
 	list_for_each_entry(job, &fleet->jobs, node) {
-		int64_t i;
+		guint i;
 
 		if (job_ended(job) || (pool && strcmp(job->pool, pool) != 0))
 			continue;
-		for (i = 0; i < job->due * job->spec.nsteps; i++)
-			if (overdue_tasks(job->stages[i], now_us) > 0)
-				return job->stages[i];
+		for (i = 0; i < job->stages->len; i++) {
+			const struct stage *stage =
+				g_ptr_array_index(job->stages, i);
+
+			if (overdue_tasks(stage, now_us) > 0)
+				return stage;
+		}
 	}
 	return NULL;
 }
--- a/fleet/order.c
+++ b/fleet/order.c
@@ -67,15 +67,15 @@
 
 static bool has_restartable_task(const struct job *job)
 {
-	int64_t i;
+	guint i;
 	int t;
 
 	if (job_ended(job))
 		return false;
-	for (i = 0; i < job->due * job->spec.nsteps; i++) {
-		const struct stage *stage = job->stages[i];
+	for (i = 0; i < job->stages->len; i++) {
+		const struct stage *stage = g_ptr_array_index(job->stages, i);
 
-		if (!stage || stage->state != STAGE_OPEN)
+		if (stage->state != STAGE_OPEN)
 			continue;
 		for (t = 0; t < stage->spec->count; t++)
 			if (task_restartable(&stage->tasks[t]))
--- a/fleet/plan.c
+++ b/fleet/plan.c
@@ -133,13 +133,13 @@
 
 static void plan_job(struct pass *pass, struct job *job)
 {
-	int64_t i;
+	guint i;
 
-	for (i = 0; i < job->due * job->spec.nsteps; i++) {
-		struct stage *stage = job->stages[i];
+	for (i = 0; i < job->stages->len; i++) {
+		struct stage *stage = g_ptr_array_index(job->stages, i);
 		bool placed;
 
-		if (!stage || stage->state != STAGE_OPEN || stage->left == 0 ||
+		if (stage->state != STAGE_OPEN || stage->left == 0 ||
 		    pass->started >= PASS_STARTS_MAX)
 			continue;
 		placed = stage->spec->gang ? plan_gang(pass, stage) :
@@ -164,12 +164,12 @@
 
 	for (j = 0; j < jobs->len; j++) {
 		struct job *job = g_ptr_array_index(jobs, j);
-		int64_t i;
+		guint i;
 
-		for (i = 0; i < job->due * job->spec.nsteps; i++)
-			if (job->stages[i])
-				reclaim_renew_reservation(&pass->place,
-							  job->stages[i]);
+		for (i = 0; i < job->stages->len; i++)
+			reclaim_renew_reservation(
+				&pass->place,
+				g_ptr_array_index(job->stages, i));
 	}
 }
 
@@ -189,14 +189,13 @@
 
 static void plan_job_copies(struct pass *pass, struct job *job)
 {
-	int64_t i;
+	guint i;
 	int t;
 
-	for (i = 0; i < job->due * job->spec.nsteps; i++) {
-		struct stage *stage = job->stages[i];
+	for (i = 0; i < job->stages->len; i++) {
+		struct stage *stage = g_ptr_array_index(job->stages, i);
 
-		if (!stage || stage->state != STAGE_OPEN ||
-		    !stage->spec->speculative)
+		if (stage->state != STAGE_OPEN || !stage->spec->speculative)
 			continue;
 		for (t = 0; t < stage->spec->count; t++)
 			if (speculate_wanted(pass->fleet, &stage->tasks[t],
--- a/fleet/run.c
+++ b/fleet/run.c
@@ -177,18 +177,13 @@
 		       int64_t wall_ms)
 {
 	struct job *job = stage->job;
-	int step;
 
 	if (stage->left > 0 || stage->state == STAGE_DONE)
 		return;
 	stage->state = STAGE_DONE;
 	job_unblock(job, stage->occurrence, now_us);
-	for (step = 0; step < job->spec.nsteps; step++) {
-		struct stage *other = job_stage(job, stage->occurrence, step);
-
-		if (!other || other->state != STAGE_DONE)
-			return;
-	}
+	if (!job_occurrence_done(job, stage->occurrence))
+		return;
 	job->over++;
 	if (job->over == job->occurrences)
 		fleet_end_job(fleet, job, JOB_DONE, wall_ms, "all tasks done");
--- a/fleet/spec.h
+++ b/fleet/spec.h
@@ -15,7 +15,9 @@
  * their state must fit into one record of the store.
  */
 #define SPEC_JOB_TASKS_MAX 8192
-#define SPEC_TIMES_MAX 100000 /* occurrences of a recurring job */
+/* Occurrences of a recurring job: nearly two years of one each minute. Those that
+ * are over take no room. */
+#define SPEC_TIMES_MAX 1000000
 #define SPEC_PAYLOAD_MAX_BYTES 4000
 #define SPEC_LABEL_MAX_BYTES 128
 
--- a/tests/unit/test_fleet.c
+++ b/tests/unit/test_fleet.c
@@ -1227,12 +1227,10 @@
 
 	make_worker(&fleet, "w1", "r1", 8, NOW);
 	/* Turns the job into a recurring one. */
-	g_free(job->stages);
 	job->spec.times = 2;
 	job->spec.first_ms = 5000;
 	job->spec.interval_ms = 1000;
 	job->occurrences = 2;
-	job->stages = g_new0(struct stage *, 2);
 	fleet_open_due(&fleet, NOW, 4999);
 	ck_assert_int_eq(plan_pass(&fleet, NOW), 0);
 	fleet_open_due(&fleet, NOW, 5000);
--- a/tests/unit/test_plan.c
+++ b/tests/unit/test_plan.c
@@ -436,7 +436,7 @@
 	plan(NOW);
 	make_gang("urgent", 0, 1, 8, false, 1000);
 	plan(NOW + 1);
-	worker = fleet_job(&fleet, "urgent")->stages[0]->reserved[0];
+	worker = job_stage(fleet_job(&fleet, "urgent"), 0, 0)->reserved[0];
 	worker->reported.draining = true;
 	plan(NOW + 950 * MSEC);
 	list_for_each_entry(worker, &fleet.workers, node)
--- a/tests/unit/test_record.c
+++ b/tests/unit/test_record.c
@@ -1,4 +1,7 @@
+#include <stdio.h>
+#include <stdlib.h>
 #include <string.h>
+#include <sys/resource.h>
 
 #include "control/record.h"
 #include "fleet/plan.h"
@@ -236,6 +239,111 @@
 }
 END_TEST
 
+#define YEAR_OF_MINUTES (365 * 24 * 60)
+#define MEMORY_MAX_KB (32 * 1024)
+/* A reader that needs more fails the test and not the machine. */
+#define MEMORY_LIMIT_BYTES (512UL * 1024 * 1024)
+
+/* A value of this process in kB, by its name. */
+static long memory_kb(const char *name)
+{
+	FILE *file = fopen("/proc/self/status", "r");
+	char line[200];
+	long kb = -1;
+
+	while (file && fgets(line, sizeof(line), file))
+		if (g_str_has_prefix(line, name))
+			kb = strtol(line + strlen(name), NULL, 10);
+	if (file)
+		fclose(file);
+	return kb;
+}
+
+/*
+ * Guards against a leader that is killed as it reads the record of a schedule:
+ * the memory grew with the occurrences that are over. All but the last of a year
+ * are.
+ */
+START_TEST(record_of_a_long_schedule_takes_little_memory)
+{
+	struct job *job = make_schedule(YEAR_OF_MINUTES, 8), *copy;
+	msgpack_sbuffer record;
+	long before_kb;
+	int i;
+
+#ifndef __SANITIZE_ADDRESS__
+	setrlimit(RLIMIT_DATA,
+		  &(struct rlimit){ MEMORY_LIMIT_BYTES, MEMORY_LIMIT_BYTES });
+#endif
+	for (i = 0; i < 8; i++)
+		job->spec.steps[i].count = 16;
+	job->due = job->over = job->closed = YEAR_OF_MINUTES - 1;
+	ck_assert(job_open_occurrence(job, NOW));
+	job->phase = JOB_RUNNING;
+	job->started = true;
+	record_state_write(job, &record);
+	ck_assert_uint_le(record.size, 200);
+	before_kb = memory_kb("VmRSS:");
+	copy = copy_submission(job);
+	ck_assert_ptr_nonnull(copy);
+	fleet_add_job(&next, copy);
+	ck_assert(
+		record_state_read(&next, copy, record.data, record.size, NOW));
+	msgpack_sbuffer_destroy(&record);
+	ck_assert_int_eq(copy->over, YEAR_OF_MINUTES - 1);
+	ck_assert_int_eq(plan_pass(&next, NOW), 16);
+	ck_assert_int_lt(memory_kb("VmHWM:") - before_kb, MEMORY_MAX_KB);
+}
+END_TEST
+
+/* Reads a record of the schedule that lists the open occurrences only. */
+static struct job *reread(const struct job *job)
+{
+	struct job *copy = copy_submission(job);
+	msgpack_sbuffer record;
+
+	fleet_add_job(&next, copy);
+	record_state_write(job, &record);
+	ck_assert(
+		record_state_read(&next, copy, record.data, record.size, NOW));
+	msgpack_sbuffer_destroy(&record);
+	return copy;
+}
+
+/* An occurrence that lasts is open beside later ones, some of which are over. */
+START_TEST(open_occurrences_between_others_are_read)
+{
+	struct job *job = make_schedule(100, 2), *copy;
+	int i;
+
+	for (i = 0; i < 50; i++)
+		ck_assert(job_open_occurrence(job, NOW));
+	for (i = 0; i < 50; i++)
+		if (i != 20 && i != 21 && i != 49)
+			job_free_occurrence(job, i);
+	job->over = 47;
+	job_stage(job, 21, 0)->tasks[0].phase = TASK_DONE;
+	job_stage(job, 21, 0)->left = 0;
+	job_stage(job, 21, 0)->state = STAGE_DONE;
+	copy = reread(job);
+	ck_assert_int_eq(copy->due, 50);
+	ck_assert_int_eq(copy->over, 47);
+	ck_assert_int_eq(copy->closed, 20);
+	ck_assert_ptr_null(job_stage(copy, 19, 0));
+	ck_assert_int_eq(job_stage(copy, 20, 0)->state, STAGE_OPEN);
+	ck_assert_int_eq(job_stage(copy, 20, 1)->state, STAGE_BLOCKED);
+	ck_assert_int_eq(job_stage(copy, 21, 0)->state, STAGE_DONE);
+	ck_assert_int_eq(job_stage(copy, 21, 1)->state, STAGE_OPEN);
+	ck_assert_ptr_null(job_stage(copy, 22, 0));
+	ck_assert_int_eq(job_stage(copy, 49, 0)->occurrence, 49);
+	ck_assert_ptr_null(job_stage(copy, 50, 0));
+	job_free_occurrence(copy, 20);
+	job_close_occurrences(copy);
+	ck_assert_int_eq(copy->closed, 21);
+	ck_assert_int_eq(job_stage(copy, 21, 1)->step, 1);
+}
+END_TEST
+
 START_TEST(record_of_large_checkpoints_fits)
 {
 	struct job *job = make_job(&fleet, "big", 1, 600, 1, 100, NOW), *copy;
@@ -382,6 +490,8 @@
 	tcase_add_test(tc, copy_survives_a_takeover);
 	tcase_add_test(tc, ended_job_keeps_its_phase);
 	tcase_add_test(tc, record_of_an_overdue_schedule_fits);
+	tcase_add_test(tc, record_of_a_long_schedule_takes_little_memory);
+	tcase_add_test(tc, open_occurrences_between_others_are_read);
 	tcase_add_test(tc, record_of_large_checkpoints_fits);
 	tcase_add_test(tc, occurrences_that_are_over_leave_the_record);
 	tcase_add_test(tc, broken_records_are_refused);
