Bound the figures of other programs where they are read

Cause: durations, amounts, times and seconds from callers, the configuration, the settings, workers' answers and records were taken as they were, and sums, products and conversions of them left the range of their type. An entry of a host with an absurd strength, or with a port that is none, made the leader hand over again and again.

A task may ask for 2^32 of a resource and 2^40 ms. Records and entries of hosts with numbers out of range are not used; amounts of earlier versions are cut.

--- a/control/hosts.c
+++ b/control/hosts.c
@@ -151,13 +151,12 @@
 	int strength; /* see site_strength() */
 };
 
-static struct known_host *known_host_new(const struct site_dc *dc,
-					 const char *strength)
+static struct known_host *known_host_new(const struct site_dc *dc, int strength)
 {
 	struct known_host *peer = g_new0(struct known_host, 1);
 
 	peer->dc = dc;
-	peer->strength = (int)g_ascii_strtoll(strength, NULL, 10);
+	peer->strength = strength;
 	return peer;
 }
 
@@ -187,21 +186,26 @@
 	const char *host = item->key + strlen(hosts->list_prefix);
 	char **words = g_strsplit(item->value ? item->value : "", " ", 3);
 	struct set_addr at = { 0 };
+	guint64 port, strength;
 
-	if (g_strv_length(words) == 3) {
+	if (g_strv_length(words) == 3 &&
+	    g_ascii_string_to_unsigned(words[1], 10, 1, G_MAXUINT16, &port,
+				       NULL) &&
+	    g_ascii_string_to_unsigned(words[2], 10, 0, SITE_STRENGTH_MAX,
+				       &strength, NULL)) {
 		g_strlcpy(at.addr, words[0], sizeof(at.addr));
-		at.port = (int)g_ascii_strtoll(words[1], NULL, 10);
+		at.port = (int)port;
 		relay_add_peer(hosts->relay, host, &at,
 			       distance(hosts->site, hosts->list_dc));
 		if (!g_hash_table_contains(hosts->known, host)) {
 			log_info("host.seen",
-				 "peer=%s dc=%s strength=%s "
+				 "peer=%s dc=%s strength=%d "
 				 "revision=%" G_GINT64_FORMAT,
-				 host, hosts->list_dc->name, words[2],
+				 host, hosts->list_dc->name, (int)strength,
 				 item->mod_revision);
 			g_hash_table_insert(
 				hosts->known, g_strdup(host),
-				known_host_new(hosts->list_dc, words[2]));
+				known_host_new(hosts->list_dc, (int)strength));
 		}
 	} else {
 		log_warn("host.unreadable",
--- a/control/record.c
+++ b/control/record.c
@@ -84,15 +84,42 @@
 	move_buffer(&mp, out);
 }
 
+/* Numbers are added to, so that one beyond the range makes a record unreadable. */
+#define RECORD_INT_MAX (1LL << 53)
+
+static int64_t get_count(struct mp_in *in)
+{
+	int64_t number = mp_get_int(in);
+
+	in->ok &= number >= 0 && number <= RECORD_INT_MAX;
+	return number;
+}
+
+static int get_int(struct mp_in *in)
+{
+	int64_t number = mp_get_int(in);
+
+	in->ok &= number >= G_MININT && number <= G_MAXINT;
+	return (int)number;
+}
+
+/* Earlier versions accepted any amounts and times. */
+static int64_t get_at_most(struct mp_in *in, int64_t max)
+{
+	int64_t number = mp_get_int(in);
+
+	return MIN(number, max);
+}
+
 static void step_read(struct mp_in *in, struct step_spec *step)
 {
 	uint64_t flags;
 
-	step->count = (int)mp_get_int(in);
-	step->need.cpu_milli = mp_get_int(in);
-	step->need.mem_mb = mp_get_int(in);
-	step->need.gpus = mp_get_int(in);
-	step->est_ms = mp_get_int(in);
+	step->count = get_int(in);
+	step->need.cpu_milli = get_at_most(in, SPEC_AMOUNT_MAX);
+	step->need.mem_mb = get_at_most(in, SPEC_AMOUNT_MAX);
+	step->need.gpus = get_at_most(in, SPEC_AMOUNT_MAX);
+	step->est_ms = get_at_most(in, SPEC_SPAN_MAX_MS);
 	step->after = mp_get_uint(in);
 	flags = mp_get_uint(in);
 	step->gang = flags & STEP_GANG;
@@ -101,9 +128,9 @@
 	step->speculative = flags & STEP_SPECULATIVE;
 	step->long_running = flags & STEP_LONG_RUNNING;
 	step->fills = flags & STEP_FILLS;
-	step->max_per_worker = (int)mp_get_int(in);
-	step->may_miss = (int)mp_get_int(in);
-	step->target_ms = mp_get_int(in);
+	step->max_per_worker = get_int(in);
+	step->may_miss = get_int(in);
+	step->target_ms = get_at_most(in, SPEC_SPAN_MAX_MS);
 	step->label = mp_get_str(in);
 	step->rack = mp_get_str(in);
 	step->image = mp_get_str(in);
@@ -128,11 +155,11 @@
 	head.queue = mp_get_str(in);
 	head.pool = mp_get_str(in);
 	head.customer = mp_get_str(in);
-	head.priority = (int)mp_get_int(in);
-	head.attempts = (int)mp_get_int(in);
+	head.priority = get_int(in);
+	head.attempts = get_int(in);
 	head.stretch = (double)mp_get_int(in) / STRETCH_SCALE;
 	head.slo_ms = mp_get_int(in);
-	head.accepted_ms = mp_get_int(in);
+	head.accepted_ms = get_count(in);
 	payload = mp_get_str(in);
 	times = mp_get_int(in);
 	first_ms = mp_get_int(in);
@@ -320,9 +347,9 @@
 static void copy_read(struct fleet *fleet, struct task *task, struct mp_in *in,
 		      int64_t now_us)
 {
-	int64_t run = mp_get_int(in);
+	int64_t run = get_count(in);
 	char *worker = mp_get_str(in);
-	int64_t born_ms = mp_get_int(in);
+	int64_t born_ms = get_count(in);
 	struct task *copy;
 
 	if (in->ok && worker) {
@@ -340,10 +367,10 @@
 {
 	int64_t index = mp_get_int(in);
 	bool done = mp_get_uint(in);
-	int64_t run = mp_get_int(in);
-	int64_t fails = mp_get_int(in);
+	int64_t run = get_count(in);
+	int fails = get_int(in);
 	char *worker = mp_get_str(in);
-	int64_t born_ms = mp_get_int(in);
+	int64_t born_ms = get_count(in);
 	char *checkpoint = mp_get_str(in);
 	struct task *task;
 
@@ -355,7 +382,7 @@
 	}
 	task = &stage->tasks[index];
 	task->run = run;
-	task->fails = (int)fails;
+	task->fails = fails;
 	g_free(task->checkpoint);
 	task->checkpoint = checkpoint;
 	if (done && task->phase != TASK_DONE) {
@@ -374,8 +401,8 @@
 {
 	int64_t occurrence = mp_get_int(in);
 	int64_t step = mp_get_int(in);
-	int64_t fails = mp_get_int(in);
-	int64_t fail_run = mp_get_int(in);
+	int fails = get_int(in);
+	int64_t fail_run = get_count(in);
 	struct stage *stage;
 	struct mp_in tasks;
 
@@ -387,7 +414,7 @@
 			NULL;
 	if (!stage)
 		return false;
-	stage->fails = (int)fails;
+	stage->fails = fails;
 	stage->fail_run = fail_run;
 	while (tasks.ok && tasks.left > 0) {
 		struct mp_in inner;
@@ -439,8 +466,8 @@
 	mp_get_text(in, phase, sizeof(phase));
 	g_free(mp_get_str(in)); /* customer; only entry hosts use it */
 	started = mp_get_uint(in);
-	ended_ms = mp_get_int(in);
-	due = mp_get_int(in);
+	ended_ms = get_count(in);
+	due = get_count(in);
 	mp_get_array(in, &stages);
 	number = job_phase_parse(phase);
 	if (!in->ok || number < 0 || due < 0 || due > job->occurrences)
--- a/control/relay_release.c
+++ b/control/relay_release.c
@@ -9,6 +9,7 @@
 /* Time-out of a request, and delay before it is repeated after an error: the
  * process may be restarting. */
 #define RELEASE_TIMEOUT_MS 400
+#define RELEASE_AGO_MAX_MS (1LL << 40) /* 34 years */
 
 static void send_request(struct relay_release_request *req);
 
@@ -30,7 +31,7 @@
 	if (fr_unpack(&unpacked, call->data, call->len, NULL))
 		mp_open(&in, &unpacked.data);
 	ago_ms = mp_get_int(&in);
-	if (!in.ok)
+	if (!in.ok || ago_ms > RELEASE_AGO_MAX_MS)
 		ago_ms = -1;
 	msgpack_unpacked_destroy(&unpacked);
 	return ago_ms;
--- a/control/site.c
+++ b/control/site.c
@@ -13,5 +13,5 @@
 
 	if (site->link_mbps > 0)
 		share = MIN(share, site->link_mbps / LEADER_LINK_MBPS);
-	return (int)(CLAMP(share, 0.0, 1.0) * 100.0);
+	return (int)(CLAMP(share, 0.0, 1.0) * SITE_STRENGTH_MAX);
 }
--- a/control/site.h
+++ b/control/site.h
@@ -7,6 +7,7 @@
 
 #define SITE_SEEDS_MAX 8
 #define SITE_DCS_MAX 64
+#define SITE_STRENGTH_MAX 100
 
 struct site_dc {
 	char name[NAME_MAX_BYTES];
@@ -42,7 +43,7 @@
 
 /*
  * Capacity of a host as leader, in percent of the cores and bandwidth that a
- * leader needs; at most 100.
+ * leader needs; at most SITE_STRENGTH_MAX.
  */
 int site_strength(const struct site *site);
 
--- a/fleet/spec.c
+++ b/fleet/spec.c
@@ -57,15 +57,26 @@
 	return !label || strlen(label) <= SPEC_LABEL_MAX_BYTES;
 }
 
+static bool amount_fits(int64_t amount)
+{
+	return amount >= 0 && amount <= SPEC_AMOUNT_MAX;
+}
+
+static bool span_fits(int64_t span_ms)
+{
+	return span_ms >= 0 && span_ms <= SPEC_SPAN_MAX_MS;
+}
+
 static bool step_check(const struct step_spec *step, int index, GError **err)
 {
 	if (step->count < 1 || step->count > SPEC_TASKS_MAX)
 		return reject(err, "count is out of range", index);
-	if (step->need.cpu_milli < 0 || step->need.mem_mb < 0 ||
-	    step->need.gpus < 0)
-		return reject(err, "a resource amount is negative", index);
-	if (step->est_ms < 0 || step->target_ms < 0)
-		return reject(err, "est_ms or target_ms is negative", index);
+	if (!amount_fits(step->need.cpu_milli) ||
+	    !amount_fits(step->need.mem_mb) || !amount_fits(step->need.gpus))
+		return reject(err, "a resource amount is out of range", index);
+	if (!span_fits(step->est_ms) || !span_fits(step->target_ms))
+		return reject(err, "est_ms or target_ms is out of range",
+			      index);
 	if (step->max_per_worker < 0 || step->may_miss < 0)
 		return reject(err, "max_per_server or may_miss is negative",
 			      index);
--- a/fleet/spec.h
+++ b/fleet/spec.h
@@ -18,6 +18,9 @@
 /* Occurrences of a recurring job: nearly two years of one each minute. Those that
  * are over take no room. */
 #define SPEC_TIMES_MAX 1000000
+/* Of a resource, of one task; the sum over all tasks of all jobs is in range. */
+#define SPEC_AMOUNT_MAX (1LL << 32)
+#define SPEC_SPAN_MAX_MS (1LL << 40) /* 34 years; 64 of them are in range */
 #define SPEC_PAYLOAD_MAX_BYTES 4000
 #define SPEC_LABEL_MAX_BYTES 128
 
--- a/tests/unit/test_decode.c
+++ b/tests/unit/test_decode.c
@@ -3,6 +3,7 @@
 #include "base/err.h"
 #include "control/hosts.h"
 #include "platform/decode.h"
+#include "platform/json.h"
 #include "platform/settings.h"
 #include "tests/unit/run.h"
 
@@ -59,6 +60,11 @@
 		"\"state\":\"draining\",\"headroom\":{\"cpu\":1,\"mem_mb\":2,"
 		"\"gpu\":3},\"labels\":[\"a\",\"r1\"],\"clock_ms\":5,"
 		"\"born\":6,\"remaining_ms\":70}";
+	static const char without[] =
+		"{\"svc\":\"s\",\"addr\":\"10.0.0.9:80\",\"zone\":\"z\","
+		"\"state\":\"ready\",\"headroom\":{\"cpu\":1,\"mem_mb\":2,"
+		"\"gpu\":null},\"labels\":[],\"clock_ms\":5,\"born\":6,"
+		"\"remaining_ms\":null}";
 	static const char *const bad[] = {
 		"",
 		"{}",
@@ -83,6 +89,9 @@
 		"{\"svc\":\"s\",\"addr\":\"10.0.0.9:80\",\"zone\":\"z\","
 		"\"state\":\"ready\",\"headroom\":{\"cpu\":9223372036854775807,"
 		"\"mem_mb\":2},\"clock_ms\":5,\"born\":6}",
+		"{\"svc\":\"s\",\"addr\":\"10.0.0.9:80\",\"zone\":\"z\","
+		"\"state\":\"draining\",\"headroom\":{\"cpu\":1,\"mem_mb\":2},"
+		"\"clock_ms\":5,\"born\":6,\"remaining_ms\":1e18}",
 	};
 	struct worker_report report;
 	size_t i;
@@ -96,6 +105,10 @@
 	ck_assert_int_eq(report.room.gpus, 3);
 	ck_assert_int_eq(report.remaining_ms, 70);
 	worker_report_finish(&report);
+	ck_assert(read_report(without, &report));
+	ck_assert_int_eq(report.room.gpus, 0);
+	ck_assert_int_eq(report.remaining_ms, 0);
+	worker_report_finish(&report);
 	for (i = 0; i < G_N_ELEMENTS(bad); i++)
 		ck_assert_msg(!read_report(bad[i], &report), "entry %zu", i);
 }
@@ -127,6 +140,131 @@
 }
 END_TEST
 
+/* One step with the given fields. */
+static bool read_step(const char *fields, const char *rest,
+		      struct job_spec *spec)
+{
+	char *text =
+		g_strdup_printf("{\"spec\":\"x\",\"steps\":[{\"count\":1,%s}"
+				"]%s}",
+				fields, rest);
+	bool ok = platform_spec_read(text, strlen(text), spec, NULL);
+
+	g_free(text);
+	return ok;
+}
+
+/*
+ * Guards against sums and products of figures of a job that leave the range of
+ * their type: durations along 64 steps, accelerators in cores.
+ */
+START_TEST(absurd_figures_of_jobs_are_refused)
+{
+	static const char *const bad[] = {
+		"\"cpu\":9223372036854775807",
+		"\"mem_mb\":4294967297",
+		"\"gpu\":4611686018427387904",
+		"\"est_ms\":9223372036854775807",
+		"\"target_ms\":9e18",
+		"\"est_ms\":1e300",
+		"\"cpu\":1.5",
+		"\"gpu\":-1",
+	};
+	struct job_spec spec;
+	struct job *job;
+	size_t i;
+
+	for (i = 0; i < G_N_ELEMENTS(bad); i++)
+		ck_assert_msg(!read_step(bad[i], "", &spec), "%s", bad[i]);
+	ck_assert(!read_step("\"cpu\":1", ",\"times\":9223372036854775807",
+			     &spec));
+	ck_assert(!read_step("\"cpu\":1", ",\"interval_ms\":1e300", &spec));
+	ck_assert(read_step("\"cpu\":4294967296,\"gpu\":4294967296,"
+			    "\"est_ms\":1099511627776,\"target_ms\":"
+			    "1099511627776",
+			    "", &spec));
+	ck_assert_int_eq(job_spec_chain_ms(&spec), SPEC_SPAN_MAX_MS);
+	job = job_new("j", &spec);
+	ck_assert_double_gt(job->work, 0);
+	job_free(job);
+}
+END_TEST
+
+/* Guards against conversions of figures that the type does not hold. */
+START_TEST(absurd_figures_of_the_configuration_are_ignored)
+{
+	static const char text[] =
+		"{\"version\":7,\"limits\":{\"max_body_bytes\":-1},\"routes\":[{"
+		"\"name\":\"r\",\"host\":\"a\",\"prefix\":\"/q/\",\"svc\":\"s\","
+		"\"slo_ms\":1e300,\"prio\":99999999999,\"attempts\":-1,"
+		"\"stretch\":1e300}],\"tenants\":[{\"name\":\"t\",\"api_keys\":"
+		"[\"k\"],\"guaranteed\":{\"gpu\":9223372036854775807}}]}";
+	struct config *config = platform_config_read(text, strlen(text));
+	const struct queue *queue;
+
+	ck_assert_ptr_nonnull(config);
+	queue = config_route(config, "a", "/q/00");
+	ck_assert_int_eq(queue->slo_ms, 0);
+	ck_assert_int_eq(queue->priority, 1);
+	ck_assert_int_eq(queue->attempts, 1);
+	ck_assert_double_eq(queue->stretch, 1.0);
+	ck_assert_int_eq(config->body_max_bytes, 0);
+	ck_assert_int_eq(config_find_key_owner(config, "k")->guaranteed_gpus,
+			 0);
+	config_free(config);
+	/* A configuration whose version is not known is not taken. */
+	ck_assert_ptr_null(platform_config_read("{\"version\":1e300}", 17));
+}
+END_TEST
+
+START_TEST(absurd_figures_of_the_settings_are_ignored)
+{
+	static const char text[] =
+		"{\"node\":\"n\",\"zone\":\"z\",\"region\":\"r\",\"limits\":{"
+		"\"cpu_share\":1e300,\"cores\":-1,\"link_mbps\":-5,\"max_fds\":"
+		"1e300},\"bounds\":{\"grace_s\":1e300,\"status_s\":-1,"
+		"\"max_hold_ms\":9223372036854775807,\"stop_ms\":-1,\"lease_ms\":"
+		"1e18,\"config_ms\":\"1\"},\"platform\":{\"addr\":\"10.0.0.3:8\"}}";
+	struct site site;
+
+	ck_assert(platform_settings_parse(&site, text, strlen(text), NULL));
+	ck_assert_int_eq(site.bounds.max_hold_ms, 6000);
+	ck_assert_int_eq(site.bounds.stop_ms, 400);
+	ck_assert_int_eq(site.bounds.status_ms, 120000);
+	ck_assert_int_eq(site.machine_order_gap_ms, 3000);
+	ck_assert_int_eq(site.config_ms, 2500);
+	ck_assert_int_eq(site.grace_ms, 6000);
+	ck_assert_double_eq(site.cores, 1.0);
+	ck_assert_double_eq(site.link_mbps, 0.0);
+	ck_assert_int_eq(site.descriptors_max, 0);
+}
+END_TEST
+
+/* Guards against a number that is none, and against one that is cut. */
+START_TEST(integers)
+{
+	static const char text[] =
+		"{\"a\":1e300,\"b\":-1e300,\"c\":9007199254740993,\"d\":7.9,"
+		"\"e\":\"5\",\"f\":9007199254740992,\"g\":9223372036854775807}";
+	json_t *object = json_object_parse(text, strlen(text));
+
+	ck_assert_int_eq(json_int(object, "a", 3), 3);
+	ck_assert_int_eq(json_int(object, "b", 3), 3);
+	ck_assert_int_eq(json_int(object, "c", 3), 3);
+	ck_assert_int_eq(json_int(object, "d", 3), 7);
+	ck_assert_int_eq(json_int(object, "e", 3), 3);
+	ck_assert_int_eq(json_int(object, "f", 3), 9007199254740992);
+	ck_assert_int_eq(json_int(object, "none", 3), 3);
+	ck_assert_int_eq(json_int_within(object, "d", 3, 0, 7), 7);
+	ck_assert_int_eq(json_int_within(object, "d", 3, 8, 9), 3);
+	ck_assert_double_eq(json_float_within(object, "a", 2.5, 0, 1e9), 2.5);
+	/* A number that is only compared and handed back is taken as it is. */
+	ck_assert_int_eq(json_id(object, "g"), INT64_MAX);
+	ck_assert_int_eq(json_id(object, "a"), 0);
+	json_decref(object);
+}
+END_TEST
+
 START_TEST(upkeep_waves)
 {
 	static const char text[] = "{\"wave\":3,\"machines\":[\"m1\",\"m2\"],"
@@ -142,6 +280,10 @@
 	ck_assert_ptr_null(
 		platform_wave_read("op/other", text, strlen(text), 9));
 	ck_assert_ptr_null(platform_wave_read("op/wave/3", "{}", 2, 9));
+	/* Its status would be written for another wave. */
+	ck_assert_ptr_null(platform_wave_read(
+		"op/wave/3",
+		"{\"wave\":9223372036854775807,\"machines\":[\"m1\"]}", 46, 9));
 	ck_assert(platform_wave_status_read("{\"state\":\"done\"}", 16));
 	ck_assert(!platform_wave_status_read("{\"state\":\"running\"}", 19));
 }
@@ -239,6 +381,10 @@
 		"{\"running\":[[\"a.0.0.0\"]],\"ended\":[]}",
 		"{\"running\":[[\"a.0.0.0\",\"1\",\"\",4]],\"ended\":[]}",
 		"{\"running\":[],\"ended\":[[1,\"a.0.0.0\"]]}",
+		"{\"running\":[[\"a.0.0.0\",9223372036854775807]],\"ended\":[]}",
+		"{\"running\":[[\"a.0.0.0\",-1]],\"ended\":[]}",
+		"{\"running\":[],\"ended\":[[9223372036854775807,\"a.0.0.0\",1,"
+		"\"done\"]]}",
 	};
 	size_t i, running, ended;
 
@@ -297,6 +443,10 @@
 	tcase_add_test(tc, full_list_of_ends_is_truncated);
 	tcase_add_test(tc, worker_reports);
 	tcase_add_test(tc, submissions);
+	tcase_add_test(tc, absurd_figures_of_jobs_are_refused);
+	tcase_add_test(tc, absurd_figures_of_the_configuration_are_ignored);
+	tcase_add_test(tc, absurd_figures_of_the_settings_are_ignored);
+	tcase_add_test(tc, integers);
 	tcase_add_test(tc, upkeep_waves);
 	tcase_add_test(tc, settings);
 	tcase_add_test(tc, host_lists_rotate);
--- a/tests/unit/test_host.c
+++ b/tests/unit/test_host.c
@@ -692,7 +692,21 @@
 }
 END_TEST
 
-/* If all hosts have strength 0, the leader does not hand over. */
+/* The first is a host of strength 0; the others are no entries of hosts. */
+static const char *const no_stronger_hosts[] = {
+	"127.0.0.1 1 0",
+	"127.0.0.1 1 2000000000",
+	"127.0.0.1 1 9223372036854775807",
+	"127.0.0.1 1 -2147483548",
+	"127.0.0.1 99999 100",
+	"127.0.0.1 4294967297 100",
+};
+
+/*
+ * If all hosts have strength 0, the leader does not hand over. Guards also
+ * against a leader that hands over again and again, to a host that never takes
+ * over, because of an absurd figure.
+ */
 START_TEST(weakest_hosts_keep_their_leader)
 {
 	uint64_t before;
@@ -700,7 +714,8 @@
 	rig_start(&rig, 1, 2, 1);
 	rig.hosts[0].site.cores = 0.001;
 	ck_assert_int_eq(site_strength(&rig.hosts[0].site), 0);
-	site_store_put(rig.store, "chivebank/hosts/d1/other", "127.0.0.1 1 0");
+	site_store_put(rig.store, "chivebank/hosts/d1/other",
+		       no_stronger_hosts[_i]);
 	rig_run_ms(&rig, 1500);
 	before = (uint64_t)site_store_get(rig.store, "chivebank/leader")
 			 ->created;
@@ -1345,7 +1360,8 @@
 	tcase_add_test(tc, reelection_after_a_store_outage);
 	tcase_add_test(tc, weak_leader_hands_over);
 	tcase_add_test(tc, equal_hosts_keep_their_leader);
-	tcase_add_test(tc, weakest_hosts_keep_their_leader);
+	tcase_add_loop_test(tc, weakest_hosts_keep_their_leader, 0,
+			    (int)G_N_ELEMENTS(no_stronger_hosts));
 	tcase_add_loop_test(tc, answers_of_the_store_are_lost, 0, 3);
 	tcase_add_test(tc, lost_answers_are_hedged);
 	tcase_add_test(tc, slow_store_is_waited_for);
--- a/tests/unit/test_record.c
+++ b/tests/unit/test_record.c
@@ -429,6 +429,49 @@
 }
 END_TEST
 
+/*
+ * Guards against numbers of a record that another program has written, and that
+ * are added to: the next run, the age of a job.
+ */
+START_TEST(numbers_out_of_range_are_refused)
+{
+	struct job *job = make_job(&fleet, "j", 1, 1, 1, 1500, NOW), *copy;
+	struct submission head = { .queue = (char *)"q",
+				   .pool = (char *)MAKE_POOL,
+				   .customer = (char *)"one",
+				   .accepted_ms = INT64_MIN };
+	msgpack_sbuffer record;
+
+	fleet_open_due(&fleet, NOW, 0);
+	copy = copy_submission(job);
+	fleet_add_job(&next, copy);
+	first_occurrence_task(job, 0, 0)->run = INT64_MAX;
+	record_state_write(job, &record);
+	ck_assert(
+		!record_state_read(&next, copy, record.data, record.size, NOW));
+	msgpack_sbuffer_destroy(&record);
+	record_submission_write(&head, &job->spec, &record);
+	ck_assert_ptr_null(
+		record_submission_read("k", record.data, record.size));
+	msgpack_sbuffer_destroy(&record);
+}
+END_TEST
+
+/* An earlier version has accepted a job whose durations are beyond the range. */
+START_TEST(amounts_of_earlier_versions_are_cut)
+{
+	struct job *job = make_job(&fleet, "j", 1, 1, 1, 1500, NOW), *copy;
+
+	job->spec.steps[0].est_ms = INT64_MAX;
+	job->spec.steps[0].need.gpus = INT64_MAX;
+	copy = copy_submission(job);
+	ck_assert_ptr_nonnull(copy);
+	ck_assert_int_eq(copy->spec.steps[0].est_ms, SPEC_SPAN_MAX_MS);
+	ck_assert_int_eq(copy->spec.steps[0].need.gpus, SPEC_AMOUNT_MAX);
+	job_free(copy);
+}
+END_TEST
+
 /* Without the fields that were added at the end. */
 START_TEST(records_without_queue_and_key_are_read)
 {
@@ -495,6 +538,8 @@
 	tcase_add_test(tc, record_of_large_checkpoints_fits);
 	tcase_add_test(tc, occurrences_that_are_over_leave_the_record);
 	tcase_add_test(tc, broken_records_are_refused);
+	tcase_add_test(tc, numbers_out_of_range_are_refused);
+	tcase_add_test(tc, amounts_of_earlier_versions_are_cut);
 	tcase_add_test(tc, records_without_queue_and_key_are_read);
 	tcase_add_test(tc, counts_of_waiting_jobs);
 	return run_case("record", tc);
