--- a/control/record.c
+++ b/control/record.c
@@ -84,15 +84,42 @@
 	move_buffer(&mp, out);
 }
 
+/* Numbers are added to, so that one beyond the range makes a record unreadable. */
+#define RECORD_INT_MAX (1LL << 53)
+
+static int64_t get_count(struct mp_in *in)
+{
+	int64_t number = mp_get_int(in);
+
+	in->ok &= number >= 0 && number <= RECORD_INT_MAX;
+	return number;
+}
+
+static int get_int(struct mp_in *in)
+{
+	int64_t number = mp_get_int(in);
+
+	in->ok &= number >= G_MININT && number <= G_MAXINT;
+	return (int)number;
+}
+
+/* Earlier versions accepted any amounts and times. */
+static int64_t get_at_most(struct mp_in *in, int64_t max)
+{
+	int64_t number = mp_get_int(in);
+
+	return MIN(number, max);
+}
+
 static void step_read(struct mp_in *in, struct step_spec *step)
 {
 	uint64_t flags;
 
-	step->count = (int)mp_get_int(in);
-	step->need.cpu_milli = mp_get_int(in);
-	step->need.mem_mb = mp_get_int(in);
-	step->need.gpus = mp_get_int(in);
-	step->est_ms = mp_get_int(in);
+	step->count = get_int(in);
+	step->need.cpu_milli = get_at_most(in, SPEC_AMOUNT_MAX);
+	step->need.mem_mb = get_at_most(in, SPEC_AMOUNT_MAX);
+	step->need.gpus = get_at_most(in, SPEC_AMOUNT_MAX);
+	step->est_ms = get_at_most(in, SPEC_SPAN_MAX_MS);
 	step->after = mp_get_uint(in);
 	flags = mp_get_uint(in);
 	step->gang = flags & STEP_GANG;
@@ -101,9 +128,9 @@
 	step->speculative = flags & STEP_SPECULATIVE;
 	step->long_running = flags & STEP_LONG_RUNNING;
 	step->fills = flags & STEP_FILLS;
-	step->max_per_worker = (int)mp_get_int(in);
-	step->may_miss = (int)mp_get_int(in);
-	step->target_ms = mp_get_int(in);
+	step->max_per_worker = get_int(in);
+	step->may_miss = get_int(in);
+	step->target_ms = get_at_most(in, SPEC_SPAN_MAX_MS);
 	step->label = mp_get_str(in);
 	step->rack = mp_get_str(in);
 	step->image = mp_get_str(in);
@@ -128,11 +155,11 @@
 	head.queue = mp_get_str(in);
 	head.pool = mp_get_str(in);
 	head.customer = mp_get_str(in);
-	head.priority = (int)mp_get_int(in);
-	head.attempts = (int)mp_get_int(in);
+	head.priority = get_int(in);
+	head.attempts = get_int(in);
 	head.stretch = (double)mp_get_int(in) / STRETCH_SCALE;
 	head.slo_ms = mp_get_int(in);
-	head.accepted_ms = mp_get_int(in);
+	head.accepted_ms = get_count(in);
 	payload = mp_get_str(in);
 	times = mp_get_int(in);
 	first_ms = mp_get_int(in);
@@ -230,10 +257,10 @@
 static bool checkpoints_fit(const struct job *job)
 {
 	size_t bytes = 0;
-	int64_t i;
+	guint i;
 
-	for (i = 0; i < job->due * job->spec.nsteps; i++)
-		bytes += job->stages[i] ? checkpoint_bytes(job->stages[i]) : 0;
+	for (i = 0; i < job->stages->len; i++)
+		bytes += checkpoint_bytes(g_ptr_array_index(job->stages, i));
 	if (bytes <= RECORD_CHECKPOINTS_MAX_BYTES)
 		return true;
 	log_warn("record.no_checkpoints", "job=%s bytes=%zu limit=%d", job->id,
@@ -284,11 +311,13 @@
 void record_state_write(const struct job *job, msgpack_sbuffer *out)
 {
 	bool checkpoints = checkpoints_fit(job);
-	int64_t i, live = 0;
+	/* An ended job needs no task state once it holds no worker. */
+	guint live = job_ended(job) && !fleet_job_holds_room(job) ?
+			     0 :
+			     job->stages->len;
 	struct mp_out mp;
+	guint i;
 
-	for (i = 0; i < job->due * job->spec.nsteps; i++)
-		live += job->stages[i] != NULL;
 	mp_begin(&mp, 9);
 	mp_uint(&mp, RECORD_VERSION);
 	mp_str(&mp, job_phase_name(job->phase));
@@ -296,12 +325,10 @@
 	mp_uint(&mp, job->started);
 	mp_int(&mp, job->ended_ms);
 	mp_int(&mp, job->due);
-	/* An ended job needs no task state once it holds no worker. */
-	mp_array(&mp, job_ended(job) && !fleet_job_holds_room(job) ? 0 : live);
-	for (i = 0; i < job->due * job->spec.nsteps; i++)
-		if (job->stages[i] &&
-		    !(job_ended(job) && !fleet_job_holds_room(job)))
-			stage_write(job->stages[i], checkpoints, &mp);
+	mp_array(&mp, live);
+	for (i = 0; i < live; i++)
+		stage_write(g_ptr_array_index(job->stages, i), checkpoints,
+			    &mp);
 	mp_str(&mp, job->queue);
 	mp_str(&mp, job->key_digest);
 	move_buffer(&mp, out);
@@ -320,9 +347,9 @@
 static void copy_read(struct fleet *fleet, struct task *task, struct mp_in *in,
 		      int64_t now_us)
 {
-	int64_t run = mp_get_int(in);
+	int64_t run = get_count(in);
 	char *worker = mp_get_str(in);
-	int64_t born_ms = mp_get_int(in);
+	int64_t born_ms = get_count(in);
 	struct task *copy;
 
 	if (in->ok && worker) {
@@ -340,10 +367,10 @@
 {
 	int64_t index = mp_get_int(in);
 	bool done = mp_get_uint(in);
-	int64_t run = mp_get_int(in);
-	int64_t fails = mp_get_int(in);
+	int64_t run = get_count(in);
+	int fails = get_int(in);
 	char *worker = mp_get_str(in);
-	int64_t born_ms = mp_get_int(in);
+	int64_t born_ms = get_count(in);
 	char *checkpoint = mp_get_str(in);
 	struct task *task;
 
@@ -355,7 +382,7 @@
 	}
 	task = &stage->tasks[index];
 	task->run = run;
-	task->fails = (int)fails;
+	task->fails = fails;
 	g_free(task->checkpoint);
 	task->checkpoint = checkpoint;
 	if (done && task->phase != TASK_DONE) {
@@ -374,18 +401,20 @@
 {
 	int64_t occurrence = mp_get_int(in);
 	int64_t step = mp_get_int(in);
-	int64_t fails = mp_get_int(in);
-	int64_t fail_run = mp_get_int(in);
+	int fails = get_int(in);
+	int64_t fail_run = get_count(in);
 	struct stage *stage;
 	struct mp_in tasks;
 
 	mp_get_array(in, &tasks);
 	if (!in->ok || step < 0 || step >= SPEC_STEPS_MAX)
 		return false;
-	stage = job_stage(job, occurrence, (int)step);
+	stage = job_reopen_occurrence(job, occurrence) ?
+			job_stage(job, occurrence, (int)step) :
+			NULL;
 	if (!stage)
 		return false;
-	stage->fails = (int)fails;
+	stage->fails = fails;
 	stage->fail_run = fail_run;
 	while (tasks.ok && tasks.left > 0) {
 		struct mp_in inner;
@@ -398,31 +427,29 @@
 	return tasks.ok;
 }
 
-/* Closes the occurrences that the record does not list, as they are over, and
- * derives the stage states of the others. */
-static void restore_stage_states(struct job *job, const bool *listed,
-				 int64_t now_us)
+/*
+ * Derives the stage states of the occurrences that the record lists. The others
+ * that were due are over: nothing is made for them, as there may be many.
+ */
+static void restore_stage_states(struct job *job, int64_t now_us)
 {
-	int64_t k;
-	int step;
+	guint nsteps = (guint)job->spec.nsteps;
+	const struct stage *first;
+	guint i;
 
-	for (k = 0; k < job->due; k++) {
-		bool over = true;
+	job->closed = job->due;
+	job->over = job->due;
+	for (i = 0; i < job->stages->len; i++) {
+		struct stage *stage = g_ptr_array_index(job->stages, i);
 
-		if (!listed[k]) {
-			job_free_occurrence(job, k);
-			job->over++;
-			continue;
-		}
-		for (step = 0; step < job->spec.nsteps; step++) {
-			struct stage *stage = job_stage(job, k, step);
-
-			if (stage->left == 0)
-				stage->state = STAGE_DONE;
-			over &= stage->state == STAGE_DONE;
-		}
-		job->over += over;
-		job_unblock(job, k, now_us);
+		if (stage->left == 0)
+			stage->state = STAGE_DONE;
+	}
+	for (i = 0; i < job->stages->len; i += nsteps) {
+		first = g_ptr_array_index(job->stages, i);
+		job->closed = MIN(job->closed, first->occurrence);
+		job->over -= !job_occurrence_done(job, first->occurrence);
+		job_unblock(job, first->occurrence, now_us);
 	}
 }
 
@@ -430,7 +457,7 @@
 		       int64_t now_us)
 {
 	char phase[16];
-	bool started, *listed;
+	bool started;
 	int64_t ended_ms, due;
 	struct mp_in stages;
 	bool ok = true;
@@ -439,8 +466,8 @@
 	mp_get_text(in, phase, sizeof(phase));
 	g_free(mp_get_str(in)); /* customer; only entry hosts use it */
 	started = mp_get_uint(in);
-	ended_ms = mp_get_int(in);
-	due = mp_get_int(in);
+	ended_ms = get_count(in);
+	due = get_count(in);
 	mp_get_array(in, &stages);
 	number = job_phase_parse(phase);
 	if (!in->ok || number < 0 || due < 0 || due > job->occurrences)
@@ -448,21 +475,14 @@
 	job->phase = (enum job_phase)number;
 	job->started = started;
 	job->ended_ms = ended_ms;
-	while (job->due < due)
-		job_open_occurrence(job, now_us);
-	listed = g_new0(bool, due + 1);
+	job->due = due;
 	while (ok && stages.left > 0) {
-		struct mp_in inner, peek;
+		struct mp_in inner;
 
 		mp_get_array(&stages, &inner);
-		peek = inner;
-		number = (int)mp_get_int(&peek);
-		if (number >= 0 && number < due)
-			listed[number] = true;
 		ok = stages.ok && stage_read(fleet, job, &inner, now_us);
 	}
-	restore_stage_states(job, listed, now_us);
-	g_free(listed);
+	restore_stage_states(job, now_us);
 	return ok;
 }
 
--- a/fleet/worker.h
+++ b/fleet/worker.h
@@ -79,6 +79,8 @@
 	bool holding; /* a hold call that waits for an end is pending */
 	bool poll_pending; /* a hold call that does not wait is pending */
 	int64_t hold_sent_us; /* when the latest hold call was sent */
+	/* When the latest hold call that this life has answered was sent. */
+	int64_t confirmed_us;
 	/* Highest end number of which the acknowledgement was answered. */
 	int64_t acked;
 	int64_t end_seen; /* highest end number processed */
@@ -94,7 +96,10 @@
 	int64_t fill_pace_since_us;
 	/* Since when serving tasks are well within their latency targets. */
 	int64_t serving_ok_since_us;
-	/* Its lent host is being returned: it gets no new tasks. */
+	/*
+	 * Its lent host is being returned: it gets no new tasks. Derived anew
+	 * in each pass, so that it ends with its cause.
+	 */
 	bool cordoned;
 	enum worker_upkeep upkeep; /* set by fleet/upkeep.c */
 	/* Set during a planning pass. */
