Send no byte of a request whose time is over

Cause: a process that was paused while a connection was being made reads its sockets before its timers. It then sent the request, although the timer that was due ended the call a moment later. A start order of a leader could so leave long after the leader had decided on it, and after the data centre of the worker had been evacuated.

Change: hc leaves such a connection to the timer. The call ends with a time-out and, if it had taken no byte, as not sent.

Run: the new test nothing_is_sent_after_the_timeout fails without the change ("Assertion '!calls[0].sent' failed") and passes with it; test_hc (40 checks) 3 of 3 times, test_host (59) and test_relay once, all passed.

--- a/tests/unit/test_hc.c
+++ b/tests/unit/test_hc.c
@@ -374,6 +374,21 @@
 END_TEST
 
 /* Guards against a late reply delivered to a later request. */
+/* Guards against orders that a process which was paused sends too late. */
+START_TEST(nothing_is_sent_after_the_timeout)
+{
+	use_server();
+	hold = true;
+	ck_assert(start(0, "GET", "/", 20));
+	usleep(60 * USEC_PER_MSEC);
+	wait_ended(1, 500);
+	ck_assert_int_eq(calls[0].result, CB_E_UPSTREAM_TIMEOUT);
+	ck_assert(!calls[0].sent);
+	be_turn(&kn, 50);
+	ck_assert_int_eq(held_count, 0);
+}
+END_TEST
+
 START_TEST(late_reply_is_dropped)
 {
 	struct be_sock second;
@@ -476,6 +491,7 @@
 	tcase_add_test(tc, stale_connection_is_reported_as_sent);
 	tcase_add_test(tc, refused_connection_was_not_sent);
 	tcase_add_test(tc, connecting_has_its_own_timeout);
+	tcase_add_test(tc, nothing_is_sent_after_the_timeout);
 	tcase_add_test(tc, late_reply_is_dropped);
 	tcase_add_loop_test(tc, cancel_closes_the_connection, 0, 2);
 	tcase_add_test(tc, finish_ends_calls);
--- a/wire/hc.c
+++ b/wire/hc.c
@@ -150,7 +150,9 @@
 	socklen_t len = sizeof(int);
 	int error = 0;
 
-	if (!conn->call)
+	/* A process that was paused reads its sockets before its timers, and
+	 * one of those ends the call. */
+	if (!conn->call || conn->deadline_us <= kn_now_us())
 		return true;
 	if (!conn->connected) {
 		if (getsockopt(lws_get_socket_fd(conn->wsi), SOL_SOCKET,
