Report guarantees that evacuations leave unservable, and show evacuations

The leader compares the sum of all guarantees with the accelerators of the registered workers outside evacuated data centres, before each planning pass: guarantee.unservable and guarantee.servable name the customers whose guarantee can't be relied on any more, or can again. If the sum is too large, each customer with a guarantee is named, since one that claims first may leave too little for any other.

--- a/cli/cli_status.c
+++ b/cli/cli_status.c
@@ -18,7 +18,7 @@
 	fputc('\n', cli->out);
 }
 
-/* Single values first, then one line a part, then the table of workers. */
+/* Single values first, then one line a part, then the tables. */
 void cli_print_status(struct cli *cli, json_t *status)
 {
 	static const struct cli_column columns[] = {
@@ -31,7 +31,14 @@
 		{ "ANSWERED MS", "answered_ms" },
 		{ 0 }
 	};
+	static const struct cli_column evacuated[] = {
+		{ "EVACUATED DATA CENTRE", "data_centre" },
+		{ "SINCE MS", "since_ms" },
+		{ "RUNS", "runs" },
+		{ 0 }
+	};
 	json_t *workers = json_object_get(status, "workers");
+	json_t *evacuations = json_object_get(status, "evacuations");
 	json_t *values = json_object();
 	const char *key;
 	json_t *value;
@@ -45,6 +52,8 @@
 		if (json_is_object(value))
 			print_part(cli, key, value);
 	}
+	if (json_array_size(evacuations) > 0)
+		cli_print_table(cli, evacuated, evacuations);
 	if (workers)
 		cli_print_table(cli, columns, workers);
 	json_decref(values);
--- a/control/director.c
+++ b/control/director.c
@@ -127,6 +127,7 @@
 	ctr_finish(&director->banned);
 	ctr_finish(&director->unheld);
 	ctr_finish(&director->evacuated_runs);
+	ctr_finish(&director->unservable);
 	ctr_finish(&director->waiting);
 	ctr_finish(&director->running);
 	g_free(director);
@@ -175,6 +176,9 @@
 	ctr_init(&director->evacuated_runs, set, CTR_GAUGE,
 		 "chivebank_evacuated_runs", NULL,
 		 "Runs in progress in evacuated data centres");
+	ctr_init(&director->unservable, set, CTR_GAUGE,
+		 "chivebank_guarantees_unservable", NULL,
+		 "Guarantees that the remaining workers can't hold");
 	ctr_init(&director->waiting, set, CTR_GAUGE, "chivebank_jobs_waiting",
 		 NULL, "Jobs that have not started");
 	ctr_init(&director->running, set, CTR_GAUGE, "chivebank_jobs_running",
--- a/control/director.h
+++ b/control/director.h
@@ -73,6 +73,7 @@
 	struct ctr banned;
 	struct ctr unheld;
 	struct ctr evacuated_runs;
+	struct ctr unservable;
 	struct ctr waiting;
 	struct ctr running;
 };
--- a/control/director_log.c
+++ b/control/director_log.c
@@ -149,9 +149,21 @@
 		worker->refusals);
 }
 
+static void on_guarantee(void *user, const char *customer, int64_t guaranteed,
+			 int64_t gpus, bool servable)
+{
+	const struct director *director = user;
+
+	log_warn(servable ? "guarantee.servable" : "guarantee.unservable",
+		 "customer=%s guaranteed=%lld gpus=%lld fence=%lld", customer,
+		 (long long)guaranteed, (long long)gpus,
+		 (long long)director->leader.fence);
+}
+
 const struct fleet_ops director_fleet_ops = {
 	.note = on_note,
 	.released = on_released,
 	.unheld = on_unheld,
+	.guarantee = on_guarantee,
 	.lost = on_unreachable,
 };
--- a/control/director_pass.c
+++ b/control/director_pass.c
@@ -106,6 +106,8 @@
 	ctr_gauge(&director->unheld, director->fleet.unheld);
 	ctr_gauge(&director->evacuated_runs,
 		  (uint64_t)evacuation_all_runs(&director->fleet));
+	ctr_gauge(&director->unservable,
+		  g_hash_table_size(director->fleet.unservable));
 }
 
 /*
@@ -134,6 +136,7 @@
 	fleet_open_due(&director->fleet, now_us, director_wall_ms());
 	fleet_expire(&director->fleet, now_us);
 	evacuation_pass(&director->fleet, now_us);
+	evacuation_check_guarantees(&director->fleet);
 	if (director->configuration->current &&
 	    !store_stalled(director, now_us)) {
 		evict_pass(&director->fleet, now_us);
--- a/control/overview.c
+++ b/control/overview.c
@@ -1,5 +1,7 @@
 #include "control/overview.h"
 
+#include <string.h>
+
 #include "base/limits.h"
 
 static json_int_t age_in_ms(int64_t us, int64_t now_us)
@@ -55,15 +57,50 @@
 		"answered_ms", age_in_ms(worker->heard_us, now_us));
 }
 
+/* One row a data centre, with the runs that are in progress there. */
+static json_t *evacuations_json(const struct director *director, int64_t now_us)
+{
+	const struct site *site = director->site;
+	json_t *rows = json_array();
+	size_t i;
+
+	for (i = 0; i < site->dc_count; i++) {
+		const char *dc = site->dcs[i].name;
+		int64_t since_us = evacuation_since_us(
+			&director->configuration->evacuation, dc);
+		json_t *row;
+
+		if (since_us == 0)
+			continue;
+		row = json_pack("{s:s,s:I}", "data_centre", dc, "since_ms",
+				age_in_ms(since_us, now_us));
+		if (director->fleet_active)
+			json_object_set_new(row, "runs",
+					    json_integer(evacuation_runs(
+						    &director->fleet, dc)));
+		json_array_append_new(rows, row);
+	}
+	return rows;
+}
+
 static json_t *workers_json(const struct fleet *fleet, int64_t now_us)
 {
 	json_t *rows = json_array();
 	const struct worker *worker;
 
-	list_for_each_entry(worker, &fleet->workers, node)
-		if (!worker->replaced)
-			json_array_append_new(rows,
-					      worker_json(worker, now_us));
+	list_for_each_entry(worker, &fleet->workers, node) {
+		json_t *row;
+
+		if (worker->replaced)
+			continue;
+		row = worker_json(worker, now_us);
+		/* Another state than ready tells more of the worker itself. */
+		if (evacuation_of_worker(fleet, worker) &&
+		    strcmp(worker_state(worker, now_us), "ready") == 0)
+			json_object_set_new(row, "state",
+					    json_string("evacuated"));
+		json_array_append_new(rows, row);
+	}
 	return rows;
 }
 
@@ -96,6 +133,9 @@
 		configuration_json(director->configuration, now_us), "store",
 		store_json(director->relay, now_us));
 
+	if (director->configuration->evacuations_allowed)
+		json_object_set_new(object, "evacuations",
+				    evacuations_json(director, now_us));
 	if (!director->fleet_active)
 		return object;
 	json_object_set_new(object, "fence",
--- a/control/takeover.c
+++ b/control/takeover.c
@@ -142,6 +142,7 @@
 	g_ptr_array_set_size(director->states, 0);
 	director->ready = false;
 	ctr_gauge(&director->evacuated_runs, 0);
+	ctr_gauge(&director->unservable, 0);
 	director->workers_read = false;
 	director->intake_read = false;
 	director->states_read = false;
--- a/fleet/evacuation.c
+++ b/fleet/evacuation.c
@@ -41,17 +41,23 @@
 	return fleet->evacuation && evacuation_count(fleet->evacuation) > 0;
 }
 
-/* When the request to evacuate the data centre was read; NULL: there is none. */
-static const int64_t *requested_us(const struct fleet *fleet, const char *dc)
+int64_t evacuation_since_us(const struct evacuation *evacuation, const char *dc)
 {
-	if (!fleet->evacuation || !dc)
-		return NULL;
-	return g_hash_table_lookup(fleet->evacuation->since, dc);
+	const int64_t *since_us = g_hash_table_lookup(evacuation->since, dc);
+
+	return since_us ? *since_us : 0;
+}
+
+static int64_t requested_us(const struct fleet *fleet, const char *dc)
+{
+	return fleet->evacuation && dc ?
+		       evacuation_since_us(fleet->evacuation, dc) :
+		       0;
 }
 
 bool evacuation_of_dc(const struct fleet *fleet, const char *dc)
 {
-	return requested_us(fleet, dc) != NULL;
+	return requested_us(fleet, dc) != 0;
 }
 
 bool evacuation_of_worker(const struct fleet *fleet,
@@ -103,20 +109,20 @@
 static const char *objection(const struct fleet *fleet, const struct task *task,
 			     int64_t now_us)
 {
-	const int64_t *since_us;
+	int64_t since_us;
 
 	if (task->phase != TASK_PLANNED &&
 	    (task->phase != TASK_STARTING || task->calling))
 		return NULL;
 	since_us = requested_us(fleet, task->worker->reported.dc);
-	if (!since_us)
+	if (since_us == 0)
 		return NULL;
 	if (task->phase == TASK_PLANNED)
 		return "its data centre is evacuated";
 	if (!task->unconfirmed)
 		return "its data centre is evacuated, and the start failed";
 	if (task->tries > 0 &&
-	    now_us - *since_us >= fleet->bounds.evac_ms * 1000 / 2)
+	    now_us - since_us >= fleet->bounds.evac_ms * 1000 / 2)
 		return "its data centre is evacuated, and the start was not "
 		       "answered";
 	return NULL;
@@ -151,3 +157,80 @@
 							struct task, on_worker);
 	}
 }
+
+/* Guarantees. */
+
+/* Sums over all customers stay in range. */
+#define GUARANTEE_MAX (1LL << 40)
+
+static int64_t guaranteed_gpus(const struct customer *customer)
+{
+	return CLAMP(customer->guaranteed_gpus, 0, GUARANTEE_MAX);
+}
+
+/* Accelerators of the registered workers outside evacuated data centres. */
+static int64_t remaining_gpus(const struct fleet *fleet)
+{
+	const struct worker *worker;
+	int64_t gpus = 0;
+
+	list_for_each_entry(worker, &fleet->workers, node)
+		if (worker->listed && !worker->replaced &&
+		    !evacuation_of_worker(fleet, worker))
+			gpus += worker->reported.room.gpus;
+	return gpus;
+}
+
+static void report_guarantee(struct fleet *fleet, const char *customer,
+			     int64_t guaranteed, int64_t gpus, bool servable)
+{
+	if (fleet->ops && fleet->ops->guarantee)
+		fleet->ops->guarantee(fleet->user, customer, guaranteed, gpus,
+				      servable);
+}
+
+/* Reports those that can be held again, or that the customer has no more. */
+static void report_servable(struct fleet *fleet, int64_t gpus, bool all)
+{
+	GHashTableIter iter;
+	gpointer name;
+
+	g_hash_table_iter_init(&iter, fleet->unservable);
+	while (g_hash_table_iter_next(&iter, &name, NULL)) {
+		const struct customer *customer =
+			config_customer(fleet->config, name);
+		int64_t guaranteed = customer ? guaranteed_gpus(customer) : 0;
+
+		if (!all && guaranteed > 0)
+			continue;
+		report_guarantee(fleet, name, guaranteed, gpus, true);
+		g_hash_table_iter_remove(&iter);
+	}
+}
+
+void evacuation_check_guarantees(struct fleet *fleet)
+{
+	int64_t gpus, sum = 0;
+	guint i;
+
+	if (!fleet->evacuation || !fleet->config) {
+		g_hash_table_remove_all(fleet->unservable);
+		return;
+	}
+	gpus = remaining_gpus(fleet);
+	for (i = 0; i < fleet->config->customers->len; i++)
+		sum += guaranteed_gpus(
+			g_ptr_array_index(fleet->config->customers, i));
+	report_servable(fleet, gpus, sum <= gpus);
+	for (i = 0; sum > gpus && i < fleet->config->customers->len; i++) {
+		const struct customer *customer =
+			g_ptr_array_index(fleet->config->customers, i);
+
+		if (guaranteed_gpus(customer) > 0 &&
+		    g_hash_table_add(fleet->unservable,
+				     g_strdup(customer->name)))
+			report_guarantee(fleet, customer->name,
+					 guaranteed_gpus(customer), gpus,
+					 false);
+	}
+}
--- a/fleet/evacuation.h
+++ b/fleet/evacuation.h
@@ -25,6 +25,9 @@
 /* Returns false if the data centre was not evacuated. */
 bool evacuation_end(struct evacuation *evacuation, const char *dc);
 unsigned int evacuation_count(const struct evacuation *evacuation);
+/* When the request was read, 0: the data centre is not evacuated. */
+int64_t evacuation_since_us(const struct evacuation *evacuation,
+			    const char *dc);
 
 bool evacuation_in_force(const struct fleet *fleet);
 /* Whether the data centre is evacuated; dc may be NULL. */
@@ -43,5 +46,12 @@
 bool evacuation_stop(struct fleet *fleet, struct task *task, int64_t now_us);
 /* Does so for the runs of all workers. */
 void evacuation_pass(struct fleet *fleet, int64_t now_us);
+/*
+ * Reports customers whose guarantee the workers outside evacuated data centres
+ * can't hold, and those whose guarantee they can hold again. The guarantees are
+ * compared together: if their sum is too large, a customer that claims first
+ * may leave too little for any other.
+ */
+void evacuation_check_guarantees(struct fleet *fleet);
 
 #endif
--- a/fleet/fleet.c
+++ b/fleet/fleet.c
@@ -25,6 +25,8 @@
 	list_init(&fleet->dirty);
 	fleet->jobs_by_id = g_hash_table_new(g_str_hash, g_str_equal);
 	fleet->workers_by_id = g_hash_table_new(g_str_hash, g_str_equal);
+	fleet->unservable =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, NULL);
 	fleet->stats = g_hash_table_new_full(g_str_hash, g_str_equal, NULL,
 					     (GDestroyNotify)stats_free);
 }
@@ -40,6 +42,7 @@
 		worker_free(worker);
 	g_hash_table_unref(fleet->jobs_by_id);
 	g_hash_table_unref(fleet->workers_by_id);
+	g_hash_table_unref(fleet->unservable);
 	g_hash_table_unref(fleet->stats);
 }
 
--- a/fleet/fleet.h
+++ b/fleet/fleet.h
@@ -106,6 +106,12 @@
 	 */
 	void (*unheld)(void *user, const struct worker *worker,
 		       const struct run_report *run, const struct task *task);
+	/*
+	 * Logs that the remaining workers, with gpus accelerators, can't hold a
+	 * customer's guarantee, or can again.
+	 */
+	void (*guarantee)(void *user, const char *customer, int64_t guaranteed,
+			  int64_t gpus, bool servable);
 	/* Logs that a worker has become unreachable. */
 	void (*lost)(void *user, const struct worker *worker, int64_t now_us);
 };
@@ -119,6 +125,7 @@
 	const struct config *config; /* borrowed */
 	/* See fleet/evacuation.h; borrowed, NULL: there are no evacuations. */
 	const struct evacuation *evacuation;
+	GHashTable *unservable; /* names of customers, see there */
 	struct list_head jobs;
 	GHashTable *jobs_by_id;
 	struct list_head workers;
--- a/tests/unit/test_evacuation.c
+++ b/tests/unit/test_evacuation.c
@@ -1,3 +1,4 @@
+#include <stdio.h>
 #include <string.h>
 
 #include "fleet/evacuation.h"
@@ -533,6 +534,86 @@
 }
 END_TEST
 
+static char reported[256];
+
+static void on_guarantee(void *user, const char *customer, int64_t guaranteed,
+			 int64_t gpus, bool servable)
+{
+	size_t len = strlen(reported);
+
+	snprintf(reported + len, sizeof(reported) - len, "%s%s %lld of %lld;",
+		 servable ? "+" : "-", customer, (long long)guaranteed,
+		 (long long)gpus);
+}
+
+static void on_note(void *user, const char *event, const struct job *job,
+		    const struct task *task, const char *why)
+{
+}
+
+static const struct fleet_ops ops = {
+	.guarantee = on_guarantee,
+	.note = on_note,
+};
+
+/* Checks what is reported now. */
+static void check_reports(const char *expected)
+{
+	reported[0] = '\0';
+	evacuation_check_guarantees(&fleet);
+	ck_assert_str_eq(reported, expected);
+}
+
+/* Customer "one" has 16 accelerators, "two" has none unless a test says so. */
+START_TEST(guarantees_are_compared_together)
+{
+	struct customer *two = g_ptr_array_index(config->customers, 1);
+
+	fleet.ops = &ops;
+	add_worker("w1", "d1", "r1");
+	add_worker("w2", "d2", "r2");
+	add_worker("w3", "d3", "r3")->reported.draining = true;
+	check_reports("");
+	evacuate("d1", NOW);
+	check_reports("");
+	two->guaranteed_gpus = 1;
+	check_reports("-one 16 of 16;-two 1 of 16;");
+	/* Once each. */
+	evacuate("d2", NOW);
+	check_reports("");
+	ck_assert_uint_eq(g_hash_table_size(fleet.unservable), 2);
+	ck_assert(evacuation_end(&evacuation, "d1"));
+	two->guaranteed_gpus = 0;
+	g_hash_table_remove_all(fleet.unservable);
+	check_reports("");
+	fleet_unlist(&fleet, "w3", NOW);
+	check_reports("-one 16 of 8;");
+	ck_assert(evacuation_end(&evacuation, "d2"));
+	check_reports("+one 16 of 16;");
+}
+END_TEST
+
+/* An operator may also take the guarantee back, or turn evacuations off. */
+START_TEST(guarantee_that_is_withdrawn_is_servable)
+{
+	struct customer *one = g_ptr_array_index(config->customers, 0);
+	struct customer *two = g_ptr_array_index(config->customers, 1);
+
+	fleet.ops = &ops;
+	add_worker("w1", "d1", "r1");
+	two->guaranteed_gpus = G_MAXINT64;
+	one->guaranteed_gpus = -3;
+	check_reports("-two 1099511627776 of 8;");
+	g_ptr_array_remove_index(config->customers, 1);
+	check_reports("+two 0 of 8;");
+	one->guaranteed_gpus = 9;
+	check_reports("-one 9 of 8;");
+	fleet.evacuation = NULL;
+	check_reports("");
+	ck_assert_uint_eq(g_hash_table_size(fleet.unservable), 0);
+}
+END_TEST
+
 int main(void)
 {
 	TCase *tc = tcase_create("evacuation");
@@ -557,5 +638,7 @@
 	tcase_add_test(tc, worker_that_drains_there_is_left);
 	tcase_add_test(tc, long_running_task_moves_when_its_run_ends);
 	tcase_add_test(tc, occurrence_that_becomes_due_starts_elsewhere);
+	tcase_add_test(tc, guarantees_are_compared_together);
+	tcase_add_test(tc, guarantee_that_is_withdrawn_is_servable);
 	return run_case("evacuation", tc);
 }
--- a/tests/unit/test_overview.c
+++ b/tests/unit/test_overview.c
@@ -16,7 +16,10 @@
 static struct relay relay;
 static struct configuration configuration;
 static struct config *config;
-static struct site site = { .host = "h1", .dc = "d1" };
+static struct site site = { .host = "h1",
+			    .dc = "d1",
+			    .dcs = { { .name = "d1" } },
+			    .dc_count = 1 };
 static char text[4096];
 
 static void set_up(void)
@@ -93,6 +96,31 @@
 }
 END_TEST
 
+/* Runs are known to the leader only. */
+START_TEST(evacuated_data_centres_are_listed)
+{
+	evacuation_init(&configuration.evacuation);
+	evacuation_begin(&configuration.evacuation, "d1", NOW - 3 * SEC);
+	print(overview(&director, NOW));
+	ck_assert_ptr_null(strstr(text, "EVACUATED"));
+	configuration.evacuations_allowed = true;
+	print(overview(&director, NOW));
+	ck_contains("EVACUATED DATA CENTRE  SINCE MS  RUNS\n"
+		    "d1                     3000      -\n");
+	director.fleet_active = true;
+	make_worker(&director.fleet, "w1", "r1", 8, NOW);
+	make_job(&director.fleet, "runs", 1, 3, 1, 1000, NOW);
+	fleet_open_due(&director.fleet, NOW, 0);
+	plan_pass(&director.fleet, NOW);
+	confirm_planned_runs(&director.fleet, NOW);
+	director.fleet.evacuation = &configuration.evacuation;
+	print(overview(&director, NOW));
+	ck_contains("d1                     3000      3\n");
+	ck_contains("evacuated");
+	evacuation_finish(&configuration.evacuation);
+}
+END_TEST
+
 int main(void)
 {
 	TCase *tc = tcase_create("overview");
@@ -100,5 +128,6 @@
 	tcase_add_checked_fixture(tc, set_up, tear_down);
 	tcase_add_test(tc, follower_reports_leader_and_store);
 	tcase_add_test(tc, leader_reports_workers_and_jobs);
+	tcase_add_test(tc, evacuated_data_centres_are_listed);
 	return run_case("overview", tc);
 }
