--- a/cli/cli_explain.c
+++ b/cli/cli_explain.c
@@ -59,9 +59,11 @@
 static bool is_context(const char *text)
 {
 	static const char *const events[] = {
-		" event=leader.",  " event=holding.",  " event=store.lost",
-		" event=store.re", " event=mirror.",   " event=config.in_force",
-		" event=process.", " event=takeover.", " event=log.left_out",
+		" event=leader.",     " event=holding.",
+		" event=store.lost",  " event=store.re",
+		" event=mirror.",     " event=config.in_force",
+		" event=evacuation.", " event=process.",
+		" event=takeover.",   " event=log.left_out",
 	};
 	size_t i;
 
--- a/tests/standins/site_check.c
+++ b/tests/standins/site_check.c
@@ -135,6 +135,17 @@
 	       kn_now_us() - task->noted_us > COPY_LATE_MS * USEC_PER_MSEC;
 }
 
+static void check_evacuation(struct site_worker *worker,
+			     const struct site_run *run)
+{
+	const struct site_fleet *fleet = worker->fleet;
+	const int64_t *since =
+		g_hash_table_lookup(fleet->evacuated, worker->dc);
+
+	if (since && kn_now_us() - *since > fleet->evac_ms * USEC_PER_MSEC)
+		site_violated(worker->fleet, "EVAC", run->name, worker->id);
+}
+
 void site_check_start(struct site_worker *worker, const struct site_run *run,
 		      const char *payload)
 {
@@ -162,6 +173,7 @@
 	check_order(fleet, run->name, payload);
 	check_due(fleet, run->name, payload);
 	check_room(worker, run, payload);
+	check_evacuation(worker, run);
 	if (!name_parts(run->name, id, &k, &step, &index))
 		site_violated(fleet, "UNASKED", run->name, "malformed name");
 	since = g_hash_table_lookup(fleet->cancelled, id);
--- a/tests/standins/site_fleet.c
+++ b/tests/standins/site_fleet.c
@@ -20,8 +20,8 @@
 	json_t *entry = json_pack(
 		"{s:s,s:o,s:s,s:s,s:i,s:s,s:i,s:{s:I,s:I,s:I},s:[s,s],s:I,s:I}",
 		"svc", "pool", "addr",
-		json_sprintf("127.0.0.1:%d", worker->told_port), "zone", "d1",
-		"version", "v1", "slots", 8, "state",
+		json_sprintf("127.0.0.1:%d", worker->told_port), "zone",
+		worker->dc, "version", "v1", "slots", 8, "state",
 		worker->draining ? "draining" : "ready", "cold_left_ms", 0,
 		"headroom", "cpu", (json_int_t)128000, "mem_mb",
 		(json_int_t)262144, "gpu", (json_int_t)worker->gpus, "labels",
@@ -136,6 +136,7 @@
 	worker->told_port = worker->server.port;
 	snprintf(worker->id, sizeof(worker->id), "w-%d", worker->server.port);
 	g_strlcpy(worker->rack, rack, sizeof(worker->rack));
+	g_strlcpy(worker->dc, "d1", sizeof(worker->dc));
 	worker->gpus = gpus;
 	worker->pace = 1.0;
 	worker->allowed = true;
@@ -152,6 +153,26 @@
 	g_hash_table_insert(fleet->cancelled, g_strdup(job), since);
 }
 
+void site_fleet_evacuate(struct site_fleet *fleet, const char *dc)
+{
+	char *key = g_strconcat("op/evacuate/", dc, NULL);
+	int64_t *since = g_new(int64_t, 1);
+
+	site_store_put(fleet->store, key, "{}");
+	*since = kn_now_us();
+	g_hash_table_insert(fleet->evacuated, g_strdup(dc), since);
+	g_free(key);
+}
+
+void site_fleet_return(struct site_fleet *fleet, const char *dc)
+{
+	char *key = g_strconcat("op/evacuate/", dc, NULL);
+
+	g_hash_table_remove(fleet->evacuated, dc);
+	site_store_remove(fleet->store, key);
+	g_free(key);
+}
+
 int64_t site_fleet_running(const struct site_fleet *fleet)
 {
 	const struct site_worker *worker;
@@ -206,6 +227,7 @@
 		worker_free_all(worker);
 	g_hash_table_unref(fleet->tasks);
 	g_hash_table_unref(fleet->cancelled);
+	g_hash_table_unref(fleet->evacuated);
 	g_ptr_array_unref(fleet->violations);
 	g_rand_free(fleet->rand);
 	g_free(fleet);
@@ -242,6 +264,8 @@
 		g_hash_table_new_full(g_str_hash, g_str_equal, NULL, task_free);
 	fleet->cancelled =
 		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
+	fleet->evacuated =
+		g_hash_table_new_full(g_str_hash, g_str_equal, g_free, g_free);
 	fleet->violations = g_ptr_array_new_with_free_func(g_free);
 	fleet->rand = g_rand_new_with_seed(seed);
 	list_init(&fleet->workers);
--- a/tests/standins/site_fleet.h
+++ b/tests/standins/site_fleet.h
@@ -47,6 +47,7 @@
 	int told_port; /* in its entry: its own, or that of a relay */
 	char id[32];
 	char rack[16];
+	char dc[16];
 	int64_t gpus;
 	int64_t born_ms;
 	int64_t started_us; /* origin of its clock */
@@ -63,6 +64,7 @@
 	int64_t lapses; /* times that the lease has run out */
 	bool lapsed; /* and it is out now */
 	int64_t next_end;
+	uint64_t starts;
 	struct list_head runs; /* struct site_run */
 	GPtrArray *ends; /* struct site_end */
 	GHashTable *highest; /* task -> highest run stopped or ended */
@@ -76,6 +78,7 @@
 	struct list_head workers;
 	GHashTable *tasks; /* name -> struct site_task, over all workers */
 	GHashTable *cancelled; /* job id -> int64_t *: since when, steady */
+	GHashTable *evacuated; /* data centre -> the same, acknowledged */
 	GPtrArray *violations; /* char * */
 	struct kn_timer timer;
 	struct list_head late; /* struct site_late */
@@ -85,6 +88,7 @@
 	uint64_t dones;
 	uint64_t ticket_refusals;
 	int64_t last_start_us;
+	int64_t evac_ms; /* after it no task starts in an evacuated one */
 	int64_t cancel_ms; /* after that no task of a cancelled job starts */
 	int64_t early_ms; /* a task may start so long before its due time */
 };
@@ -104,6 +108,9 @@
 void site_worker_drain(struct site_worker *worker);
 /* The harness says that a job was cancelled, and its caller was told so. */
 void site_fleet_cancelled(struct site_fleet *fleet, const char *job);
+/* The operator evacuates a data centre, or takes that back. */
+void site_fleet_evacuate(struct site_fleet *fleet, const char *dc);
+void site_fleet_return(struct site_fleet *fleet, const char *dc);
 int64_t site_fleet_running(const struct site_fleet *fleet);
 /* The first violation, NULL for none. */
 const char *site_fleet_violation(const struct site_fleet *fleet);
--- a/tests/standins/site_machines.c
+++ b/tests/standins/site_machines.c
@@ -32,13 +32,14 @@
 {
 	bool up = machine->up_us == 0;
 	const char *state = up ? "up" : machine->moving ? "moving" : "upkeep";
-	json_t *row = json_pack(
-		"{s:s,s:s,s:s,s:s,s:[s,s],s:{s:I,s:I,s:I}}", "machine",
-		machine->name, "pool",
-		machine->spare ? SITE_SPARE_POOL : "pool", "state", state,
-		"zone", "d1", "labels", "a", machine->worker->rack, "headroom",
-		"cpu", (json_int_t)128000, "mem_mb", (json_int_t)262144, "gpu",
-		(json_int_t)machine->worker->gpus);
+	json_t *row =
+		json_pack("{s:s,s:s,s:s,s:s,s:[s,s],s:{s:I,s:I,s:I}}",
+			  "machine", machine->name, "pool",
+			  machine->spare ? SITE_SPARE_POOL : "pool", "state",
+			  state, "zone", machine->worker->dc, "labels", "a",
+			  machine->worker->rack, "headroom", "cpu",
+			  (json_int_t)128000, "mem_mb", (json_int_t)262144,
+			  "gpu", (json_int_t)machine->worker->gpus);
 
 	if (up && !machine->spare)
 		json_object_set_new(row, "id",
--- a/tests/standins/site_orders.c
+++ b/tests/standins/site_orders.c
@@ -75,6 +75,7 @@
 		run->worked_us = g_ascii_strtoll(checkpoint, NULL, 10);
 	list_add_tail(&run->node, &worker->runs);
 	worker->fleet->starts++;
+	worker->starts++;
 	worker->fleet->last_start_us = kn_now_us();
 	site_check_start(worker, run, payload);
 }
--- a/tests/standins/site_rig.c
+++ b/tests/standins/site_rig.c
@@ -11,6 +11,9 @@
 #include "platform/settings.h"
 #include "tests/standins/ports.h"
 
+#define RACK_WORKERS 4
+#define ZONES ",\"zones\":{\"d1\":\"r1\",\"d2\":\"r1\",\"d3\":\"r2\"}"
+
 static void fail(const char *why)
 {
 	fprintf(stderr, "rig: %s\n", why);
@@ -39,10 +42,11 @@
 		"\"advice\":\"127.0.0.1:%d\","
 		"\"bounds\":{\"max_hold_ms\":2500,\"stop_ms\":100,"
 		"\"gang_ms\":1000,\"config_ms\":1500,\"status_s\":60,"
-		"\"lease_ms\":500,\"grace_s\":2}}",
+		"\"lease_ms\":500,\"grace_s\":2,\"evac_ms\":%d}%s}",
 		index, ports_reserve(), peer_ports[index], seeds->str,
 		store_port, rig->machines->server.port,
-		rig->advice->server.port);
+		rig->advice->server.port, rig->dcs > 0 ? RIG_EVAC_MS : 0,
+		rig->dcs > 0 ? ZONES : "");
 	g_snprintf(host->path, sizeof(host->path), "/tmp/chivebank-rig-%d-%d",
 		   (int)getpid(), index);
 	if (!g_file_set_contents(host->path, text, -1, &err))
@@ -66,7 +70,23 @@
 			  (uint64_t)kn_wall_us() + (uint64_t)index);
 }
 
-void rig_start(struct rig *rig, int hosts, int workers, uint32_t seed)
+static void add_workers(struct rig *rig, int workers)
+{
+	char rack[16];
+	int i;
+
+	for (i = 0; i < workers; i++) {
+		struct site_worker *worker;
+
+		snprintf(rack, sizeof(rack), "rack-%d", i / RACK_WORKERS);
+		worker = site_fleet_add(rig->fleet, rack, 8, 0);
+		if (rig->dcs > 0)
+			snprintf(worker->dc, sizeof(worker->dc), "d%d",
+				 1 + i / RACK_WORKERS);
+	}
+}
+
+static void start_all(struct rig *rig, int hosts, int workers, uint32_t seed)
 {
 	static const struct site_bounds bounds = {
 		.max_hold_ms = 2500,
@@ -77,19 +97,15 @@
 	};
 	int peer_ports[RIG_HOSTS_MAX];
 	GError *err = NULL;
-	char rack[16];
 	int i;
 
-	memset(rig, 0, sizeof(*rig));
 	if (!kn_init(&rig->kn, &err))
 		fail(err->message);
 	ev_init(seed);
 	rig->store = site_store_new(&rig->kn, seed);
 	rig->fleet = site_fleet_new(&rig->kn, rig->store, &bounds, seed);
-	for (i = 0; i < workers; i++) {
-		snprintf(rack, sizeof(rack), "rack-%d", i / 4);
-		site_fleet_add(rig->fleet, rack, 8, 0);
-	}
+	rig->fleet->evac_ms = RIG_EVAC_MS;
+	add_workers(rig, workers);
 	rig->machines = site_machines_new(&rig->kn, rig->fleet);
 	rig->advice = site_advice_new(&rig->kn, rig->fleet);
 	rig_configure(rig, 1, RIG_KEY);
@@ -108,6 +124,19 @@
 	rig_run_ms(rig, 100);
 }
 
+void rig_start(struct rig *rig, int hosts, int workers, uint32_t seed)
+{
+	memset(rig, 0, sizeof(*rig));
+	start_all(rig, hosts, workers, seed);
+}
+
+void rig_start_dcs(struct rig *rig, int hosts, int dcs, uint32_t seed)
+{
+	memset(rig, 0, sizeof(*rig));
+	rig->dcs = dcs;
+	start_all(rig, hosts, dcs * RACK_WORKERS, seed);
+}
+
 void rig_stop(struct rig *rig)
 {
 	int i;
--- a/tests/standins/site_rig.h
+++ b/tests/standins/site_rig.h
@@ -18,6 +18,7 @@
 #define RIG_PREFIX "/jobs/"
 #define RIG_ADVISED_PREFIX "/advised/" /* starts need a ticket */
 #define RIG_KEY "key-one"
+#define RIG_EVAC_MS 1200
 
 struct rig_host {
 	struct site site;
@@ -34,6 +35,7 @@
 	struct site_advice *advice;
 	struct rig_host hosts[RIG_HOSTS_MAX];
 	int nhosts;
+	int dcs; /* that can be evacuated, 0: none can */
 };
 
 struct rig_reply {
@@ -45,6 +47,11 @@
 
 /* Starts everything; aborts on failure. Stand-in workers are in racks of 4. */
 void rig_start(struct rig *rig, int hosts, int workers, uint32_t seed);
+/*
+ * The same with the workers in data centres d1, d2 and so on, one rack in each,
+ * that can be evacuated within RIG_EVAC_MS. Hosts are in d1.
+ */
+void rig_start_dcs(struct rig *rig, int hosts, int dcs, uint32_t seed);
 void rig_stop(struct rig *rig);
 void rig_run_ms(struct rig *rig, int64_t ms);
 /* Writes a configuration with one queue; version grows. */
--- a/tests/unit/test_explain.c
+++ b/tests/unit/test_explain.c
@@ -15,7 +15,7 @@
 static char log_path[64];
 static char text[1 << 18];
 
-static void start(int hosts, int workers)
+static void begin_log(void)
 {
 	int fd;
 
@@ -25,6 +25,11 @@
 	ck_assert_int_ge(fd, 0);
 	log_init("h", "d", LOG_INFO_LEVEL);
 	log_collect(fd);
+}
+
+static void start(int hosts, int workers)
+{
+	begin_log();
 	rig_start(&rig, hosts, workers, 1);
 }
 
@@ -114,6 +119,24 @@
 }
 END_TEST
 
+/* Late, as its data centre was evacuated. */
+START_TEST(job_that_waits_for_an_evacuation)
+{
+	begin_log();
+	rig_start_dcs(&rig, 1, 1, 1);
+	site_fleet_evacuate(rig.fleet, "d1");
+	ck_assert_int_eq(
+		rig_submit(&rig, 0, "00000000000000e5", 1, "ms=50", NULL), 200);
+	rig_run_ms(&rig, 300);
+	site_fleet_return(rig.fleet, "d1");
+	ck_assert(rig_wait(&rig, 0, "00000000000000e5", "done", 3000));
+	stop();
+	ck_assert_int_eq(explain("00000000000000e5"), CB_OK);
+	ck_contains("event=evacuation.begun dc=d1");
+	ck_contains("event=evacuation.ended dc=d1");
+}
+END_TEST
+
 /* The answer of the store was lost, so the outcome could not be told. */
 START_TEST(unknown_outcome)
 {
@@ -149,6 +172,7 @@
 	tcase_add_test(tc, failed_job);
 	tcase_add_test(tc, late_job);
 	tcase_add_test(tc, unknown_outcome);
+	tcase_add_test(tc, job_that_waits_for_an_evacuation);
 	tcase_add_test(tc, job_that_no_line_names);
 	return run_case("explain", tc);
 }
