Do not repeat starts in an evacuated data centre

Cause: a start without an answer was repeated there for half of evac_ms.

Change: such a start is not repeated. The report that is asked for at once tells whether the run is there; if none lists it within a quarter of evac_ms, the run is stopped, which leaves three quarters for the stop to arrive.

The bound of the rig is 2,400 ms now, so that a quarter is longer than the time-out of an order.

--- a/control/orders.c
+++ b/control/orders.c
@@ -351,7 +351,8 @@
 		return false;
 	}
 	if (task->phase == TASK_STARTING) {
-		if (orders->ops->may_start(orders))
+		if (orders->ops->may_start(orders) &&
+		    !evacuation_of_worker(orders->fleet, task->worker))
 			send_start(orders, task, now_us);
 		return true;
 	}
--- a/fleet/evacuation.c
+++ b/fleet/evacuation.c
@@ -100,11 +100,17 @@
 }
 
 /*
- * Why the run must not be started at its worker, or NULL. A start without an
- * answer is repeated for half of evac_ms, as the run may be there already and
- * its gang wait for it. The other half is left for a stop to reach the worker,
- * which refuses a late start of the run from then on. A run that was read from
- * the store is not started by this leader, and may be in progress.
+ * For how long a start without an answer may turn out to have been carried out,
+ * as a part of evac_ms. A report is asked for at once, which tells so. The rest
+ * is left for a stop to reach the worker, also in the second or third attempt.
+ */
+#define UNANSWERED_DIVISOR 4
+
+/*
+ * Why the run must not begin at its worker, or NULL. It may have begun if its
+ * start got no answer, and then goes on if the worker reports it in time; a stop
+ * makes the worker refuse the start if it arrives later. A run that was read
+ * from the store is not started by this leader, and may be in progress.
  */
 static const char *objection(const struct fleet *fleet, const struct task *task,
 			     int64_t now_us)
@@ -121,8 +127,9 @@
 		return "its data centre is evacuated";
 	if (!task->unconfirmed)
 		return "its data centre is evacuated, and the start failed";
-	if (task->tries > 0 &&
-	    now_us - since_us >= fleet->bounds.evac_ms * 1000 / 2)
+	if (task->tries > 0 && now_us - since_us >= fleet->bounds.evac_ms *
+							    1000 /
+							    UNANSWERED_DIVISOR)
 		return "its data centre is evacuated, and the start was not "
 		       "answered";
 	return NULL;
--- a/fleet/evacuation.h
+++ b/fleet/evacuation.h
@@ -40,8 +40,9 @@
 /* The same over all evacuated data centres. */
 int64_t evacuation_all_runs(const struct fleet *fleet);
 /*
- * Stops the run, and its gang, if its start must not be sent, or not be sent
- * again, to its evacuated worker. Returns whether it did.
+ * Stops the run, and its gang, if it must not begin at its evacuated worker.
+ * Returns whether it did. A start without an answer is stopped after a part of
+ * evac_ms; until then it must not be sent again.
  */
 bool evacuation_stop(struct fleet *fleet, struct task *task, int64_t now_us);
 /* Does so for the runs of all workers. */
--- a/tests/standins/site_rig.h
+++ b/tests/standins/site_rig.h
@@ -18,7 +18,7 @@
 #define RIG_PREFIX "/jobs/"
 #define RIG_ADVISED_PREFIX "/advised/" /* starts need a ticket */
 #define RIG_KEY "key-one"
-#define RIG_EVAC_MS 1200
+#define RIG_EVAC_MS 2400
 
 struct rig_host {
 	struct site site;
