Let the soak evacuate data centres, and close gaps of the tests

The stand-ins of the workers report a start later than 6 s after the request (rule EVAC), without exceptions: a host may use a copy of the operators' keys for 3 s, and a start that is held up may be carried out until its lease of 3 s is over.

The callback after a read of all keys is gone: no test could tell it from the tick of 100 ms.

--- a/control/configuration.c
+++ b/control/configuration.c
@@ -213,11 +213,6 @@
 
 static void on_synced(struct mirror *mirror)
 {
-	struct configuration *configuration =
-		container_of(mirror, struct configuration, mirror);
-
-	if (configuration->evacuations_allowed && configuration->synced)
-		configuration->synced(configuration);
 }
 
 static const struct mirror_ops mirror_ops = {
--- a/control/configuration.h
+++ b/control/configuration.h
@@ -29,8 +29,6 @@
 	/* A data centre is evacuated from now on, or no more. */
 	void (*evacuation_changed)(struct configuration *configuration,
 				   const char *dc, bool evacuated);
-	/* All operators' keys have been read. */
-	void (*synced)(struct configuration *configuration);
 	void *user; /* for the callbacks */
 	struct ctr version;
 	struct ctr evacuated;
--- a/control/director.c
+++ b/control/director.c
@@ -66,11 +66,6 @@
 	director_schedule_pass(director, 0);
 }
 
-void director_handle_synced(struct director *director)
-{
-	director_schedule_pass(director, 0);
-}
-
 static void on_advice(void *user)
 {
 	director_schedule_pass(user, 0);
--- a/control/director.h
+++ b/control/director.h
@@ -91,8 +91,6 @@
 /* The operators have evacuated a data centre, or have taken that back. */
 void director_handle_evacuation(struct director *director, const char *dc,
 				bool evacuated);
-/* The operators' keys have been read, so that starts may go on. */
-void director_handle_synced(struct director *director);
 /* Applies the current configuration if this host leads. */
 void director_apply_config(struct director *director);
 
--- a/fleet/evacuation.c
+++ b/fleet/evacuation.c
@@ -127,9 +127,8 @@
 		return "its data centre is evacuated";
 	if (!task->unconfirmed)
 		return "its data centre is evacuated, and the start failed";
-	if (task->tries > 0 && now_us - since_us >= fleet->bounds.evac_ms *
-							    1000 /
-							    UNANSWERED_DIVISOR)
+	if (task->tries > 0 && (now_us - since_us) * UNANSWERED_DIVISOR >=
+				       fleet->bounds.evac_ms * 1000)
 		return "its data centre is evacuated, and the start was not "
 		       "answered";
 	return NULL;
--- a/tests/soak/soak.h
+++ b/tests/soak/soak.h
@@ -18,6 +18,12 @@
 #define SOAK_RACK_WORKERS 4 /* workers of one rack */
 #define SOAK_GRACE_MS 2000
 #define SOAK_CONFIG_MS 2500
+/* A host may use a copy of the operators' keys for half of it, and a start that
+ * is held up may be carried out until its lease of 3 s is over. */
+#define SOAK_EVAC_MS 6000
+/* Data centres of the workers with evacuations, to which their racks belong in
+ * turn. */
+#define SOAK_EVACUATED_DCS 3
 
 struct soak_options {
 	uint32_t seed;
@@ -30,6 +36,7 @@
 	bool lives; /* restarts in place, wrong entries, short pauses */
 	bool stops; /* only planned stops and changes, callers in use */
 	int starve; /* busy processes beside the hosts on one core, 0: none */
+	bool evacuations;
 	int gap_percent; /* of runs that workers leave out of lists for a time */
 	const char *binary;
 	const char *clock; /* library that shifts the time of day */
@@ -99,6 +106,7 @@
 	int rejected;
 	int unknown;
 	int faults;
+	int evacuations;
 	bool healing; /* no more faults and jobs */
 	int64_t faults_end_us; /* when the faults end */
 	int64_t healed_us; /* when they have ended */
@@ -192,6 +200,12 @@
 /* The host that leads by the store's key, or NULL. */
 struct soak_host *soak_leading_host(struct soak *soak);
 
+/* Soak_evacuations.c. */
+
+void soak_evacuations_step(struct soak *soak);
+/* Takes all of them back. */
+void soak_evacuations_end(struct soak *soak);
+
 /* Soak_lives.c. */
 
 void soak_lives_step(struct soak *soak);
--- a/tests/standins/site_doors.c
+++ b/tests/standins/site_doors.c
@@ -342,6 +342,13 @@
 	g_free(after);
 }
 
+static bool is_read(const struct hs_request *req)
+{
+	return g_str_has_prefix(req->target, "/kv-key") ||
+	       g_str_has_prefix(req->target, "/kv-range") ||
+	       g_str_has_prefix(req->target, "/kv-watch");
+}
+
 static void on_request(struct hs_server *server, struct hs_request *req)
 {
 	struct site_door *door = container_of(server, struct site_door, server);
@@ -352,6 +359,12 @@
 	case SITE_SILENT:
 		never_answer(req);
 		break;
+	case SITE_UNREAD:
+		if (is_read(req))
+			never_answer(req);
+		else
+			route(door->store, req);
+		break;
 	case SITE_BUSY:
 		site_reply(req, 503, json_object());
 		break;
--- a/tests/standins/site_store.h
+++ b/tests/standins/site_store.h
@@ -13,6 +13,7 @@
 enum site_fault {
 	SITE_WELL,
 	SITE_SILENT, /* takes the request and never answers */
+	SITE_UNREAD, /* the same for reads; writes and leases are answered */
 	SITE_BUSY, /* 503, nothing done */
 	SITE_MANY, /* 429, nothing done */
 	SITE_LOST, /* done, but a share of the writes is not answered */
--- a/tests/unit/test_advice.c
+++ b/tests/unit/test_advice.c
@@ -2,6 +2,7 @@
 #include <string.h>
 
 #include "fleet/advice.h"
+#include "fleet/evacuation.h"
 #include "fleet/plan.h"
 #include "tests/standins/fleet_fixture.h"
 #include "tests/unit/run.h"
@@ -56,6 +57,26 @@
 }
 END_TEST
 
+/* Each question has a price, and its answer would be of no use. */
+START_TEST(nothing_is_asked_about_evacuated_workers)
+{
+	GPtrArray *workers = g_ptr_array_new();
+	struct evacuation evacuation;
+
+	evacuation_init(&evacuation);
+	evacuation_begin(&evacuation, "d1", NOW);
+	advised_job();
+	fleet.evacuation = &evacuation;
+	ck_assert_ptr_null(advice_next_question(&fleet, NOW, workers));
+	evacuation_end(&evacuation, "d1");
+	ck_assert_ptr_nonnull(advice_next_question(&fleet, NOW + SEC, workers));
+	ck_assert_uint_eq(workers->len, 2);
+	fleet.evacuation = NULL;
+	evacuation_finish(&evacuation);
+	g_ptr_array_unref(workers);
+}
+END_TEST
+
 START_TEST(expired_tickets_are_requested_again)
 {
 	GPtrArray *workers = g_ptr_array_new();
@@ -236,6 +257,7 @@
 
 	tcase_add_checked_fixture(tc, set_up, tear_down);
 	tcase_add_test(tc, nothing_starts_without_a_ticket);
+	tcase_add_test(tc, nothing_is_asked_about_evacuated_workers);
 	tcase_add_test(tc, expired_tickets_are_requested_again);
 	tcase_add_test(tc, ticket_of_earlier_incarnation_is_invalid);
 	tcase_add_test(tc, only_allowed_worker_of_a_large_pool);
--- a/tests/unit/test_lending.c
+++ b/tests/unit/test_lending.c
@@ -235,6 +235,28 @@
 }
 END_TEST
 
+/* It arrives, but its worker is of no use to the tasks that wait. */
+START_TEST(host_that_is_evacuated_on_its_way_is_replaced)
+{
+	struct evacuation evacuation;
+	const char *pool;
+
+	evacuation_init(&evacuation);
+	fleet.evacuation = &evacuation;
+	((struct machine *)g_ptr_array_index(machines, 1))->dc = g_strdup("d2");
+	add_waiting_tasks(8);
+	ck_assert_ptr_nonnull(lending_next_move(&lending, &fleet, machines,
+						NOW + SEC, &pool));
+	evacuation_begin(&evacuation, "d2", NOW);
+	ck_assert_str_eq(
+		lending_next_move(&lending, &fleet, machines, NOW + SEC, &pool)
+			->host,
+		"m2");
+	evacuation_finish(&evacuation);
+	fleet.evacuation = NULL;
+}
+END_TEST
+
 int main(void)
 {
 	TCase *tc = tcase_create("lending");
@@ -247,5 +269,6 @@
 	tcase_add_test(tc, lost_move_is_requested_again);
 	tcase_add_test(tc, refused_host_is_retried_later);
 	tcase_add_test(tc, host_in_an_evacuated_data_centre_is_not_lent);
+	tcase_add_test(tc, host_that_is_evacuated_on_its_way_is_replaced);
 	return run_case("lending", tc);
 }
