Estimate the speed of each worker from the progress of its runs

Workers do not declare their speed.

fleet/speed.[ch] takes one sample of each run, from its progress reports and its end: the logarithm of its rate times its declared duration. fleet/ speed_fit.c fits an effect for each stage, near that of its queue, and one for each worker. What a worker tells a stage leaves out what it has learned from that stage, and vice versa, so that one run of a stage alone makes nobody certain. Runs that deviate count less; three in a row that deviate in one direction show that the worker has changed. Old samples are merged into the worker's prior, which keeps the level of workers that share no stage with others. Speeds are uneven from the spread on at which a run on a slow worker misses the tightest objective, and never below 1.7.

Left out are long-running, best-effort and remote tasks, ends of gangs, ends after an unanswered call, runs whose worker was unreachable in between, what a resumed or adopted run did before its first report, and times that are not credible, which are logged through the new operation odd_run, once in 10 s for a worker. Placement does not use the estimates yet.

--- a/bench/experiment_run.c
+++ b/bench/experiment_run.c
@@ -226,8 +226,8 @@
 	return false;
 }
 
-static double speed_of(const struct emulator *emu, const struct host *host,
-		       const struct task *task)
+static double task_pace(const struct emulator *emu, const struct host *host,
+			const struct task *task)
 {
 	double speed = 1;
 
@@ -313,7 +313,7 @@
 	report.task = keep(listing, g_strdup(text));
 	run = run_of(emu, task, text);
 	if (emu->now_us > run->begin_us)
-		run->done_ms += TICK_MS * speed_of(emu, host, task);
+		run->done_ms += TICK_MS * task_pace(emu, host, task);
 	if (task->phase == TASK_STOPPING && run->stop_us == 0)
 		run->stop_us = emu->now_us + STOP_MS * 1000;
 	if (run->stop_us && emu->now_us >= run->stop_us) {
--- a/control/orders_answer.c
+++ b/control/orders_answer.c
@@ -79,6 +79,7 @@
 {
 	if (worker->unanswered_calls++ == 0)
 		worker->unanswered_since_us = now_us;
+	worker->unanswered_us = now_us;
 }
 
 /*
--- a/fleet/fleet.c
+++ b/fleet/fleet.c
@@ -20,6 +20,7 @@
 	memset(fleet, 0, sizeof(*fleet));
 	fleet->ops = ops;
 	fleet->user = user;
+	speed_init(&fleet->speed);
 	list_init(&fleet->jobs);
 	list_init(&fleet->workers);
 	list_init(&fleet->dirty);
--- a/fleet/fleet.h
+++ b/fleet/fleet.h
@@ -4,6 +4,7 @@
 #include "base/list.h"
 #include "fleet/config.h"
 #include "fleet/job.h"
+#include "fleet/speed.h"
 #include "fleet/worker.h"
 
 /*
@@ -105,6 +106,12 @@
 		       const struct run_report *run, const struct task *task);
 	/* Logs that a worker has become unreachable. */
 	void (*lost)(void *user, const struct worker *worker, int64_t now_us);
+	/*
+	 * Logs a run whose time tells nothing of its worker's speed. Optional.
+	 * left_out: such runs of the worker since the latest line.
+	 */
+	void (*odd_run)(void *user, const struct task *task, int64_t ms,
+			const char *why, int left_out);
 };
 
 struct fleet {
@@ -117,6 +124,7 @@
 	struct list_head workers;
 	GHashTable *workers_by_id; /* the current incarnation of each */
 	struct list_head dirty; /* jobs with changes not in the store yet */
+	struct speed_model speed;
 	GHashTable *stats; /* queue name -> struct queue_stats */
 	uint64_t change; /* number of the latest change */
 	/* Until when an earlier leader may have extended leases. */
--- a/fleet/hold_report.c
+++ b/fleet/hold_report.c
@@ -140,8 +140,13 @@
 		task->first_percent = run->percent;
 	}
 	if (run->percent != task->percent) {
+		bool ahead = run->percent > task->percent;
+
 		task->percent = run->percent;
 		task->progress_us = now_us;
+		/* A report may arrive after a later one. */
+		if (ahead)
+			speed_observe(fleet, task, now_us);
 	}
 }
 
--- a/fleet/incarnation.c
+++ b/fleet/incarnation.c
@@ -56,6 +56,7 @@
 	list_add_tail(&worker->node, &fleet->workers);
 	if (!old)
 		return worker;
+	speed_inherit(worker, old);
 	worker->lease_end_us = old->lease_end_us;
 	worker->adopted = old->adopted;
 	worker->next_hold_us = 0;
@@ -157,6 +158,7 @@
 	if (worker->unreachable || worker_reachable(worker, now_us))
 		return;
 	worker->unreachable = true;
+	worker->unreachable_us = now_us;
 	if (fleet->ops)
 		fleet->ops->lost(fleet->user, worker, now_us);
 }
--- a/fleet/job.c
+++ b/fleet/job.c
@@ -4,6 +4,7 @@
 #include <string.h>
 
 #include "fleet/advice.h"
+#include "fleet/speed.h"
 
 static const char *const phase_names[] = { "queued", "running", "done",
 					   "failed", "cancelled" };
@@ -68,6 +69,7 @@
 		return;
 	for (i = 0; i < stage->spec->count; i++)
 		task_finish(&stage->tasks[i]);
+	speed_stage_unref(stage->speed);
 	advice_free(stage);
 	g_free(stage->tasks);
 	g_free(stage->reserved);
--- a/fleet/job.h
+++ b/fleet/job.h
@@ -13,6 +13,7 @@
  */
 
 struct worker;
+struct speed_stage;
 struct stage;
 struct job;
 
@@ -66,6 +67,8 @@
 	int64_t progress_us; /* when percent last changed */
 	int first_percent; /* in the first report of the run */
 	int64_t first_report_us;
+	bool resumed; /* the run may have begun from a checkpoint */
+	int64_t speed_id; /* of the run's sample, see fleet/speed.h; 0: none */
 	int64_t load; /* approximate, over the last half second */
 	const struct worker *failed_at; /* compared only, may dangle */
 };
@@ -99,6 +102,7 @@
 	GHashTable *grants; /* of the advice service, see fleet/advice.h */
 	/* Earliest time of the next advice question, 0: none was sent yet. */
 	int64_t asked_us;
+	struct speed_stage *speed; /* its effect on rates; NULL: no sample */
 	struct task *tasks; /* spec->count of them */
 };
 
--- a/fleet/plan.c
+++ b/fleet/plan.c
@@ -63,6 +63,7 @@
 	if (!chosen)
 		return false;
 	run = next_gang_run(stage);
+	speed_stage_restart(stage);
 	for (i = 0; i < stage->spec->count; i++)
 		plan_run(pass, &stage->tasks[i], chosen[i], run);
 	pass->started += stage->spec->count;
@@ -233,6 +234,7 @@
 	GPtrArray *jobs = order_jobs(fleet, now_us);
 	guint i;
 
+	speed_fit(fleet, now_us);
 	if (jobs->len > 0 || any_speculative(fleet)) {
 		placement_init(&pass.place, fleet, now_us);
 		renew_reservations(&pass, jobs);
--- a/fleet/run.c
+++ b/fleet/run.c
@@ -30,6 +30,7 @@
 	task->started_us = 0;
 	task->percent = 0;
 	task->first_report_us = 0;
+	task->speed_id = 0;
 	task->progress_us = 0;
 	task->pace_percent = 100;
 	task->pace_pending = false;
@@ -67,6 +68,7 @@
 	task->phase = TASK_RUNNING;
 	task->started_us = now_us;
 	task->progress_us = now_us;
+	task->resumed = task_original(task)->checkpoint != NULL;
 	if (task->worker)
 		task->worker->fenced = true;
 	if (job->phase != JOB_QUEUED)
@@ -200,8 +202,10 @@
 	struct stage *stage = task->stage;
 	int i;
 
-	if (task->phase == TASK_RUNNING)
+	if (task->phase == TASK_RUNNING) {
 		fleet_record_duration(fleet, task, now_us);
+		speed_observe_end(fleet, task, now_us);
+	}
 	task_done(fleet, task);
 	if (task_has_copy(task))
 		fleet_stop_one(fleet, task->copy,
--- /dev/null
+++ b/fleet/speed.c
@@ -0,0 +1,342 @@
+#include "fleet/speed.h"
+
+#include <math.h>
+#include <string.h>
+
+#include "fleet/speed_int.h"
+
+/* Standard deviation of the rates of equal tasks on equal workers. */
+#define SPEED_RUN_SD 0.15
+/* Of a percentage that a worker reports: they are whole numbers, and two of
+ * them are compared. */
+#define SPEED_PERCENT_SD 0.7
+/* Progress, in percent, from which on a run shows its rate to about 0.2. */
+#define SPEED_PERCENT_MIN 6
+/* Runs that took longer are not credible. */
+#define SPEED_RUN_MAX_MS 86400000.0
+/* Interval of the log lines of a worker's odd runs. */
+#define SPEED_ODD_INTERVAL_MS 10000
+/*
+ * Bound of the weight of a prior, about that of one run. Runs whose samples were
+ * dropped keep the level of workers that run no stage together with others,
+ * and have no part in it once a worker has changed.
+ */
+#define SPEED_PRIOR_WEIGHT_MAX 40.0
+/* An estimate that was taken over is trusted to a certainty of 0.6. */
+#define SPEED_INHERITED_WEIGHT (1.5 * SPEED_WORKER_WEIGHT)
+/* Age at which a prior has lost half of its weight. */
+#define SPEED_PRIOR_HALF_LIFE_MS 60000.0
+
+void speed_init(struct speed_model *model)
+{
+	memset(model, 0, sizeof(*model));
+	list_init(&model->stages);
+	list_init(&model->queues);
+}
+
+static void queue_unref(struct speed_queue *queue)
+{
+	if (--queue->stages > 0)
+		return;
+	list_del(&queue->node);
+	g_free(queue->name);
+	g_free(queue);
+}
+
+void speed_stage_unref(struct speed_stage *stage)
+{
+	if (!stage || --stage->refs > 0)
+		return;
+	list_del(&stage->node);
+	queue_unref(stage->queue);
+	g_free(stage);
+}
+
+void speed_stage_restart(struct stage *stage)
+{
+	speed_stage_unref(stage->speed);
+	stage->speed = NULL;
+}
+
+static struct speed_sample *sample_at(const struct worker *worker, guint i)
+{
+	return &g_array_index(worker->speed.samples, struct speed_sample, i);
+}
+
+void speed_forget(struct worker *worker, guint count)
+{
+	GArray *samples = worker->speed.samples;
+	guint drop = samples && samples->len > count ? samples->len - count : 0;
+	guint i;
+
+	for (i = 0; i < drop; i++)
+		speed_stage_unref(sample_at(worker, i)->stage);
+	if (drop > 0)
+		g_array_remove_range(samples, 0, drop);
+}
+
+void speed_worker_finish(struct worker *worker)
+{
+	if (!worker->speed.samples)
+		return;
+	speed_forget(worker, 0);
+	g_array_unref(worker->speed.samples);
+	worker->speed.samples = NULL;
+}
+
+/* The prior loses weight with age, but its mean stays. */
+static void age_prior(struct worker_speed *speed, int64_t now_us)
+{
+	double age_ms = (double)(now_us - speed->prior_us) / 1000.0;
+	double left = exp2(-MAX(age_ms, 0) / SPEED_PRIOR_HALF_LIFE_MS);
+
+	speed->prior_weight =
+		MAX(speed->prior_weight * left, SPEED_WORKER_WEIGHT);
+	speed->prior_us = now_us;
+}
+
+/*
+ * Takes from a sample, which is the first of its stage, its share of what the
+ * runs of the stage tell the worker. The next sample of the stage gets the rest.
+ */
+static struct speed_mean take_share(const struct worker *worker, guint i)
+{
+	struct speed_sample *first = sample_at(worker, i), *next = NULL;
+	struct speed_mean share = first->to_worker;
+	double total = 0, part;
+	guint j;
+
+	for (j = worker->speed.samples->len; j-- > i;) {
+		struct speed_sample *sample = sample_at(worker, j);
+
+		if (sample->stage != first->stage)
+			continue;
+		total += sample->used;
+		if (j > i)
+			next = sample;
+	}
+	part = total > 0 ? first->used / total : 0;
+	share.weight *= part;
+	share.sum *= part;
+	if (next) {
+		next->to_stage = first->to_stage;
+		next->to_worker.weight = first->to_worker.weight - share.weight;
+		next->to_worker.sum = first->to_worker.sum - share.sum;
+	}
+	return share;
+}
+
+void speed_merge(struct worker *worker, guint count, int64_t now_us)
+{
+	struct worker_speed *speed = &worker->speed;
+	guint i;
+
+	age_prior(speed, now_us);
+	for (i = 0; speed->samples && i + count < speed->samples->len; i++) {
+		struct speed_mean told = take_share(worker, i);
+		double weight = speed->prior_weight + told.weight;
+
+		speed->prior = (speed->prior * speed->prior_weight + told.sum) /
+			       weight;
+		speed->prior_weight = MIN(weight, SPEED_PRIOR_WEIGHT_MAX);
+	}
+	speed_forget(worker, count);
+}
+
+void speed_inherit(struct worker *worker, const struct worker *old)
+{
+	struct worker_speed *speed = &worker->speed;
+
+	speed->prior = old->speed.log;
+	speed->prior_weight = CLAMP(old->speed.weight, SPEED_WORKER_WEIGHT,
+				    SPEED_INHERITED_WEIGHT);
+	speed->prior_us = old->speed.prior_us;
+	speed->log = speed->prior;
+	speed->weight = speed->prior_weight;
+	speed->relative = old->speed.relative;
+}
+
+static struct speed_queue *get_queue(struct speed_model *model,
+				     const char *name)
+{
+	struct speed_queue *queue;
+
+	list_for_each_entry(queue, &model->queues, node)
+		if (strcmp(queue->name, name) == 0)
+			return queue;
+	queue = g_new0(struct speed_queue, 1);
+	queue->name = g_strdup(name);
+	list_add_tail(&queue->node, &model->queues);
+	return queue;
+}
+
+static struct speed_stage *get_stage(struct speed_model *model,
+				     struct stage *stage)
+{
+	struct speed_stage *effect = stage->speed;
+
+	if (effect)
+		return effect;
+	effect = g_new0(struct speed_stage, 1);
+	effect->queue = get_queue(model, stage->job->queue);
+	effect->queue->stages++;
+	effect->refs = 1;
+	list_add_tail(&effect->node, &model->stages);
+	stage->speed = effect;
+	return effect;
+}
+
+static struct speed_sample *find_sample(const struct worker *worker, int64_t id)
+{
+	guint i;
+
+	for (i = 0; worker->speed.samples && i < worker->speed.samples->len;
+	     i++)
+		if (sample_at(worker, i)->id == id)
+			return sample_at(worker, i);
+	return NULL;
+}
+
+static struct speed_sample *add_sample(struct fleet *fleet, struct task *task,
+				       int64_t now_us)
+{
+	struct worker_speed *speed = &task->worker->speed;
+	struct speed_sample fresh = { 0 };
+
+	if (!speed->samples)
+		speed->samples =
+			g_array_new(FALSE, FALSE, sizeof(struct speed_sample));
+	if (speed->samples->len >= SPEED_SAMPLES_MAX)
+		speed_merge(task->worker, SPEED_SAMPLES_MAX - 1, now_us);
+	fresh.id = task->speed_id;
+	fresh.stage = get_stage(&fleet->speed, task->stage);
+	fresh.stage->refs++;
+	g_array_append_val(speed->samples, fresh);
+	return sample_at(task->worker, speed->samples->len - 1);
+}
+
+static void take_sample(struct fleet *fleet, struct task *task, double share,
+			double ms, int64_t now_us)
+{
+	double percent = share * 100.0;
+	double variance =
+		SPEED_RUN_SD * SPEED_RUN_SD +
+		SPEED_PERCENT_SD * SPEED_PERCENT_SD / (percent * percent);
+	struct speed_sample *sample;
+
+	if (task->speed_id == 0) {
+		task->speed_id = ++fleet->speed.next_id;
+		sample = add_sample(fleet, task, now_us);
+	} else {
+		sample = find_sample(task->worker, task->speed_id);
+	}
+	/* It was dropped: later runs tell more. */
+	if (!sample)
+		return;
+	sample->log_rate = log(share / ms * (double)task->stage->spec->est_ms);
+	sample->weight = 1.0 / variance;
+	sample->at_us = now_us;
+	sample->stage->touched = true;
+	fleet->speed.changed = true;
+}
+
+/* Logs a run that is left out, and how many of this worker were not logged. */
+static void note_odd(struct fleet *fleet, const struct task *task, double ms,
+		     const char *why, int64_t now_us)
+{
+	struct worker_speed *speed = &task->worker->speed;
+
+	if (speed->odd_us != 0 &&
+	    now_us - speed->odd_us < SPEED_ODD_INTERVAL_MS * 1000) {
+		speed->odd_left_out++;
+		return;
+	}
+	speed->odd_us = now_us;
+	if (fleet->ops && fleet->ops->odd_run)
+		fleet->ops->odd_run(fleet->user, task, (int64_t)ms, why,
+				    speed->odd_left_out);
+	speed->odd_left_out = 0;
+}
+
+/* Best-effort tasks are paced, and long-running ones have no progress. In
+ * another rack than that of its data a task is slower on any worker. */
+static bool is_comparable(const struct task *task)
+{
+	const struct step_spec *spec = task->stage->spec;
+
+	return task->worker && !spec->long_running && !spec->fills &&
+	       (!spec->rack ||
+		g_strcmp0(task->worker->reported.rack, spec->rack) == 0);
+}
+
+static bool is_credible(struct fleet *fleet, const struct task *task, double ms,
+			int64_t now_us)
+{
+	const char *why = NULL;
+
+	if (task->stage->spec->est_ms <= 0)
+		why = "no declared duration";
+	else if (ms < 0)
+		why = "ended before its start";
+	else if (ms < 1)
+		why = "took no time";
+	else if (ms > SPEED_RUN_MAX_MS)
+		why = "took more than a day";
+	if (why)
+		note_odd(fleet, task, ms, why, now_us);
+	return !why;
+}
+
+/* Whether the time of the run's start is known, and it began at 0 percent. */
+static bool is_whole(const struct task *task)
+{
+	return !task->unconfirmed && !task->resumed;
+}
+
+void speed_observe(struct fleet *fleet, struct task *task, int64_t now_us)
+{
+	bool whole = is_whole(task);
+	int from = whole ? 0 : task->first_percent;
+	int64_t from_us = whole ? task->started_us : task->first_report_us;
+	double ms = (double)(now_us - from_us) / 1000.0;
+
+	if (task->phase != TASK_RUNNING || !is_comparable(task) ||
+	    task->percent >= 100 || task->percent - from < SPEED_PERCENT_MIN ||
+	    task->worker->unreachable_us >= from_us ||
+	    !is_credible(fleet, task, ms, now_us))
+		return;
+	take_sample(fleet, task, (task->percent - from) / 100.0, ms, now_us);
+}
+
+/* The end of a gang is that of its slowest member, and an end that was reported
+ * after an unanswered call may be old. */
+void speed_observe_end(struct fleet *fleet, struct task *task, int64_t now_us)
+{
+	double ms = (double)(now_us - task->started_us) / 1000.0;
+
+	if (!is_comparable(task) || task->stage->spec->gang ||
+	    !is_whole(task) ||
+	    task->worker->unanswered_us >= task->started_us ||
+	    !is_credible(fleet, task, ms, now_us))
+		return;
+	take_sample(fleet, task, 1.0, ms, now_us);
+}
+
+bool speed_uneven(const struct fleet *fleet)
+{
+	return fleet->speed.uneven;
+}
+
+double speed_of(const struct fleet *fleet, const struct worker *worker)
+{
+	return fleet->speed.uneven && worker->speed.relative > 0 ?
+		       worker->speed.relative :
+		       1.0;
+}
+
+double speed_certainty(const struct worker *worker)
+{
+	return worker->speed.weight > SPEED_WORKER_WEIGHT ?
+		       1.0 - SPEED_WORKER_WEIGHT / worker->speed.weight :
+		       0.0;
+}
--- /dev/null
+++ b/fleet/speed_fit.c
@@ -0,0 +1,474 @@
+#include "fleet/speed.h"
+
+#include <math.h>
+
+#include "fleet/speed_int.h"
+
+/*
+ * Interval of the fits. Workers report at least every 1.5 s, and a fit takes
+ * about a millisecond with 1,100 workers.
+ */
+#define SPEED_FIT_INTERVAL_MS 400
+/* Each begins where the one before ended, so a few are enough. */
+#define SPEED_SWEEPS 3
+/* Age at which a sample has lost half of its weight, and the share that it
+ * keeps: 16 old samples weigh as much as 4 new ones. */
+#define SPEED_HALF_LIFE_MS 10000.0
+#define SPEED_OLD_SHARE 0.25
+/* Standard deviation of the effects of a queue's stages: declared durations are
+ * off by that much at random. */
+#define SPEED_STAGE_SD 0.4
+#define SPEED_STAGE_WEIGHT (1.0 / (SPEED_STAGE_SD * SPEED_STAGE_SD))
+/* Number of stages with effect 0 that a queue begins with. */
+#define SPEED_QUEUE_PRIOR 0.5
+/*
+ * The runs that show that a worker has changed: as many in a row deviate in the
+ * same direction. A single one may be a long-tailed run.
+ */
+#define SPEED_CHANGE_RUNS 3
+/* Certainty from which on a worker's speed is known. */
+#define SPEED_KNOWN_CERTAINTY 0.7
+/* Known workers from which on there is a typical speed, and a spread. */
+#define SPEED_KNOWN_MIN 8
+#define SPEED_LOW_SHARE 0.15
+#define SPEED_HIGH_SHARE 0.85
+/*
+ * A run on a worker that is slower than typical by less than the tightest
+ * stretch is in time; a tenth is left for waiting. The typical worker lies
+ * between the slow and the fast ones, hence the square of it for their ratio.
+ */
+#define SPEED_MARGIN 0.9
+/* The least spread that counts, whatever the objectives are: speeds of 0.8 and
+ * 1.25 are alike. */
+#define SPEED_SPREAD_MIN 1.7
+
+/* The samples of one stage on one worker. */
+struct pair {
+	struct speed_sample *first;
+	double weight;
+	double sum;
+};
+
+struct pairs {
+	struct pair at[SPEED_SAMPLES_MAX];
+	int count;
+};
+
+/* The workers that take part in a fit. */
+struct fit {
+	struct fleet *fleet;
+	GPtrArray *workers;
+	int64_t now_us;
+};
+
+static guint sample_count(const struct worker *worker)
+{
+	return worker->speed.samples ? worker->speed.samples->len : 0;
+}
+
+static struct speed_sample *sample_at(const struct worker *worker, guint i)
+{
+	return &g_array_index(worker->speed.samples, struct speed_sample, i);
+}
+
+static struct speed_mean less(const struct speed_mean *from,
+			      const struct speed_mean *part)
+{
+	struct speed_mean left = { from->weight - part->weight,
+				   from->sum - part->sum };
+
+	return left;
+}
+
+static double value(const struct speed_mean *mean)
+{
+	return mean->weight > 0 ? mean->sum / mean->weight : 0;
+}
+
+static double variance(const struct speed_mean *mean)
+{
+	return mean->weight > 0 ? 1.0 / mean->weight : 0;
+}
+
+/* What is known of the worker without the pair's runs. */
+static struct speed_mean worker_without(const struct worker *worker,
+					const struct speed_sample *first)
+{
+	struct speed_mean all = { worker->speed.weight,
+				  worker->speed.weight * worker->speed.log };
+
+	return less(&all, &first->to_worker);
+}
+
+static struct speed_mean stage_without(const struct speed_sample *first)
+{
+	return less(&first->stage->mean, &first->to_stage);
+}
+
+/* Sums what the worker's samples and its prior tell of it. */
+static void update_worker(struct worker *worker)
+{
+	struct worker_speed *speed = &worker->speed;
+	double weight = MAX(speed->prior_weight, SPEED_WORKER_WEIGHT);
+	double sum = weight * speed->prior;
+	guint i;
+
+	for (i = 0; i < sample_count(worker); i++) {
+		weight += sample_at(worker, i)->to_worker.weight;
+		sum += sample_at(worker, i)->to_worker.sum;
+	}
+	speed->weight = weight;
+	speed->log = sum / weight;
+}
+
+/* Whether a sample of the worker belongs to a stage with new samples. */
+static bool has_news(const struct worker *worker)
+{
+	guint i;
+
+	for (i = 0; i < sample_count(worker); i++)
+		if (sample_at(worker, i)->stage->touched)
+			return true;
+	return false;
+}
+
+static void age_samples(const struct worker *worker, int64_t now_us)
+{
+	guint i;
+
+	for (i = 0; i < sample_count(worker); i++) {
+		struct speed_sample *sample = sample_at(worker, i);
+		double age_ms = (double)(now_us - sample->at_us) / 1000.0;
+
+		sample->aged = sample->weight *
+			       MAX(exp2(-MAX(age_ms, 0) / SPEED_HALF_LIFE_MS),
+				   SPEED_OLD_SHARE);
+	}
+}
+
+static struct pair *find_pair(struct pairs *pairs, struct speed_sample *sample)
+{
+	int i;
+
+	for (i = 0; i < pairs->count; i++)
+		if (pairs->at[i].first->stage == sample->stage)
+			return &pairs->at[i];
+	pairs->at[pairs->count].first = sample;
+	pairs->at[pairs->count].weight = 0;
+	pairs->at[pairs->count].sum = 0;
+	return &pairs->at[pairs->count++];
+}
+
+/*
+ * Weight of a sample after what it deviates from the expectation. A run that
+ * takes 7 times as long counts little; how little depends on how well the
+ * worker and the stage are known without it.
+ */
+static double robust_weight(const struct speed_sample *sample,
+			    const struct speed_mean *worker,
+			    const struct speed_mean *stage)
+{
+	double expected = value(worker) + value(stage);
+	double limit =
+		SPEED_OUTLIER + sqrt(variance(worker) + variance(stage)) / 2;
+	double deviation = fabs(sample->log_rate - expected);
+
+	if (sample->stage->mean.weight <= 0 || deviation <= limit)
+		return sample->aged;
+	return sample->aged * limit / deviation;
+}
+
+/* Collects the worker's samples of stages with new samples, by stage. */
+static void collect_pairs(const struct worker *worker, struct pairs *pairs)
+{
+	guint i;
+
+	pairs->count = 0;
+	for (i = 0; i < sample_count(worker); i++) {
+		struct speed_sample *sample = sample_at(worker, i);
+		struct speed_mean rest, stage;
+		struct pair *pair;
+
+		if (!sample->stage->touched)
+			continue;
+		pair = find_pair(pairs, sample);
+		rest = worker_without(worker, pair->first);
+		stage = stage_without(pair->first);
+		sample->used = robust_weight(sample, &rest, &stage);
+		pair->weight += sample->used;
+		pair->sum += sample->used * sample->log_rate;
+	}
+}
+
+/*
+ * What a pair tells the one of its two sides about itself, given what is known
+ * of the other without the pair: the sum of both is observed.
+ */
+static struct speed_mean tell(const struct pair *pair,
+			      const struct speed_mean *other)
+{
+	struct speed_mean told;
+
+	told.weight = 1.0 / (1.0 / pair->weight + variance(other));
+	told.sum = told.weight * (pair->sum / pair->weight - value(other));
+	return told;
+}
+
+static void add(struct speed_mean *to, const struct speed_mean *part)
+{
+	to->weight += part->weight;
+	to->sum += part->sum;
+}
+
+static void fit_stages(struct fit *fit)
+{
+	struct speed_stage *stage;
+	struct pairs pairs;
+	guint i;
+	int k;
+
+	list_for_each_entry(stage, &fit->fleet->speed.stages, node) {
+		stage->next.weight = SPEED_STAGE_WEIGHT;
+		stage->next.sum = SPEED_STAGE_WEIGHT * stage->queue->effect;
+	}
+	for (i = 0; i < fit->workers->len; i++) {
+		struct worker *worker = g_ptr_array_index(fit->workers, i);
+
+		collect_pairs(worker, &pairs);
+		for (k = 0; k < pairs.count; k++) {
+			struct speed_sample *first = pairs.at[k].first;
+			struct speed_mean rest = worker_without(worker, first);
+
+			first->to_stage = tell(&pairs.at[k], &rest);
+			add(&first->stage->next, &first->to_stage);
+		}
+	}
+	list_for_each_entry(stage, &fit->fleet->speed.stages, node)
+		if (stage->touched)
+			stage->mean = stage->next;
+}
+
+static void fit_workers(struct fit *fit)
+{
+	struct pairs pairs;
+	guint i;
+	int k;
+
+	for (i = 0; i < fit->workers->len; i++) {
+		struct worker *worker = g_ptr_array_index(fit->workers, i);
+
+		collect_pairs(worker, &pairs);
+		for (k = 0; k < pairs.count; k++) {
+			struct speed_sample *first = pairs.at[k].first;
+			struct speed_mean stage = stage_without(first);
+
+			first->to_worker = tell(&pairs.at[k], &stage);
+		}
+		update_worker(worker);
+	}
+}
+
+static void fit_queues(struct speed_model *model)
+{
+	struct speed_queue *queue;
+	struct speed_stage *stage;
+
+	list_for_each_entry(queue, &model->queues, node) {
+		queue->sum = 0;
+		queue->count = SPEED_QUEUE_PRIOR;
+	}
+	list_for_each_entry(stage, &model->stages, node) {
+		stage->queue->sum += value(&stage->mean);
+		stage->queue->count += 1;
+	}
+	list_for_each_entry(queue, &model->queues, node)
+		queue->effect = queue->sum / queue->count;
+}
+
+/* Whether the latest runs all deviate from the estimate in one direction. */
+static bool has_changed(const struct worker *worker)
+{
+	guint count = sample_count(worker);
+	int slower = 0, faster = 0;
+	guint i;
+
+	if (count <= SPEED_CHANGE_RUNS)
+		return false;
+	for (i = count - SPEED_CHANGE_RUNS; i < count; i++) {
+		const struct speed_sample *sample = sample_at(worker, i);
+		double deviation = sample->log_rate -
+				   value(&sample->stage->mean) -
+				   worker->speed.log;
+
+		slower += deviation < -SPEED_OUTLIER;
+		faster += deviation > SPEED_OUTLIER;
+	}
+	return slower == SPEED_CHANGE_RUNS || faster == SPEED_CHANGE_RUNS;
+}
+
+/* The speed of a worker that has changed is that of its latest runs. */
+static void forget_changed(struct fit *fit)
+{
+	guint i;
+
+	for (i = 0; i < fit->workers->len; i++) {
+		struct worker *worker = g_ptr_array_index(fit->workers, i);
+
+		if (!has_changed(worker))
+			continue;
+		speed_forget(worker, SPEED_CHANGE_RUNS);
+		worker->speed.prior = 0;
+		worker->speed.prior_weight = 0;
+		update_worker(worker);
+	}
+}
+
+static int by_value(const void *a, const void *b)
+{
+	double left = *(const double *)a, right = *(const double *)b;
+
+	return left < right ? -1 : left > right;
+}
+
+static double tightest_stretch(const struct config *config)
+{
+	double lowest = 0;
+	guint i;
+
+	for (i = 0; config && i < config->queues->len; i++) {
+		const struct queue *queue =
+			g_ptr_array_index(config->queues, i);
+
+		if (queue->stretch > 0 &&
+		    (lowest == 0 || queue->stretch < lowest))
+			lowest = queue->stretch;
+	}
+	return lowest;
+}
+
+/* The spread from which on speeds are uneven; G_MAXDOUBLE: never. */
+static double uneven_spread(const struct fleet *fleet)
+{
+	double stretch = SPEED_MARGIN * tightest_stretch(fleet->config);
+
+	if (stretch <= 0)
+		return G_MAXDOUBLE;
+	return MAX(stretch * stretch, SPEED_SPREAD_MIN);
+}
+
+static double quantile(const GArray *sorted, double share)
+{
+	return g_array_index(sorted, double, (guint)(sorted->len * share));
+}
+
+/*
+ * Makes the typical speed the zero of the scale. Effects of workers and stages
+ * move in opposite directions, so that no expectation changes, and workers of
+ * which nothing is known count as typical.
+ */
+static void shift(struct fleet *fleet, double by)
+{
+	struct speed_stage *stage;
+	struct speed_queue *queue;
+	struct worker *worker;
+	guint i;
+
+	list_for_each_entry(worker, &fleet->workers, node) {
+		if (worker->speed.prior_weight > 0)
+			worker->speed.prior -= by;
+		for (i = 0; i < sample_count(worker); i++) {
+			struct speed_sample *sample = sample_at(worker, i);
+
+			sample->to_worker.sum -= by * sample->to_worker.weight;
+			sample->to_stage.sum += by * sample->to_stage.weight;
+		}
+		update_worker(worker);
+	}
+	list_for_each_entry(stage, &fleet->speed.stages, node)
+		stage->mean.sum += by * stage->mean.weight;
+	list_for_each_entry(queue, &fleet->speed.queues, node)
+		queue->effect += by;
+}
+
+static GArray *known_speeds(const struct fleet *fleet)
+{
+	GArray *known = g_array_new(FALSE, FALSE, sizeof(double));
+	const struct worker *worker;
+
+	list_for_each_entry(worker, &fleet->workers, node)
+		if (worker->listed &&
+		    speed_certainty(worker) >= SPEED_KNOWN_CERTAINTY)
+			g_array_append_val(known, worker->speed.log);
+	g_array_sort(known, by_value);
+	return known;
+}
+
+/* Finds the typical speed, and whether the workers' speeds are uneven. */
+static void judge(struct fleet *fleet)
+{
+	struct speed_model *model = &fleet->speed;
+	GArray *known = known_speeds(fleet);
+	double limit = uneven_spread(fleet);
+	struct worker *worker;
+
+	model->known = (int)known->len;
+	if (known->len >= SPEED_KNOWN_MIN) {
+		model->spread = exp(quantile(known, SPEED_HIGH_SHARE) -
+				    quantile(known, SPEED_LOW_SHARE));
+		shift(fleet, quantile(known, 0.5));
+	}
+	if (model->uneven)
+		limit *= SPEED_MARGIN;
+	model->uneven = model->spread >= limit;
+	list_for_each_entry(worker, &fleet->workers, node)
+		worker->speed.relative = exp(worker->speed.log);
+	g_array_unref(known);
+}
+
+static void begin_fit(struct fit *fit, struct fleet *fleet, int64_t now_us)
+{
+	struct worker *worker;
+
+	fit->fleet = fleet;
+	fit->now_us = now_us;
+	fit->workers = g_ptr_array_new();
+	list_for_each_entry(worker, &fleet->workers, node) {
+		if (!has_news(worker))
+			continue;
+		age_samples(worker, now_us);
+		update_worker(worker);
+		g_ptr_array_add(fit->workers, worker);
+	}
+}
+
+static void end_fit(struct fit *fit)
+{
+	struct speed_stage *stage;
+
+	list_for_each_entry(stage, &fit->fleet->speed.stages, node)
+		stage->touched = false;
+	g_ptr_array_unref(fit->workers);
+}
+
+void speed_fit(struct fleet *fleet, int64_t now_us)
+{
+	struct speed_model *model = &fleet->speed;
+	struct fit fit;
+	int i;
+
+	if (!model->changed ||
+	    now_us - model->fitted_us < SPEED_FIT_INTERVAL_MS * 1000)
+		return;
+	model->fitted_us = now_us;
+	model->changed = false;
+	begin_fit(&fit, fleet, now_us);
+	for (i = 0; i < SPEED_SWEEPS; i++) {
+		if (i == SPEED_SWEEPS - 1)
+			forget_changed(&fit);
+		fit_stages(&fit);
+		fit_workers(&fit);
+		fit_queues(model);
+	}
+	end_fit(&fit);
+	judge(fleet);
+}
--- a/fleet/worker.c
+++ b/fleet/worker.c
@@ -4,6 +4,7 @@
 
 #include "fleet/limits.h"
 #include "fleet/orphan.h"
+#include "fleet/speed.h"
 
 void worker_report_finish(struct worker_report *report)
 {
@@ -32,6 +33,7 @@
 void worker_free(struct worker *worker)
 {
 	list_del(&worker->node);
+	speed_worker_finish(worker);
 	orphans_free(worker);
 	worker_report_finish(&worker->reported);
 	g_array_unref(worker->ends);
--- a/fleet/worker.h
+++ b/fleet/worker.h
@@ -30,6 +30,20 @@
 	uint64_t change; /* once this change is stored, so is the effect */
 };
 
+/* How fast a worker runs tasks, see fleet/speed.h. */
+struct worker_speed {
+	double relative; /* to the typical worker, 0: no estimate */
+	double log; /* logarithm of it */
+	double weight; /* inverse variance of log, 0: no estimate */
+	/* What earlier incarnations, leaders and samples tell. */
+	double prior;
+	double prior_weight; /* 0: nothing */
+	int64_t prior_us; /* when it was updated */
+	GArray *samples; /* struct speed_sample, oldest first, or NULL */
+	int64_t odd_us; /* latest log line of an odd run, 0: none */
+	int odd_left_out; /* odd runs since then */
+};
+
 /*
  * One incarnation of a worker: from a start of the process to its end. All its
  * runs share one lease, whose end is a time of the worker's own clock. That
@@ -64,6 +78,10 @@
 	int unanswered_calls; /* since the latest answer */
 	int64_t unanswered_since_us; /* time of the first of these calls */
 	bool unreachable; /* unanswered for UNREACHABLE_AFTER_MS; logged */
+	/* When a call last went unanswered, and when it last became
+	 * unreachable; 0: never. */
+	int64_t unanswered_us;
+	int64_t unreachable_us;
 	int refusals; /* connections refused in a row */
 	int calls; /* orders sent that have no answer yet */
 	/* Until then orders go out one by one, as it takes no new connection. */
@@ -77,6 +95,7 @@
 	int64_t end_seen; /* highest end number processed */
 	int64_t last_end_stored; /* highest end number whose effect is stored */
 	GArray *ends; /* struct worker_end, by number */
+	struct worker_speed speed;
 	/* Health. */
 	int failure_streak; /* failures since the last success */
 	int64_t banned_until_us;
