Write counts again that change while they are being written

The ledger marked the counts of waiting jobs as stored when a write of them was answered, also if they had changed since it was sent. The newer ones were not written before the next change, so that hosts could serve a wrong count for as long as the queue stood still.

The record is now marked when it goes into a transaction, and again as to be written if that is not carried out.

--- a/control/ledger.c
+++ b/control/ledger.c
@@ -70,7 +70,50 @@
 	ledger->leader_revision = leader_revision;
 	ledger->open = true;
 	ledger->started_us = 0;
-	ledger->counts_rev = -1;
+	ledger->counts.key = KEY_WAITING;
+	ledger->counts.revision = -1;
+}
+
+static void record_clear(struct ledger_record *record)
+{
+	g_free(record->data);
+	memset(record, 0, sizeof(*record));
+}
+
+static void record_set(struct ledger_record *record, const void *data,
+		       size_t len)
+{
+	if (record->data && record->len == len &&
+	    memcmp(record->data, data, len) == 0)
+		return;
+	g_free(record->data);
+	record->data = g_memdup2(data, len);
+	record->len = len;
+	record->dirty = true;
+}
+
+/* The transaction was not carried out; the data goes into the next one. */
+static void record_not_written(struct ledger_record *record)
+{
+	record->dirty |= record->in_call;
+	record->in_call = false;
+}
+
+static void record_written(struct ledger_record *record, int64_t revision)
+{
+	if (record->in_call)
+		record->revision = revision;
+	record->in_call = false;
+}
+
+/* A comparison has failed: takes the revision from the answer. */
+static void record_compared(struct ledger_record *record,
+			    const struct kv_call *call)
+{
+	const struct kv_item *item = kv_find(call, record->key);
+
+	if (record->in_call)
+		record->revision = item ? item->mod_revision : 0;
 }
 
 void ledger_close(struct ledger *ledger)
@@ -85,10 +128,7 @@
 	g_ptr_array_set_size(ledger->jobs_in_call, 0);
 	g_array_set_size(ledger->changes_in_call, 0);
 	g_ptr_array_set_size(ledger->removals, 0);
-	g_free(ledger->counts);
-	ledger->counts = NULL;
-	ledger->counts_len = 0;
-	ledger->counts_dirty = false;
+	record_clear(&ledger->counts);
 }
 
 /* Answers. */
@@ -151,6 +191,7 @@
 	g_ptr_array_set_size(ledger->jobs_in_call, 0);
 	g_array_set_size(ledger->changes_in_call, 0);
 	ledger->removals_in_call = 0;
+	record_not_written(&ledger->counts);
 }
 
 static void handle_written(struct ledger *ledger, int64_t revision)
@@ -166,10 +207,7 @@
 	if (ledger->removals_in_call > 0)
 		g_ptr_array_remove_range(ledger->removals, 0,
 					 (guint)ledger->removals_in_call);
-	if (ledger->counts_in_call) {
-		ledger->counts_dirty = false;
-		ledger->counts_rev = revision;
-	}
+	record_written(&ledger->counts, revision);
 	ctr_add(&ledger->writes, 1);
 	ctr_observe(&ledger->latency,
 		    (uint64_t)((kn_now_us() - ledger->started_us) / 1000));
@@ -222,11 +260,7 @@
 
 	if (!leader || leader->mod_revision != ledger->leader_revision)
 		return false;
-	if (ledger->counts_in_call) {
-		const struct kv_item *counts = kv_find(call, KEY_WAITING);
-
-		ledger->counts_rev = counts ? counts->mod_revision : 0;
-	}
+	record_compared(&ledger->counts, call);
 	for (i = 0; i < ledger->jobs_in_call->len; i++) {
 		struct job *job = g_ptr_array_index(ledger->jobs_in_call, i);
 		char *key = state_key(job);
@@ -342,6 +376,15 @@
 	}
 }
 
+static void add_record(struct ledger_record *record, struct batch *batch)
+{
+	batch_compare(batch, record->key, MAX(record->revision, 0));
+	batch_put(batch, record->key, g_memdup2(record->data, record->len),
+		  record->len);
+	record->dirty = false;
+	record->in_call = true;
+}
+
 static void fill_batch(struct ledger *ledger, struct batch *batch)
 {
 	struct job *job;
@@ -356,16 +399,10 @@
 		add_removals(ledger, batch);
 	/* While the revision is not known, the comparison may fail: no records
 	 * wait for that. */
-	ledger->counts_in_call =
-		ledger->counts_dirty &&
-		ledger->jobs_in_call->len <
-			(ledger->counts_rev < 0 ? 1 : RECORDS_PER_WRITE);
-	if (!ledger->counts_in_call)
-		return;
-	batch_compare(batch, KEY_WAITING, MAX(ledger->counts_rev, 0));
-	batch_put(batch, KEY_WAITING,
-		  g_memdup2(ledger->counts, ledger->counts_len),
-		  ledger->counts_len);
+	if (ledger->counts.dirty &&
+	    ledger->jobs_in_call->len <
+		    (ledger->counts.revision < 0 ? 1 : RECORDS_PER_WRITE))
+		add_record(&ledger->counts, batch);
 }
 
 void ledger_flush(struct ledger *ledger)
@@ -398,19 +435,13 @@
 bool ledger_idle(const struct ledger *ledger)
 {
 	return !ledger->call_pending && list_empty(&ledger->fleet->dirty) &&
-	       !ledger->counts_dirty && ledger->removals->len == 0;
+	       !ledger->counts.dirty && ledger->removals->len == 0;
 }
 
 void ledger_set_queue_counts(struct ledger *ledger, const void *data,
 			     size_t len)
 {
-	if (ledger->counts && ledger->counts_len == len &&
-	    memcmp(ledger->counts, data, len) == 0)
-		return;
-	g_free(ledger->counts);
-	ledger->counts = g_memdup2(data, len);
-	ledger->counts_len = len;
-	ledger->counts_dirty = true;
+	record_set(&ledger->counts, data, len);
 }
 
 void ledger_remove_job(struct ledger *ledger, const char *id, int64_t spec_rev,
--- a/control/ledger.h
+++ b/control/ledger.h
@@ -20,6 +20,17 @@
 	void (*deposed)(struct ledger *ledger);
 };
 
+/* A record beside those of the jobs, which is rewritten as a whole. */
+struct ledger_record {
+	const char *key;
+	char *data;
+	size_t len;
+	bool dirty; /* the data is not in the store, and in no transaction */
+	bool in_call;
+	/* Revision of the stored record, 0: there is none, -1: not known. */
+	int64_t revision;
+};
+
 struct ledger {
 	const struct ledger_ops *ops;
 	struct kv *kv;
@@ -34,12 +45,7 @@
 	GArray *changes_in_call; /* uint64_t: last change of each */
 	GPtrArray *removals; /* struct removal: jobs whose records must go */
 	size_t removals_in_call; /* number of them in the transaction */
-	char *counts; /* latest counts record; written when it changes */
-	size_t counts_len;
-	bool counts_dirty;
-	/* Revision of the stored counts, 0: there are none, -1: not known. */
-	int64_t counts_rev;
-	bool counts_in_call;
+	struct ledger_record counts; /* of waiting jobs */
 	bool answered; /* the latest transaction was answered */
 	struct kn_timer timer;
 	struct ctr writes;
