Keep the estimates of speed across changes of the leader

A new leader placed as if all workers were alike until it had seen runs on all of them. The leader now writes the record chivebank/speeds: digest of the worker's id, start time, logarithm of the speed and weight of the known workers, and whether speeds are uneven. It makes one at most each 2 s, after an estimate has moved by more than its error, and the ledger puts it into a transaction that is made for other records and has room for it, with a comparison of its revision beside that of the leader's key. The next leader reads it beside the states and waits for it with nothing (control/speeds.[ch]). Estimates apply to the same incarnation only, also if it registers later; a malformed record is logged and replaced.

fleet/speed_judge.c, split off the fit, now also has the workers' classes, which the event speed.changed reports, and the typical speed does not move between two groups of about the same size.

Dropped samples now go into the next one of their stage, and with the last one into what the stage and the worker keep.

--- a/control/director.c
+++ b/control/director.c
@@ -83,6 +83,7 @@
 	leader_finish(&director->leader);
 	mirror_finish(&director->workers);
 	mirror_finish(&director->intake);
+	speeds_finish(&director->speeds);
 	ledger_finish(&director->ledger);
 	orders_finish(&director->orders);
 	advisor_finish(&director->advisor);
@@ -174,6 +175,7 @@
 	leader_init(&director->leader, adapter->kv, site, incarnation,
 		    &director_leader_ops);
 	ledger_init(&director->ledger, adapter->kv, &director_ledger_ops);
+	speeds_init(&director->speeds, adapter->kv, &director->ledger);
 	orders_init(&director->orders, kn, adapter->workers,
 		    &director_orders_ops);
 	advisor_init(&director->advisor, adapter->advice, &kn->counters,
--- a/control/director.h
+++ b/control/director.h
@@ -9,6 +9,7 @@
 #include "control/maintenance.h"
 #include "control/orders.h"
 #include "control/relay.h"
+#include "control/speeds.h"
 
 /*
  * The leader's scheduler. When this host is elected it loads the state that
@@ -33,6 +34,7 @@
 	int64_t released_us;
 	struct leader leader;
 	struct ledger ledger;
+	struct speeds speeds;
 	struct orders orders;
 	struct advisor advisor;
 	struct maintenance maintenance;
--- a/control/director_log.c
+++ b/control/director_log.c
@@ -149,9 +149,41 @@
 		worker->refusals);
 }
 
+static void on_odd_run(void *user, const struct task *task, int64_t ms,
+		       const char *why, int left_out)
+{
+	const struct director *director = user;
+
+	log_warn("speed.odd_run",
+		 "job=%s step=%d index=%d run=%lld worker=%s fence=%lld "
+		 "took_ms=%lld est_ms=%lld reason=\"%s\" left_out=%d",
+		 task->stage->job->id, task->stage->step, task->index,
+		 (long long)task->run, task->worker->reported.id,
+		 (long long)director->leader.fence, (long long)ms,
+		 (long long)task->stage->spec->est_ms, why, left_out);
+}
+
+static void on_speed_changed(void *user, const struct worker *worker)
+{
+	const struct director *director = user;
+	const struct speed_model *model = &director->fleet.speed;
+
+	log_info("speed.changed",
+		 "worker=%s class=%s speed_percent=%.0f certainty_percent=%.0f "
+		 "uneven=%d spread_percent=%.0f known=%d fence=%lld",
+		 worker ? worker->reported.id : "-",
+		 worker ? speed_class_name(worker->speed.class) : "-",
+		 worker ? worker->speed.relative * 100.0 : 100.0,
+		 worker ? speed_certainty(worker) * 100.0 : 0.0, model->uneven,
+		 model->spread * 100.0, model->known,
+		 (long long)director->leader.fence);
+}
+
 const struct fleet_ops director_fleet_ops = {
 	.note = on_note,
 	.released = on_released,
 	.unheld = on_unheld,
 	.lost = on_unreachable,
+	.odd_run = on_odd_run,
+	.speed_changed = on_speed_changed,
 };
--- a/control/director_pass.c
+++ b/control/director_pass.c
@@ -150,6 +150,7 @@
 			now_us + CLEANUP_INTERVAL_MS * USEC_PER_MSEC;
 		remove_expired_jobs(director, now_us);
 	}
+	speeds_run(&director->speeds, now_us);
 	ledger_flush(&director->ledger);
 	took_us = kn_now_us() - now_us;
 	ctr_observe(&director->pass_us, (uint64_t)took_us);
--- a/control/keys.h
+++ b/control/keys.h
@@ -15,6 +15,7 @@
 /* Written by the leader. */
 #define KEY_STATE_PREFIX "chivebank/state/" /* followed by the job ID */
 #define KEY_WAITING "chivebank/waiting"
+#define KEY_SPEEDS "chivebank/speeds"
 /* Followed by "<data centre>/<host>"; one key per host, under a lease. */
 #define KEY_HOSTS_PREFIX "chivebank/hosts/"
 
--- a/control/ledger.c
+++ b/control/ledger.c
@@ -10,6 +10,9 @@
 
 /* Delay after a failure. The store gives no time for a retry. */
 #define LEDGER_RETRY_MS 100
+/* Job records of a write that has room for the speeds: of its 32 entries, two
+ * are those of a record, and one is the leader's key. */
+#define RECORDS_BESIDE_SPEEDS (RECORDS_PER_WRITE - 1)
 /* A write has up to 32 entries: five a job, the leader's key, the counts. */
 #define REMOVED_JOBS_PER_WRITE 5
 
@@ -72,6 +75,8 @@
 	ledger->started_us = 0;
 	ledger->counts.key = KEY_WAITING;
 	ledger->counts.revision = -1;
+	ledger->speeds.key = KEY_SPEEDS;
+	ledger->speeds.revision = -1;
 }
 
 static void record_clear(struct ledger_record *record)
@@ -129,6 +134,7 @@
 	g_array_set_size(ledger->changes_in_call, 0);
 	g_ptr_array_set_size(ledger->removals, 0);
 	record_clear(&ledger->counts);
+	record_clear(&ledger->speeds);
 }
 
 /* Answers. */
@@ -192,6 +198,7 @@
 	g_array_set_size(ledger->changes_in_call, 0);
 	ledger->removals_in_call = 0;
 	record_not_written(&ledger->counts);
+	record_not_written(&ledger->speeds);
 }
 
 static void handle_written(struct ledger *ledger, int64_t revision)
@@ -208,6 +215,7 @@
 		g_ptr_array_remove_range(ledger->removals, 0,
 					 (guint)ledger->removals_in_call);
 	record_written(&ledger->counts, revision);
+	record_written(&ledger->speeds, revision);
 	ctr_add(&ledger->writes, 1);
 	ctr_observe(&ledger->latency,
 		    (uint64_t)((kn_now_us() - ledger->started_us) / 1000));
@@ -261,6 +269,7 @@
 	if (!leader || leader->mod_revision != ledger->leader_revision)
 		return false;
 	record_compared(&ledger->counts, call);
+	record_compared(&ledger->speeds, call);
 	for (i = 0; i < ledger->jobs_in_call->len; i++) {
 		struct job *job = g_ptr_array_index(ledger->jobs_in_call, i);
 		char *key = state_key(job);
@@ -403,6 +412,9 @@
 	    ledger->jobs_in_call->len <
 		    (ledger->counts.revision < 0 ? 1 : RECORDS_PER_WRITE))
 		add_record(&ledger->counts, batch);
+	if (ledger->speeds.dirty && ledger->speeds.revision >= 0 &&
+	    ledger->jobs_in_call->len <= RECORDS_BESIDE_SPEEDS)
+		add_record(&ledger->speeds, batch);
 }
 
 void ledger_flush(struct ledger *ledger)
@@ -444,6 +456,17 @@
 	record_set(&ledger->counts, data, len);
 }
 
+void ledger_set_speeds(struct ledger *ledger, const void *data, size_t len)
+{
+	record_set(&ledger->speeds, data, len);
+}
+
+void ledger_found_speeds(struct ledger *ledger, int64_t revision)
+{
+	if (ledger->speeds.revision < 0)
+		ledger->speeds.revision = revision;
+}
+
 void ledger_remove_job(struct ledger *ledger, const char *id, int64_t spec_rev,
 		       int64_t state_rev)
 {
--- a/control/ledger.h
+++ b/control/ledger.h
@@ -46,6 +46,7 @@
 	GPtrArray *removals; /* struct removal: jobs whose records must go */
 	size_t removals_in_call; /* number of them in the transaction */
 	struct ledger_record counts; /* of waiting jobs */
+	struct ledger_record speeds; /* of workers */
 	bool answered; /* the latest transaction was answered */
 	struct kn_timer timer;
 	struct ctr writes;
@@ -65,6 +66,14 @@
 /* Sets the counts of waiting jobs for the next transaction. Copies data. */
 void ledger_set_queue_counts(struct ledger *ledger, const void *data,
 			     size_t len);
+/*
+ * Sets the estimates of the workers' speeds. They go with a transaction that is
+ * made for other records and has room for them, and cause none. Copies data.
+ */
+void ledger_set_speeds(struct ledger *ledger, const void *data, size_t len);
+/* The stored speeds have been read, with this revision (0: there are none);
+ * before that, none are written. */
+void ledger_found_speeds(struct ledger *ledger, int64_t revision);
 /*
  * Removes the stored records of a job that the fleet no longer has, while its
  * submission and its state have these revisions (0: there is none).
--- a/control/record.c
+++ b/control/record.c
@@ -173,9 +173,8 @@
 	return job;
 }
 
-/* Unpacks a record; returns false unless it has version RECORD_VERSION. */
-static bool open_record(msgpack_unpacked *unpacked, const void *data,
-			size_t len, struct mp_in *in)
+bool record_open(msgpack_unpacked *unpacked, const void *data, size_t len,
+		 struct mp_in *in)
 {
 	if (!fr_unpack_record(unpacked, data, len, NULL))
 		return false;
@@ -189,7 +188,7 @@
 	struct job *job = NULL;
 	struct mp_in in;
 
-	if (open_record(&unpacked, data, len, &in))
+	if (record_open(&unpacked, data, len, &in))
 		job = submission_read(id, &in);
 	msgpack_unpacked_destroy(&unpacked);
 	return job;
@@ -471,7 +470,7 @@
 {
 	msgpack_unpacked unpacked;
 	struct mp_in in;
-	bool ok = open_record(&unpacked, data, len, &in) &&
+	bool ok = record_open(&unpacked, data, len, &in) &&
 		  state_read(fleet, job, &in, now_us);
 
 	msgpack_unpacked_destroy(&unpacked);
@@ -503,7 +502,7 @@
 	int number = -1;
 
 	memset(owner, 0, sizeof(*owner));
-	if (open_record(&unpacked, data, len, &in)) {
+	if (record_open(&unpacked, data, len, &in)) {
 		mp_get_text(&in, name, sizeof(name));
 		owner->customer = mp_get_str(&in);
 		mp_get_uint(&in); /* started */
@@ -554,7 +553,7 @@
 	int64_t found = -1;
 	struct mp_in in;
 
-	if (open_record(&unpacked, data, len, &in))
+	if (record_open(&unpacked, data, len, &in))
 		while (in.ok && in.left > 0 && found < 0) {
 			char *name = mp_get_str(&in);
 			int64_t count = mp_get_int(&in);
--- a/control/record.h
+++ b/control/record.h
@@ -4,6 +4,7 @@
 #include <msgpack.h>
 
 #include "fleet/fleet.h"
+#include "wire/mp.h"
 
 /*
  * Encoding of the job records in the store: msgpack arrays whose first element
@@ -13,6 +14,13 @@
 
 #define RECORD_VERSION 1
 
+/*
+ * Unpacks a record and reads its version; returns false unless that is
+ * RECORD_VERSION. The caller destroys unpacked in any case.
+ */
+bool record_open(msgpack_unpacked *unpacked, const void *data, size_t len,
+		 struct mp_in *in);
+
 /* Fields that an entry host adds to the spec of an accepted job. */
 struct submission {
 	char *queue;
--- a/control/takeover.c
+++ b/control/takeover.c
@@ -130,6 +130,7 @@
 
 	kn_timer_cancel(&director->pass_timer);
 	kn_timer_cancel(&director->states_timer);
+	speeds_close(&director->speeds);
 	ledger_close(&director->ledger);
 	advisor_close(&director->advisor);
 	maintenance_close(&director->maintenance);
@@ -253,6 +254,7 @@
 	director->fleet.bounds = director->site->bounds;
 	request_release(director);
 	ledger_open(&director->ledger, &director->fleet, leader->fence);
+	speeds_open(&director->speeds, &director->fleet);
 	orders_open(&director->orders, &director->fleet, leader->fence);
 	advisor_open(&director->advisor, &director->fleet);
 	maintenance_open(&director->maintenance, &director->fleet,
--- a/fleet/fleet.c
+++ b/fleet/fleet.c
@@ -39,6 +39,7 @@
 		job_free(job);
 	list_for_each_entry_safe(worker, next_worker, &fleet->workers, node)
 		worker_free(worker);
+	speed_finish(&fleet->speed);
 	g_hash_table_unref(fleet->jobs_by_id);
 	g_hash_table_unref(fleet->workers_by_id);
 	g_hash_table_unref(fleet->stats);
--- a/fleet/fleet.h
+++ b/fleet/fleet.h
@@ -112,6 +112,11 @@
 	 */
 	void (*odd_run)(void *user, const struct task *task, int64_t ms,
 			const char *why, int left_out);
+	/*
+	 * Logs that a worker's class of speed has changed, or, with worker
+	 * NULL, whether speeds are uneven. Optional.
+	 */
+	void (*speed_changed)(void *user, const struct worker *worker);
 };
 
 struct fleet {
--- a/fleet/incarnation.c
+++ b/fleet/incarnation.c
@@ -130,6 +130,7 @@
 	worker->listed = true;
 	worker->replaced = false;
 	g_hash_table_insert(fleet->workers_by_id, worker->reported.id, worker);
+	speed_adopt(fleet, worker);
 	return worker;
 }
 
@@ -207,6 +208,7 @@
 		list_add_tail(&worker->node, &fleet->workers);
 		g_hash_table_insert(fleet->workers_by_id, worker->reported.id,
 				    worker);
+		speed_adopt(fleet, worker);
 	}
 	worker->adopted = true;
 	return worker;
--- a/fleet/speed.c
+++ b/fleet/speed.c
@@ -16,12 +16,6 @@
 #define SPEED_RUN_MAX_MS 86400000.0
 /* Interval of the log lines of a worker's odd runs. */
 #define SPEED_ODD_INTERVAL_MS 10000
-/*
- * Bound of the weight of a prior, about that of one run. Runs whose samples were
- * dropped keep the level of workers that run no stage together with others,
- * and have no part in it once a worker has changed.
- */
-#define SPEED_PRIOR_WEIGHT_MAX 40.0
 /* An estimate that was taken over is trusted to a certainty of 0.6. */
 #define SPEED_INHERITED_WEIGHT (1.5 * SPEED_WORKER_WEIGHT)
 /* Age at which a prior has lost half of its weight. */
@@ -32,6 +26,13 @@
 	memset(model, 0, sizeof(*model));
 	list_init(&model->stages);
 	list_init(&model->queues);
+	model->estimates = g_hash_table_new_full(g_int64_hash, g_int64_equal,
+						 g_free, NULL);
+}
+
+void speed_finish(struct speed_model *model)
+{
+	g_hash_table_unref(model->estimates);
 }
 
 static void queue_unref(struct speed_queue *queue)
@@ -58,11 +59,6 @@
 	stage->speed = NULL;
 }
 
-static struct speed_sample *sample_at(const struct worker *worker, guint i)
-{
-	return &g_array_index(worker->speed.samples, struct speed_sample, i);
-}
-
 void speed_forget(struct worker *worker, guint count)
 {
 	GArray *samples = worker->speed.samples;
@@ -70,7 +66,7 @@
 	guint i;
 
 	for (i = 0; i < drop; i++)
-		speed_stage_unref(sample_at(worker, i)->stage);
+		speed_stage_unref(speed_sample_at(worker, i)->stage);
 	if (drop > 0)
 		g_array_remove_range(samples, 0, drop);
 }
@@ -95,52 +91,60 @@
 	speed->prior_us = now_us;
 }
 
-/*
- * Takes from a sample, which is the first of its stage, its share of what the
- * runs of the stage tell the worker. The next sample of the stage gets the rest.
- */
-static struct speed_mean take_share(const struct worker *worker, guint i)
+/* Adds a mean to another one, whose weight stays within a limit. */
+static void add_limited(struct speed_mean *to, const struct speed_mean *part,
+			double limit)
 {
-	struct speed_sample *first = sample_at(worker, i), *next = NULL;
-	struct speed_mean share = first->to_worker;
-	double total = 0, part;
-	guint j;
-
-	for (j = worker->speed.samples->len; j-- > i;) {
-		struct speed_sample *sample = sample_at(worker, j);
-
-		if (sample->stage != first->stage)
-			continue;
-		total += sample->used;
-		if (j > i)
-			next = sample;
-	}
-	part = total > 0 ? first->used / total : 0;
-	share.weight *= part;
-	share.sum *= part;
-	if (next) {
-		next->to_stage = first->to_stage;
-		next->to_worker.weight = first->to_worker.weight - share.weight;
-		next->to_worker.sum = first->to_worker.sum - share.sum;
-	}
-	return share;
+	double weight = to->weight + part->weight;
+	double scale = weight > limit ? limit / weight : 1;
+
+	to->weight = weight * scale;
+	to->sum = (to->sum + part->sum) * scale;
 }
 
-void speed_merge(struct worker *worker, guint count, int64_t now_us)
+/* Returns the next sample of the same stage, or NULL. */
+static struct speed_sample *next_of_stage(const struct worker *worker, guint i)
 {
-	struct worker_speed *speed = &worker->speed;
-	guint i;
+	const struct speed_stage *stage = speed_sample_at(worker, i)->stage;
+
+	while (++i < worker->speed.samples->len)
+		if (speed_sample_at(worker, i)->stage == stage)
+			return speed_sample_at(worker, i);
+	return NULL;
+}
 
-	age_prior(speed, now_us);
-	for (i = 0; speed->samples && i + count < speed->samples->len; i++) {
-		struct speed_mean told = take_share(worker, i);
-		double weight = speed->prior_weight + told.weight;
+/* Adds what the runs of a stage told the worker to the worker's prior. */
+static void merge_prior(struct worker_speed *speed,
+			const struct speed_mean *told)
+{
+	struct speed_mean prior = { speed->prior_weight,
+				    speed->prior_weight * speed->prior };
+
+	add_limited(&prior, told, SPEED_PRIOR_WEIGHT_MAX);
+	speed->prior_weight = prior.weight;
+	speed->prior = prior.sum / prior.weight;
+}
 
-		speed->prior = (speed->prior * speed->prior_weight + told.sum) /
-			       weight;
-		speed->prior_weight = MIN(weight, SPEED_PRIOR_WEIGHT_MAX);
+/*
+ * Drops the worker's first sample. What it tells goes to the next one of its
+ * stage, and with the last one to the worker and to the stage.
+ */
+static void merge_first(struct worker *worker)
+{
+	struct speed_sample *first = speed_sample_at(worker, 0);
+	struct speed_sample *next = next_of_stage(worker, 0);
+	struct speed_mean run = { first->used, first->used * first->log_rate };
+
+	if (next) {
+		next->old = first->old;
+		add_limited(&next->old, &run, SPEED_PRIOR_WEIGHT_MAX);
+		next->to_stage = first->to_stage;
+		next->to_worker = first->to_worker;
+	} else {
+		merge_prior(&worker->speed, &first->to_worker);
+		add_limited(&first->stage->past, &first->to_stage, G_MAXDOUBLE);
 	}
-	speed_forget(worker, count);
+	speed_forget(worker, worker->speed.samples->len - 1);
 }
 
 void speed_inherit(struct worker *worker, const struct worker *old)
@@ -151,9 +155,9 @@
 	speed->prior_weight = CLAMP(old->speed.weight, SPEED_WORKER_WEIGHT,
 				    SPEED_INHERITED_WEIGHT);
 	speed->prior_us = old->speed.prior_us;
-	speed->log = speed->prior;
-	speed->weight = speed->prior_weight;
+	speed_update_worker(worker);
 	speed->relative = old->speed.relative;
+	speed->class = old->speed.class;
 }
 
 static struct speed_queue *get_queue(struct speed_model *model,
@@ -192,8 +196,8 @@
 
 	for (i = 0; worker->speed.samples && i < worker->speed.samples->len;
 	     i++)
-		if (sample_at(worker, i)->id == id)
-			return sample_at(worker, i);
+		if (speed_sample_at(worker, i)->id == id)
+			return speed_sample_at(worker, i);
 	return NULL;
 }
 
@@ -206,13 +210,15 @@
 	if (!speed->samples)
 		speed->samples =
 			g_array_new(FALSE, FALSE, sizeof(struct speed_sample));
-	if (speed->samples->len >= SPEED_SAMPLES_MAX)
-		speed_merge(task->worker, SPEED_SAMPLES_MAX - 1, now_us);
+	if (speed->samples->len >= SPEED_SAMPLES_MAX) {
+		age_prior(speed, now_us);
+		merge_first(task->worker);
+	}
 	fresh.id = task->speed_id;
 	fresh.stage = get_stage(&fleet->speed, task->stage);
 	fresh.stage->refs++;
 	g_array_append_val(speed->samples, fresh);
-	return sample_at(task->worker, speed->samples->len - 1);
+	return speed_sample_at(task->worker, speed->samples->len - 1);
 }
 
 static void take_sample(struct fleet *fleet, struct task *task, double share,
--- a/fleet/speed.h
+++ b/fleet/speed.h
@@ -14,7 +14,9 @@
  * which tight objectives are missed on slow workers while fast ones are idle or
  * run work that has time.
  *
- * speed.c takes the observations, speed_fit.c computes the effects.
+ * speed.c takes the observations, speed_fit.c computes the effects, speed_judge.c
+ * decides what they mean for placement, speed_export.c gives them to the next
+ * leader.
  */
 
 struct fleet;
@@ -42,6 +44,7 @@
 	struct list_head node; /* in speed_model.stages */
 	int refs; /* the stage and the samples */
 	struct speed_queue *queue;
+	struct speed_mean past; /* what workers told whose samples are gone */
 	struct speed_mean mean; /* weight 0: no fit yet */
 	struct speed_mean next; /* during a fit */
 };
@@ -58,14 +61,24 @@
 	double used;
 	guint first; /* index of the worker's first sample of the stage */
 	/*
-	 * The worker's runs of this stage, and what they tell the one of the
-	 * two about itself. Only the first sample of the stage has them.
+	 * The worker's runs of this stage, those whose samples are gone, and
+	 * what they tell the one of the two about itself. Only the first sample
+	 * of the stage has them.
 	 */
 	struct speed_mean all;
+	struct speed_mean old;
 	struct speed_mean to_stage;
 	struct speed_mean to_worker;
 };
 
+/* What outlives the leader of a worker's speed. */
+struct speed_estimate {
+	uint64_t worker; /* digest of its id */
+	int64_t born_ms; /* start of its incarnation, Unix time */
+	double log;
+	double weight;
+};
+
 struct speed_model {
 	struct list_head stages;
 	struct list_head queues;
@@ -75,10 +88,14 @@
 	bool uneven;
 	double spread; /* of the workers that are known, 0: too few are */
 	int known;
+	/* Estimates of an earlier leader for workers that are not known yet. */
+	GHashTable *estimates; /* digest -> struct speed_estimate */
+	bool restored; /* some were applied since the last judgement */
 };
 
 void speed_init(struct speed_model *model);
-/* Drops the samples of a worker; the model must still be there. */
+/* All workers and stages must have been freed. */
+void speed_finish(struct speed_model *model);
 void speed_worker_finish(struct worker *worker);
 /* Without effect if stage is NULL. */
 void speed_stage_unref(struct speed_stage *stage);
@@ -102,4 +119,20 @@
 /* 0: nothing is known of the worker, 1: certain. */
 double speed_certainty(const struct worker *worker);
 
+/*
+ * Whether an estimate differs from the one that was exported last by more than
+ * its error, or a worker has become known since.
+ */
+bool speed_export_due(const struct fleet *fleet);
+/* Returns the estimates of the known workers, struct speed_estimate. */
+GArray *speed_export(struct fleet *fleet);
+/*
+ * Takes over the estimates of an earlier leader, for workers that are known now
+ * or later in the same incarnation.
+ */
+void speed_restore(struct fleet *fleet, const GArray *estimates, bool uneven);
+/* The worker has become known: applies the earlier leader's estimate. */
+void speed_adopt(struct fleet *fleet, struct worker *worker);
+const char *speed_class_name(enum speed_class speed_class);
+
 #endif
--- a/fleet/speed_fit.c
+++ b/fleet/speed_fit.c
@@ -29,38 +29,12 @@
  * same direction. A single one may be a long-tailed run.
  */
 #define SPEED_CHANGE_RUNS 3
-/* Certainty from which on a worker's speed is known. */
-#define SPEED_KNOWN_CERTAINTY 0.7
-/* Known workers from which on there is a typical speed, and a spread. */
-#define SPEED_KNOWN_MIN 8
-#define SPEED_LOW_SHARE 0.15
-#define SPEED_HIGH_SHARE 0.85
-/*
- * A run on a worker that is slower than typical by less than the tightest
- * stretch is in time; a tenth is left for waiting. The typical worker lies
- * between the slow and the fast ones, hence the square of it for their ratio.
- */
-#define SPEED_MARGIN 0.9
-/* The least spread that counts, whatever the objectives are: speeds of 0.8 and
- * 1.25 are alike. */
-#define SPEED_SPREAD_MIN 1.7
-
 struct fit {
 	struct fleet *fleet;
 	GPtrArray *workers; /* with new samples */
 	int64_t now_us;
 };
 
-static guint sample_count(const struct worker *worker)
-{
-	return worker->speed.samples ? worker->speed.samples->len : 0;
-}
-
-static struct speed_sample *sample_at(const struct worker *worker, guint i)
-{
-	return &g_array_index(worker->speed.samples, struct speed_sample, i);
-}
-
 static struct speed_mean less(const struct speed_mean *from,
 			      const struct speed_mean *part)
 {
@@ -96,16 +70,16 @@
 }
 
 /* Sums what the worker's samples and its prior tell of it. */
-static void update_worker(struct worker *worker)
+void speed_update_worker(struct worker *worker)
 {
 	struct worker_speed *speed = &worker->speed;
 	double weight = MAX(speed->prior_weight, SPEED_WORKER_WEIGHT);
 	double sum = weight * speed->prior;
 	guint i;
 
-	for (i = 0; i < sample_count(worker); i++) {
-		weight += sample_at(worker, i)->to_worker.weight;
-		sum += sample_at(worker, i)->to_worker.sum;
+	for (i = 0; i < speed_sample_count(worker); i++) {
+		weight += speed_sample_at(worker, i)->to_worker.weight;
+		sum += speed_sample_at(worker, i)->to_worker.sum;
 	}
 	speed->weight = weight;
 	speed->log = sum / weight;
@@ -114,10 +88,10 @@
 /* Returns the index of the worker's first sample of the same stage. */
 static guint find_first(const struct worker *worker, guint i)
 {
-	const struct speed_stage *stage = sample_at(worker, i)->stage;
+	const struct speed_stage *stage = speed_sample_at(worker, i)->stage;
 	guint first = 0;
 
-	while (sample_at(worker, first)->stage != stage)
+	while (speed_sample_at(worker, first)->stage != stage)
 		first++;
 	return first;
 }
@@ -126,8 +100,8 @@
 {
 	guint i;
 
-	for (i = 0; i < sample_count(worker); i++) {
-		struct speed_sample *sample = sample_at(worker, i);
+	for (i = 0; i < speed_sample_count(worker); i++) {
+		struct speed_sample *sample = speed_sample_at(worker, i);
 		double age_ms = (double)(now_us - sample->at_us) / 1000.0;
 
 		sample->first = find_first(worker, i);
@@ -165,14 +139,13 @@
 {
 	guint i;
 
-	for (i = 0; i < sample_count(worker); i++) {
-		struct speed_sample *sample = sample_at(worker, i);
-		struct speed_sample *first = sample_at(worker, sample->first);
+	for (i = 0; i < speed_sample_count(worker); i++) {
+		struct speed_sample *sample = speed_sample_at(worker, i);
+		struct speed_sample *first =
+			speed_sample_at(worker, sample->first);
 
-		if (first == sample) {
-			first->all.weight = 0;
-			first->all.sum = 0;
-		}
+		if (first == sample)
+			first->all = first->old;
 		sample->used = robust_weight(worker, sample, first);
 		first->all.weight += sample->used;
 		first->all.sum += sample->used * sample->log_rate;
@@ -204,8 +177,8 @@
 	guint i;
 
 	weigh_samples(worker);
-	for (i = 0; i < sample_count(worker); i++) {
-		struct speed_sample *sample = sample_at(worker, i);
+	for (i = 0; i < speed_sample_count(worker); i++) {
+		struct speed_sample *sample = speed_sample_at(worker, i);
 		struct speed_mean rest;
 
 		if (sample->first != i)
@@ -222,15 +195,16 @@
 	guint i;
 
 	list_for_each_entry(stage, &fit->fleet->speed.stages, node) {
-		stage->next.weight = SPEED_STAGE_WEIGHT;
-		stage->next.sum = SPEED_STAGE_WEIGHT * stage->queue->effect;
+		stage->next.weight = SPEED_STAGE_WEIGHT + stage->past.weight;
+		stage->next.sum = SPEED_STAGE_WEIGHT * stage->queue->effect +
+				  stage->past.sum;
 	}
 	for (i = 0; i < fit->workers->len; i++)
 		tell_stages(g_ptr_array_index(fit->workers, i));
 	list_for_each_entry(worker, &fit->fleet->workers, node)
-		for (i = 0; i < sample_count(worker); i++)
-			add(&sample_at(worker, i)->stage->next,
-			    &sample_at(worker, i)->to_stage);
+		for (i = 0; i < speed_sample_count(worker); i++)
+			add(&speed_sample_at(worker, i)->stage->next,
+			    &speed_sample_at(worker, i)->to_stage);
 	list_for_each_entry(stage, &fit->fleet->speed.stages, node)
 		stage->mean = stage->next;
 }
@@ -239,8 +213,8 @@
 {
 	guint i;
 
-	for (i = 0; i < sample_count(worker); i++) {
-		struct speed_sample *sample = sample_at(worker, i);
+	for (i = 0; i < speed_sample_count(worker); i++) {
+		struct speed_sample *sample = speed_sample_at(worker, i);
 		struct speed_mean rest;
 
 		if (sample->first != i)
@@ -248,7 +222,7 @@
 		rest = stage_without(sample);
 		sample->to_worker = tell(&sample->all, &rest);
 	}
-	update_worker(worker);
+	speed_update_worker(worker);
 }
 
 static void fit_workers(struct fit *fit)
@@ -279,14 +253,14 @@
 /* Whether the latest runs all deviate from the estimate in one direction. */
 static bool has_changed(const struct worker *worker)
 {
-	guint count = sample_count(worker);
+	guint count = speed_sample_count(worker);
 	int slower = 0, faster = 0;
 	guint i;
 
 	if (count <= SPEED_CHANGE_RUNS)
 		return false;
 	for (i = count - SPEED_CHANGE_RUNS; i < count; i++) {
-		const struct speed_sample *sample = sample_at(worker, i);
+		const struct speed_sample *sample = speed_sample_at(worker, i);
 		double deviation = sample->log_rate -
 				   value(&sample->stage->mean) -
 				   worker->speed.log;
@@ -311,110 +285,8 @@
 		prepare_samples(worker, fit->now_us);
 		worker->speed.prior = 0;
 		worker->speed.prior_weight = 0;
-		update_worker(worker);
-	}
-}
-
-static int by_value(const void *a, const void *b)
-{
-	double left = *(const double *)a, right = *(const double *)b;
-
-	return left < right ? -1 : left > right;
-}
-
-static double tightest_stretch(const struct config *config)
-{
-	double lowest = 0;
-	guint i;
-
-	for (i = 0; config && i < config->queues->len; i++) {
-		const struct queue *queue =
-			g_ptr_array_index(config->queues, i);
-
-		if (queue->stretch > 0 &&
-		    (lowest == 0 || queue->stretch < lowest))
-			lowest = queue->stretch;
+		speed_update_worker(worker);
 	}
-	return lowest;
-}
-
-/* The spread from which on speeds are uneven; G_MAXDOUBLE: never. */
-static double uneven_spread(const struct fleet *fleet)
-{
-	double stretch = SPEED_MARGIN * tightest_stretch(fleet->config);
-
-	if (stretch <= 0)
-		return G_MAXDOUBLE;
-	return MAX(stretch * stretch, SPEED_SPREAD_MIN);
-}
-
-static double quantile(const GArray *sorted, double share)
-{
-	return g_array_index(sorted, double, (guint)(sorted->len * share));
-}
-
-/*
- * Makes the typical speed the zero of the scale. Effects of workers and stages
- * move in opposite directions, so that no expectation changes, and workers of
- * which nothing is known count as typical.
- */
-static void shift(struct fleet *fleet, double by)
-{
-	struct speed_stage *stage;
-	struct speed_queue *queue;
-	struct worker *worker;
-	guint i;
-
-	list_for_each_entry(worker, &fleet->workers, node) {
-		if (worker->speed.prior_weight > 0)
-			worker->speed.prior -= by;
-		for (i = 0; i < sample_count(worker); i++) {
-			struct speed_sample *sample = sample_at(worker, i);
-
-			sample->to_worker.sum -= by * sample->to_worker.weight;
-			sample->to_stage.sum += by * sample->to_stage.weight;
-		}
-		update_worker(worker);
-	}
-	list_for_each_entry(stage, &fleet->speed.stages, node)
-		stage->mean.sum += by * stage->mean.weight;
-	list_for_each_entry(queue, &fleet->speed.queues, node)
-		queue->effect += by;
-}
-
-static GArray *known_speeds(const struct fleet *fleet)
-{
-	GArray *known = g_array_new(FALSE, FALSE, sizeof(double));
-	const struct worker *worker;
-
-	list_for_each_entry(worker, &fleet->workers, node)
-		if (worker->listed &&
-		    speed_certainty(worker) >= SPEED_KNOWN_CERTAINTY)
-			g_array_append_val(known, worker->speed.log);
-	g_array_sort(known, by_value);
-	return known;
-}
-
-/* Finds the typical speed, and whether the workers' speeds are uneven. */
-static void judge(struct fleet *fleet)
-{
-	struct speed_model *model = &fleet->speed;
-	GArray *known = known_speeds(fleet);
-	double limit = uneven_spread(fleet);
-	struct worker *worker;
-
-	model->known = (int)known->len;
-	if (known->len >= SPEED_KNOWN_MIN) {
-		model->spread = exp(quantile(known, SPEED_HIGH_SHARE) -
-				    quantile(known, SPEED_LOW_SHARE));
-		shift(fleet, quantile(known, 0.5));
-	}
-	if (model->uneven)
-		limit *= SPEED_MARGIN;
-	model->uneven = model->spread >= limit;
-	list_for_each_entry(worker, &fleet->workers, node)
-		worker->speed.relative = exp(worker->speed.log);
-	g_array_unref(known);
 }
 
 static void begin_fit(struct fit *fit, struct fleet *fleet, int64_t now_us)
@@ -429,7 +301,7 @@
 			continue;
 		worker->speed.changed = false;
 		prepare_samples(worker, now_us);
-		update_worker(worker);
+		speed_update_worker(worker);
 		g_ptr_array_add(fit->workers, worker);
 	}
 }
@@ -442,25 +314,35 @@
 	       1000LL;
 }
 
-void speed_fit(struct fleet *fleet, int64_t now_us)
+static void fit_all(struct fleet *fleet, int64_t now_us)
 {
-	struct speed_model *model = &fleet->speed;
 	struct fit fit;
 	int i;
 
-	if (!model->changed ||
-	    now_us - model->fitted_us < fit_interval_us(fleet))
-		return;
-	model->fitted_us = now_us;
-	model->changed = false;
 	begin_fit(&fit, fleet, now_us);
 	for (i = 0; i < SPEED_SWEEPS; i++) {
 		if (i == SPEED_SWEEPS - 1)
 			forget_changed(&fit);
 		fit_stages(&fit);
 		fit_workers(&fit);
-		fit_queues(model);
+		fit_queues(&fleet->speed);
 	}
 	g_ptr_array_unref(fit.workers);
-	judge(fleet);
+}
+
+void speed_fit(struct fleet *fleet, int64_t now_us)
+{
+	struct speed_model *model = &fleet->speed;
+	bool fits = model->changed &&
+		    now_us - model->fitted_us >= fit_interval_us(fleet);
+
+	if (fits) {
+		model->fitted_us = now_us;
+		model->changed = false;
+		fit_all(fleet, now_us);
+	}
+	if (fits || model->restored) {
+		model->restored = false;
+		speed_judge(fleet);
+	}
 }
--- a/fleet/worker.h
+++ b/fleet/worker.h
@@ -30,8 +30,11 @@
 	uint64_t change; /* once this change is stored, so is the effect */
 };
 
+enum speed_class { SPEED_TYPICAL, SPEED_SLOW, SPEED_FAST };
+
 /* How fast a worker runs tasks, see fleet/speed.h. */
 struct worker_speed {
+	enum speed_class class; /* typical as well while it is not known */
 	double relative; /* to the typical worker, 0: no estimate */
 	double log; /* logarithm of it */
 	double weight; /* inverse variance of log, 0: no estimate */
@@ -41,6 +44,9 @@
 	int64_t prior_us; /* when it was updated */
 	GArray *samples; /* struct speed_sample, oldest first, or NULL */
 	bool changed; /* it has new samples since the last fit */
+	/* As the leader's record has it; weight 0: it has not. */
+	double stored_log;
+	double stored_weight;
 	int64_t odd_us; /* latest log line of an odd run, 0: none */
 	int odd_left_out; /* odd runs since then */
 };
