--- a/cli/cli_status.c
+++ b/cli/cli_status.c
@@ -29,6 +29,8 @@
 		{ "TASKS", "tasks" },
 		{ "FREE GPUS", "free_gpus" },
 		{ "ANSWERED MS", "answered_ms" },
+		{ "SPEED %", "speed_percent" },
+		{ "CERTAIN %", "certainty_percent" },
 		{ 0 }
 	};
 	json_t *workers = json_object_get(status, "workers");
--- a/control/overview.c
+++ b/control/overview.c
@@ -1,5 +1,7 @@
 #include "control/overview.h"
 
+#include <math.h>
+
 #include "base/limits.h"
 
 static json_int_t age_in_ms(int64_t us, int64_t now_us)
@@ -47,12 +49,23 @@
 	struct room room = worker_free_room(worker);
 
 	return json_pack(
-		"{s:s,s:s,s:s,s:s,s:i,s:I,s:I}", "worker", worker->reported.id,
-		"data_centre", worker->reported.dc ? worker->reported.dc : "-",
-		"rack", worker->reported.rack ? worker->reported.rack : "-",
-		"state", worker_state(worker, now_us), "tasks",
-		worker->task_count, "free_gpus", (json_int_t)room.gpus,
-		"answered_ms", age_in_ms(worker->heard_us, now_us));
+		"{s:s,s:s,s:s,s:s,s:i,s:I,s:I,s:i,s:i}", "worker",
+		worker->reported.id, "data_centre",
+		worker->reported.dc ? worker->reported.dc : "-", "rack",
+		worker->reported.rack ? worker->reported.rack : "-", "state",
+		worker_state(worker, now_us), "tasks", worker->task_count,
+		"free_gpus", (json_int_t)room.gpus, "answered_ms",
+		age_in_ms(worker->heard_us, now_us), "speed_percent",
+		(int)lround(exp(worker->speed.log) * 100.0),
+		"certainty_percent", (int)(speed_certainty(worker) * 100.0));
+}
+
+static json_t *speeds_json(const struct fleet *fleet)
+{
+	return json_pack("{s:b,s:i,s:i}", "uneven", speed_uneven(fleet),
+			 "spread_percent",
+			 (int)lround(fleet->speed.spread * 100.0), "known",
+			 fleet->speed.known);
 }
 
 static json_t *workers_json(const struct fleet *fleet, int64_t now_us)
@@ -104,6 +117,7 @@
 			    json_boolean(director->holding_until_us != 0));
 	json_object_set_new(object, "jobs",
 			    jobs_json(&director->fleet, now_us));
+	json_object_set_new(object, "speeds", speeds_json(&director->fleet));
 	json_object_set_new(object, "workers",
 			    workers_json(&director->fleet, now_us));
 	return object;
--- a/tests/unit/test_overview.c
+++ b/tests/unit/test_overview.c
@@ -1,3 +1,4 @@
+#include <math.h>
 #include <stdio.h>
 #include <string.h>
 
@@ -93,6 +94,28 @@
 }
 END_TEST
 
+/* Guards against placements that operators can't explain. */
+START_TEST(leader_reports_speeds)
+{
+	struct worker *worker;
+
+	director.fleet_active = true;
+	make_worker(&director.fleet, "w1", "r1", 8, NOW);
+	worker = make_worker(&director.fleet, "w2", "r1", 8, NOW);
+	worker->speed.log = log(0.41);
+	worker->speed.weight = 40;
+	director.fleet.speed.uneven = true;
+	director.fleet.speed.spread = 2.35;
+	director.fleet.speed.known = 1;
+	print(overview(&director, NOW));
+	ck_contains("speeds: uneven=true spread_percent=235 known=1");
+	ck_contains("SPEED %");
+	ck_contains(" 41 ");
+	ck_contains(" 90");
+	ck_contains(" 100 ");
+}
+END_TEST
+
 int main(void)
 {
 	TCase *tc = tcase_create("overview");
@@ -100,5 +123,6 @@
 	tcase_add_checked_fixture(tc, set_up, tear_down);
 	tcase_add_test(tc, follower_reports_leader_and_store);
 	tcase_add_test(tc, leader_reports_workers_and_jobs);
+	tcase_add_test(tc, leader_reports_speeds);
 	return run_case("overview", tc);
 }
