--- a/tests/soak/soak.h
+++ b/tests/soak/soak.h
@@ -30,6 +30,7 @@
 	bool lives; /* restarts in place, wrong entries, short pauses */
 	bool stops; /* only planned stops and changes, callers in use */
 	int starve; /* busy processes beside the hosts on one core, 0: none */
+	const char *paces; /* speeds of the workers in turn, by commas */
 	int gap_percent; /* of runs that workers leave out of lists for a time */
 	const char *binary;
 	const char *clock; /* library that shifts the time of day */
--- a/tests/standins/site_fleet.c
+++ b/tests/standins/site_fleet.c
@@ -144,6 +144,26 @@
 	return worker;
 }
 
+bool site_fleet_set_paces(struct site_fleet *fleet, const char *list)
+{
+	char **paces = g_strsplit(list, ",", -1);
+	struct site_worker *worker;
+	bool ok = paces[0] != NULL;
+	guint i;
+
+	for (i = 0; paces[i]; i++)
+		ok &= g_ascii_strtod(paces[i], NULL) > 0;
+	i = 0;
+	list_for_each_entry(worker, &fleet->workers, node) {
+		if (!ok)
+			break;
+		worker->pace = g_ascii_strtod(paces[i], NULL);
+		i = paces[i + 1] ? i + 1 : 0;
+	}
+	g_strfreev(paces);
+	return ok;
+}
+
 void site_fleet_cancelled(struct site_fleet *fleet, const char *job)
 {
 	int64_t *since = g_new(int64_t, 1);
--- a/tests/standins/site_fleet.h
+++ b/tests/standins/site_fleet.h
@@ -95,6 +95,11 @@
 /* port 0: any. */
 struct site_worker *site_fleet_add(struct site_fleet *fleet, const char *rack,
 				   int64_t gpus, int port);
+/*
+ * Sets the speeds of all workers, in turn; list: numbers separated by commas,
+ * 1 is the nominal speed. Returns false if it is malformed.
+ */
+bool site_fleet_set_paces(struct site_fleet *fleet, const char *list);
 /* It is gone with all that it ran; its entry goes later. */
 void site_worker_crash(struct site_worker *worker);
 /* A new life under the same id and address. */
