--- a/fleet/fleet.c
+++ b/fleet/fleet.c
@@ -20,6 +20,7 @@
 	memset(fleet, 0, sizeof(*fleet));
 	fleet->ops = ops;
 	fleet->user = user;
+	speed_init(&fleet->speed);
 	list_init(&fleet->jobs);
 	list_init(&fleet->workers);
 	list_init(&fleet->dirty);
@@ -40,6 +41,7 @@
 		job_free(job);
 	list_for_each_entry_safe(worker, next_worker, &fleet->workers, node)
 		worker_free(worker);
+	speed_finish(&fleet->speed);
 	g_hash_table_unref(fleet->jobs_by_id);
 	g_hash_table_unref(fleet->workers_by_id);
 	g_hash_table_unref(fleet->unservable);
--- a/fleet/incarnation.c
+++ b/fleet/incarnation.c
@@ -56,6 +56,7 @@
 	list_add_tail(&worker->node, &fleet->workers);
 	if (!old)
 		return worker;
+	speed_inherit(worker, old);
 	worker->lease_end_us = old->lease_end_us;
 	worker->adopted = old->adopted;
 	worker->next_hold_us = 0;
@@ -129,6 +130,7 @@
 	worker->listed = true;
 	worker->replaced = false;
 	g_hash_table_insert(fleet->workers_by_id, worker->reported.id, worker);
+	speed_adopt(fleet, worker);
 	return worker;
 }
 
@@ -165,6 +167,7 @@
 	if (worker->unreachable || worker_reachable(worker, now_us))
 		return;
 	worker->unreachable = true;
+	worker->unreachable_us = now_us;
 	if (fleet->ops)
 		fleet->ops->lost(fleet->user, worker, now_us);
 }
@@ -213,6 +216,7 @@
 		list_add_tail(&worker->node, &fleet->workers);
 		g_hash_table_insert(fleet->workers_by_id, worker->reported.id,
 				    worker);
+		speed_adopt(fleet, worker);
 	}
 	worker->adopted = true;
 	return worker;
--- a/tests/unit/test_lending.c
+++ b/tests/unit/test_lending.c
@@ -387,19 +387,14 @@
 START_TEST(host_that_is_evacuated_on_its_way_is_replaced)
 {
 	struct evacuation evacuation;
-	const char *pool;
 
 	evacuation_init(&evacuation);
 	fleet.evacuation = &evacuation;
 	((struct machine *)g_ptr_array_index(machines, 1))->dc = g_strdup("d2");
 	add_waiting_tasks(8);
-	ck_assert_ptr_nonnull(lending_next_move(&lending, &fleet, machines,
-						NOW + SEC, &pool));
+	ck_assert_ptr_nonnull(next_move(NOW + SEC));
 	evacuation_begin(&evacuation, "d2", NOW);
-	ck_assert_str_eq(
-		lending_next_move(&lending, &fleet, machines, NOW + SEC, &pool)
-			->host,
-		"m2");
+	ck_assert_str_eq(next_move(NOW + SEC)->host, "m2");
 	evacuation_finish(&evacuation);
 	fleet.evacuation = NULL;
 }
