Record speeds only where placement uses them

Deployments of like workers would have had the record in their leader's writes each 2 s without any use.

--- a/fleet/speed.h
+++ b/fleet/speed.h
@@ -86,6 +86,7 @@
 	int64_t fitted_us;
 	bool changed; /* there are new samples since the last fit */
 	bool uneven;
+	bool exported_uneven; /* as of the latest export or restore */
 	double spread; /* of the workers that are known, 0: too few are */
 	int known;
 	/* Estimates of an earlier leader for workers that are not known yet. */
--- a/fleet/speed_export.c
+++ b/fleet/speed_export.c
@@ -36,10 +36,13 @@
 {
 	const struct worker *worker;
 
+	/* While workers are alike, nobody uses the estimates. */
+	if (!fleet->speed.uneven && !fleet->speed.exported_uneven)
+		return false;
 	list_for_each_entry(worker, &fleet->workers, node)
 		if (is_exported(worker) && has_moved(worker))
 			return true;
-	return false;
+	return fleet->speed.exported_uneven != fleet->speed.uneven;
 }
 
 GArray *speed_export(struct fleet *fleet)
@@ -63,6 +66,7 @@
 		worker->speed.stored_log = worker->speed.log;
 		worker->speed.stored_weight = worker->speed.weight;
 	}
+	fleet->speed.exported_uneven = fleet->speed.uneven;
 	return estimates;
 }
 
@@ -99,6 +103,7 @@
 	guint i;
 
 	model->uneven |= uneven;
+	model->exported_uneven = uneven;
 	for (i = 0; i < estimates->len; i++) {
 		struct speed_estimate *estimate = g_memdup2(
 			&g_array_index(estimates, struct speed_estimate, i),
--- a/tests/unit/test_speeds.c
+++ b/tests/unit/test_speeds.c
@@ -275,6 +275,24 @@
 
 /* Guards against a record that the store refuses: it takes 1 MB, and each write
  * of it goes over the link of a small host. */
+/*
+ * Guards against a record that deployments of like workers would pay for without
+ * any use. A verdict that has changed is recorded once.
+ */
+START_TEST(no_record_is_made_while_workers_are_alike)
+{
+	ck_assert(speed_export_due(&fleet));
+	fleet.speed.uneven = false;
+	ck_assert(!speed_export_due(&fleet));
+	fleet.speed.uneven = true;
+	g_array_unref(speed_export(&fleet));
+	fleet.speed.uneven = false;
+	ck_assert(speed_export_due(&fleet));
+	g_array_unref(speed_export(&fleet));
+	ck_assert(!speed_export_due(&fleet));
+}
+END_TEST
+
 START_TEST(record_of_1100_workers_is_small)
 {
 	msgpack_sbuffer record;
@@ -311,6 +329,7 @@
 	tcase_add_test(tc, missing_record_is_none);
 	tcase_add_test(tc, read_is_repeated_until_the_store_answers);
 	tcase_add_test(tc, record_is_made_after_a_change_and_each_2_s);
+	tcase_add_test(tc, no_record_is_made_while_workers_are_alike);
 	tcase_add_test(tc, record_of_1100_workers_is_small);
 	return run_case("speeds", tc);
 }
