Store loans of hosts, so that later leaders return them

Operators saw hosts of the spare pool that stayed in the pool that they were lent to, idle, after the leader had been killed, stopped or paused.

Cause: the platform's list tells in which pool a host is, not where it belongs. Only the memory of the leader that had lent it knew that, and maintenance_close() ended all loans.

Change: the loans are a record, written with the leader's other records under its fence. A host is ordered once its loan is stored; a new leader lends and returns nothing before it has read the record. A host that is in the pool counts as lent; the loan of one that is at home ends as soon as a list shows that no order of the earlier leader was carried out.

--- a/control/director.c
+++ b/control/director.c
@@ -208,7 +208,8 @@
 		    &director_orders_ops);
 	advisor_init(&director->advisor, adapter->advice, &kn->counters,
 		     on_advice, director);
-	maintenance_init(&director->maintenance, adapter, adapter->machines);
+	maintenance_init(&director->maintenance, adapter, adapter->machines,
+			 &director->ledger);
 	mirror_init(&director->workers, adapter->kv, &director_workers_ops,
 		    adapter->reports_prefix, WORKERS_WATCH_TIMEOUT_MS);
 	director->workers.batch_delay_ms = WORKERS_BATCH_MS;
--- a/control/keys.h
+++ b/control/keys.h
@@ -16,6 +16,7 @@
 #define KEY_STATE_PREFIX "chivebank/state/" /* followed by the job ID */
 #define KEY_WAITING "chivebank/waiting"
 #define KEY_SPEEDS "chivebank/speeds"
+#define KEY_LOANS "chivebank/loans"
 /* Followed by "<data centre>/<host>"; one key per host, under a lease. */
 #define KEY_HOSTS_PREFIX "chivebank/hosts/"
 
--- a/control/ledger.c
+++ b/control/ledger.c
@@ -77,6 +77,8 @@
 	ledger->counts.revision = -1;
 	ledger->speeds.key = KEY_SPEEDS;
 	ledger->speeds.revision = -1;
+	ledger->loans.key = KEY_LOANS;
+	ledger->loans.revision = -1;
 }
 
 static void record_clear(struct ledger_record *record)
@@ -135,6 +137,7 @@
 	g_ptr_array_set_size(ledger->removals, 0);
 	record_clear(&ledger->counts);
 	record_clear(&ledger->speeds);
+	record_clear(&ledger->loans);
 }
 
 /* Answers. */
@@ -199,6 +202,7 @@
 	ledger->removals_in_call = 0;
 	record_not_written(&ledger->counts);
 	record_not_written(&ledger->speeds);
+	record_not_written(&ledger->loans);
 }
 
 static void handle_written(struct ledger *ledger, int64_t revision)
@@ -216,6 +220,7 @@
 					 (guint)ledger->removals_in_call);
 	record_written(&ledger->counts, revision);
 	record_written(&ledger->speeds, revision);
+	record_written(&ledger->loans, revision);
 	ctr_add(&ledger->writes, 1);
 	ctr_observe(&ledger->latency,
 		    (uint64_t)((kn_now_us() - ledger->started_us) / 1000));
@@ -270,6 +275,7 @@
 		return false;
 	record_compared(&ledger->counts, call);
 	record_compared(&ledger->speeds, call);
+	record_compared(&ledger->loans, call);
 	for (i = 0; i < ledger->jobs_in_call->len; i++) {
 		struct job *job = g_ptr_array_index(ledger->jobs_in_call, i);
 		char *key = state_key(job);
@@ -397,23 +403,28 @@
 static void fill_batch(struct ledger *ledger, struct batch *batch)
 {
 	struct job *job;
+	guint records = 0;
 
 	batch_compare(batch, KEY_LEADER, ledger->leader_revision);
+	if (ledger->loans.dirty && ledger->loans.revision >= 0) {
+		add_record(&ledger->loans, batch);
+		records++;
+	}
 	list_for_each_entry(job, &ledger->fleet->dirty, dirty) {
-		if (ledger->jobs_in_call->len >= RECORDS_PER_WRITE)
+		if (records >= RECORDS_PER_WRITE)
 			break;
 		add_job(ledger, batch, job);
+		records++;
 	}
 	if (ledger->jobs_in_call->len == 0)
 		add_removals(ledger, batch);
 	/* While the revision is not known, the comparison may fail: no records
 	 * wait for that. */
 	if (ledger->counts.dirty &&
-	    ledger->jobs_in_call->len <
-		    (ledger->counts.revision < 0 ? 1 : RECORDS_PER_WRITE))
+	    records < (ledger->counts.revision < 0 ? 1 : RECORDS_PER_WRITE))
 		add_record(&ledger->counts, batch);
 	if (ledger->speeds.dirty && ledger->speeds.revision >= 0 &&
-	    ledger->jobs_in_call->len <= RECORDS_BESIDE_SPEEDS)
+	    records <= RECORDS_BESIDE_SPEEDS)
 		add_record(&ledger->speeds, batch);
 }
 
@@ -447,7 +458,8 @@
 bool ledger_idle(const struct ledger *ledger)
 {
 	return !ledger->call_pending && list_empty(&ledger->fleet->dirty) &&
-	       !ledger->counts.dirty && ledger->removals->len == 0;
+	       !ledger->counts.dirty && !ledger->loans.dirty &&
+	       ledger->removals->len == 0;
 }
 
 void ledger_set_queue_counts(struct ledger *ledger, const void *data,
@@ -467,6 +479,22 @@
 		ledger->speeds.revision = revision;
 }
 
+void ledger_set_loans(struct ledger *ledger, const void *data, size_t len)
+{
+	record_set(&ledger->loans, data, len);
+}
+
+void ledger_found_loans(struct ledger *ledger, int64_t revision)
+{
+	if (ledger->loans.revision < 0)
+		ledger->loans.revision = revision;
+}
+
+bool ledger_loans_stored(const struct ledger *ledger)
+{
+	return !ledger->loans.dirty && !ledger->loans.in_call;
+}
+
 void ledger_remove_job(struct ledger *ledger, const char *id, int64_t spec_rev,
 		       int64_t state_rev)
 {
--- a/control/ledger.h
+++ b/control/ledger.h
@@ -47,6 +47,7 @@
 	size_t removals_in_call; /* number of them in the transaction */
 	struct ledger_record counts; /* of waiting jobs */
 	struct ledger_record speeds; /* of workers */
+	struct ledger_record loans; /* of hosts */
 	bool answered; /* the latest transaction was answered */
 	struct kn_timer timer;
 	struct ctr writes;
@@ -74,6 +75,12 @@
 /* The stored speeds have been read, with this revision (0: there are none);
  * before that, none are written. */
 void ledger_found_speeds(struct ledger *ledger, int64_t revision);
+/* Sets the loans of hosts for the next transaction. Copies data. */
+void ledger_set_loans(struct ledger *ledger, const void *data, size_t len);
+/* As ledger_found_speeds(), before ledger_set_loans(). */
+void ledger_found_loans(struct ledger *ledger, int64_t revision);
+/* Whether the loans that were set last are in the store. */
+bool ledger_loans_stored(const struct ledger *ledger);
 /*
  * Removes the stored records of a job that the fleet no longer has, while its
  * submission and its state have these revisions (0: there is none).
--- a/control/maintenance.c
+++ b/control/maintenance.c
@@ -12,13 +12,15 @@
 
 void maintenance_init(struct maintenance *maintenance,
 		      const struct platform_adapter *adapter,
-		      struct machine_client *machines)
+		      struct machine_client *machines, struct ledger *ledger)
 {
 	memset(maintenance, 0, sizeof(*maintenance));
 	maintenance->adapter = adapter;
 	maintenance->machines = machines;
 	list_init(&maintenance->waves);
 	lending_init(&maintenance->lending);
+	loans_init(&maintenance->loans, adapter->kv, ledger,
+		   &maintenance->lending);
 	ctr_init(&maintenance->moves, &adapter->kv->kn->counters, CTR_COUNTER,
 		 "chivebank_host_moves_total", NULL,
 		 "Orders to move a host of workers to another pool");
@@ -38,6 +40,7 @@
 		g_ptr_array_unref(maintenance->list);
 	if (maintenance->machines)
 		maintenance->machines->ops->finish(maintenance->machines);
+	loans_finish(&maintenance->loans);
 	ctr_finish(&maintenance->orders);
 	ctr_finish(&maintenance->moves);
 }
@@ -67,6 +70,9 @@
 	maintenance->no_orders_until_us =
 		kn_now_us() + settle_ms * USEC_PER_MSEC;
 	maintenance->statuses_read = false;
+	if (maintenance->machines)
+		loans_open(&maintenance->loans,
+			   maintenance->no_orders_until_us);
 	/* All hosts of unfinished waves are ordered again. The platform
 	 * completes the order at once for a host that was taken down for the
 	 * wave under an earlier leader. */
@@ -142,6 +148,7 @@
 	maintenance->list_pending = false;
 	maintenance->order_pending = false;
 	maintenance->status_pending = false;
+	loans_close(&maintenance->loans);
 	lending_finish(&maintenance->lending);
 	maintenance->fleet = NULL;
 }
@@ -235,7 +242,7 @@
 		 loan->host, loan->home, loan->pool,
 		 loan->state == LOAN_RETURNING, (long long)maintenance->fence,
 		 call->result);
-	lending_move_answered(loan, call->result == CB_E_CONFLICT, kn_now_us());
+	lending_move_answered(loan, call->result, kn_now_us());
 }
 
 static void move_host(struct maintenance *maintenance, int64_t now_us)
@@ -256,6 +263,22 @@
 		maintenance->loan_in_call->host, pool, maintenance->fence);
 }
 
+static void lend_hosts(struct maintenance *maintenance, bool may_order,
+		       int64_t now_us)
+{
+	if (!maintenance->loans.read ||
+	    !lending_needs_hosts(&maintenance->lending, maintenance->fleet,
+				 now_us))
+		return;
+	read_list(maintenance, now_us);
+	if (!maintenance->list)
+		return;
+	if (may_order && !maintenance->order_pending)
+		move_host(maintenance, now_us);
+	lending_cordon(&maintenance->lending, maintenance->fleet,
+		       maintenance->list);
+}
+
 /* Status of waves. */
 
 static char *status_key(const struct maintenance *maintenance,
@@ -360,14 +383,6 @@
 	fleet_uncordon_all(maintenance->fleet);
 	if (!list_empty(&maintenance->waves))
 		run_waves(maintenance, may_order, now_us);
-	if (!lending_needs_hosts(&maintenance->lending, maintenance->fleet,
-				 now_us))
-		return;
-	read_list(maintenance, now_us);
-	if (!maintenance->list)
-		return;
-	if (may_order && !maintenance->order_pending)
-		move_host(maintenance, now_us);
-	lending_cordon(&maintenance->lending, maintenance->fleet,
-		       maintenance->list);
+	lend_hosts(maintenance, may_order, now_us);
+	loans_run(&maintenance->loans);
 }
--- a/control/maintenance.h
+++ b/control/maintenance.h
@@ -2,6 +2,7 @@
 #define CONTROL_MAINTENANCE_H
 
 #include "control/platform_adapter.h"
+#include "control/loans.h"
 #include "control/machine_client.h"
 #include "fleet/lending.h"
 
@@ -9,8 +10,8 @@
  * Orders for the hosts of workers while this host leads. Polls the platform's
  * list of these hosts, carries out the operators' waves of upkeep one host
  * after the other, stores when a wave is running and when it is done, and
- * lends hosts of spare pools to other pools. A host that an earlier leader has
- * lent is not moved back.
+ * lends hosts of spare pools to other pools. Hosts that an earlier leader has
+ * lent are returned as if this one had lent them.
  */
 struct maintenance {
 	const struct platform_adapter *adapter;
@@ -29,6 +30,7 @@
 	struct wave *order_wave;
 	struct upkeep_host *order_host;
 	struct lending lending;
+	struct loans loans;
 	struct loan *loan_in_call;
 	struct kv_call status_call;
 	bool status_pending; /* a read or write of statuses is pending */
@@ -41,7 +43,7 @@
 
 void maintenance_init(struct maintenance *maintenance,
 		      const struct platform_adapter *adapter,
-		      struct machine_client *machines);
+		      struct machine_client *machines, struct ledger *ledger);
 void maintenance_finish(struct maintenance *maintenance);
 /* Takes ownership of wave; frees it if its number is known already. */
 void maintenance_add(struct maintenance *maintenance, struct wave *wave);
--- a/fleet/lending.c
+++ b/fleet/lending.c
@@ -2,6 +2,7 @@
 
 #include <string.h>
 
+#include "base/err.h"
 #include "fleet/evacuation.h"
 #include "fleet/placement.h"
 #include "fleet/upkeep.h"
@@ -14,10 +15,14 @@
 #define LEND_REFUSED_RETRY_MS 10000
 /* Longer than the gap between load peaks, as another move takes time again. */
 #define LEND_IDLE_RETURN_MS 15000
+/* Bounds the record of the loans in the store. */
+#define LOANS_MAX 4096
 
 void lending_init(struct lending *lending)
 {
 	list_init(&lending->loans);
+	lending->count = 0;
+	lending->change = 0;
 }
 
 static void loan_free(struct loan *loan)
@@ -35,6 +40,14 @@
 
 	list_for_each_entry_safe(loan, next, &lending->loans, node)
 		loan_free(loan);
+	lending_init(lending);
+}
+
+static void end_loan(struct lending *lending, struct loan *loan)
+{
+	loan_free(loan);
+	lending->count--;
+	lending->change++;
 }
 
 static bool is_spare_pool(const struct fleet *fleet, const char *pool)
@@ -118,14 +131,52 @@
 
 /*
  * Whether the loan's latest order shows in a list that was requested at
- * listed_us, if it was carried out. A refused one was not, but an earlier one
- * that got no answer may have been.
+ * listed_us, if it was carried out in time.
  */
 static bool order_settled(const struct loan *loan, int64_t listed_us)
 {
-	if (loan->refused)
-		return listed_us >= loan->since_us;
-	return listed_us - loan->since_us > LEND_ARRIVAL_TIMEOUT_MS * 1000;
+	return listed_us >= loan->settled_us;
+}
+
+static struct loan *new_loan(struct lending *lending, const char *host,
+			     const char *home, const char *pool)
+{
+	struct loan *loan = g_new0(struct loan, 1);
+
+	loan->host = g_strdup(host);
+	loan->home = g_strdup(home);
+	loan->pool = g_strdup(pool);
+	list_add_tail(&loan->node, &lending->loans);
+	lending->count++;
+	return loan;
+}
+
+void lending_stored(struct lending *lending, uint64_t change)
+{
+	struct loan *loan;
+
+	list_for_each_entry(loan, &lending->loans, node)
+		loan->recorded |= loan->change <= change;
+}
+
+/*
+ * It is not known whether the earlier leader has ordered the host, or has got
+ * an answer.
+ */
+void lending_restore(struct lending *lending, const char *host,
+		     const char *home, const char *pool, int64_t settled_us,
+		     int64_t now_us)
+{
+	struct loan *loan;
+
+	if (find_loan(lending, host))
+		return;
+	loan = new_loan(lending, host, home, pool);
+	loan->state = LOAN_REQUESTED;
+	loan->recorded = true;
+	loan->ordered = true;
+	loan->settled_us = settled_us;
+	loan->since_us = now_us;
 }
 
 /* Tasks of the stage that fit on the hosts already requested for its pool. */
@@ -150,31 +201,51 @@
 	return slots;
 }
 
-static struct loan *lend_host(struct lending *lending,
-			      const struct fleet *fleet,
-			      const GPtrArray *machines,
-			      const struct stage *stage, int64_t now_us)
+/* A loan of the host to the pool that is stored first, and ordered then. */
+static void request_host(struct lending *lending, const struct machine *machine,
+			 const char *pool, int64_t now_us)
+{
+	struct loan *loan =
+		new_loan(lending, machine->name, machine->pool, pool);
+
+	loan->state = LOAN_REQUESTED;
+	loan->change = ++lending->change;
+	loan->settled_us = INT64_MAX;
+	loan->since_us = now_us;
+}
+
+/* Returns false if there is no host for the stage. */
+static bool lend_host(struct lending *lending, const struct fleet *fleet,
+		      const GPtrArray *machines, const struct stage *stage,
+		      int64_t now_us)
 {
 	guint i;
 
+	if (lending->count >= LOANS_MAX)
+		return false;
 	for (i = 0; i < machines->len; i++) {
 		const struct machine *machine = g_ptr_array_index(machines, i);
-		struct loan *loan;
 
 		if (machine->changing || !is_spare_pool(fleet, machine->pool) ||
 		    find_loan(lending, machine->name) ||
 		    is_evacuated(fleet, machine) ||
 		    !room_fits(&machine->room, &stage->spec->need))
 			continue;
-		loan = g_new0(struct loan, 1);
-		loan->host = g_strdup(machine->name);
-		loan->home = g_strdup(machine->pool);
-		loan->pool = g_strdup(stage->job->pool);
-		loan->since_us = now_us;
-		list_add_tail(&loan->node, &lending->loans);
-		return loan;
+		request_host(lending, machine, stage->job->pool, now_us);
+		return true;
 	}
-	return NULL;
+	return false;
+}
+
+/* Requests as many hosts as the tasks of the stage need. */
+static void lend_hosts(struct lending *lending, const struct fleet *fleet,
+		       const GPtrArray *machines, const struct stage *stage,
+		       int64_t now_us)
+{
+	while (requested_slots(lending, fleet, machines, stage, now_us) <
+	       overdue_tasks(stage, now_us))
+		if (!lend_host(lending, fleet, machines, stage, now_us))
+			return;
 }
 
 /* Whether the host is in the pool that it is lent to. */
@@ -227,22 +298,80 @@
 	       now_us - loan->idle_us >= LEND_IDLE_RETURN_MS * 1000;
 }
 
+/* Whether the host is still wanted that is to be ordered. */
+static bool is_wanted(const struct fleet *fleet, const struct loan *loan,
+		      const struct machine *machine, int64_t now_us)
+{
+	return strcmp(machine->pool, loan->home) == 0 && !machine->changing &&
+	       !is_evacuated(fleet, machine) &&
+	       overdue_stage(fleet, loan->pool, now_us);
+}
+
 /*
- * Whether the host has been returned or moved elsewhere, was removed from the
- * list or has not arrived in time, or the wait after a refusal is over.
+ * Whether the host has been returned or moved elsewhere, has left the list or
+ * has not gone to the pool, or the wait after a refusal is over.
  */
-static bool loan_expired(const struct loan *loan, const struct machine *machine,
-			 int64_t listed_us, int64_t now_us)
+static bool is_over(const struct loan *loan, const struct machine *machine,
+		    int64_t listed_us, int64_t now_us)
 {
 	if (!machine)
 		return true;
-	if (strcmp(machine->pool, loan->pool) == 0)
+	if (strcmp(machine->pool, loan->pool) == 0 ||
+	    (loan->state == LOAN_REQUESTED && !loan->ordered))
 		return false;
 	if (loan->state == LOAN_REFUSED)
 		return now_us - loan->since_us > LEND_REFUSED_RETRY_MS * 1000;
 	return loan->state == LOAN_ACTIVE || order_settled(loan, listed_us);
 }
 
+static struct loan *order_move(struct loan *loan, enum loan_state state,
+			       int64_t now_us, const char **pool)
+{
+	loan->state = state;
+	loan->ordered = true;
+	loan->settled_us = now_us + LEND_ARRIVAL_TIMEOUT_MS * 1000;
+	loan->since_us = now_us;
+	*pool = state == LOAN_RETURNING ? loan->home : loan->pool;
+	return loan;
+}
+
+/*
+ * Updates the loans, and returns the first one that is to be ordered now. The
+ * others are updated by the next pass. *regained: a host that was being returned
+ * is in use again.
+ */
+static struct loan *next_order(struct lending *lending, struct fleet *fleet,
+			       const GPtrArray *machines, int64_t listed_us,
+			       int64_t now_us, const char **pool,
+			       bool *regained)
+{
+	struct loan *loan, *next;
+
+	list_for_each_entry_safe(loan, next, &lending->loans, node) {
+		const struct machine *machine =
+			upkeep_find_machine(machines, loan->host);
+		const struct worker *worker =
+			upkeep_find_worker(fleet, machines, loan->host);
+		bool returning = loan->state == LOAN_RETURNING;
+
+		if (is_over(loan, machine, listed_us, now_us)) {
+			end_loan(lending, loan);
+			continue;
+		}
+		if (update_loan(fleet, loan, machine, worker, listed_us,
+				now_us))
+			return order_move(loan, LOAN_RETURNING, now_us, pool);
+		*regained |= returning && loan->state == LOAN_ACTIVE;
+		if (loan->state != LOAN_REQUESTED || loan->ordered)
+			continue;
+		if (!is_wanted(fleet, loan, machine, now_us))
+			end_loan(lending, loan);
+		else if (loan->recorded)
+			return order_move(loan, LOAN_REQUESTED, now_us, pool);
+	}
+	return NULL;
+}
+
 void lending_cordon(const struct lending *lending, struct fleet *fleet,
 		    const GPtrArray *machines)
 {
@@ -262,46 +391,23 @@
 			       int64_t now_us, const char **pool)
 {
 	const struct stage *stage = overdue_stage(fleet, NULL, now_us);
-	struct loan *loan, *next;
 	bool regained = false;
+	struct loan *loan = next_order(lending, fleet, machines, listed_us,
+				       now_us, pool, &regained);
 
-	list_for_each_entry_safe(loan, next, &lending->loans, node) {
-		const struct machine *machine =
-			upkeep_find_machine(machines, loan->host);
-		const struct worker *worker =
-			upkeep_find_worker(fleet, machines, loan->host);
-		bool returning = loan->state == LOAN_RETURNING;
-
-		if (loan_expired(loan, machine, listed_us, now_us)) {
-			loan_free(loan);
-			continue;
-		}
-		if (!update_loan(fleet, loan, machine, worker, listed_us,
-				 now_us)) {
-			/* The next pass uses its room first. */
-			regained |= returning && loan->state == LOAN_ACTIVE;
-			continue;
-		}
-		loan->state = LOAN_RETURNING;
-		loan->refused = false;
-		loan->since_us = now_us;
-		*pool = loan->home;
+	/* The next pass uses the room of a regained host first. */
+	if (loan || !stage || regained)
 		return loan;
-	}
-	if (!stage || regained ||
-	    requested_slots(lending, fleet, machines, stage, now_us) >=
-		    overdue_tasks(stage, now_us))
-		return NULL;
-	loan = lend_host(lending, fleet, machines, stage, now_us);
-	*pool = loan ? loan->pool : NULL;
-	return loan;
+	lend_hosts(lending, fleet, machines, stage, now_us);
+	return next_order(lending, fleet, machines, listed_us, now_us, pool,
+			  &regained);
 }
 
-void lending_move_answered(struct loan *loan, bool refused, int64_t now_us)
+void lending_move_answered(struct loan *loan, int result, int64_t now_us)
 {
-	if (!refused)
+	if (result != CB_E_CONFLICT)
 		return;
-	loan->refused = true;
+	loan->settled_us = now_us;
 	loan->since_us = now_us;
 	/* A return is ordered again after another idle period. */
 	loan->idle_us = now_us;
--- a/tests/unit/test_ledger.c
+++ b/tests/unit/test_ledger.c
@@ -181,6 +181,67 @@
 }
 END_TEST
 
+/* Guards against an order to a host whose loan no later leader would know, and
+ * against a transaction with more entries than the store takes. */
+START_TEST(loans_are_stored_before_anything_else_waits)
+{
+	struct kv_item items[] = {
+		{ .key = KEY_LEADER, .mod_revision = FENCE },
+		{ .key = KEY_LOANS, .mod_revision = 30 },
+	};
+
+	ledger_found_loans(&ledger, 6);
+	ck_assert(ledger_loans_stored(&ledger));
+	ledger_found_speeds(&ledger, 0);
+	ledger_set_speeds(&ledger, "fast", 4);
+	set_counts("one");
+	change_jobs(2 * RECORDS_PER_WRITE);
+	ledger_set_loans(&ledger, "m1", 2);
+	ck_assert(!ledger_loans_stored(&ledger));
+	ledger_flush(&ledger);
+	ck_assert(sent(KEY_LEADER "=7 ") && sent(KEY_LOANS "=6 ") &&
+		  sent(KEY_LOANS ":m1 "));
+	ck_assert_int_le(fake.entries, 32);
+	kv_fake_fail(&fake.txn);
+	kv_fake_run_ms(&fake, 150);
+	ck_assert(!ledger_loans_stored(&ledger));
+	ck_assert(sent(KEY_LOANS "=6 ") && sent(KEY_LOANS ":m1 "));
+	/* The first attempt was carried out after all. */
+	kv_fake_answer_txn(&fake, false, 31, items, 2);
+	kv_fake_run_ms(&fake, 10);
+	ck_assert(!ledger_loans_stored(&ledger));
+	ck_assert(sent(KEY_LOANS "=30 "));
+	answer(true, 32);
+	ck_assert(ledger_loans_stored(&ledger));
+	ledger_set_loans(&ledger, "", 0);
+	while (fake.txn)
+		answer(true, 33);
+	ck_assert(ledger_loans_stored(&ledger));
+	ck_assert(ledger_idle(&ledger));
+}
+END_TEST
+
+/* The removal of a job's records has the most entries of all. */
+START_TEST(loans_fit_beside_removals)
+{
+	char id[24];
+	int i;
+
+	ledger_found_loans(&ledger, 0);
+	ledger_found_speeds(&ledger, 0);
+	for (i = 0; i < 10; i++) {
+		snprintf(id, sizeof(id), "job%d", i);
+		ledger_remove_job(&ledger, id, 1, 2);
+	}
+	ledger_set_speeds(&ledger, "fast", 4);
+	set_counts("one");
+	ledger_set_loans(&ledger, "m1", 2);
+	ledger_flush(&ledger);
+	ck_assert(sent(KEY_LOANS ":m1 "));
+	ck_assert_int_le(fake.entries, 32);
+}
+END_TEST
+
 int main(void)
 {
 	TCase *tc = tcase_create("ledger");
@@ -191,5 +252,7 @@
 	tcase_add_test(tc, speeds_give_way_to_job_records);
 	tcase_add_test(tc, speeds_are_written_again_after_a_failure);
 	tcase_add_test(tc, speeds_of_a_deposed_leader_are_not_written);
+	tcase_add_test(tc, loans_are_stored_before_anything_else_waits);
+	tcase_add_test(tc, loans_fit_beside_removals);
 	return run_case("ledger", tc);
 }
--- a/tests/unit/test_lending.c
+++ b/tests/unit/test_lending.c
@@ -1,6 +1,7 @@
 #include <stdio.h>
 #include <string.h>
 
+#include "base/err.h"
 #include "fleet/evacuation.h"
 #include "fleet/lending.h"
 #include "fleet/plan.h"
@@ -25,7 +26,7 @@
 	return g_hash_table_lookup(fleet.workers_by_id, id);
 }
 
-/* As control/maintenance.c does it. */
+/* As control/maintenance.c does it, with a store that answers at once. */
 static struct loan *next_move_of_list(int64_t listed_us, int64_t now_us)
 {
 	struct loan *loan;
@@ -33,6 +34,11 @@
 	fleet_uncordon_all(&fleet);
 	loan = lending_next_move(&lending, &fleet, machines, listed_us, now_us,
 				 &pool);
+	if (!loan) {
+		lending_stored(&lending, lending.change);
+		loan = lending_next_move(&lending, &fleet, machines, listed_us,
+					 now_us, &pool);
+	}
 	lending_cordon(&lending, &fleet, machines);
 	return loan;
 }
@@ -149,7 +155,7 @@
 
 	add_waiting_tasks(4);
 	*loan = next_move(NOW + SEC);
-	lending_move_answered(*loan, false, NOW + SEC);
+	lending_move_answered(*loan, CB_OK, NOW + SEC);
 	add_lent_worker(1);
 	plan(now_us);
 	finish_job_tasks(&fleet, fleet_job(&fleet, "more"), now_us);
@@ -169,7 +175,7 @@
 	struct loan *loan;
 	int64_t now_us = order_return(&loan);
 
-	lending_move_answered(loan, false, now_us + SEC);
+	lending_move_answered(loan, CB_E_TIMEOUT, now_us + SEC);
 	ck_assert_ptr_null(next_move(now_us + 4 * SEC));
 	ck_assert(find_worker("w1")->cordoned);
 	ck_assert_ptr_eq(next_move(now_us + 6 * SEC), loan);
@@ -230,9 +236,9 @@
 	struct loan *loan;
 	int64_t now_us = order_return(&loan);
 
-	lending_move_answered(loan, false, now_us + SEC);
+	lending_move_answered(loan, CB_E_TIMEOUT, now_us + SEC);
 	ck_assert_ptr_eq(next_move(now_us + 6 * SEC), loan);
-	lending_move_answered(loan, true, now_us + 6 * SEC);
+	lending_move_answered(loan, CB_E_CONFLICT, now_us + 6 * SEC);
 	g_free(machine->pool);
 	machine->pool = g_strdup(SPARE);
 	g_clear_pointer(&machine->worker, g_free);
@@ -256,7 +262,7 @@
 
 	add_waiting_tasks(8);
 	loan = next_move(now_us);
-	lending_move_answered(loan, false, now_us);
+	lending_move_answered(loan, CB_OK, now_us);
 	g_free(machine->pool);
 	machine->pool = g_strdup(MAKE_POOL);
 	machine->worker = g_strdup("w1");
@@ -264,7 +270,7 @@
 	other = next_move(now_us + 6 * SEC);
 	ck_assert_ptr_nonnull(other);
 	ck_assert_str_eq(other->host, "m2");
-	lending_move_answered(other, false, now_us + 6 * SEC);
+	lending_move_answered(other, CB_OK, now_us + 6 * SEC);
 	add_lent_worker(2);
 	plan(now_us + 8 * SEC);
 	ck_assert_int_eq(find_worker("w2")->task_count, 8);
@@ -299,7 +305,7 @@
 
 	add_waiting_tasks(4);
 	loan = next_move(NOW + SEC);
-	lending_move_answered(loan, false, NOW + SEC);
+	lending_move_answered(loan, CB_OK, NOW + SEC);
 	add_lent_worker(1);
 	plan(NOW + 2 * SEC);
 	worker = g_hash_table_lookup(fleet.workers_by_id, "w1");
@@ -316,7 +322,7 @@
 	ck_assert_str_eq(pool, SPARE);
 	ck_assert(worker->cordoned);
 	/* If the return is refused, the host stays in use. */
-	lending_move_answered(loan, true, now_us);
+	lending_move_answered(loan, CB_E_CONFLICT, now_us);
 	ck_assert_ptr_null(next_move(now_us));
 	ck_assert(!worker->cordoned);
 }
@@ -328,7 +334,7 @@
 
 	add_waiting_tasks(8);
 	loan = next_move(NOW + SEC);
-	lending_move_answered(loan, false, NOW + SEC);
+	lending_move_answered(loan, CB_E_TIMEOUT, NOW + SEC);
 	/* The move was not carried out, so it is ordered again. */
 	loan = next_move(NOW + 7 * SEC);
 	ck_assert_ptr_nonnull(loan);
@@ -343,16 +349,103 @@
 
 	add_waiting_tasks(8);
 	loan = next_move(NOW + SEC);
-	lending_move_answered(loan, true, NOW + SEC);
+	lending_move_answered(loan, CB_E_CONFLICT, NOW + SEC);
 	loan = next_move(NOW + SEC);
 	ck_assert_str_eq(loan->host, "m2");
-	lending_move_answered(loan, true, NOW + SEC);
+	lending_move_answered(loan, CB_E_CONFLICT, NOW + SEC);
 	ck_assert_ptr_null(next_move(NOW + 2 * SEC));
 	loan = next_move(NOW + 12 * SEC);
 	ck_assert_str_eq(loan->host, "m1");
 }
 END_TEST
 
+/* Guards against a host that no later leader returns: its leader failed between
+ * the order and the record of the loan. */
+START_TEST(host_is_ordered_once_its_loan_is_stored)
+{
+	struct loan *loan;
+	uint64_t change;
+
+	add_waiting_tasks(8);
+	ck_assert_ptr_null(lending_next_move(&lending, &fleet, machines,
+					     NOW + SEC, NOW + SEC, &pool));
+	ck_assert_int_eq(lending.count, 1);
+	change = lending.change;
+	lending_stored(&lending, change - 1);
+	ck_assert_ptr_null(lending_next_move(&lending, &fleet, machines,
+					     NOW + 8 * SEC, NOW + 8 * SEC,
+					     &pool));
+	lending_stored(&lending, change);
+	loan = lending_next_move(&lending, &fleet, machines, NOW + 8 * SEC,
+				 NOW + 8 * SEC, &pool);
+	ck_assert_ptr_nonnull(loan);
+	ck_assert_str_eq(pool, MAKE_POOL);
+	ck_assert_uint_eq(lending.change, change);
+}
+END_TEST
+
+/* The write took so long that the tasks have got room elsewhere. */
+START_TEST(host_that_is_needed_no_more_is_not_ordered)
+{
+	add_waiting_tasks(8);
+	ck_assert_ptr_null(lending_next_move(&lending, &fleet, machines,
+					     NOW + SEC, NOW + SEC, &pool));
+	make_worker(&fleet, "w9", "r", 8, NOW + SEC);
+	plan(NOW + 2 * SEC);
+	ck_assert_ptr_null(next_move(NOW + 2 * SEC));
+	ck_assert_ptr_null(next_move(NOW + 3 * SEC));
+	ck_assert(list_empty(&lending.loans));
+}
+END_TEST
+
+/* Guards against a host that is never lent again, and against a record that
+ * stays for good: an earlier leader failed before it ordered the host, or its
+ * order was not carried out. */
+START_TEST(restored_loan_of_a_host_at_home_ends)
+{
+	int64_t settled_us = NOW + 3 * SEC;
+	struct loan *loan;
+
+	lending_restore(&lending, "m1", SPARE, MAKE_POOL, settled_us, NOW);
+	ck_assert(lending_needs_hosts(&lending, &fleet, NOW));
+	add_waiting_tasks(8);
+	/* The order of the earlier leader may still be carried out. */
+	ck_assert_ptr_null(next_move(NOW + 2 * SEC));
+	loan = next_move(settled_us);
+	ck_assert_ptr_nonnull(loan);
+	ck_assert_str_eq(loan->host, "m1");
+	ck_assert_str_eq(pool, MAKE_POOL);
+	/* It is refused, so that the host stays at home. */
+	lending_move_answered(loan, CB_E_CONFLICT, settled_us);
+	finish_job_tasks(&fleet, fleet_job(&fleet, "full"), settled_us);
+	plan(settled_us);
+	ck_assert_ptr_null(next_move(settled_us + 9 * SEC));
+	ck_assert_int_eq(lending.count, 1);
+	ck_assert_ptr_null(next_move(settled_us + 11 * SEC));
+	ck_assert(list_empty(&lending.loans));
+}
+END_TEST
+
+/* The earlier leader's order was carried out, or it had used the host. */
+START_TEST(restored_loan_of_a_host_in_the_pool_is_returned)
+{
+	struct loan *loan;
+
+	lending_restore(&lending, "m1", SPARE, MAKE_POOL, NOW + 3 * SEC, NOW);
+	/* One record names a host once; a second loan would never end. */
+	lending_restore(&lending, "m1", SPARE, "third", NOW + 3 * SEC, NOW);
+	ck_assert_int_eq(lending.count, 1);
+	add_lent_worker(1);
+	ck_assert_ptr_null(next_move(NOW + SEC));
+	ck_assert_ptr_null(next_move(NOW + 15 * SEC));
+	loan = next_move(NOW + 17 * SEC);
+	ck_assert_ptr_nonnull(loan);
+	ck_assert_str_eq(loan->host, "m1");
+	ck_assert_str_eq(pool, SPARE);
+	ck_assert(find_worker("w1")->cordoned);
+}
+END_TEST
+
 /* The worker of an evacuated host would get no tasks. */
 START_TEST(host_in_an_evacuated_data_centre_is_not_lent)
 {
@@ -418,6 +511,10 @@
 	tcase_add_test(tc, host_moved_by_others_is_left_there);
 	tcase_add_test(tc, lost_move_is_requested_again);
 	tcase_add_test(tc, refused_host_is_retried_later);
+	tcase_add_test(tc, host_is_ordered_once_its_loan_is_stored);
+	tcase_add_test(tc, host_that_is_needed_no_more_is_not_ordered);
+	tcase_add_test(tc, restored_loan_of_a_host_at_home_ends);
+	tcase_add_test(tc, restored_loan_of_a_host_in_the_pool_is_returned);
 	tcase_add_test(tc, host_in_an_evacuated_data_centre_is_not_lent);
 	tcase_add_test(tc, host_that_is_evacuated_on_its_way_is_replaced);
 	return run_case("lending", tc);
