Keep loans whose order may still be carried out

A host that was moved to a pool by an order that had been given up would have stayed there for good, idle: no operator has reported it.

Cause: a loan ended when its order had no answer and no effect within 5 s. The platform may carry such an order out after that; the host then belonged to no loan, and nothing returned it.

Evidence: host_that_arrives_late_is_returned on the code before the record of loans failed with "Assertion 'next_move(now_us + 26 * 1000000LL) != NULL' failed".

Change: a loan whose order to the pool got no answer is kept for 30 s, in the store too, while its host may be lent to that pool again. A host that shows up in the pool is in use, and returned as any other.

--- a/fleet/lending.c
+++ b/fleet/lending.c
@@ -15,6 +15,8 @@
 #define LEND_REFUSED_RETRY_MS 10000
 /* Longer than the gap between load peaks, as another move takes time again. */
 #define LEND_IDLE_RETURN_MS 15000
+/* How long an order that got no answer may still be carried out. */
+#define LEND_LATE_ORDER_MS 30000
 /* Bounds the record of the loans in the store. */
 #define LOANS_MAX 4096
 
@@ -177,6 +179,7 @@
 	loan->ordered = true;
 	loan->settled_us = settled_us;
 	loan->since_us = now_us;
+	loan->unanswered_us = now_us;
 }
 
 /* Tasks of the stage that fit on the hosts already requested for its pool. */
@@ -205,13 +208,28 @@
 static void request_host(struct lending *lending, const struct machine *machine,
 			 const char *pool, int64_t now_us)
 {
-	struct loan *loan =
-		new_loan(lending, machine->name, machine->pool, pool);
+	struct loan *loan = find_loan(lending, machine->name);
 
+	if (!loan) {
+		loan = new_loan(lending, machine->name, machine->pool, pool);
+		loan->change = ++lending->change;
+	}
 	loan->state = LOAN_REQUESTED;
-	loan->change = ++lending->change;
+	loan->ordered = false;
 	loan->settled_us = INT64_MAX;
 	loan->since_us = now_us;
+	loan->idle_us = 0;
+}
+
+/* An order to the pool of an earlier loan may still be carried out. */
+static bool is_lendable(const struct lending *lending,
+			const struct machine *machine, const char *pool)
+{
+	const struct loan *loan = find_loan(lending, machine->name);
+
+	if (!loan)
+		return lending->count < LOANS_MAX;
+	return loan->state == LOAN_OVER && strcmp(loan->pool, pool) == 0;
 }
 
 /* Returns false if there is no host for the stage. */
@@ -221,13 +239,11 @@
 {
 	guint i;
 
-	if (lending->count >= LOANS_MAX)
-		return false;
 	for (i = 0; i < machines->len; i++) {
 		const struct machine *machine = g_ptr_array_index(machines, i);
 
 		if (machine->changing || !is_spare_pool(fleet, machine->pool) ||
-		    find_loan(lending, machine->name) ||
+		    !is_lendable(lending, machine, stage->job->pool) ||
 		    is_evacuated(fleet, machine) ||
 		    !room_fits(&machine->room, &stage->spec->need))
 			continue;
@@ -308,10 +324,10 @@
 }
 
 /*
- * Whether the host has been returned or moved elsewhere, has left the list or
- * has not gone to the pool, or the wait after a refusal is over.
+ * Whether nothing can move the host any more, which has been returned or moved
+ * elsewhere, has left the list, or has not gone to the pool.
  */
-static bool is_over(const struct loan *loan, const struct machine *machine,
+static bool is_over(struct loan *loan, const struct machine *machine,
 		    int64_t listed_us, int64_t now_us)
 {
 	if (!machine)
@@ -319,9 +335,17 @@
 	if (strcmp(machine->pool, loan->pool) == 0 ||
 	    (loan->state == LOAN_REQUESTED && !loan->ordered))
 		return false;
-	if (loan->state == LOAN_REFUSED)
-		return now_us - loan->since_us > LEND_REFUSED_RETRY_MS * 1000;
-	return loan->state == LOAN_ACTIVE || order_settled(loan, listed_us);
+	if (loan->state == LOAN_REFUSED &&
+	    now_us - loan->since_us <= LEND_REFUSED_RETRY_MS * 1000)
+		return false;
+	if (loan->state != LOAN_ACTIVE && loan->state != LOAN_OVER &&
+	    !order_settled(loan, listed_us))
+		return false;
+	if (strcmp(machine->pool, loan->home) != 0)
+		return true;
+	loan->state = LOAN_OVER;
+	return loan->unanswered_us == 0 ||
+	       now_us - loan->unanswered_us > LEND_LATE_ORDER_MS * 1000;
 }
 
 static struct loan *order_move(struct loan *loan, enum loan_state state,
@@ -364,10 +388,12 @@
 		*regained |= returning && loan->state == LOAN_ACTIVE;
 		if (loan->state != LOAN_REQUESTED || loan->ordered)
 			continue;
-		if (!is_wanted(fleet, loan, machine, now_us))
-			end_loan(lending, loan);
-		else if (loan->recorded)
+		if (!is_wanted(fleet, loan, machine, now_us)) {
+			loan->state = LOAN_OVER;
+			loan->settled_us = now_us;
+		} else if (loan->recorded) {
 			return order_move(loan, LOAN_REQUESTED, now_us, pool);
+		}
 	}
 	return NULL;
 }
@@ -405,6 +431,9 @@
 
 void lending_move_answered(struct loan *loan, int result, int64_t now_us)
 {
+	if (result != CB_OK && result != CB_E_CONFLICT &&
+	    loan->state == LOAN_REQUESTED)
+		loan->unanswered_us = now_us;
 	if (result != CB_E_CONFLICT)
 		return;
 	loan->settled_us = now_us;
--- a/fleet/lending.h
+++ b/fleet/lending.h
@@ -17,6 +17,9 @@
 	LOAN_ACTIVE, /* the host's worker takes tasks of the pool */
 	LOAN_RETURNING, /* the return order is sent */
 	LOAN_REFUSED, /* the order was refused; not retried for a while */
+	/* The host is at home, and an order that got no answer may still move
+	 * it to the pool. It may be lent again. */
+	LOAN_OVER,
 };
 
 struct loan {
@@ -32,6 +35,8 @@
 	int64_t settled_us;
 	int64_t since_us; /* of the latest order, or of its refusal */
 	int64_t idle_us; /* idle since then, 0: the host is needed */
+	/* Of the last order to the pool that got no answer, 0: none. */
+	int64_t unanswered_us;
 };
 
 struct lending {
--- a/tests/unit/test_lending.c
+++ b/tests/unit/test_lending.c
@@ -398,6 +398,35 @@
 }
 END_TEST
 
+/* Guards against a host that stays in the pool for good: the order to move it
+ * there got no answer, had no effect in time, and was carried out after that. */
+START_TEST(host_that_arrives_late_is_returned)
+{
+	struct machine *machine = g_ptr_array_index(machines, 1);
+	struct loan *loan;
+	int64_t now_us = NOW + SEC;
+
+	add_waiting_tasks(8);
+	loan = next_move(now_us);
+	ck_assert_str_eq(loan->host, "m1");
+	lending_move_answered(loan, CB_E_TIMEOUT, now_us + SEC);
+	make_worker(&fleet, "w9", "r", 8, now_us);
+	plan(now_us + 2 * SEC);
+	ck_assert_ptr_null(next_move(now_us + 6 * SEC));
+	ck_assert_int_eq(loan->state, LOAN_OVER);
+	add_lent_worker(1);
+	ck_assert_ptr_null(next_move(now_us + 10 * SEC));
+	ck_assert_ptr_null(next_move(now_us + 24 * SEC));
+	ck_assert_ptr_eq(next_move(now_us + 26 * SEC), loan);
+	ck_assert_str_eq(pool, SPARE);
+	lending_move_answered(loan, CB_OK, now_us + 26 * SEC);
+	g_free(machine->pool);
+	machine->pool = g_strdup(SPARE);
+	ck_assert_ptr_null(next_move(now_us + 40 * SEC));
+	ck_assert(list_empty(&lending.loans));
+}
+END_TEST
+
 /* Guards against a host that is never lent again, and against a record that
  * stays for good: an earlier leader failed before it ordered the host, or its
  * order was not carried out. */
@@ -419,10 +448,12 @@
 	lending_move_answered(loan, CB_E_CONFLICT, settled_us);
 	finish_job_tasks(&fleet, fleet_job(&fleet, "full"), settled_us);
 	plan(settled_us);
-	ck_assert_ptr_null(next_move(settled_us + 9 * SEC));
-	ck_assert_int_eq(lending.count, 1);
 	ck_assert_ptr_null(next_move(settled_us + 11 * SEC));
+	ck_assert_int_eq(lending.count, 1);
+	ck_assert_uint_eq(lending.change, 0);
+	ck_assert_ptr_null(next_move(NOW + 31 * SEC));
 	ck_assert(list_empty(&lending.loans));
+	ck_assert_uint_eq(lending.change, 1);
 }
 END_TEST
 
@@ -513,6 +544,7 @@
 	tcase_add_test(tc, refused_host_is_retried_later);
 	tcase_add_test(tc, host_is_ordered_once_its_loan_is_stored);
 	tcase_add_test(tc, host_that_is_needed_no_more_is_not_ordered);
+	tcase_add_test(tc, host_that_arrives_late_is_returned);
 	tcase_add_test(tc, restored_loan_of_a_host_at_home_ends);
 	tcase_add_test(tc, restored_loan_of_a_host_in_the_pool_is_returned);
 	tcase_add_test(tc, host_in_an_evacuated_data_centre_is_not_lent);
