Judge waves only by lists that were requested after them

Cause: run_waves() used the list of hosts that was at hand, from the last wave or loan, and upkeep_update() took a host that a list lacks for done for good.

Evidence: wave_includes_a_host_that_has_joined failed before with "'last->begun == 1' failed: last->begun == 0", and host_that_one_list_misses_stays_in_the_wave with "'host != NULL' failed".

Change: a wave is judged by lists that were requested after it became known, and a new leader begins without a list. A host that the list lacks holds nothing up, but keeps its state and goes on when it is listed again.

--- a/control/maintenance.c
+++ b/control/maintenance.c
@@ -36,8 +36,6 @@
 	maintenance_close(maintenance);
 	list_for_each_entry_safe(wave, next, &maintenance->waves, node)
 		wave_free(wave);
-	if (maintenance->list)
-		g_ptr_array_unref(maintenance->list);
 	if (maintenance->machines)
 		maintenance->machines->ops->finish(maintenance->machines);
 	loans_finish(&maintenance->loans);
@@ -133,6 +131,13 @@
 		       maintenance->adapter->wave_status_prefix, true);
 }
 
+static void drop_list(struct maintenance *maintenance)
+{
+	if (maintenance->list)
+		g_ptr_array_unref(maintenance->list);
+	maintenance->list = NULL;
+}
+
 void maintenance_close(struct maintenance *maintenance)
 {
 	struct kv *kv = maintenance->adapter->kv;
@@ -150,6 +155,7 @@
 	maintenance->status_pending = false;
 	loans_close(&maintenance->loans);
 	lending_finish(&maintenance->lending);
+	drop_list(maintenance);
 	maintenance->fleet = NULL;
 }
 
@@ -164,8 +170,7 @@
 		log_warn("machines.list_failed", "result=%d", call->result);
 		return;
 	}
-	if (maintenance->list)
-		g_ptr_array_unref(maintenance->list);
+	drop_list(maintenance);
 	maintenance->list = call->machines;
 	maintenance->list_us = maintenance->listed_us;
 }
@@ -364,8 +369,10 @@
 		if (wave->done_reported)
 			continue;
 		read_list(maintenance, now_us);
-		if (!maintenance->list)
-			return;
+		/* An older list may lack hosts that have joined since. */
+		if (!maintenance->list ||
+		    maintenance->list_us < wave->announced_us)
+			continue;
 		upkeep_update(maintenance->fleet, wave, maintenance->list,
 			      now_us);
 		write_status(maintenance, wave);
--- a/fleet/upkeep.c
+++ b/fleet/upkeep.c
@@ -124,14 +124,8 @@
 		upkeep_find_machine(machines, host->name);
 	const struct worker *worker;
 
-	if (host->state != UPKEEP_ORDERED)
+	if (host->state != UPKEEP_ORDERED || !machine)
 		return;
-	if (!machine) {
-		/* The host was removed: nothing is left to do. */
-		host->state = UPKEEP_DONE;
-		host->down = false;
-		return;
-	}
 	if (!machine->up) {
 		host->down = true;
 		return;
@@ -237,6 +231,15 @@
 	}
 }
 
+/*
+ * Nothing is left to do for a host that was removed. Its state stays, as the
+ * list is read in pages and may have missed a host.
+ */
+static bool is_removed(const GPtrArray *machines, const struct machine *machine)
+{
+	return !machine && machines->len > 0;
+}
+
 void upkeep_update(struct fleet *fleet, struct wave *wave,
 		   const GPtrArray *machines, int64_t now_us)
 {
@@ -251,8 +254,8 @@
 		struct worker *worker = note_worker(fleet, host, machine);
 
 		update_host(fleet, host, machines, now_us);
-		if (host->state != UPKEEP_DONE && machines->len > 0 && !machine)
-			host->state = UPKEEP_DONE;
+		if (is_removed(machines, machine))
+			continue;
 		wave->done &= host->state == UPKEEP_DONE;
 		if (host->state == UPKEEP_WAITING ||
 		    host->state == UPKEEP_DRAINING)
@@ -270,7 +273,7 @@
 /*
  * Number of hosts that are or may be down: those with an order, answered or
  * not, and those that the list shows as down, for example because an earlier
- * leader ordered it.
+ * leader ordered it. Those that were removed don't count.
  */
 static int count_down(const struct wave *wave, const GPtrArray *machines)
 {
@@ -284,6 +287,8 @@
 		const struct machine *machine =
 			upkeep_find_machine(machines, host->name);
 
+		if (is_removed(machines, machine))
+			continue;
 		down += host->state == UPKEEP_ORDERED ||
 			(host->state != UPKEEP_DONE && machine && !machine->up);
 	}
@@ -291,7 +296,8 @@
 }
 
 /* Whether the unfinished hosts need all the time that is left. */
-static bool is_behind_schedule(const struct wave *wave, int64_t now_us)
+static bool is_behind_schedule(const struct wave *wave,
+			       const GPtrArray *machines, int64_t now_us)
 {
 	int64_t left_ms =
 		wave->within_ms - (now_us - wave->announced_us) / 1000;
@@ -302,7 +308,8 @@
 		const struct upkeep_host *host =
 			g_ptr_array_index(wave->hosts, i);
 
-		open += host->state != UPKEEP_DONE && !host->blocked;
+		open += host->state != UPKEEP_DONE && !host->blocked &&
+			upkeep_find_machine(machines, host->name);
 	}
 	return (double)left_ms < (double)(open * UPKEEP_HOST_MS) / wave->cap *
 					 (1.0 + UPKEEP_RETRY_MARGIN);
@@ -374,7 +381,7 @@
 				const GPtrArray *machines, int64_t now_us)
 {
 	struct upkeep_host *repeated = find_unanswered_host(wave, machines);
-	bool behind = is_behind_schedule(wave, now_us);
+	bool behind = is_behind_schedule(wave, machines, now_us);
 	int slots = wave->cap - count_down(wave, machines);
 	guint i;
 
--- a/tests/standins/site_machines.c
+++ b/tests/standins/site_machines.c
@@ -208,6 +208,15 @@
 	kn_timer_set(own->server.kn, timer, TICK_MS * USEC_PER_MSEC, on_tick);
 }
 
+void site_machines_add(struct site_machines *own, struct site_worker *worker)
+{
+	struct site_machine *machine = g_new0(struct site_machine, 1);
+
+	snprintf(machine->name, sizeof(machine->name), "m-%s", worker->id);
+	machine->worker = worker;
+	g_ptr_array_add(own->machines, machine);
+}
+
 struct site_machines *site_machines_new(struct kn *kn, struct site_fleet *fleet)
 {
 	struct site_machines *own = g_new0(struct site_machines, 1);
@@ -215,14 +224,8 @@
 
 	own->fleet = fleet;
 	own->machines = g_ptr_array_new_with_free_func(g_free);
-	list_for_each_entry(worker, &fleet->workers, node) {
-		struct site_machine *machine = g_new0(struct site_machine, 1);
-
-		snprintf(machine->name, sizeof(machine->name), "m-%s",
-			 worker->id);
-		machine->worker = worker;
-		g_ptr_array_add(own->machines, machine);
-	}
+	list_for_each_entry(worker, &fleet->workers, node)
+		site_machines_add(own, worker);
 	if (!hs_init(&own->server, kn, &machines_ops, "127.0.0.1", 0, NULL))
 		abort();
 	hs_keep_header(&own->server, "Chivebank-Fence-Token");
--- a/tests/standins/site_machines.h
+++ b/tests/standins/site_machines.h
@@ -40,6 +40,9 @@
 /* Listens on a free port; knows the workers that the fleet has now. */
 struct site_machines *site_machines_new(struct kn *kn,
 					struct site_fleet *fleet);
+/* The host of a worker that has joined the fleet since. */
+void site_machines_add(struct site_machines *machines,
+		       struct site_worker *worker);
 /* Takes a worker out of the pool; its host is off from now on. */
 void site_machines_spare(struct site_machines *machines,
 			 struct site_worker *worker);
--- a/tests/unit/test_site_features.c
+++ b/tests/unit/test_site_features.c
@@ -105,39 +105,61 @@
 
 /* Waves of upkeep. */
 
-static void order_wave(int within_s, int cap)
+/* A wave of all hosts from the first one on. */
+static void order_wave_from(int number, guint first, int within_s, int cap)
 {
-	GString *text = g_string_new("{\"wave\":1,\"machines\":[");
+	GString *text = g_string_new(NULL);
+	char key[32];
 	guint i;
 
-	for (i = 0; i < rig.machines->machines->len; i++) {
+	g_string_printf(text, "{\"wave\":%d,\"machines\":[", number);
+	for (i = first; i < rig.machines->machines->len; i++) {
 		const struct site_machine *machine =
 			g_ptr_array_index(rig.machines->machines, i);
 
-		g_string_append_printf(text, "%s\"%s\"", i ? "," : "",
+		g_string_append_printf(text, "%s\"%s\"", i > first ? "," : "",
 				       machine->name);
 	}
 	g_string_append_printf(text, "],\"within_s\":%d,\"cap\":%d}", within_s,
 			       cap);
-	site_store_put(rig.store, "op/wave/1", text->str);
+	snprintf(key, sizeof(key), "op/wave/%d", number);
+	site_store_put(rig.store, key, text->str);
 	g_string_free(text, TRUE);
 }
 
-static const char *wave_status(void)
+static void order_wave(int within_s, int cap)
+{
+	order_wave_from(1, 0, within_s, cap);
+}
+
+static const char *status_of_wave(int number)
 {
-	const struct site_item *item =
-		site_store_get(rig.store, "status/wave/1");
+	const struct site_item *item;
+	char key[32];
 
+	snprintf(key, sizeof(key), "status/wave/%d", number);
+	item = site_store_get(rig.store, key);
 	return item ? item->value : "";
 }
 
-static bool wait_wave(int64_t timeout_ms)
+static const char *wave_status(void)
+{
+	return status_of_wave(1);
+}
+
+static bool wait_wave_done(int number, int64_t timeout_ms)
 {
 	int64_t until_us = kn_now_us() + timeout_ms * USEC_PER_MSEC;
 
-	while (kn_now_us() < until_us && !strstr(wave_status(), "done"))
+	while (kn_now_us() < until_us &&
+	       !strstr(status_of_wave(number), "done"))
 		rig_run_ms(&rig, 20);
-	return strstr(wave_status(), "done") != NULL;
+	return strstr(status_of_wave(number), "done") != NULL;
+}
+
+static bool wait_wave(int64_t timeout_ms)
+{
+	return wait_wave_done(1, timeout_ms);
 }
 
 /* Each host was taken down exactly once, at most cap of them at a time. */
@@ -226,6 +248,27 @@
 }
 END_TEST
 
+/* Guards against a wave that is said to be done without a host that has joined
+ * since the list of hosts was read, for an earlier wave. */
+START_TEST(wave_includes_a_host_that_has_joined)
+{
+	struct site_machine *last;
+
+	rig_start(&rig, 2, 3, 1);
+	order_wave(20, 1);
+	ck_assert(wait_wave(20000));
+	site_machines_add(rig.machines,
+			  site_fleet_add(rig.fleet, "rack-9", 8, 0));
+	rig_run_ms(&rig, 1000);
+	order_wave_from(2, 2, 20, 1);
+	ck_assert(wait_wave_done(2, 20000));
+	last = g_ptr_array_index(rig.machines->machines, 3);
+	ck_assert_int_eq(last->begun, 1);
+	ck_assert_int_eq(last->wave, 2);
+	rig_stop(&rig);
+}
+END_TEST
+
 /* Long-running tasks. */
 
 #define SERVING_STEP                                                 \
@@ -420,6 +463,7 @@
 	tcase_add_test(tc, late_write_of_a_status_overwrites_none);
 	tcase_add_test(tc, wave_continues_after_leader_changes);
 	tcase_add_test(tc, wave_without_answers_to_its_orders);
+	tcase_add_test(tc, wave_includes_a_host_that_has_joined);
 	tcase_add_test(tc, best_effort_tasks_slow_down_for_serving_tasks);
 	tcase_add_test(tc, long_running_task_moves_from_a_crashed_worker);
 	tcase_add_test(tc, copies_finish_a_job_despite_a_slow_worker);
--- a/tests/unit/test_upkeep.c
+++ b/tests/unit/test_upkeep.c
@@ -390,6 +390,70 @@
 }
 END_TEST
 
+/* Guards against a wave that leaves a host out for good as one list, of several
+ * pages, misses it. */
+START_TEST(host_that_one_list_misses_stays_in_the_wave)
+{
+	struct upkeep_host *host;
+	struct wave *wave;
+	guint i;
+
+	make_worker(&fleet, "w1", "r", 1, NOW);
+	make_worker(&fleet, "w2", "r", 1, NOW);
+	add_machine("m1", "w1");
+	add_machine("m2", "w2");
+	wave = make_wave("m1,m2", 20000, 1);
+	upkeep_update(&fleet, wave, machines, NOW);
+	g_ptr_array_remove_index(machines, 1);
+	upkeep_update(&fleet, wave, machines, NOW);
+	ck_assert(!wave->done);
+	add_machine("m2", "w2");
+	for (i = 0; i < machines->len; i++) {
+		struct machine *machine;
+
+		upkeep_update(&fleet, wave, machines, NOW + i * SEC);
+		host = upkeep_next(&fleet, wave, machines, NOW + i * SEC);
+		ck_assert_ptr_nonnull(host);
+		machine = g_ptr_array_index(machines, i);
+		ck_assert_str_eq(host->name, machine->name);
+		upkeep_ordered(host, 1000, NOW + i * SEC);
+		host->accepted = true;
+		machine->up = false;
+		upkeep_update(&fleet, wave, machines, NOW + i * SEC);
+		machine->up = true;
+	}
+	upkeep_update(&fleet, wave, machines, NOW + 2 * SEC);
+	ck_assert(wave->done);
+	wave_free(wave);
+}
+END_TEST
+
+/* A host that was removed keeps neither the wave nor a place of it. */
+START_TEST(removed_hosts_do_not_hold_a_wave_up)
+{
+	struct upkeep_host *host;
+	struct wave *wave;
+
+	make_worker(&fleet, "w1", "r", 1, NOW);
+	make_worker(&fleet, "w2", "r", 1, NOW);
+	add_machine("m1", "w1");
+	add_machine("m2", "w2");
+	wave = make_wave("m1,m2", 20000, 1);
+	upkeep_update(&fleet, wave, machines, NOW);
+	upkeep_ordered(upkeep_next(&fleet, wave, machines, NOW), 1000, NOW);
+	g_ptr_array_remove_index(machines, 0);
+	upkeep_update(&fleet, wave, machines, NOW + SEC);
+	host = upkeep_next(&fleet, wave, machines, NOW + SEC);
+	ck_assert_ptr_nonnull(host);
+	ck_assert_str_eq(host->name, "m2");
+	add_machine("m3", NULL);
+	g_ptr_array_remove_index(machines, 0);
+	upkeep_update(&fleet, wave, machines, NOW + 2 * SEC);
+	ck_assert(wave->done);
+	wave_free(wave);
+}
+END_TEST
+
 int main(void)
 {
 	TCase *tc = tcase_create("upkeep");
@@ -406,5 +470,7 @@
 	tcase_add_loop_test(tc, hosts_about_to_go_down_get_no_work, 0, 2);
 	tcase_add_test(tc, host_that_can_not_be_emptied_lets_others_go_first);
 	tcase_add_test(tc, worker_of_a_host_that_has_left_the_wave_is_free);
+	tcase_add_test(tc, host_that_one_list_misses_stays_in_the_wave);
+	tcase_add_test(tc, removed_hosts_do_not_hold_a_wave_up);
 	return run_case("upkeep", tc);
 }
