Order hosts in the pass after their loan is stored

The record of loans was marked as stored at the end of a pass, after the orders: a host was ordered by the pass after the next, up to 100 ms later. It is marked first now, and written last.

--- a/control/loans.c
+++ b/control/loans.c
@@ -150,19 +150,23 @@
 	ctr_gauge(&loans->lent, 0);
 }
 
-void loans_run(struct loans *loans)
+void loans_mark_stored(struct loans *loans)
+{
+	if (loans->read && ledger_loans_stored(loans->ledger))
+		lending_stored(loans->lending, loans->set_change);
+}
+
+void loans_write(struct loans *loans)
 {
 	msgpack_sbuffer record;
 
 	if (!loans->read)
 		return;
 	ctr_gauge(&loans->lent, (uint64_t)loans->lending->count);
-	if (loans->set_change != loans->lending->change) {
-		loans_record_write(loans->lending, &record);
-		ledger_set_loans(loans->ledger, record.data, record.size);
-		msgpack_sbuffer_destroy(&record);
-		loans->set_change = loans->lending->change;
-	}
-	if (ledger_loans_stored(loans->ledger))
-		lending_stored(loans->lending, loans->set_change);
+	if (loans->set_change == loans->lending->change)
+		return;
+	loans_record_write(loans->lending, &record);
+	ledger_set_loans(loans->ledger, record.data, record.size);
+	msgpack_sbuffer_destroy(&record);
+	loans->set_change = loans->lending->change;
 }
--- a/control/loans.h
+++ b/control/loans.h
@@ -36,8 +36,11 @@
  */
 void loans_open(struct loans *loans, int64_t settled_us);
 void loans_close(struct loans *loans);
-/* Writes the loans if they have changed; called once per planning pass. */
-void loans_run(struct loans *loans);
+/* Called first in each planning pass: loans that are stored by now may be
+ * ordered. */
+void loans_mark_stored(struct loans *loans);
+/* Called last: hands the loans to the ledger if they have changed. */
+void loans_write(struct loans *loans);
 
 void loans_record_write(const struct lending *lending, msgpack_sbuffer *out);
 /* Restores the loans of a record. Returns false, and restores none, if it is
--- a/control/maintenance.c
+++ b/control/maintenance.c
@@ -390,6 +390,7 @@
 	fleet_uncordon_all(maintenance->fleet);
 	if (!list_empty(&maintenance->waves))
 		run_waves(maintenance, may_order, now_us);
+	loans_mark_stored(&maintenance->loans);
 	lend_hosts(maintenance, may_order, now_us);
-	loans_run(&maintenance->loans);
+	loans_write(&maintenance->loans);
 }
--- a/tests/unit/test_loans.c
+++ b/tests/unit/test_loans.c
@@ -107,7 +107,7 @@
 	write_two(&record);
 	kv_fake_fail(&fake.range);
 	ck_assert(!loans.read);
-	loans_run(&loans);
+	loans_write(&loans);
 	ledger_flush(&ledger);
 	ck_assert_ptr_null(fake.txn);
 	kv_fake_run_ms(&fake, 300);
@@ -115,12 +115,12 @@
 	kv_fake_answer_range(&fake, KEY_LOANS, record.data, record.size, 9);
 	ck_assert(loans.read);
 	ck_assert_int_eq(lending.count, 2);
-	loans_run(&loans);
+	loans_write(&loans);
 	ledger_flush(&ledger);
 	ck_assert_ptr_null(fake.txn);
 	/* A change of the loans is written over the record that was read. */
 	lending.change++;
-	loans_run(&loans);
+	loans_write(&loans);
 	ledger_set_queue_counts(&ledger, "one", 3);
 	ledger_flush(&ledger);
 	ck_assert_ptr_nonnull(strstr(fake.sent->str, KEY_LOANS "=9 "));
