Drop the list of hosts when nothing needs it

A spare host that an operator gives to a pool for good would have gone back to the spare pool by itself at a later peak; no operator has reported it.

Cause: the last list was kept while no wave and no loan needed one, and the next loan was decided with it before its new request was answered. The order to a host that is in the pool already is answered with success, so the host counted as lent and was returned.

Evidence: old_list_is_no_ground_for_a_loan on the code before: "'move == NULL' failed", the host is ordered with a list that is 300 s old.

--- a/control/maintenance.c
+++ b/control/maintenance.c
@@ -381,11 +381,26 @@
 	}
 }
 
+/* Whether a wave is unfinished, or a loan is wanted or not over. */
+static bool needs_list(const struct maintenance *maintenance, int64_t now_us)
+{
+	const struct wave *wave;
+
+	list_for_each_entry(wave, &maintenance->waves, node)
+		if (!wave->done_reported)
+			return true;
+	return lending_needs_hosts(&maintenance->lending, maintenance->fleet,
+				   now_us);
+}
+
 void maintenance_run(struct maintenance *maintenance, bool may_order,
 		     int64_t now_us)
 {
 	if (!maintenance->machines || !maintenance->fleet)
 		return;
+	/* It is not read again before it is needed, and is old by then. */
+	if (!needs_list(maintenance, now_us))
+		drop_list(maintenance);
 	may_order &= now_us >= maintenance->no_orders_until_us;
 	fleet_uncordon_all(maintenance->fleet);
 	if (!list_empty(&maintenance->waves))
--- a/tests/unit/test_maintenance.c
+++ b/tests/unit/test_maintenance.c
@@ -25,10 +25,12 @@
 static struct machine_call *list; /* that waits for its answer, or NULL */
 static struct machine_call *move;
 static char moved_host[32], moved_pool[32];
+static int lists;
 
 static void fake_list(struct machine_client *client, struct machine_call *call)
 {
 	list = call;
+	lists++;
 }
 
 static void fake_move(struct machine_client *client, struct machine_call *call,
@@ -71,7 +73,7 @@
 {
 	list = NULL;
 	move = NULL;
-
+	lists = 0;
 	kv_fake_init(&fake);
 	adapter.kv = &fake.kv;
 	make_fleet(&fleet, &config);
@@ -157,11 +159,50 @@
 }
 END_TEST
 
+/*
+ * Guards against a host that is taken to a pool where it does not belong: an
+ * operator has given the spare host to the pool since the list was read for an
+ * earlier shortage, and a loan would be returned.
+ */
+START_TEST(old_list_is_no_ground_for_a_loan)
+{
+	int64_t now_us = kn_now_us();
+
+	add_waiting_tasks("full", now_us);
+	pass(now_us + SEC);
+	ck_assert_int_eq(lists, 1);
+	/* The shortage is over before the answer comes. */
+	finish_job_tasks(&fleet, fleet_job(&fleet, "full"), now_us + SEC);
+	plan_pass(&fleet, now_us + SEC);
+	confirm_planned_runs(&fleet, now_us + SEC);
+	answer_list(SPARE);
+	pass(now_us + 2 * SEC);
+	ck_assert_ptr_null(move);
+	now_us += 300 * SEC;
+	make_job(&fleet, "late", 1, 8, 1, 60000, now_us);
+	plan_pass(&fleet, now_us);
+	fleet_open_due(&fleet, now_us, 0);
+	plan_pass(&fleet, now_us);
+	now_us += SEC;
+	pass(now_us);
+	pass(now_us);
+	ck_assert_int_eq(lists, 2);
+	ck_assert_ptr_null(move);
+	ck_assert_int_eq(maintenance.lending.count, 0);
+	answer_list(MAKE_POOL);
+	pass(now_us);
+	pass(now_us);
+	ck_assert_ptr_null(move);
+	ck_assert_int_eq(maintenance.lending.count, 0);
+}
+END_TEST
+
 int main(void)
 {
 	TCase *tc = tcase_create("maintenance");
 
 	tcase_add_checked_fixture(tc, set_up, tear_down);
 	tcase_add_test(tc, host_is_ordered_in_the_pass_after_the_write);
+	tcase_add_test(tc, old_list_is_no_ground_for_a_loan);
 	return run_case("maintenance", tc);
 }
