Take no restart of a worker for the upkeep of its host

A wave could be said to be done without the upkeep of a host, and one more host than its cap could be down.

Cause: update_host() took any other start time of the worker for the end of the upkeep. A worker also starts again after a crash, before an order or after one that was not carried out.

Change: an upkeep has begun when the platform has accepted the order or lists the host as in upkeep, and is over when the host is up after that.

The upkeep of the stand-in takes 1 s in place of 0.3 s: the platform's takes 2 s, and one that is shorter than the interval of the lists could not be seen without answers (wave_without_answers_to_its_orders); no bound of a test has changed.

--- a/control/maintenance.c
+++ b/control/maintenance.c
@@ -202,7 +202,7 @@
 		 maintenance->order_host->name, (long long)maintenance->fence,
 		 call->result);
 	if (call->result == CB_OK)
-		maintenance->order_host->accepted = true;
+		maintenance->order_host->begun = true;
 	/* An order without an answer may be carried out, so the host counts as
 	 * down. */
 	if (call->result == CB_E_CONFLICT)
--- a/fleet/upkeep.c
+++ b/fleet/upkeep.c
@@ -114,31 +114,27 @@
 }
 
 /*
- * Updates an ordered host from the list. Its upkeep is over once it is up after
- * having been down, or its worker has restarted.
+ * Updates an ordered host from the list. Its upkeep is over once it has begun
+ * and the host is up after having been down. A restart of its worker proves
+ * neither: it may be a crash, before or after the order.
  */
-static void update_host(struct fleet *fleet, struct upkeep_host *host,
-			const GPtrArray *machines, int64_t now_us)
+static void update_host(struct upkeep_host *host, const struct machine *machine,
+			int64_t now_us)
 {
-	const struct machine *machine =
-		upkeep_find_machine(machines, host->name);
-	const struct worker *worker;
+	int64_t since_ms = (now_us - host->ordered_us) / 1000;
 
 	if (host->state != UPKEEP_ORDERED || !machine)
 		return;
+	host->begun |= machine->in_upkeep;
 	if (!machine->up) {
 		host->down = true;
 		return;
 	}
-	worker = upkeep_find_worker(fleet, machines, host->name);
 	/* Accepted without visible effect: it was carried out before. */
-	if (host->down ||
-	    (worker && worker->reported.born_ms != host->born_ms) ||
-	    (host->accepted &&
-	     now_us - host->ordered_us > UPKEEP_EFFECT_MS * 1000)) {
+	if (host->begun && (host->down || since_ms > UPKEEP_EFFECT_MS)) {
 		host->state = UPKEEP_DONE;
 		host->down = false;
-	} else if (now_us - host->ordered_us > UPKEEP_REPEAT_MS * 1000) {
+	} else if (since_ms > UPKEEP_REPEAT_MS) {
 		host->repeat = true;
 	}
 }
@@ -223,7 +219,8 @@
 		return host->drain_started_us ? WORKER_CLOSED : WORKER_DRAINS;
 	case UPKEEP_ORDERED:
 		/* It has been down, and its worker has started again. */
-		if (host->down && worker->reported.born_ms != host->born_ms)
+		if (host->begun && host->down &&
+		    worker->reported.born_ms != host->born_ms)
 			return WORKER_STAYS;
 		return WORKER_CLOSED;
 	default:
@@ -253,7 +250,7 @@
 			upkeep_find_machine(machines, host->name);
 		struct worker *worker = note_worker(fleet, host, machine);
 
-		update_host(fleet, host, machines, now_us);
+		update_host(host, machine, now_us);
 		if (is_removed(machines, machine))
 			continue;
 		wave->done &= host->state == UPKEEP_DONE;
@@ -412,7 +409,7 @@
 	host->ordered_us = now_us;
 	host->born_ms = born_ms;
 	host->down = false;
-	host->accepted = false;
+	host->begun = false;
 	host->repeat = false;
 }
 
--- a/fleet/upkeep.h
+++ b/fleet/upkeep.h
@@ -20,6 +20,7 @@
 	char *dc; /* or NULL */
 	bool up;
 	bool changing; /* being moved to another pool, or in upkeep */
+	bool in_upkeep;
 	struct room room; /* all 0 if the list does not give it */
 };
 
@@ -39,7 +40,8 @@
 	enum upkeep_state state;
 	bool down; /* seen down since the order */
 	int64_t ordered_us;
-	bool accepted; /* the platform accepted the order */
+	/* The platform has accepted the order, or lists the host as in upkeep. */
+	bool begun;
 	bool repeat; /* no answer and no effect: order again */
 	int64_t retry_us; /* after a refusal: next order not before */
 	int64_t drain_started_us; /* when its tasks were stopped, 0: not yet */
--- a/tests/standins/site_machines.h
+++ b/tests/standins/site_machines.h
@@ -32,7 +32,8 @@
 	bool mute; /* orders are carried out and not answered */
 };
 
-#define SITE_UPKEEP_MS 300
+/* Longer than the interval of the polls of the list, as on the platform. */
+#define SITE_UPKEEP_MS 1000
 #define SITE_MOVE_MS 200
 #define SITE_SPARE_POOL "spare"
 #define SITE_MACHINES_PAGE 2
