Lend spare hosts only to tasks that they can run

One waiting job that no spare host fits kept all others from being lent one; a job that requires a label was lent hosts without it, which stayed lent as long as the job waited.

Cause: lending looked at the first stage with overdue tasks only, and at the room of a host without its labels, and a lent host counted as needed while any task waited in its pool.

Change: hosts are lent to the first overdue stage that a spare host can run, by room and by the labels of the platform's list, and are needed while a task waits that they can run.

Result: tasks_that_fit_no_spare_host_hold_no_others_up, only_hosts_with_the_label_are_lent and lent_host_goes_home_beside_tasks_that_it_can_not_run failed before and pass; test_lending passes with 23 checks.

--- a/fleet/lending.c
+++ b/fleet/lending.c
@@ -77,9 +77,25 @@
 	return count;
 }
 
-/* The first stage with overdue tasks in the pool; NULL stands for any pool. */
+/* Whether the host has room for a task of the stage, and its label. */
+static bool can_run(const struct machine *machine, const struct stage *stage)
+{
+	const char *label = stage->spec->label;
+
+	return room_fits(&machine->room, &stage->spec->need) &&
+	       (!label ||
+		(machine->labels &&
+		 g_strv_contains((const char *const *)machine->labels, label)));
+}
+
+/*
+ * The first stage with overdue tasks in the pool that the host can run. NULL
+ * stands for any pool, and for any host.
+ */
 static const struct stage *overdue_stage(const struct fleet *fleet,
-					 const char *pool, int64_t now_us)
+					 const char *pool,
+					 const struct machine *machine,
+					 int64_t now_us)
 {
 	const struct job *job;
 
@@ -92,7 +108,8 @@
 			const struct stage *stage =
 				g_ptr_array_index(job->stages, i);
 
-			if (overdue_tasks(stage, now_us) > 0)
+			if (overdue_tasks(stage, now_us) > 0 &&
+			    (!machine || can_run(machine, stage)))
 				return stage;
 		}
 	}
@@ -105,7 +122,7 @@
 	if (!list_empty(&lending->loans))
 		return true;
 	return fleet->config && fleet->config->spare_pools->len > 0 &&
-	       overdue_stage(fleet, NULL, now_us);
+	       overdue_stage(fleet, NULL, NULL, now_us);
 }
 
 static struct loan *find_loan(const struct lending *lending, const char *host)
@@ -196,7 +213,7 @@
 
 		if (loan->state == LOAN_REQUESTED && machine &&
 		    !order_settled(loan, now_us) &&
-		    !is_evacuated(fleet, machine) &&
+		    !is_evacuated(fleet, machine) && can_run(machine, stage) &&
 		    strcmp(loan->pool, stage->job->pool) == 0)
 			slots += placement_slots(&machine->room, stage,
 						 stage->spec->count);
@@ -221,47 +238,93 @@
 	loan->idle_us = 0;
 }
 
-/* An order to the pool of an earlier loan may still be carried out. */
-static bool is_lendable(const struct lending *lending,
-			const struct machine *machine, const char *pool)
+/* Hosts of spare pools that are at home. The caller frees the array. */
+static GPtrArray *spare_hosts(const struct lending *lending,
+			      const struct fleet *fleet,
+			      const GPtrArray *machines)
 {
-	const struct loan *loan = find_loan(lending, machine->name);
+	GPtrArray *spares = g_ptr_array_new();
+	guint i;
+
+	for (i = 0; i < machines->len; i++) {
+		struct machine *machine = g_ptr_array_index(machines, i);
+		const struct loan *loan;
 
-	if (!loan)
-		return lending->count < LOANS_MAX;
-	return loan->state == LOAN_OVER && strcmp(loan->pool, pool) == 0;
+		if (machine->changing || !is_spare_pool(fleet, machine->pool) ||
+		    is_evacuated(fleet, machine))
+			continue;
+		loan = find_loan(lending, machine->name);
+		if (!loan || loan->state == LOAN_OVER)
+			g_ptr_array_add(spares, machine);
+	}
+	return spares;
 }
 
-/* Returns false if there is no host for the stage. */
-static bool lend_host(struct lending *lending, const struct fleet *fleet,
-		      const GPtrArray *machines, const struct stage *stage,
-		      int64_t now_us)
+/* The first of the spare hosts that may be lent to the stage, or NULL. */
+static const struct machine *find_host(const struct lending *lending,
+				       const GPtrArray *spares,
+				       const struct stage *stage)
 {
 	guint i;
 
-	for (i = 0; i < machines->len; i++) {
-		const struct machine *machine = g_ptr_array_index(machines, i);
+	for (i = 0; i < spares->len; i++) {
+		const struct machine *machine = g_ptr_array_index(spares, i);
+		const struct loan *loan;
 
-		if (machine->changing || !is_spare_pool(fleet, machine->pool) ||
-		    !is_lendable(lending, machine, stage->job->pool) ||
-		    is_evacuated(fleet, machine) ||
-		    !room_fits(&machine->room, &stage->spec->need))
+		if (!can_run(machine, stage))
 			continue;
-		request_host(lending, machine, stage->job->pool, now_us);
-		return true;
+		/* An order to the pool of an earlier loan may still be carried
+		 * out. */
+		loan = find_loan(lending, machine->name);
+		if (!loan || (loan->state == LOAN_OVER &&
+			      strcmp(loan->pool, stage->job->pool) == 0))
+			return machine;
 	}
-	return false;
+	return NULL;
 }
 
-/* Requests as many hosts as the tasks of the stage need. */
+/* The first overdue stage that one of the spare hosts could run, or NULL. */
+static const struct stage *stage_to_help(const struct lending *lending,
+					 const struct fleet *fleet,
+					 const GPtrArray *spares,
+					 int64_t now_us)
+{
+	const struct job *job;
+
+	list_for_each_entry(job, &fleet->jobs, node) {
+		guint i;
+
+		for (i = 0; !job_ended(job) && i < job->stages->len; i++) {
+			const struct stage *stage =
+				g_ptr_array_index(job->stages, i);
+
+			if (overdue_tasks(stage, now_us) > 0 &&
+			    find_host(lending, spares, stage))
+				return stage;
+		}
+	}
+	return NULL;
+}
+
+/* Requests as many hosts as the tasks of a stage need, or as there are. */
 static void lend_hosts(struct lending *lending, const struct fleet *fleet,
-		       const GPtrArray *machines, const struct stage *stage,
-		       int64_t now_us)
+		       const GPtrArray *machines, int64_t now_us)
 {
-	while (requested_slots(lending, fleet, machines, stage, now_us) <
-	       overdue_tasks(stage, now_us))
-		if (!lend_host(lending, fleet, machines, stage, now_us))
-			return;
+	GPtrArray *spares = spare_hosts(lending, fleet, machines);
+	const struct stage *stage =
+		spares->len > 0 ?
+			stage_to_help(lending, fleet, spares, now_us) :
+			NULL;
+	const struct machine *machine =
+		stage ? find_host(lending, spares, stage) : NULL;
+
+	while (machine && lending->count < LOANS_MAX &&
+	       requested_slots(lending, fleet, machines, stage, now_us) <
+		       overdue_tasks(stage, now_us)) {
+		request_host(lending, machine, stage->job->pool, now_us);
+		machine = find_host(lending, spares, stage);
+	}
+	g_ptr_array_unref(spares);
 }
 
 /* Whether the host is in the pool that it is lent to. */
@@ -306,7 +369,7 @@
 		return false;
 	if (is_busy(machine, worker) ||
 	    (!is_evacuated(fleet, machine) &&
-	     overdue_stage(fleet, loan->pool, now_us)))
+	     overdue_stage(fleet, loan->pool, machine, now_us)))
 		loan->idle_us = 0;
 	else if (loan->idle_us == 0)
 		loan->idle_us = now_us;
@@ -320,7 +383,7 @@
 {
 	return strcmp(machine->pool, loan->home) == 0 && !machine->changing &&
 	       !is_evacuated(fleet, machine) &&
-	       overdue_stage(fleet, loan->pool, now_us);
+	       overdue_stage(fleet, loan->pool, machine, now_us);
 }
 
 /*
@@ -416,15 +479,14 @@
 			       const GPtrArray *machines, int64_t listed_us,
 			       int64_t now_us, const char **pool)
 {
-	const struct stage *stage = overdue_stage(fleet, NULL, now_us);
 	bool regained = false;
 	struct loan *loan = next_order(lending, fleet, machines, listed_us,
 				       now_us, pool, &regained);
 
 	/* The next pass uses the room of a regained host first. */
-	if (loan || !stage || regained)
+	if (loan || regained || !overdue_stage(fleet, NULL, NULL, now_us))
 		return loan;
-	lend_hosts(lending, fleet, machines, stage, now_us);
+	lend_hosts(lending, fleet, machines, now_us);
 	return next_order(lending, fleet, machines, listed_us, now_us, pool,
 			  &regained);
 }
--- a/fleet/upkeep.c
+++ b/fleet/upkeep.c
@@ -34,6 +34,7 @@
 	g_free(machine->pool);
 	g_free(machine->worker);
 	g_free(machine->dc);
+	g_strfreev(machine->labels);
 	g_free(machine);
 }
 
--- a/fleet/upkeep.h
+++ b/fleet/upkeep.h
@@ -18,6 +18,7 @@
 	char *pool;
 	char *worker; /* id of the worker on the host, or NULL */
 	char *dc; /* or NULL */
+	char **labels; /* NULL-terminated, or NULL */
 	bool up;
 	bool changing; /* being moved to another pool, or in upkeep */
 	bool in_upkeep;
--- a/tests/unit/test_lending.c
+++ b/tests/unit/test_lending.c
@@ -477,6 +477,64 @@
 }
 END_TEST
 
+/* Guards against a job that keeps all others from the spare hosts: none of them
+ * has room for its tasks, and it has waited longest. */
+START_TEST(tasks_that_fit_no_spare_host_hold_no_others_up)
+{
+	struct loan *loan;
+	struct job *job;
+
+	job = make_job(&fleet, "huge", 1, 1, 1, 1000, NOW);
+	job->spec.steps[0].need.mem_mb = 1 << 30;
+	add_waiting_tasks(8);
+	ck_assert(lending_needs_hosts(&lending, &fleet, NOW + SEC));
+	loan = next_move(NOW + SEC);
+	ck_assert_ptr_nonnull(loan);
+	ck_assert_str_eq(loan->host, "m1");
+	ck_assert_ptr_null(next_move(NOW + SEC));
+}
+END_TEST
+
+/* Guards against a host that stays lent for good: a job that can't run there
+ * waits in its pool. */
+START_TEST(lent_host_goes_home_beside_tasks_that_it_can_not_run)
+{
+	struct loan *loan;
+	int64_t now_us = order_return(&loan);
+	struct job *job;
+
+	lending_move_answered(loan, CB_E_CONFLICT, now_us);
+	job = make_job(&fleet, "huge", 1, 1, 1, 1000, now_us);
+	job->spec.steps[0].need.mem_mb = 1 << 30;
+	plan(now_us);
+	ck_assert_ptr_null(next_move(now_us + 14 * SEC));
+	ck_assert_ptr_eq(next_move(now_us + 16 * SEC), loan);
+	ck_assert_str_eq(pool, SPARE);
+}
+END_TEST
+
+/* Guards against hosts that are lent to tasks that may not run there. */
+START_TEST(only_hosts_with_the_label_are_lent)
+{
+	struct machine *machine = g_ptr_array_index(machines, 2);
+	struct loan *loan;
+	struct job *job;
+
+	make_job(&fleet, "full", 1, 8, 1, 60000, NOW);
+	plan(NOW);
+	job = make_job(&fleet, "big", 1, 30, 1, 60000, NOW);
+	g_free(job->spec.steps[0].label);
+	job->spec.steps[0].label = g_strdup("big");
+	plan(NOW);
+	ck_assert_ptr_null(next_move(NOW + SEC));
+	machine->labels = g_strsplit("a,r,big", ",", -1);
+	loan = next_move(NOW + 2 * SEC);
+	ck_assert_ptr_nonnull(loan);
+	ck_assert_str_eq(loan->host, "m2");
+	ck_assert_ptr_null(next_move(NOW + 2 * SEC));
+}
+END_TEST
+
 /* The worker of an evacuated host would get no tasks. */
 START_TEST(host_in_an_evacuated_data_centre_is_not_lent)
 {
@@ -547,6 +605,10 @@
 	tcase_add_test(tc, host_that_arrives_late_is_returned);
 	tcase_add_test(tc, restored_loan_of_a_host_at_home_ends);
 	tcase_add_test(tc, restored_loan_of_a_host_in_the_pool_is_returned);
+	tcase_add_test(tc, tasks_that_fit_no_spare_host_hold_no_others_up);
+	tcase_add_test(tc, only_hosts_with_the_label_are_lent);
+	tcase_add_test(tc,
+		       lent_host_goes_home_beside_tasks_that_it_can_not_run);
 	tcase_add_test(tc, host_in_an_evacuated_data_centre_is_not_lent);
 	tcase_add_test(tc, host_that_is_evacuated_on_its_way_is_replaced);
 	return run_case("lending", tc);
