Lend hosts and carry out waves in the soak

No course of the soak had hosts of a spare pool or waves of upkeep, so that the memory of loans was lost with their leader unseen.

--spares N puts N workers on hosts of a spare pool, orders waves of one to three hosts, and lets the platform's service for hosts be silent or busy, carry orders out without an answer, or late. At the end all lent hosts are at home and all waves done (rules LENT and WAVE); no wave is done without the upkeep of a host (MIXED), and none has more hosts down than its cap (LIMIT). The stand-in lists a host whose worker has crashed as down, and answers a move to the pool in which the host is with 200, as the platform does.

--- a/tests/soak/soak.h
+++ b/tests/soak/soak.h
@@ -3,6 +3,7 @@
 
 #include "control/site.h"
 #include "tests/standins/site_fleet.h"
+#include "tests/standins/site_machines.h"
 #include "wire/hc.h"
 
 /*
@@ -15,12 +16,17 @@
 /* By the platform's rules, on days on which clocks jump. */
 #define SOAK_EARLY_MS (250 + 5000)
 #define SOAK_KEY "key-one"
+#define SOAK_SPARE_POOL "{\"name\":\"" SITE_SPARE_POOL "\",\"spare\":true}"
 #define SOAK_RACK_WORKERS 4 /* workers of one rack */
+#define SOAK_WORKER_GPUS 4
 #define SOAK_GRACE_MS 2000
 #define SOAK_CONFIG_MS 2500
 /* A host may use a copy of the operators' keys for half of it, and a start that
  * is held up may be carried out until its lease of 3 s is over. */
 #define SOAK_EVAC_MS 6000
+/* The idle time of a lent host, the time for which an order that got no answer
+ * may still be carried out, and the lists and orders. */
+#define SOAK_HOME_MS (15000 + 30000 + 15000)
 /* Data centres of the workers with evacuations, to which their racks belong in
  * turn. */
 #define SOAK_EVACUATED_DCS 3
@@ -37,6 +43,7 @@
 	bool stops; /* only planned stops and changes, callers in use */
 	int starve; /* busy processes beside the hosts on one core, 0: none */
 	bool evacuations;
+	int spares; /* of the workers, on hosts of a spare pool */
 	const char *paces; /* speeds of the workers in turn, by commas */
 	int gap_percent; /* of runs that workers leave out of lists for a time */
 	const char *binary;
@@ -108,6 +115,14 @@
 	int unknown;
 	int faults;
 	int evacuations;
+	struct site_machines *machines; /* NULL without spare hosts */
+	int64_t machines_heal_us; /* 0: their service is well */
+	bool late_orders; /* it has carried orders out late */
+	int wave; /* the latest one */
+	bool wave_open;
+	int wave_cap;
+	int waves; /* that are done */
+	GPtrArray *wave_hosts; /* struct site_machine */
 	bool healing; /* no more faults and jobs */
 	int64_t faults_end_us; /* when the faults end */
 	int64_t healed_us; /* when they have ended */
@@ -207,6 +222,20 @@
 /* Takes all of them back. */
 void soak_evacuations_end(struct soak *soak);
 
+/* Soak_machines.c. */
+
+void soak_machines_start(struct soak *soak);
+void soak_machines_step(struct soak *soak);
+void soak_machines_heal(struct soak *soak);
+/* The same once the faults are over. */
+void soak_machines_settle_step(struct soak *soak);
+/* Whether all lent hosts are at home, and no wave is open. */
+bool soak_machines_settled(const struct soak *soak);
+void soak_machines_check(struct soak *soak);
+/* Whether the host of a worker is off. */
+bool soak_machines_off(const struct soak *soak,
+		       const struct site_worker *worker);
+
 /* Soak_lives.c. */
 
 void soak_lives_step(struct soak *soak);
--- a/tests/soak/soak_faults.c
+++ b/tests/soak/soak_faults.c
@@ -392,6 +392,8 @@
 	/* Failing ones use attempts up, which would fail good jobs. */
 	if (faults[n] == SITE_WORKER_FAILING)
 		n = 0;
+	if (soak_machines_off(soak, worker))
+		return;
 	soak->worker_heal_us[index] = fault_end_us(soak);
 	switch (soak_below(soak, 5)) {
 	case 0:
@@ -469,7 +471,8 @@
 		"{\"version\":%d,\"routes\":[{\"name\":\"q\",\"host\":"
 		"\"127.0.0.1\",\"prefix\":\"/jobs/\",\"slo_ms\":1000,"
 		"\"prio\":1,\"svc\":\"pool\",\"attempts\":3,\"stretch\":1.5}],"
-		"\"svcs\":[{\"name\":\"pool\"}],\"limits\":{},\"tenants\":[{"
+		"\"svcs\":[{\"name\":\"pool\"}," SOAK_SPARE_POOL
+		"],\"limits\":{},\"tenants\":[{"
 		"\"name\":\"one\",\"api_keys\":[\"%s\",\"key-%d\"]}]}",
 		soak->config_version, SOAK_KEY, soak->config_version);
 	site_store_put(soak->store, "op/config", text);
@@ -500,6 +503,8 @@
 	worker->told_port = sr_relay_port(soak->worker_relays[index]);
 	if (worker->draining && worker->up)
 		soak_worker_crash(soak, worker, index);
+	if (soak_machines_off(soak, worker))
+		return;
 	if (!worker->up)
 		soak_worker_restart(soak, worker, index);
 	else
--- a/tests/soak/soak_jobs.c
+++ b/tests/soak/soak_jobs.c
@@ -79,6 +79,10 @@
 			g_strdup("");
 	char *payload;
 
+	/* What the pool could not hold without lent hosts may have to wait for
+	 * good. */
+	count = MIN(count, SOAK_WORKER_GPUS * (soak->options.workers -
+					       soak->options.spares));
 	job->tasks = count;
 	job->due_ms = timed ? due_ms : 0;
 	job->poison = soak_chance(soak, 6);
@@ -123,7 +127,8 @@
 /* One job for each rack, which shows whether its workers are used again. */
 static void add_rack_jobs(struct soak *soak)
 {
-	int racks = soak->options.workers / SOAK_RACK_WORKERS;
+	int racks = (soak->options.workers - soak->options.spares) /
+		    SOAK_RACK_WORKERS;
 	int rack;
 
 	if (soak->rack_jobs ||
@@ -308,6 +313,8 @@
 
 	*unused = *all = 0;
 	list_for_each_entry(worker, &soak->fleet->workers, node) {
+		if (soak_machines_off(soak, worker))
+			continue;
 		*all += worker->gpus;
 		*unused += worker->gpus;
 		list_for_each_entry(run, &worker->runs, node)
--- a/tests/soak/soak_main.c
+++ b/tests/soak/soak_main.c
@@ -35,6 +35,8 @@
 	  "Hosts share one core with so many busy processes", 0 },
 	{ "evacuations", 'e', NULL, 0,
 	  "Operators evacuate data centres of the workers", 0 },
+	{ "spares", 'r', "N", 0,
+	  "Workers on hosts that are lent under load; waves of upkeep", 0 },
 	{ "gaps", 'g', "N", 0,
 	  "Percent of runs that workers leave out of their lists for a time",
 	  0 },
@@ -81,6 +83,9 @@
 	case 'e':
 		options->evacuations = true;
 		return 0;
+	case 'r':
+		options->spares = atoi(arg);
+		return 0;
 	case 'g':
 		options->gap_percent = CLAMP(atoi(arg), 0, 100);
 		return 0;
@@ -137,9 +142,19 @@
 	",\"evac_ms\":" TEXT(SOAK_EVAC_MS) "},\"zones\":{\"d1\":\"r1\","
 					   "\"d2\":\"r1\",\"d3\":\"r1\"}";
 
+/* The platform's service for the hosts of workers. */
+static char *machines_settings(const struct soak *soak)
+{
+	if (!soak->machines)
+		return g_strdup("");
+	return g_strdup_printf(",\"cloud\":{\"addr\":\"127.0.0.1:%d\"}",
+			       soak->machines->server.port);
+}
+
 void soak_host_settings(struct soak *soak, struct soak_host *host)
 {
 	GString *seeds = g_string_new(NULL);
+	char *machines = machines_settings(soak);
 	char *text, *path;
 	int i;
 
@@ -155,12 +170,14 @@
 		"\"platform\":{\"addr\":\"127.0.0.1:%d\"},"
 		"\"bounds\":{\"max_hold_ms\":3000,\"stop_ms\":%d,"
 		"\"gang_ms\":1000,\"config_ms\":%d,\"status_s\":%d,"
-		"\"grace_s\":%d%s}",
+		"\"lease_ms\":500,\"grace_s\":%d%s%s}",
 		host->name, 1 + (int)(host - soak->hosts) % soak->options.dcs,
 		host->callers_port, host->peers_port, seeds->str,
 		sr_relay_port(host->relay), stop_ms(soak), SOAK_CONFIG_MS,
 		host->status_s, SOAK_GRACE_MS / 1000,
-		soak->options.evacuations ? evacuation_settings : "}");
+		soak->options.evacuations ? evacuation_settings : "}",
+		machines);
+	g_free(machines);
 	path = g_strconcat(soak->options.dir, "/", host->name, ".json", NULL);
 	g_strlcpy(host->settings, path, sizeof(host->settings));
 	g_free(path);
@@ -177,7 +194,8 @@
 
 	list_for_each_entry(worker, &soak->fleet->workers, node)
 		slowest = MIN(slowest, worker->pace);
-	return (int64_t)(SETTLE_SEC * 1000.0 / slowest);
+	return (int64_t)(SETTLE_SEC * 1000.0 / slowest) +
+	       (soak->machines ? SOAK_HOME_MS : 0);
 }
 
 static void add_workers(struct soak *soak)
@@ -205,7 +223,8 @@
 		struct site_worker *worker;
 
 		snprintf(rack, sizeof(rack), "rack-%d", i / SOAK_RACK_WORKERS);
-		worker = site_fleet_add(soak->fleet, rack, 4, ports_reserve());
+		worker = site_fleet_add(soak->fleet, rack, SOAK_WORKER_GPUS,
+					ports_reserve());
 		if (soak->options.evacuations)
 			snprintf(worker->dc, sizeof(worker->dc), "d%d",
 				 1 + i / SOAK_RACK_WORKERS %
@@ -301,7 +320,8 @@
 		"{\"version\":1,\"routes\":[{\"name\":\"q\",\"host\":"
 		"\"127.0.0.1\",\"prefix\":\"/jobs/\",\"slo_ms\":1000,"
 		"\"prio\":1,\"svc\":\"pool\",\"attempts\":3,\"stretch\":1.5}],"
-		"\"svcs\":[{\"name\":\"pool\"}],\"limits\":{},\"tenants\":[{"
+		"\"svcs\":[{\"name\":\"pool\"}," SOAK_SPARE_POOL
+		"],\"limits\":{},\"tenants\":[{"
 		"\"name\":\"one\",\"api_keys\":[\"" SOAK_KEY "\"]}]}");
 }
 
@@ -331,6 +351,12 @@
 	soak_jobs_step(soak);
 }
 
+static bool is_settled(struct soak *soak)
+{
+	return soak_jobs_settled(soak) &&
+	       (!soak->machines || soak_machines_settled(soak));
+}
+
 static void run(struct soak *soak)
 {
 	int64_t end_us = kn_now_us() + soak->options.seconds * USEC_PER_SEC;
@@ -345,8 +371,12 @@
 		soak_faults_step(soak);
 		if (soak->options.evacuations)
 			soak_evacuations_step(soak);
+		if (soak->machines)
+			soak_machines_step(soak);
 	}
 	soak_evacuations_end(soak);
+	if (soak->machines)
+		soak_machines_heal(soak);
 	soak_faults_heal(soak);
 	soak_callers_stop(soak);
 	soak_stops_end(soak);
@@ -354,11 +384,15 @@
 	soak->healing = true;
 	soak->healed_us = kn_now_us();
 	end_us = kn_now_us() + settle_ms(soak) * USEC_PER_MSEC;
-	while (kn_now_us() < end_us && !soak_jobs_settled(soak)) {
+	while (kn_now_us() < end_us && !is_settled(soak)) {
 		run_step(soak);
 		soak_jobs_check_still(soak);
+		if (soak->machines)
+			soak_machines_settle_step(soak);
 	}
 	soak_jobs_check(soak);
+	if (soak->machines)
+		soak_machines_check(soak);
 }
 
 int main(int argc, char **argv)
@@ -390,6 +424,9 @@
 	soak.store->translate = translate;
 	soak.store->user = &soak;
 	add_workers(&soak);
+	soak.wave_hosts = g_ptr_array_new();
+	if (soak.options.spares > 0)
+		soak_machines_start(&soak);
 	put_config(&soak);
 	if (!kn_start(&soak.kn, NULL))
 		return EXIT_FAILURE;
@@ -398,10 +435,11 @@
 	run(&soak);
 	failed = soak.fleet->violations->len;
 	printf("seed=%u accepted=%d rejected=%d unknown=%d faults=%d "
-	       "evacuations=%d starts=%llu calls=%llu cut_lost=%d cut_in_slack=%d "
+	       "evacuations=%d moves=%d waves=%d starts=%llu calls=%llu cut_lost=%d cut_in_slack=%d "
 	       "cut_near_faults=%d cut_elsewhere=%d violations=%u\n",
 	       soak.options.seed, soak.accepted, soak.rejected, soak.unknown,
 	       soak.faults, soak.evacuations,
+	       soak.machines ? soak.machines->moved : 0, soak.waves,
 	       (unsigned long long)soak.fleet->starts,
 	       (unsigned long long)soak.calls, soak.cut_lost, soak.cut_slack,
 	       soak.cut_disrupted, soak.cut_unplanned, failed);
@@ -411,6 +449,9 @@
 		hc_pool_finish(&soak.hosts[i].pool);
 		g_array_free(soak.hosts[i].marks, TRUE);
 	}
+	if (soak.machines)
+		site_machines_free(soak.machines);
+	g_ptr_array_unref(soak.wave_hosts);
 	kn_finish(&soak.kn);
 	sr_relay_stop();
 	g_rand_free(soak.rand);
--- a/tests/soak/soak_takeovers.c
+++ b/tests/soak/soak_takeovers.c
@@ -143,7 +143,7 @@
 	list_for_each_entry(worker, &soak->fleet->workers, node) {
 		int index = i++;
 
-		if (!soak_chance(soak, 15))
+		if (!soak_chance(soak, 15) || soak_machines_off(soak, worker))
 			continue;
 		if (soak_chance(soak, 30))
 			site_worker_drain(worker);
--- a/tests/standins/site_machines.c
+++ b/tests/standins/site_machines.c
@@ -26,12 +26,47 @@
 	return NULL;
 }
 
+struct site_machine *site_machines_of(const struct site_machines *own,
+				      const struct site_worker *worker)
+{
+	guint i;
+
+	for (i = 0; i < own->machines->len; i++) {
+		struct site_machine *machine =
+			g_ptr_array_index(own->machines, i);
+
+		if (machine->worker == worker)
+			return machine;
+	}
+	return NULL;
+}
+
+static void set_power(struct site_machines *own, struct site_machine *machine,
+		      bool on)
+{
+	if (own->power)
+		own->power(machine, on, own->user);
+	else if (on)
+		site_worker_restart(machine->worker);
+	else
+		site_worker_crash(machine->worker);
+}
+
+/* Its worker has crashed, and the platform has not taken it down. */
+static bool has_crashed(const struct site_machine *machine)
+{
+	return !machine->spare && machine->up_us == 0 && !machine->worker->up;
+}
+
 /* The list. */
 
 static json_t *row(const struct site_machine *machine)
 {
-	bool up = machine->up_us == 0;
-	const char *state = up ? "up" : machine->moving ? "moving" : "upkeep";
+	bool up = machine->up_us == 0 && !has_crashed(machine);
+	const char *state = up			 ? "up" :
+			    has_crashed(machine) ? "down" :
+			    machine->moving	 ? "moving" :
+						   "upkeep";
 	json_t *row =
 		json_pack("{s:s,s:s,s:s,s:s,s:[s,s],s:{s:I,s:I,s:I}}",
 			  "machine", machine->name, "pool",
@@ -76,7 +111,7 @@
 	machine->up_us = kn_now_us() + SITE_UPKEEP_MS * USEC_PER_MSEC;
 	own->down++;
 	own->most_down = MAX(own->most_down, own->down);
-	site_worker_crash(machine->worker);
+	set_power(own, machine, false);
 }
 
 /* Returns the reason of a refusal, NULL when it is done. */
@@ -89,79 +124,118 @@
 	machine->fence = fence;
 	if (machine->wave == wave)
 		return NULL;
-	if (machine->up_us != 0)
+	if (machine->up_us != 0 || has_crashed(machine))
 		return "busy";
 	begin_upkeep(own, machine, wave);
 	return NULL;
 }
 
-static void on_upkeep(struct site_machines *own, struct hs_request *req)
-{
-	json_t *body = json_loadb((char *)req->body, req->body_len, 0, NULL);
-	struct site_machine *machine =
-		find(own, json_string_value(json_object_get(body, "machine")));
-	const char *fence = hs_header(req, "Chivebank-Fence-Token");
-	const char *reason;
-
-	if (!machine || !fence || !hs_header(req, "Chivebank-Duty-Holder")) {
-		site_reply(req, 400, json_object());
-		json_decref(body);
-		return;
-	}
-	reason = order(own, machine,
-		       json_integer_value(json_object_get(body, "wave")),
-		       g_ascii_strtoll(fence, NULL, 10));
-	json_decref(body);
-	if (own->mute)
-		return;
-	if (reason)
-		site_reply(req, 409, json_pack("{s:s}", "reason", reason));
-	else
-		site_reply(req, 200, json_object());
-}
-
 /* Moves. */
 
-static const char *move(struct site_machine *machine, const char *pool,
-			int64_t fence)
+static const char *move(struct site_machines *own, struct site_machine *machine,
+			const char *pool, int64_t fence)
 {
 	bool spare = strcmp(pool, SITE_SPARE_POOL) == 0;
 
 	if (fence < machine->fence)
 		return "fence";
 	machine->fence = fence;
-	if (machine->spare == spare && !machine->moving)
+	if (machine->spare == spare)
 		return NULL;
-	if (machine->up_us != 0)
+	if (machine->up_us != 0 || has_crashed(machine))
 		return "busy";
 	if (!machine->spare) {
-		if (!list_empty(&machine->worker->runs))
-			site_violated(machine->worker->fleet, "MOVE",
-				      machine->name, "it has work");
-		site_worker_crash(machine->worker);
+		if (!own->may_end_work && !list_empty(&machine->worker->runs))
+			site_violated(own->fleet, "MOVE", machine->name,
+				      "it has work");
+		set_power(own, machine, false);
 	}
 	machine->spare = spare;
 	machine->moving = true;
 	machine->moves++;
+	own->moved++;
 	machine->up_us = kn_now_us() + SITE_MOVE_MS * USEC_PER_MSEC;
 	return NULL;
 }
 
-static void on_move(struct site_machines *own, struct hs_request *req)
+/* Orders. */
+
+struct late_order {
+	char *name;
+	char *pool; /* NULL: for upkeep */
+	int64_t wave;
+	int64_t fence;
+	int64_t at_us;
+};
+
+static void late_order_free(void *data)
+{
+	struct late_order *late = data;
+
+	g_free(late->name);
+	g_free(late->pool);
+	g_free(late);
+}
+
+static void put_off(struct site_machines *own, const char *name,
+		    const char *pool, int64_t wave, int64_t fence)
+{
+	struct late_order *late = g_new0(struct late_order, 1);
+
+	late->name = g_strdup(name);
+	late->pool = g_strdup(pool);
+	late->wave = wave;
+	late->fence = fence;
+	late->at_us = kn_now_us() + own->late_ms * USEC_PER_MSEC;
+	g_ptr_array_add(own->late, late);
+}
+
+static const char *carry_out(struct site_machines *own,
+			     struct site_machine *machine, const char *pool,
+			     int64_t wave, int64_t fence)
+{
+	return pool ? move(own, machine, pool, fence) :
+		      order(own, machine, wave, fence);
+}
+
+static void carry_out_late(struct site_machines *own)
+{
+	guint i = 0;
+
+	while (i < own->late->len) {
+		struct late_order *late = g_ptr_array_index(own->late, i);
+
+		if (late->at_us > kn_now_us()) {
+			i++;
+			continue;
+		}
+		carry_out(own, find(own, late->name), late->pool, late->wave,
+			  late->fence);
+		g_ptr_array_remove_index(own->late, i);
+	}
+}
+
+static void on_order(struct site_machines *own, struct hs_request *req,
+		     bool moves)
 {
 	json_t *body = json_loadb((char *)req->body, req->body_len, 0, NULL);
 	struct site_machine *machine =
 		find(own, json_string_value(json_object_get(body, "machine")));
 	const char *pool = json_string_value(json_object_get(body, "pool"));
-	const char *fence = hs_header(req, "Chivebank-Fence-Token");
+	int64_t wave = json_integer_value(json_object_get(body, "wave"));
+	const char *token = hs_header(req, "Chivebank-Fence-Token");
+	int64_t fence = token ? g_ascii_strtoll(token, NULL, 10) : 0;
 	const char *reason = NULL;
-	bool known = machine && pool && fence &&
+	bool known = machine && token && (pool != NULL) == moves &&
 		     hs_header(req, "Chivebank-Duty-Holder");
 
-	if (known)
-		reason = move(machine, pool, g_ascii_strtoll(fence, NULL, 10));
+	if (known && own->fault == SITE_MACHINES_LATE)
+		put_off(own, machine->name, pool, wave, fence);
+	else if (known)
+		reason = carry_out(own, machine, pool, wave, fence);
 	json_decref(body);
-	if (own->mute)
+	if (own->fault == SITE_MACHINES_MUTE ||
+	    own->fault == SITE_MACHINES_LATE)
 		return;
 	if (reason)
 		site_reply(req, 409, json_pack("{s:s}", "reason", reason));
@@ -174,12 +248,16 @@
 	struct site_machines *own =
 		container_of(server, struct site_machines, server);
 
-	if (g_str_has_prefix(req->target, "/machines"))
+	if (own->fault == SITE_MACHINES_SILENT)
+		return;
+	if (own->fault == SITE_MACHINES_BUSY)
+		site_reply(req, 503, json_object());
+	else if (g_str_has_prefix(req->target, "/machines"))
 		on_list(own, req);
 	else if (strcmp(req->target, "/machine-upkeep") == 0)
-		on_upkeep(own, req);
+		on_order(own, req, false);
 	else if (strcmp(req->target, "/machine-move") == 0)
-		on_move(own, req);
+		on_order(own, req, true);
 	else
 		site_reply(req, 404, json_object());
 }
@@ -192,6 +270,7 @@
 		container_of(timer, struct site_machines, timer);
 	guint i;
 
+	carry_out_late(own);
 	for (i = 0; i < own->machines->len; i++) {
 		struct site_machine *machine =
 			g_ptr_array_index(own->machines, i);
@@ -201,9 +280,9 @@
 		machine->up_us = 0;
 		if (!machine->moving)
 			own->down--;
-		if (!machine->spare)
-			site_worker_restart(machine->worker);
 		machine->moving = false;
+		if (!machine->spare)
+			set_power(own, machine, true);
 	}
 	kn_timer_set(own->server.kn, timer, TICK_MS * USEC_PER_MSEC, on_tick);
 }
@@ -224,6 +303,7 @@
 
 	own->fleet = fleet;
 	own->machines = g_ptr_array_new_with_free_func(g_free);
+	own->late = g_ptr_array_new_with_free_func(late_order_free);
 	list_for_each_entry(worker, &fleet->workers, node)
 		site_machines_add(own, worker);
 	if (!hs_init(&own->server, kn, &machines_ops, "127.0.0.1", 0, NULL))
@@ -236,17 +316,8 @@
 
 void site_machines_spare(struct site_machines *own, struct site_worker *worker)
 {
-	guint i;
-
-	for (i = 0; i < own->machines->len; i++) {
-		struct site_machine *machine =
-			g_ptr_array_index(own->machines, i);
-
-		if (machine->worker != worker)
-			continue;
-		machine->spare = true;
-		site_worker_crash(worker);
-	}
+	site_machines_of(own, worker)->spare = true;
+	set_power(own, site_machines_of(own, worker), false);
 }
 
 void site_machines_free(struct site_machines *own)
@@ -254,5 +325,6 @@
 	kn_timer_cancel(&own->timer);
 	hs_finish(&own->server);
 	g_ptr_array_unref(own->machines);
+	g_ptr_array_unref(own->late);
 	g_free(own);
 }
--- a/tests/standins/site_machines.h
+++ b/tests/standins/site_machines.h
@@ -21,15 +21,33 @@
 	int begun; /* upkeeps */
 };
 
+/* What becomes of the orders and lists that arrive. */
+enum site_machines_fault {
+	SITE_MACHINES_WELL,
+	SITE_MACHINES_SILENT, /* nothing is done or answered */
+	SITE_MACHINES_MUTE, /* orders are carried out and not answered */
+	SITE_MACHINES_BUSY, /* 503 */
+	SITE_MACHINES_LATE, /* orders are carried out later, unanswered */
+};
+
 struct site_machines {
 	struct hs_server server;
 	struct site_fleet *fleet;
 	GPtrArray *machines; /* struct site_machine */
+	GPtrArray *late; /* struct late_order */
 	struct kn_timer timer;
 	int down;
 	int most_down;
 	uint64_t lists;
-	bool mute; /* orders are carried out and not answered */
+	int moved; /* all moves */
+	enum site_machines_fault fault;
+	int64_t late_ms;
+	/* A move may end work, as a new leader does not know of the order. */
+	bool may_end_work;
+	/* Starts or ends the worker of a host; NULL: site_worker_restart() and
+	 * site_worker_crash(). */
+	void (*power)(struct site_machine *machine, bool on, void *user);
+	void *user;
 };
 
 /* Longer than the interval of the polls of the list, as on the platform. */
@@ -47,6 +65,8 @@
 /* Takes a worker out of the pool; its host is off from now on. */
 void site_machines_spare(struct site_machines *machines,
 			 struct site_worker *worker);
+struct site_machine *site_machines_of(const struct site_machines *machines,
+				      const struct site_worker *worker);
 void site_machines_free(struct site_machines *machines);
 
 #endif
--- a/tests/unit/test_site_features.c
+++ b/tests/unit/test_site_features.c
@@ -240,7 +240,7 @@
 START_TEST(wave_without_answers_to_its_orders)
 {
 	rig_start(&rig, 1, 3, 1);
-	rig.machines->mute = true;
+	rig.machines->fault = SITE_MACHINES_MUTE;
 	order_wave(30, 1);
 	ck_assert(wait_wave(30000));
 	check_wave(1);
