Give work to registered workers once they have answered

Cause: the registrations of workers that a cut has held up arrive when the cut is over, also of workers that have ended meanwhile, and stay in the store for seconds. The leader placed work there; a start without an answer is over only with its lease, and a gang waits for it. As the room counted as free, no other room was made.

Change: a worker that registers while the leader has had no answer from it for 3 s is asked for a report, and gets tasks when it has answered. Right after an election, workers without a sign of life are chosen last.

The tests registration_of_an_ended_worker_gets_no_tasks, registered_worker_gets_tasks_once_it_has_answered and workers_without_a_sign_of_life_are_chosen_last failed before.

--- a/control/director_watch.c
+++ b/control/director_watch.c
@@ -109,6 +109,7 @@
 	const char *id = item->key + strlen(mirror->prefix);
 	struct worker_report report;
 	struct worker *known;
+	bool renewed;
 
 	if (!director->adapter->read_report(item->key, item->value, item->len,
 					    &report)) {
@@ -119,8 +120,9 @@
 		return;
 	}
 	known = g_hash_table_lookup(director->fleet.workers_by_id, id);
-	if (!known || known->reported.born_ms != report.born_ms ||
-	    known->reported.draining != report.draining || !known->listed) {
+	renewed = known && known->reported.born_ms == report.born_ms &&
+		  known->listed;
+	if (!renewed || known->reported.draining != report.draining) {
 		log_info(
 			"worker.seen",
 			"worker=%s pool=%s dc=%s rack=%s born_ms=%" G_GINT64_FORMAT
@@ -130,7 +132,11 @@
 			report.draining, item->mod_revision);
 		director_schedule_pass(director, PASS_DELAY_MS * USEC_PER_MSEC);
 	}
-	fleet_update_worker(&director->fleet, &report, kn_now_us());
+	known = fleet_update_worker(&director->fleet, &report, kn_now_us());
+	if (renewed)
+		known->renewed_us = kn_now_us();
+	else if (director->workers_read)
+		worker_registered(known, kn_now_us());
 }
 
 static void on_worker_removed(struct mirror *mirror, const char *key)
--- a/control/orders.c
+++ b/control/orders.c
@@ -365,15 +365,16 @@
 
 /*
  * Whether a worker must be called: it has tasks, or ends to be acknowledged, or
- * its latest call had no answer. Only an answer makes a worker usable again, so
- * an idle one that has become unreachable is called until it answers.
+ * its latest call had no answer, or it has to answer before it gets tasks. Only an
+ * answer makes a worker usable again, so an idle one that has become unreachable
+ * is called until it answers.
  */
 static bool needs_hold(const struct worker *worker)
 {
 	return worker->task_count > 0 || !list_empty(&worker->orphans) ||
 	       worker->acked < worker->end_seen ||
-	       (worker->unanswered_calls > 0 && worker->listed &&
-		!worker->replaced);
+	       ((worker->unanswered_calls > 0 || worker_unverified(worker)) &&
+		worker->listed && !worker->replaced);
 }
 
 static void stop_orphans(struct orders *orders, struct worker *worker,
--- a/fleet/limits.h
+++ b/fleet/limits.h
@@ -37,6 +37,9 @@
 /* A worker that left so many calls in a row unanswered gets no new tasks. A
  * single one may be lost in the network. */
 #define UNANSWERED_CALLS_MAX 2
+/* A worker that answered so recently needs no proof that it is there. Workers
+ * with tasks answer a hold call within this time. */
+#define CONTACT_MAX_MS 3000
 /* A run that a report leaves out is over if a report that was asked for so long
  * after the longest stop leaves it out too. */
 #define MISSING_SLACK_MS 100
--- a/fleet/placement.c
+++ b/fleet/placement.c
@@ -87,6 +87,13 @@
 	       (double)worker->used.cpu_milli / (double)MAX(all->cpu_milli, 1);
 }
 
+/*
+ * A worker that may have ended is chosen only if no other one fits: a start
+ * that gets no answer is over only with the lease, and a gang waits for it. All
+ * workers renew their registrations within seconds.
+ */
+#define UNSEEN_PENALTY 10.0
+
 /*
  * Score of a worker for a task, lower is better: the fullest worker that fits.
  * Free accelerators weigh four times as much as free processor time.
@@ -99,10 +106,11 @@
 	double free_cpu = all->cpu_milli > 0 ?
 				  (double)room.cpu_milli / all->cpu_milli :
 				  0;
+	double unseen = worker_seen_alive(worker) ? 0 : UNSEEN_PENALTY;
 
 	if (stage->spec->fills)
-		return best_effort_score(worker);
-	return free_gpus * 4.0 + free_cpu;
+		return best_effort_score(worker) + unseen;
+	return free_gpus * 4.0 + free_cpu + unseen;
 }
 
 /* The worker of a failed run is chosen again only if no other worker fits. */
--- a/fleet/placement_view.c
+++ b/fleet/placement_view.c
@@ -67,7 +67,7 @@
 	       !worker->reported.draining && !worker->cordoned &&
 	       worker->upkeep != WORKER_CLOSED &&
 	       worker->unanswered_calls < UNANSWERED_CALLS_MAX &&
-	       worker_reachable(worker, now_us) &&
+	       worker_reachable(worker, now_us) && !worker_unverified(worker) &&
 	       !evacuation_of_worker(fleet, worker);
 }
 
--- a/fleet/worker.c
+++ b/fleet/worker.c
@@ -117,6 +117,23 @@
 		       UNREACHABLE_AFTER_MS * 1000;
 }
 
+bool worker_seen_alive(const struct worker *worker)
+{
+	return worker->heard_us != 0 || worker->renewed_us != 0;
+}
+
+bool worker_unverified(const struct worker *worker)
+{
+	return worker->heard_us < worker->registered_us;
+}
+
+void worker_registered(struct worker *worker, int64_t now_us)
+{
+	if (worker->heard_us == 0 ||
+	    now_us - worker->heard_us > CONTACT_MAX_MS * 1000)
+		worker->registered_us = now_us;
+}
+
 int worker_count(const struct worker *worker, const struct stage *stage)
 {
 	const struct task *task;
--- a/fleet/worker.h
+++ b/fleet/worker.h
@@ -86,6 +86,15 @@
 	/* Contact. */
 	bool fenced; /* it knows this leader's fence token */
 	int64_t heard_us; /* latest answer, 0: none */
+	/* When it renewed its registration under this leader, 0: not yet. One
+	 * that was only found there may be of a worker that has ended. */
+	int64_t renewed_us;
+	/*
+	 * When it registered while this leader had no contact with it, 0: it has
+	 * not. It gets no tasks before it answers: a registration that a cut has
+	 * held up arrives when the cut is over, also of a worker that has ended.
+	 */
+	int64_t registered_us;
 	/* Where it answered last, empty: nowhere yet. */
 	char heard_addr[48];
 	int heard_port;
@@ -162,6 +171,12 @@
 			    int64_t now_us);
 /* False once calls have had no answer for UNREACHABLE_AFTER_MS. */
 bool worker_reachable(const struct worker *worker, int64_t now_us);
+/* Whether this leader has had a sign of life of the worker. */
+bool worker_seen_alive(const struct worker *worker);
+/* Whether it has to answer before it gets tasks. */
+bool worker_unverified(const struct worker *worker);
+/* Its registration has appeared, and is not known to be recent. */
+void worker_registered(struct worker *worker, int64_t now_us);
 /* Counts the tasks of a stage that hold resources of the worker. */
 int worker_count(const struct worker *worker, const struct stage *stage);
 
--- a/tests/unit/test_lives.c
+++ b/tests/unit/test_lives.c
@@ -4,7 +4,8 @@
 #include "tests/standins/site_rig.h"
 #include "tests/unit/run.h"
 
-/* Workers that start again in place, before their entries are written anew. */
+/* Workers that start again in place before their entries are written anew, or
+ * whose entries outlive them. */
 
 static struct rig rig;
 
@@ -48,11 +49,31 @@
 }
 END_TEST
 
+/* Guards against work that waits for a lease, as it went to a worker that had
+ * ended before its registration arrived. */
+START_TEST(registration_of_an_ended_worker_gets_no_tasks)
+{
+	struct site_worker *ended;
+
+	rig_start(&rig, 1, 1, 1);
+	ended = site_fleet_add(rig.fleet, "rack-9", 8, 0);
+	ended->fault = SITE_WORKER_SILENT;
+	rig_run_ms(&rig, 400);
+	/* More than the other worker has room for at once. */
+	ck_assert_int_eq(rig_submit(&rig, 0, JOB_SHORT, 9, "ms=200", NULL),
+			 200);
+	/* The lease of a start without an answer takes max_hold_ms, 2,500. */
+	ck_assert(rig_wait(&rig, 0, JOB_SHORT, "done", 2000));
+	rig_stop(&rig);
+}
+END_TEST
+
 int main(void)
 {
 	TCase *tc = tcase_create("lives");
 
 	tcase_set_timeout(tc, 30);
+	tcase_add_test(tc, registration_of_an_ended_worker_gets_no_tasks);
 	tcase_add_loop_test(tc, end_of_the_next_life_is_read, 0, DOWN_STEPS);
 	return run_case("lives", tc);
 }
--- a/tests/unit/test_plan.c
+++ b/tests/unit/test_plan.c
@@ -498,6 +498,54 @@
 }
 END_TEST
 
+/* Guards against work that waits for a lease right after a change of the leader:
+ * it went to a worker that had ended and was still registered. */
+START_TEST(workers_without_a_sign_of_life_are_chosen_last)
+{
+	struct worker *gone = make_worker(&fleet, "w0", "r", 8, NOW);
+	struct worker *renewed = make_worker(&fleet, "w1", "r", 8, NOW);
+	struct worker *heard = make_worker(&fleet, "w2", "r", 8, NOW);
+	struct job *gang, *single, *last;
+
+	renewed->renewed_us = NOW;
+	heard->heard_us = NOW;
+	gang = make_job(&fleet, "gang", 0, 2, 6, 1000, NOW);
+	gang->spec.steps[0].gang = true;
+	fleet_open_due(&fleet, NOW, 0);
+	plan_pass(&fleet, NOW);
+	ck_assert_ptr_ne(first_occurrence_task(gang, 0, 0)->worker, gone);
+	ck_assert_ptr_ne(first_occurrence_task(gang, 0, 1)->worker, gone);
+	single = make_job(&fleet, "single", 0, 1, 2, 1000, NOW);
+	fleet_open_due(&fleet, NOW, 0);
+	plan_pass(&fleet, NOW);
+	ck_assert_ptr_nonnull(first_occurrence_task(single, 0, 0)->worker);
+	ck_assert_ptr_ne(first_occurrence_task(single, 0, 0)->worker, gone);
+	last = make_job(&fleet, "last", 0, 1, 8, 1000, NOW);
+	fleet_open_due(&fleet, NOW, 0);
+	plan_pass(&fleet, NOW);
+	ck_assert_ptr_eq(first_occurrence_task(last, 0, 0)->worker, gone);
+}
+END_TEST
+
+/* Guards against the same with a registration that a cut has held up: the worker
+ * has ended meanwhile, and is registered for some more seconds. */
+START_TEST(registered_worker_gets_tasks_once_it_has_answered)
+{
+	struct worker *worker = make_worker(&fleet, "w0", "r", 8, NOW);
+
+	worker_registered(worker, NOW);
+	make_job(&fleet, "j", 0, 2, 4, 1000, NOW);
+	ck_assert_int_eq(plan(NOW + MSEC), 0);
+	worker->heard_us = NOW + 2 * MSEC;
+	ck_assert_int_eq(plan(NOW + 2 * MSEC), 2);
+	/* It answers often while it has tasks. */
+	worker_registered(worker, NOW + 1500 * MSEC);
+	ck_assert(!worker_unverified(worker));
+	worker_registered(worker, NOW + 5000 * MSEC);
+	ck_assert(worker_unverified(worker));
+}
+END_TEST
+
 START_TEST(single_banned_worker_gets_no_tasks)
 {
 	struct worker *worker;
@@ -820,6 +868,8 @@
 	tcase_add_test(tc, cheap_preemption_beyond_guarantee);
 	tcase_add_test(tc, bans_of_most_workers_are_ignored);
 	tcase_add_test(tc, unresponsive_worker_gets_no_tasks);
+	tcase_add_test(tc, workers_without_a_sign_of_life_are_chosen_last);
+	tcase_add_test(tc, registered_worker_gets_tasks_once_it_has_answered);
 	tcase_add_test(tc, single_banned_worker_gets_no_tasks);
 	tcase_add_test(tc, failed_task_restarts_on_another_worker);
 	tcase_add_test(tc, reclaim_is_retried_when_room_stays_taken);
