Clear the marks of waves in each pass

The marks that waves put on workers were cleared only while there is a list of hosts. The list is dropped now when nothing needs it, so that the clearing rested on the last pass of a wave having left none. They are set anew in each pass in any case, and cleared in each.

--- a/control/maintenance.c
+++ b/control/maintenance.c
@@ -363,8 +363,7 @@
 			read_stored_statuses(maintenance);
 		return;
 	}
-	if (maintenance->list)
-		upkeep_clear(maintenance->fleet);
+	upkeep_clear(maintenance->fleet);
 	list_for_each_entry(wave, &maintenance->waves, node) {
 		if (wave->done_reported)
 			continue;
