Keep the loan of a host that a list misses

A lent host that was missing from one of them lost its loan, and would have stayed in the pool for good; no operator has reported it.

Change: a loan ends when its host has been missing for 30 s.

--- a/fleet/lending.c
+++ b/fleet/lending.c
@@ -17,6 +17,9 @@
 #define LEND_IDLE_RETURN_MS 15000
 /* How long an order that got no answer may still be carried out. */
 #define LEND_LATE_ORDER_MS 30000
+/* A host that no list has had for so long was removed. Lists are read in pages,
+ * and may miss a host. */
+#define LEND_MISSING_MS 30000
 /* Bounds the record of the loans in the store. */
 #define LOANS_MAX 4096
 
@@ -386,15 +389,21 @@
 	       overdue_stage(fleet, loan->pool, machine, now_us);
 }
 
+/* Whether the platform has removed the host, which is not in the list. */
+static bool is_removed(struct loan *loan, int64_t now_us)
+{
+	if (loan->missing_us == 0)
+		loan->missing_us = now_us;
+	return now_us - loan->missing_us > LEND_MISSING_MS * 1000;
+}
+
 /*
  * Whether nothing can move the host any more, which has been returned or moved
- * elsewhere, has left the list, or has not gone to the pool.
+ * elsewhere, or has not gone to the pool.
  */
 static bool is_over(struct loan *loan, const struct machine *machine,
 		    int64_t listed_us, int64_t now_us)
 {
-	if (!machine)
-		return true;
 	if (strcmp(machine->pool, loan->pool) == 0 ||
 	    (loan->state == LOAN_REQUESTED && !loan->ordered))
 		return false;
@@ -441,10 +450,14 @@
 			upkeep_find_worker(fleet, machines, loan->host);
 		bool returning = loan->state == LOAN_RETURNING;
 
-		if (is_over(loan, machine, listed_us, now_us)) {
+		if (!machine ? is_removed(loan, now_us) :
+			       is_over(loan, machine, listed_us, now_us)) {
 			end_loan(lending, loan);
 			continue;
 		}
+		if (!machine)
+			continue;
+		loan->missing_us = 0;
 		if (update_loan(fleet, loan, machine, worker, listed_us,
 				now_us))
 			return order_move(loan, LOAN_RETURNING, now_us, pool);
--- a/fleet/lending.h
+++ b/fleet/lending.h
@@ -37,6 +37,7 @@
 	int64_t idle_us; /* idle since then, 0: the host is needed */
 	/* Of the last order to the pool that got no answer, 0: none. */
 	int64_t unanswered_us;
+	int64_t missing_us; /* in no list since then, 0: it is listed */
 };
 
 struct lending {
--- a/tests/unit/test_lending.c
+++ b/tests/unit/test_lending.c
@@ -535,6 +535,40 @@
 }
 END_TEST
 
+/* Guards against a host that stays lent for good as one list, of several pages,
+ * misses it: its loan was forgotten. */
+START_TEST(host_that_one_list_misses_stays_lent)
+{
+	struct loan *loan;
+	int64_t now_us = order_return(&loan);
+	struct machine *machine;
+
+	lending_move_answered(loan, CB_E_CONFLICT, now_us);
+	machine = g_ptr_array_steal_index(machines, 1);
+	ck_assert_ptr_null(next_move(now_us + SEC));
+	ck_assert_int_eq(lending.count, 1);
+	g_ptr_array_insert(machines, 1, machine);
+	ck_assert_ptr_null(next_move(now_us + 2 * SEC));
+	ck_assert_ptr_eq(next_move(now_us + 18 * SEC), loan);
+	ck_assert_str_eq(pool, SPARE);
+}
+END_TEST
+
+/* The platform has removed the host. */
+START_TEST(loan_of_a_removed_host_ends)
+{
+	struct loan *loan;
+	int64_t now_us = order_return(&loan);
+
+	lending_move_answered(loan, CB_OK, now_us);
+	g_ptr_array_remove_index(machines, 1);
+	ck_assert_ptr_null(next_move(now_us + SEC));
+	ck_assert_int_eq(lending.count, 1);
+	ck_assert_ptr_null(next_move(now_us + 32 * SEC));
+	ck_assert_int_eq(lending.count, 0);
+}
+END_TEST
+
 /* The worker of an evacuated host would get no tasks. */
 START_TEST(host_in_an_evacuated_data_centre_is_not_lent)
 {
@@ -609,6 +643,8 @@
 	tcase_add_test(tc, only_hosts_with_the_label_are_lent);
 	tcase_add_test(tc,
 		       lent_host_goes_home_beside_tasks_that_it_can_not_run);
+	tcase_add_test(tc, host_that_one_list_misses_stays_lent);
+	tcase_add_test(tc, loan_of_a_removed_host_ends);
 	tcase_add_test(tc, host_in_an_evacuated_data_centre_is_not_lent);
 	tcase_add_test(tc, host_that_is_evacuated_on_its_way_is_replaced);
 	return run_case("lending", tc);
