Wait for a host that a list misses before a wave is done

A wave whose last host was missing from one list, of several pages, was said to be done at once.

Change: the wave waits until the host has been missing for 3 s.

Result: removed_hosts_do_not_hold_a_wave_up asks for that, failed before with "'!wave->done' failed", and passes; test_upkeep passes with 18 checks.

--- a/fleet/upkeep.c
+++ b/fleet/upkeep.c
@@ -19,6 +19,8 @@
 /* A host with a task that can't be stopped now, as its step is short of tasks,
  * lets others go first after this time, and for as long. */
 #define UPKEEP_HELD_MAX_MS 10000
+/* A host that no list has had for so long was removed: several lists. */
+#define UPKEEP_MISSING_MS 3000
 /* Time per host: stopping its tasks, down, up, and the lists that show it. */
 #define UPKEEP_HOST_MS 4000
 /* Wait after a refusal, which means that the host or the service is busy. */
@@ -229,15 +231,23 @@
 	}
 }
 
-/*
- * Nothing is left to do for a host that was removed. Its state stays, as the
- * list is read in pages and may have missed a host.
- */
-static bool is_removed(const GPtrArray *machines, const struct machine *machine)
+/* Whether the list lacks the host: it was removed, or missed between pages. */
+static bool is_missing(const GPtrArray *machines, const struct machine *machine)
 {
 	return !machine && machines->len > 0;
 }
 
+static bool is_missing_for_long(struct upkeep_host *host, int64_t now_us)
+{
+	if (host->missing_us == 0)
+		host->missing_us = now_us;
+	return now_us - host->missing_us > UPKEEP_MISSING_MS * 1000;
+}
+
+/*
+ * A host that is missing holds the wave up until it is missing for long, takes
+ * no turn, and goes on when it is listed again.
+ */
 void upkeep_update(struct fleet *fleet, struct wave *wave,
 		   const GPtrArray *machines, int64_t now_us)
 {
@@ -252,8 +262,11 @@
 		struct worker *worker = note_worker(fleet, host, machine);
 
 		update_host(host, machine, now_us);
-		if (is_removed(machines, machine))
+		if (is_missing(machines, machine)) {
+			wave->done &= is_missing_for_long(host, now_us);
 			continue;
+		}
+		host->missing_us = 0;
 		wave->done &= host->state == UPKEEP_DONE;
 		if (host->state == UPKEEP_WAITING ||
 		    host->state == UPKEEP_DRAINING)
@@ -271,7 +284,7 @@
 /*
  * Number of hosts that are or may be down: those with an order, answered or
  * not, and those that the list shows as down, for example because an earlier
- * leader ordered it. Those that were removed don't count.
+ * leader ordered it. Those that are missing don't count.
  */
 static int count_down(const struct wave *wave, const GPtrArray *machines)
 {
@@ -285,7 +298,7 @@
 		const struct machine *machine =
 			upkeep_find_machine(machines, host->name);
 
-		if (is_removed(machines, machine))
+		if (is_missing(machines, machine))
 			continue;
 		down += host->state == UPKEEP_ORDERED ||
 			(host->state != UPKEEP_DONE && machine && !machine->up);
--- a/fleet/upkeep.h
+++ b/fleet/upkeep.h
@@ -48,6 +48,7 @@
 	int64_t drain_started_us; /* when its tasks were stopped, 0: not yet */
 	/* Since when a task on it could not be stopped when its turn came. */
 	int64_t held_us;
+	int64_t missing_us; /* in no list since then, 0: it is listed */
 	bool blocked; /* by a task that may never be stopped */
 	/* Incarnation of the worker when ordered, 0: there was none. */
 	int64_t born_ms;
--- a/tests/unit/test_upkeep.c
+++ b/tests/unit/test_upkeep.c
@@ -550,7 +550,10 @@
 	ck_assert_str_eq(host->name, "m2");
 	add_machine("m3", NULL);
 	g_ptr_array_remove_index(machines, 0);
+	/* One list may have missed it. */
 	upkeep_update(&fleet, wave, machines, NOW + 2 * SEC);
+	ck_assert(!wave->done);
+	upkeep_update(&fleet, wave, machines, NOW + 6 * SEC);
 	ck_assert(wave->done);
 	wave_free(wave);
 }
