--- a/tests/soak/soak_jobs.c
+++ b/tests/soak/soak_jobs.c
@@ -79,10 +79,10 @@
 			g_strdup("");
 	char *payload;
 
-	/* What the pool could not hold without lent hosts may have to wait for
-	 * good. */
-	count = MIN(count, SOAK_WORKER_GPUS * (soak->options.workers -
-					       soak->options.spares));
+	/* A gang that the pool can't hold as a whole would wait for good. */
+	if (gang)
+		count = MIN(count, SOAK_WORKER_GPUS * (soak->options.workers -
+						       soak->options.spares));
 	job->tasks = count;
 	job->due_ms = timed ? due_ms : 0;
 	job->poison = soak_chance(soak, 6);
